--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -10,7 +10,7 @@
 	"io"
 	"os"
 
-	"gorseseam/internal/wire"
+	"eidertrail/internal/wire"
 )
 
 func main() {
--- a/controller.go
+++ b/controller.go
@@ -1,11 +1,11 @@
-// Package gorseseam decides, for one access node, where each call is set up and
+// Package eidertrail decides, for one access node, where each call is set up and
 // which calls are turned away. Its types, events and actions stand in api.go.
 //
 // The mechanism is Angelin and Arvidsson's: the sender keeps a delay memory for
 // every call server, predicts from it the completion time of the next set-up,
 // and passes a server over while that prediction exceeds A times the quickest
 // completion seen. Everything the node decides is decided in this file.
-package gorseseam
+package eidertrail
 
 import (
 	"cmp"
--- a/controller_test.go
+++ b/controller_test.go
@@ -1,4 +1,4 @@
-package gorseseam
+package eidertrail
 
 import (
 	"bufio"
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"gorseseam"
+	"eidertrail"
 )
 
 // settings are the wire's settings as far as the controller uses them; other keys are passed over.
@@ -45,11 +45,11 @@
 	Tick int64 `json:"tick"`
 }
 
-var effects = map[string]gorseseam.Effect{
-	"": gorseseam.Safe, "safe": gorseseam.Safe, "keyed": gorseseam.Keyed, "unsafe": gorseseam.Unsafe,
+var effects = map[string]eidertrail.Effect{
+	"": eidertrail.Safe, "safe": eidertrail.Safe, "keyed": eidertrail.Keyed, "unsafe": eidertrail.Unsafe,
 }
 
-func hello(v *row) (*gorseseam.Controller, []string, error) {
+func hello(v *row) (*eidertrail.Controller, []string, error) {
 	seed := v.unsigned(0, "random_seed")
 	var w settings
 	if !v.decode(1, "settings", &w) && v.err == nil {
@@ -58,7 +58,7 @@
 	if v.err != nil {
 		return nil, nil, v.err
 	}
-	s := gorseseam.Settings{
+	s := eidertrail.Settings{
 		Nodes: w.Balancers, Index: w.Index, Here: -1,
 		Release: time.Duration(w.Extra.ClearWait), Resend: time.Duration(w.Extra.T1),
 		MaxAttempts: w.Caps.MaxAttempts,
@@ -75,7 +75,7 @@
 		if !known {
 			return nil, nil, fmt.Errorf("Hello: request_classes[%d].effect: %q is not known", i, c.Effect)
 		}
-		class := gorseseam.Class{
+		class := eidertrail.Class{
 			Name: c.Name, Aim: time.Duration(c.Promise), Deadline: time.Duration(c.Deadline),
 			Worth: c.Worth, LateWorth: c.LateWorth, Effect: effect,
 		}
@@ -87,7 +87,7 @@
 		}
 		s.Classes = append(s.Classes, class)
 	}
-	c, err := gorseseam.New(s, seed)
+	c, err := eidertrail.New(s, seed)
 	if err != nil {
 		return nil, nil, fmt.Errorf("Hello: %w", err)
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,25 +9,25 @@
 	"strconv"
 	"time"
 
-	"gorseseam"
+	"eidertrail"
 )
 
 // Host keeps the instances behind one wire and the lists that they share by number.
 type Host struct {
 	nodes map[int]*node
-	lists map[int][]gorseseam.Server
+	lists map[int][]eidertrail.Server
 }
 
 type node struct {
-	controller *gorseseam.Controller // nil once killed
+	controller *eidertrail.Controller // nil once killed
 	stats      []string
-	events     []gorseseam.Event
-	actions    []gorseseam.Action
+	events     []eidertrail.Event
+	actions    []eidertrail.Action
 }
 
 // NewHost returns a host without instances.
 func NewHost() *Host {
-	return &Host{nodes: map[int]*node{}, lists: map[int][]gorseseam.Server{}}
+	return &Host{nodes: map[int]*node{}, lists: map[int][]eidertrail.Server{}}
 }
 
 type batch struct {
@@ -84,7 +84,7 @@
 	return append(reply, "]}\n"...), nil
 }
 
-func (h *Host) deliver(now time.Duration, id int, news []json.RawMessage) ([]gorseseam.Action, error) {
+func (h *Host) deliver(now time.Duration, id int, news []json.RawMessage) ([]eidertrail.Action, error) {
 	n := h.nodes[id]
 	if n == nil {
 		n = &node{}
@@ -132,20 +132,20 @@
 	return actions, nil
 }
 
-func (h *Host) event(v *row, stats []string) (gorseseam.Event, error) {
-	var e gorseseam.Event
+func (h *Host) event(v *row, stats []string) (eidertrail.Event, error) {
+	var e eidertrail.Event
 	switch v.name {
 	case "JobIn":
 		options := int(v.integer(8, "options"))
-		e = gorseseam.Call{
-			ID:  gorseseam.CallID(v.unsigned(0, "txn")),
+		e = eidertrail.Call{
+			ID:  eidertrail.CallID(v.unsigned(0, "txn")),
 			Key: v.unsigned(3, "partition_key"), Class: int(v.integer(5, "tier_class")),
 			Left: time.Duration(v.integer(6, "expires_in")), Pool: int(v.number(9, "dest", -1)),
 			Transit: options&8 != 0,
 		}
 	case "Verdict":
-		o := gorseseam.Outcome{
-			Call: gorseseam.CallID(v.unsigned(0, "txn")), Attempt: int(v.integer(1, "leg")),
+		o := eidertrail.Outcome{
+			Call: eidertrail.CallID(v.unsigned(0, "txn")), Attempt: int(v.integer(1, "leg")),
 			Took:   time.Duration(v.integer(4, "cost_time")),
 			Closed: v.boolean(5, "complete"),
 		}
@@ -156,32 +156,32 @@
 		o.Status = status
 		note := v.integer(6, "note")
 		if note == beyondFull {
-			o.Cause = gorseseam.Returned
+			o.Cause = eidertrail.Returned
 		} else if note > 0 {
-			o.Cause = gorseseam.Cause(note & 15)
+			o.Cause = eidertrail.Cause(note & 15)
 			o.Wait = time.Duration(note>>4) * time.Millisecond
 		}
 		if r, any := v.report(7, "feedback", stats); any {
-			r.Server = gorseseam.ServerID(v.text(2, "server"))
+			r.Server = eidertrail.ServerID(v.text(2, "server"))
 			o.Report = &r
 		}
 		e = o
 	case "AckFirst":
-		e = gorseseam.Answered{
-			Call: gorseseam.CallID(v.unsigned(0, "txn")), Attempt: int(v.integer(1, "leg")),
+		e = eidertrail.Answered{
+			Call: eidertrail.CallID(v.unsigned(0, "txn")), Attempt: int(v.integer(1, "leg")),
 			Took: time.Duration(v.integer(3, "cost_time")),
 		}
 	case "Hangup":
-		e = gorseseam.HangUp{Call: gorseseam.CallID(v.unsigned(0, "txn"))}
+		e = eidertrail.HangUp{Call: eidertrail.CallID(v.unsigned(0, "txn"))}
 	case "Timer":
-		e = gorseseam.Wake{Token: v.unsigned(0, "nonce")}
+		e = eidertrail.Wake{Token: v.unsigned(0, "nonce")}
 	case "Endpoints":
 		kind, known := kinds[v.text(0, "kind")]
-		l := gorseseam.ServerList{Kind: kind}
+		l := eidertrail.ServerList{Kind: kind}
 		if v.err == nil && !known {
 			return nil, nil
 		}
-		if kind != gorseseam.Failed {
+		if kind != eidertrail.Failed {
 			servers, listed := h.lists[int(v.integer(2, "buffer"))]
 			if v.err == nil && !listed {
 				return nil, fmt.Errorf("Endpoints names a Census that has not come")
@@ -192,7 +192,7 @@
 	case "Pong":
 		status, server := v.text(1, "verdict"), v.text(2, "server")
 		r, any := v.report(3, "feedback", stats)
-		r.Server = gorseseam.ServerID(server)
+		r.Server = eidertrail.ServerID(server)
 		if any && status == "done" {
 			e = r
 		}
@@ -203,33 +203,33 @@
 // beyondFull is the one note that is not a cause plus 16 times a wait.
 const beyondFull = 18
 
-var statuses = map[string]gorseseam.Status{
-	"done": gorseseam.Ended, "err": gorseseam.Error, "busy": gorseseam.Full,
-	"etimedout": gorseseam.TimedOut, "econnrefused": gorseseam.ConnectFailed,
-	"econnreset": gorseseam.Reset, "ecanceled": gorseseam.Cancelled, "skipped": gorseseam.Moot,
+var statuses = map[string]eidertrail.Status{
+	"done": eidertrail.Ended, "err": eidertrail.Error, "busy": eidertrail.Full,
+	"etimedout": eidertrail.TimedOut, "econnrefused": eidertrail.ConnectFailed,
+	"econnreset": eidertrail.Reset, "ecanceled": eidertrail.Cancelled, "skipped": eidertrail.Moot,
 }
 
-var kinds = map[string]gorseseam.ListKind{
-	"delta": gorseseam.Delta, "full": gorseseam.Whole, "cached": gorseseam.Cached, "failed": gorseseam.Failed,
+var kinds = map[string]eidertrail.ListKind{
+	"delta": eidertrail.Delta, "full": eidertrail.Whole, "cached": eidertrail.Cached, "failed": eidertrail.Failed,
 }
 
-var modes = map[string]gorseseam.Mode{
-	"ready": gorseseam.Ready, "draining": gorseseam.Draining, "gone": gorseseam.Gone,
+var modes = map[string]eidertrail.Mode{
+	"ready": eidertrail.Ready, "draining": eidertrail.Draining, "gone": eidertrail.Gone,
 }
 
 func (h *Host) census(v *row) error {
 	buffer := int(v.integer(0, "buffer"))
 	var lines []json.RawMessage
 	v.decode(1, "lines", &lines)
-	servers := make([]gorseseam.Server, 0, len(lines))
+	servers := make([]eidertrail.Server, 0, len(lines))
 	for _, line := range lines {
 		var values []json.RawMessage
 		if err := json.Unmarshal(line, &values); err != nil {
 			return fmt.Errorf("Census: an entry is not an array: %w", err)
 		}
 		entry := &row{name: "Census entry", values: values}
-		s := gorseseam.Server{
-			ID: gorseseam.ServerID(entry.text(0, "server")), Born: time.Duration(entry.integer(1, "born")),
+		s := eidertrail.Server{
+			ID: eidertrail.ServerID(entry.text(0, "server")), Born: time.Duration(entry.integer(1, "born")),
 			Pool: int(entry.integer(4, "place_no")),
 		}
 		mode, known := modes[entry.text(3, "mode")]
@@ -245,18 +245,18 @@
 	return v.err
 }
 
-func appendAction(b []byte, a gorseseam.Action) ([]byte, error) {
+func appendAction(b []byte, a eidertrail.Action) ([]byte, error) {
 	var values []any
 	switch a := a.(type) {
-	case gorseseam.Send:
+	case eidertrail.Send:
 		values = []any{"HandOff", a.Call, a.Server, int64(a.Limit)}
-	case gorseseam.Refuse:
+	case eidertrail.Refuse:
 		values = []any{"Reject", a.Call}
-	case gorseseam.Fail:
+	case eidertrail.Fail:
 		values = []any{"Abort", a.Call}
-	case gorseseam.WakeAt:
+	case eidertrail.WakeAt:
 		values = []any{"WakeAt", a.Token, int64(a.In)}
-	case gorseseam.Watch:
+	case eidertrail.Watch:
 		values = []any{"Listen", true}
 	default:
 		return nil, fmt.Errorf("no order on this wire for %T", a)
@@ -317,8 +317,8 @@
 func (v *row) boolean(i int, field string) bool                   { return read(v, i, field, false) }
 func (v *row) number(i int, field string, absent float64) float64 { return read(v, i, field, absent) }
 
-func (v *row) report(i int, field string, names []string) (gorseseam.Report, bool) {
-	r := gorseseam.Report{Free: -1, Agents: -1}
+func (v *row) report(i int, field string, names []string) (eidertrail.Report, bool) {
+	r := eidertrail.Report{Free: -1, Agents: -1}
 	var values []*float64
 	if !v.decode(i, field, &values) {
 		return r, false
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"gorseseam"
+	"eidertrail"
 )
 
 const helloNews = `["Hello",5,{"balancers":2,"index":0,"caps":{"cancel":true,"max_attempts":6},` +
@@ -108,7 +108,7 @@
 	}
 }
 
-func describe(e gorseseam.Event) string {
-	o := e.(gorseseam.Outcome)
+func describe(e eidertrail.Event) string {
+	o := e.(eidertrail.Outcome)
 	return fmt.Sprintf("cause %d wait %v", o.Cause, o.Wait)
 }
