--- /dev/null
+++ b/dispatch/serve.go
@@ -0,0 +1,153 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+)
+
+// This file is the life of a call, the same for every front: it is placed, sent, sent once more at
+// most, and it ends in one Final or stands.
+
+// Set-up that a front hands over, beside the Request. Trunks pass it on unchanged.
+type Setup struct {
+	ID     string // the caller's name for the call
+	Number string // the number called
+	Class  string
+	SDP    string // the description
+}
+
+// Attempt is one send of a call.
+type Attempt struct {
+	Setup
+	Pool   string // uid
+	Number int    // 0 for the first
+	At     int64  // when it was decided
+	Until  int64  // it times out then
+}
+
+// Ending tells how an attempt or a standing call ended.
+type Ending struct {
+	Outcome Outcome
+	At      int64 // when it was seen
+	State   State
+	Cause   int // Q.850 cause of the release, 0 where there is none
+}
+
+// Leg is a call that stands at a pool.
+type Leg interface {
+	// SDP is the description that the pool answered with.
+	SDP() string
+	// Done is closed when the pool has ended the call.
+	Done() <-chan struct{}
+	// Ending is valid once Done is closed.
+	Ending() Ending
+	// Release ends the call from the caller's side. It does not wait.
+	Release(cause int)
+}
+
+// Trunk carries attempts to the pools. Invite blocks until the attempt is answered, has ended, is past
+// Until (then it is called off, and the ending is TimedOut) or ctx is done (called off, Cancelled).
+type Trunk interface {
+	Invite(ctx context.Context, a Attempt) (Leg, Ending)
+}
+
+// FinalKind is the kind of a final answer.
+type FinalKind int
+
+// The final answers. Gone means that none is owed: the caller has left.
+const (
+	Stands FinalKind = iota
+	Turned           // refused: trying again is harmless
+	GivenUp
+	Gone
+)
+
+// Final is the one final answer to a call.
+type Final struct {
+	Kind   FinalKind
+	Call   *Standing // with Stands
+	After  int64     // with Turned and GivenUp: when to come back
+	NoRoom bool      // with Turned: no agent was free
+}
+
+// Standing is a call that stands. End or WaitEnd must be called once.
+type Standing struct {
+	Leg
+	d       *Dispatcher
+	call    uint64
+	attempt Attempt
+}
+
+// Serve takes one call from its set-up to its final answer. ctx is done when the caller leaves.
+func Serve(ctx context.Context, d *Dispatcher, t Trunk, r Request, s Setup) Final {
+	for {
+		p, err := d.Pick(ctx, r)
+		switch {
+		case err != nil && ctx.Err() != nil:
+			return Final{Kind: Gone}
+		case errors.Is(err, ErrClosed):
+			return Final{Kind: Turned, After: leastAfter}
+		case err != nil || p.Verdict == Failed:
+			return Final{Kind: GivenUp, After: max(p.After, leastAfter)}
+		case p.Verdict == Refused:
+			return Final{Kind: Turned, After: p.After, NoRoom: p.NoRoom}
+		}
+		a := Attempt{Setup: s, Pool: p.Pool, Number: p.Attempt, At: p.At, Until: r.Until}
+		if p.Limit > 0 {
+			a.Until = min(a.Until, p.At+p.Limit)
+		}
+		leg, end := t.Invite(ctx, a)
+		report := Result{Call: r.Call, Attempt: p.Attempt, Pool: p.Pool, Outcome: end.Outcome,
+			Took: end.At - p.At, State: end.State, Left: ctx.Err() != nil}
+		if leg == nil {
+			d.Report(report)
+			if report.Left {
+				return Final{Kind: Gone}
+			}
+			continue
+		}
+		if report.Left || d.Now() >= r.Until { // the answer crossed the caller's leaving: nobody is served by it
+			leg.Release(CauseNormal)
+			report.Outcome, report.Left = Cancelled, true
+			d.Report(report)
+			if ctx.Err() != nil {
+				return Final{Kind: Gone}
+			}
+			return Final{Kind: GivenUp, After: leastAfter}
+		}
+		report.Outcome = Answered
+		d.Report(report)
+		return Final{Kind: Stands, Call: &Standing{leg, d, r.Call, a}}
+	}
+}
+
+// CauseNormal and CauseCut are the Q.850 causes of calls that have come to their end and that were cut.
+const (
+	CauseNormal = 16
+	CauseCut    = 41
+)
+
+// WaitEnd waits until the pool ends the call, or until released hands the cause with which the caller
+// does, and reports the end. It tells the cause, and whether the pool ended it: the caller is to be told then.
+func (s *Standing) WaitEnd(released <-chan int) (cause int, byPool bool) {
+	select {
+	case <-s.Done():
+		e := s.Ending()
+		s.report(e)
+		return e.Cause, true
+	case cause = <-released:
+		s.End(cause)
+		return cause, false
+	}
+}
+
+// End releases the call towards the pool and reports its end.
+func (s *Standing) End(cause int) {
+	s.Release(cause)
+	s.report(Ending{Outcome: Cancelled, At: s.d.Now(), State: Untold})
+}
+
+func (s *Standing) report(e Ending) {
+	s.d.Report(Result{Call: s.call, Attempt: s.attempt.Number, Pool: s.attempt.Pool, Outcome: e.Outcome,
+		Took: e.At - s.attempt.At, State: e.State})
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,212 @@
+// Package config reads what the platform tells a session controller. Every
+// error is one line that names the field.
+package config
+
+import (
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"eidertrail"
+	"eidertrail/internal/bulletin"
+	"eidertrail/internal/clock"
+)
+
+// Config is the configuration of one session controller.
+type Config struct {
+	Name     string
+	Listen   string
+	Seed     uint64
+	MemoryMB int
+	Sockets  int
+	Bulletin string // address, "" for none
+	Known    bulletin.Page
+
+	Settings       eidertrail.Settings
+	ReportFree     string // the field of a pool's report that holds its free agents
+	ReportAgents   string // and their number
+	ConnectTimeout int64  // microseconds
+	MaxRetryAfter  int64  // microseconds, the longest wait a caller is told
+	Classes        []string
+	Tenants        []string
+}
+
+// Load reads the file at path. now turns the start times of pools into clock readings.
+func Load(path string, now *clock.Clock) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: RELAY_CONFIG: %w", err)
+	}
+	return Parse(text, now)
+}
+
+// Parse reads a configuration.
+func Parse(text []byte, now *clock.Clock) (*Config, error) {
+	if !gjson.ValidBytes(text) {
+		return nil, fmt.Errorf("config: not valid JSON")
+	}
+	r := &reader{root: gjson.ParseBytes(text)}
+	if !r.root.IsObject() {
+		return nil, fmt.Errorf("config: not a JSON object")
+	}
+	c := &Config{
+		Name:     r.text("name", false),
+		Listen:   r.address("listen", true),
+		Bulletin: r.address("bulletin", false),
+		MemoryMB: int(r.number("limits.memory_mb", 192, 16, 1<<20)),
+		Sockets:  int(r.number("limits.sockets", 1024, 32, 1<<20)),
+	}
+	if seed := r.text("seed", false); seed != "" {
+		var err error
+		if c.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
+			r.fail("seed", "want up to 16 hex digits")
+		}
+	}
+	r.settings(c)
+	if r.err != nil {
+		return nil, r.err
+	}
+	if known := r.root.Get("known"); known.Exists() {
+		page, err := bulletin.ParsePage([]byte(known.Raw), now)
+		if err != nil {
+			return nil, fmt.Errorf("config: known: %w", err)
+		}
+		c.Known = page
+	}
+	if _, err := eidertrail.New(c.Settings, c.Seed); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	return c, nil
+}
+
+func (r *reader) settings(c *Config) {
+	const most = math.MaxInt64 / 4
+	duration := func(path string) time.Duration { return time.Duration(r.number(path, 0, 0, most)) }
+	if !r.root.Get("settings").IsObject() {
+		r.fail("settings", "want an object")
+		return
+	}
+	s := &c.Settings
+	s.Nodes = int(r.number("settings.balancers", 1, 1, 1<<20))
+	s.Index = int(r.number("settings.index", 0, 0, 1<<20))
+	s.Here = int(r.number("settings.extra.here", -1, -1, 1<<20))
+	s.Release = duration("settings.extra.clear_wait")
+	s.Resend = duration("settings.extra.t1")
+	s.MaxAttempts = int(r.number("settings.caps.max_attempts", 0, 0, 1<<20))
+	s.Cold = duration("settings.rules.cold")
+	s.ColdShare = r.number("settings.rules.cold_share", 0, 0, 1)
+	s.FallMultiple = r.number("settings.rules.fall_multiple", 0, 0, 1e6)
+	s.FallAfter = duration("settings.rules.tip_after")
+	s.Tick = duration("settings.tick")
+	c.ConnectTimeout = int64(r.number("settings.caps.connect_timeout", 5e8, 1e6, 6e10)) / 1000
+	c.MaxRetryAfter = int64(r.number("settings.caps.max_retry_after", 2e9, 0, most)) / 1000
+	skills := r.root.Get("settings.extra.shape").Str == "skills"
+	for i, k := range r.list("settings.request_classes", true) {
+		at := fmt.Sprintf("settings.request_classes.%d.", i)
+		class := eidertrail.Class{
+			Name: r.text(at+"name", true), Aim: duration(at + "promise"), Deadline: duration(at + "deadline"),
+			Worth: r.number(at+"worth", 1, 0, 1e12), LateWorth: r.number(at+"late_worth", 0, 0, 1e12),
+		}
+		switch effect := k.Get("effect").String(); effect {
+		case "", "safe":
+		case "keyed":
+			class.Effect = eidertrail.Keyed
+		case "unsafe":
+			class.Effect = eidertrail.Unsafe
+		default:
+			r.fail(at+"effect", fmt.Sprintf("%q is not known", effect))
+		}
+		if class.Deadline <= 0 {
+			r.fail(at+"deadline", "want more than 0")
+		}
+		if skills {
+			pools := fmt.Sprintf("settings.extra.allowed_pools.%d", i)
+			for j := range r.list(pools, false) {
+				class.Pools = append(class.Pools, int(r.number(fmt.Sprintf("%s.%d", pools, j), 0, 0, 1<<20)))
+			}
+		}
+		class.Hold = duration(fmt.Sprintf("settings.extra.mean_hold.%d", i))
+		s.Classes = append(s.Classes, class)
+		c.Classes = append(c.Classes, class.Name)
+	}
+	for i := range r.list("settings.realms", false) {
+		c.Tenants = append(c.Tenants, r.text(fmt.Sprintf("settings.realms.%d.name", i), true))
+	}
+	c.ReportFree, c.ReportAgents = "idle", "circuits"
+	if names := r.list("settings.stats.names", false); len(names) >= 2 { // the first two are these, whatever their names
+		c.ReportFree, c.ReportAgents = names[0].String(), names[1].String()
+	}
+}
+
+// reader keeps the first error.
+type reader struct {
+	root gjson.Result
+	err  error
+}
+
+func (r *reader) fail(field, what string) {
+	if r.err == nil {
+		r.err = fmt.Errorf("config: %s: %s", field, what)
+	}
+}
+
+func (r *reader) get(field string, must bool) (gjson.Result, bool) {
+	v := r.root.Get(field)
+	if v.Exists() && v.Type != gjson.Null {
+		return v, true
+	}
+	if must {
+		r.fail(field, "absent")
+	}
+	return v, false
+}
+
+func (r *reader) text(field string, must bool) string {
+	v, is := r.get(field, must)
+	if is && v.Type != gjson.String {
+		r.fail(field, "want a string")
+	}
+	return v.Str
+}
+
+func (r *reader) address(field string, must bool) string {
+	text := r.text(field, must)
+	if text != "" {
+		if _, port, err := net.SplitHostPort(text); err != nil || port == "" {
+			r.fail(field, fmt.Sprintf("%q is not address:port", text))
+		}
+	} else if must {
+		r.fail(field, "empty")
+	}
+	return text
+}
+
+func (r *reader) number(field string, absent, least, most float64) float64 {
+	v, is := r.get(field, false)
+	if !is {
+		return absent
+	}
+	if v.Type != gjson.Number || v.Num < least || v.Num > most {
+		r.fail(field, fmt.Sprintf("%.40s is not a number from %g to %g", v.Raw, least, most))
+		return absent
+	}
+	return v.Num
+}
+
+func (r *reader) list(field string, must bool) []gjson.Result {
+	v, is := r.get(field, must)
+	if is && !v.IsArray() {
+		r.fail(field, "want a list")
+		return nil
+	}
+	a := v.Array()
+	if must && len(a) == 0 {
+		r.fail(field, "empty")
+	}
+	return a
+}
--- /dev/null
+++ b/internal/pool/conn.go
@@ -0,0 +1,370 @@
+package pool
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"eidertrail/dispatch"
+	"eidertrail/internal/bulletin"
+	"eidertrail/internal/sip"
+	"eidertrail/internal/stats"
+)
+
+// run keeps one connection to the pool for as long as the pool is listed: states come on it unasked,
+// and releases of calls that an earlier connection set up.
+func (p *pool) run() {
+	defer p.set.wg.Done()
+	again := redialMin
+	for {
+		p.mu.Lock()
+		address, want := p.listed.Address, p.listed.State != bulletin.Removed && !p.superseded
+		p.mu.Unlock()
+		pause := time.Hour
+		if want {
+			if p.connect(address) {
+				again = redialMin
+			}
+			if p.set.ctx.Err() != nil {
+				return
+			}
+			pause = again
+			again = min(2*again, redialMax)
+		} else if p.pending() {
+			pause = redialMax
+		}
+		p.cutIfDead()
+		timer := time.NewTimer(pause)
+		select {
+		case <-p.set.ctx.Done():
+			timer.Stop()
+			return
+		case <-p.kick:
+			timer.Stop()
+		case <-timer.C:
+		}
+	}
+}
+
+// pending tells whether a pool that is gone still has calls to be cut.
+func (p *pool) pending() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.standing) > 0
+}
+
+// longGone tells whether the pool's own releases need no longer be waited for.
+func (p *pool) longGone() bool {
+	now := p.set.cfg.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.removedAt > 0 && now-p.removedAt >= removedAfter
+}
+
+// connect dials and serves a connection until it ends. It tells whether it came up.
+func (p *pool) connect(address string) bool {
+	dialer := net.Dialer{
+		Timeout:         time.Duration(p.set.cfg.ConnectTimeout) * time.Microsecond,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3},
+	}
+	raw, err := dialer.DialContext(p.set.ctx, "tcp", address)
+	p.mu.Lock()
+	close(p.dialled)
+	p.dialled = make(chan struct{})
+	if err != nil {
+		p.refused = errors.Is(err, syscall.ECONNREFUSED)
+		p.mu.Unlock()
+		return false
+	}
+	c := &conn{pool: p, raw: raw, queue: make(chan item, writeQueue), closed: make(chan struct{}),
+		dialogs: map[key]*dialog{}}
+	p.conn, p.downSince, p.refused = c, 0, false
+	for _, b := range p.byes { // releases that had no connection to leave on
+		c.send(b)
+	}
+	p.byes = nil
+	if p.listed.Address != address || p.superseded {
+		c.close()
+	}
+	p.mu.Unlock()
+	p.set.cfg.Count.Add(stats.PoolConnections)
+	p.set.cfg.Log.Debug().Str("pool", p.uid).Str("address", address).Msg("connected")
+
+	var writer sync.WaitGroup
+	writer.Add(1)
+	go func() {
+		defer writer.Done()
+		c.write()
+	}()
+	stop := make(chan struct{})
+	writer.Add(1)
+	go func() { // the set's end and the pool's removal both end the reading
+		defer writer.Done()
+		look := time.NewTicker(redialMax)
+		defer look.Stop()
+		for {
+			select {
+			case <-p.set.ctx.Done():
+				c.close()
+				return
+			case <-stop:
+				return
+			case <-look.C:
+				if p.longGone() {
+					c.close()
+				}
+			}
+		}
+	}()
+	err = c.read()
+	close(stop)
+	c.close()
+	writer.Wait()
+	p.lost(c)
+	p.set.cfg.Log.Debug().Str("pool", p.uid).Err(err).Msg("connection ended")
+	return true
+}
+
+// lost gives up what was open on a connection that has ended. What stands there stands on.
+func (p *pool) lost(c *conn) {
+	now := p.set.cfg.Clock.Now()
+	p.mu.Lock()
+	p.conn, p.downSince = nil, now
+	for k, d := range c.dialogs {
+		delete(c.dialogs, k)
+		switch d.state {
+		case queued:
+			d.finish(dispatch.Ending{Outcome: dispatch.Moot, At: now, State: dispatch.Untold})
+		case out:
+			p.set.cfg.Count.Add(stats.Resets)
+			d.finish(dispatch.Ending{Outcome: dispatch.Reset, At: now, State: dispatch.Untold})
+		}
+	}
+	p.mu.Unlock()
+}
+
+// key names a dialog: a call may be sent twice to the same pool, and answers to the first send may
+// cross the second.
+type key struct {
+	id   string
+	cseq int
+}
+
+// conn is one connection to a pool. Its dialogs belong to pool.mu.
+type conn struct {
+	pool    *pool
+	raw     net.Conn
+	queue   chan item
+	closed  chan struct{}
+	once    sync.Once
+	dialogs map[key]*dialog
+}
+
+// item is a message to be written. What has a dialog is written only if it may be when its turn comes.
+type item struct {
+	bytes  []byte
+	dialog *dialog
+}
+
+func (c *conn) close() {
+	c.once.Do(func() {
+		close(c.closed)
+		c.raw.Close()
+	})
+}
+
+// send queues a message and never blocks: a pool that does not read for so long loses the connection.
+func (c *conn) send(b []byte) bool { return c.sendItem(item{bytes: b}) }
+
+func (c *conn) sendItem(i item) bool {
+	select {
+	case c.queue <- i:
+		return true
+	default:
+		c.pool.set.cfg.Count.Add(stats.SlowReaders)
+		c.close()
+		return false
+	}
+}
+
+func (c *conn) write() {
+	for {
+		select {
+		case <-c.closed:
+			return
+		case i := <-c.queue:
+			// Guards against an INVITE to a pool of which a drain was told between decision and write, and
+			// against one whose call was given up in between: here is the last place to stop it.
+			if i.dialog != nil && !i.dialog.leave() {
+				continue
+			}
+			if err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+				c.close()
+				return
+			}
+			if _, err := c.raw.Write(i.bytes); err != nil {
+				c.close()
+				return
+			}
+		}
+	}
+}
+
+func (c *conn) read() error {
+	r := bufio.NewReaderSize(c.raw, readBuffer)
+	for {
+		m, err := sip.Read(r)
+		if err != nil {
+			if bad := errors.Is(err, sip.ErrMalformed); bad || errors.Is(err, sip.ErrFraming) {
+				c.pool.set.cfg.Count.Add(stats.BadSIP)
+				c.pool.set.cfg.Log.Warn().Str("pool", c.pool.uid).Err(err).Msg("bad SIP message")
+				if bad {
+					if m != nil && m.Method != "" && m.Method != "ACK" && m.Method != "NOTIFY" {
+						c.send(sip.Answer(m, 400, "Bad Request").Append(nil))
+					}
+					continue
+				}
+			}
+			return err
+		}
+		c.handle(m)
+	}
+}
+
+func (c *conn) handle(m *sip.Message) {
+	p := c.pool
+	now := p.set.cfg.Clock.Now()
+	switch {
+	case m.Status > 0 && m.Of == "INVITE":
+		c.invited(now, m)
+	case m.Status > 0: // to BYE, CANCEL: nothing follows from it
+	case m.Method == "NOTIFY":
+		p.set.cfg.Count.Add(stats.Notifies)
+		if s, any := p.set.state(m); any && p.set.cfg.Observe != nil {
+			p.set.cfg.Observe(p.uid, s)
+		}
+	case m.Method == "BYE":
+		p.set.cfg.Count.Add(stats.ByesIn)
+		c.send(sip.Answer(m, 200, "OK").Append(nil))
+		state, _ := p.set.state(m)
+		p.mu.Lock()
+		g := p.standing[m.CallID]
+		p.mu.Unlock()
+		cause := m.Cause()
+		if g == nil {
+			if m.CallID != "" && !p.set.isEnded(m.CallID) {
+				p.set.cfg.Count.Add(stats.StrayByes)
+				p.set.remember(m.CallID)
+				if p.set.cfg.Stray != nil {
+					p.set.cfg.Stray(m.CallID, max(cause, dispatch.CauseNormal))
+				}
+			}
+			return
+		}
+		outcome := dispatch.Ended
+		if cause == dispatch.CauseCut {
+			outcome = dispatch.Reset
+		} else if cause < 0 {
+			cause = dispatch.CauseNormal
+		}
+		g.end(dispatch.Ending{Outcome: outcome, At: now, State: state, Cause: cause})
+	case m.Method == "OPTIONS":
+		c.send(sip.Answer(m, 200, "OK").Append(nil))
+	case m.Method == "ACK":
+	default:
+		p.set.cfg.Count.Add(stats.BadSIP)
+		p.set.cfg.Log.Warn().Str("pool", p.uid).Str("method", m.Method).Msg("SIP method not known")
+		c.send(sip.Answer(m, 501, "Not Implemented").Append(nil))
+	}
+}
+
+// invited takes an answer to an INVITE.
+func (c *conn) invited(now int64, m *sip.Message) {
+	if m.Status < 200 {
+		return
+	}
+	p := c.pool
+	name := p.set.cfg.Name
+	state, _ := p.set.state(m)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k := key{m.CallID, m.CSeq}
+	d := c.dialogs[k]
+	number := "unknown"
+	if d != nil {
+		number = d.number
+	}
+	c.send(ack(name, m.CallID, number, m.CSeq))
+	if m.Status >= 300 {
+		if d == nil {
+			return
+		}
+		delete(c.dialogs, k)
+		if d.state == out {
+			d.finish(p.set.refusal(now, m, state))
+		}
+		return
+	}
+	switch {
+	case d != nil && d.state == out:
+		delete(c.dialogs, k)
+		g := &leg{pool: p, id: m.CallID, number: d.number, cseq: m.CSeq, sdp: string(m.Body), answeredAt: now,
+			done: make(chan struct{})}
+		p.standing[m.CallID] = g
+		d.state = over
+		d.reply <- reply{g, dispatch.Ending{Outcome: dispatch.Answered, At: now, State: state}}
+	case p.standing[m.CallID] != nil && p.standing[m.CallID].cseq == m.CSeq: // said again: acknowledged again
+	default:
+		// Guards against an agent that is held for nobody: the answer crossed the CANCEL.
+		delete(c.dialogs, k)
+		p.set.cfg.Count.Add(stats.LateAnswers)
+		p.set.cfg.Count.Add(stats.ByesOut)
+		c.send(bye(name, m.CallID, number, m.CSeq+1, dispatch.CauseNormal))
+	}
+}
+
+// refusal maps a final answer that is no 200.
+func (s *Set) refusal(now int64, m *sip.Message, state dispatch.State) dispatch.Ending {
+	e := dispatch.Ending{Outcome: dispatch.Errored, At: now, State: state}
+	note := m.Get("x-note")
+	count := stats.PoolErrors
+	switch {
+	case m.Status == 503:
+		count = stats.PoolFull
+		if e.Outcome = dispatch.NoAgent; note == "swamped" {
+			e.Outcome = dispatch.ProcessorFull
+		}
+	case m.Status == 480:
+		e.Outcome = dispatch.Moot
+	case m.Status == 504:
+		e.Outcome, count = dispatch.Reset, stats.Resets
+	case m.Status == 487:
+		e.Outcome = dispatch.Cancelled
+	}
+	if note == "occupied" {
+		e.Outcome = dispatch.LinesBusy
+	}
+	s.cfg.Count.Add(count)
+	return e
+}
+
+// state reads the report that a message carries, and tells whether there is any.
+func (s *Set) state(m *sip.Message) (dispatch.State, bool) {
+	text := m.Get("x-state")
+	if text == "" && m.Method == "NOTIFY" {
+		text = string(m.Body)
+	}
+	state := dispatch.Untold
+	sip.Report(text, func(name string, v float64) {
+		switch name {
+		case s.cfg.ReportFree, "x0":
+			state.Free = v
+		case s.cfg.ReportAgents, "x1":
+			state.Agents = v
+		}
+	})
+	return state, state != dispatch.Untold
+}
--- /dev/null
+++ b/internal/pool/dialog.go
@@ -0,0 +1,233 @@
+package pool
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"eidertrail/dispatch"
+	"eidertrail/internal/sip"
+	"eidertrail/internal/stats"
+)
+
+// dialogState is where the set-up of a dialog is.
+type dialogState int
+
+const (
+	queued    dialogState = iota // not written yet
+	out                          // written, no final answer
+	calledOff                    // CANCEL was sent; a final answer may still cross it
+	over
+)
+
+// dialog is a set-up at a pool. It belongs to pool.mu.
+type dialog struct {
+	pool        *pool
+	number      string
+	state       dialogState
+	calledOffAt int64
+	reply       chan reply // holds the one reply
+}
+
+type reply struct {
+	leg    *leg
+	ending dispatch.Ending
+}
+
+// finish ends a dialog without an answer. The caller holds pool.mu.
+func (d *dialog) finish(e dispatch.Ending) {
+	d.state = over
+	d.reply <- reply{nil, e}
+}
+
+// leave is asked when the INVITE is about to be written. It tells whether it may be.
+func (d *dialog) leave() bool {
+	p := d.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if d.state != queued {
+		p.set.cfg.Count.Add(stats.InvitesCalledOff)
+		return false
+	}
+	if !p.eligible() {
+		p.set.cfg.Count.Add(stats.GuardDrain)
+		d.finish(p.set.ending(dispatch.Moot))
+		return false
+	}
+	d.state = out
+	p.set.cfg.Count.Add(stats.Invites)
+	return true
+}
+
+// invite is one attempt at this pool, from its connection to its end.
+func (p *pool) invite(ctx context.Context, a dispatch.Attempt) (dispatch.Leg, dispatch.Ending) {
+	set := p.set
+	until := time.NewTimer(time.Duration(a.Until-set.cfg.Clock.Now()) * time.Microsecond)
+	defer until.Stop()
+	c, dialled := p.current()
+	if c == nil { // one dial is waited for: what it brings is the attempt's fate
+		p.wake()
+		select {
+		case <-dialled:
+		case <-until.C:
+			return nil, set.ending(dispatch.ConnectFailed)
+		case <-ctx.Done():
+			return nil, set.ending(dispatch.Cancelled)
+		}
+		if c, _ = p.current(); c == nil {
+			set.cfg.Count.Add(stats.ConnectsFailed)
+			return nil, set.ending(dispatch.ConnectFailed)
+		}
+	}
+	d := &dialog{pool: p, number: a.Setup.Number, reply: make(chan reply, 1)}
+	k := key{a.ID, a.Number + 1}
+	now := set.cfg.Clock.Now()
+	invite := invitation(set.cfg.Name, a, k.cseq, a.Until-now)
+	p.mu.Lock()
+	c.sweep(now)
+	select {
+	case <-c.closed:
+		p.mu.Unlock()
+		return nil, set.ending(dispatch.Moot)
+	default:
+	}
+	if p.conn != c || !c.sendItem(item{invite, d}) {
+		p.mu.Unlock()
+		return nil, set.ending(dispatch.Moot)
+	}
+	c.dialogs[k] = d
+	p.mu.Unlock()
+
+	outcome := dispatch.TimedOut
+	select {
+	case r := <-d.reply:
+		return r.out()
+	case <-until.C:
+	case <-ctx.Done():
+		outcome = dispatch.Cancelled
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch d.state {
+	case over: // the reply was there first
+		return (<-d.reply).out()
+	case queued: // never written, and leave will see that it never is
+		d.state = over
+		delete(c.dialogs, k)
+		return nil, set.ending(dispatch.Moot)
+	}
+	d.state, d.calledOffAt = calledOff, set.cfg.Clock.Now()
+	set.cfg.Count.Add(stats.Cancels)
+	if outcome == dispatch.TimedOut {
+		set.cfg.Count.Add(stats.TimeOuts)
+	}
+	c.send(cancel(set.cfg.Name, k.id, d.number, k.cseq))
+	return nil, set.ending(outcome)
+}
+
+// out is the reply as dispatch.Trunk gives it; a nil leg must be a nil interface.
+func (r reply) out() (dispatch.Leg, dispatch.Ending) {
+	if r.leg == nil {
+		return nil, r.ending
+	}
+	return r.leg, r.ending
+}
+
+func (p *pool) current() (*conn, chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conn, p.dialled
+}
+
+// sweep forgets dialogs that were called off long ago and never answered. The caller holds pool.mu.
+func (c *conn) sweep(now int64) {
+	for k, d := range c.dialogs {
+		if d.state == calledOff && now-d.calledOffAt > calledOffFor {
+			delete(c.dialogs, k)
+		}
+	}
+}
+
+// leg is a call that stands at a pool. It belongs to the pool, not to a connection.
+type leg struct {
+	pool       *pool
+	id, number string
+	cseq       int
+	sdp        string
+	answeredAt int64
+	once       sync.Once
+	done       chan struct{}
+	ending     dispatch.Ending
+}
+
+// SDP implements dispatch.Leg.
+func (g *leg) SDP() string { return g.sdp }
+
+// Done implements dispatch.Leg.
+func (g *leg) Done() <-chan struct{} { return g.done }
+
+// Ending implements dispatch.Leg.
+func (g *leg) Ending() dispatch.Ending { return g.ending }
+
+// end takes the call off the standing ones. Only the first call has an effect; it tells whether it was.
+func (g *leg) end(e dispatch.Ending) bool {
+	first := false
+	g.once.Do(func() {
+		first = true
+		g.pool.set.remember(g.id)
+		g.pool.mu.Lock()
+		delete(g.pool.standing, g.id)
+		g.pool.mu.Unlock()
+		g.ending = e
+		close(g.done)
+	})
+	return first
+}
+
+// Release implements dispatch.Leg. Without a connection the BYE waits for the next one.
+func (g *leg) Release(cause int) {
+	p := g.pool
+	if !g.end(dispatch.Ending{Outcome: dispatch.Cancelled, At: p.set.cfg.Clock.Now(), State: dispatch.Untold, Cause: cause}) {
+		return
+	}
+	p.set.cfg.Count.Add(stats.ByesOut)
+	b := bye(p.set.cfg.Name, g.id, g.number, g.cseq+1, cause)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn != nil && p.conn.send(b) {
+		return
+	}
+	if len(p.byes) < mostByes {
+		p.byes = append(p.byes, b)
+	}
+}
+
+// ---- the messages that a session controller sends ----
+
+func request(name, method, id, number string, cseq int) *sip.Message {
+	return &sip.Message{Method: method, URI: "sip:" + number + "@net", CallID: id, CSeq: cseq, Of: method,
+		Headers: []sip.Header{{Name: "Via", Value: "SIP/2.0/TCP " + name}}}
+}
+
+func invitation(name string, a dispatch.Attempt, cseq int, patience int64) []byte {
+	m := request(name, "INVITE", a.ID, a.Setup.Number, cseq)
+	m.Headers = append(m.Headers, sip.Header{Name: "Subject", Value: a.Class},
+		sip.Header{Name: "X-Patience", Value: strconv.FormatInt(max(1, (patience+999)/1000), 10)})
+	m.Body = []byte(a.SDP)
+	return m.Append(nil)
+}
+
+func ack(name, id, number string, cseq int) []byte {
+	return request(name, "ACK", id, number, cseq).Append(nil)
+}
+
+func cancel(name, id, number string, cseq int) []byte {
+	return request(name, "CANCEL", id, number, cseq).Append(nil)
+}
+
+func bye(name, id, number string, cseq, cause int) []byte {
+	m := request(name, "BYE", id, number, cseq)
+	m.Headers = append(m.Headers, sip.Header{Name: "Reason", Value: "Q.850;cause=" + strconv.Itoa(cause)})
+	return m.Append(nil)
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,334 @@
+// Package pool keeps the connections to the sync pools: one a pool, on which
+// SIP dialogs are set up, called off and released, and on which the pools tell
+// the state of their groups. It implements dispatch.Trunk.
+package pool
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"eidertrail"
+	"eidertrail/dispatch"
+	"eidertrail/internal/bulletin"
+	"eidertrail/internal/stats"
+)
+
+// Config is what a Set is made with.
+type Config struct {
+	Name           string // in Via
+	ConnectTimeout int64  // microseconds
+	ReportFree     string // names of the report fields that hold the free agents
+	ReportAgents   string // and their number
+	Clock          dispatch.Clock
+	Log            zerolog.Logger
+	Count          *stats.Set
+
+	// Observe is told a pool's state when it comes unasked.
+	Observe func(uid string, s dispatch.State)
+	// Stray is told of a release by a pool of a call that this process did not set up.
+	Stray func(id string, cause int)
+}
+
+const (
+	writeQueue   = 256             // messages waiting for a connection; past it the connection is given up
+	writeTimeout = 2 * time.Second // a write that takes longer ends the connection
+	readBuffer   = 4096
+	redialMin    = 20 * time.Millisecond
+	redialMax    = 500 * time.Millisecond
+	// deadAfter is how long a pool must refuse connections before what stands there counts as cut. A
+	// process that has died refuses at once; one that only holds too many connections soon takes one again.
+	deadAfter = 2_000_000
+	// silentAfter is the same for a pool to which no connection comes up at all: a cut-off machine may return.
+	silentAfter = 5_000_000
+	// removedAfter is how long after its removal a pool's standing calls wait for the pool's own releases.
+	removedAfter = 1_000_000
+	// calledOffFor is how long a called-off dialog waits for its final answer before it is forgotten.
+	calledOffFor = 32_000_000
+	// mostByes bounds the releases that wait for a connection.
+	mostByes = 256
+	// mostEnded is how many ended calls are remembered, so that what still comes for them is not a stray.
+	mostEnded = 1024
+)
+
+// Set is all the sync pools that were ever listed.
+type Set struct {
+	cfg Config
+	ctx context.Context
+	wg  sync.WaitGroup
+
+	mu     sync.Mutex
+	pools  map[string]*pool // by uid: an address may pass from one pool to another
+	ended  map[string]struct{}
+	endedQ []string
+}
+
+// NewSet returns an empty set. Its connections end when ctx is done; Wait waits for that.
+func NewSet(ctx context.Context, cfg Config) *Set {
+	return &Set{cfg: cfg, ctx: ctx, pools: map[string]*pool{}, ended: map[string]struct{}{}}
+}
+
+// Wait returns when every goroutine of the set has ended.
+func (s *Set) Wait() { s.wg.Wait() }
+
+// Apply takes an event of the bulletin and tells the lines of the list that it changes. From then on no
+// INVITE is written to a pool that drains or is gone. A new pool is told of before it is connected to,
+// so that nothing is heard from a pool of which nobody knows.
+func (s *Set) Apply(e bulletin.Event, tell func([]dispatch.Server)) {
+	now := s.cfg.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var lines []dispatch.Server
+	var fresh []*pool
+	listed := map[string]bool{}
+	for _, l := range e.Pools {
+		listed[l.UID] = true
+		p := s.pools[l.UID]
+		if p == nil {
+			p = newPool(s, l)
+			s.pools[l.UID] = p
+			fresh = append(fresh, p)
+		}
+		p.apply(now, l)
+		lines = append(lines, p.line())
+		// Guards against a call for a pool that has gone reaching the one that now has its address:
+		// the bulletin tells of the new one first when it runs behind with the other's end.
+		for uid, other := range s.pools {
+			if uid != l.UID && l.State != bulletin.Removed && other.supersede(now, l.Address) {
+				lines = append(lines, other.line())
+			}
+		}
+	}
+	if e.All {
+		for uid, p := range s.pools {
+			if !listed[uid] {
+				gone := p.told()
+				gone.State = bulletin.Removed
+				p.apply(now, gone)
+				lines = append(lines, p.line())
+			}
+		}
+	}
+	tell(lines)
+	for _, p := range fresh {
+		s.wg.Add(1)
+		go p.run()
+	}
+}
+
+// Connected tells how many of the pools that are up have a connection, and how many are up.
+func (s *Set) Connected() (connected, up int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.pools {
+		p.mu.Lock()
+		if p.listed.State == bulletin.Up {
+			up++
+			if p.conn != nil {
+				connected++
+			}
+		}
+		p.mu.Unlock()
+	}
+	return connected, up
+}
+
+// Standing is the number of calls that stand.
+func (s *Set) Standing() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, p := range s.pools {
+		p.mu.Lock()
+		n += len(p.standing)
+		p.mu.Unlock()
+	}
+	return n
+}
+
+// ReleaseStray passes on a caller's release of a call that this process did not set up: it may have
+// been by the one before a restart, and only the pools know where it stands. It does nothing for a
+// call that has just ended.
+func (s *Set) ReleaseStray(id string, cause int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.ended[id]; known {
+		return
+	}
+	for _, p := range s.pools {
+		p.mu.Lock()
+		if p.conn != nil && p.listed.State != bulletin.Removed {
+			p.conn.send(bye(s.cfg.Name, id, "stray", 2, cause))
+		}
+		p.mu.Unlock()
+	}
+}
+
+// remember notes a call that is over.
+func (s *Set) remember(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.ended[id]; known {
+		return
+	}
+	if len(s.endedQ) >= mostEnded {
+		delete(s.ended, s.endedQ[0])
+		s.endedQ = s.endedQ[1:]
+	}
+	s.ended[id] = struct{}{}
+	s.endedQ = append(s.endedQ, id)
+}
+
+func (s *Set) isEnded(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, known := s.ended[id]
+	return known
+}
+
+// Invite implements dispatch.Trunk.
+func (s *Set) Invite(ctx context.Context, a dispatch.Attempt) (dispatch.Leg, dispatch.Ending) {
+	s.mu.Lock()
+	p := s.pools[a.Pool]
+	s.mu.Unlock()
+	if p == nil {
+		return nil, s.ending(dispatch.Moot)
+	}
+	return p.invite(ctx, a)
+}
+
+func (s *Set) ending(o dispatch.Outcome) dispatch.Ending {
+	return dispatch.Ending{Outcome: o, At: s.cfg.Clock.Now(), State: dispatch.Untold}
+}
+
+// pool is one sync pool. Lock order: Set.mu, pool.mu.
+type pool struct {
+	set  *Set
+	uid  string
+	kick chan struct{} // wakes run
+
+	mu         sync.Mutex
+	listed     bulletin.Pool
+	superseded bool // its address is another's now
+	removedAt  int64
+	conn       *conn
+	dialled    chan struct{}   // closed at the end of the next dial, whatever it brings
+	refused    bool            // the last dial was refused
+	downSince  int64           // no connection since then, 0: there is one
+	standing   map[string]*leg // by Call-ID: no connection owns them
+	byes       [][]byte        // releases that wait for a connection
+}
+
+func newPool(s *Set, l bulletin.Pool) *pool {
+	return &pool{set: s, uid: l.UID, listed: l, kick: make(chan struct{}, 1), dialled: make(chan struct{}),
+		downSince: s.cfg.Clock.Now(), standing: map[string]*leg{}}
+}
+
+func (p *pool) told() bulletin.Pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listed
+}
+
+// apply takes a line of the list.
+func (p *pool) apply(now int64, l bulletin.Pool) {
+	p.mu.Lock()
+	moved := l.Address != "" && l.Address != p.listed.Address
+	restarted := l.Born != p.listed.Born && l.Born > 0
+	if l.Address == "" {
+		l.Address = p.listed.Address
+	}
+	p.listed = l
+	if l.State == bulletin.Removed {
+		if p.removedAt == 0 {
+			p.removedAt = now
+		}
+	} else {
+		p.removedAt, p.superseded = 0, false
+	}
+	var cut []*leg
+	if restarted { // what stood in the old process was cut with it
+		for _, g := range p.standing {
+			if g.answeredAt < l.Born {
+				cut = append(cut, g)
+			}
+		}
+	}
+	if moved && p.conn != nil {
+		p.conn.close()
+	}
+	p.mu.Unlock()
+	p.cut(cut)
+	p.wake()
+}
+
+// supersede tells whether the pool was thought to be at an address that is now another's.
+func (p *pool) supersede(now int64, address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listed.Address != address || p.superseded || p.listed.State == bulletin.Removed {
+		return false
+	}
+	p.superseded, p.removedAt = true, now
+	if p.conn != nil {
+		p.conn.close()
+	}
+	return true
+}
+
+func (p *pool) line() dispatch.Server {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := dispatch.Server{UID: p.uid, Group: p.listed.Group, Born: p.listed.Born, Mode: eidertrail.Ready}
+	switch {
+	case p.superseded || p.listed.State == bulletin.Removed:
+		l.Mode = eidertrail.Gone
+	case p.listed.State == bulletin.Draining:
+		l.Mode = eidertrail.Draining
+	}
+	return l
+}
+
+// eligible tells whether an INVITE may be written now. The caller holds mu.
+func (p *pool) eligible() bool { return p.listed.State == bulletin.Up && !p.superseded }
+
+func (p *pool) wake() {
+	select {
+	case p.kick <- struct{}{}:
+	default:
+	}
+}
+
+// cut ends standing calls of which the pool will tell nothing more.
+func (p *pool) cut(legs []*leg) {
+	for _, g := range legs {
+		if g.end(dispatch.Ending{Outcome: dispatch.Reset, At: p.set.cfg.Clock.Now(), State: dispatch.Untold, Cause: dispatch.CauseCut}) {
+			p.set.cfg.Count.Add(stats.CutCalls)
+		}
+	}
+}
+
+// cutIfDead ends what stands at a pool that has been out of reach for too long or is gone.
+func (p *pool) cutIfDead() {
+	now := p.set.cfg.Clock.Now()
+	p.mu.Lock()
+	dead := p.removedAt > 0 && now-p.removedAt >= removedAfter
+	if p.downSince > 0 {
+		down := now - p.downSince
+		dead = dead || p.refused && down >= deadAfter || down >= silentAfter
+	}
+	var legs []*leg
+	if dead {
+		for _, g := range p.standing {
+			legs = append(legs, g)
+		}
+		p.byes = nil
+	}
+	p.mu.Unlock()
+	if len(legs) > 0 {
+		p.set.cfg.Log.Warn().Str("pool", p.uid).Int("calls", len(legs)).Msg("pool lost, its calls are cut")
+	}
+	p.cut(legs)
+}
--- /dev/null
+++ b/internal/stats/stats.go
@@ -0,0 +1,83 @@
+// Package stats holds the counters of what the session controller takes in,
+// sends and answers.
+package stats
+
+import (
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+)
+
+// Counter is one counter; the names are in names, in the same order.
+type Counter int
+
+// The counters. The on-call page says what each one means.
+const (
+	SetupsTaken Counter = iota
+	AnsweredCalls
+	RefusedCalls
+	FailedCalls
+	CancelledCalls
+	AnswersUnwritten
+	Duplicates
+	ReleasesIn
+	ReleasesOut
+	ReleasesKept
+	ReleasesDropped
+	Pings
+	BadLines
+	BadSIP
+	Invites
+	InvitesCalledOff
+	Cancels
+	TimeOuts
+	Resets
+	ConnectsFailed
+	PoolFull
+	PoolErrors
+	LateAnswers
+	ByesOut
+	ByesIn
+	StrayByes
+	CutCalls
+	Notifies
+	GuardStopped
+	GuardDrain
+	Connections
+	SlowReaders
+	PoolConnections
+	BulletinEvents
+	BulletinErrors
+	Frames
+	BadFrames
+	Admitted
+	Turned
+	counters
+)
+
+var names = [counters]string{
+	"setups_taken", "answered", "refused", "failed", "cancelled", "answers_unwritten", "duplicates",
+	"releases_in", "releases_out", "releases_kept", "releases_dropped", "pings", "bad_lines", "bad_sip",
+	"invites", "invites_called_off", "cancels", "time_outs", "resets", "connects_failed", "pool_full",
+	"pool_errors", "late_answers", "byes_out", "byes_in", "stray_byes", "cut_calls", "notifies",
+	"guard_stopped", "guard_drain", "connections", "slow_readers", "pool_connections",
+	"bulletin_events", "bulletin_errors", "ws_messages", "ws_bad_messages", "http_admitted", "http_turned_away",
+}
+
+// Set is a set of counters, safe for concurrent use. The zero value is ready.
+type Set struct{ v [counters]atomic.Int64 }
+
+// Add counts one.
+func (s *Set) Add(c Counter) { s.v[c].Add(1) }
+
+// Get is a counter's value.
+func (s *Set) Get(c Counter) int64 { return s.v[c].Load() }
+
+// MarshalZerologObject writes all counters that are not zero, in their fixed order.
+func (s *Set) MarshalZerologObject(e *zerolog.Event) {
+	for c := range counters {
+		if v := s.Get(c); v != 0 {
+			e.Int64(names[c], v)
+		}
+	}
+}
