--- a/cmd/eidertrail/main.go
+++ b/cmd/eidertrail/main.go
@@ -73,7 +73,7 @@
 	count := &stats.Set{}
 	// One bad peer must not fill the log: ten warnings a second.
 	limited := log.Sample(&zerolog.LevelSampler{WarnSampler: &zerolog.BurstSampler{Burst: 10, Period: time.Second}})
-	d, err := dispatch.New(cfg.Settings, cfg.Seed, cfg.MaxRetryAfter, now, count)
+	d, err := dispatch.New(cfg.Settings, cfg.Seed, cfg.MaxRetryAfter, now, log, count)
 	if err != nil {
 		return err
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"eidertrail"
 	"eidertrail/internal/stats"
 )
@@ -118,6 +120,7 @@
 	set     eidertrail.Settings
 	most    int64 // longest time to come back after
 	count   *stats.Set
+	log     zerolog.Logger // at debug level a trace of all that the module is told and says
 	in      chan func(now int64)
 	done    chan struct{}
 	stopped sync.Once
@@ -149,13 +152,13 @@
 }
 
 // New returns a dispatcher; its loop is Run. most is the longest time that anybody is told to stay away.
-func New(set eidertrail.Settings, seed uint64, most int64, clock Clock, count *stats.Set) (*Dispatcher, error) {
+func New(set eidertrail.Settings, seed uint64, most int64, clock Clock, log zerolog.Logger, count *stats.Set) (*Dispatcher, error) {
 	control, err := eidertrail.New(set, seed)
 	if err != nil {
 		return nil, fmt.Errorf("dispatch: %w", err)
 	}
 	return &Dispatcher{
-		clock: clock, set: set, most: most, count: count, control: control,
+		clock: clock, set: set, most: most, count: count, log: log, control: control,
 		in: make(chan func(int64), queue), done: make(chan struct{}),
 		calls: map[uint64]*call{}, servers: map[string]Server{},
 	}, nil
@@ -377,6 +380,9 @@
 	}
 	for len(d.events) > 0 {
 		d.actions = d.control.Handle(span(now), d.events, d.actions[:0])
+		if d.log.GetLevel() <= zerolog.DebugLevel {
+			d.trace(now)
+		}
 		clear(d.events)
 		d.events = d.events[:0]
 		for _, a := range d.actions {
@@ -385,6 +391,19 @@
 	}
 }
 
+func (d *Dispatcher) trace(now int64) {
+	for _, e := range d.events {
+		if o, is := e.(eidertrail.Outcome); is && o.Report != nil {
+			d.log.Debug().Int64("us", now).Msgf("event %T %+v %+v", e, e, *o.Report)
+			continue
+		}
+		d.log.Debug().Int64("us", now).Msgf("event %T %+v", e, e)
+	}
+	for _, a := range d.actions {
+		d.log.Debug().Int64("us", now).Msgf("action %T %+v", a, a)
+	}
+}
+
 func (d *Dispatcher) carryOut(now int64, a eidertrail.Action) {
 	switch a := a.(type) {
 	case eidertrail.WakeAt:
