Call table once for all fronts; WebSocket call control, agent-check, health, middleware

The platform's front and the WebSocket front share dispatch.Desk (finals, cancels, standing calls, ends told on any connection). The module estimates when to come back (Refuse.After, Fail.After); WebSocket and middleware tell it, the platform's wire has no place for it.

--- a/api.go
+++ b/api.go
@@ -186,11 +186,17 @@
 	Limit  time.Duration // time-out; 0: until the caller gives up
 }
 
-// Refuse is a final answer: turned away.
-type Refuse struct{ Call CallID }
+// Refuse is a final answer: turned away. After is the controller's estimate of when trying again makes sense.
+type Refuse struct {
+	Call  CallID
+	After time.Duration
+}
 
-// Fail is a final answer: given up.
-type Fail struct{ Call CallID }
+// Fail is a final answer: given up. After is as with Refuse.
+type Fail struct {
+	Call  CallID
+	After time.Duration
+}
 
 // WakeAt asks for a Wake after In.
 type WakeAt struct {
--- /dev/null
+++ b/cmd/eidertrail/daemon.go
@@ -0,0 +1,260 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"eidertrail/callcontrol"
+	"eidertrail/dispatch"
+	"eidertrail/health"
+	"eidertrail/internal/bulletin"
+	"eidertrail/internal/clock"
+	"eidertrail/internal/config"
+	"eidertrail/internal/front"
+	"eidertrail/internal/pool"
+	"eidertrail/internal/stats"
+)
+
+const (
+	// stayOpen is how long after SIGTERM set-ups may still come.
+	stayOpen = 700 * time.Millisecond
+	// mostDrain is when after SIGTERM the last answer must be out: SIGKILL may come at 3.7 s.
+	mostDrain = 3300 * time.Millisecond
+	// lastWords is how long the last lines may take to be written.
+	lastWords = 200 * time.Millisecond
+	// settle is how long at most the first connections to the pools are waited for before a test passes.
+	settle = 2 * time.Second
+	// mostCalls bounds the platform's calls open or standing at a time.
+	mostCalls = 8192
+)
+
+// environment is what the daemon is started with.
+type environment struct{ config, listen, callControl string }
+
+// daemon is a running session controller.
+type daemon struct {
+	log       zerolog.Logger
+	count     *stats.Set
+	clock     *clock.Clock
+	started   int64
+	dispatch  *dispatch.Dispatcher
+	pools     *pool.Set
+	desk      *dispatch.Desk
+	callers   *front.Front
+	sockets   *callcontrol.Server // nil: off
+	listener  net.Listener
+	stopping  atomic.Bool
+	stopLoop  context.CancelFunc
+	stopPools context.CancelFunc
+	wg        sync.WaitGroup
+	broken    chan error // the platform's listener
+	closers   []func()   // of the second front, in order
+}
+
+// start makes a daemon and opens its listeners.
+func start(ctx context.Context, env environment, log zerolog.Logger) (*daemon, error) {
+	d := &daemon{log: log, count: &stats.Set{}, clock: clock.New(), broken: make(chan error, 1)}
+	if env.config == "" {
+		return nil, fmt.Errorf("config: RELAY_CONFIG: not set")
+	}
+	cfg, err := config.Load(env.config, d.clock)
+	if err != nil {
+		return nil, err
+	}
+	if env.listen != "" {
+		cfg.Listen = env.listen
+	}
+	var second *config.CallControl
+	if env.callControl != "" {
+		if second, err = config.LoadCallControl(env.callControl); err != nil {
+			return nil, err
+		}
+	}
+	// Three quarters leave room for stacks, the kernel's buffers and what the collector has yet to free.
+	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 / 4 * 3)
+
+	// One bad peer must not fill the log: ten warnings a second.
+	limited := log.Sample(&zerolog.LevelSampler{WarnSampler: &zerolog.BurstSampler{Burst: 10, Period: time.Second}})
+	if d.dispatch, err = dispatch.New(cfg.Settings, cfg.Seed, cfg.MaxRetryAfter, d.clock, log, d.count); err != nil {
+		return nil, err
+	}
+	loop, stopLoop := context.WithCancel(ctx)
+	pools, stopPools := context.WithCancel(ctx)
+	d.stopLoop, d.stopPools = stopLoop, stopPools
+	d.started = d.clock.Now()
+	d.pools = pool.NewSet(pools, pool.Config{
+		Name: cfg.Name, ConnectTimeout: cfg.ConnectTimeout, ReportFree: cfg.ReportFree, ReportAgents: cfg.ReportAgents,
+		Clock: d.clock, Log: limited, Count: d.count, Observe: d.dispatch.Observe,
+		Stray: func(id string, cause int) { d.desk.Over(id, cause) },
+	})
+	d.desk = dispatch.NewDesk(dispatch.DeskConfig{Dispatch: d.dispatch, Trunk: d.pools, Most: mostCalls, Count: d.count})
+	d.callers = front.New(front.Config{
+		Desk: d.desk, Clock: d.clock, MostConnections: cfg.Sockets / 2, Ready: d.ready,
+		ReleaseStray: d.pools.ReleaseStray, Log: limited, Count: d.count,
+	})
+	if d.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
+		stopLoop()
+		stopPools()
+		return nil, fmt.Errorf("config: listen: %w", err)
+	}
+	if second != nil {
+		if err := d.openSecond(second, limited); err != nil {
+			d.listener.Close()
+			stopLoop()
+			stopPools()
+			return nil, err
+		}
+	}
+	d.wg.Go(func() { d.dispatch.Run(loop) })
+	apply := func(e bulletin.Event) {
+		d.pools.Apply(e, func(lines []dispatch.Server) { d.dispatch.Roster(lines, false) })
+	}
+	for _, e := range cfg.Known.Items {
+		apply(e)
+	}
+	if cfg.Bulletin != "" {
+		d.wg.Go(func() { bulletin.Watch(pools, cfg.Bulletin, cfg.Known.No, d.clock, limited, d.count, apply) })
+	}
+	d.wg.Go(func() { d.broken <- d.callers.Serve(d.listener) })
+	log.Info().Str("name", cfg.Name).Str("listen", cfg.Listen).Int("classes", len(cfg.Settings.Classes)).
+		Int("memory_mb", cfg.MemoryMB).Int("sockets", cfg.Sockets).Bool("callcontrol", second != nil).Msg("serving")
+	return d, nil
+}
+
+// openSecond opens the WebSocket front and what balancers ask.
+func (d *daemon) openSecond(c *config.CallControl, log zerolog.Logger) error {
+	listen := func(field, address string) (net.Listener, error) {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, f := range d.closers {
+				f()
+			}
+			return nil, fmt.Errorf("callcontrol: %s: %w", field, err)
+		}
+		return l, nil
+	}
+	serve := func(l net.Listener, h http.Handler) {
+		s := &http.Server{Handler: h, ReadHeaderTimeout: 2 * time.Second, IdleTimeout: 30 * time.Second, MaxHeaderBytes: 8 << 10}
+		d.wg.Go(func() {
+			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				log.Warn().Err(err).Msg("http server ended")
+			}
+		})
+		d.closers = append(d.closers, func() { s.Close() })
+	}
+	if c.Listen != "" {
+		l, err := listen("listen", c.Listen)
+		if err != nil {
+			return err
+		}
+		d.sockets = callcontrol.New(callcontrol.Config{
+			Dispatch: d.dispatch, Trunk: d.pools, Ready: d.ready, Origins: c.Origins,
+			MostConnections: c.MaxConnections, Log: log, Count: d.count,
+		})
+		mux := http.NewServeMux()
+		mux.Handle("GET "+c.Path, d.sockets)
+		serve(l, mux)
+	}
+	if c.Health != "" {
+		l, err := listen("health", c.Health)
+		if err != nil {
+			return err
+		}
+		serve(l, health.Handler(d.status))
+	}
+	if c.AgentCheck != "" {
+		l, err := listen("agent_check", c.AgentCheck)
+		if err != nil {
+			return err
+		}
+		d.wg.Go(func() { health.ServeAgent(l, d.status) })
+		d.closers = append(d.closers, func() { l.Close() })
+	}
+	return nil
+}
+
+// ready tells whether a test passes: the pools that are up are connected, or were given time to.
+func (d *daemon) ready() bool {
+	if d.stopping.Load() {
+		return false
+	}
+	connected, up := d.pools.Connected()
+	return connected == up || d.clock.Now()-d.started > settle.Microseconds()
+}
+
+// status is what balancers are told.
+func (d *daemon) status(ctx context.Context) health.Status {
+	live := d.dispatch.Tick(ctx) == nil
+	return health.Status{Live: live, Ready: d.ready(), Draining: d.stopping.Load(), TurnedAway: d.dispatch.TurnedAway()}
+}
+
+// counters logs the counters.
+func (d *daemon) counters() {
+	open, standing := d.desk.Open(), d.desk.Standing()
+	if d.sockets != nil {
+		open, standing = open+d.sockets.Open(), standing+d.sockets.Standing()
+	}
+	connected, up := d.pools.Connected()
+	d.log.Info().EmbedObject(d.count).Int("open", open).Int("standing", standing).
+		Int("pools_connected", connected).Int("pools_up", up).Msg("counters")
+}
+
+// serve runs until a signal on term, and then ends in order. Signals on print log the counters.
+func (d *daemon) serve(term, print <-chan os.Signal) error {
+	for {
+		select {
+		case <-print:
+			d.counters()
+			continue
+		case err := <-d.broken:
+			d.stop(0)
+			return fmt.Errorf("listener: %w", errors.Join(err, net.ErrClosed))
+		case s := <-term:
+			d.log.Info().Stringer("signal", s).Int("open", d.desk.Open()).Int("standing", d.desk.Standing()).Msg("stopping")
+			d.stop(stayOpen)
+			return nil
+		}
+	}
+}
+
+// stop ends the daemon: for a while set-ups may still come and are taken like any other; then no more
+// connections are taken, what was taken is answered, and everything ends.
+func (d *daemon) stop(stay time.Duration) {
+	d.stopping.Store(true)
+	drain, cancel := context.WithTimeout(context.Background(), mostDrain)
+	defer cancel()
+	var sockets sync.WaitGroup
+	if d.sockets != nil {
+		sockets.Go(func() { d.sockets.Shutdown(drain) })
+	}
+	time.Sleep(stay)
+	d.listener.Close()
+	d.desk.Drain(drain)
+	sockets.Wait()
+	d.desk.GiveUp() // what has no final answer by now gets one
+	last, cancelLast := context.WithTimeout(context.Background(), lastWords)
+	defer cancelLast()
+	d.desk.Drain(last)
+	d.callers.Flush(last)
+	d.stopLoop()
+	d.stopPools()
+	d.desk.Close()
+	d.callers.Close()
+	for _, f := range d.closers {
+		f()
+	}
+	d.pools.Wait()
+	d.wg.Wait()
+	d.counters()
+	d.log.Info().Msg("stopped")
+}
--- a/controller.go
+++ b/controller.go
@@ -521,7 +521,7 @@
 		return
 	}
 	if e.Class < 0 || e.Class >= len(c.set.Classes) || c.leftAlone(e.Key) {
-		c.actions = append(c.actions, Refuse{Call: e.ID})
+		c.actions = append(c.actions, Refuse{Call: e.ID, After: max(0, c.busy[e.Key].until-c.now)})
 		return
 	}
 	k := &call{Call: e, cameAt: c.now, until: c.now + e.Left}
@@ -665,11 +665,33 @@
 func (c *Controller) turnAway(k *call) {
 	delete(c.calls, k.ID)
 	c.inVain(k)
+	after := c.comeBack(k)
 	if c.now >= k.until || !c.mayRepeat(k) {
-		c.actions = append(c.actions, Fail{Call: k.ID})
+		c.actions = append(c.actions, Fail{Call: k.ID, After: after})
 		return
 	}
-	c.actions = append(c.actions, Refuse{Call: k.ID})
+	c.actions = append(c.actions, Refuse{Call: k.ID, After: after})
+}
+
+// comeBack estimates when the call had best be tried again: when the first of the servers that it may
+// use is likely past what shuts it now, a memory of R or the pace; for a busy number, after its while.
+func (c *Controller) comeBack(k *call) time.Duration {
+	if c.leftAlone(k.Key) {
+		return c.busy[k.Key].until - c.now
+	}
+	best := c.hold // no server that it may use: about when calls that stand have ended
+	for _, s := range c.order {
+		if !c.allowed(k, s) {
+			continue
+		}
+		open := s.rAt + time.Duration(freshFor*float64(s.r)*c.stretch(s))
+		if s.lift < openLift || s.scarce || c.cold(s) {
+			lift := max(leastLift, min(s.lift, 1))
+			open = max(open, s.paceFrom+time.Duration(max(0, 1-s.phase)*float64(c.turn(s))/lift))
+		}
+		best = min(best, max(0, open-c.now))
+	}
+	return best
 }
 
 // attempt finds the call whose attempt this is, or nil for anything stale.
--- /dev/null
+++ b/dispatch/desk.go
@@ -0,0 +1,367 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"eidertrail/internal/stats"
+)
+
+// Caller is one connection of callers, on whatever wire. Its methods queue and never block; false says
+// that the connection can take no more. They may be called with locks held and must not call the Desk.
+type Caller interface {
+	// Final passes on the one final answer to a call; the kind is never Gone.
+	Final(id string, f Final) bool
+	// Over tells that a call that stood is over.
+	Over(id string, cause int) bool
+}
+
+// Call is a set-up as a front reads it. What is in it is checked here, for all fronts.
+type Call struct {
+	ID     string // the caller's name for the call
+	Class  string
+	Number string  // the number called, "" for none
+	Pool   int     // the pool of first choice, -1 for none
+	Left   float64 // the caller waits so many milliseconds, from Came on
+	Came   int64   // clock reading when it had come in whole
+	SDP    string
+}
+
+// What can be wrong with a set-up or with what follows it.
+var (
+	ErrID        = errors.New("id: want 1 to 64 letters, digits or -._+")
+	ErrClass     = errors.New("class: not known")
+	ErrLeft      = errors.New("left: want milliseconds, 0 or more")
+	ErrNumber    = errors.New("number: want at most 64 letters, digits or -._+")
+	ErrDuplicate = errors.New("id: in use")
+	ErrTooMany   = errors.New("too many calls")
+	ErrUnknown   = errors.New("id: not known")
+)
+
+// Why a call ends early.
+var (
+	errLeft    = errors.New("dispatch: the caller has left")
+	errGivenUp = errors.New("dispatch: given up")
+)
+
+const (
+	// answerMargin is how long before the caller gives up its answer must be on its way.
+	answerMargin = 20_000
+	mostLeft     = 1e9
+	mostKept     = 4096 // ends of calls that wait for a connection
+	mostToken    = 64
+)
+
+// Desk keeps the calls of one front from set-up to end: which connection is owed the final answer, what
+// stands, and on which connection the end of it can be told. It is the same for every front.
+type Desk struct {
+	d       *Dispatcher
+	trunk   Trunk
+	count   *stats.Set
+	classes map[string]int
+	most    int
+	callID  func(id string) string
+	tellAll bool
+	wg      sync.WaitGroup
+
+	mu      sync.Mutex
+	callers []Caller // in the order of their coming
+	calls   map[string]*deskCall
+	kept    []over
+	open    int // set-ups without a final answer
+}
+
+type over struct {
+	id    string
+	cause int
+}
+
+// deskCall is a call from its set-up to its end.
+type deskCall struct {
+	caller   Caller
+	end      context.CancelCauseFunc
+	stands   bool
+	released chan int // the caller's release of a standing call, holds one
+}
+
+// DeskConfig is what a Desk is made with.
+type DeskConfig struct {
+	Dispatch *Dispatcher
+	Trunk    Trunk
+	// Most bounds the calls open or standing at a time.
+	Most int
+	// CallID gives the name under which the pools get a call; nil leaves the caller's.
+	CallID func(id string) string
+	// TellAll has Caller.Over called for each call that stood, also for those that the caller released.
+	TellAll bool
+	Count   *stats.Set
+}
+
+// NewDesk returns a desk.
+func NewDesk(c DeskConfig) *Desk {
+	k := &Desk{d: c.Dispatch, trunk: c.Trunk, count: c.Count, most: c.Most, callID: c.CallID, tellAll: c.TellAll,
+		classes: map[string]int{}, calls: map[string]*deskCall{}}
+	if k.callID == nil {
+		k.callID = func(id string) string { return id }
+	}
+	for i, class := range k.d.set.Classes {
+		k.classes[class.Name] = i
+	}
+	return k
+}
+
+// Connect takes a connection in. Ends of calls that waited for one leave on it.
+func (k *Desk) Connect(c Caller) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.callers = append(k.callers, c)
+	for len(k.kept) > 0 && c.Over(k.kept[0].id, k.kept[0].cause) {
+		k.kept = k.kept[1:]
+	}
+}
+
+// Disconnect takes a connection off. Its open set-ups are given up, as their caller has left: an attempt
+// that is out is called off. What stands stands on; its end is told on another connection.
+func (k *Desk) Disconnect(c Caller) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if i := slices.Index(k.callers, c); i >= 0 {
+		k.callers = slices.Delete(k.callers, i, i+1)
+	}
+	for _, call := range k.calls {
+		if call.caller == c && !call.stands {
+			call.end(errLeft)
+		}
+	}
+}
+
+// GiveUp gives every set-up that has no final answer yet one at once: it is refused, and an attempt that
+// is out is called off.
+func (k *Desk) GiveUp() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, call := range k.calls {
+		if !call.stands {
+			call.end(errGivenUp)
+		}
+	}
+}
+
+// Open is the number of set-ups that are owed a final answer.
+func (k *Desk) Open() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.open
+}
+
+// Standing is the number of calls that stand.
+func (k *Desk) Standing() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.calls) - k.open
+}
+
+// Idle tells whether the desk has no connection, no call and nothing to tell.
+func (k *Desk) Idle() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.callers) == 0 && len(k.calls) == 0 && len(k.kept) == 0
+}
+
+// Drain returns when every set-up has its final answer, or when ctx is done.
+func (k *Desk) Drain(ctx context.Context) {
+	for k.Open() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(2 * time.Millisecond):
+		}
+	}
+}
+
+// Close gives up what is open, forgets what stands and ends every goroutine of the desk. What stands
+// stands on at its pool, which tells its end to whoever connects next.
+func (k *Desk) Close() {
+	k.mu.Lock()
+	for _, call := range k.calls {
+		call.end(errLeft)
+	}
+	k.mu.Unlock()
+	k.wg.Wait()
+}
+
+// Over tells callers that a call is over, on any connection; without one it waits for the next.
+func (k *Desk) Over(id string, cause int) { k.over(nil, id, cause) }
+
+func (k *Desk) over(first Caller, id string, cause int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	// The connection of the set-up first, then the youngest: it is the least likely to be closed right now.
+	if first != nil && slices.Contains(k.callers, first) && first.Over(id, cause) {
+		k.count.Add(stats.ReleasesOut)
+		return
+	}
+	for _, c := range slices.Backward(k.callers) {
+		if c.Over(id, cause) {
+			k.count.Add(stats.ReleasesOut)
+			return
+		}
+	}
+	if len(k.kept) >= mostKept {
+		k.count.Add(stats.ReleasesDropped)
+		return
+	}
+	k.count.Add(stats.ReleasesKept)
+	k.kept = append(k.kept, over{id, cause})
+}
+
+// Token tells whether s can stand in the head of a message as one word, on every wire.
+func Token(s string) bool {
+	if s == "" || len(s) > mostToken {
+		return false
+	}
+	for i := range len(s) {
+		c := s[i]
+		if !('0' <= c && c <= '9' || 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || strings.IndexByte("-._+", c) >= 0) {
+			return false
+		}
+	}
+	return true
+}
+
+// Setup takes a call of a connection that is in: from now on it is owed one final answer, unless an
+// error says what is wrong with it.
+func (k *Desk) Setup(c Caller, s Call) error {
+	if !Token(s.ID) {
+		return ErrID
+	}
+	if k.known(s.ID) { // before all else: the id's one answer is still to come
+		k.count.Add(stats.Duplicates)
+		return ErrDuplicate
+	}
+	k.count.Add(stats.SetupsTaken)
+	class, known := k.classes[s.Class]
+	if !known {
+		return ErrClass
+	}
+	if !(s.Left >= 0 && s.Left <= mostLeft) {
+		return ErrLeft
+	}
+	if s.Number == "" {
+		s.Number = "0"
+	}
+	if !Token(s.Number) {
+		return ErrNumber
+	}
+	r := Request{Call: k.d.NewCall(), Class: class, Pool: s.Pool, Key: NumberKey(s.Number),
+		Until: s.Came + int64(s.Left*1000) - answerMargin}
+	ctx, end := context.WithCancelCause(context.Background())
+	call := &deskCall{caller: c, end: end, released: make(chan int, 1)}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case k.calls[s.ID] != nil:
+		// Guards against a second final answer: the one for the call that has this id is still to come.
+		end(nil)
+		k.count.Add(stats.Duplicates)
+		return ErrDuplicate
+	case len(k.calls) >= k.most:
+		end(nil)
+		return ErrTooMany
+	case !slices.Contains(k.callers, c):
+		end(nil)
+		return nil // the caller has left meanwhile: nothing is owed
+	}
+	k.calls[s.ID] = call
+	k.open++
+	k.wg.Add(1)
+	go k.serve(ctx, call, s.ID, r, Setup{ID: k.callID(s.ID), Number: s.Number, Class: s.Class, SDP: s.SDP})
+	return nil
+}
+
+func (k *Desk) known(id string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.calls[id] != nil
+}
+
+// NumberKey is a number called as the module compares it.
+func NumberKey(number string) uint64 {
+	if key, err := strconv.ParseUint(number, 16, 64); err == nil {
+		return key
+	}
+	h := fnv.New64a()
+	io.WriteString(h, number)
+	return h.Sum64()
+}
+
+// serve is one call, from its request to its end.
+func (k *Desk) serve(ctx context.Context, call *deskCall, id string, r Request, s Setup) {
+	defer k.wg.Done()
+	defer call.end(nil)
+	final := Serve(ctx, k.d, k.trunk, r, s)
+
+	// From here on a cancel is too late, or the final answer is: both are decided under the same lock.
+	k.mu.Lock()
+	k.open--
+	if final.Kind == Gone && context.Cause(ctx) == errGivenUp {
+		final = Final{Kind: Turned, After: k.d.most}
+	}
+	gone := final.Kind == Gone || context.Cause(ctx) == errLeft
+	if !gone && !call.caller.Final(id, final) {
+		k.count.Add(stats.AnswersUnwritten)
+		gone = true
+	}
+	if call.stands = final.Kind == Stands && !gone; !call.stands {
+		delete(k.calls, id)
+	}
+	k.mu.Unlock()
+	switch {
+	case gone:
+		k.count.Add(stats.CancelledCalls)
+		if final.Kind == Stands { // an answer that nobody waits for holds an agent for nobody
+			final.Call.End(CauseNormal)
+		}
+	case final.Kind == Turned:
+		k.count.Add(stats.RefusedCalls)
+	case final.Kind == GivenUp:
+		k.count.Add(stats.FailedCalls)
+	default:
+		k.count.Add(stats.AnsweredCalls)
+		cause, byPool := final.Call.WaitEnd(ctx, call.released)
+		k.mu.Lock()
+		delete(k.calls, id)
+		k.mu.Unlock()
+		if byPool || k.tellAll && ctx.Err() == nil {
+			k.over(call.caller, id, cause)
+		}
+	}
+}
+
+// Release takes a caller's release, on whatever connection it came: a cancel before the answer (then
+// standing is false and no answer follows), the end of the call after it.
+func (k *Desk) Release(id string, cause int) (standing bool, err error) {
+	k.count.Add(stats.ReleasesIn)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	call := k.calls[id]
+	if call == nil {
+		return false, ErrUnknown
+	}
+	if !call.stands {
+		call.end(errLeft)
+		return false, nil
+	}
+	select {
+	case call.released <- cause:
+	default:
+	}
+	return true, nil
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -125,6 +126,8 @@
 	done    chan struct{}
 	stopped sync.Once
 	last    atomic.Uint64
+	share   atomic.Uint64 // math.Float64bits of the share of calls turned away of late
+	shareAt atomic.Int64
 
 	// Owned by the loop.
 	control *eidertrail.Controller
@@ -208,6 +211,31 @@
 	}
 }
 
+const (
+	// shareOver is how many calls the share of those turned away is the mean of.
+	shareOver = 32
+	// shareHalf is the time in which it halves while nothing comes.
+	shareHalf = 5_000_000
+)
+
+// pressed takes a final answer into the share of calls turned away. Only the loop calls it.
+func (d *Dispatcher) pressed(now int64, turnedAway bool) {
+	share, x := d.sharedAt(now), 0.0
+	if turnedAway {
+		x = 1
+	}
+	d.share.Store(math.Float64bits(share + (x-share)/shareOver))
+	d.shareAt.Store(now)
+}
+
+func (d *Dispatcher) sharedAt(now int64) float64 {
+	quiet := max(0, now-d.shareAt.Load())
+	return math.Float64frombits(d.share.Load()) * math.Exp2(-float64(quiet)/shareHalf)
+}
+
+// TurnedAway is the share of calls that were turned away of late, 0 to 1.
+func (d *Dispatcher) TurnedAway() float64 { return d.sharedAt(d.clock.Now()) }
+
 // NewCall numbers a call.
 func (d *Dispatcher) NewCall() uint64 { return d.last.Add(1) }
 
@@ -287,6 +315,7 @@
 	if r.Outcome == Answered {
 		if !k.stands {
 			k.stands = true
+			d.pressed(now, false)
 			d.events = append(d.events, eidertrail.Answered{Call: id, Attempt: r.Attempt, Took: span(r.Took)})
 		}
 		return
@@ -424,9 +453,9 @@
 		k.out = true
 		k.decide(Pick{Verdict: Go, Pool: string(a.Server), Attempt: k.attempt, Limit: a.Limit.Microseconds(), At: now})
 	case eidertrail.Refuse:
-		d.final(uint64(a.Call), Refused)
+		d.final(now, uint64(a.Call), Refused, a.After)
 	case eidertrail.Fail:
-		d.final(uint64(a.Call), Failed)
+		d.final(now, uint64(a.Call), Failed, a.After)
 	}
 }
 
@@ -442,13 +471,14 @@
 	return pools == nil || slices.Contains(pools, s.Group)
 }
 
-func (d *Dispatcher) final(id uint64, v Verdict) {
+func (d *Dispatcher) final(now int64, id uint64, v Verdict, after time.Duration) {
 	k := d.calls[id]
 	if k == nil {
 		return
 	}
 	delete(d.calls, id)
-	k.decide(Pick{Verdict: v, After: d.after(k), NoRoom: k.noRoom})
+	d.pressed(now, v != Go)
+	k.decide(Pick{Verdict: v, After: d.after(after), NoRoom: k.noRoom})
 }
 
 // decide never blocks: a decision that nobody took yet gives way to a later one.
@@ -466,9 +496,10 @@
 	}
 }
 
-// after is when a caller that is turned away had best come back.
-func (d *Dispatcher) after(k *call) int64 {
-	return min(max(leastAfter, d.set.Release.Microseconds()), max(d.most, 0))
+// after is when a caller that is turned away had best come back: what the module estimates, within what
+// callers respect.
+func (d *Dispatcher) after(estimate time.Duration) int64 {
+	return min(max(leastAfter, estimate.Microseconds()), max(leastAfter, d.most))
 }
 
 func span(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -128,8 +128,9 @@
 )
 
 // WaitEnd waits until the pool ends the call, or until released hands the cause with which the caller
-// does, and reports the end. It tells the cause, and whether the pool ended it: the caller is to be told then.
-func (s *Standing) WaitEnd(released <-chan int) (cause int, byPool bool) {
+// does, and reports the end. It tells the cause, and whether the pool ended it: the caller is to be told
+// then. When ctx is done first the call is left standing.
+func (s *Standing) WaitEnd(ctx context.Context, released <-chan int) (cause int, byPool bool) {
 	select {
 	case <-s.Done():
 		e := s.Ending()
@@ -138,6 +139,8 @@
 	case cause = <-released:
 		s.End(cause)
 		return cause, false
+	case <-ctx.Done():
+		return 0, false
 	}
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -176,16 +176,22 @@
 
 func (r *reader) address(field string, must bool) string {
 	text := r.text(field, must)
-	if text != "" {
-		if _, port, err := net.SplitHostPort(text); err != nil || port == "" {
-			r.fail(field, fmt.Sprintf("%q is not address:port", text))
-		}
-	} else if must {
+	if text == "" && must {
 		r.fail(field, "empty")
 	}
+	r.checkAddress(field, text)
 	return text
 }
 
+func (r *reader) checkAddress(field, text string) {
+	if text == "" {
+		return
+	}
+	if _, port, err := net.SplitHostPort(text); err != nil || port == "" {
+		r.fail(field, fmt.Sprintf("%q is not address:port", text))
+	}
+}
+
 func (r *reader) number(field string, absent, least, most float64) float64 {
 	v, is := r.get(field, false)
 	if !is {
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -3,18 +3,17 @@
 import (
 	"bufio"
 	"errors"
-	"io"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"eidertrail/dispatch"
 	"eidertrail/internal/jsonl"
 	"eidertrail/internal/stats"
 )
 
-// conn is one connection of a caller: a goroutine reads it, another writes it.
+// conn is one connection of a caller: a goroutine reads it, another writes it. It is a dispatch.Caller.
 type conn struct {
 	front   *Front
 	raw     net.Conn
@@ -24,10 +23,11 @@
 	once    sync.Once
 }
 
-// line is a line to be written. A release may go out on any connection.
+// line is a line to be written. The end of a call may be told on any connection.
 type line struct {
-	bytes   []byte
-	release release
+	bytes []byte
+	over  string // the call that it tells the end of, or ""
+	cause int
 }
 
 func (c *conn) close() {
@@ -56,13 +56,22 @@
 	}
 }
 
-// answer queues a final answer.
-func (c *conn) answer(b []byte) bool {
-	if !c.send(line{bytes: b}) {
-		c.front.cfg.Count.Add(stats.AnswersUnwritten)
-		return false
+// Final implements dispatch.Caller. The platform's wire has no place for a time to come back.
+func (c *conn) Final(id string, f dispatch.Final) bool {
+	switch {
+	case f.Kind == dispatch.Stands:
+		return c.send(line{bytes: jsonl.AppendAnswer(nil, id, f.Call.SDP())})
+	case f.Kind == dispatch.GivenUp:
+		return c.send(line{bytes: jsonl.AppendCause(nil, "release", id, causeTimer)})
+	case f.NoRoom:
+		return c.send(line{bytes: jsonl.AppendCause(nil, "release", id, causeNoCircuit)})
 	}
-	return true
+	return c.send(line{bytes: jsonl.AppendCause(nil, "release", id, causeCongestion)})
+}
+
+// Over implements dispatch.Caller.
+func (c *conn) Over(id string, cause int) bool {
+	return c.send(line{jsonl.AppendCause(nil, "release", id, cause), id, cause})
 }
 
 func (c *conn) write() {
@@ -77,42 +86,35 @@
 			if err == nil {
 				_, err = c.raw.Write(l.bytes)
 			}
-			if err != nil {
-				c.close()
-				if l.release.id != "" {
-					c.front.Release(l.release.id, l.release.cause)
-				}
-			}
 			c.pending.Add(-1)
 			if err != nil {
+				c.close()
+				c.elsewhere(l)
 				return
 			}
 		}
 	}
 }
 
-// gone takes the connection off the list. Its open set-ups are given up: their caller has left. The
-// releases that it did not write leave on another; what stands stands on.
+// elsewhere hands the end of a call that could not be told here to another connection.
+func (c *conn) elsewhere(l line) {
+	if l.over != "" {
+		c.front.cfg.Desk.Over(l.over, l.cause)
+	}
+}
+
+// gone takes the connection off. What it did not write of calls that are over leaves on another.
 func (c *conn) gone() {
-	f := c.front
 	c.close()
-	f.mu.Lock()
-	if i := slices.Index(f.conns, c); i >= 0 {
-		f.conns = slices.Delete(f.conns, i, i+1)
-	}
-	for _, k := range f.calls {
-		if k.conn == c && !k.stands {
-			k.leave()
-		}
-	}
-	f.mu.Unlock()
+	c.front.cfg.Desk.Disconnect(c)
+	c.front.mu.Lock()
+	delete(c.front.conns, c)
+	c.front.mu.Unlock()
 	for {
 		select {
 		case l := <-c.queue:
 			c.pending.Add(-1)
-			if l.release.id != "" {
-				f.Release(l.release.id, l.release.cause)
-			}
+			c.elsewhere(l)
 		default:
 			return
 		}
@@ -128,7 +130,7 @@
 	for {
 		text, err := jsonl.ReadLine(r, buf)
 		if err != nil {
-			if errors.Is(err, jsonl.ErrTooLong) || errors.Is(err, io.ErrUnexpectedEOF) {
+			if errors.Is(err, jsonl.ErrTooLong) {
 				f.bad(c, err)
 			}
 			return
@@ -140,11 +142,11 @@
 		m, err := jsonl.Parse(text)
 		if err != nil {
 			f.bad(c, err)
-			if m.Type == "setup" && token(m.ID, 64) { // an id that can be told is owed an answer
+			if m.Type == "setup" && dispatch.Token(m.ID) { // an id that can be told is owed an answer
 				c.send(line{bytes: jsonl.AppendCause(nil, "release", m.ID, causeFailed)})
 			}
 			continue
 		}
-		f.take(c, m, f.cfg.Dispatch.Now())
+		f.take(c, &m)
 	}
 }
