--- /dev/null
+++ b/dispatch/desk_test.go
@@ -0,0 +1,222 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"eidertrail"
+	"eidertrail/internal/stats"
+)
+
+// fakeCaller is a connection that notes what it is told.
+type fakeCaller struct {
+	finals []Final
+	overs  []string
+	deaf   bool
+}
+
+func (c *fakeCaller) Final(_ string, f Final) bool {
+	if !c.deaf {
+		c.finals = append(c.finals, f)
+	}
+	return !c.deaf
+}
+
+func (c *fakeCaller) Over(id string, _ int) bool {
+	if !c.deaf {
+		c.overs = append(c.overs, id)
+	}
+	return !c.deaf
+}
+
+func (r *rig) connect() *fakeCaller {
+	c := &fakeCaller{}
+	r.desk.Connect(c)
+	return c
+}
+
+func (r *rig) setup(c *fakeCaller, id string) error {
+	err := r.desk.Setup(c, Call{ID: id, Class: "voice", Number: "7f", Pool: 0, Left: 3000, Came: r.Now()})
+	synctest.Wait()
+	return err
+}
+
+func (r *rig) last() *fakeAttempt {
+	r.t.Helper()
+	if len(r.trunk.sent) == 0 {
+		r.t.Fatal("nothing was sent")
+	}
+	return r.trunk.sent[len(r.trunk.sent)-1]
+}
+
+func TestCallStandsUntilThePoolEndsIt(t *testing.T) {
+	bubble(t, func(r *rig) {
+		c, other := r.connect(), r.connect()
+		r.setup(c, "c1")
+		r.last().answer("sdp")
+		synctest.Wait()
+		if len(c.finals) != 1 || c.finals[0].Kind != Stands || r.desk.Standing() != 1 || r.desk.Open() != 0 {
+			t.Fatalf("finals %+v", c.finals)
+		}
+		// No connection owns the call: its own is gone, so another is told.
+		r.desk.Disconnect(c)
+		leg := r.last().leg
+		leg.ending = Ending{Outcome: Ended, Cause: 16, State: Untold}
+		close(leg.done)
+		synctest.Wait()
+		if len(other.overs) != 1 || len(c.overs) != 0 || leg.released != 0 {
+			t.Errorf("told %v and %v, released %d", other.overs, c.overs, leg.released)
+		}
+	})
+}
+
+func TestEndIsKeptUntilSomebodyConnects(t *testing.T) {
+	bubble(t, func(r *rig) {
+		deaf := r.connect()
+		deaf.deaf = true
+		r.desk.Over("c1", 16)
+		if c := r.connect(); len(c.overs) != 1 || r.count.Get(stats.ReleasesKept) != 1 {
+			t.Errorf("told %v", c.overs)
+		}
+		if c := r.connect(); len(c.overs) != 0 {
+			t.Errorf("told again: %v", c.overs)
+		}
+	})
+}
+
+func TestCallerReleases(t *testing.T) {
+	bubble(t, func(r *rig) {
+		c := r.connect()
+		r.setup(c, "c1")
+		r.last().answer("sdp")
+		synctest.Wait()
+		if standing, err := r.desk.Release("c1", 31); !standing || err != nil {
+			t.Errorf("release: %v, %v", standing, err)
+		}
+		synctest.Wait()
+		if r.last().leg.released != 31 || len(c.overs) != 0 || r.desk.Standing() != 0 {
+			t.Errorf("released with %d, told %v", r.last().leg.released, c.overs)
+		}
+		if _, err := r.desk.Release("c1", 31); err != ErrUnknown {
+			t.Errorf("second release: %v", err)
+		}
+	})
+}
+
+func TestCancelGetsNoFinalAnswer(t *testing.T) {
+	bubble(t, func(r *rig) {
+		c := r.connect()
+		r.setup(c, "c1")
+		if standing, err := r.desk.Release("c1", 16); standing || err != nil {
+			t.Errorf("cancel: %v, %v", standing, err)
+		}
+		synctest.Wait()
+		if len(c.finals) != 0 || r.desk.Open() != 0 || r.count.Get(stats.CancelledCalls) != 1 {
+			t.Errorf("finals %+v", c.finals)
+		}
+	})
+}
+
+// Guards against a call that is answered as served although its caller had left: the two crossed.
+func TestAnswerCrossesCancel(t *testing.T) {
+	bubble(t, func(r *rig) {
+		c := r.connect()
+		r.setup(c, "c1")
+		x := r.last()
+		r.desk.mu.Lock() // both happen before the desk can look
+		x.answer("sdp")
+		r.desk.calls["c1"].end(errLeft)
+		r.desk.mu.Unlock()
+		synctest.Wait()
+		if len(c.finals) != 0 || x.leg.released != CauseNormal && len(x.end) == 0 {
+			t.Errorf("finals %+v, released %d", c.finals, x.leg.released)
+		}
+	})
+}
+
+func TestAnswerThatCannotBeToldIsReleased(t *testing.T) {
+	bubble(t, func(r *rig) {
+		c := r.connect()
+		r.setup(c, "c1")
+		c.deaf = true
+		r.last().answer("sdp")
+		synctest.Wait()
+		if r.last().leg.released != CauseNormal || r.desk.Standing() != 0 {
+			t.Error("it stands for nobody")
+		}
+	})
+}
+
+func TestDisconnectCallsOffWhatIsOpen(t *testing.T) {
+	bubble(t, func(r *rig) {
+		c := r.connect()
+		r.setup(c, "c1")
+		r.desk.Disconnect(c)
+		synctest.Wait()
+		if r.desk.Open() != 0 || len(c.finals) != 0 {
+			t.Errorf("open %d, finals %+v", r.desk.Open(), c.finals)
+		}
+		if err := r.setup(c, "c2"); err != nil || r.desk.Open() != 0 {
+			t.Errorf("a set-up of a connection that is gone: %v, open %d", err, r.desk.Open())
+		}
+	})
+}
+
+func TestWrongSetups(t *testing.T) {
+	bubble(t, func(r *rig) {
+		c := r.connect()
+		good := Call{ID: "c1", Class: "voice", Left: 1000, Came: r.Now()}
+		for want, edit := range map[error]func(*Call){
+			ErrID:     func(s *Call) { s.ID = "a b" },
+			ErrClass:  func(s *Call) { s.Class = "fax" },
+			ErrLeft:   func(s *Call) { s.Left = -1 },
+			ErrNumber: func(s *Call) { s.Number = "1\r\nBYE" },
+		} {
+			s := good
+			edit(&s)
+			if err := r.desk.Setup(c, s); err != want {
+				t.Errorf("got %v, want %v", err, want)
+			}
+		}
+		if err := r.setup(c, "c1"); err != nil {
+			t.Error(err)
+		}
+		if err := r.desk.Setup(c, Call{ID: "c1", Class: "fax"}); err != ErrDuplicate { // even one that is wrong otherwise
+			t.Errorf("again: %v", err)
+		}
+		r.desk.most = 1
+		if err := r.setup(c, "c2"); err != ErrTooMany {
+			t.Errorf("past the bound: %v", err)
+		}
+	})
+}
+
+func TestFinalComesBeforeTheCallerGivesUp(t *testing.T) {
+	bubble(t, func(r *rig) {
+		c := r.connect()
+		r.setup(c, "c1") // nobody answers the attempt; the caller gives up after 3 s
+		time.Sleep(2990 * time.Millisecond)
+		synctest.Wait()
+		if len(c.finals) != 1 || c.finals[0].Kind == Stands || c.finals[0].After < leastAfter {
+			t.Errorf("finals %+v", c.finals)
+		}
+	})
+}
+
+func TestGiveUpAnswersAll(t *testing.T) {
+	bubble(t, func(r *rig) {
+		c := r.connect()
+		r.setup(c, "c1")
+		r.setup(c, "c2")
+		r.last().answer("sdp")
+		r.list(eidertrail.Gone, eidertrail.Gone)
+		r.setup(c, "c3") // waits for a pool
+		r.desk.GiveUp()
+		r.desk.Drain(context.Background())
+		if len(c.finals) != 3 || r.desk.Standing() != 1 {
+			t.Errorf("finals %+v, %d stand", c.finals, r.desk.Standing())
+		}
+	})
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -109,7 +109,7 @@
 	perTurn = 256  // messages taken in one turn
 	// maxSends is the rule's last guard, whatever the module decides: two sends a call.
 	maxSends = 2
-	// lateBy is how long after Until a decision may come before Pick gives up on the module.
+	// lateBy is how long after Until, or after Pick, a decision may come before Pick gives up on the module.
 	lateBy = 10_000
 	// leastAfter is the least time to come back after.
 	leastAfter = 100_000
@@ -256,10 +256,13 @@
 	case <-d.done:
 		return Pick{}, ErrClosed
 	}
-	late := time.NewTimer(time.Duration(r.Until+lateBy-d.clock.Now()) * time.Microsecond)
+	late := time.NewTimer(time.Duration(max(0, r.Until-d.clock.Now())+lateBy) * time.Microsecond)
 	defer late.Stop()
 	select {
 	case p := <-decided:
+		if p.Verdict != Go {
+			d.post(func(int64) { delete(d.calls, r.Call) })
+		}
 		return p, nil
 	case <-d.done:
 		return Pick{}, ErrClosed
@@ -476,7 +479,8 @@
 	if k == nil {
 		return
 	}
-	delete(d.calls, id)
+	// The line stays until Pick has taken the answer. Guards against a call being entered a second time,
+	// with two more sends, when it is given up between Report and the next Pick (found by FuzzDispatcher).
 	d.pressed(now, v != Go)
 	k.decide(Pick{Verdict: v, After: d.after(after), NoRoom: k.noRoom})
 }
--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,328 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"eidertrail"
+	"eidertrail/internal/clock"
+	"eidertrail/internal/standin"
+	"eidertrail/internal/stats"
+)
+
+func settings() eidertrail.Settings {
+	return eidertrail.Settings{
+		Nodes: 1, Here: -1, Release: 300 * time.Millisecond, MaxAttempts: 6, Tick: 5 * time.Millisecond,
+		Cold: 10 * time.Second, ColdShare: 0.3, FallMultiple: 3, FallAfter: 1500 * time.Millisecond,
+		Classes: []eidertrail.Class{
+			{Name: "voice", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1, Pools: []int{0, 1}, Hold: 8 * time.Second},
+			{Name: "text", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 3, Pools: []int{1}, Hold: 8 * time.Second},
+		},
+	}
+}
+
+// fakeTrunk hands each attempt to the test and ends it as the test says.
+type fakeTrunk struct {
+	d    *Dispatcher
+	sent []*fakeAttempt
+}
+
+type fakeAttempt struct {
+	Attempt
+	end chan Ending
+	leg *fakeLeg
+}
+
+type fakeLeg struct {
+	sdp      string
+	done     chan struct{}
+	ending   Ending
+	released int
+}
+
+func (l *fakeLeg) SDP() string           { return l.sdp }
+func (l *fakeLeg) Done() <-chan struct{} { return l.done }
+func (l *fakeLeg) Ending() Ending        { return l.ending }
+func (l *fakeLeg) Release(cause int)     { l.released = cause }
+
+func (f *fakeTrunk) Invite(ctx context.Context, a Attempt) (Leg, Ending) {
+	x := &fakeAttempt{Attempt: a, end: make(chan Ending, 1)}
+	f.sent = append(f.sent, x)
+	until := time.NewTimer(time.Duration(a.Until-f.d.Now()) * time.Microsecond)
+	defer until.Stop()
+	select {
+	case e := <-x.end:
+		e.At = f.d.Now()
+		if e.Outcome == Answered {
+			return x.leg, e
+		}
+		return nil, e
+	case <-until.C:
+		return nil, Ending{Outcome: TimedOut, At: f.d.Now(), State: Untold}
+	case <-ctx.Done():
+		return nil, Ending{Outcome: Cancelled, At: f.d.Now(), State: Untold}
+	}
+}
+
+func (x *fakeAttempt) answer(sdp string) {
+	x.leg = &fakeLeg{sdp: sdp, done: make(chan struct{})}
+	x.end <- Ending{Outcome: Answered, State: Untold}
+}
+
+// rig is a dispatcher that runs, with two pools that are up.
+type rig struct {
+	*Dispatcher
+	t     *testing.T
+	trunk *fakeTrunk
+	desk  *Desk
+	count *stats.Set
+}
+
+func bubble(t *testing.T, test func(r *rig)) {
+	synctest.Test(t, func(t *testing.T) { onRig(t, test) })
+}
+
+func onRig(t *testing.T, test func(r *rig)) {
+	count := &stats.Set{}
+	d, err := New(settings(), 1, 2_000_000, clock.New(), zerolog.Nop(), count)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	go d.Run(ctx)
+	r := &rig{Dispatcher: d, t: t, trunk: &fakeTrunk{d: d}, count: count}
+	r.desk = NewDesk(DeskConfig{Dispatch: d, Trunk: r.trunk, Most: 100, Count: count})
+	r.list(eidertrail.Ready, eidertrail.Ready)
+	synctest.Wait()
+	test(r)
+	r.desk.Close()
+	stop()
+	synctest.Wait()
+	if _, err := d.Pick(context.Background(), r.request(0, time.Second)); !errors.Is(err, ErrClosed) {
+		t.Errorf("Pick after the end: %v", err)
+	}
+	if err := d.Tick(context.Background()); !errors.Is(err, ErrClosed) {
+		t.Errorf("Tick after the end: %v", err)
+	}
+}
+
+func (r *rig) list(a, b eidertrail.Mode) {
+	r.Roster([]Server{{UID: "a", Group: 0, Mode: a}, {UID: "b", Group: 1, Mode: b}}, false)
+	r.Observe("a", State{10, 20})
+	r.Observe("b", State{10, 20})
+	synctest.Wait()
+}
+
+func (r *rig) request(class int, left time.Duration) Request {
+	return Request{Call: r.NewCall(), Class: class, Pool: class, Until: r.Now() + left.Microseconds()}
+}
+
+func TestPickReportTick(t *testing.T) {
+	bubble(t, func(r *rig) {
+		q := r.request(0, time.Second)
+		p, err := r.Pick(context.Background(), q)
+		if err != nil || p.Verdict != Go || p.Pool != "a" || p.Attempt != 0 {
+			t.Fatalf("%+v, %v", p, err)
+		}
+		r.Report(Result{Call: q.Call, Pool: "a", Outcome: NoAgent, State: State{0, 20}})
+		if p, err = r.Pick(context.Background(), q); err != nil || p.Pool != "b" || p.Attempt != 1 {
+			t.Fatalf("second: %+v, %v", p, err)
+		}
+		r.Report(Result{Call: q.Call, Attempt: 1, Pool: "b", Outcome: NoAgent, State: Untold})
+		if p, err = r.Pick(context.Background(), q); err != nil || p.Verdict != Refused || !p.NoRoom || p.After < leastAfter {
+			t.Fatalf("third: %+v, %v", p, err)
+		}
+		if err := r.Tick(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func TestReleaseIsAwaited(t *testing.T) {
+	for _, o := range []Outcome{TimedOut, Reset, Cancelled} {
+		bubble(t, func(r *rig) {
+			q := r.request(0, 5*time.Second)
+			r.Pick(context.Background(), q)
+			before := r.Now()
+			r.Report(Result{Call: q.Call, Pool: "a", Outcome: o, Took: 1000, State: Untold})
+			p, err := r.Pick(context.Background(), q)
+			if waited := p.At - before; err != nil || p.Verdict != Go || waited < 300_000 {
+				t.Errorf("outcome %d: %+v after %d us, %v", o, p, waited, err)
+			}
+		})
+	}
+}
+
+func TestGuardStopsWhatTheModuleMustNotSend(t *testing.T) {
+	bubble(t, func(r *rig) {
+		k := &call{Request: Request{Call: 1, Class: 1, Until: r.Now() + 1000}}
+		now := r.Now()
+		for name, ok := range map[string]bool{"b": true, "a": false, "nobody": false} { // class text may not go to a
+			if got := r.maySend(now, k, name); got != ok {
+				t.Errorf("to %s: %v", name, got)
+			}
+		}
+		for name, bad := range map[string]call{
+			"out": {Request: k.Request, out: true}, "stands": {Request: k.Request, stands: true},
+			"third send": {Request: k.Request, attempt: 2}, "release": {Request: k.Request, notBefore: now + 1},
+			"late": {Request: Request{Class: 1, Until: now}},
+		} {
+			if r.maySend(now, &bad, "b") {
+				t.Errorf("%s: may be sent", name)
+			}
+		}
+		r.list(eidertrail.Ready, eidertrail.Draining)
+		if r.maySend(now, k, "b") {
+			t.Error("to a draining pool: may be sent")
+		}
+	})
+}
+
+func TestCallerLeavesWhileItWaits(t *testing.T) {
+	bubble(t, func(r *rig) {
+		r.list(eidertrail.Gone, eidertrail.Gone)
+		ctx, leave := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		q := r.request(0, time.Minute)
+		go func() {
+			_, err := r.Pick(ctx, q)
+			done <- err
+		}()
+		synctest.Wait()
+		leave()
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Errorf("error %v", err)
+		}
+		synctest.Wait()
+		if len(r.calls) != 0 {
+			t.Errorf("%d calls left", len(r.calls))
+		}
+	})
+}
+
+// Guards against a decision that nobody carries out holding its server: it crossed the caller's leaving.
+func TestDecisionNobodyTakesIsUndone(t *testing.T) {
+	bubble(t, func(r *rig) {
+		ctx, leave := context.WithCancel(context.Background())
+		leave()
+		for range 50 {
+			if p, err := r.Pick(ctx, r.request(0, time.Minute)); err == nil {
+				r.Report(Result{Call: uint64(r.Dispatcher.last.Load()), Attempt: p.Attempt, Outcome: Moot, State: Untold, Left: true})
+			}
+		}
+		synctest.Wait()
+		p, err := r.Pick(context.Background(), r.request(0, time.Minute))
+		if err != nil || p.Verdict != Go || p.Pool != "a" {
+			t.Errorf("after 50 that left: %+v, %v", p, err)
+		}
+	})
+}
+
+func TestTurnedAwayShareFallsWithTime(t *testing.T) {
+	bubble(t, func(r *rig) {
+		r.list(eidertrail.Gone, eidertrail.Gone)
+		for range 20 {
+			r.Pick(context.Background(), r.request(0, 10*time.Millisecond))
+		}
+		before := r.TurnedAway()
+		time.Sleep(10 * time.Second)
+		if after := r.TurnedAway(); before < 0.3 || after > before/3 {
+			t.Errorf("share %v, 10 s later %v", before, after)
+		}
+	})
+}
+
+// FuzzDispatcher checks random steps of a few calls against a model of what the rules allow: one attempt
+// out at a time, two sends at most, the release awaited, nobody draining, one final answer a call.
+func FuzzDispatcher(f *testing.F) {
+	standin.Fuzz(f, []string{"000000010102", "00020103020404", "0005020001000301", "000101060001", "0006000002010301", "0007010200030104"},
+		func(t *testing.T, script []byte) {
+			onRig(t, func(r *rig) {
+				type modelled struct {
+					q           Request
+					out, final  bool
+					sends, last int
+					notBefore   int64
+				}
+				var calls []*modelled
+				ready := map[string]bool{"a": true, "b": true}
+				pick := func(m *modelled) {
+					p, err := r.Pick(context.Background(), m.q)
+					if err != nil || m.final {
+						t.Errorf("pick: %v, already final: %v", err, m.final)
+						return
+					}
+					if p.Verdict != Go {
+						m.final = true
+						return
+					}
+					if m.out || m.sends >= 2 || p.At < m.notBefore || !ready[p.Pool] || m.q.Class == 1 && p.Pool != "b" {
+						t.Errorf("sent to %s: %+v", p.Pool, *m)
+					}
+					m.out, m.last = true, p.Attempt
+					m.sends++
+				}
+				end := func(b byte, o Outcome) {
+					if len(calls) == 0 {
+						return
+					}
+					if m := calls[int(b)%len(calls)]; m.out {
+						m.out = false
+						if o == TimedOut || o == Reset || o == Cancelled {
+							m.notBefore = r.Now() + 300_000
+						}
+						r.Report(Result{Call: m.q.Call, Attempt: m.last, Outcome: o, Took: 1000, State: Untold})
+						go pick(m)
+					}
+				}
+				steps := []func(byte){
+					func(b byte) {
+						m := &modelled{q: r.request(int(b)%2, time.Duration(b)*20*time.Millisecond)}
+						calls = append(calls, m)
+						go pick(m)
+					},
+					func(b byte) { end(b, NoAgent) },
+					func(b byte) { end(b, TimedOut) },
+					func(b byte) { end(b, Outcome(int(b)%int(Moot-Errored+1))+Errored) },
+					func(b byte) { time.Sleep(time.Duration(b) * 10 * time.Millisecond) },
+					func(b byte) {
+						ready["a"], ready["b"] = b&1 == 0, b&2 == 0
+						r.list(eidertrail.Mode(b&1), eidertrail.Mode(b>>1&1))
+					},
+				}
+				standin.Play(script, steps, func() {})
+				time.Sleep(10 * time.Second) // every caller has given up by now
+				synctest.Wait()
+				for _, m := range calls {
+					if !m.final && !m.out {
+						t.Errorf("no final answer: %+v", *m)
+					}
+				}
+			})
+		})
+}
+
+// Guards against a call being entered a second time, with two more sends: it was given up between Report
+// and the next Pick, when nobody waited.
+func TestGivenUpBetweenReportAndPick(t *testing.T) {
+	bubble(t, func(r *rig) {
+		q := r.request(0, time.Second)
+		for n := range 2 {
+			r.Pick(context.Background(), q)
+			r.Report(Result{Call: q.Call, Attempt: n, Outcome: NoAgent, State: Untold})
+			synctest.Wait()
+		}
+		time.Sleep(time.Second)
+		if p, err := r.Pick(context.Background(), q); err != nil || p.Verdict == Go {
+			t.Errorf("third pick: %+v, %v", p, err)
+		}
+		if synctest.Wait(); len(r.calls) != 0 {
+			t.Errorf("%d calls left", len(r.calls))
+		}
+	})
+}
--- /dev/null
+++ b/internal/bulletin/bulletin_test.go
@@ -0,0 +1,77 @@
+package bulletin
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"eidertrail/internal/clock"
+	"eidertrail/internal/stats"
+)
+
+func page(no int, state string) string {
+	return fmt.Sprintf(`{"no":%d,"items":[{"no":%d,"roster":{"rev":7,"all":false,"targets":[{"uid":"s-1","endpoint":"127.0.0.3:5060",`+
+		`"az":"east","model":"std","pod_group":2,"state":%q,"boot_ms":%d}]}},{"no":%d,"lot":{}}]}`, no, no, state, time.Now().UnixMilli()+1000, no)
+}
+
+func TestParsePage(t *testing.T) {
+	now := clock.New()
+	p, err := ParsePage([]byte(page(41, "draining")), now)
+	if err != nil || p.No != 41 || len(p.Items) != 1 || p.Items[0].All || len(p.Items[0].Pools) != 1 {
+		t.Fatalf("%+v, %v", p, err)
+	}
+	l := p.Items[0].Pools[0]
+	if l.UID != "s-1" || l.Address != "127.0.0.3:5060" || l.Group != 2 || l.State != Draining {
+		t.Errorf("%+v", l)
+	}
+	if d := l.Born - now.Now(); d < 0 || d > 1_000_000 {
+		t.Errorf("born %d us from now", d)
+	}
+	if p, err = ParsePage([]byte(page(41, "odd")), now); err != nil || len(p.Items[0].Pools) != 0 {
+		t.Errorf("a state that is not known: %+v, %v", p, err)
+	}
+	for _, text := range []string{"", "{", "{}", `{"no":"1"}`, strings.Replace(page(1, "up"), "s-1", "", 1),
+		strings.Replace(page(1, "up"), "127.0.0.3:5060", "x", 1)} {
+		if _, err := ParsePage([]byte(text), now); err == nil {
+			t.Errorf("%q was taken", text)
+		}
+	}
+}
+
+// Guards against events lost or told twice when the bulletin fails in between, or starts to count anew.
+func TestWatchTellsEachEventOnce(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	var asked []string
+	answers := []func(w http.ResponseWriter){
+		func(w http.ResponseWriter) { fmt.Fprint(w, page(4, "up")) },
+		func(w http.ResponseWriter) { http.Error(w, "later", 500) },
+		func(w http.ResponseWriter) { fmt.Fprint(w, "{") },
+		func(w http.ResponseWriter) { fmt.Fprint(w, page(4, "up")) }, // said again
+		func(w http.ResponseWriter) { fmt.Fprint(w, page(5, "removed")) },
+		func(w http.ResponseWriter) { fmt.Fprint(w, page(1, "up")) }, // it counts anew
+		func(w http.ResponseWriter) { stop() },
+	}
+	n := 0
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked = append(asked, r.URL.Query().Get("after"))
+		answers[min(n, len(answers)-1)](w)
+		n++
+	}))
+	defer s.Close()
+	var told []int64
+	count := &stats.Set{}
+	Watch(ctx, strings.TrimPrefix(s.URL, "http://"), 3, clock.New(), zerolog.Nop(), count, func(e Event) { told = append(told, e.No) })
+	if got := fmt.Sprint(told); got != "[4 5 1]" {
+		t.Errorf("told %s", got)
+	}
+	if got := fmt.Sprint(asked); got != "[3 4 4 4 4 5 1]" || count.Get(stats.BulletinErrors) != 2 {
+		t.Errorf("asked after %s, %d errors", got, count.Get(stats.BulletinErrors))
+	}
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,111 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"eidertrail/internal/clock"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.1:5060","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+ "bulletin":"127.0.0.2:4222","known":{"no":3,"items":[{"no":3,"roster":{"rev":1,"all":true,"targets":[
+  {"uid":"s-1","endpoint":"127.0.0.3:5060","pod_group":2,"state":"up","boot_ms":0}]}}]},
+ "settings":{"balancers":6,"index":2,"caps":{"max_attempts":6,"connect_timeout":500000000,"max_retry_after":2000000000},
+  "extra":{"here":-1,"shape":"skills","allowed_pools":[[0,3]],"clear_wait":300000000,"mean_hold":[10200000000]},
+  "request_classes":[{"name":"voice","promise":5000000000,"deadline":15000000000,"worth":1,"late_worth":0.25,"effect":"safe"}],
+  "realms":[{"name":"acme"}],"rules":{"cold":14000000000,"cold_share":0.3,"fall_multiple":3,"tip_after":1500000000},
+  "stats":{"names":["idle","circuits"]},"tick":5000000}}`
+
+func TestParse(t *testing.T) {
+	c, err := Parse([]byte(good), clock.New())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := c.Settings
+	if c.Name != "n3" || c.Seed != 0x8c1f30d27a5be964 || c.MemoryMB != 192 || c.ConnectTimeout != 500_000 ||
+		c.MaxRetryAfter != 2_000_000 || c.ReportFree != "idle" || c.Known.No != 3 || c.Known.Items[0].Pools[0].Group != 2 ||
+		s.Nodes != 6 || s.Index != 2 || s.Here != -1 || s.Release != 300*time.Millisecond || s.Cold != 14*time.Second ||
+		s.Classes[0].Aim != 5*time.Second || len(s.Classes[0].Pools) != 2 || s.Classes[0].Pools[1] != 3 ||
+		s.Classes[0].Hold != 10200*time.Millisecond || s.Classes[0].LateWorth != 0.25 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// Guards against a controller that starts on a configuration it has misread: one line, with the field's name.
+func TestBadFieldIsNamed(t *testing.T) {
+	for _, k := range [][3]string{
+		{`"listen":"127.0.0.1:5060"`, `"listen":"here"`, "listen"}, {`"listen":"127.0.0.1:5060",`, ``, "listen"},
+		{`"seed":"8c1f`, `"seed":"xyz`, "seed"}, {`"memory_mb":192`, `"memory_mb":"lots"`, "limits.memory_mb"},
+		{`"sockets":1024`, `"sockets":1`, "limits.sockets"}, {`"127.0.0.2:4222"`, `7`, "bulletin"},
+		{`"balancers":6`, `"balancers":0`, "settings.balancers"}, {`"index":2`, `"index":6`, "Index"},
+		{`"name":"voice",`, ``, "settings.request_classes.0.name"}, {`"deadline":15000000000`, `"deadline":-1`, "settings.request_classes.0.deadline"},
+		{`"effect":"safe"`, `"effect":"odd"`, "settings.request_classes.0.effect"}, {`[[0,3]]`, `[[0,"x"]]`, "settings.extra.allowed_pools.0.1"},
+		{`"cold_share":0.3`, `"cold_share":3`, "settings.rules.cold_share"}, {`"tick":5000000`, `"tick":null,"request_classes":{}`, ""},
+		{`"127.0.0.3:5060"`, `"nowhere"`, "known"}, {`{"no":3,"items"`, `{"items"`, "known"}, {`"settings":{`, `"settings":7,"x":{`, "settings"},
+		{`"name":"acme"`, `"name":1`, "settings.realms.0.name"},
+	} {
+		text := strings.Replace(good, k[0], k[1], 1)
+		if text == good {
+			t.Fatalf("%s is not in the text", k[0])
+		}
+		_, err := Parse([]byte(text), clock.New())
+		if k[2] == "" {
+			continue
+		}
+		if err == nil || !strings.Contains(err.Error(), k[2]) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v, want a line that names %s", k[1], err, k[2])
+		}
+	}
+	for _, text := range []string{"", "{", "[]"} {
+		if _, err := Parse([]byte(text), clock.New()); err == nil {
+			t.Errorf("%q was taken", text)
+		}
+	}
+	if _, err := Load("/nowhere/config.json", clock.New()); err == nil {
+		t.Error("no file was taken")
+	}
+}
+
+func TestCallControl(t *testing.T) {
+	load := func(text string) (*CallControl, error) {
+		path := filepath.Join(t.TempDir(), "callcontrol.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return LoadCallControl(path)
+	}
+	c, err := load("listen = \"127.0.0.1:5070\"\norigins = [\"*.example.org\"]")
+	if err != nil || c.Listen != "127.0.0.1:5070" || c.Path != "/call-control" || c.MaxConnections != 64 || len(c.Origins) != 1 {
+		t.Errorf("%+v, %v", c, err)
+	}
+	for text, field := range map[string]string{
+		"listen = 7": "listen", "listen = \"x\"": "listen", "listne = \"127.0.0.1:1\"": "listne", "": "listen",
+		"agent_check = \"x\"": "agent_check", "health = \"x\"": "health",
+		"listen = \"127.0.0.1:1\"\npath = \"x\"":        "path",
+		"listen = \"127.0.0.1:1\"\nmax_connections = 0": "max_connections",
+	} {
+		if _, err := load(text); err == nil || !strings.Contains(err.Error(), field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+	if _, err := LoadCallControl("../../deploy/callcontrol.toml"); err != nil {
+		t.Errorf("the file under deploy/: %v", err)
+	}
+}
+
+// FuzzParse checks that no text makes the reader fail but with an error.
+func FuzzParse(f *testing.F) {
+	f.Add(good)
+	f.Add(strings.ReplaceAll(good, "[", "{"))
+	f.Fuzz(func(t *testing.T, text string) {
+		c, err := Parse([]byte(text), clock.New())
+		if err == nil && (c.Listen == "" || len(c.Settings.Classes) == 0 || !gjson.Valid(text)) {
+			t.Errorf("taken: %q", text)
+		}
+	})
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -53,8 +53,9 @@
 	cfg Config
 	wg  sync.WaitGroup // connections
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	mu     sync.Mutex
+	closed bool
+	conns  map[*conn]struct{}
 }
 
 // New returns a front.
@@ -75,16 +76,18 @@
 		f.cfg.Count.Add(stats.Connections)
 		c := &conn{front: f, raw: raw, queue: make(chan line, writeQueue), closed: make(chan struct{})}
 		f.mu.Lock()
-		full := len(f.conns) >= f.cfg.MostConnections
-		if !full {
+		// closed guards against a connection that was accepted just before the end outliving it
+		// (found by FuzzConnection).
+		take := !f.closed && len(f.conns) < f.cfg.MostConnections
+		if take {
 			f.conns[c] = struct{}{}
+			f.wg.Add(2)
 		}
 		f.mu.Unlock()
-		if full {
+		if !take {
 			raw.Close()
 			continue
 		}
-		f.wg.Add(2)
 		f.cfg.Desk.Connect(c)
 		go c.read()
 		go c.write()
@@ -116,6 +119,7 @@
 // Close ends the connections and every goroutine of the front. Serve's listener is to be closed first.
 func (f *Front) Close() {
 	f.mu.Lock()
+	f.closed = true
 	for c := range f.conns {
 		c.close()
 	}
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net"
 	"sync"
@@ -66,11 +67,9 @@
 
 // connect dials and serves a connection until it ends. It tells whether it came up.
 func (p *pool) connect(address string) bool {
-	dialer := net.Dialer{
-		Timeout:         time.Duration(p.set.cfg.ConnectTimeout) * time.Microsecond,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3},
-	}
-	raw, err := dialer.DialContext(p.set.ctx, "tcp", address)
+	ctx, cancel := context.WithTimeout(p.set.ctx, time.Duration(p.set.cfg.ConnectTimeout)*time.Microsecond)
+	raw, err := p.set.cfg.Dial(ctx, address)
+	cancel()
 	p.mu.Lock()
 	close(p.dialled)
 	p.dialled = make(chan struct{})
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -26,6 +27,8 @@
 	Log            zerolog.Logger
 	Count          *stats.Set
 
+	// Dial opens a connection; nil: TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Observe is told a pool's state when it comes unasked.
 	Observe func(uid string, s dispatch.State)
 	// Stray is told of a release by a pool of a call that this process did not set up.
@@ -67,6 +70,14 @@
 
 // NewSet returns an empty set. Its connections end when ctx is done; Wait waits for that.
 func NewSet(ctx context.Context, cfg Config) *Set {
+	if cfg.Dial == nil {
+		dialer := net.Dialer{
+			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3},
+		}
+		cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
 	return &Set{cfg: cfg, ctx: ctx, pools: map[string]*pool{}, ended: map[string]struct{}{}}
 }
 
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"eidertrail"
 	"eidertrail/dispatch"
 	"eidertrail/internal/bulletin"
 	"eidertrail/internal/clock"
@@ -14,31 +18,44 @@
 	"eidertrail/internal/stats"
 )
 
-// rig is a set with one stand-in pool that is up.
+// rig is a set with one stand-in pool, p1, that is up. What the pool gets is in got.
 type rig struct {
 	*Set
+	t     *testing.T
 	at    *standin.Pool
 	clock *clock.Clock
-	stray chan string
-	seen  chan dispatch.State
+	mu    sync.Mutex
+	got   []standin.Request // under mu
+	strays,
+	seen []string
 	lines []dispatch.Server
 }
 
-func newRig(t *testing.T) *rig {
+// bubble runs a test on a rig in a bubble of its own.
+func bubble(t *testing.T, test func(r *rig)) {
+	synctest.Test(t, func(t *testing.T) { onRig(t, test) })
+}
+
+func onRig(t *testing.T, test func(r *rig)) {
 	ctx, stop := context.WithCancel(context.Background())
-	r := &rig{at: standin.NewPool(t), clock: clock.New(), stray: make(chan string, 16), seen: make(chan dispatch.State, 16)}
+	r := &rig{t: t, at: &standin.Pool{}, clock: clock.New()}
+	r.at.OnRequest = func(q standin.Request) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.got = append(r.got, q)
+	}
 	r.Set = NewSet(ctx, Config{
 		Name: "n0", ConnectTimeout: 500_000, ReportFree: "idle", ReportAgents: "circuits", Clock: r.clock,
-		Log: zerolog.Nop(), Count: &stats.Set{},
-		Observe: func(_ string, s dispatch.State) { r.seen <- s },
-		Stray:   func(id string, _ int) { r.stray <- id },
-	})
-	t.Cleanup(func() {
-		stop()
-		r.Wait()
+		Log: zerolog.Nop(), Count: &stats.Set{}, Dial: r.at.Dial,
+		Observe: func(uid string, s dispatch.State) { r.seen = append(r.seen, uid) },
+		Stray:   func(id string, _ int) { r.strays = append(r.strays, id) },
 	})
-	r.list("p1", r.at.Address(), bulletin.Up)
-	return r
+	r.list("p1", "10.0.0.1:5060", bulletin.Up)
+	synctest.Wait()
+	test(r)
+	stop()
+	r.Wait()
+	r.at.Drop()
 }
 
 func (r *rig) list(uid, address string, state bulletin.State) {
@@ -46,62 +63,392 @@
 		func(l []dispatch.Server) { r.lines = l })
 }
 
-func (r *rig) attempt(id string, number int, within time.Duration) dispatch.Attempt {
-	now := r.clock.Now()
-	return dispatch.Attempt{Setup: dispatch.Setup{ID: id, Number: "7f3a", Class: "voice", SDP: "offer\r\n"},
-		Pool: "p1", Number: number, At: now, Until: now + within.Microseconds()}
+// sent tells the methods that the pool has got, and takes the last INVITE.
+func (r *rig) sent() (string, standin.Request) {
+	synctest.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all []string
+	var last standin.Request
+	for _, q := range r.got {
+		all = append(all, q.Method)
+		if q.Method == "INVITE" {
+			last = q
+		}
+	}
+	return strings.Join(all, " "), last
 }
 
-type result struct {
-	leg dispatch.Leg
-	end dispatch.Ending
+// invited is an attempt that is on its way: leg and end are valid once done.
+type invited struct {
+	leave context.CancelFunc
+	done  bool
+	leg   dispatch.Leg
+	end   dispatch.Ending
 }
 
-func (r *rig) invite(ctx context.Context, a dispatch.Attempt) <-chan result {
-	c := make(chan result, 1)
+func (r *rig) invite(id string, number int, within time.Duration) *invited {
+	now := r.clock.Now()
+	a := dispatch.Attempt{Setup: dispatch.Setup{ID: id, Number: "7f3a", Class: "voice", SDP: "offer\r\n"},
+		Pool: "p1", Number: number, At: now, Until: now + within.Microseconds()}
+	ctx, leave := context.WithCancel(context.Background())
+	x := &invited{leave: leave}
 	go func() {
-		leg, end := r.Invite(ctx, a)
-		c <- result{leg, end}
+		x.leg, x.end = r.Invite(ctx, a)
+		x.done = true
 	}()
-	return c
+	synctest.Wait()
+	return x
 }
 
-func TestInviteStandsAndEnds(t *testing.T) {
-	r := newRig(t)
-	got := r.invite(context.Background(), r.attempt("c1", 0, time.Minute))
-	q := r.at.Next("INVITE")
-	if q.URI != "sip:7f3a@net" || q.CallID != "c1" || q.Get("subject") != "voice" || string(q.Body) != "offer\r\n" {
-		t.Errorf("INVITE %+v", q.Message)
-	}
-	q.Answer(200, "", "answer\r\n")
-	x := <-got
-	if x.leg == nil || x.leg.SDP() != "answer\r\n" || x.end.Outcome != dispatch.Answered {
-		t.Fatalf("got %+v", x)
+func (r *rig) want(x *invited, o dispatch.Outcome) {
+	r.t.Helper()
+	synctest.Wait()
+	if !x.done || x.end.Outcome != o || (x.leg != nil) != (o == dispatch.Answered) {
+		r.t.Fatalf("done %v, leg %v, ending %+v; want outcome %d", x.done, x.leg, x.end, o)
 	}
-	r.at.Next("ACK")
-	q.Bye(41)
-	<-x.leg.Done()
-	if e := x.leg.Ending(); e.Outcome != dispatch.Reset || e.Cause != 41 {
-		t.Errorf("ending %+v", e)
+}
+
+func (r *rig) wantSent(want string) standin.Request {
+	r.t.Helper()
+	got, last := r.sent()
+	if got != want {
+		r.t.Fatalf("the pool got %q, want %q", got, want)
 	}
+	return last
+}
+
+func TestInviteStandsAndEnds(t *testing.T) {
+	bubble(t, func(r *rig) {
+		x := r.invite("c1", 0, time.Minute)
+		q := r.wantSent("INVITE")
+		if q.URI != "sip:7f3a@net" || q.CallID != "c1" || q.Get("subject") != "voice" || string(q.Body) != "offer\r\n" ||
+			q.Get("x-patience") != "60000" {
+			t.Errorf("INVITE %+v", q.Message)
+		}
+		q.Answer(180, "", "")
+		q.Answer(200, "", "answer\r\n")
+		r.want(x, dispatch.Answered)
+		if x.leg.SDP() != "answer\r\n" || r.Standing() != 1 {
+			t.Errorf("description %q, %d standing", x.leg.SDP(), r.Standing())
+		}
+		q.Answer(200, "", "answer\r\n") // said again: acknowledged again
+		r.wantSent("INVITE ACK ACK")
+		q.Bye(41)
+		synctest.Wait()
+		<-x.leg.Done()
+		if e := x.leg.Ending(); e.Outcome != dispatch.Reset || e.Cause != 41 || r.Standing() != 0 {
+			t.Errorf("ending %+v", e)
+		}
+		q.Bye(41) // the second one is of a call that is known to be over
+		if synctest.Wait(); len(r.strays) > 0 {
+			t.Errorf("strays %v", r.strays)
+		}
+	})
 }
 
 // Guards against the first real day's loss: pools number every answer 1, so an answer to a call's second
 // send was taken for nobody's, and every second send timed out.
 func TestSecondSendIsAnsweredWithNumberOne(t *testing.T) {
-	r := newRig(t)
-	got := r.invite(context.Background(), r.attempt("c1", 0, time.Minute))
-	r.at.Next("INVITE").Answer(503, "blocked", "")
-	if x := <-got; x.end.Outcome != dispatch.NoAgent {
-		t.Fatalf("first send: %+v", x)
-	}
-	got = r.invite(context.Background(), r.attempt("c1", 1, time.Minute))
-	q := r.at.Next("INVITE")
-	if q.CSeq != 1 {
-		t.Errorf("second INVITE is numbered %d", q.CSeq)
-	}
-	q.Answer(200, "", "answer")
-	if x := <-got; x.leg == nil {
-		t.Fatalf("second send: %+v", x)
+	bubble(t, func(r *rig) {
+		x := r.invite("c1", 0, time.Minute)
+		r.wantSent("INVITE").Answer(503, "blocked", "")
+		r.want(x, dispatch.NoAgent)
+		x = r.invite("c1", 1, time.Minute)
+		q := r.wantSent("INVITE ACK INVITE")
+		if q.CSeq != 1 {
+			t.Errorf("second INVITE is numbered %d", q.CSeq)
+		}
+		q.Answer(200, "", "answer")
+		r.want(x, dispatch.Answered)
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	for _, k := range []struct {
+		status int
+		note   string
+		want   dispatch.Outcome
+	}{
+		{503, "blocked", dispatch.NoAgent}, {503, "swamped", dispatch.ProcessorFull}, {486, "occupied", dispatch.LinesBusy},
+		{486, "", dispatch.Errored}, {500, "", dispatch.Errored}, {480, "", dispatch.Moot}, {504, "", dispatch.Reset},
+		{302, "", dispatch.Errored}, {699, "", dispatch.Errored},
+	} {
+		bubble(t, func(r *rig) {
+			x := r.invite("c1", 0, time.Minute)
+			r.wantSent("INVITE").Answer(k.status, k.note, "")
+			r.want(x, k.want)
+			r.wantSent("INVITE ACK")
+		})
 	}
 }
+
+func TestTimeOutCallsOff(t *testing.T) {
+	bubble(t, func(r *rig) {
+		x := r.invite("c1", 0, time.Second)
+		r.wantSent("INVITE")
+		time.Sleep(time.Second)
+		r.want(x, dispatch.TimedOut)
+		q := r.wantSent("INVITE CANCEL")
+		// Guards against a second send being answered with the first one's answer: both have one Call-ID.
+		r.want(r.invite("c1", 1, time.Second), dispatch.Moot)
+		// Guards against an agent held for nobody: a 200 that crosses the CANCEL is acknowledged and released.
+		q.Answer(200, "", "late")
+		r.wantSent("INVITE CANCEL ACK BYE")
+		if r.Standing() != 0 {
+			t.Error("the late answer stands")
+		}
+		r.invite("c1", 1, time.Second) // nothing can be mistaken any more
+		r.wantSent("INVITE CANCEL ACK BYE INVITE")
+	})
+}
+
+func TestCallerLeaves(t *testing.T) {
+	bubble(t, func(r *rig) {
+		x := r.invite("c1", 0, time.Minute)
+		q := r.wantSent("INVITE")
+		x.leave()
+		r.want(x, dispatch.Cancelled)
+		r.wantSent("INVITE CANCEL")
+		q.Answer(487, "", "")
+		r.wantSent("INVITE CANCEL ACK")
+	})
+}
+
+func TestReleaseFromOurSide(t *testing.T) {
+	bubble(t, func(r *rig) {
+		x := r.invite("c1", 0, time.Minute)
+		r.wantSent("INVITE").Answer(200, "", "a")
+		r.want(x, dispatch.Answered)
+		// No connection owns the call: without one the BYE leaves on the next.
+		r.at.Refuse(true, false)
+		r.at.Drop()
+		synctest.Wait()
+		x.leg.Release(16)
+		x.leg.Release(16)
+		r.wantSent("INVITE ACK")
+		r.at.Refuse(false, false)
+		time.Sleep(time.Second)
+		r.wantSent("INVITE ACK BYE")
+		if c := r.got[2].Cause(); c != 16 {
+			t.Errorf("cause %d", c)
+		}
+	})
+}
+
+func TestConnections(t *testing.T) {
+	bubble(t, func(r *rig) { // a connection that ends gives up its set-ups, and leaves what stands
+		x := r.invite("c1", 0, time.Minute)
+		r.wantSent("INVITE").Answer(200, "", "a")
+		r.want(x, dispatch.Answered)
+		y := r.invite("c2", 0, time.Minute)
+		r.at.Drop()
+		r.want(y, dispatch.Reset)
+		time.Sleep(time.Second)
+		if r.Standing() != 1 || r.at.Open() != 1 {
+			t.Fatalf("%d standing, %d connections", r.Standing(), r.at.Open())
+		}
+		r.at.Bye("c1", 16) // its release comes on the next connection
+		synctest.Wait()
+		<-x.leg.Done()
+	})
+	bubble(t, func(r *rig) { // refused: it never ran; and a process that stays away has cut its calls
+		x := r.invite("c1", 0, time.Minute)
+		r.wantSent("INVITE").Answer(200, "", "a")
+		r.want(x, dispatch.Answered)
+		r.at.Refuse(true, false)
+		r.at.Drop()
+		synctest.Wait()
+		r.want(r.invite("c2", 0, time.Minute), dispatch.ConnectFailed)
+		time.Sleep(7 * time.Second)
+		select {
+		case <-x.leg.Done():
+		default:
+			t.Fatal("still stands 7 s after its process ended")
+		}
+		if e := x.leg.Ending(); e.Outcome != dispatch.Reset || e.Cause != dispatch.CauseCut {
+			t.Errorf("ending %+v", e)
+		}
+	})
+	bubble(t, func(r *rig) { // silent: the attempt ends with the connect time-out
+		r.at.Refuse(false, true)
+		r.at.Drop()
+		synctest.Wait()
+		x := r.invite("c1", 0, time.Minute)
+		time.Sleep(600 * time.Millisecond)
+		r.want(x, dispatch.ConnectFailed)
+	})
+	bubble(t, func(r *rig) { // a pool that does not read loses its connection, and blocks nobody
+		stuck := make(chan struct{})
+		r.at.OnRequest = func(standin.Request) { <-stuck }
+		r.invite("c1", 0, time.Minute)
+		x := r.invite("c2", 0, time.Minute)
+		time.Sleep(3 * time.Second)
+		r.want(x, dispatch.Reset)
+		close(stuck)
+	})
+}
+
+func TestDrainIsKeptWhenTheInviteIsWritten(t *testing.T) {
+	bubble(t, func(r *rig) {
+		r.list("p1", "10.0.0.1:5060", bulletin.Draining)
+		if r.lines[0].Mode != eidertrail.Draining {
+			t.Errorf("told %+v", r.lines)
+		}
+		r.want(r.invite("c1", 0, time.Minute), dispatch.Moot)
+		r.wantSent("")
+	})
+}
+
+// Guards against a call meant for a pool that has gone reaching the one that has its address now.
+func TestAddressPassesToAnotherPool(t *testing.T) {
+	bubble(t, func(r *rig) {
+		r.list("p2", "10.0.0.1:5060", bulletin.Up)
+		if len(r.lines) != 2 || r.lines[1].UID != "p1" || r.lines[1].Mode != eidertrail.Gone {
+			t.Errorf("told %+v", r.lines)
+		}
+		x := r.invite("c1", 0, 2*time.Second) // it names p1
+		time.Sleep(3 * time.Second)
+		if x.leg != nil || len(r.got) > 0 {
+			t.Errorf("leg %v, pool got %d", x.leg, len(r.got))
+		}
+	})
+}
+
+func TestRemovedPoolCutsItsCalls(t *testing.T) {
+	bubble(t, func(r *rig) {
+		x := r.invite("c1", 0, time.Minute)
+		r.wantSent("INVITE").Answer(200, "", "a")
+		r.want(x, dispatch.Answered)
+		r.Apply(bulletin.Event{All: true}, func(l []dispatch.Server) { r.lines = l })
+		if r.lines[0].Mode != eidertrail.Gone {
+			t.Errorf("told %+v", r.lines)
+		}
+		time.Sleep(3 * time.Second)
+		<-x.leg.Done()
+		if r.at.Open() == 1 {
+			if _, err := r.Set.pools["p1"].current(); r.Set.pools["p1"].conn != nil {
+				t.Error("still connected", err)
+			}
+		}
+	})
+}
+
+func TestStraysAndStates(t *testing.T) {
+	bubble(t, func(r *rig) {
+		r.at.Notify("idle:12;circuits:40;reduce:-1;recent_ms:x")
+		r.at.Bye("00000000000000aa", 16) // stood before a restart of ours
+		synctest.Wait()
+		if len(r.seen) != 1 || len(r.strays) != 1 || r.strays[0] != "00000000000000aa" {
+			t.Errorf("seen %v, strays %v", r.seen, r.strays)
+		}
+		r.ReleaseStray("00000000000000aa", 16) // it has just ended: nothing to pass on
+		r.wantSent("")
+		r.ReleaseStray("00000000000000bb", 16)
+		r.wantSent("BYE")
+	})
+}
+
+func TestBadMessagesFromAPool(t *testing.T) {
+	bubble(t, func(r *rig) {
+		r.at.Send("NONSENSE\r\nContent-Length: 0\r\n\r\n")
+		r.at.Send("DANCE sip:x@net SIP/2.0\r\nCall-ID: a\r\nCSeq: 1 DANCE\r\nContent-Length: 0\r\n\r\n")
+		r.at.Send("SIP/2.0 200 OK\r\nCall-ID: nobody\r\nCSeq: 1 INVITE\r\nContent-Length: 0\r\n\r\n")
+		if got, _ := r.sent(); got != "ACK BYE" || r.at.Open() != 1 { // the answer to no set-up is released
+			t.Errorf("pool got %q", got)
+		}
+		r.at.Send("SIP/2.0 200 OK\r\nContent-Length: -1\r\n\r\n") // framing is lost: a new connection
+		time.Sleep(time.Second)
+		x := r.invite("c1", 0, time.Minute)
+		_, q := r.sent()
+		q.Answer(200, "", "a")
+		r.want(x, dispatch.Answered)
+	})
+}
+
+// FuzzDialog checks random steps of one call's dialogs with the pool against a model of their states:
+// never two set-ups at once, a leg exactly when a 200 came first, and a BYE for every other 200.
+func FuzzDialog(f *testing.F) {
+	standin.Fuzz(f, []string{"000100", "0002001300", "000310", "00040010", "0001000500", "00060001", "0003020100", "000700"},
+		func(t *testing.T, script []byte) {
+			onRig(t, func(r *rig) {
+				var x *invited
+				number, legs := 0, 0
+				outside := func() bool { // whether an INVITE is out at the pool, by what the pool has seen
+					r.mu.Lock()
+					defer r.mu.Unlock()
+					out := false
+					for _, q := range r.got {
+						switch q.Method {
+						case "INVITE":
+							if out {
+								t.Fatal("two set-ups out")
+							}
+							out = true
+						case "ACK", "CANCEL":
+							out = false
+						}
+					}
+					return out
+				}
+				last := func() (q standin.Request) { _, q = r.sent(); return q }
+				steps := []func(byte){
+					func(byte) {
+						if x == nil || x.done && x.leg == nil {
+							x = r.invite("c1", number, time.Second)
+							number++
+						}
+					},
+					func(byte) {
+						if q := last(); q.Message != nil {
+							q.Answer(200, "", "a")
+						}
+					},
+					func(b byte) {
+						if q := last(); q.Message != nil {
+							q.Answer(300+int(b)*399/255, "blocked", "")
+						}
+					},
+					func(byte) { time.Sleep(1100 * time.Millisecond) },
+					func(byte) {
+						if x != nil {
+							x.leave()
+						}
+					},
+					func(byte) {
+						if q := last(); q.Message != nil {
+							q.Bye(16)
+						}
+					},
+					func(byte) {
+						r.at.Drop()
+						synctest.Wait()
+						r.mu.Lock()
+						r.got = nil
+						r.mu.Unlock()
+					},
+					func(byte) { r.list("p1", "10.0.0.1:5060", bulletin.Draining) },
+					func(byte) { r.list("p1", "10.0.0.1:5060", bulletin.Up) },
+				}
+				standin.Play(script, steps, func() {
+					out := outside()
+					if x != nil && x.done && out {
+						t.Fatal("ended, and still out")
+					}
+					if x != nil && x.done && x.leg != nil {
+						legs = 1
+					}
+					if n := r.Standing(); n > legs {
+						t.Fatalf("%d stand, %d were handed over", n, legs)
+					}
+				})
+				if x != nil {
+					x.leave()
+					synctest.Wait()
+					if !x.done {
+						t.Fatal("an attempt never ended")
+					}
+				}
+			})
+		})
+}
--- /dev/null
+++ b/internal/sip/sip_test.go
@@ -0,0 +1,100 @@
+package sip
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+)
+
+func read(text string) (*Message, error) {
+	return Read(bufio.NewReaderSize(strings.NewReader(text), 16))
+}
+
+func TestRead(t *testing.T) {
+	m, err := read("\r\nINVITE sip:7f3a@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\ni: 9b1f\r\nCSeq: 1 INVITE\r\n" +
+		"s : voice\r\nX-Patience:1500\r\nl: 4\r\n\r\na\r\nb")
+	if err != nil || m.Method != "INVITE" || m.URI != "sip:7f3a@net" || m.CallID != "9b1f" || m.CSeq != 1 ||
+		m.Of != "INVITE" || m.Get("subject") != "voice" || m.Get("x-patience") != "1500" || string(m.Body) != "a\r\nb" {
+		t.Errorf("%+v, %v", m, err)
+	}
+	m, err = read("SIP/2.0 503 Service Unavailable\r\nCall-ID: 9b1f\r\nCSeq: 1 INVITE\r\nX-Note: swamped\r\nContent-Length: 0\r\n\r\n")
+	if err != nil || m.Status != 503 || m.Reason != "Service Unavailable" || m.Get("x-note") != "swamped" || m.Get("none") != "" {
+		t.Errorf("%+v, %v", m, err)
+	}
+}
+
+func TestReadBad(t *testing.T) {
+	const end = "Content-Length: 0\r\n\r\n"
+	for text, want := range map[string]error{
+		"NOTIFY x SIP/2.0\r\n\r\n":                                     ErrFraming,
+		"NOTIFY x SIP/2.0\r\nContent-Length: x\r\n\r\n":                ErrFraming,
+		"NOTIFY x SIP/2.0\r\nContent-Length: -1\r\n\r\n":               ErrFraming,
+		"NOTIFY x SIP/2.0\r\nContent-Length: 1\r\n" + end:              ErrFraming,
+		"NOTIFY x SIP/2.0\r\nContent-Length: 16384\r\n\r\n":            ErrFraming,
+		"NOTIFY x SIP/2.0\r\nX: " + strings.Repeat("x", Most) + "\r\n": ErrFraming,
+		"NOTIFY x HTTP/1.1\r\n" + end:                                  ErrMalformed,
+		"SIP/2.0 99 Odd\r\n" + end:                                     ErrMalformed,
+		"SIP/2.0 OK\r\n" + end:                                         ErrMalformed,
+		"SIP/2.0 200 OK\r\n" + end:                                     ErrMalformed,
+		"SIP/2.0 200 OK\r\nCall-ID: a\r\nCSeq: INVITE\r\n" + end:       ErrMalformed,
+		"NOTIFY x SIP/2.0\r\nno colon\r\n" + end:                       ErrMalformed,
+		"NOTIFY x SIP/2.0\r\nContent-Length: 4\r\n\r\nab":              io.ErrUnexpectedEOF,
+		"NOTIFY x SIP/2.0\r\nConte":                                    io.EOF,
+	} {
+		if m, err := read(text); !errors.Is(err, want) {
+			t.Errorf("%.60q: %+v, %v, want %v", text, m, err, want)
+		}
+	}
+}
+
+func TestCauseAndReport(t *testing.T) {
+	for value, want := range map[string]int{"Q.850;cause=16": 16, "Q.850 ; cause=41;text=x": 41, "Q.850;cause=": -1, "": -1} {
+		m := &Message{Headers: []Header{{"reason", value}}}
+		if got := m.Cause(); got != want {
+			t.Errorf("%q: %d, want %d", value, got, want)
+		}
+	}
+	got := map[string]float64{}
+	Report("idle:12; circuits : 40;queue;recent_ms:x;eps:NaN;a:-1", func(n string, v float64) { got[n] = v })
+	if len(got) != 3 || got["idle"] != 12 || got["circuits"] != 40 || got["a"] != -1 {
+		t.Errorf("%v", got)
+	}
+}
+
+// FuzzRead checks that any bytes are messages or errors that say whether reading may go on, that nothing
+// of over 16 KiB is taken, and that what was read is read again as it was written.
+func FuzzRead(f *testing.F) {
+	f.Add("BYE sip:exchange@net SIP/2.0\r\nCall-ID: a\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=16\r\nContent-Length: 0\r\n\r\n")
+	f.Add("SIP/2.0 200 OK\r\nCall-ID: a\r\nCSeq: 1 INVITE\r\nContent-Length: 2\r\n\r\nab")
+	f.Add("x\r\nContent-Length: 0\r\n\r\nSIP/2.0 100 \r\nl:0\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		r := bufio.NewReaderSize(strings.NewReader(text), 16)
+		for range len(text) + 1 {
+			m, err := Read(r)
+			if errors.Is(err, ErrMalformed) {
+				continue
+			}
+			if err != nil {
+				return
+			}
+			if len(m.Body) > Most {
+				t.Fatalf("a body of %d bytes", len(m.Body))
+			}
+			again := *m
+			again.Headers = nil // Append writes these itself, or the test compares what it does
+			for _, h := range m.Headers {
+				switch h.Name {
+				case "call-id", "cseq", "content-length":
+				default:
+					again.Headers = append(again.Headers, h)
+				}
+			}
+			b, err := read(string(again.Append(nil)))
+			if err != nil || b.Method != m.Method || b.Status != m.Status || b.CallID != m.CallID || string(b.Body) != string(m.Body) {
+				t.Fatalf("%+v became %+v, %v", m, b, err)
+			}
+		}
+	})
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -1,31 +1,90 @@
-// Package standin is the shared helper of the tests: a sync pool that speaks
-// the pools' side of SIP as the test tells it, over loopback or a pipe.
+// Package standin is the shared helper of the tests: the other side of every
+// wire, over pipes inside a synctest bubble or over loopback, and the player of
+// the fuzz tests' random steps.
 package standin
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
+	"testing/synctest"
 
 	"eidertrail/internal/sip"
 )
 
+// Play takes a script two bytes at a time: which step, and its argument. After each step everything
+// settles, and check compares with the model.
+func Play(script []byte, steps []func(arg byte), check func()) {
+	for i := 0; i+1 < len(script) && i < 128; i += 2 {
+		steps[int(script[i])%len(steps)](script[i+1])
+		synctest.Wait()
+		check()
+	}
+}
+
+// Fuzz runs play on the corpus and on what the fuzzer makes, each in a bubble with a clock of its own.
+func Fuzz(f *testing.F, corpus []string, play func(t *testing.T, script []byte)) {
+	for _, s := range corpus {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, script []byte) {
+		synctest.Test(t, func(t *testing.T) { play(t, script) })
+	})
+}
+
+// Listener is a net.Listener whose connections are pipes.
+type Listener struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+// NewListener returns an open listener.
+func NewListener() *Listener {
+	return &Listener{conns: make(chan net.Conn), done: make(chan struct{})}
+}
+
+// Dial opens a connection to the listener.
+func (l *Listener) Dial() net.Conn {
+	a, b := net.Pipe()
+	l.conns <- b
+	return a
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *Listener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *Listener) Addr() net.Addr { return &net.UnixAddr{Name: "standin"} }
+
 // Pool is a stand-in sync pool. Like the real ones it knows a call by its Call-ID alone and numbers
 // every answer 1.
 type Pool struct {
-	t        testing.TB
-	listener net.Listener
-	wg       sync.WaitGroup
-
-	mu    sync.Mutex
-	conns map[net.Conn]bool
-
-	// Got receives every request that comes in, with the connection that it came on.
-	Got chan Request
-	// OnInvite, if set, answers an INVITE at once: the test need not read Got then.
-	OnInvite func(r Request)
+	// OnRequest gets every request, one connection's in order.
+	OnRequest func(r Request)
+
+	mu      sync.Mutex
+	conns   []net.Conn
+	refuses bool
+	silent  bool // takes no connection and refuses none
+	wg      sync.WaitGroup
 }
 
 // Request is a message that a Pool got, and the way back.
@@ -34,90 +93,86 @@
 	conn net.Conn
 }
 
-// NewPool listens on a loopback port of its own until the test ends.
-func NewPool(t testing.TB) *Pool {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	p := &Pool{t: t, listener: l, conns: map[net.Conn]bool{}, Got: make(chan Request, 1024)}
-	p.wg.Add(1)
-	go p.accept()
-	t.Cleanup(p.Stop)
-	return p
-}
-
-// Address is where the pool listens.
-func (p *Pool) Address() string { return p.listener.Addr().String() }
-
-// Stop closes the pool and its connections, as the end of its process would.
-func (p *Pool) Stop() {
-	p.listener.Close()
-	p.Drop()
-	p.wg.Wait()
+// Refuse makes the pool refuse new connections, or take them again; silent: neither.
+func (p *Pool) Refuse(refuses, silent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refuses, p.silent = refuses, silent
 }
 
-// Drop closes the open connections.
+// Drop closes the open connections, as the end of the process would.
 func (p *Pool) Drop() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for c := range p.conns {
+	for _, c := range p.conns {
 		c.Close()
 	}
+	p.conns = nil
 }
 
-func (p *Pool) accept() {
-	defer p.wg.Done()
-	for {
-		c, err := p.listener.Accept()
-		if err != nil {
-			return
-		}
-		p.mu.Lock()
-		p.conns[c] = true
-		p.mu.Unlock()
-		p.wg.Add(1)
-		go p.serve(c)
+// Open is the number of open connections.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns)
+}
+
+// Dial opens a connection to the pool over a pipe; the address does not matter.
+func (p *Pool) Dial(ctx context.Context, _ string) (net.Conn, error) {
+	p.mu.Lock()
+	refuses, silent := p.refuses, p.silent
+	p.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if refuses {
+		return nil, syscall.ECONNREFUSED
 	}
+	a, b := net.Pipe()
+	p.wg.Go(func() { p.Serve(b) })
+	return a, nil
 }
 
-func (p *Pool) serve(c net.Conn) {
-	defer p.wg.Done()
-	defer func() {
-		c.Close()
-		p.mu.Lock()
-		delete(p.conns, c)
-		p.mu.Unlock()
-	}()
+// Listen serves the pool on a loopback port until the test ends and returns its address.
+func (p *Pool) Listen(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p.wg.Go(func() { p.Serve(c) })
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		p.Drop()
+		p.wg.Wait()
+	})
+	return l.Addr().String()
+}
+
+// Serve reads a connection to its end.
+func (p *Pool) Serve(c net.Conn) {
+	defer c.Close()
+	p.mu.Lock()
+	p.conns = append(p.conns, c)
+	p.mu.Unlock()
 	r := bufio.NewReader(c)
 	for {
 		m, err := sip.Read(r)
 		if err != nil {
 			return
 		}
-		q := Request{m, c}
-		if m.Method == "INVITE" && p.OnInvite != nil {
-			p.OnInvite(q)
-		}
-		if m.Method == "" {
-			continue
-		}
-		select {
-		case p.Got <- q:
-		default:
-		}
-	}
-}
-
-// Next is the next request of that method; others are passed over.
-func (p *Pool) Next(method string) Request {
-	p.t.Helper()
-	for r := range p.Got {
-		if r.Method == method {
-			return r
+		if p.OnRequest != nil && m.Method != "" {
+			p.OnRequest(Request{m, c})
 		}
 	}
-	return Request{}
 }
 
 // Answer answers an INVITE: 200 with a description, or a refusal with a note.
@@ -130,22 +185,33 @@
 }
 
 // Bye releases the call of the request on the connection that it came on.
-func (r Request) Bye(cause int) {
-	m := &sip.Message{Method: "BYE", URI: "sip:exchange@net", CallID: r.CallID, CSeq: 2, Of: "BYE",
+func (r Request) Bye(cause int) { r.conn.Write(bye(r.CallID, cause)) }
+
+// Bye releases a call on the youngest connection.
+func (p *Pool) Bye(id string, cause int) { p.Send(string(bye(id, cause))) }
+
+func bye(id string, cause int) []byte {
+	m := &sip.Message{Method: "BYE", URI: "sip:exchange@net", CallID: id, CSeq: 2, Of: "BYE",
 		Headers: []sip.Header{{Name: "Reason", Value: fmt.Sprintf("Q.850;cause=%d", cause)}}}
-	r.conn.Write(m.Append(nil))
+	return m.Append(nil)
 }
 
-// Send writes any bytes on the connection of the request.
-func (r Request) Send(text string) { r.conn.Write([]byte(text)) }
-
-// Notify tells a state on every open connection.
+// Notify tells a state.
 func (p *Pool) Notify(state string) {
 	m := &sip.Message{Method: "NOTIFY", URI: "sip:exchange@net", CallID: "0000000000000000", CSeq: 1, Of: "NOTIFY",
 		Headers: []sip.Header{{Name: "X-State", Value: state}}}
+	p.Send(string(m.Append(nil)))
+}
+
+// Send writes any bytes on the youngest connection.
+func (p *Pool) Send(text string) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	for c := range p.conns {
-		c.Write(m.Append(nil))
+	var c net.Conn
+	if n := len(p.conns); n > 0 {
+		c = p.conns[n-1]
+	}
+	p.mu.Unlock()
+	if c != nil {
+		c.Write([]byte(text))
 	}
 }
