--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/net/netutil"
 
 	"eidertrail/callcontrol"
 	"eidertrail/dispatch"
@@ -35,7 +36,9 @@
 	// settle is how long at most the first connections to the pools are waited for before a test passes.
 	settle = 2 * time.Second
 	// mostCalls bounds the platform's calls open or standing at a time.
-	mostCalls = 8192
+	mostCalls = 4096
+	// mostExtra bounds the connections for health checks, and those that are turned away by the WebSocket front.
+	mostExtra = 16
 )
 
 // environment is what the daemon is started with.
@@ -80,6 +83,9 @@
 			return nil, err
 		}
 	}
+	if second != nil && second.MaxConnections > cfg.Sockets/4 { // callers and pools need theirs
+		return nil, fmt.Errorf("callcontrol: max_connections: want at most a quarter of limits.sockets, %d", cfg.Sockets/4)
+	}
 	// Three quarters leave room for stacks, the kernel's buffers and what the collector has yet to free.
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 / 4 * 3)
 
@@ -143,7 +149,8 @@
 		}
 		return l, nil
 	}
-	serve := func(l net.Listener, h http.Handler) {
+	serve := func(l net.Listener, most int, h http.Handler) {
+		l = netutil.LimitListener(l, most)
 		s := &http.Server{Handler: h, ReadHeaderTimeout: 2 * time.Second, IdleTimeout: 30 * time.Second, MaxHeaderBytes: 8 << 10}
 		d.wg.Go(func() {
 			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -163,14 +170,14 @@
 		})
 		mux := http.NewServeMux()
 		mux.Handle("GET "+c.Path, d.sockets)
-		serve(l, mux)
+		serve(l, c.MaxConnections+mostExtra, mux)
 	}
 	if c.Health != "" {
 		l, err := listen("health", c.Health)
 		if err != nil {
 			return err
 		}
-		serve(l, health.Handler(d.status))
+		serve(l, mostExtra, health.Handler(d.status))
 	}
 	if c.AgentCheck != "" {
 		l, err := listen("agent_check", c.AgentCheck)
--- /dev/null
+++ b/cmd/eidertrail/daemon_test.go
@@ -0,0 +1,208 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/coder/websocket"
+	"github.com/rs/zerolog"
+
+	"eidertrail/internal/jsonl"
+	"eidertrail/internal/standin"
+)
+
+// buffer is a log that can be read while it is written.
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
+// freeAddress is a loopback address on which nobody listens now.
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func write(t *testing.T, name, text string) string {
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func configuration(listen, pool string) string {
+	return fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"1","limits":{"memory_mb":192,"sockets":1024},
+ "known":{"no":1,"items":[{"no":1,"roster":{"all":true,"targets":[{"uid":"s-1","endpoint":%q,"pod_group":0,"state":"up"}]}}]},
+ "settings":{"balancers":1,"index":0,"tick":5000000,"extra":{"clear_wait":300000000},
+  "request_classes":[{"name":"voice","promise":5000000000,"deadline":15000000000}]}}`, listen, pool)
+}
+
+// caller is a connection of a caller.
+type caller struct {
+	net.Conn
+	t *testing.T
+	r *bufio.Reader
+}
+
+func dial(t *testing.T, address string) *caller {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return &caller{c, t, bufio.NewReader(c)}
+}
+
+func (c *caller) setup(id string) {
+	fmt.Fprintf(c, `{"type":"setup","id":%q,"fields":{"class":"voice","left":"9000","key":"7f"},"sdp":"x"}`+"\n", id)
+}
+
+func (c *caller) next() jsonl.Message {
+	c.t.Helper()
+	text, err := jsonl.ReadLine(c.r, nil)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	m, err := jsonl.Parse(text)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return m
+}
+
+// The whole daemon: a call, the counters, what balancers are told, and a planned restart in which what was
+// taken before and after SIGTERM is answered.
+func TestServesAndEndsInOrder(t *testing.T) {
+	held := make(chan standin.Request, 4)
+	at := &standin.Pool{OnRequest: func(q standin.Request) {
+		if q.Method == "INVITE" {
+			held <- q
+		}
+	}}
+	listen, ws, agent, health := freeAddress(t), freeAddress(t), freeAddress(t), freeAddress(t)
+	log := &buffer{}
+	d, err := start(context.Background(), environment{
+		config:      write(t, "config.json", configuration(listen, at.Listen(t))),
+		callControl: write(t, "callcontrol.toml", fmt.Sprintf("listen = %q\nagent_check = %q\nhealth = %q\n", ws, agent, health)),
+	}, zerolog.New(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	term, print := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	ended := make(chan error, 1)
+	go func() { ended <- d.serve(term, print) }()
+
+	c := dial(t, listen)
+	for ready := false; !ready; {
+		fmt.Fprintln(c, `{"type":"ping","id":"p","cause":0}`)
+		ready = c.next().Cause == 1
+	}
+	c.setup("c1")
+	(<-held).Answer(200, "", "hello")
+	if m := c.next(); m.Type != "answer" || m.ID != "c1" || m.SDP != "hello" {
+		t.Errorf("%+v", m)
+	}
+	a, err := net.Dial("tcp", agent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if line, _ := io.ReadAll(a); string(line) != "up ready 100%\n" {
+		t.Errorf("agent-check: %q", line)
+	}
+	if r, err := http.Get("http://" + health + "/ready"); err != nil || r.StatusCode != 200 {
+		t.Errorf("ready: %v, %v", r, err)
+	}
+	socket, _, err := websocket.Dial(context.Background(), "ws://"+ws+"/call-control", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.CloseNow()
+
+	print <- syscall.SIGUSR1
+	for !strings.Contains(log.String(), `"answered":1`) {
+	}
+	c.setup("c2")
+	q := <-held
+	term <- syscall.SIGTERM
+	for !d.stopping.Load() {
+	}
+	late := dial(t, listen) // calls may still come
+	late.setup("c3")
+	q3 := <-held
+	q.Answer(200, "", "hello")
+	q3.Answer(200, "", "hello")
+	if m := c.next(); m.Type != "answer" || m.ID != "c2" {
+		t.Errorf("taken before SIGTERM: %+v", m)
+	}
+	if m := late.next(); m.Type != "answer" || m.ID != "c3" {
+		t.Errorf("taken after SIGTERM: %+v", m)
+	}
+	if _, _, err := socket.Read(context.Background()); websocket.CloseStatus(err) != websocket.StatusGoingAway {
+		t.Errorf("the socket ended with %v", err)
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("ended with %v", err)
+	}
+	if text := log.String(); !strings.Contains(text, `"answered":3`) || !strings.Contains(text, "stopped") {
+		t.Errorf("log:\n%s", text)
+	}
+}
+
+func TestSecondFrontIsOffWithoutItsFlag(t *testing.T) {
+	d, err := start(context.Background(), environment{config: write(t, "config.json", configuration("127.0.0.1:0", "127.0.0.1:1"))}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d.sockets != nil || len(d.closers) != 0 {
+		t.Error("something else than the platform's front listens")
+	}
+	d.stop(0)
+}
+
+func TestBadConfigurationIsNamed(t *testing.T) {
+	good := write(t, "config.json", configuration("127.0.0.1:0", "127.0.0.1:1"))
+	for _, k := range []struct {
+		env  environment
+		want string
+	}{
+		{environment{}, "RELAY_CONFIG"},
+		{environment{config: "/nowhere"}, "RELAY_CONFIG"},
+		{environment{config: write(t, "config.json", strings.Replace(configuration("x", "127.0.0.1:1"), "", "", 1))}, "listen"},
+		{environment{config: good, listen: "127.0.0.1:99999"}, "listen"},
+		{environment{config: good, callControl: "/nowhere"}, "callcontrol"},
+		{environment{config: good, callControl: write(t, "c.toml", "listen = \"127.0.0.1:99999\"")}, "callcontrol: listen"},
+	} {
+		_, err := start(context.Background(), k.env, zerolog.Nop())
+		if err == nil || !strings.Contains(err.Error(), k.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%+v: %v, want a line with %s", k.env, err, k.want)
+		}
+	}
+}
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"eidertrail/internal/past"
 	"eidertrail/internal/stats"
 )
 
@@ -43,6 +44,7 @@
 	ErrDuplicate = errors.New("id: in use")
 	ErrTooMany   = errors.New("too many calls")
 	ErrUnknown   = errors.New("id: not known")
+	ErrOver      = errors.New("id: the call is over")
 )
 
 // Why a call ends early.
@@ -57,6 +59,7 @@
 	mostLeft     = 1e9
 	mostKept     = 4096 // ends of calls that wait for a connection
 	mostToken    = 64
+	mostPast     = 2048
 )
 
 // Desk keeps the calls of one front from set-up to end: which connection is owed the final answer, what
@@ -75,7 +78,8 @@
 	callers []Caller // in the order of their coming
 	calls   map[string]*deskCall
 	kept    []over
-	open    int // set-ups without a final answer
+	past    *past.Names // calls that are over: what still comes for them is not of somebody else's call
+	open    int         // set-ups without a final answer
 }
 
 type over struct {
@@ -107,7 +111,7 @@
 // NewDesk returns a desk.
 func NewDesk(c DeskConfig) *Desk {
 	k := &Desk{d: c.Dispatch, trunk: c.Trunk, count: c.Count, most: c.Most, callID: c.CallID, tellAll: c.TellAll,
-		classes: map[string]int{}, calls: map[string]*deskCall{}}
+		classes: map[string]int{}, calls: map[string]*deskCall{}, past: past.New(mostPast)}
 	if k.callID == nil {
 		k.callID = func(id string) string { return id }
 	}
@@ -320,7 +324,7 @@
 		gone = true
 	}
 	if call.stands = final.Kind == Stands && !gone; !call.stands {
-		delete(k.calls, id)
+		k.forget(id)
 	}
 	k.mu.Unlock()
 	switch {
@@ -337,7 +341,7 @@
 		k.count.Add(stats.AnsweredCalls)
 		cause, byPool := final.Call.WaitEnd(ctx, call.released)
 		k.mu.Lock()
-		delete(k.calls, id)
+		k.forget(id)
 		k.mu.Unlock()
 		if byPool || k.tellAll && ctx.Err() == nil {
 			k.over(call.caller, id, cause)
@@ -345,6 +349,12 @@
 	}
 }
 
+// forget takes a call off the table. The caller holds mu.
+func (k *Desk) forget(id string) {
+	delete(k.calls, id)
+	k.past.Add(id)
+}
+
 // Release takes a caller's release, on whatever connection it came: a cancel before the answer (then
 // standing is false and no answer follows), the end of the call after it.
 func (k *Desk) Release(id string, cause int) (standing bool, err error) {
@@ -352,6 +362,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	call := k.calls[id]
+	if call == nil && k.past.Has(id) {
+		return false, ErrOver
+	}
 	if call == nil {
 		return false, ErrUnknown
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -141,7 +141,7 @@
 		switch {
 		case standing:
 			c.send(line{bytes: jsonl.AppendBare(nil, "released", m.ID)})
-		case err != nil && dispatch.Token(m.ID):
+		case errors.Is(err, dispatch.ErrUnknown) && dispatch.Token(m.ID):
 			f.cfg.ReleaseStray(m.ID, cause)
 		}
 	case "ping":
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -81,10 +81,11 @@
 	c := &conn{pool: p, raw: raw, queue: make(chan item, writeQueue), closed: make(chan struct{}),
 		dialogs: map[string]*dialog{}}
 	p.conn, p.downSince, p.refused = c, 0, false
-	for _, b := range p.byes { // releases that had no connection to leave on
-		c.send(b)
-	}
+	byes := p.byes // releases that had no connection to leave on
 	p.byes = nil
+	for _, b := range byes {
+		p.bye(b)
+	}
 	if p.listed.Address != address || p.superseded {
 		c.close()
 	}
@@ -132,6 +133,11 @@
 	now := p.set.cfg.Clock.Now()
 	p.mu.Lock()
 	p.conn, p.downSince = nil, now
+	for len(c.queue) > 0 {
+		if i := <-c.queue; i.keep {
+			p.bye(i.bytes)
+		}
+	}
 	for k, d := range c.dialogs {
 		delete(c.dialogs, k)
 		switch d.state {
@@ -159,6 +165,7 @@
 type item struct {
 	bytes  []byte
 	dialog *dialog
+	keep   bool // a release: if this connection does not write it, the next one does
 }
 
 func (c *conn) close() {
--- a/internal/pool/dialog.go
+++ b/internal/pool/dialog.go
@@ -98,7 +98,7 @@
 		set.cfg.Count.Add(stats.GuardStopped)
 		return nil, set.ending(dispatch.Moot)
 	}
-	if p.conn != c || !c.sendItem(item{invite, d}) {
+	if p.conn != c || !c.sendItem(item{bytes: invite, dialog: d}) {
 		p.mu.Unlock()
 		return nil, set.ending(dispatch.Moot)
 	}
@@ -200,7 +200,12 @@
 	b := bye(p.set.cfg.Name, g.id, g.number, cause)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.conn != nil && p.conn.send(b) {
+	p.bye(b)
+}
+
+// bye sends a release, or keeps it for the next connection. The caller holds pool.mu.
+func (p *pool) bye(b []byte) {
+	if p.conn != nil && p.conn.sendItem(item{bytes: b, keep: true}) {
 		return
 	}
 	if len(p.byes) < mostByes {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -14,6 +14,7 @@
 	"eidertrail"
 	"eidertrail/dispatch"
 	"eidertrail/internal/bulletin"
+	"eidertrail/internal/past"
 	"eidertrail/internal/stats"
 )
 
@@ -62,10 +63,9 @@
 	ctx context.Context
 	wg  sync.WaitGroup
 
-	mu     sync.Mutex
-	pools  map[string]*pool // by uid: an address may pass from one pool to another
-	ended  map[string]struct{}
-	endedQ []string
+	mu    sync.Mutex
+	pools map[string]*pool // by uid: an address may pass from one pool to another
+	ended *past.Names
 }
 
 // NewSet returns an empty set. Its connections end when ctx is done; Wait waits for that.
@@ -78,7 +78,7 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
-	return &Set{cfg: cfg, ctx: ctx, pools: map[string]*pool{}, ended: map[string]struct{}{}}
+	return &Set{cfg: cfg, ctx: ctx, pools: map[string]*pool{}, ended: past.New(mostEnded)}
 }
 
 // Wait returns when every goroutine of the set has ended.
@@ -165,7 +165,7 @@
 func (s *Set) ReleaseStray(id string, cause int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, known := s.ended[id]; known {
+	if s.ended.Has(id) {
 		return
 	}
 	for _, p := range s.pools {
@@ -181,22 +181,13 @@
 func (s *Set) remember(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, known := s.ended[id]; known {
-		return
-	}
-	if len(s.endedQ) >= mostEnded {
-		delete(s.ended, s.endedQ[0])
-		s.endedQ = s.endedQ[1:]
-	}
-	s.ended[id] = struct{}{}
-	s.endedQ = append(s.endedQ, id)
+	s.ended.Add(id)
 }
 
 func (s *Set) isEnded(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, known := s.ended[id]
-	return known
+	return s.ended.Has(id)
 }
 
 // Invite implements dispatch.Trunk.
