--- a/callcontrol/callcontrol.go
+++ b/callcontrol/callcontrol.go
@@ -31,6 +31,7 @@
 	mostMessage  = 16 << 10 // bytes in a message, however many frames it comes in
 	writeQueue   = 128      // messages waiting for a socket; past it the client reads too slowly and loses it
 	writeTimeout = 2 * time.Second
+	closeTimeout = 500 * time.Millisecond
 	pingEvery    = 20 * time.Second
 	pingTimeout  = 5 * time.Second
 	mostSites    = 64
@@ -278,6 +279,10 @@
 				c.ws.CloseNow() // it does not read: a handshake would only wait
 				return
 			}
+			// The close frame goes out at once; its answer is not waited for for long, as a client that is
+			// stuck would else hold up the end of the daemon.
+			hurry := time.AfterFunc(closeTimeout, func() { c.ws.CloseNow() })
+			defer hurry.Stop()
 			c.ws.Close(c.status, c.reason)
 			return
 		}
--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -247,12 +247,12 @@
 	time.Sleep(stay)
 	d.listener.Close()
 	d.desk.Drain(drain)
-	sockets.Wait()
 	d.desk.GiveUp() // what has no final answer by now gets one
 	last, cancelLast := context.WithTimeout(context.Background(), lastWords)
 	defer cancelLast()
 	d.desk.Drain(last)
 	d.callers.Flush(last)
+	sockets.Wait()
 	d.stopLoop()
 	d.stopPools()
 	d.desk.Close()
