Calls of pools that died, came back or vanished are cut in time

Faulty lines: pool.go cutIfDead and conn.go connect: one refusal forgotten by the next connection left the calls of a restarted process standing until the bulletin told of it, up to 14 s later; a machine that vanished was not noticed at all, as its connection stays open. Now: refusals of 1 s, or a connection after refusals of 0.1 s, cut what stood; a connection that is quiet for 2 s while something is going on is checked by a second one, and 5 s of silence cut. Tests for each.

--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -70,17 +71,27 @@
 	ctx, cancel := context.WithTimeout(p.set.ctx, time.Duration(p.set.cfg.ConnectTimeout)*time.Microsecond)
 	raw, err := p.set.cfg.Dial(ctx, address)
 	cancel()
+	now := p.set.cfg.Clock.Now()
 	p.mu.Lock()
 	close(p.dialled)
 	p.dialled = make(chan struct{})
 	if err != nil {
-		p.refused = errors.Is(err, syscall.ECONNREFUSED)
+		if p.refusedAt == 0 && errors.Is(err, syscall.ECONNREFUSED) {
+			p.refusedAt = now
+		}
 		p.mu.Unlock()
 		return false
 	}
+	// Guards against calls left standing for ever: a process that died and came back knows nothing of
+	// them, and the bulletin tells of its start too late.
+	var cut []*leg
+	if p.refusedAt > 0 && now-p.refusedAt >= restartAfter {
+		cut, p.byes = p.legs(), nil
+	}
 	c := &conn{pool: p, raw: raw, queue: make(chan item, writeQueue), closed: make(chan struct{}),
 		dialogs: map[string]*dialog{}}
-	p.conn, p.downSince, p.refused = c, 0, false
+	c.heard.Store(now)
+	p.conn, p.downSince, p.refusedAt = c, 0, 0
 	byes := p.byes // releases that had no connection to leave on
 	p.byes = nil
 	for _, b := range byes {
@@ -90,6 +101,7 @@
 		c.close()
 	}
 	p.mu.Unlock()
+	p.lose(cut)
 	p.set.cfg.Count.Add(stats.PoolConnections)
 	p.set.cfg.Log.Debug().Str("pool", p.uid).Str("address", address).Msg("connected")
 
@@ -113,7 +125,7 @@
 			case <-stop:
 				return
 			case <-look.C:
-				if p.longGone() {
+				if p.longGone() || c.vanished(address) {
 					c.close()
 				}
 			}
@@ -133,6 +145,9 @@
 	now := p.set.cfg.Clock.Now()
 	p.mu.Lock()
 	p.conn, p.downSince = nil, now
+	if c.silent {
+		p.downSince = c.heard.Load()
+	}
 	for len(c.queue) > 0 {
 		if i := <-c.queue; i.keep {
 			p.bye(i.bytes)
@@ -158,6 +173,8 @@
 	queue   chan item
 	closed  chan struct{}
 	once    sync.Once
+	heard   atomic.Int64       // when the last message came
+	silent  bool               // it was closed for its silence
 	dialogs map[string]*dialog // by Call-ID, as the pools match them
 }
 
@@ -168,6 +185,31 @@
 	keep   bool // a release: if this connection does not write it, the next one does
 }
 
+// vanished tells whether the pool's machine has gone without a word: something is going on at the pool,
+// nothing has been heard for long, and a second connection does not come up.
+func (c *conn) vanished(address string) bool {
+	p := c.pool
+	if p.set.cfg.Clock.Now()-c.heard.Load() < quietAfter {
+		return false
+	}
+	p.mu.Lock()
+	busy := len(p.standing) > 0 || len(c.dialogs) > 0
+	p.mu.Unlock()
+	if !busy {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(p.set.ctx, time.Duration(p.set.cfg.ConnectTimeout)*time.Microsecond)
+	defer cancel()
+	second, err := p.set.cfg.Dial(ctx, address)
+	if err == nil {
+		second.Close()
+		c.heard.Store(p.set.cfg.Clock.Now()) // quiet, but there
+		return false
+	}
+	c.silent = true
+	return p.set.ctx.Err() == nil
+}
+
 func (c *conn) close() {
 	c.once.Do(func() {
 		close(c.closed)
@@ -236,6 +278,7 @@
 func (c *conn) handle(m *sip.Message) {
 	p := c.pool
 	now := p.set.cfg.Clock.Now()
+	c.heard.Store(now)
 	switch {
 	case m.Status > 0 && m.Of == "INVITE":
 		c.invited(now, m)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -44,9 +44,15 @@
 	redialMax    = 500 * time.Millisecond
 	// deadAfter is how long a pool must refuse connections before what stands there counts as cut. A
 	// process that has died refuses at once; one that only holds too many connections soon takes one again.
-	deadAfter = 2_000_000
+	deadAfter = 1_000_000
+	// restartAfter is how long refusals must have lasted for the next connection to be a new process's: what
+	// stood at the old one is cut.
+	restartAfter = 100_000
 	// silentAfter is the same for a pool to which no connection comes up at all: a cut-off machine may return.
 	silentAfter = 5_000_000
+	// quietAfter is how long a connection on which something is going on may be quiet before a second one
+	// is tried: to a machine that has vanished none comes up.
+	quietAfter = 2_000_000
 	// removedAfter is how long after its removal a pool's standing calls wait for the pool's own releases.
 	removedAfter = 1_000_000
 	// calledOffFor is how long a called-off dialog waits for its final answer before it is forgotten.
@@ -217,8 +223,8 @@
 	removedAt  int64
 	conn       *conn
 	dialled    chan struct{}   // closed at the end of the next dial, whatever it brings
-	refused    bool            // the last dial was refused
-	downSince  int64           // no connection since then, 0: there is one
+	downSince  int64           // nothing was heard since then, 0: there is a connection
+	refusedAt  int64           // the first refusal since then, 0: none
 	standing   map[string]*leg // by Call-ID: no connection owns them
 	byes       [][]byte        // releases that wait for a connection
 }
@@ -318,17 +324,28 @@
 	p.mu.Lock()
 	dead := p.removedAt > 0 && now-p.removedAt >= removedAfter
 	if p.downSince > 0 {
-		down := now - p.downSince
-		dead = dead || p.refused && down >= deadAfter || down >= silentAfter
+		dead = dead || p.refusedAt > 0 && now-p.refusedAt >= deadAfter || now-p.downSince >= silentAfter
 	}
 	var legs []*leg
 	if dead {
-		for _, g := range p.standing {
-			legs = append(legs, g)
-		}
+		legs = p.legs()
 		p.byes = nil
 	}
 	p.mu.Unlock()
+	p.lose(legs)
+}
+
+// legs are the calls that stand. The caller holds mu.
+func (p *pool) legs() []*leg {
+	var legs []*leg
+	for _, g := range p.standing {
+		legs = append(legs, g)
+	}
+	return legs
+}
+
+// lose cuts calls, and says so.
+func (p *pool) lose(legs []*leg) {
 	if len(legs) > 0 {
 		p.set.cfg.Log.Warn().Str("pool", p.uid).Int("calls", len(legs)).Msg("pool lost, its calls are cut")
 	}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -270,6 +270,33 @@
 			t.Errorf("ending %+v", e)
 		}
 	})
+	bubble(t, func(r *rig) { // a process that died and came back knows nothing of its calls
+		x := r.invite("c1", 0, time.Minute)
+		r.wantSent("INVITE").Answer(200, "", "a")
+		r.want(x, dispatch.Answered)
+		r.at.Refuse(true, false)
+		r.at.Drop()
+		time.Sleep(300 * time.Millisecond)
+		r.at.Refuse(false, false)
+		time.Sleep(600 * time.Millisecond)
+		if r.Standing() != 0 || r.at.Open() != 1 {
+			t.Errorf("%d stand, %d connections", r.Standing(), r.at.Open())
+		}
+	})
+	bubble(t, func(r *rig) { // a machine that vanished: its connection stays open and quiet, new ones never come up
+		x := r.invite("c1", 0, time.Minute)
+		r.wantSent("INVITE").Answer(200, "", "a")
+		r.want(x, dispatch.Answered)
+		time.Sleep(10 * time.Second) // quiet, but it takes connections
+		if r.Standing() != 1 {
+			t.Error("cut while its machine was there")
+		}
+		r.at.Refuse(false, true)
+		time.Sleep(8 * time.Second)
+		if r.Standing() != 0 || x.leg.Ending().Outcome != dispatch.Reset {
+			t.Errorf("%d stand 8 s after the machine vanished", r.Standing())
+		}
+	})
 	bubble(t, func(r *rig) { // silent: the attempt ends with the connect time-out
 		r.at.Refuse(false, true)
 		r.at.Drop()
