A turn gathers what comes within 1 ms, so that the pools' states are weighed together

The trace shows the states of all four pools arriving 40 us apart, each in a turn of its own (dispatch.go, Run): held calls then went to whichever pool was told first, often a second choice, where they last 1.4 to 1.7 times as long. The simulator weighs them in one tick. Test: TestNewsThatComesTogetherIsWeighedTogether (fails without the wait).

--- a/cmd/eidertrail/daemon_test.go
+++ b/cmd/eidertrail/daemon_test.go
@@ -58,10 +58,12 @@
 	return path
 }
 
+// configuration is that of a daemon with one pool. Its t1 has attempts waited for for two minutes: no
+// verdict hangs on how quick the machine is.
 func configuration(listen, pool string) string {
 	return fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"1","limits":{"memory_mb":192,"sockets":1024},
  "known":{"no":1,"items":[{"no":1,"roster":{"all":true,"targets":[{"uid":"s-1","endpoint":%q,"pod_group":0,"state":"up"}]}}]},
- "settings":{"balancers":1,"index":0,"tick":5000000,"extra":{"clear_wait":300000000},
+ "settings":{"balancers":1,"index":0,"tick":5000000,"extra":{"clear_wait":300000000,"t1":60000000000},
   "request_classes":[{"name":"voice","promise":5000000000,"deadline":15000000000}]}}`, listen, pool)
 }
 
@@ -156,9 +158,8 @@
 	}
 	late := dial(t, listen) // calls may still come
 	late.setup("c3")
-	q3 := <-held
 	q.Answer(200, "", "hello")
-	q3.Answer(200, "", "hello")
+	(<-held).Answer(200, "", "hello")
 	if m := c.next(); m.Type != "answer" || m.ID != "c2" {
 		t.Errorf("taken before SIGTERM: %+v", m)
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -107,6 +107,8 @@
 const (
 	queue   = 1024 // messages to the loop; a sender waits when it is full
 	perTurn = 256  // messages taken in one turn
+	// mostGather bounds how long a turn waits after the first message.
+	mostGather = time.Millisecond
 	// maxSends is the rule's last guard, whatever the module decides: two sends a call.
 	maxSends = 2
 	// lateBy is how long after Until, or after Pick, a decision may come before Pick gives up on the module.
@@ -122,6 +124,7 @@
 	most    int64 // longest time to come back after
 	count   *stats.Set
 	log     zerolog.Logger // at debug level a trace of all that the module is told and says
+	gather  time.Duration  // how long a turn waits for more of what comes together
 	in      chan func(now int64)
 	done    chan struct{}
 	stopped sync.Once
@@ -161,7 +164,7 @@
 		return nil, fmt.Errorf("dispatch: %w", err)
 	}
 	return &Dispatcher{
-		clock: clock, set: set, most: most, count: count, log: log, control: control,
+		clock: clock, set: set, most: most, gather: min(mostGather, set.Tick), count: count, log: log, control: control,
 		in: make(chan func(int64), queue), done: make(chan struct{}),
 		calls: map[uint64]*call{}, servers: map[string]Server{},
 	}, nil
@@ -185,6 +188,11 @@
 		case first = <-d.in:
 		case <-timer.C:
 		}
+		// What comes together is to be weighed together, as in the simulator's ticks. Guards against held
+		// calls going to a second choice because its state came some microseconds before the others'.
+		if first != nil {
+			time.Sleep(d.gather)
+		}
 		now := d.clock.Now()
 		if first != nil {
 			first(now)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -17,7 +17,7 @@
 
 func settings() eidertrail.Settings {
 	return eidertrail.Settings{
-		Nodes: 1, Here: -1, Release: 300 * time.Millisecond, MaxAttempts: 6, Tick: 5 * time.Millisecond,
+		Nodes: 1, Here: -1, Release: 300 * time.Millisecond, MaxAttempts: 6,
 		Cold: 10 * time.Second, ColdShare: 0.3, FallMultiple: 3, FallAfter: 1500 * time.Millisecond,
 		Classes: []eidertrail.Class{
 			{Name: "voice", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1, Pools: []int{0, 1}, Hold: 8 * time.Second},
@@ -87,9 +87,11 @@
 	synctest.Test(t, func(t *testing.T) { onRig(t, test) })
 }
 
-func onRig(t *testing.T, test func(r *rig)) {
+func onRig(t *testing.T, test func(r *rig)) { onRigWith(t, settings(), test) }
+
+func onRigWith(t *testing.T, set eidertrail.Settings, test func(r *rig)) {
 	count := &stats.Set{}
-	d, err := New(settings(), 1, 2_000_000, clock.New(), zerolog.Nop(), count)
+	d, err := New(set, 1, 2_000_000, clock.New(), zerolog.Nop(), count)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -326,3 +328,30 @@
 		}
 	})
 }
+
+// Guards against a held call going to its second choice because news of that pool came some microseconds
+// before news of its first: on the calm day the states of all pools come one after the other.
+func TestNewsThatComesTogetherIsWeighedTogether(t *testing.T) {
+	set := settings()
+	set.Tick = 5 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) { onRigWith(t, set, testNews) })
+}
+
+func testNews(r *rig) {
+	r.list(eidertrail.Draining, eidertrail.Draining)
+	q := r.request(0, time.Second)
+	q.Pool = 1
+	placed := make(chan Pick, 1)
+	go func() {
+		p, _ := r.Pick(context.Background(), q)
+		placed <- p
+	}()
+	synctest.Wait()
+	time.Sleep(50 * time.Millisecond)
+	r.Roster([]Server{{UID: "a", Group: 0}}, false)
+	time.Sleep(100 * time.Microsecond)
+	r.Roster([]Server{{UID: "b", Group: 1}}, false)
+	if p := <-placed; p.Verdict != Go || p.Pool != "b" {
+		r.t.Errorf("placed at %+v, first choice is b", p)
+	}
+}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -66,7 +66,7 @@
 
 func onRig(t *testing.T, test func(r *rig)) {
 	count, now := &stats.Set{}, clock.New()
-	d, err := dispatch.New(eidertrail.Settings{Nodes: 1, Here: -1, Release: 300 * time.Millisecond, Tick: 5 * time.Millisecond,
+	d, err := dispatch.New(eidertrail.Settings{Nodes: 1, Here: -1, Release: 300 * time.Millisecond,
 		Classes: []eidertrail.Class{{Name: "voice", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1}},
 	}, 1, 2_000_000, now, zerolog.Nop(), count)
 	if err != nil {
--- a/middleware/middleware_test.go
+++ b/middleware/middleware_test.go
@@ -24,7 +24,7 @@
 func serve(t *testing.T, handler http.HandlerFunc, test func(d *dispatch.Dispatcher, get func(ctx context.Context, path string) *httptest.ResponseRecorder)) {
 	synctest.Test(t, func(t *testing.T) {
 		count := &stats.Set{}
-		d, err := dispatch.New(eidertrail.Settings{Nodes: 1, Here: -1, Release: 300 * time.Millisecond, Tick: 5 * time.Millisecond,
+		d, err := dispatch.New(eidertrail.Settings{Nodes: 1, Here: -1, Release: 300 * time.Millisecond,
 			Classes: []eidertrail.Class{{Name: "read", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1, Hold: time.Second}},
 		}, 1, 5_000_000, clock.New(), zerolog.Nop(), count)
 		if err != nil {
