--- a/dispatch/desk_test.go
+++ b/dispatch/desk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,12 +13,32 @@
 
 // fakeCaller is a connection that notes what it is told.
 type fakeCaller struct {
+	mu sync.Mutex
+	told
+}
+
+type told struct {
 	finals []Final
 	overs  []string
 	deaf   bool
 }
 
+// got is what it was told so far.
+func (c *fakeCaller) got() told {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.told
+}
+
+func (c *fakeCaller) plug() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deaf = true
+}
+
 func (c *fakeCaller) Final(_ string, f Final) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if !c.deaf {
 		c.finals = append(c.finals, f)
 	}
@@ -25,6 +46,8 @@
 }
 
 func (c *fakeCaller) Over(id string, _ int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if !c.deaf {
 		c.overs = append(c.overs, id)
 	}
@@ -45,6 +68,8 @@
 
 func (r *rig) last() *fakeAttempt {
 	r.t.Helper()
+	r.trunk.mu.Lock()
+	defer r.trunk.mu.Unlock()
 	if len(r.trunk.sent) == 0 {
 		r.t.Fatal("nothing was sent")
 	}
@@ -57,8 +82,8 @@
 		r.setup(c, "c1")
 		r.last().answer("sdp")
 		synctest.Wait()
-		if len(c.finals) != 1 || c.finals[0].Kind != Stands || r.desk.Standing() != 1 || r.desk.Open() != 0 {
-			t.Fatalf("finals %+v", c.finals)
+		if len(c.got().finals) != 1 || c.got().finals[0].Kind != Stands || r.desk.Standing() != 1 || r.desk.Open() != 0 {
+			t.Fatalf("finals %+v", c.got().finals)
 		}
 		// No connection owns the call: its own is gone, so another is told.
 		r.desk.Disconnect(c)
@@ -66,8 +91,8 @@
 		leg.ending = Ending{Outcome: Ended, Cause: 16, State: Untold}
 		close(leg.done)
 		synctest.Wait()
-		if len(other.overs) != 1 || len(c.overs) != 0 || leg.released != 0 {
-			t.Errorf("told %v and %v, released %d", other.overs, c.overs, leg.released)
+		if len(other.got().overs) != 1 || len(c.got().overs) != 0 || leg.released != 0 {
+			t.Errorf("told %v and %v, released %d", other.got().overs, c.got().overs, leg.released)
 		}
 	})
 }
@@ -75,13 +100,13 @@
 func TestEndIsKeptUntilSomebodyConnects(t *testing.T) {
 	bubble(t, func(r *rig) {
 		deaf := r.connect()
-		deaf.deaf = true
+		deaf.plug()
 		r.desk.Over("c1", 16)
-		if c := r.connect(); len(c.overs) != 1 || r.count.Get(stats.ReleasesKept) != 1 {
-			t.Errorf("told %v", c.overs)
+		if c := r.connect(); len(c.got().overs) != 1 || r.count.Get(stats.ReleasesKept) != 1 {
+			t.Errorf("told %v", c.got().overs)
 		}
-		if c := r.connect(); len(c.overs) != 0 {
-			t.Errorf("told again: %v", c.overs)
+		if c := r.connect(); len(c.got().overs) != 0 {
+			t.Errorf("told again: %v", c.got().overs)
 		}
 	})
 }
@@ -96,8 +121,8 @@
 			t.Errorf("release: %v, %v", standing, err)
 		}
 		synctest.Wait()
-		if r.last().leg.released != 31 || len(c.overs) != 0 || r.desk.Standing() != 0 {
-			t.Errorf("released with %d, told %v", r.last().leg.released, c.overs)
+		if r.last().leg.released != 31 || len(c.got().overs) != 0 || r.desk.Standing() != 0 {
+			t.Errorf("released with %d, told %v", r.last().leg.released, c.got().overs)
 		}
 		if _, err := r.desk.Release("c1", 31); err != ErrOver {
 			t.Errorf("second release: %v", err)
@@ -116,8 +141,8 @@
 			t.Errorf("cancel: %v, %v", standing, err)
 		}
 		synctest.Wait()
-		if len(c.finals) != 0 || r.desk.Open() != 0 || r.count.Get(stats.CancelledCalls) != 1 {
-			t.Errorf("finals %+v", c.finals)
+		if len(c.got().finals) != 0 || r.desk.Open() != 0 || r.count.Get(stats.CancelledCalls) != 1 {
+			t.Errorf("finals %+v", c.got().finals)
 		}
 	})
 }
@@ -133,8 +158,8 @@
 		r.desk.calls["c1"].end(errLeft)
 		r.desk.mu.Unlock()
 		synctest.Wait()
-		if len(c.finals) != 0 || x.leg.released != CauseNormal && len(x.end) == 0 {
-			t.Errorf("finals %+v, released %d", c.finals, x.leg.released)
+		if len(c.got().finals) != 0 || x.leg.released != CauseNormal && len(x.end) == 0 {
+			t.Errorf("finals %+v, released %d", c.got().finals, x.leg.released)
 		}
 	})
 }
@@ -143,7 +168,7 @@
 	bubble(t, func(r *rig) {
 		c := r.connect()
 		r.setup(c, "c1")
-		c.deaf = true
+		c.plug()
 		r.last().answer("sdp")
 		synctest.Wait()
 		if r.last().leg.released != CauseNormal || r.desk.Standing() != 0 {
@@ -158,8 +183,8 @@
 		r.setup(c, "c1")
 		r.desk.Disconnect(c)
 		synctest.Wait()
-		if r.desk.Open() != 0 || len(c.finals) != 0 {
-			t.Errorf("open %d, finals %+v", r.desk.Open(), c.finals)
+		if r.desk.Open() != 0 || len(c.got().finals) != 0 {
+			t.Errorf("open %d, finals %+v", r.desk.Open(), c.got().finals)
 		}
 		if err := r.setup(c, "c2"); err != nil || r.desk.Open() != 0 {
 			t.Errorf("a set-up of a connection that is gone: %v, open %d", err, r.desk.Open())
@@ -202,8 +227,8 @@
 		r.setup(c, "c1") // nobody answers the attempt; the caller gives up after 3 s
 		time.Sleep(2990 * time.Millisecond)
 		synctest.Wait()
-		if len(c.finals) != 1 || c.finals[0].Kind == Stands || c.finals[0].After < leastAfter {
-			t.Errorf("finals %+v", c.finals)
+		if len(c.got().finals) != 1 || c.got().finals[0].Kind == Stands || c.got().finals[0].After < leastAfter {
+			t.Errorf("finals %+v", c.got().finals)
 		}
 	})
 }
@@ -218,8 +243,8 @@
 		r.setup(c, "c3") // waits for a pool
 		r.desk.GiveUp()
 		r.desk.Drain(context.Background())
-		if len(c.finals) != 3 || r.desk.Standing() != 1 {
-			t.Errorf("finals %+v, %d stand", c.finals, r.desk.Standing())
+		if len(c.got().finals) != 3 || r.desk.Standing() != 1 {
+			t.Errorf("finals %+v, %d stand", c.got().finals, r.desk.Standing())
 		}
 	})
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,6 +30,7 @@
 // fakeTrunk hands each attempt to the test and ends it as the test says.
 type fakeTrunk struct {
 	d    *Dispatcher
+	mu   sync.Mutex
 	sent []*fakeAttempt
 }
 
@@ -52,7 +54,9 @@
 
 func (f *fakeTrunk) Invite(ctx context.Context, a Attempt) (Leg, Ending) {
 	x := &fakeAttempt{Attempt: a, end: make(chan Ending, 1)}
+	f.mu.Lock()
 	f.sent = append(f.sent, x)
+	f.mu.Unlock()
 	until := time.NewTimer(time.Duration(a.Until-f.d.Now()) * time.Microsecond)
 	defer until.Stop()
 	select {
@@ -253,8 +257,11 @@
 				}
 				var calls []*modelled
 				ready := map[string]bool{"a": true, "b": true}
+				var mu sync.Mutex // of calls and ready
 				pick := func(m *modelled) {
 					p, err := r.Pick(context.Background(), m.q)
+					mu.Lock()
+					defer mu.Unlock()
 					if err != nil || m.final {
 						t.Errorf("pick: %v, already final: %v", err, m.final)
 						return
@@ -273,6 +280,8 @@
 					if len(calls) == 0 {
 						return
 					}
+					mu.Lock()
+					defer mu.Unlock()
 					if m := calls[int(b)%len(calls)]; m.out {
 						m.out = false
 						if o == TimedOut || o == Reset || o == Cancelled {
@@ -293,13 +302,17 @@
 					func(b byte) { end(b, Outcome(int(b)%int(Moot-Errored+1))+Errored) },
 					func(b byte) { time.Sleep(time.Duration(b) * 10 * time.Millisecond) },
 					func(b byte) {
+						mu.Lock()
 						ready["a"], ready["b"] = b&1 == 0, b&2 == 0
+						mu.Unlock()
 						r.list(eidertrail.Mode(b&1), eidertrail.Mode(b>>1&1))
 					},
 				}
 				standin.Play(script, steps, func() {})
 				time.Sleep(10 * time.Second) // every caller has given up by now
 				synctest.Wait()
+				mu.Lock()
+				defer mu.Unlock()
 				for _, m := range calls {
 					if !m.final && !m.out {
 						t.Errorf("no final answer: %+v", *m)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,10 +23,24 @@
 
 // trunk answers every attempt as the test last said.
 type trunk struct {
+	mu      sync.Mutex
 	outcome dispatch.Outcome
 	legs    []*leg
 }
 
+func (k *trunk) say(o dispatch.Outcome) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.outcome = o
+}
+
+// first is the first call that stood.
+func (k *trunk) first() *leg {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.legs[0]
+}
+
 type leg struct {
 	done     chan struct{}
 	ending   dispatch.Ending
@@ -38,11 +53,15 @@
 func (l *leg) Release(cause int)       { l.released = cause }
 
 func (k *trunk) Invite(ctx context.Context, a dispatch.Attempt) (dispatch.Leg, dispatch.Ending) {
+	k.mu.Lock()
 	e := dispatch.Ending{Outcome: k.outcome, At: a.At, State: dispatch.Untold}
-	switch k.outcome {
-	case dispatch.Answered:
-		l := &leg{done: make(chan struct{})}
+	l := &leg{done: make(chan struct{})}
+	if e.Outcome == dispatch.Answered {
 		k.legs = append(k.legs, l)
+	}
+	k.mu.Unlock()
+	switch e.Outcome {
+	case dispatch.Answered:
 		return l, e
 	case dispatch.TimedOut: // stays out until the caller leaves
 		<-ctx.Done()
@@ -96,19 +115,34 @@
 // client is one connection; what comes in on it is in lines.
 type client struct {
 	net.Conn
+	mu    sync.Mutex
 	lines []string
 	ended bool
 }
 
+// take is what has come in since it was last called, and whether the connection has ended.
+func (c *client) take() ([]string, bool) {
+	synctest.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	lines := c.lines
+	c.lines = nil
+	return lines, c.ended
+}
+
 func (r *rig) dial() *client {
 	c := &client{Conn: r.in.Dial()}
 	go func() {
 		for s := bufio.NewScanner(c); ; {
-			if !s.Scan() {
-				c.ended = true
+			more := s.Scan()
+			c.mu.Lock()
+			if c.ended = !more; more {
+				c.lines = append(c.lines, s.Text())
+			}
+			c.mu.Unlock()
+			if !more {
 				return
 			}
-			c.lines = append(c.lines, s.Text())
 		}
 	}()
 	return c
@@ -121,11 +155,10 @@
 
 func (r *rig) want(c *client, lines ...string) {
 	r.t.Helper()
-	synctest.Wait()
-	if got := strings.Join(c.lines, "\n"); got != strings.Join(lines, "\n") {
+	all, _ := c.take()
+	if got := strings.Join(all, "\n"); got != strings.Join(lines, "\n") {
 		r.t.Fatalf("got\n%s\nwant\n%s", got, strings.Join(lines, "\n"))
 	}
-	c.lines = nil
 }
 
 const (
@@ -138,7 +171,7 @@
 		c := r.dial()
 		c.say(setup)
 		r.want(c, answer)
-		l := r.trunk.legs[0]
+		l := r.trunk.first()
 		l.ending = dispatch.Ending{Outcome: dispatch.Reset, Cause: 41, State: dispatch.Untold}
 		close(l.done)
 		r.want(c, `{"type":"release","id":"9b1f03aa5c7e2d41","fields":{},"cause":41}`)
@@ -153,7 +186,7 @@
 		c.Close()
 		other.say(`{"type":"release","id":"9b1f03aa5c7e2d41","fields":{},"cause":16}`)
 		r.want(other, `{"type":"released","id":"9b1f03aa5c7e2d41","fields":{}}`)
-		if r.trunk.legs[0].released != 16 {
+		if r.trunk.first().released != 16 {
 			t.Error("not released towards the pool")
 		}
 	})
@@ -166,7 +199,7 @@
 		r.want(c, answer)
 		c.Close()
 		synctest.Wait()
-		l := r.trunk.legs[0]
+		l := r.trunk.first()
 		l.ending = dispatch.Ending{Outcome: dispatch.Ended, Cause: 16, State: dispatch.Untold}
 		close(l.done)
 		synctest.Wait()
@@ -176,7 +209,7 @@
 
 func TestRefusalNamesNoRoom(t *testing.T) {
 	bubble(t, func(r *rig) {
-		r.trunk.outcome = dispatch.NoAgent
+		r.trunk.say(dispatch.NoAgent)
 		c := r.dial()
 		c.say(setup)
 		time.Sleep(1500 * time.Millisecond)
@@ -186,7 +219,7 @@
 
 func TestCancelAndDuplicate(t *testing.T) {
 	bubble(t, func(r *rig) {
-		r.trunk.outcome = dispatch.TimedOut
+		r.trunk.say(dispatch.TimedOut)
 		c, other := r.dial(), r.dial()
 		c.say(setup)
 		other.say(setup) // one answer is owed for the id
@@ -231,7 +264,7 @@
 		c.say(setup) // the connection still serves
 		r.want(c, answer)
 		c.say(strings.Repeat("x", 2*jsonl.Most)) // framing is lost
-		if synctest.Wait(); !c.ended {
+		if _, ended := c.take(); !ended {
 			t.Error("still open after a line of 32 KiB")
 		}
 	})
@@ -257,7 +290,7 @@
 		for range 4 {
 			r.dial()
 		}
-		if c := r.dial(); !func() bool { synctest.Wait(); return c.ended }() {
+		if _, ended := r.dial().take(); !ended {
 			t.Error("a fifth connection was taken")
 		}
 	})
@@ -271,23 +304,28 @@
 			onRig(t, func(r *rig) {
 				finals, setups, cancelled := map[string]int{}, map[string]bool{}, map[string]bool{}
 				conns := []*client{r.dial(), r.dial()}
+				ended := func(c *client) bool {
+					c.mu.Lock()
+					defer c.mu.Unlock()
+					return c.ended
+				}
 				at := func(b byte) *client { return conns[int(b)%2] }
 				id := func(b byte) string { return "c" + string('0'+b>>1%4) }
 				steps := []func(byte){
 					func(b byte) {
-						if !at(b).ended && !setups[id(b)] {
+						if !ended(at(b)) && !setups[id(b)] {
 							setups[id(b)] = true
 							at(b).say(strings.Replace(setup, "9b1f03aa5c7e2d41", id(b), 1))
 						}
 					},
 					func(b byte) {
-						if !at(b).ended {
+						if !ended(at(b)) {
 							at(b).say(`{"type":"release","id":"` + id(b) + `","cause":16}`)
 							cancelled[id(b)] = setups[id(b)] && finals[id(b)] == 0
 						}
 					},
 					func(b byte) {
-						r.trunk.outcome = []dispatch.Outcome{dispatch.Answered, dispatch.NoAgent, dispatch.TimedOut}[b%3]
+						r.trunk.say([]dispatch.Outcome{dispatch.Answered, dispatch.NoAgent, dispatch.TimedOut}[b%3])
 					},
 					func(b byte) { at(b).Close(); conns[int(b)%2] = r.dial() },
 					func(b byte) { time.Sleep(time.Duration(b) * 20 * time.Millisecond) },
@@ -295,7 +333,8 @@
 				}
 				standin.Play(script, steps, func() {
 					for _, c := range conns {
-						for _, text := range c.lines {
+						lines, _ := c.take()
+						for _, text := range lines {
 							m, err := jsonl.Parse([]byte(text))
 							if err != nil {
 								t.Fatal(err)
@@ -306,7 +345,6 @@
 								}
 							}
 						}
-						c.lines = nil
 					}
 				})
 			})
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -21,12 +21,12 @@
 // rig is a set with one stand-in pool, p1, that is up. What the pool gets is in got.
 type rig struct {
 	*Set
-	t     *testing.T
-	at    *standin.Pool
-	clock *clock.Clock
-	mu    sync.Mutex
-	got   []standin.Request // under mu
-	strays,
+	t       *testing.T
+	at      *standin.Pool
+	clock   *clock.Clock
+	mu      sync.Mutex
+	got     []standin.Request // under mu
+	strays, // under mu, as seen
 	seen []string
 	lines []dispatch.Server
 }
@@ -47,8 +47,8 @@
 	r.Set = NewSet(ctx, Config{
 		Name: "n0", ConnectTimeout: 500_000, ReportFree: "idle", ReportAgents: "circuits", Clock: r.clock,
 		Log: zerolog.Nop(), Count: &stats.Set{}, Dial: r.at.Dial,
-		Observe: func(uid string, s dispatch.State) { r.seen = append(r.seen, uid) },
-		Stray:   func(id string, _ int) { r.strays = append(r.strays, id) },
+		Observe: func(uid string, s dispatch.State) { r.note(&r.seen, uid) },
+		Stray:   func(id string, _ int) { r.note(&r.strays, id) },
 	})
 	r.list("p1", "10.0.0.1:5060", bulletin.Up)
 	synctest.Wait()
@@ -58,6 +58,12 @@
 	r.at.Drop()
 }
 
+func (r *rig) note(in *[]string, what string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	*in = append(*in, what)
+}
+
 func (r *rig) list(uid, address string, state bulletin.State) {
 	r.Apply(bulletin.Event{Pools: []bulletin.Pool{{UID: uid, Address: address, State: state}}},
 		func(l []dispatch.Server) { r.lines = l })
@@ -230,6 +236,8 @@
 		r.at.Refuse(false, false)
 		time.Sleep(time.Second)
 		r.wantSent("INVITE ACK BYE")
+		r.mu.Lock()
+		defer r.mu.Unlock()
 		if c := r.got[2].Cause(); c != 16 {
 			t.Errorf("cause %d", c)
 		}
@@ -279,6 +287,7 @@
 		time.Sleep(300 * time.Millisecond)
 		r.at.Refuse(false, false)
 		time.Sleep(600 * time.Millisecond)
+		synctest.Wait()
 		if r.Standing() != 0 || r.at.Open() != 1 {
 			t.Errorf("%d stand, %d connections", r.Standing(), r.at.Open())
 		}
@@ -288,11 +297,13 @@
 		r.wantSent("INVITE").Answer(200, "", "a")
 		r.want(x, dispatch.Answered)
 		time.Sleep(10 * time.Second) // quiet, but it takes connections
+		synctest.Wait()
 		if r.Standing() != 1 {
 			t.Error("cut while its machine was there")
 		}
 		r.at.Refuse(false, true)
 		time.Sleep(8 * time.Second)
+		synctest.Wait()
 		if r.Standing() != 0 || x.leg.Ending().Outcome != dispatch.Reset {
 			t.Errorf("%d stand 8 s after the machine vanished", r.Standing())
 		}
@@ -336,8 +347,9 @@
 		}
 		x := r.invite("c1", 0, 2*time.Second) // it names p1
 		time.Sleep(3 * time.Second)
-		if x.leg != nil || len(r.got) > 0 {
-			t.Errorf("leg %v, pool got %d", x.leg, len(r.got))
+		synctest.Wait()
+		if got, _ := r.sent(); x.leg != nil || got != "" {
+			t.Errorf("leg %v, pool got %q", x.leg, got)
 		}
 	})
 }
