Library usable from outside: own clock and counters optional; refusals tell when to come back

The facade took types of internal packages, so that nobody outside could have made one: New takes a nil clock and nil counters, dispatch.Counters names them; a compiled example shows chi on it. The adapter writes hold_off where the settings give it a place (not on this site).

--- a/callcontrol/callcontrol.go
+++ b/callcontrol/callcontrol.go
@@ -51,7 +51,7 @@
 	// MostConnections bounds the sockets.
 	MostConnections int
 	Log             zerolog.Logger
-	Count           *stats.Set
+	Count           *dispatch.Counters
 }
 
 // Server is the WebSocket front. It is an http.Handler.
--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -60,13 +60,14 @@
 	stopLoop  context.CancelFunc
 	stopPools context.CancelFunc
 	wg        sync.WaitGroup
-	broken    chan error // the platform's listener
-	closers   []func()   // of the second front, in order
+	broken    chan error        // the platform's listener
+	closers   []func()          // of the second front, in order
+	addresses map[string]string // where the second front listens, by field
 }
 
 // start makes a daemon and opens its listeners.
 func start(ctx context.Context, env environment, log zerolog.Logger) (*daemon, error) {
-	d := &daemon{log: log, count: &stats.Set{}, clock: clock.New(), broken: make(chan error, 1)}
+	d := &daemon{log: log, count: &stats.Set{}, clock: clock.New(), broken: make(chan error, 1), addresses: map[string]string{}}
 	if env.config == "" {
 		return nil, fmt.Errorf("config: RELAY_CONFIG: not set")
 	}
@@ -132,7 +133,7 @@
 		d.wg.Go(func() { bulletin.Watch(pools, cfg.Bulletin, cfg.Known.No, d.clock, limited, d.count, apply) })
 	}
 	d.wg.Go(func() { d.broken <- d.callers.Serve(d.listener) })
-	log.Info().Str("name", cfg.Name).Str("listen", cfg.Listen).Int("classes", len(cfg.Settings.Classes)).
+	log.Info().Str("name", cfg.Name).Stringer("listen", d.listener.Addr()).Int("classes", len(cfg.Settings.Classes)).
 		Int("memory_mb", cfg.MemoryMB).Int("sockets", cfg.Sockets).Bool("callcontrol", second != nil).Msg("serving")
 	return d, nil
 }
@@ -147,6 +148,7 @@
 			}
 			return nil, fmt.Errorf("callcontrol: %s: %w", field, err)
 		}
+		d.addresses[field] = l.Addr().String()
 		return l, nil
 	}
 	serve := func(l net.Listener, most int, h http.Handler) {
--- a/cmd/eidertrail/main.go
+++ b/cmd/eidertrail/main.go
@@ -24,6 +24,7 @@
 	}
 	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
 
+	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more must not end the calls
 	term := make(chan os.Signal, 2)
 	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
 	print := make(chan os.Signal, 1)
--- a/controller.go
+++ b/controller.go
@@ -679,7 +679,8 @@
 	if c.leftAlone(k.Key) {
 		return c.busy[k.Key].until - c.now
 	}
-	best := c.hold // no server that it may use: about when calls that stand have ended
+	// With no server that it may use, about when calls that stand have ended.
+	best := cmp.Or(c.hold, c.set.Classes[k.Class].Deadline)
 	for _, s := range c.order {
 		if !c.allowed(k, s) {
 			continue
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -105,7 +105,7 @@
 	CallID func(id string) string
 	// TellAll has Caller.Over called for each call that stood, also for those that the caller released.
 	TellAll bool
-	Count   *stats.Set
+	Count   *Counters
 }
 
 // NewDesk returns a desk.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -19,12 +19,17 @@
 	"github.com/rs/zerolog"
 
 	"eidertrail"
+	"eidertrail/internal/clock"
 	"eidertrail/internal/stats"
 )
 
 // Clock reads microseconds that never move backwards.
 type Clock interface{ Now() int64 }
 
+// Counters count what is taken in, sent and answered; the zero value is ready, and they log themselves as
+// a zerolog object. Wherever they are asked for, nil does without.
+type Counters = stats.Set
+
 // Request is a call that wants a place.
 type Request struct {
 	Call  uint64 // from NewCall
@@ -158,13 +163,17 @@
 }
 
 // New returns a dispatcher; its loop is Run. most is the longest time that anybody is told to stay away.
-func New(set eidertrail.Settings, seed uint64, most int64, clock Clock, log zerolog.Logger, count *stats.Set) (*Dispatcher, error) {
+// A nil clock is the system's monotonic one.
+func New(set eidertrail.Settings, seed uint64, most int64, now Clock, log zerolog.Logger, count *Counters) (*Dispatcher, error) {
+	if now == nil {
+		now = clock.New()
+	}
 	control, err := eidertrail.New(set, seed)
 	if err != nil {
 		return nil, fmt.Errorf("dispatch: %w", err)
 	}
 	return &Dispatcher{
-		clock: clock, set: set, most: most, gather: min(mostGather, set.Tick), count: count, log: log, control: control,
+		clock: now, set: set, most: most, gather: min(mostGather, set.Tick), count: count, log: log, control: control,
 		in: make(chan func(int64), queue), done: make(chan struct{}),
 		calls: map[uint64]*call{}, servers: map[string]Server{},
 	}, nil
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -64,14 +64,23 @@
 	"bulletin_events", "bulletin_errors", "ws_messages", "ws_bad_messages", "http_admitted", "http_turned_away",
 }
 
-// Set is a set of counters, safe for concurrent use. The zero value is ready.
+// Set is a set of counters, safe for concurrent use. The zero value is ready; nil counts nothing.
 type Set struct{ v [counters]atomic.Int64 }
 
 // Add counts one.
-func (s *Set) Add(c Counter) { s.v[c].Add(1) }
+func (s *Set) Add(c Counter) {
+	if s != nil {
+		s.v[c].Add(1)
+	}
+}
 
 // Get is a counter's value.
-func (s *Set) Get(c Counter) int64 { return s.v[c].Load() }
+func (s *Set) Get(c Counter) int64 {
+	if s == nil {
+		return 0
+	}
+	return s.v[c].Load()
+}
 
 // MarshalZerologObject writes all counters that are not zero, in their fixed order.
 func (s *Set) MarshalZerologObject(e *zerolog.Event) {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -112,3 +112,29 @@
 	o := e.(eidertrail.Outcome)
 	return fmt.Sprintf("cause %d wait %v", o.Cause, o.Wait)
 }
+
+// A refusal tells when to come back where, and only where, the settings give it a place.
+func TestHoldOffOnlyWhereClientsGetIt(t *testing.T) {
+	for retryAfter, want := range map[bool]string{
+		false: `["Reject",7]`, true: `["Reject",7,100000000]`,
+	} {
+		h := NewHost()
+		settings := fmt.Sprintf(`{"balancers":1,"caps":{"retry_after":%v,"max_retry_after":100000000},`+
+			`"request_classes":[{"name":"a","promise":1000000000,"deadline":2000000000}]}`, retryAfter)
+		lines := []string{
+			`{"clock":1,"nodes":[{"node_id":0,"news":[["Census",0,[]],["Hello",1,` + settings + `],["Endpoints","cached",1,0],` +
+				`["JobIn",7,1,0,5,-1,0,1500000000,null,0,0]]}]}`,
+			`{"clock":1400000000,"nodes":[{"node_id":0,"news":[["Timer",1]]}]}`,
+		}
+		var reply []byte
+		for _, line := range lines {
+			var err error
+			if reply, err = h.Batch([]byte(line), nil); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if !strings.Contains(string(reply), want) {
+			t.Errorf("retry_after %v: %s, want %s", retryAfter, reply, want)
+		}
+	}
+}
--- /dev/null
+++ b/middleware/example_test.go
@@ -0,0 +1,44 @@
+package middleware_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/rs/zerolog"
+
+	"eidertrail"
+	"eidertrail/dispatch"
+	"eidertrail/middleware"
+)
+
+// A chi router whose handlers ask the pool that the module chose. Nothing here is internal to the module.
+func Example() {
+	settings := eidertrail.Settings{Nodes: 1, Here: -1, Release: 300 * time.Millisecond, Classes: []eidertrail.Class{
+		{Name: "avail-read", Aim: 5 * time.Second, Deadline: 15 * time.Second, Worth: 1, Hold: time.Second},
+	}}
+	d, err := dispatch.New(settings, 1, 2_000_000, nil, zerolog.Nop(), nil)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go d.Run(ctx)
+	d.Roster([]dispatch.Server{{UID: "s-1"}}, true)
+
+	r := chi.NewRouter()
+	r.Use(middleware.Admission(middleware.Config{Dispatch: d, Classify: func(r *http.Request) (middleware.Call, error) {
+		return middleware.Call{Class: 0, Number: r.URL.Path, Pool: -1, Left: 2 * time.Second}, nil
+	}}))
+	r.Get("/rooms/{hotel}", func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintf(w, "rooms of %s, asked at %s", chi.URLParam(r, "hotel"), middleware.FromContext(r.Context()).Pool)
+	})
+	w := httptest.NewRecorder()
+	r.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/rooms/rioni", nil))
+	fmt.Println(w.Code, w.Body)
+	// Output: 200 rooms of rioni, asked at s-1
+}
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -29,7 +29,7 @@
 	Dispatch *dispatch.Dispatcher
 	// Classify reads a request. An error is answered with 400.
 	Classify func(r *http.Request) (Call, error)
-	Count    *stats.Set
+	Count    *dispatch.Counters
 }
 
 // Placement is where a request was placed. The handler finds it with FromContext.
