Ends of calls are told to callers before testers

Checked by reading: after a restart pools hand over releases before any caller has come, and the youngest connection may be a balancer's test (desk.go, over: youngest first, whoever it was). A connection now counts as a caller's once it has set up or released a call; others are told only after 0.4 s without one.

--- a/callcontrol/callcontrol.go
+++ b/callcontrol/callcontrol.go
@@ -243,6 +243,7 @@
 	defer cancel()
 	c.ws.SetReadLimit(mostMessage)
 	c.desk.Connect(c)
+	c.desk.Proven(c) // a site's socket is there for calls
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -60,6 +60,9 @@
 	mostKept     = 4096 // ends of calls that wait for a connection
 	mostToken    = 64
 	mostPast     = 2048
+	// waitForCaller is how long the end of a call waits for a connection of callers when others are open:
+	// it is to be told within 1 s.
+	waitForCaller = 400 * time.Millisecond
 )
 
 // Desk keeps the calls of one front from set-up to end: which connection is owed the final answer, what
@@ -75,7 +78,9 @@
 	wg      sync.WaitGroup
 
 	mu      sync.Mutex
-	callers []Caller // in the order of their coming
+	callers []Caller // that have set calls up or released them, in the order of their first
+	others  []Caller // that have not, such as those that only test
+	late    *time.Timer
 	calls   map[string]*deskCall
 	kept    []over
 	past    *past.Names // calls that are over: what still comes for them is not of somebody else's call
@@ -121,14 +126,51 @@
 	return k
 }
 
-// Connect takes a connection in. Ends of calls that waited for one leave on it.
+// Connect takes a connection in. Until it is Proven the ends of calls are told on it only where nobody
+// else could be told for a while: it may be that of a tester, who knows of no calls.
 func (k *Desk) Connect(c Caller) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.others = append(k.others, c)
+	k.tellLater()
+}
+
+// Proven notes that a connection is one of callers. Ends of calls that waited for one leave on it.
+func (k *Desk) Proven(c Caller) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	i := slices.Index(k.others, c)
+	if i < 0 {
+		return
+	}
+	k.others = slices.Delete(k.others, i, i+1)
 	k.callers = append(k.callers, c)
-	for len(k.kept) > 0 && c.Over(k.kept[0].id, k.kept[0].cause) {
-		k.kept = k.kept[1:]
+	k.tell(k.callers)
+}
+
+// tell hands what is kept to the youngest of some connections that takes it: it is the least likely to
+// be closed right now. The caller holds mu.
+func (k *Desk) tell(to []Caller) {
+	for _, c := range slices.Backward(to) {
+		for len(k.kept) > 0 && c.Over(k.kept[0].id, k.kept[0].cause) {
+			k.count.Add(stats.ReleasesOut)
+			k.kept = k.kept[1:]
+		}
+	}
+}
+
+// tellLater has what is kept told to anybody after a while. The caller holds mu.
+func (k *Desk) tellLater() {
+	if len(k.kept) == 0 || len(k.others) == 0 || k.late != nil {
+		return
 	}
+	k.late = time.AfterFunc(waitForCaller, func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.late = nil
+		k.tell(k.callers)
+		k.tell(k.others)
+	})
 }
 
 // Disconnect takes a connection off. Its open set-ups are given up, as their caller has left: an attempt
@@ -136,9 +178,9 @@
 func (k *Desk) Disconnect(c Caller) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if i := slices.Index(k.callers, c); i >= 0 {
-		k.callers = slices.Delete(k.callers, i, i+1)
-	}
+	gone := func(x Caller) bool { return x == c }
+	k.callers = slices.DeleteFunc(k.callers, gone)
+	k.others = slices.DeleteFunc(k.others, gone)
 	for _, call := range k.calls {
 		if call.caller == c && !call.stands {
 			call.end(errLeft)
@@ -176,7 +218,7 @@
 func (k *Desk) Idle() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return len(k.callers) == 0 && len(k.calls) == 0 && len(k.kept) == 0
+	return len(k.callers) == 0 && len(k.others) == 0 && len(k.calls) == 0 && len(k.kept) == 0
 }
 
 // Drain returns when every set-up has its final answer, or when ctx is done.
@@ -197,6 +239,9 @@
 	for _, call := range k.calls {
 		call.end(errLeft)
 	}
+	if k.late != nil {
+		k.late.Stop()
+	}
 	k.mu.Unlock()
 	k.wg.Wait()
 }
@@ -207,23 +252,19 @@
 func (k *Desk) over(first Caller, id string, cause int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	// The connection of the set-up first, then the youngest: it is the least likely to be closed right now.
 	if first != nil && slices.Contains(k.callers, first) && first.Over(id, cause) {
 		k.count.Add(stats.ReleasesOut)
 		return
 	}
-	for _, c := range slices.Backward(k.callers) {
-		if c.Over(id, cause) {
-			k.count.Add(stats.ReleasesOut)
-			return
-		}
-	}
 	if len(k.kept) >= mostKept {
 		k.count.Add(stats.ReleasesDropped)
 		return
 	}
-	k.count.Add(stats.ReleasesKept)
 	k.kept = append(k.kept, over{id, cause})
+	if k.tell(k.callers); len(k.kept) > 0 {
+		k.count.Add(stats.ReleasesKept)
+		k.tellLater()
+	}
 }
 
 // Token tells whether s can stand in the head of a message as one word, on every wire.
@@ -279,7 +320,7 @@
 	case len(k.calls) >= k.most:
 		end(nil)
 		return ErrTooMany
-	case !slices.Contains(k.callers, c):
+	case !slices.Contains(k.callers, c) && !slices.Contains(k.others, c):
 		end(nil)
 		return nil // the caller has left meanwhile: nothing is owed
 	}
--- a/dispatch/desk_test.go
+++ b/dispatch/desk_test.go
@@ -57,6 +57,7 @@
 func (r *rig) connect() *fakeCaller {
 	c := &fakeCaller{}
 	r.desk.Connect(c)
+	r.desk.Proven(c)
 	return c
 }
 
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -21,6 +21,7 @@
 	pending atomic.Int64 // lines queued and not written yet
 	closed  chan struct{}
 	once    sync.Once
+	proven  bool // it has carried a call; only read looks at it
 }
 
 // line is a line to be written. The end of a call may be told on any connection.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -129,6 +129,10 @@
 
 // take handles one message of a caller.
 func (f *Front) take(c *conn, m *jsonl.Message) {
+	if !c.proven && (m.Type == "setup" || m.Type == "release") {
+		c.proven = true
+		f.cfg.Desk.Proven(c)
+	}
 	switch m.Type {
 	case "setup":
 		f.setup(c, m)
