SIGHUP takes a new configuration; the bulletin is followed to its new address

SIGHUP now has the file read again; Watch drops the poll that is out, asks at the new address after the last number, and takes later events of the file's known. A bad file is logged with its field and changes nothing; the WebSocket front's origins and bound are taken over too. A poll waits 2 s instead of 5, and a stop in the middle of an event is noticed after 0.7 s.

--- a/callcontrol/callcontrol.go
+++ b/callcontrol/callcontrol.go
@@ -60,7 +60,7 @@
 	closing atomic.Bool
 	wg      sync.WaitGroup
 
-	mu    sync.Mutex
+	mu    sync.Mutex // also guards cfg.Origins and cfg.MostConnections
 	sites map[string]*dispatch.Desk
 	conns map[*conn]struct{}
 }
@@ -70,6 +70,13 @@
 	return &Server{cfg: cfg, sites: map[string]*dispatch.Desk{}, conns: map[*conn]struct{}{}}
 }
 
+// Admit changes which browser origins may connect and how many sockets there may be. Open ones stay.
+func (s *Server) Admit(origins []string, most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cfg.Origins, s.cfg.MostConnections = origins, most
+}
+
 // callID names a call towards the pools: names that sites choose may be alike.
 func callID(string) string {
 	var b [8]byte
@@ -96,7 +103,7 @@
 	defer s.wg.Done()
 	defer s.drop(c)
 	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{
-		Subprotocols: []string{subprotocol}, OriginPatterns: s.cfg.Origins, CompressionMode: websocket.CompressionDisabled,
+		Subprotocols: []string{subprotocol}, OriginPatterns: s.origins(), CompressionMode: websocket.CompressionDisabled,
 	})
 	if err != nil {
 		s.cfg.Log.Warn().Err(err).Msg("websocket not accepted")
@@ -107,6 +114,12 @@
 	c.serve()
 }
 
+func (s *Server) origins() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cfg.Origins
+}
+
 // admit makes room for a socket. The caller owes wg.Done and drop.
 func (s *Server) admit(site string) (*conn, bool) {
 	s.mu.Lock()
--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"reflect"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -56,6 +57,9 @@
 	callers   *front.Front
 	sockets   *callcontrol.Server // nil: off
 	listener  net.Listener
+	env       environment
+	cfg       *config.Config     // as last read
+	moves     chan bulletin.Move // holds the latest one that was not taken yet
 	stopping  atomic.Bool
 	stopLoop  context.CancelFunc
 	stopPools context.CancelFunc
@@ -67,17 +71,13 @@
 
 // start makes a daemon and opens its listeners.
 func start(ctx context.Context, env environment, log zerolog.Logger) (*daemon, error) {
-	d := &daemon{log: log, count: &stats.Set{}, clock: clock.New(), broken: make(chan error, 1), addresses: map[string]string{}}
-	if env.config == "" {
-		return nil, fmt.Errorf("config: RELAY_CONFIG: not set")
-	}
-	cfg, err := config.Load(env.config, d.clock)
+	d := &daemon{log: log, count: &stats.Set{}, clock: clock.New(), env: env, moves: make(chan bulletin.Move, 1),
+		broken: make(chan error, 1), addresses: map[string]string{}}
+	cfg, err := d.load()
 	if err != nil {
 		return nil, err
 	}
-	if env.listen != "" {
-		cfg.Listen = env.listen
-	}
+	d.cfg = cfg
 	var second *config.CallControl
 	if env.callControl != "" {
 		if second, err = config.LoadCallControl(env.callControl); err != nil {
@@ -87,8 +87,7 @@
 	if second != nil && second.MaxConnections > cfg.Sockets/4 { // callers and pools need theirs
 		return nil, fmt.Errorf("callcontrol: max_connections: want at most a quarter of limits.sockets, %d", cfg.Sockets/4)
 	}
-	// Three quarters leave room for stacks, the kernel's buffers and what the collector has yet to free.
-	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 / 4 * 3)
+	limitMemory(cfg)
 
 	// One bad peer must not fill the log: ten warnings a second.
 	limited := log.Sample(&zerolog.LevelSampler{WarnSampler: &zerolog.BurstSampler{Burst: 10, Period: time.Second}})
@@ -129,15 +128,58 @@
 	for _, e := range cfg.Known.Items {
 		apply(e)
 	}
-	if cfg.Bulletin != "" {
-		d.wg.Go(func() { bulletin.Watch(pools, cfg.Bulletin, cfg.Known.No, d.clock, limited, d.count, apply) })
-	}
+	d.wg.Go(func() { bulletin.Watch(pools, cfg.Bulletin, cfg.Known.No, d.moves, d.clock, limited, d.count, apply) })
 	d.wg.Go(func() { d.broken <- d.callers.Serve(d.listener) })
 	log.Info().Str("name", cfg.Name).Stringer("listen", d.listener.Addr()).Int("classes", len(cfg.Settings.Classes)).
 		Int("memory_mb", cfg.MemoryMB).Int("sockets", cfg.Sockets).Bool("callcontrol", second != nil).Msg("serving")
 	return d, nil
 }
 
+// load reads the configuration that the daemon was started with, as it is now.
+func (d *daemon) load() (*config.Config, error) {
+	if d.env.config == "" {
+		return nil, fmt.Errorf("config: RELAY_CONFIG: not set")
+	}
+	cfg, err := config.Load(d.env.config, d.clock)
+	if err == nil && d.env.listen != "" {
+		cfg.Listen = d.env.listen
+	}
+	return cfg, err
+}
+
+// limitMemory leaves a quarter for stacks, the kernel's buffers and what the collector has yet to free.
+func limitMemory(cfg *config.Config) { debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 / 4 * 3) }
+
+// reload reads the configuration again, and takes over what can change while calls stand: where the
+// bulletin is, what it has told, and the memory limit; of the second front's file who may connect. A
+// file that makes no sense changes nothing: a session controller goes on with the one that it has.
+func (d *daemon) reload() {
+	cfg, err := d.load()
+	var second *config.CallControl
+	if err == nil && d.sockets != nil {
+		second, err = config.LoadCallControl(d.env.callControl)
+	}
+	if err != nil {
+		d.count.Add(stats.BadReloads)
+		d.log.Error().Err(err).Msg("new configuration not taken")
+		return
+	}
+	d.count.Add(stats.Reloads)
+	limitMemory(cfg)
+	if second != nil {
+		d.sockets.Admit(second.Origins, min(second.MaxConnections, d.cfg.Sockets/4))
+	}
+	select { // one that was not taken yet is out of date
+	case <-d.moves:
+	default:
+	}
+	d.moves <- bulletin.Move{Address: cfg.Bulletin, Known: cfg.Known}
+	if cfg.Listen != d.cfg.Listen || cfg.Name != d.cfg.Name || cfg.Sockets != d.cfg.Sockets || !reflect.DeepEqual(cfg.Settings, d.cfg.Settings) {
+		d.log.Warn().Msg("name, listen, limits.sockets and settings change only at a restart")
+	}
+	d.log.Info().Str("bulletin", cfg.Bulletin).Int("memory_mb", cfg.MemoryMB).Int64("known", cfg.Known.No).Msg("new configuration")
+}
+
 // openSecond opens the WebSocket front and what balancers ask.
 func (d *daemon) openSecond(c *config.CallControl, log zerolog.Logger) error {
 	listen := func(field, address string) (net.Listener, error) {
@@ -218,18 +260,25 @@
 		Int("pools_connected", connected).Int("pools_up", up).Msg("counters")
 }
 
-// serve runs until a signal on term, and then ends in order. Signals on print log the counters.
-func (d *daemon) serve(term, print <-chan os.Signal) error {
+// signals are what the daemon is told from outside.
+type signals struct{ term, print, hup chan os.Signal }
+
+// serve runs until a signal on term, and then ends in order. Signals on print log the counters, those on
+// hup have the configuration read again.
+func (d *daemon) serve(s signals) error {
 	for {
 		select {
-		case <-print:
+		case <-s.hup:
+			d.reload()
+			continue
+		case <-s.print:
 			d.counters()
 			continue
 		case err := <-d.broken:
 			d.stop(0)
 			return fmt.Errorf("listener: %w", errors.Join(err, net.ErrClosed))
-		case s := <-term:
-			d.log.Info().Stringer("signal", s).Int("open", d.desk.Open()).Int("standing", d.desk.Standing()).Msg("stopping")
+		case sig := <-s.term:
+			d.log.Info().Stringer("signal", sig).Int("open", d.desk.Open()).Int("standing", d.desk.Standing()).Msg("stopping")
 			d.stop(stayOpen)
 			return nil
 		}
--- a/cmd/eidertrail/daemon_test.go
+++ b/cmd/eidertrail/daemon_test.go
@@ -57,6 +57,10 @@
   "request_classes":[{"name":"voice","promise":5000000000,"deadline":15000000000}]}}`, listen, pool)
 }
 
+func newSignals() signals {
+	return signals{make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
+}
+
 // caller is a connection of a caller.
 type caller struct {
 	net.Conn
@@ -108,9 +112,9 @@
 		t.Fatal(err)
 	}
 	listen, ws, agent, health := d.listener.Addr().String(), d.addresses["listen"], d.addresses["agent_check"], d.addresses["health"]
-	term, print := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	s := newSignals()
 	ended := make(chan error, 1)
-	go func() { ended <- d.serve(term, print) }()
+	go func() { ended <- d.serve(s) }()
 
 	c := dial(t, listen)
 	for ready := false; !ready; {
@@ -138,12 +142,12 @@
 	}
 	defer socket.CloseNow()
 
-	print <- syscall.SIGUSR1
+	s.print <- syscall.SIGUSR1
 	for !strings.Contains(log.String(), `"answered":1`) {
 	}
 	c.setup("c2")
 	q := <-held
-	term <- syscall.SIGTERM
+	s.term <- syscall.SIGTERM
 	for !d.stopping.Load() {
 	}
 	late := dial(t, listen) // calls may still come
@@ -197,3 +201,86 @@
 		}
 	}
 }
+
+// A new configuration under load: the bulletin is asked at its new address with the numbers continued, calls
+// on both fronts stand on, and a file that makes no sense is named and changes nothing. Without a handler
+// SIGHUP ended the daemon.
+func TestNewConfigurationIsTaken(t *testing.T) {
+	pool := &standin.Pool{}
+	pool.OnRequest = func(q standin.Request) {
+		if q.Method == "INVITE" {
+			q.Answer(200, "", "hello")
+		}
+	}
+	asked := make(chan string, 8)
+	bulletins := make([]string, 2)
+	for i := range bulletins {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			asked <- fmt.Sprint(i, " after ", r.URL.Query().Get("after"))
+			<-r.Context().Done() // the old address tells nothing more, and neither does the new one
+		})}
+		go server.Serve(l)
+		t.Cleanup(func() { server.Close() })
+		bulletins[i] = l.Addr().String()
+	}
+	at := pool.Listen(t)
+	withBulletin := func(address string) string {
+		return strings.Replace(configuration("127.0.0.1:0", at), `"seed"`, fmt.Sprintf(`"bulletin":%q,"seed"`, address), 1)
+	}
+	log := &buffer{}
+	env := environment{config: write(t, "config.json", withBulletin(bulletins[0])),
+		callControl: write(t, "callcontrol.toml", "listen = \"127.0.0.1:0\"\n")}
+	d, err := start(context.Background(), env, zerolog.New(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, ended := newSignals(), make(chan error, 1)
+	go func() { ended <- d.serve(s) }()
+	if got := <-asked; got != "0 after 1" {
+		t.Errorf("asked %s", got)
+	}
+	c := dial(t, d.listener.Addr().String())
+	c.setup("c1")
+	if m := c.next(); m.Type != "answer" {
+		t.Errorf("%+v", m)
+	}
+	socket, _, err := websocket.Dial(context.Background(), "ws://"+d.addresses["listen"]+"/call-control", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.CloseNow()
+	socket.Write(context.Background(), websocket.MessageText, []byte(`{"type":"setup","id":"w1","class":"voice","left_ms":9000,"sdp":"x"}`))
+	if _, text, err := socket.Read(context.Background()); !strings.Contains(string(text), `"answer"`) {
+		t.Errorf("%s, %v", text, err)
+	}
+
+	if err := os.WriteFile(env.config, []byte(`{"listen":"127.0.0.1:0","settings":{"tick":"soon"}}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.hup <- syscall.SIGHUP
+	for !strings.Contains(log.String(), "settings.tick") {
+	}
+	if err := os.WriteFile(env.config, []byte(withBulletin(bulletins[1])), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.hup <- syscall.SIGHUP
+	if got := <-asked; got != "1 after 1" {
+		t.Errorf("asked %s, want the new address with the numbers continued", got)
+	}
+	fmt.Fprintln(c, `{"type":"release","id":"c1","fields":{},"cause":16}`)
+	if m := c.next(); m.Type != "released" || m.ID != "c1" {
+		t.Errorf("a call that stood over the change: %+v", m)
+	}
+	socket.Write(context.Background(), websocket.MessageText, []byte(`{"type":"release","id":"w1","cause":16}`))
+	if _, text, err := socket.Read(context.Background()); !strings.Contains(string(text), `"released"`) {
+		t.Errorf("%s, %v", text, err)
+	}
+	s.term <- syscall.SIGTERM
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/cmd/eidertrail/main.go
+++ b/cmd/eidertrail/main.go
@@ -25,16 +25,17 @@
 	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
 
 	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more must not end the calls
-	term := make(chan os.Signal, 2)
-	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
-	print := make(chan os.Signal, 1)
-	signal.Notify(print, syscall.SIGUSR1)
+	// Caught before anything is read: a SIGHUP that comes early must not end the start.
+	s := signals{term: make(chan os.Signal, 2), print: make(chan os.Signal, 1), hup: make(chan os.Signal, 1)}
+	signal.Notify(s.term, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.print, syscall.SIGUSR1)
+	signal.Notify(s.hup, syscall.SIGHUP)
 
 	d, err := start(context.Background(), environment{
 		config: os.Getenv("RELAY_CONFIG"), listen: os.Getenv("RELAY_LISTEN"), callControl: *callControl,
 	}, log)
 	if err == nil {
-		err = d.serve(term, print)
+		err = d.serve(s)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "eidertrail:", err)
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -104,81 +105,136 @@
 }
 
 const (
-	patience  = 5 * time.Second // the most that the bulletin allows
+	// patience is how long the bulletin is asked to wait for news. It is well under the 5 s that it allows: a
+	// feed that has fallen silent is noticed no sooner than this wait is over.
+	patience = 2 * time.Second
+	// grace is how long after that the answer may take, and how long an answer may take that has begun.
+	grace     = 700 * time.Millisecond
 	mostBytes = 1 << 20
 	retryMin  = 50 * time.Millisecond
 	retryMax  = time.Second
 )
 
-// Watch calls tell with each later event, in order and once each, until ctx is done.
-func Watch(ctx context.Context, address string, after int64, now *clock.Clock, log zerolog.Logger, count *stats.Set, tell func(Event)) {
-	client := &http.Client{Transport: &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: time.Second}).DialContext,
-		ResponseHeaderTimeout: patience + 2*time.Second,
-		MaxIdleConnsPerHost:   1, ReadBufferSize: 4096, WriteBufferSize: 1024,
-	}}
-	defer client.CloseIdleConnections()
+// Move is what a new configuration says of the bulletin: where it is now, and events that may be news.
+type Move struct {
+	Address string // "" for none
+	Known   Page
+}
+
+// Watch calls tell with each later event, in order and once each, until ctx is done. A Move has it ask
+// elsewhere from then on; the numbers continue. Without an address it waits for one.
+func Watch(ctx context.Context, address string, after int64, moves <-chan Move, now *clock.Clock, log zerolog.Logger, count *stats.Set, tell func(Event)) {
+	w := &watch{after: after, now: now, log: log, count: count, tell: tell, client: &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost: 1, ReadBufferSize: 4096, WriteBufferSize: 1024,
+	}}}
+	defer w.client.CloseIdleConnections()
+	for ctx.Err() == nil {
+		asking, stop := context.WithCancel(ctx)
+		var asked sync.WaitGroup
+		if address != "" {
+			asked.Go(func() { w.ask(asking, address) })
+		}
+		select {
+		case <-ctx.Done():
+		case m := <-moves:
+			address = m.Address
+			// Guards against waiting at an address that tells nothing more.
+			stop()
+			asked.Wait()
+			w.client.CloseIdleConnections()
+			w.news(m.Known)
+		}
+		stop()
+		asked.Wait()
+	}
+}
+
+// watch is what Watch keeps from one address to the next.
+type watch struct {
+	client *http.Client
+	after  int64 // number of the last event
+	now    *clock.Clock
+	log    zerolog.Logger
+	count  *stats.Set
+	tell   func(Event)
+}
+
+// news tells the events of a page that are later than the last.
+func (w *watch) news(p Page) {
+	for _, e := range p.Items {
+		if e.No > w.after || e.No == 0 {
+			w.count.Add(stats.BulletinEvents)
+			w.tell(e)
+			w.after = max(w.after, e.No)
+		}
+	}
+	w.after = max(w.after, p.No)
+}
+
+// ask asks at one address again and again until ctx is done.
+func (w *watch) ask(ctx context.Context, address string) {
 	retry := retryMin
 	for ctx.Err() == nil {
-		began := now.Now()
-		page, err := fetch(ctx, client, address, after, now)
+		began := w.now.Now()
+		page, err := w.fetch(ctx, address)
 		if errors.Is(err, ErrPool) { // asking again would bring it again
-			count.Add(stats.BulletinErrors)
-			log.Warn().Err(err).Msg("bulletin read in part")
+			w.count.Add(stats.BulletinErrors)
+			w.log.Warn().Err(err).Msg("bulletin read in part")
 			err = nil
 		}
 		if err != nil {
 			if ctx.Err() != nil {
 				return
 			}
-			count.Add(stats.BulletinErrors)
-			log.Warn().Err(err).Dur("again_in", retry).Msg("bulletin not read")
-			select {
-			case <-ctx.Done():
-			case <-time.After(retry):
-			}
+			w.count.Add(stats.BulletinErrors)
+			w.log.Warn().Err(err).Dur("again_in", retry).Msg("bulletin not read")
+			sleep(ctx, retry)
 			retry = min(2*retry, retryMax)
 			continue
 		}
 		retry = retryMin
 		// A bulletin that answers at once without news must not be asked in a tight loop.
-		if page.No == after && now.Now()-began < retryMin.Microseconds() {
-			select {
-			case <-ctx.Done():
-			case <-time.After(retryMin):
-			}
-		}
-		if page.No < after { // the bulletin counts anew: all that it has is news
-			after = 0
+		if page.No == w.after && w.now.Now()-began < retryMin.Microseconds() {
+			sleep(ctx, retryMin)
 		}
-		for _, e := range page.Items {
-			if e.No > after || e.No == 0 {
-				count.Add(stats.BulletinEvents)
-				tell(e)
-				after = max(after, e.No)
-			}
+		if page.No < w.after { // the bulletin counts anew: all that it has is news
+			w.after = 0
 		}
-		after = max(after, page.No)
+		w.news(page)
 	}
 }
 
-func fetch(ctx context.Context, client *http.Client, address string, after int64, now *clock.Clock) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, patience+3*time.Second)
-	defer cancel()
-	url := "http://" + address + "/bulletins?after=" + strconv.FormatInt(after, 10) +
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// fetch asks once.
+func (w *watch) fetch(ctx context.Context, address string) (Page, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	// Guards against a bulletin that stops in the middle of an event and keeps the connection open: what it
+	// has to tell counts as told whether it arrives or not.
+	silent := time.AfterFunc(patience+grace, func() { cancel(errSilent) })
+	defer silent.Stop()
+	url := "http://" + address + "/bulletins?after=" + strconv.FormatInt(w.after, 10) +
 		"&patience=" + strconv.FormatInt(patience.Milliseconds(), 10)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return Page{}, fmt.Errorf("bulletin: %w", err)
 	}
-	answer, err := client.Do(request)
+	answer, err := w.client.Do(request)
 	if err != nil {
-		return Page{}, fmt.Errorf("bulletin: %w", err)
+		return Page{}, fmt.Errorf("bulletin: %w", errors.Join(context.Cause(ctx), err))
 	}
 	defer answer.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(answer.Body, mostBytes+1))
+	body := &firstByte{Reader: answer.Body, came: func() { silent.Reset(grace) }}
+	text, err := io.ReadAll(io.LimitReader(body, mostBytes+1))
 	if err != nil {
-		return Page{}, fmt.Errorf("bulletin: %w", err)
+		return Page{}, fmt.Errorf("bulletin: %w", errors.Join(context.Cause(ctx), err))
 	}
 	if answer.StatusCode != http.StatusOK {
 		return Page{}, fmt.Errorf("bulletin: status %d", answer.StatusCode)
@@ -186,5 +242,23 @@
 	if len(text) > mostBytes {
 		return Page{}, fmt.Errorf("bulletin: an answer of over %d bytes", mostBytes)
 	}
-	return ParsePage(text, now)
+	return ParsePage(text, w.now)
+}
+
+var errSilent = errors.New("bulletin: silent")
+
+// firstByte calls came, once, when the first byte has come.
+type firstByte struct {
+	io.Reader
+	came func()
+}
+
+// Read implements io.Reader.
+func (f *firstByte) Read(b []byte) (int, error) {
+	n, err := f.Reader.Read(b)
+	if n > 0 && f.came != nil {
+		f.came()
+		f.came = nil
+	}
+	return n, err
 }
--- a/internal/bulletin/bulletin_test.go
+++ b/internal/bulletin/bulletin_test.go
@@ -74,7 +74,7 @@
 	defer s.Close()
 	var told []int64
 	count := &stats.Set{}
-	Watch(ctx, strings.TrimPrefix(s.URL, "http://"), 3, clock.New(), zerolog.Nop(), count, func(e Event) { told = append(told, e.No) })
+	Watch(ctx, strings.TrimPrefix(s.URL, "http://"), 3, nil, clock.New(), zerolog.Nop(), count, func(e Event) { told = append(told, e.No) })
 	if got := fmt.Sprint(told); got != "[4 5 1]" {
 		t.Errorf("told %s", got)
 	}
@@ -82,3 +82,54 @@
 		t.Errorf("asked after %s, %d errors", got, count.Get(stats.BulletinErrors))
 	}
 }
+
+// Guards against drains that are never heard of: the bulletin stops in the middle of an event and keeps the
+// connection open. It is asked again, with the numbers continued.
+func TestWatchNoticesAStopInTheMiddleOfAnEvent(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	asked := make(chan string, 4)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		after := r.URL.Query().Get("after")
+		if asked <- after; after == "3" && len(asked) == 1 {
+			fmt.Fprint(w, page(4, "draining")[:60])
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprint(w, page(4, "draining"))
+	}))
+	defer s.Close()
+	Watch(ctx, strings.TrimPrefix(s.URL, "http://"), 3, nil, clock.New(), zerolog.Nop(), nil, func(e Event) { stop() })
+	if a, b := <-asked, <-asked; a != "3" || b != "3" {
+		t.Errorf("asked after %s and %s", a, b)
+	}
+}
+
+// Guards against events that a new configuration already holds being missed, or told again.
+func TestWatchTakesWhatAMoveKnows(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("after") != "4" {
+			t.Errorf("asked after %s", r.URL.Query().Get("after"))
+		}
+		fmt.Fprint(w, page(5, "removed"))
+	}))
+	defer s.Close()
+	known, err := ParsePage([]byte(page(4, "up")), clock.New())
+	if err != nil {
+		t.Fatal(err)
+	}
+	moves := make(chan Move, 1)
+	moves <- Move{Address: strings.TrimPrefix(s.URL, "http://"), Known: known}
+	var told []int64
+	Watch(ctx, "", 3, moves, clock.New(), zerolog.Nop(), nil, func(e Event) {
+		if told = append(told, e.No); e.No == 5 {
+			stop()
+		}
+	})
+	if got := fmt.Sprint(told); got != "[4 5]" {
+		t.Errorf("told %s", got)
+	}
+}
