Bad callers are shed, refused or closed in time; spoilt pool connections are replaced

Checked with a copy that logged every line: (1) callers' connections stood at their bound of 192 with clients that say nothing, and later ones, good or bad, were closed at once (front.go, Serve); lines without a usable id got neither answer nor close (conn.go, read; front.go, setup). (3) Ends of calls went to the youngest connection that had sent any set-up, which may be a bad client's (desk.go, Proven). Ruled out: CPU (0.17 of 0.25 at most), memory (15 of 64 MB).

Now: deadlines for a first and for half a line, strikes, shedding of silent connections first, bounds for set-ups on connections that had none answered, ids that pools can read only, unknown releases paced; ends go to connections on which a call was answered. A pool's message must be whole in 0.3 s, a spoilt answer or a quiet connection ends it, set-ups are settled once, and what may have run is released. A pool's release of a call that stands elsewhere is not told.

--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -103,9 +103,9 @@
 		Clock: d.clock, Log: limited, Count: d.count, Observe: d.dispatch.Observe,
 		Stray: func(id string, cause int) { d.desk.Over(id, cause) },
 	})
-	d.desk = dispatch.NewDesk(dispatch.DeskConfig{Dispatch: d.dispatch, Trunk: d.pools, Most: mostCalls, Count: d.count})
+	d.desk = dispatch.NewDesk(dispatch.DeskConfig{Dispatch: d.dispatch, Trunk: d.pools, Most: mostCalls, Once: true, Count: d.count})
 	d.callers = front.New(front.Config{
-		Desk: d.desk, Clock: d.clock, MostConnections: cfg.Sockets / 2, Ready: d.ready,
+		Desk: d.desk, Clock: d.clock, MostConnections: cfg.Sockets / 2, Tenants: cfg.Tenants, Ready: d.ready,
 		ReleaseStray: d.pools.ReleaseStray, Log: limited, Count: d.count,
 	})
 	if d.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"hash/fnv"
 	"io"
 	"slices"
@@ -45,6 +46,9 @@
 	ErrTooMany   = errors.New("too many calls")
 	ErrUnknown   = errors.New("id: not known")
 	ErrOver      = errors.New("id: the call is over")
+	ErrSDP       = errors.New("sdp: too long")
+	// ErrUnproven is ErrTooMany for a connection that no call of was answered yet.
+	ErrUnproven = fmt.Errorf("%w for a connection that had none answered", ErrTooMany)
 )
 
 // Why a call ends early.
@@ -63,6 +67,17 @@
 	// waitForCaller is how long the end of a call waits for a connection of callers when others are open:
 	// it is to be told within 1 s.
 	waitForCaller = 400 * time.Millisecond
+	// mostSDP leaves room for the head of an INVITE of at most 16 KiB.
+	mostSDP = 15 << 10
+	// mostOpen bounds the open set-ups of a connection, mostUnproven those of one that had no call answered
+	// yet, and mostUnprovenAll those of all such connections together: a flood of what no pool can use must
+	// not take the places of callers that are served.
+	mostOpen        = 1024
+	mostUnproven    = 64
+	mostUnprovenAll = 192
+	// mostErrors is how many set-ups of a connection the pools may make nothing of, while none of it was
+	// answered, before it gets no more of their time.
+	mostErrors = 4
 )
 
 // Desk keeps the calls of one front from set-up to end: which connection is owed the final answer, what
@@ -75,11 +90,13 @@
 	most    int
 	callID  func(id string) string
 	tellAll bool
+	once    bool
 	wg      sync.WaitGroup
 
 	mu      sync.Mutex
-	callers []Caller // that have set calls up or released them, in the order of their first
-	others  []Caller // that have not, such as those that only test
+	at      map[Caller]*seat
+	seats   []*seat // in the order of Connect
+	doubted int     // open set-ups of connections that are not proven
 	late    *time.Timer
 	calls   map[string]*deskCall
 	kept    []over
@@ -92,9 +109,18 @@
 	cause int
 }
 
+// seat is a connection that is in.
+type seat struct {
+	Caller
+	proven bool // a call was answered on it
+	spoke  bool // it has set up a call that made sense
+	open   int  // its set-ups without a final answer
+	errors int  // its set-ups that pools could make nothing of
+}
+
 // deskCall is a call from its set-up to its end.
 type deskCall struct {
-	caller   Caller
+	seat     *seat
 	end      context.CancelCauseFunc
 	stands   bool
 	released chan int // the caller's release of a standing call, holds one
@@ -110,13 +136,15 @@
 	CallID func(id string) string
 	// TellAll has Caller.Over called for each call that stood, also for those that the caller released.
 	TellAll bool
-	Count   *Counters
+	// Once: an id names one call for good, also when that is over.
+	Once  bool
+	Count *Counters
 }
 
 // NewDesk returns a desk.
 func NewDesk(c DeskConfig) *Desk {
-	k := &Desk{d: c.Dispatch, trunk: c.Trunk, count: c.Count, most: c.Most, callID: c.CallID, tellAll: c.TellAll,
-		classes: map[string]int{}, calls: map[string]*deskCall{}, past: past.New(mostPast)}
+	k := &Desk{d: c.Dispatch, trunk: c.Trunk, count: c.Count, most: c.Most, callID: c.CallID, tellAll: c.TellAll, once: c.Once,
+		at: map[Caller]*seat{}, classes: map[string]int{}, calls: map[string]*deskCall{}, past: past.New(mostPast)}
 	if k.callID == nil {
 		k.callID = func(id string) string { return id }
 	}
@@ -126,50 +154,81 @@
 	return k
 }
 
-// Connect takes a connection in. Until it is Proven the ends of calls are told on it only where nobody
-// else could be told for a while: it may be that of a tester, who knows of no calls.
+// Connect takes a connection in. Until it is proven the ends of calls are told on it only where nobody
+// else could be told for a while: it may be that of a tester, who knows of no calls, or of a bad client.
 func (k *Desk) Connect(c Caller) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.others = append(k.others, c)
+	s := &seat{Caller: c}
+	k.at[c] = s
+	k.seats = append(k.seats, s)
 	k.tellLater()
 }
 
-// Proven notes that a connection is one of callers. Ends of calls that waited for one leave on it.
+// Proven notes that a connection is one of callers; one on which a call was answered is so by itself. Ends
+// of calls that waited for one leave on it.
 func (k *Desk) Proven(c Caller) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	i := slices.Index(k.others, c)
-	if i < 0 {
+	if s := k.at[c]; s != nil {
+		k.prove(s)
+	}
+}
+
+func (k *Desk) prove(s *seat) {
+	if s.proven {
 		return
 	}
-	k.others = slices.Delete(k.others, i, i+1)
-	k.callers = append(k.callers, c)
-	k.tell(k.callers)
+	s.proven = true
+	k.doubted -= s.open
+	k.tell((*seat).isProven)
 }
 
-// tell hands what is kept to the youngest of some connections that takes it: it is the least likely to
+func (s *seat) isProven() bool { return s.proven }
+
+// Seat tells how many open set-ups a connection has and whether it is proven.
+func (k *Desk) Seat(c Caller) (open int, proven bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if s := k.at[c]; s != nil {
+		return s.open, s.proven
+	}
+	return 0, false
+}
+
+// Owns tells whether a call is known that was set up on this connection.
+func (k *Desk) Owns(c Caller, id string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	call := k.calls[id]
+	return call != nil && call.seat.Caller == c
+}
+
+// tell hands what is kept to the youngest connection of a kind that takes it: it is the least likely to
 // be closed right now. The caller holds mu.
-func (k *Desk) tell(to []Caller) {
-	for _, c := range slices.Backward(to) {
-		for len(k.kept) > 0 && c.Over(k.kept[0].id, k.kept[0].cause) {
+func (k *Desk) tell(kind func(*seat) bool) {
+	for _, s := range slices.Backward(k.seats) {
+		for len(k.kept) > 0 && kind(s) && s.Over(k.kept[0].id, k.kept[0].cause) {
 			k.count.Add(stats.ReleasesOut)
 			k.kept = k.kept[1:]
 		}
 	}
 }
 
-// tellLater has what is kept told to anybody after a while. The caller holds mu.
+// tellLater has what is kept told to anybody after a while, to those that have set up calls before those
+// that have not. The caller holds mu.
 func (k *Desk) tellLater() {
-	if len(k.kept) == 0 || len(k.others) == 0 || k.late != nil {
+	if len(k.kept) == 0 || len(k.seats) == 0 || k.late != nil {
 		return
 	}
 	k.late = time.AfterFunc(waitForCaller, func() {
 		k.mu.Lock()
 		defer k.mu.Unlock()
 		k.late = nil
-		k.tell(k.callers)
-		k.tell(k.others)
+		k.tell((*seat).isProven)
+		k.tell(func(s *seat) bool { return s.spoke && s.errors == 0 })
+		k.tell(func(s *seat) bool { return s.errors == 0 })
+		k.tell(func(*seat) bool { return true })
 	})
 }
 
@@ -178,11 +237,17 @@
 func (k *Desk) Disconnect(c Caller) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	gone := func(x Caller) bool { return x == c }
-	k.callers = slices.DeleteFunc(k.callers, gone)
-	k.others = slices.DeleteFunc(k.others, gone)
+	s := k.at[c]
+	if s == nil {
+		return
+	}
+	delete(k.at, c)
+	k.seats = slices.DeleteFunc(k.seats, func(x *seat) bool { return x == s })
+	if s.open == 0 {
+		return
+	}
 	for _, call := range k.calls {
-		if call.caller == c && !call.stands {
+		if call.seat == s && !call.stands {
 			call.end(errLeft)
 		}
 	}
@@ -218,7 +283,7 @@
 func (k *Desk) Idle() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return len(k.callers) == 0 && len(k.others) == 0 && len(k.calls) == 0 && len(k.kept) == 0
+	return len(k.seats) == 0 && len(k.calls) == 0 && len(k.kept) == 0
 }
 
 // Drain returns when every set-up has its final answer, or when ctx is done.
@@ -246,13 +311,25 @@
 	k.wg.Wait()
 }
 
-// Over tells callers that a call is over, on any connection; without one it waits for the next.
-func (k *Desk) Over(id string, cause int) { k.over(nil, id, cause) }
+// Over tells callers that a call is over that was set up before a restart, on any connection; without one
+// it waits for the next. Of a call that is known here it tells nothing: it may stand at another pool than
+// the one that speaks, after a send whose answer was lost.
+func (k *Desk) Over(id string, cause int) {
+	if !k.met(id) {
+		k.over(nil, id, cause)
+	}
+}
+
+func (k *Desk) met(id string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.calls[id] != nil || k.past.Has(id)
+}
 
-func (k *Desk) over(first Caller, id string, cause int) {
+func (k *Desk) over(first *seat, id string, cause int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if first != nil && slices.Contains(k.callers, first) && first.Over(id, cause) {
+	if first != nil && k.at[first.Caller] == first && first.Over(id, cause) {
 		k.count.Add(stats.ReleasesOut)
 		return
 	}
@@ -261,7 +338,7 @@
 		return
 	}
 	k.kept = append(k.kept, over{id, cause})
-	if k.tell(k.callers); len(k.kept) > 0 {
+	if k.tell((*seat).isProven); len(k.kept) > 0 {
 		k.count.Add(stats.ReleasesKept)
 		k.tellLater()
 	}
@@ -287,7 +364,7 @@
 	if !Token(s.ID) {
 		return ErrID
 	}
-	if k.known(s.ID) { // before all else: the id's one answer is still to come
+	if k.taken(s.ID) { // before all else: the id's one answer is still to come
 		k.count.Add(stats.Duplicates)
 		return ErrDuplicate
 	}
@@ -305,12 +382,16 @@
 	if !Token(s.Number) {
 		return ErrNumber
 	}
+	if len(s.SDP) > mostSDP {
+		return ErrSDP
+	}
 	r := Request{Call: k.d.NewCall(), Class: class, Pool: s.Pool, Key: NumberKey(s.Number),
 		Until: s.Came + int64(s.Left*1000) - answerMargin}
 	ctx, end := context.WithCancelCause(context.Background())
-	call := &deskCall{caller: c, end: end, released: make(chan int, 1)}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	at := k.at[c]
+	call := &deskCall{seat: at, end: end, released: make(chan int, 1)}
 	switch {
 	case k.calls[s.ID] != nil:
 		// Guards against a second final answer: the one for the call that has this id is still to come.
@@ -320,9 +401,19 @@
 	case len(k.calls) >= k.most:
 		end(nil)
 		return ErrTooMany
-	case !slices.Contains(k.callers, c) && !slices.Contains(k.others, c):
+	case at == nil:
 		end(nil)
 		return nil // the caller has left meanwhile: nothing is owed
+	case at.open >= mostOpen:
+		end(nil)
+		return ErrTooMany
+	case !at.proven && (at.open >= mostUnproven || k.doubted >= mostUnprovenAll || at.errors >= mostErrors):
+		end(nil)
+		return ErrUnproven
+	}
+	at.spoke = true
+	if at.open++; !at.proven {
+		k.doubted++
 	}
 	k.calls[s.ID] = call
 	k.open++
@@ -331,10 +422,10 @@
 	return nil
 }
 
-func (k *Desk) known(id string) bool {
+func (k *Desk) taken(id string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.calls[id] != nil
+	return k.calls[id] != nil || k.once && k.past.Has(id)
 }
 
 // NumberKey is a number called as the module compares it.
@@ -356,17 +447,26 @@
 	// From here on a cancel is too late, or the final answer is: both are decided under the same lock.
 	k.mu.Lock()
 	k.open--
+	at := call.seat
+	if at.open--; !at.proven {
+		k.doubted--
+	}
 	if final.Kind == Gone && context.Cause(ctx) == errGivenUp {
 		final = Final{Kind: Turned, After: k.d.most}
 	}
 	gone := final.Kind == Gone || context.Cause(ctx) == errLeft
-	if !gone && !call.caller.Final(id, final) {
+	if !gone && !at.Final(id, final) {
 		k.count.Add(stats.AnswersUnwritten)
 		gone = true
 	}
-	if call.stands = final.Kind == Stands && !gone; !call.stands {
+	if call.stands = final.Kind == Stands && !gone; call.stands {
+		k.prove(at)
+	} else {
 		k.forget(id)
 	}
+	if final.Errored {
+		at.errors++
+	}
 	k.mu.Unlock()
 	switch {
 	case gone:
@@ -385,7 +485,7 @@
 		k.forget(id)
 		k.mu.Unlock()
 		if byPool || k.tellAll && ctx.Err() == nil {
-			k.over(call.caller, id, cause)
+			k.over(at, id, cause)
 		}
 	}
 }
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -68,6 +68,8 @@
 	Call   *Standing // with Stands
 	After  int64     // with Turned and GivenUp: when to come back
 	NoRoom bool      // with Turned: no agent was free
+	// Errored: the last pool could make nothing of the set-up.
+	Errored bool
 }
 
 // Standing is a call that stands. End or WaitEnd must be called once.
@@ -80,6 +82,7 @@
 
 // Serve takes one call from its set-up to its final answer. ctx is done when the caller leaves.
 func Serve(ctx context.Context, d *Dispatcher, t Trunk, r Request, s Setup) Final {
+	errored := false
 	for {
 		p, err := d.Pick(ctx, r)
 		switch {
@@ -88,9 +91,9 @@
 		case errors.Is(err, ErrClosed):
 			return Final{Kind: Turned, After: leastAfter}
 		case err != nil || p.Verdict == Failed:
-			return Final{Kind: GivenUp, After: max(p.After, leastAfter)}
+			return Final{Kind: GivenUp, After: max(p.After, leastAfter), Errored: errored}
 		case p.Verdict == Refused:
-			return Final{Kind: Turned, After: p.After, NoRoom: p.NoRoom}
+			return Final{Kind: Turned, After: p.After, NoRoom: p.NoRoom, Errored: errored}
 		}
 		a := Attempt{Setup: s, Pool: p.Pool, Number: p.Attempt, At: p.At, Until: r.Until}
 		if p.Limit > 0 {
@@ -104,6 +107,7 @@
 			if report.Left {
 				return Final{Kind: Gone}
 			}
+			errored = end.Outcome == Errored
 			continue
 		}
 		if report.Left || d.Now() >= r.Until { // the answer crossed the caller's leaving: nobody is served by it
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,7 +23,10 @@
 	pending atomic.Int64 // lines queued and not written yet
 	closed  chan struct{}
 	once    sync.Once
-	proven  bool // it has carried a call; only read looks at it
+	came    time.Time
+	said    atomic.Bool  // a whole message has come
+	active  atomic.Int64 // when the last one did
+	strikes int          // what was wrong with what came; only read looks at it
 }
 
 // line is a line to be written. The end of a call may be told on any connection.
@@ -29,6 +34,7 @@
 	bytes []byte
 	over  string // the call that it tells the end of, or ""
 	cause int
+	last  bool // nothing to write: the connection ends here
 }
 
 func (c *conn) close() {
@@ -57,6 +63,15 @@
 	}
 }
 
+// finish has the connection closed once what is queued is written.
+func (c *conn) finish() {
+	c.front.cfg.Count.Add(stats.ClosedBad)
+	if !c.send(line{last: true}) {
+		c.close()
+	}
+	<-c.closed
+}
+
 // Final implements dispatch.Caller. The platform's wire has no place for a time to come back.
 func (c *conn) Final(id string, f dispatch.Final) bool {
 	switch {
@@ -72,7 +87,7 @@
 
 // Over implements dispatch.Caller.
 func (c *conn) Over(id string, cause int) bool {
-	return c.send(line{jsonl.AppendCause(nil, "release", id, cause), id, cause})
+	return c.send(line{bytes: jsonl.AppendCause(nil, "release", id, cause), over: id, cause: cause})
 }
 
 func (c *conn) write() {
@@ -83,6 +98,11 @@
 		case <-c.closed:
 			return
 		case l := <-c.queue:
+			if l.last {
+				c.pending.Add(-1)
+				c.close()
+				return
+			}
 			err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 			if err == nil {
 				_, err = c.raw.Write(l.bytes)
@@ -122,32 +142,70 @@
 	}
 }
 
+// next reads a line. It waits for the first one from the connection's beginning, for a later one from its
+// first byte on, and between lines for as long as a set-up is open.
+func (c *conn) next(r *bufio.Reader, buf []byte) ([]byte, error) {
+	until := c.came.Add(firstWithin)
+	if c.said.Load() {
+		for r.Buffered() == 0 {
+			if err := c.raw.SetReadDeadline(time.Now().Add(idleAfter)); err != nil {
+				return nil, err
+			}
+			if _, err := r.Peek(1); err == nil {
+				break
+			} else if open, _ := c.front.cfg.Desk.Seat(c); open == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+				return nil, err
+			}
+		}
+		if whole, _ := r.Peek(r.Buffered()); bytes.IndexByte(whole, '\n') >= 0 {
+			return jsonl.ReadLine(r, buf)
+		}
+		until = time.Now().Add(lineWithin)
+	}
+	if err := c.raw.SetReadDeadline(until); err != nil {
+		return nil, err
+	}
+	return jsonl.ReadLine(r, buf)
+}
+
 func (c *conn) read() {
 	f := c.front
 	defer f.wg.Done()
 	defer c.close()
 	r := bufio.NewReaderSize(c.raw, readBuffer)
 	var buf []byte
-	for {
-		text, err := jsonl.ReadLine(r, buf)
+	for c.strikes < mostStrikes {
+		text, err := c.next(r, buf)
+		if errors.Is(err, jsonl.ErrTooLong) {
+			f.bad(c, err)
+			break
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			f.cfg.Count.Add(stats.Overdue)
+		}
 		if err != nil {
-			if errors.Is(err, jsonl.ErrTooLong) {
-				f.bad(c, err)
-			}
 			return
 		}
 		buf = text
 		if len(text) == 0 {
+			c.strikes++
 			continue
 		}
 		m, err := jsonl.Parse(text)
 		if err != nil {
 			f.bad(c, err)
-			if m.Type == "setup" && dispatch.Token(m.ID) { // an id that can be told is owed an answer
+			if m.Type != "setup" || !dispatch.Token(m.ID) { // nothing can be answered to it
+				break
+			}
+			// An id that can be told is owed an answer, unless its answer is another set-up's.
+			if !f.cfg.Desk.Owns(c, m.ID) {
 				c.send(line{bytes: jsonl.AppendCause(nil, "release", m.ID, causeFailed)})
 			}
 			continue
 		}
 		f.take(c, &m)
+		c.active.Store(f.cfg.Clock.Now())
+		c.said.Store(true)
 	}
+	c.finish()
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,12 +33,29 @@
 	writeQueue   = 256 // lines waiting for a connection; past it the caller reads too slowly and loses it
 	writeTimeout = 2 * time.Second
 	readBuffer   = 2048
+	// firstWithin is how long after connecting the first line must be whole: whoever has said nothing by then
+	// is no caller. A client is owed an end within 3 s.
+	firstWithin = 2500 * time.Millisecond
+	// lineWithin is the same for a later line, from its first byte on.
+	lineWithin = 2 * time.Second
+	// idleAfter is how long a connection without an open set-up may be quiet. Callers close theirs after 4 s.
+	idleAfter = 8 * time.Second
+	// mostStrikes is how much may be wrong with what comes on a connection before it is closed.
+	mostStrikes = 16
+	// mostStrays and straysPerSecond bound the releases of unknown calls that go on to all pools: after a
+	// restart callers release what stood, but a flood of made-up names must not reach the pools.
+	mostStrays      = 64
+	straysPerSecond = 32
+	// spareAfter is how long a proven connection must have been quiet to make room for another.
+	spareAfter = 1_000_000
 )
 
 // Config is what a Front is made with.
 type Config struct {
 	Desk  *dispatch.Desk
 	Clock dispatch.Clock
+	// Tenants are the names that a set-up may have; none: any.
+	Tenants []string
 	// MostConnections bounds the callers' connections.
 	MostConnections int
 	// Ready tells whether a test passes.
@@ -56,10 +74,15 @@
 	mu     sync.Mutex
 	closed bool
 	conns  map[*conn]struct{}
+
+	straysLeft float64 // as of straysAt; they belong to mu too
+	straysAt   int64
 }
 
 // New returns a front.
-func New(cfg Config) *Front { return &Front{cfg: cfg, conns: map[*conn]struct{}{}} }
+func New(cfg Config) *Front {
+	return &Front{cfg: cfg, conns: map[*conn]struct{}{}, straysLeft: mostStrays, straysAt: cfg.Clock.Now()}
+}
 
 // Serve accepts callers until the listener is closed. It does not wait for the connections.
 func (f *Front) Serve(l net.Listener) error {
@@ -74,8 +97,12 @@
 			continue
 		}
 		f.cfg.Count.Add(stats.Connections)
-		c := &conn{front: f, raw: raw, queue: make(chan line, writeQueue), closed: make(chan struct{})}
+		c := &conn{front: f, raw: raw, queue: make(chan line, writeQueue), closed: make(chan struct{}), came: time.Now()}
+		c.active.Store(f.cfg.Clock.Now())
 		f.mu.Lock()
+		if len(f.conns) >= f.cfg.MostConnections {
+			f.shed()
+		}
 		// closed guards against a connection that was accepted just before the end outliving it
 		// (found by FuzzConnection).
 		take := !f.closed && len(f.conns) < f.cfg.MostConnections
@@ -94,6 +121,52 @@
 	}
 }
 
+// shed makes room for a connection where there is one that can be spared: the oldest that has said nothing
+// yet, else the one that was quiet for longest among those without an open set-up, unproven ones first. It
+// guards against clients that open connections by hundreds shutting the callers out. The caller holds mu.
+func (f *Front) shed() {
+	var spare *conn
+	worst := [2]int64{}
+	for c := range f.conns {
+		open, proven := f.cfg.Desk.Seat(c)
+		quiet := f.cfg.Clock.Now() - c.active.Load()
+		kind := int64(3)
+		switch {
+		case !c.said.Load():
+		case open > 0:
+			continue
+		case !proven:
+			kind = 2
+		case quiet < spareAfter:
+			continue
+		default:
+			kind = 1
+		}
+		if of := [2]int64{kind, quiet}; spare == nil || of[0] > worst[0] || of[0] == worst[0] && of[1] > worst[1] {
+			spare, worst = c, of
+		}
+	}
+	if spare != nil {
+		f.cfg.Count.Add(stats.Shed)
+		delete(f.conns, spare)
+		spare.close()
+	}
+}
+
+// stray tells whether one more release of an unknown call may go on to the pools now.
+func (f *Front) stray() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.cfg.Clock.Now()
+	f.straysLeft = min(mostStrays, f.straysLeft+float64(now-f.straysAt)*straysPerSecond/1e6)
+	f.straysAt = now
+	if f.straysLeft < 1 {
+		return false
+	}
+	f.straysLeft--
+	return true
+}
+
 // Flush returns when all queued lines are written, or when ctx is done.
 func (f *Front) Flush(ctx context.Context) {
 	for f.unwritten() {
@@ -129,10 +202,6 @@
 
 // take handles one message of a caller.
 func (f *Front) take(c *conn, m *jsonl.Message) {
-	if !c.proven && (m.Type == "setup" || m.Type == "release") {
-		c.proven = true
-		f.cfg.Desk.Proven(c)
-	}
 	switch m.Type {
 	case "setup":
 		f.setup(c, m)
@@ -144,9 +213,12 @@
 		standing, err := f.cfg.Desk.Release(m.ID, cause)
 		switch {
 		case standing:
+			f.cfg.Desk.Proven(c)
 			c.send(line{bytes: jsonl.AppendBare(nil, "released", m.ID)})
-		case errors.Is(err, dispatch.ErrUnknown) && dispatch.Token(m.ID):
+		case errors.Is(err, dispatch.ErrUnknown) && name(m.ID) && f.stray():
 			f.cfg.ReleaseStray(m.ID, cause)
+		case errors.Is(err, dispatch.ErrUnknown):
+			c.strikes++
 		}
 	case "ping":
 		f.cfg.Count.Add(stats.Pings)
@@ -161,42 +233,95 @@
 	}
 }
 
+// name tells whether id is one that the pools can read: what they cannot read has them close the
+// connection, on which the set-ups of others are out.
+func name(id string) bool {
+	if len(id) != 16 {
+		return false
+	}
+	for i := range len(id) {
+		if c := id[i]; !('0' <= c && c <= '9' || 'a' <= c && c <= 'f' || 'A' <= c && c <= 'F') {
+			return false
+		}
+	}
+	return true
+}
+
 func (f *Front) bad(c *conn, err error) {
+	c.strikes++
 	f.cfg.Count.Add(stats.BadLines)
 	f.cfg.Log.Warn().Err(err).Str("from", c.raw.RemoteAddr().String()).Msg("bad line")
 }
 
+var (
+	errName   = errors.New("id: want 16 hex digits")
+	errTenant = errors.New("tenant: not known")
+	errExtras = errors.New("extras: want figures as in dest:2;width:1;via:-1")
+)
+
 // setup takes a call, or refuses what cannot be one.
 func (f *Front) setup(c *conn, m *jsonl.Message) {
-	left, err := strconv.ParseFloat(m.Field("left"), 64)
-	if err != nil {
-		left = -1
-	}
-	err = f.cfg.Desk.Setup(c, dispatch.Call{
-		ID: m.ID, Class: m.Field("class"), Number: m.Field("key"), Pool: extra(m.Field("extras"), "dest", -1),
-		Left: left, Came: f.cfg.Clock.Now(), SDP: m.SDP,
-	})
+	err := f.place(c, m)
 	if err == nil {
 		return
 	}
 	f.bad(c, fmt.Errorf("front: set-up %.40q: %w", m.ID, err))
+	cause := causeFailed
 	switch {
-	case errors.Is(err, dispatch.ErrDuplicate): // one answer is owed for the id, and it is still to come
+	case !dispatch.Token(m.ID): // nothing can be answered to it
+		c.finish()
+		return
+	case errors.Is(err, dispatch.ErrDuplicate) && f.cfg.Desk.Owns(c, m.ID):
+		// Two set-ups under one name on one connection: no answer could be told from the other's.
+		f.cfg.Desk.Release(m.ID, dispatch.CauseNormal)
+		c.finish()
+		return
 	case errors.Is(err, dispatch.ErrTooMany):
-		c.send(line{bytes: jsonl.AppendCause(nil, "release", m.ID, causeCongestion)})
-	default:
-		c.send(line{bytes: jsonl.AppendCause(nil, "release", m.ID, causeFailed)})
+		cause = causeCongestion
+		if !errors.Is(err, dispatch.ErrUnproven) {
+			c.strikes-- // of a caller that is served: not its fault
+		}
+	}
+	c.send(line{bytes: jsonl.AppendCause(nil, "release", m.ID, cause)})
+}
+
+// place checks what is the platform's own and hands the set-up over.
+func (f *Front) place(c *conn, m *jsonl.Message) error {
+	if !name(m.ID) {
+		return errName
+	}
+	left, err := strconv.ParseFloat(m.Field("left"), 64)
+	if err != nil {
+		left = -1
 	}
+	if t := m.Field("tenant"); t != "" && len(f.cfg.Tenants) > 0 && !slices.Contains(f.cfg.Tenants, t) {
+		return errTenant
+	}
+	dest, ok := dest(m.Field("extras"))
+	if !ok {
+		return errExtras
+	}
+	return f.cfg.Desk.Setup(c, dispatch.Call{
+		ID: m.ID, Class: m.Field("class"), Number: m.Field("key"), Pool: dest,
+		Left: left, Came: f.cfg.Clock.Now(), SDP: m.SDP,
+	})
 }
 
-// extra is a figure of the extras, such as dest in dest:2;width:1.
-func extra(text, name string, absent int) int {
+// dest reads the extras, such as dest:2;width:1;via:-1, and tells the pool of first choice, or -1.
+func dest(text string) (pool int, ok bool) {
+	pool = -1
+	if text == "" {
+		return pool, true
+	}
 	for part := range strings.SplitSeq(text, ";") {
-		if v, is := strings.CutPrefix(part, name+":"); is {
-			if n, err := strconv.ParseFloat(v, 64); err == nil && n >= -1 && n < 1e6 {
-				return int(n)
-			}
+		figure, value, found := strings.Cut(part, ":")
+		n, err := strconv.ParseFloat(value, 64)
+		if !found || err != nil || !(n >= -1 && n < 1e6) || figure == "width" && n < 1 {
+			return -1, false
+		}
+		if figure == "dest" {
+			pool = int(n)
 		}
 	}
-	return absent
+	return pool, true
 }
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -4,11 +4,15 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+	"unicode/utf8"
 
 	"eidertrail/dispatch"
 	"eidertrail/internal/bulletin"
@@ -115,7 +119,7 @@
 	writer.Add(1)
 	go func() { // the set's end and the pool's removal both end the reading
 		defer writer.Done()
-		look := time.NewTicker(redialMax)
+		look := time.NewTicker(lookEvery)
 		defer look.Stop()
 		for {
 			select {
@@ -160,6 +164,8 @@
 			d.finish(dispatch.Ending{Outcome: dispatch.Moot, At: now, State: dispatch.Untold})
 		case out:
 			p.set.cfg.Count.Add(stats.Resets)
+			// It may have run, and its answer may be what was spoilt: what stands there stands for nobody.
+			p.bye(bye(p.set.cfg.Name, k, d.number, dispatch.CauseNormal))
 			d.finish(dispatch.Ending{Outcome: dispatch.Reset, At: now, State: dispatch.Untold})
 		}
 	}
@@ -185,8 +191,9 @@
 	keep   bool // a release: if this connection does not write it, the next one does
 }
 
-// vanished tells whether the pool's machine has gone without a word: something is going on at the pool,
-// nothing has been heard for long, and a second connection does not come up.
+// vanished tells whether nothing more is to be hoped for on this connection: something is going on at the
+// pool, and nothing has been heard for long. Where a second connection does not come up either, the pool's
+// machine has gone without a word, and has been silent since then.
 func (c *conn) vanished(address string) bool {
 	p := c.pool
 	if p.set.cfg.Clock.Now()-c.heard.Load() < quietAfter {
@@ -202,9 +209,8 @@
 	defer cancel()
 	second, err := p.set.cfg.Dial(ctx, address)
 	if err == nil {
-		second.Close()
-		c.heard.Store(p.set.cfg.Clock.Now()) // quiet, but there
-		return false
+		second.Close() // the pool is there, but this connection is of no more use: pools tell their state often
+		return true
 	}
 	c.silent = true
 	return p.set.ctx.Err() == nil
@@ -257,31 +263,46 @@
 func (c *conn) read() error {
 	r := bufio.NewReaderSize(c.raw, readBuffer)
 	for {
-		m, err := sip.Read(r)
+		m, err := c.next(r)
+		if err == nil {
+			err = c.handle(m)
+		}
+		if errors.Is(err, sip.ErrMalformed) || errors.Is(err, sip.ErrFraming) || errors.Is(err, os.ErrDeadlineExceeded) {
+			c.pool.set.cfg.Count.Add(stats.BadSIP)
+			c.pool.set.cfg.Log.Warn().Str("pool", c.pool.uid).Err(err).Msg("bad SIP message")
+		}
 		if err != nil {
-			if bad := errors.Is(err, sip.ErrMalformed); bad || errors.Is(err, sip.ErrFraming) {
-				c.pool.set.cfg.Count.Add(stats.BadSIP)
-				c.pool.set.cfg.Log.Warn().Str("pool", c.pool.uid).Err(err).Msg("bad SIP message")
-				if bad {
-					if m != nil && m.Method != "" && m.Method != "ACK" && m.Method != "NOTIFY" {
-						c.send(sip.Answer(m, 400, "Bad Request").Append(nil))
-					}
-					continue
-				}
-			}
 			return err
 		}
-		c.handle(m)
 	}
 }
 
-func (c *conn) handle(m *sip.Message) {
+// next reads a message: what has begun must be whole soon. It guards against a message that stops short,
+// after which nothing that comes on the connection can be read: set-ups went out into the void, and ends of
+// calls were never heard of.
+func (c *conn) next(r *bufio.Reader) (*sip.Message, error) {
+	if r.Buffered() == 0 {
+		if err := c.raw.SetReadDeadline(time.Time{}); err != nil {
+			return nil, err
+		}
+		if _, err := r.Peek(1); err != nil {
+			return nil, err
+		}
+	}
+	if err := c.raw.SetReadDeadline(time.Now().Add(messageWithin)); err != nil {
+		return nil, err
+	}
+	return sip.Read(r)
+}
+
+// handle takes a message. An error says that nothing that comes after it can be trusted.
+func (c *conn) handle(m *sip.Message) error {
 	p := c.pool
 	now := p.set.cfg.Clock.Now()
 	c.heard.Store(now)
 	switch {
 	case m.Status > 0 && m.Of == "INVITE":
-		c.invited(now, m)
+		return c.invited(now, m)
 	case m.Status > 0: // to BYE, CANCEL: nothing follows from it
 	case m.Method == "NOTIFY":
 		p.set.cfg.Count.Add(stats.Notifies)
@@ -304,7 +325,7 @@
 					p.set.cfg.Stray(m.CallID, max(cause, dispatch.CauseNormal))
 				}
 			}
-			return
+			return nil
 		}
 		outcome := dispatch.Ended
 		if cause == dispatch.CauseCut {
@@ -321,12 +342,26 @@
 		p.set.cfg.Log.Warn().Str("pool", p.uid).Str("method", m.Method).Msg("SIP method not known")
 		c.send(sip.Answer(m, 501, "Not Implemented").Append(nil))
 	}
+	return nil
+}
+
+// spoilt tells whether an answer to an INVITE is not as a pool makes it: a description that is cut off, that
+// has swallowed what came after it or that is noise, or a refusal that brings one.
+func spoilt(m *sip.Message) bool {
+	if m.Status >= 300 {
+		return len(m.Body) > 0
+	}
+	text := string(m.Body)
+	if text == "" || !utf8.ValidString(text) || !strings.HasSuffix(text, "\n") || strings.Contains(text, "SIP/2.0") {
+		return true
+	}
+	return strings.ContainsFunc(text, func(r rune) bool { return r < ' ' && r != '\r' && r != '\n' && r != '\t' || r == 0x7f })
 }
 
 // invited takes an answer to an INVITE.
-func (c *conn) invited(now int64, m *sip.Message) {
+func (c *conn) invited(now int64, m *sip.Message) error {
 	if m.Status < 200 {
-		return
+		return nil
 	}
 	p := c.pool
 	name := p.set.cfg.Name
@@ -334,6 +369,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	d := c.dialogs[m.CallID]
+	if d != nil && spoilt(m) {
+		return fmt.Errorf("%w: an answer of %d bytes that no pool makes", sip.ErrMalformed, len(m.Body))
+	}
 	number := "unknown"
 	if d != nil {
 		number = d.number
@@ -341,13 +379,13 @@
 	c.send(ack(name, m.CallID, number))
 	if m.Status >= 300 {
 		if d == nil {
-			return
+			return nil
 		}
 		delete(c.dialogs, m.CallID)
 		if d.state == out {
 			d.finish(p.set.refusal(now, m, state))
 		}
-		return
+		return nil
 	}
 	switch {
 	case d != nil && d.state == out:
@@ -365,6 +403,7 @@
 		p.set.cfg.Count.Add(stats.ByesOut)
 		c.send(bye(name, m.CallID, number, dispatch.CauseNormal))
 	}
+	return nil
 }
 
 // refusal maps a final answer that is no 200.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -50,9 +50,12 @@
 	restartAfter = 100_000
 	// silentAfter is the same for a pool to which no connection comes up at all: a cut-off machine may return.
 	silentAfter = 5_000_000
-	// quietAfter is how long a connection on which something is going on may be quiet before a second one
-	// is tried: to a machine that has vanished none comes up.
-	quietAfter = 2_000_000
+	// quietAfter is how long a connection on which something is going on may be quiet before it is given up:
+	// pools tell their state every 0.6 s at most.
+	quietAfter = 1_500_000
+	lookEvery  = 250 * time.Millisecond
+	// messageWithin is how long the rest of a message may take once it has begun.
+	messageWithin = 300 * time.Millisecond
 	// removedAfter is how long after its removal a pool's standing calls wait for the pool's own releases.
 	removedAfter = 1_000_000
 	// calledOffFor is how long a called-off dialog waits for its final answer before it is forgotten.
