A pool that fails most set-ups at once is used for the rest; dear calls avoid it

The module's trace, second by second: the largest pool (55 of 102 agents) told 50 to 55 free and got 6 to 30 set-ups a second; of these 292 ended as 500 within 10 to 20 ms, 69 stood. The other pools were full.

Checked: not a socket fault (500 comes as sent, no reset, no time-out); five faults in a row (faultsInRow) shut it about every second and each cut its pace to 0.04 (controller.go, outcome and failed).

--- a/controller.go
+++ b/controller.go
@@ -55,8 +55,13 @@
 	// nodes have as many out there. 2 lets a dozen nodes keep a queue of a second, 5 idles.
 	aheadWeight = 4.0
 
-	// faultsInRow signalling faults without a completion count as a failure of the server.
-	faultsInRow = 5
+	// faultsInRow signalling faults without a completion shut the server, mostRow more of them for longest.
+	// Guards against half of all agents standing idle for seconds because their pool fails four set-ups in
+	// five, at once: five faults in a row came every second there, and each cut the pace besides.
+	faultsInRow, mostRow = 20, 16
+	// errorsOver is the part that the latest set-up has in a server's share of faults, and mostErrors the
+	// share from which on calls worth more than the usual one rather go elsewhere.
+	errorsOver, mostErrors = 1.0 / 16, 0.3
 
 	// busyShare is the part of a class's deadline for which a busy number is first left alone.
 	busyShare = 0.05
@@ -232,6 +237,7 @@
 	seen    bool          // R holds something
 	onTrial bool          // the last set-up failed or ended over the gate
 	faults  int           // signalling faults since the last completion
+	errors  float64       // share of faults among the set-ups of late
 
 	free   float64 // free agents as last told, -1: never
 	agents float64 // their number, 0: not told
@@ -258,12 +264,17 @@
 
 // failed closes a set-up that got no answer with a completion time well over the gate.
 func (s *server) failed(now, wait time.Duration) {
-	m, known := s.quickest(now)
-	if known {
-		wait = max(wait, time.Duration(failMultiple*gateMultiple*float64(m)))
+	s.shut(now, wait, failMultiple)
+	s.cut(now, mostCut)
+}
+
+// shut keeps the server shut as after a completion that took so many A*M, and lets one set-up at a time
+// try it then.
+func (s *server) shut(now, wait time.Duration, multiple float64) {
+	if m, known := s.quickest(now); known {
+		wait = max(wait, time.Duration(multiple*gateMultiple*float64(m)))
 	}
 	s.r, s.rAt, s.seen, s.onTrial = wait, now, true, true
-	s.cut(now, mostCut)
 }
 
 // quickest is M. The last sample stays when all are older than the window.
@@ -471,6 +482,9 @@
 	if (s == k.tried) != (t == k.tried) {
 		return t == k.tried
 	}
+	if c.dear(k) && (s.errors > mostErrors) != (t.errors > mostErrors) {
+		return t.errors > mostErrors
+	}
 	if (s.pool == k.Pool) != (t.pool == k.Pool) {
 		return s.pool == k.Pool
 	}
@@ -560,7 +574,7 @@
 			s = c.choose(k)
 		}
 		switch {
-		case s != nil:
+		case s != nil && !(s == k.tried && c.dear(k) && c.mayHold(k)):
 			c.send(k, s)
 		case c.mayHold(k):
 			held = append(held, k)
@@ -576,6 +590,9 @@
 // stand within its aim; of the held calls those of most worth go first, then the oldest. It
 // covers every shortage that lasts less than an aim, and sheds the least worth when it lasts
 // longer. It could harm callers who would rather dial elsewhere at once.
+// dear tells whether a call is worth more than the usual one: it is not to be spent on a pool that fails.
+func (c *Controller) dear(k *call) bool { return c.worth(k) > c.usual }
+
 func (c *Controller) mayHold(k *call) bool {
 	return c.now < min(k.until, k.holdUntil) && k.sends < mostSends && !k.Transit &&
 		c.mayRepeat(k)
@@ -712,6 +729,7 @@
 	k.out, k.stands = false, true
 	delete(c.heard, k.Key)
 	k.at.forget(k)
+	k.at.errors *= 1 - errorsOver
 	c.completed(k.at, e.Took)
 }
 
@@ -733,17 +751,24 @@
 	s := k.at
 	if k.out {
 		s.forget(k)
+		s.errors *= 1 - errorsOver
+		if e.Status == Error && e.Cause != LinesBusy {
+			s.errors += errorsOver
+		}
 		switch {
 		case e.Status == Ended || e.Status == Error && e.Cause == LinesBusy:
 			c.completed(s, e.Took)
 		case e.Status == Cancelled && k.over, e.Status == Moot:
 		case e.Status == Full && e.Cause == NoAgent:
 			c.noAgent(s)
-		case e.Status == Error && s.faults+1 < faultsInRow:
+		case e.Status == Error:
 			// A signalling fault is no completion, however quickly it comes back: a server that
 			// fails fast would else look like the best of all and draw every call (i0a9b13). The
-			// call goes elsewhere; only several faults in a row are a failure of the server.
-			s.faults++
+			// call goes elsewhere. It says nothing of the load either, so the pace stays; only a server
+			// that fails many in a row is shut, and longer with each.
+			if s.faults++; s.faults >= faultsInRow {
+				s.shut(c.now, e.Took, failMultiple*float64(min(s.faults-faultsInRow+1, mostRow)))
+			}
 		default:
 			s.failed(c.now, max(e.Took, e.Wait))
 		}
