A quiet pool connection is closed before the next is opened, none beside it

Cause as far as the protocol tells: the next connection was open before the old one was closed, and what the pool told on the old one in between came on no further one.

The quiet connection is closed, then the next is opened: one way less (vanished and the spare are gone).

--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -24,7 +24,6 @@
 // and releases of calls that an earlier connection set up.
 func (p *pool) run() {
 	defer p.set.wg.Done()
-	defer p.dropSpare()
 	again := redialMin
 	for {
 		p.mu.Lock()
@@ -40,11 +39,8 @@
 			}
 			pause = again
 			again = min(2*again, redialMax)
-		} else {
-			p.dropSpare()
-			if p.pending() {
-				pause = redialMax
-			}
+		} else if p.pending() {
+			pause = redialMax
 		}
 		p.cutIfDead()
 		timer := time.NewTimer(pause)
@@ -66,16 +62,6 @@
 	return len(p.standing) > 0
 }
 
-// dropSpare closes a connection that was opened in place of a quiet one and is not wanted any more.
-func (p *pool) dropSpare() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.spare != nil {
-		p.spare.Close()
-		p.spare = nil
-	}
-}
-
 // longGone tells whether the pool's own releases need no longer be waited for.
 func (p *pool) longGone() bool {
 	now := p.set.cfg.Clock.Now()
@@ -86,15 +72,9 @@
 
 // connect dials and serves a connection until it ends. It tells whether it came up.
 func (p *pool) connect(address string) bool {
-	p.mu.Lock()
-	raw, err := p.spare, error(nil)
-	p.spare = nil
-	p.mu.Unlock()
-	if raw == nil {
-		ctx, cancel := context.WithTimeout(p.set.ctx, time.Duration(p.set.cfg.ConnectTimeout)*time.Microsecond)
-		raw, err = p.set.cfg.Dial(ctx, address)
-		cancel()
-	}
+	ctx, cancel := context.WithTimeout(p.set.ctx, time.Duration(p.set.cfg.ConnectTimeout)*time.Microsecond)
+	raw, err := p.set.cfg.Dial(ctx, address)
+	cancel()
 	now := p.set.cfg.Clock.Now()
 	p.mu.Lock()
 	close(p.dialled)
@@ -149,7 +129,7 @@
 			case <-stop:
 				return
 			case <-look.C:
-				if p.longGone() || c.vanished(address) {
+				if p.longGone() || c.gone() {
 					c.close()
 				}
 			}
@@ -211,35 +191,22 @@
 	keep   bool // a release: if this connection does not write it, the next one does
 }
 
-// vanished tells whether nothing more is to be hoped for on this connection: something is going on at the
-// pool, and nothing has been heard for long. Where a second connection does not come up either, the pool's
-// machine has gone without a word, and has been silent since then.
-func (c *conn) vanished(address string) bool {
+// gone tells whether nothing more is to be hoped for on this connection: something is going on at the pool,
+// and nothing has been heard for long, though pools tell their state often. Where the next one does not come
+// up, the pool's machine has gone without a word, and has been silent since then.
+//
+// The next one is opened only once this one is closed. Guards against ends of calls that are never heard of:
+// what the pool told on the quiet one comes again on the next that is opened, and on no further one. One that
+// was opened only to see whether it comes up had them told to nobody.
+func (c *conn) gone() bool {
 	p := c.pool
 	if p.set.cfg.Clock.Now()-c.heard.Load() < quietAfter {
 		return false
 	}
 	p.mu.Lock()
-	busy := len(p.standing) > 0 || len(c.dialogs) > 0
-	p.mu.Unlock()
-	if !busy {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(p.set.ctx, time.Duration(p.set.cfg.ConnectTimeout)*time.Microsecond)
-	defer cancel()
-	second, err := p.set.cfg.Dial(ctx, address)
-	if err == nil {
-		// The pool is there, but this connection is of no more use: pools tell their state often. The second
-		// one takes its place. Guards against ends of calls that are never heard of: what the pool told on the
-		// quiet one comes again on the next that is opened, and on no further one.
-		p.mu.Lock()
-		p.spare = second
-		p.mu.Unlock()
-		p.wake()
-		return true
-	}
-	c.silent = true
-	return p.set.ctx.Err() == nil
+	defer p.mu.Unlock()
+	c.silent = len(p.standing) > 0 || len(c.dialogs) > 0
+	return c.silent
 }
 
 func (c *conn) close() {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -225,7 +225,6 @@
 	superseded bool // its address is another's now
 	removedAt  int64
 	conn       *conn
-	spare      net.Conn        // opened in place of a quiet one, to be taken next
 	dialled    chan struct{}   // closed at the end of the next dial, whatever it brings
 	downSince  int64           // nothing was heard since then, 0: there is a connection
 	refusedAt  int64           // the first refusal since then, 0: none
