--- a/callcontrol/callcontrol.go
+++ b/callcontrol/callcontrol.go
@@ -37,6 +37,7 @@
 	mostSites    = 64
 	mostCalls    = 2048 // of a site
 	comeBack     = 1_000_000
+	mostStrikes  = 64 // messages not accepted on a socket; past it the socket is closed
 	subprotocol  = "callcontrol.v1"
 )
 
@@ -63,6 +64,7 @@
 	mu    sync.Mutex // also guards cfg.Origins and cfg.MostConnections
 	sites map[string]*dispatch.Desk
 	conns map[*conn]struct{}
+	last  uint64 // number of the youngest conn
 }
 
 // New returns a server.
@@ -124,6 +126,9 @@
 func (s *Server) admit(site string) (*conn, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(s.conns) >= s.cfg.MostConnections {
+		s.shed()
+	}
 	if s.closing.Load() || len(s.conns) >= s.cfg.MostConnections {
 		return nil, false
 	}
@@ -137,12 +142,29 @@
 		})
 		s.sites[site] = desk
 	}
-	c := &conn{server: s, site: site, desk: desk, queue: make(chan []byte, writeQueue), end: make(chan struct{})}
+	s.last++
+	c := &conn{server: s, number: s.last, site: site, desk: desk, queue: make(chan []byte, writeQueue), end: make(chan struct{})}
 	s.conns[c] = struct{}{}
 	s.wg.Add(1)
 	return c, true
 }
 
+// shed closes the oldest socket that has said nothing, if there is one, and no other. It guards against
+// clients that open sockets and leave them shutting sites out. The caller holds mu.
+func (s *Server) shed() {
+	var spare *conn
+	for c := range s.conns {
+		if !c.said.Load() && (spare == nil || c.number < spare.number) {
+			spare = c
+		}
+	}
+	if spare != nil {
+		s.cfg.Count.Add(stats.Shed)
+		delete(s.conns, spare)
+		spare.finish(websocket.StatusTryAgainLater, "room is needed and nothing was said")
+	}
+}
+
 func (s *Server) drop(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -209,6 +231,8 @@
 // conn is one socket: the goroutine of its request reads it, another writes it. It is a dispatch.Caller.
 type conn struct {
 	server *Server
+	number uint64      // in the order of coming
+	said   atomic.Bool // a message was accepted
 	site   string
 	desk   *dispatch.Desk
 	ws     *websocket.Conn
@@ -319,7 +343,7 @@
 }
 
 func (c *conn) read(ctx context.Context) error {
-	for {
+	for strikes := 0; ; {
 		kind, data, err := c.ws.Read(ctx)
 		if err != nil {
 			return fmt.Errorf("callcontrol: reading: %w", err)
@@ -335,9 +359,17 @@
 		if err == nil {
 			err = c.take(m, came)
 		}
+		if err == nil {
+			c.said.Store(true)
+		}
 		if err != nil {
 			c.server.cfg.Count.Add(stats.BadFrames)
 			c.server.cfg.Log.Warn().Err(err).Msg("bad websocket message")
+			if strikes++; strikes > mostStrikes {
+				c.server.cfg.Count.Add(stats.ClosedBad)
+				c.finish(websocket.StatusPolicyViolation, "too many messages that were not accepted")
+				return err
+			}
 			after := int64(0)
 			if errors.Is(err, dispatch.ErrTooMany) {
 				after = comeBack
--- a/callcontrol/callcontrol_test.go
+++ b/callcontrol/callcontrol_test.go
@@ -558,7 +558,9 @@
 		t.Errorf("site with a space: %v", err)
 	}
 	for range 16 {
-		r.dial("a")
+		c := r.dial("a")
+		c.say(`{"type":"ping","id":"x"}`) // one that has spoken makes no room
+		c.next()
 	}
 	if _, answer, err := websocket.Dial(context.Background(), r.http.URL, nil); err == nil || answer.StatusCode != 503 {
 		t.Errorf("a 17th socket: %v", err)
@@ -687,3 +689,28 @@
 
 // lineName is a call's name on the platform's wire.
 func lineName(i int) string { return fmt.Sprintf("%016x", i) }
+
+// Guards against clients that open sockets and say nothing shutting sites out, and against one that sends what
+// makes no sense again and again. A socket that has spoken never makes room.
+func TestSilentSocketsMakeRoomAndBadOnesAreClosed(t *testing.T) {
+	r := newRig(t, nil)
+	r.server.Admit(nil, 2)
+	speaks, silent := r.dial("a"), r.dial("b")
+	speaks.say(`{"type":"ping","id":"x"}`)
+	speaks.next()
+	third := r.dial("c")
+	if code := silent.closed(); code != websocket.StatusTryAgainLater {
+		t.Errorf("the silent socket ended with %v", code)
+	}
+	third.say(`{"type":"ping","id":"x"}`)
+	third.next()
+	if _, answer, err := websocket.Dial(context.Background(), r.http.URL, nil); err == nil || answer.StatusCode != 503 {
+		t.Error("taken though all have spoken")
+	}
+	for range mostStrikes + 1 {
+		third.say(`{}`)
+	}
+	third.closed()
+	speaks.say(`{"type":"ping","id":"y"}`)
+	speaks.next()
+}
