A set-up behind the oldest counts as a turn at most: far pools take many at a time

Checked and ruled out: agents (free all along), the pace (lift open: no failure before), processors (36 ms at every load), L (1 with no set-up out). What shut the gate was P of the set-ups behind the oldest: aheadWeight = 4 quickest times each, so two out at a time were the bar at M = 31 ms, about 55 calls a second and pool.

At fault: controller.go predict, the factor behind. It took M for the time at the processor. It now counts as this node's turn (a call hold over the pool's agents, times the nodes) where that is less, and is added by the gate alone: inside L each call multiplied L by it.

--- a/controller.go
+++ b/controller.go
@@ -51,7 +51,7 @@
 	// standMultiple is how many of the longest M that counts a Wake must be late for a standstill.
 	standMultiple = 2
 
-	// aheadWeight is what each set-up out behind the oldest adds to P, in quickest times: other
+	// aheadWeight is the most that each set-up out behind the oldest adds to P, in quickest times: other
 	// nodes have as many out there. 2 lets a dozen nodes keep a queue of a second, 5 idles.
 	aheadWeight = 4.0
 
@@ -305,21 +305,37 @@
 // ---- Layer 2: prediction P and load ratio L ----
 
 // predict is P, the completion time of the next set-up at s, which has an M of m.
-//
-// Departure: of several set-ups out each one after the oldest counts as a further quickest
-// time, as they are worked off one by one. Without it an open gate admits any number until
-// the oldest is 5 M old. It covers bursts, held calls let go together and reopening.
 func (c *Controller) predict(s *server, m time.Duration) float64 {
 	switch {
 	case len(s.out) > 0:
-		behind := 1 + aheadWeight*float64(len(s.out)-1)
-		return float64(c.now-s.out[0].sentAt) + scaleOut*behind*float64(m)*c.load
+		return float64(c.now-s.out[0].sentAt) + scaleOut*float64(m)*c.load
 	case s.seen && float64(c.now-s.rAt) <= freshFor*float64(s.r)*c.stretch(s):
 		return scaleAnswered * float64(s.r)
 	}
 	return scaleIdle * float64(m) * c.load
 }
 
+// behind is what the gate adds to P for the set-ups out at s after the oldest.
+//
+// Departure: each counts as a further aheadWeight quickest times, as they are worked off one by one.
+// Without it an open gate admits any number until the oldest is 5 M old. It covers bursts, held calls
+// let go together and reopening.
+//
+// It counts as a turn where that is less. Guards against taking the way to a far server for its work:
+// with M nearly all way, two out at a time were the bar, and a quick processor with half its agents free
+// stood idle while calls were held for it and refused. It is no part of L, which each call would
+// multiply by it.
+func (c *Controller) behind(s *server, m time.Duration) float64 {
+	if len(s.out) == 0 {
+		return 0
+	}
+	each := aheadWeight * float64(m)
+	if s.agents > 0 && c.hold > 0 {
+		each = min(each, float64(c.turn(s)))
+	}
+	return each * float64(len(s.out)-1)
+}
+
 // stretch is the L in d*R*L.
 //
 // Departure: it is 1 for a server on trial. R is then a failure or a slow answer, long in
@@ -375,7 +391,7 @@
 	if c.late(k) {
 		bar = lateMultiple
 	}
-	return c.predict(s, m) <= bar*float64(m) && c.paced(k, s)
+	return c.predict(s, m)+c.behind(s, m) <= bar*float64(m) && c.paced(k, s)
 }
 
 // Departure: with many nodes each one's samples are rare, R is forgotten long before the next, and
--- a/controller_test.go
+++ b/controller_test.go
@@ -190,10 +190,10 @@
 		{"answered: c*R", func() {}, 100 * ms},
 		{"answered until d*R*L", func() { r.c.now += 50 * ms }, 100 * ms},
 		{"idle: a*M*L", func() { r.c.now += 1 }, 97 * ms},
-		{"out: t + b*M*L, twice with two out", func() {
+		{"out: t + b*M*L, t the oldest's age", func() {
 			s.out = append(s.out, &call{sentAt: r.c.now - 40*ms}, &call{sentAt: r.c.now})
-		}, 140*ms + aheadWeight*100*ms},
-		{"L scales the rest", func() { r.c.load = 2 }, 240*ms + aheadWeight*200*ms},
+		}, 140 * ms},
+		{"L scales the rest", func() { r.c.load = 2 }, 240 * ms},
 	} {
 		step.set()
 		if got := time.Duration(r.c.predict(s, m) + 0.5); got != step.want {
@@ -202,6 +202,35 @@
 	}
 }
 
+// Guards against taking the way to a far server for its work: it had all but two set-ups at a time held back,
+// and refused, while its processor was idle and half of its agents were free.
+func TestAFarServerIsSentManyAtATime(t *testing.T) {
+	set := settings()
+	set.Classes[0].Hold, set.Classes[1].Aim = 400*ms, 0 // 80 agents and 4 nodes: a turn is 20 ms
+	r := newRig(t, set, pools("a")...)
+	r.do(Report{Server: "a", Free: 80, Agents: 80})
+	r.complete(0, 100*ms)
+	r.pass(time.Second)
+	before := sendsIn(r.all)
+	for range 40 {
+		r.call(0, 0)
+	}
+	if n := sendsIn(r.all) - before; n < 20 || n > 30 { // 100 ms and 20 ms for each behind the oldest, up to 600 ms
+		t.Errorf("%d out at a time, want 26", n)
+	}
+	r = newRig(t, set, pools("a")...) // few agents: the quickest time bounds what is behind
+	r.do(Report{Server: "a", Free: 2, Agents: 2})
+	r.complete(0, 100*ms)
+	r.pass(time.Second)
+	before = sendsIn(r.all)
+	for range 40 {
+		r.call(0, 0)
+	}
+	if n := sendsIn(r.all) - before; n != 3 {
+		t.Errorf("%d out at a time at a small server, want 3", n)
+	}
+}
+
 func TestLeastIsKeptForItsWindow(t *testing.T) {
 	s := &server{}
 	for _, x := range []struct{ at, took, want time.Duration }{
