One lost answer no longer shuts a busy pool: a set-up passed by a later one is a stray

Checked and ruled out: agents (20 to 40 free), silence (two or three connections a node went quiet in 25 s; states come every 80 to 230 ms otherwise), processors (36 ms throughout).

At fault: controller.go predict, t the age of the oldest set-up out, whatever became of later ones, and outcome, which took the time-out of such a set-up for a failure of the server. A processor has one line: what a set-up sent later has passed is not in it.

Also: -v logs every message on the platform's wires.

--- a/controller.go
+++ b/controller.go
@@ -232,6 +232,7 @@
 	least   []sample      // candidates for M, oldest first, rising in took
 	mostM   time.Duration // M counts as no more than this, 0: no bound
 	out     []*call       // set-ups out, oldest first
+	passed  time.Duration // when the latest set-up that completed was sent
 	r       time.Duration // R, the latest completion
 	rAt     time.Duration // when R was seen
 	seen    bool          // R holds something
@@ -268,6 +269,23 @@
 	s.cut(now, mostCut)
 }
 
+// queue is the set-ups out that the server may still be at work on, oldest first.
+//
+// Departure: a processor has one line, so a set-up that one sent later has passed is not in it: its
+// answer is lost, and says nothing of how long the next will take. Guards against one lost answer
+// shutting a busy server until its time-out and for R's memory after it, again and again, with half of
+// its agents free. It covers answers that are lost or come late at a server that works. It can harm
+// where set-ups overtake each other by habit: its oldest are then told of late.
+func (s *server) queue() []*call {
+	i := 0
+	for i < len(s.out) && s.strayed(s.out[i]) {
+		i++
+	}
+	return s.out[i:]
+}
+
+func (s *server) strayed(k *call) bool { return k.sentAt < s.passed }
+
 // shut keeps the server shut as after a completion that took so many A*M, and lets one set-up at a time
 // try it then.
 func (s *server) shut(now, wait time.Duration, multiple float64) {
@@ -307,8 +325,8 @@
 // predict is P, the completion time of the next set-up at s, which has an M of m.
 func (c *Controller) predict(s *server, m time.Duration) float64 {
 	switch {
-	case len(s.out) > 0:
-		return float64(c.now-s.out[0].sentAt) + scaleOut*float64(m)*c.load
+	case len(s.queue()) > 0:
+		return float64(c.now-s.queue()[0].sentAt) + scaleOut*float64(m)*c.load
 	case s.seen && float64(c.now-s.rAt) <= freshFor*float64(s.r)*c.stretch(s):
 		return scaleAnswered * float64(s.r)
 	}
@@ -326,14 +344,15 @@
 // stood idle while calls were held for it and refused. It is no part of L, which each call would
 // multiply by it.
 func (c *Controller) behind(s *server, m time.Duration) float64 {
-	if len(s.out) == 0 {
+	n := len(s.queue())
+	if n == 0 {
 		return 0
 	}
 	each := aheadWeight * float64(m)
 	if s.agents > 0 && c.hold > 0 {
 		each = min(each, float64(c.turn(s)))
 	}
-	return each * float64(len(s.out)-1)
+	return each * float64(n-1)
 }
 
 // stretch is the L in d*R*L.
@@ -380,7 +399,7 @@
 // alike. It can harm a single node that alone could keep a far server busy.
 func (c *Controller) passes(k *call, s *server) bool {
 	m, known := s.quickest(c.now)
-	if (!known || s.onTrial || c.cold(s)) && len(s.out) > 0 {
+	if (!known || s.onTrial || c.cold(s)) && len(s.queue()) > 0 {
 		return false
 	}
 	if !known { // with a failure behind it, it is shut for d*R like any other (id5ef9c)
@@ -746,6 +765,7 @@
 	delete(c.heard, k.Key)
 	k.at.forget(k)
 	k.at.errors *= 1 - errorsOver
+	k.at.passed = max(k.at.passed, k.sentAt)
 	c.completed(k.at, e.Took)
 }
 
@@ -785,6 +805,7 @@
 			if s.faults++; s.faults >= faultsInRow {
 				s.shut(c.now, e.Took, failMultiple*float64(min(s.faults-faultsInRow+1, mostRow)))
 			}
+		case (e.Status == TimedOut || e.Status == Reset) && s.strayed(k): // no failure of the server
 		default:
 			s.failed(c.now, max(e.Took, e.Wait))
 		}
--- a/controller_test.go
+++ b/controller_test.go
@@ -231,6 +231,40 @@
 	}
 }
 
+// Guards against one lost answer shutting a busy server, by its age and then as a failure, while all that was
+// sent later is answered.
+func TestALostAnswerDoesNotShutABusyServer(t *testing.T) {
+	r := newRig(t, settings(), pools("a")...)
+	r.complete(0, 50*ms)
+	r.pass(time.Second)
+	lost, to := r.call(0, 0)
+	if to != "a" {
+		t.Fatal("not sent")
+	}
+	for range 12 { // 600 ms: the lost one passes its limit meanwhile
+		r.pass(ms)
+		id, to := r.call(0, 0)
+		if to != "a" {
+			t.Fatalf("shut with one answer lost, %v after it was sent", r.now-r.c.calls[lost].sentAt)
+		}
+		r.pass(49 * ms)
+		r.do(Answered{Call: id, Took: 49 * ms})
+	}
+	r.do(Outcome{Call: lost, Status: TimedOut, Took: 600 * ms})
+	if _, to := r.call(0, 0); to != "a" {
+		t.Error("shut once the lost one had timed out")
+	}
+	// What nothing has passed is a failure as before.
+	r = newRig(t, settings(), pools("a")...)
+	r.complete(0, 50*ms)
+	r.pass(time.Second)
+	id, _ := r.call(0, 0)
+	r.pass(600 * ms)
+	if r.do(Outcome{Call: id, Status: TimedOut, Took: 600 * ms}); !r.c.servers["a"].onTrial {
+		t.Error("a time-out that nothing passed is no failure")
+	}
+}
+
 func TestLeastIsKeptForItsWindow(t *testing.T) {
 	s := &server{}
 	for _, x := range []struct{ at, took, want time.Duration }{
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -108,6 +108,7 @@
 				_, err = c.raw.Write(l.bytes)
 			}
 			c.pending.Add(-1)
+			c.trace("out", l.bytes, err)
 			if err != nil {
 				c.close()
 				c.elsewhere(l)
@@ -117,6 +118,13 @@
 	}
 }
 
+// trace logs the beginning of a line at debug level.
+func (c *conn) trace(way string, text []byte, err error) {
+	if e := c.front.cfg.Log.Debug(); e.Enabled() {
+		e.Str("way", way).Stringer("caller", c.raw.RemoteAddr()).Bytes("line", text[:min(len(text), 70)]).AnErr("error", err).Msg("line")
+	}
+}
+
 // elsewhere hands the end of a call that could not be told here to another connection.
 func (c *conn) elsewhere(l line) {
 	if l.over != "" {
@@ -183,6 +191,7 @@
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			f.cfg.Count.Add(stats.Overdue)
 		}
+		c.trace("in", text, err)
 		if err != nil {
 			return
 		}
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -14,6 +15,8 @@
 	"time"
 	"unicode/utf8"
 
+	"github.com/rs/zerolog"
+
 	"eidertrail/dispatch"
 	"eidertrail/internal/bulletin"
 	"eidertrail/internal/sip"
@@ -140,7 +143,7 @@
 	c.close()
 	writer.Wait()
 	p.lost(c)
-	p.set.cfg.Log.Debug().Str("pool", p.uid).Err(err).Msg("connection ended")
+	p.set.cfg.Log.Debug().Str("pool", p.uid).Err(err).Int64("quiet_us", p.set.cfg.Clock.Now()-c.heard.Load()).Msg("connection ended")
 	return true
 }
 
@@ -245,6 +248,11 @@
 				c.close()
 				return
 			}
+			if c.pool.set.cfg.Log.GetLevel() <= zerolog.DebugLevel {
+				if m, err := sip.Read(bufio.NewReader(bytes.NewReader(i.bytes))); err == nil {
+					c.pool.trace("out", m.Method, m.Of, m.Status, m.CallID)
+				}
+			}
 			if _, err := c.raw.Write(i.bytes); err != nil {
 				c.close()
 				return
@@ -270,6 +278,12 @@
 	}
 }
 
+// trace logs a message at debug level.
+func (p *pool) trace(way, method, of string, status int, id string) {
+	p.set.cfg.Log.Debug().Str("pool", p.uid).Str("way", way).Str("method", method).Str("of", of).Int("status", status).
+		Str("call", id).Msg("sip")
+}
+
 // next reads a message: what has begun must be whole soon. It guards against a message that stops short,
 // after which nothing that comes on the connection can be read: set-ups went out into the void, and ends of
 // calls were never heard of.
@@ -293,6 +307,7 @@
 	p := c.pool
 	now := p.set.cfg.Clock.Now()
 	c.heard.Store(now)
+	p.trace("in", m.Method, m.Of, m.Status, m.CallID)
 	switch {
 	case m.Status > 0 && m.Of == "INVITE":
 		return c.invited(now, m)
