A quiet pool connection is given up after three times the pool's own rhythm, not 1.5 s

Pools with one agent are honestly quiet for 0.8 s, so no fixed time fits all.

At fault: internal/pool quietAfter. Each pool's longest gap of late between two states is kept (a sixteenth off with each state), and three times that, 0.4 to 1.5 s, is quiet. After a standstill of this process nothing is judged: what came is still to be read.

--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -124,6 +124,7 @@
 		defer writer.Done()
 		look := time.NewTicker(lookEvery)
 		defer look.Stop()
+		looked := now
 		for {
 			select {
 			case <-p.set.ctx.Done():
@@ -132,7 +133,14 @@
 			case <-stop:
 				return
 			case <-look.C:
-				if p.longGone() || c.gone() {
+				// After a standstill of this process what came meanwhile is still to be read.
+				now, paused := p.set.cfg.Clock.Now(), looked
+				looked = now
+				quiet := now-paused < quietLeast/2 && c.gone(now)
+				if quiet {
+					p.set.cfg.Count.Add(stats.QuietPools)
+				}
+				if quiet || p.longGone() {
 					c.close()
 				}
 			}
@@ -183,6 +191,7 @@
 	closed  chan struct{}
 	once    sync.Once
 	heard   atomic.Int64       // when the last message came
+	toldAt  int64              // when a state came last; only read looks at it
 	silent  bool               // it was closed for its silence
 	dialogs map[string]*dialog // by Call-ID, as the pools match them
 }
@@ -201,9 +210,9 @@
 // The next one is opened only once this one is closed. Guards against ends of calls that are never heard of:
 // what the pool told on the quiet one comes again on the next that is opened, and on no further one. One that
 // was opened only to see whether it comes up had them told to nobody.
-func (c *conn) gone() bool {
+func (c *conn) gone(now int64) bool {
 	p := c.pool
-	if p.set.cfg.Clock.Now()-c.heard.Load() < quietAfter {
+	if now-c.heard.Load() < p.quiet() {
 		return false
 	}
 	p.mu.Lock()
@@ -212,6 +221,20 @@
 	return c.silent
 }
 
+// quiet is how long the pool's connection may be quiet while something is going on there.
+func (p *pool) quiet() int64 {
+	if r := p.rhythm.Load(); r > 0 {
+		return min(max(rhythms*r, quietLeast), quietMost)
+	}
+	return quietMost
+}
+
+// heardAfter takes the time from one state to the next: rhythm is the longest of late.
+func (p *pool) heardAfter(gap int64) {
+	r := p.rhythm.Load()
+	p.rhythm.Store(max(gap, r-r/rhythmOver))
+}
+
 func (c *conn) close() {
 	c.once.Do(func() {
 		close(c.closed)
@@ -314,6 +337,10 @@
 	case m.Status > 0: // to BYE, CANCEL: nothing follows from it
 	case m.Method == "NOTIFY":
 		p.set.cfg.Count.Add(stats.Notifies)
+		if c.toldAt > 0 {
+			p.heardAfter(now - c.toldAt)
+		}
+		c.toldAt = now
 		if s, any := p.set.state(m); any && p.set.cfg.Observe != nil {
 			p.set.cfg.Observe(p.uid, s)
 		}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -50,10 +51,16 @@
 	restartAfter = 100_000
 	// silentAfter is the same for a pool to which no connection comes up at all: a cut-off machine may return.
 	silentAfter = 5_000_000
-	// quietAfter is how long a connection on which something is going on may be quiet before it is given up:
-	// pools tell their state every 0.6 s at most.
-	quietAfter = 1_500_000
-	lookEvery  = 250 * time.Millisecond
+	// quietMost is how long a connection on which something is going on may be quiet before it is given up:
+	// pools tell their state every 0.6 s at most. Most pools tell it several times a second, and every state
+	// that comes in time leaves less: rhythms times the longest gap of late, never under quietLeast. rhythmOver
+	// states halve that gap or so. Guards against a quiet connection taking set-ups for 1.5 s from a pool that
+	// speaks every 0.1 s.
+	quietMost  = 1_500_000
+	quietLeast = 400_000
+	rhythms    = 3
+	rhythmOver = 16
+	lookEvery  = 50 * time.Millisecond
 	// messageWithin is how long the rest of a message may take once it has begun.
 	messageWithin = 300 * time.Millisecond
 	// removedAfter is how long after its removal a pool's standing calls wait for the pool's own releases.
@@ -228,6 +235,7 @@
 	dialled    chan struct{}   // closed at the end of the next dial, whatever it brings
 	downSince  int64           // nothing was heard since then, 0: there is a connection
 	refusedAt  int64           // the first refusal since then, 0: none
+	rhythm     atomic.Int64    // the longest time of late from one state to the next, 0: not known
 	standing   map[string]*leg // by Call-ID: no connection owns them
 	byes       [][]byte        // releases that wait for a connection
 }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -459,6 +459,32 @@
 	})
 }
 
+// Guards against set-ups going out for 1.5 s on a connection that went quiet, to a pool that speaks ten times a
+// second; and against taking a pool that speaks seldom for quiet.
+func TestQuietIsByThePoolsOwnRhythm(t *testing.T) {
+	bubble(t, func(r *rig) {
+		for range 20 {
+			r.at.Notify("idle:12;circuits:40")
+			time.Sleep(100 * time.Millisecond)
+		}
+		x := r.invite("c1", 0, time.Minute)
+		time.Sleep(time.Duration(quietLeast)*time.Microsecond + 100*time.Millisecond)
+		r.want(x, dispatch.Reset)
+		if n := r.at.Dialled(); n != 2 {
+			t.Errorf("%d connections were opened, want the quiet one and the next", n)
+		}
+		for range 10 { // a longer gap is learnt at once
+			r.at.Notify("idle:12;circuits:40")
+			time.Sleep(450 * time.Millisecond)
+		}
+		y := r.invite("c2", 0, time.Minute)
+		time.Sleep(700 * time.Millisecond)
+		if synctest.Wait(); y.done || r.at.Dialled() != 2 {
+			t.Errorf("done %v, %d connections: given up though its gaps are long", y.done, r.at.Dialled())
+		}
+	})
+}
+
 // FuzzDialog checks random steps of one call's dialogs with the pool against a model of their states:
 // never two set-ups at once, a leg exactly when a 200 came first, and a BYE for every other 200.
 func FuzzDialog(f *testing.F) {
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -57,6 +57,7 @@
 	Shed
 	Overdue
 	ClosedBad
+	QuietPools
 	counters
 )
 
@@ -67,7 +68,7 @@
 	"pool_errors", "late_answers", "byes_out", "byes_in", "stray_byes", "cut_calls", "notifies",
 	"guard_stopped", "guard_drain", "connections", "slow_readers", "pool_connections",
 	"bulletin_events", "bulletin_errors", "ws_messages", "ws_bad_messages", "http_admitted", "http_turned_away",
-	"reloads", "bad_reloads", "shed", "overdue", "closed_bad",
+	"reloads", "bad_reloads", "shed", "overdue", "closed_bad", "quiet_pools",
 }
 
 // Set is a set of counters, safe for concurrent use. The zero value is ready; nil counts nothing.
