Ends of calls are told elsewhere when their connection closes first; both fronts

Checked and ruled out by reading beside PROTOCOL and by a test: the pool's side (its release comes again on the next connection; ends of all others were told), the table of ends kept (none dropped). The path that loses one is on the callers' side: front/conn.go elsewhere handed an end that its connection had not written to Desk.Over, which passes over calls that are known here, and every call that stood here is known. Besides, an end written in the moment in which the caller closes is read by nobody, and nothing told it again. The WebSocket front dropped what was queued on a socket that ended.

Now Desk.Untold takes such an end back, both fronts hand over what they did not write, and the Desk tells what was handed to a connection in its last 0.25 s on another. Three tests, which fail without.

--- a/callcontrol/callcontrol.go
+++ b/callcontrol/callcontrol.go
@@ -143,7 +143,7 @@
 		s.sites[site] = desk
 	}
 	s.last++
-	c := &conn{server: s, number: s.last, site: site, desk: desk, queue: make(chan []byte, writeQueue), end: make(chan struct{})}
+	c := &conn{server: s, number: s.last, site: site, desk: desk, queue: make(chan line, writeQueue), end: make(chan struct{})}
 	s.conns[c] = struct{}{}
 	s.wg.Add(1)
 	return c, true
@@ -236,7 +236,7 @@
 	site   string
 	desk   *dispatch.Desk
 	ws     *websocket.Conn
-	queue  chan []byte
+	queue  chan line
 
 	once   sync.Once
 	end    chan struct{} // closed when the socket is to end
@@ -244,6 +244,13 @@
 	reason string
 }
 
+// line is a message to be written. The end of a call may be told on any socket of the site.
+type line struct {
+	bytes []byte
+	over  string // the call that it tells the end of, or ""
+	cause int
+}
+
 // finish ends the socket once what is queued is written. Only the first call has an effect.
 func (c *conn) finish(status websocket.StatusCode, reason string) {
 	c.once.Do(func() {
@@ -253,7 +260,9 @@
 }
 
 // send queues a message and never blocks: a client that does not read for so long loses the socket.
-func (c *conn) send(b []byte) bool {
+func (c *conn) send(b []byte) bool { return c.sendLine(line{bytes: b}) }
+
+func (c *conn) sendLine(b line) bool {
 	select {
 	case <-c.end:
 		return false
@@ -273,7 +282,9 @@
 func (c *conn) Final(id string, f dispatch.Final) bool { return c.send(final(id, f)) }
 
 // Over implements dispatch.Caller.
-func (c *conn) Over(id string, cause int) bool { return c.send(released(id, cause)) }
+func (c *conn) Over(id string, cause int) bool {
+	return c.sendLine(line{bytes: released(id, cause), over: id, cause: cause})
+}
 
 func (c *conn) serve() {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -291,6 +302,7 @@
 	c.desk.Disconnect(c)
 	cancel()
 	<-written
+	c.unwritten()
 	c.server.cfg.Log.Debug().Err(err).Msg("websocket ended")
 }
 
@@ -332,10 +344,27 @@
 	}
 }
 
-func (c *conn) writeOne(ctx context.Context, b []byte) error {
+// elsewhere has the end of a call that could not be told here told on another socket of the site.
+func (c *conn) elsewhere(b line) {
+	if b.over != "" {
+		c.desk.Untold(b.over, b.cause)
+	}
+}
+
+// unwritten does so with what is left in the queue, once nobody writes or queues any more.
+func (c *conn) unwritten() {
+	for len(c.queue) > 0 {
+		c.elsewhere(<-c.queue)
+	}
+}
+
+func (c *conn) writeOne(ctx context.Context, b line) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	err := c.ws.Write(ctx, websocket.MessageText, b)
+	err := c.ws.Write(ctx, websocket.MessageText, b.bytes)
+	if err != nil {
+		c.elsewhere(b)
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		c.server.cfg.Count.Add(stats.SlowReaders)
 	}
--- a/callcontrol/callcontrol_test.go
+++ b/callcontrol/callcontrol_test.go
@@ -124,6 +124,24 @@
 	}
 }
 
+// Guards against the end of a call being lost with the socket in whose queue it was: another one of the site
+// is told.
+func TestUnwrittenEndsAreToldElsewhere(t *testing.T) {
+	r := newRig(t, answerAll)
+	other := r.dial("a")
+	other.say(`{"type":"ping","id":"x"}`)
+	other.next()
+	r.server.mu.Lock()
+	gone := &conn{server: r.server, desk: r.server.sites["a"], queue: make(chan line, 4), end: make(chan struct{})}
+	r.server.mu.Unlock()
+	gone.send(pong("y", true))
+	gone.Over("c1", 16)
+	gone.unwritten()
+	if m := other.next(); m.Type != "released" || m.ID != "c1" || m.Cause != 16 {
+		t.Errorf("told %+v", m)
+	}
+}
+
 // client is one WebSocket.
 type client struct {
 	*websocket.Conn
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -67,6 +67,10 @@
 	// waitForCaller is how long the end of a call waits for a connection of callers when others are open:
 	// it is to be told within 1 s.
 	waitForCaller = 400 * time.Millisecond
+	// crossed is how long before a connection's end what was told on it may not have been read any more, and
+	// mostTold bounds what is remembered of that.
+	crossed  = 250_000
+	mostTold = 256
 	// mostSDP leaves room for the head of an INVITE of at most 16 KiB.
 	mostSDP = 15 << 10
 	// mostOpen bounds the open set-ups of a connection, mostUnproven those of one that had no call answered
@@ -116,6 +120,28 @@
 	spoke  bool // it has set up a call that made sense
 	open   int  // its set-ups without a final answer
 	errors int  // its set-ups that pools could make nothing of
+	told   []handed
+}
+
+// handed is the end of a call that was handed to a connection.
+type handed struct {
+	over
+	at int64
+}
+
+// hand tells the end of a call on this connection, and remembers it for a while. The caller holds mu.
+func (k *Desk) hand(s *seat, o over) bool {
+	if !s.Over(o.id, o.cause) {
+		return false
+	}
+	k.count.Add(stats.ReleasesOut)
+	now := k.d.Now()
+	old := 0
+	for old < len(s.told) && (now-s.told[old].at > crossed || len(s.told)-old >= mostTold) {
+		old++
+	}
+	s.told = append(slices.Delete(s.told, 0, old), handed{o, now})
+	return true
 }
 
 // deskCall is a call from its set-up to its end.
@@ -208,8 +234,7 @@
 // be closed right now. The caller holds mu.
 func (k *Desk) tell(kind func(*seat) bool) {
 	for _, s := range slices.Backward(k.seats) {
-		for len(k.kept) > 0 && kind(s) && s.Over(k.kept[0].id, k.kept[0].cause) {
-			k.count.Add(stats.ReleasesOut)
+		for len(k.kept) > 0 && kind(s) && k.hand(s, k.kept[0]) {
 			k.kept = k.kept[1:]
 		}
 	}
@@ -243,6 +268,14 @@
 	}
 	delete(k.at, c)
 	k.seats = slices.DeleteFunc(k.seats, func(x *seat) bool { return x == s })
+	// Guards against an end that crossed the closing: it was written, and nobody read it. Where somebody did
+	// it is told twice, which says nothing new.
+	now := k.d.Now()
+	for _, h := range s.told {
+		if now-h.at <= crossed {
+			k.keep(h.over)
+		}
+	}
 	if s.open == 0 {
 		return
 	}
@@ -320,6 +353,9 @@
 	}
 }
 
+// Untold takes back the end of a call that a connection was handed and could not write: it is told on another.
+func (k *Desk) Untold(id string, cause int) { k.over(nil, id, cause) }
+
 func (k *Desk) met(id string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -329,15 +365,19 @@
 func (k *Desk) over(first *seat, id string, cause int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if first != nil && k.at[first.Caller] == first && first.Over(id, cause) {
-		k.count.Add(stats.ReleasesOut)
+	if first != nil && k.at[first.Caller] == first && k.hand(first, over{id, cause}) {
 		return
 	}
+	k.keep(over{id, cause})
+}
+
+// keep has the end of a call told on any connection. The caller holds mu.
+func (k *Desk) keep(o over) {
 	if len(k.kept) >= mostKept {
 		k.count.Add(stats.ReleasesDropped)
 		return
 	}
-	k.kept = append(k.kept, over{id, cause})
+	k.kept = append(k.kept, o)
 	if k.tell((*seat).isProven); len(k.kept) > 0 {
 		k.count.Add(stats.ReleasesKept)
 		k.tellLater()
--- a/dispatch/desk_test.go
+++ b/dispatch/desk_test.go
@@ -14,20 +14,20 @@
 // fakeCaller is a connection that notes what it is told.
 type fakeCaller struct {
 	mu sync.Mutex
-	told
+	heard
 }
 
-type told struct {
+type heard struct {
 	finals []Final
 	overs  []string
 	deaf   bool
 }
 
 // got is what it was told so far.
-func (c *fakeCaller) got() told {
+func (c *fakeCaller) got() heard {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.told
+	return c.heard
 }
 
 func (c *fakeCaller) plug() {
@@ -98,6 +98,29 @@
 	})
 }
 
+// Guards against an end that was written to a connection whose caller was just closing it: nobody read it.
+func TestEndThatCrossedTheClosingIsToldAgain(t *testing.T) {
+	bubble(t, func(r *rig) {
+		other, c := r.connect(), r.connect()
+		for _, id := range []string{"c1", "c2"} {
+			r.setup(c, id)
+			r.last().answer("sdp")
+			synctest.Wait()
+			leg := r.last().leg
+			leg.ending = Ending{Outcome: Ended, Cause: 16, State: Untold}
+			close(leg.done)
+			time.Sleep(2 * crossed / 3 * time.Microsecond)
+		}
+		if len(c.got().overs) != 2 {
+			t.Fatalf("told %v", c.got().overs)
+		}
+		r.desk.Disconnect(c)
+		if got := other.got().overs; len(got) != 1 || got[0] != "c2" {
+			t.Errorf("told %v elsewhere, want c2 alone: c1 was long read", got)
+		}
+	})
+}
+
 func TestEndIsKeptUntilSomebodyConnects(t *testing.T) {
 	bubble(t, func(r *rig) {
 		deaf := r.connect()
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -128,7 +128,7 @@
 // elsewhere hands the end of a call that could not be told here to another connection.
 func (c *conn) elsewhere(l line) {
 	if l.over != "" {
-		c.front.cfg.Desk.Over(l.over, l.cause)
+		c.front.cfg.Desk.Untold(l.over, l.cause)
 	}
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -195,6 +195,34 @@
 	})
 }
 
+// Guards against the ends of calls being lost with the connection in whose queue they were: they were taken
+// for ends of calls that everybody knows of.
+func TestUnwrittenEndsAreToldElsewhere(t *testing.T) {
+	bubble(t, func(r *rig) {
+		other := r.dial()
+		other.say(strings.Replace(setup, "9b1f", "0000", 1))
+		r.want(other, strings.Replace(answer, "9b1f", "0000", 1))
+		stuck := r.in.Dial() // it reads its answers, and no further
+		lines := bufio.NewReader(stuck)
+		for _, id := range []string{"9b1f", "9b20"} {
+			io.WriteString(stuck, strings.Replace(setup, "9b1f", id, 1)+"\n")
+			if text, err := lines.ReadString('\n'); err != nil || !strings.Contains(text, "answer") {
+				t.Fatal(text, err)
+			}
+		}
+		for _, l := range r.trunk.legs[1:] {
+			l.ending = dispatch.Ending{Outcome: dispatch.Ended, Cause: 16, State: dispatch.Untold}
+			close(l.done)
+		}
+		time.Sleep(time.Second)
+		r.want(other)
+		stuck.Close()
+		if lines, _ := other.take(); len(lines) != 2 || !strings.Contains(lines[0]+lines[1], "9b1f") || !strings.Contains(lines[0]+lines[1], "9b20") {
+			t.Errorf("told %q", lines)
+		}
+	})
+}
+
 func TestEndIsToldOnTheNextConnection(t *testing.T) {
 	bubble(t, func(r *rig) {
 		c := r.dial()
