Pools short of agents keep to their own calls: no second choices of usual worth

Of 404 avail-read calls that node n0 stood in the trace, 212 stood at their second choice (88 of 216 with first choice 1, 124 of 188 with first choice 3), where a call lasts 1.4 to 1.7 times as long.

Checked and ruled out: the gate and L (took 45 ms), bad clients (they reach no pool), the restarts (they cost 1.5 s of one node each). At fault: controller.go paced. A held call goes to whichever short pool's turn comes first, so two full pools swap their calls, and a quarter of the agents is spent on the longer calls. Now a call of usual worth waits for its first choice while that pool is up and not on trial; dear calls and those whose first pool is gone, draining or shut go on as before. The pool order is as it was.

--- a/controller.go
+++ b/controller.go
@@ -274,10 +274,9 @@
 // queue is the set-ups out that the server may still be at work on, oldest first.
 //
 // Departure: a processor has one line, so a set-up that one sent later has passed is not in it: its
-// answer is lost, and says nothing of how long the next will take. Guards against one lost answer
-// shutting a busy server until its time-out and for R's memory after it, again and again, with half of
-// its agents free. It covers answers that are lost or come late at a server that works. It can harm
-// where set-ups overtake each other by habit: its oldest are then told of late.
+// answer is lost, and says nothing of the next. Guards against one lost answer shutting a busy server until
+// its time-out and for R's memory after it, with half of its agents free. It can harm where set-ups
+// overtake each other by habit: its oldest are then told of late.
 func (s *server) queue() []*call {
 	i := 0
 	for i < len(s.out) && s.strayed(s.out[i]) {
@@ -337,14 +336,10 @@
 
 // behind is what the gate adds to P for the set-ups out at s after the oldest.
 //
-// Departure: each counts as a further aheadWeight quickest times, as they are worked off one by one.
-// Without it an open gate admits any number until the oldest is 5 M old. It covers bursts, held calls
-// let go together and reopening.
-//
-// It counts as a turn where that is less. Guards against taking the way to a far server for its work:
-// with M nearly all way, two out at a time were the bar, and a quick processor with half its agents free
-// stood idle while calls were held for it and refused. It is no part of L, which each call would
-// multiply by it.
+// Departure: each counts as a further aheadWeight quickest times, as they are worked off one by one: an
+// open gate would else admit any number until the oldest is 5 M old. It covers bursts, held calls let go
+// together and reopening. It counts as a turn where that is less. Guards against taking the way to a far
+// server for its work: two out at a time were the bar, and half of its agents stood free.
 func (c *Controller) behind(s *server, m time.Duration) float64 {
 	n := len(s.queue())
 	if n == 0 {
@@ -370,10 +365,9 @@
 
 // proven is P as L takes it.
 //
-// Departure: a set-up out proves its age and no more: younger than expected it counts as an idle server
-// does. With many calls in a quickest time each would add t/M to L, also where all is answered in M, and
-// a far pool got two set-ups at a time while half of its agents were free. It covers every rate of calls.
-// It can harm where a server slows down under a burst: L tells of it only when the first are overdue.
+// Departure: a set-up out proves its age and no more; younger than expected it counts as idle. With many
+// calls in a quickest time each would add t/M to L, also where all is answered in M. It can harm where a
+// server slows down under a burst: L tells of it only when the first are overdue.
 func (c *Controller) proven(s *server, m time.Duration) float64 {
 	if q := s.queue(); len(q) > 0 {
 		return max(float64(c.now-q[0].sentAt), scaleIdle*float64(m)*c.load)
@@ -435,7 +429,8 @@
 // It covers jams, slow, ageing and hung servers, full ones and reopening, at any number of nodes.
 // It can harm when one slow set-up was a stray: the node holds back for a turn or two.
 //
-// While agents are short the pace is one turn: as many come free as are asked for.
+// While agents are short the pace is one turn: as many come free as are asked for. A usual call then waits
+// for its first choice, if that works: elsewhere it lasts longer, and two full pools would swap their calls.
 //
 // Guard: a cold server is not pushed over. Its pace grows with its age, from half of what it can
 // bear at the least (ColdShare, FallMultiple), whatever its completions say and whatever a call is
@@ -445,6 +440,10 @@
 	lift, weight := s.lift, c.worth(k)/max(c.usual, math.SmallestNonzeroFloat64)
 	if s.scarce {
 		lift = min(lift, 1)
+		first := func(t *server) bool { return t.pool == k.Pool && c.allowed(k, t) && !t.onTrial }
+		if s.pool != k.Pool && !c.dear(k) && slices.ContainsFunc(c.order, first) {
+			return false
+		}
 	}
 	if c.cold(s) {
 		least := c.set.ColdShare * c.set.FallMultiple * coldMargin
--- a/controller_test.go
+++ b/controller_test.go
@@ -874,6 +874,35 @@
 	}
 }
 
+// Guards against two pools short of agents swapping their calls: half of all stood at their second choice, where
+// they last half as long again, and a quarter of the agents was spent on that (r801c5b).
+func TestShortPoolsKeepToTheirOwn(t *testing.T) {
+	set := settings()
+	set.Classes[0].Hold = 10 * time.Second
+	for _, x := range []struct {
+		class int
+		mode  Mode
+		trial bool
+		want  ServerID
+	}{{0, Ready, false, ""}, {1, Ready, false, "b"}, {0, Draining, false, "b"}, {0, Gone, false, "b"}, {0, Ready, true, "b"}} {
+		r := newRig(t, set, pools("a", "b")...)
+		for range 64 { // the usual call is of class 0
+			r.do(Call{ID: 1000, Left: time.Millisecond})
+			r.do(HangUp{Call: 1000})
+		}
+		for pool := range 2 {
+			r.complete(pool, 50*ms)
+		}
+		r.pass(time.Second)
+		a, b := r.c.servers["a"], r.c.servers["b"]
+		a.agents, b.agents, a.scarce, b.scarce = 100, 100, true, true
+		a.phase, a.paceFrom, a.mode, a.onTrial, a.r, a.rAt = 0, r.now, x.mode, x.trial, time.Second, r.now
+		if _, to := r.call(x.class, 0); to != x.want {
+			t.Errorf("%+v: sent to %q", x, to)
+		}
+	}
+}
+
 // A failure shut a quick server for as long as L of the others stretched it (arequipa-archivo's
 // overload day, i131262).
 func TestLoadOfOthersDoesNotStretchATrial(t *testing.T) {
