A set-up's silence counts from its INVITE: an idle pool connection is not a quiet one

Checked with a probe: on a connection idle for 4.4 s the set-up times out, the next connection comes up, and the release is not on it.

At fault: internal/pool lost, which took the time of the last message heard for the beginning of the silence. Over 5 s of that count as a lost machine (cutIfDead): its kept releases are dropped and its standing calls cut.

--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -161,7 +161,7 @@
 	p.mu.Lock()
 	p.conn, p.downSince = nil, now
 	if c.silent {
-		p.downSince = c.heard.Load()
+		p.downSince = c.quietFrom
 	}
 	for len(c.queue) > 0 {
 		if i := <-c.queue; i.keep {
@@ -190,16 +190,19 @@
 
 // conn is one connection to a pool. Its dialogs belong to pool.mu.
 type conn struct {
-	pool    *pool
-	raw     net.Conn
-	queue   chan item
-	closed  chan struct{}
-	once    sync.Once
-	heard   atomic.Int64       // when the last message came
-	toldAt  int64              // when a state came last; only read looks at it
-	silent  bool               // it was closed for its silence
-	dialogs map[string]*dialog // by Call-ID, as the pools match them
-	unheard map[string][]byte  // releases written that the pool has not said it heard
+	pool   *pool
+	raw    net.Conn
+	queue  chan item
+	closed chan struct{}
+	once   sync.Once
+	heard  atomic.Int64 // when the last message came
+	toldAt int64        // when a state came last; only read looks at it
+	silent bool         // it was closed for its silence
+	// quietFrom is when that began. Guards against the quiet of an idle connection counting as a lost machine's,
+	// whose calls are cut and whose releases are dropped (found by FuzzDialog).
+	quietFrom int64
+	dialogs   map[string]*dialog // by Call-ID, as the pools match them
+	unheard   map[string][]byte  // releases written that the pool has not said it heard
 }
 
 // item is a message to be written. What has a dialog is written only if it may be when its turn comes.
@@ -217,14 +220,28 @@
 // The next one is opened only once this one is closed. Guards against ends of calls that are never heard of:
 // what the pool told on the quiet one comes again on the next that is opened, and on no further one. One that
 // was opened only to see whether it comes up had them told to nobody.
+//
+// A set-up's silence counts from its INVITE. Guards against an idle connection being given up for the quiet
+// before its first set-up, with the set-up on it (found by FuzzDialog).
 func (c *conn) gone(now int64) bool {
 	p := c.pool
-	if now-c.heard.Load() < p.quiet() {
+	since := c.heard.Load()
+	if now-since < p.quiet() {
 		return false
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.silent = len(p.standing) > 0 || len(c.dialogs) > 0
+	oldest := now
+	for _, d := range c.dialogs {
+		if d.leftAt > 0 {
+			oldest = min(oldest, d.leftAt)
+		}
+	}
+	if len(c.dialogs) > 0 {
+		since = max(since, oldest)
+	}
+	c.silent = (len(p.standing) > 0 || len(c.dialogs) > 0) && now-since >= p.quiet()
+	c.quietFrom = since
 	return c.silent
 }
 
--- a/internal/pool/dialog.go
+++ b/internal/pool/dialog.go
@@ -133,7 +133,7 @@
 		// next one, as this one may carry no CANCEL.
 		if c.heard.Load() < d.leftAt && d.calledOffAt-d.leftAt >= quietLeast/2 {
 			set.cfg.Count.Add(stats.QuietPools)
-			c.silent = true
+			c.silent, c.quietFrom = true, d.leftAt
 			p.bye(a.ID, bye(set.cfg.Name, a.ID, d.number, dispatch.CauseNormal))
 			c.close()
 			return nil, set.ending(outcome)
