Nothing is kept of pools that are gone, and calls do not set the pace of dialling

An attempt at a pool without a connection kicked the dialling loop each time (run, "case <-p.kick"): 1,000 attempts in a second at a pool that refuses were 1,000 dials. An attempt that waited for the dial of a pool that was removed waited to its time-out, as nobody dials there.

Ruled out: that something still needs the line of a pool that is gone; calls out or standing there hold the server by themselves (tested), and a removed line that comes again is passed over.

Now a pool is dropped a second after its removal, once nothing stands there, and its goroutine ends; listed again it is a new one. Dials to a pool are 20 ms apart at the least. The stand-in pool forgets connections that are closed.

--- a/controller.go
+++ b/controller.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -105,6 +106,7 @@
 	load       float64 // L, the load ratio
 	servers    map[ServerID]*server
 	order      []*server // in the order of first listing
+	listed     int       // servers ever listed, which numbers them
 	calls      map[CallID]*call
 	heard      map[uint64]time.Duration // numbers tried in vain, and when first
 	heardOrder []*call
@@ -225,7 +227,7 @@
 
 type server struct {
 	id    ServerID
-	index int // in order
+	index int // of all ever listed
 	pool  int
 	born  time.Duration
 	mode  Mode
@@ -316,9 +318,7 @@
 }
 
 func (s *server) forget(k *call) {
-	if i := slices.Index(s.out, k); i >= 0 {
-		s.out = slices.Delete(s.out, i, i+1)
-	}
+	s.out = slices.DeleteFunc(s.out, func(o *call) bool { return o == k })
 }
 
 // ---- Layer 2: prediction P and load ratio L ----
@@ -691,13 +691,8 @@
 }
 
 func (c *Controller) mayStillSend(k *call) bool {
-	if c.now >= k.until || c.now < k.notBefore || k.sends >= mostSends {
-		return false
-	}
-	if c.set.MaxAttempts > 0 && k.sends >= c.set.MaxAttempts {
-		return false
-	}
-	return c.mayRepeat(k)
+	most := min(mostSends, cmp.Or(c.set.MaxAttempts, mostSends))
+	return k.notBefore <= c.now && c.now < k.until && k.sends < most && c.mayRepeat(k)
 }
 
 // mayRepeat is false once a set-up that must not be repeated may have been carried out.
@@ -904,7 +899,8 @@
 	for _, l := range e.Servers {
 		s := c.servers[l.ID]
 		if s == nil {
-			s = &server{id: l.ID, index: len(c.order), free: -1, born: l.Born}
+			s = &server{id: l.ID, index: c.listed, free: -1, born: l.Born}
+			c.listed++
 			c.start(s)
 			c.servers[l.ID] = s
 			c.order = append(c.order, s)
@@ -915,6 +911,9 @@
 		}
 		s.mode, s.pool = l.Mode, l.Pool
 	}
+	// Nothing is kept of a server that is gone, but by the calls that are out or stand there.
+	c.order = slices.DeleteFunc(c.order, func(s *server) bool { return s.mode == Gone })
+	maps.DeleteFunc(c.servers, func(_ ServerID, s *server) bool { return s.mode == Gone })
 }
 
 // start opens a new incarnation; the phase of its pace is drawn by lot.
--- a/controller_test.go
+++ b/controller_test.go
@@ -505,6 +505,33 @@
 	}
 }
 
+// Guards against a long day, on which servers are replaced by new ones again and again, leaving a table of
+// all that ever were: each new call looked through them.
+func TestNothingIsKeptOfServersThatAreGone(t *testing.T) {
+	r := newRig(t, settings(), pools("a", "s0")...)
+	for i := range 50 {
+		old, next := ServerID(fmt.Sprintf("s%d", i)), ServerID(fmt.Sprintf("s%d", i+1))
+		id, to := r.call(0, 1)
+		if to != old {
+			t.Fatalf("call %d went to %q", i, to)
+		}
+		r.do(ServerList{Kind: Delta, Servers: []Server{{ID: old, Mode: Gone}, {ID: next, Pool: 1}}})
+		r.do(Outcome{Call: id, Status: Reset}) // of the call that is out at the one that is gone
+		r.pass(time.Second)
+		if r.sends(id) != 2 {
+			t.Fatalf("call %d: %d sends", i, r.sends(id))
+		}
+		r.do(Answered{Call: id, Attempt: 1, Took: 50 * ms})
+		r.do(Outcome{Call: id, Attempt: 1, Status: Ended, Closed: true})
+	}
+	if len(r.c.order) != 2 || len(r.c.servers) != 2 {
+		t.Errorf("%d servers in order, %d in the table, want the 2 that are listed", len(r.c.order), len(r.c.servers))
+	}
+	if r.c.order[0].index == r.c.order[1].index {
+		t.Error("two servers draw the same lots")
+	}
+}
+
 func TestANewIncarnationForgetsTheOld(t *testing.T) {
 	r := newRig(t, settings(), pools("a")...)
 	r.complete(0, 50*ms)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -399,7 +399,9 @@
 		list := make([]eidertrail.Server, len(servers))
 		for i, s := range servers {
 			list[i] = eidertrail.Server{ID: eidertrail.ServerID(s.UID), Born: span(s.Born), Mode: s.Mode, Pool: s.Group}
-			d.servers[s.UID] = s
+			if d.servers[s.UID] = s; s.Mode == eidertrail.Gone {
+				delete(d.servers, s.UID)
+			}
 		}
 		d.events = append(d.events, eidertrail.ServerList{Kind: kind, Servers: list})
 	})
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -186,6 +186,10 @@
 		if r.maySend(now, k, "b") {
 			t.Error("to a draining pool: may be sent")
 		}
+		r.list(eidertrail.Ready, eidertrail.Gone)
+		if r.maySend(now, k, "b") || len(r.servers) != 1 { // guards against a line kept for each pool that ever was
+			t.Errorf("a pool that is gone is still listed: %v", r.servers)
+		}
 	})
 }
 
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -29,10 +29,11 @@
 	defer p.set.wg.Done()
 	again := redialMin
 	for {
+		began := p.set.cfg.Clock.Now()
 		p.mu.Lock()
 		address, want := p.listed.Address, p.listed.State != bulletin.Removed && !p.superseded
 		p.mu.Unlock()
-		pause := time.Hour
+		pause := redialMax
 		if want {
 			if p.connect(address) {
 				again = redialMin
@@ -42,29 +43,27 @@
 			}
 			pause = again
 			again = min(2*again, redialMax)
-		} else if p.pending() {
-			pause = redialMax
+		} else {
+			p.undialled()
 		}
 		p.cutIfDead()
+		if p.forget() {
+			return
+		}
 		timer := time.NewTimer(pause)
 		select {
 		case <-p.set.ctx.Done():
 			timer.Stop()
 			return
-		case <-p.kick:
+		case <-p.kick: // a call wants a connection
 			timer.Stop()
+			// Guards against a pool that refuses or resets being dialled once for every call.
+			time.Sleep(redialMin - time.Duration(p.set.cfg.Clock.Now()-began)*time.Microsecond)
 		case <-timer.C:
 		}
 	}
 }
 
-// pending tells whether a pool that is gone still has calls to be cut.
-func (p *pool) pending() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.standing) > 0
-}
-
 // longGone tells whether the pool's own releases need no longer be waited for.
 func (p *pool) longGone() bool {
 	now := p.set.cfg.Clock.Now()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -73,7 +73,7 @@
 	mostEnded = 1024
 )
 
-// Set is all the sync pools that were ever listed.
+// Set is the sync pools that are listed, and for a second those that were removed.
 type Set struct {
 	cfg Config
 	ctx context.Context
@@ -113,6 +113,9 @@
 	for _, l := range e.Pools {
 		listed[l.UID] = true
 		p := s.pools[l.UID]
+		if p == nil && l.State == bulletin.Removed {
+			continue
+		}
 		if p == nil {
 			p = newPool(s, l)
 			s.pools[l.UID] = p
@@ -346,6 +349,31 @@
 	p.lose(legs)
 }
 
+// forget drops a pool that is gone, once nothing stands there and its connection is closed, and tells
+// whether it did. Guards against every pool that was ever listed keeping a goroutine, its tables and its
+// place in each search. Listed again it is a new one.
+func (p *pool) forget() bool {
+	now := p.set.cfg.Clock.Now()
+	p.set.mu.Lock()
+	defer p.set.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.removedAt == 0 || now-p.removedAt < removedAfter || len(p.standing) > 0 || p.conn != nil {
+		return false
+	}
+	delete(p.set.pools, p.uid)
+	close(p.dialled) // whoever still wants a connection gets none
+	return true
+}
+
+// undialled tells those who wait for a connection that none is coming.
+func (p *pool) undialled() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.dialled)
+	p.dialled = make(chan struct{})
+}
+
 // legs are the calls that stand. The caller holds mu.
 func (p *pool) legs() []*leg {
 	var legs []*leg
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -167,7 +168,12 @@
 
 // Serve reads a connection to its end.
 func (p *Pool) Serve(c net.Conn) {
-	defer c.Close()
+	defer func() {
+		c.Close()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.conns = slices.DeleteFunc(p.conns, func(o net.Conn) bool { return o == c })
+	}()
 	p.mu.Lock()
 	p.conns = append(p.conns, c)
 	p.dialled++
