A release of a first send is not said again once the second send is out

Cause, by the trace of all messages (-v): an INVITE timed out with nothing heard, its connection was given up and the BYE for it left on the next one; the pool never answered that BYE, so that it stayed among the unheard releases. The second send, with the same Call-ID to the same pool, was answered there and stood. That connection went quiet too, and lost() said the unheard BYE again on the one after: it ended the call that stood. Nobody told the caller, as for us it stood on. At fault: conn.go lost(), the loop over c.unheard, which knows nothing of a later send.

Ruled out: an end that the pool told and that was swallowed (no BYE came in on any connection), and the caller's connection (open all the time).

Now dialog.leave, which the writer asks in the order of writing, takes the release off the unheard ones when the next INVITE of that Call-ID goes out: what was written before it is heard before it. The test fails without it ("INVITE BYE INVITE ACK BYE BYE BYE"), and FuzzDialog's model now also holds that nothing that stands is released, with a seed.

--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -209,7 +209,7 @@
 	bytes  []byte
 	dialog *dialog
 	keep   bool   // a release: if this connection does not write it, the next one does
-	id     string // of what is kept
+	id     string // of the call, with an INVITE and with what is kept
 }
 
 // gone tells whether nothing more is to be hoped for on this connection: something is going on at the pool,
@@ -287,7 +287,7 @@
 		case i := <-c.queue:
 			// Guards against an INVITE to a pool of which a drain was told between decision and write, and
 			// against one whose call was given up in between: here is the last place to stop it.
-			if i.dialog != nil && !i.dialog.leave() {
+			if i.dialog != nil && !i.dialog.leave(c, i.id) {
 				continue
 			}
 			if err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
--- a/internal/pool/dialog.go
+++ b/internal/pool/dialog.go
@@ -42,8 +42,8 @@
 	d.reply <- reply{nil, e}
 }
 
-// leave is asked when the INVITE is about to be written. It tells whether it may be.
-func (d *dialog) leave() bool {
+// leave is asked when the INVITE is about to be written on c. It tells whether it may be.
+func (d *dialog) leave(c *conn, id string) bool {
 	p := d.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -57,6 +57,10 @@
 		return false
 	}
 	d.state, d.leftAt = out, p.set.cfg.Clock.Now()
+	// Guards against a release of the send before, which the pool has not said it heard, being said again on the
+	// next connection: it has the same Call-ID, and would end what stands by this one. What is written before
+	// this INVITE is heard before it.
+	delete(c.unheard, id)
 	p.set.cfg.Count.Add(stats.Invites)
 	return true
 }
@@ -99,7 +103,7 @@
 		set.cfg.Count.Add(stats.GuardStopped)
 		return nil, set.ending(dispatch.Moot)
 	}
-	if p.conn != c || !c.sendItem(item{bytes: invite, dialog: d}) {
+	if p.conn != c || !c.sendItem(item{bytes: invite, dialog: d, id: a.ID}) {
 		p.mu.Unlock()
 		return nil, set.ending(dispatch.Moot)
 	}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -594,30 +594,53 @@
 	})
 }
 
+// Guards against our own release of a first send, said again on the next connection as the pool has not said that
+// it heard it, ending the call that stands there by the second: both have one Call-ID, and the caller was told
+// nothing (a day of bad answers and silent pools).
+func TestAReleaseOfTheFirstSendSparesTheSecond(t *testing.T) {
+	bubble(t, func(r *rig) {
+		time.Sleep(100 * time.Millisecond)
+		x := r.invite("c1", 0, 300*time.Millisecond)
+		time.Sleep(310 * time.Millisecond)
+		r.want(x, dispatch.TimedOut) // with nothing heard: the release leaves on the next connection
+		time.Sleep(300 * time.Millisecond)
+		y := r.invite("c1", 1, time.Minute)
+		r.wantSent("INVITE BYE INVITE").Answer(200, "", "a\r\n")
+		r.want(y, dispatch.Answered)
+		time.Sleep(5 * time.Second) // it goes quiet too
+		synctest.Wait()
+		if got, _ := r.sent(); got != "INVITE BYE INVITE ACK" || r.Standing() != 1 || r.at.Dialled() < 3 {
+			t.Errorf("pool got %q on %d connections, %d stand", got, r.at.Dialled(), r.Standing())
+		}
+	})
+}
+
 // FuzzDialog checks random steps of one call's dialogs with the pool against a model of their states:
 // never two set-ups at once, a leg exactly when a 200 came first, and a BYE for every other 200.
 func FuzzDialog(f *testing.F) {
-	standin.Fuzz(f, []string{"000100", "0002001300", "000310", "00040010", "0001000500", "00060001", "0003020100", "000700"},
+	standin.Fuzz(f, []string{"000100", "0002001300", "000310", "00040010", "0001000500", "00060001", "0003020100", "000700",
+		"00600060700000"},
 		func(t *testing.T, script []byte) {
 			onRig(t, func(r *rig) {
 				var x *invited
 				number, legs := 0, 0
-				outside := func() bool { // whether an INVITE is out at the pool, by what the pool has seen
+				// outside tells whether an INVITE is out at the pool, and whether the latest was released, by what the
+				// pool has seen.
+				outside := func() (out, released bool) {
 					r.mu.Lock()
 					defer r.mu.Unlock()
-					out := false
 					for _, q := range r.got {
 						switch q.Method {
 						case "INVITE":
 							if out {
 								t.Fatal("two set-ups out")
 							}
-							out = true
+							out, released = true, false
 						case "ACK", "CANCEL", "BYE": // a BYE on the next connection, where this one was given up as quiet
-							out = false
+							out, released = false, released || q.Method == "BYE"
 						}
 					}
-					return out
+					return out, released
 				}
 				last := func() (q standin.Request) { _, q = r.sent(); return q }
 				steps := []func(byte){
@@ -659,15 +682,15 @@
 					func(byte) { r.list("p1", "10.0.0.1:5060", bulletin.Up) },
 				}
 				standin.Play(script, steps, func() {
-					out := outside()
+					out, released := outside()
 					if x != nil && x.done && out {
 						t.Fatal("ended, and still out")
 					}
 					if x != nil && x.done && x.leg != nil {
 						legs = 1
 					}
-					if n := r.Standing(); n > legs {
-						t.Fatalf("%d stand, %d were handed over", n, legs)
+					if n := r.Standing(); n > legs || n > 0 && released {
+						t.Fatalf("%d stand, %d were handed over, released %v", n, legs, released)
 					}
 				})
 				if x != nil {
