A connection that broke puts a pool on trial and cuts no pace

Cause, by the trace of all messages: one answer that could not be read ended the connection, and the 5 set-ups out on it ended as Reset. Each was a failure for the module and cut the pace to a quarter, to the least: no send for 0.86 s, though the next connection was up 20 ms later and the pool told of 36 free agents on it. At fault: outcome(), where Reset goes the way of every failure.

A connection says nothing of the processor behind it. Now what was out on it does not cut the pace; the server is on trial, so that one set-up at a time tries it, until one is answered. A trial that is reset as well is a failure as before, and a process that died refuses the next connection, which is one too.

--- a/controller.go
+++ b/controller.go
@@ -817,6 +817,8 @@
 				s.shut(c.now, e.Took, failMultiple*float64(min(s.faults-faultsInRow+1, mostRow)))
 			}
 		case (e.Status == TimedOut || e.Status == Reset) && s.strayed(k): // no failure of the server
+		case e.Status == Reset && (!s.onTrial || k.sentAt < s.cutAt): // one set-up tries the next connection
+			s.onTrial, s.cutAt = true, c.now
 		default:
 			s.failed(c.now, max(e.Took, e.Wait))
 		}
--- a/controller_test.go
+++ b/controller_test.go
@@ -932,6 +932,56 @@
 
 // A failure shut a quick server for as long as L of the others stretched it (arequipa-archivo's
 // overload day, i131262).
+// Guards against a spoilt answer shutting a pool with most of all agents: the connection that it ends breaks all
+// set-ups that are out on it, and each of them cut the pace, by 0.86 s together. A crash shows by the trial.
+func TestABrokenConnectionCutsNoPace(t *testing.T) {
+	set := settings()
+	set.Classes[0].Hold = time.Second
+	r := newRig(t, set, pools("a")...)
+	r.do(Report{Server: "a", Free: 100, Agents: 100})
+	for range 3 {
+		r.complete(0, 20*ms)
+	}
+	var out []Event
+	for range 3 {
+		id, to := r.call(0, 0)
+		if to != "a" {
+			t.Fatal("an open server gets no call")
+		}
+		out = append(out, Outcome{Call: id, Status: Reset, Took: ms, Closed: true})
+	}
+	r.pass(10 * ms)
+	r.do(out...)
+	first, to := r.call(0, 0)
+	if to != "a" {
+		t.Fatal("no set-up tries the server")
+	}
+	if _, to := r.call(0, 0); to != "" {
+		t.Error("a second set-up went out with the first")
+	}
+	r.pass(20 * ms)
+	if r.do(Answered{Call: first, Took: 20 * ms}); sendsIn(r.last) != 1 {
+		t.Error("the one that waits is not sent once the first is answered")
+	}
+	if _, to := r.call(0, 0); to != "a" {
+		t.Error("the server is not open again")
+	}
+
+	r = newRig(t, settings(), pools("a")...)
+	r.complete(0, 20*ms)
+	for range 2 { // the trial is reset too: that is a failure
+		id, to := r.call(0, 0)
+		if to != "a" {
+			t.Fatal("a server that was reset once is not tried")
+		}
+		r.pass(10 * ms)
+		r.do(Outcome{Call: id, Status: Reset, Took: 10 * ms, Closed: true})
+	}
+	if _, to := r.call(0, 0); to != "" {
+		t.Error("a server that is reset again and again is not shut")
+	}
+}
+
 func TestLoadOfOthersDoesNotStretchATrial(t *testing.T) {
 	r := newRig(t, settings(), pools("a")...)
 	r.complete(0, 50*ms)
