A set-up that times out while a message is stuck on its connection counts as reset

Nothing was wrong with the pool, whose next connection was up in 20 ms.

Cause: invite() gave up the connection only where nothing had been heard since the INVITE left; a message that had begun was waited for (0.3 s), and the time-outs meanwhile went to the module as the pool's.

Now a set-up that times out while a message has been coming for 0.1 s ends the connection and is told as Reset, which puts the pool on trial and leaves its pace. Measured and left out: the same for a connection on which nothing was heard at all.

--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -195,6 +195,7 @@
 	closed chan struct{}
 	once   sync.Once
 	heard  atomic.Int64 // when the last message came
+	begun  atomic.Int64 // when the one that is coming began, 0: none is
 	toldAt int64        // when a state came last; only read looks at it
 	silent bool         // it was closed for its silence
 	// quietFrom is when that began. Guards against the quiet of an idle connection counting as a lost machine's,
@@ -361,6 +362,8 @@
 	if err := c.raw.SetReadDeadline(time.Now().Add(messageWithin)); err != nil {
 		return nil, err
 	}
+	c.begun.Store(c.pool.set.cfg.Clock.Now())
+	defer c.begun.Store(0)
 	return sip.Read(r)
 }
 
--- a/internal/pool/dialog.go
+++ b/internal/pool/dialog.go
@@ -133,13 +133,21 @@
 	if outcome == dispatch.TimedOut {
 		set.cfg.Count.Add(stats.TimeOuts)
 		// Guards against waiting any longer at a connection on which nothing at all has come since the INVITE
-		// left: what else goes out on it is lost too. Whatever the pool has made of the call is released on the
-		// next one, as this one may carry no CANCEL.
-		if c.heard.Load() < d.leftAt && d.calledOffAt-d.leftAt >= quietLeast/2 {
+		// left, or on which a message has stopped short: what else goes out on it is lost too. Whatever the pool
+		// has made of the call is released on the next one, as this one may carry no CANCEL.
+		quiet := c.heard.Load() < d.leftAt && d.calledOffAt-d.leftAt >= quietLeast/2
+		begun := c.begun.Load()
+		if quiet || begun > 0 && d.calledOffAt-begun >= stuckAfter {
 			set.cfg.Count.Add(stats.QuietPools)
 			c.silent, c.quietFrom = true, d.leftAt
 			p.bye(a.ID, bye(set.cfg.Name, a.ID, d.number, dispatch.CauseNormal))
 			c.close()
+			if !quiet {
+				// The connection has failed, not the pool. Guards against a pool with most of all agents being held
+				// back for half a second by two set-ups that an answer that broke off took with it. A quiet one may
+				// be a pool that hangs.
+				outcome = dispatch.Reset
+			}
 			return nil, set.ending(outcome)
 		}
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -63,6 +63,8 @@
 	lookEvery  = 50 * time.Millisecond
 	// messageWithin is how long the rest of a message may take once it has begun.
 	messageWithin = 300 * time.Millisecond
+	// stuckAfter is from when on a message that has begun has stopped short, for a set-up that times out.
+	stuckAfter = 100_000
 	// removedAfter is how long after its removal a pool's standing calls wait for the pool's own releases.
 	removedAfter = 1_000_000
 	// calledOffFor is how long a called-off dialog waits for its final answer before it is forgotten.
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -580,6 +580,17 @@
 			t.Errorf("%d connections, the pool got %q", r.at.Dialled(), got)
 		}
 	})
+	bubble(t, func(r *rig) { // something was heard, but a message has stopped short since
+		x := r.invite("c1", 0, 300*time.Millisecond)
+		r.at.Notify("idle:12;circuits:40")
+		time.Sleep(100 * time.Millisecond)
+		r.at.Send("SIP/2.0 200 OK\r\nCall-")
+		time.Sleep(210 * time.Millisecond)
+		r.want(x, dispatch.Reset) // of the connection: it is no sign of the pool's load
+		if got, _ := r.sent(); got != "INVITE BYE" || r.at.Dialled() != 2 {
+			t.Errorf("%d connections, the pool got %q", r.at.Dialled(), got)
+		}
+	})
 	bubble(t, func(r *rig) { // something was heard: one answer is lost, no more
 		x := r.invite("c1", 0, 300*time.Millisecond)
 		r.wantSent("INVITE")
