A spoilt answer is tested over both fronts: sent once more, nothing passed on as served

One answer that is cut off ends the connection to the pool while both fronts set up calls: each call stands, with a description that is whole, the one that broke by its second send, and a BYE goes out for what may stand by the spoilt answer. With the check in invited() taken out it fails (the description "cut off" is passed on).

--- a/callcontrol/callcontrol_test.go
+++ b/callcontrol/callcontrol_test.go
@@ -685,6 +685,51 @@
 	}
 }
 
+// Guards against an answer that cannot be read being passed on, or taking the other front's call with it: it ends
+// the connection to the pool, what was out on it is sent once more on the next, and both calls stand.
+func TestASpoiltAnswerOverBothTransports(t *testing.T) {
+	var mu sync.Mutex
+	sent := 0
+	r := newRig(t, func(q standin.Request) {
+		mu.Lock()
+		sent++
+		n := sent
+		mu.Unlock()
+		if n == 3 { // the two before made the pool known
+			q.Answer(200, "", "cut off")
+			return
+		}
+		answerAll(q)
+	})
+	ws := r.dial("a")
+	line, err := net.Dial("tcp", r.jsonl)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer line.Close()
+	in := bufio.NewReader(line)
+	for i := range 4 {
+		ws.say(setup(fmt.Sprintf("w%d", i), 60000))
+		fmt.Fprintf(line, `{"type":"setup","id":%q,"fields":{"class":"read","left":"60000"},"sdp":"a\r\n"}`+"\n", lineName(i))
+		if m := ws.next(); m.Type != "answer" || !strings.HasPrefix(m.SDP, "sdp of ") {
+			t.Errorf("over WebSocket call %d got %+v", i, m)
+		}
+		text, err := jsonl.ReadLine(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if m, err := jsonl.Parse(text); err != nil || m.Type != "answer" || m.SDP != "sdp of a\r\n" {
+			t.Errorf("over lines call %d got %s", i, text)
+		}
+	}
+	if n := r.seen("INVITE"); n < 9 || r.pools.Standing() != 8 {
+		t.Errorf("%d INVITEs, %d calls stand", n, r.pools.Standing())
+	}
+	if !t.Failed() {
+		r.await("BYE") // what may stand by the answer that was spoilt stands for nobody
+	}
+}
+
 // FuzzParse checks that no message makes the reader fail but with an error that has a code, and that what
 // it takes can be answered in valid JSON.
 func FuzzParse(f *testing.F) {
