--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -58,6 +58,13 @@
 	Overdue
 	ClosedBad
 	QuietPools
+	DNSQueries
+	DNSTruncated
+	DNSFailures
+	DNSBadAnswers
+	DNSChanges
+	PoolsConflicting
+	PoolsExpired
 	counters
 )
 
@@ -69,6 +76,8 @@
 	"guard_stopped", "guard_drain", "connections", "slow_readers", "pool_connections",
 	"bulletin_events", "bulletin_errors", "ws_messages", "ws_bad_messages", "http_admitted", "http_turned_away",
 	"reloads", "bad_reloads", "shed", "overdue", "closed_bad", "quiet_pools",
+	"dns_queries", "dns_truncated", "dns_failures", "dns_bad_answers", "dns_changes", "pools_conflicting",
+	"pools_expired",
 }
 
 // Set is a set of counters, safe for concurrent use. The zero value is ready; nil counts nothing.
