--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -43,7 +43,7 @@
 )
 
 // environment is what the daemon is started with.
-type environment struct{ config, listen, callControl string }
+type environment struct{ config, listen, callControl, discovery string }
 
 // daemon is a running session controller.
 type daemon struct {
@@ -56,6 +56,7 @@
 	desk      *dispatch.Desk
 	callers   *front.Front
 	sockets   *callcontrol.Server // nil: off
+	sources   *sources            // nil: the bulletin alone, straight to the pools
 	listener  net.Listener
 	env       environment
 	cfg       *config.Config     // as last read
@@ -84,6 +85,12 @@
 			return nil, err
 		}
 	}
+	var disc *config.Discovery
+	if env.discovery != "" {
+		if disc, err = config.LoadDiscovery(env.discovery); err != nil {
+			return nil, err
+		}
+	}
 	if second != nil && second.MaxConnections > cfg.Sockets/4 { // callers and pools need theirs
 		return nil, fmt.Errorf("callcontrol: max_connections: want at most a quarter of limits.sockets, %d", cfg.Sockets/4)
 	}
@@ -125,13 +132,18 @@
 	apply := func(e bulletin.Event) {
 		d.pools.Apply(e, func(lines []dispatch.Server) { d.dispatch.Roster(lines, false) })
 	}
+	if disc != nil {
+		d.sources = newSources(d.clock, d.pools, d.dispatch, limited, d.count, cfg.Seed)
+		d.wg.Go(func() { d.sources.run(pools, disc) })
+		apply = func(e bulletin.Event) { d.sources.bulletin(pools, e) }
+	}
 	for _, e := range cfg.Known.Items {
 		apply(e)
 	}
 	d.wg.Go(func() { bulletin.Watch(pools, cfg.Bulletin, cfg.Known.No, d.moves, d.clock, limited, d.count, apply) })
 	d.wg.Go(func() { d.broken <- d.callers.Serve(d.listener) })
 	log.Info().Str("name", cfg.Name).Stringer("listen", d.listener.Addr()).Int("classes", len(cfg.Settings.Classes)).
-		Int("memory_mb", cfg.MemoryMB).Int("sockets", cfg.Sockets).Bool("callcontrol", second != nil).Msg("serving")
+		Int("memory_mb", cfg.MemoryMB).Int("sockets", cfg.Sockets).Bool("callcontrol", second != nil).Bool("discovery", disc != nil).Msg("serving")
 	return d, nil
 }
 
@@ -159,6 +171,10 @@
 	if err == nil && d.sockets != nil {
 		second, err = config.LoadCallControl(d.env.callControl)
 	}
+	var disc *config.Discovery
+	if err == nil && d.sources != nil {
+		disc, err = config.LoadDiscovery(d.env.discovery)
+	}
 	if err != nil {
 		d.count.Add(stats.BadReloads)
 		d.log.Error().Err(err).Msg("new configuration not taken")
@@ -174,6 +190,9 @@
 	default:
 	}
 	d.moves <- bulletin.Move{Address: cfg.Bulletin, Known: cfg.Known}
+	if disc != nil {
+		d.sources.reload(disc)
+	}
 	if cfg.Listen != d.cfg.Listen || cfg.Name != d.cfg.Name || cfg.Sockets != d.cfg.Sockets || !reflect.DeepEqual(cfg.Settings, d.cfg.Settings) {
 		d.log.Warn().Msg("name, listen, limits.sockets and settings change only at a restart")
 	}
@@ -306,6 +325,9 @@
 	sockets.Wait()
 	d.stopLoop()
 	d.stopPools()
+	if d.sources != nil {
+		<-d.sources.done // it hands the pools no more changes
+	}
 	d.desk.Close()
 	d.callers.Close()
 	for _, f := range d.closers {
--- /dev/null
+++ b/cmd/eidertrail/sources.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"eidertrail/discovery/srv"
+	"eidertrail/dispatch"
+	"eidertrail/internal/bulletin"
+	"eidertrail/internal/clock"
+	"eidertrail/internal/config"
+	"eidertrail/internal/pool"
+	"eidertrail/internal/stats"
+	"eidertrail/membership"
+)
+
+// drainLook is how often pools that drain are looked at, to end a drain soon after its last call.
+const drainLook = 250 * time.Millisecond
+
+// sources merges the bulletin and the SRV names into the pool set: one goroutine owns the membership
+// Set, the bulletin's events and the resolvers' answers come to it, and what changes goes to the pools.
+type sources struct {
+	clock    *clock.Clock
+	pools    *pool.Set
+	dispatch *dispatch.Dispatcher
+	log      zerolog.Logger
+	count    *stats.Set
+	seed     uint64
+
+	events  chan bulletin.Event
+	updates chan srv.Update
+	reloads chan *config.Discovery
+	done    chan struct{}
+}
+
+func newSources(c *clock.Clock, pools *pool.Set, d *dispatch.Dispatcher, log zerolog.Logger, count *stats.Set, seed uint64) *sources {
+	return &sources{clock: c, pools: pools, dispatch: d, log: log, count: count, seed: seed,
+		events: make(chan bulletin.Event), updates: make(chan srv.Update, 32),
+		reloads: make(chan *config.Discovery, 1), done: make(chan struct{})}
+}
+
+// bulletin hands an event of the bulletin over; it waits until the owner has it, as the bulletin's
+// own order of events must hold.
+func (s *sources) bulletin(ctx context.Context, e bulletin.Event) {
+	select {
+	case s.events <- e:
+	case <-ctx.Done():
+	case <-s.done:
+	}
+}
+
+// reload has a new discovery file taken over; one that was not taken yet is out of date.
+func (s *sources) reload(cfg *config.Discovery) {
+	select {
+	case <-s.reloads:
+	default:
+	}
+	s.reloads <- cfg
+}
+
+// run owns the pool set until ctx is done.
+func (s *sources) run(ctx context.Context, cfg *config.Discovery) {
+	defer close(s.done)
+	set, _ := membership.New(cfg.Membership()) // checked with the file
+	var watchers sync.WaitGroup
+	stopWatchers := s.watch(ctx, &watchers, cfg, set)
+	defer func() {
+		stopWatchers()
+		watchers.Wait()
+	}()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	var seen membership.Counts
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-s.events:
+			set.Bulletin(s.clock.Now(), e.All, fromBulletin(e.Pools))
+		case u := <-s.updates:
+			s.take(set, u)
+		case next := <-s.reloads:
+			stopWatchers()
+			watchers.Wait()
+			carry(set, next)
+			cfg = next
+			stopWatchers = s.watch(ctx, &watchers, cfg, set)
+		case <-timer.C:
+		}
+		now := s.clock.Now()
+		set.Advance(now, s.pools.Busy)
+		if view, changed := set.View(now); changed {
+			s.count.Add(stats.DNSChanges)
+			s.pools.Apply(toBulletin(view), func(lines []dispatch.Server) { s.dispatch.Roster(lines, false) })
+			s.log.Info().Str("pools", membership.Describe(view)).Msg("pool set") // after: tests rest on it
+		}
+		c := set.Counts()
+		s.count.AddN(stats.PoolsConflicting, int64(c.Conflicts-seen.Conflicts))
+		s.count.AddN(stats.PoolsExpired, int64(c.Expired-seen.Expired))
+		seen = c
+		wait := time.Hour
+		if next := set.Next(); next > 0 {
+			wait = time.Duration(max(next-now, 1)) * time.Microsecond
+		}
+		if set.Draining() {
+			wait = min(wait, drainLook)
+		}
+		timer.Reset(wait)
+	}
+}
+
+// watch starts a watcher for each name of cfg, and returns what stops them.
+func (s *sources) watch(ctx context.Context, wg *sync.WaitGroup, cfg *config.Discovery, set *membership.Set) context.CancelFunc {
+	ctx, stop := context.WithCancel(ctx)
+	r := &srv.Resolver{Server: cfg.Server, Timeout: cfg.Timeout}
+	for _, n := range cfg.Names {
+		set.Name(n.SRV, n.Group)
+		wg.Go(func() { srv.Watch(ctx, r, cfg.Schedule(), n.SRV, s.clock.Now, s.seed, s.updates) })
+	}
+	return stop
+}
+
+// carry takes a new discovery file over: names that are no longer in it are forgotten, with their pools
+// at once; those that stay keep their records until their watchers, started anew, tell them again.
+func carry(set *membership.Set, next *config.Discovery) {
+	keep := map[string]bool{}
+	for _, n := range next.Names {
+		keep[n.SRV] = true
+	}
+	for _, name := range set.Names() {
+		if !keep[name] {
+			set.Forget(name)
+		}
+	}
+	set.Bounds(next.Membership()) // checked with the file
+}
+
+// take applies one look-up's outcome.
+func (s *sources) take(set *membership.Set, u srv.Update) {
+	s.count.AddN(stats.DNSQueries, int64(u.Answer.Queries))
+	s.count.AddN(stats.DNSTruncated, int64(u.Answer.Truncated))
+	if u.Err != nil {
+		s.count.Add(stats.DNSFailures)
+		if errors.Is(u.Err, srv.ErrBadAnswer) {
+			s.count.Add(stats.DNSBadAnswers)
+		}
+		s.log.Warn().Err(u.Err).Str("name", u.Name).Msg("dns look-up failed, the last good set stands")
+		return
+	}
+	set.Records(u.At, u.Name, u.Answer.Records)
+}
+
+func fromBulletin(pools []bulletin.Pool) []membership.Pool {
+	out := make([]membership.Pool, len(pools))
+	for i, p := range pools {
+		out[i] = membership.Pool{UID: p.UID, Address: p.Address, Group: p.Group, Born: p.Born, State: membership.State(p.State)}
+	}
+	return out
+}
+
+func toBulletin(view []membership.Member) bulletin.Event {
+	e := bulletin.Event{All: true, Pools: make([]bulletin.Pool, len(view))}
+	for i, m := range view {
+		e.Pools[i] = bulletin.Pool{UID: m.UID, Address: m.Address, Group: m.Group, Born: m.Born, State: bulletin.State(m.State)}
+	}
+	return e
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -180,6 +180,20 @@
 	return n
 }
 
+// Busy tells whether calls stand at the pool or set-ups are out there: a pool that drains is done when
+// neither is so. An unknown pool is not busy.
+func (s *Set) Busy(uid string) bool {
+	s.mu.Lock()
+	p := s.pools[uid]
+	s.mu.Unlock()
+	if p == nil {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.standing) > 0 || p.conn != nil && len(p.conn.dialogs) > 0
+}
+
 // ReleaseStray passes on a caller's release of a call that this process did not set up: it may have
 // been by the one before a restart, and only the pools know where it stands. It does nothing for a
 // call that has just ended.
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -90,6 +90,13 @@
 	}
 }
 
+// AddN counts n.
+func (s *Set) AddN(c Counter, n int64) {
+	if s != nil && n != 0 {
+		s.v[c].Add(n)
+	}
+}
+
 // Get is a counter's value.
 func (s *Set) Get(c Counter) int64 {
 	if s == nil {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -139,19 +139,39 @@
 
 // New returns an empty Set.
 func New(cfg Config) (*Set, error) {
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	return &Set{cfg: cfg, pools: map[string]*told{}, names: map[string]*named{}, uids: map[string]string{}}, nil
+}
+
+func (cfg Config) check() error {
 	switch {
 	case cfg.StaleFor < 0:
-		return nil, fmt.Errorf("%w: stale_for is negative", ErrConfig)
+		return fmt.Errorf("%w: stale_for is negative", ErrConfig)
 	case cfg.DrainFor < 0:
-		return nil, fmt.Errorf("%w: drain_for is negative", ErrConfig)
+		return fmt.Errorf("%w: drain_for is negative", ErrConfig)
 	case cfg.Tombstone < 0:
-		return nil, fmt.Errorf("%w: tombstone is negative", ErrConfig)
+		return fmt.Errorf("%w: tombstone is negative", ErrConfig)
 	case cfg.MostRecords < 1 || cfg.MostPools < 1:
-		return nil, fmt.Errorf("%w: most_records and most_pools want at least 1", ErrConfig)
+		return fmt.Errorf("%w: most_records and most_pools want at least 1", ErrConfig)
 	}
-	return &Set{cfg: cfg, pools: map[string]*told{}, names: map[string]*named{}, uids: map[string]string{}}, nil
+	return nil
 }
 
+// Bounds takes new bounds and times; they hold from the next call on. What is kept over a new bound
+// stays until it goes by itself.
+func (s *Set) Bounds(cfg Config) error {
+	if err := cfg.check(); err != nil {
+		return err
+	}
+	s.cfg, s.changed = cfg, true
+	return nil
+}
+
+// Names are the SRV names declared, in the order they were first.
+func (s *Set) Names() []string { return slices.Clone(s.order) }
+
 // Counts returns what the Set has seen.
 func (s *Set) Counts() Counts { return s.count }
 
