--- a/cmd/eidertrail/discovery_test.go
+++ b/cmd/eidertrail/discovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"os"
@@ -13,10 +14,12 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/tidwall/gjson"
 
 	"eidertrail/internal/jsonl"
 	"eidertrail/internal/standin"
+	"eidertrail/internal/stats"
 )
 
 const srvName = "_sip._tcp.g0.pools.example.org"
@@ -125,6 +128,7 @@
 	_, c := seen.pool(t, "c")
 	dns := standin.NewDNS(t)
 	dns.SetSRV(srvName, 1, target("a.pools.example.org", a), target("b.pools.example.org", b))
+	dns.SetMode(standin.Silent) // down at the start
 
 	dir := t.TempDir()
 	cfg := filepath.Join(dir, "config.json")
@@ -180,6 +184,8 @@
 			return up == len(want)
 		}
 	}
+	_, from = log.await(t, from, func(l string) bool { return strings.Contains(l, "dns look-up failed") })
+	dns.SetMode(standin.Answer)
 	_, from = log.await(t, from, isSet(a, b))
 
 	t.Cleanup(func() {
@@ -273,3 +279,49 @@
 		}
 	}
 }
+
+// A discovery file that makes no sense at SIGHUP is logged with its field, and the old one holds; at
+// the start it ends the start with that line.
+func TestBadDiscoveryFile(t *testing.T) {
+	dns := standin.NewDNS(t)
+	good := fmt.Sprintf("server = %q\n[[name]]\nsrv = %q\n", dns.Addr, srvName)
+	path := write(t, "discovery.toml", good)
+	cfg := write(t, "config.json", configuration("127.0.0.1:0", "127.0.0.1:1"))
+	if _, err := start(context.Background(), environment{config: cfg, discovery: write(t, "bad.toml", "jitter = 2\n"+good)},
+		zerolog.Nop()); err == nil || !strings.HasPrefix(err.Error(), "discovery: jitter:") {
+		t.Fatalf("start with a bad file: %v", err)
+	}
+	log := &buffer{}
+	d, err := start(context.Background(), environment{config: cfg, discovery: path}, zerolog.New(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newSignals()
+	ended := make(chan error, 1)
+	go func() { ended <- d.serve(s) }()
+	os.WriteFile(path, []byte("refresh_floor = \"0s\"\n"+good), 0o600)
+	s.hup <- syscall.SIGHUP
+	for !strings.Contains(log.String(), "refresh_floor") {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if d.count.Get(stats.BadReloads) != 1 {
+		t.Errorf("bad reloads %d", d.count.Get(stats.BadReloads))
+	}
+	os.WriteFile(path, []byte(good), 0o600)
+	s.hup <- syscall.SIGHUP
+	for d.count.Get(stats.Reloads) != 1 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	s.term <- syscall.SIGTERM
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+func TestEarlierSpellingsOfTheFlagsStillWork(t *testing.T) {
+	got := longFlags([]string{"-callcontrol", "x", "-discovery=y", "-v", "--verbose", "check", "-other"})
+	want := []string{"--callcontrol", "x", "--discovery=y", "-v", "--verbose", "check", "-other"}
+	if strings.Join(got, " ") != strings.Join(want, " ") {
+		t.Errorf("%v, want %v", got, want)
+	}
+}
--- a/internal/standin/dns.go
+++ b/internal/standin/dns.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"net"
 	"strings"
 	"sync"
@@ -60,22 +61,31 @@
 // NewDNS starts a DNS stand-in on 127.0.0.1, port 0, closed at the end of the test.
 func NewDNS(t testing.TB) *DNS {
 	t.Helper()
+	d, err := StartDNS("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	return d
+}
+
+// StartDNS starts a DNS stand-in at address (UDP and TCP); with port 0, on a port free for both.
+func StartDNS(address string) (*DNS, error) {
 	d := &DNS{srv: map[string]srvSet{}, hosts: map[string]Target{}, queries: map[string]int{}}
 	var pc net.PacketConn
 	var l net.Listener
-	for range 20 { // the TCP port of the same number may be taken
-		var err error
-		if pc, err = net.ListenPacket("udp", "127.0.0.1:0"); err != nil {
-			t.Fatal(err)
+	var err error
+	for range 20 { // with port 0, the TCP port of the same number may be taken
+		if pc, err = net.ListenPacket("udp", address); err != nil {
+			return nil, fmt.Errorf("dns stand-in: %w", err)
 		}
 		if l, err = net.Listen("tcp", pc.LocalAddr().String()); err == nil {
 			break
 		}
 		pc.Close()
-		pc = nil
 	}
-	if pc == nil {
-		t.Fatal("dns stand-in: no port free for both UDP and TCP")
+	if err != nil {
+		return nil, fmt.Errorf("dns stand-in: no port free for both UDP and TCP: %w", err)
 	}
 	d.Addr = pc.LocalAddr().String()
 	for _, s := range []*dns.Server{{PacketConn: pc, Handler: d.handler("udp")}, {Listener: l, Handler: d.handler("tcp")}} {
@@ -85,12 +95,14 @@
 		go s.ActivateAndServe()
 		<-started
 	}
-	t.Cleanup(func() {
-		for _, s := range d.servers {
-			s.Shutdown()
-		}
-	})
-	return d
+	return d, nil
+}
+
+// Close stops the stand-in.
+func (d *DNS) Close() {
+	for _, s := range d.servers {
+		s.Shutdown()
+	}
 }
 
 // SetSRV sets the records of an SRV name and of its targets. No targets: the name has no records
