routing: zone tiers, spill budget, outlier zones with hysteresis, slow start

Change: routing (pure, no I/O, no clock) says which pools the module may choose from: the own zone's first, the next tier's only while the serving tier is lost or full, another zone's under a spill budget (a cap on what this zone's calls hold there, in flight and standing, as a share of its agents), a zone taken out by its pools' failures or by going dark and held out for a hold that doubles on each flap within a minute, and a returning pool or zone ramped from a share of its capacity to all of it over a warm-up window, in whole set-ups. Config checks name the field: unknown zone, a zone twice (cycle), shares out of range. Not yet wired.

--- /dev/null
+++ b/routing/routing.go
@@ -0,0 +1,466 @@
+// Package routing narrows the pools that the decision module may choose from by zone: the controller's
+// own zone first, then its neighbours in tiers; a spill budget on what another zone's pools take of this
+// zone's calls; outlier detection of a zone from the pools' own outcomes, with hysteresis so that a zone
+// that flaps is not bounced back and forth; and slow start of a pool or zone that returns.
+//
+// It never chooses a pool: it says which pools are eligible now, and the module chooses among them, as
+// it does among pools that do not drain. It does no I/O and reads no clock: every call is given the
+// time in µs. A Router is not safe for concurrent use; the dispatcher's loop goroutine owns it.
+package routing
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+)
+
+// Config is the operator's. Times are in µs.
+type Config struct {
+	Zone string // the controller's own zone
+	// Tiers are, for each zone, the tiers of zones it spills to, nearest first; the zone itself is always
+	// the first tier and is not listed.
+	Tiers map[string][][]string
+	// SpillShare is the most of a tier's capacity (its agents, this controller's share) that calls of this
+	// zone may hold in another zone, in flight and standing together: 0 to 1.
+	SpillShare float64
+	Window     int64   // the outcomes a zone is judged by are those of this long
+	OutShare   float64 // a zone with this share of failures in the window, or more, is out
+	Least      int     // outcomes in the window below which a zone is not judged
+	Hold       int64   // the least time a zone stays out
+	MostHold   int64   // the most that repeated flaps make the hold
+	FlapWithin int64   // a zone out again within this of its return is a flap: its hold doubles
+	WarmUp     int64   // slow start: a returning pool comes to its whole capacity over this long
+	WarmFrom   float64 // and starts at this share of it: 0 to 1
+	Nodes      int     // controllers that share the pools: each takes its share of their agents
+}
+
+// ErrConfig tells of a Config that makes no sense; the message names the field.
+var ErrConfig = errors.New("routing: bad config")
+
+// Check tells what is wrong with the Config: an unknown zone in the tiers, a zone twice (a cycle back
+// to itself or an earlier tier), a share out of range.
+func (c Config) Check(zones []string) error {
+	known := map[string]bool{}
+	for _, z := range zones {
+		known[z] = true
+	}
+	switch {
+	case c.Zone == "" || !known[c.Zone]:
+		return fmt.Errorf("%w: zone: %q is not a known zone", ErrConfig, c.Zone)
+	case !(c.SpillShare >= 0 && c.SpillShare <= 1):
+		return fmt.Errorf("%w: spill_share: want 0 to 1 (0%% to 100%%)", ErrConfig)
+	case !(c.OutShare > 0 && c.OutShare <= 1):
+		return fmt.Errorf("%w: out_share: want more than 0, at most 1", ErrConfig)
+	case !(c.WarmFrom > 0 && c.WarmFrom <= 1):
+		return fmt.Errorf("%w: warm_from: want more than 0, at most 1", ErrConfig)
+	case c.Window <= 0 || c.Hold < 0 || c.MostHold < c.Hold || c.FlapWithin < 0 || c.WarmUp < 0:
+		return fmt.Errorf("%w: window, hold, most_hold, flap_within, warm_up: want window > 0, most_hold >= hold >= 0", ErrConfig)
+	case c.Least < 1 || c.Nodes < 1:
+		return fmt.Errorf("%w: least and nodes: want at least 1", ErrConfig)
+	}
+	for zone, tiers := range c.Tiers {
+		if !known[zone] {
+			return fmt.Errorf("%w: tiers.%s: not a known zone", ErrConfig, zone)
+		}
+		seen := map[string]bool{zone: true}
+		for i, tier := range tiers {
+			if len(tier) == 0 {
+				return fmt.Errorf("%w: tiers.%s[%d]: empty", ErrConfig, zone, i)
+			}
+			for _, z := range tier {
+				switch {
+				case !known[z]:
+					return fmt.Errorf("%w: tiers.%s[%d]: %q is not a known zone", ErrConfig, zone, i, z)
+				case seen[z]:
+					return fmt.Errorf("%w: tiers.%s[%d]: %q comes twice (a cycle)", ErrConfig, zone, i, z)
+				}
+				seen[z] = true
+			}
+		}
+	}
+	return nil
+}
+
+// Pool is a line of the pool list as routing needs it.
+type Pool struct {
+	UID  string
+	Zone string
+	Up   bool // listed as up: not draining, not gone
+}
+
+// Outcome is what became of a set-up, as routing judges a zone by it.
+type Outcome int
+
+// The outcomes. Failures are those that tell of the zone, not of the call: no answer, a reset, no
+// connection. A pool that is full is no failure of its zone.
+const (
+	Success Outcome = iota
+	Failure
+	Neutral
+)
+
+// mostOutcomes bounds the outcomes kept for a zone.
+const mostOutcomes = 256
+
+type pool struct {
+	Pool
+	agents   float64 // told, 0: not yet
+	free     float64 // told, -1: not yet
+	busy     int     // set-ups out and calls standing of this controller
+	warmFrom int64   // slow start began then, 0: warm
+	seen     bool    // in the last roster
+}
+
+type zone struct {
+	name     string
+	outcomes []outcome // the latest, oldest first
+	out      bool
+	outUntil int64 // out at least until then
+	backAt   int64 // when it last came back, 0: never went out
+	hold     int64 // the hold of its last time out
+	dark     bool  // no pool of it is up
+}
+
+type outcome struct {
+	at   int64
+	fail bool
+}
+
+// Router holds the zones' and pools' state.
+type Router struct {
+	cfg     Config
+	pools   map[string]*pool
+	zones   map[string]*zone
+	started bool  // a roster came: pools that come later warm up
+	count   Count // what happened
+}
+
+// Count is what a Router has seen; all only grow.
+type Count struct {
+	ZonesOut, Flaps uint64
+	// WarmCapped and SpillCapped count the pools left out of an Eligible by warm-up or spill budget.
+	WarmCapped, SpillCapped uint64
+}
+
+// New returns a Router for the zones named; the Config is checked against them.
+func New(cfg Config, zones []string) (*Router, error) {
+	if err := cfg.Check(zones); err != nil {
+		return nil, err
+	}
+	r := &Router{cfg: cfg, pools: map[string]*pool{}, zones: map[string]*zone{}}
+	for _, z := range zones {
+		r.zones[z] = &zone{name: z}
+	}
+	return r, nil
+}
+
+// Count returns what the Router has seen.
+func (r *Router) Count() Count { return r.count }
+
+// Roster takes the whole list of pools. A pool not in it is gone, and all of its state goes.
+func (r *Router) Roster(now int64, pools []Pool) {
+	for _, p := range r.pools {
+		p.seen = false
+	}
+	for _, l := range pools {
+		z := r.zones[l.Zone]
+		if z == nil {
+			continue // a zone no tier names: the pool is left to the module as it is (see Eligible)
+		}
+		p := r.pools[l.UID]
+		if p == nil {
+			p = &pool{free: -1}
+			r.pools[l.UID] = p
+			if r.started {
+				p.warmFrom = now // a pool that comes later starts cold
+			}
+		} else if l.Up && !p.Up {
+			p.warmFrom = now // back from a drain or a restart
+		}
+		p.Pool, p.seen = l, true
+	}
+	for uid, p := range r.pools {
+		if !p.seen {
+			delete(r.pools, uid)
+		}
+	}
+	for _, z := range r.zones {
+		dark := !slices.ContainsFunc(pools, func(l Pool) bool { return l.Zone == z.name && l.Up })
+		if dark && !z.dark && r.started {
+			r.goOut(now, z)
+		}
+		z.dark = dark
+	}
+	r.started = true
+}
+
+// Report takes what a pool told of its agents; a negative value is not told.
+func (r *Router) Report(uid string, free, agents float64) {
+	if p := r.pools[uid]; p != nil {
+		if free >= 0 {
+			p.free = free
+		}
+		if agents >= 0 {
+			p.agents = agents
+		}
+	}
+}
+
+// Sent notes a set-up sent to a pool.
+func (r *Router) Sent(uid string) {
+	if p := r.pools[uid]; p != nil {
+		p.busy++
+	}
+}
+
+// Ended notes the end of what Sent began: a set-up that did not stand, or a call that stood; o is the
+// set-up's outcome, Neutral for the end of a call.
+func (r *Router) Ended(now int64, uid string, o Outcome) {
+	p := r.pools[uid]
+	if p == nil {
+		return
+	}
+	p.busy = max(0, p.busy-1)
+	r.judge(now, p, o)
+}
+
+// Answered notes a set-up that stood: a success of its zone. The call holds its place until Ended.
+func (r *Router) Answered(now int64, uid string) {
+	if p := r.pools[uid]; p != nil {
+		r.judge(now, p, Success)
+	}
+}
+
+func (r *Router) judge(now int64, p *pool, o Outcome) {
+	z := r.zones[p.Zone]
+	if o == Neutral || z == nil {
+		return
+	}
+	if len(z.outcomes) >= mostOutcomes {
+		z.outcomes = z.outcomes[1:]
+	}
+	z.outcomes = append(z.outcomes, outcome{now, o == Failure})
+	for len(z.outcomes) > 0 && now-z.outcomes[0].at > r.cfg.Window {
+		z.outcomes = z.outcomes[1:]
+	}
+	fails := 0
+	for _, x := range z.outcomes {
+		if x.fail {
+			fails++
+		}
+	}
+	if !z.out && len(z.outcomes) >= r.cfg.Least && float64(fails) >= r.cfg.OutShare*float64(len(z.outcomes)) {
+		r.goOut(now, z)
+	}
+}
+
+// goOut takes a zone out for its hold: doubled, up to MostHold, when it comes within FlapWithin of its
+// last return.
+func (r *Router) goOut(now int64, z *zone) {
+	hold := r.cfg.Hold
+	if z.backAt > 0 && now-z.backAt <= r.cfg.FlapWithin {
+		hold = min(max(2*z.hold, r.cfg.Hold), r.cfg.MostHold)
+		r.count.Flaps++
+	}
+	z.out, z.outUntil, z.hold, z.outcomes = true, now+hold, hold, z.outcomes[:0]
+	r.count.ZonesOut++
+}
+
+// Advance moves time on: a zone whose hold is over and that has pools up comes back, and its pools warm up.
+func (r *Router) Advance(now int64) {
+	for _, z := range r.zones {
+		if z.out && now >= z.outUntil && !z.dark {
+			z.out, z.backAt = false, now
+			for _, p := range r.pools {
+				if p.Zone == z.name {
+					p.warmFrom = now
+				}
+			}
+		}
+	}
+	for _, p := range r.pools {
+		if p.warmFrom > 0 && now >= p.warmFrom+r.cfg.WarmUp {
+			p.warmFrom = 0
+		}
+	}
+}
+
+// Next is when Advance had best be called again by time alone, 0: nothing waits.
+func (r *Router) Next(now int64) int64 {
+	var next int64
+	soonest := func(t int64) {
+		if t > now && (next == 0 || t < next) {
+			next = t
+		}
+	}
+	for _, z := range r.zones {
+		if z.out {
+			soonest(z.outUntil)
+		}
+	}
+	for _, p := range r.pools {
+		if p.warmFrom > 0 {
+			soonest(p.warmFrom + r.cfg.WarmUp)
+		}
+	}
+	return next
+}
+
+// Tiers are the controller's tiers: its own zone, then its neighbours'.
+func (r *Router) Tiers() [][]string {
+	return append([][]string{{r.cfg.Zone}}, r.cfg.Tiers[r.cfg.Zone]...)
+}
+
+// Eligible returns the pools that the module may send new set-ups to now, by uid. Pools of zones that no
+// tier names are not routing's to judge and are eligible while up; all others are eligible when they are
+// up, their zone is not out, their tier serves, they are under their warm-up capacity, and, outside the
+// controller's own zone, their tier is under its spill budget.
+func (r *Router) Eligible(now int64) map[string]bool {
+	r.Advance(now)
+	out := map[string]bool{}
+	tierOf := map[string]int{}
+	tiers := r.Tiers()
+	for i, tier := range tiers {
+		for _, z := range tier {
+			tierOf[z] = i
+		}
+	}
+	serving := -1 // the first tier with a zone that can take calls
+	for i, tier := range tiers {
+		if slices.ContainsFunc(tier, func(z string) bool { return r.open(z) }) {
+			serving = i
+			break
+		}
+	}
+	// Spill to the tiers past the serving one opens only while all of its pools are full.
+	last := serving
+	if serving >= 0 {
+		for last < len(tiers)-1 && r.full(tiers[last]) {
+			last++
+		}
+	}
+	spill := map[int]bool{}
+	for i := max(serving, 0); i <= last; i++ {
+		if i > 0 {
+			spill[i] = r.spillRoom(tiers[i])
+		}
+	}
+	for uid, p := range r.pools {
+		if !p.Up {
+			continue
+		}
+		t, named := tierOf[p.Zone]
+		switch {
+		case !named:
+			out[uid] = true
+		case serving < 0 || t < serving || t > last || !r.open(p.Zone):
+		case t > 0 && !spill[t]:
+			r.count.SpillCapped++
+		case p.warmFrom > 0 && float64(p.busy) >= r.warmCap(now, p):
+			r.count.WarmCapped++
+		default:
+			out[uid] = true
+		}
+	}
+	return out
+}
+
+// open tells whether a zone may take calls: not out, and with a pool up.
+func (r *Router) open(name string) bool {
+	z := r.zones[name]
+	return z != nil && !z.out && !z.dark
+}
+
+// full tells whether every pool of a tier that is up has told it has no free agent, or holds its capacity.
+func (r *Router) full(tier []string) bool {
+	any := false
+	for _, p := range r.pools {
+		if !p.Up || !slices.Contains(tier, p.Zone) || !r.open(p.Zone) {
+			continue
+		}
+		any = true
+		if p.free != 0 && !(p.agents > 0 && float64(p.busy) >= p.agents/float64(r.cfg.Nodes)) {
+			return false
+		}
+	}
+	return any
+}
+
+// spillRoom tells whether the calls that this controller holds in a tier are under its budget.
+func (r *Router) spillRoom(tier []string) bool {
+	var busy, agents float64
+	for _, p := range r.pools {
+		if p.Up && slices.Contains(tier, p.Zone) {
+			busy += float64(p.busy)
+			agents += p.agents
+		}
+	}
+	if agents == 0 {
+		return busy < 1 // not told yet: one at a time
+	}
+	return busy < r.cfg.SpillShare*agents/float64(r.cfg.Nodes)
+}
+
+// warmCap is what a warming pool may hold of this controller's calls now: from WarmFrom of its share of
+// agents up to all of it over WarmUp, in whole set-ups, and at least one.
+func (r *Router) warmCap(now int64, p *pool) float64 {
+	share := 1.0
+	if r.cfg.WarmUp > 0 {
+		share = r.cfg.WarmFrom + (1-r.cfg.WarmFrom)*float64(now-p.warmFrom)/float64(r.cfg.WarmUp)
+	}
+	agents := p.agents / float64(r.cfg.Nodes)
+	if agents <= 0 {
+		agents = 1
+	}
+	return max(1, math.Floor(agents*min(share, 1)+1e-9)) // whole set-ups; the nudge keeps 5.9999999 from being 5
+}
+
+// ZoneState is what a zone's state is, for logs and counters.
+type ZoneState struct {
+	Zone   string
+	Tier   int // -1: in no tier of this controller
+	Out    bool
+	Dark   bool
+	Until  int64 // out until then
+	Warm   int   // pools warming up
+	Busy   int   // set-ups out and calls standing of this controller
+	Agents float64
+}
+
+// Zones returns each zone's state, in the order of the tiers, then by name.
+func (r *Router) Zones() []ZoneState {
+	var out []ZoneState
+	tiered := map[string]bool{}
+	add := func(name string, tier int) {
+		z := r.zones[name]
+		s := ZoneState{Zone: name, Tier: tier, Out: z.out, Dark: z.dark, Until: z.outUntil}
+		for _, p := range r.pools {
+			if p.Zone == name {
+				s.Busy += p.busy
+				s.Agents += p.agents
+				if p.warmFrom > 0 {
+					s.Warm++
+				}
+			}
+		}
+		out = append(out, s)
+		tiered[name] = true
+	}
+	for i, tier := range r.Tiers() {
+		for _, z := range tier {
+			add(z, i)
+		}
+	}
+	var rest []string
+	for name := range r.zones {
+		if !tiered[name] {
+			rest = append(rest, name)
+		}
+	}
+	slices.Sort(rest)
+	for _, name := range rest {
+		add(name, -1)
+	}
+	return out
+}
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,310 @@
+package routing
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+)
+
+const s1 = int64(1_000_000)
+
+var zones = []string{"batumi", "tbilisi", "kutaisi", "telavi"}
+
+func config() Config {
+	return Config{
+		Zone:       "batumi",
+		Tiers:      map[string][][]string{"batumi": {{"tbilisi", "kutaisi"}, {"telavi"}}},
+		SpillShare: 0.5, Window: 10 * s1, OutShare: 0.5, Least: 4,
+		Hold: 5 * s1, MostHold: 40 * s1, FlapWithin: 60 * s1,
+		WarmUp: 10 * s1, WarmFrom: 0.2, Nodes: 1,
+	}
+}
+
+// rig is a router with two pools a zone, b1/b2 in batumi and so on, each with 10 agents.
+func rig(t *testing.T) *Router {
+	t.Helper()
+	r, err := New(config(), zones)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Roster(0, roster(nil))
+	for _, p := range roster(nil) {
+		r.Report(p.UID, 10, 10)
+	}
+	return r
+}
+
+// roster lists every pool up but those down.
+func roster(down []string) []Pool {
+	var out []Pool
+	for _, z := range zones {
+		for _, n := range []string{"1", "2"} {
+			uid := z[:2] + n
+			out = append(out, Pool{UID: uid, Zone: z, Up: !slices.Contains(down, uid) && !slices.Contains(down, z)})
+		}
+	}
+	return out
+}
+
+func eligible(r *Router, now int64) string {
+	var uids []string
+	for uid := range r.Eligible(now) {
+		uids = append(uids, uid)
+	}
+	slices.Sort(uids)
+	return strings.Join(uids, " ")
+}
+
+func TestBadConfigNamesTheField(t *testing.T) {
+	for field, change := range map[string]func(*Config){
+		"zone":                  func(c *Config) { c.Zone = "poti" },
+		"tiers.poti":            func(c *Config) { c.Tiers["poti"] = [][]string{{"batumi"}} },
+		"tiers.batumi[1]":       func(c *Config) { c.Tiers["batumi"][1] = []string{"gori"} },
+		"spill_share":           func(c *Config) { c.SpillShare = 1.5 },
+		"warm_from":             func(c *Config) { c.WarmFrom = 0 },
+		"out_share":             func(c *Config) { c.OutShare = 0 },
+		"least and nodes":       func(c *Config) { c.Nodes = 0 },
+		"window, hold":          func(c *Config) { c.MostHold = 1 },
+		"tiers.batumi[0]: \"ba": func(c *Config) { c.Tiers["batumi"][0] = []string{"batumi"} },
+		"tiers.batumi[1]: \"tb": func(c *Config) { c.Tiers["batumi"][1] = []string{"tbilisi"} },
+	} {
+		c := config()
+		c.Tiers = map[string][][]string{"batumi": {{"tbilisi", "kutaisi"}, {"telavi"}}}
+		change(&c)
+		_, err := New(c, zones)
+		if !errors.Is(err, ErrConfig) || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: %v", field, err)
+		}
+	}
+}
+
+func TestOwnZoneFirst(t *testing.T) {
+	r := rig(t)
+	if got := eligible(r, 0); got != "ba1 ba2" {
+		t.Errorf("eligible %q, want batumi's pools alone", got)
+	}
+}
+
+func TestDarkZoneSpillsToTheNextTierWithinTheBudget(t *testing.T) {
+	r := rig(t)
+	r.Roster(s1, roster([]string{"batumi"}))
+	if got := eligible(r, s1); got != "ku1 ku2 tb1 tb2" {
+		t.Fatalf("eligible %q, want the first tier of neighbours", got)
+	}
+	// The tier has 40 agents; half of them may hold batumi's calls: 20.
+	for i := range 20 {
+		r.Sent([]string{"tb1", "tb2", "ku1", "ku2"}[i%4])
+	}
+	if got := eligible(r, s1); got != "" {
+		t.Errorf("eligible %q past the spill budget, want none: refused at once, not sent on", got)
+	}
+	if r.Count().SpillCapped == 0 {
+		t.Error("the cap is not counted")
+	}
+	r.Ended(s1, "tb1", Neutral) // a spilled call ends
+	if got := eligible(r, s1); got != "ku1 ku2 tb1 tb2" {
+		t.Errorf("eligible %q under the budget again", got)
+	}
+}
+
+func TestSpillToNearlyFullPools(t *testing.T) {
+	r := rig(t)
+	r.Roster(s1, roster([]string{"batumi"}))
+	for _, uid := range []string{"tb1", "tb2", "ku1", "ku2"} {
+		r.Report(uid, 1, 10) // nearly full: their own zones' calls hold 9 of 10
+	}
+	for range 20 {
+		r.Sent("tb1")
+	}
+	if got := eligible(r, s1); got != "" {
+		t.Errorf("eligible %q: the budget counts this zone's calls, whatever the pools' own load", got)
+	}
+	// When the neighbours are full, the tier after opens, within its own budget.
+	for _, uid := range []string{"tb1", "tb2", "ku1", "ku2"} {
+		r.Report(uid, 0, 10)
+	}
+	if got := eligible(r, s1); got != "te1 te2" {
+		t.Errorf("eligible %q with the first tier full, want telavi's", got)
+	}
+}
+
+func TestFullOwnZoneSpills(t *testing.T) {
+	r := rig(t)
+	r.Report("ba1", 0, 10)
+	r.Report("ba2", 0, 10)
+	if got := eligible(r, 0); got != "ba1 ba2 ku1 ku2 tb1 tb2" {
+		t.Errorf("eligible %q with batumi full", got)
+	}
+	r.Report("ba1", 3, 10)
+	if got := eligible(r, 0); got != "ba1 ba2" {
+		t.Errorf("eligible %q with room at home again", got)
+	}
+}
+
+func TestAllZonesButOneLost(t *testing.T) {
+	r := rig(t)
+	r.Roster(s1, roster([]string{"batumi", "tbilisi", "kutaisi"}))
+	if got := eligible(r, s1); got != "te1 te2" {
+		t.Errorf("eligible %q, want the last zone", got)
+	}
+	r.Roster(2*s1, roster([]string{"batumi", "tbilisi", "kutaisi", "telavi"}))
+	if got := eligible(r, 2*s1); got != "" {
+		t.Errorf("eligible %q with all lost", got)
+	}
+}
+
+func TestOutlierZoneIsTakenOutByItsFailures(t *testing.T) {
+	r := rig(t)
+	for i := range 4 {
+		r.Sent("ba1")
+		o := Failure
+		if i == 0 {
+			o = Success
+		}
+		r.Ended(s1, "ba1", o)
+	}
+	if got := eligible(r, s1); got != "ku1 ku2 tb1 tb2" {
+		t.Fatalf("eligible %q with batumi failing three in four", got)
+	}
+	if got := eligible(r, s1+5*s1-1); got != "ku1 ku2 tb1 tb2" {
+		t.Errorf("eligible %q within the hold", got)
+	}
+	if got := eligible(r, 6*s1); got != "ba1 ba2" {
+		t.Errorf("eligible %q after the hold", got)
+	}
+}
+
+func TestFlappingZoneIsHeldOutLonger(t *testing.T) {
+	r := rig(t)
+	now := int64(0)
+	var holds []int64
+	for range 3 { // dark, back, dark, back ... within a minute
+		now += s1
+		r.Roster(now, roster([]string{"batumi"}))
+		out := now
+		now += s1
+		r.Roster(now, roster(nil)) // it is back at once, but held out
+		for eligible(r, now) != "ba1 ba2" {
+			now += s1 / 10
+		}
+		holds = append(holds, now-out)
+	}
+	if !(holds[0] >= 5*s1 && holds[1] >= 10*s1 && holds[2] >= 20*s1) {
+		t.Errorf("holds %v µs, want at least 5, 10 and 20 s", holds)
+	}
+	if r.Count().Flaps != 2 {
+		t.Errorf("%d flaps, want 2", r.Count().Flaps)
+	}
+	// Long after, a hold is the least again.
+	now += 120 * s1
+	r.Roster(now, roster([]string{"batumi"}))
+	if z := r.Zones()[0]; z.Until-now != 5*s1 {
+		t.Errorf("hold %d after a quiet time, want 5 s", z.Until-now)
+	}
+}
+
+func TestReturningZoneWarmsUp(t *testing.T) {
+	r := rig(t)
+	r.Roster(s1, roster([]string{"batumi"}))
+	r.Roster(2*s1, roster(nil))
+	back := 6 * s1 // the hold ends at 6 s
+	if got := eligible(r, back); got != "ba1 ba2" {
+		t.Fatalf("eligible %q at the end of the hold", got)
+	}
+	// 20% of 10 agents at first: 2 each.
+	for _, uid := range []string{"ba1", "ba1", "ba2", "ba2"} {
+		r.Sent(uid)
+	}
+	if got := eligible(r, back); got != "" {
+		t.Errorf("eligible %q with the warming pools at their capacity", got)
+	}
+	// Half-way through the warm-up: 60%, 6 each.
+	mid := back + 5*s1
+	for range 3 {
+		r.Sent("ba1")
+	}
+	if got := eligible(r, mid); got != "ba1 ba2" {
+		t.Errorf("eligible %q half-way, 5 of 6 held", got)
+	}
+	r.Sent("ba1")
+	if got := eligible(r, mid); got != "ba2" {
+		t.Errorf("eligible %q half-way, 6 of 6 held at ba1", got)
+	}
+	if got := eligible(r, back+10*s1); got != "ba1 ba2" {
+		t.Errorf("eligible %q when warm", got)
+	}
+}
+
+// Never over the warm-up capacity: at every step a pool that is eligible holds less than its capacity.
+func TestWarmUpIsNeverExceeded(t *testing.T) {
+	r := rig(t)
+	r.Roster(s1, roster([]string{"ba1"}))
+	r.Roster(2*s1, roster(nil)) // ba1 returns from a drain: it warms, ba2 does not
+	for now := 2 * s1; now < 12*s1; now += s1 / 10 {
+		e := r.Eligible(now)
+		p := r.pools["ba1"]
+		if e["ba1"] {
+			if float64(p.busy) >= r.warmCap(now, p) && p.warmFrom > 0 {
+				t.Fatalf("at %d ba1 is eligible holding %d of %.1f", now, p.busy, r.warmCap(now, p))
+			}
+			r.Sent("ba1")
+		}
+	}
+}
+
+func TestPoolDroppingDuringWarmUpStartsAgain(t *testing.T) {
+	r := rig(t)
+	r.Roster(s1, roster([]string{"ba1"}))
+	r.Roster(2*s1, roster(nil))
+	r.Roster(7*s1, roster([]string{"ba1"})) // half-way, it drops
+	r.Roster(8*s1, roster(nil))
+	if p := r.pools["ba1"]; p.warmFrom != 8*s1 {
+		t.Errorf("warm from %d, want the new start", p.warmFrom)
+	}
+	r.Roster(9*s1, slices.DeleteFunc(roster(nil), func(p Pool) bool { return p.UID == "ba1" }))
+	if _, kept := r.pools["ba1"]; kept {
+		t.Error("a gone pool's state is kept")
+	}
+}
+
+func TestZoneReturningWhileItsSpillStands(t *testing.T) {
+	r := rig(t)
+	r.Roster(s1, roster([]string{"batumi"}))
+	for range 6 {
+		r.Sent("tb1")
+		r.Answered(s1, "tb1")
+	}
+	r.Roster(2*s1, roster(nil))
+	if got := eligible(r, 6*s1); got != "ba1 ba2" {
+		t.Fatalf("eligible %q when batumi is back", got)
+	}
+	if z := r.Zones(); z[1].Zone != "tbilisi" || z[1].Busy != 6 {
+		t.Errorf("the spilled calls stand on where they are: %+v", z[1])
+	}
+	for range 6 {
+		r.Ended(7*s1, "tb1", Neutral)
+	}
+	if z := r.Zones(); z[1].Busy != 0 {
+		t.Errorf("%+v", z[1])
+	}
+}
+
+func TestZoneNoTierNamesIsLeftToTheModule(t *testing.T) {
+	r := rig(t)
+	r.Roster(s1, append(roster(nil), Pool{UID: "x1", Zone: "poti", Up: true}))
+	if got := eligible(r, s1); got != "ba1 ba2" {
+		t.Errorf("eligible %q: a pool of a zone not configured is not routing's", got)
+	}
+}
+
+func TestNextIsTheEndOfAHoldOrAWarmUp(t *testing.T) {
+	r := rig(t)
+	if next := r.Next(0); next != 0 {
+		t.Errorf("next %d with nothing waiting", next)
+	}
+	r.Roster(s1, roster([]string{"batumi"}))
+	if next := r.Next(s1); next != 6*s1 {
+		t.Errorf("next %d, want the end of the hold", next)
+	}
+}
