--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -43,7 +43,7 @@
 )
 
 // environment is what the daemon is started with.
-type environment struct{ config, listen, callControl, discovery string }
+type environment struct{ config, listen, callControl, discovery, routing string }
 
 // daemon is a running session controller.
 type daemon struct {
@@ -91,6 +91,12 @@
 			return nil, err
 		}
 	}
+	var zones *config.Routing
+	if env.routing != "" {
+		if zones, err = config.LoadRouting(env.routing); err != nil {
+			return nil, err
+		}
+	}
 	if second != nil && second.MaxConnections > cfg.Sockets/4 { // callers and pools need theirs
 		return nil, fmt.Errorf("callcontrol: max_connections: want at most a quarter of limits.sockets, %d", cfg.Sockets/4)
 	}
@@ -128,6 +134,16 @@
 			return nil, err
 		}
 	}
+	if zones != nil {
+		router, err := zones.Router(cfg.Settings.Nodes)
+		if err != nil {
+			stopLoop()
+			stopPools()
+			d.listener.Close()
+			return nil, fmt.Errorf("routing: %w", err)
+		}
+		d.dispatch.Route(router)
+	}
 	d.wg.Go(func() { d.dispatch.Run(loop) })
 	apply := func(e bulletin.Event) {
 		d.pools.Apply(e, func(lines []dispatch.Server) { d.dispatch.Roster(lines, false) })
@@ -143,7 +159,7 @@
 	d.wg.Go(func() { bulletin.Watch(pools, cfg.Bulletin, cfg.Known.No, d.moves, d.clock, limited, d.count, apply) })
 	d.wg.Go(func() { d.broken <- d.callers.Serve(d.listener) })
 	log.Info().Str("name", cfg.Name).Stringer("listen", d.listener.Addr()).Int("classes", len(cfg.Settings.Classes)).
-		Int("memory_mb", cfg.MemoryMB).Int("sockets", cfg.Sockets).Bool("callcontrol", second != nil).Bool("discovery", disc != nil).Msg("serving")
+		Int("memory_mb", cfg.MemoryMB).Int("sockets", cfg.Sockets).Bool("callcontrol", second != nil).Bool("discovery", disc != nil).Bool("routing", zones != nil).Msg("serving")
 	return d, nil
 }
 
@@ -175,6 +191,10 @@
 	if err == nil && d.sources != nil {
 		disc, err = config.LoadDiscovery(d.env.discovery)
 	}
+	var zones *config.Routing
+	if err == nil && d.env.routing != "" {
+		zones, err = config.LoadRouting(d.env.routing)
+	}
 	if err != nil {
 		d.count.Add(stats.BadReloads)
 		d.log.Error().Err(err).Msg("new configuration not taken")
@@ -193,6 +213,11 @@
 	if disc != nil {
 		d.sources.reload(disc)
 	}
+	if zones != nil {
+		if router, err := zones.Router(d.cfg.Settings.Nodes); err == nil { // checked with the file
+			d.dispatch.Route(router)
+		}
+	}
 	if cfg.Listen != d.cfg.Listen || cfg.Name != d.cfg.Name || cfg.Sockets != d.cfg.Sockets || !reflect.DeepEqual(cfg.Settings, d.cfg.Settings) {
 		d.log.Warn().Msg("name, listen, limits.sockets and settings change only at a restart")
 	}
--- a/cmd/eidertrail/main.go
+++ b/cmd/eidertrail/main.go
@@ -28,8 +28,8 @@
 
 // options are the command line's.
 type options struct {
-	callControl, discovery string
-	verbose                bool
+	callControl, discovery, routing string
+	verbose                         bool
 }
 
 // command is the command line: the daemon, and check, which reads the configuration and says what is
@@ -52,6 +52,7 @@
 	flags := root.PersistentFlags()
 	flags.StringVar(&o.callControl, "callcontrol", "", "file with the addresses of the WebSocket front and the health checks; none: off")
 	flags.StringVar(&o.discovery, "discovery", "", "file with the DNS SRV names of sync pools; none: off")
+	flags.StringVar(&o.routing, "routing", "", "file with the zones, their tiers, spill budget and warm-up; none: off")
 	root.Flags().BoolVarP(&o.verbose, "verbose", "v", false, "log a trace of all decisions and messages")
 	root.AddCommand(&cobra.Command{
 		Use:   "check",
@@ -76,7 +77,7 @@
 	out := make([]string, len(args))
 	for i, a := range args {
 		if name, _, _ := strings.Cut(strings.TrimPrefix(a, "-"), "="); strings.HasPrefix(a, "-") &&
-			!strings.HasPrefix(a, "--") && (name == "callcontrol" || name == "discovery" || name == "verbose") {
+			!strings.HasPrefix(a, "--") && (name == "callcontrol" || name == "discovery" || name == "routing" || name == "verbose") {
 			a = "-" + a
 		}
 		out[i] = a
@@ -102,6 +103,11 @@
 			return err
 		}
 	}
+	if o.routing != "" {
+		if _, err := config.LoadRouting(o.routing); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
@@ -121,7 +127,7 @@
 
 	d, err := start(context.Background(), environment{
 		config: os.Getenv("RELAY_CONFIG"), listen: os.Getenv("RELAY_LISTEN"), callControl: o.callControl,
-		discovery: o.discovery,
+		discovery: o.discovery, routing: o.routing,
 	}, log)
 	if err != nil {
 		return err
--- a/cmd/eidertrail/sources.go
+++ b/cmd/eidertrail/sources.go
@@ -118,7 +118,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	r := &srv.Resolver{Server: cfg.Server, Timeout: cfg.Timeout}
 	for _, n := range cfg.Names {
-		set.Name(n.SRV, n.Group)
+		set.Name(n.SRV, n.Group, n.Zone)
 		wg.Go(func() { srv.Watch(ctx, r, cfg.Schedule(), n.SRV, s.clock.Now, s.seed, s.updates) })
 	}
 	return stop
@@ -157,7 +157,8 @@
 func fromBulletin(pools []bulletin.Pool) []membership.Pool {
 	out := make([]membership.Pool, len(pools))
 	for i, p := range pools {
-		out[i] = membership.Pool{UID: p.UID, Address: p.Address, Group: p.Group, Born: p.Born, State: membership.State(p.State)}
+		out[i] = membership.Pool{UID: p.UID, Address: p.Address, Group: p.Group, Zone: p.Zone, Born: p.Born,
+			State: membership.State(p.State)}
 	}
 	return out
 }
@@ -165,7 +166,8 @@
 func toBulletin(view []membership.Member) bulletin.Event {
 	e := bulletin.Event{All: true, Pools: make([]bulletin.Pool, len(view))}
 	for i, m := range view {
-		e.Pools[i] = bulletin.Pool{UID: m.UID, Address: m.Address, Group: m.Group, Born: m.Born, State: bulletin.State(m.State)}
+		e.Pools[i] = bulletin.Pool{UID: m.UID, Address: m.Address, Group: m.Group, Zone: m.Zone, Born: m.Born,
+			State: bulletin.State(m.State)}
 	}
 	return e
 }
--- /dev/null
+++ b/cmd/eidertrail/zones_test.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"eidertrail/internal/standin"
+)
+
+// The daemon with --routing, on loopback stand-in pools in two zones: calls stay in the own zone, spill to
+// the neighbour when the own zone's pools refuse connections, and every call gets one final answer.
+func TestDaemonSpillsWhenItsZoneGoesDark(t *testing.T) {
+	var mu sync.Mutex
+	by := map[string]int{}
+	pools := map[string]*standin.Pool{}
+	var targets []string
+	for _, uid := range []string{"ba1", "ba2", "tb1", "tb2"} {
+		p := &standin.Pool{OnRequest: func(q standin.Request) {
+			if q.Method != "INVITE" {
+				return
+			}
+			mu.Lock()
+			by[uid[:2]]++
+			mu.Unlock()
+			q.Answer(200, "", "v=0\r\n")
+			q.Bye(16)
+		}}
+		pools[uid] = p
+		zone := map[string]string{"ba": "batumi", "tb": "tbilisi"}[uid[:2]]
+		targets = append(targets, fmt.Sprintf(`{"uid":%q,"endpoint":%q,"az":%q,"pod_group":0,"state":"up"}`, uid, p.Listen(t), zone))
+	}
+	cfg := write(t, "config.json", fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","seed":"1","limits":{"memory_mb":192,"sockets":1024},
+ "known":{"no":1,"items":[{"no":1,"roster":{"all":true,"targets":[%s]}}]},
+ "settings":{"balancers":1,"index":0,"tick":5000000,"extra":{"clear_wait":300000000,"t1":60000000000},
+  "request_classes":[{"name":"voice","promise":5000000000,"deadline":15000000000}]}}`, strings.Join(targets, ",")))
+	routes := write(t, "routing.toml", `zone = "batumi"
+zones = ["batumi", "tbilisi"]
+least = 2
+hold = "30s"
+[tiers]
+batumi = [["tbilisi"]]
+`)
+	log := &buffer{}
+	d, err := start(context.Background(), environment{config: cfg, routing: routes}, zerolog.New(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newSignals()
+	ended := make(chan error, 1)
+	go func() { ended <- d.serve(s) }()
+	call := newScript(dial(t, d.listener.Addr().String()))
+	for range 10 {
+		call.place(t)
+	}
+	mu.Lock()
+	if by["tb"] != 0 || by["ba"] == 0 {
+		t.Errorf("with batumi up: %v, want all in batumi\n%s", by, log.String())
+	}
+	mu.Unlock()
+	for _, uid := range []string{"ba1", "ba2"} { // batumi goes dark
+		pools[uid].Refuse(true, false)
+		pools[uid].Drop()
+	}
+	for range 10 {
+		call.place(t)
+	}
+	mu.Lock()
+	if by["tb"] == 0 {
+		t.Errorf("with batumi dark: %v, want calls in tbilisi", by)
+	}
+	mu.Unlock()
+	call.check(t)
+	if !strings.Contains(log.String(), "batumi:out") && !strings.Contains(log.String(), "batumi:dark") {
+		t.Errorf("the zone's going out is not logged")
+	}
+	s.term <- syscall.SIGTERM
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -99,7 +99,8 @@
 type Server struct {
 	UID   string
 	Group int
-	Born  int64 // clock reading of its start, 0: long ago
+	Zone  string // for routing, "" if not told
+	Born  int64  // clock reading of its start, 0: long ago
 	Mode  eidertrail.Mode
 }
 
@@ -143,7 +144,8 @@
 	actions []eidertrail.Action
 	calls   map[uint64]*call
 	servers map[string]Server
-	wakes   []wake // soonest first
+	wakes   []wake  // soonest first
+	route   *router // nil: every pool that is up is offered to the module
 }
 
 type wake struct {
@@ -160,6 +162,8 @@
 	stands    bool
 	notBefore int64 // the release after the last attempt is awaited until then
 	noRoom    bool
+	pool      string // where the last attempt went
+	routed    bool   // routing counts it at pool: an attempt out or a call standing
 }
 
 // New returns a dispatcher; its loop is Run. most is the longest time that anybody is told to stay away.
@@ -185,8 +189,12 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
-		if len(d.wakes) > 0 {
-			timer.Reset(time.Duration(max(0, d.wakes[0].at-d.clock.Now())) * time.Microsecond)
+		due := d.route.next(d.clock.Now())
+		if len(d.wakes) > 0 && (due == 0 || d.wakes[0].at < due) {
+			due = d.wakes[0].at
+		}
+		if due > 0 {
+			timer.Reset(time.Duration(max(0, due-d.clock.Now())) * time.Microsecond)
 		} else {
 			timer.Reset(time.Hour)
 		}
@@ -284,10 +292,10 @@
 	case <-d.done:
 		return Pick{}, ErrClosed
 	case <-late.C:
-		d.post(func(now int64) { d.leave(r.Call) })
+		d.post(func(now int64) { d.leave(now, r.Call) })
 		return Pick{}, ErrLate
 	case <-ctx.Done():
-		d.post(func(now int64) { d.leave(r.Call) })
+		d.post(func(now int64) { d.leave(now, r.Call) })
 		return Pick{}, context.Cause(ctx)
 	}
 }
@@ -307,7 +315,7 @@
 
 // leave ends a call whose caller is gone while it waits for a decision. One that was made meanwhile,
 // and that nobody will carry out, is undone.
-func (d *Dispatcher) leave(id uint64) {
+func (d *Dispatcher) leave(now int64, id uint64) {
 	k := d.calls[id]
 	if k == nil {
 		return
@@ -318,6 +326,7 @@
 			Call: eidertrail.CallID(id), Attempt: k.attempt, Status: eidertrail.Moot, Closed: true,
 		})
 	}
+	d.route.ended(now, k, Moot)
 	delete(d.calls, id)
 }
 
@@ -334,6 +343,10 @@
 	}
 	if r.Outcome == Answered {
 		if !k.stands {
+			if r.State != Untold {
+				d.route.report(r.Pool, r.State.Free, r.State.Agents)
+			}
+			d.route.answered(now, k)
 			k.stands = true
 			d.pressed(now, false)
 			d.events = append(d.events, eidertrail.Answered{Call: id, Attempt: r.Attempt, Took: span(r.Took)})
@@ -341,6 +354,7 @@
 		return
 	}
 	closed := r.Left || k.stands
+	d.route.ended(now, k, r.Outcome)
 	if r.Left && !k.stands {
 		d.events = append(d.events, eidertrail.HangUp{Call: id})
 	}
@@ -369,6 +383,7 @@
 	}
 	if r.State != Untold {
 		o.Report = &eidertrail.Report{Server: eidertrail.ServerID(r.Pool), Free: r.State.Free, Agents: r.State.Agents}
+		d.route.report(r.Pool, r.State.Free, r.State.Agents)
 	}
 	k.out, k.stands, k.noRoom = false, false, r.Outcome == NoAgent
 	switch r.Outcome {
@@ -384,13 +399,14 @@
 // Observe tells of a pool's state that came unasked.
 func (d *Dispatcher) Observe(uid string, s State) {
 	d.post(func(int64) {
+		d.route.report(uid, s.Free, s.Agents)
 		d.events = append(d.events, eidertrail.Report{Server: eidertrail.ServerID(uid), Free: s.Free, Agents: s.Agents})
 	})
 }
 
 // Roster brings changed lines of the list of pools, or with whole all of them.
 func (d *Dispatcher) Roster(servers []Server, whole bool) {
-	d.post(func(int64) {
+	d.post(func(now int64) {
 		kind := eidertrail.Delta
 		if whole {
 			kind = eidertrail.Whole
@@ -403,6 +419,7 @@
 				delete(d.servers, s.UID)
 			}
 		}
+		d.route.narrowList(now, d.servers, list)
 		d.events = append(d.events, eidertrail.ServerList{Kind: kind, Servers: list})
 	})
 }
@@ -425,6 +442,7 @@
 
 // turn lets the module handle what has come in, and again what its own guards send back.
 func (d *Dispatcher) turn(now int64) {
+	d.events = d.route.narrow(now, d.servers, d.events)
 	for len(d.wakes) > 0 && d.wakes[0].at <= now {
 		d.events = append(d.events, eidertrail.Wake{Token: d.wakes[0].token})
 		d.wakes = d.wakes[1:]
@@ -473,6 +491,7 @@
 			return
 		}
 		k.out = true
+		d.route.sent(k, string(a.Server))
 		k.decide(Pick{Verdict: Go, Pool: string(a.Server), Attempt: k.attempt, Limit: a.Limit.Microseconds(), At: now})
 	case eidertrail.Refuse:
 		d.final(now, uint64(a.Call), Refused, a.After)
@@ -486,7 +505,7 @@
 func (d *Dispatcher) maySend(now int64, k *call, uid string) bool {
 	s, listed := d.servers[uid]
 	if k.out || k.stands || k.attempt >= maxSends || now < k.notBefore || now >= k.Until ||
-		!listed || s.Mode != eidertrail.Ready {
+		!listed || s.Mode != eidertrail.Ready || !d.route.admits(now, uid) {
 		return false
 	}
 	pools := d.set.Classes[k.Class].Pools
--- /dev/null
+++ b/dispatch/route_test.go
@@ -0,0 +1,297 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"eidertrail"
+	"eidertrail/internal/clock"
+	"eidertrail/internal/stats"
+	"eidertrail/routing"
+)
+
+// zones is a stand-in of four zones of two pools each, behind one trunk: a zone can go dark (connections
+// fail after 20 ms), and come back cold (answers slow and few agents at first, all of them after a warm-up
+// of its own). It checks the rules of the wire on every attempt: one out at a time, two sends at most,
+// the wait after a time-out, reset or cancel.
+type zones struct {
+	d        *Dispatcher
+	mu       sync.Mutex
+	zoneOf   map[string]string
+	dark     map[string]bool
+	coldFrom map[string]time.Time // the zone came back then, cold
+	holding  map[string]int       // set-ups out and calls standing, by pool
+	out      map[string]bool      // by call
+	sends    map[string]int
+	freeAt   map[string]time.Time // by call: when a resend may go
+	broken   []string
+	overCold int // set-ups that a cold pool had no room for
+	home     int // calls answered in batumi while it was up and warm
+	toCold   int // set-ups sent to cold pools
+}
+
+const (
+	agents   = 20
+	coldFor  = 10 * time.Second // the stand-in's own warm-up
+	standFor = 2 * time.Second
+)
+
+func newZones(d *Dispatcher) *zones {
+	z := &zones{d: d, zoneOf: map[string]string{}, dark: map[string]bool{}, coldFrom: map[string]time.Time{},
+		holding: map[string]int{}, out: map[string]bool{}, sends: map[string]int{}, freeAt: map[string]time.Time{}}
+	for _, zone := range []string{"batumi", "tbilisi", "kutaisi", "telavi"} {
+		for _, n := range []string{"1", "2"} {
+			z.zoneOf[zone[:2]+n] = zone
+		}
+	}
+	return z
+}
+
+func (z *zones) servers() []Server {
+	var out []Server
+	for uid, zone := range z.zoneOf {
+		out = append(out, Server{UID: uid, Zone: zone, Mode: eidertrail.Ready})
+	}
+	return out
+}
+
+// capacity is what a pool of the zone can take now.
+func (z *zones) capacity(zone string) int {
+	from, cold := z.coldFrom[zone]
+	if !cold || time.Since(from) >= coldFor {
+		return agents
+	}
+	return 3 + int(float64(agents-3)*float64(time.Since(from))/float64(coldFor))
+}
+
+func (z *zones) Invite(ctx context.Context, a Attempt) (Leg, Ending) {
+	z.mu.Lock()
+	zone := z.zoneOf[a.Pool]
+	switch {
+	case z.out[a.ID]:
+		z.broken = append(z.broken, a.ID+": two attempts out")
+	case z.sends[a.ID] >= 2:
+		z.broken = append(z.broken, a.ID+": a third send")
+	case time.Now().Before(z.freeAt[a.ID]):
+		z.broken = append(z.broken, a.ID+": sent again within 300 ms of a time-out")
+	}
+	z.out[a.ID] = true
+	z.sends[a.ID]++
+	dark := z.dark[zone]
+	_, cold := z.coldFrom[zone]
+	cold = cold && z.capacity(zone) < agents
+	if cold {
+		z.toCold++
+	}
+	full := z.holding[a.Pool] >= z.capacity(zone)
+	if full && cold {
+		z.overCold++
+	}
+	if !dark && !full {
+		z.holding[a.Pool]++
+	}
+	free := float64(z.capacity(zone) - z.holding[a.Pool])
+	z.mu.Unlock()
+	end := func(o Outcome) Ending {
+		z.mu.Lock()
+		z.out[a.ID] = false
+		z.mu.Unlock()
+		return Ending{Outcome: o, At: z.d.Now(), State: State{Free: free, Agents: agents}}
+	}
+	delay := 20 * time.Millisecond
+	if cold {
+		delay = 200 * time.Millisecond
+	}
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		z.release(a.Pool, !dark && !full)
+		return nil, end(Cancelled)
+	}
+	switch {
+	case dark:
+		return nil, end(ConnectFailed)
+	case full:
+		return nil, end(NoAgent)
+	}
+	z.mu.Lock()
+	if zone == "batumi" && !cold {
+		z.home++
+	}
+	z.mu.Unlock()
+	e := end(Answered)
+	leg := &zoneLeg{done: make(chan struct{})}
+	go func() {
+		select {
+		case <-time.After(standFor):
+		case <-leg.released():
+		}
+		z.release(a.Pool, true)
+		close(leg.done)
+	}()
+	return leg, e
+}
+
+func (z *zones) release(pool string, held bool) {
+	if !held {
+		return
+	}
+	z.mu.Lock()
+	z.holding[pool]--
+	z.mu.Unlock()
+}
+
+func (z *zones) set(f func()) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	f()
+}
+
+type zoneLeg struct {
+	done chan struct{}
+	once sync.Once
+	rel  chan struct{}
+	mu   sync.Mutex
+}
+
+func (l *zoneLeg) released() chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.rel == nil {
+		l.rel = make(chan struct{})
+	}
+	return l.rel
+}
+func (l *zoneLeg) SDP() string           { return "v=0\r\n" }
+func (l *zoneLeg) Done() <-chan struct{} { return l.done }
+func (l *zoneLeg) Ending() Ending        { return Ending{Outcome: Ended, State: Untold, Cause: CauseNormal} }
+func (l *zoneLeg) Release(int)           { l.once.Do(func() { close(l.released()) }) }
+
+// zoneRun is what one run of the zone scenario saw.
+type zoneRun struct {
+	dark, darkSoon, darkRefused int // calls placed while batumi was dark; standing within 1.5 s; turned away
+	calls, stood                int
+	toCold, overCold, home      int
+	broken                      []string
+	count                       routing.Count
+}
+
+// runZones plays batumi going dark at 5 s and coming back cold at 15 s, with a call every 25 ms until
+// 30 s, each standing 2 s; with routing or without.
+func runZones(t *testing.T, routed bool) zoneRun {
+	var run zoneRun
+	synctest.Test(t, func(t *testing.T) {
+		set := settings()
+		set.Classes = []eidertrail.Class{{Name: "stop-sell", Aim: 1500 * time.Millisecond, Deadline: 6 * time.Second,
+			Worth: 5, Hold: standFor, Effect: eidertrail.Safe}}
+		count := &stats.Set{}
+		log := zerolog.Nop()
+		if os.Getenv("EIDERTRAIL_TRACE") != "" {
+			log = zerolog.New(os.Stderr)
+		}
+		d, err := New(set, 1, 2_000_000, clock.New(), log, count)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		go d.Run(ctx)
+		z := newZones(d)
+		d.Roster(z.servers(), true)
+		var router *routing.Router
+		if routed {
+			router, err = routing.New(routing.Config{Zone: "batumi",
+				Tiers:      map[string][][]string{"batumi": {{"tbilisi", "kutaisi"}, {"telavi"}}},
+				SpillShare: 0.5, Window: 10_000_000, OutShare: 0.5, Least: 4, Hold: 5_000_000, MostHold: 40_000_000,
+				FlapWithin: 60_000_000, WarmUp: 10_000_000, WarmFrom: 0.1, Nodes: 1},
+				[]string{"batumi", "tbilisi", "kutaisi", "telavi"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			d.Route(router)
+		}
+		start := time.Now()
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		for n := 0; time.Since(start) < 30*time.Second; n++ {
+			at := time.Since(start)
+			switch {
+			case at >= 5*time.Second && at < 5*time.Second+50*time.Millisecond:
+				z.set(func() { z.dark["batumi"] = true })
+			case at >= 15*time.Second && at < 15*time.Second+50*time.Millisecond:
+				z.set(func() { z.dark["batumi"] = false; z.coldFrom["batumi"] = time.Now() })
+			}
+			wg.Go(func() {
+				r := Request{Call: d.NewCall(), Class: 0, Pool: -1, Until: d.Now() + 6_000_000}
+				f := Serve(context.Background(), d, z, r, Setup{ID: fmt.Sprint(n)})
+				took := time.Since(start) - at
+				mu.Lock()
+				run.calls++
+				dark := at >= 5*time.Second && at < 15*time.Second
+				if dark {
+					run.dark++
+				}
+				switch f.Kind {
+				case Stands:
+					run.stood++
+					if dark && took <= 1500*time.Millisecond {
+						run.darkSoon++
+					}
+				case Turned, GivenUp:
+					if dark {
+						run.darkRefused++
+					}
+				}
+				mu.Unlock()
+				if f.Kind == Stands {
+					f.Call.WaitEnd(context.Background(), nil)
+				}
+			})
+			time.Sleep(50 * time.Millisecond)
+		}
+		wg.Wait()
+		run.toCold, run.overCold, run.broken, run.home = z.toCold, z.overCold, z.broken, z.home
+		if router != nil {
+			run.count = router.Count()
+		}
+	})
+	return run
+}
+
+func (r zoneRun) String() string {
+	return fmt.Sprintf("calls %d, stood %d; while batumi was dark %d, standing within 1.5 s %d (%.0f%%), turned away %d; "+
+		"set-ups to cold pools %d, with no room there %d; answered at home while it was up %d; zones out %d",
+		r.calls, r.stood, r.dark, r.darkSoon, 100*float64(r.darkSoon)/float64(max(r.dark, 1)), r.darkRefused, r.toCold,
+		r.overCold, r.home, r.count.ZonesOut)
+}
+
+// A whole zone goes dark and comes back cold, under a call every 25 ms: with routing, most stop-sell calls
+// still stand within 1.5 s while it is dark, no returning pool gets a set-up it has no room for, and the
+// rules of the wire hold on every attempt.
+func TestLosingAWholeZone(t *testing.T) {
+	on := runZones(t, true)
+	t.Logf("routing on:  %s", on)
+	for _, b := range on.broken {
+		t.Errorf("rule broken: %s", b)
+	}
+	if on.darkSoon*10 < on.dark*8 {
+		t.Errorf("with routing %d of %d calls stood within 1.5 s while batumi was dark, want most (80%%)", on.darkSoon, on.dark)
+	}
+	if on.overCold > 0 {
+		t.Errorf("%d set-ups reached returning pools that had no room", on.overCold)
+	}
+	if on.count.ZonesOut == 0 {
+		t.Error("batumi was never taken out")
+	}
+	if os.Getenv("EIDERTRAIL_MEASURE") != "" { // the same run without routing, to compare
+		off := runZones(t, false)
+		t.Logf("routing off: %s", off)
+	}
+}
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -34,8 +34,9 @@
 type Pool struct {
 	UID     string
 	Address string
-	Group   int   // the number by which calls and classes name it
-	Born    int64 // clock reading of a late start, or 0
+	Group   int    // the number by which calls and classes name it
+	Zone    string // its availability zone ("az"), "" if not told
+	Born    int64  // clock reading of a late start, or 0
 	State   State
 }
 
@@ -78,7 +79,7 @@
 		for j, t := range roster.Get("targets").Array() {
 			pool := Pool{
 				UID: t.Get("uid").Str, Address: t.Get("endpoint").Str,
-				Group: int(t.Get("pod_group").Int()), Born: now.FromUnixMilli(t.Get("boot_ms").Int()),
+				Group: int(t.Get("pod_group").Int()), Born: now.FromUnixMilli(t.Get("boot_ms").Int()), Zone: t.Get("az").Str,
 			}
 			switch t.Get("state").Str {
 			case "up":
--- a/internal/config/discovery.go
+++ b/internal/config/discovery.go
@@ -31,6 +31,7 @@
 type SRVName struct {
 	SRV   string `toml:"srv"`   // _service._proto.name
 	Group int    `toml:"group"` // the pod group that calls and classes name the pools by
+	Zone  string `toml:"zone"`  // the zone of its pools, for routing; "" for none
 }
 
 // Schedule is when names are asked again, in µs.
--- /dev/null
+++ b/internal/config/routing.go
@@ -0,0 +1,68 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"eidertrail/routing"
+)
+
+// Routing is the configuration of zone-aware routing (deploy/routing.toml).
+type Routing struct {
+	Zone       string                `toml:"zone"`        // this controller's zone
+	Zones      []string              `toml:"zones"`       // every zone there is
+	Tiers      map[string][][]string `toml:"tiers"`       // by zone: the tiers it spills to, nearest first
+	SpillShare float64               `toml:"spill_share"` // of a tier's agents that another zone's calls may hold
+	Window     time.Duration         `toml:"window"`      // outcomes a zone is judged by
+	OutShare   float64               `toml:"out_share"`   // failures in the window that take a zone out
+	Least      int                   `toml:"least"`       // outcomes below which a zone is not judged
+	Hold       time.Duration         `toml:"hold"`        // least time out
+	MostHold   time.Duration         `toml:"most_hold"`   // most time out after flaps
+	FlapWithin time.Duration         `toml:"flap_within"` // out again within this of a return: a flap
+	WarmUp     time.Duration         `toml:"warm_up"`     // slow start of a returning pool or zone
+	WarmFrom   float64               `toml:"warm_from"`   // the share of its capacity it starts at
+}
+
+// Router makes the routing.Router of the file, for nodes controllers.
+func (r *Routing) Router(nodes int) (*routing.Router, error) {
+	return routing.New(r.config(nodes), r.Zones)
+}
+
+func (r *Routing) config(nodes int) routing.Config {
+	return routing.Config{Zone: r.Zone, Tiers: r.Tiers, SpillShare: r.SpillShare, Window: r.Window.Microseconds(),
+		OutShare: r.OutShare, Least: r.Least, Hold: r.Hold.Microseconds(), MostHold: r.MostHold.Microseconds(),
+		FlapWithin: r.FlapWithin.Microseconds(), WarmUp: r.WarmUp.Microseconds(), WarmFrom: r.WarmFrom, Nodes: max(nodes, 1)}
+}
+
+// LoadRouting reads the file at path. An error is one line that names the field.
+func LoadRouting(path string) (*Routing, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("routing: %w", err)
+	}
+	return ParseRouting(string(text))
+}
+
+// ParseRouting reads the text of a routing file.
+func ParseRouting(text string) (*Routing, error) {
+	r := &Routing{SpillShare: 0.3, Window: 10 * time.Second, OutShare: 0.5, Least: 8, Hold: 10 * time.Second,
+		MostHold: 2 * time.Minute, FlapWithin: time.Minute, WarmUp: 30 * time.Second, WarmFrom: 0.1}
+	meta, err := toml.Decode(text, r)
+	if err != nil {
+		return nil, fmt.Errorf("routing: %s", strings.ReplaceAll(err.Error(), "\n", " "))
+	}
+	if left := meta.Undecoded(); len(left) > 0 {
+		return nil, fmt.Errorf("routing: %s: not a known field", left[0])
+	}
+	if len(r.Zones) == 0 || len(r.Zones) > 64 {
+		return nil, fmt.Errorf("routing: zones: want 1 to 64 zones")
+	}
+	if err := r.config(1).Check(r.Zones); err != nil {
+		return nil, fmt.Errorf("routing: %s", strings.TrimPrefix(err.Error(), "routing: bad config: "))
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/config/routing_test.go
@@ -0,0 +1,39 @@
+package config
+
+import (
+	"strings"
+	"testing"
+)
+
+const goodRouting = `zone = "batumi"
+zones = ["batumi", "tbilisi", "kutaisi", "telavi"]
+[tiers]
+batumi = [["tbilisi", "kutaisi"], ["telavi"]]
+`
+
+func TestRoutingDefaults(t *testing.T) {
+	r, err := ParseRouting(goodRouting)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := r.Router(3); err != nil || r.SpillShare != 0.3 || len(r.Tiers["batumi"]) != 2 {
+		t.Errorf("%+v, %v", r, err)
+	}
+}
+
+func TestBadRoutingNamesTheField(t *testing.T) {
+	for field, text := range map[string]string{
+		"zone:":            strings.Replace(goodRouting, `zone = "batumi"`, `zone = "poti"`, 1),
+		"tiers.batumi[1]:": strings.Replace(goodRouting, `["telavi"]`, `["gori"]`, 1),
+		"tiers.batumi[0]:": strings.Replace(goodRouting, `["tbilisi", "kutaisi"]`, `["tbilisi", "batumi"]`, 1),
+		"tiers.gori:":      goodRouting + `gori = [["batumi"]]` + "\n",
+		"spill_share:":     "spill_share = 1.2\n" + goodRouting,
+		"zones:":           `zone = "batumi"` + "\n",
+		"colour:":          "colour = 1\n" + goodRouting,
+	} {
+		_, err := ParseRouting(text)
+		if err == nil || !strings.HasPrefix(err.Error(), "routing: "+field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", field, err)
+		}
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -319,7 +319,7 @@
 func (p *pool) line() dispatch.Server {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := dispatch.Server{UID: p.uid, Group: p.listed.Group, Born: p.listed.Born, Mode: eidertrail.Ready}
+	l := dispatch.Server{UID: p.uid, Group: p.listed.Group, Zone: p.listed.Zone, Born: p.listed.Born, Mode: eidertrail.Ready}
 	switch {
 	case p.superseded || p.listed.State == bulletin.Removed:
 		l.Mode = eidertrail.Gone
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -95,7 +95,8 @@
 	conn net.Conn
 }
 
-// Refuse makes the pool refuse new connections, or take them again; silent: neither.
+// Refuse makes the pool refuse new connections, or take them again; silent: neither. On a loopback
+// port (Listen) a refused connection is closed as soon as it is taken.
 func (p *Pool) Refuse(refuses, silent bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -155,6 +156,13 @@
 			if err != nil {
 				return
 			}
+			p.mu.Lock()
+			refuses := p.refuses
+			p.mu.Unlock()
+			if refuses { // on loopback a refusal is a connection closed at once
+				c.Close()
+				continue
+			}
 			p.wg.Go(func() { p.Serve(c) })
 		}
 	})
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -55,6 +55,7 @@
 	UID      string // stable while the address stays in the set
 	Address  string // host:port that is dialled
 	Group    int    // the number by which calls and classes name the pool
+	Zone     string // its availability zone, "" if not told
 	Born     int64  // when the process started, µs, or 0: not known
 	Priority uint16 // of its SRV record, 0 for the bulletin
 	Weight   uint16 // of its SRV record, 0 for the bulletin
@@ -67,6 +68,7 @@
 	UID     string
 	Address string // may be empty for a removal
 	Group   int
+	Zone    string
 	Born    int64
 	State   State
 }
@@ -121,6 +123,7 @@
 
 type named struct {
 	group   int
+	zone    string
 	records map[string]*entry // by target:port
 	good    bool              // at least one good answer came
 }
@@ -175,14 +178,14 @@
 // Counts returns what the Set has seen.
 func (s *Set) Counts() Counts { return s.count }
 
-// Name declares an SRV name and the group its pools get. A name declared again keeps its records.
-func (s *Set) Name(name string, group int) {
+// Name declares an SRV name and the group and zone its pools get. A name declared again keeps its records.
+func (s *Set) Name(name string, group int, zone string) {
 	if n := s.names[name]; n != nil {
-		n.group = group
+		n.group, n.zone = group, zone
 		s.changed = true
 		return
 	}
-	s.names[name] = &named{group: group, records: map[string]*entry{}}
+	s.names[name] = &named{group: group, zone: zone, records: map[string]*entry{}}
 	s.order = append(s.order, name)
 }
 
@@ -377,7 +380,7 @@
 			continue // a removed pool does not hold out one that took its address since
 		}
 		m.fromBulletin = true
-		m.UID, m.Group, m.Born, m.State = uid, t.Group, t.Born, t.State
+		m.UID, m.Group, m.Zone, m.Born, m.State = uid, t.Group, t.Zone, t.Born, t.State
 	}
 	for _, name := range s.order {
 		n := s.names[name]
@@ -392,7 +395,7 @@
 				s.count.Conflicts++
 			}
 			if !m.fromBulletin && !m.fromDNS {
-				m.UID, m.Group = "dns:"+name+"/"+key, n.group
+				m.UID, m.Group, m.Zone = "dns:"+name+"/"+key, n.group, n.zone
 				if e.late {
 					m.Born = e.firstSeen // a record that comes after the first answer is a new process: it starts cold
 				}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -26,7 +26,7 @@
 	SpillShare float64
 	Window     int64   // the outcomes a zone is judged by are those of this long
 	OutShare   float64 // a zone with this share of failures in the window, or more, is out
-	Least      int     // outcomes in the window below which a zone is not judged
+	Least      int     // outcomes in the window below which a zone is not judged; so many failures in a row take it out
 	Hold       int64   // the least time a zone stays out
 	MostHold   int64   // the most that repeated flaps make the hold
 	FlapWithin int64   // a zone out again within this of its return is a flap: its hold doubles
@@ -108,6 +108,7 @@
 	agents   float64 // told, 0: not yet
 	free     float64 // told, -1: not yet
 	busy     int     // set-ups out and calls standing of this controller
+	flying   int     // of them, set-ups out
 	warmFrom int64   // slow start began then, 0: warm
 	seen     bool    // in the last roster
 }
@@ -115,6 +116,7 @@
 type zone struct {
 	name     string
 	outcomes []outcome // the latest, oldest first
+	inRow    int       // failures since the last success
 	out      bool
 	outUntil int64 // out at least until then
 	backAt   int64 // when it last came back, 0: never went out
@@ -192,7 +194,7 @@
 		}
 		z.dark = dark
 	}
-	r.started = true
+	r.started = r.started || len(pools) > 0 // an empty list at the start says nothing of later pools
 }
 
 // Report takes what a pool told of its agents; a negative value is not told.
@@ -211,23 +213,28 @@
 func (r *Router) Sent(uid string) {
 	if p := r.pools[uid]; p != nil {
 		p.busy++
+		p.flying++
 	}
 }
 
-// Ended notes the end of what Sent began: a set-up that did not stand, or a call that stood; o is the
-// set-up's outcome, Neutral for the end of a call.
-func (r *Router) Ended(now int64, uid string, o Outcome) {
+// Ended notes the end of what Sent began: a set-up that did not stand (o its outcome), or a call that
+// stood (stood, and o is Neutral).
+func (r *Router) Ended(now int64, uid string, o Outcome, stood bool) {
 	p := r.pools[uid]
 	if p == nil {
 		return
 	}
 	p.busy = max(0, p.busy-1)
+	if !stood {
+		p.flying = max(0, p.flying-1)
+	}
 	r.judge(now, p, o)
 }
 
 // Answered notes a set-up that stood: a success of its zone. The call holds its place until Ended.
 func (r *Router) Answered(now int64, uid string) {
 	if p := r.pools[uid]; p != nil {
+		p.flying = max(0, p.flying-1)
 		r.judge(now, p, Success)
 	}
 }
@@ -244,13 +251,21 @@
 	for len(z.outcomes) > 0 && now-z.outcomes[0].at > r.cfg.Window {
 		z.outcomes = z.outcomes[1:]
 	}
+	if o == Failure {
+		z.inRow++
+	} else {
+		z.inRow = 0
+	}
 	fails := 0
 	for _, x := range z.outcomes {
 		if x.fail {
 			fails++
 		}
 	}
-	if !z.out && len(z.outcomes) >= r.cfg.Least && float64(fails) >= r.cfg.OutShare*float64(len(z.outcomes)) {
+	// Out by a share of failures over the window, or at once by a run of them: a zone that goes dark after
+	// a good while has the window full of successes (consecutive failures, as outlier detection does).
+	share := len(z.outcomes) >= r.cfg.Least && float64(fails) >= r.cfg.OutShare*float64(len(z.outcomes))
+	if !z.out && (share || z.inRow >= r.cfg.Least) {
 		r.goOut(now, z)
 	}
 }
@@ -263,7 +278,7 @@
 		hold = min(max(2*z.hold, r.cfg.Hold), r.cfg.MostHold)
 		r.count.Flaps++
 	}
-	z.out, z.outUntil, z.hold, z.outcomes = true, now+hold, hold, z.outcomes[:0]
+	z.out, z.outUntil, z.hold, z.outcomes, z.inRow = true, now+hold, hold, z.outcomes[:0], 0
 	r.count.ZonesOut++
 }
 
@@ -286,7 +301,7 @@
 	}
 }
 
-// Next is when Advance had best be called again by time alone, 0: nothing waits.
+// Next is when eligibility may change by time alone: a hold ends, a warm-up steps on. 0: nothing waits.
 func (r *Router) Next(now int64) int64 {
 	var next int64
 	soonest := func(t int64) {
@@ -300,8 +315,8 @@
 		}
 	}
 	for _, p := range r.pools {
-		if p.warmFrom > 0 {
-			soonest(p.warmFrom + r.cfg.WarmUp)
+		if p.warmFrom > 0 { // the capacity grows all through: look again every twentieth of the warm-up
+			soonest(min(p.warmFrom+r.cfg.WarmUp, now+max(r.cfg.WarmUp/20, 1)))
 		}
 	}
 	return next
@@ -333,10 +348,11 @@
 			break
 		}
 	}
-	// Spill to the tiers past the serving one opens only while all of its pools are full.
+	// Spill to the tiers past the serving one opens only while all of its pools are full, or while it warms
+	// up: a zone that returns cannot take all at once, and may fail again.
 	last := serving
 	if serving >= 0 {
-		for last < len(tiers)-1 && r.full(tiers[last]) {
+		for last < len(tiers)-1 && (r.full(tiers[last]) || r.warming(tiers[last])) {
 			last++
 		}
 	}
@@ -387,17 +403,28 @@
 	return any
 }
 
+// warming tells whether a pool of the tier is in its warm-up.
+func (r *Router) warming(tier []string) bool {
+	for _, p := range r.pools {
+		if p.Up && p.warmFrom > 0 && slices.Contains(tier, p.Zone) && r.open(p.Zone) {
+			return true
+		}
+	}
+	return false
+}
+
 // spillRoom tells whether the calls that this controller holds in a tier are under its budget.
 func (r *Router) spillRoom(tier []string) bool {
-	var busy, agents float64
+	var busy, flying, agents float64
 	for _, p := range r.pools {
 		if p.Up && slices.Contains(tier, p.Zone) {
 			busy += float64(p.busy)
+			flying += float64(p.flying)
 			agents += p.agents
 		}
 	}
 	if agents == 0 {
-		return busy < 1 // not told yet: one at a time
+		return flying < 1 // not told yet: one set-up at a time, whose answer tells
 	}
 	return busy < r.cfg.SpillShare*agents/float64(r.cfg.Nodes)
 }
@@ -411,7 +438,7 @@
 	}
 	agents := p.agents / float64(r.cfg.Nodes)
 	if agents <= 0 {
-		agents = 1
+		return float64(p.busy - p.flying + 1) // not told yet: one set-up at a time, whose answer tells
 	}
 	return max(1, math.Floor(agents*min(share, 1)+1e-9)) // whole set-ups; the nudge keeps 5.9999999 from being 5
 }
