--- a/membership/membership.go
+++ b/membership/membership.go
@@ -460,7 +460,7 @@
 		if i > 0 {
 			b.WriteByte(' ')
 		}
-		b.WriteString(m.UID + "@" + m.Address + "/" + m.State.String() + "/g" + strconv.Itoa(m.Group))
+		b.WriteString(m.UID + "@" + m.Address + "/" + m.State.String() + "/g" + strconv.Itoa(m.Group) + "/" + m.From)
 	}
 	return b.String()
 }
