Daemon zone test: calls come home when the dark zone takes connections again

Change: the daemon test with loopback pools in two zones now brings batumi back after the spill, with a hold of 0.3 s (doubled on each failed return) and a warm-up of 1 s, and places calls until one is answered in batumi again, 500 at most; every call keeps one final answer.

--- a/cmd/eidertrail/zones_test.go
+++ b/cmd/eidertrail/zones_test.go
@@ -14,7 +14,8 @@
 )
 
 // The daemon with --routing, on loopback stand-in pools in two zones: calls stay in the own zone, spill to
-// the neighbour when the own zone's pools refuse connections, and every call gets one final answer.
+// the neighbour when the own zone's pools refuse connections, come home again when they take them, and
+// every call gets one final answer.
 func TestDaemonSpillsWhenItsZoneGoesDark(t *testing.T) {
 	var mu sync.Mutex
 	by := map[string]int{}
@@ -42,7 +43,8 @@
 	routes := write(t, "routing.toml", `zone = "batumi"
 zones = ["batumi", "tbilisi"]
 least = 2
-hold = "30s"
+hold = "300ms"
+warm_up = "1s"
 [tiers]
 batumi = [["tbilisi"]]
 `)
@@ -75,6 +77,22 @@
 		t.Errorf("with batumi dark: %v, want calls in tbilisi", by)
 	}
 	mu.Unlock()
+	// batumi comes back: after its hold, and doubled holds while it still failed, calls go home again.
+	mu.Lock()
+	home := by["ba"]
+	mu.Unlock()
+	for _, uid := range []string{"ba1", "ba2"} {
+		pools[uid].Refuse(false, false)
+	}
+	for n, back := 0, false; !back; n++ {
+		if n == 500 {
+			t.Fatalf("no call went home in 500 after batumi came back: %v", by)
+		}
+		call.place(t)
+		mu.Lock()
+		back = by["ba"] > home
+		mu.Unlock()
+	}
 	call.check(t)
 	if !strings.Contains(log.String(), "batumi:out") && !strings.Contains(log.String(), "batumi:dark") {
 		t.Errorf("the zone's going out is not logged")
