--- a/cmd/eidertrail/zones_test.go
+++ b/cmd/eidertrail/zones_test.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
 	"eidertrail/internal/standin"
+	"eidertrail/internal/stats"
 )
 
 // The daemon with --routing, on loopback stand-in pools in two zones: calls stay in the own zone, spill to
@@ -102,3 +105,41 @@
 		t.Error(err)
 	}
 }
+
+// A routing file that makes no sense ends the start with a line naming the field; at SIGHUP it is logged
+// and the old one holds.
+func TestBadRoutingFile(t *testing.T) {
+	good := "zone = \"batumi\"\nzones = [\"batumi\", \"tbilisi\"]\n[tiers]\nbatumi = [[\"tbilisi\"]]\n"
+	cfg := write(t, "config.json", configuration("127.0.0.1:0", "127.0.0.1:1"))
+	for field, bad := range map[string]string{
+		"tiers.batumi[0]":  strings.Replace(good, `[["tbilisi"]]`, `[["gori"]]`, 1),
+		"spill_share":      "spill_share = 1.5\n" + good,
+		"tiers.batumi[0]:": strings.Replace(good, `[["tbilisi"]]`, `[["batumi"]]`, 1),
+	} {
+		_, err := start(context.Background(), environment{config: cfg, routing: write(t, "bad.toml", bad)}, zerolog.Nop())
+		if err == nil || !strings.HasPrefix(err.Error(), "routing: "+field) {
+			t.Errorf("%s: %v", field, err)
+		}
+	}
+	path := write(t, "routing.toml", good)
+	log := &buffer{}
+	d, err := start(context.Background(), environment{config: cfg, routing: path}, zerolog.New(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newSignals()
+	ended := make(chan error, 1)
+	go func() { ended <- d.serve(s) }()
+	os.WriteFile(path, []byte("warm_from = 0\n"+good), 0o600)
+	s.hup <- syscall.SIGHUP
+	for !strings.Contains(log.String(), "warm_from") {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if d.count.Get(stats.BadReloads) != 1 {
+		t.Errorf("bad reloads %d", d.count.Get(stats.BadReloads))
+	}
+	s.term <- syscall.SIGTERM
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
