--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -159,7 +159,8 @@
 	d.wg.Go(func() { bulletin.Watch(pools, cfg.Bulletin, cfg.Known.No, d.moves, d.clock, limited, d.count, apply) })
 	d.wg.Go(func() { d.broken <- d.callers.Serve(d.listener) })
 	log.Info().Str("name", cfg.Name).Stringer("listen", d.listener.Addr()).Int("classes", len(cfg.Settings.Classes)).
-		Int("memory_mb", cfg.MemoryMB).Int("sockets", cfg.Sockets).Bool("callcontrol", second != nil).Bool("discovery", disc != nil).Bool("routing", zones != nil).Msg("serving")
+		Int("memory_mb", cfg.MemoryMB).Int("sockets", cfg.Sockets).Bool("callcontrol", second != nil).Bool("discovery", disc != nil).Bool("routing", zones != nil).
+		Strs("report_names", cfg.ReportNames).Str("report_free", cfg.ReportFree).Str("report_agents", cfg.ReportAgents).Msg("serving")
 	return d, nil
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -28,10 +28,11 @@
 	Known    bulletin.Page
 
 	Settings       eidertrail.Settings
-	ReportFree     string // the field of a pool's report that holds its free agents
-	ReportAgents   string // and their number
-	ConnectTimeout int64  // microseconds
-	MaxRetryAfter  int64  // microseconds, the longest wait a caller is told
+	ReportFree     string   // the field of a pool's report that holds its free agents
+	ReportAgents   string   // and their number
+	ReportNames    []string // every field that reports are said to carry, in order (settings.stats.names)
+	ConnectTimeout int64    // microseconds
+	MaxRetryAfter  int64    // microseconds, the longest wait a caller is told
 	Classes        []string
 	Tenants        []string
 }
@@ -138,7 +139,11 @@
 		c.Tenants = append(c.Tenants, r.text(fmt.Sprintf("settings.realms.%d.name", i), true))
 	}
 	c.ReportFree, c.ReportAgents = "idle", "circuits"
-	if names := r.list("settings.stats.names", false); len(names) >= 2 { // the first two are these, whatever their names
+	names := r.list("settings.stats.names", false)
+	for _, n := range names {
+		c.ReportNames = append(c.ReportNames, n.String())
+	}
+	if len(names) >= 2 { // the first two are these, whatever their names
 		c.ReportFree, c.ReportAgents = names[0].String(), names[1].String()
 	}
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -36,6 +36,23 @@
 	}
 }
 
+// Guards against a site whose reports carry more than free agents (a wait, a rate) having those read as
+// agents: every name is kept in order for the start log, and the first two are the free agents and their number.
+func TestReportNames(t *testing.T) {
+	for names, want := range map[string][3]string{
+		`["idle","circuits"]`:                        {"idle", "circuits", "idle,circuits"},
+		`["idle","circuits","recent_ms","max_rate"]`: {"idle", "circuits", "idle,circuits,recent_ms,max_rate"},
+	} {
+		c, err := Parse([]byte(strings.Replace(good, `["idle","circuits"]`, names, 1)), clock.New())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := [3]string{c.ReportFree, c.ReportAgents, strings.Join(c.ReportNames, ",")}; got != want {
+			t.Errorf("%s: %q, want %q", names, got, want)
+		}
+	}
+}
+
 // Guards against a controller that starts on a configuration it has misread: one line, with the field's name.
 func TestBadFieldIsNamed(t *testing.T) {
 	for _, k := range [][3]string{
