Planned stop timed from the classes' longest deadline, not a fixed 3.3 s

Cause: the daemon gave its last answers within a constant 3.3 s of SIGTERM, which is right only where the longest deadline is 3 s or more. The platform sends SIGKILL no sooner than the longest deadline (counted as 3 s where it is longer) plus 0.7 s; a site whose classes give up sooner would be killed with answers still owed. Faulty line: mostDrain = 3300 * time.Millisecond.

Change: drainWithin(classes) = min(longest deadline, 3 s) + 0.7 s - 0.4 s, never under the 0.7 s that set-ups are still taken; a table test on both sites' deadlines (6/15 s and 9/9 s give 3.3 s) and on shorter ones.

--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/net/netutil"
 
+	"eidertrail"
 	"eidertrail/callcontrol"
 	"eidertrail/dispatch"
 	"eidertrail/health"
@@ -30,8 +31,12 @@
 const (
 	// stayOpen is how long after SIGTERM set-ups may still come.
 	stayOpen = 700 * time.Millisecond
-	// mostDrain is when after SIGTERM the last answer must be out: SIGKILL may come at 3.7 s.
-	mostDrain = 3300 * time.Millisecond
+	// killAfter and killDeadlineMost give when SIGKILL may come after SIGTERM: the longest deadline of the
+	// classes, counted as killDeadlineMost where it is longer, plus killAfter (the platform's DEPLOY page).
+	killAfter        = 700 * time.Millisecond
+	killDeadlineMost = 3 * time.Second
+	// drainMargin is how long before SIGKILL the last answer must be out.
+	drainMargin = 400 * time.Millisecond
 	// lastWords is how long the last lines may take to be written.
 	lastWords = 200 * time.Millisecond
 	// settle is how long at most the first connections to the pools are waited for before a test passes.
@@ -332,9 +337,21 @@
 
 // stop ends the daemon: for a while set-ups may still come and are taken like any other; then no more
 // connections are taken, what was taken is answered, and everything ends.
+//
+// drainWithin is how long after SIGTERM the last answer may take: before the earliest SIGKILL, which comes
+// with the site's longest deadline (at most killDeadlineMost) plus killAfter. Guards against a site whose
+// classes give up sooner than 3 s being killed with answers still owed. 3.3 s on both sites served today.
+func drainWithin(classes []eidertrail.Class) time.Duration {
+	var longest time.Duration
+	for _, c := range classes {
+		longest = max(longest, c.Deadline)
+	}
+	return max(min(longest, killDeadlineMost)+killAfter-drainMargin, stayOpen)
+}
+
 func (d *daemon) stop(stay time.Duration) {
 	d.stopping.Store(true)
-	drain, cancel := context.WithTimeout(context.Background(), mostDrain)
+	drain, cancel := context.WithTimeout(context.Background(), drainWithin(d.cfg.Settings.Classes))
 	defer cancel()
 	var sockets sync.WaitGroup
 	if d.sockets != nil {
--- a/cmd/eidertrail/daemon_test.go
+++ b/cmd/eidertrail/daemon_test.go
@@ -14,10 +14,12 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/coder/websocket"
 	"github.com/rs/zerolog"
 
+	"eidertrail"
 	"eidertrail/internal/jsonl"
 	"eidertrail/internal/standin"
 )
@@ -284,3 +286,25 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a planned stop that outlasts SIGKILL on a site whose classes give up sooner than 3 s: the
+// last answer is due before the longest deadline (counted as 3 s at most) plus 0.7 s.
+func TestDrainEndsBeforeSIGKILL(t *testing.T) {
+	for _, k := range []struct {
+		deadlines []time.Duration
+		want      time.Duration
+	}{
+		{[]time.Duration{6 * time.Second, 15 * time.Second}, 3300 * time.Millisecond},
+		{[]time.Duration{9 * time.Second, 9 * time.Second}, 3300 * time.Millisecond},
+		{[]time.Duration{1500 * time.Millisecond, 800 * time.Millisecond}, 1800 * time.Millisecond},
+		{[]time.Duration{100 * time.Millisecond}, stayOpen},
+	} {
+		var classes []eidertrail.Class
+		for _, d := range k.deadlines {
+			classes = append(classes, eidertrail.Class{Deadline: d})
+		}
+		if got := drainWithin(classes); got != k.want {
+			t.Errorf("deadlines %v: %v, want %v", k.deadlines, got, k.want)
+		}
+	}
+}
