--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -335,9 +335,6 @@
 	}
 }
 
-// stop ends the daemon: for a while set-ups may still come and are taken like any other; then no more
-// connections are taken, what was taken is answered, and everything ends.
-//
 // drainWithin is how long after SIGTERM the last answer may take: before the earliest SIGKILL, which comes
 // with the site's longest deadline (at most killDeadlineMost) plus killAfter. Guards against a site whose
 // classes give up sooner than 3 s being killed with answers still owed. 3.3 s on both sites served today.
@@ -349,6 +346,8 @@
 	return max(min(longest, killDeadlineMost)+killAfter-drainMargin, stayOpen)
 }
 
+// stop ends the daemon: for a while set-ups may still come and are taken like any other; then no more
+// connections are taken, what was taken is answered, and everything ends.
 func (d *daemon) stop(stay time.Duration) {
 	d.stopping.Store(true)
 	drain, cancel := context.WithTimeout(context.Background(), drainWithin(d.cfg.Settings.Classes))
--- a/cmd/eidertrail/daemon_test.go
+++ b/cmd/eidertrail/daemon_test.go
@@ -22,6 +22,7 @@
 	"eidertrail"
 	"eidertrail/internal/jsonl"
 	"eidertrail/internal/standin"
+	"eidertrail/internal/stats"
 )
 
 // buffer is a log that can be read while it is written.
@@ -63,6 +64,38 @@
 	return signals{make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
 }
 
+// serving runs d.serve in the background: the signals it takes, and its end.
+func serving(d *daemon) (signals, <-chan error) {
+	s, ended := newSignals(), make(chan error, 1)
+	go func() { ended <- d.serve(s) }()
+	return s, ended
+}
+
+// stopping sends SIGTERM and fails t unless the daemon then ends without an error.
+func stopping(t *testing.T, s signals, ended <-chan error) {
+	t.Helper()
+	s.term <- syscall.SIGTERM
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// reloadRefused writes text to path, sends SIGHUP, waits until the log names field, and fails t unless
+// the reload is the first one counted as refused.
+func reloadRefused(t *testing.T, d *daemon, s signals, log fmt.Stringer, path, text, field string) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.hup <- syscall.SIGHUP
+	for !strings.Contains(log.String(), field) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if d.count.Get(stats.BadReloads) != 1 {
+		t.Errorf("bad reloads %d", d.count.Get(stats.BadReloads))
+	}
+}
+
 // caller is a connection of a caller.
 type caller struct {
 	net.Conn
@@ -114,9 +147,7 @@
 		t.Fatal(err)
 	}
 	listen, ws, agent, health := d.listener.Addr().String(), d.addresses["listen"], d.addresses["agent_check"], d.addresses["health"]
-	s := newSignals()
-	ended := make(chan error, 1)
-	go func() { ended <- d.serve(s) }()
+	s, ended := serving(d)
 
 	c := dial(t, listen)
 	for ready := false; !ready; {
@@ -240,8 +271,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, ended := newSignals(), make(chan error, 1)
-	go func() { ended <- d.serve(s) }()
+	s, ended := serving(d)
 	if got := <-asked; got != "0 after 1" {
 		t.Errorf("asked %s", got)
 	}
@@ -281,10 +311,7 @@
 	if _, text, err := socket.Read(context.Background()); !strings.Contains(string(text), `"released"`) {
 		t.Errorf("%s, %v", text, err)
 	}
-	s.term <- syscall.SIGTERM
-	if err := <-ended; err != nil {
-		t.Error(err)
-	}
+	stopping(t, s, ended)
 }
 
 // Guards against a planned stop that outlasts SIGKILL on a site whose classes give up sooner than 3 s: the
--- a/cmd/eidertrail/discovery_test.go
+++ b/cmd/eidertrail/discovery_test.go
@@ -296,26 +296,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := newSignals()
-	ended := make(chan error, 1)
-	go func() { ended <- d.serve(s) }()
-	os.WriteFile(path, []byte("refresh_floor = \"0s\"\n"+good), 0o600)
-	s.hup <- syscall.SIGHUP
-	for !strings.Contains(log.String(), "refresh_floor") {
-		time.Sleep(10 * time.Millisecond)
-	}
-	if d.count.Get(stats.BadReloads) != 1 {
-		t.Errorf("bad reloads %d", d.count.Get(stats.BadReloads))
-	}
+	s, ended := serving(d)
+	reloadRefused(t, d, s, log, path, "refresh_floor = \"0s\"\n"+good, "refresh_floor")
 	os.WriteFile(path, []byte(good), 0o600)
 	s.hup <- syscall.SIGHUP
 	for d.count.Get(stats.Reloads) != 1 {
 		time.Sleep(10 * time.Millisecond)
 	}
-	s.term <- syscall.SIGTERM
-	if err := <-ended; err != nil {
-		t.Error(err)
-	}
+	stopping(t, s, ended)
 }
 
 func TestEarlierSpellingsOfTheFlagsStillWork(t *testing.T) {
--- a/cmd/eidertrail/measure_test.go
+++ b/cmd/eidertrail/measure_test.go
@@ -98,9 +98,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := newSignals()
-	ended := make(chan error, 1)
-	go func() { ended <- d.serve(s) }()
+	s, ended := serving(d)
 	for log.firstAfter(time.Time{}, addresses[pools-1], true).IsZero() {
 		time.Sleep(10 * time.Millisecond)
 	}
--- a/cmd/eidertrail/zones_test.go
+++ b/cmd/eidertrail/zones_test.go
@@ -3,17 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
-	"time"
 
 	"github.com/rs/zerolog"
 
 	"eidertrail/internal/standin"
-	"eidertrail/internal/stats"
 )
 
 // The daemon with --routing, on loopback stand-in pools in two zones: calls stay in the own zone, spill to
@@ -56,9 +52,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := newSignals()
-	ended := make(chan error, 1)
-	go func() { ended <- d.serve(s) }()
+	s, ended := serving(d)
 	call := newScript(dial(t, d.listener.Addr().String()))
 	for range 10 {
 		call.place(t)
@@ -100,10 +94,7 @@
 	if !strings.Contains(log.String(), "batumi:out") && !strings.Contains(log.String(), "batumi:dark") {
 		t.Errorf("the zone's going out is not logged")
 	}
-	s.term <- syscall.SIGTERM
-	if err := <-ended; err != nil {
-		t.Error(err)
-	}
+	stopping(t, s, ended)
 }
 
 // A routing file that makes no sense ends the start with a line naming the field; at SIGHUP it is logged
@@ -127,19 +118,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := newSignals()
-	ended := make(chan error, 1)
-	go func() { ended <- d.serve(s) }()
-	os.WriteFile(path, []byte("warm_from = 0\n"+good), 0o600)
-	s.hup <- syscall.SIGHUP
-	for !strings.Contains(log.String(), "warm_from") {
-		time.Sleep(10 * time.Millisecond)
-	}
-	if d.count.Get(stats.BadReloads) != 1 {
-		t.Errorf("bad reloads %d", d.count.Get(stats.BadReloads))
-	}
-	s.term <- syscall.SIGTERM
-	if err := <-ended; err != nil {
-		t.Error(err)
-	}
+	s, ended := serving(d)
+	reloadRefused(t, d, s, log, path, "warm_from = 0\n"+good, "warm_from")
+	stopping(t, s, ended)
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -139,12 +139,11 @@
 		c.Tenants = append(c.Tenants, r.text(fmt.Sprintf("settings.realms.%d.name", i), true))
 	}
 	c.ReportFree, c.ReportAgents = "idle", "circuits"
-	names := r.list("settings.stats.names", false)
-	for _, n := range names {
+	for _, n := range r.list("settings.stats.names", false) {
 		c.ReportNames = append(c.ReportNames, n.String())
 	}
-	if len(names) >= 2 { // the first two are these, whatever their names
-		c.ReportFree, c.ReportAgents = names[0].String(), names[1].String()
+	if len(c.ReportNames) >= 2 { // the first two are these, whatever their names
+		c.ReportFree, c.ReportAgents = c.ReportNames[0], c.ReportNames[1]
 	}
 }
 
