Pools that fall silent are not offered until the list tells of their drain

Observed in a trace of: a pool's unasked states (every 0.50 s) stop with its drain (last at 4.82 s, told at 6.30 s; 13.82 and 15.26; 31.82 and 33.16; 41.32 and 42.13), while answers and releases go on with full reports.

Change: heartbeat (pure): a pool overdue by its own rhythm and a quarter is told to the module as draining until its next state, never the last pool of a class, never while all are silent, at most ten rhythms; the dispatcher's router owns it beside routing; counter silent_pools and a log line. A pool's quiet connection is judged by at least two of its own shortest gaps: 1.5 s was tuned to a site whose pools speak every 0.6 s. Hard cases of the second site on stand-ins, for the figures of both sites: a cold pool under several controllers, all pools slow, a time-out with the pool still answering, a drain with set-ups queued.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -144,8 +144,8 @@
 	actions []eidertrail.Action
 	calls   map[uint64]*call
 	servers map[string]Server
-	wakes   []wake  // soonest first
-	route   *router // nil: every pool that is up is offered to the module
+	wakes   []wake // soonest first
+	route   *router
 }
 
 type wake struct {
@@ -179,7 +179,7 @@
 	return &Dispatcher{
 		clock: now, set: set, most: most, gather: min(mostGather, set.Tick), count: count, log: log, control: control,
 		in: make(chan func(int64), queue), done: make(chan struct{}),
-		calls: map[uint64]*call{}, servers: map[string]Server{},
+		calls: map[uint64]*call{}, servers: map[string]Server{}, route: newRouter(set, log, count),
 	}, nil
 }
 
@@ -398,7 +398,8 @@
 
 // Observe tells of a pool's state that came unasked.
 func (d *Dispatcher) Observe(uid string, s State) {
-	d.post(func(int64) {
+	d.post(func(now int64) {
+		d.route.beats.Told(now, uid)
 		d.route.report(uid, s.Free, s.Agents)
 		d.events = append(d.events, eidertrail.Report{Server: eidertrail.ServerID(uid), Free: s.Free, Agents: s.Agents})
 	})
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -372,3 +372,53 @@
 		r.t.Errorf("placed at %+v, first choice is b", p)
 	}
 }
+
+// Guards against set-ups going on to a pool that has begun to drain until the list says so: it stops telling
+// its state at once, and what is set up there from then on is cut when it stops.
+func TestAPoolThatStopsTellingItsStateIsNotOffered(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		class        int
+		aTells       bool
+		bTells       bool
+		first, after string // where the call went before, and goes now
+	}{
+		{"a is silent", 0, false, true, "a", "b"},
+		{"both are silent: this controller may be what does not hear", 0, false, false, "a", "a"},
+		{"none is", 0, true, true, "a", "a"},
+		{"b is silent, and the only pool of the class", 1, true, false, "b", "b"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			bubble(t, func(r *rig) {
+				place := func(when, want string) {
+					q := r.request(c.class, time.Second)
+					p, err := r.Pick(context.Background(), q)
+					if err != nil || p.Pool != want {
+						t.Errorf("%s: %+v, %v, want pool %s", when, p, err, want)
+					}
+					r.Report(Result{Call: q.Call, Pool: p.Pool, Outcome: Answered, Took: 20_000, State: Untold})
+				}
+				tell := func(a, b bool) {
+					if a {
+						r.Observe("a", State{10, 20})
+					}
+					if b {
+						r.Observe("b", State{10, 20})
+					}
+					time.Sleep(500 * time.Millisecond)
+				}
+				for range 10 {
+					tell(true, true)
+				}
+				place("before", c.first)
+				tell(c.aTells, c.bTells)
+				place("overdue", c.after)
+				tell(true, true)
+				place("told again", c.first)
+				if got, want := r.count.Get(stats.SilentPools) > 0, c.first != c.after; got != want {
+					t.Errorf("counted as silent: %v, want %v", got, want)
+				}
+			})
+		})
+	}
+}
--- a/dispatch/route.go
+++ b/dispatch/route.go
@@ -7,16 +7,19 @@
 	"github.com/rs/zerolog"
 
 	"eidertrail"
+	"eidertrail/heartbeat"
 	"eidertrail/internal/stats"
 	"eidertrail/routing"
 )
 
-// router puts a routing.Router between the list of pools and the module: a pool that is up but that
-// routing does not deem eligible now is told to the module as draining, so the module chooses only
-// among the others, and maySend checks it again at each send. Its methods do nothing on a nil router.
-// Only the loop goroutine uses it.
+// router stands between the list of pools and the module: a pool that is up but that has fallen silent
+// (heartbeat) or that routing, where it is on, does not deem eligible now is told to the module as draining,
+// so the module chooses only among the others, and maySend checks it again at each send. Only the loop
+// goroutine uses it.
 type router struct {
-	r      *routing.Router
+	r      *routing.Router // nil: off
+	beats  *heartbeat.Monitor
+	silent map[string]bool            // as logged
 	told   map[string]eidertrail.Mode // what the module was told of each pool that is listed
 	log    zerolog.Logger
 	count  *stats.Set
@@ -29,17 +32,20 @@
 // Standing calls and attempts out are not counted by a new Router: it learns them as they end.
 func (d *Dispatcher) Route(r *routing.Router) {
 	d.post(func(now int64) {
-		if r == nil {
-			d.route = nil
-			d.retell()
-			return
-		}
-		d.route = &router{r: r, told: map[string]eidertrail.Mode{}, log: d.log, count: d.count}
-		d.route.roster(now, d.servers)
+		d.route.r, d.route.zoned = r, ""
 		d.retell()
 	})
 }
 
+// newRouter returns the router of a site's settings, with routing off.
+func newRouter(set eidertrail.Settings, log zerolog.Logger, count *stats.Set) *router {
+	var classes [][]int
+	for _, c := range set.Classes {
+		classes = append(classes, c.Pools)
+	}
+	return &router{beats: heartbeat.New(classes), told: map[string]eidertrail.Mode{}, log: log, count: count}
+}
+
 // retell tells the module every pool again, as routing now has it.
 func (d *Dispatcher) retell() {
 	list := make([]eidertrail.Server, 0, len(d.servers))
@@ -53,10 +59,18 @@
 
 func (r *router) roster(now int64, servers map[string]Server) {
 	pools := make([]routing.Pool, 0, len(servers))
+	var up []heartbeat.Pool
 	for _, s := range servers {
-		pools = append(pools, routing.Pool{UID: s.UID, Zone: s.Zone, Up: s.Mode == eidertrail.Ready})
+		ready := s.Mode == eidertrail.Ready
+		pools = append(pools, routing.Pool{UID: s.UID, Zone: s.Zone, Up: ready})
+		if ready {
+			up = append(up, heartbeat.Pool{UID: s.UID, Group: s.Group})
+		}
+	}
+	r.beats.Roster(up)
+	if r.r != nil {
+		r.r.Roster(now, pools)
 	}
-	r.r.Roster(now, pools)
 	r.cached = nil
 	for uid := range r.told {
 		if _, listed := servers[uid]; !listed {
@@ -65,23 +79,38 @@
 	}
 }
 
-func (r *router) eligible(now int64) map[string]bool {
+// eligible tells whether the module may choose the pool, which is up, now.
+func (r *router) eligible(now int64, uid string) bool {
+	if r.beats.Silent(now)[uid] {
+		return false
+	}
+	if r.r == nil {
+		return true
+	}
 	if r.cached == nil || r.at != now {
 		r.cached, r.at = r.r.Eligible(now), now
 	}
-	return r.cached
+	return r.cached[uid]
+}
+
+// logSilent logs and counts the pools that have fallen silent, or that are heard again.
+func (r *router) logSilent(now int64) {
+	silent := r.beats.Silent(now)
+	for uid := range silent {
+		if !r.silent[uid] {
+			r.count.Add(stats.SilentPools)
+			r.log.Info().Str("pool", uid).Msg("pool tells its state no more")
+		}
+	}
+	r.silent = silent
 }
 
 // narrowList takes a new list for routing and changes, in list, the mode of pools that are up but not
 // eligible to draining.
 func (r *router) narrowList(now int64, servers map[string]Server, list []eidertrail.Server) {
-	if r == nil {
-		return
-	}
 	r.roster(now, servers)
-	e := r.eligible(now)
 	for i, s := range list {
-		if s.Mode == eidertrail.Ready && !e[string(s.ID)] {
+		if s.Mode == eidertrail.Ready && !r.eligible(now, string(s.ID)) {
 			list[i].Mode = eidertrail.Draining
 		}
 		r.told[string(s.ID)] = list[i].Mode
@@ -90,15 +119,11 @@
 
 // narrow appends what has changed in eligibility since the module was last told.
 func (r *router) narrow(now int64, servers map[string]Server, events []eidertrail.Event) []eidertrail.Event {
-	if r == nil {
-		return events
-	}
 	r.cached = nil
-	e := r.eligible(now)
 	var changed []eidertrail.Server
 	for uid, s := range servers {
 		want := s.Mode
-		if want == eidertrail.Ready && !e[uid] {
+		if want == eidertrail.Ready && !r.eligible(now, uid) {
 			want = eidertrail.Draining
 		}
 		if r.told[uid] != want {
@@ -106,6 +131,7 @@
 			changed = append(changed, eidertrail.Server{ID: eidertrail.ServerID(uid), Born: span(s.Born), Mode: want, Pool: s.Group})
 		}
 	}
+	r.logSilent(now)
 	r.logZones()
 	if len(changed) == 0 {
 		return events
@@ -116,6 +142,9 @@
 
 // logZones logs the zones' states when they change.
 func (r *router) logZones() {
+	if r.r == nil {
+		return
+	}
 	zones := r.r.Zones()
 	var b []byte
 	for _, z := range zones {
@@ -140,14 +169,11 @@
 
 // admits tells whether routing lets a set-up go to uid now: the last guard.
 func (r *router) admits(now int64, uid string) bool {
-	if r == nil {
-		return true
-	}
 	if _, known := r.told[uid]; !known {
 		return true // not listed with routing: the module's list guard decides
 	}
 	r.cached = nil // what was sent in this turn counts
-	ok := r.eligible(now)[uid]
+	ok := r.eligible(now, uid)
 	if !ok {
 		r.count.Add(stats.RouteStopped)
 	}
@@ -155,35 +181,38 @@
 }
 
 func (r *router) next(now int64) int64 {
-	if r == nil {
-		return 0
+	due := r.beats.Next(now)
+	if r.r != nil {
+		if at := r.r.Next(now); at > 0 && (due == 0 || at < due) {
+			due = at
+		}
 	}
-	return r.r.Next(now)
+	return due
 }
 
 func (r *router) report(uid string, free, agents float64) {
-	if r != nil {
+	if r.r != nil {
 		r.r.Report(uid, free, agents)
 	}
 }
 
 func (r *router) sent(k *call, uid string) {
 	k.pool = uid
-	if r != nil {
+	if r.r != nil {
 		r.r.Sent(uid)
 		k.routed = true
 	}
 }
 
 func (r *router) answered(now int64, k *call) {
-	if r != nil && k.routed {
+	if r.r != nil && k.routed {
 		r.r.Answered(now, k.pool)
 	}
 }
 
 // ended notes the end of an attempt that did not stand, or of a call that stood.
 func (r *router) ended(now int64, k *call, o Outcome) {
-	if r == nil || !k.routed {
+	if r.r == nil || !k.routed {
 		return
 	}
 	k.routed = false
--- /dev/null
+++ b/dispatch/sites_test.go
@@ -0,0 +1,243 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"eidertrail"
+	"eidertrail/internal/clock"
+	"eidertrail/internal/standin"
+	"eidertrail/internal/stats"
+)
+
+// site is a deployment as the settings give it: what two sites set differently.
+type site struct {
+	name    string
+	release time.Duration
+	resend  time.Duration
+	cold    time.Duration
+	share   float64
+	multi   float64
+	after   time.Duration
+	aim     time.Duration
+	give    time.Duration
+}
+
+// sites: one short of agents, with a quick release and no resends, and one short of processors.
+var sites = []site{
+	{"short of agents", 300 * time.Millisecond, 0, 10 * time.Second, 0.3, 3, 1500 * time.Millisecond, 2 * time.Second, 6 * time.Second},
+	{"short of processors", 500 * time.Millisecond, 400 * time.Millisecond, 15 * time.Second, 0.29, 3, 3 * time.Second, 1200 * time.Millisecond, 9 * time.Second},
+}
+
+// fleet is several controllers in one bubble that share stand-in pools with processors.
+type fleet struct {
+	site
+	ds    []*Dispatcher
+	procs map[string]*standin.Processor
+	mu    sync.Mutex
+	out   map[string]bool
+	ended map[string]time.Time // when a call's attempt ended that has to be released first
+	bad   []string
+	kinds map[FinalKind]int
+	stood int // within the aim
+	wg    sync.WaitGroup
+	calls int
+}
+
+// onFleet runs test on nodes controllers of the site; the pools p0, p1, ... are warm and listed.
+func onFleet(t *testing.T, s site, nodes, pools int, test func(f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		f := &fleet{site: s, procs: map[string]*standin.Processor{}, out: map[string]bool{}, ended: map[string]time.Time{},
+			kinds: map[FinalKind]int{}}
+		for i := range nodes {
+			set := eidertrail.Settings{Nodes: nodes, Index: i, Here: -1, Release: s.release, Resend: s.resend, MaxAttempts: 4,
+				Cold: s.cold, ColdShare: s.share, FallMultiple: s.multi, FallAfter: s.after, Tick: time.Millisecond,
+				Classes: []eidertrail.Class{{Name: "lookup", Aim: s.aim, Deadline: s.give, Worth: 1, Hold: 8 * time.Second}}}
+			d, err := New(set, 7, 2_000_000, clock.New(), zerolog.Nop(), &stats.Set{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			f.ds = append(f.ds, d)
+			go d.Run(ctx)
+		}
+		for i := range pools {
+			f.add(fmt.Sprintf("p%d", i), 0)
+		}
+		synctest.Wait()
+		test(f)
+		f.wg.Wait()
+		stop()
+		time.Sleep(time.Second)
+		for _, b := range f.bad {
+			t.Errorf("rule broken: %s", b)
+		}
+		if got := f.kinds[Stands] + f.kinds[Turned] + f.kinds[GivenUp]; got != f.calls {
+			t.Errorf("%d final answers to %d calls", got, f.calls)
+		}
+	})
+}
+
+// add lists a pool that started born ago to every controller, 0: long ago.
+func (f *fleet) add(uid string, born time.Duration) {
+	p := &standin.Processor{Work: 10 * time.Millisecond, MostWait: 2500 * time.Millisecond, ColdShare: f.share,
+		ColdFor: f.cold, FallMultiple: f.multi, FallAfter: f.after}
+	if born > 0 {
+		p.Start(time.Now().Add(-born))
+	}
+	f.procs[uid] = p
+	for _, d := range f.ds {
+		l := Server{UID: uid, Group: len(f.procs) - 1, Mode: eidertrail.Ready}
+		if born > 0 {
+			l.Born = d.Now() - born.Microseconds()
+		}
+		d.Roster([]Server{l}, false)
+		d.Observe(uid, State{900, 1000})
+	}
+}
+
+// Invite is a set-up at a pool: it holds the rules against every attempt.
+func (f *fleet) Invite(ctx context.Context, a Attempt) (Leg, Ending) {
+	f.mu.Lock()
+	if f.out[a.ID] {
+		f.bad = append(f.bad, a.ID+": two attempts out")
+	}
+	if at, was := f.ended[a.ID]; was && time.Since(at) < f.release {
+		f.bad = append(f.bad, fmt.Sprintf("%s: sent again %v after a time-out, release wait %v", a.ID, time.Since(at), f.release))
+	}
+	f.out[a.ID] = true
+	p := f.procs[a.Pool]
+	f.mu.Unlock()
+	d := f.ds[0]
+	end := func(o Outcome) Ending {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.out[a.ID] = false
+		if o == TimedOut {
+			f.ended[a.ID] = time.Now()
+		}
+		return Ending{Outcome: o, At: d.Now(), State: State{900, 1000}}
+	}
+	after, full := p.Arrive(time.Now())
+	if full {
+		return nil, end(ProcessorFull)
+	}
+	answered := time.NewTimer(after + 5*time.Millisecond)
+	defer answered.Stop()
+	until := time.NewTimer(time.Duration(a.Until-d.Now()) * time.Microsecond)
+	defer until.Stop()
+	select {
+	case <-answered.C:
+		return &zoneLeg{done: make(chan struct{})}, end(Answered)
+	case <-until.C: // it still works on it, and will answer
+		return nil, end(TimedOut)
+	case <-ctx.Done():
+		return nil, end(Cancelled)
+	}
+}
+
+// offer places rate calls a second on the controllers in turn, for so long.
+func (f *fleet) offer(rate int, long time.Duration) {
+	for began := time.Now(); time.Since(began) < long; {
+		d := f.ds[f.calls%len(f.ds)]
+		id := fmt.Sprint(f.calls)
+		r := Request{Call: d.NewCall(), Pool: f.calls / len(f.ds) % len(f.procs), Until: d.Now() + f.give.Microseconds()}
+		f.calls++
+		f.wg.Go(func() {
+			at := time.Now()
+			final := Serve(context.Background(), d, f, r, Setup{ID: id})
+			f.mu.Lock()
+			f.kinds[final.Kind]++
+			if final.Kind == Stands {
+				final.Call.End(CauseNormal)
+			}
+			if final.Kind == Stands && time.Since(at) <= f.aim {
+				f.stood++
+			}
+			f.mu.Unlock()
+		})
+		time.Sleep(time.Second / time.Duration(rate))
+	}
+}
+
+// A cold pool is not pushed over by what several controllers send it together, on either site, while the
+// others are near full: each knows only how many they are, and the settings' cold start.
+func TestSeveralControllersSpareAColdPool(t *testing.T) {
+	for _, s := range sites {
+		for _, nodes := range []int{1, 5, 9} {
+			t.Run(fmt.Sprintf("%s, %d controllers", s.name, nodes), func(t *testing.T) {
+				onFleet(t, s, nodes, 2, func(f *fleet) {
+					f.offer(170, 5*time.Second)
+					f.add("p2", 500*time.Millisecond)
+					f.offer(230, 2*s.cold)
+					f.wg.Wait()
+					if w := f.procs["p2"].Worst(); w > 1 || w == 0 {
+						t.Errorf("the cold pool got %.2f of what makes it fall over", w)
+					}
+					if f.kinds[Stands] < f.calls*7/10 {
+						t.Errorf("%d of %d calls stood", f.kinds[Stands], f.calls)
+					}
+				})
+			})
+		}
+	}
+}
+
+// All pools turn three times slower together: calls still stand, most of what they can take, and the
+// controllers open up again once they are quick.
+func TestAllPoolsSlowTogether(t *testing.T) {
+	for _, s := range sites {
+		t.Run(s.name, func(t *testing.T) {
+			onFleet(t, s, 5, 3, func(f *fleet) {
+				slow := func(times float64) {
+					for _, p := range f.procs {
+						p.Slow(times)
+					}
+				}
+				part := func(rate int, long time.Duration) (stood, calls int) {
+					f.wg.Wait()
+					before, of := f.stood, f.calls
+					f.offer(rate, long)
+					f.wg.Wait()
+					return f.stood - before, f.calls - of
+				}
+				part(180, 10*time.Second)
+				slow(3) // of 300 set-ups a second they take 100
+				if stood, calls := part(180, 10*time.Second); stood < 600 {
+					t.Errorf("slow: %d of %d calls stood in time, want 600 of the 1000 that the pools could take", stood, calls)
+				}
+				slow(1)
+				part(180, 3*time.Second)
+				if stood, calls := part(180, 10*time.Second); stood < calls*9/10 {
+					t.Errorf("quick again: %d of %d calls stood in time", stood, calls)
+				}
+			})
+		})
+	}
+}
+
+// An attempt that timed out at a pool that goes on working on it and answers: the call is not sent again
+// within the site's release wait, and is sent once more after it.
+func TestNoResendWithinTheSitesReleaseWait(t *testing.T) {
+	for _, s := range sites {
+		t.Run(s.name, func(t *testing.T) {
+			onFleet(t, s, 1, 2, func(f *fleet) {
+				f.offer(50, 2*time.Second) // their quickest is known: set-ups are timed
+				for _, p := range f.procs {
+					p.Slow(400)
+				}
+				f.offer(20, time.Second)
+				f.wg.Wait()
+				if len(f.ended) == 0 {
+					t.Error("no attempt timed out")
+				}
+			})
+		})
+	}
+}
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -248,15 +248,20 @@
 // quiet is how long the pool's connection may be quiet while something is going on there.
 func (p *pool) quiet() int64 {
 	if r := p.rhythm.Load(); r > 0 {
-		return min(max(rhythms*r, quietLeast), quietMost)
+		return min(max(rhythms*r, quietLeast), max(quietMost, steadies*p.steady.Load()))
 	}
 	return quietMost
 }
 
-// heardAfter takes the time from one state to the next: rhythm is the longest of late.
+// heardAfter takes the time from one state to the next: rhythm is the longest of late, steady the shortest.
 func (p *pool) heardAfter(gap int64) {
-	r := p.rhythm.Load()
+	r, s := p.rhythm.Load(), p.steady.Load()
 	p.rhythm.Store(max(gap, r-r/rhythmOver))
+	if s == 0 || gap < s+s/rhythmOver {
+		p.steady.Store(gap)
+	} else {
+		p.steady.Store(s + s/rhythmOver)
+	}
 }
 
 func (c *conn) close() {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -51,14 +51,16 @@
 	restartAfter = 100_000
 	// silentAfter is the same for a pool to which no connection comes up at all: a cut-off machine may return.
 	silentAfter = 5_000_000
-	// quietMost is how long a connection on which something is going on may be quiet before it is given up:
-	// pools tell their state every 0.6 s at most. Most pools tell it several times a second, and every state
-	// that comes in time leaves less: rhythms times the longest gap of late, never under quietLeast. rhythmOver
-	// states halve that gap or so. Guards against a quiet connection taking set-ups for 1.5 s from a pool that
-	// speaks every 0.1 s.
+	// quietMost is how long a connection on which something is going on may be quiet before it is given up,
+	// or steadies times the shortest gap of late between two states of the pool where that is more: how often
+	// pools tell it is their site's. Most tell it several times a second, and every state that comes in time
+	// leaves less: rhythms times the longest gap of late, never under quietLeast. rhythmOver states halve that
+	// gap or so. Guards against a quiet connection taking set-ups for 1.5 s from a pool that speaks every 0.1 s,
+	// and against one state that comes late ending the connection of a pool that speaks every second.
 	quietMost  = 1_500_000
 	quietLeast = 400_000
 	rhythms    = 3
+	steadies   = 2
 	rhythmOver = 16
 	lookEvery  = 50 * time.Millisecond
 	// messageWithin is how long the rest of a message may take once it has begun.
@@ -255,6 +257,7 @@
 	downSince  int64           // nothing was heard since then, 0: there is a connection
 	refusedAt  int64           // the first refusal since then, 0: none
 	rhythm     atomic.Int64    // the longest time of late from one state to the next, 0: not known
+	steady     atomic.Int64    // the shortest
 	standing   map[string]*leg // by Call-ID: no connection owns them
 	byes       []item          // releases that wait for a connection
 }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -346,6 +346,33 @@
 	})
 }
 
+// A set-up that waits in the pool's queue when the drain is told is the pool's: its answer stands, and is cut
+// only by the pool. Nothing new goes there; one that waits in vain is called off.
+func TestDrainWhileASetupWaitsInThePoolsQueue(t *testing.T) {
+	bubble(t, func(r *rig) {
+		x, y := r.invite("c1", 0, time.Minute), r.invite("c2", 0, time.Second)
+		synctest.Wait()
+		r.mu.Lock()
+		waits := r.got[0]
+		r.mu.Unlock()
+		r.list("p1", "10.0.0.1:5060", bulletin.Draining)
+		r.want(r.invite("c3", 0, time.Minute), dispatch.Moot)
+		time.Sleep(500 * time.Millisecond)
+		waits.Answer(200, "", "a\r\n")
+		synctest.Wait()
+		first, second := x, y
+		if waits.CallID == "c2" {
+			first, second = y, x
+		}
+		r.want(first, dispatch.Answered)
+		second.leave()
+		r.want(second, dispatch.Cancelled)
+		if got, _ := r.sent(); strings.Count(got, "INVITE") != 2 || strings.Count(got, "CANCEL") != 1 {
+			t.Errorf("pool got %q", got)
+		}
+	})
+}
+
 // Guards against a call meant for a pool that has gone reaching the one that has its address now.
 func TestAddressPassesToAnotherPool(t *testing.T) {
 	bubble(t, func(r *rig) {
@@ -547,6 +574,24 @@
 	})
 }
 
+// Guards against one state that comes late ending the connection of a pool whose site has it tell its state
+// every second, which 1.5 s did.
+func TestQuietOfAPoolThatSpeaksSeldom(t *testing.T) {
+	bubble(t, func(r *rig) {
+		for range 20 {
+			r.at.Notify("idle:12;circuits:40")
+			time.Sleep(time.Second)
+		}
+		x := r.invite("c1", 0, time.Minute)
+		time.Sleep(1900 * time.Millisecond)
+		if synctest.Wait(); x.done || r.at.Dialled() != 1 {
+			t.Errorf("done %v, %d connections: given up before two of its states were due", x.done, r.at.Dialled())
+		}
+		time.Sleep(200 * time.Millisecond)
+		r.want(x, dispatch.Reset)
+	})
+}
+
 // Guards against the quiet before a set-up being held against it.
 func TestAnIdleConnectionIsNotQuiet(t *testing.T) {
 	bubble(t, func(r *rig) {
--- /dev/null
+++ b/internal/standin/processor.go
@@ -0,0 +1,90 @@
+package standin
+
+import (
+	"sync"
+	"time"
+)
+
+// Processor is the single-line processor of a stand-in pool: set-ups are worked off one by one, a wait that
+// would be too long turns them away, and a process that has just started is cold: it does a share of its
+// work at first, and more as it warms up. It is safe for concurrent use.
+type Processor struct {
+	Work      time.Duration // a set-up takes this long on a warm processor
+	MostWait  time.Duration // a set-up that would wait longer is turned away
+	ColdShare float64       // of its capacity, right after Start
+	ColdFor   time.Duration // warm after this
+	// Fall: set-ups of more than FallMultiple times what it can do at the moment for FallAfter, from all
+	// senders, make a cold processor fall over.
+	FallMultiple float64
+	FallAfter    time.Duration
+
+	mu      sync.Mutex
+	started time.Time // zero: warm
+	freeAt  time.Time
+	arrived []time.Time // in the last FallAfter while cold
+	slow    float64
+	worst   float64
+	full    int
+}
+
+// Start makes the processor that of a process that starts now, cold.
+func (p *Processor) Start(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.started, p.freeAt, p.arrived = now, now, nil
+}
+
+// Slow makes everything take times as long; 1 ends it.
+func (p *Processor) Slow(times float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.slow = times
+}
+
+// capacity is the set-ups a second that it can take now. The caller holds mu.
+func (p *Processor) capacity(now time.Time) (rate float64, cold bool) {
+	rate = float64(time.Second) / float64(p.Work) / max(p.slow, 1)
+	age := now.Sub(p.started)
+	if p.started.IsZero() || age >= p.ColdFor {
+		return rate, false
+	}
+	return rate * (p.ColdShare + (1-p.ColdShare)*float64(age)/float64(p.ColdFor)), true
+}
+
+// Arrive takes a set-up: after is when it is answered, or full tells that it is turned away.
+func (p *Processor) Arrive(now time.Time) (after time.Duration, full bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rate, cold := p.capacity(now)
+	if cold && p.FallAfter > 0 {
+		p.arrived = append(p.arrived, now)
+		for now.Sub(p.arrived[0]) > p.FallAfter {
+			p.arrived = p.arrived[1:]
+		}
+		p.worst = max(p.worst, float64(len(p.arrived))/(p.FallMultiple*rate*p.FallAfter.Seconds()))
+	}
+	from := now
+	if p.freeAt.After(now) {
+		from = p.freeAt
+	}
+	if from.Sub(now) > p.MostWait {
+		p.full++
+		return 0, true
+	}
+	p.freeAt = from.Add(time.Duration(float64(time.Second) / rate))
+	return p.freeAt.Sub(now), false
+}
+
+// Worst is the most that was ever sent to it while cold, as a part of what makes it fall over: over 1 it has.
+func (p *Processor) Worst() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.worst
+}
+
+// Full is how many set-ups it turned away.
+func (p *Processor) Full() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.full
+}
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -67,6 +67,7 @@
 	PoolsExpired
 	ZoneChanges
 	RouteStopped
+	SilentPools
 	counters
 )
 
@@ -79,7 +80,7 @@
 	"bulletin_events", "bulletin_errors", "ws_messages", "ws_bad_messages", "http_admitted", "http_turned_away",
 	"reloads", "bad_reloads", "shed", "overdue", "closed_bad", "quiet_pools",
 	"dns_queries", "dns_truncated", "dns_failures", "dns_bad_answers", "dns_changes", "pools_conflicting",
-	"pools_expired", "zone_changes", "route_stopped",
+	"pools_expired", "zone_changes", "route_stopped", "silent_pools",
 }
 
 // Set is a set of counters, safe for concurrent use. The zero value is ready; nil counts nothing.
