--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -184,7 +184,7 @@
 // suspicion is a running one.
 type suspicion struct {
 	start   int64
-	askAt   int64 // the suspect is asked again then
+	askAt   int64        // the suspect is asked again then
 	sharers map[int]bool // others than the first
 }
 
--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -18,6 +18,8 @@
 
 	"eidertrail"
 	"eidertrail/callcontrol"
+	"eidertrail/cluster"
+	"eidertrail/cluster/gossip"
 	"eidertrail/dispatch"
 	"eidertrail/health"
 	"eidertrail/internal/bulletin"
@@ -49,7 +51,7 @@
 )
 
 // environment is what the daemon is started with.
-type environment struct{ config, listen, callControl, discovery, routing string }
+type environment struct{ config, listen, callControl, discovery, routing, cluster string }
 
 // daemon is a running session controller.
 type daemon struct {
@@ -63,6 +65,7 @@
 	callers   *front.Front
 	sockets   *callcontrol.Server // nil: off
 	sources   *sources            // nil: the bulletin alone, straight to the pools
+	fleet     *gossip.Runner      // nil: off
 	listener  net.Listener
 	env       environment
 	cfg       *config.Config     // as last read
@@ -103,6 +106,16 @@
 			return nil, err
 		}
 	}
+	var node cluster.Config
+	var fleet *config.Cluster
+	if env.cluster != "" {
+		if fleet, err = config.LoadCluster(env.cluster); err == nil {
+			node, err = fleet.Node(cfg)
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
 	if second != nil && second.MaxConnections > cfg.Sockets/4 { // callers and pools need theirs
 		return nil, fmt.Errorf("callcontrol: max_connections: want at most a quarter of limits.sockets, %d", cfg.Sockets/4)
 	}
@@ -150,6 +163,19 @@
 		}
 		d.dispatch.Route(router)
 	}
+	if fleet != nil {
+		d.fleet, err = gossip.Start(loop, gossip.Config{Node: node, Listen: cfg.PeerListen, Peers: cfg.Peers, Fleet: fleet.Fleet,
+			Incarnation: uint64(time.Now().UnixMilli()), Seed: cfg.Seed, Clock: d.clock, Log: limited, Count: d.count})
+		if err != nil {
+			for _, f := range d.closers {
+				f()
+			}
+			stopLoop()
+			stopPools()
+			d.listener.Close()
+			return nil, err
+		}
+	}
 	d.wg.Go(func() { d.dispatch.Run(loop) })
 	apply := func(e bulletin.Event) {
 		d.pools.Apply(e, func(lines []dispatch.Server) { d.dispatch.Roster(lines, false) })
@@ -166,6 +192,7 @@
 	d.wg.Go(func() { d.broken <- d.callers.Serve(d.listener) })
 	log.Info().Str("name", cfg.Name).Stringer("listen", d.listener.Addr()).Int("classes", len(cfg.Settings.Classes)).
 		Int("memory_mb", cfg.MemoryMB).Int("sockets", cfg.Sockets).Bool("callcontrol", second != nil).Bool("discovery", disc != nil).Bool("routing", zones != nil).
+		Bool("cluster", fleet != nil).
 		Strs("report_names", cfg.ReportNames).Str("report_free", cfg.ReportFree).Str("report_agents", cfg.ReportAgents).Msg("serving")
 	return d, nil
 }
@@ -308,6 +335,12 @@
 		open, standing = open+d.sockets.Open(), standing+d.sockets.Standing()
 	}
 	connected, up := d.pools.Connected()
+	if d.fleet != nil {
+		for i, m := range d.fleet.Members() {
+			d.log.Info().Int("member", i).Stringer("is", m.State).Uint64("incarnation", m.Incarnation).
+				Int64("for_us", d.clock.Now()-m.Since).Int("health", d.fleet.Health()).Msg("member state")
+		}
+	}
 	d.log.Info().EmbedObject(d.count).Int("open", open).Int("standing", standing).
 		Int("pools_connected", connected).Int("pools_up", up).Msg("counters")
 }
@@ -367,6 +400,9 @@
 	d.desk.Drain(last)
 	d.callers.Flush(last)
 	sockets.Wait()
+	if d.fleet != nil {
+		d.fleet.Leave()
+	}
 	d.stopLoop()
 	d.stopPools()
 	if d.sources != nil {
@@ -379,6 +415,9 @@
 	}
 	d.pools.Wait()
 	d.wg.Wait()
+	if d.fleet != nil {
+		d.fleet.Wait()
+	}
 	d.counters()
 	d.log.Info().Msg("stopped")
 }
--- /dev/null
+++ b/cmd/eidertrail/fleet_test.go
@@ -0,0 +1,331 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"eidertrail/internal/standin"
+)
+
+// built is the daemon's program, built once for all tests that start processes.
+var built = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "eidertrail")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "eidertrail")
+	if out, err := exec.Command("go", "build", "-o", path, ".").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return path, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if path, err := built(); err == nil {
+		os.RemoveAll(filepath.Dir(path))
+	}
+	os.Exit(code)
+}
+
+const (
+	probeInterval = 250 * time.Millisecond
+	// soon is the bound within which what has to happen is waited for: a crash takes 2 * 4 rounds of probes
+	// and a suspicion of 3 s at the most, and the machine may be busy.
+	soon = 30 * time.Second
+)
+
+// fleet is several processes of the daemon, with a network of datagrams between them.
+type fleet struct {
+	t     *testing.T
+	net   *standin.Datagrams
+	files string // the --cluster file
+	extra func(member int) (settings string, args []string)
+	procs []*process
+}
+
+// process is one of them. What its log told last is under mu.
+type process struct {
+	cmd    *exec.Cmd
+	listen string // where callers connect
+	ended  chan struct{}
+
+	mu      sync.Mutex
+	states  map[int]string
+	falsely []string // members held dead, in order
+	lines   []string
+	told    map[string]int // lines by message
+}
+
+// newFleet starts so many; what is set with it goes into each one's settings and arguments.
+func newFleet(t *testing.T, members int, cluster string, extra func(member int) (string, []string)) *fleet {
+	t.Helper()
+	f := &fleet{t: t, net: standin.NewDatagrams(t, members, 1), procs: make([]*process, members), extra: extra,
+		files: write(t, "cluster.toml", fmt.Sprintf("probe_interval = %q\nprobe_timeout = \"100ms\"\n%s", probeInterval, cluster))}
+	for i := range members {
+		f.start(i)
+	}
+	t.Cleanup(func() {
+		for i := range f.procs {
+			f.kill(i)
+		}
+		if err := f.net.Check(); err != nil {
+			t.Error(err)
+		}
+		if t.Failed() {
+			for i, p := range f.procs {
+				p.mu.Lock()
+				t.Logf("log of member %d:\n%s", i, strings.Join(p.lines[max(0, len(p.lines)-30):], "\n"))
+				p.mu.Unlock()
+			}
+		}
+	})
+	return f
+}
+
+// start starts a member's process, and waits until it serves.
+func (f *fleet) start(i int) {
+	f.t.Helper()
+	program, err := built()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	peers, _ := json.Marshal(f.net.Peers(i))
+	settings, args := `"known":{"no":1,"items":[]}`, []string(nil)
+	if f.extra != nil {
+		settings, args = f.extra(i)
+	}
+	cfg := write(f.t, "config.json", fmt.Sprintf(`{"name":"n%d","listen":"127.0.0.1:0","seed":"%d","limits":{"memory_mb":192,"sockets":1024},
+ "peer_listen":"127.0.0.1:0","peers":%s,%s,
+ "settings":{"balancers":%d,"index":%d,"tick":1000000,"extra":{"clear_wait":300000000,"t1":60000000000,"mean_hold":[1000000000]},
+  "rules":{"cold":10000000000,"cold_share":0.3,"fall_multiple":3,"tip_after":3000000000},
+  "stats":{"names":["idle","circuits","wait_ms","max_rate"]},
+  "request_classes":[{"name":"voice","promise":5000000000,"deadline":15000000000}]}}`, i, i+1, peers, settings, len(f.procs), i))
+	p := &process{cmd: exec.Command(program, append([]string{"--cluster", f.files}, args...)...), ended: make(chan struct{}),
+		states: map[int]string{}, told: map[string]int{}}
+	p.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+cfg, "RELAY_LISTEN=")
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	p.cmd.Stderr = p.cmd.Stdout
+	if err := p.cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	serving := make(chan struct{})
+	go func() {
+		defer close(p.ended)
+		lines := bufio.NewScanner(out)
+		lines.Buffer(nil, 1<<20)
+		for lines.Scan() {
+			p.line(bytes.Clone(lines.Bytes()), serving)
+		}
+		p.cmd.Wait()
+	}()
+	f.procs[i] = p
+	select {
+	case <-serving:
+	case <-time.After(soon):
+		f.t.Fatalf("member %d does not serve", i)
+	}
+}
+
+// line takes a line of the log.
+func (p *process) line(b []byte, serving chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lines = append(p.lines, string(b))
+	l := gjson.ParseBytes(b)
+	p.told[l.Get("message").Str]++
+	switch l.Get("message").Str {
+	case "serving":
+		p.listen = l.Get("listen").Str
+		close(serving)
+	case "member":
+		m, is := int(l.Get("member").Int()), l.Get("is").Str
+		p.states[m] = is
+		if is == "dead" {
+			p.falsely = append(p.falsely, fmt.Sprint(m))
+		}
+	}
+}
+
+func (p *process) state(member int) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.states[member]
+}
+
+// deaths are the members that the process has held dead so far, in order.
+func (p *process) deaths() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return strings.Join(p.falsely, " ")
+}
+
+func (f *fleet) signal(i int, s syscall.Signal) {
+	if err := f.procs[i].cmd.Process.Signal(s); err != nil {
+		f.t.Errorf("member %d: %v", i, err)
+	}
+}
+
+// kill ends a process outright, if it runs.
+func (f *fleet) kill(i int) {
+	f.procs[i].cmd.Process.Kill()
+	<-f.procs[i].ended
+}
+
+// waitFor waits until cond holds.
+func (f *fleet) waitFor(what string, cond func() bool) {
+	f.t.Helper()
+	for began := time.Now(); !cond(); time.Sleep(10 * time.Millisecond) {
+		if time.Since(began) > soon {
+			f.t.Fatalf("not within %v: %s", soon, what)
+		}
+	}
+}
+
+// wantAll waits until every other member holds one so.
+func (f *fleet) wantAll(member int, state string) time.Duration {
+	f.t.Helper()
+	began := time.Now()
+	f.waitFor(fmt.Sprintf("all hold member %d %s", member, state), func() bool {
+		for i, p := range f.procs {
+			if i != member && p.state(member) != state {
+				return false
+			}
+		}
+		return true
+	})
+	return time.Since(began)
+}
+
+// wantAlive waits until all hold all alive.
+func (f *fleet) wantAlive() {
+	f.t.Helper()
+	for i := range f.procs {
+		f.wantAll(i, "alive")
+	}
+}
+
+// wantDeaths compares whom each member has held dead so far; by the members named in except nothing is wanted.
+func (f *fleet) wantDeaths(want string, except ...int) {
+	f.t.Helper()
+	for i, p := range f.procs {
+		skip := false
+		for _, e := range except {
+			skip = skip || e == i
+		}
+		if got := p.deaths(); !skip && got != want {
+			f.t.Errorf("member %d has held dead: %q, want %q", i, got, want)
+		}
+	}
+}
+
+func TestFleetCrashRestartAndLeave(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 5, "", nil)
+	f.wantAlive()
+	f.kill(2)
+	took := f.wantAll(2, "dead")
+	t.Logf("a crash was known to all four others after %v", took)
+	f.start(2) // it comes back, elsewhere, with a higher incarnation
+	f.wantAlive()
+	f.wantDeaths("2", 2)
+	f.signal(3, syscall.SIGTERM)
+	f.wantAll(3, "left")
+	<-f.procs[3].ended
+	f.start(3)
+	f.wantAlive()
+	f.wantDeaths("2", 2, 3)
+}
+
+// A process that is stopped for less than a suspicion lasts is never held dead; stopped for longer it is, by all,
+// and is alive again once it goes on. It declares nobody else dead for the time that it did not see.
+func TestFleetPauses(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 5, "", nil)
+	f.wantAlive()
+	f.signal(1, syscall.SIGSTOP)
+	time.Sleep(3 * probeInterval) // a suspicion lasts four at the least
+	f.signal(1, syscall.SIGCONT)
+	time.Sleep(16 * probeInterval)
+	f.wantAlive()
+	f.wantDeaths("")
+	f.signal(1, syscall.SIGSTOP)
+	f.wantAll(1, "dead")
+	f.signal(1, syscall.SIGCONT)
+	f.wantAlive()
+	f.wantDeaths("1", 1)
+	if got := f.procs[1].deaths(); got != "" {
+		t.Errorf("the one that was stopped holds dead: %q", got)
+	}
+}
+
+func TestFleetLossKillsNobody(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 5, "", nil)
+	f.wantAlive()
+	f.net.Set(func(int, int) standin.Fault { return standin.Fault{Loss: 0.2, Delay: 5 * time.Millisecond} })
+	time.Sleep(40 * probeInterval)
+	f.net.Heal()
+	f.wantAlive()
+	f.wantDeaths("")
+}
+
+func TestFleetOneSidedCutKillsNobody(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 4, "", nil)
+	f.wantAlive()
+	f.net.Set(func(from, to int) standin.Fault { return standin.Fault{Cut: from == 0 && to == 1} })
+	time.Sleep(40 * probeInterval)
+	f.wantAlive()
+	f.wantDeaths("")
+}
+
+func TestFleetPartition(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 5, "", nil)
+	f.wantAlive()
+	f.net.Set(func(from, to int) standin.Fault { return standin.Fault{Cut: (from < 2) != (to < 2)} })
+	f.waitFor("each side holds the other dead", func() bool {
+		return f.procs[0].state(4) == "dead" && f.procs[1].state(2) == "dead" && f.procs[2].state(0) == "dead" && f.procs[4].state(1) == "dead"
+	})
+	for _, pair := range [][2]int{{0, 1}, {2, 3}, {3, 4}, {4, 2}} {
+		if s := f.procs[pair[0]].state(pair[1]); s != "alive" {
+			t.Errorf("within a side member %d holds %d %s", pair[0], pair[1], s)
+		}
+	}
+	f.net.Heal()
+	f.wantAlive()
+}
+
+func TestBadClusterNamesTheField(t *testing.T) {
+	cfg := write(t, "config.json", configuration("127.0.0.1:0", "127.0.0.1:1"))
+	with := write(t, "with.json", strings.Replace(configuration("127.0.0.1:0", "127.0.0.1:1"), `"listen"`,
+		`"peer_listen":"127.0.0.1:0","peers":["127.0.0.1:9"],"listen"`, 1))
+	for _, c := range []struct{ config, text, want string }{
+		{cfg, "", "cluster: peer_listen, peers: absent"},
+		{with, `probe_interval = "1ms"`, "cluster: probe_interval:"},
+		{with, `probe_timeout = "900ms"`, "cluster: probe_timeout:"},
+		{with, `colour = 1`, "cluster: colour: not a known field"},
+	} {
+		t.Setenv("RELAY_CONFIG", c.config)
+		err := check(options{cluster: write(t, "cluster.toml", c.text)})
+		if err == nil || !strings.HasPrefix(err.Error(), c.want) {
+			t.Errorf("%q: %v, want %q", c.text, err, c.want)
+		}
+	}
+}
--- a/cmd/eidertrail/main.go
+++ b/cmd/eidertrail/main.go
@@ -28,8 +28,8 @@
 
 // options are the command line's.
 type options struct {
-	callControl, discovery, routing string
-	verbose                         bool
+	callControl, discovery, routing, cluster string
+	verbose                                  bool
 }
 
 // command is the command line: the daemon, and check, which reads the configuration and says what is
@@ -52,6 +52,7 @@
 	flags := root.PersistentFlags()
 	flags.StringVar(&o.callControl, "callcontrol", "", "file with the addresses of the WebSocket front and the health checks; none: off")
 	flags.StringVar(&o.discovery, "discovery", "", "file with the DNS SRV names of sync pools; none: off")
+	flags.StringVar(&o.cluster, "cluster", "", "file of the membership among controllers; none: off")
 	flags.StringVar(&o.routing, "routing", "", "file with the zones, their tiers, spill budget and warm-up; none: off")
 	root.Flags().BoolVarP(&o.verbose, "verbose", "v", false, "log a trace of all decisions and messages")
 	root.AddCommand(&cobra.Command{
@@ -113,6 +114,15 @@
 			return err
 		}
 	}
+	if o.cluster != "" {
+		fleet, err := config.LoadCluster(o.cluster)
+		if err != nil {
+			return err
+		}
+		if _, err := fleet.Node(cfg); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
@@ -132,7 +142,7 @@
 
 	d, err := start(context.Background(), environment{
 		config: os.Getenv("RELAY_CONFIG"), listen: os.Getenv("RELAY_LISTEN"), callControl: o.callControl,
-		discovery: o.discovery, routing: o.routing,
+		discovery: o.discovery, routing: o.routing, cluster: o.cluster,
 	}, log)
 	if err != nil {
 		return err
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -28,6 +28,9 @@
 	Bulletin string // address, "" for none
 	Known    bulletin.Page
 
+	PeerListen string   // UDP, "" where the platform gives no way between controllers
+	Peers      []string // by number, the own one included
+
 	Settings       eidertrail.Settings
 	ReportFree     string   // the field of a pool's report that holds its free agents
 	ReportAgents   string   // and their number
@@ -69,6 +72,10 @@
 			r.fail("seed", "want up to 16 hex digits")
 		}
 	}
+	c.PeerListen = r.address("peer_listen", false)
+	for i := range r.list("peers", false) {
+		c.Peers = append(c.Peers, r.address(fmt.Sprintf("peers.%d", i), true))
+	}
 	r.settings(c)
 	if r.err != nil {
 		return nil, r.err
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -68,6 +68,14 @@
 	ZoneChanges
 	RouteStopped
 	SilentPools
+	PeerIn
+	PeerOut
+	PeerBytesOut
+	PeerBad
+	PeerDropped
+	PeerUnsent
+	MembersSuspected
+	MembersDied
 	counters
 )
 
@@ -81,6 +89,7 @@
 	"reloads", "bad_reloads", "shed", "overdue", "closed_bad", "quiet_pools",
 	"dns_queries", "dns_truncated", "dns_failures", "dns_bad_answers", "dns_changes", "pools_conflicting",
 	"pools_expired", "zone_changes", "route_stopped", "silent_pools",
+	"peer_in", "peer_out", "peer_bytes_out", "peer_bad", "peer_dropped", "peer_unsent", "members_suspected", "members_died",
 }
 
 // Set is a set of counters, safe for concurrent use. The zero value is ready; nil counts nothing.
