--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -133,7 +133,7 @@
 	d.pools = pool.NewSet(pools, pool.Config{
 		Name: cfg.Name, ConnectTimeout: cfg.ConnectTimeout, ReportFree: cfg.ReportFree, ReportAgents: cfg.ReportAgents,
 		Clock: d.clock, Log: limited, Count: d.count, Observe: d.dispatch.Observe,
-		Stray: func(id string, cause int) { d.desk.Over(id, cause) },
+		Stray: func(id string, cause int) { d.desk.Over(id, cause) }, ReportRate: fleet.Rate(), Rate: d.dispatch.ObserveRate,
 	})
 	d.desk = dispatch.NewDesk(dispatch.DeskConfig{Dispatch: d.dispatch, Trunk: d.pools, Most: mostCalls, Once: true, Count: d.count})
 	d.callers = front.New(front.Config{
@@ -164,9 +164,7 @@
 		d.dispatch.Route(router)
 	}
 	if fleet != nil {
-		d.fleet, err = gossip.Start(loop, gossip.Config{Node: node, Listen: cfg.PeerListen, Peers: cfg.Peers, Fleet: fleet.Fleet,
-			Incarnation: uint64(time.Now().UnixMilli()), Seed: cfg.Seed, Clock: d.clock, Log: limited, Count: d.count})
-		if err != nil {
+		if err = d.join(loop, node, fleet, limited); err != nil {
 			for _, f := range d.closers {
 				f()
 			}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -56,6 +56,7 @@
 	Attempt int
 	Limit   int64 // the attempt's time-out, 0: until the caller gives up
 	At      int64 // when it was decided; outcomes count from here
+	LeaveBy int64 // it must not be sent later than this, 0: at any time
 	After   int64 // with Refused and Failed: when to come back
 	NoRoom  bool  // with Refused: the last attempt found no free agent
 }
@@ -506,8 +507,8 @@
 		}
 		k.out = true
 		delete(d.waiting, k.Call)
-		d.route.sent(k, string(a.Server))
-		k.decide(Pick{Verdict: Go, Pool: string(a.Server), Attempt: k.attempt, Limit: a.Limit.Microseconds(), At: now})
+		k.decide(Pick{Verdict: Go, Pool: string(a.Server), Attempt: k.attempt, Limit: a.Limit.Microseconds(), At: now,
+			LeaveBy: d.route.sent(now, k, string(a.Server))})
 	case eidertrail.Refuse:
 		d.final(now, uint64(a.Call), Refused, a.After)
 	case eidertrail.Fail:
--- /dev/null
+++ b/dispatch/limit.go
@@ -0,0 +1,227 @@
+package dispatch
+
+import (
+	"math"
+
+	"github.com/rs/zerolog"
+
+	"eidertrail"
+	"eidertrail/cluster/budget"
+	"eidertrail/internal/stats"
+)
+
+// Shares tell what part of a pool's budget is this controller's now, and take how much of it could be used.
+// A budget.Shared is one.
+type Shares interface {
+	Share(now int64, pool string) (units, whole int)
+	Demand(now int64, pool string, units int)
+}
+
+// LimitConfig is what budgets are held by.
+type LimitConfig struct {
+	Shares Shares
+	// ColdPart is the part of what makes a cold pool fall over that all controllers together may send it.
+	ColdPart float64
+	// LeaveWithin is how long after its decision a set-up to a pool with a budget may still leave, µs: a process
+	// that stood still in between has no share any more.
+	LeaveWithin int64
+}
+
+const (
+	// burstOver is the time's worth of set-ups that may be in hand.
+	burstOver = 0.25
+	// lookAgain is how often what could be used of the shares is told.
+	lookAgain = 200_000
+	// busyPart of a share used asks for more of it: grow times as much.
+	busyPart, grow = 0.8, 1.5
+	// rateFresh is for how long a rate that a pool told holds.
+	rateFresh = 3_000_000
+	// unknownRate is the set-ups a second of a cold pool of which nothing is known yet, for each controller.
+	unknownRate = 1.0
+)
+
+// limits holds the fleet's budgets of pools against this controller's set-ups: a pool over its share is not
+// offered. Only the loop goroutine uses it.
+type limits struct {
+	cfg   LimitConfig
+	set   eidertrail.Settings
+	hold  float64 // seconds
+	pools map[string]*limited
+	next  int64 // demands are told then
+	log   zerolog.Logger
+	count *stats.Set
+}
+
+// limited is a pool as its budget sees it.
+type limited struct {
+	born   int64
+	agents float64
+	told   float64 // the rate that it told, and when
+	toldAt int64
+	meter  budget.Meter
+	sent   int     // set-ups since the last look
+	rate   float64 // of them, a second, of late
+	share  int     // units, as last logged
+}
+
+// Limit has the shares of a fleet's budgets narrow what the module may choose from, from the next turn on.
+func (d *Dispatcher) Limit(cfg LimitConfig) {
+	d.post(func(int64) {
+		l := &limits{cfg: cfg, set: d.set, pools: map[string]*limited{}, log: d.log, count: d.count}
+		for _, c := range d.set.Classes {
+			l.hold = max(l.hold, c.Hold.Seconds())
+		}
+		d.route.limits = l
+		for uid, s := range d.servers {
+			l.list(uid, s)
+		}
+		d.retell()
+	})
+}
+
+// ObserveRate tells of the set-ups a second that a pool says it can take from all controllers.
+func (d *Dispatcher) ObserveRate(uid string, rate float64) {
+	d.post(func(now int64) {
+		if l := d.route.limits; l != nil && rate >= 0 {
+			if p := l.pools[uid]; p != nil {
+				p.told, p.toldAt = rate, now
+			}
+		}
+	})
+}
+
+func (l *limits) list(uid string, s Server) {
+	p := l.pools[uid]
+	if p == nil || p.born != s.Born { // a new process: what the old one told says nothing
+		l.pools[uid] = &limited{born: s.Born}
+	}
+}
+
+// roster forgets the pools that are gone.
+func (l *limits) roster(servers map[string]Server) {
+	if l == nil {
+		return
+	}
+	for uid, s := range servers {
+		l.list(uid, s)
+	}
+	for uid := range l.pools {
+		if _, listed := servers[uid]; !listed {
+			delete(l.pools, uid)
+		}
+	}
+}
+
+// whole is the set-ups a second that all controllers together may send the pool now; false: no budget.
+func (l *limits) whole(now int64, p *limited, units int) (float64, bool) {
+	age := float64(now - p.born)
+	cold := float64(l.set.Cold.Microseconds())
+	if p.born > 0 && age < cold {
+		warm := 0.0
+		if p.agents > 0 && l.hold > 0 {
+			warm = p.agents / l.hold
+		}
+		if p.toldAt > 0 && now-p.toldAt < rateFresh && (warm == 0 || p.told < warm) {
+			return p.told, true // what it says that it can take as it is now
+		}
+		if warm == 0 {
+			return unknownRate * float64(l.set.Nodes), true
+		}
+		share := l.set.ColdShare + (1-l.set.ColdShare)*max(age, 0)/cold
+		return warm * share * l.set.FallMultiple * l.cfg.ColdPart, true
+	}
+	return p.told, p.toldAt > 0 && now-p.toldAt < rateFresh
+}
+
+// allowed is this controller's rate at the pool; false: no budget.
+func (l *limits) allowed(now int64, uid string, p *limited) (rate float64, units, whole int, limited bool) {
+	units, whole = l.cfg.Shares.Share(now, uid)
+	all, limited := l.whole(now, p, whole)
+	return all * float64(units) / float64(max(whole, 1)), units, whole, limited
+}
+
+// ready tells whether a set-up may go to the pool now.
+func (l *limits) ready(now int64, uid string) bool {
+	if l == nil {
+		return true
+	}
+	p := l.pools[uid]
+	if p == nil {
+		return true
+	}
+	rate, _, _, is := l.allowed(now, uid, p)
+	return !is || p.meter.Ready(now, rate, rate*burstOver)
+}
+
+// took takes a set-up that goes, and tells by when it must have left; 0: no budget.
+func (l *limits) took(now int64, uid string) int64 {
+	if l == nil {
+		return 0
+	}
+	p := l.pools[uid]
+	if p == nil {
+		return 0
+	}
+	p.sent++
+	if _, _, _, is := l.allowed(now, uid, p); !is {
+		return 0
+	}
+	p.meter.Take()
+	return now + l.cfg.LeaveWithin
+}
+
+func (l *limits) agents(uid string, agents float64) {
+	if l != nil && agents > 0 && l.pools[uid] != nil {
+		l.pools[uid].agents = agents
+	}
+}
+
+// look tells, every lookAgain, what could be used of the shares.
+func (l *limits) look(now int64) {
+	if l == nil || now < l.next {
+		return
+	}
+	long := float64(lookAgain) / 1e6
+	if l.next > 0 {
+		long += float64(now-l.next) / 1e6
+	}
+	l.next = now + lookAgain
+	for uid, p := range l.pools {
+		p.rate += (float64(p.sent)/long - p.rate) * min(1, long)
+		p.sent = 0
+		rate, units, whole, is := l.allowed(now, uid, p)
+		if !is {
+			l.cfg.Shares.Demand(now, uid, 0)
+			continue
+		}
+		wants := 0
+		if rate > 0 {
+			wants = int(math.Ceil(p.rate / rate * float64(units)))
+			if p.rate >= busyPart*rate {
+				wants = int(math.Ceil(grow * float64(units)))
+			}
+		}
+		l.cfg.Shares.Demand(now, uid, wants)
+		if d := units - p.share; d > whole/20 || -d > whole/20 {
+			p.share = units
+			l.count.Add(stats.ShareChanges)
+			l.log.Info().Str("pool", uid).Int("units", units).Int("whole", whole).Float64("rate", math.Round(rate*10)/10).Msg("share")
+		}
+	}
+}
+
+// due is when the loop is wanted: when demands are told, or a pool over its share may be sent to again.
+func (l *limits) due(now int64) int64 {
+	if l == nil {
+		return 0
+	}
+	at := max(l.next, now+1)
+	for uid, p := range l.pools {
+		if rate, _, _, is := l.allowed(now, uid, p); is && !p.meter.Ready(now, rate, rate*burstOver) {
+			if n := p.meter.Next(rate); n > 0 {
+				at = min(at, n)
+			}
+		}
+	}
+	return at
+}
--- a/dispatch/route.go
+++ b/dispatch/route.go
@@ -18,6 +18,7 @@
 // goroutine uses it.
 type router struct {
 	r      *routing.Router // nil: off
+	limits *limits         // nil: off
 	beats  *heartbeat.Monitor
 	silent map[string]bool // as logged
 	all    routing.Classes
@@ -75,6 +76,7 @@
 		}
 	}
 	r.beats.Roster(up)
+	r.limits.roster(servers)
 	if r.r != nil {
 		r.r.Roster(now, pools)
 	}
@@ -88,7 +90,7 @@
 
 // eligible is the classes for which the module may choose the pool, which is up, now.
 func (r *router) eligible(now int64, uid string) routing.Classes {
-	if r.beats.Silent(now)[uid] {
+	if r.beats.Silent(now)[uid] || !r.limits.ready(now, uid) {
 		return 0
 	}
 	if r.r == nil || !r.r.Judges(uid) {
@@ -161,6 +163,7 @@
 				Pool: s.Group, Barred: uint64(want.barred)})
 		}
 	}
+	r.limits.look(now)
 	r.logSilent(now)
 	r.logZones()
 	if len(changed) == 0 {
@@ -212,6 +215,9 @@
 
 func (r *router) next(now int64) int64 {
 	due := r.beats.Next(now)
+	if at := r.limits.due(now); at > 0 && (due == 0 || at < due) {
+		due = at
+	}
 	if r.r != nil {
 		if at := r.r.Next(now); at > 0 && (due == 0 || at < due) {
 			due = at
@@ -221,17 +227,20 @@
 }
 
 func (r *router) report(uid string, free, agents float64) {
+	r.limits.agents(uid, agents)
 	if r.r != nil {
 		r.r.Report(uid, free, agents)
 	}
 }
 
-func (r *router) sent(k *call, uid string) {
+// sent takes a set-up that goes, and tells by when it must have left; 0: at any time.
+func (r *router) sent(now int64, k *call, uid string) int64 {
 	k.pool = uid
 	if r.r != nil {
 		r.r.Sent(uid)
 		k.routed = true
 	}
+	return r.limits.took(now, uid)
 }
 
 func (r *router) answered(now int64, k *call) {
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -23,6 +23,8 @@
 	Number int    // 0 for the first
 	At     int64  // when it was decided
 	Until  int64  // it times out then
+	// LeaveBy: it must not be sent later than this (Moot), 0: at any time.
+	LeaveBy int64
 }
 
 // Ending tells how an attempt or a standing call ended.
@@ -95,7 +97,7 @@
 		case p.Verdict == Refused:
 			return Final{Kind: Turned, After: p.After, NoRoom: p.NoRoom, Errored: errored}
 		}
-		a := Attempt{Setup: s, Pool: p.Pool, Number: p.Attempt, At: p.At, Until: r.Until}
+		a := Attempt{Setup: s, Pool: p.Pool, Number: p.Attempt, At: p.At, Until: r.Until, LeaveBy: p.LeaveBy}
 		if p.Limit > 0 {
 			a.Until = min(a.Until, p.At+p.Limit)
 		}
--- a/dispatch/sites_test.go
+++ b/dispatch/sites_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sync"
@@ -27,12 +28,13 @@
 	after   time.Duration
 	aim     time.Duration
 	give    time.Duration
+	told    int // controllers that the settings say there are, 0: as many as there are
 }
 
 // sites: one short of agents, with a quick release and no resends, and one short of processors.
 var sites = []site{
-	{"short of agents", 300 * time.Millisecond, 0, 10 * time.Second, 0.3, 3, 1500 * time.Millisecond, 2 * time.Second, 6 * time.Second},
-	{"short of processors", 500 * time.Millisecond, 400 * time.Millisecond, 15 * time.Second, 0.29, 3, 3 * time.Second, 1200 * time.Millisecond, 9 * time.Second},
+	{"short of agents", 300 * time.Millisecond, 0, 10 * time.Second, 0.3, 3, 1500 * time.Millisecond, 2 * time.Second, 6 * time.Second, 0},
+	{"short of processors", 500 * time.Millisecond, 400 * time.Millisecond, 15 * time.Second, 0.29, 3, 3 * time.Second, 1200 * time.Millisecond, 9 * time.Second, 0},
 }
 
 // fleet is several controllers in one bubble that share stand-in pools with processors.
@@ -48,6 +50,10 @@
 	stood int // within the aim
 	wg    sync.WaitGroup
 	calls int
+	sent  map[string][]time.Time // by pool
+	first int                    // all calls' first choice, if not 0
+	talk  sync.WaitGroup         // of the books
+	tick  func()                 // called before each call, if set
 }
 
 // onFleet runs test on nodes controllers of the site; the pools p0, p1, ... are warm and listed.
@@ -55,9 +61,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
 		f := &fleet{site: s, procs: map[string]*standin.Processor{}, out: map[string]bool{}, ended: map[string]time.Time{},
-			kinds: map[FinalKind]int{}}
+			kinds: map[FinalKind]int{}, sent: map[string][]time.Time{}}
 		for i := range nodes {
-			set := eidertrail.Settings{Nodes: nodes, Index: i, Here: -1, Release: s.release, Resend: s.resend, MaxAttempts: 4,
+			told := cmp.Or(s.told, nodes)
+			set := eidertrail.Settings{Nodes: told, Index: i % told, Here: -1, Release: s.release, Resend: s.resend, MaxAttempts: 4,
 				Cold: s.cold, ColdShare: s.share, FallMultiple: s.multi, FallAfter: s.after, Tick: time.Millisecond,
 				Classes: []eidertrail.Class{{Name: "lookup", Aim: s.aim, Deadline: s.give, Worth: 1, Hold: 8 * time.Second}}}
 			d, err := New(set, 7, 2_000_000, clock.New(), zerolog.Nop(), &stats.Set{})
@@ -113,6 +120,7 @@
 	}
 	f.out[a.ID] = true
 	p := f.procs[a.Pool]
+	f.sent[a.Pool] = append(f.sent[a.Pool], time.Now())
 	f.mu.Unlock()
 	d := f.ds[0]
 	end := func(o Outcome) Ending {
@@ -145,9 +153,12 @@
 // offer places rate calls a second on the controllers in turn, for so long.
 func (f *fleet) offer(rate int, long time.Duration) {
 	for began := time.Now(); time.Since(began) < long; {
+		if f.tick != nil {
+			f.tick()
+		}
 		d := f.ds[f.calls%len(f.ds)]
 		id := fmt.Sprint(f.calls)
-		r := Request{Call: d.NewCall(), Pool: f.calls / len(f.ds) % len(f.procs), Until: d.Now() + f.give.Microseconds()}
+		r := Request{Call: d.NewCall(), Pool: cmp.Or(f.first, f.calls/len(f.ds)%len(f.procs)), Until: d.Now() + f.give.Microseconds()}
 		f.calls++
 		f.wg.Go(func() {
 			at := time.Now()
@@ -166,6 +177,20 @@
 	}
 }
 
+// most is the most set-ups that the pool got within any stretch of so long.
+func (f *fleet) most(pool string, long time.Duration) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	most, first := 0, 0
+	for i, at := range f.sent[pool] {
+		for at.Sub(f.sent[pool][first]) > long {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
 // A cold pool is not pushed over by what several controllers send it together, on either site, while the
 // others are near full: each knows only how many they are, and the settings' cold start.
 func TestSeveralControllersSpareAColdPool(t *testing.T) {
--- a/internal/config/cluster.go
+++ b/internal/config/cluster.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/BurntSushi/toml"
 
 	"eidertrail/cluster"
+	"eidertrail/cluster/budget"
 )
 
 // Cluster is the configuration of membership among controllers (deploy/cluster.toml). Where the members are is
@@ -21,6 +23,68 @@
 	SuspicionMult int           `toml:"suspicion_mult"` // a shared suspicion lasts so many intervals
 	SuspicionMax  int           `toml:"suspicion_max"`  // and one that nobody shares so many times as long
 	Retransmit    int           `toml:"retransmit"`     // how often news is passed on
+	Budget        *Budget       `toml:"budget"`         // absent: no fleet-wide budgets
+}
+
+// Budget is the configuration of the budgets that the members divide.
+type Budget struct {
+	Lease     time.Duration `toml:"lease"`      // how long a borrowed share holds
+	Margin    time.Duration `toml:"margin"`     // for how much longer its lender leaves it alone
+	Keep      float64       `toml:"keep"`       // the part of its own share that a member never lends
+	ColdPart  float64       `toml:"cold_part"`  // the part of what makes a cold pool fall over that all may send it
+	RateField string        `toml:"rate_field"` // the field of pools' reports with the rate they can take, "" for none
+}
+
+// UnitsOwned is a member's own share of each budget, in units.
+const UnitsOwned = 1000
+
+// Ledger is the books' configuration for the member of n; life is another at each start.
+func (b *Budget) Ledger(n cluster.Config, life uint32) budget.Config {
+	return budget.Config{Self: n.Self, Members: n.Members, Life: life, Unit: UnitsOwned, Keep: int(b.Keep * UnitsOwned),
+		TTL: b.Lease.Microseconds(), Margin: b.Margin.Microseconds()}
+}
+
+func (b *Budget) check(names []string) error {
+	switch {
+	case b.Lease < 100*time.Millisecond || b.Lease > time.Minute:
+		return fmt.Errorf("budget.lease: want 100ms to 1m")
+	case b.Margin < b.Lease/20 || b.Margin > time.Minute:
+		return fmt.Errorf("budget.margin: want a twentieth of budget.lease at the least, 1m at the most")
+	case !(b.Keep >= 0 && b.Keep <= 1):
+		return fmt.Errorf("budget.keep: want 0 to 1")
+	case !(b.ColdPart > 0 && b.ColdPart <= 1):
+		return fmt.Errorf("budget.cold_part: want more than 0, at most 1")
+	case b.RateField != "" && len(names) > 0 && !slices.Contains(names, b.RateField):
+		return fmt.Errorf("budget.rate_field: %q is none of the settings' stats.names", b.RateField)
+	}
+	return nil
+}
+
+// UnmarshalTOML takes the section over its defaults.
+func (b *Budget) UnmarshalTOML(v any) error {
+	section, is := v.(map[string]any)
+	if !is {
+		return fmt.Errorf("budget: want a section")
+	}
+	*b = Budget{Lease: 2 * time.Second, Margin: 500 * time.Millisecond, Keep: 0.25, ColdPart: 0.5}
+	var text strings.Builder
+	if err := toml.NewEncoder(&text).Encode(section); err != nil {
+		return err
+	}
+	type plain Budget
+	meta, err := toml.Decode(text.String(), (*plain)(b))
+	if err == nil && len(meta.Undecoded()) > 0 {
+		err = fmt.Errorf("budget.%s: not a known field", meta.Undecoded()[0])
+	}
+	return err
+}
+
+// Rate is the field of pools' reports with the rate they can take, "" for none.
+func (c *Cluster) Rate() string {
+	if c == nil || c.Budget == nil {
+		return ""
+	}
+	return c.Budget.RateField
 }
 
 // Node is the membership's configuration for the controller of cfg.
@@ -34,6 +98,11 @@
 	if err := n.Check(); err != nil {
 		return n, fmt.Errorf("cluster: %s", strings.TrimPrefix(err.Error(), "cluster: bad config: "))
 	}
+	if c.Budget != nil {
+		if err := c.Budget.check(cfg.ReportNames); err != nil {
+			return n, fmt.Errorf("cluster: %w", err)
+		}
+	}
 	return n, nil
 }
 
@@ -54,7 +123,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("cluster: %s", strings.ReplaceAll(err.Error(), "\n", " "))
 	}
-	if left := meta.Undecoded(); len(left) > 0 {
+	left := slices.DeleteFunc(meta.Undecoded(), func(k toml.Key) bool { return k[0] == "budget" }) // it checks its own
+	if len(left) > 0 {
 		return nil, fmt.Errorf("cluster: %s: not a known field", left[0])
 	}
 	return c, nil
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -378,6 +378,13 @@
 	now := p.set.cfg.Clock.Now()
 	c.heard.Store(now)
 	p.trace("in", m.Method, m.Of, m.Status, m.CallID)
+	if p.set.cfg.ReportRate != "" && p.set.cfg.Rate != nil {
+		sip.Report(m.Get("x-state"), func(name string, v float64) {
+			if name == p.set.cfg.ReportRate && v >= 0 {
+				p.set.cfg.Rate(p.uid, v)
+			}
+		})
+	}
 	switch {
 	case m.Status > 0 && m.Of == "INVITE":
 		return c.invited(now, m)
--- a/internal/pool/dialog.go
+++ b/internal/pool/dialog.go
@@ -26,6 +26,7 @@
 	pool        *pool
 	number      string
 	state       dialogState
+	leaveBy     int64 // the INVITE must not be written later, 0: at any time
 	leftAt      int64 // when the INVITE was written
 	calledOffAt int64
 	reply       chan reply // holds the one reply
@@ -56,6 +57,13 @@
 		d.finish(p.set.ending(dispatch.Moot))
 		return false
 	}
+	// Guards against a process that stood still between the decision and the write spending a share of a budget
+	// that is another controller's by now.
+	if d.leaveBy > 0 && p.set.cfg.Clock.Now() > d.leaveBy {
+		p.set.cfg.Count.Add(stats.StaleStopped)
+		d.finish(p.set.ending(dispatch.Moot))
+		return false
+	}
 	d.state, d.leftAt = out, p.set.cfg.Clock.Now()
 	// Guards against a release of the send before, which the pool has not said it heard, being said again on the
 	// next connection: it has the same Call-ID, and would end what stands by this one. What is written before
@@ -85,7 +93,7 @@
 			return nil, set.ending(dispatch.ConnectFailed)
 		}
 	}
-	d := &dialog{pool: p, number: a.Setup.Number, reply: make(chan reply, 1)}
+	d := &dialog{pool: p, number: a.Setup.Number, leaveBy: a.LeaveBy, reply: make(chan reply, 1)}
 	now := set.cfg.Clock.Now()
 	invite := invitation(set.cfg.Name, a, a.Until-now)
 	p.mu.Lock()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -25,6 +25,7 @@
 	ConnectTimeout int64  // microseconds
 	ReportFree     string // names of the report fields that hold the free agents
 	ReportAgents   string // and their number
+	ReportRate     string // and the set-ups a second that the pool can take from all, "" for none
 	Clock          dispatch.Clock
 	Log            zerolog.Logger
 	Count          *stats.Set
@@ -33,6 +34,8 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Observe is told a pool's state when it comes unasked.
 	Observe func(uid string, s dispatch.State)
+	// Rate is told ReportRate, of any message that carries it.
+	Rate func(uid string, rate float64)
 	// Stray is told of a release by a pool of a call that this process did not set up.
 	Stray func(id string, cause int)
 }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -346,6 +346,30 @@
 	})
 }
 
+// Guards against a set-up decided under a share of a budget leaving after a standstill, when the share is
+// another controller's.
+func TestASetupThatMustHaveLeftIsNotWritten(t *testing.T) {
+	bubble(t, func(r *rig) {
+		for late, want := range map[int64]dispatch.Outcome{-1: dispatch.Moot, 1: dispatch.Answered} {
+			now := r.clock.Now()
+			x := &invited{}
+			go func() {
+				x.leg, x.end = r.Invite(context.Background(), dispatch.Attempt{Setup: dispatch.Setup{ID: "c" + string(rune('2'+late)),
+					Number: "7f3a", SDP: "offer\r\n"}, Pool: "p1", At: now, Until: now + 1_000_000, LeaveBy: now + late})
+				x.done = true
+			}()
+			if want == dispatch.Answered {
+				_, last := r.sent()
+				last.Answer(200, "", "a\r\n")
+			}
+			r.want(x, want)
+		}
+		if n := r.cfg.Count.Get(stats.StaleStopped); n != 1 {
+			t.Errorf("%d set-ups stopped as stale", n)
+		}
+	})
+}
+
 // A set-up that waits in the pool's queue when the drain is told is the pool's: its answer stands, and is cut
 // only by the pool. Nothing new goes there; one that waits in vain is called off.
 func TestDrainWhileASetupWaitsInThePoolsQueue(t *testing.T) {
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -76,6 +76,10 @@
 	PeerUnsent
 	MembersSuspected
 	MembersDied
+	ShareChanges
+	StaleStopped
+	LeasesAsked
+	LeasesGranted
 	counters
 )
 
@@ -90,6 +94,7 @@
 	"dns_queries", "dns_truncated", "dns_failures", "dns_bad_answers", "dns_changes", "pools_conflicting",
 	"pools_expired", "zone_changes", "route_stopped", "silent_pools",
 	"peer_in", "peer_out", "peer_bytes_out", "peer_bad", "peer_dropped", "peer_unsent", "members_suspected", "members_died",
+	"share_changes", "stale_stopped", "leases_asked", "leases_granted",
 }
 
 // Set is a set of counters, safe for concurrent use. The zero value is ready; nil counts nothing.
