--- a/cmd/eidertrail/fleet_test.go
+++ b/cmd/eidertrail/fleet_test.go
@@ -109,10 +109,10 @@
 	}
 	cfg := write(f.t, "config.json", fmt.Sprintf(`{"name":"n%d","listen":"127.0.0.1:0","seed":"%d","limits":{"memory_mb":192,"sockets":1024},
  "peer_listen":"127.0.0.1:0","peers":%s,%s,
- "settings":{"balancers":%d,"index":%d,"tick":1000000,"extra":{"clear_wait":300000000,"t1":60000000000,"mean_hold":[1000000000]},
+ "settings":{"balancers":%d,"index":%d,"tick":1000000,"extra":{"clear_wait":300000000,"t1":400000000,"mean_hold":[1000000000]},
   "rules":{"cold":10000000000,"cold_share":0.3,"fall_multiple":3,"tip_after":3000000000},
   "stats":{"names":["idle","circuits","wait_ms","max_rate"]},
-  "request_classes":[{"name":"voice","promise":5000000000,"deadline":15000000000}]}}`, i, i+1, peers, settings, len(f.procs), i))
+  "request_classes":[{"name":"voice","promise":1000000000,"deadline":15000000000}]}}`, i, i+1, peers, settings, len(f.procs), i))
 	p := &process{cmd: exec.Command(program, append([]string{"--cluster", f.files}, args...)...), ended: make(chan struct{}),
 		states: map[int]string{}, told: map[string]int{}}
 	p.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+cfg, "RELAY_LISTEN=")
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -219,11 +219,23 @@
 	return m.Append(nil)
 }
 
-// Notify tells a state.
-func (p *Pool) Notify(state string) {
+// Notify tells a state on the youngest connection.
+func (p *Pool) Notify(state string) { p.Send(string(notify(state))) }
+
+// NotifyAll tells a state on every connection.
+func (p *Pool) NotifyAll(state string) {
+	p.mu.Lock()
+	conns := slices.Clone(p.conns)
+	p.mu.Unlock()
+	for _, c := range conns {
+		c.Write(notify(state))
+	}
+}
+
+func notify(state string) []byte {
 	m := &sip.Message{Method: "NOTIFY", URI: "sip:exchange@net", CallID: "0000000000000000", CSeq: 1, Of: "NOTIFY",
 		Headers: []sip.Header{{Name: "X-State", Value: state}}}
-	p.Send(string(m.Append(nil)))
+	return m.Append(nil)
 }
 
 // Send writes any bytes on the youngest connection.
