eidertrail rollout: staged restarts or reloads over real controllers, resumed and taken back

Change: rollout/runner (file, state kept before and after each step, lock, planned restart by SIGTERM, 'check' of the new program before anything is stopped, SIGHUP where the running controller takes the change over) and 'eidertrail rollout plan|start|status|abort'. GET /counters beside /ready tells the counters, the process's life and set-up times (HdrHistogram); answered_in_time counts calls that stood within their aim. TestRollout... run old and new processes side by side under callers that go by readiness: a good build, one that refuses, a process killed at its start and the tool killed midway, settings that fail their check, SIGHUP and abort.

--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -59,6 +59,7 @@
 	count     *stats.Set
 	clock     *clock.Clock
 	started   int64
+	life      int64 // Unix µs of the start: another for each process
 	dispatch  *dispatch.Dispatcher
 	pools     *pool.Set
 	desk      *dispatch.Desk
@@ -82,7 +83,7 @@
 // start makes a daemon and opens its listeners.
 func start(ctx context.Context, env environment, log zerolog.Logger) (*daemon, error) {
 	d := &daemon{log: log, count: &stats.Set{}, clock: clock.New(), env: env, moves: make(chan bulletin.Move, 1),
-		broken: make(chan error, 1), addresses: map[string]string{}}
+		broken: make(chan error, 1), addresses: map[string]string{}, life: time.Now().UnixMicro()}
 	cfg, err := d.load()
 	if err != nil {
 		return nil, err
@@ -298,7 +299,7 @@
 		if err != nil {
 			return err
 		}
-		serve(l, mostExtra, health.Handler(d.status))
+		serve(l, mostExtra, health.Handler(d.status, d.snapshot))
 	}
 	if c.AgentCheck != "" {
 		l, err := listen("agent_check", c.AgentCheck)
@@ -326,6 +327,14 @@
 	return health.Status{Live: live, Ready: d.ready(), Draining: d.stopping.Load(), TurnedAway: d.dispatch.TurnedAway()}
 }
 
+// snapshot is what GET /counters tells: the counters, and which start of the process they count from.
+func (d *daemon) snapshot() any {
+	return struct {
+		Life int64 `json:"life"`
+		stats.Snapshot
+	}{d.life, d.count.Snapshot()}
+}
+
 // counters logs the counters.
 func (d *daemon) counters() {
 	open, standing := d.desk.Open(), d.desk.Standing()
--- a/cmd/eidertrail/load_test.go
+++ b/cmd/eidertrail/load_test.go
@@ -38,19 +38,26 @@
 // at has so many calls a second placed from now on.
 func (l *load) at(rate int64) {
 	l.t.Helper()
+	if err := l.try(rate); err != nil {
+		l.t.Fatal(err)
+	}
+}
+
+func (l *load) try(rate int64) error {
 	l.rate.Store(rate)
 	if l.conn != nil {
-		return
+		return nil
 	}
 	c, err := net.Dial("tcp", l.address)
 	if err != nil {
-		l.t.Fatal(err)
+		return err
 	}
 	l.conn = c
 	l.wg.Add(2)
 	go l.write()
 	go l.read()
 	l.t.Cleanup(func() { l.end(); c.Close(); l.wg.Wait() })
+	return nil
 }
 
 // end stops placing calls.
--- a/cmd/eidertrail/main.go
+++ b/cmd/eidertrail/main.go
@@ -67,6 +67,7 @@
 			return nil
 		},
 	})
+	root.AddCommand(rolloutCommand())
 	root.CompletionOptions.DisableDefaultCmd = true
 	root.SetArgs(longFlags(os.Args[1:]))
 	return root
--- /dev/null
+++ b/cmd/eidertrail/rollout_test.go
@@ -0,0 +1,447 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/tidwall/gjson"
+
+	"eidertrail/rollout/runner"
+)
+
+// staged is a fleet of controllers under a rollout file, each with callers who go by its readiness, as the ones
+// behind a load balancer do.
+type staged struct {
+	t     *testing.T
+	dir   string
+	old   string // the programs
+	new   string
+	at    []controller
+	state string
+	mu    sync.Mutex
+	loads []*load // one for each life of each controller
+	stop  chan struct{}
+	wg    sync.WaitGroup
+}
+
+type controller struct {
+	name, listen, health, config, newConfig string
+}
+
+// free is an address of 127.0.0.1 that nobody listens on.
+func free(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// newStaged starts so many controllers on one pool, with callers at each.
+func newStaged(t *testing.T, controllers int) *staged {
+	t.Helper()
+	program, err := built()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &staged{t: t, dir: t.TempDir(), old: program, stop: make(chan struct{})}
+	s.new = filepath.Join(s.dir, "eidertrail-new")
+	if err := os.Symlink(program, s.new); err != nil {
+		t.Fatal(err)
+	}
+	s.state = filepath.Join(s.dir, "state.json")
+	p := newMetered(t, time.Millisecond, "idle:900;circuits:1000")
+	for i := range controllers {
+		c := controller{name: fmt.Sprintf("n%d", i), listen: free(t), health: free(t)}
+		c.config = s.write(c.name+".json", fmt.Sprintf(`{"name":%q,"listen":%q,"seed":"%d","limits":{"memory_mb":192,"sockets":1024},%s,
+ "settings":{"balancers":%d,"index":%d,"tick":1000000,"extra":{"clear_wait":300000000,"t1":400000000,"mean_hold":[1000000000]},
+  "request_classes":[{"name":"voice","promise":1000000000,"deadline":15000000000}]}}`, c.name, c.listen, i+1, p.roster(time.Time{}), controllers, i))
+		s.write(c.name+".toml", fmt.Sprintf("health = %q\n", c.health))
+		s.at = append(s.at, c)
+	}
+	t.Cleanup(func() {
+		close(s.stop)
+		s.wg.Wait()
+		for i := range s.at {
+			if pid := s.pid(i); pid > 0 {
+				syscall.Kill(pid, syscall.SIGKILL)
+			}
+		}
+		if t.Failed() {
+			for _, c := range s.at {
+				text, _ := os.ReadFile(filepath.Join(s.dir, c.name+".log"))
+				t.Logf("%s:\n%s", c.name, text)
+			}
+		}
+	})
+	for i, c := range s.at {
+		log, err := os.Create(filepath.Join(s.dir, c.name+".log"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		cmd := exec.Command(s.old, s.args(c)...)
+		cmd.Env = append(os.Environ(), "RELAY_CONFIG="+c.config)
+		cmd.Stdout, cmd.Stderr = log, log
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		log.Close()
+		go cmd.Wait()
+		s.write(c.name+".pid", strconv.Itoa(cmd.Process.Pid))
+		s.wg.Go(func() { s.follow(i) })
+	}
+	for i := range s.at {
+		s.until("all serve", func() bool { return s.ready(i) })
+	}
+	return s
+}
+
+func (s *staged) write(name, text string) string {
+	path := filepath.Join(s.dir, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	return path
+}
+
+func (s *staged) args(c controller) []string {
+	return []string{"--callcontrol", filepath.Join(s.dir, c.name+".toml")}
+}
+
+func (s *staged) pid(i int) int {
+	text, err := os.ReadFile(filepath.Join(s.dir, s.at[i].name+".pid"))
+	if err != nil {
+		return 0
+	}
+	pid, _ := strconv.Atoi(strings.TrimSpace(string(text)))
+	return pid
+}
+
+// program is what a controller runs now.
+func (s *staged) program(i int) string {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/cmdline", s.pid(i)))
+	name, _, _ := bytes.Cut(text, []byte{0})
+	return string(name)
+}
+
+func (s *staged) ready(i int) bool {
+	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	a, err := c.Get("http://" + s.at[i].health + "/ready")
+	if err != nil {
+		return false
+	}
+	a.Body.Close()
+	return a.StatusCode == http.StatusOK
+}
+
+// follow places calls at a controller while it says that it is ready.
+func (s *staged) follow(i int) {
+	var now *load
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		switch ready := s.ready(i); {
+		case ready && now == nil:
+			now = newLoad(s.t, s.at[i].listen)
+			s.mu.Lock()
+			s.loads = append(s.loads, now)
+			s.mu.Unlock()
+			if now.try(60) != nil { // it went just then
+				now = nil
+			}
+		case !ready && now != nil:
+			now.end()
+			now = nil
+		}
+	}
+}
+
+func (s *staged) until(what string, cond func() bool) {
+	s.t.Helper()
+	for began := time.Now(); !cond(); time.Sleep(5 * time.Millisecond) {
+		if time.Since(began) > soon {
+			s.t.Fatalf("not within %v: %s", soon, what)
+		}
+	}
+}
+
+// file writes the rollout's file.
+func (s *staged) file(more string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, `stages = ["1", "50%%", "100%%"]
+min_time = "800ms"
+most_time = "20s"
+min_calls = 40
+look_every = "100ms"
+tolerance = 0.1
+stop_within = "5s"
+ready_in = "10s"
+%s
+[old]
+binary = %q
+[new]
+binary = %q
+`, more, s.old, s.new)
+	for _, c := range s.at {
+		fmt.Fprintf(&b, "[[controller]]\nname = %q\nargs = [%q, %q]\nconfig = %q\npid_file = %q\nlog = %q\nhealth = %q\n", c.name,
+			s.args(c)[0], s.args(c)[1], c.config, filepath.Join(s.dir, c.name+".pid"), filepath.Join(s.dir, c.name+".log"), c.health)
+		if c.newConfig != "" {
+			fmt.Fprintf(&b, "new_config = %q\n", c.newConfig)
+		}
+	}
+	return s.write("rollout.toml", b.String())
+}
+
+// tool starts eidertrail rollout start as a process of its own.
+func (s *staged) tool(file string) (*exec.Cmd, *bytes.Buffer) {
+	s.t.Helper()
+	var out bytes.Buffer
+	cmd := exec.Command(s.old, "rollout", "start", file, "--state", s.state)
+	cmd.Stdout, cmd.Stderr = &out, &out
+	if err := cmd.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { cmd.Process.Kill() })
+	return cmd, &out
+}
+
+// phase is what the state file says, and how many are new.
+func (s *staged) phase() (phase string, stage, new int, moving string) {
+	text, _ := os.ReadFile(s.state)
+	for _, c := range gjson.GetBytes(text, "controllers").Array() {
+		if c.Get("version").Str == "new" {
+			new++
+		}
+		if c.Get("moving").Str != "" {
+			moving = c.Get("name").Str
+		}
+	}
+	return gjson.GetBytes(text, "phase").Str, int(gjson.GetBytes(text, "stage").Int()), new, moving
+}
+
+// check compares how the rollout ended, and fails the test where a call was lost. lost is how many controllers
+// were killed: what was open at them is.
+func (s *staged) check(phase string, program string, killed bool) (placed, turned int) {
+	s.t.Helper()
+	if is, _, _, _ := s.phase(); is != phase {
+		s.t.Errorf("phase %q, want %q", is, phase)
+	}
+	for i, c := range s.at {
+		if is := s.program(i); is != program && !strings.HasSuffix(is, "/sh") {
+			s.t.Errorf("%s runs %s, want %s", c.name, is, program)
+		}
+	}
+	time.Sleep(200 * time.Millisecond)
+	s.mu.Lock()
+	loads := s.loads
+	s.mu.Unlock()
+	for _, l := range loads {
+		if killed {
+			l.end()
+		} else {
+			l.check()
+		}
+		p, _, r, _ := l.counts()
+		placed, turned = placed+p, turned+r
+	}
+	return placed, turned
+}
+
+func TestRolloutOfAGoodBuild(t *testing.T) {
+	t.Parallel()
+	s := newStaged(t, 5)
+	began := time.Now()
+	cmd, out := s.tool(s.file(""))
+	if err := cmd.Wait(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	took := time.Since(began)
+	placed, turned := s.check("done", s.new, false)
+	t.Logf("five controllers in %v; %d calls placed, %d turned away, none lost", took.Round(100*time.Millisecond), placed, turned)
+	if turned*20 > placed {
+		t.Errorf("%d of %d calls were turned away", turned, placed)
+	}
+}
+
+// A new build that refuses every call is stopped at the first stage and taken back, and no call is lost.
+func TestRolloutOfABuildThatRefuses(t *testing.T) {
+	t.Parallel()
+	s := newStaged(t, 4)
+	os.Remove(s.new)
+	s.write("eidertrail-new", fmt.Sprintf(`#!/bin/sh
+[ "$1" = check ] && exec %[1]s "$@"
+sed 's/"extra":{/"extra":{"shape":"skills","allowed_pools":[[7]],/' "$RELAY_CONFIG" > "$RELAY_CONFIG.bad"
+RELAY_CONFIG="$RELAY_CONFIG.bad" exec %[1]s "$@"
+`, s.old))
+	os.Chmod(s.new, 0o700)
+	cmd, out := s.tool(s.file(""))
+	most := 0
+	done := make(chan error, 1)
+	go func() { done <- cmd.Wait() }()
+	var err error
+	for ended := false; !ended; {
+		select {
+		case err = <-done:
+			ended = true
+		case <-time.After(5 * time.Millisecond):
+			_, _, new, _ := s.phase()
+			most = max(most, new)
+		}
+	}
+	if err == nil || !strings.Contains(out.String(), "stopped and taken back: stage 1") {
+		t.Errorf("the tool ended with %v:\n%s", err, out)
+	}
+	if most > 1 {
+		t.Errorf("%d controllers were new at a time, want the first stage's one", most)
+	}
+	placed, turned := s.check("aborted", s.old, false)
+	t.Logf("%d calls placed, %d turned away before the stage was stopped", placed, turned)
+	if turned == 0 {
+		t.Error("the bad build turned nothing away")
+	}
+}
+
+// A new process that is killed during its start is started again; and the tool, killed in the middle, goes on
+// where it was.
+func TestRolloutKilledMidway(t *testing.T) {
+	t.Parallel()
+	s := newStaged(t, 4)
+	file := s.file("")
+	cmd, _ := s.tool(file)
+	s.until("n1 is being moved", func() bool { _, _, _, m := s.phase(); return m == "n1" })
+	before := s.pid(1)
+	s.until("its new process begins", func() bool { return s.pid(1) != before && s.pid(1) > 0 })
+	syscall.Kill(s.pid(1), syscall.SIGKILL)
+	s.until("n2 is being moved", func() bool { _, _, _, m := s.phase(); return m == "n2" })
+	cmd.Process.Kill()
+	cmd.Wait()
+	if phase, _, _, _ := s.phase(); phase != "running" {
+		t.Fatalf("phase %q", phase)
+	}
+	status, err := exec.Command(s.old, "rollout", "status", "--state", s.state).CombinedOutput()
+	if err != nil || !strings.Contains(string(status), "n2: old (being made new)") {
+		t.Errorf("status: %v\n%s", err, status)
+	}
+	cmd, out := s.tool(file)
+	if err := cmd.Wait(); err != nil || !strings.Contains(out.String(), "going on") {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	s.check("done", s.new, true)
+}
+
+// Settings that fail their check at one stage: the controller is not touched, and the change is taken back.
+func TestRolloutOfSettingsThatFailTheirCheck(t *testing.T) {
+	t.Parallel()
+	s := newStaged(t, 3)
+	s.new = s.old
+	for i := range s.at {
+		c := &s.at[i]
+		text, _ := os.ReadFile(c.config)
+		changed := strings.Replace(string(text), `"promise":1000000000`, `"promise":1100000000`, 1)
+		if i == 1 {
+			changed = strings.Replace(changed, `"deadline":15000000000`, `"deadline":-1`, 1)
+		}
+		c.newConfig = s.write(c.name+"-new.json", changed)
+	}
+	file := s.file("")
+	plan, err := exec.Command(s.old, "rollout", "plan", file).CombinedOutput()
+	if err != nil || !strings.Contains(string(plan), "n0: restart (settings changes only at a restart)") {
+		t.Errorf("plan: %v\n%s", err, plan)
+	}
+	pids := []int{s.pid(0), s.pid(1), s.pid(2)}
+	cmd, out := s.tool(file)
+	if err := cmd.Wait(); err == nil || !strings.Contains(out.String(), "settings.request_classes.0.deadline") {
+		t.Errorf("%v\n%s", err, out)
+	}
+	s.check("aborted", s.old, false)
+	if s.pid(1) != pids[1] || s.pid(2) != pids[2] || s.pid(0) == pids[0] {
+		t.Errorf("processes %v became %d %d %d: only the first was to be restarted", pids, s.pid(0), s.pid(1), s.pid(2))
+	}
+	for _, c := range s.at {
+		if text, _ := os.ReadFile(c.config); !strings.Contains(string(text), `"promise":1000000000`) {
+			t.Errorf("%s is left with the new settings", c.name)
+		}
+	}
+}
+
+// Settings that a running controller takes over go in by SIGHUP: no process ends. An abort takes them back.
+func TestRolloutBySIGHUPAndAbort(t *testing.T) {
+	t.Parallel()
+	s := newStaged(t, 3)
+	s.new = s.old
+	for i := range s.at {
+		c := &s.at[i]
+		text, _ := os.ReadFile(c.config)
+		c.newConfig = s.write(c.name+"-new.json", strings.Replace(string(text), `"memory_mb":192`, `"memory_mb":128`, 1))
+	}
+	file := s.file("")
+	f, err := runner.Load(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if restart, why, err := f.Restarts(f.Controller[0]); restart || err != nil {
+		t.Errorf("restart %v, %s, %v", restart, why, err)
+	}
+	pids := []int{s.pid(0), s.pid(1), s.pid(2)}
+	cmd, out := s.tool(file)
+	s.until("the second stage", func() bool { _, stage, new, _ := s.phase(); return stage == 1 && new == 2 })
+	if err := runner.Run(context.Background(), f, s.state, zerolog.Nop()); err != runner.ErrBusy {
+		t.Errorf("a second tool: %v", err)
+	}
+	if text, err := exec.Command(s.old, "rollout", "abort", "--state", s.state).CombinedOutput(); err != nil {
+		t.Errorf("abort: %v\n%s", err, text)
+	}
+	if err := cmd.Wait(); err == nil || !strings.Contains(out.String(), "the operator aborted it") {
+		t.Errorf("%v\n%s", err, out)
+	}
+	s.check("aborted", s.old, false)
+	for i := range s.at {
+		if s.pid(i) != pids[i] {
+			t.Errorf("n%d was restarted", i)
+		}
+		if text, _ := os.ReadFile(s.at[i].config); !strings.Contains(string(text), `"memory_mb":192`) {
+			t.Errorf("n%d is left with the new settings", i)
+		}
+	}
+}
+
+func TestBadRolloutFilesNameTheField(t *testing.T) {
+	good := "stages = [\"1\", \"100%\"]\n[old]\nbinary = \"a\"\n[new]\nbinary = \"b\"\n"
+	for _, n := range []string{"n0", "n1"} {
+		good += fmt.Sprintf("[[controller]]\nname = %q\nconfig = \"c\"\npid_file = \"p\"\nlog = \"l\"\nhealth = \"h\"\n", n)
+	}
+	if _, err := runner.Load(write(t, "good.toml", good)); err != nil {
+		t.Fatal(err)
+	}
+	for field, text := range map[string]string{
+		"stages:":              strings.Replace(good, `"100%"`, `"150%"`, 1),
+		"confidence:":          "confidence = 2\n" + good,
+		"min_calls:":           "min_calls = 1\n" + good,
+		"old.binary":           strings.Replace(good, `binary = "a"`, "", 1),
+		"controller[1].health": strings.TrimSuffix(good, "health = \"h\"\n"),
+		"controller[0].new":    strings.Replace(good, `binary = "b"`, `binary = "a"`, 1),
+		"controller:":          strings.Replace(good, `name = "n1"`, `name = "n0"`, 1),
+		"colour:":              "colour = 1\n" + good,
+	} {
+		if _, err := runner.Load(write(t, "bad.toml", text)); err == nil || !strings.HasPrefix(err.Error(), "rollout: "+field) {
+			t.Errorf("%s %v", field, err)
+		}
+	}
+}
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -482,7 +482,9 @@
 func (k *Desk) serve(ctx context.Context, call *deskCall, id string, r Request, s Setup) {
 	defer k.wg.Done()
 	defer call.end(nil)
+	began := k.d.Now()
 	final := Serve(ctx, k.d, k.trunk, r, s)
+	took := k.d.Now() - began
 
 	// From here on a cancel is too late, or the final answer is: both are decided under the same lock.
 	k.mu.Lock()
@@ -519,7 +521,7 @@
 	case final.Kind == GivenUp:
 		k.count.Add(stats.FailedCalls)
 	default:
-		k.count.Add(stats.AnsweredCalls)
+		k.count.Stood(took, took <= k.d.set.Classes[r.Class].Aim.Microseconds())
 		cause, byPool := final.Call.WaitEnd(ctx, call.released)
 		k.mu.Lock()
 		k.forget(id)
--- a/health/health.go
+++ b/health/health.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -80,8 +81,8 @@
 	}
 }
 
-// Handler serves GET /live and /ready: 200, or 503 with the reason.
-func Handler(check Check) http.Handler {
+// Handler serves GET /live and /ready: 200, or 503 with the reason; and GET /counters: what read gives, as JSON.
+func Handler(check Check, read func() any) http.Handler {
 	mux := http.NewServeMux()
 	serve := func(good func(Status) (bool, string)) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
@@ -113,5 +114,10 @@
 		}
 		return true, "ready"
 	}))
+	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("Cache-Control", "no-store")
+		json.NewEncoder(w).Encode(read()) // what the client does not read is its loss
+	})
 	return mux
 }
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -49,8 +49,8 @@
 
 func TestHTTP(t *testing.T) {
 	for name, k := range states {
-		h := Handler(func(context.Context) Status { return k.s })
-		for path, want := range map[string]int{"/live": k.live, "/ready": k.ready, "/other": 404} {
+		h := Handler(func(context.Context) Status { return k.s }, func() any { return map[string]int{"answered": 7} })
+		for path, want := range map[string]int{"/live": k.live, "/ready": k.ready, "/counters": 200, "/other": 404} {
 			w := httptest.NewRecorder()
 			h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
 			if w.Code != want || strings.TrimSpace(w.Body.String()) == "" {
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -3,8 +3,10 @@
 package stats
 
 import (
+	"sync"
 	"sync/atomic"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/rs/zerolog"
 )
 
@@ -15,6 +17,7 @@
 const (
 	SetupsTaken Counter = iota
 	AnsweredCalls
+	AnsweredInTime
 	RefusedCalls
 	FailedCalls
 	CancelledCalls
@@ -84,7 +87,7 @@
 )
 
 var names = [counters]string{
-	"setups_taken", "answered", "refused", "failed", "cancelled", "answers_unwritten", "duplicates",
+	"setups_taken", "answered", "answered_in_time", "refused", "failed", "cancelled", "answers_unwritten", "duplicates",
 	"releases_in", "releases_out", "releases_kept", "releases_dropped", "pings", "bad_lines", "bad_sip",
 	"invites", "invites_called_off", "cancels", "time_outs", "resets", "connects_failed", "pool_full",
 	"pool_errors", "late_answers", "byes_out", "byes_in", "stray_byes", "cut_calls", "notifies",
@@ -98,7 +101,61 @@
 }
 
 // Set is a set of counters, safe for concurrent use. The zero value is ready; nil counts nothing.
-type Set struct{ v [counters]atomic.Int64 }
+type Set struct {
+	v     [counters]atomic.Int64
+	mu    sync.Mutex
+	times *hdrhistogram.Histogram // µs from a set-up to its answer
+}
+
+// mostTook bounds the times that are told apart, µs, and digits is how well.
+const (
+	mostTook = 60_000_000
+	digits   = 1
+)
+
+// Stood notes a call that stands: how long its set-up took, µs, and whether that was within its class's aim.
+func (s *Set) Stood(took int64, inTime bool) {
+	if s == nil {
+		return
+	}
+	s.Add(AnsweredCalls)
+	if inTime {
+		s.Add(AnsweredInTime)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.times == nil {
+		s.times = hdrhistogram.New(1, mostTook, digits)
+	}
+	s.times.RecordValue(min(max(took, 1), mostTook)) // within its range: no error
+}
+
+// Snapshot is a reading of all counters, by name, and of the set-up times: how many by the top of their bucket, µs.
+type Snapshot struct {
+	Counters map[string]int64 `json:"counters"`
+	Times    map[int64]int64  `json:"times"`
+}
+
+// Snapshot reads the set.
+func (s *Set) Snapshot() Snapshot {
+	out := Snapshot{Counters: map[string]int64{}, Times: map[int64]int64{}}
+	for c := range counters {
+		out.Counters[names[c]] = s.Get(c)
+	}
+	if s == nil {
+		return out
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.times != nil {
+		for _, b := range s.times.Distribution() {
+			if b.Count > 0 {
+				out.Times[b.To] = b.Count
+			}
+		}
+	}
+	return out
+}
 
 // Add counts one.
 func (s *Set) Add(c Counter) {
