--- a/dispatch/sites_test.go
+++ b/dispatch/sites_test.go
@@ -98,7 +98,9 @@
 	if born > 0 {
 		p.Start(time.Now().Add(-born))
 	}
+	f.mu.Lock()
 	f.procs[uid] = p
+	f.mu.Unlock()
 	for _, d := range f.ds {
 		l := Server{UID: uid, Group: len(f.procs) - 1, Mode: eidertrail.Ready}
 		if born > 0 {
