--- a/cluster/budget/budget.go
+++ b/cluster/budget/budget.go
@@ -67,6 +67,7 @@
 type loan struct {
 	units int
 	until int64
+	req   uint64 // the question that it answers
 }
 
 type ask struct {
@@ -214,7 +215,8 @@
 				held += b.units
 			}
 		}
-		if missing <= 0 || len(lenders) == 0 {
+		if missing <= 0 {
+			out = append(out, r.giveBack(name)...)
 			continue
 		}
 		for _, m := range lenders {
@@ -240,6 +242,21 @@
 	return out
 }
 
+// giveBack ends all that is borrowed: it is used no more from now on, and its lenders are told.
+func (r *resource) giveBack(name string) (out []Out) {
+	from := make([]int, 0, len(r.borrowed))
+	for m := range r.borrowed {
+		from = append(from, m)
+	}
+	slices.Sort(from)
+	for _, m := range from {
+		out = append(out, Out{m, encode(returnKind, r.asked[m].req, 0, name)})
+		delete(r.asked, m) // an answer that is still to come is not taken
+	}
+	clear(r.borrowed)
+	return out
+}
+
 func (l *Ledger) names() []string {
 	names := make([]string, 0, len(l.resources))
 	for n := range l.resources {
@@ -262,18 +279,27 @@
 	}
 	if kind == grantKind {
 		if a, asked := r.asked[from]; asked && a.req == req {
-			r.borrowed[from] = loan{min(units, l.cfg.Unit), a.at + l.cfg.TTL}
+			r.borrowed[from] = loan{min(units, l.cfg.Unit), a.at + l.cfg.TTL, req}
 			l.count.Borrowed++
 		}
 		return nil, nil
 	}
+	if kind == returnKind {
+		// What was granted up to that question is used no more, but for decisions on their way.
+		for i, g := range r.lent[from] {
+			if g.req <= req {
+				r.lent[from][i].until = min(g.until, now+l.cfg.Margin)
+			}
+		}
+		return nil, nil
+	}
 	grant := 0
 	if now >= l.freshTill {
 		grant = max(0, min(units, l.cfg.Unit-r.out(now, from)-max(l.cfg.Keep, r.wants)))
 	}
 	if grant > 0 {
 		l.count.Granted++
-		r.lent[from] = append(r.lent[from], loan{grant, now + l.cfg.TTL + l.cfg.Margin})
+		r.lent[from] = append(r.lent[from], loan{grant, now + l.cfg.TTL + l.cfg.Margin, req})
 	}
 	return []Out{{from, encode(grantKind, req, grant, name)}}, nil
 }
@@ -288,9 +314,10 @@
 // ---- messages: kind (1 byte), request (8), units (4), name ----
 
 const (
-	askKind   = 1
-	grantKind = 2
-	headSize  = 13
+	askKind    = 1
+	grantKind  = 2
+	returnKind = 3
+	headSize   = 13
 )
 
 func encode(kind byte, req uint64, units int, name string) []byte {
@@ -302,7 +329,7 @@
 }
 
 func decode(b []byte) (kind byte, req uint64, units int, name string, err error) {
-	if len(b) <= headSize || len(b) > headSize+MostName || b[0] != askKind && b[0] != grantKind {
+	if len(b) <= headSize || len(b) > headSize+MostName || b[0] < askKind || b[0] > returnKind {
 		return 0, 0, 0, "", fmt.Errorf("budget: a body of %d bytes makes no sense", len(b))
 	}
 	units32 := binary.BigEndian.Uint32(b[9:])
--- a/cluster/budget/budget_test.go
+++ b/cluster/budget/budget_test.go
@@ -106,7 +106,11 @@
 				f.send(m, f.books[m].Tick(f.clock[m]))
 				return true
 			}},
-			action{fmt.Sprintf("%d wants nothing", m), func(f *fleet) bool { f.books[m].Demand(f.clock[m], pool, 0); return true }},
+			action{fmt.Sprintf("%d wants nothing", m), func(f *fleet) bool {
+				f.books[m].Demand(f.clock[m], pool, 0)
+				f.send(m, f.books[m].Tick(f.clock[m]))
+				return true
+			}},
 			action{fmt.Sprintf("%d starts anew", m), func(f *fleet) bool {
 				f.restart(f, m)
 				return true
@@ -156,7 +160,7 @@
 			}
 			for _, g := range r.lent[o] {
 				if g.until > now {
-					fmt.Fprintf(&b, "l%d,%d;", g.units, g.until-now)
+					fmt.Fprintf(&b, "l%d,%d,%d;", g.units, g.until-now, f.books[o].req-g.req)
 				}
 			}
 		}
@@ -217,7 +221,7 @@
 		restart        func(f *fleet, m int)
 		broken         bool
 	}{
-		{"two members", 2, 7, good, anew, false},
+		{"two members", 2, 7, good, anew, false}, // 8 steps take a minute with the race detector
 		{"three members", 3, 5, good, anew, false},
 		{"no margin, and a slow clock", 2, 8, Config{Unit: 4, Keep: 1, TTL: ttl}, anew, true},
 		{"a start that does not wait", 2, 8, good, func(f *fleet, m int) { anew(f, m); f.books[m].freshTill = 0 }, true},
@@ -236,3 +240,83 @@
 		})
 	}
 }
+
+// How long it takes until a member that needs all gets what the others can spare: when it begins to, when another
+// that had borrowed dies or stops needing it, and when it has itself just started. Messages take 5 ms, and every
+// member looks at its books each 100 ms.
+func TestTimeToDivideAnew(t *testing.T) {
+	const tick, delay, members = 100_000, 5_000, 5
+	cfg := Config{Unit: 1000, Keep: 250, TTL: ttl, Margin: margin}
+	most := 1000 + (members-1)*750
+	for _, c := range []struct {
+		name   string
+		change func(f *fleet)
+		within int64 // µs
+	}{
+		{"it begins to need it", func(f *fleet) { f.books[0].Demand(f.clock[0], pool, 0) }, 500_000},
+		{"the one that had it stops needing it", func(f *fleet) { f.books[0].Demand(f.clock[0], pool, 0) }, margin + ttl},
+		{"the one that had it dies", func(f *fleet) { f.books[0] = nil }, ttl + margin + ttl},
+		{"the one that had it starts anew", func(f *fleet) { anew(f, 0) }, ttl + margin + ttl},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(members, cfg, -1)
+			later := map[int64][]message{} // by when they arrive
+			now := int64(0)
+			step := func() {
+				now += delay
+				for m := range f.books {
+					f.pass(m, delay)
+				}
+				for _, x := range later[now] {
+					if f.books[x.to] != nil {
+						f.flight = append(f.flight[:0], x)
+						f.deliver(0)
+					}
+					later[now+delay] = append(later[now+delay], f.flight...)
+					f.flight = f.flight[:0]
+				}
+				if now%tick == 0 {
+					for m, l := range f.books {
+						if l != nil {
+							f.send(m, l.Tick(f.clock[m]))
+						}
+					}
+					later[now+delay] = append(later[now+delay], f.flight...)
+					f.flight = f.flight[:0]
+				}
+			}
+			if c.name != "it begins to need it" {
+				f.books[0].Demand(f.clock[0], pool, f.books[0].Whole())
+				for range 10 * ttl / delay {
+					step()
+				}
+				if got := f.books[0].Share(f.clock[0], pool); got != most {
+					t.Fatalf("the first holds %d of %d units before", got, most)
+				}
+			}
+			c.change(f)
+			f.books[1].Demand(f.clock[1], pool, f.books[1].Whole())
+			want := most
+			if f.books[0] == nil {
+				want -= 750 // its own share is nobody's
+			}
+			began := now
+			for f.books[1].Share(f.clock[1], pool) < want*9/10 {
+				step()
+				sum := 0
+				for m, l := range f.books {
+					if l != nil {
+						sum += l.Share(f.clock[m], pool)
+					}
+				}
+				if sum > members*1000 {
+					t.Fatalf("%d units in force", sum)
+				}
+				if now-began > c.within {
+					t.Fatalf("after %d ms it holds %d of %d units", c.within/1000, f.books[1].Share(f.clock[1], pool), want)
+				}
+			}
+			t.Logf("after %d ms", (now-began)/1000)
+		})
+	}
+}
