dispatch.Engine: the loop's part with no goroutine and no clock, for the simulator too

Need: the simulator has to run what the daemon runs: the module, what narrows its choice, and the guard. They were methods of the Dispatcher, bound to its channels.

Change: Engine holds the call table, the list of pools, what is due and the router; the Dispatcher hosts one in its loop and hands decisions on through channels. No behaviour changed.

Measured: the tests of dispatch, middleware, callcontrol and the daemon pass unchanged but for field names.

--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -174,7 +174,7 @@
 	if k.callID == nil {
 		k.callID = func(id string) string { return id }
 	}
-	for i, class := range k.d.set.Classes {
+	for i, class := range k.d.engine.set.Classes {
 		k.classes[class.Name] = i
 	}
 	return k
@@ -494,7 +494,7 @@
 		k.doubted--
 	}
 	if final.Kind == Gone && context.Cause(ctx) == errGivenUp {
-		final = Final{Kind: Turned, After: k.d.most}
+		final = Final{Kind: Turned, After: k.d.engine.most}
 	}
 	gone := final.Kind == Gone || context.Cause(ctx) == errLeft
 	if !gone && !at.Final(id, final) {
@@ -521,7 +521,7 @@
 	case final.Kind == GivenUp:
 		k.count.Add(stats.FailedCalls)
 	default:
-		k.count.Stood(took, took <= k.d.set.Classes[r.Class].Aim.Microseconds())
+		k.count.Stood(took, took <= k.d.engine.set.Classes[r.Class].Aim.Microseconds())
 		cause, byPool := final.Call.WaitEnd(ctx, call.released)
 		k.mu.Lock()
 		k.forget(id)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -10,8 +10,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -124,49 +122,16 @@
 	leastAfter = 100_000
 )
 
-// Dispatcher hosts one Controller. Its methods are safe for concurrent use.
+// Dispatcher runs an Engine in one loop goroutine. Its methods are safe for concurrent use.
 type Dispatcher struct {
 	clock   Clock
-	set     eidertrail.Settings
-	most    int64 // longest time to come back after
-	count   *stats.Set
-	log     zerolog.Logger // at debug level a trace of all that the module is told and says
-	gather  time.Duration  // how long a turn waits for more of what comes together
+	gather  time.Duration // how long a turn waits for more of what comes together
 	in      chan func(now int64)
 	done    chan struct{}
 	stopped sync.Once
 	last    atomic.Uint64
-	share   atomic.Uint64 // math.Float64bits of the share of calls turned away of late
-	shareAt atomic.Int64
-
-	// Owned by the loop.
-	control *eidertrail.Controller
-	events  []eidertrail.Event
-	actions []eidertrail.Action
-	calls   map[uint64]*call
-	waiting map[uint64]*call // of them, those without a decision
-	servers map[string]Server
-	wakes   []wake // soonest first
-	route   *router
-}
-
-type wake struct {
-	at    int64
-	token uint64
-}
-
-// call is a line of the call table.
-type call struct {
-	Request
-	decided   chan Pick // holds one decision
-	attempt   int       // of the last send, -1 before
-	out       bool      // an attempt is out or decided upon
-	stands    bool
-	notBefore int64 // the release after the last attempt is awaited until then
-	waitsFrom int64 // it waits for a decision since then
-	noRoom    bool
-	pool      string // where the last attempt went
-	routed    bool   // routing counts it at pool: an attempt out or a call standing
+	engine  *Engine
+	places  map[uint64]chan Pick // where a call's decisions come, each holds one; the loop's
 }
 
 // New returns a dispatcher; its loop is Run. most is the longest time that anybody is told to stay away.
@@ -175,14 +140,13 @@
 	if now == nil {
 		now = clock.New()
 	}
-	control, err := eidertrail.New(set, seed)
+	engine, err := NewEngine(set, seed, most, log, count)
 	if err != nil {
-		return nil, fmt.Errorf("dispatch: %w", err)
+		return nil, err
 	}
 	return &Dispatcher{
-		clock: now, set: set, most: most, gather: min(mostGather, set.Tick), count: count, log: log, control: control,
-		in: make(chan func(int64), queue), done: make(chan struct{}),
-		calls: map[uint64]*call{}, waiting: map[uint64]*call{}, servers: map[string]Server{}, route: newRouter(set, log, count),
+		clock: now, gather: min(mostGather, set.Tick), in: make(chan func(int64), queue), done: make(chan struct{}),
+		engine: engine, places: map[uint64]chan Pick{},
 	}, nil
 }
 
@@ -192,11 +156,7 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
-		due := d.route.next(d.clock.Now())
-		if len(d.wakes) > 0 && (due == 0 || d.wakes[0].at < due) {
-			due = d.wakes[0].at
-		}
-		if due > 0 {
+		if due := d.engine.Next(d.clock.Now()); due > 0 {
 			timer.Reset(time.Duration(max(0, due-d.clock.Now())) * time.Microsecond)
 		} else {
 			timer.Reset(time.Hour)
@@ -220,7 +180,7 @@
 		for n := 0; n < perTurn && len(d.in) > 0; n++ {
 			(<-d.in)(now)
 		}
-		d.turn(now)
+		d.engine.Turn(now)
 	}
 }
 
@@ -239,30 +199,8 @@
 	}
 }
 
-const (
-	// shareOver is how many calls the share of those turned away is the mean of.
-	shareOver = 32
-	// shareHalf is the time in which it halves while nothing comes.
-	shareHalf = 5_000_000
-)
-
-// pressed takes a final answer into the share of calls turned away. Only the loop calls it.
-func (d *Dispatcher) pressed(now int64, turnedAway bool) {
-	share, x := d.sharedAt(now), 0.0
-	if turnedAway {
-		x = 1
-	}
-	d.share.Store(math.Float64bits(share + (x-share)/shareOver))
-	d.shareAt.Store(now)
-}
-
-func (d *Dispatcher) sharedAt(now int64) float64 {
-	quiet := max(0, now-d.shareAt.Load())
-	return math.Float64frombits(d.share.Load()) * math.Exp2(-float64(quiet)/shareHalf)
-}
-
 // TurnedAway is the share of calls that were turned away of late, 0 to 1.
-func (d *Dispatcher) TurnedAway() float64 { return d.sharedAt(d.clock.Now()) }
+func (d *Dispatcher) TurnedAway() float64 { return d.engine.sharedAt(d.clock.Now()) }
 
 // NewCall numbers a call.
 func (d *Dispatcher) NewCall() uint64 { return d.last.Add(1) }
@@ -289,153 +227,62 @@
 	select {
 	case p := <-decided:
 		if p.Verdict != Go {
-			d.post(func(int64) { delete(d.calls, r.Call) })
+			d.post(func(int64) { d.engine.Forget(r.Call); delete(d.places, r.Call) })
 		}
 		return p, nil
 	case <-d.done:
 		return Pick{}, ErrClosed
 	case <-late.C:
-		d.post(func(now int64) { d.leave(now, r.Call) })
+		d.post(func(now int64) { d.engine.Leave(now, r.Call); delete(d.places, r.Call) })
 		return Pick{}, ErrLate
 	case <-ctx.Done():
-		d.post(func(now int64) { d.leave(now, r.Call) })
+		d.post(func(now int64) { d.engine.Leave(now, r.Call); delete(d.places, r.Call) })
 		return Pick{}, context.Cause(ctx)
 	}
 }
 
-// enter tells the module of a new call, and finds the place where its decisions come.
+// enter tells the engine of a call, and finds the place where its decisions come.
 func (d *Dispatcher) enter(now int64, r Request) chan Pick {
-	if k := d.calls[r.Call]; k != nil {
-		return k.decided
+	place := make(chan Pick, 1)
+	if !d.engine.Enter(now, r, func(p Pick) { settle(place, p) }) {
+		return d.places[r.Call]
 	}
-	k := &call{Request: r, decided: make(chan Pick, 1), attempt: -1}
-	d.calls[r.Call] = k
-	d.await(now, k)
-	d.events = append(d.events, eidertrail.Call{
-		ID: eidertrail.CallID(r.Call), Class: r.Class, Pool: r.Pool, Key: r.Key, Left: span(r.Until - now),
-	})
-	return k.decided
-}
-
-// await notes that a call waits for a decision from now on.
-func (d *Dispatcher) await(now int64, k *call) {
-	k.waitsFrom = now
-	d.waiting[k.Call] = k
+	d.places[r.Call] = place
+	return place
 }
 
-// leave ends a call whose caller is gone while it waits for a decision. One that was made meanwhile,
-// and that nobody will carry out, is undone.
-func (d *Dispatcher) leave(now int64, id uint64) {
-	k := d.calls[id]
-	if k == nil {
-		return
-	}
-	d.events = append(d.events, eidertrail.HangUp{Call: eidertrail.CallID(id)})
-	if k.out {
-		d.events = append(d.events, eidertrail.Outcome{
-			Call: eidertrail.CallID(id), Attempt: k.attempt, Status: eidertrail.Moot, Closed: true,
-		})
+// settle never blocks: a decision that nobody took yet gives way to a later one.
+func settle(place chan Pick, p Pick) {
+	for {
+		select {
+		case place <- p:
+			return
+		default:
+		}
+		select {
+		case <-place:
+		default:
+		}
 	}
-	d.route.ended(now, k, Moot)
-	delete(d.calls, id)
-	delete(d.waiting, id)
 }
 
 // Report tells what became of an attempt, or that a standing call has ended.
 func (d *Dispatcher) Report(r Result) {
-	d.post(func(now int64) { d.report(now, r) })
-}
-
-func (d *Dispatcher) report(now int64, r Result) {
-	id := eidertrail.CallID(r.Call)
-	k := d.calls[r.Call]
-	if k == nil || !k.out || k.attempt != r.Attempt {
-		return
-	}
-	if r.Outcome == Answered {
-		if !k.stands {
-			if r.State != Untold {
-				d.route.report(r.Pool, r.State.Free, r.State.Agents)
-			}
-			d.route.answered(now, k)
-			k.stands = true
-			d.pressed(now, false)
-			d.events = append(d.events, eidertrail.Answered{Call: id, Attempt: r.Attempt, Took: span(r.Took)})
+	d.post(func(now int64) {
+		if d.engine.Report(now, r); d.engine.calls[r.Call] == nil {
+			delete(d.places, r.Call)
 		}
-		return
-	}
-	closed := r.Left || k.stands
-	d.route.ended(now, k, r.Outcome)
-	if r.Left && !k.stands {
-		d.events = append(d.events, eidertrail.HangUp{Call: id})
-	}
-	o := eidertrail.Outcome{Call: id, Attempt: r.Attempt, Took: span(r.Took), Closed: closed}
-	switch r.Outcome {
-	case Ended:
-		o.Status = eidertrail.Ended
-	case Errored:
-		o.Status = eidertrail.Error
-	case LinesBusy:
-		o.Status, o.Cause = eidertrail.Error, eidertrail.LinesBusy
-	case NoAgent:
-		o.Status, o.Cause = eidertrail.Full, eidertrail.NoAgent
-	case ProcessorFull:
-		o.Status, o.Cause = eidertrail.Full, eidertrail.ProcessorFull
-	case TimedOut:
-		o.Status = eidertrail.TimedOut
-	case ConnectFailed:
-		o.Status = eidertrail.ConnectFailed
-	case Reset:
-		o.Status = eidertrail.Reset
-	case Cancelled:
-		o.Status = eidertrail.Cancelled
-	default:
-		o.Status = eidertrail.Moot
-	}
-	if r.State != Untold {
-		o.Report = &eidertrail.Report{Server: eidertrail.ServerID(r.Pool), Free: r.State.Free, Agents: r.State.Agents}
-		d.route.report(r.Pool, r.State.Free, r.State.Agents)
-	}
-	k.out, k.stands, k.noRoom = false, false, r.Outcome == NoAgent
-	switch r.Outcome {
-	case TimedOut, Reset, Cancelled:
-		k.notBefore = now + d.set.Release.Microseconds()
-	}
-	d.events = append(d.events, o)
-	if closed {
-		delete(d.calls, r.Call)
-	} else {
-		d.await(now, k)
-	}
+	})
 }
 
 // Observe tells of a pool's state that came unasked.
 func (d *Dispatcher) Observe(uid string, s State) {
-	d.post(func(now int64) {
-		d.route.beats.Told(now, uid)
-		d.route.report(uid, s.Free, s.Agents)
-		d.events = append(d.events, eidertrail.Report{Server: eidertrail.ServerID(uid), Free: s.Free, Agents: s.Agents})
-	})
+	d.post(func(now int64) { d.engine.Observe(now, uid, s) })
 }
 
 // Roster brings changed lines of the list of pools, or with whole all of them.
 func (d *Dispatcher) Roster(servers []Server, whole bool) {
-	d.post(func(now int64) {
-		kind := eidertrail.Delta
-		if whole {
-			kind = eidertrail.Whole
-			clear(d.servers)
-		}
-		list := make([]eidertrail.Server, len(servers))
-		for i, s := range servers {
-			list[i] = eidertrail.Server{ID: eidertrail.ServerID(s.UID), Born: span(s.Born), Mode: s.Mode, Pool: s.Group}
-			if d.servers[s.UID] = s; s.Mode == eidertrail.Gone {
-				delete(d.servers, s.UID)
-			}
-		}
-		d.route.narrowList(now, d.servers, list)
-		d.events = append(d.events, eidertrail.ServerList{Kind: kind, Servers: list})
-	})
+	d.post(func(now int64) { d.engine.Roster(now, servers, whole) })
 }
 
 // Tick makes the loop take a turn now and returns when it has: what is due is done, and the loop lives.
@@ -454,111 +301,4 @@
 	}
 }
 
-// turn lets the module handle what has come in, and again what its own guards send back.
-func (d *Dispatcher) turn(now int64) {
-	d.route.waits(now, d.waiting)
-	d.events = d.route.narrow(now, d.servers, d.events)
-	for len(d.wakes) > 0 && d.wakes[0].at <= now {
-		d.events = append(d.events, eidertrail.Wake{Token: d.wakes[0].token})
-		d.wakes = d.wakes[1:]
-	}
-	for len(d.events) > 0 {
-		d.actions = d.control.Handle(span(now), d.events, d.actions[:0])
-		if d.log.GetLevel() <= zerolog.DebugLevel {
-			d.trace(now)
-		}
-		clear(d.events)
-		d.events = d.events[:0]
-		for _, a := range d.actions {
-			d.carryOut(now, a)
-		}
-	}
-}
-
-func (d *Dispatcher) trace(now int64) {
-	for _, e := range d.events {
-		if o, is := e.(eidertrail.Outcome); is && o.Report != nil {
-			d.log.Debug().Int64("us", now).Msgf("event %T %+v %+v", e, e, *o.Report)
-			continue
-		}
-		d.log.Debug().Int64("us", now).Msgf("event %T %+v", e, e)
-	}
-	for _, a := range d.actions {
-		d.log.Debug().Int64("us", now).Msgf("action %T %+v", a, a)
-	}
-}
-
-func (d *Dispatcher) carryOut(now int64, a eidertrail.Action) {
-	switch a := a.(type) {
-	case eidertrail.WakeAt:
-		w := wake{now + a.In.Microseconds() + 1, a.Token}
-		i, _ := slices.BinarySearchFunc(d.wakes, w, func(a, b wake) int { return int(min(1, max(-1, a.at-b.at))) })
-		d.wakes = slices.Insert(d.wakes, i, w)
-	case eidertrail.Send:
-		k := d.calls[uint64(a.Call)]
-		if k == nil {
-			return
-		}
-		k.attempt++
-		if !d.maySend(now, k, string(a.Server)) {
-			d.count.Add(stats.GuardStopped)
-			d.events = append(d.events, eidertrail.Outcome{Call: a.Call, Attempt: k.attempt, Status: eidertrail.Moot})
-			return
-		}
-		k.out = true
-		delete(d.waiting, k.Call)
-		k.decide(Pick{Verdict: Go, Pool: string(a.Server), Attempt: k.attempt, Limit: a.Limit.Microseconds(), At: now,
-			LeaveBy: d.route.sent(now, k, string(a.Server))})
-	case eidertrail.Refuse:
-		d.final(now, uint64(a.Call), Refused, a.After)
-	case eidertrail.Fail:
-		d.final(now, uint64(a.Call), Failed, a.After)
-	}
-}
-
-// maySend is the last guard of the rules: one attempt at a time, two sends at most, the release
-// awaited, and only to a pool that is listed as up and that the class may use.
-func (d *Dispatcher) maySend(now int64, k *call, uid string) bool {
-	s, listed := d.servers[uid]
-	if k.out || k.stands || k.attempt >= maxSends || now < k.notBefore || now >= k.Until ||
-		!listed || s.Mode != eidertrail.Ready || !d.route.admits(now, uid, k.Class) {
-		return false
-	}
-	pools := d.set.Classes[k.Class].Pools
-	return pools == nil || slices.Contains(pools, s.Group)
-}
-
-func (d *Dispatcher) final(now int64, id uint64, v Verdict, after time.Duration) {
-	k := d.calls[id]
-	if k == nil {
-		return
-	}
-	// The line stays until Pick has taken the answer. Guards against a call being entered a second time,
-	// with two more sends, when it is given up between Report and the next Pick (found by FuzzDispatcher).
-	d.pressed(now, v != Go)
-	delete(d.waiting, id)
-	k.decide(Pick{Verdict: v, After: d.after(after), NoRoom: k.noRoom})
-}
-
-// decide never blocks: a decision that nobody took yet gives way to a later one.
-func (k *call) decide(p Pick) {
-	for {
-		select {
-		case k.decided <- p:
-			return
-		default:
-		}
-		select {
-		case <-k.decided:
-		default:
-		}
-	}
-}
-
-// after is when a caller that is turned away had best come back: what the module estimates, within what
-// callers respect.
-func (d *Dispatcher) after(estimate time.Duration) int64 {
-	return min(max(leastAfter, estimate.Microseconds()), max(leastAfter, d.most))
-}
-
 func span(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -169,7 +169,7 @@
 		k := &call{Request: Request{Call: 1, Class: 1, Until: r.Now() + 1000}}
 		now := r.Now()
 		for name, ok := range map[string]bool{"b": true, "a": false, "nobody": false} { // class text may not go to a
-			if got := r.maySend(now, k, name); got != ok {
+			if got := r.engine.maySend(now, k, name); got != ok {
 				t.Errorf("to %s: %v", name, got)
 			}
 		}
@@ -178,17 +178,17 @@
 			"third send": {Request: k.Request, attempt: 2}, "release": {Request: k.Request, notBefore: now + 1},
 			"late": {Request: Request{Class: 1, Until: now}},
 		} {
-			if r.maySend(now, &bad, "b") {
+			if r.engine.maySend(now, &bad, "b") {
 				t.Errorf("%s: may be sent", name)
 			}
 		}
 		r.list(eidertrail.Ready, eidertrail.Draining)
-		if r.maySend(now, k, "b") {
+		if r.engine.maySend(now, k, "b") {
 			t.Error("to a draining pool: may be sent")
 		}
 		r.list(eidertrail.Ready, eidertrail.Gone)
-		if r.maySend(now, k, "b") || len(r.servers) != 1 { // guards against a line kept for each pool that ever was
-			t.Errorf("a pool that is gone is still listed: %v", r.servers)
+		if r.engine.maySend(now, k, "b") || len(r.engine.servers) != 1 { // guards against a line kept for each pool that ever was
+			t.Errorf("a pool that is gone is still listed: %v", r.engine.servers)
 		}
 	})
 }
@@ -209,8 +209,8 @@
 			t.Errorf("error %v", err)
 		}
 		synctest.Wait()
-		if len(r.calls) != 0 {
-			t.Errorf("%d calls left", len(r.calls))
+		if len(r.engine.calls) != 0 {
+			t.Errorf("%d calls left", len(r.engine.calls))
 		}
 	})
 }
@@ -340,8 +340,8 @@
 		if p, err := r.Pick(context.Background(), q); err != nil || p.Verdict == Go {
 			t.Errorf("third pick: %+v, %v", p, err)
 		}
-		if synctest.Wait(); len(r.calls) != 0 {
-			t.Errorf("%d calls left", len(r.calls))
+		if synctest.Wait(); len(r.engine.calls) != 0 {
+			t.Errorf("%d calls left", len(r.engine.calls))
 		}
 	})
 }
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -66,28 +66,34 @@
 
 // Limit has the shares of a fleet's budgets narrow what the module may choose from, from the next turn on.
 func (d *Dispatcher) Limit(cfg LimitConfig) {
-	d.post(func(int64) {
-		l := &limits{cfg: cfg, set: d.set, pools: map[string]*limited{}, log: d.log, count: d.count}
-		for _, c := range d.set.Classes {
-			l.hold = max(l.hold, c.Hold.Seconds())
-		}
-		d.route.limits = l
-		for uid, s := range d.servers {
-			l.list(uid, s)
-		}
-		d.retell()
-	})
+	d.post(func(now int64) { d.engine.Limit(now, cfg) })
+}
+
+// Limit is Dispatcher.Limit.
+func (d *Engine) Limit(now int64, cfg LimitConfig) {
+	l := &limits{cfg: cfg, set: d.set, pools: map[string]*limited{}, log: d.log, count: d.count}
+	for _, c := range d.set.Classes {
+		l.hold = max(l.hold, c.Hold.Seconds())
+	}
+	d.route.limits = l
+	for uid, s := range d.servers {
+		l.list(uid, s)
+	}
+	d.retell(now)
 }
 
 // ObserveRate tells of the set-ups a second that a pool says it can take from all controllers.
 func (d *Dispatcher) ObserveRate(uid string, rate float64) {
-	d.post(func(now int64) {
-		if l := d.route.limits; l != nil && rate >= 0 {
-			if p := l.pools[uid]; p != nil {
-				p.told, p.toldAt = rate, now
-			}
+	d.post(func(now int64) { d.engine.ObserveRate(now, uid, rate) })
+}
+
+// ObserveRate is Dispatcher.ObserveRate.
+func (d *Engine) ObserveRate(now int64, uid string, rate float64) {
+	if l := d.route.limits; l != nil && rate >= 0 {
+		if p := l.pools[uid]; p != nil {
+			p.told, p.toldAt = rate, now
 		}
-	})
+	}
 }
 
 func (l *limits) list(uid string, s Server) {
--- a/dispatch/route.go
+++ b/dispatch/route.go
@@ -39,10 +39,13 @@
 // Route has routing narrow what the module may choose from, from the next turn on; nil takes it away.
 // Standing calls and attempts out are not counted by a new Router: it learns them as they end.
 func (d *Dispatcher) Route(r *routing.Router) {
-	d.post(func(now int64) {
-		d.route.r, d.route.zoned = r, ""
-		d.retell()
-	})
+	d.post(func(now int64) { d.engine.Route(now, r) })
+}
+
+// Route is Dispatcher.Route.
+func (d *Engine) Route(now int64, r *routing.Router) {
+	d.route.r, d.route.zoned = r, ""
+	d.retell(now)
 }
 
 // newRouter returns the router of a site's settings, with routing off.
@@ -55,13 +58,13 @@
 }
 
 // retell tells the module every pool again, as routing now has it.
-func (d *Dispatcher) retell() {
+func (d *Engine) retell(now int64) {
 	list := make([]eidertrail.Server, 0, len(d.servers))
 	for _, s := range d.servers {
 		list = append(list, eidertrail.Server{ID: eidertrail.ServerID(s.UID), Born: span(s.Born), Mode: s.Mode, Pool: s.Group})
 	}
 	slices.SortFunc(list, func(a, b eidertrail.Server) int { return cmp.Compare(a.ID, b.ID) })
-	d.route.narrowList(d.clock.Now(), d.servers, list)
+	d.route.narrowList(now, d.servers, list)
 	d.events = append(d.events, eidertrail.ServerList{Kind: eidertrail.Delta, Servers: list})
 }
 
