--- /dev/null
+++ b/sim/pool.go
@@ -0,0 +1,104 @@
+package sim
+
+import (
+	"slices"
+	"strings"
+)
+
+// pool is a simulated pool: agents, and a processor with one line. Times are µs.
+type pool struct {
+	Pool
+	uid   string
+	group int
+
+	born     int64 // its process started then, cold; 0: long ago
+	down     bool  // its process has died
+	cut      bool  // its machine is cut off
+	draining bool
+	gone     bool
+	slow     float64 // times the work
+	errors   float64
+	held     int // agents
+	freeAt   int64
+	standing map[*attempt]bool // in any order; ended in that of their numbers
+	arrived  []int64           // while cold, in the last fallAfter
+	worst    float64           // the most of them, as a part of what makes it fall over
+	got      int
+	full     int // set-ups that found no agent, or a processor with too long a wait
+}
+
+// rate is the set-ups a second that it can take now, and whether it is cold.
+func (p *pool) rate(now int64, s *Settings) (rate float64, cold bool) {
+	rate = 1e6 / float64(p.Work.Microseconds()) / max(p.slow, 1e-3)
+	age := float64(now - p.born)
+	if long := float64(s.Cold.Microseconds()); p.born > 0 && age < long {
+		return rate * (s.ColdShare + (1-s.ColdShare)*age/long), true
+	}
+	return rate, false
+}
+
+// verdict is what becomes of a set-up that arrives.
+type verdict int
+
+const (
+	taken   verdict = iota // answered after a time
+	refused                // nobody listens
+	silent                 // nothing comes back
+	noAgent
+	swamped
+	fault
+)
+
+// arrive takes a set-up, and tells after which time the pool answers.
+func (p *pool) arrive(now int64, s *Settings, lot float64) (verdict, int64) {
+	switch {
+	case p.cut:
+		return silent, 0
+	case p.down || p.gone:
+		return refused, 0
+	}
+	p.got++
+	rate, cold := p.rate(now, s)
+	if cold && s.FallAfter > 0 {
+		long := s.FallAfter.Microseconds()
+		p.arrived = append(p.arrived, now)
+		for now-p.arrived[0] > long {
+			p.arrived = p.arrived[1:]
+		}
+		p.worst = max(p.worst, float64(len(p.arrived))/(s.FallMultiple*rate*float64(long)/1e6))
+	}
+	wait := max(0, p.freeAt-now)
+	work := int64(1e6 / rate)
+	switch {
+	case p.MostWait > 0 && wait > p.MostWait.Microseconds():
+		p.full++
+		p.freeAt = max(p.freeAt, now) + work/5 // turning away is work, too
+		return swamped, 1000
+	case lot < p.errors:
+		p.freeAt = max(p.freeAt, now) + work/2
+		return fault, wait + work/2
+	case p.held >= p.Agents:
+		p.full++
+		p.freeAt = max(p.freeAt, now) + work/5
+		return noAgent, wait + work/5
+	}
+	p.held++ // from now on: the agent is rung
+	p.freeAt = max(p.freeAt, now) + work
+	return taken, wait + work
+}
+
+// start is a new process in its place.
+func (p *pool) start(now int64) {
+	p.born, p.down, p.held, p.freeAt, p.arrived = now, false, 0, now, nil
+	p.standing = map[*attempt]bool{}
+}
+
+// calls are the attempts that it holds agents for, in the order of their numbers.
+func (p *pool) calls() []*attempt {
+	all := make([]*attempt, 0, len(p.standing))
+	for a := range p.standing {
+		all = append(all, a)
+	}
+	slices.SortFunc(all, func(a, b *attempt) int { return strings.Compare(a.key(), b.key()) })
+	return all
+}
