--- /dev/null
+++ b/lab/table.go
@@ -0,0 +1,122 @@
+package lab
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"strings"
+
+	"eidertrail/sim"
+)
+
+// Table is a heading and rows. What made it stands in the files beside it.
+type Table struct {
+	Title string
+	Head  []string
+	Rows  [][]string
+}
+
+// Add adds a row.
+func (t *Table) Add(cells ...any) {
+	row := make([]string, len(cells))
+	for i, c := range cells {
+		switch v := c.(type) {
+		case float64:
+			row[i] = fmt.Sprintf("%.4g", v)
+		default:
+			row[i] = fmt.Sprint(v)
+		}
+	}
+	t.Rows = append(t.Rows, row)
+}
+
+// CSV writes the table.
+func (t *Table) CSV(w io.Writer) error {
+	c := csv.NewWriter(w)
+	if err := c.Write(t.Head); err != nil {
+		return err
+	}
+	if err := c.WriteAll(t.Rows); err != nil {
+		return err
+	}
+	return c.Error()
+}
+
+// Markdown writes the table with its title.
+func (t *Table) Markdown(w io.Writer) error {
+	clean := func(cells []string) string {
+		out := make([]string, len(cells))
+		for i, c := range cells {
+			out[i] = strings.ReplaceAll(c, "|", `\|`)
+		}
+		return "| " + strings.Join(out, " | ") + " |\n"
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "## %s\n\n", t.Title)
+	b.WriteString(clean(t.Head))
+	b.WriteString("|" + strings.Repeat(" --- |", len(t.Head)) + "\n")
+	for _, r := range t.Rows {
+		b.WriteString(clean(r))
+	}
+	b.WriteString("\n")
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+// Figure is a figure of a result, by the name that tables give it.
+type Figure struct {
+	Name string
+	Of   func(r *sim.Result) float64
+}
+
+// Figures are what sweeps and comparisons show.
+var figures = []Figure{
+	{"service", func(r *sim.Result) float64 { return r.Service }},
+	{"worst_10s", func(r *sim.Result) float64 { return r.Worst }},
+	{"calls", func(r *sim.Result) float64 { return float64(r.Calls) }},
+	{"in_time", func(r *sim.Result) float64 { return part(r.InTime, r.Calls) }},
+	{"late", func(r *sim.Result) float64 { return part(r.Late, r.Calls) }},
+	{"cut", func(r *sim.Result) float64 { return part(r.Cut, r.Calls) }},
+	{"lost", func(r *sim.Result) float64 { return part(r.Lost, r.Calls) }},
+	{"p50_ms", func(r *sim.Result) float64 { return r.P50 }},
+	{"p99_ms", func(r *sim.Result) float64 { return r.P99 }},
+	{"sends_per_call", func(r *sim.Result) float64 { return part(r.Sends, r.Calls) }},
+	{"cold", func(r *sim.Result) float64 { return r.Cold }},
+	{"broken", func(r *sim.Result) float64 { return float64(r.Broken) }},
+}
+
+// Figures are the figures, in the order of the tables.
+func Figures() []Figure { return append([]Figure(nil), figures...) }
+
+func part(n, of int) float64 {
+	if of == 0 {
+		return 0
+	}
+	return float64(n) / float64(of)
+}
+
+// RunTables are the tables of one run.
+func RunTables(r *sim.Result) []*Table {
+	all := &Table{Title: fmt.Sprintf("%s, seed %d", r.Scenario, r.Seed), Head: []string{"figure", "value"}}
+	for _, f := range figures {
+		all.Add(f.Name, f.Of(r))
+	}
+	all.Add("events", r.Events)
+	classes := &Table{Title: "By class", Head: []string{"class", "calls", "service"}}
+	for _, c := range r.Class {
+		classes.Add(c.Name, c.Calls, c.Service)
+	}
+	pools := &Table{Title: "By pool", Head: []string{"pool", "set-ups", "found it full", "cold"}}
+	for _, p := range r.Pool {
+		pools.Add(p.UID, p.Got, p.Full, p.Cold)
+	}
+	course := &Table{Title: "By second of the first try", Head: []string{"second", "calls", "in time", "late", "cut", "lost", "service"}}
+	for i, w := range r.Course {
+		service := 0.0
+		if w.Worth > 0 {
+			service = w.Earned / w.Worth
+		}
+		course.Add(i, w.Calls, w.InTime, w.Late, w.Cut, w.Lost, service)
+	}
+	return []*Table{all, classes, pools, course}
+}
--- a/sim/pool.go
+++ b/sim/pool.go
@@ -5,6 +5,39 @@
 	"strings"
 )
 
+// Model is what a pool does with set-ups, for stand-ins outside the simulator too. It is not safe for concurrent use.
+type Model = pool
+
+// NewModel is the ith pool of a kind.
+func NewModel(p Pool, i int) *Model {
+	return &pool{Pool: p, uid: p.uid(i), group: p.Group + i, slow: 1, errors: p.Errors, standing: map[*attempt]bool{}}
+}
+
+// UID is the pool's name.
+func (p *pool) UID() string { return p.uid }
+
+// GroupOf is the number by which calls name the pool.
+func (p *pool) GroupOf() int { return p.group }
+
+// Free gives an agent back that Arrive took, of the process that was born then.
+func (p *pool) Free(born int64) {
+	if p.born == born {
+		p.held--
+	}
+}
+
+// Born is when its process started, 0: long ago.
+func (p *pool) Born() int64 { return p.born }
+
+// Slow makes its work take times as long.
+func (p *pool) Slow(times float64) { p.slow *= times }
+
+// Err sets the share of set-ups that end in a fault.
+func (p *pool) Err(share float64) { p.errors = share }
+
+// Left is how many agents are free.
+func (p *pool) Left() int { return p.Agents - p.held }
+
 // pool is a simulated pool: agents, and a processor with one line. Times are µs.
 type pool struct {
 	Pool
@@ -37,25 +70,26 @@
 	return rate, false
 }
 
-// verdict is what becomes of a set-up that arrives.
-type verdict int
+// Verdict is what becomes of a set-up that arrives.
+type Verdict int
 
+// The verdicts.
 const (
-	taken   verdict = iota // answered after a time
-	refused                // nobody listens
-	silent                 // nothing comes back
-	noAgent
-	swamped
-	fault
+	Taken   Verdict = iota // answered after a time; it holds an agent
+	Refused                // nobody listens
+	Silent                 // nothing comes back
+	NoAgent
+	Swamped
+	Fault
 )
 
-// arrive takes a set-up, and tells after which time the pool answers.
-func (p *pool) arrive(now int64, s *Settings, lot float64) (verdict, int64) {
+// Arrive takes a set-up, and tells after which time the pool answers.
+func (p *pool) Arrive(now int64, s *Settings, lot float64) (Verdict, int64) {
 	switch {
 	case p.cut:
-		return silent, 0
+		return Silent, 0
 	case p.down || p.gone:
-		return refused, 0
+		return Refused, 0
 	}
 	p.got++
 	rate, cold := p.rate(now, s)
@@ -73,22 +107,22 @@
 	case p.MostWait > 0 && wait > p.MostWait.Microseconds():
 		p.full++
 		p.freeAt = max(p.freeAt, now) + work/5 // turning away is work, too
-		return swamped, 1000
+		return Swamped, 1000
 	case lot < p.errors:
 		p.freeAt = max(p.freeAt, now) + work/2
-		return fault, wait + work/2
+		return Fault, wait + work/2
 	case p.held >= p.Agents:
 		p.full++
 		p.freeAt = max(p.freeAt, now) + work/5
-		return noAgent, wait + work/5
+		return NoAgent, wait + work/5
 	}
 	p.held++ // from now on: the agent is rung
 	p.freeAt = max(p.freeAt, now) + work
-	return taken, wait + work
+	return Taken, wait + work
 }
 
-// start is a new process in its place.
-func (p *pool) start(now int64) {
+// Start is a new process in its place.
+func (p *pool) Start(now int64) {
 	p.born, p.down, p.held, p.freeAt, p.arrived = now, false, 0, now, nil
 	p.standing = map[*attempt]bool{}
 }
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -152,7 +152,7 @@
 	}
 	for _, p := range sc.Pool {
 		for i := range max(p.Count, 1) {
-			x := &pool{Pool: p, uid: p.uid(i), group: p.Group + i, slow: 1, errors: p.Errors, standing: map[*attempt]bool{}}
+			x := NewModel(p, i)
 			s.pools = append(s.pools, x)
 			s.byUID[x.uid] = x
 			s.groups = max(s.groups, x.group+1)
@@ -367,22 +367,22 @@
 		return // called off on its way
 	}
 	p := a.pool
-	v, after := p.arrive(s.now, &s.sc.Settings, s.rng[lotFault].Float64())
+	v, after := p.Arrive(s.now, &s.sc.Settings, s.rng[lotFault].Float64())
 	born := p.born
 	back := func(o dispatch.Outcome, d int64) {
 		s.after(d+way, func() { n.ended(a, serial, o, p.state()) })
 	}
 	switch v {
-	case silent:
-	case refused:
+	case Silent:
+	case Refused:
 		s.after(way+int64(s.sc.Net.Refuse)/1000, func() { n.ended(a, serial, dispatch.ConnectFailed, dispatch.Untold) })
-	case noAgent:
+	case NoAgent:
 		back(dispatch.NoAgent, after)
-	case swamped:
+	case Swamped:
 		back(dispatch.ProcessorFull, after)
-	case fault:
+	case Fault:
 		back(dispatch.Errored, after)
-	case taken:
+	case Taken:
 		p.standing[a] = true
 		s.after(after, func() {
 			if p.born != born || p.down { // it died meanwhile
@@ -549,7 +549,7 @@
 			s.cutAll(p)
 			s.list(p, eidertrail.Gone)
 			later(func() {
-				p.start(s.now)
+				p.Start(s.now)
 				s.list(p, eidertrail.Ready)
 			})
 		case Replace:
@@ -558,7 +558,7 @@
 			later(func() {
 				s.cutAll(p)
 				p.draining = false
-				p.start(s.now)
+				p.Start(s.now)
 				s.list(p, eidertrail.Ready)
 			})
 		}
