sim: pools from SRV names through membership, with records that come and go, TCP and failures

Change: an srv section has each controller look names up on srv.Schedule and merge them in a membership.Set; events unlist, dns_down, truncate; a run tells the longest time from a record's going to a controller's knowing.

--- a/lab/live.go
+++ b/lab/live.go
@@ -37,8 +37,8 @@
 			return nil, fmt.Errorf("%w: event %s: want one of %s", ErrUnfit, e.Kind, strings.Join(liveKinds, ", "))
 		}
 	}
-	if v.Fleet != nil || v.Routing != nil {
-		return nil, fmt.Errorf("%w: fleet and routing are the simulator's", ErrUnfit)
+	if v.Fleet != nil || v.Routing != nil || v.SRV != nil {
+		return nil, fmt.Errorf("%w: fleet, routing and srv are the simulator's", ErrUnfit)
 	}
 	dir, err := os.MkdirTemp("", "eidertrail-lab")
 	if err != nil {
--- a/sim/pool.go
+++ b/sim/pool.go
@@ -43,6 +43,7 @@
 	Pool
 	uid   string
 	group int
+	kind  int // which of the scenario's
 
 	born     int64 // its process started then, cold; 0: long ago
 	down     bool  // its process has died
--- a/sim/result.go
+++ b/sim/result.go
@@ -34,8 +34,10 @@
 
 	Cold      float64          `json:"cold"` // the most sent to a cold pool, as a part of what makes it fall over
 	Datagrams int              `json:"datagrams"`
-	Deaths    int              `json:"deaths"` // members held dead, by each member
-	Broken    int              `json:"broken"` // rules
+	Queries   int              `json:"queries"`    // DNS look-ups
+	Lag       float64          `json:"srv_lag_ms"` // the longest from a record's going to a controller's knowing
+	Deaths    int              `json:"deaths"`     // members held dead, by each member
+	Broken    int              `json:"broken"`     // rules
 	Rules     []string         `json:"rules,omitempty"`
 	Class     []ClassResult    `json:"class"`
 	Pool      []PoolResult     `json:"pool"`
@@ -48,6 +50,8 @@
 	classEarned       []float64
 	tries, sends      int
 	datagrams, deaths int
+	queries           int
+	lag               int64
 	times             []int64
 	sc                *Scenario
 }
@@ -172,6 +176,7 @@
 
 func (r *Result) finish(s *Sim) {
 	r.Events, r.Tries, r.Sends, r.Datagrams, r.Deaths = s.done, r.tries, r.sends, r.datagrams, r.deaths
+	r.Queries, r.Lag = r.queries, float64(r.lag)/1000
 	r.Service = share(r.earned, r.worth)
 	for i := range r.Class {
 		r.Class[i].Service = share(r.classEarned[i], r.classWorth[i])
--- a/sim/scenario.go
+++ b/sim/scenario.go
@@ -26,6 +26,7 @@
 	Callers     Callers        `toml:"callers"`
 	Pool        []Pool         `toml:"pool"`
 	Net         Net            `toml:"net"`
+	SRV         *SRV           `toml:"srv"`     // absent: the list tells of the pools
 	Fleet       *Fleet         `toml:"fleet"`   // absent: controllers do not know each other
 	Routing     map[string]any `toml:"routing"` // as a routing file has it, its zone left out; absent: off
 	Event       []Event        `toml:"event"`
@@ -133,7 +134,7 @@
 	Stand   = "stand"   // the first controller stands still
 )
 
-var kinds = []string{Burst, Slow, Crash, Vanish, Replace, Errors, Lose, Stand}
+var kinds = []string{Burst, Slow, Crash, Vanish, Replace, Errors, Lose, Stand, Unlist, Mute, Truncate}
 
 // ErrScenario tells of a scenario that makes no sense; the message names the line and the field.
 var ErrScenario = errors.New("scenario")
@@ -282,6 +283,10 @@
 		switch {
 		case !slices.Contains(kinds, e.Kind):
 			return s.bad("event.kind", i, fmt.Sprintf("%q is none of %s", e.Kind, strings.Join(kinds, ", ")))
+		case s.SRV == nil && (e.Kind == Unlist || e.Kind == Mute || e.Kind == Truncate):
+			return s.bad("event.kind", i, e.Kind+" is for scenarios with an srv section")
+		case s.SRV != nil && (e.Kind == Crash || e.Kind == Replace):
+			return s.bad("event.kind", i, e.Kind+" needs a list of pools, which a scenario with an srv section has not")
 		case e.At < 0 || e.For < 0:
 			return s.bad("event.at", i, "want 0 or more, for too")
 		case e.Pool != "" && !slices.Contains(names, e.Pool):
@@ -294,6 +299,9 @@
 			return s.bad("event.share", i, "want 0 to 1")
 		}
 	}
+	if s.SRV != nil && (s.SRV.TTL < 0 || s.SRV.Floor <= 0 || s.SRV.Ceiling < s.SRV.Floor || s.SRV.StaleFor < 0 || s.SRV.DrainFor <= 0) {
+		return s.bad("srv.ttl", 0, "want a ttl, a floor, a ceiling no less than it, a drain_for")
+	}
 	if s.routing != "" {
 		if _, err := s.router(0); err != nil {
 			return s.bad("routing", 0, strings.TrimPrefix(err.Error(), "routing: "))
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -51,6 +51,7 @@
 	calls   int
 	out     Result
 	groups  int
+	names   names
 }
 
 // The streams of lots, one for each purpose: a change in one does not move the others.
@@ -93,15 +94,17 @@
 
 // node is a controller.
 type node struct {
-	s      *Sim
-	index  int
-	name   string
-	zone   string
-	engine *dispatch.Engine
-	count  *stats.Set
-	turnAt int64 // a turn is due then, 0: none
-	still  int64 // it stands still until then
-	listed map[string]eidertrail.Mode
+	s        *Sim
+	index    int
+	name     string
+	zone     string
+	engine   *dispatch.Engine
+	count    *stats.Set
+	turnAt   int64          // a turn is due then, 0: none
+	still    int64          // it stands still until then
+	source   *source        // nil: the list tells of the pools
+	standing map[string]int // calls out and standing, by the uid that the merged set gave the pool
+	alias    map[string]string
 
 	member *cluster.Node
 	books  *budget.Ledger
@@ -150,9 +153,13 @@
 		total += c.Share
 		s.classes = append(s.classes, total)
 	}
-	for _, p := range sc.Pool {
+	s.names = names{unlisted: map[*pool]bool{}, changedAt: map[*pool]int64{}}
+	for kind, p := range sc.Pool {
 		for i := range max(p.Count, 1) {
 			x := NewModel(p, i)
+			if x.kind = kind; sc.SRV != nil {
+				x.group = p.Group // a name's pools are one group
+			}
 			s.pools = append(s.pools, x)
 			s.byUID[x.uid] = x
 			s.groups = max(s.groups, x.group+1)
@@ -185,7 +192,7 @@
 }
 
 func (s *Sim) newNode(i int, seed uint64) (*node, error) {
-	n := &node{s: s, index: i, name: fmt.Sprintf("n%d", i), zone: s.sc.zone(i), count: &stats.Set{}, listed: map[string]eidertrail.Mode{}}
+	n := &node{s: s, index: i, name: fmt.Sprintf("n%d", i), zone: s.sc.zone(i), count: &stats.Set{}, standing: map[string]int{}, alias: map[string]string{}}
 	var err error
 	if n.engine, err = dispatch.NewEngine(s.sc.settings(i), seed, 2_000_000, zerolog.Nop(), n.count); err != nil {
 		return nil, fmt.Errorf("sim: %w", err)
@@ -197,10 +204,13 @@
 	if router != nil {
 		n.engine.Route(s.now, router)
 	}
+	if s.sc.SRV != nil {
+		n.engine.Roster(s.now, nil, true)
+		return n, s.resolve(n)
+	}
 	var list []dispatch.Server
 	for _, p := range s.pools {
 		list = append(list, dispatch.Server{UID: p.uid, Group: p.group, Zone: p.Zone, Mode: eidertrail.Ready})
-		n.listed[p.uid] = eidertrail.Ready
 		s.rules.Told(s.now, n.name, p.uid, true)
 	}
 	n.engine.Roster(s.now, list, true)
@@ -277,6 +287,7 @@
 			if a.out {
 				a.out = false
 				a.serial++
+				n.standing[a.pool.uid]--
 				s.callOff(n, a)
 				s.rules.Ended(s.now, a.name(), true)
 				n.engine.Report(s.now, dispatch.Result{Call: a.id, Attempt: a.pick.Attempt, Pool: a.pick.Pool,
@@ -312,6 +323,7 @@
 	if p.Limit > 0 {
 		limit = min(limit, p.At+p.Limit)
 	}
+	n.standing[a.pool.uid]++
 	way := s.way(n, a.pool)
 	s.after(way, func() { s.arrive(n, a, serial, way) })
 	if limit < a.until {
@@ -333,6 +345,7 @@
 	}
 	a.out = false
 	a.serial++
+	n.standing[a.pool.uid]--
 	release := o == dispatch.TimedOut || o == dispatch.Reset || o == dispatch.Cancelled
 	n.hear(func() {
 		s.rules.Ended(s.now, a.name(), release)
@@ -432,6 +445,7 @@
 		return
 	}
 	a.stands = false
+	n.standing[p.uid]--
 	if p.born == born && p.standing[a] {
 		delete(p.standing, a)
 		p.held--
@@ -485,7 +499,6 @@
 		s.after(late+s.rng[lotNet].Int64N(5000), func() {
 			n.hear(func() {
 				s.rules.Told(s.now, n.name, p.uid, mode == eidertrail.Ready)
-				n.listed[p.uid] = mode
 				n.engine.Roster(s.now, []dispatch.Server{{UID: p.uid, Group: p.group, Zone: p.Zone, Born: born, Mode: mode}}, false)
 			})
 		})
@@ -528,6 +541,12 @@
 		was := s.loss
 		s.loss = e.Share
 		later(func() { s.loss = was })
+	case Mute:
+		s.names.down = true
+		later(func() { s.names.down = false })
+	case Truncate:
+		s.names.truncated = true
+		later(func() { s.names.truncated = false })
 	case Stand:
 		n := s.nodes[0]
 		n.still = s.now + long
@@ -541,6 +560,9 @@
 			was := p.errors
 			p.errors = e.Share
 			later(func() { p.errors = was })
+		case Unlist:
+			s.names.unlisted[p], s.names.changedAt[p] = true, s.now
+			later(func() { delete(s.names.unlisted, p); delete(s.names.changedAt, p) })
 		case Vanish:
 			p.cut = true
 			later(func() { p.cut = false })
--- a/sim/sim_test.go
+++ b/sim/sim_test.go
@@ -30,7 +30,7 @@
 // Every scenario of the repository, twice with one seed: no rule is broken, the service is what such a day should
 // give, and the result is the same bit for bit; another seed gives another.
 func TestScenarios(t *testing.T) {
-	least := map[string]float64{"calm": 0.97, "burst": 0.75, "processors": 0.75, "zoneloss": 0.9, "flapping": 0.9, "badpools": 0.85, "fleet": 0.7}
+	least := map[string]float64{"calm": 0.97, "burst": 0.75, "processors": 0.75, "zoneloss": 0.9, "flapping": 0.9, "badpools": 0.85, "srv": 0.95, "fleet": 0.7}
 	files, err := filepath.Glob("scenarios/*.toml")
 	if err != nil || len(files) != len(least) {
 		t.Fatalf("%d scenarios, %v", len(files), err)
@@ -51,6 +51,9 @@
 			if r.Cold > 1 || r.Calls != r.InTime+r.Late+r.Cut+r.Lost {
 				t.Errorf("cold %.2f; %d calls of which %d stood in time, %d late, %d were cut, %d lost", r.Cold, r.Calls, r.InTime, r.Late, r.Cut, r.Lost)
 			}
+			if s.SRV != nil && (r.Lag == 0 || r.Lag > float64(s.SRV.TTL.Milliseconds())+50) {
+				t.Errorf("a record's going was known after %.0f ms, its lifetime is %v", r.Lag, s.SRV.TTL)
+			}
 			a, _ := json.Marshal(r)
 			b, _ := json.Marshal(run(t, s, 1))
 			c, _ := json.Marshal(run(t, s, 2))
--- /dev/null
+++ b/sim/srv.go
@@ -0,0 +1,161 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"eidertrail"
+	"eidertrail/discovery/srv"
+	"eidertrail/dispatch"
+	"eidertrail/membership"
+)
+
+// SRV has the controllers take their pools from DNS SRV names, one for each kind of pool, in place of the list.
+type SRV struct {
+	TTL      time.Duration `toml:"ttl"`
+	Floor    time.Duration `toml:"floor"`     // refreshes and retries, at the least
+	Ceiling  time.Duration `toml:"ceiling"`   // and at the most
+	StaleFor time.Duration `toml:"stale_for"` // records are kept past their TTL while look-ups fail
+	DrainFor time.Duration `toml:"drain_for"` // a vanished pool drains for, at the most
+	TCP      time.Duration `toml:"tcp"`       // what an answer that is truncated takes more
+}
+
+// The kinds of event that only a scenario with SRV names has.
+const (
+	Unlist   = "unlist"   // the pool's record is taken out, and put in again after For
+	Mute     = "dns_down" // look-ups fail
+	Truncate = "truncate" // every answer comes truncated, and again over TCP
+)
+
+// names are the SRV names of a run: what DNS says now.
+type names struct {
+	unlisted  map[*pool]bool
+	changedAt map[*pool]int64 // when the pool's record was last taken out
+	down      bool
+	truncated bool
+}
+
+// source is a controller's view of the names.
+type source struct {
+	set      *membership.Set
+	schedule srv.Schedule
+	failures []int // in a row, by kind
+	told     map[string]eidertrail.Mode
+	at       int64 // Advance is due then
+}
+
+// record is a pool's.
+func (s *Sim) record(p *pool) membership.Record {
+	return membership.Record{Target: p.uid + ".pools.example.org", Address: s.address(p), TTL: s.sc.SRV.TTL.Microseconds()}
+}
+
+func (s *Sim) address(p *pool) string {
+	for i, q := range s.pools {
+		if q == p {
+			return fmt.Sprintf("10.0.%d.%d:5060", i/250, i%250+1)
+		}
+	}
+	return ""
+}
+
+// resolve begins a controller's look-ups.
+func (s *Sim) resolve(n *node) error {
+	c := s.sc.SRV
+	set, err := membership.New(membership.Config{StaleFor: c.StaleFor.Microseconds(), DrainFor: c.DrainFor.Microseconds(),
+		Tombstone: 1, MostRecords: 1024, MostPools: 1024})
+	if err != nil {
+		return fmt.Errorf("sim: srv: %w", err)
+	}
+	n.source = &source{set: set, schedule: srv.Schedule{Floor: c.Floor.Microseconds(), Ceiling: c.Ceiling.Microseconds(), Jitter: 0.1},
+		failures: make([]int, len(s.sc.Pool)), told: map[string]eidertrail.Mode{}}
+	if err := n.source.schedule.Check(); err != nil {
+		return fmt.Errorf("sim: %w", err)
+	}
+	for kind, p := range s.sc.Pool {
+		set.Name(p.Name, p.Group, p.Zone)
+		s.lookUp(n, kind)
+	}
+	return nil
+}
+
+// lookUp asks for a kind's name, and comes again when its records' lifetime is nearly over.
+func (s *Sim) lookUp(n *node, kind int) {
+	if s.now > s.end+settle {
+		return
+	}
+	took := 2 * s.within(s.sc.Net.Near, lotNet)
+	if s.names.truncated {
+		took += s.sc.SRV.TCP.Microseconds() + took
+	}
+	s.after(took, func() {
+		n.hear(func() {
+			x, u := n.source, s.rng[lotNet].Float64()
+			s.out.queries++
+			if s.names.down {
+				x.failures[kind]++
+				s.after(x.schedule.Retry(x.failures[kind], u), func() { s.lookUp(n, kind) })
+				return
+			}
+			x.failures[kind] = 0
+			var records []membership.Record
+			for _, p := range s.pools {
+				if p.kind == kind && !s.names.unlisted[p] {
+					records = append(records, s.record(p))
+				}
+			}
+			x.set.Records(s.now, s.sc.Pool[kind].Name, records)
+			s.merge(n)
+			s.after(x.schedule.Refresh(s.sc.SRV.TTL.Microseconds(), u), func() { s.lookUp(n, kind) })
+		})
+	})
+}
+
+// merge tells the controller what has changed in its merged set, and comes again when that is due.
+func (s *Sim) merge(n *node) {
+	x := n.source
+	x.set.Advance(s.now, func(uid string) bool { return n.standing[n.alias[uid]] > 0 })
+	if view, changed := x.set.View(s.now); changed {
+		at := map[string]*pool{}
+		for _, p := range s.pools {
+			at[s.address(p)] = p
+		}
+		now := map[string]eidertrail.Mode{}
+		var lines []dispatch.Server
+		for _, m := range view {
+			p, mode := at[m.Address], eidertrail.Ready
+			if m.State != membership.Up {
+				mode = eidertrail.Draining
+			}
+			now[p.uid] = mode
+			n.alias[m.UID] = p.uid
+			lines = append(lines, dispatch.Server{UID: p.uid, Group: m.Group, Zone: m.Zone, Born: p.born, Mode: mode})
+		}
+		for _, p := range s.pools {
+			if _, is := now[p.uid]; !is && x.told[p.uid] != eidertrail.Gone {
+				now[p.uid] = eidertrail.Gone
+				lines = append(lines, dispatch.Server{UID: p.uid, Group: p.group, Zone: p.Zone, Mode: eidertrail.Gone})
+			}
+		}
+		for _, l := range lines {
+			if was, is := x.told[l.UID]; (!is || was == eidertrail.Ready) && l.Mode != eidertrail.Ready && s.names.changedAt[s.byUID[l.UID]] > 0 {
+				s.out.lag = max(s.out.lag, s.now-s.names.changedAt[s.byUID[l.UID]])
+			}
+			s.rules.Told(s.now, n.name, l.UID, l.Mode == eidertrail.Ready)
+			x.told[l.UID] = l.Mode
+		}
+		n.engine.Roster(s.now, lines, false)
+	}
+	next := x.set.Next()
+	if x.set.Draining() {
+		next = min(max(next, s.now+1), s.now+250_000)
+	}
+	if next > 0 && next != x.at {
+		x.at = next
+		s.after(next-s.now, func() {
+			if x.at == next && s.now <= s.end+settle {
+				x.at = 0
+				n.hear(func() { s.merge(n) })
+			}
+		})
+	}
+}
