--- a/dispatch/route_test.go
+++ b/dispatch/route_test.go
@@ -15,6 +15,7 @@
 	"eidertrail/internal/clock"
 	"eidertrail/internal/stats"
 	"eidertrail/routing"
+	"eidertrail/rules"
 )
 
 // zones is a stand-in of four zones of two pools each, behind one trunk: a zone can go dark (connections
@@ -28,10 +29,7 @@
 	dark     map[string]bool
 	coldFrom map[string]time.Time // the zone came back then, cold
 	holding  map[string]int       // set-ups out and calls standing, by pool
-	out      map[string]bool      // by call
-	sends    map[string]int
-	freeAt   map[string]time.Time // by call: when a resend may go
-	broken   []string
+	rules    *rules.Checker
 	overCold int // set-ups that a cold pool had no room for
 	home     int // calls answered in batumi while it was up and warm
 	toCold   int // set-ups sent to cold pools
@@ -45,7 +43,7 @@
 
 func newZones(d *Dispatcher) *zones {
 	z := &zones{d: d, zoneOf: map[string]string{}, dark: map[string]bool{}, coldFrom: map[string]time.Time{},
-		holding: map[string]int{}, out: map[string]bool{}, sends: map[string]int{}, freeAt: map[string]time.Time{}}
+		holding: map[string]int{}, rules: rules.New(rules.Config{Release: 300_000, Sends: 2, Late: 20_000})}
 	for _, zone := range []string{"batumi", "tbilisi", "kutaisi", "telavi"} {
 		for _, n := range []string{"1", "2"} {
 			z.zoneOf[zone[:2]+n] = zone
@@ -74,16 +72,7 @@
 func (z *zones) Invite(ctx context.Context, a Attempt) (Leg, Ending) {
 	z.mu.Lock()
 	zone := z.zoneOf[a.Pool]
-	switch {
-	case z.out[a.ID]:
-		z.broken = append(z.broken, a.ID+": two attempts out")
-	case z.sends[a.ID] >= 2:
-		z.broken = append(z.broken, a.ID+": a third send")
-	case time.Now().Before(z.freeAt[a.ID]):
-		z.broken = append(z.broken, a.ID+": sent again within 300 ms of a time-out")
-	}
-	z.out[a.ID] = true
-	z.sends[a.ID]++
+	z.rules.Sent(z.d.Now(), a.ID, "", a.Pool)
 	dark := z.dark[zone]
 	_, cold := z.coldFrom[zone]
 	cold = cold && z.capacity(zone) < agents
@@ -100,9 +89,7 @@
 	free := float64(z.capacity(zone) - z.holding[a.Pool])
 	z.mu.Unlock()
 	end := func(o Outcome) Ending {
-		z.mu.Lock()
-		z.out[a.ID] = false
-		z.mu.Unlock()
+		z.rules.Ended(z.d.Now(), a.ID, o == Cancelled)
 		return Ending{Outcome: o, At: z.d.Now(), State: State{Free: free, Agents: agents}}
 	}
 	delay := 20 * time.Millisecond
@@ -256,7 +243,9 @@
 			})
 			wg.Go(func() {
 				r := Request{Call: d.NewCall(), Class: 0, Pool: -1, Until: d.Now() + 6_000_000}
+				z.rules.Taken(d.Now(), fmt.Sprint(n), r.Until)
 				f := Serve(context.Background(), d, z, r, Setup{ID: fmt.Sprint(n)})
+				z.rules.Final(d.Now(), fmt.Sprint(n), fmt.Sprint(f.Kind))
 				took := time.Since(start) - at
 				mu.Lock()
 				run.calls++
@@ -283,7 +272,9 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 		wg.Wait()
-		run.toCold, run.overCold, run.broken, run.home = z.toCold, z.overCold, z.broken, z.home
+		z.rules.Finish(d.Now())
+		_, run.broken = z.rules.Broken()
+		run.toCold, run.overCold, run.home = z.toCold, z.overCold, z.home
 		if router != nil {
 			run.count = router.Count()
 		}
--- a/dispatch/sites_test.go
+++ b/dispatch/sites_test.go
@@ -15,6 +15,7 @@
 	"eidertrail/internal/clock"
 	"eidertrail/internal/standin"
 	"eidertrail/internal/stats"
+	"eidertrail/rules"
 )
 
 // site is a deployment as the settings give it: what two sites set differently.
@@ -43,8 +44,8 @@
 	ds    []*Dispatcher
 	procs map[string]*standin.Processor
 	mu    sync.Mutex
-	out   map[string]bool
-	ended map[string]time.Time // when a call's attempt ended that has to be released first
+	rules *rules.Checker
+	late  int // attempts that timed out
 	bad   []string
 	kinds map[FinalKind]int
 	stood int // within the aim
@@ -60,8 +61,8 @@
 func onFleet(t *testing.T, s site, nodes, pools int, test func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
-		f := &fleet{site: s, procs: map[string]*standin.Processor{}, out: map[string]bool{}, ended: map[string]time.Time{},
-			kinds: map[FinalKind]int{}, sent: map[string][]time.Time{}}
+		f := &fleet{site: s, procs: map[string]*standin.Processor{},
+			rules: rules.New(rules.Config{Release: s.release.Microseconds(), Sends: 2, Late: 20_000}), kinds: map[FinalKind]int{}, sent: map[string][]time.Time{}}
 		for i := range nodes {
 			told := cmp.Or(s.told, nodes)
 			set := eidertrail.Settings{Nodes: told, Index: i % told, Here: -1, Release: s.release, Resend: s.resend, MaxAttempts: 4,
@@ -82,11 +83,9 @@
 		f.wg.Wait()
 		stop()
 		time.Sleep(time.Second)
-		for _, b := range f.bad {
-			t.Errorf("rule broken: %s", b)
-		}
-		if got := f.kinds[Stands] + f.kinds[Turned] + f.kinds[GivenUp]; got != f.calls {
-			t.Errorf("%d final answers to %d calls", got, f.calls)
+		f.rules.Finish(f.ds[0].Now())
+		if n, broken := f.rules.Broken(); n > 0 || len(f.bad) > 0 || f.rules.Seen() != f.calls {
+			t.Errorf("%d calls taken of %d; %d rules broken: %v %v", f.rules.Seen(), f.calls, n, broken, f.bad)
 		}
 	})
 }
@@ -113,24 +112,18 @@
 
 // Invite is a set-up at a pool: it holds the rules against every attempt.
 func (f *fleet) Invite(ctx context.Context, a Attempt) (Leg, Ending) {
+	f.rules.Sent(f.ds[0].Now(), a.ID, "", a.Pool)
 	f.mu.Lock()
-	if f.out[a.ID] {
-		f.bad = append(f.bad, a.ID+": two attempts out")
-	}
-	if at, was := f.ended[a.ID]; was && time.Since(at) < f.release {
-		f.bad = append(f.bad, fmt.Sprintf("%s: sent again %v after a time-out, release wait %v", a.ID, time.Since(at), f.release))
-	}
-	f.out[a.ID] = true
 	p := f.procs[a.Pool]
 	f.sent[a.Pool] = append(f.sent[a.Pool], time.Now())
 	f.mu.Unlock()
 	d := f.ds[0]
 	end := func(o Outcome) Ending {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.out[a.ID] = false
+		f.rules.Ended(d.Now(), a.ID, o == TimedOut || o == Cancelled)
 		if o == TimedOut {
-			f.ended[a.ID] = time.Now()
+			f.mu.Lock()
+			f.late++
+			f.mu.Unlock()
 		}
 		return Ending{Outcome: o, At: d.Now(), State: State{900, 1000}}
 	}
@@ -164,7 +157,9 @@
 		f.calls++
 		f.wg.Go(func() {
 			at := time.Now()
+			f.rules.Taken(d.Now(), id, r.Until)
 			final := Serve(context.Background(), d, f, r, Setup{ID: id})
+			f.rules.Final(d.Now(), id, fmt.Sprint(final.Kind))
 			f.mu.Lock()
 			f.kinds[final.Kind]++
 			if final.Kind == Stands {
@@ -261,7 +256,7 @@
 				}
 				f.offer(20, time.Second)
 				f.wg.Wait()
-				if len(f.ended) == 0 {
+				if f.late == 0 {
 					t.Error("no attempt timed out")
 				}
 			})
