Operator files share one decoder; lab and rollout tests share their loading and summaries

Change: config.decode, sim.Result.Summarize, the lab's options.load, staged.change. No behaviour changed.

Measured: the tests of config, sim, lab and the daemon's bad files and rollouts pass.

--- a/cmd/eidertrail-lab/main.go
+++ b/cmd/eidertrail-lab/main.go
@@ -70,6 +70,15 @@
 	return grid[0], nil
 }
 
+// load reads the scenario at path, with the fields set that have one value each.
+func (o *options) load(path string) (*lab.Variant, error) {
+	sets, err := one(o.sets)
+	if err != nil {
+		return nil, err
+	}
+	return lab.Load(path, sets)
+}
+
 // report writes a run's tables and chart, and fails when a rule was broken.
 func report(w io.Writer, r *sim.Result, o options, name string) error {
 	tables := lab.RunTables(r)
@@ -117,11 +126,7 @@
 	var asJSON bool
 	cmd := &cobra.Command{Use: "run SCENARIO", Short: "Play a scenario once in the simulator", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			sets, err := one(o.sets)
-			if err != nil {
-				return err
-			}
-			v, err := lab.Load(args[0], sets)
+			v, err := o.load(args[0])
 			if err != nil {
 				return err
 			}
@@ -230,11 +235,7 @@
 	cmd := &cobra.Command{Use: "live SCENARIO", Short: "Play a scenario on the daemon, on loopback and in real time, beside the simulator",
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			sets, err := one(o.sets)
-			if err != nil {
-				return err
-			}
-			v, err := lab.Load(args[0], sets)
+			v, err := o.load(args[0])
 			if err != nil {
 				return err
 			}
--- a/cmd/eidertrail/rollout_test.go
+++ b/cmd/eidertrail/rollout_test.go
@@ -209,6 +209,19 @@
 	return s.write("rollout.toml", b.String())
 }
 
+// change makes it a change of the settings alone.
+func (s *staged) change(to func(i int, text string) string) {
+	s.new = s.old
+	for i := range s.at {
+		c := &s.at[i]
+		text, err := os.ReadFile(c.config)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		c.newConfig = s.write(c.name+"-new.json", to(i, string(text)))
+	}
+}
+
 // tool starts eidertrail rollout start as a process of its own.
 func (s *staged) tool(file string) (*exec.Cmd, *bytes.Buffer) {
 	s.t.Helper()
@@ -350,16 +363,12 @@
 func TestRolloutOfSettingsThatFailTheirCheck(t *testing.T) {
 	t.Parallel()
 	s := newStaged(t, 3)
-	s.new = s.old
-	for i := range s.at {
-		c := &s.at[i]
-		text, _ := os.ReadFile(c.config)
-		changed := strings.Replace(string(text), `"promise":1000000000`, `"promise":1100000000`, 1)
+	s.change(func(i int, text string) string {
 		if i == 1 {
-			changed = strings.Replace(changed, `"deadline":15000000000`, `"deadline":-1`, 1)
+			text = strings.Replace(text, `"deadline":15000000000`, `"deadline":-1`, 1)
 		}
-		c.newConfig = s.write(c.name+"-new.json", changed)
-	}
+		return strings.Replace(text, `"promise":1000000000`, `"promise":1100000000`, 1)
+	})
 	file := s.file("")
 	plan, err := exec.Command(s.old, "rollout", "plan", file).CombinedOutput()
 	if err != nil || !strings.Contains(string(plan), "n0: restart (settings changes only at a restart)") {
@@ -385,12 +394,7 @@
 func TestRolloutBySIGHUPAndAbort(t *testing.T) {
 	t.Parallel()
 	s := newStaged(t, 3)
-	s.new = s.old
-	for i := range s.at {
-		c := &s.at[i]
-		text, _ := os.ReadFile(c.config)
-		c.newConfig = s.write(c.name+"-new.json", strings.Replace(string(text), `"memory_mb":192`, `"memory_mb":128`, 1))
-	}
+	s.change(func(_ int, text string) string { return strings.Replace(text, `"memory_mb":192`, `"memory_mb":128`, 1) })
 	file := s.file("")
 	f, err := runner.Load(file)
 	if err != nil {
--- a/internal/config/callcontrol.go
+++ b/internal/config/callcontrol.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"os"
 	"strings"
-
-	"github.com/BurntSushi/toml"
 )
 
 // CallControl is the configuration of the WebSocket front and of what balancers ask. An empty address
@@ -26,12 +24,8 @@
 		return nil, fmt.Errorf("callcontrol: %w", err)
 	}
 	c := &CallControl{Path: "/call-control", MaxConnections: 64}
-	meta, err := toml.Decode(string(text), c)
-	if err != nil {
-		return nil, fmt.Errorf("callcontrol: %s", strings.ReplaceAll(err.Error(), "\n", " "))
-	}
-	if left := meta.Undecoded(); len(left) > 0 {
-		return nil, fmt.Errorf("callcontrol: %s: not a known field", left[0])
+	if err := decode("callcontrol", string(text), c); err != nil {
+		return nil, err
 	}
 	r := &reader{}
 	r.checkAddress("listen", c.Listen)
--- a/internal/config/cluster.go
+++ b/internal/config/cluster.go
@@ -119,13 +119,8 @@
 func ParseCluster(text string) (*Cluster, error) {
 	c := &Cluster{ProbeInterval: time.Second, ProbeTimeout: 300 * time.Millisecond, Indirect: 3, SuspicionMult: 4,
 		SuspicionMax: 3, Retransmit: 4}
-	meta, err := toml.Decode(text, c)
-	if err != nil {
-		return nil, fmt.Errorf("cluster: %s", strings.ReplaceAll(err.Error(), "\n", " "))
-	}
-	left := slices.DeleteFunc(meta.Undecoded(), func(k toml.Key) bool { return k[0] == "budget" }) // it checks its own
-	if len(left) > 0 {
-		return nil, fmt.Errorf("cluster: %s: not a known field", left[0])
+	if err := decode("cluster", text, c, "budget"); err != nil {
+		return nil, err
 	}
 	return c, nil
 }
--- a/internal/config/discovery.go
+++ b/internal/config/discovery.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/BurntSushi/toml"
 	"github.com/miekg/dns"
 
 	"eidertrail/discovery/srv"
@@ -58,12 +57,8 @@
 func ParseDiscovery(text string) (*Discovery, error) {
 	d := &Discovery{Timeout: 500 * time.Millisecond, RefreshFloor: time.Second, RefreshCeiling: 5 * time.Minute,
 		Jitter: 0.1, StaleFor: 5 * time.Minute, DrainFor: 30 * time.Second, Tombstone: time.Minute, MostRecords: 64}
-	meta, err := toml.Decode(text, d)
-	if err != nil {
-		return nil, fmt.Errorf("discovery: %s", strings.ReplaceAll(err.Error(), "\n", " "))
-	}
-	if left := meta.Undecoded(); len(left) > 0 {
-		return nil, fmt.Errorf("discovery: %s: not a known field", left[0])
+	if err := decode("discovery", text, d); err != nil {
+		return nil, err
 	}
 	r := &reader{}
 	r.checkAddress("server", d.Server)
--- a/internal/config/routing.go
+++ b/internal/config/routing.go
@@ -7,8 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/BurntSushi/toml"
-
 	"eidertrail/routing"
 )
 
@@ -77,12 +75,8 @@
 func ParseRouting(text string) (*Routing, error) {
 	r := &Routing{SpillShare: 0.3, SpillAfter: 100 * time.Millisecond, Window: 10 * time.Second, OutShare: 0.5, Least: 8, Hold: 10 * time.Second,
 		MostHold: 2 * time.Minute, FlapWithin: time.Minute, WarmUp: 30 * time.Second, WarmFrom: 0.1}
-	meta, err := toml.Decode(text, r)
-	if err != nil {
-		return nil, fmt.Errorf("routing: %s", strings.ReplaceAll(err.Error(), "\n", " "))
-	}
-	if left := meta.Undecoded(); len(left) > 0 {
-		return nil, fmt.Errorf("routing: %s: not a known field", left[0])
+	if err := decode("routing", text, r); err != nil {
+		return nil, err
 	}
 	if len(r.Zones) == 0 || len(r.Zones) > 64 {
 		return nil, fmt.Errorf("routing: zones: want 1 to 64 zones")
--- a/lab/live.go
+++ b/lab/live.go
@@ -526,20 +526,7 @@
 	if worth > 0 {
 		r.Service = earned / worth
 	}
-	r.Worst = r.Service
-	for i := 0; i+10 <= len(l.course); i++ {
-		var e, of float64
-		for _, w := range l.course[i : i+10] {
-			e, of = e+w.Earned, of+w.Worth
-		}
-		if of > 0 {
-			r.Worst = min(r.Worst, e/of)
-		}
-	}
-	slices.Sort(l.times)
-	if n := len(l.times); n > 0 {
-		r.P50, r.P99 = float64(l.times[n/2])/1000, float64(l.times[n*99/100])/1000
-	}
+	r.Summarize(l.times)
 	r.Broken, r.Rules = l.rules.Broken()
 	return r
 }
--- a/sim/result.go
+++ b/sim/result.go
@@ -181,20 +181,7 @@
 	for i := range r.Class {
 		r.Class[i].Service = share(r.classEarned[i], r.classWorth[i])
 	}
-	r.Worst = r.Service
-	for i := 0; i+10 <= len(r.Course); i++ {
-		var earned, worth float64
-		for _, w := range r.Course[i : i+10] {
-			earned, worth = earned+w.Earned, worth+w.Worth
-		}
-		if worth > 0 {
-			r.Worst = min(r.Worst, earned/worth)
-		}
-	}
-	slices.Sort(r.times)
-	if n := len(r.times); n > 0 {
-		r.P50, r.P99 = float64(r.times[n/2])/1000, float64(r.times[n*99/100])/1000
-	}
+	r.Summarize(r.times)
 	for _, p := range s.pools {
 		r.Pool = append(r.Pool, PoolResult{p.uid, p.got, p.full, p.worst})
 		r.Cold = max(r.Cold, p.worst)
@@ -211,6 +198,25 @@
 	}
 }
 
+// Summarize tells the worst ten seconds from the course, and the percentiles of the times, µs from the first try to
+// the answer, which it sorts.
+func (r *Result) Summarize(times []int64) {
+	r.Worst = r.Service
+	for i := 0; i+10 <= len(r.Course); i++ {
+		var earned, worth float64
+		for _, w := range r.Course[i : i+10] {
+			earned, worth = earned+w.Earned, worth+w.Worth
+		}
+		if worth > 0 {
+			r.Worst = min(r.Worst, earned/worth)
+		}
+	}
+	slices.Sort(times)
+	if n := len(times); n > 0 {
+		r.P50, r.P99 = float64(times[n/2])/1000, float64(times[n*99/100])/1000
+	}
+}
+
 func share(part, whole float64) float64 {
 	if whole == 0 {
 		return 0
