pool and front stand beside dispatch: internal holds only what imports none of the fronts

Need: internal mixed low parts (clock, config, sip) with the platform's two fronts, which import dispatch; layers are to read top to bottom, and pool was touched for heartbeats and leases.

Measured: vet and the tests of both, of callcontrol and the daemon's build.

--- a/callcontrol/callcontrol_test.go
+++ b/callcontrol/callcontrol_test.go
@@ -19,13 +19,13 @@
 
 	"eidertrail"
 	"eidertrail/dispatch"
+	"eidertrail/front"
 	"eidertrail/internal/bulletin"
 	"eidertrail/internal/clock"
-	"eidertrail/internal/front"
 	"eidertrail/internal/jsonl"
-	"eidertrail/internal/pool"
 	"eidertrail/internal/standin"
 	"eidertrail/internal/stats"
+	"eidertrail/pool"
 )
 
 // rig is the whole of both fronts over loopback, with one stand-in pool that answers as onInvite says.
--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -21,13 +21,13 @@
 	"eidertrail/cluster"
 	"eidertrail/cluster/gossip"
 	"eidertrail/dispatch"
+	"eidertrail/front"
 	"eidertrail/health"
 	"eidertrail/internal/bulletin"
 	"eidertrail/internal/clock"
 	"eidertrail/internal/config"
-	"eidertrail/internal/front"
-	"eidertrail/internal/pool"
 	"eidertrail/internal/stats"
+	"eidertrail/pool"
 	"eidertrail/routing"
 )
 
--- a/cmd/eidertrail/sources.go
+++ b/cmd/eidertrail/sources.go
@@ -13,9 +13,9 @@
 	"eidertrail/internal/bulletin"
 	"eidertrail/internal/clock"
 	"eidertrail/internal/config"
-	"eidertrail/internal/pool"
 	"eidertrail/internal/stats"
 	"eidertrail/membership"
+	"eidertrail/pool"
 )
 
 // drainLook is how often pools that drain are looked at, to end a drain soon after its last call.
