Zones' spill budgets are divided among the controllers by the fleet's leases

Change: routing.Router takes its share of a zone's budget from a function; the dispatcher gives it the ledger's, and tells what could be used.

Measured: five controllers of which one spills, a budget of 500 calls: it held 100 with nobody heard, and 280 or more of its offered calls with idle others, never over the whole.

--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -8,6 +8,7 @@
 	"eidertrail"
 	"eidertrail/cluster/budget"
 	"eidertrail/internal/stats"
+	"eidertrail/routing"
 )
 
 // Shares tell what part of a pool's budget is this controller's now, and take how much of it could be used.
@@ -76,6 +77,7 @@
 		l.hold = max(l.hold, c.Hold.Seconds())
 	}
 	d.route.limits = l
+	l.zones(d.route.r, d.route.now)
 	for uid, s := range d.servers {
 		l.list(uid, s)
 	}
@@ -182,8 +184,34 @@
 	}
 }
 
+// spill is the name of a zone's spill budget among the fleet's.
+func spill(zone string) string { return "spill/" + zone }
+
+// zones has a router's spill budgets shared by the fleet. What stands there when a borrowed share runs out stands on:
+// a share bounds what is newly set up.
+func (l *limits) zones(r *routing.Router, now func() int64) {
+	if l == nil || r == nil {
+		return
+	}
+	r.Share(func(zone string) float64 {
+		units, whole := l.cfg.Shares.Share(now(), spill(zone))
+		return float64(units) / float64(max(whole, 1))
+	})
+}
+
+// wants is what could be used of a share of so many units, of which a part is used.
+func wants(used, share float64, units int) int {
+	if share <= 0 {
+		return 0
+	}
+	if used >= busyPart*share {
+		return int(math.Ceil(grow * float64(units)))
+	}
+	return int(math.Ceil(used / share * float64(units)))
+}
+
 // look tells, every lookAgain, what could be used of the shares.
-func (l *limits) look(now int64) {
+func (l *limits) look(now int64, r *routing.Router) {
 	if l == nil || now < l.next {
 		return
 	}
@@ -192,6 +220,7 @@
 		long += float64(now-l.next) / 1e6
 	}
 	l.next = now + lookAgain
+	l.lookAtZones(now, r)
 	for uid, p := range l.pools {
 		p.rate += (float64(p.sent)/long - p.rate) * min(1, long)
 		p.sent = 0
@@ -200,14 +229,7 @@
 			l.cfg.Shares.Demand(now, uid, 0)
 			continue
 		}
-		wants := 0
-		if rate > 0 {
-			wants = int(math.Ceil(p.rate / rate * float64(units)))
-			if p.rate >= busyPart*rate {
-				wants = int(math.Ceil(grow * float64(units)))
-			}
-		}
-		l.cfg.Shares.Demand(now, uid, wants)
+		l.cfg.Shares.Demand(now, uid, wants(p.rate, rate, units))
 		if d := units - p.share; d > whole/20 || -d > whole/20 {
 			p.share = units
 			l.count.Add(stats.ShareChanges)
@@ -216,6 +238,17 @@
 	}
 }
 
+// lookAtZones tells what could be used of zones' spill budgets. The caller is look.
+func (l *limits) lookAtZones(now int64, r *routing.Router) {
+	if r == nil {
+		return
+	}
+	for zone, used := range r.Spilled() {
+		units, whole := l.cfg.Shares.Share(now, spill(zone))
+		l.cfg.Shares.Demand(now, spill(zone), wants(used, float64(units)/float64(max(whole, 1)), units))
+	}
+}
+
 // due is when the loop is wanted: when demands are told, or a pool over its share may be sent to again.
 func (l *limits) due(now int64) int64 {
 	if l == nil {
--- a/dispatch/limit_test.go
+++ b/dispatch/limit_test.go
@@ -9,8 +9,11 @@
 	"testing"
 	"time"
 
+	"eidertrail"
 	"eidertrail/cluster/budget"
+	"eidertrail/internal/standin"
 	"eidertrail/internal/stats"
+	"eidertrail/routing"
 )
 
 // budgets lets the fleet's controllers divide budgets: their books talk to each other with 5 ms of delay, and
@@ -204,3 +207,43 @@
 		}
 	})
 }
+
+// A zone's spill budget is divided like a pool's: the one controller of five that spills gets what the others do not
+// use, and no more than the whole is held there.
+func TestSpillBudgetIsDividedAmongControllers(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		loss float64
+		want [2]int // calls held in the neighbour's zone at the end, at the least and at the most
+	}{
+		{"the others are idle", 0, [2]int{280, 500}},
+		{"nobody hears anybody: a fifth", 1, [2]int{90, 101}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			onFleet(t, sites[0], 5, 0, func(f *fleet) {
+				_, end := f.budgets(t, c.loss)
+				for _, d := range f.ds {
+					router, err := routing.New(routing.Config{Zone: "home", Tiers: map[string][][]string{"home": {{"away"}}}, SpillShare: 0.5,
+						Window: 10_000_000, OutShare: 0.5, Least: 8, FlapWithin: 1, WarmFrom: 1, Nodes: 5, Classes: 1}, []string{"home", "away"})
+					if err != nil {
+						t.Fatal(err)
+					}
+					d.Route(router)
+					d.Roster([]Server{{UID: "h", Zone: "home", Mode: eidertrail.Draining}, {UID: "a", Zone: "away", Group: 1, Mode: eidertrail.Ready}}, true)
+					d.Observe("a", State{1000, 1000})
+				}
+				f.procs["a"] = &standin.Processor{Work: time.Millisecond, MostWait: time.Second}
+				f.keep = true
+				all := f.ds
+				f.ds = f.ds[:1]
+				f.offer(60, 15*time.Second)
+				f.wg.Wait()
+				f.ds = all
+				end()
+				if n := f.kinds[Stands]; n < c.want[0] || n > c.want[1] {
+					t.Errorf("%d calls stand in the other zone, want %v of the 500 of its budget", n, c.want)
+				}
+			})
+		})
+	}
+}
--- a/dispatch/route.go
+++ b/dispatch/route.go
@@ -28,8 +28,12 @@
 	zoned  string // the last zone states logged
 	cached map[string]routing.Classes
 	at     int64 // cached holds for this reading
+	latest int64 // the latest reading
 }
 
+// now is the latest reading of the time: what routing asks is asked in a turn.
+func (r *router) now() int64 { return r.latest }
+
 // offer is how a pool is offered to the module.
 type offer struct {
 	mode   eidertrail.Mode
@@ -45,6 +49,7 @@
 // Route is Dispatcher.Route.
 func (d *Engine) Route(now int64, r *routing.Router) {
 	d.route.r, d.route.zoned = r, ""
+	d.route.limits.zones(r, d.route.now)
 	d.retell(now)
 }
 
@@ -93,6 +98,7 @@
 
 // eligible is the classes for which the module may choose the pool, which is up, now.
 func (r *router) eligible(now int64, uid string) routing.Classes {
+	r.latest = max(r.latest, now)
 	if r.beats.Silent(now)[uid] || !r.limits.ready(now, uid) {
 		return 0
 	}
@@ -166,7 +172,7 @@
 				Pool: s.Group, Barred: uint64(want.barred)})
 		}
 	}
-	r.limits.look(now)
+	r.limits.look(now, r.r)
 	r.logSilent(now)
 	r.logZones()
 	if len(changed) == 0 {
--- a/dispatch/sites_test.go
+++ b/dispatch/sites_test.go
@@ -54,6 +54,7 @@
 	sent  map[string][]time.Time // by pool
 	first int                    // all calls' first choice, if not 0
 	talk  sync.WaitGroup         // of the books
+	keep  bool                   // calls stand on
 	tick  func()                 // called before each call, if set
 }
 
@@ -153,7 +154,7 @@
 		}
 		d := f.ds[f.calls%len(f.ds)]
 		id := fmt.Sprint(f.calls)
-		r := Request{Call: d.NewCall(), Pool: cmp.Or(f.first, f.calls/len(f.ds)%len(f.procs)), Until: d.Now() + f.give.Microseconds()}
+		r := Request{Call: d.NewCall(), Pool: cmp.Or(f.first, f.calls/len(f.ds)%max(len(f.procs), 1)), Until: d.Now() + f.give.Microseconds()}
 		f.calls++
 		f.wg.Go(func() {
 			at := time.Now()
@@ -162,7 +163,7 @@
 			f.rules.Final(d.Now(), id, fmt.Sprint(final.Kind))
 			f.mu.Lock()
 			f.kinds[final.Kind]++
-			if final.Kind == Stands {
+			if final.Kind == Stands && !f.keep {
 				final.Call.End(CauseNormal)
 			}
 			if final.Kind == Stands && time.Since(at) <= f.aim {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -161,10 +161,11 @@
 	cfg     Config
 	pools   map[string]*pool
 	zones   map[string]*zone
-	rest    Classes // those without tiers of their own
-	heldAt  int64   // a call was last seen to have waited for SpillAfter, 0: never
-	started bool    // a roster came: pools that come later warm up
-	count   Count   // what happened
+	share   func(zone string) float64 // of a zone's spill budget, nil: one of Nodes equal ones
+	rest    Classes                   // those without tiers of their own
+	heldAt  int64                     // a call was last seen to have waited for SpillAfter, 0: never
+	started bool                      // a roster came: pools that come later warm up
+	count   Count                     // what happened
 }
 
 // Count is what a Router has seen; all only grow.
@@ -482,18 +483,50 @@
 
 // spillRoom tells whether the calls that this controller holds in a tier are under its budget.
 func (r *Router) spillRoom(tier []string) bool {
-	var busy, flying, agents float64
+	var busy, flying, agents, allowed float64
 	for _, p := range r.pools {
 		if p.Up && slices.Contains(tier, p.Zone) {
 			busy += float64(p.busy)
 			flying += float64(p.flying)
 			agents += p.agents
+			allowed += r.cfg.SpillShare * p.agents * r.shareOf(p.Zone)
 		}
 	}
 	if agents == 0 {
 		return flying < 1 // not told yet: one set-up at a time, whose answer tells
 	}
-	return busy < r.cfg.SpillShare*agents/float64(r.cfg.Nodes)
+	return busy < allowed
+}
+
+// Share has the fleet's shares of zones' spill budgets take the place of equal ones; nil: equal ones.
+func (r *Router) Share(of func(zone string) float64) { r.share = of }
+
+func (r *Router) shareOf(zone string) float64 {
+	if r.share != nil {
+		return r.share(zone)
+	}
+	return 1 / float64(r.cfg.Nodes)
+}
+
+// Spilled is, for each zone that this controller spills to, the part of the zone's whole spill budget that its calls
+// there hold.
+func (r *Router) Spilled() map[string]float64 {
+	out := map[string]float64{}
+	for _, tier := range r.Tiers()[1:] {
+		for _, z := range tier {
+			var busy, agents float64
+			for _, p := range r.pools {
+				if p.Zone == z && p.Up {
+					busy += float64(p.busy)
+					agents += p.agents
+				}
+			}
+			if budget := r.cfg.SpillShare * agents; budget > 0 {
+				out[z] = busy / budget
+			}
+		}
+	}
+	return out
 }
 
 // warmCap is what a warming pool may hold of this controller's calls now: from WarmFrom of its share of
