--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -397,13 +397,15 @@
 	}
 	n.count.Failed++
 	// Lifeguard: those that were asked answer even if the target does not. Where they do not, it is this node
-	// that hears badly; with nobody to ask, that may be so.
+	// that hears badly; with nobody to ask, that may be so, but not again for each probe of one that is held for
+	// suspect or dead already: in a fleet of two the suspicion would last the longer the longer the other is dead.
+	m := n.members[p.target]
 	if p.asked > 0 {
 		n.worse(p.asked - p.nacks)
-	} else {
+	} else if m.State == Alive {
 		n.worse(1)
 	}
-	if m := n.members[p.target]; m.State == Alive || m.State == Suspect {
+	if m.State == Alive || m.State == Suspect {
 		n.apply(now, Update{p.target, Suspect, m.Incarnation, n.cfg.Self})
 	}
 }
--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -191,6 +191,23 @@
 	})
 }
 
+// With nobody to ask, a crash is still known soon: the one that is left does not take it for its own ill health
+// again and again.
+func TestACrashInAFleetOfTwo(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.run(20 * second)
+	w.nodes[1] = nil
+	w.run(15 * second)
+	w.wantHeld(1, "dead")
+	w.run(120 * second)
+	if h := w.nodes[0].Health(); h > 1 {
+		t.Errorf("health score %d of a member that is left alone", h)
+	}
+	w.start(1, 2000)
+	w.run(second)
+	w.wantHeld(1, "alive")
+}
+
 // A member that comes back with a clock that was set back claims a lower incarnation than its last.
 func TestARestartWithTheClockSetBack(t *testing.T) {
 	w := newWorld(t, 5, 1)
