A member that came back is not suspected for a probe of its last life

Cause: seen on the example's two daemons: suspect one second after it came back, refuted at once. The probe that was out had been sent to the dead one, and its end accused the new life (tickProbe after apply).

--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -513,6 +513,9 @@
 	switch u.State {
 	case Alive:
 		if newer {
+			if p := n.probe; p != nil && p.target == u.Member {
+				n.probe = nil // it was of the member's last life: what became of it says nothing of this one
+			}
 			n.set(now, u)
 		}
 	case Suspect:
--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -203,9 +203,24 @@
 	if h := w.nodes[0].Health(); h > 1 {
 		t.Errorf("health score %d of a member that is left alone", h)
 	}
-	w.start(1, 2000)
-	w.run(second)
-	w.wantHeld(1, "alive")
+	suspected := 0
+	w.seen = func(_ int, c Change, _ *Node) {
+		if c.Is == Suspect {
+			suspected++
+		}
+	}
+	for life := range uint64(8) { // at any moment of a probe of the dead one
+		w.start(1, 2000+life)
+		w.run(4 * second)
+		w.wantHeld(1, "alive")
+		w.nodes[1] = nil
+		before := suspected
+		w.run(20*second + int64(life)*second/8)
+		suspected = before
+	}
+	if suspected > 0 {
+		t.Errorf("one that came back was suspected %d times, for a probe of its last life", suspected)
+	}
 }
 
 // A member that comes back with a clock that was set back claims a lower incarnation than its last.
