One table of calls, one loading of files, one share of a budget: what the change wrote twice

Need: a second reading of the whole change.

Change, with no behaviour changed: - dispatch: the Dispatcher kept a second table of calls, only to find their places; Engine.Enter returns who gets the decisions. heartbeat.IsSilent answers for one pool, where a map of all was built for each pool in each turn. routing's share is asked for at a time, in place of a latest reading kept for it; limits has one part and one over. - daemon: start, check and SIGHUP loaded the operator files each in its own words, and start undid itself in four places; environment.load and files, and one undoing. - config: the budget section is decoded over its defaults like every other, without a decoder of its own. - tests: waiting, and the two faults that kill nobody, stand once; the daemon is not built just to be removed. - rollout, cluster: a parameter that was always the same, a field nobody read.

Measured: vet and the tests of all packages touched.

--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -106,9 +106,9 @@
 // nobody at the worst, and the news takes a few intervals.
 func (c Config) DetectWithin() int64 {
 	rounds := int64(2*(c.Members-1) + 1)
-	least, most, _ := c.suspicion(c.Members)
+	_, most, _ := c.suspicion(c.Members)
 	spread := int64(math.Ceil(math.Log2(float64(c.Members)))+2) * c.Interval
-	return rounds*c.Interval*5/4 + max(least, most) + spread
+	return rounds*c.Interval*5/4 + most + spread
 }
 
 // suspicion is the least and the most time that a suspicion lasts among so many members, and how many others
@@ -192,7 +192,6 @@
 type probe struct {
 	seq       uint32
 	target    int
-	sentAt    int64
 	indirect  bool // others were asked
 	asked     int
 	nacks     int
@@ -425,7 +424,7 @@
 	}
 	n.seq++
 	n.count.Probes++
-	n.probe = &probe{seq: n.seq, target: target, sentAt: now, timeoutAt: now + n.scaled(n.cfg.Timeout), endAt: n.probeAt}
+	n.probe = &probe{seq: n.seq, target: target, timeoutAt: now + n.scaled(n.cfg.Timeout), endAt: n.probeAt}
 	n.send(target, Message{Kind: Ping, Seq: n.seq, Target: target})
 }
 
--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -18,7 +18,6 @@
 
 	"eidertrail"
 	"eidertrail/callcontrol"
-	"eidertrail/cluster"
 	"eidertrail/cluster/gossip"
 	"eidertrail/dispatch"
 	"eidertrail/front"
@@ -50,9 +49,6 @@
 	mostExtra = 16
 )
 
-// environment is what the daemon is started with.
-type environment struct{ config, listen, callControl, discovery, routing, cluster string }
-
 // daemon is a running session controller.
 type daemon struct {
 	log       zerolog.Logger
@@ -84,40 +80,16 @@
 func start(ctx context.Context, env environment, log zerolog.Logger) (*daemon, error) {
 	d := &daemon{log: log, count: &stats.Set{}, clock: clock.New(), env: env, moves: make(chan bulletin.Move, 1),
 		broken: make(chan error, 1), addresses: map[string]string{}, life: time.Now().UnixMicro()}
-	cfg, err := d.load()
+	cfg, err := env.load(d.clock)
 	if err != nil {
 		return nil, err
 	}
 	d.cfg = cfg
-	var second *config.CallControl
-	if env.callControl != "" {
-		if second, err = config.LoadCallControl(env.callControl); err != nil {
-			return nil, err
-		}
-	}
-	var disc *config.Discovery
-	if env.discovery != "" {
-		if disc, err = config.LoadDiscovery(env.discovery); err != nil {
-			return nil, err
-		}
-	}
-	var zones *config.Routing
-	if env.routing != "" {
-		if zones, err = config.LoadRouting(env.routing); err != nil {
-			return nil, err
-		}
-	}
-	var node cluster.Config
-	var fleet *config.Cluster
-	if env.cluster != "" {
-		if fleet, err = config.LoadCluster(env.cluster); err == nil {
-			node, err = fleet.Node(cfg)
-		}
-		if err != nil {
-			return nil, err
-		}
+	f, err := env.files(cfg)
+	if err != nil {
+		return nil, err
 	}
-	if second != nil && second.MaxConnections > cfg.Sockets/4 { // callers and pools need theirs
+	if f.second != nil && f.second.MaxConnections > cfg.Sockets/4 { // callers and pools need theirs
 		return nil, fmt.Errorf("callcontrol: max_connections: want at most a quarter of limits.sockets, %d", cfg.Sockets/4)
 	}
 	limitMemory(cfg)
@@ -134,7 +106,7 @@
 	d.pools = pool.NewSet(pools, pool.Config{
 		Name: cfg.Name, ConnectTimeout: cfg.ConnectTimeout, ReportFree: cfg.ReportFree, ReportAgents: cfg.ReportAgents,
 		Clock: d.clock, Log: limited, Count: d.count, Observe: d.dispatch.Observe,
-		Stray: func(id string, cause int) { d.desk.Over(id, cause) }, ReportRate: fleet.Rate(), Rate: d.dispatch.ObserveRate,
+		Stray: func(id string, cause int) { d.desk.Over(id, cause) }, ReportRate: f.fleet.Rate(), Rate: d.dispatch.ObserveRate,
 	})
 	d.desk = dispatch.NewDesk(dispatch.DeskConfig{Dispatch: d.dispatch, Trunk: d.pools, Most: mostCalls, Once: true, Count: d.count})
 	d.callers = front.New(front.Config{
@@ -146,42 +118,31 @@
 		stopPools()
 		return nil, fmt.Errorf("config: listen: %w", err)
 	}
-	if second != nil {
-		if err := d.openSecond(second, limited); err != nil {
-			d.listener.Close()
-			stopLoop()
-			stopPools()
-			return nil, err
-		}
+	if f.second != nil {
+		err = d.openSecond(f.second, limited)
 	}
-	if zones != nil {
-		router, err := zones.Router(cfg.Settings.Nodes, cfg.Classes)
-		if err != nil {
-			stopLoop()
-			stopPools()
-			d.listener.Close()
-			return nil, err
-		}
-		d.dispatch.Route(router)
+	if err == nil && f.fleet != nil {
+		err = d.join(loop, f.node, f.fleet, limited)
 	}
-	if fleet != nil {
-		if err = d.join(loop, node, fleet, limited); err != nil {
-			for _, f := range d.closers {
-				f()
-			}
-			stopLoop()
-			stopPools()
-			d.listener.Close()
-			return nil, err
+	if err != nil {
+		for _, c := range d.closers {
+			c()
 		}
+		d.listener.Close()
+		stopLoop()
+		stopPools()
+		return nil, err
+	}
+	if f.router != nil {
+		d.dispatch.Route(f.router)
 	}
 	d.wg.Go(func() { d.dispatch.Run(loop) })
 	apply := func(e bulletin.Event) {
 		d.pools.Apply(e, func(lines []dispatch.Server) { d.dispatch.Roster(lines, false) })
 	}
-	if disc != nil {
+	if f.disc != nil {
 		d.sources = newSources(d.clock, d.pools, d.dispatch, limited, d.count, cfg.Seed)
-		d.wg.Go(func() { d.sources.run(pools, disc) })
+		d.wg.Go(func() { d.sources.run(pools, f.disc) })
 		apply = func(e bulletin.Event) { d.sources.bulletin(pools, e) }
 	}
 	for _, e := range cfg.Known.Items {
@@ -190,24 +151,12 @@
 	d.wg.Go(func() { bulletin.Watch(pools, cfg.Bulletin, cfg.Known.No, d.moves, d.clock, limited, d.count, apply) })
 	d.wg.Go(func() { d.broken <- d.callers.Serve(d.listener) })
 	log.Info().Str("name", cfg.Name).Stringer("listen", d.listener.Addr()).Int("classes", len(cfg.Settings.Classes)).
-		Int("memory_mb", cfg.MemoryMB).Int("sockets", cfg.Sockets).Bool("callcontrol", second != nil).Bool("discovery", disc != nil).Bool("routing", zones != nil).
-		Bool("cluster", fleet != nil).
+		Int("memory_mb", cfg.MemoryMB).Int("sockets", cfg.Sockets).Bool("callcontrol", f.second != nil).Bool("discovery", f.disc != nil).Bool("routing", f.router != nil).
+		Bool("cluster", f.fleet != nil).
 		Strs("report_names", cfg.ReportNames).Str("report_free", cfg.ReportFree).Str("report_agents", cfg.ReportAgents).Msg("serving")
 	return d, nil
 }
 
-// load reads the configuration that the daemon was started with, as it is now.
-func (d *daemon) load() (*config.Config, error) {
-	if d.env.config == "" {
-		return nil, fmt.Errorf("config: RELAY_CONFIG: not set")
-	}
-	cfg, err := config.Load(d.env.config, d.clock)
-	if err == nil && d.env.listen != "" {
-		cfg.Listen = d.env.listen
-	}
-	return cfg, err
-}
-
 // limitMemory leaves a quarter for stacks, the kernel's buffers and what the collector has yet to free.
 func limitMemory(cfg *config.Config) { debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 / 4 * 3) }
 
@@ -215,7 +164,7 @@
 // bulletin is, what it has told, and the memory limit; of the second front's file who may connect. A
 // file that makes no sense changes nothing: a session controller goes on with the one that it has.
 func (d *daemon) reload() {
-	cfg, err := d.load()
+	cfg, err := d.env.load(d.clock)
 	var second *config.CallControl
 	if err == nil && d.sockets != nil {
 		second, err = config.LoadCallControl(d.env.callControl)
@@ -226,10 +175,7 @@
 	}
 	var router *routing.Router
 	if err == nil && d.env.routing != "" {
-		var zones *config.Routing
-		if zones, err = config.LoadRouting(d.env.routing); err == nil {
-			router, err = zones.Router(d.cfg.Settings.Nodes, d.cfg.Classes)
-		}
+		router, err = d.env.router(d.cfg)
 	}
 	if err != nil {
 		d.count.Add(stats.BadReloads)
@@ -258,14 +204,11 @@
 	d.log.Info().Str("bulletin", cfg.Bulletin).Int("memory_mb", cfg.MemoryMB).Int64("known", cfg.Known.No).Msg("new configuration")
 }
 
-// openSecond opens the WebSocket front and what balancers ask.
+// openSecond opens the WebSocket front and what balancers ask. After an error its closers are to be called.
 func (d *daemon) openSecond(c *config.CallControl, log zerolog.Logger) error {
 	listen := func(field, address string) (net.Listener, error) {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
-			for _, f := range d.closers {
-				f()
-			}
 			return nil, fmt.Errorf("callcontrol: %s: %w", field, err)
 		}
 		d.addresses[field] = l.Addr().String()
--- /dev/null
+++ b/cmd/eidertrail/files.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"eidertrail/cluster"
+	"eidertrail/internal/clock"
+	"eidertrail/internal/config"
+	"eidertrail/routing"
+)
+
+// environment is what the daemon is started with: the configuration, and the operator files of the flags, "" for none.
+type environment struct{ config, listen, callControl, discovery, routing, cluster string }
+
+// environment is what the flags and the platform's variables name.
+func (o options) environment() environment {
+	return environment{config: os.Getenv("RELAY_CONFIG"), listen: os.Getenv("RELAY_LISTEN"), callControl: o.callControl,
+		discovery: o.discovery, routing: o.routing, cluster: o.cluster}
+}
+
+// load reads the configuration, as it is now.
+func (e environment) load(now *clock.Clock) (*config.Config, error) {
+	if e.config == "" {
+		return nil, fmt.Errorf("config: RELAY_CONFIG: not set")
+	}
+	cfg, err := config.Load(e.config, now)
+	if err == nil && e.listen != "" {
+		cfg.Listen = e.listen
+	}
+	return cfg, err
+}
+
+// files are the operator files, nil for those that are not given.
+type files struct {
+	second *config.CallControl
+	disc   *config.Discovery
+	router *routing.Router
+	fleet  *config.Cluster
+	node   cluster.Config // of the fleet
+}
+
+// files reads the operator files, and holds them against the configuration.
+func (e environment) files(cfg *config.Config) (f files, err error) {
+	if e.callControl != "" {
+		if f.second, err = config.LoadCallControl(e.callControl); err != nil {
+			return f, err
+		}
+	}
+	if e.discovery != "" {
+		if f.disc, err = config.LoadDiscovery(e.discovery); err != nil {
+			return f, err
+		}
+	}
+	if e.routing != "" {
+		if f.router, err = e.router(cfg); err != nil {
+			return f, err
+		}
+	}
+	if e.cluster != "" {
+		if f.fleet, err = config.LoadCluster(e.cluster); err == nil {
+			f.node, err = f.fleet.Node(cfg)
+		}
+	}
+	return f, err
+}
+
+// router makes the routing file's router.
+func (e environment) router(cfg *config.Config) (*routing.Router, error) {
+	zones, err := config.LoadRouting(e.routing)
+	if err != nil {
+		return nil, err
+	}
+	return zones.Router(cfg.Settings.Nodes, cfg.Classes)
+}
--- a/cmd/eidertrail/fleet_test.go
+++ b/cmd/eidertrail/fleet_test.go
@@ -21,22 +21,24 @@
 
 // built is the daemon's program, built once for all tests that start processes.
 var built = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "eidertrail")
-	if err != nil {
+	path := filepath.Join(buildDir(), "eidertrail")
+	if err := os.MkdirAll(buildDir(), 0o700); err != nil {
 		return "", err
 	}
-	path := filepath.Join(dir, "eidertrail")
 	if out, err := exec.Command("go", "build", "-o", path, ".").CombinedOutput(); err != nil {
 		return "", fmt.Errorf("%w: %s", err, out)
 	}
 	return path, nil
 })
 
+// buildDir is where built puts it, for this run of the tests alone.
+func buildDir() string {
+	return filepath.Join(os.TempDir(), fmt.Sprintf("eidertrail-test-%d", os.Getpid()))
+}
+
 func TestMain(m *testing.M) {
 	code := m.Run()
-	if path, err := built(); err == nil {
-		os.RemoveAll(filepath.Dir(path))
-	}
+	os.RemoveAll(buildDir())
 	os.Exit(code)
 }
 
@@ -190,9 +192,15 @@
 // waitFor waits until cond holds.
 func (f *fleet) waitFor(what string, cond func() bool) {
 	f.t.Helper()
-	for began := time.Now(); !cond(); time.Sleep(10 * time.Millisecond) {
+	waitFor(f.t, what, cond)
+}
+
+// waitFor waits until cond holds, as long as it takes within reason.
+func waitFor(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for began := time.Now(); !cond(); time.Sleep(5 * time.Millisecond) {
 		if time.Since(began) > soon {
-			f.t.Fatalf("not within %v: %s", soon, what)
+			t.Fatalf("not within %v: %s", soon, what)
 		}
 	}
 }
@@ -274,25 +282,30 @@
 	}
 }
 
-func TestFleetLossKillsNobody(t *testing.T) {
+// Lost datagrams, or one direction of one way cut for good, have nobody held dead.
+func TestFleetFaultsThatKillNobody(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, 5, "", nil)
-	f.wantAlive()
-	f.net.Set(func(int, int) standin.Fault { return standin.Fault{Loss: 0.2, Delay: 5 * time.Millisecond} })
-	time.Sleep(40 * probeInterval)
-	f.net.Heal()
-	f.wantAlive()
-	f.wantDeaths("")
-}
-
-func TestFleetOneSidedCutKillsNobody(t *testing.T) {
-	t.Parallel()
-	f := newFleet(t, 4, "", nil)
-	f.wantAlive()
-	f.net.Set(func(from, to int) standin.Fault { return standin.Fault{Cut: from == 0 && to == 1} })
-	time.Sleep(40 * probeInterval)
-	f.wantAlive()
-	f.wantDeaths("")
+	for name, c := range map[string]struct {
+		members int
+		heals   bool // before it is looked whom they hold alive: what was lost last may have left a suspicion
+		fault   func(from, to int) standin.Fault
+	}{
+		"a fifth is lost": {5, true, func(int, int) standin.Fault { return standin.Fault{Loss: 0.2, Delay: 5 * time.Millisecond} }},
+		"a one-sided cut": {4, false, func(from, to int) standin.Fault { return standin.Fault{Cut: from == 0 && to == 1} }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, c.members, "", nil)
+			f.wantAlive()
+			f.net.Set(c.fault)
+			time.Sleep(40 * probeInterval)
+			if c.heals {
+				f.net.Heal()
+			}
+			f.wantAlive()
+			f.wantDeaths("")
+		})
+	}
 }
 
 func TestFleetPartition(t *testing.T) {
--- a/cmd/eidertrail/main.go
+++ b/cmd/eidertrail/main.go
@@ -16,7 +16,6 @@
 	"github.com/spf13/cobra"
 
 	"eidertrail/internal/clock"
-	"eidertrail/internal/config"
 )
 
 func main() {
@@ -88,43 +87,12 @@
 }
 
 func check(o options) error {
-	path := os.Getenv("RELAY_CONFIG")
-	if path == "" {
-		return fmt.Errorf("config: RELAY_CONFIG: not set")
+	env := o.environment()
+	cfg, err := env.load(clock.New())
+	if err == nil {
+		_, err = env.files(cfg)
 	}
-	cfg, err := config.Load(path, clock.New())
-	if err != nil {
-		return err
-	}
-	if o.callControl != "" {
-		if _, err := config.LoadCallControl(o.callControl); err != nil {
-			return err
-		}
-	}
-	if o.discovery != "" {
-		if _, err := config.LoadDiscovery(o.discovery); err != nil {
-			return err
-		}
-	}
-	if o.routing != "" {
-		zones, err := config.LoadRouting(o.routing)
-		if err != nil {
-			return err
-		}
-		if _, err := zones.Router(cfg.Settings.Nodes, cfg.Classes); err != nil {
-			return err
-		}
-	}
-	if o.cluster != "" {
-		fleet, err := config.LoadCluster(o.cluster)
-		if err != nil {
-			return err
-		}
-		if _, err := fleet.Node(cfg); err != nil {
-			return err
-		}
-	}
-	return nil
+	return err
 }
 
 func run(o options, logTo io.Writer) error {
@@ -141,10 +109,7 @@
 	signal.Notify(s.print, syscall.SIGUSR1)
 	signal.Notify(s.hup, syscall.SIGHUP)
 
-	d, err := start(context.Background(), environment{
-		config: os.Getenv("RELAY_CONFIG"), listen: os.Getenv("RELAY_LISTEN"), callControl: o.callControl,
-		discovery: o.discovery, routing: o.routing, cluster: o.cluster,
-	}, log)
+	d, err := start(context.Background(), o.environment(), log)
 	if err != nil {
 		return err
 	}
--- a/cmd/eidertrail/rollout_test.go
+++ b/cmd/eidertrail/rollout_test.go
@@ -175,11 +175,7 @@
 
 func (s *staged) until(what string, cond func() bool) {
 	s.t.Helper()
-	for began := time.Now(); !cond(); time.Sleep(5 * time.Millisecond) {
-		if time.Since(began) > soon {
-			s.t.Fatalf("not within %v: %s", soon, what)
-		}
-	}
+	waitFor(s.t, what, cond)
 }
 
 // file writes the rollout's file.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -131,7 +131,6 @@
 	stopped sync.Once
 	last    atomic.Uint64
 	engine  *Engine
-	places  map[uint64]chan Pick // where a call's decisions come, each holds one; the loop's
 }
 
 // New returns a dispatcher; its loop is Run. most is the longest time that anybody is told to stay away.
@@ -146,7 +145,7 @@
 	}
 	return &Dispatcher{
 		clock: now, gather: min(mostGather, set.Tick), in: make(chan func(int64), queue), done: make(chan struct{}),
-		engine: engine, places: map[uint64]chan Pick{},
+		engine: engine,
 	}, nil
 }
 
@@ -212,11 +211,11 @@
 // each Report that left the call without a place. When ctx is done first the caller has left: nothing
 // more is owed for the call, and the error is ctx's.
 func (d *Dispatcher) Pick(ctx context.Context, r Request) (Pick, error) {
-	ready := make(chan chan Pick, 1)
-	if !d.post(func(now int64) { ready <- d.enter(now, r) }) {
+	ready := make(chan place, 1)
+	if !d.post(func(now int64) { ready <- d.engine.Enter(now, r, make(place, 1)).(place) }) {
 		return Pick{}, ErrClosed
 	}
-	var decided chan Pick
+	var decided place
 	select {
 	case decided = <-ready:
 	case <-d.done:
@@ -227,40 +226,33 @@
 	select {
 	case p := <-decided:
 		if p.Verdict != Go {
-			d.post(func(int64) { d.engine.Forget(r.Call); delete(d.places, r.Call) })
+			d.post(func(int64) { d.engine.Forget(r.Call) })
 		}
 		return p, nil
 	case <-d.done:
 		return Pick{}, ErrClosed
 	case <-late.C:
-		d.post(func(now int64) { d.engine.Leave(now, r.Call); delete(d.places, r.Call) })
+		d.post(func(now int64) { d.engine.Leave(now, r.Call) })
 		return Pick{}, ErrLate
 	case <-ctx.Done():
-		d.post(func(now int64) { d.engine.Leave(now, r.Call); delete(d.places, r.Call) })
+		d.post(func(now int64) { d.engine.Leave(now, r.Call) })
 		return Pick{}, context.Cause(ctx)
 	}
 }
 
-// enter tells the engine of a call, and finds the place where its decisions come.
-func (d *Dispatcher) enter(now int64, r Request) chan Pick {
-	place := make(chan Pick, 1)
-	if !d.engine.Enter(now, r, func(p Pick) { settle(place, p) }) {
-		return d.places[r.Call]
-	}
-	d.places[r.Call] = place
-	return place
-}
+// place is where a call's decisions come; it holds one.
+type place chan Pick
 
-// settle never blocks: a decision that nobody took yet gives way to a later one.
-func settle(place chan Pick, p Pick) {
+// Decide never blocks: a decision that nobody took yet gives way to a later one.
+func (c place) Decide(p Pick) {
 	for {
 		select {
-		case place <- p:
+		case c <- p:
 			return
 		default:
 		}
 		select {
-		case <-place:
+		case <-c:
 		default:
 		}
 	}
@@ -268,11 +260,7 @@
 
 // Report tells what became of an attempt, or that a standing call has ended.
 func (d *Dispatcher) Report(r Result) {
-	d.post(func(now int64) {
-		if d.engine.Report(now, r); d.engine.calls[r.Call] == nil {
-			delete(d.places, r.Call)
-		}
-	})
+	d.post(func(now int64) { d.engine.Report(now, r) })
 }
 
 // Observe tells of a pool's state that came unasked.
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -53,7 +53,7 @@
 // call is a line of the call table.
 type call struct {
 	Request
-	decide    func(Pick)
+	Decider
 	attempt   int  // of the last send, -1 before
 	out       bool // an attempt is out or decided upon
 	stands    bool
@@ -73,19 +73,22 @@
 	return due
 }
 
-// Enter takes a call that wants a place, or one whose attempt was reported and that wants another; decide gets
-// each decision, in a Turn. It tells whether the call is new.
-func (d *Engine) Enter(now int64, r Request, decide func(Pick)) bool {
+// Decider takes the decisions for a call, each in a Turn; it must not block.
+type Decider interface{ Decide(Pick) }
+
+// Enter takes a call that wants a place, or one whose attempt was reported and that wants another. It returns who
+// gets the decisions: by, or who did when the call was entered first.
+func (d *Engine) Enter(now int64, r Request, by Decider) Decider {
 	if k := d.calls[r.Call]; k != nil {
-		return false
+		return k.Decider
 	}
-	k := &call{Request: r, decide: decide, attempt: -1}
+	k := &call{Request: r, Decider: by, attempt: -1}
 	d.calls[r.Call] = k
 	d.await(now, k)
 	d.events = append(d.events, eidertrail.Call{
 		ID: eidertrail.CallID(r.Call), Class: r.Class, Pool: r.Pool, Key: r.Key, Left: span(r.Until - now),
 	})
-	return true
+	return by
 }
 
 // Forget drops a call whose final decision was taken.
@@ -257,7 +260,7 @@
 		}
 		k.out = true
 		delete(d.waiting, k.Call)
-		k.decide(Pick{Verdict: Go, Pool: string(a.Server), Attempt: k.attempt, Limit: a.Limit.Microseconds(), At: now,
+		k.Decide(Pick{Verdict: Go, Pool: string(a.Server), Attempt: k.attempt, Limit: a.Limit.Microseconds(), At: now,
 			LeaveBy: d.route.sent(now, k, string(a.Server))})
 	case eidertrail.Refuse:
 		d.final(now, uint64(a.Call), Refused, a.After)
@@ -287,7 +290,7 @@
 	// with two more sends, when it is given up between Report and the next Pick (found by FuzzDispatcher).
 	d.pressed(now, v != Go)
 	delete(d.waiting, id)
-	k.decide(Pick{Verdict: v, After: d.after(after), NoRoom: k.noRoom})
+	k.Decide(Pick{Verdict: v, After: d.after(after), NoRoom: k.noRoom})
 }
 
 // after is when a caller that is turned away had best come back: what the module estimates, within what
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -77,7 +77,7 @@
 		l.hold = max(l.hold, c.Hold.Seconds())
 	}
 	d.route.limits = l
-	l.zones(d.route.r, d.route.now)
+	l.zones(d.route.r)
 	for uid, s := range d.servers {
 		l.list(uid, s)
 	}
@@ -121,7 +121,7 @@
 }
 
 // whole is the set-ups a second that all controllers together may send the pool now; false: no budget.
-func (l *limits) whole(now int64, p *limited, units int) (float64, bool) {
+func (l *limits) whole(now int64, p *limited) (float64, bool) {
 	age := float64(now - p.born)
 	cold := float64(l.set.Cold.Microseconds())
 	if p.born > 0 && age < cold {
@@ -142,23 +142,28 @@
 }
 
 // allowed is this controller's rate at the pool; false: no budget.
-func (l *limits) allowed(now int64, uid string, p *limited) (rate float64, units, whole int, limited bool) {
-	units, whole = l.cfg.Shares.Share(now, uid)
-	all, limited := l.whole(now, p, whole)
-	return all * float64(units) / float64(max(whole, 1)), units, whole, limited
+func (l *limits) allowed(now int64, uid string, p *limited) (rate float64, limited bool) {
+	all, limited := l.whole(now, p)
+	if !limited {
+		return 0, false
+	}
+	part, _ := l.part(now, uid)
+	return all * part, true
+}
+
+// over tells whether the pool is over this controller's rate there, which is the rate.
+func (l *limits) over(now int64, uid string, p *limited) (rate float64, over bool) {
+	rate, is := l.allowed(now, uid, p)
+	return rate, is && !p.meter.Ready(now, rate, rate*burstOver)
 }
 
 // ready tells whether a set-up may go to the pool now.
 func (l *limits) ready(now int64, uid string) bool {
-	if l == nil {
-		return true
-	}
-	p := l.pools[uid]
-	if p == nil {
+	if l == nil || l.pools[uid] == nil {
 		return true
 	}
-	rate, _, _, is := l.allowed(now, uid, p)
-	return !is || p.meter.Ready(now, rate, rate*burstOver)
+	_, over := l.over(now, uid, l.pools[uid])
+	return !over
 }
 
 // took takes a set-up that goes, and tells by when it must have left; 0: no budget.
@@ -171,7 +176,7 @@
 		return 0
 	}
 	p.sent++
-	if _, _, _, is := l.allowed(now, uid, p); !is {
+	if _, is := l.whole(now, p); !is {
 		return 0
 	}
 	p.meter.Take()
@@ -189,16 +194,22 @@
 
 // zones has a router's spill budgets shared by the fleet. What stands there when a borrowed share runs out stands on:
 // a share bounds what is newly set up.
-func (l *limits) zones(r *routing.Router, now func() int64) {
+func (l *limits) zones(r *routing.Router) {
 	if l == nil || r == nil {
 		return
 	}
-	r.Share(func(zone string) float64 {
-		units, whole := l.cfg.Shares.Share(now(), spill(zone))
-		return float64(units) / float64(max(whole, 1))
+	r.Share(func(now int64, zone string) float64 {
+		part, _ := l.part(now, spill(zone))
+		return part
 	})
 }
 
+// part is this controller's share of a whole now, and in units.
+func (l *limits) part(now int64, name string) (part float64, units int) {
+	units, whole := l.cfg.Shares.Share(now, name)
+	return float64(units) / float64(max(whole, 1)), units
+}
+
 // wants is what could be used of a share of so many units, of which a part is used.
 func wants(used, share float64, units int) int {
 	if share <= 0 {
@@ -224,11 +235,12 @@
 	for uid, p := range l.pools {
 		p.rate += (float64(p.sent)/long - p.rate) * min(1, long)
 		p.sent = 0
-		rate, units, whole, is := l.allowed(now, uid, p)
+		rate, is := l.allowed(now, uid, p)
 		if !is {
 			l.cfg.Shares.Demand(now, uid, 0)
 			continue
 		}
+		units, whole := l.cfg.Shares.Share(now, uid)
 		l.cfg.Shares.Demand(now, uid, wants(p.rate, rate, units))
 		if d := units - p.share; d > whole/20 || -d > whole/20 {
 			p.share = units
@@ -244,8 +256,8 @@
 		return
 	}
 	for zone, used := range r.Spilled() {
-		units, whole := l.cfg.Shares.Share(now, spill(zone))
-		l.cfg.Shares.Demand(now, spill(zone), wants(used, float64(units)/float64(max(whole, 1)), units))
+		part, units := l.part(now, spill(zone))
+		l.cfg.Shares.Demand(now, spill(zone), wants(used, part, units))
 	}
 }
 
@@ -256,7 +268,7 @@
 	}
 	at := max(l.next, now+1)
 	for uid, p := range l.pools {
-		if rate, _, _, is := l.allowed(now, uid, p); is && !p.meter.Ready(now, rate, rate*burstOver) {
+		if rate, over := l.over(now, uid, p); over {
 			if n := p.meter.Next(rate); n > 0 {
 				at = min(at, n)
 			}
--- a/dispatch/route.go
+++ b/dispatch/route.go
@@ -28,12 +28,8 @@
 	zoned  string // the last zone states logged
 	cached map[string]routing.Classes
 	at     int64 // cached holds for this reading
-	latest int64 // the latest reading
 }
 
-// now is the latest reading of the time: what routing asks is asked in a turn.
-func (r *router) now() int64 { return r.latest }
-
 // offer is how a pool is offered to the module.
 type offer struct {
 	mode   eidertrail.Mode
@@ -49,7 +45,7 @@
 // Route is Dispatcher.Route.
 func (d *Engine) Route(now int64, r *routing.Router) {
 	d.route.r, d.route.zoned = r, ""
-	d.route.limits.zones(r, d.route.now)
+	d.route.limits.zones(r)
 	d.retell(now)
 }
 
@@ -98,8 +94,7 @@
 
 // eligible is the classes for which the module may choose the pool, which is up, now.
 func (r *router) eligible(now int64, uid string) routing.Classes {
-	r.latest = max(r.latest, now)
-	if r.beats.Silent(now)[uid] || !r.limits.ready(now, uid) {
+	if r.beats.IsSilent(now, uid) || !r.limits.ready(now, uid) {
 		return 0
 	}
 	if r.r == nil || !r.r.Judges(uid) {
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -7,7 +7,10 @@
 // and reads no clock: every call is given the time in µs. A Monitor is not safe for concurrent use.
 package heartbeat
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 const (
 	// leastBeats gaps must be known before a pool is judged by them.
@@ -104,13 +107,11 @@
 	p.last = now
 }
 
-// Silent are the pools that are up but not to be offered now: overdue, while another pool of every class
-// that may use them is in its rhythm. Where none is, this controller may be what does not hear, and a silent
-// pool is better than none.
+// Silent are the pools for which IsSilent holds, nil for none.
 func (m *Monitor) Silent(now int64) map[string]bool {
 	var silent map[string]bool
-	for uid, p := range m.pools {
-		if p.overdue(now) && m.replaceable(now, p) {
+	for uid := range m.pools {
+		if m.IsSilent(now, uid) {
 			if silent == nil {
 				silent = map[string]bool{}
 			}
@@ -120,6 +121,14 @@
 	return silent
 }
 
+// IsSilent tells whether a pool that is up is not to be offered now: overdue, while another pool of every class
+// that may use it is in its rhythm. Where none is, this controller may be what does not hear, and a silent pool is
+// better than none.
+func (m *Monitor) IsSilent(now int64, uid string) bool {
+	p := m.pools[uid]
+	return p != nil && p.overdue(now) && m.replaceable(now, p)
+}
+
 func (m *Monitor) replaceable(now int64, p *pool) bool {
 	for _, groups := range m.classes {
 		if uses(groups, p.Group) && !m.inRhythm(now, groups) {
@@ -139,17 +148,7 @@
 	return false
 }
 
-func uses(groups []int, g int) bool {
-	if groups == nil {
-		return true
-	}
-	for _, h := range groups {
-		if h == g {
-			return true
-		}
-	}
-	return false
-}
+func uses(groups []int, g int) bool { return groups == nil || slices.Contains(groups, g) }
 
 // Next is when Silent may change without a state coming, 0: never.
 func (m *Monitor) Next(now int64) int64 {
--- a/internal/config/callcontrol.go
+++ b/internal/config/callcontrol.go
@@ -24,7 +24,7 @@
 		return nil, fmt.Errorf("callcontrol: %w", err)
 	}
 	c := &CallControl{Path: "/call-control", MaxConnections: 64}
-	if err := decode("callcontrol", string(text), c); err != nil {
+	if _, err := decode("callcontrol", string(text), c); err != nil {
 		return nil, err
 	}
 	r := &reader{}
--- a/internal/config/cluster.go
+++ b/internal/config/cluster.go
@@ -7,8 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/BurntSushi/toml"
-
 	"eidertrail/cluster"
 	"eidertrail/cluster/budget"
 )
@@ -60,25 +58,6 @@
 	return nil
 }
 
-// UnmarshalTOML takes the section over its defaults.
-func (b *Budget) UnmarshalTOML(v any) error {
-	section, is := v.(map[string]any)
-	if !is {
-		return fmt.Errorf("budget: want a section")
-	}
-	*b = Budget{Lease: 2 * time.Second, Margin: 500 * time.Millisecond, Keep: 0.25, ColdPart: 0.5}
-	var text strings.Builder
-	if err := toml.NewEncoder(&text).Encode(section); err != nil {
-		return err
-	}
-	type plain Budget
-	meta, err := toml.Decode(text.String(), (*plain)(b))
-	if err == nil && len(meta.Undecoded()) > 0 {
-		err = fmt.Errorf("budget.%s: not a known field", meta.Undecoded()[0])
-	}
-	return err
-}
-
 // Rate is the field of pools' reports with the rate they can take, "" for none.
 func (c *Cluster) Rate() string {
 	if c == nil || c.Budget == nil {
@@ -118,9 +97,13 @@
 // ParseCluster reads the text of a cluster file.
 func ParseCluster(text string) (*Cluster, error) {
 	c := &Cluster{ProbeInterval: time.Second, ProbeTimeout: 300 * time.Millisecond, Indirect: 3, SuspicionMult: 4,
-		SuspicionMax: 3, Retransmit: 4}
-	if err := decode("cluster", text, c, "budget"); err != nil {
+		SuspicionMax: 3, Retransmit: 4, Budget: &Budget{Lease: 2 * time.Second, Margin: 500 * time.Millisecond, Keep: 0.25, ColdPart: 0.5}}
+	meta, err := decode("cluster", text, c)
+	if err != nil {
 		return nil, err
 	}
+	if !meta.IsDefined("budget") {
+		c.Budget = nil
+	}
 	return c, nil
 }
--- a/internal/config/discovery.go
+++ b/internal/config/discovery.go
@@ -57,7 +57,7 @@
 func ParseDiscovery(text string) (*Discovery, error) {
 	d := &Discovery{Timeout: 500 * time.Millisecond, RefreshFloor: time.Second, RefreshCeiling: 5 * time.Minute,
 		Jitter: 0.1, StaleFor: 5 * time.Minute, DrainFor: 30 * time.Second, Tombstone: time.Minute, MostRecords: 64}
-	if err := decode("discovery", text, d); err != nil {
+	if _, err := decode("discovery", text, d); err != nil {
 		return nil, err
 	}
 	r := &reader{}
--- a/internal/config/routing.go
+++ b/internal/config/routing.go
@@ -75,7 +75,7 @@
 func ParseRouting(text string) (*Routing, error) {
 	r := &Routing{SpillShare: 0.3, SpillAfter: 100 * time.Millisecond, Window: 10 * time.Second, OutShare: 0.5, Least: 8, Hold: 10 * time.Second,
 		MostHold: 2 * time.Minute, FlapWithin: time.Minute, WarmUp: 30 * time.Second, WarmFrom: 0.1}
-	if err := decode("routing", text, r); err != nil {
+	if _, err := decode("routing", text, r); err != nil {
 		return nil, err
 	}
 	if len(r.Zones) == 0 || len(r.Zones) > 64 {
--- a/rollout/runner/file.go
+++ b/rollout/runner/file.go
@@ -118,7 +118,7 @@
 	if f.Old.Binary != f.New.Binary {
 		return true, "another program", nil
 	}
-	old, err := os.ReadFile(kept(c, c.Config))
+	old, err := os.ReadFile(kept(c))
 	if err != nil {
 		return false, "", fmt.Errorf("rollout: controller %s: config: %w", c.Name, err)
 	}
@@ -158,11 +158,11 @@
 }
 
 // kept is where the old configuration of a controller is: beside the file once that has been changed.
-func kept(c Controller, otherwise string) string {
+func kept(c Controller) string {
 	if _, err := os.Stat(c.Config + keptSuffix); err == nil {
 		return c.Config + keptSuffix
 	}
-	return otherwise
+	return c.Config
 }
 
 const keptSuffix = ".before-rollout"
--- a/rollout/runner/runner.go
+++ b/rollout/runner/runner.go
@@ -269,7 +269,7 @@
 	if c.NewConfig == "" {
 		return nil
 	}
-	old, err := os.ReadFile(kept(c, c.Config))
+	old, err := os.ReadFile(kept(c))
 	if err != nil {
 		return err
 	}
@@ -399,7 +399,7 @@
 	}
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p))
 	if err != nil {
-		return errors.Is(err, os.ErrNotExist) == false
+		return !errors.Is(err, os.ErrNotExist)
 	}
 	// The state comes after the name, which is in parentheses and may hold any.
 	_, rest, _ := strings.Cut(string(stat[strings.LastIndexByte(string(stat), ')'):]), " ")
--- a/routing/fuzz_test.go
+++ b/routing/fuzz_test.go
@@ -79,7 +79,7 @@
 							eligibleHere = eligibleHere || r.pools[uid].Zone == z
 						}
 					}
-					if eligibleHere && !r.spillRoom(tier) {
+					if eligibleHere && !r.spillRoom(now, tier) {
 						t.Fatalf("at %d tier %v is eligible over its spill budget", now, tier)
 					}
 				}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -161,11 +161,11 @@
 	cfg     Config
 	pools   map[string]*pool
 	zones   map[string]*zone
-	share   func(zone string) float64 // of a zone's spill budget, nil: one of Nodes equal ones
-	rest    Classes                   // those without tiers of their own
-	heldAt  int64                     // a call was last seen to have waited for SpillAfter, 0: never
-	started bool                      // a roster came: pools that come later warm up
-	count   Count                     // what happened
+	share   func(now int64, zone string) float64 // of a zone's spill budget, nil: one of Nodes equal ones
+	rest    Classes                              // those without tiers of their own
+	heldAt  int64                                // a call was last seen to have waited for SpillAfter, 0: never
+	started bool                                 // a roster came: pools that come later warm up
+	count   Count                                // what happened
 }
 
 // Count is what a Router has seen; all only grow.
@@ -430,7 +430,7 @@
 	spill := map[int]bool{}
 	for i := max(serving, 0); i <= last; i++ {
 		if i > 0 {
-			spill[i] = r.spillRoom(tiers[i])
+			spill[i] = r.spillRoom(now, tiers[i])
 		}
 	}
 	for uid, p := range r.pools {
@@ -482,14 +482,14 @@
 }
 
 // spillRoom tells whether the calls that this controller holds in a tier are under its budget.
-func (r *Router) spillRoom(tier []string) bool {
+func (r *Router) spillRoom(now int64, tier []string) bool {
 	var busy, flying, agents, allowed float64
 	for _, p := range r.pools {
 		if p.Up && slices.Contains(tier, p.Zone) {
 			busy += float64(p.busy)
 			flying += float64(p.flying)
 			agents += p.agents
-			allowed += r.cfg.SpillShare * p.agents * r.shareOf(p.Zone)
+			allowed += r.cfg.SpillShare * p.agents * r.shareOf(now, p.Zone)
 		}
 	}
 	if agents == 0 {
@@ -499,11 +499,11 @@
 }
 
 // Share has the fleet's shares of zones' spill budgets take the place of equal ones; nil: equal ones.
-func (r *Router) Share(of func(zone string) float64) { r.share = of }
+func (r *Router) Share(of func(now int64, zone string) float64) { r.share = of }
 
-func (r *Router) shareOf(zone string) float64 {
+func (r *Router) shareOf(now int64, zone string) float64 {
 	if r.share != nil {
-		return r.share(zone)
+		return r.share(now, zone)
 	}
 	return 1 / float64(r.cfg.Nodes)
 }
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -275,7 +275,7 @@
 	s.out.tries++
 	n.hear(func() {
 		n.engine.Enter(s.now, dispatch.Request{Call: a.id, Class: c.class, Pool: c.pool, Key: c.key, Until: a.until},
-			func(p dispatch.Pick) { n.decided(a, p) })
+			deciding{n, a})
 	})
 	s.after(a.until-s.now, func() { // the caller gives this try up
 		if a.over || a.stands {
@@ -300,6 +300,14 @@
 	})
 }
 
+// deciding takes the decisions for an attempt's call.
+type deciding struct {
+	*node
+	a *attempt
+}
+
+func (d deciding) Decide(p dispatch.Pick) { d.decided(d.a, p) }
+
 // decided carries a decision out.
 func (n *node) decided(a *attempt, p dispatch.Pick) {
 	s := n.s
