What a cold pool can do stands once; the simulator and lab without second counts

Change, with no behaviour changed: - internal/coldstart: the ramp of a cold process stood in the budgets, the simulator's pools and the tests' processor, and the window of what makes it fall over in the last two. - sim: counts kept beside the result's own, a ledger's adaptor beside budget.Shared, a pool's address searched for in each merge, parameters and a condition that did nothing. - lab: figures are a function, no variable that could be changed; files are written by one function that makes their folder, in place of pairs of any and a MkdirAll in every command.

--- a/cmd/eidertrail-lab/main.go
+++ b/cmd/eidertrail-lab/main.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -89,9 +90,6 @@
 			}
 		}
 	} else {
-		if err := os.MkdirAll(o.out, 0o755); err != nil {
-			return err
-		}
 		made := fmt.Sprintf("seed %d, version %s", r.Seed, lab.Version())
 		for _, t := range tables {
 			t.Title += " (" + made + ")"
@@ -186,7 +184,7 @@
 			if err != nil {
 				return err
 			}
-			other, err := one(append(o.sets, o.other...))
+			other, err := one(slices.Concat(o.sets, o.other))
 			if err != nil {
 				return err
 			}
@@ -211,9 +209,6 @@
 			}
 			tables[0].Title += ", version " + lab.Version()
 			if o.out != "" {
-				if err := os.MkdirAll(o.out, 0o755); err != nil {
-					return err
-				}
 				return lab.WriteTables(o.out, "compare", tables)
 			}
 			for _, t := range tables {
@@ -252,9 +247,6 @@
 				t.Add(f.Name, f.Of(played), f.Of(live), f.Of(live)-f.Of(played))
 			}
 			if o.out != "" {
-				if err := os.MkdirAll(o.out, 0o755); err != nil {
-					return err
-				}
 				if err := lab.WriteTables(o.out, base(args[0])+"-live", []*lab.Table{t}); err != nil {
 					return err
 				}
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -7,6 +7,7 @@
 
 	"eidertrail"
 	"eidertrail/cluster/budget"
+	"eidertrail/internal/coldstart"
 	"eidertrail/internal/stats"
 	"eidertrail/routing"
 )
@@ -122,9 +123,8 @@
 
 // whole is the set-ups a second that all controllers together may send the pool now; false: no budget.
 func (l *limits) whole(now int64, p *limited) (float64, bool) {
-	age := float64(now - p.born)
-	cold := float64(l.set.Cold.Microseconds())
-	if p.born > 0 && age < cold {
+	start := coldstart.Start{Share: l.set.ColdShare, For: l.set.Cold.Microseconds()}
+	if part, cold := start.Part(now - p.born); p.born > 0 && cold {
 		warm := 0.0
 		if p.agents > 0 && l.hold > 0 {
 			warm = p.agents / l.hold
@@ -135,8 +135,7 @@
 		if warm == 0 {
 			return unknownRate * float64(l.set.Nodes), true
 		}
-		share := l.set.ColdShare + (1-l.set.ColdShare)*max(age, 0)/cold
-		return warm * share * l.set.FallMultiple * l.cfg.ColdPart, true
+		return warm * part * l.set.FallMultiple * l.cfg.ColdPart, true
 	}
 	return p.told, p.toldAt > 0 && now-p.toldAt < rateFresh
 }
--- a/internal/standin/processor.go
+++ b/internal/standin/processor.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"eidertrail/internal/coldstart"
 )
 
 // Processor is the single-line processor of a stand-in pool: set-ups are worked off one by one, a wait that
@@ -21,9 +23,8 @@
 	mu      sync.Mutex
 	started time.Time // zero: warm
 	freeAt  time.Time
-	arrived []time.Time // in the last FallAfter while cold
+	load    coldstart.Load
 	slow    float64
-	worst   float64
 	full    int
 }
 
@@ -31,7 +32,8 @@
 func (p *Processor) Start(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.started, p.freeAt, p.arrived = now, now, nil
+	p.started, p.freeAt = now, now
+	p.load.Restart()
 }
 
 // Slow makes everything take times as long; 1 ends it.
@@ -44,11 +46,15 @@
 // capacity is the set-ups a second that it can take now. The caller holds mu.
 func (p *Processor) capacity(now time.Time) (rate float64, cold bool) {
 	rate = float64(time.Second) / float64(p.Work) / max(p.slow, 1)
-	age := now.Sub(p.started)
-	if p.started.IsZero() || age >= p.ColdFor {
+	if p.started.IsZero() {
 		return rate, false
 	}
-	return rate * (p.ColdShare + (1-p.ColdShare)*float64(age)/float64(p.ColdFor)), true
+	part, cold := p.start().Part(now.Sub(p.started).Microseconds())
+	return rate * part, cold
+}
+
+func (p *Processor) start() coldstart.Start {
+	return coldstart.Start{Share: p.ColdShare, For: p.ColdFor.Microseconds(), Multiple: p.FallMultiple, After: p.FallAfter.Microseconds()}
 }
 
 // Arrive takes a set-up: after is when it is answered, or full tells that it is turned away.
@@ -56,12 +62,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	rate, cold := p.capacity(now)
-	if cold && p.FallAfter > 0 {
-		p.arrived = append(p.arrived, now)
-		for now.Sub(p.arrived[0]) > p.FallAfter {
-			p.arrived = p.arrived[1:]
-		}
-		p.worst = max(p.worst, float64(len(p.arrived))/(p.FallMultiple*rate*p.FallAfter.Seconds()))
+	if cold {
+		p.load.Arrive(now.UnixMicro(), p.start(), rate)
 	}
 	from := now
 	if p.freeAt.After(now) {
@@ -79,7 +81,7 @@
 func (p *Processor) Worst() float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.worst
+	return p.load.Worst()
 }
 
 // Full is how many set-ups it turned away.
--- a/lab/sweep.go
+++ b/lab/sweep.go
@@ -40,7 +40,7 @@
 	for _, c := range s.Choices {
 		head = append(head, c[0].Field)
 	}
-	for _, f := range figures {
+	for _, f := range Figures() {
 		head = append(head, f.Name)
 	}
 	return head
@@ -101,7 +101,7 @@
 					for _, s := range j.v.Sets {
 						row = append(row, s.Value)
 					}
-					for _, f := range figures {
+					for _, f := range Figures() {
 						row = append(row, strconv.FormatFloat(f.Of(r), 'g', 6, 64))
 					}
 					mu.Lock()
@@ -189,7 +189,7 @@
 	for _, c := range s.Choices {
 		t.Head = append(t.Head, c[0].Field)
 	}
-	for _, f := range figures {
+	for _, f := range Figures() {
 		t.Head = append(t.Head, f.Name)
 	}
 	t.Head = append(t.Head, "service_sd")
@@ -200,10 +200,10 @@
 		if err != nil {
 			return err
 		}
-		columns := make([][]float64, len(figures))
+		columns := make([][]float64, len(Figures()))
 		for _, seed := range s.Seeds {
 			r := done[key(version, v.ID, seed)]
-			for i := range figures {
+			for i := range Figures() {
 				if r != nil {
 					x, _ := strconv.ParseFloat(r[3+len(s.Choices)+i], 64)
 					columns[i] = append(columns[i], x)
@@ -250,9 +250,12 @@
 	return WriteChart(s.Out, "service", t.Title, "version "+version, s.Choices[0][0].Field, "service, mean", all)
 }
 
-// WriteTables writes NAME.csv of the first table and NAME.md of all.
+// WriteTables writes NAME.csv of the first table and NAME.md of all, in a folder that need not be there.
 func WriteTables(dir, name string, tables []*Table) error {
-	return write(filepath.Join(dir, name+".csv"), tables[0].CSV, filepath.Join(dir, name+".md"), func(w io.Writer) error {
+	if err := write(dir, name+".csv", tables[0].CSV); err != nil {
+		return err
+	}
+	return write(dir, name+".md", func(w io.Writer) error {
 		for _, t := range tables {
 			if err := t.Markdown(w); err != nil {
 				return err
@@ -262,25 +265,27 @@
 	})
 }
 
-// WriteChart writes NAME.svg.
+// WriteChart writes NAME.svg, in a folder that need not be there.
 func WriteChart(dir, name, title, made, x, y string, lines []Line) error {
-	return write(filepath.Join(dir, name+".svg"), func(w io.Writer) error { return Chart(w, title, made, x, y, lines) })
+	return write(dir, name+".svg", func(w io.Writer) error { return Chart(w, title, made, x, y, lines) })
 }
 
-// write writes files, each given with what writes it.
-func write(pairs ...any) error {
-	for i := 0; i < len(pairs); i += 2 {
-		f, err := os.Create(pairs[i].(string))
-		if err == nil {
-			err = pairs[i+1].(func(io.Writer) error)(f)
-			if e := f.Close(); err == nil {
-				err = e
-			}
-		}
-		if err != nil {
-			return fmt.Errorf("%w: %w", ErrLab, err)
+// write writes a file of a folder by what is written with to.
+func write(dir, name string, to func(io.Writer) error) error {
+	err := os.MkdirAll(dir, 0o755)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrLab, err)
+	}
+	f, err := os.Create(filepath.Join(dir, name))
+	if err == nil {
+		err = to(f)
+		if e := f.Close(); err == nil {
+			err = e
 		}
 	}
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrLab, err)
+	}
 	return nil
 }
 
@@ -338,7 +343,7 @@
 	if err := errors.Join(errs...); err != nil {
 		return nil, err
 	}
-	for _, f := range figures {
+	for _, f := range Figures() {
 		var x, y, d []float64
 		for i := range seeds {
 			x, y = append(x, f.Of(ra[i])), append(y, f.Of(rb[i]))
--- a/lab/table.go
+++ b/lab/table.go
@@ -69,26 +69,25 @@
 	Of   func(r *sim.Result) float64
 }
 
-// Figures are what sweeps and comparisons show.
-var figures = []Figure{
-	{"service", func(r *sim.Result) float64 { return r.Service }},
-	{"worst_10s", func(r *sim.Result) float64 { return r.Worst }},
-	{"calls", func(r *sim.Result) float64 { return float64(r.Calls) }},
-	{"in_time", func(r *sim.Result) float64 { return part(r.InTime, r.Calls) }},
-	{"late", func(r *sim.Result) float64 { return part(r.Late, r.Calls) }},
-	{"cut", func(r *sim.Result) float64 { return part(r.Cut, r.Calls) }},
-	{"lost", func(r *sim.Result) float64 { return part(r.Lost, r.Calls) }},
-	{"p50_ms", func(r *sim.Result) float64 { return r.P50 }},
-	{"p99_ms", func(r *sim.Result) float64 { return r.P99 }},
-	{"sends_per_call", func(r *sim.Result) float64 { return part(r.Sends, r.Calls) }},
-	{"cold", func(r *sim.Result) float64 { return r.Cold }},
-	{"srv_lag_ms", func(r *sim.Result) float64 { return r.Lag }},
-	{"broken", func(r *sim.Result) float64 { return float64(r.Broken) }},
+// Figures are what sweeps and comparisons show, in the order of the tables.
+func Figures() []Figure {
+	return []Figure{
+		{"service", func(r *sim.Result) float64 { return r.Service }},
+		{"worst_10s", func(r *sim.Result) float64 { return r.Worst }},
+		{"calls", func(r *sim.Result) float64 { return float64(r.Calls) }},
+		{"in_time", func(r *sim.Result) float64 { return part(r.InTime, r.Calls) }},
+		{"late", func(r *sim.Result) float64 { return part(r.Late, r.Calls) }},
+		{"cut", func(r *sim.Result) float64 { return part(r.Cut, r.Calls) }},
+		{"lost", func(r *sim.Result) float64 { return part(r.Lost, r.Calls) }},
+		{"p50_ms", func(r *sim.Result) float64 { return r.P50 }},
+		{"p99_ms", func(r *sim.Result) float64 { return r.P99 }},
+		{"sends_per_call", func(r *sim.Result) float64 { return part(r.Sends, r.Calls) }},
+		{"cold", func(r *sim.Result) float64 { return r.Cold }},
+		{"srv_lag_ms", func(r *sim.Result) float64 { return r.Lag }},
+		{"broken", func(r *sim.Result) float64 { return float64(r.Broken) }},
+	}
 }
 
-// Figures are the figures, in the order of the tables.
-func Figures() []Figure { return append([]Figure(nil), figures...) }
-
 func part(n, of int) float64 {
 	if of == 0 {
 		return 0
@@ -99,7 +98,7 @@
 // RunTables are the tables of one run.
 func RunTables(r *sim.Result) []*Table {
 	all := &Table{Title: fmt.Sprintf("%s, seed %d", r.Scenario, r.Seed), Head: []string{"figure", "value"}}
-	for _, f := range figures {
+	for _, f := range Figures() {
 		all.Add(f.Name, f.Of(r))
 	}
 	all.Add("events", r.Events)
--- a/sim/pool.go
+++ b/sim/pool.go
@@ -1,8 +1,10 @@
 package sim
 
 import (
+	"cmp"
 	"slices"
-	"strings"
+
+	"eidertrail/internal/coldstart"
 )
 
 // Model is what a pool does with set-ups, for stand-ins outside the simulator too. It is not safe for concurrent use.
@@ -41,9 +43,10 @@
 // pool is a simulated pool: agents, and a processor with one line. Times are µs.
 type pool struct {
 	Pool
-	uid   string
-	group int
-	kind  int // which of the scenario's
+	uid     string
+	group   int
+	kind    int // which of the scenario's
+	address string
 
 	born     int64 // its process started then, cold; 0: long ago
 	down     bool  // its process has died
@@ -55,8 +58,7 @@
 	held     int // agents
 	freeAt   int64
 	standing map[*attempt]bool // in any order; ended in that of their numbers
-	arrived  []int64           // while cold, in the last fallAfter
-	worst    float64           // the most of them, as a part of what makes it fall over
+	load     coldstart.Load    // while cold
 	got      int
 	full     int // set-ups that found no agent, or a processor with too long a wait
 }
@@ -64,11 +66,15 @@
 // rate is the set-ups a second that it can take now, and whether it is cold.
 func (p *pool) rate(now int64, s *Settings) (rate float64, cold bool) {
 	rate = 1e6 / float64(p.Work.Microseconds()) / max(p.slow, 1e-3)
-	age := float64(now - p.born)
-	if long := float64(s.Cold.Microseconds()); p.born > 0 && age < long {
-		return rate * (s.ColdShare + (1-s.ColdShare)*age/long), true
+	if p.born == 0 {
+		return rate, false
 	}
-	return rate, false
+	part, cold := s.start().Part(now - p.born)
+	return rate * part, cold
+}
+
+func (s *Settings) start() coldstart.Start {
+	return coldstart.Start{Share: s.ColdShare, For: s.Cold.Microseconds(), Multiple: s.FallMultiple, After: s.FallAfter.Microseconds()}
 }
 
 // Verdict is what becomes of a set-up that arrives.
@@ -94,13 +100,8 @@
 	}
 	p.got++
 	rate, cold := p.rate(now, s)
-	if cold && s.FallAfter > 0 {
-		long := s.FallAfter.Microseconds()
-		p.arrived = append(p.arrived, now)
-		for now-p.arrived[0] > long {
-			p.arrived = p.arrived[1:]
-		}
-		p.worst = max(p.worst, float64(len(p.arrived))/(s.FallMultiple*rate*float64(long)/1e6))
+	if cold {
+		p.load.Arrive(now, s.start(), rate)
 	}
 	wait := max(0, p.freeAt-now)
 	work := int64(1e6 / rate)
@@ -124,7 +125,8 @@
 
 // Start is a new process in its place.
 func (p *pool) Start(now int64) {
-	p.born, p.down, p.held, p.freeAt, p.arrived = now, false, 0, now, nil
+	p.born, p.down, p.held, p.freeAt = now, false, 0, now
+	p.load.Restart()
 	p.standing = map[*attempt]bool{}
 }
 
@@ -134,6 +136,6 @@
 	for a := range p.standing {
 		all = append(all, a)
 	}
-	slices.SortFunc(all, func(a, b *attempt) int { return strings.Compare(a.key(), b.key()) })
+	slices.SortFunc(all, func(a, b *attempt) int { return cmp.Compare(a.id, b.id) })
 	return all
 }
--- a/sim/result.go
+++ b/sim/result.go
@@ -45,15 +45,11 @@
 	Notes     []string         `json:"notes"`
 	Counters  map[string]int64 `json:"counters"` // of all controllers together
 
-	worth, earned     float64
-	classWorth        []float64
-	classEarned       []float64
-	tries, sends      int
-	datagrams, deaths int
-	queries           int
-	lag               int64
-	times             []int64
-	sc                *Scenario
+	worth, earned float64
+	classWorth    []float64
+	classEarned   []float64
+	times         []int64
+	sc            *Scenario
 }
 
 // ClassResult is a class's part.
@@ -82,7 +78,7 @@
 	Earned float64 `json:"earned"`
 }
 
-func (r *Result) begin(sc *Scenario, seed uint64, s *Sim) {
+func (r *Result) begin(sc *Scenario, seed uint64) {
 	r.Scenario, r.Seed, r.sc = sc.Name, seed, sc
 	r.Course = make([]Window, (sc.Length.Microseconds()+windowLong-1)/windowLong)
 	r.classWorth, r.classEarned = make([]float64, len(sc.Class)), make([]float64, len(sc.Class))
@@ -104,9 +100,9 @@
 	r.Notes = append(r.Notes, fmt.Sprintf("%.1f s: %s", float64(s.now-origin)/1e6, what))
 }
 
-func (r *Result) place(s *Sim, c *caller) {
+func (r *Result) place(c *caller) {
 	r.Calls++
-	w := s.sc.Class[c.class].Worth
+	w := r.sc.Class[c.class].Worth
 	r.worth += w
 	r.classWorth[c.class] += w
 	r.Class[c.class].Calls++
@@ -127,7 +123,7 @@
 	return late
 }
 
-func (r *Result) stand(s *Sim, c *caller, now int64) {
+func (r *Result) stand(c *caller, now int64) {
 	r.times = append(r.times, now-c.first)
 	if r.earn(c, now, 1) {
 		r.Late++
@@ -151,7 +147,7 @@
 }
 
 // vain counts a try in vain, lost a caller who gave up.
-func (r *Result) vain(_ *Sim, _ *caller, answer string) {
+func (r *Result) vain(answer string) {
 	switch answer {
 	case "refused":
 		r.Refused++
@@ -162,29 +158,28 @@
 	}
 }
 
-func (r *Result) lost(_ *Sim, c *caller, _ string) {
+func (r *Result) lost(c *caller) {
 	r.Lost++
 	r.Course[c.window].Lost++
 }
 
 func (r *Result) member(s *Sim, n *node, c cluster.Change) {
 	if c.Is == cluster.Dead {
-		r.deaths++
+		r.Deaths++
 		r.Notes = append(r.Notes, fmt.Sprintf("%.1f s: %s holds n%d dead", float64(s.now-origin)/1e6, n.name, c.Member))
 	}
 }
 
 func (r *Result) finish(s *Sim) {
-	r.Events, r.Tries, r.Sends, r.Datagrams, r.Deaths = s.done, r.tries, r.sends, r.datagrams, r.deaths
-	r.Queries, r.Lag = r.queries, float64(r.lag)/1000
+	r.Events = s.done
 	r.Service = share(r.earned, r.worth)
 	for i := range r.Class {
 		r.Class[i].Service = share(r.classEarned[i], r.classWorth[i])
 	}
 	r.Summarize(r.times)
 	for _, p := range s.pools {
-		r.Pool = append(r.Pool, PoolResult{p.uid, p.got, p.full, p.worst})
-		r.Cold = max(r.Cold, p.worst)
+		r.Pool = append(r.Pool, PoolResult{p.uid, p.got, p.full, p.load.Worst()})
+		r.Cold = max(r.Cold, p.load.Worst())
 	}
 	r.Broken, r.Rules = s.rules.Broken()
 	r.Counters = map[string]int64{"tries": int64(r.Tries), "sends": int64(r.Sends), "tries_refused": int64(r.Refused),
--- a/sim/scenario.go
+++ b/sim/scenario.go
@@ -193,12 +193,12 @@
 		l = strings.TrimSpace(l)
 		if strings.HasPrefix(l, "[") {
 			name := strings.Trim(strings.SplitN(l, "#", 2)[0], "[] \t")
-			if in = name == section || section == "" && false; in {
+			if in = name == section; in {
 				if seen++; seen == nth {
 					head = n + 1
 				}
+				in = seen == nth
 			}
-			in = in && seen == nth
 			continue
 		}
 		k, _, is := strings.Cut(l, "=")
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -50,7 +50,6 @@
 	classes []float64 // cumulated shares
 	calls   int
 	out     Result
-	groups  int
 	names   names
 }
 
@@ -107,7 +106,7 @@
 	alias    map[string]string
 
 	member *cluster.Node
-	books  *budget.Ledger
+	books  *budget.Shared
 	tickAt int64
 }
 
@@ -136,8 +135,6 @@
 	stood  int64
 }
 
-func (a *attempt) key() string { return fmt.Sprintf("%012d", a.id) }
-
 func (a *attempt) name() string { return fmt.Sprintf("%d", a.id) }
 
 // Run plays a scenario.
@@ -157,15 +154,15 @@
 	for kind, p := range sc.Pool {
 		for i := range max(p.Count, 1) {
 			x := NewModel(p, i)
+			x.address = fmt.Sprintf("10.0.%d.%d:5060", len(s.pools)/250, len(s.pools)%250+1)
 			if x.kind = kind; sc.SRV != nil {
 				x.group = p.Group // a name's pools are one group
 			}
 			s.pools = append(s.pools, x)
 			s.byUID[x.uid] = x
-			s.groups = max(s.groups, x.group+1)
 		}
 	}
-	s.out.begin(sc, seed, s)
+	s.out.begin(sc, seed)
 	for i := range sc.Controllers {
 		n, err := s.newNode(i, seed)
 		if err != nil {
@@ -265,14 +262,14 @@
 	n.wake()
 }
 
-// set up takes a caller's try.
+// setUp takes a caller's try.
 func (n *node) setUp(c *caller) {
 	s := n.s
 	class := s.sc.Class[c.class]
 	s.calls++
 	a := &attempt{id: uint64(s.calls), caller: c, until: s.now + int64(float64(class.Deadline.Microseconds())*s.sc.Callers.TryShare)}
 	s.rules.Taken(s.now, a.name(), a.until)
-	s.out.tries++
+	s.out.Tries++
 	n.hear(func() {
 		n.engine.Enter(s.now, dispatch.Request{Call: a.id, Class: c.class, Pool: c.pool, Key: c.key, Until: a.until},
 			deciding{n, a})
@@ -326,7 +323,7 @@
 	a.serial++
 	serial := a.serial
 	s.rules.Sent(s.now, a.name(), n.name, p.Pool)
-	s.out.sends++
+	s.out.Sends++
 	limit := a.until
 	if p.Limit > 0 {
 		limit = min(limit, p.At+p.Limit)
@@ -441,7 +438,7 @@
 			rate, _ := p.rate(s.now, &s.sc.Settings)
 			n.engine.ObserveRate(s.now, p.uid, rate)
 		}
-		s.out.stand(s, a.caller, s.now)
+		s.out.stand(a.caller, s.now)
 		hold := int64(s.rng[lotHold].ExpFloat64() * float64(s.sc.Class[a.caller.class].Hold.Microseconds()))
 		s.after(hold, func() { s.over(n, a, p, born, dispatch.Ended) })
 	})
@@ -617,7 +614,7 @@
 		if groups := s.sc.Class[c.class].Groups; groups != nil {
 			c.pool = groups[r.IntN(len(groups))]
 		}
-		s.out.place(s, c)
+		s.out.place(c)
 		c.node.setUp(c)
 		s.next()
 	})
@@ -625,10 +622,10 @@
 
 // again lets a caller whose try was in vain dial again, or give up.
 func (s *Sim) again(c *caller, answer string, after int64) {
-	s.out.vain(s, c, answer)
+	s.out.vain(answer)
 	c.tries++
 	if c.tries > s.sc.Callers.Retries || s.now-c.first >= s.sc.Class[c.class].Deadline.Microseconds() {
-		s.out.lost(s, c, answer)
+		s.out.lost(c)
 		return
 	}
 	s.after(max(s.sc.Callers.Backoff.Microseconds(), after), func() { c.node.setUp(c) })
@@ -650,7 +647,7 @@
 			return fmt.Errorf("sim: fleet: %w", err)
 		}
 		if f.Lease > 0 {
-			if n.books, err = budget.New(budget.Config{Self: i, Members: len(s.nodes), Life: 1, Unit: 1000, Keep: 250,
+			if n.books, err = budget.NewShared(budget.Config{Self: i, Members: len(s.nodes), Life: 1, Unit: 1000, Keep: 250,
 				TTL: f.Lease.Microseconds(), Margin: f.Margin.Microseconds()}, s.now); err != nil {
 				return fmt.Errorf("sim: fleet: %w", err)
 			}
@@ -658,7 +655,7 @@
 			if part <= 0 {
 				part = 0.5
 			}
-			n.engine.Limit(s.now, dispatch.LimitConfig{Shares: shares{n.books}, ColdPart: part, LeaveWithin: f.Margin.Microseconds() / 2})
+			n.engine.Limit(s.now, dispatch.LimitConfig{Shares: n.books, ColdPart: part, LeaveWithin: f.Margin.Microseconds() / 2})
 		}
 	}
 	for _, n := range s.nodes {
@@ -670,12 +667,6 @@
 	return nil
 }
 
-// shares are a ledger as the engine wants it.
-type shares struct{ l *budget.Ledger }
-
-func (b shares) Share(now int64, pool string) (int, int)  { return b.l.Share(now, pool), b.l.Whole() }
-func (b shares) Demand(now int64, pool string, units int) { b.l.Demand(now, pool, units) }
-
 // gossip sends what a member wants sent, and comes again when it is due.
 func (s *Sim) gossip(n *node) {
 	out, changes := n.member.Take()
@@ -707,7 +698,7 @@
 
 // send has a datagram arrive at a member, or be lost.
 func (s *Sim) send(to int, arrives func(n *node)) {
-	s.out.datagrams++
+	s.out.Datagrams++
 	if s.rng[lotFleet].Float64() < s.loss {
 		return
 	}
@@ -717,7 +708,7 @@
 
 // lease keeps a member's books.
 func (s *Sim) lease(n *node) {
-	post := func(from *node, out []budget.Out) {}
+	var post func(from *node, out []budget.Out)
 	post = func(from *node, out []budget.Out) {
 		for _, o := range out {
 			s.send(o.To, func(to *node) {
--- a/sim/srv.go
+++ b/sim/srv.go
@@ -46,16 +46,7 @@
 
 // record is a pool's.
 func (s *Sim) record(p *pool) membership.Record {
-	return membership.Record{Target: p.uid + ".pools.example.org", Address: s.address(p), TTL: s.sc.SRV.TTL.Microseconds()}
-}
-
-func (s *Sim) address(p *pool) string {
-	for i, q := range s.pools {
-		if q == p {
-			return fmt.Sprintf("10.0.%d.%d:5060", i/250, i%250+1)
-		}
-	}
-	return ""
+	return membership.Record{Target: p.uid + ".pools.example.org", Address: p.address, TTL: s.sc.SRV.TTL.Microseconds()}
 }
 
 // resolve begins a controller's look-ups.
@@ -90,7 +81,7 @@
 	s.after(took, func() {
 		n.hear(func() {
 			x, u := n.source, s.rng[lotNet].Float64()
-			s.out.queries++
+			s.out.Queries++
 			if s.names.down {
 				x.failures[kind]++
 				s.after(x.schedule.Retry(x.failures[kind], u), func() { s.lookUp(n, kind) })
@@ -117,7 +108,7 @@
 	if view, changed := x.set.View(s.now); changed {
 		at := map[string]*pool{}
 		for _, p := range s.pools {
-			at[s.address(p)] = p
+			at[p.address] = p
 		}
 		now := map[string]eidertrail.Mode{}
 		var lines []dispatch.Server
@@ -138,7 +129,7 @@
 		}
 		for _, l := range lines {
 			if was, is := x.told[l.UID]; (!is || was == eidertrail.Ready) && l.Mode != eidertrail.Ready && s.names.changedAt[s.byUID[l.UID]] > 0 {
-				s.out.lag = max(s.out.lag, s.now-s.names.changedAt[s.byUID[l.UID]])
+				s.out.Lag = max(s.out.Lag, float64(s.now-s.names.changedAt[s.byUID[l.UID]])/1000)
 			}
 			s.rules.Told(s.now, n.name, l.UID, l.Mode == eidertrail.Ready)
 			x.told[l.UID] = l.Mode
