A planned stop closes each caller's connection once it is owed nothing

Read against the code: daemon.stop waited for Desk.Open() == 0 over all connections, so one slow set-up anywhere kept every connection open and filled with new set-ups until 3.3 s after SIGTERM; what came in the last 0.2 s was taken (Desk.Setup) and lost with callers.Close. Change: Front.Drain retires a connection (Desk.Retire, atomic with Setup) as soon as no set-up on it is open and its queue is written; nothing is taken on it from then on, so what crosses the close is the caller's to send again. Flush and the count of pending lines go. The second front's addresses are logged ('listening').

--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -212,6 +212,7 @@
 			return nil, fmt.Errorf("callcontrol: %s: %w", field, err)
 		}
 		d.addresses[field] = l.Addr().String()
+		d.log.Info().Str("address", d.addresses[field]).Str("field", field).Msg("listening")
 		return l, nil
 	}
 	serve := func(l net.Listener, most int, h http.Handler) {
@@ -343,12 +344,11 @@
 	}
 	time.Sleep(stay)
 	d.listener.Close()
-	d.desk.Drain(drain)
+	d.callers.Drain(drain)
 	d.desk.GiveUp() // what has no final answer by now gets one
 	last, cancelLast := context.WithTimeout(context.Background(), lastWords)
 	defer cancelLast()
-	d.desk.Drain(last)
-	d.callers.Flush(last)
+	d.callers.Drain(last)
 	sockets.Wait()
 	if d.fleet != nil {
 		d.fleet.Leave()
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -266,7 +266,33 @@
 	if s == nil {
 		return
 	}
-	delete(k.at, c)
+	k.unseat(s)
+	if s.open == 0 {
+		return
+	}
+	for _, call := range k.calls {
+		if call.seat == s && !call.stands {
+			call.end(errLeft)
+		}
+	}
+}
+
+// Retire takes a connection off that is owed no final answer, and tells whether it did: no set-up on it is taken
+// from then on.
+func (k *Desk) Retire(c Caller) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := k.at[c]
+	if s == nil || s.open > 0 {
+		return s == nil
+	}
+	k.unseat(s)
+	return true
+}
+
+// unseat takes a connection off the table. The caller holds mu.
+func (k *Desk) unseat(s *seat) {
+	delete(k.at, s.Caller)
 	k.seats = slices.DeleteFunc(k.seats, func(x *seat) bool { return x == s })
 	// Guards against an end that crossed the closing: it was written, and nobody read it. Where somebody did
 	// it is told twice, which says nothing new.
@@ -276,14 +302,6 @@
 			k.keep(h.over)
 		}
 	}
-	if s.open == 0 {
-		return
-	}
-	for _, call := range k.calls {
-		if call.seat == s && !call.stands {
-			call.end(errLeft)
-		}
-	}
 }
 
 // GiveUp gives every set-up that has no final answer yet one at once: it is refused, and an attempt that
--- a/front/conn.go
+++ b/front/conn.go
@@ -20,7 +20,6 @@
 	front   *Front
 	raw     net.Conn
 	queue   chan line
-	pending atomic.Int64 // lines queued and not written yet
 	closed  chan struct{}
 	once    sync.Once
 	came    time.Time
@@ -51,12 +50,10 @@
 		return false
 	default:
 	}
-	c.pending.Add(1)
 	select {
 	case c.queue <- l:
 		return true
 	default:
-		c.pending.Add(-1)
 		c.front.cfg.Count.Add(stats.SlowReaders)
 		c.close()
 		return false
@@ -99,7 +96,6 @@
 			return
 		case l := <-c.queue:
 			if l.last {
-				c.pending.Add(-1)
 				c.close()
 				return
 			}
@@ -107,17 +103,25 @@
 			if err == nil {
 				_, err = c.raw.Write(l.bytes)
 			}
-			c.pending.Add(-1)
 			c.trace("out", l.bytes, err)
 			if err != nil {
 				c.close()
 				c.elsewhere(l)
 				return
 			}
+			c.rest()
 		}
 	}
 }
 
+// rest has the connection closed, while the front drains, once no set-up on it is open and what is queued is
+// written.
+func (c *conn) rest() {
+	if c.front.draining.Load() && c.front.cfg.Desk.Retire(c) && !c.send(line{last: true}) {
+		c.close()
+	}
+}
+
 // trace logs the beginning of a line at debug level.
 func (c *conn) trace(way string, text []byte, err error) {
 	if e := c.front.cfg.Log.Debug(); e.Enabled() {
@@ -142,7 +146,6 @@
 	for {
 		select {
 		case l := <-c.queue:
-			c.pending.Add(-1)
 			c.elsewhere(l)
 		default:
 			return
--- a/front/front.go
+++ b/front/front.go
@@ -7,11 +7,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -71,6 +73,8 @@
 	cfg Config
 	wg  sync.WaitGroup // connections
 
+	draining atomic.Bool
+
 	mu     sync.Mutex
 	closed bool
 	conns  map[*conn]struct{}
@@ -116,6 +120,7 @@
 			continue
 		}
 		f.cfg.Desk.Connect(c)
+		c.rest()
 		go c.read()
 		go c.write()
 	}
@@ -167,9 +172,17 @@
 	return true
 }
 
-// Flush returns when all queued lines are written, or when ctx is done.
-func (f *Front) Flush(ctx context.Context) {
-	for f.unwritten() {
+// Drain ends each connection once every set-up on it has its final answer, and returns when none is left, or when
+// ctx is done. Serve's listener is to be closed first.
+//
+// Guards against callers that go on sending on every connection that stays open: one slow set-up anywhere kept all
+// of them open, and what came on them until the process ended was taken and not answered.
+func (f *Front) Drain(ctx context.Context) {
+	f.draining.Store(true)
+	for _, c := range f.all() {
+		c.rest()
+	}
+	for len(f.all()) > 0 {
 		select {
 		case <-ctx.Done():
 			return
@@ -178,15 +191,10 @@
 	}
 }
 
-func (f *Front) unwritten() bool {
+func (f *Front) all() []*conn {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for c := range f.conns {
-		if c.pending.Load() > 0 {
-			return true
-		}
-	}
-	return false
+	return slices.Collect(maps.Keys(f.conns))
 }
 
 // Close ends the connections and every goroutine of the front. Serve's listener is to be closed first.
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -265,6 +265,44 @@
 	})
 }
 
+// A planned stop: what is owed nothing is closed at once, what is owed an answer once it has it, and callers that go
+// on sending on every connection that stays open get an answer or a close, never silence.
+func TestDrainEndsEachConnectionOnceItIsOwedNothing(t *testing.T) {
+	bubble(t, func(r *rig) {
+		idle, stood, waits := r.dial(), r.dial(), r.dial()
+		stood.say(setup)
+		r.want(stood, answer)
+		r.trunk.say(dispatch.TimedOut)
+		waits.say(strings.Replace(setup, "9b1f", "0001", 1))
+		drained := make(chan struct{})
+		go func() {
+			r.Drain(context.Background())
+			close(drained)
+		}()
+		for _, c := range []*client{idle, stood} {
+			if lines, ended := c.take(); len(lines) > 0 || !ended {
+				t.Errorf("owed nothing: told %q, closed: %t", lines, ended)
+			}
+		}
+		// The connection that stays open gets more calls, and each its answer.
+		r.trunk.say(dispatch.Answered)
+		waits.say(strings.Replace(setup, "9b1f", "0002", 1))
+		r.want(waits, strings.Replace(answer, "9b1f", "0002", 1))
+		time.Sleep(time.Second)
+		r.cfg.Desk.GiveUp()
+		if lines, ended := waits.take(); len(lines) != 1 || !strings.Contains(lines[0], `"cause":42`) || !ended {
+			t.Errorf("given up: told %q, closed: %t", lines, ended)
+		}
+		<-drained
+		if lines, ended := r.dial().take(); len(lines) > 0 || !ended { // it was on its way
+			t.Errorf("late: told %q, closed: %t", lines, ended)
+		}
+		if r.cfg.Desk.Standing() != 2 {
+			t.Errorf("%d calls stand, want 2", r.cfg.Desk.Standing())
+		}
+	})
+}
+
 func TestRefusalNamesNoRoom(t *testing.T) {
 	bubble(t, func(r *rig) {
 		r.trunk.say(dispatch.NoAgent)
