A controller's turns at a pool count by its share of the calls, not as one of all alike

Change: a controller that takes more than its equals, beyond chance, of the calls that all lines were planned for has its turns sooner by as much (lead); all turns sum to no more, so cold pools are as safe as before. The gate's bound for the queue keeps the old turn.

--- a/controller.go
+++ b/controller.go
@@ -1,10 +1,9 @@
-// Package eidertrail decides, for one access node, where each call is set up and
-// which calls are turned away. Its types, events and actions stand in api.go.
+// Package eidertrail decides, for one access node, where each call is set up and which calls are turned
+// away. Its types, events and actions stand in api.go.
 //
-// The mechanism is Angelin and Arvidsson's: the sender keeps a delay memory for
-// every call server, predicts from it the completion time of the next set-up,
-// and passes a server over while that prediction exceeds A times the quickest
-// completion seen. Everything the node decides is decided in this file.
+// The mechanism is Angelin and Arvidsson's: the sender keeps a delay memory for every call server, predicts
+// from it the completion time of the next set-up, and passes a server over while that prediction exceeds A
+// times the quickest completion seen. Everything the node decides is decided in this file.
 package eidertrail
 
 import (
@@ -36,7 +35,6 @@
 	quickShare = 0.5  // the part of the bar within which a completion is quick
 	usualOver  = 64.0 // how many calls the worth of the usual call is the mean of
 	noneFree   = 0.01 // the free agents of a pool that has none, or of which none are told
-
 	// standMultiple is how many of the longest M that counts a Wake must be late for a standstill.
 	standMultiple = 2
 	// aheadWeight is the most that each set-up out behind the oldest adds to P, in quickest times: other
@@ -71,8 +69,10 @@
 	seed       uint64        // of the lots
 	hold       time.Duration // longest mean hold of a class
 	mostM      time.Duration // M is at most this
-	usual      float64       // worth of the usual call
-	met        float64       // calls that usual is the mean of
+	usual, met float64       // worth of the usual call, and the calls that it is the mean of
+	offered    float64       // calls of the last hold or so, the older the less
+	offeredAt  time.Duration // when the latest of them came
+	lead       float64       // this node's calls, in the mean node's: at least 1
 	now        time.Duration
 	load       float64 // L, the load ratio
 	servers    map[ServerID]*server
@@ -92,15 +92,14 @@
 	askAt      time.Duration // when the list is asked for again, 0: never
 }
 
-// New returns the controller of one access node, or an error that names the
-// setting that makes no sense. The seed parts the lots of nodes that see the
-// same; equal settings, seeds and events give equal actions.
+// New returns the controller of one access node, or an error that names the setting that makes no sense.
+// The seed parts the lots of nodes that see the same; equal settings, seeds and events give equal actions.
 func New(set Settings, seed uint64) (*Controller, error) {
 	if err := check(&set); err != nil {
 		return nil, err
 	}
 	c := &Controller{
-		set: set, seed: seed + uint64(set.Index), load: 1,
+		set: set, seed: seed + uint64(set.Index), load: 1, lead: 1,
 		servers: map[ServerID]*server{}, calls: map[CallID]*call{},
 		heard: map[uint64]time.Duration{}, busy: map[uint64]busyNumber{},
 		mostLeft: make([]time.Duration, len(set.Classes)),
@@ -120,13 +119,12 @@
 }
 
 func check(set *Settings) error {
-	if len(set.Classes) == 0 {
+	switch {
+	case len(set.Classes) == 0:
 		return fmt.Errorf("settings: Classes is empty")
-	}
-	if set.Nodes < 1 {
+	case set.Nodes < 1:
 		return fmt.Errorf("settings: Nodes is %d, want at least 1", set.Nodes)
-	}
-	if set.Index < 0 || set.Index >= set.Nodes {
+	case set.Index < 0 || set.Index >= set.Nodes:
 		return fmt.Errorf("settings: Index is %d, want 0 to %d", set.Index, set.Nodes-1)
 	}
 	for _, f := range []struct {
@@ -153,8 +151,7 @@
 	return nil
 }
 
-// Handle takes the events of one batch, all at the clock reading now, in order,
-// and appends what is to be done to actions.
+// Handle takes the events of one batch, all at the reading now, and appends what is to be done to actions.
 func (c *Controller) Handle(now time.Duration, events []Event, actions []Action) []Action {
 	c.now, c.actions = now, actions
 	c.stood = c.standstill()
@@ -191,31 +188,27 @@
 // ---- Layer 1: delay memory, one for each incarnation of a server ----
 
 type sample struct{ at, took time.Duration }
-
 type server struct {
-	id    ServerID
-	index int // of all ever listed
-	pool  int
-	born  time.Duration
-	mode  Mode
-	bar   uint64 // classes barred from it, a bit each
-
-	least   []sample      // candidates for M, oldest first, rising in took
-	mostM   time.Duration // M counts as no more than this, 0: no bound
-	out     []*call       // set-ups out, oldest first
-	sent    int           // set-ups sent, which numbers them
-	passed  int           // number of the latest that completed
-	r       time.Duration // R, the latest completion
-	rAt     time.Duration // when R was seen
-	seen    bool          // R holds something
-	onTrial bool          // the last set-up failed or ended over the gate
-	faults  int           // signalling faults since the last completion
-	errors  float64       // share of faults among the set-ups of late
-
-	free   float64 // free agents as last told, -1: never
-	agents float64 // their number, 0: not told
-	scarce bool    // agents are short
-
+	id       ServerID
+	index    int // of all ever listed
+	pool     int
+	born     time.Duration
+	mode     Mode
+	bar      uint64        // classes barred from it, a bit each
+	least    []sample      // candidates for M, oldest first, rising in took
+	mostM    time.Duration // M counts as no more than this, 0: no bound
+	out      []*call       // set-ups out, oldest first
+	sent     int           // set-ups sent, which numbers them
+	passed   int           // number of the latest that completed
+	r        time.Duration // R, the latest completion
+	rAt      time.Duration // when R was seen
+	seen     bool          // R holds something
+	onTrial  bool          // the last set-up failed or ended over the gate
+	faults   int           // signalling faults since the last completion
+	errors   float64       // share of faults among the set-ups of late
+	free     float64       // free agents as last told, -1: never
+	agents   float64       // their number, 0: not told
+	scarce   bool          // agents are short
 	lift     float64       // pace, in set-ups a turn
 	phase    float64       // turns in hand at paceFrom
 	paceFrom time.Duration // the pace counts from here: the last send, else the start
@@ -250,8 +243,7 @@
 
 func (s *server) strayed(k *call) bool { return k.nth < s.passed }
 
-// shut keeps the server shut as after a completion that took so many A*M, and lets one set-up at a time
-// try it then.
+// shut keeps the server shut as after a completion of so many A*M; then one set-up at a time tries it.
 func (s *server) shut(now, wait time.Duration, multiple float64) {
 	if m, known := s.quickest(now); known {
 		wait = max(wait, time.Duration(multiple*gateMultiple*float64(m)))
@@ -337,8 +329,9 @@
 // set-up would swell L until most healthy servers were shut, and decay by a would shrink it to nothing.
 // It can harm when all servers slow down at once: L learns of each only when it is seen slow by itself.
 func (c *Controller) weigh() {
-	var sumP, sumM float64
+	var sumP, sumM, lines float64
 	for _, s := range c.order {
+		lines += s.agents
 		if s.mode != Ready || s.onTrial {
 			continue
 		}
@@ -352,6 +345,9 @@
 	if sumM > 0 {
 		c.load = max(1, sumP/sumM)
 	}
+	if lines > 0 { // by more than chance
+		c.lead = max(1, float64(c.set.Nodes)*min(1, (c.offered-math.Sqrt(c.offered))/lines))
+	}
 }
 
 // ---- Layer 3: the gate ----
@@ -383,6 +379,9 @@
 // While agents are short the pace is one turn: as many come free as are asked for. A usual call then waits
 // for its first choice, if that works: elsewhere it lasts longer, and two full pools would swap their calls.
 //
+// A node that takes more than its equals of the calls that all lines were planned for has its turns sooner:
+// quiet ones let theirs pass, and all turns sum to no more. It can harm where holds are told too long.
+//
 // Guard: a cold server is not pushed over. Its pace grows with its age, from half of what it can bear at
 // the least (ColdShare, FallMultiple), whatever its completions say and whatever a call is worth.
 func (c *Controller) paced(k *call, s *server) bool {
@@ -399,7 +398,7 @@
 		lift = min(lift, least+max(0, coldEnd-least)*float64(c.now-s.born)/float64(c.set.Cold))
 		weight = 1
 	}
-	return lift >= openLift || s.phase+float64(c.now-s.paceFrom)*lift*weight/float64(c.turn(s)) >= 1
+	return lift >= openLift || s.phase+float64(c.now-s.paceFrom)*lift*weight*c.lead/float64(c.turn(s)) >= 1
 }
 
 // turn is this node's share of the time in which the server can take one call: its lines were
@@ -548,6 +547,8 @@
 		k.holdUntil = c.now + time.Duration(holdShare*float64(e.Left))
 	}
 	c.calls[e.ID] = k
+	age := float64(c.now-c.offeredAt) / float64(max(c.hold, 1))
+	c.offered, c.offeredAt = 1+c.offered*math.Exp(-age), c.now
 	c.met = min(c.met+1, usualOver)
 	c.usual += (c.worth(k) - c.usual) / c.met
 	c.waiting = append(c.waiting, k)
@@ -689,7 +690,7 @@
 		}
 		open := s.rAt + time.Duration(freshFor*float64(s.r)*c.stretch(s))
 		if s.lift < openLift || s.scarce || c.cold(s) {
-			lift := max(leastLift, min(s.lift, 1))
+			lift := max(leastLift, min(s.lift, 1)) * c.lead
 			open = max(open, s.paceFrom+time.Duration(max(0, 1-s.phase)*float64(c.turn(s))/lift))
 		}
 		best = min(best, max(0, open-c.now))
--- a/controller_test.go
+++ b/controller_test.go
@@ -676,6 +676,41 @@
 	}
 }
 
+// On a day of many nodes a third of the callers came to a few of them, which held and refused calls for want of a
+// turn at pools whose agents stood idle: nodes with few calls let their turns pass. A node's turns are by its share
+// of the calls, and those of all sum to what the lines were planned for.
+func TestTurnsAreByShareOfTheCalls(t *testing.T) {
+	set := settings()
+	set.Nodes, set.Classes[0].Hold = 20, 8*time.Second // 200 agents: 25 calls a second were planned for, 1.25 a node
+	sends := func(index int, every time.Duration) (n int) {
+		set.Index = index
+		c, err := New(set, uint64(index)*977)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := time.Hour
+		c.Handle(now, []Event{ServerList{Servers: []Server{{ID: "a"}}}, Report{Server: "a", Free: 0, Agents: 200}}, nil)
+		id := CallID(0)
+		for ; now < time.Hour+40*time.Second; now += every {
+			id++
+			for actions := c.Handle(now, []Event{Call{ID: id, Left: 900 * ms}}, nil); len(actions) > 0; actions = actions[1:] {
+				if s, is := actions[0].(Send); is { // agents are short: a turn each
+					n++
+					actions = c.Handle(now, []Event{Outcome{Call: s.Call, Attempt: 0, Status: Full, Cause: NoAgent, Closed: true}}, actions)
+				}
+			}
+		}
+		return n
+	}
+	mean, busy, quiet := sends(1, 800*ms), sends(2, 200*ms), sends(3, 3200*ms)
+	if busy < 3*mean/2 {
+		t.Errorf("%d sends of a node with four times the calls of one with %d", busy, mean)
+	}
+	if all := 2*busy + 8*mean + 10*quiet; all > 40*25*12/10 { // as many calls as were planned for
+		t.Errorf("%d sends of all nodes in 40 s, planned for %d", all, 40*25)
+	}
+}
+
 func TestStaleAndUnknownNewsIsPassedOver(t *testing.T) {
 	r := newRig(t, settings(), pools("a")...)
 	r.do(
