A call whose release was lost on two quiet connections is released in time

Seen in the traces: pool s- has three connections in a row there that fall quiet (12.90, 13.71, 14.37 s); ends told on one come again on the next that is opened, and on none after that. An end whose next connection is quiet from its start was never told (pool.lost knew only 'the next one brings it'). Ruled out: pieces (no whole message took over 20 ms), callers' connections (12, all stay), the tables of ends. Change: a connection that ends before it was heard for 0.1 s leaves what stood before it in doubt once the pool is heard again; what has not ended by 7 s after the pool's last word is released to both sides (doubted_calls). And ends kept for callers are due from when the call ended: one lost with the connection it was told on does not wait 0.4 s again.

--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -111,6 +111,7 @@
 type over struct {
 	id    string
 	cause int
+	since int64 // when it ended
 }
 
 // seat is a connection that is in.
@@ -240,8 +241,7 @@
 	}
 }
 
-// tellLater has what is kept told to anybody after a while, to those that have set up calls before those
-// that have not. The caller holds mu.
+// tellLater has what is kept told to anybody after a while. The caller holds mu.
 func (k *Desk) tellLater() {
 	if len(k.kept) == 0 || len(k.seats) == 0 || k.late != nil {
 		return
@@ -251,12 +251,25 @@
 		defer k.mu.Unlock()
 		k.late = nil
 		k.tell((*seat).isProven)
-		k.tell(func(s *seat) bool { return s.spoke && s.errors == 0 })
+		k.tell((*seat).isCaller)
 		k.tell(func(s *seat) bool { return s.errors == 0 })
 		k.tell(func(*seat) bool { return true })
 	})
 }
 
+// tellOverdue has what was kept for a while already told to those that have set up calls. The caller holds mu.
+//
+// Guards against an end that is told in time and lost with its connection waiting for a second time, and against one
+// that waits while callers come and go, none of them for as long as the wait.
+func (k *Desk) tellOverdue() {
+	if len(k.kept) > 0 && time.Duration(k.d.Now()-k.kept[0].since)*time.Microsecond >= waitForCaller {
+		k.tell((*seat).isCaller)
+	}
+}
+
+// isCaller tells whether a connection has set up calls that made sense: it is no tester's.
+func (s *seat) isCaller() bool { return s.spoke && s.errors == 0 }
+
 // Disconnect takes a connection off. Its open set-ups are given up, as their caller has left: an attempt
 // that is out is called off. What stands stands on; its end is told on another connection.
 func (k *Desk) Disconnect(c Caller) {
@@ -367,12 +380,12 @@
 // the one that speaks, after a send whose answer was lost.
 func (k *Desk) Over(id string, cause int) {
 	if !k.met(id) {
-		k.over(nil, id, cause)
+		k.over(nil, over{id, cause, k.d.Now()})
 	}
 }
 
 // Untold takes back the end of a call that a connection was handed and could not write: it is told on another.
-func (k *Desk) Untold(id string, cause int) { k.over(nil, id, cause) }
+func (k *Desk) Untold(id string, cause int) { k.over(nil, over{id, cause, k.d.Now()}) }
 
 func (k *Desk) met(id string) bool {
 	k.mu.Lock()
@@ -380,13 +393,13 @@
 	return k.calls[id] != nil || k.past.Has(id)
 }
 
-func (k *Desk) over(first *seat, id string, cause int) {
+func (k *Desk) over(first *seat, o over) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if first != nil && k.at[first.Caller] == first && k.hand(first, over{id, cause}) {
+	if first != nil && k.at[first.Caller] == first && k.hand(first, o) {
 		return
 	}
-	k.keep(over{id, cause})
+	k.keep(o)
 }
 
 // keep has the end of a call told on any connection. The caller holds mu.
@@ -396,7 +409,8 @@
 		return
 	}
 	k.kept = append(k.kept, o)
-	if k.tell((*seat).isProven); len(k.kept) > 0 {
+	k.tell((*seat).isProven)
+	if k.tellOverdue(); len(k.kept) > 0 {
 		k.count.Add(stats.ReleasesKept)
 		k.tellLater()
 	}
@@ -470,6 +484,7 @@
 		return ErrUnproven
 	}
 	at.spoke = true
+	k.tellOverdue()
 	if at.open++; !at.proven {
 		k.doubted++
 	}
@@ -545,7 +560,7 @@
 		k.forget(id)
 		k.mu.Unlock()
 		if byPool || k.tellAll && ctx.Err() == nil {
-			k.over(at, id, cause)
+			k.over(at, over{id, cause, k.d.Now()})
 		}
 	}
 }
--- a/dispatch/desk_test.go
+++ b/dispatch/desk_test.go
@@ -135,6 +135,39 @@
 	})
 }
 
+// Guards against an end being told later than 1 s after it where callers come and go: told after a while to a
+// connection on which none was answered yet, and lost with it, it waited as long again.
+func TestEndIsToldInTimeWhileCallersComeAndGo(t *testing.T) {
+	bubble(t, func(r *rig) {
+		c := r.connect()
+		r.setup(c, "c1")
+		r.last().answer("sdp")
+		synctest.Wait()
+		leg := r.last().leg
+		comes := func(id string) *fakeCaller {
+			x := &fakeCaller{}
+			r.desk.Connect(x)
+			r.setup(x, id)
+			return x
+		}
+		first := comes("c2")
+		r.desk.Disconnect(c)
+		leg.ending = Ending{Outcome: Ended, Cause: 16, State: Untold}
+		close(leg.done)
+		time.Sleep(waitForCaller + 10*time.Millisecond)
+		if got := first.got().overs; len(got) != 1 {
+			t.Fatalf("told %v after a while", got)
+		}
+		time.Sleep(200 * time.Millisecond)
+		r.desk.Disconnect(first) // it may not have read it
+		time.Sleep(100 * time.Millisecond)
+		second := comes("c3")
+		if got := second.got().overs; len(got) != 1 || got[0] != "c1" {
+			t.Errorf("told %v on the next caller's connection, 0.7 s after the end", got)
+		}
+	})
+}
+
 func TestCallerReleases(t *testing.T) {
 	bubble(t, func(r *rig) {
 		c := r.connect()
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -43,6 +43,7 @@
 	ByesIn
 	StrayByes
 	CutCalls
+	DoubtedCalls
 	Notifies
 	GuardStopped
 	GuardDrain
@@ -90,7 +91,7 @@
 	"setups_taken", "answered", "answered_in_time", "refused", "failed", "cancelled", "answers_unwritten", "duplicates",
 	"releases_in", "releases_out", "releases_kept", "releases_dropped", "pings", "bad_lines", "bad_sip",
 	"invites", "invites_called_off", "cancels", "time_outs", "resets", "connects_failed", "pool_full",
-	"pool_errors", "late_answers", "byes_out", "byes_in", "stray_byes", "cut_calls", "notifies",
+	"pool_errors", "late_answers", "byes_out", "byes_in", "stray_byes", "cut_calls", "doubted_calls", "notifies",
 	"guard_stopped", "guard_drain", "connections", "slow_readers", "pool_connections",
 	"bulletin_events", "bulletin_errors", "ws_messages", "ws_bad_messages", "http_admitted", "http_turned_away",
 	"reloads", "bad_reloads", "shed", "overdue", "closed_bad", "quiet_pools",
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -95,7 +95,7 @@
 		cut, p.byes = p.legs(), nil
 	}
 	c := &conn{pool: p, raw: raw, queue: make(chan item, writeQueue), closed: make(chan struct{}),
-		dialogs: map[string]*dialog{}, unheard: map[string][]byte{}}
+		dialogs: map[string]*dialog{}, unheard: map[string][]byte{}, openedAt: now}
 	c.heard.Store(now)
 	p.conn, p.downSince, p.refusedAt = c, 0, 0
 	byes := p.byes // releases that had no connection to leave on
@@ -142,6 +142,7 @@
 				if quiet || p.longGone() {
 					c.close()
 				}
+				p.cutDoubted(now)
 			}
 		}
 	}()
@@ -159,6 +160,7 @@
 	now := p.set.cfg.Clock.Now()
 	p.mu.Lock()
 	p.conn, p.downSince = nil, now
+	p.unsettled(c)
 	if c.silent {
 		p.downSince = c.quietFrom
 	}
@@ -197,7 +199,10 @@
 	heard  atomic.Int64 // when the last message came
 	begun  atomic.Int64 // when the one that is coming began, 0: none is
 	toldAt int64        // when a state came last; only read looks at it
-	silent bool         // it was closed for its silence
+	// openedAt is when it came up, settled that it was heard a while after that; only read looks at settled.
+	openedAt int64
+	settled  bool
+	silent   bool // it was closed for its silence
 	// quietFrom is when that began. Guards against the quiet of an idle connection counting as a lost machine's,
 	// whose calls are cut and whose releases are dropped (found by FuzzDialog).
 	quietFrom int64
@@ -377,6 +382,10 @@
 	p := c.pool
 	now := p.set.cfg.Clock.Now()
 	c.heard.Store(now)
+	if !c.settled && now-c.openedAt >= settled {
+		c.settled = true
+		p.settle(now)
+	}
 	p.trace("in", m.Method, m.Of, m.Status, m.CallID)
 	if p.set.cfg.ReportRate != "" && p.set.cfg.Rate != nil {
 		sip.Report(m.Get("x-state"), func(name string, v float64) {
--- a/pool/dialog.go
+++ b/pool/dialog.go
@@ -192,6 +192,7 @@
 	id, number string
 	sdp        string
 	answeredAt int64
+	doubtBy    int64 // its end may have been lost: it is released then, 0: never; under pool.mu
 	once       sync.Once
 	done       chan struct{}
 	ending     dispatch.Ending
@@ -223,12 +224,16 @@
 
 // Release implements dispatch.Leg. Without a connection the BYE waits for the next one.
 func (g *leg) Release(cause int) {
+	g.release(dispatch.Ending{Outcome: dispatch.Cancelled, At: g.pool.set.cfg.Clock.Now(), State: dispatch.Untold, Cause: cause})
+}
+
+func (g *leg) release(e dispatch.Ending) {
 	p := g.pool
-	if !g.end(dispatch.Ending{Outcome: dispatch.Cancelled, At: p.set.cfg.Clock.Now(), State: dispatch.Untold, Cause: cause}) {
+	if !g.end(e) {
 		return
 	}
 	p.set.cfg.Count.Add(stats.ByesOut)
-	b := bye(p.set.cfg.Name, g.id, g.number, cause)
+	b := bye(p.set.cfg.Name, g.id, g.number, e.Cause)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.bye(g.id, b)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -72,6 +72,12 @@
 	stuckAfter = 100_000
 	// removedAfter is how long after its removal a pool's standing calls wait for the pool's own releases.
 	removedAfter = 1_000_000
+	// settled is for how long a new connection must have been heard to have told what the pool tells on the next one that
+	// is opened, and nowhere after that: releases whose connection was lost.
+	settled = 100_000
+	// doubtFor is how long after its pool was last heard a call is released whose own release was lost for good, if it
+	// was: the rules want that within 8 s of the call's end.
+	doubtFor = 7_000_000
 	// calledOffFor is how long a called-off dialog waits for its final answer before it is forgotten.
 	calledOffFor = 32_000_000
 	// mostByes bounds the releases that wait for a connection.
@@ -262,7 +268,11 @@
 	rhythm     atomic.Int64    // the longest time of late from one state to the next, 0: not known
 	steady     atomic.Int64    // the shortest
 	standing   map[string]*leg // by Call-ID: no connection owns them
-	byes       []item          // releases that wait for a connection
+	heardAt    int64           // when a settled connection was last heard, of those that have ended
+	// muteAt is when the latest connection was opened that ended before it was settled, and muteSince when the pool was
+	// last heard before the first of those in a row; 0: none since a settled one.
+	muteAt, muteSince int64
+	byes              []item // releases that wait for a connection
 }
 
 func newPool(s *Set, l bulletin.Pool) *pool {
@@ -371,6 +381,54 @@
 	p.lose(legs)
 }
 
+// unsettled notes that a connection has ended before it could tell the releases that were lost with the one before.
+// The caller holds mu.
+func (p *pool) unsettled(c *conn) {
+	if c.heard.Load()-c.openedAt >= settled {
+		p.heardAt, p.muteAt, p.muteSince = c.heard.Load(), 0, 0
+		return
+	}
+	if p.muteSince == 0 {
+		p.muteSince = p.heardAt
+	}
+	p.muteAt = c.openedAt
+}
+
+// settle is told that a connection is heard and settled. What stood before one that was opened and never settled may be
+// over: the pool has told the end on that one, as the next that was opened, and tells it on no further one.
+//
+// Guards against the end of a call never being told, when two connections in a row fall quiet: it was lost, seconds
+// after its end, and would have stood here for ever.
+func (p *pool) settle(now int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.muteSince > 0 && now < p.muteSince+doubtFor {
+		for _, g := range p.standing {
+			if g.answeredAt < p.muteAt && g.doubtBy == 0 {
+				g.doubtBy = p.muteSince + doubtFor
+			}
+		}
+	}
+	p.muteAt, p.muteSince = 0, 0
+}
+
+// cutDoubted releases, towards both sides, the calls whose end may have been lost, once it would have to be told.
+func (p *pool) cutDoubted(now int64) {
+	p.mu.Lock()
+	var legs []*leg
+	for _, g := range p.standing {
+		if g.doubtBy > 0 && now >= g.doubtBy {
+			legs = append(legs, g)
+		}
+	}
+	p.mu.Unlock()
+	for _, g := range legs {
+		p.set.cfg.Count.Add(stats.DoubtedCalls)
+		p.set.cfg.Log.Warn().Str("pool", p.uid).Str("call", g.id).Msg("end of call may have been lost, it is released")
+		g.release(dispatch.Ending{Outcome: dispatch.Reset, At: now, State: dispatch.Untold, Cause: dispatch.CauseCut})
+	}
+}
+
 // forget drops a pool that is gone, once nothing stands there and its connection is closed, and tells
 // whether it did. Guards against every pool that was ever listed keeping a goroutine, its tables and its
 // place in each search. Listed again it is a new one.
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -572,6 +572,69 @@
 	})
 }
 
+// Guards against a call that is over standing here for ever: its pool told the end on a connection that had fallen quiet
+// and again on the next that was opened, as it does, which was quiet from the start; it tells it on no further one.
+func TestEndLostOnTwoQuietConnections(t *testing.T) {
+	for _, k := range []struct {
+		name  string
+		quiet bool // the second connection too
+		want  bool // that the first call is released
+	}{{"two in a row", true, true}, {"one", false, false}} {
+		t.Run(k.name, func(t *testing.T) {
+			bubble(t, func(r *rig) {
+				speak := func(long time.Duration) { // the pool tells its state ten times a second
+					for range long / (100 * time.Millisecond) {
+						r.at.Notify("idle:12;circuits:40")
+						time.Sleep(100 * time.Millisecond)
+					}
+					synctest.Wait()
+				}
+				speak(2 * time.Second)
+				x := r.invite("c1", 0, time.Minute)
+				r.wantSent("INVITE").Answer(200, "", "a\r\n")
+				r.want(x, dispatch.Answered)
+				speak(time.Second)
+				last := r.clock.Now()
+				for r.at.Dialled() < 2 { // the first falls quiet
+					time.Sleep(10 * time.Millisecond)
+				}
+				if k.quiet {
+					y := r.invite("c2", 0, 300*time.Millisecond)
+					for r.at.Dialled() < 3 {
+						time.Sleep(10 * time.Millisecond)
+					}
+					r.want(y, dispatch.TimedOut)
+				}
+				speak(300 * time.Millisecond)
+				z := r.invite("c3", 0, time.Minute)
+				_, q := r.sent()
+				q.Answer(200, "", "a\r\n")
+				r.want(z, dispatch.Answered)
+				ended := func(x *invited) bool {
+					select {
+					case <-x.leg.Done():
+						return true
+					default:
+						return false
+					}
+				}
+				for r.clock.Now() < last+7_900_000 {
+					speak(100 * time.Millisecond)
+					if now := r.clock.Now(); ended(x) && now < last+6_900_000 {
+						t.Fatalf("released %d ms after the pool was last heard: it may still stand", (now-last)/1000)
+					}
+				}
+				if ended(x) != k.want || ended(z) {
+					t.Errorf("released: the call before %t, want %t; the call after %t, want false", ended(x), k.want, ended(z))
+				}
+				if got, _ := r.sent(); k.want && (x.leg.Ending().Cause != dispatch.CauseCut || !strings.HasSuffix(got, "BYE")) {
+					t.Errorf("ending %+v, the pool got %q", x.leg.Ending(), got)
+				}
+			})
+		})
+	}
+}
+
 // Guards against set-ups going out for 1.5 s on a connection that went quiet, to a pool that speaks ten times a
 // second; and against taking a pool that speaks seldom for quiet.
 func TestQuietIsByThePoolsOwnRhythm(t *testing.T) {
