config stands above the packages that it makes settings for; internal imports nothing above it

Need: internal/config imported cluster, routing, discovery/srv and membership, the one arrow from the lowest floor up. No behaviour changed.

--- a/cmd/eidertrail/files.go
+++ b/cmd/eidertrail/files.go
@@ -5,8 +5,8 @@
 	"os"
 
 	"eidertrail/cluster"
+	"eidertrail/config"
 	"eidertrail/internal/clock"
-	"eidertrail/internal/config"
 	"eidertrail/routing"
 )
 
--- a/cmd/eidertrail/fleet.go
+++ b/cmd/eidertrail/fleet.go
@@ -9,8 +9,8 @@
 	"eidertrail/cluster"
 	"eidertrail/cluster/budget"
 	"eidertrail/cluster/gossip"
+	"eidertrail/config"
 	"eidertrail/dispatch"
-	"eidertrail/internal/config"
 	"eidertrail/internal/stats"
 )
 
--- a/cmd/eidertrail/sources.go
+++ b/cmd/eidertrail/sources.go
@@ -8,11 +8,11 @@
 
 	"github.com/rs/zerolog"
 
+	"eidertrail/config"
 	"eidertrail/discovery/srv"
 	"eidertrail/dispatch"
 	"eidertrail/internal/bulletin"
 	"eidertrail/internal/clock"
-	"eidertrail/internal/config"
 	"eidertrail/internal/stats"
 	"eidertrail/membership"
 	"eidertrail/pool"
--- a/sim/scenario.go
+++ b/sim/scenario.go
@@ -11,7 +11,7 @@
 	"github.com/BurntSushi/toml"
 
 	"eidertrail"
-	"eidertrail/internal/config"
+	"eidertrail/config"
 	"eidertrail/routing"
 )
 
