The fleet's shared word: versioned values of each member, by rumour and digest; regions

Change: cluster/table (pure): per origin and kind the newest whole value by incarnation and version, fragments passed on as they come, a digest of one datagram whatever the fleet's size, unknown kinds passed over; carried by the gossip loop, which now serves parts (leases, word). region and regions in the cluster file, checked, one word with the routing zone; off without. Fleets of up to 512 members. TestFleetRegions: five processes, loss, a kill, a restart behind a cut.

--- a/cluster/budget/budget.go
+++ b/cluster/budget/budget.go
@@ -320,6 +320,9 @@
 	headSize   = 13
 )
 
+// Is tells whether a body is one of a ledger's.
+func Is(body []byte) bool { return len(body) > 0 && body[0] >= askKind && body[0] <= returnKind }
+
 func encode(kind byte, req uint64, units int, name string) []byte {
 	b := make([]byte, 0, headSize+len(name))
 	b = append(b, kind)
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -54,7 +54,7 @@
 
 const (
 	// MostMembers bounds a fleet.
-	MostMembers = 256
+	MostMembers = 512
 	// mostHealth is the worst local health score: probes are then 9 times slower.
 	mostHealth = 8
 	// deadEvery rounds one probe goes to a member that is not alive, so that healed partitions find together.
--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -63,6 +63,7 @@
 	sockets   *callcontrol.Server // nil: off
 	sources   *sources            // nil: the bulletin alone, straight to the pools
 	fleet     *gossip.Runner      // nil: off
+	word      *word               // nil: off
 	listener  net.Listener
 	env       environment
 	cfg       *config.Config     // as last read
@@ -288,8 +289,12 @@
 	connected, up := d.pools.Connected()
 	if d.fleet != nil {
 		for i, m := range d.fleet.Members() {
-			d.log.Info().Int("member", i).Stringer("is", m.State).Uint64("incarnation", m.Incarnation).
-				Int64("for_us", d.clock.Now()-m.Since).Int("health", d.fleet.Health()).Msg("member state")
+			line := d.log.Info().Int("member", i).Stringer("is", m.State).Uint64("incarnation", m.Incarnation).
+				Int64("for_us", d.clock.Now()-m.Since).Int("health", d.fleet.Health())
+			if d.word != nil {
+				line = line.Str("region", d.word.Regions()[i])
+			}
+			line.Msg("member state")
 		}
 	}
 	d.log.Info().EmbedObject(d.count).Int("open", open).Int("standing", standing).
--- a/cmd/eidertrail/files.go
+++ b/cmd/eidertrail/files.go
@@ -61,10 +61,22 @@
 		if f.fleet, err = config.LoadCluster(e.cluster); err == nil {
 			f.node, err = f.fleet.Node(cfg)
 		}
+		if err == nil && e.routing != "" {
+			err = e.sameZone(f.fleet)
+		}
 	}
 	return f, err
 }
 
+// sameZone holds the region against the zone of the routing file: they are one word.
+func (e environment) sameZone(fleet *config.Cluster) error {
+	zones, err := config.LoadRouting(e.routing)
+	if err == nil && fleet.Region != "" && fleet.Region != zones.Zone {
+		err = fmt.Errorf("cluster: region: %q, but zone of the routing file is %q", fleet.Region, zones.Zone)
+	}
+	return err
+}
+
 // router makes the routing file's router.
 func (e environment) router(cfg *config.Config) (*routing.Router, error) {
 	zones, err := config.LoadRouting(e.routing)
--- a/cmd/eidertrail/fleet.go
+++ b/cmd/eidertrail/fleet.go
@@ -11,27 +11,47 @@
 	"eidertrail/cluster/gossip"
 	"eidertrail/config"
 	"eidertrail/dispatch"
+	"eidertrail/internal/remedy"
 	"eidertrail/internal/stats"
 )
 
 // leasesEvery is how often shares of the fleet's budgets are asked for.
 const leasesEvery = 100_000
 
+// part is one of the protocols between the members. The gossip loop alone calls it; nothing may block.
+type part interface {
+	// members tells who is there, whenever that has changed.
+	members(now int64, members []cluster.Member)
+	// receive takes a member's body, and tells whether it is this protocol's.
+	receive(now int64, from int, body []byte) (own bool, err error)
+	// every is called each leasesEvery, and sends what is due.
+	every(now int64, send func(to int, body []byte))
+}
+
 // join makes the controller a member of its fleet, and has the budgets that the fleet divides narrow what the
 // module may choose from.
 func (d *daemon) join(ctx context.Context, node cluster.Config, fleet *config.Cluster, log zerolog.Logger) error {
 	started := time.Now().UnixMilli()
 	cfg := gossip.Config{Node: node, Listen: d.cfg.PeerListen, Peers: d.cfg.Peers, Fleet: fleet.Fleet,
 		Incarnation: uint64(started), Seed: d.cfg.Seed, Clock: d.clock, Log: log, Count: d.count}
+	var parts []part
 	var books *budget.Shared
+	var err error
 	if fleet.Budget != nil {
-		var err error
 		if books, err = budget.NewShared(fleet.Budget.Ledger(node, uint32(started)), d.clock.Now()); err != nil {
 			return err
 		}
-		d.books(&cfg, books, log)
+		parts = append(parts, &leases{books: books, count: d.count})
+	}
+	if fleet.Region != "" {
+		if d.word, err = newWord(node, fleet, uint64(started), d.cfg.Seed, d.clock.Now(), log, d.count); err != nil {
+			return err
+		}
+		parts = append(parts, d.word)
+	}
+	if len(parts) > 0 {
+		d.carry(&cfg, parts, log)
 	}
-	var err error
 	if d.fleet, err = gossip.Start(ctx, cfg); err != nil {
 		return err
 	}
@@ -42,34 +62,69 @@
 	return nil
 }
 
-// books lets the loop that hears the members keep the books.
-func (d *daemon) books(cfg *gossip.Config, books *budget.Shared, log zerolog.Logger) {
-	var answers []budget.Out // owed to what has come since the last time; bounded by what comes in 0.1 s
-	cfg.View = func(_ int64, members []cluster.Member) {
-		alive := make([]bool, len(members))
-		for i, m := range members {
-			alive[i] = m.State == cluster.Alive
+// carry has the gossip loop carry the parts' messages. A body that is none of theirs is another program's, which knows
+// more, and is passed over.
+func (d *daemon) carry(cfg *gossip.Config, parts []part, log zerolog.Logger) {
+	cfg.View = func(now int64, members []cluster.Member) {
+		for _, p := range parts {
+			p.members(now, members)
 		}
-		books.Members(alive)
 	}
 	cfg.Receive = func(now int64, from int, body []byte) {
-		out, err := books.Receive(now, from, body)
-		if err != nil {
-			d.count.Add(stats.PeerBad)
-			log.Warn().Err(err).Int("member", from).Msg("bad lease message")
+		for _, p := range parts {
+			own, err := p.receive(now, from, body)
+			if err != nil {
+				d.count.Add(stats.PeerBad)
+				log.Warn().Err(err).Int("member", from).Str("remedy", remedy.Of(err)).Msg("bad message of a member")
+			}
+			if own {
+				return
+			}
 		}
-		answers = append(answers, out...)
 	}
-	var counted budget.Counts
 	cfg.EveryMicros = leasesEvery
 	cfg.Every = func(now int64, send func(to int, body []byte)) {
-		for _, o := range append(answers, books.Tick(now)...) {
-			send(o.To, o.Body)
+		for _, p := range parts {
+			p.every(now, send)
 		}
-		answers = answers[:0]
-		c := books.Counts()
-		d.count.AddN(stats.LeasesAsked, int64(c.Asked-counted.Asked))
-		d.count.AddN(stats.LeasesGranted, int64(c.Granted-counted.Granted))
-		counted = c
 	}
 }
+
+// leases are the fleet's budgets.
+type leases struct {
+	books   *budget.Shared
+	count   *stats.Set
+	answers []budget.Out // owed to what has come since the last time; bounded by what comes in 0.1 s
+	counted budget.Counts
+}
+
+func (l *leases) members(_ int64, members []cluster.Member) { l.books.Members(living(members)) }
+
+// living tells which members are held alive.
+func living(members []cluster.Member) []bool {
+	alive := make([]bool, len(members))
+	for i, m := range members {
+		alive[i] = m.State == cluster.Alive
+	}
+	return alive
+}
+
+func (l *leases) receive(now int64, from int, body []byte) (bool, error) {
+	if !budget.Is(body) {
+		return false, nil
+	}
+	out, err := l.books.Receive(now, from, body)
+	l.answers = append(l.answers, out...)
+	return true, err
+}
+
+func (l *leases) every(now int64, send func(to int, body []byte)) {
+	for _, o := range append(l.answers, l.books.Tick(now)...) {
+		send(o.To, o.Body)
+	}
+	l.answers = l.answers[:0]
+	c := l.books.Counts()
+	l.count.AddN(stats.LeasesAsked, int64(c.Asked-l.counted.Asked))
+	l.count.AddN(stats.LeasesGranted, int64(c.Granted-l.counted.Granted))
+	l.counted = c
+}
--- a/cmd/eidertrail/fleet_test.go
+++ b/cmd/eidertrail/fleet_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -325,6 +326,60 @@
 	f.wantAlive()
 }
 
+// region is where the process was last told that a member is.
+func (p *process) region(member int) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range slices.Backward(p.lines) {
+		if l := gjson.Parse(l); l.Get("message").Str == "member region" && int(l.Get("member").Int()) == member {
+			return l.Get("region").Str
+		}
+	}
+	return ""
+}
+
+// Members learn where the others are from the shared word: through loss, over a partition that heals, and from a
+// member that is killed and comes back elsewhere.
+func TestFleetRegions(t *testing.T) {
+	t.Parallel()
+	region := []string{"north", "north", "south", "south", "south"}
+	var f *fleet
+	f = newFleet(t, 5, "", func(i int) (string, []string) {
+		return `"known":{"no":1,"items":[]}`, []string{"--cluster", write(t, "cluster.toml",
+			fmt.Sprintf("probe_interval = %q\nprobe_timeout = \"100ms\"\nregion = %q\n", probeInterval, region[i]))}
+	})
+	wantRegion := func(member int, want string) {
+		t.Helper()
+		f.waitFor(fmt.Sprintf("all hold member %d in %s", member, want), func() bool {
+			for i, p := range f.procs {
+				if i != member && p.region(member) != want {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	f.net.Set(func(int, int) standin.Fault { return standin.Fault{Loss: 0.2} })
+	for i, r := range region {
+		wantRegion(i, r)
+	}
+	f.kill(1)
+	f.net.Set(func(from, to int) standin.Fault { return standin.Fault{Cut: (from < 2) != (to < 2)} })
+	region[1] = "south"
+	f.start(1)
+	time.Sleep(2 * probeInterval)
+	if got := f.procs[4].region(1); got != "north" {
+		t.Errorf("cut off, member 4 holds member 1 in %q", got)
+	}
+	f.net.Heal()
+	wantRegion(1, "south")
+	for i := range region { // the new life was told of all
+		if i != 1 {
+			f.waitFor("the new life", func() bool { return f.procs[1].region(i) == region[i] })
+		}
+	}
+}
+
 func TestBadClusterNamesTheField(t *testing.T) {
 	cfg := write(t, "config.json", configuration("127.0.0.1:0", "127.0.0.1:1"))
 	with := write(t, "with.json", strings.Replace(configuration("127.0.0.1:0", "127.0.0.1:1"), `"listen"`,
@@ -334,6 +389,9 @@
 		{with, `probe_interval = "1ms"`, "cluster: probe_interval:"},
 		{with, `probe_timeout = "900ms"`, "cluster: probe_timeout:"},
 		{with, `colour = 1`, "cluster: colour: not a known field"},
+		{with, `region = "a b"`, "cluster: region:"},
+		{with, `regions = ["north", "south"]`, "cluster: regions: 2 for 1 members"},
+		{with, "region = \"north\"\nregions = [\"south\"]", "cluster: region: \"north\", but regions[0]"},
 	} {
 		t.Setenv("RELAY_CONFIG", c.config)
 		err := check(options{cluster: write(t, "cluster.toml", c.text)})
--- a/config/cluster.go
+++ b/config/cluster.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -21,7 +22,47 @@
 	SuspicionMult int           `toml:"suspicion_mult"` // a shared suspicion lasts so many intervals
 	SuspicionMax  int           `toml:"suspicion_max"`  // and one that nobody shares so many times as long
 	Retransmit    int           `toml:"retransmit"`     // how often news is passed on
-	Budget        *Budget       `toml:"budget"`         // absent: no fleet-wide budgets
+	// Region is where this controller is, as its zone of the routing file; "": no table of the fleet's shared word.
+	Region string `toml:"region"`
+	// Regions are those of all members, by number; absent: they are learnt from the members.
+	Regions []string `toml:"regions"`
+	Budget  *Budget  `toml:"budget"` // absent: no fleet-wide budgets
+}
+
+// MostRegion is the longest name of a region, in bytes.
+const MostRegion = 32
+
+// regionName is what a region may be called.
+var regionName = regexp.MustCompile(`^[A-Za-z0-9._-]+$`)
+
+func (c *Cluster) checkRegions(n cluster.Config) error {
+	name := func(field, text string) error {
+		if len(text) > MostRegion || !regionName.MatchString(text) {
+			return fmt.Errorf("%s: %.40q: want letters, digits or ._-, %d at the most", field, text, MostRegion)
+		}
+		return nil
+	}
+	if c.Region == "" && c.Regions == nil {
+		return nil
+	}
+	if c.Regions != nil && len(c.Regions) != n.Members {
+		return fmt.Errorf("regions: %d for %d members", len(c.Regions), n.Members)
+	}
+	if c.Region == "" {
+		c.Region = c.Regions[n.Self]
+	}
+	if err := name("region", c.Region); err != nil || c.Regions == nil {
+		return err
+	}
+	for i, r := range c.Regions {
+		if err := name(fmt.Sprintf("regions[%d]", i), r); err != nil {
+			return err
+		}
+	}
+	if r := c.Regions[n.Self]; r != c.Region {
+		return fmt.Errorf("region: %q, but regions[%d], which is this controller's, is %q", c.Region, n.Self, r)
+	}
+	return nil
 }
 
 // Budget is the configuration of the budgets that the members divide.
@@ -66,7 +107,8 @@
 	return c.Budget.RateField
 }
 
-// Node is the membership's configuration for the controller of cfg.
+// Node is the membership's configuration for the controller of cfg, against which the file is checked. Where only
+// regions are named, the controller's own becomes Region.
 func (c *Cluster) Node(cfg *Config) (cluster.Config, error) {
 	n := cluster.Config{Self: cfg.Settings.Index, Members: len(cfg.Peers), Interval: c.ProbeInterval.Microseconds(),
 		Timeout: c.ProbeTimeout.Microseconds(), Indirect: c.Indirect, SuspicionMult: c.SuspicionMult,
@@ -77,6 +119,9 @@
 	if err := n.Check(); err != nil {
 		return n, fmt.Errorf("cluster: %s", strings.TrimPrefix(err.Error(), "cluster: bad config: "))
 	}
+	if err := c.checkRegions(n); err != nil {
+		return n, fmt.Errorf("cluster: %w", err)
+	}
 	if c.Budget != nil {
 		if err := c.Budget.check(cfg.ReportNames); err != nil {
 			return n, fmt.Errorf("cluster: %w", err)
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -84,6 +84,8 @@
 	StaleStopped
 	LeasesAsked
 	LeasesGranted
+	WordBytes
+	WordRepairs
 	counters
 )
 
@@ -98,7 +100,7 @@
 	"dns_queries", "dns_truncated", "dns_failures", "dns_bad_answers", "dns_changes", "pools_conflicting",
 	"pools_expired", "zone_changes", "route_stopped", "silent_pools",
 	"peer_in", "peer_out", "peer_bytes_out", "peer_bad", "peer_dropped", "peer_unsent", "members_suspected", "members_died",
-	"share_changes", "stale_stopped", "leases_asked", "leases_granted",
+	"share_changes", "stale_stopped", "leases_asked", "leases_granted", "word_bytes", "word_repairs",
 }
 
 // Set is a set of counters, safe for concurrent use. The zero value is ready; nil counts nothing.
