--- a/cluster/table/codec.go
+++ b/cluster/table/codec.go
@@ -107,9 +107,8 @@
 
 // packer packs items into as few bodies as they fill one after another.
 type packer struct {
-	message byte
-	bodies  [][]byte
-	b       []byte
+	bodies [][]byte
+	b      []byte
 }
 
 func (p *packer) item(i item) {
@@ -118,7 +117,7 @@
 		p.b = nil
 	}
 	if len(p.b) == 0 {
-		p.b = []byte{p.message}
+		p.b = []byte{fragmentsMessage}
 	}
 	p.b = appendItem(p.b, i)
 }
--- a/cluster/table/table.go
+++ b/cluster/table/table.go
@@ -579,7 +579,7 @@
 	if first.origin > last.origin || last.origin > t.cfg.Members {
 		return nil, t.refuse(from, "lines of members %d to %d", first.origin, last.origin)
 	}
-	pack := packer{message: fragmentsMessage}
+	var pack packer
 	wants := []byte{linesMessage, 0}
 	wants = appendRange(wants, key{}, key{})
 	asked := 0
--- a/cmd/eidertrail/files.go
+++ b/cmd/eidertrail/files.go
@@ -42,6 +42,7 @@
 
 // files reads the operator files, and holds them against the configuration.
 func (e environment) files(cfg *config.Config) (f files, err error) {
+	var zones *config.Routing // its zone and the fleet's region are one word
 	if e.callControl != "" {
 		if f.second, err = config.LoadCallControl(e.callControl); err != nil {
 			return f, err
@@ -53,7 +54,10 @@
 		}
 	}
 	if e.routing != "" {
-		if f.router, err = e.router(cfg); err != nil {
+		if zones, err = config.LoadRouting(e.routing); err != nil {
+			return f, err
+		}
+		if f.router, err = zones.Router(cfg.Settings.Nodes, cfg.Classes); err != nil {
 			return f, err
 		}
 	}
@@ -61,22 +65,13 @@
 		if f.fleet, err = config.LoadCluster(e.cluster); err == nil {
 			f.node, err = f.fleet.Node(cfg)
 		}
-		if err == nil && e.routing != "" {
-			err = e.sameZone(f.fleet)
+		if err == nil && zones != nil && f.fleet.Region != "" && f.fleet.Region != zones.Zone {
+			err = fmt.Errorf("cluster: region: %q, but zone of the routing file is %q", f.fleet.Region, zones.Zone)
 		}
 	}
 	return f, err
 }
 
-// sameZone holds the region against the zone of the routing file: they are one word.
-func (e environment) sameZone(fleet *config.Cluster) error {
-	zones, err := config.LoadRouting(e.routing)
-	if err == nil && fleet.Region != "" && fleet.Region != zones.Zone {
-		err = fmt.Errorf("cluster: region: %q, but zone of the routing file is %q", fleet.Region, zones.Zone)
-	}
-	return err
-}
-
 // router makes the routing file's router.
 func (e environment) router(cfg *config.Config) (*routing.Router, error) {
 	zones, err := config.LoadRouting(e.routing)
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -380,12 +380,12 @@
 // the one that speaks, after a send whose answer was lost.
 func (k *Desk) Over(id string, cause int) {
 	if !k.met(id) {
-		k.over(nil, over{id, cause, k.d.Now()})
+		k.over(nil, id, cause)
 	}
 }
 
 // Untold takes back the end of a call that a connection was handed and could not write: it is told on another.
-func (k *Desk) Untold(id string, cause int) { k.over(nil, over{id, cause, k.d.Now()}) }
+func (k *Desk) Untold(id string, cause int) { k.over(nil, id, cause) }
 
 func (k *Desk) met(id string) bool {
 	k.mu.Lock()
@@ -393,7 +393,8 @@
 	return k.calls[id] != nil || k.past.Has(id)
 }
 
-func (k *Desk) over(first *seat, o over) {
+func (k *Desk) over(first *seat, id string, cause int) {
+	o := over{id, cause, k.d.Now()}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if first != nil && k.at[first.Caller] == first && k.hand(first, o) {
@@ -560,7 +561,7 @@
 		k.forget(id)
 		k.mu.Unlock()
 		if byPool || k.tellAll && ctx.Err() == nil {
-			k.over(at, over{id, cause, k.d.Now()})
+			k.over(at, id, cause)
 		}
 	}
 }
