--- a/cluster/budget/timeline_test.go
+++ b/cluster/budget/timeline_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -31,7 +30,7 @@
 			mail    []letter
 			events  []timeline.Event
 		)
-		cuts := map[[2]int]bool{}
+		cuts := timeline.Cuts{}
 		note := func(node int, text string) { events = append(events, timeline.Event{At: now, Node: node, Text: text}) }
 		start := func(i int) {
 			life++
@@ -123,10 +122,9 @@
 				note(member(), "* stopped for "+s.Args[1])
 				stopped[member()] = now + long.Microseconds()
 			case "cut":
-				a, b, _ := strings.Cut(s.Args[0], "<>")
-				i, _ := strconv.Atoi(a)
-				j, _ := strconv.Atoi(b)
-				cuts[[2]int{i, j}], cuts[[2]int{j, i}] = true, true
+				if err := cuts.Cut(s.Args[0]); err != nil {
+					t.Fatal(err)
+				}
 				note(-1, s.String())
 			case "heal":
 				clear(cuts)
--- a/cluster/table/timeline_test.go
+++ b/cluster/table/timeline_test.go
@@ -26,7 +26,7 @@
 			}
 			return n
 		}
-		cuts, dead := map[[2]int]bool{}, map[int]bool{}
+		cuts, dead := timeline.Cuts{}, map[int]bool{}
 		for _, s := range steps {
 			for f != nil && f.now < s.At.Microseconds() {
 				f.run(step)
@@ -63,8 +63,9 @@
 				delete(dead, member())
 				f.start(member(), len(f.tables), uint64(number(s.Args[1])), known)
 			case "cut":
-				from, to, _ := strings.Cut(s.Args[0], "<>")
-				cuts[[2]int{number(from), number(to)}], cuts[[2]int{number(to), number(from)}] = true, true
+				if err := cuts.Cut(s.Args[0]); err != nil {
+					t.Fatal(err)
+				}
 				note(-1, s.String())
 			case "lose":
 				f.loss = float64(member()) / 100
--- a/cluster/timeline_test.go
+++ b/cluster/timeline_test.go
@@ -26,7 +26,7 @@
 		note := func(node int, text string) {
 			events = append(events, timeline.Event{At: w.now - second, Node: node, Text: text})
 		}
-		cuts := map[[2]int]bool{}
+		cuts := timeline.Cuts{}
 		for _, s := range steps {
 			if w != nil {
 				w.run(second + s.At.Microseconds() - w.now)
@@ -64,13 +64,8 @@
 				w.flush(i)
 				w.nodes[i] = nil
 			case "cut":
-				from, to, both := strings.Cut(s.Args[0], "<>")
-				if !both {
-					from, to, _ = strings.Cut(s.Args[0], ">")
-				}
-				cuts[[2]int{number(from), number(to)}] = true
-				if both {
-					cuts[[2]int{number(to), number(from)}] = true
+				if err := cuts.Cut(s.Args[0]); err != nil {
+					t.Fatal(err)
 				}
 				note(-1, s.String())
 			case "lose":
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -19,6 +19,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -131,6 +132,27 @@
 	return b.String()
 }
 
+// Cuts are the ways that are cut, from one node to another.
+type Cuts map[[2]int]bool
+
+// Cut cuts a way as a script names it, I>J, or I<>J for both.
+func (c Cuts) Cut(way string) error {
+	from, to, both := strings.Cut(way, "<>")
+	if !both {
+		from, to, _ = strings.Cut(way, ">")
+	}
+	i, err := strconv.Atoi(from)
+	j, errTo := strconv.Atoi(to)
+	if err != nil || errTo != nil {
+		return fmt.Errorf("timeline: %q: want I>J or I<>J", way)
+	}
+	c[[2]int{i, j}] = true
+	if both {
+		c[[2]int{j, i}] = true
+	}
+	return nil
+}
+
 // Run plays every file that matches glob as a test of its own. Each is a txtar archive with the files script and
 // picture; what stands before them says what it shows.
 func Run(t *testing.T, glob string, play func(t *testing.T, steps []Step) string) {
