A bulletin whose numbers go back takes no drain back, and no event of a page is lost

Seen on reading, then forced on loopback: a bulletin that answered with a lower number than the last had all that it sent told once more (bulletin.go, ask: page.No < w.after). An old up line of a pool that had since been told as draining or removed made it eligible again, for the moment between two repeated events or for as long as the bulletin lagged; and a bulletin that counts anew, asked for what comes after the old number, sent none of its events and had them skipped (news took page.No as told). In news, an event after a later one on a page, and the second of two with one number, passed for told; in ParsePage a drain whose address made no sense was passed over, though the uid names it. Ruled out: a page cut off (not valid JSON or an unexpected end, asked again with the number kept), the same event in the configuration and in an answer (skipped by number).

Change: fence, pure and bounded, remembers what was told of each pool, the configuration's events included, and replaces an older up line by what was told last; a later start, or a number past the drain's, passes. Drains and removals always pass. Pages are put in order of their numbers, and asked for from the first when the numbers went back. Watch takes the known page for its number, so that the fence has it (three test calls changed for that alone).

--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -149,7 +149,7 @@
 	for _, e := range cfg.Known.Items {
 		apply(e)
 	}
-	d.wg.Go(func() { bulletin.Watch(pools, cfg.Bulletin, cfg.Known.No, d.moves, d.clock, limited, d.count, apply) })
+	d.wg.Go(func() { bulletin.Watch(pools, cfg.Bulletin, cfg.Known, d.moves, d.clock, limited, d.count, apply) })
 	d.wg.Go(func() { d.broken <- d.callers.Serve(d.listener) })
 	log.Info().Str("name", cfg.Name).Stringer("listen", d.listener.Addr()).Int("classes", len(cfg.Settings.Classes)).
 		Int("memory_mb", cfg.MemoryMB).Int("sockets", cfg.Sockets).Bool("callcontrol", f.second != nil).Bool("discovery", f.disc != nil).Bool("routing", f.router != nil).
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -3,12 +3,14 @@
 package bulletin
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -47,7 +49,7 @@
 	Pools []Pool
 }
 
-// Page is an answer of the bulletin: the number of the last event, and the events.
+// Page is an answer of the bulletin: the number of the last event, and the events, in the order of their numbers.
 type Page struct {
 	No    int64
 	Items []Event
@@ -57,7 +59,8 @@
 var ErrPool = errors.New("bulletin: a pool that makes no sense")
 
 // ParsePage reads an answer of the bulletin. Items of other kinds are passed over, as are pools of an
-// unknown state. With ErrPool the page may be used all the same.
+// unknown state. With ErrPool the page may be used all the same: a drain whose address makes no sense is in it, with
+// no address.
 func ParsePage(text []byte, now *clock.Clock) (Page, error) {
 	var p Page
 	if !gjson.ValidBytes(text) {
@@ -96,15 +99,23 @@
 			}
 			if _, _, err := net.SplitHostPort(pool.Address); err != nil && pool.State != Removed {
 				bad = fmt.Errorf("%w: items[%d].roster.targets[%d].endpoint: %.40q is not address:port", ErrPool, i, j, pool.Address)
-				continue
+				// Guards against a drain that counts as told being passed over for an address that it does not need.
+				if pool.Address = ""; pool.State != Draining {
+					continue
+				}
 			}
 			e.Pools = append(e.Pools, pool)
 		}
 		p.Items = append(p.Items, e)
 	}
+	// Guards against an event that comes after a later one on the page passing for one that was told already.
+	slices.SortStableFunc(p.Items, func(a, b Event) int { return cmp.Compare(p.number(a), p.number(b)) })
 	return p, bad
 }
 
+// number is the event's, or the page's for one that has none.
+func (p Page) number(e Event) int64 { return cmp.Or(e.No, p.No) }
+
 const (
 	// patience is how long the bulletin is asked to wait for news. It is well under the 5 s that it allows: a
 	// feed that has fallen silent is noticed no sooner than this wait is over.
@@ -112,8 +123,10 @@
 	// grace is how long after that the answer may take, and how long an answer may take that has begun.
 	grace     = 700 * time.Millisecond
 	mostBytes = 1 << 20
-	retryMin  = 50 * time.Millisecond
-	retryMax  = time.Second
+	// dialWithin is how long a connection to the bulletin may take to come up.
+	dialWithin = time.Second
+	retryMin   = 50 * time.Millisecond
+	retryMax   = time.Second
 )
 
 // Move is what a new configuration says of the bulletin: where it is now, and events that may be news.
@@ -122,13 +135,27 @@
 	Known   Page
 }
 
-// Watch calls tell with each later event, in order and once each, until ctx is done. A Move has it ask
-// elsewhere from then on; the numbers continue. Without an address it waits for one.
-func Watch(ctx context.Context, address string, after int64, moves <-chan Move, now *clock.Clock, log zerolog.Logger, count *stats.Set, tell func(Event)) {
-	w := &watch{after: after, now: now, log: log, count: count, tell: tell, client: &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+// Watch calls tell with each event that is later than known, which was told already, in order and once each, until ctx
+// is done. A Move has it ask elsewhere from then on; the numbers continue. Without an address it waits for one. When
+// the numbers go back, what the bulletin has is told anew, but for what a later line has outdated.
+func Watch(ctx context.Context, address string, known Page, moves <-chan Move, now *clock.Clock, log zerolog.Logger, count *stats.Set, tell func(Event)) {
+	newWatch(known, now, log, count, tell).follow(ctx, address, moves)
+}
+
+func newWatch(known Page, now *clock.Clock, log zerolog.Logger, count *stats.Set, tell func(Event)) *watch {
+	w := &watch{after: known.No, now: now, log: log, count: count, tell: tell, client: &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialWithin}).DialContext,
 		MaxIdleConnsPerHost: 1, ReadBufferSize: 4096, WriteBufferSize: 1024,
 	}}}
+	for _, e := range known.Items {
+		w.fence.pass(e, known.number(e))
+		w.after = max(w.after, e.No)
+	}
+	return w
+}
+
+// follow asks at address, and where moves lead, until ctx is done.
+func (w *watch) follow(ctx context.Context, address string, moves <-chan Move) {
 	defer w.client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		asking, stop := context.WithCancel(ctx)
@@ -155,24 +182,39 @@
 type watch struct {
 	client *http.Client
 	after  int64 // number of the last event
+	fence  fence
 	now    *clock.Clock
 	log    zerolog.Logger
 	count  *stats.Set
 	tell   func(Event)
 }
 
-// news tells the events of a page that are later than the last.
+// news tells the events of a page that are later than the last. Several may have one number.
 func (w *watch) news(p Page) {
+	last := w.after
 	for _, e := range p.Items {
-		if e.No > w.after || e.No == 0 {
+		if e.No > last || e.No == 0 {
 			w.count.Add(stats.BulletinEvents)
-			w.tell(e)
+			w.tell(w.fence.pass(e, p.number(e)))
 			w.after = max(w.after, e.No)
 		}
 	}
 	w.after = max(w.after, p.No)
 }
 
+// back tells what a bulletin has whose numbers have gone back: it counts anew, or lags.
+//
+// Guards against events that are never told: it was asked for later ones than it has, so it may have sent none of
+// them, or the last. Unless it sent them from the first on it is asked for all.
+func (w *watch) back(p Page) {
+	w.log.Warn().Int64("no", p.No).Int64("after", w.after).Msg("bulletin counts anew")
+	w.after = 0
+	w.news(p)
+	if len(p.Items) == 0 || p.number(p.Items[0]) > 1 {
+		w.after = 0
+	}
+}
+
 // ask asks at one address again and again until ctx is done.
 func (w *watch) ask(ctx context.Context, address string) {
 	retry := retryMin
@@ -195,14 +237,16 @@
 			continue
 		}
 		retry = retryMin
+		stale := page.No <= w.after
+		if page.No < w.after {
+			w.back(page)
+		} else {
+			w.news(page)
+		}
 		// A bulletin that answers at once without news must not be asked in a tight loop.
-		if page.No == w.after && w.now.Now()-began < retryMin.Microseconds() {
+		if stale && w.now.Now()-began < retryMin.Microseconds() {
 			sleep(ctx, retryMin)
 		}
-		if page.No < w.after { // the bulletin counts anew: all that it has is news
-			w.after = 0
-		}
-		w.news(page)
 	}
 }
 
--- a/internal/bulletin/bulletin_test.go
+++ b/internal/bulletin/bulletin_test.go
@@ -74,7 +74,7 @@
 	defer s.Close()
 	var told []int64
 	count := &stats.Set{}
-	Watch(ctx, strings.TrimPrefix(s.URL, "http://"), 3, nil, clock.New(), zerolog.Nop(), count, func(e Event) { told = append(told, e.No) })
+	Watch(ctx, strings.TrimPrefix(s.URL, "http://"), Page{No: 3}, nil, clock.New(), zerolog.Nop(), count, func(e Event) { told = append(told, e.No) })
 	if got := fmt.Sprint(told); got != "[4 5 1]" {
 		t.Errorf("told %s", got)
 	}
@@ -100,7 +100,7 @@
 		fmt.Fprint(w, page(4, "draining"))
 	}))
 	defer s.Close()
-	Watch(ctx, strings.TrimPrefix(s.URL, "http://"), 3, nil, clock.New(), zerolog.Nop(), nil, func(e Event) { stop() })
+	Watch(ctx, strings.TrimPrefix(s.URL, "http://"), Page{No: 3}, nil, clock.New(), zerolog.Nop(), nil, func(e Event) { stop() })
 	if a, b := <-asked, <-asked; a != "3" || b != "3" {
 		t.Errorf("asked after %s and %s", a, b)
 	}
@@ -124,7 +124,7 @@
 	moves := make(chan Move, 1)
 	moves <- Move{Address: strings.TrimPrefix(s.URL, "http://"), Known: known}
 	var told []int64
-	Watch(ctx, "", 3, moves, clock.New(), zerolog.Nop(), nil, func(e Event) {
+	Watch(ctx, "", Page{No: 3}, moves, clock.New(), zerolog.Nop(), nil, func(e Event) {
 		if told = append(told, e.No); e.No == 5 {
 			stop()
 		}
--- /dev/null
+++ b/internal/bulletin/fence.go
@@ -0,0 +1,103 @@
+package bulletin
+
+// mostFenced bounds the pools that a fence remembers.
+const mostFenced = 4096
+
+// fence remembers what was told of each pool, and holds back older lines that would take it back. It does no I/O
+// and reads no clock. The zero value remembers nothing yet; it is not safe for concurrent use.
+//
+// Guards against a bulletin whose numbers go back, as one that lags or was started anew: an old "up" told once more
+// made a pool that drains or is gone eligible again. Such a line cannot be told from the same one in a new count, so
+// it is held back in both, until the numbers are past the drain's or the line tells of a later start.
+type fence struct {
+	pools map[string]*fenced // by uid
+}
+
+// fenced is what was told of one pool.
+type fenced struct {
+	line     Pool  // the last line that was passed on; Removed as well once its address was told as another's
+	no       int64 // the highest number of an event with a line of it that was passed on
+	drainNo  int64 // the same of those that had it drain or go, or gave its address away
+	lastBorn int64 // the latest start told
+}
+
+// pass returns the event numbered no as it is to be told: lines that are held back are replaced by what was told
+// last, so that a whole list still names the pool. A line that has a pool drain or go is never held back.
+func (f *fence) pass(e Event, no int64) Event {
+	if f.pools == nil {
+		f.pools = map[string]*fenced{}
+	}
+	listed := make(map[string]bool, len(e.Pools))
+	lines := make([]Pool, 0, len(e.Pools))
+	for _, l := range e.Pools {
+		listed[l.UID] = true
+		t := f.pools[l.UID]
+		if l.Address == "" && t != nil {
+			l.Address = t.line.Address
+		}
+		if l.Address == "" && l.State != Removed {
+			continue // nothing is known of it that could drain
+		}
+		switch {
+		case t == nil:
+			f.makeRoom()
+			t = &fenced{}
+			f.pools[l.UID] = t
+		case l.State == Up && t.outdates(l, no):
+			lines = append(lines, t.line)
+			continue
+		}
+		t.line, t.no, t.lastBorn = l, max(t.no, no), max(t.lastBorn, l.Born)
+		if l.State != Up {
+			t.drainNo = max(t.drainNo, no)
+		} else {
+			f.takeOver(l, no)
+		}
+		lines = append(lines, l)
+	}
+	if e.All {
+		for uid, t := range f.pools {
+			if !listed[uid] {
+				t.gone(no)
+			}
+		}
+	}
+	e.Pools = lines
+	return e
+}
+
+// outdates tells whether an up line of the event numbered no is older than what was told: than a drain, with no
+// later start since, or than a later start.
+func (t *fenced) outdates(l Pool, no int64) bool {
+	if t.line.State != Up {
+		return no <= t.drainNo && l.Born <= t.lastBorn
+	}
+	return no < t.no && l.Born < t.lastBorn
+}
+
+func (t *fenced) gone(no int64) {
+	t.line.State, t.drainNo = Removed, max(t.drainNo, no)
+}
+
+// takeOver notes that l's address is no longer another's, unless a further line of the same event says where that is.
+func (f *fence) takeOver(l Pool, no int64) {
+	for uid, t := range f.pools {
+		if uid != l.UID && t.line.Address == l.Address {
+			t.gone(no - 1)
+		}
+	}
+}
+
+// makeRoom forgets the pool that has been gone for longest, by the numbers, if there is no room for another.
+func (f *fence) makeRoom() {
+	if len(f.pools) < mostFenced {
+		return
+	}
+	oldest := ""
+	for uid, t := range f.pools {
+		if t.line.State == Removed && (oldest == "" || t.drainNo < f.pools[oldest].drainNo) {
+			oldest = uid
+		}
+	}
+	delete(f.pools, oldest)
+}
--- /dev/null
+++ b/internal/bulletin/order_test.go
@@ -0,0 +1,206 @@
+package bulletin
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"eidertrail/internal/clock"
+)
+
+// item is an event of s-1, at 127.0.0.3:5060 and never started late.
+func item(no int, state string) string {
+	return fmt.Sprintf(`{"no":%d,"roster":{"all":false,"targets":[{"uid":"s-1","endpoint":"127.0.0.3:5060","state":%q}]}}`, no, state)
+}
+
+func answer(no int, items ...string) string {
+	return fmt.Sprintf(`{"no":%d,"items":[%s]}`, no, strings.Join(items, ","))
+}
+
+// script is a bulletin on loopback that gives its answers in order, whatever is asked, and then none. asked gets the
+// number of each question.
+func script(t *testing.T, answers ...string) (address string, asked <-chan string) {
+	t.Helper()
+	questions := make(chan string, len(answers)+8)
+	var n atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		text := ""
+		if i := int(n.Add(1)) - 1; i < len(answers) {
+			text = answers[i]
+		}
+		questions <- r.URL.Query().Get("after")
+		if text == "" {
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprint(w, text)
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://"), questions
+}
+
+// watched runs a watch of address until as many questions have come, and returns them and what was told until then,
+// as "5 s-1 draining".
+func watched(t *testing.T, address string, asked <-chan string, questions int, known Page) (string, string) {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	var told, were []string
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		Watch(ctx, address, known, nil, clock.New(), zerolog.Nop(), nil, func(e Event) {
+			told = append(told, fmt.Sprint(e.No, " ", strings.ReplaceAll(text(e), "@127.0.0.3:5060", "")))
+		})
+	}()
+	for range questions {
+		were = append(were, <-asked)
+	}
+	stop()
+	<-ended
+	return strings.Join(were, " "), strings.Join(told, ", ")
+}
+
+// Guards against a pool that drains being up again for as long as a bulletin lags, or for the moment between two
+// events that are told twice.
+func TestAnOlderUpTakesNoDrainBack(t *testing.T) {
+	known, err := ParsePage([]byte(answer(4, item(1, "up"))), clock.New())
+	if err != nil {
+		t.Fatal(err)
+	}
+	address, asked := script(t,
+		answer(5, item(5, "draining")),
+		answer(4, item(1, "up")), // lags
+		answer(6, item(5, "draining"), item(6, "removed")),
+		answer(1, item(1, "up")), // counts anew
+		answer(7, item(7, "up")),
+	)
+	were, told := watched(t, address, asked, 6, known)
+	if want := "5 s-1 draining 0, 1 s-1 draining 0, 5 s-1 draining 0, 6 s-1 removed 0, 1 s-1 removed 0, 7 s-1 up 0"; told != want {
+		t.Errorf("told %s,\nwant %s", told, want)
+	}
+	if want := "4 5 4 6 1 7"; were != want {
+		t.Errorf("asked after %s, want %s", were, want)
+	}
+}
+
+// Guards against what the configuration told being unknown to the fence.
+func TestADrainThatWasKnownAtTheStartIsNotTakenBack(t *testing.T) {
+	known, err := ParsePage([]byte(answer(4, item(1, "up"), item(4, "draining"))), clock.New())
+	if err != nil {
+		t.Fatal(err)
+	}
+	address, asked := script(t, answer(1, item(1, "up")))
+	if _, told := watched(t, address, asked, 2, known); told != "1 s-1 draining 0" {
+		t.Errorf("told %s", told)
+	}
+}
+
+// Guards against events of a new count that are never told: asked for those after 5, the bulletin sends none of the
+// two that it has.
+func TestABulletinThatCountsAnewIsAskedForAll(t *testing.T) {
+	for _, k := range []struct{ first, want string }{
+		{answer(2), "1 s-1 up 0, 2 s-1 draining 0"},
+		{answer(2, item(2, "draining")), "2 s-1 draining 0, 1 s-1 draining 0, 2 s-1 draining 0"},
+	} {
+		address, asked := script(t, k.first, answer(2, item(1, "up"), item(2, "draining")))
+		if were, told := watched(t, address, asked, 3, Page{No: 5}); were != "5 0 2" || told != k.want {
+			t.Errorf("%s: asked after %s, told %s, want %s", k.first, were, told, k.want)
+		}
+	}
+}
+
+// Guards against a drain that is passed over because a later event comes before it on the page, or because it has
+// the number of another.
+func TestEveryEventOfAPageIsTold(t *testing.T) {
+	for _, k := range []struct{ page, want string }{
+		{answer(5, item(5, "up"), item(4, "draining")), "4 s-1 draining 0, 5 s-1 up 0"},
+		{answer(5, item(5, "removed"), item(4, "draining")), "4 s-1 draining 0, 5 s-1 removed 0"},
+		{answer(4, item(4, "up"), item(4, "draining")), "4 s-1 up 0, 4 s-1 draining 0"},
+		{answer(4, item(3, "up"), item(4, "draining")), "4 s-1 draining 0"},
+	} {
+		address, asked := script(t, k.page)
+		if _, told := watched(t, address, asked, 2, Page{No: 3}); told != k.want {
+			t.Errorf("%s: told %s, want %s", k.page, told, k.want)
+		}
+	}
+}
+
+// Guards against a drain that is passed over for an address that makes no sense, though the pool is known by its uid.
+func TestADrainWithoutAnAddressIsTold(t *testing.T) {
+	address, asked := script(t, answer(5, item(4, "up"), strings.Replace(item(5, "draining"), "127.0.0.3:5060", "", 1)))
+	if _, told := watched(t, address, asked, 2, Page{No: 3}); told != "4 s-1 up 0, 5 s-1 draining 0" {
+		t.Errorf("told %s", told)
+	}
+}
+
+// A move in the middle of an answer: what had come of it is not told, the new address is asked for it.
+func TestAMoveInTheMiddleOfAnAnswer(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	half := make(chan struct{})
+	old := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprint(w, answer(5, item(4, "up"), item(5, "draining"))[:120])
+		w.(http.Flusher).Flush()
+		close(half)
+		<-r.Context().Done()
+	}))
+	defer old.Close()
+	next, asked := script(t, answer(5, item(4, "up"), item(5, "draining")))
+	moves := make(chan Move, 1)
+	var told []int64
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		Watch(ctx, strings.TrimPrefix(old.URL, "http://"), Page{No: 3}, moves, clock.New(), zerolog.Nop(), nil,
+			func(e Event) { told = append(told, e.No) })
+	}()
+	<-half
+	moves <- Move{Address: next, Known: Page{No: 3}}
+	were := []string{<-asked, <-asked}
+	stop()
+	<-ended
+	if fmt.Sprint(were, told) != "[3 5] [4 5]" {
+		t.Errorf("asked after %v, told %v", were, told)
+	}
+}
+
+// A move while an answer is told: the rest of it is told first, and nothing that the move knows twice.
+func TestAMoveWhileEventsAreTold(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	old, _ := script(t, answer(5, item(4, "up"), item(5, "draining")))
+	next, asked := script(t)
+	known, err := ParsePage([]byte(answer(6, item(4, "up"), item(5, "draining"), item(6, "removed"))), clock.New())
+	if err != nil {
+		t.Fatal(err)
+	}
+	moves := make(chan Move) // unbuffered: once it is taken, the watch has it
+	telling, on := make(chan struct{}), make(chan struct{})
+	var told []int64
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		Watch(ctx, old, Page{No: 3}, moves, clock.New(), zerolog.Nop(), nil, func(e Event) {
+			if told = append(told, e.No); e.No == 4 {
+				close(telling)
+				<-on
+			}
+		})
+	}()
+	<-telling
+	moves <- Move{Address: next, Known: known}
+	close(on)
+	after := <-asked
+	stop()
+	<-ended
+	if after != "6" || fmt.Sprint(told) != "[4 5 6]" {
+		t.Errorf("asked after %s, told %v", after, told)
+	}
+}
