The list is caught up with 0.25 s after an outage at the latest, not 1 s

Seen: pauses between tries at the bulletin grew to 1 s (retryMax) and came on top of a try that had taken a second by itself. After 8 s without it the list was caught up with up to 0.98 s after its return (refused) and 1.24 s (no connection comes up, with pauses of 0.25 s on top), on the test's own clock; what it has counts as told meanwhile, and sends to drained pools are due to stop 0.5 s after that. A try costs a refused connection; lists are paid for by their lines, of which it brings none. Also: a connection to the address before that came up after a move stayed open, idle, in the shared transport, a descriptor for each such move.

Change: pauses grow to 0.25 s and count from the beginning of the try; each address has a transport of its own.

--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -126,7 +126,12 @@
 	// dialWithin is how long a connection to the bulletin may take to come up.
 	dialWithin = time.Second
 	retryMin   = 50 * time.Millisecond
-	retryMax   = time.Second
+	// retryMax is from the beginning of one try to the next: after an outage of any length the list is asked for that
+	// long after the bulletin's return, or when a try that began before it is over, at the latest.
+	//
+	// Guards against a list that is caught up with up to a second later than it could be: what it has to tell counts as
+	// told meanwhile, and sends to pools that drain are due to stop 0.5 s after that.
+	retryMax = 250 * time.Millisecond
 )
 
 // Move is what a new configuration says of the bulletin: where it is now, and events that may be news.
@@ -143,10 +148,7 @@
 }
 
 func newWatch(known Page, now *clock.Clock, log zerolog.Logger, count *stats.Set, tell func(Event)) *watch {
-	w := &watch{after: known.No, now: now, log: log, count: count, tell: tell, client: &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialWithin}).DialContext,
-		MaxIdleConnsPerHost: 1, ReadBufferSize: 4096, WriteBufferSize: 1024,
-	}}}
+	w := &watch{after: known.No, now: now, log: log, count: count, tell: tell, dial: (&net.Dialer{Timeout: dialWithin}).DialContext}
 	for _, e := range known.Items {
 		w.fence.pass(e, known.number(e))
 		w.after = max(w.after, e.No)
@@ -156,7 +158,6 @@
 
 // follow asks at address, and where moves lead, until ctx is done.
 func (w *watch) follow(ctx context.Context, address string, moves <-chan Move) {
-	defer w.client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		asking, stop := context.WithCancel(ctx)
 		var asked sync.WaitGroup
@@ -170,7 +171,6 @@
 			// Guards against waiting at an address that tells nothing more.
 			stop()
 			asked.Wait()
-			w.client.CloseIdleConnections()
 			w.news(m.Known)
 		}
 		stop()
@@ -180,13 +180,13 @@
 
 // watch is what Watch keeps from one address to the next.
 type watch struct {
-	client *http.Client
-	after  int64 // number of the last event
-	fence  fence
-	now    *clock.Clock
-	log    zerolog.Logger
-	count  *stats.Set
-	tell   func(Event)
+	dial  func(ctx context.Context, network, address string) (net.Conn, error)
+	after int64 // number of the last event
+	fence fence
+	now   *clock.Clock
+	log   zerolog.Logger
+	count *stats.Set
+	tell  func(Event)
 }
 
 // news tells the events of a page that are later than the last. Several may have one number.
@@ -217,10 +217,14 @@
 
 // ask asks at one address again and again until ctx is done.
 func (w *watch) ask(ctx context.Context, address string) {
+	// A transport of its own. Guards against a connection that comes up only after the move being kept, idle, for the next.
+	transport := &http.Transport{DialContext: w.dial, MaxIdleConnsPerHost: 1, ReadBufferSize: 4096, WriteBufferSize: 1024}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
 	retry := retryMin
 	for ctx.Err() == nil {
 		began := w.now.Now()
-		page, err := w.fetch(ctx, address)
+		page, err := w.fetch(ctx, client, address)
 		if errors.Is(err, ErrPool) { // asking again would bring it again
 			w.count.Add(stats.BulletinErrors)
 			w.log.Warn().Err(err).Msg("bulletin read in part")
@@ -231,8 +235,9 @@
 				return
 			}
 			w.count.Add(stats.BulletinErrors)
-			w.log.Warn().Err(err).Dur("again_in", retry).Msg("bulletin not read")
-			sleep(ctx, retry)
+			pause := max(retry-time.Duration(w.now.Now()-began)*time.Microsecond, retryMin)
+			w.log.Warn().Err(err).Dur("again_in", pause).Msg("bulletin not read")
+			sleep(ctx, pause)
 			retry = min(2*retry, retryMax)
 			continue
 		}
@@ -258,7 +263,7 @@
 }
 
 // fetch asks once.
-func (w *watch) fetch(ctx context.Context, address string) (Page, error) {
+func (w *watch) fetch(ctx context.Context, client *http.Client, address string) (Page, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	// Guards against a bulletin that stops in the middle of an event and keeps the connection open: what it
@@ -271,7 +276,7 @@
 	if err != nil {
 		return Page{}, fmt.Errorf("bulletin: %w", err)
 	}
-	answer, err := w.client.Do(request)
+	answer, err := client.Do(request)
 	if err != nil {
 		if context.Cause(ctx) == errSilent {
 			err = errSilent
--- a/internal/bulletin/order_test.go
+++ b/internal/bulletin/order_test.go
@@ -3,15 +3,21 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/rs/zerolog"
 
 	"eidertrail/internal/clock"
+	"eidertrail/internal/standin"
 )
 
 // item is an event of s-1, at 127.0.0.3:5060 and never started late.
@@ -204,3 +210,123 @@
 		t.Errorf("asked after %s, told %v", after, told)
 	}
 }
+
+// Guards against a connection to the address before that comes up only after the move, and stays open for nobody.
+func TestAConnectionThatComesUpAfterAMoveIsClosed(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	next, asked := script(t)
+	dialling, up := make(chan struct{}), make(chan struct{})
+	w := newWatch(Page{No: 3}, clock.New(), zerolog.Nop(), nil, func(Event) {})
+	w.dial = func(_ context.Context, network, address string) (net.Conn, error) {
+		if address == l.Addr().String() {
+			close(dialling)
+			<-up
+		}
+		return net.Dial(network, address)
+	}
+	moves := make(chan Move)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		w.follow(ctx, l.Addr().String(), moves)
+	}()
+	<-dialling
+	moves <- Move{Address: next}
+	<-asked
+	close(up)
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if text, err := io.ReadAll(c); len(text) > 0 || err != nil { // it ends when the other side closes
+		t.Errorf("%q, %v", text, err)
+	}
+	stop()
+	<-ended
+}
+
+// How late the list is caught up with after an outage, on a clock of its own. Guards against pauses that grow to a
+// second while what the bulletin has counts as told, and against a pause on top of a try that took long by itself.
+func TestTheListIsCaughtUpWithAfterAnOutage(t *testing.T) {
+	for _, k := range []struct {
+		name  string
+		fails func(ctx context.Context) error // what a dial meets with during the outage
+		least time.Duration                   // the worst case, and what is allowed on top of a try
+	}{
+		{"refused", func(context.Context) error { return syscall.ECONNREFUSED }, 250 * time.Millisecond},
+		{"no connection comes up", func(ctx context.Context) error {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(dialWithin):
+				return context.DeadlineExceeded
+			}
+		}, 1050 * time.Millisecond},
+	} {
+		worst := time.Duration(0)
+		for phase := range 50 { // the outage's end falls anywhere between two tries
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(t.Context())
+				l := standin.NewListener()
+				s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, answer(4, item(4, "draining"))) })}
+				go s.Serve(l)
+				back := time.Now().Add(8*time.Second + time.Duration(phase)*21*time.Millisecond)
+				var late time.Duration
+				w := newWatch(Page{No: 3}, clock.New(), zerolog.Nop(), nil, func(Event) {
+					late = time.Since(back)
+					stop()
+				})
+				w.dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
+					if time.Now().Before(back) {
+						return nil, k.fails(ctx)
+					}
+					return l.Dial(), nil
+				}
+				w.follow(ctx, "bulletin:80", nil)
+				s.Close()
+				worst = max(worst, late)
+			})
+		}
+		t.Logf("%s: caught up %v late at worst", k.name, worst)
+		if worst > k.least {
+			t.Errorf("%s: caught up %v late at worst, want %v", k.name, worst, k.least)
+		}
+	}
+}
+
+// Guards against an open watch that has fallen silent holding a drain back until it counts as told: the whole time
+// from the event to its telling, when the watch falls silent just after it was asked, on a clock of its own.
+func TestASilentWatchIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		l := standin.NewListener()
+		var n atomic.Int64
+		s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if n.Add(1) == 1 {
+				<-r.Context().Done()
+				return
+			}
+			fmt.Fprint(w, answer(4, item(4, "draining")))
+		})}
+		go s.Serve(l)
+		began := time.Now()
+		var took time.Duration
+		w := newWatch(Page{No: 3}, clock.New(), zerolog.Nop(), nil, func(Event) {
+			took = time.Since(began)
+			stop()
+		})
+		w.dial = func(context.Context, string, string) (net.Conn, error) { return l.Dial(), nil }
+		w.follow(ctx, "bulletin:80", nil)
+		s.Close()
+		if took > 2750*time.Millisecond {
+			t.Errorf("told after %v", took)
+		}
+	})
+}
