A drain does not wait for a look-up that hangs, and neither does a stop

Seen on reading, then forced: a new discovery file (SIGHUP) has sources.run, the one owner of the pool set, wait for its watchers (watchers.Wait), and discovery/srv's once heeds its context's deadline only, not its end. While a DNS server was silent, the owner stood still for up to the file's timeout (10 s at most) and took no event of the bulletin, a drain among them; daemon.stop waited as long. Ruled out: the channel of updates (watchers select on their context).

Change: a look-up's connection is closed when its context ends.

--- a/discovery/srv/resolver.go
+++ b/discovery/srv/resolver.go
@@ -95,12 +95,26 @@
 	return r.once(ctx, "tcp", q, a)
 }
 
+// exchangeWith asks once, and ends when ctx does. Guards against a look-up that is no longer wanted being waited for
+// until its time-out: the client heeds ctx's deadline, not its end.
+func exchangeWith(ctx context.Context, c *dns.Client, q *dns.Msg, server string) (*dns.Msg, error) {
+	conn, err := c.DialContext(ctx, server)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	reply, _, err := c.ExchangeWithConnContext(ctx, q, conn)
+	return reply, err
+}
+
 func (r *Resolver) once(ctx context.Context, network string, q *dns.Msg, a *Answer) (*dns.Msg, error) {
 	a.Queries++
 	c := &dns.Client{Net: network, Timeout: r.Timeout, UDPSize: r.udpSize()}
 	q = q.Copy()
 	q.Id = dns.Id()
-	reply, _, err := c.ExchangeContext(ctx, q, r.Server)
+	reply, err := exchangeWith(ctx, c, q, r.Server)
 	if err != nil {
 		if reply != nil && reply.Truncated && network == "udp" {
 			return nil, ErrTruncated // a partial message that says so
