Callers leave the descriptors that the list and the pools need

Need: callers could hold half of limits.sockets whatever else needs descriptors. At 1,024 all fits (at most 512 of callers, 12 of the process, 307 of a second front at its bound, the rest for pools). With 64 descriptors and 30 pools, or with a second front at 256, it does not: a dial then fails for want of a descriptor (EMFILE), which counts as the pool's fault. Accept waits 5 ms at EMFILE and goes on (front.Serve), and the list's fetch is tried again; neither makes room.

Change: callers have half, less where pools (64, or twice those listed at the start), the second front, SRV look-ups and the process want for more, and never under the third that the platform's callers may hold. A warning tells when that leaves fewer than 64 for pools.

--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -94,6 +94,14 @@
 		return nil, fmt.Errorf("callcontrol: max_connections: want at most a quarter of limits.sockets, %d", cfg.Sockets/4)
 	}
 	limitMemory(cfg)
+	names := 0
+	if f.disc != nil {
+		names = len(f.disc.Names)
+	}
+	callers, room := mostCallers(cfg, f.second, names)
+	if room < leastPools {
+		log.Warn().Int("sockets", cfg.Sockets).Int("callers", callers).Int("pools", room).Msg("few descriptors are left for pools")
+	}
 
 	// One bad peer must not fill the log: ten warnings a second.
 	limited := log.Sample(&zerolog.LevelSampler{WarnSampler: &zerolog.BurstSampler{Burst: 10, Period: time.Second}})
@@ -111,7 +119,7 @@
 	})
 	d.desk = dispatch.NewDesk(dispatch.DeskConfig{Dispatch: d.dispatch, Trunk: d.pools, Most: mostCalls, Once: true, Count: d.count})
 	d.callers = front.New(front.Config{
-		Desk: d.desk, Clock: d.clock, MostConnections: cfg.Sockets / 2, Tenants: cfg.Tenants, Ready: d.ready,
+		Desk: d.desk, Clock: d.clock, MostConnections: callers, Tenants: cfg.Tenants, Ready: d.ready,
 		ReleaseStray: d.pools.ReleaseStray, Log: limited, Count: d.count,
 	})
 	if d.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
