A bulletin that lags has no pool gone that came since

Seen on reading again, then forced: asked for all after its numbers went back, a bulletin that lags behind the events of a new configuration tells its first whole list once more, and a pool that came since was gone until it caught up; before that took an answer with its events in it.

Change: the fence knows each event again by its number and a checksum of what it says, the configuration's included, at most 4,096 of them; one that was told is not told again.

--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -142,7 +142,7 @@
 
 // Watch calls tell with each event that is later than known, which was told already, in order and once each, until ctx
 // is done. A Move has it ask elsewhere from then on; the numbers continue. Without an address it waits for one. When
-// the numbers go back, what the bulletin has is told anew, but for what a later line has outdated.
+// the numbers go back, what the bulletin has and did not tell before is told, but for what a later line has outdated.
 func Watch(ctx context.Context, address string, known Page, moves <-chan Move, now *clock.Clock, log zerolog.Logger, count *stats.Set, tell func(Event)) {
 	newWatch(known, now, log, count, tell).follow(ctx, address, moves)
 }
@@ -150,6 +150,7 @@
 func newWatch(known Page, now *clock.Clock, log zerolog.Logger, count *stats.Set, tell func(Event)) *watch {
 	w := &watch{after: known.No, now: now, log: log, count: count, tell: tell, dial: (&net.Dialer{Timeout: dialWithin}).DialContext}
 	for _, e := range known.Items {
+		w.fence.seen(e)
 		w.fence.pass(e, known.number(e))
 		w.after = max(w.after, e.No)
 	}
@@ -189,14 +190,17 @@
 	tell  func(Event)
 }
 
-// news tells the events of a page that are later than the last. Several may have one number.
+// news tells the events of a page that are later than the last and were not told before. Several may have one number.
 func (w *watch) news(p Page) {
 	last := w.after
 	for _, e := range p.Items {
 		if e.No > last || e.No == 0 {
+			w.after = max(w.after, e.No)
+			if w.fence.seen(e) {
+				continue
+			}
 			w.count.Add(stats.BulletinEvents)
 			w.tell(w.fence.pass(e, p.number(e)))
-			w.after = max(w.after, e.No)
 		}
 	}
 	w.after = max(w.after, p.No)
--- a/internal/bulletin/fence.go
+++ b/internal/bulletin/fence.go
@@ -1,7 +1,16 @@
 package bulletin
 
-// mostFenced bounds the pools that a fence remembers.
-const mostFenced = 4096
+import (
+	"fmt"
+	"hash/fnv"
+)
+
+const (
+	// mostFenced bounds the pools that a fence remembers.
+	mostFenced = 4096
+	// mostSeen bounds the events that it knows again. When they are over it starts anew.
+	mostSeen = 4096
+)
 
 // fence remembers what was told of each pool, and holds back older lines that would take it back. It does no I/O
 // and reads no clock. The zero value remembers nothing yet; it is not safe for concurrent use.
@@ -11,6 +20,35 @@
 // it is held back in both, until the numbers are past the drain's or the line tells of a later start.
 type fence struct {
 	pools map[string]*fenced // by uid
+	told  map[stamp]bool     // the events that were passed on
+}
+
+// stamp is an event's number and a checksum of what it says.
+type stamp struct {
+	no  int64
+	sum uint64
+}
+
+// seen tells whether this very event, by its number and what it says, was passed on before, and notes it. An event
+// without a number never was.
+//
+// Guards against the older list of a bulletin that lags having pools that were told since gone for a while, with
+// what stands there, and known again as if they were new.
+func (f *fence) seen(e Event) bool {
+	if e.No == 0 {
+		return false
+	}
+	sum := fnv.New64a()
+	fmt.Fprintf(sum, "%v %+v", e.All, e.Pools)
+	s := stamp{e.No, sum.Sum64()}
+	if f.told[s] {
+		return true
+	}
+	if f.told == nil || len(f.told) >= mostSeen {
+		f.told = map[stamp]bool{}
+	}
+	f.told[s] = true
+	return false
 }
 
 // fenced is what was told of one pool.
--- a/internal/bulletin/fence_test.go
+++ b/internal/bulletin/fence_test.go
@@ -91,6 +91,14 @@
 	if _, held := f.pools["up"]; len(f.pools) != mostFenced || !held {
 		t.Errorf("%d pools, the one that is up held: %v", len(f.pools), held)
 	}
+	for no := int64(1); no <= 2*mostSeen; no++ {
+		if e := (Event{No: no}); f.seen(e) || !f.seen(e) {
+			t.Fatalf("event %d is not known again, or was before", no)
+		}
+	}
+	if len(f.told) > mostSeen {
+		t.Errorf("%d events are remembered", len(f.told))
+	}
 	if e := f.pass(event(t, fmt.Sprintf("1: %d@%[1]d up", last)), 1); text(e) != fmt.Sprintf("%d@%[1]d removed 0", last) {
 		t.Errorf("the latest that went is told as %q", text(e))
 	}
