rules: nothing sent 0.1 s after its caller left, cold pools held to their budget

Cause: the operators' two new terms were not checked. A send after the caller's leaving was a violation at any time, without the 0.1 s for the way, and was not told apart from one after the answer; what all controllers send a cold pool together was a ratio in the stand-ins, held to N or to nothing, not a rule.

Change: Config.LeftGrace, µs; Checker.Left takes the true time of the leaving, the first one counts. Departures counts attempts within the grace, and waiting calls sent on 0.3 s later of how many. ColdStart tells of a start; attempts of all controllers and repeats (Repeated) within any Start.After are held to N + 2 root N + 2, the operators' term (the platform's is 3 and 3). Load tells how many came, and is bounded; Start.Allowed is N.

Measured: the tests of the package pass. Seen to fail on each of: the grace doubled or inclusive, the leaving told again moving its time, 0.3 s inclusive, waiting not asked for, chance 1 or 3, the ramp left out, one set-up over let pass, the window open at its end or doubled, the process before counted in, the table not emptied.

--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -19,22 +19,31 @@
 	return s.Share + (1-s.Share)*float64(max(age, 0))/float64(s.For), true
 }
 
+// Allowed is the set-ups of mean work that all senders together may send within After to a process that can do rate of
+// them a second now.
+func (s Start) Allowed(rate float64) float64 { return s.Multiple * rate * float64(s.After) / 1e6 }
+
 // Load is what was sent to a cold process. The zero value is ready.
 type Load struct {
-	arrived []int64 // in the last After
+	arrived []int64 // in the last After, at most mostArrived of them
 	worst   float64
 }
 
-// Arrive takes a set-up at a cold process that can do so many a second now.
-func (l *Load) Arrive(now int64, s Start, rate float64) {
+// mostArrived bounds the set-ups that are remembered; no process is allowed as many within After.
+const mostArrived = 1 << 16
+
+// Arrive takes a set-up at a cold process that can do so many a second now. It returns how many came within After,
+// this one included.
+func (l *Load) Arrive(now int64, s Start, rate float64) int {
 	if s.After <= 0 {
-		return
+		return 0
 	}
 	l.arrived = append(l.arrived, now)
-	for now-l.arrived[0] > s.After {
+	for now-l.arrived[0] > s.After || len(l.arrived) > mostArrived {
 		l.arrived = l.arrived[1:]
 	}
-	l.worst = max(l.worst, float64(len(l.arrived))/(s.Multiple*rate*float64(s.After)/1e6))
+	l.worst = max(l.worst, float64(len(l.arrived))/s.Allowed(rate))
+	return len(l.arrived)
 }
 
 // Restart begins anew with a new process; the worst is kept.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,14 +1,18 @@
 // Package rules checks a trace of calls against the rules that hold on the wire: one final answer for each call
 // taken, in time and never after its caller left; never two attempts out; so many sends at most; the release
-// awaited; nothing new to a pool that drains or is gone. The simulator, the tests' stand-ins and the lab use it.
+// awaited; nothing new to a pool that drains or is gone, nor for a caller that has left; a cold pool not sent more than
+// it bears, by all controllers together. The simulator, the tests' stand-ins and the lab use it.
 //
 // It reads no clock: times are µs of one clock, handed in. It is safe for concurrent use.
 package rules
 
 import (
 	"fmt"
+	"math"
 	"sort"
 	"sync"
+
+	"eidertrail/internal/coldstart"
 )
 
 // Config is what the rules are held to. Times are in µs.
@@ -17,10 +21,23 @@
 	Sends   int   // a call may have
 	Grace   int64 // after it was told that a pool drains or is gone, a controller may still send there
 	Late    int64 // after the caller's patience an answer may still come, for the way
+	// LeftGrace is how long after its caller left, by closing its connection or by cancelling, an attempt of a call,
+	// first or further, may still begin.
+	LeftGrace int64
+	// Start is how pools' processes start, and what they bear while cold; with After 0 none is held to it.
+	Start coldstart.Start
 }
 
-// mostKept bounds the violations that are kept; all are counted.
-const mostKept = 100
+const (
+	// mostKept bounds the violations that are kept; all are counted.
+	mostKept = 100
+	// mostCold bounds the cold pools that are watched at a time; one more is a violation.
+	mostCold = 1024
+	// sentOnAfter is how long after its caller left a waiting call that is sent on all the same counts as such, µs.
+	sentOnAfter = 300_000
+	// chance square roots of what a cold pool is allowed, and as many set-ups, are put down to chance.
+	chance = 2
+)
 
 // Checker holds what has happened. The zero value is not ready: New makes one.
 type Checker struct {
@@ -28,9 +45,34 @@
 	mu     sync.Mutex
 	calls  map[string]*call
 	gone   map[string]int64 // by controller and pool: since when it was told not to send there
+	cold   map[string]*coldPool
 	broken []string
 	count  int
 	seen   int
+	left   Departures
+	ramp   Ramp
+}
+
+// Departures counts callers that left, and what was sent for them.
+type Departures struct {
+	Waiting int // left while their call was taken and had neither an attempt out nor its answer
+	SentOn  int // of those calls, sent on 0.3 s or more after
+	Within  int // attempts begun within LeftGrace
+}
+
+// Ramp is what was sent to pools while they were cold, repeats included.
+type Ramp struct {
+	Starts  int     // cold starts that were told
+	Sent    int     // set-ups
+	Worst   float64 // the most within Start.After, as a part of what was allowed and chance on top: over 1 is a violation
+	WorstAt string  // the pool
+}
+
+// coldPool is a pool whose process has started and is not warm yet.
+type coldPool struct {
+	born int64
+	rate float64 // set-ups of mean work that it can do a second once warm
+	load coldstart.Load
 }
 
 type call struct {
@@ -40,12 +82,15 @@
 	freeAt  int64 // not sent again before
 	finals  int
 	left    bool
+	leftAt  int64
+	waited  bool // when its caller left
+	sentOn  bool // and counted so
 	expects bool // it was taken
 }
 
 // New returns a checker.
 func New(cfg Config) *Checker {
-	return &Checker{cfg: cfg, calls: map[string]*call{}, gone: map[string]int64{}}
+	return &Checker{cfg: cfg, calls: map[string]*call{}, gone: map[string]int64{}, cold: map[string]*coldPool{}}
 }
 
 func (c *Checker) fail(now int64, id, format string, args ...any) {
@@ -101,11 +146,71 @@
 		c.fail(now, id, "sent again %d ms before its release", (k.freeAt-now+999)/1000)
 	case is && now > since+c.cfg.Grace:
 		c.fail(now, id, "sent to %s, which drains or is gone since %.3f s", pool, float64(since)/1e6)
-	case k.finals > 0 || k.left:
+	case k.finals > 0:
 		c.fail(now, id, "sent after its end")
+	case k.left && now > k.leftAt+c.cfg.LeftGrace:
+		c.fail(now, id, "sent to %s %d ms after its caller left", pool, (now-k.leftAt)/1000)
+	case k.left:
+		c.left.Within++
+	}
+	if k.waited && !k.sentOn && now >= k.leftAt+sentOnAfter {
+		k.sentOn = true
+		c.left.SentOn++
 	}
 	k.out = true
 	k.sends++
+	c.work(now, id, pool)
+}
+
+// Repeated notes that a set-up that is out was sent again by the sender's stack: work at its pool, and no attempt.
+func (c *Checker) Repeated(now int64, id, pool string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.work(now, id, pool)
+}
+
+// ColdStart notes that a pool's process started at born, cold, and can do so many set-ups of mean work a second once
+// it is warm. It counts for all that is sent there from then on, whoever was told of the start.
+func (c *Checker) ColdStart(born int64, pool string, rate float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ramp.Starts++
+	for uid, p := range c.cold {
+		if born-p.born >= c.cfg.Start.For {
+			delete(c.cold, uid)
+		}
+	}
+	if c.cold[pool] == nil && len(c.cold) >= mostCold {
+		c.fail(born, "-", "cold pool %s is not watched: %d others are", pool, mostCold)
+		return
+	}
+	c.cold[pool] = &coldPool{born: born, rate: rate}
+}
+
+// work holds what reaches a pool to what it bears while it is cold. A time before its start belongs to the process
+// before. The caller holds mu.
+func (c *Checker) work(now int64, id, pool string) {
+	p := c.cold[pool]
+	if p == nil || now < p.born {
+		return
+	}
+	part, cold := c.cfg.Start.Part(now - p.born)
+	if !cold {
+		delete(c.cold, pool)
+		return
+	}
+	c.ramp.Sent++
+	rate := p.rate * part
+	n := c.cfg.Start.Allowed(rate)
+	most := n + chance*math.Sqrt(n) + chance
+	got := float64(p.load.Arrive(now, c.cfg.Start, rate))
+	if got/most > c.ramp.Worst {
+		c.ramp.Worst, c.ramp.WorstAt = got/most, pool
+	}
+	if got > most {
+		c.fail(now, id, "cold pool %s, %.3f s old, got %.0f set-ups within %.3f s: it bears %.1f, by chance %.1f", pool,
+			float64(now-p.born)/1e6, got, float64(c.cfg.Start.After)/1e6, n, most)
+	}
 }
 
 // Ended notes the end of an attempt; release tells that it was a time-out, a reset or a cancel.
@@ -136,11 +241,19 @@
 	}
 }
 
-// Left notes that the caller gave its call up: no answer is owed any more.
+// Left notes that the caller closed its connection or cancelled: no answer is owed any more, and soon nothing is to be
+// sent. now is when the caller did so, not when a controller learned of it.
 func (c *Checker) Left(now int64, id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.get(id).left = true
+	k := c.get(id)
+	if k.left {
+		return
+	}
+	k.left, k.leftAt = true, now
+	if k.waited = k.expects && !k.out && k.finals == 0; k.waited {
+		c.left.Waiting++
+	}
 }
 
 // Finish notes the end of the trace: every call must have its answer.
@@ -172,3 +285,17 @@
 	defer c.mu.Unlock()
 	return c.seen
 }
+
+// Departures is what came of the callers that left.
+func (c *Checker) Departures() Departures {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.left
+}
+
+// Ramp is what was sent to cold pools.
+func (c *Checker) Ramp() Ramp {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ramp
+}
