--- a/dispatch/route_test.go
+++ b/dispatch/route_test.go
@@ -13,6 +13,7 @@
 
 	"eidertrail"
 	"eidertrail/internal/clock"
+	"eidertrail/internal/coldstart"
 	"eidertrail/internal/stats"
 	"eidertrail/routing"
 	"eidertrail/rules"
@@ -43,7 +44,8 @@
 
 func newZones(d *Dispatcher) *zones {
 	z := &zones{d: d, zoneOf: map[string]string{}, dark: map[string]bool{}, coldFrom: map[string]time.Time{},
-		holding: map[string]int{}, rules: rules.New(rules.Config{Release: 300_000, Sends: 2, Late: 20_000})}
+		holding: map[string]int{}, rules: rules.New(rules.Config{Release: 300_000, Sends: 2, Late: 20_000,
+			LeftGrace: 100_000, Start: coldstart.Start{Share: 3.0 / agents, For: coldFor.Microseconds(), Multiple: 3, After: 1_500_000}})}
 	for _, zone := range []string{"batumi", "tbilisi", "kutaisi", "telavi"} {
 		for _, n := range []string{"1", "2"} {
 			z.zoneOf[zone[:2]+n] = zone
@@ -164,9 +166,11 @@
 // zoneRun is what one run of the zone scenario saw.
 type zoneRun struct {
 	dark, darkSoon, darkRefused int // calls placed while batumi was dark; standing within 1.5 s; turned away
-	calls, stood                int
+	calls, stood, gone          int
 	toCold, overCold, home      int
 	broken                      []string
+	left                        rules.Departures
+	ramp                        rules.Ramp
 	count                       routing.Count
 }
 
@@ -175,6 +179,7 @@
 	routed bool
 	dark   [][2]time.Duration // batumi goes dark at the first and comes back cold at the second
 	held   int                // agents of each pool of the first tier that others' calls hold throughout
+	leave  time.Duration      // every third caller leaves after this, if not 0
 }
 
 // once is batumi going dark for 10 s.
@@ -238,14 +243,26 @@
 			z.set(func() {
 				if z.dark["batumi"] && !plan.isDark(at) {
 					z.coldFrom["batumi"] = time.Now()
+					for uid, zone := range z.zoneOf {
+						if zone == "batumi" {
+							z.rules.ColdStart(d.Now(), uid, agents/standFor.Seconds())
+						}
+					}
 				}
 				z.dark["batumi"] = plan.isDark(at)
 			})
 			wg.Go(func() {
 				r := Request{Call: d.NewCall(), Class: 0, Pool: -1, Until: d.Now() + 6_000_000}
 				z.rules.Taken(d.Now(), fmt.Sprint(n), r.Until)
-				f := Serve(context.Background(), d, z, r, Setup{ID: fmt.Sprint(n)})
-				z.rules.Final(d.Now(), fmt.Sprint(n), fmt.Sprint(f.Kind))
+				ctx, hangUp := context.WithCancel(context.Background())
+				defer hangUp()
+				if plan.leave > 0 && n%3 == 0 {
+					defer time.AfterFunc(plan.leave, func() { z.rules.Left(d.Now(), fmt.Sprint(n)); hangUp() }).Stop()
+				}
+				f := Serve(ctx, d, z, r, Setup{ID: fmt.Sprint(n)})
+				if f.Kind != Gone {
+					z.rules.Final(d.Now(), fmt.Sprint(n), fmt.Sprint(f.Kind))
+				}
 				took := time.Since(start) - at
 				mu.Lock()
 				run.calls++
@@ -259,6 +276,8 @@
 					if dark && took <= 1500*time.Millisecond {
 						run.darkSoon++
 					}
+				case Gone:
+					run.gone++
 				case Turned, GivenUp:
 					if dark {
 						run.darkRefused++
@@ -274,6 +293,7 @@
 		wg.Wait()
 		z.rules.Finish(d.Now())
 		_, run.broken = z.rules.Broken()
+		run.left, run.ramp = z.rules.Departures(), z.rules.Ramp()
 		run.toCold, run.overCold, run.home = z.toCold, z.overCold, z.home
 		if router != nil {
 			run.count = router.Count()
@@ -307,6 +327,9 @@
 	if on.count.ZonesOut == 0 {
 		t.Error("batumi was never taken out")
 	}
+	if on.ramp.Starts != 2 || on.ramp.Sent == 0 {
+		t.Errorf("%+v: the rules were not held to batumi's cold pools", on.ramp)
+	}
 	if os.Getenv("EIDERTRAIL_MEASURE") != "" { // the same run without routing, to compare
 		t.Logf("routing off: %s", runZones(t, zonePlan{dark: once}))
 	}
@@ -351,6 +374,20 @@
 	}
 }
 
+// Callers leave while their zone is dark, with a first or a further attempt out, or in between: none is begun after.
+func TestNothingIsSentInTheDarkForCallersThatLeft(t *testing.T) {
+	for _, leave := range []time.Duration{10 * time.Millisecond, 30 * time.Millisecond} {
+		run := runZones(t, zonePlan{routed: true, dark: once, held: agents, leave: leave})
+		t.Logf("%s; %d were gone, %+v", run, run.gone, run.left)
+		if len(run.broken) > 0 {
+			t.Errorf("%v: rules broken: %v", leave, run.broken)
+		}
+		if run.gone < 10 || run.left.SentOn > 0 {
+			t.Errorf("%v: %d were gone, %+v: want 10 callers gone, and none sent on", leave, run.gone, run.left)
+		}
+	}
+}
+
 // A class with tiers of its own spills where they say, the others where the general ones do, and the module's
 // choice is held to it by the last guard.
 func TestTiersOfAClass(t *testing.T) {
--- a/dispatch/sites_test.go
+++ b/dispatch/sites_test.go
@@ -13,6 +13,7 @@
 
 	"eidertrail"
 	"eidertrail/internal/clock"
+	"eidertrail/internal/coldstart"
 	"eidertrail/internal/standin"
 	"eidertrail/internal/stats"
 	"eidertrail/rules"
@@ -38,6 +39,10 @@
 	{"short of processors", 500 * time.Millisecond, 400 * time.Millisecond, 15 * time.Second, 0.29, 3, 3 * time.Second, 1200 * time.Millisecond, 9 * time.Second, 0},
 }
 
+func (s site) start() coldstart.Start {
+	return coldstart.Start{Share: s.share, For: s.cold.Microseconds(), Multiple: s.multi, After: s.after.Microseconds()}
+}
+
 // fleet is several controllers in one bubble that share stand-in pools with processors.
 type fleet struct {
 	site
@@ -56,6 +61,7 @@
 	talk  sync.WaitGroup         // of the books
 	keep  bool                   // calls stand on
 	tick  func()                 // called before each call, if set
+	leave time.Duration          // every third caller leaves after this, if not 0
 }
 
 // onFleet runs test on nodes controllers of the site; the pools p0, p1, ... are warm and listed.
@@ -63,7 +69,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
 		f := &fleet{site: s, procs: map[string]*standin.Processor{},
-			rules: rules.New(rules.Config{Release: s.release.Microseconds(), Sends: 2, Late: 20_000}), kinds: map[FinalKind]int{}, sent: map[string][]time.Time{}}
+			rules: rules.New(rules.Config{Release: s.release.Microseconds(), Sends: 2, Late: 20_000, LeftGrace: 100_000, Start: s.start()}), kinds: map[FinalKind]int{}, sent: map[string][]time.Time{}}
 		for i := range nodes {
 			told := cmp.Or(s.told, nodes)
 			set := eidertrail.Settings{Nodes: told, Index: i % told, Here: -1, Release: s.release, Resend: s.resend, MaxAttempts: 4,
@@ -97,6 +103,7 @@
 		ColdFor: f.cold, FallMultiple: f.multi, FallAfter: f.after}
 	if born > 0 {
 		p.Start(time.Now().Add(-born))
+		f.rules.ColdStart(f.ds[0].Now()-born.Microseconds(), uid, float64(time.Second)/float64(p.Work))
 	}
 	f.mu.Lock()
 	f.procs[uid] = p
@@ -153,14 +160,22 @@
 			f.tick()
 		}
 		d := f.ds[f.calls%len(f.ds)]
-		id := fmt.Sprint(f.calls)
+		n := f.calls
+		id := fmt.Sprint(n)
 		r := Request{Call: d.NewCall(), Pool: cmp.Or(f.first, f.calls/len(f.ds)%max(len(f.procs), 1)), Until: d.Now() + f.give.Microseconds()}
 		f.calls++
 		f.wg.Go(func() {
 			at := time.Now()
 			f.rules.Taken(d.Now(), id, r.Until)
-			final := Serve(context.Background(), d, f, r, Setup{ID: id})
-			f.rules.Final(d.Now(), id, fmt.Sprint(final.Kind))
+			ctx, hangUp := context.WithCancel(context.Background())
+			defer hangUp()
+			if f.leave > 0 && n%3 == 0 {
+				defer time.AfterFunc(f.leave, func() { f.rules.Left(d.Now(), id); hangUp() }).Stop()
+			}
+			final := Serve(ctx, d, f, r, Setup{ID: id})
+			if final.Kind != Gone {
+				f.rules.Final(d.Now(), id, fmt.Sprint(final.Kind))
+			}
 			f.mu.Lock()
 			f.kinds[final.Kind]++
 			if final.Kind == Stands && !f.keep {
@@ -203,6 +218,9 @@
 					if w := f.procs["p2"].Worst(); w > 1 || w == 0 {
 						t.Errorf("the cold pool got %.2f of what makes it fall over", w)
 					}
+					if ramp := f.rules.Ramp(); ramp.Starts != 1 || ramp.Sent == 0 {
+						t.Errorf("%+v: the rules were not held to the cold pool", ramp)
+					}
 					if f.kinds[Stands] < f.calls*7/10 {
 						t.Errorf("%d of %d calls stood", f.kinds[Stands], f.calls)
 					}
@@ -212,6 +230,36 @@
 	}
 }
 
+// Callers leave while their calls wait for a place, and while an attempt is out at a pool that is slow: what is not
+// out is not sent any more.
+func TestNothingIsSentForCallersThatLeft(t *testing.T) {
+	for _, s := range sites {
+		t.Run(s.name, func(t *testing.T) {
+			onFleet(t, s, 5, 2, func(f *fleet) {
+				f.leave = 150 * time.Millisecond
+				f.offer(150, 2*time.Second)
+				for _, p := range f.procs {
+					p.Slow(20)
+				}
+				f.offer(150, 5*time.Second)
+				for _, p := range f.procs {
+					p.Slow(1)
+				}
+				f.offer(150, 2*time.Second)
+				f.wg.Wait()
+				left := f.rules.Departures()
+				t.Logf("%+v, %d were gone", left, f.kinds[Gone])
+				if left.Waiting < 20 || f.kinds[Gone] <= left.Waiting {
+					t.Errorf("%d callers left while their call waited, of %d that left: want 20, and some with an attempt out", left.Waiting, f.kinds[Gone])
+				}
+				if left.SentOn > 0 {
+					t.Errorf("%d of %d calls were sent on 0.3 s after their caller had left", left.SentOn, left.Waiting)
+				}
+			})
+		})
+	}
+}
+
 // All pools turn three times slower together: calls still stand, most of what they can take, and the
 // controllers open up again once they are quick.
 func TestAllPoolsSlowTogether(t *testing.T) {
--- a/lab/live.go
+++ b/lab/live.go
@@ -47,7 +47,8 @@
 	defer os.RemoveAll(dir)
 	ctx, stop := context.WithCancel(ctx)
 	l := &live{v: v, rng: rand.New(rand.NewPCG(seed, 9)), began: time.Now(), burst: 1, finals: map[string]*liveCall{},
-		rules: rules.New(rules.Config{Release: v.Settings.Release.Microseconds(), Sends: 2, Grace: math.MaxInt64 / 4, Late: 100_000})}
+		rules: rules.New(rules.Config{Release: v.Settings.Release.Microseconds(), Sends: 2, Grace: math.MaxInt64 / 4,
+			Late: 100_000, LeftGrace: 100_000})}
 	defer func() { stop(); l.wg.Wait() }()
 	var targets []map[string]any
 	for _, p := range v.Pool {
@@ -527,6 +528,6 @@
 		r.Service = earned / worth
 	}
 	r.Summarize(l.times)
-	r.Broken, r.Rules = l.rules.Broken()
+	r.Check(l.rules)
 	return r
 }
--- a/lab/table.go
+++ b/lab/table.go
@@ -83,6 +83,7 @@
 		{"p99_ms", func(r *sim.Result) float64 { return r.P99 }},
 		{"sends_per_call", func(r *sim.Result) float64 { return part(r.Sends, r.Calls) }},
 		{"cold", func(r *sim.Result) float64 { return r.Cold }},
+		{"cold_budget", func(r *sim.Result) float64 { return r.ColdBudget }},
 		{"srv_lag_ms", func(r *sim.Result) float64 { return r.Lag }},
 		{"broken", func(r *sim.Result) float64 { return float64(r.Broken) }},
 	}
--- a/sim/pool.go
+++ b/sim/pool.go
@@ -123,6 +123,18 @@
 	return Taken, wait + work
 }
 
+// repeated takes a set-up that it has already: finding that out is work.
+func (p *pool) repeated(now int64, s *Settings) {
+	if p.cut || p.down || p.gone {
+		return
+	}
+	rate, cold := p.rate(now, s)
+	if cold {
+		p.load.Arrive(now, s.start(), rate)
+	}
+	p.freeAt = max(p.freeAt, now) + int64(1e6/rate)/5
+}
+
 // Start is a new process in its place.
 func (p *pool) Start(now int64) {
 	p.born, p.down, p.held, p.freeAt = now, false, 0, now
--- a/sim/result.go
+++ b/sim/result.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"eidertrail/cluster"
+	"eidertrail/rules"
 )
 
 // windowLong is how long a window of the course is, µs.
@@ -32,18 +33,21 @@
 	P50     float64 `json:"p50_ms"`  // from the first try to the answer
 	P99     float64 `json:"p99_ms"`
 
-	Cold      float64          `json:"cold"` // the most sent to a cold pool, as a part of what makes it fall over
-	Datagrams int              `json:"datagrams"`
-	Queries   int              `json:"queries"`    // DNS look-ups
-	Lag       float64          `json:"srv_lag_ms"` // the longest from a record's going to a controller's knowing
-	Deaths    int              `json:"deaths"`     // members held dead, by each member
-	Broken    int              `json:"broken"`     // rules
-	Rules     []string         `json:"rules,omitempty"`
-	Class     []ClassResult    `json:"class"`
-	Pool      []PoolResult     `json:"pool"`
-	Course    []Window         `json:"course"`
-	Notes     []string         `json:"notes"`
-	Counters  map[string]int64 `json:"counters"` // of all controllers together
+	Cold        float64          `json:"cold"`         // the most sent to a cold pool, as a part of what makes it fall over
+	ColdBudget  float64          `json:"cold_budget"`  // the same as the rule has it, with chance on top: over 1 is a violation
+	LeftWaiting int              `json:"left_waiting"` // callers that left while their call had neither an attempt out nor its answer
+	SentOn      int              `json:"sent_on"`      // of those, sent on 0.3 s later
+	Datagrams   int              `json:"datagrams"`
+	Queries     int              `json:"queries"`    // DNS look-ups
+	Lag         float64          `json:"srv_lag_ms"` // the longest from a record's going to a controller's knowing
+	Deaths      int              `json:"deaths"`     // members held dead, by each member
+	Broken      int              `json:"broken"`     // rules
+	Rules       []string         `json:"rules,omitempty"`
+	Class       []ClassResult    `json:"class"`
+	Pool        []PoolResult     `json:"pool"`
+	Course      []Window         `json:"course"`
+	Notes       []string         `json:"notes"`
+	Counters    map[string]int64 `json:"counters"` // of all controllers together
 
 	worth, earned float64
 	classWorth    []float64
@@ -181,7 +185,7 @@
 		r.Pool = append(r.Pool, PoolResult{p.uid, p.got, p.full, p.load.Worst()})
 		r.Cold = max(r.Cold, p.load.Worst())
 	}
-	r.Broken, r.Rules = s.rules.Broken()
+	r.Check(s.rules)
 	r.Counters = map[string]int64{"tries": int64(r.Tries), "sends": int64(r.Sends), "tries_refused": int64(r.Refused),
 		"tries_failed": int64(r.Failed), "tries_left": int64(r.Left), "datagrams": int64(r.Datagrams)}
 	for _, n := range s.nodes {
@@ -193,6 +197,14 @@
 	}
 }
 
+// Check takes what the checker of the rules has found.
+func (r *Result) Check(c *rules.Checker) {
+	r.Broken, r.Rules = c.Broken()
+	r.ColdBudget = c.Ramp().Worst
+	left := c.Departures()
+	r.LeftWaiting, r.SentOn = left.Waiting, left.SentOn
+}
+
 // Summarize tells the worst ten seconds from the course, and the percentiles of the times, µs from the first try to
 // the answer, which it sorts.
 func (r *Result) Summarize(times []int64) {
--- a/sim/scenario.go
+++ b/sim/scenario.go
@@ -44,7 +44,8 @@
 	FallMultiple float64       `toml:"fall_multiple"`
 	FallAfter    time.Duration `toml:"fall_after"`
 	MaxAttempts  int           `toml:"max_attempts"`
-	Grace        time.Duration `toml:"grace"` // after the word of a drain, by the rules
+	Grace        time.Duration `toml:"grace"`   // after the word of a drain, by the rules
+	Repeats      bool          `toml:"repeats"` // a set-up repeated after Resend, then at doubling gaps, is work at its pool
 	Tick         time.Duration `toml:"tick"`
 }
 
@@ -66,6 +67,7 @@
 	TryShare float64       `toml:"try"`     // the part of the deadline that one try is waited for
 	Retries  int           `toml:"retries"` // after a refusal, or a try in vain
 	Backoff  time.Duration `toml:"backoff"` // before the next try, at the least what the answer asks for
+	Shares   []float64     `toml:"shares"`  // of the new calls, by controller; none: all alike
 }
 
 // Pool is so many pools of one kind.
@@ -79,13 +81,16 @@
 	MostWait time.Duration `toml:"most_wait"` // past it a set-up is turned away
 	Tell     time.Duration `toml:"tell"`      // how often it tells its state
 	Errors   float64       `toml:"errors"`    // the share of set-ups that end in a fault
+	Untold   bool          `toml:"untold"`    // its agents are not told
+	Noise    float64       `toml:"noise"`     // the free agents told are off by up to this share of all
 }
 
 // Net is the way between them.
 type Net struct {
-	Near   [2]Duration `toml:"near"` // one way, within a zone: least and most
-	Far    [2]Duration `toml:"far"`  // between zones
-	List   [2]Duration `toml:"list"` // how late the list of pools tells of a change
+	Near   [2]Duration `toml:"near"`       // one way, within a zone: least and most
+	Far    [2]Duration `toml:"far"`        // between zones
+	List   [2]Duration `toml:"list"`       // how late the list of pools tells of a change
+	Apart  Duration    `toml:"list_apart"` // a controller may hear the list this much later than the first
 	Peers  [2]Duration `toml:"peers"`
 	Loss   float64     `toml:"peer_loss"` // of the datagrams between controllers
 	Refuse Duration    `toml:"refuse"`    // a dead pool's refusal takes this more
@@ -154,7 +159,7 @@
 		Settings: Settings{Release: 300 * time.Millisecond, Cold: 10 * time.Second, ColdShare: 0.3, FallMultiple: 3,
 			FallAfter: 1500 * time.Millisecond, MaxAttempts: 4, Grace: 500 * time.Millisecond, Tick: 5 * time.Millisecond},
 		Callers: Callers{Rate: 50, TryShare: 0.4, Retries: 1, Backoff: time.Second},
-		Net: Net{Near: [2]Duration{ms(2), ms(4)}, Far: [2]Duration{ms(10), ms(20)}, List: [2]Duration{ms(1000), ms(1200)},
+		Net: Net{Near: [2]Duration{ms(2), ms(4)}, Far: [2]Duration{ms(10), ms(20)}, List: [2]Duration{ms(1000), ms(1200)}, Apart: ms(5),
 			Peers: [2]Duration{ms(2), ms(10)}, Refuse: ms(1)}}
 	meta, err := toml.Decode(text, s)
 	if err != nil {
@@ -254,6 +259,15 @@
 	case !(s.Net.Loss >= 0 && s.Net.Loss <= 1):
 		return s.bad("net.peer_loss", 0, "want 0 to 1")
 	}
+	if len(s.Callers.Shares) > 0 && (len(s.Callers.Shares) != s.Controllers || slices.Min(s.Callers.Shares) < 0 || slices.Max(s.Callers.Shares) <= 0) {
+		return s.bad("callers.shares", 0, "want one for each controller, 0 or more, and not all 0")
+	}
+	if s.Net.Apart < ms(1) {
+		return s.bad("net.list_apart", 0, "want 1 ms or more")
+	}
+	if s.Settings.Repeats && s.Settings.Resend <= 0 {
+		return s.bad("settings.repeats", 0, "want a resend")
+	}
 	for field, r := range map[string][2]Duration{"near": s.Net.Near, "far": s.Net.Far, "list": s.Net.List, "peers": s.Net.Peers} {
 		if r[0] < 0 || r[1] < r[0] {
 			return s.bad("net."+field, 0, "want the least and the most, 0 or more")
@@ -271,8 +285,8 @@
 	}
 	names, zones := s.pools()
 	for i, p := range s.Pool {
-		if p.Name == "" || p.Agents < 1 || p.Work <= 0 || p.Tell < 0 || !(p.Errors >= 0 && p.Errors <= 1) {
-			return s.bad("pool.name", i, "want a name, agents, work, errors from 0 to 1")
+		if p.Name == "" || p.Agents < 1 || p.Work <= 0 || p.Tell < 0 || !(p.Errors >= 0 && p.Errors <= 1) || !(p.Noise >= 0 && p.Noise <= 1) {
+			return s.bad("pool.name", i, "want a name, agents, work, errors and noise from 0 to 1")
 		}
 	}
 	slices.Sort(names)
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -48,6 +48,7 @@
 	burst   float64
 	loss    float64
 	classes []float64 // cumulated shares
+	shares  []float64 // of the controllers, cumulated; nil: all alike
 	calls   int
 	out     Result
 	names   names
@@ -60,6 +61,7 @@
 	lotHold
 	lotFault
 	lotFleet
+	lotNoise
 	streams
 )
 
@@ -141,7 +143,7 @@
 func Run(sc *Scenario, seed uint64) (*Result, error) {
 	s := &Sim{sc: sc, now: origin, end: origin + sc.Length.Microseconds(), byUID: map[string]*pool{}, burst: 1, loss: sc.Net.Loss,
 		rules: rules.New(rules.Config{Release: sc.Settings.Release.Microseconds(), Sends: 2,
-			Grace: sc.Settings.Grace.Microseconds(), Late: 50_000})}
+			Grace: sc.Settings.Grace.Microseconds(), Late: 50_000, LeftGrace: 100_000, Start: sc.Settings.start()})}
 	for i := range s.rng {
 		s.rng[i] = rand.New(rand.NewPCG(seed, uint64(i)+1))
 	}
@@ -150,6 +152,11 @@
 		total += c.Share
 		s.classes = append(s.classes, total)
 	}
+	total = 0
+	for _, share := range sc.Callers.Shares {
+		total += share
+		s.shares = append(s.shares, total)
+	}
 	s.names = names{unlisted: map[*pool]bool{}, changedAt: map[*pool]int64{}}
 	for kind, p := range sc.Pool {
 		for i := range max(p.Count, 1) {
@@ -331,6 +338,9 @@
 	n.standing[a.pool.uid]++
 	way := s.way(n, a.pool)
 	s.after(way, func() { s.arrive(n, a, serial, way) })
+	if s.sc.Settings.Repeats {
+		s.repeat(n, a, serial, way, s.sc.Settings.Resend.Microseconds())
+	}
 	if limit < a.until {
 		s.after(limit-s.now, func() { // the attempt times out
 			if a.serial != serial || !a.out || a.stands {
@@ -342,6 +352,22 @@
 	}
 }
 
+// repeat has the sender's stack send a set-up again once it has been out for so long without an answer, and again at
+// doubling gaps.
+func (s *Sim) repeat(n *node, a *attempt, serial int, way, gap int64) {
+	if gap <= 0 {
+		return
+	}
+	s.after(gap, func() {
+		if a.serial != serial || !a.out || a.over {
+			return
+		}
+		s.rules.Repeated(s.now, a.name(), a.pool.uid)
+		s.after(way, func() { a.pool.repeated(s.now, &s.sc.Settings) })
+		s.repeat(n, a, serial, way, 2*gap)
+	})
+}
+
 // ended reports the end of an attempt that does not stand.
 func (n *node) ended(a *attempt, serial int, o dispatch.Outcome, state dispatch.State) {
 	s := n.s
@@ -375,8 +401,16 @@
 	return least + s.rng[lot].Int64N(most-least+1)
 }
 
-func (p *pool) state() dispatch.State {
-	return dispatch.State{Free: float64(p.Agents - p.held), Agents: float64(p.Agents)}
+// told is the state that a pool tells.
+func (s *Sim) told(p *pool) dispatch.State {
+	if p.Untold {
+		return dispatch.Untold
+	}
+	free, agents := float64(p.Agents-p.held), float64(p.Agents)
+	if p.Noise > 0 {
+		free = min(max(0, free+agents*p.Noise*(2*s.rng[lotNoise].Float64()-1)), agents)
+	}
+	return dispatch.State{Free: free, Agents: agents}
 }
 
 // arrive is a set-up at its pool.
@@ -388,7 +422,7 @@
 	v, after := p.Arrive(s.now, &s.sc.Settings, s.rng[lotFault].Float64())
 	born := p.born
 	back := func(o dispatch.Outcome, d int64) {
-		s.after(d+way, func() { n.ended(a, serial, o, p.state()) })
+		s.after(d+way, func() { n.ended(a, serial, o, s.told(p)) })
 	}
 	switch v {
 	case Silent:
@@ -433,7 +467,7 @@
 		s.rules.Ended(s.now, a.name(), false)
 		s.rules.Final(s.now, a.name(), "stands")
 		n.engine.Report(s.now, dispatch.Result{Call: a.id, Attempt: a.pick.Attempt, Pool: a.pick.Pool,
-			Outcome: dispatch.Answered, Took: s.now - a.pick.At, State: p.state()})
+			Outcome: dispatch.Answered, Took: s.now - a.pick.At, State: s.told(p)})
 		if n.s.sc.Fleet != nil && n.s.sc.Fleet.Rates {
 			rate, _ := p.rate(s.now, &s.sc.Settings)
 			n.engine.ObserveRate(s.now, p.uid, rate)
@@ -460,7 +494,7 @@
 	}
 	n.hear(func() {
 		n.engine.Report(s.now, dispatch.Result{Call: a.id, Attempt: a.pick.Attempt, Pool: a.pick.Pool, Outcome: o,
-			Took: s.now - a.pick.At, State: p.state()})
+			Took: s.now - a.pick.At, State: s.told(p)})
 	})
 }
 
@@ -487,7 +521,7 @@
 		}
 		if !p.down && !p.cut && !p.draining && !p.gone {
 			for _, n := range s.nodes {
-				state, way := p.state(), s.way(n, p)
+				state, way := s.told(p), s.way(n, p)
 				s.after(way, func() { n.hear(func() { n.engine.Observe(s.now, p.uid, state) }) })
 			}
 		}
@@ -501,7 +535,7 @@
 	late := s.within(s.sc.Net.List, lotNet)
 	born := p.born
 	for _, n := range s.nodes {
-		s.after(late+s.rng[lotNet].Int64N(5000), func() {
+		s.after(late+s.rng[lotNet].Int64N(int64(s.sc.Net.Apart)/1000), func() {
 			n.hear(func() {
 				s.rules.Told(s.now, n.name, p.uid, mode == eidertrail.Ready)
 				n.engine.Roster(s.now, []dispatch.Server{{UID: p.uid, Group: p.group, Zone: p.Zone, Born: born, Mode: mode}}, false)
@@ -523,6 +557,13 @@
 	}
 }
 
+// start is a new, cold process in a pool's place.
+func (s *Sim) start(p *pool) {
+	p.Start(s.now)
+	warm := 1e6 / float64(p.Work.Microseconds()) / max(p.slow, 1e-3)
+	s.rules.ColdStart(s.now, p.uid, warm)
+}
+
 // happen is an event of the scenario.
 func (s *Sim) happen(e Event) {
 	s.out.note(s, e)
@@ -576,7 +617,7 @@
 			s.cutAll(p)
 			s.list(p, eidertrail.Gone)
 			later(func() {
-				p.Start(s.now)
+				s.start(p)
 				s.list(p, eidertrail.Ready)
 			})
 		case Replace:
@@ -585,7 +626,7 @@
 			later(func() {
 				s.cutAll(p)
 				p.draining = false
-				p.Start(s.now)
+				s.start(p)
 				s.list(p, eidertrail.Ready)
 			})
 		}
@@ -609,7 +650,7 @@
 		share := r.Float64() * s.classes[len(s.classes)-1]
 		c.class, _ = slices.BinarySearch(s.classes, math.Nextafter(share, math.Inf(1)))
 		c.class = min(c.class, len(s.classes)-1)
-		c.node = s.nodes[r.IntN(len(s.nodes))]
+		c.node = s.nodes[s.controller()]
 		c.pool = s.pools[r.IntN(len(s.pools))].group
 		if groups := s.sc.Class[c.class].Groups; groups != nil {
 			c.pool = groups[r.IntN(len(groups))]
@@ -620,6 +661,16 @@
 	})
 }
 
+// controller draws the controller that a new caller calls.
+func (s *Sim) controller() int {
+	if s.shares == nil {
+		return s.rng[lotCalls].IntN(len(s.nodes))
+	}
+	lot := s.rng[lotCalls].Float64() * s.shares[len(s.shares)-1]
+	i, _ := slices.BinarySearch(s.shares, math.Nextafter(lot, math.Inf(1)))
+	return min(i, len(s.shares)-1)
+}
+
 // again lets a caller whose try was in vain dial again, or give up.
 func (s *Sim) again(c *caller, answer string, after int64) {
 	s.out.vain(answer)
