A repeat of a set-up at a cold pool is seen to count as work

Cause: the ramp's test passed with the checker not told of repeats: none of its draws shows them. Change: cold_sent in a run's result; TestRepeatsAreWorkAtAColdPool has a cold pool ten times slow. Seen to fail with the checker not told, and with one repeat only.

--- a/sim/ramp_test.go
+++ b/sim/ramp_test.go
@@ -167,3 +167,18 @@
 		})
 	}
 }
+
+// A set-up that waits at a slow cold pool is repeated by the sender's stack, and again at doubling gaps, and each repeat is work that counts: more
+// than twice as much reaches the pool as attempts were sent there.
+func TestRepeatsAreWorkAtAColdPool(t *testing.T) {
+	d := draw{shapes[1], 5, 1, 0.6, 1000, 0, time.Second}
+	s := d.scenario(1, true)
+	s.Event = append(s.Event, Event{At: lostAt, Kind: Slow, Pool: "p0", Times: 10})
+	r := run(t, s, 1)
+	s.Settings.Repeats = false
+	without := run(t, s, 1)
+	t.Logf("%d set-ups at the cold pool, %d without repeats", r.ColdSent, without.ColdSent)
+	if without.ColdSent == 0 || r.ColdSent <= 2*without.ColdSent || r.ColdBudget <= without.ColdBudget {
+		t.Errorf("%d set-ups at the cold pool, %.2f of the budget; without repeats %d, %.2f", r.ColdSent, r.ColdBudget, without.ColdSent, without.ColdBudget)
+	}
+}
--- a/sim/result.go
+++ b/sim/result.go
@@ -35,6 +35,7 @@
 
 	Cold        float64          `json:"cold"`         // the most sent to a cold pool, as a part of what makes it fall over
 	ColdBudget  float64          `json:"cold_budget"`  // the same as the rule has it, with chance on top: over 1 is a violation
+	ColdSent    int              `json:"cold_sent"`    // set-ups to cold pools, repeats included
 	LeftWaiting int              `json:"left_waiting"` // callers that left while their call had neither an attempt out nor its answer
 	SentOn      int              `json:"sent_on"`      // of those, sent on 0.3 s later
 	Datagrams   int              `json:"datagrams"`
@@ -200,7 +201,8 @@
 // Check takes what the checker of the rules has found.
 func (r *Result) Check(c *rules.Checker) {
 	r.Broken, r.Rules = c.Broken()
-	r.ColdBudget = c.Ramp().Worst
+	ramp := c.Ramp()
+	r.ColdBudget, r.ColdSent = ramp.Worst, ramp.Sent
 	left := c.Departures()
 	r.LeftWaiting, r.SentOn = left.Waiting, left.SentOn
 }
