A call given up at the end is failed, not refused, where a repeat may do harm

Seen by reading: Desk.serve made every call that GiveUp gave up Turned, and Serve every one whose dispatcher had closed (ErrClosed), also after an attempt that may have been carried out, of a class that is keyed or unsafe. The module keeps to that (turnAway), so it was ruled out: these two paths pass it by.

Serve now notes whether an attempt may have run (all outcomes but no agent, processor full, connect failed, moot) and answers GivenUp, with MayHaveRun, where the class is not Safe. GiveUp's cause is looked at there, not in the desk.

TestGivenUpAfterAnAttemptThatMayHaveRun: seven cases; without the change three failed (unsafe and keyed with an attempt out, unsafe timed out as the loop ends), with it all pass.

--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -317,8 +317,8 @@
 	}
 }
 
-// GiveUp gives every set-up that has no final answer yet one at once: it is refused, and an attempt that
-// is out is called off.
+// GiveUp gives every set-up that has no final answer yet one at once: an attempt that is out is called off, and
+// the set-up is refused, or failed where it may have been carried out and must not be repeated.
 func (k *Desk) GiveUp() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -527,9 +527,6 @@
 	if at.open--; !at.proven {
 		k.doubted--
 	}
-	if final.Kind == Gone && context.Cause(ctx) == errGivenUp {
-		final = Final{Kind: Turned, After: k.d.engine.most}
-	}
 	gone := final.Kind == Gone || context.Cause(ctx) == errLeft
 	if !gone && !at.Final(id, final) {
 		k.count.Add(stats.AnswersUnwritten)
--- a/dispatch/desk_test.go
+++ b/dispatch/desk_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"eidertrail"
 	"eidertrail/internal/stats"
 )
@@ -305,3 +307,59 @@
 		}
 	})
 }
+
+// Guards against a set-up that may have been carried out, of a class that must not be repeated, being refused at
+// the end of the process: a refusal says that trying again is harmless.
+func TestGivenUpAfterAnAttemptThatMayHaveRun(t *testing.T) {
+	const out = Answered // the attempt is still out when the process ends
+	for _, e := range []struct {
+		name     string
+		effect   eidertrail.Effect
+		first    Outcome // of the first attempt
+		loopEnds bool    // before that outcome is reported; else the desk gives the call up
+		want     FinalKind
+	}{
+		{"safe, attempt out", eidertrail.Safe, out, false, Turned},
+		{"unsafe, attempt out", eidertrail.Unsafe, out, false, GivenUp},
+		{"keyed, attempt out", eidertrail.Keyed, out, false, GivenUp},
+		{"unsafe, proven not to have run, held", eidertrail.Unsafe, NoAgent, false, Turned},
+		{"unsafe, timed out as the loop ends", eidertrail.Unsafe, TimedOut, true, GivenUp},
+		{"unsafe, proven not to have run, the loop ends", eidertrail.Unsafe, NoAgent, true, Turned},
+		{"safe, timed out as the loop ends", eidertrail.Safe, TimedOut, true, Turned},
+	} {
+		set := settings()
+		set.Classes[0].Effect = e.effect
+		bubble(t, func(r *rig) {
+			d, err := New(set, 1, 2_000_000, r.clock, zerolog.Nop(), r.count)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, stop := context.WithCancel(context.Background())
+			defer stop()
+			go d.Run(ctx)
+			r.Dispatcher, r.trunk.d = d, d
+			r.desk = NewDesk(DeskConfig{Dispatch: d, Trunk: r.trunk, Most: 100, Count: r.count})
+			r.list(eidertrail.Ready, eidertrail.Ready)
+			c := r.connect()
+			r.setup(c, "c1")
+			x := r.last()
+			r.list(eidertrail.Ready, eidertrail.Gone) // what comes back is held
+			if e.loopEnds {
+				stop()
+				synctest.Wait()
+			}
+			if e.first != out {
+				x.end <- Ending{Outcome: e.first, State: State{0, 20}}
+				synctest.Wait()
+			}
+			if !e.loopEnds {
+				r.desk.GiveUp()
+				synctest.Wait()
+			}
+			got := c.got().finals
+			if len(got) != 1 || got[0].Kind != e.want || got[0].MayHaveRun != (e.want == GivenUp) {
+				t.Errorf("%s: finals %+v, want one of kind %d", e.name, got, e.want)
+			}
+		})
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -77,6 +77,11 @@
 	Moot          // never sent
 )
 
+// neverRan tells whether the outcome proves that the attempt was not carried out.
+func (o Outcome) neverRan() bool {
+	return o == NoAgent || o == ProcessorFull || o == ConnectFailed || o == Moot
+}
+
 // State is a pool's report. What is not told is negative.
 type State struct{ Free, Agents float64 }
 
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+
+	"eidertrail"
 )
 
 // This file is the life of a call, the same for every front: it is placed, sent, sent once more at
@@ -59,7 +61,7 @@
 // The final answers. Gone means that none is owed: the caller has left.
 const (
 	Stands FinalKind = iota
-	Turned           // refused: trying again is harmless
+	Turned           // refused: trying again is harmless, as no attempt was carried out or the class is Safe
 	GivenUp
 	Gone
 )
@@ -70,6 +72,8 @@
 	Call   *Standing // with Stands
 	After  int64     // with Turned and GivenUp: when to come back
 	NoRoom bool      // with Turned: no agent was free
+	// MayHaveRun, with GivenUp: an attempt may have been carried out, and trying again is not harmless.
+	MayHaveRun bool
 	// Errored: the last pool could make nothing of the set-up.
 	Errored bool
 }
@@ -82,20 +86,35 @@
 	attempt Attempt
 }
 
-// Serve takes one call from its set-up to its final answer. ctx is done when the caller leaves.
+// Serve takes one call from its set-up to its final answer. ctx is done when the caller leaves, and then no
+// answer is owed; or when the call is given up at the end of the process (errGivenUp), and then one is.
 func Serve(ctx context.Context, d *Dispatcher, t Trunk, r Request, s Setup) Final {
-	errored := false
+	errored, ran := false, false
+	// settled is f as the rules of the call's class allow it. Guards against a call that may stand at a pool, of a
+	// class whose set-ups must not be repeated, being refused when the process ends: its caller would try again.
+	settled := func(f Final) Final {
+		if ran && d.engine.set.Classes[r.Class].Effect != eidertrail.Safe {
+			f.Kind, f.NoRoom, f.MayHaveRun = GivenUp, false, true
+		}
+		return f
+	}
+	left := func() Final {
+		if errors.Is(context.Cause(ctx), errGivenUp) {
+			return settled(Final{Kind: Turned, After: d.engine.most})
+		}
+		return Final{Kind: Gone}
+	}
 	for {
 		p, err := d.Pick(ctx, r)
 		switch {
 		case err != nil && ctx.Err() != nil:
-			return Final{Kind: Gone}
+			return left()
 		case errors.Is(err, ErrClosed):
-			return Final{Kind: Turned, After: leastAfter}
+			return settled(Final{Kind: Turned, After: leastAfter})
 		case err != nil || p.Verdict == Failed:
-			return Final{Kind: GivenUp, After: max(p.After, leastAfter), Errored: errored}
+			return settled(Final{Kind: GivenUp, After: max(p.After, leastAfter), Errored: errored})
 		case p.Verdict == Refused:
-			return Final{Kind: Turned, After: p.After, NoRoom: p.NoRoom, Errored: errored}
+			return settled(Final{Kind: Turned, After: p.After, NoRoom: p.NoRoom, Errored: errored})
 		}
 		a := Attempt{Setup: s, Pool: p.Pool, Number: p.Attempt, At: p.At, Until: r.Until, LeaveBy: p.LeaveBy}
 		if p.Limit > 0 {
@@ -104,10 +123,11 @@
 		leg, end := t.Invite(ctx, a)
 		report := Result{Call: r.Call, Attempt: p.Attempt, Pool: p.Pool, Outcome: end.Outcome,
 			Took: end.At - p.At, State: end.State, Left: ctx.Err() != nil}
+		ran = ran || !end.Outcome.neverRan()
 		if leg == nil {
 			d.Report(report)
 			if report.Left {
-				return Final{Kind: Gone}
+				return left()
 			}
 			errored = end.Outcome == Errored
 			continue
@@ -117,9 +137,9 @@
 			report.Outcome, report.Left = Cancelled, true
 			d.Report(report)
 			if ctx.Err() != nil {
-				return Final{Kind: Gone}
+				return left()
 			}
-			return Final{Kind: GivenUp, After: leastAfter}
+			return settled(Final{Kind: GivenUp, After: leastAfter})
 		}
 		report.Outcome = Answered
 		d.Report(report)
