--- a/front/conn.go
+++ b/front/conn.go
@@ -69,11 +69,15 @@
 	<-c.closed
 }
 
-// Final implements dispatch.Caller. The platform's wire has no place for a time to come back.
+// Final implements dispatch.Caller. The platform's wire has no place for a time to come back. On it causes 34, 42 and
+// 102 say that trying again is harmless, so a call that may have been carried out and must not be repeated gets
+// another.
 func (c *conn) Final(id string, f dispatch.Final) bool {
 	switch {
 	case f.Kind == dispatch.Stands:
 		return c.send(line{bytes: jsonl.AppendAnswer(nil, id, f.Call.SDP())})
+	case f.Kind == dispatch.GivenUp && f.MayHaveRun:
+		return c.send(line{bytes: jsonl.AppendCause(nil, "release", id, causeFailed)})
 	case f.Kind == dispatch.GivenUp:
 		return c.send(line{bytes: jsonl.AppendCause(nil, "release", id, causeTimer)})
 	case f.NoRoom:
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -89,7 +89,8 @@
 func onRig(t *testing.T, test func(r *rig)) {
 	count, now := &stats.Set{}, clock.New()
 	d, err := dispatch.New(eidertrail.Settings{Nodes: 1, Here: -1, Release: 300 * time.Millisecond,
-		Classes: []eidertrail.Class{{Name: "voice", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1}},
+		Classes: []eidertrail.Class{{Name: "voice", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1},
+			{Name: "once", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1, Effect: eidertrail.Unsafe}},
 	}, 1, 2_000_000, now, zerolog.Nop(), count)
 	if err != nil {
 		t.Fatal(err)
@@ -313,6 +314,32 @@
 	})
 }
 
+// Guards against a failure passing for a refusal on the wire, where causes 34, 42 and 102 say that trying again is
+// harmless: the set-up may have been carried out and must not be repeated.
+func TestFailureThatMayHaveRunIsNoRefusal(t *testing.T) {
+	for _, e := range []struct {
+		class   string
+		outcome dispatch.Outcome
+		want    string
+	}{
+		{"voice", dispatch.TimedOut, `"cause":42}`}, // the attempt is out until the desk gives the call up
+		{"once", dispatch.TimedOut, `"cause":41}`},
+		{"once", dispatch.Errored, `"cause":41}`},
+		{"once", dispatch.NoAgent, `"cause":34}`},
+	} {
+		bubble(t, func(r *rig) {
+			r.trunk.say(e.outcome)
+			c := r.dial()
+			c.say(strings.Replace(setup, "voice", e.class, 1))
+			time.Sleep(1400 * time.Millisecond)
+			r.cfg.Desk.GiveUp()
+			if lines, _ := c.take(); len(lines) != 1 || !strings.HasSuffix(lines[0], e.want) {
+				t.Errorf("%s, outcome %d: told %q, want %s", e.class, e.outcome, lines, e.want)
+			}
+		})
+	}
+}
+
 func TestCancelAndDuplicate(t *testing.T) {
 	bubble(t, func(r *rig) {
 		r.trunk.say(dispatch.TimedOut)
