Nothing is sent for a caller that has left, also after the process stood still

Seen by reading: Pick's select may take a decision though ctx is done, so a caller that had left was sent for; and after a standstill of the process timers are looked at before connections, so the module's timer sent what had waited for the release, or a decision made before was carried out, for a caller whose close lay unread.

Pick looks at ctx once more before it hands a decision out, and has the module undo it. A turn that is 50 ms late for what was due, and a decision that is 50 ms old, let the readers run for 2 ms first. What is written is the pool's to look at.

TestDecisionIsNotTakenOnceTheCallerHasLeft failed without the look at ctx; TestNothingIsSentForWhoLeftInAStandstill failed in both its cases without the pause (a clock set forward by 0.7 s, the close seen 1 ms after waking).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -123,6 +123,11 @@
 	maxSends = 2
 	// lateBy is how long after Until, or after Pick, a decision may come before Pick gives up on the module.
 	lateBy = 10_000
+	// standstill is how late a turn or a decision must be, in µs, for the process to have stood still, and catchUpFor
+	// how long the readers of connections then get before anything is decided or sent. A caller that has left must
+	// not be sent for 0.1 s later.
+	standstill = 50_000
+	catchUpFor = 2 * time.Millisecond
 	// leastAfter is the least time to come back after.
 	leastAfter = 100_000
 )
@@ -172,6 +177,9 @@
 		case first = <-d.in:
 		case <-timer.C:
 		}
+		if due := d.engine.Next(d.clock.Now()); due > 0 {
+			d.catchUp(d.clock.Now() - due)
+		}
 		// What comes together is to be weighed together, as in the simulator's ticks. Guards against held
 		// calls going to a second choice because its state came some microseconds before the others'.
 		if first != nil {
@@ -188,6 +196,14 @@
 	}
 }
 
+// catchUp lets what has come while the process stood still be read, if what was due is that late, in µs. Guards
+// against a send for a caller that left meanwhile, of which nothing is known here: timers are looked at first.
+func (d *Dispatcher) catchUp(late int64) {
+	if late >= standstill {
+		time.Sleep(catchUpFor)
+	}
+}
+
 // post hands f to the loop; it tells whether the loop will run it, unless it stops first.
 func (d *Dispatcher) post(f func(now int64)) bool {
 	select {
@@ -230,6 +246,14 @@
 	defer late.Stop()
 	select {
 	case p := <-decided:
+		if p.Verdict == Go {
+			d.catchUp(d.clock.Now() - p.At)
+		}
+		// Guards against a send for a caller that has left, when the decision was there too.
+		if ctx.Err() != nil {
+			d.post(func(now int64) { d.engine.Leave(now, r.Call) })
+			return Pick{}, context.Cause(ctx)
+		}
 		if p.Verdict != Go {
 			d.post(func(int64) { d.engine.Forget(r.Call) })
 		}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,6 +34,8 @@
 	d    *Dispatcher
 	mu   sync.Mutex
 	sent []*fakeAttempt
+	// calledOff, if set, is called when an attempt's caller has left, before Invite returns.
+	calledOff func()
 }
 
 type fakeAttempt struct {
@@ -69,6 +73,9 @@
 	case <-until.C:
 		return nil, Ending{Outcome: TimedOut, At: f.d.Now(), State: Untold}
 	case <-ctx.Done():
+		if f.calledOff != nil {
+			f.calledOff()
+		}
 		return nil, Ending{Outcome: Cancelled, At: f.d.Now(), State: Untold}
 	}
 }
@@ -233,6 +240,96 @@
 	})
 }
 
+// Guards against a send for a caller that has left: the decision and the leaving were both there, and one of them was
+// drawn.
+func TestDecisionIsNotTakenOnceTheCallerHasLeft(t *testing.T) {
+	bubble(t, func(r *rig) {
+		ctx, leave := context.WithCancel(context.Background())
+		leave()
+		for range 50 {
+			if p, err := r.Pick(ctx, r.request(0, time.Minute)); err == nil {
+				t.Fatalf("%+v for a caller that has left", p)
+			}
+		}
+	})
+}
+
+// jumpingClock is a clock that a test sets forward: to the process it is as if it had stood still.
+type jumpingClock struct {
+	*clock.Clock
+	by atomic.Int64 // µs
+}
+
+func (c *jumpingClock) Now() int64 { return c.Clock.Now() + c.by.Load() }
+
+// Guards against a caller that leaves while the process stands still being sent for: on waking, what the clock made due
+// came before the readers had seen its connection close.
+func TestNothingIsSentForWhoLeftInAStandstill(t *testing.T) {
+	const still = 700_000
+	set := settings()
+	set.Tick = 5 * time.Millisecond
+	for _, decided := range []bool{false, true} {
+		t.Run(fmt.Sprintf("decided %t", decided), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				now := &jumpingClock{Clock: clock.New()}
+				onRigWith(t, set, func(r *rig) {
+					d, err := New(set, 1, 2_000_000, now, zerolog.Nop(), r.count)
+					if err != nil {
+						t.Fatal(err)
+					}
+					loop, stop := context.WithCancel(context.Background())
+					ended := make(chan struct{})
+					go func() {
+						defer close(ended)
+						d.Run(loop)
+					}()
+					defer func() {
+						stop()
+						<-ended
+					}()
+					r.Dispatcher = d
+					r.list(eidertrail.Ready, eidertrail.Ready)
+					time.Sleep(d.gather)
+					q := r.request(0, 5*time.Second)
+					if p, err := r.Pick(context.Background(), q); err != nil || p.Pool != "a" {
+						t.Errorf("first %+v, %v", p, err)
+					}
+					outcome, wakes := TimedOut, d.gather // when the loop decides
+					if decided {
+						outcome = NoAgent
+					}
+					r.Report(Result{Call: q.Call, Pool: "a", Outcome: outcome, Took: 1000, State: State{0, 20}})
+					caller, leave := context.WithCancel(context.Background())
+					defer leave()
+					picked := make(chan error, 1)
+					go func() {
+						p, err := r.Pick(caller, q)
+						if err == nil {
+							t.Errorf("sent %+v for who has left", p)
+						}
+						picked <- err
+					}()
+					synctest.Wait()
+					if decided { // it stands still in the turn that decides
+						r.post(func(int64) { now.by.Store(still) })
+					} else { // it stands still while the release is awaited: the module's timer is due
+						time.Sleep(d.gather)
+						synctest.Wait()
+						wakes = time.Duration(d.engine.Next(now.Now())-now.Now()) * time.Microsecond
+						now.by.Store(still)
+					}
+					// The reader sees the close right after the process wakes.
+					time.Sleep(wakes + catchUpFor/2)
+					leave()
+					if err := <-picked; !errors.Is(err, context.Canceled) {
+						t.Errorf("error %v", err)
+					}
+				})
+			})
+		})
+	}
+}
+
 func TestTurnedAwayShareFallsWithTime(t *testing.T) {
 	bubble(t, func(r *rig) {
 		r.list(eidertrail.Gone, eidertrail.Gone)
