GiveUp: nothing after a cancel, later set-ups are answered, what stands stands on

Seen by reading what may come between GiveUp and the end of the process: - a cancel, or a connection's end, after GiveUp: ctx keeps its first cause only, so the call was taken for given up and its caller told a final answer after its cancel. The call itself now notes, under the desk's lock, that it was left. - an answer that crossed GiveUp: the call stood and was told so, but its ctx was done, so the desk forgot it: the caller's release was not passed on and the pool's end not told. What stands now waits for the desk's end alone. - a set-up that came in after GiveUp on a connection still owed another answer: nothing gave it up any more, and its connection was closed on it without a word. It is now refused at once, with no attempt.

--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -106,6 +106,10 @@
 	kept    []over
 	past    *past.Names // calls that are over: what still comes for them is not of somebody else's call
 	open    int         // set-ups without a final answer
+	givenUp bool        // GiveUp was called
+
+	closed context.Context // done from Close on
+	close  context.CancelFunc
 }
 
 type over struct {
@@ -150,9 +154,18 @@
 	seat     *seat
 	end      context.CancelCauseFunc
 	stands   bool
+	left     bool     // its caller has gone or has cancelled it, before it stood
 	released chan int // the caller's release of a standing call, holds one
 }
 
+// leave notes that the caller has gone before the call stood: no final answer is owed. Guards against one after a
+// cancel that came once the desk had given the call up: only the first cause of its end can be told from ctx. The
+// caller holds mu.
+func (c *deskCall) leave() {
+	c.left = true
+	c.end(errLeft)
+}
+
 // DeskConfig is what a Desk is made with.
 type DeskConfig struct {
 	Dispatch *Dispatcher
@@ -172,6 +185,7 @@
 func NewDesk(c DeskConfig) *Desk {
 	k := &Desk{d: c.Dispatch, trunk: c.Trunk, count: c.Count, most: c.Most, callID: c.CallID, tellAll: c.TellAll, once: c.Once,
 		at: map[Caller]*seat{}, classes: map[string]int{}, calls: map[string]*deskCall{}, past: past.New(mostPast)}
+	k.closed, k.close = context.WithCancel(context.Background())
 	if k.callID == nil {
 		k.callID = func(id string) string { return id }
 	}
@@ -285,7 +299,7 @@
 	}
 	for _, call := range k.calls {
 		if call.seat == s && !call.stands {
-			call.end(errLeft)
+			call.leave()
 		}
 	}
 }
@@ -318,10 +332,13 @@
 }
 
 // GiveUp gives every set-up that has no final answer yet one at once: an attempt that is out is called off, and
-// the set-up is refused, or failed where it may have been carried out and must not be repeated.
+// the set-up is refused, or failed where it may have been carried out and must not be repeated. So is any that comes
+// in later, with no attempt. Guards against a set-up on a connection that waits for the last answer of another being
+// taken and never answered.
 func (k *Desk) GiveUp() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.givenUp = true
 	for _, call := range k.calls {
 		if !call.stands {
 			call.end(errGivenUp)
@@ -365,8 +382,11 @@
 // stands on at its pool, which tells its end to whoever connects next.
 func (k *Desk) Close() {
 	k.mu.Lock()
+	k.close()
 	for _, call := range k.calls {
-		call.end(errLeft)
+		if !call.stands {
+			call.leave()
+		}
 	}
 	if k.late != nil {
 		k.late.Stop()
@@ -491,6 +511,9 @@
 	}
 	k.calls[s.ID] = call
 	k.open++
+	if k.givenUp {
+		end(errGivenUp)
+	}
 	k.wg.Add(1)
 	go k.serve(ctx, call, s.ID, r, Setup{ID: k.callID(s.ID), Number: s.Number, Class: s.Class, SDP: s.SDP})
 	return nil
@@ -527,7 +550,7 @@
 	if at.open--; !at.proven {
 		k.doubted--
 	}
-	gone := final.Kind == Gone || context.Cause(ctx) == errLeft
+	gone := final.Kind == Gone || call.left
 	if !gone && !at.Final(id, final) {
 		k.count.Add(stats.AnswersUnwritten)
 		gone = true
@@ -553,11 +576,12 @@
 		k.count.Add(stats.FailedCalls)
 	default:
 		k.count.Stood(took, took <= k.d.engine.set.Classes[r.Class].Aim.Microseconds())
-		cause, byPool := final.Call.WaitEnd(ctx, call.released)
+		// ctx may be done: GiveUp crossed the answer. The call stands all the same.
+		cause, byPool := final.Call.WaitEnd(k.closed, call.released)
 		k.mu.Lock()
 		k.forget(id)
 		k.mu.Unlock()
-		if byPool || k.tellAll && ctx.Err() == nil {
+		if byPool || k.tellAll && k.closed.Err() == nil {
 			k.over(at, id, cause)
 		}
 	}
@@ -583,7 +607,7 @@
 		return false, ErrUnknown
 	}
 	if !call.stands {
-		call.end(errLeft)
+		call.leave()
 		return false, nil
 	}
 	select {
--- a/dispatch/desk_test.go
+++ b/dispatch/desk_test.go
@@ -17,6 +17,8 @@
 type fakeCaller struct {
 	mu sync.Mutex
 	heard
+	// passing, if set, is called when a final answer is about to be taken, with the desk's lock held.
+	passing func()
 }
 
 type heard struct {
@@ -39,6 +41,9 @@
 }
 
 func (c *fakeCaller) Final(_ string, f Final) bool {
+	if c.passing != nil {
+		c.passing()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.deaf {
@@ -363,3 +368,83 @@
 		})
 	}
 }
+
+// Guards against a final answer after the caller's cancel: the cancel came between GiveUp and the answer, and the
+// call was taken for given up alone, as that came first.
+func TestCancelAfterGiveUpGetsNoFinalAnswer(t *testing.T) {
+	for name, leave := range map[string]func(*rig, *fakeCaller){
+		"cancel":     func(r *rig, _ *fakeCaller) { r.desk.Release("c1", CauseNormal) },
+		"disconnect": func(r *rig, c *fakeCaller) { r.desk.Disconnect(c) },
+	} {
+		bubble(t, func(r *rig) {
+			c := r.connect()
+			r.setup(c, "c1")
+			hold := make(chan struct{})
+			r.trunk.calledOff = func() { <-hold } // both come before the attempt is seen to be called off
+			r.desk.GiveUp()
+			synctest.Wait()
+			leave(r, c)
+			close(hold)
+			synctest.Wait()
+			if got := c.got().finals; len(got) != 0 || r.count.Get(stats.CancelledCalls) != 1 || r.desk.Open() != 0 {
+				t.Errorf("%s: finals %+v, %d cancelled", name, got, r.count.Get(stats.CancelledCalls))
+			}
+		})
+	}
+}
+
+// Guards against a call that was answered just as the desk gave it up being forgotten while it stands: the caller's
+// release was not passed on, and its end not told.
+func TestAnswerCrossesGiveUp(t *testing.T) {
+	for _, byPool := range []bool{false, true} {
+		bubble(t, func(r *rig) {
+			c := r.connect()
+			r.setup(c, "c1")
+			x := r.last()
+			// The desk gives up between the answer's arrival and its passing on, under the desk's lock.
+			call := r.desk.calls["c1"]
+			c.passing = func() { call.end(errGivenUp) }
+			x.answer("sdp")
+			synctest.Wait()
+			if got := c.got().finals; len(got) != 1 || got[0].Kind != Stands || r.desk.Standing() != 1 {
+				t.Errorf("finals %+v, %d stand", got, r.desk.Standing())
+				return
+			}
+			if byPool {
+				x.leg.ending = Ending{Outcome: Ended, Cause: 16, State: Untold}
+				close(x.leg.done)
+				synctest.Wait()
+				if got := c.got().overs; len(got) != 1 {
+					t.Errorf("the pool's end was told as %v", got)
+				}
+				return
+			}
+			if standing, err := r.desk.Release("c1", 31); !standing || err != nil {
+				t.Errorf("release: %v, %v", standing, err)
+			}
+			synctest.Wait()
+			if x.leg.released != 31 {
+				t.Error("not released at the pool")
+			}
+		})
+	}
+}
+
+// Guards against a set-up that comes in just after GiveUp, on a connection that still waits for another's answer,
+// being taken and never answered: nothing gave it up any more.
+func TestSetUpAfterGiveUpIsAnsweredAtOnce(t *testing.T) {
+	bubble(t, func(r *rig) {
+		c := r.connect()
+		r.desk.GiveUp()
+		if err := r.setup(c, "c1"); err != nil {
+			t.Fatal(err)
+		}
+		if got := c.got().finals; len(got) != 1 || got[0].Kind != Turned || r.desk.Open() != 0 {
+			t.Errorf("finals %+v, %d open", got, r.desk.Open())
+		}
+		if r.trunk.mu.Lock(); len(r.trunk.sent) != 0 {
+			t.Errorf("%d attempts were sent", len(r.trunk.sent))
+		}
+		r.trunk.mu.Unlock()
+	})
+}
