Front: a caller's leaving is known at once, whatever the writer does

Seen by reading: the reader saw the end of a connection and closed it, but the desk was told by the writer, after what it was at; and a connection that was to be closed for its lines (finish) was not read at all until its queue was written, up to 2 s a line. Set-ups of a caller that had left went on meanwhile and were sent for nobody. Closing a TCP connection does free a stuck write, so on the reader's path that was a hop late; on finish's it was whole seconds.

The reader tells the desk itself, and finish reads on, throwing away what comes, for 2 s at the most.

TestLeavingIsSeenWhileAWriteIsStuck: both cases failed without the change (a set-up still open after the caller left).

--- a/front/conn.go
+++ b/front/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -60,13 +61,21 @@
 	}
 }
 
-// finish has the connection closed once what is queued is written.
+// leave closes the connection and tells the desk at once that its caller has left. Guards against the set-ups of a
+// caller that left going on for as long as a write to it is stuck: the writer told the desk, after that.
+func (c *conn) leave() {
+	c.close()
+	c.front.cfg.Desk.Disconnect(c)
+}
+
+// finish has the connection closed once what is queued is written. What still comes on it is thrown away until then;
+// its end is an end.
 func (c *conn) finish() {
 	c.front.cfg.Count.Add(stats.ClosedBad)
-	if !c.send(line{last: true}) {
-		c.close()
+	if c.send(line{last: true}) && c.raw.SetReadDeadline(time.Now().Add(writeTimeout)) == nil {
+		io.Copy(io.Discard, c.raw)
 	}
-	<-c.closed
+	c.close()
 }
 
 // Final implements dispatch.Caller. The platform's wire has no place for a time to come back. On it causes 34, 42 and
@@ -142,8 +151,7 @@
 
 // gone takes the connection off. What it did not write of calls that are over leaves on another.
 func (c *conn) gone() {
-	c.close()
-	c.front.cfg.Desk.Disconnect(c)
+	c.leave()
 	c.front.mu.Lock()
 	delete(c.front.conns, c)
 	c.front.mu.Unlock()
@@ -186,7 +194,7 @@
 func (c *conn) read() {
 	f := c.front
 	defer f.wg.Done()
-	defer c.close()
+	defer c.leave()
 	r := bufio.NewReaderSize(c.raw, readBuffer)
 	var buf []byte
 	for c.strikes < mostStrikes {
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -134,8 +134,11 @@
 	return lines, c.ended
 }
 
-func (r *rig) dial() *client {
-	c := &client{Conn: r.in.Dial()}
+func (r *rig) dial() *client { return r.speaking(r.in.Dial()) }
+
+// speaking reads what comes in on a connection.
+func (r *rig) speaking(raw net.Conn) *client {
+	c := &client{Conn: raw}
 	go func() {
 		for s := bufio.NewScanner(c); ; {
 			more := s.Scan()
@@ -224,6 +227,65 @@
 	})
 }
 
+// heldListener is a listener whose connections write nothing until hold is closed, whatever becomes of them.
+type heldListener struct {
+	*standin.Listener
+	hold chan struct{}
+}
+
+type heldConn struct {
+	net.Conn
+	hold chan struct{}
+}
+
+func (l heldListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return heldConn{c, l.hold}, err
+}
+
+func (c heldConn) Write(b []byte) (int, error) {
+	<-c.hold
+	return c.Conn.Write(b)
+}
+
+// held serves connections that write nothing until the returned listener's hold is closed; end does that.
+func (r *rig) held() (l heldListener, end func()) {
+	l = heldListener{standin.NewListener(), make(chan struct{})}
+	go r.Serve(l)
+	return l, func() {
+		l.Close()
+		close(l.hold)
+	}
+}
+
+// Guards against a caller's leaving being known only once what is written to it is done with, up to 2 s a line: its
+// set-ups went on, and were sent for nobody.
+func TestLeavingIsSeenWhileAWriteIsStuck(t *testing.T) {
+	for name, last := range map[string]string{
+		"read on":             `{"type":"ping","id":"p2","cause":0}`,
+		"closed for its line": `nonsense`,
+	} {
+		bubble(t, func(r *rig) {
+			r.trunk.say(dispatch.TimedOut) // the attempt is out until the caller leaves
+			l, end := r.held()
+			defer end()
+			c := l.Dial()
+			for _, text := range []string{setup, `{"type":"ping","id":"p1","cause":0}`, last} {
+				io.WriteString(c, text+"\n")
+				synctest.Wait()
+			}
+			if open := r.cfg.Desk.Open(); open != 1 {
+				t.Errorf("%s: %d open before the caller leaves", name, open)
+			}
+			c.Close()
+			synctest.Wait()
+			if open := r.cfg.Desk.Open(); open != 0 {
+				t.Errorf("%s: %d open after the caller left", name, open)
+			}
+		})
+	}
+}
+
 func TestEndIsToldOnTheNextConnection(t *testing.T) {
 	bubble(t, func(r *rig) {
 		c := r.dial()
