Front: a call whose answer was never written is released at its pool

Seen by reading: an answer counts as told once it is queued. When the connection closed with it in the queue, or the write failed, only ends of calls were handed on; the call stood for nobody until its pool ended it, and its agent with it.

The line knows whose answer it is, and the desk releases the call with cause 16. It is counted in answers_unwritten.

TestUnwrittenAnswerIsReleased (one answer half written, one queued) failed without the change: two calls stood on.

--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -407,6 +407,22 @@
 // Untold takes back the end of a call that a connection was handed and could not write: it is told on another.
 func (k *Desk) Untold(id string, cause int) { k.over(nil, id, cause) }
 
+// Unanswered takes back the answer of a call that a connection was handed and could not write whole: the call is
+// released at its pool. Guards against an agent that is held for nobody, as the caller never learnt that it stands.
+func (k *Desk) Unanswered(id string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	call := k.calls[id]
+	if call == nil || !call.stands {
+		return
+	}
+	k.count.Add(stats.AnswersUnwritten)
+	select {
+	case call.released <- CauseNormal:
+	default: // it was released already
+	}
+}
+
 func (k *Desk) met(id string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/front/conn.go
+++ b/front/conn.go
@@ -34,7 +34,8 @@
 	bytes []byte
 	over  string // the call that it tells the end of, or ""
 	cause int
-	last  bool // nothing to write: the connection ends here
+	stood string // the call that it tells the answer of, or ""
+	last  bool   // nothing to write: the connection ends here
 }
 
 func (c *conn) close() {
@@ -84,7 +85,7 @@
 func (c *conn) Final(id string, f dispatch.Final) bool {
 	switch {
 	case f.Kind == dispatch.Stands:
-		return c.send(line{bytes: jsonl.AppendAnswer(nil, id, f.Call.SDP())})
+		return c.send(line{bytes: jsonl.AppendAnswer(nil, id, f.Call.SDP()), stood: id})
 	case f.Kind == dispatch.GivenUp && f.MayHaveRun:
 		return c.send(line{bytes: jsonl.AppendCause(nil, "release", id, causeFailed)})
 	case f.Kind == dispatch.GivenUp:
@@ -142,14 +143,18 @@
 	}
 }
 
-// elsewhere hands the end of a call that could not be told here to another connection.
+// elsewhere hands the end of a call that could not be told here to another connection, and the answer of one back.
 func (c *conn) elsewhere(l line) {
+	if l.stood != "" {
+		c.front.cfg.Desk.Unanswered(l.stood)
+	}
 	if l.over != "" {
 		c.front.cfg.Desk.Untold(l.over, l.cause)
 	}
 }
 
-// gone takes the connection off. What it did not write of calls that are over leaves on another.
+// gone takes the connection off. What it did not write of calls that are over leaves on another, and calls whose
+// answers it did not write are released.
 func (c *conn) gone() {
 	c.leave()
 	c.front.mu.Lock()
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -286,6 +286,31 @@
 	}
 }
 
+// Guards against an agent that is held for nobody: the answer was still to be written when its caller's connection
+// closed, and the call stood on.
+func TestUnwrittenAnswerIsReleased(t *testing.T) {
+	bubble(t, func(r *rig) {
+		c := r.in.Dial()                              // it reads nothing
+		for _, id := range []string{"9b1f", "9b20"} { // one is being written, one waits
+			io.WriteString(c, strings.Replace(setup, "9b1f", id, 1)+"\n")
+			synctest.Wait()
+		}
+		if n := r.cfg.Desk.Standing(); n != 2 {
+			t.Errorf("%d stand, want 2", n)
+		}
+		c.Close()
+		synctest.Wait()
+		for i, l := range r.trunk.legs {
+			if l.released != dispatch.CauseNormal {
+				t.Errorf("call %d was not released at its pool", i)
+			}
+		}
+		if n := r.cfg.Desk.Standing(); n != 0 || r.cfg.Count.Get(stats.AnswersUnwritten) != 2 {
+			t.Errorf("%d stand, %d answers unwritten", n, r.cfg.Count.Get(stats.AnswersUnwritten))
+		}
+	})
+}
+
 func TestEndIsToldOnTheNextConnection(t *testing.T) {
 	bubble(t, func(r *rig) {
 		c := r.dial()
