Front: what makes room is never a connection whose set-up has just come in

Seen by reading shed: (1) a connection counts as one that has spoken only after its first set-up was taken, and those that have not spoken made room first, without a look at open set-ups; (2) a set-up that was read when its connection was closed was still taken if the writer had not told the desk of the close yet: it was sent for nobody, and its caller, who sends what crossed a close again, was told 41 as the id was in use.

Open set-ups are looked at first, and the connection is taken off at the desk before it is closed; if a set-up came in meanwhile, another makes room.

--- a/front/front.go
+++ b/front/front.go
@@ -129,7 +129,27 @@
 // shed makes room for a connection where there is one that can be spared: the oldest that has said nothing
 // yet, else the one that was quiet for longest among those without an open set-up, unproven ones first. It
 // guards against clients that open connections by hundreds shutting the callers out. The caller holds mu.
+//
+// The desk takes no set-up on it from then on. Guards against one that was read just then being sent for nobody, and
+// its caller, who sends it again as it crossed the close, being told that its id is in use.
 func (f *Front) shed() {
+	for {
+		spare := f.spare()
+		if spare == nil {
+			return
+		}
+		if !f.cfg.Desk.Retire(spare) {
+			continue // a set-up has come in on it
+		}
+		f.cfg.Count.Add(stats.Shed)
+		delete(f.conns, spare)
+		spare.close()
+		return
+	}
+}
+
+// spare is the connection that shed takes, or nil. The caller holds mu.
+func (f *Front) spare() *conn {
 	var spare *conn
 	worst := [2]int64{}
 	for c := range f.conns {
@@ -137,9 +157,9 @@
 		quiet := f.cfg.Clock.Now() - c.active.Load()
 		kind := int64(3)
 		switch {
-		case !c.said.Load():
-		case open > 0:
+		case open > 0: // before said: the first set-up is taken before its connection counts as one that has spoken
 			continue
+		case !c.said.Load():
 		case !proven:
 			kind = 2
 		case quiet < spareAfter:
@@ -151,11 +171,7 @@
 			spare, worst = c, of
 		}
 	}
-	if spare != nil {
-		f.cfg.Count.Add(stats.Shed)
-		delete(f.conns, spare)
-		spare.close()
-	}
+	return spare
 }
 
 // stray tells whether one more release of an unknown call may go on to the pools now.
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -311,6 +312,82 @@
 	})
 }
 
+// gateClock stops whoever reads it next, once, after it was armed.
+type gateClock struct {
+	dispatch.Clock
+	when          func() bool // it stops a reading for which this is true
+	armed         atomic.Bool
+	entered, gate chan struct{}
+}
+
+func (c *gateClock) Now() int64 {
+	if c.armed.Load() && c.when() && c.armed.CompareAndSwap(true, false) {
+		close(c.entered)
+		<-c.gate
+	}
+	return c.Clock.Now()
+}
+
+func (r *rig) gate(when func() bool) *gateClock {
+	c := &gateClock{Clock: r.cfg.Clock, when: when, entered: make(chan struct{}), gate: make(chan struct{})}
+	r.cfg.Clock = c
+	return c
+}
+
+// Guards against a connection making room for another although its first set-up has just been taken: it had said
+// nothing yet, as that was noted after the set-up.
+func TestFirstSetUpKeepsItsConnection(t *testing.T) {
+	bubble(t, func(r *rig) {
+		r.trunk.say(dispatch.TimedOut)
+		g := r.gate(func() bool { return r.cfg.Desk.Open() > 0 }) // the reading after the set-up was taken
+		c := r.dial()
+		g.armed.Store(true)
+		go io.WriteString(c, setup+"\n")
+		<-g.entered
+		var silent []*client
+		for range 4 { // the last one wants a place
+			time.Sleep(time.Millisecond)
+			silent = append(silent, r.dial())
+			synctest.Wait()
+		}
+		if _, ended := c.take(); ended || r.cfg.Desk.Open() != 1 {
+			t.Errorf("it had to make room; %d open", r.cfg.Desk.Open())
+		}
+		if _, ended := silent[0].take(); !ended {
+			t.Error("the oldest that said nothing is still there")
+		}
+		close(g.gate)
+	})
+}
+
+// Guards against a set-up being taken on a connection that has just been closed to make room: it was sent for nobody,
+// and its caller, who sends what crossed a close again, was told that the id was in use.
+func TestSetUpThatCrossesTheCloseMayComeAgain(t *testing.T) {
+	bubble(t, func(r *rig) {
+		r.cfg.MostConnections = 1
+		l, end := r.held() // its closing is seen late
+		defer end()
+		g := r.gate(func() bool { return true })
+		c := l.Dial()
+		io.WriteString(c, `{"type":"ping","id":"p","cause":0}`+"\n")
+		synctest.Wait()
+		g.armed.Store(true)
+		io.WriteString(c, setup+"\n")
+		<-g.entered // it is read, and not taken yet
+		other := r.dial()
+		synctest.Wait()
+		close(g.gate)
+		synctest.Wait()
+		if r.trunk.sent != 0 || r.cfg.Desk.Open() != 0 {
+			t.Errorf("%d sent, %d open for a connection that was closed", r.trunk.sent, r.cfg.Desk.Open())
+		}
+		other.say(setup)
+		if lines, _ := other.take(); len(lines) != 1 || lines[0] != answer {
+			t.Errorf("sent again: told %q", lines)
+		}
+	})
+}
+
 func TestEndIsToldOnTheNextConnection(t *testing.T) {
 	bubble(t, func(r *rig) {
 		c := r.dial()
