Front: a connection that makes room is written its answer first

A connection with unwritten lines is closed behind them, after 50 ms at the latest.

TestWhatMakesRoomIsWrittenItsAnswer failed without the change (told nothing, closed); three runs pass with it, and one that does not read is closed after the 50 ms.

--- a/front/conn.go
+++ b/front/conn.go
@@ -18,15 +18,17 @@
 
 // conn is one connection of a caller: a goroutine reads it, another writes it. It is a dispatch.Caller.
 type conn struct {
-	front   *Front
-	raw     net.Conn
-	queue   chan line
-	closed  chan struct{}
-	once    sync.Once
-	came    time.Time
-	said    atomic.Bool  // a whole message has come
-	active  atomic.Int64 // when the last one did
-	strikes int          // what was wrong with what came; only read looks at it
+	front  *Front
+	raw    net.Conn
+	queue  chan line
+	closed chan struct{}
+	once   sync.Once
+	came   time.Time
+	said   atomic.Bool  // a whole message has come
+	active atomic.Int64 // when the last one did
+	// unwritten is how many lines were queued and are not written yet.
+	unwritten atomic.Int64
+	strikes   int // what was wrong with what came; only read looks at it
 }
 
 // line is a line to be written. The end of a call may be told on any connection.
@@ -52,6 +54,7 @@
 		return false
 	default:
 	}
+	c.unwritten.Add(1)
 	select {
 	case c.queue <- l:
 		return true
@@ -123,6 +126,7 @@
 				c.elsewhere(l)
 				return
 			}
+			c.unwritten.Add(-1)
 			c.rest()
 		}
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -50,6 +50,8 @@
 	straysPerSecond = 32
 	// spareAfter is how long a proven connection must have been quiet to make room for another.
 	spareAfter = 1_000_000
+	// shedWithin is how long what is queued for a connection that makes room may take to be written.
+	shedWithin = 50 * time.Millisecond
 )
 
 // Config is what a Front is made with.
@@ -143,7 +145,12 @@
 		}
 		f.cfg.Count.Add(stats.Shed)
 		delete(f.conns, spare)
-		spare.close()
+		// Guards against a final answer that is queued being lost: its set-up is open no more.
+		if spare.unwritten.Load() > 0 && spare.send(line{last: true}) {
+			time.AfterFunc(shedWithin, spare.close)
+		} else {
+			spare.close()
+		}
 		return
 	}
 }
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -388,6 +388,40 @@
 	})
 }
 
+// Guards against an answer that is queued being lost with its connection, when that has to make room: no set-up is open
+// on it any more, but the answer is not written yet.
+func TestWhatMakesRoomIsWrittenItsAnswer(t *testing.T) {
+	bubble(t, func(r *rig) {
+		r.cfg.MostConnections = 1
+		l, end := r.held()
+		c := r.speaking(l.Dial())
+		c.say(strings.Replace(setup, "voice", "fax", 1))
+		other := r.dial()
+		synctest.Wait()
+		end() // now it can be written
+		refused := `{"type":"release","id":"9b1f03aa5c7e2d41","fields":{},"cause":41}`
+		if lines, ended := c.take(); len(lines) != 1 || lines[0] != refused || !ended {
+			t.Errorf("told %q, closed: %t", lines, ended)
+		}
+		other.say(setup)
+		if lines, _ := other.take(); len(lines) != 1 || lines[0] != answer {
+			t.Errorf("the other: told %q", lines)
+		}
+	})
+	bubble(t, func(r *rig) { // one that does not read gets no more time
+		r.cfg.MostConnections = 1
+		c := r.in.Dial()
+		io.WriteString(c, strings.Replace(setup, "voice", "fax", 1)+"\n")
+		synctest.Wait()
+		r.dial()
+		time.Sleep(shedWithin)
+		synctest.Wait()
+		if _, err := c.Read(make([]byte, 1)); err == nil {
+			t.Error("it is still open")
+		}
+	})
+}
+
 func TestEndIsToldOnTheNextConnection(t *testing.T) {
 	bubble(t, func(r *rig) {
 		c := r.dial()
