Front: what came before a time to wait was over is read, also when that is seen late

Seen by reading next(): when the process stood still, or the reader had no turn, past a deadline (2.5 s to the first line, 2 s for the rest of one, 8 s of idleness), the read ended with the deadline though a whole set-up lay in the socket, and the connection was closed upon it. The protocol has a set-up that crosses a close within 50 ms sent again; one that came before that is lost.

TestWhatCameInAStandstillIsRead: idle, first line and half a line each were closed without a word without the change; five runs of the package pass with it.

--- a/front/conn.go
+++ b/front/conn.go
@@ -26,6 +26,7 @@
 	came   time.Time
 	said   atomic.Bool  // a whole message has come
 	active atomic.Int64 // when the last one did
+	looked bool         // the last look since arm was had; only read looks at it
 	// unwritten is how many lines were queued and are not written yet.
 	unwritten atomic.Int64
 	strikes   int // what was wrong with what came; only read looks at it
@@ -174,13 +175,34 @@
 	}
 }
 
+// arm sets until when a read may wait.
+func (c *conn) arm(until time.Time) error {
+	c.looked = false
+	return c.raw.SetReadDeadline(until)
+}
+
+// Read implements io.Reader for the reading goroutine. When the time to wait is over, it looks for lastLook longer,
+// once. Guards against a set-up that lay unread while the process stood still, or the reader had no turn, being closed
+// upon: the time's end is looked at before what has come.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.raw.Read(b)
+	if n > 0 || c.looked || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	c.looked = true
+	if err := c.raw.SetReadDeadline(time.Now().Add(lastLook)); err != nil {
+		return 0, err
+	}
+	return c.raw.Read(b)
+}
+
 // next reads a line. It waits for the first one from the connection's beginning, for a later one from its
 // first byte on, and between lines for as long as a set-up is open.
 func (c *conn) next(r *bufio.Reader, buf []byte) ([]byte, error) {
 	until := c.came.Add(firstWithin)
 	if c.said.Load() {
 		for r.Buffered() == 0 {
-			if err := c.raw.SetReadDeadline(time.Now().Add(idleAfter)); err != nil {
+			if err := c.arm(time.Now().Add(idleAfter)); err != nil {
 				return nil, err
 			}
 			if _, err := r.Peek(1); err == nil {
@@ -194,7 +216,7 @@
 		}
 		until = time.Now().Add(lineWithin)
 	}
-	if err := c.raw.SetReadDeadline(until); err != nil {
+	if err := c.arm(until); err != nil {
 		return nil, err
 	}
 	return jsonl.ReadLine(r, buf)
@@ -204,7 +226,7 @@
 	f := c.front
 	defer f.wg.Done()
 	defer c.leave()
-	r := bufio.NewReaderSize(c.raw, readBuffer)
+	r := bufio.NewReaderSize(c, readBuffer)
 	var buf []byte
 	for c.strikes < mostStrikes {
 		text, err := c.next(r, buf)
--- a/front/front.go
+++ b/front/front.go
@@ -42,6 +42,8 @@
 	lineWithin = 2 * time.Second
 	// idleAfter is how long a connection without an open set-up may be quiet. Callers close theirs after 4 s.
 	idleAfter = 8 * time.Second
+	// lastLook is how long a reader looks for what has come once such a time is over.
+	lastLook = 5 * time.Millisecond
 	// mostStrikes is how much may be wrong with what comes on a connection before it is closed.
 	mostStrikes = 16
 	// mostStrays and straysPerSecond bound the releases of unknown calls that go on to all pools: after a
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -422,6 +424,65 @@
 	})
 }
 
+// lateListener is a listener on whose connections the first read that was waited for too long tells so late: expired is
+// closed when it ends, and it returns once resume is.
+type lateListener struct {
+	*standin.Listener
+	expired, resume chan struct{}
+}
+
+type lateConn struct {
+	net.Conn
+	l    *lateListener
+	once *sync.Once
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return lateConn{c, l, &sync.Once{}}, err
+}
+
+func (c lateConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.once.Do(func() {
+			close(c.l.expired)
+			<-c.l.resume
+		})
+	}
+	return n, err
+}
+
+// Guards against a set-up being lost that lay unread while the process stood still: on waking, the time in which the
+// caller should have spoken was over, and its connection was closed with the set-up in it.
+func TestWhatCameInAStandstillIsRead(t *testing.T) {
+	for name, before := range map[string]string{
+		"idle":       `{"type":"ping","id":"p","cause":0}` + "\n",
+		"first line": "",
+		"half of it": setup[:40],
+	} {
+		bubble(t, func(r *rig) {
+			l := &lateListener{standin.NewListener(), make(chan struct{}), make(chan struct{})}
+			go r.Serve(l)
+			defer l.Close()
+			c := r.speaking(l.Dial())
+			io.WriteString(c, before)
+			c.take()
+			<-l.expired
+			rest := setup
+			if name == "half of it" {
+				rest = setup[40:]
+			}
+			go io.WriteString(c, rest+"\n") // it lies there
+			synctest.Wait()
+			close(l.resume)
+			if lines, ended := c.take(); len(lines) != 1 || lines[0] != answer || ended {
+				t.Errorf("%s: told %q, closed: %t", name, lines, ended)
+			}
+		})
+	}
+}
+
 func TestEndIsToldOnTheNextConnection(t *testing.T) {
 	bubble(t, func(r *rig) {
 		c := r.dial()
