Desk: a cancel that overtakes its set-up ends it

Seen by reading Release: a cancel may come on another connection, and nothing orders the readers of two. One that was read before its set-up was unknown: it went to the pools as a stray, and the set-up was then sent and answered.

Where an id names one call for good, the desk keeps the latest 256 ids that were released and not known; a set-up under one of them is taken for cancelled: nothing is sent, no answer follows.

TestCancelThatOvertakesItsSetUp failed without the change (one INVITE, told an answer); passes with it.

--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -64,6 +64,7 @@
 	mostKept     = 4096 // ends of calls that wait for a connection
 	mostToken    = 64
 	mostPast     = 2048
+	mostEarly    = 256 // cancels that may have overtaken their set-ups
 	// waitForCaller is how long the end of a call waits for a connection of callers when others are open:
 	// it is to be told within 1 s.
 	waitForCaller = 400 * time.Millisecond
@@ -105,6 +106,7 @@
 	calls   map[string]*deskCall
 	kept    []over
 	past    *past.Names // calls that are over: what still comes for them is not of somebody else's call
+	early   *past.Names // with once: cancelled or released, and not known here
 	open    int         // set-ups without a final answer
 	givenUp bool        // GiveUp was called
 
@@ -184,7 +186,7 @@
 // NewDesk returns a desk.
 func NewDesk(c DeskConfig) *Desk {
 	k := &Desk{d: c.Dispatch, trunk: c.Trunk, count: c.Count, most: c.Most, callID: c.CallID, tellAll: c.TellAll, once: c.Once,
-		at: map[Caller]*seat{}, classes: map[string]int{}, calls: map[string]*deskCall{}, past: past.New(mostPast)}
+		at: map[Caller]*seat{}, classes: map[string]int{}, calls: map[string]*deskCall{}, past: past.New(mostPast), early: past.New(mostEarly)}
 	k.closed, k.close = context.WithCancel(context.Background())
 	if k.callID == nil {
 		k.callID = func(id string) string { return id }
@@ -512,7 +514,13 @@
 		return ErrTooMany
 	case at == nil:
 		end(nil)
-		return nil // the caller has left meanwhile: nothing is owed
+		return nil // the caller has left meanwhile, or what crosses a close is sent again: nothing is owed
+	case k.early.Has(s.ID):
+		// Guards against a set-up being sent whose cancel was read first, on another connection.
+		end(nil)
+		k.past.Add(s.ID)
+		k.count.Add(stats.CancelledCalls)
+		return nil
 	case at.open >= mostOpen:
 		end(nil)
 		return ErrTooMany
@@ -620,6 +628,9 @@
 		return false, ErrOver
 	}
 	if call == nil {
+		if k.once && Token(id) {
+			k.early.Add(id)
+		}
 		return false, ErrUnknown
 	}
 	if !call.stands {
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -599,6 +599,26 @@
 	}
 }
 
+// Guards against a set-up being sent whose cancel came first: on another connection, whose reader had its turn earlier.
+func TestCancelThatOvertakesItsSetUp(t *testing.T) {
+	bubble(t, func(r *rig) {
+		c, other := r.dial(), r.dial()
+		other.say(`{"type":"release","id":"9b1f03aa5c7e2d41","cause":16}`)
+		c.say(setup)
+		time.Sleep(3 * time.Second)
+		if lines, ended := c.take(); len(lines) > 0 || ended || r.trunk.sent != 0 {
+			t.Errorf("told %q, closed: %t, %d sent", lines, ended, r.trunk.sent)
+		}
+		if n := r.cfg.Count.Get(stats.CancelledCalls); n != 1 {
+			t.Errorf("%d cancelled", n)
+		}
+		c.say(strings.Replace(setup, "9b1f", "0001", 1)) // another is served
+		if lines, _ := c.take(); len(lines) != 1 || lines[0] != strings.Replace(answer, "9b1f", "0001", 1) {
+			t.Errorf("another: told %q", lines)
+		}
+	})
+}
+
 func TestCancelAndDuplicate(t *testing.T) {
 	bubble(t, func(r *rig) {
 		r.trunk.say(dispatch.TimedOut)
