--- a/cmd/eidertrail/daemon_test.go
+++ b/cmd/eidertrail/daemon_test.go
@@ -204,6 +204,42 @@
 	}
 }
 
+// A SIGTERM that comes during the start is kept until the daemon serves, a second one changes nothing, and what was half
+// read at the first is read to its end and answered.
+func TestSIGTERMDuringTheStartAndTwice(t *testing.T) {
+	at := &standin.Pool{OnRequest: func(q standin.Request) {
+		if q.Method == "INVITE" {
+			q.Answer(200, "", "hello\r\n")
+		}
+	}}
+	d, err := start(context.Background(), environment{config: write(t, "config.json", configuration("127.0.0.1:0", at.Listen(t)))}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := dial(t, d.listener.Addr().String())
+	line := `{"type":"setup","id":"00000000000000c1","fields":{"class":"voice","left":"9000","key":"7f"},"sdp":"x"}` + "\n"
+	io.WriteString(c, line[:40])
+	s := newSignals()
+	s.term = make(chan os.Signal, 2) // as in run
+	s.term <- syscall.SIGTERM        // before the daemon serves
+	s.term <- syscall.SIGTERM
+	ended := make(chan error, 1)
+	go func() { ended <- d.serve(s) }()
+	for !d.stopping.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	io.WriteString(c, line[40:])
+	if m := c.next(); m.Type != "answer" || m.ID != "00000000000000c1" {
+		t.Errorf("%+v", m)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if len(s.term) != 1 {
+		t.Error("the second SIGTERM was taken for something")
+	}
+}
+
 func TestSecondFrontIsOffWithoutItsFlag(t *testing.T) {
 	d, err := start(context.Background(), environment{config: write(t, "config.json", configuration("127.0.0.1:0", "127.0.0.1:1"))}, zerolog.Nop())
 	if err != nil {
