Front: a connection with an unwritten answer is not idle

Seen by reading next(): the idle time's end looks at open set-ups, and one is open until its answer is queued.

--- a/front/conn.go
+++ b/front/conn.go
@@ -197,7 +197,7 @@
 }
 
 // next reads a line. It waits for the first one from the connection's beginning, for a later one from its
-// first byte on, and between lines for as long as a set-up is open.
+// first byte on, and between lines for as long as a set-up is open or a line unwritten.
 func (c *conn) next(r *bufio.Reader, buf []byte) ([]byte, error) {
 	until := c.came.Add(firstWithin)
 	if c.said.Load() {
@@ -207,7 +207,7 @@
 			}
 			if _, err := r.Peek(1); err == nil {
 				break
-			} else if open, _ := c.front.cfg.Desk.Seat(c); open == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			} else if open, _ := c.front.cfg.Desk.Seat(c); open == 0 && c.unwritten.Load() == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 				return nil, err
 			}
 		}
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -314,6 +314,30 @@
 	})
 }
 
+// Guards against an answer that is queued being lost as its connection counts as idle just then: no set-up is open on it
+// any more, but the answer is not written yet.
+func TestIdleIsNotWhoseAnswerIsUnwritten(t *testing.T) {
+	bubble(t, func(r *rig) {
+		r.trunk.say(dispatch.TimedOut)
+		l, end := r.held()
+		c := r.speaking(l.Dial())
+		c.say(strings.Replace(setup, `"1500"`, `"20000"`, 1))
+		time.Sleep(idleAfter - time.Millisecond)
+		r.cfg.Desk.GiveUp()
+		time.Sleep(100 * time.Millisecond) // past the idle time, within that of the write
+		synctest.Wait()
+		end() // now it can be written
+		refused := `{"type":"release","id":"9b1f03aa5c7e2d41","fields":{},"cause":42}`
+		if lines, ended := c.take(); len(lines) != 1 || lines[0] != refused || ended {
+			t.Errorf("told %q, closed: %t", lines, ended)
+		}
+		time.Sleep(2 * idleAfter)
+		if _, ended := c.take(); !ended {
+			t.Error("open though idle for long")
+		}
+	})
+}
+
 // gateClock stops whoever reads it next, once, after it was armed.
 type gateClock struct {
 	dispatch.Clock
