Stop: what has come is taken before the listener and idle connections are closed

Seen by reading stop(): after a standstill of the process that outlasts the 0.7 s of the stop, the timer is seen before the sockets; the listener and every connection without an open set-up were closed at once, upon connections in the accept queue and set-ups that lay unread for longer than the 50 ms in which a client sends again.

TestDrainTakesWhatHasCome (a reader that gets its turn half-way through the pause) failed without the pause: its set-up was lost. The accept queue has no test of its own.

--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -356,6 +356,7 @@
 		sockets.Go(func() { d.sockets.Shutdown(drain) })
 	}
 	time.Sleep(stay)
+	d.callers.CatchUp()
 	d.listener.Close()
 	d.callers.Drain(drain)
 	d.desk.GiveUp() // what has no final answer by now gets one
--- a/front/front.go
+++ b/front/front.go
@@ -197,6 +197,12 @@
 	return true
 }
 
+// CatchUp gives Serve and the readers time to take what has come by now, and is to be called before the listener is
+// closed and the connections are drained. Guards against connections and set-ups that came while the process stood still
+// being lost with the close: the time to stop is seen before what has come, and only a set-up that crosses the close
+// within 50 ms is sent again.
+func (f *Front) CatchUp() { time.Sleep(lastLook) }
+
 // Drain ends each connection once every set-up on it has its final answer, and returns when none is left, or when
 // ctx is done. Serve's listener is to be closed first.
 //
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -338,6 +338,52 @@
 	})
 }
 
+// turnListener is a listener whose connections are read only once turn is closed.
+type turnListener struct {
+	*standin.Listener
+	turn chan struct{}
+}
+
+type turnConn struct {
+	net.Conn
+	turn chan struct{}
+}
+
+func (l turnListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return turnConn{c, l.turn}, err
+}
+
+func (c turnConn) Read(b []byte) (int, error) {
+	<-c.turn
+	return c.Conn.Read(b)
+}
+
+// Guards against a set-up that lay unread when the drain began, as its reader had no turn yet, being lost: its connection
+// was closed as one that is owed nothing.
+func TestDrainTakesWhatHasCome(t *testing.T) {
+	bubble(t, func(r *rig) {
+		l := turnListener{standin.NewListener(), make(chan struct{})}
+		go r.Serve(l)
+		c := r.speaking(l.Dial())
+		go io.WriteString(c, setup+"\n")
+		synctest.Wait()
+		drained := make(chan struct{})
+		go func() { // as the daemon stops
+			r.CatchUp()
+			l.Close()
+			r.Drain(context.Background())
+			close(drained)
+		}()
+		time.Sleep(lastLook / 2)
+		close(l.turn)
+		<-drained
+		if lines, ended := c.take(); len(lines) != 1 || lines[0] != answer || !ended {
+			t.Errorf("told %q, closed: %t", lines, ended)
+		}
+	})
+}
+
 // gateClock stops whoever reads it next, once, after it was armed.
 type gateClock struct {
 	dispatch.Clock
