Settings' names reach a SIP header unchanged, or the start ends; a class of no pool goes to none

Seen: with settings of other sites, config took a class "voice\r\nX-Patience: 1", which ends its Subject and begins another header in every INVITE; a class " voice", which a reader of SIP gets as "voice"; a class without a letter; and two classes of one name, of which no call could name the first. A class whose list of allowed pools is empty was sent to all of them. Our own reader of SIP took blanks of Unicode (U+00A0, U+3000, U+0085) off a value, where RFC 3261 has only space and tab round one. Ruled out by tests that passed as they were: the JSON of names (escapes, surrogate pairs), the writing of headers, settings without extra. To blame: config.go read names with r.text, which asks only for a string, and left Pools nil (all) for an empty list; sip.go used strings.TrimSpace.

Change: class names, and the controller's name, which stands in Via, are refused with their field where they hold control characters or bytes that are not UTF-8, begin or end with a space or are over 256 bytes; class names also where they are empty or come twice. An empty list of pools is no pool. sip.Read takes off only space and tab.

Measured: TestBadFieldIsNamed (nine new rows), TestPoolsOfAClass and TestValuesComeOutAsTheyWentIn failed without the change and pass with it, 3 times of 3 without -race. TestNamesOfOtherSites and TestFieldInAnySpelling hold what worked already.

--- a/config/config.go
+++ b/config/config.go
@@ -7,8 +7,12 @@
 	"math"
 	"net"
 	"os"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/tidwall/gjson"
 
@@ -60,7 +64,7 @@
 		return nil, fmt.Errorf("config: not a JSON object")
 	}
 	c := &Config{
-		Name:     r.text("name", false),
+		Name:     r.headerText("name", false),
 		Listen:   r.address("listen", true),
 		Bulletin: r.address("bulletin", false),
 		MemoryMB: int(r.number("limits.memory_mb", 192, 16, 1<<20)),
@@ -122,9 +126,12 @@
 	for i, k := range classes {
 		at := fmt.Sprintf("settings.request_classes.%d.", i)
 		class := eidertrail.Class{
-			Name: r.text(at+"name", true), Aim: duration(at + "promise"), Deadline: duration(at + "deadline"),
+			Name: r.headerText(at+"name", true), Aim: duration(at + "promise"), Deadline: duration(at + "deadline"),
 			Worth: r.number(at+"worth", 1, 0, 1e12), LateWorth: r.number(at+"late_worth", 0, 0, 1e12),
 		}
+		if slices.Contains(c.Classes, class.Name) { // calls could name only one of them
+			r.fail(at+"name", fmt.Sprintf("%q comes twice", class.Name))
+		}
 		switch effect := k.Get("effect").String(); effect {
 		case "", "safe":
 		case "keyed":
@@ -139,6 +146,10 @@
 		}
 		if skills {
 			pools := fmt.Sprintf("settings.extra.allowed_pools.%d", i)
+			// Guards against a class that no pool has the skill for being sent to all of them: only nil is all.
+			if _, is := r.get(pools, false); is {
+				class.Pools = []int{}
+			}
 			for j := range r.list(pools, false) {
 				class.Pools = append(class.Pools, int(r.number(fmt.Sprintf("%s.%d", pools, j), 0, 0, 1<<20)))
 			}
@@ -190,6 +201,28 @@
 	return v.Str
 }
 
+// mostName is the most bytes of a name that stands in the head of a message.
+const mostName = 256
+
+// headerText is a text that stands as the value of a SIP header, and is to come out of it unchanged.
+//
+// Guards against a name that ends its header and begins another, or that the reader of the header cuts short: every
+// set-up of that class, or of that controller, would be another than the caller's.
+func (r *reader) headerText(field string, must bool) string {
+	text := r.text(field, must)
+	switch {
+	case text == "" && must:
+		r.fail(field, "empty")
+	case len(text) > mostName:
+		r.fail(field, fmt.Sprintf("want at most %d bytes", mostName))
+	case !utf8.ValidString(text) || strings.ContainsFunc(text, unicode.IsControl):
+		r.fail(field, fmt.Sprintf("%q holds control characters or is not UTF-8", text))
+	case text != strings.Trim(text, " "):
+		r.fail(field, fmt.Sprintf("%q begins or ends with a space", text))
+	}
+	return text
+}
+
 func (r *reader) address(field string, must bool) string {
 	text := r.text(field, must)
 	if text == "" && must {
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -1,8 +1,10 @@
 package config
 
 import (
+	"encoding/json"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -53,6 +55,38 @@
 	}
 }
 
+// Names are any text that can stand in a header and come out of it as it was.
+func TestNamesOfOtherSites(t *testing.T) {
+	for _, name := range []string{"Øyeblikkelig hjelp", `"Größe": 5;x=1`, "a.b*c?#|@", "\u00a0voice\u3000", strings.Repeat("ü", 128)} {
+		quoted, _ := json.Marshal(name)
+		text := strings.Replace(strings.Replace(good, `"voice"`, string(quoted), 1), `"acme"`, string(quoted), 1)
+		c, err := Parse([]byte(text), clock.New())
+		if err != nil || c.Classes[0] != name || c.Settings.Classes[0].Name != name || c.Tenants[0] != name {
+			t.Errorf("%q: %+v, %v", name, c, err)
+		}
+	}
+}
+
+// Guards against a class that no pool has the skill for being sent to all of them, and against a site without the
+// facts of its kind of service being refused.
+func TestPoolsOfAClass(t *testing.T) {
+	for text, want := range map[string][]int{
+		good: {0, 3},
+		strings.Replace(good, `[[0,3]]`, `[[]]`, 1):                    {},
+		strings.Replace(good, `"allowed_pools":[[0,3]],`, ``, 1):       nil,
+		strings.Replace(good, `"skills"`, `"network"`, 1):              nil,
+		strings.Replace(good, `"extra":{`, `"extra":null,"more":{`, 1): nil,
+	} {
+		c, err := Parse([]byte(text), clock.New())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := c.Settings.Classes[0].Pools; (got == nil) != (want == nil) || !slices.Equal(got, want) {
+			t.Errorf("%s: pools %#v, want %#v", text, got, want)
+		}
+	}
+}
+
 // Guards against a controller that starts on a configuration it has misread: one line, with the field's name.
 func TestBadFieldIsNamed(t *testing.T) {
 	for _, k := range [][3]string{
@@ -65,6 +99,15 @@
 		{`"cold_share":0.3`, `"cold_share":3`, "settings.rules.cold_share"}, {`"tick":5000000`, `"tick":null,"request_classes":{}`, ""},
 		{`"127.0.0.3:5060"`, `"nowhere"`, "known"}, {`{"no":3,"items"`, `{"items"`, "known"}, {`"settings":{`, `"settings":7,"x":{`, "settings"},
 		{`"name":"acme"`, `"name":1`, "settings.realms.0.name"},
+		{`"name":"n3"`, `"name":"n3\r\nTo: x"`, "name"},
+		{`"name":"voice"`, `"name":""`, "settings.request_classes.0.name"},
+		{`"name":"voice"`, `"name":"voice\r\nX-Patience: 1"`, "settings.request_classes.0.name"},
+		{`"name":"voice"`, `"name":"vo\u007fice"`, "settings.request_classes.0.name"},
+		{`"name":"voice"`, `"name":" voice"`, "settings.request_classes.0.name"},
+		{`"name":"voice"`, `"name":"voice "`, "settings.request_classes.0.name"},
+		{`"name":"voice"`, "\"name\":\"vo\xffice\"", "settings.request_classes.0.name"},
+		{`"name":"voice"`, `"name":"` + strings.Repeat("ü", 129) + `"`, "settings.request_classes.0.name"},
+		{`"request_classes":[`, `"request_classes":[{"name":"voice","deadline":1},`, "settings.request_classes.1.name"},
 	} {
 		text := strings.Replace(good, k[0], k[1], 1)
 		if text == good {
--- a/internal/jsonl/jsonl_test.go
+++ b/internal/jsonl/jsonl_test.go
@@ -19,6 +19,19 @@
 	}
 }
 
+// A name comes out the same however its sender spelt it in JSON.
+func TestFieldInAnySpelling(t *testing.T) {
+	const class = "Ærø \"2\"\\;x=1\U0001f600"
+	for _, text := range []string{
+		"{\"type\":\"setup\",\"fields\":{\"class\":\"Ærø \\\"2\\\"\\\\;x=1\U0001f600\"}}",
+		`{"type":"setup","fields":{"class":"\u00c6r\u00F8\u0020\u00222\u0022\u005c;x\u003d1\ud83d\uDE00"}}`,
+	} {
+		if m, err := Parse([]byte(text)); err != nil || m.Field("class") != class {
+			t.Errorf("%s: %q, %v", text, m.Field("class"), err)
+		}
+	}
+}
+
 func TestParseMalformed(t *testing.T) {
 	for _, text := range []string{``, `x`, `[]`, `"setup"`, `{}`, `{"type":1}`, `{"type":"setup","id":7}`,
 		`{"type":"setup","fields":[]}`, `{"type":"release","cause":"16"}`, `{"type":"setup","sdp":{}}`, `{"type":"setup"`} {
--- a/internal/sip/sip.go
+++ b/internal/sip/sip.go
@@ -14,6 +14,10 @@
 // Most is the most bytes that a message may have, head and body.
 const Most = 16 << 10
 
+// blanks are what may stand round a header's name and value (RFC 3261, 25.1). Guards against a class whose name begins
+// or ends with a blank of Unicode losing it.
+const blanks = " \t"
+
 // ErrFraming tells that the place where the next message begins is lost: the connection is of no more use.
 var ErrFraming = errors.New("sip: framing lost")
 
@@ -74,11 +78,11 @@
 			bad = fmt.Errorf("%w: a header without a colon", ErrMalformed)
 			continue
 		}
-		name = strings.ToLower(strings.TrimSpace(name))
+		name = strings.ToLower(strings.Trim(name, blanks))
 		if full, is := compact[name]; is {
 			name = full
 		}
-		value = strings.TrimSpace(value)
+		value = strings.Trim(value, blanks)
 		m.Headers = append(m.Headers, Header{name, value})
 		switch name {
 		case "content-length":
--- a/internal/sip/sip_test.go
+++ b/internal/sip/sip_test.go
@@ -25,6 +25,22 @@
 	}
 }
 
+// Guards against a value whose own first or last letter is a blank of Unicode coming out shorter: RFC 3261 has only
+// spaces and tabs round a value.
+func TestValuesComeOutAsTheyWentIn(t *testing.T) {
+	for _, value := range []string{"Øyeblikkelig hjelp", `"Größe": 5;x=1`, "a, b: c", "\u00a0voice\u3000", "voice\u0085", "e\u0301", "\U0001f600"} {
+		m := &Message{Method: "INVITE", URI: "sip:7f@net", CallID: "9b1f", CSeq: 1, Of: "INVITE", Headers: []Header{{"Subject", value}}}
+		got, err := read(string(m.Append(nil)))
+		if err != nil || got.Get("subject") != value {
+			t.Errorf("%q: %+v, %v", value, got, err)
+		}
+	}
+	m, err := read("NOTIFY x SIP/2.0\r\nSubject \t: \t voice \t \r\nContent-Length: 0\r\n\r\n")
+	if err != nil || m.Get("subject") != "voice" {
+		t.Errorf("%+v, %v", m, err)
+	}
+}
+
 func TestReadBad(t *testing.T) {
 	const end = "Content-Length: 0\r\n\r\n"
 	for text, want := range map[string]error{
