The last guard holds a site's attempts and repeats nothing that must not be; its tests

Cause: Engine.maySend held two sends a call whatever caps.max_attempts says, and a repeat of a keyed or unsafe set-up to the module's word alone (dispatch/engine.go, maySend).

Change: the guard counts to the site's attempts and knows what may have run.

Seen to fail without the mend: TestGuardHoldsTheSitesOwnBounds.

--- a/dispatch/desk_test.go
+++ b/dispatch/desk_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"eidertrail"
+	"eidertrail/internal/clock"
 	"eidertrail/internal/stats"
 )
 
@@ -448,3 +449,91 @@
 		r.trunk.mu.Unlock()
 	})
 }
+
+// Guards against a caller being told that a call was refused, which says that trying again is harmless, when a set-up
+// that must not be repeated may have been carried out: at a planned stop too.
+func TestWhatMustNotBeRepeatedIsNotRefused(t *testing.T) {
+	for _, effect := range []eidertrail.Effect{eidertrail.Safe, eidertrail.Keyed, eidertrail.Unsafe} {
+		set := settings()
+		set.Classes[0].Effect = effect
+		once := effect != eidertrail.Safe
+		test := func(r *rig, stop string) { // a desk gives up once
+			c := r.connect()
+			last := func(id string, end func()) Final {
+				r.setup(c, id)
+				end()
+				time.Sleep(3 * time.Second)
+				synctest.Wait()
+				finals := c.got().finals
+				if len(finals) == 0 {
+					t.Fatalf("effect %d, %s: no final answer", effect, id)
+				}
+				return finals[len(finals)-1]
+			}
+			ends := func(o Outcome) func() { return func() { r.last().end <- Ending{Outcome: o, State: Untold} } }
+			switch stop {
+			case "out":
+				if f := last("stop-out", r.desk.GiveUp); once && (f.Kind != GivenUp || !f.MayHaveRun) || !once && (f.Kind != Turned || f.MayHaveRun) {
+					t.Errorf("effect %d, out at the stop: %+v", effect, f)
+				}
+				return
+			case "waits":
+				r.list(eidertrail.Gone, eidertrail.Gone)
+				if f := last("stop-waits", r.desk.GiveUp); f.Kind != Turned || f.MayHaveRun {
+					t.Errorf("effect %d, not sent at the stop: %+v", effect, f)
+				}
+				return
+			}
+			if once {
+				sent := len(r.trunk.sent)
+				if f := last("reset", ends(Reset)); f.Kind != GivenUp || !f.MayHaveRun || len(r.trunk.sent) != sent+1 {
+					t.Errorf("effect %d, reset: %+v after %d set-ups", effect, f, len(r.trunk.sent)-sent)
+				}
+			}
+			if f := last("full", func() {
+				for range maxSends {
+					ends(NoAgent)()
+					synctest.Wait()
+				}
+			}); f.Kind != Turned || f.MayHaveRun || !f.NoRoom {
+				t.Errorf("effect %d, no agent: %+v", effect, f)
+			}
+		}
+		for _, stop := range []string{"", "out", "waits"} {
+			synctest.Test(t, func(t *testing.T) { onRigWith(t, set, func(r *rig) { test(r, stop) }) })
+		}
+	}
+}
+
+// resetTrunk resets every attempt, once the dispatcher has stopped.
+type resetTrunk struct {
+	d    *Dispatcher
+	stop func()
+}
+
+func (k resetTrunk) Invite(context.Context, Attempt) (Leg, Ending) {
+	k.stop()
+	<-k.d.done
+	return nil, Ending{Outcome: Reset, At: k.d.Now(), State: Untold}
+}
+
+// The same for an attempt that ends when nothing decides any more.
+func TestWhatMustNotBeRepeatedIsNotRefusedAtTheEnd(t *testing.T) {
+	for effect, want := range map[eidertrail.Effect]FinalKind{eidertrail.Safe: Turned, eidertrail.Keyed: GivenUp, eidertrail.Unsafe: GivenUp} {
+		set := settings()
+		set.Classes[0].Effect = effect
+		synctest.Test(t, func(t *testing.T) {
+			d, err := New(set, 1, 2_000_000, clock.New(), zerolog.Nop(), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, stop := context.WithCancel(context.Background())
+			go d.Run(ctx)
+			d.Roster([]Server{{UID: "a"}}, false)
+			r := Request{Call: d.NewCall(), Until: d.Now() + 3_000_000}
+			if f := Serve(context.Background(), d, resetTrunk{d, stop}, r, Setup{ID: "c1"}); f.Kind != want || f.MayHaveRun != (want == GivenUp) {
+				t.Errorf("effect %d: %+v", effect, f)
+			}
+		})
+	}
+}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -200,6 +200,46 @@
 	})
 }
 
+// Guards against a module that sends more often than the site allows, or repeats what must not be repeated.
+func TestGuardHoldsTheSitesOwnBounds(t *testing.T) {
+	set := settings()
+	set.MaxAttempts = 1
+	set.Classes[1].Effect = eidertrail.Unsafe
+	set.Classes = append(set.Classes, set.Classes[1])
+	set.Classes[2].Effect = eidertrail.Keyed
+	test := func(r *rig) {
+		may := func(class, attempt int, ended ...Outcome) bool {
+			now := r.Now()
+			q := Request{Call: r.NewCall(), Class: class, Pool: 1, Until: now + 1_000_000}
+			k := &call{Request: q, Decider: make(place, 1), attempt: attempt}
+			r.engine.calls[q.Call] = k
+			defer delete(r.engine.calls, q.Call)
+			for _, o := range ended {
+				k.out = true
+				r.engine.Report(now-1_000_000, Result{Call: q.Call, Attempt: k.attempt, Pool: "b", Outcome: o, State: Untold})
+			}
+			return r.engine.maySend(now, k, "b")
+		}
+		if !may(0, 0) || may(0, 1) {
+			t.Error("not the one attempt that the site allows")
+		}
+		for o, mayRepeat := range map[Outcome]bool{Errored: false, LinesBusy: false, TimedOut: false, Reset: false, Cancelled: false,
+			NoAgent: true, ProcessorFull: true, ConnectFailed: true, Moot: true} {
+			for class, want := range []bool{true, mayRepeat, mayRepeat} {
+				if got := may(class, 0, o); got != want {
+					t.Errorf("class %d after outcome %d: %v, want %v", class, o, got, want)
+				}
+				if got := may(class, 0, o, Moot); got != want { // a later attempt that never ran proves nothing of it
+					t.Errorf("class %d after outcome %d and one that never ran: %v, want %v", class, o, got, want)
+				}
+			}
+		}
+		clear(r.engine.waiting)
+		r.engine.events = r.engine.events[:0]
+	}
+	synctest.Test(t, func(t *testing.T) { onRigWith(t, set, test) })
+}
+
 func TestCallerLeavesWhileItWaits(t *testing.T) {
 	bubble(t, func(r *rig) {
 		r.list(eidertrail.Gone, eidertrail.Gone)
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -60,6 +61,7 @@
 	notBefore int64 // the release after the last attempt is awaited until then
 	waitsFrom int64 // it waits for a decision since then
 	noRoom    bool
+	mayHave   bool   // an attempt may have been carried out
 	pool      string // where the last attempt went
 	routed    bool   // routing counts it at pool: an attempt out or a call standing
 }
@@ -170,6 +172,7 @@
 		d.route.report(r.Pool, r.State.Free, r.State.Agents)
 	}
 	k.out, k.stands, k.noRoom = false, false, r.Outcome == NoAgent
+	k.mayHave = k.mayHave || !r.Outcome.neverRan()
 	switch r.Outcome {
 	case TimedOut, Reset, Cancelled:
 		k.notBefore = now + d.set.Release.Microseconds()
@@ -269,11 +272,15 @@
 	}
 }
 
-// maySend is the last guard of the rules: one attempt at a time, two sends at most, the release
-// awaited, and only to a pool that is listed as up and that the class may use.
+// maySend is the last guard of the rules: one attempt at a time, two sends at most or fewer where the site says so, the
+// release awaited, no repeat of what must not be repeated, and only to a pool that is listed as up and that the class
+// may use.
+//
+// Guards against a module that repeats a set-up of a class whose effect is not Safe after one that may have been carried
+// out, or that sends more often than the site allows.
 func (d *Engine) maySend(now int64, k *call, uid string) bool {
 	s, listed := d.servers[uid]
-	if k.out || k.stands || k.attempt >= maxSends || now < k.notBefore || now >= k.Until ||
+	if k.out || k.stands || k.attempt >= min(maxSends, cmp.Or(d.set.MaxAttempts, maxSends)) || k.mayHave && d.once(k.Class) || now < k.notBefore || now >= k.Until ||
 		!listed || s.Mode != eidertrail.Ready || !d.route.admits(now, uid, k.Class) {
 		return false
 	}
@@ -281,6 +288,11 @@
 	return pools == nil || slices.Contains(pools, s.Group)
 }
 
+// once tells whether a set-up of the class must not be repeated once it may have been carried out.
+func (d *Engine) once(class int) bool {
+	return class >= 0 && class < len(d.set.Classes) && d.set.Classes[class].Effect != eidertrail.Safe
+}
+
 func (d *Engine) final(now int64, id uint64, v Verdict, after time.Duration) {
 	k := d.calls[id]
 	if k == nil {
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-
-	"eidertrail"
 )
 
 // This file is the life of a call, the same for every front: it is placed, sent, sent once more at
@@ -93,7 +91,7 @@
 	// settled is f as the rules of the call's class allow it. Guards against a call that may stand at a pool, of a
 	// class whose set-ups must not be repeated, being refused when the process ends: its caller would try again.
 	settled := func(f Final) Final {
-		if ran && d.engine.set.Classes[r.Class].Effect != eidertrail.Safe {
+		if ran && d.engine.once(r.Class) {
 			f.Kind, f.NoRoom, f.MayHaveRun = GivenUp, false, true
 		}
 		return f
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -689,6 +689,24 @@
 	})
 }
 
+// Guards against a cause that says that trying again is harmless (34, 42, 102), for a set-up that must not be repeated
+// and may have been carried out.
+func TestWhatMayHaveRunOnceHasFailed(t *testing.T) {
+	for _, k := range []struct {
+		class   string
+		outcome dispatch.Outcome
+		cause   int
+	}{{"voice", dispatch.Reset, 102}, {"once", dispatch.Reset, 41}, {"once", dispatch.NoAgent, 34}} {
+		bubble(t, func(r *rig) {
+			r.trunk.say(k.outcome)
+			c := r.dial()
+			c.say(strings.NewReplacer("voice", k.class, `"1500"`, `"200"`).Replace(setup)) // no time for the release wait
+			time.Sleep(1500 * time.Millisecond)
+			r.want(c, fmt.Sprintf(`{"type":"release","id":"9b1f03aa5c7e2d41","fields":{},"cause":%d}`, k.cause))
+		})
+	}
+}
+
 func TestCancelAndDuplicate(t *testing.T) {
 	bubble(t, func(r *rig) {
 		r.trunk.say(dispatch.TimedOut)
