Pool: the last look before an INVITE's write sees the caller, the time and a write held up

Change: leave looks at the attempt's context and time; a drain shortens the deadline of an INVITE's write to 0.3 s; only an up line or a new address ends a pool's being superseded, and only an up line supersedes; Connected counts pools that may be sent to. Of a set-up that is stopped at the write nothing is kept.

TestLeaveLooksAtTheCallerItself, TestDrainEndsAWriteThatIsHeldUp and TestALateDrainTakesNoAddressBack fail without it.

--- a/pool/conn.go
+++ b/pool/conn.go
@@ -238,14 +238,15 @@
 
 // conn is one connection to a pool. Its dialogs belong to pool.mu.
 type conn struct {
-	pool   *pool
-	raw    net.Conn
-	queue  chan item
-	closed chan struct{}
-	once   sync.Once
-	heard  atomic.Int64 // when the last message came
-	begun  atomic.Int64 // when the one that is coming began, 0: none is
-	toldAt int64        // when a state came last; only read looks at it
+	pool     *pool
+	raw      net.Conn
+	queue    chan item
+	closed   chan struct{}
+	once     sync.Once
+	heard    atomic.Int64 // when the last message came
+	begun    atomic.Int64 // when the one that is coming began, 0: none is
+	toldAt   int64        // when a state came last; only read looks at it
+	inviting atomic.Bool  // an INVITE is being written; set under pool.mu
 	// openedAt is when it came up, settled that it was heard a while after that; only read looks at settled.
 	openedAt int64
 	settled  bool
@@ -350,16 +351,17 @@
 		case <-c.closed:
 			return
 		case i := <-c.queue:
-			// Guards against an INVITE to a pool of which a drain was told between decision and write, and
-			// against one whose call was given up in between: here is the last place to stop it.
-			if i.dialog != nil && !i.dialog.leave(c, i.id) {
-				continue
-			}
+			// Before leave: a drain that is told after it sets a shorter one.
 			if err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 				c.close()
 				c.queueAgain(i)
 				return
 			}
+			// Guards against an INVITE to a pool of which a drain was told between decision and write, and
+			// against one whose call was given up in between: here is the last place to stop it.
+			if i.dialog != nil && !i.dialog.leave(c, i.id) {
+				continue
+			}
 			if c.pool.set.cfg.Log.GetLevel() <= zerolog.DebugLevel {
 				if m, err := sip.Read(bufio.NewReader(bytes.NewReader(i.bytes))); err == nil {
 					c.pool.trace("out", m.Method, m.Of, m.Status, m.CallID)
@@ -370,6 +372,7 @@
 				c.queueAgain(i)
 				return
 			}
+			c.inviting.Store(false)
 			if i.keep {
 				c.pool.mu.Lock()
 				if len(c.unheard) < mostByes {
--- a/pool/dialog.go
+++ b/pool/dialog.go
@@ -26,8 +26,10 @@
 	pool        *pool
 	number      string
 	state       dialogState
-	leaveBy     int64 // the INVITE must not be written later, 0: at any time
-	leftAt      int64 // when the INVITE was written
+	ctx         context.Context // done once the caller has left
+	until       int64           // the attempt times out then
+	leaveBy     int64           // the INVITE must not be written later, 0: at any time
+	leftAt      int64           // when the INVITE was written
 	calledOffAt int64
 	reply       chan reply // holds the one reply
 }
@@ -55,6 +57,15 @@
 	if !p.eligible() {
 		p.set.cfg.Count.Add(stats.GuardDrain)
 		d.finish(p.set.ending(dispatch.Moot))
+		delete(c.dialogs, id)
+		return false
+	}
+	// Guards against a set-up leaving for a caller that has left, or whose time is over, when the goroutine that calls
+	// it off has not had its turn yet.
+	if d.ctx.Err() != nil || p.set.cfg.Clock.Now() >= d.until {
+		p.set.cfg.Count.Add(stats.InvitesCalledOff)
+		d.finish(p.set.ending(dispatch.Moot))
+		delete(c.dialogs, id)
 		return false
 	}
 	// Guards against a process that stood still between the decision and the write spending a share of a budget
@@ -62,9 +73,11 @@
 	if d.leaveBy > 0 && p.set.cfg.Clock.Now() > d.leaveBy {
 		p.set.cfg.Count.Add(stats.StaleStopped)
 		d.finish(p.set.ending(dispatch.Moot))
+		delete(c.dialogs, id)
 		return false
 	}
 	d.state, d.leftAt = out, p.set.cfg.Clock.Now()
+	c.inviting.Store(true)
 	// Guards against a release of the send before, which the pool has not said it heard, being said again on the
 	// next connection: it has the same Call-ID, and would end what stands by this one. What is written before
 	// this INVITE is heard before it.
@@ -93,7 +106,7 @@
 			return nil, set.ending(dispatch.ConnectFailed)
 		}
 	}
-	d := &dialog{pool: p, number: a.Setup.Number, leaveBy: a.LeaveBy, reply: make(chan reply, 1)}
+	d := &dialog{pool: p, number: a.Setup.Number, ctx: ctx, until: a.Until, leaveBy: a.LeaveBy, reply: make(chan reply, 1)}
 	now := set.cfg.Clock.Now()
 	invite := invitation(set.cfg.Name, a, a.Until-now)
 	p.mu.Lock()
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -70,6 +70,8 @@
 	messageWithin = 300 * time.Millisecond
 	// drainQuiet is quietMost for a pool that drains: it tells its state no more, and the ends of its calls are seldom.
 	drainQuiet = 3_500_000
+	// drainWrite is how long an INVITE that is being written when a drain is told may still take.
+	drainWrite = 300 * time.Millisecond
 	// refusedFor is how long a quiet connection is kept whose pool refuses the next. A call that ended after the pool was
 	// last heard is to be released within 8 s of its end.
 	refusedFor = 7_000_000
@@ -144,7 +146,7 @@
 		// Guards against a call for a pool that has gone reaching the one that now has its address:
 		// the bulletin tells of the new one first when it runs behind with the other's end.
 		for uid, other := range s.pools {
-			if uid != l.UID && l.State != bulletin.Removed && other.supersede(now, l.Address) {
+			if uid != l.UID && l.State == bulletin.Up && other.supersede(now, l.Address) {
 				lines = append(lines, other.line())
 			}
 		}
@@ -172,7 +174,7 @@
 	defer s.mu.Unlock()
 	for _, p := range s.pools {
 		p.mu.Lock()
-		if p.listed.State == bulletin.Up {
+		if p.eligible() { // one whose address is another's now has no connection to wait for
 			up++
 			if p.conn != nil {
 				connected++
@@ -304,9 +306,14 @@
 		if p.removedAt == 0 {
 			p.removedAt = now
 		}
-	} else {
+	} else if l.State == bulletin.Up || moved {
+		// Guards against the drain of a pool whose address is another's by now, told late, making it that pool's again.
 		p.removedAt, p.superseded = 0, false
 	}
+	// Guards against an INVITE whose write is held up, as the pool does not read, leaving long after the drain was told.
+	if l.State != bulletin.Up && p.conn != nil && p.conn.inviting.Load() {
+		p.conn.raw.SetWriteDeadline(time.Now().Add(drainWrite))
+	}
 	var cut []*leg
 	if restarted { // what stood in the old process was cut with it
 		for _, g := range p.standing {
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -370,6 +371,81 @@
 	})
 }
 
+// Guards against a set-up leaving for a caller that has left, or whose time is over, before the goroutine that calls it
+// off has had its turn: the writer asks at that very moment.
+func TestLeaveLooksAtTheCallerItself(t *testing.T) {
+	bubble(t, func(r *rig) {
+		p := r.pools["p1"]
+		c, _ := p.current()
+		left, leave := context.WithCancel(context.Background())
+		leave()
+		now := r.clock.Now()
+		for name, k := range map[string]struct {
+			ctx   context.Context
+			until int64
+			want  bool
+		}{
+			"caller left":  {left, now + 1_000_000, false},
+			"time is over": {context.Background(), now, false},
+			"both in time": {context.Background(), now + 1, true},
+		} {
+			d := &dialog{pool: p, ctx: k.ctx, until: k.until, reply: make(chan reply, 1)}
+			p.mu.Lock()
+			c.dialogs[name] = d
+			p.mu.Unlock()
+			if d.leave(c, name) != k.want {
+				t.Errorf("%s: leave is %t", name, !k.want)
+			}
+			if !k.want && (c.dialogs[name] != nil || (<-d.reply).ending.Outcome != dispatch.Moot) {
+				t.Errorf("%s: is kept, or no proof that it never ran", name)
+			}
+		}
+	})
+}
+
+// Guards against an INVITE whose write is held up, as the pool does not read, leaving up to 2 s after a drain was told.
+func TestDrainEndsAWriteThatIsHeldUp(t *testing.T) {
+	bubble(t, func(r *rig) {
+		stuck := make(chan struct{})
+		r.at.OnRequest = func(q standin.Request) {
+			r.note(&r.seen, q.Method+" "+q.CallID)
+			<-stuck
+		}
+		r.invite("c1", 0, time.Minute) // is read, and no more is
+		synctest.Wait()
+		x := r.invite("c2", 0, time.Minute)
+		synctest.Wait()
+		r.list("p1", "10.0.0.1:5060", bulletin.Draining)
+		time.Sleep(drainWrite + time.Millisecond)
+		r.want(x, dispatch.Reset)
+		close(stuck)
+		synctest.Wait()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if len(r.seen) == 0 || r.seen[0] != "INVITE c1" || slices.Contains(r.seen, "INVITE c2") {
+			t.Errorf("pool got %q", r.seen)
+		}
+	})
+}
+
+// Guards against the drain of a pool whose address is another's by now, told late, making the address its own again and
+// the new pool gone for good; and against a test being held up by a pool that has no address any more.
+func TestALateDrainTakesNoAddressBack(t *testing.T) {
+	bubble(t, func(r *rig) {
+		r.list("p2", "10.0.0.1:5060", bulletin.Up)
+		r.list("p1", "10.0.0.1:5060", bulletin.Draining)
+		synctest.Wait()
+		for _, l := range r.lines {
+			if l.UID == "p2" || l.Mode != eidertrail.Gone {
+				t.Errorf("told %+v", l)
+			}
+		}
+		if connected, up := r.Connected(); connected != 1 || up != 1 {
+			t.Errorf("%d connected of %d", connected, up)
+		}
+	})
+}
+
 // A set-up that waits in the pool's queue when the drain is told is the pool's: its answer stands, and is cut
 // only by the pool. Nothing new goes there; one that waits in vain is called off.
 func TestDrainWhileASetupWaitsInThePoolsQueue(t *testing.T) {
