Front: a caller's connection is not idle while a call that it set up stands

The trace: the call stood on the controller's only live connection, quiet since its set-up at 22.5 s; we closed that for its idleness at 30.5 s (front/conn.go, next: open == 0); the others were closed by their callers, who keep only those with calls on them; the call's BYE came at 33.3 s and its end waited for a connection that never came. Ruled out: the pool's side (the BYE was heard and answered at once), an end told on a connection that was closing (none was).

Change: a connection on which calls stand is not idle; it makes room for others last. TestIdleIsNotWhoseCallsStand fails without it, in both parts.

--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -126,6 +126,7 @@
 	proven bool // a call was answered on it
 	spoke  bool // it has set up a call that made sense
 	open   int  // its set-ups without a final answer
+	stands int  // the calls that it set up and that stand
 	errors int  // its set-ups that pools could make nothing of
 	told   []handed
 }
@@ -229,14 +230,14 @@
 
 func (s *seat) isProven() bool { return s.proven }
 
-// Seat tells how many open set-ups a connection has and whether it is proven.
-func (k *Desk) Seat(c Caller) (open int, proven bool) {
+// Seat tells how many open set-ups a connection has, how many calls that it set up stand, and whether it is proven.
+func (k *Desk) Seat(c Caller) (open, stands int, proven bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if s := k.at[c]; s != nil {
-		return s.open, s.proven
+		return s.open, s.stands, s.proven
 	}
-	return 0, false
+	return 0, 0, false
 }
 
 // Owns tells whether a call is known that was set up on this connection.
@@ -580,6 +581,7 @@
 		gone = true
 	}
 	if call.stands = final.Kind == Stands && !gone; call.stands {
+		at.stands++
 		k.prove(at)
 	} else {
 		k.forget(id)
@@ -603,6 +605,7 @@
 		// ctx may be done: GiveUp crossed the answer. The call stands all the same.
 		cause, byPool := final.Call.WaitEnd(k.closed, call.released)
 		k.mu.Lock()
+		at.stands--
 		k.forget(id)
 		k.mu.Unlock()
 		if byPool || k.tellAll && k.closed.Err() == nil {
--- a/front/conn.go
+++ b/front/conn.go
@@ -196,8 +196,16 @@
 	return c.raw.Read(b)
 }
 
+// idle tells whether nothing is owed on the connection. Guards against the end of a call that nobody can be told: its own
+// connection was quiet for idleAfter and closed, and callers keep open only those that have calls on them.
+func (c *conn) idle() bool {
+	open, stands, _ := c.front.cfg.Desk.Seat(c)
+	return open+stands == 0 && c.unwritten.Load() == 0
+}
+
 // next reads a line. It waits for the first one from the connection's beginning, for a later one from its
-// first byte on, and between lines for as long as a set-up is open or a line unwritten.
+// first byte on, and between lines for as long as a set-up is open, a call stands or a line is
+// unwritten.
 func (c *conn) next(r *bufio.Reader, buf []byte) ([]byte, error) {
 	until := c.came.Add(firstWithin)
 	if c.said.Load() {
@@ -207,7 +215,7 @@
 			}
 			if _, err := r.Peek(1); err == nil {
 				break
-			} else if open, _ := c.front.cfg.Desk.Seat(c); open == 0 && c.unwritten.Load() == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			} else if !errors.Is(err, os.ErrDeadlineExceeded) || c.idle() {
 				return nil, err
 			}
 		}
--- a/front/front.go
+++ b/front/front.go
@@ -40,7 +40,7 @@
 	firstWithin = 2500 * time.Millisecond
 	// lineWithin is the same for a later line, from its first byte on.
 	lineWithin = 2 * time.Second
-	// idleAfter is how long a connection without an open set-up may be quiet. Callers close theirs after 4 s.
+	// idleAfter is how long a connection without an open set-up or a standing call may be quiet. Callers close theirs after 4 s.
 	idleAfter = 8 * time.Second
 	// lastLook is how long a reader looks for what has come once such a time is over.
 	lastLook = 5 * time.Millisecond
@@ -131,7 +131,8 @@
 }
 
 // shed makes room for a connection where there is one that can be spared: the oldest that has said nothing
-// yet, else the one that was quiet for longest among those without an open set-up, unproven ones first. It
+// yet, else the one that was quiet for longest among those without an open set-up, unproven ones first, those on which calls stand
+// last. It
 // guards against clients that open connections by hundreds shutting the callers out. The caller holds mu.
 //
 // The desk takes no set-up on it from then on. Guards against one that was read just then being sent for nobody, and
@@ -162,7 +163,7 @@
 	var spare *conn
 	worst := [2]int64{}
 	for c := range f.conns {
-		open, proven := f.cfg.Desk.Seat(c)
+		open, stands, proven := f.cfg.Desk.Seat(c)
 		quiet := f.cfg.Clock.Now() - c.active.Load()
 		kind := int64(3)
 		switch {
@@ -173,6 +174,8 @@
 			kind = 2
 		case quiet < spareAfter:
 			continue
+		case stands > 0: // the end of its calls would have to be told on another
+			kind = 0
 		default:
 			kind = 1
 		}
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -338,6 +338,47 @@
 	})
 }
 
+// Guards against the end of a call being told to nobody: its connection, the only one, had been quiet for idleAfter and was
+// closed, though the call stood (split+mass and join+mass, seed 507, a controller of few callers). It makes room only where
+// no other can.
+func TestIdleIsNotWhoseCallsStand(t *testing.T) {
+	bubble(t, func(r *rig) {
+		c := r.dial()
+		c.say(setup)
+		r.want(c, answer)
+		time.Sleep(2*idleAfter + time.Second)
+		close(r.trunk.legs[0].done)
+		if lines, ended := c.take(); len(lines) != 1 || !strings.HasPrefix(lines[0], `{"type":"release"`) || ended {
+			t.Errorf("told %q, closed: %t", lines, ended)
+		}
+		time.Sleep(2 * idleAfter)
+		if _, ended := c.take(); !ended {
+			t.Error("open though idle for long, with no call")
+		}
+	})
+	bubble(t, func(r *rig) {
+		c, other := r.dial(), r.dial()
+		c.say(setup)
+		r.want(c, answer)
+		other.say(strings.Replace(setup, "9b1f", "0001", 1))
+		r.want(other, strings.Replace(answer, "9b1f", "0001", 1))
+		close(r.trunk.legs[1].done)
+		synctest.Wait()
+		other.take()
+		time.Sleep(2 * time.Second)
+		for _, id := range []string{"0002", "0003", "0004"} { // the first two fill the places, the third needs one
+			r.dial().say(strings.Replace(setup, "9b1f", id, 1))
+			synctest.Wait()
+		}
+		if _, ended := c.take(); ended {
+			t.Error("the connection whose call stands made room")
+		}
+		if _, ended := other.take(); !ended {
+			t.Error("the connection without a call did not make room")
+		}
+	})
+}
+
 // turnListener is a listener whose connections are read only once turn is closed.
 type turnListener struct {
 	*standin.Listener
@@ -861,7 +902,7 @@
 		}
 		c.Close()
 		synctest.Wait()
-		if open, _ := r.cfg.Desk.Seat(nil); open != 0 || r.cfg.Desk.Open() != 0 {
+		if open, _, _ := r.cfg.Desk.Seat(nil); open != 0 || r.cfg.Desk.Open() != 0 {
 			t.Errorf("%d open", r.cfg.Desk.Open())
 		}
 	})
