Pool: a connection that comes up late is waited for, up to twice the connect time-out

Ruled out: replaced quiet connections (under 200 of them came up).

Change: a dial may take two connect time-outs; a set-up waits for one as before, and then goes elsewhere. A machine that has vanished is still noticed within 8 s (TestConnections). TestALateConnectionIsWaitedFor fails without it (2 dials).

--- a/pool/conn.go
+++ b/pool/conn.go
@@ -84,8 +84,12 @@
 	return p.removedAt > 0 && now-p.removedAt >= removedAfter
 }
 
+// dial opens a connection. It waits for longer than a set-up does.
+//
+// Guards against a connection that comes up late being given up a moment before, and another opened in its place that is
+// late as well: each is a handshake (442 of 1,758 to pools on a day of 30 controllers).
 func (p *pool) dial(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(p.set.cfg.ConnectTimeout)*time.Microsecond)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(dialTimes*p.set.cfg.ConnectTimeout)*time.Microsecond)
 	defer cancel()
 	return p.set.cfg.Dial(ctx, address)
 }
--- a/pool/dialog.go
+++ b/pool/dialog.go
@@ -92,10 +92,15 @@
 	until := time.NewTimer(time.Duration(a.Until-set.cfg.Clock.Now()) * time.Microsecond)
 	defer until.Stop()
 	c, dialled := p.current()
-	if c == nil { // one dial is waited for: what it brings is the attempt's fate
+	if c == nil { // one dial is waited for, for as long as the site says: what it brings is the attempt's fate
 		p.wake()
+		late := time.NewTimer(time.Duration(set.cfg.ConnectTimeout) * time.Microsecond)
+		defer late.Stop()
 		select {
 		case <-dialled:
+		case <-late.C:
+			set.cfg.Count.Add(stats.ConnectsFailed)
+			return nil, set.ending(dispatch.ConnectFailed)
 		case <-until.C:
 			return nil, set.ending(dispatch.ConnectFailed)
 		case <-ctx.Done():
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -46,6 +46,9 @@
 	readBuffer   = 4096
 	redialMin    = 20 * time.Millisecond
 	redialMax    = 500 * time.Millisecond
+	// dialTimes is how many times the connect time-out a dial may take: a set-up waits for one, and then goes elsewhere.
+	// Not more, as a machine that has vanished is noticed between two dials.
+	dialTimes = 2
 	// deadAfter is how long a pool must refuse connections before what stands there counts as cut. A
 	// process that has died refuses at once; one that only holds too many connections soon takes one again.
 	deadAfter = 1_000_000
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -890,6 +890,40 @@
 	})
 }
 
+// Guards against a connection that comes up late being given up a moment before and dialled anew: a set-up does not wait
+// for it, the next one finds it.
+func TestALateConnectionIsWaitedFor(t *testing.T) {
+	bubble(t, func(r *rig) {
+		come := make(chan struct{})
+		dial := r.cfg.Dial
+		var dials atomic.Int64
+		r.cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			dials.Add(1)
+			select {
+			case <-come:
+				return dial(ctx, address)
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		}
+		r.at.Drop()
+		synctest.Wait()
+		time.Sleep(redialMin)
+		x := r.invite("c1", 0, time.Minute)
+		time.Sleep(time.Duration(r.cfg.ConnectTimeout) * time.Microsecond)
+		r.want(x, dispatch.ConnectFailed)
+		time.Sleep(300 * time.Millisecond)
+		close(come)
+		synctest.Wait()
+		y := r.invite("c2", 0, time.Minute)
+		r.wantSent("INVITE").Answer(200, "", "a\r\n")
+		r.want(y, dispatch.Answered)
+		if n := dials.Load(); n != 1 {
+			t.Errorf("%d dials", n)
+		}
+	})
+}
+
 // Guards against our own release of a first send, said again on the next connection as the pool has not said that
 // it heard it, ending the call that stands there by the second: both have one Call-ID, and the caller was told
 // nothing (a day of bad answers and silent pools).
