Gossip: characterisation tests pin what a member writes on its socket, logs and counts

So that the renames to come can be shown to change nothing: one member on a socket, the others played by the test on a clock that stands: the bytes of its start, probe, answers, relays, refutation, ping of a suspect and leave; its views, bodies handed on, log lines and counters, malformed datagrams among them; what it says when it cannot start.

--- /dev/null
+++ b/cluster/gossip/characterization_test.go
@@ -0,0 +1,287 @@
+// Characterisation tests of the datagram socket and its loop: they record what the program does today, as the bytes
+// that a member writes and what it says of those that it reads, so that a change of names or shape can be shown to
+// change nothing. On a purposeful change of behaviour the files are written anew with
+//
+//	EIDERTRAIL_UPDATE=1 go test ./cluster/gossip -run TestCharacterization
+//
+// and the commit has to say why.
+package gossip_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"eidertrail/cluster"
+	"eidertrail/cluster/gossip"
+	"eidertrail/internal/stats"
+)
+
+// ---- recorded files ----
+
+const recordedDirectory = "testdata/characterization"
+
+// compareRecorded fails the test where the text is not that of the recorded file; with EIDERTRAIL_UPDATE=1 it
+// writes the file.
+func compareRecorded(t *testing.T, name, text string) {
+	t.Helper()
+	path := filepath.Join(recordedDirectory, name)
+	if os.Getenv("EIDERTRAIL_UPDATE") == "1" {
+		if err := os.MkdirAll(recordedDirectory, 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	recorded, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, got := strings.Split(string(recorded), "\n"), strings.Split(text, "\n")
+	for i := range max(len(want), len(got)) {
+		switch {
+		case i >= len(want):
+			t.Fatalf("%s, line %d: got %q, the file ends before", path, i+1, got[i])
+		case i >= len(got):
+			t.Fatalf("%s, line %d: got nothing, want %q", path, i+1, want[i])
+		case want[i] != got[i]:
+			t.Fatalf("%s, line %d: got %q, want %q", path, i+1, got[i], want[i])
+		}
+	}
+}
+
+// ---- one member on a socket, the others played by the test ----
+
+const (
+	fleetName = "characterization"
+	// self is the member that runs; 0 and 2 are the test's.
+	self = 1
+	// patience bounds the wait for a datagram that must come.
+	patience = 20 * time.Second
+)
+
+// standingClock always tells the same time: nothing comes due but what is due at once.
+type standingClock struct{}
+
+func (standingClock) Now() int64 { return 1_000_000 }
+
+// peer is a member that the test plays.
+type peer struct {
+	t      *testing.T
+	name   string
+	conn   *net.UDPConn
+	runner net.Addr
+	text   *strings.Builder
+}
+
+func newPeer(t *testing.T, name string, text *strings.Builder) *peer {
+	t.Helper()
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return &peer{t: t, name: name, conn: conn, text: text}
+}
+
+// read writes down the next datagram that comes, and returns what it says.
+func (p *peer) read(what string) cluster.Message {
+	p.t.Helper()
+	if err := p.conn.SetReadDeadline(time.Now().Add(patience)); err != nil {
+		p.t.Fatal(err)
+	}
+	buffer := make([]byte, 2*cluster.MostDatagram)
+	n, _, err := p.conn.ReadFromUDP(buffer)
+	if err != nil {
+		p.t.Fatalf("%s, %s: %v", p.name, what, err)
+	}
+	fmt.Fprintf(p.text, "%s-%s %x\n", p.name, what, buffer[:n])
+	m, err := cluster.Parse(buffer[:n], cluster.Fleet(fleetName))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return m
+}
+
+func (p *peer) write(b []byte) {
+	p.t.Helper()
+	if _, err := p.conn.WriteTo(b, p.runner); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func (p *peer) send(m cluster.Message) {
+	p.t.Helper()
+	p.write(encoded(p.t, m, fleetName))
+}
+
+func encoded(t *testing.T, m cluster.Message, fleet string) []byte {
+	t.Helper()
+	b, err := m.Append(nil, cluster.Fleet(fleet))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// heard is what the member's loop tells its user; it is read once the loop has ended.
+type heard struct {
+	text strings.Builder
+	log  bytes.Buffer
+}
+
+func (h *heard) receive(now int64, from int, body []byte) {
+	fmt.Fprintf(&h.text, "receive at %d from %d: %x\n", now, from, body)
+}
+
+func (h *heard) view(now int64, members []cluster.Member) {
+	fmt.Fprintf(&h.text, "view at %d:", now)
+	for _, m := range members {
+		fmt.Fprintf(&h.text, " %s %d", stateWord(m.State), m.Incarnation)
+	}
+	h.text.WriteString("\n")
+}
+
+// stateWord is this test's own word for a state.
+func stateWord(s cluster.State) string {
+	switch s {
+	case cluster.Unknown:
+		return "unknown"
+	case cluster.Alive:
+		return "alive"
+	case cluster.Suspect:
+		return "suspect"
+	case cluster.Dead:
+		return "dead"
+	case cluster.Left:
+		return "left"
+	}
+	return fmt.Sprintf("state-%d", uint8(s))
+}
+
+// A member starts, probes, answers, relays, hands bodies on, refutes, suspects, passes over what makes no sense, and
+// leaves.
+func TestCharacterization_MemberOnASocket(t *testing.T) {
+	var written strings.Builder
+	first, third := newPeer(t, "member-0", &written), newPeer(t, "member-2", &written)
+	told := &heard{}
+	counters := &stats.Set{}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	runner, err := gossip.Start(ctx, gossip.Config{Node: cluster.Default(self, 3), Listen: "127.0.0.1:0", Fleet: fleetName,
+		Peers:       []string{first.conn.LocalAddr().String(), "127.0.0.1:1", third.conn.LocalAddr().String()},
+		Incarnation: 1000, Seed: 7, Clock: standingClock{}, Log: zerolog.New(&told.log), Count: counters,
+		Receive: told.receive, View: told.view, EveryMicros: 3_600_000_000,
+		Every: func(_ int64, send func(int, []byte)) {
+			send(0, []byte("every"))
+			send(2, make([]byte, cluster.MostBody+1)) // too long: it is logged, and not sent
+		}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	first.runner, third.runner = runner.Addr(), runner.Addr()
+
+	first.read("start")
+	third.read("start")
+	first.read("user")
+	probe := first.read("probe") // the seed has member 0 probed first
+	first.send(cluster.Message{Kind: cluster.Ack, From: 0, Incarnation: 500, Seq: probe.Seq, Target: 0})
+
+	first.send(cluster.Message{Kind: cluster.Ping, From: 0, Incarnation: 500, Seq: 11, Target: self})
+	first.read("ack")
+	first.send(cluster.Message{Kind: cluster.PingReq, From: 0, Incarnation: 500, Seq: 12, Target: 2})
+	relayed := third.read("relayed-ping")
+	third.send(cluster.Message{Kind: cluster.Ack, From: 2, Incarnation: 600, Seq: relayed.Seq, Target: 2})
+	first.read("relayed-ack")
+
+	first.send(cluster.Message{Kind: cluster.User, From: 0, Incarnation: 500, Body: []byte("body")})
+	first.send(cluster.Message{Kind: cluster.Gossip, From: 0, Incarnation: 500,
+		Updates: []cluster.Update{{Member: self, State: cluster.Dead, Incarnation: 2000, From: 0}}})
+	first.send(cluster.Message{Kind: cluster.Ping, From: 0, Incarnation: 500, Seq: 13, Target: self})
+	first.read("ack-with-refutation")
+
+	sendMalformed(t, first)
+	first.send(cluster.Message{Kind: cluster.Ping, From: 0, Incarnation: 500, Seq: 14, Target: self})
+	first.read("ack-after-malformed")
+
+	first.send(cluster.Message{Kind: cluster.Gossip, From: 0, Incarnation: 500,
+		Updates: []cluster.Update{{Member: 2, State: cluster.Suspect, Incarnation: 600, From: 0}}})
+	third.read("ping-of-a-suspect")
+	third.send(cluster.Message{Kind: cluster.Ping, From: 2, Incarnation: 601, Seq: 15, Target: self})
+	third.read("ack-of-one-that-refuted")
+	first.send(cluster.Message{Kind: cluster.Gossip, From: 0, Incarnation: 500,
+		Updates: []cluster.Update{{Member: 2, State: cluster.Dead, Incarnation: 601, From: 0}}})
+	first.send(cluster.Message{Kind: cluster.Ping, From: 0, Incarnation: 500, Seq: 16, Target: self})
+	first.read("ack-with-a-death")
+
+	runner.Leave()
+	first.read("leave")
+	third.read("leave")
+	stop()
+	runner.Wait()
+	compareRecorded(t, "datagrams.txt", written.String())
+
+	log := strings.NewReplacer(first.conn.LocalAddr().String(), "ADDRESS-OF-0").Replace(told.log.String())
+	text := told.text.String() + log
+	for _, c := range []struct {
+		name    string
+		counter stats.Counter
+	}{{"in", stats.PeerIn}, {"out", stats.PeerOut}, {"bytes out", stats.PeerBytesOut}, {"bad", stats.PeerBad},
+		{"dropped", stats.PeerDropped}, {"suspected", stats.MembersSuspected}, {"died", stats.MembersDied}} {
+		text += fmt.Sprintf("%s %d\n", c.name, counters.Get(c.counter))
+	}
+	text += fmt.Sprintf("health %d\n", runner.Health())
+	compareRecorded(t, "told.txt", text)
+}
+
+// sendMalformed sends datagrams that are passed over.
+func sendMalformed(t *testing.T, from *peer) {
+	t.Helper()
+	ping := cluster.Message{Kind: cluster.Ping, From: 0, Incarnation: 500, Seq: 99, Target: self}
+	good := encoded(t, ping, fleetName)
+	from.write(good[:len(good)-1])
+	from.write(good[:5])
+	from.write(make([]byte, cluster.MostDatagram+1))
+	from.write(make([]byte, 4*cluster.MostDatagram)) // read up to one byte too many
+	from.write(encoded(t, ping, "another fleet"))
+	for _, member := range []int{2, 3} { // not the sender's address; no member
+		ping.From = member
+		from.send(ping)
+	}
+	ping.From, ping.Kind = 0, 6
+	from.send(ping)
+}
+
+// What a member that cannot start says.
+func TestCharacterization_StartErrors(t *testing.T) {
+	var text strings.Builder
+	for _, c := range []struct {
+		name   string
+		change func(c *gossip.Config)
+	}{
+		{"peers", func(c *gossip.Config) { c.Peers = c.Peers[:1] }},
+		{"peer", func(c *gossip.Config) { c.Peers[1] = "127.0.0.1" }},
+		{"listen", func(c *gossip.Config) { c.Listen = "127.0.0.1" }},
+		{"node", func(c *gossip.Config) { c.Node.Interval = 0 }},
+	} {
+		config := gossip.Config{Node: cluster.Default(0, 2), Listen: "127.0.0.1:0", Peers: []string{"127.0.0.1:1", "127.0.0.1:2"},
+			Clock: standingClock{}, Count: &stats.Set{}, Log: zerolog.Nop()}
+		c.change(&config)
+		if _, err := gossip.Start(t.Context(), config); err != nil {
+			fmt.Fprintf(&text, "%s: %s\n", c.name, err.Error())
+		} else {
+			t.Errorf("%s: it started", c.name)
+		}
+	}
+	compareRecorded(t, "start-errors.txt", text.String())
+}
