Cluster, table: characterisation tests pin the standstill's bound and the digests' lengths

Two one-line changes, of the lateness by which a member knows that it stood still and of the members that a hash of a digest covers, had left the recorded digests as they were. Both are held directly now. Checked: both changes are caught, -race -count=3 passes.

--- a/cluster/characterization_test.go
+++ b/cluster/characterization_test.go
@@ -502,6 +502,21 @@
 	compareRecorded(t, "digests.txt", lines.String())
 }
 
+// By how much a member has to wake too late, of an interval of 1 s, to know that it stood still.
+func TestCharacterization_StandstillBound(t *testing.T) {
+	var text strings.Builder
+	for _, late := range []int64{0, 499_999, 500_000, 500_001, second} {
+		node, err := cluster.New(cluster.Default(0, 3), 1000, 1, second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		node.Tick(second)
+		node.Tick(node.Next() + late)
+		fmt.Fprintf(&text, "late %d standstills %d health %d\n", late, node.Counts().Standstills, node.Health())
+	}
+	compareRecorded(t, "standstill.txt", text.String())
+}
+
 // ---- settings ----
 
 // The bounds within which a crash is known everywhere, and the settings themselves, for every size of a fleet.
--- a/cluster/table/characterization_test.go
+++ b/cluster/table/characterization_test.go
@@ -601,6 +601,22 @@
 	}
 }
 
+// How long the digest is in fleets of each size: how many members a hash covers.
+func TestCharacterization_DigestLengths(t *testing.T) {
+	var text strings.Builder
+	for _, members := range []int{2, 55, 56, 57, 111, 112, 113, 512} {
+		config := table.Default(0, members, 1, 1)
+		config.DigestEvery = 1
+		made, err := table.New(config, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		made.Members([]bool{true, true})
+		fmt.Fprintf(&text, "members %d digest %d bytes\n", members, len(lastBody(t, made.Tick(0))))
+	}
+	compareRecorded(t, "digest-lengths.txt", text.String())
+}
+
 func TestCharacterization_BodiesWritten(t *testing.T) {
 	var text strings.Builder
 	for _, b := range append(writtenBodies(t), oddBodies()...) {
