internal/stats: characterisation tests pin the counters' names in the log and in JSON

Recorded are the log object and the JSON of a set in which each of the 71 counters has a value of its own (which pins the name of each, and their order in the log), and the buckets of the set-up times.

Checked: go test -race -count=3 ./internal/stats -run TestCharacterization passes.

--- /dev/null
+++ b/internal/stats/characterization_test.go
@@ -0,0 +1,167 @@
+// The tests of this file are characterisation tests: they record the names of all counters, in the log and in JSON, and
+// which counter has which name, so that a change of names or shape in the code can be shown to change nothing else. The
+// recorded files are in testdata/characterization. On a purposeful change they are written anew with
+//
+//	EIDERTRAIL_UPDATE=1 go test ./internal/stats -run TestCharacterization
+//
+// and the commit has to say why they changed.
+package stats_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"eidertrail/internal/stats"
+)
+
+// allCounters are the counters in the order in which the log writes them.
+var allCounters = []stats.Counter{
+	stats.SetupsTaken, stats.AnsweredCalls, stats.AnsweredInTime, stats.RefusedCalls, stats.FailedCalls,
+	stats.CancelledCalls, stats.AnswersUnwritten, stats.Duplicates, stats.ReleasesIn, stats.ReleasesOut,
+	stats.ReleasesKept, stats.ReleasesDropped, stats.Pings, stats.BadLines, stats.BadSIP,
+	stats.Invites, stats.InvitesCalledOff, stats.Cancels, stats.TimeOuts, stats.Resets,
+	stats.ConnectsFailed, stats.PoolFull, stats.PoolErrors, stats.LateAnswers, stats.ByesOut,
+	stats.ByesIn, stats.StrayByes, stats.CutCalls, stats.DoubtedCalls, stats.Notifies,
+	stats.GuardStopped, stats.GuardDrain, stats.Connections, stats.SlowReaders, stats.PoolConnections,
+	stats.BulletinEvents, stats.BulletinErrors, stats.Frames, stats.BadFrames, stats.Admitted,
+	stats.Turned, stats.Reloads, stats.BadReloads, stats.Shed, stats.Overdue,
+	stats.ClosedBad, stats.QuietPools, stats.DNSQueries, stats.DNSTruncated, stats.DNSFailures,
+	stats.DNSBadAnswers, stats.DNSChanges, stats.PoolsConflicting, stats.PoolsExpired, stats.ZoneChanges,
+	stats.RouteStopped, stats.SilentPools, stats.PeerIn, stats.PeerOut, stats.PeerBytesOut,
+	stats.PeerBad, stats.PeerDropped, stats.PeerUnsent, stats.MembersSuspected, stats.MembersDied,
+	stats.ShareChanges, stats.StaleStopped, stats.LeasesAsked, stats.LeasesGranted, stats.WordBytes,
+	stats.WordRepairs,
+}
+
+// compareRecorded compares a text with the recorded file of that name, or writes the file with EIDERTRAIL_UPDATE=1.
+func compareRecorded(t *testing.T, name, got string) {
+	t.Helper()
+	path := filepath.Join("testdata", "characterization", name)
+	if os.Getenv("EIDERTRAIL_UPDATE") == "1" {
+		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatalf("the recorded file: %v", err)
+	}
+	if string(want) != got {
+		reportFirstDifference(t, path, strings.SplitAfter(string(want), "\n"), strings.SplitAfter(got, "\n"))
+	}
+}
+
+// reportFirstDifference fails the test with the first line that differs.
+func reportFirstDifference(t *testing.T, path string, want, got []string) {
+	t.Helper()
+	for i := range max(len(want), len(got)) {
+		var recorded, now string
+		if i < len(want) {
+			recorded = want[i]
+		}
+		if i < len(got) {
+			now = got[i]
+		}
+		if recorded != now {
+			t.Errorf("%s, line %d:\nrecorded %q\nnow      %q", path, i+1, recorded, now)
+			return
+		}
+	}
+}
+
+// distinctSet is a set in which each counter has a value of its own: its place in allCounters, from 1 on.
+func distinctSet() *stats.Set {
+	set := &stats.Set{}
+	for i, counter := range allCounters {
+		set.AddN(counter, int64(i+1))
+	}
+	return set
+}
+
+// loggedSet is the log line of a set, on its own and embedded.
+func loggedSet(set *stats.Set) string {
+	var out bytes.Buffer
+	log := zerolog.New(&out)
+	log.Info().EmbedObject(set).Int("open", 0).Msg("counters")
+	log.Info().Object("counters", set).Msg("")
+	return out.String()
+}
+
+func TestCharacterization_Log(t *testing.T) {
+	var out strings.Builder
+	fmt.Fprintln(&out, "nothing counted")
+	out.WriteString(loggedSet(&stats.Set{}))
+	fmt.Fprintln(&out, "no set")
+	out.WriteString(loggedSet(nil))
+	fmt.Fprintln(&out, "every counter, with its number in the order of the log")
+	out.WriteString(loggedSet(distinctSet()))
+	fmt.Fprintln(&out, "one counter below zero, one at zero")
+	set := &stats.Set{}
+	set.AddN(allCounters[0], -3)
+	set.AddN(allCounters[1], 0)
+	out.WriteString(loggedSet(set))
+	compareRecorded(t, "log.txt", out.String())
+}
+
+// document is the JSON of a snapshot, with each member on a line.
+func document(t *testing.T, set *stats.Set) string {
+	t.Helper()
+	text, err := json.MarshalIndent(set.Snapshot(), "", " ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text) + "\n"
+}
+
+func TestCharacterization_Snapshot(t *testing.T) {
+	var out strings.Builder
+	fmt.Fprintln(&out, "no set")
+	out.WriteString(document(t, nil))
+	fmt.Fprintln(&out, "every counter, with its number in the order of the log")
+	out.WriteString(document(t, distinctSet()))
+	compareRecorded(t, "snapshot.txt", out.String())
+	if n := len((&stats.Set{}).Snapshot().Counters); n != len(allCounters) {
+		t.Errorf("%d counters, %d in the list of this test", n, len(allCounters))
+	}
+}
+
+func TestCharacterization_SetUpTimes(t *testing.T) {
+	set := &stats.Set{}
+	inTime := []int64{-1, 0, 1, 2, 15, 16, 17, 100, 999, 1000, 1001, 20_000, 20_001, 1_234_567, 59_999_999}
+	late := []int64{60_000_000, 60_000_001, 1 << 50}
+	for _, took := range inTime {
+		set.Stood(took, true)
+	}
+	for _, took := range late {
+		set.Stood(took, false)
+		set.Stood(took, false)
+	}
+	var none *stats.Set
+	none.Stood(1, true)
+	snapshot := set.Snapshot()
+	var out strings.Builder
+	for _, counter := range []stats.Counter{stats.AnsweredCalls, stats.AnsweredInTime} {
+		fmt.Fprintf(&out, "counted %d\n", set.Get(counter))
+	}
+	buckets := make([]int64, 0, len(snapshot.Times))
+	for top := range snapshot.Times {
+		buckets = append(buckets, top)
+	}
+	slices.Sort(buckets)
+	for _, top := range buckets {
+		fmt.Fprintf(&out, "up to %d µs: %d\n", top, snapshot.Times[top])
+	}
+	compareRecorded(t, "set-up-times.txt", out.String())
+}
