--- /dev/null
+++ b/sim/characterization_test.go
@@ -0,0 +1,170 @@
+package sim_test
+
+// The tests in this file are characterisation tests: they record what the program does today, right or wrong, so that
+// renames and changes of shape can be shown to change nothing. They use the exported interface alone. Their data stand
+// in testdata/characterization; a missing or different file fails the test. After a purposeful change of behaviour the
+// files are renewed with
+//
+//	EIDERTRAIL_UPDATE=1 go test ./sim -run TestCharacterization
+//
+// and the commit has to say why. The digests were recorded on amd64 (GOAMD64=v1): architectures on which the compiler
+// fuses a multiplication and an addition may round a last bit differently.
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"maps"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"eidertrail/sim"
+)
+
+// scenarioNames are the scenarios of the repository.
+var scenarioNames = []string{"badpools", "burst", "calm", "flapping", "fleet", "processors", "srv", "zoneloss"}
+
+// seeds are what each scenario is run with.
+var seeds = []uint64{11, 12, 13}
+
+// TestCharacterization_Results runs every scenario with each seed. Of each result one line holds the digest of all its
+// numbers, and one that of its texts: names, notes, broken rules and the names of counters with their values.
+func TestCharacterization_Results(t *testing.T) {
+	for _, name := range scenarioNames {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var recorded strings.Builder
+			for _, seed := range seeds {
+				recorded.WriteString(resultLines(t, name, seed))
+			}
+			compareRecorded(t, "results/"+name+".txt", recorded.String())
+		})
+	}
+}
+
+// shorterBy is how many times as quickly a scenario's events follow each other as in its file, and its callers end.
+const shorterBy = 5
+
+// shorten makes a scenario short enough for the race detector.
+func shorten(s *sim.Scenario) {
+	s.Length /= shorterBy
+	for i := range s.Event {
+		s.Event[i].At /= shorterBy
+		s.Event[i].For /= shorterBy
+	}
+}
+
+// resultLines runs a scenario and returns the lines that are recorded of its result.
+func resultLines(t *testing.T, name string, seed uint64) string {
+	t.Helper()
+	scenario, err := sim.Load(filepath.Join("scenarios", name+".toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	shorten(scenario)
+	r, err := sim.Run(scenario, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("%s/%d/numbers %d %x\n%s/%d/texts %d %x\n", name, seed, r.Events, sha256.Sum256(encodeNumbers(r)),
+		name, seed, len(r.Notes), sha256.Sum256(encodeTexts(r)))
+}
+
+// encoding is the bytes that a digest is taken of.
+type encoding []byte
+
+func (e *encoding) integers(values ...int) {
+	for _, v := range values {
+		*e = binary.AppendVarint(*e, int64(v))
+	}
+}
+
+func (e *encoding) floats(values ...float64) {
+	for _, v := range values {
+		*e = binary.BigEndian.AppendUint64(*e, math.Float64bits(v))
+	}
+}
+
+func (e *encoding) texts(values ...string) {
+	e.integers(len(values))
+	for _, v := range values {
+		e.integers(len(v))
+		*e = append(*e, v...)
+	}
+}
+
+// encodeNumbers holds all numbers of a result, but for the counters, which go with their names.
+func encodeNumbers(r *sim.Result) []byte {
+	var e encoding
+	e.integers(int(r.Seed), int(r.Events), r.Calls, r.InTime, r.Late, r.Cut, r.Lost, r.Refused, r.Failed, r.Left, r.Tries, r.Sends)
+	e.floats(r.Service, r.Worst, r.P50, r.P99, r.Cold, r.ColdBudget)
+	e.integers(r.ColdSent, r.LeftWaiting, r.SentOn, r.Datagrams, r.Queries)
+	e.floats(r.Lag)
+	e.integers(r.Deaths, r.Broken, len(r.Class))
+	for _, c := range r.Class {
+		e.integers(c.Calls)
+		e.floats(c.Service)
+	}
+	e.integers(len(r.Pool))
+	for _, p := range r.Pool {
+		e.integers(p.Got, p.Full)
+		e.floats(p.Cold)
+	}
+	e.integers(len(r.Course))
+	for _, w := range r.Course {
+		e.integers(w.Calls, w.InTime, w.Late, w.Cut, w.Lost)
+		e.floats(w.Worth, w.Earned)
+	}
+	return e
+}
+
+// encodeTexts holds all texts of a result, and the counters in the order of their names.
+func encodeTexts(r *sim.Result) []byte {
+	var e encoding
+	e.texts(r.Scenario)
+	e.texts(r.Rules...)
+	e.texts(r.Notes...)
+	for _, c := range r.Class {
+		e.texts(c.Name)
+	}
+	for _, p := range r.Pool {
+		e.texts(p.UID)
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.Counters)) {
+		e.texts(name)
+		e.integers(int(r.Counters[name]))
+	}
+	return e
+}
+
+// compareRecorded compares text with the recorded file, or writes the file when EIDERTRAIL_UPDATE is set.
+func compareRecorded(t *testing.T, name, text string) {
+	t.Helper()
+	path := filepath.Join("testdata", "characterization", name)
+	if os.Getenv("EIDERTRAIL_UPDATE") != "" {
+		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	file, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, got := strings.Split(string(file), "\n"), strings.Split(text, "\n")
+	if len(want) != len(got) {
+		t.Errorf("%s: %d lines, recorded are %d", name, len(got), len(want))
+	}
+	for i := range min(len(want), len(got)) {
+		if want[i] != got[i] {
+			t.Errorf("%s:%d:\n got %s\nwant %s", name, i+1, got[i], want[i])
+		}
+	}
+}
