--- /dev/null
+++ b/lab/characterization_test.go
@@ -0,0 +1,250 @@
+// These are characterisation tests: they record what the program does today, so that a change which is to leave
+// behaviour alone can be shown to do so. The recorded files are under testdata/characterization. After a change of
+// behaviour on purpose they are renewed with
+//
+//	EIDERTRAIL_UPDATE=1 go test ./lab -run TestCharacterization
+//
+// and the commit has to say why they changed. Without that variable a missing or different file fails the test.
+package lab_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"eidertrail/lab"
+	"eidertrail/sim"
+)
+
+// recordedPath is where a recorded file is.
+func recordedPath(name string) string { return filepath.Join("testdata", "characterization", name) }
+
+func recorded(t *testing.T, name string) []byte {
+	t.Helper()
+	return readFile(t, recordedPath(name))
+}
+
+func readFile(t *testing.T, path string) []byte {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// checkRecorded compares got with the recorded file, or records it.
+func checkRecorded(t *testing.T, name string, got []byte) {
+	t.Helper()
+	if os.Getenv("EIDERTRAIL_UPDATE") == "1" {
+		if err := os.WriteFile(recordedPath(name), got, 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	if want := recorded(t, name); !bytes.Equal(got, want) {
+		t.Errorf("%s differs from the recorded file; now:\n%s\nrecorded:\n%s", name, got, want)
+	}
+}
+
+// checkFolder compares files of a folder with the recorded ones.
+func checkFolder(t *testing.T, folder string, names ...string) {
+	t.Helper()
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var there []string
+	for _, e := range entries {
+		there = append(there, e.Name())
+	}
+	if !reflect.DeepEqual(there, names) {
+		t.Errorf("files %q, want %q", there, names)
+	}
+	for _, name := range names {
+		checkRecorded(t, name, readFile(t, filepath.Join(folder, name)))
+	}
+}
+
+// everyKey is a result in which every key of its file is present.
+func everyKey() *sim.Result {
+	return &sim.Result{
+		Scenario: "small", Seed: 18446744073709551615, Events: 1001,
+		Calls: 1002, InTime: 703, Late: 104, Cut: 105, Lost: 90, Refused: 106, Failed: 107, Left: 108, Tries: 1109, Sends: 1210,
+		Service: 0.8125, Worst: 0.40625, P50: 12.25, P99: 99.5, Cold: 0.75, ColdBudget: 0.875, ColdSent: 111, LeftWaiting: 112,
+		SentOn: 113, Datagrams: 114, Queries: 115, Lag: 116.5, Deaths: 117, Broken: 1, Rules: []string{"2 s: call 9: late"},
+		Class: []sim.ClassResult{{Name: "avail-read", Calls: 800, Service: 0.9}, {Name: "stop|sell", Calls: 202, Service: 0.7}},
+		Pool:  []sim.PoolResult{{UID: "p1", Got: 600, Full: 6, Cold: 0.5}, {UID: "p2", Got: 610, Full: 7, Cold: 0.25}},
+		Course: []sim.Window{{Calls: 501, InTime: 401, Late: 51, Cut: 31, Lost: 18, Worth: 701, Earned: 600.5},
+			{Calls: 501, InTime: 302, Late: 53, Cut: 74, Lost: 72, Worth: 702, Earned: 400.25}},
+		Notes:    []string{"1.0 s: burst", "2.0 s: \"slow\" & <over>"},
+		Counters: map[string]int64{"answered": 807, "refused": 106, "only_here": 3},
+	}
+}
+
+// checkNoFieldIsZero fails the test when an exported field of the value, or of one in it, was left out of an example
+// that is to have all.
+func checkNoFieldIsZero(t *testing.T, path string, value reflect.Value) {
+	t.Helper()
+	if value.IsZero() {
+		t.Errorf("%s is not set in the example", path)
+	}
+	switch value.Kind() {
+	case reflect.Struct:
+		for i := range value.NumField() {
+			if field := value.Type().Field(i); field.IsExported() {
+				checkNoFieldIsZero(t, path+"."+field.Name, value.Field(i))
+			}
+		}
+	case reflect.Slice:
+		for i := range value.Len() {
+			checkNoFieldIsZero(t, fmt.Sprintf("%s[%d]", path, i), value.Index(i))
+		}
+	}
+}
+
+// A result as JSON, which one build hands another: every key, written and read back.
+func TestCharacterization_ResultFile(t *testing.T) {
+	result := everyKey()
+	checkNoFieldIsZero(t, "result", reflect.ValueOf(*result))
+	var text bytes.Buffer
+	if err := json.NewEncoder(&text).Encode(result); err != nil { // as the command writes it
+		t.Fatal(err)
+	}
+	checkRecorded(t, "result.json", text.Bytes())
+	read := &sim.Result{}
+	if err := json.Unmarshal(recorded(t, "result.json"), read); err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(read, result) {
+		t.Errorf("read as\n%+v, want\n%+v", read, result)
+	}
+}
+
+// The tables and the chart of one result.
+func TestCharacterization_TablesOfARun(t *testing.T) {
+	folder := t.TempDir()
+	result := everyKey()
+	if err := lab.WriteTables(folder, "run", lab.RunTables(result)); err != nil {
+		t.Fatal(err)
+	}
+	if err := lab.WriteChart(folder, "run", result.Scenario, "seed 1, version v1", "second", "callers", lab.Course(result)); err != nil {
+		t.Fatal(err)
+	}
+	checkFolder(t, folder, "run.csv", "run.md", "run.svg")
+}
+
+// choices reads FIELD=VALUES texts.
+func choices(t *testing.T, texts ...string) [][]lab.Set {
+	t.Helper()
+	read, err := lab.ParseSets(texts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return read
+}
+
+func sweep(t *testing.T, folder string, seeds ...uint64) *lab.Sweep {
+	t.Helper()
+	return &lab.Sweep{Path: recordedPath("small.toml"), Choices: choices(t, "callers.rate=20,40.5", "pool.0.agents=10,30"), Seeds: seeds,
+		Out: folder, Workers: 1}
+}
+
+// The files of a sweep. Its table of runs, as an earlier program left it, is taken for the runs that it holds.
+func TestCharacterization_SweepFiles(t *testing.T) {
+	folder := t.TempDir()
+	ran, had, err := sweep(t, folder, 1, 2).Run(context.Background(), "v1")
+	if ran != 8 || had != 0 || err != nil {
+		t.Fatalf("%d runs, %d were there, %v", ran, had, err)
+	}
+	checkFolder(t, folder, "runs.csv", "service.svg", "summary.csv", "summary.md")
+
+	again := t.TempDir()
+	path := filepath.Join(again, "runs.csv")
+	if err := os.WriteFile(path, recorded(t, "runs.csv"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if ran, had, err = sweep(t, again, 1, 2).Run(context.Background(), "v1"); ran != 0 || had != 8 || err != nil {
+		t.Errorf("with the recorded table: %d runs, %d were there, %v", ran, had, err)
+	}
+	checkFolder(t, again, "runs.csv", "service.svg", "summary.csv", "summary.md")
+	if ran, had, err = sweep(t, again, 2, 3).Run(context.Background(), "v1"); ran != 4 || had != 4 || err != nil {
+		t.Errorf("with another seed: %d runs, %d were there, %v", ran, had, err)
+	}
+	if grown := readFile(t, path); !bytes.HasPrefix(grown, recorded(t, "runs.csv")) {
+		t.Errorf("the table was not appended to:\n%s", grown)
+	}
+}
+
+// A comparison with another build: how that is called, and the tables.
+func TestCharacterization_ComparisonWithAnotherBuild(t *testing.T) {
+	folder := t.TempDir()
+	build, called := filepath.Join(folder, "other-build"), filepath.Join(folder, "called")
+	program := fmt.Sprintf("#!/bin/sh\necho \"$@\" >> %s\ncat %s\n", called, recordedPath("result.json"))
+	if err := os.WriteFile(build, []byte(program), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	path := recordedPath("small.toml")
+	variant, err := lab.Load(path, lab.Grid(choices(t, "callers.rate=25", "length=2s"))[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	seed := []uint64{3}
+	tables, err := lab.Compare(context.Background(), lab.Side{Name: "this build", Variant: variant},
+		lab.Side{Name: "other build", Variant: variant, Path: path, Build: build}, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := t.TempDir()
+	if err := lab.WriteTables(out, "compare", tables); err != nil {
+		t.Fatal(err)
+	}
+	checkFolder(t, out, "compare.csv", "compare.md")
+	checkRecorded(t, "other-build-called.txt", readFile(t, called))
+}
+
+// What tells one variant from another, which tables of runs hold, and the words for what is not accepted.
+func TestCharacterization_VariantsAndRefusals(t *testing.T) {
+	var text strings.Builder
+	for _, sets := range [][]string{nil, {"callers.rate=20"}, {"callers.rate=20.5", "length=2s"}, {"pool.0.untold=true"}, {"fleet.lease=2s"},
+		{"name=other"}, {"pool.7.agents=1"}, {"pool.x=1"}, {"pool=3"}, {"callers.colour=1"}, {"callers.rate=-1"}, {"length=soon"}} {
+		variant, err := lab.Load(recordedPath("small.toml"), lab.Grid(choices(t, sets...))[0])
+		if err != nil {
+			fmt.Fprintf(&text, "%q: refused: %s\n", sets, err)
+			continue
+		}
+		fmt.Fprintf(&text, "%q: %s\n", sets, variant.ID)
+	}
+	for _, set := range []string{"", "rate", "=1", "rate="} {
+		_, err := lab.ParseSets([]string{set})
+		fmt.Fprintf(&text, "set %q: %s\n", set, err)
+	}
+	for _, seeds := range []string{"1-3,9", " 4 , 5-5", "", "x", "3-1", "1-", "0-10001"} {
+		read, err := lab.ParseSeeds(seeds)
+		if err != nil {
+			fmt.Fprintf(&text, "seeds %q: refused: %s\n", seeds, err)
+			continue
+		}
+		fmt.Fprintf(&text, "seeds %q: %d\n", seeds, read)
+	}
+	_, err := lab.Load("absent-folder/small.toml", nil)
+	fmt.Fprintf(&text, "absent file: %s\n", err)
+	other := sweep(t, t.TempDir(), 1)
+	other.Choices = choices(t, "callers.retries=1")
+	if err := os.WriteFile(filepath.Join(other.Out, "runs.csv"), recorded(t, "runs.csv"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	_, _, err = other.Run(context.Background(), "v1")
+	fmt.Fprintf(&text, "a folder of another sweep: %s\n", strings.ReplaceAll(err.Error(), other.Out, "FOLDER"))
+	if !errors.Is(err, lab.ErrLab) {
+		t.Errorf("%v is no error of the lab", err)
+	}
+	checkRecorded(t, "variants-and-refusals.txt", []byte(text.String()))
+}
