--- a/cmd/eidertrail-lab/main.go
+++ b/cmd/eidertrail-lab/main.go
@@ -16,8 +16,8 @@
 
 	"github.com/spf13/cobra"
 
-	"eidertrail/lab"
-	"eidertrail/sim"
+	"eidertrail/internal/experiment"
+	"eidertrail/internal/simulation"
 )
 
 func main() {
@@ -44,7 +44,7 @@
 	root.CompletionOptions.DisableDefaultCmd = true
 	root.AddCommand(runCommand(), sweepCommand(), compareCommand(), liveCommand(),
 		&cobra.Command{Use: "version", Short: "Say which build this is", Args: cobra.NoArgs,
-			Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), lab.Version()) }})
+			Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), experiment.Version()) }})
 	return root
 }
 
@@ -59,12 +59,12 @@
 }
 
 // one reads sets of which each has one value.
-func one(texts []string) ([]lab.Set, error) {
-	choices, err := lab.ParseSets(texts)
+func one(texts []string) ([]experiment.Set, error) {
+	choices, err := experiment.ParseSets(texts)
 	if err != nil {
 		return nil, err
 	}
-	grid := lab.Grid(choices)
+	grid := experiment.Grid(choices)
 	if len(grid) != 1 {
 		return nil, fmt.Errorf("--set: several values are for sweep")
 	}
@@ -72,17 +72,17 @@
 }
 
 // load reads the scenario at path, with the fields set that have one value each.
-func (o *options) load(path string) (*lab.Variant, error) {
+func (o *options) load(path string) (*experiment.Variant, error) {
 	sets, err := one(o.sets)
 	if err != nil {
 		return nil, err
 	}
-	return lab.Load(path, sets)
+	return experiment.Load(path, sets)
 }
 
 // report writes a run's tables and chart, and fails when a rule was broken.
-func report(w io.Writer, r *sim.Result, o options, name string) error {
-	tables := lab.RunTables(r)
+func report(w io.Writer, r *simulation.Result, o options, name string) error {
+	tables := experiment.RunTables(r)
 	if o.out == "" {
 		for _, t := range tables[:3] {
 			if err := t.Markdown(w); err != nil {
@@ -90,14 +90,14 @@
 			}
 		}
 	} else {
-		made := fmt.Sprintf("seed %d, version %s", r.Seed, lab.Version())
+		made := fmt.Sprintf("seed %d, version %s", r.Seed, experiment.Version())
 		for _, t := range tables {
 			t.Title += " (" + made + ")"
 		}
-		if err := lab.WriteTables(o.out, name, tables); err != nil {
+		if err := experiment.WriteTables(o.out, name, tables); err != nil {
 			return err
 		}
-		if err := lab.WriteChart(o.out, name, r.Scenario, made, "second of the first try", "callers", lab.Course(r)); err != nil {
+		if err := experiment.WriteChart(o.out, name, r.Scenario, made, "second of the first try", "callers", experiment.Course(r)); err != nil {
 			return err
 		}
 		fmt.Fprintf(w, "%s: service %.3f, worst 10 s %.3f; tables and chart in %s\n", name, r.Service, r.Worst, o.out)
@@ -128,7 +128,7 @@
 			if err != nil {
 				return err
 			}
-			r, err := sim.Run(v.Scenario, o.seed)
+			r, err := simulation.Run(v.Scenario, o.seed)
 			if err != nil {
 				return err
 			}
@@ -148,19 +148,19 @@
 	cmd := &cobra.Command{Use: "sweep SCENARIO", Short: "Play a scenario over fields' values and seeds; goes on where it was interrupted",
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			choices, err := lab.ParseSets(o.sets)
+			choices, err := experiment.ParseSets(o.sets)
 			if err != nil {
 				return err
 			}
-			seeds, err := lab.ParseSeeds(o.seeds)
+			seeds, err := experiment.ParseSeeds(o.seeds)
 			if err != nil {
 				return err
 			}
 			if o.out == "" {
 				return fmt.Errorf("--out: absent: a sweep keeps its runs in a folder")
 			}
-			s := &lab.Sweep{Path: args[0], Choices: choices, Seeds: seeds, Out: o.out, Workers: workers}
-			ran, had, err := s.Run(cmd.Context(), lab.Version())
+			s := &experiment.Sweep{Path: args[0], Choices: choices, Seeds: seeds, Out: o.out, Workers: workers}
+			ran, had, err := s.Run(cmd.Context(), experiment.Version())
 			fmt.Fprintf(cmd.OutOrStdout(), "%d runs done, %d were there\n", ran, had)
 			return err
 		}}
@@ -175,11 +175,11 @@
 	cmd := &cobra.Command{Use: "compare SCENARIO [OTHER]", Short: "Compare two scenarios, two settings of one, or two builds, on the same seeds",
 		Args: cobra.RangeArgs(1, 2),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			seeds, err := lab.ParseSeeds(o.seeds)
+			seeds, err := experiment.ParseSeeds(o.seeds)
 			if err != nil {
 				return err
 			}
-			a, b := lab.Side{Name: base(args[0]), Path: args[0]}, lab.Side{Name: "other", Path: args[len(args)-1], Build: with}
+			a, b := experiment.Side{Name: base(args[0]), Path: args[0]}, experiment.Side{Name: "other", Path: args[len(args)-1], Build: with}
 			sets, err := one(o.sets)
 			if err != nil {
 				return err
@@ -188,10 +188,10 @@
 			if err != nil {
 				return err
 			}
-			if a.Variant, err = lab.Load(a.Path, sets); err != nil {
+			if a.Variant, err = experiment.Load(a.Path, sets); err != nil {
 				return err
 			}
-			if b.Variant, err = lab.Load(b.Path, other); err != nil {
+			if b.Variant, err = experiment.Load(b.Path, other); err != nil {
 				return err
 			}
 			switch {
@@ -203,13 +203,13 @@
 			if a.Variant.ID == b.Variant.ID && with == "" {
 				return fmt.Errorf("both sides are the same: name another scenario, --other FIELD=VALUE or --with BUILD")
 			}
-			tables, err := lab.Compare(cmd.Context(), a, b, seeds)
+			tables, err := experiment.Compare(cmd.Context(), a, b, seeds)
 			if err != nil {
 				return err
 			}
-			tables[0].Title += ", version " + lab.Version()
+			tables[0].Title += ", version " + experiment.Version()
 			if o.out != "" {
-				return lab.WriteTables(o.out, "compare", tables)
+				return experiment.WriteTables(o.out, "compare", tables)
 			}
 			for _, t := range tables {
 				if err := t.Markdown(cmd.OutOrStdout()); err != nil {
@@ -234,20 +234,20 @@
 			if err != nil {
 				return err
 			}
-			played, err := sim.Run(v.Scenario, o.seed)
+			played, err := simulation.Run(v.Scenario, o.seed)
 			if err != nil {
 				return err
 			}
-			live, err := lab.Live(cmd.Context(), v, daemon, o.seed)
+			live, err := experiment.Live(cmd.Context(), v, daemon, o.seed)
 			if err != nil {
 				return err
 			}
-			t := &lab.Table{Title: v.Name + ": simulator and daemon, version " + lab.Version(), Head: []string{"figure", "simulator", "daemon", "difference"}}
-			for _, f := range lab.Figures() {
+			t := &experiment.Table{Title: v.Name + ": simulator and daemon, version " + experiment.Version(), Head: []string{"figure", "simulator", "daemon", "difference"}}
+			for _, f := range experiment.Figures() {
 				t.Add(f.Name, f.Of(played), f.Of(live), f.Of(live)-f.Of(played))
 			}
 			if o.out != "" {
-				if err := lab.WriteTables(o.out, base(args[0])+"-live", []*lab.Table{t}); err != nil {
+				if err := experiment.WriteTables(o.out, base(args[0])+"-live", []*experiment.Table{t}); err != nil {
 					return err
 				}
 			}
--- a/cmd/eidertrail-lab/main_test.go
+++ b/cmd/eidertrail-lab/main_test.go
@@ -8,12 +8,12 @@
 	"strings"
 	"testing"
 
-	"eidertrail/sim"
+	"eidertrail/internal/simulation"
 )
 
 // Every command, as a user would call it; and the words for what is wrong.
 func TestCommands(t *testing.T) {
-	calm, dir := "../../sim/scenarios/calm.toml", t.TempDir()
+	calm, dir := "../../internal/simulation/scenarios/calm.toml", t.TempDir()
 	for _, c := range []struct {
 		args, out, err string
 	}{
@@ -28,7 +28,7 @@
 		{"run " + calm + " --set length=1s,2s", "", "several values are for sweep"},
 		{"run " + calm + " --set callers.rat=1", "", "callers.rat: not a known field"},
 		{"run nowhere.toml", "", "no such file"},
-		{"live ../../sim/scenarios/fleet.toml", "", "does not fit"},
+		{"live ../../internal/simulation/scenarios/fleet.toml", "", "does not fit"},
 		{"version", "", ""},
 	} {
 		cmd := command()
@@ -54,7 +54,7 @@
 // A run in which a rule was broken ends with the call, and an error.
 func TestABrokenRuleFailsTheRun(t *testing.T) {
 	var out bytes.Buffer
-	err := report(&out, &sim.Result{Broken: 2, Rules: []string{"1.5 s: call 7: a second final answer", "2 s: call 9: late"}}, options{}, "x")
+	err := report(&out, &simulation.Result{Broken: 2, Rules: []string{"1.5 s: call 7: a second final answer", "2 s: call 9: late"}}, options{}, "x")
 	if !errors.Is(err, errBroken) || !strings.Contains(out.String(), "rule broken: 1.5 s: call 7: a second") {
 		t.Errorf("%v\n%s", err, out.String())
 	}
--- a/cmd/eidertrail/budget_test.go
+++ b/cmd/eidertrail/budget_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"eidertrail/internal/standin"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 const (
@@ -107,7 +107,7 @@
 	loads[0].at(40)
 	loads[3].at(5)
 	time.Sleep(5 * time.Second)
-	f.net.Set(func(from, to int) standin.Fault { return standin.Fault{Cut: (from < 2) != (to < 2)} })
+	f.net.Set(func(from, to int) fakeplatform.Fault { return fakeplatform.Fault{Cut: (from < 2) != (to < 2)} })
 	loads[3].at(40)
 	time.Sleep(lease + leaseMargin)
 	cut := time.Now()
--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -17,17 +17,17 @@
 	"golang.org/x/net/netutil"
 
 	"eidertrail"
-	"eidertrail/callcontrol"
-	"eidertrail/cluster/gossip"
-	"eidertrail/config"
 	"eidertrail/dispatch"
-	"eidertrail/front"
-	"eidertrail/health"
-	"eidertrail/internal/bulletin"
+	"eidertrail/internal/backend/sippool"
 	"eidertrail/internal/clock"
-	"eidertrail/internal/stats"
-	"eidertrail/pool"
-	"eidertrail/routing"
+	"eidertrail/internal/config"
+	"eidertrail/internal/endpoint/endpointlist"
+	"eidertrail/internal/fleet/gossip"
+	"eidertrail/internal/frontend/health"
+	"eidertrail/internal/frontend/jsonlines"
+	"eidertrail/internal/frontend/websocket"
+	"eidertrail/internal/routing"
+	"eidertrail/internal/telemetry"
 )
 
 const (
@@ -52,22 +52,22 @@
 // daemon is a running session controller.
 type daemon struct {
 	log       zerolog.Logger
-	count     *stats.Set
+	count     *telemetry.Set
 	clock     *clock.Clock
 	started   int64
 	life      int64 // Unix µs of the start: another for each process
 	dispatch  *dispatch.Dispatcher
-	pools     *pool.Set
+	pools     *sippool.Set
 	desk      *dispatch.Desk
-	callers   *front.Front
-	sockets   *callcontrol.Server // nil: off
-	sources   *sources            // nil: the bulletin alone, straight to the pools
-	fleet     *gossip.Runner      // nil: off
-	word      *word               // nil: off
+	callers   *jsonlines.Front
+	sockets   *websocket.Server // nil: off
+	sources   *sources          // nil: the bulletin alone, straight to the pools
+	fleet     *gossip.Runner    // nil: off
+	word      *word             // nil: off
 	listener  net.Listener
 	env       environment
-	cfg       *config.Config     // as last read
-	moves     chan bulletin.Move // holds the latest one that was not taken yet
+	cfg       *config.Config         // as last read
+	moves     chan endpointlist.Move // holds the latest one that was not taken yet
 	stopping  atomic.Bool
 	stopLoop  context.CancelFunc
 	stopPools context.CancelFunc
@@ -79,7 +79,7 @@
 
 // start makes a daemon and opens its listeners.
 func start(ctx context.Context, env environment, log zerolog.Logger) (*daemon, error) {
-	d := &daemon{log: log, count: &stats.Set{}, clock: clock.New(), env: env, moves: make(chan bulletin.Move, 1),
+	d := &daemon{log: log, count: &telemetry.Set{}, clock: clock.New(), env: env, moves: make(chan endpointlist.Move, 1),
 		broken: make(chan error, 1), addresses: map[string]string{}, life: time.Now().UnixMicro()}
 	cfg, err := env.load(d.clock)
 	if err != nil {
@@ -112,13 +112,13 @@
 	pools, stopPools := context.WithCancel(ctx)
 	d.stopLoop, d.stopPools = stopLoop, stopPools
 	d.started = d.clock.Now()
-	d.pools = pool.NewSet(pools, pool.Config{
+	d.pools = sippool.NewSet(pools, sippool.Config{
 		Name: cfg.Name, ConnectTimeout: cfg.ConnectTimeout, ReportFree: cfg.ReportFree, ReportAgents: cfg.ReportAgents,
 		Clock: d.clock, Log: limited, Count: d.count, Observe: d.dispatch.Observe,
 		Stray: func(id string, cause int) { d.desk.Over(id, cause) }, ReportRate: f.fleet.Rate(), Rate: d.dispatch.ObserveRate,
 	})
 	d.desk = dispatch.NewDesk(dispatch.DeskConfig{Dispatch: d.dispatch, Trunk: d.pools, Most: mostCalls, Once: true, Count: d.count})
-	d.callers = front.New(front.Config{
+	d.callers = jsonlines.New(jsonlines.Config{
 		Desk: d.desk, Clock: d.clock, MostConnections: callers, Tenants: cfg.Tenants, Ready: d.ready,
 		ReleaseStray: d.pools.ReleaseStray, Log: limited, Count: d.count,
 	})
@@ -146,18 +146,18 @@
 		d.dispatch.Route(f.router)
 	}
 	d.wg.Go(func() { d.dispatch.Run(loop) })
-	apply := func(e bulletin.Event) {
+	apply := func(e endpointlist.Event) {
 		d.pools.Apply(e, func(lines []dispatch.Server) { d.dispatch.Roster(lines, false) })
 	}
 	if f.disc != nil {
 		d.sources = newSources(d.clock, d.pools, d.dispatch, limited, d.count, cfg.Seed)
 		d.wg.Go(func() { d.sources.run(pools, f.disc) })
-		apply = func(e bulletin.Event) { d.sources.bulletin(pools, e) }
+		apply = func(e endpointlist.Event) { d.sources.bulletin(pools, e) }
 	}
 	for _, e := range cfg.Known.Items {
 		apply(e)
 	}
-	d.wg.Go(func() { bulletin.Watch(pools, cfg.Bulletin, cfg.Known, d.moves, d.clock, limited, d.count, apply) })
+	d.wg.Go(func() { endpointlist.Watch(pools, cfg.Bulletin, cfg.Known, d.moves, d.clock, limited, d.count, apply) })
 	d.wg.Go(func() { d.broken <- d.callers.Serve(d.listener) })
 	log.Info().Str("name", cfg.Name).Stringer("listen", d.listener.Addr()).Int("classes", len(cfg.Settings.Classes)).
 		Int("memory_mb", cfg.MemoryMB).Int("sockets", cfg.Sockets).Bool("callcontrol", f.second != nil).Bool("discovery", f.disc != nil).Bool("routing", f.router != nil).
@@ -187,11 +187,11 @@
 		router, err = d.env.router(d.cfg)
 	}
 	if err != nil {
-		d.count.Add(stats.BadReloads)
+		d.count.Add(telemetry.BadReloads)
 		d.log.Error().Err(err).Msg("new configuration not taken")
 		return
 	}
-	d.count.Add(stats.Reloads)
+	d.count.Add(telemetry.Reloads)
 	limitMemory(cfg)
 	if second != nil {
 		d.sockets.Admit(second.Origins, min(second.MaxConnections, d.cfg.Sockets/4))
@@ -200,7 +200,7 @@
 	case <-d.moves:
 	default:
 	}
-	d.moves <- bulletin.Move{Address: cfg.Bulletin, Known: cfg.Known}
+	d.moves <- endpointlist.Move{Address: cfg.Bulletin, Known: cfg.Known}
 	if disc != nil {
 		d.sources.reload(disc)
 	}
@@ -239,7 +239,7 @@
 		if err != nil {
 			return err
 		}
-		d.sockets = callcontrol.New(callcontrol.Config{
+		d.sockets = websocket.New(websocket.Config{
 			Dispatch: d.dispatch, Trunk: d.pools, Ready: d.ready, Origins: c.Origins,
 			MostConnections: c.MaxConnections, Log: log, Count: d.count,
 		})
@@ -284,7 +284,7 @@
 func (d *daemon) snapshot() any {
 	return struct {
 		Life int64 `json:"life"`
-		stats.Snapshot
+		telemetry.Snapshot
 	}{d.life, d.count.Snapshot()}
 }
 
--- a/cmd/eidertrail/daemon_test.go
+++ b/cmd/eidertrail/daemon_test.go
@@ -20,9 +20,9 @@
 	"github.com/rs/zerolog"
 
 	"eidertrail"
-	"eidertrail/internal/jsonl"
-	"eidertrail/internal/standin"
-	"eidertrail/internal/stats"
+	"eidertrail/internal/frontend/linecodec"
+	"eidertrail/internal/telemetry"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 // buffer is a log that can be read while it is written.
@@ -91,8 +91,8 @@
 	for !strings.Contains(log.String(), field) {
 		time.Sleep(10 * time.Millisecond)
 	}
-	if d.count.Get(stats.BadReloads) != 1 {
-		t.Errorf("bad reloads %d", d.count.Get(stats.BadReloads))
+	if d.count.Get(telemetry.BadReloads) != 1 {
+		t.Errorf("bad reloads %d", d.count.Get(telemetry.BadReloads))
 	}
 }
 
@@ -116,13 +116,13 @@
 	fmt.Fprintf(c, `{"type":"setup","id":%q,"fields":{"class":"voice","left":"9000","key":"7f"},"sdp":"x"}`+"\n", id)
 }
 
-func (c *caller) next() jsonl.Message {
+func (c *caller) next() linecodec.Message {
 	c.t.Helper()
-	text, err := jsonl.ReadLine(c.r, nil)
+	text, err := linecodec.ReadLine(c.r, nil)
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	m, err := jsonl.Parse(text)
+	m, err := linecodec.Parse(text)
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -132,8 +132,8 @@
 // The whole daemon: a call, the counters, what balancers are told, and a planned restart in which what was
 // taken before and after SIGTERM is answered.
 func TestServesAndEndsInOrder(t *testing.T) {
-	held := make(chan standin.Request, 4)
-	at := &standin.Pool{OnRequest: func(q standin.Request) {
+	held := make(chan fakeplatform.Request, 4)
+	at := &fakeplatform.Pool{OnRequest: func(q fakeplatform.Request) {
 		if q.Method == "INVITE" {
 			held <- q
 		}
@@ -207,7 +207,7 @@
 // A SIGTERM that comes during the start is kept until the daemon serves, a second one changes nothing, and what was half
 // read at the first is read to its end and answered.
 func TestSIGTERMDuringTheStartAndTwice(t *testing.T) {
-	at := &standin.Pool{OnRequest: func(q standin.Request) {
+	at := &fakeplatform.Pool{OnRequest: func(q fakeplatform.Request) {
 		if q.Method == "INVITE" {
 			q.Answer(200, "", "hello\r\n")
 		}
@@ -275,8 +275,8 @@
 // on both fronts stand on, and a file that makes no sense is named and changes nothing. Without a handler
 // SIGHUP ended the daemon.
 func TestNewConfigurationIsTaken(t *testing.T) {
-	pool := &standin.Pool{}
-	pool.OnRequest = func(q standin.Request) {
+	pool := &fakeplatform.Pool{}
+	pool.OnRequest = func(q fakeplatform.Request) {
 		if q.Method == "INVITE" {
 			q.Answer(200, "", "hello\r\n")
 		}
--- a/cmd/eidertrail/descriptors.go
+++ b/cmd/eidertrail/descriptors.go
@@ -1,6 +1,6 @@
 package main
 
-import "eidertrail/config"
+import "eidertrail/internal/config"
 
 const (
 	// ownDescriptors are the process's: standard streams, the runtime's poller, the platform's listener, the peers'
--- a/cmd/eidertrail/discovery_test.go
+++ b/cmd/eidertrail/discovery_test.go
@@ -17,9 +17,9 @@
 	"github.com/rs/zerolog"
 	"github.com/tidwall/gjson"
 
-	"eidertrail/internal/jsonl"
-	"eidertrail/internal/standin"
-	"eidertrail/internal/stats"
+	"eidertrail/internal/frontend/linecodec"
+	"eidertrail/internal/telemetry"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 const srvName = "_sip._tcp.g0.pools.example.org"
@@ -42,8 +42,8 @@
 	last map[string]time.Time
 }
 
-func (v *invites) pool(t *testing.T, name string) (*standin.Pool, string) {
-	p := &standin.Pool{OnRequest: func(q standin.Request) {
+func (v *invites) pool(t *testing.T, name string) (*fakeplatform.Pool, string) {
+	p := &fakeplatform.Pool{OnRequest: func(q fakeplatform.Request) {
 		if q.Method != "INVITE" {
 			return
 		}
@@ -63,11 +63,11 @@
 	return v.by[name]
 }
 
-func target(host, address string) standin.Target {
+func target(host, address string) fakeplatform.Target {
 	_, port, _ := strings.Cut(address, ":")
 	var n uint16
 	fmt.Sscan(port, &n)
-	return standin.Target{Host: host, Port: n, Priority: 10, Weight: 10, IP: "127.0.0.1", TTL: 1}
+	return fakeplatform.Target{Host: host, Port: n, Priority: 10, Weight: 10, IP: "127.0.0.1", TTL: 1}
 }
 
 // logWatch reads the daemon's log, and tells of the lines that match.
@@ -126,9 +126,9 @@
 	_, a := seen.pool(t, "a")
 	_, b := seen.pool(t, "b")
 	_, c := seen.pool(t, "c")
-	dns := standin.NewDNS(t)
+	dns := fakeplatform.NewDNS(t)
 	dns.SetSRV(srvName, 1, target("a.pools.example.org", a), target("b.pools.example.org", b))
-	dns.SetMode(standin.Silent) // down at the start
+	dns.SetMode(fakeplatform.Silent) // down at the start
 
 	dir := t.TempDir()
 	cfg := filepath.Join(dir, "config.json")
@@ -185,7 +185,7 @@
 		}
 	}
 	_, from = log.await(t, from, func(l string) bool { return strings.Contains(l, "dns look-up failed") })
-	dns.SetMode(standin.Answer)
+	dns.SetMode(fakeplatform.Answer)
 	_, from = log.await(t, from, isSet(a, b))
 
 	t.Cleanup(func() {
@@ -221,7 +221,7 @@
 	}
 
 	// The DNS server fails: the last good set stands, and calls go on.
-	dns.SetMode(standin.ServFail)
+	dns.SetMode(fakeplatform.ServFail)
 	log.await(t, from, func(l string) bool { return strings.Contains(l, "dns look-up failed") })
 	for range 10 {
 		call.place(t)
@@ -240,7 +240,7 @@
 	n       int
 	finals  map[string]int
 	answers int
-	last    jsonl.Message
+	last    linecodec.Message
 }
 
 func newScript(c *caller) *script { return &script{c: c, finals: map[string]int{}} }
@@ -283,7 +283,7 @@
 // A discovery file that makes no sense at SIGHUP is logged with its field, and the old one holds; at
 // the start it ends the start with that line.
 func TestBadDiscoveryFile(t *testing.T) {
-	dns := standin.NewDNS(t)
+	dns := fakeplatform.NewDNS(t)
 	good := fmt.Sprintf("server = %q\n[[name]]\nsrv = %q\n", dns.Addr, srvName)
 	path := write(t, "discovery.toml", good)
 	cfg := write(t, "config.json", configuration("127.0.0.1:0", "127.0.0.1:1"))
@@ -300,7 +300,7 @@
 	reloadRefused(t, d, s, log, path, "refresh_floor = \"0s\"\n"+good, "refresh_floor")
 	os.WriteFile(path, []byte(good), 0o600)
 	s.hup <- syscall.SIGHUP
-	for d.count.Get(stats.Reloads) != 1 {
+	for d.count.Get(telemetry.Reloads) != 1 {
 		time.Sleep(10 * time.Millisecond)
 	}
 	stopping(t, s, ended)
--- a/cmd/eidertrail/files.go
+++ b/cmd/eidertrail/files.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"os"
 
-	"eidertrail/cluster"
-	"eidertrail/config"
 	"eidertrail/internal/clock"
-	"eidertrail/routing"
+	"eidertrail/internal/config"
+	"eidertrail/internal/fleet/swim"
+	"eidertrail/internal/routing"
 )
 
 // environment is what the daemon is started with: the configuration, and the operator files of the flags, "" for none.
@@ -37,7 +37,7 @@
 	disc   *config.Discovery
 	router *routing.Router
 	fleet  *config.Cluster
-	node   cluster.Config // of the fleet
+	node   swim.Config // of the fleet
 }
 
 // files reads the operator files, and holds them against the configuration.
--- a/cmd/eidertrail/fleet.go
+++ b/cmd/eidertrail/fleet.go
@@ -6,13 +6,13 @@
 
 	"github.com/rs/zerolog"
 
-	"eidertrail/cluster"
-	"eidertrail/cluster/budget"
-	"eidertrail/cluster/gossip"
-	"eidertrail/config"
 	"eidertrail/dispatch"
+	"eidertrail/internal/config"
+	"eidertrail/internal/fleet/gossip"
+	"eidertrail/internal/fleet/quota"
+	"eidertrail/internal/fleet/swim"
 	"eidertrail/internal/remedy"
-	"eidertrail/internal/stats"
+	"eidertrail/internal/telemetry"
 )
 
 // leasesEvery is how often shares of the fleet's budgets are asked for.
@@ -21,7 +21,7 @@
 // part is one of the protocols between the members. The gossip loop alone calls it; nothing may block.
 type part interface {
 	// members tells who is there, whenever that has changed.
-	members(now int64, members []cluster.Member)
+	members(now int64, members []swim.Member)
 	// receive takes a member's body, and tells whether it is this protocol's.
 	receive(now int64, from int, body []byte) (own bool, err error)
 	// every is called each leasesEvery, and sends what is due.
@@ -30,15 +30,15 @@
 
 // join makes the controller a member of its fleet, and has the budgets that the fleet divides narrow what the
 // module may choose from.
-func (d *daemon) join(ctx context.Context, node cluster.Config, fleet *config.Cluster, log zerolog.Logger) error {
+func (d *daemon) join(ctx context.Context, node swim.Config, fleet *config.Cluster, log zerolog.Logger) error {
 	started := time.Now().UnixMilli()
 	cfg := gossip.Config{Node: node, Listen: d.cfg.PeerListen, Peers: d.cfg.Peers, Fleet: fleet.Fleet,
 		Incarnation: uint64(started), Seed: d.cfg.Seed, Clock: d.clock, Log: log, Count: d.count}
 	var parts []part
-	var books *budget.Shared
+	var books *quota.Shared
 	var err error
 	if fleet.Budget != nil {
-		if books, err = budget.NewShared(fleet.Budget.Ledger(node, uint32(started)), d.clock.Now()); err != nil {
+		if books, err = quota.NewShared(fleet.Budget.Ledger(node, uint32(started)), d.clock.Now()); err != nil {
 			return err
 		}
 		parts = append(parts, &leases{books: books, count: d.count})
@@ -65,7 +65,7 @@
 // carry has the gossip loop carry the parts' messages. A body that is none of theirs is another program's, which knows
 // more, and is passed over.
 func (d *daemon) carry(cfg *gossip.Config, parts []part, log zerolog.Logger) {
-	cfg.View = func(now int64, members []cluster.Member) {
+	cfg.View = func(now int64, members []swim.Member) {
 		for _, p := range parts {
 			p.members(now, members)
 		}
@@ -74,7 +74,7 @@
 		for _, p := range parts {
 			own, err := p.receive(now, from, body)
 			if err != nil {
-				d.count.Add(stats.PeerBad)
+				d.count.Add(telemetry.PeerBad)
 				log.Warn().Err(err).Int("member", from).Str("remedy", remedy.Of(err)).Msg("bad message of a member")
 			}
 			if own {
@@ -92,25 +92,25 @@
 
 // leases are the fleet's budgets.
 type leases struct {
-	books   *budget.Shared
-	count   *stats.Set
-	answers []budget.Out // owed to what has come since the last time; bounded by what comes in 0.1 s
-	counted budget.Counts
+	books   *quota.Shared
+	count   *telemetry.Set
+	answers []quota.Out // owed to what has come since the last time; bounded by what comes in 0.1 s
+	counted quota.Counts
 }
 
-func (l *leases) members(_ int64, members []cluster.Member) { l.books.Members(living(members)) }
+func (l *leases) members(_ int64, members []swim.Member) { l.books.Members(living(members)) }
 
 // living tells which members are held alive.
-func living(members []cluster.Member) []bool {
+func living(members []swim.Member) []bool {
 	alive := make([]bool, len(members))
 	for i, m := range members {
-		alive[i] = m.State == cluster.Alive
+		alive[i] = m.State == swim.Alive
 	}
 	return alive
 }
 
 func (l *leases) receive(now int64, from int, body []byte) (bool, error) {
-	if !budget.Is(body) {
+	if !quota.Is(body) {
 		return false, nil
 	}
 	out, err := l.books.Receive(now, from, body)
@@ -124,7 +124,7 @@
 	}
 	l.answers = l.answers[:0]
 	c := l.books.Counts()
-	l.count.AddN(stats.LeasesAsked, int64(c.Asked-l.counted.Asked))
-	l.count.AddN(stats.LeasesGranted, int64(c.Granted-l.counted.Granted))
+	l.count.AddN(telemetry.LeasesAsked, int64(c.Asked-l.counted.Asked))
+	l.count.AddN(telemetry.LeasesGranted, int64(c.Granted-l.counted.Granted))
 	l.counted = c
 }
--- a/cmd/eidertrail/fleet_measure_test.go
+++ b/cmd/eidertrail/fleet_measure_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/tidwall/gjson"
 
-	"eidertrail/internal/standin"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 // counter asks a process for its counters, and reads one.
@@ -73,7 +73,7 @@
 				return n
 			}
 			d, s := deaths(), suspected()
-			f.net.Set(func(int, int) standin.Fault { return standin.Fault{Loss: 0.2} })
+			f.net.Set(func(int, int) fakeplatform.Fault { return fakeplatform.Fault{Loss: 0.2} })
 			time.Sleep(60 * time.Second)
 			f.net.Heal()
 			t.Logf("60 s of 20%% loss: %d suspicions, %d false deaths", suspected()-s, deaths()-d)
--- a/cmd/eidertrail/fleet_test.go
+++ b/cmd/eidertrail/fleet_test.go
@@ -17,7 +17,7 @@
 
 	"github.com/tidwall/gjson"
 
-	"eidertrail/internal/standin"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 // built is the daemon's program, built once for all tests that start processes.
@@ -53,7 +53,7 @@
 // fleet is several processes of the daemon, with a network of datagrams between them.
 type fleet struct {
 	t     *testing.T
-	net   *standin.Datagrams
+	net   *fakeplatform.Datagrams
 	files string // the --cluster file
 	extra func(member int) (settings string, args []string)
 	procs []*process
@@ -75,7 +75,7 @@
 // newFleet starts so many; what is set with it goes into each one's settings and arguments.
 func newFleet(t *testing.T, members int, cluster string, extra func(member int) (string, []string)) *fleet {
 	t.Helper()
-	f := &fleet{t: t, net: standin.NewDatagrams(t, members, 1), procs: make([]*process, members), extra: extra,
+	f := &fleet{t: t, net: fakeplatform.NewDatagrams(t, members, 1), procs: make([]*process, members), extra: extra,
 		files: write(t, "cluster.toml", fmt.Sprintf("probe_interval = %q\nprobe_timeout = \"100ms\"\n%s", probeInterval, cluster))}
 	for i := range members {
 		f.start(i)
@@ -289,10 +289,10 @@
 	for name, c := range map[string]struct {
 		members int
 		heals   bool // before it is looked whom they hold alive: what was lost last may have left a suspicion
-		fault   func(from, to int) standin.Fault
+		fault   func(from, to int) fakeplatform.Fault
 	}{
-		"a fifth is lost": {5, true, func(int, int) standin.Fault { return standin.Fault{Loss: 0.2, Delay: 5 * time.Millisecond} }},
-		"a one-sided cut": {4, false, func(from, to int) standin.Fault { return standin.Fault{Cut: from == 0 && to == 1} }},
+		"a fifth is lost": {5, true, func(int, int) fakeplatform.Fault { return fakeplatform.Fault{Loss: 0.2, Delay: 5 * time.Millisecond} }},
+		"a one-sided cut": {4, false, func(from, to int) fakeplatform.Fault { return fakeplatform.Fault{Cut: from == 0 && to == 1} }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -313,7 +313,7 @@
 	t.Parallel()
 	f := newFleet(t, 5, "", nil)
 	f.wantAlive()
-	f.net.Set(func(from, to int) standin.Fault { return standin.Fault{Cut: (from < 2) != (to < 2)} })
+	f.net.Set(func(from, to int) fakeplatform.Fault { return fakeplatform.Fault{Cut: (from < 2) != (to < 2)} })
 	f.waitFor("each side holds the other dead", func() bool {
 		return f.procs[0].state(4) == "dead" && f.procs[1].state(2) == "dead" && f.procs[2].state(0) == "dead" && f.procs[4].state(1) == "dead"
 	})
@@ -359,12 +359,12 @@
 			return true
 		})
 	}
-	f.net.Set(func(int, int) standin.Fault { return standin.Fault{Loss: 0.2} })
+	f.net.Set(func(int, int) fakeplatform.Fault { return fakeplatform.Fault{Loss: 0.2} })
 	for i, r := range region {
 		wantRegion(i, r)
 	}
 	f.kill(1)
-	f.net.Set(func(from, to int) standin.Fault { return standin.Fault{Cut: (from < 2) != (to < 2)} })
+	f.net.Set(func(from, to int) fakeplatform.Fault { return fakeplatform.Fault{Cut: (from < 2) != (to < 2)} })
 	region[1] = "south"
 	f.start(1)
 	time.Sleep(2 * probeInterval)
--- a/cmd/eidertrail/list_test.go
+++ b/cmd/eidertrail/list_test.go
@@ -14,13 +14,13 @@
 
 	"github.com/rs/zerolog"
 
-	"eidertrail/config"
 	"eidertrail/dispatch"
-	"eidertrail/internal/bulletin"
+	"eidertrail/internal/backend/sippool"
 	"eidertrail/internal/clock"
-	"eidertrail/internal/standin"
-	"eidertrail/internal/stats"
-	"eidertrail/pool"
+	"eidertrail/internal/config"
+	"eidertrail/internal/endpoint/endpointlist"
+	"eidertrail/internal/telemetry"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 // bulletinOf serves a bulletin on loopback: answer is asked with the number of each question, from 0 on.
@@ -45,7 +45,7 @@
 // Guards against an INVITE to a pool that was told as draining, after a bulletin that lags has told it as up once more.
 func TestAnOlderListTakesNoDrainBack(t *testing.T) {
 	invited := make(chan struct{}, 1)
-	at := &standin.Pool{OnRequest: func(q standin.Request) {
+	at := &fakeplatform.Pool{OnRequest: func(q fakeplatform.Request) {
 		if q.Method == "INVITE" {
 			invited <- struct{}{}
 			q.Answer(200, "", "hello\r\n")
@@ -105,26 +105,26 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	now, count := clock.New(), &stats.Set{}
+	now, count := clock.New(), &telemetry.Set{}
 	d, err := dispatch.New(loaded.Settings, loaded.Seed, loaded.MaxRetryAfter, now, zerolog.Nop(), count)
 	if err != nil {
 		t.Fatal(err)
 	}
 	go d.Run(ctx)
-	pools := pool.NewSet(ctx, pool.Config{ConnectTimeout: 1_000_000, Clock: now, Log: zerolog.Nop(), Count: count})
+	pools := sippool.NewSet(ctx, sippool.Config{ConnectTimeout: 1_000_000, Clock: now, Log: zerolog.Nop(), Count: count})
 	src := newSources(now, pools, d, zerolog.Nop(), count, 1)
 	src.reloads = make(chan *config.Discovery) // unbuffered: once it is sent, the owner is about it
 	go src.run(ctx, disc)
-	line := bulletin.Pool{UID: "s-1", Address: "127.0.0.1:1"}
-	src.bulletin(ctx, bulletin.Event{No: 1, All: true, Pools: []bulletin.Pool{line}})
+	line := endpointlist.Pool{UID: "s-1", Address: "127.0.0.1:1"}
+	src.bulletin(ctx, endpointlist.Event{No: 1, All: true, Pools: []endpointlist.Pool{line}})
 	if _, _, err := server.ReadFrom(make([]byte, 1500)); err != nil { // the look-up is out, and is never answered
 		t.Fatal(err)
 	}
 
 	src.reloads <- disc
-	line.State = bulletin.Draining
-	src.bulletin(ctx, bulletin.Event{No: 2, Pools: []bulletin.Pool{line}})
-	src.bulletin(ctx, bulletin.Event{No: 3}) // the owner is done with the one before
+	line.State = endpointlist.Draining
+	src.bulletin(ctx, endpointlist.Event{No: 2, Pools: []endpointlist.Pool{line}})
+	src.bulletin(ctx, endpointlist.Event{No: 3}) // the owner is done with the one before
 	if _, up := pools.Connected(); up != 0 {
 		t.Errorf("%d pools are up, want none", up)
 	}
@@ -151,9 +151,9 @@
 		{64, 24, nil, 0, 21, 31},
 		{32, 24, nil, 0, 10, 10},
 	} {
-		cfg := &config.Config{Sockets: k.sockets, Known: bulletin.Page{Items: []bulletin.Event{{}, {}}}}
+		cfg := &config.Config{Sockets: k.sockets, Known: endpointlist.Page{Items: []endpointlist.Event{{}, {}}}}
 		for n := range k.listed {
-			cfg.Known.Items[n%2].Pools = append(cfg.Known.Items[n%2].Pools, bulletin.Pool{UID: fmt.Sprint(n)})
+			cfg.Known.Items[n%2].Pools = append(cfg.Known.Items[n%2].Pools, endpointlist.Pool{UID: fmt.Sprint(n)})
 		}
 		callers, pools := mostCallers(cfg, k.second, k.names)
 		if callers != k.callers || pools != k.pools {
--- a/cmd/eidertrail/load_test.go
+++ b/cmd/eidertrail/load_test.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
-	"eidertrail/internal/jsonl"
-	"eidertrail/internal/standin"
+	"eidertrail/internal/frontend/linecodec"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 // load is callers of one controller's process: so many set-ups a second on one connection, whose answers are
@@ -104,14 +104,14 @@
 	defer l.wg.Done()
 	r := bufio.NewReader(l.conn)
 	for {
-		text, err := jsonl.ReadLine(r, nil)
+		text, err := linecodec.ReadLine(r, nil)
 		if err != nil {
 			l.mu.Lock()
 			l.closed = fmt.Sprintf("%v at %s", err, time.Now().UTC().Format("15:04:05.000"))
 			l.mu.Unlock()
 			return
 		}
-		m, err := jsonl.Parse(text)
+		m, err := linecodec.Parse(text)
 		l.mu.Lock()
 		was, known := l.finals[m.ID]
 		switch {
@@ -171,9 +171,9 @@
 // metered is a stand-in pool on loopback that answers what its processor takes, ends calls at once, and notes
 // which controller sent it what, and when.
 type metered struct {
-	standin.Pool
+	fakeplatform.Pool
 	address string
-	proc    standin.Processor
+	proc    fakeplatform.Processor
 	mu      sync.Mutex
 	arrived []arrival
 }
@@ -185,9 +185,9 @@
 
 // newMetered serves a pool; it tells state every 200 ms.
 func newMetered(t *testing.T, work time.Duration, state string) *metered {
-	p := &metered{proc: standin.Processor{Work: work, MostWait: time.Second, ColdShare: 0.3, ColdFor: 10 * time.Second,
+	p := &metered{proc: fakeplatform.Processor{Work: work, MostWait: time.Second, ColdShare: 0.3, ColdFor: 10 * time.Second,
 		FallMultiple: 3, FallAfter: 3 * time.Second}}
-	p.OnRequest = func(q standin.Request) {
+	p.OnRequest = func(q fakeplatform.Request) {
 		if q.Method != "INVITE" {
 			return
 		}
--- a/cmd/eidertrail/measure_test.go
+++ b/cmd/eidertrail/measure_test.go
@@ -16,7 +16,7 @@
 	"github.com/rs/zerolog"
 	"github.com/tidwall/gjson"
 
-	"eidertrail/internal/standin"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 // stamped is a log that notes when each line of the pool set was written.
@@ -72,9 +72,9 @@
 	var mu sync.Mutex
 	var arrivals []arrival
 	addresses := make([]string, pools)
-	targets := make([]standin.Target, pools)
+	targets := make([]fakeplatform.Target, pools)
 	for i := range pools {
-		p := &standin.Pool{OnRequest: func(q standin.Request) {
+		p := &fakeplatform.Pool{OnRequest: func(q fakeplatform.Request) {
 			if q.Method != "INVITE" {
 				return
 			}
@@ -88,7 +88,7 @@
 		targets[i] = target(fmt.Sprintf("p%d.pools.example.org", i), addresses[i])
 		targets[i].TTL = ttl
 	}
-	dns := standin.NewDNS(t)
+	dns := fakeplatform.NewDNS(t)
 	dns.SetSRV(srvName, ttl, targets...)
 	disc := write(t, "discovery.toml", fmt.Sprintf("server = %q\nrefresh_floor = \"200ms\"\nrefresh_ceiling = \"1m\"\n"+
 		"jitter = 0.1\nstale_for = \"30s\"\ndrain_for = \"5s\"\n[[name]]\nsrv = %q\n", dns.Addr, srvName))
--- a/cmd/eidertrail/rollout.go
+++ b/cmd/eidertrail/rollout.go
@@ -10,7 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
-	"eidertrail/rollout/runner"
+	"eidertrail/internal/rollout/runner"
 )
 
 // rolloutCommand is eidertrail rollout: a rolling change of the fleet's controllers, in stages.
--- a/cmd/eidertrail/rollout_test.go
+++ b/cmd/eidertrail/rollout_test.go
@@ -19,7 +19,7 @@
 	"github.com/rs/zerolog"
 	"github.com/tidwall/gjson"
 
-	"eidertrail/rollout/runner"
+	"eidertrail/internal/rollout/runner"
 )
 
 // staged is a fleet of controllers under a rollout file, each with callers who go by its readiness, as the ones
--- a/cmd/eidertrail/sites_test.go
+++ b/cmd/eidertrail/sites_test.go
@@ -16,9 +16,9 @@
 	"github.com/BurntSushi/toml"
 	"github.com/rs/zerolog"
 
-	"eidertrail/config"
 	"eidertrail/internal/clock"
-	"eidertrail/internal/standin"
+	"eidertrail/internal/config"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 // span is a figure of a site file: a number, or the two ends of a range.
@@ -189,8 +189,8 @@
 func newSitePools(t *testing.T, s *siteFile, groups int) *sitePools {
 	p := &sitePools{came: map[string][]arrived{}}
 	for g := range groups {
-		at := &standin.Pool{}
-		at.OnRequest = func(q standin.Request) {
+		at := &fakeplatform.Pool{}
+		at.OnRequest = func(q fakeplatform.Request) {
 			if q.Method != "INVITE" {
 				return
 			}
--- a/cmd/eidertrail/sources.go
+++ b/cmd/eidertrail/sources.go
@@ -8,14 +8,14 @@
 
 	"github.com/rs/zerolog"
 
-	"eidertrail/config"
-	"eidertrail/discovery/srv"
 	"eidertrail/dispatch"
-	"eidertrail/internal/bulletin"
+	"eidertrail/internal/backend/sippool"
 	"eidertrail/internal/clock"
-	"eidertrail/internal/stats"
-	"eidertrail/membership"
-	"eidertrail/pool"
+	"eidertrail/internal/config"
+	"eidertrail/internal/endpoint/endpointlist"
+	"eidertrail/internal/endpoint/endpointset"
+	"eidertrail/internal/endpoint/srv"
+	"eidertrail/internal/telemetry"
 )
 
 // drainLook is how often pools that drain are looked at, to end a drain soon after its last call.
@@ -25,27 +25,27 @@
 // Set, the bulletin's events and the resolvers' answers come to it, and what changes goes to the pools.
 type sources struct {
 	clock    *clock.Clock
-	pools    *pool.Set
+	pools    *sippool.Set
 	dispatch *dispatch.Dispatcher
 	log      zerolog.Logger
-	count    *stats.Set
+	count    *telemetry.Set
 	seed     uint64
 
-	events  chan bulletin.Event
+	events  chan endpointlist.Event
 	updates chan srv.Update
 	reloads chan *config.Discovery
 	done    chan struct{}
 }
 
-func newSources(c *clock.Clock, pools *pool.Set, d *dispatch.Dispatcher, log zerolog.Logger, count *stats.Set, seed uint64) *sources {
+func newSources(c *clock.Clock, pools *sippool.Set, d *dispatch.Dispatcher, log zerolog.Logger, count *telemetry.Set, seed uint64) *sources {
 	return &sources{clock: c, pools: pools, dispatch: d, log: log, count: count, seed: seed,
-		events: make(chan bulletin.Event), updates: make(chan srv.Update, 32),
+		events: make(chan endpointlist.Event), updates: make(chan srv.Update, 32),
 		reloads: make(chan *config.Discovery, 1), done: make(chan struct{})}
 }
 
 // bulletin hands an event of the bulletin over; it waits until the owner has it, as the bulletin's
 // own order of events must hold.
-func (s *sources) bulletin(ctx context.Context, e bulletin.Event) {
+func (s *sources) bulletin(ctx context.Context, e endpointlist.Event) {
 	select {
 	case s.events <- e:
 	case <-ctx.Done():
@@ -65,7 +65,7 @@
 // run owns the pool set until ctx is done.
 func (s *sources) run(ctx context.Context, cfg *config.Discovery) {
 	defer close(s.done)
-	set, _ := membership.New(cfg.Membership()) // checked with the file
+	set, _ := endpointset.New(cfg.Membership()) // checked with the file
 	var watchers sync.WaitGroup
 	stopWatchers := s.watch(ctx, &watchers, cfg, set)
 	defer func() {
@@ -74,7 +74,7 @@
 	}()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
-	var seen membership.Counts
+	var seen endpointset.Counts
 	for {
 		select {
 		case <-ctx.Done():
@@ -94,13 +94,13 @@
 		now := s.clock.Now()
 		set.Advance(now, s.pools.Busy)
 		if view, changed := set.View(now); changed {
-			s.count.Add(stats.DNSChanges)
+			s.count.Add(telemetry.DNSChanges)
 			s.pools.Apply(toBulletin(view), func(lines []dispatch.Server) { s.dispatch.Roster(lines, false) })
-			s.log.Info().Str("pools", membership.Describe(view)).Msg("pool set") // after: tests rest on it
+			s.log.Info().Str("pools", endpointset.Describe(view)).Msg("pool set") // after: tests rest on it
 		}
 		c := set.Counts()
-		s.count.AddN(stats.PoolsConflicting, int64(c.Conflicts-seen.Conflicts))
-		s.count.AddN(stats.PoolsExpired, int64(c.Expired-seen.Expired))
+		s.count.AddN(telemetry.PoolsConflicting, int64(c.Conflicts-seen.Conflicts))
+		s.count.AddN(telemetry.PoolsExpired, int64(c.Expired-seen.Expired))
 		seen = c
 		wait := time.Hour
 		if next := set.Next(); next > 0 {
@@ -114,7 +114,7 @@
 }
 
 // watch starts a watcher for each name of cfg, and returns what stops them.
-func (s *sources) watch(ctx context.Context, wg *sync.WaitGroup, cfg *config.Discovery, set *membership.Set) context.CancelFunc {
+func (s *sources) watch(ctx context.Context, wg *sync.WaitGroup, cfg *config.Discovery, set *endpointset.Set) context.CancelFunc {
 	ctx, stop := context.WithCancel(ctx)
 	r := &srv.Resolver{Server: cfg.Server, Timeout: cfg.Timeout}
 	for _, n := range cfg.Names {
@@ -126,7 +126,7 @@
 
 // carry takes a new discovery file over: names that are no longer in it are forgotten, with their pools
 // at once; those that stay keep their records until their watchers, started anew, tell them again.
-func carry(set *membership.Set, next *config.Discovery) {
+func carry(set *endpointset.Set, next *config.Discovery) {
 	keep := map[string]bool{}
 	for _, n := range next.Names {
 		keep[n.SRV] = true
@@ -140,13 +140,13 @@
 }
 
 // take applies one look-up's outcome.
-func (s *sources) take(set *membership.Set, u srv.Update) {
-	s.count.AddN(stats.DNSQueries, int64(u.Answer.Queries))
-	s.count.AddN(stats.DNSTruncated, int64(u.Answer.Truncated))
+func (s *sources) take(set *endpointset.Set, u srv.Update) {
+	s.count.AddN(telemetry.DNSQueries, int64(u.Answer.Queries))
+	s.count.AddN(telemetry.DNSTruncated, int64(u.Answer.Truncated))
 	if u.Err != nil {
-		s.count.Add(stats.DNSFailures)
+		s.count.Add(telemetry.DNSFailures)
 		if errors.Is(u.Err, srv.ErrBadAnswer) {
-			s.count.Add(stats.DNSBadAnswers)
+			s.count.Add(telemetry.DNSBadAnswers)
 		}
 		s.log.Warn().Err(u.Err).Str("name", u.Name).Msg("dns look-up failed, the last good set stands")
 		return
@@ -154,20 +154,20 @@
 	set.Records(u.At, u.Name, u.Answer.Records)
 }
 
-func fromBulletin(pools []bulletin.Pool) []membership.Pool {
-	out := make([]membership.Pool, len(pools))
+func fromBulletin(pools []endpointlist.Pool) []endpointset.Pool {
+	out := make([]endpointset.Pool, len(pools))
 	for i, p := range pools {
-		out[i] = membership.Pool{UID: p.UID, Address: p.Address, Group: p.Group, Zone: p.Zone, Born: p.Born,
-			State: membership.State(p.State)}
+		out[i] = endpointset.Pool{UID: p.UID, Address: p.Address, Group: p.Group, Zone: p.Zone, Born: p.Born,
+			State: endpointset.State(p.State)}
 	}
 	return out
 }
 
-func toBulletin(view []membership.Member) bulletin.Event {
-	e := bulletin.Event{All: true, Pools: make([]bulletin.Pool, len(view))}
+func toBulletin(view []endpointset.Member) endpointlist.Event {
+	e := endpointlist.Event{All: true, Pools: make([]endpointlist.Pool, len(view))}
 	for i, m := range view {
-		e.Pools[i] = bulletin.Pool{UID: m.UID, Address: m.Address, Group: m.Group, Zone: m.Zone, Born: m.Born,
-			State: bulletin.State(m.State)}
+		e.Pools[i] = endpointlist.Pool{UID: m.UID, Address: m.Address, Group: m.Group, Zone: m.Zone, Born: m.Born,
+			State: endpointlist.State(m.State)}
 	}
 	return e
 }
--- a/cmd/eidertrail/word.go
+++ b/cmd/eidertrail/word.go
@@ -5,28 +5,28 @@
 
 	"github.com/rs/zerolog"
 
-	"eidertrail/cluster"
-	"eidertrail/cluster/table"
-	"eidertrail/config"
-	"eidertrail/internal/stats"
+	"eidertrail/internal/config"
+	"eidertrail/internal/fleet/statetable"
+	"eidertrail/internal/fleet/swim"
+	"eidertrail/internal/telemetry"
 )
 
 // word is this controller's part of the fleet's shared word: what every member tells of itself. The gossip loop owns
 // the table; what others read of it is published.
 type word struct {
-	table   *table.Table
+	table   *statetable.Table
 	log     zerolog.Logger
-	count   *stats.Set
-	counted table.Counts
-	owed    []table.Out // to what has come since the last time; bounded by what comes in 0.1 s
-	given   []string    // the regions of all members, where the file names them
+	count   *telemetry.Set
+	counted statetable.Counts
+	owed    []statetable.Out // to what has come since the last time; bounded by what comes in 0.1 s
+	given   []string         // the regions of all members, where the file names them
 	regions atomic.Pointer[[]string]
 }
 
-func newWord(node cluster.Config, fleet *config.Cluster, incarnation, seed uint64, now int64, log zerolog.Logger, count *stats.Set) (*word, error) {
-	cfg := table.Default(node.Self, node.Members, incarnation, seed)
-	cfg.Kinds = []table.Spec{{Kind: table.Region, Name: "region", Most: config.MostRegion}}
-	t, err := table.New(cfg, now)
+func newWord(node swim.Config, fleet *config.Cluster, incarnation, seed uint64, now int64, log zerolog.Logger, count *telemetry.Set) (*word, error) {
+	cfg := statetable.Default(node.Self, node.Members, incarnation, seed)
+	cfg.Kinds = []statetable.Spec{{Kind: statetable.Region, Name: "region", Most: config.MostRegion}}
+	t, err := statetable.New(cfg, now)
 	if err != nil {
 		return nil, err
 	}
@@ -35,16 +35,16 @@
 	copy(regions, fleet.Regions)
 	regions[node.Self] = fleet.Region
 	w.regions.Store(&regions)
-	return w, t.Set(now, table.Region, []byte(fleet.Region))
+	return w, t.Set(now, statetable.Region, []byte(fleet.Region))
 }
 
 // Regions are the members' regions as they are known now, by number, "" where one is not.
 func (w *word) Regions() []string { return *w.regions.Load() }
 
-func (w *word) members(_ int64, members []cluster.Member) { w.table.Members(living(members)) }
+func (w *word) members(_ int64, members []swim.Member) { w.table.Members(living(members)) }
 
 func (w *word) receive(now int64, from int, body []byte) (bool, error) {
-	if !table.Is(body) {
+	if !statetable.Is(body) {
 		return false, nil
 	}
 	out, err := w.table.Receive(now, from, body)
@@ -56,8 +56,8 @@
 }
 
 // take takes what a member tells newly.
-func (w *word) take(c table.Change) {
-	if c.Kind != table.Region {
+func (w *word) take(c statetable.Change) {
+	if c.Kind != statetable.Region {
 		return
 	}
 	region := string(c.Value)
@@ -81,7 +81,7 @@
 	}
 	w.owed = w.owed[:0]
 	c := w.table.Counts()
-	w.count.AddN(stats.WordBytes, int64(c.Bytes-w.counted.Bytes))
-	w.count.AddN(stats.WordRepairs, int64(c.Repairs-w.counted.Repairs))
+	w.count.AddN(telemetry.WordBytes, int64(c.Bytes-w.counted.Bytes))
+	w.count.AddN(telemetry.WordRepairs, int64(c.Repairs-w.counted.Repairs))
 	w.counted = c
 }
--- a/cmd/eidertrail/zones_test.go
+++ b/cmd/eidertrail/zones_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/rs/zerolog"
 
-	"eidertrail/internal/standin"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 // The daemon with --routing, on loopback stand-in pools in two zones: calls stay in the own zone, spill to
@@ -19,10 +19,10 @@
 func TestDaemonSpillsWhenItsZoneGoesDark(t *testing.T) {
 	var mu sync.Mutex
 	by := map[string]int{}
-	pools := map[string]*standin.Pool{}
+	pools := map[string]*fakeplatform.Pool{}
 	var targets []string
 	for _, uid := range []string{"ba1", "ba2", "tb1", "tb2"} {
-		p := &standin.Pool{OnRequest: func(q standin.Request) {
+		p := &fakeplatform.Pool{OnRequest: func(q fakeplatform.Request) {
 			if q.Method != "INVITE" {
 				return
 			}
--- a/cmd/wirehost/main.go
+++ b/cmd/simadapter/main.go
@@ -1,4 +1,4 @@
-// Command wirehost hosts controllers behind the simulator's wire: batches on
+// Command simadapter hosts controllers behind the simulator's wire: batches on
 // standard input, one reply a batch on standard output.
 package main
 
@@ -10,19 +10,19 @@
 	"io"
 	"os"
 
-	"eidertrail/internal/wire"
+	"eidertrail/internal/simwire"
 )
 
 func main() {
 	if err := run(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "wirehost:", err)
+		fmt.Fprintln(os.Stderr, "simadapter:", err)
 		os.Exit(1)
 	}
 }
 
 func run(in io.Reader, out io.Writer) error {
 	r := bufio.NewReaderSize(in, 1<<20)
-	host := wire.NewHost()
+	host := simwire.NewHost()
 	var reply []byte
 	for number := 1; ; number++ {
 		line, err := r.ReadBytes('\n')
--- a/controller_test.go
+++ b/controller_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"eidertrail/internal/coldstart"
+	"eidertrail/internal/slowstart"
 )
 
 const ms = time.Millisecond
@@ -771,7 +771,7 @@
 	}
 	slices.Sort(all)
 	root := math.Sqrt(cold+lineSpare*lineSpare/4) - lineSpare/2
-	start := coldstart.Start{Share: set.ColdShare, For: set.Cold.Microseconds(), Multiple: set.FallMultiple, After: set.FallAfter.Microseconds()}
+	start := slowstart.Start{Share: set.ColdShare, For: set.Cold.Microseconds(), Multiple: set.FallMultiple, After: set.FallAfter.Microseconds()}
 	first := 0
 	for i, at := range all {
 		for at-all[first] > set.FallAfter {
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"eidertrail/internal/past"
-	"eidertrail/internal/stats"
+	"eidertrail/internal/telemetry"
 )
 
 // Caller is one connection of callers, on whatever wire. Its methods queue and never block; false says
@@ -90,7 +90,7 @@
 type Desk struct {
 	d       *Dispatcher
 	trunk   Trunk
-	count   *stats.Set
+	count   *telemetry.Set
 	classes map[string]int
 	most    int
 	callID  func(id string) string
@@ -142,7 +142,7 @@
 	if !s.Over(o.id, o.cause) {
 		return false
 	}
-	k.count.Add(stats.ReleasesOut)
+	k.count.Add(telemetry.ReleasesOut)
 	now := k.d.Now()
 	old := 0
 	for old < len(s.told) && (now-s.told[old].at > crossed || len(s.told)-old >= mostTold) {
@@ -419,7 +419,7 @@
 	if call == nil || !call.stands {
 		return
 	}
-	k.count.Add(stats.AnswersUnwritten)
+	k.count.Add(telemetry.AnswersUnwritten)
 	select {
 	case call.released <- CauseNormal:
 	default: // it was released already
@@ -445,13 +445,13 @@
 // keep has the end of a call told on any connection. The caller holds mu.
 func (k *Desk) keep(o over) {
 	if len(k.kept) >= mostKept {
-		k.count.Add(stats.ReleasesDropped)
+		k.count.Add(telemetry.ReleasesDropped)
 		return
 	}
 	k.kept = append(k.kept, o)
 	k.tell((*seat).isProven)
 	if k.tellOverdue(); len(k.kept) > 0 {
-		k.count.Add(stats.ReleasesKept)
+		k.count.Add(telemetry.ReleasesKept)
 		k.tellLater()
 	}
 }
@@ -477,10 +477,10 @@
 		return ErrID
 	}
 	if k.taken(s.ID) { // before all else: the id's one answer is still to come
-		k.count.Add(stats.Duplicates)
+		k.count.Add(telemetry.Duplicates)
 		return ErrDuplicate
 	}
-	k.count.Add(stats.SetupsTaken)
+	k.count.Add(telemetry.SetupsTaken)
 	class, known := k.classes[s.Class]
 	if !known {
 		return ErrClass
@@ -508,7 +508,7 @@
 	case k.calls[s.ID] != nil:
 		// Guards against a second final answer: the one for the call that has this id is still to come.
 		end(nil)
-		k.count.Add(stats.Duplicates)
+		k.count.Add(telemetry.Duplicates)
 		return ErrDuplicate
 	case len(k.calls) >= k.most:
 		end(nil)
@@ -520,7 +520,7 @@
 		// Guards against a set-up being sent whose cancel was read first, on another connection.
 		end(nil)
 		k.past.Add(s.ID)
-		k.count.Add(stats.CancelledCalls)
+		k.count.Add(telemetry.CancelledCalls)
 		return nil
 	case at.open >= mostOpen:
 		end(nil)
@@ -577,7 +577,7 @@
 	}
 	gone := final.Kind == Gone || call.left
 	if !gone && !at.Final(id, final) {
-		k.count.Add(stats.AnswersUnwritten)
+		k.count.Add(telemetry.AnswersUnwritten)
 		gone = true
 	}
 	if call.stands = final.Kind == Stands && !gone; call.stands {
@@ -592,14 +592,14 @@
 	k.mu.Unlock()
 	switch {
 	case gone:
-		k.count.Add(stats.CancelledCalls)
+		k.count.Add(telemetry.CancelledCalls)
 		if final.Kind == Stands { // an answer that nobody waits for holds an agent for nobody
 			final.Call.End(CauseNormal)
 		}
 	case final.Kind == Turned:
-		k.count.Add(stats.RefusedCalls)
+		k.count.Add(telemetry.RefusedCalls)
 	case final.Kind == GivenUp:
-		k.count.Add(stats.FailedCalls)
+		k.count.Add(telemetry.FailedCalls)
 	default:
 		k.count.Stood(took, took <= k.d.engine.set.Classes[r.Class].Aim.Microseconds())
 		// ctx may be done: GiveUp crossed the answer. The call stands all the same.
@@ -623,7 +623,7 @@
 // Release takes a caller's release, on whatever connection it came: a cancel before the answer (then
 // standing is false and no answer follows), the end of the call after it.
 func (k *Desk) Release(id string, cause int) (standing bool, err error) {
-	k.count.Add(stats.ReleasesIn)
+	k.count.Add(telemetry.ReleasesIn)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	call := k.calls[id]
--- a/dispatch/desk_test.go
+++ b/dispatch/desk_test.go
@@ -11,7 +11,7 @@
 
 	"eidertrail"
 	"eidertrail/internal/clock"
-	"eidertrail/internal/stats"
+	"eidertrail/internal/telemetry"
 )
 
 // fakeCaller is a connection that notes what it is told.
@@ -134,7 +134,7 @@
 		deaf := r.connect()
 		deaf.plug()
 		r.desk.Over("c1", 16)
-		if c := r.connect(); len(c.got().overs) != 1 || r.count.Get(stats.ReleasesKept) != 1 {
+		if c := r.connect(); len(c.got().overs) != 1 || r.count.Get(telemetry.ReleasesKept) != 1 {
 			t.Errorf("told %v", c.got().overs)
 		}
 		if c := r.connect(); len(c.got().overs) != 0 {
@@ -206,7 +206,7 @@
 			t.Errorf("cancel: %v, %v", standing, err)
 		}
 		synctest.Wait()
-		if len(c.got().finals) != 0 || r.desk.Open() != 0 || r.count.Get(stats.CancelledCalls) != 1 {
+		if len(c.got().finals) != 0 || r.desk.Open() != 0 || r.count.Get(telemetry.CancelledCalls) != 1 {
 			t.Errorf("finals %+v", c.got().finals)
 		}
 	})
@@ -387,8 +387,8 @@
 			leave(r, c)
 			close(hold)
 			synctest.Wait()
-			if got := c.got().finals; len(got) != 0 || r.count.Get(stats.CancelledCalls) != 1 || r.desk.Open() != 0 {
-				t.Errorf("%s: finals %+v, %d cancelled", name, got, r.count.Get(stats.CancelledCalls))
+			if got := c.got().finals; len(got) != 0 || r.count.Get(telemetry.CancelledCalls) != 1 || r.desk.Open() != 0 {
+				t.Errorf("%s: finals %+v, %d cancelled", name, got, r.count.Get(telemetry.CancelledCalls))
 			}
 		})
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -18,7 +18,7 @@
 
 	"eidertrail"
 	"eidertrail/internal/clock"
-	"eidertrail/internal/stats"
+	"eidertrail/internal/telemetry"
 )
 
 // Clock reads microseconds that never move backwards.
@@ -26,7 +26,7 @@
 
 // Counters count what is taken in, sent and answered; the zero value is ready, and they log themselves as
 // a zerolog object. Wherever they are asked for, nil does without.
-type Counters = stats.Set
+type Counters = telemetry.Set
 
 // Request is a call that wants a place.
 type Request struct {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -14,8 +14,8 @@
 
 	"eidertrail"
 	"eidertrail/internal/clock"
-	"eidertrail/internal/standin"
-	"eidertrail/internal/stats"
+	"eidertrail/internal/telemetry"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 func settings() eidertrail.Settings {
@@ -91,7 +91,7 @@
 	t     *testing.T
 	trunk *fakeTrunk
 	desk  *Desk
-	count *stats.Set
+	count *telemetry.Set
 }
 
 func bubble(t *testing.T, test func(r *rig)) {
@@ -101,7 +101,7 @@
 func onRig(t *testing.T, test func(r *rig)) { onRigWith(t, settings(), test) }
 
 func onRigWith(t *testing.T, set eidertrail.Settings, test func(r *rig)) {
-	count := &stats.Set{}
+	count := &telemetry.Set{}
 	d, err := New(set, 1, 2_000_000, clock.New(), zerolog.Nop(), count)
 	if err != nil {
 		t.Fatal(err)
@@ -387,7 +387,7 @@
 // FuzzDispatcher checks random steps of a few calls against a model of what the rules allow: one attempt
 // out at a time, two sends at most, the release awaited, nobody draining, one final answer a call.
 func FuzzDispatcher(f *testing.F) {
-	standin.Fuzz(f, []string{"000000010102", "00020103020404", "0005020001000301", "000101060001", "0006000002010301", "0007010200030104"},
+	fakeplatform.Fuzz(f, []string{"000000010102", "00020103020404", "0005020001000301", "000101060001", "0006000002010301", "0007010200030104"},
 		func(t *testing.T, script []byte) {
 			onRig(t, func(r *rig) {
 				type modelled struct {
@@ -449,7 +449,7 @@
 						r.list(eidertrail.Mode(b&1), eidertrail.Mode(b>>1&1))
 					},
 				}
-				standin.Play(script, steps, func() {})
+				fakeplatform.Play(script, steps, func() {})
 				time.Sleep(10 * time.Second) // every caller has given up by now
 				synctest.Wait()
 				mu.Lock()
@@ -552,7 +552,7 @@
 				place("overdue", c.after)
 				tell(true, true)
 				place("told again", c.first)
-				if got, want := r.count.Get(stats.SilentPools) > 0, c.first != c.after; got != want {
+				if got, want := r.count.Get(telemetry.SilentPools) > 0, c.first != c.after; got != want {
 					t.Errorf("counted as silent: %v, want %v", got, want)
 				}
 			})
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -11,7 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"eidertrail"
-	"eidertrail/internal/stats"
+	"eidertrail/internal/telemetry"
 )
 
 // Engine hosts one Controller and what narrows its choice, with the rules' last guard: the table of calls, the
@@ -21,7 +21,7 @@
 type Engine struct {
 	set     eidertrail.Settings
 	most    int64 // longest time to come back after
-	count   *stats.Set
+	count   *telemetry.Set
 	log     zerolog.Logger // at debug level a trace of all that the module is told and says
 	share   atomic.Uint64  // math.Float64bits of the share of calls turned away of late
 	shareAt atomic.Int64
@@ -257,7 +257,7 @@
 		}
 		k.attempt++
 		if !d.maySend(now, k, string(a.Server)) {
-			d.count.Add(stats.GuardStopped)
+			d.count.Add(telemetry.GuardStopped)
 			d.events = append(d.events, eidertrail.Outcome{Call: a.Call, Attempt: k.attempt, Status: eidertrail.Moot})
 			return
 		}
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -6,10 +6,10 @@
 	"github.com/rs/zerolog"
 
 	"eidertrail"
-	"eidertrail/cluster/budget"
-	"eidertrail/internal/coldstart"
-	"eidertrail/internal/stats"
-	"eidertrail/routing"
+	"eidertrail/internal/fleet/quota"
+	"eidertrail/internal/routing"
+	"eidertrail/internal/slowstart"
+	"eidertrail/internal/telemetry"
 )
 
 // Shares tell what part of a pool's budget is this controller's now, and take how much of it could be used.
@@ -51,7 +51,7 @@
 	pools map[string]*limited
 	next  int64 // demands are told then
 	log   zerolog.Logger
-	count *stats.Set
+	count *telemetry.Set
 }
 
 // limited is a pool as its budget sees it.
@@ -60,7 +60,7 @@
 	agents float64
 	told   float64 // the rate that it told, and when
 	toldAt int64
-	meter  budget.Meter
+	meter  quota.Meter
 	sent   int     // set-ups since the last look
 	rate   float64 // of them, a second, of late
 	share  int     // units, as last logged
@@ -123,7 +123,7 @@
 
 // whole is the set-ups a second that all controllers together may send the pool now; false: no budget.
 func (l *limits) whole(now int64, p *limited) (float64, bool) {
-	start := coldstart.Start{Share: l.set.ColdShare, For: l.set.Cold.Microseconds()}
+	start := slowstart.Start{Share: l.set.ColdShare, For: l.set.Cold.Microseconds()}
 	if part, cold := start.Part(now - p.born); p.born > 0 && cold {
 		warm := 0.0
 		if p.agents > 0 && l.hold > 0 {
@@ -243,7 +243,7 @@
 		l.cfg.Shares.Demand(now, uid, wants(p.rate, rate, units))
 		if d := units - p.share; d > whole/20 || -d > whole/20 {
 			p.share = units
-			l.count.Add(stats.ShareChanges)
+			l.count.Add(telemetry.ShareChanges)
 			l.log.Info().Str("pool", uid).Int("units", units).Int("whole", whole).Float64("rate", math.Round(rate*10)/10).Msg("share")
 		}
 	}
--- a/dispatch/limit_test.go
+++ b/dispatch/limit_test.go
@@ -10,19 +10,19 @@
 	"time"
 
 	"eidertrail"
-	"eidertrail/cluster/budget"
-	"eidertrail/internal/standin"
-	"eidertrail/internal/stats"
-	"eidertrail/routing"
+	"eidertrail/internal/fleet/quota"
+	"eidertrail/internal/routing"
+	"eidertrail/internal/telemetry"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 // budgets lets the fleet's controllers divide budgets: their books talk to each other with 5 ms of delay, and
 // lose a share of what they say. It ends when the returned function is called.
-func (f *fleet) budgets(t *testing.T, loss float64) (books []*budget.Shared, end func()) {
+func (f *fleet) budgets(t *testing.T, loss float64) (books []*quota.Shared, end func()) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	ds := f.ds
 	for i, d := range f.ds {
-		b, err := budget.NewShared(budget.Config{Self: i, Members: len(f.ds), Life: 1, Unit: 1000, Keep: 250, TTL: 2_000_000,
+		b, err := quota.NewShared(quota.Config{Self: i, Members: len(f.ds), Life: 1, Unit: 1000, Keep: 250, TTL: 2_000_000,
 			Margin: 500_000}, d.Now())
 		if err != nil {
 			t.Fatal(err)
@@ -48,7 +48,7 @@
 	return books, func() { close(done); f.talk.Wait() }
 }
 
-func (f *fleet) carry(ds []*Dispatcher, books []*budget.Shared, from int, out []budget.Out, rng *rand.Rand, loss float64) {
+func (f *fleet) carry(ds []*Dispatcher, books []*quota.Shared, from int, out []quota.Out, rng *rand.Rand, loss float64) {
 	for _, o := range out {
 		if rng.Float64() < loss {
 			continue
@@ -178,7 +178,7 @@
 		if p := place(); p.LeaveBy != 0 {
 			t.Errorf("without budgets %+v", p)
 		}
-		b, err := budget.NewShared(budget.Config{Members: 1, Unit: 1000, TTL: 2_000_000, Margin: 500_000}, r.Now()-3_000_000)
+		b, err := quota.NewShared(quota.Config{Members: 1, Unit: 1000, TTL: 2_000_000, Margin: 500_000}, r.Now()-3_000_000)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -202,7 +202,7 @@
 			}
 			time.Sleep(10 * time.Millisecond)
 		}
-		if n := r.count.Get(stats.GuardStopped); n != 0 {
+		if n := r.count.Get(telemetry.GuardStopped); n != 0 {
 			t.Errorf("the guard stopped %d sends: the module was not told", n)
 		}
 	})
@@ -232,7 +232,7 @@
 					d.Roster([]Server{{UID: "h", Zone: "home", Mode: eidertrail.Draining}, {UID: "a", Zone: "away", Group: 1, Mode: eidertrail.Ready}}, true)
 					d.Observe("a", State{1000, 1000})
 				}
-				f.procs["a"] = &standin.Processor{Work: time.Millisecond, MostWait: time.Second}
+				f.procs["a"] = &fakeplatform.Processor{Work: time.Millisecond, MostWait: time.Second}
 				f.keep = true
 				all := f.ds
 				f.ds = f.ds[:1]
--- a/dispatch/route.go
+++ b/dispatch/route.go
@@ -7,9 +7,9 @@
 	"github.com/rs/zerolog"
 
 	"eidertrail"
-	"eidertrail/heartbeat"
-	"eidertrail/internal/stats"
-	"eidertrail/routing"
+	"eidertrail/internal/endpoint/liveness"
+	"eidertrail/internal/routing"
+	"eidertrail/internal/telemetry"
 )
 
 // router stands between the list of pools and the module: a pool that is up but that has fallen silent
@@ -19,12 +19,12 @@
 type router struct {
 	r      *routing.Router // nil: off
 	limits *limits         // nil: off
-	beats  *heartbeat.Monitor
+	beats  *liveness.Monitor
 	silent map[string]bool // as logged
 	all    routing.Classes
 	told   map[string]offer // what the module was told of each pool that is listed
 	log    zerolog.Logger
-	count  *stats.Set
+	count  *telemetry.Set
 	zoned  string // the last zone states logged
 	cached map[string]routing.Classes
 	at     int64 // cached holds for this reading
@@ -50,12 +50,12 @@
 }
 
 // newRouter returns the router of a site's settings, with routing off.
-func newRouter(set eidertrail.Settings, log zerolog.Logger, count *stats.Set) *router {
+func newRouter(set eidertrail.Settings, log zerolog.Logger, count *telemetry.Set) *router {
 	var classes [][]int
 	for _, c := range set.Classes {
 		classes = append(classes, c.Pools)
 	}
-	return &router{beats: heartbeat.New(classes), all: 1<<len(classes) - 1, told: map[string]offer{}, log: log, count: count}
+	return &router{beats: liveness.New(classes), all: 1<<len(classes) - 1, told: map[string]offer{}, log: log, count: count}
 }
 
 // retell tells the module every pool again, as routing now has it.
@@ -71,12 +71,12 @@
 
 func (r *router) roster(now int64, servers map[string]Server) {
 	pools := make([]routing.Pool, 0, len(servers))
-	var up []heartbeat.Pool
+	var up []liveness.Pool
 	for _, s := range servers {
 		ready := s.Mode == eidertrail.Ready
 		pools = append(pools, routing.Pool{UID: s.UID, Zone: s.Zone, Up: ready})
 		if ready {
-			up = append(up, heartbeat.Pool{UID: s.UID, Group: s.Group})
+			up = append(up, liveness.Pool{UID: s.UID, Group: s.Group})
 		}
 	}
 	r.beats.Roster(up)
@@ -123,7 +123,7 @@
 	silent := r.beats.Silent(now)
 	for uid := range silent {
 		if !r.silent[uid] {
-			r.count.Add(stats.SilentPools)
+			r.count.Add(telemetry.SilentPools)
 			r.log.Info().Str("pool", uid).Msg("pool tells its state no more")
 		}
 	}
@@ -199,7 +199,7 @@
 	}
 	if string(b) != r.zoned {
 		r.zoned = string(b)
-		r.count.Add(stats.ZoneChanges)
+		r.count.Add(telemetry.ZoneChanges)
 		r.log.Info().Str("zones", r.zoned).Msg("zones")
 	}
 }
@@ -212,7 +212,7 @@
 	r.cached = nil // what was sent in this turn counts
 	ok := r.eligible(now, uid).Has(class)
 	if !ok {
-		r.count.Add(stats.RouteStopped)
+		r.count.Add(telemetry.RouteStopped)
 	}
 	return ok
 }
--- a/dispatch/route_test.go
+++ b/dispatch/route_test.go
@@ -13,10 +13,10 @@
 
 	"eidertrail"
 	"eidertrail/internal/clock"
-	"eidertrail/internal/coldstart"
-	"eidertrail/internal/stats"
-	"eidertrail/routing"
-	"eidertrail/rules"
+	"eidertrail/internal/invariant"
+	"eidertrail/internal/routing"
+	"eidertrail/internal/slowstart"
+	"eidertrail/internal/telemetry"
 )
 
 // zones is a stand-in of four zones of two pools each, behind one trunk: a zone can go dark (connections
@@ -30,7 +30,7 @@
 	dark     map[string]bool
 	coldFrom map[string]time.Time // the zone came back then, cold
 	holding  map[string]int       // set-ups out and calls standing, by pool
-	rules    *rules.Checker
+	rules    *invariant.Checker
 	overCold int // set-ups that a cold pool had no room for
 	home     int // calls answered in batumi while it was up and warm
 	toCold   int // set-ups sent to cold pools
@@ -44,8 +44,8 @@
 
 func newZones(d *Dispatcher) *zones {
 	z := &zones{d: d, zoneOf: map[string]string{}, dark: map[string]bool{}, coldFrom: map[string]time.Time{},
-		holding: map[string]int{}, rules: rules.New(rules.Config{Release: 300_000, Sends: 2, Late: 20_000,
-			LeftGrace: 100_000, Start: coldstart.Start{Share: 3.0 / agents, For: coldFor.Microseconds(), Multiple: 3, After: 1_500_000}})}
+		holding: map[string]int{}, rules: invariant.New(invariant.Config{Release: 300_000, Sends: 2, Late: 20_000,
+			LeftGrace: 100_000, Start: slowstart.Start{Share: 3.0 / agents, For: coldFor.Microseconds(), Multiple: 3, After: 1_500_000}})}
 	for _, zone := range []string{"batumi", "tbilisi", "kutaisi", "telavi"} {
 		for _, n := range []string{"1", "2"} {
 			z.zoneOf[zone[:2]+n] = zone
@@ -169,8 +169,8 @@
 	calls, stood, gone          int
 	toCold, overCold, home      int
 	broken                      []string
-	left                        rules.Departures
-	ramp                        rules.Ramp
+	left                        invariant.Departures
+	ramp                        invariant.Ramp
 	count                       routing.Count
 }
 
@@ -203,7 +203,7 @@
 		set := settings()
 		set.Classes = []eidertrail.Class{{Name: "stop-sell", Aim: 1500 * time.Millisecond, Deadline: 6 * time.Second,
 			Worth: 5, Hold: standFor, Effect: eidertrail.Safe}}
-		count := &stats.Set{}
+		count := &telemetry.Set{}
 		log := zerolog.Nop()
 		if os.Getenv("EIDERTRAIL_TRACE") != "" {
 			log = zerolog.New(os.Stderr)
@@ -408,7 +408,7 @@
 				t.Errorf("class %d: %+v, %v, want verdict %d", class, p, err, want)
 			}
 		}
-		if n := r.count.Get(stats.GuardStopped); n != 0 {
+		if n := r.count.Get(telemetry.GuardStopped); n != 0 {
 			t.Errorf("the guard stopped %d sends: the module was not told", n)
 		}
 	})
--- a/dispatch/sites_test.go
+++ b/dispatch/sites_test.go
@@ -13,10 +13,10 @@
 
 	"eidertrail"
 	"eidertrail/internal/clock"
-	"eidertrail/internal/coldstart"
-	"eidertrail/internal/standin"
-	"eidertrail/internal/stats"
-	"eidertrail/rules"
+	"eidertrail/internal/invariant"
+	"eidertrail/internal/slowstart"
+	"eidertrail/internal/telemetry"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 // site is a deployment as the settings give it: what two sites set differently.
@@ -39,17 +39,17 @@
 	{"short of processors", 500 * time.Millisecond, 400 * time.Millisecond, 15 * time.Second, 0.29, 3, 3 * time.Second, 1200 * time.Millisecond, 9 * time.Second, 0},
 }
 
-func (s site) start() coldstart.Start {
-	return coldstart.Start{Share: s.share, For: s.cold.Microseconds(), Multiple: s.multi, After: s.after.Microseconds()}
+func (s site) start() slowstart.Start {
+	return slowstart.Start{Share: s.share, For: s.cold.Microseconds(), Multiple: s.multi, After: s.after.Microseconds()}
 }
 
 // fleet is several controllers in one bubble that share stand-in pools with processors.
 type fleet struct {
 	site
 	ds    []*Dispatcher
-	procs map[string]*standin.Processor
+	procs map[string]*fakeplatform.Processor
 	mu    sync.Mutex
-	rules *rules.Checker
+	rules *invariant.Checker
 	late  int // attempts that timed out
 	bad   []string
 	kinds map[FinalKind]int
@@ -68,14 +68,14 @@
 func onFleet(t *testing.T, s site, nodes, pools int, test func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
-		f := &fleet{site: s, procs: map[string]*standin.Processor{},
-			rules: rules.New(rules.Config{Release: s.release.Microseconds(), Sends: 2, Late: 20_000, LeftGrace: 100_000, Start: s.start()}), kinds: map[FinalKind]int{}, sent: map[string][]time.Time{}}
+		f := &fleet{site: s, procs: map[string]*fakeplatform.Processor{},
+			rules: invariant.New(invariant.Config{Release: s.release.Microseconds(), Sends: 2, Late: 20_000, LeftGrace: 100_000, Start: s.start()}), kinds: map[FinalKind]int{}, sent: map[string][]time.Time{}}
 		for i := range nodes {
 			told := cmp.Or(s.told, nodes)
 			set := eidertrail.Settings{Nodes: told, Index: i % told, Here: -1, Release: s.release, Resend: s.resend, MaxAttempts: 4,
 				Cold: s.cold, ColdShare: s.share, FallMultiple: s.multi, FallAfter: s.after, Tick: time.Millisecond,
 				Classes: []eidertrail.Class{{Name: "lookup", Aim: s.aim, Deadline: s.give, Worth: 1, Hold: 8 * time.Second}}}
-			d, err := New(set, 7, 2_000_000, clock.New(), zerolog.Nop(), &stats.Set{})
+			d, err := New(set, 7, 2_000_000, clock.New(), zerolog.Nop(), &telemetry.Set{})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -99,7 +99,7 @@
 
 // add lists a pool that started born ago to every controller, 0: long ago.
 func (f *fleet) add(uid string, born time.Duration) {
-	p := &standin.Processor{Work: 10 * time.Millisecond, MostWait: 2500 * time.Millisecond, ColdShare: f.share,
+	p := &fakeplatform.Processor{Work: 10 * time.Millisecond, MostWait: 2500 * time.Millisecond, ColdShare: f.share,
 		ColdFor: f.cold, FallMultiple: f.multi, FallAfter: f.after}
 	if born > 0 {
 		p.Start(time.Now().Add(-born))
--- a/example/example_test.go
+++ b/example/example_test.go
@@ -16,7 +16,7 @@
 	"testing"
 	"time"
 
-	"eidertrail/internal/standin"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 // soon bounds what is waited for: the machine may be busy.
@@ -272,7 +272,7 @@
 func TestFleetOfTwo(t *testing.T) {
 	s := newSection(t, "A fleet of two")
 	s.pool("-hold 200ms")
-	between := standin.NewDatagrams(t, 2, 1)
+	between := fakeplatform.NewDatagrams(t, 2, 1)
 	var members []*process
 	for i := range 2 {
 		path := fmt.Sprintf("example/fleet/n%d.json", i)
--- a/example/srvdns/main.go
+++ b/example/srvdns/main.go
@@ -15,7 +15,7 @@
 	"syscall"
 	"time"
 
-	"eidertrail/internal/standin"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 func main() {
@@ -25,7 +25,7 @@
 	ttl := flag.Uint("ttl", 5, "TTL of the records, in seconds")
 	churn := flag.Duration("churn", 0, "how often the last pool leaves and comes back; 0: never")
 	flag.Parse()
-	var targets []standin.Target
+	var targets []fakeplatform.Target
 	for i, a := range strings.Split(*pools, ",") {
 		host, port, err := net.SplitHostPort(a)
 		n, perr := strconv.ParseUint(port, 10, 16)
@@ -33,10 +33,10 @@
 			fmt.Fprintf(os.Stderr, "srvdns: -pools: %q is not address:port\n", a)
 			os.Exit(1)
 		}
-		targets = append(targets, standin.Target{Host: fmt.Sprintf("p%d.pools.example.org", i), Port: uint16(n),
+		targets = append(targets, fakeplatform.Target{Host: fmt.Sprintf("p%d.pools.example.org", i), Port: uint16(n),
 			Priority: 10, Weight: 10, IP: host, TTL: uint32(*ttl), Additional: true})
 	}
-	d, err := standin.StartDNS(*listen)
+	d, err := fakeplatform.StartDNS(*listen)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "srvdns:", err)
 		os.Exit(1)
--- a/example/toypool/main.go
+++ b/example/toypool/main.go
@@ -15,7 +15,7 @@
 	"sync"
 	"time"
 
-	"eidertrail/internal/sip"
+	"eidertrail/internal/backend/sip"
 )
 
 func main() {
--- a/pool/conn.go
+++ b/internal/backend/sippool/conn.go
@@ -1,4 +1,4 @@
-package pool
+package sippool
 
 import (
 	"bufio"
@@ -18,9 +18,9 @@
 	"github.com/rs/zerolog"
 
 	"eidertrail/dispatch"
-	"eidertrail/internal/bulletin"
-	"eidertrail/internal/sip"
-	"eidertrail/internal/stats"
+	"eidertrail/internal/backend/sip"
+	"eidertrail/internal/endpoint/endpointlist"
+	"eidertrail/internal/telemetry"
 )
 
 // run keeps one connection to the pool for as long as the pool is listed: states come on it unasked,
@@ -34,7 +34,7 @@
 		began := p.set.cfg.Clock.Now()
 		p.mu.Lock()
 		moved := p.listed.Address != address
-		want := p.listed.State != bulletin.Removed && !p.superseded
+		want := p.listed.State != endpointlist.Removed && !p.superseded
 		address = p.listed.Address
 		p.mu.Unlock()
 		if next != nil && (moved || !want || p.set.ctx.Err() != nil) {
@@ -132,7 +132,7 @@
 	}
 	p.mu.Unlock()
 	p.lose(cut)
-	p.set.cfg.Count.Add(stats.PoolConnections)
+	p.set.cfg.Count.Add(telemetry.PoolConnections)
 	p.set.cfg.Log.Debug().Str("pool", p.uid).Str("address", address).Msg("connected")
 
 	serving, end := context.WithCancel(p.set.ctx)
@@ -198,7 +198,7 @@
 	if ctx.Err() != nil {
 		return next, 0
 	}
-	p.set.cfg.Count.Add(stats.QuietPools)
+	p.set.cfg.Count.Add(telemetry.QuietPools)
 	p.mu.Lock()
 	c.silent, c.quietFrom = true, from
 	p.mu.Unlock()
@@ -231,7 +231,7 @@
 		case queued:
 			d.finish(dispatch.Ending{Outcome: dispatch.Moot, At: now, State: dispatch.Untold})
 		case out:
-			p.set.cfg.Count.Add(stats.Resets)
+			p.set.cfg.Count.Add(telemetry.Resets)
 			// It may have run, and its answer may be what was spoilt: what stands there stands for nobody.
 			p.bye(k, bye(p.set.cfg.Name, k, d.number, dispatch.CauseNormal))
 			d.finish(dispatch.Ending{Outcome: dispatch.Reset, At: now, State: dispatch.Untold})
@@ -288,7 +288,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	most := p.quiet()
-	if p.listed.State == bulletin.Draining {
+	if p.listed.State == endpointlist.Draining {
 		most = max(most, drainQuiet)
 	}
 	if c.doubtedAt > since {
@@ -343,7 +343,7 @@
 	case c.queue <- i:
 		return true
 	default:
-		c.pool.set.cfg.Count.Add(stats.SlowReaders)
+		c.pool.set.cfg.Count.Add(telemetry.SlowReaders)
 		c.close()
 		return false
 	}
@@ -403,7 +403,7 @@
 			err = c.handle(m)
 		}
 		if errors.Is(err, sip.ErrMalformed) || errors.Is(err, sip.ErrFraming) || errors.Is(err, os.ErrDeadlineExceeded) {
-			c.pool.set.cfg.Count.Add(stats.BadSIP)
+			c.pool.set.cfg.Count.Add(telemetry.BadSIP)
 			c.pool.set.cfg.Log.Warn().Str("pool", c.pool.uid).Err(err).Msg("bad SIP message")
 		}
 		if err != nil {
@@ -463,7 +463,7 @@
 		delete(c.unheard, m.CallID)
 		p.mu.Unlock()
 	case m.Method == "NOTIFY":
-		p.set.cfg.Count.Add(stats.Notifies)
+		p.set.cfg.Count.Add(telemetry.Notifies)
 		if c.toldAt > 0 {
 			p.heardAfter(now - c.toldAt)
 		}
@@ -472,7 +472,7 @@
 			p.set.cfg.Observe(p.uid, s)
 		}
 	case m.Method == "BYE":
-		p.set.cfg.Count.Add(stats.ByesIn)
+		p.set.cfg.Count.Add(telemetry.ByesIn)
 		c.send(sip.Answer(m, 200, "OK").Append(nil))
 		state, _ := p.set.state(m)
 		p.mu.Lock()
@@ -481,7 +481,7 @@
 		cause := m.Cause()
 		if g == nil {
 			if m.CallID != "" && !p.set.isEnded(m.CallID) {
-				p.set.cfg.Count.Add(stats.StrayByes)
+				p.set.cfg.Count.Add(telemetry.StrayByes)
 				p.set.remember(m.CallID)
 				if p.set.cfg.Stray != nil {
 					p.set.cfg.Stray(m.CallID, max(cause, dispatch.CauseNormal))
@@ -500,7 +500,7 @@
 		c.send(sip.Answer(m, 200, "OK").Append(nil))
 	case m.Method == "ACK":
 	default:
-		p.set.cfg.Count.Add(stats.BadSIP)
+		p.set.cfg.Count.Add(telemetry.BadSIP)
 		p.set.cfg.Log.Warn().Str("pool", p.uid).Str("method", m.Method).Msg("SIP method not known")
 		c.send(sip.Answer(m, 501, "Not Implemented").Append(nil))
 	}
@@ -561,8 +561,8 @@
 	default:
 		// Guards against an agent that is held for nobody: the answer crossed the CANCEL.
 		delete(c.dialogs, m.CallID)
-		p.set.cfg.Count.Add(stats.LateAnswers)
-		p.set.cfg.Count.Add(stats.ByesOut)
+		p.set.cfg.Count.Add(telemetry.LateAnswers)
+		p.set.cfg.Count.Add(telemetry.ByesOut)
 		c.send(bye(name, m.CallID, number, dispatch.CauseNormal))
 	}
 	return nil
@@ -572,17 +572,17 @@
 func (s *Set) refusal(now int64, m *sip.Message, state dispatch.State) dispatch.Ending {
 	e := dispatch.Ending{Outcome: dispatch.Errored, At: now, State: state}
 	note := m.Get("x-note")
-	count := stats.PoolErrors
+	count := telemetry.PoolErrors
 	switch {
 	case m.Status == 503:
-		count = stats.PoolFull
+		count = telemetry.PoolFull
 		if e.Outcome = dispatch.NoAgent; note == "swamped" {
 			e.Outcome = dispatch.ProcessorFull
 		}
 	case m.Status == 480:
 		e.Outcome = dispatch.Moot
 	case m.Status == 504:
-		e.Outcome, count = dispatch.Reset, stats.Resets
+		e.Outcome, count = dispatch.Reset, telemetry.Resets
 	case m.Status == 487:
 		e.Outcome = dispatch.Cancelled
 	}
--- a/pool/pool.go
+++ b/internal/backend/sippool/pool.go
@@ -1,7 +1,7 @@
 // Package pool keeps the connections to the sync pools: one a pool, on which
 // SIP dialogs are set up, called off and released, and on which the pools tell
 // the state of their groups. It implements dispatch.Trunk.
-package pool
+package sippool
 
 import (
 	"context"
@@ -14,9 +14,9 @@
 
 	"eidertrail"
 	"eidertrail/dispatch"
-	"eidertrail/internal/bulletin"
+	"eidertrail/internal/endpoint/endpointlist"
 	"eidertrail/internal/past"
-	"eidertrail/internal/stats"
+	"eidertrail/internal/telemetry"
 )
 
 // Config is what a Set is made with.
@@ -28,7 +28,7 @@
 	ReportRate     string // and the set-ups a second that the pool can take from all, "" for none
 	Clock          dispatch.Clock
 	Log            zerolog.Logger
-	Count          *stats.Set
+	Count          *telemetry.Set
 
 	// Dial opens a connection; nil: TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
@@ -126,7 +126,7 @@
 // Apply takes an event of the bulletin and tells the lines of the list that it changes. From then on no
 // INVITE is written to a pool that drains or is gone. A new pool is told of before it is connected to,
 // so that nothing is heard from a pool of which nobody knows.
-func (s *Set) Apply(e bulletin.Event, tell func([]dispatch.Server)) {
+func (s *Set) Apply(e endpointlist.Event, tell func([]dispatch.Server)) {
 	now := s.cfg.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -136,7 +136,7 @@
 	for _, l := range e.Pools {
 		listed[l.UID] = true
 		p := s.pools[l.UID]
-		if p == nil && l.State == bulletin.Removed {
+		if p == nil && l.State == endpointlist.Removed {
 			continue
 		}
 		if p == nil {
@@ -149,7 +149,7 @@
 		// Guards against a call for a pool that has gone reaching the one that now has its address:
 		// the bulletin tells of the new one first when it runs behind with the other's end.
 		for uid, other := range s.pools {
-			if uid != l.UID && l.State == bulletin.Up && other.supersede(now, l.Address) {
+			if uid != l.UID && l.State == endpointlist.Up && other.supersede(now, l.Address) {
 				lines = append(lines, other.line())
 			}
 		}
@@ -158,7 +158,7 @@
 		for uid, p := range s.pools {
 			if !listed[uid] {
 				gone := p.told()
-				gone.State = bulletin.Removed
+				gone.State = endpointlist.Removed
 				p.apply(now, gone)
 				lines = append(lines, p.line())
 			}
@@ -226,7 +226,7 @@
 	}
 	for _, p := range s.pools {
 		p.mu.Lock()
-		if p.conn != nil && p.listed.State != bulletin.Removed {
+		if p.conn != nil && p.listed.State != endpointlist.Removed {
 			p.conn.send(bye(s.cfg.Name, id, "stray", cause))
 		}
 		p.mu.Unlock()
@@ -268,7 +268,7 @@
 	kick chan struct{} // wakes run
 
 	mu         sync.Mutex
-	listed     bulletin.Pool
+	listed     endpointlist.Pool
 	superseded bool // its address is another's now
 	removedAt  int64
 	conn       *conn
@@ -285,19 +285,19 @@
 	byes              []item // releases that wait for a connection
 }
 
-func newPool(s *Set, l bulletin.Pool) *pool {
+func newPool(s *Set, l endpointlist.Pool) *pool {
 	return &pool{set: s, uid: l.UID, listed: l, kick: make(chan struct{}, 1), dialled: make(chan struct{}),
 		downSince: s.cfg.Clock.Now(), standing: map[string]*leg{}}
 }
 
-func (p *pool) told() bulletin.Pool {
+func (p *pool) told() endpointlist.Pool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.listed
 }
 
 // apply takes a line of the list.
-func (p *pool) apply(now int64, l bulletin.Pool) {
+func (p *pool) apply(now int64, l endpointlist.Pool) {
 	p.mu.Lock()
 	moved := l.Address != "" && l.Address != p.listed.Address
 	restarted := l.Born != p.listed.Born && l.Born > 0
@@ -305,16 +305,16 @@
 		l.Address = p.listed.Address
 	}
 	p.listed = l
-	if l.State == bulletin.Removed {
+	if l.State == endpointlist.Removed {
 		if p.removedAt == 0 {
 			p.removedAt = now
 		}
-	} else if l.State == bulletin.Up || moved {
+	} else if l.State == endpointlist.Up || moved {
 		// Guards against the drain of a pool whose address is another's by now, told late, making it that pool's again.
 		p.removedAt, p.superseded = 0, false
 	}
 	// Guards against an INVITE whose write is held up, as the pool does not read, leaving long after the drain was told.
-	if l.State != bulletin.Up && p.conn != nil && p.conn.inviting.Load() {
+	if l.State != endpointlist.Up && p.conn != nil && p.conn.inviting.Load() {
 		p.conn.raw.SetWriteDeadline(time.Now().Add(drainWrite))
 	}
 	var cut []*leg
@@ -337,7 +337,7 @@
 func (p *pool) supersede(now int64, address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.listed.Address != address || p.superseded || p.listed.State == bulletin.Removed {
+	if p.listed.Address != address || p.superseded || p.listed.State == endpointlist.Removed {
 		return false
 	}
 	p.superseded, p.removedAt = true, now
@@ -352,16 +352,16 @@
 	defer p.mu.Unlock()
 	l := dispatch.Server{UID: p.uid, Group: p.listed.Group, Zone: p.listed.Zone, Born: p.listed.Born, Mode: eidertrail.Ready}
 	switch {
-	case p.superseded || p.listed.State == bulletin.Removed:
+	case p.superseded || p.listed.State == endpointlist.Removed:
 		l.Mode = eidertrail.Gone
-	case p.listed.State == bulletin.Draining:
+	case p.listed.State == endpointlist.Draining:
 		l.Mode = eidertrail.Draining
 	}
 	return l
 }
 
 // eligible tells whether an INVITE may be written now. The caller holds mu.
-func (p *pool) eligible() bool { return p.listed.State == bulletin.Up && !p.superseded }
+func (p *pool) eligible() bool { return p.listed.State == endpointlist.Up && !p.superseded }
 
 func (p *pool) wake() {
 	select {
@@ -374,7 +374,7 @@
 func (p *pool) cut(legs []*leg) {
 	for _, g := range legs {
 		if g.end(dispatch.Ending{Outcome: dispatch.Reset, At: p.set.cfg.Clock.Now(), State: dispatch.Untold, Cause: dispatch.CauseCut}) {
-			p.set.cfg.Count.Add(stats.CutCalls)
+			p.set.cfg.Count.Add(telemetry.CutCalls)
 		}
 	}
 }
@@ -438,7 +438,7 @@
 	}
 	p.mu.Unlock()
 	for _, g := range legs {
-		p.set.cfg.Count.Add(stats.DoubtedCalls)
+		p.set.cfg.Count.Add(telemetry.DoubtedCalls)
 		p.set.cfg.Log.Warn().Str("pool", p.uid).Str("call", g.id).Msg("end of call may have been lost, it is released")
 		g.release(dispatch.Ending{Outcome: dispatch.Reset, At: now, State: dispatch.Untold, Cause: dispatch.CauseCut})
 	}
--- a/pool/pool_test.go
+++ b/internal/backend/sippool/pool_test.go
@@ -1,4 +1,4 @@
-package pool
+package sippool
 
 import (
 	"context"
@@ -15,20 +15,20 @@
 
 	"eidertrail"
 	"eidertrail/dispatch"
-	"eidertrail/internal/bulletin"
 	"eidertrail/internal/clock"
-	"eidertrail/internal/standin"
-	"eidertrail/internal/stats"
+	"eidertrail/internal/endpoint/endpointlist"
+	"eidertrail/internal/telemetry"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 // rig is a set with one stand-in pool, p1, that is up. What the pool gets is in got.
 type rig struct {
 	*Set
 	t       *testing.T
-	at      *standin.Pool
+	at      *fakeplatform.Pool
 	clock   *clock.Clock
 	mu      sync.Mutex
-	got     []standin.Request // under mu
+	got     []fakeplatform.Request // under mu
 	strays, // under mu, as seen
 	seen []string
 	lines []dispatch.Server
@@ -42,22 +42,22 @@
 
 func onRig(t *testing.T, test func(r *rig)) {
 	ctx, stop := context.WithCancel(context.Background())
-	r := &rig{t: t, at: &standin.Pool{}, clock: clock.New()}
-	r.at.OnRequest = func(q standin.Request) {
+	r := &rig{t: t, at: &fakeplatform.Pool{}, clock: clock.New()}
+	r.at.OnRequest = func(q fakeplatform.Request) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.got = append(r.got, q)
 	}
 	r.Set = NewSet(ctx, Config{
 		Name: "n0", ConnectTimeout: 500_000, ReportFree: "idle", ReportAgents: "circuits", Clock: r.clock,
-		Log: zerolog.Nop(), Count: &stats.Set{}, Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		Log: zerolog.Nop(), Count: &telemetry.Set{}, Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			r.dials.Add(1)
 			return r.at.Dial(ctx, address)
 		},
 		Observe: func(uid string, s dispatch.State) { r.note(&r.seen, uid) },
 		Stray:   func(id string, _ int) { r.note(&r.strays, id) },
 	})
-	r.list("p1", "10.0.0.1:5060", bulletin.Up)
+	r.list("p1", "10.0.0.1:5060", endpointlist.Up)
 	synctest.Wait()
 	test(r)
 	stop()
@@ -71,18 +71,18 @@
 	*in = append(*in, what)
 }
 
-func (r *rig) list(uid, address string, state bulletin.State) {
-	r.Apply(bulletin.Event{Pools: []bulletin.Pool{{UID: uid, Address: address, State: state}}},
+func (r *rig) list(uid, address string, state endpointlist.State) {
+	r.Apply(endpointlist.Event{Pools: []endpointlist.Pool{{UID: uid, Address: address, State: state}}},
 		func(l []dispatch.Server) { r.lines = l })
 }
 
 // sent tells the methods that the pool has got, and takes the last INVITE.
-func (r *rig) sent() (string, standin.Request) {
+func (r *rig) sent() (string, fakeplatform.Request) {
 	synctest.Wait()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var all []string
-	var last standin.Request
+	var last fakeplatform.Request
 	for _, q := range r.got {
 		all = append(all, q.Method)
 		if q.Method == "INVITE" {
@@ -122,7 +122,7 @@
 	}
 }
 
-func (r *rig) wantSent(want string) standin.Request {
+func (r *rig) wantSent(want string) fakeplatform.Request {
 	r.t.Helper()
 	got, last := r.sent()
 	if got != want {
@@ -327,7 +327,7 @@
 	})
 	bubble(t, func(r *rig) { // a pool that does not read loses its connection, and blocks nobody
 		stuck := make(chan struct{})
-		r.at.OnRequest = func(standin.Request) { <-stuck }
+		r.at.OnRequest = func(fakeplatform.Request) { <-stuck }
 		r.invite("c1", 0, time.Minute)
 		x := r.invite("c2", 0, time.Minute)
 		time.Sleep(3 * time.Second)
@@ -338,7 +338,7 @@
 
 func TestDrainIsKeptWhenTheInviteIsWritten(t *testing.T) {
 	bubble(t, func(r *rig) {
-		r.list("p1", "10.0.0.1:5060", bulletin.Draining)
+		r.list("p1", "10.0.0.1:5060", endpointlist.Draining)
 		if r.lines[0].Mode != eidertrail.Draining {
 			t.Errorf("told %+v", r.lines)
 		}
@@ -365,7 +365,7 @@
 			}
 			r.want(x, want)
 		}
-		if n := r.cfg.Count.Get(stats.StaleStopped); n != 1 {
+		if n := r.cfg.Count.Get(telemetry.StaleStopped); n != 1 {
 			t.Errorf("%d set-ups stopped as stale", n)
 		}
 	})
@@ -407,7 +407,7 @@
 func TestDrainEndsAWriteThatIsHeldUp(t *testing.T) {
 	bubble(t, func(r *rig) {
 		stuck := make(chan struct{})
-		r.at.OnRequest = func(q standin.Request) {
+		r.at.OnRequest = func(q fakeplatform.Request) {
 			r.note(&r.seen, q.Method+" "+q.CallID)
 			<-stuck
 		}
@@ -415,7 +415,7 @@
 		synctest.Wait()
 		x := r.invite("c2", 0, time.Minute)
 		synctest.Wait()
-		r.list("p1", "10.0.0.1:5060", bulletin.Draining)
+		r.list("p1", "10.0.0.1:5060", endpointlist.Draining)
 		time.Sleep(drainWrite + time.Millisecond)
 		r.want(x, dispatch.Reset)
 		close(stuck)
@@ -432,8 +432,8 @@
 // the new pool gone for good; and against a test being held up by a pool that has no address any more.
 func TestALateDrainTakesNoAddressBack(t *testing.T) {
 	bubble(t, func(r *rig) {
-		r.list("p2", "10.0.0.1:5060", bulletin.Up)
-		r.list("p1", "10.0.0.1:5060", bulletin.Draining)
+		r.list("p2", "10.0.0.1:5060", endpointlist.Up)
+		r.list("p1", "10.0.0.1:5060", endpointlist.Draining)
 		synctest.Wait()
 		for _, l := range r.lines {
 			if l.UID == "p2" || l.Mode != eidertrail.Gone {
@@ -455,7 +455,7 @@
 		r.mu.Lock()
 		waits := r.got[0]
 		r.mu.Unlock()
-		r.list("p1", "10.0.0.1:5060", bulletin.Draining)
+		r.list("p1", "10.0.0.1:5060", endpointlist.Draining)
 		r.want(r.invite("c3", 0, time.Minute), dispatch.Moot)
 		time.Sleep(500 * time.Millisecond)
 		waits.Answer(200, "", "a\r\n")
@@ -476,7 +476,7 @@
 // Guards against a call meant for a pool that has gone reaching the one that has its address now.
 func TestAddressPassesToAnotherPool(t *testing.T) {
 	bubble(t, func(r *rig) {
-		r.list("p2", "10.0.0.1:5060", bulletin.Up)
+		r.list("p2", "10.0.0.1:5060", endpointlist.Up)
 		if len(r.lines) != 2 || r.lines[1].UID != "p1" || r.lines[1].Mode != eidertrail.Gone {
 			t.Errorf("told %+v", r.lines)
 		}
@@ -494,7 +494,7 @@
 		x := r.invite("c1", 0, time.Minute)
 		r.wantSent("INVITE").Answer(200, "", "a\r\n")
 		r.want(x, dispatch.Answered)
-		r.Apply(bulletin.Event{All: true}, func(l []dispatch.Server) { r.lines = l })
+		r.Apply(endpointlist.Event{All: true}, func(l []dispatch.Server) { r.lines = l })
 		if r.lines[0].Mode != eidertrail.Gone {
 			t.Errorf("told %+v", r.lines)
 		}
@@ -508,21 +508,21 @@
 	bubble(t, func(r *rig) {
 		for i, uid := range []string{"p2", "p3", "p4"} { // each takes the address of the one before
 			old := []string{"p1", "p2", "p3"}[i]
-			r.list(uid, "10.0.0.1:5060", bulletin.Up)
-			r.list(old, "", bulletin.Removed)
+			r.list(uid, "10.0.0.1:5060", endpointlist.Up)
+			r.list(old, "", endpointlist.Removed)
 			time.Sleep(2 * time.Second)
 		}
-		r.list("p1", "", bulletin.Removed) // said again, of one that is forgotten
+		r.list("p1", "", endpointlist.Removed) // said again, of one that is forgotten
 		synctest.Wait()
 		if len(r.Set.pools) != 1 || r.at.Open() != 1 {
 			t.Fatalf("%d pools kept, %d connections, want those of p4", len(r.Set.pools), r.at.Open())
 		}
-		r.list("p4", "", bulletin.Removed)
+		r.list("p4", "", endpointlist.Removed)
 		x := r.invite("c1", 0, time.Minute)
 		r.want(x, dispatch.Moot)
 		time.Sleep(2 * time.Second)
 		r.Wait() // every goroutine has ended, though the set lives on
-		r.list("p4", "10.0.0.1:5060", bulletin.Up)
+		r.list("p4", "10.0.0.1:5060", endpointlist.Up)
 		synctest.Wait()
 		if connected, _ := r.Connected(); connected != 1 {
 			t.Error("a pool that is listed again is not connected to")
@@ -533,7 +533,7 @@
 		r.at.Drop()
 		synctest.Wait()
 		x := r.invite("c1", 0, time.Minute)
-		r.list("p1", "", bulletin.Removed)
+		r.list("p1", "", endpointlist.Removed)
 		y := r.invite("c2", 0, time.Minute)
 		time.Sleep(2 * time.Second)
 		r.want(x, dispatch.ConnectFailed)
@@ -830,7 +830,7 @@
 		bubble(t, func(r *rig) {
 			x := stand(r)
 			if told {
-				r.list("p1", "10.0.0.1:5060", bulletin.Draining)
+				r.list("p1", "10.0.0.1:5060", endpointlist.Draining)
 			}
 			time.Sleep(6 * time.Second)
 			synctest.Wait()
@@ -948,7 +948,7 @@
 // FuzzDialog checks random steps of one call's dialogs with the pool against a model of their states:
 // never two set-ups at once, a leg exactly when a 200 came first, and a BYE for every other 200.
 func FuzzDialog(f *testing.F) {
-	standin.Fuzz(f, []string{"000100", "0002001300", "000310", "00040010", "0001000500", "00060001", "0003020100", "000700",
+	fakeplatform.Fuzz(f, []string{"000100", "0002001300", "000310", "00040010", "0001000500", "00060001", "0003020100", "000700",
 		"00600060700000"},
 		func(t *testing.T, script []byte) {
 			onRig(t, func(r *rig) {
@@ -972,7 +972,7 @@
 					}
 					return out, released
 				}
-				last := func() (q standin.Request) { _, q = r.sent(); return q }
+				last := func() (q fakeplatform.Request) { _, q = r.sent(); return q }
 				steps := []func(byte){
 					func(byte) {
 						if x == nil || x.done && x.leg == nil {
@@ -1008,10 +1008,10 @@
 						r.got = nil
 						r.mu.Unlock()
 					},
-					func(byte) { r.list("p1", "10.0.0.1:5060", bulletin.Draining) },
-					func(byte) { r.list("p1", "10.0.0.1:5060", bulletin.Up) },
+					func(byte) { r.list("p1", "10.0.0.1:5060", endpointlist.Draining) },
+					func(byte) { r.list("p1", "10.0.0.1:5060", endpointlist.Up) },
 				}
-				standin.Play(script, steps, func() {
+				fakeplatform.Play(script, steps, func() {
 					out, released := outside()
 					if x != nil && x.done && out {
 						t.Fatal("ended, and still out")
--- a/config/characterization_deploy_test.go
+++ b/internal/config/characterization_deploy_test.go
@@ -24,7 +24,7 @@
 // The platform's file has exactly its keys, of the right types, with commands as the platform wants them and paths that
 // are there.
 func TestCharacterization_DeployFile(t *testing.T) {
-	const root = ".."
+	const root = "../.."
 	path := filepath.Join(root, "deploy", "balancer.toml")
 	keys := map[string]any{}
 	if _, err := toml.DecodeFile(path, &keys); err != nil {
--- a/config/characterization_test.go
+++ b/internal/config/characterization_test.go
@@ -4,7 +4,7 @@
 // platform writes for it, so that a change of names and structure can be shown to change nothing. Inputs (*.toml, *.json)
 // and recorded results (*.txt) are in testdata/characterization. On a purposeful change the results are written anew by
 //
-//	EIDERTRAIL_UPDATE=1 go test ./config -run TestCharacterization
+//	EIDERTRAIL_UPDATE=1 go test ./internal/config -run TestCharacterization
 //
 // and the commit has to say why they differ. Without that variable a missing or different file fails the test.
 
@@ -25,12 +25,12 @@
 	"time"
 
 	"eidertrail"
-	"eidertrail/cluster"
-	"eidertrail/config"
-	"eidertrail/internal/bulletin"
 	"eidertrail/internal/clock"
+	"eidertrail/internal/config"
+	"eidertrail/internal/endpoint/endpointlist"
+	"eidertrail/internal/fleet/swim"
 	"eidertrail/internal/remedy"
-	"eidertrail/rollout/runner"
+	"eidertrail/internal/rollout/runner"
 )
 
 // fileKind is one kind of file that the program reads.
@@ -488,7 +488,7 @@
 // lateStart is the boot_ms that the full file gives a pool; its clock reading depends on when the test runs.
 const lateStart = 4102444800000
 
-func encodeKnown(e *encoding, known bulletin.Page, now *clock.Clock) {
+func encodeKnown(e *encoding, known endpointlist.Page, now *clock.Clock) {
 	e.integer("known.no", known.No)
 	e.count("known.items", len(known.Items))
 	for i, item := range known.Items {
@@ -510,11 +510,11 @@
 				e.add(at+"born", "another time")
 			}
 			switch pool.State {
-			case bulletin.Up:
+			case endpointlist.Up:
 				e.add(at+"state", "up")
-			case bulletin.Draining:
+			case endpointlist.Draining:
 				e.add(at+"state", "draining")
-			case bulletin.Removed:
+			case endpointlist.Removed:
 				e.add(at+"state", "removed")
 			default:
 				e.add(at+"state", "unknown")
@@ -618,7 +618,7 @@
 	return e, nil
 }
 
-func encodeNode(e *encoding, node cluster.Config) {
+func encodeNode(e *encoding, node swim.Config) {
 	e.count("node.self", node.Self)
 	e.count("node.members", node.Members)
 	e.integer("node.interval_us", node.Interval)
@@ -629,7 +629,7 @@
 	e.count("node.retransmit", node.Retransmit)
 }
 
-func encodeBudget(e *encoding, b *config.Budget, node cluster.Config) {
+func encodeBudget(e *encoding, b *config.Budget, node swim.Config) {
 	if b == nil {
 		e.add("budget", "none")
 		return
--- a/config/cluster.go
+++ b/internal/config/cluster.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"eidertrail/cluster"
-	"eidertrail/cluster/budget"
+	"eidertrail/internal/fleet/quota"
+	"eidertrail/internal/fleet/swim"
 )
 
 // Cluster is the configuration of membership among controllers (deploy/cluster.toml). Where the members are is
@@ -35,7 +35,7 @@
 // regionName is what a region may be called.
 var regionName = regexp.MustCompile(`^[A-Za-z0-9._-]+$`)
 
-func (c *Cluster) checkRegions(n cluster.Config) error {
+func (c *Cluster) checkRegions(n swim.Config) error {
 	name := func(field, text string) error {
 		if len(text) > MostRegion || !regionName.MatchString(text) {
 			return fmt.Errorf("%s: %.40q: want letters, digits or ._-, %d at the most", field, text, MostRegion)
@@ -78,8 +78,8 @@
 const UnitsOwned = 1000
 
 // Ledger is the books' configuration for the member of n; life is another at each start.
-func (b *Budget) Ledger(n cluster.Config, life uint32) budget.Config {
-	return budget.Config{Self: n.Self, Members: n.Members, Life: life, Unit: UnitsOwned, Keep: int(b.Keep * UnitsOwned),
+func (b *Budget) Ledger(n swim.Config, life uint32) quota.Config {
+	return quota.Config{Self: n.Self, Members: n.Members, Life: life, Unit: UnitsOwned, Keep: int(b.Keep * UnitsOwned),
 		TTL: b.Lease.Microseconds(), Margin: b.Margin.Microseconds()}
 }
 
@@ -109,8 +109,8 @@
 
 // Node is the membership's configuration for the controller of cfg, against which the file is checked. Where only
 // regions are named, the controller's own becomes Region.
-func (c *Cluster) Node(cfg *Config) (cluster.Config, error) {
-	n := cluster.Config{Self: cfg.Settings.Index, Members: len(cfg.Peers), Interval: c.ProbeInterval.Microseconds(),
+func (c *Cluster) Node(cfg *Config) (swim.Config, error) {
+	n := swim.Config{Self: cfg.Settings.Index, Members: len(cfg.Peers), Interval: c.ProbeInterval.Microseconds(),
 		Timeout: c.ProbeTimeout.Microseconds(), Indirect: c.Indirect, SuspicionMult: c.SuspicionMult,
 		SuspicionMax: c.SuspicionMax, Retransmit: c.Retransmit}
 	if cfg.PeerListen == "" || len(cfg.Peers) == 0 {
--- a/config/config.go
+++ b/internal/config/config.go
@@ -17,9 +17,9 @@
 	"github.com/tidwall/gjson"
 
 	"eidertrail"
-	"eidertrail/internal/bulletin"
 	"eidertrail/internal/clock"
-	"eidertrail/routing"
+	"eidertrail/internal/endpoint/endpointlist"
+	"eidertrail/internal/routing"
 )
 
 // Config is the configuration of one session controller.
@@ -30,7 +30,7 @@
 	MemoryMB int
 	Sockets  int
 	Bulletin string // address, "" for none
-	Known    bulletin.Page
+	Known    endpointlist.Page
 
 	PeerListen string   // UDP, "" where the platform gives no way between controllers
 	Peers      []string // by number, the own one included
@@ -85,7 +85,7 @@
 		return nil, r.err
 	}
 	if known := r.root.Get("known"); known.Exists() {
-		page, err := bulletin.ParsePage([]byte(known.Raw), now)
+		page, err := endpointlist.ParsePage([]byte(known.Raw), now)
 		if err != nil {
 			return nil, fmt.Errorf("config: known: %w", err)
 		}
--- a/config/config_test.go
+++ b/internal/config/config_test.go
@@ -153,7 +153,7 @@
 			t.Errorf("%q: %v", text, err)
 		}
 	}
-	if _, err := LoadCallControl("../deploy/callcontrol.toml"); err != nil {
+	if _, err := LoadCallControl("../../deploy/callcontrol.toml"); err != nil {
 		t.Errorf("the file under deploy/: %v", err)
 	}
 }
--- a/config/discovery.go
+++ b/internal/config/discovery.go
@@ -8,8 +8,8 @@
 
 	"github.com/miekg/dns"
 
-	"eidertrail/discovery/srv"
-	"eidertrail/membership"
+	"eidertrail/internal/endpoint/endpointset"
+	"eidertrail/internal/endpoint/srv"
 )
 
 // Discovery is the configuration of DNS SRV as a source of sync pools (deploy/discovery.toml).
@@ -39,8 +39,8 @@
 }
 
 // Membership is what the pool set keeps, in µs.
-func (d *Discovery) Membership() membership.Config {
-	return membership.Config{StaleFor: d.StaleFor.Microseconds(), DrainFor: d.DrainFor.Microseconds(),
+func (d *Discovery) Membership() endpointset.Config {
+	return endpointset.Config{StaleFor: d.StaleFor.Microseconds(), DrainFor: d.DrainFor.Microseconds(),
 		Tombstone: d.Tombstone.Microseconds(), MostRecords: d.MostRecords, MostPools: 1024}
 }
 
--- a/config/routing.go
+++ b/internal/config/routing.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"eidertrail/routing"
+	"eidertrail/internal/routing"
 )
 
 // Routing is the configuration of zone-aware routing (deploy/routing.toml).
--- a/internal/bulletin/bulletin_test.go
+++ b/internal/endpoint/endpointlist/bulletin_test.go
@@ -1,4 +1,4 @@
-package bulletin
+package endpointlist
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"eidertrail/internal/clock"
-	"eidertrail/internal/stats"
+	"eidertrail/internal/telemetry"
 )
 
 func page(no int, state string) string {
@@ -73,13 +73,13 @@
 	}))
 	defer s.Close()
 	var told []int64
-	count := &stats.Set{}
+	count := &telemetry.Set{}
 	Watch(ctx, strings.TrimPrefix(s.URL, "http://"), Page{No: 3}, nil, clock.New(), zerolog.Nop(), count, func(e Event) { told = append(told, e.No) })
 	if got := fmt.Sprint(told); got != "[4 5 1]" {
 		t.Errorf("told %s", got)
 	}
-	if got := fmt.Sprint(asked); got != "[3 4 4 4 4 5 1]" || count.Get(stats.BulletinErrors) != 2 {
-		t.Errorf("asked after %s, %d errors", got, count.Get(stats.BulletinErrors))
+	if got := fmt.Sprint(asked); got != "[3 4 4 4 4 5 1]" || count.Get(telemetry.BulletinErrors) != 2 {
+		t.Errorf("asked after %s, %d errors", got, count.Get(telemetry.BulletinErrors))
 	}
 }
 
--- a/internal/bulletin/fence.go
+++ b/internal/endpoint/endpointlist/fence.go
@@ -1,4 +1,4 @@
-package bulletin
+package endpointlist
 
 import (
 	"fmt"
--- a/internal/bulletin/order_test.go
+++ b/internal/endpoint/endpointlist/order_test.go
@@ -1,4 +1,4 @@
-package bulletin
+package endpointlist
 
 import (
 	"context"
@@ -17,7 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"eidertrail/internal/clock"
-	"eidertrail/internal/standin"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 // item is an event of s-1, at 127.0.0.3:5060 and never started late.
@@ -294,7 +294,7 @@
 		for phase := range 50 { // the outage's end falls anywhere between two tries
 			synctest.Test(t, func(t *testing.T) {
 				ctx, stop := context.WithCancel(t.Context())
-				l := standin.NewListener()
+				l := fakeplatform.NewListener()
 				s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, answer(4, item(4, "draining"))) })}
 				go s.Serve(l)
 				back := time.Now().Add(8*time.Second + time.Duration(phase)*21*time.Millisecond)
@@ -326,7 +326,7 @@
 func TestASilentWatchIsNoticed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
-		l := standin.NewListener()
+		l := fakeplatform.NewListener()
 		var n atomic.Int64
 		s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if n.Add(1) == 1 {
--- a/membership/membership.go
+++ b/internal/endpoint/endpointset/membership.go
@@ -17,7 +17,7 @@
 //
 // So a pool gets new set-ups only while no source has given it up: a missed pool
 // costs capacity, a set-up to a pool that is gone breaks a rule.
-package membership
+package endpointset
 
 import (
 	"cmp"
--- a/membership/membership_test.go
+++ b/internal/endpoint/endpointset/membership_test.go
@@ -1,4 +1,4 @@
-package membership
+package endpointset
 
 import (
 	"errors"
--- a/heartbeat/heartbeat.go
+++ b/internal/endpoint/liveness/heartbeat.go
@@ -5,7 +5,7 @@
 //
 // It narrows what the decision module may choose from, as a drain does, and never chooses. It does no I/O
 // and reads no clock: every call is given the time in µs. A Monitor is not safe for concurrent use.
-package heartbeat
+package liveness
 
 import (
 	"math"
--- a/heartbeat/heartbeat_test.go
+++ b/internal/endpoint/liveness/heartbeat_test.go
@@ -1,4 +1,4 @@
-package heartbeat
+package liveness
 
 import (
 	"fmt"
--- a/discovery/srv/answer.go
+++ b/internal/endpoint/srv/answer.go
@@ -18,7 +18,7 @@
 
 	"github.com/miekg/dns"
 
-	"eidertrail/membership"
+	"eidertrail/internal/endpoint/endpointset"
 )
 
 // The kinds of failure. A failure keeps the last good set; see membership.
@@ -166,8 +166,8 @@
 // Records makes pools of the SRV records whose targets have addresses: for each, the lowest IPv4
 // address, else the lowest IPv6 one, so that the address stays while the target's set does. The TTL is
 // the least of the SRV's and the address's, in µs. Targets without an address are left out.
-func Records(r Result, addresses map[string][]Address) []membership.Record {
-	var out []membership.Record
+func Records(r Result, addresses map[string][]Address) []endpointset.Record {
+	var out []endpointset.Record
 	for _, s := range r.SRV {
 		as := addresses[s.Target]
 		if len(as) == 0 {
@@ -183,7 +183,7 @@
 			}
 			return strings.Compare(a.IP.String(), b.IP.String())
 		})
-		out = append(out, membership.Record{
+		out = append(out, endpointset.Record{
 			Target: s.Target, Address: net.JoinHostPort(best.IP.String(), strconv.Itoa(int(s.Port))),
 			Priority: s.Priority, Weight: s.Weight, TTL: int64(min(s.TTL, best.TTL)) * 1_000_000,
 		})
--- a/discovery/srv/resolver.go
+++ b/internal/endpoint/srv/resolver.go
@@ -9,7 +9,7 @@
 
 	"github.com/miekg/dns"
 
-	"eidertrail/membership"
+	"eidertrail/internal/endpoint/endpointset"
 )
 
 // Resolver asks one DNS server. It is safe for concurrent use.
@@ -21,11 +21,11 @@
 
 // Answer is what one look-up found.
 type Answer struct {
-	Records     []membership.Record // the pools, with their TTLs; empty: the name has none now
-	NegativeTTL int64               // µs, for an empty answer: how long it holds, 0: not told
-	Queries     int                 // questions asked, over both transports
-	Truncated   int                 // UDP answers with the TC bit
-	Unresolved  int                 // SRV targets without an address
+	Records     []endpointset.Record // the pools, with their TTLs; empty: the name has none now
+	NegativeTTL int64                // µs, for an empty answer: how long it holds, 0: not told
+	Queries     int                  // questions asked, over both transports
+	Truncated   int                  // UDP answers with the TC bit
+	Unresolved  int                  // SRV targets without an address
 }
 
 // Lookup asks for the SRV records of name and the addresses of their targets. A failure of the SRV
--- a/discovery/srv/srv_test.go
+++ b/internal/endpoint/srv/srv_test.go
@@ -8,27 +8,27 @@
 
 	"github.com/miekg/dns"
 
-	"eidertrail/discovery/srv"
-	"eidertrail/internal/standin"
+	"eidertrail/internal/endpoint/srv"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 const name = "_sip._tcp.g1.pools.example.org"
 
-func resolver(d *standin.DNS) *srv.Resolver {
+func resolver(d *fakeplatform.DNS) *srv.Resolver {
 	return &srv.Resolver{Server: d.Addr, Timeout: 300 * time.Millisecond}
 }
 
-func twoPools(d *standin.DNS, ttl uint32, additional bool) {
+func twoPools(d *fakeplatform.DNS, ttl uint32, additional bool) {
 	d.SetSRV(name, ttl,
-		standin.Target{Host: "b.pools.example.org", Port: 5060, Priority: 10, Weight: 1, IP: "127.0.0.12", TTL: ttl, Additional: additional},
-		standin.Target{Host: "a.pools.example.org", Port: 5061, Priority: 10, Weight: 5, IP: "127.0.0.11", TTL: ttl, Additional: additional},
-		standin.Target{Host: "c.pools.example.org", Port: 5062, Priority: 20, Weight: 9, IP: "127.0.0.13", TTL: ttl, Additional: additional},
+		fakeplatform.Target{Host: "b.pools.example.org", Port: 5060, Priority: 10, Weight: 1, IP: "127.0.0.12", TTL: ttl, Additional: additional},
+		fakeplatform.Target{Host: "a.pools.example.org", Port: 5061, Priority: 10, Weight: 5, IP: "127.0.0.11", TTL: ttl, Additional: additional},
+		fakeplatform.Target{Host: "c.pools.example.org", Port: 5062, Priority: 20, Weight: 9, IP: "127.0.0.13", TTL: ttl, Additional: additional},
 	)
 }
 
 func TestLookupOrdersByPriorityAndWeight(t *testing.T) {
 	for _, additional := range []bool{true, false} {
-		d := standin.NewDNS(t)
+		d := fakeplatform.NewDNS(t)
 		twoPools(d, 30, additional)
 		a, err := resolver(d).Lookup(context.Background(), name)
 		if err != nil {
@@ -53,9 +53,9 @@
 }
 
 func TestTruncatedAnswerIsAskedAgainOverTCP(t *testing.T) {
-	d := standin.NewDNS(t)
+	d := fakeplatform.NewDNS(t)
 	twoPools(d, 30, true)
-	d.SetMode(standin.Truncate)
+	d.SetMode(fakeplatform.Truncate)
 	a, err := resolver(d).Lookup(context.Background(), name)
 	if err != nil || len(a.Records) != 3 || a.Truncated != 1 {
 		t.Fatalf("%+v, %v: want three pools by TCP after one truncated answer", a, err)
@@ -66,18 +66,18 @@
 }
 
 func TestTruncatedAnswerWithTCPFailingIsAFailure(t *testing.T) {
-	d := standin.NewDNS(t)
+	d := fakeplatform.NewDNS(t)
 	twoPools(d, 30, true)
-	d.SetMode(standin.TruncateNoTCP)
+	d.SetMode(fakeplatform.TruncateNoTCP)
 	if _, err := resolver(d).Lookup(context.Background(), name); err == nil {
 		t.Fatal("no error when TCP fails too")
 	}
 }
 
 func TestOversizeUDPAnswerGoesToTCP(t *testing.T) {
-	d := standin.NewDNS(t)
+	d := fakeplatform.NewDNS(t)
 	twoPools(d, 30, true)
-	d.SetMode(standin.Oversize)
+	d.SetMode(fakeplatform.Oversize)
 	a, err := resolver(d).Lookup(context.Background(), name)
 	if err != nil || len(a.Records) != 3 {
 		t.Fatalf("%+v, %v", a, err)
@@ -86,17 +86,17 @@
 
 func TestFailuresAreErrors(t *testing.T) {
 	for _, c := range []struct {
-		mode standin.DNSMode
+		mode fakeplatform.DNSMode
 		is   error
 	}{
-		{standin.ServFail, srv.ErrServer},
-		{standin.Refused, srv.ErrServer},
-		{standin.WrongQuestion, srv.ErrBadAnswer},
-		{standin.Silent, nil},
-		{standin.Garbage, nil},
-		{standin.WrongID, nil},
+		{fakeplatform.ServFail, srv.ErrServer},
+		{fakeplatform.Refused, srv.ErrServer},
+		{fakeplatform.WrongQuestion, srv.ErrBadAnswer},
+		{fakeplatform.Silent, nil},
+		{fakeplatform.Garbage, nil},
+		{fakeplatform.WrongID, nil},
 	} {
-		d := standin.NewDNS(t)
+		d := fakeplatform.NewDNS(t)
 		twoPools(d, 30, true)
 		d.SetMode(c.mode)
 		_, err := resolver(d).Lookup(context.Background(), name)
@@ -107,7 +107,7 @@
 }
 
 func TestEmptyAnswersAreGoodAnswers(t *testing.T) {
-	d := standin.NewDNS(t)
+	d := fakeplatform.NewDNS(t)
 	r := resolver(d)
 	// NXDOMAIN: the name is not there.
 	a, err := r.Lookup(context.Background(), name)
@@ -127,9 +127,9 @@
 }
 
 func TestTargetWithoutAddressIsLeftOut(t *testing.T) {
-	d := standin.NewDNS(t)
-	d.SetSRV(name, 30, standin.Target{Host: "a.pools.example.org", Port: 5060, IP: "127.0.0.11", TTL: 30},
-		standin.Target{Host: "lost.pools.example.org", Port: 5060})
+	d := fakeplatform.NewDNS(t)
+	d.SetSRV(name, 30, fakeplatform.Target{Host: "a.pools.example.org", Port: 5060, IP: "127.0.0.11", TTL: 30},
+		fakeplatform.Target{Host: "lost.pools.example.org", Port: 5060})
 	a, err := resolver(d).Lookup(context.Background(), name)
 	if err != nil || len(a.Records) != 1 || a.Unresolved != 1 {
 		t.Fatalf("%+v, %v", a, err)
@@ -137,8 +137,8 @@
 }
 
 func TestTTLIsTheLeastOfSRVAndAddress(t *testing.T) {
-	d := standin.NewDNS(t)
-	d.SetSRV(name, 60, standin.Target{Host: "a.pools.example.org", Port: 5060, IP: "127.0.0.11", TTL: 4, Additional: true})
+	d := fakeplatform.NewDNS(t)
+	d.SetSRV(name, 60, fakeplatform.Target{Host: "a.pools.example.org", Port: 5060, IP: "127.0.0.11", TTL: 4, Additional: true})
 	a, err := resolver(d).Lookup(context.Background(), name)
 	if err != nil || len(a.Records) != 1 || a.Records[0].TTL != 4_000_000 {
 		t.Fatalf("%+v, %v", a, err)
--- a/discovery/srv/watch_test.go
+++ b/internal/endpoint/srv/watch_test.go
@@ -6,15 +6,15 @@
 	"testing"
 	"time"
 
-	"eidertrail/discovery/srv"
-	"eidertrail/internal/standin"
+	"eidertrail/internal/endpoint/srv"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 // A server that is down at the start is asked again with backoff, and its first answer is taken.
 func TestWatchOutlastsAServerDownAtStart(t *testing.T) {
-	d := standin.NewDNS(t)
+	d := fakeplatform.NewDNS(t)
 	twoPools(d, 30, true)
-	d.SetMode(standin.ServFail)
+	d.SetMode(fakeplatform.ServFail)
 	out := make(chan srv.Update)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -30,7 +30,7 @@
 			t.Fatalf("%+v: want a failure while the server fails", u)
 		}
 	}
-	d.SetMode(standin.Answer)
+	d.SetMode(fakeplatform.Answer)
 	for {
 		u := <-out
 		if u.Err == nil {
@@ -45,7 +45,7 @@
 // The watcher asks again before each TTL runs out: with a TTL of one second and a floor of 0.1 s, about
 // once a second and never more often than the floor lets it.
 func TestWatchRefreshesWithinTheTTL(t *testing.T) {
-	d := standin.NewDNS(t)
+	d := fakeplatform.NewDNS(t)
 	twoPools(d, 1, true)
 	out := make(chan srv.Update, 16)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/lab/characterization_test.go
+++ b/internal/experiment/characterization_test.go
@@ -2,10 +2,10 @@
 // behaviour alone can be shown to do so. The recorded files are under testdata/characterization. After a change of
 // behaviour on purpose they are renewed with
 //
-//	EIDERTRAIL_UPDATE=1 go test ./lab -run TestCharacterization
+//	EIDERTRAIL_UPDATE=1 go test ./internal/experiment -run TestCharacterization
 //
 // and the commit has to say why they changed. Without that variable a missing or different file fails the test.
-package lab_test
+package experiment_test
 
 import (
 	"bytes"
@@ -19,8 +19,8 @@
 	"strings"
 	"testing"
 
-	"eidertrail/lab"
-	"eidertrail/sim"
+	"eidertrail/internal/experiment"
+	"eidertrail/internal/simulation"
 )
 
 // recordedPath is where a recorded file is.
@@ -74,15 +74,15 @@
 }
 
 // everyKey is a result in which every key of its file is present.
-func everyKey() *sim.Result {
-	return &sim.Result{
+func everyKey() *simulation.Result {
+	return &simulation.Result{
 		Scenario: "small", Seed: 18446744073709551615, Events: 1001,
 		Calls: 1002, InTime: 703, Late: 104, Cut: 105, Lost: 90, Refused: 106, Failed: 107, Left: 108, Tries: 1109, Sends: 1210,
 		Service: 0.8125, Worst: 0.40625, P50: 12.25, P99: 99.5, Cold: 0.75, ColdBudget: 0.875, ColdSent: 111, LeftWaiting: 112,
 		SentOn: 113, Datagrams: 114, Queries: 115, Lag: 116.5, Deaths: 117, Broken: 1, Rules: []string{"2 s: call 9: late"},
-		Class: []sim.ClassResult{{Name: "avail-read", Calls: 800, Service: 0.9}, {Name: "stop|sell", Calls: 202, Service: 0.7}},
-		Pool:  []sim.PoolResult{{UID: "p1", Got: 600, Full: 6, Cold: 0.5}, {UID: "p2", Got: 610, Full: 7, Cold: 0.25}},
-		Course: []sim.Window{{Calls: 501, InTime: 401, Late: 51, Cut: 31, Lost: 18, Worth: 701, Earned: 600.5},
+		Class: []simulation.ClassResult{{Name: "avail-read", Calls: 800, Service: 0.9}, {Name: "stop|sell", Calls: 202, Service: 0.7}},
+		Pool:  []simulation.PoolResult{{UID: "p1", Got: 600, Full: 6, Cold: 0.5}, {UID: "p2", Got: 610, Full: 7, Cold: 0.25}},
+		Course: []simulation.Window{{Calls: 501, InTime: 401, Late: 51, Cut: 31, Lost: 18, Worth: 701, Earned: 600.5},
 			{Calls: 501, InTime: 302, Late: 53, Cut: 74, Lost: 72, Worth: 702, Earned: 400.25}},
 		Notes:    []string{"1.0 s: burst", "2.0 s: \"slow\" & <over>"},
 		Counters: map[string]int64{"answered": 807, "refused": 106, "only_here": 3},
@@ -119,7 +119,7 @@
 		t.Fatal(err)
 	}
 	checkRecorded(t, "result.json", text.Bytes())
-	read := &sim.Result{}
+	read := &simulation.Result{}
 	if err := json.Unmarshal(recorded(t, "result.json"), read); err != nil {
 		t.Fatal(err)
 	}
@@ -132,28 +132,28 @@
 func TestCharacterization_TablesOfARun(t *testing.T) {
 	folder := t.TempDir()
 	result := everyKey()
-	if err := lab.WriteTables(folder, "run", lab.RunTables(result)); err != nil {
+	if err := experiment.WriteTables(folder, "run", experiment.RunTables(result)); err != nil {
 		t.Fatal(err)
 	}
-	if err := lab.WriteChart(folder, "run", result.Scenario, "seed 1, version v1", "second", "callers", lab.Course(result)); err != nil {
+	if err := experiment.WriteChart(folder, "run", result.Scenario, "seed 1, version v1", "second", "callers", experiment.Course(result)); err != nil {
 		t.Fatal(err)
 	}
 	checkFolder(t, folder, "run.csv", "run.md", "run.svg")
 }
 
 // choices reads FIELD=VALUES texts.
-func choices(t *testing.T, texts ...string) [][]lab.Set {
+func choices(t *testing.T, texts ...string) [][]experiment.Set {
 	t.Helper()
-	read, err := lab.ParseSets(texts)
+	read, err := experiment.ParseSets(texts)
 	if err != nil {
 		t.Fatal(err)
 	}
 	return read
 }
 
-func sweep(t *testing.T, folder string, seeds ...uint64) *lab.Sweep {
+func sweep(t *testing.T, folder string, seeds ...uint64) *experiment.Sweep {
 	t.Helper()
-	return &lab.Sweep{Path: recordedPath("small.toml"), Choices: choices(t, "callers.rate=20,40.5", "pool.0.agents=10,30"), Seeds: seeds,
+	return &experiment.Sweep{Path: recordedPath("small.toml"), Choices: choices(t, "callers.rate=20,40.5", "pool.0.agents=10,30"), Seeds: seeds,
 		Out: folder, Workers: 1}
 }
 
@@ -192,18 +192,18 @@
 		t.Fatal(err)
 	}
 	path := recordedPath("small.toml")
-	variant, err := lab.Load(path, lab.Grid(choices(t, "callers.rate=25", "length=2s"))[0])
+	variant, err := experiment.Load(path, experiment.Grid(choices(t, "callers.rate=25", "length=2s"))[0])
 	if err != nil {
 		t.Fatal(err)
 	}
 	seed := []uint64{3}
-	tables, err := lab.Compare(context.Background(), lab.Side{Name: "this build", Variant: variant},
-		lab.Side{Name: "other build", Variant: variant, Path: path, Build: build}, seed)
+	tables, err := experiment.Compare(context.Background(), experiment.Side{Name: "this build", Variant: variant},
+		experiment.Side{Name: "other build", Variant: variant, Path: path, Build: build}, seed)
 	if err != nil {
 		t.Fatal(err)
 	}
 	out := t.TempDir()
-	if err := lab.WriteTables(out, "compare", tables); err != nil {
+	if err := experiment.WriteTables(out, "compare", tables); err != nil {
 		t.Fatal(err)
 	}
 	checkFolder(t, out, "compare.csv", "compare.md")
@@ -215,7 +215,7 @@
 	var text strings.Builder
 	for _, sets := range [][]string{nil, {"callers.rate=20"}, {"callers.rate=20.5", "length=2s"}, {"pool.0.untold=true"}, {"fleet.lease=2s"},
 		{"name=other"}, {"pool.7.agents=1"}, {"pool.x=1"}, {"pool=3"}, {"callers.colour=1"}, {"callers.rate=-1"}, {"length=soon"}} {
-		variant, err := lab.Load(recordedPath("small.toml"), lab.Grid(choices(t, sets...))[0])
+		variant, err := experiment.Load(recordedPath("small.toml"), experiment.Grid(choices(t, sets...))[0])
 		if err != nil {
 			fmt.Fprintf(&text, "%q: refused: %s\n", sets, err)
 			continue
@@ -223,18 +223,18 @@
 		fmt.Fprintf(&text, "%q: %s\n", sets, variant.ID)
 	}
 	for _, set := range []string{"", "rate", "=1", "rate="} {
-		_, err := lab.ParseSets([]string{set})
+		_, err := experiment.ParseSets([]string{set})
 		fmt.Fprintf(&text, "set %q: %s\n", set, err)
 	}
 	for _, seeds := range []string{"1-3,9", " 4 , 5-5", "", "x", "3-1", "1-", "0-10001"} {
-		read, err := lab.ParseSeeds(seeds)
+		read, err := experiment.ParseSeeds(seeds)
 		if err != nil {
 			fmt.Fprintf(&text, "seeds %q: refused: %s\n", seeds, err)
 			continue
 		}
 		fmt.Fprintf(&text, "seeds %q: %d\n", seeds, read)
 	}
-	_, err := lab.Load("absent-folder/small.toml", nil)
+	_, err := experiment.Load("absent-folder/small.toml", nil)
 	fmt.Fprintf(&text, "absent file: %s\n", err)
 	other := sweep(t, t.TempDir(), 1)
 	other.Choices = choices(t, "callers.retries=1")
@@ -243,7 +243,7 @@
 	}
 	_, _, err = other.Run(context.Background(), "v1")
 	fmt.Fprintf(&text, "a folder of another sweep: %s\n", strings.ReplaceAll(err.Error(), other.Out, "FOLDER"))
-	if !errors.Is(err, lab.ErrLab) {
+	if !errors.Is(err, experiment.ErrLab) {
 		t.Errorf("%v is no error of the lab", err)
 	}
 	checkRecorded(t, "variants-and-refusals.txt", []byte(text.String()))
--- a/lab/chart.go
+++ b/internal/experiment/chart.go
@@ -1,4 +1,4 @@
-package lab
+package experiment
 
 import (
 	"fmt"
@@ -11,7 +11,7 @@
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
 
-	"eidertrail/sim"
+	"eidertrail/internal/simulation"
 )
 
 // Line is a line of a chart.
@@ -61,7 +61,7 @@
 }
 
 // Course is the lines of a run's course: what became of the callers of each second.
-func Course(r *sim.Result) []Line {
+func Course(r *simulation.Result) []Line {
 	lines := []Line{{Name: "calls"}, {Name: "in time"}, {Name: "late"}, {Name: "cut"}, {Name: "lost"}}
 	for i, w := range r.Course {
 		for j, v := range []int{w.Calls, w.InTime, w.Late, w.Cut, w.Lost} {
--- a/lab/lab_test.go
+++ b/internal/experiment/lab_test.go
@@ -1,4 +1,4 @@
-package lab
+package experiment
 
 import (
 	"bytes"
@@ -11,10 +11,10 @@
 	"testing"
 	"time"
 
-	"eidertrail/sim"
+	"eidertrail/internal/simulation"
 )
 
-const calm = "../sim/scenarios/calm.toml"
+const calm = "../simulation/scenarios/calm.toml"
 
 func sets(t *testing.T, texts ...string) [][]Set {
 	t.Helper()
@@ -162,7 +162,7 @@
 
 func TestWhatDoesNotFitTheDaemon(t *testing.T) {
 	for _, name := range []string{"zoneloss", "fleet"} {
-		v, err := Load("../sim/scenarios/"+name+".toml", nil)
+		v, err := Load("../simulation/scenarios/"+name+".toml", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -185,7 +185,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	played, err := sim.Run(v.Scenario, 1)
+	played, err := simulation.Run(v.Scenario, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -203,5 +203,5 @@
 }
 
 func goBuild(to string) ([]byte, error) {
-	return exec.Command("go", "build", "-o", to, "../cmd/eidertrail").CombinedOutput()
+	return exec.Command("go", "build", "-o", to, "../../cmd/eidertrail").CombinedOutput()
 }
--- a/lab/live.go
+++ b/internal/experiment/live.go
@@ -1,4 +1,4 @@
-package lab
+package experiment
 
 import (
 	"bufio"
@@ -17,21 +17,21 @@
 	"syscall"
 	"time"
 
-	"eidertrail/internal/jsonl"
-	"eidertrail/internal/sip"
-	"eidertrail/rules"
-	"eidertrail/sim"
+	"eidertrail/internal/backend/sip"
+	"eidertrail/internal/frontend/linecodec"
+	"eidertrail/internal/invariant"
+	"eidertrail/internal/simulation"
 )
 
 // ErrUnfit tells that a scenario does not fit the daemon on loopback.
 var ErrUnfit = fmt.Errorf("%w: the scenario does not fit", ErrLab)
 
 // liveKinds are the events that a live run can cause.
-var liveKinds = []string{sim.Burst, sim.Slow, sim.Errors}
+var liveKinds = []string{simulation.Burst, simulation.Slow, simulation.Errors}
 
 // Live plays a scenario in real time: processes of the daemon on loopback, with stand-in pools that do what the
 // simulator's pools do, and callers. What it comes to has the figures that can be seen from outside.
-func Live(ctx context.Context, v *Variant, daemon string, seed uint64) (*sim.Result, error) {
+func Live(ctx context.Context, v *Variant, daemon string, seed uint64) (*simulation.Result, error) {
 	for _, e := range v.Event {
 		if !slices.Contains(liveKinds, e.Kind) {
 			return nil, fmt.Errorf("%w: event %s: want one of %s", ErrUnfit, e.Kind, strings.Join(liveKinds, ", "))
@@ -47,13 +47,13 @@
 	defer os.RemoveAll(dir)
 	ctx, stop := context.WithCancel(ctx)
 	l := &live{v: v, rng: rand.New(rand.NewPCG(seed, 9)), began: time.Now(), burst: 1, finals: map[string]*liveCall{},
-		rules: rules.New(rules.Config{Release: v.Settings.Release.Microseconds(), Sends: 2, Grace: math.MaxInt64 / 4,
+		rules: invariant.New(invariant.Config{Release: v.Settings.Release.Microseconds(), Sends: 2, Grace: math.MaxInt64 / 4,
 			Late: 100_000, LeftGrace: 100_000})}
 	defer func() { stop(); l.wg.Wait() }()
 	var targets []map[string]any
 	for _, p := range v.Pool {
 		for i := range max(p.Count, 1) {
-			x, err := l.pool(ctx, sim.NewModel(p, i))
+			x, err := l.pool(ctx, simulation.NewModel(p, i))
 			if err != nil {
 				return nil, err
 			}
@@ -76,7 +76,7 @@
 type live struct {
 	v     *Variant
 	wg    sync.WaitGroup
-	rules *rules.Checker
+	rules *invariant.Checker
 	began time.Time
 	pools []*livePool
 	fleet []*liveController
@@ -87,12 +87,12 @@
 	n      int
 	finals map[string]*liveCall
 	sends  int
-	course []sim.Window
+	course []simulation.Window
 	times  []int64
 }
 
 type livePool struct {
-	model   *sim.Model
+	model   *simulation.Model
 	address string
 	mu      sync.Mutex // of the model, and the connections
 	conns   map[net.Conn]bool
@@ -127,7 +127,7 @@
 }
 
 // pool serves a stand-in pool until ctx is done.
-func (l *live) pool(ctx context.Context, m *sim.Model) (*livePool, error) {
+func (l *live) pool(ctx context.Context, m *simulation.Model) (*livePool, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrLab, err)
@@ -239,22 +239,22 @@
 	}
 	time.AfterFunc(time.Duration(after)*time.Microsecond+l.way(), func() {
 		if calledOff() {
-			if v == sim.Taken {
+			if v == simulation.Taken {
 				free()
 			}
 			return
 		}
 		switch v {
-		case sim.Taken:
+		case simulation.Taken:
 			answer(200, "", "v=0\r\n")
 			hold := time.Duration(-math.Log(1-l.lot()) * float64(l.v.Class[l.classOf(m)].Hold))
 			time.AfterFunc(hold, func() {
 				free()
 				request(c, "BYE", m.CallID, sip.Header{Name: "Reason", Value: "Q.850;cause=16"})
 			})
-		case sim.NoAgent:
+		case simulation.NoAgent:
 			answer(503, "blocked", "")
-		case sim.Swamped:
+		case simulation.Swamped:
 			answer(503, "swamped", "")
 		default:
 			answer(500, "", "")
@@ -263,7 +263,7 @@
 }
 
 func (l *live) classOf(m *sip.Message) int {
-	return max(0, slices.IndexFunc(l.v.Class, func(c sim.Class) bool { return c.Name == m.Get("subject") }))
+	return max(0, slices.IndexFunc(l.v.Class, func(c simulation.Class) bool { return c.Name == m.Get("subject") }))
 }
 
 // controller starts a process of the daemon and connects callers to it; the end of ctx stops it.
@@ -344,7 +344,7 @@
 	time.Sleep(300 * time.Millisecond) // the first states are told
 	l.mu.Lock()
 	start := time.Now()
-	l.course = make([]sim.Window, int(l.v.Length.Seconds())+1)
+	l.course = make([]simulation.Window, int(l.v.Length.Seconds())+1)
 	l.mu.Unlock()
 	for _, e := range l.v.Event {
 		time.AfterFunc(e.At, func() { l.happen(e, 1) })
@@ -400,8 +400,8 @@
 }
 
 // happen begins or ends an event.
-func (l *live) happen(e sim.Event, sign float64) {
-	if e.Kind == sim.Burst {
+func (l *live) happen(e simulation.Event, sign float64) {
+	if e.Kind == simulation.Burst {
 		l.mu.Lock()
 		l.burst *= math.Pow(e.Times, sign)
 		l.mu.Unlock()
@@ -413,7 +413,7 @@
 		}
 		p.mu.Lock()
 		switch {
-		case e.Kind == sim.Slow:
+		case e.Kind == simulation.Slow:
 			p.model.Slow(math.Pow(e.Times, sign))
 		case sign > 0:
 			p.model.Err(e.Share)
@@ -457,11 +457,11 @@
 func (l *live) read(c net.Conn) {
 	r := bufio.NewReader(c)
 	for {
-		text, err := jsonl.ReadLine(r, nil)
+		text, err := linecodec.ReadLine(r, nil)
 		if err != nil {
 			return
 		}
-		m, err := jsonl.Parse(text)
+		m, err := linecodec.Parse(text)
 		if err != nil {
 			continue
 		}
@@ -515,10 +515,10 @@
 	time.AfterFunc(l.v.Callers.Backoff, func() { l.try(&next) })
 }
 
-func (l *live) result(seed uint64) *sim.Result {
+func (l *live) result(seed uint64) *simulation.Result {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := &sim.Result{Scenario: l.v.Name + " (daemon)", Seed: seed, Course: l.course, Sends: l.sends, Tries: l.n}
+	r := &simulation.Result{Scenario: l.v.Name + " (daemon)", Seed: seed, Course: l.course, Sends: l.sends, Tries: l.n}
 	var worth, earned float64
 	for _, w := range l.course {
 		r.Calls, r.InTime, r.Late, r.Lost = r.Calls+w.Calls, r.InTime+w.InTime, r.Late+w.Late, r.Lost+w.Lost
--- a/lab/sweep.go
+++ b/internal/experiment/sweep.go
@@ -1,4 +1,4 @@
-package lab
+package experiment
 
 import (
 	"context"
@@ -20,7 +20,7 @@
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
 
-	"eidertrail/sim"
+	"eidertrail/internal/simulation"
 )
 
 // Sweep is one scenario over every combination of some fields' values, and over seeds.
@@ -95,7 +95,7 @@
 	for range max(1, min(s.Workers, runtime.NumCPU())) {
 		wg.Go(func() {
 			for j := range next {
-				r, err := sim.Run(j.v.Scenario, j.seed)
+				r, err := simulation.Run(j.v.Scenario, j.seed)
 				if err == nil {
 					row := []string{version, j.v.ID, strconv.FormatUint(j.seed, 10)}
 					for _, s := range j.v.Sets {
@@ -298,9 +298,9 @@
 }
 
 // run runs the side's scenario; another build is asked for its result as JSON.
-func (s Side) run(ctx context.Context, seed uint64) (*sim.Result, error) {
+func (s Side) run(ctx context.Context, seed uint64) (*simulation.Result, error) {
 	if s.Build == "" {
-		return sim.Run(s.Variant.Scenario, seed)
+		return simulation.Run(s.Variant.Scenario, seed)
 	}
 	args := []string{"run", s.Path, "--seed", strconv.FormatUint(seed, 10), "--json"}
 	for _, set := range s.Variant.Sets {
@@ -313,7 +313,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %s: %w: %s", ErrLab, s.Build, err, strings.TrimSpace(complaint.String()))
 	}
-	r := &sim.Result{}
+	r := &simulation.Result{}
 	if err := json.Unmarshal(out, r); err != nil {
 		return nil, fmt.Errorf("%w: %s: its result: %w", ErrLab, s.Build, err)
 	}
@@ -326,7 +326,7 @@
 func Compare(ctx context.Context, a, b Side, seeds []uint64) ([]*Table, error) {
 	t := &Table{Title: fmt.Sprintf("%s against %s, %d seeds", a.Name, b.Name, len(seeds)),
 		Head: []string{"figure", a.Name, b.Name, "difference", "95% interval", "differs"}}
-	ra, rb := make([]*sim.Result, len(seeds)), make([]*sim.Result, len(seeds))
+	ra, rb := make([]*simulation.Result, len(seeds)), make([]*simulation.Result, len(seeds))
 	errs := make([]error, len(seeds))
 	var wg sync.WaitGroup
 	room := make(chan struct{}, runtime.NumCPU())
@@ -362,7 +362,7 @@
 	counters := &Table{Title: "Counters, means", Head: []string{"counter", a.Name, b.Name}}
 	names := map[string]bool{}
 	for i := range seeds {
-		for _, r := range []*sim.Result{ra[i], rb[i]} {
+		for _, r := range []*simulation.Result{ra[i], rb[i]} {
 			for n := range r.Counters {
 				names[n] = true
 			}
@@ -373,7 +373,7 @@
 		sorted = append(sorted, n)
 	}
 	slices.Sort(sorted)
-	mean := func(rs []*sim.Result, n string) string {
+	mean := func(rs []*simulation.Result, n string) string {
 		sum, has := 0.0, false
 		for _, r := range rs {
 			v, is := r.Counters[n]
--- a/lab/table.go
+++ b/internal/experiment/table.go
@@ -1,4 +1,4 @@
-package lab
+package experiment
 
 import (
 	"encoding/csv"
@@ -6,7 +6,7 @@
 	"io"
 	"strings"
 
-	"eidertrail/sim"
+	"eidertrail/internal/simulation"
 )
 
 // Table is a heading and rows. What made it stands in the files beside it.
@@ -66,26 +66,26 @@
 // Figure is a figure of a result, by the name that tables give it.
 type Figure struct {
 	Name string
-	Of   func(r *sim.Result) float64
+	Of   func(r *simulation.Result) float64
 }
 
 // Figures are what sweeps and comparisons show, in the order of the tables.
 func Figures() []Figure {
 	return []Figure{
-		{"service", func(r *sim.Result) float64 { return r.Service }},
-		{"worst_10s", func(r *sim.Result) float64 { return r.Worst }},
-		{"calls", func(r *sim.Result) float64 { return float64(r.Calls) }},
-		{"in_time", func(r *sim.Result) float64 { return part(r.InTime, r.Calls) }},
-		{"late", func(r *sim.Result) float64 { return part(r.Late, r.Calls) }},
-		{"cut", func(r *sim.Result) float64 { return part(r.Cut, r.Calls) }},
-		{"lost", func(r *sim.Result) float64 { return part(r.Lost, r.Calls) }},
-		{"p50_ms", func(r *sim.Result) float64 { return r.P50 }},
-		{"p99_ms", func(r *sim.Result) float64 { return r.P99 }},
-		{"sends_per_call", func(r *sim.Result) float64 { return part(r.Sends, r.Calls) }},
-		{"cold", func(r *sim.Result) float64 { return r.Cold }},
-		{"cold_budget", func(r *sim.Result) float64 { return r.ColdBudget }},
-		{"srv_lag_ms", func(r *sim.Result) float64 { return r.Lag }},
-		{"broken", func(r *sim.Result) float64 { return float64(r.Broken) }},
+		{"service", func(r *simulation.Result) float64 { return r.Service }},
+		{"worst_10s", func(r *simulation.Result) float64 { return r.Worst }},
+		{"calls", func(r *simulation.Result) float64 { return float64(r.Calls) }},
+		{"in_time", func(r *simulation.Result) float64 { return part(r.InTime, r.Calls) }},
+		{"late", func(r *simulation.Result) float64 { return part(r.Late, r.Calls) }},
+		{"cut", func(r *simulation.Result) float64 { return part(r.Cut, r.Calls) }},
+		{"lost", func(r *simulation.Result) float64 { return part(r.Lost, r.Calls) }},
+		{"p50_ms", func(r *simulation.Result) float64 { return r.P50 }},
+		{"p99_ms", func(r *simulation.Result) float64 { return r.P99 }},
+		{"sends_per_call", func(r *simulation.Result) float64 { return part(r.Sends, r.Calls) }},
+		{"cold", func(r *simulation.Result) float64 { return r.Cold }},
+		{"cold_budget", func(r *simulation.Result) float64 { return r.ColdBudget }},
+		{"srv_lag_ms", func(r *simulation.Result) float64 { return r.Lag }},
+		{"broken", func(r *simulation.Result) float64 { return float64(r.Broken) }},
 	}
 }
 
@@ -97,7 +97,7 @@
 }
 
 // RunTables are the tables of one run.
-func RunTables(r *sim.Result) []*Table {
+func RunTables(r *simulation.Result) []*Table {
 	all := &Table{Title: fmt.Sprintf("%s, seed %d", r.Scenario, r.Seed), Head: []string{"figure", "value"}}
 	for _, f := range Figures() {
 		all.Add(f.Name, f.Of(r))
--- a/lab/variant.go
+++ b/internal/experiment/variant.go
@@ -1,7 +1,7 @@
 // Package lab runs experiments on the simulator, and on the daemon beside it: single runs, sweeps over parameters
 // and seeds that go on where they were interrupted, and comparisons of two builds or two settings. What comes out
 // are tables (CSV, Markdown) and charts (SVG), each with the seed and the version that made it.
-package lab
+package experiment
 
 import (
 	"crypto/sha256"
@@ -15,7 +15,7 @@
 
 	"github.com/BurntSushi/toml"
 
-	"eidertrail/sim"
+	"eidertrail/internal/simulation"
 )
 
 // ErrLab tells of an experiment that makes no sense.
@@ -111,7 +111,7 @@
 
 // Variant is a scenario with some fields set.
 type Variant struct {
-	*sim.Scenario
+	*simulation.Scenario
 	Sets []Set
 	ID   string // tells its text from another
 }
@@ -138,7 +138,7 @@
 		}
 		text = []byte(b.String())
 	}
-	s, err := sim.Parse(string(text))
+	s, err := simulation.Parse(string(text))
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
--- a/cluster/gossip/characterization_test.go
+++ b/internal/fleet/gossip/characterization_test.go
@@ -2,7 +2,7 @@
 // that a member writes and what it says of those that it reads, so that a change of names or shape can be shown to
 // change nothing. On a purposeful change of behaviour the files are written anew with
 //
-//	EIDERTRAIL_UPDATE=1 go test ./cluster/gossip -run TestCharacterization
+//	EIDERTRAIL_UPDATE=1 go test ./internal/fleet/gossip -run TestCharacterization
 //
 // and the commit has to say why.
 package gossip_test
@@ -20,9 +20,9 @@
 
 	"github.com/rs/zerolog"
 
-	"eidertrail/cluster"
-	"eidertrail/cluster/gossip"
-	"eidertrail/internal/stats"
+	"eidertrail/internal/fleet/gossip"
+	"eidertrail/internal/fleet/swim"
+	"eidertrail/internal/telemetry"
 )
 
 // ---- recorded files ----
@@ -95,18 +95,18 @@
 }
 
 // read writes down the next datagram that comes, and returns what it says.
-func (p *peer) read(what string) cluster.Message {
+func (p *peer) read(what string) swim.Message {
 	p.t.Helper()
 	if err := p.conn.SetReadDeadline(time.Now().Add(patience)); err != nil {
 		p.t.Fatal(err)
 	}
-	buffer := make([]byte, 2*cluster.MostDatagram)
+	buffer := make([]byte, 2*swim.MostDatagram)
 	n, _, err := p.conn.ReadFromUDP(buffer)
 	if err != nil {
 		p.t.Fatalf("%s, %s: %v", p.name, what, err)
 	}
 	fmt.Fprintf(p.text, "%s-%s %x\n", p.name, what, buffer[:n])
-	m, err := cluster.Parse(buffer[:n], cluster.Fleet(fleetName))
+	m, err := swim.Parse(buffer[:n], swim.Fleet(fleetName))
 	if err != nil {
 		p.t.Fatal(err)
 	}
@@ -120,14 +120,14 @@
 	}
 }
 
-func (p *peer) send(m cluster.Message) {
+func (p *peer) send(m swim.Message) {
 	p.t.Helper()
 	p.write(encoded(p.t, m, fleetName))
 }
 
-func encoded(t *testing.T, m cluster.Message, fleet string) []byte {
+func encoded(t *testing.T, m swim.Message, fleet string) []byte {
 	t.Helper()
-	b, err := m.Append(nil, cluster.Fleet(fleet))
+	b, err := m.Append(nil, swim.Fleet(fleet))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -144,7 +144,7 @@
 	fmt.Fprintf(&h.text, "receive at %d from %d: %x\n", now, from, body)
 }
 
-func (h *heard) view(now int64, members []cluster.Member) {
+func (h *heard) view(now int64, members []swim.Member) {
 	fmt.Fprintf(&h.text, "view at %d:", now)
 	for _, m := range members {
 		fmt.Fprintf(&h.text, " %s %d", stateWord(m.State), m.Incarnation)
@@ -153,17 +153,17 @@
 }
 
 // stateWord is this test's own word for a state.
-func stateWord(s cluster.State) string {
+func stateWord(s swim.State) string {
 	switch s {
-	case cluster.Unknown:
+	case swim.Unknown:
 		return "unknown"
-	case cluster.Alive:
+	case swim.Alive:
 		return "alive"
-	case cluster.Suspect:
+	case swim.Suspect:
 		return "suspect"
-	case cluster.Dead:
+	case swim.Dead:
 		return "dead"
-	case cluster.Left:
+	case swim.Left:
 		return "left"
 	}
 	return fmt.Sprintf("state-%d", uint8(s))
@@ -175,16 +175,16 @@
 	var written strings.Builder
 	first, third := newPeer(t, "member-0", &written), newPeer(t, "member-2", &written)
 	told := &heard{}
-	counters := &stats.Set{}
+	counters := &telemetry.Set{}
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
-	runner, err := gossip.Start(ctx, gossip.Config{Node: cluster.Default(self, 3), Listen: "127.0.0.1:0", Fleet: fleetName,
+	runner, err := gossip.Start(ctx, gossip.Config{Node: swim.Default(self, 3), Listen: "127.0.0.1:0", Fleet: fleetName,
 		Peers:       []string{first.conn.LocalAddr().String(), "127.0.0.1:1", third.conn.LocalAddr().String()},
 		Incarnation: 1000, Seed: 7, Clock: standingClock{}, Log: zerolog.New(&told.log), Count: counters,
 		Receive: told.receive, View: told.view, EveryMicros: 3_600_000_000,
 		Every: func(_ int64, send func(int, []byte)) {
 			send(0, []byte("every"))
-			send(2, make([]byte, cluster.MostBody+1)) // too long: it is logged, and not sent
+			send(2, make([]byte, swim.MostBody+1)) // too long: it is logged, and not sent
 		}})
 	if err != nil {
 		t.Fatal(err)
@@ -195,33 +195,33 @@
 	third.read("start")
 	first.read("user")
 	probe := first.read("probe") // the seed has member 0 probed first
-	first.send(cluster.Message{Kind: cluster.Ack, From: 0, Incarnation: 500, Seq: probe.Seq, Target: 0})
+	first.send(swim.Message{Kind: swim.Ack, From: 0, Incarnation: 500, Seq: probe.Seq, Target: 0})
 
-	first.send(cluster.Message{Kind: cluster.Ping, From: 0, Incarnation: 500, Seq: 11, Target: self})
+	first.send(swim.Message{Kind: swim.Ping, From: 0, Incarnation: 500, Seq: 11, Target: self})
 	first.read("ack")
-	first.send(cluster.Message{Kind: cluster.PingReq, From: 0, Incarnation: 500, Seq: 12, Target: 2})
+	first.send(swim.Message{Kind: swim.PingReq, From: 0, Incarnation: 500, Seq: 12, Target: 2})
 	relayed := third.read("relayed-ping")
-	third.send(cluster.Message{Kind: cluster.Ack, From: 2, Incarnation: 600, Seq: relayed.Seq, Target: 2})
+	third.send(swim.Message{Kind: swim.Ack, From: 2, Incarnation: 600, Seq: relayed.Seq, Target: 2})
 	first.read("relayed-ack")
 
-	first.send(cluster.Message{Kind: cluster.User, From: 0, Incarnation: 500, Body: []byte("body")})
-	first.send(cluster.Message{Kind: cluster.Gossip, From: 0, Incarnation: 500,
-		Updates: []cluster.Update{{Member: self, State: cluster.Dead, Incarnation: 2000, From: 0}}})
-	first.send(cluster.Message{Kind: cluster.Ping, From: 0, Incarnation: 500, Seq: 13, Target: self})
+	first.send(swim.Message{Kind: swim.User, From: 0, Incarnation: 500, Body: []byte("body")})
+	first.send(swim.Message{Kind: swim.Gossip, From: 0, Incarnation: 500,
+		Updates: []swim.Update{{Member: self, State: swim.Dead, Incarnation: 2000, From: 0}}})
+	first.send(swim.Message{Kind: swim.Ping, From: 0, Incarnation: 500, Seq: 13, Target: self})
 	first.read("ack-with-refutation")
 
 	sendMalformed(t, first)
-	first.send(cluster.Message{Kind: cluster.Ping, From: 0, Incarnation: 500, Seq: 14, Target: self})
+	first.send(swim.Message{Kind: swim.Ping, From: 0, Incarnation: 500, Seq: 14, Target: self})
 	first.read("ack-after-malformed")
 
-	first.send(cluster.Message{Kind: cluster.Gossip, From: 0, Incarnation: 500,
-		Updates: []cluster.Update{{Member: 2, State: cluster.Suspect, Incarnation: 600, From: 0}}})
+	first.send(swim.Message{Kind: swim.Gossip, From: 0, Incarnation: 500,
+		Updates: []swim.Update{{Member: 2, State: swim.Suspect, Incarnation: 600, From: 0}}})
 	third.read("ping-of-a-suspect")
-	third.send(cluster.Message{Kind: cluster.Ping, From: 2, Incarnation: 601, Seq: 15, Target: self})
+	third.send(swim.Message{Kind: swim.Ping, From: 2, Incarnation: 601, Seq: 15, Target: self})
 	third.read("ack-of-one-that-refuted")
-	first.send(cluster.Message{Kind: cluster.Gossip, From: 0, Incarnation: 500,
-		Updates: []cluster.Update{{Member: 2, State: cluster.Dead, Incarnation: 601, From: 0}}})
-	first.send(cluster.Message{Kind: cluster.Ping, From: 0, Incarnation: 500, Seq: 16, Target: self})
+	first.send(swim.Message{Kind: swim.Gossip, From: 0, Incarnation: 500,
+		Updates: []swim.Update{{Member: 2, State: swim.Dead, Incarnation: 601, From: 0}}})
+	first.send(swim.Message{Kind: swim.Ping, From: 0, Incarnation: 500, Seq: 16, Target: self})
 	first.read("ack-with-a-death")
 
 	runner.Leave()
@@ -235,9 +235,9 @@
 	text := told.text.String() + log
 	for _, c := range []struct {
 		name    string
-		counter stats.Counter
-	}{{"in", stats.PeerIn}, {"out", stats.PeerOut}, {"bytes out", stats.PeerBytesOut}, {"bad", stats.PeerBad},
-		{"dropped", stats.PeerDropped}, {"suspected", stats.MembersSuspected}, {"died", stats.MembersDied}} {
+		counter telemetry.Counter
+	}{{"in", telemetry.PeerIn}, {"out", telemetry.PeerOut}, {"bytes out", telemetry.PeerBytesOut}, {"bad", telemetry.PeerBad},
+		{"dropped", telemetry.PeerDropped}, {"suspected", telemetry.MembersSuspected}, {"died", telemetry.MembersDied}} {
 		text += fmt.Sprintf("%s %d\n", c.name, counters.Get(c.counter))
 	}
 	text += fmt.Sprintf("health %d\n", runner.Health())
@@ -247,12 +247,12 @@
 // sendMalformed sends datagrams that are passed over.
 func sendMalformed(t *testing.T, from *peer) {
 	t.Helper()
-	ping := cluster.Message{Kind: cluster.Ping, From: 0, Incarnation: 500, Seq: 99, Target: self}
+	ping := swim.Message{Kind: swim.Ping, From: 0, Incarnation: 500, Seq: 99, Target: self}
 	good := encoded(t, ping, fleetName)
 	from.write(good[:len(good)-1])
 	from.write(good[:5])
-	from.write(make([]byte, cluster.MostDatagram+1))
-	from.write(make([]byte, 4*cluster.MostDatagram)) // read up to one byte too many
+	from.write(make([]byte, swim.MostDatagram+1))
+	from.write(make([]byte, 4*swim.MostDatagram)) // read up to one byte too many
 	from.write(encoded(t, ping, "another fleet"))
 	for _, member := range []int{2, 3} { // not the sender's address; no member
 		ping.From = member
@@ -274,8 +274,8 @@
 		{"listen", func(c *gossip.Config) { c.Listen = "127.0.0.1" }},
 		{"node", func(c *gossip.Config) { c.Node.Interval = 0 }},
 	} {
-		config := gossip.Config{Node: cluster.Default(0, 2), Listen: "127.0.0.1:0", Peers: []string{"127.0.0.1:1", "127.0.0.1:2"},
-			Clock: standingClock{}, Count: &stats.Set{}, Log: zerolog.Nop()}
+		config := gossip.Config{Node: swim.Default(0, 2), Listen: "127.0.0.1:0", Peers: []string{"127.0.0.1:1", "127.0.0.1:2"},
+			Clock: standingClock{}, Count: &telemetry.Set{}, Log: zerolog.Nop()}
 		c.change(&config)
 		if _, err := gossip.Start(t.Context(), config); err != nil {
 			fmt.Fprintf(&text, "%s: %s\n", c.name, err.Error())
--- a/cluster/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -14,13 +14,13 @@
 
 	"github.com/rs/zerolog"
 
-	"eidertrail/cluster"
-	"eidertrail/internal/stats"
+	"eidertrail/internal/fleet/swim"
+	"eidertrail/internal/telemetry"
 )
 
 // Config is what a Runner is made with.
 type Config struct {
-	Node        cluster.Config
+	Node        swim.Config
 	Listen      string   // UDP address:port
 	Peers       []string // by member number, this one's own included and not used
 	Fleet       string   // datagrams of another fleet are passed over
@@ -28,11 +28,11 @@
 	Seed        uint64
 	Clock       interface{ Now() int64 } // µs, never backwards
 	Log         zerolog.Logger
-	Count       *stats.Set
+	Count       *telemetry.Set
 	// Receive takes the bodies that members send with Send, View the members whenever one has changed. Both are
 	// called by the loop, and must not block.
 	Receive func(now int64, from int, body []byte)
-	View    func(now int64, members []cluster.Member)
+	View    func(now int64, members []swim.Member)
 	// Every is called by the loop every so often (EveryMicros, 0: never), and may Send.
 	Every       func(now int64, send func(to int, body []byte))
 	EveryMicros int64
@@ -51,11 +51,11 @@
 	fleet   uint32
 	peers   []netip.AddrPort
 	conn    *net.UDPConn
-	node    *cluster.Node
+	node    *swim.Node
 	in      chan datagram
 	posts   chan func(now int64)
 	done    chan struct{}
-	members atomic.Pointer[[]cluster.Member]
+	members atomic.Pointer[[]swim.Member]
 	health  atomic.Int64
 	wg      sync.WaitGroup
 }
@@ -67,7 +67,7 @@
 
 // Start opens the socket and runs the member until ctx is done. Wait waits for its end.
 func Start(ctx context.Context, cfg Config) (*Runner, error) {
-	r := &Runner{cfg: cfg, fleet: cluster.Fleet(cfg.Fleet), in: make(chan datagram, mostWaiting),
+	r := &Runner{cfg: cfg, fleet: swim.Fleet(cfg.Fleet), in: make(chan datagram, mostWaiting),
 		posts: make(chan func(int64), 16), done: make(chan struct{})}
 	if len(cfg.Peers) != cfg.Node.Members {
 		return nil, fmt.Errorf("cluster: peers: %d addresses for %d members", len(cfg.Peers), cfg.Node.Members)
@@ -87,7 +87,7 @@
 		return nil, fmt.Errorf("cluster: peer_listen: %w", err)
 	}
 	now := cfg.Clock.Now()
-	if r.node, err = cluster.New(cfg.Node, cfg.Incarnation, cfg.Seed, now); err != nil {
+	if r.node, err = swim.New(cfg.Node, cfg.Incarnation, cfg.Seed, now); err != nil {
 		r.conn.Close()
 		return nil, err
 	}
@@ -104,7 +104,7 @@
 func (r *Runner) Addr() net.Addr { return r.conn.LocalAddr() }
 
 // Members is the view as it is now, by member number.
-func (r *Runner) Members() []cluster.Member { return *r.members.Load() }
+func (r *Runner) Members() []swim.Member { return *r.members.Load() }
 
 // Health is the local health score, 0 for well.
 func (r *Runner) Health() int { return int(r.health.Load()) }
@@ -133,7 +133,7 @@
 
 func (r *Runner) read() {
 	defer r.wg.Done()
-	buffer := make([]byte, cluster.MostDatagram+1) // a longer one shows
+	buffer := make([]byte, swim.MostDatagram+1) // a longer one shows
 	for {
 		n, from, err := r.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
@@ -142,11 +142,11 @@
 		if err != nil { // such as a refusal by a peer that has gone
 			continue
 		}
-		r.cfg.Count.Add(stats.PeerIn)
+		r.cfg.Count.Add(telemetry.PeerIn)
 		select {
 		case r.in <- datagram{unmapped(from), append([]byte(nil), buffer[:n]...)}:
 		default:
-			r.cfg.Count.Add(stats.PeerDropped)
+			r.cfg.Count.Add(telemetry.PeerDropped)
 		}
 	}
 }
@@ -192,24 +192,24 @@
 }
 
 func (r *Runner) receive(now int64, d datagram) {
-	m, err := cluster.Parse(d.bytes, r.fleet)
+	m, err := swim.Parse(d.bytes, r.fleet)
 	if err == nil && (m.From >= len(r.peers) || r.peers[m.From] != d.from) {
-		err = fmt.Errorf("%w: from %s, which is not member %d's address", cluster.ErrDatagram, d.from, m.From)
+		err = fmt.Errorf("%w: from %s, which is not member %d's address", swim.ErrDatagram, d.from, m.From)
 	}
 	if err != nil {
-		r.cfg.Count.Add(stats.PeerBad)
+		r.cfg.Count.Add(telemetry.PeerBad)
 		r.cfg.Log.Warn().Err(err).Stringer("from", d.from).Msg("bad datagram")
 		return
 	}
 	r.node.Receive(now, m)
-	if m.Kind == cluster.User && r.cfg.Receive != nil {
+	if m.Kind == swim.User && r.cfg.Receive != nil {
 		r.cfg.Receive(now, m.From, m.Body)
 	}
 }
 
 // send sends a body to a member; the loop's callbacks use it.
 func (r *Runner) send(to int, body []byte) {
-	r.write(cluster.Out{To: to, Message: cluster.Message{Kind: cluster.User, From: r.cfg.Node.Self,
+	r.write(swim.Out{To: to, Message: swim.Message{Kind: swim.User, From: r.cfg.Node.Self,
 		Incarnation: r.node.Incarnation(), Body: body}})
 }
 
@@ -221,10 +221,10 @@
 	}
 	for _, c := range changes {
 		switch c.Is {
-		case cluster.Suspect:
-			r.cfg.Count.Add(stats.MembersSuspected)
-		case cluster.Dead:
-			r.cfg.Count.Add(stats.MembersDied)
+		case swim.Suspect:
+			r.cfg.Count.Add(telemetry.MembersSuspected)
+		case swim.Dead:
+			r.cfg.Count.Add(telemetry.MembersDied)
 		}
 		if c.Was != c.Is {
 			r.cfg.Log.Info().Int("member", c.Member).Stringer("was", c.Was).Stringer("is", c.Is).
@@ -244,15 +244,15 @@
 	}
 }
 
-func (r *Runner) write(o cluster.Out) {
-	b, err := o.Message.Append(make([]byte, 0, cluster.MostDatagram), r.fleet)
+func (r *Runner) write(o swim.Out) {
+	b, err := o.Message.Append(make([]byte, 0, swim.MostDatagram), r.fleet)
 	if err != nil {
 		r.cfg.Log.Error().Err(err).Msg("datagram not sent")
 		return
 	}
-	r.cfg.Count.Add(stats.PeerOut)
-	r.cfg.Count.AddN(stats.PeerBytesOut, int64(len(b)))
+	r.cfg.Count.Add(telemetry.PeerOut)
+	r.cfg.Count.AddN(telemetry.PeerBytesOut, int64(len(b)))
 	if _, err := r.conn.WriteToUDPAddrPort(b, r.peers[o.To]); err != nil {
-		r.cfg.Count.Add(stats.PeerUnsent) // as good as lost on its way
+		r.cfg.Count.Add(telemetry.PeerUnsent) // as good as lost on its way
 	}
 }
--- a/cluster/budget/budget.go
+++ b/internal/fleet/quota/budget.go
@@ -10,7 +10,7 @@
 //
 // A Ledger is one member's books. It does no I/O and reads no clock: times are µs of a clock of the member's
 // own that never moves backwards. It is not safe for concurrent use.
-package budget
+package quota
 
 import (
 	"encoding/binary"
--- a/cluster/budget/characterization_test.go
+++ b/internal/fleet/quota/characterization_test.go
@@ -2,10 +2,10 @@
 // runs and as the bytes of every kind of message, so that a change of names or shape can be shown to change nothing.
 // On a purposeful change of behaviour the files are written anew with
 //
-//	EIDERTRAIL_UPDATE=1 go test ./cluster/budget -run TestCharacterization
+//	EIDERTRAIL_UPDATE=1 go test ./internal/fleet/quota -run TestCharacterization
 //
 // and the commit has to say why.
-package budget_test
+package quota_test
 
 import (
 	"bytes"
@@ -23,7 +23,7 @@
 	"strings"
 	"testing"
 
-	"eidertrail/cluster/budget"
+	"eidertrail/internal/fleet/quota"
 )
 
 // ---- recorded files ----
@@ -132,7 +132,7 @@
 
 // process is one member's; its clock has an offset and a rate of its own.
 type process struct {
-	ledger      *budget.Shared
+	ledger      *quota.Shared
 	life        uint32
 	offset      int64
 	rate        int64 // thousandths
@@ -146,7 +146,7 @@
 	t         *testing.T
 	rng       *rand.Rand
 	now       int64
-	config    budget.Config
+	config    quota.Config
 	names     []string
 	processes []process
 	queue     messages
@@ -163,7 +163,7 @@
 
 func uncut(int, int) bool { return false }
 
-func newNetwork(t *testing.T, record *recording, config budget.Config, names int, seed uint64, spoiling bool) *network {
+func newNetwork(t *testing.T, record *recording, config quota.Config, names int, seed uint64, spoiling bool) *network {
 	w := &network{spoiling: spoiling, t: t, rng: rand.New(rand.NewPCG(seed, 77)), now: startOfTime, config: config,
 		processes: make([]process, config.Members), mostDelay: 10_000, cut: uncut, record: record}
 	for i := range names {
@@ -182,7 +182,7 @@
 	*p = process{life: p.life + 1, offset: offset, rate: 1000 - int64(member%3)*50, tickAt: w.now + int64(member)*1000}
 	config := w.config
 	config.Self, config.Life = member, p.life
-	ledger, err := budget.NewShared(config, w.clock(member))
+	ledger, err := quota.NewShared(config, w.clock(member))
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -206,7 +206,7 @@
 }
 
 // send loses, doubles, spoils and delays.
-func (w *network) send(from int, out []budget.Out) {
+func (w *network) send(from int, out []quota.Out) {
 	for _, o := range out {
 		w.record.word("out")
 		w.record.number(int64(o.To))
@@ -389,7 +389,7 @@
 		{"nine-members-more-wholes-than-kept", 9, 80, 15_000, 100, 0, 4, true},
 	} {
 		record := newRecording(c.name)
-		config := budget.Config{Members: c.members, Unit: c.unit, Keep: c.keep, TTL: leaseLength, Margin: leaseMargin}
+		config := quota.Config{Members: c.members, Unit: c.unit, Keep: c.keep, TTL: leaseLength, Margin: leaseMargin}
 		w := newNetwork(t, record, config, c.names, c.seed, c.spoiling)
 		w.run(c.events)
 		if whole := c.members * c.unit; !c.spoiling && w.most > whole {
@@ -406,7 +406,7 @@
 func TestCharacterization_MeterDigests(t *testing.T) {
 	record := newRecording("meter")
 	rng := rand.New(rand.NewPCG(4, 4))
-	var meter budget.Meter
+	var meter quota.Meter
 	now := startOfTime
 	const events = 20_000
 	for range events {
@@ -436,10 +436,10 @@
 
 const wholeName = "pool-a"
 
-func ledgerOf(t *testing.T, self int, life uint32) *budget.Ledger {
+func ledgerOf(t *testing.T, self int, life uint32) *quota.Ledger {
 	t.Helper()
-	config := budget.Config{Self: self, Members: 3, Life: life, Unit: 1000, Keep: 250, TTL: leaseLength, Margin: leaseMargin}
-	ledger, err := budget.New(config, 0)
+	config := quota.Config{Self: self, Members: 3, Life: life, Unit: 1000, Keep: 250, TTL: leaseLength, Margin: leaseMargin}
+	ledger, err := quota.New(config, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -448,7 +448,7 @@
 }
 
 // only is the one body of an output.
-func only(t *testing.T, out []budget.Out, err error) []byte {
+func only(t *testing.T, out []quota.Out, err error) []byte {
 	t.Helper()
 	if err != nil || len(out) != 1 {
 		t.Fatalf("%d messages, %v", len(out), err)
@@ -478,7 +478,7 @@
 	returned := only(t, borrower.Tick(now), nil)
 	long := ledgerOf(t, 0, math.MaxUint32)
 	long.Members([]bool{true, true, false})
-	long.Demand(now, strings.Repeat("n", budget.MostName), math.MaxInt)
+	long.Demand(now, strings.Repeat("n", quota.MostName), math.MaxInt)
 	return []namedBytes{
 		{"ask", questions[0].Body},
 		{"ask-of-another-member", questions[1].Body},
@@ -502,7 +502,7 @@
 		{"bad-cut-in-head", ask[:12]},
 		{"bad-no-name", ask[:13]},
 		{"odd-cut-in-name", ask[:14]},
-		{"bad-name-too-long", append(bytes.Clone(ask[:13]), bytes.Repeat([]byte("n"), budget.MostName+1)...)},
+		{"bad-name-too-long", append(bytes.Clone(ask[:13]), bytes.Repeat([]byte("n"), quota.MostName+1)...)},
 		{"bad-kind-0", changed(0, 0)},
 		{"bad-kind-4", changed(0, 4)},
 		{"bad-kind-255", changed(0, 255)},
@@ -543,7 +543,7 @@
 	for _, from := range []int{-1, 0, 3, 2} {
 		readMessage(&text, fmt.Sprintf("from %d:", from), reader, 2*leaseLength, from, ask)
 	}
-	for i := range budget.MostResources {
+	for i := range quota.MostResources {
 		reader.Demand(2*leaseLength, fmt.Sprintf("pool-%d", i), 1)
 	}
 	readMessage(&text, "no room:", reader, 2*leaseLength, 1, namedBytes{"ask-longest-name", recordedBytes(t, "messages.txt")[5].bytes})
@@ -551,9 +551,9 @@
 }
 
 // readMessage writes down what a ledger makes of a message: an error, answers, and what it may use afterwards.
-func readMessage(text *strings.Builder, who string, reader *budget.Ledger, now int64, from int, m namedBytes) {
+func readMessage(text *strings.Builder, who string, reader *quota.Ledger, now int64, from int, m namedBytes) {
 	out, err := reader.Receive(now, from, m.bytes)
-	fmt.Fprintf(text, "%s %s is-ledgers %t", who, m.name, budget.Is(m.bytes))
+	fmt.Fprintf(text, "%s %s is-ledgers %t", who, m.name, quota.Is(m.bytes))
 	if err != nil {
 		fmt.Fprintf(text, " error %q", err.Error())
 	}
@@ -583,24 +583,24 @@
 }
 
 func TestCharacterization_ConfigErrors(t *testing.T) {
-	good := budget.Config{Self: 1, Members: 3, Unit: 10, Keep: 2, TTL: 1000}
+	good := quota.Config{Self: 1, Members: 3, Unit: 10, Keep: 2, TTL: 1000}
 	var text strings.Builder
 	for _, c := range []struct {
 		name   string
-		change func(c *budget.Config)
+		change func(c *quota.Config)
 	}{
-		{"good", func(c *budget.Config) {}},
-		{"no-members", func(c *budget.Config) { c.Members = 0 }},
-		{"self", func(c *budget.Config) { c.Self = 3 }},
-		{"keep", func(c *budget.Config) { c.Keep = 11 }},
-		{"unit", func(c *budget.Config) { c.Unit = 0 }},
-		{"lease", func(c *budget.Config) { c.TTL = 999 }},
-		{"margin", func(c *budget.Config) { c.Margin = -1 }},
+		{"good", func(c *quota.Config) {}},
+		{"no-members", func(c *quota.Config) { c.Members = 0 }},
+		{"self", func(c *quota.Config) { c.Self = 3 }},
+		{"keep", func(c *quota.Config) { c.Keep = 11 }},
+		{"unit", func(c *quota.Config) { c.Unit = 0 }},
+		{"lease", func(c *quota.Config) { c.TTL = 999 }},
+		{"margin", func(c *quota.Config) { c.Margin = -1 }},
 	} {
 		config := good
 		c.change(&config)
 		err := config.Check()
-		if err != nil && !errors.Is(err, budget.ErrConfig) {
+		if err != nil && !errors.Is(err, quota.ErrConfig) {
 			t.Errorf("%s: %v is not the error of a config", c.name, err)
 		}
 		if err == nil {
@@ -608,7 +608,7 @@
 		}
 		fmt.Fprintf(&text, "%s: %s\n", c.name, err.Error())
 	}
-	fmt.Fprintf(&text, "most wholes %d name %d\n", budget.MostResources, budget.MostName)
+	fmt.Fprintf(&text, "most wholes %d name %d\n", quota.MostResources, quota.MostName)
 	compareRecorded(t, "config.txt", text.String())
 }
 
--- a/cluster/budget/meter.go
+++ b/internal/fleet/quota/meter.go
@@ -1,4 +1,4 @@
-package budget
+package quota
 
 // Meter holds a rate of set-ups: a token bucket of which at most burst set-ups are in hand. The zero value is
 // ready, with one in hand.
--- a/cluster/budget/shared.go
+++ b/internal/fleet/quota/shared.go
@@ -1,4 +1,4 @@
-package budget
+package quota
 
 import "sync"
 
--- a/cluster/budget/timeline_test.go
+++ b/internal/fleet/quota/timeline_test.go
@@ -1,4 +1,4 @@
-package budget
+package quota
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"eidertrail/internal/timeline"
+	"eidertrail/internal/testing/timeline"
 )
 
 // TestTimelines plays the scripts of testdata/timelines over one whole, divided among members that each own 1000 units
--- a/cluster/table/characterization_test.go
+++ b/internal/fleet/statetable/characterization_test.go
@@ -2,10 +2,10 @@
 // runs and as the bytes of every kind of body, so that a change of names or shape can be shown to change nothing. On a
 // purposeful change of behaviour the files are written anew with
 //
-//	EIDERTRAIL_UPDATE=1 go test ./cluster/table -run TestCharacterization
+//	EIDERTRAIL_UPDATE=1 go test ./internal/fleet/statetable -run TestCharacterization
 //
 // and the commit has to say why.
-package table_test
+package statetable_test
 
 import (
 	"bytes"
@@ -23,7 +23,7 @@
 	"strings"
 	"testing"
 
-	"eidertrail/cluster/table"
+	"eidertrail/internal/fleet/statetable"
 )
 
 // ---- recorded files ----
@@ -108,9 +108,9 @@
 )
 
 // kinds are those that every program of the tests knows; older programs know the first.
-func kinds() []table.Spec {
-	return []table.Spec{{Kind: table.Region, Name: "region", Most: 32}, {Kind: table.Versions, Name: "versions", Most: 200},
-		{Kind: table.Sketch, Name: "sketch", Most: 2048}, {Kind: 9, Name: "longest", Most: table.MostValue}}
+func kinds() []statetable.Spec {
+	return []statetable.Spec{{Kind: statetable.Region, Name: "region", Most: 32}, {Kind: statetable.Versions, Name: "versions", Most: 200},
+		{Kind: statetable.Sketch, Name: "sketch", Most: 2048}, {Kind: 9, Name: "longest", Most: statetable.MostValue}}
 }
 
 // message is one on its way.
@@ -137,8 +137,8 @@
 
 // process is one member's.
 type process struct {
-	table       *table.Table
-	kinds       []table.Spec // what it tells of itself
+	table       *statetable.Table
+	kinds       []statetable.Spec // what it tells of itself
 	life        uint64
 	stoppedTill int64
 }
@@ -174,7 +174,7 @@
 }
 
 // start starts a member's next life; by a clock that was set back its incarnation is lower than that of the last.
-func (w *network) start(member int, known []table.Spec, setBack bool) {
+func (w *network) start(member int, known []statetable.Spec, setBack bool) {
 	w.t.Helper()
 	p := &w.processes[member]
 	*p = process{life: p.life + 1, kinds: known}
@@ -183,9 +183,9 @@
 		incarnation = 500 + p.life
 		p.kinds = kinds()[1:2]
 	}
-	config := table.Default(member, len(w.processes), incarnation, uint64(member)*3+p.life)
+	config := statetable.Default(member, len(w.processes), incarnation, uint64(member)*3+p.life)
 	config.Kinds = known
-	started, err := table.New(config, w.now)
+	started, err := statetable.New(config, w.now)
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -205,7 +205,7 @@
 }
 
 // send loses, doubles, cuts short and delays.
-func (w *network) send(from int, out []table.Out) {
+func (w *network) send(from int, out []statetable.Out) {
 	for _, o := range out {
 		w.record.word("out")
 		w.record.number(int64(o.To))
@@ -240,7 +240,7 @@
 	}
 }
 
-func (w *network) recordEntry(e table.Entry) {
+func (w *network) recordEntry(e statetable.Entry) {
 	w.record.unsigned(e.Incarnation)
 	w.record.unsigned(uint64(e.Version))
 	w.record.number(e.At)
@@ -370,7 +370,7 @@
 	for i := range w.processes {
 		held := w.processes[i].table
 		for _, spec := range kinds() {
-			held.Each(spec.Kind, func(origin int, e table.Entry) {
+			held.Each(spec.Kind, func(origin int, e statetable.Entry) {
 				w.record.number(int64(origin))
 				w.recordEntry(e)
 				if origin == i && e.Incarnation%lifeApart > 0 && e.Incarnation > lifeApart {
@@ -401,7 +401,7 @@
 		w := newNetwork(t, record, c.members, c.seed)
 		w.run(c.events)
 		lines.WriteString(record.lines.String())
-		total := table.Counts{}
+		total := statetable.Counts{}
 		for i := range w.processes {
 			counts := w.processes[i].table.Counts()
 			total.Repairs += counts.Repairs
@@ -425,15 +425,15 @@
 
 const tableMembers = 3
 
-func tableOf(t *testing.T, self int, change func(c *table.Config)) *table.Table {
+func tableOf(t *testing.T, self int, change func(c *statetable.Config)) *statetable.Table {
 	t.Helper()
-	config := table.Default(self, tableMembers, 1_700_000_000_000_000+uint64(self), 7)
+	config := statetable.Default(self, tableMembers, 1_700_000_000_000_000+uint64(self), 7)
 	config.Fanout, config.Packets, config.DigestEvery = 1, 16, 1
 	config.Kinds = kinds()
 	if change != nil {
 		change(&config)
 	}
-	made, err := table.New(config, 0)
+	made, err := statetable.New(config, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -441,7 +441,7 @@
 	return made
 }
 
-func set(t *testing.T, to *table.Table, kind table.Kind, value string) {
+func set(t *testing.T, to *statetable.Table, kind statetable.Kind, value string) {
 	t.Helper()
 	if err := to.Set(0, kind, []byte(value)); err != nil {
 		t.Fatal(err)
@@ -458,7 +458,7 @@
 }
 
 // receive hands a body to a table, which must take it.
-func receive(t *testing.T, to *table.Table, from int, body []byte) []table.Out {
+func receive(t *testing.T, to *statetable.Table, from int, body []byte) []statetable.Out {
 	t.Helper()
 	out, err := to.Receive(1000, from, body)
 	if err != nil {
@@ -468,7 +468,7 @@
 }
 
 // named gives each body of an output a line.
-func named(name string, out []table.Out) (all []namedBytes) {
+func named(name string, out []statetable.Out) (all []namedBytes) {
 	for i, o := range out {
 		all = append(all, namedBytes{fmt.Sprintf("%s-%d-to-%d", name, i, o.To), o.Body})
 	}
@@ -482,9 +482,9 @@
 	empty := tableOf(t, 1, nil)
 	all := named("digest-of-nothing", empty.Tick(0))
 	teller := tableOf(t, 0, nil)
-	set(t, teller, table.Region, "north")
-	set(t, teller, table.Versions, "")
-	set(t, teller, table.Sketch, longValue())
+	set(t, teller, statetable.Region, "north")
+	set(t, teller, statetable.Versions, "")
+	set(t, teller, statetable.Sketch, longValue())
 	told := teller.Tick(0)
 	all = append(all, named("rumours-and-digest", told)...)
 	digest := told[len(told)-1].Body
@@ -492,7 +492,7 @@
 	all = append(all, named("lines-of-nothing", lines)...)
 	all = append(all, named("repairs-of-all", receive(t, teller, 1, lines[0].Body))...)
 	part := tableOf(t, 2, nil)
-	set(t, part, table.Region, "south")
+	set(t, part, statetable.Region, "south")
 	receive(t, part, 0, told[1].Body) // some of the fragments
 	lines = receive(t, part, 0, digest)
 	all = append(all, named("lines-of-some", lines)...)
@@ -507,7 +507,7 @@
 }
 
 // lastBody is the digest of an output, which comes last.
-func lastBody(t *testing.T, out []table.Out) []byte {
+func lastBody(t *testing.T, out []statetable.Out) []byte {
 	t.Helper()
 	if len(out) == 0 {
 		t.Fatal("nothing is sent")
@@ -605,9 +605,9 @@
 func TestCharacterization_DigestLengths(t *testing.T) {
 	var text strings.Builder
 	for _, members := range []int{2, 55, 56, 57, 111, 112, 113, 512} {
-		config := table.Default(0, members, 1, 1)
+		config := statetable.Default(0, members, 1, 1)
 		config.DigestEvery = 1
-		made, err := table.New(config, 0)
+		made, err := statetable.New(config, 0)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -631,14 +631,14 @@
 	recorded := recordedBytes(t, "bodies.txt")
 	for _, b := range recorded {
 		reader := tableOf(t, 1, nil)
-		set(t, reader, table.Versions, "mine")
+		set(t, reader, statetable.Versions, "mine")
 		readBody(t, &text, "reader", reader, 0, b)
 	}
 	for _, b := range recorded {
 		teller := tableOf(t, 0, nil)
-		set(t, teller, table.Region, "north")
-		set(t, teller, table.Versions, "")
-		set(t, teller, table.Sketch, longValue())
+		set(t, teller, statetable.Region, "north")
+		set(t, teller, statetable.Versions, "")
+		set(t, teller, statetable.Sketch, longValue())
 		readBody(t, &text, "teller", teller, 2, b)
 	}
 	for _, from := range []int{-1, 1, tableMembers} {
@@ -649,12 +649,12 @@
 }
 
 // readBody writes down what a table makes of a body: an error, answers, changes and what it counts.
-func readBody(t *testing.T, text *strings.Builder, who string, reader *table.Table, from int, b namedBytes) {
+func readBody(t *testing.T, text *strings.Builder, who string, reader *statetable.Table, from int, b namedBytes) {
 	t.Helper()
 	out, err := reader.Receive(1000, from, b.bytes)
-	fmt.Fprintf(text, "%s %s is-tables %t", who, b.name, table.Is(b.bytes))
+	fmt.Fprintf(text, "%s %s is-tables %t", who, b.name, statetable.Is(b.bytes))
 	if err != nil {
-		var wrong *table.MessageError
+		var wrong *statetable.MessageError
 		if !errors.As(err, &wrong) {
 			t.Errorf("%s: %v is not the error of a message", b.name, err)
 			return
@@ -668,7 +668,7 @@
 		fmt.Fprintf(text, " change %d %d %d.%d at %d %x", change.Origin, change.Kind, change.Incarnation, change.Version,
 			change.At, change.Value)
 	}
-	if own, is := reader.Get(1, table.Versions); is {
+	if own, is := reader.Get(1, statetable.Versions); is {
 		fmt.Fprintf(text, " own %d.%d", own.Incarnation, own.Version)
 	}
 	counts := reader.Counts()
@@ -680,16 +680,16 @@
 // one incarnation over it, in an order that is not held.
 func TestCharacterization_OvertakesAnEarlierLife(t *testing.T) {
 	starter, listener := tableOf(t, 0, nil), tableOf(t, 1, nil)
-	set(t, starter, table.Region, "north")
-	set(t, starter, table.Versions, "v1")
-	set(t, starter, table.Versions, "v2")
+	set(t, starter, statetable.Region, "north")
+	set(t, starter, statetable.Versions, "v1")
+	set(t, starter, statetable.Versions, "v2")
 	receive(t, starter, 1, fragmentsBody(fragment{origin: 0, kind: 1, incarnation: 1 << 62, version: 9, count: 1, length: 1, bytes: "s"}))
 	for _, o := range starter.Tick(0) {
 		receive(t, listener, 0, o.Body)
 	}
 	var text strings.Builder
-	for _, holder := range []*table.Table{starter, listener} {
-		for _, kind := range []table.Kind{table.Region, table.Versions} {
+	for _, holder := range []*statetable.Table{starter, listener} {
+		for _, kind := range []statetable.Kind{statetable.Region, statetable.Versions} {
 			e, is := holder.Get(0, kind)
 			fmt.Fprintf(&text, "kind %d held %t %d.%d at %d %q\n", kind, is, e.Incarnation, e.Version, e.At, e.Value)
 		}
@@ -701,26 +701,26 @@
 	var text strings.Builder
 	for _, c := range []struct {
 		name   string
-		change func(c *table.Config)
+		change func(c *statetable.Config)
 	}{
-		{"good", func(c *table.Config) {}},
-		{"no-members", func(c *table.Config) { c.Members = 0 }},
-		{"self", func(c *table.Config) { c.Self = 5 }},
-		{"members", func(c *table.Config) { c.Members = 1<<15 + 1 }},
-		{"interval", func(c *table.Config) { c.Interval = 9999 }},
-		{"fanout", func(c *table.Config) { c.Fanout = 17 }},
-		{"packets", func(c *table.Config) { c.Packets = 0 }},
-		{"retransmit", func(c *table.Config) { c.Retransmit = 17 }},
-		{"digest-every", func(c *table.Config) { c.DigestEvery = 0 }},
-		{"kinds", func(c *table.Config) { c.Kinds = make([]table.Spec, table.MostKinds+1) }},
-		{"kind-twice", func(c *table.Config) { c.Kinds = append(kinds(), kinds()[0]) }},
-		{"kind-too-long", func(c *table.Config) { c.Kinds[0].Most = table.MostValue + 1 }},
+		{"good", func(c *statetable.Config) {}},
+		{"no-members", func(c *statetable.Config) { c.Members = 0 }},
+		{"self", func(c *statetable.Config) { c.Self = 5 }},
+		{"members", func(c *statetable.Config) { c.Members = 1<<15 + 1 }},
+		{"interval", func(c *statetable.Config) { c.Interval = 9999 }},
+		{"fanout", func(c *statetable.Config) { c.Fanout = 17 }},
+		{"packets", func(c *statetable.Config) { c.Packets = 0 }},
+		{"retransmit", func(c *statetable.Config) { c.Retransmit = 17 }},
+		{"digest-every", func(c *statetable.Config) { c.DigestEvery = 0 }},
+		{"kinds", func(c *statetable.Config) { c.Kinds = make([]statetable.Spec, statetable.MostKinds+1) }},
+		{"kind-twice", func(c *statetable.Config) { c.Kinds = append(kinds(), kinds()[0]) }},
+		{"kind-too-long", func(c *statetable.Config) { c.Kinds[0].Most = statetable.MostValue + 1 }},
 	} {
-		config := table.Default(1, 5, 1, 1)
+		config := statetable.Default(1, 5, 1, 1)
 		config.Kinds = kinds()
 		c.change(&config)
 		text.WriteString(c.name)
-		var wrong *table.ConfigError
+		var wrong *statetable.ConfigError
 		if err := config.Check(); errors.As(err, &wrong) {
 			fmt.Fprintf(&text, " error %q field %q want %q remedy %q", err.Error(), wrong.Field, wrong.Want, wrong.Remedy())
 		}
@@ -728,21 +728,21 @@
 	}
 	full := tableOf(t, 0, nil)
 	for _, c := range []struct {
-		kind   table.Kind
+		kind   statetable.Kind
 		length int
-	}{{table.Region, 32}, {table.Region, 33}, {77, 1}} {
+	}{{statetable.Region, 32}, {statetable.Region, 33}, {77, 1}} {
 		fmt.Fprintf(&text, "value of %d bytes for kind %d", c.length, c.kind)
-		var wrong *table.ValueError
+		var wrong *statetable.ValueError
 		if err := full.Set(0, c.kind, make([]byte, c.length)); errors.As(err, &wrong) {
 			fmt.Fprintf(&text, " error %q most %d remedy %q", err.Error(), wrong.Most, wrong.Remedy())
 		}
 		text.WriteString("\n")
 	}
-	d := table.Default(3, 9, 5, 7)
+	d := statetable.Default(3, 9, 5, 7)
 	fmt.Fprintf(&text, "default interval %d fanout %d packets %d retransmit %d digest-every %d\n", d.Interval, d.Fanout, d.Packets,
 		d.Retransmit, d.DigestEvery)
-	fmt.Fprintf(&text, "most value %d kinds %d; region %d versions %d sketch %d\n", table.MostValue, table.MostKinds, table.Region,
-		table.Versions, table.Sketch)
+	fmt.Fprintf(&text, "most value %d kinds %d; region %d versions %d sketch %d\n", statetable.MostValue, statetable.MostKinds, statetable.Region,
+		statetable.Versions, statetable.Sketch)
 	compareRecorded(t, "config.txt", text.String())
 }
 
--- a/cluster/table/codec.go
+++ b/internal/fleet/statetable/codec.go
@@ -1,9 +1,9 @@
-package table
+package statetable
 
 import (
 	"encoding/binary"
 
-	"eidertrail/cluster"
+	"eidertrail/internal/fleet/swim"
 )
 
 // Bodies, numbers big-endian. Each begins with its kind, none of which another protocol between the members uses
@@ -18,7 +18,7 @@
 	blocksMessage    = 0x21
 	linesMessage     = 0x22
 
-	mostBody      = cluster.MostBody
+	mostBody      = swim.MostBody
 	itemHead      = 18
 	fragmentBytes = 160
 	rangeSize     = 6
--- a/cluster/table/table.go
+++ b/internal/fleet/statetable/table.go
@@ -8,7 +8,7 @@
 //
 // Each user of the table registers a kind. One that is not registered is passed over and not passed on, so that
 // programs that know different kinds run side by side. docs/design-table.md weighs the choices and says what it costs.
-package table
+package statetable
 
 import (
 	"bytes"
--- a/cluster/table/table_test.go
+++ b/internal/fleet/statetable/table_test.go
@@ -1,4 +1,4 @@
-package table
+package statetable
 
 import (
 	"bytes"
--- a/cluster/table/timeline_test.go
+++ b/internal/fleet/statetable/timeline_test.go
@@ -1,4 +1,4 @@
-package table
+package statetable
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"eidertrail/internal/timeline"
+	"eidertrail/internal/testing/timeline"
 )
 
 // TestTimelines plays the scripts of testdata/timelines: members N, tell I REGION, observe I BYTES (a sketch of so many),
--- a/cluster/characterization_test.go
+++ b/internal/fleet/swim/characterization_test.go
@@ -2,10 +2,10 @@
 // seeded runs and as the bytes of every kind of datagram, so that a change of names or shape can be shown to change
 // nothing. On a purposeful change of behaviour the files are written anew with
 //
-//	EIDERTRAIL_UPDATE=1 go test ./cluster -run TestCharacterization
+//	EIDERTRAIL_UPDATE=1 go test ./internal/fleet/swim -run TestCharacterization
 //
 // and the commit has to say why.
-package cluster_test
+package swim_test
 
 import (
 	"bytes"
@@ -24,7 +24,7 @@
 	"strings"
 	"testing"
 
-	"eidertrail/cluster"
+	"eidertrail/internal/fleet/swim"
 )
 
 // ---- recorded files ----
@@ -126,7 +126,7 @@
 
 // process is one member's, which runs, is stopped until some time, or has crashed (node is nil).
 type process struct {
-	node        *cluster.Node
+	node        *swim.Node
 	next        int64 // when its Tick is wanted
 	stoppedTill int64
 	crashAt     int64 // it ends then; 0: not planned
@@ -178,7 +178,7 @@
 
 func (w *network) start(member int, incarnation uint64) {
 	w.t.Helper()
-	node, err := cluster.New(cluster.Default(member, w.members), incarnation, uint64(member)*7+1, w.now)
+	node, err := swim.New(swim.Default(member, w.members), incarnation, uint64(member)*7+1, w.now)
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -307,12 +307,12 @@
 		w.push(p.stoppedTill, d.to, d.bytes)
 		return
 	}
-	message, err := cluster.Parse(d.bytes, fleetNumber)
+	message, err := swim.Parse(d.bytes, fleetNumber)
 	if err != nil {
 		w.record.word("rejected")
 		return
 	}
-	if message.Kind == cluster.PingReq {
+	if message.Kind == swim.PingReq {
 		if w.now < p.pingReqAt+pingReqsApart {
 			w.push(p.pingReqAt+pingReqsApart, d.to, d.bytes)
 			return
@@ -403,10 +403,10 @@
 	number := func() int { return w.rng.IntN(w.members + 2) }
 	incarnation := func() uint64 { return incarnations[w.rng.IntN(len(incarnations))] }
 	for range 3 {
-		m := cluster.Message{Kind: cluster.Kind(w.rng.IntN(8)), From: number(), Incarnation: incarnation(),
+		m := swim.Message{Kind: swim.Kind(w.rng.IntN(8)), From: number(), Incarnation: incarnation(),
 			Seq: uint32(w.rng.IntN(300)), Target: number()}
 		for range w.rng.IntN(8) {
-			m.Updates = append(m.Updates, cluster.Update{Member: number(), State: cluster.State(w.rng.IntN(7)),
+			m.Updates = append(m.Updates, swim.Update{Member: number(), State: swim.State(w.rng.IntN(7)),
 				Incarnation: incarnation(), From: number()})
 		}
 		w.sendMade(w.rng.IntN(w.members), m)
@@ -417,11 +417,11 @@
 	to, from := w.rng.IntN(w.members), w.rng.IntN(w.members)
 	for seq := range 160 {
 		target := (to + 1 + w.rng.IntN(w.members-1)) % w.members
-		w.sendMade(to, cluster.Message{Kind: cluster.PingReq, From: from, Incarnation: 1000, Seq: uint32(seq), Target: target})
+		w.sendMade(to, swim.Message{Kind: swim.PingReq, From: from, Incarnation: 1000, Seq: uint32(seq), Target: target})
 	}
 }
 
-func (w *network) sendMade(to int, m cluster.Message) {
+func (w *network) sendMade(to int, m swim.Message) {
 	w.t.Helper()
 	b, err := m.Append(nil, fleetNumber)
 	if err != nil {
@@ -452,17 +452,17 @@
 }
 
 // stateWord is this test's own word for a state.
-func stateWord(s cluster.State) string {
+func stateWord(s swim.State) string {
 	switch s {
-	case cluster.Unknown:
+	case swim.Unknown:
 		return "unknown"
-	case cluster.Alive:
+	case swim.Alive:
 		return "alive"
-	case cluster.Suspect:
+	case swim.Suspect:
 		return "suspect"
-	case cluster.Dead:
+	case swim.Dead:
 		return "dead"
-	case cluster.Left:
+	case swim.Left:
 		return "left"
 	}
 	return fmt.Sprintf("state-%d", uint8(s))
@@ -486,7 +486,7 @@
 		w := newNetwork(t, record, c.members, c.seed, c.odd)
 		w.run(c.events)
 		lines.WriteString(record.lines.String())
-		total := cluster.Counts{}
+		total := swim.Counts{}
 		for i := range w.processes {
 			if node := w.processes[i].node; node != nil {
 				counts := node.Counts()
@@ -506,7 +506,7 @@
 func TestCharacterization_StandstillBound(t *testing.T) {
 	var text strings.Builder
 	for _, late := range []int64{0, 499_999, 500_000, 500_001, second} {
-		node, err := cluster.New(cluster.Default(0, 3), 1000, 1, second)
+		node, err := swim.New(swim.Default(0, 3), 1000, 1, second)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -523,15 +523,15 @@
 func TestCharacterization_DefaultSettings(t *testing.T) {
 	var text strings.Builder
 	for _, members := range []int{1, 2, 3, 5, 9, 10, 40, 100, 512} {
-		c := cluster.Default(0, members)
+		c := swim.Default(0, members)
 		fmt.Fprintf(&text, "members %d interval %d timeout %d indirect %d suspicion-mult %d suspicion-max %d retransmit %d detect-within %d\n",
 			members, c.Interval, c.Timeout, c.Indirect, c.SuspicionMult, c.SuspicionMax, c.Retransmit, c.DetectWithin())
 	}
 	for _, members := range []int{0, 512, 513} {
-		fmt.Fprintf(&text, "members %d check: %s\n", members, errorText(cluster.Default(0, members).Check()))
+		fmt.Fprintf(&text, "members %d check: %s\n", members, errorText(swim.Default(0, members).Check()))
 	}
-	fmt.Fprintf(&text, "most members %d datagram %d updates %d body %d\n", cluster.MostMembers, cluster.MostDatagram,
-		cluster.MostUpdates, cluster.MostBody)
+	fmt.Fprintf(&text, "most members %d datagram %d updates %d body %d\n", swim.MostMembers, swim.MostDatagram,
+		swim.MostUpdates, swim.MostBody)
 	compareRecorded(t, "settings.txt", text.String())
 }
 
@@ -547,42 +547,42 @@
 // namedMessage is a message that has a line in the recorded file.
 type namedMessage struct {
 	name    string
-	message cluster.Message
+	message swim.Message
 }
 
 func messages() []namedMessage {
-	updates := []cluster.Update{
-		{Member: 0, State: cluster.Unknown, Incarnation: 0, From: 1},
-		{Member: 1, State: cluster.Alive, Incarnation: 1_700_000_000_000_001, From: 1},
-		{Member: 2, State: cluster.Suspect, Incarnation: 0x0102030405060708, From: 3},
-		{Member: 511, State: cluster.Dead, Incarnation: math.MaxUint64, From: 510},
-		{Member: 256, State: cluster.Left, Incarnation: 1 << 63, From: 256},
+	updates := []swim.Update{
+		{Member: 0, State: swim.Unknown, Incarnation: 0, From: 1},
+		{Member: 1, State: swim.Alive, Incarnation: 1_700_000_000_000_001, From: 1},
+		{Member: 2, State: swim.Suspect, Incarnation: 0x0102030405060708, From: 3},
+		{Member: 511, State: swim.Dead, Incarnation: math.MaxUint64, From: 510},
+		{Member: 256, State: swim.Left, Incarnation: 1 << 63, From: 256},
 	}
-	var many []cluster.Update
-	for i := range cluster.MostUpdates + 2 {
-		many = append(many, cluster.Update{Member: i, State: cluster.Alive, Incarnation: uint64(i) << 33, From: i + 1})
+	var many []swim.Update
+	for i := range swim.MostUpdates + 2 {
+		many = append(many, swim.Update{Member: i, State: swim.Alive, Incarnation: uint64(i) << 33, From: i + 1})
 	}
-	head := func(kind cluster.Kind) cluster.Message {
-		return cluster.Message{Kind: kind, From: 0x0102, Incarnation: 0x1112131415161718, Seq: 0x21222324, Target: 0x0131}
+	head := func(kind swim.Kind) swim.Message {
+		return swim.Message{Kind: kind, From: 0x0102, Incarnation: 0x1112131415161718, Seq: 0x21222324, Target: 0x0131}
 	}
-	with := func(m cluster.Message, updates []cluster.Update, body string) cluster.Message {
+	with := func(m swim.Message, updates []swim.Update, body string) swim.Message {
 		m.Updates, m.Body = updates, []byte(body)
 		return m
 	}
 	return []namedMessage{
-		{"ping", head(cluster.Ping)},
-		{"ack", head(cluster.Ack)},
-		{"ping-req", head(cluster.PingReq)},
-		{"nack", head(cluster.Nack)},
-		{"gossip", head(cluster.Gossip)},
-		{"user", with(head(cluster.User), nil, "\x01body")},
-		{"user-empty-body", head(cluster.User)},
-		{"zero", cluster.Message{}},
-		{"ping-each-state", with(head(cluster.Ping), updates, "")},
-		{"gossip-most-updates-of-more", with(head(cluster.Gossip), many, "")},
-		{"user-most-body", with(head(cluster.User), nil, strings.Repeat("b", cluster.MostBody))},
-		{"user-updates-beside-body", with(head(cluster.User), updates, strings.Repeat("b", cluster.MostBody-2*13-5))},
-		{"state-of-no-program", with(head(cluster.Gossip), []cluster.Update{{Member: 65535, State: 255, Incarnation: 1, From: 65535}}, "")},
+		{"ping", head(swim.Ping)},
+		{"ack", head(swim.Ack)},
+		{"ping-req", head(swim.PingReq)},
+		{"nack", head(swim.Nack)},
+		{"gossip", head(swim.Gossip)},
+		{"user", with(head(swim.User), nil, "\x01body")},
+		{"user-empty-body", head(swim.User)},
+		{"zero", swim.Message{}},
+		{"ping-each-state", with(head(swim.Ping), updates, "")},
+		{"gossip-most-updates-of-more", with(head(swim.Gossip), many, "")},
+		{"user-most-body", with(head(swim.User), nil, strings.Repeat("b", swim.MostBody))},
+		{"user-updates-beside-body", with(head(swim.User), updates, strings.Repeat("b", swim.MostBody-2*13-5))},
+		{"state-of-no-program", with(head(swim.Gossip), []swim.Update{{Member: 65535, State: 255, Incarnation: 1, From: 65535}}, "")},
 	}
 }
 
@@ -604,7 +604,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	long, short := append(bytes.Clone(good), make([]byte, cluster.MostDatagram+1-len(good))...), good[:27]
+	long, short := append(bytes.Clone(good), make([]byte, swim.MostDatagram+1-len(good))...), good[:27]
 	return []namedBytes{
 		{"bad-empty", nil},
 		{"bad-one-byte", good[:1]},
@@ -660,20 +660,20 @@
 	}
 	compareRecorded(t, "datagrams.txt", text.String())
 
-	tooLong := cluster.Message{Kind: cluster.User, Body: make([]byte, cluster.MostBody+1)}
+	tooLong := swim.Message{Kind: swim.User, Body: make([]byte, swim.MostBody+1)}
 	b, err := tooLong.Append([]byte("before"), fleetNumber)
 	compareRecorded(t, "body-too-long.txt", fmt.Sprintf("%s %s\n", b, errorText(err)))
 	compareRecorded(t, "fleet-numbers.txt", fmt.Sprintf("empty %d\nname %d\nbytes %d\n",
-		cluster.Fleet(""), cluster.Fleet("eidertrail"), cluster.Fleet("\x00\xff")))
+		swim.Fleet(""), swim.Fleet("eidertrail"), swim.Fleet("\x00\xff")))
 }
 
 // The recorded datagrams, as read today.
 func TestCharacterization_DatagramsRead(t *testing.T) {
 	var text strings.Builder
 	for _, d := range recordedBytes(t, "datagrams.txt") {
-		m, err := cluster.Parse(d.bytes, fleetNumber)
+		m, err := swim.Parse(d.bytes, fleetNumber)
 		if err != nil {
-			if !errors.Is(err, cluster.ErrDatagram) {
+			if !errors.Is(err, swim.ErrDatagram) {
 				t.Errorf("%s: %v is not the error of a datagram", d.name, err)
 			}
 			fmt.Fprintf(&text, "%s error: %v\n", d.name, err)
@@ -713,19 +713,19 @@
 }
 
 // kindWord is this test's own word for a kind.
-func kindWord(k cluster.Kind) string {
+func kindWord(k swim.Kind) string {
 	switch k {
-	case cluster.Ping:
+	case swim.Ping:
 		return "ping"
-	case cluster.Ack:
+	case swim.Ack:
 		return "ack"
-	case cluster.PingReq:
+	case swim.PingReq:
 		return "ping-req"
-	case cluster.Nack:
+	case swim.Nack:
 		return "nack"
-	case cluster.Gossip:
+	case swim.Gossip:
 		return "gossip"
-	case cluster.User:
+	case swim.User:
 		return "user"
 	}
 	return fmt.Sprintf("kind-%d", uint8(k))
--- a/cluster/cluster.go
+++ b/internal/fleet/swim/cluster.go
@@ -5,7 +5,7 @@
 // A Node is one member's share of the protocol. It does no I/O and reads no clock: messages and the time, in
 // µs of a clock that never moves backwards, are handed in, and what it wants sent and what has changed is taken
 // out. It is not safe for concurrent use. docs/design-cluster.md weighs the choices.
-package cluster
+package swim
 
 import (
 	"errors"
--- a/cluster/cluster_test.go
+++ b/internal/fleet/swim/cluster_test.go
@@ -1,4 +1,4 @@
-package cluster
+package swim
 
 import (
 	"bytes"
--- a/cluster/timeline_test.go
+++ b/internal/fleet/swim/timeline_test.go
@@ -1,4 +1,4 @@
-package cluster
+package swim
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"eidertrail/internal/timeline"
+	"eidertrail/internal/testing/timeline"
 )
 
 // TestTimelines plays the scripts of testdata/timelines: members N, kill I, start I, stop I for a while, leave I, cut
--- a/health/characterization_test.go
+++ b/internal/frontend/health/characterization_test.go
@@ -2,7 +2,7 @@
 // state, byte for byte, so that a change of names or shape in the code can be shown to change nothing else. The recorded
 // files are in testdata/characterization. On a purposeful change they are written anew with
 //
-//	EIDERTRAIL_UPDATE=1 go test ./health -run TestCharacterization
+//	EIDERTRAIL_UPDATE=1 go test ./internal/frontend/health -run TestCharacterization
 //
 // and the commit has to say why they changed.
 package health_test
@@ -22,9 +22,9 @@
 	"testing"
 	"testing/synctest"
 
-	"eidertrail/health"
-	"eidertrail/internal/standin"
-	"eidertrail/internal/stats"
+	"eidertrail/internal/frontend/health"
+	"eidertrail/internal/telemetry"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 // compareRecorded compares a text with the recorded file of that name, or writes the file with EIDERTRAIL_UPDATE=1.
@@ -93,9 +93,9 @@
 func checkOf(s health.Status) health.Check { return func(context.Context) health.Status { return s } }
 
 // served runs test while the agent check is served on a listener without sockets.
-func served(t *testing.T, check health.Check, test func(l *standin.Listener)) {
+func served(t *testing.T, check health.Check, test func(l *fakeplatform.Listener)) {
 	t.Helper()
-	l := standin.NewListener()
+	l := fakeplatform.NewListener()
 	ended := make(chan error, 1)
 	go func() { ended <- health.ServeAgent(l, check) }()
 	test(l)
@@ -120,7 +120,7 @@
 	var out strings.Builder
 	synctest.Test(t, func(t *testing.T) {
 		for _, s := range allStatuses() {
-			served(t, checkOf(s), func(l *standin.Listener) {
+			served(t, checkOf(s), func(l *fakeplatform.Listener) {
 				fmt.Fprintf(&out, "%s: %s\n", status(s), strconv.Quote(readAll(t, l.Dial())))
 			})
 		}
@@ -143,7 +143,7 @@
 			<-answer
 			return health.Status{Live: true, Ready: true}
 		}
-		served(t, check, func(l *standin.Listener) {
+		served(t, check, func(l *fakeplatform.Listener) {
 			var all []net.Conn
 			for range agents {
 				all = append(all, l.Dial())
@@ -203,16 +203,16 @@
 // countersDocument is what the daemon serves: the snapshot, and which start of the process it counts from.
 type countersDocument struct {
 	Life int64 `json:"life"`
-	stats.Snapshot
+	telemetry.Snapshot
 }
 
 func TestCharacterization_Counters(t *testing.T) {
-	set := &stats.Set{}
-	set.AddN(stats.SetupsTaken, 1<<40)
-	set.AddN(stats.WordRepairs, 3)
+	set := &telemetry.Set{}
+	set.AddN(telemetry.SetupsTaken, 1<<40)
+	set.AddN(telemetry.WordRepairs, 3)
 	set.Stood(1234, true)
 	set.Stood(70_000_000, false)
-	var none *stats.Set
+	var none *telemetry.Set
 	var out strings.Builder
 	for _, document := range []any{countersDocument{1_700_000_000_000, set.Snapshot()}, countersDocument{0, none.Snapshot()}, nil} {
 		h := health.Handler(checkOf(health.Status{}), func() any { return document })
--- a/front/characterization_test.go
+++ b/internal/frontend/jsonlines/characterization_test.go
@@ -3,10 +3,10 @@
 // code can be shown to change nothing else. The recorded files are in testdata/characterization. On a purposeful change
 // they are written anew with
 //
-//	EIDERTRAIL_UPDATE=1 go test ./front -run TestCharacterization
+//	EIDERTRAIL_UPDATE=1 go test ./internal/frontend/jsonlines -run TestCharacterization
 //
 // and the commit has to say why they changed.
-package front_test
+package jsonlines_test
 
 import (
 	"bytes"
@@ -30,11 +30,11 @@
 
 	"eidertrail"
 	"eidertrail/dispatch"
-	"eidertrail/front"
 	"eidertrail/internal/clock"
-	"eidertrail/internal/jsonl"
-	"eidertrail/internal/standin"
-	"eidertrail/internal/stats"
+	"eidertrail/internal/frontend/jsonlines"
+	"eidertrail/internal/frontend/linecodec"
+	"eidertrail/internal/telemetry"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 // compareRecorded compares a text with the recorded file of that name, or writes the file with EIDERTRAIL_UPDATE=1.
@@ -170,11 +170,11 @@
 // platform is a front with its dispatcher, in a bubble of synctest.
 type platform struct {
 	*journal
-	front    *front.Front
+	front    *jsonlines.Front
 	desk     *dispatch.Desk
-	listener *standin.Listener
+	listener *fakeplatform.Listener
 	pools    *scriptedPools
-	count    *stats.Set
+	count    *telemetry.Set
 	ready    bool
 	log      *lockedBuffer
 	began    time.Time
@@ -229,7 +229,7 @@
 // newPlatform starts a front.
 func newPlatform(t *testing.T, j *journal, s setting) (p *platform, stop func()) {
 	t.Helper()
-	p = &platform{journal: j, listener: standin.NewListener(), count: &stats.Set{}, ready: true, log: &lockedBuffer{}, began: time.Now(),
+	p = &platform{journal: j, listener: fakeplatform.NewListener(), count: &telemetry.Set{}, ready: true, log: &lockedBuffer{}, began: time.Now(),
 		pools: &scriptedPools{journal: j, sdp: "v=0\r\ns=-\r\n", state: dispatch.Untold}}
 	now := clock.New()
 	d, err := dispatch.New(eidertrail.Settings{Nodes: 1, Here: -1, Release: 300 * time.Millisecond, Classes: classes()},
@@ -241,7 +241,7 @@
 	go d.Run(ctx)
 	d.Roster(s.pools, false)
 	p.desk = dispatch.NewDesk(dispatch.DeskConfig{Dispatch: d, Trunk: p.pools, Most: s.calls, Once: true, Count: p.count})
-	p.front = front.New(front.Config{
+	p.front = jsonlines.New(jsonlines.Config{
 		Desk: p.desk, Clock: now, MostConnections: s.most, Tenants: s.tenants, Ready: func() bool { return p.ready },
 		ReleaseStray: func(id string, cause int) { p.add("  all pools are told: release of %s, cause %d", id, cause) },
 		Log:          zerolog.New(p.log).Level(s.level), Count: p.count,
@@ -468,8 +468,8 @@
 		`{"type":"state","id":"x"}`, `{"type":"answer","id":"x"}`, `{"type":"dance","id":"x"}`, `{"type":"` + strings.Repeat("d", 60) + `","id":"x"}`, `{"type":"Setup"}`,
 		``, ` `, `nonsense`, `7`, `null`, `[]`, `"setup"`, `{}`, `{"a":1}`, `{"type":7,"id":"x"}`, `{"type":"","id":"x"}`, setup[:len(setup)-1], setup + ` x`, setup + setup,
 		"\xef\xbb\xbf" + setup, setup + "\r", " \t" + setup + " \t\r\r",
-		`{"type":"ping","id":"p"` + strings.Repeat(" ", jsonl.Most-25) + `}`, `{"type":"ping","id":"p"` + strings.Repeat(" ", jsonl.Most-24) + `}`,
-		strings.Repeat("x", 2*jsonl.Most), `{"type":"ping","id":"` + strings.Repeat("p", 8000) + `"}`,
+		`{"type":"ping","id":"p"` + strings.Repeat(" ", linecodec.Most-25) + `}`, `{"type":"ping","id":"p"` + strings.Repeat(" ", linecodec.Most-24) + `}`,
+		strings.Repeat("x", 2*linecodec.Most), `{"type":"ping","id":"` + strings.Repeat("p", 8000) + `"}`,
 	}
 	all := oneLine(lines, dispatch.Answered)
 	all = append(all,
--- a/front/conn.go
+++ b/internal/frontend/jsonlines/conn.go
@@ -1,4 +1,4 @@
-package front
+package jsonlines
 
 import (
 	"bufio"
@@ -12,8 +12,8 @@
 	"time"
 
 	"eidertrail/dispatch"
-	"eidertrail/internal/jsonl"
-	"eidertrail/internal/stats"
+	"eidertrail/internal/frontend/linecodec"
+	"eidertrail/internal/telemetry"
 )
 
 // conn is one connection of a caller: a goroutine reads it, another writes it. It is a dispatch.Caller.
@@ -60,7 +60,7 @@
 	case c.queue <- l:
 		return true
 	default:
-		c.front.cfg.Count.Add(stats.SlowReaders)
+		c.front.cfg.Count.Add(telemetry.SlowReaders)
 		c.close()
 		return false
 	}
@@ -76,7 +76,7 @@
 // finish has the connection closed once what is queued is written. What still comes on it is thrown away until then;
 // its end is an end.
 func (c *conn) finish() {
-	c.front.cfg.Count.Add(stats.ClosedBad)
+	c.front.cfg.Count.Add(telemetry.ClosedBad)
 	if c.send(line{last: true}) && c.raw.SetReadDeadline(time.Now().Add(writeTimeout)) == nil {
 		io.Copy(io.Discard, c.raw)
 	}
@@ -89,20 +89,20 @@
 func (c *conn) Final(id string, f dispatch.Final) bool {
 	switch {
 	case f.Kind == dispatch.Stands:
-		return c.send(line{bytes: jsonl.AppendAnswer(nil, id, f.Call.SDP()), stood: id})
+		return c.send(line{bytes: linecodec.AppendAnswer(nil, id, f.Call.SDP()), stood: id})
 	case f.Kind == dispatch.GivenUp && f.MayHaveRun:
-		return c.send(line{bytes: jsonl.AppendCause(nil, "release", id, causeFailed)})
+		return c.send(line{bytes: linecodec.AppendCause(nil, "release", id, causeFailed)})
 	case f.Kind == dispatch.GivenUp:
-		return c.send(line{bytes: jsonl.AppendCause(nil, "release", id, causeTimer)})
+		return c.send(line{bytes: linecodec.AppendCause(nil, "release", id, causeTimer)})
 	case f.NoRoom:
-		return c.send(line{bytes: jsonl.AppendCause(nil, "release", id, causeNoCircuit)})
+		return c.send(line{bytes: linecodec.AppendCause(nil, "release", id, causeNoCircuit)})
 	}
-	return c.send(line{bytes: jsonl.AppendCause(nil, "release", id, causeCongestion)})
+	return c.send(line{bytes: linecodec.AppendCause(nil, "release", id, causeCongestion)})
 }
 
 // Over implements dispatch.Caller.
 func (c *conn) Over(id string, cause int) bool {
-	return c.send(line{bytes: jsonl.AppendCause(nil, "release", id, cause), over: id, cause: cause})
+	return c.send(line{bytes: linecodec.AppendCause(nil, "release", id, cause), over: id, cause: cause})
 }
 
 func (c *conn) write() {
@@ -220,14 +220,14 @@
 			}
 		}
 		if whole, _ := r.Peek(r.Buffered()); bytes.IndexByte(whole, '\n') >= 0 {
-			return jsonl.ReadLine(r, buf)
+			return linecodec.ReadLine(r, buf)
 		}
 		until = time.Now().Add(lineWithin)
 	}
 	if err := c.arm(until); err != nil {
 		return nil, err
 	}
-	return jsonl.ReadLine(r, buf)
+	return linecodec.ReadLine(r, buf)
 }
 
 func (c *conn) read() {
@@ -238,12 +238,12 @@
 	var buf []byte
 	for c.strikes < mostStrikes {
 		text, err := c.next(r, buf)
-		if errors.Is(err, jsonl.ErrTooLong) {
+		if errors.Is(err, linecodec.ErrTooLong) {
 			f.bad(c, err)
 			break
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			f.cfg.Count.Add(stats.Overdue)
+			f.cfg.Count.Add(telemetry.Overdue)
 		}
 		c.trace("in", text, err)
 		if err != nil {
@@ -254,7 +254,7 @@
 			c.strikes++
 			continue
 		}
-		m, err := jsonl.Parse(text)
+		m, err := linecodec.Parse(text)
 		if err != nil {
 			f.bad(c, err)
 			if m.Type != "setup" || !dispatch.Token(m.ID) { // nothing can be answered to it
@@ -262,7 +262,7 @@
 			}
 			// An id that can be told is owed an answer, unless its answer is another set-up's.
 			if !f.cfg.Desk.Owns(c, m.ID) {
-				c.send(line{bytes: jsonl.AppendCause(nil, "release", m.ID, causeFailed)})
+				c.send(line{bytes: linecodec.AppendCause(nil, "release", m.ID, causeFailed)})
 			}
 			continue
 		}
--- a/front/front.go
+++ b/internal/frontend/jsonlines/front.go
@@ -1,7 +1,7 @@
 // Package front is the thin front for the platform's callers: JSON lines over
 // TCP. It turns lines into set-ups and releases and final answers into lines;
 // what happens in between is dispatch's.
-package front
+package jsonlines
 
 import (
 	"context"
@@ -19,8 +19,8 @@
 	"github.com/rs/zerolog"
 
 	"eidertrail/dispatch"
-	"eidertrail/internal/jsonl"
-	"eidertrail/internal/stats"
+	"eidertrail/internal/frontend/linecodec"
+	"eidertrail/internal/telemetry"
 )
 
 // The Q.850 causes of refusals, and of a call that failed.
@@ -69,7 +69,7 @@
 	// ReleaseStray takes a caller's release of a call that is not known here.
 	ReleaseStray func(id string, cause int)
 	Log          zerolog.Logger
-	Count        *stats.Set
+	Count        *telemetry.Set
 }
 
 // Front serves callers.
@@ -104,7 +104,7 @@
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
-		f.cfg.Count.Add(stats.Connections)
+		f.cfg.Count.Add(telemetry.Connections)
 		c := &conn{front: f, raw: raw, queue: make(chan line, writeQueue), closed: make(chan struct{}), came: time.Now()}
 		c.active.Store(f.cfg.Clock.Now())
 		f.mu.Lock()
@@ -146,7 +146,7 @@
 		if !f.cfg.Desk.Retire(spare) {
 			continue // a set-up has come in on it
 		}
-		f.cfg.Count.Add(stats.Shed)
+		f.cfg.Count.Add(telemetry.Shed)
 		delete(f.conns, spare)
 		// Guards against a final answer that is queued being lost: its set-up is open no more.
 		if spare.unwritten.Load() > 0 && spare.send(line{last: true}) {
@@ -243,7 +243,7 @@
 }
 
 // take handles one message of a caller.
-func (f *Front) take(c *conn, m *jsonl.Message) {
+func (f *Front) take(c *conn, m *linecodec.Message) {
 	switch m.Type {
 	case "setup":
 		f.setup(c, m)
@@ -256,19 +256,19 @@
 		switch {
 		case standing:
 			f.cfg.Desk.Proven(c)
-			c.send(line{bytes: jsonl.AppendBare(nil, "released", m.ID)})
+			c.send(line{bytes: linecodec.AppendBare(nil, "released", m.ID)})
 		case errors.Is(err, dispatch.ErrUnknown) && name(m.ID) && f.stray():
 			f.cfg.ReleaseStray(m.ID, cause)
 		case errors.Is(err, dispatch.ErrUnknown):
 			c.strikes++
 		}
 	case "ping":
-		f.cfg.Count.Add(stats.Pings)
+		f.cfg.Count.Add(telemetry.Pings)
 		cause := 0
 		if f.cfg.Ready() {
 			cause = 1
 		}
-		c.send(line{bytes: jsonl.AppendCause(nil, "pong", m.ID, cause)})
+		c.send(line{bytes: linecodec.AppendCause(nil, "pong", m.ID, cause)})
 	case "progress", "released", "pong", "state": // free, or nothing that is owed an answer
 	default:
 		f.bad(c, fmt.Errorf("front: message type %.40q is not known", m.Type))
@@ -291,7 +291,7 @@
 
 func (f *Front) bad(c *conn, err error) {
 	c.strikes++
-	f.cfg.Count.Add(stats.BadLines)
+	f.cfg.Count.Add(telemetry.BadLines)
 	f.cfg.Log.Warn().Err(err).Str("from", c.raw.RemoteAddr().String()).Msg("bad line")
 }
 
@@ -302,7 +302,7 @@
 )
 
 // setup takes a call, or refuses what cannot be one.
-func (f *Front) setup(c *conn, m *jsonl.Message) {
+func (f *Front) setup(c *conn, m *linecodec.Message) {
 	err := f.place(c, m)
 	if err == nil {
 		return
@@ -324,11 +324,11 @@
 			c.strikes-- // of a caller that is served: not its fault
 		}
 	}
-	c.send(line{bytes: jsonl.AppendCause(nil, "release", m.ID, cause)})
+	c.send(line{bytes: linecodec.AppendCause(nil, "release", m.ID, cause)})
 }
 
 // place checks what is the platform's own and hands the set-up over.
-func (f *Front) place(c *conn, m *jsonl.Message) error {
+func (f *Front) place(c *conn, m *linecodec.Message) error {
 	if !name(m.ID) {
 		return errName
 	}
