--- a/front/front_test.go
+++ b/internal/frontend/jsonlines/front_test.go
@@ -1,4 +1,4 @@
-package front
+package jsonlines
 
 import (
 	"bufio"
@@ -20,9 +20,9 @@
 	"eidertrail"
 	"eidertrail/dispatch"
 	"eidertrail/internal/clock"
-	"eidertrail/internal/jsonl"
-	"eidertrail/internal/standin"
-	"eidertrail/internal/stats"
+	"eidertrail/internal/frontend/linecodec"
+	"eidertrail/internal/telemetry"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 // trunk answers every attempt as the test last said.
@@ -80,7 +80,7 @@
 	*Front
 	t      *testing.T
 	trunk  *trunk
-	in     *standin.Listener
+	in     *fakeplatform.Listener
 	ready  bool
 	strays []string
 }
@@ -90,7 +90,7 @@
 }
 
 func onRig(t *testing.T, test func(r *rig)) {
-	count, now := &stats.Set{}, clock.New()
+	count, now := &telemetry.Set{}, clock.New()
 	d, err := dispatch.New(eidertrail.Settings{Nodes: 1, Here: -1, Release: 300 * time.Millisecond,
 		Classes: []eidertrail.Class{{Name: "voice", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1},
 			{Name: "once", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1, Effect: eidertrail.Unsafe}},
@@ -101,7 +101,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	go d.Run(ctx)
 	d.Roster([]dispatch.Server{{UID: "a"}}, false)
-	r := &rig{t: t, trunk: &trunk{}, in: standin.NewListener(), ready: true}
+	r := &rig{t: t, trunk: &trunk{}, in: fakeplatform.NewListener(), ready: true}
 	r.Front = New(Config{
 		Desk:  dispatch.NewDesk(dispatch.DeskConfig{Dispatch: d, Trunk: r.trunk, Most: 100, Once: true, Count: count}),
 		Clock: now, MostConnections: 4, Tenants: []string{"acme"}, Ready: func() bool { return r.ready },
@@ -232,7 +232,7 @@
 
 // heldListener is a listener whose connections write nothing until hold is closed, whatever becomes of them.
 type heldListener struct {
-	*standin.Listener
+	*fakeplatform.Listener
 	hold chan struct{}
 }
 
@@ -253,7 +253,7 @@
 
 // held serves connections that write nothing until the returned listener's hold is closed; end does that.
 func (r *rig) held() (l heldListener, end func()) {
-	l = heldListener{standin.NewListener(), make(chan struct{})}
+	l = heldListener{fakeplatform.NewListener(), make(chan struct{})}
 	go r.Serve(l)
 	return l, func() {
 		l.Close()
@@ -308,8 +308,8 @@
 				t.Errorf("call %d was not released at its pool", i)
 			}
 		}
-		if n := r.cfg.Desk.Standing(); n != 0 || r.cfg.Count.Get(stats.AnswersUnwritten) != 2 {
-			t.Errorf("%d stand, %d answers unwritten", n, r.cfg.Count.Get(stats.AnswersUnwritten))
+		if n := r.cfg.Desk.Standing(); n != 0 || r.cfg.Count.Get(telemetry.AnswersUnwritten) != 2 {
+			t.Errorf("%d stand, %d answers unwritten", n, r.cfg.Count.Get(telemetry.AnswersUnwritten))
 		}
 	})
 }
@@ -381,7 +381,7 @@
 
 // turnListener is a listener whose connections are read only once turn is closed.
 type turnListener struct {
-	*standin.Listener
+	*fakeplatform.Listener
 	turn chan struct{}
 }
 
@@ -404,7 +404,7 @@
 // was closed as one that is owed nothing.
 func TestDrainTakesWhatHasCome(t *testing.T) {
 	bubble(t, func(r *rig) {
-		l := turnListener{standin.NewListener(), make(chan struct{})}
+		l := turnListener{fakeplatform.NewListener(), make(chan struct{})}
 		go r.Serve(l)
 		c := r.speaking(l.Dial())
 		go io.WriteString(c, setup+"\n")
@@ -538,7 +538,7 @@
 // lateListener is a listener on whose connections the first read that was waited for too long tells so late: expired is
 // closed when it ends, and it returns once resume is.
 type lateListener struct {
-	*standin.Listener
+	*fakeplatform.Listener
 	expired, resume chan struct{}
 }
 
@@ -573,7 +573,7 @@
 		"half of it": setup[:40],
 	} {
 		bubble(t, func(r *rig) {
-			l := &lateListener{standin.NewListener(), make(chan struct{}), make(chan struct{})}
+			l := &lateListener{fakeplatform.NewListener(), make(chan struct{}), make(chan struct{})}
 			go r.Serve(l)
 			defer l.Close()
 			c := r.speaking(l.Dial())
@@ -720,7 +720,7 @@
 		if lines, ended := c.take(); len(lines) > 0 || ended || r.trunk.sent != 0 {
 			t.Errorf("told %q, closed: %t, %d sent", lines, ended, r.trunk.sent)
 		}
-		if n := r.cfg.Count.Get(stats.CancelledCalls); n != 1 {
+		if n := r.cfg.Count.Get(telemetry.CancelledCalls); n != 1 {
 			t.Errorf("%d cancelled", n)
 		}
 		c.say(strings.Replace(setup, "9b1f", "0001", 1)) // another is served
@@ -800,7 +800,7 @@
 		}
 		c.say(setup) // the connection still serves
 		r.want(c, answer)
-		c.say(strings.Repeat("x", 2*jsonl.Most)) // framing is lost
+		c.say(strings.Repeat("x", 2*linecodec.Most)) // framing is lost
 		if _, ended := c.take(); !ended {
 			t.Error("still open after a line of 32 KiB")
 		}
@@ -960,7 +960,7 @@
 // FuzzConnection checks random steps on two connections against a model: at most one final answer for
 // each set-up, none after a cancel, and a release only of what stood.
 func FuzzConnection(f *testing.F) {
-	standin.Fuzz(f, []string{"00010100", "000002010300", "010001100500", "0004020006", "040100020005", "03000100010104"},
+	fakeplatform.Fuzz(f, []string{"00010100", "000002010300", "010001100500", "0004020006", "040100020005", "03000100010104"},
 		func(t *testing.T, script []byte) {
 			onRig(t, func(r *rig) {
 				finals, setups, cancelled := map[string]int{}, map[string]bool{}, map[string]bool{}
@@ -992,11 +992,11 @@
 					func(b byte) { time.Sleep(time.Duration(b) * 20 * time.Millisecond) },
 					func(b byte) { at(b).say(string(rune(b)) + `{"type":"setup","id":"` + id(b) + `"`) },
 				}
-				standin.Play(script, steps, func() {
+				fakeplatform.Play(script, steps, func() {
 					for _, c := range conns {
 						lines, _ := c.take()
 						for _, text := range lines {
-							m, err := jsonl.Parse([]byte(text))
+							m, err := linecodec.Parse([]byte(text))
 							if err != nil {
 								t.Fatal(err)
 							}
--- a/internal/jsonl/characterization_test.go
+++ b/internal/frontend/linecodec/characterization_test.go
@@ -2,10 +2,10 @@
 // callers' wire, so that a change of names or shape can be shown to change nothing else. The recorded files are in
 // testdata/characterization. On a purposeful change of behaviour they are written anew with
 //
-//	EIDERTRAIL_UPDATE=1 go test ./internal/jsonl -run TestCharacterization
+//	EIDERTRAIL_UPDATE=1 go test ./internal/frontend/linecodec -run TestCharacterization
 //
 // and the commit has to say why they changed.
-package jsonl_test
+package linecodec_test
 
 import (
 	"bufio"
@@ -18,7 +18,7 @@
 	"strings"
 	"testing"
 
-	"eidertrail/internal/jsonl"
+	"eidertrail/internal/frontend/linecodec"
 )
 
 // compareRecorded compares a text with the recorded file of that name, or writes the file with EIDERTRAIL_UPDATE=1.
@@ -124,7 +124,7 @@
 func TestCharacterization_ParsedLines(t *testing.T) {
 	var out strings.Builder
 	for _, text := range parsedLines {
-		m, err := jsonl.Parse([]byte(text))
+		m, err := linecodec.Parse([]byte(text))
 		fmt.Fprintf(&out, "line %s\n", strconv.Quote(text))
 		fmt.Fprintf(&out, "  type %s id %s cause %d\n", strconv.Quote(m.Type), strconv.Quote(m.ID), m.Cause)
 		if m.HasSDP || m.SDP != "" {
@@ -139,7 +139,7 @@
 			}
 		}
 		if err != nil {
-			fmt.Fprintf(&out, "  error %s, malformed: %t\n", strconv.Quote(err.Error()), errors.Is(err, jsonl.ErrMalformed))
+			fmt.Fprintf(&out, "  error %s, malformed: %t\n", strconv.Quote(err.Error()), errors.Is(err, linecodec.ErrMalformed))
 		}
 	}
 	compareRecorded(t, "parsed-lines.txt", out.String())
@@ -153,7 +153,7 @@
 }
 
 func TestCharacterization_Framing(t *testing.T) {
-	longest := strings.Repeat("x", jsonl.Most-1)
+	longest := strings.Repeat("x", linecodec.Most-1)
 	streams := []stream{
 		{"line feeds", "one\ntwo\n", 64},
 		{"carriage returns before line feeds", "one\r\ntwo\r\r\nthr\ree\r\n", 64},
@@ -168,7 +168,7 @@
 		{"bytes that are not UTF-8", "\xff\x00\xfe\n", 64},
 	}
 	var out strings.Builder
-	fmt.Fprintf(&out, "most bytes in a line with its line feed: %d\n", jsonl.Most)
+	fmt.Fprintf(&out, "most bytes in a line with its line feed: %d\n", linecodec.Most)
 	for _, s := range streams {
 		fmt.Fprintf(&out, "stream: %s, buffer of %d\n", s.name, s.buffer)
 		writeLines(&out, bufio.NewReaderSize(strings.NewReader(s.bytes), s.buffer))
@@ -180,9 +180,9 @@
 func writeLines(out *strings.Builder, r *bufio.Reader) {
 	var buffer []byte
 	for {
-		line, err := jsonl.ReadLine(r, buffer)
+		line, err := linecodec.ReadLine(r, buffer)
 		if err != nil {
-			fmt.Fprintf(out, "  error %s, too long: %t\n", strconv.Quote(err.Error()), errors.Is(err, jsonl.ErrTooLong))
+			fmt.Fprintf(out, "  error %s, too long: %t\n", strconv.Quote(err.Error()), errors.Is(err, linecodec.ErrTooLong))
 			return
 		}
 		if len(line) > 200 {
@@ -204,18 +204,18 @@
 	var out strings.Builder
 	write := func(what string, line []byte) { fmt.Fprintf(&out, "%s %s\n", what, strconv.Quote(string(line))) }
 	for _, text := range writtenTexts {
-		write("string", jsonl.AppendString([]byte("before "), text))
-		write("answer", jsonl.AppendAnswer(nil, "9b1f03aa5c7e2d41", text))
-		write("answer", jsonl.AppendAnswer([]byte("before "), text, "v=0\r\n"))
-		write("release", jsonl.AppendCause(nil, "release", text, 34))
-		write("released", jsonl.AppendBare(nil, "released", text))
-		write("kind", jsonl.AppendBare(nil, text, "a"))
+		write("string", linecodec.AppendString([]byte("before "), text))
+		write("answer", linecodec.AppendAnswer(nil, "9b1f03aa5c7e2d41", text))
+		write("answer", linecodec.AppendAnswer([]byte("before "), text, "v=0\r\n"))
+		write("release", linecodec.AppendCause(nil, "release", text, 34))
+		write("released", linecodec.AppendBare(nil, "released", text))
+		write("kind", linecodec.AppendBare(nil, text, "a"))
 	}
 	for _, cause := range []int{0, 1, 16, 34, 41, 42, 102, -1, 1 << 40} {
-		write("pong", jsonl.AppendCause(nil, "pong", "p1", cause))
+		write("pong", linecodec.AppendCause(nil, "pong", "p1", cause))
 	}
 	for b := range 256 {
-		write("byte", jsonl.AppendString(nil, string([]byte{byte(b)})))
+		write("byte", linecodec.AppendString(nil, string([]byte{byte(b)})))
 	}
 	compareRecorded(t, "written-lines.txt", out.String())
 }
--- a/internal/jsonl/jsonl.go
+++ b/internal/frontend/linecodec/jsonl.go
@@ -1,6 +1,6 @@
 // Package jsonl frames, reads and writes the callers' wire: one JSON object a
 // line, of at most 16 KiB.
-package jsonl
+package linecodec
 
 import (
 	"bufio"
--- a/internal/jsonl/jsonl_test.go
+++ b/internal/frontend/linecodec/jsonl_test.go
@@ -1,4 +1,4 @@
-package jsonl
+package linecodec
 
 import (
 	"bufio"
--- a/callcontrol/callcontrol.go
+++ b/internal/frontend/websocket/callcontrol.go
@@ -7,7 +7,7 @@
 // and their attempts called off; calls that stand go on standing. Any socket of
 // the site may release them, and their end is told on any, or on the next one
 // that opens.
-package callcontrol
+package websocket
 
 import (
 	"context"
@@ -24,7 +24,7 @@
 	"github.com/rs/zerolog"
 
 	"eidertrail/dispatch"
-	"eidertrail/internal/stats"
+	"eidertrail/internal/telemetry"
 )
 
 const (
@@ -112,7 +112,7 @@
 		return
 	}
 	c.ws = ws
-	s.cfg.Count.Add(stats.Connections)
+	s.cfg.Count.Add(telemetry.Connections)
 	c.serve()
 }
 
@@ -159,7 +159,7 @@
 		}
 	}
 	if spare != nil {
-		s.cfg.Count.Add(stats.Shed)
+		s.cfg.Count.Add(telemetry.Shed)
 		delete(s.conns, spare)
 		spare.finish(websocket.StatusTryAgainLater, "room is needed and nothing was said")
 	}
@@ -272,7 +272,7 @@
 	case c.queue <- b:
 		return true
 	default:
-		c.server.cfg.Count.Add(stats.SlowReaders)
+		c.server.cfg.Count.Add(telemetry.SlowReaders)
 		c.finish(websocket.StatusPolicyViolation, "reads too slowly")
 		return false
 	}
@@ -366,7 +366,7 @@
 		c.elsewhere(b)
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
-		c.server.cfg.Count.Add(stats.SlowReaders)
+		c.server.cfg.Count.Add(telemetry.SlowReaders)
 	}
 	return err
 }
@@ -378,9 +378,9 @@
 			return fmt.Errorf("callcontrol: reading: %w", err)
 		}
 		came := c.server.cfg.Dispatch.Now()
-		c.server.cfg.Count.Add(stats.Frames)
+		c.server.cfg.Count.Add(telemetry.Frames)
 		if kind != websocket.MessageText {
-			c.server.cfg.Count.Add(stats.BadFrames)
+			c.server.cfg.Count.Add(telemetry.BadFrames)
 			c.finish(websocket.StatusUnsupportedData, "binary messages are not taken")
 			return errors.New("callcontrol: a binary message")
 		}
@@ -392,10 +392,10 @@
 			c.said.Store(true)
 		}
 		if err != nil {
-			c.server.cfg.Count.Add(stats.BadFrames)
+			c.server.cfg.Count.Add(telemetry.BadFrames)
 			c.server.cfg.Log.Warn().Err(err).Msg("bad websocket message")
 			if strikes++; strikes > mostStrikes {
-				c.server.cfg.Count.Add(stats.ClosedBad)
+				c.server.cfg.Count.Add(telemetry.ClosedBad)
 				c.finish(websocket.StatusPolicyViolation, "too many messages that were not accepted")
 				return err
 			}
--- a/callcontrol/callcontrol_test.go
+++ b/internal/frontend/websocket/callcontrol_test.go
@@ -1,4 +1,4 @@
-package callcontrol
+package websocket
 
 import (
 	"bufio"
@@ -19,13 +19,13 @@
 
 	"eidertrail"
 	"eidertrail/dispatch"
-	"eidertrail/front"
-	"eidertrail/internal/bulletin"
+	"eidertrail/internal/backend/sippool"
 	"eidertrail/internal/clock"
-	"eidertrail/internal/jsonl"
-	"eidertrail/internal/standin"
-	"eidertrail/internal/stats"
-	"eidertrail/pool"
+	"eidertrail/internal/endpoint/endpointlist"
+	"eidertrail/internal/frontend/jsonlines"
+	"eidertrail/internal/frontend/linecodec"
+	"eidertrail/internal/telemetry"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 // rig is the whole of both fronts over loopback, with one stand-in pool that answers as onInvite says.
@@ -34,22 +34,22 @@
 	server  *Server
 	http    *httptest.Server
 	jsonl   string // where the platform's front listens
-	pools   *pool.Set
+	pools   *sippool.Set
 	address string // of the pool
-	count   *stats.Set
+	count   *telemetry.Set
 	d       *dispatch.Dispatcher
 
 	mu       sync.Mutex
-	onInvite func(r standin.Request)
+	onInvite func(r fakeplatform.Request)
 	got      map[string]int // requests at the pool, by method
 	arrived  chan string    // methods, as they arrive at the pool
 }
 
 // answerAll answers each INVITE with a description of its own.
-func answerAll(r standin.Request) { r.Answer(200, "", "sdp of "+string(r.Body)) }
+func answerAll(r fakeplatform.Request) { r.Answer(200, "", "sdp of "+string(r.Body)) }
 
-func newRig(t *testing.T, onInvite func(r standin.Request)) *rig {
-	r := &rig{t: t, count: &stats.Set{}, onInvite: onInvite, got: map[string]int{}, arrived: make(chan string, 4096)}
+func newRig(t *testing.T, onInvite func(r fakeplatform.Request)) *rig {
+	r := &rig{t: t, count: &telemetry.Set{}, onInvite: onInvite, got: map[string]int{}, arrived: make(chan string, 4096)}
 	now := clock.New()
 	var err error
 	r.d, err = dispatch.New(eidertrail.Settings{Nodes: 1, Here: -1, Release: 300 * time.Millisecond,
@@ -63,7 +63,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	var loop sync.WaitGroup
 	loop.Go(func() { r.d.Run(ctx) })
-	at := &standin.Pool{OnRequest: func(q standin.Request) {
+	at := &fakeplatform.Pool{OnRequest: func(q fakeplatform.Request) {
 		r.mu.Lock()
 		r.got[q.Method]++
 		answer := r.onInvite
@@ -74,14 +74,14 @@
 		}
 	}}
 	r.address = at.Listen(t)
-	r.pools = pool.NewSet(ctx, pool.Config{Name: "n0", ConnectTimeout: 5_000_000, ReportFree: "idle", ReportAgents: "circuits",
+	r.pools = sippool.NewSet(ctx, sippool.Config{Name: "n0", ConnectTimeout: 5_000_000, ReportFree: "idle", ReportAgents: "circuits",
 		Clock: now, Log: zerolog.Nop(), Count: r.count, Observe: r.d.Observe, Stray: func(string, int) {}})
-	r.list(bulletin.Up)
+	r.list(endpointlist.Up)
 
 	r.server = New(Config{Dispatch: r.d, Trunk: r.pools, Ready: func() bool { return true }, MostConnections: 16,
 		Log: zerolog.Nop(), Count: r.count})
 	r.http = httptest.NewServer(r.server)
-	platform := front.New(front.Config{Desk: dispatch.NewDesk(dispatch.DeskConfig{Dispatch: r.d, Trunk: r.pools, Most: 1000, Count: r.count}),
+	platform := jsonlines.New(jsonlines.Config{Desk: dispatch.NewDesk(dispatch.DeskConfig{Dispatch: r.d, Trunk: r.pools, Most: 1000, Count: r.count}),
 		Clock: now, MostConnections: 16, Ready: func() bool { return true }, ReleaseStray: func(string, int) {},
 		Log: zerolog.Nop(), Count: r.count})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -104,8 +104,8 @@
 	return r
 }
 
-func (r *rig) list(state bulletin.State) {
-	r.pools.Apply(bulletin.Event{Pools: []bulletin.Pool{{UID: "p1", Address: r.address, State: state}}},
+func (r *rig) list(state endpointlist.State) {
+	r.pools.Apply(endpointlist.Event{Pools: []endpointlist.Pool{{UID: "p1", Address: r.address, State: state}}},
 		func(l []dispatch.Server) { r.d.Roster(l, false) })
 }
 
@@ -218,7 +218,7 @@
 }
 
 func TestPoolEndsTheCall(t *testing.T) {
-	r := newRig(t, func(q standin.Request) { answerAll(q); q.Bye(41) })
+	r := newRig(t, func(q fakeplatform.Request) { answerAll(q); q.Bye(41) })
 	c := r.dial("a")
 	c.say(setup("c1", 60000))
 	if m := c.next(); m.Type != "answer" {
@@ -230,7 +230,7 @@
 }
 
 func TestRefusalsAndDeadlinesAreMapped(t *testing.T) {
-	r := newRig(t, func(q standin.Request) { q.Answer(503, "blocked", "") })
+	r := newRig(t, func(q fakeplatform.Request) { q.Answer(503, "blocked", "") })
 	c := r.dial("a")
 	c.say(setup("c1", 60000))
 	if m := c.next(); m.Type != "refused" || m.Code != "no_agent" || m.Cause != 34 || m.RetryAfterMS < 1 || m.RetryAfterMS > 2000 {
@@ -243,7 +243,7 @@
 	if m := c.next(); m.Type != "failed" || m.Code != "timed_out" || m.Cause != 102 || m.RetryAfterMS < 1 {
 		t.Errorf("deadline: %+v", m)
 	}
-	r.list(bulletin.Removed)
+	r.list(endpointlist.Removed)
 	c.say(setup("c3", 200))
 	if m := c.next(); m.Type != "refused" && m.Type != "failed" || m.RetryAfterMS < 1 {
 		t.Errorf("no pool: %+v", m)
@@ -278,8 +278,8 @@
 
 // Guards against two final answers for one id: the second set-up is an error, and the first still gets its answer.
 func TestDuplicateID(t *testing.T) {
-	held := make(chan standin.Request, 1)
-	r := newRig(t, func(q standin.Request) { held <- q })
+	held := make(chan fakeplatform.Request, 1)
+	r := newRig(t, func(q fakeplatform.Request) { held <- q })
 	c, other := r.dial("a"), r.dial("a")
 	c.say(setup("c1", 60000))
 	q := <-held
@@ -300,8 +300,8 @@
 }
 
 func TestCancelGetsNoAnswer(t *testing.T) {
-	held := make(chan standin.Request, 1)
-	r := newRig(t, func(q standin.Request) { held <- q })
+	held := make(chan fakeplatform.Request, 1)
+	r := newRig(t, func(q fakeplatform.Request) { held <- q })
 	c := r.dial("a")
 	c.say(setup("c1", 60000))
 	q := <-held
@@ -319,8 +319,8 @@
 // A socket that closes mid-call: the set-up's attempt is called off, what stands stands on, and the site's
 // next socket may release it and is told its end.
 func TestSocketClosesMidCall(t *testing.T) {
-	held := make(chan standin.Request, 4)
-	r := newRig(t, func(q standin.Request) { held <- q })
+	held := make(chan fakeplatform.Request, 4)
+	r := newRig(t, func(q fakeplatform.Request) { held <- q })
 	c := r.dial("a")
 	for _, id := range []string{"c1", "c2"} {
 		c.say(setup(id, 60000))
@@ -350,8 +350,8 @@
 }
 
 func TestEndIsKeptForTheSitesNextSocket(t *testing.T) {
-	held := make(chan standin.Request, 1)
-	r := newRig(t, func(q standin.Request) { held <- q })
+	held := make(chan fakeplatform.Request, 1)
+	r := newRig(t, func(q fakeplatform.Request) { held <- q })
 	c := r.dial("a")
 	c.say(setup("c1", 60000))
 	q := <-held
@@ -362,7 +362,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	q.Bye(16)
-	for r.count.Get(stats.ReleasesKept) == 0 {
+	for r.count.Get(telemetry.ReleasesKept) == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	if m := r.dial("a").next(); m.Type != "released" || m.ID != "c1" || m.Cause != 16 {
@@ -475,8 +475,8 @@
 }
 
 func TestBinaryMessage(t *testing.T) {
-	held := make(chan standin.Request, 1)
-	r := newRig(t, func(q standin.Request) { held <- q })
+	held := make(chan fakeplatform.Request, 1)
+	r := newRig(t, func(q fakeplatform.Request) { held <- q })
 	c := r.dial("a")
 	c.say(setup("c1", 60000))
 	<-held
@@ -492,7 +492,7 @@
 	r := newRig(t, answerAll)
 	w := r.raw()
 	w.Conn.(*net.TCPConn).SetReadBuffer(4096)
-	for i := 0; r.count.Get(stats.SlowReaders) == 0; i++ { // pings are answered and the answers never read
+	for i := 0; r.count.Get(telemetry.SlowReaders) == 0; i++ { // pings are answered and the answers never read
 		w.SetWriteDeadline(time.Now().Add(time.Second))
 		w.frame(0x81, `{"type":"ping","id":"`+strings.Repeat("x", 4000)+`"}`)
 	}
@@ -504,8 +504,8 @@
 }
 
 func TestShutdownAnswersFirst(t *testing.T) {
-	held := make(chan standin.Request, 2)
-	r := newRig(t, func(q standin.Request) { held <- q })
+	held := make(chan fakeplatform.Request, 2)
+	r := newRig(t, func(q fakeplatform.Request) { held <- q })
 	c := r.dial("a")
 	c.say(setup("c1", 60000))
 	q := <-held
@@ -535,8 +535,8 @@
 }
 
 func TestShutdownThatMayNotWait(t *testing.T) {
-	held := make(chan standin.Request, 1)
-	r := newRig(t, func(q standin.Request) { held <- q })
+	held := make(chan fakeplatform.Request, 1)
+	r := newRig(t, func(q fakeplatform.Request) { held <- q })
 	c := r.dial("a")
 	c.say(setup("c1", 60000))
 	<-held
@@ -560,7 +560,7 @@
 	if m := c.next(); m.Type != "answer" {
 		t.Errorf("%+v", m)
 	}
-	r.list(bulletin.Draining)
+	r.list(endpointlist.Draining)
 	c.say(setup("c2", 200))
 	if m := c.next(); m.ID != "c2" || m.Type == "answer" || m.RetryAfterMS < 1 {
 		t.Errorf("%+v", m)
@@ -591,7 +591,7 @@
 func TestBothTransports(t *testing.T) {
 	var mu sync.Mutex
 	refused := map[string]bool{}
-	r := newRig(t, func(q standin.Request) {
+	r := newRig(t, func(q fakeplatform.Request) {
 		mu.Lock()
 		n := strings.TrimSuffix(string(q.Body), "\r\né")
 		again := refused[n]
@@ -654,11 +654,11 @@
 		})
 		in := bufio.NewReader(c)
 		lines = collect(func() (string, string, error) {
-			text, err := jsonl.ReadLine(in, nil)
+			text, err := linecodec.ReadLine(in, nil)
 			if err != nil {
 				return "", "", err
 			}
-			m, err := jsonl.Parse(text)
+			m, err := linecodec.Parse(text)
 			if err == nil && m.Type == "answer" && m.SDP != "sdp of "+m.ID+"\r\né\r\n" {
 				err = errors.New(m.ID + " got " + m.SDP)
 			}
@@ -690,7 +690,7 @@
 func TestASpoiltAnswerOverBothTransports(t *testing.T) {
 	var mu sync.Mutex
 	sent := 0
-	r := newRig(t, func(q standin.Request) {
+	r := newRig(t, func(q fakeplatform.Request) {
 		mu.Lock()
 		sent++
 		n := sent
@@ -714,11 +714,11 @@
 		if m := ws.next(); m.Type != "answer" || !strings.HasPrefix(m.SDP, "sdp of ") {
 			t.Errorf("over WebSocket call %d got %+v", i, m)
 		}
-		text, err := jsonl.ReadLine(in, nil)
+		text, err := linecodec.ReadLine(in, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if m, err := jsonl.Parse(text); err != nil || m.Type != "answer" || m.SDP != "sdp of a\r\n" {
+		if m, err := linecodec.Parse(text); err != nil || m.Type != "answer" || m.SDP != "sdp of a\r\n" {
 			t.Errorf("over lines call %d got %s", i, text)
 		}
 	}
--- a/callcontrol/characterization_test.go
+++ b/internal/frontend/websocket/characterization_test.go
@@ -3,10 +3,10 @@
 // is logged and what is counted, so that a change of names or shape in the code can be shown to change nothing else. The
 // recorded files are in testdata/characterization. On a purposeful change they are written anew with
 //
-//	EIDERTRAIL_UPDATE=1 go test ./callcontrol -run TestCharacterization
+//	EIDERTRAIL_UPDATE=1 go test ./internal/frontend/websocket -run TestCharacterization
 //
 // and the commit has to say why they changed.
-package callcontrol_test
+package websocket_test
 
 import (
 	"bufio"
@@ -33,11 +33,11 @@
 	"github.com/rs/zerolog"
 
 	"eidertrail"
-	"eidertrail/callcontrol"
 	"eidertrail/dispatch"
 	"eidertrail/internal/clock"
-	"eidertrail/internal/standin"
-	"eidertrail/internal/stats"
+	"eidertrail/internal/frontend/websocket"
+	"eidertrail/internal/telemetry"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 // compareRecorded compares a text with the recorded file of that name, or writes the file with EIDERTRAIL_UPDATE=1.
@@ -196,11 +196,11 @@
 type service struct {
 	*journal
 	t          *testing.T
-	server     *callcontrol.Server
+	server     *websocket.Server
 	dispatcher *dispatch.Dispatcher
-	listener   *standin.Listener
+	listener   *fakeplatform.Listener
 	pools      *scriptedPools
-	count      *stats.Set
+	count      *telemetry.Set
 	ready      bool
 	log        *lockedBuffer
 	began      time.Time
@@ -213,7 +213,7 @@
 // newService starts a call-control server.
 func newService(t *testing.T, j *journal) (s *service, stop func()) {
 	t.Helper()
-	s = &service{journal: j, t: t, listener: standin.NewListener(), count: &stats.Set{}, ready: true, log: &lockedBuffer{}, began: time.Now(),
+	s = &service{journal: j, t: t, listener: fakeplatform.NewListener(), count: &telemetry.Set{}, ready: true, log: &lockedBuffer{}, began: time.Now(),
 		pools: &scriptedPools{journal: j, sdp: "v=0\r\ns=-\r\n", state: dispatch.Untold}}
 	var err error
 	s.dispatcher, err = dispatch.New(eidertrail.Settings{Nodes: 1, Here: -1, Release: 300 * time.Millisecond, Classes: []eidertrail.Class{
@@ -226,7 +226,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go s.dispatcher.Run(ctx)
 	s.roster(eidertrail.Ready)
-	s.server = callcontrol.New(callcontrol.Config{Dispatch: s.dispatcher, Trunk: s.pools, Ready: func() bool { return s.ready },
+	s.server = websocket.New(websocket.Config{Dispatch: s.dispatcher, Trunk: s.pools, Ready: func() bool { return s.ready },
 		MostConnections: mostSockets, Log: zerolog.New(s.log).Level(zerolog.WarnLevel), Count: s.count})
 	web := &http.Server{Handler: s.server, ErrorLog: log.New(io.Discard, "", 0)}
 	served := make(chan struct{})
--- a/callcontrol/message.go
+++ b/internal/frontend/websocket/message.go
@@ -1,4 +1,4 @@
-package callcontrol
+package websocket
 
 import (
 	"errors"
@@ -9,7 +9,7 @@
 	"github.com/tidwall/gjson"
 
 	"eidertrail/dispatch"
-	"eidertrail/internal/jsonl"
+	"eidertrail/internal/frontend/linecodec"
 )
 
 // Code is what went wrong, in a word that programs can compare.
@@ -127,9 +127,9 @@
 // ---- what the server sends ----
 
 func head(kind, id string) []byte {
-	b := jsonl.AppendString([]byte(`{"type":`), kind)
+	b := linecodec.AppendString([]byte(`{"type":`), kind)
 	if id != "" {
-		b = jsonl.AppendString(append(b, `,"id":`...), id)
+		b = linecodec.AppendString(append(b, `,"id":`...), id)
 	}
 	return b
 }
@@ -139,7 +139,7 @@
 }
 
 func word(b []byte, name, v string) []byte {
-	return jsonl.AppendString(append(append(append(b, `,"`...), name...), `":`...), v)
+	return linecodec.AppendString(append(append(append(b, `,"`...), name...), `":`...), v)
 }
 
 // retryAfter is a time to come back in whole milliseconds, one at least: 0 would say at once.
--- a/rules/rules.go
+++ b/internal/invariant/rules.go
@@ -4,7 +4,7 @@
 // it bears, by all controllers together. The simulator, the tests' stand-ins and the lab use it.
 //
 // It reads no clock: times are µs of one clock, handed in. It is safe for concurrent use.
-package rules
+package invariant
 
 import (
 	"fmt"
@@ -12,7 +12,7 @@
 	"sort"
 	"sync"
 
-	"eidertrail/internal/coldstart"
+	"eidertrail/internal/slowstart"
 )
 
 // Config is what the rules are held to. Times are in µs.
@@ -25,7 +25,7 @@
 	// first or further, may still begin.
 	LeftGrace int64
 	// Start is how pools' processes start, and what they bear while cold; with After 0 none is held to it.
-	Start coldstart.Start
+	Start slowstart.Start
 }
 
 const (
@@ -72,7 +72,7 @@
 type coldPool struct {
 	born int64
 	rate float64 // set-ups of mean work that it can do a second once warm
-	load coldstart.Load
+	load slowstart.Load
 }
 
 type call struct {
--- a/rollout/characterization_test.go
+++ b/internal/rollout/characterization_test.go
@@ -2,7 +2,7 @@
 // behaviour alone can be shown to do so. The recorded files are under testdata/characterization. After a change of
 // behaviour on purpose they are renewed with
 //
-//	EIDERTRAIL_UPDATE=1 go test ./rollout -run TestCharacterization
+//	EIDERTRAIL_UPDATE=1 go test ./internal/rollout -run TestCharacterization
 //
 // and the commit has to say why they changed. Without that variable a missing or different file fails the test.
 package rollout_test
@@ -25,7 +25,7 @@
 	"strings"
 	"testing"
 
-	"eidertrail/rollout"
+	"eidertrail/internal/rollout"
 )
 
 // checkRecorded compares got with the recorded file, or records it.
--- a/rollout/runner/characterization_test.go
+++ b/internal/rollout/runner/characterization_test.go
@@ -2,7 +2,7 @@
 // behaviour alone can be shown to do so. The recorded files are under testdata/characterization. After a change of
 // behaviour on purpose they are renewed with
 //
-//	EIDERTRAIL_UPDATE=1 go test ./rollout/runner -run TestCharacterization
+//	EIDERTRAIL_UPDATE=1 go test ./internal/rollout/runner -run TestCharacterization
 //
 // and the commit has to say why they changed. Without that variable a missing or different file fails the test.
 package runner_test
@@ -25,8 +25,8 @@
 
 	"github.com/rs/zerolog"
 
-	"eidertrail/rollout"
-	"eidertrail/rollout/runner"
+	"eidertrail/internal/rollout"
+	"eidertrail/internal/rollout/runner"
 )
 
 // recordedPath is where a recorded file is.
--- a/rollout/runner/file.go
+++ b/internal/rollout/runner/file.go
@@ -12,7 +12,7 @@
 	"github.com/BurntSushi/toml"
 	"github.com/tidwall/gjson"
 
-	"eidertrail/rollout"
+	"eidertrail/internal/rollout"
 )
 
 // File is a rollout's file: the controllers, how each is started, and what changes.
--- a/rollout/runner/runner.go
+++ b/internal/rollout/runner/runner.go
@@ -19,7 +19,7 @@
 
 	"github.com/rs/zerolog"
 
-	"eidertrail/rollout"
+	"eidertrail/internal/rollout"
 )
 
 // ErrBusy tells that another process carries the rollout out.
--- a/routing/fuzz_test.go
+++ b/internal/routing/fuzz_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"eidertrail/internal/standin"
+	"eidertrail/internal/testing/fakeplatform"
 )
 
 // FuzzRouter plays random steps (lists with pools up, down or gone, reports, sends, answers, failures,
@@ -11,7 +11,7 @@
 // eligible holds less than its warm-up capacity; outside the own zone, a tier that is eligible is under
 // its spill budget; nothing is kept of a pool that is gone; counts never go below zero.
 func FuzzRouter(f *testing.F) {
-	standin.Fuzz(f, []string{"\x00\x00\x01\x03\x02\x00\x02\x01\x06\x40\x00\x0f\x02\x05", "\x00\x0f\x03\x02\x03\x02\x03\x02\x06\xff\x00\x00"},
+	fakeplatform.Fuzz(f, []string{"\x00\x00\x01\x03\x02\x00\x02\x01\x06\x40\x00\x0f\x02\x05", "\x00\x0f\x03\x02\x03\x02\x03\x02\x06\xff\x00\x00"},
 		func(t *testing.T, script []byte) {
 			r, err := New(config(), zones)
 			if err != nil {
@@ -58,7 +58,7 @@
 				},
 				func(arg byte) { now += int64(arg) * s1 / 8 },
 			}
-			standin.Play(script, steps, func() {
+			fakeplatform.Play(script, steps, func() {
 				e := r.Eligible(now)
 				for uid := range e {
 					p := r.pools[uid]
--- a/sim/characterization_errors_test.go
+++ b/internal/simulation/characterization_errors_test.go
@@ -1,4 +1,4 @@
-package sim_test
+package simulation_test
 
 import (
 	"errors"
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"eidertrail/sim"
+	"eidertrail/internal/simulation"
 )
 
 // smallScenario is a valid scenario without an srv section.
@@ -131,11 +131,11 @@
 		if !strings.Contains(smallScenario, c.from) {
 			t.Fatalf("%q is not in the scenario", c.from)
 		}
-		_, err := sim.Parse(strings.Replace(smallScenario, c.from, c.to, 1))
+		_, err := simulation.Parse(strings.Replace(smallScenario, c.from, c.to, 1))
 		text := "accepted"
 		if err != nil {
 			text = err.Error()
-			if !errors.Is(err, sim.ErrScenario) {
+			if !errors.Is(err, simulation.ErrScenario) {
 				t.Errorf("%q: the error %q does not wrap the package's", c.to, text)
 			}
 		}
--- a/sim/characterization_test.go
+++ b/internal/simulation/characterization_test.go
@@ -1,11 +1,11 @@
-package sim_test
+package simulation_test
 
 // The tests in this file are characterisation tests: they record what the program does today, right or wrong, so that
 // renames and changes of shape can be shown to change nothing. They use the exported interface alone. Their data stand
 // in testdata/characterization; a missing or different file fails the test. After a purposeful change of behaviour the
 // files are renewed with
 //
-//	EIDERTRAIL_UPDATE=1 go test ./sim -run TestCharacterization
+//	EIDERTRAIL_UPDATE=1 go test ./internal/simulation -run TestCharacterization
 //
 // and the commit has to say why. The digests were recorded on amd64 (GOAMD64=v1): architectures on which the compiler
 // fuses a multiplication and an addition may round a last bit differently.
@@ -22,7 +22,7 @@
 	"strings"
 	"testing"
 
-	"eidertrail/sim"
+	"eidertrail/internal/simulation"
 )
 
 // scenarioNames are the scenarios of the repository.
@@ -50,7 +50,7 @@
 const shorterBy = 5
 
 // shorten makes a scenario short enough for the race detector.
-func shorten(s *sim.Scenario) {
+func shorten(s *simulation.Scenario) {
 	s.Length /= shorterBy
 	for i := range s.Event {
 		s.Event[i].At /= shorterBy
@@ -61,12 +61,12 @@
 // resultLines runs a scenario and returns the lines that are recorded of its result.
 func resultLines(t *testing.T, name string, seed uint64) string {
 	t.Helper()
-	scenario, err := sim.Load(filepath.Join("scenarios", name+".toml"))
+	scenario, err := simulation.Load(filepath.Join("scenarios", name+".toml"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	shorten(scenario)
-	r, err := sim.Run(scenario, seed)
+	r, err := simulation.Run(scenario, seed)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -98,7 +98,7 @@
 }
 
 // encodeNumbers holds all numbers of a result, but for the counters, which go with their names.
-func encodeNumbers(r *sim.Result) []byte {
+func encodeNumbers(r *simulation.Result) []byte {
 	var e encoding
 	e.integers(int(r.Seed), int(r.Events), r.Calls, r.InTime, r.Late, r.Cut, r.Lost, r.Refused, r.Failed, r.Left, r.Tries, r.Sends)
 	e.floats(r.Service, r.Worst, r.P50, r.P99, r.Cold, r.ColdBudget)
@@ -123,7 +123,7 @@
 }
 
 // encodeTexts holds all texts of a result, and the counters in the order of their names.
-func encodeTexts(r *sim.Result) []byte {
+func encodeTexts(r *simulation.Result) []byte {
 	var e encoding
 	e.texts(r.Scenario)
 	e.texts(r.Rules...)
--- a/sim/pool.go
+++ b/internal/simulation/pool.go
@@ -1,10 +1,10 @@
-package sim
+package simulation
 
 import (
 	"cmp"
 	"slices"
 
-	"eidertrail/internal/coldstart"
+	"eidertrail/internal/slowstart"
 )
 
 // Model is what a pool does with set-ups, for stand-ins outside the simulator too. It is not safe for concurrent use.
@@ -58,7 +58,7 @@
 	held     int // agents
 	freeAt   int64
 	standing map[*attempt]bool // in any order; ended in that of their numbers
-	load     coldstart.Load    // while cold
+	load     slowstart.Load    // while cold
 	got      int
 	full     int // set-ups that found no agent, or a processor with too long a wait
 }
@@ -73,8 +73,8 @@
 	return rate * part, cold
 }
 
-func (s *Settings) start() coldstart.Start {
-	return coldstart.Start{Share: s.ColdShare, For: s.Cold.Microseconds(), Multiple: s.FallMultiple, After: s.FallAfter.Microseconds()}
+func (s *Settings) start() slowstart.Start {
+	return slowstart.Start{Share: s.ColdShare, For: s.Cold.Microseconds(), Multiple: s.FallMultiple, After: s.FallAfter.Microseconds()}
 }
 
 // Verdict is what becomes of a set-up that arrives.
--- a/sim/result.go
+++ b/internal/simulation/result.go
@@ -1,11 +1,11 @@
-package sim
+package simulation
 
 import (
 	"fmt"
 	"slices"
 
-	"eidertrail/cluster"
-	"eidertrail/rules"
+	"eidertrail/internal/fleet/swim"
+	"eidertrail/internal/invariant"
 )
 
 // windowLong is how long a window of the course is, µs.
@@ -168,8 +168,8 @@
 	r.Course[c.window].Lost++
 }
 
-func (r *Result) member(s *Sim, n *node, c cluster.Change) {
-	if c.Is == cluster.Dead {
+func (r *Result) member(s *Sim, n *node, c swim.Change) {
+	if c.Is == swim.Dead {
 		r.Deaths++
 		r.Notes = append(r.Notes, fmt.Sprintf("%.1f s: %s holds n%d dead", float64(s.now-origin)/1e6, n.name, c.Member))
 	}
@@ -199,7 +199,7 @@
 }
 
 // Check takes what the checker of the rules has found.
-func (r *Result) Check(c *rules.Checker) {
+func (r *Result) Check(c *invariant.Checker) {
 	r.Broken, r.Rules = c.Broken()
 	ramp := c.Ramp()
 	r.ColdBudget, r.ColdSent = ramp.Worst, ramp.Sent
--- a/sim/scenario.go
+++ b/internal/simulation/scenario.go
@@ -1,4 +1,4 @@
-package sim
+package simulation
 
 import (
 	"errors"
@@ -11,8 +11,8 @@
 	"github.com/BurntSushi/toml"
 
 	"eidertrail"
-	"eidertrail/config"
-	"eidertrail/routing"
+	"eidertrail/internal/config"
+	"eidertrail/internal/routing"
 )
 
 // Scenario is a deployment, its callers and what goes wrong. Its file is TOML; durations are texts such as "4ms".
--- a/sim/sim.go
+++ b/internal/simulation/sim.go
@@ -4,7 +4,7 @@
 // budgets of a fleet.
 //
 // It is single-threaded and reads no clock: time is simulated, in µs from an origin of an hour.
-package sim
+package simulation
 
 import (
 	"container/heap"
@@ -16,11 +16,11 @@
 	"github.com/rs/zerolog"
 
 	"eidertrail"
-	"eidertrail/cluster"
-	"eidertrail/cluster/budget"
 	"eidertrail/dispatch"
-	"eidertrail/internal/stats"
-	"eidertrail/rules"
+	"eidertrail/internal/fleet/quota"
+	"eidertrail/internal/fleet/swim"
+	"eidertrail/internal/invariant"
+	"eidertrail/internal/telemetry"
 )
 
 // origin is the time of the beginning: what is at 0 means never.
@@ -44,7 +44,7 @@
 	nodes   []*node
 	pools   []*pool
 	byUID   map[string]*pool
-	rules   *rules.Checker
+	rules   *invariant.Checker
 	burst   float64
 	loss    float64
 	classes []float64 // cumulated shares
@@ -100,15 +100,15 @@
 	name     string
 	zone     string
 	engine   *dispatch.Engine
-	count    *stats.Set
+	count    *telemetry.Set
 	turnAt   int64          // a turn is due then, 0: none
 	still    int64          // it stands still until then
 	source   *source        // nil: the list tells of the pools
 	standing map[string]int // calls out and standing, by the uid that the merged set gave the pool
 	alias    map[string]string
 
-	member *cluster.Node
-	books  *budget.Shared
+	member *swim.Node
+	books  *quota.Shared
 	tickAt int64
 }
 
@@ -142,7 +142,7 @@
 // Run plays a scenario.
 func Run(sc *Scenario, seed uint64) (*Result, error) {
 	s := &Sim{sc: sc, now: origin, end: origin + sc.Length.Microseconds(), byUID: map[string]*pool{}, burst: 1, loss: sc.Net.Loss,
-		rules: rules.New(rules.Config{Release: sc.Settings.Release.Microseconds(), Sends: 2,
+		rules: invariant.New(invariant.Config{Release: sc.Settings.Release.Microseconds(), Sends: 2,
 			Grace: sc.Settings.Grace.Microseconds(), Late: 50_000, LeftGrace: 100_000, Start: sc.Settings.start()})}
 	for i := range s.rng {
 		s.rng[i] = rand.New(rand.NewPCG(seed, uint64(i)+1))
@@ -196,7 +196,7 @@
 }
 
 func (s *Sim) newNode(i int, seed uint64) (*node, error) {
-	n := &node{s: s, index: i, name: fmt.Sprintf("n%d", i), zone: s.sc.zone(i), count: &stats.Set{}, standing: map[string]int{}, alias: map[string]string{}}
+	n := &node{s: s, index: i, name: fmt.Sprintf("n%d", i), zone: s.sc.zone(i), count: &telemetry.Set{}, standing: map[string]int{}, alias: map[string]string{}}
 	var err error
 	if n.engine, err = dispatch.NewEngine(s.sc.settings(i), seed, 2_000_000, zerolog.Nop(), n.count); err != nil {
 		return nil, fmt.Errorf("sim: %w", err)
@@ -688,17 +688,17 @@
 func (s *Sim) join(seed uint64) error {
 	f := s.sc.Fleet
 	for i, n := range s.nodes {
-		cfg := cluster.Default(i, len(s.nodes))
+		cfg := swim.Default(i, len(s.nodes))
 		if f.Interval > 0 {
 			cfg.Interval = f.Interval.Microseconds()
 			cfg.Timeout = cfg.Interval * 3 / 10
 		}
 		var err error
-		if n.member, err = cluster.New(cfg, 1, seed, s.now); err != nil {
+		if n.member, err = swim.New(cfg, 1, seed, s.now); err != nil {
 			return fmt.Errorf("sim: fleet: %w", err)
 		}
 		if f.Lease > 0 {
-			if n.books, err = budget.NewShared(budget.Config{Self: i, Members: len(s.nodes), Life: 1, Unit: 1000, Keep: 250,
+			if n.books, err = quota.NewShared(quota.Config{Self: i, Members: len(s.nodes), Life: 1, Unit: 1000, Keep: 250,
 				TTL: f.Lease.Microseconds(), Margin: f.Margin.Microseconds()}, s.now); err != nil {
 				return fmt.Errorf("sim: fleet: %w", err)
 			}
@@ -733,7 +733,7 @@
 	if len(changes) > 0 && n.books != nil {
 		alive := make([]bool, len(s.nodes))
 		for i, m := range n.member.View() {
-			alive[i] = m.State == cluster.Alive
+			alive[i] = m.State == swim.Alive
 		}
 		n.books.Members(alive)
 	}
@@ -759,8 +759,8 @@
 
 // lease keeps a member's books.
 func (s *Sim) lease(n *node) {
-	var post func(from *node, out []budget.Out)
-	post = func(from *node, out []budget.Out) {
+	var post func(from *node, out []quota.Out)
+	post = func(from *node, out []quota.Out) {
 		for _, o := range out {
 			s.send(o.To, func(to *node) {
 				if answers, err := to.books.Receive(s.now, from.index, o.Body); err == nil {
--- a/sim/sim_test.go
+++ b/internal/simulation/sim_test.go
@@ -1,4 +1,4 @@
-package sim
+package simulation
 
 import (
 	"encoding/json"
--- a/sim/srv.go
+++ b/internal/simulation/srv.go
@@ -1,13 +1,13 @@
-package sim
+package simulation
 
 import (
 	"fmt"
 	"time"
 
 	"eidertrail"
-	"eidertrail/discovery/srv"
 	"eidertrail/dispatch"
-	"eidertrail/membership"
+	"eidertrail/internal/endpoint/endpointset"
+	"eidertrail/internal/endpoint/srv"
 )
 
 // SRV has the controllers take their pools from DNS SRV names, one for each kind of pool, in place of the list.
@@ -37,7 +37,7 @@
 
 // source is a controller's view of the names.
 type source struct {
-	set      *membership.Set
+	set      *endpointset.Set
 	schedule srv.Schedule
 	failures []int // in a row, by kind
 	told     map[string]eidertrail.Mode
@@ -45,14 +45,14 @@
 }
 
 // record is a pool's.
-func (s *Sim) record(p *pool) membership.Record {
-	return membership.Record{Target: p.uid + ".pools.example.org", Address: p.address, TTL: s.sc.SRV.TTL.Microseconds()}
+func (s *Sim) record(p *pool) endpointset.Record {
+	return endpointset.Record{Target: p.uid + ".pools.example.org", Address: p.address, TTL: s.sc.SRV.TTL.Microseconds()}
 }
 
 // resolve begins a controller's look-ups.
 func (s *Sim) resolve(n *node) error {
 	c := s.sc.SRV
-	set, err := membership.New(membership.Config{StaleFor: c.StaleFor.Microseconds(), DrainFor: c.DrainFor.Microseconds(),
+	set, err := endpointset.New(endpointset.Config{StaleFor: c.StaleFor.Microseconds(), DrainFor: c.DrainFor.Microseconds(),
 		Tombstone: 1, MostRecords: 1024, MostPools: 1024})
 	if err != nil {
 		return fmt.Errorf("sim: srv: %w", err)
@@ -88,7 +88,7 @@
 				return
 			}
 			x.failures[kind] = 0
-			var records []membership.Record
+			var records []endpointset.Record
 			for _, p := range s.pools {
 				if p.kind == kind && !s.names.unlisted[p] {
 					records = append(records, s.record(p))
@@ -114,7 +114,7 @@
 		var lines []dispatch.Server
 		for _, m := range view {
 			p, mode := at[m.Address], eidertrail.Ready
-			if m.State != membership.Up {
+			if m.State != endpointset.Up {
 				mode = eidertrail.Draining
 			}
 			now[p.uid] = mode
--- a/internal/wire/wire.go
+++ b/internal/simwire/wire.go
@@ -1,6 +1,6 @@
 // Package wire translates between the simulator's wire and the controller's
 // events and actions. It decides nothing.
-package wire
+package simwire
 
 import (
 	"bytes"
--- a/internal/wire/wire_test.go
+++ b/internal/simwire/wire_test.go
@@ -1,4 +1,4 @@
-package wire
+package simwire
 
 import (
 	"fmt"
--- a/internal/coldstart/coldstart.go
+++ b/internal/slowstart/coldstart.go
@@ -1,6 +1,6 @@
 // Package coldstart is what a pool's process can do after its start, and what makes it fall over, as the site's
 // settings say: for the budgets of cold pools, and for the pools of the simulator and the tests. Times are µs.
-package coldstart
+package slowstart
 
 // Start is how a process starts: with Share of its capacity, which grows to all of it over For. Sent more than
 // Multiple times what it can do at the moment for After, by all senders, it falls over.
--- a/internal/stats/characterization_test.go
+++ b/internal/telemetry/characterization_test.go
@@ -2,10 +2,10 @@
 // which counter has which name, so that a change of names or shape in the code can be shown to change nothing else. The
 // recorded files are in testdata/characterization. On a purposeful change they are written anew with
 //
-//	EIDERTRAIL_UPDATE=1 go test ./internal/stats -run TestCharacterization
+//	EIDERTRAIL_UPDATE=1 go test ./internal/telemetry -run TestCharacterization
 //
 // and the commit has to say why they changed.
-package stats_test
+package telemetry_test
 
 import (
 	"bytes"
@@ -19,26 +19,26 @@
 
 	"github.com/rs/zerolog"
 
-	"eidertrail/internal/stats"
+	"eidertrail/internal/telemetry"
 )
 
 // allCounters are the counters in the order in which the log writes them.
-var allCounters = []stats.Counter{
-	stats.SetupsTaken, stats.AnsweredCalls, stats.AnsweredInTime, stats.RefusedCalls, stats.FailedCalls,
-	stats.CancelledCalls, stats.AnswersUnwritten, stats.Duplicates, stats.ReleasesIn, stats.ReleasesOut,
-	stats.ReleasesKept, stats.ReleasesDropped, stats.Pings, stats.BadLines, stats.BadSIP,
-	stats.Invites, stats.InvitesCalledOff, stats.Cancels, stats.TimeOuts, stats.Resets,
-	stats.ConnectsFailed, stats.PoolFull, stats.PoolErrors, stats.LateAnswers, stats.ByesOut,
-	stats.ByesIn, stats.StrayByes, stats.CutCalls, stats.DoubtedCalls, stats.Notifies,
-	stats.GuardStopped, stats.GuardDrain, stats.Connections, stats.SlowReaders, stats.PoolConnections,
-	stats.BulletinEvents, stats.BulletinErrors, stats.Frames, stats.BadFrames, stats.Admitted,
-	stats.Turned, stats.Reloads, stats.BadReloads, stats.Shed, stats.Overdue,
-	stats.ClosedBad, stats.QuietPools, stats.DNSQueries, stats.DNSTruncated, stats.DNSFailures,
-	stats.DNSBadAnswers, stats.DNSChanges, stats.PoolsConflicting, stats.PoolsExpired, stats.ZoneChanges,
-	stats.RouteStopped, stats.SilentPools, stats.PeerIn, stats.PeerOut, stats.PeerBytesOut,
-	stats.PeerBad, stats.PeerDropped, stats.PeerUnsent, stats.MembersSuspected, stats.MembersDied,
-	stats.ShareChanges, stats.StaleStopped, stats.LeasesAsked, stats.LeasesGranted, stats.WordBytes,
-	stats.WordRepairs,
+var allCounters = []telemetry.Counter{
+	telemetry.SetupsTaken, telemetry.AnsweredCalls, telemetry.AnsweredInTime, telemetry.RefusedCalls, telemetry.FailedCalls,
+	telemetry.CancelledCalls, telemetry.AnswersUnwritten, telemetry.Duplicates, telemetry.ReleasesIn, telemetry.ReleasesOut,
+	telemetry.ReleasesKept, telemetry.ReleasesDropped, telemetry.Pings, telemetry.BadLines, telemetry.BadSIP,
+	telemetry.Invites, telemetry.InvitesCalledOff, telemetry.Cancels, telemetry.TimeOuts, telemetry.Resets,
+	telemetry.ConnectsFailed, telemetry.PoolFull, telemetry.PoolErrors, telemetry.LateAnswers, telemetry.ByesOut,
+	telemetry.ByesIn, telemetry.StrayByes, telemetry.CutCalls, telemetry.DoubtedCalls, telemetry.Notifies,
+	telemetry.GuardStopped, telemetry.GuardDrain, telemetry.Connections, telemetry.SlowReaders, telemetry.PoolConnections,
+	telemetry.BulletinEvents, telemetry.BulletinErrors, telemetry.Frames, telemetry.BadFrames, telemetry.Admitted,
+	telemetry.Turned, telemetry.Reloads, telemetry.BadReloads, telemetry.Shed, telemetry.Overdue,
+	telemetry.ClosedBad, telemetry.QuietPools, telemetry.DNSQueries, telemetry.DNSTruncated, telemetry.DNSFailures,
+	telemetry.DNSBadAnswers, telemetry.DNSChanges, telemetry.PoolsConflicting, telemetry.PoolsExpired, telemetry.ZoneChanges,
+	telemetry.RouteStopped, telemetry.SilentPools, telemetry.PeerIn, telemetry.PeerOut, telemetry.PeerBytesOut,
+	telemetry.PeerBad, telemetry.PeerDropped, telemetry.PeerUnsent, telemetry.MembersSuspected, telemetry.MembersDied,
+	telemetry.ShareChanges, telemetry.StaleStopped, telemetry.LeasesAsked, telemetry.LeasesGranted, telemetry.WordBytes,
+	telemetry.WordRepairs,
 }
 
 // compareRecorded compares a text with the recorded file of that name, or writes the file with EIDERTRAIL_UPDATE=1.
@@ -82,8 +82,8 @@
 }
 
 // distinctSet is a set in which each counter has a value of its own: its place in allCounters, from 1 on.
-func distinctSet() *stats.Set {
-	set := &stats.Set{}
+func distinctSet() *telemetry.Set {
+	set := &telemetry.Set{}
 	for i, counter := range allCounters {
 		set.AddN(counter, int64(i+1))
 	}
@@ -91,7 +91,7 @@
 }
 
 // loggedSet is the log line of a set, on its own and embedded.
-func loggedSet(set *stats.Set) string {
+func loggedSet(set *telemetry.Set) string {
 	var out bytes.Buffer
 	log := zerolog.New(&out)
 	log.Info().EmbedObject(set).Int("open", 0).Msg("counters")
@@ -102,13 +102,13 @@
 func TestCharacterization_Log(t *testing.T) {
 	var out strings.Builder
 	fmt.Fprintln(&out, "nothing counted")
-	out.WriteString(loggedSet(&stats.Set{}))
+	out.WriteString(loggedSet(&telemetry.Set{}))
 	fmt.Fprintln(&out, "no set")
 	out.WriteString(loggedSet(nil))
 	fmt.Fprintln(&out, "every counter, with its number in the order of the log")
 	out.WriteString(loggedSet(distinctSet()))
 	fmt.Fprintln(&out, "one counter below zero, one at zero")
-	set := &stats.Set{}
+	set := &telemetry.Set{}
 	set.AddN(allCounters[0], -3)
 	set.AddN(allCounters[1], 0)
 	out.WriteString(loggedSet(set))
@@ -116,7 +116,7 @@
 }
 
 // document is the JSON of a snapshot, with each member on a line.
-func document(t *testing.T, set *stats.Set) string {
+func document(t *testing.T, set *telemetry.Set) string {
 	t.Helper()
 	text, err := json.MarshalIndent(set.Snapshot(), "", " ")
 	if err != nil {
@@ -132,13 +132,13 @@
 	fmt.Fprintln(&out, "every counter, with its number in the order of the log")
 	out.WriteString(document(t, distinctSet()))
 	compareRecorded(t, "snapshot.txt", out.String())
-	if n := len((&stats.Set{}).Snapshot().Counters); n != len(allCounters) {
+	if n := len((&telemetry.Set{}).Snapshot().Counters); n != len(allCounters) {
 		t.Errorf("%d counters, %d in the list of this test", n, len(allCounters))
 	}
 }
 
 func TestCharacterization_SetUpTimes(t *testing.T) {
-	set := &stats.Set{}
+	set := &telemetry.Set{}
 	inTime := []int64{-1, 0, 1, 2, 15, 16, 17, 100, 999, 1000, 1001, 20_000, 20_001, 1_234_567, 59_999_999}
 	late := []int64{60_000_000, 60_000_001, 1 << 50}
 	for _, took := range inTime {
@@ -148,11 +148,11 @@
 		set.Stood(took, false)
 		set.Stood(took, false)
 	}
-	var none *stats.Set
+	var none *telemetry.Set
 	none.Stood(1, true)
 	snapshot := set.Snapshot()
 	var out strings.Builder
-	for _, counter := range []stats.Counter{stats.AnsweredCalls, stats.AnsweredInTime} {
+	for _, counter := range []telemetry.Counter{telemetry.AnsweredCalls, telemetry.AnsweredInTime} {
 		fmt.Fprintf(&out, "counted %d\n", set.Get(counter))
 	}
 	buckets := make([]int64, 0, len(snapshot.Times))
--- a/internal/stats/stats.go
+++ b/internal/telemetry/stats.go
@@ -1,6 +1,6 @@
 // Package stats holds the counters of what the session controller takes in,
 // sends and answers.
-package stats
+package telemetry
 
 import (
 	"sync"
--- a/internal/standin/datagrams.go
+++ b/internal/testing/fakeplatform/datagrams.go
@@ -1,4 +1,4 @@
-package standin
+package fakeplatform
 
 import (
 	"errors"
--- a/internal/standin/processor.go
+++ b/internal/testing/fakeplatform/processor.go
@@ -1,10 +1,10 @@
-package standin
+package fakeplatform
 
 import (
 	"sync"
 	"time"
 
-	"eidertrail/internal/coldstart"
+	"eidertrail/internal/slowstart"
 )
 
 // Processor is the single-line processor of a stand-in pool: set-ups are worked off one by one, a wait that
@@ -23,7 +23,7 @@
 	mu      sync.Mutex
 	started time.Time // zero: warm
 	freeAt  time.Time
-	load    coldstart.Load
+	load    slowstart.Load
 	slow    float64
 	full    int
 }
@@ -53,8 +53,8 @@
 	return rate * part, cold
 }
 
-func (p *Processor) start() coldstart.Start {
-	return coldstart.Start{Share: p.ColdShare, For: p.ColdFor.Microseconds(), Multiple: p.FallMultiple, After: p.FallAfter.Microseconds()}
+func (p *Processor) start() slowstart.Start {
+	return slowstart.Start{Share: p.ColdShare, For: p.ColdFor.Microseconds(), Multiple: p.FallMultiple, After: p.FallAfter.Microseconds()}
 }
 
 // Arrive takes a set-up: after is when it is answered, or full tells that it is turned away.
--- a/internal/standin/standin.go
+++ b/internal/testing/fakeplatform/standin.go
@@ -1,7 +1,7 @@
 // Package standin is the shared helper of the tests: the other side of every
 // wire, over pipes inside a synctest bubble or over loopback, and the player of
 // the fuzz tests' random steps.
-package standin
+package fakeplatform
 
 import (
 	"bufio"
@@ -14,7 +14,7 @@
 	"testing"
 	"testing/synctest"
 
-	"eidertrail/internal/sip"
+	"eidertrail/internal/backend/sip"
 )
 
 // Play takes a script two bytes at a time: which step, and its argument. After each step everything
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"eidertrail/dispatch"
-	"eidertrail/internal/stats"
+	"eidertrail/internal/telemetry"
 )
 
 // Call says what a request asks for.
@@ -84,7 +84,7 @@
 		return // the client is gone
 	}
 	if err != nil || pick.Verdict != dispatch.Go {
-		c.Count.Add(stats.Turned)
+		c.Count.Add(telemetry.Turned)
 		after := pick.After
 		if err != nil && !errors.Is(err, dispatch.ErrLate) {
 			after = 0
@@ -93,7 +93,7 @@
 		http.Error(w, "refused: too busy", http.StatusServiceUnavailable)
 		return
 	}
-	c.Count.Add(stats.Admitted)
+	c.Count.Add(telemetry.Admitted)
 	until := q.Until
 	if pick.Limit > 0 {
 		until = min(until, pick.At+pick.Limit)
--- a/middleware/middleware_test.go
+++ b/middleware/middleware_test.go
@@ -16,14 +16,14 @@
 	"eidertrail"
 	"eidertrail/dispatch"
 	"eidertrail/internal/clock"
-	"eidertrail/internal/stats"
+	"eidertrail/internal/telemetry"
 	"eidertrail/middleware"
 )
 
 // serve runs a chi router with the middleware before a handler.
 func serve(t *testing.T, handler http.HandlerFunc, test func(d *dispatch.Dispatcher, get func(ctx context.Context, path string) *httptest.ResponseRecorder)) {
 	synctest.Test(t, func(t *testing.T) {
-		count := &stats.Set{}
+		count := &telemetry.Set{}
 		d, err := dispatch.New(eidertrail.Settings{Nodes: 1, Here: -1, Release: 300 * time.Millisecond,
 			Classes: []eidertrail.Class{{Name: "read", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1, Hold: time.Second}},
 		}, 1, 5_000_000, clock.New(), zerolog.Nop(), count)
