--- a/api.go
+++ b/api.go
@@ -21,44 +21,44 @@
 
 // Settings are what the access node knows about its deployment at start.
 type Settings struct {
-	Nodes   int // access nodes in the tier, this one included
-	Index   int // this node's number among them, from 0
-	Here    int // own exchange number in a mesh, -1 where servers are pools
-	Classes []Class
-
-	Release     time.Duration // wait after a time-out, reset or cancel before the call is sent again
-	Resend      time.Duration // a set-up waiting this long is repeated by the sender's stack; 0: never
-	MaxAttempts int           // attempts a call may have; 0: no limit
-	MustAsk     bool          // the server list comes only when asked for (Watch)
-	AskWithin   time.Duration // with MustAsk: ask again at least this often
-
-	Cold         time.Duration // a started server is warm no later than this
-	ColdShare    float64       // and starts with at least this share of its capacity
-	FallMultiple float64       // sent more than this multiple of what it can do now
-	FallAfter    time.Duration // for this long, a cold server falls over
-	Tick         time.Duration // least time between two batches
+	Nodes       int // access nodes in the tier, this one included
+	Index       int // this node's number among them, from 0
+	OwnExchange int // own exchange number in a mesh, -1 where servers are pools
+	Classes     []Class
+
+	ReleaseWait        time.Duration // wait after a time-out, reset or cancel before the call is sent again
+	RetransmitInterval time.Duration // a set-up waiting this long is repeated by the sender's stack; 0: never
+	MaxAttempts        int           // attempts a call may have; 0: no limit
+	PollEndpoints      bool          // the server list comes only when asked for (Watch)
+	PollInterval       time.Duration // with MustAsk: ask again at least this often
+
+	SlowStartWindow   time.Duration // a started server is warm no later than this
+	SlowStartCapacity float64       // and starts with at least this share of its capacity
+	OverloadMultiple  float64       // sent more than this multiple of what it can do now
+	OverloadWindow    time.Duration // for this long, a cold server falls over
+	Tick              time.Duration // least time between two batches
 }
 
-// Effect says what a repeat of a set-up may do.
-type Effect int
+// Idempotency says what a repeat of a set-up may do.
+type Idempotency int
 
 // The effects of a class.
 const (
-	Safe   Effect = iota // repeats do no harm
-	Keyed                // repeats are recognised by some servers
-	Unsafe               // a set-up that may have run must not be repeated
+	Idempotent      Idempotency = iota // repeats do no harm
+	IdempotentByKey                    // repeats are recognised by some servers
+	NotIdempotent                      // a set-up that may have run must not be repeated
 )
 
 // Class is a class of call.
 type Class struct {
-	Name      string
-	Aim       time.Duration // standing within this earns the full worth
-	Deadline  time.Duration // the caller keeps trying for this long
-	Worth     float64
-	LateWorth float64 // fraction of the worth when it stands after the aim
-	Effect    Effect
-	Pools     []int         // pools the class may use; nil: all
-	Hold      time.Duration // mean length of a call; 0: not known
+	Name             string
+	LatencyObjective time.Duration // standing within this earns the full worth
+	Deadline         time.Duration // the caller keeps trying for this long
+	PriorityWeight   float64
+	LateFactor       float64 // fraction of the worth when it stands after the aim
+	Idempotency      Idempotency
+	Pools            []int         // pools the class may use; nil: all
+	MeanHoldingTime  time.Duration // mean length of a call; 0: not known
 }
 
 // Event is one thing that happened. The concrete types follow.
@@ -70,7 +70,7 @@
 	Class   int
 	Pool    int           // pool of first choice (in a mesh: the destination exchange)
 	Key     uint64        // the number dialled
-	Left    time.Duration // the caller gives this try up after this
+	Timeout time.Duration // the caller gives this try up after this
 	Transit bool          // sent here by another exchange: to Pool or refused
 }
 
@@ -86,7 +86,7 @@
 	ConnectFailed               // never reached the server
 	Reset                       // the set-up or the standing call was cut
 	Cancelled                   // called off
-	Moot                        // not sent at all
+	NotSent                     // not sent at all
 )
 
 // Cause refines a Status.
@@ -103,14 +103,14 @@
 
 // Outcome ends an attempt. Each Send gets exactly one.
 type Outcome struct {
-	Call    CallID
-	Attempt int
-	Status  Status
-	Took    time.Duration // since the send
-	Closed  bool          // the call is over, by this outcome or before
-	Cause   Cause
-	Wait    time.Duration // how long a full processor asks to be left alone; 0: not told
-	Report  *Report       // load report that came with it, or nil
+	Call       CallID
+	Attempt    int
+	Status     Status
+	Took       time.Duration // since the send
+	Closed     bool          // the call is over, by this outcome or before
+	Cause      Cause
+	RetryAfter time.Duration // how long a full processor asks to be left alone; 0: not told
+	Report     *Report       // load report that came with it, or nil
 }
 
 // Answered tells that the call stands (FIRST); its Outcome follows when it ends.
@@ -120,18 +120,18 @@
 	Took    time.Duration
 }
 
-// HangUp tells that the caller left or was answered for; nothing more is owed.
-type HangUp struct{ Call CallID }
+// CallerGone tells that the caller left or was answered for; nothing more is owed.
+type CallerGone struct{ Call CallID }
 
 // ListKind tells how a ServerList is to be read.
 type ListKind int
 
 // Kinds of server list.
 const (
-	Delta  ListKind = iota // changed entries only
-	Whole                  // all entries; a server not in it is gone
-	Cached                 // all entries as last held, maybe stale
-	Failed                 // asking failed or the subscription broke; no entries
+	Delta    ListKind = iota // changed entries only
+	Snapshot                 // all entries; a server not in it is gone
+	Cached                   // all entries as last held, maybe stale
+	Failed                   // asking failed or the subscription broke; no entries
 )
 
 // Mode is a listed server's state.
@@ -141,17 +141,17 @@
 const (
 	Ready Mode = iota
 	Draining
-	Gone
+	Removed
 )
 
 // Server is a line of a ServerList.
 type Server struct {
-	ID   ServerID
-	Born time.Duration // clock reading of its latest start; 0: long ago
-	Mode Mode
-	Pool int
-	// Barred are the classes, a bit for each by its index, that are not to be sent there now.
-	Barred uint64
+	ID        ServerID
+	StartedAt time.Duration // clock reading of its latest start; 0: long ago
+	Mode      Mode
+	Pool      int
+	// DeniedClasses are the classes, a bit for each by its index, that are not to be sent there now.
+	DeniedClasses uint64
 }
 
 // ServerList brings news of the call servers.
@@ -173,7 +173,7 @@
 func (Call) event()       {}
 func (Outcome) event()    {}
 func (Answered) event()   {}
-func (HangUp) event()     {}
+func (CallerGone) event() {}
 func (ServerList) event() {}
 func (Report) event()     {}
 func (Wake) event()       {}
@@ -183,21 +183,21 @@
 
 // Send starts a set-up. A call's attempts are numbered from 0 in the order of its Sends.
 type Send struct {
-	Call   CallID
-	Server ServerID
-	Limit  time.Duration // time-out; 0: until the caller gives up
+	Call    CallID
+	Server  ServerID
+	Timeout time.Duration // time-out; 0: until the caller gives up
 }
 
-// Refuse is a final answer: turned away. After is the controller's estimate of when trying again makes sense.
-type Refuse struct {
-	Call  CallID
-	After time.Duration
+// Reject is a final answer: turned away. After is the controller's estimate of when trying again makes sense.
+type Reject struct {
+	Call       CallID
+	RetryAfter time.Duration
 }
 
 // Fail is a final answer: given up. After is as with Refuse.
 type Fail struct {
-	Call  CallID
-	After time.Duration
+	Call       CallID
+	RetryAfter time.Duration
 }
 
 // WakeAt asks for a Wake after In.
@@ -210,7 +210,7 @@
 type Watch struct{}
 
 func (Send) action()   {}
-func (Refuse) action() {}
+func (Reject) action() {}
 func (Fail) action()   {}
 func (WakeAt) action() {}
 func (Watch) action()  {}
--- a/characterization_settings_test.go
+++ b/characterization_settings_test.go
@@ -29,7 +29,7 @@
 	fleet := siteShortOfProcessors()
 	fleet.Nodes, fleet.Index = 265, 264
 	for i := range fleet.Classes {
-		fleet.Classes[i].Hold = 10 * second
+		fleet.Classes[i].MeanHoldingTime = 10 * second
 	}
 	return []deployment{
 		{"short-of-agents", short, 4, 30, 40 * millisecond, 2 * second, 500, 800, 0},
@@ -46,86 +46,86 @@
 
 // siteShortOfAgents is a site whose pools run short of agents; they are told, and nothing is sent again.
 func siteShortOfAgents() eidertrail.Settings {
-	return eidertrail.Settings{Nodes: 6, Index: 2, Here: -1, Release: 300 * millisecond, MaxAttempts: 4,
-		Cold: 14 * second, ColdShare: 0.3, FallMultiple: 3, FallAfter: 1500 * millisecond, Tick: 5 * millisecond,
+	return eidertrail.Settings{Nodes: 6, Index: 2, OwnExchange: -1, ReleaseWait: 300 * millisecond, MaxAttempts: 4,
+		SlowStartWindow: 14 * second, SlowStartCapacity: 0.3, OverloadMultiple: 3, OverloadWindow: 1500 * millisecond, Tick: 5 * millisecond,
 		Classes: []eidertrail.Class{
-			{Name: "avail-read", Aim: 5 * second, Deadline: 15 * second, Worth: 1, LateWorth: 0.25, Hold: 8 * second, Pools: []int{0, 1, 2}},
-			{Name: "stop-sell", Aim: 1500 * millisecond, Deadline: 6 * second, Worth: 5, LateWorth: 0.25, Hold: 8 * second, Pools: []int{1, 2, 3}},
+			{Name: "avail-read", LatencyObjective: 5 * second, Deadline: 15 * second, PriorityWeight: 1, LateFactor: 0.25, MeanHoldingTime: 8 * second, Pools: []int{0, 1, 2}},
+			{Name: "stop-sell", LatencyObjective: 1500 * millisecond, Deadline: 6 * second, PriorityWeight: 5, LateFactor: 0.25, MeanHoldingTime: 8 * second, Pools: []int{1, 2, 3}},
 		}}
 }
 
 // siteShortOfProcessors is a site whose pools run short of their processor; a waiting set-up is sent again.
 func siteShortOfProcessors() eidertrail.Settings {
-	return eidertrail.Settings{Nodes: 5, Index: 1, Here: -1, Release: 500 * millisecond, Resend: 400 * millisecond, MaxAttempts: 4,
-		Cold: 15 * second, ColdShare: 0.29, FallMultiple: 3, FallAfter: 3 * second, Tick: 5 * millisecond,
+	return eidertrail.Settings{Nodes: 5, Index: 1, OwnExchange: -1, ReleaseWait: 500 * millisecond, RetransmitInterval: 400 * millisecond, MaxAttempts: 4,
+		SlowStartWindow: 15 * second, SlowStartCapacity: 0.29, OverloadMultiple: 3, OverloadWindow: 3 * second, Tick: 5 * millisecond,
 		Classes: []eidertrail.Class{
-			{Name: "lookup", Aim: 1200 * millisecond, Deadline: 9 * second, Worth: 1, LateWorth: 0.1, Hold: 9 * second},
-			{Name: "store", Aim: 1200 * millisecond, Deadline: 9 * second, Worth: 2, LateWorth: 0.1, Hold: 11 * second},
+			{Name: "lookup", LatencyObjective: 1200 * millisecond, Deadline: 9 * second, PriorityWeight: 1, LateFactor: 0.1, MeanHoldingTime: 9 * second},
+			{Name: "store", LatencyObjective: 1200 * millisecond, Deadline: 9 * second, PriorityWeight: 2, LateFactor: 0.1, MeanHoldingTime: 11 * second},
 		}}
 }
 
 // siteErnteRat has the figures of deploy/sites/ernte-rat.toml, ranges at their middles, the cold start at its worst.
 func siteErnteRat() eidertrail.Settings {
-	return eidertrail.Settings{Nodes: 5, Index: 0, Here: -1, Release: 240 * millisecond, MaxAttempts: 5,
-		Cold: 16 * second, ColdShare: 0.25, FallMultiple: 3.5, FallAfter: 1900 * millisecond, Tick: 8 * millisecond,
+	return eidertrail.Settings{Nodes: 5, Index: 0, OwnExchange: -1, ReleaseWait: 240 * millisecond, MaxAttempts: 5,
+		SlowStartWindow: 16 * second, SlowStartCapacity: 0.25, OverloadMultiple: 3.5, OverloadWindow: 1900 * millisecond, Tick: 8 * millisecond,
 		Classes: []eidertrail.Class{
-			{Name: "Ernte", Aim: 4200 * millisecond, Deadline: 13 * second, Worth: 1, LateWorth: 0.2, Hold: 8400 * millisecond, Pools: []int{0, 1, 2, 3}},
-			{Name: "Ernte Süd", Aim: 3600 * millisecond, Deadline: 11 * second, Worth: 2, LateWorth: 0.2, Hold: 5880 * millisecond, Pools: []int{1, 2, 3, 4}},
-			{Name: "ERNTE", Aim: 2800 * millisecond, Deadline: 8 * second, Worth: 3, LateWorth: 0.1, Hold: 7560 * millisecond, Pools: []int{2, 3, 4, 5}},
-			{Name: "Ernte.2.süd", Aim: 4600 * millisecond, Deadline: 12 * second, Worth: 1.5, LateWorth: 0.3, Hold: 10080 * millisecond, Pools: []int{3, 4, 5, 6}},
-			{Name: "\"Größe\": 5;x=1", Aim: 1900 * millisecond, Deadline: 5500 * millisecond, Worth: 6, LateWorth: 0.25, Hold: 5040 * millisecond, Pools: []int{0, 4, 5}},
+			{Name: "Ernte", LatencyObjective: 4200 * millisecond, Deadline: 13 * second, PriorityWeight: 1, LateFactor: 0.2, MeanHoldingTime: 8400 * millisecond, Pools: []int{0, 1, 2, 3}},
+			{Name: "Ernte Süd", LatencyObjective: 3600 * millisecond, Deadline: 11 * second, PriorityWeight: 2, LateFactor: 0.2, MeanHoldingTime: 5880 * millisecond, Pools: []int{1, 2, 3, 4}},
+			{Name: "ERNTE", LatencyObjective: 2800 * millisecond, Deadline: 8 * second, PriorityWeight: 3, LateFactor: 0.1, MeanHoldingTime: 7560 * millisecond, Pools: []int{2, 3, 4, 5}},
+			{Name: "Ernte.2.süd", LatencyObjective: 4600 * millisecond, Deadline: 12 * second, PriorityWeight: 1.5, LateFactor: 0.3, MeanHoldingTime: 10080 * millisecond, Pools: []int{3, 4, 5, 6}},
+			{Name: "\"Größe\": 5;x=1", LatencyObjective: 1900 * millisecond, Deadline: 5500 * millisecond, PriorityWeight: 6, LateFactor: 0.25, MeanHoldingTime: 5040 * millisecond, Pools: []int{0, 4, 5}},
 		}}
 }
 
 // siteLegevaktNord has the figures of deploy/sites/legevakt-nord.toml, ranges at their middles, the cold start at its
 // worst.
 func siteLegevaktNord() eidertrail.Settings {
-	return eidertrail.Settings{Nodes: 6, Index: 5, Here: -1, Release: 420 * millisecond, Resend: 550 * millisecond, MaxAttempts: 3,
-		Cold: 11 * second, ColdShare: 0.36, FallMultiple: 2.5, FallAfter: 2200 * millisecond, Tick: 4 * millisecond,
+	return eidertrail.Settings{Nodes: 6, Index: 5, OwnExchange: -1, ReleaseWait: 420 * millisecond, RetransmitInterval: 550 * millisecond, MaxAttempts: 3,
+		SlowStartWindow: 11 * second, SlowStartCapacity: 0.36, OverloadMultiple: 2.5, OverloadWindow: 2200 * millisecond, Tick: 4 * millisecond,
 		Classes: []eidertrail.Class{
-			{Name: "Øyeblikk", Aim: 1600 * millisecond, Deadline: 7500 * millisecond, Worth: 1, LateWorth: 0.3, Hold: 7600 * millisecond},
-			{Name: "Øyeblikkelig hjelp", Aim: 1400 * millisecond, Deadline: 4200 * millisecond, Worth: 4, LateWorth: 0.15, Hold: 11400 * millisecond},
+			{Name: "Øyeblikk", LatencyObjective: 1600 * millisecond, Deadline: 7500 * millisecond, PriorityWeight: 1, LateFactor: 0.3, MeanHoldingTime: 7600 * millisecond},
+			{Name: "Øyeblikkelig hjelp", LatencyObjective: 1400 * millisecond, Deadline: 4200 * millisecond, PriorityWeight: 4, LateFactor: 0.15, MeanHoldingTime: 11400 * millisecond},
 		}}
 }
 
 // mesh is an exchange among others: servers are exchanges, calls come from others too, the list has to be asked for.
 func mesh() eidertrail.Settings {
-	return eidertrail.Settings{Nodes: 8, Index: 3, Here: 3, Release: 400 * millisecond, Resend: 500 * millisecond, MaxAttempts: 2,
-		MustAsk: true, AskWithin: 4 * second,
-		Cold: 8 * second, ColdShare: 0.4, FallMultiple: 2, FallAfter: second, Tick: 2 * millisecond,
+	return eidertrail.Settings{Nodes: 8, Index: 3, OwnExchange: 3, ReleaseWait: 400 * millisecond, RetransmitInterval: 500 * millisecond, MaxAttempts: 2,
+		PollEndpoints: true, PollInterval: 4 * second,
+		SlowStartWindow: 8 * second, SlowStartCapacity: 0.4, OverloadMultiple: 2, OverloadWindow: second, Tick: 2 * millisecond,
 		Classes: []eidertrail.Class{
-			{Name: "trunk", Aim: 2 * second, Deadline: 8 * second, Worth: 1, LateWorth: 0.5, Hold: 6 * second},
-			{Name: "urgent", Aim: second, Deadline: 5 * second, Worth: 3, LateWorth: 0.2, Effect: eidertrail.Unsafe, Hold: 4 * second},
+			{Name: "trunk", LatencyObjective: 2 * second, Deadline: 8 * second, PriorityWeight: 1, LateFactor: 0.5, MeanHoldingTime: 6 * second},
+			{Name: "urgent", LatencyObjective: second, Deadline: 5 * second, PriorityWeight: 3, LateFactor: 0.2, Idempotency: eidertrail.NotIdempotent, MeanHoldingTime: 4 * second},
 		}}
 }
 
 // alone is one node with the fewest settings that are taken.
 func alone() eidertrail.Settings {
-	return eidertrail.Settings{Nodes: 1, Here: -1, Classes: []eidertrail.Class{
+	return eidertrail.Settings{Nodes: 1, OwnExchange: -1, Classes: []eidertrail.Class{
 		{Name: "only", Deadline: 5 * second},
-		{Name: "aimed", Aim: 2 * second, Deadline: 5 * second, Worth: 1},
+		{Name: "aimed", LatencyObjective: 2 * second, Deadline: 5 * second, PriorityWeight: 1},
 	}}
 }
 
 // agentsUntold is a site where no server reports, no length of calls is known, and very many numbers are dialled.
 func agentsUntold() eidertrail.Settings {
-	return eidertrail.Settings{Nodes: 3, Index: 2, Here: -1, Release: 200 * millisecond, Resend: 300 * millisecond,
-		Cold: 6 * second, ColdShare: 0.5, FallMultiple: 4, FallAfter: 800 * millisecond, Tick: millisecond,
+	return eidertrail.Settings{Nodes: 3, Index: 2, OwnExchange: -1, ReleaseWait: 200 * millisecond, RetransmitInterval: 300 * millisecond,
+		SlowStartWindow: 6 * second, SlowStartCapacity: 0.5, OverloadMultiple: 4, OverloadWindow: 800 * millisecond, Tick: millisecond,
 		Classes: []eidertrail.Class{
-			{Name: "long", Aim: 6 * second, Deadline: 120 * second, Worth: 1, LateWorth: 1},
-			{Name: "short", Aim: 900 * millisecond, Deadline: 3 * second, Worth: 2},
+			{Name: "long", LatencyObjective: 6 * second, Deadline: 120 * second, PriorityWeight: 1, LateFactor: 1},
+			{Name: "short", LatencyObjective: 900 * millisecond, Deadline: 3 * second, PriorityWeight: 2},
 		}}
 }
 
 // effects has classes of all effects, one attempt less than the module would make, and a class without a pool.
 func effects() eidertrail.Settings {
-	return eidertrail.Settings{Nodes: 2, Index: 1, Here: -1, Release: 300 * millisecond, Resend: 200 * millisecond, MaxAttempts: 1,
-		Cold: 10 * second, ColdShare: 0.2, FallAfter: second, Tick: 5 * millisecond,
+	return eidertrail.Settings{Nodes: 2, Index: 1, OwnExchange: -1, ReleaseWait: 300 * millisecond, RetransmitInterval: 200 * millisecond, MaxAttempts: 1,
+		SlowStartWindow: 10 * second, SlowStartCapacity: 0.2, OverloadWindow: second, Tick: 5 * millisecond,
 		Classes: []eidertrail.Class{
-			{Name: "safe", Aim: 2 * second, Deadline: 8 * second, Worth: 1, LateWorth: 0.3, Hold: 5 * second},
-			{Name: "keyed", Aim: 3 * second, Deadline: 9 * second, Worth: 2, LateWorth: 0.3, Effect: eidertrail.Keyed, Hold: 5 * second},
-			{Name: "unsafe", Aim: 1500 * millisecond, Deadline: 6 * second, Worth: 4, LateWorth: 0, Effect: eidertrail.Unsafe, Hold: 2 * second},
-			{Name: "nowhere", Aim: second, Deadline: 4 * second, Worth: 1, Pools: []int{}, Hold: second},
+			{Name: "safe", LatencyObjective: 2 * second, Deadline: 8 * second, PriorityWeight: 1, LateFactor: 0.3, MeanHoldingTime: 5 * second},
+			{Name: "keyed", LatencyObjective: 3 * second, Deadline: 9 * second, PriorityWeight: 2, LateFactor: 0.3, Idempotency: eidertrail.IdempotentByKey, MeanHoldingTime: 5 * second},
+			{Name: "unsafe", LatencyObjective: 1500 * millisecond, Deadline: 6 * second, PriorityWeight: 4, LateFactor: 0, Idempotency: eidertrail.NotIdempotent, MeanHoldingTime: 2 * second},
+			{Name: "nowhere", LatencyObjective: second, Deadline: 4 * second, PriorityWeight: 1, Pools: []int{}, MeanHoldingTime: second},
 		}}
 }
 
@@ -145,42 +145,42 @@
 		{"index -1", func(s *eidertrail.Settings) { s.Index = -1 }},
 		{"index as many as nodes", func(s *eidertrail.Settings) { s.Index = s.Nodes }},
 		{"index 1000", func(s *eidertrail.Settings) { s.Index = 1000 }},
-		{"release -1 ns", func(s *eidertrail.Settings) { s.Release = -1 }},
-		{"release -2 s", func(s *eidertrail.Settings) { s.Release = -2 * second }},
-		{"resend", func(s *eidertrail.Settings) { s.Resend = -1 }},
+		{"release -1 ns", func(s *eidertrail.Settings) { s.ReleaseWait = -1 }},
+		{"release -2 s", func(s *eidertrail.Settings) { s.ReleaseWait = -2 * second }},
+		{"resend", func(s *eidertrail.Settings) { s.RetransmitInterval = -1 }},
 		{"tick", func(s *eidertrail.Settings) { s.Tick = -1 }},
 		{"max attempts", func(s *eidertrail.Settings) { s.MaxAttempts = -1 }},
-		{"ask within", func(s *eidertrail.Settings) { s.AskWithin = -1 }},
-		{"cold", func(s *eidertrail.Settings) { s.Cold = -1 }},
-		{"fall after", func(s *eidertrail.Settings) { s.FallAfter = -1 }},
+		{"ask within", func(s *eidertrail.Settings) { s.PollInterval = -1 }},
+		{"cold", func(s *eidertrail.Settings) { s.SlowStartWindow = -1 }},
+		{"fall after", func(s *eidertrail.Settings) { s.OverloadWindow = -1 }},
 	}
 	for _, v := range []float64{-0.25, math.NaN(), math.Inf(1), math.Inf(-1)} {
 		list = append(list,
-			invalid{fmt.Sprintf("cold share %g", v), func(s *eidertrail.Settings) { s.ColdShare = v }},
-			invalid{fmt.Sprintf("fall multiple %g", v), func(s *eidertrail.Settings) { s.FallMultiple = v }})
+			invalid{fmt.Sprintf("cold share %g", v), func(s *eidertrail.Settings) { s.SlowStartCapacity = v }},
+			invalid{fmt.Sprintf("fall multiple %g", v), func(s *eidertrail.Settings) { s.OverloadMultiple = v }})
 	}
 	list = append(list,
 		invalid{"deadline 0", func(s *eidertrail.Settings) { s.Classes[1].Deadline = 0 }},
 		invalid{"deadline", func(s *eidertrail.Settings) { s.Classes[0].Deadline = -1 }},
-		invalid{"aim", func(s *eidertrail.Settings) { s.Classes[1].Aim = -1 }},
-		invalid{"hold", func(s *eidertrail.Settings) { s.Classes[1].Hold = -1 }},
-		invalid{"worth", func(s *eidertrail.Settings) { s.Classes[0].Worth = -1 }},
-		invalid{"worth no number", func(s *eidertrail.Settings) { s.Classes[1].Worth = math.NaN() }},
-		invalid{"late worth", func(s *eidertrail.Settings) { s.Classes[1].LateWorth = -0.1 }},
-		invalid{"late worth no number", func(s *eidertrail.Settings) { s.Classes[0].LateWorth = math.NaN() }},
+		invalid{"aim", func(s *eidertrail.Settings) { s.Classes[1].LatencyObjective = -1 }},
+		invalid{"hold", func(s *eidertrail.Settings) { s.Classes[1].MeanHoldingTime = -1 }},
+		invalid{"worth", func(s *eidertrail.Settings) { s.Classes[0].PriorityWeight = -1 }},
+		invalid{"worth no number", func(s *eidertrail.Settings) { s.Classes[1].PriorityWeight = math.NaN() }},
+		invalid{"late worth", func(s *eidertrail.Settings) { s.Classes[1].LateFactor = -0.1 }},
+		invalid{"late worth no number", func(s *eidertrail.Settings) { s.Classes[0].LateFactor = math.NaN() }},
 		invalid{"pool", func(s *eidertrail.Settings) { s.Classes[1].Pools = []int{0, -2} }},
 		invalid{"first of several: classes before nodes", func(s *eidertrail.Settings) { s.Classes, s.Nodes = nil, 0 }},
 		invalid{"first of several: nodes before index", func(s *eidertrail.Settings) { s.Nodes, s.Index = 0, -1 }},
-		invalid{"first of several: index before release", func(s *eidertrail.Settings) { s.Index, s.Release = -1, -1 }},
-		invalid{"first of several: release before resend", func(s *eidertrail.Settings) { s.Release, s.Resend = -1, -1 }},
-		invalid{"first of several: resend before tick", func(s *eidertrail.Settings) { s.Resend, s.Tick = -1, -1 }},
+		invalid{"first of several: index before release", func(s *eidertrail.Settings) { s.Index, s.ReleaseWait = -1, -1 }},
+		invalid{"first of several: release before resend", func(s *eidertrail.Settings) { s.ReleaseWait, s.RetransmitInterval = -1, -1 }},
+		invalid{"first of several: resend before tick", func(s *eidertrail.Settings) { s.RetransmitInterval, s.Tick = -1, -1 }},
 		invalid{"first of several: tick before max attempts", func(s *eidertrail.Settings) { s.Tick, s.MaxAttempts = -1, -1 }},
-		invalid{"first of several: max attempts before ask within", func(s *eidertrail.Settings) { s.MaxAttempts, s.AskWithin = -1, -1 }},
-		invalid{"first of several: ask within before cold", func(s *eidertrail.Settings) { s.AskWithin, s.Cold = -1, -1 }},
-		invalid{"first of several: cold before cold share", func(s *eidertrail.Settings) { s.Cold, s.ColdShare = -1, -1 }},
-		invalid{"first of several: cold share before fall multiple", func(s *eidertrail.Settings) { s.ColdShare, s.FallMultiple = -1, -1 }},
-		invalid{"first of several: fall multiple before fall after", func(s *eidertrail.Settings) { s.FallMultiple, s.FallAfter = -1, -1 }},
-		invalid{"first of several: fall after before a class", func(s *eidertrail.Settings) { s.FallAfter, s.Classes[0].Aim = -1, -1 }},
+		invalid{"first of several: max attempts before ask within", func(s *eidertrail.Settings) { s.MaxAttempts, s.PollInterval = -1, -1 }},
+		invalid{"first of several: ask within before cold", func(s *eidertrail.Settings) { s.PollInterval, s.SlowStartWindow = -1, -1 }},
+		invalid{"first of several: cold before cold share", func(s *eidertrail.Settings) { s.SlowStartWindow, s.SlowStartCapacity = -1, -1 }},
+		invalid{"first of several: cold share before fall multiple", func(s *eidertrail.Settings) { s.SlowStartCapacity, s.OverloadMultiple = -1, -1 }},
+		invalid{"first of several: fall multiple before fall after", func(s *eidertrail.Settings) { s.OverloadMultiple, s.OverloadWindow = -1, -1 }},
+		invalid{"first of several: fall after before a class", func(s *eidertrail.Settings) { s.OverloadWindow, s.Classes[0].LatencyObjective = -1, -1 }},
 		invalid{"first of several: classes in order", func(s *eidertrail.Settings) {
 			s.Classes[0].Pools, s.Classes[1].Deadline = []int{-1}, 0
 		}},
@@ -189,12 +189,12 @@
 		}},
 		invalid{"edge: as it is", func(*eidertrail.Settings) {}},
 		invalid{"edge: nothing but one node and a deadline", func(s *eidertrail.Settings) { *s = alone() }},
-		invalid{"edge: endless worth", func(s *eidertrail.Settings) { s.Classes[0].Worth = math.Inf(1) }},
-		invalid{"edge: aim past the deadline", func(s *eidertrail.Settings) { s.Classes[0].Aim = 10 * s.Classes[0].Deadline }},
+		invalid{"edge: endless worth", func(s *eidertrail.Settings) { s.Classes[0].PriorityWeight = math.Inf(1) }},
+		invalid{"edge: aim past the deadline", func(s *eidertrail.Settings) { s.Classes[0].LatencyObjective = 10 * s.Classes[0].Deadline }},
 		invalid{"edge: no pools", func(s *eidertrail.Settings) { s.Classes[0].Pools = []int{} }},
 		invalid{"edge: no names", func(s *eidertrail.Settings) { s.Classes[0].Name, s.Classes[1].Name = "", "" }},
-		invalid{"edge: an unknown effect", func(s *eidertrail.Settings) { s.Classes[0].Effect = 7 }},
-		invalid{"edge: here far out", func(s *eidertrail.Settings) { s.Here = -9 }},
+		invalid{"edge: an unknown effect", func(s *eidertrail.Settings) { s.Classes[0].Idempotency = 7 }},
+		invalid{"edge: here far out", func(s *eidertrail.Settings) { s.OwnExchange = -9 }},
 	)
 	return list
 }
@@ -226,12 +226,12 @@
 		t.Fatal(err)
 	}
 	now, lastCall := clockStart, eidertrail.CallID(0)
-	controller.Handle(now, []eidertrail.Event{eidertrail.ServerList{Kind: eidertrail.Whole, Servers: []eidertrail.Server{{ID: "s"}}}}, nil)
+	controller.Handle(now, []eidertrail.Event{eidertrail.ServerList{Kind: eidertrail.Snapshot, Servers: []eidertrail.Server{{ID: "s"}}}}, nil)
 	// dial tells whether a call to the number was sent, and has it find all lines busy.
 	dial := func(key uint64) (sent bool) {
 		lastCall++
 		now += 10 * millisecond
-		k := eidertrail.Call{ID: lastCall, Key: key, Left: 4 * second}
+		k := eidertrail.Call{ID: lastCall, Key: key, Timeout: 4 * second}
 		for _, a := range controller.Handle(now, []eidertrail.Event{k}, nil) {
 			_, is := a.(eidertrail.Send)
 			sent = sent || is
@@ -259,18 +259,18 @@
 		t.Fatal(err)
 	}
 	now, calls := clockStart, eidertrail.CallID(0)
-	controller.Handle(now, []eidertrail.Event{eidertrail.ServerList{Kind: eidertrail.Whole, Servers: []eidertrail.Server{{ID: "s"}}}}, nil)
+	controller.Handle(now, []eidertrail.Event{eidertrail.ServerList{Kind: eidertrail.Snapshot, Servers: []eidertrail.Server{{ID: "s"}}}}, nil)
 	var recorded strings.Builder
 	for sends, last := 0, now; sends < 100; now += 10 * millisecond {
 		calls++
 		var send *eidertrail.Send
-		for _, a := range controller.Handle(now, []eidertrail.Event{eidertrail.Call{ID: calls, Left: 5 * second}}, nil) {
+		for _, a := range controller.Handle(now, []eidertrail.Event{eidertrail.Call{ID: calls, Timeout: 5 * second}}, nil) {
 			if s, is := a.(eidertrail.Send); is && send == nil {
 				send = &s
 			}
 		}
 		if send == nil { // it is held: the caller leaves, the next one calls
-			controller.Handle(now, []eidertrail.Event{eidertrail.HangUp{Call: calls}}, nil)
+			controller.Handle(now, []eidertrail.Event{eidertrail.CallerGone{Call: calls}}, nil)
 			continue
 		}
 		sends++
--- a/characterization_test.go
+++ b/characterization_test.go
@@ -180,7 +180,7 @@
 	for pool := range d.pools {
 		h.addServer(pool, 0)
 	}
-	if d.settings.MustAsk { // the list comes when it is asked for
+	if d.settings.PollEndpoints { // the list comes when it is asked for
 		h.handle()
 	} else {
 		h.tellList(eidertrail.Cached, h.wholeList())
@@ -257,13 +257,13 @@
 		case eidertrail.Send:
 			b = binary.AppendUvarint(append(b, wordSend), uint64(a.Call))
 			b = append(binary.AppendUvarint(b, uint64(len(a.Server))), a.Server...)
-			b = binary.AppendVarint(b, int64(a.Limit))
-		case eidertrail.Refuse:
+			b = binary.AppendVarint(b, int64(a.Timeout))
+		case eidertrail.Reject:
 			b = binary.AppendUvarint(append(b, wordRefuse), uint64(a.Call))
-			b = binary.AppendVarint(b, int64(a.After))
+			b = binary.AppendVarint(b, int64(a.RetryAfter))
 		case eidertrail.Fail:
 			b = binary.AppendUvarint(append(b, wordFail), uint64(a.Call))
-			b = binary.AppendVarint(b, int64(a.After))
+			b = binary.AppendVarint(b, int64(a.RetryAfter))
 		case eidertrail.WakeAt:
 			b = binary.AppendUvarint(append(b, wordWakeAt), a.Token)
 			b = binary.AppendVarint(b, int64(a.In))
@@ -282,12 +282,12 @@
 	case eidertrail.Send:
 		h.counts.sends++
 		h.send(a)
-	case eidertrail.Refuse:
+	case eidertrail.Reject:
 		h.counts.refused++
-		h.turnedAway(a.Call, a.After)
+		h.turnedAway(a.Call, a.RetryAfter)
 	case eidertrail.Fail:
 		h.counts.failed++
-		h.turnedAway(a.Call, a.After)
+		h.turnedAway(a.Call, a.RetryAfter)
 	case eidertrail.WakeAt:
 		late := time.Duration(0)
 		if h.oneIn(20) { // the timer is late
@@ -329,9 +329,9 @@
 	h.counts.calls++
 	deadline := h.deployment.settings.Classes[class].Deadline
 	k := &call{tries: tries, Call: eidertrail.Call{ID: h.lastCall, Class: class, Key: key,
-		Pool: h.dice.IntN(h.deployment.pools+1) - 1, Left: h.between(deadline/5, deadline/2)}}
+		Pool: h.dice.IntN(h.deployment.pools+1) - 1, Timeout: h.between(deadline/5, deadline/2)}}
 	if h.oneIn(50) {
-		k.Left = h.between(0, 20*millisecond)
+		k.Timeout = h.between(0, 20*millisecond)
 	}
 	if h.oneIn(100) {
 		k.Class = []int{-1, len(h.deployment.settings.Classes), 1000}[h.dice.IntN(3)]
@@ -339,9 +339,9 @@
 	k.Transit = h.oneIn(h.deployment.transitOneIn)
 	h.calls[k.ID] = k
 	h.tell(k.Call)
-	patience := k.Left
+	patience := k.Timeout
 	if h.oneIn(12) { // leaves early
-		patience = h.between(0, k.Left)
+		patience = h.between(0, k.Timeout)
 	}
 	h.after(patience, func() { h.callerLeaves(k) })
 }
@@ -352,7 +352,7 @@
 		return
 	}
 	k.over = true
-	h.tell(eidertrail.HangUp{Call: k.ID})
+	h.tell(eidertrail.CallerGone{Call: k.ID})
 	if a := k.attempt; a != nil { // it is called off
 		h.after(h.between(0, 30*millisecond), func() { h.end(a, eidertrail.Cancelled, eidertrail.NoCause) })
 	}
@@ -428,7 +428,7 @@
 
 // addServer starts a server.
 func (h *host) addServer(pool int, born time.Duration) *server {
-	s := &server{Server: eidertrail.Server{ID: eidertrail.ServerID(fmt.Sprintf("s-%d", h.created)), Pool: pool, Born: born},
+	s := &server{Server: eidertrail.Server{ID: eidertrail.ServerID(fmt.Sprintf("s-%d", h.created)), Pool: pool, StartedAt: born},
 		work: h.between(3*millisecond, 40*millisecond), agents: h.deployment.agents + h.dice.IntN(20),
 		reports: h.deployment.agents > 0 && !h.oneIn(8)}
 	h.created++
@@ -456,7 +456,7 @@
 	k.sends++
 	k.attempt = a
 	s.out++
-	limit := cmp.Or(e.Limit, k.Left)
+	limit := cmp.Or(e.Timeout, k.Timeout)
 	took := s.work + time.Duration(s.out-1)*s.work/2 + h.between(0, 4*millisecond)
 	how := s.condition
 	if h.oneIn(25) {
@@ -491,7 +491,7 @@
 		fail(eidertrail.Full, []eidertrail.Cause{eidertrail.ProcessorFull, eidertrail.ProcessorFull, eidertrail.Returned}[h.dice.IntN(3)])
 	case refusing:
 		took /= 8
-		fail([]eidertrail.Status{eidertrail.ConnectFailed, eidertrail.ConnectFailed, eidertrail.Moot}[h.dice.IntN(3)], eidertrail.NoCause)
+		fail([]eidertrail.Status{eidertrail.ConnectFailed, eidertrail.ConnectFailed, eidertrail.NotSent}[h.dice.IntN(3)], eidertrail.NoCause)
 	case resetting:
 		fail(eidertrail.Reset, eidertrail.NoCause)
 	}
@@ -527,7 +527,7 @@
 	}
 	h.after(h.between(0, 2*h.deployment.callLength), func() { h.end(a, how, eidertrail.NoCause) })
 	if h.oneIn(10) { // the caller hangs up
-		h.after(h.between(0, h.deployment.callLength), func() { h.tell(eidertrail.HangUp{Call: a.call.ID}) })
+		h.after(h.between(0, h.deployment.callLength), func() { h.tell(eidertrail.CallerGone{Call: a.call.ID}) })
 	}
 }
 
@@ -550,7 +550,7 @@
 	}
 	k.over = k.over || e.Closed
 	if cause == eidertrail.ProcessorFull && !h.oneIn(3) {
-		e.Wait = h.between(0, 4*second)
+		e.RetryAfter = h.between(0, 4*second)
 	}
 	if h.oneIn(200) {
 		e.Status, e.Cause = eidertrail.Status(9), eidertrail.Cause(9)
@@ -608,7 +608,7 @@
 	case 0:
 		h.replace(s)
 	case 1, 2: // a new process in its place
-		s.Born, s.condition = h.now-h.between(0, second), healthy
+		s.StartedAt, s.condition = h.now-h.between(0, second), healthy
 	case 3: // for a while
 		s.Mode = eidertrail.Draining
 		h.after(h.between(0, 4*second), func() {
@@ -618,23 +618,23 @@
 			}
 		})
 	case 4: // a bar, or none
-		s.Barred = h.dice.Uint64() & h.dice.Uint64()
+		s.DeniedClasses = h.dice.Uint64() & h.dice.Uint64()
 		if h.oneIn(2) {
-			s.Barred = 0
+			s.DeniedClasses = 0
 		}
 	case 5: // another server of the pool
 		if len(h.servers) < 2*h.deployment.pools {
 			s = h.addServer(s.Pool, h.now)
 		}
 	default:
-		s.Mode, s.Barred = eidertrail.Ready, 0
+		s.Mode, s.DeniedClasses = eidertrail.Ready, 0
 	}
 	h.after(h.between(0, second), func() { h.tellChange(s) })
 }
 
 // replace takes a server out, if another is left, and puts a new one in its place.
 func (h *host) replace(s *server) {
-	s.Mode = eidertrail.Gone
+	s.Mode = eidertrail.Removed
 	for i, other := range h.servers {
 		if other == s {
 			h.servers = append(h.servers[:i:i], h.servers[i+1:]...)
@@ -647,13 +647,13 @@
 func (h *host) tellChange(s *server) {
 	switch h.dice.IntN(8) {
 	case 0:
-		h.tellList(eidertrail.Whole, h.wholeList())
+		h.tellList(eidertrail.Snapshot, h.wholeList())
 	case 1:
 		h.tellList(eidertrail.Cached, h.wholeList())
 	case 2: // one is missing
 		list := h.wholeList()
-		h.tellList(eidertrail.Whole, list[:len(list)-1])
-		h.after(h.between(0, 2*second), func() { h.tellList(eidertrail.Whole, h.wholeList()) })
+		h.tellList(eidertrail.Snapshot, list[:len(list)-1])
+		h.after(h.between(0, 2*second), func() { h.tellList(eidertrail.Snapshot, h.wholeList()) })
 	case 3:
 		h.tellList(eidertrail.Failed, nil)
 	default:
@@ -682,7 +682,7 @@
 		h.tellList(eidertrail.Failed, nil)
 		return
 	}
-	h.tellList(eidertrail.Whole, h.wholeList())
+	h.tellList(eidertrail.Snapshot, h.wholeList())
 }
 
 // ---- what no host should tell ----
@@ -703,7 +703,7 @@
 	case 4:
 		h.tell(eidertrail.Outcome{Call: h.lastCall + 1000, Status: eidertrail.Ended, Took: millisecond})
 	case 5:
-		h.tell(eidertrail.HangUp{Call: h.lastCall + 1000})
+		h.tell(eidertrail.CallerGone{Call: h.lastCall + 1000})
 	case 6:
 		h.tell(eidertrail.Report{Server: "s-unknown", Free: 5, Agents: 10})
 	case 7: // the id of a call that is open
@@ -713,7 +713,7 @@
 	case 8:
 		h.tell(eidertrail.Wake{Token: h.dice.Uint64()})
 	case 9:
-		h.tellList(eidertrail.Delta, []eidertrail.Server{{ID: "s-never", Mode: eidertrail.Gone}})
+		h.tellList(eidertrail.Delta, []eidertrail.Server{{ID: "s-never", Mode: eidertrail.Removed}})
 	case 10: // said twice, the later word counts
 		s := h.servers[h.dice.IntN(len(h.servers))]
 		draining := s.Server
--- a/cmd/eidertrail/sites_test.go
+++ b/cmd/eidertrail/sites_test.go
@@ -360,11 +360,11 @@
 				t.Fatal(err)
 			}
 			set := cfg.Settings
-			if got, want := float64(set.Release.Milliseconds()), s.Fam.Release.middle(); got != want {
+			if got, want := float64(set.ReleaseWait.Milliseconds()), s.Fam.Release.middle(); got != want {
 				t.Errorf("release wait %v ms, want %v", got, want)
 			}
-			if set.FallMultiple != s.Rules.FallMultiple || set.ColdShare != s.Tier[0].Kind[0].ColdFrom.least ||
-				set.Cold.Seconds() != s.Tier[0].Kind[0].Cold.most || set.MaxAttempts != s.Allow.MaxAttempts {
+			if set.OverloadMultiple != s.Rules.FallMultiple || set.SlowStartCapacity != s.Tier[0].Kind[0].ColdFrom.least ||
+				set.SlowStartWindow.Seconds() != s.Tier[0].Kind[0].Cold.most || set.MaxAttempts != s.Allow.MaxAttempts {
 				t.Errorf("cold start or attempts: %+v", set)
 			}
 			if cfg.ReportFree != "idle" || cfg.ReportAgents != "circuits" || len(cfg.ReportNames) != len(s.Tier[0].Report.Fields) {
@@ -372,8 +372,8 @@
 			}
 			for i, class := range set.Classes {
 				want := s.Class[i]
-				if class.Name != want.Name || float64(class.Aim.Milliseconds()) != math.Floor(want.Aim.middle()) || class.Worth != want.Worth ||
-					!slices.Equal(class.Pools, s.allowed(i, 3)) || class.Hold <= 0 {
+				if class.Name != want.Name || float64(class.LatencyObjective.Milliseconds()) != math.Floor(want.Aim.middle()) || class.PriorityWeight != want.Worth ||
+					!slices.Equal(class.Pools, s.allowed(i, 3)) || class.MeanHoldingTime <= 0 {
 					t.Errorf("class %d: %+v, of %+v", i, class, want)
 				}
 			}
--- a/controller.go
+++ b/controller.go
@@ -105,15 +105,15 @@
 		heard: map[uint64]time.Duration{}, busy: map[uint64]busyNumber{},
 		mostLeft: make([]time.Duration, len(set.Classes)),
 	}
-	if set.MustAsk {
+	if set.PollEndpoints {
 		c.askAt = 1
 	}
 	for _, k := range set.Classes {
-		m := time.Duration(float64(k.Aim) * mostOfAim / gateMultiple)
+		m := time.Duration(float64(k.LatencyObjective) * mostOfAim / gateMultiple)
 		if c.mostM == 0 || 0 < m && m < c.mostM {
 			c.mostM = m
 		}
-		c.hold = max(c.hold, k.Hold)
+		c.hold = max(c.hold, k.MeanHoldingTime)
 	}
 	c.pulse = standMultiple * max(c.mostM, set.Tick, time.Millisecond)
 	return c, nil
@@ -132,17 +132,17 @@
 		name string
 		v    float64
 	}{
-		{"Release", float64(set.Release)}, {"Resend", float64(set.Resend)}, {"Tick", float64(set.Tick)},
-		{"MaxAttempts", float64(set.MaxAttempts)}, {"AskWithin", float64(set.AskWithin)},
-		{"Cold", float64(set.Cold)}, {"ColdShare", set.ColdShare}, {"FallMultiple", set.FallMultiple},
-		{"FallAfter", float64(set.FallAfter)},
+		{"Release", float64(set.ReleaseWait)}, {"Resend", float64(set.RetransmitInterval)}, {"Tick", float64(set.Tick)},
+		{"MaxAttempts", float64(set.MaxAttempts)}, {"AskWithin", float64(set.PollInterval)},
+		{"Cold", float64(set.SlowStartWindow)}, {"ColdShare", set.SlowStartCapacity}, {"FallMultiple", set.OverloadMultiple},
+		{"FallAfter", float64(set.OverloadWindow)},
 	} {
 		if !(f.v >= 0) || math.IsInf(f.v, 0) {
 			return fmt.Errorf("settings: %s is %v, want 0 or more", f.name, f.v)
 		}
 	}
 	for i, k := range set.Classes {
-		if k.Deadline <= 0 || k.Aim < 0 || k.Hold < 0 || !(k.Worth >= 0) || !(k.LateWorth >= 0) {
+		if k.Deadline <= 0 || k.LatencyObjective < 0 || k.MeanHoldingTime < 0 || !(k.PriorityWeight >= 0) || !(k.LateFactor >= 0) {
 			return fmt.Errorf("settings: Classes[%d]: Aim, Deadline, Hold or a worth makes no sense", i)
 		}
 		if slices.ContainsFunc(k.Pools, func(p int) bool { return p < 0 }) {
@@ -164,7 +164,7 @@
 			c.answered(e)
 		case Outcome:
 			c.outcome(e)
-		case HangUp:
+		case CallerGone:
 			c.hangUp(e.Call)
 		case ServerList:
 			c.list(e)
@@ -176,7 +176,7 @@
 			}
 		}
 	}
-	if c.set.MustAsk && c.askAt > 0 && now >= c.askAt {
+	if c.set.PollEndpoints && c.askAt > 0 && now >= c.askAt {
 		c.askAt = 0
 		c.actions = append(c.actions, Watch{})
 	}
@@ -362,7 +362,7 @@
 		return false
 	}
 	if !known { // with a failure behind it, it is shut for d*R like any other (id5ef9c)
-		shut := s.onTrial && float64(c.now-s.rAt) <= freshFor*float64(max(s.r, c.set.Resend))
+		shut := s.onTrial && float64(c.now-s.rAt) <= freshFor*float64(max(s.r, c.set.RetransmitInterval))
 		return !shut && c.paced(k, s)
 	}
 	bar := gateMultiple
@@ -395,10 +395,10 @@
 			return false
 		}
 	}
-	if c.cold(s) && c.set.FallMultiple > 0 {
-		age, least := float64(c.now-s.born)/float64(c.set.Cold), c.set.ColdShare*c.set.FallMultiple
+	if c.cold(s) && c.set.OverloadMultiple > 0 {
+		age, least := float64(c.now-s.born)/float64(c.set.SlowStartWindow), c.set.SlowStartCapacity*c.set.OverloadMultiple
 		lift = min(lift, coldMargin*least+max(0, coldEnd-coldMargin*least)*age)
-		weight = min(c.lead, coldMost*(least+(c.set.FallMultiple-least)*age)/lift)
+		weight = min(c.lead, coldMost*(least+(c.set.OverloadMultiple-least)*age)/lift)
 	}
 	return lift >= openLift || s.phase+float64(c.now-s.paceFrom)*lift*weight/float64(c.turn(s)) >= 1
 }
@@ -423,7 +423,7 @@
 		m = c.mostM
 	}
 	if c.cold(s) {
-		m = max(m, c.set.FallAfter)
+		m = max(m, c.set.OverloadWindow)
 	}
 	return time.Duration(c.set.Nodes) * m
 }
@@ -495,7 +495,7 @@
 }
 
 func (c *Controller) allowed(k *call, s *server) bool {
-	if s.mode != Ready || s.pool == c.set.Here || s.bar>>k.Class&1 == 1 {
+	if s.mode != Ready || s.pool == c.set.OwnExchange || s.bar>>k.Class&1 == 1 {
 		return false
 	}
 	if k.Transit {
@@ -530,19 +530,19 @@
 		return
 	}
 	if e.Class < 0 || e.Class >= len(c.set.Classes) || c.leftAlone(e.Key) {
-		c.actions = append(c.actions, Refuse{Call: e.ID, After: max(0, c.busy[e.Key].until-c.now)})
+		c.actions = append(c.actions, Reject{Call: e.ID, RetryAfter: max(0, c.busy[e.Key].until-c.now)})
 		return
 	}
-	k := &call{Call: e, cameAt: c.now, until: c.now + e.Left}
+	k := &call{Call: e, cameAt: c.now, until: c.now + e.Timeout}
 	class := &c.set.Classes[e.Class]
-	c.mostLeft[e.Class] = max(c.mostLeft[e.Class], e.Left)
-	k.cameAt -= min(c.stood, c.mostLeft[e.Class]-e.Left)
+	c.mostLeft[e.Class] = max(c.mostLeft[e.Class], e.Timeout)
+	k.cameAt -= min(c.stood, c.mostLeft[e.Class]-e.Timeout)
 	if h, known := c.heard[e.Key]; known && c.now < h+class.Deadline {
 		k.cameAt = h
 	}
-	k.holdUntil = k.cameAt + time.Duration(holdShare*float64(class.Aim))
+	k.holdUntil = k.cameAt + time.Duration(holdShare*float64(class.LatencyObjective))
 	if c.late(k) {
-		k.holdUntil = c.now + time.Duration(holdShare*float64(e.Left))
+		k.holdUntil = c.now + time.Duration(holdShare*float64(e.Timeout))
 	}
 	c.calls[e.ID] = k
 	age := float64(c.now-c.offeredAt) / float64(max(c.hold, 1))
@@ -599,12 +599,14 @@
 func (c *Controller) worth(k *call) float64 {
 	class := &c.set.Classes[k.Class]
 	if c.late(k) {
-		return class.Worth * class.LateWorth
+		return class.PriorityWeight * class.LateFactor
 	}
-	return class.Worth
+	return class.PriorityWeight
 }
 
-func (c *Controller) late(k *call) bool { return c.now >= k.cameAt+c.set.Classes[k.Class].Aim }
+func (c *Controller) late(k *call) bool {
+	return c.now >= k.cameAt+c.set.Classes[k.Class].LatencyObjective
+}
 
 // Departure: a call to a number tried in vain within the class's deadline is taken for the same caller
 // dialling again, and its aim runs from the first try; past the aim it is worth little, is sent last and
@@ -636,7 +638,7 @@
 
 // mayRepeat is false once a set-up that must not be repeated may have been carried out.
 func (c *Controller) mayRepeat(k *call) bool {
-	return !k.mayHave || c.set.Classes[k.Class].Effect == Safe
+	return !k.mayHave || c.set.Classes[k.Class].Idempotency == Idempotent
 }
 
 // send starts an attempt. Rule 2 rests on place: only calls without an attempt are in waiting.
@@ -646,7 +648,7 @@
 	k.at, k.out, k.sentAt, k.nth = s, true, c.now, s.sent
 	s.out = append(s.out, k)
 	s.phase, s.paceFrom = 0, c.now
-	c.actions = append(c.actions, Send{Call: k.ID, Server: s.id, Limit: c.limit(s)})
+	c.actions = append(c.actions, Send{Call: k.ID, Server: s.id, Timeout: c.limit(s)})
 }
 
 // limit is how long an attempt is waited for.
@@ -659,7 +661,7 @@
 	if !known {
 		return 0
 	}
-	return max(2*c.set.Resend, time.Duration(failMultiple*gateMultiple*float64(m)))
+	return max(2*c.set.RetransmitInterval, time.Duration(failMultiple*gateMultiple*float64(m)))
 }
 
 // turnAway is the final answer to a call that does not get through.
@@ -668,10 +670,10 @@
 	c.inVain(k)
 	after := c.comeBack(k)
 	if c.now >= k.until || !c.mayRepeat(k) {
-		c.actions = append(c.actions, Fail{Call: k.ID, After: after})
+		c.actions = append(c.actions, Fail{Call: k.ID, RetryAfter: after})
 		return
 	}
-	c.actions = append(c.actions, Refuse{Call: k.ID, After: after})
+	c.actions = append(c.actions, Reject{Call: k.ID, RetryAfter: after})
 }
 
 // comeBack estimates when the call had best be tried again: when the first of the servers that it may
@@ -743,7 +745,7 @@
 		switch {
 		case e.Status == Ended || e.Status == Error && e.Cause == LinesBusy:
 			c.completed(s, e.Took)
-		case e.Status == Cancelled && k.over, e.Status == Moot:
+		case e.Status == Cancelled && k.over, e.Status == NotSent:
 		case e.Status == Full && e.Cause == NoAgent:
 			// Departure: 'no agent' says nothing of the processor, so it is not a failure for R. Until
 			// agents to spare are told the node keeps the pace of one turn. It covers lines that run short
@@ -759,7 +761,7 @@
 		case e.Status == Reset && (!s.onTrial || k.sentAt < s.cutAt): // one set-up tries the next connection
 			s.onTrial, s.cutAt = true, c.now
 		default: // no answer: a completion time well over the gate
-			s.shut(c.now, max(e.Took, e.Wait), failMultiple)
+			s.shut(c.now, max(e.Took, e.RetryAfter), failMultiple)
 			s.cut(c.now, mostCut)
 		}
 	}
@@ -771,7 +773,7 @@
 	switch e.Status {
 	case TimedOut, Reset, Cancelled:
 		k.mayHave = true
-		k.notBefore = c.now + c.set.Release + c.set.Tick // a tick more: the rule is to the nanosecond
+		k.notBefore = c.now + c.set.ReleaseWait + c.set.Tick // a tick more: the rule is to the nanosecond
 	case Error:
 		k.mayHave = true
 		if e.Cause == LinesBusy {
@@ -828,32 +830,32 @@
 
 func (c *Controller) list(e ServerList) {
 	if e.Kind == Failed {
-		c.askAt = c.now + time.Duration(askAgain*float64(c.set.AskWithin))
+		c.askAt = c.now + time.Duration(askAgain*float64(c.set.PollInterval))
 		return
 	}
 	if e.Kind != Delta {
 		for _, s := range c.order {
-			s.mode = Gone
+			s.mode = Removed
 		}
 	}
 	for _, l := range e.Servers {
 		s := c.servers[l.ID]
 		if s == nil {
-			s = &server{id: l.ID, index: c.listed, free: -1, born: l.Born}
+			s = &server{id: l.ID, index: c.listed, free: -1, born: l.StartedAt}
 			c.listed++
 			c.start(s)
 			c.servers[l.ID] = s
 			c.order = append(c.order, s)
-		} else if s.born != l.Born { // a new incarnation: what the old one did says nothing
-			*s = server{id: s.id, index: s.index, free: s.free, agents: s.agents, born: l.Born,
+		} else if s.born != l.StartedAt { // a new incarnation: what the old one did says nothing
+			*s = server{id: s.id, index: s.index, free: s.free, agents: s.agents, born: l.StartedAt,
 				out: s.out, sent: s.sent}
 			c.start(s)
 		}
-		s.mode, s.pool, s.bar = l.Mode, l.Pool, l.Barred
+		s.mode, s.pool, s.bar = l.Mode, l.Pool, l.DeniedClasses
 	}
 	// Nothing is kept of a server that is gone, but by the calls that are out or stand there.
-	c.order = slices.DeleteFunc(c.order, func(s *server) bool { return s.mode == Gone })
-	maps.DeleteFunc(c.servers, func(_ ServerID, s *server) bool { return s.mode == Gone })
+	c.order = slices.DeleteFunc(c.order, func(s *server) bool { return s.mode == Removed })
+	maps.DeleteFunc(c.servers, func(_ ServerID, s *server) bool { return s.mode == Removed })
 }
 
 // start opens a new incarnation; the phase of its pace is drawn by lot.
@@ -894,7 +896,7 @@
 }
 
 // cold tells whether the server may not be warm yet.
-func (c *Controller) cold(s *server) bool { return s.born > 0 && c.now < s.born+c.set.Cold }
+func (c *Controller) cold(s *server) bool { return s.born > 0 && c.now < s.born+c.set.SlowStartWindow }
 
 // wake asks for the next Wake, when something that waits may be due.
 func (c *Controller) wake() {
--- a/controller_test.go
+++ b/controller_test.go
@@ -19,14 +19,14 @@
 
 func settings() Settings {
 	return Settings{
-		Nodes: 4, Index: 1, Here: -1,
+		Nodes: 4, Index: 1, OwnExchange: -1,
 		Classes: []Class{
-			{Name: "plain", Aim: 2 * time.Second, Deadline: 9 * time.Second, Worth: 1, LateWorth: 0.25},
-			{Name: "dear", Aim: time.Second, Deadline: 6 * time.Second, Worth: 5, LateWorth: 0.25},
+			{Name: "plain", LatencyObjective: 2 * time.Second, Deadline: 9 * time.Second, PriorityWeight: 1, LateFactor: 0.25},
+			{Name: "dear", LatencyObjective: time.Second, Deadline: 6 * time.Second, PriorityWeight: 5, LateFactor: 0.25},
 		},
-		Release: 300 * ms, Resend: 400 * ms, MaxAttempts: 6,
-		Cold: 15 * time.Second, ColdShare: 0.3,
-		FallMultiple: 2.5, FallAfter: 1500 * ms, Tick: 5 * ms,
+		ReleaseWait: 300 * ms, RetransmitInterval: 400 * ms, MaxAttempts: 6,
+		SlowStartWindow: 15 * time.Second, SlowStartCapacity: 0.3,
+		OverloadMultiple: 2.5, OverloadWindow: 1500 * ms, Tick: 5 * ms,
 	}
 }
 
@@ -78,14 +78,14 @@
 // call hands over a call and returns its id and the server it was sent to, if it was.
 func (r *rig) call(class, pool int) (CallID, ServerID) {
 	r.id++
-	r.do(Call{ID: r.id, Class: class, Pool: pool, Left: 3 * time.Second})
+	r.do(Call{ID: r.id, Class: class, Pool: pool, Timeout: 3 * time.Second})
 	return r.id, r.sentTo(r.id)
 }
 
 // dial hands over a call to a number.
 func (r *rig) dial(key uint64) CallID {
 	r.id++
-	r.do(Call{ID: r.id, Key: key, Left: 3 * time.Second})
+	r.do(Call{ID: r.id, Key: key, Timeout: 3 * time.Second})
 	return r.id
 }
 
@@ -133,7 +133,7 @@
 func (r *rig) finals(id CallID) (n int) {
 	for _, a := range r.all {
 		switch a := a.(type) {
-		case Refuse:
+		case Reject:
 			if a.Call == id {
 				n++
 			}
@@ -160,11 +160,11 @@
 		"Classes":          func(s *Settings) { s.Classes = nil },
 		"Nodes":            func(s *Settings) { s.Nodes = 0 },
 		"Index":            func(s *Settings) { s.Index = 4 },
-		"Release":          func(s *Settings) { s.Release = -1 },
-		"Cold":             func(s *Settings) { s.Cold = -1 },
+		"Release":          func(s *Settings) { s.ReleaseWait = -1 },
+		"Cold":             func(s *Settings) { s.SlowStartWindow = -1 },
 		"Classes[1]":       func(s *Settings) { s.Classes[1].Deadline = -1 },
 		"Classes[0].Pools": func(s *Settings) { s.Classes[0].Pools = []int{-2} },
-		"FallMultiple":     func(s *Settings) { s.FallMultiple = -1 },
+		"FallMultiple":     func(s *Settings) { s.OverloadMultiple = -1 },
 	} {
 		s := settings()
 		spoil(&s)
@@ -176,7 +176,7 @@
 
 func TestPredictionFollowsTheStateMachine(t *testing.T) {
 	set := settings()
-	set.Classes[1].Aim = 2 * time.Second
+	set.Classes[1].LatencyObjective = 2 * time.Second
 	r := newRig(t, set, pools("a")...)
 	r.complete(0, 100*ms)
 	s := r.c.servers["a"]
@@ -209,7 +209,7 @@
 // and refused, while its processor was idle and half of its agents were free.
 func TestAFarServerIsSentManyAtATime(t *testing.T) {
 	set := settings()
-	set.Classes[0].Hold, set.Classes[1].Aim = 400*ms, 0 // 80 agents and 4 nodes: a turn is 20 ms
+	set.Classes[0].MeanHoldingTime, set.Classes[1].LatencyObjective = 400*ms, 0 // 80 agents and 4 nodes: a turn is 20 ms
 	r := newRig(t, set, pools("a")...)
 	r.do(Report{Server: "a", Free: 80, Agents: 80})
 	r.complete(0, 100*ms)
@@ -272,7 +272,7 @@
 // what a later one passed is lost too, and a stream of calls that are all answered in M lifts no L.
 func TestAStreamOfCallsKeepsAFarServerOpen(t *testing.T) {
 	set := settings()
-	set.Classes[0].Hold = 400 * ms
+	set.Classes[0].MeanHoldingTime = 400 * ms
 	r := newRig(t, set, pools("a")...)
 	r.do(Report{Server: "a", Free: 80, Agents: 80})
 	r.complete(0, 50*ms)
@@ -360,7 +360,7 @@
 		for _, a := range c.Handle(time.Hour, []Event{
 			ServerList{Kind: Cached, Servers: []Server{{ID: "b", Pool: 1}, {ID: "c", Pool: 2}}},
 			Report{Server: "b", Free: 10}, Report{Server: "c", Free: 20},
-			Call{ID: 1, Left: time.Second},
+			Call{ID: 1, Timeout: time.Second},
 		}, nil) {
 			if s, ok := a.(Send); ok {
 				to[s.Server]++
@@ -380,7 +380,7 @@
 	r.pass(time.Second)
 	id, _ := r.call(0, 0)
 	r.now += 2 * time.Second // no Wake was answered
-	r.do(Answered{Call: id, Took: 2 * time.Second}, Call{ID: 90, Left: 2100 * ms})
+	r.do(Answered{Call: id, Took: 2 * time.Second}, Call{ID: 90, Timeout: 2100 * ms})
 	if s := r.c.servers["a"]; s.r != 50*ms || s.onTrial || s.lift < openLift {
 		t.Errorf("R %v, on trial %v, pace %v: the pause was taken for the server's", s.r, s.onTrial, s.lift)
 	}
@@ -398,7 +398,7 @@
 // After a slow set-up 300 nodes reopened a server with one call each (lima-setup-later's big-1).
 func TestNodesTogetherKeepThePace(t *testing.T) {
 	set := settings()
-	set.Nodes, set.Classes[0].Hold = 300, 10*time.Second
+	set.Nodes, set.Classes[0].MeanHoldingTime = 300, 10*time.Second
 	sends := 0
 	for i := range set.Nodes {
 		set.Index = i
@@ -436,7 +436,7 @@
 func TestEveryCallGetsOneAnswer(t *testing.T) {
 	for name, status := range map[string]Status{
 		"error": Error, "full": Full, "timed out": TimedOut, "connect failed": ConnectFailed,
-		"reset": Reset, "cancelled": Cancelled, "moot": Moot,
+		"reset": Reset, "cancelled": Cancelled, "moot": NotSent,
 	} {
 		r := newRig(t, settings(), pools("a", "b")...)
 		id, to := r.call(0, 0)
@@ -489,8 +489,8 @@
 func TestNothingNewToDrainingOrGone(t *testing.T) {
 	for name, l := range map[string]ServerList{
 		"draining":       {Kind: Delta, Servers: []Server{{ID: "a", Mode: Draining}}},
-		"gone":           {Kind: Delta, Servers: []Server{{ID: "a", Mode: Gone}}},
-		"missing":        {Kind: Whole, Servers: []Server{{ID: "b", Pool: 1}}},
+		"gone":           {Kind: Delta, Servers: []Server{{ID: "a", Mode: Removed}}},
+		"missing":        {Kind: Snapshot, Servers: []Server{{ID: "b", Pool: 1}}},
 		"cached without": {Kind: Cached, Servers: []Server{{ID: "b", Pool: 1}}},
 	} {
 		r := newRig(t, settings(), pools("a", "b")...)
@@ -518,7 +518,7 @@
 		if to != old {
 			t.Fatalf("call %d went to %q", i, to)
 		}
-		r.do(ServerList{Kind: Delta, Servers: []Server{{ID: old, Mode: Gone}, {ID: next, Pool: 1}}})
+		r.do(ServerList{Kind: Delta, Servers: []Server{{ID: old, Mode: Removed}, {ID: next, Pool: 1}}})
 		r.do(Outcome{Call: id, Status: Reset}) // of the call that is out at the one that is gone
 		r.pass(time.Second)
 		if r.sends(id) != 2 {
@@ -538,7 +538,7 @@
 func TestANewIncarnationForgetsTheOld(t *testing.T) {
 	r := newRig(t, settings(), pools("a")...)
 	r.complete(0, 50*ms)
-	r.do(ServerList{Kind: Delta, Servers: []Server{{ID: "a", Born: r.now}}})
+	r.do(ServerList{Kind: Delta, Servers: []Server{{ID: "a", StartedAt: r.now}}})
 	if _, known := r.c.servers["a"].quickest(r.now); known {
 		t.Error("M of the old incarnation was kept")
 	}
@@ -568,10 +568,10 @@
 // coldSends offers calls for a cold server beside a warm one that bears 25 a second, a quarter
 // of them from this node, and returns when it was sent one.
 func coldSends(t *testing.T, set Settings, answered bool) (sent []time.Duration) {
-	set.Classes[0].Hold = 4 * time.Second
+	set.Classes[0].MeanHoldingTime = 4 * time.Second
 	r := newRig(t, set, pools("warm")...)
 	r.complete(0, 40*ms)
-	r.do(ServerList{Kind: Delta, Servers: []Server{{ID: "cold", Pool: 1, Born: r.now}}},
+	r.do(ServerList{Kind: Delta, Servers: []Server{{ID: "cold", Pool: 1, StartedAt: r.now}}},
 		Report{Server: "cold", Free: 100, Agents: 100})
 	type due struct {
 		at    time.Duration
@@ -612,7 +612,7 @@
 // turns every set-up away (ib3961e, i627338).
 func TestColdServerIsPaced(t *testing.T) {
 	set := settings()
-	limit := set.FallMultiple * set.ColdShare * 25 * set.FallAfter.Seconds()
+	limit := set.OverloadMultiple * set.SlowStartCapacity * 25 * set.OverloadWindow.Seconds()
 	sent := coldSends(t, set, false)
 	if len(sent) < 2 {
 		t.Errorf("only %d calls in 15 s: paced to nothing", len(sent))
@@ -620,12 +620,12 @@
 	for i, from := range sent {
 		n := 0
 		for _, at := range sent[i:] {
-			if at < from+set.FallAfter {
+			if at < from+set.OverloadWindow {
 				n++
 			}
 		}
 		if float64(n*set.Nodes) > limit {
-			t.Fatalf("%d sends a node within %v, %v over all nodes is over the fall", n, set.FallAfter, limit)
+			t.Fatalf("%d sends a node within %v, %v over all nodes is over the fall", n, set.OverloadWindow, limit)
 		}
 	}
 }
@@ -653,7 +653,7 @@
 // run since the list, and 25 sent at once (rule 4, h5cc8bf).
 func TestNodesDoNotSpendAColdPaceInStep(t *testing.T) {
 	set := settings()
-	set.Nodes, set.Classes[0].Hold = 66, 10*time.Second
+	set.Nodes, set.Classes[0].MeanHoldingTime = 66, 10*time.Second
 	sends, inStep := 0, 0
 	for i := range set.Nodes {
 		set.Index = i
@@ -663,10 +663,10 @@
 		}
 		now := time.Hour
 		c.Handle(now, []Event{
-			ServerList{Servers: []Server{{ID: "small", Pool: 1, Mode: Draining}, {ID: "cold", Born: now}}},
+			ServerList{Servers: []Server{{ID: "small", Pool: 1, Mode: Draining}, {ID: "cold", StartedAt: now}}},
 			Report{Server: "small", Free: 9, Agents: 30},
 		}, nil)
-		c.Handle(now+700*ms, []Event{Call{ID: 1, Left: 3 * time.Second}}, nil)
+		c.Handle(now+700*ms, []Event{Call{ID: 1, Timeout: 3 * time.Second}}, nil)
 		told := Report{Server: "cold", Free: 223, Agents: 223}
 		inStep += sendsIn(c.Handle(now+800*ms, []Event{told}, nil))
 		for at := now + 800*ms; at < now+2300*ms; at += 10 * ms {
@@ -684,7 +684,7 @@
 // of the calls, and those of all sum to what the lines were planned for.
 func TestTurnsAreByShareOfTheCalls(t *testing.T) {
 	set := settings()
-	set.Nodes, set.Classes[0].Hold = 20, 8*time.Second // 200 agents: 25 calls a second were planned for, 1.25 a node
+	set.Nodes, set.Classes[0].MeanHoldingTime = 20, 8*time.Second // 200 agents: 25 calls a second were planned for, 1.25 a node
 	sends := func(index int, every time.Duration) (n int) {
 		set.Index = index
 		c, err := New(set, uint64(index)*977)
@@ -696,7 +696,7 @@
 		id := CallID(0)
 		for ; now < time.Hour+40*time.Second; now += every {
 			id++
-			for actions := c.Handle(now, []Event{Call{ID: id, Left: 900 * ms}}, nil); len(actions) > 0; actions = actions[1:] {
+			for actions := c.Handle(now, []Event{Call{ID: id, Timeout: 900 * ms}}, nil); len(actions) > 0; actions = actions[1:] {
 				if s, is := actions[0].(Send); is { // agents are short: a turn each
 					n++
 					actions = c.Handle(now, []Event{Outcome{Call: s.Call, Attempt: 0, Status: Full, Cause: NoAgent, Closed: true}}, actions)
@@ -730,7 +730,7 @@
 		r := &rig{t: t, c: c, now: time.Hour}
 		r.do(ServerList{Servers: []Server{{ID: "warm"}, {ID: "cold", Pool: 1}}}, Report{Server: "warm", Agents: warm},
 			Report{Server: "cold", Agents: cold})
-		r.do(ServerList{Kind: Delta, Servers: []Server{{ID: "cold", Pool: 1, Mode: Gone}}})
+		r.do(ServerList{Kind: Delta, Servers: []Server{{ID: "cold", Pool: 1, Mode: Removed}}})
 		every := time.Duration(float64(time.Second) * float64(set.Nodes) / rate)
 		next, seen, listed, known := r.now+time.Duration(i)*every/time.Duration(set.Nodes), 0, false, false
 		type due struct {
@@ -738,10 +738,10 @@
 			event Event
 		}
 		var coming []due
-		for ; r.now < born+set.Cold; r.pass(20 * ms) {
+		for ; r.now < born+set.SlowStartWindow; r.pass(20 * ms) {
 			if !listed && r.now >= born {
 				listed = true
-				r.do(ServerList{Kind: Delta, Servers: []Server{{ID: "cold", Pool: 1, Born: born}}})
+				r.do(ServerList{Kind: Delta, Servers: []Server{{ID: "cold", Pool: 1, StartedAt: born}}})
 			}
 			if listed && !known && r.now >= born+told {
 				known = true
@@ -771,14 +771,14 @@
 	}
 	slices.Sort(all)
 	root := math.Sqrt(cold+lineSpare*lineSpare/4) - lineSpare/2
-	start := slowstart.Start{Share: set.ColdShare, For: set.Cold.Microseconds(), Multiple: set.FallMultiple, After: set.FallAfter.Microseconds()}
+	start := slowstart.Start{Share: set.SlowStartCapacity, For: set.SlowStartWindow.Microseconds(), Multiple: set.OverloadMultiple, After: set.OverloadWindow.Microseconds()}
 	first := 0
 	for i, at := range all {
-		for at-all[first] > set.FallAfter {
+		for at-all[first] > set.OverloadWindow {
 			first++
 		}
 		part, _ := start.Part((at - born).Microseconds())
-		n := start.Allowed(part * root * root / set.Classes[0].Hold.Seconds())
+		n := start.Allowed(part * root * root / set.Classes[0].MeanHoldingTime.Seconds())
 		worst = max(worst, float64(i-first+1)/(n+2*math.Sqrt(n)+2))
 	}
 	return worst
@@ -790,7 +790,7 @@
 func TestColdServerOfLinesNotToldCountsAsTheFewest(t *testing.T) {
 	for _, nodes := range []int{5, 20, 30} {
 		set := settings()
-		set.Nodes, set.FallMultiple, set.Classes[0].Hold = nodes, 3, 8*time.Second
+		set.Nodes, set.OverloadMultiple, set.Classes[0].MeanHoldingTime = nodes, 3, 8*time.Second
 		if worst := coldFleet(t, set, 40, 400, 30, 3*time.Second); worst > 1 || worst < 0.1 {
 			t.Errorf("%d nodes: %.2f of what a cold server bears", nodes, worst)
 		}
@@ -804,7 +804,7 @@
 	for _, nodes := range []int{5, 20, 30} {
 		for _, multiple := range []float64{2, 3} {
 			set := settings()
-			set.Nodes, set.FallMultiple, set.Classes[0].Hold = nodes, multiple, 8*time.Second
+			set.Nodes, set.OverloadMultiple, set.Classes[0].MeanHoldingTime = nodes, multiple, 8*time.Second
 			if worst := coldFleet(t, set, 3*2*400/8, 400, 400, 300*ms); worst > 1 || worst < 0.4 {
 				t.Errorf("%d nodes, multiple %v: %.2f of what a cold server bears", nodes, multiple, worst)
 			}
@@ -815,24 +815,24 @@
 func TestStaleAndUnknownNewsIsPassedOver(t *testing.T) {
 	r := newRig(t, settings(), pools("a")...)
 	r.do(
-		Answered{Call: 99}, Outcome{Call: 99}, HangUp{Call: 99},
+		Answered{Call: 99}, Outcome{Call: 99}, CallerGone{Call: 99},
 		Wake{Token: 5}, Report{Server: "nowhere", Free: 3},
 	)
 	if len(r.last) != 0 {
 		t.Errorf("unknown ids were acted upon: %v", r.last)
 	}
 	id, _ := r.call(0, 0)
-	r.do(HangUp{Call: id})
+	r.do(CallerGone{Call: id})
 	r.do(Outcome{Call: id, Status: Cancelled, Closed: true, Took: 10 * ms})
 	if r.finals(id) != 0 || len(r.c.calls) != 0 || len(r.c.servers["a"].out) != 0 {
 		t.Error("a call that was hung up was answered, or is still held")
 	}
 	id, _ = r.call(0, 0)
-	r.do(Outcome{Call: id, Status: Ended, Closed: true, Took: 10 * ms}, HangUp{Call: id})
+	r.do(Outcome{Call: id, Status: Ended, Closed: true, Took: 10 * ms}, CallerGone{Call: id})
 	if r.finals(id) != 0 || len(r.c.calls) != 0 {
 		t.Error("the hang-up in the batch that ended the call was acted upon")
 	}
-	r.do(Call{ID: 500, Class: 17, Left: time.Second})
+	r.do(Call{ID: 500, Class: 17, Timeout: time.Second})
 	if r.finals(500) != 1 {
 		t.Error("a call of an unknown class gets no answer")
 	}
@@ -840,7 +840,7 @@
 
 func TestUnsafeClassIsNotRepeated(t *testing.T) {
 	set := settings()
-	set.Classes[0].Effect = Unsafe
+	set.Classes[0].Idempotency = NotIdempotent
 	r := newRig(t, set, pools("a", "b")...)
 	id, _ := r.call(0, 0)
 	r.do(Outcome{Call: id, Status: TimedOut, Took: 10 * ms})
@@ -893,8 +893,8 @@
 
 func Example() {
 	c, err := New(Settings{
-		Nodes: 1, Here: -1, Release: 300 * time.Millisecond,
-		Classes: []Class{{Name: "call", Aim: time.Second, Deadline: 6 * time.Second, Worth: 1}},
+		Nodes: 1, OwnExchange: -1, ReleaseWait: 300 * time.Millisecond,
+		Classes: []Class{{Name: "call", LatencyObjective: time.Second, Deadline: 6 * time.Second, PriorityWeight: 1}},
 	}, 1)
 	if err != nil {
 		fmt.Println(err)
@@ -911,7 +911,7 @@
 	servers := []Server{{ID: "core-1", Pool: 0}, {ID: "core-2", Pool: 1}}
 	actions = c.Handle(0, []Event{ServerList{Kind: Cached, Servers: servers}}, actions[:0])
 	show(actions)
-	actions = c.Handle(time.Second, []Event{Call{ID: 1, Pool: 0, Left: 3 * time.Second}}, actions[:0])
+	actions = c.Handle(time.Second, []Event{Call{ID: 1, Pool: 0, Timeout: 3 * time.Second}}, actions[:0])
 	show(actions)
 	full := Outcome{Call: 1, Attempt: 0, Status: Full, Cause: ProcessorFull}
 	actions = c.Handle(time.Second+20*time.Millisecond, []Event{full}, actions[:0])
@@ -959,7 +959,7 @@
 		t.Fatalf("without an M: sent to %q and %q", to, second)
 	}
 	r.pass(50 * ms)
-	r.do(HangUp{Call: held})
+	r.do(CallerGone{Call: held})
 	r.do(Answered{Call: first, Took: 50 * ms})
 	r.pass(5 * time.Second)
 	r.call(0, 0)
@@ -979,7 +979,7 @@
 	r.complete(0, 80*ms)
 	r.pass(time.Second)
 	r.call(0, 0)
-	if got := r.last[0].(Send).Limit; got != 960*ms {
+	if got := r.last[0].(Send).Timeout; got != 960*ms {
 		t.Errorf("limit %v with an M of 80 ms, want 2*A*M", got)
 	}
 }
@@ -1010,7 +1010,7 @@
 func outOfAgents(t *testing.T) (*rig, CallID) {
 	t.Helper()
 	set := settings()
-	set.Classes[0].Hold = 10 * time.Second
+	set.Classes[0].MeanHoldingTime = 10 * time.Second
 	r := newRig(t, set, pools("a")...)
 	r.complete(0, 50*ms)
 	r.pass(time.Second)
@@ -1039,17 +1039,17 @@
 // they last half as long again, and a quarter of the agents was spent on that (r801c5b).
 func TestShortPoolsKeepToTheirOwn(t *testing.T) {
 	set := settings()
-	set.Classes[0].Hold = 10 * time.Second
+	set.Classes[0].MeanHoldingTime = 10 * time.Second
 	for _, x := range []struct {
 		class int
 		mode  Mode
 		trial bool
 		want  ServerID
-	}{{0, Ready, false, ""}, {1, Ready, false, "b"}, {0, Draining, false, "b"}, {0, Gone, false, "b"}, {0, Ready, true, "b"}} {
+	}{{0, Ready, false, ""}, {1, Ready, false, "b"}, {0, Draining, false, "b"}, {0, Removed, false, "b"}, {0, Ready, true, "b"}} {
 		r := newRig(t, set, pools("a", "b")...)
 		for range 64 { // the usual call is of class 0
-			r.do(Call{ID: 1000, Left: time.Millisecond})
-			r.do(HangUp{Call: 1000})
+			r.do(Call{ID: 1000, Timeout: time.Millisecond})
+			r.do(CallerGone{Call: 1000})
 		}
 		for pool := range 2 {
 			r.complete(pool, 50*ms)
@@ -1070,7 +1070,7 @@
 // set-ups that are out on it, and each of them cut the pace, by 0.86 s together. A crash shows by the trial.
 func TestABrokenConnectionCutsNoPace(t *testing.T) {
 	set := settings()
-	set.Classes[0].Hold = time.Second
+	set.Classes[0].MeanHoldingTime = time.Second
 	r := newRig(t, set, pools("a")...)
 	r.do(Report{Server: "a", Free: 100, Agents: 100})
 	for range 3 {
@@ -1187,7 +1187,7 @@
 		t.Errorf("%d sends, on trial %v, lift %v", sent, s.onTrial, s.lift)
 	}
 	for s.faults < faultsInRow+mostRow {
-		r.do(Call{ID: 1000 + CallID(s.faults), Left: time.Second})
+		r.do(Call{ID: 1000 + CallID(s.faults), Timeout: time.Second})
 		id := r.lastSend().Call
 		if r.sentTo(id) == "" {
 			t.Fatal("not tried again")
@@ -1266,9 +1266,9 @@
 func TestAFailureShutsAServerWithoutAnM(t *testing.T) {
 	r := newRig(t, settings(), pools("a")...)
 	id, _ := r.call(0, 0)
-	r.do(Outcome{Call: id, Status: Full, Cause: ProcessorFull, Wait: 5 * time.Second, Took: 7 * ms})
+	r.do(Outcome{Call: id, Status: Full, Cause: ProcessorFull, RetryAfter: 5 * time.Second, Took: 7 * ms})
 	again, _ := r.call(0, 0)
-	r.do(HangUp{Call: again})
+	r.do(CallerGone{Call: again})
 	r.pass(2400 * ms)
 	again, _ = r.call(0, 0) // held
 	if r.sends(again) != 0 {
@@ -1336,7 +1336,7 @@
 func TestAnyEventsAtFullSize(t *testing.T) {
 	set := settings()
 	set.Nodes, set.Index = 265, 264
-	set.Classes[0].Hold = 10 * time.Second
+	set.Classes[0].MeanHoldingTime = 10 * time.Second
 	c, err := New(set, 3)
 	if err != nil {
 		t.Fatal(err)
@@ -1356,13 +1356,13 @@
 		for range dice.IntN(13) {
 			s := Server{ID: name(), Mode: Mode(dice.IntN(5) / 3), Pool: dice.IntN(14)}
 			if dice.IntN(9) == 0 {
-				s.Born = now
+				s.StartedAt = now
 			}
 			list.Servers = append(list.Servers, s)
 		}
 		if dice.IntN(50) == 0 || next == 1 {
 			events = append(events, list)
-			if list.Kind == Whole || list.Kind == Cached {
+			if list.Kind == Snapshot || list.Kind == Cached {
 				clear(ready)
 			}
 			for _, s := range list.Servers {
@@ -1371,7 +1371,7 @@
 		}
 		events = append(events, Report{Server: name(), Free: odd[dice.IntN(7)], Agents: odd[dice.IntN(7)]},
 			Call{ID: next, Class: dice.IntN(2), Pool: dice.IntN(14), Key: uint64(dice.IntN(99)),
-				Left: time.Duration(dice.IntN(3000)) * ms}, Wake{})
+				Timeout: time.Duration(dice.IntN(3000)) * ms}, Wake{})
 		calls[next] = &state{}
 		old := CallID(dice.IntN(int(next))) // known, ended or never seen
 		if len(open) > 0 && dice.IntN(4) > 0 {
@@ -1381,7 +1381,7 @@
 			number := k.sends - 1
 			switch dice.IntN(3) {
 			case 0:
-				events = append(events, HangUp{Call: old})
+				events = append(events, CallerGone{Call: old})
 				k.finals = 1
 			case 1:
 				events = append(events, Answered{Call: old, Attempt: number, Took: time.Second})
@@ -1404,7 +1404,7 @@
 				if k.out > 1 || k.finals > 0 || k.sends > 2 || !ready[a.Server] {
 					t.Fatalf("call %d to %q: %+v, ready %v", a.Call, a.Server, *k, ready[a.Server])
 				}
-			case Refuse:
+			case Reject:
 				calls[a.Call].finals++
 			case Fail:
 				calls[a.Call].finals++
@@ -1426,13 +1426,13 @@
 	r.t.Helper()
 	for _, a := range r.all {
 		switch a := a.(type) {
-		case Refuse:
+		case Reject:
 			if a.Call == id {
-				return a.After
+				return a.RetryAfter
 			}
 		case Fail:
 			if a.Call == id {
-				return a.After
+				return a.RetryAfter
 			}
 		}
 	}
@@ -1463,7 +1463,7 @@
 		t.Errorf("%v, half of it later still %v", got, later)
 	}
 	// None to go to: about as long as calls stand.
-	r = newRig(t, func() Settings { s := settings(); s.Classes[0].Hold = 8 * time.Second; return s }())
+	r = newRig(t, func() Settings { s := settings(); s.Classes[0].MeanHoldingTime = 8 * time.Second; return s }())
 	id, _ = r.call(0, 0)
 	r.pass(4 * time.Second)
 	if got := r.after(id); got != 8*time.Second {
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -601,7 +601,7 @@
 	case final.Kind == GivenUp:
 		k.count.Add(telemetry.FailedCalls)
 	default:
-		k.count.Stood(took, took <= k.d.engine.set.Classes[r.Class].Aim.Microseconds())
+		k.count.Stood(took, took <= k.d.engine.set.Classes[r.Class].LatencyObjective.Microseconds())
 		// ctx may be done: GiveUp crossed the answer. The call stands all the same.
 		cause, byPool := final.Call.WaitEnd(k.closed, call.released)
 		k.mu.Lock()
--- a/dispatch/desk_test.go
+++ b/dispatch/desk_test.go
@@ -304,7 +304,7 @@
 		r.setup(c, "c1")
 		r.setup(c, "c2")
 		r.last().answer("sdp")
-		r.list(eidertrail.Gone, eidertrail.Gone)
+		r.list(eidertrail.Removed, eidertrail.Removed)
 		r.setup(c, "c3") // waits for a pool
 		r.desk.GiveUp()
 		r.desk.Drain(context.Background())
@@ -320,21 +320,21 @@
 	const out = Answered // the attempt is still out when the process ends
 	for _, e := range []struct {
 		name     string
-		effect   eidertrail.Effect
+		effect   eidertrail.Idempotency
 		first    Outcome // of the first attempt
 		loopEnds bool    // before that outcome is reported; else the desk gives the call up
 		want     FinalKind
 	}{
-		{"safe, attempt out", eidertrail.Safe, out, false, Turned},
-		{"unsafe, attempt out", eidertrail.Unsafe, out, false, GivenUp},
-		{"keyed, attempt out", eidertrail.Keyed, out, false, GivenUp},
-		{"unsafe, proven not to have run, held", eidertrail.Unsafe, NoAgent, false, Turned},
-		{"unsafe, timed out as the loop ends", eidertrail.Unsafe, TimedOut, true, GivenUp},
-		{"unsafe, proven not to have run, the loop ends", eidertrail.Unsafe, NoAgent, true, Turned},
-		{"safe, timed out as the loop ends", eidertrail.Safe, TimedOut, true, Turned},
+		{"safe, attempt out", eidertrail.Idempotent, out, false, Turned},
+		{"unsafe, attempt out", eidertrail.NotIdempotent, out, false, GivenUp},
+		{"keyed, attempt out", eidertrail.IdempotentByKey, out, false, GivenUp},
+		{"unsafe, proven not to have run, held", eidertrail.NotIdempotent, NoAgent, false, Turned},
+		{"unsafe, timed out as the loop ends", eidertrail.NotIdempotent, TimedOut, true, GivenUp},
+		{"unsafe, proven not to have run, the loop ends", eidertrail.NotIdempotent, NoAgent, true, Turned},
+		{"safe, timed out as the loop ends", eidertrail.Idempotent, TimedOut, true, Turned},
 	} {
 		set := settings()
-		set.Classes[0].Effect = e.effect
+		set.Classes[0].Idempotency = e.effect
 		bubble(t, func(r *rig) {
 			d, err := New(set, 1, 2_000_000, r.clock, zerolog.Nop(), r.count)
 			if err != nil {
@@ -349,7 +349,7 @@
 			c := r.connect()
 			r.setup(c, "c1")
 			x := r.last()
-			r.list(eidertrail.Ready, eidertrail.Gone) // what comes back is held
+			r.list(eidertrail.Ready, eidertrail.Removed) // what comes back is held
 			if e.loopEnds {
 				stop()
 				synctest.Wait()
@@ -453,10 +453,10 @@
 // Guards against a caller being told that a call was refused, which says that trying again is harmless, when a set-up
 // that must not be repeated may have been carried out: at a planned stop too.
 func TestWhatMustNotBeRepeatedIsNotRefused(t *testing.T) {
-	for _, effect := range []eidertrail.Effect{eidertrail.Safe, eidertrail.Keyed, eidertrail.Unsafe} {
+	for _, effect := range []eidertrail.Idempotency{eidertrail.Idempotent, eidertrail.IdempotentByKey, eidertrail.NotIdempotent} {
 		set := settings()
-		set.Classes[0].Effect = effect
-		once := effect != eidertrail.Safe
+		set.Classes[0].Idempotency = effect
+		once := effect != eidertrail.Idempotent
 		test := func(r *rig, stop string) { // a desk gives up once
 			c := r.connect()
 			last := func(id string, end func()) Final {
@@ -478,7 +478,7 @@
 				}
 				return
 			case "waits":
-				r.list(eidertrail.Gone, eidertrail.Gone)
+				r.list(eidertrail.Removed, eidertrail.Removed)
 				if f := last("stop-waits", r.desk.GiveUp); f.Kind != Turned || f.MayHaveRun {
 					t.Errorf("effect %d, not sent at the stop: %+v", effect, f)
 				}
@@ -519,9 +519,9 @@
 
 // The same for an attempt that ends when nothing decides any more.
 func TestWhatMustNotBeRepeatedIsNotRefusedAtTheEnd(t *testing.T) {
-	for effect, want := range map[eidertrail.Effect]FinalKind{eidertrail.Safe: Turned, eidertrail.Keyed: GivenUp, eidertrail.Unsafe: GivenUp} {
+	for effect, want := range map[eidertrail.Idempotency]FinalKind{eidertrail.Idempotent: Turned, eidertrail.IdempotentByKey: GivenUp, eidertrail.NotIdempotent: GivenUp} {
 		set := settings()
-		set.Classes[0].Effect = effect
+		set.Classes[0].Idempotency = effect
 		synctest.Test(t, func(t *testing.T) {
 			d, err := New(set, 1, 2_000_000, clock.New(), zerolog.Nop(), nil)
 			if err != nil {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -20,11 +20,11 @@
 
 func settings() eidertrail.Settings {
 	return eidertrail.Settings{
-		Nodes: 1, Here: -1, Release: 300 * time.Millisecond, MaxAttempts: 6,
-		Cold: 10 * time.Second, ColdShare: 0.3, FallMultiple: 3, FallAfter: 1500 * time.Millisecond,
+		Nodes: 1, OwnExchange: -1, ReleaseWait: 300 * time.Millisecond, MaxAttempts: 6,
+		SlowStartWindow: 10 * time.Second, SlowStartCapacity: 0.3, OverloadMultiple: 3, OverloadWindow: 1500 * time.Millisecond,
 		Classes: []eidertrail.Class{
-			{Name: "voice", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1, Pools: []int{0, 1}, Hold: 8 * time.Second},
-			{Name: "text", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 3, Pools: []int{1}, Hold: 8 * time.Second},
+			{Name: "voice", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 1, Pools: []int{0, 1}, MeanHoldingTime: 8 * time.Second},
+			{Name: "text", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 3, Pools: []int{1}, MeanHoldingTime: 8 * time.Second},
 		},
 	}
 }
@@ -193,7 +193,7 @@
 		if r.engine.maySend(now, k, "b") {
 			t.Error("to a draining pool: may be sent")
 		}
-		r.list(eidertrail.Ready, eidertrail.Gone)
+		r.list(eidertrail.Ready, eidertrail.Removed)
 		if r.engine.maySend(now, k, "b") || len(r.engine.servers) != 1 { // guards against a line kept for each pool that ever was
 			t.Errorf("a pool that is gone is still listed: %v", r.engine.servers)
 		}
@@ -204,9 +204,9 @@
 func TestGuardHoldsTheSitesOwnBounds(t *testing.T) {
 	set := settings()
 	set.MaxAttempts = 1
-	set.Classes[1].Effect = eidertrail.Unsafe
+	set.Classes[1].Idempotency = eidertrail.NotIdempotent
 	set.Classes = append(set.Classes, set.Classes[1])
-	set.Classes[2].Effect = eidertrail.Keyed
+	set.Classes[2].Idempotency = eidertrail.IdempotentByKey
 	test := func(r *rig) {
 		may := func(class, attempt int, ended ...Outcome) bool {
 			now := r.Now()
@@ -242,7 +242,7 @@
 
 func TestCallerLeavesWhileItWaits(t *testing.T) {
 	bubble(t, func(r *rig) {
-		r.list(eidertrail.Gone, eidertrail.Gone)
+		r.list(eidertrail.Removed, eidertrail.Removed)
 		ctx, leave := context.WithCancel(context.Background())
 		done := make(chan error, 1)
 		q := r.request(0, time.Minute)
@@ -372,7 +372,7 @@
 
 func TestTurnedAwayShareFallsWithTime(t *testing.T) {
 	bubble(t, func(r *rig) {
-		r.list(eidertrail.Gone, eidertrail.Gone)
+		r.list(eidertrail.Removed, eidertrail.Removed)
 		for range 20 {
 			r.Pick(context.Background(), r.request(0, 10*time.Millisecond))
 		}
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -88,7 +88,7 @@
 	d.calls[r.Call] = k
 	d.await(now, k)
 	d.events = append(d.events, eidertrail.Call{
-		ID: eidertrail.CallID(r.Call), Class: r.Class, Pool: r.Pool, Key: r.Key, Left: span(r.Until - now),
+		ID: eidertrail.CallID(r.Call), Class: r.Class, Pool: r.Pool, Key: r.Key, Timeout: span(r.Until - now),
 	})
 	return by
 }
@@ -109,10 +109,10 @@
 	if k == nil {
 		return
 	}
-	d.events = append(d.events, eidertrail.HangUp{Call: eidertrail.CallID(id)})
+	d.events = append(d.events, eidertrail.CallerGone{Call: eidertrail.CallID(id)})
 	if k.out {
 		d.events = append(d.events, eidertrail.Outcome{
-			Call: eidertrail.CallID(id), Attempt: k.attempt, Status: eidertrail.Moot, Closed: true,
+			Call: eidertrail.CallID(id), Attempt: k.attempt, Status: eidertrail.NotSent, Closed: true,
 		})
 	}
 	d.route.ended(now, k, Moot)
@@ -142,7 +142,7 @@
 	closed := r.Left || k.stands
 	d.route.ended(now, k, r.Outcome)
 	if r.Left && !k.stands {
-		d.events = append(d.events, eidertrail.HangUp{Call: id})
+		d.events = append(d.events, eidertrail.CallerGone{Call: id})
 	}
 	o := eidertrail.Outcome{Call: id, Attempt: r.Attempt, Took: span(r.Took), Closed: closed}
 	switch r.Outcome {
@@ -165,7 +165,7 @@
 	case Cancelled:
 		o.Status = eidertrail.Cancelled
 	default:
-		o.Status = eidertrail.Moot
+		o.Status = eidertrail.NotSent
 	}
 	if r.State != Untold {
 		o.Report = &eidertrail.Report{Server: eidertrail.ServerID(r.Pool), Free: r.State.Free, Agents: r.State.Agents}
@@ -175,7 +175,7 @@
 	k.mayHave = k.mayHave || !r.Outcome.neverRan()
 	switch r.Outcome {
 	case TimedOut, Reset, Cancelled:
-		k.notBefore = now + d.set.Release.Microseconds()
+		k.notBefore = now + d.set.ReleaseWait.Microseconds()
 	}
 	d.events = append(d.events, o)
 	if closed {
@@ -196,13 +196,13 @@
 func (d *Engine) Roster(now int64, servers []Server, whole bool) {
 	kind := eidertrail.Delta
 	if whole {
-		kind = eidertrail.Whole
+		kind = eidertrail.Snapshot
 		clear(d.servers)
 	}
 	list := make([]eidertrail.Server, len(servers))
 	for i, s := range servers {
-		list[i] = eidertrail.Server{ID: eidertrail.ServerID(s.UID), Born: span(s.Born), Mode: s.Mode, Pool: s.Group}
-		if d.servers[s.UID] = s; s.Mode == eidertrail.Gone {
+		list[i] = eidertrail.Server{ID: eidertrail.ServerID(s.UID), StartedAt: span(s.Born), Mode: s.Mode, Pool: s.Group}
+		if d.servers[s.UID] = s; s.Mode == eidertrail.Removed {
 			delete(d.servers, s.UID)
 		}
 	}
@@ -258,17 +258,17 @@
 		k.attempt++
 		if !d.maySend(now, k, string(a.Server)) {
 			d.count.Add(telemetry.GuardStopped)
-			d.events = append(d.events, eidertrail.Outcome{Call: a.Call, Attempt: k.attempt, Status: eidertrail.Moot})
+			d.events = append(d.events, eidertrail.Outcome{Call: a.Call, Attempt: k.attempt, Status: eidertrail.NotSent})
 			return
 		}
 		k.out = true
 		delete(d.waiting, k.Call)
-		k.Decide(Pick{Verdict: Go, Pool: string(a.Server), Attempt: k.attempt, Limit: a.Limit.Microseconds(), At: now,
+		k.Decide(Pick{Verdict: Go, Pool: string(a.Server), Attempt: k.attempt, Limit: a.Timeout.Microseconds(), At: now,
 			LeaveBy: d.route.sent(now, k, string(a.Server))})
-	case eidertrail.Refuse:
-		d.final(now, uint64(a.Call), Refused, a.After)
+	case eidertrail.Reject:
+		d.final(now, uint64(a.Call), Refused, a.RetryAfter)
 	case eidertrail.Fail:
-		d.final(now, uint64(a.Call), Failed, a.After)
+		d.final(now, uint64(a.Call), Failed, a.RetryAfter)
 	}
 }
 
@@ -290,7 +290,7 @@
 
 // once tells whether a set-up of the class must not be repeated once it may have been carried out.
 func (d *Engine) once(class int) bool {
-	return class >= 0 && class < len(d.set.Classes) && d.set.Classes[class].Effect != eidertrail.Safe
+	return class >= 0 && class < len(d.set.Classes) && d.set.Classes[class].Idempotency != eidertrail.Idempotent
 }
 
 func (d *Engine) final(now int64, id uint64, v Verdict, after time.Duration) {
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -75,7 +75,7 @@
 func (d *Engine) Limit(now int64, cfg LimitConfig) {
 	l := &limits{cfg: cfg, set: d.set, pools: map[string]*limited{}, log: d.log, count: d.count}
 	for _, c := range d.set.Classes {
-		l.hold = max(l.hold, c.Hold.Seconds())
+		l.hold = max(l.hold, c.MeanHoldingTime.Seconds())
 	}
 	d.route.limits = l
 	l.zones(d.route.r)
@@ -123,7 +123,7 @@
 
 // whole is the set-ups a second that all controllers together may send the pool now; false: no budget.
 func (l *limits) whole(now int64, p *limited) (float64, bool) {
-	start := slowstart.Start{Share: l.set.ColdShare, For: l.set.Cold.Microseconds()}
+	start := slowstart.Start{Share: l.set.SlowStartCapacity, For: l.set.SlowStartWindow.Microseconds()}
 	if part, cold := start.Part(now - p.born); p.born > 0 && cold {
 		warm := 0.0
 		if p.agents > 0 && l.hold > 0 {
@@ -135,7 +135,7 @@
 		if warm == 0 {
 			return unknownRate * float64(l.set.Nodes), true
 		}
-		return warm * part * l.set.FallMultiple * l.cfg.ColdPart, true
+		return warm * part * l.set.OverloadMultiple * l.cfg.ColdPart, true
 	}
 	return p.told, p.toldAt > 0 && now-p.toldAt < rateFresh
 }
--- a/dispatch/route.go
+++ b/dispatch/route.go
@@ -62,7 +62,7 @@
 func (d *Engine) retell(now int64) {
 	list := make([]eidertrail.Server, 0, len(d.servers))
 	for _, s := range d.servers {
-		list = append(list, eidertrail.Server{ID: eidertrail.ServerID(s.UID), Born: span(s.Born), Mode: s.Mode, Pool: s.Group})
+		list = append(list, eidertrail.Server{ID: eidertrail.ServerID(s.UID), StartedAt: span(s.Born), Mode: s.Mode, Pool: s.Group})
 	}
 	slices.SortFunc(list, func(a, b eidertrail.Server) int { return cmp.Compare(a.ID, b.ID) })
 	d.route.narrowList(now, d.servers, list)
@@ -136,7 +136,7 @@
 	r.roster(now, servers)
 	for i, s := range list {
 		o := r.offer(now, string(s.ID), s.Mode)
-		list[i].Mode, list[i].Barred = o.mode, uint64(o.barred)
+		list[i].Mode, list[i].DeniedClasses = o.mode, uint64(o.barred)
 		r.told[string(s.ID)] = o
 	}
 }
@@ -163,8 +163,8 @@
 		want := r.offer(now, uid, s.Mode)
 		if r.told[uid] != want {
 			r.told[uid] = want
-			changed = append(changed, eidertrail.Server{ID: eidertrail.ServerID(uid), Born: span(s.Born), Mode: want.mode,
-				Pool: s.Group, Barred: uint64(want.barred)})
+			changed = append(changed, eidertrail.Server{ID: eidertrail.ServerID(uid), StartedAt: span(s.Born), Mode: want.mode,
+				Pool: s.Group, DeniedClasses: uint64(want.barred)})
 		}
 	}
 	r.limits.look(now, r.r)
--- a/dispatch/route_test.go
+++ b/dispatch/route_test.go
@@ -201,8 +201,8 @@
 	var run zoneRun
 	synctest.Test(t, func(t *testing.T) {
 		set := settings()
-		set.Classes = []eidertrail.Class{{Name: "stop-sell", Aim: 1500 * time.Millisecond, Deadline: 6 * time.Second,
-			Worth: 5, Hold: standFor, Effect: eidertrail.Safe}}
+		set.Classes = []eidertrail.Class{{Name: "stop-sell", LatencyObjective: 1500 * time.Millisecond, Deadline: 6 * time.Second,
+			PriorityWeight: 5, MeanHoldingTime: standFor, Idempotency: eidertrail.Idempotent}}
 		count := &telemetry.Set{}
 		log := zerolog.Nop()
 		if os.Getenv("EIDERTRAIL_TRACE") != "" {
--- a/dispatch/sites_test.go
+++ b/dispatch/sites_test.go
@@ -72,9 +72,9 @@
 			rules: invariant.New(invariant.Config{Release: s.release.Microseconds(), Sends: 2, Late: 20_000, LeftGrace: 100_000, Start: s.start()}), kinds: map[FinalKind]int{}, sent: map[string][]time.Time{}}
 		for i := range nodes {
 			told := cmp.Or(s.told, nodes)
-			set := eidertrail.Settings{Nodes: told, Index: i % told, Here: -1, Release: s.release, Resend: s.resend, MaxAttempts: 4,
-				Cold: s.cold, ColdShare: s.share, FallMultiple: s.multi, FallAfter: s.after, Tick: time.Millisecond,
-				Classes: []eidertrail.Class{{Name: "lookup", Aim: s.aim, Deadline: s.give, Worth: 1, Hold: 8 * time.Second}}}
+			set := eidertrail.Settings{Nodes: told, Index: i % told, OwnExchange: -1, ReleaseWait: s.release, RetransmitInterval: s.resend, MaxAttempts: 4,
+				SlowStartWindow: s.cold, SlowStartCapacity: s.share, OverloadMultiple: s.multi, OverloadWindow: s.after, Tick: time.Millisecond,
+				Classes: []eidertrail.Class{{Name: "lookup", LatencyObjective: s.aim, Deadline: s.give, PriorityWeight: 1, MeanHoldingTime: 8 * time.Second}}}
 			d, err := New(set, 7, 2_000_000, clock.New(), zerolog.Nop(), &telemetry.Set{})
 			if err != nil {
 				t.Fatal(err)
--- a/internal/backend/sippool/pool.go
+++ b/internal/backend/sippool/pool.go
@@ -353,7 +353,7 @@
 	l := dispatch.Server{UID: p.uid, Group: p.listed.Group, Zone: p.listed.Zone, Born: p.listed.Born, Mode: eidertrail.Ready}
 	switch {
 	case p.superseded || p.listed.State == endpointlist.Removed:
-		l.Mode = eidertrail.Gone
+		l.Mode = eidertrail.Removed
 	case p.listed.State == endpointlist.Draining:
 		l.Mode = eidertrail.Draining
 	}
--- a/internal/backend/sippool/pool_test.go
+++ b/internal/backend/sippool/pool_test.go
@@ -436,7 +436,7 @@
 		r.list("p1", "10.0.0.1:5060", endpointlist.Draining)
 		synctest.Wait()
 		for _, l := range r.lines {
-			if l.UID == "p2" || l.Mode != eidertrail.Gone {
+			if l.UID == "p2" || l.Mode != eidertrail.Removed {
 				t.Errorf("told %+v", l)
 			}
 		}
@@ -477,7 +477,7 @@
 func TestAddressPassesToAnotherPool(t *testing.T) {
 	bubble(t, func(r *rig) {
 		r.list("p2", "10.0.0.1:5060", endpointlist.Up)
-		if len(r.lines) != 2 || r.lines[1].UID != "p1" || r.lines[1].Mode != eidertrail.Gone {
+		if len(r.lines) != 2 || r.lines[1].UID != "p1" || r.lines[1].Mode != eidertrail.Removed {
 			t.Errorf("told %+v", r.lines)
 		}
 		x := r.invite("c1", 0, 2*time.Second) // it names p1
@@ -495,7 +495,7 @@
 		r.wantSent("INVITE").Answer(200, "", "a\r\n")
 		r.want(x, dispatch.Answered)
 		r.Apply(endpointlist.Event{All: true}, func(l []dispatch.Server) { r.lines = l })
-		if r.lines[0].Mode != eidertrail.Gone {
+		if r.lines[0].Mode != eidertrail.Removed {
 			t.Errorf("told %+v", r.lines)
 		}
 		time.Sleep(3 * time.Second)
--- a/internal/config/characterization_test.go
+++ b/internal/config/characterization_test.go
@@ -526,37 +526,37 @@
 func encodeSettings(e *encoding, s eidertrail.Settings) {
 	e.count("settings.nodes", s.Nodes)
 	e.count("settings.index", s.Index)
-	e.count("settings.here", s.Here)
-	e.duration("settings.release", s.Release)
-	e.duration("settings.resend", s.Resend)
+	e.count("settings.here", s.OwnExchange)
+	e.duration("settings.release", s.ReleaseWait)
+	e.duration("settings.resend", s.RetransmitInterval)
 	e.count("settings.max_attempts", s.MaxAttempts)
-	e.flag("settings.must_ask", s.MustAsk)
-	e.duration("settings.ask_within", s.AskWithin)
-	e.duration("settings.cold", s.Cold)
-	e.fraction("settings.cold_share", s.ColdShare)
-	e.fraction("settings.fall_multiple", s.FallMultiple)
-	e.duration("settings.fall_after", s.FallAfter)
+	e.flag("settings.must_ask", s.PollEndpoints)
+	e.duration("settings.ask_within", s.PollInterval)
+	e.duration("settings.cold", s.SlowStartWindow)
+	e.fraction("settings.cold_share", s.SlowStartCapacity)
+	e.fraction("settings.fall_multiple", s.OverloadMultiple)
+	e.duration("settings.fall_after", s.OverloadWindow)
 	e.duration("settings.tick", s.Tick)
 	e.count("settings.classes", len(s.Classes))
 	for i, class := range s.Classes {
 		at := fmt.Sprintf("settings.classes[%d].", i)
 		e.text(at+"name", class.Name)
-		e.duration(at+"aim", class.Aim)
+		e.duration(at+"aim", class.LatencyObjective)
 		e.duration(at+"deadline", class.Deadline)
-		e.fraction(at+"worth", class.Worth)
-		e.fraction(at+"late_worth", class.LateWorth)
-		switch class.Effect {
-		case eidertrail.Safe:
+		e.fraction(at+"worth", class.PriorityWeight)
+		e.fraction(at+"late_worth", class.LateFactor)
+		switch class.Idempotency {
+		case eidertrail.Idempotent:
 			e.add(at+"effect", "safe")
-		case eidertrail.Keyed:
+		case eidertrail.IdempotentByKey:
 			e.add(at+"effect", "keyed")
-		case eidertrail.Unsafe:
+		case eidertrail.NotIdempotent:
 			e.add(at+"effect", "unsafe")
 		default:
 			e.add(at+"effect", "unknown")
 		}
 		e.counts(at+"pools", class.Pools)
-		e.duration(at+"hold", class.Hold)
+		e.duration(at+"hold", class.MeanHoldingTime)
 	}
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -107,14 +107,14 @@
 	s := &c.Settings
 	s.Nodes = int(r.number("settings.balancers", 1, 1, 1<<20))
 	s.Index = int(r.number("settings.index", 0, 0, 1<<20))
-	s.Here = int(r.number("settings.extra.here", -1, -1, 1<<20))
-	s.Release = duration("settings.extra.clear_wait")
-	s.Resend = duration("settings.extra.t1")
+	s.OwnExchange = int(r.number("settings.extra.here", -1, -1, 1<<20))
+	s.ReleaseWait = duration("settings.extra.clear_wait")
+	s.RetransmitInterval = duration("settings.extra.t1")
 	s.MaxAttempts = int(r.number("settings.caps.max_attempts", 0, 0, 1<<20))
-	s.Cold = duration("settings.rules.cold")
-	s.ColdShare = r.number("settings.rules.cold_share", 0, 0, 1)
-	s.FallMultiple = r.number("settings.rules.fall_multiple", 0, 0, 1e6)
-	s.FallAfter = duration("settings.rules.tip_after")
+	s.SlowStartWindow = duration("settings.rules.cold")
+	s.SlowStartCapacity = r.number("settings.rules.cold_share", 0, 0, 1)
+	s.OverloadMultiple = r.number("settings.rules.fall_multiple", 0, 0, 1e6)
+	s.OverloadWindow = duration("settings.rules.tip_after")
 	s.Tick = duration("settings.tick")
 	c.ConnectTimeout = int64(r.number("settings.caps.connect_timeout", 5e8, 1e6, 6e10)) / 1000
 	c.MaxRetryAfter = int64(r.number("settings.caps.max_retry_after", 2e9, 0, most)) / 1000
@@ -126,8 +126,8 @@
 	for i, k := range classes {
 		at := fmt.Sprintf("settings.request_classes.%d.", i)
 		class := eidertrail.Class{
-			Name: r.headerText(at+"name", true), Aim: duration(at + "promise"), Deadline: duration(at + "deadline"),
-			Worth: r.number(at+"worth", 1, 0, 1e12), LateWorth: r.number(at+"late_worth", 0, 0, 1e12),
+			Name: r.headerText(at+"name", true), LatencyObjective: duration(at + "promise"), Deadline: duration(at + "deadline"),
+			PriorityWeight: r.number(at+"worth", 1, 0, 1e12), LateFactor: r.number(at+"late_worth", 0, 0, 1e12),
 		}
 		if slices.Contains(c.Classes, class.Name) { // calls could name only one of them
 			r.fail(at+"name", fmt.Sprintf("%q comes twice", class.Name))
@@ -135,9 +135,9 @@
 		switch effect := k.Get("effect").String(); effect {
 		case "", "safe":
 		case "keyed":
-			class.Effect = eidertrail.Keyed
+			class.Idempotency = eidertrail.IdempotentByKey
 		case "unsafe":
-			class.Effect = eidertrail.Unsafe
+			class.Idempotency = eidertrail.NotIdempotent
 		default:
 			r.fail(at+"effect", fmt.Sprintf("%q is not known", effect))
 		}
@@ -154,7 +154,7 @@
 				class.Pools = append(class.Pools, int(r.number(fmt.Sprintf("%s.%d", pools, j), 0, 0, 1<<20)))
 			}
 		}
-		class.Hold = duration(fmt.Sprintf("settings.extra.mean_hold.%d", i))
+		class.MeanHoldingTime = duration(fmt.Sprintf("settings.extra.mean_hold.%d", i))
 		s.Classes = append(s.Classes, class)
 		c.Classes = append(c.Classes, class.Name)
 	}
--- a/internal/frontend/jsonlines/characterization_test.go
+++ b/internal/frontend/jsonlines/characterization_test.go
@@ -221,8 +221,8 @@
 // classes are those of the scenarios' settings.
 func classes() []eidertrail.Class {
 	return []eidertrail.Class{
-		{Name: "voice", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1},
-		{Name: "once", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1, Effect: eidertrail.Unsafe},
+		{Name: "voice", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 1},
+		{Name: "once", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 1, Idempotency: eidertrail.NotIdempotent},
 	}
 }
 
@@ -232,7 +232,7 @@
 	p = &platform{journal: j, listener: fakeplatform.NewListener(), count: &telemetry.Set{}, ready: true, log: &lockedBuffer{}, began: time.Now(),
 		pools: &scriptedPools{journal: j, sdp: "v=0\r\ns=-\r\n", state: dispatch.Untold}}
 	now := clock.New()
-	d, err := dispatch.New(eidertrail.Settings{Nodes: 1, Here: -1, Release: 300 * time.Millisecond, Classes: classes()},
+	d, err := dispatch.New(eidertrail.Settings{Nodes: 1, OwnExchange: -1, ReleaseWait: 300 * time.Millisecond, Classes: classes()},
 		1, 2_000_000, now, zerolog.Nop(), p.count)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/frontend/jsonlines/front_test.go
+++ b/internal/frontend/jsonlines/front_test.go
@@ -91,9 +91,9 @@
 
 func onRig(t *testing.T, test func(r *rig)) {
 	count, now := &telemetry.Set{}, clock.New()
-	d, err := dispatch.New(eidertrail.Settings{Nodes: 1, Here: -1, Release: 300 * time.Millisecond,
-		Classes: []eidertrail.Class{{Name: "voice", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1},
-			{Name: "once", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1, Effect: eidertrail.Unsafe}},
+	d, err := dispatch.New(eidertrail.Settings{Nodes: 1, OwnExchange: -1, ReleaseWait: 300 * time.Millisecond,
+		Classes: []eidertrail.Class{{Name: "voice", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 1},
+			{Name: "once", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 1, Idempotency: eidertrail.NotIdempotent}},
 	}, 1, 2_000_000, now, zerolog.Nop(), count)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/frontend/websocket/callcontrol_test.go
+++ b/internal/frontend/websocket/callcontrol_test.go
@@ -52,10 +52,10 @@
 	r := &rig{t: t, count: &telemetry.Set{}, onInvite: onInvite, got: map[string]int{}, arrived: make(chan string, 4096)}
 	now := clock.New()
 	var err error
-	r.d, err = dispatch.New(eidertrail.Settings{Nodes: 1, Here: -1, Release: 300 * time.Millisecond,
-		Resend:  time.Minute, // attempts wait for at least twice this: no verdict hangs on how quick the machine is
-		Tick:    5 * time.Millisecond,
-		Classes: []eidertrail.Class{{Name: "read", Aim: 30 * time.Second, Deadline: 60 * time.Second, Worth: 1, Hold: time.Second}},
+	r.d, err = dispatch.New(eidertrail.Settings{Nodes: 1, OwnExchange: -1, ReleaseWait: 300 * time.Millisecond,
+		RetransmitInterval: time.Minute, // attempts wait for at least twice this: no verdict hangs on how quick the machine is
+		Tick:               5 * time.Millisecond,
+		Classes:            []eidertrail.Class{{Name: "read", LatencyObjective: 30 * time.Second, Deadline: 60 * time.Second, PriorityWeight: 1, MeanHoldingTime: time.Second}},
 	}, 1, 2_000_000, now, zerolog.Nop(), r.count)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/frontend/websocket/characterization_test.go
+++ b/internal/frontend/websocket/characterization_test.go
@@ -216,9 +216,9 @@
 	s = &service{journal: j, t: t, listener: fakeplatform.NewListener(), count: &telemetry.Set{}, ready: true, log: &lockedBuffer{}, began: time.Now(),
 		pools: &scriptedPools{journal: j, sdp: "v=0\r\ns=-\r\n", state: dispatch.Untold}}
 	var err error
-	s.dispatcher, err = dispatch.New(eidertrail.Settings{Nodes: 1, Here: -1, Release: 300 * time.Millisecond, Classes: []eidertrail.Class{
-		{Name: "read", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1},
-		{Name: "once", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1, Effect: eidertrail.Unsafe},
+	s.dispatcher, err = dispatch.New(eidertrail.Settings{Nodes: 1, OwnExchange: -1, ReleaseWait: 300 * time.Millisecond, Classes: []eidertrail.Class{
+		{Name: "read", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 1},
+		{Name: "once", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 1, Idempotency: eidertrail.NotIdempotent},
 	}}, 1, 2_000_000, clock.New(), zerolog.Nop(), s.count)
 	if err != nil {
 		t.Fatal(err)
@@ -703,7 +703,7 @@
 		}
 	}
 	all = append(all, scenario{"no pool", func(s *service) {
-		s.roster(eidertrail.Gone)
+		s.roster(eidertrail.Removed)
 		s.say(s.open("a"), setup)
 		s.wait(3 * time.Second)
 	}})
--- a/internal/simulation/scenario.go
+++ b/internal/simulation/scenario.go
@@ -329,12 +329,12 @@
 
 // settings are those of the ith controller.
 func (s *Scenario) settings(i int) eidertrail.Settings {
-	set := eidertrail.Settings{Nodes: s.Controllers, Index: i, Here: -1, Release: s.Settings.Release, Resend: s.Settings.Resend,
-		MaxAttempts: s.Settings.MaxAttempts, Cold: s.Settings.Cold, ColdShare: s.Settings.ColdShare,
-		FallMultiple: s.Settings.FallMultiple, FallAfter: s.Settings.FallAfter, Tick: s.Settings.Tick}
+	set := eidertrail.Settings{Nodes: s.Controllers, Index: i, OwnExchange: -1, ReleaseWait: s.Settings.Release, RetransmitInterval: s.Settings.Resend,
+		MaxAttempts: s.Settings.MaxAttempts, SlowStartWindow: s.Settings.Cold, SlowStartCapacity: s.Settings.ColdShare,
+		OverloadMultiple: s.Settings.FallMultiple, OverloadWindow: s.Settings.FallAfter, Tick: s.Settings.Tick}
 	for _, c := range s.Class {
-		set.Classes = append(set.Classes, eidertrail.Class{Name: c.Name, Aim: c.Aim, Deadline: c.Deadline, Worth: c.Worth,
-			LateWorth: c.LateWorth, Pools: c.Groups, Hold: c.Hold})
+		set.Classes = append(set.Classes, eidertrail.Class{Name: c.Name, LatencyObjective: c.Aim, Deadline: c.Deadline, PriorityWeight: c.Worth,
+			LateFactor: c.LateWorth, Pools: c.Groups, MeanHoldingTime: c.Hold})
 	}
 	return set
 }
--- a/internal/simulation/sim.go
+++ b/internal/simulation/sim.go
@@ -615,7 +615,7 @@
 		case Crash:
 			p.down = true
 			s.cutAll(p)
-			s.list(p, eidertrail.Gone)
+			s.list(p, eidertrail.Removed)
 			later(func() {
 				s.start(p)
 				s.list(p, eidertrail.Ready)
--- a/internal/simulation/srv.go
+++ b/internal/simulation/srv.go
@@ -122,9 +122,9 @@
 			lines = append(lines, dispatch.Server{UID: p.uid, Group: m.Group, Zone: m.Zone, Born: p.born, Mode: mode})
 		}
 		for _, p := range s.pools {
-			if _, is := now[p.uid]; !is && x.told[p.uid] != eidertrail.Gone {
-				now[p.uid] = eidertrail.Gone
-				lines = append(lines, dispatch.Server{UID: p.uid, Group: p.group, Zone: p.Zone, Mode: eidertrail.Gone})
+			if _, is := now[p.uid]; !is && x.told[p.uid] != eidertrail.Removed {
+				now[p.uid] = eidertrail.Removed
+				lines = append(lines, dispatch.Server{UID: p.uid, Group: p.group, Zone: p.Zone, Mode: eidertrail.Removed})
 			}
 		}
 		for _, l := range lines {
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -47,8 +47,8 @@
 	Tick int64 `json:"tick"`
 }
 
-var effects = map[string]eidertrail.Effect{
-	"": eidertrail.Safe, "safe": eidertrail.Safe, "keyed": eidertrail.Keyed, "unsafe": eidertrail.Unsafe,
+var effects = map[string]eidertrail.Idempotency{
+	"": eidertrail.Idempotent, "safe": eidertrail.Idempotent, "keyed": eidertrail.IdempotentByKey, "unsafe": eidertrail.NotIdempotent,
 }
 
 func hello(v *row) (*eidertrail.Controller, []string, time.Duration, error) {
@@ -61,16 +61,16 @@
 		return nil, nil, 0, v.err
 	}
 	s := eidertrail.Settings{
-		Nodes: w.Balancers, Index: w.Index, Here: -1,
-		Release: time.Duration(w.Extra.ClearWait), Resend: time.Duration(w.Extra.T1),
-		MaxAttempts: w.Caps.MaxAttempts,
-		MustAsk:     w.Discovery == "on_request", AskWithin: time.Duration(w.Rules.AskWithin),
-		Cold:      time.Duration(w.Rules.Cold),
-		ColdShare: w.Rules.ColdShare, FallMultiple: w.Rules.FallMultiple,
-		FallAfter: time.Duration(w.Rules.TipAfter), Tick: time.Duration(w.Tick),
+		Nodes: w.Balancers, Index: w.Index, OwnExchange: -1,
+		ReleaseWait: time.Duration(w.Extra.ClearWait), RetransmitInterval: time.Duration(w.Extra.T1),
+		MaxAttempts:   w.Caps.MaxAttempts,
+		PollEndpoints: w.Discovery == "on_request", PollInterval: time.Duration(w.Rules.AskWithin),
+		SlowStartWindow:   time.Duration(w.Rules.Cold),
+		SlowStartCapacity: w.Rules.ColdShare, OverloadMultiple: w.Rules.FallMultiple,
+		OverloadWindow: time.Duration(w.Rules.TipAfter), Tick: time.Duration(w.Tick),
 	}
 	if w.Extra.Here != nil {
-		s.Here = *w.Extra.Here
+		s.OwnExchange = *w.Extra.Here
 	}
 	for i, c := range w.Classes {
 		effect, known := effects[c.Effect]
@@ -78,14 +78,14 @@
 			return nil, nil, 0, fmt.Errorf("Hello: request_classes[%d].effect: %q is not known", i, c.Effect)
 		}
 		class := eidertrail.Class{
-			Name: c.Name, Aim: time.Duration(c.Promise), Deadline: time.Duration(c.Deadline),
-			Worth: c.Worth, LateWorth: c.LateWorth, Effect: effect,
+			Name: c.Name, LatencyObjective: time.Duration(c.Promise), Deadline: time.Duration(c.Deadline),
+			PriorityWeight: c.Worth, LateFactor: c.LateWorth, Idempotency: effect,
 		}
 		if w.Extra.Shape == "skills" && i < len(w.Extra.Pools) {
 			class.Pools = w.Extra.Pools[i]
 		}
 		if i < len(w.Extra.MeanHold) {
-			class.Hold = time.Duration(w.Extra.MeanHold[i])
+			class.MeanHoldingTime = time.Duration(w.Extra.MeanHold[i])
 		}
 		s.Classes = append(s.Classes, class)
 	}
--- a/internal/simwire/wire.go
+++ b/internal/simwire/wire.go
@@ -142,7 +142,7 @@
 		e = eidertrail.Call{
 			ID:  eidertrail.CallID(v.unsigned(0, "txn")),
 			Key: v.unsigned(3, "partition_key"), Class: int(v.integer(5, "tier_class")),
-			Left: time.Duration(v.integer(6, "expires_in")), Pool: int(v.number(9, "dest", -1)),
+			Timeout: time.Duration(v.integer(6, "expires_in")), Pool: int(v.number(9, "dest", -1)),
 			Transit: options&8 != 0,
 		}
 	case "Verdict":
@@ -161,7 +161,7 @@
 			o.Cause = eidertrail.Returned
 		} else if note > 0 {
 			o.Cause = eidertrail.Cause(note & 15)
-			o.Wait = time.Duration(note>>4) * time.Millisecond
+			o.RetryAfter = time.Duration(note>>4) * time.Millisecond
 		}
 		if r, any := v.report(7, "feedback", stats); any {
 			r.Server = eidertrail.ServerID(v.text(2, "server"))
@@ -174,7 +174,7 @@
 			Took: time.Duration(v.integer(3, "cost_time")),
 		}
 	case "Hangup":
-		e = eidertrail.HangUp{Call: eidertrail.CallID(v.unsigned(0, "txn"))}
+		e = eidertrail.CallerGone{Call: eidertrail.CallID(v.unsigned(0, "txn"))}
 	case "Timer":
 		e = eidertrail.Wake{Token: v.unsigned(0, "nonce")}
 	case "Endpoints":
@@ -208,15 +208,15 @@
 var statuses = map[string]eidertrail.Status{
 	"done": eidertrail.Ended, "err": eidertrail.Error, "busy": eidertrail.Full,
 	"etimedout": eidertrail.TimedOut, "econnrefused": eidertrail.ConnectFailed,
-	"econnreset": eidertrail.Reset, "ecanceled": eidertrail.Cancelled, "skipped": eidertrail.Moot,
+	"econnreset": eidertrail.Reset, "ecanceled": eidertrail.Cancelled, "skipped": eidertrail.NotSent,
 }
 
 var kinds = map[string]eidertrail.ListKind{
-	"delta": eidertrail.Delta, "full": eidertrail.Whole, "cached": eidertrail.Cached, "failed": eidertrail.Failed,
+	"delta": eidertrail.Delta, "full": eidertrail.Snapshot, "cached": eidertrail.Cached, "failed": eidertrail.Failed,
 }
 
 var modes = map[string]eidertrail.Mode{
-	"ready": eidertrail.Ready, "draining": eidertrail.Draining, "gone": eidertrail.Gone,
+	"ready": eidertrail.Ready, "draining": eidertrail.Draining, "gone": eidertrail.Removed,
 }
 
 func (h *Host) census(v *row) error {
@@ -231,7 +231,7 @@
 		}
 		entry := &row{name: "Census entry", values: values}
 		s := eidertrail.Server{
-			ID: eidertrail.ServerID(entry.text(0, "server")), Born: time.Duration(entry.integer(1, "born")),
+			ID: eidertrail.ServerID(entry.text(0, "server")), StartedAt: time.Duration(entry.integer(1, "born")),
 			Pool: int(entry.integer(4, "place_no")),
 		}
 		mode, known := modes[entry.text(3, "mode")]
@@ -251,11 +251,11 @@
 	var values []any
 	switch a := a.(type) {
 	case eidertrail.Send:
-		values = []any{"HandOff", a.Call, a.Server, int64(a.Limit)}
-	case eidertrail.Refuse:
+		values = []any{"HandOff", a.Call, a.Server, int64(a.Timeout)}
+	case eidertrail.Reject:
 		values = []any{"Reject", a.Call}
 		if holdOff > 0 {
-			values = append(values, int64(min(a.After, holdOff)))
+			values = append(values, int64(min(a.RetryAfter, holdOff)))
 		}
 	case eidertrail.Fail:
 		values = []any{"Abort", a.Call}
--- a/internal/simwire/wire_test.go
+++ b/internal/simwire/wire_test.go
@@ -110,7 +110,7 @@
 
 func describe(e eidertrail.Event) string {
 	o := e.(eidertrail.Outcome)
-	return fmt.Sprintf("cause %d wait %v", o.Cause, o.Wait)
+	return fmt.Sprintf("cause %d wait %v", o.Cause, o.RetryAfter)
 }
 
 // A refusal tells when to come back where, and only where, the settings give it a place.
--- a/middleware/characterization_test.go
+++ b/middleware/characterization_test.go
@@ -86,8 +86,8 @@
 func newAdmission(t *testing.T) *admission {
 	t.Helper()
 	a := &admission{count: &telemetry.Set{}, trace: &bytes.Buffer{}}
-	settings := eidertrail.Settings{Nodes: 1, Here: -1, Release: 300 * time.Millisecond, Classes: []eidertrail.Class{
-		{Name: "read", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1, Hold: time.Second},
+	settings := eidertrail.Settings{Nodes: 1, OwnExchange: -1, ReleaseWait: 300 * time.Millisecond, Classes: []eidertrail.Class{
+		{Name: "read", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 1, MeanHoldingTime: time.Second},
 	}}
 	var err error
 	a.dispatcher, err = dispatch.New(settings, 1, 5_000_000, clock.New(), zerolog.New(a.trace), a.count)
@@ -158,7 +158,7 @@
 
 func TestCharacterization_RejectedRequests(t *testing.T) {
 	poolIsGone := func(a *admission, _ context.CancelFunc) {
-		a.dispatcher.Roster([]dispatch.Server{{UID: "a", Mode: eidertrail.Gone}}, false)
+		a.dispatcher.Roster([]dispatch.Server{{UID: "a", Mode: eidertrail.Removed}}, false)
 	}
 	rejections := []rejection{
 		{"not to be classified", "/rooms?bad", time.Second, func(*admission, context.CancelFunc) {}},
--- a/middleware/example_test.go
+++ b/middleware/example_test.go
@@ -17,8 +17,8 @@
 
 // A chi router whose handlers ask the pool that the module chose. Nothing here is internal to the module.
 func Example() {
-	settings := eidertrail.Settings{Nodes: 1, Here: -1, Release: 300 * time.Millisecond, Classes: []eidertrail.Class{
-		{Name: "avail-read", Aim: 5 * time.Second, Deadline: 15 * time.Second, Worth: 1, Hold: time.Second},
+	settings := eidertrail.Settings{Nodes: 1, OwnExchange: -1, ReleaseWait: 300 * time.Millisecond, Classes: []eidertrail.Class{
+		{Name: "avail-read", LatencyObjective: 5 * time.Second, Deadline: 15 * time.Second, PriorityWeight: 1, MeanHoldingTime: time.Second},
 	}}
 	d, err := dispatch.New(settings, 1, 2_000_000, nil, zerolog.Nop(), nil)
 	if err != nil {
--- a/middleware/middleware_test.go
+++ b/middleware/middleware_test.go
@@ -24,8 +24,8 @@
 func serve(t *testing.T, handler http.HandlerFunc, test func(d *dispatch.Dispatcher, get func(ctx context.Context, path string) *httptest.ResponseRecorder)) {
 	synctest.Test(t, func(t *testing.T) {
 		count := &telemetry.Set{}
-		d, err := dispatch.New(eidertrail.Settings{Nodes: 1, Here: -1, Release: 300 * time.Millisecond,
-			Classes: []eidertrail.Class{{Name: "read", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1, Hold: time.Second}},
+		d, err := dispatch.New(eidertrail.Settings{Nodes: 1, OwnExchange: -1, ReleaseWait: 300 * time.Millisecond,
+			Classes: []eidertrail.Class{{Name: "read", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 1, MeanHoldingTime: time.Second}},
 		}, 1, 5_000_000, clock.New(), zerolog.Nop(), count)
 		if err != nil {
 			t.Fatal(err)
@@ -76,7 +76,7 @@
 func TestRefusedIsToldWhenToComeBack(t *testing.T) {
 	serve(t, func(http.ResponseWriter, *http.Request) { t.Error("served") },
 		func(d *dispatch.Dispatcher, get func(context.Context, string) *httptest.ResponseRecorder) {
-			d.Roster([]dispatch.Server{{UID: "a", Mode: eidertrail.Gone}}, false)
+			d.Roster([]dispatch.Server{{UID: "a", Mode: eidertrail.Removed}}, false)
 			w := get(context.Background(), "/hotel")
 			if after, err := strconv.Atoi(w.Header().Get("Retry-After")); w.Code != 503 || err != nil || after < 1 || after > 5 {
 				t.Errorf("%d, Retry-After %q", w.Code, w.Header().Get("Retry-After"))
@@ -115,7 +115,7 @@
 func TestClientLeaves(t *testing.T) {
 	serve(t, func(http.ResponseWriter, *http.Request) { t.Error("served") },
 		func(d *dispatch.Dispatcher, get func(context.Context, string) *httptest.ResponseRecorder) {
-			d.Roster([]dispatch.Server{{UID: "a", Mode: eidertrail.Gone}}, false)
+			d.Roster([]dispatch.Server{{UID: "a", Mode: eidertrail.Removed}}, false)
 			ctx, leave := context.WithCancel(context.Background())
 			leave()
 			if w := get(ctx, "/hotel"); w.Body.Len() > 0 || w.Header().Get("Retry-After") != "" {
