--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -58,7 +58,7 @@
 	life      int64 // Unix µs of the start: another for each process
 	dispatch  *dispatch.Dispatcher
 	pools     *sippool.Set
-	desk      *dispatch.Desk
+	desk      *dispatch.CallTable
 	callers   *jsonlines.Front
 	sockets   *websocket.Server // nil: off
 	sources   *sources          // nil: the bulletin alone, straight to the pools
@@ -115,9 +115,9 @@
 	d.pools = sippool.NewSet(pools, sippool.Config{
 		Name: cfg.Name, ConnectTimeout: cfg.ConnectTimeout, ReportFree: cfg.ReportFree, ReportAgents: cfg.ReportAgents,
 		Clock: d.clock, Log: limited, Count: d.count, Observe: d.dispatch.Observe,
-		Stray: func(id string, cause int) { d.desk.Over(id, cause) }, ReportRate: f.fleet.Rate(), Rate: d.dispatch.ObserveRate,
+		Stray: func(id string, cause int) { d.desk.CallEnded(id, cause) }, ReportRate: f.fleet.Rate(), Rate: d.dispatch.ObserveCapacity,
 	})
-	d.desk = dispatch.NewDesk(dispatch.DeskConfig{Dispatch: d.dispatch, Trunk: d.pools, Most: mostCalls, Once: true, Count: d.count})
+	d.desk = dispatch.NewCallTable(dispatch.CallTableConfig{Dispatcher: d.dispatch, Inviter: d.pools, MaxCalls: mostCalls, UniqueIDs: true, Counters: d.count})
 	d.callers = jsonlines.New(jsonlines.Config{
 		Desk: d.desk, Clock: d.clock, MostConnections: callers, Tenants: cfg.Tenants, Ready: d.ready,
 		ReleaseStray: d.pools.ReleaseStray, Log: limited, Count: d.count,
@@ -143,11 +143,11 @@
 		return nil, err
 	}
 	if f.router != nil {
-		d.dispatch.Route(f.router)
+		d.dispatch.SetRouter(f.router)
 	}
 	d.wg.Go(func() { d.dispatch.Run(loop) })
 	apply := func(e endpointlist.Event) {
-		d.pools.Apply(e, func(lines []dispatch.Server) { d.dispatch.Roster(lines, false) })
+		d.pools.Apply(e, func(lines []dispatch.Endpoint) { d.dispatch.UpdateEndpoints(lines, false) })
 	}
 	if f.disc != nil {
 		d.sources = newSources(d.clock, d.pools, d.dispatch, limited, d.count, cfg.Seed)
@@ -205,7 +205,7 @@
 		d.sources.reload(disc)
 	}
 	if router != nil {
-		d.dispatch.Route(router)
+		d.dispatch.SetRouter(router)
 	}
 	if cfg.Listen != d.cfg.Listen || cfg.Name != d.cfg.Name || cfg.Sockets != d.cfg.Sockets || !reflect.DeepEqual(cfg.Settings, d.cfg.Settings) {
 		d.log.Warn().Msg("name, listen, limits.sockets and settings change only at a restart")
@@ -277,7 +277,7 @@
 // status is what balancers are told.
 func (d *daemon) status(ctx context.Context) health.Status {
 	live := d.dispatch.Tick(ctx) == nil
-	return health.Status{Live: live, Ready: d.ready(), Draining: d.stopping.Load(), TurnedAway: d.dispatch.TurnedAway()}
+	return health.Status{Live: live, Ready: d.ready(), Draining: d.stopping.Load(), TurnedAway: d.dispatch.RejectionRate()}
 }
 
 // snapshot is what GET /counters tells: the counters, and which start of the process they count from.
@@ -290,7 +290,7 @@
 
 // counters logs the counters.
 func (d *daemon) counters() {
-	open, standing := d.desk.Open(), d.desk.Standing()
+	open, standing := d.desk.PendingSetups(), d.desk.EstablishedCalls()
 	if d.sockets != nil {
 		open, standing = open+d.sockets.Open(), standing+d.sockets.Standing()
 	}
@@ -327,7 +327,7 @@
 			d.stop(0)
 			return fmt.Errorf("listener: %w", errors.Join(err, net.ErrClosed))
 		case sig := <-s.term:
-			d.log.Info().Stringer("signal", sig).Int("open", d.desk.Open()).Int("standing", d.desk.Standing()).Msg("stopping")
+			d.log.Info().Stringer("signal", sig).Int("open", d.desk.PendingSetups()).Int("standing", d.desk.EstablishedCalls()).Msg("stopping")
 			d.stop(stayOpen)
 			return nil
 		}
@@ -359,7 +359,7 @@
 	d.callers.CatchUp()
 	d.listener.Close()
 	d.callers.Drain(drain)
-	d.desk.GiveUp() // what has no final answer by now gets one
+	d.desk.AbortPending() // what has no final answer by now gets one
 	last, cancelLast := context.WithTimeout(context.Background(), lastWords)
 	defer cancelLast()
 	d.callers.Drain(last)
--- a/cmd/eidertrail/fleet.go
+++ b/cmd/eidertrail/fleet.go
@@ -56,8 +56,8 @@
 		return err
 	}
 	if books != nil {
-		d.dispatch.Limit(dispatch.LimitConfig{Shares: books, ColdPart: fleet.Budget.ColdPart,
-			LeaveWithin: fleet.Budget.Margin.Microseconds() / 2})
+		d.dispatch.SetQuotas(dispatch.QuotaConfig{Source: books, SlowStartFraction: fleet.Budget.ColdPart,
+			SendWindow: fleet.Budget.Margin.Microseconds() / 2})
 	}
 	return nil
 }
--- a/cmd/eidertrail/sources.go
+++ b/cmd/eidertrail/sources.go
@@ -95,7 +95,7 @@
 		set.Advance(now, s.pools.Busy)
 		if view, changed := set.View(now); changed {
 			s.count.Add(telemetry.DNSChanges)
-			s.pools.Apply(toBulletin(view), func(lines []dispatch.Server) { s.dispatch.Roster(lines, false) })
+			s.pools.Apply(toBulletin(view), func(lines []dispatch.Endpoint) { s.dispatch.UpdateEndpoints(lines, false) })
 			s.log.Info().Str("pools", endpointset.Describe(view)).Msg("pool set") // after: tests rest on it
 		}
 		c := set.Counts()
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -16,24 +16,24 @@
 	"eidertrail/internal/telemetry"
 )
 
-// Caller is one connection of callers, on whatever wire. Its methods queue and never block; false says
+// CallerConn is one connection of callers, on whatever wire. Its methods queue and never block; false says
 // that the connection can take no more. They may be called with locks held and must not call the Desk.
-type Caller interface {
+type CallerConn interface {
 	// Final passes on the one final answer to a call; the kind is never Gone.
 	Final(id string, f Final) bool
-	// Over tells that a call that stood is over.
-	Over(id string, cause int) bool
+	// CallEnded tells that a call that stood is over.
+	CallEnded(id string, cause int) bool
 }
 
-// Call is a set-up as a front reads it. What is in it is checked here, for all fronts.
-type Call struct {
-	ID     string // the caller's name for the call
-	Class  string
-	Number string  // the number called, "" for none
-	Pool   int     // the pool of first choice, -1 for none
-	Left   float64 // the caller waits so many milliseconds, from Came on
-	Came   int64   // clock reading when it had come in whole
-	SDP    string
+// SetupRequest is a set-up as a front reads it. What is in it is checked here, for all fronts.
+type SetupRequest struct {
+	ID            string // the caller's name for the call
+	Class         string
+	Number        string  // the number called, "" for none
+	Pool          int     // the pool of first choice, -1 for none
+	TimeoutMillis float64 // the caller waits so many milliseconds, from Came on
+	ReceivedAt    int64   // clock reading when it had come in whole
+	SDP           string
 }
 
 // What can be wrong with a set-up or with what follows it.
@@ -45,10 +45,10 @@
 	ErrDuplicate = errors.New("id: in use")
 	ErrTooMany   = errors.New("too many calls")
 	ErrUnknown   = errors.New("id: not known")
-	ErrOver      = errors.New("id: the call is over")
+	ErrCallEnded = errors.New("id: the call is over")
 	ErrSDP       = errors.New("sdp: too long")
-	// ErrUnproven is ErrTooMany for a connection that no call of was answered yet.
-	ErrUnproven = fmt.Errorf("%w for a connection that had none answered", ErrTooMany)
+	// ErrNotEstablished is ErrTooMany for a connection that no call of was answered yet.
+	ErrNotEstablished = fmt.Errorf("%w for a connection that had none answered", ErrTooMany)
 )
 
 // Why a call ends early.
@@ -85,11 +85,11 @@
 	mostErrors = 4
 )
 
-// Desk keeps the calls of one front from set-up to end: which connection is owed the final answer, what
+// CallTable keeps the calls of one front from set-up to end: which connection is owed the final answer, what
 // stands, and on which connection the end of it can be told. It is the same for every front.
-type Desk struct {
+type CallTable struct {
 	d       *Dispatcher
-	trunk   Trunk
+	trunk   Inviter
 	count   *telemetry.Set
 	classes map[string]int
 	most    int
@@ -99,7 +99,7 @@
 	wg      sync.WaitGroup
 
 	mu      sync.Mutex
-	at      map[Caller]*seat
+	at      map[CallerConn]*seat
 	seats   []*seat // in the order of Connect
 	doubted int     // open set-ups of connections that are not proven
 	late    *time.Timer
@@ -122,7 +122,7 @@
 
 // seat is a connection that is in.
 type seat struct {
-	Caller
+	CallerConn
 	proven bool // a call was answered on it
 	spoke  bool // it has set up a call that made sense
 	open   int  // its set-ups without a final answer
@@ -138,8 +138,8 @@
 }
 
 // hand tells the end of a call on this connection, and remembers it for a while. The caller holds mu.
-func (k *Desk) hand(s *seat, o over) bool {
-	if !s.Over(o.id, o.cause) {
+func (k *CallTable) hand(s *seat, o over) bool {
+	if !s.CallEnded(o.id, o.cause) {
 		return false
 	}
 	k.count.Add(telemetry.ReleasesOut)
@@ -169,25 +169,25 @@
 	c.end(errLeft)
 }
 
-// DeskConfig is what a Desk is made with.
-type DeskConfig struct {
-	Dispatch *Dispatcher
-	Trunk    Trunk
-	// Most bounds the calls open or standing at a time.
-	Most int
+// CallTableConfig is what a Desk is made with.
+type CallTableConfig struct {
+	Dispatcher *Dispatcher
+	Inviter    Inviter
+	// MaxCalls bounds the calls open or standing at a time.
+	MaxCalls int
 	// CallID gives the name under which the pools get a call; nil leaves the caller's.
 	CallID func(id string) string
-	// TellAll has Caller.Over called for each call that stood, also for those that the caller released.
-	TellAll bool
-	// Once: an id names one call for good, also when that is over.
-	Once  bool
-	Count *Counters
+	// NotifyAllEnds has Caller.Over called for each call that stood, also for those that the caller released.
+	NotifyAllEnds bool
+	// UniqueIDs: an id names one call for good, also when that is over.
+	UniqueIDs bool
+	Counters  *Counters
 }
 
-// NewDesk returns a desk.
-func NewDesk(c DeskConfig) *Desk {
-	k := &Desk{d: c.Dispatch, trunk: c.Trunk, count: c.Count, most: c.Most, callID: c.CallID, tellAll: c.TellAll, once: c.Once,
-		at: map[Caller]*seat{}, classes: map[string]int{}, calls: map[string]*deskCall{}, past: past.New(mostPast), early: past.New(mostEarly)}
+// NewCallTable returns a desk.
+func NewCallTable(c CallTableConfig) *CallTable {
+	k := &CallTable{d: c.Dispatcher, trunk: c.Inviter, count: c.Counters, most: c.MaxCalls, callID: c.CallID, tellAll: c.NotifyAllEnds, once: c.UniqueIDs,
+		at: map[CallerConn]*seat{}, classes: map[string]int{}, calls: map[string]*deskCall{}, past: past.New(mostPast), early: past.New(mostEarly)}
 	k.closed, k.close = context.WithCancel(context.Background())
 	if k.callID == nil {
 		k.callID = func(id string) string { return id }
@@ -200,18 +200,18 @@
 
 // Connect takes a connection in. Until it is proven the ends of calls are told on it only where nobody
 // else could be told for a while: it may be that of a tester, who knows of no calls, or of a bad client.
-func (k *Desk) Connect(c Caller) {
+func (k *CallTable) Connect(c CallerConn) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	s := &seat{Caller: c}
+	s := &seat{CallerConn: c}
 	k.at[c] = s
 	k.seats = append(k.seats, s)
 	k.tellLater()
 }
 
-// Proven notes that a connection is one of callers; one on which a call was answered is so by itself. Ends
+// MarkEstablished notes that a connection is one of callers; one on which a call was answered is so by itself. Ends
 // of calls that waited for one leave on it.
-func (k *Desk) Proven(c Caller) {
+func (k *CallTable) MarkEstablished(c CallerConn) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if s := k.at[c]; s != nil {
@@ -219,7 +219,7 @@
 	}
 }
 
-func (k *Desk) prove(s *seat) {
+func (k *CallTable) prove(s *seat) {
 	if s.proven {
 		return
 	}
@@ -230,8 +230,8 @@
 
 func (s *seat) isProven() bool { return s.proven }
 
-// Seat tells how many open set-ups a connection has, how many calls that it set up stand, and whether it is proven.
-func (k *Desk) Seat(c Caller) (open, stands int, proven bool) {
+// ConnState tells how many open set-ups a connection has, how many calls that it set up stand, and whether it is proven.
+func (k *CallTable) ConnState(c CallerConn) (open, stands int, proven bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if s := k.at[c]; s != nil {
@@ -241,16 +241,16 @@
 }
 
 // Owns tells whether a call is known that was set up on this connection.
-func (k *Desk) Owns(c Caller, id string) bool {
+func (k *CallTable) Owns(c CallerConn, id string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	call := k.calls[id]
-	return call != nil && call.seat.Caller == c
+	return call != nil && call.seat.CallerConn == c
 }
 
 // tell hands what is kept to the youngest connection of a kind that takes it: it is the least likely to
 // be closed right now. The caller holds mu.
-func (k *Desk) tell(kind func(*seat) bool) {
+func (k *CallTable) tell(kind func(*seat) bool) {
 	for _, s := range slices.Backward(k.seats) {
 		for len(k.kept) > 0 && kind(s) && k.hand(s, k.kept[0]) {
 			k.kept = k.kept[1:]
@@ -259,7 +259,7 @@
 }
 
 // tellLater has what is kept told to anybody after a while. The caller holds mu.
-func (k *Desk) tellLater() {
+func (k *CallTable) tellLater() {
 	if len(k.kept) == 0 || len(k.seats) == 0 || k.late != nil {
 		return
 	}
@@ -278,7 +278,7 @@
 //
 // Guards against an end that is told in time and lost with its connection waiting for a second time, and against one
 // that waits while callers come and go, none of them for as long as the wait.
-func (k *Desk) tellOverdue() {
+func (k *CallTable) tellOverdue() {
 	if len(k.kept) > 0 && time.Duration(k.d.Now()-k.kept[0].since)*time.Microsecond >= waitForCaller {
 		k.tell((*seat).isCaller)
 	}
@@ -289,7 +289,7 @@
 
 // Disconnect takes a connection off. Its open set-ups are given up, as their caller has left: an attempt
 // that is out is called off. What stands stands on; its end is told on another connection.
-func (k *Desk) Disconnect(c Caller) {
+func (k *CallTable) Disconnect(c CallerConn) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := k.at[c]
@@ -309,7 +309,7 @@
 
 // Retire takes a connection off that is owed no final answer, and tells whether it did: no set-up on it is taken
 // from then on.
-func (k *Desk) Retire(c Caller) bool {
+func (k *CallTable) Retire(c CallerConn) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := k.at[c]
@@ -321,8 +321,8 @@
 }
 
 // unseat takes a connection off the table. The caller holds mu.
-func (k *Desk) unseat(s *seat) {
-	delete(k.at, s.Caller)
+func (k *CallTable) unseat(s *seat) {
+	delete(k.at, s.CallerConn)
 	k.seats = slices.DeleteFunc(k.seats, func(x *seat) bool { return x == s })
 	// Guards against an end that crossed the closing: it was written, and nobody read it. Where somebody did
 	// it is told twice, which says nothing new.
@@ -334,11 +334,11 @@
 	}
 }
 
-// GiveUp gives every set-up that has no final answer yet one at once: an attempt that is out is called off, and
+// AbortPending gives every set-up that has no final answer yet one at once: an attempt that is out is called off, and
 // the set-up is refused, or failed where it may have been carried out and must not be repeated. So is any that comes
 // in later, with no attempt. Guards against a set-up on a connection that waits for the last answer of another being
 // taken and never answered.
-func (k *Desk) GiveUp() {
+func (k *CallTable) AbortPending() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.givenUp = true
@@ -349,30 +349,30 @@
 	}
 }
 
-// Open is the number of set-ups that are owed a final answer.
-func (k *Desk) Open() int {
+// PendingSetups is the number of set-ups that are owed a final answer.
+func (k *CallTable) PendingSetups() int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.open
 }
 
-// Standing is the number of calls that stand.
-func (k *Desk) Standing() int {
+// EstablishedCalls is the number of calls that stand.
+func (k *CallTable) EstablishedCalls() int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return len(k.calls) - k.open
 }
 
 // Idle tells whether the desk has no connection, no call and nothing to tell.
-func (k *Desk) Idle() bool {
+func (k *CallTable) Idle() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return len(k.seats) == 0 && len(k.calls) == 0 && len(k.kept) == 0
 }
 
 // Drain returns when every set-up has its final answer, or when ctx is done.
-func (k *Desk) Drain(ctx context.Context) {
-	for k.Open() > 0 {
+func (k *CallTable) Drain(ctx context.Context) {
+	for k.PendingSetups() > 0 {
 		select {
 		case <-ctx.Done():
 			return
@@ -383,7 +383,7 @@
 
 // Close gives up what is open, forgets what stands and ends every goroutine of the desk. What stands
 // stands on at its pool, which tells its end to whoever connects next.
-func (k *Desk) Close() {
+func (k *CallTable) Close() {
 	k.mu.Lock()
 	k.close()
 	for _, call := range k.calls {
@@ -398,21 +398,21 @@
 	k.wg.Wait()
 }
 
-// Over tells callers that a call is over that was set up before a restart, on any connection; without one
+// CallEnded tells callers that a call is over that was set up before a restart, on any connection; without one
 // it waits for the next. Of a call that is known here it tells nothing: it may stand at another pool than
 // the one that speaks, after a send whose answer was lost.
-func (k *Desk) Over(id string, cause int) {
+func (k *CallTable) CallEnded(id string, cause int) {
 	if !k.met(id) {
 		k.over(nil, id, cause)
 	}
 }
 
-// Untold takes back the end of a call that a connection was handed and could not write: it is told on another.
-func (k *Desk) Untold(id string, cause int) { k.over(nil, id, cause) }
+// RedeliverEnd takes back the end of a call that a connection was handed and could not write: it is told on another.
+func (k *CallTable) RedeliverEnd(id string, cause int) { k.over(nil, id, cause) }
 
-// Unanswered takes back the answer of a call that a connection was handed and could not write whole: the call is
+// AnswerLost takes back the answer of a call that a connection was handed and could not write whole: the call is
 // released at its pool. Guards against an agent that is held for nobody, as the caller never learnt that it stands.
-func (k *Desk) Unanswered(id string) {
+func (k *CallTable) AnswerLost(id string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	call := k.calls[id]
@@ -426,24 +426,24 @@
 	}
 }
 
-func (k *Desk) met(id string) bool {
+func (k *CallTable) met(id string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.calls[id] != nil || k.past.Has(id)
 }
 
-func (k *Desk) over(first *seat, id string, cause int) {
+func (k *CallTable) over(first *seat, id string, cause int) {
 	o := over{id, cause, k.d.Now()}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if first != nil && k.at[first.Caller] == first && k.hand(first, o) {
+	if first != nil && k.at[first.CallerConn] == first && k.hand(first, o) {
 		return
 	}
 	k.keep(o)
 }
 
 // keep has the end of a call told on any connection. The caller holds mu.
-func (k *Desk) keep(o over) {
+func (k *CallTable) keep(o over) {
 	if len(k.kept) >= mostKept {
 		k.count.Add(telemetry.ReleasesDropped)
 		return
@@ -456,8 +456,8 @@
 	}
 }
 
-// Token tells whether s can stand in the head of a message as one word, on every wire.
-func Token(s string) bool {
+// IsToken tells whether s can stand in the head of a message as one word, on every wire.
+func IsToken(s string) bool {
 	if s == "" || len(s) > mostToken {
 		return false
 	}
@@ -472,8 +472,8 @@
 
 // Setup takes a call of a connection that is in: from now on it is owed one final answer, unless an
 // error says what is wrong with it.
-func (k *Desk) Setup(c Caller, s Call) error {
-	if !Token(s.ID) {
+func (k *CallTable) Setup(c CallerConn, s SetupRequest) error {
+	if !IsToken(s.ID) {
 		return ErrID
 	}
 	if k.taken(s.ID) { // before all else: the id's one answer is still to come
@@ -485,20 +485,20 @@
 	if !known {
 		return ErrClass
 	}
-	if !(s.Left >= 0 && s.Left <= mostLeft) {
+	if !(s.TimeoutMillis >= 0 && s.TimeoutMillis <= mostLeft) {
 		return ErrLeft
 	}
 	if s.Number == "" {
 		s.Number = "0"
 	}
-	if !Token(s.Number) {
+	if !IsToken(s.Number) {
 		return ErrNumber
 	}
 	if len(s.SDP) > mostSDP {
 		return ErrSDP
 	}
 	r := Request{Call: k.d.NewCall(), Class: class, Pool: s.Pool, Key: NumberKey(s.Number),
-		Until: s.Came + int64(s.Left*1000) - answerMargin}
+		Deadline: s.ReceivedAt + int64(s.TimeoutMillis*1000) - answerMargin}
 	ctx, end := context.WithCancelCause(context.Background())
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -527,7 +527,7 @@
 		return ErrTooMany
 	case !at.proven && (at.open >= mostUnproven || k.doubted >= mostUnprovenAll || at.errors >= mostErrors):
 		end(nil)
-		return ErrUnproven
+		return ErrNotEstablished
 	}
 	at.spoke = true
 	k.tellOverdue()
@@ -544,7 +544,7 @@
 	return nil
 }
 
-func (k *Desk) taken(id string) bool {
+func (k *CallTable) taken(id string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.calls[id] != nil || k.once && k.past.Has(id)
@@ -561,7 +561,7 @@
 }
 
 // serve is one call, from its request to its end.
-func (k *Desk) serve(ctx context.Context, call *deskCall, id string, r Request, s Setup) {
+func (k *CallTable) serve(ctx context.Context, call *deskCall, id string, r Request, s Setup) {
 	defer k.wg.Done()
 	defer call.end(nil)
 	began := k.d.Now()
@@ -575,12 +575,12 @@
 	if at.open--; !at.proven {
 		k.doubted--
 	}
-	gone := final.Kind == Gone || call.left
+	gone := final.Kind == FinalCallerGone || call.left
 	if !gone && !at.Final(id, final) {
 		k.count.Add(telemetry.AnswersUnwritten)
 		gone = true
 	}
-	if call.stands = final.Kind == Stands && !gone; call.stands {
+	if call.stands = final.Kind == FinalEstablished && !gone; call.stands {
 		at.stands++
 		k.prove(at)
 	} else {
@@ -593,12 +593,12 @@
 	switch {
 	case gone:
 		k.count.Add(telemetry.CancelledCalls)
-		if final.Kind == Stands { // an answer that nobody waits for holds an agent for nobody
+		if final.Kind == FinalEstablished { // an answer that nobody waits for holds an agent for nobody
 			final.Call.End(CauseNormal)
 		}
-	case final.Kind == Turned:
+	case final.Kind == FinalRejected:
 		k.count.Add(telemetry.RefusedCalls)
-	case final.Kind == GivenUp:
+	case final.Kind == FinalFailed:
 		k.count.Add(telemetry.FailedCalls)
 	default:
 		k.count.Stood(took, took <= k.d.engine.set.Classes[r.Class].LatencyObjective.Microseconds())
@@ -615,23 +615,23 @@
 }
 
 // forget takes a call off the table. The caller holds mu.
-func (k *Desk) forget(id string) {
+func (k *CallTable) forget(id string) {
 	delete(k.calls, id)
 	k.past.Add(id)
 }
 
 // Release takes a caller's release, on whatever connection it came: a cancel before the answer (then
 // standing is false and no answer follows), the end of the call after it.
-func (k *Desk) Release(id string, cause int) (standing bool, err error) {
+func (k *CallTable) Release(id string, cause int) (standing bool, err error) {
 	k.count.Add(telemetry.ReleasesIn)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	call := k.calls[id]
 	if call == nil && k.past.Has(id) {
-		return false, ErrOver
+		return false, ErrCallEnded
 	}
 	if call == nil {
-		if k.once && Token(id) {
+		if k.once && IsToken(id) {
 			k.early.Add(id)
 		}
 		return false, ErrUnknown
--- a/dispatch/desk_test.go
+++ b/dispatch/desk_test.go
@@ -53,7 +53,7 @@
 	return !c.deaf
 }
 
-func (c *fakeCaller) Over(id string, _ int) bool {
+func (c *fakeCaller) CallEnded(id string, _ int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.deaf {
@@ -65,12 +65,12 @@
 func (r *rig) connect() *fakeCaller {
 	c := &fakeCaller{}
 	r.desk.Connect(c)
-	r.desk.Proven(c)
+	r.desk.MarkEstablished(c)
 	return c
 }
 
 func (r *rig) setup(c *fakeCaller, id string) error {
-	err := r.desk.Setup(c, Call{ID: id, Class: "voice", Number: "7f", Pool: 0, Left: 3000, Came: r.Now()})
+	err := r.desk.Setup(c, SetupRequest{ID: id, Class: "voice", Number: "7f", Pool: 0, TimeoutMillis: 3000, ReceivedAt: r.Now()})
 	synctest.Wait()
 	return err
 }
@@ -91,13 +91,13 @@
 		r.setup(c, "c1")
 		r.last().answer("sdp")
 		synctest.Wait()
-		if len(c.got().finals) != 1 || c.got().finals[0].Kind != Stands || r.desk.Standing() != 1 || r.desk.Open() != 0 {
+		if len(c.got().finals) != 1 || c.got().finals[0].Kind != FinalEstablished || r.desk.EstablishedCalls() != 1 || r.desk.PendingSetups() != 0 {
 			t.Fatalf("finals %+v", c.got().finals)
 		}
 		// No connection owns the call: its own is gone, so another is told.
 		r.desk.Disconnect(c)
 		leg := r.last().leg
-		leg.ending = Ending{Outcome: Ended, Cause: 16, State: Untold}
+		leg.ending = Ending{Outcome: Ended, Cause: 16, Load: UnknownLoad}
 		close(leg.done)
 		synctest.Wait()
 		if len(other.got().overs) != 1 || len(c.got().overs) != 0 || leg.released != 0 {
@@ -115,7 +115,7 @@
 			r.last().answer("sdp")
 			synctest.Wait()
 			leg := r.last().leg
-			leg.ending = Ending{Outcome: Ended, Cause: 16, State: Untold}
+			leg.ending = Ending{Outcome: Ended, Cause: 16, Load: UnknownLoad}
 			close(leg.done)
 			time.Sleep(2 * crossed / 3 * time.Microsecond)
 		}
@@ -133,7 +133,7 @@
 	bubble(t, func(r *rig) {
 		deaf := r.connect()
 		deaf.plug()
-		r.desk.Over("c1", 16)
+		r.desk.CallEnded("c1", 16)
 		if c := r.connect(); len(c.got().overs) != 1 || r.count.Get(telemetry.ReleasesKept) != 1 {
 			t.Errorf("told %v", c.got().overs)
 		}
@@ -160,7 +160,7 @@
 		}
 		first := comes("c2")
 		r.desk.Disconnect(c)
-		leg.ending = Ending{Outcome: Ended, Cause: 16, State: Untold}
+		leg.ending = Ending{Outcome: Ended, Cause: 16, Load: UnknownLoad}
 		close(leg.done)
 		time.Sleep(waitForCaller + 10*time.Millisecond)
 		if got := first.got().overs; len(got) != 1 {
@@ -186,10 +186,10 @@
 			t.Errorf("release: %v, %v", standing, err)
 		}
 		synctest.Wait()
-		if r.last().leg.released != 31 || len(c.got().overs) != 0 || r.desk.Standing() != 0 {
+		if r.last().leg.released != 31 || len(c.got().overs) != 0 || r.desk.EstablishedCalls() != 0 {
 			t.Errorf("released with %d, told %v", r.last().leg.released, c.got().overs)
 		}
-		if _, err := r.desk.Release("c1", 31); err != ErrOver {
+		if _, err := r.desk.Release("c1", 31); err != ErrCallEnded {
 			t.Errorf("second release: %v", err)
 		}
 		if _, err := r.desk.Release("c2", 31); err != ErrUnknown {
@@ -206,7 +206,7 @@
 			t.Errorf("cancel: %v, %v", standing, err)
 		}
 		synctest.Wait()
-		if len(c.got().finals) != 0 || r.desk.Open() != 0 || r.count.Get(telemetry.CancelledCalls) != 1 {
+		if len(c.got().finals) != 0 || r.desk.PendingSetups() != 0 || r.count.Get(telemetry.CancelledCalls) != 1 {
 			t.Errorf("finals %+v", c.got().finals)
 		}
 	})
@@ -236,7 +236,7 @@
 		c.plug()
 		r.last().answer("sdp")
 		synctest.Wait()
-		if r.last().leg.released != CauseNormal || r.desk.Standing() != 0 {
+		if r.last().leg.released != CauseNormal || r.desk.EstablishedCalls() != 0 {
 			t.Error("it stands for nobody")
 		}
 	})
@@ -248,11 +248,11 @@
 		r.setup(c, "c1")
 		r.desk.Disconnect(c)
 		synctest.Wait()
-		if r.desk.Open() != 0 || len(c.got().finals) != 0 {
-			t.Errorf("open %d, finals %+v", r.desk.Open(), c.got().finals)
+		if r.desk.PendingSetups() != 0 || len(c.got().finals) != 0 {
+			t.Errorf("open %d, finals %+v", r.desk.PendingSetups(), c.got().finals)
 		}
-		if err := r.setup(c, "c2"); err != nil || r.desk.Open() != 0 {
-			t.Errorf("a set-up of a connection that is gone: %v, open %d", err, r.desk.Open())
+		if err := r.setup(c, "c2"); err != nil || r.desk.PendingSetups() != 0 {
+			t.Errorf("a set-up of a connection that is gone: %v, open %d", err, r.desk.PendingSetups())
 		}
 	})
 }
@@ -260,12 +260,12 @@
 func TestWrongSetups(t *testing.T) {
 	bubble(t, func(r *rig) {
 		c := r.connect()
-		good := Call{ID: "c1", Class: "voice", Left: 1000, Came: r.Now()}
-		for want, edit := range map[error]func(*Call){
-			ErrID:     func(s *Call) { s.ID = "a b" },
-			ErrClass:  func(s *Call) { s.Class = "fax" },
-			ErrLeft:   func(s *Call) { s.Left = -1 },
-			ErrNumber: func(s *Call) { s.Number = "1\r\nBYE" },
+		good := SetupRequest{ID: "c1", Class: "voice", TimeoutMillis: 1000, ReceivedAt: r.Now()}
+		for want, edit := range map[error]func(*SetupRequest){
+			ErrID:     func(s *SetupRequest) { s.ID = "a b" },
+			ErrClass:  func(s *SetupRequest) { s.Class = "fax" },
+			ErrLeft:   func(s *SetupRequest) { s.TimeoutMillis = -1 },
+			ErrNumber: func(s *SetupRequest) { s.Number = "1\r\nBYE" },
 		} {
 			s := good
 			edit(&s)
@@ -276,7 +276,7 @@
 		if err := r.setup(c, "c1"); err != nil {
 			t.Error(err)
 		}
-		if err := r.desk.Setup(c, Call{ID: "c1", Class: "fax"}); err != ErrDuplicate { // even one that is wrong otherwise
+		if err := r.desk.Setup(c, SetupRequest{ID: "c1", Class: "fax"}); err != ErrDuplicate { // even one that is wrong otherwise
 			t.Errorf("again: %v", err)
 		}
 		r.desk.most = 1
@@ -292,7 +292,7 @@
 		r.setup(c, "c1") // nobody answers the attempt; the caller gives up after 3 s
 		time.Sleep(2990 * time.Millisecond)
 		synctest.Wait()
-		if len(c.got().finals) != 1 || c.got().finals[0].Kind == Stands || c.got().finals[0].After < leastAfter {
+		if len(c.got().finals) != 1 || c.got().finals[0].Kind == FinalEstablished || c.got().finals[0].RetryAfter < leastAfter {
 			t.Errorf("finals %+v", c.got().finals)
 		}
 	})
@@ -306,10 +306,10 @@
 		r.last().answer("sdp")
 		r.list(eidertrail.Removed, eidertrail.Removed)
 		r.setup(c, "c3") // waits for a pool
-		r.desk.GiveUp()
+		r.desk.AbortPending()
 		r.desk.Drain(context.Background())
-		if len(c.got().finals) != 3 || r.desk.Standing() != 1 {
-			t.Errorf("finals %+v, %d stand", c.got().finals, r.desk.Standing())
+		if len(c.got().finals) != 3 || r.desk.EstablishedCalls() != 1 {
+			t.Errorf("finals %+v, %d stand", c.got().finals, r.desk.EstablishedCalls())
 		}
 	})
 }
@@ -325,13 +325,13 @@
 		loopEnds bool    // before that outcome is reported; else the desk gives the call up
 		want     FinalKind
 	}{
-		{"safe, attempt out", eidertrail.Idempotent, out, false, Turned},
-		{"unsafe, attempt out", eidertrail.NotIdempotent, out, false, GivenUp},
-		{"keyed, attempt out", eidertrail.IdempotentByKey, out, false, GivenUp},
-		{"unsafe, proven not to have run, held", eidertrail.NotIdempotent, NoAgent, false, Turned},
-		{"unsafe, timed out as the loop ends", eidertrail.NotIdempotent, TimedOut, true, GivenUp},
-		{"unsafe, proven not to have run, the loop ends", eidertrail.NotIdempotent, NoAgent, true, Turned},
-		{"safe, timed out as the loop ends", eidertrail.Idempotent, TimedOut, true, Turned},
+		{"safe, attempt out", eidertrail.Idempotent, out, false, FinalRejected},
+		{"unsafe, attempt out", eidertrail.NotIdempotent, out, false, FinalFailed},
+		{"keyed, attempt out", eidertrail.IdempotentByKey, out, false, FinalFailed},
+		{"unsafe, proven not to have run, held", eidertrail.NotIdempotent, NoAgent, false, FinalRejected},
+		{"unsafe, timed out as the loop ends", eidertrail.NotIdempotent, TimedOut, true, FinalFailed},
+		{"unsafe, proven not to have run, the loop ends", eidertrail.NotIdempotent, NoAgent, true, FinalRejected},
+		{"safe, timed out as the loop ends", eidertrail.Idempotent, TimedOut, true, FinalRejected},
 	} {
 		set := settings()
 		set.Classes[0].Idempotency = e.effect
@@ -344,7 +344,7 @@
 			defer stop()
 			go d.Run(ctx)
 			r.Dispatcher, r.trunk.d = d, d
-			r.desk = NewDesk(DeskConfig{Dispatch: d, Trunk: r.trunk, Most: 100, Count: r.count})
+			r.desk = NewCallTable(CallTableConfig{Dispatcher: d, Inviter: r.trunk, MaxCalls: 100, Counters: r.count})
 			r.list(eidertrail.Ready, eidertrail.Ready)
 			c := r.connect()
 			r.setup(c, "c1")
@@ -355,15 +355,15 @@
 				synctest.Wait()
 			}
 			if e.first != out {
-				x.end <- Ending{Outcome: e.first, State: State{0, 20}}
+				x.end <- Ending{Outcome: e.first, Load: LoadReport{0, 20}}
 				synctest.Wait()
 			}
 			if !e.loopEnds {
-				r.desk.GiveUp()
+				r.desk.AbortPending()
 				synctest.Wait()
 			}
 			got := c.got().finals
-			if len(got) != 1 || got[0].Kind != e.want || got[0].MayHaveRun != (e.want == GivenUp) {
+			if len(got) != 1 || got[0].Kind != e.want || got[0].MayHaveRun != (e.want == FinalFailed) {
 				t.Errorf("%s: finals %+v, want one of kind %d", e.name, got, e.want)
 			}
 		})
@@ -382,12 +382,12 @@
 			r.setup(c, "c1")
 			hold := make(chan struct{})
 			r.trunk.calledOff = func() { <-hold } // both come before the attempt is seen to be called off
-			r.desk.GiveUp()
+			r.desk.AbortPending()
 			synctest.Wait()
 			leave(r, c)
 			close(hold)
 			synctest.Wait()
-			if got := c.got().finals; len(got) != 0 || r.count.Get(telemetry.CancelledCalls) != 1 || r.desk.Open() != 0 {
+			if got := c.got().finals; len(got) != 0 || r.count.Get(telemetry.CancelledCalls) != 1 || r.desk.PendingSetups() != 0 {
 				t.Errorf("%s: finals %+v, %d cancelled", name, got, r.count.Get(telemetry.CancelledCalls))
 			}
 		})
@@ -407,12 +407,12 @@
 			c.passing = func() { call.end(errGivenUp) }
 			x.answer("sdp")
 			synctest.Wait()
-			if got := c.got().finals; len(got) != 1 || got[0].Kind != Stands || r.desk.Standing() != 1 {
-				t.Errorf("finals %+v, %d stand", got, r.desk.Standing())
+			if got := c.got().finals; len(got) != 1 || got[0].Kind != FinalEstablished || r.desk.EstablishedCalls() != 1 {
+				t.Errorf("finals %+v, %d stand", got, r.desk.EstablishedCalls())
 				return
 			}
 			if byPool {
-				x.leg.ending = Ending{Outcome: Ended, Cause: 16, State: Untold}
+				x.leg.ending = Ending{Outcome: Ended, Cause: 16, Load: UnknownLoad}
 				close(x.leg.done)
 				synctest.Wait()
 				if got := c.got().overs; len(got) != 1 {
@@ -436,12 +436,12 @@
 func TestSetUpAfterGiveUpIsAnsweredAtOnce(t *testing.T) {
 	bubble(t, func(r *rig) {
 		c := r.connect()
-		r.desk.GiveUp()
+		r.desk.AbortPending()
 		if err := r.setup(c, "c1"); err != nil {
 			t.Fatal(err)
 		}
-		if got := c.got().finals; len(got) != 1 || got[0].Kind != Turned || r.desk.Open() != 0 {
-			t.Errorf("finals %+v, %d open", got, r.desk.Open())
+		if got := c.got().finals; len(got) != 1 || got[0].Kind != FinalRejected || r.desk.PendingSetups() != 0 {
+			t.Errorf("finals %+v, %d open", got, r.desk.PendingSetups())
 		}
 		if r.trunk.mu.Lock(); len(r.trunk.sent) != 0 {
 			t.Errorf("%d attempts were sent", len(r.trunk.sent))
@@ -470,23 +470,23 @@
 				}
 				return finals[len(finals)-1]
 			}
-			ends := func(o Outcome) func() { return func() { r.last().end <- Ending{Outcome: o, State: Untold} } }
+			ends := func(o Outcome) func() { return func() { r.last().end <- Ending{Outcome: o, Load: UnknownLoad} } }
 			switch stop {
 			case "out":
-				if f := last("stop-out", r.desk.GiveUp); once && (f.Kind != GivenUp || !f.MayHaveRun) || !once && (f.Kind != Turned || f.MayHaveRun) {
+				if f := last("stop-out", r.desk.AbortPending); once && (f.Kind != FinalFailed || !f.MayHaveRun) || !once && (f.Kind != FinalRejected || f.MayHaveRun) {
 					t.Errorf("effect %d, out at the stop: %+v", effect, f)
 				}
 				return
 			case "waits":
 				r.list(eidertrail.Removed, eidertrail.Removed)
-				if f := last("stop-waits", r.desk.GiveUp); f.Kind != Turned || f.MayHaveRun {
+				if f := last("stop-waits", r.desk.AbortPending); f.Kind != FinalRejected || f.MayHaveRun {
 					t.Errorf("effect %d, not sent at the stop: %+v", effect, f)
 				}
 				return
 			}
 			if once {
 				sent := len(r.trunk.sent)
-				if f := last("reset", ends(Reset)); f.Kind != GivenUp || !f.MayHaveRun || len(r.trunk.sent) != sent+1 {
+				if f := last("reset", ends(Reset)); f.Kind != FinalFailed || !f.MayHaveRun || len(r.trunk.sent) != sent+1 {
 					t.Errorf("effect %d, reset: %+v after %d set-ups", effect, f, len(r.trunk.sent)-sent)
 				}
 			}
@@ -495,7 +495,7 @@
 					ends(NoAgent)()
 					synctest.Wait()
 				}
-			}); f.Kind != Turned || f.MayHaveRun || !f.NoRoom {
+			}); f.Kind != FinalRejected || f.MayHaveRun || !f.NoAgentFree {
 				t.Errorf("effect %d, no agent: %+v", effect, f)
 			}
 		}
@@ -514,12 +514,12 @@
 func (k resetTrunk) Invite(context.Context, Attempt) (Leg, Ending) {
 	k.stop()
 	<-k.d.done
-	return nil, Ending{Outcome: Reset, At: k.d.Now(), State: Untold}
+	return nil, Ending{Outcome: Reset, At: k.d.Now(), Load: UnknownLoad}
 }
 
 // The same for an attempt that ends when nothing decides any more.
 func TestWhatMustNotBeRepeatedIsNotRefusedAtTheEnd(t *testing.T) {
-	for effect, want := range map[eidertrail.Idempotency]FinalKind{eidertrail.Idempotent: Turned, eidertrail.IdempotentByKey: GivenUp, eidertrail.NotIdempotent: GivenUp} {
+	for effect, want := range map[eidertrail.Idempotency]FinalKind{eidertrail.Idempotent: FinalRejected, eidertrail.IdempotentByKey: FinalFailed, eidertrail.NotIdempotent: FinalFailed} {
 		set := settings()
 		set.Classes[0].Idempotency = effect
 		synctest.Test(t, func(t *testing.T) {
@@ -529,9 +529,9 @@
 			}
 			ctx, stop := context.WithCancel(context.Background())
 			go d.Run(ctx)
-			d.Roster([]Server{{UID: "a"}}, false)
-			r := Request{Call: d.NewCall(), Until: d.Now() + 3_000_000}
-			if f := Serve(context.Background(), d, resetTrunk{d, stop}, r, Setup{ID: "c1"}); f.Kind != want || f.MayHaveRun != (want == GivenUp) {
+			d.UpdateEndpoints([]Endpoint{{UID: "a"}}, false)
+			r := Request{Call: d.NewCall(), Deadline: d.Now() + 3_000_000}
+			if f := Serve(context.Background(), d, resetTrunk{d, stop}, r, Setup{ID: "c1"}); f.Kind != want || f.MayHaveRun != (want == FinalFailed) {
 				t.Errorf("effect %d: %+v", effect, f)
 			}
 		})
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -30,33 +30,33 @@
 
 // Request is a call that wants a place.
 type Request struct {
-	Call  uint64 // from NewCall
-	Class int
-	Pool  int    // the pool of first choice
-	Key   uint64 // the number called, 0 for none
-	Until int64  // the caller gives up then
+	Call     uint64 // from NewCall
+	Class    int
+	Pool     int    // the pool of first choice
+	Key      uint64 // the number called, 0 for none
+	Deadline int64  // the caller gives up then
 }
 
-// Verdict is what Pick decided.
-type Verdict int
+// DecisionKind is what Pick decided.
+type DecisionKind int
 
 // The verdicts.
 const (
-	Go      Verdict = iota // send an attempt, then Report
-	Refused                // final: turned away, trying again is harmless
-	Failed                 // final: given up
+	DecisionSend   DecisionKind = iota // send an attempt, then Report
+	DecisionReject                     // final: turned away, trying again is harmless
+	DecisionFail                       // final: given up
 )
 
-// Pick is the decision for a call.
-type Pick struct {
-	Verdict Verdict
-	Pool    string // the uid of the pool that gets the attempt
-	Attempt int
-	Limit   int64 // the attempt's time-out, 0: until the caller gives up
-	At      int64 // when it was decided; outcomes count from here
-	LeaveBy int64 // it must not be sent later than this, 0: at any time
-	After   int64 // with Refused and Failed: when to come back
-	NoRoom  bool  // with Refused: the last attempt found no free agent
+// Decision is the decision for a call.
+type Decision struct {
+	Kind        DecisionKind
+	Pool        string // the uid of the pool that gets the attempt
+	Attempt     int
+	Timeout     int64 // the attempt's time-out, 0: until the caller gives up
+	DecidedAt   int64 // when it was decided; outcomes count from here
+	SendBy      int64 // it must not be sent later than this, 0: at any time
+	RetryAfter  int64 // with Refused and Failed: when to come back
+	NoAgentFree bool  // with Refused: the last attempt found no free agent
 }
 
 // Outcome is what became of an attempt.
@@ -74,45 +74,45 @@
 	ConnectFailed // it never reached the pool
 	Reset         // the set-up or the standing call was cut
 	Cancelled     // called off
-	Moot          // never sent
+	NotSent       // never sent
 )
 
 // neverRan tells whether the outcome proves that the attempt was not carried out.
 func (o Outcome) neverRan() bool {
-	return o == NoAgent || o == ProcessorFull || o == ConnectFailed || o == Moot
+	return o == NoAgent || o == ProcessorFull || o == ConnectFailed || o == NotSent
 }
 
-// State is a pool's report. What is not told is negative.
-type State struct{ Free, Agents float64 }
+// LoadReport is a pool's report. What is not told is negative.
+type LoadReport struct{ Free, Agents float64 }
 
-// Untold is the report that tells nothing.
-var Untold = State{-1, -1}
+// UnknownLoad is the report that tells nothing.
+var UnknownLoad = LoadReport{-1, -1}
 
 // Result reports on an attempt.
 type Result struct {
-	Call    uint64
-	Attempt int
-	Pool    string
-	Outcome Outcome
-	Took    int64 // since Pick.At
-	State   State
-	Left    bool // the caller is gone: nothing more is owed
+	Call       uint64
+	Attempt    int
+	Pool       string
+	Outcome    Outcome
+	Took       int64 // since Pick.At
+	Load       LoadReport
+	CallerGone bool // the caller is gone: nothing more is owed
 }
 
-// Server is a line of the list of pools.
-type Server struct {
-	UID   string
-	Group int
-	Zone  string // for routing, "" if not told
-	Born  int64  // clock reading of its start, 0: long ago
-	Mode  eidertrail.Mode
+// Endpoint is a line of the list of pools.
+type Endpoint struct {
+	UID       string
+	Group     int
+	Zone      string // for routing, "" if not told
+	StartedAt int64  // clock reading of its start, 0: long ago
+	Mode      eidertrail.Mode
 }
 
 // ErrClosed tells that the dispatcher has stopped.
 var ErrClosed = errors.New("dispatch: closed")
 
-// ErrLate tells that no decision came before the caller gave up.
-var ErrLate = errors.New("dispatch: no decision in time")
+// ErrNoDecision tells that no decision came before the caller gave up.
+var ErrNoDecision = errors.New("dispatch: no decision in time")
 
 const (
 	queue   = 1024 // messages to the loop; a sender waits when it is full
@@ -165,7 +165,7 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
-		if due := d.engine.Next(d.clock.Now()); due > 0 {
+		if due := d.engine.NextDue(d.clock.Now()); due > 0 {
 			timer.Reset(time.Duration(max(0, due-d.clock.Now())) * time.Microsecond)
 		} else {
 			timer.Reset(time.Hour)
@@ -177,7 +177,7 @@
 		case first = <-d.in:
 		case <-timer.C:
 		}
-		if due := d.engine.Next(d.clock.Now()); due > 0 {
+		if due := d.engine.NextDue(d.clock.Now()); due > 0 {
 			d.catchUp(d.clock.Now() - due)
 		}
 		// What comes together is to be weighed together, as in the simulator's ticks. Guards against held
@@ -192,7 +192,7 @@
 		for n := 0; n < perTurn && len(d.in) > 0; n++ {
 			(<-d.in)(now)
 		}
-		d.engine.Turn(now)
+		d.engine.Step(now)
 	}
 }
 
@@ -219,8 +219,8 @@
 	}
 }
 
-// TurnedAway is the share of calls that were turned away of late, 0 to 1.
-func (d *Dispatcher) TurnedAway() float64 { return d.engine.sharedAt(d.clock.Now()) }
+// RejectionRate is the share of calls that were turned away of late, 0 to 1.
+func (d *Dispatcher) RejectionRate() float64 { return d.engine.sharedAt(d.clock.Now()) }
 
 // NewCall numbers a call.
 func (d *Dispatcher) NewCall() uint64 { return d.last.Add(1) }
@@ -231,49 +231,49 @@
 // Pick blocks until the call gets a place or is given up. It is called for a new call, and again after
 // each Report that left the call without a place. When ctx is done first the caller has left: nothing
 // more is owed for the call, and the error is ctx's.
-func (d *Dispatcher) Pick(ctx context.Context, r Request) (Pick, error) {
+func (d *Dispatcher) Pick(ctx context.Context, r Request) (Decision, error) {
 	ready := make(chan place, 1)
-	if !d.post(func(now int64) { ready <- d.engine.Enter(now, r, make(place, 1)).(place) }) {
-		return Pick{}, ErrClosed
+	if !d.post(func(now int64) { ready <- d.engine.Submit(now, r, make(place, 1)).(place) }) {
+		return Decision{}, ErrClosed
 	}
 	var decided place
 	select {
 	case decided = <-ready:
 	case <-d.done:
-		return Pick{}, ErrClosed
+		return Decision{}, ErrClosed
 	}
-	late := time.NewTimer(time.Duration(max(0, r.Until-d.clock.Now())+lateBy) * time.Microsecond)
+	late := time.NewTimer(time.Duration(max(0, r.Deadline-d.clock.Now())+lateBy) * time.Microsecond)
 	defer late.Stop()
 	select {
 	case p := <-decided:
-		if p.Verdict == Go {
-			d.catchUp(d.clock.Now() - p.At)
+		if p.Kind == DecisionSend {
+			d.catchUp(d.clock.Now() - p.DecidedAt)
 		}
 		// Guards against a send for a caller that has left, when the decision was there too.
 		if ctx.Err() != nil {
-			d.post(func(now int64) { d.engine.Leave(now, r.Call) })
-			return Pick{}, context.Cause(ctx)
+			d.post(func(now int64) { d.engine.Withdraw(now, r.Call) })
+			return Decision{}, context.Cause(ctx)
 		}
-		if p.Verdict != Go {
+		if p.Kind != DecisionSend {
 			d.post(func(int64) { d.engine.Forget(r.Call) })
 		}
 		return p, nil
 	case <-d.done:
-		return Pick{}, ErrClosed
+		return Decision{}, ErrClosed
 	case <-late.C:
-		d.post(func(now int64) { d.engine.Leave(now, r.Call) })
-		return Pick{}, ErrLate
+		d.post(func(now int64) { d.engine.Withdraw(now, r.Call) })
+		return Decision{}, ErrNoDecision
 	case <-ctx.Done():
-		d.post(func(now int64) { d.engine.Leave(now, r.Call) })
-		return Pick{}, context.Cause(ctx)
+		d.post(func(now int64) { d.engine.Withdraw(now, r.Call) })
+		return Decision{}, context.Cause(ctx)
 	}
 }
 
 // place is where a call's decisions come; it holds one.
-type place chan Pick
+type place chan Decision
 
 // Decide never blocks: a decision that nobody took yet gives way to a later one.
-func (c place) Decide(p Pick) {
+func (c place) Decide(p Decision) {
 	for {
 		select {
 		case c <- p:
@@ -293,13 +293,13 @@
 }
 
 // Observe tells of a pool's state that came unasked.
-func (d *Dispatcher) Observe(uid string, s State) {
+func (d *Dispatcher) Observe(uid string, s LoadReport) {
 	d.post(func(now int64) { d.engine.Observe(now, uid, s) })
 }
 
-// Roster brings changed lines of the list of pools, or with whole all of them.
-func (d *Dispatcher) Roster(servers []Server, whole bool) {
-	d.post(func(now int64) { d.engine.Roster(now, servers, whole) })
+// UpdateEndpoints brings changed lines of the list of pools, or with whole all of them.
+func (d *Dispatcher) UpdateEndpoints(servers []Endpoint, whole bool) {
+	d.post(func(now int64) { d.engine.UpdateEndpoints(now, servers, whole) })
 }
 
 // Tick makes the loop take a turn now and returns when it has: what is due is done, and the loop lives.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -61,7 +61,7 @@
 	f.mu.Lock()
 	f.sent = append(f.sent, x)
 	f.mu.Unlock()
-	until := time.NewTimer(time.Duration(a.Until-f.d.Now()) * time.Microsecond)
+	until := time.NewTimer(time.Duration(a.Deadline-f.d.Now()) * time.Microsecond)
 	defer until.Stop()
 	select {
 	case e := <-x.end:
@@ -71,18 +71,18 @@
 		}
 		return nil, e
 	case <-until.C:
-		return nil, Ending{Outcome: TimedOut, At: f.d.Now(), State: Untold}
+		return nil, Ending{Outcome: TimedOut, At: f.d.Now(), Load: UnknownLoad}
 	case <-ctx.Done():
 		if f.calledOff != nil {
 			f.calledOff()
 		}
-		return nil, Ending{Outcome: Cancelled, At: f.d.Now(), State: Untold}
+		return nil, Ending{Outcome: Cancelled, At: f.d.Now(), Load: UnknownLoad}
 	}
 }
 
 func (x *fakeAttempt) answer(sdp string) {
 	x.leg = &fakeLeg{sdp: sdp, done: make(chan struct{})}
-	x.end <- Ending{Outcome: Answered, State: Untold}
+	x.end <- Ending{Outcome: Answered, Load: UnknownLoad}
 }
 
 // rig is a dispatcher that runs, with two pools that are up.
@@ -90,7 +90,7 @@
 	*Dispatcher
 	t     *testing.T
 	trunk *fakeTrunk
-	desk  *Desk
+	desk  *CallTable
 	count *telemetry.Set
 }
 
@@ -109,7 +109,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	go d.Run(ctx)
 	r := &rig{Dispatcher: d, t: t, trunk: &fakeTrunk{d: d}, count: count}
-	r.desk = NewDesk(DeskConfig{Dispatch: d, Trunk: r.trunk, Most: 100, Count: count})
+	r.desk = NewCallTable(CallTableConfig{Dispatcher: d, Inviter: r.trunk, MaxCalls: 100, Counters: count})
 	r.list(eidertrail.Ready, eidertrail.Ready)
 	synctest.Wait()
 	test(r)
@@ -125,29 +125,29 @@
 }
 
 func (r *rig) list(a, b eidertrail.Mode) {
-	r.Roster([]Server{{UID: "a", Group: 0, Mode: a}, {UID: "b", Group: 1, Mode: b}}, false)
-	r.Observe("a", State{10, 20})
-	r.Observe("b", State{10, 20})
+	r.UpdateEndpoints([]Endpoint{{UID: "a", Group: 0, Mode: a}, {UID: "b", Group: 1, Mode: b}}, false)
+	r.Observe("a", LoadReport{10, 20})
+	r.Observe("b", LoadReport{10, 20})
 	synctest.Wait()
 }
 
 func (r *rig) request(class int, left time.Duration) Request {
-	return Request{Call: r.NewCall(), Class: class, Pool: class, Until: r.Now() + left.Microseconds()}
+	return Request{Call: r.NewCall(), Class: class, Pool: class, Deadline: r.Now() + left.Microseconds()}
 }
 
 func TestPickReportTick(t *testing.T) {
 	bubble(t, func(r *rig) {
 		q := r.request(0, time.Second)
 		p, err := r.Pick(context.Background(), q)
-		if err != nil || p.Verdict != Go || p.Pool != "a" || p.Attempt != 0 {
+		if err != nil || p.Kind != DecisionSend || p.Pool != "a" || p.Attempt != 0 {
 			t.Fatalf("%+v, %v", p, err)
 		}
-		r.Report(Result{Call: q.Call, Pool: "a", Outcome: NoAgent, State: State{0, 20}})
+		r.Report(Result{Call: q.Call, Pool: "a", Outcome: NoAgent, Load: LoadReport{0, 20}})
 		if p, err = r.Pick(context.Background(), q); err != nil || p.Pool != "b" || p.Attempt != 1 {
 			t.Fatalf("second: %+v, %v", p, err)
 		}
-		r.Report(Result{Call: q.Call, Attempt: 1, Pool: "b", Outcome: NoAgent, State: Untold})
-		if p, err = r.Pick(context.Background(), q); err != nil || p.Verdict != Refused || !p.NoRoom || p.After < leastAfter {
+		r.Report(Result{Call: q.Call, Attempt: 1, Pool: "b", Outcome: NoAgent, Load: UnknownLoad})
+		if p, err = r.Pick(context.Background(), q); err != nil || p.Kind != DecisionReject || !p.NoAgentFree || p.RetryAfter < leastAfter {
 			t.Fatalf("third: %+v, %v", p, err)
 		}
 		if err := r.Tick(context.Background()); err != nil {
@@ -162,9 +162,9 @@
 			q := r.request(0, 5*time.Second)
 			r.Pick(context.Background(), q)
 			before := r.Now()
-			r.Report(Result{Call: q.Call, Pool: "a", Outcome: o, Took: 1000, State: Untold})
+			r.Report(Result{Call: q.Call, Pool: "a", Outcome: o, Took: 1000, Load: UnknownLoad})
 			p, err := r.Pick(context.Background(), q)
-			if waited := p.At - before; err != nil || p.Verdict != Go || waited < 300_000 {
+			if waited := p.DecidedAt - before; err != nil || p.Kind != DecisionSend || waited < 300_000 {
 				t.Errorf("outcome %d: %+v after %d us, %v", o, p, waited, err)
 			}
 		})
@@ -173,7 +173,7 @@
 
 func TestGuardStopsWhatTheModuleMustNotSend(t *testing.T) {
 	bubble(t, func(r *rig) {
-		k := &call{Request: Request{Call: 1, Class: 1, Until: r.Now() + 1000}}
+		k := &call{Request: Request{Call: 1, Class: 1, Deadline: r.Now() + 1000}}
 		now := r.Now()
 		for name, ok := range map[string]bool{"b": true, "a": false, "nobody": false} { // class text may not go to a
 			if got := r.engine.maySend(now, k, name); got != ok {
@@ -183,7 +183,7 @@
 		for name, bad := range map[string]call{
 			"out": {Request: k.Request, out: true}, "stands": {Request: k.Request, stands: true},
 			"third send": {Request: k.Request, attempt: 2}, "release": {Request: k.Request, notBefore: now + 1},
-			"late": {Request: Request{Class: 1, Until: now}},
+			"late": {Request: Request{Class: 1, Deadline: now}},
 		} {
 			if r.engine.maySend(now, &bad, "b") {
 				t.Errorf("%s: may be sent", name)
@@ -210,13 +210,13 @@
 	test := func(r *rig) {
 		may := func(class, attempt int, ended ...Outcome) bool {
 			now := r.Now()
-			q := Request{Call: r.NewCall(), Class: class, Pool: 1, Until: now + 1_000_000}
+			q := Request{Call: r.NewCall(), Class: class, Pool: 1, Deadline: now + 1_000_000}
 			k := &call{Request: q, Decider: make(place, 1), attempt: attempt}
 			r.engine.calls[q.Call] = k
 			defer delete(r.engine.calls, q.Call)
 			for _, o := range ended {
 				k.out = true
-				r.engine.Report(now-1_000_000, Result{Call: q.Call, Attempt: k.attempt, Pool: "b", Outcome: o, State: Untold})
+				r.engine.Report(now-1_000_000, Result{Call: q.Call, Attempt: k.attempt, Pool: "b", Outcome: o, Load: UnknownLoad})
 			}
 			return r.engine.maySend(now, k, "b")
 		}
@@ -224,12 +224,12 @@
 			t.Error("not the one attempt that the site allows")
 		}
 		for o, mayRepeat := range map[Outcome]bool{Errored: false, LinesBusy: false, TimedOut: false, Reset: false, Cancelled: false,
-			NoAgent: true, ProcessorFull: true, ConnectFailed: true, Moot: true} {
+			NoAgent: true, ProcessorFull: true, ConnectFailed: true, NotSent: true} {
 			for class, want := range []bool{true, mayRepeat, mayRepeat} {
 				if got := may(class, 0, o); got != want {
 					t.Errorf("class %d after outcome %d: %v, want %v", class, o, got, want)
 				}
-				if got := may(class, 0, o, Moot); got != want { // a later attempt that never ran proves nothing of it
+				if got := may(class, 0, o, NotSent); got != want { // a later attempt that never ran proves nothing of it
 					t.Errorf("class %d after outcome %d and one that never ran: %v, want %v", class, o, got, want)
 				}
 			}
@@ -269,12 +269,12 @@
 		leave()
 		for range 50 {
 			if p, err := r.Pick(ctx, r.request(0, time.Minute)); err == nil {
-				r.Report(Result{Call: uint64(r.Dispatcher.last.Load()), Attempt: p.Attempt, Outcome: Moot, State: Untold, Left: true})
+				r.Report(Result{Call: uint64(r.Dispatcher.last.Load()), Attempt: p.Attempt, Outcome: NotSent, Load: UnknownLoad, CallerGone: true})
 			}
 		}
 		synctest.Wait()
 		p, err := r.Pick(context.Background(), r.request(0, time.Minute))
-		if err != nil || p.Verdict != Go || p.Pool != "a" {
+		if err != nil || p.Kind != DecisionSend || p.Pool != "a" {
 			t.Errorf("after 50 that left: %+v, %v", p, err)
 		}
 	})
@@ -338,7 +338,7 @@
 					if decided {
 						outcome = NoAgent
 					}
-					r.Report(Result{Call: q.Call, Pool: "a", Outcome: outcome, Took: 1000, State: State{0, 20}})
+					r.Report(Result{Call: q.Call, Pool: "a", Outcome: outcome, Took: 1000, Load: LoadReport{0, 20}})
 					caller, leave := context.WithCancel(context.Background())
 					defer leave()
 					picked := make(chan error, 1)
@@ -355,7 +355,7 @@
 					} else { // it stands still while the release is awaited: the module's timer is due
 						time.Sleep(d.gather)
 						synctest.Wait()
-						wakes = time.Duration(d.engine.Next(now.Now())-now.Now()) * time.Microsecond
+						wakes = time.Duration(d.engine.NextDue(now.Now())-now.Now()) * time.Microsecond
 						now.by.Store(still)
 					}
 					// The reader sees the close right after the process wakes.
@@ -376,9 +376,9 @@
 		for range 20 {
 			r.Pick(context.Background(), r.request(0, 10*time.Millisecond))
 		}
-		before := r.TurnedAway()
+		before := r.RejectionRate()
 		time.Sleep(10 * time.Second)
-		if after := r.TurnedAway(); before < 0.3 || after > before/3 {
+		if after := r.RejectionRate(); before < 0.3 || after > before/3 {
 			t.Errorf("share %v, 10 s later %v", before, after)
 		}
 	})
@@ -407,11 +407,11 @@
 						t.Errorf("pick: %v, already final: %v", err, m.final)
 						return
 					}
-					if p.Verdict != Go {
+					if p.Kind != DecisionSend {
 						m.final = true
 						return
 					}
-					if m.out || m.sends >= 2 || p.At < m.notBefore || !ready[p.Pool] || m.q.Class == 1 && p.Pool != "b" {
+					if m.out || m.sends >= 2 || p.DecidedAt < m.notBefore || !ready[p.Pool] || m.q.Class == 1 && p.Pool != "b" {
 						t.Errorf("sent to %s: %+v", p.Pool, *m)
 					}
 					m.out, m.last = true, p.Attempt
@@ -428,7 +428,7 @@
 						if o == TimedOut || o == Reset || o == Cancelled {
 							m.notBefore = r.Now() + 300_000
 						}
-						r.Report(Result{Call: m.q.Call, Attempt: m.last, Outcome: o, Took: 1000, State: Untold})
+						r.Report(Result{Call: m.q.Call, Attempt: m.last, Outcome: o, Took: 1000, Load: UnknownLoad})
 						go pick(m)
 					}
 				}
@@ -440,7 +440,7 @@
 					},
 					func(b byte) { end(b, NoAgent) },
 					func(b byte) { end(b, TimedOut) },
-					func(b byte) { end(b, Outcome(int(b)%int(Moot-Errored+1))+Errored) },
+					func(b byte) { end(b, Outcome(int(b)%int(NotSent-Errored+1))+Errored) },
 					func(b byte) { time.Sleep(time.Duration(b) * 10 * time.Millisecond) },
 					func(b byte) {
 						mu.Lock()
@@ -470,11 +470,11 @@
 		q := r.request(0, time.Second)
 		for n := range 2 {
 			r.Pick(context.Background(), q)
-			r.Report(Result{Call: q.Call, Attempt: n, Outcome: NoAgent, State: Untold})
+			r.Report(Result{Call: q.Call, Attempt: n, Outcome: NoAgent, Load: UnknownLoad})
 			synctest.Wait()
 		}
 		time.Sleep(time.Second)
-		if p, err := r.Pick(context.Background(), q); err != nil || p.Verdict == Go {
+		if p, err := r.Pick(context.Background(), q); err != nil || p.Kind == DecisionSend {
 			t.Errorf("third pick: %+v, %v", p, err)
 		}
 		if synctest.Wait(); len(r.engine.calls) != 0 {
@@ -495,17 +495,17 @@
 	r.list(eidertrail.Draining, eidertrail.Draining)
 	q := r.request(0, time.Second)
 	q.Pool = 1
-	placed := make(chan Pick, 1)
+	placed := make(chan Decision, 1)
 	go func() {
 		p, _ := r.Pick(context.Background(), q)
 		placed <- p
 	}()
 	synctest.Wait()
 	time.Sleep(50 * time.Millisecond)
-	r.Roster([]Server{{UID: "a", Group: 0}}, false)
+	r.UpdateEndpoints([]Endpoint{{UID: "a", Group: 0}}, false)
 	time.Sleep(100 * time.Microsecond)
-	r.Roster([]Server{{UID: "b", Group: 1}}, false)
-	if p := <-placed; p.Verdict != Go || p.Pool != "b" {
+	r.UpdateEndpoints([]Endpoint{{UID: "b", Group: 1}}, false)
+	if p := <-placed; p.Kind != DecisionSend || p.Pool != "b" {
 		r.t.Errorf("placed at %+v, first choice is b", p)
 	}
 }
@@ -533,14 +533,14 @@
 					if err != nil || p.Pool != want {
 						t.Errorf("%s: %+v, %v, want pool %s", when, p, err, want)
 					}
-					r.Report(Result{Call: q.Call, Pool: p.Pool, Outcome: Answered, Took: 20_000, State: Untold})
+					r.Report(Result{Call: q.Call, Pool: p.Pool, Outcome: Answered, Took: 20_000, Load: UnknownLoad})
 				}
 				tell := func(a, b bool) {
 					if a {
-						r.Observe("a", State{10, 20})
+						r.Observe("a", LoadReport{10, 20})
 					}
 					if b {
-						r.Observe("b", State{10, 20})
+						r.Observe("b", LoadReport{10, 20})
 					}
 					time.Sleep(500 * time.Millisecond)
 				}
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -31,7 +31,7 @@
 	actions []eidertrail.Action
 	calls   map[uint64]*call
 	waiting map[uint64]*call // of them, those without a decision
-	servers map[string]Server
+	servers map[string]Endpoint
 	wakes   []wake // soonest first
 	route   *router
 }
@@ -43,7 +43,7 @@
 		return nil, fmt.Errorf("dispatch: %w", err)
 	}
 	return &Engine{set: set, most: most, count: count, log: log, control: control, calls: map[uint64]*call{},
-		waiting: map[uint64]*call{}, servers: map[string]Server{}, route: newRouter(set, log, count)}, nil
+		waiting: map[uint64]*call{}, servers: map[string]Endpoint{}, route: newRouter(set, log, count)}, nil
 }
 
 type wake struct {
@@ -66,8 +66,8 @@
 	routed    bool   // routing counts it at pool: an attempt out or a call standing
 }
 
-// Next is when a Turn is wanted though nothing has come, 0: never.
-func (d *Engine) Next(now int64) int64 {
+// NextDue is when a Turn is wanted though nothing has come, 0: never.
+func (d *Engine) NextDue(now int64) int64 {
 	due := d.route.next(now)
 	if len(d.wakes) > 0 && (due == 0 || d.wakes[0].at < due) {
 		due = d.wakes[0].at
@@ -76,11 +76,11 @@
 }
 
 // Decider takes the decisions for a call, each in a Turn; it must not block.
-type Decider interface{ Decide(Pick) }
+type Decider interface{ Decide(Decision) }
 
-// Enter takes a call that wants a place, or one whose attempt was reported and that wants another. It returns who
+// Submit takes a call that wants a place, or one whose attempt was reported and that wants another. It returns who
 // gets the decisions: by, or who did when the call was entered first.
-func (d *Engine) Enter(now int64, r Request, by Decider) Decider {
+func (d *Engine) Submit(now int64, r Request, by Decider) Decider {
 	if k := d.calls[r.Call]; k != nil {
 		return k.Decider
 	}
@@ -88,7 +88,7 @@
 	d.calls[r.Call] = k
 	d.await(now, k)
 	d.events = append(d.events, eidertrail.Call{
-		ID: eidertrail.CallID(r.Call), Class: r.Class, Pool: r.Pool, Key: r.Key, Timeout: span(r.Until - now),
+		ID: eidertrail.CallID(r.Call), Class: r.Class, Pool: r.Pool, Key: r.Key, Timeout: span(r.Deadline - now),
 	})
 	return by
 }
@@ -102,9 +102,9 @@
 	d.waiting[k.Call] = k
 }
 
-// Leave ends a call whose caller is gone while it waits for a decision. One that was made meanwhile,
+// Withdraw ends a call whose caller is gone while it waits for a decision. One that was made meanwhile,
 // and that nobody will carry out, is undone.
-func (d *Engine) Leave(now int64, id uint64) {
+func (d *Engine) Withdraw(now int64, id uint64) {
 	k := d.calls[id]
 	if k == nil {
 		return
@@ -115,7 +115,7 @@
 			Call: eidertrail.CallID(id), Attempt: k.attempt, Status: eidertrail.NotSent, Closed: true,
 		})
 	}
-	d.route.ended(now, k, Moot)
+	d.route.ended(now, k, NotSent)
 	delete(d.calls, id)
 	delete(d.waiting, id)
 }
@@ -129,8 +129,8 @@
 	}
 	if r.Outcome == Answered {
 		if !k.stands {
-			if r.State != Untold {
-				d.route.report(r.Pool, r.State.Free, r.State.Agents)
+			if r.Load != UnknownLoad {
+				d.route.report(r.Pool, r.Load.Free, r.Load.Agents)
 			}
 			d.route.answered(now, k)
 			k.stands = true
@@ -139,9 +139,9 @@
 		}
 		return
 	}
-	closed := r.Left || k.stands
+	closed := r.CallerGone || k.stands
 	d.route.ended(now, k, r.Outcome)
-	if r.Left && !k.stands {
+	if r.CallerGone && !k.stands {
 		d.events = append(d.events, eidertrail.CallerGone{Call: id})
 	}
 	o := eidertrail.Outcome{Call: id, Attempt: r.Attempt, Took: span(r.Took), Closed: closed}
@@ -167,9 +167,9 @@
 	default:
 		o.Status = eidertrail.NotSent
 	}
-	if r.State != Untold {
-		o.Report = &eidertrail.Report{Server: eidertrail.ServerID(r.Pool), Free: r.State.Free, Agents: r.State.Agents}
-		d.route.report(r.Pool, r.State.Free, r.State.Agents)
+	if r.Load != UnknownLoad {
+		o.Report = &eidertrail.Report{Server: eidertrail.ServerID(r.Pool), Free: r.Load.Free, Agents: r.Load.Agents}
+		d.route.report(r.Pool, r.Load.Free, r.Load.Agents)
 	}
 	k.out, k.stands, k.noRoom = false, false, r.Outcome == NoAgent
 	k.mayHave = k.mayHave || !r.Outcome.neverRan()
@@ -186,14 +186,14 @@
 }
 
 // Observe takes a pool's state that came unasked.
-func (d *Engine) Observe(now int64, uid string, s State) {
+func (d *Engine) Observe(now int64, uid string, s LoadReport) {
 	d.route.beats.Told(now, uid)
 	d.route.report(uid, s.Free, s.Agents)
 	d.events = append(d.events, eidertrail.Report{Server: eidertrail.ServerID(uid), Free: s.Free, Agents: s.Agents})
 }
 
-// Roster takes changed lines of the list of pools, or with whole all of them.
-func (d *Engine) Roster(now int64, servers []Server, whole bool) {
+// UpdateEndpoints takes changed lines of the list of pools, or with whole all of them.
+func (d *Engine) UpdateEndpoints(now int64, servers []Endpoint, whole bool) {
 	kind := eidertrail.Delta
 	if whole {
 		kind = eidertrail.Snapshot
@@ -201,7 +201,7 @@
 	}
 	list := make([]eidertrail.Server, len(servers))
 	for i, s := range servers {
-		list[i] = eidertrail.Server{ID: eidertrail.ServerID(s.UID), StartedAt: span(s.Born), Mode: s.Mode, Pool: s.Group}
+		list[i] = eidertrail.Server{ID: eidertrail.ServerID(s.UID), StartedAt: span(s.StartedAt), Mode: s.Mode, Pool: s.Group}
 		if d.servers[s.UID] = s; s.Mode == eidertrail.Removed {
 			delete(d.servers, s.UID)
 		}
@@ -210,8 +210,8 @@
 	d.events = append(d.events, eidertrail.ServerList{Kind: kind, Servers: list})
 }
 
-// Turn lets the module handle what has come in, and again what its own guards send back.
-func (d *Engine) Turn(now int64) {
+// Step lets the module handle what has come in, and again what its own guards send back.
+func (d *Engine) Step(now int64) {
 	d.route.waits(now, d.waiting)
 	d.events = d.route.narrow(now, d.servers, d.events)
 	for len(d.wakes) > 0 && d.wakes[0].at <= now {
@@ -263,12 +263,12 @@
 		}
 		k.out = true
 		delete(d.waiting, k.Call)
-		k.Decide(Pick{Verdict: Go, Pool: string(a.Server), Attempt: k.attempt, Limit: a.Timeout.Microseconds(), At: now,
-			LeaveBy: d.route.sent(now, k, string(a.Server))})
+		k.Decide(Decision{Kind: DecisionSend, Pool: string(a.Server), Attempt: k.attempt, Timeout: a.Timeout.Microseconds(), DecidedAt: now,
+			SendBy: d.route.sent(now, k, string(a.Server))})
 	case eidertrail.Reject:
-		d.final(now, uint64(a.Call), Refused, a.RetryAfter)
+		d.final(now, uint64(a.Call), DecisionReject, a.RetryAfter)
 	case eidertrail.Fail:
-		d.final(now, uint64(a.Call), Failed, a.RetryAfter)
+		d.final(now, uint64(a.Call), DecisionFail, a.RetryAfter)
 	}
 }
 
@@ -280,7 +280,7 @@
 // out, or that sends more often than the site allows.
 func (d *Engine) maySend(now int64, k *call, uid string) bool {
 	s, listed := d.servers[uid]
-	if k.out || k.stands || k.attempt >= min(maxSends, cmp.Or(d.set.MaxAttempts, maxSends)) || k.mayHave && d.once(k.Class) || now < k.notBefore || now >= k.Until ||
+	if k.out || k.stands || k.attempt >= min(maxSends, cmp.Or(d.set.MaxAttempts, maxSends)) || k.mayHave && d.once(k.Class) || now < k.notBefore || now >= k.Deadline ||
 		!listed || s.Mode != eidertrail.Ready || !d.route.admits(now, uid, k.Class) {
 		return false
 	}
@@ -293,16 +293,16 @@
 	return class >= 0 && class < len(d.set.Classes) && d.set.Classes[class].Idempotency != eidertrail.Idempotent
 }
 
-func (d *Engine) final(now int64, id uint64, v Verdict, after time.Duration) {
+func (d *Engine) final(now int64, id uint64, v DecisionKind, after time.Duration) {
 	k := d.calls[id]
 	if k == nil {
 		return
 	}
 	// The line stays until Pick has taken the answer. Guards against a call being entered a second time,
 	// with two more sends, when it is given up between Report and the next Pick (found by FuzzDispatcher).
-	d.pressed(now, v != Go)
+	d.pressed(now, v != DecisionSend)
 	delete(d.waiting, id)
-	k.Decide(Pick{Verdict: v, After: d.after(after), NoRoom: k.noRoom})
+	k.Decide(Decision{Kind: v, RetryAfter: d.after(after), NoAgentFree: k.noRoom})
 }
 
 // after is when a caller that is turned away had best come back: what the module estimates, within what
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -12,21 +12,21 @@
 	"eidertrail/internal/telemetry"
 )
 
-// Shares tell what part of a pool's budget is this controller's now, and take how much of it could be used.
+// QuotaSource tell what part of a pool's budget is this controller's now, and take how much of it could be used.
 // A budget.Shared is one.
-type Shares interface {
-	Share(now int64, pool string) (units, whole int)
+type QuotaSource interface {
+	Quota(now int64, pool string) (units, whole int)
 	Demand(now int64, pool string, units int)
 }
 
-// LimitConfig is what budgets are held by.
-type LimitConfig struct {
-	Shares Shares
-	// ColdPart is the part of what makes a cold pool fall over that all controllers together may send it.
-	ColdPart float64
-	// LeaveWithin is how long after its decision a set-up to a pool with a budget may still leave, µs: a process
+// QuotaConfig is what budgets are held by.
+type QuotaConfig struct {
+	Source QuotaSource
+	// SlowStartFraction is the part of what makes a cold pool fall over that all controllers together may send it.
+	SlowStartFraction float64
+	// SendWindow is how long after its decision a set-up to a pool with a budget may still leave, µs: a process
 	// that stood still in between has no share any more.
-	LeaveWithin int64
+	SendWindow int64
 }
 
 const (
@@ -45,7 +45,7 @@
 // limits holds the fleet's budgets of pools against this controller's set-ups: a pool over its share is not
 // offered. Only the loop goroutine uses it.
 type limits struct {
-	cfg   LimitConfig
+	cfg   QuotaConfig
 	set   eidertrail.Settings
 	hold  float64 // seconds
 	pools map[string]*limited
@@ -66,13 +66,13 @@
 	share  int     // units, as last logged
 }
 
-// Limit has the shares of a fleet's budgets narrow what the module may choose from, from the next turn on.
-func (d *Dispatcher) Limit(cfg LimitConfig) {
-	d.post(func(now int64) { d.engine.Limit(now, cfg) })
+// SetQuotas has the shares of a fleet's budgets narrow what the module may choose from, from the next turn on.
+func (d *Dispatcher) SetQuotas(cfg QuotaConfig) {
+	d.post(func(now int64) { d.engine.SetQuotas(now, cfg) })
 }
 
-// Limit is Dispatcher.Limit.
-func (d *Engine) Limit(now int64, cfg LimitConfig) {
+// SetQuotas is Dispatcher.Limit.
+func (d *Engine) SetQuotas(now int64, cfg QuotaConfig) {
 	l := &limits{cfg: cfg, set: d.set, pools: map[string]*limited{}, log: d.log, count: d.count}
 	for _, c := range d.set.Classes {
 		l.hold = max(l.hold, c.MeanHoldingTime.Seconds())
@@ -85,13 +85,13 @@
 	d.retell(now)
 }
 
-// ObserveRate tells of the set-ups a second that a pool says it can take from all controllers.
-func (d *Dispatcher) ObserveRate(uid string, rate float64) {
-	d.post(func(now int64) { d.engine.ObserveRate(now, uid, rate) })
+// ObserveCapacity tells of the set-ups a second that a pool says it can take from all controllers.
+func (d *Dispatcher) ObserveCapacity(uid string, rate float64) {
+	d.post(func(now int64) { d.engine.ObserveCapacity(now, uid, rate) })
 }
 
-// ObserveRate is Dispatcher.ObserveRate.
-func (d *Engine) ObserveRate(now int64, uid string, rate float64) {
+// ObserveCapacity is Dispatcher.ObserveRate.
+func (d *Engine) ObserveCapacity(now int64, uid string, rate float64) {
 	if l := d.route.limits; l != nil && rate >= 0 {
 		if p := l.pools[uid]; p != nil {
 			p.told, p.toldAt = rate, now
@@ -99,15 +99,15 @@
 	}
 }
 
-func (l *limits) list(uid string, s Server) {
+func (l *limits) list(uid string, s Endpoint) {
 	p := l.pools[uid]
-	if p == nil || p.born != s.Born { // a new process: what the old one told says nothing
-		l.pools[uid] = &limited{born: s.Born}
+	if p == nil || p.born != s.StartedAt { // a new process: what the old one told says nothing
+		l.pools[uid] = &limited{born: s.StartedAt}
 	}
 }
 
 // roster forgets the pools that are gone.
-func (l *limits) roster(servers map[string]Server) {
+func (l *limits) roster(servers map[string]Endpoint) {
 	if l == nil {
 		return
 	}
@@ -135,7 +135,7 @@
 		if warm == 0 {
 			return unknownRate * float64(l.set.Nodes), true
 		}
-		return warm * part * l.set.OverloadMultiple * l.cfg.ColdPart, true
+		return warm * part * l.set.OverloadMultiple * l.cfg.SlowStartFraction, true
 	}
 	return p.told, p.toldAt > 0 && now-p.toldAt < rateFresh
 }
@@ -179,7 +179,7 @@
 		return 0
 	}
 	p.meter.Take()
-	return now + l.cfg.LeaveWithin
+	return now + l.cfg.SendWindow
 }
 
 func (l *limits) agents(uid string, agents float64) {
@@ -205,7 +205,7 @@
 
 // part is this controller's share of a whole now, and in units.
 func (l *limits) part(now int64, name string) (part float64, units int) {
-	units, whole := l.cfg.Shares.Share(now, name)
+	units, whole := l.cfg.Source.Quota(now, name)
 	return float64(units) / float64(max(whole, 1)), units
 }
 
@@ -236,11 +236,11 @@
 		p.sent = 0
 		rate, is := l.allowed(now, uid, p)
 		if !is {
-			l.cfg.Shares.Demand(now, uid, 0)
+			l.cfg.Source.Demand(now, uid, 0)
 			continue
 		}
-		units, whole := l.cfg.Shares.Share(now, uid)
-		l.cfg.Shares.Demand(now, uid, wants(p.rate, rate, units))
+		units, whole := l.cfg.Source.Quota(now, uid)
+		l.cfg.Source.Demand(now, uid, wants(p.rate, rate, units))
 		if d := units - p.share; d > whole/20 || -d > whole/20 {
 			p.share = units
 			l.count.Add(telemetry.ShareChanges)
@@ -256,7 +256,7 @@
 	}
 	for zone, used := range r.Spilled() {
 		part, units := l.part(now, spill(zone))
-		l.cfg.Shares.Demand(now, spill(zone), wants(used, part, units))
+		l.cfg.Source.Demand(now, spill(zone), wants(used, part, units))
 	}
 }
 
--- a/dispatch/limit_test.go
+++ b/dispatch/limit_test.go
@@ -30,7 +30,7 @@
 		alive := slices.Repeat([]bool{true}, len(f.ds))
 		b.Members(alive)
 		books = append(books, b)
-		d.Limit(LimitConfig{Shares: b, ColdPart: 0.5, LeaveWithin: 250_000})
+		d.SetQuotas(QuotaConfig{Source: b, SlowStartFraction: 0.5, SendWindow: 250_000})
 	}
 	done := make(chan struct{})
 	f.talk.Go(func() {
@@ -100,7 +100,7 @@
 				}
 				tell := func() {
 					for _, d := range f.ds {
-						d.ObserveRate("p0", rate)
+						d.ObserveCapacity("p0", rate)
 					}
 				}
 				all := f.ds
@@ -109,12 +109,12 @@
 				f.ds = f.ds[:c.busy]
 				f.offer(10, 5*time.Second) // and what a start has to wait for is over
 				f.wg.Wait()
-				before, calls := f.kinds[Stands], f.calls
+				before, calls := f.kinds[FinalEstablished], f.calls
 				f.offer(c.calls, 20*time.Second)
 				f.wg.Wait()
 				f.ds = all
 				end()
-				stood := 100 * (f.kinds[Stands] - before) / (f.calls - calls)
+				stood := 100 * (f.kinds[FinalEstablished] - before) / (f.calls - calls)
 				t.Logf("%d%% of the calls stood, most in a second %d", stood, f.most("p0", time.Second))
 				if stood < c.want {
 					t.Errorf("%d%% of the calls stood, want %d%%", stood, c.want)
@@ -154,7 +154,7 @@
 				f.wg.Wait()
 				end()
 				w := f.procs["p2"].Worst()
-				t.Logf("most sent to the cold pool: %.2f of what makes it fall over; %d of %d calls stood; sent p0 %d p1 %d p2 %d", w, f.kinds[Stands], f.calls, len(f.sent["p0"]), len(f.sent["p1"]), len(f.sent["p2"]))
+				t.Logf("most sent to the cold pool: %.2f of what makes it fall over; %d of %d calls stood; sent p0 %d p1 %d p2 %d", w, f.kinds[FinalEstablished], f.calls, len(f.sent["p0"]), len(f.sent["p1"]), len(f.sent["p2"]))
 				if w == 0 || w > 0.6 && budgets || w > 1 && c.told == 0 {
 					t.Errorf("the cold pool got %.2f of what makes it fall over", w)
 				}
@@ -166,29 +166,29 @@
 // A decision under a budget carries by when its set-up must have left; others carry none.
 func TestLeaveBy(t *testing.T) {
 	bubble(t, func(r *rig) {
-		place := func() Pick {
+		place := func() Decision {
 			q := r.request(0, time.Second)
 			p, err := r.Pick(context.Background(), q)
 			if err != nil {
 				t.Fatal(err)
 			}
-			r.Report(Result{Call: q.Call, Pool: p.Pool, Outcome: Answered, Took: 20_000, State: Untold})
+			r.Report(Result{Call: q.Call, Pool: p.Pool, Outcome: Answered, Took: 20_000, Load: UnknownLoad})
 			return p
 		}
-		if p := place(); p.LeaveBy != 0 {
+		if p := place(); p.SendBy != 0 {
 			t.Errorf("without budgets %+v", p)
 		}
 		b, err := quota.NewShared(quota.Config{Members: 1, Unit: 1000, TTL: 2_000_000, Margin: 500_000}, r.Now()-3_000_000)
 		if err != nil {
 			t.Fatal(err)
 		}
-		r.Limit(LimitConfig{Shares: b, ColdPart: 0.5, LeaveWithin: 250_000})
-		if p := place(); p.LeaveBy != 0 {
+		r.SetQuotas(QuotaConfig{Source: b, SlowStartFraction: 0.5, SendWindow: 250_000})
+		if p := place(); p.SendBy != 0 {
 			t.Errorf("a pool without a budget: %+v", p)
 		}
-		r.ObserveRate("a", 10)
+		r.ObserveCapacity("a", 10)
 		time.Sleep(200 * time.Millisecond)
-		if p := place(); p.Pool != "a" || p.LeaveBy != p.At+250_000 {
+		if p := place(); p.Pool != "a" || p.SendBy != p.DecidedAt+250_000 {
 			t.Errorf("a pool with a budget: %+v", p)
 		}
 		time.Sleep(10 * time.Millisecond)
@@ -228,9 +228,9 @@
 					if err != nil {
 						t.Fatal(err)
 					}
-					d.Route(router)
-					d.Roster([]Server{{UID: "h", Zone: "home", Mode: eidertrail.Draining}, {UID: "a", Zone: "away", Group: 1, Mode: eidertrail.Ready}}, true)
-					d.Observe("a", State{1000, 1000})
+					d.SetRouter(router)
+					d.UpdateEndpoints([]Endpoint{{UID: "h", Zone: "home", Mode: eidertrail.Draining}, {UID: "a", Zone: "away", Group: 1, Mode: eidertrail.Ready}}, true)
+					d.Observe("a", LoadReport{1000, 1000})
 				}
 				f.procs["a"] = &fakeplatform.Processor{Work: time.Millisecond, MostWait: time.Second}
 				f.keep = true
@@ -240,7 +240,7 @@
 				f.wg.Wait()
 				f.ds = all
 				end()
-				if n := f.kinds[Stands]; n < c.want[0] || n > c.want[1] {
+				if n := f.kinds[FinalEstablished]; n < c.want[0] || n > c.want[1] {
 					t.Errorf("%d calls stand in the other zone, want %v of the 500 of its budget", n, c.want)
 				}
 			})
--- a/dispatch/route.go
+++ b/dispatch/route.go
@@ -36,14 +36,14 @@
 	barred routing.Classes
 }
 
-// Route has routing narrow what the module may choose from, from the next turn on; nil takes it away.
+// SetRouter has routing narrow what the module may choose from, from the next turn on; nil takes it away.
 // Standing calls and attempts out are not counted by a new Router: it learns them as they end.
-func (d *Dispatcher) Route(r *routing.Router) {
-	d.post(func(now int64) { d.engine.Route(now, r) })
+func (d *Dispatcher) SetRouter(r *routing.Router) {
+	d.post(func(now int64) { d.engine.SetRouter(now, r) })
 }
 
-// Route is Dispatcher.Route.
-func (d *Engine) Route(now int64, r *routing.Router) {
+// SetRouter is Dispatcher.Route.
+func (d *Engine) SetRouter(now int64, r *routing.Router) {
 	d.route.r, d.route.zoned = r, ""
 	d.route.limits.zones(r)
 	d.retell(now)
@@ -62,14 +62,14 @@
 func (d *Engine) retell(now int64) {
 	list := make([]eidertrail.Server, 0, len(d.servers))
 	for _, s := range d.servers {
-		list = append(list, eidertrail.Server{ID: eidertrail.ServerID(s.UID), StartedAt: span(s.Born), Mode: s.Mode, Pool: s.Group})
+		list = append(list, eidertrail.Server{ID: eidertrail.ServerID(s.UID), StartedAt: span(s.StartedAt), Mode: s.Mode, Pool: s.Group})
 	}
 	slices.SortFunc(list, func(a, b eidertrail.Server) int { return cmp.Compare(a.ID, b.ID) })
 	d.route.narrowList(now, d.servers, list)
 	d.events = append(d.events, eidertrail.ServerList{Kind: eidertrail.Delta, Servers: list})
 }
 
-func (r *router) roster(now int64, servers map[string]Server) {
+func (r *router) roster(now int64, servers map[string]Endpoint) {
 	pools := make([]routing.Pool, 0, len(servers))
 	var up []liveness.Pool
 	for _, s := range servers {
@@ -132,7 +132,7 @@
 
 // narrowList takes a new list for routing and changes, in list, the mode of pools that are up but not
 // eligible to draining.
-func (r *router) narrowList(now int64, servers map[string]Server, list []eidertrail.Server) {
+func (r *router) narrowList(now int64, servers map[string]Endpoint, list []eidertrail.Server) {
 	r.roster(now, servers)
 	for i, s := range list {
 		o := r.offer(now, string(s.ID), s.Mode)
@@ -156,14 +156,14 @@
 }
 
 // narrow appends what has changed in eligibility since the module was last told.
-func (r *router) narrow(now int64, servers map[string]Server, events []eidertrail.Event) []eidertrail.Event {
+func (r *router) narrow(now int64, servers map[string]Endpoint, events []eidertrail.Event) []eidertrail.Event {
 	r.cached = nil
 	var changed []eidertrail.Server
 	for uid, s := range servers {
 		want := r.offer(now, uid, s.Mode)
 		if r.told[uid] != want {
 			r.told[uid] = want
-			changed = append(changed, eidertrail.Server{ID: eidertrail.ServerID(uid), StartedAt: span(s.Born), Mode: want.mode,
+			changed = append(changed, eidertrail.Server{ID: eidertrail.ServerID(uid), StartedAt: span(s.StartedAt), Mode: want.mode,
 				Pool: s.Group, DeniedClasses: uint64(want.barred)})
 		}
 	}
--- a/dispatch/route_test.go
+++ b/dispatch/route_test.go
@@ -54,10 +54,10 @@
 	return z
 }
 
-func (z *zones) servers() []Server {
-	var out []Server
+func (z *zones) servers() []Endpoint {
+	var out []Endpoint
 	for uid, zone := range z.zoneOf {
-		out = append(out, Server{UID: uid, Zone: zone, Mode: eidertrail.Ready})
+		out = append(out, Endpoint{UID: uid, Zone: zone, Mode: eidertrail.Ready})
 	}
 	return out
 }
@@ -92,7 +92,7 @@
 	z.mu.Unlock()
 	end := func(o Outcome) Ending {
 		z.rules.Ended(z.d.Now(), a.ID, o == Cancelled)
-		return Ending{Outcome: o, At: z.d.Now(), State: State{Free: free, Agents: agents}}
+		return Ending{Outcome: o, At: z.d.Now(), Load: LoadReport{Free: free, Agents: agents}}
 	}
 	delay := 20 * time.Millisecond
 	if cold {
@@ -160,8 +160,10 @@
 }
 func (l *zoneLeg) SDP() string           { return "v=0\r\n" }
 func (l *zoneLeg) Done() <-chan struct{} { return l.done }
-func (l *zoneLeg) Ending() Ending        { return Ending{Outcome: Ended, State: Untold, Cause: CauseNormal} }
-func (l *zoneLeg) Release(int)           { l.once.Do(func() { close(l.released()) }) }
+func (l *zoneLeg) Ending() Ending {
+	return Ending{Outcome: Ended, Load: UnknownLoad, Cause: CauseNormal}
+}
+func (l *zoneLeg) Release(int) { l.once.Do(func() { close(l.released()) }) }
 
 // zoneRun is what one run of the zone scenario saw.
 type zoneRun struct {
@@ -216,7 +218,7 @@
 		defer stop()
 		go d.Run(ctx)
 		z := newZones(d)
-		d.Roster(z.servers(), true)
+		d.UpdateEndpoints(z.servers(), true)
 		for uid, zone := range z.zoneOf {
 			if zone == "tbilisi" || zone == "kutaisi" {
 				z.holding[uid] = plan.held
@@ -233,7 +235,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			d.Route(router)
+			d.SetRouter(router)
 		}
 		start := time.Now()
 		var mu sync.Mutex
@@ -252,15 +254,15 @@
 				z.dark["batumi"] = plan.isDark(at)
 			})
 			wg.Go(func() {
-				r := Request{Call: d.NewCall(), Class: 0, Pool: -1, Until: d.Now() + 6_000_000}
-				z.rules.Taken(d.Now(), fmt.Sprint(n), r.Until)
+				r := Request{Call: d.NewCall(), Class: 0, Pool: -1, Deadline: d.Now() + 6_000_000}
+				z.rules.Taken(d.Now(), fmt.Sprint(n), r.Deadline)
 				ctx, hangUp := context.WithCancel(context.Background())
 				defer hangUp()
 				if plan.leave > 0 && n%3 == 0 {
 					defer time.AfterFunc(plan.leave, func() { z.rules.Left(d.Now(), fmt.Sprint(n)); hangUp() }).Stop()
 				}
 				f := Serve(ctx, d, z, r, Setup{ID: fmt.Sprint(n)})
-				if f.Kind != Gone {
+				if f.Kind != FinalCallerGone {
 					z.rules.Final(d.Now(), fmt.Sprint(n), fmt.Sprint(f.Kind))
 				}
 				took := time.Since(start) - at
@@ -271,20 +273,20 @@
 					run.dark++
 				}
 				switch f.Kind {
-				case Stands:
+				case FinalEstablished:
 					run.stood++
 					if dark && took <= 1500*time.Millisecond {
 						run.darkSoon++
 					}
-				case Gone:
+				case FinalCallerGone:
 					run.gone++
-				case Turned, GivenUp:
+				case FinalRejected, FinalFailed:
 					if dark {
 						run.darkRefused++
 					}
 				}
 				mu.Unlock()
-				if f.Kind == Stands {
+				if f.Kind == FinalEstablished {
 					f.Call.WaitEnd(context.Background(), nil)
 				}
 			})
@@ -398,13 +400,13 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		r.Route(router)
-		r.Roster([]Server{{UID: "a", Group: 0, Zone: "batumi", Mode: eidertrail.Draining},
+		r.SetRouter(router)
+		r.UpdateEndpoints([]Endpoint{{UID: "a", Group: 0, Zone: "batumi", Mode: eidertrail.Draining},
 			{UID: "b", Group: 1, Zone: "tbilisi", Mode: eidertrail.Ready}}, false)
-		r.Observe("b", State{10, 20})
+		r.Observe("b", LoadReport{10, 20})
 		synctest.Wait()
-		for class, want := range []Verdict{Go, Refused} {
-			if p, err := r.Pick(context.Background(), r.request(class, 5*time.Second)); err != nil || p.Verdict != want {
+		for class, want := range []DecisionKind{DecisionSend, DecisionReject} {
+			if p, err := r.Pick(context.Background(), r.request(class, 5*time.Second)); err != nil || p.Kind != want {
 				t.Errorf("class %d: %+v, %v, want verdict %d", class, p, err, want)
 			}
 		}
--- a/dispatch/sites_test.go
+++ b/dispatch/sites_test.go
@@ -109,12 +109,12 @@
 	f.procs[uid] = p
 	f.mu.Unlock()
 	for _, d := range f.ds {
-		l := Server{UID: uid, Group: len(f.procs) - 1, Mode: eidertrail.Ready}
+		l := Endpoint{UID: uid, Group: len(f.procs) - 1, Mode: eidertrail.Ready}
 		if born > 0 {
-			l.Born = d.Now() - born.Microseconds()
+			l.StartedAt = d.Now() - born.Microseconds()
 		}
-		d.Roster([]Server{l}, false)
-		d.Observe(uid, State{900, 1000})
+		d.UpdateEndpoints([]Endpoint{l}, false)
+		d.Observe(uid, LoadReport{900, 1000})
 	}
 }
 
@@ -133,7 +133,7 @@
 			f.late++
 			f.mu.Unlock()
 		}
-		return Ending{Outcome: o, At: d.Now(), State: State{900, 1000}}
+		return Ending{Outcome: o, At: d.Now(), Load: LoadReport{900, 1000}}
 	}
 	after, full := p.Arrive(time.Now())
 	if full {
@@ -141,7 +141,7 @@
 	}
 	answered := time.NewTimer(after + 5*time.Millisecond)
 	defer answered.Stop()
-	until := time.NewTimer(time.Duration(a.Until-d.Now()) * time.Microsecond)
+	until := time.NewTimer(time.Duration(a.Deadline-d.Now()) * time.Microsecond)
 	defer until.Stop()
 	select {
 	case <-answered.C:
@@ -162,26 +162,26 @@
 		d := f.ds[f.calls%len(f.ds)]
 		n := f.calls
 		id := fmt.Sprint(n)
-		r := Request{Call: d.NewCall(), Pool: cmp.Or(f.first, f.calls/len(f.ds)%max(len(f.procs), 1)), Until: d.Now() + f.give.Microseconds()}
+		r := Request{Call: d.NewCall(), Pool: cmp.Or(f.first, f.calls/len(f.ds)%max(len(f.procs), 1)), Deadline: d.Now() + f.give.Microseconds()}
 		f.calls++
 		f.wg.Go(func() {
 			at := time.Now()
-			f.rules.Taken(d.Now(), id, r.Until)
+			f.rules.Taken(d.Now(), id, r.Deadline)
 			ctx, hangUp := context.WithCancel(context.Background())
 			defer hangUp()
 			if f.leave > 0 && n%3 == 0 {
 				defer time.AfterFunc(f.leave, func() { f.rules.Left(d.Now(), id); hangUp() }).Stop()
 			}
 			final := Serve(ctx, d, f, r, Setup{ID: id})
-			if final.Kind != Gone {
+			if final.Kind != FinalCallerGone {
 				f.rules.Final(d.Now(), id, fmt.Sprint(final.Kind))
 			}
 			f.mu.Lock()
 			f.kinds[final.Kind]++
-			if final.Kind == Stands && !f.keep {
+			if final.Kind == FinalEstablished && !f.keep {
 				final.Call.End(CauseNormal)
 			}
-			if final.Kind == Stands && time.Since(at) <= f.aim {
+			if final.Kind == FinalEstablished && time.Since(at) <= f.aim {
 				f.stood++
 			}
 			f.mu.Unlock()
@@ -221,8 +221,8 @@
 					if ramp := f.rules.Ramp(); ramp.Starts != 1 || ramp.Sent == 0 {
 						t.Errorf("%+v: the rules were not held to the cold pool", ramp)
 					}
-					if f.kinds[Stands] < f.calls*7/10 {
-						t.Errorf("%d of %d calls stood", f.kinds[Stands], f.calls)
+					if f.kinds[FinalEstablished] < f.calls*7/10 {
+						t.Errorf("%d of %d calls stood", f.kinds[FinalEstablished], f.calls)
 					}
 				})
 			})
@@ -248,9 +248,9 @@
 				f.offer(150, 2*time.Second)
 				f.wg.Wait()
 				left := f.rules.Departures()
-				t.Logf("%+v, %d were gone", left, f.kinds[Gone])
-				if left.Waiting < 20 || f.kinds[Gone] <= left.Waiting {
-					t.Errorf("%d callers left while their call waited, of %d that left: want 20, and some with an attempt out", left.Waiting, f.kinds[Gone])
+				t.Logf("%+v, %d were gone", left, f.kinds[FinalCallerGone])
+				if left.Waiting < 20 || f.kinds[FinalCallerGone] <= left.Waiting {
+					t.Errorf("%d callers left while their call waited, of %d that left: want 20, and some with an attempt out", left.Waiting, f.kinds[FinalCallerGone])
 				}
 				if left.SentOn > 0 {
 					t.Errorf("%d of %d calls were sent on 0.3 s after their caller had left", left.SentOn, left.Waiting)
--- a/internal/backend/sippool/conn.go
+++ b/internal/backend/sippool/conn.go
@@ -229,12 +229,12 @@
 		delete(c.dialogs, k)
 		switch d.state {
 		case queued:
-			d.finish(dispatch.Ending{Outcome: dispatch.Moot, At: now, State: dispatch.Untold})
+			d.finish(dispatch.Ending{Outcome: dispatch.NotSent, At: now, Load: dispatch.UnknownLoad})
 		case out:
 			p.set.cfg.Count.Add(telemetry.Resets)
 			// It may have run, and its answer may be what was spoilt: what stands there stands for nobody.
 			p.bye(k, bye(p.set.cfg.Name, k, d.number, dispatch.CauseNormal))
-			d.finish(dispatch.Ending{Outcome: dispatch.Reset, At: now, State: dispatch.Untold})
+			d.finish(dispatch.Ending{Outcome: dispatch.Reset, At: now, Load: dispatch.UnknownLoad})
 		}
 	}
 	p.mu.Unlock()
@@ -495,7 +495,7 @@
 		} else if cause < 0 {
 			cause = dispatch.CauseNormal
 		}
-		g.end(dispatch.Ending{Outcome: outcome, At: now, State: state, Cause: cause})
+		g.end(dispatch.Ending{Outcome: outcome, At: now, Load: state, Cause: cause})
 	case m.Method == "OPTIONS":
 		c.send(sip.Answer(m, 200, "OK").Append(nil))
 	case m.Method == "ACK":
@@ -556,7 +556,7 @@
 			done: make(chan struct{})}
 		p.standing[m.CallID] = g
 		d.state = over
-		d.reply <- reply{g, dispatch.Ending{Outcome: dispatch.Answered, At: now, State: state}}
+		d.reply <- reply{g, dispatch.Ending{Outcome: dispatch.Answered, At: now, Load: state}}
 	case p.standing[m.CallID] != nil: // said again: acknowledged again
 	default:
 		// Guards against an agent that is held for nobody: the answer crossed the CANCEL.
@@ -569,8 +569,8 @@
 }
 
 // refusal maps a final answer that is no 200.
-func (s *Set) refusal(now int64, m *sip.Message, state dispatch.State) dispatch.Ending {
-	e := dispatch.Ending{Outcome: dispatch.Errored, At: now, State: state}
+func (s *Set) refusal(now int64, m *sip.Message, state dispatch.LoadReport) dispatch.Ending {
+	e := dispatch.Ending{Outcome: dispatch.Errored, At: now, Load: state}
 	note := m.Get("x-note")
 	count := telemetry.PoolErrors
 	switch {
@@ -580,7 +580,7 @@
 			e.Outcome = dispatch.ProcessorFull
 		}
 	case m.Status == 480:
-		e.Outcome = dispatch.Moot
+		e.Outcome = dispatch.NotSent
 	case m.Status == 504:
 		e.Outcome, count = dispatch.Reset, telemetry.Resets
 	case m.Status == 487:
@@ -594,12 +594,12 @@
 }
 
 // state reads the report that a message carries, and tells whether there is any.
-func (s *Set) state(m *sip.Message) (dispatch.State, bool) {
+func (s *Set) state(m *sip.Message) (dispatch.LoadReport, bool) {
 	text := m.Get("x-state")
 	if text == "" && m.Method == "NOTIFY" {
 		text = string(m.Body)
 	}
-	state := dispatch.Untold
+	state := dispatch.UnknownLoad
 	sip.Report(text, func(name string, v float64) {
 		switch name {
 		case s.cfg.ReportFree, "x0":
@@ -608,5 +608,5 @@
 			state.Agents = v
 		}
 	})
-	return state, state != dispatch.Untold
+	return state, state != dispatch.UnknownLoad
 }
--- a/internal/backend/sippool/pool.go
+++ b/internal/backend/sippool/pool.go
@@ -33,7 +33,7 @@
 	// Dial opens a connection; nil: TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Observe is told a pool's state when it comes unasked.
-	Observe func(uid string, s dispatch.State)
+	Observe func(uid string, s dispatch.LoadReport)
 	// Rate is told ReportRate, of any message that carries it.
 	Rate func(uid string, rate float64)
 	// Stray is told of a release by a pool of a call that this process did not set up.
@@ -126,11 +126,11 @@
 // Apply takes an event of the bulletin and tells the lines of the list that it changes. From then on no
 // INVITE is written to a pool that drains or is gone. A new pool is told of before it is connected to,
 // so that nothing is heard from a pool of which nobody knows.
-func (s *Set) Apply(e endpointlist.Event, tell func([]dispatch.Server)) {
+func (s *Set) Apply(e endpointlist.Event, tell func([]dispatch.Endpoint)) {
 	now := s.cfg.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var lines []dispatch.Server
+	var lines []dispatch.Endpoint
 	var fresh []*pool
 	listed := map[string]bool{}
 	for _, l := range e.Pools {
@@ -252,13 +252,13 @@
 	p := s.pools[a.Pool]
 	s.mu.Unlock()
 	if p == nil {
-		return nil, s.ending(dispatch.Moot)
+		return nil, s.ending(dispatch.NotSent)
 	}
 	return p.invite(ctx, a)
 }
 
 func (s *Set) ending(o dispatch.Outcome) dispatch.Ending {
-	return dispatch.Ending{Outcome: o, At: s.cfg.Clock.Now(), State: dispatch.Untold}
+	return dispatch.Ending{Outcome: o, At: s.cfg.Clock.Now(), Load: dispatch.UnknownLoad}
 }
 
 // pool is one sync pool. Lock order: Set.mu, pool.mu.
@@ -347,10 +347,10 @@
 	return true
 }
 
-func (p *pool) line() dispatch.Server {
+func (p *pool) line() dispatch.Endpoint {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := dispatch.Server{UID: p.uid, Group: p.listed.Group, Zone: p.listed.Zone, Born: p.listed.Born, Mode: eidertrail.Ready}
+	l := dispatch.Endpoint{UID: p.uid, Group: p.listed.Group, Zone: p.listed.Zone, StartedAt: p.listed.Born, Mode: eidertrail.Ready}
 	switch {
 	case p.superseded || p.listed.State == endpointlist.Removed:
 		l.Mode = eidertrail.Removed
@@ -373,7 +373,7 @@
 // cut ends standing calls of which the pool will tell nothing more.
 func (p *pool) cut(legs []*leg) {
 	for _, g := range legs {
-		if g.end(dispatch.Ending{Outcome: dispatch.Reset, At: p.set.cfg.Clock.Now(), State: dispatch.Untold, Cause: dispatch.CauseCut}) {
+		if g.end(dispatch.Ending{Outcome: dispatch.Reset, At: p.set.cfg.Clock.Now(), Load: dispatch.UnknownLoad, Cause: dispatch.CauseCut}) {
 			p.set.cfg.Count.Add(telemetry.CutCalls)
 		}
 	}
@@ -440,7 +440,7 @@
 	for _, g := range legs {
 		p.set.cfg.Count.Add(telemetry.DoubtedCalls)
 		p.set.cfg.Log.Warn().Str("pool", p.uid).Str("call", g.id).Msg("end of call may have been lost, it is released")
-		g.release(dispatch.Ending{Outcome: dispatch.Reset, At: now, State: dispatch.Untold, Cause: dispatch.CauseCut})
+		g.release(dispatch.Ending{Outcome: dispatch.Reset, At: now, Load: dispatch.UnknownLoad, Cause: dispatch.CauseCut})
 	}
 }
 
--- a/internal/backend/sippool/pool_test.go
+++ b/internal/backend/sippool/pool_test.go
@@ -31,7 +31,7 @@
 	got     []fakeplatform.Request // under mu
 	strays, // under mu, as seen
 	seen []string
-	lines []dispatch.Server
+	lines []dispatch.Endpoint
 	dials atomic.Int64
 }
 
@@ -54,7 +54,7 @@
 			r.dials.Add(1)
 			return r.at.Dial(ctx, address)
 		},
-		Observe: func(uid string, s dispatch.State) { r.note(&r.seen, uid) },
+		Observe: func(uid string, s dispatch.LoadReport) { r.note(&r.seen, uid) },
 		Stray:   func(id string, _ int) { r.note(&r.strays, id) },
 	})
 	r.list("p1", "10.0.0.1:5060", endpointlist.Up)
@@ -73,7 +73,7 @@
 
 func (r *rig) list(uid, address string, state endpointlist.State) {
 	r.Apply(endpointlist.Event{Pools: []endpointlist.Pool{{UID: uid, Address: address, State: state}}},
-		func(l []dispatch.Server) { r.lines = l })
+		func(l []dispatch.Endpoint) { r.lines = l })
 }
 
 // sent tells the methods that the pool has got, and takes the last INVITE.
@@ -103,7 +103,7 @@
 func (r *rig) invite(id string, number int, within time.Duration) *invited {
 	now := r.clock.Now()
 	a := dispatch.Attempt{Setup: dispatch.Setup{ID: id, Number: "7f3a", Class: "voice", SDP: "offer\r\n"},
-		Pool: "p1", Number: number, At: now, Until: now + within.Microseconds()}
+		Pool: "p1", Number: number, DecidedAt: now, Deadline: now + within.Microseconds()}
 	ctx, leave := context.WithCancel(context.Background())
 	x := &invited{leave: leave}
 	go func() {
@@ -184,7 +184,7 @@
 		want   dispatch.Outcome
 	}{
 		{503, "blocked", dispatch.NoAgent}, {503, "swamped", dispatch.ProcessorFull}, {486, "occupied", dispatch.LinesBusy},
-		{486, "", dispatch.Errored}, {500, "", dispatch.Errored}, {480, "", dispatch.Moot}, {504, "", dispatch.Reset},
+		{486, "", dispatch.Errored}, {500, "", dispatch.Errored}, {480, "", dispatch.NotSent}, {504, "", dispatch.Reset},
 		{302, "", dispatch.Errored}, {699, "", dispatch.Errored},
 	} {
 		bubble(t, func(r *rig) {
@@ -204,7 +204,7 @@
 		r.want(x, dispatch.TimedOut)
 		q := r.wantSent("INVITE CANCEL")
 		// Guards against a second send being answered with the first one's answer: both have one Call-ID.
-		r.want(r.invite("c1", 1, time.Second), dispatch.Moot)
+		r.want(r.invite("c1", 1, time.Second), dispatch.NotSent)
 		// Guards against an agent held for nobody: a 200 that crosses the CANCEL is acknowledged and released.
 		q.Answer(200, "", "late\r\n")
 		r.wantSent("INVITE CANCEL ACK BYE")
@@ -342,7 +342,7 @@
 		if r.lines[0].Mode != eidertrail.Draining {
 			t.Errorf("told %+v", r.lines)
 		}
-		r.want(r.invite("c1", 0, time.Minute), dispatch.Moot)
+		r.want(r.invite("c1", 0, time.Minute), dispatch.NotSent)
 		r.wantSent("")
 	})
 }
@@ -351,12 +351,12 @@
 // another controller's.
 func TestASetupThatMustHaveLeftIsNotWritten(t *testing.T) {
 	bubble(t, func(r *rig) {
-		for late, want := range map[int64]dispatch.Outcome{-1: dispatch.Moot, 1: dispatch.Answered} {
+		for late, want := range map[int64]dispatch.Outcome{-1: dispatch.NotSent, 1: dispatch.Answered} {
 			now := r.clock.Now()
 			x := &invited{}
 			go func() {
 				x.leg, x.end = r.Invite(context.Background(), dispatch.Attempt{Setup: dispatch.Setup{ID: "c" + string(rune('2'+late)),
-					Number: "7f3a", SDP: "offer\r\n"}, Pool: "p1", At: now, Until: now + 1_000_000, LeaveBy: now + late})
+					Number: "7f3a", SDP: "offer\r\n"}, Pool: "p1", DecidedAt: now, Deadline: now + 1_000_000, SendBy: now + late})
 				x.done = true
 			}()
 			if want == dispatch.Answered {
@@ -396,7 +396,7 @@
 			if d.leave(c, name) != k.want {
 				t.Errorf("%s: leave is %t", name, !k.want)
 			}
-			if !k.want && (c.dialogs[name] != nil || (<-d.reply).ending.Outcome != dispatch.Moot) {
+			if !k.want && (c.dialogs[name] != nil || (<-d.reply).ending.Outcome != dispatch.NotSent) {
 				t.Errorf("%s: is kept, or no proof that it never ran", name)
 			}
 		}
@@ -456,7 +456,7 @@
 		waits := r.got[0]
 		r.mu.Unlock()
 		r.list("p1", "10.0.0.1:5060", endpointlist.Draining)
-		r.want(r.invite("c3", 0, time.Minute), dispatch.Moot)
+		r.want(r.invite("c3", 0, time.Minute), dispatch.NotSent)
 		time.Sleep(500 * time.Millisecond)
 		waits.Answer(200, "", "a\r\n")
 		synctest.Wait()
@@ -494,7 +494,7 @@
 		x := r.invite("c1", 0, time.Minute)
 		r.wantSent("INVITE").Answer(200, "", "a\r\n")
 		r.want(x, dispatch.Answered)
-		r.Apply(endpointlist.Event{All: true}, func(l []dispatch.Server) { r.lines = l })
+		r.Apply(endpointlist.Event{All: true}, func(l []dispatch.Endpoint) { r.lines = l })
 		if r.lines[0].Mode != eidertrail.Removed {
 			t.Errorf("told %+v", r.lines)
 		}
@@ -519,7 +519,7 @@
 		}
 		r.list("p4", "", endpointlist.Removed)
 		x := r.invite("c1", 0, time.Minute)
-		r.want(x, dispatch.Moot)
+		r.want(x, dispatch.NotSent)
 		time.Sleep(2 * time.Second)
 		r.Wait() // every goroutine has ended, though the set lives on
 		r.list("p4", "10.0.0.1:5060", endpointlist.Up)
--- a/internal/fleet/quota/budget.go
+++ b/internal/fleet/quota/budget.go
@@ -174,8 +174,8 @@
 	return l.cfg.Unit - r.out(now, -1)
 }
 
-// Share is the units of a whole that this member may use now.
-func (l *Ledger) Share(now int64, name string) int {
+// Quota is the units of a whole that this member may use now.
+func (l *Ledger) Quota(now int64, name string) int {
 	r := l.resources[name]
 	units := l.own(now, r)
 	if r != nil {
--- a/internal/fleet/quota/budget_test.go
+++ b/internal/fleet/quota/budget_test.go
@@ -84,7 +84,7 @@
 func (f *fleet) sum() int {
 	sum := 0
 	for m, l := range f.books {
-		sum += l.Share(f.clock[m], pool)
+		sum += l.Quota(f.clock[m], pool)
 	}
 	return sum
 }
@@ -290,7 +290,7 @@
 				for range 10 * ttl / delay {
 					step()
 				}
-				if got := f.books[0].Share(f.clock[0], pool); got != most {
+				if got := f.books[0].Quota(f.clock[0], pool); got != most {
 					t.Fatalf("the first holds %d of %d units before", got, most)
 				}
 			}
@@ -301,19 +301,19 @@
 				want -= 750 // its own share is nobody's
 			}
 			began := now
-			for f.books[1].Share(f.clock[1], pool) < want*9/10 {
+			for f.books[1].Quota(f.clock[1], pool) < want*9/10 {
 				step()
 				sum := 0
 				for m, l := range f.books {
 					if l != nil {
-						sum += l.Share(f.clock[m], pool)
+						sum += l.Quota(f.clock[m], pool)
 					}
 				}
 				if sum > members*1000 {
 					t.Fatalf("%d units in force", sum)
 				}
 				if now-began > c.within {
-					t.Fatalf("after %d ms it holds %d of %d units", c.within/1000, f.books[1].Share(f.clock[1], pool), want)
+					t.Fatalf("after %d ms it holds %d of %d units", c.within/1000, f.books[1].Quota(f.clock[1], pool), want)
 				}
 			}
 			t.Logf("after %d ms", (now-began)/1000)
--- a/internal/fleet/quota/characterization_test.go
+++ b/internal/fleet/quota/characterization_test.go
@@ -301,7 +301,7 @@
 	}
 	w.send(m.to, out)
 	name := w.names[w.rng.IntN(len(w.names))]
-	units, whole := p.ledger.Share(w.clock(m.to), name)
+	units, whole := p.ledger.Quota(w.clock(m.to), name)
 	w.record.word(name)
 	w.record.number(int64(units))
 	w.record.number(int64(whole))
@@ -360,7 +360,7 @@
 	for _, name := range w.names {
 		sum := 0
 		for member := range w.processes {
-			units, _ := w.processes[member].ledger.Share(w.clock(member), name)
+			units, _ := w.processes[member].ledger.Quota(w.clock(member), name)
 			w.record.number(int64(units))
 			sum += units
 		}
@@ -562,7 +562,7 @@
 	}
 	// In the end what was borrowed has run out, and what was lent.
 	for _, later := range []int64{0, leaseMargin, leaseLength, leaseLength + leaseMargin} {
-		fmt.Fprintf(text, " share %d", reader.Share(now+later, wholeName))
+		fmt.Fprintf(text, " share %d", reader.Quota(now+later, wholeName))
 	}
 	counts := reader.Counts()
 	fmt.Fprintf(text, " asked %d granted %d borrowed %d\n", counts.Asked, counts.Granted, counts.Borrowed)
@@ -577,7 +577,7 @@
 	if _, err := lender.Receive(now, 0, recorded[0].bytes); err != nil {
 		t.Fatal(err)
 	}
-	fmt.Fprintf(&text, "granted: share %d\n", lender.Share(now, wholeName))
+	fmt.Fprintf(&text, "granted: share %d\n", lender.Quota(now, wholeName))
 	readMessage(&text, "lender", lender, now+1000, 0, recorded[4])
 	compareRecorded(t, "return.txt", text.String())
 }
--- a/internal/fleet/quota/shared.go
+++ b/internal/fleet/quota/shared.go
@@ -24,11 +24,11 @@
 	s.l.Members(alive)
 }
 
-// Share is Ledger.Share, and the units of the whole.
-func (s *Shared) Share(now int64, name string) (units, whole int) {
+// Quota is Ledger.Share, and the units of the whole.
+func (s *Shared) Quota(now int64, name string) (units, whole int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.l.Share(now, name), s.l.Whole()
+	return s.l.Quota(now, name), s.l.Whole()
 }
 
 // Demand is Ledger.Demand.
--- a/internal/fleet/quota/timeline_test.go
+++ b/internal/fleet/quota/timeline_test.go
@@ -76,7 +76,7 @@
 					l.Members(alive)
 					post(i, l.Tick(now))
 				}
-				share := l.Share(now, whole)
+				share := l.Quota(now, whole)
 				if sum += share; share != last[i] {
 					note(i, strconv.Itoa(share))
 					last[i] = share
--- a/internal/frontend/jsonlines/characterization_test.go
+++ b/internal/frontend/jsonlines/characterization_test.go
@@ -108,7 +108,7 @@
 type scriptedPools struct {
 	*journal
 	outcome dispatch.Outcome
-	state   dispatch.State
+	state   dispatch.LoadReport
 	sdp     string
 	quiet   bool // attempts are not recorded
 	legs    []*scriptedLeg
@@ -136,7 +136,7 @@
 
 // end has the pool end the call.
 func (l *scriptedLeg) end(outcome dispatch.Outcome, cause int) {
-	l.ending = dispatch.Ending{Outcome: outcome, Cause: cause, State: dispatch.Untold}
+	l.ending = dispatch.Ending{Outcome: outcome, Cause: cause, Load: dispatch.UnknownLoad}
 	close(l.done)
 }
 
@@ -144,11 +144,11 @@
 func (p *scriptedPools) Invite(ctx context.Context, a dispatch.Attempt) (dispatch.Leg, dispatch.Ending) {
 	if !p.quiet {
 		p.add("  pool %s is told: attempt %d of %s, class %s, number %s, times out after %d µs, sdp %s",
-			a.Pool, a.Number, a.ID, shown(a.Class), a.Setup.Number, a.Until-a.At, shown(a.SDP))
+			a.Pool, a.Number, a.ID, shown(a.Class), a.Setup.Number, a.Deadline-a.DecidedAt, shown(a.SDP))
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	end := dispatch.Ending{Outcome: p.outcome, At: a.At, State: p.state}
+	end := dispatch.Ending{Outcome: p.outcome, At: a.DecidedAt, Load: p.state}
 	switch end.Outcome {
 	case dispatch.Answered:
 		l := &scriptedLeg{journal: p.journal, sdp: p.sdp, done: make(chan struct{})}
@@ -159,8 +159,8 @@
 		select {
 		case <-ctx.Done():
 			end.Outcome = dispatch.Cancelled
-		case <-time.After(time.Duration(a.Until-a.At) * time.Microsecond):
-			end.At = a.Until
+		case <-time.After(time.Duration(a.Deadline-a.DecidedAt) * time.Microsecond):
+			end.At = a.Deadline
 		}
 		p.mu.Lock()
 	}
@@ -171,7 +171,7 @@
 type platform struct {
 	*journal
 	front    *jsonlines.Front
-	desk     *dispatch.Desk
+	desk     *dispatch.CallTable
 	listener *fakeplatform.Listener
 	pools    *scriptedPools
 	count    *telemetry.Set
@@ -209,13 +209,13 @@
 	tenants []string
 	most    int // connections
 	calls   int // of the desk
-	pools   []dispatch.Server
+	pools   []dispatch.Endpoint
 }
 
 // usual is the setting of most scenarios.
 func usual() setting {
 	return setting{level: zerolog.WarnLevel, tenants: []string{"acme", "globex"}, most: 8, calls: 1000,
-		pools: []dispatch.Server{{UID: "a"}}}
+		pools: []dispatch.Endpoint{{UID: "a"}}}
 }
 
 // classes are those of the scenarios' settings.
@@ -230,7 +230,7 @@
 func newPlatform(t *testing.T, j *journal, s setting) (p *platform, stop func()) {
 	t.Helper()
 	p = &platform{journal: j, listener: fakeplatform.NewListener(), count: &telemetry.Set{}, ready: true, log: &lockedBuffer{}, began: time.Now(),
-		pools: &scriptedPools{journal: j, sdp: "v=0\r\ns=-\r\n", state: dispatch.Untold}}
+		pools: &scriptedPools{journal: j, sdp: "v=0\r\ns=-\r\n", state: dispatch.UnknownLoad}}
 	now := clock.New()
 	d, err := dispatch.New(eidertrail.Settings{Nodes: 1, OwnExchange: -1, ReleaseWait: 300 * time.Millisecond, Classes: classes()},
 		1, 2_000_000, now, zerolog.Nop(), p.count)
@@ -239,8 +239,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go d.Run(ctx)
-	d.Roster(s.pools, false)
-	p.desk = dispatch.NewDesk(dispatch.DeskConfig{Dispatch: d, Trunk: p.pools, Most: s.calls, Once: true, Count: p.count})
+	d.UpdateEndpoints(s.pools, false)
+	p.desk = dispatch.NewCallTable(dispatch.CallTableConfig{Dispatcher: d, Inviter: p.pools, MaxCalls: s.calls, UniqueIDs: true, Counters: p.count})
 	p.front = jsonlines.New(jsonlines.Config{
 		Desk: p.desk, Clock: now, MostConnections: s.most, Tenants: s.tenants, Ready: func() bool { return p.ready },
 		ReleaseStray: func(id string, cause int) { p.add("  all pools are told: release of %s, cause %d", id, cause) },
@@ -501,7 +501,7 @@
 // Which pool is of first choice is told by the extras.
 func TestCharacterization_FirstChoice(t *testing.T) {
 	s := usual()
-	s.pools = []dispatch.Server{{UID: "a", Group: 0}, {UID: "b", Group: 1}, {UID: "c", Group: 2}}
+	s.pools = []dispatch.Endpoint{{UID: "a", Group: 0}, {UID: "b", Group: 1}, {UID: "c", Group: 2}}
 	var lines []string
 	for _, extras := range []string{"dest:0", "dest:1", "dest:2", "dest:2.9", "dest:0;dest:1", "via:2;width:1", "dest:1;via:0;width:3", "Dest:1", "dest:7"} {
 		lines = append(lines, strings.Replace(setup, "dest:0;width:1;via:-1", extras, 1))
@@ -619,7 +619,7 @@
 	}{
 		{"no agent", dispatch.NoAgent}, {"processor full", dispatch.ProcessorFull}, {"lines busy", dispatch.LinesBusy},
 		{"error", dispatch.Errored}, {"reset", dispatch.Reset}, {"connect failed", dispatch.ConnectFailed},
-		{"moot", dispatch.Moot}, {"timed out", dispatch.TimedOut},
+		{"moot", dispatch.NotSent}, {"timed out", dispatch.TimedOut},
 	} {
 		for _, class := range []string{"voice", "once"} {
 			for _, left := range []string{"200", "1500"} {
@@ -637,7 +637,7 @@
 			c := p.dial()
 			p.say(c, strings.Replace(setup, "voice", class, 1))
 			p.add("everything is given up")
-			p.desk.GiveUp()
+			p.desk.AbortPending()
 			p.observe()
 			p.say(c, strings.Replace(numbered(setup, 1), "voice", class, 1))
 		}})
@@ -736,7 +736,7 @@
 			p.pools.outcome = dispatch.Answered
 			p.say(open, numbered(setup, 2))
 			p.add("everything is given up")
-			p.desk.GiveUp()
+			p.desk.AbortPending()
 			p.observe()
 			<-drained
 		}},
--- a/internal/frontend/jsonlines/conn.go
+++ b/internal/frontend/jsonlines/conn.go
@@ -88,20 +88,20 @@
 // another.
 func (c *conn) Final(id string, f dispatch.Final) bool {
 	switch {
-	case f.Kind == dispatch.Stands:
+	case f.Kind == dispatch.FinalEstablished:
 		return c.send(line{bytes: linecodec.AppendAnswer(nil, id, f.Call.SDP()), stood: id})
-	case f.Kind == dispatch.GivenUp && f.MayHaveRun:
+	case f.Kind == dispatch.FinalFailed && f.MayHaveRun:
 		return c.send(line{bytes: linecodec.AppendCause(nil, "release", id, causeFailed)})
-	case f.Kind == dispatch.GivenUp:
+	case f.Kind == dispatch.FinalFailed:
 		return c.send(line{bytes: linecodec.AppendCause(nil, "release", id, causeTimer)})
-	case f.NoRoom:
+	case f.NoAgentFree:
 		return c.send(line{bytes: linecodec.AppendCause(nil, "release", id, causeNoCircuit)})
 	}
 	return c.send(line{bytes: linecodec.AppendCause(nil, "release", id, causeCongestion)})
 }
 
-// Over implements dispatch.Caller.
-func (c *conn) Over(id string, cause int) bool {
+// CallEnded implements dispatch.Caller.
+func (c *conn) CallEnded(id string, cause int) bool {
 	return c.send(line{bytes: linecodec.AppendCause(nil, "release", id, cause), over: id, cause: cause})
 }
 
@@ -151,10 +151,10 @@
 // elsewhere hands the end of a call that could not be told here to another connection, and the answer of one back.
 func (c *conn) elsewhere(l line) {
 	if l.stood != "" {
-		c.front.cfg.Desk.Unanswered(l.stood)
+		c.front.cfg.Desk.AnswerLost(l.stood)
 	}
 	if l.over != "" {
-		c.front.cfg.Desk.Untold(l.over, l.cause)
+		c.front.cfg.Desk.RedeliverEnd(l.over, l.cause)
 	}
 }
 
@@ -199,7 +199,7 @@
 // idle tells whether nothing is owed on the connection. Guards against the end of a call that nobody can be told: its own
 // connection was quiet for idleAfter and closed, and callers keep open only those that have calls on them.
 func (c *conn) idle() bool {
-	open, stands, _ := c.front.cfg.Desk.Seat(c)
+	open, stands, _ := c.front.cfg.Desk.ConnState(c)
 	return open+stands == 0 && c.unwritten.Load() == 0
 }
 
@@ -257,7 +257,7 @@
 		m, err := linecodec.Parse(text)
 		if err != nil {
 			f.bad(c, err)
-			if m.Type != "setup" || !dispatch.Token(m.ID) { // nothing can be answered to it
+			if m.Type != "setup" || !dispatch.IsToken(m.ID) { // nothing can be answered to it
 				break
 			}
 			// An id that can be told is owed an answer, unless its answer is another set-up's.
--- a/internal/frontend/jsonlines/front.go
+++ b/internal/frontend/jsonlines/front.go
@@ -58,7 +58,7 @@
 
 // Config is what a Front is made with.
 type Config struct {
-	Desk  *dispatch.Desk
+	Desk  *dispatch.CallTable
 	Clock dispatch.Clock
 	// Tenants are the names that a set-up may have; none: any.
 	Tenants []string
@@ -163,7 +163,7 @@
 	var spare *conn
 	worst := [2]int64{}
 	for c := range f.conns {
-		open, stands, proven := f.cfg.Desk.Seat(c)
+		open, stands, proven := f.cfg.Desk.ConnState(c)
 		quiet := f.cfg.Clock.Now() - c.active.Load()
 		kind := int64(3)
 		switch {
@@ -255,7 +255,7 @@
 		standing, err := f.cfg.Desk.Release(m.ID, cause)
 		switch {
 		case standing:
-			f.cfg.Desk.Proven(c)
+			f.cfg.Desk.MarkEstablished(c)
 			c.send(line{bytes: linecodec.AppendBare(nil, "released", m.ID)})
 		case errors.Is(err, dispatch.ErrUnknown) && name(m.ID) && f.stray():
 			f.cfg.ReleaseStray(m.ID, cause)
@@ -310,7 +310,7 @@
 	f.bad(c, fmt.Errorf("front: set-up %.40q: %w", m.ID, err))
 	cause := causeFailed
 	switch {
-	case !dispatch.Token(m.ID): // nothing can be answered to it
+	case !dispatch.IsToken(m.ID): // nothing can be answered to it
 		c.finish()
 		return
 	case errors.Is(err, dispatch.ErrDuplicate) && f.cfg.Desk.Owns(c, m.ID):
@@ -320,7 +320,7 @@
 		return
 	case errors.Is(err, dispatch.ErrTooMany):
 		cause = causeCongestion
-		if !errors.Is(err, dispatch.ErrUnproven) {
+		if !errors.Is(err, dispatch.ErrNotEstablished) {
 			c.strikes-- // of a caller that is served: not its fault
 		}
 	}
@@ -343,9 +343,9 @@
 	if !ok {
 		return errExtras
 	}
-	return f.cfg.Desk.Setup(c, dispatch.Call{
+	return f.cfg.Desk.Setup(c, dispatch.SetupRequest{
 		ID: m.ID, Class: m.Field("class"), Number: m.Field("key"), Pool: dest,
-		Left: left, Came: f.cfg.Clock.Now(), SDP: m.SDP,
+		TimeoutMillis: left, ReceivedAt: f.cfg.Clock.Now(), SDP: m.SDP,
 	})
 }
 
--- a/internal/frontend/jsonlines/front_test.go
+++ b/internal/frontend/jsonlines/front_test.go
@@ -60,7 +60,7 @@
 func (k *trunk) Invite(ctx context.Context, a dispatch.Attempt) (dispatch.Leg, dispatch.Ending) {
 	k.mu.Lock()
 	k.sent++
-	e := dispatch.Ending{Outcome: k.outcome, At: a.At, State: dispatch.Untold}
+	e := dispatch.Ending{Outcome: k.outcome, At: a.DecidedAt, Load: dispatch.UnknownLoad}
 	l := &leg{done: make(chan struct{})}
 	if e.Outcome == dispatch.Answered {
 		k.legs = append(k.legs, l)
@@ -100,10 +100,10 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	go d.Run(ctx)
-	d.Roster([]dispatch.Server{{UID: "a"}}, false)
+	d.UpdateEndpoints([]dispatch.Endpoint{{UID: "a"}}, false)
 	r := &rig{t: t, trunk: &trunk{}, in: fakeplatform.NewListener(), ready: true}
 	r.Front = New(Config{
-		Desk:  dispatch.NewDesk(dispatch.DeskConfig{Dispatch: d, Trunk: r.trunk, Most: 100, Once: true, Count: count}),
+		Desk:  dispatch.NewCallTable(dispatch.CallTableConfig{Dispatcher: d, Inviter: r.trunk, MaxCalls: 100, UniqueIDs: true, Counters: count}),
 		Clock: now, MostConnections: 4, Tenants: []string{"acme"}, Ready: func() bool { return r.ready },
 		ReleaseStray: func(id string, _ int) { r.strays = append(r.strays, id) }, Log: zerolog.Nop(), Count: count,
 	})
@@ -182,7 +182,7 @@
 		c.say(setup)
 		r.want(c, answer)
 		l := r.trunk.first()
-		l.ending = dispatch.Ending{Outcome: dispatch.Reset, Cause: 41, State: dispatch.Untold}
+		l.ending = dispatch.Ending{Outcome: dispatch.Reset, Cause: 41, Load: dispatch.UnknownLoad}
 		close(l.done)
 		r.want(c, `{"type":"release","id":"9b1f03aa5c7e2d41","fields":{},"cause":41}`)
 	})
@@ -218,7 +218,7 @@
 			}
 		}
 		for _, l := range r.trunk.legs[1:] {
-			l.ending = dispatch.Ending{Outcome: dispatch.Ended, Cause: 16, State: dispatch.Untold}
+			l.ending = dispatch.Ending{Outcome: dispatch.Ended, Cause: 16, Load: dispatch.UnknownLoad}
 			close(l.done)
 		}
 		time.Sleep(time.Second)
@@ -277,12 +277,12 @@
 				io.WriteString(c, text+"\n")
 				synctest.Wait()
 			}
-			if open := r.cfg.Desk.Open(); open != 1 {
+			if open := r.cfg.Desk.PendingSetups(); open != 1 {
 				t.Errorf("%s: %d open before the caller leaves", name, open)
 			}
 			c.Close()
 			synctest.Wait()
-			if open := r.cfg.Desk.Open(); open != 0 {
+			if open := r.cfg.Desk.PendingSetups(); open != 0 {
 				t.Errorf("%s: %d open after the caller left", name, open)
 			}
 		})
@@ -298,7 +298,7 @@
 			io.WriteString(c, strings.Replace(setup, "9b1f", id, 1)+"\n")
 			synctest.Wait()
 		}
-		if n := r.cfg.Desk.Standing(); n != 2 {
+		if n := r.cfg.Desk.EstablishedCalls(); n != 2 {
 			t.Errorf("%d stand, want 2", n)
 		}
 		c.Close()
@@ -308,7 +308,7 @@
 				t.Errorf("call %d was not released at its pool", i)
 			}
 		}
-		if n := r.cfg.Desk.Standing(); n != 0 || r.cfg.Count.Get(telemetry.AnswersUnwritten) != 2 {
+		if n := r.cfg.Desk.EstablishedCalls(); n != 0 || r.cfg.Count.Get(telemetry.AnswersUnwritten) != 2 {
 			t.Errorf("%d stand, %d answers unwritten", n, r.cfg.Count.Get(telemetry.AnswersUnwritten))
 		}
 	})
@@ -323,7 +323,7 @@
 		c := r.speaking(l.Dial())
 		c.say(strings.Replace(setup, `"1500"`, `"20000"`, 1))
 		time.Sleep(idleAfter - time.Millisecond)
-		r.cfg.Desk.GiveUp()
+		r.cfg.Desk.AbortPending()
 		time.Sleep(100 * time.Millisecond) // past the idle time, within that of the write
 		synctest.Wait()
 		end() // now it can be written
@@ -452,7 +452,7 @@
 func TestFirstSetUpKeepsItsConnection(t *testing.T) {
 	bubble(t, func(r *rig) {
 		r.trunk.say(dispatch.TimedOut)
-		g := r.gate(func() bool { return r.cfg.Desk.Open() > 0 }) // the reading after the set-up was taken
+		g := r.gate(func() bool { return r.cfg.Desk.PendingSetups() > 0 }) // the reading after the set-up was taken
 		c := r.dial()
 		g.armed.Store(true)
 		go io.WriteString(c, setup+"\n")
@@ -463,8 +463,8 @@
 			silent = append(silent, r.dial())
 			synctest.Wait()
 		}
-		if _, ended := c.take(); ended || r.cfg.Desk.Open() != 1 {
-			t.Errorf("it had to make room; %d open", r.cfg.Desk.Open())
+		if _, ended := c.take(); ended || r.cfg.Desk.PendingSetups() != 1 {
+			t.Errorf("it had to make room; %d open", r.cfg.Desk.PendingSetups())
 		}
 		if _, ended := silent[0].take(); !ended {
 			t.Error("the oldest that said nothing is still there")
@@ -491,8 +491,8 @@
 		synctest.Wait()
 		close(g.gate)
 		synctest.Wait()
-		if r.trunk.sent != 0 || r.cfg.Desk.Open() != 0 {
-			t.Errorf("%d sent, %d open for a connection that was closed", r.trunk.sent, r.cfg.Desk.Open())
+		if r.trunk.sent != 0 || r.cfg.Desk.PendingSetups() != 0 {
+			t.Errorf("%d sent, %d open for a connection that was closed", r.trunk.sent, r.cfg.Desk.PendingSetups())
 		}
 		other.say(setup)
 		if lines, _ := other.take(); len(lines) != 1 || lines[0] != answer {
@@ -602,7 +602,7 @@
 		c.Close()
 		synctest.Wait()
 		l := r.trunk.first()
-		l.ending = dispatch.Ending{Outcome: dispatch.Ended, Cause: 16, State: dispatch.Untold}
+		l.ending = dispatch.Ending{Outcome: dispatch.Ended, Cause: 16, Load: dispatch.UnknownLoad}
 		close(l.done)
 		synctest.Wait()
 		// A connection that only tests is told when no caller has come for a while; a caller at once.
@@ -628,7 +628,7 @@
 		c.Close()
 		synctest.Wait()
 		l := r.trunk.first()
-		l.ending = dispatch.Ending{Outcome: dispatch.Ended, Cause: 16, State: dispatch.Untold}
+		l.ending = dispatch.Ending{Outcome: dispatch.Ended, Cause: 16, Load: dispatch.UnknownLoad}
 		close(l.done)
 		r.want(other, `{"type":"release","id":"9b1f03aa5c7e2d41","fields":{},"cause":16}`)
 		time.Sleep(time.Second)
@@ -660,7 +660,7 @@
 		waits.say(strings.Replace(setup, "9b1f", "0002", 1))
 		r.want(waits, strings.Replace(answer, "9b1f", "0002", 1))
 		time.Sleep(time.Second)
-		r.cfg.Desk.GiveUp()
+		r.cfg.Desk.AbortPending()
 		if lines, ended := waits.take(); len(lines) != 1 || !strings.Contains(lines[0], `"cause":42`) || !ended {
 			t.Errorf("given up: told %q, closed: %t", lines, ended)
 		}
@@ -668,8 +668,8 @@
 		if lines, ended := r.dial().take(); len(lines) > 0 || !ended { // it was on its way
 			t.Errorf("late: told %q, closed: %t", lines, ended)
 		}
-		if r.cfg.Desk.Standing() != 2 {
-			t.Errorf("%d calls stand, want 2", r.cfg.Desk.Standing())
+		if r.cfg.Desk.EstablishedCalls() != 2 {
+			t.Errorf("%d calls stand, want 2", r.cfg.Desk.EstablishedCalls())
 		}
 	})
 }
@@ -702,7 +702,7 @@
 			c := r.dial()
 			c.say(strings.Replace(setup, "voice", e.class, 1))
 			time.Sleep(1400 * time.Millisecond)
-			r.cfg.Desk.GiveUp()
+			r.cfg.Desk.AbortPending()
 			if lines, _ := c.take(); len(lines) != 1 || !strings.HasSuffix(lines[0], e.want) {
 				t.Errorf("%s, outcome %d: told %q, want %s", e.class, e.outcome, lines, e.want)
 			}
@@ -880,7 +880,7 @@
 		c.Close()
 		synctest.Wait()
 		l := r.trunk.first()
-		l.ending = dispatch.Ending{Outcome: dispatch.Ended, Cause: 16, State: dispatch.Untold}
+		l.ending = dispatch.Ending{Outcome: dispatch.Ended, Cause: 16, Load: dispatch.UnknownLoad}
 		close(l.done)
 		r.want(other, `{"type":"release","id":"9b1f03aa5c7e2d41","fields":{},"cause":16}`)
 		r.want(rude)
@@ -902,8 +902,8 @@
 		}
 		c.Close()
 		synctest.Wait()
-		if open, _, _ := r.cfg.Desk.Seat(nil); open != 0 || r.cfg.Desk.Open() != 0 {
-			t.Errorf("%d open", r.cfg.Desk.Open())
+		if open, _, _ := r.cfg.Desk.ConnState(nil); open != 0 || r.cfg.Desk.PendingSetups() != 0 {
+			t.Errorf("%d open", r.cfg.Desk.PendingSetups())
 		}
 	})
 	bubble(t, func(r *rig) {
--- a/internal/frontend/websocket/callcontrol.go
+++ b/internal/frontend/websocket/callcontrol.go
@@ -44,7 +44,7 @@
 // Config is what a Server is made with.
 type Config struct {
 	Dispatch *dispatch.Dispatcher
-	Trunk    dispatch.Trunk
+	Trunk    dispatch.Inviter
 	// Ready tells whether a ping is answered with ready.
 	Ready func() bool
 	// Origins are the origins of browsers that may connect, as patterns; none: only the server's own.
@@ -62,14 +62,14 @@
 	wg      sync.WaitGroup
 
 	mu    sync.Mutex // also guards cfg.Origins and cfg.MostConnections
-	sites map[string]*dispatch.Desk
+	sites map[string]*dispatch.CallTable
 	conns map[*conn]struct{}
 	last  uint64 // number of the youngest conn
 }
 
 // New returns a server.
 func New(cfg Config) *Server {
-	return &Server{cfg: cfg, sites: map[string]*dispatch.Desk{}, conns: map[*conn]struct{}{}}
+	return &Server{cfg: cfg, sites: map[string]*dispatch.CallTable{}, conns: map[*conn]struct{}{}}
 }
 
 // Admit changes which browser origins may connect and how many sockets there may be. Open ones stay.
@@ -92,7 +92,7 @@
 	if site == "" {
 		site = "default"
 	}
-	if !dispatch.Token(site) {
+	if !dispatch.IsToken(site) {
 		http.Error(w, "site: want 1 to 64 letters, digits or -._+", http.StatusBadRequest)
 		return
 	}
@@ -137,8 +137,8 @@
 		if len(s.sites) >= mostSites {
 			return nil, false
 		}
-		desk = dispatch.NewDesk(dispatch.DeskConfig{
-			Dispatch: s.cfg.Dispatch, Trunk: s.cfg.Trunk, Most: mostCalls, CallID: callID, TellAll: true, Count: s.cfg.Count,
+		desk = dispatch.NewCallTable(dispatch.CallTableConfig{
+			Dispatcher: s.cfg.Dispatch, Inviter: s.cfg.Trunk, MaxCalls: mostCalls, CallID: callID, NotifyAllEnds: true, Counters: s.cfg.Count,
 		})
 		s.sites[site] = desk
 	}
@@ -180,12 +180,12 @@
 }
 
 // Open is the number of set-ups that are owed a final answer.
-func (s *Server) Open() int { return s.sum((*dispatch.Desk).Open) }
+func (s *Server) Open() int { return s.sum((*dispatch.CallTable).PendingSetups) }
 
 // Standing is the number of calls that stand.
-func (s *Server) Standing() int { return s.sum((*dispatch.Desk).Standing) }
+func (s *Server) Standing() int { return s.sum((*dispatch.CallTable).EstablishedCalls) }
 
-func (s *Server) sum(of func(*dispatch.Desk) int) int {
+func (s *Server) sum(of func(*dispatch.CallTable) int) int {
 	n := 0
 	for _, d := range s.desks() {
 		n += of(d)
@@ -193,10 +193,10 @@
 	return n
 }
 
-func (s *Server) desks() []*dispatch.Desk {
+func (s *Server) desks() []*dispatch.CallTable {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var all []*dispatch.Desk
+	var all []*dispatch.CallTable
 	for _, d := range s.sites {
 		all = append(all, d)
 	}
@@ -212,7 +212,7 @@
 	s.mu.Unlock()
 	for _, d := range s.desks() {
 		d.Drain(ctx)
-		d.GiveUp()
+		d.AbortPending()
 		last, cancel := context.WithTimeout(context.Background(), writeTimeout)
 		d.Drain(last)
 		cancel()
@@ -234,7 +234,7 @@
 	number uint64      // in the order of coming
 	said   atomic.Bool // a message was accepted
 	site   string
-	desk   *dispatch.Desk
+	desk   *dispatch.CallTable
 	ws     *websocket.Conn
 	queue  chan line
 
@@ -281,8 +281,8 @@
 // Final implements dispatch.Caller.
 func (c *conn) Final(id string, f dispatch.Final) bool { return c.send(final(id, f)) }
 
-// Over implements dispatch.Caller.
-func (c *conn) Over(id string, cause int) bool {
+// CallEnded implements dispatch.Caller.
+func (c *conn) CallEnded(id string, cause int) bool {
 	return c.sendLine(line{bytes: released(id, cause), over: id, cause: cause})
 }
 
@@ -291,7 +291,7 @@
 	defer cancel()
 	c.ws.SetReadLimit(mostMessage)
 	c.desk.Connect(c)
-	c.desk.Proven(c) // a site's socket is there for calls
+	c.desk.MarkEstablished(c) // a site's socket is there for calls
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
@@ -347,7 +347,7 @@
 // elsewhere has the end of a call that could not be told here told on another socket of the site.
 func (c *conn) elsewhere(b line) {
 	if b.over != "" {
-		c.desk.Untold(b.over, b.cause)
+		c.desk.RedeliverEnd(b.over, b.cause)
 	}
 }
 
@@ -412,9 +412,9 @@
 func (c *conn) take(m message, came int64) error {
 	switch m.kind {
 	case "setup":
-		m.call.Came = came
+		m.call.ReceivedAt = came
 		if c.server.closing.Load() {
-			if !dispatch.Token(m.id) {
+			if !dispatch.IsToken(m.id) {
 				return dispatch.ErrID
 			}
 			c.send(turned("refused", m.id, ShuttingDown, 42, comeBack))
--- a/internal/frontend/websocket/callcontrol_test.go
+++ b/internal/frontend/websocket/callcontrol_test.go
@@ -81,7 +81,7 @@
 	r.server = New(Config{Dispatch: r.d, Trunk: r.pools, Ready: func() bool { return true }, MostConnections: 16,
 		Log: zerolog.Nop(), Count: r.count})
 	r.http = httptest.NewServer(r.server)
-	platform := jsonlines.New(jsonlines.Config{Desk: dispatch.NewDesk(dispatch.DeskConfig{Dispatch: r.d, Trunk: r.pools, Most: 1000, Count: r.count}),
+	platform := jsonlines.New(jsonlines.Config{Desk: dispatch.NewCallTable(dispatch.CallTableConfig{Dispatcher: r.d, Inviter: r.pools, MaxCalls: 1000, Counters: r.count}),
 		Clock: now, MostConnections: 16, Ready: func() bool { return true }, ReleaseStray: func(string, int) {},
 		Log: zerolog.Nop(), Count: r.count})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -106,7 +106,7 @@
 
 func (r *rig) list(state endpointlist.State) {
 	r.pools.Apply(endpointlist.Event{Pools: []endpointlist.Pool{{UID: "p1", Address: r.address, State: state}}},
-		func(l []dispatch.Server) { r.d.Roster(l, false) })
+		func(l []dispatch.Endpoint) { r.d.UpdateEndpoints(l, false) })
 }
 
 func (r *rig) seen(method string) int {
@@ -135,7 +135,7 @@
 	gone := &conn{server: r.server, desk: r.server.sites["a"], queue: make(chan line, 4), end: make(chan struct{})}
 	r.server.mu.Unlock()
 	gone.send(pong("y", true))
-	gone.Over("c1", 16)
+	gone.CallEnded("c1", 16)
 	gone.unwritten()
 	if m := other.next(); m.Type != "released" || m.ID != "c1" || m.Cause != 16 {
 		t.Errorf("told %+v", m)
--- a/internal/frontend/websocket/characterization_test.go
+++ b/internal/frontend/websocket/characterization_test.go
@@ -111,7 +111,7 @@
 type scriptedPools struct {
 	*journal
 	outcome dispatch.Outcome
-	state   dispatch.State
+	state   dispatch.LoadReport
 	sdp     string
 	quiet   bool // attempts are not recorded
 	legs    []*scriptedLeg
@@ -139,7 +139,7 @@
 
 // end has the pool end the call.
 func (l *scriptedLeg) end(outcome dispatch.Outcome, cause int) {
-	l.ending = dispatch.Ending{Outcome: outcome, Cause: cause, State: dispatch.Untold}
+	l.ending = dispatch.Ending{Outcome: outcome, Cause: cause, Load: dispatch.UnknownLoad}
 	close(l.done)
 }
 
@@ -147,11 +147,11 @@
 func (p *scriptedPools) Invite(ctx context.Context, a dispatch.Attempt) (dispatch.Leg, dispatch.Ending) {
 	if !p.quiet {
 		p.add("  pool %s is told: attempt %d of a call with a name of %d bytes, class %s, number %s, times out after %d µs, sdp %s",
-			a.Pool, a.Number, len(a.ID), shown(a.Class), a.Setup.Number, a.Until-a.At, shown(a.SDP))
+			a.Pool, a.Number, len(a.ID), shown(a.Class), a.Setup.Number, a.Deadline-a.DecidedAt, shown(a.SDP))
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	end := dispatch.Ending{Outcome: p.outcome, At: a.At, State: p.state}
+	end := dispatch.Ending{Outcome: p.outcome, At: a.DecidedAt, Load: p.state}
 	switch end.Outcome {
 	case dispatch.Answered:
 		l := &scriptedLeg{journal: p.journal, sdp: p.sdp, done: make(chan struct{})}
@@ -162,8 +162,8 @@
 		select {
 		case <-ctx.Done():
 			end.Outcome = dispatch.Cancelled
-		case <-time.After(time.Duration(a.Until-a.At) * time.Microsecond):
-			end.At = a.Until
+		case <-time.After(time.Duration(a.Deadline-a.DecidedAt) * time.Microsecond):
+			end.At = a.Deadline
 		}
 		p.mu.Lock()
 	}
@@ -214,7 +214,7 @@
 func newService(t *testing.T, j *journal) (s *service, stop func()) {
 	t.Helper()
 	s = &service{journal: j, t: t, listener: fakeplatform.NewListener(), count: &telemetry.Set{}, ready: true, log: &lockedBuffer{}, began: time.Now(),
-		pools: &scriptedPools{journal: j, sdp: "v=0\r\ns=-\r\n", state: dispatch.Untold}}
+		pools: &scriptedPools{journal: j, sdp: "v=0\r\ns=-\r\n", state: dispatch.UnknownLoad}}
 	var err error
 	s.dispatcher, err = dispatch.New(eidertrail.Settings{Nodes: 1, OwnExchange: -1, ReleaseWait: 300 * time.Millisecond, Classes: []eidertrail.Class{
 		{Name: "read", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 1},
@@ -247,7 +247,7 @@
 
 // roster lists the pools, all in one mode.
 func (s *service) roster(mode eidertrail.Mode) {
-	s.dispatcher.Roster([]dispatch.Server{{UID: "a", Group: 0, Mode: mode}, {UID: "b", Group: 1, Mode: mode}}, false)
+	s.dispatcher.UpdateEndpoints([]dispatch.Endpoint{{UID: "a", Group: 0, Mode: mode}, {UID: "b", Group: 1, Mode: mode}}, false)
 	synctest.Wait()
 }
 
@@ -692,7 +692,7 @@
 	}{
 		{"no agent", dispatch.NoAgent}, {"processor full", dispatch.ProcessorFull}, {"lines busy", dispatch.LinesBusy},
 		{"error", dispatch.Errored}, {"reset", dispatch.Reset}, {"connect failed", dispatch.ConnectFailed},
-		{"moot", dispatch.Moot}, {"timed out", dispatch.TimedOut},
+		{"moot", dispatch.NotSent}, {"timed out", dispatch.TimedOut},
 	} {
 		for _, class := range []string{"read", "once"} {
 			all = append(all, scenario{o.word + ", class " + class, func(s *service) {
--- a/internal/frontend/websocket/message.go
+++ b/internal/frontend/websocket/message.go
@@ -41,7 +41,7 @@
 }{
 	{dispatch.ErrID, BadID}, {dispatch.ErrClass, BadClass}, {dispatch.ErrLeft, BadLeft},
 	{dispatch.ErrNumber, BadNumber}, {dispatch.ErrDuplicate, DuplicateID},
-	{dispatch.ErrTooMany, TooManyCalls}, {dispatch.ErrUnknown, UnknownID}, {dispatch.ErrOver, CallOver},
+	{dispatch.ErrTooMany, TooManyCalls}, {dispatch.ErrUnknown, UnknownID}, {dispatch.ErrCallEnded, CallOver},
 	{errJSON, BadJSON}, {errType, UnknownType},
 }
 
@@ -62,8 +62,8 @@
 // message is one message of a client.
 type message struct {
 	kind, id string
-	call     dispatch.Call // of a set-up
-	cause    int           // of a release
+	call     dispatch.SetupRequest // of a set-up
+	cause    int                   // of a release
 }
 
 // parse reads one message. What it returns with an error still names the call, if that could be read.
@@ -108,8 +108,8 @@
 		if left.Type != gjson.Number {
 			fail(dispatch.ErrLeft)
 		}
-		m.call = dispatch.Call{ID: m.id, Class: text("class", true), Number: text("number", false),
-			Pool: whole("pool", -1), Left: left.Num, SDP: text("sdp", false)}
+		m.call = dispatch.SetupRequest{ID: m.id, Class: text("class", true), Number: text("number", false),
+			Pool: whole("pool", -1), TimeoutMillis: left.Num, SDP: text("sdp", false)}
 	case "release":
 		m.cause = whole("cause", dispatch.CauseNormal)
 		if m.cause < 1 || m.cause > 127 {
@@ -154,14 +154,14 @@
 
 func final(id string, f dispatch.Final) []byte {
 	switch {
-	case f.Kind == dispatch.Stands:
+	case f.Kind == dispatch.FinalEstablished:
 		return answer(id, f.Call.SDP())
-	case f.Kind == dispatch.GivenUp:
-		return turned("failed", id, TimedOut, 102, f.After)
-	case f.NoRoom:
-		return turned("refused", id, NoAgent, 34, f.After)
+	case f.Kind == dispatch.FinalFailed:
+		return turned("failed", id, TimedOut, 102, f.RetryAfter)
+	case f.NoAgentFree:
+		return turned("refused", id, NoAgent, 34, f.RetryAfter)
 	}
-	return turned("refused", id, Congestion, 42, f.After)
+	return turned("refused", id, Congestion, 42, f.RetryAfter)
 }
 
 func released(id string, cause int) []byte {
--- a/internal/simulation/sim.go
+++ b/internal/simulation/sim.go
@@ -128,7 +128,7 @@
 	id     uint64
 	caller *caller
 	until  int64
-	pick   dispatch.Pick
+	pick   dispatch.Decision
 	pool   *pool
 	out    bool // at the pool, or on the way there or back
 	serial int  // of the attempts, so that what is late finds that it is
@@ -206,18 +206,18 @@
 		return nil, fmt.Errorf("sim: %w", err)
 	}
 	if router != nil {
-		n.engine.Route(s.now, router)
+		n.engine.SetRouter(s.now, router)
 	}
 	if s.sc.SRV != nil {
-		n.engine.Roster(s.now, nil, true)
+		n.engine.UpdateEndpoints(s.now, nil, true)
 		return n, s.resolve(n)
 	}
-	var list []dispatch.Server
+	var list []dispatch.Endpoint
 	for _, p := range s.pools {
-		list = append(list, dispatch.Server{UID: p.uid, Group: p.group, Zone: p.Zone, Mode: eidertrail.Ready})
+		list = append(list, dispatch.Endpoint{UID: p.uid, Group: p.group, Zone: p.Zone, Mode: eidertrail.Ready})
 		s.rules.Told(s.now, n.name, p.uid, true)
 	}
-	n.engine.Roster(s.now, list, true)
+	n.engine.UpdateEndpoints(s.now, list, true)
 	n.wake()
 	return n, nil
 }
@@ -252,8 +252,8 @@
 			n.turn(n.still)
 			return
 		}
-		n.engine.Turn(n.s.now)
-		if next := n.engine.Next(n.s.now); next > 0 {
+		n.engine.Step(n.s.now)
+		if next := n.engine.NextDue(n.s.now); next > 0 {
 			n.turn(max(next, n.s.now+1))
 		}
 	})
@@ -278,7 +278,7 @@
 	s.rules.Taken(s.now, a.name(), a.until)
 	s.out.Tries++
 	n.hear(func() {
-		n.engine.Enter(s.now, dispatch.Request{Call: a.id, Class: c.class, Pool: c.pool, Key: c.key, Until: a.until},
+		n.engine.Submit(s.now, dispatch.Request{Call: a.id, Class: c.class, Pool: c.pool, Key: c.key, Deadline: a.until},
 			deciding{n, a})
 	})
 	s.after(a.until-s.now, func() { // the caller gives this try up
@@ -295,10 +295,10 @@
 				s.callOff(n, a)
 				s.rules.Ended(s.now, a.name(), true)
 				n.engine.Report(s.now, dispatch.Result{Call: a.id, Attempt: a.pick.Attempt, Pool: a.pick.Pool,
-					Outcome: dispatch.Cancelled, Took: s.now - a.pick.At, State: dispatch.Untold, Left: true})
+					Outcome: dispatch.Cancelled, Took: s.now - a.pick.DecidedAt, Load: dispatch.UnknownLoad, CallerGone: true})
 				return
 			}
-			n.engine.Leave(s.now, a.id)
+			n.engine.Withdraw(s.now, a.id)
 		})
 		s.again(c, "left", 0)
 	})
@@ -310,20 +310,20 @@
 	a *attempt
 }
 
-func (d deciding) Decide(p dispatch.Pick) { d.decided(d.a, p) }
+func (d deciding) Decide(p dispatch.Decision) { d.decided(d.a, p) }
 
 // decided carries a decision out.
-func (n *node) decided(a *attempt, p dispatch.Pick) {
+func (n *node) decided(a *attempt, p dispatch.Decision) {
 	s := n.s
 	if a.over {
 		return
 	}
-	if p.Verdict != dispatch.Go {
+	if p.Kind != dispatch.DecisionSend {
 		n.engine.Forget(a.id)
 		a.over = true
-		answer := map[dispatch.Verdict]string{dispatch.Refused: "refused", dispatch.Failed: "failed"}[p.Verdict]
+		answer := map[dispatch.DecisionKind]string{dispatch.DecisionReject: "refused", dispatch.DecisionFail: "failed"}[p.Kind]
 		s.rules.Final(s.now, a.name(), answer)
-		s.again(a.caller, answer, p.After)
+		s.again(a.caller, answer, p.RetryAfter)
 		return
 	}
 	a.pick, a.pool, a.out = p, s.byUID[p.Pool], true
@@ -332,8 +332,8 @@
 	s.rules.Sent(s.now, a.name(), n.name, p.Pool)
 	s.out.Sends++
 	limit := a.until
-	if p.Limit > 0 {
-		limit = min(limit, p.At+p.Limit)
+	if p.Timeout > 0 {
+		limit = min(limit, p.DecidedAt+p.Timeout)
 	}
 	n.standing[a.pool.uid]++
 	way := s.way(n, a.pool)
@@ -347,7 +347,7 @@
 				return
 			}
 			s.callOff(n, a)
-			n.ended(a, serial, dispatch.TimedOut, dispatch.Untold)
+			n.ended(a, serial, dispatch.TimedOut, dispatch.UnknownLoad)
 		})
 	}
 }
@@ -369,7 +369,7 @@
 }
 
 // ended reports the end of an attempt that does not stand.
-func (n *node) ended(a *attempt, serial int, o dispatch.Outcome, state dispatch.State) {
+func (n *node) ended(a *attempt, serial int, o dispatch.Outcome, state dispatch.LoadReport) {
 	s := n.s
 	if a.serial != serial || !a.out || a.over {
 		return
@@ -381,7 +381,7 @@
 	n.hear(func() {
 		s.rules.Ended(s.now, a.name(), release)
 		n.engine.Report(s.now, dispatch.Result{Call: a.id, Attempt: a.pick.Attempt, Pool: a.pick.Pool, Outcome: o,
-			Took: s.now - a.pick.At, State: state})
+			Took: s.now - a.pick.DecidedAt, Load: state})
 	})
 }
 
@@ -402,15 +402,15 @@
 }
 
 // told is the state that a pool tells.
-func (s *Sim) told(p *pool) dispatch.State {
+func (s *Sim) told(p *pool) dispatch.LoadReport {
 	if p.Untold {
-		return dispatch.Untold
+		return dispatch.UnknownLoad
 	}
 	free, agents := float64(p.Agents-p.held), float64(p.Agents)
 	if p.Noise > 0 {
 		free = min(max(0, free+agents*p.Noise*(2*s.rng[lotNoise].Float64()-1)), agents)
 	}
-	return dispatch.State{Free: free, Agents: agents}
+	return dispatch.LoadReport{Free: free, Agents: agents}
 }
 
 // arrive is a set-up at its pool.
@@ -427,7 +427,7 @@
 	switch v {
 	case Silent:
 	case Refused:
-		s.after(way+int64(s.sc.Net.Refuse)/1000, func() { n.ended(a, serial, dispatch.ConnectFailed, dispatch.Untold) })
+		s.after(way+int64(s.sc.Net.Refuse)/1000, func() { n.ended(a, serial, dispatch.ConnectFailed, dispatch.UnknownLoad) })
 	case NoAgent:
 		back(dispatch.NoAgent, after)
 	case Swamped:
@@ -438,7 +438,7 @@
 		p.standing[a] = true
 		s.after(after, func() {
 			if p.born != born || p.down { // it died meanwhile
-				n.ended(a, serial, dispatch.Reset, dispatch.Untold)
+				n.ended(a, serial, dispatch.Reset, dispatch.UnknownLoad)
 				return
 			}
 			if !p.standing[a] || p.cut {
@@ -467,10 +467,10 @@
 		s.rules.Ended(s.now, a.name(), false)
 		s.rules.Final(s.now, a.name(), "stands")
 		n.engine.Report(s.now, dispatch.Result{Call: a.id, Attempt: a.pick.Attempt, Pool: a.pick.Pool,
-			Outcome: dispatch.Answered, Took: s.now - a.pick.At, State: s.told(p)})
+			Outcome: dispatch.Answered, Took: s.now - a.pick.DecidedAt, Load: s.told(p)})
 		if n.s.sc.Fleet != nil && n.s.sc.Fleet.Rates {
 			rate, _ := p.rate(s.now, &s.sc.Settings)
-			n.engine.ObserveRate(s.now, p.uid, rate)
+			n.engine.ObserveCapacity(s.now, p.uid, rate)
 		}
 		s.out.stand(a.caller, s.now)
 		hold := int64(s.rng[lotHold].ExpFloat64() * float64(s.sc.Class[a.caller.class].Hold.Microseconds()))
@@ -494,7 +494,7 @@
 	}
 	n.hear(func() {
 		n.engine.Report(s.now, dispatch.Result{Call: a.id, Attempt: a.pick.Attempt, Pool: a.pick.Pool, Outcome: o,
-			Took: s.now - a.pick.At, State: s.told(p)})
+			Took: s.now - a.pick.DecidedAt, Load: s.told(p)})
 	})
 }
 
@@ -538,7 +538,7 @@
 		s.after(late+s.rng[lotNet].Int64N(int64(s.sc.Net.Apart)/1000), func() {
 			n.hear(func() {
 				s.rules.Told(s.now, n.name, p.uid, mode == eidertrail.Ready)
-				n.engine.Roster(s.now, []dispatch.Server{{UID: p.uid, Group: p.group, Zone: p.Zone, Born: born, Mode: mode}}, false)
+				n.engine.UpdateEndpoints(s.now, []dispatch.Endpoint{{UID: p.uid, Group: p.group, Zone: p.Zone, StartedAt: born, Mode: mode}}, false)
 			})
 		})
 	}
@@ -552,7 +552,7 @@
 		if a.stands {
 			s.after(way, func() { s.over(n, a, p, born-1, dispatch.Reset) })
 		} else {
-			s.after(way, func() { n.ended(a, serial, dispatch.Reset, dispatch.Untold) })
+			s.after(way, func() { n.ended(a, serial, dispatch.Reset, dispatch.UnknownLoad) })
 		}
 	}
 }
@@ -706,7 +706,7 @@
 			if part <= 0 {
 				part = 0.5
 			}
-			n.engine.Limit(s.now, dispatch.LimitConfig{Shares: n.books, ColdPart: part, LeaveWithin: f.Margin.Microseconds() / 2})
+			n.engine.SetQuotas(s.now, dispatch.QuotaConfig{Source: n.books, SlowStartFraction: part, SendWindow: f.Margin.Microseconds() / 2})
 		}
 	}
 	for _, n := range s.nodes {
--- a/internal/simulation/srv.go
+++ b/internal/simulation/srv.go
@@ -111,7 +111,7 @@
 			at[p.address] = p
 		}
 		now := map[string]eidertrail.Mode{}
-		var lines []dispatch.Server
+		var lines []dispatch.Endpoint
 		for _, m := range view {
 			p, mode := at[m.Address], eidertrail.Ready
 			if m.State != endpointset.Up {
@@ -119,12 +119,12 @@
 			}
 			now[p.uid] = mode
 			n.alias[m.UID] = p.uid
-			lines = append(lines, dispatch.Server{UID: p.uid, Group: m.Group, Zone: m.Zone, Born: p.born, Mode: mode})
+			lines = append(lines, dispatch.Endpoint{UID: p.uid, Group: m.Group, Zone: m.Zone, StartedAt: p.born, Mode: mode})
 		}
 		for _, p := range s.pools {
 			if _, is := now[p.uid]; !is && x.told[p.uid] != eidertrail.Removed {
 				now[p.uid] = eidertrail.Removed
-				lines = append(lines, dispatch.Server{UID: p.uid, Group: p.group, Zone: p.Zone, Mode: eidertrail.Removed})
+				lines = append(lines, dispatch.Endpoint{UID: p.uid, Group: p.group, Zone: p.Zone, Mode: eidertrail.Removed})
 			}
 		}
 		for _, l := range lines {
@@ -134,7 +134,7 @@
 			s.rules.Told(s.now, n.name, l.UID, l.Mode == eidertrail.Ready)
 			x.told[l.UID] = l.Mode
 		}
-		n.engine.Roster(s.now, lines, false)
+		n.engine.UpdateEndpoints(s.now, lines, false)
 	}
 	next := x.set.Next()
 	if x.set.Draining() {
--- a/middleware/characterization_test.go
+++ b/middleware/characterization_test.go
@@ -97,7 +97,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	a.stop = stop
 	go a.dispatcher.Run(ctx)
-	a.dispatcher.Roster([]dispatch.Server{{UID: "a"}}, false)
+	a.dispatcher.UpdateEndpoints([]dispatch.Endpoint{{UID: "a"}}, false)
 	synctest.Wait()
 	return a
 }
@@ -158,7 +158,7 @@
 
 func TestCharacterization_RejectedRequests(t *testing.T) {
 	poolIsGone := func(a *admission, _ context.CancelFunc) {
-		a.dispatcher.Roster([]dispatch.Server{{UID: "a", Mode: eidertrail.Removed}}, false)
+		a.dispatcher.UpdateEndpoints([]dispatch.Endpoint{{UID: "a", Mode: eidertrail.Removed}}, false)
 	}
 	rejections := []rejection{
 		{"not to be classified", "/rooms?bad", time.Second, func(*admission, context.CancelFunc) {}},
@@ -200,7 +200,7 @@
 	{dispatch.Ended, "answered, then ended"}, {dispatch.Errored, "signalling error"}, {dispatch.LinesBusy, "lines busy"},
 	{dispatch.NoAgent, "no agent"}, {dispatch.ProcessorFull, "processor full"}, {dispatch.TimedOut, "timed out"},
 	{dispatch.ConnectFailed, "connect failed"}, {dispatch.Reset, "reset"}, {dispatch.Cancelled, "cancelled"},
-	{dispatch.Moot, "never sent"},
+	{dispatch.NotSent, "never sent"},
 }
 
 // work is what a handler does with a request. It may end the client's context with leave.
@@ -223,7 +223,7 @@
 // otherWork are handlers that do something else than answer with one status.
 func otherWork() []work {
 	wait := func(r *http.Request) { <-r.Context().Done() }
-	report := func(o dispatch.Outcome, s dispatch.State) func(http.ResponseWriter, *http.Request, context.CancelFunc) {
+	report := func(o dispatch.Outcome, s dispatch.LoadReport) func(http.ResponseWriter, *http.Request, context.CancelFunc) {
 		return func(w http.ResponseWriter, r *http.Request, _ context.CancelFunc) {
 			time.Sleep(workTime)
 			middleware.FromContext(r.Context()).Report(o, s)
@@ -281,11 +281,11 @@
 			w.WriteHeader(http.StatusOK)
 			panic(http.ErrAbortHandler)
 		}},
-		{"status 500 and a report of answered", report(dispatch.Answered, dispatch.Untold)},
-		{"status 500 and a report of ended with a state", report(dispatch.Ended, dispatch.State{Free: 3, Agents: 8})},
+		{"status 500 and a report of answered", report(dispatch.Answered, dispatch.UnknownLoad)},
+		{"status 500 and a report of ended with a state", report(dispatch.Ended, dispatch.LoadReport{Free: 3, Agents: 8})},
 	}
 	for _, o := range outcomeWords {
-		all = append(all, work{"status 500 and a report of " + o.word, report(o.outcome, dispatch.Untold)})
+		all = append(all, work{"status 500 and a report of " + o.word, report(o.outcome, dispatch.UnknownLoad)})
 	}
 	return all
 }
@@ -365,20 +365,20 @@
 
 // reportOne has a dispatcher place the same call and reports an outcome of it with the times of a request that the
 // middleware served. It returns the log of the dispatcher's decisions.
-func reportOne(t *testing.T, o dispatch.Outcome, s dispatch.State, times served) string {
+func reportOne(t *testing.T, o dispatch.Outcome, s dispatch.LoadReport, times served) string {
 	t.Helper()
 	var trace string
 	synctest.Test(t, func(t *testing.T) {
 		a := newAdmission(t)
 		defer a.stop()
 		d := a.dispatcher
-		request := dispatch.Request{Call: d.NewCall(), Pool: -1, Key: dispatch.NumberKey("7f3a"), Until: d.Now() + 1_000_000}
+		request := dispatch.Request{Call: d.NewCall(), Pool: -1, Key: dispatch.NumberKey("7f3a"), Deadline: d.Now() + 1_000_000}
 		pick, err := d.Pick(context.Background(), request)
-		if err != nil || pick.Verdict != dispatch.Go {
+		if err != nil || pick.Kind != dispatch.DecisionSend {
 			t.Fatalf("not placed: %v", err)
 		}
 		time.Sleep(times.took)
-		result := dispatch.Result{Call: request.Call, Attempt: pick.Attempt, Pool: pick.Pool, Outcome: o, State: s, Left: true,
+		result := dispatch.Result{Call: request.Call, Attempt: pick.Attempt, Pool: pick.Pool, Outcome: o, Load: s, CallerGone: true,
 			Took: times.answered.Microseconds()}
 		if o == dispatch.Ended {
 			result.Outcome = dispatch.Answered
@@ -403,13 +403,13 @@
 func reportedOutcome(t *testing.T, s served) string {
 	t.Helper()
 	var found []string
-	for _, state := range []dispatch.State{dispatch.Untold, {Free: 3, Agents: 8}} {
+	for _, state := range []dispatch.LoadReport{dispatch.UnknownLoad, {Free: 3, Agents: 8}} {
 		for _, o := range outcomeWords {
 			if withoutAddresses(reportOne(t, o.outcome, state, s)) != withoutAddresses(s.trace) {
 				continue
 			}
 			word := o.word
-			if state != dispatch.Untold {
+			if state != dispatch.UnknownLoad {
 				word += ", with the pool's state"
 			}
 			found = append(found, word)
--- a/middleware/example_test.go
+++ b/middleware/example_test.go
@@ -28,7 +28,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go d.Run(ctx)
-	d.Roster([]dispatch.Server{{UID: "s-1"}}, true)
+	d.UpdateEndpoints([]dispatch.Endpoint{{UID: "s-1"}}, true)
 
 	r := chi.NewRouter()
 	r.Use(middleware.Admission(middleware.Config{Dispatch: d, Classify: func(r *http.Request) (middleware.Call, error) {
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -40,11 +40,11 @@
 	mu       sync.Mutex
 	outcome  dispatch.Outcome
 	reported bool
-	state    dispatch.State
+	state    dispatch.LoadReport
 }
 
 // Report says what became of the attempt, where the status that the handler writes would not tell it.
-func (p *Placement) Report(o dispatch.Outcome, s dispatch.State) {
+func (p *Placement) Report(o dispatch.Outcome, s dispatch.LoadReport) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.outcome, p.state, p.reported = o, s, true
@@ -78,15 +78,15 @@
 		key = dispatch.NumberKey(call.Number)
 	}
 	q := dispatch.Request{Call: d.NewCall(), Class: call.Class, Pool: call.Pool, Key: key,
-		Until: d.Now() + call.Left.Microseconds()}
+		Deadline: d.Now() + call.Left.Microseconds()}
 	pick, err := d.Pick(r.Context(), q)
 	if err != nil && r.Context().Err() != nil {
 		return // the client is gone
 	}
-	if err != nil || pick.Verdict != dispatch.Go {
+	if err != nil || pick.Kind != dispatch.DecisionSend {
 		c.Count.Add(telemetry.Turned)
-		after := pick.After
-		if err != nil && !errors.Is(err, dispatch.ErrLate) {
+		after := pick.RetryAfter
+		if err != nil && !errors.Is(err, dispatch.ErrNoDecision) {
 			after = 0
 		}
 		w.Header().Set("Retry-After", strconv.FormatInt(max(1, (after+999_999)/1_000_000), 10))
@@ -94,20 +94,20 @@
 		return
 	}
 	c.Count.Add(telemetry.Admitted)
-	until := q.Until
-	if pick.Limit > 0 {
-		until = min(until, pick.At+pick.Limit)
+	until := q.Deadline
+	if pick.Timeout > 0 {
+		until = min(until, pick.DecidedAt+pick.Timeout)
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(until-d.Now())*time.Microsecond)
 	defer cancel()
-	p := &Placement{Pool: pick.Pool, Attempt: pick.Attempt, state: dispatch.Untold}
+	p := &Placement{Pool: pick.Pool, Attempt: pick.Attempt, state: dispatch.UnknownLoad}
 	wrapped := &writer{ResponseWriter: w, d: d}
-	report := dispatch.Result{Call: q.Call, Attempt: pick.Attempt, Pool: pick.Pool, Left: true}
+	report := dispatch.Result{Call: q.Call, Attempt: pick.Attempt, Pool: pick.Pool, CallerGone: true}
 	// Deferred so that a handler that panics gives its place back too.
 	done := false
 	defer func() {
 		p.mu.Lock()
-		report.Outcome, report.State = p.outcome, p.state
+		report.Outcome, report.Load = p.outcome, p.state
 		if !p.reported {
 			report.Outcome = outcome(ctx, r.Context(), wrapped.status, done)
 		}
@@ -116,11 +116,11 @@
 		if took == 0 {
 			took = d.Now()
 		}
-		report.Took = took - pick.At
+		report.Took = took - pick.DecidedAt
 		if report.Outcome == dispatch.Ended || report.Outcome == dispatch.Answered {
 			report.Outcome = dispatch.Answered
 			d.Report(report)
-			report.Outcome, report.Took = dispatch.Ended, d.Now()-pick.At
+			report.Outcome, report.Took = dispatch.Ended, d.Now()-pick.DecidedAt
 		}
 		d.Report(report)
 	}()
--- a/middleware/middleware_test.go
+++ b/middleware/middleware_test.go
@@ -32,7 +32,7 @@
 		}
 		ctx, stop := context.WithCancel(context.Background())
 		go d.Run(ctx)
-		d.Roster([]dispatch.Server{{UID: "a"}}, false)
+		d.UpdateEndpoints([]dispatch.Endpoint{{UID: "a"}}, false)
 		router := chi.NewRouter()
 		router.Use(middleware.Admission(middleware.Config{Dispatch: d, Count: count, Classify: func(r *http.Request) (middleware.Call, error) {
 			if r.URL.Query().Has("bad") {
@@ -76,7 +76,7 @@
 func TestRefusedIsToldWhenToComeBack(t *testing.T) {
 	serve(t, func(http.ResponseWriter, *http.Request) { t.Error("served") },
 		func(d *dispatch.Dispatcher, get func(context.Context, string) *httptest.ResponseRecorder) {
-			d.Roster([]dispatch.Server{{UID: "a", Mode: eidertrail.Removed}}, false)
+			d.UpdateEndpoints([]dispatch.Endpoint{{UID: "a", Mode: eidertrail.Removed}}, false)
 			w := get(context.Background(), "/hotel")
 			if after, err := strconv.Atoi(w.Header().Get("Retry-After")); w.Code != 503 || err != nil || after < 1 || after > 5 {
 				t.Errorf("%d, Retry-After %q", w.Code, w.Header().Get("Retry-After"))
@@ -92,7 +92,7 @@
 		"hangs":  func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
 		"panics": func(w http.ResponseWriter, r *http.Request) { panic(http.ErrAbortHandler) },
 		"reports": func(w http.ResponseWriter, r *http.Request) {
-			middleware.FromContext(r.Context()).Report(dispatch.Reset, dispatch.Untold)
+			middleware.FromContext(r.Context()).Report(dispatch.Reset, dispatch.UnknownLoad)
 		},
 	} {
 		calls := 0
@@ -115,7 +115,7 @@
 func TestClientLeaves(t *testing.T) {
 	serve(t, func(http.ResponseWriter, *http.Request) { t.Error("served") },
 		func(d *dispatch.Dispatcher, get func(context.Context, string) *httptest.ResponseRecorder) {
-			d.Roster([]dispatch.Server{{UID: "a", Mode: eidertrail.Removed}}, false)
+			d.UpdateEndpoints([]dispatch.Endpoint{{UID: "a", Mode: eidertrail.Removed}}, false)
 			ctx, leave := context.WithCancel(context.Background())
 			leave()
 			if w := get(ctx, "/hotel"); w.Body.Len() > 0 || w.Header().Get("Retry-After") != "" {
