--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -66,8 +66,8 @@
 	word      *word             // nil: off
 	listener  net.Listener
 	env       environment
-	cfg       *config.Config         // as last read
-	moves     chan endpointlist.Move // holds the latest one that was not taken yet
+	cfg       *config.Config                  // as last read
+	moves     chan endpointlist.AddressChange // holds the latest one that was not taken yet
 	stopping  atomic.Bool
 	stopLoop  context.CancelFunc
 	stopPools context.CancelFunc
@@ -79,7 +79,7 @@
 
 // start makes a daemon and opens its listeners.
 func start(ctx context.Context, env environment, log zerolog.Logger) (*daemon, error) {
-	d := &daemon{log: log, count: &telemetry.Set{}, clock: clock.New(), env: env, moves: make(chan endpointlist.Move, 1),
+	d := &daemon{log: log, count: &telemetry.Set{}, clock: clock.New(), env: env, moves: make(chan endpointlist.AddressChange, 1),
 		broken: make(chan error, 1), addresses: map[string]string{}, life: time.Now().UnixMicro()}
 	cfg, err := env.load(d.clock)
 	if err != nil {
@@ -154,10 +154,12 @@
 		d.wg.Go(func() { d.sources.run(pools, f.disc) })
 		apply = func(e endpointlist.Event) { d.sources.bulletin(pools, e) }
 	}
-	for _, e := range cfg.Known.Items {
+	for _, e := range cfg.KnownEndpoints.Events {
 		apply(e)
 	}
-	d.wg.Go(func() { endpointlist.Watch(pools, cfg.Bulletin, cfg.Known, d.moves, d.clock, limited, d.count, apply) })
+	d.wg.Go(func() {
+		endpointlist.Watch(pools, cfg.EndpointList, cfg.KnownEndpoints, d.moves, d.clock, limited, d.count, apply)
+	})
 	d.wg.Go(func() { d.broken <- d.callers.Serve(d.listener) })
 	log.Info().Str("name", cfg.Name).Stringer("listen", d.listener.Addr()).Int("classes", len(cfg.Settings.Classes)).
 		Int("memory_mb", cfg.MemoryMB).Int("sockets", cfg.Sockets).Bool("callcontrol", f.second != nil).Bool("discovery", f.disc != nil).Bool("routing", f.router != nil).
@@ -200,7 +202,7 @@
 	case <-d.moves:
 	default:
 	}
-	d.moves <- endpointlist.Move{Address: cfg.Bulletin, Known: cfg.Known}
+	d.moves <- endpointlist.AddressChange{Address: cfg.EndpointList, Known: cfg.KnownEndpoints}
 	if disc != nil {
 		d.sources.reload(disc)
 	}
@@ -210,7 +212,7 @@
 	if cfg.Listen != d.cfg.Listen || cfg.Name != d.cfg.Name || cfg.Sockets != d.cfg.Sockets || !reflect.DeepEqual(cfg.Settings, d.cfg.Settings) {
 		d.log.Warn().Msg("name, listen, limits.sockets and settings change only at a restart")
 	}
-	d.log.Info().Str("bulletin", cfg.Bulletin).Int("memory_mb", cfg.MemoryMB).Int64("known", cfg.Known.No).Msg("new configuration")
+	d.log.Info().Str("bulletin", cfg.EndpointList).Int("memory_mb", cfg.MemoryMB).Int64("known", cfg.KnownEndpoints.Version).Msg("new configuration")
 }
 
 // openSecond opens the WebSocket front and what balancers ask. After an error its closers are to be called.
--- a/cmd/eidertrail/descriptors.go
+++ b/cmd/eidertrail/descriptors.go
@@ -22,8 +22,8 @@
 // for want of one counted as out of reach.
 func mostCallers(cfg *config.Config, second *config.CallControl, names int) (callers, pools int) {
 	listed := map[string]bool{}
-	for _, e := range cfg.Known.Items {
-		for _, l := range e.Pools {
+	for _, e := range cfg.KnownEndpoints.Events {
+		for _, l := range e.Endpoints {
 			listed[l.UID] = true
 		}
 	}
--- a/cmd/eidertrail/list_test.go
+++ b/cmd/eidertrail/list_test.go
@@ -115,16 +115,16 @@
 	src := newSources(now, pools, d, zerolog.Nop(), count, 1)
 	src.reloads = make(chan *config.Discovery) // unbuffered: once it is sent, the owner is about it
 	go src.run(ctx, disc)
-	line := endpointlist.Pool{UID: "s-1", Address: "127.0.0.1:1"}
-	src.bulletin(ctx, endpointlist.Event{No: 1, All: true, Pools: []endpointlist.Pool{line}})
+	line := endpointlist.Endpoint{UID: "s-1", Address: "127.0.0.1:1"}
+	src.bulletin(ctx, endpointlist.Event{Version: 1, Snapshot: true, Endpoints: []endpointlist.Endpoint{line}})
 	if _, _, err := server.ReadFrom(make([]byte, 1500)); err != nil { // the look-up is out, and is never answered
 		t.Fatal(err)
 	}
 
 	src.reloads <- disc
 	line.State = endpointlist.Draining
-	src.bulletin(ctx, endpointlist.Event{No: 2, Pools: []endpointlist.Pool{line}})
-	src.bulletin(ctx, endpointlist.Event{No: 3}) // the owner is done with the one before
+	src.bulletin(ctx, endpointlist.Event{Version: 2, Endpoints: []endpointlist.Endpoint{line}})
+	src.bulletin(ctx, endpointlist.Event{Version: 3}) // the owner is done with the one before
 	if _, up := pools.Connected(); up != 0 {
 		t.Errorf("%d pools are up, want none", up)
 	}
@@ -151,9 +151,9 @@
 		{64, 24, nil, 0, 21, 31},
 		{32, 24, nil, 0, 10, 10},
 	} {
-		cfg := &config.Config{Sockets: k.sockets, Known: endpointlist.Page{Items: []endpointlist.Event{{}, {}}}}
+		cfg := &config.Config{Sockets: k.sockets, KnownEndpoints: endpointlist.Page{Events: []endpointlist.Event{{}, {}}}}
 		for n := range k.listed {
-			cfg.Known.Items[n%2].Pools = append(cfg.Known.Items[n%2].Pools, endpointlist.Pool{UID: fmt.Sprint(n)})
+			cfg.KnownEndpoints.Events[n%2].Endpoints = append(cfg.KnownEndpoints.Events[n%2].Endpoints, endpointlist.Endpoint{UID: fmt.Sprint(n)})
 		}
 		callers, pools := mostCallers(cfg, k.second, k.names)
 		if callers != k.callers || pools != k.pools {
--- a/cmd/eidertrail/sources.go
+++ b/cmd/eidertrail/sources.go
@@ -65,7 +65,7 @@
 // run owns the pool set until ctx is done.
 func (s *sources) run(ctx context.Context, cfg *config.Discovery) {
 	defer close(s.done)
-	set, _ := endpointset.New(cfg.Membership()) // checked with the file
+	set, _ := endpointset.New(cfg.EndpointSet()) // checked with the file
 	var watchers sync.WaitGroup
 	stopWatchers := s.watch(ctx, &watchers, cfg, set)
 	defer func() {
@@ -80,7 +80,7 @@
 		case <-ctx.Done():
 			return
 		case e := <-s.events:
-			set.Bulletin(s.clock.Now(), e.All, fromBulletin(e.Pools))
+			set.UpdateList(s.clock.Now(), e.Snapshot, fromBulletin(e.Endpoints))
 		case u := <-s.updates:
 			s.take(set, u)
 		case next := <-s.reloads:
@@ -118,7 +118,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	r := &srv.Resolver{Server: cfg.Server, Timeout: cfg.Timeout}
 	for _, n := range cfg.Names {
-		set.Name(n.SRV, n.Group, n.Zone)
+		set.AddName(n.SRV, n.Group, n.Zone)
 		wg.Go(func() { srv.Watch(ctx, r, cfg.Schedule(), n.SRV, s.clock.Now, s.seed, s.updates) })
 	}
 	return stop
@@ -133,10 +133,10 @@
 	}
 	for _, name := range set.Names() {
 		if !keep[name] {
-			set.Forget(name)
+			set.RemoveName(name)
 		}
 	}
-	set.Bounds(next.Membership()) // checked with the file
+	set.SetConfig(next.EndpointSet()) // checked with the file
 }
 
 // take applies one look-up's outcome.
@@ -151,22 +151,22 @@
 		s.log.Warn().Err(u.Err).Str("name", u.Name).Msg("dns look-up failed, the last good set stands")
 		return
 	}
-	set.Records(u.At, u.Name, u.Answer.Records)
+	set.UpdateRecords(u.At, u.Name, u.Answer.Records)
 }
 
-func fromBulletin(pools []endpointlist.Pool) []endpointset.Pool {
-	out := make([]endpointset.Pool, len(pools))
+func fromBulletin(pools []endpointlist.Endpoint) []endpointset.ListEntry {
+	out := make([]endpointset.ListEntry, len(pools))
 	for i, p := range pools {
-		out[i] = endpointset.Pool{UID: p.UID, Address: p.Address, Group: p.Group, Zone: p.Zone, Born: p.Born,
+		out[i] = endpointset.ListEntry{UID: p.UID, Address: p.Address, Group: p.Group, Zone: p.Zone, StartedAt: p.StartedAt,
 			State: endpointset.State(p.State)}
 	}
 	return out
 }
 
-func toBulletin(view []endpointset.Member) endpointlist.Event {
-	e := endpointlist.Event{All: true, Pools: make([]endpointlist.Pool, len(view))}
+func toBulletin(view []endpointset.Endpoint) endpointlist.Event {
+	e := endpointlist.Event{Snapshot: true, Endpoints: make([]endpointlist.Endpoint, len(view))}
 	for i, m := range view {
-		e.Pools[i] = endpointlist.Pool{UID: m.UID, Address: m.Address, Group: m.Group, Zone: m.Zone, Born: m.Born,
+		e.Endpoints[i] = endpointlist.Endpoint{UID: m.UID, Address: m.Address, Group: m.Group, Zone: m.Zone, StartedAt: m.StartedAt,
 			State: endpointlist.State(m.State)}
 	}
 	return e
--- a/cmd/eidertrail/word.go
+++ b/cmd/eidertrail/word.go
@@ -25,7 +25,7 @@
 
 func newWord(node swim.Config, fleet *config.Cluster, incarnation, seed uint64, now int64, log zerolog.Logger, count *telemetry.Set) (*word, error) {
 	cfg := statetable.Default(node.Self, node.Members, incarnation, seed)
-	cfg.Kinds = []statetable.Spec{{Kind: statetable.Region, Name: "region", Most: config.MostRegion}}
+	cfg.Kinds = []statetable.Spec{{Kind: statetable.Region, Name: "region", Most: config.MaxRegionLength}}
 	t, err := statetable.New(cfg, now)
 	if err != nil {
 		return nil, err
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -187,7 +187,7 @@
 
 // Observe takes a pool's state that came unasked.
 func (d *Engine) Observe(now int64, uid string, s LoadReport) {
-	d.route.beats.Told(now, uid)
+	d.route.beats.RecordReport(now, uid)
 	d.route.report(uid, s.Free, s.Agents)
 	d.events = append(d.events, eidertrail.Report{Server: eidertrail.ServerID(uid), Free: s.Free, Agents: s.Agents})
 }
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -197,7 +197,7 @@
 	if l == nil || r == nil {
 		return
 	}
-	r.Share(func(now int64, zone string) float64 {
+	r.SetQuotaSource(func(now int64, zone string) float64 {
 		part, _ := l.part(now, spill(zone))
 		return part
 	})
--- a/dispatch/limit_test.go
+++ b/dispatch/limit_test.go
@@ -223,8 +223,8 @@
 			onFleet(t, sites[0], 5, 0, func(f *fleet) {
 				_, end := f.budgets(t, c.loss)
 				for _, d := range f.ds {
-					router, err := routing.New(routing.Config{Zone: "home", Tiers: map[string][][]string{"home": {{"away"}}}, SpillShare: 0.5,
-						Window: 10_000_000, OutShare: 0.5, Least: 8, FlapWithin: 1, WarmFrom: 1, Nodes: 5, Classes: 1}, []string{"home", "away"})
+					router, err := routing.New(routing.Config{Zone: "home", Tiers: map[string][][]string{"home": {{"away"}}}, SpillBudget: 0.5,
+						Window: 10_000_000, EjectionThreshold: 0.5, MinSamples: 8, FlapWindow: 1, SlowStartCapacity: 1, Nodes: 5, Classes: 1}, []string{"home", "away"})
 					if err != nil {
 						t.Fatal(err)
 					}
--- a/dispatch/route.go
+++ b/dispatch/route.go
@@ -70,19 +70,19 @@
 }
 
 func (r *router) roster(now int64, servers map[string]Endpoint) {
-	pools := make([]routing.Pool, 0, len(servers))
-	var up []liveness.Pool
+	pools := make([]routing.Endpoint, 0, len(servers))
+	var up []liveness.Endpoint
 	for _, s := range servers {
 		ready := s.Mode == eidertrail.Ready
-		pools = append(pools, routing.Pool{UID: s.UID, Zone: s.Zone, Up: ready})
+		pools = append(pools, routing.Endpoint{UID: s.UID, Zone: s.Zone, Up: ready})
 		if ready {
-			up = append(up, liveness.Pool{UID: s.UID, Group: s.Group})
+			up = append(up, liveness.Endpoint{UID: s.UID, Group: s.Group})
 		}
 	}
-	r.beats.Roster(up)
+	r.beats.UpdateEndpoints(up)
 	r.limits.roster(servers)
 	if r.r != nil {
-		r.r.Roster(now, pools)
+		r.r.UpdateEndpoints(now, pools)
 	}
 	r.cached = nil
 	for uid := range r.told {
@@ -97,7 +97,7 @@
 	if r.beats.IsSilent(now, uid) || !r.limits.ready(now, uid) {
 		return 0
 	}
-	if r.r == nil || !r.r.Judges(uid) {
+	if r.r == nil || !r.r.Manages(uid) {
 		return r.all
 	}
 	if r.cached == nil || r.at != now {
@@ -152,7 +152,7 @@
 			since = at
 		}
 	}
-	r.r.Waits(now, since)
+	r.r.SetOldestWait(now, since)
 }
 
 // narrow appends what has changed in eligibility since the module was last told.
@@ -187,11 +187,11 @@
 	for _, z := range zones {
 		b = append(b, z.Zone...)
 		switch {
-		case z.Dark:
+		case z.NoEndpoints:
 			b = append(b, ":dark "...)
-		case z.Out:
+		case z.Ejected:
 			b = append(b, ":out "...)
-		case z.Warm > 0:
+		case z.WarmingUp > 0:
 			b = append(b, ":warming "...)
 		default:
 			b = append(b, ":up "...)
--- a/dispatch/route_test.go
+++ b/dispatch/route_test.go
@@ -173,7 +173,7 @@
 	broken                      []string
 	left                        invariant.Departures
 	ramp                        invariant.Ramp
-	count                       routing.Count
+	count                       routing.Counts
 }
 
 // zonePlan is what happens in a run of 30 s with a call every 50 ms, each standing 2 s.
@@ -227,10 +227,10 @@
 		var router *routing.Router
 		if routed {
 			router, err = routing.New(routing.Config{Zone: "batumi",
-				Tiers:      map[string][][]string{"batumi": {{"tbilisi", "kutaisi"}, {"telavi"}}},
-				SpillShare: 0.5, Window: 10_000_000, OutShare: 0.5, Least: 4, Hold: 5_000_000, MostHold: 40_000_000,
-				SpillAfter: 100_000,
-				FlapWithin: 60_000_000, WarmUp: 10_000_000, WarmFrom: 0.1, Nodes: 1, Classes: 1},
+				Tiers:       map[string][][]string{"batumi": {{"tbilisi", "kutaisi"}, {"telavi"}}},
+				SpillBudget: 0.5, Window: 10_000_000, EjectionThreshold: 0.5, MinSamples: 4, EjectionTime: 5_000_000, MaxEjectionTime: 40_000_000,
+				SpillDelay: 100_000,
+				FlapWindow: 60_000_000, SlowStartWindow: 10_000_000, SlowStartCapacity: 0.1, Nodes: 1, Classes: 1},
 				[]string{"batumi", "tbilisi", "kutaisi", "telavi"})
 			if err != nil {
 				t.Fatal(err)
@@ -298,7 +298,7 @@
 		run.left, run.ramp = z.rules.Departures(), z.rules.Ramp()
 		run.toCold, run.overCold, run.home = z.toCold, z.overCold, z.home
 		if router != nil {
-			run.count = router.Count()
+			run.count = router.Counts()
 		}
 	})
 	return run
@@ -308,7 +308,7 @@
 	return fmt.Sprintf("calls %d, stood %d; while batumi was dark %d, standing within 1.5 s %d (%.0f%%), turned away %d; "+
 		"set-ups to cold pools %d, with no room there %d; answered at home while it was up %d; zones out %d",
 		r.calls, r.stood, r.dark, r.darkSoon, 100*float64(r.darkSoon)/float64(max(r.dark, 1)), r.darkRefused, r.toCold,
-		r.overCold, r.home, r.count.ZonesOut)
+		r.overCold, r.home, r.count.ZonesEjected)
 }
 
 // A whole zone goes dark and comes back cold, under a call every 25 ms: with routing, most stop-sell calls
@@ -326,7 +326,7 @@
 	if on.overCold > 0 {
 		t.Errorf("%d set-ups reached returning pools that had no room", on.overCold)
 	}
-	if on.count.ZonesOut == 0 {
+	if on.count.ZonesEjected == 0 {
 		t.Error("batumi was never taken out")
 	}
 	if on.ramp.Starts != 2 || on.ramp.Sent == 0 {
@@ -395,8 +395,8 @@
 func TestTiersOfAClass(t *testing.T) {
 	bubble(t, func(r *rig) {
 		router, err := routing.New(routing.Config{Zone: "batumi", Tiers: map[string][][]string{},
-			ClassTiers: map[int]map[string][][]string{0: {"batumi": {{"tbilisi"}}}}, SpillShare: 1, Window: 10_000_000,
-			OutShare: 0.5, Least: 4, FlapWithin: 1, WarmFrom: 1, Nodes: 1, Classes: 2}, []string{"batumi", "tbilisi"})
+			ClassTiers: map[int]map[string][][]string{0: {"batumi": {{"tbilisi"}}}}, SpillBudget: 1, Window: 10_000_000,
+			EjectionThreshold: 0.5, MinSamples: 4, FlapWindow: 1, SlowStartCapacity: 1, Nodes: 1, Classes: 2}, []string{"batumi", "tbilisi"})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/backend/sippool/pool.go
+++ b/internal/backend/sippool/pool.go
@@ -133,7 +133,7 @@
 	var lines []dispatch.Endpoint
 	var fresh []*pool
 	listed := map[string]bool{}
-	for _, l := range e.Pools {
+	for _, l := range e.Endpoints {
 		listed[l.UID] = true
 		p := s.pools[l.UID]
 		if p == nil && l.State == endpointlist.Removed {
@@ -154,7 +154,7 @@
 			}
 		}
 	}
-	if e.All {
+	if e.Snapshot {
 		for uid, p := range s.pools {
 			if !listed[uid] {
 				gone := p.told()
@@ -268,7 +268,7 @@
 	kick chan struct{} // wakes run
 
 	mu         sync.Mutex
-	listed     endpointlist.Pool
+	listed     endpointlist.Endpoint
 	superseded bool // its address is another's now
 	removedAt  int64
 	conn       *conn
@@ -285,22 +285,22 @@
 	byes              []item // releases that wait for a connection
 }
 
-func newPool(s *Set, l endpointlist.Pool) *pool {
+func newPool(s *Set, l endpointlist.Endpoint) *pool {
 	return &pool{set: s, uid: l.UID, listed: l, kick: make(chan struct{}, 1), dialled: make(chan struct{}),
 		downSince: s.cfg.Clock.Now(), standing: map[string]*leg{}}
 }
 
-func (p *pool) told() endpointlist.Pool {
+func (p *pool) told() endpointlist.Endpoint {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.listed
 }
 
 // apply takes a line of the list.
-func (p *pool) apply(now int64, l endpointlist.Pool) {
+func (p *pool) apply(now int64, l endpointlist.Endpoint) {
 	p.mu.Lock()
 	moved := l.Address != "" && l.Address != p.listed.Address
-	restarted := l.Born != p.listed.Born && l.Born > 0
+	restarted := l.StartedAt != p.listed.StartedAt && l.StartedAt > 0
 	if l.Address == "" {
 		l.Address = p.listed.Address
 	}
@@ -320,7 +320,7 @@
 	var cut []*leg
 	if restarted { // what stood in the old process was cut with it
 		for _, g := range p.standing {
-			if g.answeredAt < l.Born {
+			if g.answeredAt < l.StartedAt {
 				cut = append(cut, g)
 			}
 		}
@@ -350,7 +350,7 @@
 func (p *pool) line() dispatch.Endpoint {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := dispatch.Endpoint{UID: p.uid, Group: p.listed.Group, Zone: p.listed.Zone, StartedAt: p.listed.Born, Mode: eidertrail.Ready}
+	l := dispatch.Endpoint{UID: p.uid, Group: p.listed.Group, Zone: p.listed.Zone, StartedAt: p.listed.StartedAt, Mode: eidertrail.Ready}
 	switch {
 	case p.superseded || p.listed.State == endpointlist.Removed:
 		l.Mode = eidertrail.Removed
--- a/internal/backend/sippool/pool_test.go
+++ b/internal/backend/sippool/pool_test.go
@@ -72,7 +72,7 @@
 }
 
 func (r *rig) list(uid, address string, state endpointlist.State) {
-	r.Apply(endpointlist.Event{Pools: []endpointlist.Pool{{UID: uid, Address: address, State: state}}},
+	r.Apply(endpointlist.Event{Endpoints: []endpointlist.Endpoint{{UID: uid, Address: address, State: state}}},
 		func(l []dispatch.Endpoint) { r.lines = l })
 }
 
@@ -494,7 +494,7 @@
 		x := r.invite("c1", 0, time.Minute)
 		r.wantSent("INVITE").Answer(200, "", "a\r\n")
 		r.want(x, dispatch.Answered)
-		r.Apply(endpointlist.Event{All: true}, func(l []dispatch.Endpoint) { r.lines = l })
+		r.Apply(endpointlist.Event{Snapshot: true}, func(l []dispatch.Endpoint) { r.lines = l })
 		if r.lines[0].Mode != eidertrail.Removed {
 			t.Errorf("told %+v", r.lines)
 		}
--- a/internal/config/characterization_test.go
+++ b/internal/config/characterization_test.go
@@ -470,8 +470,8 @@
 	e.add("seed", strconv.FormatUint(c.Seed, 16))
 	e.count("limits.memory_mb", c.MemoryMB)
 	e.count("limits.sockets", c.Sockets)
-	e.text("bulletin", c.Bulletin)
-	encodeKnown(e, c.Known, now)
+	e.text("bulletin", c.EndpointList)
+	encodeKnown(e, c.KnownEndpoints, now)
 	e.text("peer_listen", c.PeerListen)
 	e.texts("peers", c.Peers)
 	encodeSettings(e, c.Settings)
@@ -489,19 +489,19 @@
 const lateStart = 4102444800000
 
 func encodeKnown(e *encoding, known endpointlist.Page, now *clock.Clock) {
-	e.integer("known.no", known.No)
-	e.count("known.items", len(known.Items))
-	for i, item := range known.Items {
+	e.integer("known.no", known.Version)
+	e.count("known.items", len(known.Events))
+	for i, item := range known.Events {
 		at := fmt.Sprintf("known.items[%d].", i)
-		e.integer(at+"no", item.No)
-		e.flag(at+"all", item.All)
-		for j, pool := range item.Pools {
+		e.integer(at+"no", item.Version)
+		e.flag(at+"all", item.Snapshot)
+		for j, pool := range item.Endpoints {
 			at := fmt.Sprintf("%spools[%d].", at, j)
 			e.text(at+"uid", pool.UID)
 			e.text(at+"address", pool.Address)
 			e.count(at+"group", pool.Group)
 			e.text(at+"zone", pool.Zone)
-			switch pool.Born {
+			switch pool.StartedAt {
 			case 0:
 				e.add(at+"born", "0")
 			case now.FromUnixMilli(lateStart):
@@ -664,7 +664,7 @@
 	e.duration("stale_for", d.StaleFor)
 	e.duration("drain_for", d.DrainFor)
 	e.duration("tombstone", d.Tombstone)
-	e.count("most_records", d.MostRecords)
+	e.count("most_records", d.MaxRecords)
 	e.count("names", len(d.Names))
 	for i, name := range d.Names {
 		at := fmt.Sprintf("name[%d].", i)
@@ -676,12 +676,12 @@
 	e.integer("schedule.floor_us", schedule.Floor)
 	e.integer("schedule.ceiling_us", schedule.Ceiling)
 	e.fraction("schedule.jitter", schedule.Jitter)
-	members := d.Membership()
+	members := d.EndpointSet()
 	e.integer("membership.stale_for_us", members.StaleFor)
 	e.integer("membership.drain_for_us", members.DrainFor)
 	e.integer("membership.tombstone_us", members.Tombstone)
-	e.count("membership.most_records", members.MostRecords)
-	e.count("membership.most_pools", members.MostPools)
+	e.count("membership.most_records", members.MaxRecords)
+	e.count("membership.most_pools", members.MaxEndpoints)
 	return e, nil
 }
 
@@ -697,16 +697,16 @@
 	e := &encoding{}
 	e.text("zone", r.Zone)
 	e.texts("zones", r.Zones)
-	e.fraction("spill_share", r.SpillShare)
-	e.duration("spill_after", r.SpillAfter)
+	e.fraction("spill_share", r.SpillBudget)
+	e.duration("spill_after", r.SpillDelay)
 	e.duration("window", r.Window)
-	e.fraction("out_share", r.OutShare)
-	e.count("least", r.Least)
-	e.duration("hold", r.Hold)
-	e.duration("most_hold", r.MostHold)
-	e.duration("flap_within", r.FlapWithin)
-	e.duration("warm_up", r.WarmUp)
-	e.fraction("warm_from", r.WarmFrom)
+	e.fraction("out_share", r.EjectionThreshold)
+	e.count("least", r.MinSamples)
+	e.duration("hold", r.EjectionTime)
+	e.duration("most_hold", r.MaxEjectionTime)
+	e.duration("flap_within", r.FlapWindow)
+	e.duration("warm_up", r.SlowStartWindow)
+	e.fraction("warm_from", r.SlowStartCapacity)
 	encodeTiers(e, "tiers", r.Tiers)
 	var classes []string
 	for name := range r.Class {
--- a/internal/config/cluster.go
+++ b/internal/config/cluster.go
@@ -29,16 +29,16 @@
 	Budget  *Budget  `toml:"budget"` // absent: no fleet-wide budgets
 }
 
-// MostRegion is the longest name of a region, in bytes.
-const MostRegion = 32
+// MaxRegionLength is the longest name of a region, in bytes.
+const MaxRegionLength = 32
 
 // regionName is what a region may be called.
 var regionName = regexp.MustCompile(`^[A-Za-z0-9._-]+$`)
 
 func (c *Cluster) checkRegions(n swim.Config) error {
 	name := func(field, text string) error {
-		if len(text) > MostRegion || !regionName.MatchString(text) {
-			return fmt.Errorf("%s: %.40q: want letters, digits or ._-, %d at the most", field, text, MostRegion)
+		if len(text) > MaxRegionLength || !regionName.MatchString(text) {
+			return fmt.Errorf("%s: %.40q: want letters, digits or ._-, %d at the most", field, text, MaxRegionLength)
 		}
 		return nil
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -24,13 +24,13 @@
 
 // Config is the configuration of one session controller.
 type Config struct {
-	Name     string
-	Listen   string
-	Seed     uint64
-	MemoryMB int
-	Sockets  int
-	Bulletin string // address, "" for none
-	Known    endpointlist.Page
+	Name           string
+	Listen         string
+	Seed           uint64
+	MemoryMB       int
+	Sockets        int
+	EndpointList   string // address, "" for none
+	KnownEndpoints endpointlist.Page
 
 	PeerListen string   // UDP, "" where the platform gives no way between controllers
 	Peers      []string // by number, the own one included
@@ -64,11 +64,11 @@
 		return nil, fmt.Errorf("config: not a JSON object")
 	}
 	c := &Config{
-		Name:     r.headerText("name", false),
-		Listen:   r.address("listen", true),
-		Bulletin: r.address("bulletin", false),
-		MemoryMB: int(r.number("limits.memory_mb", 192, 16, 1<<20)),
-		Sockets:  int(r.number("limits.sockets", 1024, 32, 1<<20)),
+		Name:         r.headerText("name", false),
+		Listen:       r.address("listen", true),
+		EndpointList: r.address("bulletin", false),
+		MemoryMB:     int(r.number("limits.memory_mb", 192, 16, 1<<20)),
+		Sockets:      int(r.number("limits.sockets", 1024, 32, 1<<20)),
 	}
 	if seed := r.text("seed", false); seed != "" {
 		var err error
@@ -89,7 +89,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("config: known: %w", err)
 		}
-		c.Known = page
+		c.KnownEndpoints = page
 	}
 	if _, err := eidertrail.New(c.Settings, c.Seed); err != nil {
 		return nil, fmt.Errorf("config: %w", err)
@@ -120,8 +120,8 @@
 	c.MaxRetryAfter = int64(r.number("settings.caps.max_retry_after", 2e9, 0, most)) / 1000
 	skills := r.root.Get("settings.extra.shape").Str == "skills"
 	classes := r.list("settings.request_classes", true)
-	if len(classes) > routing.MostClasses {
-		r.fail("settings.request_classes", fmt.Sprintf("want at most %d", routing.MostClasses))
+	if len(classes) > routing.MaxClasses {
+		r.fail("settings.request_classes", fmt.Sprintf("want at most %d", routing.MaxClasses))
 	}
 	for i, k := range classes {
 		at := fmt.Sprintf("settings.request_classes.%d.", i)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -30,7 +30,7 @@
 	}
 	s := c.Settings
 	if c.Name != "n3" || c.Seed != 0x8c1f30d27a5be964 || c.MemoryMB != 192 || c.ConnectTimeout != 500_000 ||
-		c.MaxRetryAfter != 2_000_000 || c.ReportFree != "idle" || c.Known.No != 3 || c.Known.Items[0].Pools[0].Group != 2 ||
+		c.MaxRetryAfter != 2_000_000 || c.ReportFree != "idle" || c.KnownEndpoints.Version != 3 || c.KnownEndpoints.Events[0].Endpoints[0].Group != 2 ||
 		s.Nodes != 6 || s.Index != 2 || s.OwnExchange != -1 || s.ReleaseWait != 300*time.Millisecond || s.SlowStartWindow != 14*time.Second ||
 		s.Classes[0].LatencyObjective != 5*time.Second || len(s.Classes[0].Pools) != 2 || s.Classes[0].Pools[1] != 3 ||
 		s.Classes[0].MeanHoldingTime != 10200*time.Millisecond || s.Classes[0].LateFactor != 0.25 {
--- a/internal/config/discovery.go
+++ b/internal/config/discovery.go
@@ -22,7 +22,7 @@
 	StaleFor       time.Duration `toml:"stale_for"`       // a record is kept this long past its TTL while DNS fails
 	DrainFor       time.Duration `toml:"drain_for"`       // the longest drain of a pool that vanished
 	Tombstone      time.Duration `toml:"tombstone"`       // a bulletin's removal holds DNS out this long
-	MostRecords    int           `toml:"most_records"`    // records kept for one name
+	MaxRecords     int           `toml:"most_records"`    // records kept for one name
 	Names          []SRVName     `toml:"name"`
 }
 
@@ -38,10 +38,10 @@
 	return srv.Schedule{Floor: d.RefreshFloor.Microseconds(), Ceiling: d.RefreshCeiling.Microseconds(), Jitter: d.Jitter}
 }
 
-// Membership is what the pool set keeps, in µs.
-func (d *Discovery) Membership() endpointset.Config {
+// EndpointSet is what the pool set keeps, in µs.
+func (d *Discovery) EndpointSet() endpointset.Config {
 	return endpointset.Config{StaleFor: d.StaleFor.Microseconds(), DrainFor: d.DrainFor.Microseconds(),
-		Tombstone: d.Tombstone.Microseconds(), MostRecords: d.MostRecords, MostPools: 1024}
+		Tombstone: d.Tombstone.Microseconds(), MaxRecords: d.MaxRecords, MaxEndpoints: 1024}
 }
 
 // LoadDiscovery reads the file at path. An error is one line that names the field.
@@ -56,7 +56,7 @@
 // ParseDiscovery reads the text of a discovery file.
 func ParseDiscovery(text string) (*Discovery, error) {
 	d := &Discovery{Timeout: 500 * time.Millisecond, RefreshFloor: time.Second, RefreshCeiling: 5 * time.Minute,
-		Jitter: 0.1, StaleFor: 5 * time.Minute, DrainFor: 30 * time.Second, Tombstone: time.Minute, MostRecords: 64}
+		Jitter: 0.1, StaleFor: 5 * time.Minute, DrainFor: 30 * time.Second, Tombstone: time.Minute, MaxRecords: 64}
 	if _, err := decode("discovery", text, d); err != nil {
 		return nil, err
 	}
@@ -79,8 +79,8 @@
 	if !(d.Jitter >= 0 && d.Jitter <= 0.5) {
 		r.fail("jitter", "want 0 to 0.5")
 	}
-	if d.MostRecords < 1 || d.MostRecords > srv.MostRecords {
-		r.fail("most_records", fmt.Sprintf("want 1 to %d", srv.MostRecords))
+	if d.MaxRecords < 1 || d.MaxRecords > srv.MaxRecords {
+		r.fail("most_records", fmt.Sprintf("want 1 to %d", srv.MaxRecords))
 	}
 	if len(d.Names) == 0 {
 		r.fail("name", "want at least one [[name]]")
--- a/internal/config/routing.go
+++ b/internal/config/routing.go
@@ -12,20 +12,20 @@
 
 // Routing is the configuration of zone-aware routing (deploy/routing.toml).
 type Routing struct {
-	Zone       string                `toml:"zone"`        // this controller's zone
-	Zones      []string              `toml:"zones"`       // every zone there is
-	Tiers      map[string][][]string `toml:"tiers"`       // by zone: the tiers it spills to, nearest first
-	Class      map[string]ClassTiers `toml:"class"`       // by the class's name: tiers of its own
-	SpillShare float64               `toml:"spill_share"` // of a tier's agents that another zone's calls may hold
-	SpillAfter time.Duration         `toml:"spill_after"` // a call that has waited so long opens the next tier
-	Window     time.Duration         `toml:"window"`      // outcomes a zone is judged by
-	OutShare   float64               `toml:"out_share"`   // failures in the window that take a zone out
-	Least      int                   `toml:"least"`       // outcomes below which a zone is not judged
-	Hold       time.Duration         `toml:"hold"`        // least time out
-	MostHold   time.Duration         `toml:"most_hold"`   // most time out after flaps
-	FlapWithin time.Duration         `toml:"flap_within"` // out again within this of a return: a flap
-	WarmUp     time.Duration         `toml:"warm_up"`     // slow start of a returning pool or zone
-	WarmFrom   float64               `toml:"warm_from"`   // the share of its capacity it starts at
+	Zone              string                `toml:"zone"`        // this controller's zone
+	Zones             []string              `toml:"zones"`       // every zone there is
+	Tiers             map[string][][]string `toml:"tiers"`       // by zone: the tiers it spills to, nearest first
+	Class             map[string]ClassTiers `toml:"class"`       // by the class's name: tiers of its own
+	SpillBudget       float64               `toml:"spill_share"` // of a tier's agents that another zone's calls may hold
+	SpillDelay        time.Duration         `toml:"spill_after"` // a call that has waited so long opens the next tier
+	Window            time.Duration         `toml:"window"`      // outcomes a zone is judged by
+	EjectionThreshold float64               `toml:"out_share"`   // failures in the window that take a zone out
+	MinSamples        int                   `toml:"least"`       // outcomes below which a zone is not judged
+	EjectionTime      time.Duration         `toml:"hold"`        // least time out
+	MaxEjectionTime   time.Duration         `toml:"most_hold"`   // most time out after flaps
+	FlapWindow        time.Duration         `toml:"flap_within"` // out again within this of a return: a flap
+	SlowStartWindow   time.Duration         `toml:"warm_up"`     // slow start of a returning pool or zone
+	SlowStartCapacity float64               `toml:"warm_from"`   // the share of its capacity it starts at
 }
 
 // ClassTiers are the tiers of one class.
@@ -56,10 +56,10 @@
 }
 
 func (r *Routing) config(nodes, classes int) routing.Config {
-	return routing.Config{Zone: r.Zone, Tiers: r.Tiers, Classes: classes, SpillShare: r.SpillShare, SpillAfter: r.SpillAfter.Microseconds(),
-		Window:   r.Window.Microseconds(),
-		OutShare: r.OutShare, Least: r.Least, Hold: r.Hold.Microseconds(), MostHold: r.MostHold.Microseconds(),
-		FlapWithin: r.FlapWithin.Microseconds(), WarmUp: r.WarmUp.Microseconds(), WarmFrom: r.WarmFrom, Nodes: max(nodes, 1)}
+	return routing.Config{Zone: r.Zone, Tiers: r.Tiers, Classes: classes, SpillBudget: r.SpillBudget, SpillDelay: r.SpillDelay.Microseconds(),
+		Window:            r.Window.Microseconds(),
+		EjectionThreshold: r.EjectionThreshold, MinSamples: r.MinSamples, EjectionTime: r.EjectionTime.Microseconds(), MaxEjectionTime: r.MaxEjectionTime.Microseconds(),
+		FlapWindow: r.FlapWindow.Microseconds(), SlowStartWindow: r.SlowStartWindow.Microseconds(), SlowStartCapacity: r.SlowStartCapacity, Nodes: max(nodes, 1)}
 }
 
 // LoadRouting reads the file at path. An error is one line that names the field.
@@ -73,8 +73,8 @@
 
 // ParseRouting reads the text of a routing file.
 func ParseRouting(text string) (*Routing, error) {
-	r := &Routing{SpillShare: 0.3, SpillAfter: 100 * time.Millisecond, Window: 10 * time.Second, OutShare: 0.5, Least: 8, Hold: 10 * time.Second,
-		MostHold: 2 * time.Minute, FlapWithin: time.Minute, WarmUp: 30 * time.Second, WarmFrom: 0.1}
+	r := &Routing{SpillBudget: 0.3, SpillDelay: 100 * time.Millisecond, Window: 10 * time.Second, EjectionThreshold: 0.5, MinSamples: 8, EjectionTime: 10 * time.Second,
+		MaxEjectionTime: 2 * time.Minute, FlapWindow: time.Minute, SlowStartWindow: 30 * time.Second, SlowStartCapacity: 0.1}
 	if _, err := decode("routing", text, r); err != nil {
 		return nil, err
 	}
--- a/internal/config/routing_test.go
+++ b/internal/config/routing_test.go
@@ -16,7 +16,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := r.Router(3, []string{"stop-sell"}); err != nil || r.SpillShare != 0.3 || len(r.Tiers["batumi"]) != 2 {
+	if _, err := r.Router(3, []string{"stop-sell"}); err != nil || r.SpillBudget != 0.3 || len(r.Tiers["batumi"]) != 2 {
 		t.Errorf("%+v, %v", r, err)
 	}
 }
--- a/internal/endpoint/endpointlist/bulletin.go
+++ b/internal/endpoint/endpointlist/bulletin.go
@@ -32,31 +32,31 @@
 	Removed
 )
 
-// Pool is one sync pool of the list. UID names it; its address may once have been another's.
-type Pool struct {
-	UID     string
-	Address string
-	Group   int    // the number by which calls and classes name it
-	Zone    string // its availability zone ("az"), "" if not told
-	Born    int64  // clock reading of a late start, or 0
-	State   State
+// Endpoint is one sync pool of the list. UID names it; its address may once have been another's.
+type Endpoint struct {
+	UID       string
+	Address   string
+	Group     int    // the number by which calls and classes name it
+	Zone      string // its availability zone ("az"), "" if not told
+	StartedAt int64  // clock reading of a late start, or 0
+	State     State
 }
 
 // Event is one change. With All it is the whole list: a pool that is not in it is gone.
 type Event struct {
-	No    int64
-	All   bool
-	Pools []Pool
+	Version   int64
+	Snapshot  bool
+	Endpoints []Endpoint
 }
 
 // Page is an answer of the bulletin: the number of the last event, and the events, in the order of their numbers.
 type Page struct {
-	No    int64
-	Items []Event
+	Version int64
+	Events  []Event
 }
 
-// ErrPool tells that a pool of a page makes no sense. The page holds the others.
-var ErrPool = errors.New("bulletin: a pool that makes no sense")
+// ErrInvalidEndpoint tells that a pool of a page makes no sense. The page holds the others.
+var ErrInvalidEndpoint = errors.New("bulletin: a pool that makes no sense")
 
 // ParsePage reads an answer of the bulletin. Items of other kinds are passed over, as are pools of an
 // unknown state. With ErrPool the page may be used all the same: a drain whose address makes no sense is in it, with
@@ -71,18 +71,18 @@
 	if no.Type != gjson.Number {
 		return p, fmt.Errorf("bulletin: no: want a number")
 	}
-	p.No = no.Int()
+	p.Version = no.Int()
 	var bad error
 	for i, item := range root.Get("items").Array() {
 		roster := item.Get("roster")
 		if !roster.Exists() {
 			continue
 		}
-		e := Event{No: item.Get("no").Int(), All: roster.Get("all").Bool()}
+		e := Event{Version: item.Get("no").Int(), Snapshot: roster.Get("all").Bool()}
 		for j, t := range roster.Get("targets").Array() {
-			pool := Pool{
+			pool := Endpoint{
 				UID: t.Get("uid").Str, Address: t.Get("endpoint").Str,
-				Group: int(t.Get("pod_group").Int()), Born: now.FromUnixMilli(t.Get("boot_ms").Int()), Zone: t.Get("az").Str,
+				Group: int(t.Get("pod_group").Int()), StartedAt: now.FromUnixMilli(t.Get("boot_ms").Int()), Zone: t.Get("az").Str,
 			}
 			switch t.Get("state").Str {
 			case "up":
@@ -94,27 +94,27 @@
 				continue
 			}
 			if pool.UID == "" {
-				bad = fmt.Errorf("%w: items[%d].roster.targets[%d].uid: absent", ErrPool, i, j)
+				bad = fmt.Errorf("%w: items[%d].roster.targets[%d].uid: absent", ErrInvalidEndpoint, i, j)
 				continue
 			}
 			if _, _, err := net.SplitHostPort(pool.Address); err != nil && pool.State != Removed {
-				bad = fmt.Errorf("%w: items[%d].roster.targets[%d].endpoint: %.40q is not address:port", ErrPool, i, j, pool.Address)
+				bad = fmt.Errorf("%w: items[%d].roster.targets[%d].endpoint: %.40q is not address:port", ErrInvalidEndpoint, i, j, pool.Address)
 				// Guards against a drain that counts as told being passed over for an address that it does not need.
 				if pool.Address = ""; pool.State != Draining {
 					continue
 				}
 			}
-			e.Pools = append(e.Pools, pool)
+			e.Endpoints = append(e.Endpoints, pool)
 		}
-		p.Items = append(p.Items, e)
+		p.Events = append(p.Events, e)
 	}
 	// Guards against an event that comes after a later one on the page passing for one that was told already.
-	slices.SortStableFunc(p.Items, func(a, b Event) int { return cmp.Compare(p.number(a), p.number(b)) })
+	slices.SortStableFunc(p.Events, func(a, b Event) int { return cmp.Compare(p.number(a), p.number(b)) })
 	return p, bad
 }
 
 // number is the event's, or the page's for one that has none.
-func (p Page) number(e Event) int64 { return cmp.Or(e.No, p.No) }
+func (p Page) number(e Event) int64 { return cmp.Or(e.Version, p.Version) }
 
 const (
 	// patience is how long the bulletin is asked to wait for news. It is well under the 5 s that it allows: a
@@ -134,8 +134,8 @@
 	retryMax = 250 * time.Millisecond
 )
 
-// Move is what a new configuration says of the bulletin: where it is now, and events that may be news.
-type Move struct {
+// AddressChange is what a new configuration says of the bulletin: where it is now, and events that may be news.
+type AddressChange struct {
 	Address string // "" for none
 	Known   Page
 }
@@ -143,22 +143,22 @@
 // Watch calls tell with each event that is later than known, which was told already, in order and once each, until ctx
 // is done. A Move has it ask elsewhere from then on; the numbers continue. Without an address it waits for one. When
 // the numbers go back, what the bulletin has and did not tell before is told, but for what a later line has outdated.
-func Watch(ctx context.Context, address string, known Page, moves <-chan Move, now *clock.Clock, log zerolog.Logger, count *telemetry.Set, tell func(Event)) {
+func Watch(ctx context.Context, address string, known Page, moves <-chan AddressChange, now *clock.Clock, log zerolog.Logger, count *telemetry.Set, tell func(Event)) {
 	newWatch(known, now, log, count, tell).follow(ctx, address, moves)
 }
 
 func newWatch(known Page, now *clock.Clock, log zerolog.Logger, count *telemetry.Set, tell func(Event)) *watch {
-	w := &watch{after: known.No, now: now, log: log, count: count, tell: tell, dial: (&net.Dialer{Timeout: dialWithin}).DialContext}
-	for _, e := range known.Items {
+	w := &watch{after: known.Version, now: now, log: log, count: count, tell: tell, dial: (&net.Dialer{Timeout: dialWithin}).DialContext}
+	for _, e := range known.Events {
 		w.fence.seen(e)
 		w.fence.pass(e, known.number(e))
-		w.after = max(w.after, e.No)
+		w.after = max(w.after, e.Version)
 	}
 	return w
 }
 
 // follow asks at address, and where moves lead, until ctx is done.
-func (w *watch) follow(ctx context.Context, address string, moves <-chan Move) {
+func (w *watch) follow(ctx context.Context, address string, moves <-chan AddressChange) {
 	for ctx.Err() == nil {
 		asking, stop := context.WithCancel(ctx)
 		var asked sync.WaitGroup
@@ -193,9 +193,9 @@
 // news tells the events of a page that are later than the last and were not told before. Several may have one number.
 func (w *watch) news(p Page) {
 	last := w.after
-	for _, e := range p.Items {
-		if e.No > last || e.No == 0 {
-			w.after = max(w.after, e.No)
+	for _, e := range p.Events {
+		if e.Version > last || e.Version == 0 {
+			w.after = max(w.after, e.Version)
 			if w.fence.seen(e) {
 				continue
 			}
@@ -203,7 +203,7 @@
 			w.tell(w.fence.pass(e, p.number(e)))
 		}
 	}
-	w.after = max(w.after, p.No)
+	w.after = max(w.after, p.Version)
 }
 
 // back tells what a bulletin has whose numbers have gone back: it counts anew, or lags.
@@ -211,10 +211,10 @@
 // Guards against events that are never told: it was asked for later ones than it has, so it may have sent none of
 // them, or the last. Unless it sent them from the first on it is asked for all.
 func (w *watch) back(p Page) {
-	w.log.Warn().Int64("no", p.No).Int64("after", w.after).Msg("bulletin counts anew")
+	w.log.Warn().Int64("no", p.Version).Int64("after", w.after).Msg("bulletin counts anew")
 	w.after = 0
 	w.news(p)
-	if len(p.Items) == 0 || p.number(p.Items[0]) > 1 {
+	if len(p.Events) == 0 || p.number(p.Events[0]) > 1 {
 		w.after = 0
 	}
 }
@@ -229,7 +229,7 @@
 	for ctx.Err() == nil {
 		began := w.now.Now()
 		page, err := w.fetch(ctx, client, address)
-		if errors.Is(err, ErrPool) { // asking again would bring it again
+		if errors.Is(err, ErrInvalidEndpoint) { // asking again would bring it again
 			w.count.Add(telemetry.BulletinErrors)
 			w.log.Warn().Err(err).Msg("bulletin read in part")
 			err = nil
@@ -246,8 +246,8 @@
 			continue
 		}
 		retry = retryMin
-		stale := page.No <= w.after
-		if page.No < w.after {
+		stale := page.Version <= w.after
+		if page.Version < w.after {
 			w.back(page)
 		} else {
 			w.news(page)
--- a/internal/endpoint/endpointlist/bulletin_test.go
+++ b/internal/endpoint/endpointlist/bulletin_test.go
@@ -24,17 +24,17 @@
 func TestParsePage(t *testing.T) {
 	now := clock.New()
 	p, err := ParsePage([]byte(page(41, "draining")), now)
-	if err != nil || p.No != 41 || len(p.Items) != 1 || p.Items[0].All || len(p.Items[0].Pools) != 1 {
+	if err != nil || p.Version != 41 || len(p.Events) != 1 || p.Events[0].Snapshot || len(p.Events[0].Endpoints) != 1 {
 		t.Fatalf("%+v, %v", p, err)
 	}
-	l := p.Items[0].Pools[0]
+	l := p.Events[0].Endpoints[0]
 	if l.UID != "s-1" || l.Address != "127.0.0.3:5060" || l.Group != 2 || l.State != Draining {
 		t.Errorf("%+v", l)
 	}
-	if d := l.Born - now.Now(); d < 0 || d > 1_000_000 {
+	if d := l.StartedAt - now.Now(); d < 0 || d > 1_000_000 {
 		t.Errorf("born %d us from now", d)
 	}
-	if p, err = ParsePage([]byte(page(41, "odd")), now); err != nil || len(p.Items[0].Pools) != 0 {
+	if p, err = ParsePage([]byte(page(41, "odd")), now); err != nil || len(p.Events[0].Endpoints) != 0 {
 		t.Errorf("a state that is not known: %+v, %v", p, err)
 	}
 	for _, text := range []string{"", "{", "{}", `{"no":"1"}`} {
@@ -45,7 +45,7 @@
 	// One pool that makes no sense must not hide the others.
 	for _, odd := range []string{`{"uid":"","state":"up"},`, `{"uid":"s-0","endpoint":"x","state":"up"},`} {
 		p, err := ParsePage([]byte(strings.Replace(page(1, "up"), `"targets":[`, `"targets":[`+odd, 1)), now)
-		if !errors.Is(err, ErrPool) || len(p.Items) != 1 || len(p.Items[0].Pools) != 1 || p.Items[0].Pools[0].UID != "s-1" {
+		if !errors.Is(err, ErrInvalidEndpoint) || len(p.Events) != 1 || len(p.Events[0].Endpoints) != 1 || p.Events[0].Endpoints[0].UID != "s-1" {
 			t.Errorf("%s: %+v, %v", odd, p, err)
 		}
 	}
@@ -74,7 +74,7 @@
 	defer s.Close()
 	var told []int64
 	count := &telemetry.Set{}
-	Watch(ctx, strings.TrimPrefix(s.URL, "http://"), Page{No: 3}, nil, clock.New(), zerolog.Nop(), count, func(e Event) { told = append(told, e.No) })
+	Watch(ctx, strings.TrimPrefix(s.URL, "http://"), Page{Version: 3}, nil, clock.New(), zerolog.Nop(), count, func(e Event) { told = append(told, e.Version) })
 	if got := fmt.Sprint(told); got != "[4 5 1]" {
 		t.Errorf("told %s", got)
 	}
@@ -100,7 +100,7 @@
 		fmt.Fprint(w, page(4, "draining"))
 	}))
 	defer s.Close()
-	Watch(ctx, strings.TrimPrefix(s.URL, "http://"), Page{No: 3}, nil, clock.New(), zerolog.Nop(), nil, func(e Event) { stop() })
+	Watch(ctx, strings.TrimPrefix(s.URL, "http://"), Page{Version: 3}, nil, clock.New(), zerolog.Nop(), nil, func(e Event) { stop() })
 	if a, b := <-asked, <-asked; a != "3" || b != "3" {
 		t.Errorf("asked after %s and %s", a, b)
 	}
@@ -121,11 +121,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	moves := make(chan Move, 1)
-	moves <- Move{Address: strings.TrimPrefix(s.URL, "http://"), Known: known}
+	moves := make(chan AddressChange, 1)
+	moves <- AddressChange{Address: strings.TrimPrefix(s.URL, "http://"), Known: known}
 	var told []int64
-	Watch(ctx, "", Page{No: 3}, moves, clock.New(), zerolog.Nop(), nil, func(e Event) {
-		if told = append(told, e.No); e.No == 5 {
+	Watch(ctx, "", Page{Version: 3}, moves, clock.New(), zerolog.Nop(), nil, func(e Event) {
+		if told = append(told, e.Version); e.Version == 5 {
 			stop()
 		}
 	})
--- a/internal/endpoint/endpointlist/fence.go
+++ b/internal/endpoint/endpointlist/fence.go
@@ -35,12 +35,12 @@
 // Guards against the older list of a bulletin that lags having pools that were told since gone for a while, with
 // what stands there, and known again as if they were new.
 func (f *fence) seen(e Event) bool {
-	if e.No == 0 {
+	if e.Version == 0 {
 		return false
 	}
 	sum := fnv.New64a()
-	fmt.Fprintf(sum, "%v %+v", e.All, e.Pools)
-	s := stamp{e.No, sum.Sum64()}
+	fmt.Fprintf(sum, "%v %+v", e.Snapshot, e.Endpoints)
+	s := stamp{e.Version, sum.Sum64()}
 	if f.told[s] {
 		return true
 	}
@@ -53,10 +53,10 @@
 
 // fenced is what was told of one pool.
 type fenced struct {
-	line     Pool  // the last line that was passed on; Removed as well once its address was told as another's
-	no       int64 // the highest number of an event with a line of it that was passed on
-	drainNo  int64 // the same of those that had it drain or go, or gave its address away
-	lastBorn int64 // the latest start told
+	line     Endpoint // the last line that was passed on; Removed as well once its address was told as another's
+	no       int64    // the highest number of an event with a line of it that was passed on
+	drainNo  int64    // the same of those that had it drain or go, or gave its address away
+	lastBorn int64    // the latest start told
 }
 
 // pass returns the event numbered no as it is to be told: lines that are held back are replaced by what was told
@@ -65,9 +65,9 @@
 	if f.pools == nil {
 		f.pools = map[string]*fenced{}
 	}
-	listed := make(map[string]bool, len(e.Pools))
-	lines := make([]Pool, 0, len(e.Pools))
-	for _, l := range e.Pools {
+	listed := make(map[string]bool, len(e.Endpoints))
+	lines := make([]Endpoint, 0, len(e.Endpoints))
+	for _, l := range e.Endpoints {
 		listed[l.UID] = true
 		t := f.pools[l.UID]
 		if l.Address == "" && t != nil {
@@ -85,7 +85,7 @@
 			lines = append(lines, t.line)
 			continue
 		}
-		t.line, t.no, t.lastBorn = l, max(t.no, no), max(t.lastBorn, l.Born)
+		t.line, t.no, t.lastBorn = l, max(t.no, no), max(t.lastBorn, l.StartedAt)
 		if l.State != Up {
 			t.drainNo = max(t.drainNo, no)
 		} else {
@@ -93,24 +93,24 @@
 		}
 		lines = append(lines, l)
 	}
-	if e.All {
+	if e.Snapshot {
 		for uid, t := range f.pools {
 			if !listed[uid] {
 				t.gone(no)
 			}
 		}
 	}
-	e.Pools = lines
+	e.Endpoints = lines
 	return e
 }
 
 // outdates tells whether an up line of the event numbered no is older than what was told: than a drain, with no
 // later start since, or than a later start.
-func (t *fenced) outdates(l Pool, no int64) bool {
+func (t *fenced) outdates(l Endpoint, no int64) bool {
 	if t.line.State != Up {
-		return no <= t.drainNo && l.Born <= t.lastBorn
+		return no <= t.drainNo && l.StartedAt <= t.lastBorn
 	}
-	return no < t.no && l.Born < t.lastBorn
+	return no < t.no && l.StartedAt < t.lastBorn
 }
 
 func (t *fenced) gone(no int64) {
@@ -118,7 +118,7 @@
 }
 
 // takeOver notes that l's address is no longer another's, unless a further line of the same event says where that is.
-func (f *fence) takeOver(l Pool, no int64) {
+func (f *fence) takeOver(l Endpoint, no int64) {
 	for uid, t := range f.pools {
 		if uid != l.UID && t.line.Address == l.Address {
 			t.gone(no - 1)
--- a/internal/endpoint/endpointlist/fence_test.go
+++ b/internal/endpoint/endpointlist/fence_test.go
@@ -11,27 +11,27 @@
 	t.Helper()
 	head, rest, _ := strings.Cut(text, ":")
 	var e Event
-	if _, err := fmt.Sscan(head, &e.No); err != nil {
+	if _, err := fmt.Sscan(head, &e.Version); err != nil {
 		t.Fatal(err)
 	}
-	e.All = strings.HasSuffix(head, "all")
+	e.Snapshot = strings.HasSuffix(head, "all")
 	for line := range strings.SplitSeq(rest, ",") {
 		f := append(strings.Fields(line), "0")
 		if len(f) < 3 {
 			continue
 		}
 		uid, address, _ := strings.Cut(f[0], "@")
-		l := Pool{UID: uid, Address: address, State: map[string]State{"up": Up, "draining": Draining, "removed": Removed}[f[1]]}
-		fmt.Sscan(f[2], &l.Born)
-		e.Pools = append(e.Pools, l)
+		l := Endpoint{UID: uid, Address: address, State: map[string]State{"up": Up, "draining": Draining, "removed": Removed}[f[1]]}
+		fmt.Sscan(f[2], &l.StartedAt)
+		e.Endpoints = append(e.Endpoints, l)
 	}
 	return e
 }
 
 func text(e Event) string {
 	var lines []string
-	for _, l := range e.Pools {
-		lines = append(lines, fmt.Sprintf("%s@%s %s %d", l.UID, l.Address, [...]string{"up", "draining", "removed"}[l.State], l.Born))
+	for _, l := range e.Endpoints {
+		lines = append(lines, fmt.Sprintf("%s@%s %s %d", l.UID, l.Address, [...]string{"up", "draining", "removed"}[l.State], l.StartedAt))
 	}
 	return strings.Join(lines, ", ")
 }
@@ -71,7 +71,7 @@
 		var got string
 		for _, e := range k.events {
 			e := event(t, e)
-			got = text(f.pass(e, e.No))
+			got = text(f.pass(e, e.Version))
 		}
 		if got != k.want {
 			t.Errorf("%s: %v: last told as %q, want %q", k.name, k.events, got, k.want)
@@ -86,13 +86,13 @@
 	f.pass(event(t, "1: up@a up"), 1)
 	const last = mostFenced + 99
 	for no := int64(2); no <= last; no++ {
-		f.pass(Event{No: no, Pools: []Pool{{UID: fmt.Sprint(no), Address: fmt.Sprint(no), State: Removed}}}, no)
+		f.pass(Event{Version: no, Endpoints: []Endpoint{{UID: fmt.Sprint(no), Address: fmt.Sprint(no), State: Removed}}}, no)
 	}
 	if _, held := f.pools["up"]; len(f.pools) != mostFenced || !held {
 		t.Errorf("%d pools, the one that is up held: %v", len(f.pools), held)
 	}
 	for no := int64(1); no <= 2*mostSeen; no++ {
-		if e := (Event{No: no}); f.seen(e) || !f.seen(e) {
+		if e := (Event{Version: no}); f.seen(e) || !f.seen(e) {
 			t.Fatalf("event %d is not known again, or was before", no)
 		}
 	}
--- a/internal/endpoint/endpointlist/order_test.go
+++ b/internal/endpoint/endpointlist/order_test.go
@@ -62,7 +62,7 @@
 	go func() {
 		defer close(ended)
 		Watch(ctx, address, known, nil, clock.New(), zerolog.Nop(), nil, func(e Event) {
-			told = append(told, fmt.Sprint(e.No, " ", strings.ReplaceAll(text(e), "@127.0.0.3:5060", "")))
+			told = append(told, fmt.Sprint(e.Version, " ", strings.ReplaceAll(text(e), "@127.0.0.3:5060", "")))
 		})
 	}()
 	for range questions {
@@ -136,7 +136,7 @@
 		{answer(2, item(2, "draining")), "2 s-1 draining 0, 1 s-1 draining 0"},
 	} {
 		address, asked := script(t, k.first, answer(2, item(1, "up"), item(2, "draining")))
-		if were, told := watched(t, address, asked, 3, Page{No: 5}); were != "5 0 2" || told != k.want {
+		if were, told := watched(t, address, asked, 3, Page{Version: 5}); were != "5 0 2" || told != k.want {
 			t.Errorf("%s: asked after %s, told %s, want %s", k.first, were, told, k.want)
 		}
 	}
@@ -152,7 +152,7 @@
 		{answer(4, item(3, "up"), item(4, "draining")), "4 s-1 draining 0"},
 	} {
 		address, asked := script(t, k.page)
-		if _, told := watched(t, address, asked, 2, Page{No: 3}); told != k.want {
+		if _, told := watched(t, address, asked, 2, Page{Version: 3}); told != k.want {
 			t.Errorf("%s: told %s, want %s", k.page, told, k.want)
 		}
 	}
@@ -161,7 +161,7 @@
 // Guards against a drain that is passed over for an address that makes no sense, though the pool is known by its uid.
 func TestADrainWithoutAnAddressIsTold(t *testing.T) {
 	address, asked := script(t, answer(5, item(4, "up"), strings.Replace(item(5, "draining"), "127.0.0.3:5060", "", 1)))
-	if _, told := watched(t, address, asked, 2, Page{No: 3}); told != "4 s-1 up 0, 5 s-1 draining 0" {
+	if _, told := watched(t, address, asked, 2, Page{Version: 3}); told != "4 s-1 up 0, 5 s-1 draining 0" {
 		t.Errorf("told %s", told)
 	}
 }
@@ -179,16 +179,16 @@
 	}))
 	defer old.Close()
 	next, asked := script(t, answer(5, item(4, "up"), item(5, "draining")))
-	moves := make(chan Move, 1)
+	moves := make(chan AddressChange, 1)
 	var told []int64
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		Watch(ctx, strings.TrimPrefix(old.URL, "http://"), Page{No: 3}, moves, clock.New(), zerolog.Nop(), nil,
-			func(e Event) { told = append(told, e.No) })
+		Watch(ctx, strings.TrimPrefix(old.URL, "http://"), Page{Version: 3}, moves, clock.New(), zerolog.Nop(), nil,
+			func(e Event) { told = append(told, e.Version) })
 	}()
 	<-half
-	moves <- Move{Address: next, Known: Page{No: 3}}
+	moves <- AddressChange{Address: next, Known: Page{Version: 3}}
 	were := []string{<-asked, <-asked}
 	stop()
 	<-ended
@@ -207,21 +207,21 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	moves := make(chan Move) // unbuffered: once it is taken, the watch has it
+	moves := make(chan AddressChange) // unbuffered: once it is taken, the watch has it
 	telling, on := make(chan struct{}), make(chan struct{})
 	var told []int64
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		Watch(ctx, old, Page{No: 3}, moves, clock.New(), zerolog.Nop(), nil, func(e Event) {
-			if told = append(told, e.No); e.No == 4 {
+		Watch(ctx, old, Page{Version: 3}, moves, clock.New(), zerolog.Nop(), nil, func(e Event) {
+			if told = append(told, e.Version); e.Version == 4 {
 				close(telling)
 				<-on
 			}
 		})
 	}()
 	<-telling
-	moves <- Move{Address: next, Known: known}
+	moves <- AddressChange{Address: next, Known: known}
 	close(on)
 	after := <-asked
 	stop()
@@ -242,7 +242,7 @@
 	defer l.Close()
 	next, asked := script(t)
 	dialling, up := make(chan struct{}), make(chan struct{})
-	w := newWatch(Page{No: 3}, clock.New(), zerolog.Nop(), nil, func(Event) {})
+	w := newWatch(Page{Version: 3}, clock.New(), zerolog.Nop(), nil, func(Event) {})
 	w.dial = func(_ context.Context, network, address string) (net.Conn, error) {
 		if address == l.Addr().String() {
 			close(dialling)
@@ -250,14 +250,14 @@
 		}
 		return net.Dial(network, address)
 	}
-	moves := make(chan Move)
+	moves := make(chan AddressChange)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
 		w.follow(ctx, l.Addr().String(), moves)
 	}()
 	<-dialling
-	moves <- Move{Address: next}
+	moves <- AddressChange{Address: next}
 	<-asked
 	close(up)
 	c, err := l.Accept()
@@ -299,7 +299,7 @@
 				go s.Serve(l)
 				back := time.Now().Add(8*time.Second + time.Duration(phase)*21*time.Millisecond)
 				var late time.Duration
-				w := newWatch(Page{No: 3}, clock.New(), zerolog.Nop(), nil, func(Event) {
+				w := newWatch(Page{Version: 3}, clock.New(), zerolog.Nop(), nil, func(Event) {
 					late = time.Since(back)
 					stop()
 				})
@@ -338,7 +338,7 @@
 		go s.Serve(l)
 		began := time.Now()
 		var took time.Duration
-		w := newWatch(Page{No: 3}, clock.New(), zerolog.Nop(), nil, func(Event) {
+		w := newWatch(Page{Version: 3}, clock.New(), zerolog.Nop(), nil, func(Event) {
 			took = time.Since(began)
 			stop()
 		})
--- a/internal/endpoint/endpointset/membership.go
+++ b/internal/endpoint/endpointset/membership.go
@@ -50,27 +50,27 @@
 	return "removed"
 }
 
-// Member is one pool of the merged set.
-type Member struct {
-	UID      string // stable while the address stays in the set
-	Address  string // host:port that is dialled
-	Group    int    // the number by which calls and classes name the pool
-	Zone     string // its availability zone, "" if not told
-	Born     int64  // when the process started, µs, or 0: not known
-	Priority uint16 // of its SRV record, 0 for the bulletin
-	Weight   uint16 // of its SRV record, 0 for the bulletin
-	State    State
-	From     string // the sources that name it, as "bulletin", "dns" or "bulletin+dns"
+// Endpoint is one pool of the merged set.
+type Endpoint struct {
+	UID       string // stable while the address stays in the set
+	Address   string // host:port that is dialled
+	Group     int    // the number by which calls and classes name the pool
+	Zone      string // its availability zone, "" if not told
+	StartedAt int64  // when the process started, µs, or 0: not known
+	Priority  uint16 // of its SRV record, 0 for the bulletin
+	Weight    uint16 // of its SRV record, 0 for the bulletin
+	State     State
+	Sources   string // the sources that name it, as "bulletin", "dns" or "bulletin+dns"
 }
 
-// Pool is one pool as the bulletin tells of it.
-type Pool struct {
-	UID     string
-	Address string // may be empty for a removal
-	Group   int
-	Zone    string
-	Born    int64
-	State   State
+// ListEntry is one pool as the bulletin tells of it.
+type ListEntry struct {
+	UID       string
+	Address   string // may be empty for a removal
+	Group     int
+	Zone      string
+	StartedAt int64
+	State     State
 }
 
 // Record is one SRV record of a good answer, its target resolved.
@@ -90,8 +90,8 @@
 	DrainFor int64
 	// Tombstone is how long a removal by the bulletin keeps DNS from adding that address again.
 	Tombstone int64
-	// MostRecords bounds the records kept for one name; MostPools the pools of the bulletin.
-	MostRecords, MostPools int
+	// MaxRecords bounds the records kept for one name; MostPools the pools of the bulletin.
+	MaxRecords, MaxEndpoints int
 }
 
 // Counts are what a Set has seen; all only grow.
@@ -111,13 +111,13 @@
 	names   map[string]*named // by SRV name
 	order   []string          // names in the order they were first told
 	uids    map[string]string // address to the uid it was given when it entered the set
-	last    []Member          // the last view
+	last    []Endpoint        // the last view
 	changed bool
 	count   Counts
 }
 
 type told struct {
-	Pool
+	ListEntry
 	removedAt int64 // when the bulletin removed it, for the tombstone; 0: it has not
 }
 
@@ -156,15 +156,15 @@
 		return fmt.Errorf("%w: drain_for is negative", ErrConfig)
 	case cfg.Tombstone < 0:
 		return fmt.Errorf("%w: tombstone is negative", ErrConfig)
-	case cfg.MostRecords < 1 || cfg.MostPools < 1:
+	case cfg.MaxRecords < 1 || cfg.MaxEndpoints < 1:
 		return fmt.Errorf("%w: most_records and most_pools want at least 1", ErrConfig)
 	}
 	return nil
 }
 
-// Bounds takes new bounds and times; they hold from the next call on. What is kept over a new bound
+// SetConfig takes new bounds and times; they hold from the next call on. What is kept over a new bound
 // stays until it goes by itself.
-func (s *Set) Bounds(cfg Config) error {
+func (s *Set) SetConfig(cfg Config) error {
 	if err := cfg.check(); err != nil {
 		return err
 	}
@@ -178,8 +178,8 @@
 // Counts returns what the Set has seen.
 func (s *Set) Counts() Counts { return s.count }
 
-// Name declares an SRV name and the group and zone its pools get. A name declared again keeps its records.
-func (s *Set) Name(name string, group int, zone string) {
+// AddName declares an SRV name and the group and zone its pools get. A name declared again keeps its records.
+func (s *Set) AddName(name string, group int, zone string) {
 	if n := s.names[name]; n != nil {
 		n.group, n.zone = group, zone
 		s.changed = true
@@ -189,8 +189,8 @@
 	s.order = append(s.order, name)
 }
 
-// Forget drops an SRV name and, at the next Advance, the pools only it named.
-func (s *Set) Forget(name string) {
+// RemoveName drops an SRV name and, at the next Advance, the pools only it named.
+func (s *Set) RemoveName(name string) {
 	if _, ok := s.names[name]; !ok {
 		return
 	}
@@ -199,9 +199,9 @@
 	s.changed = true
 }
 
-// Bulletin takes an event of the bulletin. With all it is the whole list, and a pool it does not name is
+// UpdateList takes an event of the bulletin. With all it is the whole list, and a pool it does not name is
 // removed.
-func (s *Set) Bulletin(now int64, all bool, pools []Pool) {
+func (s *Set) UpdateList(now int64, all bool, pools []ListEntry) {
 	if all {
 		named := map[string]bool{}
 		for _, p := range pools {
@@ -219,7 +219,7 @@
 			if p.State == Removed && p.Address == "" {
 				continue // nothing to hold out
 			}
-			if len(s.pools) >= s.cfg.MostPools {
+			if len(s.pools) >= s.cfg.MaxEndpoints {
 				s.count.Dropped++
 				continue
 			}
@@ -229,7 +229,7 @@
 		if p.Address == "" {
 			p.Address = t.Address
 		}
-		t.Pool = p
+		t.ListEntry = p
 		if p.State == Removed {
 			if t.removedAt == 0 {
 				t.removedAt = now
@@ -241,9 +241,9 @@
 	s.changed = true
 }
 
-// Records takes a good answer for an SRV name: the whole set of its records, which may be empty
+// UpdateRecords takes a good answer for an SRV name: the whole set of its records, which may be empty
 // (NXDOMAIN, NODATA, or the target "." that says the service is not here).
-func (s *Set) Records(now int64, name string, records []Record) {
+func (s *Set) UpdateRecords(now int64, name string, records []Record) {
 	n := s.names[name]
 	if n == nil {
 		return
@@ -258,7 +258,7 @@
 		}
 		e := n.records[key]
 		if e == nil {
-			if len(n.records) >= s.cfg.MostRecords {
+			if len(n.records) >= s.cfg.MaxRecords {
 				s.count.Dropped++
 				continue
 			}
@@ -345,25 +345,25 @@
 
 // Draining tells whether any pool drains, so that Advance should be called often to end drains.
 func (s *Set) Draining() bool {
-	return slices.ContainsFunc(s.last, func(m Member) bool { return m.State == Draining })
+	return slices.ContainsFunc(s.last, func(m Endpoint) bool { return m.State == Draining })
 }
 
 // View returns the merged set, ordered by address, and whether it changed since the last View.
 // Pools that no source names, or that are removed, are not in it.
-func (s *Set) View(now int64) ([]Member, bool) {
+func (s *Set) View(now int64) ([]Endpoint, bool) {
 	if !s.changed {
 		return s.last, false
 	}
 	s.changed = false
 	type merged struct {
-		Member
+		Endpoint
 		fromBulletin, fromDNS bool
 	}
 	by := map[string]*merged{}
 	at := func(address string) *merged {
 		m := by[address]
 		if m == nil {
-			m = &merged{Member: Member{Address: address}}
+			m = &merged{Endpoint: Endpoint{Address: address}}
 			by[address] = m
 		}
 		return m
@@ -380,7 +380,7 @@
 			continue // a removed pool does not hold out one that took its address since
 		}
 		m.fromBulletin = true
-		m.UID, m.Group, m.Zone, m.Born, m.State = uid, t.Group, t.Zone, t.Born, t.State
+		m.UID, m.Group, m.Zone, m.StartedAt, m.State = uid, t.Group, t.Zone, t.StartedAt, t.State
 	}
 	for _, name := range s.order {
 		n := s.names[name]
@@ -397,7 +397,7 @@
 			if !m.fromBulletin && !m.fromDNS {
 				m.UID, m.Group, m.Zone = "dns:"+name+"/"+key, n.group, n.zone
 				if e.late {
-					m.Born = e.firstSeen // a record that comes after the first answer is a new process: it starts cold
+					m.StartedAt = e.firstSeen // a record that comes after the first answer is a new process: it starts cold
 				}
 			}
 			if !m.fromDNS || e.Priority < m.Priority {
@@ -407,7 +407,7 @@
 			m.State = max(m.State, state)
 		}
 	}
-	view := make([]Member, 0, len(by))
+	view := make([]Endpoint, 0, len(by))
 	kept := map[string]string{}
 	for _, address := range slices.Sorted(maps.Keys(by)) {
 		m := by[address]
@@ -418,9 +418,9 @@
 			m.UID = uid // the first uid stands while the address stays: pools are keyed by it
 		}
 		kept[address] = m.UID
-		m.From = strings.Join(slices.DeleteFunc([]string{pick(m.fromBulletin, "bulletin"), pick(m.fromDNS, "dns")},
+		m.Sources = strings.Join(slices.DeleteFunc([]string{pick(m.fromBulletin, "bulletin"), pick(m.fromDNS, "dns")},
 			func(x string) bool { return x == "" }), "+")
-		view = append(view, m.Member)
+		view = append(view, m.Endpoint)
 	}
 	s.uids = kept
 	if slices.Equal(view, s.last) {
@@ -447,20 +447,20 @@
 // Order sorts members as RFC 2782 tells a client to try them: the lowest priority first, and within one
 // priority by weight, highest first, then by address. The weighted random draw of RFC 2782 is the
 // decision module's to make among the pools it is offered; this order is for logs and tests.
-func Order(ms []Member) {
-	slices.SortStableFunc(ms, func(a, b Member) int {
+func Order(ms []Endpoint) {
+	slices.SortStableFunc(ms, func(a, b Endpoint) int {
 		return cmp.Or(cmp.Compare(a.Priority, b.Priority), -cmp.Compare(a.Weight, b.Weight), strings.Compare(a.Address, b.Address))
 	})
 }
 
 // Describe is a short line of a view for logs.
-func Describe(ms []Member) string {
+func Describe(ms []Endpoint) string {
 	var b strings.Builder
 	for i, m := range ms {
 		if i > 0 {
 			b.WriteByte(' ')
 		}
-		b.WriteString(m.UID + "@" + m.Address + "/" + m.State.String() + "/g" + strconv.Itoa(m.Group) + "/" + m.From)
+		b.WriteString(m.UID + "@" + m.Address + "/" + m.State.String() + "/g" + strconv.Itoa(m.Group) + "/" + m.Sources)
 	}
 	return b.String()
 }
--- a/internal/endpoint/endpointset/membership_test.go
+++ b/internal/endpoint/endpointset/membership_test.go
@@ -11,11 +11,11 @@
 
 func newSet(t *testing.T) *Set {
 	t.Helper()
-	s, err := New(Config{StaleFor: 30 * s1, DrainFor: 20 * s1, Tombstone: 60 * s1, MostRecords: 8, MostPools: 8})
+	s, err := New(Config{StaleFor: 30 * s1, DrainFor: 20 * s1, Tombstone: 60 * s1, MaxRecords: 8, MaxEndpoints: 8})
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.Name(name, 1, "batumi")
+	s.AddName(name, 1, "batumi")
 	return s
 }
 
@@ -54,9 +54,9 @@
 		cfg   Config
 		field string
 	}{
-		{Config{StaleFor: -1, MostRecords: 1, MostPools: 1}, "stale_for"},
-		{Config{DrainFor: -1, MostRecords: 1, MostPools: 1}, "drain_for"},
-		{Config{Tombstone: -1, MostRecords: 1, MostPools: 1}, "tombstone"},
+		{Config{StaleFor: -1, MaxRecords: 1, MaxEndpoints: 1}, "stale_for"},
+		{Config{DrainFor: -1, MaxRecords: 1, MaxEndpoints: 1}, "drain_for"},
+		{Config{Tombstone: -1, MaxRecords: 1, MaxEndpoints: 1}, "tombstone"},
 		{Config{}, "most_records"},
 	} {
 		_, err := New(c.cfg)
@@ -77,13 +77,13 @@
 
 func TestRecordsMakePoolsOfTheirNamesGroup(t *testing.T) {
 	s := newSet(t)
-	s.Records(0, name, []Record{rec("a.pools.example.org", "127.0.0.1:5060", 5*s1), rec("b.pools.example.org", "127.0.0.2:5060", 5*s1)})
+	s.UpdateRecords(0, name, []Record{rec("a.pools.example.org", "127.0.0.1:5060", 5*s1), rec("b.pools.example.org", "127.0.0.2:5060", 5*s1)})
 	view, changed := s.View(0)
 	if !changed || len(view) != 2 {
 		t.Fatalf("view %+v changed %v", view, changed)
 	}
 	for _, m := range view {
-		if m.Group != 1 || m.State != Up || m.From != "dns" || m.Born != 0 || m.UID == "" {
+		if m.Group != 1 || m.State != Up || m.Sources != "dns" || m.StartedAt != 0 || m.UID == "" {
 			t.Errorf("member %+v", m)
 		}
 	}
@@ -94,11 +94,11 @@
 
 func TestRecordThatComesLaterStartsCold(t *testing.T) {
 	s := newSet(t)
-	s.Records(0, name, []Record{rec("a", "127.0.0.1:1", 5*s1)})
-	s.Records(3*s1, name, []Record{rec("a", "127.0.0.1:1", 5*s1), rec("b", "127.0.0.2:1", 5*s1)})
+	s.UpdateRecords(0, name, []Record{rec("a", "127.0.0.1:1", 5*s1)})
+	s.UpdateRecords(3*s1, name, []Record{rec("a", "127.0.0.1:1", 5*s1), rec("b", "127.0.0.2:1", 5*s1)})
 	view, _ := s.View(3 * s1)
 	for _, m := range view {
-		if (m.Address == "127.0.0.2:1") != (m.Born == 3*s1) {
+		if (m.Address == "127.0.0.2:1") != (m.StartedAt == 3*s1) {
 			t.Errorf("member %+v: only the late record starts cold", m)
 		}
 	}
@@ -106,9 +106,9 @@
 
 func TestVanishedRecordDrainsThenGoes(t *testing.T) {
 	s := newSet(t)
-	s.Records(0, name, []Record{rec("a", "127.0.0.1:1", 5*s1), rec("b", "127.0.0.2:1", 5*s1)})
+	s.UpdateRecords(0, name, []Record{rec("a", "127.0.0.1:1", 5*s1), rec("b", "127.0.0.2:1", 5*s1)})
 	s.View(0)
-	s.Records(s1, name, []Record{rec("a", "127.0.0.1:1", 5*s1)})
+	s.UpdateRecords(s1, name, []Record{rec("a", "127.0.0.1:1", 5*s1)})
 	want(t, states(t, s, s1), map[string]State{"127.0.0.1:1": Up, "127.0.0.2:1": Draining})
 	busy := true
 	s.Advance(2*s1, func(string) bool { return busy })
@@ -123,9 +123,9 @@
 
 func TestDrainEndsAfterDrainForEvenWithCallsStanding(t *testing.T) {
 	s := newSet(t)
-	s.Records(0, name, []Record{rec("a", "127.0.0.1:1", 5*s1)})
+	s.UpdateRecords(0, name, []Record{rec("a", "127.0.0.1:1", 5*s1)})
 	s.View(0)
-	s.Records(s1, name, nil)
+	s.UpdateRecords(s1, name, nil)
 	always := func(string) bool { return true }
 	s.Advance(s1+20*s1-1, always)
 	want(t, states(t, s, 21*s1-1), map[string]State{"127.0.0.1:1": Draining})
@@ -138,26 +138,26 @@
 
 func TestPoolThatDrainsInTheBulletinAndVanishesFromDNSFinishesItsDrain(t *testing.T) {
 	s := newSet(t)
-	s.Bulletin(0, true, []Pool{{UID: "p1", Address: "127.0.0.1:1", Group: 1}})
-	s.Records(0, name, []Record{rec("a", "127.0.0.1:1", 5*s1)})
+	s.UpdateList(0, true, []ListEntry{{UID: "p1", Address: "127.0.0.1:1", Group: 1}})
+	s.UpdateRecords(0, name, []Record{rec("a", "127.0.0.1:1", 5*s1)})
 	s.View(0)
-	s.Bulletin(s1, false, []Pool{{UID: "p1", Address: "127.0.0.1:1", Group: 1, State: Draining}})
+	s.UpdateList(s1, false, []ListEntry{{UID: "p1", Address: "127.0.0.1:1", Group: 1, State: Draining}})
 	want(t, states(t, s, s1), map[string]State{"127.0.0.1:1": Draining})
-	s.Records(2*s1, name, nil) // it vanishes from DNS while it drains
+	s.UpdateRecords(2*s1, name, nil) // it vanishes from DNS while it drains
 	want(t, states(t, s, 2*s1), map[string]State{"127.0.0.1:1": Draining})
 	s.Advance(3*s1, func(string) bool { return false })
 	// DNS is done with it; the bulletin still says it drains, and it does until the bulletin removes it.
 	want(t, states(t, s, 3*s1), map[string]State{"127.0.0.1:1": Draining})
-	s.Bulletin(4*s1, false, []Pool{{UID: "p1", State: Removed}})
+	s.UpdateList(4*s1, false, []ListEntry{{UID: "p1", State: Removed}})
 	want(t, states(t, s, 4*s1), map[string]State{})
 }
 
 func TestDNSCannotBringBackWhatTheBulletinRemoved(t *testing.T) {
 	s := newSet(t)
-	s.Bulletin(0, true, []Pool{{UID: "p1", Address: "127.0.0.1:1", Group: 1}})
+	s.UpdateList(0, true, []ListEntry{{UID: "p1", Address: "127.0.0.1:1", Group: 1}})
 	s.View(0)
-	s.Bulletin(s1, false, []Pool{{UID: "p1", State: Removed}})
-	s.Records(2*s1, name, []Record{rec("a", "127.0.0.1:1", 300*s1)})
+	s.UpdateList(s1, false, []ListEntry{{UID: "p1", State: Removed}})
+	s.UpdateRecords(2*s1, name, []Record{rec("a", "127.0.0.1:1", 300*s1)})
 	want(t, states(t, s, 2*s1), map[string]State{})
 	if s.Counts().Conflicts == 0 {
 		t.Error("the conflict is not counted")
@@ -168,19 +168,19 @@
 
 func TestAnyDrainWins(t *testing.T) {
 	s := newSet(t)
-	s.Bulletin(0, true, []Pool{{UID: "p1", Address: "127.0.0.1:1", Group: 1, State: Draining}})
-	s.Records(0, name, []Record{rec("a", "127.0.0.1:1", 5*s1)})
+	s.UpdateList(0, true, []ListEntry{{UID: "p1", Address: "127.0.0.1:1", Group: 1, State: Draining}})
+	s.UpdateRecords(0, name, []Record{rec("a", "127.0.0.1:1", 5*s1)})
 	view, _ := s.View(0)
-	if len(view) != 1 || view[0].State != Draining || view[0].UID != "p1" || view[0].From != "bulletin+dns" {
+	if len(view) != 1 || view[0].State != Draining || view[0].UID != "p1" || view[0].Sources != "bulletin+dns" {
 		t.Fatalf("view %+v", view)
 	}
 }
 
 func TestUIDStaysWhileTheAddressStays(t *testing.T) {
 	s := newSet(t)
-	s.Records(0, name, []Record{rec("a", "127.0.0.1:1", 5*s1)})
+	s.UpdateRecords(0, name, []Record{rec("a", "127.0.0.1:1", 5*s1)})
 	v0, _ := s.View(0)
-	s.Bulletin(s1, true, []Pool{{UID: "p1", Address: "127.0.0.1:1", Group: 1}})
+	s.UpdateList(s1, true, []ListEntry{{UID: "p1", Address: "127.0.0.1:1", Group: 1}})
 	v1, _ := s.View(s1)
 	if len(v1) != 1 || v1[0].UID != v0[0].UID {
 		t.Fatalf("uid moved from %+v to %+v: the pool's calls would be cut", v0, v1)
@@ -189,7 +189,7 @@
 
 func TestStaleSetIsKeptForTheStaleTimeThenDropped(t *testing.T) {
 	s := newSet(t)
-	s.Records(0, name, []Record{rec("a", "127.0.0.1:1", 5*s1)})
+	s.UpdateRecords(0, name, []Record{rec("a", "127.0.0.1:1", 5*s1)})
 	s.View(0)
 	if next := s.Next(); next != 5*s1 {
 		t.Errorf("next %d, want the TTL %d", next, 5*s1)
@@ -210,10 +210,10 @@
 
 func TestTTLZeroIsStaleAtOnceButKept(t *testing.T) {
 	s := newSet(t)
-	s.Records(0, name, []Record{rec("a", "127.0.0.1:1", 0)})
+	s.UpdateRecords(0, name, []Record{rec("a", "127.0.0.1:1", 0)})
 	s.Advance(0, nil)
 	want(t, states(t, s, 0), map[string]State{"127.0.0.1:1": Up})
-	s.Records(s1, name, []Record{rec("a", "127.0.0.1:1", 0)})
+	s.UpdateRecords(s1, name, []Record{rec("a", "127.0.0.1:1", 0)})
 	s.Advance(s1, nil)
 	want(t, states(t, s, s1), map[string]State{"127.0.0.1:1": Up})
 }
@@ -225,10 +225,10 @@
 	for i := range int64(6) {
 		now := i * s1
 		if i%2 == 0 {
-			s.Records(now, name, a)
+			s.UpdateRecords(now, name, a)
 			want(t, states(t, s, now), map[string]State{"127.0.0.1:1": Up})
 		} else {
-			s.Records(now, name, nil)
+			s.UpdateRecords(now, name, nil)
 			s.Advance(now, busy)
 			want(t, states(t, s, now), map[string]State{"127.0.0.1:1": Draining})
 		}
@@ -241,15 +241,15 @@
 	for i := range 20 {
 		many = append(many, rec(string(rune('a'+i)), "127.0.0.1:"+string(rune('0'+i%10))+string(rune('0'+i/10)), s1))
 	}
-	s.Records(0, name, many)
+	s.UpdateRecords(0, name, many)
 	if view, _ := s.View(0); len(view) != 8 || s.Counts().Dropped != 12 {
 		t.Errorf("%d pools, %d dropped; want 8 and 12", len(view), s.Counts().Dropped)
 	}
-	var pools []Pool
+	var pools []ListEntry
 	for i := range 20 {
-		pools = append(pools, Pool{UID: string(rune('a' + i)), Address: "127.0.1.1:" + string(rune('0'+i%10)) + string(rune('0'+i/10))})
+		pools = append(pools, ListEntry{UID: string(rune('a' + i)), Address: "127.0.1.1:" + string(rune('0'+i%10)) + string(rune('0'+i/10))})
 	}
-	s.Bulletin(0, true, pools)
+	s.UpdateList(0, true, pools)
 	if len(s.pools) != 8 {
 		t.Errorf("%d pools of the bulletin kept, want 8", len(s.pools))
 	}
@@ -257,18 +257,18 @@
 
 func TestForgottenNameTakesItsPools(t *testing.T) {
 	s := newSet(t)
-	s.Records(0, name, []Record{rec("a", "127.0.0.1:1", 5*s1)})
+	s.UpdateRecords(0, name, []Record{rec("a", "127.0.0.1:1", 5*s1)})
 	s.View(0)
-	s.Forget(name)
+	s.RemoveName(name)
 	want(t, states(t, s, 0), map[string]State{})
-	s.Records(s1, name, []Record{rec("a", "127.0.0.1:1", 5*s1)}) // an answer in flight for a forgotten name
+	s.UpdateRecords(s1, name, []Record{rec("a", "127.0.0.1:1", 5*s1)}) // an answer in flight for a forgotten name
 	want(t, states(t, s, s1), map[string]State{})
 }
 
 func TestAllEventRemovesWhatItDoesNotName(t *testing.T) {
 	s := newSet(t)
-	s.Bulletin(0, true, []Pool{{UID: "p1", Address: "127.0.0.1:1"}, {UID: "p2", Address: "127.0.0.2:1"}})
-	s.Bulletin(s1, true, []Pool{{UID: "p2", Address: "127.0.0.2:1"}})
+	s.UpdateList(0, true, []ListEntry{{UID: "p1", Address: "127.0.0.1:1"}, {UID: "p2", Address: "127.0.0.2:1"}})
+	s.UpdateList(s1, true, []ListEntry{{UID: "p2", Address: "127.0.0.2:1"}})
 	want(t, states(t, s, s1), map[string]State{"127.0.0.2:1": Up})
 	s.Advance(s1+60*s1, nil)
 	if len(s.pools) != 1 {
@@ -278,8 +278,8 @@
 
 func TestAddressTakenOverByAnotherBulletinPool(t *testing.T) {
 	s := newSet(t)
-	s.Bulletin(0, true, []Pool{{UID: "p1", Address: "127.0.0.1:1"}})
-	s.Bulletin(s1, true, []Pool{{UID: "p1", State: Removed}, {UID: "p9", Address: "127.0.0.1:1"}})
+	s.UpdateList(0, true, []ListEntry{{UID: "p1", Address: "127.0.0.1:1"}})
+	s.UpdateList(s1, true, []ListEntry{{UID: "p1", State: Removed}, {UID: "p9", Address: "127.0.0.1:1"}})
 	view, _ := s.View(s1)
 	if len(view) != 1 || view[0].State != Up {
 		t.Fatalf("view %+v: the new pool at the address is up", view)
@@ -287,7 +287,7 @@
 }
 
 func TestOrderIsPriorityThenWeight(t *testing.T) {
-	ms := []Member{{Address: "c", Priority: 20, Weight: 1}, {Address: "b", Priority: 10, Weight: 1}, {Address: "a", Priority: 10, Weight: 9}}
+	ms := []Endpoint{{Address: "c", Priority: 20, Weight: 1}, {Address: "b", Priority: 10, Weight: 1}, {Address: "a", Priority: 10, Weight: 9}}
 	Order(ms)
 	if ms[0].Address != "a" || ms[1].Address != "b" || ms[2].Address != "c" {
 		t.Errorf("order %+v", ms)
--- a/internal/endpoint/liveness/heartbeat.go
+++ b/internal/endpoint/liveness/heartbeat.go
@@ -26,14 +26,14 @@
 	leastHeld  = 5_000_000
 )
 
-// Pool is a line of the pool list: a pool that is up, and the group by which classes name it.
-type Pool struct {
+// Endpoint is a line of the pool list: a pool that is up, and the group by which classes name it.
+type Endpoint struct {
 	UID   string
 	Group int
 }
 
 type pool struct {
-	Pool
+	Endpoint
 	last   int64 // when its latest state came, 0: never
 	rhythm int64 // the longest gap of late
 	gaps   int   // known, leastBeats at most
@@ -65,8 +65,8 @@
 	return &Monitor{pools: map[string]*pool{}, classes: classes}
 }
 
-// Roster takes the pools that are up; what was known of others is forgotten.
-func (m *Monitor) Roster(up []Pool) {
+// UpdateEndpoints takes the pools that are up; what was known of others is forgotten.
+func (m *Monitor) UpdateEndpoints(up []Endpoint) {
 	for _, p := range m.pools {
 		p.listed = false
 	}
@@ -76,7 +76,7 @@
 			p = &pool{}
 			m.pools[l.UID] = p
 		}
-		p.Pool, p.listed = l, true
+		p.Endpoint, p.listed = l, true
 	}
 	for uid, p := range m.pools {
 		if !p.listed {
@@ -85,9 +85,9 @@
 	}
 }
 
-// Told takes a state that the pool told unasked. A silence that was over the suspicion's end is no gap of
+// RecordReport takes a state that the pool told unasked. A silence that was over the suspicion's end is no gap of
 // the rhythm: the pool begins anew.
-func (m *Monitor) Told(now int64, uid string) {
+func (m *Monitor) RecordReport(now int64, uid string) {
 	p := m.pools[uid]
 	if p == nil {
 		return
--- a/internal/endpoint/liveness/heartbeat_test.go
+++ b/internal/endpoint/liveness/heartbeat_test.go
@@ -28,11 +28,11 @@
 
 func TestSilent(t *testing.T) {
 	any := [][]int{nil, nil}
-	two := []Pool{{"a", 0}, {"b", 1}}
+	two := []Endpoint{{"a", 0}, {"b", 1}}
 	for _, c := range []struct {
 		name    string
 		classes [][]int
-		pools   []Pool
+		pools   []Endpoint
 		steps   [][]step
 	}{
 		{"a pool that stops telling its state is silent once the next is overdue, until it tells again", any, two, [][]step{
@@ -47,7 +47,7 @@
 			beats(500, 3000, 500, "b"), beats(1500, 2000, 500, "a"), beats(3500, 3500, 1, "b"), {{at: 3600}}}},
 		{"the only pool of a class stays", [][]int{{0}, {0, 1}}, two, [][]step{
 			beats(500, 5000, 500, "a", "b"), beats(5500, 5500, 500, "b"), {{at: 5700}}}},
-		{"a class with another pool", [][]int{{1}, {0, 1}}, []Pool{{"a", 0}, {"b", 1}, {"c", 1}}, [][]step{
+		{"a class with another pool", [][]int{{1}, {0, 1}}, []Endpoint{{"a", 0}, {"b", 1}, {"c", 1}}, [][]step{
 			beats(500, 5000, 500, "a", "b", "c"), beats(5500, 5500, 500, "b", "c"), {{at: 5700, want: []string{"a"}}}}},
 		{"one that stops telling and goes on working is offered again, and judged anew once it tells", any, two, [][]step{
 			beats(500, 5000, 500, "a", "b"), beats(5500, 10000, 500, "b"), {{at: 9999, want: []string{"a"}}, {at: 10001}},
@@ -58,10 +58,10 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			m := New(c.classes)
-			m.Roster(c.pools)
+			m.UpdateEndpoints(c.pools)
 			for i, s := range slices.Concat(c.steps...) {
 				if s.told != "" {
-					m.Told(s.at*ms, s.told)
+					m.RecordReport(s.at*ms, s.told)
 					continue
 				}
 				var got []string
@@ -79,15 +79,15 @@
 // Next must never be later than a change of Silent: the loop sleeps until then.
 func TestNextMeetsEveryChange(t *testing.T) {
 	m := New([][]int{nil})
-	m.Roster([]Pool{{"a", 0}, {"b", 0}})
+	m.UpdateEndpoints([]Endpoint{{"a", 0}, {"b", 0}})
 	for at := int64(500); at <= 5000; at += 500 {
-		m.Told(at*ms, "a")
-		m.Told(at*ms, "b")
+		m.RecordReport(at*ms, "a")
+		m.RecordReport(at*ms, "b")
 	}
 	now := int64(5001 * ms)
 	for at := now; at < 12_000*ms; at += 500 {
 		if at%(500*ms) == 0 {
-			m.Told(at, "b")
+			m.RecordReport(at, "b")
 			now = at
 		}
 		before, next := fmt.Sprint(m.Silent(now)), m.Next(now)
@@ -105,15 +105,15 @@
 
 func TestRosterForgets(t *testing.T) {
 	m := New([][]int{nil})
-	m.Roster([]Pool{{"a", 0}, {"b", 0}})
+	m.UpdateEndpoints([]Endpoint{{"a", 0}, {"b", 0}})
 	for at := int64(500); at <= 5000; at += 500 {
-		m.Told(at*ms, "a")
-		m.Told(at*ms, "b")
+		m.RecordReport(at*ms, "a")
+		m.RecordReport(at*ms, "b")
 	}
-	m.Roster([]Pool{{"b", 0}})
-	m.Roster([]Pool{{"a", 0}, {"b", 0}}) // a new process under the name
-	m.Told(5500*ms, "b")
-	m.Told(5600*ms, "stranger")
+	m.UpdateEndpoints([]Endpoint{{"b", 0}})
+	m.UpdateEndpoints([]Endpoint{{"a", 0}, {"b", 0}}) // a new process under the name
+	m.RecordReport(5500*ms, "b")
+	m.RecordReport(5600*ms, "stranger")
 	if s := m.Silent(5700 * ms); len(s) > 0 {
 		t.Errorf("silent %v: what was heard before the pool went counts", s)
 	}
--- a/internal/endpoint/srv/answer.go
+++ b/internal/endpoint/srv/answer.go
@@ -33,8 +33,8 @@
 
 // Bounds on what one answer may hold.
 const (
-	// MostRecords is how many SRV records of one answer are used; the rest are passed over.
-	MostRecords = 64
+	// MaxRecords is how many SRV records of one answer are used; the rest are passed over.
+	MaxRecords = 64
 	// leastTTL guards against TTLs over a year (RFC 2181 8: values over 2^31-1 count as 0).
 	mostTTL = 1<<31 - 1
 )
@@ -110,7 +110,7 @@
 		if !ok || !strings.EqualFold(s.Hdr.Name, owner) {
 			continue
 		}
-		if len(r.SRV) >= MostRecords {
+		if len(r.SRV) >= MaxRecords {
 			break
 		}
 		target := strings.ToLower(strings.TrimSuffix(s.Target, "."))
--- a/internal/frontend/websocket/callcontrol_test.go
+++ b/internal/frontend/websocket/callcontrol_test.go
@@ -105,7 +105,7 @@
 }
 
 func (r *rig) list(state endpointlist.State) {
-	r.pools.Apply(endpointlist.Event{Pools: []endpointlist.Pool{{UID: "p1", Address: r.address, State: state}}},
+	r.pools.Apply(endpointlist.Event{Endpoints: []endpointlist.Endpoint{{UID: "p1", Address: r.address, State: state}}},
 		func(l []dispatch.Endpoint) { r.d.UpdateEndpoints(l, false) })
 }
 
--- a/internal/routing/fuzz_test.go
+++ b/internal/routing/fuzz_test.go
@@ -23,7 +23,7 @@
 			var out []string // what was sent and not yet ended
 			steps := []func(byte){
 				func(arg byte) { // a list: arg's bits say which pools are down, its top bit that one is gone
-					var l []Pool
+					var l []Endpoint
 					for i, p := range all {
 						p.Up = arg&(1<<(i%7)) == 0
 						if arg&0x80 != 0 && i == int(arg)%len(all) {
@@ -31,7 +31,7 @@
 						}
 						l = append(l, p)
 					}
-					r.Roster(now, l)
+					r.UpdateEndpoints(now, l)
 				},
 				func(arg byte) { r.Report(pick(arg), float64(arg%12), 10) },
 				func(arg byte) { // the module sends where routing lets it
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -24,27 +24,27 @@
 	// ClassTiers take the place of Tiers for single classes, by the class's index: a class that must stand may
 	// spill further than the rest, one that can wait not at all.
 	ClassTiers map[int]map[string][][]string
-	// SpillShare is the most of a tier's capacity (its agents, this controller's share) that calls of this
+	// SpillBudget is the most of a tier's capacity (its agents, this controller's share) that calls of this
 	// zone may hold in another zone, in flight and standing together: 0 to 1.
-	SpillShare float64
-	// SpillAfter: the next tier opens, within its budget, while a call has waited this long for a place in the
+	SpillBudget float64
+	// SpillDelay: the next tier opens, within its budget, while a call has waited this long for a place in the
 	// serving one, and for spillFor more. A zone that the module uses only a set-up at a time, as after a
 	// failure, is neither lost nor full.
-	SpillAfter int64
-	Window     int64   // the outcomes a zone is judged by are those of this long
-	OutShare   float64 // a zone with this share of failures in the window, or more, is out
-	Least      int     // outcomes in the window below which a zone is not judged; so many failures in a row take it out
-	Hold       int64   // the least time a zone stays out
-	MostHold   int64   // the most that repeated flaps make the hold
-	FlapWithin int64   // a zone out again within this of its return is a flap: its hold doubles
-	WarmUp     int64   // slow start: a returning pool comes to its whole capacity over this long
-	WarmFrom   float64 // and starts at this share of it: 0 to 1
-	Classes    int     // classes of call, 1 to MostClasses
-	Nodes      int     // controllers that share the pools: each takes its share of their agents
-}
-
-// MostClasses is the most classes that a Classes can hold.
-const MostClasses = 64
+	SpillDelay        int64
+	Window            int64   // the outcomes a zone is judged by are those of this long
+	EjectionThreshold float64 // a zone with this share of failures in the window, or more, is out
+	MinSamples        int     // outcomes in the window below which a zone is not judged; so many failures in a row take it out
+	EjectionTime      int64   // the least time a zone stays out
+	MaxEjectionTime   int64   // the most that repeated flaps make the hold
+	FlapWindow        int64   // a zone out again within this of its return is a flap: its hold doubles
+	SlowStartWindow   int64   // slow start: a returning pool comes to its whole capacity over this long
+	SlowStartCapacity float64 // and starts at this share of it: 0 to 1
+	Classes           int     // classes of call, 1 to MostClasses
+	Nodes             int     // controllers that share the pools: each takes its share of their agents
+}
+
+// MaxClasses is the most classes that a Classes can hold.
+const MaxClasses = 64
 
 // Classes is a set of classes of call, a bit for each by its index.
 type Classes uint64
@@ -65,18 +65,18 @@
 	switch {
 	case c.Zone == "" || !known[c.Zone]:
 		return fmt.Errorf("%w: zone: %q is not a known zone", ErrConfig, c.Zone)
-	case !(c.SpillShare >= 0 && c.SpillShare <= 1):
+	case !(c.SpillBudget >= 0 && c.SpillBudget <= 1):
 		return fmt.Errorf("%w: spill_share: want 0 to 1 (0%% to 100%%)", ErrConfig)
-	case !(c.OutShare > 0 && c.OutShare <= 1):
+	case !(c.EjectionThreshold > 0 && c.EjectionThreshold <= 1):
 		return fmt.Errorf("%w: out_share: want more than 0, at most 1", ErrConfig)
-	case !(c.WarmFrom > 0 && c.WarmFrom <= 1):
+	case !(c.SlowStartCapacity > 0 && c.SlowStartCapacity <= 1):
 		return fmt.Errorf("%w: warm_from: want more than 0, at most 1", ErrConfig)
-	case c.Window <= 0 || c.Hold < 0 || c.MostHold < c.Hold || c.FlapWithin < 0 || c.WarmUp < 0 || c.SpillAfter < 0:
+	case c.Window <= 0 || c.EjectionTime < 0 || c.MaxEjectionTime < c.EjectionTime || c.FlapWindow < 0 || c.SlowStartWindow < 0 || c.SpillDelay < 0:
 		return fmt.Errorf("%w: spill_after, window, hold, most_hold, flap_within, warm_up: want window > 0, most_hold >= hold >= 0", ErrConfig)
-	case c.Least < 1 || c.Nodes < 1:
+	case c.MinSamples < 1 || c.Nodes < 1:
 		return fmt.Errorf("%w: least and nodes: want at least 1", ErrConfig)
-	case c.Classes < 1 || c.Classes > MostClasses:
-		return fmt.Errorf("%w: classes: want 1 to %d", ErrConfig, MostClasses)
+	case c.Classes < 1 || c.Classes > MaxClasses:
+		return fmt.Errorf("%w: classes: want 1 to %d", ErrConfig, MaxClasses)
 	}
 	return CheckTiers(c.Tiers, known)
 }
@@ -106,8 +106,8 @@
 	return nil
 }
 
-// Pool is a line of the pool list as routing needs it.
-type Pool struct {
+// Endpoint is a line of the pool list as routing needs it.
+type Endpoint struct {
 	UID  string
 	Zone string
 	Up   bool // listed as up: not draining, not gone
@@ -131,7 +131,7 @@
 const mostOutcomes = 256
 
 type pool struct {
-	Pool
+	Endpoint
 	agents   float64 // told, 0: not yet
 	free     float64 // told, -1: not yet
 	busy     int     // set-ups out and calls standing of this controller
@@ -165,14 +165,14 @@
 	rest    Classes                              // those without tiers of their own
 	heldAt  int64                                // a call was last seen to have waited for SpillAfter, 0: never
 	started bool                                 // a roster came: pools that come later warm up
-	count   Count                                // what happened
+	count   Counts                               // what happened
 }
 
-// Count is what a Router has seen; all only grow.
-type Count struct {
-	ZonesOut, Flaps uint64
-	// WarmCapped and SpillCapped count the pools left out of an Eligible by warm-up or spill budget.
-	WarmCapped, SpillCapped uint64
+// Counts is what a Router has seen; all only grow.
+type Counts struct {
+	ZonesEjected, Flaps uint64
+	// SlowStartCapped and SpillCapped count the pools left out of an Eligible by warm-up or spill budget.
+	SlowStartCapped, SpillCapped uint64
 }
 
 // New returns a Router for the zones named; the Config is checked against them.
@@ -198,11 +198,11 @@
 	return r, nil
 }
 
-// Count returns what the Router has seen.
-func (r *Router) Count() Count { return r.count }
+// Counts returns what the Router has seen.
+func (r *Router) Counts() Counts { return r.count }
 
-// Roster takes the whole list of pools. A pool not in it is gone, and all of its state goes.
-func (r *Router) Roster(now int64, pools []Pool) {
+// UpdateEndpoints takes the whole list of pools. A pool not in it is gone, and all of its state goes.
+func (r *Router) UpdateEndpoints(now int64, pools []Endpoint) {
 	for _, p := range r.pools {
 		p.seen = false
 	}
@@ -221,7 +221,7 @@
 		} else if l.Up && !p.Up {
 			p.warmFrom = now // back from a drain or a restart
 		}
-		p.Pool, p.seen = l, true
+		p.Endpoint, p.seen = l, true
 	}
 	for uid, p := range r.pools {
 		if !p.seen {
@@ -229,7 +229,7 @@
 		}
 	}
 	for _, z := range r.zones {
-		dark := !slices.ContainsFunc(pools, func(l Pool) bool { return l.Zone == z.name && l.Up })
+		dark := !slices.ContainsFunc(pools, func(l Endpoint) bool { return l.Zone == z.name && l.Up })
 		if dark && !z.dark && r.started {
 			r.goOut(now, z)
 		}
@@ -305,8 +305,8 @@
 	}
 	// Out by a share of failures over the window, or at once by a run of them: a zone that goes dark after
 	// a good while has the window full of successes (consecutive failures, as outlier detection does).
-	share := len(z.outcomes) >= r.cfg.Least && float64(fails) >= r.cfg.OutShare*float64(len(z.outcomes))
-	if !z.out && (share || z.inRow >= r.cfg.Least) {
+	share := len(z.outcomes) >= r.cfg.MinSamples && float64(fails) >= r.cfg.EjectionThreshold*float64(len(z.outcomes))
+	if !z.out && (share || z.inRow >= r.cfg.MinSamples) {
 		r.goOut(now, z)
 	}
 }
@@ -314,13 +314,13 @@
 // goOut takes a zone out for its hold: doubled, up to MostHold, when it comes within FlapWithin of its
 // last return.
 func (r *Router) goOut(now int64, z *zone) {
-	hold := r.cfg.Hold
-	if z.backAt > 0 && now-z.backAt <= r.cfg.FlapWithin {
-		hold = min(max(2*z.hold, r.cfg.Hold), r.cfg.MostHold)
+	hold := r.cfg.EjectionTime
+	if z.backAt > 0 && now-z.backAt <= r.cfg.FlapWindow {
+		hold = min(max(2*z.hold, r.cfg.EjectionTime), r.cfg.MaxEjectionTime)
 		r.count.Flaps++
 	}
 	z.out, z.outUntil, z.hold, z.outcomes, z.inRow = true, now+hold, hold, z.outcomes[:0], 0
-	r.count.ZonesOut++
+	r.count.ZonesEjected++
 }
 
 // Advance moves time on: a zone whose hold is over and that has pools up comes back, and its pools warm up.
@@ -336,15 +336,15 @@
 		}
 	}
 	for _, p := range r.pools {
-		if p.warmFrom > 0 && now >= p.warmFrom+r.cfg.WarmUp {
+		if p.warmFrom > 0 && now >= p.warmFrom+r.cfg.SlowStartWindow {
 			p.warmFrom = 0
 		}
 	}
 }
 
-// Waits tells since when the call that has waited longest for a place has done so, 0: none waits.
-func (r *Router) Waits(now, since int64) {
-	if since > 0 && now-since >= r.cfg.SpillAfter {
+// SetOldestWait tells since when the call that has waited longest for a place has done so, 0: none waits.
+func (r *Router) SetOldestWait(now, since int64) {
+	if since > 0 && now-since >= r.cfg.SpillDelay {
 		r.heldAt = now
 	}
 }
@@ -352,8 +352,8 @@
 // waited tells whether calls waited for a place in the serving tier of late.
 func (r *Router) waited(now int64) bool { return r.heldAt > 0 && now < r.heldAt+spillFor }
 
-// Judges tells whether the pool is in a zone of the file: the others are left to the module as they are.
-func (r *Router) Judges(uid string) bool { return r.pools[uid] != nil }
+// Manages tells whether the pool is in a zone of the file: the others are left to the module as they are.
+func (r *Router) Manages(uid string) bool { return r.pools[uid] != nil }
 
 // Next is when eligibility may change by time alone: a hold ends, a warm-up steps on. 0: nothing waits.
 func (r *Router) Next(now int64) int64 {
@@ -373,7 +373,7 @@
 	}
 	for _, p := range r.pools {
 		if p.warmFrom > 0 { // the capacity grows all through: look again every twentieth of the warm-up
-			soonest(min(p.warmFrom+r.cfg.WarmUp, now+max(r.cfg.WarmUp/20, 1)))
+			soonest(min(p.warmFrom+r.cfg.SlowStartWindow, now+max(r.cfg.SlowStartWindow/20, 1)))
 		}
 	}
 	return next
@@ -443,7 +443,7 @@
 		case t > 0 && !spill[t]:
 			r.count.SpillCapped++
 		case p.warmFrom > 0 && float64(p.busy) >= r.warmCap(now, p):
-			r.count.WarmCapped++
+			r.count.SlowStartCapped++
 		default:
 			out[uid] |= classes
 		}
@@ -489,7 +489,7 @@
 			busy += float64(p.busy)
 			flying += float64(p.flying)
 			agents += p.agents
-			allowed += r.cfg.SpillShare * p.agents * r.shareOf(now, p.Zone)
+			allowed += r.cfg.SpillBudget * p.agents * r.shareOf(now, p.Zone)
 		}
 	}
 	if agents == 0 {
@@ -498,8 +498,8 @@
 	return busy < allowed
 }
 
-// Share has the fleet's shares of zones' spill budgets take the place of equal ones; nil: equal ones.
-func (r *Router) Share(of func(now int64, zone string) float64) { r.share = of }
+// SetQuotaSource has the fleet's shares of zones' spill budgets take the place of equal ones; nil: equal ones.
+func (r *Router) SetQuotaSource(of func(now int64, zone string) float64) { r.share = of }
 
 func (r *Router) shareOf(now int64, zone string) float64 {
 	if r.share != nil {
@@ -521,7 +521,7 @@
 					agents += p.agents
 				}
 			}
-			if budget := r.cfg.SpillShare * agents; budget > 0 {
+			if budget := r.cfg.SpillBudget * agents; budget > 0 {
 				out[z] = busy / budget
 			}
 		}
@@ -533,8 +533,8 @@
 // agents up to all of it over WarmUp, in whole set-ups, and at least one.
 func (r *Router) warmCap(now int64, p *pool) float64 {
 	share := 1.0
-	if r.cfg.WarmUp > 0 {
-		share = r.cfg.WarmFrom + (1-r.cfg.WarmFrom)*float64(now-p.warmFrom)/float64(r.cfg.WarmUp)
+	if r.cfg.SlowStartWindow > 0 {
+		share = r.cfg.SlowStartCapacity + (1-r.cfg.SlowStartCapacity)*float64(now-p.warmFrom)/float64(r.cfg.SlowStartWindow)
 	}
 	agents := p.agents / float64(r.cfg.Nodes)
 	if agents <= 0 {
@@ -545,14 +545,14 @@
 
 // ZoneState is what a zone's state is, for logs and counters.
 type ZoneState struct {
-	Zone   string
-	Tier   int // -1: in no tier of this controller
-	Out    bool
-	Dark   bool
-	Until  int64 // out until then
-	Warm   int   // pools warming up
-	Busy   int   // set-ups out and calls standing of this controller
-	Agents float64
+	Zone         string
+	Tier         int // -1: in no tier of this controller
+	Ejected      bool
+	NoEndpoints  bool
+	EjectedUntil int64 // out until then
+	WarmingUp    int   // pools warming up
+	InFlight     int   // set-ups out and calls standing of this controller
+	Agents       float64
 }
 
 // Zones returns each zone's state, in the order of the tiers, then by name.
@@ -561,13 +561,13 @@
 	tiered := map[string]bool{}
 	add := func(name string, tier int) {
 		z := r.zones[name]
-		s := ZoneState{Zone: name, Tier: tier, Out: z.out, Dark: z.dark, Until: z.outUntil}
+		s := ZoneState{Zone: name, Tier: tier, Ejected: z.out, NoEndpoints: z.dark, EjectedUntil: z.outUntil}
 		for _, p := range r.pools {
 			if p.Zone == name {
-				s.Busy += p.busy
+				s.InFlight += p.busy
 				s.Agents += p.agents
 				if p.warmFrom > 0 {
-					s.Warm++
+					s.WarmingUp++
 				}
 			}
 		}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -13,11 +13,11 @@
 
 func config() Config {
 	return Config{
-		Zone:       "batumi",
-		Tiers:      map[string][][]string{"batumi": {{"tbilisi", "kutaisi"}, {"telavi"}}},
-		SpillShare: 0.5, Window: 10 * s1, OutShare: 0.5, Least: 4,
-		Hold: 5 * s1, MostHold: 40 * s1, FlapWithin: 60 * s1,
-		WarmUp: 10 * s1, WarmFrom: 0.2, Nodes: 1, Classes: 2,
+		Zone:        "batumi",
+		Tiers:       map[string][][]string{"batumi": {{"tbilisi", "kutaisi"}, {"telavi"}}},
+		SpillBudget: 0.5, Window: 10 * s1, EjectionThreshold: 0.5, MinSamples: 4,
+		EjectionTime: 5 * s1, MaxEjectionTime: 40 * s1, FlapWindow: 60 * s1,
+		SlowStartWindow: 10 * s1, SlowStartCapacity: 0.2, Nodes: 1, Classes: 2,
 	}
 }
 
@@ -28,7 +28,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.Roster(0, roster(nil))
+	r.UpdateEndpoints(0, roster(nil))
 	for _, p := range roster(nil) {
 		r.Report(p.UID, 10, 10)
 	}
@@ -36,12 +36,12 @@
 }
 
 // roster lists every pool up but those down.
-func roster(down []string) []Pool {
-	var out []Pool
+func roster(down []string) []Endpoint {
+	var out []Endpoint
 	for _, z := range zones {
 		for _, n := range []string{"1", "2"} {
 			uid := z[:2] + n
-			out = append(out, Pool{UID: uid, Zone: z, Up: !slices.Contains(down, uid) && !slices.Contains(down, z)})
+			out = append(out, Endpoint{UID: uid, Zone: z, Up: !slices.Contains(down, uid) && !slices.Contains(down, z)})
 		}
 	}
 	return out
@@ -61,11 +61,11 @@
 		"zone":                  func(c *Config) { c.Zone = "poti" },
 		"tiers.poti":            func(c *Config) { c.Tiers["poti"] = [][]string{{"batumi"}} },
 		"tiers.batumi[1]":       func(c *Config) { c.Tiers["batumi"][1] = []string{"gori"} },
-		"spill_share":           func(c *Config) { c.SpillShare = 1.5 },
-		"warm_from":             func(c *Config) { c.WarmFrom = 0 },
-		"out_share":             func(c *Config) { c.OutShare = 0 },
+		"spill_share":           func(c *Config) { c.SpillBudget = 1.5 },
+		"warm_from":             func(c *Config) { c.SlowStartCapacity = 0 },
+		"out_share":             func(c *Config) { c.EjectionThreshold = 0 },
 		"least and nodes":       func(c *Config) { c.Nodes = 0 },
-		"window, hold":          func(c *Config) { c.MostHold = 1 },
+		"window, hold":          func(c *Config) { c.MaxEjectionTime = 1 },
 		"tiers.batumi[0]: \"ba": func(c *Config) { c.Tiers["batumi"][0] = []string{"batumi"} },
 		"tiers.batumi[1]: \"tb": func(c *Config) { c.Tiers["batumi"][1] = []string{"tbilisi"} },
 	} {
@@ -88,7 +88,7 @@
 
 func TestDarkZoneSpillsToTheNextTierWithinTheBudget(t *testing.T) {
 	r := rig(t)
-	r.Roster(s1, roster([]string{"batumi"}))
+	r.UpdateEndpoints(s1, roster([]string{"batumi"}))
 	if got := eligible(r, s1); got != "ku1 ku2 tb1 tb2" {
 		t.Fatalf("eligible %q, want the first tier of neighbours", got)
 	}
@@ -99,7 +99,7 @@
 	if got := eligible(r, s1); got != "" {
 		t.Errorf("eligible %q past the spill budget, want none: refused at once, not sent on", got)
 	}
-	if r.Count().SpillCapped == 0 {
+	if r.Counts().SpillCapped == 0 {
 		t.Error("the cap is not counted")
 	}
 	r.Ended(s1, "tb1", Neutral, true) // a spilled call ends
@@ -110,7 +110,7 @@
 
 func TestSpillToNearlyFullPools(t *testing.T) {
 	r := rig(t)
-	r.Roster(s1, roster([]string{"batumi"}))
+	r.UpdateEndpoints(s1, roster([]string{"batumi"}))
 	for _, uid := range []string{"tb1", "tb2", "ku1", "ku2"} {
 		r.Report(uid, 1, 10) // nearly full: their own zones' calls hold 9 of 10
 	}
@@ -144,11 +144,11 @@
 
 func TestAllZonesButOneLost(t *testing.T) {
 	r := rig(t)
-	r.Roster(s1, roster([]string{"batumi", "tbilisi", "kutaisi"}))
+	r.UpdateEndpoints(s1, roster([]string{"batumi", "tbilisi", "kutaisi"}))
 	if got := eligible(r, s1); got != "te1 te2" {
 		t.Errorf("eligible %q, want the last zone", got)
 	}
-	r.Roster(2*s1, roster([]string{"batumi", "tbilisi", "kutaisi", "telavi"}))
+	r.UpdateEndpoints(2*s1, roster([]string{"batumi", "tbilisi", "kutaisi", "telavi"}))
 	if got := eligible(r, 2*s1); got != "" {
 		t.Errorf("eligible %q with all lost", got)
 	}
@@ -185,10 +185,10 @@
 	var holds []int64
 	for range 3 { // dark, back, dark, back ... within a minute
 		now += s1
-		r.Roster(now, roster([]string{"batumi"}))
+		r.UpdateEndpoints(now, roster([]string{"batumi"}))
 		out := now
 		now += s1
-		r.Roster(now, roster(nil)) // it is back at once, but held out
+		r.UpdateEndpoints(now, roster(nil)) // it is back at once, but held out
 		for eligible(r, now) != "ba1 ba2" {
 			now += s1 / 10
 		}
@@ -197,21 +197,21 @@
 	if !(holds[0] >= 5*s1 && holds[1] >= 10*s1 && holds[2] >= 20*s1) {
 		t.Errorf("holds %v µs, want at least 5, 10 and 20 s", holds)
 	}
-	if r.Count().Flaps != 2 {
-		t.Errorf("%d flaps, want 2", r.Count().Flaps)
+	if r.Counts().Flaps != 2 {
+		t.Errorf("%d flaps, want 2", r.Counts().Flaps)
 	}
 	// Long after, a hold is the least again.
 	now += 120 * s1
-	r.Roster(now, roster([]string{"batumi"}))
-	if z := r.Zones()[0]; z.Until-now != 5*s1 {
-		t.Errorf("hold %d after a quiet time, want 5 s", z.Until-now)
+	r.UpdateEndpoints(now, roster([]string{"batumi"}))
+	if z := r.Zones()[0]; z.EjectedUntil-now != 5*s1 {
+		t.Errorf("hold %d after a quiet time, want 5 s", z.EjectedUntil-now)
 	}
 }
 
 func TestReturningZoneWarmsUp(t *testing.T) {
 	r := rig(t)
-	r.Roster(s1, roster([]string{"batumi"}))
-	r.Roster(2*s1, roster(nil))
+	r.UpdateEndpoints(s1, roster([]string{"batumi"}))
+	r.UpdateEndpoints(2*s1, roster(nil))
 	back := 6 * s1                   // the hold ends at 6 s
 	const spill = " ku1 ku2 tb1 tb2" // open while batumi warms
 	if got := eligible(r, back); got != "ba1 ba2"+spill {
@@ -244,8 +244,8 @@
 // Never over the warm-up capacity: at every step a pool that is eligible holds less than its capacity.
 func TestWarmUpIsNeverExceeded(t *testing.T) {
 	r := rig(t)
-	r.Roster(s1, roster([]string{"ba1"}))
-	r.Roster(2*s1, roster(nil)) // ba1 returns from a drain: it warms, ba2 does not
+	r.UpdateEndpoints(s1, roster([]string{"ba1"}))
+	r.UpdateEndpoints(2*s1, roster(nil)) // ba1 returns from a drain: it warms, ba2 does not
 	for now := 2 * s1; now < 12*s1; now += s1 / 10 {
 		e := r.Eligible(now)
 		p := r.pools["ba1"]
@@ -260,14 +260,14 @@
 
 func TestPoolDroppingDuringWarmUpStartsAgain(t *testing.T) {
 	r := rig(t)
-	r.Roster(s1, roster([]string{"ba1"}))
-	r.Roster(2*s1, roster(nil))
-	r.Roster(7*s1, roster([]string{"ba1"})) // half-way, it drops
-	r.Roster(8*s1, roster(nil))
+	r.UpdateEndpoints(s1, roster([]string{"ba1"}))
+	r.UpdateEndpoints(2*s1, roster(nil))
+	r.UpdateEndpoints(7*s1, roster([]string{"ba1"})) // half-way, it drops
+	r.UpdateEndpoints(8*s1, roster(nil))
 	if p := r.pools["ba1"]; p.warmFrom != 8*s1 {
 		t.Errorf("warm from %d, want the new start", p.warmFrom)
 	}
-	r.Roster(9*s1, slices.DeleteFunc(roster(nil), func(p Pool) bool { return p.UID == "ba1" }))
+	r.UpdateEndpoints(9*s1, slices.DeleteFunc(roster(nil), func(p Endpoint) bool { return p.UID == "ba1" }))
 	if _, kept := r.pools["ba1"]; kept {
 		t.Error("a gone pool's state is kept")
 	}
@@ -275,34 +275,34 @@
 
 func TestZoneReturningWhileItsSpillStands(t *testing.T) {
 	r := rig(t)
-	r.Roster(s1, roster([]string{"batumi"}))
+	r.UpdateEndpoints(s1, roster([]string{"batumi"}))
 	for range 6 {
 		r.Sent("tb1")
 		r.Answered(s1, "tb1")
 	}
-	r.Roster(2*s1, roster(nil))
+	r.UpdateEndpoints(2*s1, roster(nil))
 	if got := eligible(r, 6*s1); got != "ba1 ba2 ku1 ku2 tb1 tb2" {
 		t.Fatalf("eligible %q when batumi is back, warming", got)
 	}
 	if got := eligible(r, 16*s1); got != "ba1 ba2" {
 		t.Fatalf("eligible %q when batumi is back and warm", got)
 	}
-	if z := r.Zones(); z[1].Zone != "tbilisi" || z[1].Busy != 6 {
+	if z := r.Zones(); z[1].Zone != "tbilisi" || z[1].InFlight != 6 {
 		t.Errorf("the spilled calls stand on where they are: %+v", z[1])
 	}
 	for range 6 {
 		r.Ended(17*s1, "tb1", Neutral, true)
 	}
-	if z := r.Zones(); z[1].Busy != 0 {
+	if z := r.Zones(); z[1].InFlight != 0 {
 		t.Errorf("%+v", z[1])
 	}
 }
 
 func TestZoneNoTierNamesIsLeftToTheModule(t *testing.T) {
 	r := rig(t)
-	r.Roster(s1, append(roster(nil), Pool{UID: "x1", Zone: "poti", Up: true}))
-	if got := eligible(r, s1); got != "ba1 ba2" || r.Judges("x1") || !r.Judges("te1") {
-		t.Errorf("eligible %q, judged %v: a pool of a zone not configured is not routing's", got, r.Judges("x1"))
+	r.UpdateEndpoints(s1, append(roster(nil), Endpoint{UID: "x1", Zone: "poti", Up: true}))
+	if got := eligible(r, s1); got != "ba1 ba2" || r.Manages("x1") || !r.Manages("te1") {
+		t.Errorf("eligible %q, judged %v: a pool of a zone not configured is not routing's", got, r.Manages("x1"))
 	}
 }
 
@@ -314,7 +314,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.Roster(0, roster([]string{"batumi"}))
+	r.UpdateEndpoints(0, roster([]string{"batumi"}))
 	for _, p := range roster(nil) {
 		r.Report(p.UID, 10, 10)
 	}
@@ -335,7 +335,7 @@
 // module sent it one set-up at a time.
 func TestCallsThatWaitOpenTheNextTier(t *testing.T) {
 	r := rig(t)
-	r.cfg.SpillAfter = s1 / 10
+	r.cfg.SpillDelay = s1 / 10
 	for _, c := range []struct {
 		now, since int64
 		want       string
@@ -346,7 +346,7 @@
 		{10*s1 + spillFor - 1, 0, "ba1 ba2 ku1 ku2 tb1 tb2"},
 		{10*s1 + spillFor, 0, "ba1 ba2"},
 	} {
-		r.Waits(c.now, c.since)
+		r.SetOldestWait(c.now, c.since)
 		if got := eligible(r, c.now); got != c.want {
 			t.Errorf("at %d, waiting since %d: %q, want %q", c.now, c.since, got, c.want)
 		}
@@ -358,7 +358,7 @@
 	if next := r.Next(0); next != 0 {
 		t.Errorf("next %d with nothing waiting", next)
 	}
-	r.Roster(s1, roster([]string{"batumi"}))
+	r.UpdateEndpoints(s1, roster([]string{"batumi"}))
 	if next := r.Next(s1); next != 6*s1 {
 		t.Errorf("next %d, want the end of the hold", next)
 	}
@@ -369,8 +369,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.Roster(0, nil) // as when routing is put in before the list comes
-	r.Roster(s1, roster(nil))
+	r.UpdateEndpoints(0, nil) // as when routing is put in before the list comes
+	r.UpdateEndpoints(s1, roster(nil))
 	if got := eligible(r, s1); got != "ba1 ba2" {
 		t.Errorf("eligible %q: pools of the first list that has any are warm", got)
 	}
--- a/internal/simulation/scenario.go
+++ b/internal/simulation/scenario.go
@@ -246,8 +246,8 @@
 		return s.bad("length", 0, "want more than 0, at most 1h")
 	case s.Controllers < 1 || s.Controllers > 64:
 		return s.bad("controllers", 0, "want 1 to 64")
-	case len(s.Class) == 0 || len(s.Class) > routing.MostClasses:
-		return s.bad("class", 0, fmt.Sprintf("want 1 to %d classes", routing.MostClasses))
+	case len(s.Class) == 0 || len(s.Class) > routing.MaxClasses:
+		return s.bad("class", 0, fmt.Sprintf("want 1 to %d classes", routing.MaxClasses))
 	case len(s.Pool) == 0:
 		return s.bad("pool", 0, "want one at the least")
 	case !(s.Callers.Rate >= 0 && s.Callers.Rate <= 1e5):
--- a/internal/simulation/srv.go
+++ b/internal/simulation/srv.go
@@ -53,7 +53,7 @@
 func (s *Sim) resolve(n *node) error {
 	c := s.sc.SRV
 	set, err := endpointset.New(endpointset.Config{StaleFor: c.StaleFor.Microseconds(), DrainFor: c.DrainFor.Microseconds(),
-		Tombstone: 1, MostRecords: 1024, MostPools: 1024})
+		Tombstone: 1, MaxRecords: 1024, MaxEndpoints: 1024})
 	if err != nil {
 		return fmt.Errorf("sim: srv: %w", err)
 	}
@@ -63,7 +63,7 @@
 		return fmt.Errorf("sim: %w", err)
 	}
 	for kind, p := range s.sc.Pool {
-		set.Name(p.Name, p.Group, p.Zone)
+		set.AddName(p.Name, p.Group, p.Zone)
 		s.lookUp(n, kind)
 	}
 	return nil
@@ -94,7 +94,7 @@
 					records = append(records, s.record(p))
 				}
 			}
-			x.set.Records(s.now, s.sc.Pool[kind].Name, records)
+			x.set.UpdateRecords(s.now, s.sc.Pool[kind].Name, records)
 			s.merge(n)
 			s.after(x.schedule.Refresh(s.sc.SRV.TTL.Microseconds(), u), func() { s.lookUp(n, kind) })
 		})
