--- a/cmd/eidertrail/fleet.go
+++ b/cmd/eidertrail/fleet.go
@@ -33,12 +33,12 @@
 func (d *daemon) join(ctx context.Context, node swim.Config, fleet *config.Cluster, log zerolog.Logger) error {
 	started := time.Now().UnixMilli()
 	cfg := gossip.Config{Node: node, Listen: d.cfg.PeerListen, Peers: d.cfg.Peers, Fleet: fleet.Fleet,
-		Incarnation: uint64(started), Seed: d.cfg.Seed, Clock: d.clock, Log: log, Count: d.count}
+		Incarnation: uint64(started), Seed: d.cfg.Seed, Clock: d.clock, Log: log, Counters: d.count}
 	var parts []part
-	var books *quota.Shared
+	var books *quota.SharedAllocator
 	var err error
 	if fleet.Budget != nil {
-		if books, err = quota.NewShared(fleet.Budget.Ledger(node, uint32(started)), d.clock.Now()); err != nil {
+		if books, err = quota.NewSharedAllocator(fleet.Budget.Allocator(node, uint32(started)), d.clock.Now()); err != nil {
 			return err
 		}
 		parts = append(parts, &leases{books: books, count: d.count})
@@ -56,7 +56,7 @@
 		return err
 	}
 	if books != nil {
-		d.dispatch.SetQuotas(dispatch.QuotaConfig{Source: books, SlowStartFraction: fleet.Budget.ColdPart,
+		d.dispatch.SetQuotas(dispatch.QuotaConfig{Source: books, SlowStartFraction: fleet.Budget.SlowStartFraction,
 			SendWindow: fleet.Budget.Margin.Microseconds() / 2})
 	}
 	return nil
@@ -92,13 +92,13 @@
 
 // leases are the fleet's budgets.
 type leases struct {
-	books   *quota.Shared
+	books   *quota.SharedAllocator
 	count   *telemetry.Set
 	answers []quota.Out // owed to what has come since the last time; bounded by what comes in 0.1 s
 	counted quota.Counts
 }
 
-func (l *leases) members(_ int64, members []swim.Member) { l.books.Members(living(members)) }
+func (l *leases) members(_ int64, members []swim.Member) { l.books.SetAlive(living(members)) }
 
 // living tells which members are held alive.
 func living(members []swim.Member) []bool {
@@ -110,7 +110,7 @@
 }
 
 func (l *leases) receive(now int64, from int, body []byte) (bool, error) {
-	if !quota.Is(body) {
+	if !quota.IsMessage(body) {
 		return false, nil
 	}
 	out, err := l.books.Receive(now, from, body)
@@ -124,7 +124,7 @@
 	}
 	l.answers = l.answers[:0]
 	c := l.books.Counts()
-	l.count.AddN(telemetry.LeasesAsked, int64(c.Asked-l.counted.Asked))
+	l.count.AddN(telemetry.LeasesAsked, int64(c.Requested-l.counted.Requested))
 	l.count.AddN(telemetry.LeasesGranted, int64(c.Granted-l.counted.Granted))
 	l.counted = c
 }
--- a/cmd/eidertrail/word.go
+++ b/cmd/eidertrail/word.go
@@ -25,7 +25,7 @@
 
 func newWord(node swim.Config, fleet *config.Cluster, incarnation, seed uint64, now int64, log zerolog.Logger, count *telemetry.Set) (*word, error) {
 	cfg := statetable.Default(node.Self, node.Members, incarnation, seed)
-	cfg.Kinds = []statetable.Spec{{Kind: statetable.Region, Name: "region", Most: config.MaxRegionLength}}
+	cfg.Kinds = []statetable.Spec{{Kind: statetable.Region, Name: "region", MaxLength: config.MaxRegionLength}}
 	t, err := statetable.New(cfg, now)
 	if err != nil {
 		return nil, err
@@ -41,10 +41,10 @@
 // Regions are the members' regions as they are known now, by number, "" where one is not.
 func (w *word) Regions() []string { return *w.regions.Load() }
 
-func (w *word) members(_ int64, members []swim.Member) { w.table.Members(living(members)) }
+func (w *word) members(_ int64, members []swim.Member) { w.table.SetAlive(living(members)) }
 
 func (w *word) receive(now int64, from int, body []byte) (bool, error) {
-	if !statetable.Is(body) {
+	if !statetable.IsMessage(body) {
 		return false, nil
 	}
 	out, err := w.table.Receive(now, from, body)
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -60,7 +60,7 @@
 	agents float64
 	told   float64 // the rate that it told, and when
 	toldAt int64
-	meter  quota.Meter
+	meter  quota.TokenBucket
 	sent   int     // set-ups since the last look
 	rate   float64 // of them, a second, of late
 	share  int     // units, as last logged
--- a/dispatch/limit_test.go
+++ b/dispatch/limit_test.go
@@ -18,17 +18,17 @@
 
 // budgets lets the fleet's controllers divide budgets: their books talk to each other with 5 ms of delay, and
 // lose a share of what they say. It ends when the returned function is called.
-func (f *fleet) budgets(t *testing.T, loss float64) (books []*quota.Shared, end func()) {
+func (f *fleet) budgets(t *testing.T, loss float64) (books []*quota.SharedAllocator, end func()) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	ds := f.ds
 	for i, d := range f.ds {
-		b, err := quota.NewShared(quota.Config{Self: i, Members: len(f.ds), Life: 1, Unit: 1000, Keep: 250, TTL: 2_000_000,
+		b, err := quota.NewSharedAllocator(quota.Config{Self: i, Members: len(f.ds), Incarnation: 1, Unit: 1000, Reserved: 250, TTL: 2_000_000,
 			Margin: 500_000}, d.Now())
 		if err != nil {
 			t.Fatal(err)
 		}
 		alive := slices.Repeat([]bool{true}, len(f.ds))
-		b.Members(alive)
+		b.SetAlive(alive)
 		books = append(books, b)
 		d.SetQuotas(QuotaConfig{Source: b, SlowStartFraction: 0.5, SendWindow: 250_000})
 	}
@@ -48,7 +48,7 @@
 	return books, func() { close(done); f.talk.Wait() }
 }
 
-func (f *fleet) carry(ds []*Dispatcher, books []*quota.Shared, from int, out []quota.Out, rng *rand.Rand, loss float64) {
+func (f *fleet) carry(ds []*Dispatcher, books []*quota.SharedAllocator, from int, out []quota.Out, rng *rand.Rand, loss float64) {
 	for _, o := range out {
 		if rng.Float64() < loss {
 			continue
@@ -178,7 +178,7 @@
 		if p := place(); p.SendBy != 0 {
 			t.Errorf("without budgets %+v", p)
 		}
-		b, err := quota.NewShared(quota.Config{Members: 1, Unit: 1000, TTL: 2_000_000, Margin: 500_000}, r.Now()-3_000_000)
+		b, err := quota.NewSharedAllocator(quota.Config{Members: 1, Unit: 1000, TTL: 2_000_000, Margin: 500_000}, r.Now()-3_000_000)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/config/cluster.go
+++ b/internal/config/cluster.go
@@ -67,19 +67,19 @@
 
 // Budget is the configuration of the budgets that the members divide.
 type Budget struct {
-	Lease     time.Duration `toml:"lease"`      // how long a borrowed share holds
-	Margin    time.Duration `toml:"margin"`     // for how much longer its lender leaves it alone
-	Keep      float64       `toml:"keep"`       // the part of its own share that a member never lends
-	ColdPart  float64       `toml:"cold_part"`  // the part of what makes a cold pool fall over that all may send it
-	RateField string        `toml:"rate_field"` // the field of pools' reports with the rate they can take, "" for none
+	Lease             time.Duration `toml:"lease"`      // how long a borrowed share holds
+	Margin            time.Duration `toml:"margin"`     // for how much longer its lender leaves it alone
+	Reserved          float64       `toml:"keep"`       // the part of its own share that a member never lends
+	SlowStartFraction float64       `toml:"cold_part"`  // the part of what makes a cold pool fall over that all may send it
+	RateField         string        `toml:"rate_field"` // the field of pools' reports with the rate they can take, "" for none
 }
 
 // UnitsOwned is a member's own share of each budget, in units.
 const UnitsOwned = 1000
 
-// Ledger is the books' configuration for the member of n; life is another at each start.
-func (b *Budget) Ledger(n swim.Config, life uint32) quota.Config {
-	return quota.Config{Self: n.Self, Members: n.Members, Life: life, Unit: UnitsOwned, Keep: int(b.Keep * UnitsOwned),
+// Allocator is the books' configuration for the member of n; life is another at each start.
+func (b *Budget) Allocator(n swim.Config, life uint32) quota.Config {
+	return quota.Config{Self: n.Self, Members: n.Members, Incarnation: life, Unit: UnitsOwned, Reserved: int(b.Reserved * UnitsOwned),
 		TTL: b.Lease.Microseconds(), Margin: b.Margin.Microseconds()}
 }
 
@@ -89,9 +89,9 @@
 		return fmt.Errorf("budget.lease: want 100ms to 1m")
 	case b.Margin < b.Lease/20 || b.Margin > time.Minute:
 		return fmt.Errorf("budget.margin: want a twentieth of budget.lease at the least, 1m at the most")
-	case !(b.Keep >= 0 && b.Keep <= 1):
+	case !(b.Reserved >= 0 && b.Reserved <= 1):
 		return fmt.Errorf("budget.keep: want 0 to 1")
-	case !(b.ColdPart > 0 && b.ColdPart <= 1):
+	case !(b.SlowStartFraction > 0 && b.SlowStartFraction <= 1):
 		return fmt.Errorf("budget.cold_part: want more than 0, at most 1")
 	case b.RateField != "" && len(names) > 0 && !slices.Contains(names, b.RateField):
 		return fmt.Errorf("budget.rate_field: %q is none of the settings' stats.names", b.RateField)
@@ -142,7 +142,7 @@
 // ParseCluster reads the text of a cluster file.
 func ParseCluster(text string) (*Cluster, error) {
 	c := &Cluster{ProbeInterval: time.Second, ProbeTimeout: 300 * time.Millisecond, Indirect: 3, SuspicionMult: 4,
-		SuspicionMax: 3, Retransmit: 4, Budget: &Budget{Lease: 2 * time.Second, Margin: 500 * time.Millisecond, Keep: 0.25, ColdPart: 0.5}}
+		SuspicionMax: 3, Retransmit: 4, Budget: &Budget{Lease: 2 * time.Second, Margin: 500 * time.Millisecond, Reserved: 0.25, SlowStartFraction: 0.5}}
 	meta, err := decode("cluster", text, c)
 	if err != nil {
 		return nil, err
--- a/internal/fleet/gossip/characterization_test.go
+++ b/internal/fleet/gossip/characterization_test.go
@@ -100,13 +100,13 @@
 	if err := p.conn.SetReadDeadline(time.Now().Add(patience)); err != nil {
 		p.t.Fatal(err)
 	}
-	buffer := make([]byte, 2*swim.MostDatagram)
+	buffer := make([]byte, 2*swim.MaxDatagram)
 	n, _, err := p.conn.ReadFromUDP(buffer)
 	if err != nil {
 		p.t.Fatalf("%s, %s: %v", p.name, what, err)
 	}
 	fmt.Fprintf(p.text, "%s-%s %x\n", p.name, what, buffer[:n])
-	m, err := swim.Parse(buffer[:n], swim.Fleet(fleetName))
+	m, err := swim.Parse(buffer[:n], swim.FleetID(fleetName))
 	if err != nil {
 		p.t.Fatal(err)
 	}
@@ -127,7 +127,7 @@
 
 func encoded(t *testing.T, m swim.Message, fleet string) []byte {
 	t.Helper()
-	b, err := m.Append(nil, swim.Fleet(fleet))
+	b, err := m.Append(nil, swim.FleetID(fleet))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -180,11 +180,11 @@
 	defer stop()
 	runner, err := gossip.Start(ctx, gossip.Config{Node: swim.Default(self, 3), Listen: "127.0.0.1:0", Fleet: fleetName,
 		Peers:       []string{first.conn.LocalAddr().String(), "127.0.0.1:1", third.conn.LocalAddr().String()},
-		Incarnation: 1000, Seed: 7, Clock: standingClock{}, Log: zerolog.New(&told.log), Count: counters,
+		Incarnation: 1000, Seed: 7, Clock: standingClock{}, Log: zerolog.New(&told.log), Counters: counters,
 		Receive: told.receive, View: told.view, EveryMicros: 3_600_000_000,
 		Every: func(_ int64, send func(int, []byte)) {
 			send(0, []byte("every"))
-			send(2, make([]byte, swim.MostBody+1)) // too long: it is logged, and not sent
+			send(2, make([]byte, swim.MaxBody+1)) // too long: it is logged, and not sent
 		}})
 	if err != nil {
 		t.Fatal(err)
@@ -251,8 +251,8 @@
 	good := encoded(t, ping, fleetName)
 	from.write(good[:len(good)-1])
 	from.write(good[:5])
-	from.write(make([]byte, swim.MostDatagram+1))
-	from.write(make([]byte, 4*swim.MostDatagram)) // read up to one byte too many
+	from.write(make([]byte, swim.MaxDatagram+1))
+	from.write(make([]byte, 4*swim.MaxDatagram)) // read up to one byte too many
 	from.write(encoded(t, ping, "another fleet"))
 	for _, member := range []int{2, 3} { // not the sender's address; no member
 		ping.From = member
@@ -275,7 +275,7 @@
 		{"node", func(c *gossip.Config) { c.Node.Interval = 0 }},
 	} {
 		config := gossip.Config{Node: swim.Default(0, 2), Listen: "127.0.0.1:0", Peers: []string{"127.0.0.1:1", "127.0.0.1:2"},
-			Clock: standingClock{}, Count: &telemetry.Set{}, Log: zerolog.Nop()}
+			Clock: standingClock{}, Counters: &telemetry.Set{}, Log: zerolog.Nop()}
 		c.change(&config)
 		if _, err := gossip.Start(t.Context(), config); err != nil {
 			fmt.Fprintf(&text, "%s: %s\n", c.name, err.Error())
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -28,7 +28,7 @@
 	Seed        uint64
 	Clock       interface{ Now() int64 } // µs, never backwards
 	Log         zerolog.Logger
-	Count       *telemetry.Set
+	Counters    *telemetry.Set
 	// Receive takes the bodies that members send with Send, View the members whenever one has changed. Both are
 	// called by the loop, and must not block.
 	Receive func(now int64, from int, body []byte)
@@ -67,7 +67,7 @@
 
 // Start opens the socket and runs the member until ctx is done. Wait waits for its end.
 func Start(ctx context.Context, cfg Config) (*Runner, error) {
-	r := &Runner{cfg: cfg, fleet: swim.Fleet(cfg.Fleet), in: make(chan datagram, mostWaiting),
+	r := &Runner{cfg: cfg, fleet: swim.FleetID(cfg.Fleet), in: make(chan datagram, mostWaiting),
 		posts: make(chan func(int64), 16), done: make(chan struct{})}
 	if len(cfg.Peers) != cfg.Node.Members {
 		return nil, fmt.Errorf("cluster: peers: %d addresses for %d members", len(cfg.Peers), cfg.Node.Members)
@@ -133,7 +133,7 @@
 
 func (r *Runner) read() {
 	defer r.wg.Done()
-	buffer := make([]byte, swim.MostDatagram+1) // a longer one shows
+	buffer := make([]byte, swim.MaxDatagram+1) // a longer one shows
 	for {
 		n, from, err := r.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
@@ -142,11 +142,11 @@
 		if err != nil { // such as a refusal by a peer that has gone
 			continue
 		}
-		r.cfg.Count.Add(telemetry.PeerIn)
+		r.cfg.Counters.Add(telemetry.PeerIn)
 		select {
 		case r.in <- datagram{unmapped(from), append([]byte(nil), buffer[:n]...)}:
 		default:
-			r.cfg.Count.Add(telemetry.PeerDropped)
+			r.cfg.Counters.Add(telemetry.PeerDropped)
 		}
 	}
 }
@@ -197,7 +197,7 @@
 		err = fmt.Errorf("%w: from %s, which is not member %d's address", swim.ErrDatagram, d.from, m.From)
 	}
 	if err != nil {
-		r.cfg.Count.Add(telemetry.PeerBad)
+		r.cfg.Counters.Add(telemetry.PeerBad)
 		r.cfg.Log.Warn().Err(err).Stringer("from", d.from).Msg("bad datagram")
 		return
 	}
@@ -220,14 +220,14 @@
 		r.write(o)
 	}
 	for _, c := range changes {
-		switch c.Is {
+		switch c.Current {
 		case swim.Suspect:
-			r.cfg.Count.Add(telemetry.MembersSuspected)
+			r.cfg.Counters.Add(telemetry.MembersSuspected)
 		case swim.Dead:
-			r.cfg.Count.Add(telemetry.MembersDied)
+			r.cfg.Counters.Add(telemetry.MembersDied)
 		}
-		if c.Was != c.Is {
-			r.cfg.Log.Info().Int("member", c.Member).Stringer("was", c.Was).Stringer("is", c.Is).
+		if c.Previous != c.Current {
+			r.cfg.Log.Info().Int("member", c.Member).Stringer("was", c.Previous).Stringer("is", c.Current).
 				Uint64("incarnation", c.Incarnation).Int("health", r.node.Health()).Msg("member")
 		}
 	}
@@ -245,14 +245,14 @@
 }
 
 func (r *Runner) write(o swim.Out) {
-	b, err := o.Message.Append(make([]byte, 0, swim.MostDatagram), r.fleet)
+	b, err := o.Message.Append(make([]byte, 0, swim.MaxDatagram), r.fleet)
 	if err != nil {
 		r.cfg.Log.Error().Err(err).Msg("datagram not sent")
 		return
 	}
-	r.cfg.Count.Add(telemetry.PeerOut)
-	r.cfg.Count.AddN(telemetry.PeerBytesOut, int64(len(b)))
+	r.cfg.Counters.Add(telemetry.PeerOut)
+	r.cfg.Counters.AddN(telemetry.PeerBytesOut, int64(len(b)))
 	if _, err := r.conn.WriteToUDPAddrPort(b, r.peers[o.To]); err != nil {
-		r.cfg.Count.Add(telemetry.PeerUnsent) // as good as lost on its way
+		r.cfg.Counters.Add(telemetry.PeerUnsent) // as good as lost on its way
 	}
 }
--- a/internal/fleet/quota/budget.go
+++ b/internal/fleet/quota/budget.go
@@ -20,10 +20,10 @@
 )
 
 const (
-	// MostResources bounds the wholes that are divided at a time.
-	MostResources = 64
-	// MostName is the longest name of a resource, in bytes.
-	MostName = 100
+	// MaxResources bounds the wholes that are divided at a time.
+	MaxResources = 64
+	// MaxNameLength is the longest name of a resource, in bytes.
+	MaxNameLength = 100
 	// renewals is how many times within its length a lease is asked for again.
 	renewals = 2
 )
@@ -31,12 +31,12 @@
 // Config is what a Ledger is made with.
 type Config struct {
 	Self, Members int
-	// Life is another for each start of the member: an answer to a question of its last life is not taken for
+	// Incarnation is another for each start of the member: an answer to a question of its last life is not taken for
 	// one to this life's.
-	Life uint32
-	Unit int   // a member's own share of a whole, in units: the whole is Members * Unit
-	Keep int   // the part of it that is never lent
-	TTL  int64 // the length of a lease, µs
+	Incarnation uint32
+	Unit        int   // a member's own share of a whole, in units: the whole is Members * Unit
+	Reserved    int   // the part of it that is never lent
+	TTL         int64 // the length of a lease, µs
 	// Margin is for how much longer the lender takes it for out, µs: it has to cover what two clocks may differ
 	// in a lease, and the time from a decision to the set-up's leaving.
 	Margin int64
@@ -50,7 +50,7 @@
 	switch {
 	case c.Members < 1 || c.Self < 0 || c.Self >= c.Members:
 		return fmt.Errorf("%w: member %d of %d", ErrConfig, c.Self, c.Members)
-	case c.Unit < 1 || c.Keep < 0 || c.Keep > c.Unit:
+	case c.Unit < 1 || c.Reserved < 0 || c.Reserved > c.Unit:
 		return fmt.Errorf("%w: keep: want 0 to 1", ErrConfig)
 	case c.TTL < 1000 || c.Margin < 0:
 		return fmt.Errorf("%w: lease, margin: want a lease of 1ms or more, a margin of 0 or more", ErrConfig)
@@ -84,8 +84,8 @@
 	used     int64          // when it was last wanted here, or lent of
 }
 
-// Ledger is one member's books of all wholes.
-type Ledger struct {
+// Allocator is one member's books of all wholes.
+type Allocator struct {
 	cfg       Config
 	freshTill int64 // until then leases of an earlier life may be in force
 	alive     []bool
@@ -95,31 +95,31 @@
 }
 
 // Counts are what a Ledger has seen; all only grow.
-type Counts struct{ Asked, Granted, Borrowed uint64 }
+type Counts struct{ Requested, Granted, Borrowed uint64 }
 
 // New opens the books of a member that starts now.
-func New(cfg Config, now int64) (*Ledger, error) {
+func New(cfg Config, now int64) (*Allocator, error) {
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
-	return &Ledger{cfg: cfg, freshTill: now + cfg.TTL + cfg.Margin, alive: make([]bool, cfg.Members),
-		resources: map[string]*resource{}, req: uint64(cfg.Life) << 32}, nil
+	return &Allocator{cfg: cfg, freshTill: now + cfg.TTL + cfg.Margin, alive: make([]bool, cfg.Members),
+		resources: map[string]*resource{}, req: uint64(cfg.Incarnation) << 32}, nil
 }
 
 // Counts returns what the ledger has seen.
-func (l *Ledger) Counts() Counts { return l.count }
+func (l *Allocator) Counts() Counts { return l.count }
 
-// Whole is the units of a whole.
-func (l *Ledger) Whole() int { return l.cfg.Members * l.cfg.Unit }
+// Total is the units of a whole.
+func (l *Allocator) Total() int { return l.cfg.Members * l.cfg.Unit }
 
-// Members takes who is held alive: others are not asked.
-func (l *Ledger) Members(alive []bool) { copy(l.alive, alive) }
+// SetAlive takes who is held alive: others are not asked.
+func (l *Allocator) SetAlive(alive []bool) { copy(l.alive, alive) }
 
 // get finds or opens the books of a whole; nil where there are too many.
-func (l *Ledger) get(now int64, name string) *resource {
+func (l *Allocator) get(now int64, name string) *resource {
 	r := l.resources[name]
 	if r == nil {
-		if name == "" || len(name) > MostName || len(l.resources) >= MostResources && !l.forget(now) {
+		if name == "" || len(name) > MaxNameLength || len(l.resources) >= MaxResources && !l.forget(now) {
 			return nil
 		}
 		r = &resource{asked: map[int]ask{}, borrowed: map[int]loan{}, lent: map[int][]loan{}}
@@ -130,7 +130,7 @@
 }
 
 // forget drops the books longest unused, if no lease may be in force on them.
-func (l *Ledger) forget(now int64) bool {
+func (l *Allocator) forget(now int64) bool {
 	oldest, found := "", false
 	for name, r := range l.resources {
 		if now-r.used > l.cfg.TTL+l.cfg.Margin && (!found || r.used < l.resources[oldest].used) {
@@ -164,9 +164,9 @@
 }
 
 // own is what this member has of its own share now.
-func (l *Ledger) own(now int64, r *resource) int {
+func (l *Allocator) own(now int64, r *resource) int {
 	if now < l.freshTill {
-		return l.cfg.Keep
+		return l.cfg.Reserved
 	}
 	if r == nil {
 		return l.cfg.Unit
@@ -175,7 +175,7 @@
 }
 
 // Quota is the units of a whole that this member may use now.
-func (l *Ledger) Quota(now int64, name string) int {
+func (l *Allocator) Quota(now int64, name string) int {
 	r := l.resources[name]
 	units := l.own(now, r)
 	if r != nil {
@@ -189,14 +189,14 @@
 }
 
 // Demand tells how many units this member could use of a whole from now on.
-func (l *Ledger) Demand(now int64, name string, units int) {
+func (l *Allocator) Demand(now int64, name string, units int) {
 	if r := l.get(now, name); r != nil {
-		r.wants = min(max(units, 0), l.Whole())
+		r.wants = min(max(units, 0), l.Total())
 	}
 }
 
 // Tick asks others for what is missing, and again before it runs out.
-func (l *Ledger) Tick(now int64) []Out {
+func (l *Allocator) Tick(now int64) []Out {
 	var out []Out
 	for _, name := range l.names() {
 		r := l.resources[name]
@@ -235,7 +235,7 @@
 			}
 			l.req++
 			r.asked[m] = ask{l.req, now}
-			l.count.Asked++
+			l.count.Requested++
 			out = append(out, Out{m, encode(askKind, l.req, want, name)})
 		}
 	}
@@ -257,7 +257,7 @@
 	return out
 }
 
-func (l *Ledger) names() []string {
+func (l *Allocator) names() []string {
 	names := make([]string, 0, len(l.resources))
 	for n := range l.resources {
 		names = append(names, n)
@@ -268,7 +268,7 @@
 
 // Receive takes a message of another member, and returns the answer to it, if any. What makes no sense is an
 // error, and changes nothing.
-func (l *Ledger) Receive(now int64, from int, body []byte) ([]Out, error) {
+func (l *Allocator) Receive(now int64, from int, body []byte) ([]Out, error) {
 	kind, req, units, name, err := decode(body)
 	if err != nil || from < 0 || from >= l.cfg.Members || from == l.cfg.Self {
 		return nil, errors.Join(err, errFrom(from, l.cfg))
@@ -295,7 +295,7 @@
 	}
 	grant := 0
 	if now >= l.freshTill {
-		grant = max(0, min(units, l.cfg.Unit-r.out(now, from)-max(l.cfg.Keep, r.wants)))
+		grant = max(0, min(units, l.cfg.Unit-r.out(now, from)-max(l.cfg.Reserved, r.wants)))
 	}
 	if grant > 0 {
 		l.count.Granted++
@@ -320,8 +320,8 @@
 	headSize   = 13
 )
 
-// Is tells whether a body is one of a ledger's.
-func Is(body []byte) bool { return len(body) > 0 && body[0] >= askKind && body[0] <= returnKind }
+// IsMessage tells whether a body is one of a ledger's.
+func IsMessage(body []byte) bool { return len(body) > 0 && body[0] >= askKind && body[0] <= returnKind }
 
 func encode(kind byte, req uint64, units int, name string) []byte {
 	b := make([]byte, 0, headSize+len(name))
@@ -332,7 +332,7 @@
 }
 
 func decode(b []byte) (kind byte, req uint64, units int, name string, err error) {
-	if len(b) <= headSize || len(b) > headSize+MostName || b[0] < askKind || b[0] > returnKind {
+	if len(b) <= headSize || len(b) > headSize+MaxNameLength || b[0] < askKind || b[0] > returnKind {
 		return 0, 0, 0, "", fmt.Errorf("budget: a body of %d bytes makes no sense", len(b))
 	}
 	units32 := binary.BigEndian.Uint32(b[9:])
--- a/internal/fleet/quota/budget_test.go
+++ b/internal/fleet/quota/budget_test.go
@@ -19,7 +19,7 @@
 	cfg     Config
 	clock   []int64
 	rate    []int64 // tenths
-	books   []*Ledger
+	books   []*Allocator
 	flight  []message
 	steps   []string
 	restart func(f *fleet, m int) // starts a member anew
@@ -31,7 +31,7 @@
 }
 
 func newFleet(members int, cfg Config, slow int) *fleet {
-	f := &fleet{cfg: cfg, clock: make([]int64, members), rate: make([]int64, members), books: make([]*Ledger, members), restart: anew}
+	f := &fleet{cfg: cfg, clock: make([]int64, members), rate: make([]int64, members), books: make([]*Allocator, members), restart: anew}
 	f.cfg.Members = members
 	for m := range members {
 		f.clock[m], f.rate[m] = 1_000_000, 10
@@ -46,7 +46,7 @@
 
 func (f *fleet) start(m int, life uint32) {
 	cfg := f.cfg
-	cfg.Self, cfg.Life = m, life
+	cfg.Self, cfg.Incarnation = m, life
 	l, err := New(cfg, f.clock[m])
 	if err != nil {
 		panic(err)
@@ -55,7 +55,7 @@
 	for i := range alive {
 		alive[i] = true
 	}
-	l.Members(alive)
+	l.SetAlive(alive)
 	f.books[m] = l
 }
 
@@ -102,7 +102,7 @@
 	for m := range members {
 		as = append(as,
 			action{fmt.Sprintf("%d wants all", m), func(f *fleet) bool {
-				f.books[m].Demand(f.clock[m], pool, f.books[m].Whole())
+				f.books[m].Demand(f.clock[m], pool, f.books[m].Total())
 				f.send(m, f.books[m].Tick(f.clock[m]))
 				return true
 			}},
@@ -190,12 +190,12 @@
 					continue
 				}
 				p := append(slices.Clone(path), i)
-				if f.sum() > f.books[0].Whole() {
+				if f.sum() > f.books[0].Total() {
 					var names []string
 					for _, j := range p {
 						names = append(names, as[j].name)
 					}
-					return fmt.Sprintf("%d of %d units in force after: %s", f.sum(), f.books[0].Whole(), strings.Join(names, ", ")), states
+					return fmt.Sprintf("%d of %d units in force after: %s", f.sum(), f.books[0].Total(), strings.Join(names, ", ")), states
 				}
 				if k := f.fingerprint(); !seen[k] {
 					seen[k] = true
@@ -213,7 +213,7 @@
 // which has a slower clock: what is in force never sums to more than the whole. And the search does find what
 // it looks for: without the margin, without the wait after a start, or with one name for all lives it does.
 func TestSharesNeverSumToMoreThanTheWhole(t *testing.T) {
-	good := Config{Unit: 4, Keep: 1, TTL: ttl, Margin: margin}
+	good := Config{Unit: 4, Reserved: 1, TTL: ttl, Margin: margin}
 	for _, c := range []struct {
 		name           string
 		members, depth int
@@ -223,7 +223,7 @@
 	}{
 		{"two members", 2, 7, good, anew, false}, // 8 steps take a minute with the race detector
 		{"three members", 3, 5, good, anew, false},
-		{"no margin, and a slow clock", 2, 8, Config{Unit: 4, Keep: 1, TTL: ttl}, anew, true},
+		{"no margin, and a slow clock", 2, 8, Config{Unit: 4, Reserved: 1, TTL: ttl}, anew, true},
 		{"a start that does not wait", 2, 8, good, func(f *fleet, m int) { anew(f, m); f.books[m].freshTill = 0 }, true},
 		{"one name for all lives", 2, 10, good, func(f *fleet, m int) { f.start(m, 1) }, true},
 	} {
@@ -246,7 +246,7 @@
 // member looks at its books each 100 ms.
 func TestTimeToDivideAnew(t *testing.T) {
 	const tick, delay, members = 100_000, 5_000, 5
-	cfg := Config{Unit: 1000, Keep: 250, TTL: ttl, Margin: margin}
+	cfg := Config{Unit: 1000, Reserved: 250, TTL: ttl, Margin: margin}
 	most := 1000 + (members-1)*750
 	for _, c := range []struct {
 		name   string
@@ -286,7 +286,7 @@
 				}
 			}
 			if c.name != "it begins to need it" {
-				f.books[0].Demand(f.clock[0], pool, f.books[0].Whole())
+				f.books[0].Demand(f.clock[0], pool, f.books[0].Total())
 				for range 10 * ttl / delay {
 					step()
 				}
@@ -295,7 +295,7 @@
 				}
 			}
 			c.change(f)
-			f.books[1].Demand(f.clock[1], pool, f.books[1].Whole())
+			f.books[1].Demand(f.clock[1], pool, f.books[1].Total())
 			want := most
 			if f.books[0] == nil {
 				want -= 750 // its own share is nobody's
--- a/internal/fleet/quota/characterization_test.go
+++ b/internal/fleet/quota/characterization_test.go
@@ -132,7 +132,7 @@
 
 // process is one member's; its clock has an offset and a rate of its own.
 type process struct {
-	ledger      *quota.Shared
+	ledger      *quota.SharedAllocator
 	life        uint32
 	offset      int64
 	rate        int64 // thousandths
@@ -181,12 +181,12 @@
 	p := &w.processes[member]
 	*p = process{life: p.life + 1, offset: offset, rate: 1000 - int64(member%3)*50, tickAt: w.now + int64(member)*1000}
 	config := w.config
-	config.Self, config.Life = member, p.life
-	ledger, err := quota.NewShared(config, w.clock(member))
+	config.Self, config.Incarnation = member, p.life
+	ledger, err := quota.NewSharedAllocator(config, w.clock(member))
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	ledger.Members(w.believed(member, 0))
+	ledger.SetAlive(w.believed(member, 0))
 	p.ledger = ledger
 }
 
@@ -349,9 +349,9 @@
 			w.start(member, []int64{0, 3_600_000_000, -900_000}[w.rng.IntN(3)])
 		}
 	case 12, 13:
-		p.ledger.Members(w.believed(member, 0.4))
+		p.ledger.SetAlive(w.believed(member, 0.4))
 	default:
-		p.ledger.Members(w.believed(member, 0))
+		p.ledger.SetAlive(w.believed(member, 0))
 	}
 }
 
@@ -368,7 +368,7 @@
 	}
 	for member := range w.processes {
 		counts := w.processes[member].ledger.Counts()
-		w.record.unsigned(counts.Asked)
+		w.record.unsigned(counts.Requested)
 		w.record.unsigned(counts.Granted)
 		w.record.unsigned(counts.Borrowed)
 	}
@@ -389,7 +389,7 @@
 		{"nine-members-more-wholes-than-kept", 9, 80, 15_000, 100, 0, 4, true},
 	} {
 		record := newRecording(c.name)
-		config := quota.Config{Members: c.members, Unit: c.unit, Keep: c.keep, TTL: leaseLength, Margin: leaseMargin}
+		config := quota.Config{Members: c.members, Unit: c.unit, Reserved: c.keep, TTL: leaseLength, Margin: leaseMargin}
 		w := newNetwork(t, record, config, c.names, c.seed, c.spoiling)
 		w.run(c.events)
 		if whole := c.members * c.unit; !c.spoiling && w.most > whole {
@@ -406,7 +406,7 @@
 func TestCharacterization_MeterDigests(t *testing.T) {
 	record := newRecording("meter")
 	rng := rand.New(rand.NewPCG(4, 4))
-	var meter quota.Meter
+	var meter quota.TokenBucket
 	now := startOfTime
 	const events = 20_000
 	for range events {
@@ -436,14 +436,14 @@
 
 const wholeName = "pool-a"
 
-func ledgerOf(t *testing.T, self int, life uint32) *quota.Ledger {
+func ledgerOf(t *testing.T, self int, life uint32) *quota.Allocator {
 	t.Helper()
-	config := quota.Config{Self: self, Members: 3, Life: life, Unit: 1000, Keep: 250, TTL: leaseLength, Margin: leaseMargin}
+	config := quota.Config{Self: self, Members: 3, Incarnation: life, Unit: 1000, Reserved: 250, TTL: leaseLength, Margin: leaseMargin}
 	ledger, err := quota.New(config, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	ledger.Members([]bool{true, true, true})
+	ledger.SetAlive([]bool{true, true, true})
 	return ledger
 }
 
@@ -477,8 +477,8 @@
 	borrower.Demand(now, wholeName, 0)
 	returned := only(t, borrower.Tick(now), nil)
 	long := ledgerOf(t, 0, math.MaxUint32)
-	long.Members([]bool{true, true, false})
-	long.Demand(now, strings.Repeat("n", quota.MostName), math.MaxInt)
+	long.SetAlive([]bool{true, true, false})
+	long.Demand(now, strings.Repeat("n", quota.MaxNameLength), math.MaxInt)
 	return []namedBytes{
 		{"ask", questions[0].Body},
 		{"ask-of-another-member", questions[1].Body},
@@ -502,7 +502,7 @@
 		{"bad-cut-in-head", ask[:12]},
 		{"bad-no-name", ask[:13]},
 		{"odd-cut-in-name", ask[:14]},
-		{"bad-name-too-long", append(bytes.Clone(ask[:13]), bytes.Repeat([]byte("n"), quota.MostName+1)...)},
+		{"bad-name-too-long", append(bytes.Clone(ask[:13]), bytes.Repeat([]byte("n"), quota.MaxNameLength+1)...)},
 		{"bad-kind-0", changed(0, 0)},
 		{"bad-kind-4", changed(0, 4)},
 		{"bad-kind-255", changed(0, 255)},
@@ -543,7 +543,7 @@
 	for _, from := range []int{-1, 0, 3, 2} {
 		readMessage(&text, fmt.Sprintf("from %d:", from), reader, 2*leaseLength, from, ask)
 	}
-	for i := range quota.MostResources {
+	for i := range quota.MaxResources {
 		reader.Demand(2*leaseLength, fmt.Sprintf("pool-%d", i), 1)
 	}
 	readMessage(&text, "no room:", reader, 2*leaseLength, 1, namedBytes{"ask-longest-name", recordedBytes(t, "messages.txt")[5].bytes})
@@ -551,9 +551,9 @@
 }
 
 // readMessage writes down what a ledger makes of a message: an error, answers, and what it may use afterwards.
-func readMessage(text *strings.Builder, who string, reader *quota.Ledger, now int64, from int, m namedBytes) {
+func readMessage(text *strings.Builder, who string, reader *quota.Allocator, now int64, from int, m namedBytes) {
 	out, err := reader.Receive(now, from, m.bytes)
-	fmt.Fprintf(text, "%s %s is-ledgers %t", who, m.name, quota.Is(m.bytes))
+	fmt.Fprintf(text, "%s %s is-ledgers %t", who, m.name, quota.IsMessage(m.bytes))
 	if err != nil {
 		fmt.Fprintf(text, " error %q", err.Error())
 	}
@@ -565,7 +565,7 @@
 		fmt.Fprintf(text, " share %d", reader.Quota(now+later, wholeName))
 	}
 	counts := reader.Counts()
-	fmt.Fprintf(text, " asked %d granted %d borrowed %d\n", counts.Asked, counts.Granted, counts.Borrowed)
+	fmt.Fprintf(text, " asked %d granted %d borrowed %d\n", counts.Requested, counts.Granted, counts.Borrowed)
 }
 
 // A lender takes back what it granted when the borrower returns it, but for the margin.
@@ -583,7 +583,7 @@
 }
 
 func TestCharacterization_ConfigErrors(t *testing.T) {
-	good := quota.Config{Self: 1, Members: 3, Unit: 10, Keep: 2, TTL: 1000}
+	good := quota.Config{Self: 1, Members: 3, Unit: 10, Reserved: 2, TTL: 1000}
 	var text strings.Builder
 	for _, c := range []struct {
 		name   string
@@ -592,7 +592,7 @@
 		{"good", func(c *quota.Config) {}},
 		{"no-members", func(c *quota.Config) { c.Members = 0 }},
 		{"self", func(c *quota.Config) { c.Self = 3 }},
-		{"keep", func(c *quota.Config) { c.Keep = 11 }},
+		{"keep", func(c *quota.Config) { c.Reserved = 11 }},
 		{"unit", func(c *quota.Config) { c.Unit = 0 }},
 		{"lease", func(c *quota.Config) { c.TTL = 999 }},
 		{"margin", func(c *quota.Config) { c.Margin = -1 }},
@@ -608,7 +608,7 @@
 		}
 		fmt.Fprintf(&text, "%s: %s\n", c.name, err.Error())
 	}
-	fmt.Fprintf(&text, "most wholes %d name %d\n", quota.MostResources, quota.MostName)
+	fmt.Fprintf(&text, "most wholes %d name %d\n", quota.MaxResources, quota.MaxNameLength)
 	compareRecorded(t, "config.txt", text.String())
 }
 
--- a/internal/fleet/quota/meter.go
+++ b/internal/fleet/quota/meter.go
@@ -1,15 +1,15 @@
 package quota
 
-// Meter holds a rate of set-ups: a token bucket of which at most burst set-ups are in hand. The zero value is
+// TokenBucket holds a rate of set-ups: a token bucket of which at most burst set-ups are in hand. The zero value is
 // ready, with one in hand.
-type Meter struct {
+type TokenBucket struct {
 	at     int64
 	tokens float64
 	begun  bool
 }
 
 // fill brings the tokens up to date. rate is in set-ups a second; burst at least 1.
-func (m *Meter) fill(now int64, rate, burst float64) {
+func (m *TokenBucket) fill(now int64, rate, burst float64) {
 	if !m.begun {
 		m.begun, m.at, m.tokens = true, now, 1
 	}
@@ -21,16 +21,16 @@
 }
 
 // Ready tells whether a set-up may go now.
-func (m *Meter) Ready(now int64, rate, burst float64) bool {
+func (m *TokenBucket) Ready(now int64, rate, burst float64) bool {
 	m.fill(now, rate, burst)
 	return m.tokens >= 1
 }
 
 // Take takes one that goes.
-func (m *Meter) Take() { m.tokens-- }
+func (m *TokenBucket) Take() { m.tokens-- }
 
 // Next is when the next may go at this rate, 0 for never.
-func (m *Meter) Next(rate float64) int64 {
+func (m *TokenBucket) Next(rate float64) int64 {
 	if rate <= 0 {
 		return 0
 	}
--- a/internal/fleet/quota/timeline_test.go
+++ b/internal/fleet/quota/timeline_test.go
@@ -23,7 +23,7 @@
 		}
 		var (
 			now     int64
-			ledgers []*Ledger
+			ledgers []*Allocator
 			stopped []int64
 			last    []int
 			life    uint32
@@ -34,7 +34,7 @@
 		note := func(node int, text string) { events = append(events, timeline.Event{At: now, Node: node, Text: text}) }
 		start := func(i int) {
 			life++
-			l, err := New(Config{Self: i, Members: len(ledgers), Life: life, Unit: 1000, Keep: 250, TTL: 2_000_000, Margin: 500_000}, now)
+			l, err := New(Config{Self: i, Members: len(ledgers), Incarnation: life, Unit: 1000, Reserved: 250, TTL: 2_000_000, Margin: 500_000}, now)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -73,7 +73,7 @@
 					for j := range alive {
 						alive[j] = ledgers[j] != nil && !cuts[[2]int{i, j}]
 					}
-					l.Members(alive)
+					l.SetAlive(alive)
 					post(i, l.Tick(now))
 				}
 				share := l.Quota(now, whole)
@@ -100,7 +100,7 @@
 			switch s.Verb {
 			case "members":
 				n, _ := strconv.Atoi(s.Args[0])
-				ledgers, stopped, last = make([]*Ledger, n), make([]int64, n), make([]int, n)
+				ledgers, stopped, last = make([]*Allocator, n), make([]int64, n), make([]int, n)
 				for i := range n {
 					start(i)
 				}
--- a/internal/fleet/statetable/characterization_test.go
+++ b/internal/fleet/statetable/characterization_test.go
@@ -109,8 +109,8 @@
 
 // kinds are those that every program of the tests knows; older programs know the first.
 func kinds() []statetable.Spec {
-	return []statetable.Spec{{Kind: statetable.Region, Name: "region", Most: 32}, {Kind: statetable.Versions, Name: "versions", Most: 200},
-		{Kind: statetable.Sketch, Name: "sketch", Most: 2048}, {Kind: 9, Name: "longest", Most: statetable.MostValue}}
+	return []statetable.Spec{{Kind: statetable.Region, Name: "region", MaxLength: 32}, {Kind: statetable.Versions, Name: "versions", MaxLength: 200},
+		{Kind: statetable.Sketch, Name: "sketch", MaxLength: 2048}, {Kind: 9, Name: "longest", MaxLength: statetable.MaxValue}}
 }
 
 // message is one on its way.
@@ -189,7 +189,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	started.Members(w.believed(member, 0))
+	started.SetAlive(w.believed(member, 0))
 	p.table = started
 	w.record.word("start")
 	w.record.number(int64(member))
@@ -296,7 +296,7 @@
 func (w *network) set(member int) {
 	p := &w.processes[member]
 	kind := p.kinds[w.rng.IntN(len(p.kinds))]
-	length := []int{0, 1, min(kind.Most, 20), min(kind.Most, 400), kind.Most, kind.Most + 1}[w.rng.IntN(6)]
+	length := []int{0, 1, min(kind.MaxLength, 20), min(kind.MaxLength, 400), kind.MaxLength, kind.MaxLength + 1}[w.rng.IntN(6)]
 	value := bytes.Repeat([]byte{byte(w.rng.IntN(3))}, length)
 	w.record.word("set")
 	w.record.number(int64(kind.Kind))
@@ -357,9 +357,9 @@
 	case 12: // an older program
 		w.start(member, kinds()[:1+w.rng.IntN(2)], false)
 	case 13:
-		p.table.Members(w.believed(member, 0.4))
+		p.table.SetAlive(w.believed(member, 0.4))
 	case 14:
-		p.table.Members(w.believed(member, 0))
+		p.table.SetAlive(w.believed(member, 0))
 	case 15:
 		p.table.Drop(other, kinds()[w.rng.IntN(len(kinds()))].Kind)
 	}
@@ -379,7 +379,7 @@
 			})
 		}
 		counts := held.Counts()
-		for _, count := range []uint64{counts.Bytes, counts.Packets, counts.Repairs, counts.Stale, counts.Unknown, counts.Refused} {
+		for _, count := range []uint64{counts.Bytes, counts.Packets, counts.Repairs, counts.Stale, counts.Unknown, counts.Invalid} {
 			w.record.unsigned(count)
 		}
 	}
@@ -407,10 +407,10 @@
 			total.Repairs += counts.Repairs
 			total.Stale += counts.Stale
 			total.Unknown += counts.Unknown
-			total.Refused += counts.Refused
+			total.Invalid += counts.Invalid
 		}
 		t.Logf("%s: %d s; in the last lives: %d repairs, %d stale, %d unknown, %d refused; own values of an overtaken life, when looked: %d",
-			c.name, w.now/second, total.Repairs, total.Stale, total.Unknown, total.Refused, w.overtaken)
+			c.name, w.now/second, total.Repairs, total.Stale, total.Unknown, total.Invalid, w.overtaken)
 	}
 	compareRecorded(t, "digests.txt", lines.String())
 }
@@ -437,7 +437,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	made.Members([]bool{true, true, true})
+	made.SetAlive([]bool{true, true, true})
 	return made
 }
 
@@ -611,7 +611,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		made.Members([]bool{true, true})
+		made.SetAlive([]bool{true, true})
 		fmt.Fprintf(&text, "members %d digest %d bytes\n", members, len(lastBody(t, made.Tick(0))))
 	}
 	compareRecorded(t, "digest-lengths.txt", text.String())
@@ -652,7 +652,7 @@
 func readBody(t *testing.T, text *strings.Builder, who string, reader *statetable.Table, from int, b namedBytes) {
 	t.Helper()
 	out, err := reader.Receive(1000, from, b.bytes)
-	fmt.Fprintf(text, "%s %s is-tables %t", who, b.name, statetable.Is(b.bytes))
+	fmt.Fprintf(text, "%s %s is-tables %t", who, b.name, statetable.IsMessage(b.bytes))
 	if err != nil {
 		var wrong *statetable.MessageError
 		if !errors.As(err, &wrong) {
@@ -673,7 +673,7 @@
 	}
 	counts := reader.Counts()
 	fmt.Fprintf(text, " bytes %d packets %d repairs %d stale %d unknown %d refused %d\n", counts.Bytes, counts.Packets,
-		counts.Repairs, counts.Stale, counts.Unknown, counts.Refused)
+		counts.Repairs, counts.Stale, counts.Unknown, counts.Invalid)
 }
 
 // A member that hears of a value of its own from an earlier life whose clock was ahead tells all its values again,
@@ -712,9 +712,9 @@
 		{"packets", func(c *statetable.Config) { c.Packets = 0 }},
 		{"retransmit", func(c *statetable.Config) { c.Retransmit = 17 }},
 		{"digest-every", func(c *statetable.Config) { c.DigestEvery = 0 }},
-		{"kinds", func(c *statetable.Config) { c.Kinds = make([]statetable.Spec, statetable.MostKinds+1) }},
+		{"kinds", func(c *statetable.Config) { c.Kinds = make([]statetable.Spec, statetable.MaxKinds+1) }},
 		{"kind-twice", func(c *statetable.Config) { c.Kinds = append(kinds(), kinds()[0]) }},
-		{"kind-too-long", func(c *statetable.Config) { c.Kinds[0].Most = statetable.MostValue + 1 }},
+		{"kind-too-long", func(c *statetable.Config) { c.Kinds[0].MaxLength = statetable.MaxValue + 1 }},
 	} {
 		config := statetable.Default(1, 5, 1, 1)
 		config.Kinds = kinds()
@@ -734,14 +734,14 @@
 		fmt.Fprintf(&text, "value of %d bytes for kind %d", c.length, c.kind)
 		var wrong *statetable.ValueError
 		if err := full.Set(0, c.kind, make([]byte, c.length)); errors.As(err, &wrong) {
-			fmt.Fprintf(&text, " error %q most %d remedy %q", err.Error(), wrong.Most, wrong.Remedy())
+			fmt.Fprintf(&text, " error %q most %d remedy %q", err.Error(), wrong.MaxLength, wrong.Remedy())
 		}
 		text.WriteString("\n")
 	}
 	d := statetable.Default(3, 9, 5, 7)
 	fmt.Fprintf(&text, "default interval %d fanout %d packets %d retransmit %d digest-every %d\n", d.Interval, d.Fanout, d.Packets,
 		d.Retransmit, d.DigestEvery)
-	fmt.Fprintf(&text, "most value %d kinds %d; region %d versions %d sketch %d\n", statetable.MostValue, statetable.MostKinds, statetable.Region,
+	fmt.Fprintf(&text, "most value %d kinds %d; region %d versions %d sketch %d\n", statetable.MaxValue, statetable.MaxKinds, statetable.Region,
 		statetable.Versions, statetable.Sketch)
 	compareRecorded(t, "config.txt", text.String())
 }
--- a/internal/fleet/statetable/codec.go
+++ b/internal/fleet/statetable/codec.go
@@ -18,7 +18,7 @@
 	blocksMessage    = 0x21
 	linesMessage     = 0x22
 
-	mostBody      = swim.MostBody
+	mostBody      = swim.MaxBody
 	itemHead      = 18
 	fragmentBytes = 160
 	rangeSize     = 6
@@ -28,8 +28,8 @@
 	all           = 1<<32 - 1
 )
 
-// Is tells whether a body is one of the table's.
-func Is(body []byte) bool {
+// IsMessage tells whether a body is one of the table's.
+func IsMessage(body []byte) bool {
 	return len(body) > 0 && body[0] >= fragmentsMessage && body[0] <= linesMessage
 }
 
--- a/internal/fleet/statetable/table.go
+++ b/internal/fleet/statetable/table.go
@@ -33,10 +33,10 @@
 )
 
 const (
-	// MostValue is the longest value, in bytes.
-	MostValue = mostFragments * fragmentBytes
-	// MostKinds bounds the kinds registered.
-	MostKinds = 16
+	// MaxValue is the longest value, in bytes.
+	MaxValue = mostFragments * fragmentBytes
+	// MaxKinds bounds the kinds registered.
+	MaxKinds = 16
 	// mostFragments is how many fragments a value has at the most: a bit each in a line's mask.
 	mostFragments = 32
 	// mostBlocks is how many hashes a digest has at the most; they cover all members.
@@ -54,9 +54,9 @@
 
 // Spec registers a kind.
 type Spec struct {
-	Kind Kind
-	Name string // for errors and logs
-	Most int    // the longest value, in bytes
+	Kind      Kind
+	Name      string // for errors and logs
+	MaxLength int    // the longest value, in bytes
 }
 
 // Config is what a Table is made with.
@@ -107,12 +107,12 @@
 		return bad("retransmit", "1 to 16")
 	case c.DigestEvery < 1 || c.DigestEvery > 1000:
 		return bad("digest_every", "1 to 1000")
-	case len(c.Kinds) > MostKinds:
-		return bad("kinds", fmt.Sprintf("%d at the most", MostKinds))
+	case len(c.Kinds) > MaxKinds:
+		return bad("kinds", fmt.Sprintf("%d at the most", MaxKinds))
 	}
 	for i, s := range c.Kinds {
-		if s.Most < 1 || s.Most > MostValue || slices.ContainsFunc(c.Kinds[:i], func(o Spec) bool { return o.Kind == s.Kind }) {
-			return bad("kind "+s.Name, fmt.Sprintf("each once, with 1 to %d bytes", MostValue))
+		if s.MaxLength < 1 || s.MaxLength > MaxValue || slices.ContainsFunc(c.Kinds[:i], func(o Spec) bool { return o.Kind == s.Kind }) {
+			return bad("kind "+s.Name, fmt.Sprintf("each once, with 1 to %d bytes", MaxValue))
 		}
 	}
 	return nil
@@ -154,7 +154,7 @@
 	Bytes, Packets   uint64 // sent
 	Repairs          uint64 // fragments sent as a digest differed
 	Stale            uint64 // fragments that brought nothing new
-	Unknown, Refused uint64 // items of kinds not registered; items that made no sense
+	Unknown, Invalid uint64 // items of kinds not registered; items that made no sense
 }
 
 type key struct {
@@ -216,8 +216,8 @@
 // Counts returns what the table has done.
 func (t *Table) Counts() Counts { return t.count }
 
-// Members takes who is held alive: nothing is sent to others. What they told stays until Drop.
-func (t *Table) Members(alive []bool) { copy(t.alive, alive) }
+// SetAlive takes who is held alive: nothing is sent to others. What they told stays until Drop.
+func (t *Table) SetAlive(alive []bool) { copy(t.alive, alive) }
 
 func (t *Table) spec(k Kind) *Spec {
 	for i := range t.cfg.Kinds {
@@ -230,13 +230,13 @@
 
 // ValueError tells that a value cannot be told.
 type ValueError struct {
-	Kind  Kind
-	Bytes int
-	Most  int
+	Kind      Kind
+	Bytes     int
+	MaxLength int
 }
 
 func (e *ValueError) Error() string {
-	return fmt.Sprintf("table: a value of %d bytes for kind %d, at most %d", e.Bytes, e.Kind, e.Most)
+	return fmt.Sprintf("table: a value of %d bytes for kind %d, at most %d", e.Bytes, e.Kind, e.MaxLength)
 }
 
 // Remedy implements remedy.Error.
@@ -247,10 +247,10 @@
 // Set has this member tell a value. One equal to the last is no news.
 func (t *Table) Set(now int64, kind Kind, value []byte) error {
 	s := t.spec(kind)
-	if s == nil || len(value) > s.Most {
+	if s == nil || len(value) > s.MaxLength {
 		e := &ValueError{Kind: kind, Bytes: len(value)}
 		if s != nil {
-			e.Most = s.Most
+			e.MaxLength = s.MaxLength
 		}
 		return e
 	}
@@ -517,7 +517,7 @@
 }
 
 func (t *Table) refuse(from int, format string, args ...any) error {
-	t.count.Refused++
+	t.count.Invalid++
 	return &MessageError{from, fmt.Sprintf(format, args...)}
 }
 
@@ -668,8 +668,8 @@
 		switch {
 		case s == nil || i.origin >= t.cfg.Members:
 			t.count.Unknown++
-		case i.count*fragmentBytes > roundUp(s.Most):
-			return t.refuse(from, "%d fragments of %s, whose values have at most %d bytes", i.count, s.Name, s.Most)
+		case i.count*fragmentBytes > roundUp(s.MaxLength):
+			return t.refuse(from, "%d fragments of %s, whose values have at most %d bytes", i.count, s.Name, s.MaxLength)
 		default:
 			t.item(now, i)
 		}
--- a/internal/fleet/statetable/table_test.go
+++ b/internal/fleet/statetable/table_test.go
@@ -52,7 +52,7 @@
 	for j := range alive {
 		alive[j] = true
 	}
-	t.Members(alive)
+	t.SetAlive(alive)
 	f.tables[i] = t
 }
 
@@ -281,7 +281,7 @@
 		}
 		for _, s := range kinds {
 			b.Each(s.Kind, func(_ int, e Entry) {
-				if len(e.Value) > roundUp(s.Most) {
+				if len(e.Value) > roundUp(s.MaxLength) {
 					t.Errorf("a value of %d bytes for %s", len(e.Value), s.Name)
 				}
 			})
--- a/internal/fleet/swim/characterization_test.go
+++ b/internal/fleet/swim/characterization_test.go
@@ -196,8 +196,8 @@
 	for _, change := range changes {
 		w.record.word("change")
 		w.record.number(int64(change.Member))
-		w.record.word(stateWord(change.Was))
-		w.record.word(stateWord(change.Is))
+		w.record.word(stateWord(change.Previous))
+		w.record.word(stateWord(change.Current))
 		w.record.unsigned(change.Incarnation)
 	}
 	for _, o := range out {
@@ -445,7 +445,7 @@
 		}
 		counts := node.Counts()
 		for _, count := range []uint64{counts.Probes, counts.Failed, counts.Indirect, counts.Suspicions, counts.Deaths,
-			counts.Refutations, counts.Standstills} {
+			counts.Refutations, counts.Stalls} {
 			w.record.unsigned(count)
 		}
 	}
@@ -493,11 +493,11 @@
 				total.Deaths += counts.Deaths
 				total.Indirect += counts.Indirect
 				total.Refutations += counts.Refutations
-				total.Standstills += counts.Standstills
+				total.Stalls += counts.Stalls
 			}
 		}
 		t.Logf("%s: %d s; of the processes that run at the end: %d deaths, %d indirect probes, %d refutations, %d standstills",
-			c.name, w.now/second, total.Deaths, total.Indirect, total.Refutations, total.Standstills)
+			c.name, w.now/second, total.Deaths, total.Indirect, total.Refutations, total.Stalls)
 	}
 	compareRecorded(t, "digests.txt", lines.String())
 }
@@ -512,7 +512,7 @@
 		}
 		node.Tick(second)
 		node.Tick(node.Next() + late)
-		fmt.Fprintf(&text, "late %d standstills %d health %d\n", late, node.Counts().Standstills, node.Health())
+		fmt.Fprintf(&text, "late %d standstills %d health %d\n", late, node.Counts().Stalls, node.Health())
 	}
 	compareRecorded(t, "standstill.txt", text.String())
 }
@@ -525,13 +525,13 @@
 	for _, members := range []int{1, 2, 3, 5, 9, 10, 40, 100, 512} {
 		c := swim.Default(0, members)
 		fmt.Fprintf(&text, "members %d interval %d timeout %d indirect %d suspicion-mult %d suspicion-max %d retransmit %d detect-within %d\n",
-			members, c.Interval, c.Timeout, c.Indirect, c.SuspicionMult, c.SuspicionMax, c.Retransmit, c.DetectWithin())
+			members, c.Interval, c.Timeout, c.Indirect, c.SuspicionMult, c.SuspicionMax, c.Retransmit, c.DetectionTime())
 	}
 	for _, members := range []int{0, 512, 513} {
 		fmt.Fprintf(&text, "members %d check: %s\n", members, errorText(swim.Default(0, members).Check()))
 	}
-	fmt.Fprintf(&text, "most members %d datagram %d updates %d body %d\n", swim.MostMembers, swim.MostDatagram,
-		swim.MostUpdates, swim.MostBody)
+	fmt.Fprintf(&text, "most members %d datagram %d updates %d body %d\n", swim.MaxMembers, swim.MaxDatagram,
+		swim.MaxUpdates, swim.MaxBody)
 	compareRecorded(t, "settings.txt", text.String())
 }
 
@@ -559,7 +559,7 @@
 		{Member: 256, State: swim.Left, Incarnation: 1 << 63, From: 256},
 	}
 	var many []swim.Update
-	for i := range swim.MostUpdates + 2 {
+	for i := range swim.MaxUpdates + 2 {
 		many = append(many, swim.Update{Member: i, State: swim.Alive, Incarnation: uint64(i) << 33, From: i + 1})
 	}
 	head := func(kind swim.Kind) swim.Message {
@@ -580,8 +580,8 @@
 		{"zero", swim.Message{}},
 		{"ping-each-state", with(head(swim.Ping), updates, "")},
 		{"gossip-most-updates-of-more", with(head(swim.Gossip), many, "")},
-		{"user-most-body", with(head(swim.User), nil, strings.Repeat("b", swim.MostBody))},
-		{"user-updates-beside-body", with(head(swim.User), updates, strings.Repeat("b", swim.MostBody-2*13-5))},
+		{"user-most-body", with(head(swim.User), nil, strings.Repeat("b", swim.MaxBody))},
+		{"user-updates-beside-body", with(head(swim.User), updates, strings.Repeat("b", swim.MaxBody-2*13-5))},
 		{"state-of-no-program", with(head(swim.Gossip), []swim.Update{{Member: 65535, State: 255, Incarnation: 1, From: 65535}}, "")},
 	}
 }
@@ -604,7 +604,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	long, short := append(bytes.Clone(good), make([]byte, swim.MostDatagram+1-len(good))...), good[:27]
+	long, short := append(bytes.Clone(good), make([]byte, swim.MaxDatagram+1-len(good))...), good[:27]
 	return []namedBytes{
 		{"bad-empty", nil},
 		{"bad-one-byte", good[:1]},
@@ -660,11 +660,11 @@
 	}
 	compareRecorded(t, "datagrams.txt", text.String())
 
-	tooLong := swim.Message{Kind: swim.User, Body: make([]byte, swim.MostBody+1)}
+	tooLong := swim.Message{Kind: swim.User, Body: make([]byte, swim.MaxBody+1)}
 	b, err := tooLong.Append([]byte("before"), fleetNumber)
 	compareRecorded(t, "body-too-long.txt", fmt.Sprintf("%s %s\n", b, errorText(err)))
 	compareRecorded(t, "fleet-numbers.txt", fmt.Sprintf("empty %d\nname %d\nbytes %d\n",
-		swim.Fleet(""), swim.Fleet("eidertrail"), swim.Fleet("\x00\xff")))
+		swim.FleetID(""), swim.FleetID("eidertrail"), swim.FleetID("\x00\xff")))
 }
 
 // The recorded datagrams, as read today.
--- a/internal/fleet/swim/cluster.go
+++ b/internal/fleet/swim/cluster.go
@@ -53,8 +53,8 @@
 }
 
 const (
-	// MostMembers bounds a fleet.
-	MostMembers = 512
+	// MaxMembers bounds a fleet.
+	MaxMembers = 512
 	// mostHealth is the worst local health score: probes are then 9 times slower.
 	mostHealth = 8
 	// deadEvery rounds one probe goes to a member that is not alive, so that healed partitions find together.
@@ -75,8 +75,8 @@
 // Check tells what is wrong with the Config.
 func (c Config) Check() error {
 	switch {
-	case c.Members < 1 || c.Members > MostMembers:
-		return fmt.Errorf("%w: peers: %d members, want 1 to %d", ErrConfig, c.Members, MostMembers)
+	case c.Members < 1 || c.Members > MaxMembers:
+		return fmt.Errorf("%w: peers: %d members, want 1 to %d", ErrConfig, c.Members, MaxMembers)
 	case c.Self < 0 || c.Self >= c.Members:
 		return fmt.Errorf("%w: index: %d, want 0 to %d", ErrConfig, c.Self, c.Members-1)
 	case c.Interval < 10_000:
@@ -101,10 +101,10 @@
 		SuspicionMult: 4, SuspicionMax: 3, Retransmit: 4}
 }
 
-// DetectWithin is within which time of a crash all other members that are healthy and hear one another hold
+// DetectionTime is within which time of a crash all other members that are healthy and hear one another hold
 // the member dead, without loss: it is probed within two rounds of the members, its suspicion is shared by
 // nobody at the worst, and the news takes a few intervals.
-func (c Config) DetectWithin() int64 {
+func (c Config) DetectionTime() int64 {
 	rounds := int64(2*(c.Members-1) + 1)
 	_, most, _ := c.suspicion(c.Members)
 	spread := int64(math.Ceil(math.Log2(float64(c.Members)))+2) * c.Interval
@@ -163,9 +163,9 @@
 
 // Change is a change of a member's state.
 type Change struct {
-	Member      int
-	Was, Is     State
-	Incarnation uint64
+	Member            int
+	Previous, Current State
+	Incarnation       uint64
 }
 
 // Member is a line of the view.
@@ -216,7 +216,7 @@
 
 // Counts are what a Node has seen; all only grow.
 type Counts struct {
-	Probes, Failed, Indirect, Suspicions, Deaths, Refutations, Standstills uint64
+	Probes, Failed, Indirect, Suspicions, Deaths, Refutations, Stalls uint64
 }
 
 // Node is one member.
@@ -357,7 +357,7 @@
 // says anything of the others. Guards against a member that was stopped for a while declaring all others dead
 // the moment it goes on.
 func (n *Node) stoodStill(late int64) {
-	n.count.Standstills++
+	n.count.Stalls++
 	n.worse(1)
 	n.probe = nil
 	for i := range n.members {
@@ -612,7 +612,7 @@
 	most := n.cfg.Retransmit * int(math.Ceil(math.Log10(float64(len(n.members)+1))))
 	slices.SortStableFunc(n.news, func(a, b news) int { return a.sends - b.sends })
 	for i := range n.news {
-		if len(us) >= MostUpdates {
+		if len(us) >= MaxUpdates {
 			break
 		}
 		if !has(n.news[i].Member) {
@@ -621,7 +621,7 @@
 		}
 	}
 	n.news = slices.DeleteFunc(n.news, func(o news) bool { return o.sends >= most })
-	for added, tried := 0, 0; added < filler && tried < len(n.members) && len(us) < MostUpdates; tried++ {
+	for added, tried := 0, 0; added < filler && tried < len(n.members) && len(us) < MaxUpdates; tried++ {
 		i := n.fill
 		n.fill = (n.fill + 1) % len(n.members)
 		if m := n.members[i]; i != n.cfg.Self && m.State != Unknown && !has(i) {
@@ -635,7 +635,7 @@
 func (n *Node) send(to int, m Message) {
 	m.From, m.Incarnation, m.Updates = n.cfg.Self, n.incarnation, n.updates(to)
 	if n.leaving {
-		m.Updates = append([]Update{{n.cfg.Self, Left, n.incarnation, n.cfg.Self}}, m.Updates[:min(len(m.Updates), MostUpdates-1)]...)
+		m.Updates = append([]Update{{n.cfg.Self, Left, n.incarnation, n.cfg.Self}}, m.Updates[:min(len(m.Updates), MaxUpdates-1)]...)
 	}
 	n.out = append(n.out, Out{to, m})
 }
--- a/internal/fleet/swim/cluster_test.go
+++ b/internal/fleet/swim/cluster_test.go
@@ -78,7 +78,7 @@
 	}
 	for _, o := range out {
 		b, err := o.Message.Append(nil, 1)
-		if err != nil || len(b) > MostDatagram {
+		if err != nil || len(b) > MaxDatagram {
 			w.t.Fatalf("datagram of %d bytes, %v", len(b), err)
 		}
 		w.sent++
@@ -150,7 +150,7 @@
 // noDeaths fails the test when any member that runs is declared dead from now on.
 func (w *world) noDeaths() {
 	w.seen = func(at int, c Change, n *Node) {
-		if c.Is == Dead && w.nodes[c.Member] != nil {
+		if c.Current == Dead && w.nodes[c.Member] != nil {
 			w.t.Errorf("at %.1f s member %d holds %d dead (health %d)", float64(w.now)/1e6, at, c.Member, n.Health())
 		}
 	}
@@ -180,7 +180,7 @@
 		w.run(20 * second)
 		w.noDeaths()
 		w.nodes[1] = nil
-		w.run(w.cfg.DetectWithin())
+		w.run(w.cfg.DetectionTime())
 		w.wantHeld(1, "dead")
 		w.start(1, 2000) // and it comes back
 		w.run(second)
@@ -205,7 +205,7 @@
 	}
 	suspected := 0
 	w.seen = func(_ int, c Change, _ *Node) {
-		if c.Is == Suspect {
+		if c.Current == Suspect {
 			suspected++
 		}
 	}
@@ -228,7 +228,7 @@
 	w := newWorld(t, 5, 1)
 	w.run(10 * second)
 	w.nodes[2] = nil
-	w.run(w.cfg.DetectWithin())
+	w.run(w.cfg.DetectionTime())
 	w.start(2, 500)
 	w.run(10 * second)
 	w.wantHeld(2, "alive")
@@ -284,18 +284,18 @@
 		before := w.nodes[1].Incarnation()
 		falsely := 0
 		w.seen = func(at int, c Change, n *Node) {
-			if c.Is == Dead && c.Member != 1 {
+			if c.Current == Dead && c.Member != 1 {
 				falsely++
 			}
 		}
-		w.stop[1] = w.now + 2*w.cfg.DetectWithin()
+		w.stop[1] = w.now + 2*w.cfg.DetectionTime()
 		w.run(w.stop[1] - w.now)
 		w.wantHeld(1, "dead")
 		w.run(10 * second) // it goes on, hears that it was held dead, and refutes it
 		w.wantHeld(1, "alive")
-		if falsely > 0 || w.nodes[1].Incarnation() <= before || w.nodes[1].Counts().Standstills == 0 {
+		if falsely > 0 || w.nodes[1].Incarnation() <= before || w.nodes[1].Counts().Stalls == 0 {
 			t.Errorf("%d of the others declared dead, incarnation %d after %d, %d standstills", falsely,
-				w.nodes[1].Incarnation(), before, w.nodes[1].Counts().Standstills)
+				w.nodes[1].Incarnation(), before, w.nodes[1].Counts().Stalls)
 		}
 	})
 }
@@ -305,7 +305,7 @@
 		w := newWorld(t, members, seed)
 		w.run(5 * second)
 		w.cut = func(from, to int) bool { return from%2 != to%2 }
-		w.run(2 * w.cfg.DetectWithin())
+		w.run(2 * w.cfg.DetectionTime())
 		for i, m := range w.nodes[0].View() {
 			if want := map[int]State{0: Alive, 1: Dead}[i%2]; m.State != want {
 				t.Errorf("member 0 holds %d %v, want %v", i, m.State, want)
@@ -375,20 +375,20 @@
 
 func TestDatagrams(t *testing.T) {
 	full := Message{Kind: Ack, From: 3, Incarnation: 1 << 60, Seq: 77, Target: 255}
-	for i := range MostUpdates + 3 { // what does not fit is left out
+	for i := range MaxUpdates + 3 { // what does not fit is left out
 		full.Updates = append(full.Updates, Update{i, Suspect, uint64(i) << 40, 9})
 	}
 	b, err := full.Append([]byte("before"), 5)
-	if err != nil || len(b)-6 > MostDatagram {
+	if err != nil || len(b)-6 > MaxDatagram {
 		t.Fatalf("%d bytes, %v", len(b)-6, err)
 	}
 	b = b[6:]
 	m, err := Parse(b, 5)
-	if err != nil || len(m.Updates) != MostUpdates || m.Updates[3] != full.Updates[3] || m.Seq != 77 || m.Target != 255 {
+	if err != nil || len(m.Updates) != MaxUpdates || m.Updates[3] != full.Updates[3] || m.Seq != 77 || m.Target != 255 {
 		t.Errorf("%+v, %v", m, err)
 	}
-	body := Message{Kind: User, Body: bytes.Repeat([]byte("x"), MostBody)}
-	if c, err := body.Append(nil, 5); err != nil || len(c) != MostDatagram {
+	body := Message{Kind: User, Body: bytes.Repeat([]byte("x"), MaxBody)}
+	if c, err := body.Append(nil, 5); err != nil || len(c) != MaxDatagram {
 		t.Errorf("%d bytes, %v", len(c), err)
 	}
 	body.Body = append(body.Body, 'x')
@@ -430,7 +430,7 @@
 			n.Receive(now, m)
 			out, _ := n.Take()
 			for _, o := range out {
-				if d, err := o.Message.Append(nil, 1); err != nil || len(d) > MostDatagram || o.To == 0 {
+				if d, err := o.Message.Append(nil, 1); err != nil || len(d) > MaxDatagram || o.To == 0 {
 					t.Fatalf("to %d, %d bytes, %v", o.To, len(d), err)
 				}
 			}
--- a/internal/fleet/swim/codec.go
+++ b/internal/fleet/swim/codec.go
@@ -11,12 +11,12 @@
 // fleet (4), the updates (member 2, state 1, from 2, incarnation 8), the body, CRC-32 of all before it (4).
 // Numbers are big-endian.
 const (
-	// MostDatagram is the most bytes of a datagram: the platform's limit.
-	MostDatagram = 256
-	// MostUpdates is the most updates of a message without a body.
-	MostUpdates = (MostDatagram - headSize - sumSize) / updateSize
-	// MostBody is the most bytes of a body, in a message without updates.
-	MostBody = MostDatagram - headSize - sumSize
+	// MaxDatagram is the most bytes of a datagram: the platform's limit.
+	MaxDatagram = 256
+	// MaxUpdates is the most updates of a message without a body.
+	MaxUpdates = (MaxDatagram - headSize - sumSize) / updateSize
+	// MaxBody is the most bytes of a body, in a message without updates.
+	MaxBody = MaxDatagram - headSize - sumSize
 
 	magic, version = 0xE7, 1
 	headSize       = 24
@@ -30,10 +30,10 @@
 // Append encodes m for the fleet at the end of b. Updates that do not fit beside the body are left out, the
 // last first.
 func (m Message) Append(b []byte, fleet uint32) ([]byte, error) {
-	if len(m.Body) > MostBody {
-		return b, fmt.Errorf("cluster: body of %d bytes, at most %d fit", len(m.Body), MostBody)
+	if len(m.Body) > MaxBody {
+		return b, fmt.Errorf("cluster: body of %d bytes, at most %d fit", len(m.Body), MaxBody)
 	}
-	us := m.Updates[:min(len(m.Updates), (MostBody-len(m.Body))/updateSize)]
+	us := m.Updates[:min(len(m.Updates), (MaxBody-len(m.Body))/updateSize)]
 	start := len(b)
 	b = append(b, magic, version, byte(m.Kind), byte(len(us)))
 	b = binary.BigEndian.AppendUint16(b, uint16(m.From))
@@ -55,7 +55,7 @@
 func Parse(b []byte, fleet uint32) (Message, error) {
 	var m Message
 	switch {
-	case len(b) < headSize+sumSize || len(b) > MostDatagram:
+	case len(b) < headSize+sumSize || len(b) > MaxDatagram:
 		return m, fmt.Errorf("%w: %d bytes", ErrDatagram, len(b))
 	case b[0] != magic || b[1] != version:
 		return m, fmt.Errorf("%w: magic %#x version %d", ErrDatagram, b[0], b[1])
@@ -81,5 +81,5 @@
 	return m, nil
 }
 
-// Fleet is the number by which a fleet's datagrams are told from another's.
-func Fleet(name string) uint32 { return crc32.ChecksumIEEE([]byte(name)) }
+// FleetID is the number by which a fleet's datagrams are told from another's.
+func FleetID(name string) uint32 { return crc32.ChecksumIEEE([]byte(name)) }
--- a/internal/fleet/swim/timeline_test.go
+++ b/internal/fleet/swim/timeline_test.go
@@ -36,8 +36,8 @@
 				n, _ := strconv.Atoi(s.Args[0])
 				w = newWorld(t, n, 1)
 				w.seen = func(at int, c Change, n *Node) {
-					if c.Was != c.Is {
-						note(at, fmt.Sprintf("%d is %v", c.Member, c.Is))
+					if c.Previous != c.Current {
+						note(at, fmt.Sprintf("%d is %v", c.Member, c.Current))
 					}
 				}
 				w.cut = func(from, to int) bool { return cuts[[2]int{from, to}] }
--- a/internal/simulation/result.go
+++ b/internal/simulation/result.go
@@ -169,7 +169,7 @@
 }
 
 func (r *Result) member(s *Sim, n *node, c swim.Change) {
-	if c.Is == swim.Dead {
+	if c.Current == swim.Dead {
 		r.Deaths++
 		r.Notes = append(r.Notes, fmt.Sprintf("%.1f s: %s holds n%d dead", float64(s.now-origin)/1e6, n.name, c.Member))
 	}
--- a/internal/simulation/sim.go
+++ b/internal/simulation/sim.go
@@ -108,7 +108,7 @@
 	alias    map[string]string
 
 	member *swim.Node
-	books  *quota.Shared
+	books  *quota.SharedAllocator
 	tickAt int64
 }
 
@@ -698,7 +698,7 @@
 			return fmt.Errorf("sim: fleet: %w", err)
 		}
 		if f.Lease > 0 {
-			if n.books, err = quota.NewShared(quota.Config{Self: i, Members: len(s.nodes), Life: 1, Unit: 1000, Keep: 250,
+			if n.books, err = quota.NewSharedAllocator(quota.Config{Self: i, Members: len(s.nodes), Incarnation: 1, Unit: 1000, Reserved: 250,
 				TTL: f.Lease.Microseconds(), Margin: f.Margin.Microseconds()}, s.now); err != nil {
 				return fmt.Errorf("sim: fleet: %w", err)
 			}
@@ -735,7 +735,7 @@
 		for i, m := range n.member.View() {
 			alive[i] = m.State == swim.Alive
 		}
-		n.books.Members(alive)
+		n.books.SetAlive(alive)
 	}
 	at := max(n.member.Next(), s.now+1)
 	n.tickAt = at
