Frontends: maximum connections, dispatcher, inviter, rejection rate

The two frontends, the health answers and the middleware configure the same things by the same names.

--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -59,7 +59,7 @@
 	dispatch  *dispatch.Dispatcher
 	pools     *sippool.Set
 	desk      *dispatch.CallTable
-	callers   *jsonlines.Front
+	callers   *jsonlines.Server
 	sockets   *websocket.Server // nil: off
 	sources   *sources          // nil: the bulletin alone, straight to the pools
 	fleet     *gossip.Runner    // nil: off
@@ -119,8 +119,8 @@
 	})
 	d.desk = dispatch.NewCallTable(dispatch.CallTableConfig{Dispatcher: d.dispatch, Inviter: d.pools, MaxCalls: mostCalls, UniqueIDs: true, Counters: d.count})
 	d.callers = jsonlines.New(jsonlines.Config{
-		Desk: d.desk, Clock: d.clock, MostConnections: callers, Tenants: cfg.Tenants, Ready: d.ready,
-		ReleaseStray: d.pools.ReleaseStray, Log: limited, Count: d.count,
+		Calls: d.desk, Clock: d.clock, MaxConnections: callers, Tenants: cfg.Tenants, Ready: d.ready,
+		ReleaseUnmatched: d.pools.ReleaseStray, Log: limited, Counters: d.count,
 	})
 	if d.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
 		stopLoop()
@@ -242,8 +242,8 @@
 			return err
 		}
 		d.sockets = websocket.New(websocket.Config{
-			Dispatch: d.dispatch, Trunk: d.pools, Ready: d.ready, Origins: c.Origins,
-			MostConnections: c.MaxConnections, Log: log, Count: d.count,
+			Dispatcher: d.dispatch, Inviter: d.pools, Ready: d.ready, Origins: c.Origins,
+			MaxConnections: c.MaxConnections, Log: log, Counters: d.count,
 		})
 		mux := http.NewServeMux()
 		mux.Handle("GET "+c.Path, d.sockets)
@@ -279,7 +279,7 @@
 // status is what balancers are told.
 func (d *daemon) status(ctx context.Context) health.Status {
 	live := d.dispatch.Tick(ctx) == nil
-	return health.Status{Live: live, Ready: d.ready(), Draining: d.stopping.Load(), TurnedAway: d.dispatch.RejectionRate()}
+	return health.Status{Live: live, Ready: d.ready(), Draining: d.stopping.Load(), RejectionRate: d.dispatch.RejectionRate()}
 }
 
 // snapshot is what GET /counters tells: the counters, and which start of the process they count from.
@@ -294,7 +294,7 @@
 func (d *daemon) counters() {
 	open, standing := d.desk.PendingSetups(), d.desk.EstablishedCalls()
 	if d.sockets != nil {
-		open, standing = open+d.sockets.Open(), standing+d.sockets.Standing()
+		open, standing = open+d.sockets.PendingSetups(), standing+d.sockets.EstablishedCalls()
 	}
 	connected, up := d.pools.Connected()
 	if d.fleet != nil {
--- a/internal/frontend/health/characterization_test.go
+++ b/internal/frontend/health/characterization_test.go
@@ -70,7 +70,7 @@
 // status is a status in words.
 func status(s health.Status) string {
 	return fmt.Sprintf("live: %t, ready: %t, draining: %t, turned away: %s", s.Live, s.Ready, s.Draining,
-		strconv.FormatFloat(s.TurnedAway, 'g', -1, 64))
+		strconv.FormatFloat(s.RejectionRate, 'g', -1, 64))
 }
 
 // allStatuses are the eight states, each with no call and with a quarter of the calls turned away.
@@ -81,7 +81,7 @@
 		for _, ready := range both {
 			for _, draining := range both {
 				for _, turnedAway := range []float64{0, 0.25} {
-					all = append(all, health.Status{Live: live, Ready: ready, Draining: draining, TurnedAway: turnedAway})
+					all = append(all, health.Status{Live: live, Ready: ready, Draining: draining, RejectionRate: turnedAway})
 				}
 			}
 		}
@@ -127,7 +127,7 @@
 	})
 	for _, share := range []float64{-1, -0.001, 0.004, 0.005, 0.00501, 0.01, 0.0149, 0.015, 0.333, 0.5, 0.985, 0.989, 0.99, 0.995,
 		0.996, 0.999, 1, 1.5} {
-		s := health.Status{Live: true, Ready: true, TurnedAway: share}
+		s := health.Status{Live: true, Ready: true, RejectionRate: share}
 		fmt.Fprintf(&out, "%s: %s\n", status(s), strconv.Quote(s.AgentLine()))
 	}
 	compareRecorded(t, "agent-check.txt", out.String())
--- a/internal/frontend/health/health.go
+++ b/internal/frontend/health/health.go
@@ -18,8 +18,8 @@
 	Live     bool // its loop turns
 	Ready    bool // it can serve
 	Draining bool // it is about to end: what it has it finishes
-	// TurnedAway is the share of calls that it turned away of late, 0 to 1.
-	TurnedAway float64
+	// RejectionRate is the share of calls that it turned away of late, 0 to 1.
+	RejectionRate float64
 }
 
 // Check tells the status. It must answer before ctx is done.
@@ -42,7 +42,7 @@
 	case !s.Ready:
 		return "down #not ready\n"
 	}
-	return fmt.Sprintf("up ready %d%%\n", max(1, min(100, int(100*(1-s.TurnedAway)+0.5))))
+	return fmt.Sprintf("up ready %d%%\n", max(1, min(100, int(100*(1-s.RejectionRate)+0.5))))
 }
 
 // ServeAgent answers each connection with one line and closes it, until the listener is closed. What an
--- a/internal/frontend/health/health_test.go
+++ b/internal/frontend/health/health_test.go
@@ -16,8 +16,8 @@
 	live, ready int
 }{
 	"serves":      {Status{Live: true, Ready: true}, "up ready 100%\n", 200, 200},
-	"pressed":     {Status{Live: true, Ready: true, TurnedAway: 0.25}, "up ready 75%\n", 200, 200},
-	"all refused": {Status{Live: true, Ready: true, TurnedAway: 1}, "up ready 1%\n", 200, 200}, // 0% would be a drain
+	"pressed":     {Status{Live: true, Ready: true, RejectionRate: 0.25}, "up ready 75%\n", 200, 200},
+	"all refused": {Status{Live: true, Ready: true, RejectionRate: 1}, "up ready 1%\n", 200, 200}, // 0% would be a drain
 	"starting":    {Status{Live: true}, "down #not ready\n", 200, 503},
 	"stopping":    {Status{Live: true, Draining: true}, "drain #stopping\n", 200, 503},
 	"stuck":       {Status{Ready: true}, "down #loop does not turn\n", 503, 503},
--- a/internal/frontend/jsonlines/characterization_test.go
+++ b/internal/frontend/jsonlines/characterization_test.go
@@ -170,7 +170,7 @@
 // platform is a front with its dispatcher, in a bubble of synctest.
 type platform struct {
 	*journal
-	front    *jsonlines.Front
+	front    *jsonlines.Server
 	desk     *dispatch.CallTable
 	listener *fakeplatform.Listener
 	pools    *scriptedPools
@@ -242,9 +242,9 @@
 	d.UpdateEndpoints(s.pools, false)
 	p.desk = dispatch.NewCallTable(dispatch.CallTableConfig{Dispatcher: d, Inviter: p.pools, MaxCalls: s.calls, UniqueIDs: true, Counters: p.count})
 	p.front = jsonlines.New(jsonlines.Config{
-		Desk: p.desk, Clock: now, MostConnections: s.most, Tenants: s.tenants, Ready: func() bool { return p.ready },
-		ReleaseStray: func(id string, cause int) { p.add("  all pools are told: release of %s, cause %d", id, cause) },
-		Log:          zerolog.New(p.log).Level(s.level), Count: p.count,
+		Calls: p.desk, Clock: now, MaxConnections: s.most, Tenants: s.tenants, Ready: func() bool { return p.ready },
+		ReleaseUnmatched: func(id string, cause int) { p.add("  all pools are told: release of %s, cause %d", id, cause) },
+		Log:              zerolog.New(p.log).Level(s.level), Counters: p.count,
 	})
 	served := make(chan error, 1)
 	go func() { served <- p.front.Serve(p.listener) }()
@@ -468,8 +468,8 @@
 		`{"type":"state","id":"x"}`, `{"type":"answer","id":"x"}`, `{"type":"dance","id":"x"}`, `{"type":"` + strings.Repeat("d", 60) + `","id":"x"}`, `{"type":"Setup"}`,
 		``, ` `, `nonsense`, `7`, `null`, `[]`, `"setup"`, `{}`, `{"a":1}`, `{"type":7,"id":"x"}`, `{"type":"","id":"x"}`, setup[:len(setup)-1], setup + ` x`, setup + setup,
 		"\xef\xbb\xbf" + setup, setup + "\r", " \t" + setup + " \t\r\r",
-		`{"type":"ping","id":"p"` + strings.Repeat(" ", linecodec.Most-25) + `}`, `{"type":"ping","id":"p"` + strings.Repeat(" ", linecodec.Most-24) + `}`,
-		strings.Repeat("x", 2*linecodec.Most), `{"type":"ping","id":"` + strings.Repeat("p", 8000) + `"}`,
+		`{"type":"ping","id":"p"` + strings.Repeat(" ", linecodec.MaxLine-25) + `}`, `{"type":"ping","id":"p"` + strings.Repeat(" ", linecodec.MaxLine-24) + `}`,
+		strings.Repeat("x", 2*linecodec.MaxLine), `{"type":"ping","id":"` + strings.Repeat("p", 8000) + `"}`,
 	}
 	all := oneLine(lines, dispatch.Answered)
 	all = append(all,
--- a/internal/frontend/jsonlines/conn.go
+++ b/internal/frontend/jsonlines/conn.go
@@ -18,7 +18,7 @@
 
 // conn is one connection of a caller: a goroutine reads it, another writes it. It is a dispatch.Caller.
 type conn struct {
-	front  *Front
+	front  *Server
 	raw    net.Conn
 	queue  chan line
 	closed chan struct{}
@@ -60,7 +60,7 @@
 	case c.queue <- l:
 		return true
 	default:
-		c.front.cfg.Count.Add(telemetry.SlowReaders)
+		c.front.cfg.Counters.Add(telemetry.SlowReaders)
 		c.close()
 		return false
 	}
@@ -70,13 +70,13 @@
 // caller that left going on for as long as a write to it is stuck: the writer told the desk, after that.
 func (c *conn) leave() {
 	c.close()
-	c.front.cfg.Desk.Disconnect(c)
+	c.front.cfg.Calls.Disconnect(c)
 }
 
 // finish has the connection closed once what is queued is written. What still comes on it is thrown away until then;
 // its end is an end.
 func (c *conn) finish() {
-	c.front.cfg.Count.Add(telemetry.ClosedBad)
+	c.front.cfg.Counters.Add(telemetry.ClosedBad)
 	if c.send(line{last: true}) && c.raw.SetReadDeadline(time.Now().Add(writeTimeout)) == nil {
 		io.Copy(io.Discard, c.raw)
 	}
@@ -136,7 +136,7 @@
 // rest has the connection closed, while the front drains, once no set-up on it is open and what is queued is
 // written.
 func (c *conn) rest() {
-	if c.front.draining.Load() && c.front.cfg.Desk.Retire(c) && !c.send(line{last: true}) {
+	if c.front.draining.Load() && c.front.cfg.Calls.Retire(c) && !c.send(line{last: true}) {
 		c.close()
 	}
 }
@@ -151,10 +151,10 @@
 // elsewhere hands the end of a call that could not be told here to another connection, and the answer of one back.
 func (c *conn) elsewhere(l line) {
 	if l.stood != "" {
-		c.front.cfg.Desk.AnswerLost(l.stood)
+		c.front.cfg.Calls.AnswerLost(l.stood)
 	}
 	if l.over != "" {
-		c.front.cfg.Desk.RedeliverEnd(l.over, l.cause)
+		c.front.cfg.Calls.RedeliverEnd(l.over, l.cause)
 	}
 }
 
@@ -199,7 +199,7 @@
 // idle tells whether nothing is owed on the connection. Guards against the end of a call that nobody can be told: its own
 // connection was quiet for idleAfter and closed, and callers keep open only those that have calls on them.
 func (c *conn) idle() bool {
-	open, stands, _ := c.front.cfg.Desk.ConnState(c)
+	open, stands, _ := c.front.cfg.Calls.ConnState(c)
 	return open+stands == 0 && c.unwritten.Load() == 0
 }
 
@@ -243,7 +243,7 @@
 			break
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			f.cfg.Count.Add(telemetry.Overdue)
+			f.cfg.Counters.Add(telemetry.Overdue)
 		}
 		c.trace("in", text, err)
 		if err != nil {
@@ -261,7 +261,7 @@
 				break
 			}
 			// An id that can be told is owed an answer, unless its answer is another set-up's.
-			if !f.cfg.Desk.Owns(c, m.ID) {
+			if !f.cfg.Calls.Owns(c, m.ID) {
 				c.send(line{bytes: linecodec.AppendCause(nil, "release", m.ID, causeFailed)})
 			}
 			continue
--- a/internal/frontend/jsonlines/front.go
+++ b/internal/frontend/jsonlines/front.go
@@ -58,22 +58,22 @@
 
 // Config is what a Front is made with.
 type Config struct {
-	Desk  *dispatch.CallTable
+	Calls *dispatch.CallTable
 	Clock dispatch.Clock
 	// Tenants are the names that a set-up may have; none: any.
 	Tenants []string
-	// MostConnections bounds the callers' connections.
-	MostConnections int
+	// MaxConnections bounds the callers' connections.
+	MaxConnections int
 	// Ready tells whether a test passes.
 	Ready func() bool
-	// ReleaseStray takes a caller's release of a call that is not known here.
-	ReleaseStray func(id string, cause int)
-	Log          zerolog.Logger
-	Count        *telemetry.Set
+	// ReleaseUnmatched takes a caller's release of a call that is not known here.
+	ReleaseUnmatched func(id string, cause int)
+	Log              zerolog.Logger
+	Counters         *telemetry.Set
 }
 
-// Front serves callers.
-type Front struct {
+// Server serves callers.
+type Server struct {
 	cfg Config
 	wg  sync.WaitGroup // connections
 
@@ -88,12 +88,12 @@
 }
 
 // New returns a front.
-func New(cfg Config) *Front {
-	return &Front{cfg: cfg, conns: map[*conn]struct{}{}, straysLeft: mostStrays, straysAt: cfg.Clock.Now()}
+func New(cfg Config) *Server {
+	return &Server{cfg: cfg, conns: map[*conn]struct{}{}, straysLeft: mostStrays, straysAt: cfg.Clock.Now()}
 }
 
 // Serve accepts callers until the listener is closed. It does not wait for the connections.
-func (f *Front) Serve(l net.Listener) error {
+func (f *Server) Serve(l net.Listener) error {
 	for {
 		raw, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -104,16 +104,16 @@
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
-		f.cfg.Count.Add(telemetry.Connections)
+		f.cfg.Counters.Add(telemetry.Connections)
 		c := &conn{front: f, raw: raw, queue: make(chan line, writeQueue), closed: make(chan struct{}), came: time.Now()}
 		c.active.Store(f.cfg.Clock.Now())
 		f.mu.Lock()
-		if len(f.conns) >= f.cfg.MostConnections {
+		if len(f.conns) >= f.cfg.MaxConnections {
 			f.shed()
 		}
 		// closed guards against a connection that was accepted just before the end outliving it
 		// (found by FuzzConnection).
-		take := !f.closed && len(f.conns) < f.cfg.MostConnections
+		take := !f.closed && len(f.conns) < f.cfg.MaxConnections
 		if take {
 			f.conns[c] = struct{}{}
 			f.wg.Add(2)
@@ -123,7 +123,7 @@
 			raw.Close()
 			continue
 		}
-		f.cfg.Desk.Connect(c)
+		f.cfg.Calls.Connect(c)
 		c.rest()
 		go c.read()
 		go c.write()
@@ -137,16 +137,16 @@
 //
 // The desk takes no set-up on it from then on. Guards against one that was read just then being sent for nobody, and
 // its caller, who sends it again as it crossed the close, being told that its id is in use.
-func (f *Front) shed() {
+func (f *Server) shed() {
 	for {
 		spare := f.spare()
 		if spare == nil {
 			return
 		}
-		if !f.cfg.Desk.Retire(spare) {
+		if !f.cfg.Calls.Retire(spare) {
 			continue // a set-up has come in on it
 		}
-		f.cfg.Count.Add(telemetry.Shed)
+		f.cfg.Counters.Add(telemetry.Shed)
 		delete(f.conns, spare)
 		// Guards against a final answer that is queued being lost: its set-up is open no more.
 		if spare.unwritten.Load() > 0 && spare.send(line{last: true}) {
@@ -159,11 +159,11 @@
 }
 
 // spare is the connection that shed takes, or nil. The caller holds mu.
-func (f *Front) spare() *conn {
+func (f *Server) spare() *conn {
 	var spare *conn
 	worst := [2]int64{}
 	for c := range f.conns {
-		open, stands, proven := f.cfg.Desk.ConnState(c)
+		open, stands, proven := f.cfg.Calls.ConnState(c)
 		quiet := f.cfg.Clock.Now() - c.active.Load()
 		kind := int64(3)
 		switch {
@@ -187,7 +187,7 @@
 }
 
 // stray tells whether one more release of an unknown call may go on to the pools now.
-func (f *Front) stray() bool {
+func (f *Server) stray() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.cfg.Clock.Now()
@@ -204,14 +204,14 @@
 // closed and the connections are drained. Guards against connections and set-ups that came while the process stood still
 // being lost with the close: the time to stop is seen before what has come, and only a set-up that crosses the close
 // within 50 ms is sent again.
-func (f *Front) CatchUp() { time.Sleep(lastLook) }
+func (f *Server) CatchUp() { time.Sleep(lastLook) }
 
 // Drain ends each connection once every set-up on it has its final answer, and returns when none is left, or when
 // ctx is done. Serve's listener is to be closed first.
 //
 // Guards against callers that go on sending on every connection that stays open: one slow set-up anywhere kept all
 // of them open, and what came on them until the process ended was taken and not answered.
-func (f *Front) Drain(ctx context.Context) {
+func (f *Server) Drain(ctx context.Context) {
 	f.draining.Store(true)
 	for _, c := range f.all() {
 		c.rest()
@@ -225,14 +225,14 @@
 	}
 }
 
-func (f *Front) all() []*conn {
+func (f *Server) all() []*conn {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return slices.Collect(maps.Keys(f.conns))
 }
 
 // Close ends the connections and every goroutine of the front. Serve's listener is to be closed first.
-func (f *Front) Close() {
+func (f *Server) Close() {
 	f.mu.Lock()
 	f.closed = true
 	for c := range f.conns {
@@ -243,7 +243,7 @@
 }
 
 // take handles one message of a caller.
-func (f *Front) take(c *conn, m *linecodec.Message) {
+func (f *Server) take(c *conn, m *linecodec.Message) {
 	switch m.Type {
 	case "setup":
 		f.setup(c, m)
@@ -252,18 +252,18 @@
 		if cause < 0 {
 			cause = dispatch.CauseNormal
 		}
-		standing, err := f.cfg.Desk.Release(m.ID, cause)
+		standing, err := f.cfg.Calls.Release(m.ID, cause)
 		switch {
 		case standing:
-			f.cfg.Desk.MarkEstablished(c)
+			f.cfg.Calls.MarkEstablished(c)
 			c.send(line{bytes: linecodec.AppendBare(nil, "released", m.ID)})
 		case errors.Is(err, dispatch.ErrUnknown) && name(m.ID) && f.stray():
-			f.cfg.ReleaseStray(m.ID, cause)
+			f.cfg.ReleaseUnmatched(m.ID, cause)
 		case errors.Is(err, dispatch.ErrUnknown):
 			c.strikes++
 		}
 	case "ping":
-		f.cfg.Count.Add(telemetry.Pings)
+		f.cfg.Counters.Add(telemetry.Pings)
 		cause := 0
 		if f.cfg.Ready() {
 			cause = 1
@@ -289,9 +289,9 @@
 	return true
 }
 
-func (f *Front) bad(c *conn, err error) {
+func (f *Server) bad(c *conn, err error) {
 	c.strikes++
-	f.cfg.Count.Add(telemetry.BadLines)
+	f.cfg.Counters.Add(telemetry.BadLines)
 	f.cfg.Log.Warn().Err(err).Str("from", c.raw.RemoteAddr().String()).Msg("bad line")
 }
 
@@ -302,7 +302,7 @@
 )
 
 // setup takes a call, or refuses what cannot be one.
-func (f *Front) setup(c *conn, m *linecodec.Message) {
+func (f *Server) setup(c *conn, m *linecodec.Message) {
 	err := f.place(c, m)
 	if err == nil {
 		return
@@ -313,9 +313,9 @@
 	case !dispatch.IsToken(m.ID): // nothing can be answered to it
 		c.finish()
 		return
-	case errors.Is(err, dispatch.ErrDuplicate) && f.cfg.Desk.Owns(c, m.ID):
+	case errors.Is(err, dispatch.ErrDuplicate) && f.cfg.Calls.Owns(c, m.ID):
 		// Two set-ups under one name on one connection: no answer could be told from the other's.
-		f.cfg.Desk.Release(m.ID, dispatch.CauseNormal)
+		f.cfg.Calls.Release(m.ID, dispatch.CauseNormal)
 		c.finish()
 		return
 	case errors.Is(err, dispatch.ErrTooMany):
@@ -328,7 +328,7 @@
 }
 
 // place checks what is the platform's own and hands the set-up over.
-func (f *Front) place(c *conn, m *linecodec.Message) error {
+func (f *Server) place(c *conn, m *linecodec.Message) error {
 	if !name(m.ID) {
 		return errName
 	}
@@ -343,7 +343,7 @@
 	if !ok {
 		return errExtras
 	}
-	return f.cfg.Desk.Setup(c, dispatch.SetupRequest{
+	return f.cfg.Calls.Setup(c, dispatch.SetupRequest{
 		ID: m.ID, Class: m.Field("class"), Number: m.Field("key"), Pool: dest,
 		TimeoutMillis: left, ReceivedAt: f.cfg.Clock.Now(), SDP: m.SDP,
 	})
--- a/internal/frontend/jsonlines/front_test.go
+++ b/internal/frontend/jsonlines/front_test.go
@@ -77,7 +77,7 @@
 }
 
 type rig struct {
-	*Front
+	*Server
 	t      *testing.T
 	trunk  *trunk
 	in     *fakeplatform.Listener
@@ -102,16 +102,16 @@
 	go d.Run(ctx)
 	d.UpdateEndpoints([]dispatch.Endpoint{{UID: "a"}}, false)
 	r := &rig{t: t, trunk: &trunk{}, in: fakeplatform.NewListener(), ready: true}
-	r.Front = New(Config{
-		Desk:  dispatch.NewCallTable(dispatch.CallTableConfig{Dispatcher: d, Inviter: r.trunk, MaxCalls: 100, UniqueIDs: true, Counters: count}),
-		Clock: now, MostConnections: 4, Tenants: []string{"acme"}, Ready: func() bool { return r.ready },
-		ReleaseStray: func(id string, _ int) { r.strays = append(r.strays, id) }, Log: zerolog.Nop(), Count: count,
+	r.Server = New(Config{
+		Calls: dispatch.NewCallTable(dispatch.CallTableConfig{Dispatcher: d, Inviter: r.trunk, MaxCalls: 100, UniqueIDs: true, Counters: count}),
+		Clock: now, MaxConnections: 4, Tenants: []string{"acme"}, Ready: func() bool { return r.ready },
+		ReleaseUnmatched: func(id string, _ int) { r.strays = append(r.strays, id) }, Log: zerolog.Nop(), Counters: count,
 	})
 	served := make(chan error, 1)
 	go func() { served <- r.Serve(r.in) }()
 	test(r)
 	r.in.Close()
-	r.cfg.Desk.Close()
+	r.cfg.Calls.Close()
 	r.Close()
 	if err := <-served; err != nil {
 		t.Error(err)
@@ -277,12 +277,12 @@
 				io.WriteString(c, text+"\n")
 				synctest.Wait()
 			}
-			if open := r.cfg.Desk.PendingSetups(); open != 1 {
+			if open := r.cfg.Calls.PendingSetups(); open != 1 {
 				t.Errorf("%s: %d open before the caller leaves", name, open)
 			}
 			c.Close()
 			synctest.Wait()
-			if open := r.cfg.Desk.PendingSetups(); open != 0 {
+			if open := r.cfg.Calls.PendingSetups(); open != 0 {
 				t.Errorf("%s: %d open after the caller left", name, open)
 			}
 		})
@@ -298,7 +298,7 @@
 			io.WriteString(c, strings.Replace(setup, "9b1f", id, 1)+"\n")
 			synctest.Wait()
 		}
-		if n := r.cfg.Desk.EstablishedCalls(); n != 2 {
+		if n := r.cfg.Calls.EstablishedCalls(); n != 2 {
 			t.Errorf("%d stand, want 2", n)
 		}
 		c.Close()
@@ -308,8 +308,8 @@
 				t.Errorf("call %d was not released at its pool", i)
 			}
 		}
-		if n := r.cfg.Desk.EstablishedCalls(); n != 0 || r.cfg.Count.Get(telemetry.AnswersUnwritten) != 2 {
-			t.Errorf("%d stand, %d answers unwritten", n, r.cfg.Count.Get(telemetry.AnswersUnwritten))
+		if n := r.cfg.Calls.EstablishedCalls(); n != 0 || r.cfg.Counters.Get(telemetry.AnswersUnwritten) != 2 {
+			t.Errorf("%d stand, %d answers unwritten", n, r.cfg.Counters.Get(telemetry.AnswersUnwritten))
 		}
 	})
 }
@@ -323,7 +323,7 @@
 		c := r.speaking(l.Dial())
 		c.say(strings.Replace(setup, `"1500"`, `"20000"`, 1))
 		time.Sleep(idleAfter - time.Millisecond)
-		r.cfg.Desk.AbortPending()
+		r.cfg.Calls.AbortPending()
 		time.Sleep(100 * time.Millisecond) // past the idle time, within that of the write
 		synctest.Wait()
 		end() // now it can be written
@@ -452,7 +452,7 @@
 func TestFirstSetUpKeepsItsConnection(t *testing.T) {
 	bubble(t, func(r *rig) {
 		r.trunk.say(dispatch.TimedOut)
-		g := r.gate(func() bool { return r.cfg.Desk.PendingSetups() > 0 }) // the reading after the set-up was taken
+		g := r.gate(func() bool { return r.cfg.Calls.PendingSetups() > 0 }) // the reading after the set-up was taken
 		c := r.dial()
 		g.armed.Store(true)
 		go io.WriteString(c, setup+"\n")
@@ -463,8 +463,8 @@
 			silent = append(silent, r.dial())
 			synctest.Wait()
 		}
-		if _, ended := c.take(); ended || r.cfg.Desk.PendingSetups() != 1 {
-			t.Errorf("it had to make room; %d open", r.cfg.Desk.PendingSetups())
+		if _, ended := c.take(); ended || r.cfg.Calls.PendingSetups() != 1 {
+			t.Errorf("it had to make room; %d open", r.cfg.Calls.PendingSetups())
 		}
 		if _, ended := silent[0].take(); !ended {
 			t.Error("the oldest that said nothing is still there")
@@ -477,7 +477,7 @@
 // and its caller, who sends what crossed a close again, was told that the id was in use.
 func TestSetUpThatCrossesTheCloseMayComeAgain(t *testing.T) {
 	bubble(t, func(r *rig) {
-		r.cfg.MostConnections = 1
+		r.cfg.MaxConnections = 1
 		l, end := r.held() // its closing is seen late
 		defer end()
 		g := r.gate(func() bool { return true })
@@ -491,8 +491,8 @@
 		synctest.Wait()
 		close(g.gate)
 		synctest.Wait()
-		if r.trunk.sent != 0 || r.cfg.Desk.PendingSetups() != 0 {
-			t.Errorf("%d sent, %d open for a connection that was closed", r.trunk.sent, r.cfg.Desk.PendingSetups())
+		if r.trunk.sent != 0 || r.cfg.Calls.PendingSetups() != 0 {
+			t.Errorf("%d sent, %d open for a connection that was closed", r.trunk.sent, r.cfg.Calls.PendingSetups())
 		}
 		other.say(setup)
 		if lines, _ := other.take(); len(lines) != 1 || lines[0] != answer {
@@ -505,7 +505,7 @@
 // on it any more, but the answer is not written yet.
 func TestWhatMakesRoomIsWrittenItsAnswer(t *testing.T) {
 	bubble(t, func(r *rig) {
-		r.cfg.MostConnections = 1
+		r.cfg.MaxConnections = 1
 		l, end := r.held()
 		c := r.speaking(l.Dial())
 		c.say(strings.Replace(setup, "voice", "fax", 1))
@@ -522,7 +522,7 @@
 		}
 	})
 	bubble(t, func(r *rig) { // one that does not read gets no more time
-		r.cfg.MostConnections = 1
+		r.cfg.MaxConnections = 1
 		c := r.in.Dial()
 		io.WriteString(c, strings.Replace(setup, "voice", "fax", 1)+"\n")
 		synctest.Wait()
@@ -660,7 +660,7 @@
 		waits.say(strings.Replace(setup, "9b1f", "0002", 1))
 		r.want(waits, strings.Replace(answer, "9b1f", "0002", 1))
 		time.Sleep(time.Second)
-		r.cfg.Desk.AbortPending()
+		r.cfg.Calls.AbortPending()
 		if lines, ended := waits.take(); len(lines) != 1 || !strings.Contains(lines[0], `"cause":42`) || !ended {
 			t.Errorf("given up: told %q, closed: %t", lines, ended)
 		}
@@ -668,8 +668,8 @@
 		if lines, ended := r.dial().take(); len(lines) > 0 || !ended { // it was on its way
 			t.Errorf("late: told %q, closed: %t", lines, ended)
 		}
-		if r.cfg.Desk.EstablishedCalls() != 2 {
-			t.Errorf("%d calls stand, want 2", r.cfg.Desk.EstablishedCalls())
+		if r.cfg.Calls.EstablishedCalls() != 2 {
+			t.Errorf("%d calls stand, want 2", r.cfg.Calls.EstablishedCalls())
 		}
 	})
 }
@@ -702,7 +702,7 @@
 			c := r.dial()
 			c.say(strings.Replace(setup, "voice", e.class, 1))
 			time.Sleep(1400 * time.Millisecond)
-			r.cfg.Desk.AbortPending()
+			r.cfg.Calls.AbortPending()
 			if lines, _ := c.take(); len(lines) != 1 || !strings.HasSuffix(lines[0], e.want) {
 				t.Errorf("%s, outcome %d: told %q, want %s", e.class, e.outcome, lines, e.want)
 			}
@@ -720,7 +720,7 @@
 		if lines, ended := c.take(); len(lines) > 0 || ended || r.trunk.sent != 0 {
 			t.Errorf("told %q, closed: %t, %d sent", lines, ended, r.trunk.sent)
 		}
-		if n := r.cfg.Count.Get(telemetry.CancelledCalls); n != 1 {
+		if n := r.cfg.Counters.Get(telemetry.CancelledCalls); n != 1 {
 			t.Errorf("%d cancelled", n)
 		}
 		c.say(strings.Replace(setup, "9b1f", "0001", 1)) // another is served
@@ -800,7 +800,7 @@
 		}
 		c.say(setup) // the connection still serves
 		r.want(c, answer)
-		c.say(strings.Repeat("x", 2*linecodec.Most)) // framing is lost
+		c.say(strings.Repeat("x", 2*linecodec.MaxLine)) // framing is lost
 		if _, ended := c.take(); !ended {
 			t.Error("still open after a line of 32 KiB")
 		}
@@ -902,8 +902,8 @@
 		}
 		c.Close()
 		synctest.Wait()
-		if open, _, _ := r.cfg.Desk.ConnState(nil); open != 0 || r.cfg.Desk.PendingSetups() != 0 {
-			t.Errorf("%d open", r.cfg.Desk.PendingSetups())
+		if open, _, _ := r.cfg.Calls.ConnState(nil); open != 0 || r.cfg.Calls.PendingSetups() != 0 {
+			t.Errorf("%d open", r.cfg.Calls.PendingSetups())
 		}
 	})
 	bubble(t, func(r *rig) {
--- a/internal/frontend/linecodec/characterization_test.go
+++ b/internal/frontend/linecodec/characterization_test.go
@@ -153,7 +153,7 @@
 }
 
 func TestCharacterization_Framing(t *testing.T) {
-	longest := strings.Repeat("x", linecodec.Most-1)
+	longest := strings.Repeat("x", linecodec.MaxLine-1)
 	streams := []stream{
 		{"line feeds", "one\ntwo\n", 64},
 		{"carriage returns before line feeds", "one\r\ntwo\r\r\nthr\ree\r\n", 64},
@@ -168,7 +168,7 @@
 		{"bytes that are not UTF-8", "\xff\x00\xfe\n", 64},
 	}
 	var out strings.Builder
-	fmt.Fprintf(&out, "most bytes in a line with its line feed: %d\n", linecodec.Most)
+	fmt.Fprintf(&out, "most bytes in a line with its line feed: %d\n", linecodec.MaxLine)
 	for _, s := range streams {
 		fmt.Fprintf(&out, "stream: %s, buffer of %d\n", s.name, s.buffer)
 		writeLines(&out, bufio.NewReaderSize(strings.NewReader(s.bytes), s.buffer))
--- a/internal/frontend/linecodec/jsonl.go
+++ b/internal/frontend/linecodec/jsonl.go
@@ -13,8 +13,8 @@
 	"github.com/tidwall/gjson"
 )
 
-// Most is the most bytes that a message may have, its line feed included.
-const Most = 16 << 10
+// MaxLine is the most bytes that a message may have, its line feed included.
+const MaxLine = 16 << 10
 
 // ErrTooLong tells that a line passed Most: where the next one begins is not known.
 var ErrTooLong = errors.New("jsonl: a line of over 16 KiB")
@@ -57,7 +57,7 @@
 	buf = buf[:0]
 	for {
 		part, err := r.ReadSlice('\n')
-		if len(buf)+len(part) > Most {
+		if len(buf)+len(part) > MaxLine {
 			return nil, ErrTooLong
 		}
 		buf = append(buf, part...)
--- a/internal/frontend/linecodec/jsonl_test.go
+++ b/internal/frontend/linecodec/jsonl_test.go
@@ -42,9 +42,9 @@
 }
 
 func TestReadLineBound(t *testing.T) {
-	long := strings.Repeat("x", Most-1)
+	long := strings.Repeat("x", MaxLine-1)
 	r := bufio.NewReaderSize(strings.NewReader(long+"\n"+long+"y\n"), 64)
-	if line, err := ReadLine(r, nil); err != nil || len(line) != Most-1 {
+	if line, err := ReadLine(r, nil); err != nil || len(line) != MaxLine-1 {
 		t.Errorf("the longest line: %d bytes, %v", len(line), err)
 	}
 	if _, err := ReadLine(r, nil); !errors.Is(err, ErrTooLong) {
@@ -66,7 +66,7 @@
 		}
 		sdp, id = strings.ToValidUTF8(sdp, "\ufffd"), strings.ToValidUTF8(id, "\ufffd")
 		line := AppendAnswer(nil, id, sdp)
-		if len(line) > Most {
+		if len(line) > MaxLine {
 			return
 		}
 		r := bufio.NewReaderSize(strings.NewReader(string(line)+string(AppendCause(nil, "pong", id, 1))), 16)
--- a/internal/frontend/websocket/callcontrol.go
+++ b/internal/frontend/websocket/callcontrol.go
@@ -43,16 +43,16 @@
 
 // Config is what a Server is made with.
 type Config struct {
-	Dispatch *dispatch.Dispatcher
-	Trunk    dispatch.Inviter
+	Dispatcher *dispatch.Dispatcher
+	Inviter    dispatch.Inviter
 	// Ready tells whether a ping is answered with ready.
 	Ready func() bool
 	// Origins are the origins of browsers that may connect, as patterns; none: only the server's own.
 	Origins []string
-	// MostConnections bounds the sockets.
-	MostConnections int
-	Log             zerolog.Logger
-	Count           *dispatch.Counters
+	// MaxConnections bounds the sockets.
+	MaxConnections int
+	Log            zerolog.Logger
+	Counters       *dispatch.Counters
 }
 
 // Server is the WebSocket front. It is an http.Handler.
@@ -76,7 +76,7 @@
 func (s *Server) Admit(origins []string, most int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.cfg.Origins, s.cfg.MostConnections = origins, most
+	s.cfg.Origins, s.cfg.MaxConnections = origins, most
 }
 
 // callID names a call towards the pools: names that sites choose may be alike.
@@ -112,7 +112,7 @@
 		return
 	}
 	c.ws = ws
-	s.cfg.Count.Add(telemetry.Connections)
+	s.cfg.Counters.Add(telemetry.Connections)
 	c.serve()
 }
 
@@ -126,10 +126,10 @@
 func (s *Server) admit(site string) (*conn, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns) >= s.cfg.MostConnections {
+	if len(s.conns) >= s.cfg.MaxConnections {
 		s.shed()
 	}
-	if s.closing.Load() || len(s.conns) >= s.cfg.MostConnections {
+	if s.closing.Load() || len(s.conns) >= s.cfg.MaxConnections {
 		return nil, false
 	}
 	desk := s.sites[site]
@@ -138,7 +138,7 @@
 			return nil, false
 		}
 		desk = dispatch.NewCallTable(dispatch.CallTableConfig{
-			Dispatcher: s.cfg.Dispatch, Inviter: s.cfg.Trunk, MaxCalls: mostCalls, CallID: callID, NotifyAllEnds: true, Counters: s.cfg.Count,
+			Dispatcher: s.cfg.Dispatcher, Inviter: s.cfg.Inviter, MaxCalls: mostCalls, CallID: callID, NotifyAllEnds: true, Counters: s.cfg.Counters,
 		})
 		s.sites[site] = desk
 	}
@@ -159,7 +159,7 @@
 		}
 	}
 	if spare != nil {
-		s.cfg.Count.Add(telemetry.Shed)
+		s.cfg.Counters.Add(telemetry.Shed)
 		delete(s.conns, spare)
 		spare.finish(websocket.StatusTryAgainLater, "room is needed and nothing was said")
 	}
@@ -179,11 +179,11 @@
 	}
 }
 
-// Open is the number of set-ups that are owed a final answer.
-func (s *Server) Open() int { return s.sum((*dispatch.CallTable).PendingSetups) }
+// PendingSetups is the number of set-ups that are owed a final answer.
+func (s *Server) PendingSetups() int { return s.sum((*dispatch.CallTable).PendingSetups) }
 
-// Standing is the number of calls that stand.
-func (s *Server) Standing() int { return s.sum((*dispatch.CallTable).EstablishedCalls) }
+// EstablishedCalls is the number of calls that stand.
+func (s *Server) EstablishedCalls() int { return s.sum((*dispatch.CallTable).EstablishedCalls) }
 
 func (s *Server) sum(of func(*dispatch.CallTable) int) int {
 	n := 0
@@ -272,7 +272,7 @@
 	case c.queue <- b:
 		return true
 	default:
-		c.server.cfg.Count.Add(telemetry.SlowReaders)
+		c.server.cfg.Counters.Add(telemetry.SlowReaders)
 		c.finish(websocket.StatusPolicyViolation, "reads too slowly")
 		return false
 	}
@@ -366,7 +366,7 @@
 		c.elsewhere(b)
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
-		c.server.cfg.Count.Add(telemetry.SlowReaders)
+		c.server.cfg.Counters.Add(telemetry.SlowReaders)
 	}
 	return err
 }
@@ -377,10 +377,10 @@
 		if err != nil {
 			return fmt.Errorf("callcontrol: reading: %w", err)
 		}
-		came := c.server.cfg.Dispatch.Now()
-		c.server.cfg.Count.Add(telemetry.Frames)
+		came := c.server.cfg.Dispatcher.Now()
+		c.server.cfg.Counters.Add(telemetry.Frames)
 		if kind != websocket.MessageText {
-			c.server.cfg.Count.Add(telemetry.BadFrames)
+			c.server.cfg.Counters.Add(telemetry.BadFrames)
 			c.finish(websocket.StatusUnsupportedData, "binary messages are not taken")
 			return errors.New("callcontrol: a binary message")
 		}
@@ -392,10 +392,10 @@
 			c.said.Store(true)
 		}
 		if err != nil {
-			c.server.cfg.Count.Add(telemetry.BadFrames)
+			c.server.cfg.Counters.Add(telemetry.BadFrames)
 			c.server.cfg.Log.Warn().Err(err).Msg("bad websocket message")
 			if strikes++; strikes > mostStrikes {
-				c.server.cfg.Count.Add(telemetry.ClosedBad)
+				c.server.cfg.Counters.Add(telemetry.ClosedBad)
 				c.finish(websocket.StatusPolicyViolation, "too many messages that were not accepted")
 				return err
 			}
--- a/internal/frontend/websocket/callcontrol_test.go
+++ b/internal/frontend/websocket/callcontrol_test.go
@@ -78,12 +78,12 @@
 		Clock: now, Log: zerolog.Nop(), Count: r.count, Observe: r.d.Observe, Stray: func(string, int) {}})
 	r.list(endpointlist.Up)
 
-	r.server = New(Config{Dispatch: r.d, Trunk: r.pools, Ready: func() bool { return true }, MostConnections: 16,
-		Log: zerolog.Nop(), Count: r.count})
+	r.server = New(Config{Dispatcher: r.d, Inviter: r.pools, Ready: func() bool { return true }, MaxConnections: 16,
+		Log: zerolog.Nop(), Counters: r.count})
 	r.http = httptest.NewServer(r.server)
-	platform := jsonlines.New(jsonlines.Config{Desk: dispatch.NewCallTable(dispatch.CallTableConfig{Dispatcher: r.d, Inviter: r.pools, MaxCalls: 1000, Counters: r.count}),
-		Clock: now, MostConnections: 16, Ready: func() bool { return true }, ReleaseStray: func(string, int) {},
-		Log: zerolog.Nop(), Count: r.count})
+	platform := jsonlines.New(jsonlines.Config{Calls: dispatch.NewCallTable(dispatch.CallTableConfig{Dispatcher: r.d, Inviter: r.pools, MaxCalls: 1000, Counters: r.count}),
+		Clock: now, MaxConnections: 16, Ready: func() bool { return true }, ReleaseUnmatched: func(string, int) {},
+		Log: zerolog.Nop(), Counters: r.count})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -333,7 +333,7 @@
 	<-held
 	c.CloseNow()
 	r.await("CANCEL")
-	if n := r.server.Standing(); n != 2 {
+	if n := r.server.EstablishedCalls(); n != 2 {
 		t.Errorf("%d calls stand", n)
 	}
 	stranger := r.dial("b")
@@ -565,8 +565,8 @@
 	if m := c.next(); m.ID != "c2" || m.Type == "answer" || m.RetryAfterMS < 1 {
 		t.Errorf("%+v", m)
 	}
-	if r.server.Standing() != 1 || r.seen("INVITE") != 1 {
-		t.Errorf("%d stand, %d INVITEs", r.server.Standing(), r.seen("INVITE"))
+	if r.server.EstablishedCalls() != 1 || r.seen("INVITE") != 1 {
+		t.Errorf("%d stand, %d INVITEs", r.server.EstablishedCalls(), r.seen("INVITE"))
 	}
 }
 
--- a/internal/frontend/websocket/characterization_test.go
+++ b/internal/frontend/websocket/characterization_test.go
@@ -226,8 +226,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go s.dispatcher.Run(ctx)
 	s.roster(eidertrail.Ready)
-	s.server = websocket.New(websocket.Config{Dispatch: s.dispatcher, Trunk: s.pools, Ready: func() bool { return s.ready },
-		MostConnections: mostSockets, Log: zerolog.New(s.log).Level(zerolog.WarnLevel), Count: s.count})
+	s.server = websocket.New(websocket.Config{Dispatcher: s.dispatcher, Inviter: s.pools, Ready: func() bool { return s.ready },
+		MaxConnections: mostSockets, Log: zerolog.New(s.log).Level(zerolog.WarnLevel), Counters: s.count})
 	web := &http.Server{Handler: s.server, ErrorLog: log.New(io.Discard, "", 0)}
 	served := make(chan struct{})
 	go func() {
@@ -496,7 +496,7 @@
 		}
 	}
 	slices.Sort(all)
-	s.add("  counted: %s; open %d, standing %d", strings.Join(all, ", "), s.server.Open(), s.server.Standing())
+	s.add("  counted: %s; open %d, standing %d", strings.Join(all, ", "), s.server.PendingSetups(), s.server.EstablishedCalls())
 }
 
 // scenario is a sequence of steps on a server of its own.
--- a/internal/frontend/websocket/message.go
+++ b/internal/frontend/websocket/message.go
@@ -31,7 +31,7 @@
 	BadNumber    Code = "bad_number"
 	DuplicateID  Code = "duplicate_id"
 	UnknownID    Code = "unknown_id"
-	CallOver     Code = "call_over" // a cancel or release crossed the call's end
+	CallEnded    Code = "call_over" // a cancel or release crossed the call's end
 	TooManyCalls Code = "too_many_calls"
 )
 
@@ -41,7 +41,7 @@
 }{
 	{dispatch.ErrID, BadID}, {dispatch.ErrClass, BadClass}, {dispatch.ErrLeft, BadLeft},
 	{dispatch.ErrNumber, BadNumber}, {dispatch.ErrDuplicate, DuplicateID},
-	{dispatch.ErrTooMany, TooManyCalls}, {dispatch.ErrUnknown, UnknownID}, {dispatch.ErrCallEnded, CallOver},
+	{dispatch.ErrTooMany, TooManyCalls}, {dispatch.ErrUnknown, UnknownID}, {dispatch.ErrCallEnded, CallEnded},
 	{errJSON, BadJSON}, {errType, UnknownType},
 }
 
--- a/middleware/characterization_test.go
+++ b/middleware/characterization_test.go
@@ -104,12 +104,12 @@
 
 // admit is the middleware for calls that have so long.
 func (a *admission) admit(left time.Duration, handler http.HandlerFunc) http.Handler {
-	return middleware.Admission(middleware.Config{Dispatch: a.dispatcher, Count: a.count,
+	return middleware.Admission(middleware.Config{Dispatcher: a.dispatcher, Counters: a.count,
 		Classify: func(r *http.Request) (middleware.Call, error) {
 			if r.URL.Query().Has("bad") {
 				return middleware.Call{}, errors.New("bad: not wanted <here>")
 			}
-			return middleware.Call{Number: "7f3a", Pool: -1, Left: left}, nil
+			return middleware.Call{Number: "7f3a", Pool: -1, Timeout: left}, nil
 		}})(handler)
 }
 
--- a/middleware/example_test.go
+++ b/middleware/example_test.go
@@ -31,8 +31,8 @@
 	d.UpdateEndpoints([]dispatch.Endpoint{{UID: "s-1"}}, true)
 
 	r := chi.NewRouter()
-	r.Use(middleware.Admission(middleware.Config{Dispatch: d, Classify: func(r *http.Request) (middleware.Call, error) {
-		return middleware.Call{Class: 0, Number: r.URL.Path, Pool: -1, Left: 2 * time.Second}, nil
+	r.Use(middleware.Admission(middleware.Config{Dispatcher: d, Classify: func(r *http.Request) (middleware.Call, error) {
+		return middleware.Call{Class: 0, Number: r.URL.Path, Pool: -1, Timeout: 2 * time.Second}, nil
 	}}))
 	r.Get("/rooms/{hotel}", func(w http.ResponseWriter, r *http.Request) {
 		fmt.Fprintf(w, "rooms of %s, asked at %s", chi.URLParam(r, "hotel"), middleware.FromContext(r.Context()).Pool)
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -18,18 +18,18 @@
 
 // Call says what a request asks for.
 type Call struct {
-	Class  int           // place in the settings' classes
-	Number string        // what is called, such as a hotel; "" for none
-	Pool   int           // the pool of first choice, -1 for none
-	Left   time.Duration // how long its client waits
+	Class   int           // place in the settings' classes
+	Number  string        // what is called, such as a hotel; "" for none
+	Pool    int           // the pool of first choice, -1 for none
+	Timeout time.Duration // how long its client waits
 }
 
 // Config is what Admission is made with.
 type Config struct {
-	Dispatch *dispatch.Dispatcher
+	Dispatcher *dispatch.Dispatcher
 	// Classify reads a request. An error is answered with 400.
 	Classify func(r *http.Request) (Call, error)
-	Count    *dispatch.Counters
+	Counters *dispatch.Counters
 }
 
 // Placement is where a request was placed. The handler finds it with FromContext.
@@ -72,19 +72,19 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	d := c.Dispatch
+	d := c.Dispatcher
 	key := uint64(0)
 	if call.Number != "" {
 		key = dispatch.NumberKey(call.Number)
 	}
 	q := dispatch.Request{Call: d.NewCall(), Class: call.Class, Pool: call.Pool, Key: key,
-		Deadline: d.Now() + call.Left.Microseconds()}
+		Deadline: d.Now() + call.Timeout.Microseconds()}
 	pick, err := d.Pick(r.Context(), q)
 	if err != nil && r.Context().Err() != nil {
 		return // the client is gone
 	}
 	if err != nil || pick.Kind != dispatch.DecisionSend {
-		c.Count.Add(telemetry.Turned)
+		c.Counters.Add(telemetry.Turned)
 		after := pick.RetryAfter
 		if err != nil && !errors.Is(err, dispatch.ErrNoDecision) {
 			after = 0
@@ -93,7 +93,7 @@
 		http.Error(w, "refused: too busy", http.StatusServiceUnavailable)
 		return
 	}
-	c.Count.Add(telemetry.Admitted)
+	c.Counters.Add(telemetry.Admitted)
 	until := q.Deadline
 	if pick.Timeout > 0 {
 		until = min(until, pick.DecidedAt+pick.Timeout)
--- a/middleware/middleware_test.go
+++ b/middleware/middleware_test.go
@@ -34,11 +34,11 @@
 		go d.Run(ctx)
 		d.UpdateEndpoints([]dispatch.Endpoint{{UID: "a"}}, false)
 		router := chi.NewRouter()
-		router.Use(middleware.Admission(middleware.Config{Dispatch: d, Count: count, Classify: func(r *http.Request) (middleware.Call, error) {
+		router.Use(middleware.Admission(middleware.Config{Dispatcher: d, Counters: count, Classify: func(r *http.Request) (middleware.Call, error) {
 			if r.URL.Query().Has("bad") {
 				return middleware.Call{}, errors.New("bad: not wanted")
 			}
-			return middleware.Call{Number: r.URL.Path, Pool: -1, Left: time.Second}, nil
+			return middleware.Call{Number: r.URL.Path, Pool: -1, Timeout: time.Second}, nil
 		}}))
 		router.Get("/*", handler)
 		test(d, func(ctx context.Context, path string) *httptest.ResponseRecorder {
