--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -52,12 +52,12 @@
 // daemon is a running session controller.
 type daemon struct {
 	log       zerolog.Logger
-	count     *telemetry.Set
+	count     *telemetry.Counters
 	clock     *clock.Clock
 	started   int64
 	life      int64 // Unix µs of the start: another for each process
 	dispatch  *dispatch.Dispatcher
-	pools     *sippool.Set
+	pools     *sippool.Pools
 	desk      *dispatch.CallTable
 	callers   *jsonlines.Server
 	sockets   *websocket.Server // nil: off
@@ -79,7 +79,7 @@
 
 // start makes a daemon and opens its listeners.
 func start(ctx context.Context, env environment, log zerolog.Logger) (*daemon, error) {
-	d := &daemon{log: log, count: &telemetry.Set{}, clock: clock.New(), env: env, moves: make(chan endpointlist.AddressChange, 1),
+	d := &daemon{log: log, count: &telemetry.Counters{}, clock: clock.New(), env: env, moves: make(chan endpointlist.AddressChange, 1),
 		broken: make(chan error, 1), addresses: map[string]string{}, life: time.Now().UnixMicro()}
 	cfg, err := env.load(d.clock)
 	if err != nil {
@@ -112,15 +112,15 @@
 	pools, stopPools := context.WithCancel(ctx)
 	d.stopLoop, d.stopPools = stopLoop, stopPools
 	d.started = d.clock.Now()
-	d.pools = sippool.NewSet(pools, sippool.Config{
+	d.pools = sippool.New(pools, sippool.Config{
 		Name: cfg.Name, ConnectTimeout: cfg.ConnectTimeout, ReportFree: cfg.ReportFree, ReportAgents: cfg.ReportAgents,
-		Clock: d.clock, Log: limited, Count: d.count, Observe: d.dispatch.Observe,
-		Stray: func(id string, cause int) { d.desk.CallEnded(id, cause) }, ReportRate: f.fleet.Rate(), Rate: d.dispatch.ObserveCapacity,
+		Clock: d.clock, Log: limited, Counters: d.count, OnLoadReport: d.dispatch.Observe,
+		OnUnmatchedRelease: func(id string, cause int) { d.desk.CallEnded(id, cause) }, ReportCapacity: f.fleet.Rate(), OnCapacity: d.dispatch.ObserveCapacity,
 	})
 	d.desk = dispatch.NewCallTable(dispatch.CallTableConfig{Dispatcher: d.dispatch, Inviter: d.pools, MaxCalls: mostCalls, UniqueIDs: true, Counters: d.count})
 	d.callers = jsonlines.New(jsonlines.Config{
 		Calls: d.desk, Clock: d.clock, MaxConnections: callers, Tenants: cfg.Tenants, Ready: d.ready,
-		ReleaseUnmatched: d.pools.ReleaseStray, Log: limited, Counters: d.count,
+		ReleaseUnmatched: d.pools.ReleaseUnmatched, Log: limited, Counters: d.count,
 	})
 	if d.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
 		stopLoop()
--- a/cmd/eidertrail/fleet.go
+++ b/cmd/eidertrail/fleet.go
@@ -93,7 +93,7 @@
 // leases are the fleet's budgets.
 type leases struct {
 	books   *quota.SharedAllocator
-	count   *telemetry.Set
+	count   *telemetry.Counters
 	answers []quota.Out // owed to what has come since the last time; bounded by what comes in 0.1 s
 	counted quota.Counts
 }
@@ -124,7 +124,7 @@
 	}
 	l.answers = l.answers[:0]
 	c := l.books.Counts()
-	l.count.AddN(telemetry.LeasesAsked, int64(c.Requested-l.counted.Requested))
+	l.count.AddN(telemetry.LeasesRequested, int64(c.Requested-l.counted.Requested))
 	l.count.AddN(telemetry.LeasesGranted, int64(c.Granted-l.counted.Granted))
 	l.counted = c
 }
--- a/cmd/eidertrail/list_test.go
+++ b/cmd/eidertrail/list_test.go
@@ -105,13 +105,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	now, count := clock.New(), &telemetry.Set{}
+	now, count := clock.New(), &telemetry.Counters{}
 	d, err := dispatch.New(loaded.Settings, loaded.Seed, loaded.MaxRetryAfter, now, zerolog.Nop(), count)
 	if err != nil {
 		t.Fatal(err)
 	}
 	go d.Run(ctx)
-	pools := sippool.NewSet(ctx, sippool.Config{ConnectTimeout: 1_000_000, Clock: now, Log: zerolog.Nop(), Count: count})
+	pools := sippool.New(ctx, sippool.Config{ConnectTimeout: 1_000_000, Clock: now, Log: zerolog.Nop(), Counters: count})
 	src := newSources(now, pools, d, zerolog.Nop(), count, 1)
 	src.reloads = make(chan *config.Discovery) // unbuffered: once it is sent, the owner is about it
 	go src.run(ctx, disc)
--- a/cmd/eidertrail/sources.go
+++ b/cmd/eidertrail/sources.go
@@ -25,10 +25,10 @@
 // Set, the bulletin's events and the resolvers' answers come to it, and what changes goes to the pools.
 type sources struct {
 	clock    *clock.Clock
-	pools    *sippool.Set
+	pools    *sippool.Pools
 	dispatch *dispatch.Dispatcher
 	log      zerolog.Logger
-	count    *telemetry.Set
+	count    *telemetry.Counters
 	seed     uint64
 
 	events  chan endpointlist.Event
@@ -37,7 +37,7 @@
 	done    chan struct{}
 }
 
-func newSources(c *clock.Clock, pools *sippool.Set, d *dispatch.Dispatcher, log zerolog.Logger, count *telemetry.Set, seed uint64) *sources {
+func newSources(c *clock.Clock, pools *sippool.Pools, d *dispatch.Dispatcher, log zerolog.Logger, count *telemetry.Counters, seed uint64) *sources {
 	return &sources{clock: c, pools: pools, dispatch: d, log: log, count: count, seed: seed,
 		events: make(chan endpointlist.Event), updates: make(chan srv.Update, 32),
 		reloads: make(chan *config.Discovery, 1), done: make(chan struct{})}
--- a/cmd/eidertrail/word.go
+++ b/cmd/eidertrail/word.go
@@ -16,14 +16,14 @@
 type word struct {
 	table   *statetable.Table
 	log     zerolog.Logger
-	count   *telemetry.Set
+	count   *telemetry.Counters
 	counted statetable.Counts
 	owed    []statetable.Out // to what has come since the last time; bounded by what comes in 0.1 s
 	given   []string         // the regions of all members, where the file names them
 	regions atomic.Pointer[[]string]
 }
 
-func newWord(node swim.Config, fleet *config.Cluster, incarnation, seed uint64, now int64, log zerolog.Logger, count *telemetry.Set) (*word, error) {
+func newWord(node swim.Config, fleet *config.Cluster, incarnation, seed uint64, now int64, log zerolog.Logger, count *telemetry.Counters) (*word, error) {
 	cfg := statetable.Default(node.Self, node.Members, incarnation, seed)
 	cfg.Kinds = []statetable.Spec{{Kind: statetable.Region, Name: "region", MaxLength: config.MaxRegionLength}}
 	t, err := statetable.New(cfg, now)
@@ -81,7 +81,7 @@
 	}
 	w.owed = w.owed[:0]
 	c := w.table.Counts()
-	w.count.AddN(telemetry.WordBytes, int64(c.Bytes-w.counted.Bytes))
-	w.count.AddN(telemetry.WordRepairs, int64(c.Repairs-w.counted.Repairs))
+	w.count.AddN(telemetry.StateTableBytes, int64(c.Bytes-w.counted.Bytes))
+	w.count.AddN(telemetry.StateTableRepairs, int64(c.Repairs-w.counted.Repairs))
 	w.counted = c
 }
--- a/controller_test.go
+++ b/controller_test.go
@@ -771,14 +771,14 @@
 	}
 	slices.Sort(all)
 	root := math.Sqrt(cold+lineSpare*lineSpare/4) - lineSpare/2
-	start := slowstart.Start{Share: set.SlowStartCapacity, For: set.SlowStartWindow.Microseconds(), Multiple: set.OverloadMultiple, After: set.OverloadWindow.Microseconds()}
+	start := slowstart.Profile{InitialCapacity: set.SlowStartCapacity, Window: set.SlowStartWindow.Microseconds(), OverloadMultiple: set.OverloadMultiple, OverloadWindow: set.OverloadWindow.Microseconds()}
 	first := 0
 	for i, at := range all {
 		for at-all[first] > set.OverloadWindow {
 			first++
 		}
-		part, _ := start.Part((at - born).Microseconds())
-		n := start.Allowed(part * root * root / set.Classes[0].MeanHoldingTime.Seconds())
+		part, _ := start.CapacityAt((at - born).Microseconds())
+		n := start.MaxArrivals(part * root * root / set.Classes[0].MeanHoldingTime.Seconds())
 		worst = max(worst, float64(i-first+1)/(n+2*math.Sqrt(n)+2))
 	}
 	return worst
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -90,7 +90,7 @@
 type CallTable struct {
 	d       *Dispatcher
 	trunk   Inviter
-	count   *telemetry.Set
+	count   *telemetry.Counters
 	classes map[string]int
 	most    int
 	callID  func(id string) string
@@ -451,7 +451,7 @@
 	k.kept = append(k.kept, o)
 	k.tell((*seat).isProven)
 	if k.tellOverdue(); len(k.kept) > 0 {
-		k.count.Add(telemetry.ReleasesKept)
+		k.count.Add(telemetry.ReleasesPending)
 		k.tellLater()
 	}
 }
@@ -597,11 +597,11 @@
 			final.Call.End(CauseNormal)
 		}
 	case final.Kind == FinalRejected:
-		k.count.Add(telemetry.RefusedCalls)
+		k.count.Add(telemetry.RejectedCalls)
 	case final.Kind == FinalFailed:
 		k.count.Add(telemetry.FailedCalls)
 	default:
-		k.count.Stood(took, took <= k.d.engine.set.Classes[r.Class].LatencyObjective.Microseconds())
+		k.count.RecordEstablished(took, took <= k.d.engine.set.Classes[r.Class].LatencyObjective.Microseconds())
 		// ctx may be done: GiveUp crossed the answer. The call stands all the same.
 		cause, byPool := final.Call.WaitEnd(k.closed, call.released)
 		k.mu.Lock()
--- a/dispatch/desk_test.go
+++ b/dispatch/desk_test.go
@@ -134,7 +134,7 @@
 		deaf := r.connect()
 		deaf.plug()
 		r.desk.CallEnded("c1", 16)
-		if c := r.connect(); len(c.got().overs) != 1 || r.count.Get(telemetry.ReleasesKept) != 1 {
+		if c := r.connect(); len(c.got().overs) != 1 || r.count.Get(telemetry.ReleasesPending) != 1 {
 			t.Errorf("told %v", c.got().overs)
 		}
 		if c := r.connect(); len(c.got().overs) != 0 {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -26,7 +26,7 @@
 
 // Counters count what is taken in, sent and answered; the zero value is ready, and they log themselves as
 // a zerolog object. Wherever they are asked for, nil does without.
-type Counters = telemetry.Set
+type Counters = telemetry.Counters
 
 // Request is a call that wants a place.
 type Request struct {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -91,7 +91,7 @@
 	t     *testing.T
 	trunk *fakeTrunk
 	desk  *CallTable
-	count *telemetry.Set
+	count *telemetry.Counters
 }
 
 func bubble(t *testing.T, test func(r *rig)) {
@@ -101,7 +101,7 @@
 func onRig(t *testing.T, test func(r *rig)) { onRigWith(t, settings(), test) }
 
 func onRigWith(t *testing.T, set eidertrail.Settings, test func(r *rig)) {
-	count := &telemetry.Set{}
+	count := &telemetry.Counters{}
 	d, err := New(set, 1, 2_000_000, clock.New(), zerolog.Nop(), count)
 	if err != nil {
 		t.Fatal(err)
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -21,7 +21,7 @@
 type Engine struct {
 	set     eidertrail.Settings
 	most    int64 // longest time to come back after
-	count   *telemetry.Set
+	count   *telemetry.Counters
 	log     zerolog.Logger // at debug level a trace of all that the module is told and says
 	share   atomic.Uint64  // math.Float64bits of the share of calls turned away of late
 	shareAt atomic.Int64
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -51,7 +51,7 @@
 	pools map[string]*limited
 	next  int64 // demands are told then
 	log   zerolog.Logger
-	count *telemetry.Set
+	count *telemetry.Counters
 }
 
 // limited is a pool as its budget sees it.
@@ -123,8 +123,8 @@
 
 // whole is the set-ups a second that all controllers together may send the pool now; false: no budget.
 func (l *limits) whole(now int64, p *limited) (float64, bool) {
-	start := slowstart.Start{Share: l.set.SlowStartCapacity, For: l.set.SlowStartWindow.Microseconds()}
-	if part, cold := start.Part(now - p.born); p.born > 0 && cold {
+	start := slowstart.Profile{InitialCapacity: l.set.SlowStartCapacity, Window: l.set.SlowStartWindow.Microseconds()}
+	if part, cold := start.CapacityAt(now - p.born); p.born > 0 && cold {
 		warm := 0.0
 		if p.agents > 0 && l.hold > 0 {
 			warm = p.agents / l.hold
@@ -243,7 +243,7 @@
 		l.cfg.Source.Demand(now, uid, wants(p.rate, rate, units))
 		if d := units - p.share; d > whole/20 || -d > whole/20 {
 			p.share = units
-			l.count.Add(telemetry.ShareChanges)
+			l.count.Add(telemetry.QuotaChanges)
 			l.log.Info().Str("pool", uid).Int("units", units).Int("whole", whole).Float64("rate", math.Round(rate*10)/10).Msg("share")
 		}
 	}
--- a/dispatch/route.go
+++ b/dispatch/route.go
@@ -24,7 +24,7 @@
 	all    routing.Classes
 	told   map[string]offer // what the module was told of each pool that is listed
 	log    zerolog.Logger
-	count  *telemetry.Set
+	count  *telemetry.Counters
 	zoned  string // the last zone states logged
 	cached map[string]routing.Classes
 	at     int64 // cached holds for this reading
@@ -50,7 +50,7 @@
 }
 
 // newRouter returns the router of a site's settings, with routing off.
-func newRouter(set eidertrail.Settings, log zerolog.Logger, count *telemetry.Set) *router {
+func newRouter(set eidertrail.Settings, log zerolog.Logger, count *telemetry.Counters) *router {
 	var classes [][]int
 	for _, c := range set.Classes {
 		classes = append(classes, c.Pools)
--- a/dispatch/route_test.go
+++ b/dispatch/route_test.go
@@ -45,7 +45,7 @@
 func newZones(d *Dispatcher) *zones {
 	z := &zones{d: d, zoneOf: map[string]string{}, dark: map[string]bool{}, coldFrom: map[string]time.Time{},
 		holding: map[string]int{}, rules: invariant.New(invariant.Config{Release: 300_000, Sends: 2, Late: 20_000,
-			LeftGrace: 100_000, Start: slowstart.Start{Share: 3.0 / agents, For: coldFor.Microseconds(), Multiple: 3, After: 1_500_000}})}
+			LeftGrace: 100_000, Start: slowstart.Profile{InitialCapacity: 3.0 / agents, Window: coldFor.Microseconds(), OverloadMultiple: 3, OverloadWindow: 1_500_000}})}
 	for _, zone := range []string{"batumi", "tbilisi", "kutaisi", "telavi"} {
 		for _, n := range []string{"1", "2"} {
 			z.zoneOf[zone[:2]+n] = zone
@@ -205,7 +205,7 @@
 		set := settings()
 		set.Classes = []eidertrail.Class{{Name: "stop-sell", LatencyObjective: 1500 * time.Millisecond, Deadline: 6 * time.Second,
 			PriorityWeight: 5, MeanHoldingTime: standFor, Idempotency: eidertrail.Idempotent}}
-		count := &telemetry.Set{}
+		count := &telemetry.Counters{}
 		log := zerolog.Nop()
 		if os.Getenv("EIDERTRAIL_TRACE") != "" {
 			log = zerolog.New(os.Stderr)
--- a/dispatch/sites_test.go
+++ b/dispatch/sites_test.go
@@ -39,8 +39,8 @@
 	{"short of processors", 500 * time.Millisecond, 400 * time.Millisecond, 15 * time.Second, 0.29, 3, 3 * time.Second, 1200 * time.Millisecond, 9 * time.Second, 0},
 }
 
-func (s site) start() slowstart.Start {
-	return slowstart.Start{Share: s.share, For: s.cold.Microseconds(), Multiple: s.multi, After: s.after.Microseconds()}
+func (s site) start() slowstart.Profile {
+	return slowstart.Profile{InitialCapacity: s.share, Window: s.cold.Microseconds(), OverloadMultiple: s.multi, OverloadWindow: s.after.Microseconds()}
 }
 
 // fleet is several controllers in one bubble that share stand-in pools with processors.
@@ -75,7 +75,7 @@
 			set := eidertrail.Settings{Nodes: told, Index: i % told, OwnExchange: -1, ReleaseWait: s.release, RetransmitInterval: s.resend, MaxAttempts: 4,
 				SlowStartWindow: s.cold, SlowStartCapacity: s.share, OverloadMultiple: s.multi, OverloadWindow: s.after, Tick: time.Millisecond,
 				Classes: []eidertrail.Class{{Name: "lookup", LatencyObjective: s.aim, Deadline: s.give, PriorityWeight: 1, MeanHoldingTime: 8 * time.Second}}}
-			d, err := New(set, 7, 2_000_000, clock.New(), zerolog.Nop(), &telemetry.Set{})
+			d, err := New(set, 7, 2_000_000, clock.New(), zerolog.Nop(), &telemetry.Counters{})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/backend/sip/sip.go
+++ b/internal/backend/sip/sip.go
@@ -11,8 +11,8 @@
 	"strings"
 )
 
-// Most is the most bytes that a message may have, head and body.
-const Most = 16 << 10
+// MaxMessage is the most bytes that a message may have, head and body.
+const MaxMessage = 16 << 10
 
 // blanks are what may stand round a header's name and value (RFC 3261, 25.1). Guards against a class whose name begins
 // or ends with a blank of Unicode losing it.
@@ -55,7 +55,7 @@
 // Read reads one message. Errors that are neither ErrFraming nor ErrMalformed are the connection's.
 func Read(r *bufio.Reader) (*Message, error) {
 	m := &Message{}
-	left := Most
+	left := MaxMessage
 	first, err := readLine(r, &left)
 	for err == nil && first == "" { // line ends between messages keep a connection alive
 		first, err = readLine(r, &left)
--- a/internal/backend/sip/sip_test.go
+++ b/internal/backend/sip/sip_test.go
@@ -44,20 +44,20 @@
 func TestReadBad(t *testing.T) {
 	const end = "Content-Length: 0\r\n\r\n"
 	for text, want := range map[string]error{
-		"NOTIFY x SIP/2.0\r\n\r\n":                                     ErrFraming,
-		"NOTIFY x SIP/2.0\r\nContent-Length: x\r\n\r\n":                ErrFraming,
-		"NOTIFY x SIP/2.0\r\nContent-Length: -1\r\n\r\n":               ErrFraming,
-		"NOTIFY x SIP/2.0\r\nContent-Length: 1\r\n" + end:              ErrFraming,
-		"NOTIFY x SIP/2.0\r\nContent-Length: 16384\r\n\r\n":            ErrFraming,
-		"NOTIFY x SIP/2.0\r\nX: " + strings.Repeat("x", Most) + "\r\n": ErrFraming,
-		"NOTIFY x HTTP/1.1\r\n" + end:                                  ErrMalformed,
-		"SIP/2.0 99 Odd\r\n" + end:                                     ErrMalformed,
-		"SIP/2.0 OK\r\n" + end:                                         ErrMalformed,
-		"SIP/2.0 200 OK\r\n" + end:                                     ErrMalformed,
-		"SIP/2.0 200 OK\r\nCall-ID: a\r\nCSeq: INVITE\r\n" + end:       ErrMalformed,
-		"NOTIFY x SIP/2.0\r\nno colon\r\n" + end:                       ErrMalformed,
-		"NOTIFY x SIP/2.0\r\nContent-Length: 4\r\n\r\nab":              io.ErrUnexpectedEOF,
-		"NOTIFY x SIP/2.0\r\nConte":                                    io.EOF,
+		"NOTIFY x SIP/2.0\r\n\r\n":                                           ErrFraming,
+		"NOTIFY x SIP/2.0\r\nContent-Length: x\r\n\r\n":                      ErrFraming,
+		"NOTIFY x SIP/2.0\r\nContent-Length: -1\r\n\r\n":                     ErrFraming,
+		"NOTIFY x SIP/2.0\r\nContent-Length: 1\r\n" + end:                    ErrFraming,
+		"NOTIFY x SIP/2.0\r\nContent-Length: 16384\r\n\r\n":                  ErrFraming,
+		"NOTIFY x SIP/2.0\r\nX: " + strings.Repeat("x", MaxMessage) + "\r\n": ErrFraming,
+		"NOTIFY x HTTP/1.1\r\n" + end:                                        ErrMalformed,
+		"SIP/2.0 99 Odd\r\n" + end:                                           ErrMalformed,
+		"SIP/2.0 OK\r\n" + end:                                               ErrMalformed,
+		"SIP/2.0 200 OK\r\n" + end:                                           ErrMalformed,
+		"SIP/2.0 200 OK\r\nCall-ID: a\r\nCSeq: INVITE\r\n" + end:             ErrMalformed,
+		"NOTIFY x SIP/2.0\r\nno colon\r\n" + end:                             ErrMalformed,
+		"NOTIFY x SIP/2.0\r\nContent-Length: 4\r\n\r\nab":                    io.ErrUnexpectedEOF,
+		"NOTIFY x SIP/2.0\r\nConte":                                          io.EOF,
 	} {
 		if m, err := read(text); !errors.Is(err, want) {
 			t.Errorf("%.60q: %+v, %v, want %v", text, m, err, want)
@@ -95,7 +95,7 @@
 			if err != nil {
 				return
 			}
-			if len(m.Body) > Most {
+			if len(m.Body) > MaxMessage {
 				t.Fatalf("a body of %d bytes", len(m.Body))
 			}
 			again := *m
--- a/internal/backend/sippool/conn.go
+++ b/internal/backend/sippool/conn.go
@@ -132,7 +132,7 @@
 	}
 	p.mu.Unlock()
 	p.lose(cut)
-	p.set.cfg.Count.Add(telemetry.PoolConnections)
+	p.set.cfg.Counters.Add(telemetry.PoolConnections)
 	p.set.cfg.Log.Debug().Str("pool", p.uid).Str("address", address).Msg("connected")
 
 	serving, end := context.WithCancel(p.set.ctx)
@@ -198,7 +198,7 @@
 	if ctx.Err() != nil {
 		return next, 0
 	}
-	p.set.cfg.Count.Add(telemetry.QuietPools)
+	p.set.cfg.Counters.Add(telemetry.UnresponsivePools)
 	p.mu.Lock()
 	c.silent, c.quietFrom = true, from
 	p.mu.Unlock()
@@ -231,7 +231,7 @@
 		case queued:
 			d.finish(dispatch.Ending{Outcome: dispatch.NotSent, At: now, Load: dispatch.UnknownLoad})
 		case out:
-			p.set.cfg.Count.Add(telemetry.Resets)
+			p.set.cfg.Counters.Add(telemetry.Resets)
 			// It may have run, and its answer may be what was spoilt: what stands there stands for nobody.
 			p.bye(k, bye(p.set.cfg.Name, k, d.number, dispatch.CauseNormal))
 			d.finish(dispatch.Ending{Outcome: dispatch.Reset, At: now, Load: dispatch.UnknownLoad})
@@ -343,7 +343,7 @@
 	case c.queue <- i:
 		return true
 	default:
-		c.pool.set.cfg.Count.Add(telemetry.SlowReaders)
+		c.pool.set.cfg.Counters.Add(telemetry.SlowReaders)
 		c.close()
 		return false
 	}
@@ -403,7 +403,7 @@
 			err = c.handle(m)
 		}
 		if errors.Is(err, sip.ErrMalformed) || errors.Is(err, sip.ErrFraming) || errors.Is(err, os.ErrDeadlineExceeded) {
-			c.pool.set.cfg.Count.Add(telemetry.BadSIP)
+			c.pool.set.cfg.Counters.Add(telemetry.BadSIP)
 			c.pool.set.cfg.Log.Warn().Str("pool", c.pool.uid).Err(err).Msg("bad SIP message")
 		}
 		if err != nil {
@@ -448,10 +448,10 @@
 		p.settle(now)
 	}
 	p.trace("in", m.Method, m.Of, m.Status, m.CallID)
-	if p.set.cfg.ReportRate != "" && p.set.cfg.Rate != nil {
+	if p.set.cfg.ReportCapacity != "" && p.set.cfg.OnCapacity != nil {
 		sip.Report(m.Get("x-state"), func(name string, v float64) {
-			if name == p.set.cfg.ReportRate && v >= 0 {
-				p.set.cfg.Rate(p.uid, v)
+			if name == p.set.cfg.ReportCapacity && v >= 0 {
+				p.set.cfg.OnCapacity(p.uid, v)
 			}
 		})
 	}
@@ -463,16 +463,16 @@
 		delete(c.unheard, m.CallID)
 		p.mu.Unlock()
 	case m.Method == "NOTIFY":
-		p.set.cfg.Count.Add(telemetry.Notifies)
+		p.set.cfg.Counters.Add(telemetry.Notifies)
 		if c.toldAt > 0 {
 			p.heardAfter(now - c.toldAt)
 		}
 		c.toldAt = now
-		if s, any := p.set.state(m); any && p.set.cfg.Observe != nil {
-			p.set.cfg.Observe(p.uid, s)
+		if s, any := p.set.state(m); any && p.set.cfg.OnLoadReport != nil {
+			p.set.cfg.OnLoadReport(p.uid, s)
 		}
 	case m.Method == "BYE":
-		p.set.cfg.Count.Add(telemetry.ByesIn)
+		p.set.cfg.Counters.Add(telemetry.ByesIn)
 		c.send(sip.Answer(m, 200, "OK").Append(nil))
 		state, _ := p.set.state(m)
 		p.mu.Lock()
@@ -481,10 +481,10 @@
 		cause := m.Cause()
 		if g == nil {
 			if m.CallID != "" && !p.set.isEnded(m.CallID) {
-				p.set.cfg.Count.Add(telemetry.StrayByes)
+				p.set.cfg.Counters.Add(telemetry.UnmatchedByes)
 				p.set.remember(m.CallID)
-				if p.set.cfg.Stray != nil {
-					p.set.cfg.Stray(m.CallID, max(cause, dispatch.CauseNormal))
+				if p.set.cfg.OnUnmatchedRelease != nil {
+					p.set.cfg.OnUnmatchedRelease(m.CallID, max(cause, dispatch.CauseNormal))
 				}
 			}
 			return nil
@@ -500,7 +500,7 @@
 		c.send(sip.Answer(m, 200, "OK").Append(nil))
 	case m.Method == "ACK":
 	default:
-		p.set.cfg.Count.Add(telemetry.BadSIP)
+		p.set.cfg.Counters.Add(telemetry.BadSIP)
 		p.set.cfg.Log.Warn().Str("pool", p.uid).Str("method", m.Method).Msg("SIP method not known")
 		c.send(sip.Answer(m, 501, "Not Implemented").Append(nil))
 	}
@@ -561,15 +561,15 @@
 	default:
 		// Guards against an agent that is held for nobody: the answer crossed the CANCEL.
 		delete(c.dialogs, m.CallID)
-		p.set.cfg.Count.Add(telemetry.LateAnswers)
-		p.set.cfg.Count.Add(telemetry.ByesOut)
+		p.set.cfg.Counters.Add(telemetry.LateAnswers)
+		p.set.cfg.Counters.Add(telemetry.ByesOut)
 		c.send(bye(name, m.CallID, number, dispatch.CauseNormal))
 	}
 	return nil
 }
 
 // refusal maps a final answer that is no 200.
-func (s *Set) refusal(now int64, m *sip.Message, state dispatch.LoadReport) dispatch.Ending {
+func (s *Pools) refusal(now int64, m *sip.Message, state dispatch.LoadReport) dispatch.Ending {
 	e := dispatch.Ending{Outcome: dispatch.Errored, At: now, Load: state}
 	note := m.Get("x-note")
 	count := telemetry.PoolErrors
@@ -589,12 +589,12 @@
 	if note == "occupied" {
 		e.Outcome = dispatch.LinesBusy
 	}
-	s.cfg.Count.Add(count)
+	s.cfg.Counters.Add(count)
 	return e
 }
 
 // state reads the report that a message carries, and tells whether there is any.
-func (s *Set) state(m *sip.Message) (dispatch.LoadReport, bool) {
+func (s *Pools) state(m *sip.Message) (dispatch.LoadReport, bool) {
 	text := m.Get("x-state")
 	if text == "" && m.Method == "NOTIFY" {
 		text = string(m.Body)
--- a/internal/backend/sippool/pool.go
+++ b/internal/backend/sippool/pool.go
@@ -25,19 +25,19 @@
 	ConnectTimeout int64  // microseconds
 	ReportFree     string // names of the report fields that hold the free agents
 	ReportAgents   string // and their number
-	ReportRate     string // and the set-ups a second that the pool can take from all, "" for none
+	ReportCapacity string // and the set-ups a second that the pool can take from all, "" for none
 	Clock          dispatch.Clock
 	Log            zerolog.Logger
-	Count          *telemetry.Set
+	Counters       *telemetry.Counters
 
 	// Dial opens a connection; nil: TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
-	// Observe is told a pool's state when it comes unasked.
-	Observe func(uid string, s dispatch.LoadReport)
-	// Rate is told ReportRate, of any message that carries it.
-	Rate func(uid string, rate float64)
-	// Stray is told of a release by a pool of a call that this process did not set up.
-	Stray func(id string, cause int)
+	// OnLoadReport is told a pool's state when it comes unasked.
+	OnLoadReport func(uid string, s dispatch.LoadReport)
+	// OnCapacity is told ReportRate, of any message that carries it.
+	OnCapacity func(uid string, rate float64)
+	// OnUnmatchedRelease is told of a release by a pool of a call that this process did not set up.
+	OnUnmatchedRelease func(id string, cause int)
 }
 
 const (
@@ -96,8 +96,8 @@
 	mostEnded = 1024
 )
 
-// Set is the sync pools that are listed, and for a second those that were removed.
-type Set struct {
+// Pools is the sync pools that are listed, and for a second those that were removed.
+type Pools struct {
 	cfg Config
 	ctx context.Context
 	wg  sync.WaitGroup
@@ -107,8 +107,8 @@
 	ended *past.Names
 }
 
-// NewSet returns an empty set. Its connections end when ctx is done; Wait waits for that.
-func NewSet(ctx context.Context, cfg Config) *Set {
+// New returns an empty set. Its connections end when ctx is done; Wait waits for that.
+func New(ctx context.Context, cfg Config) *Pools {
 	if cfg.Dial == nil {
 		dialer := net.Dialer{
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3},
@@ -117,16 +117,16 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
-	return &Set{cfg: cfg, ctx: ctx, pools: map[string]*pool{}, ended: past.New(mostEnded)}
+	return &Pools{cfg: cfg, ctx: ctx, pools: map[string]*pool{}, ended: past.New(mostEnded)}
 }
 
 // Wait returns when every goroutine of the set has ended.
-func (s *Set) Wait() { s.wg.Wait() }
+func (s *Pools) Wait() { s.wg.Wait() }
 
 // Apply takes an event of the bulletin and tells the lines of the list that it changes. From then on no
 // INVITE is written to a pool that drains or is gone. A new pool is told of before it is connected to,
 // so that nothing is heard from a pool of which nobody knows.
-func (s *Set) Apply(e endpointlist.Event, tell func([]dispatch.Endpoint)) {
+func (s *Pools) Apply(e endpointlist.Event, tell func([]dispatch.Endpoint)) {
 	now := s.cfg.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -172,7 +172,7 @@
 }
 
 // Connected tells how many of the pools that are up have a connection, and how many are up.
-func (s *Set) Connected() (connected, up int) {
+func (s *Pools) Connected() (connected, up int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.pools {
@@ -188,8 +188,8 @@
 	return connected, up
 }
 
-// Standing is the number of calls that stand.
-func (s *Set) Standing() int {
+// EstablishedCalls is the number of calls that stand.
+func (s *Pools) EstablishedCalls() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := 0
@@ -203,7 +203,7 @@
 
 // Busy tells whether calls stand at the pool or set-ups are out there: a pool that drains is done when
 // neither is so. An unknown pool is not busy.
-func (s *Set) Busy(uid string) bool {
+func (s *Pools) Busy(uid string) bool {
 	s.mu.Lock()
 	p := s.pools[uid]
 	s.mu.Unlock()
@@ -215,10 +215,10 @@
 	return len(p.standing) > 0 || p.conn != nil && len(p.conn.dialogs) > 0
 }
 
-// ReleaseStray passes on a caller's release of a call that this process did not set up: it may have
+// ReleaseUnmatched passes on a caller's release of a call that this process did not set up: it may have
 // been by the one before a restart, and only the pools know where it stands. It does nothing for a
 // call that has just ended.
-func (s *Set) ReleaseStray(id string, cause int) {
+func (s *Pools) ReleaseUnmatched(id string, cause int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ended.Has(id) {
@@ -234,20 +234,20 @@
 }
 
 // remember notes a call that is over.
-func (s *Set) remember(id string) {
+func (s *Pools) remember(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ended.Add(id)
 }
 
-func (s *Set) isEnded(id string) bool {
+func (s *Pools) isEnded(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.ended.Has(id)
 }
 
 // Invite implements dispatch.Trunk.
-func (s *Set) Invite(ctx context.Context, a dispatch.Attempt) (dispatch.Leg, dispatch.Ending) {
+func (s *Pools) Invite(ctx context.Context, a dispatch.Attempt) (dispatch.Leg, dispatch.Ending) {
 	s.mu.Lock()
 	p := s.pools[a.Pool]
 	s.mu.Unlock()
@@ -257,13 +257,13 @@
 	return p.invite(ctx, a)
 }
 
-func (s *Set) ending(o dispatch.Outcome) dispatch.Ending {
+func (s *Pools) ending(o dispatch.Outcome) dispatch.Ending {
 	return dispatch.Ending{Outcome: o, At: s.cfg.Clock.Now(), Load: dispatch.UnknownLoad}
 }
 
 // pool is one sync pool. Lock order: Set.mu, pool.mu.
 type pool struct {
-	set  *Set
+	set  *Pools
 	uid  string
 	kick chan struct{} // wakes run
 
@@ -285,7 +285,7 @@
 	byes              []item // releases that wait for a connection
 }
 
-func newPool(s *Set, l endpointlist.Endpoint) *pool {
+func newPool(s *Pools, l endpointlist.Endpoint) *pool {
 	return &pool{set: s, uid: l.UID, listed: l, kick: make(chan struct{}, 1), dialled: make(chan struct{}),
 		downSince: s.cfg.Clock.Now(), standing: map[string]*leg{}}
 }
@@ -374,7 +374,7 @@
 func (p *pool) cut(legs []*leg) {
 	for _, g := range legs {
 		if g.end(dispatch.Ending{Outcome: dispatch.Reset, At: p.set.cfg.Clock.Now(), Load: dispatch.UnknownLoad, Cause: dispatch.CauseCut}) {
-			p.set.cfg.Count.Add(telemetry.CutCalls)
+			p.set.cfg.Counters.Add(telemetry.CutCalls)
 		}
 	}
 }
@@ -438,7 +438,7 @@
 	}
 	p.mu.Unlock()
 	for _, g := range legs {
-		p.set.cfg.Count.Add(telemetry.DoubtedCalls)
+		p.set.cfg.Counters.Add(telemetry.UncertainCalls)
 		p.set.cfg.Log.Warn().Str("pool", p.uid).Str("call", g.id).Msg("end of call may have been lost, it is released")
 		g.release(dispatch.Ending{Outcome: dispatch.Reset, At: now, Load: dispatch.UnknownLoad, Cause: dispatch.CauseCut})
 	}
--- a/internal/backend/sippool/pool_test.go
+++ b/internal/backend/sippool/pool_test.go
@@ -23,7 +23,7 @@
 
 // rig is a set with one stand-in pool, p1, that is up. What the pool gets is in got.
 type rig struct {
-	*Set
+	*Pools
 	t       *testing.T
 	at      *fakeplatform.Pool
 	clock   *clock.Clock
@@ -48,14 +48,14 @@
 		defer r.mu.Unlock()
 		r.got = append(r.got, q)
 	}
-	r.Set = NewSet(ctx, Config{
+	r.Pools = New(ctx, Config{
 		Name: "n0", ConnectTimeout: 500_000, ReportFree: "idle", ReportAgents: "circuits", Clock: r.clock,
-		Log: zerolog.Nop(), Count: &telemetry.Set{}, Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		Log: zerolog.Nop(), Counters: &telemetry.Counters{}, Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			r.dials.Add(1)
 			return r.at.Dial(ctx, address)
 		},
-		Observe: func(uid string, s dispatch.LoadReport) { r.note(&r.seen, uid) },
-		Stray:   func(id string, _ int) { r.note(&r.strays, id) },
+		OnLoadReport:       func(uid string, s dispatch.LoadReport) { r.note(&r.seen, uid) },
+		OnUnmatchedRelease: func(id string, _ int) { r.note(&r.strays, id) },
 	})
 	r.list("p1", "10.0.0.1:5060", endpointlist.Up)
 	synctest.Wait()
@@ -142,15 +142,15 @@
 		q.Answer(180, "", "")
 		q.Answer(200, "", "answer\r\n")
 		r.want(x, dispatch.Answered)
-		if x.leg.SDP() != "answer\r\n" || r.Standing() != 1 {
-			t.Errorf("description %q, %d standing", x.leg.SDP(), r.Standing())
+		if x.leg.SDP() != "answer\r\n" || r.EstablishedCalls() != 1 {
+			t.Errorf("description %q, %d standing", x.leg.SDP(), r.EstablishedCalls())
 		}
 		q.Answer(200, "", "answer\r\n") // said again: acknowledged again
 		r.wantSent("INVITE ACK ACK")
 		q.Bye(41)
 		synctest.Wait()
 		<-x.leg.Done()
-		if e := x.leg.Ending(); e.Outcome != dispatch.Reset || e.Cause != 41 || r.Standing() != 0 {
+		if e := x.leg.Ending(); e.Outcome != dispatch.Reset || e.Cause != 41 || r.EstablishedCalls() != 0 {
 			t.Errorf("ending %+v", e)
 		}
 		q.Bye(41) // the second one is of a call that is known to be over
@@ -208,7 +208,7 @@
 		// Guards against an agent held for nobody: a 200 that crosses the CANCEL is acknowledged and released.
 		q.Answer(200, "", "late\r\n")
 		r.wantSent("INVITE CANCEL ACK BYE")
-		if r.Standing() != 0 {
+		if r.EstablishedCalls() != 0 {
 			t.Error("the late answer stands")
 		}
 		r.invite("c1", 1, time.Second) // nothing can be mistaken any more
@@ -260,8 +260,8 @@
 		r.at.Drop()
 		r.want(y, dispatch.Reset)
 		time.Sleep(time.Second)
-		if r.Standing() != 1 || r.at.Open() != 1 {
-			t.Fatalf("%d standing, %d connections", r.Standing(), r.at.Open())
+		if r.EstablishedCalls() != 1 || r.at.Open() != 1 {
+			t.Fatalf("%d standing, %d connections", r.EstablishedCalls(), r.at.Open())
 		}
 		r.at.Bye("c1", 16) // its release comes on the next connection
 		synctest.Wait()
@@ -297,8 +297,8 @@
 		r.at.Refuse(false, false)
 		time.Sleep(600 * time.Millisecond)
 		synctest.Wait()
-		if r.Standing() != 0 || r.at.Open() != 1 {
-			t.Errorf("%d stand, %d connections", r.Standing(), r.at.Open())
+		if r.EstablishedCalls() != 0 || r.at.Open() != 1 {
+			t.Errorf("%d stand, %d connections", r.EstablishedCalls(), r.at.Open())
 		}
 	})
 	bubble(t, func(r *rig) { // a machine that vanished: its connection stays open and quiet, new ones never come up
@@ -307,14 +307,14 @@
 		r.want(x, dispatch.Answered)
 		time.Sleep(10 * time.Second) // quiet, but it takes connections
 		synctest.Wait()
-		if r.Standing() != 1 {
+		if r.EstablishedCalls() != 1 {
 			t.Error("cut while its machine was there")
 		}
 		r.at.Refuse(false, true)
 		time.Sleep(8 * time.Second)
 		synctest.Wait()
-		if r.Standing() != 0 || x.leg.Ending().Outcome != dispatch.Reset {
-			t.Errorf("%d stand 8 s after the machine vanished", r.Standing())
+		if r.EstablishedCalls() != 0 || x.leg.Ending().Outcome != dispatch.Reset {
+			t.Errorf("%d stand 8 s after the machine vanished", r.EstablishedCalls())
 		}
 	})
 	bubble(t, func(r *rig) { // silent: the attempt ends with the connect time-out
@@ -365,7 +365,7 @@
 			}
 			r.want(x, want)
 		}
-		if n := r.cfg.Count.Get(telemetry.StaleStopped); n != 1 {
+		if n := r.cfg.Counters.Get(telemetry.StaleStopped); n != 1 {
 			t.Errorf("%d set-ups stopped as stale", n)
 		}
 	})
@@ -514,8 +514,8 @@
 		}
 		r.list("p1", "", endpointlist.Removed) // said again, of one that is forgotten
 		synctest.Wait()
-		if len(r.Set.pools) != 1 || r.at.Open() != 1 {
-			t.Fatalf("%d pools kept, %d connections, want those of p4", len(r.Set.pools), r.at.Open())
+		if len(r.Pools.pools) != 1 || r.at.Open() != 1 {
+			t.Fatalf("%d pools kept, %d connections, want those of p4", len(r.Pools.pools), r.at.Open())
 		}
 		r.list("p4", "", endpointlist.Removed)
 		x := r.invite("c1", 0, time.Minute)
@@ -538,7 +538,7 @@
 		time.Sleep(2 * time.Second)
 		r.want(x, dispatch.ConnectFailed)
 		r.want(y, dispatch.ConnectFailed)
-		if r.Set.pools["p1"] != nil {
+		if r.Pools.pools["p1"] != nil {
 			t.Error("the pool is kept")
 		}
 	})
@@ -570,9 +570,9 @@
 		if len(r.seen) != 1 || len(r.strays) != 1 || r.strays[0] != "00000000000000aa" {
 			t.Errorf("seen %v, strays %v", r.seen, r.strays)
 		}
-		r.ReleaseStray("00000000000000aa", 16) // it has just ended: nothing to pass on
+		r.ReleaseUnmatched("00000000000000aa", 16) // it has just ended: nothing to pass on
 		r.wantSent("")
-		r.ReleaseStray("00000000000000bb", 16)
+		r.ReleaseUnmatched("00000000000000bb", 16)
 		r.wantSent("BYE")
 	})
 }
@@ -621,8 +621,8 @@
 				time.Sleep(messageWithin + 100*time.Millisecond)
 				r.want(x, dispatch.Reset)
 				r.want(y, dispatch.Reset)
-				if got, _ := r.sent(); !strings.HasSuffix(got, "BYE BYE") || r.Standing() != 0 {
-					t.Errorf("pool got %q, %d stand", got, r.Standing())
+				if got, _ := r.sent(); !strings.HasSuffix(got, "BYE BYE") || r.EstablishedCalls() != 0 {
+					t.Errorf("pool got %q, %d stand", got, r.EstablishedCalls())
 				}
 			})
 		})
@@ -834,8 +834,8 @@
 			}
 			time.Sleep(6 * time.Second)
 			synctest.Wait()
-			if r.Standing() != 1 || r.at.Open() != 1 {
-				t.Fatalf("%s: %d stand, %d connections", name, r.Standing(), r.at.Open())
+			if r.EstablishedCalls() != 1 || r.at.Open() != 1 {
+				t.Fatalf("%s: %d stand, %d connections", name, r.EstablishedCalls(), r.at.Open())
 			}
 			r.at.Bye("c1", 16)
 			synctest.Wait()
@@ -851,16 +851,16 @@
 		r.at.Drop()
 		time.Sleep(1200 * time.Millisecond)
 		synctest.Wait()
-		if r.Standing() != 0 || x.leg.Ending().Cause != dispatch.CauseCut {
-			t.Errorf("%d stand 1.2 s after the process has stopped", r.Standing())
+		if r.EstablishedCalls() != 0 || x.leg.Ending().Cause != dispatch.CauseCut {
+			t.Errorf("%d stand 1.2 s after the process has stopped", r.EstablishedCalls())
 		}
 	})
 	bubble(t, func(r *rig) { // it has stopped, and its reset was lost
 		x := stand(r)
 		time.Sleep(8 * time.Second)
 		synctest.Wait()
-		if r.Standing() != 0 || x.leg.Ending().Cause != dispatch.CauseCut {
-			t.Errorf("%d stand 8 s after the pool was last heard", r.Standing())
+		if r.EstablishedCalls() != 0 || x.leg.Ending().Cause != dispatch.CauseCut {
+			t.Errorf("%d stand 8 s after the pool was last heard", r.EstablishedCalls())
 		}
 	})
 	bubble(t, func(r *rig) { // a set-up that times out in the quiet takes no call with it
@@ -869,8 +869,8 @@
 		y := r.invite("c2", 0, 300*time.Millisecond)
 		time.Sleep(2 * time.Second)
 		r.want(y, dispatch.TimedOut)
-		if r.Standing() != 1 || r.at.Open() != 1 {
-			t.Fatalf("%d stand, %d connections after a time-out", r.Standing(), r.at.Open())
+		if r.EstablishedCalls() != 1 || r.at.Open() != 1 {
+			t.Fatalf("%d stand, %d connections after a time-out", r.EstablishedCalls(), r.at.Open())
 		}
 	})
 	bubble(t, func(r *rig) { // it takes connections again: the next is open before the quiet one is closed, and served
@@ -879,12 +879,12 @@
 		r.at.Refuse(false, false)
 		time.Sleep(time.Second)
 		synctest.Wait()
-		if r.Standing() != 1 || r.at.Dialled() < 2 {
-			t.Fatalf("%d stand, %d connections were opened", r.Standing(), r.at.Dialled())
+		if r.EstablishedCalls() != 1 || r.at.Dialled() < 2 {
+			t.Fatalf("%d stand, %d connections were opened", r.EstablishedCalls(), r.at.Dialled())
 		}
 		r.at.Bye("c1", 16)
 		synctest.Wait()
-		if r.Standing() != 0 {
+		if r.EstablishedCalls() != 0 {
 			t.Error("the end told on the next connection was not heard")
 		}
 	})
@@ -939,8 +939,8 @@
 		r.want(y, dispatch.Answered)
 		time.Sleep(5 * time.Second) // it goes quiet too
 		synctest.Wait()
-		if got, _ := r.sent(); got != "INVITE BYE INVITE ACK" || r.Standing() != 1 || r.at.Dialled() < 3 {
-			t.Errorf("pool got %q on %d connections, %d stand", got, r.at.Dialled(), r.Standing())
+		if got, _ := r.sent(); got != "INVITE BYE INVITE ACK" || r.EstablishedCalls() != 1 || r.at.Dialled() < 3 {
+			t.Errorf("pool got %q on %d connections, %d stand", got, r.at.Dialled(), r.EstablishedCalls())
 		}
 	})
 }
@@ -1019,7 +1019,7 @@
 					if x != nil && x.done && x.leg != nil {
 						legs = 1
 					}
-					if n := r.Standing(); n > legs || n > 0 && released {
+					if n := r.EstablishedCalls(); n > legs || n > 0 && released {
 						t.Fatalf("%d stand, %d were handed over, released %v", n, legs, released)
 					}
 				})
--- a/internal/endpoint/endpointlist/bulletin.go
+++ b/internal/endpoint/endpointlist/bulletin.go
@@ -143,11 +143,11 @@
 // Watch calls tell with each event that is later than known, which was told already, in order and once each, until ctx
 // is done. A Move has it ask elsewhere from then on; the numbers continue. Without an address it waits for one. When
 // the numbers go back, what the bulletin has and did not tell before is told, but for what a later line has outdated.
-func Watch(ctx context.Context, address string, known Page, moves <-chan AddressChange, now *clock.Clock, log zerolog.Logger, count *telemetry.Set, tell func(Event)) {
+func Watch(ctx context.Context, address string, known Page, moves <-chan AddressChange, now *clock.Clock, log zerolog.Logger, count *telemetry.Counters, tell func(Event)) {
 	newWatch(known, now, log, count, tell).follow(ctx, address, moves)
 }
 
-func newWatch(known Page, now *clock.Clock, log zerolog.Logger, count *telemetry.Set, tell func(Event)) *watch {
+func newWatch(known Page, now *clock.Clock, log zerolog.Logger, count *telemetry.Counters, tell func(Event)) *watch {
 	w := &watch{after: known.Version, now: now, log: log, count: count, tell: tell, dial: (&net.Dialer{Timeout: dialWithin}).DialContext}
 	for _, e := range known.Events {
 		w.fence.seen(e)
@@ -186,7 +186,7 @@
 	fence fence
 	now   *clock.Clock
 	log   zerolog.Logger
-	count *telemetry.Set
+	count *telemetry.Counters
 	tell  func(Event)
 }
 
@@ -199,7 +199,7 @@
 			if w.fence.seen(e) {
 				continue
 			}
-			w.count.Add(telemetry.BulletinEvents)
+			w.count.Add(telemetry.EndpointListEvents)
 			w.tell(w.fence.pass(e, p.number(e)))
 		}
 	}
@@ -230,7 +230,7 @@
 		began := w.now.Now()
 		page, err := w.fetch(ctx, client, address)
 		if errors.Is(err, ErrInvalidEndpoint) { // asking again would bring it again
-			w.count.Add(telemetry.BulletinErrors)
+			w.count.Add(telemetry.EndpointListErrors)
 			w.log.Warn().Err(err).Msg("bulletin read in part")
 			err = nil
 		}
@@ -238,7 +238,7 @@
 			if ctx.Err() != nil {
 				return
 			}
-			w.count.Add(telemetry.BulletinErrors)
+			w.count.Add(telemetry.EndpointListErrors)
 			pause := max(retry-time.Duration(w.now.Now()-began)*time.Microsecond, retryMin)
 			w.log.Warn().Err(err).Dur("again_in", pause).Msg("bulletin not read")
 			sleep(ctx, pause)
--- a/internal/endpoint/endpointlist/bulletin_test.go
+++ b/internal/endpoint/endpointlist/bulletin_test.go
@@ -73,13 +73,13 @@
 	}))
 	defer s.Close()
 	var told []int64
-	count := &telemetry.Set{}
+	count := &telemetry.Counters{}
 	Watch(ctx, strings.TrimPrefix(s.URL, "http://"), Page{Version: 3}, nil, clock.New(), zerolog.Nop(), count, func(e Event) { told = append(told, e.Version) })
 	if got := fmt.Sprint(told); got != "[4 5 1]" {
 		t.Errorf("told %s", got)
 	}
-	if got := fmt.Sprint(asked); got != "[3 4 4 4 4 5 1]" || count.Get(telemetry.BulletinErrors) != 2 {
-		t.Errorf("asked after %s, %d errors", got, count.Get(telemetry.BulletinErrors))
+	if got := fmt.Sprint(asked); got != "[3 4 4 4 4 5 1]" || count.Get(telemetry.EndpointListErrors) != 2 {
+		t.Errorf("asked after %s, %d errors", got, count.Get(telemetry.EndpointListErrors))
 	}
 }
 
--- a/internal/fleet/gossip/characterization_test.go
+++ b/internal/fleet/gossip/characterization_test.go
@@ -175,7 +175,7 @@
 	var written strings.Builder
 	first, third := newPeer(t, "member-0", &written), newPeer(t, "member-2", &written)
 	told := &heard{}
-	counters := &telemetry.Set{}
+	counters := &telemetry.Counters{}
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	runner, err := gossip.Start(ctx, gossip.Config{Node: swim.Default(self, 3), Listen: "127.0.0.1:0", Fleet: fleetName,
@@ -275,7 +275,7 @@
 		{"node", func(c *gossip.Config) { c.Node.Interval = 0 }},
 	} {
 		config := gossip.Config{Node: swim.Default(0, 2), Listen: "127.0.0.1:0", Peers: []string{"127.0.0.1:1", "127.0.0.1:2"},
-			Clock: standingClock{}, Counters: &telemetry.Set{}, Log: zerolog.Nop()}
+			Clock: standingClock{}, Counters: &telemetry.Counters{}, Log: zerolog.Nop()}
 		c.change(&config)
 		if _, err := gossip.Start(t.Context(), config); err != nil {
 			fmt.Fprintf(&text, "%s: %s\n", c.name, err.Error())
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -28,7 +28,7 @@
 	Seed        uint64
 	Clock       interface{ Now() int64 } // µs, never backwards
 	Log         zerolog.Logger
-	Counters    *telemetry.Set
+	Counters    *telemetry.Counters
 	// Receive takes the bodies that members send with Send, View the members whenever one has changed. Both are
 	// called by the loop, and must not block.
 	Receive func(now int64, from int, body []byte)
--- a/internal/frontend/health/characterization_test.go
+++ b/internal/frontend/health/characterization_test.go
@@ -207,12 +207,12 @@
 }
 
 func TestCharacterization_Counters(t *testing.T) {
-	set := &telemetry.Set{}
+	set := &telemetry.Counters{}
 	set.AddN(telemetry.SetupsTaken, 1<<40)
-	set.AddN(telemetry.WordRepairs, 3)
-	set.Stood(1234, true)
-	set.Stood(70_000_000, false)
-	var none *telemetry.Set
+	set.AddN(telemetry.StateTableRepairs, 3)
+	set.RecordEstablished(1234, true)
+	set.RecordEstablished(70_000_000, false)
+	var none *telemetry.Counters
 	var out strings.Builder
 	for _, document := range []any{countersDocument{1_700_000_000_000, set.Snapshot()}, countersDocument{0, none.Snapshot()}, nil} {
 		h := health.Handler(checkOf(health.Status{}), func() any { return document })
--- a/internal/frontend/jsonlines/characterization_test.go
+++ b/internal/frontend/jsonlines/characterization_test.go
@@ -174,7 +174,7 @@
 	desk     *dispatch.CallTable
 	listener *fakeplatform.Listener
 	pools    *scriptedPools
-	count    *telemetry.Set
+	count    *telemetry.Counters
 	ready    bool
 	log      *lockedBuffer
 	began    time.Time
@@ -229,7 +229,7 @@
 // newPlatform starts a front.
 func newPlatform(t *testing.T, j *journal, s setting) (p *platform, stop func()) {
 	t.Helper()
-	p = &platform{journal: j, listener: fakeplatform.NewListener(), count: &telemetry.Set{}, ready: true, log: &lockedBuffer{}, began: time.Now(),
+	p = &platform{journal: j, listener: fakeplatform.NewListener(), count: &telemetry.Counters{}, ready: true, log: &lockedBuffer{}, began: time.Now(),
 		pools: &scriptedPools{journal: j, sdp: "v=0\r\ns=-\r\n", state: dispatch.UnknownLoad}}
 	now := clock.New()
 	d, err := dispatch.New(eidertrail.Settings{Nodes: 1, OwnExchange: -1, ReleaseWait: 300 * time.Millisecond, Classes: classes()},
--- a/internal/frontend/jsonlines/front.go
+++ b/internal/frontend/jsonlines/front.go
@@ -69,7 +69,7 @@
 	// ReleaseUnmatched takes a caller's release of a call that is not known here.
 	ReleaseUnmatched func(id string, cause int)
 	Log              zerolog.Logger
-	Counters         *telemetry.Set
+	Counters         *telemetry.Counters
 }
 
 // Server serves callers.
--- a/internal/frontend/websocket/callcontrol_test.go
+++ b/internal/frontend/websocket/callcontrol_test.go
@@ -34,9 +34,9 @@
 	server  *Server
 	http    *httptest.Server
 	jsonl   string // where the platform's front listens
-	pools   *sippool.Set
+	pools   *sippool.Pools
 	address string // of the pool
-	count   *telemetry.Set
+	count   *telemetry.Counters
 	d       *dispatch.Dispatcher
 
 	mu       sync.Mutex
@@ -49,7 +49,7 @@
 func answerAll(r fakeplatform.Request) { r.Answer(200, "", "sdp of "+string(r.Body)) }
 
 func newRig(t *testing.T, onInvite func(r fakeplatform.Request)) *rig {
-	r := &rig{t: t, count: &telemetry.Set{}, onInvite: onInvite, got: map[string]int{}, arrived: make(chan string, 4096)}
+	r := &rig{t: t, count: &telemetry.Counters{}, onInvite: onInvite, got: map[string]int{}, arrived: make(chan string, 4096)}
 	now := clock.New()
 	var err error
 	r.d, err = dispatch.New(eidertrail.Settings{Nodes: 1, OwnExchange: -1, ReleaseWait: 300 * time.Millisecond,
@@ -74,8 +74,8 @@
 		}
 	}}
 	r.address = at.Listen(t)
-	r.pools = sippool.NewSet(ctx, sippool.Config{Name: "n0", ConnectTimeout: 5_000_000, ReportFree: "idle", ReportAgents: "circuits",
-		Clock: now, Log: zerolog.Nop(), Count: r.count, Observe: r.d.Observe, Stray: func(string, int) {}})
+	r.pools = sippool.New(ctx, sippool.Config{Name: "n0", ConnectTimeout: 5_000_000, ReportFree: "idle", ReportAgents: "circuits",
+		Clock: now, Log: zerolog.Nop(), Counters: r.count, OnLoadReport: r.d.Observe, OnUnmatchedRelease: func(string, int) {}})
 	r.list(endpointlist.Up)
 
 	r.server = New(Config{Dispatcher: r.d, Inviter: r.pools, Ready: func() bool { return true }, MaxConnections: 16,
@@ -362,7 +362,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	q.Bye(16)
-	for r.count.Get(telemetry.ReleasesKept) == 0 {
+	for r.count.Get(telemetry.ReleasesPending) == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	if m := r.dial("a").next(); m.Type != "released" || m.ID != "c1" || m.Cause != 16 {
@@ -722,8 +722,8 @@
 			t.Errorf("over lines call %d got %s", i, text)
 		}
 	}
-	if n := r.seen("INVITE"); n < 9 || r.pools.Standing() != 8 {
-		t.Errorf("%d INVITEs, %d calls stand", n, r.pools.Standing())
+	if n := r.seen("INVITE"); n < 9 || r.pools.EstablishedCalls() != 8 {
+		t.Errorf("%d INVITEs, %d calls stand", n, r.pools.EstablishedCalls())
 	}
 	if !t.Failed() {
 		r.await("BYE") // what may stand by the answer that was spoilt stands for nobody
--- a/internal/frontend/websocket/characterization_test.go
+++ b/internal/frontend/websocket/characterization_test.go
@@ -200,7 +200,7 @@
 	dispatcher *dispatch.Dispatcher
 	listener   *fakeplatform.Listener
 	pools      *scriptedPools
-	count      *telemetry.Set
+	count      *telemetry.Counters
 	ready      bool
 	log        *lockedBuffer
 	began      time.Time
@@ -213,7 +213,7 @@
 // newService starts a call-control server.
 func newService(t *testing.T, j *journal) (s *service, stop func()) {
 	t.Helper()
-	s = &service{journal: j, t: t, listener: fakeplatform.NewListener(), count: &telemetry.Set{}, ready: true, log: &lockedBuffer{}, began: time.Now(),
+	s = &service{journal: j, t: t, listener: fakeplatform.NewListener(), count: &telemetry.Counters{}, ready: true, log: &lockedBuffer{}, began: time.Now(),
 		pools: &scriptedPools{journal: j, sdp: "v=0\r\ns=-\r\n", state: dispatch.UnknownLoad}}
 	var err error
 	s.dispatcher, err = dispatch.New(eidertrail.Settings{Nodes: 1, OwnExchange: -1, ReleaseWait: 300 * time.Millisecond, Classes: []eidertrail.Class{
--- a/internal/invariant/rules.go
+++ b/internal/invariant/rules.go
@@ -25,7 +25,7 @@
 	// first or further, may still begin.
 	LeftGrace int64
 	// Start is how pools' processes start, and what they bear while cold; with After 0 none is held to it.
-	Start slowstart.Start
+	Start slowstart.Profile
 }
 
 const (
@@ -72,7 +72,7 @@
 type coldPool struct {
 	born int64
 	rate float64 // set-ups of mean work that it can do a second once warm
-	load slowstart.Load
+	load slowstart.Arrivals
 }
 
 type call struct {
@@ -176,7 +176,7 @@
 	defer c.mu.Unlock()
 	c.ramp.Starts++
 	for uid, p := range c.cold {
-		if born-p.born >= c.cfg.Start.For {
+		if born-p.born >= c.cfg.Start.Window {
 			delete(c.cold, uid)
 		}
 	}
@@ -194,22 +194,22 @@
 	if p == nil || now < p.born {
 		return
 	}
-	part, cold := c.cfg.Start.Part(now - p.born)
+	part, cold := c.cfg.Start.CapacityAt(now - p.born)
 	if !cold {
 		delete(c.cold, pool)
 		return
 	}
 	c.ramp.Sent++
 	rate := p.rate * part
-	n := c.cfg.Start.Allowed(rate)
+	n := c.cfg.Start.MaxArrivals(rate)
 	most := n + chance*math.Sqrt(n) + chance
-	got := float64(p.load.Arrive(now, c.cfg.Start, rate))
+	got := float64(p.load.Add(now, c.cfg.Start, rate))
 	if got/most > c.ramp.Worst {
 		c.ramp.Worst, c.ramp.WorstAt = got/most, pool
 	}
 	if got > most {
 		c.fail(now, id, "cold pool %s, %.3f s old, got %.0f set-ups within %.3f s: it bears %.1f, by chance %.1f", pool,
-			float64(now-p.born)/1e6, got, float64(c.cfg.Start.After)/1e6, n, most)
+			float64(now-p.born)/1e6, got, float64(c.cfg.Start.OverloadWindow)/1e6, n, most)
 	}
 }
 
--- a/internal/invariant/rules_test.go
+++ b/internal/invariant/rules_test.go
@@ -120,7 +120,7 @@
 	const second = 1_000_000
 	// Of 16 set-ups a second it does 8 at first: N is 16 then, 17.6 a second later, 24 half-way, and with chance 26,
 	// 27.99 and 35.8.
-	start := slowstart.Start{Share: 0.5, For: 10 * second, Multiple: 2, After: second}
+	start := slowstart.Profile{InitialCapacity: 0.5, Window: 10 * second, OverloadMultiple: 2, OverloadWindow: second}
 	const born = 100 * second
 	n := 0
 	send := func(c *Checker, at int64, times int) {
--- a/internal/simulation/pool.go
+++ b/internal/simulation/pool.go
@@ -57,8 +57,8 @@
 	errors   float64
 	held     int // agents
 	freeAt   int64
-	standing map[*attempt]bool // in any order; ended in that of their numbers
-	load     slowstart.Load    // while cold
+	standing map[*attempt]bool  // in any order; ended in that of their numbers
+	load     slowstart.Arrivals // while cold
 	got      int
 	full     int // set-ups that found no agent, or a processor with too long a wait
 }
@@ -69,12 +69,12 @@
 	if p.born == 0 {
 		return rate, false
 	}
-	part, cold := s.start().Part(now - p.born)
+	part, cold := s.start().CapacityAt(now - p.born)
 	return rate * part, cold
 }
 
-func (s *Settings) start() slowstart.Start {
-	return slowstart.Start{Share: s.ColdShare, For: s.Cold.Microseconds(), Multiple: s.FallMultiple, After: s.FallAfter.Microseconds()}
+func (s *Settings) start() slowstart.Profile {
+	return slowstart.Profile{InitialCapacity: s.ColdShare, Window: s.Cold.Microseconds(), OverloadMultiple: s.FallMultiple, OverloadWindow: s.FallAfter.Microseconds()}
 }
 
 // Verdict is what becomes of a set-up that arrives.
@@ -101,7 +101,7 @@
 	p.got++
 	rate, cold := p.rate(now, s)
 	if cold {
-		p.load.Arrive(now, s.start(), rate)
+		p.load.Add(now, s.start(), rate)
 	}
 	wait := max(0, p.freeAt-now)
 	work := int64(1e6 / rate)
@@ -130,7 +130,7 @@
 	}
 	rate, cold := p.rate(now, s)
 	if cold {
-		p.load.Arrive(now, s.start(), rate)
+		p.load.Add(now, s.start(), rate)
 	}
 	p.freeAt = max(p.freeAt, now) + int64(1e6/rate)/5
 }
--- a/internal/simulation/sim.go
+++ b/internal/simulation/sim.go
@@ -100,7 +100,7 @@
 	name     string
 	zone     string
 	engine   *dispatch.Engine
-	count    *telemetry.Set
+	count    *telemetry.Counters
 	turnAt   int64          // a turn is due then, 0: none
 	still    int64          // it stands still until then
 	source   *source        // nil: the list tells of the pools
@@ -196,7 +196,7 @@
 }
 
 func (s *Sim) newNode(i int, seed uint64) (*node, error) {
-	n := &node{s: s, index: i, name: fmt.Sprintf("n%d", i), zone: s.sc.zone(i), count: &telemetry.Set{}, standing: map[string]int{}, alias: map[string]string{}}
+	n := &node{s: s, index: i, name: fmt.Sprintf("n%d", i), zone: s.sc.zone(i), count: &telemetry.Counters{}, standing: map[string]int{}, alias: map[string]string{}}
 	var err error
 	if n.engine, err = dispatch.NewEngine(s.sc.settings(i), seed, 2_000_000, zerolog.Nop(), n.count); err != nil {
 		return nil, fmt.Errorf("sim: %w", err)
--- a/internal/telemetry/characterization_test.go
+++ b/internal/telemetry/characterization_test.go
@@ -24,21 +24,21 @@
 
 // allCounters are the counters in the order in which the log writes them.
 var allCounters = []telemetry.Counter{
-	telemetry.SetupsTaken, telemetry.AnsweredCalls, telemetry.AnsweredInTime, telemetry.RefusedCalls, telemetry.FailedCalls,
+	telemetry.SetupsTaken, telemetry.AnsweredCalls, telemetry.AnsweredInTime, telemetry.RejectedCalls, telemetry.FailedCalls,
 	telemetry.CancelledCalls, telemetry.AnswersUnwritten, telemetry.Duplicates, telemetry.ReleasesIn, telemetry.ReleasesOut,
-	telemetry.ReleasesKept, telemetry.ReleasesDropped, telemetry.Pings, telemetry.BadLines, telemetry.BadSIP,
+	telemetry.ReleasesPending, telemetry.ReleasesDropped, telemetry.Pings, telemetry.BadLines, telemetry.BadSIP,
 	telemetry.Invites, telemetry.InvitesCalledOff, telemetry.Cancels, telemetry.TimeOuts, telemetry.Resets,
 	telemetry.ConnectsFailed, telemetry.PoolFull, telemetry.PoolErrors, telemetry.LateAnswers, telemetry.ByesOut,
-	telemetry.ByesIn, telemetry.StrayByes, telemetry.CutCalls, telemetry.DoubtedCalls, telemetry.Notifies,
+	telemetry.ByesIn, telemetry.UnmatchedByes, telemetry.CutCalls, telemetry.UncertainCalls, telemetry.Notifies,
 	telemetry.GuardStopped, telemetry.GuardDrain, telemetry.Connections, telemetry.SlowReaders, telemetry.PoolConnections,
-	telemetry.BulletinEvents, telemetry.BulletinErrors, telemetry.Frames, telemetry.BadFrames, telemetry.Admitted,
-	telemetry.Turned, telemetry.Reloads, telemetry.BadReloads, telemetry.Shed, telemetry.Overdue,
-	telemetry.ClosedBad, telemetry.QuietPools, telemetry.DNSQueries, telemetry.DNSTruncated, telemetry.DNSFailures,
+	telemetry.EndpointListEvents, telemetry.EndpointListErrors, telemetry.Frames, telemetry.BadFrames, telemetry.HTTPAdmitted,
+	telemetry.HTTPRejected, telemetry.Reloads, telemetry.BadReloads, telemetry.Shed, telemetry.Overdue,
+	telemetry.ClosedBad, telemetry.UnresponsivePools, telemetry.DNSQueries, telemetry.DNSTruncated, telemetry.DNSFailures,
 	telemetry.DNSBadAnswers, telemetry.DNSChanges, telemetry.PoolsConflicting, telemetry.PoolsExpired, telemetry.ZoneChanges,
 	telemetry.RouteStopped, telemetry.SilentPools, telemetry.PeerIn, telemetry.PeerOut, telemetry.PeerBytesOut,
 	telemetry.PeerBad, telemetry.PeerDropped, telemetry.PeerUnsent, telemetry.MembersSuspected, telemetry.MembersDied,
-	telemetry.ShareChanges, telemetry.StaleStopped, telemetry.LeasesAsked, telemetry.LeasesGranted, telemetry.WordBytes,
-	telemetry.WordRepairs,
+	telemetry.QuotaChanges, telemetry.StaleStopped, telemetry.LeasesRequested, telemetry.LeasesGranted, telemetry.StateTableBytes,
+	telemetry.StateTableRepairs,
 }
 
 // compareRecorded compares a text with the recorded file of that name, or writes the file with EIDERTRAIL_UPDATE=1.
@@ -82,8 +82,8 @@
 }
 
 // distinctSet is a set in which each counter has a value of its own: its place in allCounters, from 1 on.
-func distinctSet() *telemetry.Set {
-	set := &telemetry.Set{}
+func distinctSet() *telemetry.Counters {
+	set := &telemetry.Counters{}
 	for i, counter := range allCounters {
 		set.AddN(counter, int64(i+1))
 	}
@@ -91,7 +91,7 @@
 }
 
 // loggedSet is the log line of a set, on its own and embedded.
-func loggedSet(set *telemetry.Set) string {
+func loggedSet(set *telemetry.Counters) string {
 	var out bytes.Buffer
 	log := zerolog.New(&out)
 	log.Info().EmbedObject(set).Int("open", 0).Msg("counters")
@@ -102,13 +102,13 @@
 func TestCharacterization_Log(t *testing.T) {
 	var out strings.Builder
 	fmt.Fprintln(&out, "nothing counted")
-	out.WriteString(loggedSet(&telemetry.Set{}))
+	out.WriteString(loggedSet(&telemetry.Counters{}))
 	fmt.Fprintln(&out, "no set")
 	out.WriteString(loggedSet(nil))
 	fmt.Fprintln(&out, "every counter, with its number in the order of the log")
 	out.WriteString(loggedSet(distinctSet()))
 	fmt.Fprintln(&out, "one counter below zero, one at zero")
-	set := &telemetry.Set{}
+	set := &telemetry.Counters{}
 	set.AddN(allCounters[0], -3)
 	set.AddN(allCounters[1], 0)
 	out.WriteString(loggedSet(set))
@@ -116,7 +116,7 @@
 }
 
 // document is the JSON of a snapshot, with each member on a line.
-func document(t *testing.T, set *telemetry.Set) string {
+func document(t *testing.T, set *telemetry.Counters) string {
 	t.Helper()
 	text, err := json.MarshalIndent(set.Snapshot(), "", " ")
 	if err != nil {
@@ -132,24 +132,24 @@
 	fmt.Fprintln(&out, "every counter, with its number in the order of the log")
 	out.WriteString(document(t, distinctSet()))
 	compareRecorded(t, "snapshot.txt", out.String())
-	if n := len((&telemetry.Set{}).Snapshot().Counters); n != len(allCounters) {
+	if n := len((&telemetry.Counters{}).Snapshot().Counters); n != len(allCounters) {
 		t.Errorf("%d counters, %d in the list of this test", n, len(allCounters))
 	}
 }
 
 func TestCharacterization_SetUpTimes(t *testing.T) {
-	set := &telemetry.Set{}
+	set := &telemetry.Counters{}
 	inTime := []int64{-1, 0, 1, 2, 15, 16, 17, 100, 999, 1000, 1001, 20_000, 20_001, 1_234_567, 59_999_999}
 	late := []int64{60_000_000, 60_000_001, 1 << 50}
 	for _, took := range inTime {
-		set.Stood(took, true)
+		set.RecordEstablished(took, true)
 	}
 	for _, took := range late {
-		set.Stood(took, false)
-		set.Stood(took, false)
+		set.RecordEstablished(took, false)
+		set.RecordEstablished(took, false)
 	}
-	var none *telemetry.Set
-	none.Stood(1, true)
+	var none *telemetry.Counters
+	none.RecordEstablished(1, true)
 	snapshot := set.Snapshot()
 	var out strings.Builder
 	for _, counter := range []telemetry.Counter{telemetry.AnsweredCalls, telemetry.AnsweredInTime} {
--- a/internal/telemetry/stats.go
+++ b/internal/telemetry/stats.go
@@ -18,14 +18,14 @@
 	SetupsTaken Counter = iota
 	AnsweredCalls
 	AnsweredInTime
-	RefusedCalls
+	RejectedCalls
 	FailedCalls
 	CancelledCalls
 	AnswersUnwritten
 	Duplicates
 	ReleasesIn
 	ReleasesOut
-	ReleasesKept
+	ReleasesPending
 	ReleasesDropped
 	Pings
 	BadLines
@@ -41,27 +41,27 @@
 	LateAnswers
 	ByesOut
 	ByesIn
-	StrayByes
+	UnmatchedByes
 	CutCalls
-	DoubtedCalls
+	UncertainCalls
 	Notifies
 	GuardStopped
 	GuardDrain
 	Connections
 	SlowReaders
 	PoolConnections
-	BulletinEvents
-	BulletinErrors
+	EndpointListEvents
+	EndpointListErrors
 	Frames
 	BadFrames
-	Admitted
-	Turned
+	HTTPAdmitted
+	HTTPRejected
 	Reloads
 	BadReloads
 	Shed
 	Overdue
 	ClosedBad
-	QuietPools
+	UnresponsivePools
 	DNSQueries
 	DNSTruncated
 	DNSFailures
@@ -80,12 +80,12 @@
 	PeerUnsent
 	MembersSuspected
 	MembersDied
-	ShareChanges
+	QuotaChanges
 	StaleStopped
-	LeasesAsked
+	LeasesRequested
 	LeasesGranted
-	WordBytes
-	WordRepairs
+	StateTableBytes
+	StateTableRepairs
 	counters
 )
 
@@ -103,8 +103,8 @@
 	"share_changes", "stale_stopped", "leases_asked", "leases_granted", "word_bytes", "word_repairs",
 }
 
-// Set is a set of counters, safe for concurrent use. The zero value is ready; nil counts nothing.
-type Set struct {
+// Counters is a set of counters, safe for concurrent use. The zero value is ready; nil counts nothing.
+type Counters struct {
 	v     [counters]atomic.Int64
 	mu    sync.Mutex
 	times *hdrhistogram.Histogram // µs from a set-up to its answer
@@ -116,8 +116,8 @@
 	digits   = 1
 )
 
-// Stood notes a call that stands: how long its set-up took, µs, and whether that was within its class's aim.
-func (s *Set) Stood(took int64, inTime bool) {
+// RecordEstablished notes a call that stands: how long its set-up took, µs, and whether that was within its class's aim.
+func (s *Counters) RecordEstablished(took int64, inTime bool) {
 	if s == nil {
 		return
 	}
@@ -140,7 +140,7 @@
 }
 
 // Snapshot reads the set.
-func (s *Set) Snapshot() Snapshot {
+func (s *Counters) Snapshot() Snapshot {
 	out := Snapshot{Counters: map[string]int64{}, Times: map[int64]int64{}}
 	for c := range counters {
 		out.Counters[names[c]] = s.Get(c)
@@ -161,21 +161,21 @@
 }
 
 // Add counts one.
-func (s *Set) Add(c Counter) {
+func (s *Counters) Add(c Counter) {
 	if s != nil {
 		s.v[c].Add(1)
 	}
 }
 
 // AddN counts n.
-func (s *Set) AddN(c Counter, n int64) {
+func (s *Counters) AddN(c Counter, n int64) {
 	if s != nil && n != 0 {
 		s.v[c].Add(n)
 	}
 }
 
 // Get is a counter's value.
-func (s *Set) Get(c Counter) int64 {
+func (s *Counters) Get(c Counter) int64 {
 	if s == nil {
 		return 0
 	}
@@ -183,7 +183,7 @@
 }
 
 // MarshalZerologObject writes all counters that are not zero, in their fixed order.
-func (s *Set) MarshalZerologObject(e *zerolog.Event) {
+func (s *Counters) MarshalZerologObject(e *zerolog.Event) {
 	for c := range counters {
 		if v := s.Get(c); v != 0 {
 			e.Int64(names[c], v)
--- a/internal/testing/fakeplatform/processor.go
+++ b/internal/testing/fakeplatform/processor.go
@@ -23,7 +23,7 @@
 	mu      sync.Mutex
 	started time.Time // zero: warm
 	freeAt  time.Time
-	load    slowstart.Load
+	load    slowstart.Arrivals
 	slow    float64
 	full    int
 }
@@ -49,12 +49,12 @@
 	if p.started.IsZero() {
 		return rate, false
 	}
-	part, cold := p.start().Part(now.Sub(p.started).Microseconds())
+	part, cold := p.start().CapacityAt(now.Sub(p.started).Microseconds())
 	return rate * part, cold
 }
 
-func (p *Processor) start() slowstart.Start {
-	return slowstart.Start{Share: p.ColdShare, For: p.ColdFor.Microseconds(), Multiple: p.FallMultiple, After: p.FallAfter.Microseconds()}
+func (p *Processor) start() slowstart.Profile {
+	return slowstart.Profile{InitialCapacity: p.ColdShare, Window: p.ColdFor.Microseconds(), OverloadMultiple: p.FallMultiple, OverloadWindow: p.FallAfter.Microseconds()}
 }
 
 // Arrive takes a set-up: after is when it is answered, or full tells that it is turned away.
@@ -63,7 +63,7 @@
 	defer p.mu.Unlock()
 	rate, cold := p.capacity(now)
 	if cold {
-		p.load.Arrive(now.UnixMicro(), p.start(), rate)
+		p.load.Add(now.UnixMicro(), p.start(), rate)
 	}
 	from := now
 	if p.freeAt.After(now) {
--- a/middleware/characterization_test.go
+++ b/middleware/characterization_test.go
@@ -77,7 +77,7 @@
 // admission is a dispatcher with one pool, and what it logs of its decisions.
 type admission struct {
 	dispatcher *dispatch.Dispatcher
-	count      *telemetry.Set
+	count      *telemetry.Counters
 	trace      *bytes.Buffer
 	stop       context.CancelFunc
 }
@@ -85,7 +85,7 @@
 // newAdmission starts a dispatcher; it is to be called in a bubble of synctest.
 func newAdmission(t *testing.T) *admission {
 	t.Helper()
-	a := &admission{count: &telemetry.Set{}, trace: &bytes.Buffer{}}
+	a := &admission{count: &telemetry.Counters{}, trace: &bytes.Buffer{}}
 	settings := eidertrail.Settings{Nodes: 1, OwnExchange: -1, ReleaseWait: 300 * time.Millisecond, Classes: []eidertrail.Class{
 		{Name: "read", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 1, MeanHoldingTime: time.Second},
 	}}
@@ -132,7 +132,7 @@
 }
 
 // countsText is what was counted, in the order of the names.
-func countsText(set *telemetry.Set) string {
+func countsText(set *telemetry.Counters) string {
 	counters := set.Snapshot().Counters
 	var names []string
 	for name, value := range counters {
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -84,7 +84,7 @@
 		return // the client is gone
 	}
 	if err != nil || pick.Kind != dispatch.DecisionSend {
-		c.Counters.Add(telemetry.Turned)
+		c.Counters.Add(telemetry.HTTPRejected)
 		after := pick.RetryAfter
 		if err != nil && !errors.Is(err, dispatch.ErrNoDecision) {
 			after = 0
@@ -93,7 +93,7 @@
 		http.Error(w, "refused: too busy", http.StatusServiceUnavailable)
 		return
 	}
-	c.Counters.Add(telemetry.Admitted)
+	c.Counters.Add(telemetry.HTTPAdmitted)
 	until := q.Deadline
 	if pick.Timeout > 0 {
 		until = min(until, pick.DecidedAt+pick.Timeout)
