--- a/cmd/eidertrail/zones_test.go
+++ b/cmd/eidertrail/zones_test.go
@@ -72,7 +72,7 @@
 	for flap := range 3 {
 		away := count("tb")
 		for _, uid := range []string{"ba1", "ba2"} { // batumi goes dark
-			pools[uid].Refuse(true, false)
+			pools[uid].SetRejecting(true, false)
 			pools[uid].Drop()
 		}
 		for range 10 {
@@ -84,7 +84,7 @@
 		// batumi comes back: after its hold, and doubled holds while it still failed, calls go home again.
 		home := count("ba")
 		for _, uid := range []string{"ba1", "ba2"} {
-			pools[uid].Refuse(false, false)
+			pools[uid].SetRejecting(false, false)
 		}
 		for began := time.Now(); count("ba") == home; {
 			if time.Since(began) > soon {
--- a/dispatch/limit_test.go
+++ b/dispatch/limit_test.go
@@ -232,7 +232,7 @@
 					d.UpdateEndpoints([]Endpoint{{UID: "h", Zone: "home", Mode: eidertrail.Draining}, {UID: "a", Zone: "away", Group: 1, Mode: eidertrail.Ready}}, true)
 					d.Observe("a", LoadReport{1000, 1000})
 				}
-				f.procs["a"] = &fakeplatform.Processor{Work: time.Millisecond, MostWait: time.Second}
+				f.procs["a"] = &fakeplatform.Processor{Work: time.Millisecond, MaxWait: time.Second}
 				f.keep = true
 				all := f.ds
 				f.ds = f.ds[:1]
--- a/dispatch/route_test.go
+++ b/dispatch/route_test.go
@@ -44,8 +44,8 @@
 
 func newZones(d *Dispatcher) *zones {
 	z := &zones{d: d, zoneOf: map[string]string{}, dark: map[string]bool{}, coldFrom: map[string]time.Time{},
-		holding: map[string]int{}, rules: invariant.New(invariant.Config{Release: 300_000, Sends: 2, Late: 20_000,
-			LeftGrace: 100_000, Start: slowstart.Profile{InitialCapacity: 3.0 / agents, Window: coldFor.Microseconds(), OverloadMultiple: 3, OverloadWindow: 1_500_000}})}
+		holding: map[string]int{}, rules: invariant.New(invariant.Config{ReleaseWait: 300_000, MaxAttempts: 2, Late: 20_000,
+			LeftGrace: 100_000, SlowStart: slowstart.Profile{InitialCapacity: 3.0 / agents, Window: coldFor.Microseconds(), OverloadMultiple: 3, OverloadWindow: 1_500_000}})}
 	for _, zone := range []string{"batumi", "tbilisi", "kutaisi", "telavi"} {
 		for _, n := range []string{"1", "2"} {
 			z.zoneOf[zone[:2]+n] = zone
@@ -171,7 +171,7 @@
 	calls, stood, gone          int
 	toCold, overCold, home      int
 	broken                      []string
-	left                        invariant.Departures
+	left                        invariant.AbandonedRequests
 	ramp                        invariant.Ramp
 	count                       routing.Counts
 }
@@ -247,7 +247,7 @@
 					z.coldFrom["batumi"] = time.Now()
 					for uid, zone := range z.zoneOf {
 						if zone == "batumi" {
-							z.rules.ColdStart(d.Now(), uid, agents/standFor.Seconds())
+							z.rules.EndpointStarted(d.Now(), uid, agents/standFor.Seconds())
 						}
 					}
 				}
@@ -255,11 +255,11 @@
 			})
 			wg.Go(func() {
 				r := Request{Call: d.NewCall(), Class: 0, Pool: -1, Deadline: d.Now() + 6_000_000}
-				z.rules.Taken(d.Now(), fmt.Sprint(n), r.Deadline)
+				z.rules.CallAccepted(d.Now(), fmt.Sprint(n), r.Deadline)
 				ctx, hangUp := context.WithCancel(context.Background())
 				defer hangUp()
 				if plan.leave > 0 && n%3 == 0 {
-					defer time.AfterFunc(plan.leave, func() { z.rules.Left(d.Now(), fmt.Sprint(n)); hangUp() }).Stop()
+					defer time.AfterFunc(plan.leave, func() { z.rules.CallerGone(d.Now(), fmt.Sprint(n)); hangUp() }).Stop()
 				}
 				f := Serve(ctx, d, z, r, Setup{ID: fmt.Sprint(n)})
 				if f.Kind != FinalCallerGone {
@@ -294,8 +294,8 @@
 		}
 		wg.Wait()
 		z.rules.Finish(d.Now())
-		_, run.broken = z.rules.Broken()
-		run.left, run.ramp = z.rules.Departures(), z.rules.Ramp()
+		_, run.broken = z.rules.Violations()
+		run.left, run.ramp = z.rules.Abandoned(), z.rules.Ramp()
 		run.toCold, run.overCold, run.home = z.toCold, z.overCold, z.home
 		if router != nil {
 			run.count = router.Counts()
--- a/dispatch/sites_test.go
+++ b/dispatch/sites_test.go
@@ -69,7 +69,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
 		f := &fleet{site: s, procs: map[string]*fakeplatform.Processor{},
-			rules: invariant.New(invariant.Config{Release: s.release.Microseconds(), Sends: 2, Late: 20_000, LeftGrace: 100_000, Start: s.start()}), kinds: map[FinalKind]int{}, sent: map[string][]time.Time{}}
+			rules: invariant.New(invariant.Config{ReleaseWait: s.release.Microseconds(), MaxAttempts: 2, Late: 20_000, LeftGrace: 100_000, SlowStart: s.start()}), kinds: map[FinalKind]int{}, sent: map[string][]time.Time{}}
 		for i := range nodes {
 			told := cmp.Or(s.told, nodes)
 			set := eidertrail.Settings{Nodes: told, Index: i % told, OwnExchange: -1, ReleaseWait: s.release, RetransmitInterval: s.resend, MaxAttempts: 4,
@@ -91,7 +91,7 @@
 		stop()
 		time.Sleep(time.Second)
 		f.rules.Finish(f.ds[0].Now())
-		if n, broken := f.rules.Broken(); n > 0 || len(f.bad) > 0 || f.rules.Seen() != f.calls {
+		if n, broken := f.rules.Violations(); n > 0 || len(f.bad) > 0 || f.rules.Seen() != f.calls {
 			t.Errorf("%d calls taken of %d; %d rules broken: %v %v", f.rules.Seen(), f.calls, n, broken, f.bad)
 		}
 	})
@@ -99,11 +99,11 @@
 
 // add lists a pool that started born ago to every controller, 0: long ago.
 func (f *fleet) add(uid string, born time.Duration) {
-	p := &fakeplatform.Processor{Work: 10 * time.Millisecond, MostWait: 2500 * time.Millisecond, ColdShare: f.share,
-		ColdFor: f.cold, FallMultiple: f.multi, FallAfter: f.after}
+	p := &fakeplatform.Processor{Work: 10 * time.Millisecond, MaxWait: 2500 * time.Millisecond, SlowStartCapacity: f.share,
+		SlowStartWindow: f.cold, OverloadMultiple: f.multi, OverloadWindow: f.after}
 	if born > 0 {
 		p.Start(time.Now().Add(-born))
-		f.rules.ColdStart(f.ds[0].Now()-born.Microseconds(), uid, float64(time.Second)/float64(p.Work))
+		f.rules.EndpointStarted(f.ds[0].Now()-born.Microseconds(), uid, float64(time.Second)/float64(p.Work))
 	}
 	f.mu.Lock()
 	f.procs[uid] = p
@@ -166,11 +166,11 @@
 		f.calls++
 		f.wg.Go(func() {
 			at := time.Now()
-			f.rules.Taken(d.Now(), id, r.Deadline)
+			f.rules.CallAccepted(d.Now(), id, r.Deadline)
 			ctx, hangUp := context.WithCancel(context.Background())
 			defer hangUp()
 			if f.leave > 0 && n%3 == 0 {
-				defer time.AfterFunc(f.leave, func() { f.rules.Left(d.Now(), id); hangUp() }).Stop()
+				defer time.AfterFunc(f.leave, func() { f.rules.CallerGone(d.Now(), id); hangUp() }).Stop()
 			}
 			final := Serve(ctx, d, f, r, Setup{ID: id})
 			if final.Kind != FinalCallerGone {
@@ -247,7 +247,7 @@
 				}
 				f.offer(150, 2*time.Second)
 				f.wg.Wait()
-				left := f.rules.Departures()
+				left := f.rules.Abandoned()
 				t.Logf("%+v, %d were gone", left, f.kinds[FinalCallerGone])
 				if left.Waiting < 20 || f.kinds[FinalCallerGone] <= left.Waiting {
 					t.Errorf("%d callers left while their call waited, of %d that left: want 20, and some with an attempt out", left.Waiting, f.kinds[FinalCallerGone])
--- a/internal/backend/sippool/pool_test.go
+++ b/internal/backend/sippool/pool_test.go
@@ -234,13 +234,13 @@
 		r.wantSent("INVITE").Answer(200, "", "a\r\n")
 		r.want(x, dispatch.Answered)
 		// No connection owns the call: without one the BYE leaves on the next.
-		r.at.Refuse(true, false)
+		r.at.SetRejecting(true, false)
 		r.at.Drop()
 		synctest.Wait()
 		x.leg.Release(16)
 		x.leg.Release(16)
 		r.wantSent("INVITE ACK")
-		r.at.Refuse(false, false)
+		r.at.SetRejecting(false, false)
 		time.Sleep(time.Second)
 		r.wantSent("INVITE ACK BYE")
 		r.mu.Lock()
@@ -271,7 +271,7 @@
 		x := r.invite("c1", 0, time.Minute)
 		r.wantSent("INVITE").Answer(200, "", "a\r\n")
 		r.want(x, dispatch.Answered)
-		r.at.Refuse(true, false)
+		r.at.SetRejecting(true, false)
 		r.at.Drop()
 		synctest.Wait()
 		y := r.invite("c2", 0, time.Minute)
@@ -291,10 +291,10 @@
 		x := r.invite("c1", 0, time.Minute)
 		r.wantSent("INVITE").Answer(200, "", "a\r\n")
 		r.want(x, dispatch.Answered)
-		r.at.Refuse(true, false)
+		r.at.SetRejecting(true, false)
 		r.at.Drop()
 		time.Sleep(300 * time.Millisecond)
-		r.at.Refuse(false, false)
+		r.at.SetRejecting(false, false)
 		time.Sleep(600 * time.Millisecond)
 		synctest.Wait()
 		if r.EstablishedCalls() != 0 || r.at.Open() != 1 {
@@ -310,7 +310,7 @@
 		if r.EstablishedCalls() != 1 {
 			t.Error("cut while its machine was there")
 		}
-		r.at.Refuse(false, true)
+		r.at.SetRejecting(false, true)
 		time.Sleep(8 * time.Second)
 		synctest.Wait()
 		if r.EstablishedCalls() != 0 || x.leg.Ending().Outcome != dispatch.Reset {
@@ -318,7 +318,7 @@
 		}
 	})
 	bubble(t, func(r *rig) { // silent: the attempt ends with the connect time-out
-		r.at.Refuse(false, true)
+		r.at.SetRejecting(false, true)
 		r.at.Drop()
 		synctest.Wait()
 		x := r.invite("c1", 0, time.Minute)
@@ -529,7 +529,7 @@
 		}
 	})
 	bubble(t, func(r *rig) { // an attempt that waits for a connection to a pool that goes waits no longer
-		r.at.Refuse(false, true)
+		r.at.SetRejecting(false, true)
 		r.at.Drop()
 		synctest.Wait()
 		x := r.invite("c1", 0, time.Minute)
@@ -548,7 +548,7 @@
 // every call that is tried there.
 func TestCallsDoNotSetThePaceOfDialling(t *testing.T) {
 	bubble(t, func(r *rig) {
-		r.at.Refuse(true, false)
+		r.at.SetRejecting(true, false)
 		r.at.Drop()
 		synctest.Wait()
 		before := r.dials.Load()
@@ -823,7 +823,7 @@
 		x := r.invite("c1", 0, time.Minute)
 		r.wantSent("INVITE").Answer(200, "", "a\r\n")
 		r.want(x, dispatch.Answered)
-		r.at.Refuse(true, false)
+		r.at.SetRejecting(true, false)
 		return x
 	}
 	for name, told := range map[string]bool{"told": true, "not told yet": false} {
@@ -876,7 +876,7 @@
 	bubble(t, func(r *rig) { // it takes connections again: the next is open before the quiet one is closed, and served
 		stand(r)
 		time.Sleep(4 * time.Second)
-		r.at.Refuse(false, false)
+		r.at.SetRejecting(false, false)
 		time.Sleep(time.Second)
 		synctest.Wait()
 		if r.EstablishedCalls() != 1 || r.at.Dialled() < 2 {
--- a/internal/experiment/live.go
+++ b/internal/experiment/live.go
@@ -47,7 +47,7 @@
 	defer os.RemoveAll(dir)
 	ctx, stop := context.WithCancel(ctx)
 	l := &live{v: v, rng: rand.New(rand.NewPCG(seed, 9)), began: time.Now(), burst: 1, finals: map[string]*liveCall{},
-		rules: invariant.New(invariant.Config{Release: v.Settings.Release.Microseconds(), Sends: 2, Grace: math.MaxInt64 / 4,
+		rules: invariant.New(invariant.Config{ReleaseWait: v.Settings.Release.Microseconds(), MaxAttempts: 2, Grace: math.MaxInt64 / 4,
 			Late: 100_000, LeftGrace: 100_000})}
 	defer func() { stop(); l.wg.Wait() }()
 	var targets []map[string]any
@@ -435,7 +435,7 @@
 	k.done = false
 	l.mu.Unlock()
 	now := l.now()
-	l.rules.Taken(now, id, now+left.Microseconds())
+	l.rules.CallAccepted(now, id, now+left.Microseconds())
 	fmt.Fprintf(l.fleet[k.node].conn, `{"type":"setup","id":%q,"fields":{"class":%q,"left":"%d","key":%q,"extras":"dest:%s"},"sdp":"x"}`+"\n",
 		id, class.Name, left.Milliseconds(), k.key, k.pool)
 	time.AfterFunc(left, func() {
@@ -446,7 +446,7 @@
 		}
 		l.mu.Unlock()
 		if waits {
-			l.rules.Left(l.now(), id)
+			l.rules.CallerGone(l.now(), id)
 			fmt.Fprintf(l.fleet[k.node].conn, `{"type":"release","id":%q,"fields":{},"cause":16}`+"\n", id)
 			l.again(k)
 		}
--- a/internal/invariant/rules.go
+++ b/internal/invariant/rules.go
@@ -17,15 +17,15 @@
 
 // Config is what the rules are held to. Times are in µs.
 type Config struct {
-	Release int64 // after a time-out, reset or cancel a call is not sent again for this long
-	Sends   int   // a call may have
-	Grace   int64 // after it was told that a pool drains or is gone, a controller may still send there
-	Late    int64 // after the caller's patience an answer may still come, for the way
+	ReleaseWait int64 // after a time-out, reset or cancel a call is not sent again for this long
+	MaxAttempts int   // a call may have
+	Grace       int64 // after it was told that a pool drains or is gone, a controller may still send there
+	Late        int64 // after the caller's patience an answer may still come, for the way
 	// LeftGrace is how long after its caller left, by closing its connection or by cancelling, an attempt of a call,
 	// first or further, may still begin.
 	LeftGrace int64
-	// Start is how pools' processes start, and what they bear while cold; with After 0 none is held to it.
-	Start slowstart.Profile
+	// SlowStart is how pools' processes start, and what they bear while cold; with After 0 none is held to it.
+	SlowStart slowstart.Profile
 }
 
 const (
@@ -49,12 +49,12 @@
 	broken []string
 	count  int
 	seen   int
-	left   Departures
+	left   AbandonedRequests
 	ramp   Ramp
 }
 
-// Departures counts callers that left, and what was sent for them.
-type Departures struct {
+// AbandonedRequests counts callers that left, and what was sent for them.
+type AbandonedRequests struct {
 	Waiting int // left while their call was taken and had neither an attempt out nor its answer
 	SentOn  int // of those calls, sent on 0.3 s or more after
 	Within  int // attempts begun within LeftGrace
@@ -108,8 +108,8 @@
 	return k
 }
 
-// Taken notes a call that a controller took: its caller waits until then.
-func (c *Checker) Taken(now int64, id string, until int64) {
+// CallAccepted notes a call that a controller took: its caller waits until then.
+func (c *Checker) CallAccepted(now int64, id string, until int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.get(id)
@@ -120,8 +120,8 @@
 	c.seen++
 }
 
-// Told notes that a controller was told of a pool's state: open, or that it drains or is gone.
-func (c *Checker) Told(now int64, controller, pool string, open bool) {
+// EndpointNotified notes that a controller was told of a pool's state: open, or that it drains or is gone.
+func (c *Checker) EndpointNotified(now int64, controller, pool string, open bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	at := controller + "\x00" + pool
@@ -140,7 +140,7 @@
 	switch since, is := c.gone[controller+"\x00"+pool]; {
 	case k.out:
 		c.fail(now, id, "a second attempt is out, at %s", pool)
-	case k.sends >= c.cfg.Sends:
+	case k.sends >= c.cfg.MaxAttempts:
 		c.fail(now, id, "sent for the %d. time", k.sends+1)
 	case now < k.freeAt:
 		c.fail(now, id, "sent again %d ms before its release", (k.freeAt-now+999)/1000)
@@ -169,14 +169,14 @@
 	c.work(now, id, pool)
 }
 
-// ColdStart notes that a pool's process started at born, cold, and can do so many set-ups of mean work a second once
+// EndpointStarted notes that a pool's process started at born, cold, and can do so many set-ups of mean work a second once
 // it is warm. It counts for all that is sent there from then on, whoever was told of the start.
-func (c *Checker) ColdStart(born int64, pool string, rate float64) {
+func (c *Checker) EndpointStarted(born int64, pool string, rate float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ramp.Starts++
 	for uid, p := range c.cold {
-		if born-p.born >= c.cfg.Start.Window {
+		if born-p.born >= c.cfg.SlowStart.Window {
 			delete(c.cold, uid)
 		}
 	}
@@ -194,22 +194,22 @@
 	if p == nil || now < p.born {
 		return
 	}
-	part, cold := c.cfg.Start.CapacityAt(now - p.born)
+	part, cold := c.cfg.SlowStart.CapacityAt(now - p.born)
 	if !cold {
 		delete(c.cold, pool)
 		return
 	}
 	c.ramp.Sent++
 	rate := p.rate * part
-	n := c.cfg.Start.MaxArrivals(rate)
+	n := c.cfg.SlowStart.MaxArrivals(rate)
 	most := n + chance*math.Sqrt(n) + chance
-	got := float64(p.load.Add(now, c.cfg.Start, rate))
+	got := float64(p.load.Add(now, c.cfg.SlowStart, rate))
 	if got/most > c.ramp.Worst {
 		c.ramp.Worst, c.ramp.WorstAt = got/most, pool
 	}
 	if got > most {
 		c.fail(now, id, "cold pool %s, %.3f s old, got %.0f set-ups within %.3f s: it bears %.1f, by chance %.1f", pool,
-			float64(now-p.born)/1e6, got, float64(c.cfg.Start.OverloadWindow)/1e6, n, most)
+			float64(now-p.born)/1e6, got, float64(c.cfg.SlowStart.OverloadWindow)/1e6, n, most)
 	}
 }
 
@@ -220,7 +220,7 @@
 	k := c.get(id)
 	k.out = false
 	if release {
-		k.freeAt = now + c.cfg.Release
+		k.freeAt = now + c.cfg.ReleaseWait
 	}
 }
 
@@ -241,9 +241,9 @@
 	}
 }
 
-// Left notes that the caller closed its connection or cancelled: no answer is owed any more, and soon nothing is to be
+// CallerGone notes that the caller closed its connection or cancelled: no answer is owed any more, and soon nothing is to be
 // sent. now is when the caller did so, not when a controller learned of it.
-func (c *Checker) Left(now int64, id string) {
+func (c *Checker) CallerGone(now int64, id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.get(id)
@@ -272,8 +272,8 @@
 	}
 }
 
-// Broken is how often a rule was broken, and the first of the violations.
-func (c *Checker) Broken() (count int, first []string) {
+// Violations is how often a rule was broken, and the first of the violations.
+func (c *Checker) Violations() (count int, first []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.count, append([]string(nil), c.broken...)
@@ -286,8 +286,8 @@
 	return c.seen
 }
 
-// Departures is what came of the callers that left.
-func (c *Checker) Departures() Departures {
+// Abandoned is what came of the callers that left.
+func (c *Checker) Abandoned() AbandonedRequests {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.left
--- a/internal/rollout/characterization_test.go
+++ b/internal/rollout/characterization_test.go
@@ -93,7 +93,7 @@
 func (d *digest) figures(f rollout.Figures) {
 	d.integer(f.InTime)
 	d.integer(f.Late)
-	d.integer(f.Refused)
+	d.integer(f.Rejected)
 	d.integer(f.Failed)
 	d.integer(int64(len(f.Times)))
 	for _, micros := range slices.Sorted(maps.Keys(f.Times)) {
@@ -123,13 +123,13 @@
 		d.integer(int64(c.Failed))
 	}
 	d.integer(s.Since)
-	d.integer(s.LookedAt)
+	d.integer(s.EvaluatedAt)
 	d.integer(int64(len(s.Base)))
 	for _, f := range s.Base {
 		d.figures(f)
 	}
-	d.integer(int64(len(s.Lives)))
-	for _, life := range s.Lives {
+	d.integer(int64(len(s.Incarnations)))
+	for _, life := range s.Incarnations {
 		d.text(life)
 	}
 	d.figures(s.Before)
@@ -188,9 +188,9 @@
 // plan draws a plan that Check accepts.
 func (g generator) plan(t *testing.T) rollout.Plan {
 	t.Helper()
-	p := rollout.Plan{MinTime: int64(g.between(0, 20)) * 500, LookEvery: pick(g, int64(500), 1000, 2500),
+	p := rollout.Plan{MinTime: int64(g.between(0, 20)) * 500, EvaluationInterval: pick(g, int64(500), 1000, 2500),
 		MinCalls: int64(g.between(10, 600)), Confidence: pick(g, 0.9, 0.95, 0.99, 0.999), Tolerance: pick(g, 0, 0.01, 0.05, 0.5)}
-	p.MostTime = p.MinTime + int64(g.between(1, 40))*500
+	p.MaxTime = p.MinTime + int64(g.between(1, 40))*500
 	controllers := g.between(2, 7)
 	for i := range controllers {
 		p.Controllers = append(p.Controllers, fmt.Sprintf("n%d", i))
@@ -261,7 +261,7 @@
 		part := func(permille int) int64 { return (calls*int64(permille) + int64(f.below(1000))) / 1000 }
 		c := &f.counted[i]
 		refused, failed, late, slow := part(treated.refused), part(treated.failed), part(treated.late), part(treated.slow)
-		c.Refused += refused
+		c.Rejected += refused
 		c.Failed += failed
 		c.Late += late
 		stood := max(0, calls-refused-failed-late)
@@ -274,12 +274,12 @@
 func (f *fleet) observation() rollout.Observation {
 	o := rollout.Observation{Now: f.now, Abort: f.abort}
 	for i, c := range f.counted {
-		o.Figures = append(o.Figures, rollout.Figures{InTime: c.InTime, Late: c.Late, Refused: c.Refused, Failed: c.Failed, Times: maps.Clone(c.Times)})
+		o.Figures = append(o.Figures, rollout.Figures{InTime: c.InTime, Late: c.Late, Rejected: c.Rejected, Failed: c.Failed, Times: maps.Clone(c.Times)})
 		life := ""
 		if f.lives[i] > 0 {
 			life = fmt.Sprintf("life %d", f.lives[i])
 		}
-		o.Lives = append(o.Lives, life)
+		o.Incarnations = append(o.Incarnations, life)
 	}
 	return o
 }
@@ -295,7 +295,7 @@
 		return nil
 	}
 	if f.chance(300) {
-		return fmt.Errorf("%w: listen: empty", rollout.ErrRefused)
+		return fmt.Errorf("%w: listen: empty", rollout.ErrRejected)
 	}
 	return errors.New("it takes too long")
 }
@@ -342,12 +342,12 @@
 
 // distort changes an observation to one that is not to be expected.
 func (f *fleet) distort(o *rollout.Observation) {
-	i := f.below(len(o.Lives))
+	i := f.below(len(o.Incarnations))
 	switch f.below(8) {
 	case 0:
-		o.Lives[i] = ""
+		o.Incarnations[i] = ""
 	case 1:
-		o.Lives[i] = "another life"
+		o.Incarnations[i] = "another life"
 	case 2:
 		o.Figures[i] = rollout.Figures{}
 	case 3:
@@ -366,7 +366,7 @@
 // strayMove tells of a move that was not asked for.
 func (f *fleet) strayMove() {
 	f.plan.Moved(f.state, f.below(len(f.lives)), pick(f.generator, rollout.Old, rollout.New),
-		pick[error](f.generator, nil, errors.New("no such program"), fmt.Errorf("%w: tick: negative", rollout.ErrRefused)))
+		pick[error](f.generator, nil, errors.New("no such program"), fmt.Errorf("%w: tick: negative", rollout.ErrRejected)))
 }
 
 // endRollout hashes the whole log of a rollout that is over.
@@ -436,7 +436,7 @@
 
 // randomFigures draws figures, sometimes such as no controller counts.
 func (g generator) randomFigures() rollout.Figures {
-	f := rollout.Figures{InTime: int64(g.below(3000)), Late: int64(g.below(100)), Refused: int64(g.below(300)), Failed: int64(g.below(50))}
+	f := rollout.Figures{InTime: int64(g.below(3000)), Late: int64(g.below(100)), Rejected: int64(g.below(300)), Failed: int64(g.below(50))}
 	if g.chance(50) {
 		f.InTime = -int64(g.below(50))
 	}
@@ -462,7 +462,7 @@
 		p := rollout.Plan{Confidence: pick(g, 0.9, 0.95, 0.99, 0.9999), Tolerance: pick(g, 0, 0.01, 0.1, 0.5)}
 		a, b := g.randomFigures(), g.randomFigures()
 		if g.chance(500) { // near each other
-			b = a.Add(rollout.Figures{Refused: int64(g.below(60)), Times: map[int64]int64{20_000: int64(g.below(60))}})
+			b = a.Add(rollout.Figures{Rejected: int64(g.below(60)), Times: map[int64]int64{20_000: int64(g.below(60))}})
 		}
 		for _, c := range p.Compare(a, b, pick(g, -1, 0, 1, 10, 1000)) {
 			s.text(c.Figure)
@@ -497,13 +497,13 @@
 	case 3:
 		p.Stages[g.below(len(p.Stages))] = g.between(-1, 8)
 	case 4:
-		p.MinTime = pick(g, int64(-1), 0, p.MostTime, p.MostTime+1)
+		p.MinTime = pick(g, int64(-1), 0, p.MaxTime, p.MaxTime+1)
 	case 5:
-		p.MostTime = pick(g, int64(-1), 0, 1)
+		p.MaxTime = pick(g, int64(-1), 0, 1)
 	case 6:
 		p.MinCalls = int64(g.between(8, 12))
 	case 7:
-		p.LookEvery = int64(g.between(48, 52))
+		p.EvaluationInterval = int64(g.between(48, 52))
 	case 8:
 		p.Confidence = pick(g, 0.8999, 0.9, 0.99999, 1, 1.1, math.NaN())
 	case 9:
@@ -544,15 +544,15 @@
 			{Name: "n0", Version: rollout.New, Moving: rollout.Old, Failed: 2},
 			{Name: "n1", Version: rollout.Old, Moving: rollout.New, Failed: 1},
 		},
-		Since: 1_700_000_000_123, LookedAt: 1_700_000_001_456,
+		Since: 1_700_000_000_123, EvaluatedAt: 1_700_000_001_456,
 		Base: []rollout.Figures{
-			{InTime: 11, Late: 12, Refused: 13, Failed: 14, Times: map[int64]int64{20_000: 15, 200_000: 16}},
-			{InTime: 21, Late: 22, Refused: 23, Failed: 24, Times: map[int64]int64{9000: 25, 30_000: 26}},
+			{InTime: 11, Late: 12, Rejected: 13, Failed: 14, Times: map[int64]int64{20_000: 15, 200_000: 16}},
+			{InTime: 21, Late: 22, Rejected: 23, Failed: 24, Times: map[int64]int64{9000: 25, 30_000: 26}},
 		},
-		Lives:  []string{"1700000000000001", "1700000000000002"},
-		Before: rollout.Figures{InTime: 31, Late: 32, Refused: 33, Failed: 34, Times: map[int64]int64{1000: 35}},
-		Reason: "the operator aborted it",
-		Log:    []string{"controller n0 is new", "stopped: the operator aborted it"},
+		Incarnations: []string{"1700000000000001", "1700000000000002"},
+		Before:       rollout.Figures{InTime: 31, Late: 32, Rejected: 33, Failed: 34, Times: map[int64]int64{1000: 35}},
+		Reason:       "the operator aborted it",
+		Log:          []string{"controller n0 is new", "stopped: the operator aborted it"},
 	}
 }
 
@@ -579,16 +579,16 @@
 // watched is a state in the middle of a stage, with what was counted when its watching began.
 func watched(t *testing.T) *rollout.State {
 	t.Helper()
-	p := rollout.Plan{Controllers: []string{"n0", "n1", "n2"}, Stages: []int{1, 3}, MinTime: 1000, MostTime: 60_000, MinCalls: 100,
-		LookEvery: 500, Confidence: 0.99, Tolerance: 0.01}
+	p := rollout.Plan{Controllers: []string{"n0", "n1", "n2"}, Stages: []int{1, 3}, MinTime: 1000, MaxTime: 60_000, MinCalls: 100,
+		EvaluationInterval: 500, Confidence: 0.99, Tolerance: 0.01}
 	s := p.Begin("fedcba9876543210")
-	o := rollout.Observation{Now: 1_700_000_000_000, Lives: []string{"1", "2", "3"}, Figures: []rollout.Figures{
-		{}, {InTime: 7, Late: 1, Refused: 2, Failed: 3, Times: map[int64]int64{10_000: 8}}, {}}}
+	o := rollout.Observation{Now: 1_700_000_000_000, Incarnations: []string{"1", "2", "3"}, Figures: []rollout.Figures{
+		{}, {InTime: 7, Late: 1, Rejected: 2, Failed: 3, Times: map[int64]int64{10_000: 8}}, {}}}
 	p.Next(s, o)
 	p.Moved(s, 0, rollout.New, errors.New("it takes too long"))
 	p.Next(s, o)
 	p.Moved(s, 0, rollout.New, nil)
-	if a := p.Next(s, o); a.Until != o.Now+p.LookEvery {
+	if a := p.Next(s, o); a.Until != o.Now+p.EvaluationInterval {
 		t.Fatalf("the stage is not watched: %+v", a)
 	}
 	return s
@@ -640,7 +640,7 @@
 
 // The bound on what is remembered of what was done: the first lines are kept, later ones are passed over.
 func TestCharacterization_LongLog(t *testing.T) {
-	p := rollout.Plan{Stages: []int{256}, LookEvery: 1000, MostTime: 1000}
+	p := rollout.Plan{Stages: []int{256}, EvaluationInterval: 1000, MaxTime: 1000}
 	for i := range 256 {
 		p.Controllers = append(p.Controllers, fmt.Sprintf("n%d", i))
 	}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -19,14 +19,14 @@
 
 // Plan is how a change is made.
 type Plan struct {
-	Controllers []string // by name, in the order in which they are moved
-	Stages      []int    // how many are new in each stage, growing, the last all
-	MinTime     int64    // ms that a stage is watched at the least
-	MostTime    int64    // ms after which a stage that has not enough calls is given up
-	MinCalls    int64    // calls of the old and of the new that a stage needs
-	LookEvery   int64    // ms from one comparison to the next
-	Confidence  float64  // that a stage which is no worse is not stopped: 0.9 to less than 1
-	Tolerance   float64  // by which a share may be worse without being called so: 0 to 0.5
+	Controllers        []string // by name, in the order in which they are moved
+	Stages             []int    // how many are new in each stage, growing, the last all
+	MinTime            int64    // ms that a stage is watched at the least
+	MaxTime            int64    // ms after which a stage that has not enough calls is given up
+	MinCalls           int64    // calls of the old and of the new that a stage needs
+	EvaluationInterval int64    // ms from one comparison to the next
+	Confidence         float64  // that a stage which is no worse is not stopped: 0.9 to less than 1
+	Tolerance          float64  // by which a share may be worse without being called so: 0 to 0.5
 }
 
 // ErrPlan tells of a Plan that makes no sense; the message names the field.
@@ -54,11 +54,11 @@
 		}
 	}
 	switch {
-	case p.MinTime < 0 || p.MostTime < p.MinTime || p.MostTime == 0:
+	case p.MinTime < 0 || p.MaxTime < p.MinTime || p.MaxTime == 0:
 		return bad("most_time", "want it longer than min_time")
 	case p.MinCalls < 10:
 		return bad("min_calls", "want 10 at the least")
-	case p.LookEvery < 50:
+	case p.EvaluationInterval < 50:
 		return bad("look_every", "want 50ms at the least")
 	case !(p.Confidence >= 0.9 && p.Confidence < 1):
 		return bad("confidence", "want 0.9 to less than 1")
@@ -86,15 +86,15 @@
 
 // Figures are what a controller has counted since its start, or a difference of two such.
 type Figures struct {
-	InTime  int64           `json:"in_time"` // calls that stood within their class's aim
-	Late    int64           `json:"late"`    // stood after it
-	Refused int64           `json:"refused"`
-	Failed  int64           `json:"failed"`
-	Times   map[int64]int64 `json:"times,omitempty"` // calls that stood, by set-up time in µs (the top of a bucket)
+	InTime   int64           `json:"in_time"` // calls that stood within their class's aim
+	Late     int64           `json:"late"`    // stood after it
+	Rejected int64           `json:"refused"`
+	Failed   int64           `json:"failed"`
+	Times    map[int64]int64 `json:"times,omitempty"` // calls that stood, by set-up time in µs (the top of a bucket)
 }
 
 // Calls is how many calls were answered in any way.
-func (f Figures) Calls() int64 { return f.InTime + f.Late + f.Refused + f.Failed }
+func (f Figures) Calls() int64 { return f.InTime + f.Late + f.Rejected + f.Failed }
 
 // Sub is what was counted since base.
 func (f Figures) Sub(base Figures) Figures { return f.add(base, -1) }
@@ -103,7 +103,7 @@
 func (f Figures) Add(g Figures) Figures { return f.add(g, 1) }
 
 func (f Figures) add(g Figures, sign int64) Figures {
-	out := Figures{f.InTime + sign*g.InTime, f.Late + sign*g.Late, f.Refused + sign*g.Refused, f.Failed + sign*g.Failed,
+	out := Figures{f.InTime + sign*g.InTime, f.Late + sign*g.Late, f.Rejected + sign*g.Rejected, f.Failed + sign*g.Failed,
 		map[int64]int64{}}
 	for t, n := range f.Times {
 		out.Times[t] += n
@@ -169,7 +169,7 @@
 		bad, of, b, to int64
 	}{
 		{"not standing in time", old.Calls() - old.InTime, old.Calls(), new.Calls() - new.InTime, new.Calls()},
-		{"refused", old.Refused, old.Calls(), new.Refused, new.Calls()},
+		{"refused", old.Rejected, old.Calls(), new.Rejected, new.Calls()},
 		{"failed", old.Failed, old.Calls(), new.Failed, new.Calls()},
 		{"set-up slower than the old p99", oldSlow, oldStood, newSlow, newStood},
 	} {
@@ -212,17 +212,17 @@
 
 // State is all that a rollout remembers.
 type State struct {
-	Plan        string       `json:"plan"` // what tells the plan from another
-	Phase       Phase        `json:"phase"`
-	Stage       int          `json:"stage"`
-	Controllers []Controller `json:"controllers"`
-	Since       int64        `json:"since"` // the stage is watched since then, 0: not yet
-	LookedAt    int64        `json:"looked_at"`
-	Base        []Figures    `json:"base"`   // of each controller when the watching began
-	Lives       []string     `json:"lives"`  // of each controller's process then
-	Before      Figures      `json:"before"` // of the old, in the stages before
-	Reason      string       `json:"reason,omitempty"`
-	Log         []string     `json:"log"`
+	Plan         string       `json:"plan"` // what tells the plan from another
+	Phase        Phase        `json:"phase"`
+	Stage        int          `json:"stage"`
+	Controllers  []Controller `json:"controllers"`
+	Since        int64        `json:"since"` // the stage is watched since then, 0: not yet
+	EvaluatedAt  int64        `json:"looked_at"`
+	Base         []Figures    `json:"base"`   // of each controller when the watching began
+	Incarnations []string     `json:"lives"`  // of each controller's process then
+	Before       Figures      `json:"before"` // of the old, in the stages before
+	Reason       string       `json:"reason,omitempty"`
+	Log          []string     `json:"log"`
 }
 
 const (
@@ -250,10 +250,10 @@
 
 // Observation is what was seen of the controllers, in the plan's order.
 type Observation struct {
-	Now     int64
-	Figures []Figures
-	Lives   []string // another for each process; "" where it does not answer
-	Abort   bool     // the operator wants the change taken back
+	Now          int64
+	Figures      []Figures
+	Incarnations []string // another for each process; "" where it does not answer
+	Abort        bool     // the operator wants the change taken back
 }
 
 // Action is what is to be done next: a move, to be told of with Moved, or to look again at a time, or nothing more.
@@ -297,33 +297,33 @@
 
 // watch looks at a stage whose controllers have all been moved.
 func (p Plan) watch(s *State, o Observation) Action {
-	wait := Action{Until: o.Now + p.LookEvery}
+	wait := Action{Until: o.Now + p.EvaluationInterval}
 	if s.Since == 0 {
-		if i := slices.Index(o.Lives, ""); i >= 0 { // all must be up to begin with
-			if s.LookedAt == 0 {
-				s.LookedAt = o.Now
+		if i := slices.Index(o.Incarnations, ""); i >= 0 { // all must be up to begin with
+			if s.EvaluatedAt == 0 {
+				s.EvaluatedAt = o.Now
 			}
-			if o.Now-s.LookedAt > p.MostTime {
+			if o.Now-s.EvaluatedAt > p.MaxTime {
 				s.back(fmt.Sprintf("controller %s does not answer", s.Controllers[i].Name))
 				return p.Next(s, o)
 			}
 			return wait
 		}
-		s.Since, s.LookedAt, s.Base, s.Lives = o.Now, o.Now, slices.Clone(o.Figures), slices.Clone(o.Lives)
+		s.Since, s.EvaluatedAt, s.Base, s.Incarnations = o.Now, o.Now, slices.Clone(o.Figures), slices.Clone(o.Incarnations)
 		s.note("stage %d of %d: %d of %d controllers are new", s.Stage+1, len(p.Stages), p.Stages[s.Stage], len(s.Controllers))
 		return wait
 	}
 	var old, new Figures
 	for i, c := range s.Controllers {
-		if o.Lives[i] != s.Lives[i] {
+		if o.Incarnations[i] != s.Incarnations[i] {
 			if c.Version == New {
 				s.back(fmt.Sprintf("controller %s ended while it ran the new version", c.Name))
 				return p.Next(s, o)
 			}
 			// An old one that was started anew counts from there; one that does not answer counts nothing.
-			s.Base[i], s.Lives[i] = Figures{}, o.Lives[i]
+			s.Base[i], s.Incarnations[i] = Figures{}, o.Incarnations[i]
 		}
-		if o.Lives[i] == "" {
+		if o.Incarnations[i] == "" {
 			continue
 		}
 		if d := o.Figures[i].Sub(s.Base[i]); c.Version == New {
@@ -336,7 +336,7 @@
 	if p.Stages[s.Stage] == len(s.Controllers) { // none is old any more: what they did before is compared
 		against = s.Before
 	}
-	looks := int(p.MostTime/p.LookEvery) + 1
+	looks := int(p.MaxTime/p.EvaluationInterval) + 1
 	for _, c := range p.Compare(against, new, looks) {
 		// A figure that is worse stops the stage as soon as it is certain, but never on a handful of calls.
 		if c.Worse && new.Calls() >= p.MinCalls/2 && against.Calls() >= p.MinCalls/2 {
@@ -347,7 +347,7 @@
 	}
 	watched := o.Now - s.Since
 	if watched < p.MinTime || new.Calls() < p.MinCalls || against.Calls() < p.MinCalls {
-		if watched >= p.MostTime {
+		if watched >= p.MaxTime {
 			s.back(fmt.Sprintf("stage %d: only %d calls of the new and %d of the old in the time it has, want %d",
 				s.Stage+1, new.Calls(), against.Calls(), p.MinCalls))
 			return p.Next(s, o)
@@ -356,7 +356,7 @@
 	}
 	s.note("stage %d: no worse, by %d calls of the new and %d of the old", s.Stage+1, new.Calls(), against.Calls())
 	s.Before = s.Before.Add(old)
-	s.Since, s.LookedAt, s.Base, s.Lives = 0, 0, nil, nil
+	s.Since, s.EvaluatedAt, s.Base, s.Incarnations = 0, 0, nil, nil
 	if s.Stage++; s.Stage == len(p.Stages) {
 		s.Stage--
 		s.Phase = Done
@@ -385,8 +385,8 @@
 	c.Failed++
 	s.note("controller %s could not be made %s: %v", c.Name, to, err)
 	switch {
-	case to == New && (c.Failed >= mostFailed || errors.Is(err, ErrRefused)):
-		if errors.Is(err, ErrRefused) { // it was not touched
+	case to == New && (c.Failed >= mostFailed || errors.Is(err, ErrRejected)):
+		if errors.Is(err, ErrRejected) { // it was not touched
 			c.Moving = ""
 		}
 		s.back(fmt.Sprintf("controller %s could not be made new: %v", c.Name, err))
@@ -396,5 +396,5 @@
 	}
 }
 
-// ErrRefused wraps the error of a move that was refused before anything was touched: it is not tried again.
-var ErrRefused = errors.New("refused before it began")
+// ErrRejected wraps the error of a move that was refused before anything was touched: it is not tried again.
+var ErrRejected = errors.New("refused before it began")
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -10,8 +10,8 @@
 )
 
 func plan() Plan {
-	return Plan{Controllers: []string{"n0", "n1", "n2", "n3", "n4"}, Stages: []int{1, 3, 5}, MinTime: 10_000, MostTime: 60_000,
-		MinCalls: 300, LookEvery: 1000, Confidence: 0.99, Tolerance: 0.01}
+	return Plan{Controllers: []string{"n0", "n1", "n2", "n3", "n4"}, Stages: []int{1, 3, 5}, MinTime: 10_000, MaxTime: 60_000,
+		MinCalls: 300, EvaluationInterval: 1000, Confidence: 0.99, Tolerance: 0.01}
 }
 
 // world is controllers that count as their version does, and are moved as they are told.
@@ -56,7 +56,7 @@
 		for range int64(w.rate) * ms / 1000 {
 			switch {
 			case w.rng.Float64() < w.bad[w.version[i]]:
-				f.Refused++
+				f.Rejected++
 			case w.rng.Float64() < w.slow[w.version[i]]:
 				f.InTime++
 				f.Times[200_000]++
@@ -88,7 +88,7 @@
 			if w.life[i] == 0 {
 				life = ""
 			}
-			o.Lives = append(o.Lives, life)
+			o.Incarnations = append(o.Incarnations, life)
 		}
 		switch a := w.p.Next(w.s, o); {
 		case a.Final:
@@ -167,7 +167,7 @@
 		{"settings refused at the second stage", func(w *world) {
 			w.fail = func(i int, to Version) error {
 				if i == 2 && to == New {
-					return fmt.Errorf("%w: config: listen: empty", ErrRefused)
+					return fmt.Errorf("%w: config: listen: empty", ErrRejected)
 				}
 				return nil
 			}
@@ -233,9 +233,9 @@
 		"controller":   func(p *Plan) { p.Controllers = p.Controllers[:1] },
 		"stages":       func(p *Plan) { p.Stages = []int{1, 3} },
 		"stages: want": func(p *Plan) { p.Stages = []int{3, 3, 5} },
-		"most_time":    func(p *Plan) { p.MostTime = 1 },
+		"most_time":    func(p *Plan) { p.MaxTime = 1 },
 		"min_calls":    func(p *Plan) { p.MinCalls = 0 },
-		"look_every":   func(p *Plan) { p.LookEvery = 0 },
+		"look_every":   func(p *Plan) { p.EvaluationInterval = 0 },
 		"confidence":   func(p *Plan) { p.Confidence = 1 },
 		"tolerance":    func(p *Plan) { p.Tolerance = -1 },
 	} {
--- a/internal/rollout/runner/characterization_test.go
+++ b/internal/rollout/runner/characterization_test.go
@@ -93,8 +93,8 @@
 func describe(t *testing.T, to *strings.Builder, f *runner.File) {
 	t.Helper()
 	fmt.Fprintf(to, "stages %q\nwatched at least %d ns\nwatched at most %d ns\ncalls %d\nlooks every %d ns\nconfidence %g\ntolerance %g\n",
-		f.Stages, int64(f.MinTime), int64(f.MostTime), f.MinCalls, int64(f.LookEvery), f.Confidence, f.Tolerance)
-	fmt.Fprintf(to, "stop within %d ns\nready within %d ns\nold program %q\nnew program %q\n", int64(f.StopWithin), int64(f.ReadyIn), f.Old.Binary, f.New.Binary)
+		f.Stages, int64(f.MinTime), int64(f.MaxTime), f.MinCalls, int64(f.EvaluationInterval), f.Confidence, f.Tolerance)
+	fmt.Fprintf(to, "stop within %d ns\nready within %d ns\nold program %q\nnew program %q\n", int64(f.StopTimeout), int64(f.ReadyTimeout), f.Old.Binary, f.New.Binary)
 	for _, c := range f.Controller {
 		fmt.Fprintf(to, "controller %q, arguments %q, configuration %q, new configuration %q, process number %q, log %q, health %q\n",
 			c.Name, c.Args, c.Config, c.NewConfig, c.PIDFile, c.Log, c.Health)
@@ -104,7 +104,7 @@
 		t.Fatal(err)
 	}
 	fmt.Fprintf(to, "plan: controllers %q, stages %d, at least %d ms, at most %d ms, calls %d, looks every %d ms, confidence %g, tolerance %g\n",
-		p.Controllers, p.Stages, p.MinTime, p.MostTime, p.MinCalls, p.LookEvery, p.Confidence, p.Tolerance)
+		p.Controllers, p.Stages, p.MinTime, p.MaxTime, p.MinCalls, p.EvaluationInterval, p.Confidence, p.Tolerance)
 }
 
 // The words for rollout files that are not accepted.
@@ -167,16 +167,16 @@
 			{Name: "n1", Version: rollout.Old, Moving: rollout.New, Failed: 1},
 			{Name: "n2", Version: rollout.Old},
 		},
-		Since: 1_700_000_000_123, LookedAt: 1_700_000_001_456,
+		Since: 1_700_000_000_123, EvaluatedAt: 1_700_000_001_456,
 		Base: []rollout.Figures{
-			{InTime: 11, Late: 12, Refused: 13, Failed: 14, Times: map[int64]int64{20_000: 15, 200_000: 16}},
-			{InTime: 21, Late: 22, Refused: 23, Failed: 24, Times: map[int64]int64{9000: 25, 30_000: 26}},
+			{InTime: 11, Late: 12, Rejected: 13, Failed: 14, Times: map[int64]int64{20_000: 15, 200_000: 16}},
+			{InTime: 21, Late: 22, Rejected: 23, Failed: 24, Times: map[int64]int64{9000: 25, 30_000: 26}},
 			{},
 		},
-		Lives:  []string{"1700000000000001", "1700000000000002", ""},
-		Before: rollout.Figures{InTime: 31, Late: 32, Refused: 33, Failed: 34, Times: map[int64]int64{1000: 35}},
-		Reason: "the operator aborted it",
-		Log:    []string{"controller n0 is new", "stopped: \"the operator\" <aborted> it & more"},
+		Incarnations: []string{"1700000000000001", "1700000000000002", ""},
+		Before:       rollout.Figures{InTime: 31, Late: 32, Rejected: 33, Failed: 34, Times: map[int64]int64{1000: 35}},
+		Reason:       "the operator aborted it",
+		Log:          []string{"controller n0 is new", "stopped: \"the operator\" <aborted> it & more"},
 	}
 }
 
@@ -208,7 +208,7 @@
 		words string
 	}{
 		{"state-done.json", rollout.Done, context.Background(), nil, ""},
-		{"state-aborted.json", rollout.Aborted, context.Background(), runner.ErrTakenBack, "rollout: stopped and taken back: the operator aborted it"},
+		{"state-aborted.json", rollout.Aborted, context.Background(), runner.ErrRolledBack, "rollout: stopped and taken back: the operator aborted it"},
 		{"state-stuck.json", rollout.Stuck, context.Background(), runner.ErrStuck, "rollout: stuck: the operator aborted it"},
 		{"state-running.json", rollout.Running, cancelled, context.Canceled, "context canceled"},
 	} {
@@ -264,7 +264,7 @@
 		t.Fatal(err)
 	}
 	checkNames(t, filepath.Dir(path), "state.json", "state.json.abort")
-	if err := runner.Run(context.Background(), f, path, zerolog.Nop()); !errors.Is(err, runner.ErrTakenBack) {
+	if err := runner.Run(context.Background(), f, path, zerolog.Nop()); !errors.Is(err, runner.ErrRolledBack) {
 		t.Fatal(err)
 	}
 	checkNames(t, filepath.Dir(path), "state.json", "state.json.lock")
--- a/internal/rollout/runner/file.go
+++ b/internal/rollout/runner/file.go
@@ -17,18 +17,18 @@
 
 // File is a rollout's file: the controllers, how each is started, and what changes.
 type File struct {
-	Stages     []string      `toml:"stages"`      // counts, or shares such as "20%"
-	MinTime    time.Duration `toml:"min_time"`    // that a stage is watched at the least
-	MostTime   time.Duration `toml:"most_time"`   // after which one with too few calls is given up
-	MinCalls   int64         `toml:"min_calls"`   // of the old and of the new
-	LookEvery  time.Duration `toml:"look_every"`  // from one comparison to the next
-	Confidence float64       `toml:"confidence"`  // that a change which is no worse is not stopped
-	Tolerance  float64       `toml:"tolerance"`   // by which a share may be worse
-	StopWithin time.Duration `toml:"stop_within"` // after SIGTERM, before SIGKILL
-	ReadyIn    time.Duration `toml:"ready_in"`    // a start that takes longer has failed
-	Old        Program       `toml:"old"`
-	New        Program       `toml:"new"`
-	Controller []Controller  `toml:"controller"`
+	Stages             []string      `toml:"stages"`      // counts, or shares such as "20%"
+	MinTime            time.Duration `toml:"min_time"`    // that a stage is watched at the least
+	MaxTime            time.Duration `toml:"most_time"`   // after which one with too few calls is given up
+	MinCalls           int64         `toml:"min_calls"`   // of the old and of the new
+	EvaluationInterval time.Duration `toml:"look_every"`  // from one comparison to the next
+	Confidence         float64       `toml:"confidence"`  // that a change which is no worse is not stopped
+	Tolerance          float64       `toml:"tolerance"`   // by which a share may be worse
+	StopTimeout        time.Duration `toml:"stop_within"` // after SIGTERM, before SIGKILL
+	ReadyTimeout       time.Duration `toml:"ready_in"`    // a start that takes longer has failed
+	Old                Program       `toml:"old"`
+	New                Program       `toml:"new"`
+	Controller         []Controller  `toml:"controller"`
 
 	id string // of the text
 }
@@ -55,8 +55,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("rollout: %w", err)
 	}
-	f := &File{MinTime: time.Minute, MostTime: 15 * time.Minute, MinCalls: 500, LookEvery: 2 * time.Second, Confidence: 0.99,
-		Tolerance: 0.01, StopWithin: 6 * time.Second, ReadyIn: 15 * time.Second}
+	f := &File{MinTime: time.Minute, MaxTime: 15 * time.Minute, MinCalls: 500, EvaluationInterval: 2 * time.Second, Confidence: 0.99,
+		Tolerance: 0.01, StopTimeout: 6 * time.Second, ReadyTimeout: 15 * time.Second}
 	meta, err := toml.Decode(string(text), f)
 	if err != nil {
 		return nil, fmt.Errorf("rollout: %s", strings.ReplaceAll(err.Error(), "\n", " "))
@@ -79,7 +79,7 @@
 			return nil, fmt.Errorf("rollout: controller[%d].new_config: absent, and old.binary is new.binary: nothing changes", i)
 		}
 	}
-	if f.StopWithin <= 0 || f.ReadyIn <= 0 {
+	if f.StopTimeout <= 0 || f.ReadyTimeout <= 0 {
 		return nil, fmt.Errorf("rollout: stop_within, ready_in: want more than 0")
 	}
 	if _, err := f.Plan(); err != nil {
@@ -90,8 +90,8 @@
 
 // Plan is what the stages are decided by.
 func (f *File) Plan() (rollout.Plan, error) {
-	p := rollout.Plan{MinTime: f.MinTime.Milliseconds(), MostTime: f.MostTime.Milliseconds(), MinCalls: f.MinCalls,
-		LookEvery: f.LookEvery.Milliseconds(), Confidence: f.Confidence, Tolerance: f.Tolerance}
+	p := rollout.Plan{MinTime: f.MinTime.Milliseconds(), MaxTime: f.MaxTime.Milliseconds(), MinCalls: f.MinCalls,
+		EvaluationInterval: f.EvaluationInterval.Milliseconds(), Confidence: f.Confidence, Tolerance: f.Tolerance}
 	for _, c := range f.Controller {
 		p.Controllers = append(p.Controllers, c.Name)
 	}
--- a/internal/rollout/runner/runner.go
+++ b/internal/rollout/runner/runner.go
@@ -25,8 +25,8 @@
 // ErrBusy tells that another process carries the rollout out.
 var ErrBusy = errors.New("rollout: another process is at it")
 
-// ErrTakenBack tells that the change was stopped and taken back; the state says why.
-var ErrTakenBack = errors.New("rollout: stopped and taken back")
+// ErrRolledBack tells that the change was stopped and taken back; the state says why.
+var ErrRolledBack = errors.New("rollout: stopped and taken back")
 
 // ErrStuck tells that a controller could be brought neither forth nor back.
 var ErrStuck = errors.New("rollout: stuck")
@@ -103,7 +103,7 @@
 	switch s.Phase {
 	case rollout.Aborted:
 		os.Remove(statePath + abortSuffix)
-		return fmt.Errorf("%w: %s", ErrTakenBack, s.Reason)
+		return fmt.Errorf("%w: %s", ErrRolledBack, s.Reason)
 	case rollout.Stuck:
 		return fmt.Errorf("%w: %s", ErrStuck, s.Reason)
 	}
@@ -155,14 +155,14 @@
 func (r *run) observe(ctx context.Context, s *rollout.State) rollout.Observation {
 	_, err := os.Stat(r.path + abortSuffix)
 	n := len(r.f.Controller)
-	o := rollout.Observation{Figures: make([]rollout.Figures, n), Lives: make([]string, n), Abort: err == nil}
+	o := rollout.Observation{Figures: make([]rollout.Figures, n), Incarnations: make([]string, n), Abort: err == nil}
 	if s.Phase == rollout.Running {
 		done := make(chan struct{})
 		for i, c := range r.f.Controller {
 			go func() {
 				defer func() { done <- struct{}{} }()
 				if k, err := ask(ctx, c); err == nil {
-					o.Figures[i], o.Lives[i] = k.figures(), strconv.FormatInt(k.Life, 10)
+					o.Figures[i], o.Incarnations[i] = k.figures(), strconv.FormatInt(k.Life, 10)
 				}
 			}()
 		}
@@ -183,7 +183,7 @@
 
 func (k counters) figures() rollout.Figures {
 	c := k.Counters
-	return rollout.Figures{InTime: c["answered_in_time"], Late: c["answered"] - c["answered_in_time"], Refused: c["refused"],
+	return rollout.Figures{InTime: c["answered_in_time"], Late: c["answered"] - c["answered_in_time"], Rejected: c["refused"],
 		Failed: c["failed"], Times: k.Times}
 }
 
@@ -234,7 +234,7 @@
 			path = c.NewConfig
 		}
 		if err := check(ctx, program.Binary, c, path); err != nil {
-			return fmt.Errorf("%w: %w", rollout.ErrRefused, err)
+			return fmt.Errorf("%w: %w", rollout.ErrRejected, err)
 		}
 	}
 	if err := configure(c, to); err != nil {
@@ -319,7 +319,7 @@
 		return fmt.Errorf("stop: %w", err)
 	}
 	gone := func() (bool, error) { return !alive(p), nil }
-	if poll(ctx, r.f.StopWithin, gone) == nil {
+	if poll(ctx, r.f.StopTimeout, gone) == nil {
 		return nil
 	}
 	if ctx.Err() != nil {
@@ -327,7 +327,7 @@
 	}
 	r.log.Warn().Str("controller", c.Name).Msg("does not end, is killed")
 	syscall.Kill(p, syscall.SIGKILL)
-	return poll(ctx, r.f.StopWithin, gone)
+	return poll(ctx, r.f.StopTimeout, gone)
 }
 
 // start starts a controller's process, which outlives this one. Its number is written by itself, before it becomes
@@ -352,7 +352,7 @@
 // ready waits until a controller that was started serves.
 func (r *run) ready(ctx context.Context, c Controller) error {
 	began := time.Now()
-	return poll(ctx, r.f.ReadyIn, func() (bool, error) {
+	return poll(ctx, r.f.ReadyTimeout, func() (bool, error) {
 		if time.Since(began) > time.Second/2 && !alive(pid(c)) {
 			return false, fmt.Errorf("it ended at its start: see %s", c.Log)
 		}
--- a/internal/simulation/result.go
+++ b/internal/simulation/result.go
@@ -200,10 +200,10 @@
 
 // Check takes what the checker of the rules has found.
 func (r *Result) Check(c *invariant.Checker) {
-	r.Broken, r.Rules = c.Broken()
+	r.Broken, r.Rules = c.Violations()
 	ramp := c.Ramp()
 	r.ColdBudget, r.ColdSent = ramp.Worst, ramp.Sent
-	left := c.Departures()
+	left := c.Abandoned()
 	r.LeftWaiting, r.SentOn = left.Waiting, left.SentOn
 }
 
--- a/internal/simulation/sim.go
+++ b/internal/simulation/sim.go
@@ -142,8 +142,8 @@
 // Run plays a scenario.
 func Run(sc *Scenario, seed uint64) (*Result, error) {
 	s := &Sim{sc: sc, now: origin, end: origin + sc.Length.Microseconds(), byUID: map[string]*pool{}, burst: 1, loss: sc.Net.Loss,
-		rules: invariant.New(invariant.Config{Release: sc.Settings.Release.Microseconds(), Sends: 2,
-			Grace: sc.Settings.Grace.Microseconds(), Late: 50_000, LeftGrace: 100_000, Start: sc.Settings.start()})}
+		rules: invariant.New(invariant.Config{ReleaseWait: sc.Settings.Release.Microseconds(), MaxAttempts: 2,
+			Grace: sc.Settings.Grace.Microseconds(), Late: 50_000, LeftGrace: 100_000, SlowStart: sc.Settings.start()})}
 	for i := range s.rng {
 		s.rng[i] = rand.New(rand.NewPCG(seed, uint64(i)+1))
 	}
@@ -215,7 +215,7 @@
 	var list []dispatch.Endpoint
 	for _, p := range s.pools {
 		list = append(list, dispatch.Endpoint{UID: p.uid, Group: p.group, Zone: p.Zone, Mode: eidertrail.Ready})
-		s.rules.Told(s.now, n.name, p.uid, true)
+		s.rules.EndpointNotified(s.now, n.name, p.uid, true)
 	}
 	n.engine.UpdateEndpoints(s.now, list, true)
 	n.wake()
@@ -275,7 +275,7 @@
 	class := s.sc.Class[c.class]
 	s.calls++
 	a := &attempt{id: uint64(s.calls), caller: c, until: s.now + int64(float64(class.Deadline.Microseconds())*s.sc.Callers.TryShare)}
-	s.rules.Taken(s.now, a.name(), a.until)
+	s.rules.CallAccepted(s.now, a.name(), a.until)
 	s.out.Tries++
 	n.hear(func() {
 		n.engine.Submit(s.now, dispatch.Request{Call: a.id, Class: c.class, Pool: c.pool, Key: c.key, Deadline: a.until},
@@ -286,7 +286,7 @@
 			return
 		}
 		a.over = true
-		s.rules.Left(s.now, a.name())
+		s.rules.CallerGone(s.now, a.name())
 		n.hear(func() {
 			if a.out {
 				a.out = false
@@ -537,7 +537,7 @@
 	for _, n := range s.nodes {
 		s.after(late+s.rng[lotNet].Int64N(int64(s.sc.Net.Apart)/1000), func() {
 			n.hear(func() {
-				s.rules.Told(s.now, n.name, p.uid, mode == eidertrail.Ready)
+				s.rules.EndpointNotified(s.now, n.name, p.uid, mode == eidertrail.Ready)
 				n.engine.UpdateEndpoints(s.now, []dispatch.Endpoint{{UID: p.uid, Group: p.group, Zone: p.Zone, StartedAt: born, Mode: mode}}, false)
 			})
 		})
@@ -561,7 +561,7 @@
 func (s *Sim) start(p *pool) {
 	p.Start(s.now)
 	warm := 1e6 / float64(p.Work.Microseconds()) / max(p.slow, 1e-3)
-	s.rules.ColdStart(s.now, p.uid, warm)
+	s.rules.EndpointStarted(s.now, p.uid, warm)
 }
 
 // happen is an event of the scenario.
--- a/internal/simulation/srv.go
+++ b/internal/simulation/srv.go
@@ -131,7 +131,7 @@
 			if was, is := x.told[l.UID]; (!is || was == eidertrail.Ready) && l.Mode != eidertrail.Ready && s.names.changedAt[s.byUID[l.UID]] > 0 {
 				s.out.Lag = max(s.out.Lag, float64(s.now-s.names.changedAt[s.byUID[l.UID]])/1000)
 			}
-			s.rules.Told(s.now, n.name, l.UID, l.Mode == eidertrail.Ready)
+			s.rules.EndpointNotified(s.now, n.name, l.UID, l.Mode == eidertrail.Ready)
 			x.told[l.UID] = l.Mode
 		}
 		n.engine.UpdateEndpoints(s.now, lines, false)
--- a/internal/testing/fakeplatform/processor.go
+++ b/internal/testing/fakeplatform/processor.go
@@ -11,14 +11,14 @@
 // would be too long turns them away, and a process that has just started is cold: it does a share of its
 // work at first, and more as it warms up. It is safe for concurrent use.
 type Processor struct {
-	Work      time.Duration // a set-up takes this long on a warm processor
-	MostWait  time.Duration // a set-up that would wait longer is turned away
-	ColdShare float64       // of its capacity, right after Start
-	ColdFor   time.Duration // warm after this
+	Work              time.Duration // a set-up takes this long on a warm processor
+	MaxWait           time.Duration // a set-up that would wait longer is turned away
+	SlowStartCapacity float64       // of its capacity, right after Start
+	SlowStartWindow   time.Duration // warm after this
 	// Fall: set-ups of more than FallMultiple times what it can do at the moment for FallAfter, from all
 	// senders, make a cold processor fall over.
-	FallMultiple float64
-	FallAfter    time.Duration
+	OverloadMultiple float64
+	OverloadWindow   time.Duration
 
 	mu      sync.Mutex
 	started time.Time // zero: warm
@@ -54,7 +54,7 @@
 }
 
 func (p *Processor) start() slowstart.Profile {
-	return slowstart.Profile{InitialCapacity: p.ColdShare, Window: p.ColdFor.Microseconds(), OverloadMultiple: p.FallMultiple, OverloadWindow: p.FallAfter.Microseconds()}
+	return slowstart.Profile{InitialCapacity: p.SlowStartCapacity, Window: p.SlowStartWindow.Microseconds(), OverloadMultiple: p.OverloadMultiple, OverloadWindow: p.OverloadWindow.Microseconds()}
 }
 
 // Arrive takes a set-up: after is when it is answered, or full tells that it is turned away.
@@ -69,7 +69,7 @@
 	if p.freeAt.After(now) {
 		from = p.freeAt
 	}
-	if from.Sub(now) > p.MostWait {
+	if from.Sub(now) > p.MaxWait {
 		p.full++
 		return 0, true
 	}
--- a/internal/testing/fakeplatform/standin.go
+++ b/internal/testing/fakeplatform/standin.go
@@ -95,9 +95,9 @@
 	conn net.Conn
 }
 
-// Refuse makes the pool refuse new connections, or take them again; silent: neither. On a loopback
+// SetRejecting makes the pool refuse new connections, or take them again; silent: neither. On a loopback
 // port (Listen) a refused connection is closed as soon as it is taken.
-func (p *Pool) Refuse(refuses, silent bool) {
+func (p *Pool) SetRejecting(refuses, silent bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refuses, p.silent = refuses, silent
