--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"eidertrail/internal/past"
+	"eidertrail/internal/recentset"
 	"eidertrail/internal/telemetry"
 )
 
@@ -105,8 +105,8 @@
 	late    *time.Timer
 	calls   map[string]*deskCall
 	kept    []over
-	past    *past.Names // calls that are over: what still comes for them is not of somebody else's call
-	early   *past.Names // with once: cancelled or released, and not known here
+	past    *recentset.Set // calls that are over: what still comes for them is not of somebody else's call
+	early   *recentset.Set // with once: cancelled or released, and not known here
 	open    int         // set-ups without a final answer
 	givenUp bool        // GiveUp was called
 
@@ -187,7 +187,7 @@
 // NewCallTable returns a desk.
 func NewCallTable(c CallTableConfig) *CallTable {
 	k := &CallTable{d: c.Dispatcher, trunk: c.Inviter, count: c.Counters, most: c.MaxCalls, callID: c.CallID, tellAll: c.NotifyAllEnds, once: c.UniqueIDs,
-		at: map[CallerConn]*seat{}, classes: map[string]int{}, calls: map[string]*deskCall{}, past: past.New(mostPast), early: past.New(mostEarly)}
+		at: map[CallerConn]*seat{}, classes: map[string]int{}, calls: map[string]*deskCall{}, past: recentset.New(mostPast), early: recentset.New(mostEarly)}
 	k.closed, k.close = context.WithCancel(context.Background())
 	if k.callID == nil {
 		k.callID = func(id string) string { return id }
@@ -429,7 +429,7 @@
 func (k *CallTable) met(id string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.calls[id] != nil || k.past.Has(id)
+	return k.calls[id] != nil || k.past.Contains(id)
 }
 
 func (k *CallTable) over(first *seat, id string, cause int) {
@@ -516,7 +516,7 @@
 	case at == nil:
 		end(nil)
 		return nil // the caller has left meanwhile, or what crosses a close is sent again: nothing is owed
-	case k.early.Has(s.ID):
+	case k.early.Contains(s.ID):
 		// Guards against a set-up being sent whose cancel was read first, on another connection.
 		end(nil)
 		k.past.Add(s.ID)
@@ -547,7 +547,7 @@
 func (k *CallTable) taken(id string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.calls[id] != nil || k.once && k.past.Has(id)
+	return k.calls[id] != nil || k.once && k.past.Contains(id)
 }
 
 // NumberKey is a number called as the module compares it.
@@ -627,7 +627,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	call := k.calls[id]
-	if call == nil && k.past.Has(id) {
+	if call == nil && k.past.Contains(id) {
 		return false, ErrCallEnded
 	}
 	if call == nil {
--- a/internal/backend/sippool/pool.go
+++ b/internal/backend/sippool/pool.go
@@ -15,7 +15,7 @@
 	"eidertrail"
 	"eidertrail/dispatch"
 	"eidertrail/internal/endpoint/endpointlist"
-	"eidertrail/internal/past"
+	"eidertrail/internal/recentset"
 	"eidertrail/internal/telemetry"
 )
 
@@ -104,7 +104,7 @@
 
 	mu    sync.Mutex
 	pools map[string]*pool // by uid: an address may pass from one pool to another
-	ended *past.Names
+	ended *recentset.Set
 }
 
 // New returns an empty set. Its connections end when ctx is done; Wait waits for that.
@@ -117,7 +117,7 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
-	return &Pools{cfg: cfg, ctx: ctx, pools: map[string]*pool{}, ended: past.New(mostEnded)}
+	return &Pools{cfg: cfg, ctx: ctx, pools: map[string]*pool{}, ended: recentset.New(mostEnded)}
 }
 
 // Wait returns when every goroutine of the set has ended.
@@ -221,7 +221,7 @@
 func (s *Pools) ReleaseUnmatched(id string, cause int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ended.Has(id) {
+	if s.ended.Contains(id) {
 		return
 	}
 	for _, p := range s.pools {
@@ -243,7 +243,7 @@
 func (s *Pools) isEnded(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.ended.Has(id)
+	return s.ended.Contains(id)
 }
 
 // Invite implements dispatch.Trunk.
