--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -79,8 +79,10 @@
 
 // start makes a daemon and opens its listeners.
 func start(ctx context.Context, env environment, log zerolog.Logger) (*daemon, error) {
-	d := &daemon{log: log, count: &telemetry.Counters{}, clock: clock.New(), env: env, moves: make(chan endpointlist.AddressChange, 1),
-		broken: make(chan error, 1), addresses: map[string]string{}, life: time.Now().UnixMicro()}
+	d := &daemon{
+		log: log, count: &telemetry.Counters{}, clock: clock.New(), env: env, moves: make(chan endpointlist.AddressChange, 1),
+		broken: make(chan error, 1), addresses: map[string]string{}, life: time.Now().UnixMicro(),
+	}
 	cfg, err := env.load(d.clock)
 	if err != nil {
 		return nil, err
--- a/cmd/eidertrail/files.go
+++ b/cmd/eidertrail/files.go
@@ -15,8 +15,10 @@
 
 // environment is what the flags and the platform's variables name.
 func (o options) environment() environment {
-	return environment{config: os.Getenv("RELAY_CONFIG"), listen: os.Getenv("RELAY_LISTEN"), callControl: o.callControl,
-		discovery: o.discovery, routing: o.routing, cluster: o.cluster}
+	return environment{
+		config: os.Getenv("RELAY_CONFIG"), listen: os.Getenv("RELAY_LISTEN"), callControl: o.callControl,
+		discovery: o.discovery, routing: o.routing, cluster: o.cluster,
+	}
 }
 
 // load reads the configuration, as it is now.
--- a/cmd/eidertrail/fleet.go
+++ b/cmd/eidertrail/fleet.go
@@ -32,8 +32,10 @@
 // module may choose from.
 func (d *daemon) join(ctx context.Context, node swim.Config, fleet *config.Cluster, log zerolog.Logger) error {
 	started := time.Now().UnixMilli()
-	cfg := gossip.Config{Node: node, Listen: d.cfg.PeerListen, Peers: d.cfg.Peers, Fleet: fleet.Fleet,
-		Incarnation: uint64(started), Seed: d.cfg.Seed, Clock: d.clock, Log: log, Counters: d.count}
+	cfg := gossip.Config{
+		Node: node, Listen: d.cfg.PeerListen, Peers: d.cfg.Peers, Fleet: fleet.Fleet,
+		Incarnation: uint64(started), Seed: d.cfg.Seed, Clock: d.clock, Log: log, Counters: d.count,
+	}
 	var parts []part
 	var books *quota.SharedAllocator
 	var err error
@@ -56,8 +58,10 @@
 		return err
 	}
 	if books != nil {
-		d.dispatch.SetQuotas(dispatch.QuotaConfig{Source: books, SlowStartFraction: fleet.Budget.SlowStartFraction,
-			SendWindow: fleet.Budget.Margin.Microseconds() / 2})
+		d.dispatch.SetQuotas(dispatch.QuotaConfig{
+			Source: books, SlowStartFraction: fleet.Budget.SlowStartFraction,
+			SendWindow: fleet.Budget.Margin.Microseconds() / 2,
+		})
 	}
 	return nil
 }
--- a/cmd/eidertrail/sources.go
+++ b/cmd/eidertrail/sources.go
@@ -38,9 +38,11 @@
 }
 
 func newSources(c *clock.Clock, pools *sippool.Pools, d *dispatch.Dispatcher, log zerolog.Logger, count *telemetry.Counters, seed uint64) *sources {
-	return &sources{clock: c, pools: pools, dispatch: d, log: log, count: count, seed: seed,
+	return &sources{
+		clock: c, pools: pools, dispatch: d, log: log, count: count, seed: seed,
 		events: make(chan endpointlist.Event), updates: make(chan srv.Update, 32),
-		reloads: make(chan *config.Discovery, 1), done: make(chan struct{})}
+		reloads: make(chan *config.Discovery, 1), done: make(chan struct{}),
+	}
 }
 
 // bulletin hands an event of the bulletin over; it waits until the owner has it, as the bulletin's
@@ -157,8 +159,10 @@
 func fromBulletin(pools []endpointlist.Endpoint) []endpointset.ListEntry {
 	out := make([]endpointset.ListEntry, len(pools))
 	for i, p := range pools {
-		out[i] = endpointset.ListEntry{UID: p.UID, Address: p.Address, Group: p.Group, Zone: p.Zone, StartedAt: p.StartedAt,
-			State: endpointset.State(p.State)}
+		out[i] = endpointset.ListEntry{
+			UID: p.UID, Address: p.Address, Group: p.Group, Zone: p.Zone, StartedAt: p.StartedAt,
+			State: endpointset.State(p.State),
+		}
 	}
 	return out
 }
@@ -166,8 +170,10 @@
 func toBulletin(view []endpointset.Endpoint) endpointlist.Event {
 	e := endpointlist.Event{Snapshot: true, Endpoints: make([]endpointlist.Endpoint, len(view))}
 	for i, m := range view {
-		e.Endpoints[i] = endpointlist.Endpoint{UID: m.UID, Address: m.Address, Group: m.Group, Zone: m.Zone, StartedAt: m.StartedAt,
-			State: endpointlist.State(m.State)}
+		e.Endpoints[i] = endpointlist.Endpoint{
+			UID: m.UID, Address: m.Address, Group: m.Group, Zone: m.Zone, StartedAt: m.StartedAt,
+			State: endpointlist.State(m.State),
+		}
 	}
 	return e
 }
--- a/controller.go
+++ b/controller.go
@@ -132,9 +132,14 @@
 		name string
 		v    float64
 	}{
-		{"Release", float64(set.ReleaseWait)}, {"Resend", float64(set.RetransmitInterval)}, {"Tick", float64(set.Tick)},
-		{"MaxAttempts", float64(set.MaxAttempts)}, {"AskWithin", float64(set.PollInterval)},
-		{"Cold", float64(set.SlowStartWindow)}, {"ColdShare", set.SlowStartCapacity}, {"FallMultiple", set.OverloadMultiple},
+		{"Release", float64(set.ReleaseWait)},
+		{"Resend", float64(set.RetransmitInterval)},
+		{"Tick", float64(set.Tick)},
+		{"MaxAttempts", float64(set.MaxAttempts)},
+		{"AskWithin", float64(set.PollInterval)},
+		{"Cold", float64(set.SlowStartWindow)},
+		{"ColdShare", set.SlowStartCapacity},
+		{"FallMultiple", set.OverloadMultiple},
 		{"FallAfter", float64(set.OverloadWindow)},
 	} {
 		if !(f.v >= 0) || math.IsInf(f.v, 0) {
@@ -188,33 +193,35 @@
 
 // ---- Layer 1: delay memory, one for each incarnation of a server ----
 
-type sample struct{ at, took time.Duration }
-type server struct {
-	id       ServerID
-	index    int // of all ever listed
-	pool     int
-	born     time.Duration
-	mode     Mode
-	bar      uint64        // classes barred from it, a bit each
-	least    []sample      // candidates for M, oldest first, rising in took
-	mostM    time.Duration // M counts as no more than this, 0: no bound
-	out      []*call       // set-ups out, oldest first
-	sent     int           // set-ups sent, which numbers them
-	passed   int           // number of the latest that completed
-	r        time.Duration // R, the latest completion
-	rAt      time.Duration // when R was seen
-	seen     bool          // R holds something
-	onTrial  bool          // the last set-up failed or ended over the gate
-	faults   int           // signalling faults since the last completion
-	errors   float64       // share of faults among the set-ups of late
-	free     float64       // free agents as last told, -1: never
-	agents   float64       // their number, 0: not told
-	scarce   bool          // agents are short
-	lift     float64       // pace, in set-ups a turn
-	phase    float64       // turns in hand at paceFrom
-	paceFrom time.Duration // the pace counts from here: the last send, else the start
-	cutAt    time.Duration // when the pace was last cut
-}
+type (
+	sample struct{ at, took time.Duration }
+	server struct {
+		id       ServerID
+		index    int // of all ever listed
+		pool     int
+		born     time.Duration
+		mode     Mode
+		bar      uint64        // classes barred from it, a bit each
+		least    []sample      // candidates for M, oldest first, rising in took
+		mostM    time.Duration // M counts as no more than this, 0: no bound
+		out      []*call       // set-ups out, oldest first
+		sent     int           // set-ups sent, which numbers them
+		passed   int           // number of the latest that completed
+		r        time.Duration // R, the latest completion
+		rAt      time.Duration // when R was seen
+		seen     bool          // R holds something
+		onTrial  bool          // the last set-up failed or ended over the gate
+		faults   int           // signalling faults since the last completion
+		errors   float64       // share of faults among the set-ups of late
+		free     float64       // free agents as last told, -1: never
+		agents   float64       // their number, 0: not told
+		scarce   bool          // agents are short
+		lift     float64       // pace, in set-ups a turn
+		phase    float64       // turns in hand at paceFrom
+		paceFrom time.Duration // the pace counts from here: the last send, else the start
+		cutAt    time.Duration // when the pace was last cut
+	}
+)
 
 // completed records a completion of the set-up sent to s.
 func (s *server) completed(now, took time.Duration) {
@@ -847,8 +854,10 @@
 			c.servers[l.ID] = s
 			c.order = append(c.order, s)
 		} else if s.born != l.StartedAt { // a new incarnation: what the old one did says nothing
-			*s = server{id: s.id, index: s.index, free: s.free, agents: s.agents, born: l.StartedAt,
-				out: s.out, sent: s.sent}
+			*s = server{
+				id: s.id, index: s.index, free: s.free, agents: s.agents, born: l.StartedAt,
+				out: s.out, sent: s.sent,
+			}
 			c.start(s)
 		}
 		s.mode, s.pool, s.bar = l.Mode, l.Pool, l.DeniedClasses
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -107,8 +107,8 @@
 	kept    []over
 	past    *recentset.Set // calls that are over: what still comes for them is not of somebody else's call
 	early   *recentset.Set // with once: cancelled or released, and not known here
-	open    int         // set-ups without a final answer
-	givenUp bool        // GiveUp was called
+	open    int            // set-ups without a final answer
+	givenUp bool           // GiveUp was called
 
 	closed context.Context // done from Close on
 	close  context.CancelFunc
@@ -186,8 +186,10 @@
 
 // NewCallTable returns a desk.
 func NewCallTable(c CallTableConfig) *CallTable {
-	k := &CallTable{d: c.Dispatcher, trunk: c.Inviter, count: c.Counters, most: c.MaxCalls, callID: c.CallID, tellAll: c.NotifyAllEnds, once: c.UniqueIDs,
-		at: map[CallerConn]*seat{}, classes: map[string]int{}, calls: map[string]*deskCall{}, past: recentset.New(mostPast), early: recentset.New(mostEarly)}
+	k := &CallTable{
+		d: c.Dispatcher, trunk: c.Inviter, count: c.Counters, most: c.MaxCalls, callID: c.CallID, tellAll: c.NotifyAllEnds, once: c.UniqueIDs,
+		at: map[CallerConn]*seat{}, classes: map[string]int{}, calls: map[string]*deskCall{}, past: recentset.New(mostPast), early: recentset.New(mostEarly),
+	}
 	k.closed, k.close = context.WithCancel(context.Background())
 	if k.callID == nil {
 		k.callID = func(id string) string { return id }
@@ -497,8 +499,10 @@
 	if len(s.SDP) > mostSDP {
 		return ErrSDP
 	}
-	r := Request{Call: k.d.NewCall(), Class: class, Pool: s.Pool, Key: NumberKey(s.Number),
-		Deadline: s.ReceivedAt + int64(s.TimeoutMillis*1000) - answerMargin}
+	r := Request{
+		Call: k.d.NewCall(), Class: class, Pool: s.Pool, Key: NumberKey(s.Number),
+		Deadline: s.ReceivedAt + int64(s.TimeoutMillis*1000) - answerMargin,
+	}
 	ctx, end := context.WithCancelCause(context.Background())
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -42,8 +42,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("dispatch: %w", err)
 	}
-	return &Engine{set: set, most: most, count: count, log: log, control: control, calls: map[uint64]*call{},
-		waiting: map[uint64]*call{}, servers: map[string]Endpoint{}, route: newRouter(set, log, count)}, nil
+	return &Engine{
+		set: set, most: most, count: count, log: log, control: control, calls: map[uint64]*call{},
+		waiting: map[uint64]*call{}, servers: map[string]Endpoint{}, route: newRouter(set, log, count),
+	}, nil
 }
 
 type wake struct {
@@ -263,8 +265,10 @@
 		}
 		k.out = true
 		delete(d.waiting, k.Call)
-		k.Decide(Decision{Kind: DecisionSend, Pool: string(a.Server), Attempt: k.attempt, Timeout: a.Timeout.Microseconds(), DecidedAt: now,
-			SendBy: d.route.sent(now, k, string(a.Server))})
+		k.Decide(Decision{
+			Kind: DecisionSend, Pool: string(a.Server), Attempt: k.attempt, Timeout: a.Timeout.Microseconds(), DecidedAt: now,
+			SendBy: d.route.sent(now, k, string(a.Server)),
+		})
 	case eidertrail.Reject:
 		d.final(now, uint64(a.Call), DecisionReject, a.RetryAfter)
 	case eidertrail.Fail:
--- a/dispatch/route.go
+++ b/dispatch/route.go
@@ -163,8 +163,10 @@
 		want := r.offer(now, uid, s.Mode)
 		if r.told[uid] != want {
 			r.told[uid] = want
-			changed = append(changed, eidertrail.Server{ID: eidertrail.ServerID(uid), StartedAt: span(s.StartedAt), Mode: want.mode,
-				Pool: s.Group, DeniedClasses: uint64(want.barred)})
+			changed = append(changed, eidertrail.Server{
+				ID: eidertrail.ServerID(uid), StartedAt: span(s.StartedAt), Mode: want.mode,
+				Pool: s.Group, DeniedClasses: uint64(want.barred),
+			})
 		}
 	}
 	r.limits.look(now, r.r)
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -119,8 +119,10 @@
 			a.Deadline = min(a.Deadline, p.DecidedAt+p.Timeout)
 		}
 		leg, end := t.Invite(ctx, a)
-		report := Result{Call: r.Call, Attempt: p.Attempt, Pool: p.Pool, Outcome: end.Outcome,
-			Took: end.At - p.DecidedAt, Load: end.Load, CallerGone: ctx.Err() != nil}
+		report := Result{
+			Call: r.Call, Attempt: p.Attempt, Pool: p.Pool, Outcome: end.Outcome,
+			Took: end.At - p.DecidedAt, Load: end.Load, CallerGone: ctx.Err() != nil,
+		}
 		ran = ran || !end.Outcome.neverRan()
 		if leg == nil {
 			d.Report(report)
@@ -175,6 +177,8 @@
 }
 
 func (s *EstablishedCall) report(e Ending) {
-	s.d.Report(Result{Call: s.call, Attempt: s.attempt.Number, Pool: s.attempt.Pool, Outcome: e.Outcome,
-		Took: e.At - s.attempt.DecidedAt, Load: e.Load})
+	s.d.Report(Result{
+		Call: s.call, Attempt: s.attempt.Number, Pool: s.attempt.Pool, Outcome: e.Outcome,
+		Took: e.At - s.attempt.DecidedAt, Load: e.Load,
+	})
 }
--- a/example/srvdns/main.go
+++ b/example/srvdns/main.go
@@ -33,8 +33,10 @@
 			fmt.Fprintf(os.Stderr, "srvdns: -pools: %q is not address:port\n", a)
 			os.Exit(1)
 		}
-		targets = append(targets, fakeplatform.Target{Host: fmt.Sprintf("p%d.pools.example.org", i), Port: uint16(n),
-			Priority: 10, Weight: 10, IP: host, TTL: uint32(*ttl), Additional: true})
+		targets = append(targets, fakeplatform.Target{
+			Host: fmt.Sprintf("p%d.pools.example.org", i), Port: uint16(n),
+			Priority: 10, Weight: 10, IP: host, TTL: uint32(*ttl), Additional: true,
+		})
 	}
 	d, err := fakeplatform.StartDNS(*listen)
 	if err != nil {
--- a/example/toypool/main.go
+++ b/example/toypool/main.go
@@ -106,8 +106,10 @@
 }
 
 func (p *pool) notify() *sip.Message {
-	return &sip.Message{Method: "NOTIFY", URI: "sip:exchange@net", CallID: "0000000000000000", CSeq: 1, Of: "NOTIFY",
-		Headers: []sip.Header{p.state()}}
+	return &sip.Message{
+		Method: "NOTIFY", URI: "sip:exchange@net", CallID: "0000000000000000", CSeq: 1, Of: "NOTIFY",
+		Headers: []sip.Header{p.state()},
+	}
 }
 
 // over ends a call that stands: its release goes out on the connection of its set-up, or else on any open one, and on
@@ -116,8 +118,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.standing, id)
-	bye := &sip.Message{Method: "BYE", URI: "sip:exchange@net", CallID: id, CSeq: 2, Of: "BYE",
-		Headers: []sip.Header{{Name: "Reason", Value: "Q.850;cause=16"}, p.state()}}
+	bye := &sip.Message{
+		Method: "BYE", URI: "sip:exchange@net", CallID: id, CSeq: 2, Of: "BYE",
+		Headers: []sip.Header{{Name: "Reason", Value: "Q.850;cause=16"}, p.state()},
+	}
 	if !slices.Contains(p.conns, of) && len(p.conns) > 0 {
 		of = p.conns[len(p.conns)-1]
 	}
--- a/internal/backend/sippool/conn.go
+++ b/internal/backend/sippool/conn.go
@@ -118,8 +118,10 @@
 	if p.refusedAt > 0 && now-p.refusedAt >= restartAfter {
 		cut, p.byes = p.legs(), nil
 	}
-	c := &conn{pool: p, raw: raw, queue: make(chan item, writeQueue), closed: make(chan struct{}),
-		dialogs: map[string]*dialog{}, unheard: map[string][]byte{}, openedAt: now}
+	c := &conn{
+		pool: p, raw: raw, queue: make(chan item, writeQueue), closed: make(chan struct{}),
+		dialogs: map[string]*dialog{}, unheard: map[string][]byte{}, openedAt: now,
+	}
 	c.heard.Store(now)
 	p.conn, p.downSince, p.refusedAt = c, 0, 0
 	byes := p.byes // releases that had no connection to leave on
@@ -552,8 +554,10 @@
 	switch {
 	case d != nil && d.state == out:
 		delete(c.dialogs, m.CallID)
-		g := &leg{pool: p, id: m.CallID, number: d.number, sdp: string(m.Body), answeredAt: now,
-			done: make(chan struct{})}
+		g := &leg{
+			pool: p, id: m.CallID, number: d.number, sdp: string(m.Body), answeredAt: now,
+			done: make(chan struct{}),
+		}
 		p.standing[m.CallID] = g
 		d.state = over
 		d.reply <- reply{g, dispatch.Ending{Outcome: dispatch.Answered, At: now, Load: state}}
--- a/internal/backend/sippool/pool.go
+++ b/internal/backend/sippool/pool.go
@@ -286,8 +286,10 @@
 }
 
 func newPool(s *Pools, l endpointlist.Endpoint) *pool {
-	return &pool{set: s, uid: l.UID, listed: l, kick: make(chan struct{}, 1), dialled: make(chan struct{}),
-		downSince: s.cfg.Clock.Now(), standing: map[string]*leg{}}
+	return &pool{
+		set: s, uid: l.UID, listed: l, kick: make(chan struct{}, 1), dialled: make(chan struct{}),
+		downSince: s.cfg.Clock.Now(), standing: map[string]*leg{},
+	}
 }
 
 func (p *pool) told() endpointlist.Endpoint {
--- a/internal/config/cluster.go
+++ b/internal/config/cluster.go
@@ -79,8 +79,10 @@
 
 // Allocator is the books' configuration for the member of n; life is another at each start.
 func (b *Budget) Allocator(n swim.Config, life uint32) quota.Config {
-	return quota.Config{Self: n.Self, Members: n.Members, Incarnation: life, Unit: UnitsOwned, Reserved: int(b.Reserved * UnitsOwned),
-		TTL: b.Lease.Microseconds(), Margin: b.Margin.Microseconds()}
+	return quota.Config{
+		Self: n.Self, Members: n.Members, Incarnation: life, Unit: UnitsOwned, Reserved: int(b.Reserved * UnitsOwned),
+		TTL: b.Lease.Microseconds(), Margin: b.Margin.Microseconds(),
+	}
 }
 
 func (b *Budget) check(names []string) error {
@@ -110,9 +112,11 @@
 // Node is the membership's configuration for the controller of cfg, against which the file is checked. Where only
 // regions are named, the controller's own becomes Region.
 func (c *Cluster) Node(cfg *Config) (swim.Config, error) {
-	n := swim.Config{Self: cfg.Settings.Index, Members: len(cfg.Peers), Interval: c.ProbeInterval.Microseconds(),
+	n := swim.Config{
+		Self: cfg.Settings.Index, Members: len(cfg.Peers), Interval: c.ProbeInterval.Microseconds(),
 		Timeout: c.ProbeTimeout.Microseconds(), Indirect: c.Indirect, SuspicionMult: c.SuspicionMult,
-		SuspicionMax: c.SuspicionMax, Retransmit: c.Retransmit}
+		SuspicionMax: c.SuspicionMax, Retransmit: c.Retransmit,
+	}
 	if cfg.PeerListen == "" || len(cfg.Peers) == 0 {
 		return n, fmt.Errorf("cluster: peer_listen, peers: absent from the configuration: this platform gives no way between controllers")
 	}
@@ -141,8 +145,10 @@
 
 // ParseCluster reads the text of a cluster file.
 func ParseCluster(text string) (*Cluster, error) {
-	c := &Cluster{ProbeInterval: time.Second, ProbeTimeout: 300 * time.Millisecond, Indirect: 3, SuspicionMult: 4,
-		SuspicionMax: 3, Retransmit: 4, Budget: &Budget{Lease: 2 * time.Second, Margin: 500 * time.Millisecond, Reserved: 0.25, SlowStartFraction: 0.5}}
+	c := &Cluster{
+		ProbeInterval: time.Second, ProbeTimeout: 300 * time.Millisecond, Indirect: 3, SuspicionMult: 4,
+		SuspicionMax: 3, Retransmit: 4, Budget: &Budget{Lease: 2 * time.Second, Margin: 500 * time.Millisecond, Reserved: 0.25, SlowStartFraction: 0.5},
+	}
 	meta, err := decode("cluster", text, c)
 	if err != nil {
 		return nil, err
--- a/internal/config/discovery.go
+++ b/internal/config/discovery.go
@@ -40,8 +40,10 @@
 
 // EndpointSet is what the pool set keeps, in µs.
 func (d *Discovery) EndpointSet() endpointset.Config {
-	return endpointset.Config{StaleFor: d.StaleFor.Microseconds(), DrainFor: d.DrainFor.Microseconds(),
-		Tombstone: d.Tombstone.Microseconds(), MaxRecords: d.MaxRecords, MaxEndpoints: 1024}
+	return endpointset.Config{
+		StaleFor: d.StaleFor.Microseconds(), DrainFor: d.DrainFor.Microseconds(),
+		Tombstone: d.Tombstone.Microseconds(), MaxRecords: d.MaxRecords, MaxEndpoints: 1024,
+	}
 }
 
 // LoadDiscovery reads the file at path. An error is one line that names the field.
@@ -55,8 +57,10 @@
 
 // ParseDiscovery reads the text of a discovery file.
 func ParseDiscovery(text string) (*Discovery, error) {
-	d := &Discovery{Timeout: 500 * time.Millisecond, RefreshFloor: time.Second, RefreshCeiling: 5 * time.Minute,
-		Jitter: 0.1, StaleFor: 5 * time.Minute, DrainFor: 30 * time.Second, Tombstone: time.Minute, MaxRecords: 64}
+	d := &Discovery{
+		Timeout: 500 * time.Millisecond, RefreshFloor: time.Second, RefreshCeiling: 5 * time.Minute,
+		Jitter: 0.1, StaleFor: 5 * time.Minute, DrainFor: 30 * time.Second, Tombstone: time.Minute, MaxRecords: 64,
+	}
 	if _, err := decode("discovery", text, d); err != nil {
 		return nil, err
 	}
--- a/internal/config/routing.go
+++ b/internal/config/routing.go
@@ -56,10 +56,12 @@
 }
 
 func (r *Routing) config(nodes, classes int) routing.Config {
-	return routing.Config{Zone: r.Zone, Tiers: r.Tiers, Classes: classes, SpillBudget: r.SpillBudget, SpillDelay: r.SpillDelay.Microseconds(),
+	return routing.Config{
+		Zone: r.Zone, Tiers: r.Tiers, Classes: classes, SpillBudget: r.SpillBudget, SpillDelay: r.SpillDelay.Microseconds(),
 		Window:            r.Window.Microseconds(),
 		EjectionThreshold: r.EjectionThreshold, MinSamples: r.MinSamples, EjectionTime: r.EjectionTime.Microseconds(), MaxEjectionTime: r.MaxEjectionTime.Microseconds(),
-		FlapWindow: r.FlapWindow.Microseconds(), SlowStartWindow: r.SlowStartWindow.Microseconds(), SlowStartCapacity: r.SlowStartCapacity, Nodes: max(nodes, 1)}
+		FlapWindow: r.FlapWindow.Microseconds(), SlowStartWindow: r.SlowStartWindow.Microseconds(), SlowStartCapacity: r.SlowStartCapacity, Nodes: max(nodes, 1),
+	}
 }
 
 // LoadRouting reads the file at path. An error is one line that names the field.
@@ -73,8 +75,10 @@
 
 // ParseRouting reads the text of a routing file.
 func ParseRouting(text string) (*Routing, error) {
-	r := &Routing{SpillBudget: 0.3, SpillDelay: 100 * time.Millisecond, Window: 10 * time.Second, EjectionThreshold: 0.5, MinSamples: 8, EjectionTime: 10 * time.Second,
-		MaxEjectionTime: 2 * time.Minute, FlapWindow: time.Minute, SlowStartWindow: 30 * time.Second, SlowStartCapacity: 0.1}
+	r := &Routing{
+		SpillBudget: 0.3, SpillDelay: 100 * time.Millisecond, Window: 10 * time.Second, EjectionThreshold: 0.5, MinSamples: 8, EjectionTime: 10 * time.Second,
+		MaxEjectionTime: 2 * time.Minute, FlapWindow: time.Minute, SlowStartWindow: 30 * time.Second, SlowStartCapacity: 0.1,
+	}
 	if _, err := decode("routing", text, r); err != nil {
 		return nil, err
 	}
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -67,8 +67,10 @@
 
 // Start opens the socket and runs the member until ctx is done. Wait waits for its end.
 func Start(ctx context.Context, cfg Config) (*Runner, error) {
-	r := &Runner{cfg: cfg, fleet: swim.FleetID(cfg.Fleet), in: make(chan datagram, mostWaiting),
-		posts: make(chan func(int64), 16), done: make(chan struct{})}
+	r := &Runner{
+		cfg: cfg, fleet: swim.FleetID(cfg.Fleet), in: make(chan datagram, mostWaiting),
+		posts: make(chan func(int64), 16), done: make(chan struct{}),
+	}
 	if len(cfg.Peers) != cfg.Node.Members {
 		return nil, fmt.Errorf("cluster: peers: %d addresses for %d members", len(cfg.Peers), cfg.Node.Members)
 	}
@@ -209,8 +211,10 @@
 
 // send sends a body to a member; the loop's callbacks use it.
 func (r *Runner) send(to int, body []byte) {
-	r.write(swim.Out{To: to, Message: swim.Message{Kind: swim.User, From: r.cfg.Node.Self,
-		Incarnation: r.node.Incarnation(), Body: body}})
+	r.write(swim.Out{To: to, Message: swim.Message{
+		Kind: swim.User, From: r.cfg.Node.Self,
+		Incarnation: r.node.Incarnation(), Body: body,
+	}})
 }
 
 // flush writes what the node wants sent, and tells what has changed.
--- a/internal/fleet/quota/budget.go
+++ b/internal/fleet/quota/budget.go
@@ -102,8 +102,10 @@
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
-	return &Allocator{cfg: cfg, freshTill: now + cfg.TTL + cfg.Margin, alive: make([]bool, cfg.Members),
-		resources: map[string]*resource{}, req: uint64(cfg.Incarnation) << 32}, nil
+	return &Allocator{
+		cfg: cfg, freshTill: now + cfg.TTL + cfg.Margin, alive: make([]bool, cfg.Members),
+		resources: map[string]*resource{}, req: uint64(cfg.Incarnation) << 32,
+	}, nil
 }
 
 // Counts returns what the ledger has seen.
--- a/internal/fleet/statetable/table.go
+++ b/internal/fleet/statetable/table.go
@@ -75,8 +75,10 @@
 
 // Default are the settings for a fleet of so many members.
 func Default(self, members int, incarnation, seed uint64) Config {
-	return Config{Self: self, Members: members, Incarnation: incarnation, Seed: seed, Interval: 250_000, Fanout: 2,
-		Packets: 2, Retransmit: 2, DigestEvery: 2}
+	return Config{
+		Self: self, Members: members, Incarnation: incarnation, Seed: seed, Interval: 250_000, Fanout: 2,
+		Packets: 2, Retransmit: 2, DigestEvery: 2,
+	}
 }
 
 // ConfigError tells of a Config that makes no sense.
@@ -209,8 +211,10 @@
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
-	return &Table{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Self))), incarnation: cfg.Incarnation,
-		alive: make([]bool, cfg.Members), cells: map[key]*cell{}, hashes: make([]uint32, mostBlocks), tickAt: now}, nil
+	return &Table{
+		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Self))), incarnation: cfg.Incarnation,
+		alive: make([]bool, cfg.Members), cells: map[key]*cell{}, hashes: make([]uint32, mostBlocks), tickAt: now,
+	}, nil
 }
 
 // Counts returns what the table has done.
--- a/internal/fleet/swim/cluster.go
+++ b/internal/fleet/swim/cluster.go
@@ -97,8 +97,10 @@
 
 // Default are the settings of a fleet of so many members: a crash is known everywhere within DetectWithin.
 func Default(self, members int) Config {
-	return Config{Self: self, Members: members, Interval: 1_000_000, Timeout: 300_000, Indirect: 3,
-		SuspicionMult: 4, SuspicionMax: 3, Retransmit: 4}
+	return Config{
+		Self: self, Members: members, Interval: 1_000_000, Timeout: 300_000, Indirect: 3,
+		SuspicionMult: 4, SuspicionMax: 3, Retransmit: 4,
+	}
 }
 
 // DetectionTime is within which time of a crash all other members that are healthy and hear one another hold
@@ -249,8 +251,10 @@
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
-	n := &Node{cfg: cfg, rng: rand.New(rand.NewPCG(seed, uint64(cfg.Self))), incarnation: incarnation,
-		members: make([]member, cfg.Members), relays: map[uint32]*relay{}, probeAt: now}
+	n := &Node{
+		cfg: cfg, rng: rand.New(rand.NewPCG(seed, uint64(cfg.Self))), incarnation: incarnation,
+		members: make([]member, cfg.Members), relays: map[uint32]*relay{}, probeAt: now,
+	}
 	n.members[cfg.Self].Member = Member{State: Alive, Incarnation: incarnation, Since: now}
 	n.dueAt = now
 	// Everyone is told of the start at once: a member that was held dead is alive again in one exchange.
@@ -481,8 +485,10 @@
 			return
 		}
 		n.seq++
-		n.relays[n.seq] = &relay{origin: m.From, originSeq: m.Seq, target: m.Target,
-			nackAt: now + int64(nackShare*float64(n.cfg.Timeout)), dropAt: now + n.cfg.Interval}
+		n.relays[n.seq] = &relay{
+			origin: m.From, originSeq: m.Seq, target: m.Target,
+			nackAt: now + int64(nackShare*float64(n.cfg.Timeout)), dropAt: now + n.cfg.Interval,
+		}
 		n.send(m.Target, Message{Kind: Ping, Seq: n.seq, Target: m.Target})
 	case Ack:
 		if r := n.relays[m.Seq]; r != nil && r.target == m.Target {
--- a/internal/fleet/swim/codec.go
+++ b/internal/fleet/swim/codec.go
@@ -66,15 +66,19 @@
 	case Kind(b[2]) >= kinds:
 		return m, fmt.Errorf("%w: kind %d", ErrDatagram, b[2])
 	}
-	m = Message{Kind: Kind(b[2]), From: int(binary.BigEndian.Uint16(b[4:])), Target: int(binary.BigEndian.Uint16(b[6:])),
-		Seq: binary.BigEndian.Uint32(b[8:]), Incarnation: binary.BigEndian.Uint64(b[12:])}
+	m = Message{
+		Kind: Kind(b[2]), From: int(binary.BigEndian.Uint16(b[4:])), Target: int(binary.BigEndian.Uint16(b[6:])),
+		Seq: binary.BigEndian.Uint32(b[8:]), Incarnation: binary.BigEndian.Uint64(b[12:]),
+	}
 	n, rest := int(b[3]), b[headSize:len(b)-sumSize]
 	if n*updateSize > len(rest) {
 		return Message{}, fmt.Errorf("%w: %d updates in %d bytes", ErrDatagram, n, len(rest))
 	}
 	for range n {
-		m.Updates = append(m.Updates, Update{Member: int(binary.BigEndian.Uint16(rest)), State: State(rest[2]),
-			From: int(binary.BigEndian.Uint16(rest[3:])), Incarnation: binary.BigEndian.Uint64(rest[5:])})
+		m.Updates = append(m.Updates, Update{
+			Member: int(binary.BigEndian.Uint16(rest)), State: State(rest[2]),
+			From: int(binary.BigEndian.Uint16(rest[3:])), Incarnation: binary.BigEndian.Uint64(rest[5:]),
+		})
 		rest = rest[updateSize:]
 	}
 	m.Body = rest
--- a/internal/frontend/websocket/message.go
+++ b/internal/frontend/websocket/message.go
@@ -39,10 +39,16 @@
 	err  error
 	code Code
 }{
-	{dispatch.ErrID, BadID}, {dispatch.ErrClass, BadClass}, {dispatch.ErrLeft, BadLeft},
-	{dispatch.ErrNumber, BadNumber}, {dispatch.ErrDuplicate, DuplicateID},
-	{dispatch.ErrTooMany, TooManyCalls}, {dispatch.ErrUnknown, UnknownID}, {dispatch.ErrCallEnded, CallEnded},
-	{errJSON, BadJSON}, {errType, UnknownType},
+	{dispatch.ErrID, BadID},
+	{dispatch.ErrClass, BadClass},
+	{dispatch.ErrLeft, BadLeft},
+	{dispatch.ErrNumber, BadNumber},
+	{dispatch.ErrDuplicate, DuplicateID},
+	{dispatch.ErrTooMany, TooManyCalls},
+	{dispatch.ErrUnknown, UnknownID},
+	{dispatch.ErrCallEnded, CallEnded},
+	{errJSON, BadJSON},
+	{errType, UnknownType},
 }
 
 var (
@@ -108,8 +114,10 @@
 		if left.Type != gjson.Number {
 			fail(dispatch.ErrLeft)
 		}
-		m.call = dispatch.SetupRequest{ID: m.id, Class: text("class", true), Number: text("number", false),
-			Pool: whole("pool", -1), TimeoutMillis: left.Num, SDP: text("sdp", false)}
+		m.call = dispatch.SetupRequest{
+			ID: m.id, Class: text("class", true), Number: text("number", false),
+			Pool: whole("pool", -1), TimeoutMillis: left.Num, SDP: text("sdp", false),
+		}
 	case "release":
 		m.cause = whole("cause", dispatch.CauseNormal)
 		if m.cause < 1 || m.cause > 127 {
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -103,8 +103,10 @@
 func (f Figures) Add(g Figures) Figures { return f.add(g, 1) }
 
 func (f Figures) add(g Figures, sign int64) Figures {
-	out := Figures{f.InTime + sign*g.InTime, f.Late + sign*g.Late, f.Rejected + sign*g.Rejected, f.Failed + sign*g.Failed,
-		map[int64]int64{}}
+	out := Figures{
+		f.InTime + sign*g.InTime, f.Late + sign*g.Late, f.Rejected + sign*g.Rejected, f.Failed + sign*g.Failed,
+		map[int64]int64{},
+	}
 	for t, n := range f.Times {
 		out.Times[t] += n
 	}
--- a/internal/rollout/runner/file.go
+++ b/internal/rollout/runner/file.go
@@ -55,8 +55,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("rollout: %w", err)
 	}
-	f := &File{MinTime: time.Minute, MaxTime: 15 * time.Minute, MinCalls: 500, EvaluationInterval: 2 * time.Second, Confidence: 0.99,
-		Tolerance: 0.01, StopTimeout: 6 * time.Second, ReadyTimeout: 15 * time.Second}
+	f := &File{
+		MinTime: time.Minute, MaxTime: 15 * time.Minute, MinCalls: 500, EvaluationInterval: 2 * time.Second, Confidence: 0.99,
+		Tolerance: 0.01, StopTimeout: 6 * time.Second, ReadyTimeout: 15 * time.Second,
+	}
 	meta, err := toml.Decode(string(text), f)
 	if err != nil {
 		return nil, fmt.Errorf("rollout: %s", strings.ReplaceAll(err.Error(), "\n", " "))
@@ -90,8 +92,10 @@
 
 // Plan is what the stages are decided by.
 func (f *File) Plan() (rollout.Plan, error) {
-	p := rollout.Plan{MinTime: f.MinTime.Milliseconds(), MaxTime: f.MaxTime.Milliseconds(), MinCalls: f.MinCalls,
-		EvaluationInterval: f.EvaluationInterval.Milliseconds(), Confidence: f.Confidence, Tolerance: f.Tolerance}
+	p := rollout.Plan{
+		MinTime: f.MinTime.Milliseconds(), MaxTime: f.MaxTime.Milliseconds(), MinCalls: f.MinCalls,
+		EvaluationInterval: f.EvaluationInterval.Milliseconds(), Confidence: f.Confidence, Tolerance: f.Tolerance,
+	}
 	for _, c := range f.Controller {
 		p.Controllers = append(p.Controllers, c.Name)
 	}
--- a/internal/rollout/runner/runner.go
+++ b/internal/rollout/runner/runner.go
@@ -183,8 +183,10 @@
 
 func (k counters) figures() rollout.Figures {
 	c := k.Counters
-	return rollout.Figures{InTime: c["answered_in_time"], Late: c["answered"] - c["answered_in_time"], Rejected: c["refused"],
-		Failed: c["failed"], Times: k.Times}
+	return rollout.Figures{
+		InTime: c["answered_in_time"], Late: c["answered"] - c["answered_in_time"], Rejected: c["refused"],
+		Failed: c["failed"], Times: k.Times,
+	}
 }
 
 func get(ctx context.Context, c Controller, path string) ([]byte, error) {
--- a/internal/simulation/srv.go
+++ b/internal/simulation/srv.go
@@ -52,13 +52,17 @@
 // resolve begins a controller's look-ups.
 func (s *Sim) resolve(n *node) error {
 	c := s.sc.SRV
-	set, err := endpointset.New(endpointset.Config{StaleFor: c.StaleFor.Microseconds(), DrainFor: c.DrainFor.Microseconds(),
-		Tombstone: 1, MaxRecords: 1024, MaxEndpoints: 1024})
+	set, err := endpointset.New(endpointset.Config{
+		StaleFor: c.StaleFor.Microseconds(), DrainFor: c.DrainFor.Microseconds(),
+		Tombstone: 1, MaxRecords: 1024, MaxEndpoints: 1024,
+	})
 	if err != nil {
 		return fmt.Errorf("sim: srv: %w", err)
 	}
-	n.source = &source{set: set, schedule: srv.Schedule{Floor: c.Floor.Microseconds(), Ceiling: c.Ceiling.Microseconds(), Jitter: 0.1},
-		failures: make([]int, len(s.sc.Pool)), told: map[string]eidertrail.Mode{}}
+	n.source = &source{
+		set: set, schedule: srv.Schedule{Floor: c.Floor.Microseconds(), Ceiling: c.Ceiling.Microseconds(), Jitter: 0.1},
+		failures: make([]int, len(s.sc.Pool)), told: map[string]eidertrail.Mode{},
+	}
 	if err := n.source.schedule.Check(); err != nil {
 		return fmt.Errorf("sim: %w", err)
 	}
--- a/internal/testing/fakeplatform/datagrams.go
+++ b/internal/testing/fakeplatform/datagrams.go
@@ -37,8 +37,10 @@
 
 // NewDatagrams opens the network of so many members; it is closed with the test. What is lost is drawn from seed.
 func NewDatagrams(t testing.TB, members int, seed uint64) *Datagrams {
-	d := &Datagrams{members: members, at: make([]netip.AddrPort, members), rng: rand.New(rand.NewPCG(seed, 0)),
-		faults: func(int, int) Fault { return Fault{} }}
+	d := &Datagrams{
+		members: members, at: make([]netip.AddrPort, members), rng: rand.New(rand.NewPCG(seed, 0)),
+		faults: func(int, int) Fault { return Fault{} },
+	}
 	for range members {
 		row := make([]*net.UDPConn, members)
 		for to := range members {
--- a/internal/testing/fakeplatform/dns.go
+++ b/internal/testing/fakeplatform/dns.go
@@ -218,8 +218,10 @@
 		}
 		for _, t := range set.targets {
 			host := dns.CanonicalName(t.Host)
-			m.Answer = append(m.Answer, &dns.SRV{Hdr: hdr(name, dns.TypeSRV, set.ttl), Target: host,
-				Port: t.Port, Priority: t.Priority, Weight: t.Weight})
+			m.Answer = append(m.Answer, &dns.SRV{
+				Hdr: hdr(name, dns.TypeSRV, set.ttl), Target: host,
+				Port: t.Port, Priority: t.Priority, Weight: t.Weight,
+			})
 			if t.Additional && t.IP != "" {
 				m.Extra = append(m.Extra, address(hdr, host, t))
 			}
@@ -258,7 +260,9 @@
 }
 
 func soa(name string) dns.RR {
-	return &dns.SOA{Hdr: dns.RR_Header{Name: "pools.example.org.", Rrtype: dns.TypeSOA, Class: dns.ClassINET, Ttl: 30},
-		Ns: "ns.pools.example.org.", Mbox: "ops.pools.example.org.", Serial: 1, Refresh: 60, Retry: 10,
-		Expire: 600, Minttl: 5}
+	return &dns.SOA{
+		Hdr: dns.RR_Header{Name: "pools.example.org.", Rrtype: dns.TypeSOA, Class: dns.ClassINET, Ttl: 30},
+		Ns:  "ns.pools.example.org.", Mbox: "ops.pools.example.org.", Serial: 1, Refresh: 60, Retry: 10,
+		Expire: 600, Minttl: 5,
+	}
 }
--- a/internal/testing/fakeplatform/standin.go
+++ b/internal/testing/fakeplatform/standin.go
@@ -214,8 +214,10 @@
 func (p *Pool) Bye(id string, cause int) { p.Send(string(bye(id, cause))) }
 
 func bye(id string, cause int) []byte {
-	m := &sip.Message{Method: "BYE", URI: "sip:exchange@net", CallID: id, CSeq: 2, Of: "BYE",
-		Headers: []sip.Header{{Name: "Reason", Value: fmt.Sprintf("Q.850;cause=%d", cause)}}}
+	m := &sip.Message{
+		Method: "BYE", URI: "sip:exchange@net", CallID: id, CSeq: 2, Of: "BYE",
+		Headers: []sip.Header{{Name: "Reason", Value: fmt.Sprintf("Q.850;cause=%d", cause)}},
+	}
 	return m.Append(nil)
 }
 
@@ -233,8 +235,10 @@
 }
 
 func notify(state string) []byte {
-	m := &sip.Message{Method: "NOTIFY", URI: "sip:exchange@net", CallID: "0000000000000000", CSeq: 1, Of: "NOTIFY",
-		Headers: []sip.Header{{Name: "X-State", Value: state}}}
+	m := &sip.Message{
+		Method: "NOTIFY", URI: "sip:exchange@net", CallID: "0000000000000000", CSeq: 1, Of: "NOTIFY",
+		Headers: []sip.Header{{Name: "X-State", Value: state}},
+	}
 	return m.Append(nil)
 }
 
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -77,8 +77,10 @@
 	if call.Number != "" {
 		key = dispatch.NumberKey(call.Number)
 	}
-	q := dispatch.Request{Call: d.NewCall(), Class: call.Class, Pool: call.Pool, Key: key,
-		Deadline: d.Now() + call.Timeout.Microseconds()}
+	q := dispatch.Request{
+		Call: d.NewCall(), Class: call.Class, Pool: call.Pool, Key: key,
+		Deadline: d.Now() + call.Timeout.Microseconds(),
+	}
 	pick, err := d.Pick(r.Context(), q)
 	if err != nil && r.Context().Err() != nil {
 		return // the client is gone
