sippool: Apply no longer waits for itself when a pool restarts under an established call

Cause: Apply holds the set's mutex while it cuts the calls of a pool whose process has started anew; the end of each call was remembered under the same mutex, so Apply never returned, and every later Invite, release and list event of the process waited for it.

Change: the recently ended calls have a mutex of their own. Nothing else changes.

--- a/internal/backend/sippool/pool.go
+++ b/internal/backend/sippool/pool.go
@@ -104,7 +104,11 @@
 
 	mu    sync.Mutex
 	pools map[string]*pool // by uid: an address may pass from one pool to another
-	ended *recentset.Set
+
+	// endedMu guards ended alone. Calls end while mu is held too, when Apply is told that a pool's process has started
+	// anew: under mu, Apply would wait for itself.
+	endedMu sync.Mutex
+	ended   *recentset.Set
 }
 
 // New returns an empty set. Its connections end when ctx is done; Wait waits for that.
@@ -219,11 +223,11 @@
 // been by the one before a restart, and only the pools know where it stands. It does nothing for a
 // call that has just ended.
 func (s *Pools) ReleaseUnmatched(id string, cause int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.ended.Contains(id) {
+	if s.isEnded(id) {
 		return
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, p := range s.pools {
 		p.mu.Lock()
 		if p.conn != nil && p.listed.State != endpointlist.Removed {
@@ -235,14 +239,14 @@
 
 // remember notes a call that is over.
 func (s *Pools) remember(id string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.endedMu.Lock()
+	defer s.endedMu.Unlock()
 	s.ended.Add(id)
 }
 
 func (s *Pools) isEnded(id string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.endedMu.Lock()
+	defer s.endedMu.Unlock()
 	return s.ended.Contains(id)
 }
 
