--- a/internal/telemetry/characterization_test.go
+++ b/internal/telemetry/characterization_test.go
@@ -24,20 +24,25 @@
 
 // allCounters are the counters in the order in which the log writes them.
 var allCounters = []telemetry.Counter{
-	telemetry.SetupsTaken, telemetry.AnsweredCalls, telemetry.AnsweredInTime, telemetry.RejectedCalls, telemetry.FailedCalls,
-	telemetry.CancelledCalls, telemetry.AnswersUnwritten, telemetry.Duplicates, telemetry.ReleasesIn, telemetry.ReleasesOut,
+	telemetry.SetupsTaken, telemetry.AnsweredCalls,
+	telemetry.AnsweredInTime, telemetry.RejectedCalls, telemetry.FailedCalls,
+	telemetry.CancelledCalls, telemetry.AnswersUnwritten,
+	telemetry.Duplicates, telemetry.ReleasesIn, telemetry.ReleasesOut,
 	telemetry.ReleasesPending, telemetry.ReleasesDropped, telemetry.Pings, telemetry.BadLines, telemetry.BadSIP,
 	telemetry.Invites, telemetry.InvitesCalledOff, telemetry.Cancels, telemetry.TimeOuts, telemetry.Resets,
 	telemetry.ConnectsFailed, telemetry.PoolFull, telemetry.PoolErrors, telemetry.LateAnswers, telemetry.ByesOut,
 	telemetry.ByesIn, telemetry.UnmatchedByes, telemetry.CutCalls, telemetry.UncertainCalls, telemetry.Notifies,
 	telemetry.GuardStopped, telemetry.GuardDrain, telemetry.Connections, telemetry.SlowReaders, telemetry.PoolConnections,
-	telemetry.EndpointListEvents, telemetry.EndpointListErrors, telemetry.Frames, telemetry.BadFrames, telemetry.HTTPAdmitted,
+	telemetry.EndpointListEvents, telemetry.EndpointListErrors,
+	telemetry.Frames, telemetry.BadFrames, telemetry.HTTPAdmitted,
 	telemetry.HTTPRejected, telemetry.Reloads, telemetry.BadReloads, telemetry.Shed, telemetry.Overdue,
 	telemetry.ClosedBad, telemetry.UnresponsivePools, telemetry.DNSQueries, telemetry.DNSTruncated, telemetry.DNSFailures,
-	telemetry.DNSBadAnswers, telemetry.DNSChanges, telemetry.PoolsConflicting, telemetry.PoolsExpired, telemetry.ZoneChanges,
+	telemetry.DNSBadAnswers, telemetry.DNSChanges,
+	telemetry.PoolsConflicting, telemetry.PoolsExpired, telemetry.ZoneChanges,
 	telemetry.RouteStopped, telemetry.SilentPools, telemetry.PeerIn, telemetry.PeerOut, telemetry.PeerBytesOut,
 	telemetry.PeerBad, telemetry.PeerDropped, telemetry.PeerUnsent, telemetry.MembersSuspected, telemetry.MembersDied,
-	telemetry.QuotaChanges, telemetry.StaleStopped, telemetry.LeasesRequested, telemetry.LeasesGranted, telemetry.StateTableBytes,
+	telemetry.QuotaChanges, telemetry.StaleStopped,
+	telemetry.LeasesRequested, telemetry.LeasesGranted, telemetry.StateTableBytes,
 	telemetry.StateTableRepairs,
 }
 
