endpointlist: parsing, polling, delivery and the version guard in files of their own

bulletin.go and fence.go apart into endpoint, parse, watch, poll and guard; Watch takes a Config in place of eight arguments; errors are types or sentinels with their texts unchanged. Checked: go test -race of the package, the recorded files untouched, go vet of cmd/eidertrail.

--- a/cmd/eidertrail/daemon.go
+++ b/cmd/eidertrail/daemon.go
@@ -160,7 +160,15 @@
 		apply(e)
 	}
 	d.wg.Go(func() {
-		endpointlist.Watch(pools, cfg.EndpointList, cfg.KnownEndpoints, d.moves, d.clock, limited, d.count, apply)
+		endpointlist.Watch(pools, endpointlist.Config{
+			Address:  cfg.EndpointList,
+			Known:    cfg.KnownEndpoints,
+			Changes:  d.moves,
+			Clock:    d.clock,
+			Log:      limited,
+			Counters: d.count,
+			Deliver:  apply,
+		})
 	})
 	d.wg.Go(func() { d.broken <- d.callers.Serve(d.listener) })
 	log.Info().Str("name", cfg.Name).Stringer("listen", d.listener.Addr()).Int("classes", len(cfg.Settings.Classes)).
--- a/internal/endpoint/endpointlist/characterization_test.go
+++ b/internal/endpoint/endpointlist/characterization_test.go
@@ -256,8 +256,14 @@
 	p.wait.Go(p.serve)
 	var log bytes.Buffer
 	count := &telemetry.Counters{}
-	endpointlist.Watch(ctx, p.listener.Addr().String(), known, nil, clock.New(), zerolog.New(&log), count,
-		func(e endpointlist.Event) { p.note("told %s", eventText(e)) })
+	endpointlist.Watch(ctx, endpointlist.Config{
+		Address:  p.listener.Addr().String(),
+		Known:    known,
+		Clock:    clock.New(),
+		Log:      zerolog.New(&log),
+		Counters: count,
+		Deliver:  func(e endpointlist.Event) { p.note("told %s", eventText(e)) },
+	})
 	p.listener.Close()
 	p.wait.Wait()
 	p.note("log\n%s", log.String())
@@ -341,7 +347,13 @@
 	for name, address := range map[string]string{"refused.txt": address, "bad-address.txt": "a b:80"} {
 		ctx, stop := context.WithCancel(context.Background())
 		log := &firstLine{stop: stop}
-		endpointlist.Watch(ctx, address, endpointlist.Page{Version: 3}, nil, clock.New(), zerolog.New(log), nil, func(endpointlist.Event) {})
+		endpointlist.Watch(ctx, endpointlist.Config{
+			Address: address,
+			Known:   endpointlist.Page{Version: 3},
+			Clock:   clock.New(),
+			Log:     zerolog.New(log),
+			Deliver: func(endpointlist.Event) {},
+		})
 		compareFile(t, name, fixed(log.text))
 	}
 }
@@ -410,9 +422,14 @@
 			ended := make(chan struct{})
 			go func() {
 				defer close(ended)
-				endpointlist.Watch(ctx, "", endpointlist.Page{}, moves, now, zerolog.Nop(), nil, func(e endpointlist.Event) {
-					told++
-					hashEvent(sum, e)
+				endpointlist.Watch(ctx, endpointlist.Config{
+					Changes: moves,
+					Clock:   now,
+					Log:     zerolog.Nop(),
+					Deliver: func(e endpointlist.Event) {
+						told++
+						hashEvent(sum, e)
+					},
 				})
 			}()
 			no := 0
--- a/internal/endpoint/endpointlist/fence_test.go
+++ b/internal/endpoint/endpointlist/guard_test.go
@@ -37,7 +37,7 @@
 }
 
 // Guards against an older line that takes a drain back, and against newer ones that are held back.
-func TestFence(t *testing.T) {
+func TestVersionGuard_HoldsBackOlderLines(t *testing.T) {
 	for _, k := range []struct {
 		name   string
 		events []string
@@ -67,11 +67,11 @@
 		{"a removal of an unknown pool", []string{"2: s@ removed"}, "s@ removed 0"},
 		{"told twice", []string{"1: s@a up 7", "1: s@a up 7"}, "s@a up 7"},
 	} {
-		var f fence
+		var guard versionGuard
 		var got string
 		for _, e := range k.events {
 			e := event(t, e)
-			got = text(f.pass(e, e.Version))
+			got = text(guard.pass(e, e.Version))
 		}
 		if got != k.want {
 			t.Errorf("%s: %v: last told as %q, want %q", k.name, k.events, got, k.want)
@@ -81,25 +81,25 @@
 
 // Guards against a fence that grows with every pool that was ever listed, and against one that forgets a pool that
 // is up to remember one that is gone.
-func TestFenceIsBounded(t *testing.T) {
-	var f fence
-	f.pass(event(t, "1: up@a up"), 1)
-	const last = mostFenced + 99
+func TestVersionGuard_IsBounded(t *testing.T) {
+	var guard versionGuard
+	guard.pass(event(t, "1: up@a up"), 1)
+	const last = maxGuarded + 99
 	for no := int64(2); no <= last; no++ {
-		f.pass(Event{Version: no, Endpoints: []Endpoint{{UID: fmt.Sprint(no), Address: fmt.Sprint(no), State: Removed}}}, no)
+		guard.pass(Event{Version: no, Endpoints: []Endpoint{{UID: fmt.Sprint(no), Address: fmt.Sprint(no), State: Removed}}}, no)
 	}
-	if _, held := f.pools["up"]; len(f.pools) != mostFenced || !held {
-		t.Errorf("%d pools, the one that is up held: %v", len(f.pools), held)
+	if _, held := guard.endpoints["up"]; len(guard.endpoints) != maxGuarded || !held {
+		t.Errorf("%d pools, the one that is up held: %v", len(guard.endpoints), held)
 	}
-	for no := int64(1); no <= 2*mostSeen; no++ {
-		if e := (Event{Version: no}); f.seen(e) || !f.seen(e) {
+	for no := int64(1); no <= 2*maxSeen; no++ {
+		if e := (Event{Version: no}); guard.seen(e) || !guard.seen(e) {
 			t.Fatalf("event %d is not known again, or was before", no)
 		}
 	}
-	if len(f.told) > mostSeen {
-		t.Errorf("%d events are remembered", len(f.told))
+	if len(guard.delivered) > maxSeen {
+		t.Errorf("%d events are remembered", len(guard.delivered))
 	}
-	if e := f.pass(event(t, fmt.Sprintf("1: %d@%[1]d up", last)), 1); text(e) != fmt.Sprintf("%d@%[1]d removed 0", last) {
+	if e := guard.pass(event(t, fmt.Sprintf("1: %d@%[1]d up", last)), 1); text(e) != fmt.Sprintf("%d@%[1]d removed 0", last) {
 		t.Errorf("the latest that went is told as %q", text(e))
 	}
 }
--- a/internal/endpoint/endpointlist/order_test.go
+++ b/internal/endpoint/endpointlist/order_test.go
@@ -14,8 +14,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"eidertrail/internal/clock"
 	"eidertrail/internal/testing/fakeplatform"
 )
@@ -61,7 +59,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		Watch(ctx, address, known, nil, clock.New(), zerolog.Nop(), nil, func(e Event) {
+		watchList(ctx, address, known, nil, nil, func(e Event) {
 			told = append(told, fmt.Sprint(e.Version, " ", strings.ReplaceAll(text(e), "@127.0.0.3:5060", "")))
 		})
 	}()
@@ -109,8 +107,8 @@
 	}
 }
 
-// Guards against the first whole list, told once more by a bulletin that lags behind what the configuration told, having
-// a pool gone that came since, with what stands there.
+// Guards against the first whole list, told once more by a bulletin that lags behind what the configuration told,
+// having a pool gone that came since, with what stands there.
 func TestABulletinThatLagsTellsNothingTwice(t *testing.T) {
 	whole := `{"no":1,"roster":{"all":true,"targets":[{"uid":"s-0","endpoint":"127.0.0.4:5060","state":"up"}]}}`
 	known, err := ParsePage([]byte(answer(5, whole, item(5, "up"))), clock.New())
@@ -184,8 +182,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		Watch(ctx, strings.TrimPrefix(old.URL, "http://"), Page{Version: 3}, moves, clock.New(), zerolog.Nop(), nil,
-			func(e Event) { told = append(told, e.Version) })
+		watchList(ctx, strings.TrimPrefix(old.URL, "http://"), Page{Version: 3}, moves, nil, func(e Event) { told = append(told, e.Version) })
 	}()
 	<-half
 	moves <- AddressChange{Address: next, Known: Page{Version: 3}}
@@ -213,7 +210,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		Watch(ctx, old, Page{Version: 3}, moves, clock.New(), zerolog.Nop(), nil, func(e Event) {
+		watchList(ctx, old, Page{Version: 3}, moves, nil, func(e Event) {
 			if told = append(told, e.Version); e.Version == 4 {
 				close(telling)
 				<-on
@@ -242,7 +239,7 @@
 	defer l.Close()
 	next, asked := script(t)
 	dialling, up := make(chan struct{}), make(chan struct{})
-	w := newWatch(Page{Version: 3}, clock.New(), zerolog.Nop(), nil, func(Event) {})
+	w := newTestWatcher(Page{Version: 3}, func(Event) {})
 	w.dial = func(_ context.Context, network, address string) (net.Conn, error) {
 		if address == l.Addr().String() {
 			close(dialling)
@@ -285,7 +282,7 @@
 			select {
 			case <-ctx.Done():
 				return ctx.Err()
-			case <-time.After(dialWithin):
+			case <-time.After(dialTimeout):
 				return context.DeadlineExceeded
 			}
 		}, 1050 * time.Millisecond},
@@ -299,7 +296,7 @@
 				go s.Serve(l)
 				back := time.Now().Add(8*time.Second + time.Duration(phase)*21*time.Millisecond)
 				var late time.Duration
-				w := newWatch(Page{Version: 3}, clock.New(), zerolog.Nop(), nil, func(Event) {
+				w := newTestWatcher(Page{Version: 3}, func(Event) {
 					late = time.Since(back)
 					stop()
 				})
@@ -338,7 +335,7 @@
 		go s.Serve(l)
 		began := time.Now()
 		var took time.Duration
-		w := newWatch(Page{Version: 3}, clock.New(), zerolog.Nop(), nil, func(Event) {
+		w := newTestWatcher(Page{Version: 3}, func(Event) {
 			took = time.Since(began)
 			stop()
 		})
--- a/internal/endpoint/endpointlist/bulletin_test.go
+++ b/internal/endpoint/endpointlist/watch_test.go
@@ -16,6 +16,27 @@
 	"eidertrail/internal/telemetry"
 )
 
+// watchList is Watch with a clock of its own and no log.
+func watchList(
+	ctx context.Context, address string, known Page, changes <-chan AddressChange, counters *telemetry.Counters,
+	deliver func(Event),
+) {
+	Watch(ctx, Config{
+		Address:  address,
+		Known:    known,
+		Changes:  changes,
+		Clock:    clock.New(),
+		Log:      zerolog.Nop(),
+		Counters: counters,
+		Deliver:  deliver,
+	})
+}
+
+// newTestWatcher returns a watcher with a clock of its own and no log.
+func newTestWatcher(known Page, deliver func(Event)) *watcher {
+	return newWatcher(Config{Known: known, Clock: clock.New(), Log: zerolog.Nop(), Deliver: deliver})
+}
+
 func page(no int, state string) string {
 	return fmt.Sprintf(`{"no":%d,"items":[{"no":%d,"roster":{"rev":7,"all":false,"targets":[{"uid":"s-1","endpoint":"127.0.0.3:5060",`+
 		`"az":"east","model":"std","pod_group":2,"state":%q,"boot_ms":%d}]}},{"no":%d,"lot":{}}]}`, no, no, state, time.Now().UnixMilli()+1000, no)
@@ -74,7 +95,7 @@
 	defer s.Close()
 	var told []int64
 	count := &telemetry.Counters{}
-	Watch(ctx, strings.TrimPrefix(s.URL, "http://"), Page{Version: 3}, nil, clock.New(), zerolog.Nop(), count, func(e Event) { told = append(told, e.Version) })
+	watchList(ctx, strings.TrimPrefix(s.URL, "http://"), Page{Version: 3}, nil, count, func(e Event) { told = append(told, e.Version) })
 	if got := fmt.Sprint(told); got != "[4 5 1]" {
 		t.Errorf("told %s", got)
 	}
@@ -100,7 +121,7 @@
 		fmt.Fprint(w, page(4, "draining"))
 	}))
 	defer s.Close()
-	Watch(ctx, strings.TrimPrefix(s.URL, "http://"), Page{Version: 3}, nil, clock.New(), zerolog.Nop(), nil, func(e Event) { stop() })
+	watchList(ctx, strings.TrimPrefix(s.URL, "http://"), Page{Version: 3}, nil, nil, func(e Event) { stop() })
 	if a, b := <-asked, <-asked; a != "3" || b != "3" {
 		t.Errorf("asked after %s and %s", a, b)
 	}
@@ -124,7 +145,7 @@
 	moves := make(chan AddressChange, 1)
 	moves <- AddressChange{Address: strings.TrimPrefix(s.URL, "http://"), Known: known}
 	var told []int64
-	Watch(ctx, "", Page{Version: 3}, moves, clock.New(), zerolog.Nop(), nil, func(e Event) {
+	watchList(ctx, "", Page{Version: 3}, moves, nil, func(e Event) {
 		if told = append(told, e.Version); e.Version == 5 {
 			stop()
 		}
