rollout: a file each for plan, counts, comparison, state, decider; runner split likewise

Cause: the package was one file of several subjects, its runner two, with house words, exclusive booleans in Action, magic numbers and errors that no caller could act on.

Change: rollout has doc, plan, counts, comparison, state and decider files; runner has file, errors, statefile, configuration, counters, process, transition, replacefile and the loop. Names are the field's: transition, incarnation, promote, roll back, baseline, evaluation. Action has a kind in place of two booleans; phases change through named methods; metrics are typed; bounds are named constants. PlanError and FileError name the field, ErrBusy, ErrRolledBack, ErrStuck and the new ErrOtherPlan carry a remedy. Stored words, JSON and TOML keys and error texts are as they were. Where several fields differ or are absent, the reason now names them in a fixed order in place of a random one. One log message changed: "does not end, is killed" is now "stop timed out, killing the controller".

--- a/internal/rollout/runner/characterization_test.go
+++ b/internal/rollout/runner/characterization_test.go
@@ -13,6 +13,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -58,11 +59,11 @@
 
 func load(t *testing.T, path string) *runner.File {
 	t.Helper()
-	f, err := runner.Load(path)
+	file, err := runner.Load(path)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return f
+	return file
 }
 
 // writeFile writes a file of the test's own folder.
@@ -75,43 +76,63 @@
 	return path
 }
 
+// shortFile is a rollout file that sets no more than it has to.
+const shortFile = `stages = ["100%"]
+[old]
+binary = "a"
+[new]
+binary = "b"
+[[controller]]
+name = "n0"
+config = "c"
+pid_file = "p"
+log = "l"
+health = "h"
+[[controller]]
+name = "n1"
+config = "c"
+pid_file = "p"
+log = "l"
+health = "h"
+`
+
 // The rollout's file: every key, and what an absent one stands for.
 func TestCharacterization_RolloutFile(t *testing.T) {
-	f := load(t, recordedPath("rollout.toml"))
 	var text strings.Builder
-	describe(t, &text, f)
-	short := "stages = [\"100%\"]\n[old]\nbinary = \"a\"\n[new]\nbinary = \"b\"\n"
-	for _, name := range []string{"n0", "n1"} {
-		short += fmt.Sprintf("[[controller]]\nname = %q\nconfig = \"c\"\npid_file = \"p\"\nlog = \"l\"\nhealth = \"h\"\n", name)
-	}
+	describe(t, &text, load(t, recordedPath("rollout.toml")))
 	text.WriteString("\n")
-	describe(t, &text, load(t, writeFile(t, "short.toml", short)))
+	describe(t, &text, load(t, writeFile(t, "short.toml", shortFile)))
 	checkRecorded(t, "rollout-read.txt", []byte(text.String()))
 }
 
 // describe writes what was read, under names of its own.
-func describe(t *testing.T, to *strings.Builder, f *runner.File) {
+func describe(t *testing.T, text *strings.Builder, file *runner.File) {
 	t.Helper()
-	fmt.Fprintf(to, "stages %q\nwatched at least %d ns\nwatched at most %d ns\ncalls %d\nlooks every %d ns\nconfidence %g\ntolerance %g\n",
-		f.Stages, int64(f.MinTime), int64(f.MaxTime), f.MinCalls, int64(f.EvaluationInterval), f.Confidence, f.Tolerance)
-	fmt.Fprintf(to, "stop within %d ns\nready within %d ns\nold program %q\nnew program %q\n", int64(f.StopTimeout), int64(f.ReadyTimeout), f.Old.Binary, f.New.Binary)
-	for _, c := range f.Controller {
-		fmt.Fprintf(to, "controller %q, arguments %q, configuration %q, new configuration %q, process number %q, log %q, health %q\n",
-			c.Name, c.Args, c.Config, c.NewConfig, c.PIDFile, c.Log, c.Health)
+	fmt.Fprintf(text, "stages %q\nwatched at least %d ns\nwatched at most %d ns\ncalls %d\nlooks every %d ns\n",
+		file.Stages, int64(file.MinTime), int64(file.MaxTime), file.MinCalls, int64(file.EvaluationInterval))
+	fmt.Fprintf(text, "confidence %g\ntolerance %g\n", file.Confidence, file.Tolerance)
+	fmt.Fprintf(text, "stop within %d ns\nready within %d ns\nold program %q\nnew program %q\n",
+		int64(file.StopTimeout), int64(file.ReadyTimeout), file.Old.Binary, file.New.Binary)
+	for _, controller := range file.Controller {
+		fmt.Fprintf(text, "controller %q, arguments %q, configuration %q, new configuration %q, ",
+			controller.Name, controller.Args, controller.Config, controller.NewConfig)
+		fmt.Fprintf(text, "process number %q, log %q, health %q\n", controller.PIDFile, controller.Log, controller.Health)
 	}
-	p, err := f.Plan()
+	plan, err := file.Plan()
 	if err != nil {
 		t.Fatal(err)
 	}
-	fmt.Fprintf(to, "plan: controllers %q, stages %d, at least %d ms, at most %d ms, calls %d, looks every %d ms, confidence %g, tolerance %g\n",
-		p.Controllers, p.Stages, p.MinTime, p.MaxTime, p.MinCalls, p.EvaluationInterval, p.Confidence, p.Tolerance)
+	fmt.Fprintf(text, "plan: controllers %q, stages %d, at least %d ms, at most %d ms, calls %d, ",
+		plan.Controllers, plan.Stages, plan.MinTime, plan.MaxTime, plan.MinCalls)
+	fmt.Fprintf(text, "looks every %d ms, confidence %g, tolerance %g\n",
+		plan.EvaluationInterval, plan.Confidence, plan.Tolerance)
 }
 
 // The words for rollout files that are not accepted.
 func TestCharacterization_BadRolloutFiles(t *testing.T) {
 	good := string(recorded(t, "rollout.toml"))
 	var text strings.Builder
-	for _, c := range []struct{ what, file string }{
+	for _, test := range []struct{ name, file string }{
 		{"empty", ""},
 		{"no TOML", "stages = [\n= 1\n"},
 		{"unknown key", "colour = 1\n" + good},
@@ -139,117 +160,136 @@
 		{"same name", strings.Replace(good, "name = \"n1\"", "name = \"n0\"", 1)},
 		{"no name", strings.Replace(good, "name = \"n1\"", "", 1)},
 	} {
-		if c.file == good {
-			t.Fatalf("%s: the file was not changed", c.what)
+		if test.file == good {
+			t.Fatalf("%s: the file was not changed", test.name)
 		}
-		_, err := runner.Load(writeFile(t, "bad.toml", c.file))
+		_, err := runner.Load(writeFile(t, "bad.toml", test.file))
 		if err == nil {
-			t.Errorf("%s: accepted", c.what)
+			t.Errorf("%s: accepted", test.name)
 			continue
 		}
-		fmt.Fprintf(&text, "%s: %s\n", c.what, err)
+		fmt.Fprintf(&text, "%s: %s\n", test.name, err)
 	}
 	_, err := runner.Load("absent-folder/rollout.toml")
 	fmt.Fprintf(&text, "absent file: %s\n", err)
 	checkRecorded(t, "bad-rollout-files.txt", []byte(text.String()))
 }
 
-// everyKey is a state in which every key of the file is present. Its plan is the recorded rollout file.
-func everyKey(phase rollout.Phase) *rollout.State {
-	moving := rollout.Old
-	if phase == rollout.Running { // a controller that was not moved to the end is moved on
-		moving = rollout.New
+// stateWithEveryKey is a state in which every key of the file is present. Its plan is the recorded rollout file.
+func stateWithEveryKey(phase rollout.Phase) *rollout.State {
+	moving := rollout.VersionOld
+	if phase == rollout.PhaseRunning { // a transition that has not ended is begun again
+		moving = rollout.VersionNew
 	}
 	return &rollout.State{
-		Plan: "bcf17788baabae24", Phase: phase, Stage: 1,
+		Plan:  "bcf17788baabae24",
+		Phase: phase,
+		Stage: 1,
 		Controllers: []rollout.Controller{
-			{Name: "n0", Version: rollout.New, Moving: moving, Failed: 2},
-			{Name: "n1", Version: rollout.Old, Moving: rollout.New, Failed: 1},
-			{Name: "n2", Version: rollout.Old},
+			{Name: "n0", Version: rollout.VersionNew, Moving: moving, FailedTransitions: 2},
+			{Name: "n1", Version: rollout.VersionOld, Moving: rollout.VersionNew, FailedTransitions: 1},
+			{Name: "n2", Version: rollout.VersionOld},
 		},
-		Since: 1_700_000_000_123, EvaluatedAt: 1_700_000_001_456,
-		Base: []rollout.Figures{
-			{InTime: 11, Late: 12, Rejected: 13, Failed: 14, Times: map[int64]int64{20_000: 15, 200_000: 16}},
-			{InTime: 21, Late: 22, Rejected: 23, Failed: 24, Times: map[int64]int64{9000: 25, 30_000: 26}},
+		StageStartedAt: 1_700_000_000_123,
+		EvaluatedAt:    1_700_000_001_456,
+		Baselines: []rollout.Counts{
+			{InTime: 11, Late: 12, Rejected: 13, Failed: 14, SetupTimes: map[int64]int64{20_000: 15, 200_000: 16}},
+			{InTime: 21, Late: 22, Rejected: 23, Failed: 24, SetupTimes: map[int64]int64{9000: 25, 30_000: 26}},
 			{},
 		},
 		Incarnations: []string{"1700000000000001", "1700000000000002", ""},
-		Before:       rollout.Figures{InTime: 31, Late: 32, Rejected: 33, Failed: 34, Times: map[int64]int64{1000: 35}},
-		Reason:       "the operator aborted it",
-		Log:          []string{"controller n0 is new", "stopped: \"the operator\" <aborted> it & more"},
+		EarlierOldCalls: rollout.Counts{
+			InTime: 31, Late: 32, Rejected: 33, Failed: 34, SetupTimes: map[int64]int64{1000: 35},
+		},
+		Reason: "the operator aborted it",
+		Log:    []string{"controller n0 is new", "stopped: \"the operator\" <aborted> it & more"},
 	}
 }
 
-// goOn puts the recorded state file in a folder, has Run go on with it, and returns what is in the file then, with the log.
-func goOn(ctx context.Context, t *testing.T, f *runner.File, name string) (after []byte, log string, err error) {
+// resumed is what a state file holds after Run resumed it, what Run logged, and how it ended.
+type resumed struct {
+	state []byte
+	log   string
+	err   error
+}
+
+// resume has Run resume a copy of the recorded state file.
+func resume(ctx context.Context, t *testing.T, file *runner.File, name string) resumed {
 	t.Helper()
 	path := writeFile(t, "state.json", string(recorded(t, name)))
-	var lines bytes.Buffer
-	err = runner.Run(ctx, f, path, zerolog.New(&lines))
-	after, readErr := os.ReadFile(path)
+	var log bytes.Buffer
+	err := runner.Run(ctx, file, path, zerolog.New(&log))
+	state, readErr := os.ReadFile(path)
 	if readErr != nil {
 		t.Fatal(readErr)
 	}
-	return after, lines.String(), err
+	return resumed{state, log.String(), err}
 }
 
 // State files as an earlier program left them: they are of the plan that they were of, are read back to the same state,
-// and what is written then are the same bytes. Those of rollouts that are over change nothing; those in which a move
-// has begun begin it again, which the cancelled context ends before anything is touched.
+// and what is written then are the same bytes. Those of rollouts that have ended change nothing; those in which a
+// transition has begun begin it again, which the cancelled context ends before anything is touched.
 func TestCharacterization_StateFile(t *testing.T) {
-	f := load(t, recordedPath("rollout.toml"))
-	cancelled, cancel := context.WithCancel(context.Background())
-	cancel()
-	for _, c := range []struct {
-		file  string
-		phase rollout.Phase
-		ctx   context.Context
-		end   error
-		words string
+	file := load(t, recordedPath("rollout.toml"))
+	const rolledBack = "rollout: stopped and taken back: the operator aborted it"
+	for _, test := range []struct {
+		file      string
+		phase     rollout.Phase
+		cancelled bool
+		err       error
+		text      string
 	}{
-		{"state-done.json", rollout.Done, context.Background(), nil, ""},
-		{"state-aborted.json", rollout.Aborted, context.Background(), runner.ErrRolledBack, "rollout: stopped and taken back: the operator aborted it"},
-		{"state-stuck.json", rollout.Stuck, context.Background(), runner.ErrStuck, "rollout: stuck: the operator aborted it"},
-		{"state-running.json", rollout.Running, cancelled, context.Canceled, "context canceled"},
+		{"state-done.json", rollout.PhaseDone, false, nil, ""},
+		{"state-aborted.json", rollout.PhaseAborted, false, runner.ErrRolledBack, rolledBack},
+		{"state-stuck.json", rollout.PhaseStuck, false, runner.ErrStuck, "rollout: stuck: the operator aborted it"},
+		{"state-running.json", rollout.PhaseRunning, true, context.Canceled, "context canceled"},
 	} {
-		t.Run(c.file, func(t *testing.T) {
-			want := everyKey(c.phase)
+		t.Run(test.file, func(t *testing.T) {
+			want := stateWithEveryKey(test.phase)
 			text, err := json.MarshalIndent(want, "", " ")
 			if err != nil {
 				t.Fatal(err)
 			}
-			checkRecorded(t, c.file, append(text, '\n'))
-			read, err := runner.ReadState(recordedPath(c.file))
+			checkRecorded(t, test.file, append(text, '\n'))
+			read, err := runner.ReadState(recordedPath(test.file))
 			if err != nil {
 				t.Fatal(err)
 			}
 			if !reflect.DeepEqual(read, want) {
 				t.Errorf("read as\n%+v, want\n%+v", read, want)
 			}
-			after, log, err := goOn(c.ctx, t, f, c.file)
-			if !errors.Is(err, c.end) || err != nil && err.Error() != c.words {
-				t.Errorf("ended with %v, want %q", err, c.words)
+
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if test.cancelled {
+				cancel()
+			}
+			got := resume(ctx, t, file, test.file)
+
+			if !errors.Is(got.err, test.err) || got.err != nil && got.err.Error() != test.text {
+				t.Errorf("ended with %v, want %q", got.err, test.text)
 			}
-			if !bytes.Equal(after, recorded(t, c.file)) {
-				t.Errorf("written as other bytes than were read:\n%s", after)
+			if !bytes.Equal(got.state, recorded(t, test.file)) {
+				t.Errorf("written as other bytes than were read:\n%s", got.state)
 			}
-			checkRecorded(t, strings.TrimSuffix(c.file, ".json")+".log", []byte(log))
+			checkRecorded(t, strings.TrimSuffix(test.file, ".json")+".log", []byte(got.log))
 		})
 	}
 }
 
 // States that are not accepted, and what is beside a state file.
-func TestCharacterization_StateFilesThatAreRefused(t *testing.T) {
-	f := load(t, recordedPath("rollout.toml"))
+func TestCharacterization_RejectedStateFiles(t *testing.T) {
+	file := load(t, recordedPath("rollout.toml"))
+	done := string(recorded(t, "state-done.json"))
 	var text strings.Builder
-	run := func(what, state string) {
-		path := writeFile(t, "state.json", state)
-		err := runner.Run(context.Background(), f, path, zerolog.Nop())
-		fmt.Fprintf(&text, "%s: %s\n", what, err)
+	for _, test := range []struct{ name, state string }{
+		{"of another plan", strings.Replace(done, `"plan": "`, `"plan": "0`, 1)},
+		{"empty", ""},
+		{"cut off", done[:100]},
+	} {
+		err := runner.Run(context.Background(), file, writeFile(t, "state.json", test.state), zerolog.Nop())
+		fmt.Fprintf(&text, "%s: %s\n", test.name, err)
 	}
-	run("of another plan", strings.Replace(string(recorded(t, "state-done.json")), `"plan": "`, `"plan": "0`, 1))
-	run("empty", "")
-	run("cut off", string(recorded(t, "state-done.json")[:100]))
 	_, err := runner.ReadState("absent-folder/state.json")
 	fmt.Fprintf(&text, "absent: %s\n", err)
 	fmt.Fprintf(&text, "abort without a state: %s\n", runner.Abort("absent-folder/state.json"))
@@ -258,13 +298,13 @@
 
 // What the program writes beside the state file.
 func TestCharacterization_FilesBesideTheStateFile(t *testing.T) {
-	f := load(t, recordedPath("rollout.toml"))
+	file := load(t, recordedPath("rollout.toml"))
 	path := writeFile(t, "state.json", string(recorded(t, "state-aborted.json")))
 	if err := runner.Abort(path); err != nil {
 		t.Fatal(err)
 	}
 	checkNames(t, filepath.Dir(path), "state.json", "state.json.abort")
-	if err := runner.Run(context.Background(), f, path, zerolog.Nop()); !errors.Is(err, runner.ErrRolledBack) {
+	if err := runner.Run(context.Background(), file, path, zerolog.Nop()); !errors.Is(err, runner.ErrRolledBack) {
 		t.Fatal(err)
 	}
 	checkNames(t, filepath.Dir(path), "state.json", "state.json.lock")
@@ -276,73 +316,101 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var names []string
-	for _, e := range entries {
-		names = append(names, e.Name())
+	names := make([]string, 0, len(entries))
+	for _, entry := range entries {
+		names = append(names, entry.Name())
 	}
 	if !reflect.DeepEqual(names, want) {
 		t.Errorf("files %q, want %q", names, want)
 	}
 }
 
-// cancelAt is a log that cancels a context when a line holds some words.
-type cancelAt struct {
+// cancellingLog is a log that cancels a context when a line holds some words.
+type cancellingLog struct {
 	bytes.Buffer
 	words  string
 	cancel context.CancelFunc
 }
 
-func (c *cancelAt) Write(line []byte) (int, error) {
-	if bytes.Contains(line, []byte(c.words)) {
-		c.cancel()
+func (l *cancellingLog) Write(line []byte) (int, error) {
+	if bytes.Contains(line, []byte(l.words)) {
+		l.cancel()
 	}
-	return c.Buffer.Write(line)
+	return l.Buffer.Write(line)
 }
 
-// timeStamps are the readings of the system's clock in a state file.
-var timeStamps = regexp.MustCompile(`"(since|looked_at)": [1-9][0-9]{12}`)
+var (
+	// healthAddress is a controller's address in the recorded rollout file.
+	healthAddress = regexp.MustCompile(`127\.0\.0\.1:5[0-9]72`)
+	// timestamps are the readings of the system's clock in a state file.
+	timestamps = regexp.MustCompile(`"(since|looked_at)": [1-9][0-9]{12}`)
+	// planID is the key by which a state file's plan is identified.
+	planID = regexp.MustCompile(`"plan": "[0-9a-f]{16}"`)
+)
 
-// A stage begins to be watched: which counters of the controllers go into the state, and under which keys.
-func TestCharacterization_CountersInTheState(t *testing.T) {
-	controller := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+// countersReply is what the controllers of a test reply to GET /counters.
+const countersReply = `{"life":1700000000000007,
+"counters":{"answered":90,"answered_in_time":70,"refused":5,"failed":3,"reloads":2},
+"times":{"9000":60,"20000":30}}`
+
+// startController starts the counters of a controller and returns its address.
+func startController(t *testing.T) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/counters" && r.Method == http.MethodGet {
-			fmt.Fprint(w, `{"life":1700000000000007,"counters":{"answered":90,"answered_in_time":70,"refused":5,"failed":3,"reloads":2},"times":{"9000":60,"20000":30}}`)
+			_, _ = io.WriteString(w, countersReply)
 		}
 	}))
-	defer controller.Close()
-	address := strings.TrimPrefix(controller.URL, "http://")
-	text := regexp.MustCompile(`127\.0\.0\.1:5[0-9]72`).ReplaceAllString(string(recorded(t, "rollout.toml")), address)
-	text = strings.Replace(text, `look_every = "3s"`, `look_every = "10m"`, 1) // the context ends the wait for the next look
-	f := load(t, writeFile(t, "rollout.toml", text))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// readState returns a state file's bytes without the plan's hash and the readings of the system's clock.
+func readState(t *testing.T, path string) []byte {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return timestamps.ReplaceAll(planID.ReplaceAll(text, []byte(`"plan": "PLAN"`)), []byte(`"$1": TIME`))
+}
 
+// A stage begins to be watched: which counters of the controllers go into the state, and under which keys.
+func TestCharacterization_CountersInTheState(t *testing.T) {
+	text := healthAddress.ReplaceAllString(string(recorded(t, "rollout.toml")), startController(t))
+	// The context ends the wait for the next evaluation.
+	text = strings.Replace(text, `look_every = "3s"`, `look_every = "10m"`, 1)
+	file := load(t, writeFile(t, "rollout.toml", text))
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	path := filepath.Join(t.TempDir(), "state.json")
-	// The first Run writes the plan's state and ends before the first move.
-	stopped, stop := context.WithCancel(ctx)
-	stop()
-	if err := runner.Run(stopped, f, path, zerolog.Nop()); !errors.Is(err, context.Canceled) {
-		t.Fatal(err)
-	}
-	s, err := os.ReadFile(path)
-	if err != nil {
+
+	// The first Run writes the plan's state and ends before the first transition.
+	cancelled, cancelFirst := context.WithCancel(ctx)
+	cancelFirst()
+	if err := runner.Run(cancelled, file, path, zerolog.Nop()); !errors.Is(err, context.Canceled) {
 		t.Fatal(err)
 	}
-	plan := regexp.MustCompile(`"plan": "[0-9a-f]{16}"`)
-	checkRecorded(t, "state-begun.json", plan.ReplaceAll(s, []byte(`"plan": "PLAN"`)))
+	checkRecorded(t, "state-begun.json", readState(t, path))
 
-	moved := strings.Replace(string(s), "\"version\": \"old\",\n   \"moving\": \"new\"", `"version": "new"`, 1)
-	if err := os.WriteFile(path, []byte(moved), 0o600); err != nil {
+	endFirstTransition(t, path)
+	log := &cancellingLog{words: "stage 1 of 3", cancel: cancel}
+	if err := runner.Run(ctx, file, path, zerolog.New(log)); !errors.Is(err, context.Canceled) {
 		t.Fatal(err)
 	}
-	log := &cancelAt{words: "stage 1 of 3", cancel: cancel}
-	if err := runner.Run(ctx, f, path, zerolog.New(log)); !errors.Is(err, context.Canceled) {
+	checkRecorded(t, "state-watched.json", readState(t, path))
+	checkRecorded(t, "state-watched.log", log.Bytes())
+}
+
+// endFirstTransition edits a state file as if the transition that has begun had ended.
+func endFirstTransition(t *testing.T, path string) {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	if err != nil {
 		t.Fatal(err)
 	}
-	if s, err = os.ReadFile(path); err != nil {
+	ended := strings.Replace(string(text), "\"version\": \"old\",\n   \"moving\": \"new\"", `"version": "new"`, 1)
+	if err := os.WriteFile(path, []byte(ended), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	s = timeStamps.ReplaceAll(plan.ReplaceAll(s, []byte(`"plan": "PLAN"`)), []byte(`"$1": TIME`))
-	checkRecorded(t, "state-watched.json", s)
-	checkRecorded(t, "state-watched.log", log.Bytes())
 }
--- a/internal/rollout/runner/file.go
+++ b/internal/rollout/runner/file.go
@@ -5,32 +5,45 @@
 	"encoding/hex"
 	"fmt"
 	"os"
-	"path/filepath"
 	"strings"
 	"time"
 
 	"github.com/BurntSushi/toml"
-	"github.com/tidwall/gjson"
 
 	"eidertrail/internal/rollout"
 )
 
-// File is a rollout's file: the controllers, how each is started, and what changes.
+// Values of the fields that a rollout file leaves out.
+const (
+	defaultMinTime            = time.Minute
+	defaultMaxTime            = 15 * time.Minute
+	defaultMinCalls           = 500
+	defaultEvaluationInterval = 2 * time.Second
+	defaultConfidence         = 0.99
+	defaultTolerance          = 0.01
+	defaultStopTimeout        = 6 * time.Second
+	defaultReadyTimeout       = 15 * time.Second
+)
+
+// idBytes is how much of the file's hash identifies its plan in a state file.
+const idBytes = 8
+
+// File is a rollout file: the controllers, how each is started, and what changes.
 type File struct {
-	Stages             []string      `toml:"stages"`      // counts, or shares such as "20%"
-	MinTime            time.Duration `toml:"min_time"`    // that a stage is watched at the least
-	MaxTime            time.Duration `toml:"most_time"`   // after which one with too few calls is given up
-	MinCalls           int64         `toml:"min_calls"`   // of the old and of the new
+	Stages             []string      `toml:"stages"`      // counts, or percentages such as "20%"
+	MinTime            time.Duration `toml:"min_time"`    // for which a stage is watched before it may be promoted
+	MaxTime            time.Duration `toml:"most_time"`   // after which a stage with too few calls is rolled back
+	MinCalls           int64         `toml:"min_calls"`   // of the old and of the new version
 	EvaluationInterval time.Duration `toml:"look_every"`  // from one comparison to the next
-	Confidence         float64       `toml:"confidence"`  // that a change which is no worse is not stopped
-	Tolerance          float64       `toml:"tolerance"`   // by which a share may be worse
-	StopTimeout        time.Duration `toml:"stop_within"` // after SIGTERM, before SIGKILL
-	ReadyTimeout       time.Duration `toml:"ready_in"`    // a start that takes longer has failed
+	Confidence         float64       `toml:"confidence"`  // that a change which is no worse is not rolled back
+	Tolerance          float64       `toml:"tolerance"`   // by which a proportion of calls may be worse
+	StopTimeout        time.Duration `toml:"stop_within"` // from SIGTERM to SIGKILL
+	ReadyTimeout       time.Duration `toml:"ready_in"`    // after which a start has failed
 	Old                Program       `toml:"old"`
 	New                Program       `toml:"new"`
-	Controller         []Controller  `toml:"controller"`
+	Controller         []Controller  `toml:"controller"` // in the order of their transitions
 
-	id string // of the text
+	id string // identifies the plan in the state file
 }
 
 // Program is what a version runs.
@@ -38,154 +51,127 @@
 	Binary string `toml:"binary"`
 }
 
-// Controller is one controller.
+// Controller is how one controller is run.
 type Controller struct {
 	Name      string   `toml:"name"`
 	Args      []string `toml:"args"`       // the same for both versions
 	Config    string   `toml:"config"`     // RELAY_CONFIG: the file that changes, where new_config is given
 	NewConfig string   `toml:"new_config"` // what it becomes
-	PIDFile   string   `toml:"pid_file"`   // the process's number; written by its start
-	Log       string   `toml:"log"`        // what it writes is appended here
-	Health    string   `toml:"health"`     // address of GET /ready and /counters
+	PIDFile   string   `toml:"pid_file"`   // written when the process is started
+	Log       string   `toml:"log"`        // to which the process's output is appended
+	Health    string   `toml:"health"`     // address of GET /ready and GET /counters
 }
 
-// Load reads the file at path. An error is one line that names the field.
+// Load reads and checks the rollout file at path. An error is one line that names the field.
 func Load(path string) (*File, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("rollout: %w", err)
 	}
-	f := &File{
-		MinTime: time.Minute, MaxTime: 15 * time.Minute, MinCalls: 500, EvaluationInterval: 2 * time.Second, Confidence: 0.99,
-		Tolerance: 0.01, StopTimeout: 6 * time.Second, ReadyTimeout: 15 * time.Second,
+	file, err := decode(text)
+	if err != nil {
+		return nil, err
 	}
-	meta, err := toml.Decode(string(text), f)
+	if err := file.check(); err != nil {
+		return nil, err
+	}
+	return file, nil
+}
+
+// decode reads a rollout file's text, and sets what it leaves out.
+func decode(text []byte) (*File, error) {
+	hash := sha256.Sum256(text)
+	file := &File{
+		MinTime:            defaultMinTime,
+		MaxTime:            defaultMaxTime,
+		MinCalls:           defaultMinCalls,
+		EvaluationInterval: defaultEvaluationInterval,
+		Confidence:         defaultConfidence,
+		Tolerance:          defaultTolerance,
+		StopTimeout:        defaultStopTimeout,
+		ReadyTimeout:       defaultReadyTimeout,
+		id:                 hex.EncodeToString(hash[:idBytes]),
+	}
+	meta, err := toml.Decode(string(text), file)
 	if err != nil {
 		return nil, fmt.Errorf("rollout: %s", strings.ReplaceAll(err.Error(), "\n", " "))
 	}
-	if left := meta.Undecoded(); len(left) > 0 {
-		return nil, fmt.Errorf("rollout: %s: not a known field", left[0])
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return nil, &FileError{unknown[0].String(), "not a known field"}
 	}
-	sum := sha256.Sum256(text)
-	f.id = hex.EncodeToString(sum[:8])
+	return file, nil
+}
+
+// check returns an error for the first field that is invalid.
+func (f *File) check() error {
 	if f.Old.Binary == "" || f.New.Binary == "" {
-		return nil, fmt.Errorf("rollout: old.binary, new.binary: absent; they are the same where only settings change")
+		return &FileError{"old.binary, new.binary", "absent; they are the same where only settings change"}
 	}
-	for i, c := range f.Controller {
-		for field, v := range map[string]string{"config": c.Config, "pid_file": c.PIDFile, "log": c.Log, "health": c.Health} {
-			if v == "" {
-				return nil, fmt.Errorf("rollout: controller[%d].%s: absent", i, field)
-			}
-		}
-		if f.Old.Binary == f.New.Binary && c.NewConfig == "" {
-			return nil, fmt.Errorf("rollout: controller[%d].new_config: absent, and old.binary is new.binary: nothing changes", i)
+	for i, controller := range f.Controller {
+		if err := f.checkController(i, controller); err != nil {
+			return err
 		}
 	}
 	if f.StopTimeout <= 0 || f.ReadyTimeout <= 0 {
-		return nil, fmt.Errorf("rollout: stop_within, ready_in: want more than 0")
-	}
-	if _, err := f.Plan(); err != nil {
-		return nil, err
+		return &FileError{"stop_within, ready_in", "want more than 0"}
 	}
-	return f, nil
+	_, err := f.Plan()
+	return err
 }
 
-// Plan is what the stages are decided by.
-func (f *File) Plan() (rollout.Plan, error) {
-	p := rollout.Plan{
-		MinTime: f.MinTime.Milliseconds(), MaxTime: f.MaxTime.Milliseconds(), MinCalls: f.MinCalls,
-		EvaluationInterval: f.EvaluationInterval.Milliseconds(), Confidence: f.Confidence, Tolerance: f.Tolerance,
-	}
-	for _, c := range f.Controller {
-		p.Controllers = append(p.Controllers, c.Name)
-	}
-	for _, text := range f.Stages {
-		n, err := rollout.ParseStage(text, len(f.Controller))
-		if err != nil {
-			return p, oneLine(err)
+func (f *File) checkController(index int, controller Controller) error {
+	for _, required := range []struct{ field, value string }{
+		{"config", controller.Config},
+		{"pid_file", controller.PIDFile},
+		{"log", controller.Log},
+		{"health", controller.Health},
+	} {
+		if required.value == "" {
+			return &FileError{fmt.Sprintf("controller[%d].%s", index, required.field), "absent"}
 		}
-		p.Stages = append(p.Stages, n)
 	}
-	if err := p.Check(); err != nil {
-		return p, oneLine(err)
+	if f.sameProgram() && controller.NewConfig == "" {
+		field := fmt.Sprintf("controller[%d].new_config", index)
+		return &FileError{field, "absent, and old.binary is new.binary: nothing changes"}
 	}
-	return p, nil
-}
-
-func oneLine(err error) error {
-	return fmt.Errorf("rollout: %s", strings.TrimPrefix(err.Error(), "rollout: bad plan: "))
+	return nil
 }
 
-// Restarts tells whether the move of a controller restarts it, and why: a new program, or a field of the
-// configuration that a running one does not take over at SIGHUP.
-func (f *File) Restarts(c Controller) (bool, string, error) {
-	if f.Old.Binary != f.New.Binary {
-		return true, "another program", nil
-	}
-	old, err := os.ReadFile(kept(c))
-	if err != nil {
-		return false, "", fmt.Errorf("rollout: controller %s: config: %w", c.Name, err)
-	}
-	new, err := os.ReadFile(c.NewConfig)
-	if err != nil {
-		return false, "", fmt.Errorf("rollout: controller %s: new_config: %w", c.Name, err)
-	}
-	if !gjson.ValidBytes(old) || !gjson.ValidBytes(new) {
-		return true, "one of the configurations is not valid JSON", nil
-	}
-	var fields []string
-	differ := func(path string, a, b gjson.Result) {
-		if a.Raw != b.Raw {
-			fields = append(fields, path)
-		}
-	}
-	a, b := gjson.ParseBytes(old), gjson.ParseBytes(new)
-	names := map[string]bool{}
-	for _, r := range []gjson.Result{a, b} {
-		r.ForEach(func(k, _ gjson.Result) bool { names[k.Str] = true; return true })
-	}
-	for name := range names {
-		switch name {
-		case "bulletin", "known": // taken over at SIGHUP
-		case "limits": // of it, memory_mb is
-			for _, l := range []string{"limits.cores", "limits.sockets"} {
-				differ(l, a.Get(l), b.Get(l))
-			}
-		default:
-			differ(name, a.Get(name), b.Get(name))
-		}
-	}
-	if len(fields) > 0 {
-		return true, strings.Join(fields, ", ") + " changes only at a restart", nil
-	}
-	return false, "all that changes is taken over at SIGHUP", nil
-}
+// sameProgram reports whether both versions run the same program: only settings change.
+func (f *File) sameProgram() bool { return f.Old.Binary == f.New.Binary }
 
-// kept is where the old configuration of a controller is: beside the file once that has been changed.
-func kept(c Controller) string {
-	if _, err := os.Stat(c.Config + keptSuffix); err == nil {
-		return c.Config + keptSuffix
+// program is what the version runs.
+func (f *File) program(version rollout.Version) Program {
+	if version == rollout.VersionNew {
+		return f.New
 	}
-	return c.Config
+	return f.Old
 }
 
-const keptSuffix = ".before-rollout"
-
-// replace writes a file whole or not at all, and has it on disk when it returns.
-func replace(path string, text []byte) error {
-	tmp, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*")
-	if err != nil {
-		return err
-	}
-	defer os.Remove(tmp.Name())
-	if _, err = tmp.Write(text); err == nil {
-		err = tmp.Sync()
+// Plan returns the plan by which the rollout is decided.
+func (f *File) Plan() (rollout.Plan, error) {
+	plan := rollout.Plan{
+		Controllers:        make([]string, 0, len(f.Controller)),
+		Stages:             make([]int, 0, len(f.Stages)),
+		MinTime:            f.MinTime.Milliseconds(),
+		MaxTime:            f.MaxTime.Milliseconds(),
+		MinCalls:           f.MinCalls,
+		EvaluationInterval: f.EvaluationInterval.Milliseconds(),
+		Confidence:         f.Confidence,
+		Tolerance:          f.Tolerance,
+	}
+	for _, controller := range f.Controller {
+		plan.Controllers = append(plan.Controllers, controller.Name)
 	}
-	if e := tmp.Close(); err == nil {
-		err = e
+	for _, text := range f.Stages {
+		count, err := rollout.ParseStage(text, len(f.Controller))
+		if err != nil {
+			return plan, fileError(err)
+		}
+		plan.Stages = append(plan.Stages, count)
 	}
-	if err == nil {
-		err = os.Rename(tmp.Name(), path)
+	if err := plan.Check(); err != nil {
+		return plan, fileError(err)
 	}
-	return err
+	return plan, nil
 }
