rollout: comments that state the checked reason; a test of rounding a percentage

Cause: three comments gave an example or a reason that does not hold: 20% of 5 needs no correction, 7% of 100 does.

Change: the comments, and an assertion that 7% of 100 controllers is 7.

--- a/internal/rollout/decider.go
+++ b/internal/rollout/decider.go
@@ -95,8 +95,8 @@
 	return p.Next(state, observation)
 }
 
-// startStage begins to watch a stage once all controllers answer, old ones included: without the calls of one of them
-// the comparison would start from nothing.
+// startStage begins to watch a stage once all controllers answer, old ones included: one that does not answer has no
+// baseline to count from.
 func (p Plan) startStage(state *State, observation Observation) Action {
 	if unanswered := slices.Index(observation.Incarnations, ""); unanswered >= 0 {
 		if state.EvaluatedAt == 0 {
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -15,7 +15,7 @@
 	// minControllers is two, as the old and the new version run side by side.
 	minControllers = 2
 	maxControllers = 256
-	// minRequiredCalls bounds MinCalls from below: the normal approximation of a comparison fails on fewer calls.
+	// minRequiredCalls bounds MinCalls from below: the normal approximation does not hold for fewer.
 	minRequiredCalls      = 10
 	minEvaluationInterval = 50 * time.Millisecond
 	minConfidence         = 0.9
@@ -26,7 +26,7 @@
 const percentSuffix = "%"
 
 // roundingError is more than the error of floating-point division and less than the smallest real part of a
-// controller. Without it, 20% of 5 controllers could be rounded up to 2.
+// controller. Without it, 7% of 100 controllers would be rounded up to 8.
 const roundingError = 1e-9
 
 // Plan is how a change is rolled out. Times are in milliseconds.
--- a/internal/rollout/plan_test.go
+++ b/internal/rollout/plan_test.go
@@ -42,6 +42,9 @@
 			t.Errorf("%s of 5: %d, %v, want %d", text, count, err, want)
 		}
 	}
+	if count, err := ParseStage("7%", 100); err != nil || count != 7 { // 7/100*100 is more than 7 in floating point
+		t.Errorf("7%% of 100: %d, %v, want 7", count, err)
+	}
 	for _, text := range []string{"", "x", "0%", "101%", "%"} {
 		if _, err := ParseStage(text, 5); !errors.Is(err, ErrPlan) {
 			t.Errorf("%q: %v", text, err)
--- a/internal/rollout/runner/transition.go
+++ b/internal/rollout/runner/transition.go
@@ -12,8 +12,8 @@
 // reloadTimeout is how long a controller may take to count that it took a configuration over or rejected it.
 const reloadTimeout = 5 * time.Second
 
-// transition makes a controller run a version. It can be begun again at any point: each step leaves alone what an
-// earlier attempt has already done.
+// transition makes a controller run a version. It can be begun again at any point: no step depends on whether an
+// earlier attempt got past it.
 func (r *run) transition(ctx context.Context, controller Controller, version rollout.Version) error {
 	binary := r.file.program(version).Binary
 	restart, _, err := r.file.Restarts(controller)
