--- a/internal/endpoint/srv/watch.go
+++ b/internal/endpoint/srv/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"math/rand/v2"
 	"time"
 )
@@ -9,15 +10,18 @@
 // Update is the outcome of one look-up of a name.
 type Update struct {
 	Name   string
-	At     int64 // clock reading, µs, when it was over
+	At     int64 // clock reading when it was over, in microseconds
 	Answer Answer
-	Err    error // the last good set stands; membership keeps it for its stale time
+	Err    error // the last good set of records stays in force
 }
 
-// Watch looks name up, sends each outcome on out, and asks again as s says, until ctx is done. now reads
-// the clock in µs; seed parts the jitter of names and controllers.
-func Watch(ctx context.Context, r *Resolver, s Schedule, name string, now func() int64, seed uint64, out chan<- Update) {
-	rnd := rand.New(rand.NewPCG(seed, hash(name)))
+// Watch looks name up, sends each outcome on updates, and asks again as the schedule says, until ctx is done. now reads
+// the clock in microseconds; the seed and the name give the jitter.
+func Watch(
+	ctx context.Context, resolver *Resolver, schedule Schedule, name string, now func() int64, seed uint64,
+	updates chan<- Update,
+) {
+	random := rand.New(rand.NewPCG(seed, nameHash(name)))
 	failures := 0
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -27,47 +31,46 @@
 			return
 		case <-timer.C:
 		}
-		a, err := r.Lookup(ctx, name)
+		answer, err := resolver.Lookup(ctx, name)
 		if ctx.Err() != nil {
 			return
 		}
 		select {
-		case out <- Update{Name: name, At: now(), Answer: a, Err: err}:
+		case updates <- Update{Name: name, At: now(), Answer: answer, Err: err}:
 		case <-ctx.Done():
 			return
 		}
-		var wait int64
+		var delay int64
 		if err != nil {
 			failures++
-			wait = s.Retry(failures, rnd.Float64())
+			delay = schedule.Retry(failures, random.Float64())
 		} else {
 			failures = 0
-			wait = s.Refresh(leastTTL(a, s.Floor), rnd.Float64())
+			delay = schedule.Refresh(minTTL(answer, schedule.Floor), random.Float64())
 		}
-		timer.Reset(time.Duration(wait) * time.Microsecond)
+		timer.Reset(time.Duration(delay) * time.Microsecond)
 	}
 }
 
-// leastTTL is what the next refresh counts from: the least TTL of the records, else the negative TTL,
-// else floor.
-func leastTTL(a Answer, floor int64) int64 {
-	if len(a.Records) == 0 {
-		if a.NegativeTTL > 0 {
-			return a.NegativeTTL
+// minTTL returns what the next refresh counts from, in microseconds: the least TTL of the records, else the negative
+// TTL, else floor.
+func minTTL(answer Answer, floor int64) int64 {
+	if len(answer.Records) == 0 {
+		if answer.NegativeTTL > 0 {
+			return answer.NegativeTTL
 		}
 		return floor
 	}
-	least := a.Records[0].TTL
-	for _, r := range a.Records[1:] {
-		least = min(least, r.TTL)
+	least := answer.Records[0].TTL
+	for _, record := range answer.Records[1:] {
+		least = min(least, record.TTL)
 	}
 	return least
 }
 
-func hash(s string) uint64 {
-	h := uint64(14695981039346656037)
-	for i := range len(s) {
-		h = (h ^ uint64(s[i])) * 1099511628211
-	}
-	return h
+// nameHash hashes a name, so that names of one seed have jitter of their own.
+func nameHash(name string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(name)) // a hash writes without errors
+	return hash.Sum64()
 }
