State table: dissemination, anti-entropy, records and codec in files of their own

It is split by subject: records and their reassembly, dissemination of updates, anti-entropy by digests and summaries, configuration, errors, counters, and one codec file a message family, whose fields one reader decodes. The queue of updates, sets of fragments, summaries and message types are types; a summary is parsed before it is answered. Config.Interval is a time.Duration. The tests' simulated fleet, network and recordings stand apart from the tests.

Nothing that is sent, decided or counted changes.

--- a/internal/fleet/statetable/codec.go
+++ b/internal/fleet/statetable/codec.go
@@ -6,126 +6,78 @@
 	"eidertrail/internal/fleet/swim"
 )
 
-// Bodies, numbers big-endian. Each begins with its kind, none of which another protocol between the members uses
-// (cluster/budget has 1 to 3):
+// messageType is the first byte of a body. Other protocols between the members use other numbers: the quotas of the
+// fleet have 1 to 3.
 //
-//	fragments: items of origin (2 bytes), kind (1), incarnation (8), version (4), part, count (1 each), length (1), bytes
-//	blocks:    a CRC-32 (4) for each block of members, over the stamps held of it
-//	lines:     whether an answer is wanted (1), the range of keys from and to (3 each: origin, kind), lines of
-//	           origin (2), kind (1), incarnation (8), version (4), a bit for each fragment held (4)
-const (
-	fragmentsMessage = 0x20
-	blocksMessage    = 0x21
-	linesMessage     = 0x22
+// Numbers are big-endian. A stamped key is origin (2 bytes), kind (1), incarnation (8) and version (4).
+//
+//	fragments: fragments of stamped key, index (1), count (1), length (1) and data
+//	digest:    a CRC-32 (4) for each block of members, over the stamped keys held of it
+//	summary:   whether a reply is wanted (1), the range of keys from and to before (3 each: origin, kind), and lines of
+//	           stamped key and a bit for each fragment received (4)
+type messageType byte
 
-	mostBody      = swim.MaxBody
-	itemHead      = 18
-	fragmentBytes = 160
-	rangeSize     = 6
-	lineSize      = 19
-	mostLines     = (mostBody - 2 - rangeSize) / lineSize
-	wantAnswer    = 1
-	all           = 1<<32 - 1
+const (
+	fragmentsMessage messageType = 0x20
+	digestMessage    messageType = 0x21
+	summaryMessage   messageType = 0x22
 )
 
-// IsMessage tells whether a body is one of the table's.
-func IsMessage(body []byte) bool {
-	return len(body) > 0 && body[0] >= fragmentsMessage && body[0] <= linesMessage
-}
-
-// fragments is how many a value has; an empty one has one too.
-func fragments(n int) int { return max(1, (n+fragmentBytes-1)/fragmentBytes) }
-
-func roundUp(n int) int { return fragments(n) * fragmentBytes }
-
-// part is the i-th fragment of a value.
-func part(value []byte, i int) []byte {
-	return value[i*fragmentBytes : min(len(value), (i+1)*fragmentBytes)]
-}
-
-// item is a fragment on its way.
-type item struct {
-	key
-	Stamp
-	part, count int
-	bytes       []byte
-}
-
-func appendItem(b []byte, i item) []byte {
-	b = appendStamped(b, i.key, i.Stamp)
-	b = append(b, byte(i.part), byte(i.count), byte(len(i.bytes)))
-	return append(b, i.bytes...)
-}
-
-func appendStamped(b []byte, k key, s Stamp) []byte {
-	b = binary.BigEndian.AppendUint16(b, uint16(k.origin))
-	b = append(b, byte(k.kind))
-	b = binary.BigEndian.AppendUint64(b, s.Incarnation)
-	return binary.BigEndian.AppendUint32(b, s.Version)
-}
+// maxBody is the longest body, in bytes.
+const maxBody = swim.MaxBody
 
-func parseStamped(b []byte) (key, Stamp) {
-	return key{int(binary.BigEndian.Uint16(b)), Kind(b[2])}, Stamp{binary.BigEndian.Uint64(b[3:]), binary.BigEndian.Uint32(b[11:])}
-}
+// The lengths of fields, in bytes.
+const (
+	uint16Size     = 2
+	uint32Size     = 4
+	uint64Size     = 8
+	typeSize       = 1
+	keySize        = uint16Size + 1
+	stampedKeySize = keySize + uint64Size + uint32Size
+)
 
-// parseItem reads the first item. One that no member makes is not ok: no part past its count, whole parts but the last.
-func parseItem(b []byte) (i item, rest []byte, ok bool) {
-	if len(b) < itemHead {
-		return i, nil, false
-	}
-	i.key, i.Stamp = parseStamped(b)
-	i.part, i.count = int(b[15]), int(b[16])
-	n := int(b[17])
-	if len(b) < itemHead+n || i.count < 1 || i.count > mostFragments || i.part >= i.count || n > fragmentBytes ||
-		i.part < i.count-1 && n != fragmentBytes || i.count > 1 && n == 0 {
-		return i, nil, false
+// IsMessage reports whether a body is a message of the state table.
+func IsMessage(body []byte) bool {
+	if len(body) == 0 {
+		return false
 	}
-	i.bytes = b[itemHead : itemHead+n]
-	return i, b[itemHead+n:], true
+	first := messageType(body[0])
+	return first >= fragmentsMessage && first <= summaryMessage
 }
 
-func appendRange(b []byte, first, last key) []byte {
-	for _, k := range []key{first, last} {
-		b = binary.BigEndian.AppendUint16(b, uint16(k.origin))
-		b = append(b, byte(k.kind))
-	}
-	return b
+func appendKey(b []byte, key entryKey) []byte {
+	b = binary.BigEndian.AppendUint16(b, uint16(key.origin))
+	return append(b, byte(key.kind))
 }
 
-func parseRange(b []byte) (first, last key) {
-	return key{int(binary.BigEndian.Uint16(b)), Kind(b[2])}, key{int(binary.BigEndian.Uint16(b[3:])), Kind(b[5])}
+func appendStamped(b []byte, key entryKey, stamp Stamp) []byte {
+	b = appendKey(b, key)
+	b = binary.BigEndian.AppendUint64(b, stamp.Incarnation)
+	return binary.BigEndian.AppendUint32(b, stamp.Version)
 }
 
-func appendLine(b []byte, k key, s Stamp, have uint32) []byte {
-	return binary.BigEndian.AppendUint32(appendStamped(b, k, s), have)
-}
+// fieldReader reads fields from the front of its bytes. The caller checks beforehand that they are long enough.
+type fieldReader []byte
 
-func parseLine(b []byte) (key, Stamp, uint32) {
-	k, s := parseStamped(b)
-	return k, s, binary.BigEndian.Uint32(b[15:])
+// take returns the next bytes.
+func (r *fieldReader) take(length int) []byte {
+	field := (*r)[:length]
+	*r = (*r)[length:]
+	return field
 }
 
-// packer packs items into as few bodies as they fill one after another.
-type packer struct {
-	bodies [][]byte
-	b      []byte
-}
+func (r *fieldReader) uint8() uint8   { return r.take(1)[0] }
+func (r *fieldReader) uint16() uint16 { return binary.BigEndian.Uint16(r.take(uint16Size)) }
+func (r *fieldReader) uint32() uint32 { return binary.BigEndian.Uint32(r.take(uint32Size)) }
+func (r *fieldReader) uint64() uint64 { return binary.BigEndian.Uint64(r.take(uint64Size)) }
 
-func (p *packer) item(i item) {
-	if len(p.b)+itemHead+len(i.bytes) > mostBody {
-		p.bodies = p.done()
-		p.b = nil
-	}
-	if len(p.b) == 0 {
-		p.b = []byte{fragmentsMessage}
-	}
-	p.b = appendItem(p.b, i)
+func (r *fieldReader) key() entryKey {
+	origin := int(r.uint16())
+	return entryKey{origin: origin, kind: Kind(r.uint8())}
 }
 
-// done are all bodies.
-func (p *packer) done() [][]byte {
-	if len(p.b) > 0 {
-		return append(p.bodies, p.b)
-	}
-	return p.bodies
+func (r *fieldReader) stamped() (entryKey, Stamp) {
+	key := r.key()
+	incarnation := r.uint64()
+	return key, Stamp{Incarnation: incarnation, Version: r.uint32()}
 }
