--- a/internal/fleet/quota/shared.go
+++ b/internal/fleet/quota/shared.go
@@ -2,59 +2,60 @@
 
 import "sync"
 
-// SharedAllocator is a Ledger for two goroutines: the one that hears the members, and the one that sends set-ups.
+// SharedAllocator is an Allocator for concurrent use: one goroutine passes it the members' messages, another uses the
+// quotas.
 type SharedAllocator struct {
-	mu sync.Mutex
-	l  *Allocator
+	mu        sync.Mutex
+	allocator *Allocator
 }
 
-// NewSharedAllocator returns the books of a member that starts now.
+// NewSharedAllocator returns the allocator of a member that starts now.
 func NewSharedAllocator(cfg Config, now int64) (*SharedAllocator, error) {
-	l, err := New(cfg, now)
+	allocator, err := New(cfg, now)
 	if err != nil {
 		return nil, err
 	}
-	return &SharedAllocator{l: l}, nil
+	return &SharedAllocator{allocator: allocator}, nil
 }
 
-// SetAlive is Ledger.Members.
+// SetAlive is Allocator.SetAlive.
 func (s *SharedAllocator) SetAlive(alive []bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.l.SetAlive(alive)
+	s.allocator.SetAlive(alive)
 }
 
-// Quota is Ledger.Share, and the units of the whole.
-func (s *SharedAllocator) Quota(now int64, name string) (units, whole int) {
+// Quota is Allocator.Quota, with the resource's total.
+func (s *SharedAllocator) Quota(now int64, name string) (units, total int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.l.Quota(now, name), s.l.Total()
+	return s.allocator.Quota(now, name), s.allocator.Total()
 }
 
-// Demand is Ledger.Demand.
+// Demand is Allocator.Demand.
 func (s *SharedAllocator) Demand(now int64, name string, units int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.l.Demand(now, name, units)
+	s.allocator.Demand(now, name, units)
 }
 
-// Tick is Ledger.Tick.
+// Tick is Allocator.Tick.
 func (s *SharedAllocator) Tick(now int64) []Out {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.l.Tick(now)
+	return s.allocator.Tick(now)
 }
 
-// Receive is Ledger.Receive.
+// Receive is Allocator.Receive.
 func (s *SharedAllocator) Receive(now int64, from int, body []byte) ([]Out, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.l.Receive(now, from, body)
+	return s.allocator.Receive(now, from, body)
 }
 
-// Counts is Ledger.Counts.
+// Counts is Allocator.Counts.
 func (s *SharedAllocator) Counts() Counts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.l.Counts()
+	return s.allocator.Counts()
 }
