routing: a zone's state as one typed state, the router's subjects in files of their own

Cause: routing.go had 593 lines for configuration, zones, priority levels, spill budget, slow start and counters; a zone's state was two booleans and three times.

Change: config.go, classes.go, priority.go, zone.go, outlier.go, spill.go, slowstart.go, endpoint.go, status.go, counts.go and router.go. A zone is up, ejected, without endpoints, or both; eject, readmit, gainEndpoints and loseEndpoints are its transitions, and Zones reports the state, warming up among them. Tiers is PriorityLevels, and the status has a Level. Config errors are a ConfigError that wraps ErrConfig, their texts as before. Tests stand by subject; two new ones hold the zone's transitions.

--- a/internal/routing/fuzz_test.go
+++ b/internal/routing/fuzz_test.go
@@ -1,93 +1,132 @@
 package routing
 
 import (
+	"slices"
 	"testing"
 
 	"eidertrail/internal/testing/fakeplatform"
 )
 
-// FuzzRouter plays random steps (lists with pools up, down or gone, reports, sends, answers, failures,
-// ends, time) and checks after each: only pools that are up are eligible; a warming pool that is
-// eligible holds less than its warm-up capacity; outside the own zone, a tier that is eligible is under
-// its spill budget; nothing is kept of a pool that is gone; counts never go below zero.
+// FuzzRouter plays random steps (endpoint lists, reports, calls, time) and checks the Router's invariants after each.
 func FuzzRouter(f *testing.F) {
-	fakeplatform.Fuzz(f, []string{"\x00\x00\x01\x03\x02\x00\x02\x01\x06\x40\x00\x0f\x02\x05", "\x00\x0f\x03\x02\x03\x02\x03\x02\x06\xff\x00\x00"},
-		func(t *testing.T, script []byte) {
-			r, err := New(config(), zones)
-			if err != nil {
-				t.Fatal(err)
-			}
-			all := roster(nil)
-			var now int64
-			pick := func(arg byte) string { return all[int(arg)%len(all)].UID }
-			var out []string // what was sent and not yet ended
-			steps := []func(byte){
-				func(arg byte) { // a list: arg's bits say which pools are down, its top bit that one is gone
-					var l []Endpoint
-					for i, p := range all {
-						p.Up = arg&(1<<(i%7)) == 0
-						if arg&0x80 != 0 && i == int(arg)%len(all) {
-							continue
-						}
-						l = append(l, p)
-					}
-					r.UpdateEndpoints(now, l)
-				},
-				func(arg byte) { r.Report(pick(arg), float64(arg%12), 10) },
-				func(arg byte) { // the module sends where routing lets it
-					e := r.Eligible(now)
-					if uid := pick(arg); e[uid] != 0 {
-						r.Sent(uid)
-						out = append(out, uid)
-					}
-				},
-				func(arg byte) { // an attempt fails
-					if len(out) > 0 {
-						i := int(arg) % len(out)
-						r.Ended(now, out[i], Failure, false)
-						out = append(out[:i], out[i+1:]...)
-					}
-				},
-				func(arg byte) { // an attempt is answered and later ends
-					if len(out) > 0 {
-						i := int(arg) % len(out)
-						r.Answered(now, out[i])
-						r.Ended(now, out[i], Neutral, true)
-						out = append(out[:i], out[i+1:]...)
-					}
-				},
-				func(arg byte) { now += int64(arg) * s1 / 8 },
-			}
-			fakeplatform.Play(script, steps, func() {
-				e := r.Eligible(now)
-				for uid := range e {
-					p := r.pools[uid]
-					if p == nil || !p.Up {
-						t.Fatalf("at %d %s is eligible but not up", now, uid)
-					}
-					if p.warmFrom > 0 && float64(p.busy) >= r.warmCap(now, p) {
-						t.Fatalf("at %d %s is eligible holding %d of %.0f while warming", now, uid, p.busy, r.warmCap(now, p))
-					}
-				}
-				for i, tier := range r.Tiers() {
-					if i == 0 {
-						continue
-					}
-					eligibleHere := false
-					for uid := range e {
-						for _, z := range tier {
-							eligibleHere = eligibleHere || r.pools[uid].Zone == z
-						}
-					}
-					if eligibleHere && !r.spillRoom(now, tier) {
-						t.Fatalf("at %d tier %v is eligible over its spill budget", now, tier)
-					}
-				}
-				for uid, p := range r.pools {
-					if p.busy < 0 || p.flying < 0 || p.flying > p.busy {
-						t.Fatalf("%s: busy %d, flying %d", uid, p.busy, p.flying)
-					}
-				}
-			})
+	seeds := []string{
+		"\x00\x00\x01\x03\x02\x00\x02\x01\x06\x40\x00\x0f\x02\x05",
+		"\x00\x0f\x03\x02\x03\x02\x03\x02\x06\xff\x00\x00",
+	}
+	fakeplatform.Fuzz(f, seeds, func(t *testing.T, script []byte) {
+		t.Helper()
+		r, err := New(validConfig(), zones)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fuzzed := &fuzzedRouter{Router: r, all: endpointsUp()}
+		steps := []func(byte){
+			fuzzed.updateEndpoints, fuzzed.report, fuzzed.send, fuzzed.fail, fuzzed.answerAndEnd, fuzzed.pass,
+		}
+		fakeplatform.Play(script, steps, func() {
+			fuzzed.checkEligible(t)
+			fuzzed.checkSpillBudgets(t)
+			fuzzed.checkInFlight(t)
 		})
+	})
+}
+
+// fuzzedRouter is a Router with the calls sent through it. Each step takes an argument from the fuzzer.
+type fuzzedRouter struct {
+	*Router
+	now  int64
+	all  []Endpoint
+	sent []string // UIDs of calls that have not ended
+}
+
+func (r *fuzzedRouter) uid(argument byte) string { return r.all[int(argument)%len(r.all)].UID }
+
+// updateEndpoints gives the Router a list: the argument's bits say which endpoints are down, its top bit that one is
+// removed.
+func (r *fuzzedRouter) updateEndpoints(argument byte) {
+	var list []Endpoint
+	for i, line := range r.all {
+		line.Up = argument&(1<<(i%7)) == 0
+		if argument&0x80 != 0 && i == int(argument)%len(r.all) {
+			continue
+		}
+		list = append(list, line)
+	}
+	r.UpdateEndpoints(r.now, list)
+}
+
+func (r *fuzzedRouter) report(argument byte) { r.Report(r.uid(argument), float64(argument%12), 10) }
+
+// send sends a call where the Router lets it.
+func (r *fuzzedRouter) send(argument byte) {
+	uid := r.uid(argument)
+	if r.Eligible(r.now)[uid] != 0 {
+		r.Sent(uid)
+		r.sent = append(r.sent, uid)
+	}
+}
+
+// takeSent removes one of the calls sent.
+func (r *fuzzedRouter) takeSent(argument byte) (uid string, ok bool) {
+	if len(r.sent) == 0 {
+		return "", false
+	}
+	i := int(argument) % len(r.sent)
+	uid = r.sent[i]
+	r.sent = slices.Delete(r.sent, i, i+1)
+	return uid, true
+}
+
+func (r *fuzzedRouter) fail(argument byte) {
+	if uid, ok := r.takeSent(argument); ok {
+		r.Ended(r.now, uid, Failure, false)
+	}
+}
+
+func (r *fuzzedRouter) answerAndEnd(argument byte) {
+	if uid, ok := r.takeSent(argument); ok {
+		r.Answered(r.now, uid)
+		r.Ended(r.now, uid, Neutral, true)
+	}
+}
+
+func (r *fuzzedRouter) pass(argument byte) { r.now += int64(argument) * second / 8 }
+
+// checkEligible checks that only endpoints that are up are eligible, and in slow start only under their capacity.
+func (r *fuzzedRouter) checkEligible(tb testing.TB) {
+	tb.Helper()
+	for uid := range r.Eligible(r.now) {
+		e := r.endpoints[uid]
+		if e == nil || !e.Up {
+			tb.Fatalf("at %d %s is eligible but not up", r.now, uid)
+		}
+		if capacity := r.slowStartCapacity(r.now, e); e.inSlowStart() && float64(e.inFlight) >= capacity {
+			tb.Fatalf("at %d %s is eligible in slow start holding %d of %.0f", r.now, uid, e.inFlight, capacity)
+		}
+	}
+}
+
+// checkSpillBudgets checks that a priority level past the own zone is eligible only under its spill budget.
+func (r *fuzzedRouter) checkSpillBudgets(tb testing.TB) {
+	tb.Helper()
+	eligible := r.Eligible(r.now)
+	for _, level := range r.PriorityLevels()[1:] {
+		eligibleHere := false
+		for uid := range eligible {
+			eligibleHere = eligibleHere || slices.Contains(level, r.endpoints[uid].Zone)
+		}
+		if eligibleHere && !r.underSpillBudget(r.now, level) {
+			tb.Fatalf("at %d level %v is eligible over its spill budget", r.now, level)
+		}
+	}
+}
+
+// checkInFlight checks that the numbers of calls agree.
+func (r *fuzzedRouter) checkInFlight(tb testing.TB) {
+	tb.Helper()
+	for uid, e := range r.endpoints {
+		if e.inFlight < 0 || e.setups < 0 || e.setups > e.inFlight {
+			tb.Fatalf("%s: in flight %d, set-ups %d", uid, e.inFlight, e.setups)
+		}
+	}
 }
