--- /dev/null
+++ b/internal/testing/recorded/recorded.go
@@ -0,0 +1,65 @@
+// Package recorded compares what a characterisation test observes with a file that was recorded earlier, in
+// testdata/characterization of the package under test.
+//
+// Run with EIDERTRAIL_UPDATE=1, the tests write the files in place of comparing; the commit has to say why they change.
+package recorded
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// Folder is where the recorded files are, relative to the package under test.
+const Folder = "testdata/characterization"
+
+// updateVariable is the environment variable that has the files written.
+const updateVariable = "EIDERTRAIL_UPDATE"
+
+// maxDifferences is how many lines that differ are printed.
+const maxDifferences = 5
+
+// Updating reports whether the files are to be written.
+func Updating() bool { return os.Getenv(updateVariable) != "" }
+
+// Compare fails the test unless got is, byte for byte, what the file of that name holds. It prints the lines that
+// differ.
+func Compare(tb testing.TB, name, got string) {
+	tb.Helper()
+	path := filepath.Join(Folder, name)
+	if Updating() {
+		write(tb, path, got)
+		return
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		tb.Fatalf("the recorded file: %v", err)
+	}
+	want := string(text)
+	if got == want {
+		return
+	}
+	gotLines, wantLines := strings.SplitAfter(got, "\n"), strings.SplitAfter(want, "\n")
+	tb.Errorf("%s differs: %d lines, recorded are %d", path, len(gotLines), len(wantLines))
+	differences := 0
+	for i := range min(len(gotLines), len(wantLines)) {
+		if gotLines[i] == wantLines[i] {
+			continue
+		}
+		tb.Errorf("%s:%d:\n got %q\nwant %q", path, i+1, gotLines[i], wantLines[i])
+		if differences++; differences == maxDifferences {
+			return
+		}
+	}
+}
+
+func write(tb testing.TB, path, text string) {
+	tb.Helper()
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		tb.Fatal(err)
+	}
+	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+		tb.Fatal(err)
+	}
+}
