--- /dev/null
+++ b/invariants_test.go
@@ -0,0 +1,157 @@
+package eidertrail
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// randomHost reports events to a controller at random, most of them possible and some not, and notes what it does with
+// each call.
+type randomHost struct {
+	t      testing.TB
+	random *rand.Rand
+	now    time.Duration
+	calls  map[CallID]*hostCall
+	ready  map[ServerID]bool
+	open   []CallID // calls with an attempt in flight, oldest first
+	sends  int
+}
+
+type hostCall struct{ sends, inFlight, finals int }
+
+// serverName returns one of a few names.
+func (h *randomHost) serverName() ServerID { return ServerID(fmt.Sprint("s", h.random.IntN(14))) }
+
+// list returns a list of some servers.
+func (h *randomHost) list() ServerList {
+	list := ServerList{Kind: ListKind(h.random.IntN(4))}
+	for range h.random.IntN(13) {
+		server := Server{ID: h.serverName(), Mode: Mode(h.random.IntN(5) / 3), Pool: h.random.IntN(14)}
+		if h.random.IntN(9) == 0 {
+			server.StartedAt = h.now
+		}
+		list.Servers = append(list.Servers, server)
+	}
+	return list
+}
+
+// noteReady notes which servers are ready by a list that is reported.
+func (h *randomHost) noteReady(list ServerList) {
+	if list.Kind == Failed {
+		return
+	}
+	if list.Kind != Delta {
+		clear(h.ready)
+	}
+	for _, server := range list.Servers {
+		h.ready[server.ID] = server.Mode == Ready
+	}
+}
+
+// report returns a load report with usual and odd figures.
+func (h *randomHost) report() Report {
+	odd := []float64{-1, 0, 1, 50, 1e18, math.Inf(1), math.NaN()}
+	return Report{Server: h.serverName(), Free: odd[h.random.IntN(7)], Agents: odd[h.random.IntN(7)]}
+}
+
+// call returns a new call.
+func (h *randomHost) call(id CallID) Call {
+	h.calls[id] = &hostCall{}
+	return Call{
+		ID: id, Class: h.random.IntN(2), Pool: h.random.IntN(14), Key: uint64(h.random.IntN(99)),
+		Timeout: time.Duration(h.random.IntN(3000)) * ms,
+	}
+}
+
+// progress returns events of a call before next: its outcome if it has an attempt in flight, else stale ones.
+func (h *randomHost) progress(next CallID) []Event {
+	id := CallID(h.random.IntN(int(next))) // known, ended or never seen
+	if len(h.open) > 0 && h.random.IntN(4) > 0 {
+		id, h.open = h.open[0], h.open[1:]
+	}
+	call := h.calls[id]
+	if call == nil || call.inFlight == 0 {
+		return []Event{Outcome{Call: id, Attempt: h.random.IntN(4) - 1}, Answered{Call: id, Attempt: 7}}
+	}
+	var events []Event
+	attempt := call.sends - 1
+	switch h.random.IntN(3) {
+	case 0:
+		events = append(events, CallerGone{Call: id})
+		call.finals = 1
+	case 1:
+		events = append(events, Answered{Call: id, Attempt: attempt, Took: time.Second})
+	}
+	closed := call.finals > 0 || h.random.IntN(2) == 0
+	call.inFlight = 0
+	if closed {
+		call.finals = 1
+	}
+	return append(events, Outcome{
+		Call: id, Attempt: attempt, Status: Status(h.random.IntN(8)),
+		Closed: closed, Cause: Cause(h.random.IntN(5)), Took: time.Duration(h.random.IntN(5000)) * ms,
+	})
+}
+
+// carryOut notes an action, and fails the test if no host may get it.
+func (h *randomHost) carryOut(action Action) {
+	h.t.Helper()
+	switch action := action.(type) {
+	case Send:
+		call := h.calls[action.Call]
+		call.sends++
+		call.inFlight++
+		h.sends++
+		h.open = append(h.open, action.Call)
+		if call.inFlight > 1 || call.finals > 0 || call.sends > 2 || !h.ready[action.Server] {
+			h.t.Fatalf("call %d to %q: %+v, ready %v", action.Call, action.Server, *call, h.ready[action.Server])
+		}
+	case Reject:
+		h.calls[action.Call].finals++
+	case Fail:
+		h.calls[action.Call].finals++
+	}
+}
+
+// Whatever the host reports in whatever order, at full size: no panic, one attempt in flight at a time, one final
+// answer, nothing sent after it, nothing new to a server that is not ready.
+func TestHandle_KeepsItsPromisesUnderAnyEvents(t *testing.T) {
+	set := settings()
+	set.Nodes, set.Index = 265, 264
+	set.Classes[0].MeanHoldingTime = 10 * time.Second
+	c, err := New(set, 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	host := &randomHost{
+		t: t, random: rand.New(rand.NewPCG(1, 2)), now: time.Hour,
+		calls: map[CallID]*hostCall{}, ready: map[ServerID]bool{},
+	}
+
+	for next := CallID(1); next < 20000; next++ {
+		host.now += time.Duration(host.random.IntN(40)) * ms
+		var events []Event
+		list := host.list()
+		if host.random.IntN(50) == 0 || next == 1 {
+			events = append(events, list)
+			host.noteReady(list)
+		}
+		events = append(events, host.report(), host.call(next), Wake{})
+		events = append(events, host.progress(next)...)
+		for _, action := range c.Handle(host.now, events, nil) {
+			host.carryOut(action)
+		}
+	}
+
+	for id, call := range host.calls {
+		if call.finals > 1 {
+			t.Errorf("call %d had %d final answers", id, call.finals)
+		}
+	}
+	if host.sends < 1000 {
+		t.Errorf("only %d sends: the events try nothing", host.sends)
+	}
+}
