--- a/admission.go
+++ b/admission.go
@@ -18,7 +18,7 @@
 	rateIncrease       = 8.0  // factor of a quick completion: two end the pace from all but the lowest rates
 	quickFraction      = 0.5  // the part of the gate's threshold within which a completion is quick
 	spareAgentsPerNode = 2.0  // free agents for each node that end a shortage of agents, or
-	spareAgentShare    = 0.1  // this share of all agents
+	spareAgentFraction = 0.1  // this share of all agents
 )
 
 // passesGate reports whether the server may get the call now.
@@ -31,8 +31,8 @@
 	shortest, known := server.delay.minDelay(c.now)
 	if !known { // a failure shuts it for d*R as any other server
 		latest := float64(max(server.delay.latest, c.settings.RetransmitInterval))
-		over := float64(c.now-server.delay.latestAt) > memoryFraction*latest
-		return (over || server.circuit == circuit.Untested) && c.paceAdmits(call, server)
+		forgotten := float64(c.now-server.delay.latestAt) > memoryFraction*latest
+		return (forgotten || server.circuit == circuit.Untested) && c.paceAdmits(call, server)
 	}
 	multiple := gateMultiple
 	if c.late(call) {
@@ -69,10 +69,10 @@
 
 // paceAdmits reports whether the pace admits the call.
 // Departure: credit grows by the call's weight (paper, section 5: the least profitable are shed first) and by
-// the node's traffic share: others' intervals pass unused. Harms where holding times are overstated.
+// the node's traffic ratio: others' intervals pass unused. Harms where holding times are overstated.
 func (c *Controller) paceAdmits(call *callRecord, server *serverRecord) bool {
 	rate := server.pace.rate
-	weight := c.trafficShare * c.weight(call) / max(c.meanWeight.Value(), math.SmallestNonzeroFloat64)
+	weight := c.trafficRatio * c.weight(call) / max(c.meanWeight.Value(), math.SmallestNonzeroFloat64)
 	if server.shortage { // as many agents come free as calls are admitted
 		if c.waitsForFirstChoice(call, server) {
 			return false
@@ -118,11 +118,11 @@
 	return time.Duration(c.settings.Nodes) * shortest
 }
 
-// reopensIn estimates how long the server stays shut by its memory of R or its pace.
+// reopensIn estimates how long the server stays denied by its memory of R or its pace.
 func (c *Controller) reopensIn(server *serverRecord) time.Duration {
 	opensAt := server.delay.latestAt + time.Duration(c.memory(server))
 	if server.pace.rate < unpacedRate || server.shortage || c.inSlowStart(server) {
-		rate := max(minRate, min(server.pace.rate, 1)) * c.trafficShare
+		rate := max(minRate, min(server.pace.rate, 1)) * c.trafficRatio
 		wait := max(0, 1-server.pace.credit) * float64(c.interval(server)) / rate
 		opensAt = max(opensAt, server.pace.since+time.Duration(wait))
 	}
--- a/characterization_host_test.go
+++ b/characterization_host_test.go
@@ -45,20 +45,20 @@
 }
 
 // counts is what a run came to, for the log.
-type counts struct{ calls, sends, rejected, failed, answered, watches, stalls, lists int }
+type counts struct{ calls, attempts, rejected, failed, answered, watches, stalls, lists int }
 
 func (c counts) String() string {
-	return fmt.Sprintf("%d calls, %d sends, %d rejected, %d failed, %d answered, %d watches, %d stalls, %d lists",
-		c.calls, c.sends, c.rejected, c.failed, c.answered, c.watches, c.stalls, c.lists)
+	return fmt.Sprintf("%d calls, %d attempts, %d rejected, %d failed, %d answered, %d watches, %d stalls, %d lists",
+		c.calls, c.attempts, c.rejected, c.failed, c.answered, c.watches, c.stalls, c.lists)
 }
 
 // hostCall is one try of a caller.
 type hostCall struct {
 	eidertrail.Call
-	sends   int
-	tries   int // of the caller, this one included
-	attempt *hostAttempt
-	done    bool // a final answer was given, or the caller left
+	attempts int
+	dials    int // of the caller, this one included
+	attempt  *hostAttempt
+	done     bool // a final answer was given, or the caller left
 }
 
 // hostAttempt is one attempt at a server; it gets one outcome.
@@ -93,33 +93,33 @@
 	return last
 }
 
-func newHost(t *testing.T, d deployment, seed uint64) *host {
+func newHost(t *testing.T, deployment deployment, seed uint64) *host {
 	t.Helper()
-	controller, err := eidertrail.New(d.settings, 0x8c1f30d27a5be964+seed)
+	controller, err := eidertrail.New(deployment.settings, 0x8c1f30d27a5be964+seed)
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := &host{
-		t: t, deployment: d, controller: controller, random: rand.New(rand.NewPCG(seed, 0x31)), digest: sha256.New(),
-		now: clockStart, callGap: d.callGap,
+	fake := &host{
+		t: t, deployment: deployment, controller: controller, random: rand.New(rand.NewPCG(seed, 0x31)), digest: sha256.New(),
+		now: clockStart, callGap: deployment.callGap,
 		byID: map[eidertrail.ServerID]*hostServer{}, calls: map[eidertrail.CallID]*hostCall{},
 	}
-	for pool := range d.pools {
-		h.addServer(pool, 0)
+	for pool := range deployment.pools {
+		fake.addServer(pool, 0)
 	}
-	if d.settings.PollEndpoints { // the list comes when it is asked for
-		h.handle()
+	if deployment.settings.PollEndpoints { // the list comes when it is asked for
+		fake.handle()
 	} else {
-		h.emitList(eidertrail.Cached, h.completeList())
-		h.handle()
+		fake.emitList(eidertrail.Cached, fake.completeList())
+		fake.handle()
 	}
-	h.after(0, h.callArrives)
-	h.after(second, h.loadChanges)
-	h.after(second, h.conditionChanges)
-	h.after(second, h.listChanges)
-	h.after(100*millisecond, h.serversReport)
-	h.after(100*millisecond, h.oddEvents)
-	return h
+	fake.after(0, fake.callArrives)
+	fake.after(second, fake.loadChanges)
+	fake.after(second, fake.conditionChanges)
+	fake.after(second, fake.listChanges)
+	fake.after(100*millisecond, fake.serversReport)
+	fake.after(100*millisecond, fake.oddEvents)
+	return fake
 }
 
 // run goes on until so many events were reported.
@@ -165,13 +165,13 @@
 	}
 }
 
-// The words of the encoding.
+// The tags of the encoding.
 const (
-	wordSend = iota + 1
-	wordReject
-	wordFail
-	wordWakeAt
-	wordWatch
+	tagSend = iota + 1
+	tagReject
+	tagFail
+	tagWakeAt
+	tagWatch
 )
 
 // record adds the batch's time, its number of events and all actions to the digest.
@@ -182,20 +182,20 @@
 	for _, action := range h.actions {
 		switch action := action.(type) {
 		case eidertrail.Send:
-			b = binary.AppendUvarint(append(b, wordSend), uint64(action.Call))
+			b = binary.AppendUvarint(append(b, tagSend), uint64(action.Call))
 			b = append(binary.AppendUvarint(b, uint64(len(action.Server))), action.Server...)
 			b = binary.AppendVarint(b, int64(action.Timeout))
 		case eidertrail.Reject:
-			b = binary.AppendUvarint(append(b, wordReject), uint64(action.Call))
+			b = binary.AppendUvarint(append(b, tagReject), uint64(action.Call))
 			b = binary.AppendVarint(b, int64(action.RetryAfter))
 		case eidertrail.Fail:
-			b = binary.AppendUvarint(append(b, wordFail), uint64(action.Call))
+			b = binary.AppendUvarint(append(b, tagFail), uint64(action.Call))
 			b = binary.AppendVarint(b, int64(action.RetryAfter))
 		case eidertrail.WakeAt:
-			b = binary.AppendUvarint(append(b, wordWakeAt), action.Token)
+			b = binary.AppendUvarint(append(b, tagWakeAt), action.Token)
 			b = binary.AppendVarint(b, int64(action.In))
 		case eidertrail.Watch:
-			b = append(b, wordWatch)
+			b = append(b, tagWatch)
 		default:
 			h.t.Fatal("an action of an unknown type")
 		}
@@ -207,7 +207,7 @@
 func (h *host) carryOut(action eidertrail.Action) {
 	switch action := action.(type) {
 	case eidertrail.Send:
-		h.counts.sends++
+		h.counts.attempts++
 		h.send(action)
 	case eidertrail.Reject:
 		h.counts.rejected++
--- a/characterization_servers_test.go
+++ b/characterization_servers_test.go
@@ -34,13 +34,12 @@
 	busyAgents int
 	inFlight   int
 	reports    bool
-	listed     bool // the controller knows it
 }
 
 // addServer starts a server.
-func (h *host) addServer(pool int, born time.Duration) *hostServer {
+func (h *host) addServer(pool int, startedAt time.Duration) *hostServer {
 	server := &hostServer{
-		Server: eidertrail.Server{ID: eidertrail.ServerID(fmt.Sprintf("s-%d", h.created)), Pool: pool, StartedAt: born},
+		Server: eidertrail.Server{ID: eidertrail.ServerID(fmt.Sprintf("s-%d", h.created)), Pool: pool, StartedAt: startedAt},
 		work:   h.between(3*millisecond, 40*millisecond), agents: h.deployment.agents + h.random.IntN(20),
 		reports: h.deployment.agents > 0 && !h.oneIn(8),
 	}
@@ -65,8 +64,8 @@
 	if call == nil || server == nil || call.done || call.attempt != nil {
 		h.t.Fatalf("call %d cannot be sent to %q", send.Call, send.Server)
 	}
-	attempt := &hostAttempt{call: call, server: server, number: call.sends, sentAt: h.now}
-	call.sends++
+	attempt := &hostAttempt{call: call, server: server, number: call.attempts, sentAt: h.now}
+	call.attempts++
 	call.attempt = attempt
 	server.inFlight++
 	limit := cmp.Or(send.Timeout, call.Timeout)
--- a/characterization_settings_test.go
+++ b/characterization_settings_test.go
@@ -290,7 +290,8 @@
 
 // invalidSettings are changes that New rejects, and last some at the edge that it accepts.
 func invalidSettings() []invalid {
-	list := []invalid{
+	list := make([]invalid, 0, 64)
+	list = append(list, []invalid{
 		{"classes nil", func(s *eidertrail.Settings) { s.Classes = nil }},
 		{"classes empty", func(s *eidertrail.Settings) { s.Classes = []eidertrail.Class{} }},
 		{"nodes 0", func(s *eidertrail.Settings) { s.Nodes = 0 }},
@@ -306,7 +307,7 @@
 		{"ask within", func(s *eidertrail.Settings) { s.PollInterval = -1 }},
 		{"cold", func(s *eidertrail.Settings) { s.SlowStartWindow = -1 }},
 		{"fall after", func(s *eidertrail.Settings) { s.OverloadWindow = -1 }},
-	}
+	}...)
 	for _, value := range []float64{-0.25, math.NaN(), math.Inf(1), math.Inf(-1)} {
 		list = append(list,
 			invalid{fmt.Sprintf("cold share %g", value), func(s *eidertrail.Settings) { s.SlowStartCapacity = value }},
@@ -421,9 +422,9 @@
 	}
 	var recorded strings.Builder
 	for key := range uint64(10_000) {
-		sent, again := dial(key+1), dial(max(key, 1))
-		if !sent || again {
-			fmt.Fprintf(&recorded, "number %d: sent %t, the one before again: sent %t\n", key+1, sent, again)
+		sent, sentNow := dial(key+1), dial(max(key, 1))
+		if !sent || sentNow {
+			fmt.Fprintf(&recorded, "number %d: sent %t, the one before again: sent %t\n", key+1, sent, sentNow)
 		}
 	}
 	compareRecorded(t, "busy-numbers.txt", recorded.String())
@@ -440,7 +441,7 @@
 	servers := eidertrail.ServerList{Kind: eidertrail.Snapshot, Servers: []eidertrail.Server{{ID: "s"}}}
 	controller.Handle(now, []eidertrail.Event{servers}, nil)
 	var recorded strings.Builder
-	for sends, last := 0, now; sends < 100; now += 10 * millisecond {
+	for attempts, last := 0, now; attempts < 100; now += 10 * millisecond {
 		calls++
 		var send *eidertrail.Send
 		call := eidertrail.Call{ID: calls, Timeout: 5 * second}
@@ -453,12 +454,12 @@
 			controller.Handle(now, []eidertrail.Event{eidertrail.CallerGone{Call: calls}}, nil)
 			continue
 		}
-		sends++
-		fmt.Fprintf(&recorded, "send %d: %d ms after the one before\n", sends, (now - last).Milliseconds())
+		attempts++
+		fmt.Fprintf(&recorded, "send %d: %d ms after the one before\n", attempts, (now - last).Milliseconds())
 		last = now
 		now += 10 * millisecond
 		outcome := eidertrail.Outcome{Call: send.Call, Status: eidertrail.Error, Took: 10 * millisecond, Closed: true}
-		if sends == 1 {
+		if attempts == 1 {
 			outcome.Status = eidertrail.Ended
 		}
 		controller.Handle(now, []eidertrail.Event{outcome}, nil)
--- a/controller.go
+++ b/controller.go
@@ -14,10 +14,10 @@
 
 // Parameters of the event loop.
 const (
-	stallMultiple = 2     // the lateness of a Wake that shows a process stall, in the longest M that counts
-	recheckTicks  = 2     // how often queued calls are retried, in ticks
-	repollShare   = 0.125 // the part of PollInterval after which a failed request for the list is repeated
-	never         = time.Duration(math.MaxInt64)
+	stallMultiple  = 2     // the lateness of a Wake that shows a process stall, in the longest M that counts
+	recheckTicks   = 2     // how often queued calls are retried, in ticks
+	repollFraction = 0.125 // the part of PollInterval after which a failed request for the list is repeated
+	never          = time.Duration(math.MaxInt64)
 )
 
 // Controller decides for one access node. It is not safe for concurrent use.
@@ -44,8 +44,8 @@
 	unansweredNumbers expiringmap.Map[uint64, time.Duration] // and when their callers tried first
 	maxTimeouts       []time.Duration                        // longest Timeout of a call, by class
 	meanWeight        average.Mean                           // of the latest calls
-	offeredCalls      average.Count                          // in about one holding time
-	trafficShare      float64                                // this node's calls over an equal one's
+	offeredLoad       average.Count                          // in about one holding time
+	trafficRatio      float64                                // this node's calls over an equal one's
 }
 
 // New returns the controller of one access node, or a *SettingsError. The seed makes nodes that see the same
@@ -54,24 +54,24 @@
 	if err := settings.validate(); err != nil {
 		return nil, err
 	}
-	c := &Controller{
-		settings: settings, seed: seed + uint64(settings.Index), loadRatio: 1, trafficShare: 1,
+	controller := &Controller{
+		settings: settings, seed: seed + uint64(settings.Index), loadRatio: 1, trafficRatio: 1,
 		serversByID: map[ServerID]*serverRecord{}, calls: map[CallID]*callRecord{},
 		maxTimeouts: make([]time.Duration, len(settings.Classes)),
 		busyNumbers: keybackoff.New(maxBusyNumbers, maxBusyMultiple),
 	}
 	if settings.PollEndpoints {
-		c.nextPoll = 1
+		controller.nextPoll = 1
 	}
 	for _, class := range settings.Classes {
 		bound := time.Duration(float64(class.LatencyObjective) * maxGateFraction / gateMultiple)
-		if c.maxMinDelay == 0 || 0 < bound && bound < c.maxMinDelay {
-			c.maxMinDelay = bound
+		if controller.maxMinDelay == 0 || 0 < bound && bound < controller.maxMinDelay {
+			controller.maxMinDelay = bound
 		}
-		c.holdingTime = max(c.holdingTime, class.MeanHoldingTime)
+		controller.holdingTime = max(controller.holdingTime, class.MeanHoldingTime)
 	}
-	c.stallThreshold = stallMultiple * max(c.maxMinDelay, settings.Tick, time.Millisecond)
-	return c, nil
+	controller.stallThreshold = stallMultiple * max(controller.maxMinDelay, settings.Tick, time.Millisecond)
+	return controller, nil
 }
 
 // Handle takes the events of one batch, all at the reading now, and appends what is to be done to actions.
@@ -111,7 +111,7 @@
 // updateServers applies a server list. Of a server that is gone nothing is kept but what its calls refer to.
 func (c *Controller) updateServers(list ServerList) {
 	if list.Kind == Failed {
-		c.nextPoll = c.now + time.Duration(repollShare*float64(c.settings.PollInterval))
+		c.nextPoll = c.now + time.Duration(repollFraction*float64(c.settings.PollInterval))
 		return
 	}
 	if list.Kind != Delta {
@@ -162,7 +162,7 @@
 		server.agents = report.Agents
 		c.minAgents = min(cmp.Or(c.minAgents, report.Agents), cmp.Or(report.Agents, c.minAgents))
 	}
-	if report.Free > min(spareAgentsPerNode*float64(c.settings.Nodes), spareAgentShare*server.agents) {
+	if report.Free > min(spareAgentsPerNode*float64(c.settings.Nodes), spareAgentFraction*server.agents) {
 		server.shortage = false
 	}
 }
--- a/controller_test.go
+++ b/controller_test.go
@@ -13,23 +13,24 @@
 // meanwhile look fresh.
 func TestProcessStall_IsNotTakenForTheServers(t *testing.T) {
 	node := newTestNode(t, settings(), pools("a")...)
-	node.establish(0, 50*ms)
+	node.establish(0, 50*millisecond)
 	node.advance(time.Second)
 	id, _ := node.call(0, 0)
 	node.now += 2 * time.Second // no Wake was answered
-	node.handle(Answered{Call: id, Took: 2 * time.Second}, Call{ID: 90, Timeout: 2100 * ms})
-	if s := node.server("a"); s.delay.latest != 50*ms || s.circuit == circuit.Tripped || s.pace.rate < unpacedRate {
+	node.handle(Answered{Call: id, Took: 2 * time.Second}, Call{ID: 90, Timeout: 2100 * millisecond})
+	server := node.server("a")
+	if server.delay.latest != 50*millisecond || server.circuit == circuit.Tripped || server.pace.rate < unpacedRate {
 		t.Errorf("R %v, circuit %v, rate %v: the stall was taken for the server's",
-			s.delay.latest, s.circuit, s.pace.rate)
+			server.delay.latest, server.circuit, server.pace.rate)
 	}
-	if age := node.now - node.c.calls[90].arrivedAt; age != 900*ms {
+	if age := node.now - node.c.calls[90].arrivedAt; age != 900*millisecond {
 		t.Errorf("a call with 2.1 of 3 s left counts as %v old", age)
 	}
 	id, _ = node.call(0, 0)
-	node.advance(700 * ms)
-	node.handle(Answered{Call: id, Took: 700 * ms})
-	if s := node.server("a"); s.delay.latest != 700*ms || s.pace.rate >= unpacedRate {
-		t.Errorf("R %v, rate %v after a slow answer without a stall", s.delay.latest, s.pace.rate)
+	node.advance(700 * millisecond)
+	node.handle(Answered{Call: id, Took: 700 * millisecond})
+	if server.delay.latest != 700*millisecond || server.pace.rate >= unpacedRate {
+		t.Errorf("R %v, rate %v after a slow answer without a stall", server.delay.latest, server.pace.rate)
 	}
 }
 
@@ -67,10 +68,10 @@
 		node.handle(ServerList{Kind: Delta, Servers: []Server{{ID: old, Mode: Removed}, {ID: next, Pool: 1}}})
 		node.handle(Outcome{Call: id, Status: Reset}) // of the attempt in flight at the removed one
 		node.advance(time.Second)
-		if node.sends(id) != 2 {
-			t.Fatalf("call %d: %d sends", i, node.sends(id))
+		if node.attempts(id) != 2 {
+			t.Fatalf("call %d: %d sends", i, node.attempts(id))
 		}
-		node.handle(Answered{Call: id, Attempt: 1, Took: 50 * ms})
+		node.handle(Answered{Call: id, Attempt: 1, Took: 50 * millisecond})
 		node.handle(Outcome{Call: id, Attempt: 1, Status: Ended, Closed: true})
 	}
 	if len(node.c.servers) != 2 || len(node.c.serversByID) != 2 {
@@ -84,7 +85,7 @@
 
 func TestServerList_NewIncarnationHasNoDelayMemory(t *testing.T) {
 	node := newTestNode(t, settings(), pools("a")...)
-	node.establish(0, 50*ms)
+	node.establish(0, 50*millisecond)
 	node.handle(ServerList{Kind: Delta, Servers: []Server{{ID: "a", StartedAt: node.now}}})
 	if _, known := node.server("a").delay.minDelay(node.now); known {
 		t.Error("M of the old incarnation was kept")
@@ -102,12 +103,12 @@
 	}
 	id, _ := node.call(0, 0)
 	node.handle(CallerGone{Call: id})
-	node.handle(Outcome{Call: id, Status: Cancelled, Closed: true, Took: 10 * ms})
+	node.handle(Outcome{Call: id, Status: Cancelled, Closed: true, Took: 10 * millisecond})
 	if node.finalAnswers(id) != 0 || len(node.c.calls) != 0 || node.server("a").inFlight.Len() != 0 {
 		t.Error("an abandoned call got a final answer, or is still kept")
 	}
 	id, _ = node.call(0, 0)
-	node.handle(Outcome{Call: id, Status: Ended, Closed: true, Took: 10 * ms}, CallerGone{Call: id})
+	node.handle(Outcome{Call: id, Status: Ended, Closed: true, Took: 10 * millisecond}, CallerGone{Call: id})
 	if node.finalAnswers(id) != 0 || len(node.c.calls) != 0 {
 		t.Error("CallerGone in the batch that ended the call was acted upon")
 	}
@@ -121,10 +122,10 @@
 	play := func() []Action {
 		node := newTestNode(t, settings(), pools("a", "b", "c")...)
 		for i := range 400 {
-			node.advance(time.Duration(i%7) * 3 * ms)
+			node.advance(time.Duration(i%7) * 3 * millisecond)
 			id, to := node.call(i%2, i%3)
 			if to != "" && i%5 != 0 {
-				node.handle(Answered{Call: id, Took: time.Duration(20+i%90) * ms})
+				node.handle(Answered{Call: id, Took: time.Duration(20+i%90) * millisecond})
 			}
 		}
 		return node.all
--- a/example_test.go
+++ b/example_test.go
@@ -6,7 +6,7 @@
 )
 
 func Example() {
-	c, err := New(Settings{
+	controller, err := New(Settings{
 		Nodes: 1, OwnExchange: -1, ReleaseWait: 300 * time.Millisecond,
 		Classes: []Class{{Name: "call", LatencyObjective: time.Second, Deadline: 6 * time.Second, PriorityWeight: 1}},
 	}, 1)
@@ -23,12 +23,12 @@
 	}
 	var actions []Action
 	servers := []Server{{ID: "core-1", Pool: 0}, {ID: "core-2", Pool: 1}}
-	actions = c.Handle(0, []Event{ServerList{Kind: Cached, Servers: servers}}, actions[:0])
+	actions = controller.Handle(0, []Event{ServerList{Kind: Cached, Servers: servers}}, actions[:0])
 	show(actions)
-	actions = c.Handle(time.Second, []Event{Call{ID: 1, Pool: 0, Timeout: 3 * time.Second}}, actions[:0])
+	actions = controller.Handle(time.Second, []Event{Call{ID: 1, Pool: 0, Timeout: 3 * time.Second}}, actions[:0])
 	show(actions)
 	full := Outcome{Call: 1, Attempt: 0, Status: Full, Cause: ProcessorFull}
-	actions = c.Handle(time.Second+20*time.Millisecond, []Event{full}, actions[:0])
+	actions = controller.Handle(time.Second+20*time.Millisecond, []Event{full}, actions[:0])
 	show(actions)
 	// Output:
 	// call 1 goes to core-1
--- a/internal/average/average.go
+++ b/internal/average/average.go
@@ -21,19 +21,19 @@
 // Value returns the mean, 0 without samples.
 func (m *Mean) Value() float64 { return m.value }
 
-// Share is the share of hits among the latest samples.
-type Share struct{ value float64 }
+// Rate is the rate of hits among the latest samples.
+type Rate struct{ value float64 }
 
 // Add takes a sample, whose weight is gain.
-func (s *Share) Add(hit bool, gain float64) {
-	s.value *= 1 - gain
+func (r *Rate) Add(hit bool, gain float64) {
+	r.value *= 1 - gain
 	if hit {
-		s.value += gain
+		r.value += gain
 	}
 }
 
-// Value returns the share, 0 without samples.
-func (s *Share) Value() float64 { return s.value }
+// Value returns the rate, 0 without samples.
+func (r *Rate) Value() float64 { return r.value }
 
 // Count is a number of events that decays exponentially between them.
 type Count struct {
--- a/internal/average/average_test.go
+++ b/internal/average/average_test.go
@@ -32,11 +32,11 @@
 	}
 }
 
-func TestShare_MovesByItsGain(t *testing.T) {
-	var share average.Share
+func TestRate_MovesByItsGain(t *testing.T) {
+	var rate average.Rate
 	for i, want := range []float64{0, 0.25, 0.4375, 0.328125} {
-		share.Add([]bool{false, true, true, false}[i], 0.25)
-		if got := share.Value(); got != want {
+		rate.Add([]bool{false, true, true, false}[i], 0.25)
+		if got := rate.Value(); got != want {
 			t.Errorf("after %d samples %v, want %v", i+1, got, want)
 		}
 	}
--- a/internal/callstate/callstate.go
+++ b/internal/callstate/callstate.go
@@ -16,12 +16,12 @@
 	Established              // the attempt was answered
 	Cancelled                // abandoned with an attempt in flight
 	Releasing                // abandoned after its attempt was answered
-	Over                     // nothing is owed and nothing to come
+	Ended                    // nothing is owed and nothing to come
 )
 
 // String returns the name of the state.
 func (s State) String() string {
-	return [...]string{"arrived", "queued", "in flight", "established", "cancelled", "releasing", "over"}[s]
+	return [...]string{"arrived", "queued", "in flight", "established", "cancelled", "releasing", "ended"}[s]
 }
 
 // AwaitsAnswer reports whether an attempt in flight has no answer.
@@ -46,7 +46,7 @@
 func (s *State) CallerGone() {
 	s.move(Cancelled, InFlight)
 	s.move(Releasing, Established)
-	s.move(Over, Arrived, Queued)
+	s.move(Ended, Arrived, Queued)
 }
 
 // move changes to the next state from any of those given.
--- a/internal/callstate/callstate_test.go
+++ b/internal/callstate/callstate_test.go
@@ -27,13 +27,13 @@
 			callstate.Cancelled: callstate.Releasing,
 		}},
 		{"CallerGone", callerGone, map[callstate.State]callstate.State{
-			callstate.Arrived:     callstate.Over,
-			callstate.Queued:      callstate.Over,
+			callstate.Arrived:     callstate.Ended,
+			callstate.Queued:      callstate.Ended,
 			callstate.InFlight:    callstate.Cancelled,
 			callstate.Established: callstate.Releasing,
 		}},
 	} {
-		for from := callstate.Arrived; from <= callstate.Over; from++ {
+		for from := callstate.Arrived; from <= callstate.Ended; from++ {
 			want, moves := test.want[from]
 			if !moves {
 				want = from
@@ -58,7 +58,7 @@
 		callstate.Established: {"established", false, false},
 		callstate.Cancelled:   {"cancelled", true, true},
 		callstate.Releasing:   {"releasing", false, true},
-		callstate.Over:        {"over", false, false},
+		callstate.Ended:       {"ended", false, false},
 	} {
 		if got := state.String(); got != want.name {
 			t.Errorf("state %d is called %q, want %q", int(state), got, want.name)
--- a/internal/expiringmap/expiringmap_test.go
+++ b/internal/expiringmap/expiringmap_test.go
@@ -50,7 +50,7 @@
 	}
 }
 
-func TestMap_DeletedKeyCanBeInsertedAgain(t *testing.T) {
+func TestMap_DeletedKeyCanBeReinserted(t *testing.T) {
 	var table expiringmap.Map[string, int]
 	table.Insert("a", 1, time.Second)
 	table.Delete("a")
--- a/internal/inflight/inflight_test.go
+++ b/internal/inflight/inflight_test.go
@@ -12,10 +12,10 @@
 	return queue.Send(1 * time.Second), queue.Send(2 * time.Second), queue.Send(3 * time.Second)
 }
 
-func assertBacklog(t testing.TB, queue *inflight.Queue, want ...*inflight.Attempt) {
-	t.Helper()
+func assertBacklog(tb testing.TB, queue *inflight.Queue, want ...*inflight.Attempt) {
+	tb.Helper()
 	if got := queue.Backlog(); !slices.Equal(got, want) {
-		t.Errorf("backlog of %d attempts %v, want %v", len(got), got, want)
+		tb.Errorf("backlog of %d attempts %v, want %v", len(got), got, want)
 	}
 }
 
--- a/internal/keybackoff/keybackoff_test.go
+++ b/internal/keybackoff/keybackoff_test.go
@@ -52,7 +52,7 @@
 	}
 }
 
-func TestTable_BackoffLongOverIsForgotten(t *testing.T) {
+func TestTable_BackoffLongEndedIsForgotten(t *testing.T) {
 	remembered := first + maxMultiple*first // its length, and the multiple of it
 	table := keybackoff.New(maxKeys, maxMultiple)
 	table.Fail(0, key, first)
--- a/internal/slidingmin/slidingmin_test.go
+++ b/internal/slidingmin/slidingmin_test.go
@@ -45,9 +45,10 @@
 	type sample struct{ at, value time.Duration }
 	random := rand.New(rand.NewPCG(1, 2))
 	var window slidingmin.Window
-	var all []sample
+	const samples = 5000
+	all := make([]sample, 0, samples)
 	now := time.Duration(0)
-	for range 5000 {
+	for range samples {
 		now += time.Duration(random.Int64N(int64(8 * time.Second)))
 		all = append(all, sample{now, time.Duration(1 + random.Int64N(1000))})
 		window.Add(now, all[len(all)-1].value)
--- a/invariants_test.go
+++ b/invariants_test.go
@@ -11,16 +11,16 @@
 // randomHost reports events to a controller at random, most of them possible and some not, and notes what it does with
 // each call.
 type randomHost struct {
-	t      testing.TB
-	random *rand.Rand
-	now    time.Duration
-	calls  map[CallID]*hostCall
-	ready  map[ServerID]bool
-	open   []CallID // calls with an attempt in flight, oldest first
-	sends  int
+	t        testing.TB
+	random   *rand.Rand
+	now      time.Duration
+	calls    map[CallID]*hostCall
+	ready    map[ServerID]bool
+	open     []CallID // calls with an attempt in flight, oldest first
+	attempts int
 }
 
-type hostCall struct{ sends, inFlight, finals int }
+type hostCall struct{ attempts, inFlight, finals int }
 
 // serverName returns one of a few names.
 func (h *randomHost) serverName() ServerID { return ServerID(fmt.Sprint("s", h.random.IntN(14))) }
@@ -62,7 +62,7 @@
 	h.calls[id] = &hostCall{}
 	return Call{
 		ID: id, Class: h.random.IntN(2), Pool: h.random.IntN(14), Key: uint64(h.random.IntN(99)),
-		Timeout: time.Duration(h.random.IntN(3000)) * ms,
+		Timeout: time.Duration(h.random.IntN(3000)) * millisecond,
 	}
 }
 
@@ -77,7 +77,7 @@
 		return []Event{Outcome{Call: id, Attempt: h.random.IntN(4) - 1}, Answered{Call: id, Attempt: 7}}
 	}
 	var events []Event
-	attempt := call.sends - 1
+	attempt := call.attempts - 1
 	switch h.random.IntN(3) {
 	case 0:
 		events = append(events, CallerGone{Call: id})
@@ -92,7 +92,7 @@
 	}
 	return append(events, Outcome{
 		Call: id, Attempt: attempt, Status: Status(h.random.IntN(8)),
-		Closed: closed, Cause: Cause(h.random.IntN(5)), Took: time.Duration(h.random.IntN(5000)) * ms,
+		Closed: closed, Cause: Cause(h.random.IntN(5)), Took: time.Duration(h.random.IntN(5000)) * millisecond,
 	})
 }
 
@@ -102,11 +102,11 @@
 	switch action := action.(type) {
 	case Send:
 		call := h.calls[action.Call]
-		call.sends++
+		call.attempts++
 		call.inFlight++
-		h.sends++
+		h.attempts++
 		h.open = append(h.open, action.Call)
-		if call.inFlight > 1 || call.finals > 0 || call.sends > 2 || !h.ready[action.Server] {
+		if call.inFlight > 1 || call.finals > 0 || call.attempts > 2 || !h.ready[action.Server] {
 			h.t.Fatalf("call %d to %q: %+v, ready %v", action.Call, action.Server, *call, h.ready[action.Server])
 		}
 	case Reject:
@@ -122,7 +122,7 @@
 	set := settings()
 	set.Nodes, set.Index = 265, 264
 	set.Classes[0].MeanHoldingTime = 10 * time.Second
-	c, err := New(set, 3)
+	controller, err := New(set, 3)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -132,7 +132,7 @@
 	}
 
 	for next := CallID(1); next < 20000; next++ {
-		host.now += time.Duration(host.random.IntN(40)) * ms
+		host.now += time.Duration(host.random.IntN(40)) * millisecond
 		var events []Event
 		list := host.list()
 		if host.random.IntN(50) == 0 || next == 1 {
@@ -141,7 +141,7 @@
 		}
 		events = append(events, host.report(), host.call(next), Wake{})
 		events = append(events, host.progress(next)...)
-		for _, action := range c.Handle(host.now, events, nil) {
+		for _, action := range controller.Handle(host.now, events, nil) {
 			host.carryOut(action)
 		}
 	}
@@ -151,7 +151,7 @@
 			t.Errorf("call %d had %d final answers", id, call.finals)
 		}
 	}
-	if host.sends < 1000 {
-		t.Errorf("only %d sends: the events try nothing", host.sends)
+	if host.attempts < 1000 {
+		t.Errorf("only %d attempts: the events try nothing", host.attempts)
 	}
 }
--- a/ledger.go
+++ b/ledger.go
@@ -12,7 +12,7 @@
 
 // Parameters of the ledger.
 const (
-	maxSends            = 2    // attempts a call may have
+	maxAttempts         = 2    // attempts a call may have
 	queueFraction       = 0.7  // the part of the latency objective for which a call may be queued
 	meanWeightWindow    = 64.0 // calls over which the mean weight is taken
 	busyBackoffFraction = 0.05 // the first backoff of a busy number, as a part of the class's deadline
@@ -24,12 +24,12 @@
 type callRecord struct {
 	Call
 	state         callstate.State
-	arrivedAt     time.Duration // of the caller's first try: the latency objective runs from here
-	expiresAt     time.Duration // the caller gives up
-	queueDeadline time.Duration // the call is rejected if it was not sent by then
-	notBefore     time.Duration // end of the release wait
-	sends         int
-	attempt       *inflight.Attempt // the latest
+	arrivedAt     time.Duration     // of the caller's first try: the latency objective runs from here
+	expiresAt     time.Duration     // the caller gives up
+	queueDeadline time.Duration     // the call is rejected if it was not sent by then
+	notBefore     time.Duration     // end of the release wait
+	attempts      int               // sent
+	latest        *inflight.Attempt // of them
 	server        *serverRecord     // where it is in flight or the call established
 	failedAt      *serverRecord     // where the one before failed
 	mayHaveRun    bool              // an attempt may have been carried out
@@ -49,7 +49,7 @@
 	c.calls[call.ID] = call
 	c.queue = append(c.queue, call)
 	c.setObjective(call)
-	c.offeredCalls.Add(c.now, c.holdingTime)
+	c.offeredLoad.Add(c.now, c.holdingTime)
 	c.meanWeight.Add(c.weight(call), meanWeightWindow)
 }
 
@@ -73,14 +73,14 @@
 	slices.SortStableFunc(c.queue, func(a, b *callRecord) int {
 		return cmp.Or(-cmp.Compare(c.weight(a), c.weight(b)), cmp.Compare(a.arrivedAt, b.arrivedAt))
 	})
-	kept := c.queue[:0]
+	remaining := c.queue[:0]
 	for _, call := range c.queue {
-		if call.state != callstate.Over && !c.dispatch(call) {
-			kept = append(kept, call)
+		if call.state != callstate.Ended && !c.dispatch(call) {
+			remaining = append(remaining, call)
 		}
 	}
-	clear(c.queue[len(kept):])
-	c.queue = kept
+	clear(c.queue[len(remaining):])
+	c.queue = remaining
 }
 
 // dispatch sends the call or gives its final answer, and returns false when it stays queued. A call above the
@@ -91,7 +91,7 @@
 	}
 	server, mayQueue := c.selectServer(call), c.mayQueue(call)
 	switch {
-	case server != nil && !(server == call.failedAt && c.aboveMeanWeight(call) && mayQueue):
+	case server != nil && (server != call.failedAt || !c.aboveMeanWeight(call) || !mayQueue):
 		c.send(call, server)
 	case mayQueue:
 		return false
@@ -105,14 +105,14 @@
 // Departure: what no server may get now is queued, not rejected, while it could still meet its latency
 // objective. Harms callers who would rather go elsewhere.
 func (c *Controller) mayQueue(call *callRecord) bool {
-	return c.now < min(call.expiresAt, call.queueDeadline) && call.sends < maxSends && !call.Transit &&
+	return c.now < min(call.expiresAt, call.queueDeadline) && call.attempts < maxAttempts && !call.Transit &&
 		c.mayRepeat(call)
 }
 
 // mayAttempt reports whether the call may be sent now.
 func (c *Controller) mayAttempt(call *callRecord) bool {
-	allowed := min(maxSends, cmp.Or(c.settings.MaxAttempts, maxSends))
-	return call.notBefore <= c.now && c.now < call.expiresAt && call.sends < allowed && c.mayRepeat(call)
+	allowed := min(maxAttempts, cmp.Or(c.settings.MaxAttempts, maxAttempts))
+	return call.notBefore <= c.now && c.now < call.expiresAt && call.attempts < allowed && c.mayRepeat(call)
 }
 
 // mayRepeat is false once a set-up that must not be repeated may have been carried out.
@@ -142,15 +142,15 @@
 // send starts an attempt. Only queued calls get here, so no call has two attempts in flight.
 func (c *Controller) send(call *callRecord, server *serverRecord) {
 	call.state.Send()
-	call.sends++
-	call.server, call.attempt = server, server.inFlight.Send(c.now)
+	call.attempts++
+	call.server, call.latest = server, server.inFlight.Send(c.now)
 	server.pace.credit, server.pace.since = 0, c.now
 	c.actions = append(c.actions, Send{Call: call.ID, Server: server.id, Timeout: c.attemptTimeout(server)})
 }
 
 // attemptTimeout is how long an attempt may take.
 // Departure: as long as a failure counts for, not until the caller gives up, or the age of a lost attempt
-// would keep its server shut for as long. Harms where a processor slows down at once by more than that.
+// would keep its server denied for as long. Harms where a processor slows down at once by more than that.
 func (c *Controller) attemptTimeout(server *serverRecord) time.Duration {
 	shortest, known := server.delay.minDelay(c.now)
 	if !known {
@@ -210,7 +210,7 @@
 // attempted returns the call whose current attempt this is, or nil for a stale or unknown one.
 func (c *Controller) attempted(id CallID, number int) *callRecord {
 	call := c.calls[id]
-	if call == nil || call.server == nil || number != call.sends-1 {
+	if call == nil || call.server == nil || number != call.attempts-1 {
 		return nil
 	}
 	return call
@@ -223,8 +223,8 @@
 	}
 	call.state.Answer()
 	c.unansweredNumbers.Delete(call.Key)
-	call.server.inFlight.Answer(call.attempt)
-	call.server.faultShare.Add(false, faultShareGain)
+	call.server.inFlight.Answer(call.latest)
+	call.server.faultRate.Add(false, faultRateGain)
 	if c.stalledFor == 0 {
 		call.server.complete(c.now, event.Took)
 	}
@@ -253,7 +253,7 @@
 	case Error:
 		call.mayHaveRun = true
 		if event.Cause == LinesBusy { // at every server
-			call.sends = maxSends
+			call.attempts = maxAttempts
 			c.recordBusy(call)
 		}
 	}
@@ -270,8 +270,8 @@
 func (c *Controller) recordOutcome(call *callRecord, event Outcome) {
 	server := call.server
 	linesBusy := event.Status == Error && event.Cause == LinesBusy
-	server.inFlight.Remove(call.attempt)
-	server.faultShare.Add(event.Status == Error && !linesBusy, faultShareGain)
+	server.inFlight.Remove(call.latest)
+	server.faultRate.Add(event.Status == Error && !linesBusy, faultRateGain)
 	switch {
 	case event.Status == Ended || linesBusy:
 		if c.stalledFor == 0 {
@@ -284,9 +284,9 @@
 		server.freeAgents, server.shortage = 0, true
 	case event.Status == Error:
 		server.fault(c.now, event.Took)
-	case (event.Status == TimedOut || event.Status == Reset) && server.inFlight.Overtaken(call.attempt):
+	case (event.Status == TimedOut || event.Status == Reset) && server.inFlight.Overtaken(call.latest):
 	case event.Status == Reset &&
-		(server.circuit != circuit.Tripped || call.attempt.SentAt < server.pace.reducedAt):
+		(server.circuit != circuit.Tripped || call.latest.SentAt < server.pace.reducedAt):
 		server.circuit.Trip() // one attempt at a time tries the next connection
 		server.pace.reducedAt = c.now
 	default: // no answer: a completion time well over the gate
@@ -305,7 +305,7 @@
 	if call.state != callstate.Releasing {
 		c.recordUnanswered(call)
 	}
-	if call.state == callstate.Over {
+	if call.state == callstate.Ended {
 		delete(c.calls, id)
 	}
 }
--- a/module_test.go
+++ b/module_test.go
@@ -12,13 +12,13 @@
 )
 
 // policyFiles returns the files of the decision module, as deploy/balancer.toml lists them.
-func policyFiles(t testing.TB) []string {
-	t.Helper()
+func policyFiles(tb testing.TB) []string {
+	tb.Helper()
 	var deploy struct {
 		Policy []string `toml:"policy"`
 	}
 	if _, err := toml.DecodeFile(filepath.Join("deploy", "balancer.toml"), &deploy); err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	return deploy.Policy
 }
--- a/prediction.go
+++ b/prediction.go
@@ -58,9 +58,9 @@
 	return c.predict(server, shortest)
 }
 
-// updateLoadRatio updates L from predictions made with the L before, and this node's share of the traffic.
+// updateLoadRatio updates L from predictions made with the L before, and this node's traffic ratio.
 // Departure: L is at least 1 and over closed circuits under their gate alone: a hung server's oldest attempt
-// would raise it until healthy ones are shut. Harms when all slow down at once: L learns of each by itself.
+// would raise it until healthy ones are denied. Harms when all slow down at once: L learns of each by itself.
 func (c *Controller) updateLoadRatio() {
 	var predicted, shortest, agents float64
 	for _, server := range c.servers {
@@ -78,7 +78,7 @@
 		c.loadRatio = max(1, predicted/shortest)
 	}
 	if agents > 0 { // less what comes by chance; calls beyond all agents count as an equal share
-		offered := c.offeredCalls.Value()
-		c.trafficShare = max(1, float64(c.settings.Nodes)*min(1, (offered-math.Sqrt(offered))/agents))
+		load := c.offeredLoad.Value()
+		c.trafficRatio = max(1, float64(c.settings.Nodes)*min(1, (load-math.Sqrt(load))/agents))
 	}
 }
--- a/selection_test.go
+++ b/selection_test.go
@@ -8,41 +8,41 @@
 func TestSelectServer_PrefersTheFirstChoice(t *testing.T) {
 	node := newTestNode(t, settings(), pools("a", "b", "c")...)
 	node.handle(Report{Server: "b", Free: 10}, Report{Server: "c", Free: 20})
-	if got := node.establish(0, 50*ms); got != "a" {
+	if got := node.establish(0, 50*millisecond); got != "a" {
 		t.Errorf("first choice: sent to %q", got)
 	}
 	id, _ := node.call(0, 0)
-	node.handle(Outcome{Call: id, Status: Full, Cause: ProcessorFull, Took: 50 * ms})
+	node.handle(Outcome{Call: id, Status: Full, Cause: ProcessorFull, Took: 50 * millisecond})
 	if got := node.sentTo(id); got != "b" && got != "c" {
 		t.Errorf("after a full first choice: sent to %q, want another pool", got)
 	}
-	node.handle(Outcome{Call: id, Attempt: 1, Status: Full, Cause: ProcessorFull, Took: 50 * ms})
-	if node.sends(id) != 2 || node.finalAnswers(id) != 1 {
-		t.Errorf("two sends at most, then an answer: %d sends, %d answers", node.sends(id), node.finalAnswers(id))
+	node.handle(Outcome{Call: id, Attempt: 1, Status: Full, Cause: ProcessorFull, Took: 50 * millisecond})
+	if node.attempts(id) != 2 || node.finalAnswers(id) != 1 {
+		t.Errorf("two sends at most, then an answer: %d sends, %d answers", node.attempts(id), node.finalAnswers(id))
 	}
 }
 
 // All nodes get the same reports at once: without a draw all second choices go to one pool until the next report.
 func TestSelectServer_DrawsSecondChoicesByFreeAgents(t *testing.T) {
-	to := map[ServerID]int{}
+	attempts := map[ServerID]int{}
 	for i := range 300 {
-		c, err := New(settings(), uint64(i))
+		controller, err := New(settings(), uint64(i))
 		if err != nil {
 			t.Fatal(err)
 		}
-		for _, a := range c.Handle(time.Hour, []Event{
+		for _, action := range controller.Handle(time.Hour, []Event{
 			ServerList{Kind: Cached, Servers: []Server{{ID: "b", Pool: 1}, {ID: "c", Pool: 2}}},
 			Report{Server: "b", Free: 10},
 			Report{Server: "c", Free: 20},
 			Call{ID: 1, Timeout: time.Second},
 		}, nil) {
-			if s, ok := a.(Send); ok {
-				to[s.Server]++
+			if send, ok := action.(Send); ok {
+				attempts[send.Server]++
 			}
 		}
 	}
-	if to["b"]+to["c"] != 300 || to["c"] < 170 || to["c"] > 230 {
-		t.Errorf("300 nodes sent %v, want about twice as many to the pool with twice the free agents", to)
+	if attempts["b"]+attempts["c"] != 300 || attempts["c"] < 170 || attempts["c"] > 230 {
+		t.Errorf("300 nodes sent %v, want about twice as many to the pool with twice the free agents", attempts)
 	}
 }
 
@@ -61,8 +61,8 @@
 	node := newTestNode(t, settings(), pools("a", "b")...)
 	for range 10 {
 		id, _ := node.call(0, 0)
-		node.handle(Outcome{Call: id, Status: Error, Took: 10 * ms})
-		node.handle(Answered{Call: id, Attempt: 1, Took: 10 * ms})
+		node.handle(Outcome{Call: id, Status: Error, Took: 10 * millisecond})
+		node.handle(Answered{Call: id, Attempt: 1, Took: 10 * millisecond})
 	}
 	if _, to := node.call(0, 0); to != "a" {
 		t.Errorf("a call of mean weight went to %q", to)
@@ -71,14 +71,14 @@
 		t.Errorf("a call above the mean weight went to %q", to)
 	}
 	node = newTestNode(t, settings(), pools("a")...)
-	node.establish(0, 10*ms)
+	node.establish(0, 10*millisecond)
 	id, _ := node.call(1, 0)
-	node.handle(Outcome{Call: id, Status: Error, Took: 10 * ms})
-	if node.sends(id) != 1 || node.finalAnswers(id) != 0 {
-		t.Errorf("%d sends, %d answers: want it queued", node.sends(id), node.finalAnswers(id))
+	node.handle(Outcome{Call: id, Status: Error, Took: 10 * millisecond})
+	if node.attempts(id) != 1 || node.finalAnswers(id) != 0 {
+		t.Errorf("%d sends, %d answers: want it queued", node.attempts(id), node.finalAnswers(id))
 	}
 	node.advance(time.Second)
-	if node.sends(id) != 2 {
+	if node.attempts(id) != 2 {
 		t.Error("the server that failed it is not its last resort")
 	}
 }
@@ -87,18 +87,18 @@
 func TestSelectServer_ServerThatFailedTheCallComesLast(t *testing.T) {
 	node := newTestNode(t, settings(), pools("a", "b")...)
 	id, _ := node.call(0, 0)
-	node.handle(Outcome{Call: id, Status: Error, Took: 10 * ms})
+	node.handle(Outcome{Call: id, Status: Error, Took: 10 * millisecond})
 	if got := node.sentTo(id); got != "b" {
 		t.Errorf("sent to %q, want the other server first", got)
 	}
 	node = newTestNode(t, settings(), pools("a")...)
 	id, _ = node.call(0, 0)
-	node.handle(Outcome{Call: id, Status: Error, Took: 10 * ms})
+	node.handle(Outcome{Call: id, Status: Error, Took: 10 * millisecond})
 	if got := node.sentTo(id); got != "a" {
 		t.Errorf("sent to %q, want the only server again", got)
 	}
-	node.handle(Outcome{Call: id, Attempt: 1, Status: Error, Took: 10 * ms})
-	if node.sends(id) != 2 || node.finalAnswers(id) != 1 {
-		t.Errorf("%d sends, %d answers", node.sends(id), node.finalAnswers(id))
+	node.handle(Outcome{Call: id, Attempt: 1, Status: Error, Took: 10 * millisecond})
+	if node.attempts(id) != 2 || node.finalAnswers(id) != 1 {
+		t.Errorf("%d sends, %d answers", node.attempts(id), node.finalAnswers(id))
 	}
 }
--- a/server.go
+++ b/server.go
@@ -17,13 +17,13 @@
 	failureMultiple = 2.0              // a failure counts as a completion of at least this many A*M
 	faultsToTrip    = 60               // in a row; 20 come by chance where a server fails 4 attempts in 5
 	maxFaultPenalty = 16               // each further one adds a failure's length to R, up to this many
-	faultShareGain  = 1.0 / 16         // weight of the latest attempt in a server's share of faults
-	maxFaultShare   = 0.3              // calls above the mean weight avoid a server with a larger share
+	faultRateGain   = 1.0 / 16         // weight of the latest attempt in a server's share of faults
+	maxFaultRate    = 0.3              // calls above the mean weight avoid a server with a larger share
 )
 
 // serverRecord is what the node knows of one incarnation of a server.
 // Departure: attempts sent before one that was answered are not in its backlog: their answers are lost, and
-// their age would keep a busy server shut until they time out. Harms where attempts overtake others by habit.
+// their age would deny a busy server to calls until they time out. Harms where attempts overtake others.
 type serverRecord struct {
 	id         ServerID
 	index      int // in the order of first listing; a key of its random draws
@@ -35,11 +35,11 @@
 	circuit    circuit.State // one attempt at a time unless it is closed
 	pace       pacing
 	inFlight   inflight.Queue
-	faults     int           // signalling faults since the last completion
-	faultShare average.Share // of the latest attempts
-	freeAgents float64       // as last reported, -1: never
-	agents     float64       // their number, 0: not reported
-	shortage   bool          // agents are short
+	faults     int          // signalling faults since the last completion
+	faultRate  average.Rate // of the latest attempts
+	freeAgents float64      // as last reported, -1: never
+	agents     float64      // their number, 0: not reported
+	shortage   bool         // agents are short
 }
 
 // delayMemory holds the completion times of one incarnation of a server.
@@ -89,4 +89,4 @@
 	}
 }
 
-func (s *serverRecord) faulty() bool { return s.faultShare.Value() > maxFaultShare }
+func (s *serverRecord) faulty() bool { return s.faultRate.Value() > maxFaultRate }
--- a/slowstart.go
+++ b/slowstart.go
@@ -4,10 +4,10 @@
 
 // Parameters of slow start.
 const (
-	slowStartMargin   = 0.5 // the part of its overload multiple used at first: room for retries and chance
-	slowStartEndRate  = 1.5 // attempts an interval reached at the end: half as much again as planned
-	maxSlowStartShare = 0.8 // the most that a node may use of its equal part of what the server can take
-	agentReserve      = 3.0 // square roots of the planned load that a server's agents exceed it by
+	slowStartMargin      = 0.5 // the part of its overload multiple used at first: room for retries and chance
+	slowStartEndRate     = 1.5 // attempts an interval reached at the end: half as much again as planned
+	maxSlowStartFraction = 0.8 // the most that a node may use of its equal part of what the server can take
+	agentReserve         = 3.0 // square roots of the planned load that a server's agents exceed it by
 )
 
 // inSlowStart reports whether the server may not have its full capacity yet.
@@ -16,13 +16,13 @@
 }
 
 // slowStartPace bounds a rate, and the weight it counts with, by the server's age, whatever its completions
-// and the call's weight. While calls outnumber agents the nodes' traffic shares sum to more than the nodes.
+// and the call's weight. While calls outnumber agents the nodes' traffic ratios sum to more than the nodes.
 func (c *Controller) slowStartPace(server *serverRecord, rate float64) (bounded, weight float64) {
 	age := float64(c.now-server.startedAt) / float64(c.settings.SlowStartWindow)
-	least := c.settings.SlowStartCapacity * c.settings.OverloadMultiple
-	rate = min(rate, slowStartMargin*least+max(0, slowStartEndRate-slowStartMargin*least)*age)
-	capacity := least + (c.settings.OverloadMultiple-least)*age
-	return rate, min(c.trafficShare, maxSlowStartShare*capacity/rate)
+	initial := c.settings.SlowStartCapacity * c.settings.OverloadMultiple
+	rate = min(rate, slowStartMargin*initial+max(0, slowStartEndRate-slowStartMargin*initial)*age)
+	capacity := initial + (c.settings.OverloadMultiple-initial)*age
+	return rate, min(c.trafficRatio, maxSlowStartFraction*capacity/rate)
 }
 
 // plannedLoad solves agents = load + agentReserve*sqrt(load) for the load.
--- a/slowstart_test.go
+++ b/slowstart_test.go
@@ -9,31 +9,31 @@
 	"eidertrail/internal/slowstart"
 )
 
-// slowStartSends offers calls for a server in slow start beside a warm one that takes 25 a second, a quarter of them
+// slowStartAttempts offers calls for a server in slow start beside a warm one that takes 25 a second, a quarter of them
 // from this node, and returns when it was sent one. The server answers each attempt, or rejects it.
-func slowStartSends(t testing.TB, set Settings, answers bool) (sent []time.Duration) {
-	t.Helper()
+func slowStartAttempts(tb testing.TB, set Settings, answers bool) (sent []time.Duration) {
+	tb.Helper()
 	set.Classes[0].MeanHoldingTime = 4 * time.Second
-	node := newTestNode(t, set, pools("warm")...)
-	node.establish(0, 40*ms)
+	node := newTestNode(tb, set, pools("warm")...)
+	node.establish(0, 40*millisecond)
 	node.handle(
 		ServerList{Kind: Delta, Servers: []Server{{ID: "starting", Pool: 1, StartedAt: node.now}}},
 		Report{Server: "starting", Free: 100, Agents: 100},
 	)
-	replies := newReplier(node, 50*ms, func(send Send, attempt int) Event {
+	replies := newReplier(node, 50*millisecond, func(send Send, attempt int) Event {
 		if send.Server == "starting" {
 			sent = append(sent, node.now)
 		}
 		if send.Server == "starting" && !answers {
-			return Outcome{Call: send.Call, Attempt: attempt, Status: Full, Cause: ProcessorFull, Took: 50 * ms}
+			return Outcome{Call: send.Call, Attempt: attempt, Status: Full, Cause: ProcessorFull, Took: 50 * millisecond}
 		}
-		return Answered{Call: send.Call, Attempt: attempt, Took: 50 * ms}
+		return Answered{Call: send.Call, Attempt: attempt, Took: 50 * millisecond}
 	})
 	for step := range 2900 { // of 5 ms, within the slow start
 		if step%32 == 0 {
 			node.call(0, 1)
 		}
-		node.advance(5 * ms)
+		node.advance(5 * millisecond)
 		replies.step()
 	}
 	return sent
@@ -44,19 +44,19 @@
 func TestSlowStart_NodesTogetherStayUnderTheOverloadMultiple(t *testing.T) {
 	set := settings()
 	limit := set.OverloadMultiple * set.SlowStartCapacity * 25 * set.OverloadWindow.Seconds()
-	sent := slowStartSends(t, set, false)
+	sent := slowStartAttempts(t, set, false)
 	if len(sent) < 2 {
 		t.Errorf("only %d calls in 15 s: paced to nothing", len(sent))
 	}
 	for i, from := range sent {
-		sends := 0
+		attempts := 0
 		for _, at := range sent[i:] {
 			if at < from+set.OverloadWindow {
-				sends++
+				attempts++
 			}
 		}
-		if float64(sends*set.Nodes) > limit {
-			t.Fatalf("%d sends a node within %v, all nodes may send %v", sends, set.OverloadWindow, limit)
+		if float64(attempts*set.Nodes) > limit {
+			t.Fatalf("%d sends a node within %v, all nodes may send %v", attempts, set.OverloadWindow, limit)
 		}
 	}
 }
@@ -64,7 +64,7 @@
 // A server in slow start that answers at once gets a growing part of what its agents can take, and all of it well
 // before the end. Without it agents are free while their calls are rejected.
 func TestSlowStart_QuickServerGetsAGrowingPart(t *testing.T) {
-	sent := slowStartSends(t, settings(), true)
+	sent := slowStartAttempts(t, settings(), true)
 	early, late := 0, 0
 	for _, at := range sent {
 		if at-sent[0] < 4*time.Second {
@@ -83,51 +83,51 @@
 func TestSlowStart_NodesDoNotSendInStep(t *testing.T) {
 	set := settings()
 	set.Nodes, set.Classes[0].MeanHoldingTime = 66, 10*time.Second
-	sends, inStep := 0, 0
+	attempts, inStep := 0, 0
 	for i := range set.Nodes {
 		set.Index = i
-		c, err := New(set, uint64(i)*977)
+		controller, err := New(set, uint64(i)*977)
 		if err != nil {
 			t.Fatal(err)
 		}
 		now := time.Hour
-		c.Handle(now, []Event{
+		controller.Handle(now, []Event{
 			ServerList{Servers: []Server{{ID: "small", Pool: 1, Mode: Draining}, {ID: "starting", StartedAt: now}}},
 			Report{Server: "small", Free: 9, Agents: 30},
 		}, nil)
-		c.Handle(now+700*ms, []Event{Call{ID: 1, Timeout: 3 * time.Second}}, nil)
+		controller.Handle(now+700*millisecond, []Event{Call{ID: 1, Timeout: 3 * time.Second}}, nil)
 		report := Report{Server: "starting", Free: 223, Agents: 223}
-		inStep += countSends(c.Handle(now+800*ms, []Event{report}, nil))
-		for at := now + 800*ms; at < now+2300*ms; at += 10 * ms {
-			sends += countSends(c.Handle(at, []Event{Wake{}}, nil))
+		inStep += countAttempts(controller.Handle(now+800*millisecond, []Event{report}, nil))
+		for at := now + 800*millisecond; at < now+2300*millisecond; at += 10 * millisecond {
+			attempts += countAttempts(controller.Handle(at, []Event{Wake{}}, nil))
 		}
 	}
 	// its agents take 22 calls a second; it may be sent 2.5 times 0.3 of that
-	if limit := 2.5 * 0.3 * 22.3 * 1.5; float64(sends+inStep) > limit || inStep > 3 || sends == 0 {
-		t.Errorf("%d sends when its agents are reported, %d in the 1.5 s after, %.0f is the limit", inStep, sends, limit)
+	if limit := 2.5 * 0.3 * 22.3 * 1.5; float64(attempts+inStep) > limit || inStep > 3 || attempts == 0 {
+		t.Errorf("%d sends when its agents are reported, %d in the 1.5 s after, %.0f is the limit", inStep, attempts, limit)
 	}
 }
 
 // slowStartFleet is a fleet whose warm server has no agent free, and in which another server restarts.
 type slowStartFleet struct {
-	settings     Settings
-	rate         float64       // calls a second that all nodes are offered, in equal parts and without end
-	warmAgents   float64       // of the warm server
-	agents       float64       // of the restarting one
-	reportDelay  time.Duration // from its restart until its agents are reported again
-	restartsAt   time.Duration
-	restartSends []time.Duration // when the restarting server was sent attempts, by all nodes
+	settings         Settings
+	rate             float64       // calls a second that all nodes are offered, in equal parts and without end
+	busyServerAgents float64       // of the warm server
+	agents           float64       // of the restarting one
+	reportDelay      time.Duration // from its restart until its agents are reported again
+	restartsAt       time.Duration
+	restartAttempts  []time.Duration // when the restarting server was sent attempts, by all nodes
 }
 
 // worst returns the most attempts that the restarting server gets in any overload window of its slow start, as a part
 // of what its planned load allows, N, and 2 root N + 2 for chance.
-func (f *slowStartFleet) worst(t testing.TB) (worst float64) {
-	t.Helper()
+func (f *slowStartFleet) worst(tb testing.TB) (worst float64) {
+	tb.Helper()
 	f.restartsAt = time.Hour + 16*time.Second
 	for i := range f.settings.Nodes {
-		f.runNode(t, i)
+		f.runNode(tb, i)
 	}
-	slices.Sort(f.restartSends)
+	slices.Sort(f.restartAttempts)
 	profile := slowstart.Profile{
 		InitialCapacity:  f.settings.SlowStartCapacity,
 		Window:           f.settings.SlowStartWindow.Microseconds(),
@@ -136,8 +136,8 @@
 	}
 	perSecond := plannedLoad(f.agents) / f.settings.Classes[0].MeanHoldingTime.Seconds()
 	first := 0
-	for i, at := range f.restartSends {
-		for at-f.restartSends[first] > f.settings.OverloadWindow {
+	for i, at := range f.restartAttempts {
+		for at-f.restartAttempts[first] > f.settings.OverloadWindow {
 			first++
 		}
 		capacity, _ := profile.CapacityAt((at - f.restartsAt).Microseconds())
@@ -148,31 +148,31 @@
 }
 
 // runNode plays one node of the fleet, to the end of the slow start.
-func (f *slowStartFleet) runNode(t testing.TB, index int) {
-	t.Helper()
+func (f *slowStartFleet) runNode(tb testing.TB, index int) {
+	tb.Helper()
 	set := f.settings
 	set.Index = index
-	c, err := New(set, uint64(index)*977)
+	controller, err := New(set, uint64(index)*977)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
-	node := &testNode{t: t, c: c, now: time.Hour}
+	node := &testNode{t: tb, c: controller, now: time.Hour}
 	node.handle(
 		ServerList{Servers: []Server{{ID: "warm"}, {ID: "starting", Pool: 1}}},
-		Report{Server: "warm", Agents: f.warmAgents}, Report{Server: "starting", Agents: f.agents},
+		Report{Server: "warm", Agents: f.busyServerAgents}, Report{Server: "starting", Agents: f.agents},
 	)
 	node.handle(ServerList{Kind: Delta, Servers: []Server{{ID: "starting", Pool: 1, Mode: Removed}}})
-	replies := newReplier(node, 40*ms, func(send Send, attempt int) Event {
+	replies := newReplier(node, 40*millisecond, func(send Send, attempt int) Event {
 		if send.Server != "starting" {
-			return Outcome{Call: send.Call, Attempt: attempt, Status: Full, Cause: NoAgent, Took: 40 * ms}
+			return Outcome{Call: send.Call, Attempt: attempt, Status: Full, Cause: NoAgent, Took: 40 * millisecond}
 		}
-		f.restartSends = append(f.restartSends, node.now)
-		return Answered{Call: send.Call, Attempt: attempt, Took: 40 * ms}
+		f.restartAttempts = append(f.restartAttempts, node.now)
+		return Answered{Call: send.Call, Attempt: attempt, Took: 40 * millisecond}
 	})
 	callGap := time.Duration(float64(time.Second) * float64(set.Nodes) / f.rate)
 	nextCall := node.now + time.Duration(index)*callGap/time.Duration(set.Nodes)
 	listed, reported := false, false
-	for ; node.now < f.restartsAt+set.SlowStartWindow; node.advance(20 * ms) {
+	for ; node.now < f.restartsAt+set.SlowStartWindow; node.advance(20 * millisecond) {
 		if !listed && node.now >= f.restartsAt {
 			listed = true
 			starting := Server{ID: "starting", Pool: 1, StartedAt: f.restartsAt}
@@ -195,22 +195,22 @@
 	for _, nodes := range []int{5, 20, 30} {
 		set := settings()
 		set.Nodes, set.OverloadMultiple, set.Classes[0].MeanHoldingTime = nodes, 3, 8*time.Second
-		fleet := slowStartFleet{settings: set, rate: 40, warmAgents: 400, agents: 30, reportDelay: 3 * time.Second}
+		fleet := slowStartFleet{settings: set, rate: 40, busyServerAgents: 400, agents: 30, reportDelay: 3 * time.Second}
 		if worst := fleet.worst(t); worst > 1 || worst < 0.1 {
 			t.Errorf("%d nodes: %.2f of what the server can take", nodes, worst)
 		}
 	}
 }
 
-// Calls come to three times what all agents were planned for, so the traffic shares sum to three times the nodes:
-// without a bound on the share so do the attempts at a server in slow start.
+// Calls come to three times what all agents were planned for, so the traffic ratios sum to three times the nodes:
+// without a bound on the ratio so do the attempts at a server in slow start.
 func TestSlowStart_OverloadOfCallsSparesTheServer(t *testing.T) {
 	for _, nodes := range []int{5, 20, 30} {
 		for _, multiple := range []float64{2, 3} {
 			set := settings()
 			set.Nodes, set.OverloadMultiple, set.Classes[0].MeanHoldingTime = nodes, multiple, 8*time.Second
 			fleet := slowStartFleet{
-				settings: set, rate: 3 * 2 * 400 / 8, warmAgents: 400, agents: 400, reportDelay: 300 * ms,
+				settings: set, rate: 3 * 2 * 400 / 8, busyServerAgents: 400, agents: 400, reportDelay: 300 * millisecond,
 			}
 			if worst := fleet.worst(t); worst > 1 || worst < 0.4 {
 				t.Errorf("%d nodes, multiple %v: %.2f of what the server can take", nodes, multiple, worst)
--- a/testnode_test.go
+++ b/testnode_test.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-const ms = time.Millisecond
+const millisecond = time.Millisecond
 
 // testNode drives one controller by hand and keeps every action.
 type testNode struct {
@@ -25,21 +25,21 @@
 			{Name: "plain", LatencyObjective: 2 * time.Second, Deadline: 9 * time.Second, PriorityWeight: 1, LateFactor: 0.25},
 			{Name: "heavy", LatencyObjective: time.Second, Deadline: 6 * time.Second, PriorityWeight: 5, LateFactor: 0.25},
 		},
-		ReleaseWait: 300 * ms, RetransmitInterval: 400 * ms, MaxAttempts: 6,
+		ReleaseWait: 300 * millisecond, RetransmitInterval: 400 * millisecond, MaxAttempts: 6,
 		SlowStartWindow: 15 * time.Second, SlowStartCapacity: 0.3,
-		OverloadMultiple: 2.5, OverloadWindow: 1500 * ms, Tick: 5 * ms,
+		OverloadMultiple: 2.5, OverloadWindow: 1500 * millisecond, Tick: 5 * millisecond,
 	}
 }
 
 // newTestNode returns a node that has got the list of its servers.
-func newTestNode(t testing.TB, set Settings, servers ...Server) *testNode {
-	t.Helper()
+func newTestNode(tb testing.TB, set Settings, servers ...Server) *testNode {
+	tb.Helper()
 	const seed = 7
-	c, err := New(set, seed)
+	controller, err := New(set, seed)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
-	node := &testNode{t: t, c: c, now: time.Hour}
+	node := &testNode{t: tb, c: controller, now: time.Hour}
 	node.handle(ServerList{Kind: Cached, Servers: servers})
 	return node
 }
@@ -54,11 +54,10 @@
 
 func (n *testNode) server(id ServerID) *serverRecord { return n.c.serversByID[id] }
 
-// handle gives events to the controller, at the same reading of the clock, and returns its actions.
-func (n *testNode) handle(events ...Event) []Action {
+// handle gives events to the controller, at the same reading of the clock.
+func (n *testNode) handle(events ...Event) {
 	n.last = n.c.Handle(n.now, events, nil)
 	n.all = append(n.all, n.last...)
-	return n.last
 }
 
 // advance lets time go by and returns each Wake when it is due.
@@ -108,8 +107,8 @@
 	return to
 }
 
-// countSends counts the Sends among actions.
-func countSends(actions []Action) (count int) {
+// countAttempts counts the Sends among actions.
+func countAttempts(actions []Action) (count int) {
 	for _, a := range actions {
 		if _, ok := a.(Send); ok {
 			count++
@@ -145,8 +144,8 @@
 	return count
 }
 
-// sends counts the attempts of the call.
-func (n *testNode) sends(id CallID) (count int) {
+// attempts counts the attempts of the call.
+func (n *testNode) attempts(id CallID) (count int) {
 	for _, a := range n.all {
 		if s, ok := a.(Send); ok && s.Call == id {
 			count++
@@ -201,7 +200,7 @@
 	}
 	for ; r.seen < len(r.node.all); r.seen++ {
 		if send, ok := r.node.all[r.seen].(Send); ok {
-			event := r.reply(send, r.node.c.calls[send.Call].sends-1)
+			event := r.reply(send, r.node.c.calls[send.Call].attempts-1)
 			r.pending = append(r.pending, scheduledEvent{r.node.now + r.delay, event})
 		}
 	}
