Decision module: the interval is computed only for a backlog

Comments of tests say "otherwise" where "it" named nothing.

Checked: go test -race of the root package and the eight beside it, linter without findings, go build and go vet of all packages.

--- a/admission_test.go
+++ b/admission_test.go
@@ -104,7 +104,7 @@
 	}
 }
 
-// Without it a few nodes fill a server the moment that it opens.
+// Otherwise a few nodes fill a server the moment that it opens.
 func TestGate_UntestedOrTrippedServerGetsOneAttemptAtATime(t *testing.T) {
 	node := newTestNode(t, settings(), pools("a")...)
 	first, to := node.call(0, 0)
@@ -141,7 +141,7 @@
 	return node, id
 }
 
-// Without it servers out of agents are taken for slow ones, and tried again at once.
+// Otherwise servers out of agents are taken for slow ones, and tried again at once.
 func TestShortage_NoAgentIsNotAFailure(t *testing.T) {
 	node, id := outOfAgents(t)
 	if server := node.server("a"); server.circuit == circuit.Tripped || server.delay.latest != 50*millisecond {
@@ -156,7 +156,7 @@
 	}
 }
 
-// Without it two pools short of agents swap their calls, which last longer at their second choice.
+// Otherwise two pools short of agents swap their calls, which last longer at their second choice.
 func TestShortage_CallsWaitForTheirFirstChoice(t *testing.T) {
 	set := settings()
 	set.Classes[0].MeanHoldingTime = 10 * time.Second
@@ -244,7 +244,7 @@
 	}
 }
 
-// Without it a server that completed nothing and asks for a pause is tried again at once by every node.
+// Otherwise a server that completed nothing and asks for a pause is tried again at once by every node.
 func TestGate_FailureShutsAnUntestedServer(t *testing.T) {
 	node := newTestNode(t, settings(), pools("a")...)
 	id, _ := node.call(0, 0)
--- a/controller_test.go
+++ b/controller_test.go
@@ -9,7 +9,7 @@
 	"eidertrail/internal/circuit"
 )
 
-// Without it a node that stalled takes its own pause for slow answers and shuts the servers, and the calls that came
+// Otherwise a node that stalled takes its own pause for slow answers and shuts the servers, and the calls that came
 // meanwhile look fresh.
 func TestProcessStall_IsNotTakenForTheServers(t *testing.T) {
 	node := newTestNode(t, settings(), pools("a")...)
@@ -56,7 +56,7 @@
 	}
 }
 
-// Without it the table grows while servers are replaced by new ones, and each call looks through all that ever were.
+// Otherwise the table grows while servers are replaced by new ones, and each call looks through all that ever were.
 func TestServerList_KeepsNothingOfRemovedServers(t *testing.T) {
 	node := newTestNode(t, settings(), pools("a", "s0")...)
 	for i := range 50 {
--- a/ledger_test.go
+++ b/ledger_test.go
@@ -107,7 +107,7 @@
 	}
 }
 
-// Without it lost attempts deny their server until the caller gives up.
+// Otherwise lost attempts deny their server until the caller gives up.
 func TestLedger_AttemptTimesOutBeforeTheCall(t *testing.T) {
 	node := newTestNode(t, settings(), pools("a")...)
 	node.establish(0, 80*millisecond)
--- a/prediction.go
+++ b/prediction.go
@@ -41,11 +41,12 @@
 // Departure: each adds backlogScale*M, or an interval if that is less, as they are served one by one. Without
 // it an open gate admits any number until the oldest is 5 M old: bursts, queued calls, recoveries.
 func (c *Controller) backlogDelay(server *serverRecord, shortest time.Duration) float64 {
+	behind := max(0, len(server.inFlight.Backlog())-1)
 	each := backlogScale * float64(shortest)
-	if server.agents > 0 && c.holdingTime > 0 {
+	if behind > 0 && server.agents > 0 && c.holdingTime > 0 {
 		each = min(each, float64(c.interval(server)))
 	}
-	return each * float64(max(0, len(server.inFlight.Backlog())-1))
+	return each * float64(behind)
 }
 
 // observedDelay is P as L takes it.
--- a/prediction_test.go
+++ b/prediction_test.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// Without it a failure shuts a quick server for as long as L of the others stretches it.
+// Otherwise a failure shuts a quick server for as long as L of the others stretches it.
 func TestPredict_LoadOfOthersDoesNotStretchAFailure(t *testing.T) {
 	node := newTestNode(t, settings(), pools("a")...)
 	node.establish(0, 50*millisecond)
--- a/server_test.go
+++ b/server_test.go
@@ -7,7 +7,7 @@
 	"eidertrail/internal/circuit"
 )
 
-// Without it one lost answer shuts a busy server, by its age and then as a failure, while all that was sent later is
+// Otherwise one lost answer shuts a busy server, by its age and then as a failure, while all that was sent later is
 // answered.
 func TestBacklog_LostAnswerLeavesABusyServerInUse(t *testing.T) {
 	node := newTestNode(t, settings(), pools("a")...)
@@ -108,7 +108,7 @@
 	}
 }
 
-// Without it a server that answers quickly with faults attracts most calls.
+// Otherwise a server that answers quickly with faults attracts most calls.
 func TestFaults_ManyInARowTripTheCircuit(t *testing.T) {
 	for _, test := range []struct {
 		cause    Cause
