--- a/server_test.go
+++ b/server_test.go
@@ -74,7 +74,7 @@
 	}
 }
 
-func TestMinDelay_IsLastsForItsWindow(t *testing.T) {
+func TestMinDelay_LastsForItsWindow(t *testing.T) {
 	server := &serverRecord{}
 	for _, test := range []struct{ at, took, want time.Duration }{
 		{0, 80 * millisecond, 80 * millisecond},
