--- a/internal/slowstart/profile.go
+++ b/internal/slowstart/profile.go
@@ -22,8 +22,7 @@
 	if age >= p.Window {
 		return 1, false
 	}
-	grown := float64(max(age, 0)) / float64(p.Window)
-	return p.InitialCapacity + (1-p.InitialCapacity)*grown, true
+	return p.InitialCapacity + (1-p.InitialCapacity)*float64(max(age, 0))/float64(p.Window), true
 }
 
 // MaxArrivals returns how many set-ups of mean work all senders together may send within OverloadWindow to a process
