--- a/internal/backend/sip/sip_test.go
+++ b/internal/backend/sip/sip_test.go
@@ -12,36 +12,53 @@
 	return Read(bufio.NewReaderSize(strings.NewReader(text), 16))
 }
 
-func TestRead(t *testing.T) {
+func TestRead_RequestWithCompactHeaders(t *testing.T) {
 	m, err := read("\r\nINVITE sip:7f3a@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\ni: 9b1f\r\nCSeq: 1 INVITE\r\n" +
 		"s : voice\r\nX-Patience:1500\r\nl: 4\r\n\r\na\r\nb")
 	if err != nil || m.Method != "INVITE" || m.URI != "sip:7f3a@net" || m.CallID != "9b1f" || m.CSeq != 1 ||
 		m.Of != "INVITE" || m.Get("subject") != "voice" || m.Get("x-patience") != "1500" || string(m.Body) != "a\r\nb" {
 		t.Errorf("%+v, %v", m, err)
 	}
-	m, err = read("SIP/2.0 503 Service Unavailable\r\nCall-ID: 9b1f\r\nCSeq: 1 INVITE\r\nX-Note: swamped\r\nContent-Length: 0\r\n\r\n")
-	if err != nil || m.Status != 503 || m.Reason != "Service Unavailable" || m.Get("x-note") != "swamped" || m.Get("none") != "" {
+}
+
+func TestRead_Response(t *testing.T) {
+	m, err := read("SIP/2.0 503 Service Unavailable\r\nCall-ID: 9b1f\r\nCSeq: 1 INVITE\r\n" +
+		"X-Note: swamped\r\nContent-Length: 0\r\n\r\n")
+	if err != nil || m.Status != 503 || m.Reason != "Service Unavailable" || m.Get("x-note") != "swamped" ||
+		m.Get("none") != "" {
 		t.Errorf("%+v, %v", m, err)
 	}
 }
 
-// Guards against a value whose own first or last letter is a blank of Unicode coming out shorter: RFC 3261 has only
-// spaces and tabs round a value.
-func TestValuesComeOutAsTheyWentIn(t *testing.T) {
-	for _, value := range []string{"Øyeblikkelig hjelp", `"Größe": 5;x=1`, "a, b: c", "\u00a0voice\u3000", "voice\u0085", "e\u0301", "\U0001f600"} {
-		m := &Message{Method: "INVITE", URI: "sip:7f@net", CallID: "9b1f", CSeq: 1, Of: "INVITE", Headers: []Header{{"Subject", value}}}
+// RFC 3261 has only spaces and tabs around a value: a value whose own first or last character is another space of
+// Unicode must not come out shorter.
+func TestRead_KeepsValuesAsTheyWereWritten(t *testing.T) {
+	for _, value := range []string{
+		"Øyeblikkelig hjelp", `"Größe": 5;x=1`, "a, b: c", "\u00a0voice\u3000", "voice\u0085", "e\u0301", "\U0001f600",
+	} {
+		m := &Message{
+			Method:  "INVITE",
+			URI:     "sip:7f@net",
+			CallID:  "9b1f",
+			CSeq:    1,
+			Of:      "INVITE",
+			Headers: []Header{{"Subject", value}},
+		}
 		got, err := read(string(m.Append(nil)))
 		if err != nil || got.Get("subject") != value {
 			t.Errorf("%q: %+v, %v", value, got, err)
 		}
 	}
+}
+
+func TestRead_TrimsSpacesAndTabs(t *testing.T) {
 	m, err := read("NOTIFY x SIP/2.0\r\nSubject \t: \t voice \t \r\nContent-Length: 0\r\n\r\n")
 	if err != nil || m.Get("subject") != "voice" {
 		t.Errorf("%+v, %v", m, err)
 	}
 }
 
-func TestReadBad(t *testing.T) {
+func TestRead_InvalidMessages(t *testing.T) {
 	const end = "Content-Length: 0\r\n\r\n"
 	for text, want := range map[string]error{
 		"NOTIFY x SIP/2.0\r\n\r\n":                                           ErrFraming,
@@ -65,52 +82,68 @@
 	}
 }
 
-func TestCauseAndReport(t *testing.T) {
-	for value, want := range map[string]int{"Q.850;cause=16": 16, "Q.850 ; cause=41;text=x": 41, "Q.850;cause=": -1, "": -1} {
+func TestCause(t *testing.T) {
+	for value, want := range map[string]int{
+		"Q.850;cause=16":          16,
+		"Q.850 ; cause=41;text=x": 41,
+		"Q.850;cause=":            -1,
+		"":                        -1,
+	} {
 		m := &Message{Headers: []Header{{"reason", value}}}
 		if got := m.Cause(); got != want {
 			t.Errorf("%q: %d, want %d", value, got, want)
 		}
 	}
+}
+
+func TestReport_SkipsFieldsWithoutANumber(t *testing.T) {
 	got := map[string]float64{}
-	Report("idle:12; circuits : 40;queue;recent_ms:x;eps:NaN;a:-1", func(n string, v float64) { got[n] = v })
+	Report("idle:12; circuits : 40;queue;recent_ms:x;eps:NaN;a:-1",
+		func(name string, value float64) { got[name] = value })
 	if len(got) != 3 || got["idle"] != 12 || got["circuits"] != 40 || got["a"] != -1 {
 		t.Errorf("%v", got)
 	}
 }
 
-// FuzzRead checks that any bytes are messages or errors that say whether reading may go on, that nothing
-// of over 16 KiB is taken, and that what was read is read again as it was written.
+// FuzzRead checks that any bytes are messages, or errors that say whether the next one can be read, that no message of
+// more than 16 KiB is accepted, and that a message that was read and written is read as the same.
 func FuzzRead(f *testing.F) {
-	f.Add("BYE sip:exchange@net SIP/2.0\r\nCall-ID: a\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=16\r\nContent-Length: 0\r\n\r\n")
+	f.Add("BYE sip:exchange@net SIP/2.0\r\nCall-ID: a\r\nCSeq: 2 BYE\r\n" +
+		"Reason: Q.850;cause=16\r\nContent-Length: 0\r\n\r\n")
 	f.Add("SIP/2.0 200 OK\r\nCall-ID: a\r\nCSeq: 1 INVITE\r\nContent-Length: 2\r\n\r\nab")
 	f.Add("x\r\nContent-Length: 0\r\n\r\nSIP/2.0 100 \r\nl:0\r\n\r\n")
 	f.Fuzz(func(t *testing.T, text string) {
 		r := bufio.NewReaderSize(strings.NewReader(text), 16)
 		for range len(text) + 1 {
-			m, err := Read(r)
+			message, err := Read(r)
 			if errors.Is(err, ErrMalformed) {
 				continue
 			}
 			if err != nil {
 				return
 			}
-			if len(m.Body) > MaxMessage {
-				t.Fatalf("a body of %d bytes", len(m.Body))
+			if len(message.Body) > MaxMessage {
+				t.Fatalf("a body of %d bytes", len(message.Body))
 			}
-			again := *m
-			again.Headers = nil // Append writes these itself, or the test compares what it does
-			for _, h := range m.Headers {
-				switch h.Name {
-				case "call-id", "cseq", "content-length":
-				default:
-					again.Headers = append(again.Headers, h)
-				}
-			}
-			b, err := read(string(again.Append(nil)))
-			if err != nil || b.Method != m.Method || b.Status != m.Status || b.CallID != m.CallID || string(b.Body) != string(m.Body) {
-				t.Fatalf("%+v became %+v, %v", m, b, err)
+			copied, err := read(string(withoutOwnFields(message).Append(nil)))
+			if err != nil || copied.Method != message.Method || copied.Status != message.Status || copied.CallID != message.CallID ||
+				string(copied.Body) != string(message.Body) {
+				t.Fatalf("%+v became %+v, %v", message, copied, err)
 			}
 		}
 	})
 }
+
+// withoutOwnFields returns a copy of a message without the headers that Append writes from fields of their own.
+func withoutOwnFields(m *Message) *Message {
+	copied := *m
+	copied.Headers = nil
+	for _, header := range m.Headers {
+		switch header.Name {
+		case "call-id", "cseq", "content-length":
+		default:
+			copied.Headers = append(copied.Headers, header)
+		}
+	}
+	return &copied
+}
