sippool: an INVITE client transaction, a dialog and a connection with one job a file

Cause: one function of 100 lines held an attempt from its connection to its end, one file dialling, reading, writing and the watch for silent connections; names were not the field's.

Change: inviteTransaction has the states of RFC 3261's figure 5, one method a step, with cancelling as a step of its own; dialog is early, confirmed or terminated. The connection is apart into dialling, reading, writing and liveness, the run loop's delays are a backoff, the timeout for silent connections a type reportIntervals, lost releases a type releaseLosses, the recently ended calls with their mutex a type endedCalls. Contexts are passed on, not kept. The tests are in files by subject; new ones hold the states and the pure types.

Order of events, timing, counters, log lines and bytes are meant to be unchanged.

--- /dev/null
+++ b/internal/backend/sippool/cancel.go
@@ -0,0 +1,120 @@
+package sippool
+
+import (
+	"time"
+
+	"eidertrail/dispatch"
+	"eidertrail/internal/telemetry"
+)
+
+const (
+	// minTimeoutSilence is for how long nothing must have been received since an INVITE that times out for the connection
+	// to be at fault.
+	minTimeoutSilence = minUnresponsiveTimeout / 2
+	// partialMessageFault is how long ago the message that is being received must have begun for it to have stopped short
+	// when an INVITE times out.
+	partialMessageFault = 100 * time.Millisecond
+)
+
+// giveUp ends a transaction that timed out or whose caller has left, and returns the attempt's result.
+func (t *inviteTransaction) giveUp(outcome dispatch.Outcome) (dispatch.Leg, dispatch.Ending) {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	switch t.state {
+	case stateTerminated: // the result was there first
+		return (<-t.result).values()
+	case stateQueued: // never written, and enterCalling prevents that it is
+		t.terminate()
+		delete(t.connection.transactions, t.dialog.callID)
+		return nil, t.pool.set.endingNow(dispatch.NotSent)
+	}
+	t.state, t.cancelledAt = stateCancelling, t.pool.set.now()
+	t.pool.count(telemetry.Cancels)
+	if outcome == dispatch.TimedOut {
+		t.pool.count(telemetry.TimeOuts)
+		outcome = t.cancelTimedOut()
+	} else {
+		t.sendCancel()
+	}
+	return nil, t.pool.set.endingNow(outcome)
+}
+
+// cancelTimedOut cancels a transaction that timed out, and returns the attempt's outcome. On a connection that is at
+// fault every other message is lost too, a CANCEL included: there it releases the call on the next connection, whatever
+// the pool has made of it. The caller holds pool.mu.
+func (t *inviteTransaction) cancelTimedOut() dispatch.Outcome {
+	switch t.connectionFault() {
+	case faultSilent:
+		t.sendRelease()
+		t.connection.closeUnresponsive(t.sentAt)
+		return dispatch.TimedOut // the pool itself may hang
+	case faultSilentEstablished:
+		t.connection.unconfirmedSince = t.sentAt
+		t.sendCancel()
+		t.sendRelease()
+		return dispatch.TimedOut
+	case faultPartialMessage:
+		t.sendRelease()
+		t.connection.closeUnresponsive(t.sentAt)
+		// The connection has failed, not the pool, and a time-out would hold back a pool with free agents.
+		return dispatch.Reset
+	}
+	t.sendCancel()
+	return dispatch.TimedOut
+}
+
+// connectionFault is what is wrong with a connection on which an INVITE has timed out.
+type connectionFault int
+
+const (
+	// faultNone: one response is lost, or late.
+	faultNone connectionFault = iota
+	// faultSilent: nothing at all has been received since the INVITE was written.
+	faultSilent
+	// faultSilentEstablished is faultSilent where calls are established: they would be lost if the connection were closed
+	// before another one is open, which is the watcher's step.
+	faultSilentEstablished
+	// faultPartialMessage: a message has stopped short.
+	faultPartialMessage
+)
+
+func (f connectionFault) String() string {
+	switch f {
+	case faultNone:
+		return "none"
+	case faultSilent:
+		return "silent"
+	case faultSilentEstablished:
+		return "silent with established calls"
+	case faultPartialMessage:
+		return "partial message"
+	}
+	return "unknown"
+}
+
+// connectionFault returns the fault of the connection of a transaction that has timed out. The caller holds pool.mu.
+func (t *inviteTransaction) connectionFault() connectionFault {
+	c := t.connection
+	silent := c.lastReceived.Load() < t.sentAt && elapsed(t.sentAt, t.cancelledAt) >= minTimeoutSilence
+	partialSince := c.partialSince.Load()
+	switch {
+	case silent && partialSince == 0 && len(c.pool.established) > 0:
+		return faultSilentEstablished
+	case silent:
+		return faultSilent
+	case partialSince > 0 && elapsed(partialSince, t.cancelledAt) >= partialMessageFault:
+		return faultPartialMessage
+	}
+	return faultNone
+}
+
+// sendCancel sends a CANCEL. The caller holds pool.mu.
+func (t *inviteTransaction) sendCancel() {
+	t.connection.send(cancelRequest(t.pool.set.cfg.Name, t.dialog.callID, t.dialog.number))
+}
+
+// sendRelease sends a BYE for a call that the pool may have set up. The caller holds pool.mu.
+func (t *inviteTransaction) sendRelease() {
+	d := t.dialog
+	t.pool.sendRelease(d.callID, byeRequest(t.pool.set.cfg.Name, d.callID, d.number, dispatch.CauseNormal))
+}
