--- a/internal/backend/sip/characterization_test.go
+++ b/internal/backend/sip/characterization_test.go
@@ -42,8 +42,8 @@
 	want, have := strings.Split(string(recorded), "\n"), strings.Split(got, "\n")
 	for i := range max(len(want), len(have)) {
 		if i >= len(want) || i >= len(have) || want[i] != have[i] {
-			t.Fatalf("%s differs from line %d on:\nrecorded %q\nnow      %q", path, i+1, want[min(i, len(want)):min(i+3, len(want))],
-				have[min(i, len(have)):min(i+3, len(have))])
+			t.Fatalf("%s differs from line %d on:\nrecorded %q\nnow      %q", path, i+1,
+				want[min(i, len(want)):min(i+3, len(want))], have[min(i, len(have)):min(i+3, len(have))])
 		}
 	}
 }
@@ -63,11 +63,11 @@
 
 func number(v float64) string { return strconv.FormatFloat(v, 'g', -1, 64) }
 
-// fields tells what a message says, field by field.
+// fields returns a message in text, field by field.
 func fields(m *sip.Message) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "method %q uri %q status %d reason %q call-id %q cseq %d of %q cause %d\n", m.Method, m.URI, m.Status, m.Reason,
-		m.CallID, m.CSeq, m.Of, m.Cause())
+	fmt.Fprintf(&b, "method %q uri %q status %d reason %q call-id %q cseq %d of %q cause %d\n",
+		m.Method, m.URI, m.Status, m.Reason, m.CallID, m.CSeq, m.Of, m.Cause())
 	for _, h := range m.Headers {
 		fmt.Fprintf(&b, "header %q %q\n", h.Name, h.Value)
 	}
@@ -85,7 +85,7 @@
 	}))
 }
 
-// readAll reads the messages of a text, through a small buffer, until the connection is of no more use.
+// readAll reads the messages of a text, through a small buffer, until the connection cannot be used any longer.
 func readAll(text string) string {
 	var b strings.Builder
 	r := bufio.NewReaderSize(strings.NewReader(text), 16)
@@ -109,15 +109,20 @@
 func TestCharacterization_Read(t *testing.T) {
 	const end = "Content-Length: 0\r\n\r\n"
 	var b strings.Builder
-	for _, k := range []input{
-		{"invite", "\r\n\r\nINVITE sip:7f3a@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nFrom: <sip:a@net>\r\nTo: <sip:b@net>\r\nCall-ID: 9b1f\r\n" +
-			"CSeq: 1 INVITE\r\nSubject: voice\r\nX-Patience:1500\r\nContent-Length: 4\r\n\r\na\r\nb"},
+	for _, message := range []input{
+		{
+			"invite",
+			"\r\n\r\nINVITE sip:7f3a@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nFrom: <sip:a@net>\r\n" +
+				"To: <sip:b@net>\r\nCall-ID: 9b1f\r\nCSeq: 1 INVITE\r\nSubject: voice\r\nX-Patience:1500\r\n" +
+				"Content-Length: 4\r\n\r\na\r\nb",
+		},
 		{"compact names", "BYE x SIP/2.0\r\ni: 1\r\nv: a\r\nf: b\r\nt: c\r\ns: d\r\nl: 2\r\nCSeq: 2 BYE\r\n\r\nhi"},
 		{"names in upper case", "BYE x SIP/2.0\r\nCALL-ID: 1\r\nI: 2\r\nCSEQ: 2 BYE\r\nCONTENT-LENGTH: 0\r\n\r\n"},
 		{"bare line feeds", "BYE x SIP/2.0\nCall-ID: 1\nCSeq: 2 BYE\nContent-Length: 0\n\n"},
 		{"blanks", "BYE x SIP/2.0\r\nSubject \t:\t a  b \t\r\nReason:Q.850;cause=16\r\nCSeq: 2  BYE \r\n" + end},
 		{"blanks of Unicode", "BYE x SIP/2.0\r\nSubject: \u00a0voice\u3000\r\n" + end},
-		{"two of a header", "BYE x SIP/2.0\r\nReason: SIP;cause=200\r\nReason: Q.850;cause=16\r\nCall-ID: a\r\nCall-ID: b\r\n" + end},
+		{"two of a header", "BYE x SIP/2.0\r\nReason: SIP;cause=200\r\nReason: Q.850;cause=16\r\n" +
+			"Call-ID: a\r\nCall-ID: b\r\n" + end},
 		{"a value with colons", "BYE x SIP/2.0\r\nX: a:b: c\r\nY:\r\n" + end},
 		{"equal lengths", "BYE x SIP/2.0\r\nContent-Length: 2\r\nl: 2\r\n\r\nab"},
 		{"signed length", "BYE x SIP/2.0\r\nContent-Length: +2\r\n\r\nab"},
@@ -150,27 +155,45 @@
 		{"an answer without CSeq", "SIP/2.0 200 OK\r\nCall-ID: a\r\n" + end},
 		{"CSeq without a number", "SIP/2.0 200 OK\r\nCall-ID: a\r\nCSeq: INVITE\r\n" + end},
 		{"CSeq without a method", "BYE x SIP/2.0\r\nCall-ID: a\r\nCSeq: 1 \r\n" + end},
-		{"a header without a colon, and the next message", "NOTIFY x SIP/2.0\r\nno colon\r\n" + end + "BYE y SIP/2.0\r\n" + end},
+		{
+			"a header without a colon, and the next message",
+			"NOTIFY x SIP/2.0\r\nno colon\r\n" + end + "BYE y SIP/2.0\r\n" + end,
+		},
 		{"two faults: the latest is told", "NOTIFY x HTTP/1.1\r\nno colon\r\nCSeq: x\r\n" + end},
 		{"a body that stops short", "NOTIFY x SIP/2.0\r\nContent-Length: 4\r\n\r\nab"},
 		{"no body at all", "NOTIFY x SIP/2.0\r\nContent-Length: 4\r\n\r\n"},
 		{"a head that stops short", "NOTIFY x SIP/2.0\r\nConte"},
 		{"a first line that stops short", "NOTI"},
 	} {
-		fmt.Fprintf(&b, "=== %s\n%s\n%s", k.name, shortened(k.text), readAll(k.text))
+		fmt.Fprintf(&b, "=== %s\n%s\n%s", message.name, shortened(message.text), readAll(message.text))
 	}
 	compareFile(t, "read.txt", b.String())
 }
 
 func TestCharacterization_Written(t *testing.T) {
 	header := []sip.Header{{Name: "Via", Value: "SIP/2.0/TCP n0"}, {Name: "X-State", Value: ""}}
-	request := &sip.Message{Method: "BYE", URI: "sip:7f@net", CallID: "9b1f", CSeq: 2, Of: "BYE", Headers: append(slices.Clone(header),
-		sip.Header{Name: "via", Value: "a"}, sip.Header{Name: "from", Value: "b"}, sip.Header{Name: "to", Value: "c"},
-		sip.Header{Name: "subject", Value: "d"}, sip.Header{Name: "via", Value: "e"})}
+	request := &sip.Message{
+		Method: "BYE",
+		URI:    "sip:7f@net",
+		CallID: "9b1f",
+		CSeq:   2,
+		Of:     "BYE",
+		Headers: append(slices.Clone(header),
+			sip.Header{Name: "via", Value: "a"}, sip.Header{Name: "from", Value: "b"}, sip.Header{Name: "to", Value: "c"},
+			sip.Header{Name: "subject", Value: "d"}, sip.Header{Name: "via", Value: "e"}),
+	}
 	var b strings.Builder
-	for _, m := range []*sip.Message{
+	for _, message := range []*sip.Message{
 		{},
-		{Method: "INVITE", URI: "sip:7f@net", CallID: "9b1f", CSeq: 1, Of: "INVITE", Headers: header, Body: []byte("a\r\n\x00b")},
+		{
+			Method:  "INVITE",
+			URI:     "sip:7f@net",
+			CallID:  "9b1f",
+			CSeq:    1,
+			Of:      "INVITE",
+			Headers: header,
+			Body:    []byte("a\r\n\x00b"),
+		},
 		{Method: "ACK", URI: "sip:7f@net", Headers: header},
 		{Status: 200, Reason: "OK", CallID: "9b1f", CSeq: 1, Of: "INVITE"},
 		{Status: 503, CallID: "9b1f", CSeq: -1, Of: "Ø"},
@@ -179,7 +202,7 @@
 		sip.Answer(request, 501, "Not Implemented"),
 		sip.Answer(&sip.Message{}, 400, ""),
 	} {
-		fmt.Fprintf(&b, "%q\n", m.Append([]byte("before ")))
+		fmt.Fprintf(&b, "%q\n", message.Append([]byte("before ")))
 	}
 	compareFile(t, "written.txt", b.String())
 }
--- a/internal/backend/sip/sip_test.go
+++ b/internal/backend/sip/sip_test.go
@@ -126,8 +126,8 @@
 				t.Fatalf("a body of %d bytes", len(message.Body))
 			}
 			copied, err := read(string(withoutOwnFields(message).Append(nil)))
-			if err != nil || copied.Method != message.Method || copied.Status != message.Status || copied.CallID != message.CallID ||
-				string(copied.Body) != string(message.Body) {
+			if err != nil || copied.Method != message.Method || copied.Status != message.Status ||
+				copied.CallID != message.CallID || string(copied.Body) != string(message.Body) {
 				t.Fatalf("%+v became %+v, %v", message, copied, err)
 			}
 		}
