sippool: cancelling and withdrawing an INVITE are steps of their own

Cause: giveUp held the step to Cancelling and that from Queued to Terminated in its body.

Change: cancel and withdraw, named as the other steps are.

--- a/internal/backend/sippool/cancel.go
+++ b/internal/backend/sippool/cancel.go
@@ -23,20 +23,35 @@
 	switch t.state {
 	case stateTerminated: // the result was there first
 		return (<-t.result).values()
-	case stateQueued: // never written, and enterCalling prevents that it is
-		t.terminate()
-		delete(t.connection.transactions, t.dialog.callID)
+	case stateQueued:
+		t.withdraw()
 		return nil, t.pool.set.endingNow(dispatch.NotSent)
 	}
+	outcome = t.cancel(outcome)
+	return nil, t.pool.set.endingNow(outcome)
+}
+
+// withdraw is the step from Queued to Terminated: the INVITE has not been written, and enterCalling prevents that it
+// is. The caller holds pool.mu.
+func (t *inviteTransaction) withdraw() {
+	t.terminate()
+	delete(t.connection.transactions, t.dialog.callID)
+}
+
+// cancel is the step from Calling or Proceeding to Cancelling. It returns the attempt's outcome: the reason, or what is
+// known of the connection besides. The caller holds pool.mu.
+//
+// RFC 3261, section 9.1, has a CANCEL wait for a provisional response. Here it is sent at once: on the same connection
+// it cannot overtake its INVITE.
+func (t *inviteTransaction) cancel(reason dispatch.Outcome) dispatch.Outcome {
 	t.state, t.cancelledAt = stateCancelling, t.pool.set.now()
 	t.pool.count(telemetry.Cancels)
-	if outcome == dispatch.TimedOut {
-		t.pool.count(telemetry.TimeOuts)
-		outcome = t.cancelTimedOut()
-	} else {
+	if reason != dispatch.TimedOut {
 		t.sendCancel()
+		return reason
 	}
-	return nil, t.pool.set.endingNow(outcome)
+	t.pool.count(telemetry.TimeOuts)
+	return t.cancelTimedOut()
 }
 
 // cancelTimedOut cancels a transaction that timed out, and returns the attempt's outcome. On a connection that is at
--- a/internal/backend/sippool/transaction.go
+++ b/internal/backend/sippool/transaction.go
@@ -52,8 +52,8 @@
 // 3261, section 9.1).
 const cancelTimeout = 32 * time.Second
 
-// inviteTransaction is the INVITE client transaction of one attempt. Its methods are the steps between the states; all
-// of them but await and enterCalling are called with pool.mu held.
+// inviteTransaction is the INVITE client transaction of one attempt. Its methods are the steps between the states. They
+// are called with pool.mu held, except await, giveUp and enterCalling, which take it themselves.
 type inviteTransaction struct {
 	pool       *pool
 	dialog     *dialog // the dialog that the INVITE sets up
