sip, sippool: characterisation tests compare with internal/testing/recorded

Cause: the comparison stood in each of the two packages; sip had no test of the maximum size nor of which headers a response takes over.

Change: both use recorded.Compare, which is as strict: every byte of the file. New tests hold a message of the maximum size and one byte more, and the headers of a response.

--- a/internal/backend/sip/characterization_test.go
+++ b/internal/backend/sip/characterization_test.go
@@ -11,8 +11,6 @@
 	"bufio"
 	"errors"
 	"fmt"
-	"os"
-	"path/filepath"
 	"regexp"
 	"slices"
 	"strconv"
@@ -20,34 +18,9 @@
 	"testing"
 
 	"eidertrail/internal/backend/sip"
+	"eidertrail/internal/testing/recorded"
 )
 
-// compareFile compares got with a recorded file. With EIDERTRAIL_UPDATE=1 it writes the file.
-func compareFile(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", "characterization", name)
-	if os.Getenv("EIDERTRAIL_UPDATE") == "1" {
-		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	recorded, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	want, have := strings.Split(string(recorded), "\n"), strings.Split(got, "\n")
-	for i := range max(len(want), len(have)) {
-		if i >= len(want) || i >= len(have) || want[i] != have[i] {
-			t.Fatalf("%s differs from line %d on:\nrecorded %q\nnow      %q", path, i+1,
-				want[min(i, len(want)):min(i+3, len(want))], have[min(i, len(have)):min(i+3, len(have))])
-		}
-	}
-}
-
 // input is one recorded text.
 type input struct{ name, text string }
 
@@ -167,7 +140,7 @@
 	} {
 		fmt.Fprintf(&b, "=== %s\n%s\n%s", message.name, shortened(message.text), readAll(message.text))
 	}
-	compareFile(t, "read.txt", b.String())
+	recorded.Compare(t, "read.txt", b.String())
 }
 
 func TestCharacterization_Written(t *testing.T) {
@@ -204,7 +177,7 @@
 	} {
 		fmt.Fprintf(&b, "%q\n", message.Append([]byte("before ")))
 	}
-	compareFile(t, "written.txt", b.String())
+	recorded.Compare(t, "written.txt", b.String())
 }
 
 func TestCharacterization_CauseAndReport(t *testing.T) {
@@ -224,5 +197,5 @@
 		sip.Report(text, func(name string, value float64) { fmt.Fprintf(&b, " %q=%s", name, number(value)) })
 		b.WriteString("\n")
 	}
-	compareFile(t, "cause-and-report.txt", b.String())
+	recorded.Compare(t, "cause-and-report.txt", b.String())
 }
--- a/internal/backend/sip/sip_test.go
+++ b/internal/backend/sip/sip_test.go
@@ -3,7 +3,10 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 )
@@ -82,6 +85,37 @@
 	}
 }
 
+func TestRead_MaximumSize(t *testing.T) {
+	head := fmt.Sprintf("NOTIFY x SIP/2.0\r\nContent-Length: %d\r\n\r\n", MaxMessage-42)
+	size := MaxMessage - len(head)
+	text := strings.Replace(head, strconv.Itoa(MaxMessage-42), strconv.Itoa(size), 1) + strings.Repeat("x", size)
+	if m, err := read(text); err != nil || len(m.Body) != size {
+		t.Errorf("a message of the maximum size: %v", err)
+	}
+
+	text = strings.Replace(text, strconv.Itoa(size), strconv.Itoa(size+1), 1) + "x"
+	if _, err := read(text); !errors.Is(err, ErrFraming) {
+		t.Errorf("a message of one byte more: %v, want %v", err, ErrFraming)
+	}
+}
+
+func TestAnswer_HasTheHeadersThatIdentifyTheRequest(t *testing.T) {
+	request, err := read("BYE x SIP/2.0\r\nVia: a\r\nv: b\r\nf: c\r\nTo: d\r\nSubject: e\r\n" +
+		"Call-ID: 9b1f\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	response := Answer(request, 200, "OK")
+	want := []Header{{"via", "a"}, {"via", "b"}, {"from", "c"}, {"to", "d"}}
+	if !slices.Equal(response.Headers, want) {
+		t.Errorf("headers %v, want %v", response.Headers, want)
+	}
+	if response.Status != 200 || response.Reason != "OK" || response.CallID != "9b1f" || response.CSeq != 2 ||
+		response.Of != "BYE" || response.Method != "" {
+		t.Errorf("%+v", response)
+	}
+}
+
 func TestCause(t *testing.T) {
 	for value, want := range map[string]int{
 		"Q.850;cause=16":          16,
--- a/internal/backend/sippool/characterization_test.go
+++ b/internal/backend/sippool/characterization_test.go
@@ -17,6 +17,7 @@
 
 	"eidertrail/dispatch"
 	"eidertrail/internal/endpoint/endpointlist"
+	"eidertrail/internal/testing/recorded"
 )
 
 // dialog is one recorded dialog.
@@ -37,7 +38,7 @@
 	for _, d := range dialogs {
 		b.WriteString("=== " + d.name + "\n" + play(t, level, d.steps))
 	}
-	compareFile(t, file, b.String())
+	recorded.Compare(t, file, b.String())
 }
 
 // establish plays a set-up that the pool answers.
--- a/internal/backend/sippool/session_test.go
+++ b/internal/backend/sippool/session_test.go
@@ -5,8 +5,6 @@
 	"context"
 	"fmt"
 	"net"
-	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -436,29 +434,3 @@
 func notify(body string, headers ...string) string {
 	return message("NOTIFY sip:exchange@net SIP/2.0", "0000000000000000", "1 NOTIFY", body, headers...)
 }
-
-// compareFile compares got with a recorded file. With EIDERTRAIL_UPDATE=1 it writes the file.
-func compareFile(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", "characterization", name)
-	if os.Getenv("EIDERTRAIL_UPDATE") == "1" {
-		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	recorded, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	want, have := strings.Split(string(recorded), "\n"), strings.Split(got, "\n")
-	for i := range max(len(want), len(have)) {
-		if i >= len(want) || i >= len(have) || want[i] != have[i] {
-			t.Fatalf("%s differs from line %d on:\nrecorded %q\nnow      %q", path, i+1,
-				want[min(i, len(want)):min(i+3, len(want))], have[min(i, len(have)):min(i+3, len(have))])
-		}
-	}
-}
