--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -211,7 +211,7 @@
 
 // send sends a body to a member; the loop's callbacks use it.
 func (r *Runner) send(to int, body []byte) {
-	r.write(swim.Out{To: to, Message: swim.Message{
+	r.write(swim.Envelope{To: to, Message: swim.Message{
 		Kind: swim.User, From: r.cfg.Node.Self,
 		Incarnation: r.node.Incarnation(), Body: body,
 	}})
@@ -248,7 +248,7 @@
 	}
 }
 
-func (r *Runner) write(o swim.Out) {
+func (r *Runner) write(o swim.Envelope) {
 	b, err := o.Message.Append(make([]byte, 0, swim.MaxDatagram), r.fleet)
 	if err != nil {
 		r.cfg.Log.Error().Err(err).Msg("datagram not sent")
