gossip: protocols between the members register as Protocol; config, transport, runner

Cause: what rode on the gossip datagrams was three loose functions of gossip.Config, which cmd/eidertrail multiplexed itself, with the count and the log line of a bad message there.

Change: gossip.Protocol (MembersChanged, Receive, Tick) and Config.Protocols with ProtocolInterval; gossip offers a body to the protocols in order until one owns it, and counts and logs their errors as before. The leases and the state table of cmd/eidertrail implement it.

--- a/cmd/eidertrail/fleet.go
+++ b/cmd/eidertrail/fleet.go
@@ -11,22 +11,11 @@
 	"eidertrail/internal/fleet/gossip"
 	"eidertrail/internal/fleet/quota"
 	"eidertrail/internal/fleet/swim"
-	"eidertrail/internal/remedy"
 	"eidertrail/internal/telemetry"
 )
 
-// leasesEvery is how often shares of the fleet's budgets are asked for.
-const leasesEvery = 100_000
-
-// part is one of the protocols between the members. The gossip loop alone calls it; nothing may block.
-type part interface {
-	// members tells who is there, whenever that has changed.
-	members(now int64, members []swim.Member)
-	// receive takes a member's body, and tells whether it is this protocol's.
-	receive(now int64, from int, body []byte) (own bool, err error)
-	// every is called each leasesEvery, and sends what is due.
-	every(now int64, send func(to int, body []byte))
-}
+// protocolInterval is the time between two Ticks of the protocols between the members.
+const protocolInterval = 100 * time.Millisecond
 
 // join makes the controller a member of its fleet, and has the budgets that the fleet divides narrow what the
 // module may choose from.
@@ -35,24 +24,21 @@
 	cfg := gossip.Config{
 		Node: node, Listen: d.cfg.PeerListen, Peers: d.cfg.Peers, Fleet: fleet.Fleet,
 		Incarnation: uint64(started), Seed: d.cfg.Seed, Clock: d.clock, Log: log, Counters: d.count,
+		ProtocolInterval: protocolInterval,
 	}
-	var parts []part
 	var books *quota.SharedAllocator
 	var err error
 	if fleet.Budget != nil {
 		if books, err = quota.NewSharedAllocator(fleet.Budget.Allocator(node, uint32(started)), d.clock.Now()); err != nil {
 			return err
 		}
-		parts = append(parts, &leases{books: books, count: d.count})
+		cfg.Protocols = append(cfg.Protocols, &leases{books: books, count: d.count})
 	}
 	if fleet.Region != "" {
 		if d.word, err = newWord(node, fleet, uint64(started), d.cfg.Seed, d.clock.Now(), log, d.count); err != nil {
 			return err
 		}
-		parts = append(parts, d.word)
-	}
-	if len(parts) > 0 {
-		d.carry(&cfg, parts, log)
+		cfg.Protocols = append(cfg.Protocols, d.word)
 	}
 	if d.fleet, err = gossip.Start(ctx, cfg); err != nil {
 		return err
@@ -66,35 +52,7 @@
 	return nil
 }
 
-// carry has the gossip loop carry the parts' messages. A body that is none of theirs is another program's, which knows
-// more, and is passed over.
-func (d *daemon) carry(cfg *gossip.Config, parts []part, log zerolog.Logger) {
-	cfg.View = func(now int64, members []swim.Member) {
-		for _, p := range parts {
-			p.members(now, members)
-		}
-	}
-	cfg.Receive = func(now int64, from int, body []byte) {
-		for _, p := range parts {
-			own, err := p.receive(now, from, body)
-			if err != nil {
-				d.count.Add(telemetry.PeerBad)
-				log.Warn().Err(err).Int("member", from).Str("remedy", remedy.Of(err)).Msg("bad message of a member")
-			}
-			if own {
-				return
-			}
-		}
-	}
-	cfg.EveryMicros = leasesEvery
-	cfg.Every = func(now int64, send func(to int, body []byte)) {
-		for _, p := range parts {
-			p.every(now, send)
-		}
-	}
-}
-
-// leases are the fleet's budgets.
+// leases are the fleet's budgets, as a protocol of the gossip.
 type leases struct {
 	books   *quota.SharedAllocator
 	count   *telemetry.Counters
@@ -102,7 +60,8 @@
 	counted quota.Counts
 }
 
-func (l *leases) members(_ int64, members []swim.Member) { l.books.SetAlive(living(members)) }
+// MembersChanged implements gossip.Protocol.
+func (l *leases) MembersChanged(_ int64, members []swim.Member) { l.books.SetAlive(living(members)) }
 
 // living tells which members are held alive.
 func living(members []swim.Member) []bool {
@@ -113,7 +72,8 @@
 	return alive
 }
 
-func (l *leases) receive(now int64, from int, body []byte) (bool, error) {
+// Receive implements gossip.Protocol.
+func (l *leases) Receive(now int64, from int, body []byte) (bool, error) {
 	if !quota.IsMessage(body) {
 		return false, nil
 	}
@@ -122,7 +82,8 @@
 	return true, err
 }
 
-func (l *leases) every(now int64, send func(to int, body []byte)) {
+// Tick implements gossip.Protocol.
+func (l *leases) Tick(now int64, send gossip.Send) {
 	for _, o := range append(l.answers, l.books.Tick(now)...) {
 		send(o.To, o.Body)
 	}
--- a/cmd/eidertrail/word.go
+++ b/cmd/eidertrail/word.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"eidertrail/internal/config"
+	"eidertrail/internal/fleet/gossip"
 	"eidertrail/internal/fleet/statetable"
 	"eidertrail/internal/fleet/swim"
 	"eidertrail/internal/telemetry"
@@ -41,9 +42,11 @@
 // Regions are the members' regions as they are known now, by number, "" where one is not.
 func (w *word) Regions() []string { return *w.regions.Load() }
 
-func (w *word) members(_ int64, members []swim.Member) { w.table.SetAlive(living(members)) }
+// MembersChanged implements gossip.Protocol.
+func (w *word) MembersChanged(_ int64, members []swim.Member) { w.table.SetAlive(living(members)) }
 
-func (w *word) receive(now int64, from int, body []byte) (bool, error) {
+// Receive implements gossip.Protocol.
+func (w *word) Receive(now int64, from int, body []byte) (bool, error) {
 	if !statetable.IsMessage(body) {
 		return false, nil
 	}
@@ -75,7 +78,8 @@
 	w.log.Info().Int("member", c.Origin).Str("region", region).Msg("member region")
 }
 
-func (w *word) every(now int64, send func(to int, body []byte)) {
+// Tick implements gossip.Protocol.
+func (w *word) Tick(now int64, send gossip.Send) {
 	for _, o := range append(w.owed, w.table.Tick(now)...) {
 		send(o.To, o.Body)
 	}
--- a/internal/fleet/gossip/characterization_test.go
+++ b/internal/fleet/gossip/characterization_test.go
@@ -66,14 +66,14 @@
 	fleetName = "characterization"
 	// self is the member that runs; 0 and 2 are the test's.
 	self = 1
-	// patience bounds the wait for a datagram that must come.
-	patience = 20 * time.Second
+	// receiveTimeout bounds the wait for a datagram that must come.
+	receiveTimeout = 20 * time.Second
 )
 
-// standingClock always tells the same time: nothing comes due but what is due at once.
-type standingClock struct{}
+// fixedClock always returns the same time: nothing comes due but what is due at once.
+type fixedClock struct{}
 
-func (standingClock) Now() int64 { return 1_000_000 }
+func (fixedClock) Now() int64 { return 1_000_000 }
 
 // peer is a member that the test plays.
 type peer struct {
@@ -90,14 +90,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { conn.Close() })
+	t.Cleanup(func() { _ = conn.Close() })
 	return &peer{t: t, name: name, conn: conn, text: text}
 }
 
 // read writes down the next datagram that comes, and returns what it says.
 func (p *peer) read(what string) swim.Message {
 	p.t.Helper()
-	if err := p.conn.SetReadDeadline(time.Now().Add(patience)); err != nil {
+	if err := p.conn.SetReadDeadline(time.Now().Add(receiveTimeout)); err != nil {
 		p.t.Fatal(err)
 	}
 	buffer := make([]byte, 2*swim.MaxDatagram)
@@ -134,27 +134,33 @@
 	return b
 }
 
-// heard is what the member's loop tells its user; it is read once the loop has ended.
-type heard struct {
+// recordingProtocol writes down what the member's loop calls it with; it is read once the loop has ended.
+type recordingProtocol struct {
 	text strings.Builder
 	log  bytes.Buffer
 }
 
-func (h *heard) receive(now int64, from int, body []byte) {
-	fmt.Fprintf(&h.text, "receive at %d from %d: %x\n", now, from, body)
+func (p *recordingProtocol) Receive(now int64, from int, body []byte) (bool, error) {
+	fmt.Fprintf(&p.text, "receive at %d from %d: %x\n", now, from, body)
+	return true, nil
 }
 
-func (h *heard) view(now int64, members []swim.Member) {
-	fmt.Fprintf(&h.text, "view at %d:", now)
+func (p *recordingProtocol) Tick(_ int64, send gossip.Send) {
+	send(0, []byte("every"))
+	send(2, make([]byte, swim.MaxBody+1)) // too long: it is logged, and not sent
+}
+
+func (p *recordingProtocol) MembersChanged(now int64, members []swim.Member) {
+	fmt.Fprintf(&p.text, "view at %d:", now)
 	for _, m := range members {
-		fmt.Fprintf(&h.text, " %s %d", stateWord(m.State), m.Incarnation)
+		fmt.Fprintf(&p.text, " %s %d", stateName(m.State), m.Incarnation)
 	}
-	h.text.WriteString("\n")
+	p.text.WriteString("\n")
 }
 
-// stateWord is this test's own word for a state.
-func stateWord(s swim.State) string {
-	switch s {
+// stateName is this test's own name of a state.
+func stateName(state swim.State) string {
+	switch state {
 	case swim.Unknown:
 		return "unknown"
 	case swim.Alive:
@@ -166,7 +172,7 @@
 	case swim.Left:
 		return "left"
 	}
-	return fmt.Sprintf("state-%d", uint8(s))
+	return fmt.Sprintf("state-%d", uint8(state))
 }
 
 // A member starts, probes, answers, relays, hands bodies on, refutes, suspects, passes over what makes no sense, and
@@ -174,19 +180,15 @@
 func TestCharacterization_MemberOnASocket(t *testing.T) {
 	var written strings.Builder
 	first, third := newPeer(t, "member-0", &written), newPeer(t, "member-2", &written)
-	told := &heard{}
+	protocol := &recordingProtocol{}
 	counters := &telemetry.Counters{}
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	runner, err := gossip.Start(ctx, gossip.Config{
 		Node: swim.Default(self, 3), Listen: "127.0.0.1:0", Fleet: fleetName,
 		Peers:       []string{first.conn.LocalAddr().String(), "127.0.0.1:1", third.conn.LocalAddr().String()},
-		Incarnation: 1000, Seed: 7, Clock: standingClock{}, Log: zerolog.New(&told.log), Counters: counters,
-		Receive: told.receive, View: told.view, EveryMicros: 3_600_000_000,
-		Every: func(_ int64, send func(int, []byte)) {
-			send(0, []byte("every"))
-			send(2, make([]byte, swim.MaxBody+1)) // too long: it is logged, and not sent
-		},
+		Incarnation: 1000, Seed: 7, Clock: fixedClock{}, Log: zerolog.New(&protocol.log), Counters: counters,
+		Protocols: []gossip.Protocol{protocol}, ProtocolInterval: time.Hour,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -239,9 +241,10 @@
 	runner.Wait()
 	compareRecorded(t, "datagrams.txt", written.String())
 
-	log := strings.NewReplacer(first.conn.LocalAddr().String(), "ADDRESS-OF-0").Replace(told.log.String())
-	text := told.text.String() + log
-	for _, c := range []struct {
+	log := strings.NewReplacer(first.conn.LocalAddr().String(), "ADDRESS-OF-0").Replace(protocol.log.String())
+	var text strings.Builder
+	text.WriteString(protocol.text.String() + log)
+	for _, row := range []struct {
 		name    string
 		counter telemetry.Counter
 	}{
@@ -253,13 +256,13 @@
 		{"suspected", telemetry.MembersSuspected},
 		{"died", telemetry.MembersDied},
 	} {
-		text += fmt.Sprintf("%s %d\n", c.name, counters.Get(c.counter))
+		fmt.Fprintf(&text, "%s %d\n", row.name, counters.Get(row.counter))
 	}
-	text += fmt.Sprintf("health %d\n", runner.Health())
-	compareRecorded(t, "told.txt", text)
+	fmt.Fprintf(&text, "health %d\n", runner.Health())
+	compareRecorded(t, "told.txt", text.String())
 }
 
-// sendMalformed sends datagrams that are passed over.
+// sendMalformed sends datagrams that are rejected.
 func sendMalformed(t *testing.T, from *peer) {
 	t.Helper()
 	ping := swim.Message{Kind: swim.Ping, From: 0, Incarnation: 500, Seq: 99, Target: self}
@@ -280,7 +283,7 @@
 // What a member that cannot start says.
 func TestCharacterization_StartErrors(t *testing.T) {
 	var text strings.Builder
-	for _, c := range []struct {
+	for _, test := range []struct {
 		name   string
 		change func(c *gossip.Config)
 	}{
@@ -291,13 +294,13 @@
 	} {
 		config := gossip.Config{
 			Node: swim.Default(0, 2), Listen: "127.0.0.1:0", Peers: []string{"127.0.0.1:1", "127.0.0.1:2"},
-			Clock: standingClock{}, Counters: &telemetry.Counters{}, Log: zerolog.Nop(),
+			Clock: fixedClock{}, Counters: &telemetry.Counters{}, Log: zerolog.Nop(),
 		}
-		c.change(&config)
+		test.change(&config)
 		if _, err := gossip.Start(t.Context(), config); err != nil {
-			fmt.Fprintf(&text, "%s: %s\n", c.name, err.Error())
+			fmt.Fprintf(&text, "%s: %s\n", test.name, err.Error())
 		} else {
-			t.Errorf("%s: it started", c.name)
+			t.Errorf("%s: it started", test.name)
 		}
 	}
 	compareRecorded(t, "start-errors.txt", text.String())
