--- a/internal/fleet/swim/characterization_codec_test.go
+++ b/internal/fleet/swim/characterization_codec_test.go
@@ -29,7 +29,8 @@
 		{Member: 511, State: swim.Dead, Incarnation: math.MaxUint64, From: 510},
 		{Member: 256, State: swim.Left, Incarnation: 1 << 63, From: 256},
 	}
-	var many []swim.Update
+	outOfRange := []swim.Update{{Member: 65535, State: 255, Incarnation: 1, From: 65535}}
+	many := make([]swim.Update, 0, swim.MaxUpdates+2)
 	for i := range swim.MaxUpdates + 2 {
 		many = append(many, swim.Update{Member: i, State: swim.Alive, Incarnation: uint64(i) << 33, From: i + 1})
 	}
@@ -53,7 +54,7 @@
 		{"gossip-most-updates-of-more", with(head(swim.Gossip), many, "")},
 		{"user-most-body", with(head(swim.User), nil, strings.Repeat("b", swim.MaxBody))},
 		{"user-updates-beside-body", with(head(swim.User), updates, strings.Repeat("b", swim.MaxBody-2*13-5))},
-		{"state-of-no-program", with(head(swim.Gossip), []swim.Update{{Member: 65535, State: 255, Incarnation: 1, From: 65535}}, "")},
+		{"state-of-no-program", with(head(swim.Gossip), outOfRange, "")},
 	}
 }
 
@@ -141,24 +142,24 @@
 // The recorded datagrams, as read today.
 func TestCharacterization_DatagramsRead(t *testing.T) {
 	var text strings.Builder
-	for _, d := range recordedBytes(t, "datagrams.txt") {
-		m, err := swim.Parse(d.bytes, fleetNumber)
+	for _, recorded := range recordedBytes(t, "datagrams.txt") {
+		message, err := swim.Parse(recorded.bytes, fleetNumber)
 		if err != nil {
 			if !errors.Is(err, swim.ErrDatagram) {
-				t.Errorf("%s: %v is not the error of a datagram", d.name, err)
+				t.Errorf("%s: %v is not the error of a datagram", recorded.name, err)
 			}
-			fmt.Fprintf(&text, "%s error: %v\n", d.name, err)
+			fmt.Fprintf(&text, "%s error: %v\n", recorded.name, err)
 			continue
 		}
-		fmt.Fprintf(&text, "%s kind %s from %d incarnation %d seq %d target %d", d.name, kindWord(m.Kind), m.From,
-			m.Incarnation, m.Seq, m.Target)
-		for _, u := range m.Updates {
-			fmt.Fprintf(&text, " update %d %s %d by %d", u.Member, stateWord(u.State), u.Incarnation, u.From)
+		fmt.Fprintf(&text, "%s kind %s from %d incarnation %d seq %d target %d", recorded.name,
+			kindName(message.Kind), message.From, message.Incarnation, message.Seq, message.Target)
+		for _, u := range message.Updates {
+			fmt.Fprintf(&text, " update %d %s %d by %d", u.Member, stateName(u.State), u.Incarnation, u.From)
 		}
-		fmt.Fprintf(&text, " body %x\n", m.Body)
-		again, err := m.Append(nil, fleetNumber)
-		if err != nil || d.name != "odd-fewer-updates-than-bytes" && !bytes.Equal(again, d.bytes) {
-			t.Errorf("%s: written again as %x, %v", d.name, again, err)
+		fmt.Fprintf(&text, " body %x\n", message.Body)
+		reencoded, err := message.Append(nil, fleetNumber)
+		if err != nil || recorded.name != "odd-fewer-updates-than-bytes" && !bytes.Equal(reencoded, recorded.bytes) {
+			t.Errorf("%s: written again as %x, %v", recorded.name, reencoded, err)
 		}
 	}
 	compareRecorded(t, "readings.txt", text.String())
@@ -183,9 +184,9 @@
 	return all
 }
 
-// kindWord is this test's own word for a kind.
-func kindWord(k swim.Kind) string {
-	switch k {
+// kindName is this test's own name of a kind.
+func kindName(kind swim.Kind) string {
+	switch kind {
 	case swim.Ping:
 		return "ping"
 	case swim.Ack:
@@ -199,5 +200,5 @@
 	case swim.User:
 		return "user"
 	}
-	return fmt.Sprintf("kind-%d", uint8(k))
+	return fmt.Sprintf("kind-%d", uint8(kind))
 }
--- a/internal/fleet/swim/characterization_network_test.go
+++ b/internal/fleet/swim/characterization_network_test.go
@@ -78,6 +78,7 @@
 func uncut(int, int) bool { return false }
 
 func newNetwork(t *testing.T, record *recording, members int, seed uint64, odd bool) *network {
+	t.Helper()
 	n := &network{
 		t: t, rng: rand.New(rand.NewPCG(seed, 99)), now: second, members: members, odd: odd,
 		processes: make([]process, members), maxDelay: 11_000, cut: uncut, record: record, disturbAt: 6 * second,
@@ -95,7 +96,7 @@
 		n.t.Fatal(err)
 	}
 	n.processes[member] = process{node: node, pingReqAt: n.now}
-	n.record.word("start")
+	n.record.text("start")
 	n.record.number(int64(member))
 	n.take(member)
 }
@@ -103,37 +104,37 @@
 // take puts what a member wants sent on the network, and records it and the changes.
 func (n *network) take(member int) {
 	n.t.Helper()
-	p := &n.processes[member]
-	out, changes := p.node.Take()
+	taken := &n.processes[member]
+	out, changes := taken.node.Take()
 	for _, change := range changes {
-		n.record.word("change")
+		n.record.text("change")
 		n.record.number(int64(change.Member))
-		n.record.word(stateWord(change.Previous))
-		n.record.word(stateWord(change.Current))
+		n.record.text(stateName(change.Previous))
+		n.record.text(stateName(change.Current))
 		n.record.unsigned(change.Incarnation)
 	}
-	for _, o := range out {
-		b, err := o.Message.Append(nil, fleetNumber)
+	for _, envelope := range out {
+		encoded, err := envelope.Append(nil, fleetNumber)
 		if err != nil {
 			n.t.Fatal(err)
 		}
-		n.record.word("out")
-		n.record.number(int64(o.To))
-		n.record.data(b)
-		n.send(member, o.To, b)
+		n.record.text("out")
+		n.record.number(int64(envelope.To))
+		n.record.data(encoded)
+		n.send(member, envelope.To, encoded)
 	}
-	p.next = p.node.Next()
+	taken.next = taken.node.Next()
 	n.record.number(n.now)
-	n.record.number(p.next)
-	if p.crashAt > 0 {
-		p.next = max(p.next, n.now+leavingTick)
+	n.record.number(taken.next)
+	if taken.crashAt > 0 {
+		taken.next = max(taken.next, n.now+leavingTick)
 	}
-	n.record.number(int64(p.node.Health()))
-	n.record.unsigned(p.node.Incarnation())
+	n.record.number(int64(taken.node.Health()))
+	n.record.unsigned(taken.node.Incarnation())
 }
 
 // send loses, doubles, spoils and delays.
-func (n *network) send(from, to int, b []byte) {
+func (n *network) send(from, recipient int, b []byte) {
 	copies := 1
 	if n.rng.Float64() < n.duplicate {
 		copies = 2
@@ -141,14 +142,14 @@
 	for range copies {
 		lost := n.rng.Float64() < n.loss
 		delay := 1500 + n.rng.Int64N(n.maxDelay)
-		if lost || n.cut(from, to) {
+		if lost || n.cut(from, recipient) {
 			continue
 		}
 		arriving := bytes.Clone(b)
 		if n.rng.Float64() < n.corrupt {
 			arriving[n.rng.IntN(len(arriving))] ^= 1 << n.rng.IntN(8)
 		}
-		n.push(n.now+delay, to, arriving)
+		n.push(n.now+delay, recipient, arriving)
 	}
 }
 
@@ -196,7 +197,7 @@
 		n.disturb()
 		return
 	}
-	n.record.word("tick")
+	n.record.text("tick")
 	n.record.number(int64(member))
 	n.processes[member].node.Tick(n.now)
 	n.take(member)
@@ -206,54 +207,54 @@
 }
 
 // arrive hands a datagram to its member, or holds it back while the member is stopped.
-func (n *network) arrive(d datagram) {
+func (n *network) arrive(arriving datagram) {
 	n.t.Helper()
-	p := &n.processes[d.to]
-	n.record.word("arrive")
-	n.record.number(int64(d.to))
-	if p.node == nil {
-		n.record.word("nobody listens")
+	receiver := &n.processes[arriving.to]
+	n.record.text("arrive")
+	n.record.number(int64(arriving.to))
+	if receiver.node == nil {
+		n.record.text("nobody listens")
 		return
 	}
-	if p.stoppedUntil > n.now {
-		n.push(p.stoppedUntil, d.to, d.bytes)
+	if receiver.stoppedUntil > n.now {
+		n.push(receiver.stoppedUntil, arriving.to, arriving.bytes)
 		return
 	}
-	message, err := swim.Parse(d.bytes, fleetNumber)
+	message, err := swim.Parse(arriving.bytes, fleetNumber)
 	if err != nil {
-		n.record.word("rejected")
+		n.record.text("rejected")
 		return
 	}
 	if message.Kind == swim.PingReq {
-		if n.now < p.pingReqAt+pingReqsApart {
-			n.push(p.pingReqAt+pingReqsApart, d.to, d.bytes)
+		if n.now < receiver.pingReqAt+pingReqsApart {
+			n.push(receiver.pingReqAt+pingReqsApart, arriving.to, arriving.bytes)
 			return
 		}
-		p.pingReqAt = n.now
-		p.nacksDue = append(p.nacksDue, n.now+nackAfter)
+		receiver.pingReqAt = n.now
+		receiver.nacksDue = append(receiver.nacksDue, n.now+nackAfter)
 	}
-	p.node.Tick(n.now)
-	p.node.Receive(n.now, message)
-	n.take(d.to)
+	receiver.node.Tick(n.now)
+	receiver.node.Receive(n.now, message)
+	n.take(arriving.to)
 }
 
 // stop stops a process for so long.
 func (n *network) stop(member int, duration int64) {
-	p := &n.processes[member]
-	if p.stoppedUntil <= n.now {
-		p.nacksDue = slices.DeleteFunc(p.nacksDue, func(at int64) bool { return at < n.now })
+	stopped := &n.processes[member]
+	if stopped.stoppedUntil <= n.now {
+		stopped.nacksDue = slices.DeleteFunc(stopped.nacksDue, func(at int64) bool { return at < n.now })
 	}
-	until := max(p.stoppedUntil, n.now+duration)
+	until := max(stopped.stoppedUntil, n.now+duration)
 	due := 0
-	for _, at := range p.nacksDue {
+	for _, at := range stopped.nacksDue {
 		if at <= until {
 			due++
 		}
 	}
 	if due > 1 {
-		until = max(until, p.nacksDue[0]+detectedStall)
+		until = max(until, stopped.nacksDue[0]+detectedStall)
 	}
-	p.stoppedUntil = until
+	stopped.stoppedUntil = until
 }
 
 // disturb changes the network, or what becomes of a process.
@@ -261,9 +262,9 @@
 	n.t.Helper()
 	n.disturbAt = n.now + second/2 + n.rng.Int64N(5*second)
 	member, other := n.rng.IntN(n.members), n.rng.IntN(n.members)
-	p := &n.processes[member]
+	disturbed := &n.processes[member]
 	kind := n.rng.IntN(14)
-	n.record.word("disturb")
+	n.record.text("disturb")
 	n.record.number(int64(kind))
 	switch kind {
 	case 0, 1, 2: // the network is well
@@ -285,20 +286,20 @@
 	case 10:
 		n.stop(member, second+n.rng.Int64N(40*second))
 	case 11: // a crash, or the start of one that has crashed
-		if p.node != nil {
-			p.node = nil
+		if disturbed.node != nil {
+			disturbed.node = nil
 			return
 		}
 		n.start(member, uint64(n.now))
 	case 12: // a restart at once, half of them by a clock that was set back
 		n.start(member, []uint64{uint64(n.now), 500}[n.rng.IntN(2)])
 	case 13:
-		if p.node == nil {
+		if disturbed.node == nil {
 			n.start(member, uint64(n.now))
-		} else if p.stoppedUntil <= n.now {
-			p.node.Tick(n.now)
-			p.node.Leave(n.now)
-			p.crashAt = n.now + 200_000
+		} else if disturbed.stoppedUntil <= n.now {
+			disturbed.node.Tick(n.now)
+			disturbed.node.Leave(n.now)
+			disturbed.crashAt = n.now + 200_000
 			n.take(member)
 		}
 	}
@@ -351,11 +352,11 @@
 	for i := range n.processes {
 		node := n.processes[i].node
 		if node == nil {
-			n.record.word("crashed")
+			n.record.text("crashed")
 			continue
 		}
 		for _, member := range node.View() {
-			n.record.word(stateWord(member.State))
+			n.record.text(stateName(member.State))
 			n.record.unsigned(member.Incarnation)
 			n.record.number(member.Since)
 		}
--- a/internal/fleet/swim/characterization_test.go
+++ b/internal/fleet/swim/characterization_test.go
@@ -81,7 +81,7 @@
 	r.sum.Write(b)
 }
 
-func (r *recording) word(s string) { r.data([]byte(s)) }
+func (r *recording) text(s string) { r.data([]byte(s)) }
 
 // event counts an input, and notes the digest after each tenth of the run.
 func (r *recording) event(total int) {
@@ -91,9 +91,9 @@
 	}
 }
 
-// stateWord is this test's own word for a state.
-func stateWord(s swim.State) string {
-	switch s {
+// stateName is this test's own name of a state.
+func stateName(state swim.State) string {
+	switch state {
 	case swim.Unknown:
 		return "unknown"
 	case swim.Alive:
@@ -105,12 +105,12 @@
 	case swim.Left:
 		return "left"
 	}
-	return fmt.Sprintf("state-%d", uint8(s))
+	return fmt.Sprintf("state-%d", uint8(state))
 }
 
 func TestCharacterization_MembershipDigests(t *testing.T) {
 	var lines strings.Builder
-	for _, c := range []struct {
+	for _, test := range []struct {
 		name            string
 		members, events int
 		seed            uint64
@@ -122,14 +122,14 @@
 		{"forty-members", 40, 20_000, 4, false},
 		{"nine-members-odd-messages", 9, 25_000, 5, true},
 	} {
-		record := newRecording(c.name)
-		played := newNetwork(t, record, c.members, c.seed, c.odd)
-		played.run(c.events)
+		record := newRecording(test.name)
+		played := newNetwork(t, record, test.members, test.seed, test.odd)
+		played.run(test.events)
 		lines.WriteString(record.lines.String())
 		total := played.totals()
 		t.Logf("%s: %d s; of the processes that run at the end: "+
 			"%d deaths, %d indirect probes, %d refutations, %d stalls",
-			c.name, played.now/second, total.Deaths, total.Indirect, total.Refutations, total.Stalls)
+			test.name, played.now/second, total.Deaths, total.Indirect, total.Refutations, total.Stalls)
 	}
 	compareRecorded(t, "digests.txt", lines.String())
 }
--- a/internal/fleet/swim/codec.go
+++ b/internal/fleet/swim/codec.go
@@ -85,7 +85,7 @@
 	if err := checkDatagram(b, fleet); err != nil {
 		return Message{}, err
 	}
-	m := Message{
+	message := Message{
 		Kind:        Kind(b[offsetKind]),
 		From:        int(binary.BigEndian.Uint16(b[offsetFrom:])),
 		Target:      int(binary.BigEndian.Uint16(b[offsetTarget:])),
@@ -97,11 +97,11 @@
 		return Message{}, fmt.Errorf("%w: %d updates in %d bytes", ErrDatagram, updates, len(rest))
 	}
 	for range updates {
-		m.Updates = append(m.Updates, parseUpdate(rest))
+		message.Updates = append(message.Updates, parseUpdate(rest))
 		rest = rest[updateSize:]
 	}
-	m.Body = rest
-	return m, nil
+	message.Body = rest
+	return message, nil
 }
 
 // checkDatagram checks all that can be checked before the fields are read.
--- a/internal/fleet/swim/codec_test.go
+++ b/internal/fleet/swim/codec_test.go
@@ -9,8 +9,8 @@
 const codecFleetID = 5
 
 // encodeFull returns a message with more updates than fit, and its datagram.
-func encodeFull(t testing.TB) (Message, []byte) {
-	t.Helper()
+func encodeFull(tb testing.TB) (Message, []byte) {
+	tb.Helper()
 	full := Message{Kind: Ack, From: 3, Incarnation: 1 << 60, Seq: 77, Target: 255}
 	for i := range MaxUpdates + 3 {
 		full.Updates = append(full.Updates, Update{
@@ -22,7 +22,7 @@
 	}
 	b, err := full.Append([]byte("before"), codecFleetID)
 	if err != nil || len(b)-len("before") > MaxDatagram {
-		t.Fatalf("%d bytes, %v", len(b)-len("before"), err)
+		tb.Fatalf("%d bytes, %v", len(b)-len("before"), err)
 	}
 	return full, b[len("before"):]
 }
--- a/internal/fleet/swim/fleet_test.go
+++ b/internal/fleet/swim/fleet_test.go
@@ -53,10 +53,10 @@
 	return last
 }
 
-func newTestFleet(t testing.TB, members int, seed uint64) *testFleet {
-	t.Helper()
+func newTestFleet(tb testing.TB, members int, seed uint64) *testFleet {
+	tb.Helper()
 	fleet := &testFleet{
-		t:            t,
+		t:            tb,
 		cfg:          Default(0, members),
 		rng:          rand.New(rand.NewPCG(seed, 1)),
 		now:          second,
@@ -186,12 +186,23 @@
 	}
 }
 
-// eachSize runs a test with fleets of several sizes and seeds.
-func eachSize(t *testing.T, test func(t *testing.T, members int, seed uint64)) {
-	t.Helper()
-	for _, members := range []int{3, 5, 9} {
-		for seed := range uint64(5) {
-			t.Run(fmt.Sprintf("%d members, seed %d", members, seed), func(t *testing.T) { test(t, members, seed) })
+// fleetSize is the size of a fleet to test, and the seed of its network.
+type fleetSize struct {
+	members int
+	seed    uint64
+}
+
+func (s fleetSize) String() string { return fmt.Sprintf("%d members, seed %d", s.members, s.seed) }
+
+// fleetSizes are several sizes, with several seeds each.
+func fleetSizes() []fleetSize {
+	const seeds = 5
+	members := []int{3, 5, 9}
+	sizes := make([]fleetSize, 0, len(members)*seeds)
+	for _, members := range members {
+		for seed := range uint64(seeds) {
+			sizes = append(sizes, fleetSize{members: members, seed: seed})
 		}
 	}
+	return sizes
 }
--- a/internal/fleet/swim/fuzz_test.go
+++ b/internal/fleet/swim/fuzz_test.go
@@ -64,25 +64,25 @@
 	}
 }
 
-func checkSent(t testing.TB, node *Node) {
-	t.Helper()
+func checkSent(tb testing.TB, node *Node) {
+	tb.Helper()
 	out, _ := node.Take()
 	for _, envelope := range out {
 		encoded, err := envelope.Append(nil, testFleetID)
 		if err != nil || len(encoded) > MaxDatagram || envelope.To == 0 {
-			t.Fatalf("to %d, %d bytes, %v", envelope.To, len(encoded), err)
+			tb.Fatalf("to %d, %d bytes, %v", envelope.To, len(encoded), err)
 		}
 	}
 }
 
-func checkView(t testing.TB, before, after []Member) {
-	t.Helper()
+func checkView(tb testing.TB, before, after []Member) {
+	tb.Helper()
 	for i, m := range after {
 		if m.Incarnation < before[i].Incarnation {
-			t.Fatalf("member %d went from incarnation %d to %d", i, before[i].Incarnation, m.Incarnation)
+			tb.Fatalf("member %d went from incarnation %d to %d", i, before[i].Incarnation, m.Incarnation)
 		}
 	}
 	if after[0].State != Alive {
-		t.Fatalf("holds itself %v", after[0].State)
+		tb.Fatalf("holds itself %v", after[0].State)
 	}
 }
--- a/internal/fleet/swim/member.go
+++ b/internal/fleet/swim/member.go
@@ -75,24 +75,24 @@
 }
 
 // transition brings another member into the state of a claim, and passes the claim on.
-func (n *Node) transition(now int64, u Update) {
-	m := &n.members[u.Member]
-	if m.State != u.State || m.Incarnation != u.Incarnation {
+func (n *Node) transition(now int64, claim Update) {
+	held := &n.members[claim.Member]
+	if held.State != claim.State || held.Incarnation != claim.Incarnation {
 		n.changes = append(n.changes, Change{
-			Member:      u.Member,
-			Previous:    m.State,
-			Current:     u.State,
-			Incarnation: u.Incarnation,
+			Member:      claim.Member,
+			Previous:    held.State,
+			Current:     claim.State,
+			Incarnation: claim.Incarnation,
 		})
 	}
-	*m = member{
-		Member:    Member{State: u.State, Incarnation: u.Incarnation, Since: now},
-		claimedBy: u.From,
+	*held = member{
+		Member:    Member{State: claim.State, Incarnation: claim.Incarnation, Since: now},
+		claimedBy: claim.From,
 	}
-	if u.State == Suspect {
-		m.suspicion = newSuspicion(now)
+	if claim.State == Suspect {
+		held.suspicion = newSuspicion(now)
 	}
-	n.broadcasts.enqueue(u)
+	n.broadcasts.enqueue(claim)
 }
 
 // refute answers a claim about this node itself that contradicts its state: with a higher incarnation it is alive.
--- a/internal/fleet/swim/node.go
+++ b/internal/fleet/swim/node.go
@@ -152,25 +152,25 @@
 
 // Receive handles a message. One from a number that is no other member's is ignored, and so is an update that is
 // invalid.
-func (n *Node) Receive(now int64, m Message) {
-	if !n.isMember(m.From) || m.From == n.cfg.Self {
+func (n *Node) Receive(now int64, message Message) {
+	if !n.isMember(message.From) || message.From == n.cfg.Self {
 		return
 	}
-	n.apply(now, Update{Member: m.From, State: Alive, Incarnation: m.Incarnation, From: m.From})
-	for _, u := range m.Updates {
-		if n.isMember(u.Member) && u.State < stateCount {
-			n.apply(now, u)
+	n.apply(now, Update{Member: message.From, State: Alive, Incarnation: message.Incarnation, From: message.From})
+	for _, update := range message.Updates {
+		if n.isMember(update.Member) && update.State < stateCount {
+			n.apply(now, update)
 		}
 	}
-	switch m.Kind {
+	switch message.Kind {
 	case Ping:
-		n.receivePing(m)
+		n.receivePing(message)
 	case PingReq:
-		n.receivePingReq(now, m)
+		n.receivePingReq(now, message)
 	case Ack:
-		n.receiveAck(m)
+		n.receiveAck(message)
 	case Nack:
-		n.receiveNack(m)
+		n.receiveNack(message)
 	case Gossip, User: // the updates are all that concerns the membership
 	}
 }
--- a/internal/fleet/swim/node_test.go
+++ b/internal/fleet/swim/node_test.go
@@ -3,34 +3,38 @@
 import "testing"
 
 func TestNode_StartIsKnownEverywhereAtOnce(t *testing.T) {
-	eachSize(t, func(t *testing.T, members int, seed uint64) {
-		fleet := newTestFleet(t, members, seed)
+	for _, size := range fleetSizes() {
+		t.Run(size.String(), func(t *testing.T) {
+			fleet := newTestFleet(t, size.members, size.seed)
 
-		fleet.run(second / 10)
+			fleet.run(second / 10)
 
-		for i := range members {
-			fleet.requireHeld(i, "alive")
-		}
-	})
+			for i := range size.members {
+				fleet.requireHeld(i, "alive")
+			}
+		})
+	}
 }
 
 func TestNode_CrashIsDetectedWithinTheDetectionTime(t *testing.T) {
-	eachSize(t, func(t *testing.T, members int, seed uint64) {
-		fleet := newTestFleet(t, members, seed)
-		fleet.run(20 * second)
-		fleet.forbidDeaths()
-
-		fleet.nodes[1] = nil
-		fleet.run(fleet.cfg.DetectionTime())
-		fleet.requireHeld(1, "dead")
-
-		fleet.start(1, 2000) // and it comes back
-		fleet.run(second)
-		fleet.requireHeld(1, "alive")
-		if v := fleet.nodes[0].View()[1]; v.Incarnation < 2000 {
-			t.Errorf("incarnation %d, want the new process's", v.Incarnation)
-		}
-	})
+	for _, size := range fleetSizes() {
+		t.Run(size.String(), func(t *testing.T) {
+			fleet := newTestFleet(t, size.members, size.seed)
+			fleet.run(20 * second)
+			fleet.forbidDeaths()
+
+			fleet.nodes[1] = nil
+			fleet.run(fleet.cfg.DetectionTime())
+			fleet.requireHeld(1, "dead")
+
+			fleet.start(1, 2000) // and it comes back
+			fleet.run(second)
+			fleet.requireHeld(1, "alive")
+			if v := fleet.nodes[0].View()[1]; v.Incarnation < 2000 {
+				t.Errorf("incarnation %d, want the new process's", v.Incarnation)
+			}
+		})
+	}
 }
 
 // With nobody to request indirect probes from, a crash is still detected soon: the member that is left does not take
@@ -89,90 +93,98 @@
 }
 
 func TestNode_PacketLossDeclaresNobodyDead(t *testing.T) {
-	eachSize(t, func(t *testing.T, members int, seed uint64) {
-		fleet := newTestFleet(t, members, seed)
-		fleet.run(5 * second)
-
-		fleet.loss = 0.2
-		fleet.forbidDeaths()
-		fleet.run(300 * second)
-
-		for i := range members {
-			if got := fleet.heldStates(i); got != "alive" && got != "alive suspect" && got != "suspect" {
-				t.Errorf("member %d is held %s", i, got)
+	for _, size := range fleetSizes() {
+		t.Run(size.String(), func(t *testing.T) {
+			fleet := newTestFleet(t, size.members, size.seed)
+			fleet.run(5 * second)
+
+			fleet.loss = 0.2
+			fleet.forbidDeaths()
+			fleet.run(300 * second)
+
+			for i := range size.members {
+				if got := fleet.heldStates(i); got != "alive" && got != "alive suspect" && got != "suspect" {
+					t.Errorf("member %d is held %s", i, got)
+				}
 			}
-		}
-	})
+		})
+	}
 }
 
 func TestNode_OneWayPartitionDeclaresNobodyDead(t *testing.T) {
-	eachSize(t, func(t *testing.T, members int, seed uint64) {
-		fleet := newTestFleet(t, members, seed)
-		fleet.run(5 * second)
-
-		fleet.forbidDeaths()
-		fleet.cut = func(from, to int) bool { return from == 0 && to == 1 }
-		fleet.run(120 * second)
-
-		fleet.requireHeld(1, "alive")
-		fleet.requireHeld(0, "alive")
-		if fleet.nodes[0].Counts().Indirect == 0 {
-			t.Error("nobody was requested to probe")
-		}
-	})
+	for _, size := range fleetSizes() {
+		t.Run(size.String(), func(t *testing.T) {
+			fleet := newTestFleet(t, size.members, size.seed)
+			fleet.run(5 * second)
+
+			fleet.forbidDeaths()
+			fleet.cut = func(from, to int) bool { return from == 0 && to == 1 }
+			fleet.run(120 * second)
+
+			fleet.requireHeld(1, "alive")
+			fleet.requireHeld(0, "alive")
+			if fleet.nodes[0].Counts().Indirect == 0 {
+				t.Error("nobody was requested to probe")
+			}
+		})
+	}
 }
 
 func TestNode_ProcessStalls(t *testing.T) {
-	eachSize(t, func(t *testing.T, members int, seed uint64) {
-		fleet := newTestFleet(t, members, seed)
-		fleet.run(10 * second)
-		fleet.forbidDeaths()
-
-		stall := fleet.cfg.suspicionTimeout(members).shortest * 3 / 4 // shorter than any suspicion lasts
-		fleet.stop(1, stall)
-		fleet.run(stall + 30*second)
-		fleet.requireHeld(1, "alive")
-
-		before := fleet.nodes[1].Incarnation()
-		falselyDead := 0
-		fleet.onChange = func(_ int, change Change, _ *Node) {
-			if change.Current == Dead && change.Member != 1 {
-				falselyDead++
+	for _, size := range fleetSizes() {
+		t.Run(size.String(), func(t *testing.T) {
+			fleet := newTestFleet(t, size.members, size.seed)
+			fleet.run(10 * second)
+			fleet.forbidDeaths()
+
+			stall := fleet.cfg.suspicionTimeout(size.members).shortest * 3 / 4 // shorter than any suspicion lasts
+			fleet.stop(1, stall)
+			fleet.run(stall + 30*second)
+			fleet.requireHeld(1, "alive")
+
+			before := fleet.nodes[1].Incarnation()
+			falselyDead := 0
+			fleet.onChange = func(_ int, change Change, _ *Node) {
+				if change.Current == Dead && change.Member != 1 {
+					falselyDead++
+				}
 			}
-		}
-		stall = 2 * fleet.cfg.DetectionTime()
-		fleet.stop(1, stall)
-		fleet.run(stall)
-		fleet.requireHeld(1, "dead")
-		fleet.run(10 * second) // it continues, learns that it was declared dead, and refutes it
-		fleet.requireHeld(1, "alive")
-		stalled := fleet.nodes[1]
-		if falselyDead > 0 || stalled.Incarnation() <= before || stalled.Counts().Stalls == 0 {
-			t.Errorf("%d of the others declared dead, incarnation %d after %d, %d stalls",
-				falselyDead, stalled.Incarnation(), before, stalled.Counts().Stalls)
-		}
-	})
+			stall = 2 * fleet.cfg.DetectionTime()
+			fleet.stop(1, stall)
+			fleet.run(stall)
+			fleet.requireHeld(1, "dead")
+			fleet.run(10 * second) // it continues, learns that it was declared dead, and refutes it
+			fleet.requireHeld(1, "alive")
+			stalled := fleet.nodes[1]
+			if falselyDead > 0 || stalled.Incarnation() <= before || stalled.Counts().Stalls == 0 {
+				t.Errorf("%d of the others declared dead, incarnation %d after %d, %d stalls",
+					falselyDead, stalled.Incarnation(), before, stalled.Counts().Stalls)
+			}
+		})
+	}
 }
 
 func TestNode_PartitionHeals(t *testing.T) {
-	eachSize(t, func(t *testing.T, members int, seed uint64) {
-		fleet := newTestFleet(t, members, seed)
-		fleet.run(5 * second)
-
-		fleet.cut = func(from, to int) bool { return from%2 != to%2 }
-		fleet.run(2 * fleet.cfg.DetectionTime())
-		for i, m := range fleet.nodes[0].View() {
-			if want := map[int]State{0: Alive, 1: Dead}[i%2]; m.State != want {
-				t.Errorf("member 0 holds %d %v, want %v", i, m.State, want)
+	for _, size := range fleetSizes() {
+		t.Run(size.String(), func(t *testing.T) {
+			fleet := newTestFleet(t, size.members, size.seed)
+			fleet.run(5 * second)
+
+			fleet.cut = func(from, to int) bool { return from%2 != to%2 }
+			fleet.run(2 * fleet.cfg.DetectionTime())
+			for i, m := range fleet.nodes[0].View() {
+				if want := map[int]State{0: Alive, 1: Dead}[i%2]; m.State != want {
+					t.Errorf("member 0 holds %d %v, want %v", i, m.State, want)
+				}
 			}
-		}
 
-		fleet.cut = func(int, int) bool { return false }
-		fleet.run(60 * second)
-		for i := range members {
-			fleet.requireHeld(i, "alive")
-		}
-	})
+			fleet.cut = func(int, int) bool { return false }
+			fleet.run(60 * second)
+			for i := range size.members {
+				fleet.requireHeld(i, "alive")
+			}
+		})
+	}
 }
 
 func TestNode_Leave(t *testing.T) {
--- a/internal/fleet/swim/probe.go
+++ b/internal/fleet/swim/probe.go
@@ -83,13 +83,13 @@
 				return target, true
 			}
 		}
-		*round = n.drawRound(*round)
+		*round = n.newRound(*round)
 	}
 	return 0, false
 }
 
-// drawRound appends all other members to a round that is over, in random order.
-func (n *Node) drawRound(round []int) []int {
+// newRound appends all other members to a round that is over, in random order.
+func (n *Node) newRound(round []int) []int {
 	for i := range n.members {
 		if i != n.cfg.Self {
 			round = append(round, i)
@@ -99,8 +99,8 @@
 	return round
 }
 
-// drawAlive returns up to count members that are alive, other than the target, in random order.
-func (n *Node) drawAlive(count, target int) []int {
+// randomAlive returns up to count members that are alive, other than the target, in random order.
+func (n *Node) randomAlive(count, target int) []int {
 	candidates := make([]int, 0, len(n.members))
 	for i := range n.members {
 		if i != n.cfg.Self && i != target && n.members[i].State == Alive {
@@ -128,7 +128,7 @@
 // requestIndirectProbes has other members ping the target.
 func (n *Node) requestIndirectProbes() {
 	n.probe.goIndirect()
-	for _, to := range n.drawAlive(n.cfg.Indirect, n.probe.target) {
+	for _, to := range n.randomAlive(n.cfg.Indirect, n.probe.target) {
 		n.counts.Indirect++
 		n.probe.requested++
 		n.send(to, Message{Kind: PingReq, Seq: n.probe.seq, Target: n.probe.target})
--- a/internal/fleet/swim/probe_test.go
+++ b/internal/fleet/swim/probe_test.go
@@ -3,24 +3,24 @@
 import "testing"
 
 // startedProbe returns the one of two or more members that has just pinged another.
-func startedProbe(t testing.TB, members int) *Node {
-	t.Helper()
+func startedProbe(tb testing.TB, members int) *Node {
+	tb.Helper()
 	node, err := New(Default(0, members), 1, 1, 0)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	for other := 1; other < members; other++ {
 		node.Receive(0, Message{Kind: Gossip, From: other, Incarnation: 1})
 	}
 	node.Tick(0)
-	requireProbe(t, node, probeDirect)
+	requireProbe(tb, node, probeDirect)
 	return node
 }
 
-func requireProbe(t testing.TB, node *Node, want probeState) {
-	t.Helper()
+func requireProbe(tb testing.TB, node *Node, want probeState) {
+	tb.Helper()
 	if node.probe.state != want {
-		t.Fatalf("probe is %v, want %v", node.probe.state, want)
+		tb.Fatalf("probe is %v, want %v", node.probe.state, want)
 	}
 }
 
--- a/internal/fleet/swim/timeline_test.go
+++ b/internal/fleet/swim/timeline_test.go
@@ -16,13 +16,17 @@
 // TestTimelines plays the scripts of testdata/timelines: members N, kill I, start I, stop I for a while, leave I, cut
 // I>J (or I<>J), lose N%, heal, end. The pictures show when a member's state changes as another holds it.
 func TestTimelines(t *testing.T) {
-	timeline.Run(t, "testdata/timelines/*.txtar", func(t *testing.T, steps []timeline.Step) string {
-		player := &timelinePlayer{t: t, cuts: timeline.Cuts{}}
-		for _, step := range steps {
-			player.play(step)
-		}
-		return player.draw()
-	})
+	timeline.Run(t, "testdata/timelines/*.txtar", playTimeline)
+}
+
+// playTimeline plays a script, and returns its picture.
+func playTimeline(t *testing.T, steps []timeline.Step) string {
+	t.Helper()
+	player := &timelinePlayer{t: t, cuts: timeline.Cuts{}}
+	for _, step := range steps {
+		player.play(step)
+	}
+	return player.picture()
 }
 
 // timelinePlayer plays a script on a fleet.
@@ -123,7 +127,7 @@
 	p.events = append(p.events, timeline.Event{At: p.fleet.now - second, Node: member, Text: text})
 }
 
-func (p *timelinePlayer) draw() string {
+func (p *timelinePlayer) picture() string {
 	names := make([]string, len(p.fleet.nodes))
 	for i := range names {
 		names[i] = fmt.Sprintf("member %d", i)
