--- a/internal/endpoint/endpointlist/characterization_test.go
+++ b/internal/endpoint/endpointlist/characterization_test.go
@@ -20,8 +20,6 @@
 	"hash"
 	"math/rand/v2"
 	"net"
-	"os"
-	"path/filepath"
 	"regexp"
 	"strconv"
 	"strings"
@@ -35,34 +33,9 @@
 	"eidertrail/internal/clock"
 	"eidertrail/internal/endpoint/endpointlist"
 	"eidertrail/internal/telemetry"
+	"eidertrail/internal/testing/recorded"
 )
 
-// compareFile compares got with a recorded file. With EIDERTRAIL_UPDATE=1 it writes the file.
-func compareFile(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", "characterization", name)
-	if os.Getenv("EIDERTRAIL_UPDATE") == "1" {
-		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	recorded, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	want, have := strings.Split(string(recorded), "\n"), strings.Split(got, "\n")
-	for i := range max(len(want), len(have)) {
-		if i >= len(want) || i >= len(have) || want[i] != have[i] {
-			t.Fatalf("%s differs from line %d on:\nrecorded %q\nnow      %q", path, i+1, want[min(i, len(want)):min(i+3, len(want))],
-				have[min(i, len(have)):min(i+3, len(have))])
-		}
-	}
-}
-
 func stateText(s endpointlist.State) string {
 	switch s {
 	case endpointlist.Up:
@@ -131,7 +104,7 @@
 			}
 		}
 	})
-	compareFile(t, "documents.txt", b.String())
+	recorded.Compare(t, "documents.txt", b.String())
 }
 
 // exchange is one answer of the long poll's other side, byte for byte. With hold the connection is kept open and silent
@@ -331,7 +304,7 @@
 		t.Run(strings.TrimSuffix(k.file, ".txt"), func(t *testing.T) {
 			t.Parallel()
 			got := watched(t, known(t, k.known), k.answers...)
-			compareFile(t, k.file, strings.ReplaceAll(got, strings.Repeat(" ", 1<<20+1), "{over 1 MiB of blanks}"))
+			recorded.Compare(t, k.file, strings.ReplaceAll(got, strings.Repeat(" ", 1<<20+1), "{over 1 MiB of blanks}"))
 		})
 	}
 }
@@ -354,7 +327,7 @@
 			Log:     zerolog.New(log),
 			Deliver: func(endpointlist.Event) {},
 		})
-		compareFile(t, name, fixed(log.text))
+		recorded.Compare(t, name, fixed(log.text))
 	}
 }
 
@@ -448,5 +421,5 @@
 			fmt.Fprintf(&digests, "told-in-order-%d %d %s\n", block, told, hex.EncodeToString(sum.Sum(nil)))
 		})
 	}
-	compareFile(t, "told-in-order.txt", digests.String())
+	recorded.Compare(t, "told-in-order.txt", digests.String())
 }
--- a/internal/endpoint/endpointset/characterization_test.go
+++ b/internal/endpoint/endpointset/characterization_test.go
@@ -16,6 +16,7 @@
 
 	"eidertrail/internal/endpoint/endpointset"
 	"eidertrail/internal/remedy"
+	"eidertrail/internal/testing/recorded"
 )
 
 const (
@@ -148,7 +149,7 @@
 	w.set.AddName(w.name(), w.random.IntN(3), [...]string{"", "batumi"}[w.random.IntN(2)])
 }
 
-func (w *world) changeConfig(results *digest) {
+func (w *world) changeConfig(results *recorded.Digest) {
 	if !w.changesConfig {
 		return
 	}
@@ -156,7 +157,7 @@
 		StaleFor: w.random.Int64N(20*second) - second, DrainFor: w.random.Int64N(8*second) - second/2,
 		Tombstone: w.random.Int64N(10*second) - second/2, MaxRecords: w.random.IntN(6), MaxEndpoints: w.random.IntN(10),
 	}
-	results.flag(w.set.SetConfig(c) == nil)
+	results.Flag(w.set.SetConfig(c) == nil)
 }
 
 func (w *world) advance() {
@@ -184,82 +185,82 @@
 }
 
 // step plays one random step and notes what the set then holds.
-func (w *world) step(results *digest) {
+func (w *world) step(results *recorded.Digest) {
 	w.pass()
-	playOne(w.random, []weighted{
-		{20, w.updateRecords},
-		{14, w.updateList},
-		{3, w.redeclareName},
-		{1, func() { w.set.RemoveName(w.name()) }},
-		{12, w.changeBusy},
-		{45, w.advance},
-		{2, func() { w.set.Advance(w.now, nil) }},
-		{1, func() { w.changeConfig(results) }},
+	recorded.PlayOne(w.random, []recorded.WeightedStep{
+		{Weight: 20, Play: w.updateRecords},
+		{Weight: 14, Play: w.updateList},
+		{Weight: 3, Play: w.redeclareName},
+		{Weight: 1, Play: func() { w.set.RemoveName(w.name()) }},
+		{Weight: 12, Play: w.changeBusy},
+		{Weight: 45, Play: w.advance},
+		{Weight: 2, Play: func() { w.set.Advance(w.now, nil) }},
+		{Weight: 1, Play: func() { w.changeConfig(results) }},
 	})
-	results.number(w.now)
-	results.number(w.set.Next())
+	results.Number(w.now)
+	results.Number(w.set.Next())
 	if w.chance(0.9) {
 		view, changed := w.set.View(w.now)
 		w.view = view
-		results.flag(changed)
+		results.Flag(changed)
 	}
 	w.note(results)
 }
 
-func (w *world) note(results *digest) {
-	results.flag(w.set.Draining())
+func (w *world) note(results *recorded.Digest) {
+	results.Flag(w.set.Draining())
 	for _, name := range w.set.Names() {
-		results.text(name)
+		results.Text(name)
 	}
-	results.number(int64(len(w.view)))
+	results.Number(int64(len(w.view)))
 	for _, endpoint := range w.view {
 		noteEndpoint(results, endpoint)
 	}
 	ordered := slices.Clone(w.view)
 	endpointset.Order(ordered)
 	for _, endpoint := range ordered {
-		results.text(endpoint.Address)
+		results.Text(endpoint.Address)
 	}
-	results.text(endpointset.Describe(w.view))
+	results.Text(endpointset.Describe(w.view))
 	counts := w.set.Counts()
 	for _, n := range []uint64{
 		counts.Conflicts, counts.Expired, counts.Vanished, counts.Dropped, counts.Drained, counts.StaleServed,
 	} {
-		results.number(int64(n))
+		results.Number(int64(n))
 	}
 }
 
-func noteEndpoint(results *digest, endpoint endpointset.Endpoint) {
-	results.text(endpoint.UID)
-	results.text(endpoint.Address)
-	results.number(int64(endpoint.Group))
-	results.text(endpoint.Zone)
-	results.number(endpoint.StartedAt)
-	results.number(int64(endpoint.Priority))
-	results.number(int64(endpoint.Weight))
+func noteEndpoint(results *recorded.Digest, endpoint endpointset.Endpoint) {
+	results.Text(endpoint.UID)
+	results.Text(endpoint.Address)
+	results.Number(int64(endpoint.Group))
+	results.Text(endpoint.Zone)
+	results.Number(endpoint.StartedAt)
+	results.Number(int64(endpoint.Priority))
+	results.Number(int64(endpoint.Weight))
 	switch endpoint.State {
 	case endpointset.Up:
-		results.text("up")
+		results.Text("up")
 	case endpointset.Draining:
-		results.text("draining")
+		results.Text("draining")
 	case endpointset.Removed:
-		results.text("removed")
+		results.Text("removed")
 	default:
-		results.text("another state")
+		results.Text("another state")
 	}
-	results.text(endpoint.Sources)
+	results.Text(endpoint.Sources)
 }
 
 func TestCharacterization_PoolSet(t *testing.T) {
 	var got strings.Builder
 	for i, s := range scenarios() {
 		w := newWorld(t, s, uint64(i+1))
-		got.WriteString(digestInTenths(strings.ReplaceAll(s.name, " ", "-"), 10_000, w.step))
+		got.WriteString(recorded.DigestInTenths(strings.ReplaceAll(s.name, " ", "-"), 10_000, w.step))
 		c := w.set.Counts()
 		t.Logf("%s: conflicts %d, expired %d, vanished %d, dropped %d, drained %d, served stale %d",
 			s.name, c.Conflicts, c.Expired, c.Vanished, c.Dropped, c.Drained, c.StaleServed)
 	}
-	compareWithRecorded(t, "pool-set.txt", got.String())
+	recorded.Compare(t, "pool-set.txt", got.String())
 }
 
 func TestCharacterization_StateWords(t *testing.T) {
@@ -269,7 +270,7 @@
 	} {
 		fmt.Fprintln(&got, s.String())
 	}
-	compareWithRecorded(t, "state-words.txt", got.String())
+	recorded.Compare(t, "state-words.txt", got.String())
 }
 
 func TestCharacterization_ConfigErrors(t *testing.T) {
@@ -293,7 +294,7 @@
 		got.WriteString(errorLine("new, "+test.name, err))
 		got.WriteString(errorLine("bounds, "+test.name, set.SetConfig(test.config)))
 	}
-	compareWithRecorded(t, "config-errors.txt", got.String())
+	recorded.Compare(t, "config-errors.txt", got.String())
 }
 
 // errorLine is a case's line in the recorded file: its name, what the error says, and what the operator can do.
--- a/internal/endpoint/liveness/characterization_test.go
+++ b/internal/endpoint/liveness/characterization_test.go
@@ -14,6 +14,7 @@
 	"testing"
 
 	"eidertrail/internal/endpoint/liveness"
+	"eidertrail/internal/testing/recorded"
 )
 
 const (
@@ -154,28 +155,28 @@
 }
 
 // step plays one random step and records which endpoints are then silent.
-func (w *world) step(results *digest) {
-	playOne(w.random, []weighted{
-		{700, w.reportNext},
-		{200, w.wake},
-		{80, func() { w.now += w.random.Int64N(20 * millisecond) }},
-		{8, w.change},
-		{4, w.odd},
+func (w *world) step(results *recorded.Digest) {
+	recorded.PlayOne(w.random, []recorded.WeightedStep{
+		{Weight: 700, Play: w.reportNext},
+		{Weight: 200, Play: w.wake},
+		{Weight: 80, Play: func() { w.now += w.random.Int64N(20 * millisecond) }},
+		{Weight: 8, Play: w.change},
+		{Weight: 4, Play: w.odd},
 	})
-	results.number(w.now)
-	results.number(w.monitor.Next(w.now))
+	results.Number(w.now)
+	results.Number(w.monitor.Next(w.now))
 	silent := w.monitor.Silent(w.now)
-	results.flag(silent == nil)
-	results.number(int64(len(silent)))
+	results.Flag(silent == nil)
+	results.Number(int64(len(silent)))
 	var uids []string
 	for _, endpoint := range w.endpoints {
-		results.flag(silent[endpoint.uid])
-		results.flag(w.monitor.IsSilent(w.now, endpoint.uid))
+		results.Flag(silent[endpoint.uid])
+		results.Flag(w.monitor.IsSilent(w.now, endpoint.uid))
 		if silent[endpoint.uid] {
 			uids = append(uids, endpoint.uid)
 		}
 	}
-	results.flag(w.monitor.IsSilent(w.now, "nobody"))
+	results.Flag(w.monitor.IsSilent(w.now, "nobody"))
 	if now := strings.Join(uids, " "); now != w.silent {
 		w.silent = now
 		w.changes++
@@ -186,10 +187,10 @@
 	var got strings.Builder
 	for i, s := range scenarios() {
 		w := newWorld(s, uint64(i+1))
-		got.WriteString(digestInTenths(strings.ReplaceAll(s.name, " ", "-"), 20_000, w.step))
+		got.WriteString(recorded.DigestInTenths(strings.ReplaceAll(s.name, " ", "-"), 20_000, w.step))
 		t.Logf("%s: the silent pools changed %d times in %d s", s.name, w.changes, w.now/second)
 	}
-	compareWithRecorded(t, "silence.txt", got.String())
+	recorded.Compare(t, "silence.txt", got.String())
 }
 
 // silentPeriod is from when and until when an endpoint was silent.
@@ -234,5 +235,5 @@
 		period := silentPeriodOf(rhythm * millisecond)
 		fmt.Fprintf(&got, "%d %d %d\n", rhythm*millisecond, period.from, period.until)
 	}
-	compareWithRecorded(t, "held-out-for.txt", got.String())
+	recorded.Compare(t, "held-out-for.txt", got.String())
 }
--- a/internal/endpoint/srv/characterization_test.go
+++ b/internal/endpoint/srv/characterization_test.go
@@ -15,8 +15,6 @@
 	"fmt"
 	"io"
 	"net"
-	"os"
-	"path/filepath"
 	"regexp"
 	"slices"
 	"strconv"
@@ -29,34 +27,9 @@
 
 	"eidertrail/internal/endpoint/endpointset"
 	"eidertrail/internal/endpoint/srv"
+	"eidertrail/internal/testing/recorded"
 )
 
-// compareFile compares got with a recorded file. With EIDERTRAIL_UPDATE=1 it writes the file.
-func compareFile(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", "characterization", name)
-	if os.Getenv("EIDERTRAIL_UPDATE") == "1" {
-		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	recorded, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	want, have := strings.Split(string(recorded), "\n"), strings.Split(got, "\n")
-	for i := range max(len(want), len(have)) {
-		if i >= len(want) || i >= len(have) || want[i] != have[i] {
-			t.Fatalf("%s differs from line %d on:\nrecorded %q\nnow      %q", path, i+1, want[min(i, len(want)):min(i+3, len(want))],
-				have[min(i, len(have)):min(i+3, len(have))])
-		}
-	}
-}
-
 const poolsName = "_sip._tcp.G1.pools.example.org"
 
 // masked is a question's bytes in hex, its random id (the first two bytes) masked.
@@ -323,7 +296,7 @@
 	}
 	fmt.Fprintf(&b, "=== a name with the final dot\n%s", lookUp(t, answeredWithin, 0, poolsName+".", always(full)))
 	fmt.Fprintf(&b, "=== a name that cannot be\n%s", lookUp(t, answeredWithin, 0, strings.Repeat("x", 64)+".org", always(full)))
-	compareFile(t, "look-up.txt", b.String())
+	recorded.Compare(t, "look-up.txt", b.String())
 }
 
 // Answers as read, without a server.
@@ -382,7 +355,7 @@
 		fmt.Fprintf(&b, "=== %s\n%s", k.name, readText(question, reply))
 	}
 	fmt.Fprintf(&b, "=== none\n%s", errorText(srv.Check(question, nil)))
-	compareFile(t, "answers.txt", b.String())
+	recorded.Compare(t, "answers.txt", b.String())
 }
 
 // readText is what is read of a reply.
@@ -429,5 +402,5 @@
 			fmt.Fprintf(&b, "retry after %d at %s: %d\n", failures, number(u), s.Retry(failures, u))
 		}
 	}
-	compareFile(t, "schedule.txt", b.String())
+	recorded.Compare(t, "schedule.txt", b.String())
 }
--- a/internal/fleet/quota/characterization_test.go
+++ b/internal/fleet/quota/characterization_test.go
@@ -17,8 +17,12 @@
 	"testing"
 
 	"eidertrail/internal/fleet/quota"
+	"eidertrail/internal/testing/recorded"
 )
 
+// messagesFile is the recorded file with the encoded messages.
+const messagesFile = "messages.txt"
+
 func TestCharacterization_AllocatorDigests(t *testing.T) {
 	var lines strings.Builder
 	for _, test := range []struct {
@@ -33,7 +37,7 @@
 		{"five-members-spoilt-messages", 5, 4, 15_000, 1000, 250, 3, true},
 		{"nine-members-more-wholes-than-kept", 9, 80, 15_000, 100, 0, 4, true},
 	} {
-		record := newRecording(test.name)
+		record := recorded.NewSeries(test.name+"/%d-of-10", test.events)
 		config := quota.Config{
 			Members:  test.members,
 			Unit:     test.unit,
@@ -46,33 +50,33 @@
 		if total := test.members * test.unit; !test.corrupting && w.maxInUse > total {
 			t.Errorf("%s: %d of %d units in force", test.name, w.maxInUse, total)
 		}
-		lines.WriteString(record.lines.String())
+		lines.WriteString(record.Lines())
 		t.Logf("%s: %d s, at most %d of %d units in force", test.name, w.now/1_000_000, w.maxInUse, test.members*test.unit)
 	}
-	compareRecorded(t, "digests.txt", lines.String())
+	recorded.Compare(t, "digests.txt", lines.String())
 }
 
 func TestCharacterization_TokenBucketDigests(t *testing.T) {
-	record := newRecording("meter")
+	const events = 20_000
+	record := recorded.NewSeries("meter/%d-of-10", events)
 	rng := rand.New(rand.NewPCG(4, 4))
 	var bucket quota.TokenBucket
 	now := startOfTime
-	const events = 20_000
 	for range events {
 		now += []int64{0, 1, 1000, 20_000, 5_000_000, -700}[rng.IntN(6)]
 		rate := []float64{0, 0.1, 7, 33.3, 1000}[rng.IntN(5)]
 		burst := []float64{0, 1, 2.5, 64}[rng.IntN(4)]
 		if bucket.Ready(now, rate, burst) {
-			record.text("ready")
+			record.Text("ready")
 			if rng.IntN(2) == 0 {
-				record.text("take")
+				record.Text("take")
 				bucket.Take()
 			}
 		}
-		record.number(bucket.Next(rate))
-		record.event(events)
+		record.Number(bucket.Next(rate))
+		record.Step()
 	}
-	compareRecorded(t, "meter.txt", record.lines.String())
+	recorded.Compare(t, "meter.txt", record.Lines())
 }
 
 const poolName = "pool-a"
@@ -106,7 +110,7 @@
 }
 
 // writtenMessages has allocators write a message of each type: two requests, their grants, and a return.
-func writtenMessages(t *testing.T) []namedBytes {
+func writtenMessages(t *testing.T) []recorded.Body {
 	t.Helper()
 	borrower, lender := newAllocator(t, 0, 0xABCD), newAllocator(t, 1, 1)
 	now := 2 * leaseLength
@@ -128,57 +132,60 @@
 	long := newAllocator(t, 0, math.MaxUint32)
 	long.SetAlive([]bool{true, true, false})
 	long.Demand(now, strings.Repeat("n", quota.MaxNameLength), math.MaxInt)
-	return []namedBytes{
-		{"ask", requests[0].Body},
-		{"ask-of-another-member", requests[1].Body},
-		{"grant", grant},
-		{"grant-of-nothing", emptyGrant},
-		{"return", returned},
-		{"ask-longest-name", only(t, long.Tick(now), nil)},
+	return []recorded.Body{
+		{Name: "ask", Bytes: requests[0].Body},
+		{Name: "ask-of-another-member", Bytes: requests[1].Body},
+		{Name: "grant", Bytes: grant},
+		{Name: "grant-of-nothing", Bytes: emptyGrant},
+		{Name: "return", Bytes: returned},
+		{Name: "ask-longest-name", Bytes: only(t, long.Tick(now), nil)},
 	}
 }
 
 // malformedMessages are made of a valid request.
-func malformedMessages(request []byte) []namedBytes {
+func malformedMessages(request []byte) []recorded.Body {
 	changed := func(at int, to ...byte) []byte {
 		b := bytes.Clone(request)
 		copy(b[at:], to)
 		return b
 	}
-	return []namedBytes{
-		{"bad-empty", nil},
-		{"bad-one-byte", request[:1]},
-		{"bad-cut-in-head", request[:12]},
-		{"bad-no-name", request[:13]},
-		{"odd-cut-in-name", request[:14]},
-		{"bad-name-too-long", append(bytes.Clone(request[:13]), bytes.Repeat([]byte("n"), quota.MaxNameLength+1)...)},
-		{"bad-kind-0", changed(0, 0)},
-		{"bad-kind-4", changed(0, 4)},
-		{"bad-kind-255", changed(0, 255)},
-		{"bad-units", changed(9, 0x40, 0, 0, 1)},
-		{"odd-most-units", changed(9, 0x40, 0, 0, 0)},
-		{"odd-grant-not-asked-for", changed(0, 2)},
-		{"odd-return-of-nothing", changed(0, 3)},
+	return []recorded.Body{
+		{Name: "bad-empty", Bytes: nil},
+		{Name: "bad-one-byte", Bytes: request[:1]},
+		{Name: "bad-cut-in-head", Bytes: request[:12]},
+		{Name: "bad-no-name", Bytes: request[:13]},
+		{Name: "odd-cut-in-name", Bytes: request[:14]},
+		{
+			Name:  "bad-name-too-long",
+			Bytes: append(bytes.Clone(request[:13]), bytes.Repeat([]byte("n"), quota.MaxNameLength+1)...),
+		},
+		{Name: "bad-kind-0", Bytes: changed(0, 0)},
+		{Name: "bad-kind-4", Bytes: changed(0, 4)},
+		{Name: "bad-kind-255", Bytes: changed(0, 255)},
+		{Name: "bad-units", Bytes: changed(9, 0x40, 0, 0, 1)},
+		{Name: "odd-most-units", Bytes: changed(9, 0x40, 0, 0, 0)},
+		{Name: "odd-grant-not-asked-for", Bytes: changed(0, 2)},
+		{Name: "odd-return-of-nothing", Bytes: changed(0, 3)},
 	}
 }
 
 func TestCharacterization_MessagesWritten(t *testing.T) {
 	written := writtenMessages(t)
 	var text strings.Builder
-	for _, m := range append(written, malformedMessages(written[0].bytes)...) {
-		if len(m.bytes) > maxBodyBytes {
-			t.Errorf("%s: %d bytes do not fit into a datagram", m.name, len(m.bytes))
+	for _, m := range append(written, malformedMessages(written[0].Bytes)...) {
+		if len(m.Bytes) > maxBodyBytes {
+			t.Errorf("%s: %d bytes do not fit into a datagram", m.Name, len(m.Bytes))
 		}
-		fmt.Fprintf(&text, "%s %x\n", m.name, m.bytes)
+		fmt.Fprintf(&text, "%s %x\n", m.Name, m.Bytes)
 	}
-	compareRecorded(t, messagesFile, text.String())
+	recorded.Compare(t, messagesFile, text.String())
 }
 
 // Each recorded message is read by a member that has sent the recorded request, so that its grant counts, and
 // by one that has granted what is returned.
 func TestCharacterization_MessagesRead(t *testing.T) {
 	var text strings.Builder
-	for _, m := range recordedMessages(t) {
+	for _, m := range recorded.ReadBodies(t, messagesFile) {
 		reader := newAllocator(t, 0, 0xABCD)
 		now := 2 * leaseLength
 		reader.Demand(now, poolName, 3000)
@@ -188,22 +195,22 @@
 		readMessage(&text, "lender", lender, now, 0, m)
 	}
 	reader := newAllocator(t, 0, 1)
-	request := recordedMessages(t)[0]
+	request := recorded.ReadBodies(t, messagesFile)[0]
 	for _, from := range []int{-1, 0, 3, 2} {
 		readMessage(&text, fmt.Sprintf("from %d:", from), reader, 2*leaseLength, from, request)
 	}
 	for i := range quota.MaxResources {
 		reader.Demand(2*leaseLength, fmt.Sprintf("pool-%d", i), 1)
 	}
-	longest := recordedMessages(t)[5]
-	readMessage(&text, "no room:", reader, 2*leaseLength, 1, namedBytes{"ask-longest-name", longest.bytes})
-	compareRecorded(t, "readings.txt", text.String())
+	longest := recorded.ReadBodies(t, messagesFile)[5]
+	readMessage(&text, "no room:", reader, 2*leaseLength, 1, recorded.Body{Name: "ask-longest-name", Bytes: longest.Bytes})
+	recorded.Compare(t, "readings.txt", text.String())
 }
 
 // readMessage writes down how an allocator handles a message: the error, replies, and the quota afterwards.
-func readMessage(text *strings.Builder, who string, reader *quota.Allocator, now int64, from int, m namedBytes) {
-	out, err := reader.Receive(now, from, m.bytes)
-	fmt.Fprintf(text, "%s %s is-ledgers %t", who, m.name, quota.IsMessage(m.bytes))
+func readMessage(text *strings.Builder, who string, reader *quota.Allocator, now int64, from int, m recorded.Body) {
+	out, err := reader.Receive(now, from, m.Bytes)
+	fmt.Fprintf(text, "%s %s is-ledgers %t", who, m.Name, quota.IsMessage(m.Bytes))
 	if err != nil {
 		fmt.Fprintf(text, " error %q", err.Error())
 	}
@@ -220,16 +227,16 @@
 
 // A lender uses what it granted again once the borrower returns it and the margin is over.
 func TestCharacterization_ReturnIsRead(t *testing.T) {
-	recorded := recordedMessages(t)
+	messages := recorded.ReadBodies(t, messagesFile)
 	lender := newAllocator(t, 1, 1)
 	now := 2 * leaseLength
 	var text strings.Builder
-	if _, err := lender.Receive(now, 0, recorded[0].bytes); err != nil {
+	if _, err := lender.Receive(now, 0, messages[0].Bytes); err != nil {
 		t.Fatal(err)
 	}
 	fmt.Fprintf(&text, "granted: share %d\n", lender.Quota(now, poolName))
-	readMessage(&text, "lender", lender, now+1000, 0, recorded[4])
-	compareRecorded(t, "return.txt", text.String())
+	readMessage(&text, "lender", lender, now+1000, 0, messages[4])
+	recorded.Compare(t, "return.txt", text.String())
 }
 
 func TestCharacterization_ConfigErrors(t *testing.T) {
@@ -259,5 +266,5 @@
 		fmt.Fprintf(&text, "%s: %s\n", test.name, err.Error())
 	}
 	fmt.Fprintf(&text, "most wholes %d name %d\n", quota.MaxResources, quota.MaxNameLength)
-	compareRecorded(t, "config.txt", text.String())
+	recorded.Compare(t, "config.txt", text.String())
 }
--- a/internal/fleet/quota/network_test.go
+++ b/internal/fleet/quota/network_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"bytes"
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
 
 	"eidertrail/internal/fleet/quota"
+	"eidertrail/internal/testing/messagequeue"
+	"eidertrail/internal/testing/recorded"
 )
 
 const (
@@ -20,28 +21,6 @@
 	maxBodyBytes = 228
 )
 
-// message is one in flight.
-type message struct {
-	at       int64
-	order    int // of two that arrive at the same time, the one sent first
-	from, to int
-	body     []byte
-}
-
-type messages []message
-
-func (m messages) Len() int { return len(m) }
-func (m messages) Less(i, j int) bool {
-	return m[i].at < m[j].at || m[i].at == m[j].at && m[i].order < m[j].order
-}
-func (m messages) Swap(i, j int) { m[i], m[j] = m[j], m[i] }
-func (m *messages) Push(x any)   { *m = append(*m, x.(message)) }
-func (m *messages) Pop() any {
-	last := (*m)[len(*m)-1]
-	*m = (*m)[:len(*m)-1]
-	return last
-}
-
 // process is a member's program from its last start on; its clock has an offset and a rate of its own.
 type process struct {
 	allocator    *quota.SharedAllocator
@@ -61,7 +40,7 @@
 	config     quota.Config
 	names      []string
 	processes  []process
-	queue      messages
+	queue      messagequeue.Queue
 	order      int
 	loss       float64
 	duplicate  float64
@@ -69,14 +48,14 @@
 	corrupting bool // messages may be corrupted
 	maxDelay   int64
 	cut        func(from, to int) bool
-	record     *recording
+	record     *recorded.Series
 	maxInUse   int // the largest sum of the quotas of one resource
 }
 
 func uncut(int, int) bool { return false }
 
 func newNetwork(
-	t *testing.T, record *recording, config quota.Config, names int, seed uint64, corrupting bool,
+	t *testing.T, record *recorded.Series, config quota.Config, names int, seed uint64, corrupting bool,
 ) *network {
 	t.Helper()
 	w := &network{
@@ -137,9 +116,9 @@
 // send loses, duplicates, corrupts and delays.
 func (w *network) send(from int, out []quota.Out) {
 	for _, outgoing := range out {
-		w.record.text("out")
-		w.record.number(int64(outgoing.To))
-		w.record.data(outgoing.Body)
+		w.record.Text("out")
+		w.record.Number(int64(outgoing.To))
+		w.record.Data(outgoing.Body)
 		copies := 1
 		if w.rng.Float64() < w.duplicate {
 			copies = 2
@@ -155,7 +134,13 @@
 				body = w.corrupted(body)
 			}
 			w.order++
-			heap.Push(&w.queue, message{w.now + delay, w.order, from, outgoing.To, body})
+			w.queue.Push(messagequeue.Message{
+				At:    w.now + delay,
+				Order: w.order,
+				From:  from,
+				To:    outgoing.To,
+				Body:  body,
+			})
 		}
 	}
 }
@@ -177,8 +162,8 @@
 	w.t.Helper()
 	for range events {
 		w.step()
-		w.record.event(events)
-		if w.record.events%50 == 0 {
+		w.record.Step()
+		if w.record.Steps()%50 == 0 {
 			w.recordQuotas()
 		}
 	}
@@ -192,9 +177,8 @@
 			next, member = at, i
 		}
 	}
-	if len(w.queue) > 0 && w.queue[0].at <= next {
-		arriving := heap.Pop(&w.queue).(message)
-		w.now = max(w.now+10, arriving.at)
+	if arriving, due := w.queue.PopUntil(next); due {
+		w.now = max(w.now+10, arriving.At)
 		w.arrive(arriving)
 		return
 	}
@@ -207,33 +191,33 @@
 	if w.rng.IntN(4) == 0 {
 		w.demand(member)
 	}
-	w.record.text("tick")
-	w.record.number(int64(member))
-	w.record.number(w.clock(member))
+	w.record.Text("tick")
+	w.record.Number(int64(member))
+	w.record.Number(w.clock(member))
 	w.send(member, p.allocator.Tick(w.clock(member)))
 }
 
 // arrive delivers a message, or defers it while the member is stopped.
-func (w *network) arrive(arriving message) {
+func (w *network) arrive(arriving messagequeue.Message) {
 	w.t.Helper()
-	receiver := &w.processes[arriving.to]
+	receiver := &w.processes[arriving.To]
 	if receiver.stoppedUntil > w.now {
-		arriving.at = receiver.stoppedUntil
-		heap.Push(&w.queue, arriving)
+		arriving.At = receiver.stoppedUntil
+		w.queue.Push(arriving)
 		return
 	}
-	w.record.text("arrive")
-	w.record.number(int64(arriving.to))
-	out, err := receiver.allocator.Receive(w.clock(arriving.to), arriving.from, arriving.body)
+	w.record.Text("arrive")
+	w.record.Number(int64(arriving.To))
+	out, err := receiver.allocator.Receive(w.clock(arriving.To), arriving.From, arriving.Body)
 	if err != nil {
-		w.record.text("rejected")
+		w.record.Text("rejected")
 	}
-	w.send(arriving.to, out)
+	w.send(arriving.To, out)
 	name := w.names[w.rng.IntN(len(w.names))]
-	units, total := receiver.allocator.Quota(w.clock(arriving.to), name)
-	w.record.text(name)
-	w.record.number(int64(units))
-	w.record.number(int64(total))
+	units, total := receiver.allocator.Quota(w.clock(arriving.To), name)
+	w.record.Text(name)
+	w.record.Number(int64(units))
+	w.record.Number(int64(total))
 }
 
 // demand changes what a member needs of a resource.
@@ -242,9 +226,9 @@
 	total := w.config.Members * w.config.Unit
 	owned := w.config.Unit
 	units := []int{0, 0, owned / 2, owned, 2 * owned, total, 2 * total, -1, w.rng.IntN(total)}[w.rng.IntN(9)]
-	w.record.text("demand")
-	w.record.text(name)
-	w.record.number(int64(units))
+	w.record.Text("demand")
+	w.record.Text(name)
+	w.record.Number(int64(units))
 	w.processes[member].allocator.Demand(w.clock(member), name, units)
 }
 
@@ -253,8 +237,8 @@
 	w.t.Helper()
 	disturbed := &w.processes[member]
 	kind := w.rng.IntN(16)
-	w.record.text("disturb")
-	w.record.number(int64(kind))
+	w.record.Text("disturb")
+	w.record.Number(int64(kind))
 	switch kind {
 	case 0, 1, 2, 3: // the network is well
 		w.loss, w.duplicate, w.corrupt, w.maxDelay, w.cut = 0, 0, 0, 10_000, uncut
@@ -291,15 +275,15 @@
 		sum := 0
 		for member := range w.processes {
 			units, _ := w.processes[member].allocator.Quota(w.clock(member), name)
-			w.record.number(int64(units))
+			w.record.Number(int64(units))
 			sum += units
 		}
 		w.maxInUse = max(w.maxInUse, sum)
 	}
 	for member := range w.processes {
 		counts := w.processes[member].allocator.Counts()
-		w.record.unsigned(counts.Requested)
-		w.record.unsigned(counts.Granted)
-		w.record.unsigned(counts.Borrowed)
+		w.record.Unsigned(counts.Requested)
+		w.record.Unsigned(counts.Granted)
+		w.record.Unsigned(counts.Borrowed)
 	}
 }
--- a/internal/fleet/statetable/characterization_test.go
+++ b/internal/fleet/statetable/characterization_test.go
@@ -17,8 +17,12 @@
 	"time"
 
 	"eidertrail/internal/fleet/statetable"
+	"eidertrail/internal/testing/recorded"
 )
 
+// bodiesFile is the recorded file with the encoded bodies.
+const bodiesFile = "bodies.txt"
+
 func TestCharacterization_TableDigests(t *testing.T) {
 	var lines strings.Builder
 	for _, test := range []struct {
@@ -31,10 +35,10 @@
 		{"twelve-members", 12, 20_000, 3},
 		{"sixty-members-two-a-block", 60, 15_000, 4},
 	} {
-		record := newRecording(test.name)
+		record := recorded.NewSeries(test.name+"/%d-of-10", test.events)
 		w := newNetwork(t, record, test.members, test.seed)
 		w.run(test.events)
-		lines.WriteString(record.lines.String())
+		lines.WriteString(record.Lines())
 		total := statetable.Counts{}
 		for i := range w.processes {
 			counts := w.processes[i].table.Counts()
@@ -47,7 +51,7 @@
 			"incarnation, when recorded: %d",
 			test.name, w.now/second, total.Repairs, total.Stale, total.Unknown, total.Invalid, w.refuted)
 	}
-	compareRecorded(t, "digests.txt", lines.String())
+	recorded.Compare(t, "digests.txt", lines.String())
 }
 
 const tableMembers = 3
@@ -92,16 +96,16 @@
 }
 
 // named gives each body of an output a line.
-func named(name string, out []statetable.Out) (all []namedBytes) {
+func named(name string, out []statetable.Out) (all []recorded.Body) {
 	for i, o := range out {
-		all = append(all, namedBytes{fmt.Sprintf("%s-%d-to-%d", name, i, o.To), o.Body})
+		all = append(all, recorded.Body{Name: fmt.Sprintf("%s-%d-to-%d", name, i, o.To), Bytes: o.Body})
 	}
 	return all
 }
 
 // writtenBodies has tables write a body of each type: updates and a digest, summaries in answer to the digest, a
 // request in answer to the summaries, and fragments in answer to the request.
-func writtenBodies(t *testing.T) []namedBytes {
+func writtenBodies(t *testing.T) []recorded.Body {
 	t.Helper()
 	empty := newTable(t, 1)
 	all := named("digest-of-nothing", empty.Tick(0))
@@ -179,7 +183,7 @@
 }
 
 // oddBodies are those that no member of this program writes, most of them malformed.
-func oddBodies() []namedBytes {
+func oddBodies() []recorded.Body {
 	good := fragment{origin: 0, kind: 2, incarnation: 1 << 62, version: 3, part: 0, count: 1, length: 5, bytes: "value"}
 	other := fragment{origin: 2, kind: 1, incarnation: 4, version: 1, count: 1, length: 1, bytes: "r"}
 	changed := func(change func(f *fragment)) []byte {
@@ -189,40 +193,49 @@
 	}
 	complete := fragmentsBody(good)
 	full := strings.Repeat("f", 160)
-	return []namedBytes{
-		{"bad-empty", nil},
-		{"bad-kind-0", []byte{0}},
-		{"bad-kind-31", []byte{0x1f, 1, 2}},
-		{"bad-kind-35", []byte{0x23, 1, 2}},
-		{"bad-too-long", append([]byte{0x20}, make([]byte, maxBodyBytes)...)},
-		{"odd-no-fragments", []byte{0x20}},
-		{"odd-two-fragments", fragmentsBody(good, other)},
-		{"odd-two-fragments-cut", fragmentsBody(good, good)[:len(complete)+10]},
-		{"bad-cut-in-head", complete[:10]},
-		{"bad-cut-in-value", complete[:len(complete)-1]},
-		{"bad-part-past-count", changed(func(f *fragment) { f.part = 1 })},
-		{"bad-count-0", changed(func(f *fragment) { f.count = 0 })},
-		{"bad-count-33", changed(func(f *fragment) { f.count = 33 })},
-		{"bad-length-past-most", changed(func(f *fragment) { f.length, f.bytes = 161, full+"f" })},
-		{"bad-short-part-in-the-middle", changed(func(f *fragment) { f.kind, f.count = 3, 2 })},
-		{"bad-empty-last-part", changed(func(f *fragment) { f.kind, f.count, f.part, f.length, f.bytes = 3, 2, 1, 0, "" })},
-		{"bad-more-fragments-than-the-kind-has", changed(func(f *fragment) { f.count, f.length, f.bytes = 3, 160, full })},
-		{"odd-empty-value", changed(func(f *fragment) { f.length, f.bytes = 0, "" })},
-		{"odd-part-of-a-value", changed(func(f *fragment) { f.kind, f.count, f.length, f.bytes = 3, 2, 160, full })},
-		{"odd-kind-not-registered", changed(func(f *fragment) { f.kind = 77 })},
-		{"odd-origin-not-there", changed(func(f *fragment) { f.origin = tableMembers })},
-		{"odd-own-value-of-a-later-life", changed(func(f *fragment) { f.origin = 1 })},
-		{"bad-digest-of-nothing", []byte{0x21}},
-		{"bad-digest-of-other-members", append([]byte{0x21}, make([]byte, 4*(tableMembers+1))...)},
-		{"bad-lines-empty", []byte{0x22}},
-		{"bad-lines-cut", linesBody(1, 0, 3, 0)[:20]},
-		{"bad-lines-range-backwards", linesBody(1, 2, 1)},
-		{"bad-lines-range-past-members", linesBody(1, 0, 4)},
-		{"odd-lines-newer", linesBody(1, 0, 3, 0, 2)},
-		{"odd-lines-newer-no-answer-wanted", linesBody(0, 0, 3, 0, 2)},
-		{"odd-lines-of-own-value-newer", linesBody(1, 0, 3, 1)},
-		{"odd-lines-origin-not-there", linesBody(1, 0, 3, 9)},
-		{"odd-lines-of-an-empty-range", linesBody(1, 1, 1)},
+	return []recorded.Body{
+		{Name: "bad-empty", Bytes: nil},
+		{Name: "bad-kind-0", Bytes: []byte{0}},
+		{Name: "bad-kind-31", Bytes: []byte{0x1f, 1, 2}},
+		{Name: "bad-kind-35", Bytes: []byte{0x23, 1, 2}},
+		{Name: "bad-too-long", Bytes: append([]byte{0x20}, make([]byte, maxBodyBytes)...)},
+		{Name: "odd-no-fragments", Bytes: []byte{0x20}},
+		{Name: "odd-two-fragments", Bytes: fragmentsBody(good, other)},
+		{Name: "odd-two-fragments-cut", Bytes: fragmentsBody(good, good)[:len(complete)+10]},
+		{Name: "bad-cut-in-head", Bytes: complete[:10]},
+		{Name: "bad-cut-in-value", Bytes: complete[:len(complete)-1]},
+		{Name: "bad-part-past-count", Bytes: changed(func(f *fragment) { f.part = 1 })},
+		{Name: "bad-count-0", Bytes: changed(func(f *fragment) { f.count = 0 })},
+		{Name: "bad-count-33", Bytes: changed(func(f *fragment) { f.count = 33 })},
+		{Name: "bad-length-past-most", Bytes: changed(func(f *fragment) { f.length, f.bytes = 161, full+"f" })},
+		{Name: "bad-short-part-in-the-middle", Bytes: changed(func(f *fragment) { f.kind, f.count = 3, 2 })},
+		{
+			Name:  "bad-empty-last-part",
+			Bytes: changed(func(f *fragment) { f.kind, f.count, f.part, f.length, f.bytes = 3, 2, 1, 0, "" }),
+		},
+		{
+			Name:  "bad-more-fragments-than-the-kind-has",
+			Bytes: changed(func(f *fragment) { f.count, f.length, f.bytes = 3, 160, full }),
+		},
+		{Name: "odd-empty-value", Bytes: changed(func(f *fragment) { f.length, f.bytes = 0, "" })},
+		{
+			Name:  "odd-part-of-a-value",
+			Bytes: changed(func(f *fragment) { f.kind, f.count, f.length, f.bytes = 3, 2, 160, full }),
+		},
+		{Name: "odd-kind-not-registered", Bytes: changed(func(f *fragment) { f.kind = 77 })},
+		{Name: "odd-origin-not-there", Bytes: changed(func(f *fragment) { f.origin = tableMembers })},
+		{Name: "odd-own-value-of-a-later-life", Bytes: changed(func(f *fragment) { f.origin = 1 })},
+		{Name: "bad-digest-of-nothing", Bytes: []byte{0x21}},
+		{Name: "bad-digest-of-other-members", Bytes: append([]byte{0x21}, make([]byte, 4*(tableMembers+1))...)},
+		{Name: "bad-lines-empty", Bytes: []byte{0x22}},
+		{Name: "bad-lines-cut", Bytes: linesBody(1, 0, 3, 0)[:20]},
+		{Name: "bad-lines-range-backwards", Bytes: linesBody(1, 2, 1)},
+		{Name: "bad-lines-range-past-members", Bytes: linesBody(1, 0, 4)},
+		{Name: "odd-lines-newer", Bytes: linesBody(1, 0, 3, 0, 2)},
+		{Name: "odd-lines-newer-no-answer-wanted", Bytes: linesBody(0, 0, 3, 0, 2)},
+		{Name: "odd-lines-of-own-value-newer", Bytes: linesBody(1, 0, 3, 1)},
+		{Name: "odd-lines-origin-not-there", Bytes: linesBody(1, 0, 3, 9)},
+		{Name: "odd-lines-of-an-empty-range", Bytes: linesBody(1, 1, 1)},
 	}
 }
 
@@ -239,27 +252,27 @@
 		made.SetAlive([]bool{true, true})
 		fmt.Fprintf(&text, "members %d digest %d bytes\n", members, len(lastBody(t, made.Tick(0))))
 	}
-	compareRecorded(t, "digest-lengths.txt", text.String())
+	recorded.Compare(t, "digest-lengths.txt", text.String())
 }
 
 func TestCharacterization_BodiesWritten(t *testing.T) {
 	var text strings.Builder
 	for _, b := range append(writtenBodies(t), oddBodies()...) {
-		fmt.Fprintf(&text, "%s %x\n", b.name, b.bytes)
+		fmt.Fprintf(&text, "%s %x\n", b.Name, b.Bytes)
 	}
-	compareRecorded(t, bodiesFile, text.String())
+	recorded.Compare(t, bodiesFile, text.String())
 }
 
 // Each recorded body is read by a member that holds a value of its own, and by the one that published most of them.
 func TestCharacterization_BodiesRead(t *testing.T) {
 	var text strings.Builder
-	recorded := recordedBodies(t)
-	for _, b := range recorded {
+	bodies := recorded.ReadBodies(t, bodiesFile)
+	for _, b := range bodies {
 		reader := newTable(t, 1)
 		set(t, reader, statetable.Versions, "mine")
 		readBody(t, &text, "reader", reader, 0, b)
 	}
-	for _, b := range recorded {
+	for _, b := range bodies {
 		publisher := newTable(t, 0)
 		set(t, publisher, statetable.Region, "north")
 		set(t, publisher, statetable.Versions, "")
@@ -268,20 +281,20 @@
 	}
 	for _, from := range []int{-1, 1, tableMembers} {
 		reader := newTable(t, 1)
-		readBody(t, &text, fmt.Sprintf("from %d:", from), reader, from, recorded[0])
+		readBody(t, &text, fmt.Sprintf("from %d:", from), reader, from, bodies[0])
 	}
-	compareRecorded(t, "readings.txt", text.String())
+	recorded.Compare(t, "readings.txt", text.String())
 }
 
 // readBody writes down how a table handles a body: the error, answers, changes and counters.
-func readBody(t *testing.T, text *strings.Builder, who string, reader *statetable.Table, from int, b namedBytes) {
+func readBody(t *testing.T, text *strings.Builder, who string, reader *statetable.Table, from int, b recorded.Body) {
 	t.Helper()
-	out, err := reader.Receive(1000, from, b.bytes)
-	fmt.Fprintf(text, "%s %s is-tables %t", who, b.name, statetable.IsMessage(b.bytes))
+	out, err := reader.Receive(1000, from, b.Bytes)
+	fmt.Fprintf(text, "%s %s is-tables %t", who, b.Name, statetable.IsMessage(b.Bytes))
 	if err != nil {
 		var wrong *statetable.MessageError
 		if !errors.As(err, &wrong) {
-			t.Errorf("%s: %v is not the error of a message", b.name, err)
+			t.Errorf("%s: %v is not the error of a message", b.Name, err)
 			return
 		}
 		fmt.Fprintf(text, " error %q remedy %q", err.Error(), wrong.Remedy())
@@ -321,7 +334,7 @@
 			fmt.Fprintf(&text, "kind %d held %t %d.%d at %d %q\n", kind, is, e.Incarnation, e.Version, e.At, e.Value)
 		}
 	}
-	compareRecorded(t, "overtaken.txt", text.String())
+	recorded.Compare(t, "overtaken.txt", text.String())
 }
 
 func TestCharacterization_ConfigErrors(t *testing.T) {
@@ -370,5 +383,5 @@
 		d.Interval.Microseconds(), d.Fanout, d.Packets, d.Retransmit, d.DigestEvery)
 	fmt.Fprintf(&text, "most value %d kinds %d; region %d versions %d sketch %d\n", statetable.MaxValue,
 		statetable.MaxKinds, statetable.Region, statetable.Versions, statetable.Sketch)
-	compareRecorded(t, "config.txt", text.String())
+	recorded.Compare(t, "config.txt", text.String())
 }
--- a/internal/fleet/statetable/network_test.go
+++ b/internal/fleet/statetable/network_test.go
@@ -2,11 +2,12 @@
 
 import (
 	"bytes"
-	"container/heap"
 	"math/rand/v2"
 	"testing"
 
 	"eidertrail/internal/fleet/statetable"
+	"eidertrail/internal/testing/messagequeue"
+	"eidertrail/internal/testing/recorded"
 )
 
 const (
@@ -27,28 +28,6 @@
 	}
 }
 
-// message is one in flight.
-type message struct {
-	at       int64
-	order    int // of two that arrive at the same time, the one sent first
-	from, to int
-	body     []byte
-}
-
-type messages []message
-
-func (m messages) Len() int { return len(m) }
-func (m messages) Less(i, j int) bool {
-	return m[i].at < m[j].at || m[i].at == m[j].at && m[i].order < m[j].order
-}
-func (m messages) Swap(i, j int) { m[i], m[j] = m[j], m[i] }
-func (m *messages) Push(x any)   { *m = append(*m, x.(message)) }
-func (m *messages) Pop() any {
-	last := (*m)[len(*m)-1]
-	*m = (*m)[:len(*m)-1]
-	return last
-}
-
 // process is a member's program from its last start on.
 type process struct {
 	table        *statetable.Table
@@ -64,7 +43,7 @@
 	rng       *rand.Rand
 	now       int64
 	processes []process
-	queue     messages
+	queue     messagequeue.Queue
 	order     int
 	loss      float64
 	duplicate float64
@@ -72,13 +51,13 @@
 	maxDelay  int64
 	cut       func(from, to int) bool
 	disturbAt int64
-	record    *recording
+	record    *recorded.Series
 	refuted   int
 }
 
 func uncut(int, int) bool { return false }
 
-func newNetwork(t *testing.T, record *recording, members int, seed uint64) *network {
+func newNetwork(t *testing.T, record *recorded.Series, members int, seed uint64) *network {
 	t.Helper()
 	w := &network{
 		t:         t,
@@ -114,8 +93,8 @@
 	}
 	table.SetAlive(w.believed(member, 0))
 	restarted.table = table
-	w.record.text("start")
-	w.record.number(int64(member))
+	w.record.Text("start")
+	w.record.Number(int64(member))
 }
 
 // believed is whom a member believes alive: each other one is missing with that probability.
@@ -130,9 +109,9 @@
 // send loses, duplicates, truncates and delays.
 func (w *network) send(from int, out []statetable.Out) {
 	for _, outgoing := range out {
-		w.record.text("out")
-		w.record.number(int64(outgoing.To))
-		w.record.data(outgoing.Body)
+		w.record.Text("out")
+		w.record.Number(int64(outgoing.To))
+		w.record.Data(outgoing.Body)
 		copies := 1
 		if w.rng.Float64() < w.duplicate {
 			copies = 2
@@ -148,7 +127,13 @@
 				body = body[:w.rng.IntN(len(body)+1)]
 			}
 			w.order++
-			heap.Push(&w.queue, message{w.now + delay, w.order, from, outgoing.To, body})
+			w.queue.Push(messagequeue.Message{
+				At:    w.now + delay,
+				Order: w.order,
+				From:  from,
+				To:    outgoing.To,
+				Body:  body,
+			})
 		}
 	}
 }
@@ -156,18 +141,18 @@
 // take records the changes at a member.
 func (w *network) take(member int) {
 	for _, change := range w.processes[member].table.Take() {
-		w.record.text("change")
-		w.record.number(int64(change.Origin))
-		w.record.number(int64(change.Kind))
+		w.record.Text("change")
+		w.record.Number(int64(change.Origin))
+		w.record.Number(int64(change.Kind))
 		w.recordEntry(change.Entry)
 	}
 }
 
 func (w *network) recordEntry(e statetable.Entry) {
-	w.record.unsigned(e.Incarnation)
-	w.record.unsigned(uint64(e.Version))
-	w.record.number(e.At)
-	w.record.data(e.Value)
+	w.record.Unsigned(e.Incarnation)
+	w.record.Unsigned(uint64(e.Version))
+	w.record.Number(e.At)
+	w.record.Data(e.Value)
 }
 
 // run simulates that many events: a body that arrives, a Tick, a value that is set, or a disturbance.
@@ -175,8 +160,8 @@
 	w.t.Helper()
 	for range events {
 		w.step()
-		w.record.event(events)
-		if w.record.events%1000 == 0 {
+		w.record.Step()
+		if w.record.Steps()%1000 == 0 {
 			w.recordTables()
 		}
 	}
@@ -192,9 +177,8 @@
 			next, member = at, i
 		}
 	}
-	if len(w.queue) > 0 && w.queue[0].at <= next {
-		arriving := heap.Pop(&w.queue).(message)
-		w.now = max(w.now, arriving.at)
+	if arriving, due := w.queue.PopUntil(next); due {
+		w.now = max(w.now, arriving.At)
 		w.arrive(arriving)
 		return
 	}
@@ -207,11 +191,11 @@
 	if w.rng.IntN(6) == 0 {
 		w.set(member)
 	}
-	w.record.text("tick")
-	w.record.number(int64(member))
-	w.record.number(w.now)
+	w.record.Text("tick")
+	w.record.Number(int64(member))
+	w.record.Number(w.now)
 	w.send(member, w.processes[member].table.Tick(w.now))
-	w.record.number(w.processes[member].table.Next())
+	w.record.Number(w.processes[member].table.Next())
 	w.take(member)
 }
 
@@ -222,31 +206,31 @@
 	longest := kind.MaxLength
 	length := []int{0, 1, min(longest, 20), min(longest, 400), longest, longest + 1}[w.rng.IntN(6)]
 	value := bytes.Repeat([]byte{byte(w.rng.IntN(3))}, length)
-	w.record.text("set")
-	w.record.number(int64(kind.Kind))
-	w.record.number(int64(length))
+	w.record.Text("set")
+	w.record.Number(int64(kind.Kind))
+	w.record.Number(int64(length))
 	if err := p.table.Set(w.now, kind.Kind, value); err != nil {
-		w.record.text("rejected")
+		w.record.Text("rejected")
 	}
 }
 
 // arrive delivers a body, or defers it while the member is stopped.
-func (w *network) arrive(arriving message) {
+func (w *network) arrive(arriving messagequeue.Message) {
 	w.t.Helper()
-	receiver := &w.processes[arriving.to]
+	receiver := &w.processes[arriving.To]
 	if receiver.stoppedUntil > w.now {
-		arriving.at = receiver.stoppedUntil
-		heap.Push(&w.queue, arriving)
+		arriving.At = receiver.stoppedUntil
+		w.queue.Push(arriving)
 		return
 	}
-	w.record.text("arrive")
-	w.record.number(int64(arriving.to))
-	out, err := receiver.table.Receive(w.now, arriving.from, arriving.body)
+	w.record.Text("arrive")
+	w.record.Number(int64(arriving.To))
+	out, err := receiver.table.Receive(w.now, arriving.From, arriving.Body)
 	if err != nil {
-		w.record.text("rejected")
+		w.record.Text("rejected")
 	}
-	w.send(arriving.to, out)
-	w.take(arriving.to)
+	w.send(arriving.To, out)
+	w.take(arriving.To)
 }
 
 // disturb changes the network, a process, or what a member believes or has stored of the others.
@@ -255,8 +239,8 @@
 	disturbed := &w.processes[member]
 	other := w.rng.IntN(len(w.processes))
 	kind := w.rng.IntN(16)
-	w.record.text("disturb")
-	w.record.number(int64(kind))
+	w.record.Text("disturb")
+	w.record.Number(int64(kind))
 	switch kind {
 	case 0, 1, 2: // the network is well
 		w.loss, w.duplicate, w.cutShort, w.maxDelay, w.cut = 0, 0, 0, 10_000, uncut
@@ -295,7 +279,7 @@
 		held := w.processes[i].table
 		for _, spec := range kinds() {
 			held.Each(spec.Kind, func(origin int, e statetable.Entry) {
-				w.record.number(int64(origin))
+				w.record.Number(int64(origin))
 				w.recordEntry(e)
 				if origin == i && e.Incarnation%incarnationSpacing > 0 && e.Incarnation > incarnationSpacing {
 					w.refuted++
@@ -306,7 +290,7 @@
 		for _, count := range []uint64{
 			counts.Bytes, counts.Packets, counts.Repairs, counts.Stale, counts.Unknown, counts.Invalid,
 		} {
-			w.record.unsigned(count)
+			w.record.Unsigned(count)
 		}
 	}
 }
--- a/internal/rollout/characterization_test.go
+++ b/internal/rollout/characterization_test.go
@@ -11,12 +11,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"os"
-	"path/filepath"
 	"reflect"
 	"testing"
 
 	"eidertrail/internal/rollout"
+	"eidertrail/internal/testing/recorded"
 )
 
 // Rollouts as they can happen: good and bad new versions, transitions that fail, processes that end, aborts, restarts
@@ -25,9 +24,9 @@
 	t.Parallel()
 	recording := newSeries("played-rollouts", 10_000)
 	ends := map[rollout.Phase]int{}
-	for seed := uint64(0); !recording.ended(); seed++ {
+	for seed := uint64(0); !recording.Complete(); seed++ {
 		f := newFleet(t, newGenerator(seed))
-		for final := false; !final && !recording.ended(); {
+		for final := false; !final && !recording.Complete(); {
 			f.disturb(t)
 			action := f.plan.Next(f.state, f.observation())
 			recording.action(action)
@@ -53,9 +52,9 @@
 func TestCharacterization_DistortedRollouts(t *testing.T) {
 	t.Parallel()
 	recording := newSeries("distorted-rollouts", 10_000)
-	for seed := uint64(100_000); !recording.ended(); seed++ {
+	for seed := uint64(100_000); !recording.Complete(); seed++ {
 		f := newFleet(t, newGenerator(seed))
-		for finalSteps := 0; finalSteps < 3 && !recording.ended(); {
+		for finalSteps := 0; finalSteps < 3 && !recording.Complete(); {
 			f.disturb(t)
 			observation := f.observation()
 			if f.chance(60) {
@@ -96,19 +95,19 @@
 			})
 		}
 		for _, comparison := range plan.Compare(oldCounts, newCounts, pick(random, -1, 0, 1, 10, 1000)) {
-			recording.text(string(comparison.Metric)) // the words that the state file's reason holds
+			recording.Text(string(comparison.Metric)) // the words that the state file's reason holds
 			recording.float(comparison.Old)
 			recording.float(comparison.New)
 			recording.float(comparison.Z)
-			recording.flag(comparison.Worse)
+			recording.Flag(comparison.Worse)
 			if comparison.Worse {
 				worse++
 			}
 		}
 		recording.counts(oldCounts.Add(newCounts))
 		recording.counts(oldCounts.Sub(newCounts))
-		recording.integer(oldCounts.Calls())
-		recording.integer(oldCounts.P99())
+		recording.Number(oldCounts.Calls())
+		recording.Number(oldCounts.P99())
 	}
 	if worse < 1000 || worse > 60_000 {
 		t.Errorf("%d of 80000 comparisons were worse: the counts do not reach both sides", worse)
@@ -135,11 +134,11 @@
 		}
 		err := plan.Check()
 		recording.err(err)
-		recording.flag(errors.Is(err, rollout.ErrPlan))
+		recording.Flag(errors.Is(err, rollout.ErrPlan))
 		controllers, err := rollout.ParseStage(pick(random, texts...), random.between(0, 256))
-		recording.integer(int64(controllers))
+		recording.Number(int64(controllers))
 		recording.err(err)
-		recording.flag(errors.Is(err, rollout.ErrPlan))
+		recording.Flag(errors.Is(err, rollout.ErrPlan))
 	}
 	recording.check(t)
 }
@@ -237,13 +236,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		checkRecorded(t, test.file, append(text, '\n'))
-		recorded, err := os.ReadFile(filepath.Join("testdata", "characterization", test.file))
-		if err != nil {
-			t.Fatal(err)
-		}
+		recorded.Compare(t, test.file, string(text)+"\n")
 		read := &rollout.State{}
-		if err := json.Unmarshal(recorded, read); err != nil {
+		if err := json.Unmarshal([]byte(recorded.Read(t, test.file)), read); err != nil {
 			t.Fatalf("%s: %v", test.file, err)
 		}
 		if !reflect.DeepEqual(read, test.state) {
--- a/internal/rollout/runner/characterization_test.go
+++ b/internal/rollout/runner/characterization_test.go
@@ -28,35 +28,9 @@
 
 	"eidertrail/internal/rollout"
 	"eidertrail/internal/rollout/runner"
+	"eidertrail/internal/testing/recorded"
 )
 
-// recordedPath is where a recorded file is.
-func recordedPath(name string) string { return filepath.Join("testdata", "characterization", name) }
-
-// checkRecorded compares got with the recorded file, or records it.
-func checkRecorded(t *testing.T, name string, got []byte) {
-	t.Helper()
-	if os.Getenv("EIDERTRAIL_UPDATE") == "1" {
-		if err := os.WriteFile(recordedPath(name), got, 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	want := recorded(t, name)
-	if !bytes.Equal(got, want) {
-		t.Errorf("%s differs from the recorded file; now:\n%s\nrecorded:\n%s", name, got, want)
-	}
-}
-
-func recorded(t *testing.T, name string) []byte {
-	t.Helper()
-	text, err := os.ReadFile(recordedPath(name))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return text
-}
-
 func load(t *testing.T, path string) *runner.File {
 	t.Helper()
 	file, err := runner.Load(path)
@@ -99,10 +73,10 @@
 // The rollout's file: every key, and what an absent one stands for.
 func TestCharacterization_RolloutFile(t *testing.T) {
 	var text strings.Builder
-	describe(t, &text, load(t, recordedPath("rollout.toml")))
+	describe(t, &text, load(t, recorded.Path("rollout.toml")))
 	text.WriteString("\n")
 	describe(t, &text, load(t, writeFile(t, "short.toml", shortFile)))
-	checkRecorded(t, "rollout-read.txt", []byte(text.String()))
+	recorded.Compare(t, "rollout-read.txt", text.String())
 }
 
 // describe writes what was read, under names of its own.
@@ -130,7 +104,7 @@
 
 // The words for rollout files that are not accepted.
 func TestCharacterization_BadRolloutFiles(t *testing.T) {
-	good := string(recorded(t, "rollout.toml"))
+	good := recorded.Read(t, "rollout.toml")
 	var text strings.Builder
 	for _, test := range []struct{ name, file string }{
 		{"empty", ""},
@@ -172,7 +146,7 @@
 	}
 	_, err := runner.Load("absent-folder/rollout.toml")
 	fmt.Fprintf(&text, "absent file: %s\n", err)
-	checkRecorded(t, "bad-rollout-files.txt", []byte(text.String()))
+	recorded.Compare(t, "bad-rollout-files.txt", text.String())
 }
 
 // stateWithEveryKey is a state in which every key of the file is present. Its plan is the recorded rollout file.
@@ -216,7 +190,7 @@
 // resume has Run resume a copy of the recorded state file.
 func resume(ctx context.Context, t *testing.T, file *runner.File, name string) resumed {
 	t.Helper()
-	path := writeFile(t, "state.json", string(recorded(t, name)))
+	path := writeFile(t, "state.json", recorded.Read(t, name))
 	var log bytes.Buffer
 	err := runner.Run(ctx, file, path, zerolog.New(&log))
 	state, readErr := os.ReadFile(path)
@@ -230,7 +204,7 @@
 // and what is written then are the same bytes. Those of rollouts that have ended change nothing; those in which a
 // transition has begun begin it again, which the cancelled context ends before anything is touched.
 func TestCharacterization_StateFile(t *testing.T) {
-	file := load(t, recordedPath("rollout.toml"))
+	file := load(t, recorded.Path("rollout.toml"))
 	const rolledBack = "rollout: stopped and taken back: the operator aborted it"
 	for _, test := range []struct {
 		file      string
@@ -250,8 +224,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			checkRecorded(t, test.file, append(text, '\n'))
-			read, err := runner.ReadState(recordedPath(test.file))
+			recorded.Compare(t, test.file, string(text)+"\n")
+			read, err := runner.ReadState(recorded.Path(test.file))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -269,18 +243,18 @@
 			if !errors.Is(got.err, test.err) || got.err != nil && got.err.Error() != test.text {
 				t.Errorf("ended with %v, want %q", got.err, test.text)
 			}
-			if !bytes.Equal(got.state, recorded(t, test.file)) {
+			if string(got.state) != recorded.Read(t, test.file) {
 				t.Errorf("written as other bytes than were read:\n%s", got.state)
 			}
-			checkRecorded(t, strings.TrimSuffix(test.file, ".json")+".log", []byte(got.log))
+			recorded.Compare(t, strings.TrimSuffix(test.file, ".json")+".log", got.log)
 		})
 	}
 }
 
 // States that are not accepted, and what is beside a state file.
 func TestCharacterization_RejectedStateFiles(t *testing.T) {
-	file := load(t, recordedPath("rollout.toml"))
-	done := string(recorded(t, "state-done.json"))
+	file := load(t, recorded.Path("rollout.toml"))
+	done := recorded.Read(t, "state-done.json")
 	var text strings.Builder
 	for _, test := range []struct{ name, state string }{
 		{"of another plan", strings.Replace(done, `"plan": "`, `"plan": "0`, 1)},
@@ -293,13 +267,13 @@
 	_, err := runner.ReadState("absent-folder/state.json")
 	fmt.Fprintf(&text, "absent: %s\n", err)
 	fmt.Fprintf(&text, "abort without a state: %s\n", runner.Abort("absent-folder/state.json"))
-	checkRecorded(t, "refused-states.txt", []byte(text.String()))
+	recorded.Compare(t, "refused-states.txt", text.String())
 }
 
 // What the program writes beside the state file.
 func TestCharacterization_FilesBesideTheStateFile(t *testing.T) {
-	file := load(t, recordedPath("rollout.toml"))
-	path := writeFile(t, "state.json", string(recorded(t, "state-aborted.json")))
+	file := load(t, recorded.Path("rollout.toml"))
+	path := writeFile(t, "state.json", recorded.Read(t, "state-aborted.json"))
 	if err := runner.Abort(path); err != nil {
 		t.Fatal(err)
 	}
@@ -377,7 +351,7 @@
 
 // A stage begins to be watched: which counters of the controllers go into the state, and under which keys.
 func TestCharacterization_CountersInTheState(t *testing.T) {
-	text := healthAddress.ReplaceAllString(string(recorded(t, "rollout.toml")), startController(t))
+	text := healthAddress.ReplaceAllString(recorded.Read(t, "rollout.toml"), startController(t))
 	// The context ends the wait for the next evaluation.
 	text = strings.Replace(text, `look_every = "3s"`, `look_every = "10m"`, 1)
 	file := load(t, writeFile(t, "rollout.toml", text))
@@ -391,15 +365,15 @@
 	if err := runner.Run(cancelled, file, path, zerolog.Nop()); !errors.Is(err, context.Canceled) {
 		t.Fatal(err)
 	}
-	checkRecorded(t, "state-begun.json", readState(t, path))
+	recorded.Compare(t, "state-begun.json", string(readState(t, path)))
 
 	endFirstTransition(t, path)
 	log := &cancellingLog{words: "stage 1 of 3", cancel: cancel}
 	if err := runner.Run(ctx, file, path, zerolog.New(log)); !errors.Is(err, context.Canceled) {
 		t.Fatal(err)
 	}
-	checkRecorded(t, "state-watched.json", readState(t, path))
-	checkRecorded(t, "state-watched.log", log.Bytes())
+	recorded.Compare(t, "state-watched.json", string(readState(t, path)))
+	recorded.Compare(t, "state-watched.log", log.String())
 }
 
 // endFirstTransition edits a state file as if the transition that has begun had ended.
--- a/internal/routing/characterization_errors_test.go
+++ b/internal/routing/characterization_errors_test.go
@@ -9,6 +9,7 @@
 	"eidertrail/internal/config"
 	"eidertrail/internal/remedy"
 	"eidertrail/internal/routing"
+	"eidertrail/internal/testing/recorded"
 )
 
 // tiersOf is a table with the tiers of the controller's own zone.
@@ -69,7 +70,7 @@
 		_, err := routing.New(cfg, zoneNames)
 		got.WriteString(errorLine(test.name, err))
 	}
-	compareWithRecorded(t, "config-errors.txt", got.String())
+	recorded.Compare(t, "config-errors.txt", got.String())
 }
 
 const goodFile = `zone = "batumi"
@@ -107,7 +108,7 @@
 		}
 		got.WriteString(errorLine(test.name, err))
 	}
-	compareWithRecorded(t, "file-errors.txt", got.String())
+	recorded.Compare(t, "file-errors.txt", got.String())
 }
 
 // outcomesUntilEjected is after how many outcomes, every second of them a failure, a zone goes out; 0 for never.
@@ -138,5 +139,5 @@
 	for _, minSamples := range []int{1, 2, 3, 8, 255, 256, 257, 500} {
 		fmt.Fprintf(&got, "%d %d\n", minSamples, outcomesUntilEjected(t, minSamples))
 	}
-	compareWithRecorded(t, "outcomes-until-out.txt", got.String())
+	recorded.Compare(t, "outcomes-until-out.txt", got.String())
 }
--- a/internal/routing/characterization_test.go
+++ b/internal/routing/characterization_test.go
@@ -16,6 +16,7 @@
 	"testing"
 
 	"eidertrail/internal/routing"
+	"eidertrail/internal/testing/recorded"
 )
 
 const (
@@ -312,72 +313,72 @@
 }
 
 // step plays one random step and records what the router then returns.
-func (w *world) step(results *digest) {
+func (w *world) step(results *recorded.Digest) {
 	w.pass()
-	playOne(w.random, []weighted{
-		{38, w.send},
-		{30, w.endAttempt},
-		{18, w.endCall},
-		{8, w.report},
-		{1, w.changeList},
-		{1, w.flipZone},
-		{3, w.wait},
-		{1, w.odd},
+	recorded.PlayOne(w.random, []recorded.WeightedStep{
+		{Weight: 38, Play: w.send},
+		{Weight: 30, Play: w.endAttempt},
+		{Weight: 18, Play: w.endCall},
+		{Weight: 8, Play: w.report},
+		{Weight: 1, Play: w.changeList},
+		{Weight: 1, Play: w.flipZone},
+		{Weight: 3, Play: w.wait},
+		{Weight: 1, Play: w.odd},
 	})
-	results.number(w.now)
-	results.number(w.router.Next(w.now))
+	results.Number(w.now)
+	results.Number(w.router.Next(w.now))
 	if w.chance(0.8) {
 		w.eligible = w.router.Eligible(w.now)
 		w.noteEligible(results)
-		results.number(w.router.Next(w.now))
+		results.Number(w.router.Next(w.now))
 	}
 	w.noteState(results)
 }
 
-func (w *world) noteEligible(results *digest) {
+func (w *world) noteEligible(results *recorded.Digest) {
 	uids := slices.Sorted(maps.Keys(w.eligible))
-	results.number(int64(len(uids)))
+	results.Number(int64(len(uids)))
 	for _, uid := range uids {
-		results.text(uid)
-		results.number(int64(w.eligible[uid]))
+		results.Text(uid)
+		results.Number(int64(w.eligible[uid]))
 		for _, class := range []int{0, 1, w.config.Classes - 1, w.config.Classes} {
-			results.flag(w.eligible[uid].Has(class))
+			results.Flag(w.eligible[uid].Has(class))
 		}
 	}
 }
 
-func (w *world) noteState(results *digest) {
+func (w *world) noteState(results *recorded.Digest) {
 	for _, z := range w.router.Zones() {
-		results.text(z.Zone)
-		results.number(int64(z.Level))
-		results.flag(z.Ejected)
-		results.flag(z.NoEndpoints)
-		results.number(z.EjectedUntil)
-		results.number(int64(z.WarmingUp))
-		results.number(int64(z.InFlight))
-		results.real(z.Agents)
+		results.Text(z.Zone)
+		results.Number(int64(z.Level))
+		results.Flag(z.Ejected)
+		results.Flag(z.NoEndpoints)
+		results.Number(z.EjectedUntil)
+		results.Number(int64(z.WarmingUp))
+		results.Number(int64(z.InFlight))
+		results.Real(z.Agents)
 	}
 	spilled := w.router.Spilled()
 	for _, zone := range slices.Sorted(maps.Keys(spilled)) {
-		results.text(zone)
-		results.real(spilled[zone])
+		results.Text(zone)
+		results.Real(spilled[zone])
 	}
 	count := w.router.Counts()
-	results.number(int64(count.ZonesEjected))
-	results.number(int64(count.Flaps))
-	results.number(int64(count.SlowStartCapped))
-	results.number(int64(count.SpillCapped))
-	results.flag(w.router.Manages(w.anyEndpoint().uid))
+	results.Number(int64(count.ZonesEjected))
+	results.Number(int64(count.Flaps))
+	results.Number(int64(count.SlowStartCapped))
+	results.Number(int64(count.SpillCapped))
+	results.Flag(w.router.Manages(w.anyEndpoint().uid))
 }
 
 func TestCharacterization_Decisions(t *testing.T) {
 	var got strings.Builder
 	for i, s := range scenarios() {
 		w := newWorld(t, s, uint64(i+1))
-		got.WriteString(digestInTenths(strings.ReplaceAll(s.name, " ", "-"), 8_000, w.step))
+		got.WriteString(recorded.DigestInTenths(strings.ReplaceAll(s.name, " ", "-"), 8_000, w.step))
 		count := w.router.Counts()
 		t.Logf("%s: zones ejected %d, flaps %d, capped by slow start %d, by spill budget %d",
 			s.name, count.ZonesEjected, count.Flaps, count.SlowStartCapped, count.SpillCapped)
 	}
-	compareWithRecorded(t, "decisions.txt", got.String())
+	recorded.Compare(t, "decisions.txt", got.String())
 }
--- a/internal/telemetry/characterization_test.go
+++ b/internal/telemetry/characterization_test.go
@@ -11,8 +11,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -20,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"eidertrail/internal/telemetry"
+	"eidertrail/internal/testing/recorded"
 )
 
 // allCounters are the counters in the order in which the log writes them.
@@ -46,46 +45,6 @@
 	telemetry.StateTableRepairs,
 }
 
-// compareRecorded compares a text with the recorded file of that name, or writes the file with EIDERTRAIL_UPDATE=1.
-func compareRecorded(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", "characterization", name)
-	if os.Getenv("EIDERTRAIL_UPDATE") == "1" {
-		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatalf("the recorded file: %v", err)
-	}
-	if string(want) != got {
-		reportFirstDifference(t, path, strings.SplitAfter(string(want), "\n"), strings.SplitAfter(got, "\n"))
-	}
-}
-
-// reportFirstDifference fails the test with the first line that differs.
-func reportFirstDifference(t *testing.T, path string, want, got []string) {
-	t.Helper()
-	for i := range max(len(want), len(got)) {
-		var recorded, now string
-		if i < len(want) {
-			recorded = want[i]
-		}
-		if i < len(got) {
-			now = got[i]
-		}
-		if recorded != now {
-			t.Errorf("%s, line %d:\nrecorded %q\nnow      %q", path, i+1, recorded, now)
-			return
-		}
-	}
-}
-
 // distinctSet is a set in which each counter has a value of its own: its place in allCounters, from 1 on.
 func distinctSet() *telemetry.Counters {
 	set := &telemetry.Counters{}
@@ -117,7 +76,7 @@
 	set.AddN(allCounters[0], -3)
 	set.AddN(allCounters[1], 0)
 	out.WriteString(loggedSet(set))
-	compareRecorded(t, "log.txt", out.String())
+	recorded.Compare(t, "log.txt", out.String())
 }
 
 // document is the JSON of a snapshot, with each member on a line.
@@ -136,7 +95,7 @@
 	out.WriteString(document(t, nil))
 	fmt.Fprintln(&out, "every counter, with its number in the order of the log")
 	out.WriteString(document(t, distinctSet()))
-	compareRecorded(t, "snapshot.txt", out.String())
+	recorded.Compare(t, "snapshot.txt", out.String())
 	if n := len((&telemetry.Counters{}).Snapshot().Counters); n != len(allCounters) {
 		t.Errorf("%d counters, %d in the list of this test", n, len(allCounters))
 	}
@@ -168,5 +127,5 @@
 	for _, top := range buckets {
 		fmt.Fprintf(&out, "up to %d µs: %d\n", top, snapshot.Times[top])
 	}
-	compareRecorded(t, "set-up-times.txt", out.String())
+	recorded.Compare(t, "set-up-times.txt", out.String())
 }
--- a/internal/testing/recorded/recorded.go
+++ b/internal/testing/recorded/recorded.go
@@ -23,20 +23,19 @@
 // Updating reports whether the files are to be written.
 func Updating() bool { return os.Getenv(updateVariable) != "" }
 
+// Path returns where the recorded file of that name is, relative to the package under test.
+func Path(name string) string { return filepath.Join(Folder, name) }
+
 // Compare fails the test unless got is, byte for byte, what the file of that name holds. It prints the lines that
 // differ.
 func Compare(tb testing.TB, name, got string) {
 	tb.Helper()
-	path := filepath.Join(Folder, name)
+	path := Path(name)
 	if Updating() {
 		write(tb, path, got)
 		return
 	}
-	text, err := os.ReadFile(path)
-	if err != nil {
-		tb.Fatalf("the recorded file: %v", err)
-	}
-	want := string(text)
+	want := Read(tb, name)
 	if got == want {
 		return
 	}
@@ -54,6 +53,16 @@
 	}
 }
 
+// Read returns what the file of that name holds.
+func Read(tb testing.TB, name string) string {
+	tb.Helper()
+	text, err := os.ReadFile(Path(name))
+	if err != nil {
+		tb.Fatalf("the recorded file: %v", err)
+	}
+	return string(text)
+}
+
 func write(tb testing.TB, path, text string) {
 	tb.Helper()
 	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
--- a/internal/testing/recorded/recorded_test.go
+++ b/internal/testing/recorded/recorded_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 
@@ -29,7 +28,7 @@
 	if err := os.MkdirAll(recorded.Folder, 0o755); err != nil {
 		t.Fatal(err)
 	}
-	if err := os.WriteFile(filepath.Join(recorded.Folder, "two.txt"), []byte("one\ntwo\n"), 0o644); err != nil {
+	if err := os.WriteFile(recorded.Path("two.txt"), []byte("one\ntwo\n"), 0o644); err != nil {
 		t.Fatal(err)
 	}
 	for _, test := range []struct {
@@ -65,7 +64,7 @@
 	t.Chdir(t.TempDir())
 	t.Setenv("EIDERTRAIL_UPDATE", "1")
 	recorded.Compare(t, "new.txt", "text\n")
-	text, err := os.ReadFile(filepath.Join(recorded.Folder, "new.txt"))
+	text, err := os.ReadFile(recorded.Path("new.txt"))
 	if err != nil || string(text) != "text\n" {
 		t.Errorf("written: %q, %v", text, err)
 	}
