--- a/internal/endpoint/endpointlist/guard_test.go
+++ b/internal/endpoint/endpointlist/guard_test.go
@@ -2,104 +2,139 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 )
 
-// event reads "5: s-1@a up 100, s-2@b draining": the number, then the lines. "5 all:" is a whole list.
-func event(t *testing.T, text string) Event {
-	t.Helper()
+// stateNames are the states as the events of these tests are written.
+var stateNames = map[State]string{Up: "up", Draining: "draining", Removed: "removed"}
+
+// parseEvent reads "5: s-1@a up 100, s-2@b draining": the version, then the endpoints, each with its state and, where
+// it has one, its start time. "5 all:" is a snapshot.
+func parseEvent(tb testing.TB, text string) Event {
+	tb.Helper()
 	head, rest, _ := strings.Cut(text, ":")
-	var e Event
-	if _, err := fmt.Sscan(head, &e.Version); err != nil {
-		t.Fatal(err)
+	var event Event
+	if _, err := fmt.Sscan(head, &event.Version); err != nil {
+		tb.Fatal(err)
 	}
-	e.Snapshot = strings.HasSuffix(head, "all")
+	event.Snapshot = strings.HasSuffix(head, "all")
 	for line := range strings.SplitSeq(rest, ",") {
-		f := append(strings.Fields(line), "0")
-		if len(f) < 3 {
+		fields := append(strings.Fields(line), "0")
+		if len(fields) < 3 {
 			continue
 		}
-		uid, address, _ := strings.Cut(f[0], "@")
-		l := Endpoint{UID: uid, Address: address, State: map[string]State{"up": Up, "draining": Draining, "removed": Removed}[f[1]]}
-		fmt.Sscan(f[2], &l.StartedAt)
-		e.Endpoints = append(e.Endpoints, l)
+		uid, address, _ := strings.Cut(fields[0], "@")
+		startedAt, err := strconv.ParseInt(fields[2], 10, 64)
+		if err != nil {
+			tb.Fatal(err)
+		}
+		state, known := parseState(fields[1])
+		if !known {
+			tb.Fatalf("unknown state %q", fields[1])
+		}
+		event.Endpoints = append(event.Endpoints, Endpoint{
+			UID:       uid,
+			Address:   address,
+			State:     state,
+			StartedAt: startedAt,
+		})
 	}
-	return e
+	return event
 }
 
-func text(e Event) string {
-	var lines []string
-	for _, l := range e.Endpoints {
-		lines = append(lines, fmt.Sprintf("%s@%s %s %d", l.UID, l.Address, [...]string{"up", "draining", "removed"}[l.State], l.StartedAt))
+// endpointsText is an event's endpoints as parseEvent reads them.
+func endpointsText(event Event) string {
+	lines := make([]string, 0, len(event.Endpoints))
+	for _, e := range event.Endpoints {
+		lines = append(lines, fmt.Sprintf("%s@%s %s %d", e.UID, e.Address, stateNames[e.State], e.StartedAt))
 	}
 	return strings.Join(lines, ", ")
 }
 
-// Guards against an older line that takes a drain back, and against newer ones that are held back.
+// An older line doesn't revert a drain, and newer ones aren't held back.
 func TestVersionGuard_HoldsBackOlderLines(t *testing.T) {
-	for _, k := range []struct {
+	for _, test := range []struct {
 		name   string
 		events []string
 		want   string // of the last event
 	}{
 		{"in order", []string{"1: s@a up", "2: s@a draining"}, "s@a draining 0"},
-		{"a drain taken back by a later event", []string{"1: s@a up", "2: s@a draining", "3: s@a up"}, "s@a up 0"},
+		{"a drain reverted by a later event", []string{"1: s@a up", "2: s@a draining", "3: s@a up"}, "s@a up 0"},
 		{"an older up after a drain", []string{"1: s@a up", "5: s@a draining", "1: s@a up"}, "s@a draining 0"},
 		{"an older up after a removal", []string{"1: s@a up", "5: s@a removed", "1: s@a up"}, "s@a removed 0"},
-		{"an older whole list after a drain", []string{"1: s@a up", "5: s@a draining", "1 all: s@a up, z@b up"}, "s@a draining 0, z@b up 0"},
-		{"an older up after a whole list without it", []string{"1: s@a up", "5 all: z@b up", "1: s@a up"}, "s@a removed 0"},
-		{"a new count, and a later start", []string{"5: s@a draining 100", "1: s@a up 101"}, "s@a up 101"},
-		{"a new count, and the same start", []string{"5: s@a draining 100", "1: s@a up 100"}, "s@a draining 100"},
-		{"a removal that tells no start", []string{"4: s@a up 100", "5: s@ removed", "4: s@a up 100"}, "s@a removed 0"},
-		{"a new count that is past the drain", []string{"2: s@a draining", "1: s@a up", "3: s@a up"}, "s@a up 0"},
-		{"told twice in a row: down, up", []string{"3: s@a removed", "4: s@a up", "3: s@a removed", "4: s@a up"}, "s@a up 0"},
-		{"told twice in a row: up, down, up, down", []string{"2: s@a draining", "3: s@a up", "4: s@a draining", "2: s@a draining", "3: s@a up"}, "s@a draining 0"},
+		{
+			"an older snapshot after a drain",
+			[]string{"1: s@a up", "5: s@a draining", "1 all: s@a up, z@b up"},
+			"s@a draining 0, z@b up 0",
+		},
+		{"an older up after a snapshot without it", []string{"1: s@a up", "5 all: z@b up", "1: s@a up"}, "s@a removed 0"},
+		{"restarted versions, and a later start", []string{"5: s@a draining 100", "1: s@a up 101"}, "s@a up 101"},
+		{"restarted versions, and the same start", []string{"5: s@a draining 100", "1: s@a up 100"}, "s@a draining 100"},
+		{"a removal without a start", []string{"4: s@a up 100", "5: s@ removed", "4: s@a up 100"}, "s@a removed 0"},
+		{"restarted versions that pass the drain", []string{"2: s@a draining", "1: s@a up", "3: s@a up"}, "s@a up 0"},
+		{
+			"delivered twice in a row: down, up",
+			[]string{"3: s@a removed", "4: s@a up", "3: s@a removed", "4: s@a up"},
+			"s@a up 0",
+		},
+		{
+			"delivered twice in a row: up, down, up, down",
+			[]string{"2: s@a draining", "3: s@a up", "4: s@a draining", "2: s@a draining", "3: s@a up"},
+			"s@a draining 0",
+		},
 		{"an older drain after an up", []string{"3: s@a up", "2: s@a draining"}, "s@a draining 0"},
 		{"an older process's up after a later start", []string{"1: s@a up", "4: s@a up 100", "1: s@a up"}, "s@a up 100"},
 		{"a later event without the start", []string{"4: s@a up 100", "5: s@a up"}, "s@a up 0"},
 		{"an older up after its address was taken", []string{"1: s@a up", "5: z@a up", "1: s@a up"}, "s@a removed 0"},
-		{"an older whole list after its address was taken", []string{"1: s@a up", "5: z@a up", "1 all: s@a up, z@a up"}, "s@a removed 0, z@a up 0"},
+		{
+			"an older snapshot after its address was taken",
+			[]string{"1: s@a up", "5: z@a up", "1 all: s@a up, z@a up"},
+			"s@a removed 0, z@a up 0",
+		},
 		{"a later up after its address was taken", []string{"1: s@a up", "5: z@a up", "6: s@b up"}, "s@b up 0"},
 		{"addresses exchanged by one event", []string{"1: s@a up, z@b up", "2: z@a up, s@b up"}, "z@a up 0, s@b up 0"},
 		{"a drain without an address", []string{"1: s@a up", "2: s@ draining"}, "s@a draining 0"},
-		{"a drain without an address of an unknown pool", []string{"2: s@ draining"}, ""},
-		{"a removal of an unknown pool", []string{"2: s@ removed"}, "s@ removed 0"},
-		{"told twice", []string{"1: s@a up 7", "1: s@a up 7"}, "s@a up 7"},
+		{"a drain without an address of an unknown endpoint", []string{"2: s@ draining"}, ""},
+		{"a removal of an unknown endpoint", []string{"2: s@ removed"}, "s@ removed 0"},
+		{"delivered twice", []string{"1: s@a up 7", "1: s@a up 7"}, "s@a up 7"},
 	} {
 		var guard versionGuard
 		var got string
-		for _, e := range k.events {
-			e := event(t, e)
-			got = text(guard.pass(e, e.Version))
+		for _, text := range test.events {
+			event := parseEvent(t, text)
+			got = endpointsText(guard.pass(event, event.Version))
 		}
-		if got != k.want {
-			t.Errorf("%s: %v: last told as %q, want %q", k.name, k.events, got, k.want)
+		if got != test.want {
+			t.Errorf("%s: %v: last delivered as %q, want %q", test.name, test.events, got, test.want)
 		}
 	}
 }
 
-// Guards against a fence that grows with every pool that was ever listed, and against one that forgets a pool that
-// is up to remember one that is gone.
+// The guard doesn't grow with every endpoint that was ever listed, and forgets one that is gone before one that is up.
 func TestVersionGuard_IsBounded(t *testing.T) {
 	var guard versionGuard
-	guard.pass(event(t, "1: up@a up"), 1)
+	guard.pass(parseEvent(t, "1: up@a up"), 1)
 	const last = maxGuarded + 99
-	for no := int64(2); no <= last; no++ {
-		guard.pass(Event{Version: no, Endpoints: []Endpoint{{UID: fmt.Sprint(no), Address: fmt.Sprint(no), State: Removed}}}, no)
+	for version := int64(2); version <= last; version++ {
+		name := strconv.FormatInt(version, 10)
+		removed := Endpoint{UID: name, Address: name, State: Removed}
+		guard.pass(Event{Version: version, Endpoints: []Endpoint{removed}}, version)
 	}
 	if _, held := guard.endpoints["up"]; len(guard.endpoints) != maxGuarded || !held {
-		t.Errorf("%d pools, the one that is up held: %v", len(guard.endpoints), held)
+		t.Errorf("%d endpoints, the one that is up held: %v", len(guard.endpoints), held)
 	}
-	for no := int64(1); no <= 2*maxSeen; no++ {
-		if e := (Event{Version: no}); guard.seen(e) || !guard.seen(e) {
-			t.Fatalf("event %d is not known again, or was before", no)
+	for version := int64(1); version <= 2*maxSeen; version++ {
+		if event := (Event{Version: version}); guard.seen(event) || !guard.seen(event) {
+			t.Fatalf("event %d is not known again, or was before", version)
 		}
 	}
 	if len(guard.delivered) > maxSeen {
 		t.Errorf("%d events are remembered", len(guard.delivered))
 	}
-	if e := guard.pass(event(t, fmt.Sprintf("1: %d@%[1]d up", last)), 1); text(e) != fmt.Sprintf("%d@%[1]d removed 0", last) {
-		t.Errorf("the latest that went is told as %q", text(e))
+	latest := guard.pass(parseEvent(t, fmt.Sprintf("1: %d@%[1]d up", last)), 1)
+	if got, want := endpointsText(latest), fmt.Sprintf("%d@%[1]d removed 0", last); got != want {
+		t.Errorf("the latest that was removed is delivered as %q, want %q", got, want)
 	}
 }
--- a/internal/endpoint/endpointlist/order_test.go
+++ b/internal/endpoint/endpointlist/order_test.go
@@ -18,264 +18,277 @@
 	"eidertrail/internal/testing/fakeplatform"
 )
 
-// item is an event of s-1, at 127.0.0.3:5060 and never started late.
-func item(no int, state string) string {
-	return fmt.Sprintf(`{"no":%d,"roster":{"all":false,"targets":[{"uid":"s-1","endpoint":"127.0.0.3:5060","state":%q}]}}`, no, state)
+// eventText is an event of s-1, at 127.0.0.3:5060, without a start time.
+func eventText(version int, state string) string {
+	const format = `{"no":%d,"roster":{"all":false,"targets":[{"uid":"s-1","endpoint":"127.0.0.3:5060","state":%q}]}}`
+	return fmt.Sprintf(format, version, state)
 }
 
-func answer(no int, items ...string) string {
-	return fmt.Sprintf(`{"no":%d,"items":[%s]}`, no, strings.Join(items, ","))
+// pageOf is a page with those events.
+func pageOf(version int, events ...string) string {
+	return fmt.Sprintf(`{"no":%d,"items":[%s]}`, version, strings.Join(events, ","))
 }
 
-// script is a bulletin on loopback that gives its answers in order, whatever is asked, and then none. asked gets the
-// number of each question.
-func script(t *testing.T, answers ...string) (address string, asked <-chan string) {
-	t.Helper()
-	questions := make(chan string, len(answers)+8)
-	var n atomic.Int64
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+// parsePage is the page of a text that is valid.
+func parsePage(tb testing.TB, text string) Page {
+	tb.Helper()
+	page, err := ParsePage([]byte(text), clock.New())
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return page
+}
+
+// startScript starts a server of the endpoint list on loopback that gives its answers in order, whatever is polled, and
+// then none. polled gets the version of each poll.
+func startScript(tb testing.TB, answers ...string) (address string, polled <-chan string) {
+	tb.Helper()
+	polls := make(chan string, len(answers)+8)
+	var count atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		text := ""
-		if i := int(n.Add(1)) - 1; i < len(answers) {
+		if i := int(count.Add(1)) - 1; i < len(answers) {
 			text = answers[i]
 		}
-		questions <- r.URL.Query().Get("after")
+		polls <- r.URL.Query().Get("after")
 		if text == "" {
 			<-r.Context().Done()
 			return
 		}
-		fmt.Fprint(w, text)
+		respond(w, text)
 	}))
-	t.Cleanup(s.Close)
-	return strings.TrimPrefix(s.URL, "http://"), questions
+	tb.Cleanup(server.Close)
+	return addressOf(server), polls
 }
 
-// watched runs a watch of address until as many questions have come, and returns them and what was told until then,
-// as "5 s-1 draining".
-func watched(t *testing.T, address string, asked <-chan string, questions int, known Page) (string, string) {
-	t.Helper()
+// playWatch watches a script that starts with those answers until it was polled so many times. It returns the versions
+// polled after, and the events delivered until then, as "5 s-1 draining 0".
+func playWatch(tb testing.TB, known Page, polls int, answers ...string) (polledAfter, delivered string) {
+	tb.Helper()
+	address, polled := startScript(tb, answers...)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	var told, were []string
+	var events []string
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
 		watchList(ctx, address, known, nil, nil, func(e Event) {
-			told = append(told, fmt.Sprint(e.Version, " ", strings.ReplaceAll(text(e), "@127.0.0.3:5060", "")))
+			endpoints := strings.ReplaceAll(endpointsText(e), "@127.0.0.3:5060", "")
+			events = append(events, fmt.Sprint(e.Version, " ", endpoints))
 		})
 	}()
-	for range questions {
-		were = append(were, <-asked)
+	versions := make([]string, 0, polls)
+	for range polls {
+		versions = append(versions, <-polled)
 	}
 	stop()
 	<-ended
-	return strings.Join(were, " "), strings.Join(told, ", ")
+	return strings.Join(versions, " "), strings.Join(events, ", ")
 }
 
-// Guards against a pool that drains being up again for as long as a bulletin lags, or for the moment between two
-// events that are told twice.
-func TestAnOlderUpTakesNoDrainBack(t *testing.T) {
-	known, err := ParsePage([]byte(answer(4, item(1, "up"))), clock.New())
-	if err != nil {
-		t.Fatal(err)
-	}
-	address, asked := script(t,
-		answer(5, item(5, "draining")),
-		answer(2, item(2, "up")), // goes back, and says what was not told before
-		answer(6, item(1, "up"), item(5, "draining"), item(6, "removed")),
-		answer(1, item(1, "up")), // goes back to what was told: it lags
-		answer(3, item(3, "up")),
-		answer(7, item(7, "up")),
+// An endpoint that drains doesn't come up again for as long as a server of the list lags, nor for the moment between
+// two events that are delivered twice.
+func TestWatch_OlderUpEventDoesNotRevertDrain(t *testing.T) {
+	known := parsePage(t, pageOf(4, eventText(1, "up")))
+	polledAfter, delivered := playWatch(t, known, 7,
+		pageOf(5, eventText(5, "draining")),
+		pageOf(2, eventText(2, "up")), // goes back, and has what was not delivered before
+		pageOf(6, eventText(1, "up"), eventText(5, "draining"), eventText(6, "removed")),
+		pageOf(1, eventText(1, "up")), // goes back to what was delivered: it lags
+		pageOf(3, eventText(3, "up")),
+		pageOf(7, eventText(7, "up")),
 	)
-	were, told := watched(t, address, asked, 7, known)
-	if want := "5 s-1 draining 0, 2 s-1 draining 0, 6 s-1 removed 0, 3 s-1 removed 0, 7 s-1 up 0"; told != want {
-		t.Errorf("told %s,\nwant %s", told, want)
+	if want := "5 s-1 draining 0, 2 s-1 draining 0, 6 s-1 removed 0, 3 s-1 removed 0, 7 s-1 up 0"; delivered != want {
+		t.Errorf("delivered %s,\nwant %s", delivered, want)
 	}
-	if want := "4 5 0 6 1 3 7"; were != want {
-		t.Errorf("asked after %s, want %s", were, want)
+	if want := "4 5 0 6 1 3 7"; polledAfter != want {
+		t.Errorf("polled after %s, want %s", polledAfter, want)
 	}
 }
 
-// Guards against what the configuration told being unknown to the fence.
-func TestADrainThatWasKnownAtTheStartIsNotTakenBack(t *testing.T) {
-	known, err := ParsePage([]byte(answer(4, item(1, "up"), item(4, "draining"))), clock.New())
-	if err != nil {
-		t.Fatal(err)
-	}
-	address, asked := script(t, answer(2, item(1, "up"), item(2, "up")))
-	if _, told := watched(t, address, asked, 2, known); told != "2 s-1 draining 0" {
-		t.Errorf("told %s", told)
+// What the configuration holds is known to the version guard.
+func TestWatch_DrainKnownAtStartIsNotReverted(t *testing.T) {
+	known := parsePage(t, pageOf(4, eventText(1, "up"), eventText(4, "draining")))
+	_, delivered := playWatch(t, known, 2, pageOf(2, eventText(1, "up"), eventText(2, "up")))
+	if delivered != "2 s-1 draining 0" {
+		t.Errorf("delivered %s", delivered)
 	}
 }
 
-// Guards against the first whole list, told once more by a bulletin that lags behind what the configuration told,
-// having a pool gone that came since, with what stands there.
-func TestABulletinThatLagsTellsNothingTwice(t *testing.T) {
-	whole := `{"no":1,"roster":{"all":true,"targets":[{"uid":"s-0","endpoint":"127.0.0.4:5060","state":"up"}]}}`
-	known, err := ParsePage([]byte(answer(5, whole, item(5, "up"))), clock.New())
-	if err != nil {
-		t.Fatal(err)
-	}
-	address, asked := script(t,
-		answer(4), // nothing after 5 yet, and not 5 itself
-		answer(4, whole, item(4, "up")),
-		answer(6, item(5, "up"), item(6, "draining")),
+// The first snapshot, sent once more by a server that lags behind the configuration, doesn't remove an endpoint that
+// came since, and the calls there with it.
+func TestWatch_LaggingServerDeliversNothingTwice(t *testing.T) {
+	snapshot := `{"no":1,"roster":{"all":true,"targets":[{"uid":"s-0","endpoint":"127.0.0.4:5060","state":"up"}]}}`
+	known := parsePage(t, pageOf(5, snapshot, eventText(5, "up")))
+	polledAfter, delivered := playWatch(t, known, 4,
+		pageOf(4), // nothing after 5 yet, and not 5 itself
+		pageOf(4, snapshot, eventText(4, "up")),
+		pageOf(6, eventText(5, "up"), eventText(6, "draining")),
 	)
-	were, told := watched(t, address, asked, 4, known)
-	if were != "5 0 4 6" || told != "4 s-1 up 0, 6 s-1 draining 0" {
-		t.Errorf("asked after %s, told %s", were, told)
+	if polledAfter != "5 0 4 6" || delivered != "4 s-1 up 0, 6 s-1 draining 0" {
+		t.Errorf("polled after %s, delivered %s", polledAfter, delivered)
 	}
 }
 
-// Guards against events of a new count that are never told: asked for those after 5, the bulletin sends none of the
-// two that it has.
-func TestABulletinThatCountsAnewIsAskedForAll(t *testing.T) {
-	for _, k := range []struct{ first, want string }{
-		{answer(2), "1 s-1 up 0, 2 s-1 draining 0"},
-		{answer(2, item(2, "draining")), "2 s-1 draining 0, 1 s-1 draining 0"},
+// A server with restarted versions, polled after 5, sends none of the two events that it has. Without a poll for all of
+// them they would never be delivered.
+func TestWatch_RestartedVersionsArePolledFromZero(t *testing.T) {
+	for _, test := range []struct{ first, want string }{
+		{pageOf(2), "1 s-1 up 0, 2 s-1 draining 0"},
+		{pageOf(2, eventText(2, "draining")), "2 s-1 draining 0, 1 s-1 draining 0"},
 	} {
-		address, asked := script(t, k.first, answer(2, item(1, "up"), item(2, "draining")))
-		if were, told := watched(t, address, asked, 3, Page{Version: 5}); were != "5 0 2" || told != k.want {
-			t.Errorf("%s: asked after %s, told %s, want %s", k.first, were, told, k.want)
+		polledAfter, delivered := playWatch(t, Page{Version: 5}, 3,
+			test.first,
+			pageOf(2, eventText(1, "up"), eventText(2, "draining")),
+		)
+		if polledAfter != "5 0 2" || delivered != test.want {
+			t.Errorf("%s: polled after %s, delivered %s, want %s", test.first, polledAfter, delivered, test.want)
 		}
 	}
 }
 
-// Guards against a drain that is passed over because a later event comes before it on the page, or because it has
-// the number of another.
-func TestEveryEventOfAPageIsTold(t *testing.T) {
-	for _, k := range []struct{ page, want string }{
-		{answer(5, item(5, "up"), item(4, "draining")), "4 s-1 draining 0, 5 s-1 up 0"},
-		{answer(5, item(5, "removed"), item(4, "draining")), "4 s-1 draining 0, 5 s-1 removed 0"},
-		{answer(4, item(4, "up"), item(4, "draining")), "4 s-1 up 0, 4 s-1 draining 0"},
-		{answer(4, item(3, "up"), item(4, "draining")), "4 s-1 draining 0"},
+// A drain isn't passed over because a later event comes before it on the page, or because it has the version of
+// another.
+func TestWatch_DeliversEveryEventOfAPage(t *testing.T) {
+	for _, test := range []struct{ page, want string }{
+		{pageOf(5, eventText(5, "up"), eventText(4, "draining")), "4 s-1 draining 0, 5 s-1 up 0"},
+		{pageOf(5, eventText(5, "removed"), eventText(4, "draining")), "4 s-1 draining 0, 5 s-1 removed 0"},
+		{pageOf(4, eventText(4, "up"), eventText(4, "draining")), "4 s-1 up 0, 4 s-1 draining 0"},
+		{pageOf(4, eventText(3, "up"), eventText(4, "draining")), "4 s-1 draining 0"},
 	} {
-		address, asked := script(t, k.page)
-		if _, told := watched(t, address, asked, 2, Page{Version: 3}); told != k.want {
-			t.Errorf("%s: told %s, want %s", k.page, told, k.want)
+		if _, delivered := playWatch(t, Page{Version: 3}, 2, test.page); delivered != test.want {
+			t.Errorf("%s: delivered %s, want %s", test.page, delivered, test.want)
 		}
 	}
 }
 
-// Guards against a drain that is passed over for an address that makes no sense, though the pool is known by its uid.
-func TestADrainWithoutAnAddressIsTold(t *testing.T) {
-	address, asked := script(t, answer(5, item(4, "up"), strings.Replace(item(5, "draining"), "127.0.0.3:5060", "", 1)))
-	if _, told := watched(t, address, asked, 2, Page{Version: 3}); told != "4 s-1 up 0, 5 s-1 draining 0" {
-		t.Errorf("told %s", told)
+// A drain isn't passed over for an invalid address, as the endpoint is known by its UID.
+func TestWatch_DeliversDrainWithoutAddress(t *testing.T) {
+	drain := strings.Replace(eventText(5, "draining"), "127.0.0.3:5060", "", 1)
+	_, delivered := playWatch(t, Page{Version: 3}, 2, pageOf(5, eventText(4, "up"), drain))
+	if delivered != "4 s-1 up 0, 5 s-1 draining 0" {
+		t.Errorf("delivered %s", delivered)
 	}
 }
 
-// A move in the middle of an answer: what had come of it is not told, the new address is asked for it.
-func TestAMoveInTheMiddleOfAnAnswer(t *testing.T) {
+// What had arrived of an answer isn't delivered: the new address is polled for it.
+func TestWatch_AddressChangeDuringAnAnswer(t *testing.T) {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	half := make(chan struct{})
 	old := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		fmt.Fprint(w, answer(5, item(4, "up"), item(5, "draining"))[:120])
+		respond(w, pageOf(5, eventText(4, "up"), eventText(5, "draining"))[:120])
 		w.(http.Flusher).Flush()
 		close(half)
 		<-r.Context().Done()
 	}))
 	defer old.Close()
-	next, asked := script(t, answer(5, item(4, "up"), item(5, "draining")))
-	moves := make(chan AddressChange, 1)
-	var told []int64
+	next, polled := startScript(t, pageOf(5, eventText(4, "up"), eventText(5, "draining")))
+	changes := make(chan AddressChange, 1)
+	var delivered []int64
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		watchList(ctx, strings.TrimPrefix(old.URL, "http://"), Page{Version: 3}, moves, nil, func(e Event) { told = append(told, e.Version) })
+		watchList(ctx, addressOf(old), Page{Version: 3}, changes, nil, func(e Event) {
+			delivered = append(delivered, e.Version)
+		})
 	}()
 	<-half
-	moves <- AddressChange{Address: next, Known: Page{Version: 3}}
-	were := []string{<-asked, <-asked}
+	changes <- AddressChange{Address: next, Known: Page{Version: 3}}
+	polledAfter := []string{<-polled, <-polled}
 	stop()
 	<-ended
-	if fmt.Sprint(were, told) != "[3 5] [4 5]" {
-		t.Errorf("asked after %v, told %v", were, told)
+	if fmt.Sprint(polledAfter, delivered) != "[3 5] [4 5]" {
+		t.Errorf("polled after %v, delivered %v", polledAfter, delivered)
 	}
 }
 
-// A move while an answer is told: the rest of it is told first, and nothing that the move knows twice.
-func TestAMoveWhileEventsAreTold(t *testing.T) {
+// The rest of an answer is delivered first, and nothing of it twice that the new configuration holds.
+func TestWatch_AddressChangeWhileDelivering(t *testing.T) {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	old, _ := script(t, answer(5, item(4, "up"), item(5, "draining")))
-	next, asked := script(t)
-	known, err := ParsePage([]byte(answer(6, item(4, "up"), item(5, "draining"), item(6, "removed"))), clock.New())
-	if err != nil {
-		t.Fatal(err)
-	}
-	moves := make(chan AddressChange) // unbuffered: once it is taken, the watch has it
-	telling, on := make(chan struct{}), make(chan struct{})
-	var told []int64
+	old, _ := startScript(t, pageOf(5, eventText(4, "up"), eventText(5, "draining")))
+	next, polled := startScript(t)
+	known := parsePage(t, pageOf(6, eventText(4, "up"), eventText(5, "draining"), eventText(6, "removed")))
+	changes := make(chan AddressChange) // unbuffered: once it is taken, the watch has it
+	delivering, resume := make(chan struct{}), make(chan struct{})
+	var delivered []int64
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		watchList(ctx, old, Page{Version: 3}, moves, nil, func(e Event) {
-			if told = append(told, e.Version); e.Version == 4 {
-				close(telling)
-				<-on
+		watchList(ctx, old, Page{Version: 3}, changes, nil, func(e Event) {
+			if delivered = append(delivered, e.Version); e.Version == 4 {
+				close(delivering)
+				<-resume
 			}
 		})
 	}()
-	<-telling
-	moves <- AddressChange{Address: next, Known: known}
-	close(on)
-	after := <-asked
+	<-delivering
+	changes <- AddressChange{Address: next, Known: known}
+	close(resume)
+	after := <-polled
 	stop()
 	<-ended
-	if after != "6" || fmt.Sprint(told) != "[4 5 6]" {
-		t.Errorf("asked after %s, told %v", after, told)
+	if after != "6" || fmt.Sprint(delivered) != "[4 5 6]" {
+		t.Errorf("polled after %s, delivered %v", after, delivered)
 	}
 }
 
-// Guards against a connection to the address before that comes up only after the move, and stays open for nobody.
-func TestAConnectionThatComesUpAfterAMoveIsClosed(t *testing.T) {
+// A connection to the old address that is established after the change doesn't stay open.
+func TestWatch_ClosesConnectionEstablishedAfterAddressChange(t *testing.T) {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	next, asked := script(t)
-	dialling, up := make(chan struct{}), make(chan struct{})
+	defer listener.Close()
+	next, polled := startScript(t)
+	dialling, reachable := make(chan struct{}), make(chan struct{})
 	w := newTestWatcher(Page{Version: 3}, func(Event) {})
 	w.dial = func(_ context.Context, network, address string) (net.Conn, error) {
-		if address == l.Addr().String() {
+		if address == listener.Addr().String() {
 			close(dialling)
-			<-up
+			<-reachable
 		}
 		return net.Dial(network, address)
 	}
-	moves := make(chan AddressChange)
+	changes := make(chan AddressChange)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		w.follow(ctx, l.Addr().String(), moves)
+		w.follow(ctx, listener.Addr().String(), changes)
 	}()
 	<-dialling
-	moves <- AddressChange{Address: next}
-	<-asked
-	close(up)
-	c, err := l.Accept()
+	changes <- AddressChange{Address: next}
+	<-polled
+	close(reachable)
+	accepted, err := listener.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close()
-	if text, err := io.ReadAll(c); len(text) > 0 || err != nil { // it ends when the other side closes
+	defer accepted.Close()
+	if text, err := io.ReadAll(accepted); len(text) > 0 || err != nil { // it ends when the other side closes
 		t.Errorf("%q, %v", text, err)
 	}
 	stop()
 	<-ended
 }
 
-// How late the list is caught up with after an outage, on a clock of its own. Guards against pauses that grow to a
-// second while what the bulletin has counts as told, and against a pause on top of a try that took long by itself.
-func TestTheListIsCaughtUpWithAfterAnOutage(t *testing.T) {
-	for _, k := range []struct {
+// serveList serves the endpoint list on that listener until the server is closed.
+func serveList(listener net.Listener, handler http.HandlerFunc) *http.Server {
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }() // its error is that it was closed
+	return server
+}
+
+// How late the watch catches up after an outage, in virtual time: the backoff doesn't grow to a second while what the
+// server has counts as delivered, and isn't added to an attempt that took long by itself.
+func TestWatch_CatchesUpAfterAnOutage(t *testing.T) {
+	for _, test := range []struct {
 		name  string
 		fails func(ctx context.Context) error // what a dial meets with during the outage
-		least time.Duration                   // the worst case, and what is allowed on top of a try
+		bound time.Duration                   // the worst case, and what is allowed on top of an attempt
 	}{
 		{"refused", func(context.Context) error { return syscall.ECONNREFUSED }, 250 * time.Millisecond},
 		{"no connection comes up", func(ctx context.Context) error {
@@ -288,12 +301,13 @@
 		}, 1050 * time.Millisecond},
 	} {
 		worst := time.Duration(0)
-		for phase := range 50 { // the outage's end falls anywhere between two tries
+		for phase := range 50 { // the outage's end falls anywhere between two attempts
 			synctest.Test(t, func(t *testing.T) {
 				ctx, stop := context.WithCancel(t.Context())
-				l := fakeplatform.NewListener()
-				s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, answer(4, item(4, "draining"))) })}
-				go s.Serve(l)
+				listener := fakeplatform.NewListener()
+				server := serveList(listener, func(w http.ResponseWriter, _ *http.Request) {
+					respond(w, pageOf(4, eventText(4, "draining")))
+				})
 				back := time.Now().Add(8*time.Second + time.Duration(phase)*21*time.Millisecond)
 				var late time.Duration
 				w := newTestWatcher(Page{Version: 3}, func(Event) {
@@ -302,48 +316,47 @@
 				})
 				w.dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
 					if time.Now().Before(back) {
-						return nil, k.fails(ctx)
+						return nil, test.fails(ctx)
 					}
-					return l.Dial(), nil
+					return listener.Dial(), nil
 				}
 				w.follow(ctx, "bulletin:80", nil)
-				s.Close()
+				server.Close()
 				worst = max(worst, late)
 			})
 		}
-		t.Logf("%s: caught up %v late at worst", k.name, worst)
-		if worst > k.least {
-			t.Errorf("%s: caught up %v late at worst, want %v", k.name, worst, k.least)
+		t.Logf("%s: caught up %v late at worst", test.name, worst)
+		if worst > test.bound {
+			t.Errorf("%s: caught up %v late at worst, want %v", test.name, worst, test.bound)
 		}
 	}
 }
 
-// Guards against an open watch that has fallen silent holding a drain back until it counts as told: the whole time
-// from the event to its telling, when the watch falls silent just after it was asked, on a clock of its own.
-func TestASilentWatchIsNoticed(t *testing.T) {
+// An open poll that has become silent doesn't hold a drain back until it counts as delivered. The bound is on the whole
+// time from the event to its delivery, when the silence begins just after the poll, in virtual time.
+func TestWatch_PollsAgainAfterSilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
-		l := fakeplatform.NewListener()
-		var n atomic.Int64
-		s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if n.Add(1) == 1 {
+		listener := fakeplatform.NewListener()
+		var polls atomic.Int64
+		server := serveList(listener, func(w http.ResponseWriter, r *http.Request) {
+			if polls.Add(1) == 1 {
 				<-r.Context().Done()
 				return
 			}
-			fmt.Fprint(w, answer(4, item(4, "draining")))
-		})}
-		go s.Serve(l)
+			respond(w, pageOf(4, eventText(4, "draining")))
+		})
 		began := time.Now()
 		var took time.Duration
 		w := newTestWatcher(Page{Version: 3}, func(Event) {
 			took = time.Since(began)
 			stop()
 		})
-		w.dial = func(context.Context, string, string) (net.Conn, error) { return l.Dial(), nil }
+		w.dial = func(context.Context, string, string) (net.Conn, error) { return listener.Dial(), nil }
 		w.follow(ctx, "bulletin:80", nil)
-		s.Close()
+		server.Close()
 		if took > 2750*time.Millisecond {
-			t.Errorf("told after %v", took)
+			t.Errorf("delivered after %v", took)
 		}
 	})
 }
--- a/internal/endpoint/endpointlist/watch_test.go
+++ b/internal/endpoint/endpointlist/watch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -37,120 +38,131 @@
 	return newWatcher(Config{Known: known, Clock: clock.New(), Log: zerolog.Nop(), Deliver: deliver})
 }
 
-func page(no int, state string) string {
-	return fmt.Sprintf(`{"no":%d,"items":[{"no":%d,"roster":{"rev":7,"all":false,"targets":[{"uid":"s-1","endpoint":"127.0.0.3:5060",`+
-		`"az":"east","model":"std","pod_group":2,"state":%q,"boot_ms":%d}]}},{"no":%d,"lot":{}}]}`, no, no, state, time.Now().UnixMilli()+1000, no)
+// pageText is a page with one event, of s-1, which starts in a second, beside an item of another kind.
+func pageText(version int, state string) string {
+	const format = `{"no":%d,"items":[{"no":%[1]d,"roster":{"rev":7,"all":false,"targets":[` +
+		`{"uid":"s-1","endpoint":"127.0.0.3:5060","az":"east","model":"std","pod_group":2,"state":%q,"boot_ms":%d}` +
+		`]}},{"no":%[1]d,"lot":{}}]}`
+	return fmt.Sprintf(format, version, state, time.Now().UnixMilli()+1000)
 }
 
+// respond writes an answer. A watch that has ended meanwhile reads none of it, which is no fault.
+func respond(w http.ResponseWriter, text string) { _, _ = io.WriteString(w, text) }
+
+// addressOf is the server's address as Config has it.
+func addressOf(server *httptest.Server) string { return strings.TrimPrefix(server.URL, "http://") }
+
 func TestParsePage(t *testing.T) {
 	now := clock.New()
-	p, err := ParsePage([]byte(page(41, "draining")), now)
-	if err != nil || p.Version != 41 || len(p.Events) != 1 || p.Events[0].Snapshot || len(p.Events[0].Endpoints) != 1 {
-		t.Fatalf("%+v, %v", p, err)
+	page, err := ParsePage([]byte(pageText(41, "draining")), now)
+	if err != nil || page.Version != 41 || len(page.Events) != 1 ||
+		page.Events[0].Snapshot || len(page.Events[0].Endpoints) != 1 {
+		t.Fatalf("%+v, %v", page, err)
 	}
-	l := p.Events[0].Endpoints[0]
-	if l.UID != "s-1" || l.Address != "127.0.0.3:5060" || l.Group != 2 || l.State != Draining {
-		t.Errorf("%+v", l)
+	endpoint := page.Events[0].Endpoints[0]
+	if endpoint.UID != "s-1" || endpoint.Address != "127.0.0.3:5060" || endpoint.Group != 2 || endpoint.State != Draining {
+		t.Errorf("%+v", endpoint)
 	}
-	if d := l.StartedAt - now.Now(); d < 0 || d > 1_000_000 {
-		t.Errorf("born %d us from now", d)
+	if d := endpoint.StartedAt - now.Now(); d < 0 || d > 1_000_000 {
+		t.Errorf("started %d us from now", d)
 	}
-	if p, err = ParsePage([]byte(page(41, "odd")), now); err != nil || len(p.Events[0].Endpoints) != 0 {
-		t.Errorf("a state that is not known: %+v, %v", p, err)
+	if page, err = ParsePage([]byte(pageText(41, "odd")), now); err != nil || len(page.Events[0].Endpoints) != 0 {
+		t.Errorf("an unknown state: %+v, %v", page, err)
 	}
 	for _, text := range []string{"", "{", "{}", `{"no":"1"}`} {
 		if _, err := ParsePage([]byte(text), now); err == nil {
-			t.Errorf("%q was taken", text)
+			t.Errorf("%q was accepted", text)
 		}
 	}
-	// One pool that makes no sense must not hide the others.
+	// One invalid endpoint must not hide the others.
 	for _, odd := range []string{`{"uid":"","state":"up"},`, `{"uid":"s-0","endpoint":"x","state":"up"},`} {
-		p, err := ParsePage([]byte(strings.Replace(page(1, "up"), `"targets":[`, `"targets":[`+odd, 1)), now)
-		if !errors.Is(err, ErrInvalidEndpoint) || len(p.Events) != 1 || len(p.Events[0].Endpoints) != 1 || p.Events[0].Endpoints[0].UID != "s-1" {
-			t.Errorf("%s: %+v, %v", odd, p, err)
+		page, err := ParsePage([]byte(strings.Replace(pageText(1, "up"), `"targets":[`, `"targets":[`+odd, 1)), now)
+		if !errors.Is(err, ErrInvalidEndpoint) || len(page.Events) != 1 ||
+			len(page.Events[0].Endpoints) != 1 || page.Events[0].Endpoints[0].UID != "s-1" {
+			t.Errorf("%s: %+v, %v", odd, page, err)
 		}
 	}
 }
 
-// Guards against events lost or told twice when the bulletin fails in between, or starts to count anew.
-func TestWatchTellsEachEventOnce(t *testing.T) {
+// No event is lost or delivered twice when the server fails in between, or restarts its versions.
+func TestWatch_DeliversEachEventOnce(t *testing.T) {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	var asked []string
+	var polled []string
 	answers := []func(w http.ResponseWriter){
-		func(w http.ResponseWriter) { fmt.Fprint(w, page(4, "up")) },
+		func(w http.ResponseWriter) { respond(w, pageText(4, "up")) },
 		func(w http.ResponseWriter) { http.Error(w, "later", 500) },
-		func(w http.ResponseWriter) { fmt.Fprint(w, "{") },
-		func(w http.ResponseWriter) { fmt.Fprint(w, page(4, "up")) }, // said again
-		func(w http.ResponseWriter) { fmt.Fprint(w, page(5, "removed")) },
-		func(w http.ResponseWriter) { fmt.Fprint(w, page(1, "up")) }, // it counts anew
-		func(w http.ResponseWriter) { stop() },
+		func(w http.ResponseWriter) { respond(w, "{") },
+		func(w http.ResponseWriter) { respond(w, pageText(4, "up")) }, // the same again
+		func(w http.ResponseWriter) { respond(w, pageText(5, "removed")) },
+		func(w http.ResponseWriter) { respond(w, pageText(1, "up")) }, // restarted versions
+		func(http.ResponseWriter) { stop() },
 	}
-	n := 0
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		asked = append(asked, r.URL.Query().Get("after"))
-		answers[min(n, len(answers)-1)](w)
-		n++
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		polled = append(polled, r.URL.Query().Get("after"))
+		answers[min(len(polled), len(answers))-1](w)
 	}))
-	defer s.Close()
-	var told []int64
-	count := &telemetry.Counters{}
-	watchList(ctx, strings.TrimPrefix(s.URL, "http://"), Page{Version: 3}, nil, count, func(e Event) { told = append(told, e.Version) })
-	if got := fmt.Sprint(told); got != "[4 5 1]" {
-		t.Errorf("told %s", got)
+	defer server.Close()
+	var delivered []int64
+	counters := &telemetry.Counters{}
+	watchList(ctx, addressOf(server), Page{Version: 3}, nil, counters, func(e Event) {
+		delivered = append(delivered, e.Version)
+	})
+	if got := fmt.Sprint(delivered); got != "[4 5 1]" {
+		t.Errorf("delivered %s", got)
 	}
-	if got := fmt.Sprint(asked); got != "[3 4 4 4 4 5 1]" || count.Get(telemetry.EndpointListErrors) != 2 {
-		t.Errorf("asked after %s, %d errors", got, count.Get(telemetry.EndpointListErrors))
+	if got := fmt.Sprint(polled); got != "[3 4 4 4 4 5 1]" || counters.Get(telemetry.EndpointListErrors) != 2 {
+		t.Errorf("polled after %s, %d errors", got, counters.Get(telemetry.EndpointListErrors))
 	}
 }
 
-// Guards against drains that are never heard of: the bulletin stops in the middle of an event and keeps the
-// connection open. It is asked again, with the numbers continued.
-func TestWatchNoticesAStopInTheMiddleOfAnEvent(t *testing.T) {
+// The server stalls in the middle of an event and keeps the connection open: it is polled again after the same version.
+// Without this, the drain in that event would never arrive.
+func TestWatch_PollsAgainAfterStallInAnEvent(t *testing.T) {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	asked := make(chan string, 4)
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	polled := make(chan string, 4)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		after := r.URL.Query().Get("after")
-		if asked <- after; after == "3" && len(asked) == 1 {
-			fmt.Fprint(w, page(4, "draining")[:60])
+		if polled <- after; after == "3" && len(polled) == 1 {
+			respond(w, pageText(4, "draining")[:60])
 			w.(http.Flusher).Flush()
 			<-r.Context().Done()
 			return
 		}
-		fmt.Fprint(w, page(4, "draining"))
+		respond(w, pageText(4, "draining"))
 	}))
-	defer s.Close()
-	watchList(ctx, strings.TrimPrefix(s.URL, "http://"), Page{Version: 3}, nil, nil, func(e Event) { stop() })
-	if a, b := <-asked, <-asked; a != "3" || b != "3" {
-		t.Errorf("asked after %s and %s", a, b)
+	defer server.Close()
+	watchList(ctx, addressOf(server), Page{Version: 3}, nil, nil, func(Event) { stop() })
+	if first, second := <-polled, <-polled; first != "3" || second != "3" {
+		t.Errorf("polled after %s and %s", first, second)
 	}
 }
 
-// Guards against events that a new configuration already holds being missed, or told again.
-func TestWatchTakesWhatAMoveKnows(t *testing.T) {
+// Events that a new configuration already holds are delivered, and not delivered again by the server.
+func TestWatch_AddressChangeDeliversItsKnownEvents(t *testing.T) {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Query().Get("after") != "4" {
-			t.Errorf("asked after %s", r.URL.Query().Get("after"))
+			t.Errorf("polled after %s", r.URL.Query().Get("after"))
 		}
-		fmt.Fprint(w, page(5, "removed"))
+		respond(w, pageText(5, "removed"))
 	}))
-	defer s.Close()
-	known, err := ParsePage([]byte(page(4, "up")), clock.New())
+	defer server.Close()
+	known, err := ParsePage([]byte(pageText(4, "up")), clock.New())
 	if err != nil {
 		t.Fatal(err)
 	}
-	moves := make(chan AddressChange, 1)
-	moves <- AddressChange{Address: strings.TrimPrefix(s.URL, "http://"), Known: known}
-	var told []int64
-	watchList(ctx, "", Page{Version: 3}, moves, nil, func(e Event) {
-		if told = append(told, e.Version); e.Version == 5 {
+	changes := make(chan AddressChange, 1)
+	changes <- AddressChange{Address: addressOf(server), Known: known}
+	var delivered []int64
+	watchList(ctx, "", Page{Version: 3}, changes, nil, func(e Event) {
+		if delivered = append(delivered, e.Version); e.Version == 5 {
 			stop()
 		}
 	})
-	if got := fmt.Sprint(told); got != "[4 5]" {
-		t.Errorf("told %s", got)
+	if got := fmt.Sprint(delivered); got != "[4 5]" {
+		t.Errorf("delivered %s", got)
 	}
 }
