--- a/internal/endpoint/srv/characterization_test.go
+++ b/internal/endpoint/srv/characterization_test.go
@@ -10,10 +10,12 @@
 import (
 	"cmp"
 	"context"
+	"encoding/binary"
 	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"regexp"
 	"slices"
@@ -51,30 +53,32 @@
 	record  strings.Builder
 }
 
-func newServer(t *testing.T, answer answerTo) *server {
-	t.Helper()
-	s := &server{answer: answer}
-	for range 20 { // the TCP port of the same number may be taken
+// portAttempts bounds the search for a port that is free for both UDP and TCP.
+const portAttempts = 20
+
+func newServer(tb testing.TB, answer answerTo) *server {
+	tb.Helper()
+	for range portAttempts {
 		packets, err := net.ListenPacket("udp", "127.0.0.1:0")
 		if err != nil {
-			t.Fatal(err)
+			tb.Fatal(err)
 		}
 		streams, err := net.Listen("tcp", packets.LocalAddr().String())
 		if err != nil {
-			packets.Close()
+			_ = packets.Close()
 			continue
 		}
-		s.packets, s.streams, s.address = packets, streams, packets.LocalAddr().String()
-		s.wait.Go(s.servePackets)
-		s.wait.Go(s.serveStreams)
-		return s
+		started := &server{address: packets.LocalAddr().String(), answer: answer, packets: packets, streams: streams}
+		started.wait.Go(started.servePackets)
+		started.wait.Go(started.serveStreams)
+		return started
 	}
-	t.Fatal("no port is free for both UDP and TCP")
+	tb.Fatal("no port is free for both UDP and TCP")
 	return nil
 }
 
 func (s *server) close() {
-	s.packets.Close()
+	_ = s.packets.Close()
 	s.streams.Close()
 	s.wait.Wait()
 }
@@ -84,16 +88,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	fmt.Fprintf(&s.record, "question %s %s\n", network, masked(question))
-	q := new(dns.Msg)
-	if err := q.Unpack(question); err != nil {
+	message := new(dns.Msg)
+	if err := message.Unpack(question); err != nil {
 		fmt.Fprintf(&s.record, "which is none: %v\n", err)
 		return nil
 	}
-	b := s.answer(network, q)
-	if b != nil {
-		fmt.Fprintf(&s.record, "answer %s\n", masked(b))
+	answer := s.answer(network, message)
+	if answer != nil {
+		fmt.Fprintf(&s.record, "answer %s\n", masked(answer))
 	}
-	return b
+	return answer
 }
 
 func (s *server) servePackets() {
@@ -103,35 +107,36 @@
 		if err != nil {
 			return
 		}
-		if b := s.reply("udp", buffer[:n]); b != nil {
-			s.packets.WriteTo(b, from)
+		if answer := s.reply("udp", buffer[:n]); answer != nil {
+			_, _ = s.packets.WriteTo(answer, from) // without it, the look-up's timeout shows in the record
 		}
 	}
 }
 
 func (s *server) serveStreams() {
 	for {
-		c, err := s.streams.Accept()
+		connection, err := s.streams.Accept()
 		if err != nil {
 			return
 		}
-		s.serveStream(c)
+		s.serveStream(connection)
 	}
 }
 
 // serveStream answers one question of a connection, after its length in two bytes, and closes it.
-func (s *server) serveStream(c net.Conn) {
-	defer c.Close()
+func (s *server) serveStream(connection net.Conn) {
+	defer connection.Close()
 	length := make([]byte, 2)
-	if _, err := io.ReadFull(c, length); err != nil {
+	if _, err := io.ReadFull(connection, length); err != nil {
 		return
 	}
-	question := make([]byte, int(length[0])<<8|int(length[1]))
-	if _, err := io.ReadFull(c, question); err != nil {
+	question := make([]byte, binary.BigEndian.Uint16(length))
+	if _, err := io.ReadFull(connection, question); err != nil {
 		return
 	}
-	if b := s.reply("tcp", question); b != nil {
-		c.Write(append([]byte{byte(len(b) >> 8), byte(len(b))}, b...))
+	if answer := s.reply("tcp", question); answer != nil {
+		framed := append(binary.BigEndian.AppendUint16(nil, uint16(len(answer))), answer...)
+		_, _ = connection.Write(framed) // without it, the look-up's error shows in the record
 	}
 }
 
@@ -140,7 +145,13 @@
 }
 
 func service(target string, port, priority, weight uint16, ttl uint32) dns.RR {
-	return &dns.SRV{Hdr: header(dns.Fqdn(poolsName), dns.TypeSRV, ttl), Target: target, Port: port, Priority: priority, Weight: weight}
+	return &dns.SRV{
+		Hdr:      header(dns.Fqdn(poolsName), dns.TypeSRV, ttl),
+		Target:   target,
+		Port:     port,
+		Priority: priority,
+		Weight:   weight,
+	}
 }
 
 func address(name, ip string, ttl uint32) dns.RR {
@@ -217,7 +228,8 @@
 	for _, r := range a.Records {
 		b.WriteString(recordText(r))
 	}
-	fmt.Fprintf(&b, "holds %d us without pools, %d questions, %d truncated, %d unresolved\n", a.NegativeTTL, a.Queries, a.Truncated, a.Unresolved)
+	fmt.Fprintf(&b, "holds %d us without pools, %d questions, %d truncated, %d unresolved\n",
+		a.NegativeTTL, a.Queries, a.Truncated, a.Unresolved)
 	return b.String()
 }
 
@@ -248,68 +260,95 @@
 }
 
 const (
-	answeredWithin = 10 * time.Second // where an answer comes: a slow machine changes nothing
-	silentFor      = 200 * time.Millisecond
+	answerTimeout  = 10 * time.Second // where an answer comes: a slow machine changes nothing
+	silenceTimeout = 200 * time.Millisecond
 )
 
-// lookUp asks a server that answers so, and returns the questions, the answers and what was made of them.
-func lookUp(t *testing.T, timeout time.Duration, udpSize uint16, name string, answer answerTo) string {
-	t.Helper()
-	s := newServer(t, answer)
-	r := &srv.Resolver{Server: s.address, Timeout: timeout, UDPSize: udpSize}
-	a, err := r.Lookup(context.Background(), name)
-	s.close()
-	return s.record.String() + answerText(a) + errorText(err)
+// lookUp queries a server that answers so, and returns the questions, the answers and what was made of them.
+func lookUp(tb testing.TB, timeout time.Duration, udpSize uint16, name string, answer answerTo) string {
+	tb.Helper()
+	started := newServer(tb, answer)
+	resolver := &srv.Resolver{Server: started.address, Timeout: timeout, UDPSize: udpSize}
+	got, err := resolver.Lookup(context.Background(), name)
+	started.close()
+	return started.record.String() + answerText(got) + errorText(err)
 }
 
 func TestCharacterization_LookUp(t *testing.T) {
-	var b strings.Builder
-	for _, k := range []struct {
+	var record strings.Builder
+	for _, test := range []struct {
 		name    string
 		udpSize uint16
 		answer  answerTo
-		timeout time.Duration // 0: answeredWithin
+		timeout time.Duration // 0: answerTimeout
 	}{
-		{"address in the additional section", 0, always(full), 0},
-		{"a size of 4096", 4096, always(full), 0},
-		{"a size of 512", 512, always(full), 0},
-		{"targets to be resolved", 0, resolving, 0},
-		{"truncated, then over TCP", 0, truncated(always(full)), 0},
-		{"truncated over TCP too", 0, truncated(always(func(m *dns.Msg) { m.Truncated = true })), 0},
-		{"truncated, a server failure over TCP", 0, truncated(always(func(m *dns.Msg) { m.Rcode = dns.RcodeServerFailure })), 0},
-		{"truncated, TCP closed", 0, truncated(func(string, *dns.Msg) []byte { return nil }), 0},
-		{"truncated, noise over TCP", 0, truncated(func(string, *dns.Msg) []byte { return []byte("noise that is no message") }), 0},
-		{"no such name", 0, always(func(m *dns.Msg) { m.Rcode, m.Ns = dns.RcodeNameError, []dns.RR{authority(30, 5)} }), 0},
-		{"no such records", 0, always(func(m *dns.Msg) { m.Ns = []dns.RR{authority(3, 5)} }), 0},
-		{"nothing at all", 0, always(func(*dns.Msg) {}), 0},
-		{"the target that says not here", 0, always(func(m *dns.Msg) { m.Answer = []dns.RR{service(".", 0, 0, 0, 7)} }), 0},
-		{"server failure", 0, always(func(m *dns.Msg) { m.Rcode = dns.RcodeServerFailure }), 0},
-		{"refused", 0, always(func(m *dns.Msg) { m.Rcode = dns.RcodeRefused }), 0},
-		{"format error", 0, always(func(m *dns.Msg) { m.Rcode = dns.RcodeFormatError }), 0},
-		{"not a response", 0, always(func(m *dns.Msg) { m.Response = false }), 0},
-		{"another question", 0, always(func(m *dns.Msg) { m.Question[0].Name = "_other._tcp.pools.example.org." }), 0},
-		{"port 0", 0, always(func(m *dns.Msg) { m.Answer = []dns.RR{service("a.pools.example.org.", 0, 0, 0, 30)} }), 0},
-		{"silent", 0, func(string, *dns.Msg) []byte { return nil }, silentFor},
-		{"another id", 0, func(_ string, q *dns.Msg) []byte { return packed(q, func(m *dns.Msg) { m.Id++; full(m) }) }, silentFor},
+		{name: "address in the additional section", answer: always(full)},
+		{name: "a size of 4096", udpSize: 4096, answer: always(full)},
+		{name: "a size of 512", udpSize: 512, answer: always(full)},
+		{name: "targets to be resolved", answer: resolving},
+		{name: "truncated, then over TCP", answer: truncated(always(full))},
+		{name: "truncated over TCP too", answer: truncated(always(func(m *dns.Msg) { m.Truncated = true }))},
+		{
+			name:   "truncated, a server failure over TCP",
+			answer: truncated(always(func(m *dns.Msg) { m.Rcode = dns.RcodeServerFailure })),
+		},
+		{name: "truncated, TCP closed", answer: truncated(func(string, *dns.Msg) []byte { return nil })},
+		{
+			name:   "truncated, noise over TCP",
+			answer: truncated(func(string, *dns.Msg) []byte { return []byte("noise that is no message") }),
+		},
+		{
+			name:   "no such name",
+			answer: always(func(m *dns.Msg) { m.Rcode, m.Ns = dns.RcodeNameError, []dns.RR{authority(30, 5)} }),
+		},
+		{name: "no such records", answer: always(func(m *dns.Msg) { m.Ns = []dns.RR{authority(3, 5)} })},
+		{name: "nothing at all", answer: always(func(*dns.Msg) {})},
+		{
+			name:   "the target that says not here",
+			answer: always(func(m *dns.Msg) { m.Answer = []dns.RR{service(".", 0, 0, 0, 7)} }),
+		},
+		{name: "server failure", answer: always(func(m *dns.Msg) { m.Rcode = dns.RcodeServerFailure })},
+		{name: "refused", answer: always(func(m *dns.Msg) { m.Rcode = dns.RcodeRefused })},
+		{name: "format error", answer: always(func(m *dns.Msg) { m.Rcode = dns.RcodeFormatError })},
+		{name: "not a response", answer: always(func(m *dns.Msg) { m.Response = false })},
+		{
+			name:   "another question",
+			answer: always(func(m *dns.Msg) { m.Question[0].Name = "_other._tcp.pools.example.org." }),
+		},
+		{
+			name:   "port 0",
+			answer: always(func(m *dns.Msg) { m.Answer = []dns.RR{service("a.pools.example.org.", 0, 0, 0, 30)} }),
+		},
+		{name: "silent", answer: func(string, *dns.Msg) []byte { return nil }, timeout: silenceTimeout},
+		{
+			name: "another id",
+			answer: always(func(m *dns.Msg) {
+				m.Id++
+				full(m)
+			}),
+			timeout: silenceTimeout,
+		},
 	} {
-		fmt.Fprintf(&b, "=== %s\n%s", k.name, lookUp(t, cmp.Or(k.timeout, answeredWithin), k.udpSize, poolsName, k.answer))
+		got := lookUp(t, cmp.Or(test.timeout, answerTimeout), test.udpSize, poolsName, test.answer)
+		fmt.Fprintf(&record, "=== %s\n%s", test.name, got)
 	}
-	fmt.Fprintf(&b, "=== a name with the final dot\n%s", lookUp(t, answeredWithin, 0, poolsName+".", always(full)))
-	fmt.Fprintf(&b, "=== a name that cannot be\n%s", lookUp(t, answeredWithin, 0, strings.Repeat("x", 64)+".org", always(full)))
-	recorded.Compare(t, "look-up.txt", b.String())
+	fmt.Fprintf(&record, "=== a name with the final dot\n%s", lookUp(t, answerTimeout, 0, poolsName+".", always(full)))
+	tooLong := strings.Repeat("x", 64) + ".org"
+	fmt.Fprintf(&record, "=== a name that cannot be\n%s", lookUp(t, answerTimeout, 0, tooLong, always(full)))
+	recorded.Compare(t, "look-up.txt", record.String())
 }
 
 // Answers as read, without a server.
 func TestCharacterization_Answers(t *testing.T) {
 	question := srv.Query(poolsName, dns.TypeSRV, 1232)
-	var b strings.Builder
+	var record strings.Builder
 	for _, size := range []uint16{0, 512, 513, 1232, 65535} {
 		for _, kind := range []uint16{dns.TypeSRV, dns.TypeA, dns.TypeAAAA} {
 			q, err := srv.Query("a.Pools.example.org", kind, size).Pack()
-			fmt.Fprintf(&b, "question of type %d size %d: %s %v\n", kind, size, masked(q), err)
+			fmt.Fprintf(&record, "question of type %d size %d: %s %v\n", kind, size, masked(q), err)
 		}
 	}
-	for _, k := range []struct {
+	for _, test := range []struct {
 		name   string
 		change func(m *dns.Msg)
 	}{
@@ -324,16 +363,29 @@
 			other.Header().Name = "_sip._tcp.g2.pools.example.org."
 			m.Answer = []dns.RR{other, address(dns.Fqdn(poolsName), "192.0.2.1", 3), service("B.Example.", 5060, 0, 0, 9)}
 		}},
-		{"not here beside a target", func(m *dns.Msg) { m.Answer = []dns.RR{service(".", 0, 0, 0, 7), service("a.example.", 1, 0, 0, 9)} }},
+		{"not here beside a target", func(m *dns.Msg) {
+			m.Answer = []dns.RR{service(".", 0, 0, 0, 7), service("a.example.", 1, 0, 0, 9)}
+		}},
 		{"lifetimes at their bounds", func(m *dns.Msg) {
-			m.Answer = []dns.RR{service("a.example.", 1, 0, 0, 0), service("a.example.", 2, 0, 0, 1<<31-1), service("a.example.", 3, 0, 0, 1<<31)}
+			m.Answer = []dns.RR{
+				service("a.example.", 1, 0, 0, 0),
+				service("a.example.", 2, 0, 0, 1<<31-1),
+				service("a.example.", 3, 0, 0, 1<<31),
+			}
 			m.Extra = []dns.RR{address("a.example.", "192.0.2.1", 1<<32-1), address("a.example.", "192.0.2.2", 1<<31-1)}
 		}},
 		{"addresses of both kinds", func(m *dns.Msg) {
-			m.Answer = []dns.RR{service("a.example.", 1, 0, 0, 9), service("b.example.", 1, 0, 0, 9), service("c.example.", 1, 0, 0, 9)}
+			m.Answer = []dns.RR{
+				service("a.example.", 1, 0, 0, 9),
+				service("b.example.", 1, 0, 0, 9),
+				service("c.example.", 1, 0, 0, 9),
+			}
 			m.Extra = []dns.RR{
-				address("a.example.", "2001:db8::1", 5), address("A.example.", "192.0.2.9", 6), address("a.example.", "192.0.2.10", 7),
-				address("b.example.", "2001:db8::2", 8), address("b.example.", "2001:db8::10", 9),
+				address("a.example.", "2001:db8::1", 5),
+				address("A.example.", "192.0.2.9", 6),
+				address("a.example.", "192.0.2.10", 7),
+				address("b.example.", "2001:db8::2", 8),
+				address("b.example.", "2001:db8::10", 9),
 			}
 		}},
 		{"over the most records", func(m *dns.Msg) {
@@ -351,35 +403,30 @@
 		{"another id", func(m *dns.Msg) { m.Id++ }},
 	} {
 		reply := new(dns.Msg).SetReply(question)
-		k.change(reply)
-		fmt.Fprintf(&b, "=== %s\n%s", k.name, readText(question, reply))
+		test.change(reply)
+		fmt.Fprintf(&record, "=== %s\n%s", test.name, readText(question, reply))
 	}
-	fmt.Fprintf(&b, "=== none\n%s", errorText(srv.Check(question, nil)))
-	recorded.Compare(t, "answers.txt", b.String())
+	fmt.Fprintf(&record, "=== none\n%s", errorText(srv.Check(question, nil)))
+	recorded.Compare(t, "answers.txt", record.String())
 }
 
 // readText is what is read of a reply.
 func readText(question, reply *dns.Msg) string {
 	var b strings.Builder
 	b.WriteString(errorText(srv.Check(question, reply)))
-	r, err := srv.ParseSRV(poolsName, reply)
+	parsed, err := srv.ParseSRV(poolsName, reply)
 	b.WriteString(errorText(err))
-	for _, s := range r.SRV {
+	for _, s := range parsed.SRV {
 		fmt.Fprintf(&b, "target %q port %d priority %d weight %d ttl %d\n", s.Target, s.Port, s.Priority, s.Weight, s.TTL)
 	}
-	var targets []string
-	for target := range r.Addresses {
-		targets = append(targets, target)
-	}
-	slices.Sort(targets)
-	for _, target := range targets {
-		for _, a := range r.Addresses[target] {
+	for _, target := range slices.Sorted(maps.Keys(parsed.Addresses)) {
+		for _, a := range parsed.Addresses[target] {
 			fmt.Fprintf(&b, "address of %q %s ttl %d\n", target, a.IP, a.TTL)
 		}
 	}
-	fmt.Fprintf(&b, "holds %d s without pools\n", r.NegativeTTL)
-	for _, p := range srv.Records(r, r.Addresses) {
-		b.WriteString(recordText(p))
+	fmt.Fprintf(&b, "holds %d s without pools\n", parsed.NegativeTTL)
+	for _, record := range srv.Records(parsed, parsed.Addresses) {
+		b.WriteString(recordText(record))
 	}
 	for _, a := range srv.ParseAddresses(poolsName, reply) {
 		fmt.Fprintf(&b, "answered address %s ttl %d\n", a.IP, a.TTL)
@@ -389,18 +436,23 @@
 
 func TestCharacterization_Schedule(t *testing.T) {
 	number := func(v float64) string { return strconv.FormatFloat(v, 'g', -1, 64) }
-	var b strings.Builder
-	for _, s := range []srv.Schedule{{}, {Floor: 5, Ceiling: 4}, {Floor: 5, Ceiling: 5, Jitter: 0.6}, {Floor: 5, Ceiling: 5, Jitter: -1}} {
-		fmt.Fprintf(&b, "floor %d ceiling %d jitter %s: %v\n", s.Floor, s.Ceiling, number(s.Jitter), s.Check())
+	var record strings.Builder
+	for _, s := range []srv.Schedule{
+		{},
+		{Floor: 5, Ceiling: 4},
+		{Floor: 5, Ceiling: 5, Jitter: 0.6},
+		{Floor: 5, Ceiling: 5, Jitter: -1},
+	} {
+		fmt.Fprintf(&record, "floor %d ceiling %d jitter %s: %v\n", s.Floor, s.Ceiling, number(s.Jitter), s.Check())
 	}
-	s := srv.Schedule{Floor: 1_000_000, Ceiling: 60_000_000, Jitter: 0.25}
-	for _, u := range []float64{0, 0.3, 0.999} {
+	schedule := srv.Schedule{Floor: 1_000_000, Ceiling: 60_000_000, Jitter: 0.25}
+	for _, draw := range []float64{0, 0.3, 0.999} {
 		for _, ttl := range []int64{0, 1_000_000, 5_000_000, 30_000_001, 300_000_000} {
-			fmt.Fprintf(&b, "refresh of %d at %s: %d\n", ttl, number(u), s.Refresh(ttl, u))
+			fmt.Fprintf(&record, "refresh of %d at %s: %d\n", ttl, number(draw), schedule.Refresh(ttl, draw))
 		}
 		for _, failures := range []int{0, 1, 2, 3, 7, 100} {
-			fmt.Fprintf(&b, "retry after %d at %s: %d\n", failures, number(u), s.Retry(failures, u))
+			fmt.Fprintf(&record, "retry after %d at %s: %d\n", failures, number(draw), schedule.Retry(failures, draw))
 		}
 	}
-	recorded.Compare(t, "schedule.txt", b.String())
+	recorded.Compare(t, "schedule.txt", record.String())
 }
--- a/internal/endpoint/srv/schedule_test.go
+++ b/internal/endpoint/srv/schedule_test.go
@@ -2,68 +2,60 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 )
 
-const s1 = int64(1_000_000)
+const second = int64(1_000_000) // in microseconds
 
-func TestScheduleCheckNamesTheField(t *testing.T) {
-	for field, s := range map[string]Schedule{
-		"refresh_floor":   {Floor: 0, Ceiling: s1},
-		"refresh_ceiling": {Floor: 2 * s1, Ceiling: s1},
-		"jitter":          {Floor: s1, Ceiling: s1, Jitter: 0.7},
+func TestSchedule_CheckNamesTheField(t *testing.T) {
+	for field, schedule := range map[string]Schedule{
+		"refresh_floor":   {Floor: 0, Ceiling: second},
+		"refresh_ceiling": {Floor: 2 * second, Ceiling: second},
+		"jitter":          {Floor: second, Ceiling: second, Jitter: 0.7},
 	} {
-		if err := s.Check(); !errors.Is(err, ErrSchedule) || !containsText(err.Error(), field) {
+		if err := schedule.Check(); !errors.Is(err, ErrSchedule) || !strings.Contains(err.Error(), field) {
 			t.Errorf("%s: %v", field, err)
 		}
 	}
 }
 
-func containsText(s, sub string) bool {
-	for i := 0; i+len(sub) <= len(s); i++ {
-		if s[i:i+len(sub)] == sub {
-			return true
+func TestSchedule_RefreshComesBeforeTheTTLWithinTheJitter(t *testing.T) {
+	schedule := Schedule{Floor: second, Ceiling: 300 * second, Jitter: 0.1}
+	for _, draw := range []float64{0, 0.25, 0.5, 0.999} {
+		got := schedule.Refresh(30*second, draw)
+		if got >= 30*second || got < 27*second {
+			t.Errorf("draw %v: refresh after %d µs, want within 27 s and 30 s", draw, got)
 		}
 	}
-	return false
-}
-
-func TestRefreshComesBeforeTheTTLWithinTheJitter(t *testing.T) {
-	s := Schedule{Floor: s1, Ceiling: 300 * s1, Jitter: 0.1}
-	for _, u := range []float64{0, 0.25, 0.5, 0.999} {
-		got := s.Refresh(30*s1, u)
-		if got >= 30*s1 || got < 27*s1 {
-			t.Errorf("u %v: refresh after %d µs, want within 27 s and 30 s", u, got)
-		}
-	}
-	if a, b := s.Refresh(30*s1, 0.1), s.Refresh(30*s1, 0.9); a == b {
+	if early, late := schedule.Refresh(30*second, 0.1), schedule.Refresh(30*second, 0.9); early == late {
 		t.Error("the draw does not move the refresh")
 	}
 }
 
-func TestRefreshKeepsFloorAndCeiling(t *testing.T) {
-	s := Schedule{Floor: s1, Ceiling: 300 * s1, Jitter: 0.1}
-	if got := s.Refresh(0, 0.5); got != s1 {
+func TestSchedule_RefreshKeepsFloorAndCeiling(t *testing.T) {
+	schedule := Schedule{Floor: second, Ceiling: 300 * second, Jitter: 0.1}
+	if got := schedule.Refresh(0, 0.5); got != second {
 		t.Errorf("TTL 0: %d, want the floor", got)
 	}
-	if got := s.Refresh(86400*s1*365, 0.5); got != 300*s1 {
+	if got := schedule.Refresh(86400*second*365, 0.5); got != 300*second {
 		t.Errorf("a year's TTL: %d, want the ceiling", got)
 	}
 }
 
-func TestRetryDoublesUpToTheCeiling(t *testing.T) {
-	s := Schedule{Floor: s1, Ceiling: 8 * s1}
-	want := []int64{s1, 2 * s1, 4 * s1, 8 * s1, 8 * s1, 8 * s1}
-	for i, w := range want {
-		if got := s.Retry(i+1, 0.5); got != w {
-			t.Errorf("failure %d: %d, want %d", i+1, got, w)
+func TestSchedule_RetryDoublesUpToTheCeiling(t *testing.T) {
+	schedule := Schedule{Floor: second, Ceiling: 8 * second}
+	want := []int64{second, 2 * second, 4 * second, 8 * second, 8 * second, 8 * second}
+	for i, wanted := range want {
+		if got := schedule.Retry(i+1, 0.5); got != wanted {
+			t.Errorf("failure %d: %d, want %d", i+1, got, wanted)
 		}
 	}
-	s.Jitter = 0.5
-	if got := s.Retry(4, 0.999); got < 4*s1 || got >= 8*s1 {
+	schedule.Jitter = 0.5
+	if got := schedule.Retry(4, 0.999); got < 4*second || got >= 8*second {
 		t.Errorf("jittered: %d", got)
 	}
-	if got := s.Retry(1000, 0); got != 8*s1 {
+	if got := schedule.Retry(1000, 0); got != 8*second {
 		t.Errorf("many failures: %d", got)
 	}
 }
--- a/internal/endpoint/srv/watch_test.go
+++ b/internal/endpoint/srv/watch_test.go
@@ -10,68 +10,69 @@
 	"eidertrail/internal/testing/fakeplatform"
 )
 
-// A server that is down at the start is asked again with backoff, and its first answer is taken.
-func TestWatchOutlastsAServerDownAtStart(t *testing.T) {
-	d := fakeplatform.NewDNS(t)
-	twoPools(d, 30, true)
-	d.SetMode(fakeplatform.ServFail)
+// A server that is down at the start is queried again with backoff, and its first answer is taken.
+func TestWatch_OutlastsAServerDownAtStart(t *testing.T) {
+	server := fakeplatform.NewDNS(t)
+	setThreePools(server, 30, true)
+	server.SetMode(fakeplatform.ServFail)
 	out := make(chan srv.Update)
 	ctx, cancel := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
-	wg.Go(func() {
-		srv.Watch(ctx, resolver(d), srv.Schedule{Floor: 10_000, Ceiling: 40_000}, name, func() int64 { return 0 }, 1, out)
+	var watches sync.WaitGroup
+	watches.Go(func() {
+		schedule := srv.Schedule{Floor: 10_000, Ceiling: 40_000}
+		srv.Watch(ctx, resolver(server), schedule, name, func() int64 { return 0 }, 1, out)
 	})
 	defer func() {
 		cancel()
-		wg.Wait()
+		watches.Wait()
 	}()
 	for range 3 {
-		if u := <-out; u.Err == nil {
-			t.Fatalf("%+v: want a failure while the server fails", u)
+		if update := <-out; update.Err == nil {
+			t.Fatalf("%+v: want a failure while the server fails", update)
 		}
 	}
-	d.SetMode(fakeplatform.Answer)
+	server.SetMode(fakeplatform.Answer)
 	for {
-		u := <-out
-		if u.Err == nil {
-			if len(u.Answer.Records) != 3 {
-				t.Fatalf("%+v", u)
+		update := <-out
+		if update.Err == nil {
+			if len(update.Answer.Records) != 3 {
+				t.Fatalf("%+v", update)
 			}
 			return
 		}
 	}
 }
 
-// The watcher asks again before each TTL runs out: with a TTL of one second and a floor of 0.1 s, about
-// once a second and never more often than the floor lets it.
-func TestWatchRefreshesWithinTheTTL(t *testing.T) {
-	d := fakeplatform.NewDNS(t)
-	twoPools(d, 1, true)
+// The watcher queries again before each TTL expires: with a TTL of one second and a floor of 0.1 s, about once a second
+// and never more often than the floor lets it.
+func TestWatch_RefreshesWithinTheTTL(t *testing.T) {
+	server := fakeplatform.NewDNS(t)
+	setThreePools(server, 1, true)
 	out := make(chan srv.Update, 16)
 	ctx, cancel := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
+	var watches sync.WaitGroup
 	start := time.Now()
-	wg.Go(func() {
-		srv.Watch(ctx, resolver(d), srv.Schedule{Floor: 100_000, Ceiling: 10_000_000, Jitter: 0.2}, name,
+	watches.Go(func() {
+		srv.Watch(ctx, resolver(server), srv.Schedule{Floor: 100_000, Ceiling: 10_000_000, Jitter: 0.2}, name,
 			func() int64 { return time.Since(start).Microseconds() }, 1, out)
 	})
 	var at []int64
 	for len(at) < 4 {
-		u := <-out
-		if u.Err != nil {
-			t.Fatal(u.Err)
+		update := <-out
+		if update.Err != nil {
+			t.Fatal(update.Err)
 		}
-		at = append(at, u.At)
+		at = append(at, update.At)
 	}
 	cancel()
-	wg.Wait()
+	watches.Wait()
 	for i := 1; i < len(at); i++ {
 		// At least 0.8 s apart by the schedule (0.8 to 0.9 s, the look-up's round trip on top).
 		if gap := at[i] - at[i-1]; gap < 800_000 {
 			t.Errorf("refresh %d came %d µs after the one before, sooner than the TTL less its jitter", i, gap)
 		}
 	}
-	if q := d.Queries(name, ""); q < 4 || q > 5 {
-		t.Errorf("%d questions for 4 look-ups (one may have been on its way at the cancel)", q)
+	if queries := server.Queries(name, ""); queries < 4 || queries > 5 {
+		t.Errorf("%d queries for 4 look-ups (one may have been in flight at the cancel)", queries)
 	}
 }
