--- a/example/example_test.go
+++ b/example/example_test.go
@@ -19,77 +19,87 @@
 	"eidertrail/internal/testing/fakeplatform"
 )
 
-// soon bounds what is waited for: the machine may be busy.
-const soon = 60 * time.Second
+// waitTimeout bounds what is waited for: the machine may be busy.
+const waitTimeout = 60 * time.Second
 
 // programs is where the example's programs and the daemon are built, once for all tests.
 var programs string
 
-func TestMain(m *testing.M) {
-	os.Exit(func() int {
-		dir, err := os.MkdirTemp("", "eidertrail-example-")
-		if err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			return 1
-		}
-		defer os.RemoveAll(dir)
-		build := exec.Command("go", "build", "-o", dir, "./example/...", "./cmd/...")
-		build.Dir, programs = "..", dir
-		if out, err := build.CombinedOutput(); err != nil {
-			fmt.Fprintf(os.Stderr, "%v: %s", err, out)
-			return 1
-		}
-		return m.Run()
-	}())
+func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+
+// buildAndRun builds the programs in a directory that it removes after the tests, and returns the exit status.
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "eidertrail-example-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	build := exec.Command("go", "build", "-o", dir, "./example/...", "./cmd/...")
+	build.Dir, programs = "..", dir
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%v: %s", err, out)
+		return 1
+	}
+	return m.Run()
 }
 
+var (
+	// fixedAddress is an address on loopback with a port that isn't chosen by the system.
+	fixedAddress = regexp.MustCompile(`127\.0\.0\.1:[1-9]\d*`)
+	// programPath is how a command names one of the programs.
+	programPath = regexp.MustCompile(`go run \./(?:example|cmd)/(\S+)|\bbin/(\S+)`)
+	// environment is the variable that a command may begin with.
+	environment = regexp.MustCompile(`^(\w+=\S+ )?`)
+)
+
 // section is one section of the README: its commands, with the README's addresses replaced by free ones.
 type section struct {
 	t        *testing.T
 	commands []string
-	replace  map[string]string // addresses and files of the README and its files, and what stands for them here
+	replaced map[string]string // addresses and files of the README and its files, each with its replacement here
 }
 
 // newSection reads the commands under a heading.
 func newSection(t *testing.T, heading string) *section {
-	t.Parallel()
+	t.Helper()
 	text, err := os.ReadFile("README.md")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &section{t: t, replace: map[string]string{}}
-	in := false
+	read := &section{t: t, replaced: map[string]string{}}
+	inSection := false
 	for line := range strings.Lines(string(text)) {
-		switch command, is := strings.CutPrefix(line, "    "); {
+		switch command, isCommand := strings.CutPrefix(line, "    "); {
 		case strings.HasPrefix(line, "#"):
-			in = strings.TrimSpace(strings.TrimLeft(line, "#")) == heading
-		case in && is:
+			inSection = strings.TrimSpace(strings.TrimLeft(line, "#")) == heading
+		case inSection && isCommand:
 			command, _, _ = strings.Cut(command, "  #")
-			s.commands = append(s.commands, strings.TrimSpace(command))
+			read.commands = append(read.commands, strings.TrimSpace(command))
 		}
 	}
-	if len(s.commands) == 0 {
+	if len(read.commands) == 0 {
 		t.Fatalf("README.md has no commands under %q", heading)
 	}
-	return s
+	return read
 }
 
-// file has a copy of a file, with the addresses in it replaced, stand for it; edit may change more.
-func (s *section) file(path string, edit func(text string) string) {
+// replaceFile replaces a file by a copy with the addresses in it replaced; edit may change more.
+func (s *section) replaceFile(path string, edit func(text string) string) {
 	s.t.Helper()
 	text, err := os.ReadFile(filepath.Join("..", path))
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	for old, with := range s.replace {
-		text = []byte(strings.ReplaceAll(string(text), old, with))
+	for old, replacement := range s.replaced {
+		text = []byte(strings.ReplaceAll(string(text), old, replacement))
 	}
 	if edit != nil {
 		text = []byte(edit(string(text)))
 	}
-	if left := regexp.MustCompile(`127\.0\.0\.1:[1-9]\d*`).FindAllString(string(text), -1); edit == nil {
-		for _, address := range left {
-			if !s.chosen(address) {
+	if edit == nil {
+		for _, address := range fixedAddress.FindAllString(string(text), -1) {
+			if !s.isReplacement(address) {
 				s.t.Errorf("%s: the test would use %s", path, address)
 			}
 		}
@@ -98,39 +108,38 @@
 	if err := os.WriteFile(to, text, 0o600); err != nil {
 		s.t.Fatal(err)
 	}
-	s.replace[path] = to
+	s.replaced[path] = to
 }
 
-func (s *section) chosen(address string) bool {
-	for _, with := range s.replace {
-		if with == address {
+// isReplacement reports whether the address is one that the test chose.
+func (s *section) isReplacement(address string) bool {
+	for _, replacement := range s.replaced {
+		if replacement == address {
 			return true
 		}
 	}
 	return false
 }
 
-// start starts the section's command that holds what, with more arguments; the n-th of them, from 0.
-func (s *section) start(what string, n int, more ...string) *process {
+// start starts the section's first command that contains text, with more arguments.
+func (s *section) start(text string, more ...string) *process {
 	s.t.Helper()
 	for _, line := range s.commands {
-		if !strings.Contains(line, what) {
-			continue
-		}
-		if n--; n >= 0 {
+		if !strings.Contains(line, text) {
 			continue
 		}
-		for old, with := range s.replace {
-			line = strings.ReplaceAll(line, old, with)
+		for old, replacement := range s.replaced {
+			line = strings.ReplaceAll(line, old, replacement)
 		}
-		line = regexp.MustCompile(`go run \./(?:example|cmd)/(\S+)|\bbin/(\S+)`).ReplaceAllString(line, programs+"/$1$2")
-		p := &process{t: s.t, ended: make(chan struct{}), changed: make(chan struct{}, 1)}
-		p.cmd = exec.Command("sh", "-c", regexp.MustCompile(`^(\w+=\S+ )?`).ReplaceAllString(line, "${1}exec ")+" "+strings.Join(more, " "))
-		p.cmd.Dir = ".."
-		p.start()
-		return p
+		line = programPath.ReplaceAllString(line, programs+"/$1$2")
+		line = environment.ReplaceAllString(line, "${1}exec ") + " " + strings.Join(more, " ")
+		started := &process{t: s.t, ended: make(chan struct{}), changed: make(chan struct{}, 1)}
+		started.cmd = exec.Command("sh", "-c", line)
+		started.cmd.Dir = ".."
+		started.start()
+		return started
 	}
-	s.t.Fatalf("README.md has no command with %q in %q", what, s.commands)
+	s.t.Fatalf("README.md has no command with %q in %q", text, s.commands)
 	return nil
 }
 
@@ -138,14 +147,15 @@
 type process struct {
 	t       *testing.T
 	cmd     *exec.Cmd
-	ended   chan struct{}
-	changed chan struct{}
+	ended   chan struct{} // closed by the goroutine that reads its output
+	changed chan struct{} // gets a value after more output
 
 	mu   sync.Mutex
 	text strings.Builder
 }
 
 func (p *process) start() {
+	p.t.Helper()
 	out, err := p.cmd.StdoutPipe()
 	if err != nil {
 		p.t.Fatal(err)
@@ -165,10 +175,10 @@
 			default:
 			}
 		}
-		p.cmd.Wait()
+		_ = p.cmd.Wait() // most are killed below
 	}()
 	p.t.Cleanup(func() {
-		p.cmd.Process.Kill()
+		_ = p.cmd.Process.Kill() // it may have ended by itself
 		<-p.ended
 		if p.t.Failed() {
 			p.t.Logf("%s:\n%s", p.cmd.Args[2], p.output())
@@ -182,116 +192,127 @@
 	return p.text.String()
 }
 
-// says waits until the output matches, and returns what the first group matched.
-func (p *process) says(pattern string) string {
+// waitFor waits until the output matches, and returns what the last group matched.
+func (p *process) waitFor(pattern string) string {
 	p.t.Helper()
-	re := regexp.MustCompile(pattern)
-	for late := time.After(soon); ; {
-		if m := re.FindStringSubmatch(p.output()); m != nil {
-			return m[len(m)-1]
+	wanted := regexp.MustCompile(pattern)
+	for timeout := time.After(waitTimeout); ; {
+		if groups := wanted.FindStringSubmatch(p.output()); groups != nil {
+			return groups[len(groups)-1]
 		}
 		select {
 		case <-p.changed:
 		case <-p.ended:
-			if !re.MatchString(p.output()) {
-				p.t.Fatalf("%s ended and did not say %s:\n%s", p.cmd.Args[2], pattern, p.output())
+			if !wanted.MatchString(p.output()) {
+				p.t.Fatalf("%s ended without output that matches %s:\n%s", p.cmd.Args[2], pattern, p.output())
 			}
-		case <-late:
-			p.t.Fatalf("%s did not say %s:\n%s", p.cmd.Args[2], pattern, p.output())
+		case <-timeout:
+			p.t.Fatalf("%s has no output that matches %s:\n%s", p.cmd.Args[2], pattern, p.output())
 		}
 	}
 }
 
-// pool starts the toy pool and bulletin.
-func (s *section) pool(more ...string) {
+// startPool starts the toy pool, with its server of the endpoint list.
+func (s *section) startPool(more ...string) {
 	s.t.Helper()
-	p := s.start("toypool", 0, append(more, "-listen 127.0.0.1:0 -bulletin 127.0.0.1:0")...)
-	s.replace["127.0.0.1:5061"] = p.says(`pool on (\S+) with`)
-	s.replace["127.0.0.1:4222"] = p.says(`bulletin on (\S+)`)
+	pool := s.start("toypool", append(more, "-listen 127.0.0.1:0 -bulletin 127.0.0.1:0")...)
+	s.replaced["127.0.0.1:5061"] = pool.waitFor(`pool on (\S+) with`)
+	s.replaced["127.0.0.1:4222"] = pool.waitFor(`bulletin on (\S+)`)
 }
 
-// answered fails the test unless the call stood and was released at its end.
-func answered(p *process) {
-	p.t.Helper()
-	p.says(`< .*"type":"answer".*m=audio 31000`)
-	p.says(`< .*"type":"released?".*"cause":16`)
+// waitForCall fails the test unless the caller's call was established, and released at its end.
+func waitForCall(caller *process) {
+	caller.t.Helper()
+	caller.waitFor(`< .*"type":"answer".*m=audio 31000`)
+	caller.waitFor(`< .*"type":"released?".*"cause":16`)
 }
 
-func TestOneMachine(t *testing.T) {
-	s := newSection(t, "Trying it on one machine")
-	s.pool()
-	s.replace["127.0.0.1:5060"] = "127.0.0.1:0"
-	s.file("example/config.json", nil)
+func TestReadme_OneMachine(t *testing.T) {
+	t.Parallel()
+	readme := newSection(t, "Trying it on one machine")
+	readme.startPool()
+	readme.replaced["127.0.0.1:5060"] = "127.0.0.1:0"
+	readme.replaceFile("example/config.json", nil)
 	for _, address := range []string{"127.0.0.1:5070", "127.0.0.1:5071", "127.0.0.1:5072"} {
-		s.replace[address] = "127.0.0.1:0"
+		readme.replaced[address] = "127.0.0.1:0"
 	}
-	s.file("deploy/callcontrol.toml", nil)
-	d := s.start("cmd/eidertrail ", 0)
-	s.replace["127.0.0.1:5070"] = d.says(`"address":"(\S+?)","field":"listen"`)
-	health := d.says(`"address":"(\S+?)","field":"health"`)
-	listen := "-address " + d.says(`"listen":"(\S+?)".*"serving"`)
+	readme.replaceFile("deploy/callcontrol.toml", nil)
+	daemon := readme.start("cmd/eidertrail ")
+	readme.replaced["127.0.0.1:5070"] = daemon.waitFor(`"address":"(\S+?)","field":"listen"`)
+	health := daemon.waitFor(`"address":"(\S+?)","field":"health"`)
+	listen := "-address " + daemon.waitFor(`"listen":"(\S+?)".*"serving"`)
 
-	lines := s.start("example/caller", 0, listen)
-	answered(lines)
-	answered(s.start("-ws", 0))
+	waitForCall(readme.start("example/caller", listen))
+	waitForCall(readme.start("-ws"))
 
-	var four []*process
-	for range 4 {
-		four = append(four, s.start("example/caller", 0, listen))
+	var callers [4]*process
+	for i := range callers {
+		callers[i] = readme.start("example/caller", listen)
 	}
-	refused := 0
-	for _, p := range four {
-		<-p.ended
-		if strings.Contains(p.output(), `"type":"release"`) && strings.Contains(p.output(), `"cause":34`) {
-			refused++
+	rejected := 0
+	for _, caller := range callers {
+		<-caller.ended
+		if strings.Contains(caller.output(), `"type":"release"`) && strings.Contains(caller.output(), `"cause":34`) {
+			rejected++
 		} else {
-			answered(p)
+			waitForCall(caller)
 		}
 	}
-	if refused != 1 {
-		t.Errorf("%d of four callers were told that there is no agent, want 1", refused)
+	if rejected != 1 {
+		t.Errorf("%d of four callers were rejected for want of an agent, want 1", rejected)
+	}
+	response, err := http.Get("http://" + health + "/ready")
+	if err != nil {
+		t.Fatalf("ready: %v", err)
 	}
-	if r, err := http.Get("http://" + health + "/ready"); err != nil || r.StatusCode != http.StatusOK {
-		t.Errorf("ready: %v, %v", r, err)
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		t.Errorf("ready: %v", response)
 	}
 }
 
-func TestSyncPoolsFromDNS(t *testing.T) {
-	s := newSection(t, "Sync pools from DNS SRV")
-	s.pool("-hold 200ms")
-	s.replace["127.0.0.1:5060"] = "127.0.0.1:0"
-	s.file("example/config.json", nil)
-	dns := s.start("srvdns", 0, "-listen 127.0.0.1:0")
-	s.replace["127.0.0.1:5353"] = dns.says(`pools on (\S+)`)
-	s.file("example/discovery.toml", nil)
-	d := s.start("cmd/eidertrail ", 0)
-	d.says(`s-toy@\S+/up/g0/bulletin\+dns`)
-	answered(s.start("example/caller", 0, "-address "+d.says(`"listen":"(\S+?)".*"serving"`)))
+func TestReadme_SyncPoolsFromDNS(t *testing.T) {
+	t.Parallel()
+	readme := newSection(t, "Sync pools from DNS SRV")
+	readme.startPool("-hold 200ms")
+	readme.replaced["127.0.0.1:5060"] = "127.0.0.1:0"
+	readme.replaceFile("example/config.json", nil)
+	dns := readme.start("srvdns", "-listen 127.0.0.1:0")
+	readme.replaced["127.0.0.1:5353"] = dns.waitFor(`pools on (\S+)`)
+	readme.replaceFile("example/discovery.toml", nil)
+	daemon := readme.start("cmd/eidertrail ")
+	daemon.waitFor(`s-toy@\S+/up/g0/bulletin\+dns`)
+	waitForCall(readme.start("example/caller", "-address "+daemon.waitFor(`"listen":"(\S+?)".*"serving"`)))
 }
 
-func TestFleetOfTwo(t *testing.T) {
-	s := newSection(t, "A fleet of two")
-	s.pool("-hold 200ms")
-	between := fakeplatform.NewDatagrams(t, 2, 1)
-	var members []*process
-	for i := range 2 {
+func TestReadme_FleetOfTwo(t *testing.T) {
+	t.Parallel()
+	readme := newSection(t, "A fleet of two")
+	readme.startPool("-hold 200ms")
+	network := fakeplatform.NewDatagrams(t, 2, 1)
+	var members [2]*process
+	for i := range members {
 		path := fmt.Sprintf("example/fleet/n%d.json", i)
-		s.file(path, func(text string) string {
-			var c map[string]any
-			if err := json.Unmarshal([]byte(text), &c); err != nil {
+		readme.replaceFile(path, func(text string) string {
+			var settings map[string]any
+			if err := json.Unmarshal([]byte(text), &settings); err != nil {
+				t.Fatal(err)
+			}
+			settings["listen"], settings["peer_listen"] = "127.0.0.1:0", "127.0.0.1:0"
+			settings["peers"] = network.Peers(i)
+			edited, err := json.Marshal(settings)
+			if err != nil {
 				t.Fatal(err)
 			}
-			c["listen"], c["peer_listen"], c["peers"] = "127.0.0.1:0", "127.0.0.1:0", between.Peers(i)
-			out, _ := json.Marshal(c)
-			return string(out)
+			return string(edited)
 		})
-		members = append(members, s.start(path, 0))
+		members[i] = readme.start(path)
 	}
-	for i, d := range members {
-		d.says(fmt.Sprintf(`"member":%d,.*"is":"alive"`, 1-i))
-		d.says(`"units":.*"message":"share"`)
-		c := exec.Command(filepath.Join(programs, "caller"), "-address", d.says(`"listen":"(\S+?)".*"serving"`))
-		if out, err := c.CombinedOutput(); err != nil || !strings.Contains(string(out), `"type":"answer"`) {
+	for i, daemon := range members {
+		daemon.waitFor(fmt.Sprintf(`"member":%d,.*"is":"alive"`, 1-i))
+		daemon.waitFor(`"units":.*"message":"share"`)
+		caller := exec.Command(filepath.Join(programs, "caller"), "-address", daemon.waitFor(`"listen":"(\S+?)".*"serving"`))
+		if out, err := caller.CombinedOutput(); err != nil || !strings.Contains(string(out), `"type":"answer"`) {
 			t.Errorf("a call at member %d: %v\n%s", i, err, out)
 		}
 	}
--- a/example/srvdns/main.go
+++ b/example/srvdns/main.go
@@ -1,6 +1,6 @@
 // Command srvdns is a DNS server on loopback for trying SRV as a source of sync pools: it serves
-// _sip._tcp.g0.pools.example.org with one SRV record for each pool address given, and, every -churn,
-// drops the last one for a while and brings it back, as a fleet that changes does.
+// _sip._tcp.g0.pools.example.org with one SRV record for each pool address given. With -churn it removes the last one
+// for a while and adds it again, in turn, as happens in a fleet that changes.
 package main
 
 import (
@@ -18,53 +18,93 @@
 	"eidertrail/internal/testing/fakeplatform"
 )
 
+const (
+	defaultTTL = 5 // seconds
+	// targetPriority and targetWeight are the same for all pools, so that none is preferred.
+	targetPriority = 10
+	targetWeight   = 10
+)
+
+// zone is the one SRV name that is served.
+type zone struct {
+	name    string
+	ttl     uint32 // seconds
+	targets []fakeplatform.Target
+}
+
 func main() {
 	listen := flag.String("listen", "127.0.0.1:5353", "where the server listens, UDP and TCP")
 	name := flag.String("name", "_sip._tcp.g0.pools.example.org", "the SRV name served")
 	pools := flag.String("pools", "127.0.0.1:5061", "pool addresses, comma-separated")
-	ttl := flag.Uint("ttl", 5, "TTL of the records, in seconds")
+	ttl := flag.Uint("ttl", defaultTTL, "TTL of the records, in seconds")
 	churn := flag.Duration("churn", 0, "how often the last pool leaves and comes back; 0: never")
 	flag.Parse()
-	var targets []fakeplatform.Target
-	for i, a := range strings.Split(*pools, ",") {
-		host, port, err := net.SplitHostPort(a)
-		n, perr := strconv.ParseUint(port, 10, 16)
-		if err != nil || perr != nil {
-			fmt.Fprintf(os.Stderr, "srvdns: -pools: %q is not address:port\n", a)
-			os.Exit(1)
-		}
-		targets = append(targets, fakeplatform.Target{
-			Host: fmt.Sprintf("p%d.pools.example.org", i), Port: uint16(n),
-			Priority: 10, Weight: 10, IP: host, TTL: uint32(*ttl), Additional: true,
-		})
+	served := zone{name: *name, ttl: uint32(*ttl)}
+	err := served.addTargets(*pools)
+	if err == nil {
+		err = serve(served, *listen, *churn)
 	}
-	d, err := fakeplatform.StartDNS(*listen)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "srvdns:", err)
 		os.Exit(1)
 	}
-	defer d.Close()
-	d.SetSRV(*name, uint32(*ttl), targets...)
-	fmt.Printf("serving %s with %d pools on %s\n", *name, len(targets), d.Addr)
+}
+
+// addTargets adds a target for each of the pools' addresses, which commas separate.
+func (z *zone) addTargets(pools string) error {
+	for i, address := range strings.Split(pools, ",") {
+		host, port, err := net.SplitHostPort(address)
+		number, portErr := strconv.ParseUint(port, 10, 16)
+		if err != nil || portErr != nil {
+			return fmt.Errorf("-pools: %q is not address:port", address)
+		}
+		z.targets = append(z.targets, fakeplatform.Target{
+			Host:       fmt.Sprintf("p%d.pools.example.org", i),
+			Port:       uint16(number),
+			Priority:   targetPriority,
+			Weight:     targetWeight,
+			IP:         host,
+			TTL:        z.ttl,
+			Additional: true,
+		})
+	}
+	return nil
+}
+
+// serve serves the zone until the process is asked to stop.
+func serve(served zone, listen string, churn time.Duration) error {
+	server, err := fakeplatform.StartDNS(listen)
+	if err != nil {
+		return err
+	}
+	defer server.Close()
+	server.SetSRV(served.name, served.ttl, served.targets...)
+	fmt.Printf("serving %s with %d pools on %s\n", served.name, len(served.targets), server.Addr)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	if *churn <= 0 || len(targets) < 2 {
+	if churn <= 0 || len(served.targets) < 2 {
 		<-ctx.Done()
-		return
+		return nil
 	}
-	tick := time.NewTicker(*churn)
-	defer tick.Stop()
-	for all := true; ; all = !all {
+	churnLast(ctx, server, served, churn)
+	return nil
+}
+
+// churnLast removes the last target and adds it again, one of both after each interval.
+func churnLast(ctx context.Context, server *fakeplatform.DNS, served zone, interval time.Duration) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for complete := true; ; complete = !complete {
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-ticker.C:
 		}
-		if all {
-			d.SetSRV(*name, uint32(*ttl), targets[:len(targets)-1]...)
+		if complete {
+			server.SetSRV(served.name, served.ttl, served.targets[:len(served.targets)-1]...)
 			fmt.Println("the last pool left")
 		} else {
-			d.SetSRV(*name, uint32(*ttl), targets...)
+			server.SetSRV(served.name, served.ttl, served.targets...)
 			fmt.Println("the last pool is back")
 		}
 	}
