scripts: the test of known-red with rows by field and whole names

Cause: rows of up to 200 columns, names of one letter. The cases are the same. Checked: go test -race ./scripts passes.

--- a/scripts/known_red_test.go
+++ b/scripts/known_red_test.go
@@ -9,15 +9,26 @@
 	"testing"
 )
 
-// madeUp writes a module with the packages a and b, whose tests fail or pass as their names say, but for
-// TestShared: it fails in a and is in b whatever shared is there. list is KNOWN-RED.txt, "" for none.
-func madeUp(t *testing.T, list, shared string) string {
-	t.Helper()
-	dir := t.TempDir()
+// testsOfA are the tests of package a: all pass but TestShared.
+const testsOfA = `package a
+
+import "testing"
+
+func TestGood(t *testing.T) {}
+
+func TestGoodToo(t *testing.T) {}
+
+func TestShared(t *testing.T) { t.Fatal("a is broken") }
+`
+
+// writeModule writes a module with the packages a and b, and returns its directory. The body of b's TestShared is
+// shared. list is KNOWN-RED.txt, "" for none.
+func writeModule(tb testing.TB, list, shared string) string {
+	tb.Helper()
+	dir := tb.TempDir()
 	files := map[string]string{
-		"go.mod": "module made.up/m\n\ngo 1.26\n",
-		"a/a_test.go": "package a\n\nimport \"testing\"\n\nfunc TestGood(t *testing.T) {}\n\nfunc TestGoodToo(t *testing.T) {}\n\n" +
-			"func TestShared(t *testing.T) { t.Fatal(\"a is broken\") }\n",
+		"go.mod":      "module made.up/m\n\ngo 1.26\n",
+		"a/a_test.go": testsOfA,
 		"b/b_test.go": "package b\n\nimport \"testing\"\n\nfunc TestShared(t *testing.T) { " + shared + " }\n",
 	}
 	if list != "" {
@@ -26,17 +37,17 @@
 	for name, text := range files {
 		path := filepath.Join(dir, name)
 		if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
-			t.Fatal(err)
+			tb.Fatal(err)
 		}
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
+			tb.Fatal(err)
 		}
 	}
 	return dir
 }
 
 // The check passes over what KNOWN-RED.txt lists, and over nothing else.
-func TestKnownRed(t *testing.T) {
+func TestKnownRed_PassesOverListedTestsOnly(t *testing.T) {
 	script, err := filepath.Abs("known-red")
 	if err != nil {
 		t.Fatal(err)
@@ -47,48 +58,85 @@
 		passed = "known red: made.up/m/a TestGood | it was broken | #2: passed"
 		failed = "known red: made.up/m/a TestShared | a is broken | #1: failed"
 	)
-	for _, k := range []struct {
-		name, list, shared string
-		passes             bool
-		says               []string
-		not                string // what it must not say
+	for _, test := range []struct {
+		name   string
+		list   string // KNOWN-RED.txt
+		shared string // the body of b's TestShared
+		passes bool
+		prints []string
+		not    string // what it must not print
 	}{
 		{"no file", "", "", false, []string{"--- FAIL: TestShared", "ok  \tmade.up/m/b"}, "known red:"},
 		{"a red test that fails", red, "", true, []string{failed, "a is broken\n", "ok  \tmade.up/m/b"}, "passed"},
 		{"a red test that passes", red + good, "", true, []string{failed, passed}, ""},
 		{"no line feed at the end", strings.TrimSuffix(red, "\n"), "", true, []string{failed}, ""},
-		{"another's test of the same name", red, `t.Fatal("b is broken")`, false, []string{"b is broken", failed}, ""},
+		{
+			name:   "another's test of the same name",
+			list:   red,
+			shared: `t.Fatal("b is broken")`,
+			prints: []string{"b is broken", failed},
+		},
 		{"another test that fails", good, "", false, []string{"--- FAIL: TestShared", passed}, ""},
-		{"a test whose name only begins so", good + "made.up/m/a TestGoodToo | x | #3\n" + red, "", true, []string{"TestGoodToo | x | #3: passed", failed}, ""},
+		{
+			name:   "a test whose name only begins so",
+			list:   good + "made.up/m/a TestGoodToo | x | #3\n" + red,
+			passes: true,
+			prints: []string{"TestGoodToo | x | #3: passed", failed},
+		},
 		{"a skip", "made.up/m/b TestShared | x | #4\n" + red, `t.Skip("later")`, true, []string{"#4: skipped"}, ""},
-		{"four lines", red + good + "made.up/m/a TestGoodToo | x | #3\nmade.up/m/b TestShared | x | #4\n", "", false, []string{"KNOWN-RED.txt: line 4: at most 3"}, "--- "},
+		{
+			name:   "four lines",
+			list:   red + good + "made.up/m/a TestGoodToo | x | #3\nmade.up/m/b TestShared | x | #4\n",
+			prints: []string{"KNOWN-RED.txt: line 4: at most 3"},
+			not:    "--- ",
+		},
 		{"no package", "TestShared | x | #1\n", "", false, []string{"line 1: the test is missing"}, "--- "},
 		{"nothing before the bar", " | x | #1\n", "", false, []string{"line 1: the package is missing"}, "--- "},
 		{"no cause", "made.up/m/a TestShared | | #1\n", "", false, []string{"line 1: the cause is missing"}, "--- "},
 		{"no issue", "made.up/m/a TestShared | x |\n", "", false, []string{"line 1: the issue is missing"}, "--- "},
-		{"no bars", red + "made.up/m/a TestGood\n", "", false, []string{"line 2: want 'package-path TestName | cause | issue'"}, "--- "},
+		{
+			name:   "no bars",
+			list:   red + "made.up/m/a TestGood\n",
+			prints: []string{"line 2: want 'package-path TestName | cause | issue'"},
+			not:    "--- ",
+		},
 		{"an empty line", red + "\n", "", false, []string{"line 2: want"}, "--- "},
-		{"no such test", "made.up/m/a TestGone | x | #1\n", "", false, []string{"line 1: no test TestGone in made.up/m/a"}, "--- "},
-		{"a pattern", "made.up/m/a Test.* | x | #1\n", "", false, []string{"line 1: no test Test.* in made.up/m/a"}, "--- "},
-		{"many packages", "./... TestShared | x | #1\n", "", false, []string{"line 1: no package ./... in this module"}, "--- "},
+		{
+			name:   "no such test",
+			list:   "made.up/m/a TestGone | x | #1\n",
+			prints: []string{"line 1: no test TestGone in made.up/m/a"},
+			not:    "--- ",
+		},
+		{
+			name:   "a pattern",
+			list:   "made.up/m/a Test.* | x | #1\n",
+			prints: []string{"line 1: no test Test.* in made.up/m/a"},
+			not:    "--- ",
+		},
+		{
+			name:   "many packages",
+			list:   "./... TestShared | x | #1\n",
+			prints: []string{"line 1: no package ./... in this module"},
+			not:    "--- ",
+		},
 		{"twice", red + red, "", false, []string{"line 2: made.up/m/a TestShared is listed twice"}, "--- "},
 	} {
-		t.Run(k.name, func(t *testing.T) {
+		t.Run(test.name, func(t *testing.T) {
 			run := exec.Command(script, "-count=1", "-p=1")
-			run.Dir = madeUp(t, k.list, k.shared)
+			run.Dir = writeModule(t, test.list, test.shared)
 			run.Env = append(os.Environ(), "GOWORK=off")
 			out, err := run.CombinedOutput()
 			text := string(out)
-			if (err == nil) != k.passes {
-				t.Errorf("ended with %v, want a pass: %v", err, k.passes)
+			if (err == nil) != test.passes {
+				t.Errorf("ended with %v, want a pass: %v", err, test.passes)
 			}
-			for _, want := range k.says {
+			for _, want := range test.prints {
 				if !strings.Contains(text, want) {
-					t.Errorf("does not say %q", want)
+					t.Errorf("does not print %q", want)
 				}
 			}
-			if k.not != "" && strings.Contains(text, k.not) {
-				t.Errorf("says %q", k.not)
+			if test.not != "" && strings.Contains(text, test.not) {
+				t.Errorf("prints %q", test.not)
 			}
 			if t.Failed() {
 				t.Logf("%s", text)
