--- a/internal/endpoint/endpointset/characterization_test.go
+++ b/internal/endpoint/endpointset/characterization_test.go
@@ -61,11 +61,11 @@
 	view   []endpointset.Endpoint
 }
 
-func newWorld(t *testing.T, s scenario, seed uint64) *world {
-	t.Helper()
+func newWorld(tb testing.TB, s scenario, seed uint64) *world {
+	tb.Helper()
 	set, err := endpointset.New(s.config)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	return &world{scenario: s, random: rand.New(rand.NewPCG(seed, 2)), set: set, now: second, busy: map[string]bool{}}
 }
@@ -291,16 +291,9 @@
 		{"most pools 0", endpointset.Config{MaxRecords: 1}},
 	} {
 		_, err := endpointset.New(test.config)
-		got.WriteString(errorLine("new, "+test.name, err))
-		got.WriteString(errorLine("bounds, "+test.name, set.SetConfig(test.config)))
+		got.WriteString(recorded.ErrorLine("new, "+test.name, err, remedy.Of(err)))
+		err = set.SetConfig(test.config)
+		got.WriteString(recorded.ErrorLine("bounds, "+test.name, err, remedy.Of(err)))
 	}
 	recorded.Compare(t, "config-errors.txt", got.String())
 }
-
-// errorLine is a case's line in the recorded file: its name, what the error says, and what the operator can do.
-func errorLine(name string, err error) string {
-	if err == nil {
-		return name + " | no error |\n"
-	}
-	return strings.TrimRight(name+" | "+err.Error()+" | "+remedy.Of(err), " ") + "\n"
-}
--- a/internal/fleet/quota/characterization_test.go
+++ b/internal/fleet/quota/characterization_test.go
@@ -81,8 +81,8 @@
 
 const poolName = "pool-a"
 
-func newAllocator(t *testing.T, self int, incarnation uint32) *quota.Allocator {
-	t.Helper()
+func newAllocator(tb testing.TB, self int, incarnation uint32) *quota.Allocator {
+	tb.Helper()
 	config := quota.Config{
 		Self:        self,
 		Members:     3,
@@ -94,42 +94,42 @@
 	}
 	allocator, err := quota.New(config, 0)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	allocator.SetAlive([]bool{true, true, true})
 	return allocator
 }
 
 // only is the one body of an output.
-func only(t *testing.T, out []quota.Out, err error) []byte {
-	t.Helper()
+func only(tb testing.TB, out []quota.Out, err error) []byte {
+	tb.Helper()
 	if err != nil || len(out) != 1 {
-		t.Fatalf("%d messages, %v", len(out), err)
+		tb.Fatalf("%d messages, %v", len(out), err)
 	}
 	return out[0].Body
 }
 
 // writtenMessages has allocators write a message of each type: two requests, their grants, and a return.
-func writtenMessages(t *testing.T) []recorded.Body {
-	t.Helper()
-	borrower, lender := newAllocator(t, 0, 0xABCD), newAllocator(t, 1, 1)
+func writtenMessages(tb testing.TB) []recorded.Body {
+	tb.Helper()
+	borrower, lender := newAllocator(tb, 0, 0xABCD), newAllocator(tb, 1, 1)
 	now := 2 * leaseLength
 	borrower.Demand(now, poolName, 3000)
 	requests := borrower.Tick(now)
 	if len(requests) != 2 {
-		t.Fatalf("%d requests", len(requests))
+		tb.Fatalf("%d requests", len(requests))
 	}
 	replies, err := lender.Receive(now, 0, requests[0].Body)
-	grant := only(t, replies, err)
-	starting := newAllocator(t, 2, 1)
+	grant := only(tb, replies, err)
+	starting := newAllocator(tb, 2, 1)
 	replies, err = starting.Receive(1, 0, requests[1].Body)
-	emptyGrant := only(t, replies, err)
+	emptyGrant := only(tb, replies, err)
 	if _, err := borrower.Receive(now, 1, grant); err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	borrower.Demand(now, poolName, 0)
-	returned := only(t, borrower.Tick(now), nil)
-	long := newAllocator(t, 0, math.MaxUint32)
+	returned := only(tb, borrower.Tick(now), nil)
+	long := newAllocator(tb, 0, math.MaxUint32)
 	long.SetAlive([]bool{true, true, false})
 	long.Demand(now, strings.Repeat("n", quota.MaxNameLength), math.MaxInt)
 	return []recorded.Body{
@@ -138,7 +138,7 @@
 		{Name: "grant", Bytes: grant},
 		{Name: "grant-of-nothing", Bytes: emptyGrant},
 		{Name: "return", Bytes: returned},
-		{Name: "ask-longest-name", Bytes: only(t, long.Tick(now), nil)},
+		{Name: "ask-longest-name", Bytes: only(tb, long.Tick(now), nil)},
 	}
 }
 
--- a/internal/fleet/quota/network_test.go
+++ b/internal/fleet/quota/network_test.go
@@ -34,7 +34,7 @@
 // network simulates allocators in virtual time. No two events have the same time: of resources unused for equally
 // long an allocator evicts the one that comes first in a map, which differs from run to run.
 type network struct {
-	t          *testing.T
+	tb         testing.TB
 	rng        *rand.Rand
 	now        int64
 	config     quota.Config
@@ -55,11 +55,11 @@
 func uncut(int, int) bool { return false }
 
 func newNetwork(
-	t *testing.T, record *recorded.Series, config quota.Config, names int, seed uint64, corrupting bool,
+	tb testing.TB, record *recorded.Series, config quota.Config, names int, seed uint64, corrupting bool,
 ) *network {
-	t.Helper()
+	tb.Helper()
 	w := &network{
-		t:          t,
+		tb:         tb,
 		rng:        rand.New(rand.NewPCG(seed, 77)),
 		now:        startOfTime,
 		config:     config,
@@ -80,7 +80,7 @@
 
 // start starts a member, by a clock that may have been set forward or back.
 func (w *network) start(member int, offset int64) {
-	w.t.Helper()
+	w.tb.Helper()
 	restarted := &w.processes[member]
 	*restarted = process{
 		starts: restarted.starts + 1,
@@ -92,7 +92,7 @@
 	config.Self, config.Incarnation = member, restarted.starts
 	allocator, err := quota.NewSharedAllocator(config, w.clock(member))
 	if err != nil {
-		w.t.Fatal(err)
+		w.tb.Fatal(err)
 	}
 	allocator.SetAlive(w.believed(member, 0))
 	restarted.allocator = allocator
@@ -159,7 +159,7 @@
 
 // run simulates that many events: a message that arrives, a Tick, a change of what a member needs, or a disturbance.
 func (w *network) run(events int) {
-	w.t.Helper()
+	w.tb.Helper()
 	for range events {
 		w.step()
 		w.record.Step()
@@ -170,7 +170,7 @@
 }
 
 func (w *network) step() {
-	w.t.Helper()
+	w.tb.Helper()
 	next, member := int64(math.MaxInt64), 0
 	for i := range w.processes {
 		if at := max(w.processes[i].tickAt, w.processes[i].stoppedUntil); at < next {
@@ -199,7 +199,7 @@
 
 // arrive delivers a message, or defers it while the member is stopped.
 func (w *network) arrive(arriving messagequeue.Message) {
-	w.t.Helper()
+	w.tb.Helper()
 	receiver := &w.processes[arriving.To]
 	if receiver.stoppedUntil > w.now {
 		arriving.At = receiver.stoppedUntil
@@ -234,7 +234,7 @@
 
 // disturb changes the network, a process, or what a member believes of the others.
 func (w *network) disturb(member int) {
-	w.t.Helper()
+	w.tb.Helper()
 	disturbed := &w.processes[member]
 	kind := w.rng.IntN(16)
 	w.record.Text("disturb")
--- a/internal/fleet/statetable/characterization_test.go
+++ b/internal/fleet/statetable/characterization_test.go
@@ -56,23 +56,23 @@
 
 const tableMembers = 3
 
-func newTable(t *testing.T, self int) *statetable.Table {
-	t.Helper()
+func newTable(tb testing.TB, self int) *statetable.Table {
+	tb.Helper()
 	config := statetable.Default(self, tableMembers, 1_700_000_000_000_000+uint64(self), 7)
 	config.Fanout, config.Packets, config.DigestEvery = 1, 16, 1
 	config.Kinds = kinds()
 	made, err := statetable.New(config, 0)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	made.SetAlive([]bool{true, true, true})
 	return made
 }
 
-func set(t *testing.T, to *statetable.Table, kind statetable.Kind, value string) {
-	t.Helper()
+func set(tb testing.TB, to *statetable.Table, kind statetable.Kind, value string) {
+	tb.Helper()
 	if err := to.Set(0, kind, []byte(value)); err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 }
 
@@ -86,11 +86,11 @@
 }
 
 // receive passes a body to a table, which must accept it.
-func receive(t *testing.T, to *statetable.Table, from int, body []byte) []statetable.Out {
-	t.Helper()
+func receive(tb testing.TB, to *statetable.Table, from int, body []byte) []statetable.Out {
+	tb.Helper()
 	out, err := to.Receive(1000, from, body)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	return out
 }
@@ -105,40 +105,40 @@
 
 // writtenBodies has tables write a body of each type: updates and a digest, summaries in answer to the digest, a
 // request in answer to the summaries, and fragments in answer to the request.
-func writtenBodies(t *testing.T) []recorded.Body {
-	t.Helper()
-	empty := newTable(t, 1)
+func writtenBodies(tb testing.TB) []recorded.Body {
+	tb.Helper()
+	empty := newTable(tb, 1)
 	all := named("digest-of-nothing", empty.Tick(0))
-	publisher := newTable(t, 0)
-	set(t, publisher, statetable.Region, "north")
-	set(t, publisher, statetable.Versions, "")
-	set(t, publisher, statetable.Sketch, longValue())
+	publisher := newTable(tb, 0)
+	set(tb, publisher, statetable.Region, "north")
+	set(tb, publisher, statetable.Versions, "")
+	set(tb, publisher, statetable.Sketch, longValue())
 	published := publisher.Tick(0)
 	all = append(all, named("rumours-and-digest", published)...)
 	digest := published[len(published)-1].Body
-	lines := receive(t, empty, 0, digest)
+	lines := receive(tb, empty, 0, digest)
 	all = append(all, named("lines-of-nothing", lines)...)
-	all = append(all, named("repairs-of-all", receive(t, publisher, 1, lines[0].Body))...)
-	part := newTable(t, 2)
-	set(t, part, statetable.Region, "south")
-	receive(t, part, 0, published[1].Body) // some of the fragments
-	lines = receive(t, part, 0, digest)
+	all = append(all, named("repairs-of-all", receive(tb, publisher, 1, lines[0].Body))...)
+	part := newTable(tb, 2)
+	set(tb, part, statetable.Region, "south")
+	receive(tb, part, 0, published[1].Body) // some of the fragments
+	lines = receive(tb, part, 0, digest)
 	all = append(all, named("lines-of-some", lines)...)
 	for i, line := range lines {
-		all = append(all, named(fmt.Sprintf("repairs-of-some-%d", i), receive(t, publisher, 2, line.Body))...)
+		all = append(all, named(fmt.Sprintf("repairs-of-some-%d", i), receive(tb, publisher, 2, line.Body))...)
 	}
-	lines = receive(t, publisher, 2, lastBody(t, part.Tick(0)))
+	lines = receive(tb, publisher, 2, lastBody(tb, part.Tick(0)))
 	all = append(all, named("lines-of-many", lines)...)
-	answers := receive(t, part, 0, lines[0].Body)
+	answers := receive(tb, part, 0, lines[0].Body)
 	all = append(all, named("wanted-and-repairs", answers)...)
-	return append(all, named("repairs-of-wanted", receive(t, publisher, 2, answers[0].Body))...)
+	return append(all, named("repairs-of-wanted", receive(tb, publisher, 2, answers[0].Body))...)
 }
 
 // lastBody is the digest of an output, which comes last.
-func lastBody(t *testing.T, out []statetable.Out) []byte {
-	t.Helper()
+func lastBody(tb testing.TB, out []statetable.Out) []byte {
+	tb.Helper()
 	if len(out) == 0 {
-		t.Fatal("nothing is sent")
+		tb.Fatal("nothing is sent")
 	}
 	return out[len(out)-1].Body
 }
@@ -287,14 +287,14 @@
 }
 
 // readBody writes down how a table handles a body: the error, answers, changes and counters.
-func readBody(t *testing.T, text *strings.Builder, who string, reader *statetable.Table, from int, b recorded.Body) {
-	t.Helper()
+func readBody(tb testing.TB, text *strings.Builder, who string, reader *statetable.Table, from int, b recorded.Body) {
+	tb.Helper()
 	out, err := reader.Receive(1000, from, b.Bytes)
 	fmt.Fprintf(text, "%s %s is-tables %t", who, b.Name, statetable.IsMessage(b.Bytes))
 	if err != nil {
 		var wrong *statetable.MessageError
 		if !errors.As(err, &wrong) {
-			t.Errorf("%s: %v is not the error of a message", b.Name, err)
+			tb.Errorf("%s: %v is not the error of a message", b.Name, err)
 			return
 		}
 		fmt.Fprintf(text, " error %q remedy %q", err.Error(), wrong.Remedy())
--- a/internal/fleet/statetable/network_test.go
+++ b/internal/fleet/statetable/network_test.go
@@ -39,7 +39,7 @@
 // network simulates tables in virtual time. A member that refutes an earlier incarnation publishes its own values again
 // in the order of a map, which differs from run to run; so one that starts by a clock that was set back has one kind.
 type network struct {
-	t         *testing.T
+	tb        testing.TB
 	rng       *rand.Rand
 	now       int64
 	processes []process
@@ -57,10 +57,10 @@
 
 func uncut(int, int) bool { return false }
 
-func newNetwork(t *testing.T, record *recorded.Series, members int, seed uint64) *network {
-	t.Helper()
+func newNetwork(tb testing.TB, record *recorded.Series, members int, seed uint64) *network {
+	tb.Helper()
 	w := &network{
-		t:         t,
+		tb:        tb,
 		rng:       rand.New(rand.NewPCG(seed, 55)),
 		now:       second,
 		processes: make([]process, members),
@@ -77,7 +77,7 @@
 
 // start starts a member; by a clock that was set back its incarnation is lower than that of the last start.
 func (w *network) start(member int, known []statetable.Spec, setBack bool) {
-	w.t.Helper()
+	w.tb.Helper()
 	restarted := &w.processes[member]
 	*restarted = process{starts: restarted.starts + 1, kinds: known}
 	incarnation := restarted.starts * incarnationSpacing
@@ -89,7 +89,7 @@
 	config.Kinds = known
 	table, err := statetable.New(config, w.now)
 	if err != nil {
-		w.t.Fatal(err)
+		w.tb.Fatal(err)
 	}
 	table.SetAlive(w.believed(member, 0))
 	restarted.table = table
@@ -157,7 +157,7 @@
 
 // run simulates that many events: a body that arrives, a Tick, a value that is set, or a disturbance.
 func (w *network) run(events int) {
-	w.t.Helper()
+	w.tb.Helper()
 	for range events {
 		w.step()
 		w.record.Step()
@@ -169,7 +169,7 @@
 }
 
 func (w *network) step() {
-	w.t.Helper()
+	w.tb.Helper()
 	next, member := w.disturbAt, -1
 	for i := range w.processes {
 		p := &w.processes[i]
@@ -216,7 +216,7 @@
 
 // arrive delivers a body, or defers it while the member is stopped.
 func (w *network) arrive(arriving messagequeue.Message) {
-	w.t.Helper()
+	w.tb.Helper()
 	receiver := &w.processes[arriving.To]
 	if receiver.stoppedUntil > w.now {
 		arriving.At = receiver.stoppedUntil
@@ -235,7 +235,7 @@
 
 // disturb changes the network, a process, or what a member believes or has stored of the others.
 func (w *network) disturb(member int) {
-	w.t.Helper()
+	w.tb.Helper()
 	disturbed := &w.processes[member]
 	other := w.rng.IntN(len(w.processes))
 	kind := w.rng.IntN(16)
--- a/internal/rollout/characterization_digest_test.go
+++ b/internal/rollout/characterization_digest_test.go
@@ -31,9 +31,9 @@
 }
 
 // check compares the digests with the recorded ones.
-func (s *series) check(t *testing.T) {
-	t.Helper()
-	recorded.Compare(t, s.name+".txt", s.Lines())
+func (s *series) check(tb testing.TB) {
+	tb.Helper()
+	recorded.Compare(tb, s.name+".txt", s.Lines())
 }
 
 // float adds the bits of value, which are the same for all that isn't a number.
--- a/internal/rollout/characterization_fleet_test.go
+++ b/internal/rollout/characterization_fleet_test.go
@@ -30,8 +30,8 @@
 func pick[T any](g generator, values ...T) T { return values[g.below(len(values))] }
 
 // plan draws a plan that Check accepts.
-func (g generator) plan(t *testing.T) rollout.Plan {
-	t.Helper()
+func (g generator) plan(tb testing.TB) rollout.Plan {
+	tb.Helper()
 	plan := rollout.Plan{
 		MinTime:            int64(g.between(0, 20)) * 500,
 		EvaluationInterval: pick(g, int64(500), 1000, 2500),
@@ -49,7 +49,7 @@
 		plan.Stages = append(plan.Stages, moved)
 	}
 	if err := plan.Check(); err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	return plan
 }
@@ -122,11 +122,11 @@
 	counted          []rollout.Counts
 }
 
-func newFleet(t *testing.T, random generator) *fleet {
-	t.Helper()
+func newFleet(tb testing.TB, random generator) *fleet {
+	tb.Helper()
 	f := &fleet{
 		generator:        random,
-		plan:             random.plan(t),
+		plan:             random.plan(tb),
 		now:              int64(random.between(1, 1_000_000)),
 		callRate:         pick(random, 0, 3, 20, 50, 200),
 		transitionErrors: pick(random, 0, 0, 0, 50, 400, 950),
@@ -230,21 +230,21 @@
 }
 
 // storeAndRead puts the state through its stored form, as when the program is killed and started again.
-func (f *fleet) storeAndRead(t *testing.T) {
-	t.Helper()
+func (f *fleet) storeAndRead(tb testing.TB) {
+	tb.Helper()
 	text, err := json.Marshal(f.state)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	f.state = &rollout.State{}
 	if err := json.Unmarshal(text, f.state); err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 }
 
 // disturb is what goes on beside the rollout in reality: processes end, the operator aborts, the program is restarted.
-func (f *fleet) disturb(t *testing.T) {
-	t.Helper()
+func (f *fleet) disturb(tb testing.TB) {
+	tb.Helper()
 	if f.chance(3) {
 		f.restart(f.below(len(f.incarnations)))
 	}
@@ -252,7 +252,7 @@
 		f.abort = true
 	}
 	if f.chance(50) {
-		f.storeAndRead(t)
+		f.storeAndRead(tb)
 	}
 }
 
--- a/internal/rollout/characterization_test.go
+++ b/internal/rollout/characterization_test.go
@@ -169,28 +169,28 @@
 }
 
 // checkNoFieldIsZero fails the test when the value, or one in it, was left out of an example that is to have all.
-func checkNoFieldIsZero(t *testing.T, path string, value reflect.Value) {
-	t.Helper()
+func checkNoFieldIsZero(tb testing.TB, path string, value reflect.Value) {
+	tb.Helper()
 	if value.IsZero() {
-		t.Errorf("%s is not set in the example", path)
+		tb.Errorf("%s is not set in the example", path)
 	}
 	switch value.Kind() {
 	case reflect.Pointer:
-		checkNoFieldIsZero(t, path, value.Elem())
+		checkNoFieldIsZero(tb, path, value.Elem())
 	case reflect.Struct:
 		for i := range value.NumField() {
-			checkNoFieldIsZero(t, path+"."+value.Type().Field(i).Name, value.Field(i))
+			checkNoFieldIsZero(tb, path+"."+value.Type().Field(i).Name, value.Field(i))
 		}
 	case reflect.Slice:
 		for i := range value.Len() {
-			checkNoFieldIsZero(t, fmt.Sprintf("%s[%d]", path, i), value.Index(i))
+			checkNoFieldIsZero(tb, fmt.Sprintf("%s[%d]", path, i), value.Index(i))
 		}
 	}
 }
 
 // watchedState is a state in the middle of a stage, with what was counted when its watching began.
-func watchedState(t *testing.T) *rollout.State {
-	t.Helper()
+func watchedState(tb testing.TB) *rollout.State {
+	tb.Helper()
 	plan := rollout.Plan{
 		Controllers:        []string{"n0", "n1", "n2"},
 		Stages:             []int{1, 3},
@@ -214,7 +214,7 @@
 	plan.Next(state, observation)
 	state.EndTransition(0, rollout.VersionNew, nil)
 	if action := plan.Next(state, observation); action.Until != observation.Now+plan.EvaluationInterval {
-		t.Fatalf("the stage is not watched: %+v", action)
+		tb.Fatalf("the stage is not watched: %+v", action)
 	}
 	return state
 }
--- a/internal/rollout/decider_test.go
+++ b/internal/rollout/decider_test.go
@@ -35,8 +35,8 @@
 	maxNew         int // controllers that were new at the same time
 }
 
-func newFleet(t *testing.T, seed uint64) *fleet {
-	t.Helper()
+func newFleet(tb testing.TB, seed uint64) *fleet {
+	tb.Helper()
 	f := &fleet{
 		plan:           testPlan(),
 		random:         rand.New(rand.NewPCG(seed, 2)),
@@ -47,7 +47,7 @@
 		beforeStep:     func(*fleet) {},
 	}
 	if err := f.plan.Check(); err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	f.state = f.plan.Begin("x")
 	count := len(f.plan.Controllers)
@@ -92,11 +92,11 @@
 
 // play plays the rollout to its end. The state goes through its stored form before every step, as when the program is
 // killed and started again each time.
-func (f *fleet) play(t *testing.T) *State {
-	t.Helper()
+func (f *fleet) play(tb testing.TB) *State {
+	tb.Helper()
 	for range maxSteps {
 		f.beforeStep(f)
-		f.storeAndRead(t)
+		f.storeAndRead(tb)
 		switch action := f.plan.Next(f.state, f.observation()); action.Kind {
 		case ActionFinish:
 			return f.state
@@ -106,19 +106,19 @@
 			f.pass(action.Until - f.now)
 		}
 	}
-	t.Fatal("the rollout does not end")
+	tb.Fatal("the rollout does not end")
 	return nil
 }
 
-func (f *fleet) storeAndRead(t *testing.T) {
-	t.Helper()
+func (f *fleet) storeAndRead(tb testing.TB) {
+	tb.Helper()
 	text, err := json.Marshal(f.state)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	f.state = &State{}
 	if err := json.Unmarshal(text, f.state); err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 }
 
--- a/internal/rollout/runner/characterization_test.go
+++ b/internal/rollout/runner/characterization_test.go
@@ -31,21 +31,21 @@
 	"eidertrail/internal/testing/recorded"
 )
 
-func load(t *testing.T, path string) *runner.File {
-	t.Helper()
+func load(tb testing.TB, path string) *runner.File {
+	tb.Helper()
 	file, err := runner.Load(path)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	return file
 }
 
 // writeFile writes a file of the test's own folder.
-func writeFile(t *testing.T, name, text string) string {
-	t.Helper()
-	path := filepath.Join(t.TempDir(), name)
+func writeFile(tb testing.TB, name, text string) string {
+	tb.Helper()
+	path := filepath.Join(tb.TempDir(), name)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	return path
 }
@@ -80,8 +80,8 @@
 }
 
 // describe writes what was read, under names of its own.
-func describe(t *testing.T, text *strings.Builder, file *runner.File) {
-	t.Helper()
+func describe(tb testing.TB, text *strings.Builder, file *runner.File) {
+	tb.Helper()
 	fmt.Fprintf(text, "stages %q\nwatched at least %d ns\nwatched at most %d ns\ncalls %d\nlooks every %d ns\n",
 		file.Stages, int64(file.MinTime), int64(file.MaxTime), file.MinCalls, int64(file.EvaluationInterval))
 	fmt.Fprintf(text, "confidence %g\ntolerance %g\n", file.Confidence, file.Tolerance)
@@ -94,7 +94,7 @@
 	}
 	plan, err := file.Plan()
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	fmt.Fprintf(text, "plan: controllers %q, stages %d, at least %d ms, at most %d ms, calls %d, ",
 		plan.Controllers, plan.Stages, plan.MinTime, plan.MaxTime, plan.MinCalls)
@@ -188,14 +188,14 @@
 }
 
 // resume has Run resume a copy of the recorded state file.
-func resume(ctx context.Context, t *testing.T, file *runner.File, name string) resumed {
-	t.Helper()
-	path := writeFile(t, "state.json", recorded.Read(t, name))
+func resume(ctx context.Context, tb testing.TB, file *runner.File, name string) resumed {
+	tb.Helper()
+	path := writeFile(tb, "state.json", recorded.Read(tb, name))
 	var log bytes.Buffer
 	err := runner.Run(ctx, file, path, zerolog.New(&log))
 	state, readErr := os.ReadFile(path)
 	if readErr != nil {
-		t.Fatal(readErr)
+		tb.Fatal(readErr)
 	}
 	return resumed{state, log.String(), err}
 }
@@ -284,18 +284,18 @@
 	checkNames(t, filepath.Dir(path), "state.json", "state.json.lock")
 }
 
-func checkNames(t *testing.T, folder string, want ...string) {
-	t.Helper()
+func checkNames(tb testing.TB, folder string, want ...string) {
+	tb.Helper()
 	entries, err := os.ReadDir(folder)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	names := make([]string, 0, len(entries))
 	for _, entry := range entries {
 		names = append(names, entry.Name())
 	}
 	if !reflect.DeepEqual(names, want) {
-		t.Errorf("files %q, want %q", names, want)
+		tb.Errorf("files %q, want %q", names, want)
 	}
 }
 
@@ -328,23 +328,23 @@
 "times":{"9000":60,"20000":30}}`
 
 // startController starts the counters of a controller and returns its address.
-func startController(t *testing.T) string {
-	t.Helper()
+func startController(tb testing.TB) string {
+	tb.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/counters" && r.Method == http.MethodGet {
 			_, _ = io.WriteString(w, countersReply)
 		}
 	}))
-	t.Cleanup(server.Close)
+	tb.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
 // readState returns a state file's bytes without the plan's hash and the readings of the system's clock.
-func readState(t *testing.T, path string) []byte {
-	t.Helper()
+func readState(tb testing.TB, path string) []byte {
+	tb.Helper()
 	text, err := os.ReadFile(path)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	return timestamps.ReplaceAll(planID.ReplaceAll(text, []byte(`"plan": "PLAN"`)), []byte(`"$1": TIME`))
 }
@@ -377,14 +377,14 @@
 }
 
 // endFirstTransition edits a state file as if the transition that has begun had ended.
-func endFirstTransition(t *testing.T, path string) {
-	t.Helper()
+func endFirstTransition(tb testing.TB, path string) {
+	tb.Helper()
 	text, err := os.ReadFile(path)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	ended := strings.Replace(string(text), "\"version\": \"old\",\n   \"moving\": \"new\"", `"version": "new"`, 1)
 	if err := os.WriteFile(path, []byte(ended), 0o600); err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 }
--- a/internal/routing/characterization_errors_test.go
+++ b/internal/routing/characterization_errors_test.go
@@ -17,14 +17,6 @@
 	return map[string][][]string{"batumi": tiers}
 }
 
-// errorLine is a case's line in the recorded file: its name, what the error says, and what the operator can do.
-func errorLine(name string, err error) string {
-	if err == nil {
-		return name + " | no error |\n"
-	}
-	return strings.TrimRight(name+" | "+err.Error()+" | "+remedy.Of(err), " ") + "\n"
-}
-
 func TestCharacterization_ConfigErrors(t *testing.T) {
 	var got strings.Builder
 	for _, test := range []struct {
@@ -68,7 +60,7 @@
 		cfg := baseConfig()
 		test.change(&cfg)
 		_, err := routing.New(cfg, zoneNames)
-		got.WriteString(errorLine(test.name, err))
+		got.WriteString(recorded.ErrorLine(test.name, err, remedy.Of(err)))
 	}
 	recorded.Compare(t, "config-errors.txt", got.String())
 }
@@ -106,17 +98,17 @@
 		if err == nil {
 			_, err = file.Router(1, []string{"voice"})
 		}
-		got.WriteString(errorLine(test.name, err))
+		got.WriteString(recorded.ErrorLine(test.name, err, remedy.Of(err)))
 	}
 	recorded.Compare(t, "file-errors.txt", got.String())
 }
 
 // outcomesUntilEjected is after how many outcomes, every second of them a failure, a zone goes out; 0 for never.
-func outcomesUntilEjected(t *testing.T, minSamples int) int {
-	t.Helper()
+func outcomesUntilEjected(tb testing.TB, minSamples int) int {
+	tb.Helper()
 	router, err := routing.New(changed(func(c *routing.Config) { c.MinSamples = minSamples }), zoneNames)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	router.UpdateEndpoints(second, []routing.Endpoint{{UID: "b1", Zone: "batumi", Up: true}})
 	for n := 1; n <= 1000; n++ {
--- a/internal/routing/characterization_test.go
+++ b/internal/routing/characterization_test.go
@@ -115,11 +115,11 @@
 	eligible    map[string]routing.Classes // the latest answer of the router
 }
 
-func newWorld(t *testing.T, chosen scenario, seed uint64) *world {
-	t.Helper()
+func newWorld(tb testing.TB, chosen scenario, seed uint64) *world {
+	tb.Helper()
 	router, err := routing.New(chosen.config, zoneNames)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	w := &world{
 		scenario: chosen,
--- a/internal/telemetry/characterization_test.go
+++ b/internal/telemetry/characterization_test.go
@@ -80,11 +80,11 @@
 }
 
 // document is the JSON of a snapshot, with each member on a line.
-func document(t *testing.T, set *telemetry.Counters) string {
-	t.Helper()
+func document(tb testing.TB, set *telemetry.Counters) string {
+	tb.Helper()
 	text, err := json.MarshalIndent(set.Snapshot(), "", " ")
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	return string(text) + "\n"
 }
--- a/internal/testing/recorded/recorded.go
+++ b/internal/testing/recorded/recorded.go
@@ -1,5 +1,6 @@
 // Package recorded compares what a characterisation test observes with a file that was recorded earlier, in
-// testdata/characterization of the package under test.
+// testdata/characterization of the package under test. What is too long to be recorded is recorded as a Digest, of a
+// seeded case in tenths, so that a difference shows about where it began.
 //
 // Run with EIDERTRAIL_UPDATE=1, the tests write the files in place of comparing; the commit has to say why they change.
 package recorded
