linecodec: message, reader, parser and writer in files of their own

Cause: one file held the message, framing, parsing and writing, and a parser function with ten branches.

Change: a file each; message types and the absent cause are named constants; Parse sets one member a step; the string writer's escapes are a function of their own. The wire and the error texts are unchanged.

--- a/internal/frontend/linecodec/characterization_test.go
+++ b/internal/frontend/linecodec/characterization_test.go
@@ -67,8 +67,10 @@
 // parsedLines are lines that a caller may send, well formed and not.
 var parsedLines = []string{
 	// set-ups, with and without each field
-	`{"type":"setup","id":"9b1f03aa5c7e2d41","fields":{"class":"voice","left":"1500","key":"7f3a","tenant":"acme","extras":"dest:2;width:1;via:-1"},"sdp":"v=0\r\ns=-\r\n"}`,
-	`{"type":"setup","id":"9b1f03aa5c7e2d41","fields":{"left":"1500","key":"7f3a","tenant":"acme","extras":"dest:2"},"sdp":"x"}`,
+	`{"type":"setup","id":"9b1f03aa5c7e2d41","fields":{"class":"voice","left":"1500","key":"7f3a","tenant":"acme",` +
+		`"extras":"dest:2;width:1;via:-1"},"sdp":"v=0\r\ns=-\r\n"}`,
+	`{"type":"setup","id":"9b1f03aa5c7e2d41","fields":{"left":"1500","key":"7f3a",` +
+		`"tenant":"acme","extras":"dest:2"},"sdp":"x"}`,
 	`{"type":"setup","id":"9b1f03aa5c7e2d41","fields":{"class":"voice","key":"7f3a"},"sdp":"x"}`,
 	`{"type":"setup","id":"9b1f03aa5c7e2d41","fields":{"class":"voice","left":"1500"}}`,
 	`{"type":"setup","id":"9b1f03aa5c7e2d41","fields":{},"sdp":""}`,
@@ -197,7 +199,8 @@
 // writtenTexts are ids and descriptions that lines are written with.
 var writtenTexts = []string{
 	"", "9b1f03aa5c7e2d41", "v=0\r\no=- 1 1 IN IP4 10.4.7.9\r\ns=-\r\n", `"quoted" and \`, "tab\tand\vothers\b\f\a",
-	"\x00\x01\x1f\x7f", "é\u2028\u2029\ufeff\U0001f600", "</script>&amp;", "\xff", "a\xc3", "\xed\xa0\x80", "\xc3\xa9\xe9",
+	"\x00\x01\x1f\x7f",
+	"é\u2028\u2029\ufeff\U0001f600", "</script>&amp;", "\xff", "a\xc3", "\xed\xa0\x80", "\xc3\xa9\xe9",
 }
 
 func TestCharacterization_WrittenLines(t *testing.T) {
--- a/internal/frontend/linecodec/jsonl_test.go
+++ b/internal/frontend/linecodec/linecodec_test.go
@@ -7,8 +7,9 @@
 	"testing"
 )
 
-func TestParse(t *testing.T) {
-	m, err := Parse([]byte(`{"type":"setup","id":"9b1f","fields":{"class":"voice","left":1500,"odd":[1]},"sdp":"a\r\nb\u00e9"}`))
+func TestParse_ReadsMembersAndFields(t *testing.T) {
+	const text = `{"type":"setup","id":"9b1f","fields":{"class":"voice","left":1500,"odd":[1]},"sdp":"a\r\nb\u00e9"}`
+	m, err := Parse([]byte(text))
 	if err != nil || m.Type != "setup" || m.ID != "9b1f" || m.Field("class") != "voice" || m.Field("left") != "1500" ||
 		m.Field("odd") != "" || m.Field("none") != "" || m.SDP != "a\r\nbé" || !m.HasSDP || m.Cause != -1 {
 		t.Errorf("%+v, %v", m, err)
@@ -19,8 +20,8 @@
 	}
 }
 
-// A name comes out the same however its sender spelt it in JSON.
-func TestFieldInAnySpelling(t *testing.T) {
+// A field is the same however its sender spelt it in JSON.
+func TestField_InAnySpelling(t *testing.T) {
 	const class = "Ærø \"2\"\\;x=1\U0001f600"
 	for _, text := range []string{
 		"{\"type\":\"setup\",\"fields\":{\"class\":\"Ærø \\\"2\\\"\\\\;x=1\U0001f600\"}}",
@@ -32,7 +33,7 @@
 	}
 }
 
-func TestParseMalformed(t *testing.T) {
+func TestParse_Malformed(t *testing.T) {
 	for _, text := range []string{
 		``, `x`, `[]`, `"setup"`, `{}`, `{"type":1}`, `{"type":"setup","id":7}`,
 		`{"type":"setup","fields":[]}`, `{"type":"release","cause":"16"}`, `{"type":"setup","sdp":{}}`, `{"type":"setup"`,
@@ -43,7 +44,7 @@
 	}
 }
 
-func TestReadLineBound(t *testing.T) {
+func TestReadLine_Bound(t *testing.T) {
 	long := strings.Repeat("x", MaxLine-1)
 	r := bufio.NewReaderSize(strings.NewReader(long+"\n"+long+"y\n"), 64)
 	if line, err := ReadLine(r, nil); err != nil || len(line) != MaxLine-1 {
@@ -57,8 +58,8 @@
 	}
 }
 
-// FuzzRoundTrip checks that any description comes back as it was, however the bytes fall into lines and
-// buffers, and that any line is either a message or malformed.
+// FuzzRoundTrip checks that any description comes back as it was, however the bytes fall into lines and buffers, and
+// that any line is either a message or malformed.
 func FuzzRoundTrip(f *testing.F) {
 	f.Add("v=0\r\nc=IN IP4 10.4.7.9\r\n", "9b1f03aa5c7e2d41")
 	f.Add("\x00\x1f\x7f\"\\</é\u2028\U0001f600", `{"type":"x"}`)
@@ -71,13 +72,14 @@
 		if len(line) > MaxLine {
 			return
 		}
-		r := bufio.NewReaderSize(strings.NewReader(string(line)+string(AppendCause(nil, "pong", id, 1))), 16)
+		lines := string(AppendCause(line, TypePong, id, 1))
+		r := bufio.NewReaderSize(strings.NewReader(lines), 16)
 		text, err := ReadLine(r, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
 		m, err := Parse(text)
-		if err != nil || m.SDP != sdp || m.ID != id || m.Type != "answer" {
+		if err != nil || m.SDP != sdp || m.ID != id || m.Type != TypeAnswer {
 			t.Fatalf("%q, %q became %+v, %v", sdp, id, m, err)
 		}
 		if text, err = ReadLine(r, text); err != nil {
