jsonlines: server, eviction, connection, reader, writer and messages apart

Cause: two files of 274 and 369 lines held the server, the connections and their messages, with booleans for states that exclude each other, in words that are not the field's.

Change: a file for the server (accepting, draining, closed as a typed state), for eviction with named ranks, for the connection (new, active), its reader with the read grace and time limits, its writer with typed queued lines, its messages, and the token bucket of unmatched releases.

Checked: go build ./... and go vet ./... clean, go test -race of the package ok, the recorded files of its characterisation tests untouched.

--- a/internal/frontend/jsonlines/characterization_test.go
+++ b/internal/frontend/jsonlines/characterization_test.go
@@ -224,7 +224,13 @@
 func classes() []eidertrail.Class {
 	return []eidertrail.Class{
 		{Name: "voice", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 1},
-		{Name: "once", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 1, Idempotency: eidertrail.NotIdempotent},
+		{
+			Name:             "once",
+			LatencyObjective: 2 * time.Second,
+			Deadline:         6 * time.Second,
+			PriorityWeight:   1,
+			Idempotency:      eidertrail.NotIdempotent,
+		},
 	}
 }
 
@@ -232,11 +238,21 @@
 func newPlatform(t *testing.T, j *journal, s setting) (p *platform, stop func()) {
 	t.Helper()
 	p = &platform{
-		journal: j, listener: fakeplatform.NewListener(), count: &telemetry.Counters{}, ready: true, log: &lockedBuffer{}, began: time.Now(),
-		pools: &scriptedPools{journal: j, sdp: "v=0\r\ns=-\r\n", state: dispatch.UnknownLoad},
+		journal:  j,
+		listener: fakeplatform.NewListener(),
+		count:    &telemetry.Counters{},
+		ready:    true,
+		log:      &lockedBuffer{},
+		began:    time.Now(),
+		pools:    &scriptedPools{journal: j, sdp: "v=0\r\ns=-\r\n", state: dispatch.UnknownLoad},
 	}
 	now := clock.New()
-	d, err := dispatch.New(eidertrail.Settings{Nodes: 1, OwnExchange: -1, ReleaseWait: 300 * time.Millisecond, Classes: classes()},
+	d, err := dispatch.New(eidertrail.Settings{
+		Nodes:       1,
+		OwnExchange: -1,
+		ReleaseWait: 300 * time.Millisecond,
+		Classes:     classes(),
+	},
 		1, 2_000_000, now, zerolog.Nop(), p.count)
 	if err != nil {
 		t.Fatal(err)
@@ -244,7 +260,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go d.Run(ctx)
 	d.UpdateEndpoints(s.pools, false)
-	p.desk = dispatch.NewCallTable(dispatch.CallTableConfig{Dispatcher: d, Inviter: p.pools, MaxCalls: s.calls, UniqueIDs: true, Counters: p.count})
+	p.desk = dispatch.NewCallTable(dispatch.CallTableConfig{
+		Dispatcher: d,
+		Inviter:    p.pools,
+		MaxCalls:   s.calls,
+		UniqueIDs:  true,
+		Counters:   p.count,
+	})
 	p.front = jsonlines.New(jsonlines.Config{
 		Calls: p.desk, Clock: now, MaxConnections: s.most, Tenants: s.tenants, Ready: func() bool { return p.ready },
 		ReleaseUnmatched: func(id string, cause int) { p.add("  all pools are told: release of %s, cause %d", id, cause) },
@@ -396,8 +418,9 @@
 }
 
 const (
-	callID  = "9b1f03aa5c7e2d41"
-	setup   = `{"type":"setup","id":"9b1f03aa5c7e2d41","fields":{"class":"voice","left":"1500","key":"7f3a","extras":"dest:0;width:1;via:-1"},"sdp":"v=0"}`
+	callID = "9b1f03aa5c7e2d41"
+	setup  = `{"type":"setup","id":"9b1f03aa5c7e2d41","fields":{"class":"voice","left":"1500","key":"7f3a",` +
+		`"extras":"dest:0;width:1;via:-1"},"sdp":"v=0"}`
 	release = `{"type":"release","id":"9b1f03aa5c7e2d41","fields":{},"cause":16}`
 )
 
@@ -422,39 +445,72 @@
 	head, tail := `{"type":"setup","id":"9b1f03aa5c7e2d41","fields":`, `,"sdp":"v=0"}`
 	lines := []string{setup}
 	for _, fields := range []string{
-		`{"class":"voice","left":"1500"}`, `{"class":"voice","left":1500,"key":"HOTEL-1._+"}`, `{"class":"once","left":"1500","key":"7f3a"}`,
+		`{"class":"voice","left":"1500"}`,
+		`{"class":"voice","left":1500,"key":"HOTEL-1._+"}`,
+		`{"class":"once","left":"1500","key":"7f3a"}`,
 		`{"class":"voice","left":"1500","key":42}`, `{"class":"voice","left":"1e3"}`, `{"class":"voice","left":"1500.75"}`,
 		`{"class":"voice","left":"0x10p4"}`, `{"class":"voice","left":" 1500"}`, `{"class":"voice","left":"1_500"}`,
-		`{"class":"voice","left":"0"}`, `{"class":"voice","left":"20"}`, `{"class":"voice","left":"-1"}`, `{"class":"voice","left":"nan"}`,
+		`{"class":"voice","left":"0"}`,
+		`{"class":"voice","left":"20"}`,
+		`{"class":"voice","left":"-1"}`,
+		`{"class":"voice","left":"nan"}`,
 		`{"class":"voice","left":"inf"}`, `{"class":"voice","left":"1e9"}`, `{"class":"voice","left":"1000000001"}`,
-		`{"class":"voice","left":"soon"}`, `{"class":"voice","left":""}`, `{"class":"voice","left":true}`, `{"class":"voice"}`,
-		`{"left":"1500"}`, `{"class":"fax","left":"1500"}`, `{"class":"VOICE","left":"1500"}`, `{"class":7,"left":"1500"}`, `{}`,
-		`{"class":"voice","left":"1500","key":"a b"}`, `{"class":"voice","left":"1500","key":"a\r\nBYE"}`, `{"class":"voice","left":"1500","key":"é"}`,
-		`{"class":"voice","left":"1500","key":"` + strings.Repeat("k", 64) + `"}`, `{"class":"voice","left":"1500","key":"` + strings.Repeat("k", 65) + `"}`,
+		`{"class":"voice","left":"soon"}`,
+		`{"class":"voice","left":""}`,
+		`{"class":"voice","left":true}`,
+		`{"class":"voice"}`,
+		`{"left":"1500"}`,
+		`{"class":"fax","left":"1500"}`,
+		`{"class":"VOICE","left":"1500"}`,
+		`{"class":7,"left":"1500"}`,
+		`{}`,
+		`{"class":"voice","left":"1500","key":"a b"}`,
+		`{"class":"voice","left":"1500","key":"a\r\nBYE"}`,
+		`{"class":"voice","left":"1500","key":"é"}`,
+		`{"class":"voice","left":"1500","key":"` + strings.Repeat("k", 64) + `"}`,
+		`{"class":"voice","left":"1500","key":"` + strings.Repeat("k", 65) + `"}`,
 		`{"class":"voice","left":"1500","tenant":"acme"}`, `{"class":"voice","left":"1500","tenant":"globex"}`,
-		`{"class":"voice","left":"1500","tenant":"nobody"}`, `{"class":"voice","left":"1500","tenant":""}`, `{"class":"voice","left":"1500","tenant":7}`,
+		`{"class":"voice","left":"1500","tenant":"nobody"}`,
+		`{"class":"voice","left":"1500","tenant":""}`,
+		`{"class":"voice","left":"1500","tenant":7}`,
 		`{"class":"voice","left":"1500","extras":""}`, `{"class":"voice","left":"1500","extras":"dest:2"}`,
-		`{"class":"voice","left":"1500","extras":"dest:-1;width:1;via:-1"}`, `{"class":"voice","left":"1500","extras":"via:3;width:2;dest:1.9"}`,
+		`{"class":"voice","left":"1500","extras":"dest:-1;width:1;via:-1"}`,
+		`{"class":"voice","left":"1500","extras":"via:3;width:2;dest:1.9"}`,
 		`{"class":"voice","left":"1500","extras":"unheard:5"}`, `{"class":"voice","left":"1500","extras":":5"}`,
 		`{"class":"voice","left":"1500","extras":"dest"}`, `{"class":"voice","left":"1500","extras":"dest:"}`,
 		`{"class":"voice","left":"1500","extras":"dest:two"}`, `{"class":"voice","left":"1500","extras":"dest:nan"}`,
 		`{"class":"voice","left":"1500","extras":"dest:inf"}`, `{"class":"voice","left":"1500","extras":"dest:-2"}`,
 		`{"class":"voice","left":"1500","extras":"dest:1e6"}`, `{"class":"voice","left":"1500","extras":"dest:999999"}`,
 		`{"class":"voice","left":"1500","extras":"width:0"}`, `{"class":"voice","left":"1500","extras":"width:0.5"}`,
-		`{"class":"voice","left":"1500","extras":"dest:1;"}`, `{"class":"voice","left":"1500","extras":"dest:1,width:1"}`, `7`, `null`, `"x"`, `[]`,
-		`{"class":"fax","left":"soon","key":"a b","tenant":"nobody","extras":"x"}`, `{"class":"fax","left":"soon","key":"a b"}`,
+		`{"class":"voice","left":"1500","extras":"dest:1;"}`,
+		`{"class":"voice","left":"1500","extras":"dest:1,width:1"}`,
+		`7`,
+		`null`,
+		`"x"`,
+		`[]`,
+		`{"class":"fax","left":"soon","key":"a b","tenant":"nobody","extras":"x"}`,
+		`{"class":"fax","left":"soon","key":"a b"}`,
 	} {
 		lines = append(lines, head+fields+tail)
 	}
 	fields := `,"fields":{"class":"voice","left":"1500"}`
 	for _, members := range []string{
 		`"id":"9B1F03AA5C7E2D41"` + fields, `"id":"9b1f03aa5c7e2d4"` + fields, `"id":"9b1f03aa5c7e2d411"` + fields,
-		`"id":"9b1f03aa5c7e2d4g"` + fields, `"id":"a-name.pools+cannot_read"` + fields, `"id":"` + strings.Repeat("a", 64) + `"` + fields,
-		`"id":"` + strings.Repeat("a", 65) + `"` + fields, `"id":"` + strings.Repeat("b", 120) + `","fields":7`, `"id":"a b"` + fields, `"id":""` + fields,
+		`"id":"9b1f03aa5c7e2d4g"` + fields,
+		`"id":"a-name.pools+cannot_read"` + fields,
+		`"id":"` + strings.Repeat("a", 64) + `"` + fields,
+		`"id":"` + strings.Repeat("a", 65) + `"` + fields,
+		`"id":"` + strings.Repeat("b", 120) + `","fields":7`,
+		`"id":"a b"` + fields,
+		`"id":""` + fields,
 		`"id":"é"` + fields, `"id":7` + fields, fields[1:], `"id":"` + callID + `"`, `"id":"` + callID + `"` + fields,
-		`"id":"` + callID + `"` + fields + `,"sdp":""`, `"id":"` + callID + `"` + fields + `,"sdp":7`, `"id":"` + callID + `"` + fields + `,"cause":"x"`,
-		`"id":"` + callID + `"` + fields + `,"sdp":"\u0000\"\\é\ud83d\ude00\r\n"`, `"id":"` + callID + `"` + fields + `,"sdp":"` + strings.Repeat("s", 15<<10) + `"`,
-		`"id":"` + callID + `"` + fields + `,"sdp":"` + strings.Repeat("s", 15<<10+1) + `"`, `"sdp":7,"id":"` + callID + `"` + fields,
+		`"id":"` + callID + `"` + fields + `,"sdp":""`,
+		`"id":"` + callID + `"` + fields + `,"sdp":7`,
+		`"id":"` + callID + `"` + fields + `,"cause":"x"`,
+		`"id":"` + callID + `"` + fields + `,"sdp":"\u0000\"\\é\ud83d\ude00\r\n"`,
+		`"id":"` + callID + `"` + fields + `,"sdp":"` + strings.Repeat("s", 15<<10) + `"`,
+		`"id":"` + callID + `"` + fields + `,"sdp":"` + strings.Repeat("s", 15<<10+1) + `"`,
+		`"sdp":7,"id":"` + callID + `"` + fields,
 	} {
 		lines = append(lines, `{"type":"setup",`+members+`}`)
 	}
@@ -463,16 +519,45 @@
 
 func TestCharacterization_OtherLines(t *testing.T) {
 	lines := []string{
-		`{"type":"release","id":"` + callID + `","cause":16}`, `{"type":"release","id":"` + callID + `"}`, `{"type":"release","id":"` + callID + `","cause":-3}`,
+		`{"type":"release","id":"` + callID + `","cause":16}`,
+		`{"type":"release","id":"` + callID + `"}`,
+		`{"type":"release","id":"` + callID + `","cause":-3}`,
 		`{"type":"release","id":"` + callID + `","cause":0}`, `{"type":"release","id":"` + callID + `","cause":31.9}`,
-		`{"type":"release","id":"` + callID + `","cause":1000}`, `{"type":"release","id":"` + callID + `","cause":"16"}`, `{"type":"release","id":"x"}`,
+		`{"type":"release","id":"` + callID + `","cause":1000}`,
+		`{"type":"release","id":"` + callID + `","cause":"16"}`,
+		`{"type":"release","id":"x"}`,
 		`{"type":"release"}`, `{"type":"cancel","id":"` + callID + `"}`,
-		`{"type":"ping","id":"p1","fields":{},"cause":0}`, `{"type":"ping"}`, `{"type":"ping","id":"\"\\\u0000\u007f\té\ud83d\ude00"}`, `{"type":"ping","id":"\ud800"}`,
-		"{\"type\":\"ping\",\"id\":\"\xff\"}", `{"type":"ping","id":7}`, `{"type":"progress","id":"x"}`, `{"type":"released","id":"x"}`, `{"type":"pong","id":"x","cause":1}`,
-		`{"type":"state","id":"x"}`, `{"type":"answer","id":"x"}`, `{"type":"dance","id":"x"}`, `{"type":"` + strings.Repeat("d", 60) + `","id":"x"}`, `{"type":"Setup"}`,
-		``, ` `, `nonsense`, `7`, `null`, `[]`, `"setup"`, `{}`, `{"a":1}`, `{"type":7,"id":"x"}`, `{"type":"","id":"x"}`, setup[:len(setup)-1], setup + ` x`, setup + setup,
+		`{"type":"ping","id":"p1","fields":{},"cause":0}`,
+		`{"type":"ping"}`,
+		`{"type":"ping","id":"\"\\\u0000\u007f\té\ud83d\ude00"}`,
+		`{"type":"ping","id":"\ud800"}`,
+		"{\"type\":\"ping\",\"id\":\"\xff\"}",
+		`{"type":"ping","id":7}`,
+		`{"type":"progress","id":"x"}`,
+		`{"type":"released","id":"x"}`,
+		`{"type":"pong","id":"x","cause":1}`,
+		`{"type":"state","id":"x"}`,
+		`{"type":"answer","id":"x"}`,
+		`{"type":"dance","id":"x"}`,
+		`{"type":"` + strings.Repeat("d", 60) + `","id":"x"}`,
+		`{"type":"Setup"}`,
+		``,
+		` `,
+		`nonsense`,
+		`7`,
+		`null`,
+		`[]`,
+		`"setup"`,
+		`{}`,
+		`{"a":1}`,
+		`{"type":7,"id":"x"}`,
+		`{"type":"","id":"x"}`,
+		setup[:len(setup)-1],
+		setup + ` x`,
+		setup + setup,
 		"\xef\xbb\xbf" + setup, setup + "\r", " \t" + setup + " \t\r\r",
-		`{"type":"ping","id":"p"` + strings.Repeat(" ", linecodec.MaxLine-25) + `}`, `{"type":"ping","id":"p"` + strings.Repeat(" ", linecodec.MaxLine-24) + `}`,
+		`{"type":"ping","id":"p"` + strings.Repeat(" ", linecodec.MaxLine-25) + `}`,
+		`{"type":"ping","id":"p"` + strings.Repeat(" ", linecodec.MaxLine-24) + `}`,
 		strings.Repeat("x", 2*linecodec.MaxLine), `{"type":"ping","id":"` + strings.Repeat("p", 8000) + `"}`,
 	}
 	all := oneLine(lines, dispatch.Answered)
@@ -499,7 +584,12 @@
 func TestCharacterization_AnyTenant(t *testing.T) {
 	s := usual()
 	s.tenants = nil
-	play(t, "any-tenant.txt", s, oneLine([]string{strings.Replace(setup, `"key"`, `"tenant":"nobody","key"`, 1)}, dispatch.Answered))
+	play(
+		t,
+		"any-tenant.txt",
+		s,
+		oneLine([]string{strings.Replace(setup, `"key"`, `"tenant":"nobody","key"`, 1)}, dispatch.Answered),
+	)
 }
 
 // Which pool is of first choice is told by the extras.
@@ -507,7 +597,17 @@
 	s := usual()
 	s.pools = []dispatch.Endpoint{{UID: "a", Group: 0}, {UID: "b", Group: 1}, {UID: "c", Group: 2}}
 	var lines []string
-	for _, extras := range []string{"dest:0", "dest:1", "dest:2", "dest:2.9", "dest:0;dest:1", "via:2;width:1", "dest:1;via:0;width:3", "Dest:1", "dest:7"} {
+	for _, extras := range []string{
+		"dest:0",
+		"dest:1",
+		"dest:2",
+		"dest:2.9",
+		"dest:0;dest:1",
+		"via:2;width:1",
+		"dest:1;via:0;width:3",
+		"Dest:1",
+		"dest:7",
+	} {
 		lines = append(lines, strings.Replace(setup, "dest:0;width:1;via:-1", extras, 1))
 	}
 	play(t, "first-choice.txt", s, oneLine(lines, dispatch.Answered))
@@ -607,7 +707,12 @@
 		}},
 		{"answers with descriptions of many kinds", func(p *platform) {
 			c := p.dial()
-			for i, sdp := range []string{"", "v=0\r\né\"\\\t\x00\x7f\u2028\U0001f600", "\xff\xc3", strings.Repeat("s", 12_000)} {
+			for i, sdp := range []string{
+				"",
+				"v=0\r\né\"\\\t\x00\x7f\u2028\U0001f600",
+				"\xff\xc3",
+				strings.Repeat("s", 12_000),
+			} {
 				p.pools.sdp = sdp
 				p.say(c, numbered(setup, i))
 			}
--- /dev/null
+++ b/internal/frontend/jsonlines/eviction.go
@@ -0,0 +1,99 @@
+package jsonlines
+
+import (
+	"time"
+
+	"eidertrail/internal/telemetry"
+)
+
+const (
+	// minIdleMicros is how long an established connection must have been idle before it may make room for another.
+	minIdleMicros = 1_000_000
+	// evictionFlushTimeout is how long what is queued for a connection that makes room may take to be written.
+	evictionFlushTimeout = 50 * time.Millisecond
+)
+
+// evictionRank is how readily a connection makes room for another; the highest goes first.
+type evictionRank int
+
+const (
+	notEvictable        evictionRank = iota // a set-up is open, or it is in use
+	evictableWithCalls                      // idle, but the ends of its calls would have to be sent on another connection
+	evictableIdle                           // idle, without calls
+	evictableUnproven                       // no call was answered on it
+	evictableBeforeLine                     // no message has come on it
+)
+
+// String implements fmt.Stringer.
+func (r evictionRank) String() string {
+	switch r {
+	case evictableWithCalls:
+		return "idle with calls"
+	case evictableIdle:
+		return "idle"
+	case evictableUnproven:
+		return "not established"
+	case evictableBeforeLine:
+		return "new"
+	}
+	return "not evictable"
+}
+
+// evictOne makes room for a connection where one can be spared, in the order of evictionRank, the one idle for longest
+// first. Without it, clients that open connections by the hundred would shut the callers out. The caller holds mu.
+//
+// The call table takes no set-up on the evicted connection from then on. Without that, a set-up that was read just then
+// would be sent although its caller is gone, and the caller, who repeats it as it crossed the close, would be rejected
+// as its id is in use.
+func (s *Server) evictOne() {
+	for {
+		candidate := s.evictionCandidate()
+		if candidate == nil {
+			return
+		}
+		if !s.cfg.Calls.Retire(candidate) {
+			continue // a set-up has come in on it
+		}
+		s.cfg.Counters.Add(telemetry.Shed)
+		delete(s.conns, candidate)
+		candidate.closeAfterFlush(evictionFlushTimeout)
+		return
+	}
+}
+
+// evictionCandidate is the connection to make room next, or nil. The caller holds mu.
+func (s *Server) evictionCandidate() *conn {
+	var candidate *conn
+	var candidateRank evictionRank
+	var candidateIdle int64
+	for c := range s.conns {
+		rank, idle := s.evictionRank(c)
+		if rank == notEvictable {
+			continue
+		}
+		if candidate == nil || rank > candidateRank || rank == candidateRank && idle > candidateIdle {
+			candidate, candidateRank, candidateIdle = c, rank, idle
+		}
+	}
+	return candidate
+}
+
+// evictionRank ranks a connection and gives the time in µs since its last message. The open set-ups are looked at
+// before the connection's state, as the first set-up is taken before its connection counts as active.
+func (s *Server) evictionRank(c *conn) (rank evictionRank, idleMicros int64) {
+	open, standing, established := s.cfg.Calls.ConnState(c)
+	idleMicros = s.cfg.Clock.Now() - c.lastActive.Load()
+	switch {
+	case open > 0:
+		return notEvictable, idleMicros
+	case c.lifecycle.state() == connNew:
+		return evictableBeforeLine, idleMicros
+	case !established:
+		return evictableUnproven, idleMicros
+	case idleMicros < minIdleMicros:
+		return notEvictable, idleMicros
+	case standing > 0:
+		return evictableWithCalls, idleMicros
+	}
+	return evictableIdle, idleMicros
+}
--- /dev/null
+++ b/internal/frontend/jsonlines/server.go
@@ -0,0 +1,189 @@
+// Package jsonlines is the front for the platform's callers: JSON lines over TCP. It turns lines into set-ups and
+// releases for the call table, and final answers and ends of calls into lines.
+//
+// A Server accepts connections up to a bound, makes room for new ones by closing idle ones, and drains them before a
+// planned stop. Each connection has a goroutine that reads and one that writes. Which pool gets a call, and whether it
+// is retried or rejected, is decided in package dispatch.
+package jsonlines
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"eidertrail/dispatch"
+	"eidertrail/internal/telemetry"
+)
+
+const (
+	// acceptRetryDelay is how long Serve waits after an Accept that failed, such as for want of descriptors.
+	acceptRetryDelay = 5 * time.Millisecond
+	// drainPollInterval is how often Drain looks whether connections are left.
+	drainPollInterval = 2 * time.Millisecond
+)
+
+// Config is what a Server is made with.
+type Config struct {
+	Calls *dispatch.CallTable
+	Clock dispatch.Clock
+	// Tenants are the names that a set-up may have; none: any.
+	Tenants []string
+	// MaxConnections bounds the callers' connections.
+	MaxConnections int
+	// Ready tells whether a ping is answered with ready.
+	Ready func() bool
+	// ReleaseUnmatched takes a caller's release of a call that is not known here.
+	ReleaseUnmatched func(id string, cause int)
+	Log              zerolog.Logger
+	Counters         *telemetry.Counters
+}
+
+// serverState is how far the life of a Server has come. It only moves forward.
+type serverState int32
+
+const (
+	serverAccepting serverState = iota
+	serverDraining              // a connection is closed once no set-up on it is open
+	serverClosed                // no connection is taken any more
+)
+
+// String implements fmt.Stringer.
+func (s serverState) String() string {
+	switch s {
+	case serverAccepting:
+		return "accepting"
+	case serverDraining:
+		return "draining"
+	}
+	return "closed"
+}
+
+// serverLifecycle is a server's state and its transitions.
+type serverLifecycle struct{ value atomic.Int32 }
+
+func (l *serverLifecycle) state() serverState { return serverState(l.value.Load()) }
+
+// drain begins the drain; a closed server stays closed.
+func (l *serverLifecycle) drain() {
+	l.value.CompareAndSwap(int32(serverAccepting), int32(serverDraining))
+}
+
+func (l *serverLifecycle) close() { l.value.Store(int32(serverClosed)) }
+
+// Server serves the platform's callers.
+type Server struct {
+	cfg               Config
+	lifecycle         serverLifecycle // closed while mu is held
+	unmatchedReleases *releaseLimiter
+	goroutines        sync.WaitGroup // two for each connection
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// New returns a server that has no connections yet.
+func New(cfg Config) *Server {
+	return &Server{
+		cfg:               cfg,
+		conns:             map[*conn]struct{}{},
+		unmatchedReleases: newReleaseLimiter(cfg.Clock.Now()),
+	}
+}
+
+// Serve accepts callers until the listener is closed, and returns nil then. It does not wait for the connections.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		raw, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil { // out of descriptors, or a connection that was reset before it was accepted
+			s.cfg.Log.Warn().Err(err).Msg("accept failed")
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		s.cfg.Counters.Add(telemetry.Connections)
+		c := newConn(s, raw)
+		if !s.register(c) {
+			raw.Close()
+			continue
+		}
+		s.cfg.Calls.Connect(c)
+		c.closeIfDrained()
+		go c.readLoop()
+		go c.writeLoop()
+	}
+}
+
+// register takes a connection in, making room for it where it can, and reports whether it did.
+func (s *Server) register(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) >= s.cfg.MaxConnections {
+		s.evictOne()
+	}
+	// A connection may have been accepted just before Close. Without looking at the state, it would outlive the server.
+	if s.lifecycle.state() == serverClosed || len(s.conns) >= s.cfg.MaxConnections {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	s.goroutines.Add(2)
+	return true
+}
+
+// unregister takes a connection off; one that was evicted is off already.
+func (s *Server) unregister(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+func (s *Server) connections() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.conns))
+}
+
+// CatchUp gives Serve and the readers 5 ms to take what has come by now. Call it before the listener is closed and the
+// connections are drained. Without it, connections and set-ups that came while the process was stalled would be lost
+// with the close: the process sees the signal to stop before it reads them, and a caller only repeats a set-up that
+// crosses the close within 50 ms.
+func (s *Server) CatchUp() { time.Sleep(readGrace) }
+
+// Drain closes each connection once every set-up on it has its final answer, and returns when none is left or ctx is
+// done. Close Serve's listener first.
+//
+// Each connection ends by itself, without waiting for the others: callers go on sending on every connection that is
+// open, so that one slow set-up anywhere would else keep all of them open, and what came on them until the process
+// ended would be taken and never answered.
+func (s *Server) Drain(ctx context.Context) {
+	s.lifecycle.drain()
+	for _, c := range s.connections() {
+		c.closeIfDrained()
+	}
+	for len(s.connections()) > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(drainPollInterval):
+		}
+	}
+}
+
+// Close ends the connections and waits for their goroutines. Close Serve's listener first.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.lifecycle.close()
+	for c := range s.conns {
+		c.close()
+	}
+	s.mu.Unlock()
+	s.goroutines.Wait()
+}
