websocket: server, sites, socket, reader, writer, messages and codes apart

Cause: one file of 432 lines held the server, the sites and the sockets; messages in and out and their codes shared another.

Change: a file each; the socket's state is typed; client messages are read by a reader of members that keeps the first error; the causes and the types of messages are named. The tests are split by subject and renamed after what they check. Messages, error texts, close codes and their reasons are unchanged.

--- a/internal/frontend/websocket/characterization_test.go
+++ b/internal/frontend/websocket/characterization_test.go
@@ -1,7 +1,7 @@
 // The tests of this file are characterisation tests: they record what clients of the call-control API send and get over
-// WebSocket, byte for byte, every error code with its text, every close code with its reason, what reaches the pools, what
-// is logged and what is counted, so that a change of names or shape in the code can be shown to change nothing else. The
-// recorded files are in testdata/characterization. On a purposeful change they are written anew with
+// WebSocket, byte for byte, every error code with its text, every close code with its reason, what reaches the pools,
+// what is logged and what is counted, so that a change of names or shape in the code can be shown to change nothing
+// else. The recorded files are in testdata/characterization. On a purposeful change they are written anew with
 //
 //	EIDERTRAIL_UPDATE=1 go test ./internal/frontend/websocket -run TestCharacterization
 //
@@ -146,7 +146,8 @@
 // Invite implements dispatch.Trunk. An attempt that times out stays out until the caller leaves or its time is over.
 func (p *scriptedPools) Invite(ctx context.Context, a dispatch.Attempt) (dispatch.Leg, dispatch.Ending) {
 	if !p.quiet {
-		p.add("  pool %s is told: attempt %d of a call with a name of %d bytes, class %s, number %s, times out after %d µs, sdp %s",
+		p.add("  pool %s is told: attempt %d of a call with a name of %d bytes, class %s, number %s, "+
+			"times out after %d µs, sdp %s",
 			a.Pool, a.Number, len(a.ID), shown(a.Class), a.Setup.Number, a.Deadline-a.DecidedAt, shown(a.SDP))
 	}
 	p.mu.Lock()
@@ -214,14 +215,28 @@
 func newService(t *testing.T, j *journal) (s *service, stop func()) {
 	t.Helper()
 	s = &service{
-		journal: j, t: t, listener: fakeplatform.NewListener(), count: &telemetry.Counters{}, ready: true, log: &lockedBuffer{}, began: time.Now(),
-		pools: &scriptedPools{journal: j, sdp: "v=0\r\ns=-\r\n", state: dispatch.UnknownLoad},
+		journal:  j,
+		t:        t,
+		listener: fakeplatform.NewListener(),
+		count:    &telemetry.Counters{},
+		ready:    true,
+		log:      &lockedBuffer{},
+		began:    time.Now(),
+		pools:    &scriptedPools{journal: j, sdp: "v=0\r\ns=-\r\n", state: dispatch.UnknownLoad},
 	}
 	var err error
-	s.dispatcher, err = dispatch.New(eidertrail.Settings{Nodes: 1, OwnExchange: -1, ReleaseWait: 300 * time.Millisecond, Classes: []eidertrail.Class{
+	classes := []eidertrail.Class{
 		{Name: "read", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 1},
-		{Name: "once", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 1, Idempotency: eidertrail.NotIdempotent},
-	}}, 1, 2_000_000, clock.New(), zerolog.Nop(), s.count)
+		{
+			Name:             "once",
+			LatencyObjective: 2 * time.Second,
+			Deadline:         6 * time.Second,
+			PriorityWeight:   1,
+			Idempotency:      eidertrail.NotIdempotent,
+		},
+	}
+	settings := eidertrail.Settings{Nodes: 1, OwnExchange: -1, ReleaseWait: 300 * time.Millisecond, Classes: classes}
+	s.dispatcher, err = dispatch.New(settings, 1, 2_000_000, clock.New(), zerolog.Nop(), s.count)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -251,7 +266,10 @@
 
 // roster lists the pools, all in one mode.
 func (s *service) roster(mode eidertrail.Mode) {
-	s.dispatcher.UpdateEndpoints([]dispatch.Endpoint{{UID: "a", Group: 0, Mode: mode}, {UID: "b", Group: 1, Mode: mode}}, false)
+	s.dispatcher.UpdateEndpoints(
+		[]dispatch.Endpoint{{UID: "a", Group: 0, Mode: mode}, {UID: "b", Group: 1, Mode: mode}},
+		false,
+	)
 	synctest.Wait()
 }
 
@@ -312,7 +330,15 @@
 
 // upgradeHeader is what a WebSocket client sends.
 func upgradeHeader(more ...string) []string {
-	return append([]string{"Connection: Upgrade", "Upgrade: websocket", "Sec-WebSocket-Version: 13", "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ=="}, more...)
+	return append(
+		[]string{
+			"Connection: Upgrade",
+			"Upgrade: websocket",
+			"Sec-WebSocket-Version: 13",
+			"Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==",
+		},
+		more...,
+	)
 }
 
 // answer records the answer to a request: status, header without the date, and body. What follows it stays.
@@ -357,7 +383,10 @@
 // handshake asks for a socket of a site.
 func (s *service) handshake(c *client, site string) {
 	s.t.Helper()
-	io.WriteString(c, "GET /?site="+site+" HTTP/1.1\r\nHost: controller\r\n"+strings.Join(upgradeHeader(), "\r\n")+"\r\n\r\n")
+	io.WriteString(
+		c,
+		"GET /?site="+site+" HTTP/1.1\r\nHost: controller\r\n"+strings.Join(upgradeHeader(), "\r\n")+"\r\n\r\n",
+	)
 	synctest.Wait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -500,7 +529,12 @@
 		}
 	}
 	slices.Sort(all)
-	s.add("  counted: %s; open %d, standing %d", strings.Join(all, ", "), s.server.PendingSetups(), s.server.EstablishedCalls())
+	s.add(
+		"  counted: %s; open %d, standing %d",
+		strings.Join(all, ", "),
+		s.server.PendingSetups(),
+		s.server.EstablishedCalls(),
+	)
 }
 
 // scenario is a sequence of steps on a server of its own.
@@ -551,40 +585,111 @@
 	messages := []string{
 		setup, strings.Replace(setup, `"number":"7f3a",`, ``, 1), strings.Replace(setup, `"pool":0,`, ``, 1),
 		strings.Replace(setup, `"class":"read",`, ``, 1), strings.Replace(setup, `"left_ms":1500,`, ``, 1),
-		strings.Replace(setup, `,"sdp":"v=0\r\n"`, ``, 1), strings.Replace(setup, `"id":"c1",`, ``, 1), strings.Replace(setup, `"type":"setup",`, ``, 1),
+		strings.Replace(setup, `,"sdp":"v=0\r\n"`, ``, 1),
+		strings.Replace(setup, `"id":"c1",`, ``, 1),
+		strings.Replace(setup, `"type":"setup",`, ``, 1),
 	}
 	for _, value := range []string{`1`, `-1`, `7`, `1.5`, `1e9`, `3000000000`, `"1"`, `null`, `true`} {
 		messages = append(messages, strings.Replace(setup, `"pool":0`, `"pool":`+value, 1))
 	}
-	for _, value := range []string{`0`, `20`, `21`, `0.5`, `1e9`, `1000000001`, `-1`, `1e400`, `"1500"`, `null`, `true`, `{}`} {
+	for _, value := range []string{
+		`0`,
+		`20`,
+		`21`,
+		`0.5`,
+		`1e9`,
+		`1000000001`,
+		`-1`,
+		`1e400`,
+		`"1500"`,
+		`null`,
+		`true`,
+		`{}`,
+	} {
 		messages = append(messages, strings.Replace(setup, `"left_ms":1500`, `"left_ms":`+value, 1))
 	}
 	for _, value := range []string{`""`, `"fax"`, `"READ"`, `"once"`, `7`, `null`, `["read"]`} {
 		messages = append(messages, strings.Replace(setup, `"read"`, value, 1))
 	}
-	for _, value := range []string{`""`, `"HOTEL-1._+"`, `"a b"`, `"a\r\nBYE"`, `"é"`, `7`, `null`, `"` + strings.Repeat("k", 64) + `"`, `"` + strings.Repeat("k", 65) + `"`} {
+	for _, value := range []string{
+		`""`,
+		`"HOTEL-1._+"`,
+		`"a b"`,
+		`"a\r\nBYE"`,
+		`"é"`,
+		`7`,
+		`null`,
+		`"` + strings.Repeat("k", 64) + `"`,
+		`"` + strings.Repeat("k", 65) + `"`,
+	} {
 		messages = append(messages, strings.Replace(setup, `"7f3a"`, value, 1))
 	}
-	for _, value := range []string{`""`, `"c 1"`, `"é"`, `"\u0063\u0031"`, `7`, `null`, `"` + strings.Repeat("i", 64) + `"`, `"` + strings.Repeat("i", 65) + `"`, `"\"\\\u0000"`} {
+	for _, value := range []string{
+		`""`,
+		`"c 1"`,
+		`"é"`,
+		`"\u0063\u0031"`,
+		`7`,
+		`null`,
+		`"` + strings.Repeat("i", 64) + `"`,
+		`"` + strings.Repeat("i", 65) + `"`,
+		`"\"\\\u0000"`,
+	} {
 		messages = append(messages, strings.Replace(setup, `"c1"`, value, 1))
 	}
-	for _, value := range []string{`""`, `7`, `null`, `"\u0000\"\\é\ud83d\ude00\ud800"`, `"` + strings.Repeat("s", 15<<10) + `"`, `"` + strings.Repeat("s", 15<<10+1) + `"`} {
+	for _, value := range []string{
+		`""`,
+		`7`,
+		`null`,
+		`"\u0000\"\\é\ud83d\ude00\ud800"`,
+		`"` + strings.Repeat("s", 15<<10) + `"`,
+		`"` + strings.Repeat("s", 15<<10+1) + `"`,
+	} {
 		messages = append(messages, strings.Replace(setup, `"v=0\r\n"`, value, 1))
 	}
 	messages = append(messages, `{"type":"setup","id":7,"class":7,"number":7,"pool":"x","left_ms":"x","sdp":7}`,
-		`{"type":"setup","id":"c 1","class":"fax","number":"a b","left_ms":-1}`, `{"type":"setup","id":"c1","class":"fax","number":"a b","left_ms":-1}`,
+		`{"type":"setup","id":"c 1","class":"fax","number":"a b","left_ms":-1}`,
+		`{"type":"setup","id":"c1","class":"fax","number":"a b","left_ms":-1}`,
 		`{"type":"setup","id":"c1","class":"read","number":"a b","left_ms":-1}`, `{"type":"setup","id":"c1"}`)
 	play(t, "set-ups.txt", oneMessage(messages))
 }
 
 func TestCharacterization_OtherMessages(t *testing.T) {
 	messages := []string{
-		status, `{"type":"ping"}`, `{"type":"ping","id":""}`, `{"type":"ping","id":7}`, `{"type":"ping","id":"\"\\\u0000\u007f\té\ud83d\ude00"}`,
-		`{"type":"ping","id":"` + strings.Repeat("p", 8000) + `"}`, "{\"type\":\"ping\",\"id\":\"\xff\"}", `{"type":"ping","id":"\ud800"}`,
-		cancel, `{"type":"cancel"}`, `{"type":"cancel","id":7}`, `{"type":"cancel","id":""}`, `{"type":"cancel","id":"c 1"}`, `{"type":"cancel","id":"c1","cause":"x"}`,
+		status,
+		`{"type":"ping"}`,
+		`{"type":"ping","id":""}`,
+		`{"type":"ping","id":7}`,
+		`{"type":"ping","id":"\"\\\u0000\u007f\té\ud83d\ude00"}`,
+		`{"type":"ping","id":"` + strings.Repeat("p", 8000) + `"}`,
+		"{\"type\":\"ping\",\"id\":\"\xff\"}",
+		`{"type":"ping","id":"\ud800"}`,
+		cancel,
+		`{"type":"cancel"}`,
+		`{"type":"cancel","id":7}`,
+		`{"type":"cancel","id":""}`,
+		`{"type":"cancel","id":"c 1"}`,
+		`{"type":"cancel","id":"c1","cause":"x"}`,
 		release, `{"type":"release","id":"c1"}`, `{"type":"release"}`, `{"type":"release","id":7}`,
-		`{"type":"dance","id":"x"}`, `{"type":"dance"}`, `{"type":"Setup","id":"x"}`, `{"type":"","id":"x"}`, `{"type":7,"id":"x"}`, `{"type":null,"id":"x"}`, `{"id":"x"}`, `{}`,
-		`[]`, `7`, `null`, `"setup"`, ``, ` `, `nonsense`, setup[:len(setup)-1], setup + `x`, "\xef\xbb\xbf" + setup, " \t\r\n" + setup + "\n",
+		`{"type":"dance","id":"x"}`,
+		`{"type":"dance"}`,
+		`{"type":"Setup","id":"x"}`,
+		`{"type":"","id":"x"}`,
+		`{"type":7,"id":"x"}`,
+		`{"type":null,"id":"x"}`,
+		`{"id":"x"}`,
+		`{}`,
+		`[]`,
+		`7`,
+		`null`,
+		`"setup"`,
+		``,
+		` `,
+		`nonsense`,
+		setup[:len(setup)-1],
+		setup + `x`,
+		"\xef\xbb\xbf" + setup,
+		" \t\r\n" + setup + "\n",
 		`{"type":"ping","type":"dance","id":"x","id":"y"}`, `{"ty\u0070e":"ping","i\u0064":"x"}`,
 	}
 	for _, cause := range []string{`1`, `127`, `0`, `128`, `-1`, `16.5`, `1e9`, `3e9`, `"16"`, `null`} {
@@ -680,7 +785,12 @@
 		}},
 		{"answers with descriptions of many kinds", func(s *service) {
 			c := s.open("a")
-			for i, sdp := range []string{"", "v=0\r\né\"\\\t\x00\x7f\u2028\U0001f600", "\xff\xc3", strings.Repeat("s", 12_000)} {
+			for i, sdp := range []string{
+				"",
+				"v=0\r\né\"\\\t\x00\x7f\u2028\U0001f600",
+				"\xff\xc3",
+				strings.Repeat("s", 12_000),
+			} {
 				s.pools.sdp = sdp
 				s.say(c, called(setup, fmt.Sprintf("c%d", i)))
 			}
@@ -800,7 +910,13 @@
 		{"the client closes with 1000", func(s *service) { s.write(s.open("a"), lastFrame|closing, "\x03\xe8done") }},
 		{"the client closes with 4000", func(s *service) { s.write(s.open("a"), lastFrame|closing, "\x0f\xa0own reason") }},
 		{"the client closes without a code", func(s *service) { s.write(s.open("a"), lastFrame|closing, "") }},
-		{"the client closes with a code that is none", func(s *service) { s.write(s.open("a"), lastFrame|closing, "\x00\x01") }},
+		{"the client closes with a code that is none", func(s *service) {
+			s.write(
+				s.open("a"),
+				lastFrame|closing,
+				"\x00\x01",
+			)
+		}},
 		{"a client that answers no pings", func(s *service) {
 			s.open("a")
 			s.wait(19_999 * time.Millisecond)
@@ -880,10 +996,20 @@
 		ask("/?site=a", upgradeHeader("Sec-WebSocket-Protocol: other, callcontrol.v1")...),
 		ask("/?site=a", upgradeHeader("Sec-WebSocket-Protocol: other")...),
 		ask("/?site=a", upgradeHeader("Sec-WebSocket-Extensions: permessage-deflate")...),
-		ask("/?site=", upgradeHeader()...), ask("/?site=a%20b", upgradeHeader()...), ask("/?site="+longest, upgradeHeader()...),
+		ask("/?site=", upgradeHeader()...),
+		ask("/?site=a%20b", upgradeHeader()...),
+		ask("/?site="+longest, upgradeHeader()...),
 		ask("/?site="+longest+"s", upgradeHeader()...),
-		ask("/?site=a", upgradeHeader("Origin: http://controller")...), ask("/?site=a", upgradeHeader("Origin: http://elsewhere.example")...),
-		ask("/?site=a"), ask("/?site=a", "Connection: Upgrade", "Upgrade: websocket", "Sec-WebSocket-Version: 12", "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ=="),
+		ask("/?site=a", upgradeHeader("Origin: http://controller")...),
+		ask("/?site=a", upgradeHeader("Origin: http://elsewhere.example")...),
+		ask("/?site=a"),
+		ask(
+			"/?site=a",
+			"Connection: Upgrade",
+			"Upgrade: websocket",
+			"Sec-WebSocket-Version: 12",
+			"Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==",
+		),
 		{"an origin that was admitted", func(s *service) {
 			s.server.Admit([]string{"*.example"}, mostSockets)
 			c := s.connect()
--- /dev/null
+++ b/internal/frontend/websocket/server.go
@@ -0,0 +1,153 @@
+// Package websocket is the call-control front over WebSocket: the same calls, decisions and rules as the platform's
+// front, for sites that would rather keep one socket open. The README describes its messages.
+//
+// Calls belong to a site (the query parameter site of the URL), not to a socket. When a socket closes, its set-ups
+// without a final answer are cancelled; established calls go on. Any socket of the site may release them, and their end
+// is notified on any, or on the next one that opens.
+package websocket
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/coder/websocket"
+	"github.com/rs/zerolog"
+
+	"eidertrail/dispatch"
+	"eidertrail/internal/telemetry"
+)
+
+const (
+	subprotocol = "callcontrol.v1"
+	defaultSite = "default" // of a URL without the parameter site
+	// retryAfterMicros is how long a client is asked to wait while the server stops or the site has too many calls.
+	retryAfterMicros = 1_000_000
+	// retryAfterHeader is how many seconds a client is asked to wait when there is no place for its socket.
+	retryAfterHeader = "1"
+)
+
+// Config is what a Server is made with.
+type Config struct {
+	Dispatcher *dispatch.Dispatcher
+	Inviter    dispatch.Inviter
+	// Ready tells whether a ping is answered with ready.
+	Ready func() bool
+	// Origins are the origins of browsers that may connect, as patterns; none: only the server's own.
+	Origins []string
+	// MaxConnections bounds the sockets.
+	MaxConnections int
+	Log            zerolog.Logger
+	Counters       *dispatch.Counters
+}
+
+// Server is the WebSocket front. It is an http.Handler.
+type Server struct {
+	cfg          Config
+	shuttingDown atomic.Bool // set while mu is held
+	serving      sync.WaitGroup
+
+	mu         sync.Mutex // also guards cfg.Origins and cfg.MaxConnections
+	sites      map[string]*dispatch.CallTable
+	sockets    map[*socket]struct{}
+	lastNumber uint64 // number of the youngest socket
+}
+
+// New returns a server that has no sockets yet.
+func New(cfg Config) *Server {
+	return &Server{
+		cfg:     cfg,
+		sites:   map[string]*dispatch.CallTable{},
+		sockets: map[*socket]struct{}{},
+	}
+}
+
+// Admit changes which browser origins may connect and how many sockets there may be. Open ones stay.
+func (s *Server) Admit(origins []string, maxConnections int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cfg.Origins, s.cfg.MaxConnections = origins, maxConnections
+}
+
+func (s *Server) origins() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cfg.Origins
+}
+
+// ServeHTTP accepts one WebSocket and serves it to its end. It answers 400 to a site that is no token, and 503 with
+// Retry-After when there is no place.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	site := r.URL.Query().Get("site")
+	if site == "" {
+		site = defaultSite
+	}
+	if !dispatch.IsToken(site) {
+		http.Error(w, "site: want 1 to 64 letters, digits or -._+", http.StatusBadRequest)
+		return
+	}
+	c, ok := s.register(site)
+	if !ok {
+		w.Header().Set("Retry-After", retryAfterHeader)
+		http.Error(w, "no more sockets now", http.StatusServiceUnavailable)
+		return
+	}
+	defer s.serving.Done()
+	defer s.unregister(c)
+	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{
+		Subprotocols:    []string{subprotocol},
+		OriginPatterns:  s.origins(),
+		CompressionMode: websocket.CompressionDisabled,
+	})
+	if err != nil {
+		s.cfg.Log.Warn().Err(err).Msg("websocket not accepted")
+		return
+	}
+	c.ws = ws
+	s.cfg.Counters.Add(telemetry.Connections)
+	c.serve()
+}
+
+// PendingSetups is the number of set-ups that are owed a final answer.
+func (s *Server) PendingSetups() int { return s.sum((*dispatch.CallTable).PendingSetups) }
+
+// EstablishedCalls is the number of established calls.
+func (s *Server) EstablishedCalls() int { return s.sum((*dispatch.CallTable).EstablishedCalls) }
+
+func (s *Server) sum(count func(*dispatch.CallTable) int) int {
+	total := 0
+	for _, calls := range s.callTables() {
+		total += count(calls)
+	}
+	return total
+}
+
+// Shutdown takes no more sockets and rejects new set-ups, waits until every accepted call has its final answer (when
+// ctx is done it is given one), and then closes the sockets with 1001, after what was queued for them.
+func (s *Server) Shutdown(ctx context.Context) {
+	s.mu.Lock()
+	s.shuttingDown.Store(true)
+	s.mu.Unlock()
+	for _, calls := range s.callTables() {
+		drain(ctx, calls)
+	}
+	s.mu.Lock()
+	for c := range s.sockets {
+		c.finish(websocket.StatusGoingAway, "shutting down")
+	}
+	s.mu.Unlock()
+	for _, calls := range s.callTables() {
+		calls.Close()
+	}
+	s.serving.Wait()
+}
+
+// drain waits until every call of a site has its final answer. When ctx is done, calls without one are given it.
+func drain(ctx context.Context, calls *dispatch.CallTable) {
+	calls.Drain(ctx)
+	calls.AbortPending()
+	last, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	defer cancel()
+	calls.Drain(last)
+}
--- /dev/null
+++ b/internal/frontend/websocket/server_message.go
@@ -0,0 +1,109 @@
+package websocket
+
+import (
+	"strconv"
+
+	"eidertrail/dispatch"
+	"eidertrail/internal/frontend/linecodec"
+)
+
+// The types of messages that the server sends.
+const (
+	typeAnswer   = "answer"
+	typeRefused  = "refused"
+	typeFailed   = "failed"
+	typeReleased = "released"
+	typePong     = "pong"
+	typeError    = "error"
+)
+
+// The Q.850 causes with which a set-up is rejected or has failed.
+const (
+	causeNoCircuit       = 34
+	causeCongestion      = 42
+	causeRecoveryOnTimer = 102
+)
+
+const microsPerMilli = 1000
+
+// finalMessage is the final answer to a set-up.
+func finalMessage(id string, final dispatch.Final) []byte {
+	switch {
+	case final.Kind == dispatch.FinalEstablished:
+		return answerMessage(id, final.Call.SDP())
+	case final.Kind == dispatch.FinalFailed:
+		return rejectedMessage(typeFailed, id, TimedOut, causeRecoveryOnTimer, final.RetryAfter)
+	case final.NoAgentFree:
+		return rejectedMessage(typeRefused, id, NoAgent, causeNoCircuit, final.RetryAfter)
+	}
+	return rejectedMessage(typeRefused, id, Congestion, causeCongestion, final.RetryAfter)
+}
+
+func answerMessage(id, sdp string) []byte {
+	b := appendHead(nil, typeAnswer, id)
+	b = appendText(b, "sdp", sdp)
+	return append(b, '}')
+}
+
+// rejectedMessage is the final answer to a set-up that was rejected or has failed.
+func rejectedMessage(messageType, id string, code Code, cause int, retryAfter int64) []byte {
+	b := appendHead(nil, messageType, id)
+	b = appendText(b, "code", string(code))
+	b = appendNumber(b, "cause", int64(cause))
+	b = appendNumber(b, "retry_after_ms", retryAfterMillis(retryAfter))
+	return append(b, '}')
+}
+
+// releasedMessage is the end of an established call.
+func releasedMessage(id string, cause int) []byte {
+	b := appendHead(nil, typeReleased, id)
+	b = appendNumber(b, "cause", int64(cause))
+	return append(b, '}')
+}
+
+func pongMessage(id string, ready bool) []byte {
+	b := appendHead(nil, typePong, id)
+	b = append(b, `,"ready":`...)
+	b = strconv.AppendBool(b, ready)
+	return append(b, '}')
+}
+
+// errorMessage says that a message was not accepted. retryAfter is in µs, 0 for none.
+func errorMessage(id string, err error, retryAfter int64) []byte {
+	b := appendHead(nil, typeError, id)
+	b = appendText(b, "code", string(codeOf(err)))
+	b = appendText(b, "message", err.Error())
+	if retryAfter > 0 {
+		b = appendNumber(b, "retry_after_ms", retryAfterMillis(retryAfter))
+	}
+	return append(b, '}')
+}
+
+// retryAfterMillis rounds µs up to whole milliseconds, one at least: 0 would ask for a retry at once.
+func retryAfterMillis(micros int64) int64 {
+	return max(1, (micros+microsPerMilli-1)/microsPerMilli)
+}
+
+// appendHead begins a message; one without an id names no call.
+func appendHead(b []byte, messageType, id string) []byte {
+	b = append(b, `{"type":`...)
+	b = linecodec.AppendString(b, messageType)
+	if id != "" {
+		b = appendText(b, "id", id)
+	}
+	return b
+}
+
+func appendText(b []byte, name, value string) []byte {
+	return linecodec.AppendString(appendName(b, name), value)
+}
+
+func appendNumber(b []byte, name string, value int64) []byte {
+	return strconv.AppendInt(appendName(b, name), value, 10)
+}
+
+func appendName(b []byte, name string) []byte {
+	b = append(b, `,"`...)
+	b = append(b, name...)
+	return append(b, `":`...)
+}
--- /dev/null
+++ b/internal/frontend/websocket/server_test.go
@@ -0,0 +1,100 @@
+package websocket
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"eidertrail/internal/testing/fakeplatform"
+)
+
+func TestShutdown_AnswersBeforeItCloses(t *testing.T) {
+	invites := make(chan fakeplatform.Request, 2)
+	r := newRig(t, func(q fakeplatform.Request) { invites <- q })
+	c := r.dial("a")
+	c.say(setup("c1", 60000))
+	invite := <-invites
+	done := make(chan struct{})
+	go func() {
+		r.server.Shutdown(context.Background())
+		close(done)
+	}()
+	for !r.server.shuttingDown.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	c.say(setup("c2", 60000))
+	if m := c.next(); m.Type != "refused" || m.ID != "c2" || m.Code != "shutting_down" || m.RetryAfterMS < 1 {
+		t.Errorf("a set-up in between: %+v", m)
+	}
+	if status, retryAfter := r.dialStatus(""); status != 503 || retryAfter == "" {
+		t.Errorf("a socket in between: %d, Retry-After %q", status, retryAfter)
+	}
+	invite.Answer(200, "", "x\r\n")
+	if m := c.next(); m.Type != "answer" || m.ID != "c1" {
+		t.Errorf("%+v", m)
+	}
+	if status := c.closeStatus(); status != websocket.StatusGoingAway {
+		t.Errorf("closed with %d", status)
+	}
+	<-done
+}
+
+func TestShutdown_WithoutTime(t *testing.T) {
+	invites := make(chan fakeplatform.Request, 1)
+	r := newRig(t, func(q fakeplatform.Request) { invites <- q })
+	c := r.dial("a")
+	c.say(setup("c1", 60000))
+	<-invites
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	go r.server.Shutdown(ended)
+	if m := c.next(); m.Type != "refused" || m.ID != "c1" {
+		t.Errorf("%+v", m)
+	}
+	if status := c.closeStatus(); status != websocket.StatusGoingAway {
+		t.Errorf("closed with %d", status)
+	}
+	r.await("CANCEL")
+}
+
+func TestServer_RejectsInvalidSiteAndTooManySockets(t *testing.T) {
+	r := newRig(t, answerAll)
+	if status, _ := r.dialStatus("?site=a%20b"); status != 400 {
+		t.Errorf("site with a space: %d", status)
+	}
+	for range 16 {
+		c := r.dial("a")
+		c.say(ping) // a socket that has sent a message makes no room
+		c.next()
+	}
+	if status, _ := r.dialStatus(""); status != 503 {
+		t.Errorf("a 17th socket: %d", status)
+	}
+}
+
+// A client that opens sockets and sends nothing does not shut sites out, and one that sends invalid messages again and
+// again is closed. A socket that has sent a message never makes room.
+func TestEviction_SilentSocketsMakeRoomAndFaultyOnesAreClosed(t *testing.T) {
+	r := newRig(t, nil)
+	r.server.Admit(nil, 2)
+	active, silent := r.dial("a"), r.dial("b")
+	active.say(ping)
+	active.next()
+	third := r.dial("c")
+	if code := silent.closeStatus(); code != websocket.StatusTryAgainLater {
+		t.Errorf("the silent socket ended with %v", code)
+	}
+	third.say(ping)
+	third.next()
+	if status, _ := r.dialStatus(""); status != 503 {
+		t.Errorf("%d though all have sent a message", status)
+	}
+	for range maxStrikes + 1 {
+		third.say(`{}`)
+	}
+	third.closeStatus()
+	active.say(`{"type":"ping","id":"y"}`)
+	active.next()
+}
