--- a/internal/frontend/health/characterization_test.go
+++ b/internal/frontend/health/characterization_test.go
@@ -1,6 +1,6 @@
 // The tests of this file are characterisation tests: they record what load balancers and operators are told in every
-// state, byte for byte, so that a change of names or shape in the code can be shown to change nothing else. The recorded
-// files are in testdata/characterization. On a purposeful change they are written anew with
+// state, byte for byte, so that a change of names or shape in the code can be shown to change nothing else. The
+// recorded files are in testdata/characterization. On a purposeful change they are written anew with
 //
 //	EIDERTRAIL_UPDATE=1 go test ./internal/frontend/health -run TestCharacterization
 //
@@ -216,7 +216,11 @@
 	set.RecordEstablished(70_000_000, false)
 	var none *telemetry.Counters
 	var out strings.Builder
-	for _, document := range []any{countersDocument{1_700_000_000_000, set.Snapshot()}, countersDocument{0, none.Snapshot()}, nil} {
+	for _, document := range []any{
+		countersDocument{1_700_000_000_000, set.Snapshot()},
+		countersDocument{0, none.Snapshot()},
+		nil,
+	} {
 		h := health.Handler(checkOf(health.Status{}), func() any { return document })
 		out.WriteString(answerOf(h, http.MethodGet, "/counters"))
 	}
