--- a/middleware/characterization_test.go
+++ b/middleware/characterization_test.go
@@ -86,9 +86,14 @@
 func newAdmission(t *testing.T) *admission {
 	t.Helper()
 	a := &admission{count: &telemetry.Counters{}, trace: &bytes.Buffer{}}
-	settings := eidertrail.Settings{Nodes: 1, OwnExchange: -1, ReleaseWait: 300 * time.Millisecond, Classes: []eidertrail.Class{
-		{Name: "read", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 1, MeanHoldingTime: time.Second},
+	classes := []eidertrail.Class{{
+		Name:             "read",
+		LatencyObjective: 2 * time.Second,
+		Deadline:         6 * time.Second,
+		PriorityWeight:   1,
+		MeanHoldingTime:  time.Second,
 	}}
+	settings := eidertrail.Settings{Nodes: 1, OwnExchange: -1, ReleaseWait: 300 * time.Millisecond, Classes: classes}
 	var err error
 	a.dispatcher, err = dispatch.New(settings, 1, 5_000_000, clock.New(), zerolog.New(a.trace), a.count)
 	if err != nil {
@@ -231,7 +236,11 @@
 // otherWork are handlers that do something else than answer with one status.
 func otherWork() []work {
 	wait := func(r *http.Request) { <-r.Context().Done() }
-	report := func(o dispatch.Outcome, s dispatch.LoadReport) func(http.ResponseWriter, *http.Request, context.CancelFunc) {
+	report := func(o dispatch.Outcome, s dispatch.LoadReport) func(
+		http.ResponseWriter,
+		*http.Request,
+		context.CancelFunc,
+	) {
 		return func(w http.ResponseWriter, r *http.Request, _ context.CancelFunc) {
 			time.Sleep(workTime)
 			middleware.FromContext(r.Context()).Report(o, s)
@@ -239,8 +248,20 @@
 		}
 	}
 	all := []work{
-		{"a body without a status", func(w http.ResponseWriter, _ *http.Request, _ context.CancelFunc) { w.Write([]byte("rooms")) }},
-		{"an empty body without a status", func(w http.ResponseWriter, _ *http.Request, _ context.CancelFunc) { w.Write(nil) }},
+		{"a body without a status", func(
+			w http.ResponseWriter,
+			_ *http.Request,
+			_ context.CancelFunc,
+		) {
+			w.Write([]byte("rooms"))
+		}},
+		{"an empty body without a status", func(
+			w http.ResponseWriter,
+			_ *http.Request,
+			_ context.CancelFunc,
+		) {
+			w.Write(nil)
+		}},
 		{"nothing", func(http.ResponseWriter, *http.Request, context.CancelFunc) { time.Sleep(workTime) }},
 		{"status 103, then 503", func(w http.ResponseWriter, _ *http.Request, _ context.CancelFunc) {
 			w.WriteHeader(http.StatusEarlyHints)
@@ -380,7 +401,12 @@
 		a := newAdmission(t)
 		defer a.stop()
 		d := a.dispatcher
-		request := dispatch.Request{Call: d.NewCall(), Pool: -1, Key: dispatch.NumberKey("7f3a"), Deadline: d.Now() + 1_000_000}
+		request := dispatch.Request{
+			Call:     d.NewCall(),
+			Pool:     -1,
+			Key:      dispatch.NumberKey("7f3a"),
+			Deadline: d.Now() + 1_000_000,
+		}
 		pick, err := d.Pick(context.Background(), request)
 		if err != nil || pick.Kind != dispatch.DecisionSend {
 			t.Fatalf("not placed: %v", err)
@@ -430,7 +456,28 @@
 
 func TestCharacterization_ReportedOutcomes(t *testing.T) {
 	var all []work
-	for _, status := range []int{200, 201, 204, 301, 400, 404, 409, 428, 429, 430, 499, 500, 501, 502, 503, 504, 505, 599, 600, 999} {
+	for _, status := range []int{
+		200,
+		201,
+		204,
+		301,
+		400,
+		404,
+		409,
+		428,
+		429,
+		430,
+		499,
+		500,
+		501,
+		502,
+		503,
+		504,
+		505,
+		599,
+		600,
+		999,
+	} {
 		all = append(all, statusWork(status))
 	}
 	all = append(all, otherWork()...)
@@ -441,8 +488,8 @@
 		if word == "" {
 			t.Errorf("%s: no outcome explains what was reported:\n%s", job.name, s.trace)
 		}
-		fmt.Fprintf(&out, "%s\n  reported: %s\n  limit %d µs, answered after %d µs, ended after %d µs\n%s%s", job.name, word,
-			s.limit.Microseconds(), s.answered.Microseconds(), s.took.Microseconds(), s.answer, s.counts)
+		fmt.Fprintf(&out, "%s\n  reported: %s\n  limit %d µs, answered after %d µs, ended after %d µs\n%s%s",
+			job.name, word, s.limit.Microseconds(), s.answered.Microseconds(), s.took.Microseconds(), s.answer, s.counts)
 	}
 	compareRecorded(t, "outcomes.txt", out.String())
 }
