--- a/internal/frontend/health/characterization_test.go
+++ b/internal/frontend/health/characterization_test.go
@@ -11,6 +11,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -73,15 +74,15 @@
 		strconv.FormatFloat(s.RejectionRate, 'g', -1, 64))
 }
 
-// allStatuses are the eight states, each with no call and with a quarter of the calls turned away.
+// allStatuses are the eight states, each with no call and with a quarter of the calls rejected.
 func allStatuses() []health.Status {
-	var all []health.Status
 	both := []bool{true, false}
+	all := make([]health.Status, 0, 2*len(both)*len(both)*len(both))
 	for _, live := range both {
 		for _, ready := range both {
 			for _, draining := range both {
-				for _, turnedAway := range []float64{0, 0.25} {
-					all = append(all, health.Status{Live: live, Ready: ready, Draining: draining, RejectionRate: turnedAway})
+				for _, rejectionRate := range []float64{0, 0.25} {
+					all = append(all, health.Status{Live: live, Ready: ready, Draining: draining, RejectionRate: rejectionRate})
 				}
 			}
 		}
@@ -89,7 +90,7 @@
 	return all
 }
 
-// checkOf is a check that always tells one status.
+// checkOf is a check that always gives one status.
 func checkOf(s health.Status) health.Check { return func(context.Context) health.Status { return s } }
 
 // served runs test while the agent check is served on a listener without sockets.
@@ -99,7 +100,9 @@
 	ended := make(chan error, 1)
 	go func() { ended <- health.ServeAgent(l, check) }()
 	test(l)
-	l.Close()
+	if err := l.Close(); err != nil {
+		t.Errorf("closing the listener: %v", err)
+	}
 	if err := <-ended; err != nil {
 		t.Errorf("the agent check ended with %v", err)
 	}
@@ -146,9 +149,9 @@
 			return health.Status{Live: true, Ready: true}
 		}
 		served(t, check, func(l *fakeplatform.Listener) {
-			var all []net.Conn
-			for range agents {
-				all = append(all, l.Dial())
+			all := make([]net.Conn, agents)
+			for i := range all {
+				all[i] = l.Dial()
 				synctest.Wait()
 			}
 			close(answer)
@@ -166,12 +169,7 @@
 	h.ServeHTTP(w, httptest.NewRequest(method, path, nil))
 	var out strings.Builder
 	fmt.Fprintf(&out, "%s %s: %d\n", method, path, w.Code)
-	var names []string
-	for name := range w.Header() {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(w.Header())) {
 		for _, value := range w.Header()[name] {
 			fmt.Fprintf(&out, "  %s: %s\n", name, value)
 		}
--- a/internal/frontend/health/health_test.go
+++ b/internal/frontend/health/health_test.go
@@ -30,13 +30,13 @@
 
 func TestServeAgent_SendsOneLineAndCloses(t *testing.T) {
 	for name, k := range statusCases() {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
 		done := make(chan error, 1)
-		go func() { done <- ServeAgent(l, func(context.Context) Status { return k.status }) }()
-		agent, err := net.Dial("tcp", l.Addr().String())
+		go func() { done <- ServeAgent(listener, func(context.Context) Status { return k.status }) }()
+		agent, err := net.Dial("tcp", listener.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -45,7 +45,7 @@
 			t.Errorf("%s: %q, %v", name, line, err)
 		}
 		agent.Close()
-		l.Close()
+		listener.Close()
 		if err := <-done; err != nil {
 			t.Error(err)
 		}
--- a/internal/frontend/health/http.go
+++ b/internal/frontend/health/http.go
@@ -32,6 +32,6 @@
 		if !ok {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
-		fmt.Fprintln(w, reason)
+		_, _ = fmt.Fprintln(w, reason) // a client that is gone loses nothing but this answer
 	}
 }
--- a/internal/frontend/health/status.go
+++ b/internal/frontend/health/status.go
@@ -45,7 +45,8 @@
 	case !s.Ready:
 		return "down #" + reasonNotReady + "\n"
 	}
-	weight := int(100*(1-s.RejectionRate) + 0.5)
+	const half = 0.5 // rounds to the nearest percent
+	weight := int(100*(1-s.RejectionRate) + half)
 	return fmt.Sprintf("up ready %d%%\n", max(1, min(100, weight)))
 }
 
--- a/internal/frontend/jsonlines/characterization_test.go
+++ b/internal/frontend/jsonlines/characterization_test.go
@@ -140,15 +140,16 @@
 	close(l.done)
 }
 
-// Invite implements dispatch.Trunk. An attempt that times out stays out until the caller leaves or its time is over.
-func (p *scriptedPools) Invite(ctx context.Context, a dispatch.Attempt) (dispatch.Leg, dispatch.Ending) {
+// Invite implements dispatch.Inviter. An attempt that times out stays out until the caller leaves or its time is over.
+func (p *scriptedPools) Invite(ctx context.Context, attempt dispatch.Attempt) (dispatch.Leg, dispatch.Ending) {
 	if !p.quiet {
 		p.add("  pool %s is told: attempt %d of %s, class %s, number %s, times out after %d µs, sdp %s",
-			a.Pool, a.Number, a.ID, shown(a.Class), a.Setup.Number, a.Deadline-a.DecidedAt, shown(a.SDP))
+			attempt.Pool, attempt.Number, attempt.ID, shown(attempt.Class), attempt.Setup.Number,
+			attempt.Deadline-attempt.DecidedAt, shown(attempt.SDP))
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	end := dispatch.Ending{Outcome: p.outcome, At: a.DecidedAt, Load: p.state}
+	end := dispatch.Ending{Outcome: p.outcome, At: attempt.DecidedAt, Load: p.state}
 	switch end.Outcome {
 	case dispatch.Answered:
 		l := &scriptedLeg{journal: p.journal, sdp: p.sdp, done: make(chan struct{})}
@@ -159,8 +160,8 @@
 		select {
 		case <-ctx.Done():
 			end.Outcome = dispatch.Cancelled
-		case <-time.After(time.Duration(a.Deadline-a.DecidedAt) * time.Microsecond):
-			end.At = a.Deadline
+		case <-time.After(time.Duration(attempt.Deadline-attempt.DecidedAt) * time.Microsecond):
+			end.At = attempt.Deadline
 		}
 		p.mu.Lock()
 	}
@@ -171,7 +172,7 @@
 type platform struct {
 	*journal
 	front    *jsonlines.Server
-	desk     *dispatch.CallTable
+	calls    *dispatch.CallTable
 	listener *fakeplatform.Listener
 	pools    *scriptedPools
 	count    *telemetry.Counters
@@ -208,7 +209,7 @@
 	level   zerolog.Level
 	tenants []string
 	most    int // connections
-	calls   int // of the desk
+	calls   int // of the call table
 	pools   []dispatch.Endpoint
 }
 
@@ -235,7 +236,7 @@
 }
 
 // newPlatform starts a front.
-func newPlatform(t *testing.T, j *journal, s setting) (p *platform, stop func()) {
+func newPlatform(t *testing.T, j *journal, settings setting) (p *platform, stop func()) {
 	t.Helper()
 	p = &platform{
 		journal:  j,
@@ -247,36 +248,42 @@
 		pools:    &scriptedPools{journal: j, sdp: "v=0\r\ns=-\r\n", state: dispatch.UnknownLoad},
 	}
 	now := clock.New()
-	d, err := dispatch.New(eidertrail.Settings{
+	dispatcher, err := dispatch.New(eidertrail.Settings{
 		Nodes:       1,
 		OwnExchange: -1,
 		ReleaseWait: 300 * time.Millisecond,
 		Classes:     classes(),
-	},
-		1, 2_000_000, now, zerolog.Nop(), p.count)
+	}, 1, 2_000_000, now, zerolog.Nop(), p.count)
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	go d.Run(ctx)
-	d.UpdateEndpoints(s.pools, false)
-	p.desk = dispatch.NewCallTable(dispatch.CallTableConfig{
-		Dispatcher: d,
+	go dispatcher.Run(ctx)
+	dispatcher.UpdateEndpoints(settings.pools, false)
+	p.calls = dispatch.NewCallTable(dispatch.CallTableConfig{
+		Dispatcher: dispatcher,
 		Inviter:    p.pools,
-		MaxCalls:   s.calls,
+		MaxCalls:   settings.calls,
 		UniqueIDs:  true,
 		Counters:   p.count,
 	})
 	p.front = jsonlines.New(jsonlines.Config{
-		Calls: p.desk, Clock: now, MaxConnections: s.most, Tenants: s.tenants, Ready: func() bool { return p.ready },
+		Calls:            p.calls,
+		Clock:            now,
+		MaxConnections:   settings.most,
+		Tenants:          settings.tenants,
+		Ready:            func() bool { return p.ready },
 		ReleaseUnmatched: func(id string, cause int) { p.add("  all pools are told: release of %s, cause %d", id, cause) },
-		Log:              zerolog.New(p.log).Level(s.level), Counters: p.count,
+		Log:              zerolog.New(p.log).Level(settings.level),
+		Counters:         p.count,
 	})
 	served := make(chan error, 1)
 	go func() { served <- p.front.Serve(p.listener) }()
 	return p, func() {
-		p.listener.Close()
-		p.desk.Close()
+		if err := p.listener.Close(); err != nil {
+			t.Error(err)
+		}
+		p.calls.Close()
 		p.front.Close()
 		if err := <-served; err != nil {
 			t.Error(err)
@@ -355,7 +362,7 @@
 // write has a caller write bytes.
 func (p *platform) write(c *caller, text string) {
 	p.add("%s writes: %s", c.name, shown(strings.TrimSuffix(text, "\n")))
-	io.WriteString(c, text)
+	_, _ = io.WriteString(c, text) // the front may have closed it: what comes of that is recorded
 	p.observe()
 }
 
@@ -400,21 +407,21 @@
 // play plays scenarios one by one and compares what happened with the recorded file.
 func play(t *testing.T, file string, s setting, scenarios []scenario) {
 	t.Helper()
-	j := &journal{}
+	recording := &journal{}
 	for _, one := range scenarios {
-		j.add("== %s", one.name)
+		recording.add("== %s", one.name)
 		synctest.Test(t, func(t *testing.T) {
-			p, stop := newPlatform(t, j, s)
+			p, stop := newPlatform(t, recording, s)
 			one.steps(p)
 			p.counted()
 			p.callers = nil
-			held := j.text.String()
+			held := recording.text.String()
 			stop()
-			j.text.Reset() // what the end of the test does is no part of the scenario
-			j.text.WriteString(held)
+			recording.text.Reset() // what the end of the test does is no part of the scenario
+			recording.text.WriteString(held)
 		})
 	}
-	compareRecorded(t, file, j.text.String())
+	compareRecorded(t, file, recording.text.String())
 }
 
 const (
@@ -430,21 +437,29 @@
 }
 
 // oneLine are scenarios in which a caller of its own writes one line each.
-func oneLine(lines []string, outcome dispatch.Outcome) []scenario {
+func oneLine(lines []string) []scenario {
 	all := make([]scenario, len(lines))
 	for i, line := range lines {
 		all[i] = scenario{fmt.Sprintf("line %d", i+1), func(p *platform) {
-			p.pools.outcome = outcome
 			p.say(p.dial(), line)
 		}}
 	}
 	return all
 }
 
+// each gives a line for each of the values.
+func each(values []string, line func(value string) string) []string {
+	lines := make([]string, len(values))
+	for i, value := range values {
+		lines[i] = line(value)
+	}
+	return lines
+}
+
 func TestCharacterization_SetUps(t *testing.T) {
 	head, tail := `{"type":"setup","id":"9b1f03aa5c7e2d41","fields":`, `,"sdp":"v=0"}`
 	lines := []string{setup}
-	for _, fields := range []string{
+	lines = append(lines, each([]string{
 		`{"class":"voice","left":"1500"}`,
 		`{"class":"voice","left":1500,"key":"HOTEL-1._+"}`,
 		`{"class":"once","left":"1500","key":"7f3a"}`,
@@ -490,11 +505,11 @@
 		`[]`,
 		`{"class":"fax","left":"soon","key":"a b","tenant":"nobody","extras":"x"}`,
 		`{"class":"fax","left":"soon","key":"a b"}`,
-	} {
-		lines = append(lines, head+fields+tail)
-	}
+	}, func(fields string) string {
+		return head + fields + tail
+	})...)
 	fields := `,"fields":{"class":"voice","left":"1500"}`
-	for _, members := range []string{
+	lines = append(lines, each([]string{
 		`"id":"9B1F03AA5C7E2D41"` + fields, `"id":"9b1f03aa5c7e2d4"` + fields, `"id":"9b1f03aa5c7e2d411"` + fields,
 		`"id":"9b1f03aa5c7e2d4g"` + fields,
 		`"id":"a-name.pools+cannot_read"` + fields,
@@ -511,10 +526,10 @@
 		`"id":"` + callID + `"` + fields + `,"sdp":"` + strings.Repeat("s", 15<<10) + `"`,
 		`"id":"` + callID + `"` + fields + `,"sdp":"` + strings.Repeat("s", 15<<10+1) + `"`,
 		`"sdp":7,"id":"` + callID + `"` + fields,
-	} {
-		lines = append(lines, `{"type":"setup",`+members+`}`)
-	}
-	play(t, "set-ups.txt", usual(), oneLine(lines, dispatch.Answered))
+	}, func(members string) string {
+		return `{"type":"setup",` + members + `}`
+	})...)
+	play(t, "set-ups.txt", usual(), oneLine(lines))
 }
 
 func TestCharacterization_OtherLines(t *testing.T) {
@@ -560,7 +575,7 @@
 		`{"type":"ping","id":"p"` + strings.Repeat(" ", linecodec.MaxLine-24) + `}`,
 		strings.Repeat("x", 2*linecodec.MaxLine), `{"type":"ping","id":"` + strings.Repeat("p", 8000) + `"}`,
 	}
-	all := oneLine(lines, dispatch.Answered)
+	all := oneLine(lines)
 	all = append(all,
 		scenario{"a ping while the program is not ready", func(p *platform) {
 			p.ready = false
@@ -584,20 +599,15 @@
 func TestCharacterization_AnyTenant(t *testing.T) {
 	s := usual()
 	s.tenants = nil
-	play(
-		t,
-		"any-tenant.txt",
-		s,
-		oneLine([]string{strings.Replace(setup, `"key"`, `"tenant":"nobody","key"`, 1)}, dispatch.Answered),
-	)
+	line := strings.Replace(setup, `"key"`, `"tenant":"nobody","key"`, 1)
+	play(t, "any-tenant.txt", s, oneLine([]string{line}))
 }
 
 // Which pool is of first choice is told by the extras.
 func TestCharacterization_FirstChoice(t *testing.T) {
-	s := usual()
-	s.pools = []dispatch.Endpoint{{UID: "a", Group: 0}, {UID: "b", Group: 1}, {UID: "c", Group: 2}}
-	var lines []string
-	for _, extras := range []string{
+	settings := usual()
+	settings.pools = []dispatch.Endpoint{{UID: "a", Group: 0}, {UID: "b", Group: 1}, {UID: "c", Group: 2}}
+	lines := each([]string{
 		"dest:0",
 		"dest:1",
 		"dest:2",
@@ -607,10 +617,10 @@
 		"dest:1;via:0;width:3",
 		"Dest:1",
 		"dest:7",
-	} {
-		lines = append(lines, strings.Replace(setup, "dest:0;width:1;via:-1", extras, 1))
-	}
-	play(t, "first-choice.txt", s, oneLine(lines, dispatch.Answered))
+	}, func(extras string) string {
+		return strings.Replace(setup, "dest:0;width:1;via:-1", extras, 1)
+	})
+	play(t, "first-choice.txt", settings, oneLine(lines))
 }
 
 func TestCharacterization_Calls(t *testing.T) {
@@ -721,8 +731,7 @@
 }
 
 func TestCharacterization_FinalCauses(t *testing.T) {
-	var all []scenario
-	for _, o := range []struct {
+	endings := []struct {
 		word    string
 		outcome dispatch.Outcome
 	}{
@@ -734,24 +743,28 @@
 		{"connect failed", dispatch.ConnectFailed},
 		{"moot", dispatch.NotSent},
 		{"timed out", dispatch.TimedOut},
-	} {
-		for _, class := range []string{"voice", "once"} {
-			for _, left := range []string{"200", "1500"} {
-				all = append(all, scenario{o.word + ", class " + class + ", " + left + " ms left", func(p *platform) {
-					p.pools.outcome = o.outcome
+	}
+	classNames := []string{"voice", "once"}
+	timesLeft := []string{"200", "1500"}
+	all := make([]scenario, 0, len(endings)*len(classNames)*len(timesLeft)+len(classNames))
+	for _, ending := range endings {
+		for _, class := range classNames {
+			for _, left := range timesLeft {
+				all = append(all, scenario{ending.word + ", class " + class + ", " + left + " ms left", func(p *platform) {
+					p.pools.outcome = ending.outcome
 					p.say(p.dial(), strings.NewReplacer("voice", class, "1500", left).Replace(setup))
 					p.wait(3 * time.Second)
 				}})
 			}
 		}
 	}
-	for _, class := range []string{"voice", "once"} {
+	for _, class := range classNames {
 		all = append(all, scenario{"given up with an attempt out, class " + class, func(p *platform) {
 			p.pools.outcome = dispatch.TimedOut
 			c := p.dial()
 			p.say(c, strings.Replace(setup, "voice", class, 1))
 			p.add("everything is given up")
-			p.desk.AbortPending()
+			p.calls.AbortPending()
 			p.observe()
 			p.say(c, strings.Replace(numbered(setup, 1), "voice", class, 1))
 		}})
@@ -834,24 +847,24 @@
 			p.dial()
 			p.observe()
 		}},
-		{"a planned stop", func(p *platform) {
-			idle, stands, open := p.dial(), p.dial(), p.dial()
-			p.say(idle, `{"type":"ping","id":"p"}`)
-			p.say(stands, setup)
-			p.pools.outcome = dispatch.TimedOut
-			p.say(open, numbered(setup, 1))
-			p.add("the front drains")
+		{"a planned stop", func(running *platform) {
+			idle, stands, open := running.dial(), running.dial(), running.dial()
+			running.say(idle, `{"type":"ping","id":"p"}`)
+			running.say(stands, setup)
+			running.pools.outcome = dispatch.TimedOut
+			running.say(open, numbered(setup, 1))
+			running.add("the front drains")
 			drained := make(chan struct{})
 			go func() {
 				defer close(drained)
-				p.front.Drain(context.Background())
+				running.front.Drain(context.Background())
 			}()
-			p.observe()
-			p.pools.outcome = dispatch.Answered
-			p.say(open, numbered(setup, 2))
-			p.add("everything is given up")
-			p.desk.AbortPending()
-			p.observe()
+			running.observe()
+			running.pools.outcome = dispatch.Answered
+			running.say(open, numbered(setup, 2))
+			running.add("everything is given up")
+			running.calls.AbortPending()
+			running.observe()
 			<-drained
 		}},
 	})
--- a/internal/frontend/jsonlines/fakes_test.go
+++ b/internal/frontend/jsonlines/fakes_test.go
@@ -37,7 +37,7 @@
 	l = heldListener{fakeplatform.NewListener(), make(chan struct{})}
 	r.serve(l)
 	return l, func() {
-		l.Close()
+		closeListener(r.t, l)
 		close(l.hold)
 	}
 }
--- a/internal/frontend/jsonlines/finals_test.go
+++ b/internal/frontend/jsonlines/finals_test.go
@@ -22,7 +22,7 @@
 // On the wire causes 34, 42 and 102 say that a retry is harmless: a set-up that may have run and must not be repeated
 // gets none of them.
 func TestFinal_FailureThatMayHaveRunIsNoRejection(t *testing.T) {
-	for _, k := range []struct {
+	for _, testCase := range []struct {
 		class   string
 		outcome dispatch.Outcome
 		want    string
@@ -33,13 +33,13 @@
 		{"once", dispatch.NoAgent, `"cause":34}`},
 	} {
 		bubble(t, func(r *rig) {
-			r.inviter.setOutcome(k.outcome)
+			r.inviter.setOutcome(testCase.outcome)
 			caller := r.dial()
-			caller.say(strings.Replace(setup, "voice", k.class, 1))
+			caller.say(strings.Replace(setup, "voice", testCase.class, 1))
 			time.Sleep(1400 * time.Millisecond)
 			r.cfg.Calls.AbortPending()
-			if lines, _ := caller.take(); len(lines) != 1 || !strings.HasSuffix(lines[0], k.want) {
-				t.Errorf("%s, outcome %d: got %q, want %s", k.class, k.outcome, lines, k.want)
+			if lines, _ := caller.take(); len(lines) != 1 || !strings.HasSuffix(lines[0], testCase.want) {
+				t.Errorf("%s, outcome %d: got %q, want %s", testCase.class, testCase.outcome, lines, testCase.want)
 			}
 		})
 	}
@@ -48,7 +48,7 @@
 // A set-up that was reset and must not be repeated gets no cause that says that a retry is harmless (34, 42, 102). The
 // caller waits for less than the release wait here.
 func TestFinal_ResetCallThatMayHaveRunHasCause41(t *testing.T) {
-	for _, k := range []struct {
+	for _, testCase := range []struct {
 		class   string
 		outcome dispatch.Outcome
 		cause   int
@@ -58,11 +58,11 @@
 		{"once", dispatch.NoAgent, 34},
 	} {
 		bubble(t, func(r *rig) {
-			r.inviter.setOutcome(k.outcome)
+			r.inviter.setOutcome(testCase.outcome)
 			caller := r.dial()
-			caller.say(strings.NewReplacer("voice", k.class, `"1500"`, `"200"`).Replace(setup))
+			caller.say(strings.NewReplacer("voice", testCase.class, `"1500"`, `"200"`).Replace(setup))
 			time.Sleep(1500 * time.Millisecond)
-			r.want(caller, fmt.Sprintf(`{"type":"release","id":"9b1f03aa5c7e2d41","fields":{},"cause":%d}`, k.cause))
+			r.want(caller, fmt.Sprintf(`{"type":"release","id":"9b1f03aa5c7e2d41","fields":{},"cause":%d}`, testCase.cause))
 		})
 	}
 }
--- a/internal/frontend/jsonlines/fuzz_test.go
+++ b/internal/frontend/jsonlines/fuzz_test.go
@@ -15,6 +15,7 @@
 func FuzzConnection(f *testing.F) {
 	seeds := []string{"00010100", "000002010300", "010001100500", "0004020006", "040100020005", "03000100010104"}
 	fakeplatform.Fuzz(f, seeds, func(t *testing.T, script []byte) {
+		t.Helper()
 		runRig(t, func(r *rig) {
 			m := &callModel{
 				rig:       r,
--- a/internal/frontend/jsonlines/harness_test.go
+++ b/internal/frontend/jsonlines/harness_test.go
@@ -122,7 +122,7 @@
 	served := make(chan error, 1)
 	go func() { served <- r.Serve(r.listener) }()
 	test(r)
-	r.listener.Close()
+	closeListener(t, r.listener)
 	r.cfg.Calls.Close()
 	r.Close()
 	if err := <-served; err != nil {
@@ -153,6 +153,13 @@
 	return dispatcher
 }
 
+func closeListener(t *testing.T, l net.Listener) {
+	t.Helper()
+	if err := l.Close(); err != nil {
+		t.Errorf("closing a listener: %v", err)
+	}
+}
+
 // serve has the server accept from another listener too.
 func (r *rig) serve(l net.Listener) {
 	go func() { _ = r.Serve(l) }() // it returns nil, or fails the test by what the connections miss
--- a/internal/frontend/jsonlines/messages.go
+++ b/internal/frontend/jsonlines/messages.go
@@ -136,14 +136,17 @@
 		return false
 	}
 	for i := range len(id) {
-		digit := id[i]
-		if !('0' <= digit && digit <= '9' || 'a' <= digit && digit <= 'f' || 'A' <= digit && digit <= 'F') {
+		if !isHexDigit(id[i]) {
 			return false
 		}
 	}
 	return true
 }
 
+func isHexDigit(char byte) bool {
+	return '0' <= char && char <= '9' || 'a' <= char && char <= 'f' || 'A' <= char && char <= 'F'
+}
+
 // firstChoice reads the extras of a set-up, such as dest:2;width:1;via:-1, and returns the pool of first choice, or -1
 // for none. It reports whether every figure is valid.
 func firstChoice(extras string) (pool int, ok bool) {
--- a/internal/frontend/jsonlines/reader_test.go
+++ b/internal/frontend/jsonlines/reader_test.go
@@ -85,7 +85,7 @@
 		bubble(t, func(r *rig) {
 			listener := &stalledListener{fakeplatform.NewListener(), make(chan struct{}), make(chan struct{})}
 			r.serve(listener)
-			defer listener.Close()
+			defer closeListener(t, listener)
 			caller := r.newClient(listener.Dial())
 			write(caller, before)
 			caller.take()
--- a/internal/frontend/jsonlines/server_test.go
+++ b/internal/frontend/jsonlines/server_test.go
@@ -23,7 +23,7 @@
 		drained := make(chan struct{})
 		go func() { // as the daemon stops
 			r.CatchUp()
-			listener.Close()
+			closeListener(t, listener)
 			r.Drain(context.Background())
 			close(drained)
 		}()
--- a/internal/frontend/websocket/both_fronts_test.go
+++ b/internal/frontend/websocket/both_fronts_test.go
@@ -94,10 +94,10 @@
 	defer sending.Wait()
 	sending.Go(func() {
 		for i := range callsPerFront {
-			fmt.Fprintf(conn, `{"type":"setup","id":%[1]q,"fields":{"class":"read","left":"60000","key":"hotel-%[1]s",`+
-				`"extras":"dest:0"},"sdp":"%[1]s\r\n\u00e9\r\n"}`+"\n", lineID(i))
+			writeText(conn, fmt.Sprintf(`{"type":"setup","id":%[1]q,"fields":{"class":"read","left":"60000",`+
+				`"key":"hotel-%[1]s","extras":"dest:0"},"sdp":"%[1]s\r\n\u00e9\r\n"}`+"\n", lineID(i)))
 		}
-		fmt.Fprintf(conn, `{"type":"ping","id":"end","cause":0}`+"\n")
+		writeText(conn, `{"type":"ping","id":"end","cause":0}`+"\n")
 	})
 	in := bufio.NewReader(conn)
 	return collectFinals(r.t, func() (string, string, error) {
@@ -133,7 +133,7 @@
 		t.Errorf("of %d calls, %d were answered over WebSocket and %d over JSON lines",
 			callsPerFront, len(sockets.answers), len(lines.answers))
 	}
-	if n := r.requests("INVITE"); n < 2*callsPerFront || n > 2*2*callsPerFront {
+	if n := r.invites(); n < 2*callsPerFront || n > 2*2*callsPerFront {
 		t.Errorf("%d INVITEs for %d calls", n, 2*callsPerFront)
 	}
 }
@@ -172,7 +172,8 @@
 	in := bufio.NewReader(conn)
 	for i := range 4 {
 		c.say(setup(fmt.Sprintf("w%d", i), 60000))
-		fmt.Fprintf(conn, `{"type":"setup","id":%q,"fields":{"class":"read","left":"60000"},"sdp":"a\r\n"}`+"\n", lineID(i))
+		line := `{"type":"setup","id":"` + lineID(i) + `","fields":{"class":"read","left":"60000"},"sdp":"a\r\n"}`
+		writeText(conn, line+"\n")
 		if m := c.next(); m.Type != "answer" || !strings.HasPrefix(m.SDP, "sdp of ") {
 			t.Errorf("over WebSocket call %d got %+v", i, m)
 		}
@@ -184,7 +185,7 @@
 			t.Errorf("over lines call %d got %s", i, text)
 		}
 	}
-	if n := r.requests("INVITE"); n < 9 || r.pools.EstablishedCalls() != 8 {
+	if n := r.invites(); n < 9 || r.pools.EstablishedCalls() != 8 {
 		t.Errorf("%d INVITEs, %d established calls", n, r.pools.EstablishedCalls())
 	}
 	if !t.Failed() {
--- a/internal/frontend/websocket/calls_test.go
+++ b/internal/frontend/websocket/calls_test.go
@@ -40,28 +40,28 @@
 
 func TestFinalMessage_RejectionsAndDeadlines(t *testing.T) {
 	r := newRig(t, func(q fakeplatform.Request) { q.Answer(503, "blocked", "") })
-	c := r.dial("a")
-	c.say(setup("c1", 60000))
-	m := c.next()
+	client := r.dial("a")
+	client.say(setup("c1", 60000))
+	m := client.next()
 	if m.Type != "refused" || m.Code != "no_agent" || m.Cause != 34 || m.RetryAfterMS < 1 || m.RetryAfterMS > 2000 {
 		t.Errorf("no agent: %+v", m)
 	}
 	r.setOnInvite(nil) // never answers
-	c.say(setup("c2", 400))
-	if m := c.next(); m.Type != "failed" || m.Code != "timed_out" || m.Cause != 102 || m.RetryAfterMS < 1 {
+	client.say(setup("c2", 400))
+	if m := client.next(); m.Type != "failed" || m.Code != "timed_out" || m.Cause != 102 || m.RetryAfterMS < 1 {
 		t.Errorf("deadline: %+v", m)
 	}
 	r.setPoolState(endpointlist.Removed)
-	c.say(setup("c3", 200))
-	if m := c.next(); m.Type != "refused" && m.Type != "failed" || m.RetryAfterMS < 1 {
+	client.say(setup("c3", 200))
+	if m := client.next(); m.Type != "refused" && m.Type != "failed" || m.RetryAfterMS < 1 {
 		t.Errorf("no pool: %+v", m)
 	}
 }
 
 func TestMessages_ErrorsAreNoFinalAnswers(t *testing.T) {
 	r := newRig(t, answerAll)
-	c := r.dial("a")
-	for _, k := range []struct{ message, code string }{
+	client := r.dial("a")
+	for _, testCase := range []struct{ message, code string }{
 		{`nonsense`, "bad_json"},
 		{"{\"type\":\"ping\",\"id\":\"\xff\"}", "bad_json"},
 		{`[]`, "bad_message"},
@@ -78,17 +78,17 @@
 		{strings.Replace(setup("c1", 1), `"left_ms":1`, `"left_ms":"1"`, 1), "bad_left"},
 		{strings.Replace(setup("c1", 1), "hotel-c1", "a\\r\\nBYE", 1), "bad_number"},
 	} {
-		c.say(k.message)
-		if m := c.next(); m.Type != "error" || m.Code != k.code || m.Message == "" {
-			t.Errorf("%s: %+v, want %s", k.message, m, k.code)
+		client.say(testCase.message)
+		if m := client.next(); m.Type != "error" || m.Code != testCase.code || m.Message == "" {
+			t.Errorf("%s: %+v, want %s", testCase.message, m, testCase.code)
 		}
 	}
-	c.say(setup("c1", 60000)) // the socket still serves, and the id was never taken
-	if m := c.next(); m.Type != "answer" {
+	client.say(setup("c1", 60000)) // the socket still serves, and the id was never taken
+	if m := client.next(); m.Type != "answer" {
 		t.Errorf("%+v", m)
 	}
-	if r.requests("INVITE") != 1 {
-		t.Errorf("%d INVITEs", r.requests("INVITE"))
+	if r.invites() != 1 {
+		t.Errorf("%d INVITEs", r.invites())
 	}
 }
 
@@ -146,7 +146,7 @@
 	if m := c.next(); m.ID != "c2" || m.Type == "answer" || m.RetryAfterMS < 1 {
 		t.Errorf("%+v", m)
 	}
-	if r.server.EstablishedCalls() != 1 || r.requests("INVITE") != 1 {
-		t.Errorf("%d established calls, %d INVITEs", r.server.EstablishedCalls(), r.requests("INVITE"))
+	if r.server.EstablishedCalls() != 1 || r.invites() != 1 {
+		t.Errorf("%d established calls, %d INVITEs", r.server.EstablishedCalls(), r.invites())
 	}
 }
--- a/internal/frontend/websocket/characterization_test.go
+++ b/internal/frontend/websocket/characterization_test.go
@@ -17,6 +17,7 @@
 	"fmt"
 	"io"
 	"log"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -143,16 +144,17 @@
 	close(l.done)
 }
 
-// Invite implements dispatch.Trunk. An attempt that times out stays out until the caller leaves or its time is over.
-func (p *scriptedPools) Invite(ctx context.Context, a dispatch.Attempt) (dispatch.Leg, dispatch.Ending) {
+// Invite implements dispatch.Inviter. An attempt that times out stays out until the caller leaves or its time is over.
+func (p *scriptedPools) Invite(ctx context.Context, attempt dispatch.Attempt) (dispatch.Leg, dispatch.Ending) {
 	if !p.quiet {
 		p.add("  pool %s is told: attempt %d of a call with a name of %d bytes, class %s, number %s, "+
 			"times out after %d µs, sdp %s",
-			a.Pool, a.Number, len(a.ID), shown(a.Class), a.Setup.Number, a.Deadline-a.DecidedAt, shown(a.SDP))
+			attempt.Pool, attempt.Number, len(attempt.ID), shown(attempt.Class), attempt.Setup.Number,
+			attempt.Deadline-attempt.DecidedAt, shown(attempt.SDP))
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	end := dispatch.Ending{Outcome: p.outcome, At: a.DecidedAt, Load: p.state}
+	end := dispatch.Ending{Outcome: p.outcome, At: attempt.DecidedAt, Load: p.state}
 	switch end.Outcome {
 	case dispatch.Answered:
 		l := &scriptedLeg{journal: p.journal, sdp: p.sdp, done: make(chan struct{})}
@@ -163,8 +165,8 @@
 		select {
 		case <-ctx.Done():
 			end.Outcome = dispatch.Cancelled
-		case <-time.After(time.Duration(a.Deadline-a.DecidedAt) * time.Microsecond):
-			end.At = a.Deadline
+		case <-time.After(time.Duration(attempt.Deadline-attempt.DecidedAt) * time.Microsecond):
+			end.At = attempt.Deadline
 		}
 		p.mu.Lock()
 	}
@@ -208,8 +210,8 @@
 	clients    []*client
 }
 
-// mostSockets is how many sockets the servers of these tests take.
-const mostSockets = 70
+// maxSockets is how many sockets the servers of these tests take.
+const maxSockets = 70
 
 // newService starts a call-control server.
 func newService(t *testing.T, j *journal) (s *service, stop func()) {
@@ -245,13 +247,13 @@
 	s.roster(eidertrail.Ready)
 	s.server = websocket.New(websocket.Config{
 		Dispatcher: s.dispatcher, Inviter: s.pools, Ready: func() bool { return s.ready },
-		MaxConnections: mostSockets, Log: zerolog.New(s.log).Level(zerolog.WarnLevel), Counters: s.count,
+		MaxConnections: maxSockets, Log: zerolog.New(s.log).Level(zerolog.WarnLevel), Counters: s.count,
 	})
 	web := &http.Server{Handler: s.server, ErrorLog: log.New(io.Discard, "", 0)}
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
-		web.Serve(s.listener)
+		_ = web.Serve(s.listener) // it ends when the server is closed
 	}()
 	return s, func() {
 		for _, c := range s.clients {
@@ -295,7 +297,7 @@
 
 func (c *client) readAll() {
 	for b := make([]byte, 4096); ; {
-		n, err := c.Conn.Read(b)
+		n, err := c.Read(b)
 		c.mu.Lock()
 		c.got = append(c.got, b[:n]...)
 		c.ended = err != nil
@@ -318,16 +320,23 @@
 func (s *service) upgrade(c *client, target string, header ...string) {
 	s.t.Helper()
 	s.add("%s asks for %s %s", c.name, target, strings.Join(header, ", "))
-	request := "GET " + target + " HTTP/1.1\r\nHost: controller\r\n"
-	for _, line := range header {
-		request += line + "\r\n"
-	}
-	io.WriteString(c, request+"\r\n")
-	synctest.Wait()
+	c.request(target, header...)
 	s.answer(c)
 	s.observe()
 }
 
+// request writes a request. What becomes of it is recorded.
+func (c *client) request(target string, header ...string) {
+	lines := slices.Concat([]string{"GET " + target + " HTTP/1.1", "Host: controller"}, header, []string{"", ""})
+	_, _ = io.WriteString(c, strings.Join(lines, "\r\n"))
+	synctest.Wait()
+}
+
+// writeFrame writes a frame. The server may have closed the connection: what comes of that is recorded.
+func (c *client) writeFrame(first byte, payload string) {
+	_, _ = c.Write(frame(first, payload))
+}
+
 // upgradeHeader is what a WebSocket client sends.
 func upgradeHeader(more ...string) []string {
 	return append(
@@ -342,22 +351,18 @@
 }
 
 // answer records the answer to a request: status, header without the date, and body. What follows it stays.
-func (s *service) answer(c *client) {
+func (s *service) answer(asking *client) {
 	s.t.Helper()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	reader := bufio.NewReader(bytes.NewReader(c.got))
+	asking.mu.Lock()
+	defer asking.mu.Unlock()
+	reader := bufio.NewReader(bytes.NewReader(asking.got))
 	answer, err := http.ReadResponse(reader, nil)
 	if err != nil {
-		s.t.Fatalf("%s: no answer: %v", c.name, err)
+		s.t.Fatalf("%s: no answer: %v", asking.name, err)
 	}
-	s.add("  %s gets: status %d", c.name, answer.StatusCode)
-	var names []string
-	for name := range answer.Header {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	defer answer.Body.Close()
+	s.add("  %s gets: status %d", asking.name, answer.StatusCode)
+	for _, name := range slices.Sorted(maps.Keys(answer.Header)) {
 		if name != "Date" {
 			s.add("    %s: %s", name, strings.Join(answer.Header[name], ", "))
 		}
@@ -365,11 +370,11 @@
 	if answer.StatusCode != http.StatusSwitchingProtocols {
 		body, err := io.ReadAll(answer.Body)
 		if err != nil {
-			s.t.Fatalf("%s: no body: %v", c.name, err)
+			s.t.Fatalf("%s: no body: %v", asking.name, err)
 		}
 		s.add("    body %s", strconv.Quote(string(body)))
 	}
-	c.got, _ = io.ReadAll(reader)
+	asking.got, _ = io.ReadAll(reader)
 }
 
 // open opens a socket of a site and records nothing.
@@ -383,11 +388,7 @@
 // handshake asks for a socket of a site.
 func (s *service) handshake(c *client, site string) {
 	s.t.Helper()
-	io.WriteString(
-		c,
-		"GET /?site="+site+" HTTP/1.1\r\nHost: controller\r\n"+strings.Join(upgradeHeader(), "\r\n")+"\r\n\r\n",
-	)
-	synctest.Wait()
+	c.request("/?site="+site, upgradeHeader()...)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !bytes.HasPrefix(c.got, []byte("HTTP/1.1 101 ")) {
@@ -422,20 +423,20 @@
 // write has a client write a frame.
 func (s *service) write(c *client, first byte, payload string) {
 	s.add("%s writes, first byte %#02x: %s", c.name, first, shown(payload))
-	c.Conn.Write(frame(first, payload))
+	c.writeFrame(first, payload)
 	s.observe()
 }
 
 // say has a client write a text message.
 func (s *service) say(c *client, message string) {
 	s.add("%s writes: %s", c.name, shown(message))
-	c.Conn.Write(frame(lastFrame|text, message))
+	c.writeFrame(lastFrame|text, message)
 	s.observe()
 }
 
 // sayQuietly has a client write a text message and records nothing.
 func (s *service) sayQuietly(c *client, message string) {
-	c.Conn.Write(frame(lastFrame|text, message))
+	c.writeFrame(lastFrame|text, message)
 	synctest.Wait()
 }
 
@@ -546,20 +547,20 @@
 // play plays scenarios one by one and compares what happened with the recorded file.
 func play(t *testing.T, file string, scenarios []scenario) {
 	t.Helper()
-	j := &journal{}
+	recording := &journal{}
 	for _, one := range scenarios {
-		j.add("== %s", one.name)
+		recording.add("== %s", one.name)
 		synctest.Test(t, func(t *testing.T) {
-			s, stop := newService(t, j)
+			s, stop := newService(t, recording)
 			one.steps(s)
 			s.counted()
-			held := j.text.String()
+			held := recording.text.String()
 			stop()
-			j.text.Reset() // what the end of the test does is no part of the scenario
-			j.text.WriteString(held)
+			recording.text.Reset() // what the end of the test does is no part of the scenario
+			recording.text.WriteString(held)
 		})
 	}
-	compareRecorded(t, file, j.text.String())
+	compareRecorded(t, file, recording.text.String())
 }
 
 const (
@@ -569,8 +570,8 @@
 	status  = `{"type":"ping","id":"x"}`
 )
 
-// called is a message about the call of that name.
-func called(message, id string) string { return strings.Replace(message, `"c1"`, strconv.Quote(id), 1) }
+// setupOf is the set-up of the call with that id.
+func setupOf(id string) string { return strings.Replace(setup, `"c1"`, strconv.Quote(id), 1) }
 
 // oneMessage are scenarios in which a client of its own writes one message each.
 func oneMessage(messages []string) []scenario {
@@ -581,18 +582,34 @@
 	return all
 }
 
+// setupsWith are set-ups in which a text is replaced, by the prefix and one value each.
+func setupsWith(text, prefix string, values ...string) []string {
+	setups := make([]string, len(values))
+	for i, value := range values {
+		setups[i] = strings.Replace(setup, text, prefix+value, 1)
+	}
+	return setups
+}
+
+// releasesWith are releases with one cause each.
+func releasesWith(causes ...string) []string {
+	releases := make([]string, len(causes))
+	for i, cause := range causes {
+		releases[i] = `{"type":"release","id":"c1","cause":` + cause + `}`
+	}
+	return releases
+}
+
 func TestCharacterization_SetUps(t *testing.T) {
-	messages := []string{
+	messages := slices.Concat([]string{
 		setup, strings.Replace(setup, `"number":"7f3a",`, ``, 1), strings.Replace(setup, `"pool":0,`, ``, 1),
 		strings.Replace(setup, `"class":"read",`, ``, 1), strings.Replace(setup, `"left_ms":1500,`, ``, 1),
 		strings.Replace(setup, `,"sdp":"v=0\r\n"`, ``, 1),
 		strings.Replace(setup, `"id":"c1",`, ``, 1),
 		strings.Replace(setup, `"type":"setup",`, ``, 1),
-	}
-	for _, value := range []string{`1`, `-1`, `7`, `1.5`, `1e9`, `3000000000`, `"1"`, `null`, `true`} {
-		messages = append(messages, strings.Replace(setup, `"pool":0`, `"pool":`+value, 1))
-	}
-	for _, value := range []string{
+	}, setupsWith(`"pool":0`, `"pool":`,
+		`1`, `-1`, `7`, `1.5`, `1e9`, `3000000000`, `"1"`, `null`, `true`,
+	), setupsWith(`"left_ms":1500`, `"left_ms":`,
 		`0`,
 		`20`,
 		`21`,
@@ -605,13 +622,9 @@
 		`null`,
 		`true`,
 		`{}`,
-	} {
-		messages = append(messages, strings.Replace(setup, `"left_ms":1500`, `"left_ms":`+value, 1))
-	}
-	for _, value := range []string{`""`, `"fax"`, `"READ"`, `"once"`, `7`, `null`, `["read"]`} {
-		messages = append(messages, strings.Replace(setup, `"read"`, value, 1))
-	}
-	for _, value := range []string{
+	), setupsWith(`"read"`, ``,
+		`""`, `"fax"`, `"READ"`, `"once"`, `7`, `null`, `["read"]`,
+	), setupsWith(`"7f3a"`, ``,
 		`""`,
 		`"HOTEL-1._+"`,
 		`"a b"`,
@@ -619,38 +632,31 @@
 		`"é"`,
 		`7`,
 		`null`,
-		`"` + strings.Repeat("k", 64) + `"`,
-		`"` + strings.Repeat("k", 65) + `"`,
-	} {
-		messages = append(messages, strings.Replace(setup, `"7f3a"`, value, 1))
-	}
-	for _, value := range []string{
+		`"`+strings.Repeat("k", 64)+`"`,
+		`"`+strings.Repeat("k", 65)+`"`,
+	), setupsWith(`"c1"`, ``,
 		`""`,
 		`"c 1"`,
 		`"é"`,
 		`"\u0063\u0031"`,
 		`7`,
 		`null`,
-		`"` + strings.Repeat("i", 64) + `"`,
-		`"` + strings.Repeat("i", 65) + `"`,
+		`"`+strings.Repeat("i", 64)+`"`,
+		`"`+strings.Repeat("i", 65)+`"`,
 		`"\"\\\u0000"`,
-	} {
-		messages = append(messages, strings.Replace(setup, `"c1"`, value, 1))
-	}
-	for _, value := range []string{
+	), setupsWith(`"v=0\r\n"`, ``,
 		`""`,
 		`7`,
 		`null`,
 		`"\u0000\"\\é\ud83d\ude00\ud800"`,
-		`"` + strings.Repeat("s", 15<<10) + `"`,
-		`"` + strings.Repeat("s", 15<<10+1) + `"`,
-	} {
-		messages = append(messages, strings.Replace(setup, `"v=0\r\n"`, value, 1))
-	}
-	messages = append(messages, `{"type":"setup","id":7,"class":7,"number":7,"pool":"x","left_ms":"x","sdp":7}`,
+		`"`+strings.Repeat("s", 15<<10)+`"`,
+		`"`+strings.Repeat("s", 15<<10+1)+`"`,
+	), []string{
+		`{"type":"setup","id":7,"class":7,"number":7,"pool":"x","left_ms":"x","sdp":7}`,
 		`{"type":"setup","id":"c 1","class":"fax","number":"a b","left_ms":-1}`,
 		`{"type":"setup","id":"c1","class":"fax","number":"a b","left_ms":-1}`,
-		`{"type":"setup","id":"c1","class":"read","number":"a b","left_ms":-1}`, `{"type":"setup","id":"c1"}`)
+		`{"type":"setup","id":"c1","class":"read","number":"a b","left_ms":-1}`, `{"type":"setup","id":"c1"}`,
+	})
 	play(t, "set-ups.txt", oneMessage(messages))
 }
 
@@ -692,10 +698,8 @@
 		" \t\r\n" + setup + "\n",
 		`{"type":"ping","type":"dance","id":"x","id":"y"}`, `{"ty\u0070e":"ping","i\u0064":"x"}`,
 	}
-	for _, cause := range []string{`1`, `127`, `0`, `128`, `-1`, `16.5`, `1e9`, `3e9`, `"16"`, `null`} {
-		messages = append(messages, `{"type":"release","id":"c1","cause":`+cause+`}`)
-	}
-	all := oneMessage(messages)
+	causes := releasesWith(`1`, `127`, `0`, `128`, `-1`, `16.5`, `1e9`, `3e9`, `"16"`, `null`)
+	all := oneMessage(slices.Concat(messages, causes))
 	all = append(all, scenario{"a ping while the program is not ready", func(s *service) {
 		s.ready = false
 		s.say(s.open("a"), status)
@@ -731,7 +735,7 @@
 		{"ended by the pool", func(s *service) {
 			c := s.open("a")
 			for i, cause := range []int{16, 41, 0} {
-				s.say(c, called(setup, fmt.Sprintf("c%d", i)))
+				s.say(c, setupOf(fmt.Sprintf("c%d", i)))
 				s.add("the pool ends the call with cause %d", cause)
 				s.pools.legs[i].end(dispatch.Ended, cause)
 				s.observe()
@@ -792,15 +796,14 @@
 				strings.Repeat("s", 12_000),
 			} {
 				s.pools.sdp = sdp
-				s.say(c, called(setup, fmt.Sprintf("c%d", i)))
+				s.say(c, setupOf(fmt.Sprintf("c%d", i)))
 			}
 		}},
 	})
 }
 
 func TestCharacterization_FinalAnswers(t *testing.T) {
-	var all []scenario
-	for _, o := range []struct {
+	endings := []struct {
 		word    string
 		outcome dispatch.Outcome
 	}{
@@ -812,10 +815,13 @@
 		{"connect failed", dispatch.ConnectFailed},
 		{"moot", dispatch.NotSent},
 		{"timed out", dispatch.TimedOut},
-	} {
-		for _, class := range []string{"read", "once"} {
-			all = append(all, scenario{o.word + ", class " + class, func(s *service) {
-				s.pools.outcome = o.outcome
+	}
+	classNames := []string{"read", "once"}
+	all := make([]scenario, 0, len(endings)*len(classNames)+1)
+	for _, ending := range endings {
+		for _, class := range classNames {
+			all = append(all, scenario{ending.word + ", class " + class, func(s *service) {
+				s.pools.outcome = ending.outcome
 				s.say(s.open("a"), strings.Replace(setup, "read", class, 1))
 				s.wait(3 * time.Second)
 			}})
@@ -836,7 +842,7 @@
 			for range 2 {
 				c := s.open("a")
 				for i := range 1024 {
-					s.sayQuietly(c, called(setup, fmt.Sprintf("%s-%d", strings.Fields(c.name)[1], i)))
+					s.sayQuietly(c, setupOf(fmt.Sprintf("%s-%d", strings.Fields(c.name)[1], i)))
 				}
 				s.observe()
 				s.say(c, setup)
@@ -855,14 +861,14 @@
 			s.say(c, cancel)
 		}},
 		{"more sockets than there may be, none has said anything", func(s *service) {
-			for range mostSockets {
+			for range maxSockets {
 				s.open("a")
 			}
 			s.open("a")
 			s.observe()
 		}},
 		{"more sockets than there may be, all have said something", func(s *service) {
-			for range mostSockets {
+			for range maxSockets {
 				s.sayQuietly(s.open("a"), status)
 			}
 			for _, c := range s.clients {
@@ -911,11 +917,7 @@
 		{"the client closes with 4000", func(s *service) { s.write(s.open("a"), lastFrame|closing, "\x0f\xa0own reason") }},
 		{"the client closes without a code", func(s *service) { s.write(s.open("a"), lastFrame|closing, "") }},
 		{"the client closes with a code that is none", func(s *service) {
-			s.write(
-				s.open("a"),
-				lastFrame|closing,
-				"\x00\x01",
-			)
+			s.write(s.open("a"), lastFrame|closing, "\x00\x01")
 		}},
 		{"a client that answers no pings", func(s *service) {
 			s.open("a")
@@ -933,7 +935,7 @@
 			}
 			s.counted()
 			time.Sleep(3 * time.Second)
-			if _, err := c.Conn.Write(frame(lastFrame|text, status)); err != nil {
+			if _, err := c.Write(frame(lastFrame|text, status)); err != nil {
 				s.add("its connection is closed after 3 s")
 			}
 		}},
@@ -959,24 +961,24 @@
 			s.write(c, lastFrame|closing, "\x03\xe9shutting down")
 			<-ended
 		}},
-		{"a planned stop with set-ups open", func(s *service) {
-			s.pools.outcome = dispatch.TimedOut
-			c := s.open("a")
-			s.say(c, setup)
-			s.add("the server shuts down")
+		{"a planned stop with set-ups open", func(running *service) {
+			running.pools.outcome = dispatch.TimedOut
+			c := running.open("a")
+			running.say(c, setup)
+			running.add("the server shuts down")
 			ctx, giveUp := context.WithCancel(context.Background())
 			defer giveUp()
-			go s.server.Shutdown(ctx)
-			s.observe()
-			s.say(c, called(setup, "c2"))
-			s.say(c, called(setup, "c 2"))
-			s.say(c, status)
-			late := s.connect()
-			s.upgrade(late, "/?site=a", upgradeHeader()...)
-			s.add("the server may not wait any longer")
+			go running.server.Shutdown(ctx)
+			running.observe()
+			running.say(c, setupOf("c2"))
+			running.say(c, setupOf("c 2"))
+			running.say(c, status)
+			late := running.connect()
+			running.upgrade(late, "/?site=a", upgradeHeader()...)
+			running.add("the server may not wait any longer")
 			giveUp()
 			time.Sleep(10 * time.Millisecond)
-			s.observe()
+			running.observe()
 		}},
 	})
 }
@@ -1011,7 +1013,7 @@
 			"Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==",
 		),
 		{"an origin that was admitted", func(s *service) {
-			s.server.Admit([]string{"*.example"}, mostSockets)
+			s.server.Admit([]string{"*.example"}, maxSockets)
 			c := s.connect()
 			s.upgrade(c, "/?site=a", upgradeHeader("Origin: http://elsewhere.example")...)
 		}},
--- a/internal/frontend/websocket/harness_test.go
+++ b/internal/frontend/websocket/harness_test.go
@@ -176,11 +176,11 @@
 	r.onInvite = onInvite
 }
 
-// requests is how many requests with a method the pool has received.
-func (r *rig) requests(method string) int {
+// invites is how many INVITEs the pool has received.
+func (r *rig) invites() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.received[method]
+	return r.received["INVITE"]
 }
 
 // await waits until the pool receives a request with a method.
@@ -296,7 +296,7 @@
 		r.t.Fatal(err)
 	}
 	r.t.Cleanup(func() { conn.Close() })
-	fmt.Fprintf(conn, "GET /?site=raw HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n"+
+	writeText(conn, "GET /?site=raw HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n"+
 		"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n")
 	reader := bufio.NewReader(conn)
 	response, err := http.ReadResponse(reader, nil)
@@ -310,6 +310,11 @@
 	return &rawClient{conn, r.t, reader}
 }
 
+// writeText writes to a connection that the server may have closed: the test reads why.
+func writeText(conn net.Conn, text string) {
+	_, _ = io.WriteString(conn, text)
+}
+
 // Frame types of RFC 6455, section 5.2, with and without the bit of the last fragment.
 const (
 	frameText         = 0x01
--- a/internal/frontend/websocket/server.go
+++ b/internal/frontend/websocket/server.go
@@ -87,14 +87,14 @@
 		http.Error(w, "site: want 1 to 64 letters, digits or -._+", http.StatusBadRequest)
 		return
 	}
-	c, ok := s.register(site)
+	socket, ok := s.register(site)
 	if !ok {
 		w.Header().Set("Retry-After", retryAfterHeader)
 		http.Error(w, "no more sockets now", http.StatusServiceUnavailable)
 		return
 	}
 	defer s.serving.Done()
-	defer s.unregister(c)
+	defer s.unregister(socket)
 	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{
 		Subprotocols:    []string{subprotocol},
 		OriginPatterns:  s.origins(),
@@ -104,9 +104,9 @@
 		s.cfg.Log.Warn().Err(err).Msg("websocket not accepted")
 		return
 	}
-	c.ws = ws
+	socket.ws = ws
 	s.cfg.Counters.Add(telemetry.Connections)
-	c.serve()
+	socket.serve()
 }
 
 // PendingSetups is the number of set-ups that are owed a final answer.
--- a/internal/frontend/websocket/server_message.go
+++ b/internal/frontend/websocket/server_message.go
@@ -40,14 +40,14 @@
 }
 
 func answerMessage(id, sdp string) []byte {
-	b := appendHead(nil, typeAnswer, id)
+	b := newMessage(typeAnswer, id)
 	b = appendText(b, "sdp", sdp)
 	return append(b, '}')
 }
 
 // rejectedMessage is the final answer to a set-up that was rejected or has failed.
 func rejectedMessage(messageType, id string, code Code, cause int, retryAfter int64) []byte {
-	b := appendHead(nil, messageType, id)
+	b := newMessage(messageType, id)
 	b = appendText(b, "code", string(code))
 	b = appendNumber(b, "cause", int64(cause))
 	b = appendNumber(b, "retry_after_ms", retryAfterMillis(retryAfter))
@@ -56,13 +56,13 @@
 
 // releasedMessage is the end of an established call.
 func releasedMessage(id string, cause int) []byte {
-	b := appendHead(nil, typeReleased, id)
+	b := newMessage(typeReleased, id)
 	b = appendNumber(b, "cause", int64(cause))
 	return append(b, '}')
 }
 
 func pongMessage(id string, ready bool) []byte {
-	b := appendHead(nil, typePong, id)
+	b := newMessage(typePong, id)
 	b = append(b, `,"ready":`...)
 	b = strconv.AppendBool(b, ready)
 	return append(b, '}')
@@ -70,7 +70,7 @@
 
 // errorMessage says that a message was not accepted. retryAfter is in µs, 0 for none.
 func errorMessage(id string, err error, retryAfter int64) []byte {
-	b := appendHead(nil, typeError, id)
+	b := newMessage(typeError, id)
 	b = appendText(b, "code", string(codeOf(err)))
 	b = appendText(b, "message", err.Error())
 	if retryAfter > 0 {
@@ -84,10 +84,9 @@
 	return max(1, (micros+microsPerMilli-1)/microsPerMilli)
 }
 
-// appendHead begins a message; one without an id names no call.
-func appendHead(b []byte, messageType, id string) []byte {
-	b = append(b, `{"type":`...)
-	b = linecodec.AppendString(b, messageType)
+// newMessage begins a message; one without an id names no call.
+func newMessage(messageType, id string) []byte {
+	b := linecodec.AppendString([]byte(`{"type":`), messageType)
 	if id != "" {
 		b = appendText(b, "id", id)
 	}
--- a/internal/frontend/websocket/server_test.go
+++ b/internal/frontend/websocket/server_test.go
@@ -13,8 +13,8 @@
 func TestShutdown_AnswersBeforeItCloses(t *testing.T) {
 	invites := make(chan fakeplatform.Request, 2)
 	r := newRig(t, func(q fakeplatform.Request) { invites <- q })
-	c := r.dial("a")
-	c.say(setup("c1", 60000))
+	client := r.dial("a")
+	client.say(setup("c1", 60000))
 	invite := <-invites
 	done := make(chan struct{})
 	go func() {
@@ -24,18 +24,18 @@
 	for !r.server.shuttingDown.Load() {
 		time.Sleep(time.Millisecond)
 	}
-	c.say(setup("c2", 60000))
-	if m := c.next(); m.Type != "refused" || m.ID != "c2" || m.Code != "shutting_down" || m.RetryAfterMS < 1 {
+	client.say(setup("c2", 60000))
+	if m := client.next(); m.Type != "refused" || m.ID != "c2" || m.Code != "shutting_down" || m.RetryAfterMS < 1 {
 		t.Errorf("a set-up in between: %+v", m)
 	}
 	if status, retryAfter := r.dialStatus(""); status != 503 || retryAfter == "" {
 		t.Errorf("a socket in between: %d, Retry-After %q", status, retryAfter)
 	}
 	invite.Answer(200, "", "x\r\n")
-	if m := c.next(); m.Type != "answer" || m.ID != "c1" {
+	if m := client.next(); m.Type != "answer" || m.ID != "c1" {
 		t.Errorf("%+v", m)
 	}
-	if status := c.closeStatus(); status != websocket.StatusGoingAway {
+	if status := client.closeStatus(); status != websocket.StatusGoingAway {
 		t.Errorf("closed with %d", status)
 	}
 	<-done
--- a/internal/frontend/websocket/socket_test.go
+++ b/internal/frontend/websocket/socket_test.go
@@ -100,7 +100,7 @@
 	if opcode, payload := w.next(); opcode != opcodeText || !strings.Contains(payload, `"answer"`) {
 		t.Errorf("answer: %d %q", opcode, payload)
 	}
-	if n := r.requests("INVITE"); n != 1 {
+	if n := r.invites(); n != 1 {
 		t.Errorf("%d INVITEs", n)
 	}
 }
@@ -120,7 +120,7 @@
 	if opcode, payload := w.next(); opcode != opcodeClose || payload[:2] != status1009 {
 		t.Errorf("two frames: %d %q", opcode, payload)
 	}
-	if n := r.requests("INVITE"); n != 0 {
+	if n := r.invites(); n != 0 {
 		t.Errorf("%d INVITEs", n)
 	}
 }
--- a/middleware/attempt.go
+++ b/middleware/attempt.go
@@ -19,13 +19,13 @@
 }
 
 func newAttempt(
-	d *dispatch.Dispatcher,
+	dispatcher *dispatch.Dispatcher,
 	request dispatch.Request,
 	decision dispatch.Decision,
 	w http.ResponseWriter,
 ) *attempt {
 	return &attempt{
-		dispatcher: d,
+		dispatcher: dispatcher,
 		request:    request,
 		decision:   decision,
 		placement: &Placement{
@@ -33,7 +33,7 @@
 			Attempt: decision.Attempt,
 			load:    dispatch.UnknownLoad,
 		},
-		response: &responseRecorder{ResponseWriter: w, dispatcher: d},
+		response: &responseRecorder{ResponseWriter: w, dispatcher: dispatcher},
 	}
 }
 
--- a/middleware/characterization_test.go
+++ b/middleware/characterization_test.go
@@ -13,6 +13,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -85,7 +86,7 @@
 // newAdmission starts a dispatcher; it is to be called in a bubble of synctest.
 func newAdmission(t *testing.T) *admission {
 	t.Helper()
-	a := &admission{count: &telemetry.Counters{}, trace: &bytes.Buffer{}}
+	admission := &admission{count: &telemetry.Counters{}, trace: &bytes.Buffer{}}
 	classes := []eidertrail.Class{{
 		Name:             "read",
 		LatencyObjective: 2 * time.Second,
@@ -95,16 +96,17 @@
 	}}
 	settings := eidertrail.Settings{Nodes: 1, OwnExchange: -1, ReleaseWait: 300 * time.Millisecond, Classes: classes}
 	var err error
-	a.dispatcher, err = dispatch.New(settings, 1, 5_000_000, clock.New(), zerolog.New(a.trace), a.count)
+	log := zerolog.New(admission.trace)
+	admission.dispatcher, err = dispatch.New(settings, 1, 5_000_000, clock.New(), log, admission.count)
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	a.stop = stop
-	go a.dispatcher.Run(ctx)
-	a.dispatcher.UpdateEndpoints([]dispatch.Endpoint{{UID: "a"}}, false)
+	admission.stop = stop
+	go admission.dispatcher.Run(ctx)
+	admission.dispatcher.UpdateEndpoints([]dispatch.Endpoint{{UID: "a"}}, false)
 	synctest.Wait()
-	return a
+	return admission
 }
 
 // admit is the middleware for calls that have so long.
@@ -124,12 +126,7 @@
 func answerText(w *httptest.ResponseRecorder) string {
 	var out strings.Builder
 	fmt.Fprintf(&out, "  status %d\n", w.Code)
-	var names []string
-	for name := range w.Header() {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(w.Header())) {
 		for _, value := range w.Header()[name] {
 			fmt.Fprintf(&out, "  %s: %s\n", name, value)
 		}
@@ -233,14 +230,18 @@
 	}}
 }
 
+// bodyWork is a handler that answers with a body alone.
+func bodyWork(name string, body []byte) work {
+	return work{name, func(w http.ResponseWriter, _ *http.Request, _ context.CancelFunc) {
+		_, _ = w.Write(body) // the recorder takes everything
+	}}
+}
+
 // otherWork are handlers that do something else than answer with one status.
 func otherWork() []work {
 	wait := func(r *http.Request) { <-r.Context().Done() }
-	report := func(o dispatch.Outcome, s dispatch.LoadReport) func(
-		http.ResponseWriter,
-		*http.Request,
-		context.CancelFunc,
-	) {
+	type handler = func(http.ResponseWriter, *http.Request, context.CancelFunc)
+	report := func(o dispatch.Outcome, s dispatch.LoadReport) handler {
 		return func(w http.ResponseWriter, r *http.Request, _ context.CancelFunc) {
 			time.Sleep(workTime)
 			middleware.FromContext(r.Context()).Report(o, s)
@@ -248,20 +249,8 @@
 		}
 	}
 	all := []work{
-		{"a body without a status", func(
-			w http.ResponseWriter,
-			_ *http.Request,
-			_ context.CancelFunc,
-		) {
-			w.Write([]byte("rooms"))
-		}},
-		{"an empty body without a status", func(
-			w http.ResponseWriter,
-			_ *http.Request,
-			_ context.CancelFunc,
-		) {
-			w.Write(nil)
-		}},
+		bodyWork("a body without a status", []byte("rooms")),
+		bodyWork("an empty body without a status", nil),
 		{"nothing", func(http.ResponseWriter, *http.Request, context.CancelFunc) { time.Sleep(workTime) }},
 		{"status 103, then 503", func(w http.ResponseWriter, _ *http.Request, _ context.CancelFunc) {
 			w.WriteHeader(http.StatusEarlyHints)
@@ -313,10 +302,11 @@
 		{"status 500 and a report of answered", report(dispatch.Answered, dispatch.UnknownLoad)},
 		{"status 500 and a report of ended with a state", report(dispatch.Ended, dispatch.LoadReport{Free: 3, Agents: 8})},
 	}
-	for _, o := range outcomeWords {
-		all = append(all, work{"status 500 and a report of " + o.word, report(o.outcome, dispatch.UnknownLoad)})
+	reports := make([]work, len(outcomeWords))
+	for i, o := range outcomeWords {
+		reports[i] = work{"status 500 and a report of " + o.word, report(o.outcome, dispatch.UnknownLoad)}
 	}
-	return all
+	return slices.Concat(all, reports)
 }
 
 // served is what the middleware made of one request.
@@ -359,14 +349,14 @@
 	t.Helper()
 	var out served
 	synctest.Test(t, func(t *testing.T) {
-		a := newAdmission(t)
-		defer a.stop()
+		admission := newAdmission(t)
+		defer admission.stop()
 		ctx, leave := context.WithCancel(context.Background())
 		defer leave()
 		began := time.Now()
 		recorder := httptest.NewRecorder()
 		timed := &timedWriter{recorder, began, -1}
-		h := a.admit(time.Second, func(w http.ResponseWriter, r *http.Request) {
+		handler := admission.admit(time.Second, func(w http.ResponseWriter, r *http.Request) {
 			defer func() { out.took = time.Since(began) }()
 			if p := middleware.FromContext(r.Context()); p == nil || p.Pool != "a" || p.Attempt != 0 {
 				t.Errorf("%s: placed at %v", job.name, p)
@@ -377,53 +367,55 @@
 		})
 		func() {
 			defer func() {
-				if reason := recover(); reason != nil && reason != http.ErrAbortHandler {
-					panic(reason)
+				if reason := recover(); reason != nil {
+					if err, ok := reason.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+						panic(reason)
+					}
 				}
 			}()
-			h.ServeHTTP(timed, httptest.NewRequest(http.MethodGet, "/rooms", nil).WithContext(ctx))
+			handler.ServeHTTP(timed, httptest.NewRequest(http.MethodGet, "/rooms", nil).WithContext(ctx))
 		}()
 		synctest.Wait()
 		if out.answered = timed.at; out.answered < 0 {
 			out.answered = out.took
 		}
-		out.trace, out.answer, out.counts = a.trace.String(), answerText(recorder), countsText(a.count)
+		out.trace, out.answer, out.counts = admission.trace.String(), answerText(recorder), countsText(admission.count)
 	})
 	return out
 }
 
 // reportOne has a dispatcher place the same call and reports an outcome of it with the times of a request that the
 // middleware served. It returns the log of the dispatcher's decisions.
-func reportOne(t *testing.T, o dispatch.Outcome, s dispatch.LoadReport, times served) string {
+func reportOne(t *testing.T, outcome dispatch.Outcome, load dispatch.LoadReport, times served) string {
 	t.Helper()
 	var trace string
 	synctest.Test(t, func(t *testing.T) {
-		a := newAdmission(t)
-		defer a.stop()
-		d := a.dispatcher
+		admission := newAdmission(t)
+		defer admission.stop()
+		dispatcher := admission.dispatcher
 		request := dispatch.Request{
-			Call:     d.NewCall(),
+			Call:     dispatcher.NewCall(),
 			Pool:     -1,
 			Key:      dispatch.NumberKey("7f3a"),
-			Deadline: d.Now() + 1_000_000,
+			Deadline: dispatcher.Now() + 1_000_000,
 		}
-		pick, err := d.Pick(context.Background(), request)
+		pick, err := dispatcher.Pick(context.Background(), request)
 		if err != nil || pick.Kind != dispatch.DecisionSend {
 			t.Fatalf("not placed: %v", err)
 		}
 		time.Sleep(times.took)
 		result := dispatch.Result{
-			Call: request.Call, Attempt: pick.Attempt, Pool: pick.Pool, Outcome: o, Load: s, CallerGone: true,
+			Call: request.Call, Attempt: pick.Attempt, Pool: pick.Pool, Outcome: outcome, Load: load, CallerGone: true,
 			Took: times.answered.Microseconds(),
 		}
-		if o == dispatch.Ended {
+		if outcome == dispatch.Ended {
 			result.Outcome = dispatch.Answered
-			d.Report(result)
+			dispatcher.Report(result)
 			result.Outcome, result.Took = dispatch.Ended, times.took.Microseconds()
 		}
-		d.Report(result)
+		dispatcher.Report(result)
 		synctest.Wait()
-		trace = a.trace.String()
+		trace = admission.trace.String()
 	})
 	return trace
 }
@@ -455,34 +447,16 @@
 }
 
 func TestCharacterization_ReportedOutcomes(t *testing.T) {
-	var all []work
-	for _, status := range []int{
-		200,
-		201,
-		204,
-		301,
-		400,
-		404,
-		409,
-		428,
-		429,
-		430,
-		499,
-		500,
-		501,
-		502,
-		503,
-		504,
-		505,
-		599,
-		600,
-		999,
-	} {
-		all = append(all, statusWork(status))
+	statuses := []int{
+		200, 201, 204, 301, 400, 404, 409, 428, 429, 430, 499,
+		500, 501, 502, 503, 504, 505, 599, 600, 999,
+	}
+	statusWorks := make([]work, len(statuses))
+	for i, status := range statuses {
+		statusWorks[i] = statusWork(status)
 	}
-	all = append(all, otherWork()...)
 	var out strings.Builder
-	for _, job := range all {
+	for _, job := range slices.Concat(statusWorks, otherWork()) {
 		s := serveOne(t, job)
 		word := reportedOutcome(t, s)
 		if word == "" {
--- a/middleware/example_test.go
+++ b/middleware/example_test.go
@@ -48,7 +48,7 @@
 	}))
 	router.Get("/rooms/{hotel}", func(w http.ResponseWriter, r *http.Request) {
 		placement := middleware.FromContext(r.Context())
-		fmt.Fprintf(w, "rooms of %s, asked at %s", chi.URLParam(r, "hotel"), placement.Pool)
+		_, _ = fmt.Fprintf(w, "rooms of %s, asked at %s", chi.URLParam(r, "hotel"), placement.Pool)
 	})
 	w := httptest.NewRecorder()
 	router.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/rooms/rioni", http.NoBody))
