--- a/internal/frontend/health/characterization_test.go
+++ b/internal/frontend/health/characterization_test.go
@@ -202,7 +202,7 @@
 
 // countersDocument is what the daemon serves: the snapshot, and which start of the process it counts from.
 type countersDocument struct {
-	Life int64 `json:"life"`
+	Incarnation int64 `json:"life"`
 	telemetry.Snapshot
 }
 
--- a/internal/frontend/jsonlines/eviction.go
+++ b/internal/frontend/jsonlines/eviction.go
@@ -81,7 +81,7 @@
 // evictionRank ranks a connection and gives the time in µs since its last message. The open set-ups are looked at
 // before the connection's state, as the first set-up is taken before its connection counts as active.
 func (s *Server) evictionRank(c *conn) (rank evictionRank, idleMicros int64) {
-	open, standing, established := s.cfg.Calls.ConnState(c)
+	open, calls, established := s.cfg.Calls.ConnState(c)
 	idleMicros = s.cfg.Clock.Now() - c.lastActive.Load()
 	switch {
 	case open > 0:
@@ -92,7 +92,7 @@
 		return evictableUnproven, idleMicros
 	case idleMicros < minIdleMicros:
 		return notEvictable, idleMicros
-	case standing > 0:
+	case calls > 0:
 		return evictableWithCalls, idleMicros
 	}
 	return evictableIdle, idleMicros
--- a/internal/frontend/jsonlines/messages.go
+++ b/internal/frontend/jsonlines/messages.go
@@ -106,9 +106,9 @@
 	if cause < 0 {
 		cause = dispatch.CauseNormal
 	}
-	standing, err := server.cfg.Calls.Release(message.ID, cause)
+	ended, err := server.cfg.Calls.Release(message.ID, cause)
 	switch {
-	case standing:
+	case ended:
 		server.cfg.Calls.MarkEstablished(c)
 		c.send(queuedLine{bytes: linecodec.AppendBare(nil, linecodec.TypeReleased, message.ID)})
 	case !errors.Is(err, dispatch.ErrUnknown):
--- a/internal/frontend/jsonlines/reader.go
+++ b/internal/frontend/jsonlines/reader.go
@@ -93,8 +93,8 @@
 // isIdle reports whether nothing is owed on the connection. A connection with an established call is not idle: callers
 // keep open only the connections that have calls on them, and without one nobody could be notified of the call's end.
 func (c *conn) isIdle() bool {
-	open, standing, _ := c.server.cfg.Calls.ConnState(c)
-	return open+standing == 0 && c.unwritten.Load() == 0
+	open, calls, _ := c.server.cfg.Calls.ConnState(c)
+	return open+calls == 0 && c.unwritten.Load() == 0
 }
 
 // lineReader reads the lines of a connection within their time limits.
@@ -123,7 +123,7 @@
 		if err := l.awaitLine(); err != nil {
 			return nil, err
 		}
-		if l.hasWholeLine() {
+		if l.hasCompleteLine() {
 			return l.read()
 		}
 		until = time.Now().Add(lineTimeout)
@@ -151,7 +151,7 @@
 	return nil
 }
 
-func (l *lineReader) hasWholeLine() bool {
+func (l *lineReader) hasCompleteLine() bool {
 	received, _ := l.buffered.Peek(l.buffered.Buffered())
 	return bytes.IndexByte(received, '\n') >= 0
 }
--- a/internal/frontend/jsonlines/reader_test.go
+++ b/internal/frontend/jsonlines/reader_test.go
@@ -76,7 +76,7 @@
 
 // A set-up that lay unread while the process was stalled is read, although the time in which the caller should have
 // sent something is over.
-func TestReader_ReadsWhatCameDuringProcessStall(t *testing.T) {
+func TestReader_ReadsWhatArrivedDuringProcessStall(t *testing.T) {
 	for name, before := range map[string]string{
 		"idle":       ping + "\n",
 		"first line": "",
--- a/internal/frontend/websocket/both_fronts_test.go
+++ b/internal/frontend/websocket/both_fronts_test.go
@@ -53,11 +53,11 @@
 	return func(q fakeplatform.Request) {
 		mu.Lock()
 		name := strings.TrimSuffix(string(q.Body), "\r\né")
-		again := rejected[name]
+		repeated := rejected[name]
 		fifth := strings.HasSuffix(name, "0") || strings.HasSuffix(name, "5")
 		rejected[name] = fifth
 		mu.Unlock()
-		if fifth && !again {
+		if fifth && !repeated {
 			q.Answer(486, "", "")
 			return
 		}
--- a/internal/frontend/websocket/characterization_test.go
+++ b/internal/frontend/websocket/characterization_test.go
@@ -9,560 +9,18 @@
 package websocket_test
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"crypto/sha256"
-	"encoding/binary"
 	"fmt"
-	"io"
-	"log"
-	"maps"
-	"net"
-	"net/http"
-	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
-	"unicode/utf8"
-
-	"github.com/rs/zerolog"
 
 	"eidertrail"
 	"eidertrail/dispatch"
-	"eidertrail/internal/clock"
-	"eidertrail/internal/frontend/websocket"
-	"eidertrail/internal/telemetry"
-	"eidertrail/internal/testing/fakeplatform"
 )
 
-// compareRecorded compares a text with the recorded file of that name, or writes the file with EIDERTRAIL_UPDATE=1.
-func compareRecorded(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", "characterization", name)
-	if os.Getenv("EIDERTRAIL_UPDATE") == "1" {
-		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatalf("the recorded file: %v", err)
-	}
-	if string(want) != got {
-		reportFirstDifference(t, path, strings.SplitAfter(string(want), "\n"), strings.SplitAfter(got, "\n"))
-	}
-}
-
-// reportFirstDifference fails the test with the first line that differs.
-func reportFirstDifference(t *testing.T, path string, want, got []string) {
-	t.Helper()
-	for i := range max(len(want), len(got)) {
-		var recorded, now string
-		if i < len(want) {
-			recorded = want[i]
-		}
-		if i < len(got) {
-			now = got[i]
-		}
-		if recorded != now {
-			t.Errorf("%s, line %d:\nrecorded %q\nnow      %q", path, i+1, recorded, now)
-			return
-		}
-	}
-}
-
-// shown is a text as the recorded files hold it: as it is where that can be read, else quoted; long ones by their
-// beginning and digest.
-func shown(text string) string {
-	const most = 400
-	if len(text) > most {
-		return fmt.Sprintf("%s... (%d bytes, SHA-256 %x)", shown(text[:60]), len(text), sha256.Sum256([]byte(text)))
-	}
-	for _, r := range text {
-		if r == utf8.RuneError || !strconv.IsPrint(r) {
-			return strconv.Quote(text)
-		}
-	}
-	return text
-}
-
-// journal is what happens in a scenario, in order; it is safe for concurrent use.
-type journal struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
-
-func (j *journal) add(format string, values ...any) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	fmt.Fprintf(&j.text, format+"\n", values...)
-}
-
-// scriptedPools is a trunk that ends every attempt as the scenario last said.
-type scriptedPools struct {
-	*journal
-	outcome dispatch.Outcome
-	state   dispatch.LoadReport
-	sdp     string
-	quiet   bool // attempts are not recorded
-	legs    []*scriptedLeg
-}
-
-// scriptedLeg is a call that stands.
-type scriptedLeg struct {
-	*journal
-	sdp    string
-	done   chan struct{}
-	ending dispatch.Ending
-}
-
-// SDP implements dispatch.Leg.
-func (l *scriptedLeg) SDP() string { return l.sdp }
-
-// Done implements dispatch.Leg.
-func (l *scriptedLeg) Done() <-chan struct{} { return l.done }
-
-// Ending implements dispatch.Leg.
-func (l *scriptedLeg) Ending() dispatch.Ending { return l.ending }
-
-// Release implements dispatch.Leg.
-func (l *scriptedLeg) Release(cause int) { l.add("  pool is told: release, cause %d", cause) }
-
-// end has the pool end the call.
-func (l *scriptedLeg) end(outcome dispatch.Outcome, cause int) {
-	l.ending = dispatch.Ending{Outcome: outcome, Cause: cause, Load: dispatch.UnknownLoad}
-	close(l.done)
-}
-
-// Invite implements dispatch.Inviter. An attempt that times out stays out until the caller leaves or its time is over.
-func (p *scriptedPools) Invite(ctx context.Context, attempt dispatch.Attempt) (dispatch.Leg, dispatch.Ending) {
-	if !p.quiet {
-		p.add("  pool %s is told: attempt %d of a call with a name of %d bytes, class %s, number %s, "+
-			"times out after %d µs, sdp %s",
-			attempt.Pool, attempt.Number, len(attempt.ID), shown(attempt.Class), attempt.Setup.Number,
-			attempt.Deadline-attempt.DecidedAt, shown(attempt.SDP))
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	end := dispatch.Ending{Outcome: p.outcome, At: attempt.DecidedAt, Load: p.state}
-	switch end.Outcome {
-	case dispatch.Answered:
-		l := &scriptedLeg{journal: p.journal, sdp: p.sdp, done: make(chan struct{})}
-		p.legs = append(p.legs, l)
-		return l, end
-	case dispatch.TimedOut:
-		p.mu.Unlock()
-		select {
-		case <-ctx.Done():
-			end.Outcome = dispatch.Cancelled
-		case <-time.After(time.Duration(attempt.Deadline-attempt.DecidedAt) * time.Microsecond):
-			end.At = attempt.Deadline
-		}
-		p.mu.Lock()
-	}
-	return nil, end
-}
-
-// lockedBuffer is a buffer that is safe for concurrent use.
-type lockedBuffer struct {
-	mu     sync.Mutex
-	buffer bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buffer.Write(p)
-}
-
-// take is what was written since it was last called.
-func (b *lockedBuffer) take() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	text := b.buffer.String()
-	b.buffer.Reset()
-	return text
-}
-
-// service is a call-control server with its dispatcher, in a bubble of synctest.
-type service struct {
-	*journal
-	t          *testing.T
-	server     *websocket.Server
-	dispatcher *dispatch.Dispatcher
-	listener   *fakeplatform.Listener
-	pools      *scriptedPools
-	count      *telemetry.Counters
-	ready      bool
-	log        *lockedBuffer
-	began      time.Time
-	clients    []*client
-}
-
-// maxSockets is how many sockets the servers of these tests take.
-const maxSockets = 70
-
-// newService starts a call-control server.
-func newService(t *testing.T, j *journal) (s *service, stop func()) {
-	t.Helper()
-	s = &service{
-		journal:  j,
-		t:        t,
-		listener: fakeplatform.NewListener(),
-		count:    &telemetry.Counters{},
-		ready:    true,
-		log:      &lockedBuffer{},
-		began:    time.Now(),
-		pools:    &scriptedPools{journal: j, sdp: "v=0\r\ns=-\r\n", state: dispatch.UnknownLoad},
-	}
-	var err error
-	classes := []eidertrail.Class{
-		{Name: "read", LatencyObjective: 2 * time.Second, Deadline: 6 * time.Second, PriorityWeight: 1},
-		{
-			Name:             "once",
-			LatencyObjective: 2 * time.Second,
-			Deadline:         6 * time.Second,
-			PriorityWeight:   1,
-			Idempotency:      eidertrail.NotIdempotent,
-		},
-	}
-	settings := eidertrail.Settings{Nodes: 1, OwnExchange: -1, ReleaseWait: 300 * time.Millisecond, Classes: classes}
-	s.dispatcher, err = dispatch.New(settings, 1, 2_000_000, clock.New(), zerolog.Nop(), s.count)
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	go s.dispatcher.Run(ctx)
-	s.roster(eidertrail.Ready)
-	s.server = websocket.New(websocket.Config{
-		Dispatcher: s.dispatcher, Inviter: s.pools, Ready: func() bool { return s.ready },
-		MaxConnections: maxSockets, Log: zerolog.New(s.log).Level(zerolog.WarnLevel), Counters: s.count,
-	})
-	web := &http.Server{Handler: s.server, ErrorLog: log.New(io.Discard, "", 0)}
-	served := make(chan struct{})
-	go func() {
-		defer close(served)
-		_ = web.Serve(s.listener) // it ends when the server is closed
-	}()
-	return s, func() {
-		for _, c := range s.clients {
-			c.Close()
-		}
-		s.server.Shutdown(ctx)
-		web.Close()
-		<-served
-		cancel()
-	}
-}
-
-// roster lists the pools, all in one mode.
-func (s *service) roster(mode eidertrail.Mode) {
-	s.dispatcher.UpdateEndpoints(
-		[]dispatch.Endpoint{{UID: "a", Group: 0, Mode: mode}, {UID: "b", Group: 1, Mode: mode}},
-		false,
-	)
-	synctest.Wait()
-}
-
-// client is one socket of a client, which writes and reads frames as they are on the wire.
-type client struct {
-	net.Conn
-	name string
-
-	mu     sync.Mutex
-	got    []byte
-	ended  bool
-	closed bool // the end was recorded
-	paused bool // nothing more is read after what is being read
-}
-
-// connect opens a connection and reads it to its end.
-func (s *service) connect() *client {
-	c := &client{Conn: s.listener.Dial(), name: "client " + strconv.Itoa(len(s.clients)+1)}
-	s.clients = append(s.clients, c)
-	go c.readAll()
-	return c
-}
-
-func (c *client) readAll() {
-	for b := make([]byte, 4096); ; {
-		n, err := c.Read(b)
-		c.mu.Lock()
-		c.got = append(c.got, b[:n]...)
-		c.ended = err != nil
-		paused := c.paused
-		c.mu.Unlock()
-		if err != nil || paused {
-			return
-		}
-	}
-}
-
-// pause has the client read no more than what it is about to read.
-func (c *client) pause() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.paused = true
-}
-
-// upgrade asks for a socket, with these further header lines, and records the answer.
-func (s *service) upgrade(c *client, target string, header ...string) {
-	s.t.Helper()
-	s.add("%s asks for %s %s", c.name, target, strings.Join(header, ", "))
-	c.request(target, header...)
-	s.answer(c)
-	s.observe()
-}
-
-// request writes a request. What becomes of it is recorded.
-func (c *client) request(target string, header ...string) {
-	lines := slices.Concat([]string{"GET " + target + " HTTP/1.1", "Host: controller"}, header, []string{"", ""})
-	_, _ = io.WriteString(c, strings.Join(lines, "\r\n"))
-	synctest.Wait()
-}
-
-// writeFrame writes a frame. The server may have closed the connection: what comes of that is recorded.
-func (c *client) writeFrame(first byte, payload string) {
-	_, _ = c.Write(frame(first, payload))
-}
-
-// upgradeHeader is what a WebSocket client sends.
-func upgradeHeader(more ...string) []string {
-	return append(
-		[]string{
-			"Connection: Upgrade",
-			"Upgrade: websocket",
-			"Sec-WebSocket-Version: 13",
-			"Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==",
-		},
-		more...,
-	)
-}
-
-// answer records the answer to a request: status, header without the date, and body. What follows it stays.
-func (s *service) answer(asking *client) {
-	s.t.Helper()
-	asking.mu.Lock()
-	defer asking.mu.Unlock()
-	reader := bufio.NewReader(bytes.NewReader(asking.got))
-	answer, err := http.ReadResponse(reader, nil)
-	if err != nil {
-		s.t.Fatalf("%s: no answer: %v", asking.name, err)
-	}
-	defer answer.Body.Close()
-	s.add("  %s gets: status %d", asking.name, answer.StatusCode)
-	for _, name := range slices.Sorted(maps.Keys(answer.Header)) {
-		if name != "Date" {
-			s.add("    %s: %s", name, strings.Join(answer.Header[name], ", "))
-		}
-	}
-	if answer.StatusCode != http.StatusSwitchingProtocols {
-		body, err := io.ReadAll(answer.Body)
-		if err != nil {
-			s.t.Fatalf("%s: no body: %v", asking.name, err)
-		}
-		s.add("    body %s", strconv.Quote(string(body)))
-	}
-	asking.got, _ = io.ReadAll(reader)
-}
-
-// open opens a socket of a site and records nothing.
-func (s *service) open(site string) *client {
-	s.t.Helper()
-	c := s.connect()
-	s.handshake(c, site)
-	return c
-}
-
-// handshake asks for a socket of a site.
-func (s *service) handshake(c *client, site string) {
-	s.t.Helper()
-	c.request("/?site="+site, upgradeHeader()...)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !bytes.HasPrefix(c.got, []byte("HTTP/1.1 101 ")) {
-		s.t.Fatalf("%s: no socket: %.40q", c.name, c.got)
-	}
-	_, c.got, _ = bytes.Cut(c.got, []byte("\r\n\r\n"))
-}
-
-// The opcodes of frames, and the bit of a message's last frame (RFC 6455, section 5.2).
-const (
-	continuation = 0
-	text         = 1
-	binaryData   = 2
-	closing      = 8
-	ping         = 9
-	pong         = 10
-	lastFrame    = 0x80
-)
-
-// frame is one frame with a mask of zeros.
-func frame(first byte, payload string) []byte {
-	b := []byte{first}
-	if len(payload) > 125 {
-		b = append(b, 0x80|126)
-		b = binary.BigEndian.AppendUint16(b, uint16(len(payload)))
-	} else {
-		b = append(b, 0x80|byte(len(payload)))
-	}
-	return append(append(b, 0, 0, 0, 0), payload...)
-}
-
-// write has a client write a frame.
-func (s *service) write(c *client, first byte, payload string) {
-	s.add("%s writes, first byte %#02x: %s", c.name, first, shown(payload))
-	c.writeFrame(first, payload)
-	s.observe()
-}
-
-// say has a client write a text message.
-func (s *service) say(c *client, message string) {
-	s.add("%s writes: %s", c.name, shown(message))
-	c.writeFrame(lastFrame|text, message)
-	s.observe()
-}
-
-// sayQuietly has a client write a text message and records nothing.
-func (s *service) sayQuietly(c *client, message string) {
-	c.writeFrame(lastFrame|text, message)
-	synctest.Wait()
-}
-
-// wait lets time pass.
-func (s *service) wait(d time.Duration) {
-	s.add("%d ms pass", d.Milliseconds())
-	time.Sleep(d)
-	s.observe()
-}
-
-// hangUp has a client close its connection with no close frame.
-func (s *service) hangUp(c *client) {
-	s.add("%s closes its connection", c.name)
-	c.Close()
-	synctest.Wait()
-	c.mu.Lock()
-	c.closed = true
-	c.mu.Unlock()
-	s.observe()
-}
-
-// observe records what has happened: what was logged, and what the clients got.
-func (s *service) observe() {
-	synctest.Wait()
-	for line := range strings.Lines(s.log.take()) {
-		s.add("  logged: %s", shown(strings.TrimSuffix(line, "\n")))
-	}
-	for _, c := range s.clients {
-		frames, ended := c.take()
-		for _, f := range frames {
-			s.add("  %s gets %s", c.name, f)
-		}
-		if ended {
-			s.add("  %s is closed, %d µs after the start", c.name, time.Since(s.began).Microseconds())
-		}
-	}
-}
-
-// take is the frames that have come since it was last called, and whether the connection has ended just now.
-func (c *client) take() (frames []string, ended bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for len(c.got) > 0 {
-		f, size := readFrame(c.got)
-		frames = append(frames, f)
-		c.got = c.got[size:]
-	}
-	ended = c.ended && !c.closed
-	c.closed = c.closed || c.ended
-	return frames, ended
-}
-
-// readFrame reads the frame at the beginning of b as the recorded files tell it, and how long it is.
-func readFrame(b []byte) (frame string, size int) {
-	if len(b) < 2 {
-		return fmt.Sprintf("a part of a frame: %x", b), len(b)
-	}
-	head, n := 2, int(b[1])
-	if n == 126 && len(b) >= 4 {
-		head, n = 4, int(binary.BigEndian.Uint16(b[2:]))
-	}
-	if n >= 127 && head == 2 || len(b) < head+n {
-		return fmt.Sprintf("a part of a frame: %x", b), len(b)
-	}
-	payload := string(b[head : head+n])
-	switch b[0] {
-	case lastFrame | text:
-		frame = "message: " + shown(payload)
-	case lastFrame | closing:
-		frame = "close without a code"
-		if n >= 2 {
-			frame = fmt.Sprintf("close: %d %s", binary.BigEndian.Uint16(b[head:]), strconv.Quote(payload[2:]))
-		}
-	case lastFrame | ping:
-		frame = "ping"
-	case lastFrame | pong:
-		frame = "pong: " + shown(payload)
-	default:
-		frame = fmt.Sprintf("frame, first byte %#02x: %s", b[0], shown(payload))
-	}
-	return frame, head + n
-}
-
-// counted records the counters that are not zero, in the order of their names.
-func (s *service) counted() {
-	counters := s.count.Snapshot().Counters
-	var all []string
-	for name, value := range counters {
-		if value != 0 {
-			all = append(all, fmt.Sprintf("%s %d", name, value))
-		}
-	}
-	slices.Sort(all)
-	s.add(
-		"  counted: %s; open %d, standing %d",
-		strings.Join(all, ", "),
-		s.server.PendingSetups(),
-		s.server.EstablishedCalls(),
-	)
-}
-
-// scenario is a sequence of steps on a server of its own.
-type scenario struct {
-	name  string
-	steps func(s *service)
-}
-
-// play plays scenarios one by one and compares what happened with the recorded file.
-func play(t *testing.T, file string, scenarios []scenario) {
-	t.Helper()
-	recording := &journal{}
-	for _, one := range scenarios {
-		recording.add("== %s", one.name)
-		synctest.Test(t, func(t *testing.T) {
-			s, stop := newService(t, recording)
-			one.steps(s)
-			s.counted()
-			held := recording.text.String()
-			stop()
-			recording.text.Reset() // what the end of the test does is no part of the scenario
-			recording.text.WriteString(held)
-		})
-	}
-	compareRecorded(t, file, recording.text.String())
-}
-
 const (
 	setup   = `{"type":"setup","id":"c1","class":"read","number":"7f3a","pool":0,"left_ms":1500,"sdp":"v=0\r\n"}`
 	cancel  = `{"type":"cancel","id":"c1"}`
@@ -804,7 +262,7 @@
 
 func TestCharacterization_FinalAnswers(t *testing.T) {
 	endings := []struct {
-		word    string
+		name    string
 		outcome dispatch.Outcome
 	}{
 		{"no agent", dispatch.NoAgent},
@@ -820,7 +278,7 @@
 	all := make([]scenario, 0, len(endings)*len(classNames)+1)
 	for _, ending := range endings {
 		for _, class := range classNames {
-			all = append(all, scenario{ending.word + ", class " + class, func(s *service) {
+			all = append(all, scenario{ending.name + ", class " + class, func(s *service) {
 				s.pools.outcome = ending.outcome
 				s.say(s.open("a"), strings.Replace(setup, "read", class, 1))
 				s.wait(3 * time.Second)
@@ -838,7 +296,7 @@
 func TestCharacterization_Bounds(t *testing.T) {
 	play(t, "bounds.txt", []scenario{
 		{"more set-ups than a socket and a site may have", func(s *service) {
-			s.pools.outcome, s.pools.quiet = dispatch.TimedOut, true
+			s.pools.outcome, s.pools.muted = dispatch.TimedOut, true
 			for range 2 {
 				c := s.open("a")
 				for i := range 1024 {
@@ -984,7 +442,7 @@
 }
 
 func TestCharacterization_Handshakes(t *testing.T) {
-	ask := func(target string, header ...string) scenario {
+	handshake := func(target string, header ...string) scenario {
 		return scenario{"asked for " + target + " " + strings.Join(header, ", "), func(s *service) {
 			c := s.connect()
 			s.upgrade(c, target, header...)
@@ -992,20 +450,20 @@
 	}
 	longest := strings.Repeat("s", 64)
 	play(t, "handshakes.txt", []scenario{
-		ask("/", upgradeHeader()...),
-		ask("/call-control?site=a", upgradeHeader()...),
-		ask("/?site=a", upgradeHeader("Sec-WebSocket-Protocol: callcontrol.v1")...),
-		ask("/?site=a", upgradeHeader("Sec-WebSocket-Protocol: other, callcontrol.v1")...),
-		ask("/?site=a", upgradeHeader("Sec-WebSocket-Protocol: other")...),
-		ask("/?site=a", upgradeHeader("Sec-WebSocket-Extensions: permessage-deflate")...),
-		ask("/?site=", upgradeHeader()...),
-		ask("/?site=a%20b", upgradeHeader()...),
-		ask("/?site="+longest, upgradeHeader()...),
-		ask("/?site="+longest+"s", upgradeHeader()...),
-		ask("/?site=a", upgradeHeader("Origin: http://controller")...),
-		ask("/?site=a", upgradeHeader("Origin: http://elsewhere.example")...),
-		ask("/?site=a"),
-		ask(
+		handshake("/", upgradeHeader()...),
+		handshake("/call-control?site=a", upgradeHeader()...),
+		handshake("/?site=a", upgradeHeader("Sec-WebSocket-Protocol: callcontrol.v1")...),
+		handshake("/?site=a", upgradeHeader("Sec-WebSocket-Protocol: other, callcontrol.v1")...),
+		handshake("/?site=a", upgradeHeader("Sec-WebSocket-Protocol: other")...),
+		handshake("/?site=a", upgradeHeader("Sec-WebSocket-Extensions: permessage-deflate")...),
+		handshake("/?site=", upgradeHeader()...),
+		handshake("/?site=a%20b", upgradeHeader()...),
+		handshake("/?site="+longest, upgradeHeader()...),
+		handshake("/?site="+longest+"s", upgradeHeader()...),
+		handshake("/?site=a", upgradeHeader("Origin: http://controller")...),
+		handshake("/?site=a", upgradeHeader("Origin: http://elsewhere.example")...),
+		handshake("/?site=a"),
+		handshake(
 			"/?site=a",
 			"Connection: Upgrade",
 			"Upgrade: websocket",
--- a/internal/frontend/websocket/client_message.go
+++ b/internal/frontend/websocket/client_message.go
@@ -84,7 +84,7 @@
 		ID:            id,
 		Class:         m.requiredText("class"),
 		Number:        m.text("number"),
-		Pool:          m.wholeNumber("pool", noFirstChoice),
+		Pool:          m.integer("pool", noFirstChoice),
 		TimeoutMillis: left.Num,
 		SDP:           m.text("sdp"),
 	}
@@ -92,7 +92,7 @@
 
 // cause reads the cause of a release.
 func (m *memberReader) cause() int {
-	cause := m.wholeNumber("cause", dispatch.CauseNormal)
+	cause := m.integer("cause", dispatch.CauseNormal)
 	if cause < minCause || cause > maxCause {
 		m.fail(errors.New("cause: want 1 to 127"))
 	}
@@ -115,8 +115,8 @@
 	return m.text(name)
 }
 
-// wholeNumber reads a member of 32 bits.
-func (m *memberReader) wholeNumber(name string, absent int) int {
+// integer reads a member of 32 bits.
+func (m *memberReader) integer(name string, absent int) int {
 	member := m.root.Get(name)
 	if !member.Exists() {
 		return absent
--- a/internal/frontend/websocket/reader.go
+++ b/internal/frontend/websocket/reader.go
@@ -78,7 +78,7 @@
 		if !dispatch.IsToken(request.id) {
 			return dispatch.ErrID
 		}
-		rejection := rejectedMessage(typeRefused, request.id, ShuttingDown, causeCongestion, retryAfterMicros)
+		rejection := rejectedMessage(typeRejected, request.id, ShuttingDown, causeCongestion, retryAfterMicros)
 		c.send(queuedMessage{bytes: rejection})
 		return nil
 	}
--- a/internal/frontend/websocket/server_message.go
+++ b/internal/frontend/websocket/server_message.go
@@ -10,7 +10,7 @@
 // The types of messages that the server sends.
 const (
 	typeAnswer   = "answer"
-	typeRefused  = "refused"
+	typeRejected = "refused"
 	typeFailed   = "failed"
 	typeReleased = "released"
 	typePong     = "pong"
@@ -34,9 +34,9 @@
 	case final.Kind == dispatch.FinalFailed:
 		return rejectedMessage(typeFailed, id, TimedOut, causeRecoveryOnTimer, final.RetryAfter)
 	case final.NoAgentFree:
-		return rejectedMessage(typeRefused, id, NoAgent, causeNoCircuit, final.RetryAfter)
+		return rejectedMessage(typeRejected, id, NoAgent, causeNoCircuit, final.RetryAfter)
 	}
-	return rejectedMessage(typeRefused, id, Congestion, causeCongestion, final.RetryAfter)
+	return rejectedMessage(typeRejected, id, Congestion, causeCongestion, final.RetryAfter)
 }
 
 func answerMessage(id, sdp string) []byte {
--- a/internal/frontend/websocket/server_test.go
+++ b/internal/frontend/websocket/server_test.go
@@ -76,7 +76,7 @@
 
 // A client that opens sockets and sends nothing does not shut sites out, and one that sends invalid messages again and
 // again is closed. A socket that has sent a message never makes room.
-func TestEviction_SilentSocketsMakeRoomAndFaultyOnesAreClosed(t *testing.T) {
+func TestEviction_ClosesSilentSocketsAndFaultyOnes(t *testing.T) {
 	r := newRig(t, nil)
 	r.server.Admit(nil, 2)
 	active, silent := r.dial("a"), r.dial("b")
--- a/internal/frontend/websocket/socket_test.go
+++ b/internal/frontend/websocket/socket_test.go
@@ -20,11 +20,11 @@
 	other.say(ping)
 	other.next()
 	r.server.mu.Lock()
-	gone := newSocket(r.server, 0, "a", r.server.sites["a"])
+	closed := newSocket(r.server, 0, "a", r.server.sites["a"])
 	r.server.mu.Unlock()
-	gone.send(queuedMessage{bytes: pongMessage("y", true)})
-	gone.CallEnded("c1", 16)
-	gone.redeliverQueued()
+	closed.send(queuedMessage{bytes: pongMessage("y", true)})
+	closed.CallEnded("c1", 16)
+	closed.redeliverQueued()
 	if m := other.next(); m.Type != "released" || m.ID != "c1" || m.Cause != 16 {
 		t.Errorf("got %+v", m)
 	}
@@ -64,7 +64,7 @@
 	r.await("BYE")
 }
 
-func TestSite_CallEndIsKeptForNextSocket(t *testing.T) {
+func TestSite_CallEndWaitsForNextSocket(t *testing.T) {
 	invites := make(chan fakeplatform.Request, 1)
 	r := newRig(t, func(q fakeplatform.Request) { invites <- q })
 	c := r.dial("a")
--- a/middleware/characterization_test.go
+++ b/middleware/characterization_test.go
@@ -161,17 +161,17 @@
 }
 
 func TestCharacterization_RejectedRequests(t *testing.T) {
-	poolIsGone := func(a *admission, _ context.CancelFunc) {
+	removePool := func(a *admission, _ context.CancelFunc) {
 		a.dispatcher.UpdateEndpoints([]dispatch.Endpoint{{UID: "a", Mode: eidertrail.Removed}}, false)
 	}
 	rejections := []rejection{
 		{"not to be classified", "/rooms?bad", time.Second, func(*admission, context.CancelFunc) {}},
-		{"no pool", "/rooms", time.Second, poolIsGone},
-		{"no pool and a long wait", "/rooms", time.Minute, poolIsGone},
+		{"no pool", "/rooms", time.Second, removePool},
+		{"no pool and a long wait", "/rooms", time.Minute, removePool},
 		{"no time left", "/rooms", 0, func(*admission, context.CancelFunc) {}},
 		{"the dispatcher has stopped", "/rooms", time.Second, func(a *admission, _ context.CancelFunc) { a.stop() }},
 		{"the client has left", "/rooms", time.Second, func(a *admission, leave context.CancelFunc) {
-			poolIsGone(a, leave)
+			removePool(a, leave)
 			leave()
 		}},
 	}
@@ -193,14 +193,14 @@
 	compareRecorded(t, "rejected.txt", out.String())
 }
 
-// outcomeWord is an outcome as the recorded file names it.
-type outcomeWord struct {
+// namedOutcome is an outcome as the recorded file names it.
+type namedOutcome struct {
 	outcome dispatch.Outcome
-	word    string
+	name    string
 }
 
-// outcomeWords are all outcomes.
-var outcomeWords = []outcomeWord{
+// namedOutcomes are all outcomes.
+var namedOutcomes = []namedOutcome{
 	{dispatch.Ended, "answered, then ended"},
 	{dispatch.Errored, "signalling error"},
 	{dispatch.LinesBusy, "lines busy"},
@@ -302,9 +302,9 @@
 		{"status 500 and a report of answered", report(dispatch.Answered, dispatch.UnknownLoad)},
 		{"status 500 and a report of ended with a state", report(dispatch.Ended, dispatch.LoadReport{Free: 3, Agents: 8})},
 	}
-	reports := make([]work, len(outcomeWords))
-	for i, o := range outcomeWords {
-		reports[i] = work{"status 500 and a report of " + o.word, report(o.outcome, dispatch.UnknownLoad)}
+	reports := make([]work, len(namedOutcomes))
+	for i, o := range namedOutcomes {
+		reports[i] = work{"status 500 and a report of " + o.name, report(o.outcome, dispatch.UnknownLoad)}
 	}
 	return slices.Concat(all, reports)
 }
@@ -426,21 +426,21 @@
 // withoutAddresses is a log without what differs from run to run.
 func withoutAddresses(trace string) string { return addresses.ReplaceAllString(trace, "address") }
 
-// reportedOutcome is the word of the outcome that was reported: the one with which a dispatcher that is told it
+// reportedOutcome is the name of the outcome that was reported: the one with which a dispatcher that is given it
 // directly takes the same decisions. The logs compared are of one and the same program; their wording is not recorded.
 func reportedOutcome(t *testing.T, s served) string {
 	t.Helper()
 	var found []string
 	for _, state := range []dispatch.LoadReport{dispatch.UnknownLoad, {Free: 3, Agents: 8}} {
-		for _, o := range outcomeWords {
+		for _, o := range namedOutcomes {
 			if withoutAddresses(reportOne(t, o.outcome, state, s)) != withoutAddresses(s.trace) {
 				continue
 			}
-			word := o.word
+			name := o.name
 			if state != dispatch.UnknownLoad {
-				word += ", with the pool's state"
+				name += ", with the pool's state"
 			}
-			found = append(found, word)
+			found = append(found, name)
 		}
 	}
 	return strings.Join(found, " or ")
@@ -458,12 +458,12 @@
 	var out strings.Builder
 	for _, job := range slices.Concat(statusWorks, otherWork()) {
 		s := serveOne(t, job)
-		word := reportedOutcome(t, s)
-		if word == "" {
+		name := reportedOutcome(t, s)
+		if name == "" {
 			t.Errorf("%s: no outcome explains what was reported:\n%s", job.name, s.trace)
 		}
 		fmt.Fprintf(&out, "%s\n  reported: %s\n  limit %d µs, answered after %d µs, ended after %d µs\n%s%s",
-			job.name, word, s.limit.Microseconds(), s.answered.Microseconds(), s.took.Microseconds(), s.answer, s.counts)
+			job.name, name, s.limit.Microseconds(), s.answered.Microseconds(), s.took.Microseconds(), s.answer, s.counts)
 	}
 	compareRecorded(t, "outcomes.txt", out.String())
 }
--- a/middleware/middleware_test.go
+++ b/middleware/middleware_test.go
@@ -157,7 +157,7 @@
 	s.get(context.Background(), "/hotel")
 }
 
-func TestAdmission_ClientGoneGetsNoAnswer(t *testing.T) {
+func TestAdmission_DisconnectedClientGetsNoAnswer(t *testing.T) {
 	handler := func(http.ResponseWriter, *http.Request) { t.Error("served") }
 	serve(t, handler, func(s *site) {
 		s.setPoolMode(eidertrail.Removed)
