--- a/internal/frontend/jsonlines/characterization_closes_test.go
+++ b/internal/frontend/jsonlines/characterization_closes_test.go
@@ -50,7 +50,7 @@
 			p.wait(8006 * time.Millisecond)
 		}},
 		{"idle while a set-up is open, and after it", func(p *platform) {
-			p.pools.outcome = dispatch.TimedOut
+			p.pools.Outcome = dispatch.TimedOut
 			p.say(p.dial(), strings.Replace(setup, "1500", "9000", 1))
 			p.wait(8500 * time.Millisecond)
 			p.wait(12 * time.Second)
@@ -88,18 +88,18 @@
 			idle, established, open := running.dial(), running.dial(), running.dial()
 			running.say(idle, `{"type":"ping","id":"p"}`)
 			running.say(established, setup)
-			running.pools.outcome = dispatch.TimedOut
+			running.pools.Outcome = dispatch.TimedOut
 			running.say(open, numbered(setup, 1))
-			running.add("the front drains")
+			running.Add("the front drains")
 			drained := make(chan struct{})
 			go func() {
 				defer close(drained)
 				running.front.Drain(context.Background())
 			}()
 			running.observe()
-			running.pools.outcome = dispatch.Answered
+			running.pools.Outcome = dispatch.Answered
 			running.say(open, numbered(setup, 2))
-			running.add("everything is given up")
+			running.Add("everything is given up")
 			running.calls.AbortPending()
 			running.observe()
 			<-drained
@@ -112,7 +112,7 @@
 	s.calls = 70
 	play(t, "floods.txt", s, []scenario{
 		{"set-ups of a connection that had none answered", func(p *platform) {
-			p.pools.outcome, p.pools.muted = dispatch.TimedOut, true
+			p.pools.Outcome, p.pools.Muted = dispatch.TimedOut, true
 			c := p.dial()
 			for i := range 82 {
 				p.say(c, numbered(setup, i))
@@ -121,13 +121,13 @@
 		{"more calls than there may be, on a connection that is served", func(p *platform) {
 			c := p.dial()
 			p.say(c, numbered(setup, 1000))
-			p.pools.outcome, p.pools.muted = dispatch.TimedOut, true
+			p.pools.Outcome, p.pools.Muted = dispatch.TimedOut, true
 			for i := range 90 {
 				p.say(c, numbered(setup, i))
 			}
 		}},
 		{"set-ups that pools can make nothing of", func(p *platform) {
-			p.pools.outcome = dispatch.Errored
+			p.pools.Outcome = dispatch.Errored
 			c := p.dial()
 			for i := range 6 {
 				p.say(c, numbered(setup, i))
--- a/internal/frontend/jsonlines/characterization_harness_test.go
+++ b/internal/frontend/jsonlines/characterization_harness_test.go
@@ -13,6 +13,8 @@
 	"testing/synctest"
 	"time"
 
+	"eidertrail/internal/frontend/frontendtest"
+
 	"github.com/rs/zerolog"
 
 	"eidertrail"
@@ -23,80 +25,16 @@
 	"eidertrail/internal/testing/fakeplatform"
 )
 
-// scriptedPools is an inviter that ends every attempt as the scenario last said.
-type scriptedPools struct {
-	*journal
-	outcome dispatch.Outcome
-	state   dispatch.LoadReport
-	sdp     string
-	muted   bool // attempts are not recorded
-	legs    []*scriptedLeg
-}
-
-// scriptedLeg is an established call.
-type scriptedLeg struct {
-	*journal
-	sdp    string
-	done   chan struct{}
-	ending dispatch.Ending
-}
-
-// SDP implements dispatch.Leg.
-func (l *scriptedLeg) SDP() string { return l.sdp }
-
-// Done implements dispatch.Leg.
-func (l *scriptedLeg) Done() <-chan struct{} { return l.done }
-
-// Ending implements dispatch.Leg.
-func (l *scriptedLeg) Ending() dispatch.Ending { return l.ending }
-
-// Release implements dispatch.Leg.
-func (l *scriptedLeg) Release(cause int) { l.add("  pool is told: release, cause %d", cause) }
-
-// end has the pool end the call.
-func (l *scriptedLeg) end(outcome dispatch.Outcome, cause int) {
-	l.ending = dispatch.Ending{Outcome: outcome, Cause: cause, Load: dispatch.UnknownLoad}
-	close(l.done)
-}
-
-// Invite implements dispatch.Inviter. An attempt that times out stays out until the caller leaves or its time is over.
-func (p *scriptedPools) Invite(ctx context.Context, attempt dispatch.Attempt) (dispatch.Leg, dispatch.Ending) {
-	if !p.muted {
-		p.add("  pool %s is told: attempt %d of %s, class %s, number %s, times out after %d µs, sdp %s",
-			attempt.Pool, attempt.Number, attempt.ID, shown(attempt.Class), attempt.Setup.Number,
-			attempt.Deadline-attempt.DecidedAt, shown(attempt.SDP))
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	end := dispatch.Ending{Outcome: p.outcome, At: attempt.DecidedAt, Load: p.state}
-	switch end.Outcome {
-	case dispatch.Answered:
-		l := &scriptedLeg{journal: p.journal, sdp: p.sdp, done: make(chan struct{})}
-		p.legs = append(p.legs, l)
-		return l, end
-	case dispatch.TimedOut:
-		p.mu.Unlock()
-		select {
-		case <-ctx.Done():
-			end.Outcome = dispatch.Cancelled
-		case <-time.After(time.Duration(attempt.Deadline-attempt.DecidedAt) * time.Microsecond):
-			end.At = attempt.Deadline
-		}
-		p.mu.Lock()
-	}
-	return nil, end
-}
-
 // platform is a front with its dispatcher, in a bubble of synctest.
 type platform struct {
-	*journal
+	*frontendtest.Journal
 	front    *jsonlines.Server
 	calls    *dispatch.CallTable
 	listener *fakeplatform.Listener
-	pools    *scriptedPools
+	pools    *frontendtest.Pools
 	count    *telemetry.Counters
 	ready    bool
-	log      *lockedBuffer
+	log      *frontendtest.LockedBuffer
 	began    time.Time
 	callers  []*caller
 }
@@ -133,16 +71,20 @@
 }
 
 // newPlatform starts a front.
-func newPlatform(t *testing.T, j *journal, settings setting) (p *platform, stop func()) {
+func newPlatform(t *testing.T, journal *frontendtest.Journal, settings setting) (p *platform, stop func()) {
 	t.Helper()
 	p = &platform{
-		journal:  j,
+		Journal:  journal,
 		listener: fakeplatform.NewListener(),
 		count:    &telemetry.Counters{},
 		ready:    true,
-		log:      &lockedBuffer{},
+		log:      &frontendtest.LockedBuffer{},
 		began:    time.Now(),
-		pools:    &scriptedPools{journal: j, sdp: "v=0\r\ns=-\r\n", state: dispatch.UnknownLoad},
+		pools: &frontendtest.Pools{
+			Journal: journal,
+			SDP:     "v=0\r\ns=-\r\n",
+			Load:    dispatch.UnknownLoad,
+		},
 	}
 	now := clock.New()
 	dispatcher, err := dispatch.New(eidertrail.Settings{
@@ -170,7 +112,7 @@
 		MaxConnections:   settings.maxConnections,
 		Tenants:          settings.tenants,
 		Ready:            func() bool { return p.ready },
-		ReleaseUnmatched: func(id string, cause int) { p.add("  all pools are told: release of %s, cause %d", id, cause) },
+		ReleaseUnmatched: func(id string, cause int) { p.Add("  all pools are told: release of %s, cause %d", id, cause) },
 		Log:              zerolog.New(p.log).Level(settings.level),
 		Counters:         p.count,
 	})
@@ -238,8 +180,8 @@
 // observe records what has happened: what was logged, and what the callers got.
 func (p *platform) observe() {
 	synctest.Wait()
-	for line := range strings.Lines(p.log.take()) {
-		p.add("  logged: %s", shown(strings.TrimSuffix(line, "\n")))
+	for line := range strings.Lines(p.log.Take()) {
+		p.Add("  logged: %s", frontendtest.Shown(strings.TrimSuffix(line, "\n")))
 	}
 	for _, c := range p.callers {
 		lines, ended := c.take()
@@ -248,17 +190,17 @@
 			if !complete {
 				text += " (without a line feed)"
 			}
-			p.add("  %s gets: %s", c.name, shown(text))
+			p.Add("  %s gets: %s", c.name, frontendtest.Shown(text))
 		}
 		if ended {
-			p.add("  %s is closed, %d µs after the start", c.name, time.Since(p.began).Microseconds())
+			p.Add("  %s is closed, %d µs after the start", c.name, time.Since(p.began).Microseconds())
 		}
 	}
 }
 
 // write has a caller write bytes.
 func (p *platform) write(c *caller, text string) {
-	p.add("%s writes: %s", c.name, shown(strings.TrimSuffix(text, "\n")))
+	p.Add("%s writes: %s", c.name, frontendtest.Shown(strings.TrimSuffix(text, "\n")))
 	_, _ = io.WriteString(c, text) // the front may have closed it: what comes of that is recorded
 	p.observe()
 }
@@ -268,14 +210,14 @@
 
 // wait lets time pass.
 func (p *platform) wait(d time.Duration) {
-	p.add("%d ms pass", d.Milliseconds())
+	p.Add("%d ms pass", d.Milliseconds())
 	time.Sleep(d)
 	p.observe()
 }
 
 // hangUp has a caller close its connection.
 func (p *platform) hangUp(c *caller) {
-	p.add("%s closes", c.name)
+	p.Add("%s closes", c.name)
 	c.Close()
 	synctest.Wait()
 	c.take()
@@ -292,7 +234,7 @@
 		}
 	}
 	slices.Sort(text)
-	p.add("  counted: %s", strings.Join(text, ", "))
+	p.Add("  counted: %s", strings.Join(text, ", "))
 }
 
 // scenario is a sequence of steps on a front of its own.
@@ -304,19 +246,18 @@
 // play plays scenarios one by one and compares what happened with the recorded file.
 func play(t *testing.T, file string, s setting, scenarios []scenario) {
 	t.Helper()
-	recording := &journal{}
+	recording := &frontendtest.Journal{}
 	for _, one := range scenarios {
-		recording.add("== %s", one.name)
+		recording.Add("== %s", one.name)
 		synctest.Test(t, func(t *testing.T) {
 			p, stop := newPlatform(t, recording, s)
 			one.steps(p)
 			p.counted()
 			p.callers = nil
-			held := recording.text.String()
+			text := recording.Text()
 			stop()
-			recording.text.Reset() // what the end of the test does is no part of the scenario
-			recording.text.WriteString(held)
+			recording.Reset(text) // what the end of the test does is no part of the scenario
 		})
 	}
-	compareRecorded(t, file, recording.text.String())
+	frontendtest.CompareRecorded(t, file, recording.Text())
 }
--- a/internal/frontend/jsonlines/characterization_test.go
+++ b/internal/frontend/jsonlines/characterization_test.go
@@ -244,8 +244,8 @@
 			c := p.dial()
 			for i, cause := range []int{16, 41, 0} {
 				p.say(c, numbered(setup, i))
-				p.add("the pool ends the call with cause %d", cause)
-				p.pools.legs[i].end(dispatch.Ended, cause)
+				p.Add("the pool ends the call with cause %d", cause)
+				p.pools.Legs[i].End(dispatch.Ended, cause)
 				p.observe()
 			}
 		}},
@@ -253,8 +253,8 @@
 			c := p.dial()
 			p.say(c, setup)
 			p.hangUp(c)
-			p.add("the pool ends the call")
-			p.pools.legs[0].end(dispatch.Reset, 41)
+			p.Add("the pool ends the call")
+			p.pools.Legs[0].End(dispatch.Reset, 41)
 			p.observe()
 			p.dial()
 			p.observe()
@@ -262,7 +262,7 @@
 			p.wait(2 * time.Millisecond)
 		}},
 		{"cancelled before the answer", func(p *platform) {
-			p.pools.outcome = dispatch.TimedOut
+			p.pools.Outcome = dispatch.TimedOut
 			c := p.dial()
 			p.say(c, setup)
 			p.say(c, release)
@@ -270,7 +270,7 @@
 			p.say(c, release)
 		}},
 		{"the caller closes before the answer", func(p *platform) {
-			p.pools.outcome = dispatch.TimedOut
+			p.pools.Outcome = dispatch.TimedOut
 			c := p.dial()
 			p.say(c, setup)
 			p.hangUp(c)
@@ -283,7 +283,7 @@
 			p.wait(2 * time.Second)
 		}},
 		{"one id twice on one connection, while the first is out", func(p *platform) {
-			p.pools.outcome = dispatch.TimedOut
+			p.pools.Outcome = dispatch.TimedOut
 			c := p.dial()
 			p.say(c, setup)
 			p.say(c, setup)
@@ -294,13 +294,13 @@
 			p.say(c, setup)
 		}},
 		{"one id twice on one connection, the second malformed", func(p *platform) {
-			p.pools.outcome = dispatch.TimedOut
+			p.pools.Outcome = dispatch.TimedOut
 			c := p.dial()
 			p.say(c, setup)
 			p.say(c, `{"type":"setup","id":"`+callID+`","fields":7}`)
 		}},
 		{"one id on two connections", func(p *platform) {
-			p.pools.outcome = dispatch.TimedOut
+			p.pools.Outcome = dispatch.TimedOut
 			c, other := p.dial(), p.dial()
 			p.say(c, setup)
 			p.say(other, setup)
@@ -319,7 +319,7 @@
 				"\xff\xc3",
 				strings.Repeat("s", 12_000),
 			} {
-				p.pools.sdp = sdp
+				p.pools.SDP = sdp
 				p.say(c, numbered(setup, i))
 			}
 		}},
@@ -347,7 +347,7 @@
 		for _, class := range classNames {
 			for _, left := range timesLeft {
 				all = append(all, scenario{ending.name + ", class " + class + ", " + left + " ms left", func(p *platform) {
-					p.pools.outcome = ending.outcome
+					p.pools.Outcome = ending.outcome
 					p.say(p.dial(), strings.NewReplacer("voice", class, "1500", left).Replace(setup))
 					p.wait(3 * time.Second)
 				}})
@@ -356,10 +356,10 @@
 	}
 	for _, class := range classNames {
 		all = append(all, scenario{"given up with an attempt out, class " + class, func(p *platform) {
-			p.pools.outcome = dispatch.TimedOut
+			p.pools.Outcome = dispatch.TimedOut
 			c := p.dial()
 			p.say(c, strings.Replace(setup, "voice", class, 1))
-			p.add("everything is given up")
+			p.Add("everything is given up")
 			p.calls.AbortPending()
 			p.observe()
 			p.say(c, strings.Replace(numbered(setup, 1), "voice", class, 1))
--- a/internal/frontend/websocket/characterization_client_test.go
+++ b/internal/frontend/websocket/characterization_client_test.go
@@ -14,6 +14,8 @@
 	"strings"
 	"sync"
 	"testing/synctest"
+
+	"eidertrail/internal/frontend/frontendtest"
 )
 
 // client is one socket of a client, which writes and reads frames as they are on the wire.
@@ -60,7 +62,7 @@
 // upgrade asks for a socket, with these further header lines, and records the answer.
 func (s *service) upgrade(c *client, target string, header ...string) {
 	s.t.Helper()
-	s.add("%s asks for %s %s", c.name, target, strings.Join(header, ", "))
+	s.Add("%s asks for %s %s", c.name, target, strings.Join(header, ", "))
 	c.request(target, header...)
 	s.answer(c)
 	s.observe()
@@ -102,10 +104,10 @@
 		s.t.Fatalf("%s: no answer: %v", asking.name, err)
 	}
 	defer answer.Body.Close()
-	s.add("  %s gets: status %d", asking.name, answer.StatusCode)
+	s.Add("  %s gets: status %d", asking.name, answer.StatusCode)
 	for _, name := range slices.Sorted(maps.Keys(answer.Header)) {
 		if name != "Date" {
-			s.add("    %s: %s", name, strings.Join(answer.Header[name], ", "))
+			s.Add("    %s: %s", name, strings.Join(answer.Header[name], ", "))
 		}
 	}
 	if answer.StatusCode != http.StatusSwitchingProtocols {
@@ -113,7 +115,7 @@
 		if err != nil {
 			s.t.Fatalf("%s: no body: %v", asking.name, err)
 		}
-		s.add("    body %s", strconv.Quote(string(body)))
+		s.Add("    body %s", strconv.Quote(string(body)))
 	}
 	asking.got, _ = io.ReadAll(reader)
 }
@@ -163,14 +165,14 @@
 
 // write has a client write a frame.
 func (s *service) write(c *client, first byte, payload string) {
-	s.add("%s writes, first byte %#02x: %s", c.name, first, shown(payload))
+	s.Add("%s writes, first byte %#02x: %s", c.name, first, frontendtest.Shown(payload))
 	c.writeFrame(first, payload)
 	s.observe()
 }
 
 // say has a client write a text message.
 func (s *service) say(c *client, message string) {
-	s.add("%s writes: %s", c.name, shown(message))
+	s.Add("%s writes: %s", c.name, frontendtest.Shown(message))
 	c.writeFrame(lastFrame|text, message)
 	s.observe()
 }
@@ -183,7 +185,7 @@
 
 // hangUp has a client close its connection with no close frame.
 func (s *service) hangUp(c *client) {
-	s.add("%s closes its connection", c.name)
+	s.Add("%s closes its connection", c.name)
 	c.Close()
 	synctest.Wait()
 	c.mu.Lock()
@@ -221,7 +223,7 @@
 	payload := string(b[head : head+n])
 	switch b[0] {
 	case lastFrame | text:
-		frame = "message: " + shown(payload)
+		frame = "message: " + frontendtest.Shown(payload)
 	case lastFrame | closing:
 		frame = "close without a code"
 		if n >= 2 {
@@ -230,9 +232,9 @@
 	case lastFrame | ping:
 		frame = "ping"
 	case lastFrame | pong:
-		frame = "pong: " + shown(payload)
+		frame = "pong: " + frontendtest.Shown(payload)
 	default:
-		frame = fmt.Sprintf("frame, first byte %#02x: %s", b[0], shown(payload))
+		frame = fmt.Sprintf("frame, first byte %#02x: %s", b[0], frontendtest.Shown(payload))
 	}
 	return frame, head + n
 }
--- a/internal/frontend/websocket/characterization_harness_test.go
+++ b/internal/frontend/websocket/characterization_harness_test.go
@@ -12,6 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"eidertrail/internal/frontend/frontendtest"
+
 	"github.com/rs/zerolog"
 
 	"eidertrail"
@@ -22,82 +24,17 @@
 	"eidertrail/internal/testing/fakeplatform"
 )
 
-// scriptedPools is an inviter that ends every attempt as the scenario last said.
-type scriptedPools struct {
-	*journal
-	outcome dispatch.Outcome
-	state   dispatch.LoadReport
-	sdp     string
-	muted   bool // attempts are not recorded
-	legs    []*scriptedLeg
-}
-
-// scriptedLeg is an established call.
-type scriptedLeg struct {
-	*journal
-	sdp    string
-	done   chan struct{}
-	ending dispatch.Ending
-}
-
-// SDP implements dispatch.Leg.
-func (l *scriptedLeg) SDP() string { return l.sdp }
-
-// Done implements dispatch.Leg.
-func (l *scriptedLeg) Done() <-chan struct{} { return l.done }
-
-// Ending implements dispatch.Leg.
-func (l *scriptedLeg) Ending() dispatch.Ending { return l.ending }
-
-// Release implements dispatch.Leg.
-func (l *scriptedLeg) Release(cause int) { l.add("  pool is told: release, cause %d", cause) }
-
-// end has the pool end the call.
-func (l *scriptedLeg) end(outcome dispatch.Outcome, cause int) {
-	l.ending = dispatch.Ending{Outcome: outcome, Cause: cause, Load: dispatch.UnknownLoad}
-	close(l.done)
-}
-
-// Invite implements dispatch.Inviter. An attempt that times out stays out until the caller leaves or its time is over.
-func (p *scriptedPools) Invite(ctx context.Context, attempt dispatch.Attempt) (dispatch.Leg, dispatch.Ending) {
-	if !p.muted {
-		p.add("  pool %s is told: attempt %d of a call with a name of %d bytes, class %s, number %s, "+
-			"times out after %d µs, sdp %s",
-			attempt.Pool, attempt.Number, len(attempt.ID), shown(attempt.Class), attempt.Setup.Number,
-			attempt.Deadline-attempt.DecidedAt, shown(attempt.SDP))
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	end := dispatch.Ending{Outcome: p.outcome, At: attempt.DecidedAt, Load: p.state}
-	switch end.Outcome {
-	case dispatch.Answered:
-		l := &scriptedLeg{journal: p.journal, sdp: p.sdp, done: make(chan struct{})}
-		p.legs = append(p.legs, l)
-		return l, end
-	case dispatch.TimedOut:
-		p.mu.Unlock()
-		select {
-		case <-ctx.Done():
-			end.Outcome = dispatch.Cancelled
-		case <-time.After(time.Duration(attempt.Deadline-attempt.DecidedAt) * time.Microsecond):
-			end.At = attempt.Deadline
-		}
-		p.mu.Lock()
-	}
-	return nil, end
-}
-
 // service is a call-control server with its dispatcher, in a bubble of synctest.
 type service struct {
-	*journal
+	*frontendtest.Journal
 	t          *testing.T
 	server     *websocket.Server
 	dispatcher *dispatch.Dispatcher
 	listener   *fakeplatform.Listener
-	pools      *scriptedPools
+	pools      *frontendtest.Pools
 	count      *telemetry.Counters
 	ready      bool
-	log        *lockedBuffer
+	log        *frontendtest.LockedBuffer
 	began      time.Time
 	clients    []*client
 }
@@ -106,17 +43,22 @@
 const maxSockets = 70
 
 // newService starts a call-control server.
-func newService(t *testing.T, j *journal) (s *service, stop func()) {
+func newService(t *testing.T, journal *frontendtest.Journal) (s *service, stop func()) {
 	t.Helper()
 	s = &service{
-		journal:  j,
+		Journal:  journal,
 		t:        t,
 		listener: fakeplatform.NewListener(),
 		count:    &telemetry.Counters{},
 		ready:    true,
-		log:      &lockedBuffer{},
+		log:      &frontendtest.LockedBuffer{},
 		began:    time.Now(),
-		pools:    &scriptedPools{journal: j, sdp: "v=0\r\ns=-\r\n", state: dispatch.UnknownLoad},
+		pools: &frontendtest.Pools{
+			Journal:  journal,
+			CallName: func(id string) string { return fmt.Sprintf("a call with a name of %d bytes", len(id)) },
+			SDP:      "v=0\r\ns=-\r\n",
+			Load:     dispatch.UnknownLoad,
+		},
 	}
 	var err error
 	classes := []eidertrail.Class{
@@ -169,7 +111,7 @@
 
 // wait lets time pass.
 func (s *service) wait(d time.Duration) {
-	s.add("%d ms pass", d.Milliseconds())
+	s.Add("%d ms pass", d.Milliseconds())
 	time.Sleep(d)
 	s.observe()
 }
@@ -177,16 +119,16 @@
 // observe records what has happened: what was logged, and what the clients got.
 func (s *service) observe() {
 	synctest.Wait()
-	for line := range strings.Lines(s.log.take()) {
-		s.add("  logged: %s", shown(strings.TrimSuffix(line, "\n")))
+	for line := range strings.Lines(s.log.Take()) {
+		s.Add("  logged: %s", frontendtest.Shown(strings.TrimSuffix(line, "\n")))
 	}
 	for _, c := range s.clients {
 		frames, ended := c.take()
 		for _, f := range frames {
-			s.add("  %s gets %s", c.name, f)
+			s.Add("  %s gets %s", c.name, f)
 		}
 		if ended {
-			s.add("  %s is closed, %d µs after the start", c.name, time.Since(s.began).Microseconds())
+			s.Add("  %s is closed, %d µs after the start", c.name, time.Since(s.began).Microseconds())
 		}
 	}
 }
@@ -201,7 +143,7 @@
 		}
 	}
 	slices.Sort(all)
-	s.add(
+	s.Add(
 		"  counted: %s; open %d, standing %d",
 		strings.Join(all, ", "),
 		s.server.PendingSetups(),
@@ -218,18 +160,17 @@
 // play plays scenarios one by one and compares what happened with the recorded file.
 func play(t *testing.T, file string, scenarios []scenario) {
 	t.Helper()
-	recording := &journal{}
+	recording := &frontendtest.Journal{}
 	for _, one := range scenarios {
-		recording.add("== %s", one.name)
+		recording.Add("== %s", one.name)
 		synctest.Test(t, func(t *testing.T) {
 			s, stop := newService(t, recording)
 			one.steps(s)
 			s.counted()
-			held := recording.text.String()
+			text := recording.Text()
 			stop()
-			recording.text.Reset() // what the end of the test does is no part of the scenario
-			recording.text.WriteString(held)
+			recording.Reset(text) // what the end of the test does is no part of the scenario
 		})
 	}
-	compareRecorded(t, file, recording.text.String())
+	frontendtest.CompareRecorded(t, file, recording.Text())
 }
--- a/internal/frontend/websocket/characterization_test.go
+++ b/internal/frontend/websocket/characterization_test.go
@@ -194,8 +194,8 @@
 			c := s.open("a")
 			for i, cause := range []int{16, 41, 0} {
 				s.say(c, setupOf(fmt.Sprintf("c%d", i)))
-				s.add("the pool ends the call with cause %d", cause)
-				s.pools.legs[i].end(dispatch.Ended, cause)
+				s.Add("the pool ends the call with cause %d", cause)
+				s.pools.Legs[i].End(dispatch.Ended, cause)
 				s.observe()
 			}
 		}},
@@ -203,15 +203,15 @@
 			c := s.open("a")
 			s.say(c, setup)
 			s.hangUp(c)
-			s.add("the pool ends the call")
-			s.pools.legs[0].end(dispatch.Reset, 41)
+			s.Add("the pool ends the call")
+			s.pools.Legs[0].End(dispatch.Reset, 41)
 			s.observe()
 			s.open("b")
 			s.open("a")
 			s.observe()
 		}},
 		{"cancelled before the answer", func(s *service) {
-			s.pools.outcome = dispatch.TimedOut
+			s.pools.Outcome = dispatch.TimedOut
 			c := s.open("a")
 			s.say(c, setup)
 			s.say(c, cancel)
@@ -219,21 +219,21 @@
 			s.say(c, cancel)
 		}},
 		{"released before the answer", func(s *service) {
-			s.pools.outcome = dispatch.TimedOut
+			s.pools.Outcome = dispatch.TimedOut
 			c := s.open("a")
 			s.say(c, setup)
 			s.say(c, release)
 			s.wait(2 * time.Second)
 		}},
 		{"the socket closes before the answer", func(s *service) {
-			s.pools.outcome = dispatch.TimedOut
+			s.pools.Outcome = dispatch.TimedOut
 			c := s.open("a")
 			s.say(c, setup)
 			s.hangUp(c)
 			s.wait(2 * time.Second)
 		}},
 		{"one id twice", func(s *service) {
-			s.pools.outcome = dispatch.TimedOut
+			s.pools.Outcome = dispatch.TimedOut
 			c, other, site := s.open("a"), s.open("a"), s.open("b")
 			s.say(c, setup)
 			s.say(c, setup)
@@ -253,7 +253,7 @@
 				"\xff\xc3",
 				strings.Repeat("s", 12_000),
 			} {
-				s.pools.sdp = sdp
+				s.pools.SDP = sdp
 				s.say(c, setupOf(fmt.Sprintf("c%d", i)))
 			}
 		}},
@@ -279,7 +279,7 @@
 	for _, ending := range endings {
 		for _, class := range classNames {
 			all = append(all, scenario{ending.name + ", class " + class, func(s *service) {
-				s.pools.outcome = ending.outcome
+				s.pools.Outcome = ending.outcome
 				s.say(s.open("a"), strings.Replace(setup, "read", class, 1))
 				s.wait(3 * time.Second)
 			}})
@@ -296,7 +296,7 @@
 func TestCharacterization_Bounds(t *testing.T) {
 	play(t, "bounds.txt", []scenario{
 		{"more set-ups than a socket and a site may have", func(s *service) {
-			s.pools.outcome, s.pools.muted = dispatch.TimedOut, true
+			s.pools.Outcome, s.pools.Muted = dispatch.TimedOut, true
 			for range 2 {
 				c := s.open("a")
 				for i := range 1024 {
@@ -314,7 +314,7 @@
 				s.sayQuietly(c, cancel)
 			}
 			c.take()
-			s.log.take()
+			s.log.Take()
 			s.say(c, cancel)
 			s.say(c, cancel)
 		}},
@@ -387,19 +387,19 @@
 		{"a client that does not read", func(s *service) {
 			c := s.open("a")
 			c.pause()
-			s.add("%s reads no more and writes 200 pings", c.name)
+			s.Add("%s reads no more and writes 200 pings", c.name)
 			for range 200 {
 				s.sayQuietly(c, status)
 			}
 			s.counted()
 			time.Sleep(3 * time.Second)
 			if _, err := c.Write(frame(lastFrame|text, status)); err != nil {
-				s.add("its connection is closed after 3 s")
+				s.Add("its connection is closed after 3 s")
 			}
 		}},
 		{"a planned stop with nothing open", func(s *service) {
 			s.open("a")
-			s.add("the server shuts down")
+			s.Add("the server shuts down")
 			go s.server.Shutdown(context.Background())
 			s.observe()
 			s.wait(499 * time.Millisecond)
@@ -409,7 +409,7 @@
 		}},
 		{"a planned stop, and the client closes too", func(s *service) {
 			c := s.open("a")
-			s.add("the server shuts down")
+			s.Add("the server shuts down")
 			ended := make(chan struct{})
 			go func() {
 				defer close(ended)
@@ -420,10 +420,10 @@
 			<-ended
 		}},
 		{"a planned stop with set-ups open", func(running *service) {
-			running.pools.outcome = dispatch.TimedOut
+			running.pools.Outcome = dispatch.TimedOut
 			c := running.open("a")
 			running.say(c, setup)
-			running.add("the server shuts down")
+			running.Add("the server shuts down")
 			ctx, giveUp := context.WithCancel(context.Background())
 			defer giveUp()
 			go running.server.Shutdown(ctx)
@@ -433,7 +433,7 @@
 			running.say(c, status)
 			late := running.connect()
 			running.upgrade(late, "/?site=a", upgradeHeader()...)
-			running.add("the server may not wait any longer")
+			running.Add("the server may not wait any longer")
 			giveUp()
 			time.Sleep(10 * time.Millisecond)
 			running.observe()
