Fronts, middleware: comments in ordinary technical English

Cause: comments still spoke of what comes, is owed and makes room.

Change: received, evicted, outstanding, disconnected; no code but comments and the order of test imports.

Checked: go build ./... and go vet ./... clean, scripts/lint of the packages 0 issues, go test -race of the packages ok.

--- a/internal/frontend/health/agent.go
+++ b/internal/frontend/health/agent.go
@@ -48,6 +48,6 @@
 	defer cancel()
 	line := check(ctx).AgentLine()
 	if agent.SetDeadline(time.Now().Add(checkTimeout)) == nil {
-		_, _ = agent.Write([]byte(line)) // an agent that is gone asks again
+		_, _ = agent.Write([]byte(line)) // an agent that has disconnected polls again
 	}
 }
--- a/internal/frontend/health/http.go
+++ b/internal/frontend/health/http.go
@@ -16,7 +16,7 @@
 	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		w.Header().Set("Cache-Control", "no-store")
-		_ = json.NewEncoder(w).Encode(counters()) // a client that is gone loses nothing but this answer
+		_ = json.NewEncoder(w).Encode(counters()) // a client that has disconnected loses this answer alone
 	})
 	return mux
 }
@@ -32,6 +32,6 @@
 		if !ok {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
-		_, _ = fmt.Fprintln(w, reason) // a client that is gone loses nothing but this answer
+		_, _ = fmt.Fprintln(w, reason) // a client that has disconnected loses this answer alone
 	}
 }
--- a/internal/frontend/jsonlines/conn.go
+++ b/internal/frontend/jsonlines/conn.go
@@ -24,12 +24,13 @@
 	causeRecoveryOnTimer = 102
 )
 
-// connState is how far a connection has come. Its end is the channel conn.closed, as both goroutines wait for that.
+// connState is the state of a connection that is open. Its end is the channel conn.closed, as both goroutines wait for
+// that, and as eviction treats a connection that is being closed by whether a message was received on it.
 type connState int32
 
 const (
-	connNew    connState = iota // no message has come yet
-	connActive                  // a whole message has come
+	connNew    connState = iota // no message was received yet
+	connActive                  // a complete message was received
 )
 
 // String implements fmt.Stringer.
@@ -53,8 +54,8 @@
 	raw         net.Conn
 	connectedAt time.Time
 	lifecycle   connLifecycle
-	lastActive  atomic.Int64 // clock reading in µs when the last message, or else the connection, had come
-	faults      int          // what was wrong with what came; of the reading goroutine alone
+	lastActive  atomic.Int64 // clock reading in µs at the last message, or else at the connection's start
+	faults      int          // invalid input so far; only the reading goroutine uses it
 
 	queue     chan queuedLine
 	unwritten atomic.Int64 // lines that were queued and are not written yet
@@ -82,8 +83,8 @@
 	})
 }
 
-// disconnect closes the connection and has the call table take it off at once. Without that, the set-ups of a caller
-// that is gone would go on for as long as a write to it is stuck, as the writer takes it off only after that.
+// disconnect closes the connection and removes it from the call table at once. Without that, the set-ups of a caller
+// that has disconnected would go on for as long as a write to it is stuck, as the writer removes it only after that.
 func (c *conn) disconnect() {
 	c.close()
 	c.server.cfg.Calls.Disconnect(c)
@@ -110,8 +111,8 @@
 	}
 }
 
-// closeFaulty closes the connection once what is queued is written. What still comes on it until then is discarded. It
-// belongs to the reading goroutine.
+// closeFaulty closes the connection once what is queued is written. Input until then is discarded. Only the reading
+// goroutine calls it.
 func (c *conn) closeFaulty() {
 	c.server.cfg.Counters.Add(telemetry.ClosedBad)
 	if c.send(queuedLine{kind: lineClose}) && c.raw.SetReadDeadline(time.Now().Add(writeTimeout)) == nil {
--- a/internal/frontend/jsonlines/eviction.go
+++ b/internal/frontend/jsonlines/eviction.go
@@ -7,13 +7,13 @@
 )
 
 const (
-	// minIdleMicros is how long an established connection must have been idle before it may make room for another.
+	// minIdleMicros is how long an established connection must have been idle before it may be evicted.
 	minIdleMicros = 1_000_000
-	// evictionFlushTimeout is how long what is queued for a connection that makes room may take to be written.
+	// evictionFlushTimeout is how long writing what is queued for an evicted connection may take.
 	evictionFlushTimeout = 50 * time.Millisecond
 )
 
-// evictionRank is how readily a connection makes room for another; the highest goes first.
+// evictionRank is how readily a connection is evicted for a new one; the highest goes first.
 type evictionRank int
 
 const (
@@ -21,7 +21,7 @@
 	evictableWithCalls                      // idle, but the ends of its calls would have to be sent on another connection
 	evictableIdle                           // idle, without calls
 	evictableUnproven                       // no call was answered on it
-	evictableBeforeLine                     // no message has come on it
+	evictableBeforeLine                     // no message was received on it
 )
 
 // String implements fmt.Stringer.
@@ -39,12 +39,13 @@
 	return "not evictable"
 }
 
-// evictOne makes room for a connection where one can be spared, in the order of evictionRank, the one idle for longest
-// first. Without it, clients that open connections by the hundred would shut the callers out. The caller holds mu.
+// evictOne closes one connection to free its place for a new one, if any may be evicted: the one with the highest
+// evictionRank, and of these the one that was idle for longest. Without it, clients that open connections by the
+// hundred would shut the callers out. The caller holds mu.
 //
 // The call table takes no set-up on the evicted connection from then on. Without that, a set-up that was read just then
-// would be sent although its caller is gone, and the caller, who repeats it as it crossed the close, would be rejected
-// as its id is in use.
+// would be sent for a caller that was disconnected; the caller repeats it, as it crossed the close, and the repeated
+// set-up would be rejected as its id is in use.
 func (s *Server) evictOne() {
 	for {
 		candidate := s.evictionCandidate()
@@ -52,7 +53,7 @@
 			return
 		}
 		if !s.cfg.Calls.Retire(candidate) {
-			continue // a set-up has come in on it
+			continue // a set-up was accepted on it meanwhile
 		}
 		s.cfg.Counters.Add(telemetry.Shed)
 		delete(s.conns, candidate)
@@ -61,7 +62,7 @@
 	}
 }
 
-// evictionCandidate is the connection to make room next, or nil. The caller holds mu.
+// evictionCandidate is the connection to evict next, or nil. The caller holds mu.
 func (s *Server) evictionCandidate() *conn {
 	var candidate *conn
 	var candidateRank evictionRank
--- a/internal/frontend/jsonlines/messages.go
+++ b/internal/frontend/jsonlines/messages.go
@@ -37,7 +37,7 @@
 	case linecodec.TypePing:
 		c.handlePing(message)
 	case linecodec.TypeProgress, linecodec.TypeReleased, linecodec.TypePong, linecodec.TypeState:
-		// Allowed, and owed no answer.
+		// Valid, and not answered.
 	default:
 		c.recordBadLine(fmt.Errorf("front: message type %.40q is not known", message.Type))
 	}
--- a/internal/frontend/jsonlines/reader.go
+++ b/internal/frontend/jsonlines/reader.go
@@ -16,16 +16,16 @@
 const (
 	readBuffer = 2048 // bytes
 	// firstLineTimeout is how long after connecting the first line must be complete: a client that has sent nothing by
-	// then is no caller. A client is owed an end within 3 s.
+	// then is no caller. Such a client has to be closed within 3 s.
 	firstLineTimeout = 2500 * time.Millisecond
 	// lineTimeout is the same for a later line, from its first byte on.
 	lineTimeout = 2 * time.Second
 	// idleTimeout is how long a connection without an open set-up or an established call may be idle. Callers close
 	// theirs after 4 s.
 	idleTimeout = 8 * time.Second
-	// readGrace is how long a reader looks for what has come once such a time is over.
+	// readGrace is how long a reader looks for received data once a deadline is over.
 	readGrace = 5 * time.Millisecond
-	// maxFaults is how much may be wrong with what comes on a connection before it is closed.
+	// maxFaults is how many invalid lines a connection may send before it is closed.
 	maxFaults = 16
 )
 
@@ -71,7 +71,7 @@
 }
 
 // rejectMalformed answers a malformed line, and reports whether it could: it could not where the line is no set-up or
-// names no call. An id that can be read is owed an answer, unless the answer would be taken for that of another set-up.
+// names no call. A set-up with a valid id gets an answer, unless the answer would be taken for that of another set-up.
 func (c *conn) rejectMalformed(message *linecodec.Message, err error) bool {
 	c.recordBadLine(err)
 	if message.Type != linecodec.TypeSetup || !dispatch.IsToken(message.ID) {
@@ -90,8 +90,9 @@
 	c.server.cfg.Log.Warn().Err(err).Str("from", c.raw.RemoteAddr().String()).Msg("bad line")
 }
 
-// isIdle reports whether nothing is owed on the connection. A connection with an established call is not idle: callers
-// keep open only the connections that have calls on them, and without one nobody could be notified of the call's end.
+// isIdle reports whether no answer, call end or line is outstanding on the connection. A connection with an established
+// call is not idle: callers keep open only the connections that have calls on them, and without one nobody could be
+// notified of the call's end.
 func (c *conn) isIdle() bool {
 	open, calls, _ := c.server.cfg.Calls.ConnState(c)
 	return open+calls == 0 && c.unwritten.Load() == 0
@@ -164,9 +165,9 @@
 	return text, err
 }
 
-// graceReader reads a connection until a deadline, and looks for what has come for readGrace longer, once for each
+// graceReader reads a connection until a deadline, and looks for received data for readGrace longer, once for each
 // deadline. Without that, a connection would be closed with a set-up unread in it after the process was stalled or its
-// reader was not scheduled: the deadline is looked at before what has come.
+// reader was not scheduled: the deadline is looked at before the received data.
 type graceReader struct {
 	raw       net.Conn
 	graceUsed bool // since the deadline was set
--- a/internal/frontend/jsonlines/server.go
+++ b/internal/frontend/jsonlines/server.go
@@ -1,7 +1,7 @@
 // Package jsonlines is the front for the platform's callers: JSON lines over TCP. It turns lines into set-ups and
 // releases for the call table, and final answers and ends of calls into lines.
 //
-// A Server accepts connections up to a bound, makes room for new ones by closing idle ones, and drains them before a
+// A Server accepts connections up to a bound, evicts idle ones for new ones, and drains them before a
 // planned stop. Each connection has a goroutine that reads and one that writes. Which pool gets a call, and whether it
 // is retried or rejected, is decided in package dispatch.
 package jsonlines
@@ -37,7 +37,7 @@
 	Tenants []string
 	// MaxConnections bounds the callers' connections.
 	MaxConnections int
-	// Ready tells whether a ping is answered with ready.
+	// Ready reports whether a ping is answered with ready.
 	Ready func() bool
 	// ReleaseUnmatched takes a caller's release of a call that is not known here.
 	ReleaseUnmatched func(id string, cause int)
@@ -45,7 +45,7 @@
 	Counters         *telemetry.Counters
 }
 
-// serverState is how far the life of a Server has come. It only moves forward.
+// serverState is the state of a Server. It only moves forward.
 type serverState int32
 
 const (
@@ -122,7 +122,7 @@
 	}
 }
 
-// register takes a connection in, making room for it where it can, and reports whether it did.
+// register adds a connection, evicting another one where it has to and can, and reports whether it did.
 func (s *Server) register(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -138,7 +138,7 @@
 	return true
 }
 
-// unregister takes a connection off; one that was evicted is off already.
+// unregister removes a connection; one that was evicted is removed already.
 func (s *Server) unregister(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -151,18 +151,18 @@
 	return slices.Collect(maps.Keys(s.conns))
 }
 
-// CatchUp gives Serve and the readers 5 ms to take what has come by now. Call it before the listener is closed and the
-// connections are drained. Without it, connections and set-ups that came while the process was stalled would be lost
-// with the close: the process sees the signal to stop before it reads them, and a caller only repeats a set-up that
-// crosses the close within 50 ms.
+// CatchUp gives Serve and the readers 5 ms to accept and read what was received by now. Call it before the listener is
+// closed and the connections are drained. Without it, connections and set-ups that arrived while the process was
+// stalled would be lost with the close: the process sees the signal to stop before it reads them, and a caller only
+// repeats a set-up that crosses the close within 50 ms.
 func (s *Server) CatchUp() { time.Sleep(readGrace) }
 
 // Drain closes each connection once every set-up on it has its final answer, and returns when none is left or ctx is
 // done. Close Serve's listener first.
 //
 // Each connection ends by itself, without waiting for the others: callers go on sending on every connection that is
-// open, so that one slow set-up anywhere would else keep all of them open, and what came on them until the process
-// ended would be taken and never answered.
+// open, so that one slow set-up anywhere would else keep all of them open, and what arrived on them until the
+// process ended would be accepted and never answered.
 func (s *Server) Drain(ctx context.Context) {
 	s.lifecycle.drain()
 	for _, c := range s.connections() {
--- a/internal/frontend/jsonlines/writer.go
+++ b/internal/frontend/jsonlines/writer.go
@@ -105,7 +105,7 @@
 	return true
 }
 
-// teardown takes the connection off. Ends of calls that it did not write go to another connection, and calls whose
+// teardown removes the connection. Ends of calls that it did not write go to another connection, and calls whose
 // answers it did not write are released.
 func (c *conn) teardown() {
 	c.disconnect()
--- a/internal/frontend/websocket/characterization_harness_test.go
+++ b/internal/frontend/websocket/characterization_harness_test.go
@@ -12,13 +12,12 @@
 	"testing/synctest"
 	"time"
 
-	"eidertrail/internal/frontend/frontendtest"
-
 	"github.com/rs/zerolog"
 
 	"eidertrail"
 	"eidertrail/dispatch"
 	"eidertrail/internal/clock"
+	"eidertrail/internal/frontend/frontendtest"
 	"eidertrail/internal/frontend/websocket"
 	"eidertrail/internal/telemetry"
 	"eidertrail/internal/testing/fakeplatform"
--- a/internal/frontend/websocket/reader.go
+++ b/internal/frontend/websocket/reader.go
@@ -58,7 +58,7 @@
 	return request.id, err
 }
 
-// handle handles one message. An error says that it was not accepted: the client is sent it, and it is no final answer.
+// handle handles one message. An error means that it was not accepted: the client gets it, and it is no final answer.
 func (c *socket) handle(request clientMessage, receivedAt int64) error {
 	switch request.kind {
 	case kindSetup:
--- a/internal/frontend/websocket/server.go
+++ b/internal/frontend/websocket/server.go
@@ -32,7 +32,7 @@
 type Config struct {
 	Dispatcher *dispatch.Dispatcher
 	Inviter    dispatch.Inviter
-	// Ready tells whether a ping is answered with ready.
+	// Ready reports whether a ping is answered with ready.
 	Ready func() bool
 	// Origins are the origins of browsers that may connect, as patterns; none: only the server's own.
 	Origins []string
--- a/internal/frontend/websocket/server_message.go
+++ b/internal/frontend/websocket/server_message.go
@@ -79,7 +79,7 @@
 	return append(b, '}')
 }
 
-// retryAfterMillis rounds µs up to whole milliseconds, one at least: 0 would ask for a retry at once.
+// retryAfterMillis rounds µs up to whole milliseconds, one at least: with 0 the client would retry at once.
 func retryAfterMillis(micros int64) int64 {
 	return max(1, (micros+microsPerMilli-1)/microsPerMilli)
 }
--- a/internal/frontend/websocket/sites.go
+++ b/internal/frontend/websocket/sites.go
@@ -23,8 +23,8 @@
 	return hex.EncodeToString(id[:])
 }
 
-// register takes a socket of a site in, making room for it where it can, and reports whether it did. The caller owes
-// serving.Done and unregister.
+// register adds a socket of a site, evicting another one where it has to and can, and reports whether it did. The
+// caller owes serving.Done and unregister.
 func (s *Server) register(site string) (*socket, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -82,7 +82,7 @@
 	}
 }
 
-// unregister takes a socket off, and its site with it when no socket or call of the site is left.
+// unregister removes a socket, and its site with it when no socket or call of the site is left.
 func (s *Server) unregister(c *socket) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/frontend/websocket/socket.go
+++ b/internal/frontend/websocket/socket.go
@@ -11,15 +11,16 @@
 	"eidertrail/internal/telemetry"
 )
 
-// maxMessage is the most bytes of a message, however many frames it comes in.
+// maxMessage is the most bytes of a message, however many frames it has.
 const maxMessage = 16 << 10
 
-// socketState is how far a socket has come. Its end is the channel socket.ending, as both goroutines wait for that.
+// socketState is the state of a socket that is open. Its end is the channel socket.ending, as both goroutines wait for
+// that.
 type socketState int32
 
 const (
 	socketNew    socketState = iota // no message was accepted yet
-	socketActive                    // a message was accepted: it makes no room for others
+	socketActive                    // a message was accepted: it is never evicted
 )
 
 // String implements fmt.Stringer.
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -28,6 +28,7 @@
 
 // Config is what Admission is made with.
 type Config struct {
+	// Dispatcher places the requests. Its Run has to be running.
 	Dispatcher *dispatch.Dispatcher
 	// Classify reads a request. An error is answered with 400 and its text.
 	Classify func(r *http.Request) (Call, error)
@@ -36,7 +37,8 @@
 }
 
 // Admission returns the middleware. The context of a handler that is called has the request's Placement, and ends at
-// the attempt's timeout. A request whose client is gone before it is placed gets no answer.
+// the attempt's timeout. A request whose client disconnects before it is placed gets no
+// answer.
 func Admission(c Config) func(http.Handler) http.Handler {
 	return func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { c.serve(w, r, next) })
@@ -52,7 +54,7 @@
 	request := c.newRequest(call)
 	decision, err := c.Dispatcher.Pick(r.Context(), request)
 	if err != nil && r.Context().Err() != nil {
-		return // the client is gone
+		return // the client has disconnected
 	}
 	if err != nil || decision.Kind != dispatch.DecisionSend {
 		c.reject(w, decision)
--- a/middleware/placement.go
+++ b/middleware/placement.go
@@ -21,7 +21,7 @@
 	load     dispatch.LoadReport
 }
 
-// Report says what became of the attempt, where the status that the handler writes would not tell it, and what the pool
+// Report says what became of the attempt, where the status that the handler writes does not show it, and what the pool
 // reported of its load (dispatch.UnknownLoad for nothing). The last call before the handler returns counts.
 func (p *Placement) Report(outcome dispatch.Outcome, load dispatch.LoadReport) {
 	p.mu.Lock()
