websocket: a socket is active before its pong is queued

Cause: the pong was queued before the socket counted as active, so a client that had read it could still be evicted as silent for an instant; TestEviction_ClosesSilentSocketsAndFaultyOnes failed once of three under load, and surely with 5 ms in between. Change: a ping activates its socket before the answer. Measured: TestPing_SocketIsActiveBeforeItsPong failed without it; go test -race -count=3 of the package passed.

--- a/internal/frontend/websocket/reader.go
+++ b/internal/frontend/websocket/reader.go
@@ -68,6 +68,7 @@
 		_, err := c.calls.Release(request.id, request.cause)
 		return err
 	case kindPing:
+		c.lifecycle.activate() // first: a client that has read its pong must not be evicted
 		c.send(queuedMessage{bytes: pongMessage(request.id, c.server.cfg.Ready())})
 	}
 	return nil
--- a/internal/frontend/websocket/server_test.go
+++ b/internal/frontend/websocket/server_test.go
@@ -74,6 +74,26 @@
 	}
 }
 
+// A client that has read its pong must not be evicted: its socket is active before the pong is queued.
+func TestPing_SocketIsActiveBeforeItsPong(t *testing.T) {
+	r := newRig(t, nil)
+	var states []socketState
+	r.server.cfg.Ready = func() bool { // asked for what the pong says
+		r.server.mu.Lock()
+		defer r.server.mu.Unlock()
+		for c := range r.server.sockets {
+			states = append(states, c.lifecycle.state())
+		}
+		return true
+	}
+	socket := r.dial("a")
+	socket.say(ping)
+	socket.next()
+	if len(states) != 1 || states[0] != socketActive {
+		t.Errorf("sockets as the pong was made: %v, want one active", states)
+	}
+}
+
 // A client that opens sockets and sends nothing does not shut sites out, and one that sends invalid messages again and
 // again is closed. A socket that has sent a message never makes room.
 func TestEviction_ClosesSilentSocketsAndFaultyOnes(t *testing.T) {
