dispatch: call table, attempt states and filters in place of desk, limit and route

The way of one set-up came back to desk.go four times between its line and its end, the life of an attempt was one loop with five exits, and three concerns that narrow the module's choice were mixed in route.go and limit.go.

- The call table is apart: admission, call registry, connection states and their registry, delivery of call ends, the life of one call (tableCall), drain.
A set-up goes through Setup, tableCall.run, Serve, deliverFinal, awaitEnd and endDelivery, each once.
The exclusive booleans of a call are typed states.
- Serve is a state machine: deciding, inviting, ended, answered, final, one step a method.
- What narrows the module's choice is an endpointFilter: liveness, quota, routing.
The engine asks the chain of them, nobody else does.
- The engine's guard, rejection rate, wake-ups and outcomes have files of their own; Pick is apart from the loop.

Texts of errors, log messages, exported names and signatures are as they were.

--- /dev/null
+++ b/dispatch/admission.go
@@ -0,0 +1,35 @@
+package dispatch
+
+import "eidertrail/internal/telemetry"
+
+// admission decides which set-ups a call table takes. The table's mutex guards it.
+type admission struct {
+	maxCalls    int // open or established at a time
+	calls       *callRegistry
+	connections *connectionRegistry
+	counters    *telemetry.Counters
+}
+
+// admit decides on a valid set-up of a connection, nil for one that is not connected. Without an error, a set-up that
+// is not admitted is owed nothing.
+func (a *admission) admit(conn *connection, id string) (admitted bool, err error) {
+	switch {
+	case a.calls.find(id) != nil:
+		// The final answer to the call that has this id is still to come: another would be a second one.
+		a.counters.Add(telemetry.Duplicates)
+		return false, ErrDuplicate
+	case a.calls.count() >= a.maxCalls:
+		return false, ErrTooMany
+	case conn == nil:
+		return false, nil // the caller has left meanwhile, or sends again what crossed the closing of its connection
+	case a.calls.cancelledEarly(id):
+		// Its cancel was read first, on another connection: without this check it is set up for nobody.
+		a.calls.markEnded(id)
+		a.counters.Add(telemetry.CancelledCalls)
+		return false, nil
+	}
+	if err := a.connections.checkCapacity(conn); err != nil {
+		return false, err
+	}
+	return true, nil
+}
--- /dev/null
+++ b/dispatch/call_table.go
@@ -0,0 +1,202 @@
+package dispatch
+
+import (
+	"cmp"
+	"context"
+	"sync"
+	"time"
+
+	"eidertrail/internal/telemetry"
+)
+
+// CallTable keeps the calls of one front from set-up to end: which connection is owed the final answer, which calls are
+// established, and on which connection the end of one can be delivered. It is the same for every front.
+//
+// A call passes through it once: Setup admits it, tableCall.run has it served, delivers its one final answer and waits
+// for its end, and endDelivery delivers that.
+type CallTable struct {
+	dispatcher    *Dispatcher
+	inviter       Inviter
+	counters      *telemetry.Counters
+	classes       map[string]int // index by name
+	callID        func(id string) string
+	notifyAllEnds bool
+	running       sync.WaitGroup // the calls' goroutines
+
+	mu          sync.Mutex // guards the following, and the calls' states
+	admission   admission
+	calls       *callRegistry
+	connections *connectionRegistry
+	ends        *endDelivery
+	aborted     bool // AbortPending was called
+
+	closed context.Context //nolint:containedctx // it ends with the table, not with a request
+	close  context.CancelFunc
+}
+
+// CallTableConfig is what a CallTable is made with.
+type CallTableConfig struct {
+	Dispatcher *Dispatcher
+	Inviter    Inviter
+	// MaxCalls bounds the calls open or established at a time.
+	MaxCalls int
+	// CallID gives the name under which the endpoints get a call; nil leaves the caller's.
+	CallID func(id string) string
+	// NotifyAllEnds has CallerConn.CallEnded called for each call that was established, also for those that the caller
+	// released.
+	NotifyAllEnds bool
+	// UniqueIDs: an id names one call for good, also once that has ended.
+	UniqueIDs bool
+	Counters  *Counters
+}
+
+// NewCallTable returns an empty call table.
+func NewCallTable(c CallTableConfig) *CallTable {
+	calls, connections := newCallRegistry(c.UniqueIDs), newConnectionRegistry()
+	t := &CallTable{
+		dispatcher:    c.Dispatcher,
+		inviter:       c.Inviter,
+		counters:      c.Counters,
+		classes:       map[string]int{},
+		callID:        c.CallID,
+		notifyAllEnds: c.NotifyAllEnds,
+		admission: admission{
+			maxCalls:    c.MaxCalls,
+			calls:       calls,
+			connections: connections,
+			counters:    c.Counters,
+		},
+		calls:       calls,
+		connections: connections,
+	}
+	t.ends = &endDelivery{mu: &t.mu, clock: c.Dispatcher, connections: connections, counters: c.Counters}
+	t.closed, t.close = context.WithCancel(context.Background())
+	if t.callID == nil {
+		t.callID = func(id string) string { return id }
+	}
+	for i, class := range t.dispatcher.engine.settings.Classes {
+		t.classes[class.Name] = i
+	}
+	return t
+}
+
+// latencyObjective is within what time a call of the class is to be answered.
+func (t *CallTable) latencyObjective(class int) time.Duration {
+	return t.dispatcher.engine.settings.Classes[class].LatencyObjective
+}
+
+// Setup takes a call of a connection: from now on it is owed one final answer, unless an error says what is
+// wrong with it.
+func (t *CallTable) Setup(c CallerConn, s SetupRequest) error {
+	if !IsToken(s.ID) {
+		return ErrID
+	}
+	// This comes before all other checks: the one answer to the call that has this id is still to come.
+	if t.isTaken(s.ID) {
+		t.counters.Add(telemetry.Duplicates)
+		return ErrDuplicate
+	}
+	t.counters.Add(telemetry.SetupsTaken)
+	class, err := s.validate(t.classes)
+	if err != nil {
+		return err
+	}
+	number := cmp.Or(s.Number, noNumber)
+	request := Request{
+		Call:     t.dispatcher.NewCall(),
+		Class:    class,
+		Pool:     s.Pool,
+		Key:      NumberKey(number),
+		Deadline: s.deadline(),
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	conn := t.connections.find(c)
+	if admitted, err := t.admission.admit(conn, s.ID); !admitted {
+		return err
+	}
+	t.start(conn, s.ID, request, Setup{ID: t.callID(s.ID), Number: number, Class: s.Class, SDP: s.SDP})
+	return nil
+}
+
+func (t *CallTable) isTaken(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.calls.isTaken(id)
+}
+
+// start runs a call that was admitted. The caller holds mu.
+func (t *CallTable) start(conn *connection, id string, request Request, setup Setup) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	call := &tableCall{table: t, conn: conn, id: id, cancel: cancel, released: make(chan int, 1)}
+	conn.hasCalled = true
+	t.ends.deliverOverdue()
+	t.connections.open(conn)
+	t.calls.add(call)
+	if t.aborted {
+		cancel(errAborted)
+	}
+	t.running.Add(1)
+	go call.run(ctx, request, setup)
+}
+
+// Release takes a caller's release, on whatever connection it came: a cancel before the answer (then
+// established is false and no answer follows), the end of the call after it.
+func (t *CallTable) Release(id string, cause int) (established bool, err error) {
+	t.counters.Add(telemetry.ReleasesIn)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	call := t.calls.find(id)
+	switch {
+	case call == nil && t.calls.endedRecently(id):
+		return false, ErrCallEnded
+	case call == nil:
+		t.calls.cancelEarly(id)
+		return false, ErrUnknown
+	case call.state != tableCallEstablished:
+		call.abandon()
+		return false, nil
+	default:
+		call.release(cause)
+		return true, nil
+	}
+}
+
+// AnswerLost takes back the answer of a call that a connection could not write completely: the call is released at its
+// endpoint. Otherwise an agent is held for nobody, as the caller never learnt that the call is established.
+func (t *CallTable) AnswerLost(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	call := t.calls.find(id)
+	if call == nil || call.state != tableCallEstablished {
+		return
+	}
+	t.counters.Add(telemetry.AnswersUnwritten)
+	call.release(CauseNormal)
+}
+
+// CallEnded notifies callers of the end of a call that was set up before a restart, on any connection; without one
+// it waits for the next. Of a call that is known here it passes nothing on: that may be established at another endpoint
+// than the one that reports the end, after an attempt whose answer was lost.
+func (t *CallTable) CallEnded(id string, cause int) {
+	if !t.isKnown(id) {
+		t.deliverEnd(nil, id, cause)
+	}
+}
+
+func (t *CallTable) isKnown(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.calls.isKnown(id)
+}
+
+// RedeliverEnd takes back the end of a call that a connection could not write: it is delivered on another.
+func (t *CallTable) RedeliverEnd(id string, cause int) { t.deliverEnd(nil, id, cause) }
+
+// deliverEnd delivers the end of a call, on the preferred connection if it can. A nil preferred has none.
+func (t *CallTable) deliverEnd(preferred *connection, id string, cause int) {
+	end := callEnd{id: id, cause: cause, endedAt: t.dispatcher.Now()}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ends.deliver(preferred, end)
+}
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -3,336 +3,355 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"eidertrail"
+	"eidertrail/internal/routing"
 	"eidertrail/internal/telemetry"
 )
 
-// Engine hosts one Controller and what narrows its choice, with the rules' last guard: the table of calls, the
-// list of pools, what is due. It has no goroutine, no I/O and no clock: whoever owns it hands in the time and what
-// has happened, and lets it take a turn; decisions come by the function that was handed in with their call. The
+// Engine hosts one Controller and the filters that narrow its choice, with a last check of the rules before each
+// attempt: the calls, the endpoint list, what is due. It has no goroutine, no I/O and no clock: its owner passes in the
+// time and what has happened, and steps it; decisions come by the Decider that was passed in with their call. The
 // Dispatcher runs one in its loop, the simulator one for each controller. Times are µs of one monotonic clock.
 type Engine struct {
-	set     eidertrail.Settings
-	most    int64 // longest time to come back after
-	count   *telemetry.Counters
-	log     zerolog.Logger // at debug level a trace of all that the module is told and says
-	share   atomic.Uint64  // math.Float64bits of the share of calls turned away of late
-	shareAt atomic.Int64
+	settings      eidertrail.Settings
+	maxRetryAfter int64 // µs
+	counters      *telemetry.Counters
+	log           zerolog.Logger // at debug level a trace of the module's events and actions
+	rejections    rejectionRate
 
-	control *eidertrail.Controller
-	events  []eidertrail.Event
-	actions []eidertrail.Action
-	calls   map[uint64]*call
-	waiting map[uint64]*call // of them, those without a decision
-	servers map[string]Endpoint
-	wakes   []wake // soonest first
-	route   *router
+	controller *eidertrail.Controller
+	events     []eidertrail.Event
+	actions    []eidertrail.Action
+	calls      map[uint64]*call
+	waiting    map[uint64]*call // of them, those without a decision
+	endpoints  map[string]Endpoint
+	wakeUps    wakeUpQueue
+	filters    *filterChain
 }
 
-// NewEngine returns an engine. most is the longest time that anybody is told to stay away.
-func NewEngine(set eidertrail.Settings, seed uint64, most int64, log zerolog.Logger, count *Counters) (*Engine, error) {
-	control, err := eidertrail.New(set, seed)
+// minRetryAfterMicros is the shortest time after which a caller is asked to come back.
+const minRetryAfterMicros = 100_000
+
+// NewEngine returns an engine. maxRetryAfter bounds the time, in µs, that any caller is asked to stay away.
+func NewEngine(
+	settings eidertrail.Settings,
+	seed uint64,
+	maxRetryAfter int64,
+	log zerolog.Logger,
+	counters *Counters,
+) (*Engine, error) {
+	controller, err := eidertrail.New(settings, seed)
 	if err != nil {
 		return nil, fmt.Errorf("dispatch: %w", err)
 	}
 	return &Engine{
-		set: set, most: most, count: count, log: log, control: control, calls: map[uint64]*call{},
-		waiting: map[uint64]*call{}, servers: map[string]Endpoint{}, route: newRouter(set, log, count),
+		settings:      settings,
+		maxRetryAfter: maxRetryAfter,
+		counters:      counters,
+		log:           log,
+		controller:    controller,
+		calls:         map[uint64]*call{},
+		waiting:       map[uint64]*call{},
+		endpoints:     map[string]Endpoint{},
+		filters:       newFilterChain(settings, log, counters),
 	}, nil
 }
 
-type wake struct {
-	at    int64
-	token uint64
-}
-
-// call is a line of the call table.
-type call struct {
-	Request
-	Decider
-	attempt   int  // of the last send, -1 before
-	out       bool // an attempt is out or decided upon
-	stands    bool
-	notBefore int64 // the release after the last attempt is awaited until then
-	waitsFrom int64 // it waits for a decision since then
-	noRoom    bool
-	mayHave   bool   // an attempt may have been carried out
-	pool      string // where the last attempt went
-	routed    bool   // routing counts it at pool: an attempt out or a call standing
-}
+// Decider takes the decisions for a call, each during a Step; it must not block.
+type Decider interface{ Decide(Decision) }
 
-// NextDue is when a Turn is wanted though nothing has come, 0: never.
-func (d *Engine) NextDue(now int64) int64 {
-	due := d.route.next(now)
-	if len(d.wakes) > 0 && (due == 0 || d.wakes[0].at < due) {
-		due = d.wakes[0].at
-	}
-	return due
+// NextDue is when a Step is wanted though nothing has come, 0: never.
+func (e *Engine) NextDue(now int64) int64 {
+	return earliest(e.filters.nextChange(now), e.wakeUps.next())
 }
 
-// Decider takes the decisions for a call, each in a Turn; it must not block.
-type Decider interface{ Decide(Decision) }
-
-// Submit takes a call that wants a place, or one whose attempt was reported and that wants another. It returns who
-// gets the decisions: by, or who did when the call was entered first.
-func (d *Engine) Submit(now int64, r Request, by Decider) Decider {
-	if k := d.calls[r.Call]; k != nil {
-		return k.Decider
+// Submit takes a call that wants an endpoint, or one whose attempt was reported and that wants another. It returns who
+// gets the decisions: decider, or the one that was passed in when the call was entered first.
+func (e *Engine) Submit(now int64, r Request, decider Decider) Decider {
+	if c := e.calls[r.Call]; c != nil {
+		return c.Decider
 	}
-	k := &call{Request: r, Decider: by, attempt: -1}
-	d.calls[r.Call] = k
-	d.await(now, k)
-	d.events = append(d.events, eidertrail.Call{
-		ID: eidertrail.CallID(r.Call), Class: r.Class, Pool: r.Pool, Key: r.Key, Timeout: span(r.Deadline - now),
+	c := &call{Request: r, Decider: decider, attempt: noAttempt}
+	e.calls[r.Call] = c
+	e.wait(now, c)
+	e.events = append(e.events, eidertrail.Call{
+		ID:      eidertrail.CallID(r.Call),
+		Class:   r.Class,
+		Pool:    r.Pool,
+		Key:     r.Key,
+		Timeout: duration(r.Deadline - now),
 	})
-	return by
+	return decider
 }
 
 // Forget drops a call whose final decision was taken.
-func (d *Engine) Forget(id uint64) { delete(d.calls, id) }
+func (e *Engine) Forget(id uint64) { delete(e.calls, id) }
 
-// await notes that a call waits for a decision from now on.
-func (d *Engine) await(now int64, k *call) {
-	k.waitsFrom = now
-	d.waiting[k.Call] = k
+// wait notes that a call waits for a decision from now on.
+func (e *Engine) wait(now int64, c *call) {
+	c.waitsSince = now
+	e.waiting[c.Call] = c
 }
 
-// Withdraw ends a call whose caller is gone while it waits for a decision. One that was made meanwhile,
-// and that nobody will carry out, is undone.
-func (d *Engine) Withdraw(now int64, id uint64) {
-	k := d.calls[id]
-	if k == nil {
+// Withdraw ends a call whose caller has left while it waits for a decision. A decision that was made meanwhile, and
+// that nobody will carry out, is undone.
+func (e *Engine) Withdraw(now int64, id uint64) {
+	c := e.calls[id]
+	if c == nil {
 		return
 	}
-	d.events = append(d.events, eidertrail.CallerGone{Call: eidertrail.CallID(id)})
-	if k.out {
-		d.events = append(d.events, eidertrail.Outcome{
-			Call: eidertrail.CallID(id), Attempt: k.attempt, Status: eidertrail.NotSent, Closed: true,
+	e.events = append(e.events, eidertrail.CallerGone{Call: eidertrail.CallID(id)})
+	if c.state != callWaiting {
+		e.events = append(e.events, eidertrail.Outcome{
+			Call: eidertrail.CallID(id), Attempt: c.attempt, Status: eidertrail.NotSent, Closed: true,
 		})
 	}
-	d.route.ended(now, k, NotSent)
-	delete(d.calls, id)
-	delete(d.waiting, id)
+	e.filters.recordEnded(now, c, NotSent)
+	delete(e.calls, id)
+	delete(e.waiting, id)
 }
 
-// Report takes what became of an attempt, or that a standing call has ended.
-func (d *Engine) Report(now int64, r Result) {
-	id := eidertrail.CallID(r.Call)
-	k := d.calls[r.Call]
-	if k == nil || !k.out || k.attempt != r.Attempt {
+// Report takes what became of an attempt, or that an established call has ended.
+func (e *Engine) Report(now int64, r Result) {
+	c := e.calls[r.Call]
+	if c == nil || c.state == callWaiting || c.attempt != r.Attempt {
 		return
 	}
 	if r.Outcome == Answered {
-		if !k.stands {
-			if r.Load != UnknownLoad {
-				d.route.report(r.Pool, r.Load.Free, r.Load.Agents)
-			}
-			d.route.answered(now, k)
-			k.stands = true
-			d.pressed(now, false)
-			d.events = append(d.events, eidertrail.Answered{Call: id, Attempt: r.Attempt, Took: span(r.Took)})
-		}
+		e.reportAnswered(now, c, r)
 		return
 	}
-	closed := r.CallerGone || k.stands
-	d.route.ended(now, k, r.Outcome)
-	if r.CallerGone && !k.stands {
-		d.events = append(d.events, eidertrail.CallerGone{Call: id})
-	}
-	o := eidertrail.Outcome{Call: id, Attempt: r.Attempt, Took: span(r.Took), Closed: closed}
-	switch r.Outcome {
-	case Ended:
-		o.Status = eidertrail.Ended
-	case Errored:
-		o.Status = eidertrail.Error
-	case LinesBusy:
-		o.Status, o.Cause = eidertrail.Error, eidertrail.LinesBusy
-	case NoAgent:
-		o.Status, o.Cause = eidertrail.Full, eidertrail.NoAgent
-	case ProcessorFull:
-		o.Status, o.Cause = eidertrail.Full, eidertrail.ProcessorFull
-	case TimedOut:
-		o.Status = eidertrail.TimedOut
-	case ConnectFailed:
-		o.Status = eidertrail.ConnectFailed
-	case Reset:
-		o.Status = eidertrail.Reset
-	case Cancelled:
-		o.Status = eidertrail.Cancelled
-	default:
-		o.Status = eidertrail.NotSent
+	e.reportEnded(now, c, r)
+}
+
+// reportAnswered establishes the call; a second answer changes nothing.
+func (e *Engine) reportAnswered(now int64, c *call, r Result) {
+	if c.state == callEstablished {
+		return
 	}
 	if r.Load != UnknownLoad {
-		o.Report = &eidertrail.Report{Server: eidertrail.ServerID(r.Pool), Free: r.Load.Free, Agents: r.Load.Agents}
-		d.route.report(r.Pool, r.Load.Free, r.Load.Agents)
+		e.filters.observeLoad(r.Pool, r.Load)
 	}
-	k.out, k.stands, k.noRoom = false, false, r.Outcome == NoAgent
-	k.mayHave = k.mayHave || !r.Outcome.neverRan()
-	switch r.Outcome {
-	case TimedOut, Reset, Cancelled:
-		k.notBefore = now + d.set.ReleaseWait.Microseconds()
+	e.filters.recordAnswered(now, c)
+	c.state = callEstablished
+	e.rejections.record(now, false)
+	e.events = append(e.events, eidertrail.Answered{
+		Call: eidertrail.CallID(r.Call), Attempt: r.Attempt, Took: duration(r.Took),
+	})
+}
+
+// reportEnded ends an attempt that was not answered, or an established call.
+func (e *Engine) reportEnded(now int64, c *call, r Result) {
+	id := eidertrail.CallID(r.Call)
+	wasEstablished := c.state == callEstablished
+	closed := r.CallerGone || wasEstablished
+	e.filters.recordEnded(now, c, r.Outcome)
+	if r.CallerGone && !wasEstablished {
+		e.events = append(e.events, eidertrail.CallerGone{Call: id})
+	}
+	event := eidertrail.Outcome{Call: id, Attempt: r.Attempt, Took: duration(r.Took), Closed: closed}
+	r.Outcome.describe(&event)
+	if r.Load != UnknownLoad {
+		event.Report = &eidertrail.Report{
+			Server: eidertrail.ServerID(r.Pool),
+			Free:   r.Load.Free,
+			Agents: r.Load.Agents,
+		}
+		e.filters.observeLoad(r.Pool, r.Load)
 	}
-	d.events = append(d.events, o)
+	c.attemptEnded(r.Outcome, now+e.settings.ReleaseWait.Microseconds())
+	e.events = append(e.events, event)
 	if closed {
-		delete(d.calls, r.Call)
+		delete(e.calls, r.Call)
 	} else {
-		d.await(now, k)
+		e.wait(now, c)
 	}
 }
 
-// Observe takes a pool's state that came unasked.
-func (d *Engine) Observe(now int64, uid string, s LoadReport) {
-	d.route.beats.RecordReport(now, uid)
-	d.route.report(uid, s.Free, s.Agents)
-	d.events = append(d.events, eidertrail.Report{Server: eidertrail.ServerID(uid), Free: s.Free, Agents: s.Agents})
+// Observe takes a load report that an endpoint sent unasked.
+func (e *Engine) Observe(now int64, uid string, load LoadReport) {
+	e.filters.recordHeartbeat(now, uid)
+	e.filters.observeLoad(uid, load)
+	e.events = append(e.events, eidertrail.Report{
+		Server: eidertrail.ServerID(uid), Free: load.Free, Agents: load.Agents,
+	})
+}
+
+// ObserveCapacity takes the set-ups a second that an endpoint says it can take from all controllers together.
+func (e *Engine) ObserveCapacity(now int64, uid string, rate float64) {
+	e.filters.observeCapacity(now, uid, rate)
+}
+
+// SetRouter has routing narrow the module's choice from the next Step on; nil takes it away.
+func (e *Engine) SetRouter(now int64, r *routing.Router) {
+	e.filters.setRouter(r)
+	e.renotify(now)
+}
+
+// SetQuotas has this controller's quotas of the fleet's budgets narrow the module's choice from the next Step on.
+func (e *Engine) SetQuotas(now int64, cfg QuotaConfig) {
+	e.filters.setQuotas(cfg, e.settings)
+	e.renotify(now)
+}
+
+// renotify notifies the module of every endpoint again, as the filters now offer it.
+func (e *Engine) renotify(now int64) {
+	listed := make([]Endpoint, 0, len(e.endpoints))
+	for _, endpoint := range e.endpoints {
+		listed = append(listed, endpoint)
+	}
+	slices.SortFunc(listed, func(a, b Endpoint) int { return cmp.Compare(a.UID, b.UID) })
+	e.notify(now, eidertrail.Delta, listed)
 }
 
-// UpdateEndpoints takes changed lines of the list of pools, or with whole all of them.
-func (d *Engine) UpdateEndpoints(now int64, servers []Endpoint, whole bool) {
+// UpdateEndpoints takes changed lines of the endpoint list, or the complete list if snapshot is set.
+func (e *Engine) UpdateEndpoints(now int64, endpoints []Endpoint, snapshot bool) {
 	kind := eidertrail.Delta
-	if whole {
+	if snapshot {
 		kind = eidertrail.Snapshot
-		clear(d.servers)
+		clear(e.endpoints)
 	}
-	list := make([]eidertrail.Server, len(servers))
-	for i, s := range servers {
-		list[i] = eidertrail.Server{ID: eidertrail.ServerID(s.UID), StartedAt: span(s.StartedAt), Mode: s.Mode, Pool: s.Group}
-		if d.servers[s.UID] = s; s.Mode == eidertrail.Removed {
-			delete(d.servers, s.UID)
+	for _, endpoint := range endpoints {
+		if endpoint.Mode == eidertrail.Removed {
+			delete(e.endpoints, endpoint.UID)
+		} else {
+			e.endpoints[endpoint.UID] = endpoint
 		}
 	}
-	d.route.narrowList(now, d.servers, list)
-	d.events = append(d.events, eidertrail.ServerList{Kind: kind, Servers: list})
+	e.notify(now, kind, endpoints)
+}
+
+// notify has the filters take the endpoint list and notifies the module of some of its lines.
+func (e *Engine) notify(now int64, kind eidertrail.ListKind, endpoints []Endpoint) {
+	e.filters.updateEndpoints(now, e.endpoints)
+	servers := make([]eidertrail.Server, len(endpoints))
+	for i, endpoint := range endpoints {
+		servers[i] = e.filters.offer(now, endpoint)
+	}
+	e.events = append(e.events, eidertrail.ServerList{Kind: kind, Servers: servers})
 }
 
-// Step lets the module handle what has come in, and again what its own guards send back.
-func (d *Engine) Step(now int64) {
-	d.route.waits(now, d.waiting)
-	d.events = d.route.narrow(now, d.servers, d.events)
-	for len(d.wakes) > 0 && d.wakes[0].at <= now {
-		d.events = append(d.events, eidertrail.Wake{Token: d.wakes[0].token})
-		d.wakes = d.wakes[1:]
+// Step has the module handle what has come, and then what the guard sends back.
+func (e *Engine) Step(now int64) {
+	if e.filters.routing != nil {
+		e.filters.routing.setOldestWait(now, e.oldestWait(now))
 	}
-	for len(d.events) > 0 {
-		d.actions = d.control.Handle(span(now), d.events, d.actions[:0])
-		if d.log.GetLevel() <= zerolog.DebugLevel {
-			d.trace(now)
+	if changed := e.filters.changedOffers(now, e.endpoints); len(changed) > 0 {
+		e.events = append(e.events, eidertrail.ServerList{Kind: eidertrail.Delta, Servers: changed})
+	}
+	e.filters.reportState(now)
+	for token, due := e.wakeUps.takeDue(now); due; token, due = e.wakeUps.takeDue(now) {
+		e.events = append(e.events, eidertrail.Wake{Token: token})
+	}
+	for len(e.events) > 0 {
+		e.actions = e.controller.Handle(duration(now), e.events, e.actions[:0])
+		if e.log.GetLevel() <= zerolog.DebugLevel {
+			e.trace(now)
 		}
-		clear(d.events)
-		d.events = d.events[:0]
-		for _, a := range d.actions {
-			d.carryOut(now, a)
+		clear(e.events)
+		e.events = e.events[:0]
+		for _, action := range e.actions {
+			e.perform(now, action)
 		}
 	}
 }
 
-func (d *Engine) trace(now int64) {
-	for _, e := range d.events {
-		if o, is := e.(eidertrail.Outcome); is && o.Report != nil {
-			d.log.Debug().Int64("us", now).Msgf("event %T %+v %+v", e, e, *o.Report)
+// oldestWait is since when the call that has waited longest could have been sent, 0: none waits.
+func (e *Engine) oldestWait(now int64) int64 {
+	since := int64(0)
+	for _, c := range e.waiting {
+		if from := max(c.waitsSince, c.notBefore); from < now && (since == 0 || from < since) {
+			since = from
+		}
+	}
+	return since
+}
+
+// trace logs the module's events and actions.
+func (e *Engine) trace(now int64) {
+	for _, event := range e.events {
+		if outcome, is := event.(eidertrail.Outcome); is && outcome.Report != nil {
+			e.log.Debug().Int64("us", now).Msgf("event %T %+v %+v", event, event, *outcome.Report)
 			continue
 		}
-		d.log.Debug().Int64("us", now).Msgf("event %T %+v", e, e)
+		e.log.Debug().Int64("us", now).Msgf("event %T %+v", event, event)
 	}
-	for _, a := range d.actions {
-		d.log.Debug().Int64("us", now).Msgf("action %T %+v", a, a)
+	for _, action := range e.actions {
+		e.log.Debug().Int64("us", now).Msgf("action %T %+v", action, action)
 	}
 }
 
-func (d *Engine) carryOut(now int64, a eidertrail.Action) {
-	switch a := a.(type) {
+func (e *Engine) perform(now int64, action eidertrail.Action) {
+	switch action := action.(type) {
 	case eidertrail.WakeAt:
-		w := wake{now + a.In.Microseconds() + 1, a.Token}
-		i, _ := slices.BinarySearchFunc(d.wakes, w, func(a, b wake) int { return int(min(1, max(-1, a.at-b.at))) })
-		d.wakes = slices.Insert(d.wakes, i, w)
+		e.wakeUps.add(wakeUp{at: now + action.In.Microseconds() + 1, token: action.Token})
 	case eidertrail.Send:
-		k := d.calls[uint64(a.Call)]
-		if k == nil {
-			return
-		}
-		k.attempt++
-		if !d.maySend(now, k, string(a.Server)) {
-			d.count.Add(telemetry.GuardStopped)
-			d.events = append(d.events, eidertrail.Outcome{Call: a.Call, Attempt: k.attempt, Status: eidertrail.NotSent})
-			return
-		}
-		k.out = true
-		delete(d.waiting, k.Call)
-		k.Decide(Decision{
-			Kind: DecisionSend, Pool: string(a.Server), Attempt: k.attempt, Timeout: a.Timeout.Microseconds(), DecidedAt: now,
-			SendBy: d.route.sent(now, k, string(a.Server)),
-		})
+		e.send(now, action)
 	case eidertrail.Reject:
-		d.final(now, uint64(a.Call), DecisionReject, a.RetryAfter)
+		e.decideFinal(now, uint64(action.Call), DecisionReject, action.RetryAfter)
 	case eidertrail.Fail:
-		d.final(now, uint64(a.Call), DecisionFail, a.RetryAfter)
+		e.decideFinal(now, uint64(action.Call), DecisionFail, action.RetryAfter)
 	}
 }
 
-// maySend is the last guard of the rules: one attempt at a time, two sends at most or fewer where the site says so, the
-// release awaited, no repeat of what must not be repeated, and only to a pool that is listed as up and that the class
-// may use.
-//
-// Guards against a module that repeats a set-up of a class whose effect is not Safe after one that may have been carried
-// out, or that sends more often than the site allows.
-func (d *Engine) maySend(now int64, k *call, uid string) bool {
-	s, listed := d.servers[uid]
-	if k.out || k.stands || k.attempt >= min(maxSends, cmp.Or(d.set.MaxAttempts, maxSends)) || k.mayHave && d.once(k.Class) || now < k.notBefore || now >= k.Deadline ||
-		!listed || s.Mode != eidertrail.Ready || !d.route.admits(now, uid, k.Class) {
-		return false
+// send passes on the decision to send an attempt, unless the guard stops it.
+func (e *Engine) send(now int64, action eidertrail.Send) {
+	c := e.calls[uint64(action.Call)]
+	if c == nil {
+		return
 	}
-	pools := d.set.Classes[k.Class].Pools
-	return pools == nil || slices.Contains(pools, s.Group)
-}
-
-// once tells whether a set-up of the class must not be repeated once it may have been carried out.
-func (d *Engine) once(class int) bool {
-	return class >= 0 && class < len(d.set.Classes) && d.set.Classes[class].Idempotency != eidertrail.Idempotent
+	uid := string(action.Server)
+	c.attempt++
+	if !e.maySend(now, c, uid) {
+		e.counters.Add(telemetry.GuardStopped)
+		e.events = append(e.events, eidertrail.Outcome{
+			Call: action.Call, Attempt: c.attempt, Status: eidertrail.NotSent,
+		})
+		return
+	}
+	c.state = callSent
+	c.endpoint = uid
+	delete(e.waiting, c.Call)
+	c.Decide(Decision{
+		Kind:      DecisionSend,
+		Pool:      uid,
+		Attempt:   c.attempt,
+		Timeout:   action.Timeout.Microseconds(),
+		DecidedAt: now,
+		SendBy:    e.filters.recordSent(now, c),
+	})
 }
 
-func (d *Engine) final(now int64, id uint64, v DecisionKind, after time.Duration) {
-	k := d.calls[id]
-	if k == nil {
+// decideFinal passes on a final decision. The call stays until Pick has taken it: a call that is given up between
+// Report and the next Pick would otherwise be entered a second time, with attempts of its own.
+func (e *Engine) decideFinal(now int64, id uint64, kind DecisionKind, retryAfter time.Duration) {
+	c := e.calls[id]
+	if c == nil {
 		return
 	}
-	// The line stays until Pick has taken the answer. Guards against a call being entered a second time,
-	// with two more sends, when it is given up between Report and the next Pick (found by FuzzDispatcher).
-	d.pressed(now, v != DecisionSend)
-	delete(d.waiting, id)
-	k.Decide(Decision{Kind: v, RetryAfter: d.after(after), NoAgentFree: k.noRoom})
+	e.rejections.record(now, true)
+	delete(e.waiting, id)
+	c.Decide(Decision{Kind: kind, RetryAfter: e.boundRetryAfter(retryAfter), NoAgentFree: c.noAgentFree})
 }
 
-// after is when a caller that is turned away had best come back: what the module estimates, within what
-// callers respect.
-func (d *Engine) after(estimate time.Duration) int64 {
-	return min(max(leastAfter, estimate.Microseconds()), max(leastAfter, d.most))
+// boundRetryAfter is the module's estimate within what callers respect, in µs.
+func (e *Engine) boundRetryAfter(estimate time.Duration) int64 {
+	return min(max(minRetryAfterMicros, estimate.Microseconds()), max(minRetryAfterMicros, e.maxRetryAfter))
 }
 
-const (
-	// shareOver is how many calls the share of those turned away is the mean of.
-	shareOver = 32
-	// shareHalf is the time in which it halves while nothing comes.
-	shareHalf = 5_000_000
-)
-
-// pressed takes a final answer into the share of calls turned away. Only the loop calls it.
-func (d *Engine) pressed(now int64, turnedAway bool) {
-	share, x := d.sharedAt(now), 0.0
-	if turnedAway {
-		x = 1
+// earliest is the earlier of two times of which 0 stands for never.
+func earliest(a, b int64) int64 {
+	switch {
+	case a == 0:
+		return b
+	case b == 0:
+		return a
+	default:
+		return min(a, b)
 	}
-	d.share.Store(math.Float64bits(share + (x-share)/shareOver))
-	d.shareAt.Store(now)
-}
-
-func (d *Engine) sharedAt(now int64) float64 {
-	quiet := max(0, now-d.shareAt.Load())
-	return math.Float64frombits(d.share.Load()) * math.Exp2(-float64(quiet)/shareHalf)
 }
--- /dev/null
+++ b/dispatch/outcome.go
@@ -0,0 +1,62 @@
+package dispatch
+
+import "eidertrail"
+
+// Outcome is what became of an attempt.
+type Outcome int
+
+// The outcomes.
+const (
+	Answered      Outcome = iota // the call is established; a further Report ends it
+	Ended                        // the call was established and has ended
+	Errored                      // a signalling fault
+	LinesBusy                    // all lines of the number are busy
+	NoAgent                      // the endpoint has no free agent
+	ProcessorFull                // the endpoint's processor is full
+	TimedOut
+	ConnectFailed // it never reached the endpoint
+	Reset         // the set-up or the established call was cut
+	Cancelled     // called off
+	NotSent       // never sent
+)
+
+// neverRan reports whether the outcome proves that the attempt was not carried out.
+func (o Outcome) neverRan() bool {
+	return o == NoAgent || o == ProcessorFull || o == ConnectFailed || o == NotSent
+}
+
+// awaitsRelease reports whether the endpoint's release must be awaited before the next attempt.
+func (o Outcome) awaitsRelease() bool {
+	return o == TimedOut || o == Reset || o == Cancelled
+}
+
+// blamesEndpoint reports whether routing counts the outcome as a fault of the endpoint.
+func (o Outcome) blamesEndpoint() bool {
+	return o == TimedOut || o == Reset || o == ConnectFailed || o == Errored
+}
+
+// describe enters the outcome of an attempt that was not answered into the module's event.
+func (o Outcome) describe(event *eidertrail.Outcome) {
+	switch o {
+	case Ended:
+		event.Status = eidertrail.Ended
+	case Errored:
+		event.Status = eidertrail.Error
+	case LinesBusy:
+		event.Status, event.Cause = eidertrail.Error, eidertrail.LinesBusy
+	case NoAgent:
+		event.Status, event.Cause = eidertrail.Full, eidertrail.NoAgent
+	case ProcessorFull:
+		event.Status, event.Cause = eidertrail.Full, eidertrail.ProcessorFull
+	case TimedOut:
+		event.Status = eidertrail.TimedOut
+	case ConnectFailed:
+		event.Status = eidertrail.ConnectFailed
+	case Reset:
+		event.Status = eidertrail.Reset
+	case Cancelled:
+		event.Status = eidertrail.Cancelled
+	default:
+		event.Status = eidertrail.NotSent
+	}
+}
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -5,180 +5,209 @@
 	"errors"
 )
 
-// This file is the life of a call, the same for every front: it is placed, sent, sent once more at
-// most, and it ends in one Final or stands.
-
-// Set-up that a front hands over, beside the Request. Trunks pass it on unchanged.
-type Setup struct {
-	ID     string // the caller's name for the call
-	Number string // the number called
-	Class  string
-	SDP    string // the description
-}
+// Why a call ends before it is established.
+var (
+	errCallerLeft = errors.New("dispatch: the caller has left")
+	errAborted    = errors.New("dispatch: given up")
+)
 
-// Attempt is one send of a call.
-type Attempt struct {
-	Setup
-	Pool      string // uid
-	Number    int    // 0 for the first
-	DecidedAt int64  // when it was decided
-	Deadline  int64  // it times out then
-	// SendBy: it must not be sent later than this (Moot), 0: at any time.
-	SendBy int64
+// Serve takes one call from its set-up to its final answer. ctx is done when the caller leaves, and then no
+// answer is owed; or when the call is aborted at the end of the process (errAborted), and then one is.
+func Serve(ctx context.Context, d *Dispatcher, inviter Inviter, r Request, s Setup) Final {
+	served := servedCall{dispatcher: d, inviter: inviter, request: r, setup: s}
+	for served.state != stateFinal {
+		served.step(ctx)
+	}
+	return served.final
 }
 
-// Ending tells how an attempt or a standing call ended.
-type Ending struct {
-	Outcome Outcome
-	At      int64 // when it was seen
-	Load    LoadReport
-	Cause   int // Q.850 cause of the release, 0 where there is none
-}
+// servedState is where a call is between its set-up and its final answer:
+//
+//	deciding ── send ──> inviting ── answered ──> answered ──> final
+//	   │  ^                 │
+//	   │  └──── retry ─── ended ── the caller has left ──────> final
+//	   └── rejected, failed, or the caller has left ─────────> final
+type servedState int
 
-// Leg is a call that stands at a pool.
-type Leg interface {
-	// SDP is the description that the pool answered with.
-	SDP() string
-	// Done is closed when the pool has ended the call.
-	Done() <-chan struct{}
-	// Ending is valid once Done is closed.
-	Ending() Ending
-	// Release ends the call from the caller's side. It does not wait.
-	Release(cause int)
-}
+const (
+	stateDeciding servedState = iota // it waits for the module's decision
+	stateInviting                    // an attempt is to be made
+	stateEnded                       // the attempt ended without an answer
+	stateAnswered                    // the attempt was answered
+	stateFinal                       // the final answer is known
+)
 
-// Inviter carries attempts to the pools. Invite blocks until the attempt is answered, has ended, is past
-// Until (then it is called off, and the ending is TimedOut) or ctx is done (called off, Cancelled).
-type Inviter interface {
-	Invite(ctx context.Context, a Attempt) (Leg, Ending)
+// String returns the state's name.
+func (s servedState) String() string {
+	switch s {
+	case stateDeciding:
+		return "deciding"
+	case stateInviting:
+		return "inviting"
+	case stateEnded:
+		return "ended"
+	case stateAnswered:
+		return "answered"
+	case stateFinal:
+		return "final"
+	default:
+		return "unknown"
+	}
 }
 
-// FinalKind is the kind of a final answer.
-type FinalKind int
+// servedCall is a call on the way to its final answer.
+type servedCall struct {
+	dispatcher *Dispatcher
+	inviter    Inviter
+	request    Request
+	setup      Setup
+
+	state      servedState
+	attempt    Attempt // the current one, from stateInviting on
+	leg        Leg     // in stateAnswered
+	result     Result  // of the current attempt, in stateEnded and stateAnswered
+	mayHaveRun bool    // an attempt may have been carried out
+	errored    bool    // the latest attempt ended with Errored
+	final      Final   // in stateFinal
+}
 
-// The final answers. Gone means that none is owed: the caller has left.
-const (
-	FinalEstablished FinalKind = iota
-	FinalRejected              // refused: trying again is harmless, as no attempt was carried out or the class is Safe
-	FinalFailed
-	FinalCallerGone
-)
+// step takes the call from its state to the next.
+func (c *servedCall) step(ctx context.Context) {
+	switch c.state {
+	case stateDeciding:
+		c.decide(ctx)
+	case stateInviting:
+		c.invite(ctx)
+	case stateEnded:
+		c.reportEnd(ctx)
+	case stateAnswered:
+		c.establish(ctx)
+	case stateFinal:
+	}
+}
 
-// Final is the one final answer to a call.
-type Final struct {
-	Kind        FinalKind
-	Call        *EstablishedCall // with Stands
-	RetryAfter  int64            // with Turned and GivenUp: when to come back
-	NoAgentFree bool             // with Turned: no agent was free
-	// MayHaveRun, with GivenUp: an attempt may have been carried out, and trying again is not harmless.
-	MayHaveRun bool
-	// Errored: the last pool could make nothing of the set-up.
-	Errored bool
+// decide waits for the module's decision.
+func (c *servedCall) decide(ctx context.Context) {
+	decision, err := c.dispatcher.Pick(ctx, c.request)
+	switch {
+	case err != nil && ctx.Err() != nil:
+		c.finishCancelled(ctx)
+	case errors.Is(err, ErrClosed):
+		c.finishUnanswered(Final{Kind: FinalRejected, RetryAfter: minRetryAfterMicros})
+	case err != nil || decision.Kind == DecisionFail:
+		c.finishUnanswered(Final{
+			Kind:       FinalFailed,
+			RetryAfter: max(decision.RetryAfter, minRetryAfterMicros),
+			Errored:    c.errored,
+		})
+	case decision.Kind == DecisionReject:
+		c.finishUnanswered(Final{
+			Kind:        FinalRejected,
+			RetryAfter:  decision.RetryAfter,
+			NoAgentFree: decision.NoAgentFree,
+			Errored:     c.errored,
+		})
+	default:
+		c.attempt = c.newAttempt(decision)
+		c.state = stateInviting
+	}
 }
 
-// EstablishedCall is a call that stands. End or WaitEnd must be called once.
-type EstablishedCall struct {
-	Leg
-	d       *Dispatcher
-	call    uint64
-	attempt Attempt
+// newAttempt is the attempt that was decided on.
+func (c *servedCall) newAttempt(decision Decision) Attempt {
+	attempt := Attempt{
+		Setup:     c.setup,
+		Pool:      decision.Pool,
+		Number:    decision.Attempt,
+		DecidedAt: decision.DecidedAt,
+		Deadline:  c.request.Deadline,
+		SendBy:    decision.SendBy,
+	}
+	if decision.Timeout > 0 {
+		attempt.Deadline = min(attempt.Deadline, decision.DecidedAt+decision.Timeout)
+	}
+	return attempt
 }
 
-// Serve takes one call from its set-up to its final answer. ctx is done when the caller leaves, and then no
-// answer is owed; or when the call is given up at the end of the process (errGivenUp), and then one is.
-func Serve(ctx context.Context, d *Dispatcher, t Inviter, r Request, s Setup) Final {
-	errored, ran := false, false
-	// settled is f as the rules of the call's class allow it. Guards against a call that may stand at a pool, of a
-	// class whose set-ups must not be repeated, being refused when the process ends: its caller would try again.
-	settled := func(f Final) Final {
-		if ran && d.engine.once(r.Class) {
-			f.Kind, f.NoAgentFree, f.MayHaveRun = FinalFailed, false, true
-		}
-		return f
+// invite carries the attempt to its endpoint and waits for its outcome.
+func (c *servedCall) invite(ctx context.Context) {
+	leg, ending := c.inviter.Invite(ctx, c.attempt)
+	c.leg = leg
+	c.result = Result{
+		Call:       c.request.Call,
+		Attempt:    c.attempt.Number,
+		Pool:       c.attempt.Pool,
+		Outcome:    ending.Outcome,
+		Took:       ending.At - c.attempt.DecidedAt,
+		Load:       ending.Load,
+		CallerGone: ctx.Err() != nil,
 	}
-	left := func() Final {
-		if errors.Is(context.Cause(ctx), errGivenUp) {
-			return settled(Final{Kind: FinalRejected, RetryAfter: d.engine.most})
-		}
-		return Final{Kind: FinalCallerGone}
+	c.mayHaveRun = c.mayHaveRun || !ending.Outcome.neverRan()
+	if leg == nil {
+		c.state = stateEnded
+	} else {
+		c.state = stateAnswered
 	}
-	for {
-		p, err := d.Pick(ctx, r)
-		switch {
-		case err != nil && ctx.Err() != nil:
-			return left()
-		case errors.Is(err, ErrClosed):
-			return settled(Final{Kind: FinalRejected, RetryAfter: leastAfter})
-		case err != nil || p.Kind == DecisionFail:
-			return settled(Final{Kind: FinalFailed, RetryAfter: max(p.RetryAfter, leastAfter), Errored: errored})
-		case p.Kind == DecisionReject:
-			return settled(Final{Kind: FinalRejected, RetryAfter: p.RetryAfter, NoAgentFree: p.NoAgentFree, Errored: errored})
-		}
-		a := Attempt{Setup: s, Pool: p.Pool, Number: p.Attempt, DecidedAt: p.DecidedAt, Deadline: r.Deadline, SendBy: p.SendBy}
-		if p.Timeout > 0 {
-			a.Deadline = min(a.Deadline, p.DecidedAt+p.Timeout)
-		}
-		leg, end := t.Invite(ctx, a)
-		report := Result{
-			Call: r.Call, Attempt: p.Attempt, Pool: p.Pool, Outcome: end.Outcome,
-			Took: end.At - p.DecidedAt, Load: end.Load, CallerGone: ctx.Err() != nil,
-		}
-		ran = ran || !end.Outcome.neverRan()
-		if leg == nil {
-			d.Report(report)
-			if report.CallerGone {
-				return left()
-			}
-			errored = end.Outcome == Errored
-			continue
-		}
-		if report.CallerGone || d.Now() >= r.Deadline { // the answer crossed the caller's leaving: nobody is served by it
-			leg.Release(CauseNormal)
-			report.Outcome, report.CallerGone = Cancelled, true
-			d.Report(report)
-			if ctx.Err() != nil {
-				return left()
-			}
-			return settled(Final{Kind: FinalFailed, RetryAfter: leastAfter})
-		}
-		report.Outcome = Answered
-		d.Report(report)
-		return Final{Kind: FinalEstablished, Call: &EstablishedCall{leg, d, r.Call, a}}
+}
+
+// reportEnd reports an attempt that ended without an answer; the call then waits for a further decision.
+func (c *servedCall) reportEnd(ctx context.Context) {
+	c.dispatcher.Report(c.result)
+	if c.result.CallerGone {
+		c.finishCancelled(ctx)
+		return
 	}
+	c.errored = c.result.Outcome == Errored
+	c.state = stateDeciding
 }
 
-// CauseNormal and CauseCut are the Q.850 causes of calls that have come to their end and that were cut.
-const (
-	CauseNormal = 16
-	CauseCut    = 41
-)
+// establish reports an attempt that was answered; an answer that crossed the caller's leaving is released.
+func (c *servedCall) establish(ctx context.Context) {
+	if c.result.CallerGone || c.dispatcher.Now() >= c.request.Deadline {
+		c.releaseLate(ctx)
+		return
+	}
+	c.result.Outcome = Answered
+	c.dispatcher.Report(c.result)
+	c.finish(Final{Kind: FinalEstablished, Call: &EstablishedCall{
+		Leg:        c.leg,
+		dispatcher: c.dispatcher,
+		call:       c.request.Call,
+		attempt:    c.attempt,
+	}})
+}
 
-// WaitEnd waits until the pool ends the call, or until released hands the cause with which the caller
-// does, and reports the end. It tells the cause, and whether the pool ended it: the caller is to be told
-// then. When ctx is done first the call is left standing.
-func (s *EstablishedCall) WaitEnd(ctx context.Context, released <-chan int) (cause int, byPool bool) {
-	select {
-	case <-s.Done():
-		e := s.Ending()
-		s.report(e)
-		return e.Cause, true
-	case cause = <-released:
-		s.End(cause)
-		return cause, false
-	case <-ctx.Done():
-		return 0, false
+// releaseLate releases a call whose answer nobody waits for any more.
+func (c *servedCall) releaseLate(ctx context.Context) {
+	c.leg.Release(CauseNormal)
+	c.result.Outcome, c.result.CallerGone = Cancelled, true
+	c.dispatcher.Report(c.result)
+	if ctx.Err() != nil {
+		c.finishCancelled(ctx)
+		return
 	}
+	c.finishUnanswered(Final{Kind: FinalFailed, RetryAfter: minRetryAfterMicros})
 }
 
-// End releases the call towards the pool and reports its end.
-func (s *EstablishedCall) End(cause int) {
-	s.Release(cause)
-	s.report(Ending{Outcome: Cancelled, At: s.d.Now(), Load: UnknownLoad})
+// finishCancelled ends a call whose ctx is done.
+func (c *servedCall) finishCancelled(ctx context.Context) {
+	if errors.Is(context.Cause(ctx), errAborted) {
+		c.finishUnanswered(Final{Kind: FinalRejected, RetryAfter: c.dispatcher.engine.maxRetryAfter})
+		return
+	}
+	c.finish(Final{Kind: FinalCallerGone})
+}
+
+// finishUnanswered ends a call as its class allows. A rejection says that a retry is harmless, which is wrong for a
+// call that may be established at an endpoint and whose class is not idempotent: that one has failed.
+func (c *servedCall) finishUnanswered(final Final) {
+	if c.mayHaveRun && c.dispatcher.engine.mustNotRepeat(c.request.Class) {
+		final.Kind, final.NoAgentFree, final.MayHaveRun = FinalFailed, false, true
+	}
+	c.finish(final)
 }
 
-func (s *EstablishedCall) report(e Ending) {
-	s.d.Report(Result{
-		Call: s.call, Attempt: s.attempt.Number, Pool: s.attempt.Pool, Outcome: e.Outcome,
-		Took: e.At - s.attempt.DecidedAt, Load: e.Load,
-	})
+func (c *servedCall) finish(final Final) {
+	c.final = final
+	c.state = stateFinal
 }
