--- a/dispatch/call_table.go
+++ b/dispatch/call_table.go
@@ -51,25 +51,25 @@
 }
 
 // NewCallTable returns an empty call table.
-func NewCallTable(c CallTableConfig) *CallTable {
-	calls, connections := newCallRegistry(c.UniqueIDs), newConnectionRegistry()
+func NewCallTable(cfg CallTableConfig) *CallTable {
+	calls, connections := newCallRegistry(cfg.UniqueIDs), newConnectionRegistry()
 	t := &CallTable{
-		dispatcher:    c.Dispatcher,
-		inviter:       c.Inviter,
-		counters:      c.Counters,
+		dispatcher:    cfg.Dispatcher,
+		inviter:       cfg.Inviter,
+		counters:      cfg.Counters,
 		classes:       map[string]int{},
-		callID:        c.CallID,
-		notifyAllEnds: c.NotifyAllEnds,
+		callID:        cfg.CallID,
+		notifyAllEnds: cfg.NotifyAllEnds,
 		admission: admission{
-			maxCalls:    c.MaxCalls,
+			maxCalls:    cfg.MaxCalls,
 			calls:       calls,
 			connections: connections,
-			counters:    c.Counters,
+			counters:    cfg.Counters,
 		},
 		calls:       calls,
 		connections: connections,
 	}
-	t.ends = &endDelivery{mu: &t.mu, clock: c.Dispatcher, connections: connections, counters: c.Counters}
+	t.ends = &endDelivery{mu: &t.mu, clock: cfg.Dispatcher, connections: connections, counters: cfg.Counters}
 	t.closed, t.close = context.WithCancel(context.Background())
 	if t.callID == nil {
 		t.callID = func(id string) string { return id }
@@ -87,35 +87,40 @@
 
 // Setup takes a call of a connection: from now on it is owed one final answer, unless an error says what is
 // wrong with it.
-func (t *CallTable) Setup(c CallerConn, s SetupRequest) error {
-	if !IsToken(s.ID) {
+func (t *CallTable) Setup(callerConn CallerConn, setup SetupRequest) error {
+	if !IsToken(setup.ID) {
 		return ErrID
 	}
 	// This comes before all other checks: the one answer to the call that has this id is still to come.
-	if t.isTaken(s.ID) {
+	if t.isTaken(setup.ID) {
 		t.counters.Add(telemetry.Duplicates)
 		return ErrDuplicate
 	}
 	t.counters.Add(telemetry.SetupsTaken)
-	class, err := s.validate(t.classes)
+	class, err := setup.validate(t.classes)
 	if err != nil {
 		return err
 	}
-	number := cmp.Or(s.Number, noNumber)
+	number := cmp.Or(setup.Number, noNumber)
 	request := Request{
 		Call:     t.dispatcher.NewCall(),
 		Class:    class,
-		Pool:     s.Pool,
+		Pool:     setup.Pool,
 		Key:      NumberKey(number),
-		Deadline: s.deadline(),
+		Deadline: setup.deadline(),
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	conn := t.connections.find(c)
-	if admitted, err := t.admission.admit(conn, s.ID); !admitted {
+	conn := t.connections.find(callerConn)
+	if admitted, err := t.admission.admit(conn, setup.ID); !admitted {
 		return err
 	}
-	t.start(conn, s.ID, request, Setup{ID: t.callID(s.ID), Number: number, Class: s.Class, SDP: s.SDP})
+	t.start(conn, setup.ID, request, Setup{
+		ID:     t.callID(setup.ID),
+		Number: number,
+		Class:  setup.Class,
+		SDP:    setup.SDP,
+	})
 	return nil
 }
 
--- a/dispatch/call_table_test.go
+++ b/dispatch/call_table_test.go
@@ -146,7 +146,7 @@
 		attempt := r.lastAttempt()
 
 		r.table.mu.Lock() // both happen before the table can look
-		attempt.answer("sdp")
+		attempt.answer()
 		r.table.calls.find("c1").cancel(errCallerLeft)
 		r.table.mu.Unlock()
 		synctest.Wait()
@@ -165,7 +165,7 @@
 		conn.refuse()
 
 		attempt := r.lastAttempt()
-		attempt.answer("sdp")
+		attempt.answer()
 		synctest.Wait()
 
 		if attempt.leg.released != CauseNormal || r.table.EstablishedCalls() != 0 {
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -17,20 +17,20 @@
 
 func TestDispatcher_PickReportTick(t *testing.T) {
 	onRig(t, func(r *rig) {
-		q := r.request(0, time.Second)
-		decision, err := r.Pick(context.Background(), q)
+		request := r.request(0, time.Second)
+		decision, err := r.Pick(context.Background(), request)
 		if err != nil || decision.Kind != DecisionSend || decision.Pool != "a" || decision.Attempt != 0 {
 			t.Fatalf("%+v, %v", decision, err)
 		}
 
-		r.Report(Result{Call: q.Call, Pool: "a", Outcome: NoAgent, Load: LoadReport{0, 20}})
-		decision, err = r.Pick(context.Background(), q)
+		r.Report(Result{Call: request.Call, Pool: "a", Outcome: NoAgent, Load: LoadReport{0, 20}})
+		decision, err = r.Pick(context.Background(), request)
 		if err != nil || decision.Pool != "b" || decision.Attempt != 1 {
 			t.Fatalf("second: %+v, %v", decision, err)
 		}
 
-		r.Report(Result{Call: q.Call, Attempt: 1, Pool: "b", Outcome: NoAgent, Load: UnknownLoad})
-		decision, err = r.Pick(context.Background(), q)
+		r.Report(Result{Call: request.Call, Attempt: 1, Pool: "b", Outcome: NoAgent, Load: UnknownLoad})
+		decision, err = r.Pick(context.Background(), request)
 		if err != nil || decision.Kind != DecisionReject ||
 			!decision.NoAgentFree || decision.RetryAfter < minRetryAfterMicros {
 			t.Fatalf("third: %+v, %v", decision, err)
@@ -150,20 +150,20 @@
 	defer r.runOn(set, now)()
 	r.list(eidertrail.Ready, eidertrail.Ready)
 	time.Sleep(r.gatherDelay)
-	q := r.request(0, 5*time.Second)
-	if decision, err := r.Pick(context.Background(), q); err != nil || decision.Pool != "a" {
+	request := r.request(0, 5*time.Second)
+	if decision, err := r.Pick(context.Background(), request); err != nil || decision.Pool != "a" {
 		r.t.Errorf("first %+v, %v", decision, err)
 	}
 	outcome, resumesAfter := TimedOut, r.gatherDelay // when the loop decides
 	if decided {
 		outcome = NoAgent
 	}
-	r.Report(Result{Call: q.Call, Pool: "a", Outcome: outcome, Took: 1000, Load: LoadReport{0, 20}})
+	r.Report(Result{Call: request.Call, Pool: "a", Outcome: outcome, Took: 1000, Load: LoadReport{0, 20}})
 	caller, leave := context.WithCancel(context.Background())
 	defer leave()
 	picked := make(chan error, 1)
 	go func() {
-		decision, err := r.Pick(caller, q)
+		decision, err := r.Pick(caller, request)
 		if err == nil {
 			r.t.Errorf("sent %+v for a caller that has left", decision)
 		}
--- a/dispatch/drain_test.go
+++ b/dispatch/drain_test.go
@@ -18,7 +18,7 @@
 		conn := r.connect()
 		r.setup(conn, "c1")
 		r.setup(conn, "c2")
-		r.lastAttempt().answer("sdp")
+		r.lastAttempt().answer()
 		r.list(eidertrail.Removed, eidertrail.Removed)
 		r.setup(conn, "c3") // waits for an endpoint
 
@@ -137,7 +137,7 @@
 			// The table aborts between the answer's arrival and its delivery, under the table's lock.
 			call := r.table.calls.find("c1")
 			conn.beforeFinal = func() { call.cancel(errAborted) }
-			attempt.answer("sdp")
+			attempt.answer()
 			synctest.Wait()
 			finals := conn.receivedSoFar().finals
 			if len(finals) != 1 || finals[0].Kind != FinalEstablished || r.table.EstablishedCalls() != 1 {
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -130,15 +130,15 @@
 }
 
 // reportAnswered establishes the call; a second answer changes nothing.
-func (e *Engine) reportAnswered(now int64, c *call, r Result) {
-	if c.state == callEstablished {
+func (e *Engine) reportAnswered(now int64, reported *call, r Result) {
+	if reported.state == callEstablished {
 		return
 	}
 	if r.Load != UnknownLoad {
 		e.filters.observeLoad(r.Pool, r.Load)
 	}
-	e.filters.recordAnswered(now, c)
-	c.state = callEstablished
+	e.filters.recordAnswered(now, reported)
+	reported.state = callEstablished
 	e.rejections.record(now, false)
 	e.events = append(e.events, eidertrail.Answered{
 		Call: eidertrail.CallID(r.Call), Attempt: r.Attempt, Took: duration(r.Took),
@@ -146,11 +146,11 @@
 }
 
 // reportEnded ends an attempt that was not answered, or an established call.
-func (e *Engine) reportEnded(now int64, c *call, r Result) {
+func (e *Engine) reportEnded(now int64, reported *call, r Result) {
 	id := eidertrail.CallID(r.Call)
-	wasEstablished := c.state == callEstablished
+	wasEstablished := reported.state == callEstablished
 	closed := r.CallerGone || wasEstablished
-	e.filters.recordEnded(now, c, r.Outcome)
+	e.filters.recordEnded(now, reported, r.Outcome)
 	if r.CallerGone && !wasEstablished {
 		e.events = append(e.events, eidertrail.CallerGone{Call: id})
 	}
@@ -164,12 +164,12 @@
 		}
 		e.filters.observeLoad(r.Pool, r.Load)
 	}
-	c.attemptEnded(r.Outcome, now+e.settings.ReleaseWait.Microseconds())
+	reported.attemptEnded(r.Outcome, now+e.settings.ReleaseWait.Microseconds())
 	e.events = append(e.events, event)
 	if closed {
 		delete(e.calls, r.Call)
 	} else {
-		e.wait(now, c)
+		e.wait(now, reported)
 	}
 }
 
@@ -301,29 +301,29 @@
 
 // send passes on the decision to send an attempt, unless the guard stops it.
 func (e *Engine) send(now int64, action eidertrail.Send) {
-	c := e.calls[uint64(action.Call)]
-	if c == nil {
+	sent := e.calls[uint64(action.Call)]
+	if sent == nil {
 		return
 	}
 	uid := string(action.Server)
-	c.attempt++
-	if !e.maySend(now, c, uid) {
+	sent.attempt++
+	if !e.maySend(now, sent, uid) {
 		e.counters.Add(telemetry.GuardStopped)
 		e.events = append(e.events, eidertrail.Outcome{
-			Call: action.Call, Attempt: c.attempt, Status: eidertrail.NotSent,
+			Call: action.Call, Attempt: sent.attempt, Status: eidertrail.NotSent,
 		})
 		return
 	}
-	c.state = callSent
-	c.endpoint = uid
-	delete(e.waiting, c.Call)
-	c.Decide(Decision{
+	sent.state = callSent
+	sent.endpoint = uid
+	delete(e.waiting, sent.Call)
+	sent.Decide(Decision{
 		Kind:      DecisionSend,
 		Pool:      uid,
-		Attempt:   c.attempt,
+		Attempt:   sent.attempt,
 		Timeout:   action.Timeout.Microseconds(),
 		DecidedAt: now,
-		SendBy:    e.filters.recordSent(now, c),
+		SendBy:    e.filters.recordSent(now, sent),
 	})
 }
 
--- a/dispatch/filter.go
+++ b/dispatch/filter.go
@@ -72,19 +72,19 @@
 	if router != nil {
 		c.routing = newRoutingFilter(router, c.log, c.counters)
 	}
-	c.shareSpillBudgets()
+	c.divideSpillBudgets()
 	c.activate()
 }
 
 // setQuotas turns quotas on.
 func (c *filterChain) setQuotas(cfg QuotaConfig, settings eidertrail.Settings) {
 	c.quota = newQuotaFilter(cfg, settings, c.log, c.counters)
-	c.shareSpillBudgets()
+	c.divideSpillBudgets()
 	c.activate()
 }
 
-// shareSpillBudgets has the fleet divide the zones' spill budgets where it divides budgets.
-func (c *filterChain) shareSpillBudgets() {
+// divideSpillBudgets has the fleet divide the zones' spill budgets where it divides budgets.
+func (c *filterChain) divideSpillBudgets() {
 	if c.quota != nil && c.routing != nil {
 		c.routing.router.SetQuotaSource(c.quota.spillQuota)
 	}
--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -116,26 +116,27 @@
 }
 
 // onFleet runs test on so many controllers of the site; the endpoints p0, p1, ... are warm and listed.
-func onFleet(t *testing.T, s site, controllers, endpoints int, test func(f *fleet)) {
+func onFleet(t *testing.T, deployment site, controllers, endpoints int, test func(f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
 		f := &fleet{
-			site:       s,
+			site:       deployment,
 			processors: map[string]*fakeplatform.Processor{},
 			rules: invariant.New(invariant.Config{
-				ReleaseWait: s.releaseWait.Microseconds(),
+				ReleaseWait: deployment.releaseWait.Microseconds(),
 				MaxAttempts: 2,
 				Late:        20_000,
 				LeftGrace:   100_000,
-				SlowStart:   s.slowStart(),
+				SlowStart:   deployment.slowStart(),
 			}),
 			finals: map[FinalKind]int{},
 			sent:   map[string][]time.Time{},
 		}
 		for i := range controllers {
 			const seed = 7
-			d, err := New(s.settings(i, controllers), seed, testMaxRetryAfter, clock.New(), zerolog.Nop(), &telemetry.Counters{})
+			set, counters := deployment.settings(i, controllers), &telemetry.Counters{}
+			d, err := New(set, seed, testMaxRetryAfter, clock.New(), zerolog.Nop(), counters)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -194,28 +195,28 @@
 }
 
 // Invite is a set-up at an endpoint: it checks every attempt against the rules.
-func (f *fleet) Invite(ctx context.Context, a Attempt) (Leg, Ending) {
+func (f *fleet) Invite(ctx context.Context, attempt Attempt) (Leg, Ending) {
 	d := f.dispatchers[0]
-	f.rules.Sent(d.Now(), a.ID, "", a.Pool)
+	f.rules.Sent(d.Now(), attempt.ID, "", attempt.Pool)
 	f.mu.Lock()
-	processor := f.processors[a.Pool]
-	f.sent[a.Pool] = append(f.sent[a.Pool], time.Now())
+	processor := f.processors[attempt.Pool]
+	f.sent[attempt.Pool] = append(f.sent[attempt.Pool], time.Now())
 	f.mu.Unlock()
 	delay, full := processor.Arrive(time.Now())
 	if full {
-		return nil, f.ended(a, ProcessorFull)
+		return nil, f.ended(attempt, ProcessorFull)
 	}
 	answered := time.NewTimer(delay + 5*time.Millisecond)
 	defer answered.Stop()
-	deadline := time.NewTimer(duration(a.Deadline - d.Now()))
+	deadline := time.NewTimer(duration(attempt.Deadline - d.Now()))
 	defer deadline.Stop()
 	select {
 	case <-answered.C:
-		return &zoneLeg{done: make(chan struct{})}, f.ended(a, Answered)
+		return &zoneLeg{done: make(chan struct{})}, f.ended(attempt, Answered)
 	case <-deadline.C: // it still works on it, and will answer
-		return nil, f.ended(a, TimedOut)
+		return nil, f.ended(attempt, TimedOut)
 	case <-ctx.Done():
-		return nil, f.ended(a, Cancelled)
+		return nil, f.ended(attempt, Cancelled)
 	}
 }
 
@@ -248,22 +249,22 @@
 }
 
 // serve takes one call to its final answer.
-func (f *fleet) serve(d *Dispatcher, number int, r Request) {
+func (f *fleet) serve(dispatcher *Dispatcher, number int, r Request) {
 	id := strconv.Itoa(number)
 	startedAt := time.Now()
-	f.rules.CallAccepted(d.Now(), id, r.Deadline)
+	f.rules.CallAccepted(dispatcher.Now(), id, r.Deadline)
 	ctx, leave := context.WithCancel(context.Background())
 	defer leave()
 	if f.leaveAfter > 0 && number%3 == 0 {
 		timer := time.AfterFunc(f.leaveAfter, func() {
-			f.rules.CallerGone(d.Now(), id)
+			f.rules.CallerGone(dispatcher.Now(), id)
 			leave()
 		})
 		defer timer.Stop()
 	}
-	final := Serve(ctx, d, f, r, Setup{ID: id})
+	final := Serve(ctx, dispatcher, f, r, Setup{ID: id})
 	if final.Kind != FinalCallerGone {
-		f.rules.Final(d.Now(), id, fmt.Sprint(final.Kind))
+		f.rules.Final(dispatcher.Now(), id, fmt.Sprint(final.Kind))
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/dispatch/fuzz_test.go
+++ b/dispatch/fuzz_test.go
@@ -22,7 +22,8 @@
 }
 
 // ruleModel plays random steps of a few calls on a rig and checks them against what the rules allow: one attempt in
-// flight at a time, two attempts at most, the release awaited, none to an endpoint that drains, one final answer a call.
+// flight at a time, two attempts at most, the release awaited, none to an endpoint that drains, one final answer to
+// each call.
 type ruleModel struct {
 	*rig
 	calls []*modelCall
@@ -31,24 +32,24 @@
 }
 
 // pick waits for a decision for the call and checks it.
-func (m *ruleModel) pick(c *modelCall) {
-	decision, err := m.Pick(context.Background(), c.request)
+func (m *ruleModel) pick(modelled *modelCall) {
+	decision, err := m.Pick(context.Background(), modelled.request)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if err != nil || c.final {
-		m.t.Errorf("pick: %v, already final: %v", err, c.final)
+	if err != nil || modelled.final {
+		m.t.Errorf("pick: %v, already final: %v", err, modelled.final)
 		return
 	}
 	if decision.Kind != DecisionSend {
-		c.final = true
+		modelled.final = true
 		return
 	}
-	if c.inFlight || c.attempts >= 2 || decision.DecidedAt < c.notBefore || !m.ready[decision.Pool] ||
-		c.request.Class == 1 && decision.Pool != "b" {
-		m.t.Errorf("sent to %s: %+v", decision.Pool, *c)
+	if modelled.inFlight || modelled.attempts >= 2 || decision.DecidedAt < modelled.notBefore ||
+		!m.ready[decision.Pool] || modelled.request.Class == 1 && decision.Pool != "b" {
+		m.t.Errorf("sent to %s: %+v", decision.Pool, *modelled)
 	}
-	c.inFlight, c.latest = true, decision.Attempt
-	c.attempts++
+	modelled.inFlight, modelled.latest = true, decision.Attempt
+	modelled.attempts++
 }
 
 // end ends the attempt of one of the calls, if it has one in flight.
@@ -97,6 +98,7 @@
 		"000000010102", "00020103020404", "0005020001000301", "000101060001", "0006000002010301", "0007010200030104",
 	}
 	fakeplatform.Fuzz(f, scripts, func(t *testing.T, script []byte) {
+		t.Helper()
 		runRig(t, settings(), func(r *rig) {
 			model := &ruleModel{rig: r, ready: map[string]bool{"a": true, "b": true}}
 			fakeplatform.Play(script, model.steps(), func() {})
--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -13,20 +13,20 @@
 // maySend is the last check of the rules, whatever the module decides: one attempt at a time, no more attempts than the
 // site allows, the release awaited, no repetition of a call that is not idempotent once it may have been carried out,
 // and only to an endpoint that is listed as up, that the filters offer and that the class may use.
-func (e *Engine) maySend(now int64, c *call, uid string) bool {
+func (e *Engine) maySend(now int64, candidate *call, uid string) bool {
 	endpoint, listed := e.endpoints[uid]
 	switch {
-	case c.state != callWaiting,
-		c.attempt >= min(maxAttempts, cmp.Or(e.settings.MaxAttempts, maxAttempts)),
-		c.mayHaveRun && e.mustNotRepeat(c.Class),
-		now < c.notBefore,
-		now >= c.Deadline,
+	case candidate.state != callWaiting,
+		candidate.attempt >= min(maxAttempts, cmp.Or(e.settings.MaxAttempts, maxAttempts)),
+		candidate.mayHaveRun && e.mustNotRepeat(candidate.Class),
+		now < candidate.notBefore,
+		now >= candidate.Deadline,
 		!listed,
 		endpoint.Mode != eidertrail.Ready,
-		!e.filters.admits(now, uid, c.Class):
+		!e.filters.admits(now, uid, candidate.Class):
 		return false
 	}
-	groups := e.settings.Classes[c.Class].Pools
+	groups := e.settings.Classes[candidate.Class].Pools
 	return groups == nil || slices.Contains(groups, endpoint.Group)
 }
 
--- a/dispatch/quota_filter_test.go
+++ b/dispatch/quota_filter_test.go
@@ -24,7 +24,7 @@
 	t.Helper()
 	dispatchers := f.dispatchers
 	allocators := make([]*quota.SharedAllocator, len(dispatchers))
-	for i, d := range dispatchers {
+	for i, dispatcher := range dispatchers {
 		allocator, err := quota.NewSharedAllocator(quota.Config{
 			Self:        i,
 			Members:     len(dispatchers),
@@ -33,13 +33,13 @@
 			Reserved:    250,
 			TTL:         2_000_000,
 			Margin:      500_000,
-		}, d.Now())
+		}, dispatcher.Now())
 		if err != nil {
 			t.Fatal(err)
 		}
 		allocator.SetAlive(slices.Repeat([]bool{true}, len(dispatchers)))
 		allocators[i] = allocator
-		d.SetQuotas(quotaConfig(allocator))
+		dispatcher.SetQuotas(quotaConfig(allocator))
 	}
 	random := rand.New(rand.NewPCG(1, 1))
 	done := make(chan struct{})
@@ -275,7 +275,7 @@
 }
 
 // spillToNeighbour gives a controller a zone whose endpoint drains, and a neighbour with a spill budget.
-func spillToNeighbour(t *testing.T, d *Dispatcher) {
+func spillToNeighbour(t *testing.T, dispatcher *Dispatcher) {
 	t.Helper()
 	router, err := routing.New(routing.Config{
 		Zone:              "home",
@@ -292,10 +292,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d.SetRouter(router)
-	d.UpdateEndpoints([]Endpoint{
+	dispatcher.SetRouter(router)
+	dispatcher.UpdateEndpoints([]Endpoint{
 		{UID: "h", Zone: "home", Mode: eidertrail.Draining},
 		{UID: "a", Zone: "away", Group: 1, Mode: eidertrail.Ready},
 	}, true)
-	d.Observe("a", LoadReport{1000, 1000})
+	dispatcher.Observe("a", LoadReport{1000, 1000})
 }
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -120,8 +120,8 @@
 	return len(f.sent)
 }
 
-func (a *fakeAttempt) answer(sdp string) {
-	a.leg = &fakeLeg{sdp: sdp, done: make(chan struct{})}
+func (a *fakeAttempt) answer() {
+	a.leg = &fakeLeg{sdp: "sdp", done: make(chan struct{})}
 	a.end <- Ending{Outcome: Answered, Load: UnknownLoad}
 }
 
@@ -200,13 +200,13 @@
 func runRig(t *testing.T, set eidertrail.Settings, test func(r *rig)) {
 	t.Helper()
 	counters := &telemetry.Counters{}
-	d, err := New(set, 1, testMaxRetryAfter, clock.New(), zerolog.Nop(), counters)
+	dispatcher, err := New(set, 1, testMaxRetryAfter, clock.New(), zerolog.Nop(), counters)
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	go d.Run(ctx)
-	r := &rig{Dispatcher: d, t: t, inviter: &fakeInviter{dispatcher: d}, counters: counters}
+	go dispatcher.Run(ctx)
+	r := &rig{Dispatcher: dispatcher, t: t, inviter: &fakeInviter{dispatcher: dispatcher}, counters: counters}
 	r.table = r.newTable()
 	r.list(eidertrail.Ready, eidertrail.Ready)
 	synctest.Wait()
@@ -214,10 +214,10 @@
 	r.table.Close()
 	stop()
 	synctest.Wait()
-	if _, err := d.Pick(context.Background(), r.request(0, time.Second)); !errors.Is(err, ErrClosed) {
+	if _, err := dispatcher.Pick(context.Background(), r.request(0, time.Second)); !errors.Is(err, ErrClosed) {
 		t.Errorf("Pick after the end: %v", err)
 	}
-	if err := d.Tick(context.Background()); !errors.Is(err, ErrClosed) {
+	if err := dispatcher.Tick(context.Background()); !errors.Is(err, ErrClosed) {
 		t.Errorf("Tick after the end: %v", err)
 	}
 }
@@ -291,7 +291,7 @@
 	r.t.Helper()
 	r.setup(conn, id)
 	attempt := r.lastAttempt()
-	attempt.answer("sdp")
+	attempt.answer()
 	synctest.Wait()
 	return attempt.leg
 }
--- a/dispatch/routing_filter_test.go
+++ b/dispatch/routing_filter_test.go
@@ -58,7 +58,8 @@
 		{"neighbours nearly full", zonePlan{routed: true, outages: oneOutage(), reserved: 16}, 60, 75},
 		{
 			"neighbours full: half of what batumi holds is the next tier's budget",
-			zonePlan{routed: true, outages: oneOutage(), reserved: zoneAgents}, 45, 50,
+			zonePlan{routed: true, outages: oneOutage(), reserved: zoneAgents},
+			45, 50,
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/dispatch/zone_model_test.go
+++ b/dispatch/zone_model_test.go
@@ -20,10 +20,10 @@
 	"eidertrail/internal/telemetry"
 )
 
-// zoneModel models four zones of two endpoints each, behind one inviter: a zone can fail (connections fail after 20 ms),
-// and come back warming up (answers slow and few agents at first, all of them after a warm-up of its own). It checks the
-// rules of the wire on every attempt: one in flight at a time, two attempts at most, the wait after a time-out, reset or
-// cancel.
+// zoneModel models four zones of two endpoints each, behind one inviter: a zone can fail (connections fail after
+// 20 ms), and come back warming up (answers slow and few agents at first, all of them after a warm-up of its own). It
+// checks the rules of the wire on every attempt: one in flight at a time, two attempts at most, the wait after a
+// time-out, reset or cancel.
 type zoneModel struct {
 	dispatcher  *Dispatcher
 	mu          sync.Mutex
@@ -53,7 +53,7 @@
 var zoneNames = []string{"batumi", "tbilisi", "kutaisi", "telavi"}
 
 func newZoneModel(d *Dispatcher) *zoneModel {
-	z := &zoneModel{
+	model := &zoneModel{
 		dispatcher: d,
 		zoneOf:     map[string]string{},
 		failed:     map[string]bool{},
@@ -74,10 +74,10 @@
 	}
 	for _, zone := range zoneNames {
 		for _, number := range []string{"1", "2"} {
-			z.zoneOf[zone[:2]+number] = zone
+			model.zoneOf[zone[:2]+number] = zone
 		}
 	}
-	return z
+	return model
 }
 
 func (z *zoneModel) endpoints() []Endpoint {
@@ -114,30 +114,30 @@
 	defer z.mu.Unlock()
 	zone := z.zoneOf[uid]
 	capacity := z.capacity(zone)
-	a := arrival{
+	arrived := arrival{
 		zone:    zone,
 		failed:  z.failed[zone],
 		warming: capacity < zoneAgents,
 		full:    z.inFlight[uid] >= capacity,
 	}
-	if a.warming {
+	if arrived.warming {
 		z.toWarming++
 	}
-	if a.full && a.warming {
+	if arrived.full && arrived.warming {
 		z.overWarming++
 	}
-	if a.accepted() {
+	if arrived.accepted() {
 		z.inFlight[uid]++
 	}
-	a.free = float64(capacity - z.inFlight[uid])
-	return a
+	arrived.free = float64(capacity - z.inFlight[uid])
+	return arrived
 }
 
-func (z *zoneModel) Invite(ctx context.Context, a Attempt) (Leg, Ending) {
-	z.rules.Sent(z.dispatcher.Now(), a.ID, "", a.Pool)
-	arrived := z.arrive(a.Pool)
+func (z *zoneModel) Invite(ctx context.Context, attempt Attempt) (Leg, Ending) {
+	z.rules.Sent(z.dispatcher.Now(), attempt.ID, "", attempt.Pool)
+	arrived := z.arrive(attempt.Pool)
 	end := func(outcome Outcome) Ending {
-		z.rules.Ended(z.dispatcher.Now(), a.ID, outcome == Cancelled)
+		z.rules.Ended(z.dispatcher.Now(), attempt.ID, outcome == Cancelled)
 		return Ending{
 			Outcome: outcome,
 			At:      z.dispatcher.Now(),
@@ -152,7 +152,7 @@
 	case <-time.After(delay):
 	case <-ctx.Done():
 		if arrived.accepted() {
-			z.release(a.Pool)
+			z.release(attempt.Pool)
 		}
 		return nil, end(Cancelled)
 	}
@@ -162,7 +162,7 @@
 	case arrived.full:
 		return nil, end(NoAgent)
 	default:
-		return z.establish(a.Pool, arrived), end(Answered)
+		return z.establish(attempt.Pool, arrived), end(Answered)
 	}
 }
 
@@ -386,22 +386,23 @@
 
 // serve takes one call to its end.
 func (run *zoneRun) serve(number int) {
-	d, rules, id := run.dispatcher, run.model.rules, strconv.Itoa(number)
+	dispatcher, rules, id := run.dispatcher, run.model.rules, strconv.Itoa(number)
 	placedAt := time.Since(run.startedAt)
-	r := Request{Call: d.NewCall(), Class: 0, Pool: -1, Deadline: d.Now() + zoneCallsDeadline.Microseconds()}
-	rules.CallAccepted(d.Now(), id, r.Deadline)
+	deadline := dispatcher.Now() + zoneCallsDeadline.Microseconds()
+	r := Request{Call: dispatcher.NewCall(), Class: 0, Pool: -1, Deadline: deadline}
+	rules.CallAccepted(dispatcher.Now(), id, r.Deadline)
 	ctx, leave := context.WithCancel(context.Background())
 	defer leave()
 	if run.plan.leaveAfter > 0 && number%3 == 0 {
 		timer := time.AfterFunc(run.plan.leaveAfter, func() {
-			rules.CallerGone(d.Now(), id)
+			rules.CallerGone(dispatcher.Now(), id)
 			leave()
 		})
 		defer timer.Stop()
 	}
-	final := Serve(ctx, d, run.model, r, Setup{ID: id})
+	final := Serve(ctx, dispatcher, run.model, r, Setup{ID: id})
 	if final.Kind != FinalCallerGone {
-		rules.Final(d.Now(), id, fmt.Sprint(final.Kind))
+		rules.Final(dispatcher.Now(), id, fmt.Sprint(final.Kind))
 	}
 	run.count(final, placedAt, time.Since(run.startedAt)-placedAt)
 	if final.Kind == FinalEstablished {
