--- a/dispatch/call_table_test.go
+++ b/dispatch/call_table_test.go
@@ -32,7 +32,7 @@
 }
 
 // An end that was written to a connection whose caller was just closing it was read by nobody.
-func TestEndDelivery_EndThatCrossedTheClosingIsDeliveredAgain(t *testing.T) {
+func TestEndDelivery_EndThatCrossedTheClosingIsRedelivered(t *testing.T) {
 	onRig(t, func(r *rig) {
 		other, conn := r.connect(), r.connect()
 		for _, id := range []string{"c1", "c2"} {
@@ -68,7 +68,7 @@
 }
 
 // An end that is delivered after a while on a connection on which no call was answered yet, and is lost with it, must
-// not wait as long again: it is to be delivered within 1 s.
+// not wait as long again: it must be delivered within 1 s.
 func TestEndDelivery_EndIsDeliveredInTimeWhileCallersComeAndGo(t *testing.T) {
 	onRig(t, func(r *rig) {
 		conn := r.connect()
--- a/dispatch/drain_test.go
+++ b/dispatch/drain_test.go
@@ -210,7 +210,7 @@
 	r.lastAttempt().end <- Ending{Outcome: outcome, Load: UnknownLoad}
 }
 
-// A caller must not be told that a call was rejected, which says that a retry is harmless, when a set-up that must not
+// A caller must not be notified that a call was rejected, as if a retry were harmless, when a set-up that must not
 // be repeated may have been carried out: at a planned stop too.
 func TestCallTable_SetupThatMustNotBeRepeatedIsNotRejected(t *testing.T) {
 	for _, idempotency := range allIdempotencies {
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -238,9 +238,7 @@
 
 // Step has the module handle what has come, and then what the guard sends back.
 func (e *Engine) Step(now int64) {
-	if e.filters.routing != nil {
-		e.filters.routing.setOldestWait(now, e.oldestWait(now))
-	}
+	e.filters.observeWaiting(now, e.waiting)
 	if changed := e.filters.changedOffers(now, e.endpoints); len(changed) > 0 {
 		e.events = append(e.events, eidertrail.ServerList{Kind: eidertrail.Delta, Servers: changed})
 	}
@@ -261,17 +259,6 @@
 	}
 }
 
-// oldestWait is since when the call that has waited longest could have been sent, 0: none waits.
-func (e *Engine) oldestWait(now int64) int64 {
-	since := int64(0)
-	for _, c := range e.waiting {
-		if from := max(c.waitsSince, c.notBefore); from < now && (since == 0 || from < since) {
-			since = from
-		}
-	}
-	return since
-}
-
 // trace logs the module's events and actions.
 func (e *Engine) trace(now int64) {
 	for _, event := range e.events {
--- a/dispatch/established_call.go
+++ b/dispatch/established_call.go
@@ -17,8 +17,8 @@
 }
 
 // WaitEnd waits until the endpoint ends the call, or until released brings the cause with which the caller ends it,
-// and reports the end. It returns the cause, and whether the endpoint ended the call: the caller is to be notified
-// then. When ctx is done first the call stays established.
+// and reports the end. It returns the cause, and whether the endpoint ended the call: the caller must be notified then.
+// When ctx is done first the call stays established.
 func (c *EstablishedCall) WaitEnd(ctx context.Context, released <-chan int) (cause int, byPool bool) {
 	select {
 	case <-c.Done():
--- a/dispatch/filter.go
+++ b/dispatch/filter.go
@@ -113,7 +113,7 @@
 	return classes
 }
 
-// available is how an endpoint of the list is to be offered now: for no class is as good as draining.
+// available is how an endpoint of the list is offered now: one that no class may use is offered as draining.
 func (c *filterChain) available(now int64, endpoint Endpoint) availability {
 	if endpoint.Mode != eidertrail.Ready {
 		return availability{mode: endpoint.Mode}
@@ -125,7 +125,7 @@
 	return availability{mode: endpoint.Mode, denied: c.allClasses &^ classes}
 }
 
-// offer returns the line of the list as the module is to be notified of it, and notes that it was.
+// offer returns the line of the list as the module sees it, and notes that the module is notified of it.
 func (c *filterChain) offer(now int64, endpoint Endpoint) eidertrail.Server {
 	available := c.available(now, endpoint)
 	c.notified[endpoint.UID] = available
@@ -191,6 +191,13 @@
 	}
 }
 
+// observeWaiting takes the calls that wait for a decision.
+func (c *filterChain) observeWaiting(now int64, waiting map[uint64]*call) {
+	if c.routing != nil {
+		c.routing.observeWaiting(now, waiting)
+	}
+}
+
 // recordHeartbeat takes the time at which an endpoint reported unasked.
 func (c *filterChain) recordHeartbeat(now int64, uid string) {
 	c.liveness.monitor.RecordReport(now, uid)
--- a/dispatch/routing_filter.go
+++ b/dispatch/routing_filter.go
@@ -51,8 +51,16 @@
 // forgetEligible has eligibility computed anew.
 func (f *routingFilter) forgetEligible() { f.eligible = nil }
 
-// setOldestWait takes since when a call waits for an endpoint, 0: none waits.
-func (f *routingFilter) setOldestWait(now, since int64) { f.router.SetOldestWait(now, since) }
+// observeWaiting takes the calls that wait for a decision: routing spills to the next tier while one waits too long.
+func (f *routingFilter) observeWaiting(now int64, waiting map[uint64]*call) {
+	since := int64(0) // when the call that has waited longest could have been sent, 0: none waits
+	for _, c := range waiting {
+		if from := max(c.waitsSince, c.notBefore); from < now && (since == 0 || from < since) {
+			since = from
+		}
+	}
+	f.router.SetOldestWait(now, since)
+}
 
 // recordSent counts an attempt that is sent.
 func (f *routingFilter) recordSent(sent *call) {
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -31,7 +31,7 @@
 
 const (
 	stateDeciding servedState = iota // it waits for the module's decision
-	stateInviting                    // an attempt is to be made
+	stateInviting                    // an attempt was decided on and starts now
 	stateEnded                       // the attempt ended without an answer
 	stateAnswered                    // the attempt was answered
 	stateFinal                       // the final answer is known
--- a/dispatch/wake_up.go
+++ b/dispatch/wake_up.go
@@ -11,7 +11,7 @@
 	token uint64
 }
 
-// wakeUpQueue holds wake-ups, the soonest first; of those at one time, the one added last is first.
+// wakeUpQueue holds wake-ups, the soonest first; of those at one time, the one added last comes first.
 type wakeUpQueue []wakeUp
 
 // add adds a wake-up.
