--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -2,7 +2,7 @@
 
 import "context"
 
-// Setup is what a front passes on beside the Request. An Inviter gets it unchanged.
+// Setup is what a frontend passes on beside the Request. An Inviter gets it unchanged.
 type Setup struct {
 	ID     string // the caller's name for the call
 	Number string // the number called
--- a/dispatch/call_table.go
+++ b/dispatch/call_table.go
@@ -9,8 +9,8 @@
 	"eidertrail/internal/telemetry"
 )
 
-// CallTable keeps the calls of one front from set-up to end: which connection is owed the final answer, which calls are
-// established, and on which connection the end of one can be delivered. It is the same for every front.
+// CallTable keeps the calls of one frontend from set-up to end: which connection is owed the final answer, which calls
+// are established, and on which connection the end of one can be delivered. It is the same for every frontend.
 //
 // A call passes through it once: Setup admits it, tableCall.run has it served, delivers its one final answer and waits
 // for its end, and endDelivery delivers that.
--- a/dispatch/connection.go
+++ b/dispatch/connection.go
@@ -21,7 +21,7 @@
 // connection is the state of a caller's connection. The table's mutex guards it.
 type connection struct {
 	CallerConn
-	verified    bool // a call was answered on it, or its front vouches for it
+	verified    bool // a call was answered on it, or its frontend vouches for it
 	hasCalled   bool // it has sent a valid set-up
 	unsettled   int  // its set-ups without a final answer
 	established int  // the calls that it set up and that are established
@@ -29,7 +29,7 @@
 	delivered   []deliveredEnd
 }
 
-// isVerified reports whether a call was answered on the connection, or its front vouches for it.
+// isVerified reports whether a call was answered on the connection, or its frontend vouches for it.
 func (c *connection) isVerified() bool { return c.verified }
 
 // isCaller reports whether the connection has set up valid calls: it is not a tester's.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -1,5 +1,5 @@
-// Package dispatch is the blocking facade over the decision module and the life of a call on top of it. A front hands
-// each set-up to a CallTable, which admits it and has Serve take it to its one final answer: Pick waits for the
+// Package dispatch is the blocking facade over the decision module, and the life of a call on top of it. A frontend
+// hands each set-up to a CallTable, which admits it and has Serve take it to its one final answer: Pick waits for the
 // module's decision, an Inviter carries the attempt to an endpoint, Report returns what became of it. An Engine hosts
 // the module with the filters that narrow its choice and a last check of the rules before each attempt; one loop
 // goroutine, the Dispatcher's, owns it. Outside this package nobody sees the module's events and actions.
@@ -67,19 +67,19 @@
 	settings eidertrail.Settings,
 	seed uint64,
 	maxRetryAfter int64,
-	now Clock,
+	timeSource Clock,
 	log zerolog.Logger,
 	counters *Counters,
 ) (*Dispatcher, error) {
-	if now == nil {
-		now = clock.New()
+	if timeSource == nil {
+		timeSource = clock.New()
 	}
 	engine, err := NewEngine(settings, seed, maxRetryAfter, log, counters)
 	if err != nil {
 		return nil, err
 	}
 	return &Dispatcher{
-		clock:       now,
+		clock:       timeSource,
 		gatherDelay: min(maxGatherDelay, settings.Tick),
 		inbox:       make(chan func(int64), inboxCapacity),
 		done:        make(chan struct{}),
--- a/dispatch/setup_request.go
+++ b/dispatch/setup_request.go
@@ -8,7 +8,7 @@
 	"strings"
 )
 
-// SetupRequest is a set-up as a front reads it. The CallTable validates it, for all fronts.
+// SetupRequest is a set-up as a frontend reads it. The CallTable validates it, for all frontends.
 type SetupRequest struct {
 	ID            string // the caller's name for the call
 	Class         string
