simulation: a type for each event's effect, states and random streams by name, a file a subject

Change: simulator, timers, random streams, callers, controller, request, calls, network, fleet, discovery, events, recorder in files of their own; an event's effect is a type with a start that returns what ends it; an attempt is idle, in flight or established; scenario, parsing and validation apart. Exported names follow the glossary, in experiment and the lab too. TOML and JSON keys stay.

--- a/cmd/eidertrail-lab/main.go
+++ b/cmd/eidertrail-lab/main.go
@@ -102,16 +102,16 @@
 		if err := experiment.WriteChart(o.out, name, r.Scenario, made, "second of the first try", "callers", experiment.Course(r)); err != nil {
 			return err
 		}
-		fmt.Fprintf(w, "%s: service %.3f, worst 10 s %.3f; tables and chart in %s\n", name, r.Service, r.Worst, o.out)
+		fmt.Fprintf(w, "%s: service %.3f, worst 10 s %.3f; tables and chart in %s\n", name, r.Service, r.WorstWindow, o.out)
 	}
 	for _, n := range r.Notes {
 		fmt.Fprintln(w, n)
 	}
-	if r.Broken > 0 {
-		for _, v := range r.Rules[:min(10, len(r.Rules))] {
+	if r.ViolationCount > 0 {
+		for _, v := range r.Violations[:min(10, len(r.Violations))] {
 			fmt.Fprintln(w, "rule broken:", v)
 		}
-		return fmt.Errorf("%w %d times", errBroken, r.Broken)
+		return fmt.Errorf("%w %d times", errBroken, r.ViolationCount)
 	}
 	return nil
 }
@@ -263,11 +263,11 @@
 			if err := t.Markdown(cmd.OutOrStdout()); err != nil {
 				return err
 			}
-			if live.Broken > 0 {
-				for _, r := range live.Rules[:min(10, len(live.Rules))] {
+			if live.ViolationCount > 0 {
+				for _, r := range live.Violations[:min(10, len(live.Violations))] {
 					fmt.Fprintln(cmd.OutOrStdout(), "rule broken:", r)
 				}
-				return fmt.Errorf("%w %d times", errBroken, live.Broken)
+				return fmt.Errorf("%w %d times", errBroken, live.ViolationCount)
 			}
 			return nil
 		},
--- a/cmd/eidertrail-lab/main_test.go
+++ b/cmd/eidertrail-lab/main_test.go
@@ -54,7 +54,7 @@
 // A run in which a rule was broken ends with the call, and an error.
 func TestABrokenRuleFailsTheRun(t *testing.T) {
 	var out bytes.Buffer
-	err := report(&out, &simulation.Result{Broken: 2, Rules: []string{"1.5 s: call 7: a second final answer", "2 s: call 9: late"}}, options{}, "x")
+	err := report(&out, &simulation.Result{ViolationCount: 2, Violations: []string{"1.5 s: call 7: a second final answer", "2 s: call 9: late"}}, options{}, "x")
 	if !errors.Is(err, errBroken) || !strings.Contains(out.String(), "rule broken: 1.5 s: call 7: a second") {
 		t.Errorf("%v\n%s", err, out.String())
 	}
--- a/internal/experiment/characterization_test.go
+++ b/internal/experiment/characterization_test.go
@@ -77,14 +77,14 @@
 func everyKey() *simulation.Result {
 	return &simulation.Result{
 		Scenario: "small", Seed: 18446744073709551615, Events: 1001,
-		Calls: 1002, InTime: 703, Late: 104, Cut: 105, Lost: 90, Refused: 106, Failed: 107, Left: 108, Tries: 1109, Sends: 1210,
-		Service: 0.8125, Worst: 0.40625, P50: 12.25, P99: 99.5, Cold: 0.75, ColdBudget: 0.875, ColdSent: 111, LeftWaiting: 112,
-		SentOn: 113, Datagrams: 114, Queries: 115, Lag: 116.5, Deaths: 117, Broken: 1, Rules: []string{"2 s: call 9: late"},
+		Calls: 1002, InTime: 703, Late: 104, Dropped: 105, Lost: 90, Rejected: 106, Failed: 107, CallerGone: 108, Requests: 1109, Attempts: 1210,
+		Service: 0.8125, WorstWindow: 0.40625, P50: 12.25, P99: 99.5, SlowStartLoad: 0.75, SlowStartBudget: 0.875, SlowStartSent: 111, AbandonedWaiting: 112,
+		AbandonedForwarded: 113, Datagrams: 114, Queries: 115, RecordLag: 116.5, Deaths: 117, ViolationCount: 1, Violations: []string{"2 s: call 9: late"},
 		Class: []simulation.ClassResult{{Name: "avail-read", Calls: 800, Service: 0.9}, {Name: "stop|sell", Calls: 202, Service: 0.7}},
-		Pool:  []simulation.PoolResult{{UID: "p1", Got: 600, Full: 6, Cold: 0.5}, {UID: "p2", Got: 610, Full: 7, Cold: 0.25}},
-		Course: []simulation.Window{
-			{Calls: 501, InTime: 401, Late: 51, Cut: 31, Lost: 18, Worth: 701, Earned: 600.5},
-			{Calls: 501, InTime: 302, Late: 53, Cut: 74, Lost: 72, Worth: 702, Earned: 400.25},
+		Pool:  []simulation.PoolResult{{UID: "p1", Arrivals: 600, Overflowed: 6, SlowStartLoad: 0.5}, {UID: "p2", Arrivals: 610, Overflowed: 7, SlowStartLoad: 0.25}},
+		Windows: []simulation.Window{
+			{Calls: 501, InTime: 401, Late: 51, Dropped: 31, Lost: 18, OfferedWeight: 701, ServedWeight: 600.5},
+			{Calls: 501, InTime: 302, Late: 53, Dropped: 74, Lost: 72, OfferedWeight: 702, ServedWeight: 400.25},
 		},
 		Notes:    []string{"1.0 s: burst", "2.0 s: \"slow\" & <over>"},
 		Counters: map[string]int64{"answered": 807, "refused": 106, "only_here": 3},
--- a/internal/experiment/chart.go
+++ b/internal/experiment/chart.go
@@ -69,8 +69,8 @@
 // Course is the lines of a run's course: what became of the callers of each second.
 func Course(r *simulation.Result) []Line {
 	lines := []Line{{Name: "calls"}, {Name: "in time"}, {Name: "late"}, {Name: "cut"}, {Name: "lost"}}
-	for i, w := range r.Course {
-		for j, v := range []int{w.Calls, w.InTime, w.Late, w.Cut, w.Lost} {
+	for i, w := range r.Windows {
+		for j, v := range []int{w.Calls, w.InTime, w.Late, w.Dropped, w.Lost} {
 			lines[j].X = append(lines[j].X, float64(i))
 			lines[j].Y = append(lines[j].Y, float64(v))
 		}
--- a/internal/experiment/lab_test.go
+++ b/internal/experiment/lab_test.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if v.Callers.Rate != 12.5 || v.Pool[0].Agents != 40 || v.Length != 7*time.Second || v.Class[1].Worth != 9 {
+	if v.Callers.Rate != 12.5 || v.Pool[0].Agents != 40 || v.Length != 7*time.Second || v.Class[1].PriorityWeight != 9 {
 		t.Errorf("%+v", v.Scenario)
 	}
 	if n := len(Grid(sets(t, "a=1,2,3", "b=4,5"))); n != 6 {
@@ -197,8 +197,8 @@
 	if d := played.Service - live.Service; d > 0.1 || live.Calls < 150 {
 		t.Errorf("service: simulator %.3f, daemon %.3f of %d calls", played.Service, live.Service, live.Calls)
 	}
-	if live.Broken > 0 {
-		t.Errorf("rules broken: %v", live.Rules)
+	if live.ViolationCount > 0 {
+		t.Errorf("rules broken: %v", live.Violations)
 	}
 }
 
--- a/internal/experiment/live.go
+++ b/internal/experiment/live.go
@@ -27,13 +27,15 @@
 var ErrUnfit = fmt.Errorf("%w: the scenario does not fit", ErrLab)
 
 // liveKinds are the events that a live run can cause.
-var liveKinds = []string{simulation.Burst, simulation.Slow, simulation.Errors}
+var liveKinds = []string{
+	string(simulation.EventBurst), string(simulation.EventSlow), string(simulation.EventErrors),
+}
 
 // Live plays a scenario in real time: processes of the daemon on loopback, with stand-in pools that do what the
 // simulator's pools do, and callers. What it comes to has the figures that can be seen from outside.
 func Live(ctx context.Context, v *Variant, daemon string, seed uint64) (*simulation.Result, error) {
 	for _, e := range v.Event {
-		if !slices.Contains(liveKinds, e.Kind) {
+		if !slices.Contains(liveKinds, string(e.Kind)) {
 			return nil, fmt.Errorf("%w: event %s: want one of %s", ErrUnfit, e.Kind, strings.Join(liveKinds, ", "))
 		}
 	}
@@ -49,7 +51,7 @@
 	l := &live{
 		v: v, rng: rand.New(rand.NewPCG(seed, 9)), began: time.Now(), burst: 1, finals: map[string]*liveCall{},
 		rules: invariant.New(invariant.Config{
-			ReleaseWait: v.Settings.Release.Microseconds(), MaxAttempts: 2, Grace: math.MaxInt64 / 4,
+			ReleaseWait: v.Settings.ReleaseWait.Microseconds(), MaxAttempts: 2, Grace: math.MaxInt64 / 4,
 			Late: 100_000, LeftGrace: 100_000,
 		}),
 	}
@@ -57,13 +59,13 @@
 	var targets []map[string]any
 	for _, p := range v.Pool {
 		for i := range max(p.Count, 1) {
-			x, err := l.pool(ctx, simulation.NewModel(p, i))
+			x, err := l.pool(ctx, simulation.NewPoolModel(p, i))
 			if err != nil {
 				return nil, err
 			}
 			targets = append(targets, map[string]any{
 				"uid": x.model.UID(), "endpoint": x.address, "az": p.Zone,
-				"pod_group": x.model.GroupOf(), "state": "up", "boot_ms": 0,
+				"pod_group": x.model.GroupNumber(), "state": "up", "boot_ms": 0,
 			})
 		}
 	}
@@ -98,7 +100,7 @@
 }
 
 type livePool struct {
-	model   *simulation.Model
+	model   *simulation.PoolModel
 	address string
 	mu      sync.Mutex // of the model, and the connections
 	conns   map[net.Conn]bool
@@ -128,12 +130,12 @@
 
 // way is how long a message takes on the way to a pool.
 func (l *live) way() time.Duration {
-	least, most := time.Duration(l.v.Net.Near[0]), time.Duration(l.v.Net.Near[1])
+	least, most := time.Duration(l.v.Network.Near[0]), time.Duration(l.v.Network.Near[1])
 	return least + time.Duration(l.lot()*float64(most-least))
 }
 
 // pool serves a stand-in pool until ctx is done.
-func (l *live) pool(ctx context.Context, m *simulation.Model) (*livePool, error) {
+func (l *live) pool(ctx context.Context, m *simulation.PoolModel) (*livePool, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrLab, err)
@@ -160,16 +162,16 @@
 			l.wg.Go(func() { l.serve(p, c) })
 		}
 	})
-	if m.Tell > 0 {
+	if m.ReportInterval > 0 {
 		l.wg.Go(func() {
 			for {
 				select {
 				case <-ctx.Done():
 					return
-				case <-time.After(m.Tell):
+				case <-time.After(m.ReportInterval):
 				}
 				p.mu.Lock()
-				state := fmt.Sprintf("idle:%d;circuits:%d", m.Left(), m.Agents)
+				state := fmt.Sprintf("idle:%d;circuits:%d", m.FreeAgents(), m.Agents)
 				conns := make([]net.Conn, 0, len(p.conns))
 				for c := range p.conns {
 					conns = append(conns, c)
@@ -228,7 +230,7 @@
 func (l *live) arrive(p *livePool, c net.Conn, m *sip.Message, calledOff func() bool) {
 	p.mu.Lock()
 	v, after := p.model.Arrive(l.now(), &l.v.Settings, l.lot())
-	born := p.model.Born()
+	born := p.model.StartedAt()
 	p.mu.Unlock()
 	answer := func(status int, note, body string) {
 		a := &sip.Message{Status: status, Reason: "X", CallID: m.CallID, CSeq: 1, Of: "INVITE", Body: []byte(body)}
@@ -240,27 +242,27 @@
 	}
 	free := func() {
 		p.mu.Lock()
-		p.model.Free(born)
+		p.model.ReleaseAgent(born)
 		p.mu.Unlock()
 	}
 	time.AfterFunc(time.Duration(after)*time.Microsecond+l.way(), func() {
 		if calledOff() {
-			if v == simulation.Taken {
+			if v == simulation.ArrivalAccepted {
 				free()
 			}
 			return
 		}
 		switch v {
-		case simulation.Taken:
+		case simulation.ArrivalAccepted:
 			answer(200, "", "v=0\r\n")
-			hold := time.Duration(-math.Log(1-l.lot()) * float64(l.v.Class[l.classOf(m)].Hold))
+			hold := time.Duration(-math.Log(1-l.lot()) * float64(l.v.Class[l.classOf(m)].MeanHoldingTime))
 			time.AfterFunc(hold, func() {
 				free()
 				request(c, "BYE", m.CallID, sip.Header{Name: "Reason", Value: "Q.850;cause=16"})
 			})
-		case simulation.NoAgent:
+		case simulation.ArrivalNoAgent:
 			answer(503, "blocked", "")
-		case simulation.Swamped:
+		case simulation.ArrivalOverloaded:
 			answer(503, "swamped", "")
 		default:
 			answer(500, "", "")
@@ -278,15 +280,15 @@
 	var classes []map[string]any
 	for _, c := range l.v.Class {
 		classes = append(classes, map[string]any{
-			"name": c.Name, "promise": c.Aim.Nanoseconds(), "deadline": c.Deadline.Nanoseconds(),
-			"worth": c.Worth, "late_worth": c.LateWorth,
+			"name": c.Name, "promise": c.LatencyObjective.Nanoseconds(), "deadline": c.Deadline.Nanoseconds(),
+			"worth": c.PriorityWeight, "late_worth": c.LateFactor,
 		})
 	}
 	var hold []int64
-	extra := map[string]any{"clear_wait": s.Release.Nanoseconds(), "t1": s.Resend.Nanoseconds()}
+	extra := map[string]any{"clear_wait": s.ReleaseWait.Nanoseconds(), "t1": s.RetransmitInterval.Nanoseconds()}
 	var groups [][]int
 	for _, c := range l.v.Class {
-		hold = append(hold, c.Hold.Nanoseconds())
+		hold = append(hold, c.MeanHoldingTime.Nanoseconds())
 		if c.Groups != nil {
 			extra["shape"] = "skills"
 		}
@@ -301,8 +303,8 @@
 		"settings": map[string]any{
 			"balancers": l.v.Controllers, "index": i, "tick": s.Tick.Nanoseconds(), "extra": extra,
 			"caps": map[string]any{"max_attempts": s.MaxAttempts}, "rules": map[string]any{
-				"cold": s.Cold.Nanoseconds(), "cold_share": s.ColdShare,
-				"fall_multiple": s.FallMultiple, "tip_after": s.FallAfter.Nanoseconds(),
+				"cold": s.SlowStartWindow.Nanoseconds(), "cold_share": s.SlowStartCapacity,
+				"fall_multiple": s.OverloadMultiple, "tip_after": s.OverloadWindow.Nanoseconds(),
 			},
 			"request_classes": classes,
 		},
@@ -362,8 +364,8 @@
 	l.mu.Unlock()
 	for _, e := range l.v.Event {
 		time.AfterFunc(e.At, func() { l.happen(e, 1) })
-		if e.For > 0 {
-			time.AfterFunc(e.At+e.For, func() { l.happen(e, -1) })
+		if e.Duration > 0 {
+			time.AfterFunc(e.At+e.Duration, func() { l.happen(e, -1) })
 		}
 	}
 	next := start
@@ -381,21 +383,21 @@
 		l.mu.Lock()
 		share, total := l.rng.Float64(), 0.0
 		for _, c := range l.v.Class {
-			total += c.Share
+			total += c.Fraction
 		}
 		k := &liveCall{
 			first: time.Now(), node: l.rng.IntN(len(l.fleet)), window: min(int(time.Since(start).Seconds()), len(l.course)-1),
-			key: fmt.Sprintf("%x", l.rng.Uint64()>>12|1), pool: fmt.Sprint(l.pools[l.rng.IntN(len(l.pools))].model.GroupOf()),
+			key: fmt.Sprintf("%x", l.rng.Uint64()>>12|1), pool: fmt.Sprint(l.pools[l.rng.IntN(len(l.pools))].model.GroupNumber()),
 		}
 		for i, c := range l.v.Class {
-			if share -= c.Share / total; share < 0 {
+			if share -= c.Fraction / total; share < 0 {
 				k.class = i
 				break
 			}
 		}
 		w := &l.course[k.window]
 		w.Calls++
-		w.Worth += l.v.Class[k.class].Worth
+		w.OfferedWeight += l.v.Class[k.class].PriorityWeight
 		l.mu.Unlock()
 		l.try(k)
 	}
@@ -417,9 +419,9 @@
 
 // happen begins or ends an event.
 func (l *live) happen(e simulation.Event, sign float64) {
-	if e.Kind == simulation.Burst {
+	if e.Kind == simulation.EventBurst {
 		l.mu.Lock()
-		l.burst *= math.Pow(e.Times, sign)
+		l.burst *= math.Pow(e.Factor, sign)
 		l.mu.Unlock()
 		return
 	}
@@ -429,12 +431,12 @@
 		}
 		p.mu.Lock()
 		switch {
-		case e.Kind == simulation.Slow:
-			p.model.Slow(math.Pow(e.Times, sign))
+		case e.Kind == simulation.EventSlow:
+			p.model.ScaleServiceTime(math.Pow(e.Factor, sign))
 		case sign > 0:
-			p.model.Err(e.Share)
+			p.model.SetErrorRate(e.Fraction)
 		default:
-			p.model.Err(p.model.Errors)
+			p.model.SetErrorRate(p.model.ErrorRate)
 		}
 		p.mu.Unlock()
 	}
@@ -443,7 +445,7 @@
 // try dials once for a caller.
 func (l *live) try(k *liveCall) {
 	class := l.v.Class[k.class]
-	left := time.Duration(float64(class.Deadline) * l.v.Callers.TryShare)
+	left := time.Duration(float64(class.Deadline) * l.v.Callers.AttemptFraction)
 	l.mu.Lock()
 	l.n++
 	id := fmt.Sprintf("%016x", l.n)
@@ -509,12 +511,12 @@
 	defer l.mu.Unlock()
 	l.times = append(l.times, took.Microseconds())
 	w := &l.course[k.window]
-	if took <= class.Aim {
+	if took <= class.LatencyObjective {
 		w.InTime++
-		w.Earned += class.Worth
+		w.ServedWeight += class.PriorityWeight
 	} else {
 		w.Late++
-		w.Earned += class.Worth * class.LateWorth
+		w.ServedWeight += class.PriorityWeight * class.LateFactor
 	}
 }
 
@@ -534,16 +536,16 @@
 func (l *live) result(seed uint64) *simulation.Result {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := &simulation.Result{Scenario: l.v.Name + " (daemon)", Seed: seed, Course: l.course, Sends: l.sends, Tries: l.n}
+	r := &simulation.Result{Scenario: l.v.Name + " (daemon)", Seed: seed, Windows: l.course, Attempts: l.sends, Requests: l.n}
 	var worth, earned float64
 	for _, w := range l.course {
 		r.Calls, r.InTime, r.Late, r.Lost = r.Calls+w.Calls, r.InTime+w.InTime, r.Late+w.Late, r.Lost+w.Lost
-		worth, earned = worth+w.Worth, earned+w.Earned
+		worth, earned = worth+w.OfferedWeight, earned+w.ServedWeight
 	}
 	if worth > 0 {
 		r.Service = earned / worth
 	}
 	r.Summarize(l.times)
-	r.Check(l.rules)
+	r.RecordViolations(l.rules)
 	return r
 }
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -73,19 +73,19 @@
 func Figures() []Figure {
 	return []Figure{
 		{"service", func(r *simulation.Result) float64 { return r.Service }},
-		{"worst_10s", func(r *simulation.Result) float64 { return r.Worst }},
+		{"worst_10s", func(r *simulation.Result) float64 { return r.WorstWindow }},
 		{"calls", func(r *simulation.Result) float64 { return float64(r.Calls) }},
 		{"in_time", func(r *simulation.Result) float64 { return part(r.InTime, r.Calls) }},
 		{"late", func(r *simulation.Result) float64 { return part(r.Late, r.Calls) }},
-		{"cut", func(r *simulation.Result) float64 { return part(r.Cut, r.Calls) }},
+		{"cut", func(r *simulation.Result) float64 { return part(r.Dropped, r.Calls) }},
 		{"lost", func(r *simulation.Result) float64 { return part(r.Lost, r.Calls) }},
 		{"p50_ms", func(r *simulation.Result) float64 { return r.P50 }},
 		{"p99_ms", func(r *simulation.Result) float64 { return r.P99 }},
-		{"sends_per_call", func(r *simulation.Result) float64 { return part(r.Sends, r.Calls) }},
-		{"cold", func(r *simulation.Result) float64 { return r.Cold }},
-		{"cold_budget", func(r *simulation.Result) float64 { return r.ColdBudget }},
-		{"srv_lag_ms", func(r *simulation.Result) float64 { return r.Lag }},
-		{"broken", func(r *simulation.Result) float64 { return float64(r.Broken) }},
+		{"sends_per_call", func(r *simulation.Result) float64 { return part(r.Attempts, r.Calls) }},
+		{"cold", func(r *simulation.Result) float64 { return r.SlowStartLoad }},
+		{"cold_budget", func(r *simulation.Result) float64 { return r.SlowStartBudget }},
+		{"srv_lag_ms", func(r *simulation.Result) float64 { return r.RecordLag }},
+		{"broken", func(r *simulation.Result) float64 { return float64(r.ViolationCount) }},
 	}
 }
 
@@ -109,15 +109,15 @@
 	}
 	pools := &Table{Title: "By pool", Head: []string{"pool", "set-ups", "found it full", "cold"}}
 	for _, p := range r.Pool {
-		pools.Add(p.UID, p.Got, p.Full, p.Cold)
+		pools.Add(p.UID, p.Arrivals, p.Overflowed, p.SlowStartLoad)
 	}
 	course := &Table{Title: "By second of the first try", Head: []string{"second", "calls", "in time", "late", "cut", "lost", "service"}}
-	for i, w := range r.Course {
+	for i, w := range r.Windows {
 		service := 0.0
-		if w.Worth > 0 {
-			service = w.Earned / w.Worth
+		if w.OfferedWeight > 0 {
+			service = w.ServedWeight / w.OfferedWeight
 		}
-		course.Add(i, w.Calls, w.InTime, w.Late, w.Cut, w.Lost, service)
+		course.Add(i, w.Calls, w.InTime, w.Late, w.Dropped, w.Lost, service)
 	}
 	return []*Table{all, classes, pools, course}
 }
--- a/internal/simulation/characterization_errors_test.go
+++ b/internal/simulation/characterization_errors_test.go
@@ -46,16 +46,33 @@
 times = 2
 `
 
+// smallClass is a scenario with a class of calls and no pool.
+const smallClass = `[[class]]
+name = "first"
+share = 1
+aim = "1s"
+deadline = "4s"
+worth = 1
+hold = "2s"
+`
+
 // smallNames is a section that has the pools come from SRV names.
 const smallNames = "[srv]\nttl = \"2s\"\nfloor = \"200ms\"\nceiling = \"30s\"\ndrain_for = \"10s\"\n"
 
 // smallRouting is a valid routing section.
-const smallRouting = "[routing]\nzones = [\"east\", \"west\"]\nspill_share = 0.5\nhold = \"5s\"\nwarm_up = \"10s\"\n[routing.tiers]\neast = [[\"west\"]]\n"
+const smallRouting = `[routing]
+zones = ["east", "west"]
+spill_share = 0.5
+hold = "5s"
+warm_up = "10s"
+[routing.tiers]
+east = [["west"]]
+`
 
-// TestCharacterization_ScenarioErrors compares the text of each error of a scenario that makes no sense.
+// TestCharacterization_ScenarioErrors compares the text of each error of a scenario that is invalid.
 func TestCharacterization_ScenarioErrors(t *testing.T) {
 	var recorded strings.Builder
-	for _, c := range []struct{ from, to string }{
+	for _, test := range []struct{ from, to string }{
 		{"", ""},
 		{"length = \"10s\"", "length = \"0s\""},
 		{"length = \"10s\"", "length = \"61m\""},
@@ -123,27 +140,27 @@
 		{"[[event]]", smallRouting + "[[event]]"},
 		{"[[event]]", strings.Replace(smallRouting, "0.5", "-1", 1) + "[[event]]"},
 		{"[[event]]", strings.Replace(smallRouting, "hold", "held", 1) + "[[event]]"},
-		{"[[class]]", "[[clas]]"},
+		{"[[class]]", "[[clas]]"}, //nolint:misspell // a section that is not known
 		{smallScenario, ""},
 		{smallScenario, "name = \"no classes\"\n[[pool]]\nname = \"p\"\nagents = 1\nwork = \"1ms\"\n"},
-		{smallScenario, "[[class]]\nname = \"first\"\nshare = 1\naim = \"1s\"\ndeadline = \"4s\"\nworth = 1\nhold = \"2s\"\n"},
+		{smallScenario, smallClass},
 	} {
-		if !strings.Contains(smallScenario, c.from) {
-			t.Fatalf("%q is not in the scenario", c.from)
+		if !strings.Contains(smallScenario, test.from) {
+			t.Fatalf("%q is not in the scenario", test.from)
 		}
-		_, err := simulation.Parse(strings.Replace(smallScenario, c.from, c.to, 1))
+		_, err := simulation.Parse(strings.Replace(smallScenario, test.from, test.to, 1))
 		text := "accepted"
 		if err != nil {
 			text = err.Error()
 			if !errors.Is(err, simulation.ErrScenario) {
-				t.Errorf("%q: the error %q does not wrap the package's", c.to, text)
+				t.Errorf("%q: the error %q does not wrap the package's", test.to, text)
 			}
 		}
-		from := c.from
+		from := test.from
 		if from == smallScenario {
 			from = "all"
 		}
-		fmt.Fprintf(&recorded, "%q -> %q: %s\n", from, c.to, text)
+		fmt.Fprintf(&recorded, "%q -> %q: %s\n", from, test.to, text)
 	}
 	compareRecorded(t, "scenario-errors.txt", recorded.String())
 }
--- a/internal/simulation/characterization_test.go
+++ b/internal/simulation/characterization_test.go
@@ -54,7 +54,7 @@
 	s.Length /= shorterBy
 	for i := range s.Event {
 		s.Event[i].At /= shorterBy
-		s.Event[i].For /= shorterBy
+		s.Event[i].Duration /= shorterBy
 	}
 }
 
@@ -99,46 +99,47 @@
 
 // encodeNumbers holds all numbers of a result, but for the counters, which go with their names.
 func encodeNumbers(r *simulation.Result) []byte {
-	var e encoding
-	e.integers(int(r.Seed), int(r.Events), r.Calls, r.InTime, r.Late, r.Cut, r.Lost, r.Refused, r.Failed, r.Left, r.Tries, r.Sends)
-	e.floats(r.Service, r.Worst, r.P50, r.P99, r.Cold, r.ColdBudget)
-	e.integers(r.ColdSent, r.LeftWaiting, r.SentOn, r.Datagrams, r.Queries)
-	e.floats(r.Lag)
-	e.integers(r.Deaths, r.Broken, len(r.Class))
+	var encoded encoding
+	encoded.integers(int(r.Seed), int(r.Events), r.Calls, r.InTime, r.Late, r.Dropped, r.Lost)
+	encoded.integers(r.Rejected, r.Failed, r.CallerGone, r.Requests, r.Attempts)
+	encoded.floats(r.Service, r.WorstWindow, r.P50, r.P99, r.SlowStartLoad, r.SlowStartBudget)
+	encoded.integers(r.SlowStartSent, r.AbandonedWaiting, r.AbandonedForwarded, r.Datagrams, r.Queries)
+	encoded.floats(r.RecordLag)
+	encoded.integers(r.Deaths, r.ViolationCount, len(r.Class))
 	for _, c := range r.Class {
-		e.integers(c.Calls)
-		e.floats(c.Service)
+		encoded.integers(c.Calls)
+		encoded.floats(c.Service)
 	}
-	e.integers(len(r.Pool))
+	encoded.integers(len(r.Pool))
 	for _, p := range r.Pool {
-		e.integers(p.Got, p.Full)
-		e.floats(p.Cold)
+		encoded.integers(p.Arrivals, p.Overflowed)
+		encoded.floats(p.SlowStartLoad)
 	}
-	e.integers(len(r.Course))
-	for _, w := range r.Course {
-		e.integers(w.Calls, w.InTime, w.Late, w.Cut, w.Lost)
-		e.floats(w.Worth, w.Earned)
+	encoded.integers(len(r.Windows))
+	for _, w := range r.Windows {
+		encoded.integers(w.Calls, w.InTime, w.Late, w.Dropped, w.Lost)
+		encoded.floats(w.OfferedWeight, w.ServedWeight)
 	}
-	return e
+	return encoded
 }
 
 // encodeTexts holds all texts of a result, and the counters in the order of their names.
 func encodeTexts(r *simulation.Result) []byte {
-	var e encoding
-	e.texts(r.Scenario)
-	e.texts(r.Rules...)
-	e.texts(r.Notes...)
+	var encoded encoding
+	encoded.texts(r.Scenario)
+	encoded.texts(r.Violations...)
+	encoded.texts(r.Notes...)
 	for _, c := range r.Class {
-		e.texts(c.Name)
+		encoded.texts(c.Name)
 	}
 	for _, p := range r.Pool {
-		e.texts(p.UID)
+		encoded.texts(p.UID)
 	}
 	for _, name := range slices.Sorted(maps.Keys(r.Counters)) {
-		e.texts(name)
-		e.integers(int(r.Counters[name]))
+		encoded.texts(name)
+		encoded.integers(int(r.Counters[name]))
 	}
-	return e
+	return encoded
 }
 
 // compareRecorded compares text with the recorded file, or writes the file when EIDERTRAIL_UPDATE is set.
--- a/internal/simulation/pool.go
+++ b/internal/simulation/pool.go
@@ -7,147 +7,181 @@
 	"eidertrail/internal/slowstart"
 )
 
-// Model is what a pool does with set-ups, for stand-ins outside the simulator too. It is not safe for concurrent use.
-type Model = pool
-
-// NewModel is the ith pool of a kind.
-func NewModel(p Pool, i int) *Model {
-	return &pool{Pool: p, uid: p.uid(i), group: p.Group + i, slow: 1, errors: p.Errors, standing: map[*attempt]bool{}}
-}
+const (
+	// minServiceFactor bounds from below what service times are multiplied by.
+	minServiceFactor = 1e-3
+	// rejectionWork is the part of a set-up's service time that rejecting or recognizing one takes: one in so many.
+	rejectionWork = 5
+	// overloadAnswerDelay is how long an overloaded processor takes to reject a set-up, µs.
+	overloadAnswerDelay = 1000
+)
 
-// UID is the pool's name.
-func (p *pool) UID() string { return p.uid }
+// PoolModel is a simulated pool: agents, and one processor that serves set-ups in the order of their arrival. Live runs
+// of an experiment use it too. Times are in µs. It is not safe for concurrent use.
+type PoolModel struct {
+	Pool
+	uid     string
+	group   int
+	kind    int // index of the scenario's section
+	address string
 
-// GroupOf is the number by which calls name the pool.
-func (p *pool) GroupOf() int { return p.group }
+	startedAt   int64 // of its process, which then is in slow start; 0: long ago
+	crashed     bool
+	partitioned bool // its machine is cut off the network
+	draining    bool
+
+	serviceFactor    float64 // times the service time
+	currentErrorRate float64
+	busyAgents       int
+	busyUntil        int64             // of the processor
+	requests         map[*request]bool // that hold an agent
+	slowStartLoad    slowstart.Arrivals
+	arrivals         int
+	overflowed       int // set-ups that found no agent, or too long a wait for the processor
+}
 
-// Free gives an agent back that Arrive took, of the process that was born then.
-func (p *pool) Free(born int64) {
-	if p.born == born {
-		p.held--
+// NewPoolModel returns the pool of an index among those of one section.
+func NewPoolModel(spec Pool, index int) *PoolModel {
+	return &PoolModel{
+		Pool:             spec,
+		uid:              spec.uid(index),
+		group:            spec.Group + index,
+		serviceFactor:    1,
+		currentErrorRate: spec.ErrorRate,
+		requests:         map[*request]bool{},
 	}
 }
 
-// Born is when its process started, 0: long ago.
-func (p *pool) Born() int64 { return p.born }
-
-// Slow makes its work take times as long.
-func (p *pool) Slow(times float64) { p.slow *= times }
-
-// Err sets the share of set-ups that end in a fault.
-func (p *pool) Err(share float64) { p.errors = share }
+// UID is the pool's name.
+func (p *PoolModel) UID() string { return p.uid }
 
-// Left is how many agents are free.
-func (p *pool) Left() int { return p.Agents - p.held }
+// GroupNumber is the number by which calls name the pool.
+func (p *PoolModel) GroupNumber() int { return p.group }
 
-// pool is a simulated pool: agents, and a processor with one line. Times are µs.
-type pool struct {
-	Pool
-	uid     string
-	group   int
-	kind    int // which of the scenario's
-	address string
+// StartedAt is when the pool's process started, 0: long ago.
+func (p *PoolModel) StartedAt() int64 { return p.startedAt }
 
-	born     int64 // its process started then, cold; 0: long ago
-	down     bool  // its process has died
-	cut      bool  // its machine is cut off
-	draining bool
-	gone     bool
-	slow     float64 // times the work
-	errors   float64
-	held     int // agents
-	freeAt   int64
-	standing map[*attempt]bool  // in any order; ended in that of their numbers
-	load     slowstart.Arrivals // while cold
-	got      int
-	full     int // set-ups that found no agent, or a processor with too long a wait
-}
+// FreeAgents is the number of agents that are free.
+func (p *PoolModel) FreeAgents() int { return p.Agents - p.busyAgents }
 
-// rate is the set-ups a second that it can take now, and whether it is cold.
-func (p *pool) rate(now int64, s *Settings) (rate float64, cold bool) {
-	rate = 1e6 / float64(p.Work.Microseconds()) / max(p.slow, 1e-3)
-	if p.born == 0 {
-		return rate, false
+// ReleaseAgent frees an agent that Arrive took of the process that started then.
+func (p *PoolModel) ReleaseAgent(startedAt int64) {
+	if p.startedAt == startedAt {
+		p.busyAgents--
 	}
-	part, cold := s.start().CapacityAt(now - p.born)
-	return rate * part, cold
 }
 
-func (s *Settings) start() slowstart.Profile {
-	return slowstart.Profile{InitialCapacity: s.ColdShare, Window: s.Cold.Microseconds(), OverloadMultiple: s.FallMultiple, OverloadWindow: s.FallAfter.Microseconds()}
+// ScaleServiceTime multiplies the service time.
+func (p *PoolModel) ScaleServiceTime(factor float64) { p.serviceFactor *= factor }
+
+// SetErrorRate sets the fraction of the set-ups that fail.
+func (p *PoolModel) SetErrorRate(fraction float64) { p.currentErrorRate = fraction }
+
+// Restart starts a new process in the pool's place.
+func (p *PoolModel) Restart(now int64) {
+	p.startedAt, p.crashed, p.busyAgents, p.busyUntil = now, false, 0, now
+	p.slowStartLoad.Restart()
+	p.requests = map[*request]bool{}
 }
 
-// Verdict is what becomes of a set-up that arrives.
-type Verdict int
+// Arrival is what becomes of a set-up that arrives at a pool.
+type Arrival int
 
-// The verdicts.
+// What becomes of a set-up.
 const (
-	Taken   Verdict = iota // answered after a time; it holds an agent
-	Refused                // nobody listens
-	Silent                 // nothing comes back
-	NoAgent
-	Swamped
-	Fault
+	ArrivalAccepted   Arrival = iota // it holds an agent and is answered after a time
+	ArrivalRefused                   // nothing listens
+	ArrivalLost                      // there is no answer
+	ArrivalNoAgent                   // all agents are busy
+	ArrivalOverloaded                // the wait for the processor is too long
+	ArrivalFault                     // it fails
 )
 
-// Arrive takes a set-up, and tells after which time the pool answers.
-func (p *pool) Arrive(now int64, s *Settings, lot float64) (Verdict, int64) {
+// Arrive handles a set-up, and returns after which time in µs the pool answers it. A set-up fails if the number drawn
+// uniformly from [0, 1) is below the error rate.
+func (p *PoolModel) Arrive(now int64, settings *Settings, uniform float64) (Arrival, int64) {
 	switch {
-	case p.cut:
-		return Silent, 0
-	case p.down || p.gone:
-		return Refused, 0
-	}
-	p.got++
-	rate, cold := p.rate(now, s)
-	if cold {
-		p.load.Add(now, s.start(), rate)
+	case p.partitioned:
+		return ArrivalLost, 0
+	case p.crashed:
+		return ArrivalRefused, 0
 	}
-	wait := max(0, p.freeAt-now)
+	p.arrivals++
+	rate := p.countArrival(now, settings)
+	wait := max(0, p.busyUntil-now)
 	work := int64(1e6 / rate)
 	switch {
-	case p.MostWait > 0 && wait > p.MostWait.Microseconds():
-		p.full++
-		p.freeAt = max(p.freeAt, now) + work/5 // turning away is work, too
-		return Swamped, 1000
-	case lot < p.errors:
-		p.freeAt = max(p.freeAt, now) + work/2
-		return Fault, wait + work/2
-	case p.held >= p.Agents:
-		p.full++
-		p.freeAt = max(p.freeAt, now) + work/5
-		return NoAgent, wait + work/5
+	case p.MaxWait > 0 && wait > p.MaxWait.Microseconds():
+		p.overflowed++
+		p.occupy(now, work/rejectionWork)
+		return ArrivalOverloaded, overloadAnswerDelay
+	case uniform < p.currentErrorRate:
+		p.occupy(now, work/2)
+		return ArrivalFault, wait + work/2
+	case p.busyAgents >= p.Agents:
+		p.overflowed++
+		p.occupy(now, work/rejectionWork)
+		return ArrivalNoAgent, wait + work/rejectionWork
 	}
-	p.held++ // from now on: the agent is rung
-	p.freeAt = max(p.freeAt, now) + work
-	return Taken, wait + work
+	p.busyAgents++ // from now on: the agent's phone rings
+	p.occupy(now, work)
+	return ArrivalAccepted, wait + work
 }
 
-// repeated takes a set-up that it has already: finding that out is work.
-func (p *pool) repeated(now int64, s *Settings) {
-	if p.cut || p.down || p.gone {
+// retransmitArrived handles the repetition of a set-up that the pool has already: recognizing it takes work.
+func (p *PoolModel) retransmitArrived(now int64, settings *Settings) {
+	if p.partitioned || p.crashed {
 		return
 	}
-	rate, cold := p.rate(now, s)
-	if cold {
-		p.load.Add(now, s.start(), rate)
+	rate := p.countArrival(now, settings)
+	p.occupy(now, int64(1e6/rate)/rejectionWork)
+}
+
+// countArrival counts a set-up against the load that a pool in slow start bears, and returns the set-ups a second that
+// the pool can handle now.
+func (p *PoolModel) countArrival(now int64, settings *Settings) float64 {
+	rate := p.fullRate()
+	if p.startedAt == 0 {
+		return rate
+	}
+	profile := settings.slowStart()
+	capacity, warmingUp := profile.CapacityAt(now - p.startedAt)
+	rate *= capacity
+	if warmingUp {
+		p.slowStartLoad.Add(now, profile, rate)
+	}
+	return rate
+}
+
+// occupy adds work to what the processor has to do.
+func (p *PoolModel) occupy(now, work int64) { p.busyUntil = max(p.busyUntil, now) + work }
+
+// fullRate is the set-ups a second that the pool can handle after slow start.
+func (p *PoolModel) fullRate() float64 {
+	return 1e6 / float64(p.ServiceTime.Microseconds()) / max(p.serviceFactor, minServiceFactor)
+}
+
+// rate is the set-ups a second that the pool can handle now.
+func (p *PoolModel) rate(now int64, settings *Settings) float64 {
+	if p.startedAt == 0 {
+		return p.fullRate()
 	}
-	p.freeAt = max(p.freeAt, now) + int64(1e6/rate)/5
+	capacity, _ := settings.slowStart().CapacityAt(now - p.startedAt)
+	return p.fullRate() * capacity
 }
 
-// Start is a new process in its place.
-func (p *pool) Start(now int64) {
-	p.born, p.down, p.held, p.freeAt = now, false, 0, now
-	p.load.Restart()
-	p.standing = map[*attempt]bool{}
+// release frees the agent that a request holds.
+func (p *PoolModel) release(r *request) {
+	delete(p.requests, r)
+	p.busyAgents--
 }
 
-// calls are the attempts that it holds agents for, in the order of their numbers.
-func (p *pool) calls() []*attempt {
-	all := make([]*attempt, 0, len(p.standing))
-	for a := range p.standing {
-		all = append(all, a)
+// sortedRequests are the requests that hold agents, in the order of their ids: a map's order would differ between runs.
+func (p *PoolModel) sortedRequests() []*request {
+	all := make([]*request, 0, len(p.requests))
+	for r := range p.requests {
+		all = append(all, r)
 	}
-	slices.SortFunc(all, func(a, b *attempt) int { return cmp.Compare(a.id, b.id) })
+	slices.SortFunc(all, func(a, b *request) int { return cmp.Compare(a.id, b.id) })
 	return all
 }
