--- /dev/null
+++ b/internal/invariant/violation.go
@@ -0,0 +1,68 @@
+package invariant
+
+import "fmt"
+
+// Rule is a rule that holds on the wire.
+type Rule int
+
+// The rules.
+const (
+	RuleAcceptedOnce    Rule = iota // a call is accepted once
+	RuleSingleAttempt               // one attempt of a call is in flight at a time
+	RuleMaxAttempts                 // a call has a maximum number of attempts
+	RuleReleaseAwaited              // a failed attempt is released before the next
+	RuleEndpointOpen                // nothing is sent to a pool that drains or is removed
+	RuleNotAfterAnswer              // nothing is sent for a call that has its final answer
+	RuleNotAfterCaller              // nothing is sent for a caller that has left
+	RuleSlowStartBudget             // a pool in slow start gets no more than it bears
+	RuleSlowStartWatch              // not checked: too many pools are in slow start at a time
+	RuleAnswerExpected              // a final answer belongs to a call that was accepted
+	RuleSingleAnswer                // a call gets one final answer
+	RuleCallerPresent               // a caller that has left gets no answer
+	RuleAnswerInTime                // the final answer arrives by the deadline
+	RuleAnswered                    // every call gets a final answer
+)
+
+// String names the rule.
+func (r Rule) String() string {
+	names := map[Rule]string{
+		RuleAcceptedOnce:    "accepted once",
+		RuleSingleAttempt:   "single attempt in flight",
+		RuleMaxAttempts:     "maximum number of attempts",
+		RuleReleaseAwaited:  "release awaited",
+		RuleEndpointOpen:    "endpoint open",
+		RuleNotAfterAnswer:  "no attempt after the answer",
+		RuleNotAfterCaller:  "no attempt after the caller left",
+		RuleSlowStartBudget: "slow start budget",
+		RuleSlowStartWatch:  "slow start watched",
+		RuleAnswerExpected:  "answer expected",
+		RuleSingleAnswer:    "single answer",
+		RuleCallerPresent:   "no answer after the caller left",
+		RuleAnswerInTime:    "answer in time",
+		RuleAnswered:        "answered",
+	}
+	if name, ok := names[r]; ok {
+		return name
+	}
+	return fmt.Sprintf("Rule(%d)", int(r))
+}
+
+// Violation is a violation of a rule by a call.
+type Violation struct {
+	Rule   Rule
+	At     int64  // µs
+	CallID string // "-" for none
+	Detail string
+}
+
+// String is the line that reports show.
+func (v Violation) String() string {
+	return fmt.Sprintf("%.3f s: call %s: %s", seconds(v.At), v.CallID, v.Detail)
+}
+
+// violated returns a violation of a rule.
+func violated(rule Rule, at int64, id, format string, args ...any) *Violation {
+	return &Violation{Rule: rule, At: at, CallID: id, Detail: fmt.Sprintf(format, args...)}
+}
+
+func seconds(micros int64) float64 { return float64(micros) / 1e6 }
