--- a/cmd/eidertrail-lab/characterization_test.go
+++ b/cmd/eidertrail-lab/characterization_test.go
@@ -52,7 +52,8 @@
 
 // normalize replaces what depends on the build and on the machine.
 func normalize(text string) string {
-	return workers.ReplaceAllString(versionInText.ReplaceAllString(text, "version VERSION"), "runs at a time (default PROCESSORS)")
+	text = versionInText.ReplaceAllString(text, "version VERSION")
+	return workers.ReplaceAllString(text, "runs at a time (default PROCESSORS)")
 }
 
 // laboratory is the program, in a folder of the test's own with the recorded input.
@@ -106,62 +107,72 @@
 		checkFiles(t, l)
 	})
 	t.Run("version", func(t *testing.T) {
-		if got := l.transcript(t, "version"); build.ReplaceAllString(got, "VERSION") != "$ eidertrail-lab version\nexit status 0\nstandard output:\nVERSION\n\n" {
+		const want = "$ eidertrail-lab version\nexit status 0\nstandard output:\nVERSION\n\n"
+		if got := l.transcript(t, "version"); build.ReplaceAllString(got, "VERSION") != want {
 			t.Errorf("%s", got)
 		}
 	})
 }
 
 // checkHelp compares the help of each command: its flags, with their defaults where these are not empty.
-func checkHelp(t *testing.T, l laboratory) {
+func checkHelp(t *testing.T, lab laboratory) {
 	t.Helper()
 	for _, command := range []string{"", "run", "sweep", "compare", "live", "version", "help"} {
 		name := strings.ReplaceAll(strings.TrimSpace("eidertrail-lab "+command), " ", "-")
-		checkRecorded(t, "help-"+name+".txt", []byte(l.transcript(t, strings.TrimSpace(command+" --help"))))
+		checkRecorded(t, "help-"+name+".txt", []byte(lab.transcript(t, strings.TrimSpace(command+" --help"))))
 	}
 }
 
 // checkRefusals compares the line for what is wrong, and the exit status.
-func checkRefusals(t *testing.T, l laboratory) {
+func checkRefusals(t *testing.T, lab laboratory) {
 	t.Helper()
 	var text strings.Builder
 	for _, line := range []string{
-		"", "--colour", "nothing", "completion bash", "run", "run a b", "run --colour", "run absent.toml", "run small.toml --seed x", "run small.toml --seed -1",
-		"run small.toml --seeds 1-2", "run small.toml --set rate", "run small.toml --set length=1s,2s", "run small.toml --set callers.rat=1",
-		"run small.toml --set callers.rate=-1", "run small.toml --set pool.7.agents=1", "run small.toml --out small.toml", "run small.toml --set",
-		"sweep", "sweep --colour", "sweep small.toml", "sweep small.toml --seeds 3-1 --out refused", "sweep small.toml --seed 1", "sweep absent.toml --out refused",
+		"", "--colour", "nothing", "completion bash", "run", "run a b", "run --colour", "run absent.toml",
+		"run small.toml --seed x", "run small.toml --seed -1",
+		"run small.toml --seeds 1-2", "run small.toml --set rate", "run small.toml --set length=1s,2s",
+		"run small.toml --set callers.rat=1",
+		"run small.toml --set callers.rate=-1", "run small.toml --set pool.7.agents=1",
+		"run small.toml --out small.toml", "run small.toml --set",
+		"sweep", "sweep --colour", "sweep small.toml", "sweep small.toml --seeds 3-1 --out refused",
+		"sweep small.toml --seed 1", "sweep absent.toml --out refused",
 		"sweep small.toml --workers many --out refused",
-		"compare", "compare a b c", "compare --colour", "compare small.toml", "compare absent.toml --other callers.rate=1", "compare small.toml absent.toml",
-		"compare small.toml --other callers.rate=1,2", "compare small.toml --set length=1s,2s --other callers.rate=1", "compare small.toml --seeds x",
+		"compare", "compare a b c", "compare --colour", "compare small.toml",
+		"compare absent.toml --other callers.rate=1", "compare small.toml absent.toml",
+		"compare small.toml --other callers.rate=1,2",
+		"compare small.toml --set length=1s,2s --other callers.rate=1", "compare small.toml --seeds x",
 		"compare small.toml --with absent-folder/lab --seeds 1",
-		"live", "live --colour", "live absent.toml", "live fleet.toml --set length=1s", "live small.toml --daemon absent-folder/daemon", "version nothing",
+		"live", "live --colour", "live absent.toml", "live fleet.toml --set length=1s",
+		"live small.toml --daemon absent-folder/daemon", "version nothing",
 	} {
-		text.WriteString(l.transcript(t, line))
+		text.WriteString(lab.transcript(t, line))
 	}
 	checkRecorded(t, "refusals.txt", []byte(text.String()))
 }
 
 // checkResults compares what the commands write on the screen.
-func checkResults(t *testing.T, l laboratory) {
+func checkResults(t *testing.T, lab laboratory) {
 	t.Helper()
 	var text strings.Builder
 	for _, line := range []string{
 		"run small.toml", "run small.toml --seed 2 --set length=2s", "run small.toml --json", "run small.toml --out r",
-		"sweep small.toml --set length=1s,2s --seeds 1-2 --out s", "sweep small.toml --set length=1s,2s --seeds 1-3 --out s --workers 1",
+		"sweep small.toml --set length=1s,2s --seeds 1-2 --out s",
+		"sweep small.toml --set length=1s,2s --seeds 1-3 --out s --workers 1",
 		"sweep small.toml --set length=1s --out s",
-		"compare small.toml --other pool.0.agents=10 --seeds 1-3", "compare small.toml small.toml --set length=2s --other callers.rate=10 --seeds 1,3",
-		"compare small.toml --with " + l.program + " --seeds 1", "compare small.toml --other callers.rate=10 --out c",
+		"compare small.toml --other pool.0.agents=10 --seeds 1-3",
+		"compare small.toml small.toml --set length=2s --other callers.rate=10 --seeds 1,3",
+		"compare small.toml --with " + lab.program + " --seeds 1", "compare small.toml --other callers.rate=10 --out c",
 	} {
-		text.WriteString(strings.ReplaceAll(l.transcript(t, line), l.program, "PROGRAM"))
+		text.WriteString(strings.ReplaceAll(lab.transcript(t, line), lab.program, "PROGRAM"))
 	}
 	checkRecorded(t, "results.txt", []byte(text.String()))
 }
 
 // checkFiles compares the files that the commands of checkResults wrote.
-func checkFiles(t *testing.T, l laboratory) {
+func checkFiles(t *testing.T, lab laboratory) {
 	t.Helper()
 	for _, folder := range []string{"r", "s", "c"} {
-		entries, err := os.ReadDir(filepath.Join(l.folder, folder))
+		entries, err := os.ReadDir(filepath.Join(lab.folder, folder))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -171,8 +182,10 @@
 		}
 		checkRecorded(t, "files-of-"+folder+".txt", []byte(names.String()))
 	}
-	for _, name := range []string{"r/small.csv", "r/small.md", "s/summary.csv", "s/summary.md", "c/compare.csv", "c/compare.md"} {
-		text, err := os.ReadFile(filepath.Join(l.folder, name))
+	for _, name := range []string{
+		"r/small.csv", "r/small.md", "s/summary.csv", "s/summary.md", "c/compare.csv", "c/compare.md",
+	} {
+		text, err := os.ReadFile(filepath.Join(lab.folder, name))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/cmd/eidertrail-lab/main_test.go
+++ b/cmd/eidertrail-lab/main_test.go
@@ -11,10 +11,10 @@
 	"eidertrail/internal/simulation"
 )
 
-// Every command, as a user would call it; and the words for what is wrong.
-func TestCommands(t *testing.T) {
+// TestCommand_EachAsAUserCallsIt runs every command, and compares the texts of errors.
+func TestCommand_EachAsAUserCallsIt(t *testing.T) {
 	calm, dir := "../../internal/simulation/scenarios/calm.toml", t.TempDir()
-	for _, c := range []struct {
+	for _, test := range []struct {
 		args, out, err string
 	}{
 		{"run " + calm + " --set length=2s", "| service |", ""},
@@ -34,10 +34,12 @@
 		cmd := command()
 		var out bytes.Buffer
 		cmd.SetOut(&out)
-		cmd.SetArgs(strings.Fields(c.args))
+		cmd.SetArgs(strings.Fields(test.args))
 		err := cmd.Execute()
-		if (err != nil) != (c.err != "") || err != nil && !strings.Contains(err.Error(), c.err) || !strings.Contains(out.String(), c.out) {
-			t.Errorf("%s: %v, want %q\n%s", c.args, err, c.err, out.String())
+		wantError := test.err != ""
+		if (err != nil) != wantError || err != nil && !strings.Contains(err.Error(), test.err) ||
+			!strings.Contains(out.String(), test.out) {
+			t.Errorf("%s: %v, want %q\n%s", test.args, err, test.err, out.String())
 		}
 	}
 	for _, name := range []string{"calm.csv", "calm.md", "calm.svg", "s/runs.csv", "s/summary.md", "s/service.svg"} {
@@ -51,10 +53,16 @@
 	}
 }
 
-// A run in which a rule was broken ends with the call, and an error.
-func TestABrokenRuleFailsTheRun(t *testing.T) {
+// TestReport_ViolationIsAnError: a run in which a rule was violated prints the call, and ends with an error.
+func TestReport_ViolationIsAnError(t *testing.T) {
 	var out bytes.Buffer
-	err := report(&out, &simulation.Result{ViolationCount: 2, Violations: []string{"1.5 s: call 7: a second final answer", "2 s: call 9: late"}}, options{}, "x")
+	violated := &simulation.Result{
+		ViolationCount: 2,
+		Violations:     []string{"1.5 s: call 7: a second final answer", "2 s: call 9: late"},
+	}
+
+	err := report(&out, violated, options{}, "x")
+
 	if !errors.Is(err, errBroken) || !strings.Contains(out.String(), "rule broken: 1.5 s: call 7: a second") {
 		t.Errorf("%v\n%s", err, out.String())
 	}
--- a/internal/experiment/characterization_test.go
+++ b/internal/experiment/characterization_test.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var there []string
+	there := make([]string, 0, len(entries))
 	for _, e := range entries {
 		there = append(there, e.Name())
 	}
@@ -76,12 +76,42 @@
 // everyKey is a result in which every key of its file is present.
 func everyKey() *simulation.Result {
 	return &simulation.Result{
-		Scenario: "small", Seed: 18446744073709551615, Events: 1001,
-		Calls: 1002, InTime: 703, Late: 104, Dropped: 105, Lost: 90, Rejected: 106, Failed: 107, CallerGone: 108, Requests: 1109, Attempts: 1210,
-		Service: 0.8125, WorstWindow: 0.40625, P50: 12.25, P99: 99.5, SlowStartLoad: 0.75, SlowStartBudget: 0.875, SlowStartSent: 111, AbandonedWaiting: 112,
-		AbandonedForwarded: 113, Datagrams: 114, Queries: 115, RecordLag: 116.5, Deaths: 117, ViolationCount: 1, Violations: []string{"2 s: call 9: late"},
-		Class: []simulation.ClassResult{{Name: "avail-read", Calls: 800, Service: 0.9}, {Name: "stop|sell", Calls: 202, Service: 0.7}},
-		Pool:  []simulation.PoolResult{{UID: "p1", Arrivals: 600, Overflowed: 6, SlowStartLoad: 0.5}, {UID: "p2", Arrivals: 610, Overflowed: 7, SlowStartLoad: 0.25}},
+		Scenario:           "small",
+		Seed:               18446744073709551615,
+		Events:             1001,
+		Calls:              1002,
+		InTime:             703,
+		Late:               104,
+		Dropped:            105,
+		Lost:               90,
+		Rejected:           106,
+		Failed:             107,
+		CallerGone:         108,
+		Requests:           1109,
+		Attempts:           1210,
+		Service:            0.8125,
+		WorstWindow:        0.40625,
+		P50:                12.25,
+		P99:                99.5,
+		SlowStartLoad:      0.75,
+		SlowStartBudget:    0.875,
+		SlowStartSent:      111,
+		AbandonedWaiting:   112,
+		AbandonedForwarded: 113,
+		Datagrams:          114,
+		Queries:            115,
+		RecordLag:          116.5,
+		Deaths:             117,
+		ViolationCount:     1,
+		Violations:         []string{"2 s: call 9: late"},
+		Class: []simulation.ClassResult{
+			{Name: "avail-read", Calls: 800, Service: 0.9},
+			{Name: "stop|sell", Calls: 202, Service: 0.7},
+		},
+		Pool: []simulation.PoolResult{
+			{UID: "p1", Arrivals: 600, Overflowed: 6, SlowStartLoad: 0.5},
+			{UID: "p2", Arrivals: 610, Overflowed: 7, SlowStartLoad: 0.25},
+		},
 		Windows: []simulation.Window{
 			{Calls: 501, InTime: 401, Late: 51, Dropped: 31, Lost: 18, OfferedWeight: 701, ServedWeight: 600.5},
 			{Calls: 501, InTime: 302, Late: 53, Dropped: 74, Lost: 72, OfferedWeight: 702, ServedWeight: 400.25},
@@ -137,7 +167,9 @@
 	if err := experiment.WriteTables(folder, "run", experiment.RunTables(result)); err != nil {
 		t.Fatal(err)
 	}
-	if err := experiment.WriteChart(folder, "run", result.Scenario, "seed 1, version v1", "second", "callers", experiment.Course(result)); err != nil {
+	course := experiment.Course(result)
+	err := experiment.WriteChart(folder, "run", result.Scenario, "seed 1, version v1", "second", "callers", course)
+	if err != nil {
 		t.Fatal(err)
 	}
 	checkFolder(t, folder, "run.csv", "run.md", "run.svg")
--- a/internal/experiment/chart.go
+++ b/internal/experiment/chart.go
@@ -20,7 +20,12 @@
 	X, Y []float64
 }
 
-// colors tell lines apart, also where colours are hard to tell.
+const (
+	chartWidth, chartHeight = 9 * vg.Inch, 4.5 * vg.Inch
+	lineWidth               = vg.Length(1.5)
+)
+
+// lineColor and lineDashes together distinguish lines for readers who see no difference between some colours.
 func lineColor(i int) color.Color {
 	all := []color.RGBA{
 		{0x1b, 0x6c, 0xa8, 0xff},
@@ -33,40 +38,55 @@
 	return all[i%len(all)]
 }
 
-// Chart writes lines as an SVG picture. Under its title stands what made it.
-func Chart(w io.Writer, title, made, x, y string, lines []Line) error {
-	p := plot.New()
-	p.Title.Text = title + "\n" + made
-	p.X.Label.Text, p.Y.Label.Text = x, y
-	p.Y.Min = 0
-	p.Add(plotter.NewGrid())
-	p.Legend.Top = true
-	for i, l := range lines {
-		points := make(plotter.XYs, len(l.X))
-		for j := range l.X {
-			points[j].X, points[j].Y = l.X[j], l.Y[j]
-		}
-		if len(points) == 0 {
-			continue
-		}
-		line, dots, err := plotter.NewLinePoints(points)
-		if err != nil {
-			return fmt.Errorf("%w: chart: %s: %w", ErrLab, l.Name, err)
+func lineDashes(i int) []vg.Length {
+	all := [][]vg.Length{
+		nil,
+		{6, 3}, // points
+		{2, 2},
+	}
+	return all[i%len(all)]
+}
+
+// Chart writes lines as an SVG picture. Below its title it names its origin: the seed and the version of the program.
+func Chart(w io.Writer, title, origin, xLabel, yLabel string, lines []Line) error {
+	chart := plot.New()
+	chart.Title.Text = title + "\n" + origin
+	chart.X.Label.Text, chart.Y.Label.Text = xLabel, yLabel
+	chart.Y.Min = 0
+	chart.Add(plotter.NewGrid())
+	chart.Legend.Top = true
+	for i, line := range lines {
+		if err := addLine(chart, i, line); err != nil {
+			return err
 		}
-		line.Color = lineColor(i)
-		line.Width = vg.Points(1.5)
-		line.Dashes = [][]vg.Length{nil, {vg.Points(6), vg.Points(3)}, {vg.Points(2), vg.Points(2)}}[i%3]
-		dots.Color, dots.Radius, dots.Shape = lineColor(i), vg.Points(1.5), draw.CircleGlyph{}
-		p.Add(line, dots)
-		p.Legend.Add(l.Name, line)
 	}
-	c := vgsvg.New(9*vg.Inch, 4.5*vg.Inch)
-	p.Draw(draw.New(c))
-	_, err := c.WriteTo(w)
+	canvas := vgsvg.New(chartWidth, chartHeight)
+	chart.Draw(draw.New(canvas))
+	_, err := canvas.WriteTo(w)
 	return err
 }
 
-// Course is the lines of a run's course: what became of the callers of each second.
+// addLine adds the ith line, unless it has no points.
+func addLine(chart *plot.Plot, i int, line Line) error {
+	if len(line.X) == 0 {
+		return nil
+	}
+	points := make(plotter.XYs, len(line.X))
+	for j := range points {
+		points[j].X, points[j].Y = line.X[j], line.Y[j]
+	}
+	stroke, dots, err := plotter.NewLinePoints(points)
+	if err != nil {
+		return fmt.Errorf("%w: chart: %s: %w", ErrLab, line.Name, err)
+	}
+	stroke.Color, stroke.Width, stroke.Dashes = lineColor(i), lineWidth, lineDashes(i)
+	dots.Color, dots.Radius, dots.Shape = lineColor(i), lineWidth, draw.CircleGlyph{}
+	chart.Add(stroke, dots)
+	chart.Legend.Add(line.Name, stroke)
+	return nil
+}
+
+// Course returns the lines of a run over its time: what became of the callers of each second.
 func Course(r *simulation.Result) []Line {
 	lines := []Line{{Name: "calls"}, {Name: "in time"}, {Name: "late"}, {Name: "cut"}, {Name: "lost"}}
 	for i, w := range r.Windows {
--- a/internal/experiment/lab_test.go
+++ b/internal/experiment/experiment_test.go
@@ -25,7 +25,7 @@
 	return c
 }
 
-func TestSetsAndSeeds(t *testing.T) {
+func TestLoad_SetsAndSeeds(t *testing.T) {
 	v, err := Load(calm, Grid(sets(t, "callers.rate=12.5", "pool.0.agents=40", "length=7s", "class.1.worth=9"))[0])
 	if err != nil {
 		t.Fatal(err)
@@ -51,69 +51,76 @@
 	}
 }
 
-// A sweep that is interrupted keeps what it has run, a last row that was cut off is run again, and the folder ends
+// A sweep that is interrupted keeps the runs that it has done, an incomplete last row is run again, and the folder ends
 // with the same runs as that of one that was not.
-func TestAnInterruptedSweepGoesOn(t *testing.T) {
-	whole, cut := t.TempDir(), t.TempDir()
-	sweep := func(dir string) *Sweep {
-		return &Sweep{Path: calm, Choices: sets(t, "callers.rate=20,40", "length=5s"), Seeds: []uint64{1, 2, 3, 4}, Out: dir, Workers: 1}
+func TestSweep_InterruptedContinues(t *testing.T) {
+	complete, interrupted := t.TempDir(), t.TempDir()
+	sweep := func(folder string) *Sweep {
+		return &Sweep{
+			Path:    calm,
+			Choices: sets(t, "callers.rate=20,40", "length=5s"),
+			Seeds:   []uint64{1, 2, 3, 4},
+			Out:     folder,
+			Workers: 1,
+		}
 	}
-	if ran, had, err := sweep(whole).Run(context.Background(), "v"); ran != 8 || had != 0 || err != nil {
+	if ran, had, err := sweep(complete).Run(context.Background(), "v"); ran != 8 || had != 0 || err != nil {
 		t.Fatalf("%d, %d, %v", ran, had, err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
 		for {
-			if text, _ := os.ReadFile(filepath.Join(cut, runsFile)); bytes.Count(text, []byte("\n")) >= 3 {
+			if text, _ := os.ReadFile(filepath.Join(interrupted, runsFile)); bytes.Count(text, []byte("\n")) >= 3 {
 				cancel()
 				return
 			}
 			time.Sleep(time.Millisecond)
 		}
 	}()
-	ran, _, err := sweep(cut).Run(ctx, "v")
+	ran, _, err := sweep(interrupted).Run(ctx, "v")
 	if err == nil {
 		t.Skip("the sweep was over before it could be interrupted")
 	}
 	if ran == 0 || !errors.Is(err, context.Canceled) {
 		t.Fatalf("%d, %v", ran, err)
 	}
-	path := filepath.Join(cut, runsFile)
+	path := filepath.Join(interrupted, runsFile)
 	text, _ := os.ReadFile(path)
-	os.WriteFile(path, append(text, "v,abc,7,2"...), 0o644) // killed in the middle of a row
-	again, had, err := sweep(cut).Run(context.Background(), "v")
-	if err != nil || had != ran || again != 8-ran {
-		t.Errorf("went on with %d runs, %d were there, %v; %d had been done", again, had, err, ran)
+	writeFileOf(t, path, append(text, "v,abc,7,2"...), 0o644) // killed in the middle of a row
+	resumed, had, err := sweep(interrupted).Run(context.Background(), "v")
+	if err != nil || had != ran || resumed != 8-ran {
+		t.Errorf("went on with %d runs, %d were there, %v; %d had been done", resumed, had, err, ran)
 	}
 	for _, name := range []string{"summary.csv", "summary.md", "service.svg"} {
-		a, _ := os.ReadFile(filepath.Join(whole, name))
-		b, _ := os.ReadFile(filepath.Join(cut, name))
+		a, _ := os.ReadFile(filepath.Join(complete, name))
+		b, _ := os.ReadFile(filepath.Join(interrupted, name))
 		if len(a) == 0 || !bytes.Equal(a, b) {
 			t.Errorf("%s differs (%d and %d bytes)", name, len(a), len(b))
 		}
 	}
-	svg, _ := os.ReadFile(filepath.Join(cut, "service.svg"))
+	svg, _ := os.ReadFile(filepath.Join(interrupted, "service.svg"))
 	if !strings.Contains(string(svg), "<svg") || !strings.Contains(string(svg), "version v") {
 		t.Error("the chart does not say which version made it")
 	}
-	other := sweep(cut)
+	other := sweep(interrupted)
 	other.Choices = sets(t, "callers.retries=1,2")
 	if _, _, err := other.Run(context.Background(), "v"); !errors.Is(err, ErrLab) {
 		t.Errorf("another sweep in the same folder: %v", err)
 	}
 }
 
-func TestCompareTwoSettings(t *testing.T) {
+func TestCompare_TwoSettings(t *testing.T) {
 	short := Grid(sets(t, "length=10s"))[0]
-	a, err := Load(calm, short)
+	few, err := Load(calm, short)
 	if err != nil {
 		t.Fatal(err)
 	}
-	b, err := Load(calm, append(short, Set{"pool.0.agents", "40"}))
+	fewer, err := Load(calm, append(short, Set{"pool.0.agents", "40"}))
 	if err != nil {
 		t.Fatal(err)
 	}
-	tables, err := Compare(context.Background(), Side{Name: "a", Variant: a}, Side{Name: "b", Variant: b}, []uint64{1, 2, 3})
+	sideA, sideB := Side{Name: "a", Variant: few}, Side{Name: "b", Variant: fewer}
+	tables, err := Compare(context.Background(), sideA, sideB, []uint64{1, 2, 3})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -131,36 +138,43 @@
 		t.Errorf("no counters:\n%s", md.String())
 	}
 	// The same on both sides differs in nothing; another build that fails says why.
-	tables, err = Compare(context.Background(), Side{Name: "a", Variant: a}, Side{Name: "a", Variant: a}, []uint64{1, 2})
+	tables, err = Compare(context.Background(), sideA, sideA, []uint64{1, 2})
 	if err != nil || tables[0].Rows[0][3] != "0" {
 		t.Errorf("%v, %v", tables, err)
 	}
-	if _, err := Compare(context.Background(), Side{Variant: a}, Side{Variant: a, Path: calm, Build: "/bin/false"}, []uint64{1}); !errors.Is(err, ErrLab) {
+	failing := Side{Variant: few, Path: calm, Build: "/bin/false"}
+	if _, err := Compare(context.Background(), Side{Variant: few}, failing, []uint64{1}); !errors.Is(err, ErrLab) {
 		t.Errorf("a build that fails: %v", err)
 	}
 }
 
 // Two builds may count different things: what one has not is shown as such.
-func TestCompareTwoBuildsWithDifferentCounters(t *testing.T) {
+func TestCompare_BuildsWithDifferentCounters(t *testing.T) {
 	dir := t.TempDir()
 	build := filepath.Join(dir, "old")
-	os.WriteFile(build, []byte("#!/bin/sh\necho '{\"service\":0.5,\"calls\":10,\"counters\":{\"old_counter\":3}}'\n"), 0o700)
+	program := `#!/bin/sh
+echo '{"service":0.5,"calls":10,"counters":{"old_counter":3}}'
+`
+	writeFileOf(t, build, []byte(program), 0o700)
 	a, err := Load(calm, Grid(sets(t, "length=3s"))[0])
 	if err != nil {
 		t.Fatal(err)
 	}
-	tables, err := Compare(context.Background(), Side{Name: "new", Variant: a}, Side{Name: "old", Variant: a, Path: calm, Build: build}, []uint64{1, 2})
+	thisBuild, otherBuild := Side{Name: "new", Variant: a}, Side{Name: "old", Variant: a, Path: calm, Build: build}
+	tables, err := Compare(context.Background(), thisBuild, otherBuild, []uint64{1, 2})
 	if err != nil {
 		t.Fatal(err)
 	}
 	var md bytes.Buffer
-	tables[1].Markdown(&md)
+	if err := tables[1].Markdown(&md); err != nil {
+		t.Fatal(err)
+	}
 	if !strings.Contains(md.String(), "| old_counter | - | 3 |") {
 		t.Errorf("%s", md.String())
 	}
 }
 
-func TestWhatDoesNotFitTheDaemon(t *testing.T) {
+func TestLive_RejectsScenariosOfTheSimulator(t *testing.T) {
 	for _, name := range []string{"zoneloss", "fleet"} {
 		v, err := Load("../simulation/scenarios/"+name+".toml", nil)
 		if err != nil {
@@ -173,7 +187,7 @@
 }
 
 // The daemon and the simulator agree on a short calm run.
-func TestSimulatorAndDaemonAgree(t *testing.T) {
+func TestLive_AgreesWithSimulator(t *testing.T) {
 	if testing.Short() {
 		t.Skip("it builds the daemon")
 	}
@@ -185,7 +199,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	played, err := simulation.Run(v.Scenario, 1)
+	simulated, err := simulation.Run(v.Scenario, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -193,15 +207,24 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Logf("service: simulator %.3f, daemon %.3f; p50 %.1f and %.1f ms", played.Service, live.Service, played.P50, live.P50)
-	if d := played.Service - live.Service; d > 0.1 || live.Calls < 150 {
-		t.Errorf("service: simulator %.3f, daemon %.3f of %d calls", played.Service, live.Service, live.Calls)
+	t.Logf("service: simulator %.3f, daemon %.3f; p50 %.1f and %.1f ms",
+		simulated.Service, live.Service, simulated.P50, live.P50)
+	if d := simulated.Service - live.Service; d > 0.1 || live.Calls < 150 {
+		t.Errorf("service: simulator %.3f, daemon %.3f of %d calls", simulated.Service, live.Service, live.Calls)
 	}
 	if live.ViolationCount > 0 {
 		t.Errorf("rules broken: %v", live.Violations)
 	}
 }
 
+// writeFileOf writes a file of the test's own.
+func writeFileOf(t *testing.T, path string, content []byte, mode os.FileMode) {
+	t.Helper()
+	if err := os.WriteFile(path, content, mode); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func goBuild(to string) ([]byte, error) {
 	return exec.Command("go", "build", "-o", to, "../../cmd/eidertrail").CombinedOutput()
 }
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -9,7 +9,7 @@
 	"eidertrail/internal/simulation"
 )
 
-// Table is a heading and rows. What made it stands in the files beside it.
+// Table is a titled table.
 type Table struct {
 	Title string
 	Head  []string
@@ -32,56 +32,57 @@
 
 // CSV writes the table.
 func (t *Table) CSV(w io.Writer) error {
-	c := csv.NewWriter(w)
-	if err := c.Write(t.Head); err != nil {
+	writer := csv.NewWriter(w)
+	if err := writer.Write(t.Head); err != nil {
 		return err
 	}
-	if err := c.WriteAll(t.Rows); err != nil {
+	if err := writer.WriteAll(t.Rows); err != nil {
 		return err
 	}
-	return c.Error()
+	return writer.Error()
 }
 
 // Markdown writes the table with its title.
 func (t *Table) Markdown(w io.Writer) error {
-	clean := func(cells []string) string {
-		out := make([]string, len(cells))
-		for i, c := range cells {
-			out[i] = strings.ReplaceAll(c, "|", `\|`)
-		}
-		return "| " + strings.Join(out, " | ") + " |\n"
-	}
-	var b strings.Builder
-	fmt.Fprintf(&b, "## %s\n\n", t.Title)
-	b.WriteString(clean(t.Head))
-	b.WriteString("|" + strings.Repeat(" --- |", len(t.Head)) + "\n")
-	for _, r := range t.Rows {
-		b.WriteString(clean(r))
+	var text strings.Builder
+	fmt.Fprintf(&text, "## %s\n\n", t.Title)
+	text.WriteString(markdownRow(t.Head))
+	text.WriteString("|" + strings.Repeat(" --- |", len(t.Head)) + "\n")
+	for _, row := range t.Rows {
+		text.WriteString(markdownRow(row))
 	}
-	b.WriteString("\n")
-	_, err := io.WriteString(w, b.String())
+	text.WriteString("\n")
+	_, err := io.WriteString(w, text.String())
 	return err
 }
 
-// Figure is a figure of a result, by the name that tables give it.
+func markdownRow(cells []string) string {
+	escaped := make([]string, len(cells))
+	for i, cell := range cells {
+		escaped[i] = strings.ReplaceAll(cell, "|", `\|`)
+	}
+	return "| " + strings.Join(escaped, " | ") + " |\n"
+}
+
+// Figure is a figure of a result, with its name in tables.
 type Figure struct {
 	Name string
 	Of   func(r *simulation.Result) float64
 }
 
-// Figures are what sweeps and comparisons show, in the order of the tables.
+// Figures are those that sweeps and comparisons show, in the order of the tables.
 func Figures() []Figure {
 	return []Figure{
 		{"service", func(r *simulation.Result) float64 { return r.Service }},
 		{"worst_10s", func(r *simulation.Result) float64 { return r.WorstWindow }},
 		{"calls", func(r *simulation.Result) float64 { return float64(r.Calls) }},
-		{"in_time", func(r *simulation.Result) float64 { return part(r.InTime, r.Calls) }},
-		{"late", func(r *simulation.Result) float64 { return part(r.Late, r.Calls) }},
-		{"cut", func(r *simulation.Result) float64 { return part(r.Dropped, r.Calls) }},
-		{"lost", func(r *simulation.Result) float64 { return part(r.Lost, r.Calls) }},
+		{"in_time", func(r *simulation.Result) float64 { return ratio(r.InTime, r.Calls) }},
+		{"late", func(r *simulation.Result) float64 { return ratio(r.Late, r.Calls) }},
+		{"cut", func(r *simulation.Result) float64 { return ratio(r.Dropped, r.Calls) }},
+		{"lost", func(r *simulation.Result) float64 { return ratio(r.Lost, r.Calls) }},
 		{"p50_ms", func(r *simulation.Result) float64 { return r.P50 }},
 		{"p99_ms", func(r *simulation.Result) float64 { return r.P99 }},
-		{"sends_per_call", func(r *simulation.Result) float64 { return part(r.Attempts, r.Calls) }},
+		{"sends_per_call", func(r *simulation.Result) float64 { return ratio(r.Attempts, r.Calls) }},
 		{"cold", func(r *simulation.Result) float64 { return r.SlowStartLoad }},
 		{"cold_budget", func(r *simulation.Result) float64 { return r.SlowStartBudget }},
 		{"srv_lag_ms", func(r *simulation.Result) float64 { return r.RecordLag }},
@@ -89,7 +90,7 @@
 	}
 }
 
-func part(n, of int) float64 {
+func ratio(n, of int) float64 {
 	if of == 0 {
 		return 0
 	}
@@ -111,7 +112,10 @@
 	for _, p := range r.Pool {
 		pools.Add(p.UID, p.Arrivals, p.Overflowed, p.SlowStartLoad)
 	}
-	course := &Table{Title: "By second of the first try", Head: []string{"second", "calls", "in time", "late", "cut", "lost", "service"}}
+	course := &Table{
+		Title: "By second of the first try",
+		Head:  []string{"second", "calls", "in time", "late", "cut", "lost", "service"},
+	}
 	for i, w := range r.Windows {
 		service := 0.0
 		if w.OfferedWeight > 0 {
