simwire, simadapter: the codec apart from the host, a function for each message

Cause: one file held the host, the decoding of every message in a switch of 73 lines, the encoding of orders and the arrays of the wire; settings were nested anonymous structs.

Change: host, events, lists, actions, rows and settings in files of their own; settings as named types with the same keys; tables of names as functions in place of package variables. The simulated site of the characterisation tests has a file of its own.

Checked: go test -race of both packages, characterisation tests included: ok; recorded files untouched.

--- a/cmd/simadapter/characterization_test.go
+++ b/cmd/simadapter/characterization_test.go
@@ -40,8 +40,8 @@
 	want, have := strings.Split(string(recorded), "\n"), strings.Split(got, "\n")
 	for i := range max(len(want), len(have)) {
 		if i >= len(want) || i >= len(have) || want[i] != have[i] {
-			t.Fatalf("%s differs from line %d on:\nrecorded %q\nnow      %q", path, i+1, want[min(i, len(want)):min(i+3, len(want))],
-				have[min(i, len(have)):min(i+3, len(have))])
+			t.Fatalf("%s differs from line %d on:\nrecorded %q\nnow      %q", path, i+1,
+				want[min(i, len(want)):min(i+3, len(want))], have[min(i, len(have)):min(i+3, len(have))])
 		}
 	}
 }
@@ -114,9 +114,12 @@
 	}
 	var b strings.Builder
 	for _, input := range []string{
-		" \n\t\r\n", "\n\n" + empty + "\r\n\n" + empty, empty + "\nwhat\n" + empty + "\n", "{", empty + "\n\n{}\n", `{"clock":"x","nodes":[]}` + "\n",
-		`{"clock":1,"nodes":[{"node_id":3,"news":[["Timer",1]]}]}` + "\n", hello(`{"balancers":0,"request_classes":[{"deadline":1}]}`),
-		hello(`{"balancers":1,"request_classes":[{"deadline":1}]}`) + "\n" + `{"clock":2,"nodes":[{"node_id":3,"news":[["Endpoints","full",1,0]]}]}` + "\n",
+		" \n\t\r\n", "\n\n" + empty + "\r\n\n" + empty, empty + "\nwhat\n" + empty + "\n", "{", empty + "\n\n{}\n",
+		`{"clock":"x","nodes":[]}` + "\n",
+		`{"clock":1,"nodes":[{"node_id":3,"news":[["Timer",1]]}]}` + "\n",
+		hello(`{"balancers":0,"request_classes":[{"deadline":1}]}`),
+		hello(`{"balancers":1,"request_classes":[{"deadline":1}]}`) + "\n" +
+			`{"clock":2,"nodes":[{"node_id":3,"news":[["Endpoints","full",1,0]]}]}` + "\n",
 	} {
 		output, errorOutput, status := played(t, []byte(input))
 		// The lines were recorded while the program was called wirehost.
--- a/cmd/simadapter/main_test.go
+++ b/cmd/simadapter/main_test.go
@@ -6,8 +6,8 @@
 	"testing"
 )
 
-func TestRunEndsWithItsInput(t *testing.T) {
-	for name, x := range map[string]struct{ in, out, err string }{
+func TestRun_EndsWithItsInput(t *testing.T) {
+	for name, test := range map[string]struct{ in, out, err string }{
 		"nothing":          {"", "", ""},
 		"one empty batch":  {"{\"clock\":1,\"nodes\":[]}\n", "{\"nodes\":[]}\n", ""},
 		"no last newline":  {`{"clock":1,"nodes":[]}`, "{\"nodes\":[]}\n", ""},
@@ -18,12 +18,12 @@
 		},
 	} {
 		var out bytes.Buffer
-		err := run(strings.NewReader(x.in), &out)
-		if out.String() != x.out {
-			t.Errorf("%s: wrote %q, want %q", name, out.String(), x.out)
+		err := run(strings.NewReader(test.in), &out)
+		if out.String() != test.out {
+			t.Errorf("%s: wrote %q, want %q", name, out.String(), test.out)
 		}
-		if (err == nil) != (x.err == "") || err != nil && !strings.Contains(err.Error(), x.err) {
-			t.Errorf("%s: error %v, want %q", name, err, x.err)
+		if (err == nil) != (test.err == "") || err != nil && !strings.Contains(err.Error(), test.err) {
+			t.Errorf("%s: error %v, want %q", name, err, test.err)
 		}
 	}
 }
--- a/internal/simwire/characterization_test.go
+++ b/internal/simwire/characterization_test.go
@@ -11,13 +11,10 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"regexp"
-	"slices"
 	"strings"
 	"testing"
 
@@ -44,324 +41,14 @@
 	want, have := strings.Split(string(recorded), "\n"), strings.Split(got, "\n")
 	for i := range max(len(want), len(have)) {
 		if i >= len(want) || i >= len(have) || want[i] != have[i] {
-			t.Fatalf("%s differs from line %d on:\nrecorded %q\nnow      %q", path, i+1, want[min(i, len(want)):min(i+3, len(want))],
-				have[min(i, len(have)):min(i+3, len(have))])
+			t.Fatalf("%s differs from line %d on:\nrecorded %q\nnow      %q", path, i+1,
+				want[min(i, len(want)):min(i+3, len(want))], have[min(i, len(have)):min(i+3, len(have))])
 		}
 	}
 }
 
-const (
-	millisecond = int64(1_000_000)
-	second      = 1000 * millisecond
-)
-
-// skills are the settings of a site with agent pools, every key of the protocol's page in them.
-const skills = `{"balancers":4,"caps":{"cancel":true,"connect_timeout":500000000,"cpu_us_per_request":0.0,"cpu_us_per_s":300000,` +
-	`"keepalive":600000000000,"max_attempts":6,"max_retry_after":2000000000,"may_duplicate":false,"most_held":20000,"peers":true,` +
-	`"probes":false,"retry_after":false,"streams_per_conn":1048576},"clients":{"marks_retry":false},"discovery":"pushed",` +
-	`"extra":{"allowed_pools":[[0,1],[0,2],[1,2]],"clear_wait":300000000,"far_state":"piggyback","gives_wait":false,"here":-1,` +
-	`"mean_hold":[1200000000,800000000,800000000],"route_advice":true,"shape":"skills","t1":0,"widths":[1,1,1]},"family":"trunks",` +
-	`"goal":{"whole":0.6,"worst_class":0.2,"worst_tenant":0.1,"worst_window":0.1},"index":0,"layer":0,"layers":["channel-pool"],` +
-	`"localities":["tbilisi","batumi"],"over_share_worth":0.05,"prices":{"connection":0.0,"cross_zone":0.0,"discovery":0.0,` +
-	`"handshake":0.0,"late_fail":0.041,"moves":0.0,"origin":0.0,"peer":0.013,"probe":0.0,"waste":0.024},` +
-	`"realms":[{"name":"rioni-hotels","quota_per_s":6.0,"share":1.0}],"request_classes":[` +
-	`{"deadline":15000000000,"effect":"safe","group":"all","late_worth":0.25,"name":"avail-read","promise":5000000000,"streaming":true,"window":5000000000,"worth":1.0},` +
-	`{"deadline":6000000000,"effect":"keyed","group":"all","late_worth":0.25,"name":"stop-sell","promise":1500000000,"streaming":true,"window":5000000000,"worth":5.0},` +
-	`{"deadline":15000000000,"effect":"unsafe","group":"all","late_worth":0.1,"name":"rate-push","promise":5000000000,"streaming":true,"window":5000000000,"worth":3.0}],` +
-	`"rules":{"answer_slack":20000000,"ask_within":10000000000,"cold":14000000000,"cold_share":0.3,"drain_grace":500000000,` +
-	`"fall_multiple":3.0,"tip_after":1500000000},"skus":["std-1core"],"stats":{"names":["idle","circuits","reduce","recent_ms"],"via":"piggyback"},` +
-	`"tick":5000000,"weights":"silent","worth_by":"request","zone":0}`
-
-// network are the settings of a site with circuit groups between exchanges, where the list has to be asked for.
-var network = replaced(skills, `"shape":"skills"`, `"shape":"network"`, `"here":-1`, `"here":2`, `"discovery":"pushed"`, `"discovery":"on_request"`,
-	`"retry_after":false`, `"retry_after":true`, `"gives_wait":false`, `"gives_wait":true`, `"t1":0`, `"t1":400000000`)
-
-// replaced is text with pairs of an old and a new part replaced, each of which must be there.
-func replaced(text string, pairs ...string) string {
-	for i := 0; i < len(pairs); i += 2 {
-		if !strings.Contains(text, pairs[i]) {
-			panic("not in the settings: " + pairs[i]) // a fault of this test
-		}
-		text = strings.Replace(text, pairs[i], pairs[i+1], 1)
-	}
-	return text
-}
-
-// attempt is one that is out, or whose call stands.
-type attempt struct {
-	node, leg int
-	call      uint64
-	server    string
-	sentAt    int64
-	stands    bool
-}
-
-// timer is one that an instance asked for.
-type timer struct {
-	node  int
-	token uint64
-	due   int64
-}
-
-// site plays the simulator's side: random events that fit what the instances have done, and some that do not.
-type site struct {
-	host     *simwire.Host
-	random   *rand.Rand
-	settings string
-	now      int64
-	alive    []bool
-	calls    [][]uint64 // by instance: those it was given
-	next     uint64
-	attempts []attempt
-	timers   []timer
-	legs     map[[2]uint64]int // how many attempts a call has had, by instance and call
-	buffer   int
-	epoch    int
-	news     [][]string
-	line     func(in, out string)
-	servers  []string
-}
-
-func newSite(settings string, seed uint64, instances int, line func(in, out string)) *site {
-	s := &site{
-		host: simwire.NewHost(), random: rand.New(rand.NewPCG(seed, 11)), settings: settings, now: 7 * second, line: line,
-		alive: make([]bool, instances), calls: make([][]uint64, instances), news: make([][]string, instances),
-		legs: map[[2]uint64]int{}, next: 1564119492,
-		servers: []string{"10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:8083", "10.0.0.4:8124", "10.0.0.5:80"},
-	}
-	return s
-}
-
-func (s *site) add(node int, format string, values ...any) {
-	s.news[node] = append(s.news[node], fmt.Sprintf(format, values...))
-}
-
-// batch sends what has happened and takes what the instances order.
-func (s *site) batch(t *testing.T) {
-	t.Helper()
-	var nodes []string
-	for node, news := range s.news {
-		if len(news) > 0 {
-			nodes = append(nodes, fmt.Sprintf(`{"node_id":%d,"news":[%s]}`, node, strings.Join(news, ",")))
-		}
-		s.news[node] = nil
-	}
-	in := fmt.Sprintf(`{"clock":%d,"nodes":[%s]}`, s.now, strings.Join(nodes, ","))
-	out, err := s.host.Batch([]byte(in), nil)
-	if err != nil {
-		t.Fatalf("%s: %v", in, err)
-	}
-	s.line(in, string(out))
-	s.take(t, out)
-}
-
-// reply is the reply to a batch.
-type reply struct {
-	Nodes []struct {
-		ID     int                 `json:"node_id"`
-		Orders [][]json.RawMessage `json:"orders"`
-	} `json:"nodes"`
-}
-
-func (s *site) take(t *testing.T, out []byte) {
-	t.Helper()
-	var r reply
-	if err := json.Unmarshal(out, &r); err != nil {
-		t.Fatalf("%s: %v", out, err)
-	}
-	for _, n := range r.Nodes {
-		for _, order := range n.Orders {
-			s.order(t, n.ID, order)
-		}
-	}
-}
-
-func (s *site) order(t *testing.T, node int, order []json.RawMessage) {
-	t.Helper()
-	read := func(i int, into any) {
-		if err := json.Unmarshal(order[i], into); err != nil {
-			t.Fatalf("order %s: %v", order, err)
-		}
-	}
-	var name string
-	read(0, &name)
-	switch name {
-	case "HandOff":
-		a := attempt{node: node, sentAt: s.now}
-		read(1, &a.call)
-		read(2, &a.server)
-		a.leg = s.legs[[2]uint64{uint64(node), a.call}]
-		s.legs[[2]uint64{uint64(node), a.call}]++
-		s.attempts = append(s.attempts, a)
-	case "WakeAt":
-		var in int64
-		k := timer{node: node}
-		read(1, &k.token)
-		read(2, &in)
-		k.due = s.now + in
-		s.timers = append(s.timers, k)
-	case "Listen":
-		s.list(node, []string{"delta", "full", "failed"}[s.random.IntN(3)])
-	}
-}
-
-// list tells an instance of the servers.
-func (s *site) list(node int, kind string) {
-	s.epoch++
-	if kind == "failed" {
-		s.add(node, `["Endpoints","failed",%d,null]`, s.epoch)
-		return
-	}
-	s.buffer = (s.buffer + 1) % 16
-	var lines []string
-	for i, server := range s.servers {
-		if kind == "delta" && s.random.IntN(3) > 0 {
-			continue
-		}
-		born, mode := "null", "ready"
-		if s.random.IntN(4) == 0 {
-			born = fmt.Sprint(s.now - s.random.Int64N(3*second))
-		}
-		if kind == "delta" {
-			mode = []string{"ready", "ready", "draining", "gone", "novel"}[s.random.IntN(5)]
-		}
-		lines = append(lines, fmt.Sprintf(`[%q,%s,1.5,%q,%d,%d,0]`, server, born, mode, i%3, i%2))
-	}
-	s.add(node, `["Census",%d,[%s]]`, s.buffer, strings.Join(lines, ","))
-	s.add(node, `["Endpoints",%q,%d,%d]`, kind, s.epoch, s.buffer)
-}
-
-// start starts an instance, or starts it anew.
-func (s *site) start(node int) {
-	settings := replaced(s.settings, `"index":0`, fmt.Sprintf(`"index":%d`, node))
-	s.add(node, `["Hello",%d,%s]`, s.random.Uint64N(1<<53), settings)
-	s.alive[node] = true
-	s.list(node, "cached")
-	for _, server := range s.servers {
-		s.add(node, `["Pong",0,"done",%q,[%d,%d,-1,-1]]`, server, s.random.IntN(40), 40)
-	}
-}
-
-func (s *site) kill(node int) {
-	s.add(node, `["Killed"]`)
-	s.alive[node] = false
-	s.calls[node] = nil
-	s.attempts = slices.DeleteFunc(s.attempts, func(a attempt) bool { return a.node == node })
-	s.timers = slices.DeleteFunc(s.timers, func(k timer) bool { return k.node == node })
-}
-
-func (s *site) report() string {
-	return []string{
-		"null", fmt.Sprintf("[%d,40,-1,-1]", s.random.IntN(40)), fmt.Sprintf("[%d,40,0.25,14.5]", s.random.IntN(3)), "[null,40]", "[0.4,1.25,0.5,14.5,9]", "[]",
-	}[s.random.IntN(6)]
-}
-
-func (s *site) newCall(node int) {
-	s.next++
-	pool := []string{"null", "-1", "0", "1", "2", "57"}[s.random.IntN(6)]
-	options := []string{"0", "2", "16", "null"}[s.random.IntN(4)]
-	if s.random.IntN(12) == 0 && strings.Contains(s.settings, `"shape":"network"`) {
-		options, pool = "8", "1"
-	}
-	s.add(node, `["JobIn",%d,1,0,%d,-1,%d,%d,null,%s,%s]`, s.next, s.random.Uint64N(6), s.random.IntN(3),
-		second/2+s.random.Int64N(3*second), options, pool)
-	s.calls[node] = append(s.calls[node], s.next)
-}
-
-var verdicts = []string{"done", "done", "done", "err", "err", "busy", "busy", "etimedout", "econnrefused", "econnreset", "ecanceled", "skipped", "novel"}
-
-// verdict ends an attempt, or has its call stand.
-func (s *site) verdict(i int) {
-	a := &s.attempts[i]
-	took := s.now - a.sentAt
-	if !a.stands && s.random.IntN(2) == 0 {
-		s.add(a.node, `["AckFirst",%d,%d,%q,%d]`, a.call, a.leg, a.server, took)
-		a.stands = true
-		return
-	}
-	verdict := verdicts[s.random.IntN(len(verdicts))]
-	if a.stands {
-		verdict = []string{"done", "done", "econnreset"}[s.random.IntN(3)]
-	}
-	complete := a.stands || verdict == "done" || s.random.IntN(10) == 0
-	note := "null"
-	switch verdict {
-	case "busy":
-		note = []string{"1", "2", "18", "3", "19203", "0", "null"}[s.random.IntN(7)]
-	case "err":
-		note = []string{"4", "null"}[s.random.IntN(2)]
-	}
-	s.add(a.node, `["Verdict",%d,%d,%q,%q,%d,%t,%s,%s]`, a.call, a.leg, a.server, verdict, took, complete, note, s.report())
-	s.attempts = slices.Delete(s.attempts, i, i+1)
-}
-
-// odd tells an instance something that is not known, or of which it knows nothing.
-func (s *site) odd(node int) {
-	switch s.random.IntN(5) {
-	case 0:
-		s.add(node, `["Novelty",1,{"a":2}]`)
-	case 1:
-		s.add(node, `["PeerData",1,"68692037"]`)
-	case 2:
-		s.add(node, `["Hangup",17]`)
-	case 3:
-		s.add(node, `["Verdict",17,0,"10.0.0.1:80","done",5,true,null,null]`)
-	case 4:
-		s.add(node, `["Pong",1400000,"econnrefused","10.0.0.1:80",[1,2]]`)
-	}
-}
-
-// step lets time pass and things happen.
-func (s *site) step(t *testing.T) {
-	t.Helper()
-	s.now += 5*millisecond + s.random.Int64N(60*millisecond)
-	for i := 0; i < len(s.timers); i++ {
-		if k := s.timers[i]; k.due <= s.now {
-			s.add(k.node, `["Timer",%d]`, k.token)
-			s.timers = slices.Delete(s.timers, i, i+1)
-			i--
-		}
-	}
-	for i := len(s.attempts) - 1; i >= 0; i-- {
-		if s.random.IntN(4) == 0 {
-			s.verdict(i)
-		}
-	}
-	for node, alive := range s.alive {
-		s.happen(node, alive)
-	}
-	s.batch(t)
-}
-
-func (s *site) happen(node int, alive bool) {
-	if !alive {
-		if s.random.IntN(5) == 0 {
-			s.start(node)
-		}
-		return
-	}
-	for range s.random.IntN(3) {
-		s.newCall(node)
-	}
-	switch dice := s.random.IntN(100); {
-	case dice < 6:
-		s.add(node, `["Pong",0,"done",%q,[%d,40,-1,-1]]`, s.servers[s.random.IntN(len(s.servers))], s.random.IntN(40))
-	case dice < 12:
-		s.list(node, []string{"delta", "delta", "full", "failed", "novel"}[s.random.IntN(5)])
-	case dice < 15 && len(s.calls[node]) > 0:
-		s.add(node, `["Hangup",%d]`, s.calls[node][s.random.IntN(len(s.calls[node]))])
-	case dice < 18:
-		s.odd(node)
-	case dice < 19:
-		s.kill(node)
-		if s.random.IntN(2) == 0 {
-			s.start(node)
-		}
-	}
-}
-
-// whole is a short session line by line.
-func whole(t *testing.T, settings string, seed uint64) string {
+// transcriptOf is a short session line by line.
+func transcriptOf(t *testing.T, settings string, seed uint64) string {
 	t.Helper()
 	var b strings.Builder
 	s := newSite(settings, seed, 2, func(in, out string) { b.WriteString("> " + in + "\n< " + out) })
@@ -376,8 +63,8 @@
 }
 
 func TestCharacterization_Sessions(t *testing.T) {
-	compareFile(t, "session-skills.txt", whole(t, skills, 3))
-	compareFile(t, "session-network.txt", whole(t, network, 4))
+	compareFile(t, "session-skills.txt", transcriptOf(t, skills, 3))
+	compareFile(t, "session-network.txt", transcriptOf(t, network, 4))
 }
 
 // digestOf runs a session of as many steps and returns a digest of the replies up to each tenth of it.
@@ -416,7 +103,7 @@
 	const first = `"effect":"safe","group":"all","late_worth":0.25,"name":"avail-read","promise":5000000000`
 	var b strings.Builder
 	b.WriteString(digestOf(t, "skills base", skills, 5, 120, 1))
-	for _, k := range [][2]string{
+	for _, change := range [][2]string{
 		{`"balancers":4`, `"balancers":9`},
 		{`"max_attempts":6`, `"max_attempts":1`},
 		{`"max_attempts":6,`, ``},
@@ -453,10 +140,10 @@
 		{`"over_share_worth":0.05`, `"over_share_worth":1`},
 		{`"balancers":4`, `"balancers":4,"later_key":[1]`},
 	} {
-		b.WriteString(digestOf(t, "skills "+k[0]+" as "+k[1], replaced(skills, k[0], k[1]), 5, 120, 1))
+		b.WriteString(digestOf(t, "skills "+change[0]+" as "+change[1], replaced(skills, change[0], change[1]), 5, 120, 1))
 	}
 	b.WriteString(digestOf(t, "network base", network, 5, 120, 1))
-	for _, k := range [][2]string{
+	for _, change := range [][2]string{
 		{`"here":2`, `"here":0`},
 		{`"here":2,`, ``},
 		{`"t1":400000000`, `"t1":0`},
@@ -469,7 +156,7 @@
 		{`"ask_within":10000000000`, `"ask_within":400000000`},
 		{`"clear_wait":300000000`, `"clear_wait":30000000`},
 	} {
-		b.WriteString(digestOf(t, "network "+k[0]+" as "+k[1], replaced(network, k[0], k[1]), 5, 120, 1))
+		b.WriteString(digestOf(t, "network "+change[0]+" as "+change[1], replaced(network, change[0], change[1]), 5, 120, 1))
 	}
 	compareFile(t, "settings-keys.txt", b.String())
 }
@@ -493,33 +180,56 @@
 	return `{"clock":8000000000,"nodes":[{"node_id":3,"news":[` + news + `]}]}`
 }
 
-func TestCharacterization_Malformed(t *testing.T) {
-	hello := func(old, text string) string { return batch(`["Hello",5,` + replaced(skills, old, text) + `]`) }
-	lines := []string{
-		``, `{`, `{"clock":`, `[1,2]`, `null`, `7`, `{}`, `{"nodes":[]}`, `{"clock":null,"nodes":[]}`, `{"clock":"1","nodes":[]}`, `{"clock":1.5,"nodes":[]}`,
-		`{"clock":1}`, `{"clock":1,"nodes":{}}`, `{"clock":1,"nodes":[7]}`, `{"clock":1,"nodes":[{"news":[]}]}`, `{"clock":1,"nodes":[{"node_id":"3","news":[]}]}`,
-		`{"clock":1,"nodes":[{"node_id":3}]}`, `{"clock":1,"nodes":[{"node_id":3,"news":{}}]}`, `{"clock":1,"nodes":[{"node_id":8,"news":[["Timer",1]]}]}`,
-		`{"clock":1,"nodes":[]} x`, `{"clock":1,"nodes":[]}{"clock":2,"nodes":[]}`, `{"clock":1,"nodes":[{"node_id":8,"news":[]}],"more":1}`,
-		batch(`7`), batch(`{"a":1}`), batch(`[]`), batch(`[5]`), batch(`[null]`), batch(`"x"`), batch(`["Timer","x"]`), batch(`["Timer",-1]`), batch(`["Timer"]`),
-		batch(`["Timer",18446744073709551616]`), batch(`["Hangup","x"]`), batch(`["Hangup",1.5]`), batch(`["Hangup",null]`), batch(`["Hangup",-1]`),
-		batch(`["JobIn","x",1,0,0,-1,0,3000000000,null,0,0]`), batch(`["JobIn",9,1,0,"x",-1,0,3000000000,null,0,0]`), batch(`["JobIn",9,1,0,0,-1,"x",3000000000,null,0,0]`),
-		batch(`["JobIn",9,1,0,0,-1,0,"x",null,0,0]`), batch(`["JobIn",9,1,0,0,-1,0,3000000000,null,"x",0]`), batch(`["JobIn",9,1,0,0,-1,0,3000000000,null,0,"x"]`),
-		batch(`["JobIn","x",1,0,"y",-1,0,3000000000,null,0,0]`), batch(`["JobIn",9,1,0,0,-1,7,3000000000,null,0,0]`), batch(`["JobIn",9]`),
+// malformedLines are lines of which most have a part that is absent, of the wrong type or out of its range.
+func malformedLines() []string {
+	return []string{
+		``, `{`, `{"clock":`, `[1,2]`, `null`, `7`, `{}`, `{"nodes":[]}`, `{"clock":null,"nodes":[]}`,
+		`{"clock":"1","nodes":[]}`, `{"clock":1.5,"nodes":[]}`,
+		`{"clock":1}`, `{"clock":1,"nodes":{}}`, `{"clock":1,"nodes":[7]}`, `{"clock":1,"nodes":[{"news":[]}]}`,
+		`{"clock":1,"nodes":[{"node_id":"3","news":[]}]}`,
+		`{"clock":1,"nodes":[{"node_id":3}]}`, `{"clock":1,"nodes":[{"node_id":3,"news":{}}]}`,
+		`{"clock":1,"nodes":[{"node_id":8,"news":[["Timer",1]]}]}`,
+		`{"clock":1,"nodes":[]} x`, `{"clock":1,"nodes":[]}{"clock":2,"nodes":[]}`,
+		`{"clock":1,"nodes":[{"node_id":8,"news":[]}],"more":1}`,
+		batch(`7`), batch(`{"a":1}`), batch(`[]`), batch(`[5]`), batch(`[null]`), batch(`"x"`), batch(`["Timer","x"]`),
+		batch(`["Timer",-1]`), batch(`["Timer"]`),
+		batch(`["Timer",18446744073709551616]`), batch(`["Hangup","x"]`), batch(`["Hangup",1.5]`),
+		batch(`["Hangup",null]`), batch(`["Hangup",-1]`),
+		batch(`["JobIn","x",1,0,0,-1,0,3000000000,null,0,0]`), batch(`["JobIn",9,1,0,"x",-1,0,3000000000,null,0,0]`),
+		batch(`["JobIn",9,1,0,0,-1,"x",3000000000,null,0,0]`),
+		batch(`["JobIn",9,1,0,0,-1,0,"x",null,0,0]`), batch(`["JobIn",9,1,0,0,-1,0,3000000000,null,"x",0]`),
+		batch(`["JobIn",9,1,0,0,-1,0,3000000000,null,0,"x"]`),
+		batch(`["JobIn","x",1,0,"y",-1,0,3000000000,null,0,0]`), batch(`["JobIn",9,1,0,0,-1,7,3000000000,null,0,0]`),
+		batch(`["JobIn",9]`),
 		batch(`["JobIn",9,1,0,0,-1,-1,3000000000,null,0,0]`),
-		batch(`["Verdict","x",0,"a","done",1,true,null,null]`), batch(`["Verdict",7,"x","a","done",1,true,null,null]`), batch(`["Verdict",7,0,"a",5,1,true,null,null]`),
-		batch(`["Verdict",7,0,"a","done","x",true,null,null]`), batch(`["Verdict",7,0,"a","done",1,"x",null,null]`), batch(`["Verdict",7,0,"a","done",1,true,"x",null]`),
-		batch(`["Verdict",7,0,"a","done",1,true,null,"x"]`), batch(`["Verdict",7,0,"a","done",1,true,null,["x"]]`), batch(`["Verdict",7,0,5,"done",1,true,null,[1]]`),
+		batch(`["Verdict","x",0,"a","done",1,true,null,null]`), batch(`["Verdict",7,"x","a","done",1,true,null,null]`),
+		batch(`["Verdict",7,0,"a",5,1,true,null,null]`),
+		batch(`["Verdict",7,0,"a","done","x",true,null,null]`), batch(`["Verdict",7,0,"a","done",1,"x",null,null]`),
+		batch(`["Verdict",7,0,"a","done",1,true,"x",null]`),
+		batch(`["Verdict",7,0,"a","done",1,true,null,"x"]`), batch(`["Verdict",7,0,"a","done",1,true,null,["x"]]`),
+		batch(`["Verdict",7,0,5,"done",1,true,null,[1]]`),
 		batch(`["Verdict",7,0,5,"done",1,true,null,null]`), batch(`["Verdict","x",0,"a","novel",1,true,null,null]`),
-		batch(`["AckFirst","x",0,"a",1]`), batch(`["AckFirst",7,"x","a",1]`), batch(`["AckFirst",7,0,"a","x"]`), batch(`["AckFirst",7,0,5,1]`),
-		batch(`["Endpoints",5,1,0]`), batch(`["Endpoints","full",1,9]`), batch(`["Endpoints","full",1,"x"]`), batch(`["Endpoints","failed",1,9]`),
-		batch(`["Endpoints","novel",1,9]`), batch(`["Endpoints"]`), batch(`["Pong",0,"done",17,[1]]`), batch(`["Pong",0,5,"a",[1]]`), batch(`["Pong",0,"done","a","x"]`),
-		batch(`["Pong",0,"done","a",{}]`), batch(`["Pong",0,"done","a"]`), batch(`["Census","x",[]]`), batch(`["Census",1,7]`), batch(`["Census",1,[7]]`),
-		batch(`["Census",1,[[7,null,1,"ready",0,0,0]]]`), batch(`["Census",1,[["a","x",1,"ready",0,0,0]]]`), batch(`["Census",1,[["a",null,1,5,0,0,0]]]`),
-		batch(`["Census",1,[["a",null,1,"ready","x",0,0]]]`), batch(`["Census",1,[[]]]`), batch(`["Census",1]`), batch(`["Killed",7]`),
-		batch(`["Hello"]`), batch(`["Hello",5]`), batch(`["Hello",5,null]`), batch(`["Hello",5,7]`), batch(`["Hello","x",{}]`), batch(`["Hello",-1,{}]`), batch(`["Hello",5,{}]`),
+		batch(`["AckFirst","x",0,"a",1]`), batch(`["AckFirst",7,"x","a",1]`), batch(`["AckFirst",7,0,"a","x"]`),
+		batch(`["AckFirst",7,0,5,1]`),
+		batch(`["Endpoints",5,1,0]`), batch(`["Endpoints","full",1,9]`), batch(`["Endpoints","full",1,"x"]`),
+		batch(`["Endpoints","failed",1,9]`),
+		batch(`["Endpoints","novel",1,9]`), batch(`["Endpoints"]`), batch(`["Pong",0,"done",17,[1]]`),
+		batch(`["Pong",0,5,"a",[1]]`), batch(`["Pong",0,"done","a","x"]`),
+		batch(`["Pong",0,"done","a",{}]`), batch(`["Pong",0,"done","a"]`), batch(`["Census","x",[]]`),
+		batch(`["Census",1,7]`), batch(`["Census",1,[7]]`),
+		batch(`["Census",1,[[7,null,1,"ready",0,0,0]]]`), batch(`["Census",1,[["a","x",1,"ready",0,0,0]]]`),
+		batch(`["Census",1,[["a",null,1,5,0,0,0]]]`),
+		batch(`["Census",1,[["a",null,1,"ready","x",0,0]]]`), batch(`["Census",1,[[]]]`), batch(`["Census",1]`),
+		batch(`["Killed",7]`),
+		batch(`["Hello"]`), batch(`["Hello",5]`), batch(`["Hello",5,null]`), batch(`["Hello",5,7]`),
+		batch(`["Hello","x",{}]`), batch(`["Hello",-1,{}]`), batch(`["Hello",5,{}]`),
 		batch(`["Hello",null,` + skills + `]`),
 	}
-	for _, k := range [][2]string{
+}
+
+// malformedSettings are changes of the settings, of which most make them invalid.
+func malformedSettings() [][2]string {
+	return [][2]string{
 		{`"balancers":4`, `"balancers":"4"`},
 		{`"balancers":4`, `"balancers":0`},
 		{`"index":0`, `"index":4`},
@@ -562,8 +272,14 @@
 		{`"request_classes":[`, `"request_classes":[7,`},
 		{`"extra":{`, `"extra":7,"other":{`},
 		{`"rules":{`, `"rules":[],"other":{`},
-	} {
-		lines = append(lines, hello(k[0], k[1]))
+	}
+}
+
+func TestCharacterization_Malformed(t *testing.T) {
+	lines := malformedLines()
+	for _, change := range malformedSettings() {
+		settings := replaced(skills, change[0], change[1])
+		lines = append(lines, batch(`["Hello",5,`+settings+`]`))
 	}
 	var b strings.Builder
 	for _, line := range lines {
--- a/internal/simwire/wire_test.go
+++ b/internal/simwire/host_test.go
@@ -8,23 +8,23 @@
 	"eidertrail"
 )
 
-const helloNews = `["Hello",5,{"balancers":2,"index":0,"caps":{"cancel":true,"max_attempts":6},` +
+const helloMessages = `["Hello",5,{"balancers":2,"index":0,"caps":{"cancel":true,"max_attempts":6},` +
 	`"extra":{"allowed_pools":[[0,1]],"clear_wait":300000000,"here":-1,"shape":"skills","t1":400000000},` +
 	`"request_classes":[{"deadline":9000000000,"promise":2000000000,"worth":1.0,"effect":"safe"}],` +
 	`"stats":{"names":["idle","circuits","recent_ms","max_rate"],"via":"piggyback"},"tick":5000000,"later_key":1}]`
 
-const listNews = `["Census",0,[["10.0.0.1:80",null,1,"ready",0,0,0],["10.0.0.2:80",6,1.5,"ready",1,1,0]]],` +
+const listMessages = `["Census",0,[["10.0.0.1:80",null,1,"ready",0,0,0],["10.0.0.2:80",6,1.5,"ready",1,1,0]]],` +
 	`["Endpoints","cached",4,0]`
 
 func line(node, news string) string {
 	return `{"clock":1000000000,"nodes":[{"node_id":` + node + `,"news":[` + news + `]}]}`
 }
 
-func TestBatches(t *testing.T) {
-	h := NewHost()
+func TestHost_Batch(t *testing.T) {
+	host := NewHost()
 	for _, step := range []struct{ name, in, want string }{
 		{"empty", `{"clock":1,"nodes":[]}`, `{"nodes":[]}`},
-		{"start", line("3", helloNews+","+listNews), `{"nodes":[]}`},
+		{"start", line("3", helloMessages+","+listMessages), `{"nodes":[]}`},
 		{
 			"call", line("3", `["JobIn",1564119492,1,0,4569004829183723,-1,0,3000000000,null,0,0]`),
 			`{"nodes":[{"node_id":3,"orders":[["HandOff",1564119492,"10.0.0.1:80",0],["WakeAt",1,333333332]]}]}`,
@@ -39,11 +39,11 @@
 		{"after the kill", line("3", `["Timer",7]`), `{"nodes":[]}`},
 		{
 			"killed and back in one batch",
-			line("3", `["Timer",7],["Killed"],`+helloNews+","+listNews+`,["JobIn",9,1,0,0,-1,0,3000000000,null,0,0]`),
+			line("3", `["Timer",7],["Killed"],`+helloMessages+","+listMessages+`,["JobIn",9,1,0,0,-1,0,3000000000,null,0,0]`),
 			`{"nodes":[{"node_id":3,"orders":[["HandOff",9,"10.0.0.1:80",0],["WakeAt",1,333333332]]}]}`,
 		},
 	} {
-		got, err := h.Batch([]byte(step.in), nil)
+		got, err := host.Batch([]byte(step.in), nil)
 		if err != nil {
 			t.Fatalf("%s: %v", step.name, err)
 		}
@@ -53,8 +53,8 @@
 	}
 }
 
-func TestMalformedLinesAreNamed(t *testing.T) {
-	for name, x := range map[string]struct{ in, want string }{
+func TestHost_BatchNamesMalformedPart(t *testing.T) {
+	for name, test := range map[string]struct{ in, want string }{
 		"no JSON":          {`{"clock":`, "not a batch"},
 		"another shape":    {`[1,2]`, "not a batch"},
 		"no clock":         {`{"nodes":[]}`, "clock"},
@@ -68,25 +68,25 @@
 		"no such Census":   {line("3", `["Endpoints","full",4,9]`), "Census"},
 		"entry not a row":  {line("3", `["Census",1,[7]]`), "Census"},
 		"bad settings":     {line("4", `["Hello",5,{"balancers":0}]`), "Classes is empty"},
-		"negative setting": {line("4", strings.Replace(helloNews, `"promise":2`, `"promise":-2`, 1)), "Classes[0]"},
+		"negative setting": {line("4", strings.Replace(helloMessages, `"promise":2`, `"promise":-2`, 1)), "Classes[0]"},
 		"settings of type": {line("4", `["Hello",5,{"balancers":"two"}]`), "Hello: settings"},
 		"settings missing": {line("4", `["Hello",5]`), "Hello: settings"},
 		"name not text":    {line("3", `[5]`), "name"},
 	} {
 		h := NewHost()
-		if _, err := h.Batch([]byte(line("3", helloNews+","+listNews)), nil); err != nil {
+		if _, err := h.Batch([]byte(line("3", helloMessages+","+listMessages)), nil); err != nil {
 			t.Fatal(err)
 		}
-		if _, err := h.Batch([]byte(x.in), nil); err == nil || !strings.Contains(err.Error(), x.want) {
-			t.Errorf("%s: error %v, want one that says %q", name, err, x.want)
+		if _, err := h.Batch([]byte(test.in), nil); err == nil || !strings.Contains(err.Error(), test.want) {
+			t.Errorf("%s: error %v, want one that says %q", name, err, test.want)
 		}
 	}
 }
 
-func TestOutcomeValues(t *testing.T) {
-	h := NewHost()
+func TestHost_DecodesOutcome(t *testing.T) {
+	host := NewHost()
 	names := []string{"idle", "circuits", "recent_ms", "max_rate"}
-	for _, x := range []struct {
+	for _, test := range []struct {
 		in   string
 		want string
 	}{
@@ -94,16 +94,16 @@
 		{`["Verdict",7,1,"a","busy",20,false,18,null]`, "cause 2 wait 0s"},
 		{`["Verdict",7,1,"a","err",20,false,4,null]`, "cause 4 wait 0s"},
 	} {
-		v, err := openRow([]byte(x.in))
+		v, err := openRow([]byte(test.in))
 		if err != nil {
 			t.Fatal(err)
 		}
-		e, err := h.event(v, names)
+		e, err := host.decodeEvent(v, names)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if got := describe(e); got != x.want {
-			t.Errorf("%s: %s, want %s", x.in, got, x.want)
+		if got := describe(e); got != test.want {
+			t.Errorf("%s: %s, want %s", test.in, got, test.want)
 		}
 	}
 }
@@ -113,8 +113,8 @@
 	return fmt.Sprintf("cause %d wait %v", o.Cause, o.RetryAfter)
 }
 
-// A refusal tells when to come back where, and only where, the settings give it a place.
-func TestHoldOffOnlyWhereClientsGetIt(t *testing.T) {
+// A rejection carries a Retry-After where the settings allow it, and only there.
+func TestHost_RetryAfterOnlyWhereAllowed(t *testing.T) {
 	for retryAfter, want := range map[bool]string{
 		false: `["Reject",7]`, true: `["Reject",7,100000000]`,
 	} {
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -7,95 +7,153 @@
 	"eidertrail"
 )
 
-// settings are the wire's settings as far as the controller uses them; other keys are passed over.
+const (
+	// discoveryOnRequest is the value of the discovery key with which controllers poll for server lists.
+	discoveryOnRequest = "on_request"
+	// shapeSkills is the shape of a site whose classes may use some pools alone.
+	shapeSkills = "skills"
+	// noExchange is the exchange of a controller that stands at none.
+	noExchange = -1
+)
+
+// settings are those of the wire that the controller uses; other keys are ignored. Times are in ns.
 type settings struct {
-	Balancers int `json:"balancers"`
-	Index     int `json:"index"`
-	Caps      struct {
-		MaxAttempts   int   `json:"max_attempts"`
-		RetryAfter    bool  `json:"retry_after"`
-		MaxRetryAfter int64 `json:"max_retry_after"`
-	} `json:"caps"`
-	Discovery string `json:"discovery"`
-	Extra     struct {
-		Here      *int    `json:"here"`
-		Shape     string  `json:"shape"`
-		Pools     [][]int `json:"allowed_pools"`
-		ClearWait int64   `json:"clear_wait"`
-		MeanHold  []int64 `json:"mean_hold"`
-		T1        int64   `json:"t1"`
-	} `json:"extra"`
-	Classes []struct {
-		Name      string  `json:"name"`
-		Promise   int64   `json:"promise"`
-		Deadline  int64   `json:"deadline"`
-		Worth     float64 `json:"worth"`
-		LateWorth float64 `json:"late_worth"`
-		Effect    string  `json:"effect"`
-	} `json:"request_classes"`
-	Rules struct {
-		AskWithin    int64   `json:"ask_within"`
-		Cold         int64   `json:"cold"`
-		ColdShare    float64 `json:"cold_share"`
-		FallMultiple float64 `json:"fall_multiple"`
-		TipAfter     int64   `json:"tip_after"`
-	} `json:"rules"`
-	Stats struct {
-		Names []string `json:"names"`
-		Via   string   `json:"via"`
-	} `json:"stats"`
-	Tick int64 `json:"tick"`
+	Controllers int             `json:"balancers"`
+	Index       int             `json:"index"`
+	Caps        capsSettings    `json:"caps"`
+	Discovery   string          `json:"discovery"`
+	Extra       extraSettings   `json:"extra"`
+	Classes     []classSettings `json:"request_classes"`
+	Rules       ruleSettings    `json:"rules"`
+	Stats       statsSettings   `json:"stats"`
+	Tick        int64           `json:"tick"`
+}
+
+type capsSettings struct {
+	MaxAttempts     int   `json:"max_attempts"`
+	AllowRetryAfter bool  `json:"retry_after"`
+	MaxRetryAfter   int64 `json:"max_retry_after"`
+}
+
+type extraSettings struct {
+	Exchange           *int    `json:"here"`
+	Shape              string  `json:"shape"`
+	AllowedPools       [][]int `json:"allowed_pools"`
+	ReleaseWait        int64   `json:"clear_wait"`
+	MeanHoldingTimes   []int64 `json:"mean_hold"`
+	RetransmitInterval int64   `json:"t1"`
+}
+
+type classSettings struct {
+	Name             string  `json:"name"`
+	LatencyObjective int64   `json:"promise"`
+	Deadline         int64   `json:"deadline"`
+	PriorityWeight   float64 `json:"worth"`
+	LateFactor       float64 `json:"late_worth"`
+	Effect           string  `json:"effect"`
+}
+
+type ruleSettings struct {
+	PollInterval      int64   `json:"ask_within"`
+	SlowStartWindow   int64   `json:"cold"`
+	SlowStartCapacity float64 `json:"cold_share"`
+	OverloadMultiple  float64 `json:"fall_multiple"`
+	OverloadWindow    int64   `json:"tip_after"`
 }
 
-var effects = map[string]eidertrail.Idempotency{
-	"": eidertrail.Idempotent, "safe": eidertrail.Idempotent, "keyed": eidertrail.IdempotentByKey, "unsafe": eidertrail.NotIdempotent,
+type statsSettings struct {
+	Names []string `json:"names"`
+	Via   string   `json:"via"`
 }
 
-func hello(v *row) (*eidertrail.Controller, []string, time.Duration, error) {
-	seed := v.unsigned(0, "random_seed")
-	var w settings
-	if !v.decode(1, "settings", &w) && v.err == nil {
-		v.err = fmt.Errorf("Hello: settings: absent")
+// decodeHello returns an instance with the controller of a Hello.
+func decodeHello(hello *row) (*instance, error) {
+	seed := hello.unsigned(0, "random_seed")
+	var wire settings
+	if !hello.decode(1, "settings", &wire) && hello.err == nil {
+		hello.err = fmt.Errorf("%s: settings: absent", hello.name)
 	}
-	if v.err != nil {
-		return nil, nil, 0, v.err
+	if hello.err != nil {
+		return nil, hello.err
 	}
-	s := eidertrail.Settings{
-		Nodes: w.Balancers, Index: w.Index, OwnExchange: -1,
-		ReleaseWait: time.Duration(w.Extra.ClearWait), RetransmitInterval: time.Duration(w.Extra.T1),
-		MaxAttempts:   w.Caps.MaxAttempts,
-		PollEndpoints: w.Discovery == "on_request", PollInterval: time.Duration(w.Rules.AskWithin),
-		SlowStartWindow:   time.Duration(w.Rules.Cold),
-		SlowStartCapacity: w.Rules.ColdShare, OverloadMultiple: w.Rules.FallMultiple,
-		OverloadWindow: time.Duration(w.Rules.TipAfter), Tick: time.Duration(w.Tick),
+	translated, err := wire.translate()
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", hello.name, err)
 	}
-	if w.Extra.Here != nil {
-		s.OwnExchange = *w.Extra.Here
+	controller, err := eidertrail.New(translated, seed)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", hello.name, err)
 	}
-	for i, c := range w.Classes {
-		effect, known := effects[c.Effect]
-		if !known {
-			return nil, nil, 0, fmt.Errorf("Hello: request_classes[%d].effect: %q is not known", i, c.Effect)
-		}
-		class := eidertrail.Class{
-			Name: c.Name, LatencyObjective: time.Duration(c.Promise), Deadline: time.Duration(c.Deadline),
-			PriorityWeight: c.Worth, LateFactor: c.LateWorth, Idempotency: effect,
-		}
-		if w.Extra.Shape == "skills" && i < len(w.Extra.Pools) {
-			class.Pools = w.Extra.Pools[i]
-		}
-		if i < len(w.Extra.MeanHold) {
-			class.MeanHoldingTime = time.Duration(w.Extra.MeanHold[i])
+	started := &instance{controller: controller, reportNames: wire.Stats.Names}
+	if wire.Caps.AllowRetryAfter {
+		started.maxRetryAfter = time.Duration(wire.Caps.MaxRetryAfter)
+	}
+	return started, nil
+}
+
+// translate returns the settings of a controller.
+func (s *settings) translate() (eidertrail.Settings, error) {
+	translated := eidertrail.Settings{
+		Nodes:              s.Controllers,
+		Index:              s.Index,
+		OwnExchange:        noExchange,
+		ReleaseWait:        time.Duration(s.Extra.ReleaseWait),
+		RetransmitInterval: time.Duration(s.Extra.RetransmitInterval),
+		MaxAttempts:        s.Caps.MaxAttempts,
+		PollEndpoints:      s.Discovery == discoveryOnRequest,
+		PollInterval:       time.Duration(s.Rules.PollInterval),
+		SlowStartWindow:    time.Duration(s.Rules.SlowStartWindow),
+		SlowStartCapacity:  s.Rules.SlowStartCapacity,
+		OverloadMultiple:   s.Rules.OverloadMultiple,
+		OverloadWindow:     time.Duration(s.Rules.OverloadWindow),
+		Tick:               time.Duration(s.Tick),
+	}
+	if s.Extra.Exchange != nil {
+		translated.OwnExchange = *s.Extra.Exchange
+	}
+	for i := range s.Classes {
+		class, err := s.class(i)
+		if err != nil {
+			return translated, err
 		}
-		s.Classes = append(s.Classes, class)
+		translated.Classes = append(translated.Classes, class)
 	}
-	c, err := eidertrail.New(s, seed)
-	if err != nil {
-		return nil, nil, 0, fmt.Errorf("Hello: %w", err)
+	return translated, nil
+}
+
+// class returns the class of an index. The mean holding times and the allowed pools stand apart from the classes.
+func (s *settings) class(index int) (eidertrail.Class, error) {
+	wire := s.Classes[index]
+	idempotency, known := idempotencyOf(wire.Effect)
+	if !known {
+		return eidertrail.Class{}, fmt.Errorf("request_classes[%d].effect: %q is not known", index, wire.Effect)
+	}
+	class := eidertrail.Class{
+		Name:             wire.Name,
+		LatencyObjective: time.Duration(wire.LatencyObjective),
+		Deadline:         time.Duration(wire.Deadline),
+		PriorityWeight:   wire.PriorityWeight,
+		LateFactor:       wire.LateFactor,
+		Idempotency:      idempotency,
+	}
+	if s.Extra.Shape == shapeSkills && index < len(s.Extra.AllowedPools) {
+		class.Pools = s.Extra.AllowedPools[index]
 	}
-	holdOff := time.Duration(0)
-	if w.Caps.RetryAfter {
-		holdOff = time.Duration(w.Caps.MaxRetryAfter)
+	if index < len(s.Extra.MeanHoldingTimes) {
+		class.MeanHoldingTime = time.Duration(s.Extra.MeanHoldingTimes[index])
+	}
+	return class, nil
+}
+
+// idempotencyOf returns the idempotency that the wire calls by the name of an effect.
+func idempotencyOf(effect string) (idempotency eidertrail.Idempotency, known bool) {
+	switch effect {
+	case "", "safe":
+		return eidertrail.Idempotent, true
+	case "keyed":
+		return eidertrail.IdempotentByKey, true
+	case "unsafe":
+		return eidertrail.NotIdempotent, true
 	}
-	return c, w.Stats.Names, holdOff, nil
+	return idempotency, false
 }
