--- a/internal/testing/fakeplatform/datagrams.go
+++ b/internal/testing/fakeplatform/datagrams.go
@@ -1,6 +1,7 @@
 package fakeplatform
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -11,121 +12,149 @@
 	"time"
 )
 
+const (
+	// maxDatagram is the longest datagram that the platform delivers, in bytes.
+	maxDatagram = 256
+	// datagramBuffer holds longer ones as well, so that they are seen.
+	datagramBuffer = 2048
+)
+
 // Fault is what happens to the datagrams from one member to another.
 type Fault struct {
 	Cut   bool
-	Loss  float64       // the share that is lost
-	Delay time.Duration // each is late by this
+	Loss  float64 // the fraction that is lost
+	Delay time.Duration
 }
 
-// Datagrams is the network between the datagram sockets of a fleet's members, on loopback, as the platform
-// gives it: each member sends to an address for each other one, and hears each other from just that address.
-// It stands in between, and loses, delays and cuts as it is told. Where a member listens is learnt from what
-// it sends, so a member that starts anew may listen elsewhere.
+// Datagrams is the network between the datagram sockets of a fleet's members, on loopback, as the platform gives it:
+// each member sends to one address for each other member, and receives from each other member from just that address.
+// The network relays the datagrams, and loses or delays them by the faults set. It learns where a member listens from
+// what the member sends, so a member that restarts may listen elsewhere.
 type Datagrams struct {
 	members int
 	sockets [][]*net.UDPConn // [from][to]: where from sends what is for to
-	wg      sync.WaitGroup
+	relays  sync.WaitGroup
 
-	mu     sync.Mutex
-	at     []netip.AddrPort // where each member listens
-	faults func(from, to int) Fault
-	rng    *rand.Rand
-	passed int
-	long   int // datagrams of over 256 bytes
+	mu        sync.Mutex
+	addresses []netip.AddrPort // where each member listens
+	faults    func(from, to int) Fault
+	random    *rand.Rand
+	relayed   int
+	tooLong   int
 }
 
-// NewDatagrams opens the network of so many members; it is closed with the test. What is lost is drawn from seed.
-func NewDatagrams(t testing.TB, members int, seed uint64) *Datagrams {
-	d := &Datagrams{
-		members: members, at: make([]netip.AddrPort, members), rng: rand.New(rand.NewPCG(seed, 0)),
-		faults: func(int, int) Fault { return Fault{} },
+// NewDatagrams opens the network of so many members; it is closed with the test. The seed decides which datagrams are
+// lost.
+func NewDatagrams(tb testing.TB, members int, seed uint64) *Datagrams {
+	tb.Helper()
+	network := &Datagrams{
+		members:   members,
+		addresses: make([]netip.AddrPort, members),
+		random:    rand.New(rand.NewPCG(seed, 0)),
+		faults:    noFaults,
 	}
 	for range members {
-		row := make([]*net.UDPConn, members)
-		for to := range members {
-			c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-			if err != nil {
-				t.Fatal(err)
-			}
-			row[to] = c
-		}
-		d.sockets = append(d.sockets, row)
+		network.sockets = append(network.sockets, openSockets(tb, members))
 	}
 	for from := range members {
 		for to := range members {
-			d.wg.Add(1)
-			go d.carry(from, to)
+			network.relays.Go(func() { network.relay(from, to) })
 		}
 	}
-	t.Cleanup(func() {
-		for _, row := range d.sockets {
-			for _, c := range row {
-				c.Close()
-			}
+	tb.Cleanup(network.close)
+	return network
+}
+
+// openSockets opens so many loopback sockets.
+func openSockets(tb testing.TB, count int) []*net.UDPConn {
+	tb.Helper()
+	loopback := net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0"))
+	sockets := make([]*net.UDPConn, count)
+	for i := range sockets {
+		socket, err := net.ListenUDP("udp4", loopback)
+		if err != nil {
+			tb.Fatal(err)
+		}
+		sockets[i] = socket
+	}
+	return sockets
+}
+
+func (d *Datagrams) close() {
+	for _, row := range d.sockets {
+		for _, socket := range row {
+			_ = socket.Close()
 		}
-		d.wg.Wait()
-	})
-	return d
+	}
+	d.relays.Wait()
 }
 
 // Peers are the addresses that a member's configuration names, by member number.
 func (d *Datagrams) Peers(member int) []string {
-	var peers []string
-	for to := range d.members {
-		peers = append(peers, d.sockets[member][to].LocalAddr().String())
+	peers := make([]string, d.members)
+	for to := range peers {
+		peers[to] = d.sockets[member][to].LocalAddr().String()
 	}
 	return peers
 }
 
-// Set puts a fault on every way for which it is told one.
+// Set replaces the faults; the function returns that from one member to another.
 func (d *Datagrams) Set(faults func(from, to int) Fault) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.faults = faults
 }
 
-// Heal takes all faults away.
-func (d *Datagrams) Heal() { d.Set(func(int, int) Fault { return Fault{} }) }
+// Heal removes all faults.
+func (d *Datagrams) Heal() { d.Set(noFaults) }
+
+func noFaults(int, int) Fault { return Fault{} }
 
-// Check tells what no datagram may be: longer than the platform lets it.
+// Check returns an error if any datagram was longer than the platform delivers.
 func (d *Datagrams) Check() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.long > 0 {
-		return fmt.Errorf("%d of %d datagrams were longer than 256 bytes", d.long, d.passed)
+	if d.tooLong > 0 {
+		return fmt.Errorf("%d of %d datagrams were longer than %d bytes", d.tooLong, d.relayed, maxDatagram)
 	}
 	return nil
 }
 
-func (d *Datagrams) carry(from, to int) {
-	defer d.wg.Done()
-	buffer := make([]byte, 2048)
+// relay delivers the datagrams from one member to another until the socket is closed.
+func (d *Datagrams) relay(sender, receiver int) {
+	buffer := make([]byte, datagramBuffer)
 	for {
-		n, source, err := d.sockets[from][to].ReadFromUDPAddrPort(buffer)
+		n, source, err := d.sockets[sender][receiver].ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err != nil || from == to {
+		if err != nil || sender == receiver {
 			continue
 		}
-		d.mu.Lock()
-		if d.passed++; n > 256 {
-			d.long++
-		}
-		d.at[from] = source
-		f, at := d.faults(from, to), d.at[to]
-		lost := f.Cut || d.rng.Float64() < f.Loss || !at.IsValid()
-		d.mu.Unlock()
+		delay, address, lost := d.route(sender, receiver, n, source)
 		if lost {
 			continue
 		}
-		bytes := append([]byte(nil), buffer[:n]...)
-		deliver := func() { d.sockets[to][from].WriteToUDPAddrPort(bytes, at) }
-		if f.Delay > 0 {
-			time.AfterFunc(f.Delay, deliver)
+		datagram := bytes.Clone(buffer[:n])
+		deliver := func() { _, _ = d.sockets[receiver][sender].WriteToUDPAddrPort(datagram, address) }
+		if delay > 0 {
+			time.AfterFunc(delay, deliver)
 		} else {
 			deliver()
 		}
 	}
 }
+
+// route decides whether and when a datagram is delivered, and to which address.
+func (d *Datagrams) route(from, to, length int, source netip.AddrPort) (time.Duration, netip.AddrPort, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.relayed++
+	if length > maxDatagram {
+		d.tooLong++
+	}
+	d.addresses[from] = source
+	fault, address := d.faults(from, to), d.addresses[to]
+	lost := fault.Cut || d.random.Float64() < fault.Loss || !address.IsValid()
+	return fault.Delay, address, lost
+}
--- a/internal/testing/fakeplatform/processor.go
+++ b/internal/testing/fakeplatform/processor.go
@@ -7,86 +7,91 @@
 	"eidertrail/internal/slowstart"
 )
 
-// Processor is the single-line processor of a stand-in pool: set-ups are worked off one by one, a wait that
-// would be too long turns them away, and a process that has just started is cold: it does a share of its
-// work at first, and more as it warms up. It is safe for concurrent use.
+// Processor is the single processor of a fake pool: set-ups are served one by one, one that would wait too long is
+// rejected, and a process that has just started serves fewer until its slow start is over. It is safe for concurrent
+// use.
 type Processor struct {
-	Work              time.Duration // a set-up takes this long on a warm processor
-	MaxWait           time.Duration // a set-up that would wait longer is turned away
-	SlowStartCapacity float64       // of its capacity, right after Start
-	SlowStartWindow   time.Duration // warm after this
-	// Fall: set-ups of more than FallMultiple times what it can do at the moment for FallAfter, from all
-	// senders, make a cold processor fall over.
+	Work              time.Duration // the service time of a set-up after the slow start
+	MaxWait           time.Duration // a set-up that would wait longer is rejected
+	SlowStartCapacity float64       // the part of its capacity that the process has at its start
+	SlowStartWindow   time.Duration // the process has all of its capacity after this
+	// Set-ups of more than OverloadMultiple times its capacity of the moment within OverloadWindow, from all senders,
+	// overload a process in slow start.
 	OverloadMultiple float64
 	OverloadWindow   time.Duration
 
-	mu      sync.Mutex
-	started time.Time // zero: warm
-	freeAt  time.Time
-	load    slowstart.Arrivals
-	slow    float64
-	full    int
+	mu            sync.Mutex
+	startedAt     time.Time // zero: long ago
+	busyUntil     time.Time
+	arrivals      slowstart.Arrivals
+	serviceFactor float64
+	rejected      int
 }
 
-// Start makes the processor that of a process that starts now, cold.
+// Start makes the processor that of a process that starts now.
 func (p *Processor) Start(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.started, p.freeAt = now, now
-	p.load.Restart()
+	p.startedAt, p.busyUntil = now, now
+	p.arrivals.Restart()
 }
 
-// Slow makes everything take times as long; 1 ends it.
-func (p *Processor) Slow(times float64) {
+// Slow multiplies the service time; 1 ends it.
+func (p *Processor) Slow(factor float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.slow = times
+	p.serviceFactor = factor
 }
 
-// capacity is the set-ups a second that it can take now. The caller holds mu.
-func (p *Processor) capacity(now time.Time) (rate float64, cold bool) {
-	rate = float64(time.Second) / float64(p.Work) / max(p.slow, 1)
-	if p.started.IsZero() {
-		return rate, false
-	}
-	part, cold := p.start().CapacityAt(now.Sub(p.started).Microseconds())
-	return rate * part, cold
-}
-
-func (p *Processor) start() slowstart.Profile {
-	return slowstart.Profile{InitialCapacity: p.SlowStartCapacity, Window: p.SlowStartWindow.Microseconds(), OverloadMultiple: p.OverloadMultiple, OverloadWindow: p.OverloadWindow.Microseconds()}
-}
-
-// Arrive takes a set-up: after is when it is answered, or full tells that it is turned away.
+// Arrive handles a set-up: it is answered after a time, or rejected as the processor has too much to do.
 func (p *Processor) Arrive(now time.Time) (after time.Duration, full bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	rate, cold := p.capacity(now)
-	if cold {
-		p.load.Add(now.UnixMicro(), p.start(), rate)
+	rate, warmingUp := p.rate(now)
+	if warmingUp {
+		p.arrivals.Add(now.UnixMicro(), p.profile(), rate)
 	}
-	from := now
-	if p.freeAt.After(now) {
-		from = p.freeAt
+	start := now
+	if p.busyUntil.After(now) {
+		start = p.busyUntil
 	}
-	if from.Sub(now) > p.MaxWait {
-		p.full++
+	if start.Sub(now) > p.MaxWait {
+		p.rejected++
 		return 0, true
 	}
-	p.freeAt = from.Add(time.Duration(float64(time.Second) / rate))
-	return p.freeAt.Sub(now), false
+	p.busyUntil = start.Add(time.Duration(float64(time.Second) / rate))
+	return p.busyUntil.Sub(now), false
 }
 
-// Worst is the most that was ever sent to it while cold, as a part of what makes it fall over: over 1 it has.
+// Worst is the most that arrived in slow start, as a part of what overloads the process: over 1 it was overloaded.
 func (p *Processor) Worst() float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.load.Worst()
+	return p.arrivals.Worst()
 }
 
-// Full is how many set-ups it turned away.
+// Full is the number of set-ups that were rejected.
 func (p *Processor) Full() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.full
+	return p.rejected
+}
+
+// rate is the set-ups a second that the processor can serve now. The caller holds mu.
+func (p *Processor) rate(now time.Time) (rate float64, warmingUp bool) {
+	rate = float64(time.Second) / float64(p.Work) / max(p.serviceFactor, 1)
+	if p.startedAt.IsZero() {
+		return rate, false
+	}
+	capacity, warmingUp := p.profile().CapacityAt(now.Sub(p.startedAt).Microseconds())
+	return rate * capacity, warmingUp
+}
+
+func (p *Processor) profile() slowstart.Profile {
+	return slowstart.Profile{
+		InitialCapacity:  p.SlowStartCapacity,
+		Window:           p.SlowStartWindow.Microseconds(),
+		OverloadMultiple: p.OverloadMultiple,
+		OverloadWindow:   p.OverloadWindow.Microseconds(),
+	}
 }
--- a/internal/testing/timeline/timeline_test.go
+++ b/internal/testing/timeline/timeline_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-func TestParse(t *testing.T) {
+func TestParse_StepsAndInvalidLines(t *testing.T) {
 	steps, err := Parse("# a comment\n0s members 3\n\n2.5s cut 0>2\n")
 	if err != nil || len(steps) != 2 || steps[1].At != 2500*time.Millisecond || steps[1].String() != "cut 0>2" {
 		t.Errorf("%+v, %v", steps, err)
@@ -19,8 +19,8 @@
 	}
 }
 
-// What a node says comes in its column and in its order; what happens to all goes across, and is passed by nothing.
-func TestDraw(t *testing.T) {
+// What a node reports is in its column and in its order; what happens to all goes across, and nothing is moved past it.
+func TestDraw_RowsInOrder(t *testing.T) {
 	got := Draw([]string{"a", "b"}, 100_000, []Event{
 		{250_000, 1, "second"},
 		{10_000, 0, "first"},
