Simulator, lab and its wire: the shared comparison with recorded files

Cause: five packages had a copy each of the comparison with recorded files.

Change: recorded.Compare, Read and Path take their place; they compare byte for byte, as the copies did.

--- a/cmd/eidertrail-lab/characterization_test.go
+++ b/cmd/eidertrail-lab/characterization_test.go
@@ -17,29 +17,9 @@
 	"regexp"
 	"strings"
 	"testing"
-)
-
-// recordedFolder holds what is recorded.
-var recordedFolder = filepath.Join("testdata", "characterization")
 
-// checkRecorded compares got with the recorded file, or records it.
-func checkRecorded(t *testing.T, name string, got []byte) {
-	t.Helper()
-	path := filepath.Join(recordedFolder, name)
-	if os.Getenv("EIDERTRAIL_UPDATE") == "1" {
-		if err := os.WriteFile(path, got, 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if !bytes.Equal(got, want) {
-		t.Errorf("%s differs from the recorded file; now:\n%s\nrecorded:\n%s", name, got, want)
-	}
-}
+	"eidertrail/internal/testing/recorded"
+)
 
 var (
 	// build is what names the program: its revision with or without changes, or a hash.
@@ -66,7 +46,7 @@
 	if out, err := exec.Command("go", "build", "-o", l.program, ".").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
-	if err := os.CopyFS(l.folder, os.DirFS(filepath.Join(recordedFolder, "input"))); err != nil {
+	if err := os.CopyFS(l.folder, os.DirFS(recorded.Path("input"))); err != nil {
 		t.Fatal(err)
 	}
 	return l
@@ -119,7 +99,7 @@
 	t.Helper()
 	for _, command := range []string{"", "run", "sweep", "compare", "live", "version", "help"} {
 		name := strings.ReplaceAll(strings.TrimSpace("eidertrail-lab "+command), " ", "-")
-		checkRecorded(t, "help-"+name+".txt", []byte(lab.transcript(t, strings.TrimSpace(command+" --help"))))
+		recorded.Compare(t, "help-"+name+".txt", lab.transcript(t, strings.TrimSpace(command+" --help")))
 	}
 }
 
@@ -147,7 +127,7 @@
 	} {
 		text.WriteString(lab.transcript(t, line))
 	}
-	checkRecorded(t, "refusals.txt", []byte(text.String()))
+	recorded.Compare(t, "refusals.txt", text.String())
 }
 
 // checkResults compares what the commands write on the screen.
@@ -165,7 +145,7 @@
 	} {
 		text.WriteString(strings.ReplaceAll(lab.transcript(t, line), lab.program, "PROGRAM"))
 	}
-	checkRecorded(t, "results.txt", []byte(text.String()))
+	recorded.Compare(t, "results.txt", text.String())
 }
 
 // checkFiles compares the files that the commands of checkResults wrote.
@@ -180,7 +160,7 @@
 		for _, e := range entries {
 			fmt.Fprintln(&names, e.Name())
 		}
-		checkRecorded(t, "files-of-"+folder+".txt", []byte(names.String()))
+		recorded.Compare(t, "files-of-"+folder+".txt", names.String())
 	}
 	for _, name := range []string{
 		"r/small.csv", "r/small.md", "s/summary.csv", "s/summary.md", "c/compare.csv", "c/compare.md",
@@ -189,6 +169,6 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		checkRecorded(t, strings.ReplaceAll(name, "/", "-"), []byte(normalize(string(text))))
+		recorded.Compare(t, strings.ReplaceAll(name, "/", "-"), normalize(string(text)))
 	}
 }
--- a/cmd/simadapter/characterization_test.go
+++ b/cmd/simadapter/characterization_test.go
@@ -18,33 +18,9 @@
 	"regexp"
 	"strings"
 	"testing"
-)
 
-// compareFile compares got with a recorded file. With EIDERTRAIL_UPDATE=1 it writes the file.
-func compareFile(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", "characterization", name)
-	if os.Getenv("EIDERTRAIL_UPDATE") == "1" {
-		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	recorded, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	want, have := strings.Split(string(recorded), "\n"), strings.Split(got, "\n")
-	for i := range max(len(want), len(have)) {
-		if i >= len(want) || i >= len(have) || want[i] != have[i] {
-			t.Fatalf("%s differs from line %d on:\nrecorded %q\nnow      %q", path, i+1,
-				want[min(i, len(want)):min(i+3, len(want))], have[min(i, len(have)):min(i+3, len(have))])
-		}
-	}
-}
+	"eidertrail/internal/testing/recorded"
+)
 
 // asProgram has the test's own binary run as the program.
 const asProgram = "EIDERTRAIL_TEST_AS_WIREHOST"
@@ -90,7 +66,7 @@
 
 // The inputs are files as well: whole sessions of two instances, with every message, outcome and key of the settings.
 func TestCharacterization_Sessions(t *testing.T) {
-	inputs, err := filepath.Glob(filepath.Join("testdata", "characterization", "*.in"))
+	inputs, err := filepath.Glob(recorded.Path("*.in"))
 	if err != nil || len(inputs) < 2 {
 		t.Fatalf("inputs %q, %v", inputs, err)
 	}
@@ -100,7 +76,7 @@
 			t.Fatal(err)
 		}
 		output, errorOutput, status := played(t, input)
-		compareFile(t, strings.TrimSuffix(filepath.Base(path), ".in")+".out", output)
+		recorded.Compare(t, strings.TrimSuffix(filepath.Base(path), ".in")+".out", output)
 		if errorOutput != "" || status != 0 {
 			t.Errorf("%s: standard error %q, exit status %d", path, errorOutput, status)
 		}
@@ -126,5 +102,5 @@
 		errorOutput = strings.Replace(errorOutput, "simadapter: ", "wirehost: ", 1)
 		fmt.Fprintf(&b, "input %q\noutput %q\nerror %q\nexit status %d\n", input, output, errorOutput, status)
 	}
-	compareFile(t, "endings.txt", b.String())
+	recorded.Compare(t, "endings.txt", b.String())
 }
--- a/internal/experiment/characterization_test.go
+++ b/internal/experiment/characterization_test.go
@@ -21,16 +21,9 @@
 
 	"eidertrail/internal/experiment"
 	"eidertrail/internal/simulation"
+	"eidertrail/internal/testing/recorded"
 )
 
-// recordedPath is where a recorded file is.
-func recordedPath(name string) string { return filepath.Join("testdata", "characterization", name) }
-
-func recorded(t *testing.T, name string) []byte {
-	t.Helper()
-	return readFile(t, recordedPath(name))
-}
-
 func readFile(t *testing.T, path string) []byte {
 	t.Helper()
 	text, err := os.ReadFile(path)
@@ -40,20 +33,6 @@
 	return text
 }
 
-// checkRecorded compares got with the recorded file, or records it.
-func checkRecorded(t *testing.T, name string, got []byte) {
-	t.Helper()
-	if os.Getenv("EIDERTRAIL_UPDATE") == "1" {
-		if err := os.WriteFile(recordedPath(name), got, 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	if want := recorded(t, name); !bytes.Equal(got, want) {
-		t.Errorf("%s differs from the recorded file; now:\n%s\nrecorded:\n%s", name, got, want)
-	}
-}
-
 // checkFolder compares files of a folder with the recorded ones.
 func checkFolder(t *testing.T, folder string, names ...string) {
 	t.Helper()
@@ -69,7 +48,7 @@
 		t.Errorf("files %q, want %q", there, names)
 	}
 	for _, name := range names {
-		checkRecorded(t, name, readFile(t, filepath.Join(folder, name)))
+		recorded.Compare(t, name, string(readFile(t, filepath.Join(folder, name))))
 	}
 }
 
@@ -150,9 +129,9 @@
 	if err := json.NewEncoder(&text).Encode(result); err != nil { // as the command writes it
 		t.Fatal(err)
 	}
-	checkRecorded(t, "result.json", text.Bytes())
+	recorded.Compare(t, "result.json", text.String())
 	read := &simulation.Result{}
-	if err := json.Unmarshal(recorded(t, "result.json"), read); err != nil {
+	if err := json.Unmarshal([]byte(recorded.Read(t, "result.json")), read); err != nil {
 		t.Fatal(err)
 	}
 	if !reflect.DeepEqual(read, result) {
@@ -188,7 +167,7 @@
 func sweep(t *testing.T, folder string, seeds ...uint64) *experiment.Sweep {
 	t.Helper()
 	return &experiment.Sweep{
-		Path: recordedPath("small.toml"), Choices: choices(t, "callers.rate=20,40.5", "pool.0.agents=10,30"), Seeds: seeds,
+		Path: recorded.Path("small.toml"), Choices: choices(t, "callers.rate=20,40.5", "pool.0.agents=10,30"), Seeds: seeds,
 		Out: folder, Workers: 1,
 	}
 }
@@ -204,7 +183,7 @@
 
 	again := t.TempDir()
 	path := filepath.Join(again, "runs.csv")
-	if err := os.WriteFile(path, recorded(t, "runs.csv"), 0o644); err != nil {
+	if err := os.WriteFile(path, []byte(recorded.Read(t, "runs.csv")), 0o644); err != nil {
 		t.Fatal(err)
 	}
 	if ran, had, err = sweep(t, again, 1, 2).Run(context.Background(), "v1"); ran != 0 || had != 8 || err != nil {
@@ -214,7 +193,7 @@
 	if ran, had, err = sweep(t, again, 2, 3).Run(context.Background(), "v1"); ran != 4 || had != 4 || err != nil {
 		t.Errorf("with another seed: %d runs, %d were there, %v", ran, had, err)
 	}
-	if grown := readFile(t, path); !bytes.HasPrefix(grown, recorded(t, "runs.csv")) {
+	if grown := readFile(t, path); !bytes.HasPrefix(grown, []byte(recorded.Read(t, "runs.csv"))) {
 		t.Errorf("the table was not appended to:\n%s", grown)
 	}
 }
@@ -223,11 +202,11 @@
 func TestCharacterization_ComparisonWithAnotherBuild(t *testing.T) {
 	folder := t.TempDir()
 	build, called := filepath.Join(folder, "other-build"), filepath.Join(folder, "called")
-	program := fmt.Sprintf("#!/bin/sh\necho \"$@\" >> %s\ncat %s\n", called, recordedPath("result.json"))
+	program := fmt.Sprintf("#!/bin/sh\necho \"$@\" >> %s\ncat %s\n", called, recorded.Path("result.json"))
 	if err := os.WriteFile(build, []byte(program), 0o700); err != nil {
 		t.Fatal(err)
 	}
-	path := recordedPath("small.toml")
+	path := recorded.Path("small.toml")
 	variant, err := experiment.Load(path, experiment.Grid(choices(t, "callers.rate=25", "length=2s"))[0])
 	if err != nil {
 		t.Fatal(err)
@@ -243,7 +222,7 @@
 		t.Fatal(err)
 	}
 	checkFolder(t, out, "compare.csv", "compare.md")
-	checkRecorded(t, "other-build-called.txt", readFile(t, called))
+	recorded.Compare(t, "other-build-called.txt", string(readFile(t, called)))
 }
 
 // What tells one variant from another, which tables of runs hold, and the words for what is not accepted.
@@ -263,7 +242,7 @@
 		{"callers.rate=-1"},
 		{"length=soon"},
 	} {
-		variant, err := experiment.Load(recordedPath("small.toml"), experiment.Grid(choices(t, sets...))[0])
+		variant, err := experiment.Load(recorded.Path("small.toml"), experiment.Grid(choices(t, sets...))[0])
 		if err != nil {
 			fmt.Fprintf(&text, "%q: refused: %s\n", sets, err)
 			continue
@@ -286,7 +265,7 @@
 	fmt.Fprintf(&text, "absent file: %s\n", err)
 	other := sweep(t, t.TempDir(), 1)
 	other.Choices = choices(t, "callers.retries=1")
-	if err := os.WriteFile(filepath.Join(other.Out, "runs.csv"), recorded(t, "runs.csv"), 0o644); err != nil {
+	if err := os.WriteFile(filepath.Join(other.Out, "runs.csv"), []byte(recorded.Read(t, "runs.csv")), 0o644); err != nil {
 		t.Fatal(err)
 	}
 	_, _, err = other.Run(context.Background(), "v1")
@@ -294,5 +273,5 @@
 	if !errors.Is(err, experiment.ErrLab) {
 		t.Errorf("%v is no error of the lab", err)
 	}
-	checkRecorded(t, "variants-and-refusals.txt", []byte(text.String()))
+	recorded.Compare(t, "variants-and-refusals.txt", text.String())
 }
--- a/internal/simulation/characterization_errors_test.go
+++ b/internal/simulation/characterization_errors_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"eidertrail/internal/simulation"
+	"eidertrail/internal/testing/recorded"
 )
 
 // smallScenario is a valid scenario without an srv section.
@@ -71,7 +72,7 @@
 
 // TestCharacterization_ScenarioErrors compares the text of each error of a scenario that is invalid.
 func TestCharacterization_ScenarioErrors(t *testing.T) {
-	var recorded strings.Builder
+	var lines strings.Builder
 	for _, test := range []struct{ from, to string }{
 		{"", ""},
 		{"length = \"10s\"", "length = \"0s\""},
@@ -160,7 +161,7 @@
 		if from == smallScenario {
 			from = "all"
 		}
-		fmt.Fprintf(&recorded, "%q -> %q: %s\n", from, test.to, text)
+		fmt.Fprintf(&lines, "%q -> %q: %s\n", from, test.to, text)
 	}
-	compareRecorded(t, "scenario-errors.txt", recorded.String())
+	recorded.Compare(t, "scenario-errors.txt", lines.String())
 }
--- a/internal/simulation/characterization_test.go
+++ b/internal/simulation/characterization_test.go
@@ -16,13 +16,13 @@
 	"fmt"
 	"maps"
 	"math"
-	"os"
 	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
 
 	"eidertrail/internal/simulation"
+	"eidertrail/internal/testing/recorded"
 )
 
 // scenarioNames are the scenarios of the repository.
@@ -37,11 +37,11 @@
 	for _, name := range scenarioNames {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			var recorded strings.Builder
+			var lines strings.Builder
 			for _, seed := range seeds {
-				recorded.WriteString(resultLines(t, name, seed))
+				lines.WriteString(resultLines(t, name, seed))
 			}
-			compareRecorded(t, "results/"+name+".txt", recorded.String())
+			recorded.Compare(t, "results/"+name+".txt", lines.String())
 		})
 	}
 }
@@ -141,31 +141,3 @@
 	}
 	return encoded
 }
-
-// compareRecorded compares text with the recorded file, or writes the file when EIDERTRAIL_UPDATE is set.
-func compareRecorded(t *testing.T, name, text string) {
-	t.Helper()
-	path := filepath.Join("testdata", "characterization", name)
-	if os.Getenv("EIDERTRAIL_UPDATE") != "" {
-		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	file, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	want, got := strings.Split(string(file), "\n"), strings.Split(text, "\n")
-	if len(want) != len(got) {
-		t.Errorf("%s: %d lines, recorded are %d", name, len(got), len(want))
-	}
-	for i := range min(len(want), len(got)) {
-		if want[i] != got[i] {
-			t.Errorf("%s:%d:\n got %s\nwant %s", name, i+1, got[i], want[i])
-		}
-	}
-}
--- a/internal/simwire/characterization_test.go
+++ b/internal/simwire/characterization_test.go
@@ -12,41 +12,14 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"os"
-	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
 
 	"eidertrail/internal/simwire"
+	"eidertrail/internal/testing/recorded"
 )
 
-// compareFile compares got with a recorded file. With EIDERTRAIL_UPDATE=1 it writes the file.
-func compareFile(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", "characterization", name)
-	if os.Getenv("EIDERTRAIL_UPDATE") == "1" {
-		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	recorded, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	want, have := strings.Split(string(recorded), "\n"), strings.Split(got, "\n")
-	for i := range max(len(want), len(have)) {
-		if i >= len(want) || i >= len(have) || want[i] != have[i] {
-			t.Fatalf("%s differs from line %d on:\nrecorded %q\nnow      %q", path, i+1,
-				want[min(i, len(want)):min(i+3, len(want))], have[min(i, len(have)):min(i+3, len(have))])
-		}
-	}
-}
-
 // transcriptOf is a short session line by line.
 func transcriptOf(t *testing.T, settings string, seed uint64) string {
 	t.Helper()
@@ -63,8 +36,8 @@
 }
 
 func TestCharacterization_Sessions(t *testing.T) {
-	compareFile(t, "session-skills.txt", transcriptOf(t, skills, 3))
-	compareFile(t, "session-network.txt", transcriptOf(t, network, 4))
+	recorded.Compare(t, "session-skills.txt", transcriptOf(t, skills, 3))
+	recorded.Compare(t, "session-network.txt", transcriptOf(t, network, 4))
 }
 
 // digestOf runs a session of as many steps and returns a digest of the replies up to each tenth of it.
@@ -95,7 +68,7 @@
 		b.WriteString(digestOf(t, fmt.Sprintf("skills-%d", seed), skills, seed, 400, 10))
 		b.WriteString(digestOf(t, fmt.Sprintf("network-%d", seed), network, seed, 400, 10))
 	}
-	compareFile(t, "sessions.txt", b.String())
+	recorded.Compare(t, "sessions.txt", b.String())
 }
 
 // Each key with another value, or left out. The digests of keys that change nothing are those of the base.
@@ -158,7 +131,7 @@
 	} {
 		b.WriteString(digestOf(t, "network "+change[0]+" as "+change[1], replaced(network, change[0], change[1]), 5, 120, 1))
 	}
-	compareFile(t, "settings-keys.txt", b.String())
+	recorded.Compare(t, "settings-keys.txt", b.String())
 }
 
 // goType is what an error text of encoding/json tells of Go types. It is masked, as it is no part of the wire.
@@ -293,5 +266,5 @@
 		out, err = h.Batch([]byte(batch(`["JobIn",10,1,0,0,-1,0,3000000000,null,0,0]`)), nil)
 		fmt.Fprintf(&b, "then %q %s\n", out, maskedError(err))
 	}
-	compareFile(t, "malformed.txt", b.String())
+	recorded.Compare(t, "malformed.txt", b.String())
 }
