daemon: the session controller as a package, built, started, reloaded and stopped by parts

Cause: cmd/eidertrail held the whole daemon beside flags and signals; start was one function of 87 lines, and its order and that of the stop had to be inferred.

Change: internal/daemon has a file for each part: options and operator files, daemon (read, build, open, run, with the order stated), frontends, endpoint sources, fleet with quotas and regions, reload, stop with its order stated, status and counters, descriptors. cmd/eidertrail keeps flags, signals, exit status and the commands check and rollout; it imports internal/daemon and internal/rollout alone. The tests that use the daemon's insides move with it; what both sides share (configuration, callers, an endpoint list, SRV targets) is internal/testing/daemontest. deploy/balancer.toml and docs name the new package.

Checked: go test -race ./cmd/eidertrail ./internal/daemon ./internal/config ok, recorded files unchanged; go build and go vet of all, scripts/layers and golangci-lint ok (the rows for the tests that moved go with them).

--- a/cmd/eidertrail/discovery_test.go
+++ b/cmd/eidertrail/discovery_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"os"
@@ -14,16 +13,12 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/tidwall/gjson"
 
-	"eidertrail/internal/frontend/linecodec"
-	"eidertrail/internal/telemetry"
+	"eidertrail/internal/testing/daemontest"
 	"eidertrail/internal/testing/fakeplatform"
 )
 
-const srvName = "_sip._tcp.g0.pools.example.org"
-
 // build makes the daemon's binary, as the deploy build does.
 func build(t *testing.T) string {
 	t.Helper()
@@ -63,13 +58,6 @@
 	return v.by[name]
 }
 
-func target(host, address string) fakeplatform.Target {
-	_, port, _ := strings.Cut(address, ":")
-	var n uint16
-	fmt.Sscan(port, &n)
-	return fakeplatform.Target{Host: host, Port: n, Priority: 10, Weight: 10, IP: "127.0.0.1", TTL: 1}
-}
-
 // logWatch reads the daemon's log, and tells of the lines that match.
 type logWatch struct {
 	mu    sync.Mutex
@@ -117,7 +105,7 @@
 // The daemon, started from its command line with SRV on against the DNS stand-in, carries a scripted
 // caller's calls to stand-in pools whose set changes under it: a pool that vanishes from DNS gets no
 // set-up once the daemon has taken its going, and one that comes gets calls.
-func TestDaemonFollowsSRVRecordsUnderCalls(t *testing.T) {
+func TestProcess_FollowsSRVRecordsUnderCalls(t *testing.T) {
 	if testing.Short() {
 		t.Skip("builds the daemon")
 	}
@@ -127,7 +115,7 @@
 	_, b := seen.pool(t, "b")
 	_, c := seen.pool(t, "c")
 	dns := fakeplatform.NewDNS(t)
-	dns.SetSRV(srvName, 1, target("a.pools.example.org", a), target("b.pools.example.org", b))
+	dns.SetSRV(daemontest.SRVName, 1, daemontest.SRVTarget(t, "a.pools.example.org", a), daemontest.SRVTarget(t, "b.pools.example.org", b))
 	dns.SetMode(fakeplatform.Silent) // down at the start
 
 	dir := t.TempDir()
@@ -145,7 +133,7 @@
 [[name]]
 srv = %q
 group = 0
-`, dns.Addr, srvName)), 0o600)
+`, dns.Addr, daemontest.SRVName)), 0o600)
 
 	cmd := exec.Command(bin, "-discovery", disc) // the flag as earlier versions spelt theirs
 	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+cfg)
@@ -197,21 +185,21 @@
 			log.mu.Unlock()
 		}
 	})
-	caller := dial(t, gjson.Get(serving, "listen").Str)
-	call := newScript(caller)
+	caller := daemontest.Dial(t, gjson.Get(serving, "listen").Str)
+	call := daemontest.NewSequentialCaller(caller)
 	for range 20 {
-		call.place(t)
+		call.Place()
 	}
 	if seen.count("a")+seen.count("b") == 0 || seen.count("c") != 0 {
 		t.Fatalf("before the change: %v", seen.by)
 	}
 
 	// b vanishes, c comes: within b's TTL and the refresh the daemon takes it.
-	dns.SetSRV(srvName, 1, target("a.pools.example.org", a), target("c.pools.example.org", c))
+	dns.SetSRV(daemontest.SRVName, 1, daemontest.SRVTarget(t, "a.pools.example.org", a), daemontest.SRVTarget(t, "c.pools.example.org", c))
 	_, from = log.await(t, from, isSet(a, c))
 	bBefore := seen.count("b")
 	for range 40 {
-		call.place(t)
+		call.Place()
 	}
 	if got := seen.count("b"); got != bBefore {
 		t.Errorf("%d set-ups went to b after it vanished", got-bBefore)
@@ -224,92 +212,11 @@
 	dns.SetMode(fakeplatform.ServFail)
 	log.await(t, from, func(l string) bool { return strings.Contains(l, "dns look-up failed") })
 	for range 10 {
-		call.place(t)
+		call.Place()
 	}
-	call.check(t)
+	call.Check()
 	cmd.Process.Signal(syscall.SIGTERM)
 	if err := <-done; err != nil {
 		t.Errorf("exit: %v", err)
 	}
 }
-
-// script is a scripted caller: one set-up at a time, each awaited to its final answer, tried again
-// under a new id while no pool will take it.
-type script struct {
-	c       *caller
-	n       int
-	finals  map[string]int
-	answers int
-	last    linecodec.Message
-}
-
-func newScript(c *caller) *script { return &script{c: c, finals: map[string]int{}} }
-
-func (s *script) place(t *testing.T) {
-	t.Helper()
-	for tries := 0; tries < 200; tries++ {
-		s.n++
-		id := fmt.Sprintf("%016x", s.n)
-		s.c.setup(id)
-		for {
-			m := s.c.next()
-			if m.ID != id {
-				continue // the end of an earlier call
-			}
-			s.finals[id]++
-			if m.Type == "answer" {
-				s.answers++
-				return
-			}
-			s.last = m
-			if m.Type != "release" {
-				t.Fatalf("%+v", m)
-			}
-			break // refused: no pool yet
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-	t.Fatalf("no call was answered in 200 tries, the last: %+v", s.last)
-}
-
-func (s *script) check(t *testing.T) {
-	for id, n := range s.finals {
-		if n != 1 {
-			t.Errorf("call %s: %d final answers", id, n)
-		}
-	}
-}
-
-// A discovery file that makes no sense at SIGHUP is logged with its field, and the old one holds; at
-// the start it ends the start with that line.
-func TestBadDiscoveryFile(t *testing.T) {
-	dns := fakeplatform.NewDNS(t)
-	good := fmt.Sprintf("server = %q\n[[name]]\nsrv = %q\n", dns.Addr, srvName)
-	path := write(t, "discovery.toml", good)
-	cfg := write(t, "config.json", configuration("127.0.0.1:0", "127.0.0.1:1"))
-	if _, err := start(context.Background(), environment{config: cfg, discovery: write(t, "bad.toml", "jitter = 2\n"+good)},
-		zerolog.Nop()); err == nil || !strings.HasPrefix(err.Error(), "discovery: jitter:") {
-		t.Fatalf("start with a bad file: %v", err)
-	}
-	log := &buffer{}
-	d, err := start(context.Background(), environment{config: cfg, discovery: path}, zerolog.New(log))
-	if err != nil {
-		t.Fatal(err)
-	}
-	s, ended := serving(d)
-	reloadRefused(t, d, s, log, path, "refresh_floor = \"0s\"\n"+good, "refresh_floor")
-	os.WriteFile(path, []byte(good), 0o600)
-	s.hup <- syscall.SIGHUP
-	for d.count.Get(telemetry.Reloads) != 1 {
-		time.Sleep(10 * time.Millisecond)
-	}
-	stopping(t, s, ended)
-}
-
-func TestEarlierSpellingsOfTheFlagsStillWork(t *testing.T) {
-	got := longFlags([]string{"-callcontrol", "x", "-discovery=y", "-v", "--verbose", "check", "-other"})
-	want := []string{"--callcontrol", "x", "--discovery=y", "-v", "--verbose", "check", "-other"}
-	if strings.Join(got, " ") != strings.Join(want, " ") {
-		t.Errorf("%v, want %v", got, want)
-	}
-}
--- a/cmd/eidertrail/fleet_test.go
+++ b/cmd/eidertrail/fleet_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/tidwall/gjson"
 
+	"eidertrail/internal/testing/daemontest"
 	"eidertrail/internal/testing/fakeplatform"
 )
 
@@ -77,7 +78,7 @@
 	t.Helper()
 	f := &fleet{
 		t: t, net: fakeplatform.NewDatagrams(t, members, 1), procs: make([]*process, members), extra: extra,
-		files: write(t, "cluster.toml", fmt.Sprintf("probe_interval = %q\nprobe_timeout = \"100ms\"\n%s", probeInterval, cluster)),
+		files: daemontest.WriteFile(t, "cluster.toml", fmt.Sprintf("probe_interval = %q\nprobe_timeout = \"100ms\"\n%s", probeInterval, cluster)),
 	}
 	for i := range members {
 		f.start(i)
@@ -112,7 +113,7 @@
 	if f.extra != nil {
 		settings, args = f.extra(i)
 	}
-	cfg := write(f.t, "config.json", fmt.Sprintf(`{"name":"n%d","listen":"127.0.0.1:0","seed":"%d","limits":{"memory_mb":192,"sockets":1024},
+	cfg := daemontest.WriteFile(f.t, "config.json", fmt.Sprintf(`{"name":"n%d","listen":"127.0.0.1:0","seed":"%d","limits":{"memory_mb":192,"sockets":1024},
  "peer_listen":"127.0.0.1:0","peers":%s,%s,
  "settings":{"balancers":%d,"index":%d,"tick":1000000,"extra":{"clear_wait":300000000,"t1":400000000,"mean_hold":[1000000000]},
   "rules":{"cold":10000000000,"cold_share":0.3,"fall_multiple":3,"tip_after":3000000000},
@@ -349,7 +350,7 @@
 	region := []string{"north", "north", "south", "south", "south"}
 	var f *fleet
 	f = newFleet(t, 5, "", func(i int) (string, []string) {
-		return `"known":{"no":1,"items":[]}`, []string{"--cluster", write(t, "cluster.toml",
+		return `"known":{"no":1,"items":[]}`, []string{"--cluster", daemontest.WriteFile(t, "cluster.toml",
 			fmt.Sprintf("probe_interval = %q\nprobe_timeout = \"100ms\"\nregion = %q\n", probeInterval, region[i]))}
 	})
 	wantRegion := func(member int, want string) {
@@ -383,24 +384,3 @@
 		}
 	}
 }
-
-func TestBadClusterNamesTheField(t *testing.T) {
-	cfg := write(t, "config.json", configuration("127.0.0.1:0", "127.0.0.1:1"))
-	with := write(t, "with.json", strings.Replace(configuration("127.0.0.1:0", "127.0.0.1:1"), `"listen"`,
-		`"peer_listen":"127.0.0.1:0","peers":["127.0.0.1:9"],"listen"`, 1))
-	for _, c := range []struct{ config, text, want string }{
-		{cfg, "", "cluster: peer_listen, peers: absent"},
-		{with, `probe_interval = "1ms"`, "cluster: probe_interval:"},
-		{with, `probe_timeout = "900ms"`, "cluster: probe_timeout:"},
-		{with, `colour = 1`, "cluster: colour: not a known field"},
-		{with, `region = "a b"`, "cluster: region:"},
-		{with, `regions = ["north", "south"]`, "cluster: regions: 2 for 1 members"},
-		{with, "region = \"north\"\nregions = [\"south\"]", "cluster: region: \"north\", but regions[0]"},
-	} {
-		t.Setenv("RELAY_CONFIG", c.config)
-		err := check(options{cluster: write(t, "cluster.toml", c.text)})
-		if err == nil || !strings.HasPrefix(err.Error(), c.want) {
-			t.Errorf("%q: %v, want %q", c.text, err, c.want)
-		}
-	}
-}
--- a/cmd/eidertrail/rollout_test.go
+++ b/cmd/eidertrail/rollout_test.go
@@ -20,6 +20,7 @@
 	"github.com/tidwall/gjson"
 
 	"eidertrail/internal/rollout/runner"
+	"eidertrail/internal/testing/daemontest"
 )
 
 // staged is a fleet of controllers under a rollout file, each with callers who go by its readiness, as the ones
@@ -427,7 +428,7 @@
 	for _, n := range []string{"n0", "n1"} {
 		good += fmt.Sprintf("[[controller]]\nname = %q\nconfig = \"c\"\npid_file = \"p\"\nlog = \"l\"\nhealth = \"h\"\n", n)
 	}
-	if _, err := runner.Load(write(t, "good.toml", good)); err != nil {
+	if _, err := runner.Load(daemontest.WriteFile(t, "good.toml", good)); err != nil {
 		t.Fatal(err)
 	}
 	for field, text := range map[string]string{
@@ -440,7 +441,7 @@
 		"controller:":          strings.Replace(good, `name = "n1"`, `name = "n0"`, 1),
 		"colour:":              "colour = 1\n" + good,
 	} {
-		if _, err := runner.Load(write(t, "bad.toml", text)); err == nil || !strings.HasPrefix(err.Error(), "rollout: "+field) {
+		if _, err := runner.Load(daemontest.WriteFile(t, "bad.toml", text)); err == nil || !strings.HasPrefix(err.Error(), "rollout: "+field) {
 			t.Errorf("%s %v", field, err)
 		}
 	}
--- a/internal/config/errors.go
+++ b/internal/config/errors.go
@@ -32,8 +32,8 @@
 // Unwrap is the error of the system or of another package that the reason was taken from, nil for a check of this one.
 func (e *FieldError) Unwrap() error { return e.err }
 
-// wrapError is err, which says what is wrong with a field or, for "", with the whole file.
-func wrapError(file FileKind, field string, err error) error {
+// WrapError is err, which says what is wrong with a field or, for "", with the whole file.
+func WrapError(file FileKind, field string, err error) error {
 	return &FieldError{File: file, Field: field, Reason: err.Error(), err: err}
 }
 
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -65,7 +65,7 @@
 func Load(path string, now *clock.Clock) (*Config, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, wrapError(PlatformFile, "RELAY_CONFIG", err)
+		return nil, WrapError(PlatformFile, "RELAY_CONFIG", err)
 	}
 	return Parse(text, now)
 }
@@ -89,7 +89,7 @@
 		return nil, err
 	}
 	if _, err := eidertrail.New(c.Settings, c.Seed); err != nil { // the module checks its settings
-		return nil, wrapError(PlatformFile, "", err)
+		return nil, WrapError(PlatformFile, "", err)
 	}
 	return c, nil
 }
@@ -121,7 +121,7 @@
 	}
 	page, err := endpointlist.ParsePage([]byte(known.Raw), now)
 	if err != nil {
-		return wrapError(PlatformFile, "known", err)
+		return WrapError(PlatformFile, "known", err)
 	}
 	c.KnownEndpoints = page
 	return nil
--- a/internal/config/toml.go
+++ b/internal/config/toml.go
@@ -11,7 +11,7 @@
 func loadFile[T any](file FileKind, path string, parse func(text string) (*T, error)) (*T, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, wrapError(file, "", err)
+		return nil, WrapError(file, "", err)
 	}
 	return parse(string(text))
 }
--- /dev/null
+++ b/internal/daemon/descriptors_test.go
@@ -0,0 +1,38 @@
+package daemon
+
+import (
+	"fmt"
+	"testing"
+
+	"eidertrail/internal/config"
+	"eidertrail/internal/endpoint/endpointlist"
+)
+
+// The sum of what holds descriptors against limits.sockets.
+func TestDivideDescriptors_CallersLeaveEnough(t *testing.T) {
+	for _, k := range []struct {
+		sockets, listed int
+		callControl     *config.CallControl
+		names           int
+		callers, pools  int
+	}{
+		{1024, 24, nil, 0, 512, 500},
+		{1024, 200, nil, 0, 512, 500},
+		{1024, 400, nil, 0, 341, 671},
+		{1024, 24, &config.CallControl{MaxConnections: 256}, 32, 512, 161},
+		{256, 24, nil, 0, 128, 116},
+		{256, 24, &config.CallControl{MaxConnections: 64}, 0, 85, 44},
+		{128, 24, nil, 0, 52, 64},
+		{64, 24, nil, 0, 21, 31},
+		{32, 24, nil, 0, 10, 10},
+	} {
+		cfg := &config.Config{Sockets: k.sockets, KnownEndpoints: endpointlist.Page{Events: []endpointlist.Event{{}, {}}}}
+		for n := range k.listed {
+			cfg.KnownEndpoints.Events[n%2].Endpoints = append(cfg.KnownEndpoints.Events[n%2].Endpoints, endpointlist.Endpoint{UID: fmt.Sprint(n)})
+		}
+		limits := divideDescriptors(cfg, k.callControl, k.names)
+		if limits.callers != k.callers || limits.pools != k.pools {
+			t.Errorf("%+v: %d callers and room for %d pools", k, limits.callers, limits.pools)
+		}
+	}
+}
--- a/cmd/eidertrail/measure_test.go
+++ b/internal/daemon/discovery_measure_test.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 import (
 	"context"
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"github.com/tidwall/gjson"
 
+	"eidertrail/internal/testing/daemontest"
 	"eidertrail/internal/testing/fakeplatform"
 )
 
@@ -54,7 +55,7 @@
 
 // TestMeasureSRV measures how soon the daemon follows a change of SRV records, how often it asks, and
 // whether any set-up reaches a pool after the daemon took its going, while callers keep it busy. It is
-// a measurement, not a check for CI: EIDERTRAIL_MEASURE=1 go test -run TestMeasureSRV -v ./cmd/eidertrail
+// a measurement, not a check for CI: EIDERTRAIL_MEASURE=1 go test -run TestMeasureSRV -v ./internal/daemon
 // (EIDERTRAIL_ROUNDS and EIDERTRAIL_TTL change its size).
 func TestMeasureSRV(t *testing.T) {
 	if os.Getenv("EIDERTRAIL_MEASURE") == "" {
@@ -85,17 +86,17 @@
 			q.Bye(16)
 		}}
 		addresses[i] = p.Listen(t)
-		targets[i] = target(fmt.Sprintf("p%d.pools.example.org", i), addresses[i])
+		targets[i] = daemontest.SRVTarget(t, fmt.Sprintf("p%d.pools.example.org", i), addresses[i])
 		targets[i].TTL = ttl
 	}
 	dns := fakeplatform.NewDNS(t)
-	dns.SetSRV(srvName, ttl, targets...)
-	disc := write(t, "discovery.toml", fmt.Sprintf("server = %q\nrefresh_floor = \"200ms\"\nrefresh_ceiling = \"1m\"\n"+
-		"jitter = 0.1\nstale_for = \"30s\"\ndrain_for = \"5s\"\n[[name]]\nsrv = %q\n", dns.Addr, srvName))
+	dns.SetSRV(daemontest.SRVName, ttl, targets...)
+	disc := daemontest.WriteFile(t, "discovery.toml", fmt.Sprintf("server = %q\nrefresh_floor = \"200ms\"\nrefresh_ceiling = \"1m\"\n"+
+		"jitter = 0.1\nstale_for = \"30s\"\ndrain_for = \"5s\"\n[[name]]\nsrv = %q\n", dns.Addr, daemontest.SRVName))
 	log := &stamped{}
-	d, err := start(context.Background(), environment{
-		config:    write(t, "config.json", configuration("127.0.0.1:0", "127.0.0.1:1")),
-		discovery: disc,
+	d, err := Start(context.Background(), Options{
+		Config:    daemontest.WriteFile(t, "config.json", daemontest.Configuration("127.0.0.1:0", "127.0.0.1:1")),
+		Discovery: disc,
 	}, zerolog.New(log))
 	if err != nil {
 		t.Fatal(err)
@@ -111,13 +112,13 @@
 	var callers sync.WaitGroup
 	for c := range 4 {
 		callers.Go(func() {
-			conn := dial(t, d.listener.Addr().String())
+			conn := daemontest.Dial(t, d.listener.Addr().String())
 			for n := 0; !stop.Load(); n++ {
 				id := fmt.Sprintf("%08x%08x", c, n)
-				conn.setup(id)
+				conn.Setup(id)
 				calls.Add(1)
 				for {
-					m := conn.next()
+					m := conn.Next()
 					if m.ID == id {
 						if m.Type == "answer" {
 							answered.Add(1)
@@ -138,7 +139,7 @@
 		left := slices.Delete(slices.Clone(targets), out, out+1)
 		time.Sleep(rand.N(time.Duration(ttl) * time.Second)) // at any phase of the refreshes
 		changed := time.Now()
-		dns.SetSRV(srvName, ttl, left...)
+		dns.SetSRV(daemontest.SRVName, ttl, left...)
 		var seen time.Time
 		for seen = log.firstAfter(changed, addresses[out], false); seen.IsZero(); seen = log.firstAfter(changed, addresses[out], false) {
 			time.Sleep(5 * time.Millisecond)
@@ -154,7 +155,7 @@
 		}
 		mu.Unlock()
 		changed = time.Now()
-		dns.SetSRV(srvName, ttl, targets...)
+		dns.SetSRV(daemontest.SRVName, ttl, targets...)
 		for seen = log.firstAfter(changed, addresses[out], true); seen.IsZero(); seen = log.firstAfter(changed, addresses[out], true) {
 			time.Sleep(5 * time.Millisecond)
 		}
@@ -163,7 +164,7 @@
 	elapsed := time.Since(began)
 	stop.Store(true)
 	callers.Wait()
-	s.term <- syscall.SIGTERM
+	s.Terminate <- syscall.SIGTERM
 	<-ended
 
 	stat := func(xs []time.Duration) string {
@@ -174,7 +175,7 @@
 	t.Logf("TTL %d s, floor 0.2 s, jitter 0.1, %d pools, %d rounds in %v", ttl, pools, rounds, elapsed.Round(time.Second))
 	t.Logf("record removed to pool out of the set: %s", stat(gone))
 	t.Logf("record added to pool in the set:       %s", stat(back))
-	t.Logf("SRV questions a minute for the name:   %.1f", float64(dns.Queries(srvName, ""))/elapsed.Minutes())
+	t.Logf("SRV questions a minute for the name:   %.1f", float64(dns.Queries(daemontest.SRVName, ""))/elapsed.Minutes())
 	t.Logf("calls %d, answered %d; set-ups that reached a pool after its going was taken: %d %v", calls.Load(), answered.Load(),
 		violations, lateBy)
 	limit := time.Duration(ttl) * time.Second
--- a/cmd/eidertrail/zones_test.go
+++ b/internal/daemon/routing_test.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 import (
 	"context"
@@ -10,13 +10,14 @@
 
 	"github.com/rs/zerolog"
 
+	"eidertrail/internal/testing/daemontest"
 	"eidertrail/internal/testing/fakeplatform"
 )
 
 // The daemon with --routing, on loopback stand-in pools in two zones: calls stay in the own zone, spill to
 // the neighbour when the own zone's pools refuse connections, come home again when they take them, three
 // times over, and every call gets one final answer.
-func TestDaemonSpillsWhenItsZoneGoesDark(t *testing.T) {
+func TestRouting_CallsSpillWhileTheOwnZoneFails(t *testing.T) {
 	var mu sync.Mutex
 	by := map[string]int{}
 	pools := map[string]*fakeplatform.Pool{}
@@ -36,11 +37,11 @@
 		zone := map[string]string{"ba": "batumi", "tb": "tbilisi"}[uid[:2]]
 		targets = append(targets, fmt.Sprintf(`{"uid":%q,"endpoint":%q,"az":%q,"pod_group":0,"state":"up"}`, uid, p.Listen(t), zone))
 	}
-	cfg := write(t, "config.json", fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","seed":"1","limits":{"memory_mb":192,"sockets":1024},
+	cfg := daemontest.WriteFile(t, "config.json", fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","seed":"1","limits":{"memory_mb":192,"sockets":1024},
  "known":{"no":1,"items":[{"no":1,"roster":{"all":true,"targets":[%s]}}]},
  "settings":{"balancers":1,"index":0,"tick":5000000,"extra":{"clear_wait":300000000,"t1":60000000000},
   "request_classes":[{"name":"voice","promise":5000000000,"deadline":15000000000}]}}`, strings.Join(targets, ",")))
-	routes := write(t, "routing.toml", `zone = "batumi"
+	routes := daemontest.WriteFile(t, "routing.toml", `zone = "batumi"
 zones = ["batumi", "tbilisi"]
 least = 2
 hold = "300ms"
@@ -50,14 +51,14 @@
 batumi = [["tbilisi"]]
 `)
 	log := &buffer{}
-	d, err := start(context.Background(), environment{config: cfg, routing: routes}, zerolog.New(log))
+	d, err := Start(context.Background(), Options{Config: cfg, Routing: routes}, zerolog.New(log))
 	if err != nil {
 		t.Fatal(err)
 	}
 	s, ended := serving(d)
-	call := newScript(dial(t, d.listener.Addr().String()))
+	call := daemontest.NewSequentialCaller(daemontest.Dial(t, d.listener.Addr().String()))
 	for range 10 {
-		call.place(t)
+		call.Place()
 	}
 	mu.Lock()
 	if by["tb"] != 0 || by["ba"] == 0 {
@@ -76,7 +77,7 @@
 			pools[uid].Drop()
 		}
 		for range 10 {
-			call.place(t)
+			call.Place()
 		}
 		if count("tb") == away {
 			t.Errorf("flap %d, with batumi dark: no call went to tbilisi", flap)
@@ -87,13 +88,13 @@
 			pools[uid].SetRejecting(false, false)
 		}
 		for began := time.Now(); count("ba") == home; {
-			if time.Since(began) > soon {
-				t.Fatalf("flap %d: no call went home within %v of batumi's coming back", flap, soon)
+			if time.Since(began) > testTimeout {
+				t.Fatalf("flap %d: no call went home within %v of batumi's coming back", flap, testTimeout)
 			}
-			call.place(t)
+			call.Place()
 		}
 	}
-	call.check(t)
+	call.Check()
 	if !strings.Contains(log.String(), "batumi:out") && !strings.Contains(log.String(), "batumi:dark") {
 		t.Errorf("the zone's going out is not logged")
 	}
@@ -102,22 +103,22 @@
 
 // A routing file that makes no sense ends the start with a line naming the field; at SIGHUP it is logged
 // and the old one holds.
-func TestBadRoutingFile(t *testing.T) {
+func TestRouting_BadFileAtStartAndReload(t *testing.T) {
 	good := "zone = \"batumi\"\nzones = [\"batumi\", \"tbilisi\"]\n[tiers]\nbatumi = [[\"tbilisi\"]]\n"
-	cfg := write(t, "config.json", configuration("127.0.0.1:0", "127.0.0.1:1"))
+	cfg := daemontest.WriteFile(t, "config.json", daemontest.Configuration("127.0.0.1:0", "127.0.0.1:1"))
 	for field, bad := range map[string]string{
 		"tiers.batumi[0]":  strings.Replace(good, `[["tbilisi"]]`, `[["gori"]]`, 1),
 		"spill_share":      "spill_share = 1.5\n" + good,
 		"tiers.batumi[0]:": strings.Replace(good, `[["tbilisi"]]`, `[["batumi"]]`, 1),
 	} {
-		_, err := start(context.Background(), environment{config: cfg, routing: write(t, "bad.toml", bad)}, zerolog.Nop())
+		_, err := Start(context.Background(), Options{Config: cfg, Routing: daemontest.WriteFile(t, "bad.toml", bad)}, zerolog.Nop())
 		if err == nil || !strings.HasPrefix(err.Error(), "routing: "+field) {
 			t.Errorf("%s: %v", field, err)
 		}
 	}
-	path := write(t, "routing.toml", good)
+	path := daemontest.WriteFile(t, "routing.toml", good)
 	log := &buffer{}
-	d, err := start(context.Background(), environment{config: cfg, routing: path}, zerolog.New(log))
+	d, err := Start(context.Background(), Options{Config: cfg, Routing: path}, zerolog.New(log))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/eidertrail/sites_test.go
+++ b/internal/daemon/sites_test.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 import (
 	"bytes"
@@ -18,6 +18,7 @@
 
 	"eidertrail/internal/clock"
 	"eidertrail/internal/config"
+	"eidertrail/internal/testing/daemontest"
 	"eidertrail/internal/testing/fakeplatform"
 )
 
@@ -278,26 +279,26 @@
 // its name: at each site of deploy/sites the calls of every class and tenant reach a pool of the class under the class's
 // own name, get one answer with that pool's description to the byte, and what is only close to a name is refused and
 // reaches no pool.
-func TestOtherSites(t *testing.T) {
+func TestSites_CallsOfEveryClassAndTenant(t *testing.T) {
 	for _, path := range sites(t) {
 		s := loadSite(t, path)
 		t.Run(s.Name, func(t *testing.T) {
 			const groups = 3
 			pools := newSitePools(t, &s, groups)
-			d, err := start(context.Background(), environment{config: write(t, "config.json", s.configuration(t, pools.addresses))}, zerolog.Nop())
+			d, err := Start(context.Background(), Options{Config: daemontest.WriteFile(t, "config.json", s.configuration(t, pools.addresses))}, zerolog.Nop())
 			if err != nil {
 				t.Fatal(err)
 			}
 			signals, ended := serving(d)
 			defer stopping(t, signals, ended)
-			c := dial(t, d.listener.Addr().String())
+			c := daemontest.Dial(t, d.listener.Addr().String())
 			for ready := false; !ready; {
 				fmt.Fprintln(c, `{"type":"ping","id":"p","cause":0}`)
-				ready = c.next().Cause == 1
+				ready = c.Next().Cause == 1
 			}
 
 			n := 0
-			place := func(c *caller, class, tenant string) string {
+			place := func(c *daemontest.Caller, class, tenant string) string {
 				n++
 				id := fmt.Sprintf("%016x", n)
 				fmt.Fprintf(c, `{"type":"setup","id":%q,"fields":{"class":%s,"tenant":%s,"left":"60000","key":"%x","extras":"dest:%d;width:1;via:-1"},"sdp":"v=0\r\n"}`+"\n",
@@ -308,7 +309,7 @@
 				for _, tenant := range s.Tenant {
 					for _, spelt := range []func(string) string{plain, ascii} {
 						id := place(c, spelt(class.Name), spelt(tenant.Name))
-						m, came := c.next(), pools.take(id)
+						m, came := c.Next(), pools.take(id)
 						if m.Type != "answer" || m.ID != id {
 							t.Fatalf("class %q, tenant %q: %+v", class.Name, tenant.Name, m)
 						}
@@ -319,7 +320,7 @@
 							t.Errorf("class %q: description %q, the pool's was %q", class.Name, m.SDP, want)
 						}
 						fmt.Fprintf(c, `{"type":"release","id":%q,"fields":{},"cause":16}`+"\n", id)
-						if m := c.next(); m.Type != "released" || m.ID != id {
+						if m := c.Next(); m.Type != "released" || m.ID != id {
 							t.Errorf("class %q: after the release: %+v", class.Name, m)
 						}
 					}
@@ -327,7 +328,7 @@
 			}
 			// Nothing more has come for any of them: the next line is the test's.
 			fmt.Fprintln(c, `{"type":"ping","id":"last","cause":0}`)
-			if m := c.next(); m.Type != "pong" || m.ID != "last" {
+			if m := c.Next(); m.Type != "pong" || m.ID != "last" {
 				t.Errorf("after every call's one answer: %+v", m)
 			}
 
@@ -339,10 +340,10 @@
 				tenants = append(tenants, tenant.Name)
 			}
 			refused := func(class, tenant string) {
-				c := dial(t, d.listener.Addr().String()) // each on its own: too many of them close a connection
+				c := daemontest.Dial(t, d.listener.Addr().String()) // each on its own: too many of them close a connection
 				defer c.Close()
 				id := place(c, plain(class), plain(tenant))
-				if m := c.next(); m.Type != "release" || m.ID != id || m.Cause != 41 {
+				if m := c.Next(); m.Type != "release" || m.ID != id || m.Cause != 41 {
 					t.Errorf("class %q, tenant %q: %+v, want it refused as what is not known", class, tenant, m)
 				}
 				if came := pools.take(id); len(came) > 0 {
@@ -363,7 +364,7 @@
 }
 
 // The settings made of a site file are read as the file has them, so that the test above is of the site's own figures.
-func TestOtherSitesSettings(t *testing.T) {
+func TestSites_SettingsAreThoseOfTheFile(t *testing.T) {
 	for _, path := range sites(t) {
 		s := loadSite(t, path)
 		t.Run(s.Name, func(t *testing.T) {
