Rollout tests: ports that the system gives to nobody, reserved for the length of the test

Cause: free() closed a listener on a port of the system's choice and left it to a controller that binds it later and again after each restart; under load the port went to another listener or connection in between, and TestRollout... failed with "bind: address already in use".

--- a/cmd/eidertrail/rollout_test.go
+++ b/cmd/eidertrail/rollout_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -42,16 +41,6 @@
 	name, listen, health, config, newConfig string
 }
 
-// free is an address of 127.0.0.1 that nobody listens on.
-func free(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // newStaged starts so many controllers on one pool, with callers at each.
 func newStaged(t *testing.T, controllers int) *staged {
 	t.Helper()
@@ -67,7 +56,7 @@
 	s.state = filepath.Join(s.dir, "state.json")
 	p := newMetered(t, time.Millisecond, "idle:900;circuits:1000")
 	for i := range controllers {
-		c := controller{name: fmt.Sprintf("n%d", i), listen: free(t), health: free(t)}
+		c := controller{name: fmt.Sprintf("n%d", i), listen: reserveAddress(t), health: reserveAddress(t)}
 		c.config = s.write(c.name+".json", fmt.Sprintf(`{"name":%q,"listen":%q,"seed":"%d","limits":{"memory_mb":192,"sockets":1024},%s,
  "settings":{"balancers":%d,"index":%d,"tick":1000000,"extra":{"clear_wait":300000000,"t1":400000000,"mean_hold":[1000000000]},
   "request_classes":[{"name":"voice","promise":1000000000,"deadline":15000000000}]}}`, c.name, c.listen, i+1, p.roster(time.Time{}), controllers, i))
