--- a/cmd/eidertrail/characterization_test.go
+++ b/cmd/eidertrail/characterization_test.go
@@ -71,11 +71,7 @@
 // command is the invocation's, with no variable of the platform but its own.
 func (i invocation) command(t *testing.T, folder string) *exec.Cmd {
 	t.Helper()
-	program, err := built()
-	if err != nil {
-		t.Fatal(err)
-	}
-	c := exec.Command(program, i.arguments...)
+	c := exec.Command(program(t), i.arguments...)
 	c.Dir = folder
 	for _, variable := range os.Environ() {
 		if !strings.HasPrefix(variable, "RELAY_") {
--- a/cmd/eidertrail/fleet_test.go
+++ b/cmd/eidertrail/fleet_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -21,35 +20,8 @@
 	"eidertrail/internal/testing/fakeplatform"
 )
 
-// built is the daemon's program, built once for all tests that start processes.
-var built = sync.OnceValues(func() (string, error) {
-	path := filepath.Join(buildDir(), "eidertrail")
-	if err := os.MkdirAll(buildDir(), 0o700); err != nil {
-		return "", err
-	}
-	if out, err := exec.Command("go", "build", "-o", path, ".").CombinedOutput(); err != nil {
-		return "", fmt.Errorf("%w: %s", err, out)
-	}
-	return path, nil
-})
-
-// buildDir is where built puts it, for this run of the tests alone.
-func buildDir() string {
-	return filepath.Join(os.TempDir(), fmt.Sprintf("eidertrail-test-%d", os.Getpid()))
-}
-
-func TestMain(m *testing.M) {
-	code := m.Run()
-	os.RemoveAll(buildDir())
-	os.Exit(code)
-}
-
-const (
-	probeInterval = 250 * time.Millisecond
-	// soon is the bound within which what has to happen is waited for: a crash takes 2 * 4 rounds of probes
-	// and a suspicion of 3 s at the most, and the machine may be busy.
-	soon = 30 * time.Second
-)
+// probeInterval is the fleets' probe_interval.
+const probeInterval = 250 * time.Millisecond
 
 // fleet is several processes of the daemon, with a network of datagrams between them.
 type fleet struct {
@@ -104,10 +76,6 @@
 // start starts a member's process, and waits until it serves.
 func (f *fleet) start(i int) {
 	f.t.Helper()
-	program, err := built()
-	if err != nil {
-		f.t.Fatal(err)
-	}
 	peers, _ := json.Marshal(f.net.Peers(i))
 	settings, args := `"known":{"no":1,"items":[]}`, []string(nil)
 	if f.extra != nil {
@@ -120,7 +88,7 @@
   "stats":{"names":["idle","circuits","wait_ms","max_rate"]},
   "request_classes":[{"name":"voice","promise":1000000000,"deadline":15000000000}]}}`, i, i+1, peers, settings, len(f.procs), i))
 	p := &process{
-		cmd: exec.Command(program, append([]string{"--cluster", f.files}, args...)...), ended: make(chan struct{}),
+		cmd: exec.Command(program(f.t), append([]string{"--cluster", f.files}, args...)...), ended: make(chan struct{}),
 		states: map[int]string{}, told: map[string]int{},
 	}
 	p.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+cfg, "RELAY_LISTEN=")
@@ -201,16 +169,6 @@
 	waitFor(f.t, what, cond)
 }
 
-// waitFor waits until cond holds, as long as it takes within reason.
-func waitFor(t *testing.T, what string, cond func() bool) {
-	t.Helper()
-	for began := time.Now(); !cond(); time.Sleep(5 * time.Millisecond) {
-		if time.Since(began) > soon {
-			t.Fatalf("not within %v: %s", soon, what)
-		}
-	}
-}
-
 // wantAll waits until every other member holds one so.
 func (f *fleet) wantAll(member int, state string) time.Duration {
 	f.t.Helper()
--- a/cmd/eidertrail/rollout_test.go
+++ b/cmd/eidertrail/rollout_test.go
@@ -44,13 +44,10 @@
 // newStaged starts so many controllers on one pool, with callers at each.
 func newStaged(t *testing.T, controllers int) *staged {
 	t.Helper()
-	program, err := built()
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &staged{t: t, dir: t.TempDir(), old: program, stop: make(chan struct{})}
+	old := program(t)
+	s := &staged{t: t, dir: t.TempDir(), old: old, stop: make(chan struct{})}
 	s.new = filepath.Join(s.dir, "eidertrail-new")
-	if err := os.Symlink(program, s.new); err != nil {
+	if err := os.Symlink(old, s.new); err != nil {
 		t.Fatal(err)
 	}
 	s.state = filepath.Join(s.dir, "state.json")
--- a/internal/daemon/descriptors_test.go
+++ b/internal/daemon/descriptors_test.go
@@ -1,7 +1,7 @@
 package daemon
 
 import (
-	"fmt"
+	"strconv"
 	"testing"
 
 	"eidertrail/internal/config"
@@ -10,7 +10,7 @@
 
 // The sum of what holds descriptors against limits.sockets.
 func TestDivideDescriptors_CallersLeaveEnough(t *testing.T) {
-	for _, k := range []struct {
+	for _, test := range []struct {
 		sockets, listed int
 		callControl     *config.CallControl
 		names           int
@@ -26,13 +26,15 @@
 		{64, 24, nil, 0, 21, 31},
 		{32, 24, nil, 0, 10, 10},
 	} {
-		cfg := &config.Config{Sockets: k.sockets, KnownEndpoints: endpointlist.Page{Events: []endpointlist.Event{{}, {}}}}
-		for n := range k.listed {
-			cfg.KnownEndpoints.Events[n%2].Endpoints = append(cfg.KnownEndpoints.Events[n%2].Endpoints, endpointlist.Endpoint{UID: fmt.Sprint(n)})
+		cfg := &config.Config{Sockets: test.sockets}
+		events := make([]endpointlist.Event, 2)
+		for n := range test.listed {
+			events[n%2].Endpoints = append(events[n%2].Endpoints, endpointlist.Endpoint{UID: strconv.Itoa(n)})
 		}
-		limits := divideDescriptors(cfg, k.callControl, k.names)
-		if limits.callers != k.callers || limits.pools != k.pools {
-			t.Errorf("%+v: %d callers and room for %d pools", k, limits.callers, limits.pools)
+		cfg.KnownEndpoints.Events = events
+		limits := divideDescriptors(cfg, test.callControl, test.names)
+		if limits.callers != test.callers || limits.pools != test.pools {
+			t.Errorf("%+v: %d callers and room for %d pools", test, limits.callers, limits.pools)
 		}
 	}
 }
--- a/internal/daemon/discovery_measure_test.go
+++ b/internal/daemon/discovery_measure_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,171 +21,229 @@
 	"eidertrail/internal/testing/fakeplatform"
 )
 
-// stamped is a log that notes when each line of the pool set was written.
-type stamped struct {
-	mu   sync.Mutex
-	sets []stampedSet
+// endpointSetLog is a log that notes when each line about the endpoint set was written.
+type endpointSetLog struct {
+	mu    sync.Mutex
+	lines []endpointSetLine
 }
 
-type stampedSet struct {
+type endpointSetLine struct {
 	at    time.Time
 	pools string
 }
 
-func (s *stamped) Write(p []byte) (int, error) {
+func (l *endpointSetLog) Write(p []byte) (int, error) {
 	now := time.Now()
 	if gjson.GetBytes(p, "message").Str == "pool set" {
-		s.mu.Lock()
-		s.sets = append(s.sets, stampedSet{now, gjson.GetBytes(p, "pools").Str})
-		s.mu.Unlock()
+		l.mu.Lock()
+		l.lines = append(l.lines, endpointSetLine{now, gjson.GetBytes(p, "pools").Str})
+		l.mu.Unlock()
 	}
 	return len(p), nil
 }
 
-// firstAfter is when the first pool set after t was written in which address is up (or not), or zero.
-func (s *stamped) firstAfter(t time.Time, address string, up bool) time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, x := range s.sets {
-		if x.at.After(t) && strings.Contains(x.pools, "@"+address+"/up/") == up {
-			return x.at
+// await waits for the first endpoint set after a time in which address is up (or not), and returns when it was written.
+func (l *endpointSetLog) await(after time.Time, address string, up bool) time.Time {
+	for {
+		if at := l.first(after, address, up); !at.IsZero() {
+			return at
 		}
+		time.Sleep(5 * time.Millisecond)
 	}
-	return time.Time{}
 }
 
-// TestMeasureSRV measures how soon the daemon follows a change of SRV records, how often it asks, and
-// whether any set-up reaches a pool after the daemon took its going, while callers keep it busy. It is
-// a measurement, not a check for CI: EIDERTRAIL_MEASURE=1 go test -run TestMeasureSRV -v ./internal/daemon
-// (EIDERTRAIL_ROUNDS and EIDERTRAIL_TTL change its size).
-func TestMeasureSRV(t *testing.T) {
-	if os.Getenv("EIDERTRAIL_MEASURE") == "" {
-		t.Skip("a measurement: set EIDERTRAIL_MEASURE=1")
-	}
-	rounds, ttl := 20, uint32(2)
-	fmt.Sscan(os.Getenv("EIDERTRAIL_ROUNDS"), &rounds)
-	fmt.Sscan(os.Getenv("EIDERTRAIL_TTL"), &ttl)
-	const pools = 6
-
-	type arrival struct {
-		pool int
-		at   time.Time
+// first is when the first such endpoint set was written, or zero.
+func (l *endpointSetLog) first(after time.Time, address string, up bool) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, line := range l.lines {
+		if line.at.After(after) && strings.Contains(line.pools, "@"+address+"/up/") == up {
+			return line.at
+		}
 	}
-	var mu sync.Mutex
-	var arrivals []arrival
-	addresses := make([]string, pools)
-	targets := make([]fakeplatform.Target, pools)
-	for i := range pools {
-		p := &fakeplatform.Pool{OnRequest: func(q fakeplatform.Request) {
-			if q.Method != "INVITE" {
+	return time.Time{}
+}
+
+// arrivalPools are fake pools behind one SRV name. They answer every set-up, end the call at once, and record when each
+// set-up came.
+type arrivalPools struct {
+	addresses []string
+	targets   []fakeplatform.Target
+
+	mu       sync.Mutex
+	arrivals []arrival
+}
+
+type arrival struct {
+	pool int
+	at   time.Time
+}
+
+func newArrivalPools(t *testing.T, count int, ttl uint32) *arrivalPools {
+	t.Helper()
+	pools := &arrivalPools{addresses: make([]string, count), targets: make([]fakeplatform.Target, count)}
+	for i := range count {
+		pool := &fakeplatform.Pool{OnRequest: func(request fakeplatform.Request) {
+			if request.Method != "INVITE" {
 				return
 			}
-			mu.Lock()
-			arrivals = append(arrivals, arrival{i, time.Now()})
-			mu.Unlock()
-			q.Answer(200, "", "v=0\r\n")
-			q.Bye(16)
+			pools.mu.Lock()
+			pools.arrivals = append(pools.arrivals, arrival{i, time.Now()})
+			pools.mu.Unlock()
+			request.Answer(200, "", "v=0\r\n")
+			request.Bye(16)
 		}}
-		addresses[i] = p.Listen(t)
-		targets[i] = daemontest.SRVTarget(t, fmt.Sprintf("p%d.pools.example.org", i), addresses[i])
-		targets[i].TTL = ttl
-	}
-	dns := fakeplatform.NewDNS(t)
-	dns.SetSRV(daemontest.SRVName, ttl, targets...)
-	disc := daemontest.WriteFile(t, "discovery.toml", fmt.Sprintf("server = %q\nrefresh_floor = \"200ms\"\nrefresh_ceiling = \"1m\"\n"+
-		"jitter = 0.1\nstale_for = \"30s\"\ndrain_for = \"5s\"\n[[name]]\nsrv = %q\n", dns.Addr, daemontest.SRVName))
-	log := &stamped{}
-	d, err := Start(context.Background(), Options{
-		Config:    daemontest.WriteFile(t, "config.json", daemontest.Configuration("127.0.0.1:0", "127.0.0.1:1")),
-		Discovery: disc,
-	}, zerolog.New(log))
-	if err != nil {
-		t.Fatal(err)
+		pools.addresses[i] = pool.Listen(t)
+		pools.targets[i] = daemontest.SRVTarget(t, fmt.Sprintf("p%d.pools.example.org", i), pools.addresses[i])
+		pools.targets[i].TTL = ttl
 	}
-	s, ended := serving(d)
-	for log.firstAfter(time.Time{}, addresses[pools-1], true).IsZero() {
-		time.Sleep(10 * time.Millisecond)
+	return pools
+}
+
+// without are the targets of all pools but one.
+func (p *arrivalPools) without(pool int) []fakeplatform.Target {
+	return slices.Delete(slices.Clone(p.targets), pool, pool+1)
+}
+
+// lateBy is by how much each set-up of the pool came after a time.
+func (p *arrivalPools) lateBy(pool int, after time.Time) []time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var late []time.Duration
+	for _, arrival := range p.arrivals {
+		if arrival.pool == pool && arrival.at.After(after) {
+			late = append(late, arrival.at.Sub(after))
+		}
 	}
+	return late
+}
+
+// busyCallers place one set-up at a time each, without pause, until they are stopped.
+type busyCallers struct {
+	stopped         atomic.Bool
+	calls, answered atomic.Int64
+	callers         sync.WaitGroup
+}
 
-	// Load: four callers, one set-up at a time each, as long as the rounds go on.
-	var stop atomic.Bool
-	var calls, answered atomic.Int64
-	var callers sync.WaitGroup
-	for c := range 4 {
-		callers.Go(func() {
-			conn := daemontest.Dial(t, d.listener.Addr().String())
-			for n := 0; !stop.Load(); n++ {
-				id := fmt.Sprintf("%08x%08x", c, n)
-				conn.Setup(id)
-				calls.Add(1)
-				for {
-					m := conn.Next()
-					if m.ID == id {
-						if m.Type == "answer" {
-							answered.Add(1)
-						}
-						break
-					}
-				}
+func (b *busyCallers) start(t *testing.T, count int, address string) {
+	t.Helper()
+	for c := range count {
+		b.callers.Go(func() {
+			caller := daemontest.Dial(t, address)
+			for n := 0; !b.stopped.Load(); n++ {
+				b.place(caller, fmt.Sprintf("%08x%08x", c, n))
 			}
 		})
 	}
+}
+
+func (b *busyCallers) place(caller *daemontest.Caller, id string) {
+	caller.Setup(id)
+	b.calls.Add(1)
+	for {
+		m := caller.Next()
+		if m.ID != id {
+			continue
+		}
+		if m.Type == "answer" {
+			b.answered.Add(1)
+		}
+		return
+	}
+}
+
+func (b *busyCallers) stop() {
+	b.stopped.Store(true)
+	b.callers.Wait()
+}
+
+// TestMeasureSRV measures how soon the daemon follows a change of SRV records, how often it queries them, and whether
+// any set-up reaches a pool after the daemon took its removal, while callers keep it busy. It is a measurement, not a
+// check for CI: EIDERTRAIL_MEASURE=1 go test -run TestMeasureSRV -v ./internal/daemon (EIDERTRAIL_ROUNDS and
+// EIDERTRAIL_TTL change its size).
+func TestMeasureSRV(t *testing.T) {
+	if os.Getenv("EIDERTRAIL_MEASURE") == "" {
+		t.Skip("a measurement: set EIDERTRAIL_MEASURE=1")
+	}
+	const poolCount, callerCount = 6, 4
+	rounds := fromVariable(t, "EIDERTRAIL_ROUNDS", 20)
+	ttl := fromVariable(t, "EIDERTRAIL_TTL", 2)
+	limit := time.Duration(ttl) * time.Second
+	pools := newArrivalPools(t, poolCount, uint32(ttl))
+	dns := fakeplatform.NewDNS(t)
+	dns.SetSRV(daemontest.SRVName, uint32(ttl), pools.targets...)
+	log := &endpointSetLog{}
+	daemon, err := Start(context.Background(), Options{
+		Config: writeConfiguration(t, nobody),
+		Discovery: daemontest.WriteFile(t, "discovery.toml", fmt.Sprintf(
+			"server = %q\nrefresh_floor = \"200ms\"\nrefresh_ceiling = \"1m\"\njitter = 0.1\nstale_for = \"30s\"\n"+
+				"drain_for = \"5s\"\n[[name]]\nsrv = %q\n", dns.Addr, daemontest.SRVName)),
+	}, zerolog.New(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	signals, ended := serve(daemon)
+	log.await(time.Time{}, pools.addresses[poolCount-1], true)
+	callers := &busyCallers{}
+	callers.start(t, callerCount, daemon.listener.Addr().String())
 
 	began := time.Now()
-	var gone, back []time.Duration
-	violations := 0
-	var lateBy []time.Duration // of the set-ups that arrived after the line: by how much
-	for r := range rounds {
-		out := r % pools
-		left := slices.Delete(slices.Clone(targets), out, out+1)
-		time.Sleep(rand.N(time.Duration(ttl) * time.Second)) // at any phase of the refreshes
+	removed, added := make([]time.Duration, 0, rounds), make([]time.Duration, 0, rounds)
+	late := make([]time.Duration, 0, rounds) // of the set-ups that came after the removal was taken
+	for round := range rounds {
+		pool := round % poolCount
+		time.Sleep(rand.N(limit)) // at any phase of the refreshes
 		changed := time.Now()
-		dns.SetSRV(daemontest.SRVName, ttl, left...)
-		var seen time.Time
-		for seen = log.firstAfter(changed, addresses[out], false); seen.IsZero(); seen = log.firstAfter(changed, addresses[out], false) {
-			time.Sleep(5 * time.Millisecond)
-		}
-		gone = append(gone, seen.Sub(changed))
+		dns.SetSRV(daemontest.SRVName, uint32(ttl), pools.without(pool)...)
+		taken := log.await(changed, pools.addresses[pool], false)
+		removed = append(removed, taken.Sub(changed))
 		time.Sleep(500 * time.Millisecond) // calls go on without it
-		mu.Lock()
-		for _, a := range arrivals {
-			if a.pool == out && a.at.After(seen) {
-				violations++
-				lateBy = append(lateBy, a.at.Sub(seen))
-			}
-		}
-		mu.Unlock()
+		late = append(late, pools.lateBy(pool, taken)...)
 		changed = time.Now()
-		dns.SetSRV(daemontest.SRVName, ttl, targets...)
-		for seen = log.firstAfter(changed, addresses[out], true); seen.IsZero(); seen = log.firstAfter(changed, addresses[out], true) {
-			time.Sleep(5 * time.Millisecond)
-		}
-		back = append(back, seen.Sub(changed))
+		dns.SetSRV(daemontest.SRVName, uint32(ttl), pools.targets...)
+		added = append(added, log.await(changed, pools.addresses[pool], true).Sub(changed))
 	}
 	elapsed := time.Since(began)
-	stop.Store(true)
-	callers.Wait()
-	s.Terminate <- syscall.SIGTERM
+	callers.stop()
+	signals.Terminate <- syscall.SIGTERM
 	<-ended
 
-	stat := func(xs []time.Duration) string {
-		slices.Sort(xs)
-		return fmt.Sprintf("min %v, median %v, p95 %v, max %v", xs[0].Round(time.Millisecond), xs[len(xs)/2].Round(time.Millisecond),
-			xs[len(xs)*95/100].Round(time.Millisecond), xs[len(xs)-1].Round(time.Millisecond))
-	}
-	t.Logf("TTL %d s, floor 0.2 s, jitter 0.1, %d pools, %d rounds in %v", ttl, pools, rounds, elapsed.Round(time.Second))
-	t.Logf("record removed to pool out of the set: %s", stat(gone))
-	t.Logf("record added to pool in the set:       %s", stat(back))
-	t.Logf("SRV questions a minute for the name:   %.1f", float64(dns.Queries(daemontest.SRVName, ""))/elapsed.Minutes())
-	t.Logf("calls %d, answered %d; set-ups that reached a pool after its going was taken: %d %v", calls.Load(), answered.Load(),
-		violations, lateBy)
-	limit := time.Duration(ttl) * time.Second
-	for _, x := range append(gone, back...) {
-		if x > limit+100*time.Millisecond {
-			t.Errorf("a change took %v, over the TTL of %v", x, limit)
+	queries := float64(dns.Queries(daemontest.SRVName, ""))
+	t.Logf("TTL %d s, floor 0.2 s, jitter 0.1, %d pools, %d rounds in %v",
+		ttl, poolCount, rounds, elapsed.Round(time.Second))
+	t.Logf("record removed to pool out of the set: %s", summary(removed))
+	t.Logf("record added to pool in the set:       %s", summary(added))
+	t.Logf("SRV questions a minute for the name:   %.1f", queries/elapsed.Minutes())
+	t.Logf("calls %d, answered %d; set-ups that reached a pool after its removal was taken: %d %v",
+		callers.calls.Load(), callers.answered.Load(), len(late), late)
+	for _, delay := range append(removed, added...) {
+		if delay > limit+100*time.Millisecond {
+			t.Errorf("a change took %v, over the TTL of %v", delay, limit)
 		}
 	}
-	if violations > 0 {
-		t.Errorf("%d set-ups reached vanished pools", violations)
+	if len(late) > 0 {
+		t.Errorf("%d set-ups reached vanished pools", len(late))
 	}
 }
+
+// fromVariable is the number in a variable of the environment, or otherwise where it is not set.
+func fromVariable(t *testing.T, name string, otherwise int) int {
+	t.Helper()
+	text := os.Getenv(name)
+	if text == "" {
+		return otherwise
+	}
+	number, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return number
+}
+
+// summary sorts the delays, and describes them.
+func summary(delays []time.Duration) string {
+	slices.Sort(delays)
+	at := func(i int) time.Duration { return delays[i].Round(time.Millisecond) }
+	count := len(delays)
+	return fmt.Sprintf("min %v, median %v, p95 %v, max %v", at(0), at(count/2), at(count*95/100), at(count-1))
+}
--- a/internal/daemon/sites_test.go
+++ b/internal/daemon/sites_test.go
@@ -13,7 +13,6 @@
 	"sync"
 	"testing"
 
-	"github.com/BurntSushi/toml"
 	"github.com/rs/zerolog"
 
 	"eidertrail/internal/clock"
@@ -22,197 +21,37 @@
 	"eidertrail/internal/testing/fakeplatform"
 )
 
-// span is a figure of a site file: a number, or the two ends of a range.
-type span struct{ least, most float64 }
-
-// UnmarshalTOML implements toml.Unmarshaler.
-func (s *span) UnmarshalTOML(v any) error {
-	list, is := v.([]any)
-	if !is {
-		list = []any{v, v}
-	}
-	if len(list) != 2 {
-		return fmt.Errorf("%v is no range", v)
-	}
-	for i, at := range []*float64{&s.least, &s.most} {
-		switch n := list[i].(type) {
-		case int64:
-			*at = float64(n)
-		case float64:
-			*at = n
-		default:
-			return fmt.Errorf("%v is no number", v)
-		}
-	}
-	return nil
-}
-
-func (s span) middle() float64 { return (s.least + s.most) / 2 }
-
-// siteFile is what of a bench's site file reaches a controller in its settings.
-type siteFile struct {
-	Name string
-	Day  struct {
-		Tick span `toml:"tick_ms"`
-	}
-	Scale   struct{ Balancers span }
-	Clients struct {
-		MaxRetryAfter span `toml:"max_retry_after_ms"`
-	}
-	Allow struct {
-		MaxAttempts int `toml:"max_attempts"`
-	}
-	Rules struct {
-		Drain        span    `toml:"drain_grace_ms"`
-		FallMultiple float64 `toml:"fall_multiple"`
-		Fall         span    `toml:"fall_ms"`
-	}
-	Tier []struct {
-		Report struct{ Fields []string }
-		Conn   struct {
-			Timeout span `toml:"connect_timeout_ms"`
-		}
-		Kind []struct {
-			ColdFrom span `toml:"cold_from"`
-			Cold     span `toml:"cold_s"`
-		}
-	}
-	Class []struct {
-		Name      string
-		Aim       span `toml:"aim_ms"`
-		Deadline  span `toml:"deadline_ms"`
-		Worth     float64
-		LateWorth float64 `toml:"late_worth"`
-		Effect    string
-	}
-	Tenant []struct {
-		Name  string
-		Share float64
-	}
-	Fam struct {
-		Hold    span `toml:"hold_s"`
-		Resend  span `toml:"resend_ms"`
-		Release span `toml:"release_ms"`
-		Class   []struct {
-			Hold    float64
-			Skilled span
-		}
-	}
-}
-
-// reportNames are what reports' fields are called in the settings, by the site files' words.
-var reportNames = map[string]string{
-	"x0": "idle", "x1": "circuits", "inflight": "outstanding", "queue": "backlog",
-	"util": "utilization", "latency_ms": "recent_ms", "qps": "max_rate", "eps": "reduce",
-}
-
-func loadSite(t *testing.T, path string) siteFile {
-	t.Helper()
-	var s siteFile
-	if _, err := toml.DecodeFile(path, &s); err != nil {
-		t.Fatal(err)
-	}
-	if len(s.Tier) != 1 || len(s.Tier[0].Kind) != 1 || len(s.Class) == 0 || len(s.Class) != len(s.Fam.Class) || len(s.Tenant) == 0 {
-		t.Fatalf("%s: %d tiers, %d classes, %d of them with a hold, %d tenants", path, len(s.Tier), len(s.Class), len(s.Fam.Class), len(s.Tenant))
-	}
-	return s
-}
-
-// allowed are the groups of so many that class i may use: its share of them, each class from another one on.
-func (s *siteFile) allowed(i, groups int) []int {
-	n := max(1, int(math.Round(s.Fam.Class[i].Skilled.middle()*float64(groups))))
-	var pools []int
-	for g := range min(n, groups) {
-		pools = append(pools, (i+g)%groups)
-	}
-	slices.Sort(pools)
-	return pools
-}
-
-// configuration is RELAY_CONFIG for one controller of the site over stand-in pools at addresses, group by group.
-// Ranges stand at their middles, but for the cold start, of which the settings tell the worst. t1 alone is no figure of
-// the site: with a minute attempts are waited for for two, and no verdict hangs on how quick the machine is.
-func (s *siteFile) configuration(t *testing.T, addresses []string) string {
-	t.Helper()
-	ns := func(ms float64) int64 { return int64(ms * 1e6) }
-	var classes, tenants, targets, allowed, holds []any
-	for i, c := range s.Class {
-		classes = append(classes, map[string]any{
-			"name": c.Name, "promise": ns(c.Aim.middle()), "deadline": ns(c.Deadline.middle()),
-			"worth": c.Worth, "late_worth": c.LateWorth, "effect": c.Effect, "group": "all", "streaming": true,
-		})
-		allowed = append(allowed, s.allowed(i, len(addresses)))
-		holds = append(holds, ns(1000*s.Fam.Hold.middle()*s.Fam.Class[i].Hold))
-	}
-	for _, r := range s.Tenant {
-		tenants = append(tenants, map[string]any{"name": r.Name, "share": r.Share, "quota_per_s": 10 * r.Share})
-	}
-	for i, a := range addresses {
-		targets = append(targets, map[string]any{"uid": fmt.Sprintf("s-%d", i), "endpoint": a, "pod_group": i, "state": "up", "boot_ms": 0})
-	}
-	var names []string
-	for _, f := range s.Tier[0].Report.Fields {
-		name, known := reportNames[f]
-		if !known {
-			t.Fatalf("%s: report field %q has no name in the settings", s.Name, f)
-		}
-		names = append(names, name)
-	}
-	text, err := json.Marshal(map[string]any{
-		"name": "n0", "listen": "127.0.0.1:0", "seed": "1", "limits": map[string]any{"memory_mb": 192, "sockets": 1024},
-		"known": map[string]any{"no": 1, "items": []any{map[string]any{"no": 1, "roster": map[string]any{"all": true, "targets": targets}}}},
-		"settings": map[string]any{
-			"balancers": int(s.Scale.Balancers.most), "index": 0, "tick": ns(s.Day.Tick.middle()),
-			"caps": map[string]any{
-				"max_attempts": s.Allow.MaxAttempts, "connect_timeout": ns(s.Tier[0].Conn.Timeout.middle()),
-				"max_retry_after": ns(s.Clients.MaxRetryAfter.middle()),
-			},
-			"extra": map[string]any{
-				"here": -1, "shape": "skills", "allowed_pools": allowed, "mean_hold": holds,
-				"clear_wait": ns(s.Fam.Release.middle()), "t1": int64(60e9),
-			},
-			"rules": map[string]any{
-				"cold": ns(1000 * s.Tier[0].Kind[0].Cold.most), "cold_share": s.Tier[0].Kind[0].ColdFrom.least,
-				"fall_multiple": s.Rules.FallMultiple, "tip_after": ns(s.Rules.Fall.middle()), "drain_grace": ns(s.Rules.Drain.middle()),
-			},
-			"request_classes": classes, "realms": tenants, "stats": map[string]any{"names": names, "via": "piggyback"},
-		},
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	return string(text)
-}
-
-// sitePools are the stand-in pools of a site: they answer every set-up, each with a description of its own, and note
-// the set-ups that came, by call.
+// sitePools are the fake pools of a site: they answer every set-up, each with a description of its own, and record the
+// set-ups that they received, by call.
 type sitePools struct {
 	addresses []string
 	mu        sync.Mutex
-	came      map[string][]arrived
+	received  map[string][]receivedSetup
 }
 
-type arrived struct {
+type receivedSetup struct {
 	group   int
 	subject string
 }
 
-func newSitePools(t *testing.T, s *siteFile, groups int) *sitePools {
-	p := &sitePools{came: map[string][]arrived{}}
-	for g := range groups {
-		at := &fakeplatform.Pool{}
-		at.OnRequest = func(q fakeplatform.Request) {
-			if q.Method != "INVITE" {
+func newSitePools(t *testing.T, groups int) *sitePools {
+	t.Helper()
+	pools := &sitePools{received: map[string][]receivedSetup{}}
+	for group := range groups {
+		pool := &fakeplatform.Pool{}
+		pool.OnRequest = func(request fakeplatform.Request) {
+			if request.Method != "INVITE" {
 				return
 			}
-			p.mu.Lock()
-			p.came[q.CallID] = append(p.came[q.CallID], arrived{g, q.Get("subject")})
-			p.mu.Unlock()
-			q.Answer(200, "", description(g, q.CallID))
+			pools.mu.Lock()
+			setup := receivedSetup{group, request.Get("subject")}
+			pools.received[request.CallID] = append(pools.received[request.CallID], setup)
+			pools.mu.Unlock()
+			request.Answer(200, "", description(group, request.CallID))
 		}
-		p.addresses = append(p.addresses, at.Listen(t))
+		pools.addresses = append(pools.addresses, pool.Listen(t))
 	}
-	return p
+	return pools
 }
 
 // description is what a pool answers a call with: all that a description may hold and JSON has to escape.
@@ -220,17 +59,21 @@
 	return fmt.Sprintf("v=0\r\no=%d %s\r\ns=\"Größe\\\" <ø>&\t\u2028 søk\r\n", group, id)
 }
 
-// take are the set-ups that have come for the call.
-func (p *sitePools) take(id string) []arrived {
+// setups are those that were received for the call.
+func (p *sitePools) setups(id string) []receivedSetup {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.came[id]
+	return p.received[id]
 }
 
+// spelling writes a text as JSON.
+type spelling func(t *testing.T, text string) string
+
 // ascii is s as JSON without a byte over 0x7e, as some callers write it.
-func ascii(s string) string {
+func ascii(t *testing.T, s string) string {
+	t.Helper()
 	var b strings.Builder
-	for _, u := range []rune(s) {
+	for _, u := range s {
 		if u < ' ' || u > '~' || u == '"' || u == '\\' || u == '/' {
 			fmt.Fprintf(&b, `\u%04x`, u) // no name of a site file holds a character past U+FFFF
 		} else {
@@ -241,12 +84,15 @@
 }
 
 // plain is s as JSON with nothing escaped that need not be.
-func plain(s string) string {
-	var b bytes.Buffer
-	e := json.NewEncoder(&b)
-	e.SetEscapeHTML(false)
-	e.Encode(s)
-	return strings.TrimSpace(b.String())
+func plain(t *testing.T, s string) string {
+	t.Helper()
+	var text bytes.Buffer
+	encoder := json.NewEncoder(&text)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(s); err != nil {
+		t.Fatal(err)
+	}
+	return strings.TrimSpace(text.String())
 }
 
 // near are names that are close to one of the names and none of them: each one's beginnings and what could be taken
@@ -268,6 +114,7 @@
 }
 
 func sites(t *testing.T) []string {
+	t.Helper()
 	paths, err := filepath.Glob("../../deploy/sites/*.toml")
 	if err != nil || len(paths) < 2 {
 		t.Fatalf("site files %v, %v", paths, err)
@@ -275,122 +122,144 @@
 	return paths
 }
 
-// Guards against a program that serves only names that are one word of ASCII, or a class or tenant by the beginning of
-// its name: at each site of deploy/sites the calls of every class and tenant reach a pool of the class under the class's
-// own name, get one answer with that pool's description to the byte, and what is only close to a name is refused and
-// reaches no pool.
+// Names may be any text, and are told apart by all of it: at each site of deploy/sites the calls of every class and
+// tenant reach a pool of the class under the class's own name, get one answer with that pool's description to the byte,
+// and what is only close to a name is rejected and reaches no pool.
 func TestSites_CallsOfEveryClassAndTenant(t *testing.T) {
 	for _, path := range sites(t) {
-		s := loadSite(t, path)
-		t.Run(s.Name, func(t *testing.T) {
-			const groups = 3
-			pools := newSitePools(t, &s, groups)
-			d, err := Start(context.Background(), Options{Config: daemontest.WriteFile(t, "config.json", s.configuration(t, pools.addresses))}, zerolog.Nop())
+		site := loadSite(t, path)
+		t.Run(site.Name, func(t *testing.T) {
+			pools := newSitePools(t, siteGroups)
+			config := daemontest.WriteFile(t, "config.json", site.configuration(t, pools.addresses))
+			daemon, err := Start(context.Background(), Options{Config: config}, zerolog.Nop())
 			if err != nil {
 				t.Fatal(err)
 			}
-			signals, ended := serving(d)
-			defer stopping(t, signals, ended)
-			c := daemontest.Dial(t, d.listener.Addr().String())
-			for ready := false; !ready; {
-				fmt.Fprintln(c, `{"type":"ping","id":"p","cause":0}`)
-				ready = c.Next().Cause == 1
-			}
+			signals, ended := serve(daemon)
+			defer terminate(t, signals, ended)
+			calls := &siteCalls{t: t, site: &site, pools: pools, address: daemon.listener.Addr().String()}
+			caller := daemontest.Dial(t, calls.address)
+			caller.AwaitReady()
 
-			n := 0
-			place := func(c *daemontest.Caller, class, tenant string) string {
-				n++
-				id := fmt.Sprintf("%016x", n)
-				fmt.Fprintf(c, `{"type":"setup","id":%q,"fields":{"class":%s,"tenant":%s,"left":"60000","key":"%x","extras":"dest:%d;width:1;via:-1"},"sdp":"v=0\r\n"}`+"\n",
-					id, class, tenant, n, n%groups)
-				return id
-			}
-			for i, class := range s.Class {
-				for _, tenant := range s.Tenant {
-					for _, spelt := range []func(string) string{plain, ascii} {
-						id := place(c, spelt(class.Name), spelt(tenant.Name))
-						m, came := c.Next(), pools.take(id)
-						if m.Type != "answer" || m.ID != id {
-							t.Fatalf("class %q, tenant %q: %+v", class.Name, tenant.Name, m)
-						}
-						if len(came) != 1 || came[0].subject != class.Name || !slices.Contains(s.allowed(i, groups), came[0].group) {
-							t.Fatalf("class %q, which may use %v: set-ups %+v", class.Name, s.allowed(i, groups), came)
-						}
-						if want := description(came[0].group, id); m.SDP != want {
-							t.Errorf("class %q: description %q, the pool's was %q", class.Name, m.SDP, want)
-						}
-						fmt.Fprintf(c, `{"type":"release","id":%q,"fields":{},"cause":16}`+"\n", id)
-						if m := c.Next(); m.Type != "released" || m.ID != id {
-							t.Errorf("class %q: after the release: %+v", class.Name, m)
-						}
+			for class := range site.Class {
+				for _, tenant := range site.Tenant {
+					for _, spell := range []spelling{plain, ascii} {
+						calls.wantAnswer(caller, class, tenant.Name, spell)
 					}
 				}
 			}
 			// Nothing more has come for any of them: the next line is the test's.
-			fmt.Fprintln(c, `{"type":"ping","id":"last","cause":0}`)
-			if m := c.Next(); m.Type != "pong" || m.ID != "last" {
+			if m := caller.Ping("last"); m.Type != "pong" || m.ID != "last" {
 				t.Errorf("after every call's one answer: %+v", m)
 			}
 
-			var classes, tenants []string
-			for _, class := range s.Class {
-				classes = append(classes, class.Name)
-			}
-			for _, tenant := range s.Tenant {
-				tenants = append(tenants, tenant.Name)
-			}
-			refused := func(class, tenant string) {
-				c := daemontest.Dial(t, d.listener.Addr().String()) // each on its own: too many of them close a connection
-				defer c.Close()
-				id := place(c, plain(class), plain(tenant))
-				if m := c.Next(); m.Type != "release" || m.ID != id || m.Cause != 41 {
-					t.Errorf("class %q, tenant %q: %+v, want it refused as what is not known", class, tenant, m)
-				}
-				if came := pools.take(id); len(came) > 0 {
-					t.Errorf("class %q, tenant %q came to a pool: %+v", class, tenant, came)
-				}
-			}
-			refused("", tenants[0])
+			classes, tenants := site.classNames(), site.tenantNames()
+			calls.wantRejected("", tenants[0])
 			for _, class := range near(classes) {
-				refused(class, tenants[0])
+				calls.wantRejected(class, tenants[0])
 			}
 			for _, tenant := range near(tenants) {
 				if tenant != "" {
-					refused(classes[0], tenant)
+					calls.wantRejected(classes[0], tenant)
 				}
 			}
 		})
 	}
 }
 
+// siteGroups is how many groups of pools the tests' sites have.
+const siteGroups = 3
+
+// unknownNameCause is the cause of a release for a class or tenant that is not known.
+const unknownNameCause = 41
+
+// siteCalls places calls at a site's controller, each under an id of its own.
+type siteCalls struct {
+	t       *testing.T
+	site    *siteFile
+	pools   *sitePools
+	address string // where callers connect
+	placed  int
+}
+
+// place sends a set-up with class and tenant as they are spelt in JSON, and returns its id.
+func (s *siteCalls) place(caller *daemontest.Caller, class, tenant string) string {
+	s.t.Helper()
+	s.placed++
+	id := fmt.Sprintf("%016x", s.placed)
+	extras := fmt.Sprintf("dest:%d;width:1;via:-1", s.placed%siteGroups)
+	caller.Send(`{"type":"setup","id":%q,"fields":{"class":%s,"tenant":%s,"left":"60000","key":"%x","extras":%q},`+
+		`"sdp":"v=0\r\n"}`, id, class, tenant, s.placed, extras)
+	return id
+}
+
+// wantAnswer places a call and releases it, and fails the test unless it had one answer, of a pool of its class.
+func (s *siteCalls) wantAnswer(caller *daemontest.Caller, class int, tenant string, spell spelling) {
+	s.t.Helper()
+	name, allowed := s.site.Class[class].Name, s.site.allowedGroups(class, siteGroups)
+	id := s.place(caller, spell(s.t, name), spell(s.t, tenant))
+	m, setups := caller.Next(), s.pools.setups(id)
+	if m.Type != "answer" || m.ID != id {
+		s.t.Fatalf("class %q, tenant %q: %+v", name, tenant, m)
+	}
+	if len(setups) != 1 || setups[0].subject != name || !slices.Contains(allowed, setups[0].group) {
+		s.t.Fatalf("class %q, which may use %v: set-ups %+v", name, allowed, setups)
+	}
+	if want := description(setups[0].group, id); m.SDP != want {
+		s.t.Errorf("class %q: description %q, the pool's was %q", name, m.SDP, want)
+	}
+	caller.Send(`{"type":"release","id":%q,"fields":{},"cause":16}`, id)
+	if m := caller.Next(); m.Type != "released" || m.ID != id {
+		s.t.Errorf("class %q: after the release: %+v", name, m)
+	}
+}
+
+// wantRejected places a call on a connection of its own, as too many rejections close one, and fails the test unless it
+// was rejected for its class or tenant.
+func (s *siteCalls) wantRejected(class, tenant string) {
+	s.t.Helper()
+	caller := daemontest.Dial(s.t, s.address)
+	defer caller.Close()
+	id := s.place(caller, plain(s.t, class), plain(s.t, tenant))
+	if m := caller.Next(); m.Type != "release" || m.ID != id || m.Cause != unknownNameCause {
+		s.t.Errorf("class %q, tenant %q: %+v, want it rejected as unknown", class, tenant, m)
+	}
+	if setups := s.pools.setups(id); len(setups) > 0 {
+		s.t.Errorf("class %q, tenant %q came to a pool: %+v", class, tenant, setups)
+	}
+}
+
 // The settings made of a site file are read as the file has them, so that the test above is of the site's own figures.
 func TestSites_SettingsAreThoseOfTheFile(t *testing.T) {
 	for _, path := range sites(t) {
-		s := loadSite(t, path)
-		t.Run(s.Name, func(t *testing.T) {
-			cfg, err := config.Parse([]byte(s.configuration(t, []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"})), clock.New())
+		site := loadSite(t, path)
+		t.Run(site.Name, func(t *testing.T) {
+			text := site.configuration(t, []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"})
+			cfg, err := config.Parse([]byte(text), clock.New())
 			if err != nil {
 				t.Fatal(err)
 			}
-			set := cfg.Settings
-			if got, want := float64(set.ReleaseWait.Milliseconds()), s.Fam.Release.middle(); got != want {
+			settings, kind := cfg.Settings, site.Tier[0].Kind[0]
+			if got, want := float64(settings.ReleaseWait.Milliseconds()), site.Fam.Release.middle(); got != want {
 				t.Errorf("release wait %v ms, want %v", got, want)
 			}
-			if set.OverloadMultiple != s.Rules.FallMultiple || set.SlowStartCapacity != s.Tier[0].Kind[0].ColdFrom.least ||
-				set.SlowStartWindow.Seconds() != s.Tier[0].Kind[0].Cold.most || set.MaxAttempts != s.Allow.MaxAttempts {
-				t.Errorf("cold start or attempts: %+v", set)
+			if settings.OverloadMultiple != site.Rules.FallMultiple || settings.SlowStartCapacity != kind.ColdFrom.min ||
+				settings.SlowStartWindow.Seconds() != kind.Cold.max || settings.MaxAttempts != site.Allow.MaxAttempts {
+				t.Errorf("slow start or attempts: %+v", settings)
 			}
-			if cfg.ReportFree != "idle" || cfg.ReportAgents != "circuits" || len(cfg.ReportNames) != len(s.Tier[0].Report.Fields) {
+			if cfg.ReportFree != "idle" || cfg.ReportAgents != "circuits" ||
+				len(cfg.ReportNames) != len(site.Tier[0].Report.Fields) {
 				t.Errorf("report fields %q, of them %q and %q", cfg.ReportNames, cfg.ReportFree, cfg.ReportAgents)
 			}
-			for i, class := range set.Classes {
-				want := s.Class[i]
-				if class.Name != want.Name || float64(class.LatencyObjective.Milliseconds()) != math.Floor(want.Aim.middle()) || class.PriorityWeight != want.Worth ||
-					!slices.Equal(class.Pools, s.allowed(i, 3)) || class.MeanHoldingTime <= 0 {
+			for i, class := range settings.Classes {
+				want := site.Class[i]
+				objective := float64(class.LatencyObjective.Milliseconds())
+				if class.Name != want.Name || objective != math.Floor(want.Aim.middle()) || class.PriorityWeight != want.Worth ||
+					!slices.Equal(class.Pools, site.allowedGroups(i, siteGroups)) || class.MeanHoldingTime <= 0 {
 					t.Errorf("class %d: %+v, of %+v", i, class, want)
 				}
 			}
-			for i, tenant := range s.Tenant {
+			for i, tenant := range site.Tenant {
 				if cfg.Tenants[i] != tenant.Name {
 					t.Errorf("tenant %d: %q, want %q", i, cfg.Tenants[i], tenant.Name)
 				}
--- a/internal/testing/daemontest/caller.go
+++ b/internal/testing/daemontest/caller.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -19,7 +20,7 @@
 
 // Caller is a caller's connection.
 type Caller struct {
-	net.Conn
+	conn   net.Conn
 	tb     testing.TB
 	reader *bufio.Reader
 }
@@ -32,19 +33,62 @@
 		tb.Fatal(err)
 	}
 	tb.Cleanup(func() { conn.Close() })
-	return &Caller{Conn: conn, tb: tb, reader: bufio.NewReader(conn)}
+	return &Caller{conn: conn, tb: tb, reader: bufio.NewReader(conn)}
+}
+
+// SetupLine is the line of a set-up.
+func SetupLine(id string) string {
+	return fmt.Sprintf(`{"type":"setup","id":%q,"fields":{"class":"voice","left":"9000","key":"7f"},"sdp":"x"}`+"\n", id)
+}
+
+// SendText sends text as it is.
+func (c *Caller) SendText(text string) {
+	c.tb.Helper()
+	if _, err := c.conn.Write([]byte(text)); err != nil {
+		c.tb.Error(err)
+	}
+}
+
+// Send sends a line.
+func (c *Caller) Send(format string, arguments ...any) {
+	c.tb.Helper()
+	c.SendText(fmt.Sprintf(format, arguments...) + "\n")
 }
 
 // Setup sends a set-up.
 func (c *Caller) Setup(id string) {
 	c.tb.Helper()
-	_, err := fmt.Fprintf(c,
-		`{"type":"setup","id":%q,"fields":{"class":"voice","left":"9000","key":"7f"},"sdp":"x"}`+"\n", id)
-	if err != nil {
-		c.tb.Error(err)
+	c.SendText(SetupLine(id))
+}
+
+// Ping sends a ping, and returns its answer.
+func (c *Caller) Ping(id string) linecodec.Message {
+	c.tb.Helper()
+	c.Send(`{"type":"ping","id":%q,"cause":0}`, id)
+	return c.Next()
+}
+
+// AwaitReady waits until the daemon says that it is ready.
+func (c *Caller) AwaitReady() {
+	c.tb.Helper()
+	for ready := false; !ready; {
+		ready = c.Ping("p").Cause == 1
 	}
 }
 
+// Ended is closed when the daemon has closed the connection; what it still sends is discarded.
+func (c *Caller) Ended() <-chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = io.Copy(io.Discard, c.conn)
+	}()
+	return ended
+}
+
+// Close closes the connection.
+func (c *Caller) Close() { c.conn.Close() }
+
 // Next waits for the next message.
 func (c *Caller) Next() linecodec.Message {
 	c.tb.Helper()
