--- a/cmd/eidertrail/budget_test.go
+++ b/cmd/eidertrail/budget_test.go
@@ -19,15 +19,15 @@
 // budgetFleet is a fleet whose one pool tells poolRate, with callers at every member.
 func budgetFleet(t *testing.T, members int) (*fleet, *metered, []*load) {
 	t.Helper()
-	p := newMetered(t, 2*time.Millisecond, fmt.Sprintf("idle:900;circuits:1000;wait_ms:1;max_rate:%d", poolRate))
-	f := newFleet(t, members, budgetFile, func(int) (string, []string) { return p.roster(time.Time{}), nil })
+	pool := newMetered(t, 2*time.Millisecond, fmt.Sprintf("idle:900;circuits:1000;wait_ms:1;max_rate:%d", poolRate))
+	f := newFleet(t, members, budgetFile, func(int) (string, []string) { return pool.roster(time.Time{}), nil })
 	f.wantAlive()
 	time.Sleep(lease + leaseMargin + 500*time.Millisecond) // what a start waits for
-	var loads []*load
+	loads := make([]*load, 0, members)
 	for i := range members {
 		loads = append(loads, newLoad(t, f.procs[i].listen))
 	}
-	return f, p, loads
+	return f, pool, loads
 }
 
 // atMost is the most set-ups that a rate lets through in a second: what is in hand of each of so many members
@@ -36,9 +36,9 @@
 	return int(rate*(1+0.25)) + 2*members
 }
 
-func TestFleetBudgetJoinAndLeaveUnderLoad(t *testing.T) {
+func TestFleetBudget_MembersJoinAndLeaveUnderLoad(t *testing.T) {
 	t.Parallel()
-	f, p, loads := budgetFleet(t, 3)
+	f, pool, loads := budgetFleet(t, 3)
 	began := time.Now()
 	for _, l := range loads {
 		l.at(25)
@@ -59,7 +59,7 @@
 	for _, l := range loads[:2] {
 		l.check()
 	}
-	if m := p.most(began, time.Second); m > atMost(poolRate, 3) || m < poolRate/2 {
+	if m := pool.maxRate(began); m > atMost(poolRate, 3) || m < poolRate/2 {
 		t.Errorf("at most %d set-ups in a second, the pool takes %d", m, poolRate)
 	}
 	for i, l := range loads {
@@ -73,12 +73,12 @@
 
 // A member that borrowed nearly all is stopped past its lease; another takes over what it had, and when it goes
 // on, with a second's worth of calls waiting, it spends no more than its own.
-func TestFleetBudgetPausedPastItsLease(t *testing.T) {
+func TestFleetBudget_MemberPausedPastItsLease(t *testing.T) {
 	t.Parallel()
-	f, p, loads := budgetFleet(t, 3)
+	f, pool, loads := budgetFleet(t, 3)
 	loads[0].at(35)
 	time.Sleep(6 * time.Second)
-	before := p.most(time.Now().Add(-2*time.Second), time.Second, "n0")
+	before := pool.maxRate(time.Now().Add(-2*time.Second), "n0")
 	if before < poolRate/2 {
 		t.Errorf("the busy member sent %d in a second before its pause: it borrowed nothing", before)
 	}
@@ -88,22 +88,22 @@
 	f.signal(0, syscall.SIGCONT)
 	resumed := time.Now()
 	time.Sleep(800 * time.Millisecond)
-	if m := p.most(resumed, time.Second, "n0"); m > atMost(poolRate/3., 1) {
+	if m := pool.maxRate(resumed, "n0"); m > atMost(poolRate/3., 1) {
 		t.Errorf("after its pause it sent %d in 0.8 s; its own share is %d a second", m, poolRate/3)
 	}
 	time.Sleep(2 * time.Second)
-	if m := p.most(time.Time{}, time.Second); m > atMost(poolRate, 3) {
+	if m := pool.maxRate(time.Time{}); m > atMost(poolRate, 3) {
 		t.Errorf("at most %d set-ups in a second, the pool takes %d", m, poolRate)
 	}
 	t.Logf("before its pause %d in a second, after it %d; all together at most %d", before,
-		p.most(resumed, time.Second, "n0"), p.most(time.Time{}, time.Second))
+		pool.maxRate(resumed, "n0"), pool.maxRate(time.Time{}))
 	loads[1].check()
 }
 
 // Two halves that do not hear each other: each keeps under its part, once what it borrowed of the other has run out.
-func TestFleetBudgetPartition(t *testing.T) {
+func TestFleetBudget_PartitionKeepsEachHalfToItsPart(t *testing.T) {
 	t.Parallel()
-	f, p, loads := budgetFleet(t, 4)
+	f, pool, loads := budgetFleet(t, 4)
 	loads[0].at(40)
 	loads[3].at(5)
 	time.Sleep(5 * time.Second)
@@ -113,14 +113,14 @@
 	cut := time.Now()
 	time.Sleep(4 * time.Second)
 	for _, half := range [][]string{{"n0", "n1"}, {"n2", "n3"}} {
-		if m := p.most(cut, time.Second, half...); m > atMost(poolRate/2, 2) || m < poolRate/4 {
+		if m := pool.maxRate(cut, half...); m > atMost(poolRate/2, 2) || m < poolRate/4 {
 			t.Errorf("half %v sent %d in a second, its part is %d", half, m, poolRate/2)
 		}
 	}
 	f.net.Heal()
 	f.wantAlive()
 	time.Sleep(2 * time.Second)
-	if m := p.most(time.Time{}, time.Second); m > atMost(poolRate, 4) {
+	if m := pool.maxRate(time.Time{}); m > atMost(poolRate, 4) {
 		t.Errorf("at most %d set-ups in a second, the pool takes %d", m, poolRate)
 	}
 	for _, l := range loads {
@@ -130,13 +130,13 @@
 
 // A cold pool under five controllers that all have more calls than it can take: together they never send it three
 // times what it can do for 3 s, by far.
-func TestFleetBudgetOfAColdPool(t *testing.T) {
+func TestFleetBudget_PoolInSlowStart(t *testing.T) {
 	t.Parallel()
-	p := newMetered(t, 10*time.Millisecond, "idle:90;circuits:100") // 100 agents for 1 s each: 100 a second, warm
+	pool := newMetered(t, 10*time.Millisecond, "idle:90;circuits:100") // 100 agents for 1 s each: 100 a second, warm
 	born := time.Now()
-	p.proc.Start(born)
-	f := newFleet(t, 5, budgetFile, func(int) (string, []string) { return p.roster(born), nil })
-	var loads []*load
+	pool.proc.Start(born)
+	f := newFleet(t, 5, budgetFile, func(int) (string, []string) { return pool.roster(born), nil })
+	loads := make([]*load, 0, len(f.procs))
 	for i := range f.procs {
 		loads = append(loads, newLoad(t, f.procs[i].listen))
 		loads[i].at(40)
@@ -145,8 +145,8 @@
 	for _, l := range loads {
 		l.check()
 	}
-	t.Logf("the most that was sent to the cold pool is %.2f of what makes it fall over", p.proc.Worst())
-	if w := p.proc.Worst(); w > 0.6 || w == 0 {
+	t.Logf("the most that was sent to the cold pool is %.2f of what makes it fall over", pool.proc.Worst())
+	if w := pool.proc.Worst(); w > 0.6 || w == 0 {
 		t.Errorf("the cold pool got %.2f of what makes it fall over", w)
 	}
 }
--- a/cmd/eidertrail/characterization_test.go
+++ b/cmd/eidertrail/characterization_test.go
@@ -138,7 +138,8 @@
 	if !strings.Contains(string(text), part) {
 		t.Fatalf("%s does not hold %q", from, part)
 	}
-	if err := os.WriteFile(filepath.Join(folder, name), []byte(strings.Replace(string(text), part, by, 1)), 0o600); err != nil {
+	altered := strings.Replace(string(text), part, by, 1)
+	if err := os.WriteFile(filepath.Join(folder, name), []byte(altered), 0o600); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -146,7 +147,9 @@
 // The help of each command: its flags, with their defaults where these are not empty.
 func TestCharacterization_Help(t *testing.T) {
 	folder := inputFolder(t)
-	for _, command := range []string{"", "check", "help", "rollout", "rollout plan", "rollout start", "rollout status", "rollout abort"} {
+	for _, command := range []string{
+		"", "check", "help", "rollout", "rollout plan", "rollout start", "rollout status", "rollout abort",
+	} {
 		name := strings.ReplaceAll(strings.TrimSpace("eidertrail "+command), " ", "-")
 		checkRecorded(t, "help-"+name+".txt", []byte(words(command+" --help").transcript(t, folder)))
 	}
@@ -160,9 +163,11 @@
 	folder := inputFolder(t)
 	var text strings.Builder
 	for _, line := range []string{
-		"--colour", "-x", "--version", "-cluster cluster.toml", "--callcontrol", "--verbose=maybe", "nothing", "completion bash", "help nothing",
+		"--colour", "-x", "--version", "-cluster cluster.toml", "--callcontrol", "--verbose=maybe", "nothing",
+		"completion bash", "help nothing",
 		"check --colour", "check -v", "check --state s", "check nothing", "check --callcontrol",
-		"rollout", "rollout nothing", "rollout --colour", "rollout plan", "rollout plan a b", "rollout plan --colour", "rollout start",
+		"rollout", "rollout nothing", "rollout --colour", "rollout plan", "rollout plan a b", "rollout plan --colour",
+		"rollout start",
 		"rollout status nothing", "rollout abort nothing", "rollout abort --state", "--state s",
 	} {
 		text.WriteString(words(line).transcript(t, folder))
@@ -189,25 +194,34 @@
 	alter(t, folder, "unknown-key.toml", "callcontrol.toml", "path =", "way =")
 	var text strings.Builder
 	for _, line := range []string{
-		"check", "", "RELAY_CONFIG= check", "RELAY_CONFIG=config.json check", "RELAY_CONFIG=absent.json check", "RELAY_CONFIG=absent.json",
-		"RELAY_CONFIG=bad-json.json check", "RELAY_CONFIG=bad-tick.json check", "RELAY_CONFIG=bad-tick.json", "RELAY_CONFIG=bad-listen.json check",
-		"RELAY_CONFIG=no-listen.json check", "RELAY_CONFIG=bad-seed.json check", "RELAY_CONFIG=bad-deadline.json check", "RELAY_CONFIG=bad-known.json check",
-		"RELAY_CONFIG=config.json RELAY_LISTEN=nowhere check", "RELAY_CONFIG=config.json", "RELAY_CONFIG=config.json RELAY_LISTEN=127.0.0.1:99998",
-		"RELAY_CONFIG=config.json check --callcontrol callcontrol.toml", "RELAY_CONFIG=config.json check --callcontrol absent.toml",
-		"RELAY_CONFIG=config.json check --callcontrol bad-callcontrol.toml", "RELAY_CONFIG=config.json --callcontrol bad-callcontrol.toml",
+		"check", "", "RELAY_CONFIG= check", "RELAY_CONFIG=config.json check", "RELAY_CONFIG=absent.json check",
+		"RELAY_CONFIG=absent.json",
+		"RELAY_CONFIG=bad-json.json check", "RELAY_CONFIG=bad-tick.json check", "RELAY_CONFIG=bad-tick.json",
+		"RELAY_CONFIG=bad-listen.json check",
+		"RELAY_CONFIG=no-listen.json check", "RELAY_CONFIG=bad-seed.json check", "RELAY_CONFIG=bad-deadline.json check",
+		"RELAY_CONFIG=bad-known.json check",
+		"RELAY_CONFIG=config.json RELAY_LISTEN=nowhere check", "RELAY_CONFIG=config.json",
+		"RELAY_CONFIG=config.json RELAY_LISTEN=127.0.0.1:99998",
+		"RELAY_CONFIG=config.json check --callcontrol callcontrol.toml",
+		"RELAY_CONFIG=config.json check --callcontrol absent.toml",
+		"RELAY_CONFIG=config.json check --callcontrol bad-callcontrol.toml",
+		"RELAY_CONFIG=config.json --callcontrol bad-callcontrol.toml",
 		"RELAY_CONFIG=config.json check --callcontrol unknown-key.toml",
 		"RELAY_CONFIG=config.json check --discovery discovery.toml", "RELAY_CONFIG=config.json check --discovery absent.toml",
 		"RELAY_CONFIG=config.json check --discovery bad-discovery.toml",
 		"RELAY_CONFIG=config.json check --routing routing.toml", "RELAY_CONFIG=config.json check --routing absent.toml",
 		"RELAY_CONFIG=config.json check --routing bad-routing.toml",
 		"RELAY_CONFIG=config.json check --cluster cluster.toml", "RELAY_CONFIG=config.json check --cluster absent.toml",
-		"RELAY_CONFIG=config.json check --cluster bad-cluster.toml", "RELAY_CONFIG=no-peers.json check --cluster cluster.toml",
+		"RELAY_CONFIG=config.json check --cluster bad-cluster.toml",
+		"RELAY_CONFIG=no-peers.json check --cluster cluster.toml",
 		"RELAY_CONFIG=config.json check --routing routing.toml --cluster other-region.toml",
-		"RELAY_CONFIG=config.json check --callcontrol=callcontrol.toml --discovery=discovery.toml --routing=routing.toml --cluster=cluster.toml",
+		"RELAY_CONFIG=config.json check --callcontrol=callcontrol.toml --discovery=discovery.toml" +
+			" --routing=routing.toml --cluster=cluster.toml",
 		"RELAY_CONFIG=config.json --callcontrol callcontrol.toml check",
 		"RELAY_CONFIG=config.json check -callcontrol callcontrol.toml -discovery discovery.toml -routing=routing.toml",
 		"RELAY_CONFIG=config.json check -callcontrol absent.toml", "RELAY_CONFIG=config.json check -discovery absent.toml",
-		"RELAY_CONFIG=config.json check -routing=absent.toml", "RELAY_CONFIG=absent.json -verbose", "RELAY_CONFIG=absent.json -v",
+		"RELAY_CONFIG=config.json check -routing=absent.toml", "RELAY_CONFIG=absent.json -verbose",
+		"RELAY_CONFIG=absent.json -v",
 	} {
 		text.WriteString(words(line).transcript(t, folder))
 	}
@@ -224,11 +238,14 @@
 	alter(t, folder, "bad-state.json", "state-done.json", `"stage": 1`, `"stage": "last"`)
 	var text strings.Builder
 	for _, line := range []string{
-		"rollout plan rollout.toml", "rollout plan absent.toml", "rollout plan bad-rollout.toml", "rollout plan unknown-key.toml", "rollout plan no-config.toml",
+		"rollout plan rollout.toml", "rollout plan absent.toml", "rollout plan bad-rollout.toml",
+		"rollout plan unknown-key.toml", "rollout plan no-config.toml",
 		"rollout status", "rollout status --state absent.json", "rollout status --state bad-state.json",
-		"rollout status --state state-done.json", "rollout status --state state-aborted.json", "rollout status --state state-stuck.json",
+		"rollout status --state state-done.json", "rollout status --state state-aborted.json",
+		"rollout status --state state-stuck.json",
 		"rollout status --state state-running.json",
-		"rollout start absent.toml", "rollout start bad-rollout.toml", "rollout start other-plan.toml --state state-done.json",
+		"rollout start absent.toml", "rollout start bad-rollout.toml",
+		"rollout start other-plan.toml --state state-done.json",
 		"rollout start rollout.toml --state bad-state.json", "rollout start rollout.toml --state absent/state.json",
 		"rollout start rollout.toml --state state-done.json", "rollout --state state-aborted.json start rollout.toml",
 		"rollout start rollout.toml --state=state-stuck.json",
@@ -247,25 +264,25 @@
 
 // The daemon's first line once it serves, at the address of RELAY_LISTEN; the exit status after SIGTERM.
 func TestCharacterization_ServesAndEnds(t *testing.T) {
-	c := words("RELAY_CONFIG=config.json RELAY_LISTEN=127.0.0.1:0").command(t, inputFolder(t))
-	complaint, err := c.StderrPipe()
+	cmd := words("RELAY_CONFIG=config.json RELAY_LISTEN=127.0.0.1:0").command(t, inputFolder(t))
+	complaint, err := cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := c.Start(); err != nil {
+	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	defer c.Process.Kill()
+	defer func() { _ = cmd.Process.Kill() }()
 	var serving string
 	for lines := bufio.NewScanner(complaint); lines.Scan(); {
 		if strings.Contains(lines.Text(), `"message":"serving"`) {
 			serving = lines.Text()
-			if err := c.Process.Signal(syscall.SIGTERM); err != nil {
+			if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 				t.Fatal(err)
 			}
 		}
 	}
-	if err := c.Wait(); err != nil {
+	if err := cmd.Wait(); err != nil {
 		t.Errorf("after SIGTERM: %v", err)
 	}
 	serving = port.ReplaceAllString(normalize(serving), `"127.0.0.1:PORT"`)
@@ -328,8 +345,9 @@
 
 // The variables of the environment that the module's programs read.
 func TestCharacterization_Environment(t *testing.T) {
-	var names []string
-	for _, path := range sourceFiles(t) {
+	files := sourceFiles(t)
+	names := make([]string, 0, len(files))
+	for _, path := range files {
 		names = append(names, variablesRead(t, path)...)
 	}
 	slices.Sort(names)
--- a/cmd/eidertrail/fleet_measure_test.go
+++ b/cmd/eidertrail/fleet_measure_test.go
@@ -1,8 +1,8 @@
 package main
 
 import (
-	"fmt"
 	"os"
+	"strconv"
 	"syscall"
 	"testing"
 	"time"
@@ -15,27 +15,27 @@
 // counter asks a process for its counters, and reads one.
 func (f *fleet) counter(i int, name string) int64 {
 	f.t.Helper()
-	p := f.procs[i]
-	p.mu.Lock()
-	before := p.told["counters"]
-	p.mu.Unlock()
+	process := f.procs[i]
+	process.mu.Lock()
+	before := process.told["counters"]
+	process.mu.Unlock()
 	f.signal(i, syscall.SIGUSR1)
-	var v int64
+	var value int64
 	f.waitFor("counters", func() bool {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		if p.told["counters"] == before {
+		process.mu.Lock()
+		defer process.mu.Unlock()
+		if process.told["counters"] == before {
 			return false
 		}
-		for n := len(p.lines) - 1; n >= 0; n-- {
-			if l := gjson.Parse(p.lines[n]); l.Get("message").Str == "counters" {
-				v = l.Get(name).Int()
+		for n := len(process.lines) - 1; n >= 0; n-- {
+			if l := gjson.Parse(process.lines[n]); l.Get("message").Str == "counters" {
+				value = l.Get(name).Int()
 				return true
 			}
 		}
 		return false
 	})
-	return v
+	return value
 }
 
 // The measurement of docs/measurements/cluster.md: EIDERTRAIL_MEASURE=1 go test -run TestMeasureFleet -v
@@ -45,14 +45,15 @@
 		t.Skip("a measurement")
 	}
 	for _, members := range []int{3, 5, 9} {
-		t.Run(fmt.Sprint(members), func(t *testing.T) {
+		t.Run(strconv.Itoa(members), func(t *testing.T) {
 			f := newFleet(t, members, "", nil)
 			f.wantAlive()
 			const quiet = 20 * time.Second
 			sent, bytes := f.counter(0, "peer_out"), f.counter(0, "peer_bytes_out")
 			time.Sleep(quiet)
 			sent, bytes = f.counter(0, "peer_out")-sent, f.counter(0, "peer_bytes_out")-bytes
-			t.Logf("quiet: %.1f datagrams and %.0f bytes a member a second", float64(sent)/quiet.Seconds(), float64(bytes)/quiet.Seconds())
+			t.Logf("quiet: %.1f datagrams and %.0f bytes a member a second",
+				float64(sent)/quiet.Seconds(), float64(bytes)/quiet.Seconds())
 			for n := range 5 {
 				victim := 1 + n%(members-1)
 				f.kill(victim)
@@ -72,20 +73,21 @@
 				}
 				return n
 			}
-			d, s := deaths(), suspected()
+			diedBefore, suspectedBefore := deaths(), suspected()
 			f.net.Set(func(int, int) fakeplatform.Fault { return fakeplatform.Fault{Loss: 0.2} })
 			time.Sleep(60 * time.Second)
 			f.net.Heal()
-			t.Logf("60 s of 20%% loss: %d suspicions, %d false deaths", suspected()-s, deaths()-d)
+			t.Logf("60 s of 20%% loss: %d suspicions, %d false deaths", suspected()-suspectedBefore, deaths()-diedBefore)
 			time.Sleep(2 * time.Second)
-			d, s = deaths(), suspected()
+			diedBefore, suspectedBefore = deaths(), suspected()
 			for n := range 10 {
 				f.signal(n%members, syscall.SIGSTOP)
 				time.Sleep(3 * probeInterval)
 				f.signal(n%members, syscall.SIGCONT)
 				time.Sleep(4 * probeInterval)
 			}
-			t.Logf("10 pauses of three intervals: %d suspicions, %d false deaths", suspected()-s, deaths()-d)
+			t.Logf("10 pauses of three intervals: %d suspicions, %d false deaths",
+				suspected()-suspectedBefore, deaths()-diedBefore)
 		})
 	}
 }
--- a/cmd/eidertrail/fleet_test.go
+++ b/cmd/eidertrail/fleet_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -50,7 +51,7 @@
 	t.Helper()
 	f := &fleet{
 		t: t, net: fakeplatform.NewDatagrams(t, members, 1), procs: make([]*process, members), extra: extra,
-		files: daemontest.WriteFile(t, "cluster.toml", fmt.Sprintf("probe_interval = %q\nprobe_timeout = \"100ms\"\n%s", probeInterval, cluster)),
+		files: daemontest.WriteFile(t, "cluster.toml", clusterFile(cluster)),
 	}
 	for i := range members {
 		f.start(i)
@@ -73,44 +74,60 @@
 	return f
 }
 
+// clusterFile is a cluster file with quick probes and more lines.
+func clusterFile(more string) string {
+	return fmt.Sprintf("probe_interval = %q\nprobe_timeout = \"100ms\"\n%s", probeInterval, more)
+}
+
+// configuration is a member's, with more fields of it beside the settings.
+func (f *fleet) configuration(member int, more string) string {
+	f.t.Helper()
+	peers, err := json.Marshal(f.net.Peers(member))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return fmt.Sprintf(`{"name":"n%d","listen":"127.0.0.1:0","seed":"%d","limits":{"memory_mb":192,"sockets":1024},
+ "peer_listen":"127.0.0.1:0","peers":%s,%s,
+ "settings":{"balancers":%d,"index":%d,"tick":1000000,
+  "extra":{"clear_wait":300000000,"t1":400000000,"mean_hold":[1000000000]},
+  "rules":{"cold":10000000000,"cold_share":0.3,"fall_multiple":3,"tip_after":3000000000},
+  "stats":{"names":["idle","circuits","wait_ms","max_rate"]},
+  "request_classes":[{"name":"voice","promise":1000000000,"deadline":15000000000}]}}`,
+		member, member+1, peers, more, len(f.procs), member)
+}
+
 // start starts a member's process, and waits until it serves.
 func (f *fleet) start(i int) {
 	f.t.Helper()
-	peers, _ := json.Marshal(f.net.Peers(i))
 	settings, args := `"known":{"no":1,"items":[]}`, []string(nil)
 	if f.extra != nil {
 		settings, args = f.extra(i)
 	}
-	cfg := daemontest.WriteFile(f.t, "config.json", fmt.Sprintf(`{"name":"n%d","listen":"127.0.0.1:0","seed":"%d","limits":{"memory_mb":192,"sockets":1024},
- "peer_listen":"127.0.0.1:0","peers":%s,%s,
- "settings":{"balancers":%d,"index":%d,"tick":1000000,"extra":{"clear_wait":300000000,"t1":400000000,"mean_hold":[1000000000]},
-  "rules":{"cold":10000000000,"cold_share":0.3,"fall_multiple":3,"tip_after":3000000000},
-  "stats":{"names":["idle","circuits","wait_ms","max_rate"]},
-  "request_classes":[{"name":"voice","promise":1000000000,"deadline":15000000000}]}}`, i, i+1, peers, settings, len(f.procs), i))
-	p := &process{
+	cfg := daemontest.WriteFile(f.t, "config.json", f.configuration(i, settings))
+	member := &process{
 		cmd: exec.Command(program(f.t), append([]string{"--cluster", f.files}, args...)...), ended: make(chan struct{}),
 		states: map[int]string{}, told: map[string]int{},
 	}
-	p.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+cfg, "RELAY_LISTEN=")
-	out, err := p.cmd.StdoutPipe()
+	member.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+cfg, "RELAY_LISTEN=")
+	out, err := member.cmd.StdoutPipe()
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	p.cmd.Stderr = p.cmd.Stdout
-	if err := p.cmd.Start(); err != nil {
+	member.cmd.Stderr = member.cmd.Stdout
+	if err := member.cmd.Start(); err != nil {
 		f.t.Fatal(err)
 	}
 	serving := make(chan struct{})
 	go func() {
-		defer close(p.ended)
+		defer close(member.ended)
 		lines := bufio.NewScanner(out)
 		lines.Buffer(nil, 1<<20)
 		for lines.Scan() {
-			p.line(bytes.Clone(lines.Bytes()), serving)
+			member.line(bytes.Clone(lines.Bytes()), serving)
 		}
-		p.cmd.Wait()
+		_ = member.cmd.Wait()
 	}()
-	f.procs[i] = p
+	f.procs[i] = member
 	select {
 	case <-serving:
 	case <-time.After(soon):
@@ -133,7 +150,7 @@
 		m, is := int(l.Get("member").Int()), l.Get("is").Str
 		p.states[m] = is
 		if is == "dead" {
-			p.falsely = append(p.falsely, fmt.Sprint(m))
+			p.falsely = append(p.falsely, strconv.Itoa(m))
 		}
 	}
 }
@@ -159,7 +176,7 @@
 
 // kill ends a process outright, if it runs.
 func (f *fleet) kill(i int) {
-	f.procs[i].cmd.Process.Kill()
+	_ = f.procs[i].cmd.Process.Kill()
 	<-f.procs[i].ended
 }
 
@@ -206,7 +223,7 @@
 	}
 }
 
-func TestFleetCrashRestartAndLeave(t *testing.T) {
+func TestFleet_CrashRestartAndLeave(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 5, "", nil)
 	f.wantAlive()
@@ -226,7 +243,7 @@
 
 // A process that is stopped for less than a suspicion lasts is never held dead; stopped for longer it is, by all,
 // and is alive again once it goes on. It declares nobody else dead for the time that it did not see.
-func TestFleetPauses(t *testing.T) {
+func TestFleet_PausesShorterAndLongerThanASuspicion(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 5, "", nil)
 	f.wantAlive()
@@ -247,23 +264,27 @@
 }
 
 // Lost datagrams, or one direction of one way cut for good, have nobody held dead.
-func TestFleetFaultsThatKillNobody(t *testing.T) {
+func TestFleet_FaultsThatNobodyIsHeldDeadFor(t *testing.T) {
 	t.Parallel()
-	for name, c := range map[string]struct {
+	for name, test := range map[string]struct {
 		members int
 		heals   bool // before it is looked whom they hold alive: what was lost last may have left a suspicion
 		fault   func(from, to int) fakeplatform.Fault
 	}{
-		"a fifth is lost": {5, true, func(int, int) fakeplatform.Fault { return fakeplatform.Fault{Loss: 0.2, Delay: 5 * time.Millisecond} }},
-		"a one-sided cut": {4, false, func(from, to int) fakeplatform.Fault { return fakeplatform.Fault{Cut: from == 0 && to == 1} }},
+		"a fifth is lost": {5, true, func(int, int) fakeplatform.Fault {
+			return fakeplatform.Fault{Loss: 0.2, Delay: 5 * time.Millisecond}
+		}},
+		"a one-sided cut": {4, false, func(from, to int) fakeplatform.Fault {
+			return fakeplatform.Fault{Cut: from == 0 && to == 1}
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			f := newFleet(t, c.members, "", nil)
+			f := newFleet(t, test.members, "", nil)
 			f.wantAlive()
-			f.net.Set(c.fault)
+			f.net.Set(test.fault)
 			time.Sleep(40 * probeInterval)
-			if c.heals {
+			if test.heals {
 				f.net.Heal()
 			}
 			f.wantAlive()
@@ -272,13 +293,14 @@
 	}
 }
 
-func TestFleetPartition(t *testing.T) {
+func TestFleet_PartitionHeals(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 5, "", nil)
 	f.wantAlive()
 	f.net.Set(func(from, to int) fakeplatform.Fault { return fakeplatform.Fault{Cut: (from < 2) != (to < 2)} })
 	f.waitFor("each side holds the other dead", func() bool {
-		return f.procs[0].state(4) == "dead" && f.procs[1].state(2) == "dead" && f.procs[2].state(0) == "dead" && f.procs[4].state(1) == "dead"
+		return f.procs[0].state(4) == "dead" && f.procs[1].state(2) == "dead" &&
+			f.procs[2].state(0) == "dead" && f.procs[4].state(1) == "dead"
 	})
 	for _, pair := range [][2]int{{0, 1}, {2, 3}, {3, 4}, {4, 2}} {
 		if s := f.procs[pair[0]].state(pair[1]); s != "alive" {
@@ -301,15 +323,14 @@
 	return ""
 }
 
-// Members learn where the others are from the shared word: through loss, over a partition that heals, and from a
+// Members learn where the others are from the state table: through loss, over a partition that heals, and from a
 // member that is killed and comes back elsewhere.
-func TestFleetRegions(t *testing.T) {
+func TestFleet_RegionsReachEveryMember(t *testing.T) {
 	t.Parallel()
 	region := []string{"north", "north", "south", "south", "south"}
-	var f *fleet
-	f = newFleet(t, 5, "", func(i int) (string, []string) {
-		return `"known":{"no":1,"items":[]}`, []string{"--cluster", daemontest.WriteFile(t, "cluster.toml",
-			fmt.Sprintf("probe_interval = %q\nprobe_timeout = \"100ms\"\nregion = %q\n", probeInterval, region[i]))}
+	f := newFleet(t, 5, "", func(i int) (string, []string) {
+		file := daemontest.WriteFile(t, "cluster.toml", clusterFile(fmt.Sprintf("region = %q\n", region[i])))
+		return `"known":{"no":1,"items":[]}`, []string{"--cluster", file}
 	})
 	wantRegion := func(member int, want string) {
 		t.Helper()
@@ -336,9 +357,9 @@
 	}
 	f.net.Heal()
 	wantRegion(1, "south")
-	for i := range region { // the new life was told of all
+	for i := range region { // the new incarnation learns all
 		if i != 1 {
-			f.waitFor("the new life", func() bool { return f.procs[1].region(i) == region[i] })
+			f.waitFor("the new incarnation", func() bool { return f.procs[1].region(i) == region[i] })
 		}
 	}
 }
--- a/cmd/eidertrail/load_test.go
+++ b/cmd/eidertrail/load_test.go
@@ -32,6 +32,7 @@
 
 // newLoad is callers of the process at address; they connect when they place their first call.
 func newLoad(t *testing.T, address string) *load {
+	t.Helper()
 	return &load{t: t, address: address, stop: make(chan struct{}), finals: map[string]string{}}
 }
 
@@ -90,7 +91,9 @@
 			l.mu.Lock()
 			l.finals[id] = ""
 			l.mu.Unlock()
-			if _, err := fmt.Fprintf(l.conn, `{"type":"setup","id":%q,"fields":{"class":"voice","left":"1500","key":"%x"},"sdp":"x"}`+"\n", id, n); err != nil {
+			fields := fmt.Sprintf(`{"class":"voice","left":"1500","key":"%x"}`, n)
+			_, err := fmt.Fprintf(l.conn, `{"type":"setup","id":%q,"fields":%s,"sdp":"x"}`+"\n", id, fields)
+			if err != nil {
 				l.mu.Lock()
 				delete(l.finals, id) // it was not taken
 				l.mu.Unlock()
@@ -111,20 +114,20 @@
 			l.mu.Unlock()
 			return
 		}
-		m, err := linecodec.Parse(text)
+		message, err := linecodec.Parse(text)
 		l.mu.Lock()
-		was, known := l.finals[m.ID]
+		was, known := l.finals[message.ID]
 		switch {
 		case err != nil || !known:
 			l.broken = append(l.broken, fmt.Sprintf("%s: %v", text, err))
-		case m.Type == "answer" && was == "":
-			l.finals[m.ID] = "answer"
-		case m.Type == "release" && was == "":
-			l.finals[m.ID] = "refused"
-		case m.Type == "release" && was == "answer":
-			l.finals[m.ID] = "ended"
-		case m.Type == "answer" || m.Type == "release":
-			l.broken = append(l.broken, fmt.Sprintf("call %s: %s after %s", m.ID, m.Type, was))
+		case message.Type == "answer" && was == "":
+			l.finals[message.ID] = "answer"
+		case message.Type == "release" && was == "":
+			l.finals[message.ID] = "refused"
+		case message.Type == "release" && was == "answer":
+			l.finals[message.ID] = "ended"
+		case message.Type == "answer" || message.Type == "release":
+			l.broken = append(l.broken, fmt.Sprintf("call %s: %s after %s", message.ID, message.Type, was))
 		}
 		l.mu.Unlock()
 	}
@@ -185,29 +188,30 @@
 
 // newMetered serves a pool; it tells state every 200 ms.
 func newMetered(t *testing.T, work time.Duration, state string) *metered {
-	p := &metered{proc: fakeplatform.Processor{
+	t.Helper()
+	pool := &metered{proc: fakeplatform.Processor{
 		Work: work, MaxWait: time.Second, SlowStartCapacity: 0.3, SlowStartWindow: 10 * time.Second,
 		OverloadMultiple: 3, OverloadWindow: 3 * time.Second,
 	}}
-	p.OnRequest = func(q fakeplatform.Request) {
-		if q.Method != "INVITE" {
+	pool.OnRequest = func(request fakeplatform.Request) {
+		if request.Method != "INVITE" {
 			return
 		}
 		now := time.Now()
-		p.mu.Lock()
-		p.arrived = append(p.arrived, arrival{now, strings.TrimPrefix(q.Get("via"), "SIP/2.0/TCP ")})
-		p.mu.Unlock()
-		after, full := p.proc.Arrive(now)
+		pool.mu.Lock()
+		pool.arrived = append(pool.arrived, arrival{now, strings.TrimPrefix(request.Get("via"), "SIP/2.0/TCP ")})
+		pool.mu.Unlock()
+		after, full := pool.proc.Arrive(now)
 		if full {
-			q.Answer(503, "swamped", "")
+			request.Answer(503, "swamped", "")
 			return
 		}
 		time.AfterFunc(after, func() {
-			q.Answer(200, "", "v=0\r\n")
-			q.Bye(16)
+			request.Answer(200, "", "v=0\r\n")
+			request.Bye(16)
 		})
 	}
-	p.address = p.Listen(t)
+	pool.address = pool.Listen(t)
 	done := make(chan struct{})
 	var wg sync.WaitGroup
 	wg.Go(func() {
@@ -216,16 +220,16 @@
 			case <-done:
 				return
 			case <-time.After(200 * time.Millisecond):
-				p.NotifyAll(state)
+				pool.NotifyAll(state)
 			}
 		}
 	})
 	t.Cleanup(func() { close(done); wg.Wait() })
-	return p
+	return pool
 }
 
-// most is the most set-ups from the controllers named ("" for all) within any stretch of so long, since then.
-func (p *metered) most(since time.Time, long time.Duration, names ...string) int {
+// maxRate is the most set-ups within any second since then, from the controllers named or, without names, from all.
+func (p *metered) maxRate(since time.Time, names ...string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	most, first := 0, 0
@@ -235,7 +239,7 @@
 			continue
 		}
 		at = append(at, a.at)
-		for a.at.Sub(at[first]) > long {
+		for a.at.Sub(at[first]) > time.Second {
 			first++
 		}
 		most = max(most, len(at)-first)
@@ -249,6 +253,6 @@
 	if !born.IsZero() {
 		ms = born.UnixMilli()
 	}
-	return fmt.Sprintf(`"known":{"no":1,"items":[{"no":1,"roster":{"all":true,"targets":[{"uid":"p1","endpoint":%q,"pod_group":0,"state":"up","boot_ms":%d}]}}]}`,
-		p.address, ms)
+	target := fmt.Sprintf(`{"uid":"p1","endpoint":%q,"pod_group":0,"state":"up","boot_ms":%d}`, p.address, ms)
+	return fmt.Sprintf(`"known":{"no":1,"items":[{"no":1,"roster":{"all":true,"targets":[%s]}}]}`, target)
 }
--- a/cmd/eidertrail/rollout_test.go
+++ b/cmd/eidertrail/rollout_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -45,56 +46,59 @@
 func newStaged(t *testing.T, controllers int) *staged {
 	t.Helper()
 	old := program(t)
-	s := &staged{t: t, dir: t.TempDir(), old: old, stop: make(chan struct{})}
-	s.new = filepath.Join(s.dir, "eidertrail-new")
-	if err := os.Symlink(old, s.new); err != nil {
+	fleet := &staged{t: t, dir: t.TempDir(), old: old, stop: make(chan struct{})}
+	fleet.new = filepath.Join(fleet.dir, "eidertrail-new")
+	if err := os.Symlink(old, fleet.new); err != nil {
 		t.Fatal(err)
 	}
-	s.state = filepath.Join(s.dir, "state.json")
+	fleet.state = filepath.Join(fleet.dir, "state.json")
 	p := newMetered(t, time.Millisecond, "idle:900;circuits:1000")
 	for i := range controllers {
 		c := controller{name: fmt.Sprintf("n%d", i), listen: reserveAddress(t), health: reserveAddress(t)}
-		c.config = s.write(c.name+".json", fmt.Sprintf(`{"name":%q,"listen":%q,"seed":"%d","limits":{"memory_mb":192,"sockets":1024},%s,
- "settings":{"balancers":%d,"index":%d,"tick":1000000,"extra":{"clear_wait":300000000,"t1":400000000,"mean_hold":[1000000000]},
-  "request_classes":[{"name":"voice","promise":1000000000,"deadline":15000000000}]}}`, c.name, c.listen, i+1, p.roster(time.Time{}), controllers, i))
-		s.write(c.name+".toml", fmt.Sprintf("health = %q\n", c.health))
-		s.at = append(s.at, c)
+		c.config = fleet.write(c.name+".json", fmt.Sprintf(
+			`{"name":%q,"listen":%q,"seed":"%d","limits":{"memory_mb":192,"sockets":1024},%s,
+ "settings":{"balancers":%d,"index":%d,"tick":1000000,
+  "extra":{"clear_wait":300000000,"t1":400000000,"mean_hold":[1000000000]},
+  "request_classes":[{"name":"voice","promise":1000000000,"deadline":15000000000}]}}`,
+			c.name, c.listen, i+1, p.roster(time.Time{}), controllers, i))
+		fleet.write(c.name+".toml", fmt.Sprintf("health = %q\n", c.health))
+		fleet.at = append(fleet.at, c)
 	}
 	t.Cleanup(func() {
-		close(s.stop)
-		s.wg.Wait()
-		for i := range s.at {
-			if pid := s.pid(i); pid > 0 {
-				syscall.Kill(pid, syscall.SIGKILL)
+		close(fleet.stop)
+		fleet.wg.Wait()
+		for i := range fleet.at {
+			if pid := fleet.pid(i); pid > 0 {
+				_ = syscall.Kill(pid, syscall.SIGKILL)
 			}
 		}
 		if t.Failed() {
-			for _, c := range s.at {
-				text, _ := os.ReadFile(filepath.Join(s.dir, c.name+".log"))
+			for _, c := range fleet.at {
+				text, _ := os.ReadFile(filepath.Join(fleet.dir, c.name+".log"))
 				t.Logf("%s:\n%s", c.name, text)
 			}
 		}
 	})
-	for i, c := range s.at {
-		log, err := os.Create(filepath.Join(s.dir, c.name+".log"))
+	for i, controller := range fleet.at {
+		log, err := os.Create(filepath.Join(fleet.dir, controller.name+".log"))
 		if err != nil {
 			t.Fatal(err)
 		}
-		cmd := exec.Command(s.old, s.args(c)...)
-		cmd.Env = append(os.Environ(), "RELAY_CONFIG="+c.config)
+		cmd := exec.Command(fleet.old, fleet.args(controller)...)
+		cmd.Env = append(os.Environ(), "RELAY_CONFIG="+controller.config)
 		cmd.Stdout, cmd.Stderr = log, log
 		if err := cmd.Start(); err != nil {
 			t.Fatal(err)
 		}
 		log.Close()
-		go cmd.Wait()
-		s.write(c.name+".pid", strconv.Itoa(cmd.Process.Pid))
-		s.wg.Go(func() { s.follow(i) })
+		go func() { _ = cmd.Wait() }()
+		fleet.write(controller.name+".pid", strconv.Itoa(cmd.Process.Pid))
+		fleet.wg.Go(func() { fleet.follow(i) })
 	}
-	for i := range s.at {
-		s.until("all serve", func() bool { return s.ready(i) })
+	for i := range fleet.at {
+		fleet.until("all serve", func() bool { return fleet.ready(i) })
 	}
-	return s
+	return fleet
 }
 
 func (s *staged) write(name, text string) string {
@@ -165,8 +169,8 @@
 	waitFor(s.t, what, cond)
 }
 
-// file writes the rollout's file.
-func (s *staged) file(more string) string {
+// file writes the rollout file, and returns its path.
+func (s *staged) file() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, `stages = ["1", "50%%", "100%%"]
 min_time = "800ms"
@@ -176,15 +180,15 @@
 tolerance = 0.1
 stop_within = "5s"
 ready_in = "10s"
-%s
 [old]
 binary = %q
 [new]
 binary = %q
-`, more, s.old, s.new)
+`, s.old, s.new)
 	for _, c := range s.at {
-		fmt.Fprintf(&b, "[[controller]]\nname = %q\nargs = [%q, %q]\nconfig = %q\npid_file = %q\nlog = %q\nhealth = %q\n", c.name,
-			s.args(c)[0], s.args(c)[1], c.config, filepath.Join(s.dir, c.name+".pid"), filepath.Join(s.dir, c.name+".log"), c.health)
+		args, pidFile, log := s.args(c), filepath.Join(s.dir, c.name+".pid"), filepath.Join(s.dir, c.name+".log")
+		fmt.Fprintf(&b, "[[controller]]\nname = %q\nargs = [%q, %q]\nconfig = %q\n", c.name, args[0], args[1], c.config)
+		fmt.Fprintf(&b, "pid_file = %q\nlog = %q\nhealth = %q\n", pidFile, log, c.health)
 		if c.newConfig != "" {
 			fmt.Fprintf(&b, "new_config = %q\n", c.newConfig)
 		}
@@ -214,22 +218,22 @@
 	if err := cmd.Start(); err != nil {
 		s.t.Fatal(err)
 	}
-	s.t.Cleanup(func() { cmd.Process.Kill() })
+	s.t.Cleanup(func() { _ = cmd.Process.Kill() })
 	return cmd, &out
 }
 
 // phase is what the state file says, and how many are new.
-func (s *staged) phase() (phase string, stage, new int, moving string) {
+func (s *staged) phase() (phase string, stage, changed int, moving string) {
 	text, _ := os.ReadFile(s.state)
 	for _, c := range gjson.GetBytes(text, "controllers").Array() {
 		if c.Get("version").Str == "new" {
-			new++
+			changed++
 		}
 		if c.Get("moving").Str != "" {
 			moving = c.Get("name").Str
 		}
 	}
-	return gjson.GetBytes(text, "phase").Str, int(gjson.GetBytes(text, "stage").Int()), new, moving
+	return gjson.GetBytes(text, "phase").Str, int(gjson.GetBytes(text, "stage").Int()), changed, moving
 }
 
 // check compares how the rollout ended, and fails the test where a call was lost. lost is how many controllers
@@ -260,35 +264,40 @@
 	return placed, turned
 }
 
-func TestRolloutOfAGoodBuild(t *testing.T) {
+func TestRollout_GoodBuildIsDone(t *testing.T) {
 	t.Parallel()
-	s := newStaged(t, 5)
+	controllers := newStaged(t, 5)
 	began := time.Now()
-	cmd, out := s.tool(s.file(""))
+	cmd, out := controllers.tool(controllers.file())
 	if err := cmd.Wait(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
 	took := time.Since(began)
-	placed, turned := s.check("done", s.new, false)
-	t.Logf("five controllers in %v; %d calls placed, %d turned away, none lost", took.Round(100*time.Millisecond), placed, turned)
+	placed, turned := controllers.check("done", controllers.new, false)
+	t.Logf("five controllers in %v; %d calls placed, %d turned away, none lost",
+		took.Round(100*time.Millisecond), placed, turned)
 	if turned*20 > placed {
 		t.Errorf("%d of %d calls were turned away", turned, placed)
 	}
 }
 
 // A new build that refuses every call is stopped at the first stage and taken back, and no call is lost.
-func TestRolloutOfABuildThatRefuses(t *testing.T) {
+func TestRollout_BuildThatRejectsCallsIsRolledBack(t *testing.T) {
 	t.Parallel()
-	s := newStaged(t, 4)
-	os.Remove(s.new)
-	s.write("eidertrail-new", fmt.Sprintf(`#!/bin/sh
+	controllers := newStaged(t, 4)
+	if err := os.Remove(controllers.new); err != nil {
+		t.Fatal(err)
+	}
+	controllers.write("eidertrail-new", fmt.Sprintf(`#!/bin/sh
 [ "$1" = check ] && exec %[1]s "$@"
 sed 's/"extra":{/"extra":{"shape":"skills","allowed_pools":[[7]],/' "$RELAY_CONFIG" > "$RELAY_CONFIG.bad"
 RELAY_CONFIG="$RELAY_CONFIG.bad" exec %[1]s "$@"
-`, s.old))
-	os.Chmod(s.new, 0o700)
-	cmd, out := s.tool(s.file(""))
-	most := 0
+`, controllers.old))
+	if err := os.Chmod(controllers.new, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	cmd, out := controllers.tool(controllers.file())
+	maxChanged := 0
 	done := make(chan error, 1)
 	go func() { done <- cmd.Wait() }()
 	var err error
@@ -297,17 +306,17 @@
 		case err = <-done:
 			ended = true
 		case <-time.After(5 * time.Millisecond):
-			_, _, new, _ := s.phase()
-			most = max(most, new)
+			_, _, changed, _ := controllers.phase()
+			maxChanged = max(maxChanged, changed)
 		}
 	}
 	if err == nil || !strings.Contains(out.String(), "stopped and taken back: stage 1") {
 		t.Errorf("the tool ended with %v:\n%s", err, out)
 	}
-	if most > 1 {
-		t.Errorf("%d controllers were new at a time, want the first stage's one", most)
+	if maxChanged > 1 {
+		t.Errorf("%d controllers were new at a time, want the first stage's one", maxChanged)
 	}
-	placed, turned := s.check("aborted", s.old, false)
+	placed, turned := controllers.check("aborted", controllers.old, false)
 	t.Logf("%d calls placed, %d turned away before the stage was stopped", placed, turned)
 	if turned == 0 {
 		t.Error("the bad build turned nothing away")
@@ -316,57 +325,63 @@
 
 // A new process that is killed during its start is started again; and the tool, killed in the middle, goes on
 // where it was.
-func TestRolloutKilledMidway(t *testing.T) {
+func TestRollout_GoesOnAfterItWasKilled(t *testing.T) {
 	t.Parallel()
-	s := newStaged(t, 4)
-	file := s.file("")
-	cmd, _ := s.tool(file)
-	s.until("n1 is being moved", func() bool { _, _, _, m := s.phase(); return m == "n1" })
-	before := s.pid(1)
-	s.until("its new process begins", func() bool { return s.pid(1) != before && s.pid(1) > 0 })
-	syscall.Kill(s.pid(1), syscall.SIGKILL)
-	s.until("n2 is being moved", func() bool { _, _, _, m := s.phase(); return m == "n2" })
-	cmd.Process.Kill()
-	cmd.Wait()
-	if phase, _, _, _ := s.phase(); phase != "running" {
+	controllers := newStaged(t, 4)
+	file := controllers.file()
+	cmd, _ := controllers.tool(file)
+	controllers.until("n1 is being moved", func() bool { _, _, _, m := controllers.phase(); return m == "n1" })
+	before := controllers.pid(1)
+	controllers.until("its new process begins", func() bool {
+		pid := controllers.pid(1)
+		return pid != before && pid > 0
+	})
+	if err := syscall.Kill(controllers.pid(1), syscall.SIGKILL); err != nil {
+		t.Fatal(err)
+	}
+	controllers.until("n2 is being moved", func() bool { _, _, _, m := controllers.phase(); return m == "n2" })
+	_ = cmd.Process.Kill()
+	_ = cmd.Wait()
+	if phase, _, _, _ := controllers.phase(); phase != "running" {
 		t.Fatalf("phase %q", phase)
 	}
-	status, err := exec.Command(s.old, "rollout", "status", "--state", s.state).CombinedOutput()
+	status, err := exec.Command(controllers.old, "rollout", "status", "--state", controllers.state).CombinedOutput()
 	if err != nil || !strings.Contains(string(status), "n2: old (being made new)") {
 		t.Errorf("status: %v\n%s", err, status)
 	}
-	cmd, out := s.tool(file)
+	cmd, out := controllers.tool(file)
 	if err := cmd.Wait(); err != nil || !strings.Contains(out.String(), "going on") {
 		t.Fatalf("%v\n%s", err, out)
 	}
-	s.check("done", s.new, true)
+	controllers.check("done", controllers.new, true)
 }
 
 // Settings that fail their check at one stage: the controller is not touched, and the change is taken back.
-func TestRolloutOfSettingsThatFailTheirCheck(t *testing.T) {
+func TestRollout_SettingsThatFailTheirCheckAreRolledBack(t *testing.T) {
 	t.Parallel()
-	s := newStaged(t, 3)
-	s.change(func(i int, text string) string {
+	controllers := newStaged(t, 3)
+	controllers.change(func(i int, text string) string {
 		if i == 1 {
 			text = strings.Replace(text, `"deadline":15000000000`, `"deadline":-1`, 1)
 		}
 		return strings.Replace(text, `"promise":1000000000`, `"promise":1100000000`, 1)
 	})
-	file := s.file("")
-	plan, err := exec.Command(s.old, "rollout", "plan", file).CombinedOutput()
+	file := controllers.file()
+	plan, err := exec.Command(controllers.old, "rollout", "plan", file).CombinedOutput()
 	if err != nil || !strings.Contains(string(plan), "n0: restart (settings changes only at a restart)") {
 		t.Errorf("plan: %v\n%s", err, plan)
 	}
-	pids := []int{s.pid(0), s.pid(1), s.pid(2)}
-	cmd, out := s.tool(file)
+	pids := []int{controllers.pid(0), controllers.pid(1), controllers.pid(2)}
+	cmd, out := controllers.tool(file)
 	if err := cmd.Wait(); err == nil || !strings.Contains(out.String(), "settings.request_classes.0.deadline") {
 		t.Errorf("%v\n%s", err, out)
 	}
-	s.check("aborted", s.old, false)
-	if s.pid(1) != pids[1] || s.pid(2) != pids[2] || s.pid(0) == pids[0] {
-		t.Errorf("processes %v became %d %d %d: only the first was to be restarted", pids, s.pid(0), s.pid(1), s.pid(2))
+	controllers.check("aborted", controllers.old, false)
+	if controllers.pid(1) != pids[1] || controllers.pid(2) != pids[2] || controllers.pid(0) == pids[0] {
+		t.Errorf("processes %v became %d %d %d: only the first was to be restarted",
+			pids, controllers.pid(0), controllers.pid(1), controllers.pid(2))
 	}
-	for _, c := range s.at {
+	for _, c := range controllers.at {
 		if text, _ := os.ReadFile(c.config); !strings.Contains(string(text), `"promise":1000000000`) {
 			t.Errorf("%s is left with the new settings", c.name)
 		}
@@ -374,11 +389,13 @@
 }
 
 // Settings that a running controller takes over go in by SIGHUP: no process ends. An abort takes them back.
-func TestRolloutBySIGHUPAndAbort(t *testing.T) {
+func TestRollout_SettingsBySIGHUPAndAbort(t *testing.T) {
 	t.Parallel()
-	s := newStaged(t, 3)
-	s.change(func(_ int, text string) string { return strings.Replace(text, `"memory_mb":192`, `"memory_mb":128`, 1) })
-	file := s.file("")
+	controllers := newStaged(t, 3)
+	controllers.change(func(_ int, text string) string {
+		return strings.Replace(text, `"memory_mb":192`, `"memory_mb":128`, 1)
+	})
+	file := controllers.file()
 	f, err := runner.Load(file)
 	if err != nil {
 		t.Fatal(err)
@@ -386,34 +403,39 @@
 	if restart, why, err := f.Restarts(f.Controller[0]); restart || err != nil {
 		t.Errorf("restart %v, %s, %v", restart, why, err)
 	}
-	pids := []int{s.pid(0), s.pid(1), s.pid(2)}
-	cmd, out := s.tool(file)
-	s.until("the second stage", func() bool { _, stage, new, _ := s.phase(); return stage == 1 && new == 2 })
-	if err := runner.Run(context.Background(), f, s.state, zerolog.Nop()); err != runner.ErrBusy {
+	pids := []int{controllers.pid(0), controllers.pid(1), controllers.pid(2)}
+	cmd, out := controllers.tool(file)
+	controllers.until("the second stage", func() bool {
+		_, stage, changed, _ := controllers.phase()
+		return stage == 1 && changed == 2
+	})
+	if err := runner.Run(context.Background(), f, controllers.state, zerolog.Nop()); !errors.Is(err, runner.ErrBusy) {
 		t.Errorf("a second tool: %v", err)
 	}
-	if text, err := exec.Command(s.old, "rollout", "abort", "--state", s.state).CombinedOutput(); err != nil {
+	text, err := exec.Command(controllers.old, "rollout", "abort", "--state", controllers.state).CombinedOutput()
+	if err != nil {
 		t.Errorf("abort: %v\n%s", err, text)
 	}
 	if err := cmd.Wait(); err == nil || !strings.Contains(out.String(), "the operator aborted it") {
 		t.Errorf("%v\n%s", err, out)
 	}
-	s.check("aborted", s.old, false)
-	for i := range s.at {
-		if s.pid(i) != pids[i] {
+	controllers.check("aborted", controllers.old, false)
+	for i := range controllers.at {
+		if controllers.pid(i) != pids[i] {
 			t.Errorf("n%d was restarted", i)
 		}
-		if text, _ := os.ReadFile(s.at[i].config); !strings.Contains(string(text), `"memory_mb":192`) {
+		if text, _ := os.ReadFile(controllers.at[i].config); !strings.Contains(string(text), `"memory_mb":192`) {
 			t.Errorf("n%d is left with the new settings", i)
 		}
 	}
 }
 
-func TestBadRolloutFilesNameTheField(t *testing.T) {
-	good := "stages = [\"1\", \"100%\"]\n[old]\nbinary = \"a\"\n[new]\nbinary = \"b\"\n"
-	for _, n := range []string{"n0", "n1"} {
-		good += fmt.Sprintf("[[controller]]\nname = %q\nconfig = \"c\"\npid_file = \"p\"\nlog = \"l\"\nhealth = \"h\"\n", n)
+func TestRollout_BadFileNamesTheField(t *testing.T) {
+	controller := func(name string) string {
+		return fmt.Sprintf("[[controller]]\nname = %q\nconfig = \"c\"\npid_file = \"p\"\nlog = \"l\"\nhealth = \"h\"\n", name)
 	}
+	good := "stages = [\"1\", \"100%\"]\n[old]\nbinary = \"a\"\n[new]\nbinary = \"b\"\n" +
+		controller("n0") + controller("n1")
 	if _, err := runner.Load(daemontest.WriteFile(t, "good.toml", good)); err != nil {
 		t.Fatal(err)
 	}
@@ -427,7 +449,8 @@
 		"controller:":          strings.Replace(good, `name = "n1"`, `name = "n0"`, 1),
 		"colour:":              "colour = 1\n" + good,
 	} {
-		if _, err := runner.Load(daemontest.WriteFile(t, "bad.toml", text)); err == nil || !strings.HasPrefix(err.Error(), "rollout: "+field) {
+		_, err := runner.Load(daemontest.WriteFile(t, "bad.toml", text))
+		if err == nil || !strings.HasPrefix(err.Error(), "rollout: "+field) {
 			t.Errorf("%s %v", field, err)
 		}
 	}
