daemon: the glossary's names in the tests, the text of call control's bound pinned

Change: the text is what it was, and TestStart_ErrorNamesFileAndField states it whole; every other string of the old daemon was compared with the new one's and is there.

--- a/cmd/eidertrail/budget_test.go
+++ b/cmd/eidertrail/budget_test.go
@@ -30,9 +30,9 @@
 	return f, pool, loads
 }
 
-// atMost is the most set-ups that a rate lets through in a second: what is in hand of each of so many members
+// maxSetups is the most set-ups that a rate lets through in a second: what is in hand of each of so many members
 // comes on top.
-func atMost(rate float64, members int) int {
+func maxSetups(rate float64, members int) int {
 	return int(rate*(1+0.25)) + 2*members
 }
 
@@ -59,21 +59,21 @@
 	for _, l := range loads[:2] {
 		l.check()
 	}
-	if m := pool.maxRate(began); m > atMost(poolRate, 3) || m < poolRate/2 {
+	if m := pool.maxRate(began); m > maxSetups(poolRate, 3) || m < poolRate/2 {
 		t.Errorf("at most %d set-ups in a second, the pool takes %d", m, poolRate)
 	}
 	for i, l := range loads {
-		placed, stood, turned, _ := l.counts()
-		t.Logf("member %d: %d placed, %d stood, %d turned away", i, placed, stood, turned)
-		if stood*100 < placed*30 {
-			t.Errorf("member %d: %d of %d stood", i, stood, placed)
+		placed, established, rejected, _ := l.counts()
+		t.Logf("member %d: %d placed, %d established, %d turned away", i, placed, established, rejected)
+		if established*100 < placed*30 {
+			t.Errorf("member %d: %d of %d stood", i, established, placed)
 		}
 	}
 }
 
 // A member that borrowed nearly all is stopped past its lease; another takes over what it had, and when it goes
 // on, with a second's worth of calls waiting, it spends no more than its own.
-func TestFleetBudget_MemberPausedPastItsLease(t *testing.T) {
+func TestFleetBudget_MemberPausedLongerThanItsLease(t *testing.T) {
 	t.Parallel()
 	f, pool, loads := budgetFleet(t, 3)
 	loads[0].at(35)
@@ -88,11 +88,11 @@
 	f.signal(0, syscall.SIGCONT)
 	resumed := time.Now()
 	time.Sleep(800 * time.Millisecond)
-	if m := pool.maxRate(resumed, "n0"); m > atMost(poolRate/3., 1) {
+	if m := pool.maxRate(resumed, "n0"); m > maxSetups(poolRate/3., 1) {
 		t.Errorf("after its pause it sent %d in 0.8 s; its own share is %d a second", m, poolRate/3)
 	}
 	time.Sleep(2 * time.Second)
-	if m := pool.maxRate(time.Time{}); m > atMost(poolRate, 3) {
+	if m := pool.maxRate(time.Time{}); m > maxSetups(poolRate, 3) {
 		t.Errorf("at most %d set-ups in a second, the pool takes %d", m, poolRate)
 	}
 	t.Logf("before its pause %d in a second, after it %d; all together at most %d", before,
@@ -113,14 +113,14 @@
 	cut := time.Now()
 	time.Sleep(4 * time.Second)
 	for _, half := range [][]string{{"n0", "n1"}, {"n2", "n3"}} {
-		if m := pool.maxRate(cut, half...); m > atMost(poolRate/2, 2) || m < poolRate/4 {
+		if m := pool.maxRate(cut, half...); m > maxSetups(poolRate/2, 2) || m < poolRate/4 {
 			t.Errorf("half %v sent %d in a second, its part is %d", half, m, poolRate/2)
 		}
 	}
 	f.net.Heal()
 	f.wantAlive()
 	time.Sleep(2 * time.Second)
-	if m := pool.maxRate(time.Time{}); m > atMost(poolRate, 4) {
+	if m := pool.maxRate(time.Time{}); m > maxSetups(poolRate, 4) {
 		t.Errorf("at most %d set-ups in a second, the pool takes %d", m, poolRate)
 	}
 	for _, l := range loads {
@@ -133,9 +133,9 @@
 func TestFleetBudget_PoolInSlowStart(t *testing.T) {
 	t.Parallel()
 	pool := newMetered(t, 10*time.Millisecond, "idle:90;circuits:100") // 100 agents for 1 s each: 100 a second, warm
-	born := time.Now()
-	pool.proc.Start(born)
-	f := newFleet(t, 5, budgetFile, func(int) (string, []string) { return pool.roster(born), nil })
+	startedAt := time.Now()
+	pool.proc.Start(startedAt)
+	f := newFleet(t, 5, budgetFile, func(int) (string, []string) { return pool.roster(startedAt), nil })
 	loads := make([]*load, 0, len(f.procs))
 	for i := range f.procs {
 		loads = append(loads, newLoad(t, f.procs[i].listen))
--- a/cmd/eidertrail/characterization_test.go
+++ b/cmd/eidertrail/characterization_test.go
@@ -61,7 +61,7 @@
 // words is an invocation by the words of a shell's line: variables, then arguments.
 func words(line string) invocation {
 	all := strings.Fields(line)
-	first := slices.IndexFunc(all, func(word string) bool { return !strings.HasPrefix(word, "RELAY_") })
+	first := slices.IndexFunc(all, func(token string) bool { return !strings.HasPrefix(token, "RELAY_") })
 	if first < 0 {
 		first = len(all)
 	}
--- a/cmd/eidertrail/fleet_measure_test.go
+++ b/cmd/eidertrail/fleet_measure_test.go
@@ -17,14 +17,14 @@
 	f.t.Helper()
 	process := f.procs[i]
 	process.mu.Lock()
-	before := process.told["counters"]
+	before := process.messages["counters"]
 	process.mu.Unlock()
 	f.signal(i, syscall.SIGUSR1)
 	var value int64
 	f.waitFor("counters", func() bool {
 		process.mu.Lock()
 		defer process.mu.Unlock()
-		if process.told["counters"] == before {
+		if process.messages["counters"] == before {
 			return false
 		}
 		for n := len(process.lines) - 1; n >= 0; n-- {
@@ -48,12 +48,12 @@
 		t.Run(strconv.Itoa(members), func(t *testing.T) {
 			f := newFleet(t, members, "", nil)
 			f.wantAlive()
-			const quiet = 20 * time.Second
+			const idle = 20 * time.Second
 			sent, bytes := f.counter(0, "peer_out"), f.counter(0, "peer_bytes_out")
-			time.Sleep(quiet)
+			time.Sleep(idle)
 			sent, bytes = f.counter(0, "peer_out")-sent, f.counter(0, "peer_bytes_out")-bytes
 			t.Logf("quiet: %.1f datagrams and %.0f bytes a member a second",
-				float64(sent)/quiet.Seconds(), float64(bytes)/quiet.Seconds())
+				float64(sent)/idle.Seconds(), float64(bytes)/idle.Seconds())
 			for n := range 5 {
 				victim := 1 + n%(members-1)
 				f.kill(victim)
--- a/cmd/eidertrail/fleet_test.go
+++ b/cmd/eidertrail/fleet_test.go
@@ -33,17 +33,17 @@
 	procs []*process
 }
 
-// process is one of them. What its log told last is under mu.
+// process is one of them. What its log said last is under mu.
 type process struct {
 	cmd    *exec.Cmd
 	listen string // where callers connect
 	ended  chan struct{}
 
-	mu      sync.Mutex
-	states  map[int]string
-	falsely []string // members held dead, in order
-	lines   []string
-	told    map[string]int // lines by message
+	mu       sync.Mutex
+	states   map[int]string
+	falsely  []string // members held dead, in order
+	lines    []string
+	messages map[string]int // lines by message
 }
 
 // newFleet starts so many; what is set with it goes into each one's settings and arguments.
@@ -106,7 +106,7 @@
 	cfg := daemontest.WriteFile(f.t, "config.json", f.configuration(i, settings))
 	member := &process{
 		cmd: exec.Command(program(f.t), append([]string{"--cluster", f.files}, args...)...), ended: make(chan struct{}),
-		states: map[int]string{}, told: map[string]int{},
+		states: map[int]string{}, messages: map[string]int{},
 	}
 	member.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+cfg, "RELAY_LISTEN=")
 	out, err := member.cmd.StdoutPipe()
@@ -141,7 +141,7 @@
 	defer p.mu.Unlock()
 	p.lines = append(p.lines, string(b))
 	l := gjson.ParseBytes(b)
-	p.told[l.Get("message").Str]++
+	p.messages[l.Get("message").Str]++
 	switch l.Get("message").Str {
 	case "serving":
 		p.listen = l.Get("listen").Str
--- a/cmd/eidertrail/load_test.go
+++ b/cmd/eidertrail/load_test.go
@@ -39,12 +39,12 @@
 // at has so many calls a second placed from now on.
 func (l *load) at(rate int64) {
 	l.t.Helper()
-	if err := l.try(rate); err != nil {
+	if err := l.place(rate); err != nil {
 		l.t.Fatal(err)
 	}
 }
 
-func (l *load) try(rate int64) error {
+func (l *load) place(rate int64) error {
 	l.rate.Store(rate)
 	if l.conn != nil {
 		return nil
@@ -134,7 +134,7 @@
 }
 
 // counts tells how many calls were placed, stood and were turned away, and how many have no answer.
-func (l *load) counts() (placed, stood, turned, open int) {
+func (l *load) counts() (placed, established, rejected, open int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, f := range l.finals {
@@ -142,12 +142,12 @@
 		case "":
 			open++
 		case "refused":
-			turned++
+			rejected++
 		default:
-			stood++
+			established++
 		}
 	}
-	return len(l.finals), stood, turned, open
+	return len(l.finals), established, rejected, open
 }
 
 // check ends the load, waits for the last answers, and fails the test where a call has none or more than one.
@@ -232,7 +232,7 @@
 func (p *metered) maxRate(since time.Time, names ...string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	most, first := 0, 0
+	highest, first := 0, 0
 	var at []time.Time
 	for _, a := range p.arrived {
 		if a.at.Before(since) || len(names) > 0 && !strings.Contains(strings.Join(names, " ")+" ", a.from+" ") {
@@ -242,16 +242,16 @@
 		for a.at.Sub(at[first]) > time.Second {
 			first++
 		}
-		most = max(most, len(at)-first)
+		highest = max(highest, len(at)-first)
 	}
-	return most
+	return highest
 }
 
 // roster is the configuration's list of just this pool.
-func (p *metered) roster(born time.Time) string {
+func (p *metered) roster(startedAt time.Time) string {
 	ms := int64(0)
-	if !born.IsZero() {
-		ms = born.UnixMilli()
+	if !startedAt.IsZero() {
+		ms = startedAt.UnixMilli()
 	}
 	target := fmt.Sprintf(`{"uid":"p1","endpoint":%q,"pod_group":0,"state":"up","boot_ms":%d}`, p.address, ms)
 	return fmt.Sprintf(`"known":{"no":1,"items":[{"no":1,"roster":{"all":true,"targets":[%s]}}]}`, target)
--- a/cmd/eidertrail/rollout_test.go
+++ b/cmd/eidertrail/rollout_test.go
@@ -154,7 +154,7 @@
 			s.mu.Lock()
 			s.loads = append(s.loads, now)
 			s.mu.Unlock()
-			if now.try(60) != nil { // it went just then
+			if now.place(60) != nil { // it went just then
 				now = nil
 			}
 		case !ready && now != nil:
@@ -238,7 +238,7 @@
 
 // check compares how the rollout ended, and fails the test where a call was lost. lost is how many controllers
 // were killed: what was open at them is.
-func (s *staged) check(phase string, program string, killed bool) (placed, turned int) {
+func (s *staged) check(phase string, program string, killed bool) (placed, rejected int) {
 	s.t.Helper()
 	if is, _, _, _ := s.phase(); is != phase {
 		s.t.Errorf("phase %q, want %q", is, phase)
@@ -259,9 +259,9 @@
 			l.check()
 		}
 		p, _, r, _ := l.counts()
-		placed, turned = placed+p, turned+r
+		placed, rejected = placed+p, rejected+r
 	}
-	return placed, turned
+	return placed, rejected
 }
 
 func TestRollout_GoodBuildIsDone(t *testing.T) {
@@ -273,11 +273,11 @@
 		t.Fatalf("%v\n%s", err, out)
 	}
 	took := time.Since(began)
-	placed, turned := controllers.check("done", controllers.new, false)
-	t.Logf("five controllers in %v; %d calls placed, %d turned away, none lost",
-		took.Round(100*time.Millisecond), placed, turned)
-	if turned*20 > placed {
-		t.Errorf("%d of %d calls were turned away", turned, placed)
+	placed, rejected := controllers.check("done", controllers.new, false)
+	t.Logf("five controllers in %v; %d calls placed, %d rejected, none lost",
+		took.Round(100*time.Millisecond), placed, rejected)
+	if rejected*20 > placed {
+		t.Errorf("%d of %d calls were rejected", rejected, placed)
 	}
 }
 
@@ -316,10 +316,10 @@
 	if maxChanged > 1 {
 		t.Errorf("%d controllers were new at a time, want the first stage's one", maxChanged)
 	}
-	placed, turned := controllers.check("aborted", controllers.old, false)
-	t.Logf("%d calls placed, %d turned away before the stage was stopped", placed, turned)
-	if turned == 0 {
-		t.Error("the bad build turned nothing away")
+	placed, rejected := controllers.check("aborted", controllers.old, false)
+	t.Logf("%d calls placed, %d rejected before the stage was stopped", placed, rejected)
+	if rejected == 0 {
+		t.Error("the bad build rejected nothing")
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,13 +27,13 @@
 	maxCalls = 4096
 	// maxWarningsPerSecond bounds the warnings about one peer or another, so that a bad one cannot fill the log.
 	maxWarningsPerSecond = 10
-	// callControlShare is the part of limits.sockets, one in so many, that call control's connections may have: callers
-	// and pools need theirs.
-	callControlShare = 4
-	// memoryShare of four quarters is the Go runtime's limit: the rest is for stacks, the kernel's buffers and what the
-	// collector has yet to free.
-	memoryShare, memoryQuarters = 3, 4
-	bytesPerMBShift             = 20
+	// callControlDivisor is the part of limits.sockets, one in so many, that call control's connections may have:
+	// callers and pools need theirs.
+	callControlDivisor = 4
+	// memoryLimitQuarters of four quarters are the Go runtime's limit: the rest is for stacks, the kernel's buffers and
+	// what the collector has yet to free.
+	memoryLimitQuarters, memoryQuarters = 3, 4
+	bytesPerMBShift                     = 20
 )
 
 // Daemon is a running session controller.
@@ -87,10 +87,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if files.callControl != nil && files.callControl.MaxConnections > daemon.cfg.Sockets/callControlShare {
+	if files.callControl != nil && files.callControl.MaxConnections > daemon.cfg.Sockets/callControlDivisor {
 		return nil, &config.FieldError{
 			File: config.CallControlFile, Field: "max_connections",
-			Reason: fmt.Sprintf("want at most a quarter of limits.sockets, %daemon", daemon.cfg.Sockets/callControlShare),
+			Reason: fmt.Sprintf("want at most a quarter of limits.sockets, %d", daemon.cfg.Sockets/callControlDivisor),
 		}
 	}
 	loop, stopLoop := context.WithCancel(ctx)
@@ -233,5 +233,5 @@
 
 // limitMemory sets the Go runtime's limit by limits.memory_mb.
 func limitMemory(cfg *config.Config) {
-	debug.SetMemoryLimit(int64(cfg.MemoryMB) << bytesPerMBShift / memoryQuarters * memoryShare)
+	debug.SetMemoryLimit(int64(cfg.MemoryMB) << bytesPerMBShift / memoryQuarters * memoryLimitQuarters)
 }
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -119,6 +119,7 @@
 func TestStart_ErrorNamesFileAndField(t *testing.T) {
 	good := writeConfiguration(t, nobody)
 	badListen := daemontest.WriteFile(t, "config.json", daemontest.Configuration("x", nobody))
+	tooMany := daemontest.WriteFile(t, "c.toml", "listen = \"127.0.0.1:0\"\nmax_connections = 257")
 	badPort := daemontest.WriteFile(t, "c.toml", "listen = \"127.0.0.1:99999\"")
 	for _, test := range []struct {
 		options Options
@@ -130,6 +131,10 @@
 		{Options{Config: good, Listen: "127.0.0.1:99999"}, "listen"},
 		{Options{Config: good, CallControl: "/nowhere"}, "callcontrol"},
 		{Options{Config: good, CallControl: badPort}, "callcontrol: listen"},
+		{
+			Options{Config: good, CallControl: tooMany},
+			"callcontrol: max_connections: want at most a quarter of limits.sockets, 256",
+		},
 	} {
 		_, err := Start(context.Background(), test.options, zerolog.Nop())
 		if err == nil || !strings.Contains(err.Error(), test.want) || strings.Contains(err.Error(), "\n") {
--- a/internal/daemon/discovery_test.go
+++ b/internal/daemon/discovery_test.go
@@ -33,7 +33,7 @@
 		t.Fatal(err)
 	}
 	signals, ended := serve(daemon)
-	reloadRefused(t, daemon, signals, log, path, "refresh_floor = \"0s\"\n"+good, "refresh_floor")
+	reloadRejected(t, daemon, signals, log, path, "refresh_floor = \"0s\"\n"+good, "refresh_floor")
 	rewrite(t, path, good)
 	signals.Reload <- syscall.SIGHUP
 	for daemon.counters.Get(telemetry.Reloads) != 1 {
--- a/internal/daemon/helpers_test.go
+++ b/internal/daemon/helpers_test.go
@@ -86,9 +86,9 @@
 	}
 }
 
-// reloadRefused writes text to path, sends SIGHUP, waits until the log names field, and fails t unless
+// reloadRejected writes text to path, sends SIGHUP, waits until the log names field, and fails t unless
 // the reload is the first one counted as refused.
-func reloadRefused(t *testing.T, d *Daemon, signals Signals, log fmt.Stringer, path, text, field string) {
+func reloadRejected(t *testing.T, d *Daemon, signals Signals, log fmt.Stringer, path, text, field string) {
 	t.Helper()
 	rewrite(t, path, text)
 	signals.Reload <- syscall.SIGHUP
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -64,7 +64,7 @@
 func (d *Daemon) apply(files *reloadedFiles) {
 	limitMemory(files.cfg)
 	if files.callControl != nil {
-		maxConnections := min(files.callControl.MaxConnections, d.cfg.Sockets/callControlShare)
+		maxConnections := min(files.callControl.MaxConnections, d.cfg.Sockets/callControlDivisor)
 		d.sockets.Admit(files.callControl.Origins, maxConnections)
 	}
 	select { // one that was not taken yet is out of date
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -16,7 +16,7 @@
 
 // A new configuration under load: the endpoint list is polled at its new address with the versions continued, calls
 // on both fronts stay established, and a bad file is named in the log and changes nothing.
-func TestReload_TakesOverANewConfigurationUnderCalls(t *testing.T) {
+func TestReload_AppliesANewConfigurationUnderCalls(t *testing.T) {
 	polled := make(chan string, 8)
 	lists := make([]string, 2)
 	for i := range lists {
--- a/internal/daemon/routing_test.go
+++ b/internal/daemon/routing_test.go
@@ -99,12 +99,12 @@
 			zones.count("batumi"), zones.count("tbilisi"), log.String())
 	}
 	for flap := range 3 {
-		away := zones.count("tbilisi")
+		spilled := zones.count("tbilisi")
 		zones.reject("batumi", true)
 		for range 10 {
 			caller.Place()
 		}
-		if zones.count("tbilisi") == away {
+		if zones.count("tbilisi") == spilled {
 			t.Errorf("flap %d, with batumi failing: no call went to tbilisi", flap)
 		}
 		// After batumi's ejection, which doubles while it still fails, calls go home again.
@@ -147,6 +147,6 @@
 		t.Fatal(err)
 	}
 	signals, ended := serve(daemon)
-	reloadRefused(t, daemon, signals, log, path, "warm_from = 0\n"+good, "warm_from")
+	reloadRejected(t, daemon, signals, log, path, "warm_from = 0\n"+good, "warm_from")
 	terminate(t, signals, ended)
 }
--- a/internal/daemon/sources.go
+++ b/internal/daemon/sources.go
@@ -189,12 +189,12 @@
 // takeFile takes over a new discovery file. Names that are no longer in it are removed, with their pools, at once;
 // those that stay keep their records until their watchers, started again, look them up.
 func (s *endpointSources) takeFile(file *config.Discovery) {
-	kept := map[string]bool{}
+	listed := map[string]bool{}
 	for _, name := range file.Names {
-		kept[name.SRV] = true
+		listed[name.SRV] = true
 	}
 	for _, name := range s.set.Names() {
-		if !kept[name] {
+		if !listed[name] {
 			s.set.RemoveName(name)
 		}
 	}
