daemon: the comment on the start's order says what call control may do meanwhile

Cause: it said that nothing is served before run, but call control's servers run from open on; what they receive waits for the dispatcher.

Checked: go build of all, golangci-lint of the package.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -73,8 +73,9 @@
 //  1. The files are read and checked before anything is made: what is wrong with them must end a start without a trace.
 //  2. build makes the parts from the core outwards: the dispatcher, the pools that report to it, the table of calls
 //     that are placed at them, the callers' server that fills the table.
-//  3. open opens the listeners and joins the fleet, which can fail. Nothing is served yet, so that a failed start has
-//     answered nobody. Quotas are in force before the first call.
+//  3. open opens the listeners and joins the fleet, which can fail. No call is decided yet: callers' connections wait
+//     in the listener's queue, and what call control receives waits for the dispatcher. Quotas and the router are set
+//     before the first decision.
 //  4. run starts the dispatcher, then the endpoint sources, which tell it where calls may go, and at last the callers'
 //     server.
 func Start(ctx context.Context, options Options, log zerolog.Logger) (*Daemon, error) {
