--- a/cmd/eidertrail/budget_test.go
+++ b/cmd/eidertrail/budget_test.go
@@ -107,7 +107,9 @@
 	loads[0].at(40)
 	loads[3].at(5)
 	time.Sleep(5 * time.Second)
-	f.net.Set(func(from, to int) fakeplatform.Fault { return fakeplatform.Fault{Cut: (from < 2) != (to < 2)} })
+	f.net.SetFaults(func(from, to int) fakeplatform.Fault {
+		return fakeplatform.Fault{Partitioned: (from < 2) != (to < 2)}
+	})
 	loads[3].at(40)
 	time.Sleep(lease + leaseMargin)
 	cut := time.Now()
@@ -145,8 +147,8 @@
 	for _, l := range loads {
 		l.check()
 	}
-	t.Logf("the most that was sent to the cold pool is %.2f of what makes it fall over", pool.proc.Worst())
-	if w := pool.proc.Worst(); w > 0.6 || w == 0 {
+	t.Logf("the most that was sent to the cold pool is %.2f of what makes it fall over", pool.proc.MaxLoad())
+	if w := pool.proc.MaxLoad(); w > 0.6 || w == 0 {
 		t.Errorf("the cold pool got %.2f of what makes it fall over", w)
 	}
 }
--- a/cmd/eidertrail/discovery_test.go
+++ b/cmd/eidertrail/discovery_test.go
@@ -111,14 +111,14 @@
 	targetC := daemontest.SRVTarget(t, "c.pools.example.org", addressC)
 	dns := fakeplatform.NewDNS(t)
 	dns.SetSRV(daemontest.SRVName, 1, targetA, targetB)
-	dns.SetMode(fakeplatform.Silent) // down at the start
+	dns.SetMode(fakeplatform.DNSSilent) // down at the start
 	process := startWithDiscovery(t, dns.Addr)
 	serving, from := process.awaitServing(t)
 	if !gjson.Get(serving, "discovery").Bool() {
 		t.Fatalf("discovery is not on: %s", serving)
 	}
 	_, from = process.await(t, from, isFailedLookup)
-	dns.SetMode(fakeplatform.Answer)
+	dns.SetMode(fakeplatform.DNSAnswer)
 	_, from = process.await(t, from, isEndpointSet(addressA, addressB))
 
 	caller := daemontest.NewSequentialCaller(daemontest.Dial(t, gjson.Get(serving, "listen").Str))
@@ -144,7 +144,7 @@
 	}
 
 	// The DNS server fails: the last good set stays in force, and calls go on.
-	dns.SetMode(fakeplatform.ServFail)
+	dns.SetMode(fakeplatform.DNSServFail)
 	process.await(t, from, isFailedLookup)
 	for range 10 {
 		caller.Place()
--- a/cmd/eidertrail/fleet_measure_test.go
+++ b/cmd/eidertrail/fleet_measure_test.go
@@ -74,7 +74,7 @@
 				return n
 			}
 			diedBefore, suspectedBefore := deaths(), suspected()
-			f.net.Set(func(int, int) fakeplatform.Fault { return fakeplatform.Fault{Loss: 0.2} })
+			f.net.SetFaults(func(int, int) fakeplatform.Fault { return fakeplatform.Fault{Loss: 0.2} })
 			time.Sleep(60 * time.Second)
 			f.net.Heal()
 			t.Logf("60 s of 20%% loss: %d suspicions, %d false deaths", suspected()-suspectedBefore, deaths()-diedBefore)
--- a/cmd/eidertrail/fleet_test.go
+++ b/cmd/eidertrail/fleet_test.go
@@ -60,7 +60,7 @@
 		for i := range f.procs {
 			f.kill(i)
 		}
-		if err := f.net.Check(); err != nil {
+		if err := f.net.CheckSizes(); err != nil {
 			t.Error(err)
 		}
 		if t.Failed() {
@@ -275,14 +275,14 @@
 			return fakeplatform.Fault{Loss: 0.2, Delay: 5 * time.Millisecond}
 		}},
 		"a one-sided cut": {4, false, func(from, to int) fakeplatform.Fault {
-			return fakeplatform.Fault{Cut: from == 0 && to == 1}
+			return fakeplatform.Fault{Partitioned: from == 0 && to == 1}
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newFleet(t, test.members, "", nil)
 			f.wantAlive()
-			f.net.Set(test.fault)
+			f.net.SetFaults(test.fault)
 			time.Sleep(40 * probeInterval)
 			if test.heals {
 				f.net.Heal()
@@ -297,7 +297,9 @@
 	t.Parallel()
 	f := newFleet(t, 5, "", nil)
 	f.wantAlive()
-	f.net.Set(func(from, to int) fakeplatform.Fault { return fakeplatform.Fault{Cut: (from < 2) != (to < 2)} })
+	f.net.SetFaults(func(from, to int) fakeplatform.Fault {
+		return fakeplatform.Fault{Partitioned: (from < 2) != (to < 2)}
+	})
 	f.waitFor("each side holds the other dead", func() bool {
 		return f.procs[0].state(4) == "dead" && f.procs[1].state(2) == "dead" &&
 			f.procs[2].state(0) == "dead" && f.procs[4].state(1) == "dead"
@@ -343,12 +345,14 @@
 			return true
 		})
 	}
-	f.net.Set(func(int, int) fakeplatform.Fault { return fakeplatform.Fault{Loss: 0.2} })
+	f.net.SetFaults(func(int, int) fakeplatform.Fault { return fakeplatform.Fault{Loss: 0.2} })
 	for i, r := range region {
 		wantRegion(i, r)
 	}
 	f.kill(1)
-	f.net.Set(func(from, to int) fakeplatform.Fault { return fakeplatform.Fault{Cut: (from < 2) != (to < 2)} })
+	f.net.SetFaults(func(from, to int) fakeplatform.Fault {
+		return fakeplatform.Fault{Partitioned: (from < 2) != (to < 2)}
+	})
 	region[1] = "south"
 	f.start(1)
 	time.Sleep(2 * probeInterval)
--- a/cmd/eidertrail/load_test.go
+++ b/cmd/eidertrail/load_test.go
@@ -190,7 +190,7 @@
 func newMetered(t *testing.T, work time.Duration, state string) *metered {
 	t.Helper()
 	pool := &metered{proc: fakeplatform.Processor{
-		Work: work, MaxWait: time.Second, SlowStartCapacity: 0.3, SlowStartWindow: 10 * time.Second,
+		ServiceTime: work, MaxWait: time.Second, SlowStartCapacity: 0.3, SlowStartWindow: 10 * time.Second,
 		OverloadMultiple: 3, OverloadWindow: 3 * time.Second,
 	}}
 	pool.OnRequest = func(request fakeplatform.Request) {
--- a/cmd/eidertrail/rollout.go
+++ b/cmd/eidertrail/rollout.go
@@ -51,7 +51,7 @@
 			strings.Join(plan.Controllers[from:to], " "), file.MinTime, file.MinCalls)
 		from = to
 	}
-	for _, controller := range file.Controller {
+	for _, controller := range file.Controllers {
 		restart, reason, err := file.Restarts(controller)
 		if err != nil {
 			return err
@@ -88,8 +88,8 @@
 	}
 	for _, controller := range state.Controllers {
 		transition := ""
-		if controller.Moving != "" {
-			transition = "(being made " + string(controller.Moving) + ")"
+		if controller.TransitionTo != "" {
+			transition = "(being made " + string(controller.TransitionTo) + ")"
 		}
 		printf(out, "%s: %s %s\n", controller.Name, controller.Version, transition)
 	}
--- a/cmd/eidertrail/rollout_test.go
+++ b/cmd/eidertrail/rollout_test.go
@@ -400,7 +400,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if restart, why, err := f.Restarts(f.Controller[0]); restart || err != nil {
+	if restart, why, err := f.Restarts(f.Controllers[0]); restart || err != nil {
 		t.Errorf("restart %v, %s, %v", restart, why, err)
 	}
 	pids := []int{controllers.pid(0), controllers.pid(1), controllers.pid(2)}
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -17,9 +17,9 @@
 	case a.calls.find(id) != nil:
 		// The final answer to the call that has this id is still to come: another would be a second one.
 		a.counters.Add(telemetry.Duplicates)
-		return false, ErrDuplicate
+		return false, ErrDuplicateID
 	case a.calls.count() >= a.maxCalls:
-		return false, ErrTooMany
+		return false, ErrTooManyCalls
 	case conn == nil:
 		return false, nil // the caller has left meanwhile, or sends again what crossed the closing of its connection
 	case a.calls.cancelledEarly(id):
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -13,7 +13,7 @@
 // Attempt is one attempt to set a call up.
 type Attempt struct {
 	Setup
-	Pool      string // the endpoint's uid
+	Endpoint  string // the endpoint's uid
 	Number    int    // 0 for the first
 	DecidedAt int64  // when it was decided
 	Deadline  int64  // it times out then
--- a/dispatch/call_table.go
+++ b/dispatch/call_table.go
@@ -89,12 +89,12 @@
 // wrong with it.
 func (t *CallTable) Setup(callerConn CallerConn, setup SetupRequest) error {
 	if !IsToken(setup.ID) {
-		return ErrID
+		return ErrInvalidID
 	}
 	// This comes before all other checks: the one answer to the call that has this id is still to come.
 	if t.isTaken(setup.ID) {
 		t.counters.Add(telemetry.Duplicates)
-		return ErrDuplicate
+		return ErrDuplicateID
 	}
 	t.counters.Add(telemetry.SetupsTaken)
 	class, err := setup.validate(t.classes)
@@ -105,7 +105,7 @@
 	request := Request{
 		Call:     t.dispatcher.NewCall(),
 		Class:    class,
-		Pool:     setup.Pool,
+		Group:    setup.Group,
 		Key:      NumberKey(number),
 		Deadline: setup.deadline(),
 	}
@@ -157,7 +157,7 @@
 		return false, ErrCallEnded
 	case call == nil:
 		t.calls.cancelEarly(id)
-		return false, ErrUnknown
+		return false, ErrUnknownCall
 	case call.state != tableCallEstablished:
 		call.abandon()
 		return false, nil
--- a/dispatch/call_table_test.go
+++ b/dispatch/call_table_test.go
@@ -115,7 +115,7 @@
 		if _, err := r.table.Release("c1", cause); !errors.Is(err, ErrCallEnded) {
 			t.Errorf("second release: %v", err)
 		}
-		if _, err := r.table.Release("c2", cause); !errors.Is(err, ErrUnknown) {
+		if _, err := r.table.Release("c2", cause); !errors.Is(err, ErrUnknownCall) {
 			t.Errorf("release of nobody's call: %v", err)
 		}
 	})
@@ -196,10 +196,10 @@
 		conn := r.connect()
 		valid := SetupRequest{ID: "c1", Class: "voice", TimeoutMillis: 1000, ReceivedAt: r.Now()}
 		for want, invalidate := range map[error]func(*SetupRequest){
-			ErrID:     func(s *SetupRequest) { s.ID = "a b" },
-			ErrClass:  func(s *SetupRequest) { s.Class = "fax" },
-			ErrLeft:   func(s *SetupRequest) { s.TimeoutMillis = -1 },
-			ErrNumber: func(s *SetupRequest) { s.Number = "1\r\nBYE" },
+			ErrInvalidID:      func(s *SetupRequest) { s.ID = "a b" },
+			ErrUnknownClass:   func(s *SetupRequest) { s.Class = "fax" },
+			ErrInvalidTimeout: func(s *SetupRequest) { s.TimeoutMillis = -1 },
+			ErrInvalidNumber:  func(s *SetupRequest) { s.Number = "1\r\nBYE" },
 		} {
 			request := valid
 			invalidate(&request)
@@ -211,11 +211,11 @@
 			t.Error(err)
 		}
 		// Even one that is wrong otherwise.
-		if err := r.table.Setup(conn, SetupRequest{ID: "c1", Class: "fax"}); !errors.Is(err, ErrDuplicate) {
+		if err := r.table.Setup(conn, SetupRequest{ID: "c1", Class: "fax"}); !errors.Is(err, ErrDuplicateID) {
 			t.Errorf("again: %v", err)
 		}
 		r.table.admission.maxCalls = 1
-		if err := r.trySetup(conn, "c2"); !errors.Is(err, ErrTooMany) || errors.Is(err, ErrNotEstablished) {
+		if err := r.trySetup(conn, "c2"); !errors.Is(err, ErrTooManyCalls) || errors.Is(err, ErrNotEstablished) {
 			t.Errorf("past the bound: %v", err)
 		}
 	})
--- a/dispatch/characterization_cases_test.go
+++ b/dispatch/characterization_cases_test.go
@@ -34,7 +34,7 @@
 // routingConfig has a spill share and numbers of agents whose products add up to the same sum in every order.
 func routingConfig() *routing.Config {
 	return &routing.Config{
-		Zone: "batumi", Tiers: map[string][][]string{"batumi": {{"tbilisi"}, {"kutaisi"}}},
+		Zone: "batumi", PriorityLevels: map[string][][]string{"batumi": {{"tbilisi"}, {"kutaisi"}}},
 		SpillBudget: 0.5, SpillDelay: 100 * millisecond, Window: 10 * second, EjectionThreshold: 0.5, MinSamples: 6,
 		EjectionTime: 3 * second, MaxEjectionTime: 20 * second, FlapWindow: 30 * second,
 		SlowStartWindow: 5 * second, SlowStartCapacity: 0.25, Classes: 4, Nodes: 1,
@@ -43,7 +43,7 @@
 
 func scenarios() []scenario {
 	classTiers := routingConfig()
-	classTiers.ClassTiers = map[int]map[string][][]string{1: {}, 2: {"batumi": {{"kutaisi", "tbilisi"}}}}
+	classTiers.ClassPriorityLevels = map[int]map[string][][]string{1: {}, 2: {"batumi": {{"kutaisi", "tbilisi"}}}}
 	return []scenario{
 		{name: "routing off", settings: baseSettings(), rate: 16},
 		{name: "routing off, another site", settings: otherSettings(), rate: 20},
--- a/dispatch/characterization_engine_test.go
+++ b/dispatch/characterization_engine_test.go
@@ -162,7 +162,7 @@
 	w.plan(w.now+int64(gap*1e6), w.arrive)
 	w.calls++
 	call := &modelCall{Request: dispatch.Request{
-		Call: w.calls, Class: w.random.IntN(len(w.settings.Classes)), Pool: w.random.IntN(5) - 1,
+		Call: w.calls, Class: w.random.IntN(len(w.settings.Classes)), Group: w.random.IntN(5) - 1,
 		Key: w.random.Uint64N(50), Deadline: w.now + 200*millisecond + w.random.Int64N(4*second),
 	}}
 	if w.chance(0.01) {
@@ -201,7 +201,7 @@
 		return
 	}
 	w.call.inFlight = &decision
-	i := slices.IndexFunc(w.endpoints, func(endpoint *modelEndpoint) bool { return endpoint.UID == decision.Pool })
+	i := slices.IndexFunc(w.endpoints, func(endpoint *modelEndpoint) bool { return endpoint.UID == decision.Endpoint })
 	w.call.endpoint = w.endpoints[i]
 	after, outcome := w.fate(w.call.endpoint)
 	if limit := decision.Timeout; limit > 0 && after >= limit {
@@ -268,12 +268,12 @@
 			outcome = dispatch.Reset
 		}
 		w.engine.Report(w.now, dispatch.Result{
-			Call:    call.Call,
-			Attempt: attempt,
-			Pool:    endpoint.UID,
-			Outcome: outcome,
-			Took:    2 * second,
-			Load:    endpoint.load(),
+			Call:     call.Call,
+			Attempt:  attempt,
+			Endpoint: endpoint.UID,
+			Outcome:  outcome,
+			Took:     2 * second,
+			Load:     endpoint.load(),
 		})
 	})
 }
@@ -293,7 +293,7 @@
 		state = dispatch.UnknownLoad
 	}
 	w.engine.Report(w.now, dispatch.Result{
-		Call: call.Call, Attempt: call.inFlight.Attempt, Pool: call.endpoint.UID, Outcome: outcome,
+		Call: call.Call, Attempt: call.inFlight.Attempt, Endpoint: call.endpoint.UID, Outcome: outcome,
 		Took: w.now - call.inFlight.DecidedAt, Load: state, CallerGone: left,
 	})
 }
@@ -365,10 +365,10 @@
 	w.engine.ObserveCapacity(w.now, "nobody", 3)
 	w.engine.Withdraw(w.now, w.calls+1000)
 	w.engine.Report(w.now, dispatch.Result{
-		Call: w.calls + 1000, Pool: "p1", Outcome: dispatch.Ended, Load: dispatch.UnknownLoad,
+		Call: w.calls + 1000, Endpoint: "p1", Outcome: dispatch.Ended, Load: dispatch.UnknownLoad,
 	})
 	w.engine.Report(w.now, dispatch.Result{
-		Call: w.calls, Attempt: 7, Pool: "p1", Outcome: dispatch.TimedOut, Load: dispatch.UnknownLoad,
+		Call: w.calls, Attempt: 7, Endpoint: "p1", Outcome: dispatch.TimedOut, Load: dispatch.UnknownLoad,
 	})
 	w.engine.Forget(w.calls + 1000)
 }
@@ -413,7 +413,7 @@
 		results.text("failed")
 		w.decided[2]++
 	}
-	results.text(decision.Pool)
+	results.text(decision.Endpoint)
 	for _, n := range []int64{
 		int64(decision.Attempt), decision.Timeout, decision.DecidedAt, decision.SendBy, decision.RetryAfter,
 	} {
--- a/dispatch/characterization_table_test.go
+++ b/dispatch/characterization_table_test.go
@@ -123,7 +123,7 @@
 	r.mu.Lock()
 	r.attempts[sent.ID] = invited
 	r.message("pool %s <- attempt %d of %s: number %s, class %s, until %d us",
-		sent.Pool, sent.Number, sent.ID, sent.Setup.Number, sent.Class, sent.Deadline-r.start)
+		sent.Endpoint, sent.Number, sent.ID, sent.Setup.Number, sent.Class, sent.Deadline-r.start)
 	r.mu.Unlock()
 	until := time.NewTimer(time.Duration(sent.Deadline-r.dispatcher.Now()) * time.Microsecond)
 	defer until.Stop()
@@ -221,7 +221,7 @@
 		ID:            id,
 		Class:         "voice",
 		Number:        "7f",
-		Pool:          0,
+		Group:         0,
 		TimeoutMillis: 3000,
 		ReceivedAt:    r.dispatcher.Now(),
 		SDP:           "offer",
--- a/dispatch/connection_registry.go
+++ b/dispatch/connection_registry.go
@@ -53,7 +53,7 @@
 func (r *connectionRegistry) checkCapacity(conn *connection) error {
 	switch {
 	case conn.unsettled >= maxUnsettled:
-		return ErrTooMany
+		return ErrTooManyCalls
 	case conn.verified:
 		return nil
 	case conn.unsettled >= maxUnverified, r.unverifiedOpen >= maxAllUnverified, conn.errors >= maxErrors:
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -13,7 +13,7 @@
 // Decision is the decision for a call.
 type Decision struct {
 	Kind        DecisionKind
-	Pool        string // the uid of the endpoint that gets the attempt
+	Endpoint    string // the uid of the endpoint that gets the attempt
 	Attempt     int
 	Timeout     int64 // of the attempt, 0: until the caller's deadline
 	DecidedAt   int64 // when it was decided; Result.Took counts from here
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -19,17 +19,17 @@
 	onRig(t, func(r *rig) {
 		request := r.request(0, time.Second)
 		decision, err := r.Pick(context.Background(), request)
-		if err != nil || decision.Kind != DecisionSend || decision.Pool != "a" || decision.Attempt != 0 {
+		if err != nil || decision.Kind != DecisionSend || decision.Endpoint != "a" || decision.Attempt != 0 {
 			t.Fatalf("%+v, %v", decision, err)
 		}
 
-		r.Report(Result{Call: request.Call, Pool: "a", Outcome: NoAgent, Load: LoadReport{0, 20}})
+		r.Report(Result{Call: request.Call, Endpoint: "a", Outcome: NoAgent, Load: LoadReport{0, 20}})
 		decision, err = r.Pick(context.Background(), request)
-		if err != nil || decision.Pool != "b" || decision.Attempt != 1 {
+		if err != nil || decision.Endpoint != "b" || decision.Attempt != 1 {
 			t.Fatalf("second: %+v, %v", decision, err)
 		}
 
-		r.Report(Result{Call: request.Call, Attempt: 1, Pool: "b", Outcome: NoAgent, Load: UnknownLoad})
+		r.Report(Result{Call: request.Call, Attempt: 1, Endpoint: "b", Outcome: NoAgent, Load: UnknownLoad})
 		decision, err = r.Pick(context.Background(), request)
 		if err != nil || decision.Kind != DecisionReject ||
 			!decision.NoAgentFree || decision.RetryAfter < minRetryAfterMicros {
@@ -48,7 +48,7 @@
 			r.pick(q)
 			before := r.Now()
 
-			r.Report(Result{Call: q.Call, Pool: "a", Outcome: outcome, Took: 1000, Load: UnknownLoad})
+			r.Report(Result{Call: q.Call, Endpoint: "a", Outcome: outcome, Took: 1000, Load: UnknownLoad})
 			decision, err := r.Pick(context.Background(), q)
 
 			waited := decision.DecidedAt - before
@@ -103,7 +103,7 @@
 
 		decision, err := r.Pick(context.Background(), r.request(0, time.Minute))
 
-		if err != nil || decision.Kind != DecisionSend || decision.Pool != "a" {
+		if err != nil || decision.Kind != DecisionSend || decision.Endpoint != "a" {
 			t.Errorf("after 50 that left: %+v, %v", decision, err)
 		}
 	})
@@ -151,14 +151,14 @@
 	r.list(eidertrail.Ready, eidertrail.Ready)
 	time.Sleep(r.gatherDelay)
 	request := r.request(0, 5*time.Second)
-	if decision, err := r.Pick(context.Background(), request); err != nil || decision.Pool != "a" {
+	if decision, err := r.Pick(context.Background(), request); err != nil || decision.Endpoint != "a" {
 		r.t.Errorf("first %+v, %v", decision, err)
 	}
 	outcome, resumesAfter := TimedOut, r.gatherDelay // when the loop decides
 	if decided {
 		outcome = NoAgent
 	}
-	r.Report(Result{Call: request.Call, Pool: "a", Outcome: outcome, Took: 1000, Load: LoadReport{0, 20}})
+	r.Report(Result{Call: request.Call, Endpoint: "a", Outcome: outcome, Took: 1000, Load: LoadReport{0, 20}})
 	caller, leave := context.WithCancel(context.Background())
 	defer leave()
 	picked := make(chan error, 1)
@@ -254,7 +254,7 @@
 	onRigWith(t, set, func(r *rig) {
 		r.list(eidertrail.Draining, eidertrail.Draining)
 		q := r.request(0, time.Second)
-		q.Pool = 1
+		q.Group = 1
 		decisions := make(chan Decision, 1)
 		go func() {
 			decision, err := r.Pick(context.Background(), q)
@@ -270,7 +270,7 @@
 		time.Sleep(100 * time.Microsecond)
 		r.UpdateEndpoints([]Endpoint{{UID: "b", Group: 1}}, false)
 
-		if decision := <-decisions; decision.Kind != DecisionSend || decision.Pool != "b" {
+		if decision := <-decisions; decision.Kind != DecisionSend || decision.Endpoint != "b" {
 			t.Errorf("sent to %+v, first choice is b", decision)
 		}
 	})
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -82,7 +82,7 @@
 	e.events = append(e.events, eidertrail.Call{
 		ID:      eidertrail.CallID(r.Call),
 		Class:   r.Class,
-		Pool:    r.Pool,
+		Pool:    r.Group,
 		Key:     r.Key,
 		Timeout: duration(r.Deadline - now),
 	})
@@ -135,7 +135,7 @@
 		return
 	}
 	if r.Load != UnknownLoad {
-		e.filters.observeLoad(r.Pool, r.Load)
+		e.filters.observeLoad(r.Endpoint, r.Load)
 	}
 	e.filters.recordAnswered(now, reported)
 	reported.state = callEstablished
@@ -158,11 +158,11 @@
 	r.Outcome.describe(&event)
 	if r.Load != UnknownLoad {
 		event.Report = &eidertrail.Report{
-			Server: eidertrail.ServerID(r.Pool),
+			Server: eidertrail.ServerID(r.Endpoint),
 			Free:   r.Load.Free,
 			Agents: r.Load.Agents,
 		}
-		e.filters.observeLoad(r.Pool, r.Load)
+		e.filters.observeLoad(r.Endpoint, r.Load)
 	}
 	reported.attemptEnded(r.Outcome, now+e.settings.ReleaseWait.Microseconds())
 	e.events = append(e.events, event)
@@ -306,7 +306,7 @@
 	delete(e.waiting, sent.Call)
 	sent.Decide(Decision{
 		Kind:      DecisionSend,
-		Pool:      uid,
+		Endpoint:  uid,
 		Attempt:   sent.attempt,
 		Timeout:   action.Timeout.Microseconds(),
 		DecidedAt: now,
--- a/dispatch/established_call.go
+++ b/dispatch/established_call.go
@@ -41,11 +41,11 @@
 
 func (c *EstablishedCall) report(ending Ending) {
 	c.dispatcher.Report(Result{
-		Call:    c.call,
-		Attempt: c.attempt.Number,
-		Pool:    c.attempt.Pool,
-		Outcome: ending.Outcome,
-		Took:    ending.At - c.attempt.DecidedAt,
-		Load:    ending.Load,
+		Call:     c.call,
+		Attempt:  c.attempt.Number,
+		Endpoint: c.attempt.Endpoint,
+		Outcome:  ending.Outcome,
+		Took:     ending.At - c.attempt.DecidedAt,
+		Load:     ending.Load,
 	})
 }
--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -124,11 +124,11 @@
 			site:       deployment,
 			processors: map[string]*fakeplatform.Processor{},
 			rules: invariant.New(invariant.Config{
-				ReleaseWait: deployment.releaseWait.Microseconds(),
-				MaxAttempts: 2,
-				Late:        20_000,
-				LeftGrace:   100_000,
-				SlowStart:   deployment.slowStart(),
+				ReleaseWait:      deployment.releaseWait.Microseconds(),
+				MaxAttempts:      2,
+				AnswerTolerance:  20_000,
+				AbandonTolerance: 100_000,
+				SlowStart:        deployment.slowStart(),
 			}),
 			finals: map[FinalKind]int{},
 			sent:   map[string][]time.Time{},
@@ -153,8 +153,8 @@
 		time.Sleep(time.Second)
 		f.rules.Finish(f.dispatchers[0].Now())
 		n, violations := f.rules.Violations()
-		if n > 0 || len(f.errors) > 0 || f.rules.Seen() != f.calls {
-			t.Errorf("%d calls taken of %d; %d rules broken: %v %v", f.rules.Seen(), f.calls, n, violations, f.errors)
+		if n > 0 || len(f.errors) > 0 || f.rules.AcceptedCalls() != f.calls {
+			t.Errorf("%d calls taken of %d; %d rules broken: %v %v", f.rules.AcceptedCalls(), f.calls, n, violations, f.errors)
 		}
 	})
 }
@@ -162,7 +162,7 @@
 // add lists an endpoint of that age to every controller, 0: started long ago.
 func (f *fleet) add(uid string, age time.Duration) {
 	processor := &fakeplatform.Processor{
-		Work:              10 * time.Millisecond,
+		ServiceTime:       10 * time.Millisecond,
 		MaxWait:           2500 * time.Millisecond,
 		SlowStartCapacity: f.slowStartCapacity,
 		SlowStartWindow:   f.slowStartWindow,
@@ -172,7 +172,7 @@
 	if age > 0 {
 		processor.Start(time.Now().Add(-age))
 		startedAt := f.dispatchers[0].Now() - age.Microseconds()
-		f.rules.EndpointStarted(startedAt, uid, float64(time.Second)/float64(processor.Work))
+		f.rules.EndpointStarted(startedAt, uid, float64(time.Second)/float64(processor.ServiceTime))
 	}
 	f.mu.Lock()
 	f.processors[uid] = processor
@@ -190,17 +190,17 @@
 // slow has every endpoint work that many times slower than it can.
 func (f *fleet) slow(times float64) {
 	for _, processor := range f.processors {
-		processor.Slow(times)
+		processor.SetServiceFactor(times)
 	}
 }
 
 // Invite is a set-up at an endpoint: it checks every attempt against the rules.
 func (f *fleet) Invite(ctx context.Context, attempt Attempt) (Leg, Ending) {
 	d := f.dispatchers[0]
-	f.rules.Sent(d.Now(), attempt.ID, "", attempt.Pool)
+	f.rules.AttemptSent(d.Now(), attempt.ID, "", attempt.Endpoint)
 	f.mu.Lock()
-	processor := f.processors[attempt.Pool]
-	f.sent[attempt.Pool] = append(f.sent[attempt.Pool], time.Now())
+	processor := f.processors[attempt.Endpoint]
+	f.sent[attempt.Endpoint] = append(f.sent[attempt.Endpoint], time.Now())
 	f.mu.Unlock()
 	delay, full := processor.Arrive(time.Now())
 	if full {
@@ -223,7 +223,7 @@
 // ended is the ending of an attempt with that outcome.
 func (f *fleet) ended(a Attempt, outcome Outcome) Ending {
 	now := f.dispatchers[0].Now()
-	f.rules.Ended(now, a.ID, outcome == TimedOut || outcome == Cancelled)
+	f.rules.AttemptEnded(now, a.ID, outcome == TimedOut || outcome == Cancelled)
 	if outcome == TimedOut {
 		f.mu.Lock()
 		f.timedOut++
@@ -241,7 +241,7 @@
 		number := f.calls
 		d := f.dispatchers[number%len(f.dispatchers)]
 		firstChoice := cmp.Or(f.firstChoice, number/len(f.dispatchers)%max(len(f.processors), 1))
-		r := Request{Call: d.NewCall(), Pool: firstChoice, Deadline: d.Now() + f.deadline.Microseconds()}
+		r := Request{Call: d.NewCall(), Group: firstChoice, Deadline: d.Now() + f.deadline.Microseconds()}
 		f.calls++
 		f.running.Go(func() { f.serve(d, number, r) })
 		time.Sleep(time.Second / time.Duration(rate))
@@ -264,7 +264,7 @@
 	}
 	final := Serve(ctx, dispatcher, f, r, Setup{ID: id})
 	if final.Kind != FinalCallerGone {
-		f.rules.Final(dispatcher.Now(), id, fmt.Sprint(final.Kind))
+		f.rules.CallAnswered(dispatcher.Now(), id, fmt.Sprint(final.Kind))
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -306,10 +306,10 @@
 					f.place(230, 2*s.slowStartWindow)
 					f.running.Wait()
 
-					if worst := f.processors["p2"].Worst(); worst > 1 || worst == 0 {
+					if worst := f.processors["p2"].MaxLoad(); worst > 1 || worst == 0 {
 						t.Errorf("the warming endpoint got %.2f of what overloads it", worst)
 					}
-					if ramp := f.rules.Ramp(); ramp.Starts != 1 || ramp.Sent == 0 {
+					if ramp := f.rules.SlowStartLoad(); ramp.Starts != 1 || ramp.Sent == 0 {
 						t.Errorf("%+v: the rules were not checked on the warming endpoint", ramp)
 					}
 					if f.finals[FinalEstablished] < f.calls*7/10 {
@@ -341,9 +341,9 @@
 					t.Errorf("%d callers left while their call waited, of %d that left: "+
 						"want 20, and some with an attempt in flight", abandoned.Waiting, left)
 				}
-				if abandoned.SentOn > 0 {
+				if abandoned.Forwarded > 0 {
 					t.Errorf("%d of %d calls were sent on 0.3 s after their caller had left",
-						abandoned.SentOn, abandoned.Waiting)
+						abandoned.Forwarded, abandoned.Waiting)
 				}
 			})
 		})
--- a/dispatch/fuzz_test.go
+++ b/dispatch/fuzz_test.go
@@ -45,8 +45,8 @@
 		return
 	}
 	if modelled.inFlight || modelled.attempts >= 2 || decision.DecidedAt < modelled.notBefore ||
-		!m.ready[decision.Pool] || modelled.request.Class == 1 && decision.Pool != "b" {
-		m.t.Errorf("sent to %s: %+v", decision.Pool, *modelled)
+		!m.ready[decision.Endpoint] || modelled.request.Class == 1 && decision.Endpoint != "b" {
+		m.t.Errorf("sent to %s: %+v", decision.Endpoint, *modelled)
 	}
 	modelled.inFlight, modelled.latest = true, decision.Attempt
 	modelled.attempts++
@@ -97,11 +97,11 @@
 	scripts := []string{
 		"000000010102", "00020103020404", "0005020001000301", "000101060001", "0006000002010301", "0007010200030104",
 	}
-	fakeplatform.Fuzz(f, scripts, func(t *testing.T, script []byte) {
+	fakeplatform.FuzzScripts(f, scripts, func(t *testing.T, script []byte) {
 		t.Helper()
 		runRig(t, settings(), func(r *rig) {
 			model := &ruleModel{rig: r, ready: map[string]bool{"a": true, "b": true}}
-			fakeplatform.Play(script, model.steps(), func() {})
+			fakeplatform.RunScript(script, model.steps(), func() {})
 			time.Sleep(10 * time.Second) // every caller's deadline has passed by now
 			synctest.Wait()
 			model.mu.Lock()
--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -43,14 +43,14 @@
 func (r *rig) mayRepeat(class, attempt int, outcomes ...Outcome) bool {
 	const releaseWait = 1_000_000 // longer than the settings'
 	now := r.Now()
-	q := Request{Call: r.NewCall(), Class: class, Pool: 1, Deadline: now + time.Second.Microseconds()}
+	q := Request{Call: r.NewCall(), Class: class, Group: 1, Deadline: now + time.Second.Microseconds()}
 	c := &call{Request: q, Decider: make(decisionSlot, 1), attempt: attempt}
 	r.engine.calls[q.Call] = c
 	defer delete(r.engine.calls, q.Call)
 	for _, outcome := range outcomes {
 		c.state = callSent
 		r.engine.Report(now-releaseWait, Result{
-			Call: q.Call, Attempt: c.attempt, Pool: "b", Outcome: outcome, Load: UnknownLoad,
+			Call: q.Call, Attempt: c.attempt, Endpoint: "b", Outcome: outcome, Load: UnknownLoad,
 		})
 	}
 	return r.engine.maySend(now, c, "b")
--- a/dispatch/liveness_filter_test.go
+++ b/dispatch/liveness_filter_test.go
@@ -13,10 +13,10 @@
 	r.t.Helper()
 	q := r.request(class, time.Second)
 	decision, err := r.Pick(context.Background(), q)
-	if err != nil || decision.Pool != want {
+	if err != nil || decision.Endpoint != want {
 		r.t.Errorf("%s: %+v, %v, want endpoint %s", when, decision, err, want)
 	}
-	r.Report(Result{Call: q.Call, Pool: decision.Pool, Outcome: Answered, Took: 20_000, Load: UnknownLoad})
+	r.Report(Result{Call: q.Call, Endpoint: decision.Endpoint, Outcome: Answered, Took: 20_000, Load: UnknownLoad})
 }
 
 // observe has the endpoints report their load, each or not, and waits until the next reports are due.
--- a/dispatch/quota_filter.go
+++ b/dispatch/quota_filter.go
@@ -120,7 +120,7 @@
 	next := max(f.nextDemand, now+1)
 	for uid, endpoint := range f.endpoints {
 		if rate, exhausted := f.exhausted(now, uid, endpoint); exhausted {
-			if at := endpoint.bucket.Next(rate); at > 0 {
+			if at := endpoint.bucket.NextReady(rate); at > 0 {
 				next = min(next, at)
 			}
 		}
--- a/dispatch/quota_filter_test.go
+++ b/dispatch/quota_filter_test.go
@@ -29,7 +29,7 @@
 			Self:        i,
 			Members:     len(dispatchers),
 			Incarnation: 1,
-			Unit:        1000,
+			OwnedUnits:  1000,
 			Reserved:    250,
 			TTL:         2_000_000,
 			Margin:      500_000,
@@ -180,7 +180,7 @@
 				f.running.Wait()
 				end()
 
-				worst := f.processors["p2"].Worst()
+				worst := f.processors["p2"].MaxLoad()
 				t.Logf("most sent to the warming endpoint: %.2f of what overloads it; %d of %d calls were established; "+
 					"sent p0 %d p1 %d p2 %d",
 					worst, f.finals[FinalEstablished], f.calls, len(f.sent["p0"]), len(f.sent["p1"]), len(f.sent["p2"]))
@@ -197,7 +197,7 @@
 	r.t.Helper()
 	q := r.request(0, time.Second)
 	decision := r.pick(q)
-	r.Report(Result{Call: q.Call, Pool: decision.Pool, Outcome: Answered, Took: 20_000, Load: UnknownLoad})
+	r.Report(Result{Call: q.Call, Endpoint: decision.Endpoint, Outcome: Answered, Took: 20_000, Load: UnknownLoad})
 	return decision
 }
 
@@ -208,7 +208,7 @@
 			t.Errorf("without budgets %+v", decision)
 		}
 		allocator, err := quota.NewSharedAllocator(quota.Config{
-			Members: 1, Unit: 1000, TTL: 2_000_000, Margin: 500_000,
+			Members: 1, OwnedUnits: 1000, TTL: 2_000_000, Margin: 500_000,
 		}, r.Now()-3_000_000)
 		if err != nil {
 			t.Fatal(err)
@@ -220,12 +220,12 @@
 		}
 		r.ObserveCapacity("a", 10)
 		time.Sleep(200 * time.Millisecond)
-		if decision := r.pickAndAnswer(); decision.Pool != "a" || decision.SendBy != decision.DecidedAt+cfg.SendWindow {
+		if decision := r.pickAndAnswer(); decision.Endpoint != "a" || decision.SendBy != decision.DecidedAt+cfg.SendWindow {
 			t.Errorf("an endpoint with a budget: %+v", decision)
 		}
 		time.Sleep(20 * time.Millisecond)
 		for sent := 0; ; sent++ { // two and a half set-ups may be sent at once
-			if decision := r.pickAndAnswer(); decision.Pool == "b" {
+			if decision := r.pickAndAnswer(); decision.Endpoint == "b" {
 				break
 			}
 			if sent == 2 {
@@ -256,7 +256,7 @@
 				for _, d := range f.dispatchers {
 					spillToNeighbour(t, d)
 				}
-				f.processors["a"] = &fakeplatform.Processor{Work: time.Millisecond, MaxWait: time.Second}
+				f.processors["a"] = &fakeplatform.Processor{ServiceTime: time.Millisecond, MaxWait: time.Second}
 				f.keepCalls = true
 				all := f.dispatchers
 				f.dispatchers = f.dispatchers[:1]
@@ -279,7 +279,7 @@
 	t.Helper()
 	router, err := routing.New(routing.Config{
 		Zone:              "home",
-		Tiers:             map[string][][]string{"home": {{"away"}}},
+		PriorityLevels:    map[string][][]string{"home": {{"away"}}},
 		SpillBudget:       0.5,
 		Window:            10_000_000,
 		EjectionThreshold: 0.5,
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -6,7 +6,7 @@
 type Request struct {
 	Call     uint64 // from NewCall
 	Class    int
-	Pool     int    // the pool group of first choice
+	Group    int    // the pool group of first choice
 	Key      uint64 // the number called, 0 for none
 	Deadline int64  // the caller stops waiting then
 }
@@ -21,7 +21,7 @@
 type Result struct {
 	Call       uint64
 	Attempt    int
-	Pool       string
+	Endpoint   string
 	Outcome    Outcome
 	Took       int64 // since Decision.DecidedAt
 	Load       LoadReport
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -243,7 +243,7 @@
 
 // request is a new call of the class, with the pool group of the same number as its first choice.
 func (r *rig) request(class int, timeout time.Duration) Request {
-	return Request{Call: r.NewCall(), Class: class, Pool: class, Deadline: r.Now() + timeout.Microseconds()}
+	return Request{Call: r.NewCall(), Class: class, Group: class, Deadline: r.Now() + timeout.Microseconds()}
 }
 
 // pick waits for a decision for the call, which must come.
@@ -278,7 +278,7 @@
 		ID:            id,
 		Class:         "voice",
 		Number:        "7f",
-		Pool:          0,
+		Group:         0,
 		TimeoutMillis: 3000,
 		ReceivedAt:    r.Now(),
 	})
--- a/dispatch/routing_filter_test.go
+++ b/dispatch/routing_filter_test.go
@@ -98,7 +98,7 @@
 		if len(result.violations) > 0 {
 			t.Errorf("%v: rules broken: %v", leaveAfter, result.violations)
 		}
-		if result.left < 10 || result.abandoned.SentOn > 0 {
+		if result.left < 10 || result.abandoned.Forwarded > 0 {
 			t.Errorf("%v: %d have left, %+v: want 10 that left, and none sent on",
 				leaveAfter, result.left, result.abandoned)
 		}
@@ -110,17 +110,17 @@
 func TestRoutingFilter_TiersOfAClass(t *testing.T) {
 	onRig(t, func(r *rig) {
 		router, err := routing.New(routing.Config{
-			Zone:              "batumi",
-			Tiers:             map[string][][]string{},
-			ClassTiers:        map[int]map[string][][]string{0: {"batumi": {{"tbilisi"}}}},
-			SpillBudget:       1,
-			Window:            10_000_000,
-			EjectionThreshold: 0.5,
-			MinSamples:        4,
-			FlapWindow:        1,
-			SlowStartCapacity: 1,
-			Nodes:             1,
-			Classes:           2,
+			Zone:                "batumi",
+			PriorityLevels:      map[string][][]string{},
+			ClassPriorityLevels: map[int]map[string][][]string{0: {"batumi": {{"tbilisi"}}}},
+			SpillBudget:         1,
+			Window:              10_000_000,
+			EjectionThreshold:   0.5,
+			MinSamples:          4,
+			FlapWindow:          1,
+			SlowStartCapacity:   1,
+			Nodes:               1,
+			Classes:             2,
 		}, []string{"batumi", "tbilisi"})
 		if err != nil {
 			t.Fatal(err)
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -117,7 +117,7 @@
 func (c *servedCall) newAttempt(decision Decision) Attempt {
 	attempt := Attempt{
 		Setup:     c.setup,
-		Pool:      decision.Pool,
+		Endpoint:  decision.Endpoint,
 		Number:    decision.Attempt,
 		DecidedAt: decision.DecidedAt,
 		Deadline:  c.request.Deadline,
@@ -136,7 +136,7 @@
 	c.result = Result{
 		Call:       c.request.Call,
 		Attempt:    c.attempt.Number,
-		Pool:       c.attempt.Pool,
+		Endpoint:   c.attempt.Endpoint,
 		Outcome:    ending.Outcome,
 		Took:       ending.At - c.attempt.DecidedAt,
 		Load:       ending.Load,
--- a/dispatch/setup_request.go
+++ b/dispatch/setup_request.go
@@ -13,7 +13,7 @@
 	ID            string // the caller's name for the call
 	Class         string
 	Number        string  // the number called, "" for none
-	Pool          int     // the pool group of first choice, -1 for none
+	Group         int     // the pool group of first choice, -1 for none
 	TimeoutMillis float64 // how long the caller waits, from ReceivedAt on
 	ReceivedAt    int64   // clock reading when it had been received completely
 	SDP           string
@@ -21,17 +21,17 @@
 
 // What can be wrong with a set-up or with what follows it.
 var (
-	ErrID        = errors.New("id: want 1 to 64 letters, digits or -._+")
-	ErrClass     = errors.New("class: not known")
-	ErrLeft      = errors.New("left: want milliseconds, 0 or more")
-	ErrNumber    = errors.New("number: want at most 64 letters, digits or -._+")
-	ErrDuplicate = errors.New("id: in use")
-	ErrTooMany   = errors.New("too many calls")
-	ErrUnknown   = errors.New("id: not known")
-	ErrCallEnded = errors.New("id: the call is over")
-	ErrSDP       = errors.New("sdp: too long")
+	ErrInvalidID      = errors.New("id: want 1 to 64 letters, digits or -._+")
+	ErrUnknownClass   = errors.New("class: not known")
+	ErrInvalidTimeout = errors.New("left: want milliseconds, 0 or more")
+	ErrInvalidNumber  = errors.New("number: want at most 64 letters, digits or -._+")
+	ErrDuplicateID    = errors.New("id: in use")
+	ErrTooManyCalls   = errors.New("too many calls")
+	ErrUnknownCall    = errors.New("id: not known")
+	ErrCallEnded      = errors.New("id: the call is over")
+	ErrSDPTooLong     = errors.New("sdp: too long")
 	// ErrNotEstablished is ErrTooMany for a connection on which no call was answered yet.
-	ErrNotEstablished = fmt.Errorf("%w for a connection that had none answered", ErrTooMany)
+	ErrNotEstablished = fmt.Errorf("%w for a connection that had none answered", ErrTooManyCalls)
 )
 
 const (
@@ -52,13 +52,13 @@
 	class, known := classes[s.Class]
 	switch {
 	case !known:
-		return 0, ErrClass
+		return 0, ErrUnknownClass
 	case !(s.TimeoutMillis >= 0 && s.TimeoutMillis <= maxTimeoutMillis): // NaN is neither
-		return 0, ErrLeft
+		return 0, ErrInvalidTimeout
 	case s.Number != "" && !IsToken(s.Number):
-		return 0, ErrNumber
+		return 0, ErrInvalidNumber
 	case len(s.SDP) > maxSDPBytes:
-		return 0, ErrSDP
+		return 0, ErrSDPTooLong
 	}
 	return class, nil
 }
--- a/dispatch/zone_model_test.go
+++ b/dispatch/zone_model_test.go
@@ -60,10 +60,10 @@
 		returnedAt: map[string]time.Time{},
 		inFlight:   map[string]int{},
 		rules: invariant.New(invariant.Config{
-			ReleaseWait: 300_000,
-			MaxAttempts: 2,
-			Late:        20_000,
-			LeftGrace:   100_000,
+			ReleaseWait:      300_000,
+			MaxAttempts:      2,
+			AnswerTolerance:  20_000,
+			AbandonTolerance: 100_000,
 			SlowStart: slowstart.Profile{
 				InitialCapacity:  float64(zoneWarmUpAgents) / zoneAgents,
 				Window:           zoneWarmUp.Microseconds(),
@@ -134,10 +134,10 @@
 }
 
 func (z *zoneModel) Invite(ctx context.Context, attempt Attempt) (Leg, Ending) {
-	z.rules.Sent(z.dispatcher.Now(), attempt.ID, "", attempt.Pool)
-	arrived := z.arrive(attempt.Pool)
+	z.rules.AttemptSent(z.dispatcher.Now(), attempt.ID, "", attempt.Endpoint)
+	arrived := z.arrive(attempt.Endpoint)
 	end := func(outcome Outcome) Ending {
-		z.rules.Ended(z.dispatcher.Now(), attempt.ID, outcome == Cancelled)
+		z.rules.AttemptEnded(z.dispatcher.Now(), attempt.ID, outcome == Cancelled)
 		return Ending{
 			Outcome: outcome,
 			At:      z.dispatcher.Now(),
@@ -152,7 +152,7 @@
 	case <-time.After(delay):
 	case <-ctx.Done():
 		if arrived.accepted() {
-			z.release(attempt.Pool)
+			z.release(attempt.Endpoint)
 		}
 		return nil, end(Cancelled)
 	}
@@ -162,7 +162,7 @@
 	case arrived.full:
 		return nil, end(NoAgent)
 	default:
-		return z.establish(attempt.Pool, arrived), end(Answered)
+		return z.establish(attempt.Endpoint, arrived), end(Answered)
 	}
 }
 
@@ -264,7 +264,7 @@
 	toWarming, overWarming, atHome int
 	violations                     []string
 	abandoned                      invariant.AbandonedRequests
-	ramp                           invariant.Ramp
+	ramp                           invariant.SlowStartLoad
 	routing                        routing.Counts
 }
 
@@ -352,7 +352,7 @@
 	model.rules.Finish(run.dispatcher.Now())
 	result := run.result
 	_, result.violations = model.rules.Violations()
-	result.abandoned, result.ramp = model.rules.Abandoned(), model.rules.Ramp()
+	result.abandoned, result.ramp = model.rules.Abandoned(), model.rules.SlowStartLoad()
 	result.toWarming, result.overWarming, result.atHome = model.toWarming, model.overWarming, model.atHome
 	if router != nil {
 		result.routing = router.Counts()
@@ -364,7 +364,7 @@
 	t.Helper()
 	router, err := routing.New(routing.Config{
 		Zone:              "batumi",
-		Tiers:             map[string][][]string{"batumi": {{"tbilisi", "kutaisi"}, {"telavi"}}},
+		PriorityLevels:    map[string][][]string{"batumi": {{"tbilisi", "kutaisi"}, {"telavi"}}},
 		SpillBudget:       0.5,
 		Window:            10_000_000,
 		EjectionThreshold: 0.5,
@@ -389,7 +389,7 @@
 	dispatcher, rules, id := run.dispatcher, run.model.rules, strconv.Itoa(number)
 	placedAt := time.Since(run.startedAt)
 	deadline := dispatcher.Now() + zoneCallsDeadline.Microseconds()
-	r := Request{Call: dispatcher.NewCall(), Class: 0, Pool: -1, Deadline: deadline}
+	r := Request{Call: dispatcher.NewCall(), Class: 0, Group: -1, Deadline: deadline}
 	rules.CallAccepted(dispatcher.Now(), id, r.Deadline)
 	ctx, leave := context.WithCancel(context.Background())
 	defer leave()
@@ -402,7 +402,7 @@
 	}
 	final := Serve(ctx, dispatcher, run.model, r, Setup{ID: id})
 	if final.Kind != FinalCallerGone {
-		rules.Final(dispatcher.Now(), id, fmt.Sprint(final.Kind))
+		rules.CallAnswered(dispatcher.Now(), id, fmt.Sprint(final.Kind))
 	}
 	run.count(final, placedAt, time.Since(run.startedAt)-placedAt)
 	if final.Kind == FinalEstablished {
--- a/example/srvdns/main.go
+++ b/example/srvdns/main.go
@@ -29,7 +29,7 @@
 type zone struct {
 	name    string
 	ttl     uint32 // seconds
-	targets []fakeplatform.Target
+	targets []fakeplatform.SRVTarget
 }
 
 func main() {
@@ -58,7 +58,7 @@
 		if err != nil || portErr != nil {
 			return fmt.Errorf("-pools: %q is not address:port", address)
 		}
-		z.targets = append(z.targets, fakeplatform.Target{
+		z.targets = append(z.targets, fakeplatform.SRVTarget{
 			Host:       fmt.Sprintf("p%d.pools.example.org", i),
 			Port:       uint16(number),
 			Priority:   targetPriority,
--- a/example/toypool/pool.go
+++ b/example/toypool/pool.go
@@ -128,10 +128,10 @@
 			end.Stop()
 			delete(p.established, request.CallID)
 		}
-		send(connection, sip.Answer(request, statusOK, "OK"))
+		send(connection, sip.NewResponse(request, statusOK, "OK"))
 		log.Printf("BYE %s", request.CallID)
 	case "OPTIONS":
-		send(connection, sip.Answer(request, statusOK, "OK"))
+		send(connection, sip.NewResponse(request, statusOK, "OK"))
 	}
 }
 
@@ -139,10 +139,10 @@
 func (p *pool) setUp(connection net.Conn, invite *sip.Message) *sip.Message {
 	var answer *sip.Message
 	if len(p.established) >= p.agents {
-		answer = sip.Answer(invite, statusServiceUnavailable, "Service Unavailable")
+		answer = sip.NewResponse(invite, statusServiceUnavailable, "Service Unavailable")
 		answer.Headers = append(answer.Headers, sip.Header{Name: "X-Note", Value: "blocked"})
 	} else {
-		answer = sip.Answer(invite, statusOK, "OK")
+		answer = sip.NewResponse(invite, statusOK, "OK")
 		answer.Body = []byte(description)
 		p.established[invite.CallID] = time.AfterFunc(p.hold, func() { p.release(connection, invite.CallID) })
 	}
@@ -157,12 +157,12 @@
 	defer p.mu.Unlock()
 	delete(p.established, callID)
 	bye := &sip.Message{
-		Method:  "BYE",
-		URI:     exchangeURI,
-		CallID:  callID,
-		CSeq:    byeSequence,
-		Of:      "BYE",
-		Headers: []sip.Header{{Name: "Reason", Value: "Q.850;cause=16"}, p.state()},
+		Method:     "BYE",
+		URI:        exchangeURI,
+		CallID:     callID,
+		CSeq:       byeSequence,
+		CSeqMethod: "BYE",
+		Headers:    []sip.Header{{Name: "Reason", Value: "Q.850;cause=16"}, p.state()},
 	}
 	if !slices.Contains(p.connections, connection) && len(p.connections) > 0 {
 		connection = p.connections[len(p.connections)-1]
@@ -184,12 +184,12 @@
 
 func (p *pool) loadReport() *sip.Message {
 	return &sip.Message{
-		Method:  "NOTIFY",
-		URI:     exchangeURI,
-		CallID:  "0000000000000000",
-		CSeq:    notifySequence,
-		Of:      "NOTIFY",
-		Headers: []sip.Header{p.state()},
+		Method:     "NOTIFY",
+		URI:        exchangeURI,
+		CallID:     "0000000000000000",
+		CSeq:       notifySequence,
+		CSeqMethod: "NOTIFY",
+		Headers:    []sip.Header{p.state()},
 	}
 }
 
--- a/internal/backend/sip/characterization_test.go
+++ b/internal/backend/sip/characterization_test.go
@@ -40,7 +40,7 @@
 func fields(m *sip.Message) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "method %q uri %q status %d reason %q call-id %q cseq %d of %q cause %d\n",
-		m.Method, m.URI, m.Status, m.Reason, m.CallID, m.CSeq, m.Of, m.Cause())
+		m.Method, m.URI, m.Status, m.Reason, m.CallID, m.CSeq, m.CSeqMethod, m.Cause())
 	for _, h := range m.Headers {
 		fmt.Fprintf(&b, "header %q %q\n", h.Name, h.Value)
 	}
@@ -114,7 +114,7 @@
 		{"over 16 KiB by its length", "NOTIFY x SIP/2.0\r\nContent-Length: 16384\r\n\r\n"},
 		{"the longest body", "NOTIFY x SIP/2.0\r\nContent-Length: 16341\r\n\r\n" + strings.Repeat("y", 16341)},
 		{"a byte more", "NOTIFY x SIP/2.0\r\nContent-Length: 16342\r\n\r\n" + strings.Repeat("y", 16342)},
-		{"a header of over 16 KiB", "NOTIFY x SIP/2.0\r\nX: " + strings.Repeat("x", sip.MaxMessage) + "\r\n" + end},
+		{"a header of over 16 KiB", "NOTIFY x SIP/2.0\r\nX: " + strings.Repeat("x", sip.MaxMessageBytes) + "\r\n" + end},
 		{"another protocol", "NOTIFY x HTTP/1.1\r\n" + end + "BYE x SIP/2.0\r\n" + end},
 		{"one word", "NOTIFY\r\n" + end},
 		{"two words", "NOTIFY x\r\n" + end},
@@ -146,11 +146,11 @@
 func TestCharacterization_Written(t *testing.T) {
 	header := []sip.Header{{Name: "Via", Value: "SIP/2.0/TCP n0"}, {Name: "X-State", Value: ""}}
 	request := &sip.Message{
-		Method: "BYE",
-		URI:    "sip:7f@net",
-		CallID: "9b1f",
-		CSeq:   2,
-		Of:     "BYE",
+		Method:     "BYE",
+		URI:        "sip:7f@net",
+		CallID:     "9b1f",
+		CSeq:       2,
+		CSeqMethod: "BYE",
 		Headers: append(slices.Clone(header),
 			sip.Header{Name: "via", Value: "a"}, sip.Header{Name: "from", Value: "b"}, sip.Header{Name: "to", Value: "c"},
 			sip.Header{Name: "subject", Value: "d"}, sip.Header{Name: "via", Value: "e"}),
@@ -159,21 +159,21 @@
 	for _, message := range []*sip.Message{
 		{},
 		{
-			Method:  "INVITE",
-			URI:     "sip:7f@net",
-			CallID:  "9b1f",
-			CSeq:    1,
-			Of:      "INVITE",
-			Headers: header,
-			Body:    []byte("a\r\n\x00b"),
+			Method:     "INVITE",
+			URI:        "sip:7f@net",
+			CallID:     "9b1f",
+			CSeq:       1,
+			CSeqMethod: "INVITE",
+			Headers:    header,
+			Body:       []byte("a\r\n\x00b"),
 		},
 		{Method: "ACK", URI: "sip:7f@net", Headers: header},
-		{Status: 200, Reason: "OK", CallID: "9b1f", CSeq: 1, Of: "INVITE"},
-		{Status: 503, CallID: "9b1f", CSeq: -1, Of: "Ø"},
+		{Status: 200, Reason: "OK", CallID: "9b1f", CSeq: 1, CSeqMethod: "INVITE"},
+		{Status: 503, CallID: "9b1f", CSeq: -1, CSeqMethod: "Ø"},
 		request,
-		sip.Answer(request, 200, "OK"),
-		sip.Answer(request, 501, "Not Implemented"),
-		sip.Answer(&sip.Message{}, 400, ""),
+		sip.NewResponse(request, 200, "OK"),
+		sip.NewResponse(request, 501, "Not Implemented"),
+		sip.NewResponse(&sip.Message{}, 400, ""),
 	} {
 		fmt.Fprintf(&b, "%q\n", message.Append([]byte("before ")))
 	}
@@ -194,7 +194,7 @@
 		"a:+Inf;b:-inf;c:1e400;d:0x1p4;e:1_000;f:.5", "A:1;a:2;a:3",
 	} {
 		fmt.Fprintf(&b, "report %q:", text)
-		sip.Report(text, func(name string, value float64) { fmt.Fprintf(&b, " %q=%s", name, number(value)) })
+		sip.ParseReport(text, func(name string, value float64) { fmt.Fprintf(&b, " %q=%s", name, number(value)) })
 		b.WriteString("\n")
 	}
 	recorded.Compare(t, "cause-and-report.txt", b.String())
--- a/internal/backend/sip/message.go
+++ b/internal/backend/sip/message.go
@@ -6,8 +6,8 @@
 	"strings"
 )
 
-// MaxMessage is the maximum size of a message, head and body, in bytes.
-const MaxMessage = 16 << 10
+// MaxMessageBytes is the maximum size of a message, head and body, in bytes.
+const MaxMessageBytes = 16 << 10
 
 // Status codes of a response (RFC 3261, section 7.2).
 const (
@@ -29,15 +29,15 @@
 
 // Message is a request or a response.
 type Message struct {
-	Method  string // of a request, else ""
-	URI     string // of a request, else ""
-	Status  int    // of a response, else 0
-	Reason  string // the reason phrase of a response
-	CallID  string
-	CSeq    int    // the sequence number in CSeq
-	Of      string // the method in CSeq
-	Headers []Header
-	Body    []byte
+	Method     string // of a request, else ""
+	URI        string // of a request, else ""
+	Status     int    // of a response, else 0
+	Reason     string // the reason phrase of a response
+	CallID     string
+	CSeq       int    // the sequence number in CSeq
+	CSeqMethod string // the method in CSeq
+	Headers    []Header
+	Body       []byte
 }
 
 // Get returns the value of the first header of that name (in lower case), or "".
@@ -64,15 +64,15 @@
 	return -1
 }
 
-// Answer returns a response to a request, with the request's Via, From, To, Call-ID and CSeq (RFC 3261, section
+// NewResponse returns a response to a request, with the request's Via, From, To, Call-ID and CSeq (RFC 3261, section
 // 8.2.6.2).
-func Answer(request *Message, status int, reason string) *Message {
+func NewResponse(request *Message, status int, reason string) *Message {
 	response := &Message{
-		Status: status,
-		Reason: reason,
-		CallID: request.CallID,
-		CSeq:   request.CSeq,
-		Of:     request.Of,
+		Status:     status,
+		Reason:     reason,
+		CallID:     request.CallID,
+		CSeq:       request.CSeq,
+		CSeqMethod: request.CSeqMethod,
 	}
 	for _, header := range request.Headers {
 		switch header.Name {
--- a/internal/backend/sip/read.go
+++ b/internal/backend/sip/read.go
@@ -20,7 +20,7 @@
 func Read(r *bufio.Reader) (*Message, error) {
 	p := parser{
 		reader:        r,
-		remaining:     MaxMessage,
+		remaining:     MaxMessageBytes,
 		message:       &Message{},
 		contentLength: noLength,
 	}
@@ -119,9 +119,9 @@
 // setCSeq takes the value of a CSeq header: a sequence number and a method.
 func (p *parser) setCSeq(value string) {
 	number, method, _ := strings.Cut(value, " ")
-	p.message.Of = strings.TrimSpace(method)
+	p.message.CSeqMethod = strings.TrimSpace(method)
 	var err error
-	if p.message.CSeq, err = strconv.Atoi(number); err != nil || p.message.Of == "" {
+	if p.message.CSeq, err = strconv.Atoi(number); err != nil || p.message.CSeqMethod == "" {
 		p.malformed = fmt.Errorf("%w: CSeq %.20q", ErrMalformed, value)
 	}
 }
@@ -146,7 +146,7 @@
 // validate returns the fault of a message that was read to its end, or nil.
 func (p *parser) validate() error {
 	message := p.message
-	if p.malformed == nil && message.Status > 0 && (message.CallID == "" || message.Of == "") {
+	if p.malformed == nil && message.Status > 0 && (message.CallID == "" || message.CSeqMethod == "") {
 		return fmt.Errorf("%w: an answer without Call-ID or CSeq", ErrMalformed)
 	}
 	return p.malformed
--- a/internal/backend/sip/report.go
+++ b/internal/backend/sip/report.go
@@ -6,9 +6,9 @@
 	"strings"
 )
 
-// Report parses a load report such as x0:12;x1:40;queue:3 and calls field for each of its fields in order. Fields
+// ParseReport parses a load report such as x0:12;x1:40;queue:3 and calls field for each of its fields in order. Fields
 // whose value is not a number are skipped.
-func Report(text string, field func(name string, value float64)) {
+func ParseReport(text string, field func(name string, value float64)) {
 	for part := range strings.SplitSeq(text, ";") {
 		name, digits, found := strings.Cut(part, ":")
 		if !found {
--- a/internal/backend/sip/sip_test.go
+++ b/internal/backend/sip/sip_test.go
@@ -19,7 +19,8 @@
 	m, err := read("\r\nINVITE sip:7f3a@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\ni: 9b1f\r\nCSeq: 1 INVITE\r\n" +
 		"s : voice\r\nX-Patience:1500\r\nl: 4\r\n\r\na\r\nb")
 	if err != nil || m.Method != "INVITE" || m.URI != "sip:7f3a@net" || m.CallID != "9b1f" || m.CSeq != 1 ||
-		m.Of != "INVITE" || m.Get("subject") != "voice" || m.Get("x-patience") != "1500" || string(m.Body) != "a\r\nb" {
+		m.CSeqMethod != "INVITE" || m.Get("subject") != "voice" || m.Get("x-patience") != "1500" ||
+		string(m.Body) != "a\r\nb" {
 		t.Errorf("%+v, %v", m, err)
 	}
 }
@@ -40,12 +41,12 @@
 		"Øyeblikkelig hjelp", `"Größe": 5;x=1`, "a, b: c", "\u00a0voice\u3000", "voice\u0085", "e\u0301", "\U0001f600",
 	} {
 		m := &Message{
-			Method:  "INVITE",
-			URI:     "sip:7f@net",
-			CallID:  "9b1f",
-			CSeq:    1,
-			Of:      "INVITE",
-			Headers: []Header{{"Subject", value}},
+			Method:     "INVITE",
+			URI:        "sip:7f@net",
+			CallID:     "9b1f",
+			CSeq:       1,
+			CSeqMethod: "INVITE",
+			Headers:    []Header{{"Subject", value}},
 		}
 		got, err := read(string(m.Append(nil)))
 		if err != nil || got.Get("subject") != value {
@@ -64,20 +65,20 @@
 func TestRead_InvalidMessages(t *testing.T) {
 	const end = "Content-Length: 0\r\n\r\n"
 	for text, want := range map[string]error{
-		"NOTIFY x SIP/2.0\r\n\r\n":                                           ErrFraming,
-		"NOTIFY x SIP/2.0\r\nContent-Length: x\r\n\r\n":                      ErrFraming,
-		"NOTIFY x SIP/2.0\r\nContent-Length: -1\r\n\r\n":                     ErrFraming,
-		"NOTIFY x SIP/2.0\r\nContent-Length: 1\r\n" + end:                    ErrFraming,
-		"NOTIFY x SIP/2.0\r\nContent-Length: 16384\r\n\r\n":                  ErrFraming,
-		"NOTIFY x SIP/2.0\r\nX: " + strings.Repeat("x", MaxMessage) + "\r\n": ErrFraming,
-		"NOTIFY x HTTP/1.1\r\n" + end:                                        ErrMalformed,
-		"SIP/2.0 99 Odd\r\n" + end:                                           ErrMalformed,
-		"SIP/2.0 OK\r\n" + end:                                               ErrMalformed,
-		"SIP/2.0 200 OK\r\n" + end:                                           ErrMalformed,
-		"SIP/2.0 200 OK\r\nCall-ID: a\r\nCSeq: INVITE\r\n" + end:             ErrMalformed,
-		"NOTIFY x SIP/2.0\r\nno colon\r\n" + end:                             ErrMalformed,
-		"NOTIFY x SIP/2.0\r\nContent-Length: 4\r\n\r\nab":                    io.ErrUnexpectedEOF,
-		"NOTIFY x SIP/2.0\r\nConte":                                          io.EOF,
+		"NOTIFY x SIP/2.0\r\n\r\n":                                                ErrFraming,
+		"NOTIFY x SIP/2.0\r\nContent-Length: x\r\n\r\n":                           ErrFraming,
+		"NOTIFY x SIP/2.0\r\nContent-Length: -1\r\n\r\n":                          ErrFraming,
+		"NOTIFY x SIP/2.0\r\nContent-Length: 1\r\n" + end:                         ErrFraming,
+		"NOTIFY x SIP/2.0\r\nContent-Length: 16384\r\n\r\n":                       ErrFraming,
+		"NOTIFY x SIP/2.0\r\nX: " + strings.Repeat("x", MaxMessageBytes) + "\r\n": ErrFraming,
+		"NOTIFY x HTTP/1.1\r\n" + end:                                             ErrMalformed,
+		"SIP/2.0 99 Odd\r\n" + end:                                                ErrMalformed,
+		"SIP/2.0 OK\r\n" + end:                                                    ErrMalformed,
+		"SIP/2.0 200 OK\r\n" + end:                                                ErrMalformed,
+		"SIP/2.0 200 OK\r\nCall-ID: a\r\nCSeq: INVITE\r\n" + end:                  ErrMalformed,
+		"NOTIFY x SIP/2.0\r\nno colon\r\n" + end:                                  ErrMalformed,
+		"NOTIFY x SIP/2.0\r\nContent-Length: 4\r\n\r\nab":                         io.ErrUnexpectedEOF,
+		"NOTIFY x SIP/2.0\r\nConte":                                               io.EOF,
 	} {
 		if m, err := read(text); !errors.Is(err, want) {
 			t.Errorf("%.60q: %+v, %v, want %v", text, m, err, want)
@@ -86,9 +87,9 @@
 }
 
 func TestRead_MaximumSize(t *testing.T) {
-	head := fmt.Sprintf("NOTIFY x SIP/2.0\r\nContent-Length: %d\r\n\r\n", MaxMessage-42)
-	size := MaxMessage - len(head)
-	text := strings.Replace(head, strconv.Itoa(MaxMessage-42), strconv.Itoa(size), 1) + strings.Repeat("x", size)
+	head := fmt.Sprintf("NOTIFY x SIP/2.0\r\nContent-Length: %d\r\n\r\n", MaxMessageBytes-42)
+	size := MaxMessageBytes - len(head)
+	text := strings.Replace(head, strconv.Itoa(MaxMessageBytes-42), strconv.Itoa(size), 1) + strings.Repeat("x", size)
 	if m, err := read(text); err != nil || len(m.Body) != size {
 		t.Errorf("a message of the maximum size: %v", err)
 	}
@@ -105,13 +106,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	response := Answer(request, 200, "OK")
+	response := NewResponse(request, 200, "OK")
 	want := []Header{{"via", "a"}, {"via", "b"}, {"from", "c"}, {"to", "d"}}
 	if !slices.Equal(response.Headers, want) {
 		t.Errorf("headers %v, want %v", response.Headers, want)
 	}
 	if response.Status != 200 || response.Reason != "OK" || response.CallID != "9b1f" || response.CSeq != 2 ||
-		response.Of != "BYE" || response.Method != "" {
+		response.CSeqMethod != "BYE" || response.Method != "" {
 		t.Errorf("%+v", response)
 	}
 }
@@ -132,7 +133,7 @@
 
 func TestReport_SkipsFieldsWithoutANumber(t *testing.T) {
 	got := map[string]float64{}
-	Report("idle:12; circuits : 40;queue;recent_ms:x;eps:NaN;a:-1",
+	ParseReport("idle:12; circuits : 40;queue;recent_ms:x;eps:NaN;a:-1",
 		func(name string, value float64) { got[name] = value })
 	if len(got) != 3 || got["idle"] != 12 || got["circuits"] != 40 || got["a"] != -1 {
 		t.Errorf("%v", got)
@@ -156,7 +157,7 @@
 			if err != nil {
 				return
 			}
-			if len(message.Body) > MaxMessage {
+			if len(message.Body) > MaxMessageBytes {
 				t.Fatalf("a body of %d bytes", len(message.Body))
 			}
 			copied, err := read(string(withoutOwnFields(message).Append(nil)))
--- a/internal/backend/sip/write.go
+++ b/internal/backend/sip/write.go
@@ -12,8 +12,8 @@
 	if m.CallID != "" {
 		b = appendHeader(b, "Call-ID", m.CallID)
 	}
-	if m.Of != "" {
-		b = appendHeader(b, "CSeq", strconv.Itoa(m.CSeq)+" "+m.Of)
+	if m.CSeqMethod != "" {
+		b = appendHeader(b, "CSeq", strconv.Itoa(m.CSeq)+" "+m.CSeqMethod)
 	}
 	b = appendHeader(b, "Content-Length", strconv.Itoa(len(m.Body)))
 	b = append(b, "\r\n"...)
--- a/internal/backend/sippool/characterization_test.go
+++ b/internal/backend/sippool/characterization_test.go
@@ -90,7 +90,7 @@
 		dialog{"second send after a refusal", func(s *session) {
 			s.invite("c1", time.Minute)
 			s.say(failed("503 Service Unavailable", "c1", "X-Note: blocked"))
-			s.attempt(dispatch.Attempt{Setup: setup("c1"), Pool: "pool-1", Number: 1}, 1500*time.Millisecond)
+			s.attempt(dispatch.Attempt{Setup: setup("c1"), Endpoint: "pool-1", Number: 1}, 1500*time.Millisecond)
 			s.say(answered("c1"))
 		}},
 		dialog{"two calls, one after the other", func(s *session) {
@@ -124,7 +124,7 @@
 	dialogs := make([]dialog, 0, len(attempts))
 	for _, attempt := range attempts {
 		dialogs = append(dialogs, dialog{attempt.name, func(s *session) {
-			s.attempt(dispatch.Attempt{Setup: attempt.setup, Pool: "pool-1"}, attempt.timeout)
+			s.attempt(dispatch.Attempt{Setup: attempt.setup, Endpoint: "pool-1"}, attempt.timeout)
 		}})
 	}
 	record(t, "invite-contents.txt", dialogs...)
@@ -192,9 +192,9 @@
 			s.invite("c1", 307*time.Millisecond)
 			s.say(report)
 			s.pass(307 * time.Millisecond)
-			s.attempt(dispatch.Attempt{Setup: setup("c1"), Pool: "pool-1", Number: 1}, time.Second)
+			s.attempt(dispatch.Attempt{Setup: setup("c1"), Endpoint: "pool-1", Number: 1}, time.Second)
 			s.say(answered("c1"))
-			s.attempt(dispatch.Attempt{Setup: setup("c1"), Pool: "pool-1", Number: 1}, time.Second)
+			s.attempt(dispatch.Attempt{Setup: setup("c1"), Endpoint: "pool-1", Number: 1}, time.Second)
 		}},
 		dialog{"timed out so soon that the silence says nothing", func(s *session) {
 			s.invite("c1", 107*time.Millisecond)
@@ -225,13 +225,13 @@
 			s.pass(113 * time.Millisecond)
 		}},
 		dialog{"not to leave any more", func(s *session) {
-			s.attempt(dispatch.Attempt{Setup: setup("c1"), Pool: "pool-1", SendBy: s.clock.Now() - 1}, time.Second)
+			s.attempt(dispatch.Attempt{Setup: setup("c1"), Endpoint: "pool-1", SendBy: s.clock.Now() - 1}, time.Second)
 		}},
 		dialog{"to leave just now", func(s *session) {
-			s.attempt(dispatch.Attempt{Setup: setup("c1"), Pool: "pool-1", SendBy: s.clock.Now()}, time.Second)
+			s.attempt(dispatch.Attempt{Setup: setup("c1"), Endpoint: "pool-1", SendBy: s.clock.Now()}, time.Second)
 		}},
 		dialog{"a pool that is not listed", func(s *session) {
-			s.attempt(dispatch.Attempt{Setup: setup("c1"), Pool: "pool-2"}, time.Second)
+			s.attempt(dispatch.Attempt{Setup: setup("c1"), Endpoint: "pool-2"}, time.Second)
 		}},
 	)
 }
--- a/internal/backend/sippool/connection_test.go
+++ b/internal/backend/sippool/connection_test.go
@@ -13,11 +13,11 @@
 	inBubble(t, func(r *rig) {
 		established := r.establish("c1")
 		pending := r.invite("c2", 0, time.Minute)
-		r.remote.Drop()
+		r.remote.CloseConnections()
 		r.wantOutcome(pending, dispatch.Reset)
 		time.Sleep(time.Second)
-		if r.EstablishedCalls() != 1 || r.remote.Open() != 1 {
-			t.Fatalf("%d established, %d connections", r.EstablishedCalls(), r.remote.Open())
+		if r.EstablishedCalls() != 1 || r.remote.OpenConnections() != 1 {
+			t.Fatalf("%d established, %d connections", r.EstablishedCalls(), r.remote.OpenConnections())
 		}
 		r.remote.Bye("c1", 16) // comes on the next connection
 		synctest.Wait()
@@ -29,7 +29,7 @@
 	inBubble(t, func(r *rig) {
 		established := r.establish("c1")
 		r.remote.SetRejecting(true, false)
-		r.remote.Drop()
+		r.remote.CloseConnections()
 		synctest.Wait()
 		pending := r.invite("c2", 0, time.Minute)
 		time.Sleep(minRedialDelay)
@@ -50,13 +50,13 @@
 	inBubble(t, func(r *rig) {
 		r.establish("c1")
 		r.remote.SetRejecting(true, false)
-		r.remote.Drop()
+		r.remote.CloseConnections()
 		time.Sleep(300 * time.Millisecond)
 		r.remote.SetRejecting(false, false)
 		time.Sleep(600 * time.Millisecond)
 		synctest.Wait()
-		if r.EstablishedCalls() != 0 || r.remote.Open() != 1 {
-			t.Errorf("%d established, %d connections", r.EstablishedCalls(), r.remote.Open())
+		if r.EstablishedCalls() != 0 || r.remote.OpenConnections() != 1 {
+			t.Errorf("%d established, %d connections", r.EstablishedCalls(), r.remote.OpenConnections())
 		}
 	})
 }
@@ -82,7 +82,7 @@
 func TestConnection_ThatNeverComesUpFailsTheAttemptAtTheConnectTimeout(t *testing.T) {
 	inBubble(t, func(r *rig) {
 		r.remote.SetRejecting(false, true)
-		r.remote.Drop()
+		r.remote.CloseConnections()
 		synctest.Wait()
 		call := r.invite("c1", 0, time.Minute)
 		time.Sleep(600 * time.Millisecond)
--- a/internal/backend/sippool/dial_test.go
+++ b/internal/backend/sippool/dial_test.go
@@ -15,7 +15,7 @@
 func TestDial_AttemptsDoNotRemoveTheBackoff(t *testing.T) {
 	inBubble(t, func(r *rig) {
 		r.remote.SetRejecting(true, false)
-		r.remote.Drop()
+		r.remote.CloseConnections()
 		synctest.Wait()
 		before := r.dials.Load()
 		for range 1000 {
@@ -43,7 +43,7 @@
 				return nil, ctx.Err()
 			}
 		}
-		r.remote.Drop()
+		r.remote.CloseConnections()
 		synctest.Wait()
 		time.Sleep(minRedialDelay)
 
--- a/internal/backend/sippool/fuzz_test.go
+++ b/internal/backend/sippool/fuzz_test.go
@@ -12,7 +12,7 @@
 // FuzzDialog plays random steps of one call's attempts and checks them against a model of their states: there are never
 // two pending INVITEs, a leg exactly when a 200 came first, and a BYE for every other 200.
 func FuzzDialog(f *testing.F) {
-	fakeplatform.Fuzz(f, []string{
+	fakeplatform.FuzzScripts(f, []string{
 		"000100", "0002001300", "000310", "00040010", "0001000500", "00060001", "0003020100", "000700",
 		"00600060700000",
 	},
@@ -20,7 +20,7 @@
 			t.Helper()
 			onRig(t, func(r *rig) {
 				player := &dialogPlayer{rig: r}
-				fakeplatform.Play(script, player.steps(), func() { player.check(t) })
+				fakeplatform.RunScript(script, player.steps(), func() { player.check(t) })
 				player.finish(t)
 			})
 		})
@@ -70,7 +70,7 @@
 }
 
 func (p *dialogPlayer) dropConnections() {
-	p.remote.Drop()
+	p.remote.CloseConnections()
 	synctest.Wait()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/backend/sippool/invite_test.go
+++ b/internal/backend/sippool/invite_test.go
@@ -130,7 +130,7 @@
 			now := r.clock.Now()
 			attempt := dispatch.Attempt{
 				Setup:     dispatch.Setup{ID: "c" + string(rune('2'+margin)), Number: "7f3a", SDP: "offer\r\n"},
-				Pool:      "p1",
+				Endpoint:  "p1",
 				DecidedAt: now,
 				Deadline:  now + 1_000_000,
 				SendBy:    now + margin,
--- a/internal/backend/sippool/list_test.go
+++ b/internal/backend/sippool/list_test.go
@@ -138,8 +138,8 @@
 		}
 		r.list("p1", "", endpointlist.Removed) // a second time, of one that is forgotten
 		synctest.Wait()
-		if len(r.pools) != 1 || r.remote.Open() != 1 {
-			t.Fatalf("%d pools kept, %d connections, want those of p4", len(r.pools), r.remote.Open())
+		if len(r.pools) != 1 || r.remote.OpenConnections() != 1 {
+			t.Fatalf("%d pools kept, %d connections, want those of p4", len(r.pools), r.remote.OpenConnections())
 		}
 
 		r.list("p4", "", endpointlist.Removed)
@@ -158,7 +158,7 @@
 func TestApply_RemovalEndsTheWaitForAConnection(t *testing.T) {
 	inBubble(t, func(r *rig) {
 		r.remote.SetRejecting(false, true)
-		r.remote.Drop()
+		r.remote.CloseConnections()
 		synctest.Wait()
 		before := r.invite("c1", 0, time.Minute)
 		r.list("p1", "", endpointlist.Removed)
--- a/internal/backend/sippool/liveness_test.go
+++ b/internal/backend/sippool/liveness_test.go
@@ -21,7 +21,7 @@
 		if got, _ := r.requests(); got != "INVITE BYE" {
 			t.Errorf("pool got %q", got)
 		}
-		if n := r.remote.Dialled(); n != 2 {
+		if n := r.remote.AcceptedConnections(); n != 2 {
 			t.Errorf("%d connections were opened, want the unresponsive one and the next", n)
 		}
 	})
@@ -34,7 +34,7 @@
 		call := r.invite("c1", 0, time.Minute)
 		time.Sleep(minUnresponsiveTimeout + 100*time.Millisecond)
 		r.wantOutcome(call, dispatch.Reset)
-		if n := r.remote.Dialled(); n != 2 {
+		if n := r.remote.AcceptedConnections(); n != 2 {
 			t.Errorf("%d connections were opened, want the unresponsive one and the next", n)
 		}
 
@@ -44,8 +44,8 @@
 		}
 		other := r.invite("c2", 0, time.Minute)
 		time.Sleep(700 * time.Millisecond)
-		if synctest.Wait(); other.done || r.remote.Dialled() != 2 {
-			t.Errorf("done %v, %d connections: closed though its intervals are long", other.done, r.remote.Dialled())
+		if synctest.Wait(); other.done || r.remote.AcceptedConnections() != 2 {
+			t.Errorf("done %v, %d connections: closed though its intervals are long", other.done, r.remote.AcceptedConnections())
 		}
 	})
 }
@@ -59,7 +59,7 @@
 		}
 		call := r.invite("c1", 0, time.Minute)
 		time.Sleep(1900 * time.Millisecond)
-		if n := r.remote.Dialled(); n != 1 {
+		if n := r.remote.AcceptedConnections(); n != 1 {
 			t.Errorf("%d connections: closed before two of its reports were due", n)
 		}
 		time.Sleep(200 * time.Millisecond)
@@ -75,7 +75,7 @@
 		time.Sleep(time.Second)
 		r.wantRequests("INVITE").Answer(200, "", "a\r\n")
 		r.wantOutcome(call, dispatch.Answered)
-		if n := r.remote.Dialled(); n != 1 {
+		if n := r.remote.AcceptedConnections(); n != 1 {
 			t.Errorf("%d connections were opened", n)
 		}
 	})
@@ -96,8 +96,9 @@
 		got, _ := r.requests()
 		// A release that was being written when the connection was closed is sent again on the next.
 		byes := strings.Count(got, "BYE")
-		if r.remote.Dialled() != 2 || !strings.HasPrefix(got, "INVITE ACK INVITE INVITE BYE") || byes < 4 || byes > 5 {
-			t.Errorf("%d connections, the pool got %q", r.remote.Dialled(), got)
+		wantPrefix := "INVITE ACK INVITE INVITE BYE"
+		if r.remote.AcceptedConnections() != 2 || !strings.HasPrefix(got, wantPrefix) || byes < 4 || byes > 5 {
+			t.Errorf("%d connections, the pool got %q", r.remote.AcceptedConnections(), got)
 		}
 	})
 }
@@ -111,8 +112,8 @@
 		r.remote.Send("SIP/2.0 200 OK\r\nCall-")
 		time.Sleep(210 * time.Millisecond)
 		r.wantOutcome(call, dispatch.Reset)
-		if got, _ := r.requests(); got != "INVITE BYE" && got != "INVITE BYE BYE" || r.remote.Dialled() != 2 {
-			t.Errorf("%d connections, the pool got %q", r.remote.Dialled(), got)
+		if got, _ := r.requests(); got != "INVITE BYE" && got != "INVITE BYE BYE" || r.remote.AcceptedConnections() != 2 {
+			t.Errorf("%d connections, the pool got %q", r.remote.AcceptedConnections(), got)
 		}
 	})
 }
@@ -127,8 +128,8 @@
 		time.Sleep(210 * time.Millisecond)
 		r.wantOutcome(call, dispatch.TimedOut)
 		r.wantRequests("INVITE CANCEL")
-		if r.remote.Dialled() != 1 {
-			t.Errorf("%d connections", r.remote.Dialled())
+		if r.remote.AcceptedConnections() != 1 {
+			t.Errorf("%d connections", r.remote.AcceptedConnections())
 		}
 	})
 }
--- a/internal/backend/sippool/loadreport.go
+++ b/internal/backend/sippool/loadreport.go
@@ -21,7 +21,7 @@
 		text = string(m.Body)
 	}
 	report := dispatch.UnknownLoad
-	sip.Report(text, func(name string, value float64) {
+	sip.ParseReport(text, func(name string, value float64) {
 		switch name {
 		case s.cfg.ReportFree, defaultFreeField:
 			report.Free = value
@@ -38,7 +38,7 @@
 	if cfg.ReportCapacity == "" || cfg.OnCapacity == nil {
 		return
 	}
-	sip.Report(m.Get(stateHeader), func(name string, value float64) {
+	sip.ParseReport(m.Get(stateHeader), func(name string, value float64) {
 		if name == cfg.ReportCapacity && value >= 0 {
 			cfg.OnCapacity(p.uid, value)
 		}
--- a/internal/backend/sippool/messages.go
+++ b/internal/backend/sippool/messages.go
@@ -44,12 +44,12 @@
 
 func newRequest(name, method, callID, user string, sequence int) *sip.Message {
 	return &sip.Message{
-		Method:  method,
-		URI:     "sip:" + user + "@net",
-		CallID:  callID,
-		CSeq:    sequence,
-		Of:      method,
-		Headers: []sip.Header{{Name: "Via", Value: "SIP/2.0/TCP " + name}},
+		Method:     method,
+		URI:        "sip:" + user + "@net",
+		CallID:     callID,
+		CSeq:       sequence,
+		CSeqMethod: method,
+		Headers:    []sip.Header{{Name: "Via", Value: "SIP/2.0/TCP " + name}},
 	}
 }
 
--- a/internal/backend/sippool/pools.go
+++ b/internal/backend/sippool/pools.go
@@ -164,7 +164,7 @@
 
 // Invite implements dispatch.Inviter.
 func (s *Pools) Invite(ctx context.Context, attempt dispatch.Attempt) (dispatch.Leg, dispatch.Ending) {
-	p := s.pool(attempt.Pool)
+	p := s.pool(attempt.Endpoint)
 	if p == nil {
 		return nil, s.endingNow(dispatch.NotSent)
 	}
--- a/internal/backend/sippool/reader.go
+++ b/internal/backend/sippool/reader.go
@@ -66,7 +66,7 @@
 	c.pool.trace("in", message)
 	c.pool.reportCapacity(message)
 	switch {
-	case message.Status > 0 && message.Of == methodInvite:
+	case message.Status > 0 && message.CSeqMethod == methodInvite:
 		return c.receiveInviteResponse(now, message)
 	case message.Status > 0:
 		c.receiveOtherResponse(message)
@@ -85,7 +85,7 @@
 
 // respond sends a response to a request of the pool.
 func (c *connection) respond(request *sip.Message, status int, reason string) {
-	c.send(sip.Answer(request, status, reason).Append(nil))
+	c.send(sip.NewResponse(request, status, reason).Append(nil))
 }
 
 // receiveOtherResponse takes a response to a BYE or CANCEL: the pool has received the release.
--- a/internal/backend/sippool/receive_test.go
+++ b/internal/backend/sippool/receive_test.go
@@ -29,7 +29,7 @@
 		r.remote.Send("DANCE sip:x@net SIP/2.0\r\nCall-ID: a\r\nCSeq: 1 DANCE\r\nContent-Length: 0\r\n\r\n")
 		r.remote.Send("SIP/2.0 200 OK\r\nCall-ID: nobody\r\nCSeq: 1 INVITE\r\nContent-Length: 0\r\n\r\n")
 		// The answer to no INVITE is released.
-		if got, _ := r.requests(); got != "ACK BYE" || r.remote.Open() != 1 {
+		if got, _ := r.requests(); got != "ACK BYE" || r.remote.OpenConnections() != 1 {
 			t.Errorf("pool got %q", got)
 		}
 		r.remote.Send("SIP/2.0 200 OK\r\nContent-Length: -1\r\n\r\n") // framing is lost: a new connection
--- a/internal/backend/sippool/rejecting_test.go
+++ b/internal/backend/sippool/rejecting_test.go
@@ -32,8 +32,8 @@
 				}
 				time.Sleep(6 * time.Second)
 				synctest.Wait()
-				if r.EstablishedCalls() != 1 || r.remote.Open() != 1 {
-					t.Fatalf("%d established, %d connections", r.EstablishedCalls(), r.remote.Open())
+				if r.EstablishedCalls() != 1 || r.remote.OpenConnections() != 1 {
+					t.Fatalf("%d established, %d connections", r.EstablishedCalls(), r.remote.OpenConnections())
 				}
 				r.remote.Bye("c1", 16)
 				synctest.Wait()
@@ -50,7 +50,7 @@
 	inBubble(t, func(r *rig) {
 		call := r.establishAtRejecting()
 		time.Sleep(6 * time.Second)
-		r.remote.Drop()
+		r.remote.CloseConnections()
 		time.Sleep(1200 * time.Millisecond)
 		synctest.Wait()
 		if r.EstablishedCalls() != 0 || call.leg.Ending().Cause != dispatch.CauseCut {
@@ -77,8 +77,8 @@
 		timedOut := r.invite("c2", 0, 300*time.Millisecond)
 		time.Sleep(2 * time.Second)
 		r.wantOutcome(timedOut, dispatch.TimedOut)
-		if r.EstablishedCalls() != 1 || r.remote.Open() != 1 {
-			t.Fatalf("%d established, %d connections after a time-out", r.EstablishedCalls(), r.remote.Open())
+		if r.EstablishedCalls() != 1 || r.remote.OpenConnections() != 1 {
+			t.Fatalf("%d established, %d connections after a time-out", r.EstablishedCalls(), r.remote.OpenConnections())
 		}
 	})
 }
@@ -91,8 +91,8 @@
 		r.remote.SetRejecting(false, false)
 		time.Sleep(time.Second)
 		synctest.Wait()
-		if r.EstablishedCalls() != 1 || r.remote.Dialled() < 2 {
-			t.Fatalf("%d established, %d connections were opened", r.EstablishedCalls(), r.remote.Dialled())
+		if r.EstablishedCalls() != 1 || r.remote.AcceptedConnections() < 2 {
+			t.Fatalf("%d established, %d connections were opened", r.EstablishedCalls(), r.remote.AcceptedConnections())
 		}
 		r.remote.Bye("c1", 16)
 		synctest.Wait()
--- a/internal/backend/sippool/release_test.go
+++ b/internal/backend/sippool/release_test.go
@@ -14,7 +14,7 @@
 	inBubble(t, func(r *rig) {
 		call := r.establish("c1")
 		r.remote.SetRejecting(true, false)
-		r.remote.Drop()
+		r.remote.CloseConnections()
 		synctest.Wait()
 
 		call.leg.Release(16)
@@ -49,8 +49,8 @@
 		synctest.Wait()
 
 		got, _ := r.requests()
-		if got != "INVITE BYE INVITE ACK" || r.EstablishedCalls() != 1 || r.remote.Dialled() < 3 {
-			t.Errorf("pool got %q on %d connections, %d established", got, r.remote.Dialled(), r.EstablishedCalls())
+		if got != "INVITE BYE INVITE ACK" || r.EstablishedCalls() != 1 || r.remote.AcceptedConnections() < 3 {
+			t.Errorf("pool got %q on %d connections, %d established", got, r.remote.AcceptedConnections(), r.EstablishedCalls())
 		}
 	})
 }
@@ -115,7 +115,7 @@
 
 // waitForConnection returns when that many connections have been opened to the pool.
 func (r *rig) waitForConnection(number int) {
-	for r.remote.Dialled() < number {
+	for r.remote.AcceptedConnections() < number {
 		time.Sleep(10 * time.Millisecond)
 	}
 }
--- a/internal/backend/sippool/restart_test.go
+++ b/internal/backend/sippool/restart_test.go
@@ -38,7 +38,7 @@
 	apply(0)
 	attempt := dispatch.Attempt{
 		Setup:    dispatch.Setup{ID: "c1", SDP: "a\r\n"},
-		Pool:     "p1",
+		Endpoint: "p1",
 		Deadline: now.Now() + 60_000_000,
 	}
 	leg, ending := pools.Invite(t.Context(), attempt)
--- a/internal/backend/sippool/rig_test.go
+++ b/internal/backend/sippool/rig_test.go
@@ -70,7 +70,7 @@
 	test(r)
 	stop()
 	r.Wait()
-	r.remote.Drop()
+	r.remote.CloseConnections()
 }
 
 func (r *rig) note(list *[]string, text string) {
@@ -121,7 +121,7 @@
 	now := r.clock.Now()
 	attempt := dispatch.Attempt{
 		Setup:     dispatch.Setup{ID: id, Number: "7f3a", Class: "voice", SDP: "offer\r\n"},
-		Pool:      "p1",
+		Endpoint:  "p1",
 		Number:    number,
 		DecidedAt: now,
 		Deadline:  now + timeout.Microseconds(),
--- a/internal/backend/sippool/session_test.go
+++ b/internal/backend/sippool/session_test.go
@@ -336,11 +336,11 @@
 }
 
 func (s *session) invite(id string, within time.Duration) *attempt {
-	return s.attempt(dispatch.Attempt{Setup: setup(id), Pool: "pool-1"}, within)
+	return s.attempt(dispatch.Attempt{Setup: setup(id), Endpoint: "pool-1"}, within)
 }
 
 func (s *session) attempt(a dispatch.Attempt, within time.Duration) *attempt {
-	s.printf("step: attempt %d of %s at %s within %d us\n", a.Number, a.ID, a.Pool, within.Microseconds())
+	s.printf("step: attempt %d of %s at %s within %d us\n", a.Number, a.ID, a.Endpoint, within.Microseconds())
 	a.DecidedAt = s.clock.Now()
 	a.Deadline = a.DecidedAt + within.Microseconds()
 	ctx, leave := context.WithCancel(context.Background())
--- a/internal/backend/sippool/writer.go
+++ b/internal/backend/sippool/writer.go
@@ -77,6 +77,6 @@
 
 // trace logs a message at debug level. The direction is "in" or "out".
 func (p *pool) trace(direction string, m *sip.Message) {
-	p.set.cfg.Log.Debug().Str("pool", p.uid).Str("way", direction).Str("method", m.Method).Str("of", m.Of).
+	p.set.cfg.Log.Debug().Str("pool", p.uid).Str("way", direction).Str("method", m.Method).Str("of", m.CSeqMethod).
 		Int("status", m.Status).Str("call", m.CallID).Msg("sip")
 }
--- a/internal/config/characterization_encoding_test.go
+++ b/internal/config/characterization_encoding_test.go
@@ -250,12 +250,12 @@
 func encodeNode(encoded *encoding, node swim.Config) {
 	encoded.count("node.self", node.Self)
 	encoded.count("node.members", node.Members)
-	encoded.integer("node.interval_us", node.Interval)
-	encoded.integer("node.timeout_us", node.Timeout)
-	encoded.count("node.indirect", node.Indirect)
-	encoded.count("node.suspicion_mult", node.SuspicionMult)
-	encoded.count("node.suspicion_max", node.SuspicionMax)
-	encoded.count("node.retransmit", node.Retransmit)
+	encoded.integer("node.interval_us", node.ProbeInterval)
+	encoded.integer("node.timeout_us", node.ProbeTimeout)
+	encoded.count("node.indirect", node.IndirectProbes)
+	encoded.count("node.suspicion_mult", node.SuspicionMultiplier)
+	encoded.count("node.suspicion_max", node.MaxSuspicionMultiplier)
+	encoded.count("node.retransmit", node.RetransmitMultiplier)
 }
 
 func encodeBudget(encoded *encoding, b *config.Budget, node swim.Config) {
@@ -272,7 +272,7 @@
 	encoded.count("ledger.self", ledger.Self)
 	encoded.count("ledger.members", ledger.Members)
 	encoded.integer("ledger.life", int64(ledger.Incarnation))
-	encoded.count("ledger.unit", ledger.Unit)
+	encoded.count("ledger.unit", ledger.OwnedUnits)
 	encoded.count("ledger.keep", ledger.Reserved)
 	encoded.integer("ledger.lease_us", ledger.TTL)
 	encoded.integer("ledger.margin_us", ledger.Margin)
@@ -306,9 +306,9 @@
 	encoded.integer("schedule.ceiling_us", schedule.Ceiling)
 	encoded.fraction("schedule.jitter", schedule.Jitter)
 	members := discovery.EndpointSet()
-	encoded.integer("membership.stale_for_us", members.StaleFor)
-	encoded.integer("membership.drain_for_us", members.DrainFor)
-	encoded.integer("membership.tombstone_us", members.Tombstone)
+	encoded.integer("membership.stale_for_us", members.MaxStale)
+	encoded.integer("membership.drain_for_us", members.DrainTimeout)
+	encoded.integer("membership.tombstone_us", members.TombstoneTTL)
 	encoded.count("membership.most_records", members.MaxRecords)
 	encoded.count("membership.most_pools", members.MaxEndpoints)
 	return encoded, nil
@@ -378,7 +378,7 @@
 	encoded.duration("ready_in", f.ReadyTimeout)
 	encoded.text("old.binary", f.Old.Binary)
 	encoded.text("new.binary", f.New.Binary)
-	for i, c := range f.Controller {
+	for i, c := range f.Controllers {
 		at := fmt.Sprintf("controller[%d].", i)
 		encoded.text(at+"name", c.Name)
 		encoded.texts(at+"args", c.Args)
--- a/internal/config/cluster.go
+++ b/internal/config/cluster.go
@@ -97,14 +97,14 @@
 // regions are named, the controller's own becomes Region.
 func (c *Cluster) Node(cfg *Config) (swim.Config, error) {
 	node := swim.Config{
-		Self:          cfg.Settings.Index,
-		Members:       len(cfg.Peers),
-		Interval:      c.ProbeInterval.Microseconds(),
-		Timeout:       c.ProbeTimeout.Microseconds(),
-		Indirect:      c.Indirect,
-		SuspicionMult: c.SuspicionMult,
-		SuspicionMax:  c.SuspicionMax,
-		Retransmit:    c.Retransmit,
+		Self:                   cfg.Settings.Index,
+		Members:                len(cfg.Peers),
+		ProbeInterval:          c.ProbeInterval.Microseconds(),
+		ProbeTimeout:           c.ProbeTimeout.Microseconds(),
+		IndirectProbes:         c.Indirect,
+		SuspicionMultiplier:    c.SuspicionMult,
+		MaxSuspicionMultiplier: c.SuspicionMax,
+		RetransmitMultiplier:   c.Retransmit,
 	}
 	if cfg.PeerListen == "" || len(cfg.Peers) == 0 {
 		return node, clusterError("peer_listen, peers",
@@ -182,7 +182,7 @@
 		Self:        node.Self,
 		Members:     node.Members,
 		Incarnation: incarnation,
-		Unit:        UnitsOwned,
+		OwnedUnits:  UnitsOwned,
 		Reserved:    int(b.Reserved * UnitsOwned),
 		TTL:         b.Lease.Microseconds(),
 		Margin:      b.Margin.Microseconds(),
--- a/internal/config/discovery.go
+++ b/internal/config/discovery.go
@@ -75,9 +75,9 @@
 // EndpointSet is what the pool set keeps, in µs.
 func (d *Discovery) EndpointSet() endpointset.Config {
 	return endpointset.Config{
-		StaleFor:     d.StaleFor.Microseconds(),
-		DrainFor:     d.DrainFor.Microseconds(),
-		Tombstone:    d.Tombstone.Microseconds(),
+		MaxStale:     d.StaleFor.Microseconds(),
+		DrainTimeout: d.DrainFor.Microseconds(),
+		TombstoneTTL: d.Tombstone.Microseconds(),
 		MaxRecords:   d.MaxRecords,
 		MaxEndpoints: maxEndpoints,
 	}
--- a/internal/config/routing.go
+++ b/internal/config/routing.go
@@ -78,7 +78,7 @@
 		known[zone] = true
 	}
 	for name, class := range r.Class {
-		if err := routing.CheckTiers(class.Tiers, known); err != nil {
+		if err := routing.CheckPriorityLevels(class.Tiers, known); err != nil {
 			return rejectedRouting("class."+name, err)
 		}
 	}
@@ -88,13 +88,13 @@
 // Router makes the routing.Router of the file, for a fleet of so many nodes and the settings' classes.
 func (r *Routing) Router(nodes int, classes []string) (*routing.Router, error) {
 	cfg := r.config(nodes, len(classes))
-	cfg.ClassTiers = map[int]map[string][][]string{}
+	cfg.ClassPriorityLevels = map[int]map[string][][]string{}
 	for name, class := range r.Class {
 		i := slices.Index(classes, name)
 		if i < 0 {
 			return nil, &FieldError{File: RoutingFile, Field: "class." + name, Reason: "not a class of the settings"}
 		}
-		cfg.ClassTiers[i] = class.Tiers
+		cfg.ClassPriorityLevels[i] = class.Tiers
 	}
 	router, err := routing.New(cfg, r.Zones)
 	if err != nil {
@@ -106,7 +106,7 @@
 func (r *Routing) config(nodes, classes int) routing.Config {
 	return routing.Config{
 		Zone:              r.Zone,
-		Tiers:             r.Tiers,
+		PriorityLevels:    r.Tiers,
 		Classes:           classes,
 		SpillBudget:       r.SpillBudget,
 		SpillDelay:        r.SpillDelay.Microseconds(),
--- a/internal/daemon/discovery_measure_test.go
+++ b/internal/daemon/discovery_measure_test.go
@@ -68,7 +68,7 @@
 // set-up came.
 type arrivalPools struct {
 	addresses []string
-	targets   []fakeplatform.Target
+	targets   []fakeplatform.SRVTarget
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -81,7 +81,7 @@
 
 func newArrivalPools(t *testing.T, count int, ttl uint32) *arrivalPools {
 	t.Helper()
-	pools := &arrivalPools{addresses: make([]string, count), targets: make([]fakeplatform.Target, count)}
+	pools := &arrivalPools{addresses: make([]string, count), targets: make([]fakeplatform.SRVTarget, count)}
 	for i := range count {
 		pool := &fakeplatform.Pool{OnRequest: func(request fakeplatform.Request) {
 			if request.Method != "INVITE" {
@@ -101,7 +101,7 @@
 }
 
 // without are the targets of all pools but one.
-func (p *arrivalPools) without(pool int) []fakeplatform.Target {
+func (p *arrivalPools) without(pool int) []fakeplatform.SRVTarget {
 	return slices.Delete(slices.Clone(p.targets), pool, pool+1)
 }
 
--- a/internal/daemon/regions.go
+++ b/internal/daemon/regions.go
@@ -26,8 +26,8 @@
 }
 
 func (d *Daemon) newRegionTable(node swim.Config, file *config.Cluster, incarnation uint64) (*regionTable, error) {
-	cfg := statetable.Default(node.Self, node.Members, incarnation, d.cfg.Seed)
-	cfg.Kinds = []statetable.Spec{{Kind: statetable.Region, Name: "region", MaxLength: config.MaxRegionLength}}
+	cfg := statetable.DefaultConfig(node.Self, node.Members, incarnation, d.cfg.Seed)
+	cfg.Kinds = []statetable.KindSpec{{Kind: statetable.Region, Name: "region", MaxLength: config.MaxRegionLength}}
 	now := d.clock.Now()
 	table, err := statetable.New(cfg, now)
 	if err != nil {
@@ -56,7 +56,7 @@
 	}
 	answers, err := r.table.Receive(now, from, body)
 	r.answers = append(r.answers, answers...)
-	for _, change := range r.table.Take() {
+	for _, change := range r.table.TakeChanges() {
 		r.apply(change)
 	}
 	return true, err
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -65,7 +65,7 @@
 	limitMemory(files.cfg)
 	if files.callControl != nil {
 		maxConnections := min(files.callControl.MaxConnections, d.cfg.Sockets/callControlDivisor)
-		d.sockets.Admit(files.callControl.Origins, maxConnections)
+		d.sockets.UpdateLimits(files.callControl.Origins, maxConnections)
 	}
 	select { // one that was not taken yet is out of date
 	case <-d.addressChanges:
--- a/internal/daemon/routing_test.go
+++ b/internal/daemon/routing_test.go
@@ -56,7 +56,7 @@
 	for _, pool := range z.pools[zone] {
 		pool.SetRejecting(rejecting, false)
 		if rejecting {
-			pool.Drop()
+			pool.CloseConnections()
 		}
 	}
 }
--- a/internal/endpoint/endpointset/characterization_test.go
+++ b/internal/endpoint/endpointset/characterization_test.go
@@ -34,12 +34,12 @@
 
 func scenarios() []scenario {
 	base := endpointset.Config{
-		StaleFor: 10 * second, DrainFor: 4 * second, Tombstone: 6 * second, MaxRecords: 64, MaxEndpoints: 1024,
+		MaxStale: 10 * second, DrainTimeout: 4 * second, TombstoneTTL: 6 * second, MaxRecords: 64, MaxEndpoints: 1024,
 	}
 	tight := base
 	tight.MaxRecords, tight.MaxEndpoints = 3, 4
 	long := endpointset.Config{
-		StaleFor: 100 * second, DrainFor: 60 * second, Tombstone: 100 * second, MaxRecords: 8, MaxEndpoints: 8,
+		MaxStale: 100 * second, DrainTimeout: 60 * second, TombstoneTTL: 100 * second, MaxRecords: 8, MaxEndpoints: 8,
 	}
 	return []scenario{
 		{"base", base, 12, false},
@@ -154,8 +154,8 @@
 		return
 	}
 	c := endpointset.Config{
-		StaleFor: w.random.Int64N(20*second) - second, DrainFor: w.random.Int64N(8*second) - second/2,
-		Tombstone: w.random.Int64N(10*second) - second/2, MaxRecords: w.random.IntN(6), MaxEndpoints: w.random.IntN(10),
+		MaxStale: w.random.Int64N(20*second) - second, DrainTimeout: w.random.Int64N(8*second) - second/2,
+		TombstoneTTL: w.random.Int64N(10*second) - second/2, MaxRecords: w.random.IntN(6), MaxEndpoints: w.random.IntN(10),
 	}
 	results.Flag(w.set.SetConfig(c) == nil)
 }
@@ -284,9 +284,9 @@
 		config endpointset.Config
 	}{
 		{"nothing wrong", endpointset.Config{MaxRecords: 1, MaxEndpoints: 1}},
-		{"stale for negative", endpointset.Config{StaleFor: -1, MaxRecords: 1, MaxEndpoints: 1}},
-		{"drain for negative", endpointset.Config{DrainFor: -1, MaxRecords: 1, MaxEndpoints: 1}},
-		{"tombstone negative", endpointset.Config{Tombstone: -1, MaxRecords: 1, MaxEndpoints: 1}},
+		{"stale for negative", endpointset.Config{MaxStale: -1, MaxRecords: 1, MaxEndpoints: 1}},
+		{"drain for negative", endpointset.Config{DrainTimeout: -1, MaxRecords: 1, MaxEndpoints: 1}},
+		{"tombstone negative", endpointset.Config{TombstoneTTL: -1, MaxRecords: 1, MaxEndpoints: 1}},
 		{"most records 0", endpointset.Config{MaxEndpoints: 1}},
 		{"most pools 0", endpointset.Config{MaxRecords: 1}},
 	} {
--- a/internal/endpoint/endpointset/config.go
+++ b/internal/endpoint/endpointset/config.go
@@ -4,12 +4,12 @@
 
 // Config bounds what a Set keeps. Times are in microseconds.
 type Config struct {
-	// StaleFor is how long a DNS record is kept past its TTL while its name cannot be looked up (RFC 8767).
-	StaleFor int64
-	// DrainFor is the longest that an endpoint that vanished from DNS drains before it is removed.
-	DrainFor int64
-	// Tombstone is how long a removal by the endpoint list keeps DNS from adding that address again.
-	Tombstone int64
+	// MaxStale is how long a DNS record is kept past its TTL while its name cannot be looked up (RFC 8767).
+	MaxStale int64
+	// DrainTimeout is the longest that an endpoint that vanished from DNS drains before it is removed.
+	DrainTimeout int64
+	// TombstoneTTL is how long a removal by the endpoint list keeps DNS from adding that address again.
+	TombstoneTTL int64
 	// MaxRecords bounds the records kept for one name, MaxEndpoints the entries kept of the endpoint list.
 	MaxRecords, MaxEndpoints int
 }
@@ -33,11 +33,11 @@
 func (c Config) check() error {
 	const negative = "is negative"
 	switch {
-	case c.StaleFor < 0:
+	case c.MaxStale < 0:
 		return &ConfigError{"stale_for", negative}
-	case c.DrainFor < 0:
+	case c.DrainTimeout < 0:
 		return &ConfigError{"drain_for", negative}
-	case c.Tombstone < 0:
+	case c.TombstoneTTL < 0:
 		return &ConfigError{"tombstone", negative}
 	case c.MaxRecords < 1 || c.MaxEndpoints < 1:
 		return &ConfigError{"most_records and most_pools", "want at least 1"}
--- a/internal/endpoint/endpointset/drain.go
+++ b/internal/endpoint/endpointset/drain.go
@@ -10,7 +10,7 @@
 
 // drainEnded reports whether the endpoint of a draining record has no calls left or has reached the drain's limit.
 func (s *Set) drainEnded(now int64, rec *record, busy func(uid string) bool) bool {
-	if now >= rec.drainingSince+s.config.DrainFor {
+	if now >= rec.drainingSince+s.config.DrainTimeout {
 		return true
 	}
 	uid := s.uids[rec.Address]
--- a/internal/endpoint/endpointset/list.go
+++ b/internal/endpoint/endpointset/list.go
@@ -35,7 +35,7 @@
 	}
 }
 
-func (l *listedEndpoint) tombstoneEnd(config Config) int64 { return l.removedAt + config.Tombstone }
+func (l *listedEndpoint) tombstoneEnd(config Config) int64 { return l.removedAt + config.TombstoneTTL }
 
 // UpdateList takes a watch event of the endpoint list. With snapshot it is the complete list, and an endpoint that it
 // does not name is removed.
--- a/internal/endpoint/endpointset/records.go
+++ b/internal/endpoint/endpointset/records.go
@@ -86,11 +86,11 @@
 func (r *record) nextTransition(config Config) int64 {
 	switch {
 	case r.draining():
-		return r.drainingSince + config.DrainFor
+		return r.drainingSince + config.DrainTimeout
 	case r.state == recordFresh:
 		return r.expiresAt
 	default:
-		return r.expiresAt + config.StaleFor
+		return r.expiresAt + config.MaxStale
 	}
 }
 
@@ -159,7 +159,7 @@
 func (s *Set) advanceRecord(now int64, rec *record) {
 	switch {
 	case rec.draining():
-	case now >= rec.expiresAt+s.config.StaleFor:
+	case now >= rec.expiresAt+s.config.MaxStale:
 		rec.expire(now)
 		s.counts.Expired++
 		s.changed = true
--- a/internal/endpoint/endpointset/set_test.go
+++ b/internal/endpoint/endpointset/set_test.go
@@ -19,9 +19,9 @@
 func newSet(tb testing.TB) *Set {
 	tb.Helper()
 	set, err := New(Config{
-		StaleFor:     30 * second,
-		DrainFor:     20 * second,
-		Tombstone:    60 * second,
+		MaxStale:     30 * second,
+		DrainTimeout: 20 * second,
+		TombstoneTTL: 60 * second,
 		MaxRecords:   8,
 		MaxEndpoints: 8,
 	})
@@ -72,9 +72,9 @@
 		config Config
 		field  string
 	}{
-		{Config{StaleFor: -1, MaxRecords: 1, MaxEndpoints: 1}, "stale_for"},
-		{Config{DrainFor: -1, MaxRecords: 1, MaxEndpoints: 1}, "drain_for"},
-		{Config{Tombstone: -1, MaxRecords: 1, MaxEndpoints: 1}, "tombstone"},
+		{Config{MaxStale: -1, MaxRecords: 1, MaxEndpoints: 1}, "stale_for"},
+		{Config{DrainTimeout: -1, MaxRecords: 1, MaxEndpoints: 1}, "drain_for"},
+		{Config{TombstoneTTL: -1, MaxRecords: 1, MaxEndpoints: 1}, "tombstone"},
 		{Config{}, "most_records"},
 	} {
 		_, err := New(test.config)
@@ -124,7 +124,7 @@
 func TestSetConfig_BadConfigChangesNothing(t *testing.T) {
 	set := newSet(t)
 	before := set.config
-	if err := set.SetConfig(Config{StaleFor: -1, MaxRecords: 1, MaxEndpoints: 1}); !errors.Is(err, ErrConfig) {
+	if err := set.SetConfig(Config{MaxStale: -1, MaxRecords: 1, MaxEndpoints: 1}); !errors.Is(err, ErrConfig) {
 		t.Errorf("%v, want an ErrConfig", err)
 	}
 	if set.config != before {
--- a/internal/endpoint/srv/srv_test.go
+++ b/internal/endpoint/srv/srv_test.go
@@ -21,8 +21,8 @@
 
 // setThreePools has the server list three pools, with their addresses in the additional section or not.
 func setThreePools(server *fakeplatform.DNS, ttl uint32, additional bool) {
-	target := func(host string, port, priority, weight uint16, ip string) fakeplatform.Target {
-		return fakeplatform.Target{
+	target := func(host string, port, priority, weight uint16, ip string) fakeplatform.SRVTarget {
+		return fakeplatform.SRVTarget{
 			Host:       host + ".pools.example.org",
 			Port:       port,
 			Priority:   priority,
@@ -68,7 +68,7 @@
 func TestLookup_RetriesTruncatedAnswerOverTCP(t *testing.T) {
 	server := fakeplatform.NewDNS(t)
 	setThreePools(server, 30, true)
-	server.SetMode(fakeplatform.Truncate)
+	server.SetMode(fakeplatform.DNSTruncate)
 	answer, err := resolver(server).Lookup(context.Background(), name)
 	if err != nil || len(answer.Records) != 3 || answer.Truncated != 1 {
 		t.Fatalf("%+v, %v: want three pools by TCP after one truncated answer", answer, err)
@@ -81,7 +81,7 @@
 func TestLookup_FailsWhenTCPFailsAfterTruncation(t *testing.T) {
 	server := fakeplatform.NewDNS(t)
 	setThreePools(server, 30, true)
-	server.SetMode(fakeplatform.TruncateNoTCP)
+	server.SetMode(fakeplatform.DNSTruncateNoTCP)
 	if _, err := resolver(server).Lookup(context.Background(), name); err == nil {
 		t.Fatal("no error when TCP fails too")
 	}
@@ -90,7 +90,7 @@
 func TestLookup_RetriesOversizeAnswerOverTCP(t *testing.T) {
 	server := fakeplatform.NewDNS(t)
 	setThreePools(server, 30, true)
-	server.SetMode(fakeplatform.Oversize)
+	server.SetMode(fakeplatform.DNSOversize)
 	answer, err := resolver(server).Lookup(context.Background(), name)
 	if err != nil || len(answer.Records) != 3 {
 		t.Fatalf("%+v, %v", answer, err)
@@ -102,12 +102,12 @@
 		mode fakeplatform.DNSMode
 		want error // nil for any error
 	}{
-		{fakeplatform.ServFail, srv.ErrServer},
-		{fakeplatform.Refused, srv.ErrServer},
-		{fakeplatform.WrongQuestion, srv.ErrBadAnswer},
-		{fakeplatform.Silent, nil},
-		{fakeplatform.Garbage, nil},
-		{fakeplatform.WrongID, nil},
+		{fakeplatform.DNSServFail, srv.ErrServer},
+		{fakeplatform.DNSRefused, srv.ErrServer},
+		{fakeplatform.DNSWrongQuestion, srv.ErrBadAnswer},
+		{fakeplatform.DNSSilent, nil},
+		{fakeplatform.DNSGarbage, nil},
+		{fakeplatform.DNSWrongID, nil},
 	} {
 		server := fakeplatform.NewDNS(t)
 		setThreePools(server, 30, true)
@@ -133,7 +133,7 @@
 		t.Errorf("NODATA: %+v, %v", answer, err)
 	}
 	// A single target ".": the service is not available here (RFC 2782).
-	server.SetNone(name, 7)
+	server.SetUnavailable(name, 7)
 	answer, err = lookUp(context.Background(), name)
 	if err != nil || len(answer.Records) != 0 || answer.NegativeTTL != 7_000_000 {
 		t.Errorf(`target ".": %+v, %v`, answer, err)
@@ -142,8 +142,8 @@
 
 func TestLookup_LeavesOutTargetWithoutAddress(t *testing.T) {
 	server := fakeplatform.NewDNS(t)
-	server.SetSRV(name, 30, fakeplatform.Target{Host: "a.pools.example.org", Port: 5060, IP: "127.0.0.11", TTL: 30},
-		fakeplatform.Target{Host: "lost.pools.example.org", Port: 5060})
+	server.SetSRV(name, 30, fakeplatform.SRVTarget{Host: "a.pools.example.org", Port: 5060, IP: "127.0.0.11", TTL: 30},
+		fakeplatform.SRVTarget{Host: "lost.pools.example.org", Port: 5060})
 	answer, err := resolver(server).Lookup(context.Background(), name)
 	if err != nil || len(answer.Records) != 1 || answer.Unresolved != 1 {
 		t.Fatalf("%+v, %v", answer, err)
@@ -152,7 +152,7 @@
 
 func TestLookup_TTLIsTheMinimumOfSRVAndAddress(t *testing.T) {
 	server := fakeplatform.NewDNS(t)
-	server.SetSRV(name, 60, fakeplatform.Target{
+	server.SetSRV(name, 60, fakeplatform.SRVTarget{
 		Host:       "a.pools.example.org",
 		Port:       5060,
 		IP:         "127.0.0.11",
--- a/internal/endpoint/srv/watch_test.go
+++ b/internal/endpoint/srv/watch_test.go
@@ -14,7 +14,7 @@
 func TestWatch_OutlastsAServerDownAtStart(t *testing.T) {
 	server := fakeplatform.NewDNS(t)
 	setThreePools(server, 30, true)
-	server.SetMode(fakeplatform.ServFail)
+	server.SetMode(fakeplatform.DNSServFail)
 	out := make(chan srv.Update)
 	ctx, cancel := context.WithCancel(context.Background())
 	var watches sync.WaitGroup
@@ -31,7 +31,7 @@
 			t.Fatalf("%+v: want a failure while the server fails", update)
 		}
 	}
-	server.SetMode(fakeplatform.Answer)
+	server.SetMode(fakeplatform.DNSAnswer)
 	for {
 		update := <-out
 		if update.Err == nil {
--- a/internal/experiment/live.go
+++ b/internal/experiment/live.go
@@ -107,11 +107,11 @@
 		burstFactor: 1,
 		requestByID: map[string]*liveRequest{},
 		checker: invariant.New(invariant.Config{
-			ReleaseWait: variant.Settings.ReleaseWait.Microseconds(),
-			MaxAttempts: maxAttemptsPerRequest,
-			Grace:       math.MaxInt64 / 4, //nolint:mnd // never over, with room to add a time
-			Late:        answerTolerance.Microseconds(),
-			LeftGrace:   abandonTolerance.Microseconds(),
+			ReleaseWait:      variant.Settings.ReleaseWait.Microseconds(),
+			MaxAttempts:      maxAttemptsPerRequest,
+			DrainGrace:       math.MaxInt64 / 4, //nolint:mnd // never over, with room to add a time
+			AnswerTolerance:  answerTolerance.Microseconds(),
+			AbandonTolerance: abandonTolerance.Microseconds(),
 		}),
 	}
 }
--- a/internal/experiment/live_callers.go
+++ b/internal/experiment/live_callers.go
@@ -126,10 +126,10 @@
 		}
 		switch message.Type {
 		case "answer":
-			l.checker.Final(l.now(), message.ID, "stands")
+			l.checker.CallAnswered(l.now(), message.ID, "stands")
 			l.established(r)
 		case "release":
-			l.checker.Final(l.now(), message.ID, "refused")
+			l.checker.CallAnswered(l.now(), message.ID, "refused")
 			l.retry(r)
 		}
 	}
--- a/internal/experiment/live_pool.go
+++ b/internal/experiment/live_pool.go
@@ -105,12 +105,12 @@
 // sendRequest sends a request of a pool.
 func sendRequest(conn net.Conn, method, id string, header sip.Header) {
 	send(conn, &sip.Message{
-		Method:  method,
-		URI:     "sip:pool@net",
-		CallID:  id,
-		CSeq:    poolCSeq,
-		Of:      method,
-		Headers: []sip.Header{header},
+		Method:     method,
+		URI:        "sip:pool@net",
+		CallID:     id,
+		CSeq:       poolCSeq,
+		CSeqMethod: method,
+		Headers:    []sip.Header{header},
 	})
 }
 
@@ -152,10 +152,10 @@
 		switch message.Method {
 		case "CANCEL":
 			cancelled.set(message.CallID, true)
-			l.checker.Ended(l.now(), message.CallID, true)
+			l.checker.AttemptEnded(l.now(), message.CallID, true)
 		case "INVITE":
 			controller := strings.TrimPrefix(message.Get("via"), "SIP/2.0/TCP ")
-			l.checker.Sent(l.now(), message.CallID, controller, pool.model.UID())
+			l.checker.AttemptSent(l.now(), message.CallID, controller, pool.model.UID())
 			l.mu.Lock()
 			l.attempts++
 			l.mu.Unlock()
@@ -212,17 +212,17 @@
 // respond sends a final response.
 func (s *liveSetup) respond(status int, note, body string) {
 	response := &sip.Message{
-		Status: status,
-		Reason: "X",
-		CallID: s.invite.CallID,
-		CSeq:   setupCSeq,
-		Of:     "INVITE",
-		Body:   []byte(body),
+		Status:     status,
+		Reason:     "X",
+		CallID:     s.invite.CallID,
+		CSeq:       setupCSeq,
+		CSeqMethod: "INVITE",
+		Body:       []byte(body),
 	}
 	if note != "" {
 		response.Headers = []sip.Header{{Name: "X-Note", Value: note}}
 	}
-	s.run.checker.Ended(s.run.now(), s.invite.CallID, false)
+	s.run.checker.AttemptEnded(s.run.now(), s.invite.CallID, false)
 	send(s.conn, response)
 }
 
--- a/internal/fleet/gossip/characterization_test.go
+++ b/internal/fleet/gossip/characterization_test.go
@@ -185,7 +185,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	runner, err := gossip.Start(ctx, gossip.Config{
-		Node: swim.Default(self, 3), Listen: "127.0.0.1:0", Fleet: fleetName,
+		Node: swim.DefaultConfig(self, 3), Listen: "127.0.0.1:0", Fleet: fleetName,
 		Peers:       []string{first.conn.LocalAddr().String(), "127.0.0.1:1", third.conn.LocalAddr().String()},
 		Incarnation: 1000, Seed: 7, Clock: fixedClock{}, Log: zerolog.New(&protocol.log), Counters: counters,
 		Protocols: []gossip.Protocol{protocol}, ProtocolInterval: time.Hour,
@@ -290,10 +290,10 @@
 		{"peers", func(c *gossip.Config) { c.Peers = c.Peers[:1] }},
 		{"peer", func(c *gossip.Config) { c.Peers[1] = "127.0.0.1" }},
 		{"listen", func(c *gossip.Config) { c.Listen = "127.0.0.1" }},
-		{"node", func(c *gossip.Config) { c.Node.Interval = 0 }},
+		{"node", func(c *gossip.Config) { c.Node.ProbeInterval = 0 }},
 	} {
 		config := gossip.Config{
-			Node: swim.Default(0, 2), Listen: "127.0.0.1:0", Peers: []string{"127.0.0.1:1", "127.0.0.1:2"},
+			Node: swim.DefaultConfig(0, 2), Listen: "127.0.0.1:0", Peers: []string{"127.0.0.1:1", "127.0.0.1:2"},
 			Clock: fixedClock{}, Counters: &telemetry.Counters{}, Log: zerolog.Nop(),
 		}
 		test.change(&config)
--- a/internal/fleet/quota/allocator.go
+++ b/internal/fleet/quota/allocator.go
@@ -66,7 +66,7 @@
 func (a *Allocator) Counts() Counts { return a.counts }
 
 // Total is the units of a resource that all members own together.
-func (a *Allocator) Total() int { return a.cfg.Members * a.cfg.Unit }
+func (a *Allocator) Total() int { return a.cfg.Members * a.cfg.OwnedUnits }
 
 // SetAlive replaces the set of members that are alive, by index; the others get no requests.
 func (a *Allocator) SetAlive(alive []bool) { copy(a.alive, alive) }
@@ -86,9 +86,9 @@
 	case now < a.recoveredAt:
 		return a.cfg.Reserved
 	case r == nil:
-		return a.cfg.Unit
+		return a.cfg.OwnedUnits
 	default:
-		return a.cfg.Unit - r.lentExcept(now, noMember)
+		return a.cfg.OwnedUnits - r.lentExcept(now, noMember)
 	}
 }
 
@@ -221,7 +221,7 @@
 	if lease == nil || lease.request != received.request {
 		return
 	}
-	lease.granted(min(received.units, a.cfg.Unit), a.cfg.TTL)
+	lease.granted(min(received.units, a.cfg.OwnedUnits), a.cfg.TTL)
 	a.counts.Borrowed++
 }
 
@@ -230,7 +230,7 @@
 func (a *Allocator) grant(now int64, r *resource, borrower int, requested message) message {
 	units := 0
 	if now >= a.recoveredAt {
-		spare := a.cfg.Unit - r.lentExcept(now, borrower) - max(a.cfg.Reserved, r.demand)
+		spare := a.cfg.OwnedUnits - r.lentExcept(now, borrower) - max(a.cfg.Reserved, r.demand)
 		units = max(0, min(requested.units, spare))
 	}
 	if units > 0 {
--- a/internal/fleet/quota/allocator_test.go
+++ b/internal/fleet/quota/allocator_test.go
@@ -6,7 +6,7 @@
 // has a slower clock: the quotas never sum to more than the total. And the search does find violations: without the
 // margin, without the recovery after a start, or with one incarnation for all starts there are some.
 func TestAllocator_QuotasNeverSumToMoreThanTheTotal(t *testing.T) {
-	valid := Config{Unit: 4, Reserved: 1, TTL: testTTL, Margin: testMargin}
+	valid := Config{OwnedUnits: 4, Reserved: 1, TTL: testTTL, Margin: testMargin}
 	withoutRecovery := func(f *fleet, member int) {
 		restartNextIncarnation(f, member)
 		f.allocators[member].recoveredAt = 0
@@ -23,7 +23,7 @@
 		{"three members", 3, 5, valid, restartNextIncarnation, false},
 		{
 			"no margin, and a slow clock", 2, 8,
-			Config{Unit: 4, Reserved: 1, TTL: testTTL},
+			Config{OwnedUnits: 4, Reserved: 1, TTL: testTTL},
 			restartNextIncarnation, true,
 		},
 		{"no recovery after a start", 2, 8, valid, withoutRecovery, true},
@@ -90,7 +90,7 @@
 // How long it takes until a member that needs all gets what the others can spare: when its demand begins, when another
 // that had borrowed it dies or needs it no more, and when that one has just restarted.
 func TestAllocator_ReallocatesWithinLeaseAndMargin(t *testing.T) {
-	cfg := Config{Unit: ownedUnits, Reserved: ownedUnits - lendableUnits, TTL: testTTL, Margin: testMargin}
+	cfg := Config{OwnedUnits: ownedUnits, Reserved: ownedUnits - lendableUnits, TTL: testTTL, Margin: testMargin}
 	maxUnits := ownedUnits + (reallocationMembers-1)*lendableUnits
 	for _, test := range []struct {
 		name       string
--- a/internal/fleet/quota/characterization_test.go
+++ b/internal/fleet/quota/characterization_test.go
@@ -39,11 +39,11 @@
 	} {
 		record := recorded.NewSeries(test.name+"/%d-of-10", test.events)
 		config := quota.Config{
-			Members:  test.members,
-			Unit:     test.unit,
-			Reserved: test.keep,
-			TTL:      leaseLength,
-			Margin:   leaseMargin,
+			Members:    test.members,
+			OwnedUnits: test.unit,
+			Reserved:   test.keep,
+			TTL:        leaseLength,
+			Margin:     leaseMargin,
 		}
 		w := newNetwork(t, record, config, test.names, test.seed, test.corrupting)
 		w.run(test.events)
@@ -73,7 +73,7 @@
 				bucket.Take()
 			}
 		}
-		record.Number(bucket.Next(rate))
+		record.Number(bucket.NextReady(rate))
 		record.Step()
 	}
 	recorded.Compare(t, "meter.txt", record.Lines())
@@ -87,7 +87,7 @@
 		Self:        self,
 		Members:     3,
 		Incarnation: incarnation,
-		Unit:        1000,
+		OwnedUnits:  1000,
 		Reserved:    250,
 		TTL:         leaseLength,
 		Margin:      leaseMargin,
@@ -240,7 +240,7 @@
 }
 
 func TestCharacterization_ConfigErrors(t *testing.T) {
-	good := quota.Config{Self: 1, Members: 3, Unit: 10, Reserved: 2, TTL: 1000}
+	good := quota.Config{Self: 1, Members: 3, OwnedUnits: 10, Reserved: 2, TTL: 1000}
 	var text strings.Builder
 	for _, test := range []struct {
 		name   string
@@ -250,7 +250,7 @@
 		{"no-members", func(c *quota.Config) { c.Members = 0 }},
 		{"self", func(c *quota.Config) { c.Self = 3 }},
 		{"keep", func(c *quota.Config) { c.Reserved = 11 }},
-		{"unit", func(c *quota.Config) { c.Unit = 0 }},
+		{"unit", func(c *quota.Config) { c.OwnedUnits = 0 }},
 		{"lease", func(c *quota.Config) { c.TTL = 999 }},
 		{"margin", func(c *quota.Config) { c.Margin = -1 }},
 	} {
--- a/internal/fleet/quota/config.go
+++ b/internal/fleet/quota/config.go
@@ -17,7 +17,7 @@
 	// Incarnation differs at each start of the member, so a grant for a request of an earlier start is not taken for
 	// one of this start.
 	Incarnation uint32
-	Unit        int   // the units of each resource that a member owns: the total is Members * Unit
+	OwnedUnits  int   // the units of each resource that a member owns: the total is Members * Unit
 	Reserved    int   // how many of the own units are never lent
 	TTL         int64 // the length of a lease, µs
 	// Margin is for how much longer than TTL the lender leaves the units alone, µs. It has to cover the drift between
@@ -30,7 +30,7 @@
 	switch {
 	case c.Members < 1 || c.Self < 0 || c.Self >= c.Members:
 		return &ConfigError{Field: "index", Problem: fmt.Sprintf("member %d of %d", c.Self, c.Members)}
-	case c.Unit < 1 || c.Reserved < 0 || c.Reserved > c.Unit:
+	case c.OwnedUnits < 1 || c.Reserved < 0 || c.Reserved > c.OwnedUnits:
 		return &ConfigError{Field: "keep", Problem: "keep: want 0 to 1"}
 	case c.TTL < minTTL || c.Margin < 0:
 		return &ConfigError{
--- a/internal/fleet/quota/errors_test.go
+++ b/internal/fleet/quota/errors_test.go
@@ -25,7 +25,7 @@
 		{"an invalid body of an invalid sender", 2, nil},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			f := newFleet(t, 2, Config{Unit: 4, TTL: testTTL, Margin: testMargin}, noSlowMember)
+			f := newFleet(t, 2, Config{OwnedUnits: 4, TTL: testTTL, Margin: testMargin}, noSlowMember)
 
 			out, err := f.allocators[0].Receive(f.clock[0], test.from, test.body)
 
@@ -41,7 +41,7 @@
 }
 
 func TestAllocator_RejectsResourcesPastItsCapacity(t *testing.T) {
-	f := newFleet(t, 2, Config{Unit: 4, TTL: testTTL, Margin: testMargin}, noSlowMember)
+	f := newFleet(t, 2, Config{OwnedUnits: 4, TTL: testTTL, Margin: testMargin}, noSlowMember)
 	for length := range MaxResources {
 		f.allocators[0].Demand(f.clock[0], strings.Repeat("p", length+1), 1)
 	}
@@ -56,7 +56,7 @@
 }
 
 func TestConfig_InvalidFieldIsAConfigError(t *testing.T) {
-	_, err := New(Config{Members: 2, Unit: 4, TTL: testTTL, Margin: -1}, 0)
+	_, err := New(Config{Members: 2, OwnedUnits: 4, TTL: testTTL, Margin: -1}, 0)
 
 	var configError *ConfigError
 	if !errors.As(err, &configError) || !errors.Is(err, ErrConfig) || configError.Field != "lease, margin" {
--- a/internal/fleet/quota/network_test.go
+++ b/internal/fleet/quota/network_test.go
@@ -223,8 +223,8 @@
 // demand changes what a member needs of a resource.
 func (w *network) demand(member int) {
 	name := w.names[w.rng.IntN(len(w.names))]
-	total := w.config.Members * w.config.Unit
-	owned := w.config.Unit
+	total := w.config.Members * w.config.OwnedUnits
+	owned := w.config.OwnedUnits
 	units := []int{0, 0, owned / 2, owned, 2 * owned, total, 2 * total, -1, w.rng.IntN(total)}[w.rng.IntN(9)]
 	w.record.Text("demand")
 	w.record.Text(name)
--- a/internal/fleet/quota/timeline_test.go
+++ b/internal/fleet/quota/timeline_test.go
@@ -41,7 +41,7 @@
 		for member := range names {
 			names[member] = fmt.Sprintf("share of member %d", member)
 		}
-		return timeline.Draw(names, 100_000, script.events)
+		return timeline.Render(names, 100_000, script.events)
 	})
 }
 
@@ -81,7 +81,7 @@
 		Self:        member,
 		Members:     len(s.members),
 		Incarnation: s.incarnation,
-		Unit:        timelineUnits,
+		OwnedUnits:  timelineUnits,
 		Reserved:    250,
 		TTL:         2_000_000,
 		Margin:      500_000,
--- a/internal/fleet/quota/token_bucket.go
+++ b/internal/fleet/quota/token_bucket.go
@@ -30,8 +30,8 @@
 // Take takes the token of a set-up that is sent.
 func (b *TokenBucket) Take() { b.tokens-- }
 
-// Next is when the next set-up may be sent at this rate, 0 for never.
-func (b *TokenBucket) Next(rate float64) int64 {
+// NextReady is when the next set-up may be sent at this rate, 0 for never.
+func (b *TokenBucket) NextReady(rate float64) int64 {
 	if rate <= 0 {
 		return 0
 	}
--- a/internal/fleet/statetable/characterization_test.go
+++ b/internal/fleet/statetable/characterization_test.go
@@ -58,7 +58,7 @@
 
 func newTable(tb testing.TB, self int) *statetable.Table {
 	tb.Helper()
-	config := statetable.Default(self, tableMembers, 1_700_000_000_000_000+uint64(self), 7)
+	config := statetable.DefaultConfig(self, tableMembers, 1_700_000_000_000_000+uint64(self), 7)
 	config.Fanout, config.Packets, config.DigestEvery = 1, 16, 1
 	config.Kinds = kinds()
 	made, err := statetable.New(config, 0)
@@ -243,7 +243,7 @@
 func TestCharacterization_DigestLengths(t *testing.T) {
 	var text strings.Builder
 	for _, members := range []int{2, 55, 56, 57, 111, 112, 113, 512} {
-		config := statetable.Default(0, members, 1, 1)
+		config := statetable.DefaultConfig(0, members, 1, 1)
 		config.DigestEvery = 1
 		made, err := statetable.New(config, 0)
 		if err != nil {
@@ -302,7 +302,7 @@
 	for _, o := range out {
 		fmt.Fprintf(text, " answers %d %x", o.To, o.Body)
 	}
-	for _, change := range reader.Take() {
+	for _, change := range reader.TakeChanges() {
 		fmt.Fprintf(text, " change %d %d %d.%d at %d %x", change.Origin, change.Kind, change.Incarnation, change.Version,
 			change.At, change.Value)
 	}
@@ -352,11 +352,11 @@
 		{"packets", func(c *statetable.Config) { c.Packets = 0 }},
 		{"retransmit", func(c *statetable.Config) { c.Retransmit = 17 }},
 		{"digest-every", func(c *statetable.Config) { c.DigestEvery = 0 }},
-		{"kinds", func(c *statetable.Config) { c.Kinds = make([]statetable.Spec, statetable.MaxKinds+1) }},
+		{"kinds", func(c *statetable.Config) { c.Kinds = make([]statetable.KindSpec, statetable.MaxKinds+1) }},
 		{"kind-twice", func(c *statetable.Config) { c.Kinds = append(kinds(), kinds()[0]) }},
 		{"kind-too-long", func(c *statetable.Config) { c.Kinds[0].MaxLength = statetable.MaxValue + 1 }},
 	} {
-		config := statetable.Default(1, 5, 1, 1)
+		config := statetable.DefaultConfig(1, 5, 1, 1)
 		config.Kinds = kinds()
 		test.change(&config)
 		text.WriteString(test.name)
@@ -378,7 +378,7 @@
 		}
 		text.WriteString("\n")
 	}
-	d := statetable.Default(3, 9, 5, 7)
+	d := statetable.DefaultConfig(3, 9, 5, 7)
 	fmt.Fprintf(&text, "default interval %d fanout %d packets %d retransmit %d digest-every %d\n",
 		d.Interval.Microseconds(), d.Fanout, d.Packets, d.Retransmit, d.DigestEvery)
 	fmt.Fprintf(&text, "most value %d kinds %d; region %d versions %d sketch %d\n", statetable.MaxValue,
--- a/internal/fleet/statetable/config.go
+++ b/internal/fleet/statetable/config.go
@@ -29,8 +29,8 @@
 	defaultDigestEvery = 2
 )
 
-// Spec registers a kind.
-type Spec struct {
+// KindSpec registers a kind.
+type KindSpec struct {
 	Kind      Kind
 	Name      string // for errors and logs
 	MaxLength int    // of a value, in bytes
@@ -47,11 +47,11 @@
 	Packets     int           // how many datagrams of updates each of them gets at most
 	Retransmit  int           // a fragment is transmitted Retransmit * ceil(log10(members+1)) times
 	DigestEvery int           // how many Intervals pass between two digests
-	Kinds       []Spec
+	Kinds       []KindSpec
 }
 
-// Default returns the settings for a fleet of that many members, without kinds.
-func Default(self, members int, incarnation, seed uint64) Config {
+// DefaultConfig returns the settings for a fleet of that many members, without kinds.
+func DefaultConfig(self, members int, incarnation, seed uint64) Config {
 	return Config{
 		Self:        self,
 		Members:     members,
@@ -96,7 +96,7 @@
 		return &ConfigError{Field: "kinds", Want: fmt.Sprintf("%d at the most", MaxKinds)}
 	}
 	for i, spec := range c.Kinds {
-		duplicate := slices.ContainsFunc(c.Kinds[:i], func(earlier Spec) bool { return earlier.Kind == spec.Kind })
+		duplicate := slices.ContainsFunc(c.Kinds[:i], func(earlier KindSpec) bool { return earlier.Kind == spec.Kind })
 		if duplicate || spec.MaxLength < 1 || spec.MaxLength > MaxValue {
 			return &ConfigError{Field: "kind " + spec.Name, Want: fmt.Sprintf("each once, with 1 to %d bytes", MaxValue)}
 		}
@@ -105,7 +105,7 @@
 }
 
 // spec returns the registration of a kind, nil where it is not registered.
-func (c *Config) spec(kind Kind) *Spec {
+func (c *Config) spec(kind Kind) *KindSpec {
 	for i := range c.Kinds {
 		if c.Kinds[i].Kind == kind {
 			return &c.Kinds[i]
--- a/internal/fleet/statetable/fleet_test.go
+++ b/internal/fleet/statetable/fleet_test.go
@@ -9,7 +9,7 @@
 // simulationStep is the resolution of a fleet's virtual time, µs.
 const simulationStep = 5000
 
-var testKinds = []Spec{{Region, "region", 32}, {Versions, "versions", 200}, {Sketch, "sketch", 2048}}
+var testKinds = []KindSpec{{Region, "region", 32}, {Versions, "versions", 200}, {Sketch, "sketch", 2048}}
 
 // fleet simulates members in virtual time, with a network that loses, duplicates, delays and partitions.
 type fleet struct {
@@ -45,9 +45,9 @@
 	return f
 }
 
-func (f *fleet) start(member, members int, incarnation uint64, kinds []Spec) {
+func (f *fleet) start(member, members int, incarnation uint64, kinds []KindSpec) {
 	f.t.Helper()
-	cfg := Default(member, members, incarnation, uint64(member))
+	cfg := DefaultConfig(member, members, incarnation, uint64(member))
 	cfg.Kinds = kinds
 	table, err := New(cfg, f.now)
 	if err != nil {
@@ -98,7 +98,7 @@
 			f.send(incoming.to, out)
 		}
 		for member, table := range f.tables {
-			if f.now >= table.Next() {
+			if f.now >= table.NextTick() {
 				f.send(member, table.Tick(f.now))
 			}
 		}
--- a/internal/fleet/statetable/network_test.go
+++ b/internal/fleet/statetable/network_test.go
@@ -19,8 +19,8 @@
 )
 
 // kinds are the registered kinds; older programs know the first ones.
-func kinds() []statetable.Spec {
-	return []statetable.Spec{
+func kinds() []statetable.KindSpec {
+	return []statetable.KindSpec{
 		{Kind: statetable.Region, Name: "region", MaxLength: 32},
 		{Kind: statetable.Versions, Name: "versions", MaxLength: 200},
 		{Kind: statetable.Sketch, Name: "sketch", MaxLength: 2048},
@@ -31,7 +31,7 @@
 // process is a member's program from its last start on.
 type process struct {
 	table        *statetable.Table
-	kinds        []statetable.Spec // what it publishes
+	kinds        []statetable.KindSpec // what it publishes
 	starts       uint64
 	stoppedUntil int64
 }
@@ -76,7 +76,7 @@
 }
 
 // start starts a member; by a clock that was set back its incarnation is lower than that of the last start.
-func (w *network) start(member int, known []statetable.Spec, setBack bool) {
+func (w *network) start(member int, known []statetable.KindSpec, setBack bool) {
 	w.tb.Helper()
 	restarted := &w.processes[member]
 	*restarted = process{starts: restarted.starts + 1, kinds: known}
@@ -85,7 +85,7 @@
 		incarnation = 500 + restarted.starts
 		restarted.kinds = kinds()[1:2]
 	}
-	config := statetable.Default(member, len(w.processes), incarnation, uint64(member)*3+restarted.starts)
+	config := statetable.DefaultConfig(member, len(w.processes), incarnation, uint64(member)*3+restarted.starts)
 	config.Kinds = known
 	table, err := statetable.New(config, w.now)
 	if err != nil {
@@ -140,7 +140,7 @@
 
 // take records the changes at a member.
 func (w *network) take(member int) {
-	for _, change := range w.processes[member].table.Take() {
+	for _, change := range w.processes[member].table.TakeChanges() {
 		w.record.Text("change")
 		w.record.Number(int64(change.Origin))
 		w.record.Number(int64(change.Kind))
@@ -173,7 +173,7 @@
 	next, member := w.disturbAt, -1
 	for i := range w.processes {
 		p := &w.processes[i]
-		if at := max(p.table.Next(), p.stoppedUntil, w.now); at < next {
+		if at := max(p.table.NextTick(), p.stoppedUntil, w.now); at < next {
 			next, member = at, i
 		}
 	}
@@ -195,7 +195,7 @@
 	w.record.Number(int64(member))
 	w.record.Number(w.now)
 	w.send(member, w.processes[member].table.Tick(w.now))
-	w.record.Number(w.processes[member].table.Next())
+	w.record.Number(w.processes[member].table.NextTick())
 	w.take(member)
 }
 
--- a/internal/fleet/statetable/table.go
+++ b/internal/fleet/statetable/table.go
@@ -116,15 +116,15 @@
 	t.invalidateBlock(origin)
 }
 
-// Take returns the changes since the last Take.
-func (t *Table) Take() []Change {
+// TakeChanges returns the changes since the last Take.
+func (t *Table) TakeChanges() []Change {
 	changes := t.changes
 	t.changes = nil
 	return changes
 }
 
-// Next is when Tick is due.
-func (t *Table) Next() int64 { return t.nextTick }
+// NextTick is when Tick is due.
+func (t *Table) NextTick() int64 { return t.nextTick }
 
 // Tick does what is due: it sends updates to some members, and a digest to one.
 func (t *Table) Tick(now int64) []Out {
--- a/internal/fleet/statetable/table_test.go
+++ b/internal/fleet/statetable/table_test.go
@@ -114,7 +114,7 @@
 			if _, err := receiver.Receive(1, 0, body); err != nil {
 				t.Fatal(err)
 			}
-			for _, change := range receiver.Take() {
+			for _, change := range receiver.TakeChanges() {
 				if change.Version <= last {
 					t.Errorf("version %d after %d", change.Version, last)
 				}
--- a/internal/fleet/statetable/timeline_test.go
+++ b/internal/fleet/statetable/timeline_test.go
@@ -27,7 +27,7 @@
 		for member := range names {
 			names[member] = fmt.Sprintf("member %d", member)
 		}
-		return timeline.Draw(names, 100_000, script.events)
+		return timeline.Render(names, 100_000, script.events)
 	})
 }
 
@@ -48,7 +48,7 @@
 
 func (s *timelineScript) noteChanges() {
 	for member, table := range s.fleet.tables {
-		for _, change := range table.Take() {
+		for _, change := range table.TakeChanges() {
 			text := fmt.Sprintf("%d in %s", change.Origin, change.Value)
 			if change.Kind == Sketch {
 				text = fmt.Sprintf("%d observed %d bytes", change.Origin, len(change.Value))
@@ -114,7 +114,7 @@
 	}
 }
 
-func (s *timelineScript) restart(member int, event string, incarnation int, kinds []Spec) {
+func (s *timelineScript) restart(member int, event string, incarnation int, kinds []KindSpec) {
 	s.t.Helper()
 	s.note(member, event)
 	delete(s.dead, member)
--- a/internal/fleet/swim/characterization_network_test.go
+++ b/internal/fleet/swim/characterization_network_test.go
@@ -91,7 +91,7 @@
 
 func (n *network) start(member int, incarnation uint64) {
 	n.t.Helper()
-	node, err := swim.New(swim.Default(member, n.members), incarnation, uint64(member)*7+1, n.now)
+	node, err := swim.New(swim.DefaultConfig(member, n.members), incarnation, uint64(member)*7+1, n.now)
 	if err != nil {
 		n.t.Fatal(err)
 	}
--- a/internal/fleet/swim/characterization_test.go
+++ b/internal/fleet/swim/characterization_test.go
@@ -138,7 +138,7 @@
 func TestCharacterization_ProcessStallBound(t *testing.T) {
 	var text strings.Builder
 	for _, late := range []int64{0, 499_999, 500_000, 500_001, second} {
-		node, err := swim.New(swim.Default(0, 3), 1000, 1, second)
+		node, err := swim.New(swim.DefaultConfig(0, 3), 1000, 1, second)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -155,13 +155,14 @@
 func TestCharacterization_DefaultSettings(t *testing.T) {
 	var text strings.Builder
 	for _, members := range []int{1, 2, 3, 5, 9, 10, 40, 100, 512} {
-		c := swim.Default(0, members)
-		fmt.Fprintf(&text, "members %d interval %d timeout %d indirect %d ", members, c.Interval, c.Timeout, c.Indirect)
+		c := swim.DefaultConfig(0, members)
+		fmt.Fprintf(&text, "members %d interval %d timeout %d indirect %d ",
+			members, c.ProbeInterval, c.ProbeTimeout, c.IndirectProbes)
 		fmt.Fprintf(&text, "suspicion-mult %d suspicion-max %d retransmit %d detect-within %d\n",
-			c.SuspicionMult, c.SuspicionMax, c.Retransmit, c.DetectionTime())
+			c.SuspicionMultiplier, c.MaxSuspicionMultiplier, c.RetransmitMultiplier, c.DetectionTime())
 	}
 	for _, members := range []int{0, 512, 513} {
-		fmt.Fprintf(&text, "members %d check: %s\n", members, errorText(swim.Default(0, members).Check()))
+		fmt.Fprintf(&text, "members %d check: %s\n", members, errorText(swim.DefaultConfig(0, members).Check()))
 	}
 	fmt.Fprintf(&text, "most members %d datagram %d updates %d body %d\n", swim.MaxMembers, swim.MaxDatagram,
 		swim.MaxUpdates, swim.MaxBody)
--- a/internal/fleet/swim/fleet_test.go
+++ b/internal/fleet/swim/fleet_test.go
@@ -57,7 +57,7 @@
 	tb.Helper()
 	fleet := &testFleet{
 		t:            tb,
-		cfg:          Default(0, members),
+		cfg:          DefaultConfig(0, members),
 		rng:          rand.New(rand.NewPCG(seed, 1)),
 		now:          second,
 		nodes:        make([]*Node, members),
--- a/internal/fleet/swim/fuzz_test.go
+++ b/internal/fleet/swim/fuzz_test.go
@@ -27,7 +27,7 @@
 	}
 	f.Add(encoded, uint8(3))
 	f.Fuzz(func(t *testing.T, input []byte, step uint8) {
-		node, err := New(Default(0, 4), 10, 1, 0)
+		node, err := New(DefaultConfig(0, 4), 10, 1, 0)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/fleet/swim/node.go
+++ b/internal/fleet/swim/node.go
@@ -120,7 +120,7 @@
 
 // Tick does what is due. It has to be called before Receive whenever time has passed.
 func (n *Node) Tick(now int64) {
-	if late := now - n.dueAt; float64(late) > stallThreshold*float64(n.cfg.Interval) {
+	if late := now - n.dueAt; float64(late) > stallThreshold*float64(n.cfg.ProbeInterval) {
 		n.recoverFromStall(late)
 	}
 	n.dueAt = now
@@ -128,7 +128,7 @@
 	n.tickProbe(now)
 	n.tickSuspicions(now)
 	if now >= n.nextProbe && !n.hasLeft() {
-		n.nextProbe = now + n.health.scale(n.cfg.Interval)
+		n.nextProbe = now + n.health.scale(n.cfg.ProbeInterval)
 		n.startProbe(now)
 	}
 }
--- a/internal/fleet/swim/probe.go
+++ b/internal/fleet/swim/probe.go
@@ -68,7 +68,7 @@
 		state:     probeDirect,
 		seq:       n.ping(target),
 		target:    target,
-		timeoutAt: now + n.health.scale(n.cfg.Timeout),
+		timeoutAt: now + n.health.scale(n.cfg.ProbeTimeout),
 		endAt:     n.nextProbe,
 	}
 }
@@ -128,7 +128,7 @@
 // requestIndirectProbes has other members ping the target.
 func (n *Node) requestIndirectProbes() {
 	n.probe.goIndirect()
-	for _, to := range n.randomAlive(n.cfg.Indirect, n.probe.target) {
+	for _, to := range n.randomAlive(n.cfg.IndirectProbes, n.probe.target) {
 		n.counts.Indirect++
 		n.probe.requested++
 		n.send(to, Message{Kind: PingReq, Seq: n.probe.seq, Target: n.probe.target})
--- a/internal/fleet/swim/probe_test.go
+++ b/internal/fleet/swim/probe_test.go
@@ -5,7 +5,7 @@
 // startedProbe returns the one of two or more members that has just pinged another.
 func startedProbe(tb testing.TB, members int) *Node {
 	tb.Helper()
-	node, err := New(Default(0, members), 1, 1, 0)
+	node, err := New(DefaultConfig(0, members), 1, 1, 0)
 	if err != nil {
 		tb.Fatal(err)
 	}
--- a/internal/fleet/swim/relay.go
+++ b/internal/fleet/swim/relay.go
@@ -30,8 +30,8 @@
 		origin:    m.From,
 		originSeq: m.Seq,
 		target:    m.Target,
-		nackAt:    now + int64(nackFraction*float64(n.cfg.Timeout)),
-		expiresAt: now + n.cfg.Interval,
+		nackAt:    now + int64(nackFraction*float64(n.cfg.ProbeTimeout)),
+		expiresAt: now + n.cfg.ProbeInterval,
 	}
 }
 
--- a/internal/fleet/swim/suspicion.go
+++ b/internal/fleet/swim/suspicion.go
@@ -41,7 +41,7 @@
 		case now >= m.suspicion.nextPing && !n.hasLeft():
 			// A Ping to a suspect carries the suspicion, and its Ack the refutation. Without these repeated Pings, a
 			// member that is alive would be declared dead where the one refutation is lost.
-			m.suspicion.nextPing = now + n.cfg.Timeout
+			m.suspicion.nextPing = now + n.cfg.ProbeTimeout
 			n.ping(i)
 		}
 	}
--- a/internal/fleet/swim/timeline_test.go
+++ b/internal/fleet/swim/timeline_test.go
@@ -132,5 +132,5 @@
 	for i := range names {
 		names[i] = fmt.Sprintf("member %d", i)
 	}
-	return timeline.Draw(names, pictureStep, p.events)
+	return timeline.Render(names, pictureStep, p.events)
 }
--- a/internal/frontend/jsonlines/characterization_harness_test.go
+++ b/internal/frontend/jsonlines/characterization_harness_test.go
@@ -18,10 +18,10 @@
 	"eidertrail"
 	"eidertrail/dispatch"
 	"eidertrail/internal/clock"
-	"eidertrail/internal/frontend/frontendtest"
 	"eidertrail/internal/frontend/jsonlines"
 	"eidertrail/internal/telemetry"
 	"eidertrail/internal/testing/fakeplatform"
+	"eidertrail/internal/testing/frontendtest"
 )
 
 // platform is a front with its dispatcher, in a bubble of synctest.
--- a/internal/frontend/jsonlines/fuzz_test.go
+++ b/internal/frontend/jsonlines/fuzz_test.go
@@ -14,7 +14,7 @@
 // after a cancel, and a release only of an established call.
 func FuzzConnection(f *testing.F) {
 	seeds := []string{"00010100", "000002010300", "010001100500", "0004020006", "040100020005", "03000100010104"}
-	fakeplatform.Fuzz(f, seeds, func(t *testing.T, script []byte) {
+	fakeplatform.FuzzScripts(f, seeds, func(t *testing.T, script []byte) {
 		t.Helper()
 		runRig(t, func(r *rig) {
 			m := &callModel{
@@ -24,7 +24,7 @@
 				setups:    map[string]bool{},
 				cancelled: map[string]bool{},
 			}
-			fakeplatform.Play(script, m.steps(), func() { m.check(t) })
+			fakeplatform.RunScript(script, m.steps(), func() { m.check(t) })
 		})
 	})
 }
--- a/internal/frontend/jsonlines/messages.go
+++ b/internal/frontend/jsonlines/messages.go
@@ -56,12 +56,12 @@
 	case !dispatch.IsToken(message.ID): // there is no id that an answer could name
 		c.closeFaulty()
 		return
-	case errors.Is(err, dispatch.ErrDuplicate) && calls.Owns(c, message.ID):
+	case errors.Is(err, dispatch.ErrDuplicateID) && calls.Owns(c, message.ID):
 		// Two set-ups with one id on one connection: an answer to either could be taken for the other's.
 		_, _ = calls.Release(message.ID, dispatch.CauseNormal) // if it ended meanwhile there is nothing to release
 		c.closeFaulty()
 		return
-	case errors.Is(err, dispatch.ErrTooMany):
+	case errors.Is(err, dispatch.ErrTooManyCalls):
 		cause = causeCongestion
 		if !errors.Is(err, dispatch.ErrNotEstablished) {
 			c.faults-- // too many calls at a time are not the fault of a caller that is served
@@ -91,7 +91,7 @@
 		ID:            message.ID,
 		Class:         message.Field("class"),
 		Number:        message.Field("key"),
-		Pool:          pool,
+		Group:         pool,
 		TimeoutMillis: timeoutMillis,
 		ReceivedAt:    cfg.Clock.Now(),
 		SDP:           message.SDP,
@@ -111,7 +111,7 @@
 	case ended:
 		server.cfg.Calls.MarkEstablished(c)
 		c.send(queuedLine{bytes: linecodec.AppendBare(nil, linecodec.TypeReleased, message.ID)})
-	case !errors.Is(err, dispatch.ErrUnknown):
+	case !errors.Is(err, dispatch.ErrUnknownCall):
 	case isCallID(message.ID) && server.unmatchedReleases.allow(server.cfg.Clock):
 		server.cfg.ReleaseUnmatched(message.ID, cause)
 	default:
--- a/internal/frontend/websocket/characterization_client_test.go
+++ b/internal/frontend/websocket/characterization_client_test.go
@@ -15,7 +15,7 @@
 	"sync"
 	"testing/synctest"
 
-	"eidertrail/internal/frontend/frontendtest"
+	"eidertrail/internal/testing/frontendtest"
 )
 
 // client is one socket of a client, which writes and reads frames as they are on the wire.
--- a/internal/frontend/websocket/characterization_harness_test.go
+++ b/internal/frontend/websocket/characterization_harness_test.go
@@ -17,10 +17,10 @@
 	"eidertrail"
 	"eidertrail/dispatch"
 	"eidertrail/internal/clock"
-	"eidertrail/internal/frontend/frontendtest"
 	"eidertrail/internal/frontend/websocket"
 	"eidertrail/internal/telemetry"
 	"eidertrail/internal/testing/fakeplatform"
+	"eidertrail/internal/testing/frontendtest"
 )
 
 // service is a call-control server with its dispatcher, in a bubble of synctest.
--- a/internal/frontend/websocket/characterization_test.go
+++ b/internal/frontend/websocket/characterization_test.go
@@ -471,12 +471,12 @@
 			"Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==",
 		),
 		{"an origin that was admitted", func(s *service) {
-			s.server.Admit([]string{"*.example"}, maxSockets)
+			s.server.UpdateLimits([]string{"*.example"}, maxSockets)
 			c := s.connect()
 			s.upgrade(c, "/?site=a", upgradeHeader("Origin: http://elsewhere.example")...)
 		}},
 		{"no sockets any more", func(s *service) {
-			s.server.Admit(nil, 0)
+			s.server.UpdateLimits(nil, 0)
 			c := s.connect()
 			s.upgrade(c, "/?site=a", upgradeHeader()...)
 		}},
--- a/internal/frontend/websocket/client_message.go
+++ b/internal/frontend/websocket/client_message.go
@@ -78,13 +78,13 @@
 func (m *memberReader) setup(id string) dispatch.SetupRequest {
 	left := m.root.Get("left_ms")
 	if left.Type != gjson.Number {
-		m.fail(dispatch.ErrLeft)
+		m.fail(dispatch.ErrInvalidTimeout)
 	}
 	return dispatch.SetupRequest{
 		ID:            id,
 		Class:         m.requiredText("class"),
 		Number:        m.text("number"),
-		Pool:          m.integer("pool", noFirstChoice),
+		Group:         m.integer("pool", noFirstChoice),
 		TimeoutMillis: left.Num,
 		SDP:           m.text("sdp"),
 	}
--- a/internal/frontend/websocket/code.go
+++ b/internal/frontend/websocket/code.go
@@ -43,13 +43,13 @@
 		err  error
 		code Code
 	}{
-		{dispatch.ErrID, BadID},
-		{dispatch.ErrClass, BadClass},
-		{dispatch.ErrLeft, BadLeft},
-		{dispatch.ErrNumber, BadNumber},
-		{dispatch.ErrDuplicate, DuplicateID},
-		{dispatch.ErrTooMany, TooManyCalls},
-		{dispatch.ErrUnknown, UnknownID},
+		{dispatch.ErrInvalidID, BadID},
+		{dispatch.ErrUnknownClass, BadClass},
+		{dispatch.ErrInvalidTimeout, BadLeft},
+		{dispatch.ErrInvalidNumber, BadNumber},
+		{dispatch.ErrDuplicateID, DuplicateID},
+		{dispatch.ErrTooManyCalls, TooManyCalls},
+		{dispatch.ErrUnknownCall, UnknownID},
 		{dispatch.ErrCallEnded, CallEnded},
 		{errJSON, BadJSON},
 		{errType, UnknownType},
--- a/internal/frontend/websocket/reader.go
+++ b/internal/frontend/websocket/reader.go
@@ -77,7 +77,7 @@
 func (c *socket) setup(request clientMessage, receivedAt int64) error {
 	if c.server.shuttingDown.Load() {
 		if !dispatch.IsToken(request.id) {
-			return dispatch.ErrID
+			return dispatch.ErrInvalidID
 		}
 		rejection := rejectedMessage(typeRejected, request.id, ShuttingDown, causeCongestion, retryAfterMicros)
 		c.send(queuedMessage{bytes: rejection})
@@ -90,7 +90,7 @@
 // sendError answers a message that was not accepted.
 func (c *socket) sendError(id string, err error) {
 	retryAfter := int64(0)
-	if errors.Is(err, dispatch.ErrTooMany) {
+	if errors.Is(err, dispatch.ErrTooManyCalls) {
 		retryAfter = retryAfterMicros
 	}
 	c.send(queuedMessage{bytes: errorMessage(id, err, retryAfter)})
--- a/internal/frontend/websocket/server.go
+++ b/internal/frontend/websocket/server.go
@@ -63,8 +63,8 @@
 	}
 }
 
-// Admit changes which browser origins may connect and how many sockets there may be. Open ones stay.
-func (s *Server) Admit(origins []string, maxConnections int) {
+// UpdateLimits changes which browser origins may connect and how many sockets there may be. Open ones stay.
+func (s *Server) UpdateLimits(origins []string, maxConnections int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.cfg.Origins, s.cfg.MaxConnections = origins, maxConnections
--- a/internal/frontend/websocket/server_test.go
+++ b/internal/frontend/websocket/server_test.go
@@ -98,7 +98,7 @@
 // again is closed. A socket that has sent a message never makes room.
 func TestEviction_ClosesSilentSocketsAndFaultyOnes(t *testing.T) {
 	r := newRig(t, nil)
-	r.server.Admit(nil, 2)
+	r.server.UpdateLimits(nil, 2)
 	active, silent := r.dial("a"), r.dial("b")
 	active.say(ping)
 	active.next()
--- a/internal/invariant/checker.go
+++ b/internal/invariant/checker.go
@@ -16,13 +16,13 @@
 
 // Config holds the bounds of the rules. Times are in µs.
 type Config struct {
-	ReleaseWait int64 // from a timeout, reset or cancel of an attempt to the next attempt of its call
-	MaxAttempts int   // of a call
-	Grace       int64 // in which a controller may still send to a pool after it was notified of its drain or removal
-	Late        int64 // in which an answer may still arrive after the call's deadline
-	// LeftGrace is the time after its caller left, by closing its connection or by cancelling, in which an attempt of a
-	// call may still begin.
-	LeftGrace int64
+	ReleaseWait     int64 // from a timeout, reset or cancel of an attempt to the next attempt of its call
+	MaxAttempts     int   // of a call
+	DrainGrace      int64 // in which a controller may still send to a pool after it was notified of its drain or removal
+	AnswerTolerance int64 // in which an answer may still arrive after the call's deadline
+	// AbandonTolerance is the time after its caller left, by closing its connection or by cancelling, in which an attempt
+	// of a call may still begin.
+	AbandonTolerance int64
 	// SlowStart is how pools' processes start, and what they bear in slow start. Without an OverloadWindow no pool is
 	// checked.
 	SlowStart slowstart.Profile
@@ -56,9 +56,9 @@
 
 // AbandonedRequests counts callers that left, and what was sent for them.
 type AbandonedRequests struct {
-	Waiting int // left while their call was accepted and had neither an attempt in flight nor its answer
-	SentOn  int // of those calls, sent 0.3 s later or more
-	Within  int // attempts begun within LeftGrace
+	Waiting   int // left while their call was accepted and had neither an attempt in flight nor its answer
+	Forwarded int // of those calls, sent 0.3 s later or more
+	Tolerated int // attempts begun within LeftGrace
 }
 
 // call is the state of one call.
@@ -117,35 +117,35 @@
 	c.report(c.slowStart.start(startedAt, pool, rate))
 }
 
-// Sent records an attempt that a controller sends to a pool.
-func (c *Checker) Sent(now int64, id, controller, pool string) {
+// AttemptSent records an attempt that a controller sends to a pool.
+func (c *Checker) AttemptSent(now int64, id, controller, pool string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.call(id)
 	violation := c.checkAttempt(k, attempt{at: now, id: id, controller: controller, pool: pool})
 	c.report(violation)
 	if violation == nil && k.callerGone {
-		c.abandoned.Within++
+		c.abandoned.Tolerated++
 	}
 	if k.wasWaiting && !k.forwarded && now >= k.callerGoneAt+forwardedAfter {
 		k.forwarded = true
-		c.abandoned.SentOn++
+		c.abandoned.Forwarded++
 	}
 	k.inFlight = true
 	k.attempts++
 	c.report(c.slowStart.arrival(now, id, pool))
 }
 
-// Repeated records that the sender's transaction layer retransmitted a set-up in flight: work at its pool, but no
-// attempt.
-func (c *Checker) Repeated(now int64, id, pool string) {
+// AttemptRetransmitted records that the sender's transaction layer retransmitted a set-up in flight: work at its pool,
+// but no attempt.
+func (c *Checker) AttemptRetransmitted(now int64, id, pool string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.report(c.slowStart.arrival(now, id, pool))
 }
 
-// Ended records the end of an attempt. After a timeout, a reset or a cancel its release has to be awaited.
-func (c *Checker) Ended(now int64, id string, awaitRelease bool) {
+// AttemptEnded records the end of an attempt. After a timeout, a reset or a cancel its release has to be awaited.
+func (c *Checker) AttemptEnded(now int64, id string, awaitRelease bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.call(id)
@@ -155,8 +155,8 @@
 	}
 }
 
-// Final records a final answer.
-func (c *Checker) Final(now int64, id, answer string) {
+// CallAnswered records a final answer.
+func (c *Checker) CallAnswered(now int64, id, answer string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.call(id)
@@ -213,8 +213,8 @@
 	return slices.Clone(c.violations)
 }
 
-// Seen returns how many calls were accepted.
-func (c *Checker) Seen() int {
+// AcceptedCalls returns how many calls were accepted.
+func (c *Checker) AcceptedCalls() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.accepted
@@ -227,8 +227,8 @@
 	return c.abandoned
 }
 
-// Ramp returns what was sent to pools in slow start.
-func (c *Checker) Ramp() Ramp {
+// SlowStartLoad returns what was sent to pools in slow start.
+func (c *Checker) SlowStartLoad() SlowStartLoad {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.slowStart.ramp
--- a/internal/invariant/checker_test.go
+++ b/internal/invariant/checker_test.go
@@ -12,53 +12,53 @@
 		play func(c *Checker)
 	}{
 		"call a: a second attempt": {RuleSingleAttempt, func(c *Checker) {
-			c.Sent(1, "a", "n0", "p")
-			c.Sent(2, "a", "n0", "q")
+			c.AttemptSent(1, "a", "n0", "p")
+			c.AttemptSent(2, "a", "n0", "q")
 		}},
 		"sent for the 3. time": {RuleMaxAttempts, func(c *Checker) {
-			c.Sent(1, "a", "n0", "p")
-			c.Ended(1, "a", false)
-			c.Sent(2, "a", "n0", "p")
-			c.Ended(2, "a", false)
-			c.Sent(3, "a", "n0", "p")
+			c.AttemptSent(1, "a", "n0", "p")
+			c.AttemptEnded(1, "a", false)
+			c.AttemptSent(2, "a", "n0", "p")
+			c.AttemptEnded(2, "a", false)
+			c.AttemptSent(3, "a", "n0", "p")
 		}},
 		"before its release": {RuleReleaseAwaited, func(c *Checker) {
-			c.Sent(1, "a", "n0", "p")
-			c.Ended(2, "a", true)
-			c.Sent(301, "a", "n0", "p")
+			c.AttemptSent(1, "a", "n0", "p")
+			c.AttemptEnded(2, "a", true)
+			c.AttemptSent(301, "a", "n0", "p")
 		}},
 		"drains or is gone": {RuleEndpointOpen, func(c *Checker) {
 			c.EndpointNotified(1, "n0", "p", false)
-			c.Sent(52, "a", "n0", "p")
+			c.AttemptSent(52, "a", "n0", "p")
 		}},
 		"sent after its end": {RuleNotAfterAnswer, func(c *Checker) {
 			c.CallAccepted(0, "a", 9)
-			c.Final(1, "a", "x")
-			c.Sent(2, "a", "n0", "p")
+			c.CallAnswered(1, "a", "x")
+			c.AttemptSent(2, "a", "n0", "p")
 		}},
 		"a second final answer": {RuleSingleAnswer, func(c *Checker) {
 			c.CallAccepted(0, "a", 9)
-			c.Final(1, "a", "x")
-			c.Final(2, "a", "y")
+			c.CallAnswered(1, "a", "x")
+			c.CallAnswered(2, "a", "y")
 		}},
 		"after its caller left": {RuleCallerPresent, func(c *Checker) {
 			c.CallAccepted(0, "a", 9)
 			c.CallerGone(1, "a")
-			c.Final(2, "a", "y")
+			c.CallAnswered(2, "a", "y")
 		}},
 		"late": {RuleAnswerInTime, func(c *Checker) {
 			c.CallAccepted(0, "a", 9)
-			c.Final(100, "a", "y")
+			c.CallAnswered(100, "a", "y")
 		}},
-		"never taken": {RuleAnswerExpected, func(c *Checker) { c.Final(1, "a", "y") }},
+		"never taken": {RuleAnswerExpected, func(c *Checker) { c.CallAnswered(1, "a", "y") }},
 		"taken twice": {RuleAcceptedOnce, func(c *Checker) {
 			c.CallAccepted(0, "a", 9)
 			c.CallAccepted(0, "a", 9)
-			c.Final(1, "a", "y")
+			c.CallAnswered(1, "a", "y")
 		}},
 		"call a: no final answer": {RuleAnswered, func(c *Checker) { c.CallAccepted(0, "a", 9) }},
 	} {
-		c := New(Config{ReleaseWait: 300, MaxAttempts: 2, Grace: 50, Late: 20})
+		c := New(Config{ReleaseWait: 300, MaxAttempts: 2, DrainGrace: 50, AnswerTolerance: 20})
 		test.play(c)
 		c.Finish(2000)
 		if n, first := c.Violations(); n != 1 || !strings.Contains(first[0], want) {
@@ -75,13 +75,13 @@
 // checkFaultlessTrace plays a trace that keeps all rules.
 func checkFaultlessTrace(t *testing.T) {
 	t.Helper()
-	c := New(Config{ReleaseWait: 300, MaxAttempts: 2, Grace: 50, Late: 20})
+	c := New(Config{ReleaseWait: 300, MaxAttempts: 2, DrainGrace: 50, AnswerTolerance: 20})
 	c.CallAccepted(0, "a", 1000)
-	c.Sent(1, "a", "n0", "p")
-	c.Ended(2, "a", true)
-	c.Sent(302, "a", "n0", "p")
-	c.Ended(303, "a", false)
-	c.Final(1010, "a", "stands")
+	c.AttemptSent(1, "a", "n0", "p")
+	c.AttemptEnded(2, "a", true)
+	c.AttemptSent(302, "a", "n0", "p")
+	c.AttemptEnded(303, "a", false)
+	c.CallAnswered(1010, "a", "stands")
 	c.CallAccepted(0, "b", 1000)
 	c.CallerGone(5, "b")
 	c.Finish(2000)
@@ -94,12 +94,12 @@
 // after the pool has opened again: all keep the rules.
 func checkGracePerController(t *testing.T) {
 	t.Helper()
-	c := New(Config{ReleaseWait: 300, MaxAttempts: 2, Grace: 50})
+	c := New(Config{ReleaseWait: 300, MaxAttempts: 2, DrainGrace: 50})
 	c.EndpointNotified(1, "n0", "p", false)
-	c.Sent(40, "a", "n0", "p")
-	c.Sent(900, "b", "n1", "p")
+	c.AttemptSent(40, "a", "n0", "p")
+	c.AttemptSent(900, "b", "n1", "p")
 	c.EndpointNotified(950, "n0", "p", true)
-	c.Sent(1000, "c", "n0", "p")
+	c.AttemptSent(1000, "c", "n0", "p")
 	if n, first := c.Violations(); n > 0 {
 		t.Errorf("found %v", first)
 	}
@@ -119,52 +119,52 @@
 		"sent at 0.1 s": {func(c *Checker) {
 			accept(c)
 			c.CallerGone(50*millisecond, "a")
-			c.Sent(150*millisecond, "a", "n0", "p")
+			c.AttemptSent(150*millisecond, "a", "n0", "p")
 		}, "", AbandonedRequests{1, 0, 1}},
 		"sent a microsecond later": {func(c *Checker) {
 			accept(c)
 			c.CallerGone(50*millisecond, "a")
-			c.Sent(150*millisecond+1, "a", "n0", "p")
+			c.AttemptSent(150*millisecond+1, "a", "n0", "p")
 		}, "after its caller left", AbandonedRequests{1, 0, 0}},
 		"sent at 0.11 s": {func(c *Checker) {
 			accept(c)
 			c.CallerGone(50*millisecond, "a")
-			c.Sent(160*millisecond, "a", "n0", "p")
+			c.AttemptSent(160*millisecond, "a", "n0", "p")
 		}, "call a: sent to p 110 ms after its caller left", AbandonedRequests{1, 0, 0}},
 		"the first notice counts": {func(c *Checker) {
 			accept(c)
 			c.CallerGone(50*millisecond, "a")
 			c.CallerGone(140*millisecond, "a")
-			c.Sent(160*millisecond, "a", "n0", "p")
+			c.AttemptSent(160*millisecond, "a", "n0", "p")
 		}, "110 ms after its caller left", AbandonedRequests{1, 0, 0}},
 		"sent before it left": {func(c *Checker) {
 			accept(c)
-			c.Sent(50*millisecond, "a", "n0", "p")
+			c.AttemptSent(50*millisecond, "a", "n0", "p")
 			c.CallerGone(50*millisecond, "a")
 		}, "", AbandonedRequests{}},
 		"a further attempt": {func(c *Checker) {
 			accept(c)
-			c.Sent(1*millisecond, "a", "n0", "p")
-			c.Ended(2*millisecond, "a", false)
+			c.AttemptSent(1*millisecond, "a", "n0", "p")
+			c.AttemptEnded(2*millisecond, "a", false)
 			c.CallerGone(10*millisecond, "a")
-			c.Sent(120*millisecond, "a", "n0", "q")
+			c.AttemptSent(120*millisecond, "a", "n0", "q")
 		}, "110 ms after its caller left", AbandonedRequests{1, 0, 0}},
 		"it left while an attempt was in flight": {func(c *Checker) {
 			accept(c)
-			c.Sent(1*millisecond, "a", "n0", "p")
+			c.AttemptSent(1*millisecond, "a", "n0", "p")
 			c.CallerGone(10*millisecond, "a")
-			c.Ended(12*millisecond, "a", true)
-			c.Sent(400*millisecond, "a", "n0", "q")
+			c.AttemptEnded(12*millisecond, "a", true)
+			c.AttemptSent(400*millisecond, "a", "n0", "q")
 		}, "390 ms after its caller left", AbandonedRequests{}},
 		"sent 0.3 s later": {func(c *Checker) {
 			accept(c)
 			c.CallerGone(10*millisecond, "a")
-			c.Sent(310*millisecond, "a", "n0", "p")
+			c.AttemptSent(310*millisecond, "a", "n0", "p")
 		}, "300 ms after its caller left", AbandonedRequests{1, 1, 0}},
 		"sent a microsecond sooner": {func(c *Checker) {
 			accept(c)
 			c.CallerGone(10*millisecond, "a")
-			c.Sent(310*millisecond-1, "a", "n0", "p")
+			c.AttemptSent(310*millisecond-1, "a", "n0", "p")
 		}, "299 ms after its caller left", AbandonedRequests{1, 0, 0}},
 		"never sent": {func(c *Checker) {
 			accept(c)
@@ -172,12 +172,12 @@
 		}, "", AbandonedRequests{1, 0, 0}},
 		"it left when answered": {func(c *Checker) {
 			accept(c)
-			c.Final(9*millisecond, "a", "refused")
+			c.CallAnswered(9*millisecond, "a", "refused")
 			c.CallerGone(10*millisecond, "a")
 		}, "", AbandonedRequests{}},
 		"never accepted": {func(c *Checker) { c.CallerGone(10*millisecond, "a") }, "", AbandonedRequests{}},
 	} {
-		c := New(Config{ReleaseWait: 300, MaxAttempts: 2, LeftGrace: 100 * millisecond})
+		c := New(Config{ReleaseWait: 300, MaxAttempts: 2, AbandonTolerance: 100 * millisecond})
 		test.play(c)
 		n, first := c.Violations()
 		if test.want == "" && n > 0 || test.want != "" && (n != 1 || !strings.Contains(first[0], test.want)) {
--- a/internal/invariant/rules.go
+++ b/internal/invariant/rules.go
@@ -54,7 +54,7 @@
 
 func (c *Checker) checkEndpointOpen(_ *call, a attempt) *Violation {
 	since, closed := c.closedSince[endpointView{a.controller, a.pool}]
-	if !closed || a.at <= since+c.config.Grace {
+	if !closed || a.at <= since+c.config.DrainGrace {
 		return nil
 	}
 	return violated(RuleEndpointOpen, a.at, a.id,
@@ -69,7 +69,7 @@
 }
 
 func (c *Checker) checkNotAfterCaller(k *call, a attempt) *Violation {
-	if !k.callerGone || a.at <= k.callerGoneAt+c.config.LeftGrace {
+	if !k.callerGone || a.at <= k.callerGoneAt+c.config.AbandonTolerance {
 		return nil
 	}
 	late := (a.at - k.callerGoneAt) / microsPerMilli
@@ -113,7 +113,7 @@
 }
 
 func (c *Checker) checkAnswerInTime(k *call, f final) *Violation {
-	if f.at <= k.deadline+c.config.Late {
+	if f.at <= k.deadline+c.config.AnswerTolerance {
 		return nil
 	}
 	late := (f.at - k.deadline) / microsPerMilli
--- a/internal/invariant/slowstart.go
+++ b/internal/invariant/slowstart.go
@@ -14,8 +14,8 @@
 	chanceAllowance = 2
 )
 
-// Ramp is what was sent to pools in slow start, retransmissions included.
-type Ramp struct {
+// SlowStartLoad is what was sent to pools in slow start, retransmissions included.
+type SlowStartLoad struct {
 	Starts int // processes that were recorded as started
 	Sent   int // set-ups
 	// Worst is the most that a pool got within the overload window, as a part of its budget and the allowance for
@@ -28,7 +28,7 @@
 type slowStartTracker struct {
 	profile slowstart.Profile
 	pools   map[string]*warmingPool
-	ramp    Ramp
+	ramp    SlowStartLoad
 }
 
 // warmingPool is a pool whose process is in slow start.
--- a/internal/invariant/slowstart_test.go
+++ b/internal/invariant/slowstart_test.go
@@ -25,15 +25,15 @@
 	for range setups {
 		n := len(c.calls) + 1
 		id, controller := strconv.Itoa(n), "n"+strconv.Itoa(n%30)
-		c.Sent(startedAt+after, id, controller, "p")
-		c.Ended(startedAt+after, id, false)
+		c.AttemptSent(startedAt+after, id, controller, "p")
+		c.AttemptEnded(startedAt+after, id, false)
 	}
 }
 
 // retransmit has a sender repeat a set-up.
 func retransmit(c *Checker, at int64, times int) {
 	for range times {
-		c.Repeated(at, "1", "p")
+		c.AttemptRetransmitted(at, "1", "p")
 	}
 }
 
@@ -66,7 +66,7 @@
 		"just before the end":     {func(c *Checker) { sendFrom(c, 10*second-1, 60) }, 15, 60},
 		"after the slow start":    {func(c *Checker) { sendFrom(c, 10*second, 60) }, 0, 0},
 		"before the slow start":   {func(c *Checker) { sendFrom(c, -1, 60) }, 0, 0},
-		"a pool without a record": {func(c *Checker) { c.Sent(startedAt, "x", "n0", "r") }, 0, 0},
+		"a pool without a record": {func(c *Checker) { c.AttemptSent(startedAt, "x", "n0", "r") }, 0, 0},
 		"the process before has a budget of its own": {func(c *Checker) {
 			sendFrom(c, 0, 26)
 			c.EndpointStarted(startedAt+1, "p", 16)
@@ -75,7 +75,7 @@
 		"so has another pool": {func(c *Checker) {
 			sendFrom(c, 0, 26)
 			c.EndpointStarted(startedAt, "q", 16)
-			c.Sent(startedAt, "x", "n0", "q")
+			c.AttemptSent(startedAt, "x", "n0", "q")
 		}, 0, 27},
 		"retransmissions are work": {func(c *Checker) {
 			sendFrom(c, 0, 20)
@@ -92,7 +92,7 @@
 		if got, first := c.Violations(); got != test.violated || got > 0 && !strings.Contains(first[0], "cold pool p") {
 			t.Errorf("%s: %d violations, want %d: %v", name, got, test.violated, first)
 		}
-		if r := c.Ramp(); r.Sent != test.sent || (r.Worst > 1) != (test.violated > 0) {
+		if r := c.SlowStartLoad(); r.Sent != test.sent || (r.Worst > 1) != (test.violated > 0) {
 			t.Errorf("%s: %+v, want %d sent", name, r, test.sent)
 		}
 	}
--- a/internal/rollout/characterization_digest_test.go
+++ b/internal/rollout/characterization_digest_test.go
@@ -80,7 +80,7 @@
 	for _, controller := range state.Controllers {
 		s.Text(controller.Name)
 		s.Text(string(controller.Version))
-		s.Text(string(controller.Moving))
+		s.Text(string(controller.TransitionTo))
 		s.Number(int64(controller.FailedTransitions))
 	}
 	s.Number(state.StageStartedAt)
--- a/internal/rollout/characterization_test.go
+++ b/internal/rollout/characterization_test.go
@@ -150,8 +150,8 @@
 		Phase: rollout.PhaseRollingBack,
 		Stage: 1,
 		Controllers: []rollout.Controller{
-			{Name: "n0", Version: rollout.VersionNew, Moving: rollout.VersionOld, FailedTransitions: 2},
-			{Name: "n1", Version: rollout.VersionOld, Moving: rollout.VersionNew, FailedTransitions: 1},
+			{Name: "n0", Version: rollout.VersionNew, TransitionTo: rollout.VersionOld, FailedTransitions: 2},
+			{Name: "n1", Version: rollout.VersionOld, TransitionTo: rollout.VersionNew, FailedTransitions: 1},
 		},
 		StageStartedAt: 1_700_000_000_123,
 		EvaluatedAt:    1_700_000_001_456,
--- a/internal/rollout/runner/characterization_test.go
+++ b/internal/rollout/runner/characterization_test.go
@@ -87,7 +87,7 @@
 	fmt.Fprintf(text, "confidence %g\ntolerance %g\n", file.Confidence, file.Tolerance)
 	fmt.Fprintf(text, "stop within %d ns\nready within %d ns\nold program %q\nnew program %q\n",
 		int64(file.StopTimeout), int64(file.ReadyTimeout), file.Old.Binary, file.New.Binary)
-	for _, controller := range file.Controller {
+	for _, controller := range file.Controllers {
 		fmt.Fprintf(text, "controller %q, arguments %q, configuration %q, new configuration %q, ",
 			controller.Name, controller.Args, controller.Config, controller.NewConfig)
 		fmt.Fprintf(text, "process number %q, log %q, health %q\n", controller.PIDFile, controller.Log, controller.Health)
@@ -160,8 +160,8 @@
 		Phase: phase,
 		Stage: 1,
 		Controllers: []rollout.Controller{
-			{Name: "n0", Version: rollout.VersionNew, Moving: moving, FailedTransitions: 2},
-			{Name: "n1", Version: rollout.VersionOld, Moving: rollout.VersionNew, FailedTransitions: 1},
+			{Name: "n0", Version: rollout.VersionNew, TransitionTo: moving, FailedTransitions: 2},
+			{Name: "n1", Version: rollout.VersionOld, TransitionTo: rollout.VersionNew, FailedTransitions: 1},
 			{Name: "n2", Version: rollout.VersionOld},
 		},
 		StageStartedAt: 1_700_000_000_123,
--- a/internal/rollout/runner/file.go
+++ b/internal/rollout/runner/file.go
@@ -41,7 +41,7 @@
 	ReadyTimeout       time.Duration `toml:"ready_in"`    // after which a start has failed
 	Old                Program       `toml:"old"`
 	New                Program       `toml:"new"`
-	Controller         []Controller  `toml:"controller"` // in the order of their transitions
+	Controllers        []Controller  `toml:"controller"` // in the order of their transitions
 
 	id string // identifies the plan in the state file
 }
@@ -107,7 +107,7 @@
 	if f.Old.Binary == "" || f.New.Binary == "" {
 		return &FileError{"old.binary, new.binary", "absent; they are the same where only settings change"}
 	}
-	for i, controller := range f.Controller {
+	for i, controller := range f.Controllers {
 		if err := f.checkController(i, controller); err != nil {
 			return err
 		}
@@ -151,7 +151,7 @@
 // Plan returns the plan by which the rollout is decided.
 func (f *File) Plan() (rollout.Plan, error) {
 	plan := rollout.Plan{
-		Controllers:        make([]string, 0, len(f.Controller)),
+		Controllers:        make([]string, 0, len(f.Controllers)),
 		Stages:             make([]int, 0, len(f.Stages)),
 		MinTime:            f.MinTime.Milliseconds(),
 		MaxTime:            f.MaxTime.Milliseconds(),
@@ -160,11 +160,11 @@
 		Confidence:         f.Confidence,
 		Tolerance:          f.Tolerance,
 	}
-	for _, controller := range f.Controller {
+	for _, controller := range f.Controllers {
 		plan.Controllers = append(plan.Controllers, controller.Name)
 	}
 	for _, text := range f.Stages {
-		count, err := rollout.ParseStage(text, len(f.Controller))
+		count, err := rollout.ParseStage(text, len(f.Controllers))
 		if err != nil {
 			return plan, fileError(err)
 		}
--- a/internal/rollout/runner/runner.go
+++ b/internal/rollout/runner/runner.go
@@ -76,7 +76,7 @@
 // carryOut carries out a transition and records how it ended. One that ctx interrupts is not recorded: the saved state
 // says that it has begun, so the next run begins it again.
 func (r *run) carryOut(ctx context.Context, action rollout.Action) error {
-	controller := r.file.Controller[action.Index]
+	controller := r.file.Controllers[action.Index]
 	r.log.Info().Str("controller", controller.Name).Str("to", string(action.To)).Msg("moving")
 	err := r.transition(ctx, controller, action.To)
 	if ctx.Err() != nil {
@@ -96,7 +96,7 @@
 
 // observe polls all controllers at once. Outside PhaseRunning nothing depends on what they count.
 func (r *run) observe(ctx context.Context) rollout.Observation {
-	count := len(r.file.Controller)
+	count := len(r.file.Controllers)
 	observation := rollout.Observation{
 		Counts:       make([]rollout.Counts, count),
 		Incarnations: make([]string, count),
@@ -104,7 +104,7 @@
 	}
 	if r.state.Phase == rollout.PhaseRunning {
 		var polls sync.WaitGroup
-		for i, controller := range r.file.Controller {
+		for i, controller := range r.file.Controllers {
 			polls.Go(func() {
 				if reply, err := readCounters(ctx, controller); err == nil {
 					observation.Counts[i], observation.Incarnations[i] = reply.counts(), reply.incarnation()
@@ -126,7 +126,7 @@
 	case rollout.PhaseStuck:
 		return fmt.Errorf("%w: %s", ErrStuck, r.state.Reason)
 	}
-	for _, controller := range r.file.Controller {
+	for _, controller := range r.file.Controllers {
 		removeBackup(controller)
 	}
 	return nil
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -45,14 +45,16 @@
 type Controller struct {
 	Name    string  `json:"name"`
 	Version Version `json:"version"`
-	// Moving is the version to which a transition has begun and not ended, "" for none. Until it ends, either version
-	// may be running.
-	Moving            Version `json:"moving,omitempty"`
+	// TransitionTo is the version to which a transition has begun and not ended, "" for none. Until it ends, either
+	// version may be running.
+	TransitionTo      Version `json:"moving,omitempty"`
 	FailedTransitions int     `json:"failed,omitempty"` // in a row
 }
 
 // settled reports whether the controller runs the version and is in no transition.
-func (c *Controller) settled(version Version) bool { return c.Version == version && c.Moving == "" }
+func (c *Controller) settled(version Version) bool {
+	return c.Version == version && c.TransitionTo == ""
+}
 
 // State is all that a rollout remembers. Times are in Unix milliseconds; the JSON keys are those of the state file.
 type State struct {
@@ -83,7 +85,7 @@
 func (s *State) EndTransition(index int, version Version, err error) {
 	controller := &s.Controllers[index]
 	if err == nil {
-		controller.Version, controller.Moving, controller.FailedTransitions = version, "", 0
+		controller.Version, controller.TransitionTo, controller.FailedTransitions = version, "", 0
 		s.note("controller %s is %s", controller.Name, version)
 		return
 	}
@@ -93,7 +95,7 @@
 	switch {
 	case version == VersionNew && (rejected || controller.FailedTransitions >= maxFailedToNew):
 		if rejected { // the controller was not touched, so there is nothing to take back
-			controller.Moving = ""
+			controller.TransitionTo = ""
 		}
 		s.beginRollback(fmt.Sprintf("controller %s could not be made new: %v", controller.Name, err))
 	case version == VersionOld && controller.FailedTransitions >= maxFailedToOld:
@@ -104,7 +106,7 @@
 // beginTransition marks a controller as being in transition. The mark is saved before the transition is carried out,
 // so that an interrupted one is known.
 func (s *State) beginTransition(index int, to Version) Action {
-	s.Controllers[index].Moving = to
+	s.Controllers[index].TransitionTo = to
 	return Action{Kind: ActionTransition, Index: index, To: to}
 }
 
--- a/internal/routing/characterization_errors_test.go
+++ b/internal/routing/characterization_errors_test.go
@@ -47,14 +47,18 @@
 		{"classes 0", func(c *routing.Config) { c.Classes = 0 }},
 		{"classes 64", func(c *routing.Config) { c.Classes = 64 }},
 		{"classes 65", func(c *routing.Config) { c.Classes = 65 }},
-		{"tiers of an unknown zone", func(c *routing.Config) { c.Tiers = map[string][][]string{"poti": {{"batumi"}}} }},
-		{"empty tier", func(c *routing.Config) { c.Tiers = tiersOf([]string{"tbilisi"}, nil) }},
-		{"unknown zone in a tier", func(c *routing.Config) { c.Tiers = tiersOf([]string{"tbilisi", "gori"}) }},
-		{"own zone in a tier", func(c *routing.Config) { c.Tiers = tiersOf([]string{"batumi"}) }},
-		{"zone in two tiers", func(c *routing.Config) { c.Tiers = tiersOf([]string{"tbilisi"}, []string{"tbilisi"}) }},
-		{"class out of range", func(c *routing.Config) { c.ClassTiers = map[int]map[string][][]string{2: nil} }},
+		{"tiers of an unknown zone", func(c *routing.Config) {
+			c.PriorityLevels = map[string][][]string{"poti": {{"batumi"}}}
+		}},
+		{"empty tier", func(c *routing.Config) { c.PriorityLevels = tiersOf([]string{"tbilisi"}, nil) }},
+		{"unknown zone in a tier", func(c *routing.Config) { c.PriorityLevels = tiersOf([]string{"tbilisi", "gori"}) }},
+		{"own zone in a tier", func(c *routing.Config) { c.PriorityLevels = tiersOf([]string{"batumi"}) }},
+		{"zone in two tiers", func(c *routing.Config) {
+			c.PriorityLevels = tiersOf([]string{"tbilisi"}, []string{"tbilisi"})
+		}},
+		{"class out of range", func(c *routing.Config) { c.ClassPriorityLevels = map[int]map[string][][]string{2: nil} }},
 		{"unknown zone in a class's tier", func(c *routing.Config) {
-			c.ClassTiers = map[int]map[string][][]string{1: tiersOf([]string{"gori"})}
+			c.ClassPriorityLevels = map[int]map[string][][]string{1: tiersOf([]string{"gori"})}
 		}},
 	} {
 		cfg := baseConfig()
--- a/internal/routing/characterization_test.go
+++ b/internal/routing/characterization_test.go
@@ -41,9 +41,9 @@
 
 func baseConfig() routing.Config {
 	return routing.Config{
-		Zone:        "batumi",
-		Tiers:       map[string][][]string{"batumi": {{"tbilisi", "kutaisi"}, {"telavi"}}},
-		SpillBudget: 0.5, SpillDelay: 100 * millisecond,
+		Zone:           "batumi",
+		PriorityLevels: map[string][][]string{"batumi": {{"tbilisi", "kutaisi"}, {"telavi"}}},
+		SpillBudget:    0.5, SpillDelay: 100 * millisecond,
 		Window: 10 * second, EjectionThreshold: 0.5, MinSamples: 4,
 		EjectionTime: 5 * second, MaxEjectionTime: 40 * second, FlapWindow: minute,
 		SlowStartWindow: 10 * second, SlowStartCapacity: 0.25, Nodes: 1, Classes: 2,
@@ -66,14 +66,14 @@
 		})},
 		{name: "class tiers", agents: mixed, pace: 60 * millisecond, config: changed(func(c *routing.Config) {
 			c.Classes, c.Nodes, c.SpillBudget = 4, 2, 0.75
-			c.ClassTiers = map[int]map[string][][]string{
+			c.ClassPriorityLevels = map[int]map[string][][]string{
 				0: {},
 				2: {"batumi": {{"telavi", "kutaisi", "tbilisi"}}},
 				3: {"batumi": {{"telavi"}, {"kutaisi"}, {"tbilisi"}}},
 			}
 		})},
 		{name: "every class with tiers", agents: mixed, pace: 60 * millisecond, config: changed(func(c *routing.Config) {
-			c.ClassTiers = map[int]map[string][][]string{0: {"batumi": {{"kutaisi"}}}, 1: {"batumi": {{"telavi"}}}}
+			c.ClassPriorityLevels = map[int]map[string][][]string{0: {"batumi": {{"kutaisi"}}}, 1: {"batumi": {{"telavi"}}}}
 		})},
 		{name: "no times", agents: mixed, pace: 60 * millisecond, config: changed(func(c *routing.Config) {
 			c.SpillDelay, c.EjectionTime, c.MaxEjectionTime, c.FlapWindow, c.SlowStartWindow, c.SpillBudget = 0, 0, 0, 0, 0, 0.25
@@ -82,7 +82,7 @@
 			c.SpillBudget, c.MinSamples = 0, 1
 		})},
 		{name: "own zone alone", agents: mixed, pace: 60 * millisecond, config: changed(func(c *routing.Config) {
-			c.Tiers, c.Classes = nil, routing.MaxClasses
+			c.PriorityLevels, c.Classes = nil, routing.MaxClasses
 		})},
 		{name: "fleet shares", leased: true, agents: mixed, pace: 60 * millisecond, config: changed(func(c *routing.Config) {
 			c.Nodes, c.SpillBudget = 4, 1
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -9,11 +9,11 @@
 type Config struct {
 	// Zone is the controller's own zone.
 	Zone string
-	// Tiers are the priority levels of the classes that have none of their own.
-	Tiers PriorityTable
-	// ClassTiers take the place of Tiers for single classes, by the class's index: an important class may spill further
-	// than the rest, one that can wait not at all.
-	ClassTiers map[int]PriorityTable
+	// PriorityLevels are the priority levels of the classes that have none of their own.
+	PriorityLevels PriorityTable
+	// ClassPriorityLevels take the place of Tiers for single classes, by the class's index: an important class may spill
+	// further than the rest, one that can wait not at all.
+	ClassPriorityLevels map[int]PriorityTable
 	// SpillBudget is the part of a priority level's capacity (its agents, this controller's quota of them) that calls of
 	// this zone may hold in other zones, in flight and established together: 0 to 1.
 	SpillBudget float64
@@ -80,7 +80,7 @@
 	case c.Classes < 1 || c.Classes > MaxClasses:
 		return &ConfigError{"classes", fmt.Sprintf("want 1 to %d", MaxClasses)}
 	}
-	return CheckTiers(c.Tiers, known)
+	return CheckPriorityLevels(c.PriorityLevels, known)
 }
 
 // isPositivePart reports whether a number is over 0 and at most 1; NaN is not.
@@ -98,11 +98,11 @@
 // checkClassLevels returns a ConfigError for a class that does not exist or has bad priority levels.
 func (c Config) checkClassLevels(zones []string, allClasses Classes) error {
 	known := setOf(zones)
-	for class, table := range c.ClassTiers {
+	for class, table := range c.ClassPriorityLevels {
 		if !allClasses.Has(class) {
 			return &ConfigError{fmt.Sprintf("class %d", class), "not a class"}
 		}
-		if err := CheckTiers(table, known); err != nil {
+		if err := CheckPriorityLevels(table, known); err != nil {
 			return err
 		}
 	}
--- a/internal/routing/fuzz_test.go
+++ b/internal/routing/fuzz_test.go
@@ -13,7 +13,7 @@
 		"\x00\x00\x01\x03\x02\x00\x02\x01\x06\x40\x00\x0f\x02\x05",
 		"\x00\x0f\x03\x02\x03\x02\x03\x02\x06\xff\x00\x00",
 	}
-	fakeplatform.Fuzz(f, seeds, func(t *testing.T, script []byte) {
+	fakeplatform.FuzzScripts(f, seeds, func(t *testing.T, script []byte) {
 		t.Helper()
 		r, err := New(validConfig(), zones)
 		if err != nil {
@@ -23,7 +23,7 @@
 		steps := []func(byte){
 			fuzzed.updateEndpoints, fuzzed.report, fuzzed.send, fuzzed.fail, fuzzed.answerAndEnd, fuzzed.pass,
 		}
-		fakeplatform.Play(script, steps, func() {
+		fakeplatform.RunScript(script, steps, func() {
 			fuzzed.checkEligible(t)
 			fuzzed.checkSpillBudgets(t)
 			fuzzed.checkInFlight(t)
--- a/internal/routing/priority.go
+++ b/internal/routing/priority.go
@@ -14,9 +14,9 @@
 	noLevel      = -1 // in place of a level's index: there is none
 )
 
-// CheckTiers returns a ConfigError for a zone of the table that is not known, for an empty priority level, or for a
-// zone that is in the levels of a zone twice, the zone itself included.
-func CheckTiers(table PriorityTable, known map[string]bool) error {
+// CheckPriorityLevels returns a ConfigError for a zone of the table that is not known, for an empty priority level, or
+// for a zone that is in the levels of a zone twice, the zone itself included.
+func CheckPriorityLevels(table PriorityTable, known map[string]bool) error {
 	for zone, levels := range table {
 		if !known[zone] {
 			return &ConfigError{"tiers." + zone, "not a known zone"}
@@ -50,7 +50,7 @@
 
 // PriorityLevels returns the controller's priority levels, for the classes that have none of their own: its own zone,
 // then its neighbours'.
-func (r *Router) PriorityLevels() [][]string { return r.levelsOf(r.config.Tiers) }
+func (r *Router) PriorityLevels() [][]string { return r.levelsOf(r.config.PriorityLevels) }
 
 func (r *Router) levelsOf(table PriorityTable) [][]string {
 	return append([][]string{{r.config.Zone}}, table[r.config.Zone]...)
--- a/internal/routing/priority_test.go
+++ b/internal/routing/priority_test.go
@@ -40,7 +40,7 @@
 func TestEligible_PriorityLevelsOfAClass(t *testing.T) {
 	classConfig := validConfig()
 	classConfig.Classes = 3
-	classConfig.ClassTiers = map[int]PriorityTable{1: {"batumi": {{"telavi"}}}, 2: {}}
+	classConfig.ClassPriorityLevels = map[int]PriorityTable{1: {"batumi": {{"telavi"}}}, 2: {}}
 	r, err := New(classConfig, zones)
 	if err != nil {
 		t.Fatal(err)
@@ -55,7 +55,7 @@
 			t.Errorf("%s: classes %b, want %b", uid, eligible[uid], want)
 		}
 	}
-	classConfig.ClassTiers[3] = nil
+	classConfig.ClassPriorityLevels[3] = nil
 	if _, err := New(classConfig, zones); !errors.Is(err, ErrConfig) {
 		t.Errorf("priority levels of a class that does not exist: %v", err)
 	}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -40,7 +40,7 @@
 	for _, name := range zones {
 		r.zones[name] = &zone{name: name}
 	}
-	for class := range config.ClassTiers {
+	for class := range config.ClassPriorityLevels {
 		r.generalClasses &^= 1 << class
 	}
 	return r, nil
@@ -156,7 +156,7 @@
 func (r *Router) Eligible(now int64) map[string]Classes {
 	r.Advance(now)
 	eligible := map[string]Classes{}
-	for class, table := range r.config.ClassTiers {
+	for class, table := range r.config.ClassPriorityLevels {
 		r.addEligible(now, r.levelsOf(table), 1<<class, eligible)
 	}
 	if r.generalClasses != 0 {
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -14,7 +14,7 @@
 func validConfig() Config {
 	return Config{
 		Zone:              "batumi",
-		Tiers:             PriorityTable{"batumi": {{"tbilisi", "kutaisi"}, {"telavi"}}},
+		PriorityLevels:    PriorityTable{"batumi": {{"tbilisi", "kutaisi"}, {"telavi"}}},
 		SpillBudget:       0.5,
 		Window:            10 * second,
 		EjectionThreshold: 0.5,
--- a/internal/simulation/calls.go
+++ b/internal/simulation/calls.go
@@ -109,8 +109,8 @@
 // establish establishes a call, which ends after a holding time.
 func (s *simulator) establish(r *request, p *PoolModel, startedAt int64) {
 	r.establish(s.now)
-	s.checker.Ended(s.now, r.name(), false)
-	s.checker.Final(s.now, r.name(), string(answerEstablished))
+	s.checker.AttemptEnded(s.now, r.name(), false)
+	s.checker.CallAnswered(s.now, r.name(), string(answerEstablished))
 	r.report(dispatch.Answered, s.loadReport(p), false)
 	if s.scenario.Fleet != nil && s.scenario.Fleet.ReportCapacity {
 		r.controller.engine.ObserveCapacity(s.now, p.uid, p.rate(s.now, &s.scenario.Settings))
--- a/internal/simulation/discovery.go
+++ b/internal/simulation/discovery.go
@@ -60,9 +60,9 @@
 	sim := c.sim
 	settings := sim.scenario.SRV
 	set, err := endpointset.New(endpointset.Config{
-		StaleFor:     settings.StaleWindow.Microseconds(),
-		DrainFor:     settings.DrainTimeout.Microseconds(),
-		Tombstone:    1,
+		MaxStale:     settings.StaleWindow.Microseconds(),
+		DrainTimeout: settings.DrainTimeout.Microseconds(),
+		TombstoneTTL: 1,
 		MaxRecords:   maxDiscoveredEndpoints,
 		MaxEndpoints: maxDiscoveredEndpoints,
 	})
--- a/internal/simulation/fleet.go
+++ b/internal/simulation/fleet.go
@@ -39,10 +39,10 @@
 func (c *controller) join(seed uint64) error {
 	sim := c.sim
 	fleet := sim.scenario.Fleet
-	cfg := swim.Default(c.index, len(sim.controllers))
+	cfg := swim.DefaultConfig(c.index, len(sim.controllers))
 	if fleet.ProbeInterval > 0 {
-		cfg.Interval = fleet.ProbeInterval.Microseconds()
-		cfg.Timeout = cfg.Interval * probeTimeoutPercent / 100
+		cfg.ProbeInterval = fleet.ProbeInterval.Microseconds()
+		cfg.ProbeTimeout = cfg.ProbeInterval * probeTimeoutPercent / 100
 	}
 	var err error
 	if c.member, err = swim.New(cfg, 1, seed, sim.now); err != nil {
@@ -55,7 +55,7 @@
 		Self:        c.index,
 		Members:     len(sim.controllers),
 		Incarnation: 1,
-		Unit:        quotaUnits,
+		OwnedUnits:  quotaUnits,
 		Reserved:    reservedQuotaUnits,
 		TTL:         fleet.Lease.Microseconds(),
 		Margin:      fleet.Margin.Microseconds(),
--- a/internal/simulation/request.go
+++ b/internal/simulation/request.go
@@ -64,7 +64,7 @@
 
 // begin starts an attempt at the pool that a decision names.
 func (r *request) begin(decision dispatch.Decision) {
-	r.decision, r.pool, r.state = decision, r.controller.sim.poolByUID[decision.Pool], attemptInFlight
+	r.decision, r.pool, r.state = decision, r.controller.sim.poolByUID[decision.Endpoint], attemptInFlight
 	r.attempt++
 	r.controller.inUse[r.pool.uid]++
 }
@@ -93,7 +93,7 @@
 	r.controller.engine.Report(now, dispatch.Result{
 		Call:       r.id,
 		Attempt:    r.decision.Attempt,
-		Pool:       r.decision.Pool,
+		Endpoint:   r.decision.Endpoint,
 		Outcome:    outcome,
 		Took:       now - r.decision.DecidedAt,
 		Load:       load,
@@ -114,7 +114,7 @@
 		submitted := dispatch.Request{
 			Call:     r.id,
 			Class:    from.class,
-			Pool:     from.group,
+			Group:    from.group,
 			Key:      from.key,
 			Deadline: r.deadline,
 		}
@@ -139,7 +139,7 @@
 		}
 		r.finish()
 		sim.cancel(r)
-		sim.checker.Ended(sim.now, r.name(), true)
+		sim.checker.AttemptEnded(sim.now, r.name(), true)
 		r.report(dispatch.Cancelled, dispatch.UnknownLoad, true)
 	})
 	sim.retry(r.caller, answerAbandoned, 0)
@@ -172,7 +172,7 @@
 	case dispatch.DecisionFail:
 		answer = answerFailed
 	}
-	sim.checker.Final(sim.now, r.name(), string(answer))
+	sim.checker.CallAnswered(sim.now, r.name(), string(answer))
 	sim.retry(r.caller, answer, decision.RetryAfter)
 }
 
@@ -181,7 +181,7 @@
 	sim := r.controller.sim
 	r.begin(decision)
 	attempt := r.attempt
-	sim.checker.Sent(sim.now, r.name(), r.controller.name, decision.Pool)
+	sim.checker.AttemptSent(sim.now, r.name(), r.controller.name, decision.Endpoint)
 	sim.recorder.result.Attempts++
 	delay := sim.poolDelay(r.controller, r.pool)
 	sim.after(delay, func() { sim.setupArrived(r, attempt, delay) })
@@ -216,7 +216,7 @@
 		if !r.isInFlight(attempt) || r.answered {
 			return
 		}
-		sim.checker.Repeated(sim.now, r.name(), r.pool.uid)
+		sim.checker.AttemptRetransmitted(sim.now, r.name(), r.pool.uid)
 		sim.after(delay, func() { r.pool.retransmitArrived(sim.now, &sim.scenario.Settings) })
 		r.retransmit(attempt, delay, 2*interval)
 	})
@@ -231,7 +231,7 @@
 	released := outcome == dispatch.TimedOut || outcome == dispatch.Reset || outcome == dispatch.Cancelled
 	sim := r.controller.sim
 	r.controller.receive(func() {
-		sim.checker.Ended(sim.now, r.name(), released)
+		sim.checker.AttemptEnded(sim.now, r.name(), released)
 		r.report(outcome, load, false)
 	})
 }
--- a/internal/simulation/result.go
+++ b/internal/simulation/result.go
@@ -96,10 +96,10 @@
 // RecordViolations takes over what the checker of the wire's rules has found.
 func (r *Result) RecordViolations(checker *invariant.Checker) {
 	r.ViolationCount, r.Violations = checker.Violations()
-	ramp := checker.Ramp()
+	ramp := checker.SlowStartLoad()
 	r.SlowStartBudget, r.SlowStartSent = ramp.Worst, ramp.Sent
 	abandoned := checker.Abandoned()
-	r.AbandonedWaiting, r.AbandonedForwarded = abandoned.Waiting, abandoned.SentOn
+	r.AbandonedWaiting, r.AbandonedForwarded = abandoned.Waiting, abandoned.Forwarded
 }
 
 // Summarize computes the worst service of ten seconds from the windows, and the percentiles of the times in µs from the
--- a/internal/simulation/simulator.go
+++ b/internal/simulation/simulator.go
@@ -90,12 +90,12 @@
 		burstFactor: 1,
 		peerLoss:    scenario.Network.PeerLoss,
 		checker: invariant.New(invariant.Config{
-			ReleaseWait: scenario.Settings.ReleaseWait.Microseconds(),
-			MaxAttempts: maxAttemptsPerRequest,
-			Grace:       scenario.Settings.DrainGrace.Microseconds(),
-			Late:        lateAnswerTolerance,
-			LeftGrace:   abandonTolerance,
-			SlowStart:   scenario.Settings.slowStart(),
+			ReleaseWait:      scenario.Settings.ReleaseWait.Microseconds(),
+			MaxAttempts:      maxAttemptsPerRequest,
+			DrainGrace:       scenario.Settings.DrainGrace.Microseconds(),
+			AnswerTolerance:  lateAnswerTolerance,
+			AbandonTolerance: abandonTolerance,
+			SlowStart:        scenario.Settings.slowStart(),
 		}),
 	}
 	for _, class := range scenario.Class {
--- a/internal/testing/daemontest/daemontest.go
+++ b/internal/testing/daemontest/daemontest.go
@@ -65,7 +65,7 @@
 }
 
 // SRVTarget is a target of an SRV record at the address.
-func SRVTarget(tb testing.TB, host, address string) fakeplatform.Target {
+func SRVTarget(tb testing.TB, host, address string) fakeplatform.SRVTarget {
 	tb.Helper()
 	_, port, err := net.SplitHostPort(address)
 	if err != nil {
@@ -75,7 +75,7 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	return fakeplatform.Target{
+	return fakeplatform.SRVTarget{
 		Host:     host,
 		Port:     uint16(number),
 		Priority: targetPriority,
--- a/internal/testing/fakeplatform/datagrams.go
+++ b/internal/testing/fakeplatform/datagrams.go
@@ -21,9 +21,9 @@
 
 // Fault is what happens to the datagrams from one member to another.
 type Fault struct {
-	Cut   bool
-	Loss  float64 // the fraction that is lost
-	Delay time.Duration
+	Partitioned bool
+	Loss        float64 // the fraction that is lost
+	Delay       time.Duration
 }
 
 // Datagrams is the network between the datagram sockets of a fleet's members, on loopback, as the platform gives it:
@@ -98,20 +98,20 @@
 	return peers
 }
 
-// Set replaces the faults; the function returns that from one member to another.
-func (d *Datagrams) Set(faults func(from, to int) Fault) {
+// SetFaults replaces the faults; the function returns that from one member to another.
+func (d *Datagrams) SetFaults(faults func(from, to int) Fault) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.faults = faults
 }
 
 // Heal removes all faults.
-func (d *Datagrams) Heal() { d.Set(noFaults) }
+func (d *Datagrams) Heal() { d.SetFaults(noFaults) }
 
 func noFaults(int, int) Fault { return Fault{} }
 
-// Check returns an error if any datagram was longer than the platform delivers.
-func (d *Datagrams) Check() error {
+// CheckSizes returns an error if any datagram was longer than the platform delivers.
+func (d *Datagrams) CheckSizes() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.tooLong > 0 {
@@ -155,6 +155,6 @@
 	}
 	d.addresses[from] = source
 	fault, address := d.faults(from, to), d.addresses[to]
-	lost := fault.Cut || d.random.Float64() < fault.Loss || !address.IsValid()
+	lost := fault.Partitioned || d.random.Float64() < fault.Loss || !address.IsValid()
 	return fault.Delay, address, lost
 }
--- a/internal/testing/fakeplatform/dns.go
+++ b/internal/testing/fakeplatform/dns.go
@@ -15,24 +15,24 @@
 
 // The modes. Each holds for every query until it is changed.
 const (
-	Answer        DNSMode = iota // as RFC 1035 and 2782 say
-	Truncate                     // UDP answers carry no records and the TC bit; TCP answers in full
-	TruncateNoTCP                // UDP as Truncate; TCP connections are closed unanswered
-	ServFail                     // RCODE 2
-	Refused                      // RCODE 5
-	NXDomain                     // RCODE 3 with an SOA in the authority section
-	Silent                       // nothing is sent
-	Garbage                      // bytes that are no DNS message
-	Oversize                     // a UDP answer over the size the client offered, without the TC bit
-	WrongID                      // a good answer under another id
-	WrongQuestion                // a good answer to another name
+	DNSAnswer        DNSMode = iota // as RFC 1035 and 2782 say
+	DNSTruncate                     // UDP answers carry no records and the TC bit; TCP answers in full
+	DNSTruncateNoTCP                // UDP as Truncate; TCP connections are closed unanswered
+	DNSServFail                     // RCODE 2
+	DNSRefused                      // RCODE 5
+	DNSNXDomain                     // RCODE 3 with an SOA in the authority section
+	DNSSilent                       // nothing is sent
+	DNSGarbage                      // bytes that are no DNS message
+	DNSOversize                     // a UDP answer over the size the client offered, without the TC bit
+	DNSWrongID                      // a good answer under another id
+	DNSWrongQuestion                // a good answer to another name
 )
 
 // maxPortAttempts bounds the search for a port that is free for UDP and TCP.
 const maxPortAttempts = 20
 
-// Target is an SRV record, with the address of its target.
-type Target struct {
+// SRVTarget is an SRV record, with the address of its target.
+type SRVTarget struct {
 	Host       string // under pools.example.org, e.g. "a.pools.example.org"
 	Port       uint16
 	Priority   uint16
@@ -48,8 +48,8 @@
 	Addr string
 
 	mu      sync.Mutex
-	srv     map[string]srvSet // by lower-case name with the final dot
-	hosts   map[string]Target // by lower-case host with the final dot
+	srv     map[string]srvSet    // by lower-case name with the final dot
+	hosts   map[string]SRVTarget // by lower-case host with the final dot
 	mode    DNSMode
 	queries map[queryKey]int
 	servers []*dns.Server
@@ -58,7 +58,7 @@
 // srvSet are the records of an SRV name.
 type srvSet struct {
 	ttl         uint32
-	targets     []Target
+	targets     []SRVTarget
 	unavailable bool // a single target "." (RFC 2782)
 }
 
@@ -85,7 +85,7 @@
 	server := &DNS{
 		Addr:    packets.LocalAddr().String(),
 		srv:     map[string]srvSet{},
-		hosts:   map[string]Target{},
+		hosts:   map[string]SRVTarget{},
 		queries: map[queryKey]int{},
 	}
 	server.serve(&dns.Server{PacketConn: packets, Handler: server.handler("udp")})
@@ -131,7 +131,7 @@
 }
 
 // SetSRV sets the records of an SRV name and of its targets. Without targets the name has no records (NODATA).
-func (d *DNS) SetSRV(name string, ttl uint32, targets ...Target) {
+func (d *DNS) SetSRV(name string, ttl uint32, targets ...SRVTarget) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.srv[dns.CanonicalName(name)] = srvSet{ttl: ttl, targets: targets}
@@ -142,8 +142,8 @@
 	}
 }
 
-// SetNone makes an SRV name answer with the single target ".": the service is not available there.
-func (d *DNS) SetNone(name string, ttl uint32) {
+// SetUnavailable makes an SRV name answer with the single target ".": the service is not available there.
+func (d *DNS) SetUnavailable(name string, ttl uint32) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.srv[dns.CanonicalName(name)] = srvSet{ttl: ttl, unavailable: true}
--- a/internal/testing/fakeplatform/dns_answer.go
+++ b/internal/testing/fakeplatform/dns_answer.go
@@ -34,31 +34,31 @@
 // send sends the reply as a mode has it. A client that has gone needs none.
 func send(w dns.ResponseWriter, mode DNSMode, udp bool, query, reply *dns.Msg) {
 	switch {
-	case mode == Silent:
+	case mode == DNSSilent:
 		return
-	case mode == TruncateNoTCP && !udp:
+	case mode == DNSTruncateNoTCP && !udp:
 		_ = w.Close()
 		return
-	case mode == Garbage:
+	case mode == DNSGarbage:
 		_, _ = w.Write([]byte("\x12\x34 this is no dns message at all"))
 		return
-	case mode == Oversize && udp:
+	case mode == DNSOversize && udp:
 		addOversize(reply)
 		packed, _ := reply.Pack()
 		_, _ = w.Write(packed)
 		return
-	case (mode == Truncate || mode == TruncateNoTCP) && udp:
+	case (mode == DNSTruncate || mode == DNSTruncateNoTCP) && udp:
 		reply.Answer, reply.Extra, reply.Ns = nil, nil, nil
 		reply.Truncated = true
-	case mode == ServFail:
+	case mode == DNSServFail:
 		reply = new(dns.Msg).SetRcode(query, dns.RcodeServerFailure)
-	case mode == Refused:
+	case mode == DNSRefused:
 		reply = new(dns.Msg).SetRcode(query, dns.RcodeRefused)
-	case mode == NXDomain:
+	case mode == DNSNXDomain:
 		reply = nxdomain(query)
-	case mode == WrongID:
+	case mode == DNSWrongID:
 		reply.Id = query.Id + 1
-	case mode == WrongQuestion:
+	case mode == DNSWrongQuestion:
 		reply.Question[0].Name = "_other._tcp." + zone
 	}
 	_ = w.WriteMsg(reply)
@@ -142,7 +142,7 @@
 	return dns.RR_Header{Name: name, Rrtype: recordType, Class: dns.ClassINET, Ttl: ttl}
 }
 
-func addressRecord(name string, target Target) dns.RR {
+func addressRecord(name string, target SRVTarget) dns.RR {
 	ip := net.ParseIP(target.IP)
 	if ip4 := ip.To4(); ip4 != nil {
 		return &dns.A{Hdr: header(name, dns.TypeA, target.TTL), A: ip4}
--- a/internal/testing/fakeplatform/messages.go
+++ b/internal/testing/fakeplatform/messages.go
@@ -22,7 +22,7 @@
 
 // Answer answers an INVITE: 200 with a description, or a rejection with a note.
 func (r Request) Answer(status int, note, sdp string) {
-	answer := &sip.Message{Status: status, Reason: "X", CallID: r.CallID, CSeq: 1, Of: "INVITE", Body: []byte(sdp)}
+	answer := &sip.Message{Status: status, Reason: "X", CallID: r.CallID, CSeq: 1, CSeqMethod: "INVITE", Body: []byte(sdp)}
 	if note != "" {
 		answer.Headers = append(answer.Headers, sip.Header{Name: "X-Note", Value: note})
 	}
@@ -37,24 +37,24 @@
 
 func byeRequest(id string, cause int) []byte {
 	bye := &sip.Message{
-		Method:  "BYE",
-		URI:     poolURI,
-		CallID:  id,
-		CSeq:    2,
-		Of:      "BYE",
-		Headers: []sip.Header{{Name: "Reason", Value: fmt.Sprintf("Q.850;cause=%d", cause)}},
+		Method:     "BYE",
+		URI:        poolURI,
+		CallID:     id,
+		CSeq:       2,
+		CSeqMethod: "BYE",
+		Headers:    []sip.Header{{Name: "Reason", Value: fmt.Sprintf("Q.850;cause=%d", cause)}},
 	}
 	return bye.Append(nil)
 }
 
 func notifyRequest(state string) []byte {
 	notify := &sip.Message{
-		Method:  "NOTIFY",
-		URI:     poolURI,
-		CallID:  outOfDialogID,
-		CSeq:    1,
-		Of:      "NOTIFY",
-		Headers: []sip.Header{{Name: "X-State", Value: state}},
+		Method:     "NOTIFY",
+		URI:        poolURI,
+		CallID:     outOfDialogID,
+		CSeq:       1,
+		CSeqMethod: "NOTIFY",
+		Headers:    []sip.Header{{Name: "X-State", Value: state}},
 	}
 	return notify.Append(nil)
 }
--- a/internal/testing/fakeplatform/pool.go
+++ b/internal/testing/fakeplatform/pool.go
@@ -40,8 +40,8 @@
 	return p.rejecting
 }
 
-// Drop closes the open connections, as the end of the process would.
-func (p *Pool) Drop() {
+// CloseConnections closes the open connections, as the end of the process would.
+func (p *Pool) CloseConnections() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, conn := range p.connections {
@@ -50,15 +50,15 @@
 	p.connections = nil
 }
 
-// Dialled is the number of connections that were ever opened.
-func (p *Pool) Dialled() int {
+// AcceptedConnections is the number of connections that were ever opened.
+func (p *Pool) AcceptedConnections() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.dialled
 }
 
-// Open is the number of open connections.
-func (p *Pool) Open() int {
+// OpenConnections is the number of open connections.
+func (p *Pool) OpenConnections() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return len(p.connections)
@@ -91,7 +91,7 @@
 	p.tasks.Go(func() { p.accept(listener) })
 	tb.Cleanup(func() {
 		listener.Close()
-		p.Drop()
+		p.CloseConnections()
 		p.tasks.Wait()
 	})
 	return listener.Addr().String()
--- a/internal/testing/fakeplatform/processor.go
+++ b/internal/testing/fakeplatform/processor.go
@@ -11,7 +11,7 @@
 // rejected, and a process that has just started serves fewer until its slow start is over. It is safe for concurrent
 // use.
 type Processor struct {
-	Work              time.Duration // the service time of a set-up after the slow start
+	ServiceTime       time.Duration // the service time of a set-up after the slow start
 	MaxWait           time.Duration // a set-up that would wait longer is rejected
 	SlowStartCapacity float64       // the part of its capacity that the process has at its start
 	SlowStartWindow   time.Duration // the process has all of its capacity after this
@@ -36,8 +36,8 @@
 	p.arrivals.Restart()
 }
 
-// Slow multiplies the service time; 1 ends it.
-func (p *Processor) Slow(factor float64) {
+// SetServiceFactor multiplies the service time; 1 ends it.
+func (p *Processor) SetServiceFactor(factor float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.serviceFactor = factor
@@ -63,15 +63,15 @@
 	return p.busyUntil.Sub(now), false
 }
 
-// Worst is the most that arrived in slow start, as a part of what overloads the process: over 1 it was overloaded.
-func (p *Processor) Worst() float64 {
+// MaxLoad is the most that arrived in slow start, as a part of what overloads the process: over 1 it was overloaded.
+func (p *Processor) MaxLoad() float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.arrivals.Worst()
 }
 
-// Full is the number of set-ups that were rejected.
-func (p *Processor) Full() int {
+// Rejected is the number of set-ups that were rejected.
+func (p *Processor) Rejected() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.rejected
@@ -79,7 +79,7 @@
 
 // rate is the set-ups a second that the processor can serve now. The caller holds mu.
 func (p *Processor) rate(now time.Time) (rate float64, warmingUp bool) {
-	rate = float64(time.Second) / float64(p.Work) / max(p.serviceFactor, 1)
+	rate = float64(time.Second) / float64(p.ServiceTime) / max(p.serviceFactor, 1)
 	if p.startedAt.IsZero() {
 		return rate, false
 	}
--- a/internal/testing/fakeplatform/script.go
+++ b/internal/testing/fakeplatform/script.go
@@ -15,9 +15,9 @@
 	maxScript = 128
 )
 
-// Play runs a script two bytes at a time: which step, and its argument. After each step all goroutines of the bubble
-// settle, and check compares with the model.
-func Play(script []byte, steps []func(arg byte), check func()) {
+// RunScript runs a script two bytes at a time: which step, and its argument. After each step all goroutines of the
+// bubble settle, and check compares with the model.
+func RunScript(script []byte, steps []func(arg byte), check func()) {
 	for i := 0; i+1 < len(script) && i < maxScript; i += scriptStep {
 		steps[int(script[i])%len(steps)](script[i+1])
 		synctest.Wait()
@@ -25,8 +25,8 @@
 	}
 }
 
-// Fuzz runs play with the corpus and with what the fuzzer makes, each in a bubble with a clock of its own.
-func Fuzz(f *testing.F, corpus []string, play func(t *testing.T, script []byte)) {
+// FuzzScripts runs play with the corpus and with what the fuzzer makes, each in a bubble with a clock of its own.
+func FuzzScripts(f *testing.F, corpus []string, play func(t *testing.T, script []byte)) {
 	f.Helper()
 	for _, script := range corpus {
 		f.Add([]byte(script))
--- a/internal/frontend/frontendtest/pools.go
+++ b/internal/testing/frontendtest/pools.go
@@ -48,7 +48,7 @@
 		name = p.CallName(name)
 	}
 	p.Add("  pool %s is told: attempt %d of %s, class %s, number %s, times out after %d µs, sdp %s",
-		attempt.Pool, attempt.Number, name, Shown(attempt.Class), attempt.Setup.Number,
+		attempt.Endpoint, attempt.Number, name, Shown(attempt.Class), attempt.Setup.Number,
 		attempt.Deadline-attempt.DecidedAt, Shown(attempt.SDP))
 }
 
--- a/internal/testing/timeline/picture.go
+++ b/internal/testing/timeline/picture.go
@@ -18,9 +18,9 @@
 // concernsAll reports whether the event is one of the whole fleet, which goes across all columns.
 func (e Event) concernsAll() bool { return e.Node < 0 }
 
-// Draw draws events in the order of their time. Those within the same step of µs are in one row, unless a column has
+// Render draws events in the order of their time. Those within the same step of µs are in one row, unless a column has
 // two of them: a row never moves an event before an earlier one of its node or of the whole fleet.
-func Draw(nodes []string, step int64, events []Event) string {
+func Render(nodes []string, step int64, events []Event) string {
 	events = slices.Clone(events)
 	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At/step, b.At/step) })
 	drawing := &picture{widths: columnWidths(nodes, events), step: step, lastStep: -1}
--- a/internal/testing/timeline/timeline_test.go
+++ b/internal/testing/timeline/timeline_test.go
@@ -21,7 +21,7 @@
 
 // What a node reports is in its column and in its order; what happens to all goes across, and nothing is moved past it.
 func TestDraw_RowsInOrder(t *testing.T) {
-	got := Draw([]string{"a", "b"}, 100_000, []Event{
+	got := Render([]string{"a", "b"}, 100_000, []Event{
 		{250_000, 1, "second"},
 		{10_000, 0, "first"},
 		{260_000, 0, "same row"},
--- a/middleware/attempt.go
+++ b/middleware/attempt.go
@@ -29,7 +29,7 @@
 		request:    request,
 		decision:   decision,
 		placement: &Placement{
-			Pool:    decision.Pool,
+			Pool:    decision.Endpoint,
 			Attempt: decision.Attempt,
 			load:    dispatch.UnknownLoad,
 		},
@@ -62,7 +62,7 @@
 	result := dispatch.Result{
 		Call:       a.request.Call,
 		Attempt:    a.decision.Attempt,
-		Pool:       a.decision.Pool,
+		Endpoint:   a.decision.Endpoint,
 		CallerGone: true, // nobody waits for a retry
 	}
 	result.Outcome, result.Load = a.outcome(ctx, client)
--- a/middleware/characterization_test.go
+++ b/middleware/characterization_test.go
@@ -395,7 +395,7 @@
 		dispatcher := admission.dispatcher
 		request := dispatch.Request{
 			Call:     dispatcher.NewCall(),
-			Pool:     -1,
+			Group:    -1,
 			Key:      dispatch.NumberKey("7f3a"),
 			Deadline: dispatcher.Now() + 1_000_000,
 		}
@@ -405,7 +405,7 @@
 		}
 		time.Sleep(times.took)
 		result := dispatch.Result{
-			Call: request.Call, Attempt: pick.Attempt, Pool: pick.Pool, Outcome: outcome, Load: load, CallerGone: true,
+			Call: request.Call, Attempt: pick.Attempt, Endpoint: pick.Endpoint, Outcome: outcome, Load: load, CallerGone: true,
 			Took: times.answered.Microseconds(),
 		}
 		if outcome == dispatch.Ended {
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -72,7 +72,7 @@
 	return dispatch.Request{
 		Call:     c.Dispatcher.NewCall(),
 		Class:    call.Class,
-		Pool:     call.Pool,
+		Group:    call.Pool,
 		Key:      key,
 		Deadline: c.Dispatcher.Now() + call.Timeout.Microseconds(),
 	}
