--- a/dispatch/rejection_rate.go
+++ b/dispatch/rejection_rate.go
@@ -8,8 +8,8 @@
 const (
 	// rejectionSamples is how many final answers the rejection rate is the moving mean of.
 	rejectionSamples = 32
-	// rejectionHalfLifeMicros is the time in which the rate halves while there are no final answers.
-	rejectionHalfLifeMicros = 5_000_000
+	// rejectionDecayMicros is the time in which the rate halves while there are no final answers.
+	rejectionDecayMicros = 5_000_000
 )
 
 // rejectionRate is the recent fraction of calls that were rejected. Only the engine's owner may record; any goroutine
@@ -32,5 +32,5 @@
 // at is the rate, 0 to 1.
 func (r *rejectionRate) at(now int64) float64 {
 	age := max(0, now-r.updatedAt.Load())
-	return math.Float64frombits(r.rate.Load()) * math.Exp2(-float64(age)/rejectionHalfLifeMicros)
+	return math.Float64frombits(r.rate.Load()) * math.Exp2(-float64(age)/rejectionDecayMicros)
 }
--- a/example/caller/main.go
+++ b/example/caller/main.go
@@ -44,9 +44,9 @@
 	made := call{id: randomID(), class: *class, timeout: *timeout}
 	var err error
 	if *url != "" {
-		err = made.overWebSocket(context.Background(), *url)
+		err = made.dialWebSocket(context.Background(), *url)
 	} else {
-		err = made.overLines(context.Background(), *address)
+		err = made.dialJSONLines(context.Background(), *address)
 	}
 	if err != nil {
 		log.Fatal(err)
@@ -59,8 +59,8 @@
 	return hex.EncodeToString(id[:])
 }
 
-// overWebSocket makes the call over the WebSocket front at that URL.
-func (c call) overWebSocket(ctx context.Context, url string) error {
+// dialWebSocket makes the call over the WebSocket front at that URL.
+func (c call) dialWebSocket(ctx context.Context, url string) error {
 	connection, _, err := websocket.Dial(ctx, url, nil)
 	if err != nil {
 		return err
@@ -83,8 +83,8 @@
 	}
 }
 
-// overLines makes the call over JSON lines at that address. It returns when the call or the connection ends.
-func (c call) overLines(ctx context.Context, address string) error {
+// dialJSONLines makes the call over JSON lines at that address. It returns when the call or the connection ends.
+func (c call) dialJSONLines(ctx context.Context, address string) error {
 	var dialer net.Dialer
 	connection, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
--- a/example/toypool/list.go
+++ b/example/toypool/list.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// maxPatience bounds how long a poll without news is held open.
-const maxPatience = 5 * time.Second
+// maxPollWait bounds how long a poll without news is held open.
+const maxPollWait = 5 * time.Second
 
 // serveList answers a poll of the endpoint list, which has one event that the example's configuration already knows. A
 // poll after it is held open for as long as its client asks for.
@@ -16,9 +16,9 @@
 	query := r.URL.Query()
 	if after, _ := strconv.Atoi(query.Get("after")); after >= 1 {
 		milliseconds, _ := strconv.Atoi(query.Get("patience"))
-		patience := time.Duration(min(milliseconds, int(maxPatience.Milliseconds()))) * time.Millisecond
+		pollWait := time.Duration(min(milliseconds, int(maxPollWait.Milliseconds()))) * time.Millisecond
 		select {
-		case <-time.After(patience):
+		case <-time.After(pollWait):
 		case <-r.Context().Done():
 			return
 		}
--- a/example/toypool/main.go
+++ b/example/toypool/main.go
@@ -13,16 +13,16 @@
 )
 
 const (
-	defaultAgents  = 3
-	defaultHold    = 5 * time.Second
-	defaultMaxRate = 20 // set-ups a second
+	defaultAgents      = 3
+	defaultHoldingTime = 5 * time.Second
+	defaultMaxRate     = 20 // set-ups a second
 )
 
 func main() {
 	listen := flag.String("listen", "127.0.0.1:5061", "where the pool listens")
-	bulletin := flag.String("bulletin", "127.0.0.1:4222", "where the bulletin listens")
+	listAddress := flag.String("bulletin", "127.0.0.1:4222", "where the bulletin listens")
 	agents := flag.Int("agents", defaultAgents, "how many calls may stand at a time")
-	hold := flag.Duration("hold", defaultHold, "how long a call stands")
+	holdingTime := flag.Duration("hold", defaultHoldingTime, "how long a call stands")
 	rate := flag.Float64("rate", defaultMaxRate, "set-ups a second that it says it takes from all controllers")
 	flag.Parse()
 	var config net.ListenConfig
@@ -30,13 +30,13 @@
 	if err != nil {
 		log.Fatal(err)
 	}
-	listListener, err := config.Listen(context.Background(), "tcp", *bulletin)
+	listListener, err := config.Listen(context.Background(), "tcp", *listAddress)
 	if err != nil {
 		log.Fatal(err)
 	}
 	go func() { log.Fatal(http.Serve(listListener, http.HandlerFunc(serveList))) }()
 	log.Printf("pool on %s with %d agents, bulletin on %s", poolListener.Addr(), *agents, listListener.Addr())
-	toy := newPool(*agents, *hold, *rate)
+	toy := newPool(*agents, *holdingTime, *rate)
 	go toy.reportLoad()
 	log.Fatal(toy.acceptAll(poolListener))
 }
--- a/example/toypool/pool.go
+++ b/example/toypool/pool.go
@@ -46,9 +46,9 @@
 
 // pool is the toy sync pool. It is safe for concurrent use.
 type pool struct {
-	agents  int
-	hold    time.Duration // how long a call stays established
-	maxRate float64       // set-ups a second that it reports
+	agents      int
+	holdingTime time.Duration // how long a call stays established
+	maxRate     float64       // set-ups a second that it reports
 
 	mu          sync.Mutex
 	established map[string]*time.Timer // the ends of the calls, by Call-ID
@@ -56,8 +56,8 @@
 	releases    []*sip.Message         // sent again on the next connection
 }
 
-func newPool(agents int, hold time.Duration, maxRate float64) *pool {
-	return &pool{agents: agents, hold: hold, maxRate: maxRate, established: map[string]*time.Timer{}}
+func newPool(agents int, holdingTime time.Duration, maxRate float64) *pool {
+	return &pool{agents: agents, holdingTime: holdingTime, maxRate: maxRate, established: map[string]*time.Timer{}}
 }
 
 // acceptAll serves every connection until the listener fails.
@@ -144,7 +144,7 @@
 	} else {
 		answer = sip.NewResponse(invite, statusOK, "OK")
 		answer.Body = []byte(description)
-		p.established[invite.CallID] = time.AfterFunc(p.hold, func() { p.release(connection, invite.CallID) })
+		p.established[invite.CallID] = time.AfterFunc(p.holdingTime, func() { p.release(connection, invite.CallID) })
 	}
 	answer.Headers = append(answer.Headers, p.state())
 	return answer
--- a/internal/endpoint/endpointlist/order_test.go
+++ b/internal/endpoint/endpointlist/order_test.go
@@ -334,7 +334,7 @@
 
 // An open poll that has become silent doesn't hold a drain back until it counts as delivered. The bound is on the whole
 // time from the event to its delivery, when the silence begins just after the poll, in virtual time.
-func TestWatch_PollsAgainAfterSilence(t *testing.T) {
+func TestWatch_RetriesAfterSilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		listener := fakeplatform.NewListener()
--- a/internal/endpoint/endpointlist/parse.go
+++ b/internal/endpoint/endpointlist/parse.go
@@ -84,9 +84,9 @@
 	return endpoint, true, nil
 }
 
-// parseState reads a state's word on the wire.
-func parseState(word string) (state State, known bool) {
-	switch word {
+// parseState reads a state as the list writes it.
+func parseState(text string) (state State, known bool) {
+	switch text {
 	case "up":
 		return Up, true
 	case "draining":
--- a/internal/endpoint/endpointlist/watch_test.go
+++ b/internal/endpoint/endpointlist/watch_test.go
@@ -118,7 +118,7 @@
 
 // The server stalls in the middle of an event and keeps the connection open: it is polled again after the same version.
 // Without this, the drain in that event would never arrive.
-func TestWatch_PollsAgainAfterStallInAnEvent(t *testing.T) {
+func TestWatch_RetriesAfterStallInAnEvent(t *testing.T) {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	polled := make(chan string, 4)
--- a/internal/endpoint/srv/srv_test.go
+++ b/internal/endpoint/srv/srv_test.go
@@ -65,7 +65,7 @@
 	}
 }
 
-func TestLookup_RetriesTruncatedAnswerOverTCP(t *testing.T) {
+func TestLookup_TruncatedAnswerIsRetriedByTCP(t *testing.T) {
 	server := fakeplatform.NewDNS(t)
 	setThreePools(server, 30, true)
 	server.SetMode(fakeplatform.DNSTruncate)
@@ -87,7 +87,7 @@
 	}
 }
 
-func TestLookup_RetriesOversizeAnswerOverTCP(t *testing.T) {
+func TestLookup_OversizeAnswerIsRetriedByTCP(t *testing.T) {
 	server := fakeplatform.NewDNS(t)
 	setThreePools(server, 30, true)
 	server.SetMode(fakeplatform.DNSOversize)
--- a/internal/endpoint/srv/watch.go
+++ b/internal/endpoint/srv/watch.go
@@ -61,11 +61,11 @@
 		}
 		return floor
 	}
-	least := answer.Records[0].TTL
+	shortest := answer.Records[0].TTL
 	for _, record := range answer.Records[1:] {
-		least = min(least, record.TTL)
+		shortest = min(shortest, record.TTL)
 	}
-	return least
+	return shortest
 }
 
 // nameHash hashes a name, so that names of one seed have jitter of their own.
--- a/internal/fleet/quota/errors_test.go
+++ b/internal/fleet/quota/errors_test.go
@@ -40,7 +40,7 @@
 	}
 }
 
-func TestAllocator_RejectsResourcesPastItsCapacity(t *testing.T) {
+func TestAllocator_RejectsResourcesBeyondItsCapacity(t *testing.T) {
 	f := newFleet(t, 2, Config{OwnedUnits: 4, TTL: testTTL, Margin: testMargin}, noSlowMember)
 	for length := range MaxResources {
 		f.allocators[0].Demand(f.clock[0], strings.Repeat("p", length+1), 1)
--- a/internal/frontend/health/health_test.go
+++ b/internal/frontend/health/health_test.go
@@ -28,7 +28,7 @@
 	}
 }
 
-func TestServeAgent_SendsOneLineAndCloses(t *testing.T) {
+func TestServeAgent_WritesOneLineAndCloses(t *testing.T) {
 	for name, k := range statusCases() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
--- a/internal/simulation/recorder.go
+++ b/internal/simulation/recorder.go
@@ -17,14 +17,14 @@
 }
 
 // weights are the priority weights of calls: of all, and of those served.
-type weights struct{ offered, served float64 }
+type weights struct{ arrived, served float64 }
 
 // service is the part of the weight that was served.
 func (w weights) service() float64 {
-	if w.offered == 0 {
+	if w.arrived == 0 {
 		return 0
 	}
-	return w.served / w.offered
+	return w.served / w.arrived
 }
 
 func newRecorder(scenario *Scenario, seed uint64) *recorder {
@@ -63,8 +63,8 @@
 
 func (r *recorder) callArrived(c *caller) {
 	weight := r.scenario.Class[c.class].PriorityWeight
-	r.total.offered += weight
-	r.byClass[c.class].offered += weight
+	r.total.arrived += weight
+	r.byClass[c.class].arrived += weight
 	r.result.Calls++
 	r.result.Class[c.class].Calls++
 	window := r.window(c)
--- a/internal/testing/daemontest/caller.go
+++ b/internal/testing/daemontest/caller.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// maxTries is how often a call is placed before a test fails.
-	maxTries = 200
+	// maxAttempts is how often a call is placed before a test fails.
+	maxAttempts = 200
 	// retryInterval is the time from a rejection to the next try.
 	retryInterval = 20 * time.Millisecond
 )
@@ -120,13 +120,13 @@
 // Place places a call until it is answered.
 func (s *SequentialCaller) Place() {
 	s.caller.tb.Helper()
-	for range maxTries {
+	for range maxAttempts {
 		if s.answered() {
 			return
 		}
 		time.Sleep(retryInterval)
 	}
-	s.caller.tb.Fatalf("no call was answered in %d tries, the last: %+v", maxTries, s.lastRejected)
+	s.caller.tb.Fatalf("no call was answered in %d tries, the last: %+v", maxAttempts, s.lastRejected)
 }
 
 // answered places a call, and reports whether it was answered and not rejected.
