--- a/dispatch/liveness_filter.go
+++ b/dispatch/liveness_filter.go
@@ -54,7 +54,7 @@
 	for uid := range silent {
 		if !f.silent[uid] {
 			f.counters.Add(telemetry.SilentPools)
-			f.log.Info().Str("pool", uid).Msg("pool tells its state no more")
+			f.log.Info().Str("pool", uid).Msg("pool stopped reporting")
 		}
 	}
 	f.silent = silent
--- a/dispatch/quota_filter.go
+++ b/dispatch/quota_filter.go
@@ -261,7 +261,7 @@
 		Int("units", units).
 		Int("whole", total).
 		Float64("rate", math.Round(rate*10)/10).
-		Msg("share")
+		Msg("quota changed")
 }
 
 // demand is how many units could be used where a quota of so many units allows a limit, of which a part is used.
--- a/internal/backend/sippool/losses.go
+++ b/internal/backend/sippool/losses.go
@@ -51,7 +51,7 @@
 // terminateLost terminates the calls of a pool that is lost, and logs how many there are.
 func (p *pool) terminateLost(dialogs []*dialog) {
 	if len(dialogs) > 0 {
-		p.set.cfg.Log.Warn().Str("pool", p.uid).Int("calls", len(dialogs)).Msg("pool lost, its calls are cut")
+		p.set.cfg.Log.Warn().Str("pool", p.uid).Int("calls", len(dialogs)).Msg("pool lost, its calls are released")
 	}
 	p.terminate(dialogs)
 }
@@ -85,7 +85,7 @@
 	for _, d := range p.expiredUnconfirmed(now) {
 		p.count(telemetry.UncertainCalls)
 		p.set.cfg.Log.Warn().Str("pool", p.uid).Str("call", d.callID).
-			Msg("end of call may have been lost, it is released")
+			Msg("call end may be lost, call released")
 		d.release(lostCallEnding(now))
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -177,7 +177,7 @@
 	limits := divideDescriptors(d.cfg, files.callControl, srvNames)
 	if limits.pools < minPoolConnections {
 		d.log.Warn().Int("sockets", d.cfg.Sockets).Int("callers", limits.callers).Int("pools", limits.pools).
-			Msg("few descriptors are left for pools")
+			Msg("few descriptors left for pools")
 	}
 	return limits
 }
--- a/internal/daemon/regions.go
+++ b/internal/daemon/regions.go
@@ -70,7 +70,7 @@
 	member, region := change.Origin, string(change.Value)
 	if r.configured != nil && r.configured[member] != region {
 		r.log.Warn().Int("member", member).Str("region", region).Str("file", r.configured[member]).
-			Msg("member tells another region than the file")
+			Msg("member region differs from file")
 		return
 	}
 	regions := slices.Clone(r.Regions())
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -24,7 +24,7 @@
 	files, err := d.readReload()
 	if err != nil {
 		d.counters.Add(telemetry.BadReloads)
-		d.log.Error().Err(err).Msg("new configuration not taken")
+		d.log.Error().Err(err).Msg("configuration rejected")
 		return
 	}
 	d.counters.Add(telemetry.Reloads)
--- a/internal/daemon/sources.go
+++ b/internal/daemon/sources.go
@@ -210,7 +210,7 @@
 		if errors.Is(update.Err, srv.ErrBadAnswer) {
 			s.counters.Add(telemetry.DNSBadAnswers)
 		}
-		s.log.Warn().Err(update.Err).Str("name", update.Name).Msg("dns look-up failed, the last good set stands")
+		s.log.Warn().Err(update.Err).Str("name", update.Name).Msg("dns lookup failed, last good records kept")
 		return
 	}
 	s.set.UpdateRecords(update.At, update.Name, update.Answer.Records)
--- a/internal/endpoint/endpointlist/poll.go
+++ b/internal/endpoint/endpointlist/poll.go
@@ -53,7 +53,7 @@
 		page, err := w.fetch(ctx, client, address)
 		if errors.Is(err, ErrInvalidEndpoint) { // another poll would bring it again
 			w.counters.Add(telemetry.EndpointListErrors)
-			w.log.Warn().Err(err).Msg("bulletin read in part")
+			w.log.Warn().Err(err).Msg("endpoint list read in part")
 			err = nil
 		}
 		if err != nil {
@@ -74,7 +74,7 @@
 	w.counters.Add(telemetry.EndpointListErrors)
 	elapsed := time.Duration(w.clock.Now()-began) * time.Microsecond
 	pause := max(delay-elapsed, minRetryDelay)
-	w.log.Warn().Err(err).Dur("again_in", pause).Msg("bulletin not read")
+	w.log.Warn().Err(err).Dur("again_in", pause).Msg("endpoint list not read")
 	sleep(ctx, pause)
 }
 
--- a/internal/fleet/gossip/protocol.go
+++ b/internal/fleet/gossip/protocol.go
@@ -36,7 +36,7 @@
 		own, err := p.Receive(now, from, body)
 		if err != nil {
 			r.cfg.Counters.Add(telemetry.PeerBad)
-			r.cfg.Log.Warn().Err(err).Int("member", from).Str("remedy", remedy.Of(err)).Msg("bad message of a member")
+			r.cfg.Log.Warn().Err(err).Int("member", from).Str("remedy", remedy.Of(err)).Msg("invalid member message")
 		}
 		if own {
 			return
