routing: a zone's status keeps its state once

Ejected and NoEndpoints of ZoneStatus repeated what State says; the log and the characterisation test ask the state.

--- a/dispatch/routing_filter.go
+++ b/dispatch/routing_filter.go
@@ -95,9 +95,9 @@
 	for _, zone := range f.router.Zones() {
 		states = append(states, zone.Zone...)
 		switch {
-		case zone.NoEndpoints:
+		case !zone.State.HasEndpoints():
 			states = append(states, ":dark "...)
-		case zone.Ejected:
+		case zone.State.Ejected():
 			states = append(states, ":out "...)
 		case zone.WarmingUp > 0:
 			states = append(states, ":warming "...)
--- a/internal/routing/characterization_test.go
+++ b/internal/routing/characterization_test.go
@@ -351,8 +351,8 @@
 	for _, z := range w.router.Zones() {
 		results.Text(z.Zone)
 		results.Number(int64(z.Level))
-		results.Flag(z.Ejected)
-		results.Flag(z.NoEndpoints)
+		results.Flag(z.State.Ejected())
+		results.Flag(!z.State.HasEndpoints())
 		results.Number(z.EjectedUntil)
 		results.Number(int64(z.WarmingUp))
 		results.Number(int64(z.InFlight))
--- a/internal/routing/status.go
+++ b/internal/routing/status.go
@@ -10,8 +10,6 @@
 	Zone         string
 	Level        int // its priority level for this controller, -1: none
 	State        ZoneState
-	Ejected      bool  // as State has it
-	NoEndpoints  bool  // as State has it
 	EjectedUntil int64 // the end of the last ejection time
 	WarmingUp    int   // endpoints in slow start
 	InFlight     int   // set-ups and established calls of this controller
@@ -42,8 +40,6 @@
 		Zone:         name,
 		Level:        level,
 		State:        z.state,
-		Ejected:      z.state.Ejected(),
-		NoEndpoints:  !z.state.HasEndpoints(),
 		EjectedUntil: z.ejectedUntil,
 	}
 	for _, e := range r.endpoints {
