dispatch: a call's end is delivered under the lock that takes the call off its connection

A call's end was delivered in two steps: under the table's lock the call was counted on its connection no longer, and under the lock taken anew its end was queued there. In between the connection counted as unused. Both steps are under one lock now.

--- a/dispatch/call_table.go
+++ b/dispatch/call_table.go
@@ -185,7 +185,7 @@
 // than the one that reports the end, after an attempt whose answer was lost.
 func (t *CallTable) CallEnded(id string, cause int) {
 	if !t.isKnown(id) {
-		t.deliverEnd(nil, id, cause)
+		t.deliverElsewhere(id, cause)
 	}
 }
 
@@ -196,12 +196,12 @@
 }
 
 // RedeliverEnd takes back the end of a call that a connection could not write: it is delivered on another.
-func (t *CallTable) RedeliverEnd(id string, cause int) { t.deliverEnd(nil, id, cause) }
+func (t *CallTable) RedeliverEnd(id string, cause int) { t.deliverElsewhere(id, cause) }
 
-// deliverEnd delivers the end of a call, on the preferred connection if it can. A nil preferred has none.
-func (t *CallTable) deliverEnd(preferred *connection, id string, cause int) {
+// deliverElsewhere delivers the end of a call on whatever connection takes it.
+func (t *CallTable) deliverElsewhere(id string, cause int) {
 	end := callEnd{id: id, cause: cause, endedAt: t.dispatcher.Now()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.ends.deliver(preferred, end)
+	t.ends.enqueue(end)
 }
--- a/dispatch/end_delivery.go
+++ b/dispatch/end_delivery.go
@@ -39,9 +39,9 @@
 	timer       *time.Timer // nil: not running
 }
 
-// deliver delivers an end, on the preferred connection if it can. A nil preferred has none.
+// deliver delivers an end, on the preferred connection if it can.
 func (d *endDelivery) deliver(preferred *connection, end callEnd) {
-	if preferred != nil && d.connections.contains(preferred) && d.deliverOn(preferred, end) {
+	if d.connections.contains(preferred) && d.deliverOn(preferred, end) {
 		return
 	}
 	d.enqueue(end)
--- a/dispatch/table_call.go
+++ b/dispatch/table_call.go
@@ -107,16 +107,19 @@
 	return delivered
 }
 
-// awaitEnd waits for the end of the established call and has it delivered where the caller does not know of it.
+// awaitEnd waits for the end of the established call and has it delivered where the caller does not know of it. Under
+// one lock the call is counted on its connection no longer and its end is delivered there: in between, the connection
+// would count as unused and could be closed.
 func (c *tableCall) awaitEnd(established *EstablishedCall) {
 	table := c.table
 	// The call's own context may be done: AbortPending crossed the answer. The call is established all the same.
 	cause, byPool := established.WaitEnd(table.closed, c.released)
+	end := callEnd{id: c.id, cause: cause, endedAt: table.dispatcher.Now()}
 	table.mu.Lock()
+	defer table.mu.Unlock()
 	c.conn.established--
 	table.calls.remove(c.id)
-	table.mu.Unlock()
 	if byPool || table.notifyAllEnds && table.closed.Err() == nil {
-		table.deliverEnd(c.conn, c.id, cause)
+		table.ends.deliver(c.conn, end)
 	}
 }
