--- a/dispatch/call_table.go
+++ b/dispatch/call_table.go
@@ -3,9 +3,12 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"eidertrail/internal/telemetry"
 )
 
@@ -20,6 +23,8 @@
 	counters      *telemetry.Counters
 	classes       map[string]int // index by name
 	callID        func(id string) string
+	draining      func() bool
+	log           zerolog.Logger
 	notifyAllEnds bool
 	running       sync.WaitGroup // the calls' goroutines
 
@@ -45,6 +50,10 @@
 	// NotifyAllEnds has CallerConn.CallEnded called for each call that was established, also for those that the caller
 	// released.
 	NotifyAllEnds bool
+	// Draining reports whether set-ups are rejected, as the controller is being emptied; nil: never.
+	Draining func() bool
+	// Log takes a line for each set-up that was not answered; the zero value takes none.
+	Log zerolog.Logger
 	// UniqueIDs: an id names one call for good, also once that has ended.
 	UniqueIDs bool
 	Counters  *Counters
@@ -59,6 +68,8 @@
 		counters:      cfg.Counters,
 		classes:       map[string]int{},
 		callID:        cfg.CallID,
+		draining:      cfg.Draining,
+		log:           cfg.Log,
 		notifyAllEnds: cfg.NotifyAllEnds,
 		admission: admission{
 			maxCalls:    cfg.MaxCalls,
@@ -74,6 +85,9 @@
 	if t.callID == nil {
 		t.callID = func(id string) string { return id }
 	}
+	if t.draining == nil {
+		t.draining = func() bool { return false }
+	}
 	for i, class := range t.dispatcher.engine.settings.Classes {
 		t.classes[class.Name] = i
 	}
@@ -101,6 +115,31 @@
 	if err != nil {
 		return err
 	}
+	err = t.admit(callerConn, class, setup)
+	if outcome, owed := rejectionOutcome(err); owed {
+		t.counters.AddOutcome(class, outcome)
+		t.log.Info().Str("call", setup.ID).AnErr("reason", err).Msg("set-up not accepted")
+	}
+	return err
+}
+
+// rejectionOutcome is the outcome of a valid set-up that was not accepted, and whether its caller gets one.
+func rejectionOutcome(err error) (outcome telemetry.Outcome, owed bool) {
+	switch {
+	case err == nil:
+		return outcome, false
+	case errors.Is(err, ErrDraining), errors.Is(err, ErrTooManyCalls):
+		return telemetry.OutcomeDeferred, true
+	}
+	return telemetry.OutcomeErrored, true
+}
+
+// admit starts a valid set-up, or returns why it was not accepted. Without an error, one that is not started is owed
+// nothing.
+func (t *CallTable) admit(callerConn CallerConn, class int, setup SetupRequest) error {
+	if t.draining() {
+		return ErrDraining
+	}
 	number := cmp.Or(setup.Number, noNumber)
 	request := Request{
 		Call:     t.dispatcher.NewCall(),
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -160,6 +160,12 @@
 // RejectionRate is the recent fraction of calls that were rejected, 0 to 1.
 func (d *Dispatcher) RejectionRate() float64 { return d.engine.rejections.at(d.clock.Now()) }
 
+// Avoids reports whether no set-up may go to an endpoint of the list now. It does not wait for the loop.
+func (d *Dispatcher) Avoids(uid string) bool {
+	avoided := d.engine.avoided.Load()
+	return avoided != nil && (*avoided)[uid]
+}
+
 // NewCall returns the number of a new call.
 func (d *Dispatcher) NewCall() uint64 { return d.lastCall.Add(1) }
 
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -32,6 +33,7 @@
 	endpoints  map[string]Endpoint
 	wakeUps    wakeUpQueue
 	filters    *filterChain
+	avoided    atomic.Pointer[map[string]bool] // endpoints that no set-up may go to; read by any goroutine
 }
 
 // minRetryAfterMicros is the shortest time after which a caller is asked to come back.
@@ -233,14 +235,21 @@
 	for i, endpoint := range endpoints {
 		servers[i] = e.filters.offer(now, endpoint)
 	}
+	e.publishAvoided()
 	e.events = append(e.events, eidertrail.ServerList{Kind: kind, Servers: servers})
 }
 
+func (e *Engine) publishAvoided() {
+	avoided := e.filters.avoided()
+	e.avoided.Store(&avoided)
+}
+
 // Step has the module handle what has come, and then what the guard sends back.
 func (e *Engine) Step(now int64) {
 	e.filters.observeWaiting(now, e.waiting)
 	if changed := e.filters.changedOffers(now, e.endpoints); len(changed) > 0 {
 		e.events = append(e.events, eidertrail.ServerList{Kind: eidertrail.Delta, Servers: changed})
+		e.publishAvoided()
 	}
 	e.filters.reportState(now)
 	for token, due := e.wakeUps.takeDue(now); due; token, due = e.wakeUps.takeDue(now) {
--- a/dispatch/filter.go
+++ b/dispatch/filter.go
@@ -147,6 +147,17 @@
 	return changed
 }
 
+// avoided returns the endpoints of the list that no set-up may go to now.
+func (c *filterChain) avoided() map[string]bool {
+	avoided := map[string]bool{}
+	for uid, available := range c.notified {
+		if available.mode != eidertrail.Ready {
+			avoided[uid] = true
+		}
+	}
+	return avoided
+}
+
 // admits reports whether a set-up of the class may go to the endpoint now.
 func (c *filterChain) admits(now int64, uid string, class int) bool {
 	if _, known := c.notified[uid]; !known {
--- a/dispatch/final.go
+++ b/dispatch/final.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "eidertrail/internal/telemetry"
+
 // FinalKind is the kind of a final answer.
 type FinalKind int
 
@@ -11,6 +13,32 @@
 	FinalCallerGone
 )
 
+// String returns the kind's name.
+func (k FinalKind) String() string {
+	switch k {
+	case FinalEstablished:
+		return "established"
+	case FinalRejected:
+		return "rejected"
+	case FinalFailed:
+		return "failed"
+	case FinalCallerGone:
+		return "caller gone"
+	}
+	return "unknown"
+}
+
+// outcome is the final answer as its caller sees it; a caller that has left sees none.
+func (f Final) outcome() telemetry.Outcome {
+	switch {
+	case f.Kind == FinalEstablished:
+		return telemetry.OutcomeAnswered
+	case f.Kind == FinalFailed && f.MayHaveRun:
+		return telemetry.OutcomeErrored
+	}
+	return telemetry.OutcomeDeferred
+}
+
 // Final is the one final answer to a call.
 type Final struct {
 	Kind        FinalKind
--- a/dispatch/setup_request.go
+++ b/dispatch/setup_request.go
@@ -30,6 +30,8 @@
 	ErrUnknownCall    = errors.New("id: not known")
 	ErrCallEnded      = errors.New("id: the call is over")
 	ErrSDPTooLong     = errors.New("sdp: too long")
+	// ErrDraining is returned for a set-up that came while the controller is being emptied: another one takes it.
+	ErrDraining = errors.New("the controller is draining")
 	// ErrNotEstablished is ErrTooMany for a connection on which no call was answered yet.
 	ErrNotEstablished = fmt.Errorf("%w for a connection that had none answered", ErrTooManyCalls)
 )
--- a/dispatch/table_call.go
+++ b/dispatch/table_call.go
@@ -65,7 +65,12 @@
 	final := Serve(ctx, table.dispatcher, table.inviter, r, s)
 	setupTime := table.dispatcher.Now() - startedAt
 
-	switch delivered := c.deliverFinal(final); {
+	delivered := c.deliverFinal(final)
+	if delivered {
+		counters.AddOutcome(r.Class, final.outcome())
+	}
+	c.logFinal(final, delivered)
+	switch {
 	case !delivered:
 		counters.Add(telemetry.CancelledCalls)
 		if final.Kind == FinalEstablished { // an answer that nobody waits for holds an agent for nobody
@@ -81,6 +86,15 @@
 	}
 }
 
+// logFinal logs why a set-up was not answered.
+func (c *tableCall) logFinal(final Final, delivered bool) {
+	if final.Kind == FinalEstablished && delivered {
+		return
+	}
+	c.table.log.Info().Str("call", c.id).Stringer("final", final.Kind).Bool("delivered", delivered).
+		Bool("no_agent", final.NoAgentFree).Bool("may_have_run", final.MayHaveRun).Msg("set-up not answered")
+}
+
 // deliverFinal passes the final answer on, unless the caller has left, and reports whether it did. From here on a
 // cancel is too late, or the final answer is: both are decided under the same lock.
 func (c *tableCall) deliverFinal(final Final) bool {
--- a/dispatch/table_connections.go
+++ b/dispatch/table_connections.go
@@ -70,13 +70,23 @@
 // Retire removes a connection that is owed no final answer, and reports whether it is gone: no set-up on it is taken
 // from then on.
 func (t *CallTable) Retire(c CallerConn) bool {
+	return t.retire(c, func(conn *connection) bool { return conn.unsettled == 0 })
+}
+
+// RetireUnused is Retire for a connection on which no call that it set up is established either: the end of such a call
+// can be delivered on it.
+func (t *CallTable) RetireUnused(c CallerConn) bool {
+	return t.retire(c, func(conn *connection) bool { return conn.unsettled+conn.established == 0 })
+}
+
+func (t *CallTable) retire(c CallerConn, unused func(conn *connection) bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	conn := t.connections.find(c)
 	if conn == nil {
 		return true
 	}
-	if conn.unsettled > 0 {
+	if !unused(conn) {
 		return false
 	}
 	t.remove(conn)
--- a/internal/backend/sippool/pools.go
+++ b/internal/backend/sippool/pools.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 
+	"eidertrail"
 	"eidertrail/dispatch"
 	"eidertrail/internal/endpoint/endpointlist"
 	"eidertrail/internal/telemetry"
@@ -120,6 +121,27 @@
 	return connected, up
 }
 
+// Status is a listed pool as its connection shows it.
+type Status struct {
+	UID       string
+	Reachable bool // it is up and has a connection
+}
+
+// Listed returns the pools that the endpoint list holds, those that drain included.
+func (s *Pools) Listed() []Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listed := make([]Status, 0, len(s.pools))
+	for uid, p := range s.pools {
+		p.mu.Lock()
+		if p.mode() != eidertrail.Removed {
+			listed = append(listed, Status{UID: uid, Reachable: p.eligible() && p.connection != nil})
+		}
+		p.mu.Unlock()
+	}
+	return listed
+}
+
 // EstablishedCalls returns the number of calls that are established.
 func (s *Pools) EstablishedCalls() int {
 	s.mu.Lock()
--- a/internal/backend/sippool/writer.go
+++ b/internal/backend/sippool/writer.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"eidertrail/internal/backend/sip"
+	"eidertrail/internal/telemetry"
 )
 
 // writeTimeout is how long the write of one message may take before the connection is closed.
@@ -43,6 +44,9 @@
 		return err
 	}
 	c.writingInvite.Store(false)
+	if message.transaction != nil {
+		c.pool.count(telemetry.InvitesWritten)
+	}
 	if message.release {
 		c.awaitReleaseResponse(message)
 	}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -34,3 +34,10 @@
 		c.fail(field, fmt.Sprintf("want %v to %v", lower, upper))
 	}
 }
+
+// CheckAddress returns an error for a text that is not host:port. The field is a key or a variable of the platform's.
+func CheckAddress(field, text string) error {
+	c := &checks{file: PlatformFile}
+	c.address(field, text)
+	return c.err
+}
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -46,6 +46,7 @@
 	MemoryMB       int
 	Sockets        int
 	EndpointList   string // address, "" for none
+	Control        string // address for operators, "" for none
 	KnownEndpoints endpointlist.Page
 
 	PeerListen string   // UDP, "" where the platform gives no way between controllers
@@ -79,19 +80,19 @@
 	if !r.root.IsObject() {
 		return nil, &FieldError{File: PlatformFile, Reason: "not a JSON object"}
 	}
-	c := &Config{}
-	c.readController(r)
-	c.readSettings(r)
+	cfg := &Config{}
+	cfg.readController(r)
+	cfg.readSettings(r)
 	if r.err != nil {
 		return nil, r.err
 	}
-	if err := c.readKnown(r.root, now); err != nil {
+	if err := cfg.readKnown(r.root, now); err != nil {
 		return nil, err
 	}
-	if _, err := eidertrail.New(c.Settings, c.Seed); err != nil { // the module checks its settings
+	if _, err := eidertrail.New(cfg.Settings, cfg.Seed); err != nil { // the module checks its settings
 		return nil, WrapError(PlatformFile, "", err)
 	}
-	return c, nil
+	return cfg, nil
 }
 
 // readController reads the fields outside of settings. The first wrong field is reported, in this order.
@@ -99,6 +100,7 @@
 	c.Name = r.headerText("name", false)
 	c.Listen = r.address("listen", true)
 	c.EndpointList = r.address("bulletin", false)
+	c.Control = r.address("control", false)
 	c.MemoryMB = r.count("limits.memory_mb", defaultMemoryMB, minMemoryMB)
 	c.Sockets = r.count("limits.sockets", defaultSockets, minSockets)
 	if seed := r.text("seed", false); seed != "" {
--- /dev/null
+++ b/internal/config/unknown.go
@@ -0,0 +1,4 @@
+package config
+
+// VariableControl is the platform's variable with the address for operators.
+const VariableControl = "RELAY_CONTROL"
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,7 +6,6 @@
 	"net"
 	"runtime/debug"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -19,6 +18,7 @@
 	"eidertrail/internal/fleet/gossip"
 	"eidertrail/internal/frontend/jsonlines"
 	"eidertrail/internal/frontend/websocket"
+	"eidertrail/internal/lifecycle"
 	"eidertrail/internal/telemetry"
 )
 
@@ -61,7 +61,8 @@
 	addresses      map[string]string               // where call control listens, by field
 	closers        []func()                        // of call control's listeners, in order
 	addressChanges chan endpointlist.AddressChange // holds the latest one that was not taken yet
-	stopping       atomic.Bool
+	lifecycle      *lifecycle.Lifecycle
+	drains         chan struct{} // holds one while a drain was called for and is not seen to yet
 
 	stopLoop   context.CancelFunc // ends the dispatcher and the fleet's gossip
 	stopPools  context.CancelFunc // ends the pools and the sources of endpoints
@@ -110,7 +111,7 @@
 }
 
 func newDaemon(options Options, log zerolog.Logger) *Daemon {
-	return &Daemon{
+	daemon := &Daemon{
 		log: log,
 		peerLog: log.Sample(&zerolog.LevelSampler{
 			WarnSampler: &zerolog.BurstSampler{Burst: maxWarningsPerSecond, Period: time.Second},
@@ -122,7 +123,10 @@
 		listenerFailed: make(chan error, 1),
 		addresses:      map[string]string{},
 		addressChanges: make(chan endpointlist.AddressChange, 1),
+		drains:         make(chan struct{}, 1),
 	}
+	daemon.lifecycle = lifecycle.New(daemon.clock.Now(), daemon.stateChanged)
+	return daemon
 }
 
 // build makes the parts that every daemon has; the pools end with their context. It opens nothing and starts nothing.
@@ -134,6 +138,7 @@
 	if err != nil {
 		return err
 	}
+	d.counters.SetClasses(d.cfg.Classes)
 	d.started = d.clock.Now()
 	d.pools = sippool.New(pools, sippool.Config{
 		Name:               d.cfg.Name,
@@ -153,6 +158,8 @@
 		Inviter:    d.pools,
 		MaxCalls:   maxCalls,
 		UniqueIDs:  true,
+		Draining:   d.rejectsSetups,
+		Log:        d.peerLog,
 		Counters:   d.counters,
 	})
 	d.callers = jsonlines.New(jsonlines.Config{
@@ -160,6 +167,7 @@
 		Clock:            d.clock,
 		MaxConnections:   limits.callers,
 		Tenants:          d.cfg.Tenants,
+		Lifecycle:        d.lifecycle,
 		Ready:            d.ready,
 		ReleaseUnmatched: d.pools.ReleaseUnmatched,
 		Log:              d.peerLog,
@@ -188,6 +196,11 @@
 	if d.listener, err = (&net.ListenConfig{}).Listen(loop, "tcp", d.cfg.Listen); err != nil {
 		return config.WrapError(config.PlatformFile, "listen", err)
 	}
+	if d.cfg.Control != "" {
+		if err := d.openControl(loop); err != nil {
+			return err
+		}
+	}
 	if files.callControl != nil {
 		if err := d.openCallControl(loop, files.callControl); err != nil {
 			return err
@@ -220,6 +233,7 @@
 	}
 	d.goroutines.Go(func() { d.dispatcher.Run(loop) })
 	d.startSources(pools, files.discovery)
+	d.goroutines.Go(func() { d.sendClientsAway(pools) })
 	d.goroutines.Go(func() { d.listenerFailed <- d.callers.Serve(d.listener) })
 }
 
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -12,6 +12,7 @@
 	"github.com/coder/websocket"
 	"github.com/rs/zerolog"
 
+	"eidertrail/internal/lifecycle"
 	"eidertrail/internal/testing/daemontest"
 	"eidertrail/internal/testing/fakeplatform"
 )
@@ -68,7 +69,7 @@
 	caller.Setup("00000000000000c2")
 	request := <-held
 	signals.Terminate <- syscall.SIGTERM
-	for !daemon.stopping.Load() {
+	for daemon.lifecycle.State() != lifecycle.Stopping {
 	}
 	late := daemontest.Dial(t, listen) // calls may still come
 	late.Setup("00000000000000c3")
--- a/internal/daemon/descriptors.go
+++ b/internal/daemon/descriptors.go
@@ -40,6 +40,9 @@
 		}
 	}
 	others := ownDescriptors + srvNames // a look-up at a time for each SRV name
+	if connections := controlConnections(cfg); connections > 0 {
+		others += connections + 2 // the listener, and a connection that is accepted before another is evicted
+	}
 	if callControl != nil {
 		others += callControl.MaxConnections + callControlListeners*(1+maxExtraConnections)
 	}
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -55,7 +55,7 @@
 	}
 	if allocator != nil {
 		d.dispatcher.SetQuotas(dispatch.QuotaConfig{
-			Source:            allocator,
+			Source:            drainedQuotas{QuotaSource: allocator, lifecycle: d.lifecycle},
 			SlowStartFraction: file.Budget.SlowStartFraction,
 			SendWindow:        file.Budget.Margin.Microseconds() / sendWindowDivisor,
 		})
--- a/internal/daemon/frontends.go
+++ b/internal/daemon/frontends.go
@@ -55,6 +55,7 @@
 	d.sockets = websocket.New(websocket.Config{
 		Dispatcher:     d.dispatcher,
 		Inviter:        d.pools,
+		Lifecycle:      d.lifecycle,
 		Ready:          d.ready,
 		Origins:        file.Origins,
 		MaxConnections: file.MaxConnections,
--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -14,6 +14,7 @@
 type Options struct {
 	Config      string // the platform's configuration
 	Listen      string // overrides its listen address; "" does not
+	Control     string // overrides its address for operators; "" does not
 	CallControl string
 	Discovery   string
 	Routing     string
@@ -22,7 +23,7 @@
 
 // FromEnvironment is o with what the platform's variables name.
 func (o Options) FromEnvironment() Options {
-	o.Config, o.Listen = os.Getenv("RELAY_CONFIG"), os.Getenv("RELAY_LISTEN")
+	o.Config, o.Listen, o.Control = os.Getenv("RELAY_CONFIG"), os.Getenv("RELAY_LISTEN"), os.Getenv("RELAY_CONTROL")
 	return o
 }
 
@@ -42,10 +43,19 @@
 		return nil, &config.FieldError{File: config.PlatformFile, Field: "RELAY_CONFIG", Reason: "not set"}
 	}
 	cfg, err := config.Load(o.Config, now)
-	if err == nil && o.Listen != "" {
+	if err != nil {
+		return nil, err
+	}
+	if o.Listen != "" {
 		cfg.Listen = o.Listen
 	}
-	return cfg, err
+	if o.Control != "" {
+		if err := config.CheckAddress(config.VariableControl, o.Control); err != nil {
+			return nil, err
+		}
+		cfg.Control = o.Control
+	}
+	return cfg, nil
 }
 
 // operatorFiles are the operator files' settings, nil for those that are not given.
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -30,7 +30,7 @@
 	d.counters.Add(telemetry.Reloads)
 	d.apply(files)
 	if d.needsRestart(files.cfg) {
-		d.log.Warn().Msg("name, listen, limits.sockets and settings change only at a restart")
+		d.log.Warn().Msg("name, listen, control, limits.sockets and settings change only at a restart")
 	}
 	d.log.Info().Str("bulletin", files.cfg.EndpointList).Int("memory_mb", files.cfg.MemoryMB).
 		Int64("known", files.cfg.KnownEndpoints.Version).Msg("new configuration")
@@ -82,6 +82,7 @@
 
 // needsRestart reports whether a configuration differs from the one at the start in what a reload cannot change.
 func (d *Daemon) needsRestart(cfg *config.Config) bool {
-	return cfg.Listen != d.cfg.Listen || cfg.Name != d.cfg.Name || cfg.Sockets != d.cfg.Sockets ||
+	return cfg.Listen != d.cfg.Listen || cfg.Control != d.cfg.Control || cfg.Name != d.cfg.Name ||
+		cfg.Sockets != d.cfg.Sockets ||
 		!reflect.DeepEqual(cfg.Settings, d.cfg.Settings)
 }
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -5,28 +5,22 @@
 	"time"
 
 	"eidertrail/internal/frontend/health"
+	"eidertrail/internal/lifecycle"
 	"eidertrail/internal/telemetry"
 )
 
 // maxConnectWait is how long the first connections to pools are waited for before the daemon is ready without them.
 const maxConnectWait = 2 * time.Second
 
-// ready reports whether a readiness check passes: the pools that are up are connected, or were given time to.
-func (d *Daemon) ready() bool {
-	if d.stopping.Load() {
-		return false
-	}
-	connected, up := d.pools.Connected()
-	return connected == up || d.clock.Now()-d.started > maxConnectWait.Microseconds()
-}
-
 // status is what load balancers are answered.
 func (d *Daemon) status(ctx context.Context) health.Status {
 	live := d.dispatcher.Tick(ctx) == nil
+	current := d.state()
 	return health.Status{
 		Live:          live,
-		Ready:         d.ready(),
-		Draining:      d.stopping.Load(),
+		Ready:         current == lifecycle.Serving,
+		Draining:      current == lifecycle.LameDuck || current == lifecycle.Stopping,
+		DrainReason:   current.String(),
 		RejectionRate: d.dispatcher.RejectionRate(),
 	}
 }
@@ -41,10 +35,7 @@
 
 // logCounters logs the counters, and the members of the fleet.
 func (d *Daemon) logCounters() {
-	pending, established := d.calls.PendingSetups(), d.calls.EstablishedCalls()
-	if d.sockets != nil {
-		pending, established = pending+d.sockets.PendingSetups(), established+d.sockets.EstablishedCalls()
-	}
+	pending, established := d.pendingSetups(), d.establishedCalls()
 	connected, up := d.pools.Connected()
 	if d.fleet != nil {
 		d.logMembers()
@@ -53,6 +44,24 @@
 		Int("pools_connected", connected).Int("pools_up", up).Msg("counters")
 }
 
+// pendingSetups is the number of set-ups on all fronts that are owed a final answer.
+func (d *Daemon) pendingSetups() int {
+	pending := d.calls.PendingSetups()
+	if d.sockets != nil {
+		pending += d.sockets.PendingSetups()
+	}
+	return pending
+}
+
+// establishedCalls is the number of established calls of all fronts.
+func (d *Daemon) establishedCalls() int {
+	established := d.calls.EstablishedCalls()
+	if d.sockets != nil {
+		established += d.sockets.EstablishedCalls()
+	}
+	return established
+}
+
 func (d *Daemon) logMembers() {
 	for i, member := range d.fleet.Members() {
 		line := d.log.Info().Int("member", i).Stringer("is", member.State).Uint64("incarnation", member.Incarnation).
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -73,7 +73,7 @@
 //     so that they apply no more changes to the pools.
 //  5. Connections and call control's listeners close, and every goroutine is waited for.
 func (d *Daemon) stop(accept time.Duration) {
-	d.stopping.Store(true)
+	d.lifecycle.Stop(d.clock.Now(), accept.Microseconds())
 	d.drainCalls(accept)
 	if d.fleet != nil {
 		d.fleet.Leave()
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"eidertrail"
+	"eidertrail/internal/lifecycle"
 	"eidertrail/internal/testing/daemontest"
 )
 
@@ -30,7 +31,7 @@
 	signals.Terminate <- syscall.SIGTERM
 	ended := make(chan error, 1)
 	go func() { ended <- daemon.Serve(signals) }()
-	for !daemon.stopping.Load() {
+	for daemon.lifecycle.State() != lifecycle.Stopping {
 		time.Sleep(time.Millisecond)
 	}
 	caller.SendText(line[40:])
--- /dev/null
+++ b/internal/frontend/control/listener.go
@@ -0,0 +1,122 @@
+package control
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+// minWait is how long a caller without a complete call is left alone where descriptors are short.
+const minWait = 200 * time.Millisecond
+
+// acceptRetryDelay is how long Accept waits after one that failed, such as for want of descriptors.
+const acceptRetryDelay = 5 * time.Millisecond
+
+// boundedListener accepts at most so many connections at a time. For a new one it closes the oldest on which no call is
+// complete yet: callers that say nothing must not keep others out.
+type boundedListener struct {
+	net.Listener
+	maxConnections int
+
+	mu    sync.Mutex
+	conns []*trackedConn // the oldest first
+}
+
+// trackedConn is an accepted connection.
+type trackedConn struct {
+	net.Conn
+	listener   *boundedListener
+	acceptedAt time.Time
+	answering  bool // its call is complete; guarded by the listener's mutex
+}
+
+// Accept implements net.Listener. It goes on after any error but the listener's close: http.Server would wait for up to
+// a second.
+func (l *boundedListener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil, err
+		}
+		if err != nil {
+			l.evictOldest(minWait)
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		if conn, registered := l.register(raw); registered {
+			return conn, nil
+		}
+		raw.Close()
+	}
+}
+
+// register adds a connection, evicting another one where it has to and can, and reports whether it did.
+func (l *boundedListener) register(raw net.Conn) (*trackedConn, bool) {
+	l.mu.Lock()
+	full := len(l.conns) >= l.maxConnections
+	l.mu.Unlock()
+	if full && !l.evictOldest(0) {
+		return nil, false
+	}
+	conn := &trackedConn{Conn: raw, listener: l, acceptedAt: time.Now()}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns = append(l.conns, conn)
+	return conn, true
+}
+
+// evictOldest closes the oldest connection on which no call is complete, if it has waited for that long, and reports
+// whether there was one.
+func (l *boundedListener) evictOldest(waited time.Duration) bool {
+	candidate := l.oldestWaiting()
+	if candidate == nil || time.Since(candidate.acceptedAt) < waited {
+		return false
+	}
+	_ = candidate.Close() // it is given up
+	return true
+}
+
+func (l *boundedListener) oldestWaiting() *trackedConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, conn := range l.conns {
+		if !conn.answering {
+			return conn
+		}
+	}
+	return nil
+}
+
+// beginAnswer notes that the connection's call is complete: it is not evicted any more.
+func (c *trackedConn) beginAnswer() {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.answering = true
+}
+
+// CloseWrite ends the answer; net/http calls it where a call was not read to its end. Without it the close would reset
+// the connection, and the caller could lose the answer.
+func (c *trackedConn) CloseWrite() error {
+	if half, is := c.Conn.(interface{ CloseWrite() error }); is {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	c.listener.remove(c)
+	return c.Conn.Close()
+}
+
+func (l *boundedListener) remove(conn *trackedConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, other := range l.conns {
+		if other == conn {
+			l.conns = append(l.conns[:i], l.conns[i+1:]...)
+			return
+		}
+	}
+}
--- a/internal/frontend/health/status.go
+++ b/internal/frontend/health/status.go
@@ -6,6 +6,7 @@
 package health
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -25,7 +26,9 @@
 type Status struct {
 	Live     bool // its loop goroutine runs
 	Ready    bool // it can serve
-	Draining bool // it is about to end, and finishes what it has
+	Draining bool // it sends its clients away, and finishes what it has
+	// DrainReason says why it drains; "" says that it is about to end.
+	DrainReason string
 	// RejectionRate is the share of calls that it rejected of late, 0 to 1.
 	RejectionRate float64
 }
@@ -41,7 +44,7 @@
 	case !s.Live:
 		return "down #" + reasonNotLive + "\n"
 	case s.Draining:
-		return "drain #" + reasonDraining + "\n"
+		return "drain #" + s.drainReason() + "\n"
 	case !s.Ready:
 		return "down #" + reasonNotReady + "\n"
 	}
@@ -50,6 +53,8 @@
 	return fmt.Sprintf("up ready %d%%\n", max(1, min(100, weight)))
 }
 
+func (s Status) drainReason() string { return cmp.Or(s.DrainReason, reasonDraining) }
+
 // liveness gives the answer of /live.
 func (s Status) liveness() (ok bool, reason string) {
 	if !s.Live {
@@ -64,7 +69,7 @@
 	case !s.Live:
 		return false, reasonNotLive
 	case s.Draining:
-		return false, reasonDraining
+		return false, s.drainReason()
 	case !s.Ready:
 		return false, reasonNotReady
 	}
--- a/internal/frontend/jsonlines/conn.go
+++ b/internal/frontend/jsonlines/conn.go
@@ -9,12 +9,16 @@
 
 	"eidertrail/dispatch"
 	"eidertrail/internal/frontend/linecodec"
+	"eidertrail/internal/lifecycle"
 	"eidertrail/internal/telemetry"
 )
 
 // maxTracedBytes is how much of a line the debug log shows.
 const maxTracedBytes = 70
 
+// lateLineMicros is how long a connection that an emptied controller accepts may be without a complete line.
+const lateLineMicros = 500_000
+
 // The Q.850 causes with which a set-up is rejected or has failed. On this wire 34, 42 and 102 say that a retry is
 // harmless.
 const (
@@ -59,6 +63,7 @@
 
 	queue     chan queuedLine
 	unwritten atomic.Int64 // lines that were queued and are not written yet
+	receiving atomic.Bool  // a line has begun, or is being handled
 
 	closeOnce sync.Once
 	closed    chan struct{} // closed by close
@@ -76,8 +81,12 @@
 	return c
 }
 
-func (c *conn) close() {
+// close closes the connection; the first reason counts. It may be called with the call table's lock held.
+func (c *conn) close(reason closeReason) {
 	c.closeOnce.Do(func() {
+		c.server.cfg.Log.Info().Str("from", c.raw.RemoteAddr().String()).Stringer("reason", reason).
+			Stringer("connection", c.lifecycle.state()).Stringer("state", c.server.lifecycle.State()).
+			Msg("connection closed")
 		close(c.closed)
 		c.raw.Close()
 	})
@@ -85,40 +94,66 @@
 
 // disconnect closes the connection and removes it from the call table at once. Without that, the set-ups of a caller
 // that has disconnected would go on for as long as a write to it is stuck, as the writer removes it only after that.
-func (c *conn) disconnect() {
-	c.close()
+func (c *conn) disconnect(reason closeReason) {
+	c.close(reason)
 	c.server.cfg.Calls.Disconnect(c)
 }
 
 // closeAfterFlush closes the connection once what is queued is written, or after the timeout. Without the flush, a
 // final answer that is queued would be lost: its set-up does not count as open any more.
-func (c *conn) closeAfterFlush(timeout time.Duration) {
-	if c.unwritten.Load() > 0 && c.send(queuedLine{kind: lineClose}) {
-		time.AfterFunc(timeout, c.close)
+func (c *conn) closeAfterFlush(timeout time.Duration, reason closeReason) {
+	if c.unwritten.Load() > 0 && c.send(queuedLine{kind: lineClose, reason: reason}) {
+		time.AfterFunc(timeout, func() { c.close(reason) })
 		return
 	}
-	c.close()
+	c.close(reason)
 }
 
-// closeIfDrained closes the connection, while the server drains, once no set-up on it is open and what is queued is
-// written.
+// closeIfDrained closes the connection, once the schedule of a drain allows that, no set-up on it is open and what is
+// queued is written.
 func (c *conn) closeIfDrained() {
-	if c.server.lifecycle.state() != serverDraining || !c.server.cfg.Calls.Retire(c) {
+	status, now := c.server.lifecycle.Status(), c.server.cfg.Clock.Now()
+	if !status.ClosesConnections(now) || c.isIncomplete() && !c.mayEndIncomplete(status, now) {
+		return
+	}
+	if !c.retire(status.State) {
 		return
 	}
-	if !c.send(queuedLine{kind: lineClose}) {
-		c.close()
+	if !c.send(queuedLine{kind: lineClose, reason: closeDrained}) {
+		c.close(closeDrained)
+	}
+}
+
+// retire removes the connection from the call table if nothing keeps it there, and reports whether it did. In a drain
+// that an operator called for, established calls do: their ends are still to be delivered.
+func (c *conn) retire(state lifecycle.State) bool {
+	if state == lifecycle.LameDuck {
+		return c.server.cfg.Calls.RetireUnused(c)
+	}
+	return c.server.cfg.Calls.Retire(c)
+}
+
+// isIncomplete reports whether no line was received on the connection yet, or one is being received.
+func (c *conn) isIncomplete() bool { return c.lifecycle.state() == connNew || c.receiving.Load() }
+
+// mayEndIncomplete reports whether the connection is closed though a line of it may still come. One that an emptied
+// controller has just accepted gets the time to ask whether it is ready.
+func (c *conn) mayEndIncomplete(status lifecycle.Status, now int64) bool {
+	if !status.ClosesIncomplete(now) {
+		return false
 	}
+	return status.State == lifecycle.Stopping || now-c.lastActive.Load() >= lateLineMicros
 }
 
 // closeFaulty closes the connection once what is queued is written. Input until then is discarded. Only the reading
 // goroutine calls it.
 func (c *conn) closeFaulty() {
 	c.server.cfg.Counters.Add(telemetry.ClosedBad)
-	if c.send(queuedLine{kind: lineClose}) && c.raw.SetReadDeadline(time.Now().Add(writeTimeout)) == nil {
+	queued := c.send(queuedLine{kind: lineClose, reason: closeInvalidInput})
+	if queued && c.raw.SetReadDeadline(time.Now().Add(writeTimeout)) == nil {
 		_, _ = io.Copy(io.Discard, c.raw) // however it ends, the connection is closed
 	}
-	c.close()
+	c.close(closeInvalidInput)
 }
 
 // Final implements dispatch.CallerConn. The platform's wire has no place for Retry-After. A call that may have run and
--- a/internal/frontend/jsonlines/eviction.go
+++ b/internal/frontend/jsonlines/eviction.go
@@ -57,7 +57,7 @@
 		}
 		s.cfg.Counters.Add(telemetry.Shed)
 		delete(s.conns, candidate)
-		candidate.closeAfterFlush(evictionFlushTimeout)
+		candidate.closeAfterFlush(evictionFlushTimeout, closeEvicted)
 		return
 	}
 }
--- a/internal/frontend/jsonlines/harness_test.go
+++ b/internal/frontend/jsonlines/harness_test.go
@@ -16,6 +16,7 @@
 	"eidertrail"
 	"eidertrail/dispatch"
 	"eidertrail/internal/clock"
+	"eidertrail/internal/lifecycle"
 	"eidertrail/internal/telemetry"
 	"eidertrail/internal/testing/fakeplatform"
 )
@@ -102,6 +103,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	go dispatcher.Run(ctx)
 	dispatcher.UpdateEndpoints([]dispatch.Endpoint{{UID: "a"}}, false)
+	state := lifecycle.New(now.Now(), nil)
+	state.Serve(now.Now())
 	r := &rig{t: t, inviter: &fakeInviter{}, listener: fakeplatform.NewListener(), ready: true}
 	r.Server = New(Config{
 		Calls: dispatch.NewCallTable(dispatch.CallTableConfig{
@@ -109,9 +112,11 @@
 			Inviter:    r.inviter,
 			MaxCalls:   100,
 			UniqueIDs:  true,
+			Draining:   func() bool { return state.Status().RejectsSetups(now.Now()) },
 			Counters:   counters,
 		}),
 		Clock:            now,
+		Lifecycle:        state,
 		MaxConnections:   4,
 		Tenants:          []string{"acme"},
 		Ready:            func() bool { return r.ready },
--- a/internal/frontend/jsonlines/messages.go
+++ b/internal/frontend/jsonlines/messages.go
@@ -49,6 +49,10 @@
 	if err == nil {
 		return
 	}
+	if errors.Is(err, dispatch.ErrDraining) { // no fault of the caller's
+		c.sendRelease(message.ID, causeCongestion)
+		return
+	}
 	c.recordBadLine(fmt.Errorf("front: set-up %.40q: %w", message.ID, err))
 	calls := c.server.cfg.Calls
 	cause := causeFailed
--- a/internal/frontend/jsonlines/reader.go
+++ b/internal/frontend/jsonlines/reader.go
@@ -32,7 +32,8 @@
 // readLoop is the reading goroutine.
 func (c *conn) readLoop() {
 	defer c.server.goroutines.Done()
-	defer c.disconnect()
+	reason := closeByCaller
+	defer func() { c.disconnect(reason) }()
 	lines := newLineReader(c)
 	for c.faults < maxFaults {
 		text, err := lines.next()
@@ -42,12 +43,15 @@
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			c.server.cfg.Counters.Add(telemetry.Overdue)
+			reason = closeOverdue
 		}
 		c.trace("in", text, err)
 		if err != nil {
 			return
 		}
-		if !c.handleLine(text) {
+		goesOn := c.handleLine(text)
+		c.receiving.Store(false)
+		if !goesOn {
 			break
 		}
 	}
@@ -124,6 +128,7 @@
 		if err := l.awaitLine(); err != nil {
 			return nil, err
 		}
+		l.conn.receiving.Store(true)
 		if l.hasCompleteLine() {
 			return l.read()
 		}
--- a/internal/frontend/jsonlines/server.go
+++ b/internal/frontend/jsonlines/server.go
@@ -13,12 +13,12 @@
 	"net"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"eidertrail/dispatch"
+	"eidertrail/internal/lifecycle"
 	"eidertrail/internal/telemetry"
 )
 
@@ -27,6 +27,8 @@
 	acceptRetryDelay = 5 * time.Millisecond
 	// drainPollInterval is how often Drain looks whether connections are left.
 	drainPollInterval = 2 * time.Millisecond
+	// sendAwayInterval is how often SendAway looks for connections that may be closed.
+	sendAwayInterval = 20 * time.Millisecond
 )
 
 // Config is what a Server is made with.
@@ -37,6 +39,8 @@
 	Tenants []string
 	// MaxConnections bounds the callers' connections.
 	MaxConnections int
+	// Lifecycle is the state of the controller; nil: one of the server's own, that serves.
+	Lifecycle *lifecycle.Lifecycle
 	// Ready reports whether a ping is answered with ready.
 	Ready func() bool
 	// ReleaseUnmatched takes a caller's release of a call that is not known here.
@@ -45,53 +49,27 @@
 	Counters         *telemetry.Counters
 }
 
-// serverState is the state of a Server. It only moves forward.
-type serverState int32
-
-const (
-	serverAccepting serverState = iota
-	serverDraining              // a connection is closed once no set-up on it is open
-	serverClosed                // no connection is taken any more
-)
-
-// String implements fmt.Stringer.
-func (s serverState) String() string {
-	switch s {
-	case serverAccepting:
-		return "accepting"
-	case serverDraining:
-		return "draining"
-	}
-	return "closed"
-}
-
-// serverLifecycle is a server's state and its transitions.
-type serverLifecycle struct{ value atomic.Int32 }
-
-func (l *serverLifecycle) state() serverState { return serverState(l.value.Load()) }
-
-// drain begins the drain; a closed server stays closed.
-func (l *serverLifecycle) drain() {
-	l.value.CompareAndSwap(int32(serverAccepting), int32(serverDraining))
-}
-
-func (l *serverLifecycle) close() { l.value.Store(int32(serverClosed)) }
-
 // Server serves the platform's callers.
 type Server struct {
 	cfg               Config
-	lifecycle         serverLifecycle // closed while mu is held
+	lifecycle         *lifecycle.Lifecycle
 	unmatchedReleases *releaseLimiter
 	goroutines        sync.WaitGroup // two for each connection
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	mu     sync.Mutex
+	conns  map[*conn]struct{}
+	closed bool // no connection is taken any more
 }
 
 // New returns a server that has no connections yet.
 func New(cfg Config) *Server {
+	if cfg.Lifecycle == nil {
+		cfg.Lifecycle = lifecycle.New(cfg.Clock.Now(), nil)
+		cfg.Lifecycle.Serve(cfg.Clock.Now())
+	}
 	return &Server{
 		cfg:               cfg,
+		lifecycle:         cfg.Lifecycle,
 		conns:             map[*conn]struct{}{},
 		unmatchedReleases: newReleaseLimiter(cfg.Clock.Now()),
 	}
@@ -112,7 +90,7 @@
 		s.cfg.Counters.Add(telemetry.Connections)
 		c := newConn(s, raw)
 		if !s.register(c) {
-			raw.Close()
+			c.close(closeNoPlace)
 			continue
 		}
 		s.cfg.Calls.Connect(c)
@@ -130,7 +108,7 @@
 		s.evictOne()
 	}
 	// A connection may have been accepted just before Close. Without looking at the state, it would outlive the server.
-	if s.lifecycle.state() == serverClosed || len(s.conns) >= s.cfg.MaxConnections {
+	if s.closed || len(s.conns) >= s.cfg.MaxConnections {
 		return false
 	}
 	s.conns[c] = struct{}{}
@@ -158,16 +136,14 @@
 func (s *Server) CatchUp() { time.Sleep(readGrace) }
 
 // Drain closes each connection once every set-up on it has its final answer, and returns when none is left or ctx is
-// done. Close Serve's listener first.
+// done. Close Serve's listener first. The controller is stopping from then on, if it was not before.
 //
 // Each connection ends by itself, without waiting for the others: callers go on sending on every connection that is
 // open, so that one slow set-up anywhere would else keep all of them open, and what arrived on them until the
 // process ended would be accepted and never answered.
 func (s *Server) Drain(ctx context.Context) {
-	s.lifecycle.drain()
-	for _, c := range s.connections() {
-		c.closeIfDrained()
-	}
+	s.lifecycle.Stop(s.cfg.Clock.Now(), 0)
+	s.closeDrained()
 	for len(s.connections()) > 0 {
 		select {
 		case <-ctx.Done():
@@ -177,12 +153,32 @@
 	}
 }
 
+// SendAway closes the connections of a controller that an operator empties, each as soon as the schedule of the drain
+// allows, until the drain ends or ctx is done. The listener stays open: whoever asks is told that the controller is not
+// ready.
+func (s *Server) SendAway(ctx context.Context) {
+	for s.lifecycle.State() == lifecycle.LameDuck {
+		s.closeDrained()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(sendAwayInterval):
+		}
+	}
+}
+
+func (s *Server) closeDrained() {
+	for _, c := range s.connections() {
+		c.closeIfDrained()
+	}
+}
+
 // Close ends the connections and waits for their goroutines. Close Serve's listener first.
 func (s *Server) Close() {
 	s.mu.Lock()
-	s.lifecycle.close()
+	s.closed = true
 	for c := range s.conns {
-		c.close()
+		c.close(closeServerClosed)
 	}
 	s.mu.Unlock()
 	s.goroutines.Wait()
--- a/internal/frontend/jsonlines/server_test.go
+++ b/internal/frontend/jsonlines/server_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"eidertrail/dispatch"
+	"eidertrail/internal/lifecycle"
 	"eidertrail/internal/testing/fakeplatform"
 )
 
@@ -74,19 +75,27 @@
 	})
 }
 
-// A server drains at most once, and not after it was closed.
-func TestServerLifecycle_OnlyMovesForward(t *testing.T) {
-	var lifecycle serverLifecycle
-	if got := lifecycle.state().String(); got != "accepting" {
-		t.Errorf("a new server is %s", got)
-	}
-	lifecycle.drain()
-	if got := lifecycle.state().String(); got != "draining" {
-		t.Errorf("after drain it is %s", got)
-	}
-	lifecycle.close()
-	lifecycle.drain()
-	if got := lifecycle.state().String(); got != "closed" {
-		t.Errorf("after close and drain it is %s", got)
-	}
+// A server drains at most once, and takes no connection after it was closed.
+func TestServer_LifecycleOnlyMovesForward(t *testing.T) {
+	bubble(t, func(r *rig) {
+		if got := r.lifecycle.State(); got != lifecycle.Serving {
+			t.Errorf("a new server is %s", got)
+		}
+		r.Drain(context.Background())
+		stopped := r.lifecycle.Status()
+		if stopped.State != lifecycle.Stopping {
+			t.Errorf("after Drain it is %s", stopped.State)
+		}
+		if err := r.lifecycle.Drain(r.cfg.Clock.Now()); err == nil {
+			t.Error("it drains for an operator after it has stopped")
+		}
+		r.Close()
+		r.Drain(context.Background())
+		if got := r.lifecycle.Status(); got != stopped {
+			t.Errorf("after Close and Drain it is %+v, was %+v", got, stopped)
+		}
+		if lines, ended := r.dial().take(); len(lines) > 0 || !ended {
+			t.Errorf("a connection after Close: got %q, closed: %t", lines, ended)
+		}
+	})
 }
--- a/internal/frontend/jsonlines/writer.go
+++ b/internal/frontend/jsonlines/writer.go
@@ -40,8 +40,9 @@
 type queuedLine struct {
 	kind   lineKind
 	bytes  []byte
-	callID string // of an answer or a call's end
-	cause  int    // of a call's end
+	callID string      // of an answer or a call's end
+	cause  int         // of a call's end
+	reason closeReason // of a close
 }
 
 // send queues a line and never blocks: a caller that does not read for so long loses the connection. It reports whether
@@ -58,7 +59,7 @@
 		return true
 	default:
 		c.server.cfg.Counters.Add(telemetry.SlowReaders)
-		c.close()
+		c.close(closeSlowReader)
 		return false
 	}
 }
@@ -87,7 +88,7 @@
 // writeLine writes a line, and reports whether the connection goes on.
 func (c *conn) writeLine(line queuedLine) bool {
 	if line.kind == lineClose {
-		c.close()
+		c.close(line.reason)
 		return false
 	}
 	err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -96,7 +97,7 @@
 	}
 	c.trace("out", line.bytes, err)
 	if err != nil {
-		c.close()
+		c.close(closeWriteFailed)
 		c.reportUnwritten(line)
 		return false
 	}
@@ -108,7 +109,7 @@
 // teardown removes the connection. Ends of calls that it did not write go to another connection, and calls whose
 // answers it did not write are released.
 func (c *conn) teardown() {
-	c.disconnect()
+	c.disconnect(closeWriteFailed)
 	c.server.unregister(c)
 	for {
 		select {
--- a/internal/frontend/websocket/reader.go
+++ b/internal/frontend/websocket/reader.go
@@ -8,6 +8,7 @@
 	"github.com/coder/websocket"
 
 	"eidertrail/dispatch"
+	"eidertrail/internal/lifecycle"
 	"eidertrail/internal/telemetry"
 )
 
@@ -75,16 +76,26 @@
 }
 
 func (c *socket) setup(request clientMessage, receivedAt int64) error {
-	if c.server.shuttingDown.Load() {
+	if c.server.cfg.Lifecycle.State() == lifecycle.Stopping {
 		if !dispatch.IsToken(request.id) {
 			return dispatch.ErrInvalidID
 		}
-		rejection := rejectedMessage(typeRejected, request.id, ShuttingDown, causeCongestion, retryAfterMicros)
-		c.send(queuedMessage{bytes: rejection})
+		c.rejectDraining(request.id)
 		return nil
 	}
 	request.setup.ReceivedAt = receivedAt
-	return c.calls.Setup(c, request.setup)
+	err := c.calls.Setup(c, request.setup)
+	if errors.Is(err, dispatch.ErrDraining) {
+		c.rejectDraining(request.id)
+		return nil
+	}
+	return err
+}
+
+// rejectDraining rejects a set-up as the controller sends its clients away.
+func (c *socket) rejectDraining(id string) {
+	rejection := rejectedMessage(typeRejected, id, ShuttingDown, causeCongestion, retryAfterMicros)
+	c.send(queuedMessage{bytes: rejection})
 }
 
 // sendError answers a message that was not accepted.
--- a/internal/frontend/websocket/server.go
+++ b/internal/frontend/websocket/server.go
@@ -10,12 +10,13 @@
 	"context"
 	"net/http"
 	"sync"
-	"sync/atomic"
+	"time"
 
 	"github.com/coder/websocket"
 	"github.com/rs/zerolog"
 
 	"eidertrail/dispatch"
+	"eidertrail/internal/lifecycle"
 	"eidertrail/internal/telemetry"
 )
 
@@ -26,12 +27,16 @@
 	retryAfterMicros = 1_000_000
 	// retryAfterHeader is how many seconds a client is asked to wait when there is no place for its socket.
 	retryAfterHeader = "1"
+	// sendAwayInterval is how often SendAway looks for sockets that may be closed.
+	sendAwayInterval = 20 * time.Millisecond
 )
 
 // Config is what a Server is made with.
 type Config struct {
 	Dispatcher *dispatch.Dispatcher
 	Inviter    dispatch.Inviter
+	// Lifecycle is the state of the controller; nil: one of the server's own, that serves.
+	Lifecycle *lifecycle.Lifecycle
 	// Ready reports whether a ping is answered with ready.
 	Ready func() bool
 	// Origins are the origins of browsers that may connect, as patterns; none: only the server's own.
@@ -44,9 +49,8 @@
 
 // Server is the WebSocket front. It is an http.Handler.
 type Server struct {
-	cfg          Config
-	shuttingDown atomic.Bool // set while mu is held
-	serving      sync.WaitGroup
+	cfg     Config
+	serving sync.WaitGroup
 
 	mu         sync.Mutex // also guards cfg.Origins and cfg.MaxConnections
 	sites      map[string]*dispatch.CallTable
@@ -56,6 +60,10 @@
 
 // New returns a server that has no sockets yet.
 func New(cfg Config) *Server {
+	if cfg.Lifecycle == nil {
+		cfg.Lifecycle = lifecycle.New(cfg.Dispatcher.Now(), nil)
+		cfg.Lifecycle.Serve(cfg.Dispatcher.Now())
+	}
 	return &Server{
 		cfg:     cfg,
 		sites:   map[string]*dispatch.CallTable{},
@@ -126,9 +134,8 @@
 // Shutdown takes no more sockets and rejects new set-ups, waits until every accepted call has its final answer (when
 // ctx is done it is given one), and then closes the sockets with 1001, after what was queued for them.
 func (s *Server) Shutdown(ctx context.Context) {
-	s.mu.Lock()
-	s.shuttingDown.Store(true)
-	s.mu.Unlock()
+	s.cfg.Lifecycle.Stop(s.cfg.Dispatcher.Now(), 0)
+	s.awaitRegistrations()
 	for _, calls := range s.callTables() {
 		drain(ctx, calls)
 	}
@@ -143,6 +150,44 @@
 	s.serving.Wait()
 }
 
+// awaitRegistrations returns when every socket that was registered before the state changed is in the server's tables.
+func (s *Server) awaitRegistrations() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+}
+
+// SendAway closes the sockets of a controller that an operator empties with 1001, each as soon as the schedule of the
+// drain allows and no set-up on it is open, until the drain ends or ctx is done.
+func (s *Server) SendAway(ctx context.Context) {
+	for s.cfg.Lifecycle.State() == lifecycle.LameDuck {
+		if s.cfg.Lifecycle.Status().ClosesConnections(s.cfg.Dispatcher.Now()) {
+			s.closeRetired()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(sendAwayInterval):
+		}
+	}
+}
+
+// closeRetired closes the sockets on which no set-up is open.
+func (s *Server) closeRetired() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.sockets {
+		if c.calls.RetireUnused(c) {
+			c.finish(websocket.StatusGoingAway, "draining")
+		}
+	}
+}
+
+// takesSockets reports whether a socket that comes now has a place, as far as the controller's state tells.
+func (s *Server) takesSockets() bool {
+	status := s.cfg.Lifecycle.Status()
+	return status.State != lifecycle.Stopping && !status.ClosesConnections(s.cfg.Dispatcher.Now())
+}
+
 // drain waits until every call of a site has its final answer. When ctx is done, calls without one are given it.
 func drain(ctx context.Context, calls *dispatch.CallTable) {
 	calls.Drain(ctx)
--- a/internal/frontend/websocket/server_test.go
+++ b/internal/frontend/websocket/server_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/coder/websocket"
 
+	"eidertrail/internal/lifecycle"
 	"eidertrail/internal/testing/fakeplatform"
 )
 
@@ -21,7 +22,7 @@
 		r.server.Shutdown(context.Background())
 		close(done)
 	}()
-	for !r.server.shuttingDown.Load() {
+	for r.server.cfg.Lifecycle.State() != lifecycle.Stopping {
 		time.Sleep(time.Millisecond)
 	}
 	client.say(setup("c2", 60000))
--- a/internal/frontend/websocket/sites.go
+++ b/internal/frontend/websocket/sites.go
@@ -31,7 +31,7 @@
 	if len(s.sockets) >= s.cfg.MaxConnections {
 		s.evictOne()
 	}
-	if s.shuttingDown.Load() || len(s.sockets) >= s.cfg.MaxConnections {
+	if !s.takesSockets() || len(s.sockets) >= s.cfg.MaxConnections {
 		return nil, false
 	}
 	calls, ok := s.callTable(site)
@@ -60,12 +60,19 @@
 		MaxCalls:      maxCallsPerSite,
 		CallID:        callID,
 		NotifyAllEnds: true,
+		Draining:      s.rejectsSetups,
+		Log:           s.cfg.Log,
 		Counters:      s.cfg.Counters,
 	})
 	s.sites[site] = calls
 	return calls, true
 }
 
+// rejectsSetups reports whether the drain that an operator called for is so old that set-ups are rejected.
+func (s *Server) rejectsSetups() bool {
+	return s.cfg.Lifecycle.Status().RejectsSetups(s.cfg.Dispatcher.Now())
+}
+
 // evictOne closes the oldest socket on which no message was accepted, if there is one, and no other. Without it,
 // clients that open sockets and leave them would shut sites out. The caller holds mu.
 func (s *Server) evictOne() {
--- /dev/null
+++ b/internal/lifecycle/lifecycle_test.go
@@ -0,0 +1,112 @@
+package lifecycle
+
+import (
+	"errors"
+	"sync"
+	"testing"
+)
+
+func TestNext_EveryStateAndTransition(t *testing.T) {
+	for _, test := range []struct {
+		from State
+		want [4]State // after Serve, Drain, Resume, Stop
+	}{
+		{Starting, [4]State{Serving, LameDuck, Starting, Stopping}},
+		{Serving, [4]State{Serving, LameDuck, Serving, Stopping}},
+		{LameDuck, [4]State{LameDuck, LameDuck, Starting, Stopping}},
+		{Stopping, [4]State{Stopping, Stopping, Stopping, Stopping}},
+	} {
+		for i, want := range test.want {
+			transition := Transition(i)
+			got, err := Next(test.from, transition)
+			if got != want {
+				t.Errorf("%s, %s: %s, want %s", test.from, transition, got, want)
+			}
+			if refused := test.from == Stopping && transition != Stop; refused != errors.Is(err, ErrStopping) {
+				t.Errorf("%s, %s: %v", test.from, transition, err)
+			}
+		}
+	}
+}
+
+// The times of the page: callers use their connections for 0.2 s after the front's last question, 0.1 s after the call;
+// at 4 s no connection may be idle or carry a request of the last 2 s.
+func TestStatus_ScheduleOfADrain(t *testing.T) {
+	const call = 10_000_000
+	controller := New(0, nil)
+	controller.Serve(1)
+	if err := controller.Drain(call); err != nil {
+		t.Fatal(err)
+	}
+	status := controller.Status()
+	for _, test := range []struct {
+		name             string
+		holds            func(now int64) bool
+		earliest, latest int64 // µs after the call
+	}{
+		{"connections close", status.ClosesConnections, 350_000, 2_000_000},
+		{"set-ups are rejected", status.RejectsSetups, 350_000, 2_000_000},
+		{"incomplete lines are given up", status.ClosesIncomplete, 2_300_000, 4_000_000},
+	} {
+		if test.holds(call + test.earliest) {
+			t.Errorf("%s already %d µs after the call", test.name, test.earliest)
+		}
+		if !test.holds(call + test.latest) {
+			t.Errorf("%s not yet %d µs after the call", test.name, test.latest)
+		}
+	}
+	if err := controller.Drain(call + 3_000_000); err != nil || controller.Status() != status {
+		t.Errorf("a second call changed the schedule: %+v, %v", controller.Status(), err)
+	}
+}
+
+func TestStatus_StopInADrainDoesNotReopen(t *testing.T) {
+	controller := New(0, nil)
+	if err := controller.Drain(0); err != nil { // during the start
+		t.Fatal(err)
+	}
+	controller.Stop(2_000_000, 700_000)
+	status := controller.Status()
+	if status.State != Stopping || !status.ClosesConnections(2_000_000) || !status.RejectsSetups(2_000_000) {
+		t.Errorf("%+v", status)
+	}
+	if err := controller.Resume(3_000_000); !errors.Is(err, ErrStopping) {
+		t.Errorf("a stop was ended: %v", err)
+	}
+}
+
+func TestStatus_StopAloneRejectsNothing(t *testing.T) {
+	controller := New(0, nil)
+	controller.Stop(0, 700_000)
+	status := controller.Status()
+	if status.ClosesConnections(699_999) || !status.ClosesConnections(700_000) || status.RejectsSetups(9_000_000) {
+		t.Errorf("%+v", status)
+	}
+}
+
+func TestLifecycle_ChangesAreToldInOrderAndOnce(t *testing.T) {
+	var changes []Change
+	controller := New(0, func(c Change) { changes = append(changes, c) })
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() { controller.Serve(1) })
+	}
+	callers.Wait()
+	on, off := controller.Drain, controller.Resume
+	for now, step := range []func(now int64) error{on, on, off, off} {
+		if err := step(int64(now + 2)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want := []Change{
+		{Starting, Serving, Serve, 1}, {Serving, LameDuck, Drain, 2}, {LameDuck, Starting, Resume, 4},
+	}
+	if len(changes) != len(want) {
+		t.Fatalf("%+v", changes)
+	}
+	for i := range want {
+		if changes[i] != want[i] {
+			t.Errorf("change %d: %+v, want %+v", i, changes[i], want[i])
+		}
+	}
+}
--- a/internal/telemetry/counter.go
+++ b/internal/telemetry/counter.go
@@ -21,6 +21,7 @@
 	BadLines
 	BadSIP
 	Invites
+	InvitesWritten
 	InvitesCalledOff
 	Cancels
 	TimeOuts
@@ -100,6 +101,7 @@
 	BadLines:           "bad_lines",
 	BadSIP:             "bad_sip",
 	Invites:            "invites",
+	InvitesWritten:     "invites_written",
 	InvitesCalledOff:   "invites_called_off",
 	Cancels:            "cancels",
 	TimeOuts:           "time_outs",
--- a/internal/telemetry/counters.go
+++ b/internal/telemetry/counters.go
@@ -20,7 +20,8 @@
 
 // Counters is a set of counters, safe for concurrent use. The zero value is ready; a nil set counts nothing.
 type Counters struct {
-	values [counterCount]atomic.Int64
+	values  [counterCount]atomic.Int64
+	classes []classOutcomes // by index, set before anything is counted
 
 	mu         sync.Mutex
 	setupTimes *hdrhistogram.Histogram // from a set-up to its answer, microseconds; nil before the first
