--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -60,6 +60,7 @@
 	MaxRetryAfter  int64    // microseconds, the longest wait that a caller is given
 	Classes        []string
 	Tenants        []string
+	UnknownKeys    []string // paths of keys that this program does not know
 }
 
 // Load reads the file at path. now turns the start times of pools into clock readings.
@@ -83,6 +84,7 @@
 	cfg := &Config{}
 	cfg.readController(r)
 	cfg.readSettings(r)
+	cfg.UnknownKeys = unknownKeys(r.root)
 	if r.err != nil {
 		return nil, r.err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -106,6 +106,7 @@
 		return nil, err
 	}
 	daemon.run(loop, pools, files)
+	daemon.logUnknown(daemon.cfg)
 	daemon.logServing(files)
 	return daemon, nil
 }
@@ -237,6 +238,17 @@
 	d.goroutines.Go(func() { d.listenerFailed <- d.callers.Serve(d.listener) })
 }
 
+// logUnknown names the keys of the configuration and the platform's variables that this program does not know: they may
+// ask for what it does not do.
+func (d *Daemon) logUnknown(cfg *config.Config) {
+	if len(cfg.UnknownKeys) > 0 {
+		d.log.Warn().Strs("keys", cfg.UnknownKeys).Msg("configuration keys not known")
+	}
+	if variables := config.UnknownVariables(); len(variables) > 0 {
+		d.log.Warn().Strs("variables", variables).Msg("environment variables not known")
+	}
+}
+
 func (d *Daemon) logServing(files *operatorFiles) {
 	d.log.Info().Str("name", d.cfg.Name).Stringer("listen", d.listener.Addr()).
 		Int("classes", len(d.cfg.Settings.Classes)).Int("memory_mb", d.cfg.MemoryMB).Int("sockets", d.cfg.Sockets).
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -29,6 +29,7 @@
 	}
 	d.counters.Add(telemetry.Reloads)
 	d.apply(files)
+	d.logUnknown(files.cfg)
 	if d.needsRestart(files.cfg) {
 		d.log.Warn().Msg("name, listen, control, limits.sockets and settings change only at a restart")
 	}
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/coder/websocket"
 	"github.com/rs/zerolog"
@@ -76,3 +77,28 @@
 		t.Error(err)
 	}
 }
+
+// A key or a variable that the program does not know is named at the start and at each reload: it may ask for a duty
+// that nothing holds.
+func TestStartAndReload_NameWhatIsNotKnown(t *testing.T) {
+	t.Setenv("RELAY_DETACH", "127.0.0.1:9")
+	configuration := daemontest.Configuration(anyAddress, nobody)
+	log := &logBuffer{}
+	options := Options{
+		Config: daemontest.WriteFile(t, "config.json", strings.Replace(configuration, `"seed"`, `"detach":"x","seed"`, 1)),
+	}
+	_, signals, ended := startControlled(t, options, log)
+	const variables = `"variables":["RELAY_DETACH"]`
+	if text := log.String(); !strings.Contains(text, `"keys":["detach"]`) || strings.Count(text, variables) != 1 {
+		t.Errorf("at the start:\n%s", text)
+	}
+	rewrite(t, options.Config, strings.Replace(configuration, `"seed"`, `"attach":"x","seed"`, 1))
+	signals.Reload <- syscall.SIGHUP
+	for !strings.Contains(log.String(), "new configuration") {
+		time.Sleep(time.Millisecond)
+	}
+	if text := log.String(); !strings.Contains(text, `"keys":["attach"]`) || strings.Count(text, variables) != 2 {
+		t.Errorf("at the reload:\n%s", text)
+	}
+	terminate(t, signals, ended)
+}
