--- a/internal/experiment/live.go
+++ b/internal/experiment/live.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"eidertrail/internal/invariant"
+	"eidertrail/internal/platformfile"
 	"eidertrail/internal/simulation"
 )
 
@@ -118,14 +119,14 @@
 
 // start starts the pools and the controllers; the end of ctx stops them.
 func (l *liveRun) start(ctx context.Context, daemon, folder string) error {
-	var targets []targetConfig
+	var targets []platformfile.Target
 	for _, spec := range l.variant.Pool {
 		for i := range max(spec.Count, 1) {
 			pool, err := l.startPool(ctx, simulation.NewPoolModel(spec, i))
 			if err != nil {
 				return err
 			}
-			targets = append(targets, targetConfig{
+			targets = append(targets, platformfile.Target{
 				UID:      pool.model.UID(),
 				Endpoint: pool.address,
 				Zone:     spec.Zone,
--- a/internal/invariant/checker.go
+++ b/internal/invariant/checker.go
@@ -23,6 +23,8 @@
 	// AbandonTolerance is the time after its caller left, by closing its connection or by cancelling, in which an attempt
 	// of a call may still begin.
 	AbandonTolerance int64
+	// TimeTolerance is how much longer than a page's figure the duties of processes and of ended calls may take.
+	TimeTolerance int64
 	// SlowStart is how pools' processes start, and what they bear in slow start. Without an OverloadWindow no pool is
 	// checked.
 	SlowStart slowstart.Profile
@@ -49,6 +51,9 @@
 	violationCount int
 	accepted       int
 	abandoned      AbandonedRequests
+	over           map[string]*standingCall
+	processes      map[string]*processView
+	connections    map[string]*connectionView
 }
 
 // endpointView is a pool as a controller knows it.
@@ -84,6 +89,9 @@
 		calls:       map[string]*call{},
 		closedSince: map[endpointView]int64{},
 		slowStart:   newSlowStartTracker(config.SlowStart),
+		over:        map[string]*standingCall{},
+		processes:   map[string]*processView{},
+		connections: map[string]*connectionView{},
 	}
 }
 
--- /dev/null
+++ b/internal/trial/plan/plan.go
@@ -0,0 +1,108 @@
+// Package plan draws trials: from a seed, the settings of a deployment and a schedule of faults. It does no I/O and reads
+// no clock, so that a seed always gives the same plan.
+package plan
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// Bounds of what is drawn.
+const (
+	minProcesses, maxProcesses = 2, 4
+	minPools, maxPools         = 3, 5
+	minFaults, maxFaults       = 5, 9
+	maxClasses                 = 3
+	// length is for how long callers arrive.
+	length = 12 * time.Second
+	// earliestFault and latestFault bound the beginnings of faults.
+	earliestFault = 500 * time.Millisecond
+	latestFault   = 9 * time.Second
+	// randomStream sets the random numbers of plans apart from others of the same seed.
+	randomStream = 41
+)
+
+// Class is a class of calls.
+type Class struct {
+	Name      string
+	Deadline  time.Duration
+	Objective time.Duration
+	Unsafe    bool // must not be repeated after an attempt that may have run
+}
+
+// Plan is one trial.
+type Plan struct {
+	Seed        uint64
+	Processes   int
+	Pools       int
+	Length      time.Duration
+	Classes     []Class
+	MemoryMB    int
+	Sockets     int
+	ReleaseWait time.Duration
+	CallRate    float64       // calls a second at all processes together
+	HoldingTime time.Duration // mean, of a call
+	Faults      []Fault       // by their beginnings
+}
+
+// LongestDeadline is the longest deadline of the classes.
+func (p *Plan) LongestDeadline() time.Duration {
+	var longest time.Duration
+	for _, class := range p.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	return longest
+}
+
+// Without is the plan without one of its faults.
+func (p *Plan) Without(index int) *Plan {
+	reduced := *p
+	reduced.Faults = make([]Fault, 0, len(p.Faults))
+	reduced.Faults = append(reduced.Faults, p.Faults[:index]...)
+	reduced.Faults = append(reduced.Faults, p.Faults[index+1:]...)
+	return &reduced
+}
+
+// Draw draws the plan of a seed. Faults are of the kinds given; nil stands for all.
+func Draw(seed uint64, kinds []Kind) *Plan {
+	random := rand.New(rand.NewPCG(seed, randomStream))
+	if len(kinds) == 0 {
+		kinds = Kinds()
+	}
+	drawn := &Plan{
+		Seed:        seed,
+		Processes:   between(random, minProcesses, maxProcesses),
+		Pools:       between(random, minPools, maxPools),
+		Length:      length,
+		MemoryMB:    pick(random, 64, 96, 192),
+		Sockets:     pick(random, 384, 512, 1024),
+		ReleaseWait: time.Duration(between(random, 1, 6)) * 100 * time.Millisecond,
+		CallRate:    float64(between(random, 20, 80)),
+		HoldingTime: time.Duration(between(random, 3, 30)) * 100 * time.Millisecond,
+	}
+	drawn.drawClasses(random)
+	drawn.drawFaults(random, kinds)
+	return drawn
+}
+
+func (p *Plan) drawClasses(random *rand.Rand) {
+	for n := range between(random, 1, maxClasses) {
+		deadline := time.Duration(pick(random, 400, 800, 1500, 3000, 6000, 15000)) * time.Millisecond
+		p.Classes = append(p.Classes, Class{
+			Name:      fmt.Sprintf("class-%d", n),
+			Deadline:  deadline,
+			Objective: deadline / 2,
+			Unsafe:    random.IntN(3) == 0,
+		})
+	}
+}
+
+func between(random *rand.Rand, low, high int) int { return low + random.IntN(high-low+1) }
+
+func pick(random *rand.Rand, choices ...int) int { return choices[random.IntN(len(choices))] }
+
+// durationBetween draws a duration in whole milliseconds.
+func durationBetween(random *rand.Rand, low, high time.Duration) time.Duration {
+	return time.Duration(between(random, int(low.Milliseconds()), int(high.Milliseconds()))) * time.Millisecond
+}
