--- a/cmd/eidertrail-lab/main.go
+++ b/cmd/eidertrail-lab/main.go
@@ -34,7 +34,7 @@
 		SilenceErrors: true,
 	}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(runCommand(), sweepCommand(), compareCommand(), liveCommand(), versionCommand())
+	root.AddCommand(runCommand(), sweepCommand(), compareCommand(), liveCommand(), trialCommand(), versionCommand())
 	return root
 }
 
--- a/internal/platformfile/document.go
+++ b/internal/platformfile/document.go
@@ -7,7 +7,7 @@
 	Name     string   `json:"name"`
 	Listen   string   `json:"listen"`
 	Control  string   `json:"control,omitempty"`  // the address for operators
-	Bulletin string   `json:"bulletin,omitempty"` // the endpoint list\'s server
+	Bulletin string   `json:"bulletin,omitempty"` // the endpoint list's server
 	Seed     string   `json:"seed"`
 	Limits   Limits   `json:"limits"`
 	Known    Known    `json:"known"`
--- /dev/null
+++ b/internal/trial/pool.go
@@ -0,0 +1,370 @@
+package trial
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"eidertrail/internal/backend/sip"
+	"eidertrail/internal/trial/faultproxy"
+)
+
+const (
+	// reportInterval is the time between load reports, and agentsPerPool what they say that a pool has.
+	reportInterval = 250 * time.Millisecond
+	agentsPerPool  = 60
+	// maxService bounds how long a pool works on a set-up.
+	maxService = 30 * time.Millisecond
+	// outOfDialogID is the Call-ID of load reports, which belong to no call.
+	outOfDialogID = "0000000000000000"
+	// The status codes of answers (RFC 3261, section 21).
+	statusOK, statusBusy, statusUnavailable = 200, 486, 503
+	// The CSeq numbers of set-ups and of the pool's own requests.
+	setupCSeq, poolCSeq = 1, 2
+	// Of a hundred set-ups, how many get an error though nothing is wrong.
+	errorsPerHundred, hundred = 2, 100
+)
+
+// pool is a sync pool: one backend at a time behind a link for each process.
+type pool struct {
+	world  *world
+	number int
+	links  []*faultproxy.Link // by process
+	taps   []*tap
+
+	mu        sync.Mutex
+	backend   *backend
+	uid       string
+	startedAt time.Time // of a late start, zero for those of the beginning
+	lives     int
+}
+
+// backend is one process of a pool.
+type backend struct {
+	pool     *pool
+	uid      string
+	listener net.Listener
+
+	mu     sync.Mutex
+	conns  []net.Conn // the oldest first
+	calls  map[string]*poolCall
+	ended  bool
+	hung   chan struct{} // closed while it does not hang
+	spoils int           // answers that are spoilt next
+	extras int           // answers that bring more than belongs to them next
+	late   [][]byte      // releases for the next connection that opens
+}
+
+// poolCall is a call that stands at a pool.
+type poolCall struct {
+	conn net.Conn
+	end  *time.Timer
+}
+
+func newPool(ctx context.Context, w *world, number int) (*pool, error) {
+	p := &pool{world: w, number: number}
+	if err := p.startBackend(ctx, time.Time{}, true); err != nil {
+		return nil, err
+	}
+	w.tasks.Go(func() { p.reportLoad(ctx) })
+	return p, nil
+}
+
+// startBackend starts a process of the pool, as another pool where renamed is set.
+func (p *pool) startBackend(ctx context.Context, startedAt time.Time, renamed bool) error {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("trial: %w", err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if renamed {
+		p.lives++
+		p.uid = fmt.Sprintf("s-%d-%d", p.number, p.lives)
+	}
+	p.startedAt = startedAt
+	hung := make(chan struct{})
+	close(hung)
+	p.backend = &backend{pool: p, uid: p.uid, listener: listener, calls: map[string]*poolCall{}, hung: hung}
+	started := p.backend
+	p.world.tasks.Go(func() { started.accept() })
+	return nil
+}
+
+// link puts a link between a process and the pool.
+func (p *pool) link(process *process) error {
+	t := newTap(p.world, process, p)
+	address := p.world.network.link(process.index, p.number)
+	link, err := faultproxy.Listen(address, p.current().listener.Addr().String(), t)
+	if err != nil {
+		return err
+	}
+	p.links = append(p.links, link)
+	p.taps = append(p.taps, t)
+	return nil
+}
+
+func (p *pool) current() *backend {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.backend
+}
+
+// identity is the pool's id and the time of its start, as the list has them.
+func (p *pool) identity() (uid string, startedAt time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.uid, p.startedAt
+}
+
+// reportLoad reports free agents on all connections, periodically.
+func (p *pool) reportLoad(ctx context.Context) {
+	for sleep(ctx, reportInterval) {
+		p.current().report()
+	}
+}
+
+func (p *pool) close() {
+	for _, link := range p.links {
+		link.Close()
+	}
+	p.current().end()
+}
+
+// report sends the backend's state on its connections, unless it hangs.
+func (b *backend) report() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	select {
+	case <-b.hung:
+	default:
+		return
+	}
+	state := b.state()
+	for _, conn := range b.conns {
+		write(conn, state)
+	}
+}
+
+// state is the message that says how many agents are free. The caller holds mu.
+func (b *backend) state() []byte {
+	free := max(0, agentsPerPool-len(b.calls))
+	message := &sip.Message{
+		Method:     "NOTIFY",
+		URI:        "sip:pool@net",
+		CallID:     outOfDialogID,
+		CSeq:       setupCSeq,
+		CSeqMethod: "NOTIFY",
+		Headers: []sip.Header{
+			{Name: "X-State", Value: fmt.Sprintf("idle:%d;circuits:%d", free, agentsPerPool)},
+		},
+	}
+	return message.Append(nil)
+}
+
+// write writes bytes. The end of a connection shows at its reader.
+func write(conn net.Conn, bytes []byte) { _, _ = conn.Write(bytes) }
+
+func (b *backend) accept() {
+	for {
+		conn, err := b.listener.Accept()
+		if err != nil {
+			return
+		}
+		if !b.register(conn) {
+			conn.Close()
+			continue
+		}
+		b.pool.world.tasks.Go(func() { b.serve(conn) })
+	}
+}
+
+// register adds a connection: its first message is the state, and then come the releases that may have been lost.
+func (b *backend) register(conn net.Conn) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ended {
+		return false
+	}
+	b.conns = append(b.conns, conn)
+	write(conn, b.state())
+	for _, release := range b.late {
+		write(conn, release)
+	}
+	b.late = nil
+	return true
+}
+
+// serve reads a connection to its end.
+func (b *backend) serve(conn net.Conn) {
+	defer b.forget(conn)
+	reader := bufio.NewReader(conn)
+	for {
+		message, err := sip.Read(reader)
+		if err != nil {
+			return
+		}
+		b.awaitNotHung()
+		switch message.Method {
+		case "INVITE":
+			delay := time.Duration(b.pool.world.draw(int(maxService)))
+			time.AfterFunc(delay, func() { b.answer(conn, message) })
+		case "BYE":
+			b.clear(message.CallID)
+			b.respond(conn, message, statusOK, "BYE", "", poolCSeq)
+		case "OPTIONS":
+			b.respond(conn, message, statusOK, "OPTIONS", "", setupCSeq)
+		}
+	}
+}
+
+func (b *backend) forget(conn net.Conn) {
+	conn.Close()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i, other := range b.conns {
+		if other == conn {
+			b.conns = append(b.conns[:i], b.conns[i+1:]...)
+			return
+		}
+	}
+}
+
+// awaitNotHung returns when the backend works.
+func (b *backend) awaitNotHung() {
+	b.mu.Lock()
+	hung := b.hung
+	b.mu.Unlock()
+	<-hung
+}
+
+// clear ends a call that the controller released, or that its caller gave up.
+func (b *backend) clear(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if call := b.calls[id]; call != nil {
+		call.end.Stop()
+		delete(b.calls, id)
+	}
+}
+
+// answer answers a set-up, spoilt where that is due.
+func (b *backend) answer(conn net.Conn, invite *sip.Message) {
+	b.awaitNotHung()
+	w := b.pool.world
+	if w.draw(hundred) < errorsPerHundred {
+		b.respond(conn, invite, statusBusy, "INVITE", "", setupCSeq)
+		return
+	}
+	b.mu.Lock()
+	if b.ended || len(b.calls) >= agentsPerPool {
+		b.mu.Unlock()
+		b.respond(conn, invite, statusUnavailable, "INVITE", "", setupCSeq)
+		return
+	}
+	spoil, extra := b.spoils > 0, b.extras > 0
+	if spoil {
+		b.spoils--
+	} else if extra {
+		b.extras--
+	}
+	b.mu.Unlock()
+	if spoil {
+		b.spoil(conn, invite)
+		return
+	}
+	description := fmt.Sprintf("v=0\r\no=%s %s\r\n", b.uid, invite.CallID)
+	w.callers.made(invite.CallID, description)
+	if extra {
+		b.respond(conn, &sip.Message{CallID: "00000000000000ff"}, statusOK, "INVITE", description, setupCSeq)
+	}
+	b.stand(conn, invite.CallID)
+	b.respond(conn, invite, statusOK, "INVITE", description, setupCSeq)
+	if extra {
+		b.respond(conn, invite, statusOK, "INVITE", description, setupCSeq)
+	}
+}
+
+// stand has a call stand until its end.
+func (b *backend) stand(conn net.Conn, id string) {
+	holding := b.pool.world.drawExponential(b.pool.world.plan.HoldingTime)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.calls[id] = &poolCall{conn: conn, end: time.AfterFunc(holding, func() { b.hangUp(id) })}
+}
+
+// hangUp ends a call from the pool's side: the release goes out on the connection of its set-up, else on any open one,
+// and on the next one that is opened.
+func (b *backend) hangUp(id string) {
+	b.awaitNotHung()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	call := b.calls[id]
+	if call == nil || b.ended {
+		return
+	}
+	delete(b.calls, id)
+	bye := &sip.Message{
+		Method:     "BYE",
+		URI:        "sip:pool@net",
+		CallID:     id,
+		CSeq:       poolCSeq,
+		CSeqMethod: "BYE",
+		Headers:    []sip.Header{{Name: "Reason", Value: "Q.850;cause=16"}},
+	}
+	b.pool.world.callers.over(id)
+	release := bye.Append(nil)
+	b.late = append(b.late, release)
+	for _, conn := range b.conns {
+		if conn == call.conn {
+			write(conn, release)
+			return
+		}
+	}
+	if len(b.conns) > 0 {
+		write(b.conns[len(b.conns)-1], release)
+	}
+}
+
+// respond sends a final response.
+func (b *backend) respond(conn net.Conn, request *sip.Message, status int, method, body string, sequence int) {
+	response := &sip.Message{
+		Status:     status,
+		Reason:     "X",
+		CallID:     request.CallID,
+		CSeq:       sequence,
+		CSeqMethod: method,
+		Body:       []byte(body),
+	}
+	write(conn, response.Append(nil))
+}
+
+// end ends the backend as the end of its process would: its connections are reset, its calls are cut.
+func (b *backend) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ended {
+		return
+	}
+	b.ended = true
+	b.listener.Close()
+	select {
+	case <-b.hung:
+	default:
+		close(b.hung)
+	}
+	for _, conn := range b.conns {
+		if tcp, is := conn.(*net.TCPConn); is {
+			_ = tcp.SetLinger(0) // one that has ended needs no reset
+		}
+		conn.Close()
+	}
+	for id, call := range b.calls {
+		call.end.Stop()
+		b.pool.world.callers.over(id)
+	}
+	b.calls = map[string]*poolCall{}
+}
--- /dev/null
+++ b/internal/trial/tap.go
@@ -0,0 +1,158 @@
+package trial
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+
+	"eidertrail/internal/backend/sip"
+)
+
+// firstFailure is the first status of a response that ends a set-up without a call, and noAnswerStatus one that says
+// that the set-up broke on its way.
+const (
+	firstFailure  = 300
+	statusTimeout = 504
+)
+
+// tap observes what passes between a process and a pool, message by message.
+type tap struct {
+	world   *world
+	process *process
+	pool    *pool
+
+	mu    sync.Mutex
+	conns map[uint64]*tappedConn
+}
+
+// tappedConn is a connection as the tap sees it.
+type tappedConn struct {
+	sent, delivered messageSplitter
+	inFlight        map[string]bool // attempts that have no end yet
+}
+
+func newTap(w *world, process *process, p *pool) *tap {
+	return &tap{world: w, process: process, pool: p, conns: map[uint64]*tappedConn{}}
+}
+
+func (t *tap) conn(number uint64) *tappedConn {
+	c := t.conns[number]
+	if c == nil {
+		c = &tappedConn{inFlight: map[string]bool{}}
+		t.conns[number] = c
+	}
+	return c
+}
+
+// Sent implements faultproxy.Tap.
+func (t *tap) Sent(number uint64, bytes []byte) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.conn(number)
+	for _, message := range c.sent.take(bytes) {
+		t.sentMessage(c, message)
+	}
+}
+
+// sentMessage takes a message of the process. The caller holds mu.
+func (t *tap) sentMessage(c *tappedConn, message *sip.Message) {
+	checker, now, id := t.world.checker, t.world.now(), message.CallID
+	switch message.Method {
+	case "INVITE":
+		uid, _ := t.pool.identity()
+		t.world.timeline.add(t.process.name, fmt.Sprintf("INVITE %s to %s", id, uid))
+		t.process.counts.sent(now)
+		checker.AttemptSent(now, id, t.process.life(), uid)
+		late := t.process.list.closedFor(now, uid) - drainGraceMicros - timeTolerance.Microseconds()
+		if late > 0 {
+			checker.SentWhileClosed(now, id, uid, late)
+		}
+		c.inFlight[id] = true
+	case "CANCEL", "BYE":
+		t.world.timeline.add(t.process.name, message.Method+" "+id)
+		t.endAttempt(c, id, true)
+	}
+}
+
+// drainGraceMicros is how long after it was told a process may send to a pool that drains or is gone.
+const drainGraceMicros = 500_000
+
+// Delivered implements faultproxy.Tap.
+func (t *tap) Delivered(number uint64, bytes []byte) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.conn(number)
+	for _, message := range c.delivered.take(bytes) {
+		t.deliveredMessage(c, message)
+	}
+}
+
+// deliveredMessage takes a message of the pool. The caller holds mu.
+func (t *tap) deliveredMessage(c *tappedConn, message *sip.Message) {
+	id := message.CallID
+	switch {
+	case message.Method == "BYE":
+		t.world.timeline.add(fmt.Sprintf("pool %d", t.pool.number), "BYE "+id)
+		t.world.checker.CallReleased(t.world.now(), id)
+	case message.CSeqMethod == "INVITE" && message.Status >= statusOK:
+		t.world.timeline.add(fmt.Sprintf("pool %d", t.pool.number), fmt.Sprintf("%d %s", message.Status, id))
+		t.endAttempt(c, id, message.Status == statusTimeout)
+	}
+}
+
+// Ended implements faultproxy.Tap.
+func (t *tap) Ended(number uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.conn(number)
+	for id := range c.inFlight {
+		t.endAttempt(c, id, true)
+	}
+	delete(t.conns, number)
+}
+
+// endAttempt ends an attempt that is in flight. The caller holds mu.
+func (t *tap) endAttempt(c *tappedConn, id string, awaitRelease bool) {
+	if c.inFlight[id] {
+		delete(c.inFlight, id)
+		t.world.checker.AttemptEnded(t.world.now(), id, awaitRelease)
+	}
+}
+
+// messageSplitter finds messages in the bytes of one direction of a connection.
+type messageSplitter struct {
+	bytes []byte
+	lost  bool // where the next message begins is not known
+}
+
+// take adds bytes, and returns the messages that are complete.
+func (s *messageSplitter) take(more []byte) []*sip.Message {
+	if s.lost {
+		return nil
+	}
+	s.bytes = append(s.bytes, more...)
+	var messages []*sip.Message
+	for {
+		reader := bytes.NewReader(s.bytes)
+		buffered := bufio.NewReader(reader)
+		if !strings.Contains(string(s.bytes), "\r\n\r\n") {
+			return messages
+		}
+		message, err := sip.Read(buffered)
+		if errors.Is(err, sip.ErrFraming) {
+			s.lost = true
+			return messages
+		}
+		consumed := len(s.bytes) - reader.Len() - buffered.Buffered()
+		if err != nil && !errors.Is(err, sip.ErrMalformed) { // not complete yet
+			return messages
+		}
+		if message != nil && err == nil {
+			messages = append(messages, message)
+		}
+		s.bytes = s.bytes[consumed:]
+	}
+}
