--- a/internal/trial/callers.go
+++ b/internal/trial/callers.go
@@ -47,7 +47,7 @@
 	state   setupState
 	resent  bool
 	patient bool
-	excused bool // its outcome need not be counted
+	answer  string // the description of the answer
 }
 
 // callers are the good callers of a trial, over all processes.
@@ -57,7 +57,7 @@
 	mu          sync.Mutex
 	conns       map[*clientConn]struct{}
 	setups      map[string]*setup
-	description map[string]string // that a pool made, by call
+	description map[string]map[string]bool // that pools made, by call
 	lastID      uint64
 	lastConn    uint64
 	leaving     int // CallersLeave under way
@@ -70,7 +70,7 @@
 		world:       w,
 		conns:       map[*clientConn]struct{}{},
 		setups:      map[string]*setup{},
-		description: map[string]string{},
+		description: map[string]map[string]bool{},
 	}
 }
 
@@ -226,7 +226,7 @@
 	c.world.checker.CallerGone(c.world.now(), s.id)
 	if conn != nil {
 		c.world.checker.SetupSettled(conn.name, s.id, false)
-		conn.process.counts.excuse(s.class.Name)
+		conn.counts.excuse(s.class.Name)
 	}
 }
 
@@ -234,14 +234,17 @@
 func (c *callers) made(id, description string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.description[id] = description
+	if c.description[id] == nil {
+		c.description[id] = map[string]bool{}
+	}
+	c.description[id][description] = true
 }
 
-// over notes that a call is over at its pool, where it stands for its caller.
-func (c *callers) over(id string) {
+// over notes that a call is over at its pool, where it is that pool's answer that stands for its caller.
+func (c *callers) over(id, uid string) {
 	c.mu.Lock()
 	s := c.setups[id]
-	stands := s != nil && s.state == setupStanding
+	stands := s != nil && s.state == setupStanding && s.answer == descriptionOf(uid, id)
 	c.mu.Unlock()
 	if stands {
 		c.world.timeline.add("callers", "over at its pool: "+id)
--- a/internal/trial/clientconn.go
+++ b/internal/trial/clientconn.go
@@ -20,6 +20,7 @@
 	life    string
 	name    string
 	raw     net.Conn
+	counts  *counts // of the life
 
 	writing sync.Mutex // one set-up is written at a time
 
@@ -31,7 +32,7 @@
 
 // dial opens a connection, nil where it does not come up.
 func (c *callers) dial(ctx context.Context, p *process) *clientConn {
-	life := p.life()
+	life, counted := p.life(), p.currentCounts()
 	raw, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", c.world.network.process(p.index))
 	if err != nil {
 		c.world.timeline.add("callers", fmt.Sprintf("no connection to %s: %v", life, err))
@@ -50,6 +51,7 @@
 		life:    life,
 		name:    life + "#" + strconv.FormatUint(c.lastConn, 10),
 		raw:     raw,
+		counts:  counted,
 		setups:  map[string]*setup{},
 		lastUse: time.Now(),
 	}
@@ -201,15 +203,15 @@
 		return
 	}
 	c.callers.mu.Lock()
-	forged := c.callers.description[s.id] != description
-	s.state = setupStanding
+	forged := !c.callers.description[s.id][description]
+	s.state, s.answer = setupStanding, description
 	c.callers.mu.Unlock()
 	if forged {
 		w.checker.AnswerForged(w.now(), s.id)
 	}
 	w.checker.CallAnswered(w.now(), s.id, "stands")
 	w.checker.SetupSettled(c.name, s.id, true)
-	c.process.counts.ended(w.now(), s.class.Name, telemetry.OutcomeAnswered)
+	c.counts.ended(w.now(), s.class.Name, telemetry.OutcomeAnswered)
 	if w.draw(hundred) < releasePerHundred {
 		time.AfterFunc(w.drawExponential(w.plan.HoldingTime), func() { c.hangUp(s) })
 	}
@@ -238,7 +240,7 @@
 	c.callers.mu.Unlock()
 	w.checker.CallAnswered(w.now(), s.id, outcome.String())
 	w.checker.SetupSettled(c.name, s.id, false)
-	c.process.counts.ended(w.now(), s.class.Name, outcome)
+	c.counts.ended(w.now(), s.class.Name, outcome)
 	c.used(s.id)
 }
 
@@ -303,7 +305,7 @@
 	w := c.callers.world
 	time.Sleep(settleExit) // the end of the process shows
 	over, killed, stopped := c.process.ended(c.life)
-	c.process.counts.excuse(s.class.Name)
+	c.counts.excuse(s.class.Name)
 	age := at.Sub(s.sentAt)
 	switch {
 	case over && killed && (stopped.IsZero() || s.sentAt.Sub(stopped) <= killDelay):
--- a/internal/trial/faultproxy/link.go
+++ b/internal/trial/faultproxy/link.go
@@ -80,6 +80,7 @@
 type Link struct {
 	address string
 	tap     Tap
+	source  *net.TCPAddr    // of the connections to the backend: the link's own IP
 	ctx     context.Context //nolint:containedctx // the link's own life
 	stop    context.CancelFunc
 	tasks   sync.WaitGroup
@@ -93,11 +94,17 @@
 	last     uint64 // number of the latest connection
 }
 
-// Listen relays connections to address on to the backend, until Close.
+// Listen relays connections to address on to the backend, until Close. The backend sees them come from the IP of
+// address, by which it can tell links apart.
 func Listen(address, backend string, tap Tap) (*Link, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, fmt.Errorf("faultproxy: %w", err)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	l := &Link{
 		address: address,
+		source:  &net.TCPAddr{IP: net.ParseIP(host)},
 		backend: backend,
 		tap:     tap,
 		ctx:     ctx,
--- a/internal/trial/operator.go
+++ b/internal/trial/operator.go
@@ -134,7 +134,7 @@
 
 // compare holds the figures of one reading against the counts.
 func (p *process) compare(life string, from, to int64, figures map[string]int64) {
-	c := p.counts
+	c := p.currentCounts()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, class := range p.world.plan.Classes {
--- a/internal/trial/poolfaults.go
+++ b/internal/trial/poolfaults.go
@@ -44,7 +44,7 @@
 	b.ended = true
 	for id, call := range b.calls {
 		call.end.Stop()
-		p.world.callers.over(id)
+		p.world.callers.over(id, b.uid)
 	}
 	b.calls = map[string]*poolCall{}
 	b.mu.Unlock()
--- a/internal/trial/process.go
+++ b/internal/trial/process.go
@@ -49,10 +49,10 @@
 	name  string
 	list  *list
 
-	counts   *counts    // of the current life
 	starting sync.Mutex // held by whoever starts a life
 
 	mu       sync.Mutex
+	counts   *counts // of the current life
 	cmd      *exec.Cmd
 	lives    int
 	running  bool
@@ -68,7 +68,7 @@
 }
 
 func newProcess(w *world, index int) *process {
-	return &process{world: w, index: index, name: "n" + strconv.Itoa(index), counts: newCounts(w.plan)}
+	return &process{world: w, index: index, name: "n" + strconv.Itoa(index), counts: newCounts()}
 }
 
 // life names the process's current life.
@@ -78,6 +78,12 @@
 	return p.name + "." + strconv.Itoa(p.lives)
 }
 
+func (p *process) currentCounts() *counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counts
+}
+
 func (p *process) logPath() string { return filepath.Join(p.world.folder, p.name+".log") }
 
 func (p *process) configPath() string { return filepath.Join(p.world.folder, p.name+".json") }
@@ -153,7 +159,7 @@
 	p.lives++
 	p.startAt, p.restart, p.wasReady, p.stopped = time.Now(), restart, false, time.Time{}
 	p.lastYes, p.lastNo = time.Time{}, time.Now()
-	p.counts.reset()
+	p.counts = newCounts()
 	exited := make(chan struct{})
 	p.exited = exited
 	p.world.timeline.add(p.name, fmt.Sprintf("started as %s.%d", p.name, p.lives))
--- a/internal/trial/tap.go
+++ b/internal/trial/tap.go
@@ -64,7 +64,7 @@
 	case "INVITE":
 		uid, _ := t.pool.identity()
 		t.world.timeline.add(t.process.name, fmt.Sprintf("INVITE %s to %s", id, uid))
-		t.process.counts.sent(now)
+		t.process.currentCounts().sent(now)
 		checker.AttemptSent(now, id, t.process.life(), uid)
 		late := t.process.list.closedFor(now, uid) - drainGraceMicros - timeTolerance.Microseconds()
 		if late > 0 {
