--- a/cmd/eidertrail-lab/trial.go
+++ b/cmd/eidertrail-lab/trial.go
@@ -38,7 +38,7 @@
 		program:  "bin/eidertrail",
 		folder:   filepath.Join(os.TempDir(), "eidertrail-trials"),
 		parallel: 1,
-		plays:    2, //nolint:mnd // a default
+		plays:    2,
 	}
 	cmd := &cobra.Command{
 		Use:   "trial",
@@ -53,7 +53,7 @@
 	cmd.Flags().StringVar(&flags.folder, "logs", flags.folder, "folder for configurations and logs")
 	cmd.Flags().StringVar(&flags.faults, "faults", "", "kinds of faults, with commas between; none: all")
 	cmd.Flags().IntVar(&flags.parallel, "parallel", flags.parallel, "trials at a time")
-	cmd.Flags().BoolVar(&flags.shrink, "shrink", false, "take faults out of trials that break a rule while it still breaks")
+	cmd.Flags().BoolVar(&flags.shrink, "shrink", false, "take faults out of broken trials while the rule still breaks")
 	cmd.Flags().IntVar(&flags.plays, "plays", flags.plays, "how often a shrunk trial is played before it counts as kept")
 	cmd.Flags().BoolVar(&flags.asJSON, "json", false, "write a JSON line for each trial")
 	return cmd
@@ -132,8 +132,9 @@
 		}
 		return
 	}
-	write(out, fmt.Sprintf("%s seed %d: %s %s| %s | %d calls, %.0f s, own stall %d ms\n", progress, line.Seed, line.Verdict,
-		strings.Join(append(line.Rules, ""), "; "), strings.Join(line.Faults, " "), line.Calls, line.Seconds, line.StallMS))
+	write(out, fmt.Sprintf("%s seed %d: %s %s| %s | %d calls, %.0f s, own stall %d ms\n",
+		progress, line.Seed, line.Verdict, strings.Join(append(line.Rules, ""), "; "), strings.Join(line.Faults, " "),
+		line.Calls, line.Seconds, line.StallMS))
 }
 
 // explain writes what broke in a trial, how it is played again, and its timeline, shrunk where that is asked for.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -59,6 +59,7 @@
 	closeDone   sync.Once
 	lastCall    atomic.Uint64
 	engine      *Engine
+	attemptLog  zerolog.Logger // zero: no lines
 }
 
 // New returns a dispatcher; its loop is Run. maxRetryAfter bounds the time, in µs, that any caller is asked to stay
@@ -87,6 +88,9 @@
 	}, nil
 }
 
+// LogAttempts has a line logged for each attempt that ends without an answer. Call it before Run.
+func (d *Dispatcher) LogAttempts(log zerolog.Logger) { d.attemptLog = log }
+
 // Run is the loop. It ends when ctx is done; calls without a decision get ErrClosed.
 func (d *Dispatcher) Run(ctx context.Context) {
 	defer d.closeDone.Do(func() { close(d.done) })
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -20,6 +20,33 @@
 	NotSent       // never sent
 )
 
+// name is the outcome's name in the log.
+func (o Outcome) name() string {
+	switch o {
+	case Answered:
+		return "answered"
+	case Ended:
+		return "ended"
+	case NoAgent:
+		return "no agent"
+	case ProcessorFull:
+		return "processor full"
+	case Errored:
+		return "errored"
+	case TimedOut:
+		return "timed out"
+	case ConnectFailed:
+		return "connect failed"
+	case Reset:
+		return "reset"
+	case Cancelled:
+		return "cancelled"
+	case NotSent:
+		return "not sent"
+	}
+	return "unknown"
+}
+
 // neverRan reports whether the outcome proves that the attempt was not carried out.
 func (o Outcome) neverRan() bool {
 	return o == NoAgent || o == ProcessorFull || o == ConnectFailed || o == NotSent
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -152,6 +152,9 @@
 
 // reportEnd reports an attempt that ended without an answer; the call then waits for a further decision.
 func (c *servedCall) reportEnd(ctx context.Context) {
+	c.dispatcher.attemptLog.Info().Str("call", c.setup.ID).Str("pool", c.attempt.Endpoint).
+		Int("attempt", c.attempt.Number).Str("outcome", c.result.Outcome.name()).
+		Bool("caller_gone", c.result.CallerGone).Msg("attempt not answered")
 	c.dispatcher.Report(c.result)
 	if c.result.CallerGone {
 		c.finishCancelled(ctx)
--- a/internal/config/unknown_test.go
+++ b/internal/config/unknown_test.go
@@ -21,8 +21,9 @@
 "t1":0,"widths":[1]},"family":"trunks","goal":{"whole":0.6,"worst_class":0.2,"worst_tenant":0.1,"worst_window":0.1},
 "index":0,"layer":0,"layers":["a"],"localities":["b"],"over_share_worth":0.05,"prices":{"connection":0,
 "cross_zone":0,"discovery":0,"fleet":0,"handshake":0,"late_fail":0.041,"moves":0,"origin":0,"peer":0.013,"probe":0,
-"waste":0.024},"realms":[{"name":"r","quota_per_s":6.0,"share":0.54}],"request_classes":[{"deadline":15000000000,"effect":"safe",
-"group":"all","late_worth":0.25,"name":"voice","promise":5000000000,"streaming":true,"window":5000000000,"worth":1.0,
+"waste":0.024},"realms":[{"name":"r","quota_per_s":6.0,"share":0.54}],
+"request_classes":[{"deadline":15000000000,"effect":"safe","group":"all","late_worth":0.25,"name":"voice",
+"promise":5000000000,"streaming":true,"window":5000000000,"worth":1.0,
 "aim_stretch":2}],"rules":{"answer_slack":20000000,"ask_within":10000000000,"cold":14000000000,"cold_share":0.3,
 "drain_grace":500000000,"fall_multiple":3.0,"tip_after":1500000000},"skus":["s"],"stats":{"names":["idle","circuits"],
 "via":"piggyback"},"tick":5000000,"weights":"silent","worth_by":"request","zone":0}}`
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,6 +27,8 @@
 	maxCalls = 4096
 	// maxWarningsPerSecond bounds the warnings about one peer or another, so that a bad one cannot fill the log.
 	maxWarningsPerSecond = 10
+	// maxInfosPerSecond bounds the lines about connections that were closed and set-ups that were not answered.
+	maxInfosPerSecond = 100
 	// callControlDivisor is the part of limits.sockets, one in so many, that call control's connections may have:
 	// callers and pools need theirs.
 	callControlDivisor = 4
@@ -115,6 +117,7 @@
 	daemon := &Daemon{
 		log: log,
 		peerLog: log.Sample(&zerolog.LevelSampler{
+			InfoSampler: &zerolog.BurstSampler{Burst: maxInfosPerSecond, Period: time.Second},
 			WarnSampler: &zerolog.BurstSampler{Burst: maxWarningsPerSecond, Period: time.Second},
 		}),
 		counters:       &telemetry.Counters{},
@@ -140,6 +143,7 @@
 		return err
 	}
 	d.counters.SetClasses(d.cfg.Classes)
+	d.dispatcher.LogAttempts(d.peerLog)
 	d.started = d.clock.Now()
 	d.pools = sippool.New(pools, sippool.Config{
 		Name:               d.cfg.Name,
--- a/internal/experiment/live_controller.go
+++ b/internal/experiment/live_controller.go
@@ -40,7 +40,9 @@
 }
 
 // startController starts a process of the daemon and connects callers to it; the end of ctx stops it.
-func (l *liveRun) startController(ctx context.Context, folder, daemon string, index int, targets []platformfile.Target) error {
+func (l *liveRun) startController(
+	ctx context.Context, folder, daemon string, index int, targets []platformfile.Target,
+) error {
 	name := "n" + strconv.Itoa(index)
 	config, err := json.Marshal(newDaemonConfig(l.variant, index, targets))
 	if err != nil {
--- a/internal/trial/callers.go
+++ b/internal/trial/callers.go
@@ -95,16 +95,17 @@
 	}
 	c.mu.Lock()
 	c.lastID++
-	s := &setup{
+	placed := &setup{
 		id:      fmt.Sprintf("%08x%08x", w.plan.Seed, c.lastID),
 		class:   class,
 		patient: w.draw(hundred) < patientPerHundred,
 	}
-	s.line = fmt.Appendf(nil, `{"type":"setup","id":%q,"fields":{"class":%q,"left":"%d","key":"%x","extras":"dest:%d"},`+
-		`"sdp":"v=0\r\n"}`+"\n", s.id, class.Name, class.Deadline.Milliseconds(), c.lastID|1, -1)
-	c.setups[s.id] = s
+	placed.line = fmt.Appendf(nil,
+		`{"type":"setup","id":%q,"fields":{"class":%q,"left":"%d","key":"%x"},"sdp":"v=0\r\n"}`+"\n",
+		placed.id, class.Name, class.Deadline.Milliseconds(), c.lastID|1)
+	c.setups[placed.id] = placed
 	c.mu.Unlock()
-	c.send(ctx, s, conn)
+	c.send(ctx, placed, conn)
 }
 
 // pick returns a connection: an open one, or a new one to a process that the front sends connections to.
@@ -153,22 +154,22 @@
 }
 
 // send writes a set-up on a connection, and has its caller wait.
-func (c *callers) send(ctx context.Context, s *setup, conn *clientConn) {
-	if !conn.begin(s, c.isSlow()) {
-		c.world.timeline.add("callers", fmt.Sprintf("%s not written to %s", s.id, conn.life))
-		if s.resent {
-			c.abandon(s)
+func (c *callers) send(ctx context.Context, placed *setup, conn *clientConn) {
+	if !conn.begin(placed, c.isSlow()) {
+		c.world.timeline.add("callers", fmt.Sprintf("%s not written to %s", placed.id, conn.life))
+		if placed.resent {
+			c.abandon(placed)
 		}
 		return // the connection was closed while it was written: it was not taken
 	}
-	wait := s.class.Deadline
+	wait := placed.class.Deadline
 	switch {
 	case c.isLeaving() && c.world.draw(hundred) < leavePerHundred:
 		wait = time.Duration(c.world.draw(int(min(wait, maxEarlyLeave))))
-	case s.patient:
-		wait += lateAnswer + 2*timeTolerance //nolint:mnd // once for the answer, once for this side
+	case placed.patient:
+		wait += lateAnswer + 2*timeTolerance // once for the answer, once for this side
 	}
-	timer := time.AfterFunc(wait, func() { c.giveUp(s) })
+	timer := time.AfterFunc(wait, func() { c.giveUp(placed) })
 	context.AfterFunc(ctx, func() { timer.Stop() })
 }
 
@@ -189,11 +190,11 @@
 
 // giveUp has a caller stop to wait, if its set-up has no final answer: by a release, or, where callers leave, at times
 // by the end of its connection.
-func (c *callers) giveUp(s *setup) {
+func (c *callers) giveUp(placed *setup) {
 	c.mu.Lock()
-	waiting, conn := s.state == setupWaiting, s.conn
-	if waiting && !s.patient || waiting && c.leaving > 0 {
-		s.state = setupOver
+	waiting, conn := placed.state == setupWaiting, placed.conn
+	if waiting && !placed.patient || waiting && c.leaving > 0 {
+		placed.state = setupOver
 	} else {
 		waiting = false // it waits until the end of the trial, which reports it
 	}
@@ -202,31 +203,31 @@
 	if !waiting || conn == nil {
 		return
 	}
-	c.gone(s, conn)
+	c.gone(placed, conn)
 	if byClose {
 		conn.close("its caller leaves")
 		return
 	}
-	conn.release(s.id)
+	conn.release(placed.id)
 }
 
 // abandon records that nobody waits for a set-up any more.
-func (c *callers) abandon(s *setup) {
+func (c *callers) abandon(placed *setup) {
 	c.mu.Lock()
-	waiting, conn := s.state == setupWaiting, s.conn
-	s.state = setupOver
+	waiting, conn := placed.state == setupWaiting, placed.conn
+	placed.state = setupOver
 	c.mu.Unlock()
 	if waiting {
-		c.gone(s, conn)
+		c.gone(placed, conn)
 	}
 }
 
 // gone records that the caller of a set-up has left: its outcome need not be counted.
-func (c *callers) gone(s *setup, conn *clientConn) {
-	c.world.checker.CallerGone(c.world.now(), s.id)
+func (c *callers) gone(placed *setup, conn *clientConn) {
+	c.world.checker.CallerGone(c.world.now(), placed.id)
 	if conn != nil {
-		c.world.checker.SetupSettled(conn.name, s.id, false)
-		conn.counts.excuse(s.class.Name)
+		c.world.checker.SetupSettled(conn.name, placed.id, false)
+		conn.counts.excuse(placed.class.Name)
 	}
 }
 
@@ -243,8 +244,8 @@
 // over notes that a call is over at its pool, where it is that pool's answer that stands for its caller.
 func (c *callers) over(id, uid string) {
 	c.mu.Lock()
-	s := c.setups[id]
-	stands := s != nil && s.state == setupStanding && s.answer == descriptionOf(uid, id)
+	placed := c.setups[id]
+	stands := placed != nil && placed.state == setupStanding && placed.answer == descriptionOf(uid, id)
 	c.mu.Unlock()
 	if stands {
 		c.world.timeline.add("callers", "over at its pool: "+id)
@@ -257,9 +258,9 @@
 	type standing struct{ id, life string }
 	var all []standing
 	c.mu.Lock()
-	for id, s := range c.setups {
-		if s.state == setupStanding && s.conn != nil {
-			all = append(all, standing{id, s.conn.life})
+	for id, placed := range c.setups {
+		if placed.state == setupStanding && placed.conn != nil {
+			all = append(all, standing{id, placed.conn.life})
 		}
 	}
 	c.mu.Unlock()
@@ -269,9 +270,9 @@
 		over, _, stopped := p.ended(life)
 		connected[life] = !over && stopped.IsZero() && c.openTo(life) > 0
 	}
-	for _, s := range all {
-		if !connected[s.life] {
-			c.world.checker.EndExcused(s.id)
+	for _, call := range all {
+		if !connected[call.life] {
+			c.world.checker.EndExcused(call.id)
 		}
 	}
 }
--- a/internal/trial/clientconn.go
+++ b/internal/trial/clientconn.go
@@ -31,9 +31,9 @@
 }
 
 // dial opens a connection, nil where it does not come up.
-func (c *callers) dial(ctx context.Context, p *process) *clientConn {
-	life, counted := p.life(), p.currentCounts()
-	raw, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", c.world.network.process(p.index))
+func (c *callers) dial(ctx context.Context, target *process) *clientConn {
+	life, counted := target.life(), target.currentCounts()
+	raw, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", c.world.network.process(target.index))
 	if err != nil {
 		c.world.timeline.add("callers", fmt.Sprintf("no connection to %s: %v", life, err))
 		return nil
@@ -47,7 +47,7 @@
 	c.lastConn++
 	conn := &clientConn{
 		callers: c,
-		process: p,
+		process: target,
 		life:    life,
 		name:    life + "#" + strconv.FormatUint(c.lastConn, 10),
 		raw:     raw,
@@ -65,7 +65,7 @@
 
 // begin writes a set-up, and reports whether it was written to its last byte. It counts as taken just before that: its
 // answer may come at once.
-func (c *clientConn) begin(s *setup, slow bool) bool {
+func (c *clientConn) begin(placed *setup, slow bool) bool {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	c.mu.Lock()
@@ -73,43 +73,43 @@
 		c.mu.Unlock()
 		return false
 	}
-	c.setups[s.id] = s
+	c.setups[placed.id] = placed
 	c.lastUse = time.Now()
 	c.mu.Unlock()
 	c.callers.mu.Lock()
-	s.conn, s.sentAt = c, time.Now()
+	placed.conn, placed.sentAt = c, time.Now()
 	c.callers.mu.Unlock()
-	rest := s.line
+	rest := placed.line
 	for slow && len(rest) > piece {
 		if _, err := c.raw.Write(rest[:piece]); err != nil {
-			c.forget(s.id)
+			c.forget(placed.id)
 			return false
 		}
 		rest = rest[piece:]
 		time.Sleep(piecePause)
 	}
-	c.taken(s)
+	c.taken(placed)
 	if _, err := c.raw.Write(rest); err != nil {
-		c.callers.world.checker.CallerGone(c.callers.world.now(), s.id)
-		c.callers.world.checker.SetupSettled(c.name, s.id, false)
-		c.forget(s.id)
+		c.callers.world.checker.CallerGone(c.callers.world.now(), placed.id)
+		c.callers.world.checker.SetupSettled(c.name, placed.id, false)
+		c.forget(placed.id)
 		return false
 	}
 	return true
 }
 
 // taken notes that the last byte of a set-up is written now.
-func (c *clientConn) taken(s *setup) {
+func (c *clientConn) taken(placed *setup) {
 	w := c.callers.world
 	now := w.now()
 	c.callers.mu.Lock()
-	s.sentAt = time.Now()
+	placed.sentAt = time.Now()
 	c.callers.mu.Unlock()
-	w.timeline.add("callers", fmt.Sprintf("setup %s to %s on %s", s.id, c.life, c.name))
-	if !s.resent {
-		w.checker.CallAccepted(now, s.id, now+s.class.Deadline.Microseconds())
+	w.timeline.add("callers", fmt.Sprintf("setup %s to %s on %s", placed.id, c.life, c.name))
+	if !placed.resent {
+		w.checker.CallAccepted(now, placed.id, now+placed.class.Deadline.Microseconds())
 	}
-	w.checker.SetupOpened(now, c.name, s.id)
+	w.checker.SetupOpened(now, c.name, placed.id)
 }
 
 func (c *clientConn) forget(id string) {
@@ -179,80 +179,80 @@
 	w := c.callers.world
 	w.timeline.add("callers", fmt.Sprintf("%s %s cause %d on %s", message.Type, message.ID, message.Cause, c.name))
 	c.callers.mu.Lock()
-	s := c.callers.setups[message.ID]
+	placed := c.callers.setups[message.ID]
 	var state setupState
-	if s != nil {
-		state = s.state
+	if placed != nil {
+		state = placed.state
 	}
 	c.callers.mu.Unlock()
 	switch {
-	case s == nil:
+	case placed == nil:
 	case message.Type == linecodec.TypeAnswer:
-		c.answered(s, state, message.SDP)
-	case message.Type == linecodec.TypeRelease && state == setupWaiting && s.conn == c:
-		c.settled(s, outcomeOf(message.Cause))
+		c.answered(placed, state, message.SDP)
+	case message.Type == linecodec.TypeRelease && state == setupWaiting && placed.conn == c:
+		c.settled(placed, outcomeOf(message.Cause))
 	case message.Type == linecodec.TypeRelease && state == setupStanding:
-		c.endTold(s)
+		c.endTold(placed)
 	}
 }
 
 // answered takes the answer of a call.
-func (c *clientConn) answered(s *setup, state setupState, description string) {
+func (c *clientConn) answered(placed *setup, state setupState, description string) {
 	w := c.callers.world
 	if state == setupOver { // it crossed the caller's leaving
 		return
 	}
 	c.callers.mu.Lock()
-	forged := !c.callers.description[s.id][description]
-	s.state, s.answer = setupStanding, description
+	forged := !c.callers.description[placed.id][description]
+	placed.state, placed.answer = setupStanding, description
 	c.callers.mu.Unlock()
 	if forged {
-		w.checker.AnswerForged(w.now(), s.id)
+		w.checker.AnswerForged(w.now(), placed.id)
 	}
-	w.checker.CallAnswered(w.now(), s.id, "stands")
-	w.checker.SetupSettled(c.name, s.id, true)
-	c.counts.ended(w.now(), s.class.Name, telemetry.OutcomeAnswered)
+	w.checker.CallAnswered(w.now(), placed.id, "stands")
+	w.checker.SetupSettled(c.name, placed.id, true)
+	c.counts.ended(w.now(), placed.class.Name, telemetry.OutcomeAnswered)
 	if w.draw(hundred) < releasePerHundred {
-		time.AfterFunc(w.drawExponential(w.plan.HoldingTime), func() { c.hangUp(s) })
+		time.AfterFunc(w.drawExponential(w.plan.HoldingTime), func() { c.hangUp(placed) })
 	}
 }
 
 // hangUp has a caller release its call.
-func (c *clientConn) hangUp(s *setup) {
+func (c *clientConn) hangUp(placed *setup) {
 	c.callers.mu.Lock()
-	stands := s.state == setupStanding
-	s.state = setupOver
+	stands := placed.state == setupStanding
+	placed.state = setupOver
 	c.callers.mu.Unlock()
 	if !stands {
 		return
 	}
-	c.callers.world.checker.EndExcused(s.id)
-	c.callers.world.checker.CallCleared(c.name, s.id)
-	c.release(s.id)
-	c.used(s.id)
+	c.callers.world.checker.EndExcused(placed.id)
+	c.callers.world.checker.CallCleared(c.name, placed.id)
+	c.release(placed.id)
+	c.used(placed.id)
 }
 
 // settled takes the final answer of a set-up that was refused or has failed.
-func (c *clientConn) settled(s *setup, outcome telemetry.Outcome) {
+func (c *clientConn) settled(placed *setup, outcome telemetry.Outcome) {
 	w := c.callers.world
 	c.callers.mu.Lock()
-	s.state = setupOver
+	placed.state = setupOver
 	c.callers.mu.Unlock()
-	w.checker.CallAnswered(w.now(), s.id, outcome.String())
-	w.checker.SetupSettled(c.name, s.id, false)
-	c.counts.ended(w.now(), s.class.Name, outcome)
-	c.used(s.id)
+	w.checker.CallAnswered(w.now(), placed.id, outcome.String())
+	w.checker.SetupSettled(c.name, placed.id, false)
+	c.counts.ended(w.now(), placed.class.Name, outcome)
+	c.used(placed.id)
 }
 
 // endTold takes the end of a call that stands, on whatever connection it comes.
-func (c *clientConn) endTold(s *setup) {
+func (c *clientConn) endTold(placed *setup) {
 	c.callers.mu.Lock()
-	s.state = setupOver
-	conn := s.conn
+	placed.state = setupOver
+	conn := placed.conn
 	c.callers.mu.Unlock()
-	c.callers.world.checker.EndTold(c.callers.world.now(), s.id)
-	c.callers.world.checker.CallCleared(conn.name, s.id)
-	conn.used(s.id)
+	c.callers.world.checker.EndTold(c.callers.world.now(), placed.id)
+	c.callers.world.checker.CallCleared(conn.name, placed.id)
+	conn.used(placed.id)
 }
 
 // used notes that a call is not on the connection any more.
@@ -265,14 +265,14 @@
 
 // ended takes the end of the connection: what was sent just before goes on another one, the rest must not be lost.
 func (c *clientConn) ended(err error) {
-	w, at := c.callers.world, time.Now()
+	w, endedAt := c.callers.world, time.Now()
 	c.raw.Close()
 	c.mu.Lock()
 	byCaller := c.closing
 	c.closing = true
 	open := make([]*setup, 0, len(c.setups))
-	for _, s := range c.setups {
-		open = append(open, s)
+	for _, placed := range c.setups {
+		open = append(open, placed)
 	}
 	c.mu.Unlock()
 	w.checker.ConnectionClosed(c.name)
@@ -286,41 +286,41 @@
 	if closed {
 		return
 	}
-	for _, s := range open {
+	for _, placed := range open {
 		c.callers.mu.Lock()
-		waiting := s.state == setupWaiting && s.conn == c
+		waiting := placed.state == setupWaiting && placed.conn == c
 		c.callers.mu.Unlock()
 		switch {
 		case !waiting:
 		case byCaller:
-			c.callers.abandon(s)
+			c.callers.abandon(placed)
 		default:
-			w.tasks.Go(func() { c.lost(s, at, err) })
+			w.tasks.Go(func() { c.lost(placed, endedAt, err) })
 		}
 	}
 }
 
 // lost judges a set-up whose connection ended without its answer.
-func (c *clientConn) lost(s *setup, at time.Time, err error) {
+func (c *clientConn) lost(placed *setup, at time.Time, err error) {
 	w := c.callers.world
 	time.Sleep(settleExit) // the end of the process shows
 	over, killed, stopped := c.process.ended(c.life)
-	c.counts.excuse(s.class.Name)
-	age := at.Sub(s.sentAt)
+	c.counts.excuse(placed.class.Name)
+	age := at.Sub(placed.sentAt)
 	switch {
-	case over && killed && (stopped.IsZero() || s.sentAt.Sub(stopped) <= killDelay):
-		c.callers.abandon(s)
-	case !s.resent && age <= crossing+timeTolerance:
-		s.resent = true
-		w.timeline.add("callers", fmt.Sprintf("%s crossed the end of %s, is sent again", s.id, c.name))
+	case over && killed && (stopped.IsZero() || placed.sentAt.Sub(stopped) <= killDelay):
+		c.callers.abandon(placed)
+	case !placed.resent && age <= crossing+timeTolerance:
+		placed.resent = true
+		w.timeline.add("callers", fmt.Sprintf("%s crossed the end of %s, is sent again", placed.id, c.name))
 		conn := c.callers.pick(context.Background(), false)
 		if conn == nil {
-			c.callers.abandon(s)
+			c.callers.abandon(placed)
 			return
 		}
-		c.callers.send(context.Background(), s, conn)
+		c.callers.send(context.Background(), placed, conn)
 	default:
-		w.checker.AnswerLost(w.now(), s.id,
+		w.checker.AnswerLost(w.now(), placed.id,
 			fmt.Sprintf("%s ended %.3f s after the set-up: %v", c.name, age.Seconds(), err))
 	}
 }
--- a/internal/trial/faultproxy/link.go
+++ b/internal/trial/faultproxy/link.go
@@ -102,7 +102,7 @@
 		return nil, fmt.Errorf("faultproxy: %w", err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	l := &Link{
+	link := &Link{
 		address: address,
 		source:  &net.TCPAddr{IP: net.ParseIP(host)},
 		backend: backend,
@@ -111,11 +111,11 @@
 		stop:    stop,
 		open:    map[*relay]struct{}{},
 	}
-	if err := l.listen(); err != nil {
+	if err := link.listen(); err != nil {
 		stop()
 		return nil, err
 	}
-	return l, nil
+	return link, nil
 }
 
 // Address is where the link listens.
@@ -230,7 +230,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.listener != nil {
-		l.listener.Close()
+		_ = l.listener.Close() // it is given up
 		l.listener = nil
 	}
 }
--- a/internal/trial/faultproxy/relay.go
+++ b/internal/trial/faultproxy/relay.go
@@ -10,18 +10,16 @@
 
 // relay is one connection that a link relays.
 type relay struct {
-	link    *Link
-	number  uint64
-	client  *net.TCPConn // the dialling party
-	backend *net.TCPConn
-	pending chan []byte // from the client, read and not written yet; closed by readClient
-	ended   sync.Once   // for the tap
-
+	link       *Link
+	number     uint64
+	client     *net.TCPConn // the dialling party
+	backend    *net.TCPConn
+	pending    chan []byte // from the client, read and not written yet; closed by readClient
+	ended      sync.Once   // for the tap
 	clientGone atomic.Bool // it has ended the connection: nothing reaches it any more
 
 	mu   sync.Mutex
 	over bool // both sides have ended
-	once sync.Once
 }
 
 // pendingReads bounds what a black hole holds back; a client that sends more has to wait.
@@ -177,7 +175,9 @@
 func (r *relay) reset() { r.end(resetConn) }
 
 // close ends both sides.
-func (r *relay) close() { r.end(func(conn *net.TCPConn) { conn.Close() }) }
+func (r *relay) close() {
+	r.end(func(conn *net.TCPConn) { _ = conn.Close() }) // it is given up
+}
 
 // end ends both sides, unless they have ended.
 func (r *relay) end(endConn func(conn *net.TCPConn)) {
@@ -197,5 +197,5 @@
 // resetConn closes a connection with a reset.
 func resetConn(conn *net.TCPConn) {
 	_ = conn.SetLinger(0) // a connection that has ended needs no reset
-	conn.Close()
+	_ = conn.Close()      // it is given up
 }
--- a/internal/trial/faults.go
+++ b/internal/trial/faults.go
@@ -17,6 +17,8 @@
 	crowdSize = 80
 	// badClientPatience bounds how long a bad client waits.
 	badClientPatience = 6 * time.Second
+	// overlongBytes is more than a message may have.
+	overlongBytes = 40 << 10
 	// reloadPause is the time between two signals of a series.
 	reloadPause = 60 * time.Millisecond
 )
@@ -36,6 +38,8 @@
 		w.causeAtLink(ctx, fault)
 	case plan.ListSilent, plan.ListRefused, plan.ListBroken, plan.ListMoved:
 		w.causeAtList(ctx, fault)
+	case plan.OperatorDrainAll, plan.ProcessStopAll:
+		w.causeAtAllProcesses(ctx, fault)
 	case plan.OperatorDrain, plan.OperatorSilent, plan.ProcessStop, plan.ProcessKill, plan.ProcessHangup:
 		w.causeAtProcess(ctx, fault)
 	default:
@@ -44,22 +48,22 @@
 }
 
 func (w *world) causeAtPool(ctx context.Context, fault plan.Fault) {
-	p := w.pools[fault.Pool]
+	target := w.pools[fault.Pool]
 	switch fault.Kind { //nolint:exhaustive // those of pools
 	case plan.PoolHang:
-		p.hang(ctx, fault.Duration)
+		target.hang(ctx, fault.Duration)
 	case plan.PoolVanish:
-		p.vanish(ctx, fault.Duration)
+		target.vanish(ctx, fault.Duration)
 	case plan.PoolReplace:
-		p.replace(ctx)
+		target.replace(ctx)
 	case plan.PoolRestart:
-		p.restart(ctx)
+		target.restart(ctx)
 	case plan.PoolDrain:
-		p.drain(ctx, fault.Duration)
+		target.drain(ctx, fault.Duration)
 	case plan.PoolSpoil:
-		p.spoilNext(fault.Count)
+		target.spoilNext(fault.Count)
 	default:
-		p.repeatNext(fault.Count)
+		target.repeatNext(fault.Count)
 	}
 }
 
@@ -94,26 +98,37 @@
 const maxStrikes = 4
 
 func (w *world) causeAtList(ctx context.Context, fault plan.Fault) {
-	l := w.lists[fault.Process]
+	target := w.lists[fault.Process]
 	switch fault.Kind { //nolint:exhaustive // those of lists
 	case plan.ListSilent:
-		l.fault(ctx, faultproxy.BlackHole, fault.Duration)
+		target.fault(ctx, faultproxy.BlackHole, fault.Duration)
 	case plan.ListRefused:
-		l.fault(ctx, faultproxy.Refuse, fault.Duration)
+		target.fault(ctx, faultproxy.Refuse, fault.Duration)
 	case plan.ListBroken:
-		l.breakOff(fault.Count)
+		target.breakOff(fault.Count)
 	default:
 		for range fault.Count {
-			if l.move(ctx) != nil || w.processes[fault.Process].writeConfig() != nil {
+			if target.move(ctx) != nil || w.processes[fault.Process].writeConfig() != nil {
 				return
 			}
 			w.processes[fault.Process].hangUp()
-			l.moved()
+			target.moved()
 			sleep(ctx, reloadPause)
 		}
 	}
 }
 
+// causeAtAllProcesses empties all processes at once, or restarts one after another.
+func (w *world) causeAtAllProcesses(ctx context.Context, fault plan.Fault) {
+	for _, p := range w.processes {
+		if fault.Kind == plan.ProcessStopAll {
+			p.stop(ctx)
+		} else {
+			w.tasks.Go(func() { p.lameDuck(ctx, fault.Duration) })
+		}
+	}
+}
+
 func (w *world) causeAtProcess(ctx context.Context, fault plan.Fault) {
 	p := w.processes[fault.Process]
 	switch fault.Kind { //nolint:exhaustive // those of processes
@@ -183,7 +198,7 @@
 	return []string{
 		"\x00\x01\x02 noise \xff\n",
 		"{\"type\":\"setup\"",
-		strings.Repeat("x", 40<<10),
+		strings.Repeat("x", overlongBytes),
 		`{"type":"setup","id":"zz","fields":{"class":"class-0","left":"1000"},"sdp":""}` + "\n",
 		`{"type":"setup","id":"00000000000000f1","fields":{"class":"none","left":"1000"},"sdp":""}` + "\n",
 		`{"type":"setup","id":"00000000000000f2","fields":{"class":"none","left":"-1e9"},"sdp":""}` + "\n",
--- a/internal/trial/operator.go
+++ b/internal/trial/operator.go
@@ -120,7 +120,7 @@
 }
 
 // figureLine is a figure as statsd writes it.
-var figureLine = regexp.MustCompile(`(?m)^app\.(\S+):(\d+)\|[cg]$`) //nolint:gochecknoglobals // compiled once
+var figureLine = regexp.MustCompile(`(?m)^app\.(\S+):(\d+)\|[cg]$`)
 
 func readFigures(text string) map[string]int64 {
 	figures := map[string]int64{}
@@ -133,24 +133,24 @@
 }
 
 // compare holds the figures of one reading against the counts.
-func (p *process) compare(life string, from, to int64, figures map[string]int64) {
-	c := p.currentCounts()
-	c.mu.Lock()
-	defer c.mu.Unlock()
+func (p *process) compare(life string, askedAt, answeredAt int64, figures map[string]int64) {
+	counted := p.currentCounts()
+	counted.mu.Lock()
+	defer counted.mu.Unlock()
 	for _, class := range p.world.plan.Classes {
 		for _, outcome := range telemetry.Outcomes() {
 			name := outcome.String() + "." + class.Name
-			least, most := between(c.outcomes[class.Name][outcome], from, to)
+			least, most := between(counted.outcomes[class.Name][outcome], askedAt, answeredAt)
 			p.compareFigure(life, figures, invariant.Reading{
 				Name:           name,
 				Least:          least,
-				Most:           most + c.excused[class.Name],
+				Most:           most + counted.excused[class.Name],
 				ToleratedPart:  outcomePart,
 				ToleratedUnits: figureUnits,
 			})
 		}
 	}
-	least, most := between(c.sends, from, to)
+	least, most := between(counted.sends, askedAt, answeredAt)
 	p.compareFigure(life, figures, invariant.Reading{
 		Name:           "sends",
 		Least:          least,
--- a/internal/trial/plan/fault.go
+++ b/internal/trial/plan/fault.go
@@ -13,33 +13,35 @@
 
 // The kinds.
 const (
-	PoolHang       Kind = iota // answers nothing for a while
-	PoolVanish                 // its machine is gone: all its connections fall silent, and it is removed later
-	PoolReplace                // ends; another takes its address
-	PoolRestart                // its process starts anew
-	PoolDrain                  // is drained, and comes back
-	PoolSpoil                  // its next answers are not readable
-	PoolRepeat                 // its next answers bring more than belongs to them
-	LinkCut                    // connections to it are reset, and new ones refused
-	LinkBlackHole              // what is sent to it or by it does not arrive
-	LinkNoAccept               // it accepts no connection
-	LinkOneByte                // its messages come a byte at a time
-	LinkReset                  // a connection is reset in the middle of its next message
-	LinkHalf                   // half of its next message comes, then the connection ends
-	LinkFin                    // a connection ends right behind a message
-	ListSilent                 // the endpoint list's server answers nothing
-	ListRefused                // it is down
-	ListBroken                 // it breaks off in the middle of an event
-	ListMoved                  // it moves: new configurations with SIGHUP in quick succession
-	OperatorDrain              // an operator empties a process
-	OperatorSilent             // callers of the control address that say nothing, or half a call
-	ProcessStop                // SIGTERM, SIGKILL at the page's earliest, a start
-	ProcessKill                // SIGKILL, a start
-	ProcessHangup              // SIGHUP in series
-	CallersLeave               // callers give up early, by a release or by closing
-	CallersSlow                // callers write their set-ups in pieces
-	CallersBad                 // bad clients
-	CallersCrowd               // connections by the hundred that say nothing
+	PoolHang         Kind = iota // answers nothing for a while
+	PoolVanish                   // its machine is gone: all its connections fall silent, and it is removed later
+	PoolReplace                  // ends; another takes its address
+	PoolRestart                  // its process starts anew
+	PoolDrain                    // is drained, and comes back
+	PoolSpoil                    // its next answers are not readable
+	PoolRepeat                   // its next answers bring more than belongs to them
+	LinkCut                      // connections to it are reset, and new ones refused
+	LinkBlackHole                // what is sent to it or by it does not arrive
+	LinkNoAccept                 // it accepts no connection
+	LinkOneByte                  // its messages come a byte at a time
+	LinkReset                    // a connection is reset in the middle of its next message
+	LinkHalf                     // half of its next message comes, then the connection ends
+	LinkFin                      // a connection ends right behind a message
+	ListSilent                   // the endpoint list's server answers nothing
+	ListRefused                  // it is down
+	ListBroken                   // it breaks off in the middle of an event
+	ListMoved                    // it moves: new configurations with SIGHUP in quick succession
+	OperatorDrain                // an operator empties a process
+	OperatorDrainAll             // an operator empties all processes at once
+	OperatorSilent               // callers of the control address that say nothing, or half a call
+	ProcessStop                  // SIGTERM, SIGKILL at the page's earliest, a start
+	ProcessStopAll               // so with one process after another
+	ProcessKill                  // SIGKILL, a start
+	ProcessHangup                // SIGHUP in series
+	CallersLeave                 // callers give up early, by a release or by closing
+	CallersSlow                  // callers write their set-ups in pieces
+	CallersBad                   // bad clients
+	CallersCrowd                 // connections by the hundred that say nothing
 	kindCount
 )
 
@@ -50,9 +52,10 @@
 	LinkCut: "link-cut", LinkBlackHole: "link-blackhole", LinkNoAccept: "link-noaccept", LinkOneByte: "link-onebyte",
 	LinkReset: "link-reset", LinkHalf: "link-half", LinkFin: "link-fin",
 	ListSilent: "list-silent", ListRefused: "list-refused", ListBroken: "list-broken", ListMoved: "list-moved",
-	OperatorDrain: "operator-drain", OperatorSilent: "operator-silent",
-	ProcessStop: "process-stop", ProcessKill: "process-kill", ProcessHangup: "process-hangup",
-	CallersLeave: "callers-leave", CallersSlow: "callers-slow", CallersBad: "callers-bad", CallersCrowd: "callers-crowd",
+	OperatorDrain: "operator-drain", OperatorDrainAll: "operator-drain-all", OperatorSilent: "operator-silent",
+	ProcessStop: "process-stop", ProcessStopAll: "process-stop-all", ProcessKill: "process-kill",
+	ProcessHangup: "process-hangup",
+	CallersLeave:  "callers-leave", CallersSlow: "callers-slow", CallersBad: "callers-bad", CallersCrowd: "callers-crowd",
 }
 
 // String returns the kind's name, as flags and tables have it.
@@ -136,7 +139,7 @@
 		Pool:     random.IntN(p.Pools),
 		Count:    between(random, 1, maxFaultCount),
 	}
-	if kind == OperatorDrain {
+	if kind == OperatorDrain || kind == OperatorDrainAll {
 		fault.Duration = durationBetween(random, minLameDuck, maxLameDuck)
 	}
 	return fault
--- a/internal/trial/plan/plan.go
+++ b/internal/trial/plan/plan.go
@@ -1,5 +1,5 @@
-// Package plan draws trials: from a seed, the settings of a deployment and a schedule of faults. It does no I/O and reads
-// no clock, so that a seed always gives the same plan.
+// Package plan draws trials: from a seed, the settings of a deployment and a schedule of faults. It does no I/O and
+// reads no clock, so that a seed always gives the same plan.
 package plan
 
 import (
@@ -12,8 +12,13 @@
 const (
 	minProcesses, maxProcesses = 2, 4
 	minPools, maxPools         = 3, 5
-	minFaults, maxFaults       = 5, 9
+	minFaults, maxFaults       = 6, 11
 	maxClasses                 = 3
+	maxReleaseWaitTenths       = 6 // of a second
+	minCallRate, maxCallRate   = 20, 80
+	minHolding, maxHolding     = 300 * time.Millisecond, 3 * time.Second
+	// unsafeOneIn is how seldom a class is one that must not be repeated.
+	unsafeOneIn = 3
 	// length is for how long callers arrive.
 	length = 12 * time.Second
 	// earliestFault and latestFault bound the beginnings of faults.
@@ -75,11 +80,11 @@
 		Processes:   between(random, minProcesses, maxProcesses),
 		Pools:       between(random, minPools, maxPools),
 		Length:      length,
-		MemoryMB:    pick(random, 64, 96, 192),
-		Sockets:     pick(random, 384, 512, 1024),
-		ReleaseWait: time.Duration(between(random, 1, 6)) * 100 * time.Millisecond,
-		CallRate:    float64(between(random, 20, 80)),
-		HoldingTime: time.Duration(between(random, 3, 30)) * 100 * time.Millisecond,
+		MemoryMB:    pick(random, memoryChoices()),
+		Sockets:     pick(random, socketChoices()),
+		ReleaseWait: time.Duration(between(random, 1, maxReleaseWaitTenths)) * time.Second / 10,
+		CallRate:    float64(between(random, minCallRate, maxCallRate)),
+		HoldingTime: durationBetween(random, minHolding, maxHolding),
 	}
 	drawn.drawClasses(random)
 	drawn.drawFaults(random, kinds)
@@ -88,19 +93,30 @@
 
 func (p *Plan) drawClasses(random *rand.Rand) {
 	for n := range between(random, 1, maxClasses) {
-		deadline := time.Duration(pick(random, 400, 800, 1500, 3000, 6000, 15000)) * time.Millisecond
+		deadline := pick(random, deadlineChoices())
 		p.Classes = append(p.Classes, Class{
 			Name:      fmt.Sprintf("class-%d", n),
 			Deadline:  deadline,
 			Objective: deadline / 2,
-			Unsafe:    random.IntN(3) == 0,
+			Unsafe:    random.IntN(unsafeOneIn) == 0,
 		})
 	}
 }
 
 func between(random *rand.Rand, low, high int) int { return low + random.IntN(high-low+1) }
 
-func pick(random *rand.Rand, choices ...int) int { return choices[random.IntN(len(choices))] }
+func pick[T any](random *rand.Rand, choices []T) T { return choices[random.IntN(len(choices))] }
+
+func memoryChoices() []int { return []int{64, 96, 192} }
+
+func socketChoices() []int { return []int{384, 512, 1024} }
+
+func deadlineChoices() []time.Duration {
+	return []time.Duration{
+		400 * time.Millisecond, 800 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second, 6 * time.Second,
+		15 * time.Second,
+	}
+}
 
 // durationBetween draws a duration in whole milliseconds.
 func durationBetween(random *rand.Rand, low, high time.Duration) time.Duration {
--- a/internal/trial/poolfaults.go
+++ b/internal/trial/poolfaults.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"strings"
 	"time"
@@ -118,21 +117,21 @@
 // spoil answers a set-up with what cannot be read. The set-up has run.
 func (b *backend) spoil(conn net.Conn, invite *sip.Message) {
 	head := "SIP/2.0 200 OK\r\nCall-ID: " + invite.CallID + "\r\nCSeq: 1 INVITE\r\n"
-	switch b.pool.world.draw(7) { //nolint:mnd // the cases below
-	case 0:
-		write(conn, []byte("\x00\xff\x13noise\r\n\r\n"))
-	case 1:
-		write(conn, []byte(head+"Content-Length: 3000000000\r\n\r\nv=0\r\n"))
-	case 2: //nolint:mnd // a case
-		write(conn, []byte(head+"Content-Length: -4\r\n\r\n"))
-	case 3: //nolint:mnd // a case
-		write(conn, []byte(head+"X: "+strings.Repeat("x", sip.MaxMessageBytes)))
-	case 4: //nolint:mnd // a case
-		write(conn, []byte(head+"Content-Length: 40\r\n\r\nv=0\r\n")) // stops short
-	case 5: //nolint:mnd // a case
+	texts := []string{
+		"\x00\xff\x13noise\r\n\r\n",
+		head + "Content-Length: 3000000000\r\n\r\nv=0\r\n",
+		head + "Content-Length: -4\r\n\r\n",
+		head + "X: " + strings.Repeat("x", sip.MaxMessageBytes),
+		head + "Content-Length: 40\r\n\r\nv=0\r\n", // stops short
+		"", // never arrives
+	}
+	broken := len(texts) // half of a head, then the end of the connection
+	switch drawn := b.pool.world.draw(len(texts) + 1); drawn {
+	case broken:
 		write(conn, []byte(head[:len(head)/2]))
 		conn.Close()
-	default: // never arrives
+	default:
+		write(conn, []byte(texts[drawn]))
 	}
 }
 
@@ -150,6 +149,3 @@
 	defer b.mu.Unlock()
 	b.extras += count
 }
-
-// drainReader reads a connection to its end.
-func drainReader(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) }
--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -116,7 +116,7 @@
 
 func playSeeds(ctx context.Context, seeds []uint64, options Options, report func(*Result)) error {
 	var workers sync.WaitGroup
-	var mu sync.Mutex
+	var reporting sync.Mutex
 	var failed error
 	next := make(chan uint64, len(seeds))
 	for _, seed := range seeds {
@@ -129,14 +129,14 @@
 			own.Slot = options.Slot + slot
 			for seed := range next {
 				result, err := Play(ctx, plan.Draw(seed, options.Kinds), own)
-				mu.Lock()
+				reporting.Lock()
 				if err != nil && failed == nil {
 					failed = fmt.Errorf("seed %d: %w", seed, err)
 				} else if err == nil {
 					report(result)
 				}
 				stop := failed != nil
-				mu.Unlock()
+				reporting.Unlock()
 				if stop {
 					return
 				}
--- a/internal/trial/tap.go
+++ b/internal/trial/tap.go
@@ -58,7 +58,7 @@
 }
 
 // sentMessage takes a message of the process. The caller holds mu.
-func (t *tap) sentMessage(c *tappedConn, message *sip.Message) {
+func (t *tap) sentMessage(conn *tappedConn, message *sip.Message) {
 	checker, now, id := t.world.checker, t.world.now(), message.CallID
 	switch message.Method {
 	case "INVITE":
@@ -70,10 +70,10 @@
 		if late > 0 {
 			checker.SentWhileClosed(now, id, uid, late)
 		}
-		c.inFlight[id] = true
+		conn.inFlight[id] = true
 	case "CANCEL", "BYE":
 		t.world.timeline.add(t.process.name, message.Method+" "+id)
-		t.endAttempt(c, id, true)
+		t.endAttempt(conn, id, true)
 	}
 }
 
--- a/internal/trial/timeline.go
+++ b/internal/trial/timeline.go
@@ -58,6 +58,7 @@
 const (
 	timeWidth   = 9
 	columnWidth = 34
+	columnGap   = 2
 )
 
 // draw is a timeline as text, a column a party.
@@ -78,7 +79,7 @@
 	for _, e := range entries {
 		fmt.Fprintf(&text, "%*.3f", timeWidth, e.at.Seconds())
 		column := slices.Index(parties, e.party)
-		fmt.Fprintf(&text, "%*s  %s\n", column*(columnWidth+2), "", e.text) //nolint:mnd // the gap between columns
+		fmt.Fprintf(&text, "%*s  %s\n", column*(columnWidth+columnGap), "", e.text)
 	}
 	return text.String()
 }
--- /dev/null
+++ b/internal/trial/trial_test.go
@@ -0,0 +1,126 @@
+package trial
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"eidertrail/internal/backend/sip"
+	"eidertrail/internal/invariant"
+	"eidertrail/internal/trial/plan"
+)
+
+// soakSeeds are the seeds of CI's soak: between them they drain, stop and kill processes and break links, lists, pools.
+var soakSeeds = []uint64{1, 4, 16, 20, 25}
+
+// builtDaemon is the daemon's program, built for the test.
+func builtDaemon(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "eidertrail")
+	build := exec.Command("go", "build", "-o", program, "eidertrail/cmd/eidertrail")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return program
+}
+
+// The short soak: a fixed handful of seeds against processes of the program. The long one is started by hand.
+func TestSoak_FixedSeedsKeepEveryRule(t *testing.T) {
+	if testing.Short() {
+		t.Skip("builds the daemon and plays for half a minute")
+	}
+	t.Parallel()
+	options := Options{Program: builtDaemon(t), Folder: t.TempDir(), Parallel: len(soakSeeds)}
+	err := PlayAll(context.Background(), soakSeeds, options, func(result *Result) {
+		t.Logf("seed %d: %s, %d calls, own stall %v", result.Plan.Seed, result.Verdict(), result.Calls, result.Stall)
+		if result.Verdict() != Kept {
+			for _, violation := range result.Violations {
+				t.Errorf("seed %d: %s: %s", result.Plan.Seed, violation.Rule, violation)
+			}
+			t.Log("again: eidertrail-lab trial --seeds ", result.Plan.Seed, "\n", result.Timeline)
+		}
+		if result.Calls == 0 {
+			t.Errorf("seed %d: no call was placed", result.Plan.Seed)
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A process that is called to drain and does not hear it is found by a trial of that one fault: the program stands in
+// for one without a control address.
+func TestTrial_FindsAProgramWithoutAControlAddress(t *testing.T) {
+	if testing.Short() {
+		t.Skip("builds the daemon")
+	}
+	t.Parallel()
+	daemon := builtDaemon(t)
+	deaf := filepath.Join(t.TempDir(), "deaf")
+	script := "#!/bin/sh\nsed 's/\"control\":\"[^\"]*\",//' \"$RELAY_CONFIG\" > \"$RELAY_CONFIG.deaf\"\n" +
+		"RELAY_CONFIG=\"$RELAY_CONFIG.deaf\" exec " + daemon + "\n"
+	if err := exec.Command("sh", "-c", "cat > "+deaf+" <<'END'\n"+script+"END\nchmod +x "+deaf).Run(); err != nil {
+		t.Fatal(err)
+	}
+	drawn := plan.Draw(1, []plan.Kind{plan.OperatorDrain})
+	drawn.Processes, drawn.Length = 1, 2*time.Second
+	drawn.Faults = []plan.Fault{{Kind: plan.OperatorDrain, Duration: time.Second}}
+	const slotOfItsOwn = 150
+	result, err := Play(context.Background(), drawn, Options{Program: deaf, Folder: t.TempDir(), Slot: slotOfItsOwn})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if rules := result.Rules(); len(rules) != 1 || rules[0] != invariant.RuleOperatorAnswered {
+		t.Errorf("broken: %v", rules)
+	}
+}
+
+func TestMessageSplitter_FindsMessagesInPieces(t *testing.T) {
+	first := (&sip.Message{Method: "BYE", URI: "sip:x@net", CallID: "a", CSeq: 1, CSeqMethod: "BYE"}).Append(nil)
+	answer := &sip.Message{Status: 200, Reason: "X", CallID: "b", CSeq: 1, CSeqMethod: "INVITE", Body: []byte("v=0\r\n")}
+	second := answer.Append(nil)
+	text := string(first) + string(second)
+	for size := range len(text) {
+		var splitter messageSplitter
+		var ids []string
+		for rest := text; rest != ""; {
+			piece := rest[:min(size+1, len(rest))]
+			rest = rest[len(piece):]
+			for _, message := range splitter.take([]byte(piece)) {
+				ids = append(ids, message.CallID)
+			}
+		}
+		if got := strings.Join(ids, " "); got != "a b" {
+			t.Fatalf("in pieces of %d bytes: %q", size+1, got)
+		}
+	}
+}
+
+func TestMessageSplitter_GivesUpWhereFramingIsLost(t *testing.T) {
+	var splitter messageSplitter
+	if got := splitter.take([]byte("SIP/2.0 200 OK\r\nContent-Length: -4\r\n\r\n")); len(got) > 0 || !splitter.lost {
+		t.Errorf("%v, lost: %t", got, splitter.lost)
+	}
+}
+
+func TestCounts_BetweenAllowsForTheAgeOfFigures(t *testing.T) {
+	times := []int64{1_000_000, 2_000_000, 3_000_000}
+	if least, most := between(times, 2_400_000, 2_500_000); least != 1 || most != 2 {
+		t.Errorf("%d to %d", least, most)
+	}
+}
+
+func TestTimeline_DrawsAColumnAParty(t *testing.T) {
+	line := newTimeline(time.Now())
+	line.add("n0", "ready")
+	line.add("list", "s-1 up")
+	line.add("n1", "setup 01 to s-1")
+	text := draw(line.about([]string{"s-1"}))
+	lines := strings.Count(text, "\n")
+	if lines != 3 || !strings.Contains(text, "s-1 up") || strings.Contains(text, "ready") {
+		t.Errorf("%s", text)
+	}
+}
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -49,22 +49,22 @@
 	random *rand.Rand
 }
 
-func newWorld(p *plan.Plan, options Options) *world {
+func newWorld(drawn *plan.Plan, options Options) *world {
 	w := &world{
-		plan:    p,
+		plan:    drawn,
 		program: options.Program,
-		folder:  filepath.Join(options.Folder, fmt.Sprintf("seed-%d", p.Seed)),
+		folder:  filepath.Join(options.Folder, fmt.Sprintf("seed-%d", drawn.Seed)),
 		network: newNetwork(options.Slot),
 		started: time.Now(),
 		checker: invariant.New(invariant.Config{
-			ReleaseWait:      p.ReleaseWait.Microseconds() - timeTolerance.Microseconds(),
+			ReleaseWait:      drawn.ReleaseWait.Microseconds() - timeTolerance.Microseconds(),
 			MaxAttempts:      maxAttempts,
 			DrainGrace:       never, // the trial knows itself when a drain counts as told
 			AnswerTolerance:  (lateAnswer + timeTolerance).Microseconds(),
 			AbandonTolerance: abandonTolerance.Microseconds(),
 			TimeTolerance:    timeTolerance.Microseconds(),
 		}),
-		random: rand.New(rand.NewPCG(p.Seed, randomStream)),
+		random: rand.New(rand.NewPCG(drawn.Seed, randomStream)),
 	}
 	w.timeline = newTimeline(w.started)
 	w.callers = newCallers(w)
