A rejection names the wait where a site's callers respect one

Callers dialled again at once. The front now writes fields.wait, in whole milliseconds, on releases with cause 34, 42 and 102 where caps.retry_after is set; elsewhere the bytes are as before. TestFinal_RejectionNamesTheWait failed before (no field).

--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -58,6 +58,7 @@
 	ReportNames    []string // every field of load reports, in order (settings.stats.names)
 	ConnectTimeout int64    // microseconds
 	MaxRetryAfter  int64    // microseconds, the longest wait that a caller is given
+	RetryAfter     bool     // callers respect the wait that a rejection names
 	Classes        []string
 	Tenants        []string
 	UnknownKeys    []string // paths of keys that this program does not know
@@ -152,6 +153,7 @@
 		defaultConnectTimeout, minConnectTimeout, maxConnectTimeout)) / nanosPerMicro
 	c.MaxRetryAfter = int64(r.number("settings.caps.max_retry_after",
 		defaultMaxRetryAfter, 0, maxNanoseconds)) / nanosPerMicro
+	c.RetryAfter = r.root.Get("settings.caps.retry_after").Bool()
 	c.readClasses(r)
 	for i := range r.list("settings.realms", false) {
 		c.Tenants = append(c.Tenants, r.text(fmt.Sprintf("settings.realms.%d.name", i), true))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -172,6 +172,7 @@
 		Clock:            d.clock,
 		MaxConnections:   limits.callers,
 		Tenants:          d.cfg.Tenants,
+		RetryAfter:       d.cfg.RetryAfter,
 		Lifecycle:        d.lifecycle,
 		Ready:            d.ready,
 		ReleaseUnmatched: d.pools.ReleaseUnmatched,
--- a/internal/frontend/jsonlines/calls_test.go
+++ b/internal/frontend/jsonlines/calls_test.go
@@ -1,6 +1,7 @@
 package jsonlines
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -74,3 +75,26 @@
 		}
 	})
 }
+
+// Where callers respect a wait, a rejection names one; nothing did, and they dialled again at once.
+func TestFinal_RejectionNamesTheWait(t *testing.T) {
+	for _, test := range []struct {
+		respected bool
+		fields    string
+	}{
+		{false, `"fields":{}`},
+		{true, `"fields":{"wait":"2000"}`}, // the longest, as the set-up is aborted
+	} {
+		bubble(t, func(r *rig) {
+			r.cfg.RetryAfter = test.respected
+			r.inviter.setOutcome(dispatch.TimedOut)
+			caller := r.dial()
+			caller.say(setup)
+			r.cfg.Calls.AbortPending()
+			lines, _ := caller.take()
+			if text := strings.Join(lines, ""); !strings.Contains(text, test.fields+`,"cause":42`) || len(lines) != 1 {
+				t.Errorf("respected: %t, got %q", test.respected, lines)
+			}
+		})
+	}
+}
--- a/internal/frontend/jsonlines/conn.go
+++ b/internal/frontend/jsonlines/conn.go
@@ -16,6 +16,8 @@
 // maxTracedBytes is how much of a line the debug log shows.
 const maxTracedBytes = 70
 
+const microsPerMilli = 1000
+
 // lateLineMicros is how long a connection that an emptied controller accepts may be without a complete line.
 const lateLineMicros = 500_000
 
@@ -156,8 +158,8 @@
 	c.close(closeInvalidInput)
 }
 
-// Final implements dispatch.CallerConn. The platform's wire has no place for Retry-After. A call that may have run and
-// must not be repeated gets a cause that does not say that a retry is harmless.
+// Final implements dispatch.CallerConn. A call that may have run and must not be repeated gets a cause that does not
+// say that a retry is harmless.
 func (c *conn) Final(id string, final dispatch.Final) bool {
 	switch {
 	case final.Kind == dispatch.FinalEstablished:
@@ -169,11 +171,21 @@
 	case final.Kind == dispatch.FinalFailed && final.MayHaveRun:
 		return c.sendRelease(id, causeFailed)
 	case final.Kind == dispatch.FinalFailed:
-		return c.sendRelease(id, causeRecoveryOnTimer)
+		return c.sendRejection(id, causeRecoveryOnTimer, final.RetryAfter)
 	case final.NoAgentFree:
-		return c.sendRelease(id, causeNoCircuit)
+		return c.sendRejection(id, causeNoCircuit, final.RetryAfter)
+	}
+	return c.sendRejection(id, causeCongestion, final.RetryAfter)
+}
+
+// sendRejection queues the final answer of a set-up that may be sent again. Where the site's callers respect a wait, it
+// says how long they are to stay away, in µs.
+func (c *conn) sendRejection(id string, cause int, retryAfter int64) bool {
+	if !c.server.cfg.RetryAfter || retryAfter <= 0 {
+		return c.sendRelease(id, cause)
 	}
-	return c.sendRelease(id, causeCongestion)
+	waitMillis := (retryAfter + microsPerMilli - 1) / microsPerMilli
+	return c.send(queuedLine{bytes: linecodec.AppendRejection(nil, id, cause, waitMillis)})
 }
 
 // CallEnded implements dispatch.CallerConn.
--- a/internal/frontend/jsonlines/server.go
+++ b/internal/frontend/jsonlines/server.go
@@ -37,6 +37,8 @@
 	Clock dispatch.Clock
 	// Tenants are the names that a set-up may have; none: any.
 	Tenants []string
+	// RetryAfter: callers respect the wait that a rejection names.
+	RetryAfter bool
 	// MaxConnections bounds the callers' connections.
 	MaxConnections int
 	// Lifecycle is the state of the controller; nil: one of the server's own, that serves.
--- a/internal/frontend/linecodec/writer.go
+++ b/internal/frontend/linecodec/writer.go
@@ -24,6 +24,17 @@
 	return append(b, "}\n"...)
 }
 
+// AppendRejection appends a release that asks the caller to stay away for so many milliseconds.
+func AppendRejection(b []byte, id string, cause int, waitMillis int64) []byte {
+	b = append(b, `{"type":"release","id":`...)
+	b = AppendString(b, id)
+	b = append(b, `,"fields":{"wait":"`...)
+	b = strconv.AppendInt(b, waitMillis, 10)
+	b = append(b, `"},"cause":`...)
+	b = strconv.AppendInt(b, int64(cause), 10)
+	return append(b, "}\n"...)
+}
+
 // AppendBare appends a line that has neither cause nor description.
 func AppendBare(b []byte, messageType, id string) []byte {
 	return append(appendHead(b, messageType, id), "}\n"...)
