--- a/internal/trial/callers.go
+++ b/internal/trial/callers.go
@@ -39,15 +39,16 @@
 
 // setup is one call of a caller.
 type setup struct {
-	id      string
-	class   plan.Class
-	line    []byte
-	conn    *clientConn
-	sentAt  time.Time // the last byte
-	state   setupState
-	resent  bool
-	patient bool
-	answer  string // the description of the answer
+	id       string
+	class    plan.Class
+	line     []byte
+	conn     *clientConn
+	sentAt   time.Time // the last byte
+	state    setupState
+	resent   bool
+	accepted bool // its last byte was written once
+	patient  bool
+	answer   string // the description of the answer
 }
 
 // callers are the good callers of a trial, over all processes.
--- a/internal/trial/clientconn.go
+++ b/internal/trial/clientconn.go
@@ -104,9 +104,11 @@
 	now := w.now()
 	c.callers.mu.Lock()
 	placed.sentAt = time.Now()
+	first := !placed.accepted
+	placed.accepted = true
 	c.callers.mu.Unlock()
 	w.timeline.add("callers", fmt.Sprintf("setup %s to %s on %s", placed.id, c.life, c.name))
-	if !placed.resent {
+	if first {
 		w.checker.CallAccepted(now, placed.id, now+placed.class.Deadline.Microseconds())
 	}
 	w.checker.SetupOpened(now, c.name, placed.id)
