--- a/internal/invariant/duties_test.go
+++ b/internal/invariant/duties_test.go
@@ -95,6 +95,21 @@
 				c.CheckEmptied(4_050_001, "n")
 			},
 		},
+		"a drained process refuses at once on a connection that it keeps": {
+			RuleDrainedEmpty,
+			func(c *Checker) {
+				c.ConnectionOpened("c", "n")
+				c.DrainCalled(1, "n")
+				c.SetupOpened(4_100_000, "c", "a")
+				c.CheckEmptied(4_150_000, "n")
+			},
+			func(c *Checker) {
+				c.ConnectionOpened("c", "n")
+				c.DrainCalled(1, "n")
+				c.SetupOpened(4_100_000, "c", "a")
+				c.CheckEmptied(4_150_001, "n")
+			},
+		},
 		"a drained process keeps the connection of a call that stands": {
 			RuleDrainedEmpty,
 			func(c *Checker) {
