--- a/internal/trial/callers.go
+++ b/internal/trial/callers.go
@@ -157,11 +157,8 @@
 // send writes a set-up on a connection, and has its caller wait.
 func (c *callers) send(ctx context.Context, placed *setup, conn *clientConn) {
 	if !conn.begin(placed, c.isSlow()) {
-		c.world.timeline.add("callers", fmt.Sprintf("%s not written to %s", placed.id, conn.life))
-		if placed.resent {
-			c.abandon(placed)
-		}
-		return // the connection was closed while it was written: it was not taken
+		c.sendAgain(ctx, placed, conn.name) // the connection was closed while it was written
+		return
 	}
 	wait := placed.class.Deadline
 	switch {
@@ -174,6 +171,24 @@
 	context.AfterFunc(ctx, func() { timer.Stop() })
 }
 
+// sendAgain sends a set-up that crossed the end of its connection on another one, once.
+func (c *callers) sendAgain(ctx context.Context, placed *setup, from string) {
+	c.mu.Lock()
+	again := !placed.resent && placed.state == setupWaiting
+	placed.resent = true
+	c.mu.Unlock()
+	var conn *clientConn
+	if again {
+		c.world.timeline.add("callers", fmt.Sprintf("%s crossed the end of %s, is sent again", placed.id, from))
+		conn = c.pick(ctx, false)
+	}
+	if conn == nil {
+		c.abandon(placed)
+		return
+	}
+	c.send(ctx, placed, conn)
+}
+
 // maxEarlyLeave bounds how soon a caller leaves that leaves early.
 const maxEarlyLeave = 400 * time.Millisecond
 
--- a/internal/trial/clientconn.go
+++ b/internal/trial/clientconn.go
@@ -90,7 +90,6 @@
 	}
 	c.taken(placed)
 	if _, err := c.raw.Write(rest); err != nil {
-		c.callers.world.checker.CallerGone(c.callers.world.now(), placed.id)
 		c.callers.world.checker.SetupSettled(c.name, placed.id, false)
 		c.forget(placed.id)
 		return false
@@ -307,20 +306,19 @@
 	w := c.callers.world
 	time.Sleep(settleExit) // the end of the process shows
 	over, killed, stopped := c.process.ended(c.life)
+	c.callers.mu.Lock()
+	resent, elsewhere := placed.resent, placed.conn != c || placed.state != setupWaiting
+	c.callers.mu.Unlock()
+	if elsewhere { // it was sent again already, or nobody waits for it
+		return
+	}
 	c.counts.excuse(placed.class.Name)
 	age := at.Sub(placed.sentAt)
 	switch {
 	case over && killed && (stopped.IsZero() || placed.sentAt.Sub(stopped) <= killDelay):
 		c.callers.abandon(placed)
-	case !placed.resent && age <= crossing+timeTolerance:
-		placed.resent = true
-		w.timeline.add("callers", fmt.Sprintf("%s crossed the end of %s, is sent again", placed.id, c.name))
-		conn := c.callers.pick(context.Background(), false)
-		if conn == nil {
-			c.callers.abandon(placed)
-			return
-		}
-		c.callers.send(context.Background(), placed, conn)
+	case !resent && age <= crossing+timeTolerance:
+		c.callers.sendAgain(context.Background(), placed, c.name)
 	default:
 		w.checker.AnswerLost(w.now(), placed.id,
 			fmt.Sprintf("%s ended %.3f s after the set-up: %v", c.name, age.Seconds(), err))
