--- a/cmd/eidertrail-lab/trial.go
+++ b/cmd/eidertrail-lab/trial.go
@@ -54,7 +54,7 @@
 	cmd.Flags().StringVar(&flags.faults, "faults", "", "kinds of faults, with commas between; none: all")
 	cmd.Flags().IntVar(&flags.parallel, "parallel", flags.parallel, "trials at a time")
 	cmd.Flags().BoolVar(&flags.shrink, "shrink", false, "take faults out of broken trials while the rule still breaks")
-	cmd.Flags().IntVar(&flags.plays, "plays", flags.plays, "how often a shrunk trial is played before it counts as kept")
+	cmd.Flags().IntVar(&flags.plays, "plays", flags.plays, "how often a shrunk trial is played before it counts as passed")
 	cmd.Flags().BoolVar(&flags.asJSON, "json", false, "write a JSON line for each trial")
 	return cmd
 }
@@ -80,7 +80,7 @@
 	err = trial.PlayAll(ctx, seeds, options, func(result *trial.Result) {
 		played++
 		f.report(out, result, fmt.Sprintf("%d/%d", played, len(seeds)))
-		if result.Verdict() != trial.Kept {
+		if result.Verdict() != trial.Passed {
 			broken = append(broken, result)
 		}
 	})
@@ -154,11 +154,11 @@
 	for _, fault := range result.Plan.Faults {
 		fmt.Fprintf(&text, "  fault: %s\n", fault)
 	}
-	again := fmt.Sprintf("eidertrail-lab trial --seeds %d", result.Plan.Seed)
+	replay := fmt.Sprintf("eidertrail-lab trial --seeds %d", result.Plan.Seed)
 	if f.faults != "" {
-		again += " --faults " + f.faults
+		replay += " --faults " + f.faults
 	}
-	fmt.Fprintf(&text, "  again: %s\n  logs: %s\n\n%s", again,
+	fmt.Fprintf(&text, "  replay: %s\n  logs: %s\n\n%s", replay,
 		filepath.Join(options.Folder, fmt.Sprintf("seed-%d", result.Plan.Seed)), result.Timeline)
 	write(out, text.String())
 	return nil
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -239,7 +239,7 @@
 	}
 	d.goroutines.Go(func() { d.dispatcher.Run(loop) })
 	d.startSources(pools, files.discovery)
-	d.goroutines.Go(func() { d.sendClientsAway(pools) })
+	d.goroutines.Go(func() { d.drainClients(pools) })
 	d.goroutines.Go(func() { d.listenerFailed <- d.callers.Serve(d.listener) })
 }
 
--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -37,8 +37,8 @@
 	}
 }
 
-// sendClientsAway closes clients' connections during each drain that an operator calls for, until ctx is done.
-func (d *Daemon) sendClientsAway(ctx context.Context) {
+// drainClients closes clients' connections during each drain that an operator calls for, until ctx is done.
+func (d *Daemon) drainClients(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -46,9 +46,9 @@
 		case <-d.drains:
 		}
 		if d.sockets != nil {
-			d.goroutines.Go(func() { d.sockets.SendAway(ctx) })
+			d.goroutines.Go(func() { d.sockets.DrainConnections(ctx) })
 		}
-		d.callers.SendAway(ctx)
+		d.callers.DrainConnections(ctx)
 	}
 }
 
--- a/internal/frontend/control/handler.go
+++ b/internal/frontend/control/handler.go
@@ -67,9 +67,9 @@
 	status := http.StatusOK
 	if err := h.answer(w, r); err != nil {
 		status = http.StatusServiceUnavailable
-		var refused *callError
-		if errors.As(err, &refused) {
-			status = refused.status
+		var rejected *callError
+		if errors.As(err, &rejected) {
+			status = rejected.status
 		}
 		w.WriteHeader(status)
 		writeLine(w, err.Error())
--- a/internal/frontend/jsonlines/lame_duck_test.go
+++ b/internal/frontend/jsonlines/lame_duck_test.go
@@ -27,7 +27,7 @@
 	}
 	ended := make(chan struct{})
 	go func() {
-		r.SendAway(context.Background())
+		r.DrainConnections(context.Background())
 		close(ended)
 	}()
 	return func() {
@@ -85,7 +85,7 @@
 		time.Sleep(3 * lookAfterDrain)
 		r.inviter.first().end(dispatch.Ended, dispatch.CauseNormal)
 		synctest.Wait()
-		time.Sleep(sendAwayInterval)
+		time.Sleep(drainConnectionsInterval)
 		if lines, ended := caller.take(); len(lines) != 1 || lines[0] != release16 || !ended {
 			t.Errorf("got %q, closed: %t", lines, ended)
 		}
@@ -127,7 +127,7 @@
 			write(slow, line[n*len(line)/20:(n+1)*len(line)/20])
 			time.Sleep(100 * time.Millisecond)
 		}
-		time.Sleep(sendAwayInterval)
+		time.Sleep(drainConnectionsInterval)
 		lines, ended := slow.take()
 		if len(lines) != 1 || !strings.Contains(lines[0], callID) || !ended {
 			t.Errorf("got %q, closed: %t", lines, ended)
--- a/internal/frontend/jsonlines/server.go
+++ b/internal/frontend/jsonlines/server.go
@@ -27,8 +27,8 @@
 	acceptRetryDelay = 5 * time.Millisecond
 	// drainPollInterval is how often Drain looks whether connections are left.
 	drainPollInterval = 2 * time.Millisecond
-	// sendAwayInterval is how often SendAway looks for connections that may be closed.
-	sendAwayInterval = 20 * time.Millisecond
+	// drainConnectionsInterval is how often DrainConnections looks for connections that may be closed.
+	drainConnectionsInterval = 20 * time.Millisecond
 )
 
 // Config is what a Server is made with.
@@ -155,16 +155,16 @@
 	}
 }
 
-// SendAway closes the connections of a controller that an operator empties, each as soon as the schedule of the drain
-// allows, until the drain ends or ctx is done. The listener stays open: whoever asks is told that the controller is not
-// ready.
-func (s *Server) SendAway(ctx context.Context) {
+// DrainConnections closes the connections of a controller that an operator empties, each as soon as the schedule of
+// the drain allows, until the drain ends or ctx is done. The listener stays open: whoever asks is told that the
+// controller is not ready.
+func (s *Server) DrainConnections(ctx context.Context) {
 	for s.lifecycle.State() == lifecycle.LameDuck {
 		s.closeDrained()
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(sendAwayInterval):
+		case <-time.After(drainConnectionsInterval):
 		}
 	}
 }
--- a/internal/frontend/websocket/server.go
+++ b/internal/frontend/websocket/server.go
@@ -27,8 +27,8 @@
 	retryAfterMicros = 1_000_000
 	// retryAfterHeader is how many seconds a client is asked to wait when there is no place for its socket.
 	retryAfterHeader = "1"
-	// sendAwayInterval is how often SendAway looks for sockets that may be closed.
-	sendAwayInterval = 20 * time.Millisecond
+	// drainConnectionsInterval is how often DrainConnections looks for sockets that may be closed.
+	drainConnectionsInterval = 20 * time.Millisecond
 )
 
 // Config is what a Server is made with.
@@ -156,9 +156,9 @@
 	defer s.mu.Unlock()
 }
 
-// SendAway closes the sockets of a controller that an operator empties with 1001, each as soon as the schedule of the
-// drain allows and no set-up on it is open, until the drain ends or ctx is done.
-func (s *Server) SendAway(ctx context.Context) {
+// DrainConnections closes the sockets of a controller that an operator empties with 1001, each as soon as the
+// schedule of the drain allows and no set-up on it is open, until the drain ends or ctx is done.
+func (s *Server) DrainConnections(ctx context.Context) {
 	for s.cfg.Lifecycle.State() == lifecycle.LameDuck {
 		if s.cfg.Lifecycle.Status().ClosesConnections(s.cfg.Dispatcher.Now()) {
 			s.closeRetired()
@@ -166,7 +166,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(sendAwayInterval):
+		case <-time.After(drainConnectionsInterval):
 		}
 	}
 }
--- a/internal/invariant/checker.go
+++ b/internal/invariant/checker.go
@@ -51,7 +51,7 @@
 	violationCount int
 	accepted       int
 	abandoned      AbandonedRequests
-	over           map[string]*standingCall
+	endedCalls     map[string]*endedCall
 	processes      map[string]*processView
 	connections    map[string]*connectionView
 }
@@ -89,7 +89,7 @@
 		calls:       map[string]*call{},
 		closedSince: map[endpointView]int64{},
 		slowStart:   newSlowStartTracker(config.SlowStart),
-		over:        map[string]*standingCall{},
+		endedCalls:  map[string]*endedCall{},
 		processes:   map[string]*processView{},
 		connections: map[string]*connectionView{},
 	}
--- a/internal/invariant/duties_test.go
+++ b/internal/invariant/duties_test.go
@@ -15,7 +15,7 @@
 	return map[string]dutyCase{
 		"a connection ends with an open set-up": {
 			RuleNotLost,
-			func(c *Checker) { c.CallAccepted(1, "a", 9); c.CallAnswered(2, "a", "stands") },
+			func(c *Checker) { c.CallAccepted(1, "a", 9); c.CallAnswered(2, "a", "established") },
 			func(c *Checker) { c.CallAccepted(1, "a", 9); c.AnswerLost(2, "a", "reset") },
 		},
 		"an answer is made up": {
@@ -24,59 +24,67 @@
 			func(c *Checker) { c.AnswerForged(2, "a") },
 		},
 		"an end is told 1 s after the release": {
-			RuleEndTold,
-			func(c *Checker) { c.CallOver(0, "a"); c.CallReleased(5, "a"); c.EndTold(1_050_005, "a") },
-			func(c *Checker) { c.CallOver(0, "a"); c.CallReleased(5, "a"); c.EndTold(1_050_006, "a") },
+			RuleEndNotified,
+			func(c *Checker) { c.CallEnded(0, "a"); c.CallReleased(5, "a"); c.EndNotified(1_050_005, "a") },
+			func(c *Checker) { c.CallEnded(0, "a"); c.CallReleased(5, "a"); c.EndNotified(1_050_006, "a") },
 		},
 		"an end without a release is told after 8 s": {
-			RuleEndTold,
-			func(c *Checker) { c.CallOver(0, "a"); c.CheckEndsTold(8_050_000); c.EndTold(8_050_000, "a") },
-			func(c *Checker) { c.CallOver(0, "a"); c.CheckEndsTold(8_050_001) },
+			RuleEndNotified,
+			func(c *Checker) { c.CallEnded(0, "a"); c.CheckEndsNotified(8_050_000); c.EndNotified(8_050_000, "a") },
+			func(c *Checker) { c.CallEnded(0, "a"); c.CheckEndsNotified(8_050_001) },
 		},
 		"an end that nobody is owed": {
-			RuleEndTold,
-			func(c *Checker) { c.CallOver(0, "a"); c.EndExcused("a"); c.CheckEndsTold(9_000_000) },
-			func(c *Checker) { c.CallOver(0, "a"); c.EndExcused("b"); c.CheckEndsTold(9_000_000) },
+			RuleEndNotified,
+			func(c *Checker) { c.CallEnded(0, "a"); c.EndExcused("a"); c.CheckEndsNotified(9_000_000) },
+			func(c *Checker) { c.CallEnded(0, "a"); c.EndExcused("b"); c.CheckEndsNotified(9_000_000) },
 		},
 		"a drained process says ready": {
 			RuleDrainedNotReady,
-			func(c *Checker) { c.DrainCalled(1, "n"); c.ReadinessTold(9, 60_000, "n", false) },
-			func(c *Checker) { c.DrainCalled(1, "n"); c.ReadinessTold(9, 60_000, "n", true) },
+			func(c *Checker) { c.DrainStarted(1, "n"); c.ReadinessReported(9, 60_000, "n", false) },
+			func(c *Checker) { c.DrainStarted(1, "n"); c.ReadinessReported(9, 60_000, "n", true) },
 		},
 		"a question that crossed the call to drain": {
 			RuleDrainedNotReady,
-			func(c *Checker) { c.DrainCalled(100_000, "n"); c.ReadinessTold(200_000, 99_000, "n", true) },
-			func(c *Checker) { c.DrainCalled(100_000, "n"); c.ReadinessTold(200_000, 190_000, "n", true) },
+			func(c *Checker) { c.DrainStarted(100_000, "n"); c.ReadinessReported(200_000, 99_000, "n", true) },
+			func(c *Checker) { c.DrainStarted(100_000, "n"); c.ReadinessReported(200_000, 190_000, "n", true) },
 		},
 		"a drain that has ended": {
 			RuleDrainedNotReady,
-			func(c *Checker) { c.DrainCalled(1, "n"); c.DrainEnded(2, "n"); c.ReadinessTold(9, 100_000, "n", true) },
-			func(c *Checker) { c.DrainCalled(1, "n"); c.DrainEnded(2, "m"); c.ReadinessTold(9, 100_000, "n", true) },
+			func(c *Checker) {
+				c.DrainStarted(1, "n")
+				c.DrainEnded(2, "n")
+				c.ReadinessReported(9, 100_000, "n", true)
+			},
+			func(c *Checker) {
+				c.DrainStarted(1, "n")
+				c.DrainEnded(2, "m")
+				c.ReadinessReported(9, 100_000, "n", true)
+			},
 		},
 		"a process is not ready after its drain": {
 			RuleResumed,
 			func(c *Checker) {
-				c.DrainCalled(1, "n")
+				c.DrainStarted(1, "n")
 				c.DrainEnded(2, "n")
-				c.ReadinessTold(9, 2_050_002, "n", false)
+				c.ReadinessReported(9, 2_050_002, "n", false)
 			},
 			func(c *Checker) {
-				c.DrainCalled(1, "n")
+				c.DrainStarted(1, "n")
 				c.DrainEnded(2, "n")
-				c.ReadinessTold(9, 2_050_003, "n", false)
+				c.ReadinessReported(9, 2_050_003, "n", false)
 			},
 		},
 		"a drained process holds an idle connection": {
 			RuleDrainedEmpty,
 			func(c *Checker) {
 				c.ConnectionOpened(1, "c", "n")
-				c.DrainCalled(1, "n")
+				c.DrainStarted(1, "n")
 				c.ConnectionClosed("c")
 				c.CheckEmptied(4_050_001, "n")
 			},
 			func(c *Checker) {
 				c.ConnectionOpened(1, "c", "n")
-				c.DrainCalled(1, "n")
+				c.DrainStarted(1, "n")
 				c.CheckEmptied(4_050_001, "n")
 			},
 		},
@@ -84,13 +92,13 @@
 			RuleDrainedEmpty,
 			func(c *Checker) {
 				c.ConnectionOpened(1, "c", "n")
-				c.DrainCalled(1, "n")
+				c.DrainStarted(1, "n")
 				c.SetupOpened(2_000_000, "c", "a")
 				c.CheckEmptied(4_050_001, "n")
 			},
 			func(c *Checker) {
 				c.ConnectionOpened(1, "c", "n")
-				c.DrainCalled(1, "n")
+				c.DrainStarted(1, "n")
 				c.SetupOpened(2_200_000, "c", "a")
 				c.CheckEmptied(4_050_001, "n")
 			},
@@ -101,7 +109,7 @@
 				c.ConnectionOpened(1, "c", "n")
 				c.SetupOpened(1, "c", "a")
 				c.SetupSettled(2, "c", "a", true)
-				c.DrainCalled(1, "n")
+				c.DrainStarted(1, "n")
 				c.CallCleared(5_000_000, "c", "a")
 				c.CheckEmptied(5_050_000, "n")
 			},
@@ -109,7 +117,7 @@
 				c.ConnectionOpened(1, "c", "n")
 				c.SetupOpened(1, "c", "a")
 				c.SetupSettled(2, "c", "a", true)
-				c.DrainCalled(1, "n")
+				c.DrainStarted(1, "n")
 				c.CallCleared(5_000_000, "c", "a")
 				c.CheckEmptied(5_050_001, "n")
 			},
@@ -118,31 +126,31 @@
 			RuleDrainedEmpty,
 			func(c *Checker) {
 				c.ConnectionOpened(1, "c", "n")
-				c.DrainCalled(1, "n")
+				c.DrainStarted(1, "n")
 				c.SetupOpened(4_100_000, "c", "a")
 				c.CheckEmptied(4_150_000, "n")
 			},
 			func(c *Checker) {
 				c.ConnectionOpened(1, "c", "n")
-				c.DrainCalled(1, "n")
+				c.DrainStarted(1, "n")
 				c.SetupOpened(4_100_000, "c", "a")
 				c.CheckEmptied(4_150_001, "n")
 			},
 		},
-		"a drained process keeps the connection of a call that stands": {
+		"a drained process keeps the connection of an established call": {
 			RuleDrainedEmpty,
 			func(c *Checker) {
 				c.ConnectionOpened(1, "c", "n")
 				c.SetupOpened(1, "c", "a")
 				c.SetupSettled(2, "c", "a", true)
-				c.DrainCalled(1, "n")
+				c.DrainStarted(1, "n")
 				c.CheckEmptied(4_050_001, "n")
 			},
 			func(c *Checker) {
 				c.ConnectionOpened(1, "c", "n")
 				c.SetupOpened(1, "c", "a")
 				c.SetupSettled(2, "c", "a", true)
-				c.DrainCalled(1, "n")
+				c.DrainStarted(1, "n")
 				c.CallCleared(3_900_000, "c", "a")
 				c.CheckEmptied(4_050_001, "n")
 			},
--- a/internal/invariant/standing.go
+++ b/internal/invariant/ends.go
@@ -4,22 +4,23 @@
 
 // The times within which a caller is told that its call is over, µs.
 const (
-	// toldAfterRelease counts from the release by the pool, toldAfterEnd from the call's end where no release was sent.
-	toldAfterRelease, toldAfterEnd = 1_000_000, 8_000_000
+	// notifyAfterRelease counts from the release by the pool, notifyAfterEnd from the call's end where no release was
+	// sent.
+	notifyAfterRelease, notifyAfterEnd = 1_000_000, 8_000_000
 )
 
-// standingCall is a call that was answered and has ended, and whose caller is to be told.
-type standingCall struct {
+// endedCall is a call that was answered and has ended, and whose caller is to be told.
+type endedCall struct {
 	endedAt    int64
 	releasedAt int64 // the pool's release has reached the controller, 0: it has not
 }
 
-// CallOver records the end of an established call at its pool. Without a caller to be told it is not recorded.
-func (c *Checker) CallOver(now int64, id string) {
+// CallEnded records the end of an established call at its pool. Without a caller to be told it is not recorded.
+func (c *Checker) CallEnded(now int64, id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.over[id] == nil {
-		c.over[id] = &standingCall{endedAt: now}
+	if c.endedCalls[id] == nil {
+		c.endedCalls[id] = &endedCall{endedAt: now}
 	}
 }
 
@@ -27,54 +28,54 @@
 func (c *Checker) CallReleased(now int64, id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if over := c.over[id]; over != nil && over.releasedAt == 0 {
-		over.releasedAt = now
+	if ended := c.endedCalls[id]; ended != nil && ended.releasedAt == 0 {
+		ended.releasedAt = now
 	}
 }
 
-// EndTold records that the caller was told of its call's end.
-func (c *Checker) EndTold(now int64, id string) {
+// EndNotified records that the caller was told of its call's end.
+func (c *Checker) EndNotified(now int64, id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if over := c.over[id]; over != nil {
-		c.report(c.checkToldInTime(now, id, over))
+	if ended := c.endedCalls[id]; ended != nil {
+		c.report(c.checkNotifiedInTime(now, id, ended))
 	}
-	delete(c.over, id)
+	delete(c.endedCalls, id)
 }
 
 // EndExcused records that nobody is owed the end of a call: its process has ended, or its caller is not reachable.
 func (c *Checker) EndExcused(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.over, id)
+	delete(c.endedCalls, id)
 }
 
-// CheckEndsTold checks the calls whose callers were not told yet. A call that was reported is not checked again.
-func (c *Checker) CheckEndsTold(now int64) {
+// CheckEndsNotified checks the calls whose callers were not told yet. A call that was reported is not checked again.
+func (c *Checker) CheckEndsNotified(now int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	ids := make([]string, 0, len(c.over))
-	for id := range c.over {
+	ids := make([]string, 0, len(c.endedCalls))
+	for id := range c.endedCalls {
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
-		if violation := c.checkToldInTime(now, id, c.over[id]); violation != nil {
+		if violation := c.checkNotifiedInTime(now, id, c.endedCalls[id]); violation != nil {
 			c.report(violation)
-			delete(c.over, id)
+			delete(c.endedCalls, id)
 		}
 	}
 }
 
-func (c *Checker) checkToldInTime(now int64, id string, over *standingCall) *Violation {
-	due := over.endedAt + toldAfterEnd
-	if over.releasedAt != 0 {
-		due = min(due, over.releasedAt+toldAfterRelease)
+func (c *Checker) checkNotifiedInTime(now int64, id string, ended *endedCall) *Violation {
+	due := ended.endedAt + notifyAfterEnd
+	if ended.releasedAt != 0 {
+		due = min(due, ended.releasedAt+notifyAfterRelease)
 	}
 	if now <= due+c.config.TimeTolerance {
 		return nil
 	}
-	return violated(RuleEndTold, now, id, "the caller was not told %.2f s after the call's end", seconds(now-over.endedAt))
+	return violated(RuleEndNotified, now, id, "the caller was not told %.2f s after the call's end", seconds(now-ended.endedAt))
 }
 
 // AnswerLost records an accepted call whose connection ended without its answer.
--- a/internal/invariant/lameduck.go
+++ b/internal/invariant/lameduck.go
@@ -16,16 +16,16 @@
 
 // connectionView is what the checker knows of a client's connection.
 type connectionView struct {
-	process  string
-	setups   map[string]int64 // open set-ups by id, with the times of their last bytes
-	standing map[string]bool  // established calls that it set up
+	process     string
+	setups      map[string]int64 // open set-ups by id, with the times of their last bytes
+	established map[string]bool  // established calls that it set up
 
 	unusedSince int64 // while it has neither
 }
 
 // touch notes whether the connection has set-ups or calls now.
 func (v *connectionView) touch(now int64) {
-	if len(v.setups)+len(v.standing) > 0 {
+	if len(v.setups)+len(v.established) > 0 {
 		v.unusedSince = 0
 	} else if v.unusedSince == 0 {
 		v.unusedSince = now
@@ -42,8 +42,8 @@
 	return p
 }
 
-// DrainCalled records that a process has answered an operator's call to drain with yes.
-func (c *Checker) DrainCalled(now int64, process string) {
+// DrainStarted records that a process has answered an operator's call to drain with yes.
+func (c *Checker) DrainStarted(now int64, process string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.process(process)
@@ -76,20 +76,20 @@
 	}
 }
 
-// ReadinessTold records the answer to a question, asked at that time, whether a process is ready.
-func (c *Checker) ReadinessTold(now, askedAt int64, process string, ready bool) {
+// ReadinessReported records the answer to a question, asked at that time, whether a process is ready.
+func (c *Checker) ReadinessReported(now, requestedAt int64, process string, ready bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.process(process)
 	switch {
-	case ready && p.drainedSince != 0 && askedAt > p.drainedSince+c.config.TimeTolerance:
+	case ready && p.drainedSince != 0 && requestedAt > p.drainedSince+c.config.TimeTolerance:
 		c.report(violated(RuleDrainedNotReady, now, process,
-			"ready %.2f s after the call to drain", seconds(askedAt-p.drainedSince)))
+			"ready %.2f s after the call to drain", seconds(requestedAt-p.drainedSince)))
 	case ready:
 		p.resumedAt = 0
-	case p.resumedAt != 0 && askedAt > p.resumedAt+resumeTimeout+c.config.TimeTolerance:
+	case p.resumedAt != 0 && requestedAt > p.resumedAt+resumeTimeout+c.config.TimeTolerance:
 		c.report(violated(RuleResumed, now, process,
-			"not ready %.2f s after the drain", seconds(askedAt-p.resumedAt)))
+			"not ready %.2f s after the drain", seconds(requestedAt-p.resumedAt)))
 		p.resumedAt = 0
 	}
 }
@@ -99,9 +99,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.connections[connection] = &connectionView{
-		process:  process,
-		setups:   map[string]int64{},
-		standing: map[string]bool{},
+		process:     process,
+		setups:      map[string]int64{},
+		established: map[string]bool{},
 
 		unusedSince: now,
 	}
@@ -124,32 +124,33 @@
 	}
 }
 
-// SetupSettled records that a set-up on a connection is open no more, and whether its call stands.
-func (c *Checker) SetupSettled(now int64, connection, id string, stands bool) {
+// SetupSettled records that a set-up on a connection is open no more, and whether its call is established.
+func (c *Checker) SetupSettled(now int64, connection, id string, established bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if view := c.connections[connection]; view != nil {
 		delete(view.setups, id)
-		if stands {
-			view.standing[id] = true
+		if established {
+			view.established[id] = true
 		}
 		view.touch(now)
 	}
 }
 
-// CallCleared records that a call that a connection set up stands no more.
+// CallCleared records that a call that a connection set up is established no more.
 func (c *Checker) CallCleared(now int64, connection, id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if view := c.connections[connection]; view != nil {
-		delete(view.standing, id)
+		delete(view.established, id)
 		view.touch(now)
 	}
 }
 
 // CheckEmptied checks the connections of a process that is drained for emptyTimeout or longer. A connection counts as
-// idle, and a set-up as carried, for longer than the tolerance: callers go on sending on a connection that stays open for
-// a call that stands, a set-up that is refused at once is open for a moment, and so is a connection whose last call ends.
+// idle, and a set-up as carried, for longer than the tolerance: callers go on sending on a connection that stays open
+// for an established call, a set-up that is refused at once is open for a moment, and so is a connection whose last
+// call ends.
 func (c *Checker) CheckEmptied(now int64, process string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/invariant/process.go
+++ b/internal/invariant/process.go
@@ -73,8 +73,8 @@
 // Reading is a figure that a process told, beside the least and the most that it can have been by what others counted.
 type Reading struct {
 	Name           string
-	Told           int64
-	Least, Most    int64
+	Reported       int64
+	Min, Max       int64
 	ToleratedPart  float64 // of the value
 	ToleratedUnits int64   // or this, whichever is more
 }
@@ -84,7 +84,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	tolerated := func(value int64) int64 { return max(r.ToleratedUnits, int64(r.ToleratedPart*float64(value))) }
-	if r.Told < r.Least-tolerated(r.Least) || r.Told > r.Most+tolerated(r.Most) {
-		c.report(violated(RuleFigures, now, process, "%s is %d, counted were %d to %d", r.Name, r.Told, r.Least, r.Most))
+	if r.Reported < r.Min-tolerated(r.Min) || r.Reported > r.Max+tolerated(r.Max) {
+		c.report(violated(RuleFigures, now, process, "%s is %d, counted were %d to %d", r.Name, r.Reported, r.Min, r.Max))
 	}
 }
--- a/internal/invariant/violation.go
+++ b/internal/invariant/violation.go
@@ -23,7 +23,7 @@
 	RuleAnswered                     // every call gets a final answer
 	RuleNotLost                      // no connection ends with a call on it that was accepted and has no answer
 	RuleNotForged                    // an answer carries what a pool made for the call
-	RuleEndTold                      // the caller is told in time that its call is over
+	RuleEndNotified                  // the caller is told in time that its call is over
 	RuleDrainedNotReady              // a process that an operator drains does not say that it is ready
 	RuleDrainedEmpty                 // it holds no idle connection, and none with a recent set-up
 	RuleResumed                      // it is ready again in time after the drain
@@ -56,7 +56,7 @@
 
 		RuleNotLost:          "not lost",
 		RuleNotForged:        "not forged",
-		RuleEndTold:          "end told",
+		RuleEndNotified:      "end told",
 		RuleDrainedNotReady:  "drained, not ready",
 		RuleDrainedEmpty:     "drained, empty",
 		RuleResumed:          "ready after the drain",
--- a/internal/trial/callers.go
+++ b/internal/trial/callers.go
@@ -32,9 +32,9 @@
 type setupState int
 
 const (
-	setupWaiting  setupState = iota
-	setupStanding            // answered, and the call has not ended
-	setupOver                // released, refused, failed or given up
+	setupWaiting     setupState = iota
+	setupEstablished            // answered, and the call has not ended
+	setupEnded                  // released, refused, failed or given up
 )
 
 // setup is one call of a caller.
@@ -79,7 +79,7 @@
 func (c *callers) arrive(ctx context.Context, begin time.Time) {
 	mean := time.Duration(float64(time.Second) / c.world.plan.CallRate)
 	for time.Since(begin) < c.world.plan.Length {
-		if !sleep(ctx, c.world.drawExponential(mean)) {
+		if !sleep(ctx, c.world.randomExponential(mean)) {
 			return
 		}
 		c.world.tasks.Go(func() { c.place(ctx) })
@@ -89,8 +89,8 @@
 // place has one caller place a call, if there is a process to place it at.
 func (c *callers) place(ctx context.Context) {
 	w := c.world
-	class := w.plan.Classes[w.draw(len(w.plan.Classes))]
-	conn := c.pick(ctx, w.draw(hundred) < reusePerHundred)
+	class := w.plan.Classes[w.randomInt(len(w.plan.Classes))]
+	conn := c.pick(ctx, w.randomInt(hundred) < reusePerHundred)
 	if conn == nil {
 		return
 	}
@@ -99,7 +99,7 @@
 	placed := &setup{
 		id:      fmt.Sprintf("%08x%08x", w.plan.Seed, c.lastID),
 		class:   class,
-		patient: w.draw(hundred) < patientPerHundred,
+		patient: w.randomInt(hundred) < patientPerHundred,
 	}
 	placed.line = fmt.Appendf(nil,
 		`{"type":"setup","id":%q,"fields":{"class":%q,"left":"%d","key":"%x"},"sdp":"v=0\r\n"}`+"\n",
@@ -118,14 +118,14 @@
 	}
 	var candidates []*process
 	for _, p := range c.world.processes {
-		if p.inRotation() && c.openTo(p.life()) < c.world.plan.Sockets/clientConnsDivisor/2 {
+		if p.inRotation() && c.openTo(p.incarnation()) < c.world.plan.Sockets/clientConnsDivisor/2 {
 			candidates = append(candidates, p)
 		}
 	}
 	if len(candidates) == 0 {
 		return c.pickOpen()
 	}
-	return c.dial(ctx, candidates[c.world.draw(len(candidates))])
+	return c.dial(ctx, candidates[c.world.randomInt(len(candidates))])
 }
 
 // pickOpen returns an open connection, drawn from all: callers use what is open.
@@ -139,15 +139,15 @@
 	if len(open) == 0 {
 		return nil
 	}
-	return open[c.world.draw(len(open))]
+	return open[c.world.randomInt(len(open))]
 }
 
-func (c *callers) openTo(life string) int {
+func (c *callers) openTo(incarnation string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	open := 0
 	for conn := range c.conns {
-		if conn.life == life {
+		if conn.incarnation == incarnation {
 			open++
 		}
 	}
@@ -157,13 +157,13 @@
 // send writes a set-up on a connection, and has its caller wait.
 func (c *callers) send(ctx context.Context, placed *setup, conn *clientConn) {
 	if !conn.begin(placed, c.isSlow()) {
-		c.sendAgain(ctx, placed, conn.name) // the connection was closed while it was written
+		c.resend(ctx, placed, conn.name) // the connection was closed while it was written
 		return
 	}
 	wait := placed.class.Deadline
 	switch {
-	case c.isLeaving() && c.world.draw(hundred) < leavePerHundred:
-		wait = time.Duration(c.world.draw(int(min(wait, maxEarlyLeave))))
+	case c.isLeaving() && c.world.randomInt(hundred) < leavePerHundred:
+		wait = time.Duration(c.world.randomInt(int(min(wait, maxEarlyLeave))))
 	case placed.patient:
 		wait += lateAnswer + 2*timeTolerance // once for the answer, once for this side
 	}
@@ -171,8 +171,8 @@
 	context.AfterFunc(ctx, func() { timer.Stop() })
 }
 
-// sendAgain sends a set-up that crossed the end of its connection on another one, once.
-func (c *callers) sendAgain(ctx context.Context, placed *setup, from string) {
+// resend sends a set-up that crossed the end of its connection on another one, once.
+func (c *callers) resend(ctx context.Context, placed *setup, from string) {
 	c.mu.Lock()
 	again := !placed.resent && placed.state == setupWaiting
 	placed.resent = true
@@ -210,16 +210,16 @@
 	c.mu.Lock()
 	waiting, conn := placed.state == setupWaiting, placed.conn
 	if waiting && !placed.patient || waiting && c.leaving > 0 {
-		placed.state = setupOver
+		placed.state = setupEnded
 	} else {
 		waiting = false // it waits until the end of the trial, which reports it
 	}
-	byClose := c.leaving > 0 && c.world.draw(2) == 0
+	byClose := c.leaving > 0 && c.world.randomInt(2) == 0
 	c.mu.Unlock()
 	if !waiting || conn == nil {
 		return
 	}
-	c.gone(placed, conn)
+	c.callerLeft(placed, conn)
 	if byClose {
 		conn.close("its caller leaves")
 		return
@@ -231,15 +231,15 @@
 func (c *callers) abandon(placed *setup) {
 	c.mu.Lock()
 	waiting, conn := placed.state == setupWaiting, placed.conn
-	placed.state = setupOver
+	placed.state = setupEnded
 	c.mu.Unlock()
 	if waiting {
-		c.gone(placed, conn)
+		c.callerLeft(placed, conn)
 	}
 }
 
-// gone records that the caller of a set-up has left: its outcome need not be counted.
-func (c *callers) gone(placed *setup, conn *clientConn) {
+// callerLeft records that the caller of a set-up has left: its outcome need not be counted.
+func (c *callers) callerLeft(placed *setup, conn *clientConn) {
 	c.world.checker.CallerGone(c.world.now(), placed.id)
 	if conn != nil {
 		c.world.checker.SetupSettled(c.world.now(), conn.name, placed.id, false)
@@ -257,38 +257,38 @@
 	c.description[id][description] = true
 }
 
-// over notes that a call is over at its pool, where it is that pool's answer that stands for its caller. The caller may
+// endedAtPool notes that a call is over at its pool, where it is that pool's answer that its caller has. The caller may
 // hang up at the same time: both are decided under one lock.
-func (c *callers) over(id, uid string) {
+func (c *callers) endedAtPool(id, uid string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	placed := c.setups[id]
-	if placed == nil || placed.state != setupStanding || placed.answer != descriptionOf(uid, id) {
+	if placed == nil || placed.state != setupEstablished || placed.answer != descriptionOf(uid, id) {
 		return
 	}
 	c.world.timeline.add("callers", "over at its pool: "+id)
-	c.world.checker.CallOver(c.world.now(), id)
+	c.world.checker.CallEnded(c.world.now(), id)
 }
 
 // excuseEnds excuses the ends of calls whose process has ended or to which no caller is connected.
 func (c *callers) excuseEnds() {
-	type standing struct{ id, life string }
-	var all []standing
+	type establishedCall struct{ id, incarnation string }
+	var all []establishedCall
 	c.mu.Lock()
 	for id, placed := range c.setups {
-		if placed.state == setupStanding && placed.conn != nil {
-			all = append(all, standing{id, placed.conn.life})
+		if placed.state == setupEstablished && placed.conn != nil {
+			all = append(all, establishedCall{id, placed.conn.incarnation})
 		}
 	}
 	c.mu.Unlock()
 	connected := map[string]bool{}
 	for _, p := range c.world.processes {
-		life := p.life()
-		over, _, stopped := p.ended(life)
-		connected[life] = !over && stopped.IsZero() && c.openTo(life) > 0
+		incarnation := p.incarnation()
+		over, _, stopped := p.ended(incarnation)
+		connected[incarnation] = !over && stopped.IsZero() && c.openTo(incarnation) > 0
 	}
 	for _, call := range all {
-		if !connected[call.life] {
+		if !connected[call.incarnation] {
 			c.world.checker.EndExcused(call.id)
 		}
 	}
--- a/internal/trial/clientconn.go
+++ b/internal/trial/clientconn.go
@@ -13,29 +13,29 @@
 	"eidertrail/internal/telemetry"
 )
 
-// clientConn is a caller's connection to one life of a process.
+// clientConn is a caller's connection to one incarnation of a process.
 type clientConn struct {
-	callers *callers
-	process *process
-	life    string
-	name    string
-	raw     net.Conn
-	counts  *counts // of the life
+	callers     *callers
+	process     *process
+	incarnation string
+	name        string
+	raw         net.Conn
+	counts      *counts // of the incarnation
 
 	writing sync.Mutex // one set-up is written at a time
 
 	mu      sync.Mutex
-	setups  map[string]*setup // without a final answer, or standing
+	setups  map[string]*setup // without a final answer, or established
 	lastUse time.Time
 	closing bool // by this side
 }
 
 // dial opens a connection, nil where it does not come up.
 func (c *callers) dial(ctx context.Context, target *process) *clientConn {
-	life, counted := target.life(), target.currentCounts()
+	incarnation, counted := target.incarnation(), target.currentCounts()
 	raw, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", c.world.network.process(target.index))
 	if err != nil {
-		c.world.timeline.add("callers", fmt.Sprintf("no connection to %s: %v", life, err))
+		c.world.timeline.add("callers", fmt.Sprintf("no connection to %s: %v", incarnation, err))
 		return nil
 	}
 	c.mu.Lock()
@@ -46,18 +46,18 @@
 	}
 	c.lastConn++
 	conn := &clientConn{
-		callers: c,
-		process: target,
-		life:    life,
-		name:    life + "#" + strconv.FormatUint(c.lastConn, 10),
-		raw:     raw,
-		counts:  counted,
-		setups:  map[string]*setup{},
-		lastUse: time.Now(),
+		callers:     c,
+		process:     target,
+		incarnation: incarnation,
+		name:        incarnation + "#" + strconv.FormatUint(c.lastConn, 10),
+		raw:         raw,
+		counts:      counted,
+		setups:      map[string]*setup{},
+		lastUse:     time.Now(),
 	}
 	c.conns[conn] = struct{}{}
 	c.mu.Unlock()
-	c.world.checker.ConnectionOpened(c.world.now(), conn.name, life)
+	c.world.checker.ConnectionOpened(c.world.now(), conn.name, incarnation)
 	c.world.tasks.Go(conn.read)
 	c.world.tasks.Go(func() { conn.closeIdle(ctx) })
 	return conn
@@ -106,7 +106,7 @@
 	first := !placed.accepted
 	placed.accepted = true
 	c.callers.mu.Unlock()
-	w.timeline.add("callers", fmt.Sprintf("setup %s to %s on %s", placed.id, c.life, c.name))
+	w.timeline.add("callers", fmt.Sprintf("setup %s to %s on %s", placed.id, c.incarnation, c.name))
 	if first {
 		w.checker.CallAccepted(now, placed.id, now+placed.class.Deadline.Microseconds())
 	}
@@ -131,9 +131,9 @@
 	for sleep(ctx, frontInterval) {
 		c.mu.Lock()
 		idle := len(c.setups) == 0 && time.Since(c.lastUse) > idleClose
-		gone := c.closing
+		callerLeft := c.closing
 		c.mu.Unlock()
-		if gone {
+		if callerLeft {
 			return
 		}
 		if idle {
@@ -192,42 +192,42 @@
 		c.answered(placed, state, message.SDP)
 	case message.Type == linecodec.TypeRelease && state == setupWaiting && placed.conn == c:
 		c.settled(placed, outcomeOf(message.Cause))
-	case message.Type == linecodec.TypeRelease && state == setupStanding:
-		c.endTold(placed)
+	case message.Type == linecodec.TypeRelease && state == setupEstablished:
+		c.endNotified(placed)
 	}
 }
 
 // answered takes the answer of a call.
 func (c *clientConn) answered(placed *setup, state setupState, description string) {
 	w := c.callers.world
-	if state == setupOver { // it crossed the caller's leaving
+	if state == setupEnded { // it crossed the caller's leaving
 		return
 	}
 	c.callers.mu.Lock()
 	forged := !c.callers.description[placed.id][description]
-	placed.state, placed.answer = setupStanding, description
+	placed.state, placed.answer = setupEstablished, description
 	c.callers.mu.Unlock()
 	if forged {
 		w.checker.AnswerForged(w.now(), placed.id)
 	}
-	w.checker.CallAnswered(w.now(), placed.id, "stands")
+	w.checker.CallAnswered(w.now(), placed.id, "established")
 	w.checker.SetupSettled(w.now(), c.name, placed.id, true)
 	c.counts.ended(w.now(), placed.class.Name, telemetry.OutcomeAnswered)
-	if w.draw(hundred) < releasePerHundred {
-		time.AfterFunc(w.drawExponential(w.plan.HoldingTime), func() { c.hangUp(placed) })
+	if w.randomInt(hundred) < releasePerHundred {
+		time.AfterFunc(w.randomExponential(w.plan.HoldingTime), func() { c.hangUp(placed) })
 	}
 }
 
 // hangUp has a caller release its call.
 func (c *clientConn) hangUp(placed *setup) {
 	c.callers.mu.Lock()
-	stands := placed.state == setupStanding
-	placed.state = setupOver
-	if stands {
+	established := placed.state == setupEstablished
+	placed.state = setupEnded
+	if established {
 		c.callers.world.checker.EndExcused(placed.id)
 	}
 	c.callers.mu.Unlock()
-	if !stands {
+	if !established {
 		return
 	}
 	c.callers.world.checker.CallCleared(c.callers.world.now(), c.name, placed.id)
@@ -239,7 +239,7 @@
 func (c *clientConn) settled(placed *setup, outcome telemetry.Outcome) {
 	w := c.callers.world
 	c.callers.mu.Lock()
-	placed.state = setupOver
+	placed.state = setupEnded
 	c.callers.mu.Unlock()
 	w.checker.CallAnswered(w.now(), placed.id, outcome.String())
 	w.checker.SetupSettled(w.now(), c.name, placed.id, false)
@@ -247,13 +247,13 @@
 	c.used(placed.id)
 }
 
-// endTold takes the end of a call that stands, on whatever connection it comes.
-func (c *clientConn) endTold(placed *setup) {
+// endNotified takes the end of an established call, on whatever connection it comes.
+func (c *clientConn) endNotified(placed *setup) {
 	c.callers.mu.Lock()
-	placed.state = setupOver
+	placed.state = setupEnded
 	conn := placed.conn
 	c.callers.mu.Unlock()
-	c.callers.world.checker.EndTold(c.callers.world.now(), placed.id)
+	c.callers.world.checker.EndNotified(c.callers.world.now(), placed.id)
 	c.callers.world.checker.CallCleared(c.callers.world.now(), conn.name, placed.id)
 	conn.used(placed.id)
 }
@@ -307,7 +307,7 @@
 func (c *clientConn) lost(placed *setup, at time.Time, err error) {
 	w := c.callers.world
 	time.Sleep(settleExit) // the end of the process shows
-	over, killed, stopped := c.process.ended(c.life)
+	over, killed, stopped := c.process.ended(c.incarnation)
 	c.callers.mu.Lock()
 	resent, elsewhere := placed.resent, placed.conn != c || placed.state != setupWaiting
 	c.callers.mu.Unlock()
@@ -320,7 +320,7 @@
 	case over && killed && (stopped.IsZero() || placed.sentAt.Sub(stopped) <= killDelay):
 		c.callers.abandon(placed)
 	case !resent && age <= crossing+timeTolerance:
-		c.callers.sendAgain(context.Background(), placed, c.name)
+		c.callers.resend(context.Background(), placed, c.name)
 	default:
 		w.checker.AnswerLost(w.now(), placed.id,
 			fmt.Sprintf("%s ended %.3f s after the set-up: %v", c.name, age.Seconds(), err))
--- a/internal/trial/counts.go
+++ b/internal/trial/counts.go
@@ -10,7 +10,7 @@
 // figureAge is how old a figure may be, µs.
 const figureAge = 500_000
 
-// counts are what others counted of one life of a process: the times of what its figures count.
+// counts are what others counted of one incarnation of a process: the times of what its figures count.
 type counts struct {
 	mu       sync.Mutex
 	outcomes map[string]map[telemetry.Outcome][]int64
@@ -39,16 +39,16 @@
 	c.outcomes[class][outcome] = append(c.outcomes[class][outcome], now)
 }
 
-// excuse counts a request whose client has gone.
+// excuse counts a request whose client has left.
 func (c *counts) excuse(class string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.excused[class]++
 }
 
-// between returns the least and the most that a count of these times can be for one who reads it from one time to
+// between returns the minimum and the maximum that a count of these times can be for one who reads it from one time to
 // another: what came in figureAge before the reading need not be in it.
-func between(times []int64, from, to int64) (least, most int64) {
+func between(times []int64, from, to int64) (minimum, maximum int64) {
 	before := func(at int64) int64 {
 		return int64(sort.Search(len(times), func(i int) bool { return times[i] > at }))
 	}
--- a/internal/trial/faultproxy/link.go
+++ b/internal/trial/faultproxy/link.go
@@ -64,7 +64,7 @@
 }
 
 const (
-	// dialTimeout bounds the dial to the backend, and pollInterval is how often a black hole looks whether it is over.
+	// dialTimeout bounds the dial to the backend, and pollInterval is how often a black hole looks whether it is finished.
 	dialTimeout  = time.Second
 	pollInterval = 5 * time.Millisecond
 	copyBuffer   = 16 << 10
@@ -142,7 +142,7 @@
 	l.mode = mode
 	l.mu.Unlock()
 	if before == Refuse {
-		if err := l.listenAgain(); err != nil {
+		if err := l.relisten(); err != nil {
 			return err
 		}
 	}
@@ -214,8 +214,8 @@
 	return nil
 }
 
-// listenAgain returns to the link's address, which a connection that is closing may hold for a moment.
-func (l *Link) listenAgain() error {
+// relisten returns to the link's address, which a connection that is closing may hold for a moment.
+func (l *Link) relisten() error {
 	var err error
 	for range listenRetries {
 		if err = l.listen(); err == nil || l.ctx.Err() != nil {
--- a/internal/trial/faultproxy/relay.go
+++ b/internal/trial/faultproxy/relay.go
@@ -10,16 +10,16 @@
 
 // relay is one connection that a link relays.
 type relay struct {
-	link       *Link
-	number     uint64
-	client     *net.TCPConn // the dialling party
-	backend    *net.TCPConn
-	pending    chan []byte // from the client, read and not written yet; closed by readClient
-	ended      sync.Once   // for the tap
-	clientGone atomic.Bool // it has ended the connection: nothing reaches it any more
-
-	mu   sync.Mutex
-	over bool // both sides have ended
+	link         *Link
+	number       uint64
+	client       *net.TCPConn // the dialling party
+	backend      *net.TCPConn
+	pending      chan []byte // from the client, read and not written yet; closed by readClient
+	ended        sync.Once   // for the tap
+	clientClosed atomic.Bool // it has ended the connection: nothing reaches it any more
+
+	mu       sync.Mutex
+	finished bool // both sides have ended
 }
 
 // pendingReads bounds what a black hole holds back; a client that sends more has to wait.
@@ -64,7 +64,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.over {
+	if r.finished {
 		raw.Close()
 		return false
 	}
@@ -84,7 +84,7 @@
 			r.pending <- bytes.Clone(buffer[:n])
 		}
 		if err != nil {
-			r.clientGone.Store(true)
+			r.clientClosed.Store(true)
 			r.ended.Do(func() { r.link.tap.Ended(r.number) })
 			return
 		}
@@ -154,7 +154,7 @@
 }
 
 func (r *relay) write(text []byte) error {
-	if r.clientGone.Load() {
+	if r.clientClosed.Load() {
 		return net.ErrClosed
 	}
 	_, err := r.client.Write(text)
@@ -183,10 +183,10 @@
 func (r *relay) end(endConn func(conn *net.TCPConn)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.over {
+	if r.finished {
 		return
 	}
-	r.over = true
+	r.finished = true
 	r.ended.Do(func() { r.link.tap.Ended(r.number) })
 	endConn(r.client)
 	if r.backend != nil {
--- a/internal/trial/faults.go
+++ b/internal/trial/faults.go
@@ -210,7 +210,7 @@
 
 // badClient sends what is not valid, and waits for an answer or the end of its connection.
 func (p *process) badClient(ctx context.Context, number int, text string) {
-	life := p.life()
+	incarnation := p.incarnation()
 	began := time.Now()
 	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", p.world.network.process(p.index))
 	if err != nil {
@@ -221,9 +221,9 @@
 	_, _ = io.WriteString(conn, text) // one that is closed meanwhile was served
 	first := make([]byte, 1)
 	_, _ = conn.Read(first) // whatever comes, or the end
-	if ctx.Err() != nil || p.life() != life {
+	if ctx.Err() != nil || p.incarnation() != incarnation {
 		return
 	}
-	p.world.checker.BadClientServed(p.world.now(), life, fmt.Sprintf("bad client %d", number),
+	p.world.checker.BadClientServed(p.world.now(), incarnation, fmt.Sprintf("bad client %d", number),
 		time.Since(began).Microseconds())
 }
--- a/internal/trial/list.go
+++ b/internal/trial/list.go
@@ -23,11 +23,11 @@
 	stateRemoved  poolState = "removed"
 )
 
-// The times by which an event counts as told, if it was not delivered earlier.
+// The times by which an event counts as notified, if it was not delivered earlier.
 const (
-	toldAnyway      = 7 * time.Second // after the event
-	toldAfterReturn = 6 * time.Second // after the list's server had it and could be reached
-	toldAfterMove   = 4 * time.Second // after SIGHUP
+	notifiedAnyway      = 7 * time.Second // after the event
+	notifiedAfterReturn = 6 * time.Second // after the list's server had it and could be reached
+	notifiedAfterMove   = 4 * time.Second // after SIGHUP
 	// maxListWait bounds how long the server holds a poll.
 	maxListWait = 5 * time.Second
 	// oldAddressStays is how long the connections of an address that the list has left stay open.
@@ -36,9 +36,9 @@
 
 // listEvent is an event of the endpoint list of one process.
 type listEvent struct {
-	item platformfile.Item
-	at   int64 // µs
-	told int64 // when it counts as told by what happened until now, µs
+	item     platformfile.Item
+	at       int64 // µs
+	notified int64 // when it counts as notified by what happened until now, µs
 	// closed are the pools of the event that drain or are removed.
 	closed map[string]bool
 }
@@ -104,12 +104,12 @@
 				BootMS:   startMillis(startedAt),
 			}},
 		}},
-		at:     now,
-		told:   now + toldAnyway.Microseconds(),
-		closed: map[string]bool{},
+		at:       now,
+		notified: now + notifiedAnyway.Microseconds(),
+		closed:   map[string]bool{},
 	}
 	if l.faults == 0 {
-		event.told = min(event.told, now+toldAfterReturn.Microseconds())
+		event.notified = min(event.notified, now+notifiedAfterReturn.Microseconds())
 	}
 	if state != stateUp {
 		event.closed[uid] = true
@@ -126,14 +126,14 @@
 	return startedAt.UnixMilli()
 }
 
-// known is what a process that starts now is told, and its list's address. It counts as told.
+// known is what a process that starts now is given, and its list's address. It counts as delivered.
 func (l *list) known() (platformfile.Known, string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.world.now()
 	known := platformfile.Known{Version: len(l.events)}
 	for _, event := range l.events {
-		event.told = min(event.told, now)
+		event.notified = min(event.notified, now)
 		known.Items = append(known.Items, event.item)
 	}
 	return known, l.world.network.list(l.process.index, l.generation)
@@ -201,11 +201,11 @@
 	}
 	now := l.world.now()
 	for _, event := range l.events[:min(version, len(l.events))] {
-		event.told = min(event.told, now)
+		event.notified = min(event.notified, now)
 	}
 }
 
-// closedFor returns for how long a pool counts as told to drain or to be gone, µs, negative where it does not.
+// closedFor returns for how long a pool counts as notified to drain or to be removed, µs, negative where it does not.
 func (l *list) closedFor(now int64, uid string) int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -215,9 +215,9 @@
 			continue
 		}
 		if !event.closed[uid] {
-			since = never // it is back, whether that was told or not
+			since = never // it is back, whether the process was notified or not
 		} else if since == never {
-			since = event.told
+			since = event.notified
 		}
 	}
 	return now - since
@@ -238,7 +238,7 @@
 	defer l.mu.Unlock()
 	l.faults--
 	if err == nil && l.faults == 0 {
-		l.reachable(toldAfterReturn)
+		l.reachable(notifiedAfterReturn)
 	}
 }
 
@@ -246,7 +246,7 @@
 func (l *list) reachable(within time.Duration) {
 	due := l.world.now() + within.Microseconds()
 	for _, event := range l.events {
-		event.told = min(event.told, due)
+		event.notified = min(event.notified, due)
 	}
 }
 
@@ -258,7 +258,7 @@
 }
 
 // move opens another address for the list. The one before takes no new connection and ends the open ones later. It
-// returns once the new one is open; the process has to be told of it.
+// returns once the new one is open; the process has to be notified of it.
 func (l *list) move(ctx context.Context) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -274,12 +274,12 @@
 	return nil
 }
 
-// moved notes that the process was told of the new address.
+// moved notes that the process was notified of the new address.
 func (l *list) moved() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.faults == 0 {
-		l.reachable(toldAfterMove)
+		l.reachable(notifiedAfterMove)
 	}
 }
 
--- a/internal/trial/operator.go
+++ b/internal/trial/operator.go
@@ -50,35 +50,36 @@
 	return operatorCall{status: response.StatusCode, body: string(body), took: time.Since(began), err: err}
 }
 
-// check records a call's answer, unless the process's life ended around it. It reports whether the answer was yes.
-func (p *process) check(life, name string, answer operatorCall) bool {
-	over, _, stopped := p.ended(life)
+// check records a call's answer, unless the process's incarnation ended around it. It reports whether the answer was
+// yes.
+func (p *process) check(incarnation, name string, answer operatorCall) bool {
+	over, _, stopped := p.ended(incarnation)
 	if over || !stopped.IsZero() {
 		return false
 	}
 	yes := answer.err == nil && answer.status == http.StatusOK
 	p.world.timeline.add("operator", fmt.Sprintf("%s %s: %d, %v", p.name, name, answer.status, answer.err))
-	p.world.checker.OperatorAnswered(p.world.now(), life, name, answer.took.Microseconds(), yes)
+	p.world.checker.OperatorAnswered(p.world.now(), incarnation, name, answer.took.Microseconds(), yes)
 	return yes
 }
 
 // lameDuck has an operator empty the process for a while.
 func (p *process) lameDuck(ctx context.Context, duration time.Duration) {
-	life := p.life()
+	incarnation := p.incarnation()
 	p.mu.Lock()
 	ready := p.wasReady
 	p.mu.Unlock()
 	if !ready {
 		return
 	}
-	if !p.check(life, "/_lameduck/on", p.call(ctx, http.MethodPost, "/_lameduck/on")) {
+	if !p.check(incarnation, "/_lameduck/on", p.call(ctx, http.MethodPost, "/_lameduck/on")) {
 		return
 	}
-	p.world.checker.DrainCalled(p.world.now(), life)
+	p.world.checker.DrainStarted(p.world.now(), incarnation)
 	sleep(ctx, duration)
 	answer := p.call(ctx, http.MethodPost, "/_lameduck/off")
-	if p.life() == life && p.check(life, "/_lameduck/off", answer) {
-		p.world.checker.DrainEnded(p.world.now(), life)
+	if p.incarnation() == incarnation && p.check(incarnation, "/_lameduck/off", answer) {
+		p.world.checker.DrainEnded(p.world.now(), incarnation)
 	}
 }
 
@@ -102,7 +103,7 @@
 // pollFigures reads the figures, and holds them against what was counted.
 func (p *process) pollFigures(ctx context.Context) {
 	for sleep(ctx, figuresInterval) {
-		life := p.life()
+		incarnation := p.incarnation()
 		p.mu.Lock()
 		ready := p.wasReady
 		p.mu.Unlock()
@@ -112,10 +113,10 @@
 		from := p.world.now()
 		answer := p.call(ctx, http.MethodGet, "/_vars")
 		to := p.world.now()
-		if ctx.Err() != nil || p.life() != life || !p.check(life, "/_vars", answer) {
+		if ctx.Err() != nil || p.incarnation() != incarnation || !p.check(incarnation, "/_vars", answer) {
 			continue
 		}
-		p.compare(life, from, to, readFigures(answer.body))
+		p.compare(incarnation, from, to, readFigures(answer.body))
 	}
 }
 
@@ -133,39 +134,39 @@
 }
 
 // compare holds the figures of one reading against the counts.
-func (p *process) compare(life string, askedAt, answeredAt int64, figures map[string]int64) {
+func (p *process) compare(incarnation string, requestedAt, answeredAt int64, figures map[string]int64) {
 	counted := p.currentCounts()
 	counted.mu.Lock()
 	defer counted.mu.Unlock()
 	for _, class := range p.world.plan.Classes {
 		for _, outcome := range telemetry.Outcomes() {
 			name := outcome.String() + "." + class.Name
-			least, most := between(counted.outcomes[class.Name][outcome], askedAt, answeredAt)
-			p.compareFigure(life, figures, invariant.Reading{
+			minimum, maximum := between(counted.outcomes[class.Name][outcome], requestedAt, answeredAt)
+			p.compareFigure(incarnation, figures, invariant.Reading{
 				Name:           name,
-				Least:          least,
-				Most:           most + counted.excused[class.Name],
+				Min:            minimum,
+				Max:            maximum + counted.excused[class.Name],
 				ToleratedPart:  outcomePart,
 				ToleratedUnits: figureUnits,
 			})
 		}
 	}
-	least, most := between(counted.sends, askedAt, answeredAt)
-	p.compareFigure(life, figures, invariant.Reading{
+	minimum, maximum := between(counted.sends, requestedAt, answeredAt)
+	p.compareFigure(incarnation, figures, invariant.Reading{
 		Name:           "sends",
-		Least:          least,
-		Most:           most,
+		Min:            minimum,
+		Max:            maximum,
 		ToleratedPart:  sendsPart,
 		ToleratedUnits: figureUnits,
 	})
 }
 
-func (p *process) compareFigure(life string, figures map[string]int64, reading invariant.Reading) {
-	told, found := figures[reading.Name]
+func (p *process) compareFigure(incarnation string, figures map[string]int64, reading invariant.Reading) {
+	notified, found := figures[reading.Name]
 	if !found {
-		p.world.checker.OperatorAnswered(p.world.now(), life, "figure "+reading.Name, 0, false)
+		p.world.checker.OperatorAnswered(p.world.now(), incarnation, "figure "+reading.Name, 0, false)
 		return
 	}
-	reading.Told = told
-	p.world.checker.FigureRead(p.world.now(), life, reading)
+	reading.Reported = notified
+	p.world.checker.FigureRead(p.world.now(), incarnation, reading)
 }
--- a/internal/trial/plan/plan.go
+++ b/internal/trial/plan/plan.go
@@ -69,8 +69,8 @@
 	return &reduced
 }
 
-// Draw draws the plan of a seed. Faults are of the kinds given; nil stands for all.
-func Draw(seed uint64, kinds []Kind) *Plan {
+// Generate draws the plan of a seed. Faults are of the kinds given; nil stands for all.
+func Generate(seed uint64, kinds []Kind) *Plan {
 	random := rand.New(rand.NewPCG(seed, randomStream))
 	if len(kinds) == 0 {
 		kinds = Kinds()
--- a/internal/trial/plan/plan_test.go
+++ b/internal/trial/plan/plan_test.go
@@ -8,7 +8,7 @@
 
 func TestDraw_SameSeedSamePlan(t *testing.T) {
 	for seed := range uint64(20) {
-		if first, second := Draw(seed, nil), Draw(seed, nil); !reflect.DeepEqual(first, second) {
+		if first, second := Generate(seed, nil), Generate(seed, nil); !reflect.DeepEqual(first, second) {
 			t.Errorf("seed %d: %+v and %+v", seed, first, second)
 		}
 	}
@@ -16,7 +16,7 @@
 
 func TestDraw_StaysWithinItsBounds(t *testing.T) {
 	for seed := range uint64(200) {
-		drawn := Draw(seed, nil)
+		drawn := Generate(seed, nil)
 		if drawn.Processes < minProcesses || drawn.Processes > maxProcesses || len(drawn.Classes) == 0 ||
 			len(drawn.Faults) < minFaults {
 			t.Errorf("seed %d: %+v", seed, drawn)
@@ -36,7 +36,7 @@
 func TestDraw_FiftySeedsCoverThePairsOfKinds(t *testing.T) {
 	together := map[[2]Kind]bool{}
 	for seed := uint64(1); seed <= 50; seed++ {
-		drawn := Draw(seed, nil)
+		drawn := Generate(seed, nil)
 		for _, a := range drawn.Faults {
 			for _, b := range drawn.Faults {
 				together[[2]Kind{a.Kind, b.Kind}] = true
@@ -60,7 +60,7 @@
 }
 
 func TestPlan_WithoutLeavesThePlanAsItIs(t *testing.T) {
-	drawn := Draw(3, nil)
+	drawn := Generate(3, nil)
 	before := len(drawn.Faults)
 	reduced := drawn.Without(1)
 	if len(reduced.Faults) != before-1 || len(drawn.Faults) != before || reduced.Faults[1] != drawn.Faults[2] {
--- a/internal/trial/pool.go
+++ b/internal/trial/pool.go
@@ -35,11 +35,11 @@
 	links  []*faultproxy.Link // by process
 	taps   []*tap
 
-	mu        sync.Mutex
-	backend   *backend
-	uid       string
-	startedAt time.Time // of a late start, zero for those of the beginning
-	lives     int
+	mu           sync.Mutex
+	backend      *backend
+	uid          string
+	startedAt    time.Time // of a late start, zero for those of the beginning
+	incarnations int
 }
 
 // backend is one process of a pool.
@@ -48,18 +48,18 @@
 	uid      string
 	listener net.Listener
 
-	mu     sync.Mutex
-	conns  []net.Conn // the oldest first
-	calls  map[string]*poolCall
-	ended  bool
-	hung   chan struct{}       // closed while it does not hang
-	spoils int                 // answers that are spoilt next
-	extras int                 // answers that bring more than belongs to them next
-	late   map[string][][]byte // by peer: releases for the next connection that opens
-	gone   map[string]bool     // calls that were given up before they were answered
+	mu        sync.Mutex
+	conns     []net.Conn // the oldest first
+	calls     map[string]*poolCall
+	ended     bool
+	hung      chan struct{}       // closed while it does not hang
+	spoils    int                 // answers that are spoilt next
+	extras    int                 // answers that bring more than belongs to them next
+	late      map[string][][]byte // by peer: releases for the next connection that opens
+	cancelled map[string]bool     // calls that were given up before they were answered
 }
 
-// poolCall is a call that stands at a pool.
+// poolCall is an established call of a pool.
 type poolCall struct {
 	conn net.Conn
 	end  *time.Timer
@@ -83,20 +83,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if renamed {
-		p.lives++
-		p.uid = fmt.Sprintf("s-%d-%d", p.number, p.lives)
+		p.incarnations++
+		p.uid = fmt.Sprintf("s-%d-%d", p.number, p.incarnations)
 	}
 	p.startedAt = startedAt
 	hung := make(chan struct{})
 	close(hung)
 	p.backend = &backend{
-		pool:     p,
-		uid:      p.uid,
-		listener: listener,
-		calls:    map[string]*poolCall{},
-		hung:     hung,
-		late:     map[string][][]byte{},
-		gone:     map[string]bool{},
+		pool:      p,
+		uid:       p.uid,
+		listener:  listener,
+		calls:     map[string]*poolCall{},
+		hung:      hung,
+		late:      map[string][][]byte{},
+		cancelled: map[string]bool{},
 	}
 	started := p.backend
 	p.world.tasks.Go(func() { started.accept() })
@@ -232,7 +232,7 @@
 		b.awaitNotHung()
 		switch message.Method {
 		case "INVITE":
-			delay := time.Duration(b.pool.world.draw(int(maxService)))
+			delay := time.Duration(b.pool.world.randomInt(int(maxService)))
 			time.AfterFunc(delay, func() { b.answer(conn, message) })
 		case "CANCEL":
 			b.clear(message.CallID)
@@ -274,20 +274,20 @@
 		delete(b.calls, id)
 		return
 	}
-	b.gone[id] = true
+	b.cancelled[id] = true
 }
 
 // answer answers a set-up, spoilt where that is due.
 func (b *backend) answer(conn net.Conn, invite *sip.Message) {
 	b.awaitNotHung()
 	w := b.pool.world
-	if w.draw(hundred) < errorsPerHundred {
+	if w.randomInt(hundred) < errorsPerHundred {
 		b.respond(conn, invite, statusBusy, "INVITE", "", setupCSeq)
 		return
 	}
 	b.mu.Lock()
-	if b.gone[invite.CallID] {
-		delete(b.gone, invite.CallID)
+	if b.cancelled[invite.CallID] {
+		delete(b.cancelled, invite.CallID)
 		b.mu.Unlock()
 		return
 	}
@@ -312,7 +312,7 @@
 	if extra {
 		b.respond(conn, &sip.Message{CallID: "00000000000000ff"}, statusOK, "INVITE", description, setupCSeq)
 	}
-	b.stand(conn, invite.CallID)
+	b.establish(conn, invite.CallID)
 	b.respond(conn, invite, statusOK, "INVITE", description, setupCSeq)
 	if extra {
 		b.respond(conn, invite, statusOK, "INVITE", description, setupCSeq)
@@ -322,9 +322,9 @@
 // descriptionOf is the description that a pool makes for a call.
 func descriptionOf(uid, id string) string { return fmt.Sprintf("v=0\r\no=%s %s\r\n", uid, id) }
 
-// stand has a call stand until its end.
-func (b *backend) stand(conn net.Conn, id string) {
-	holding := b.pool.world.drawExponential(b.pool.world.plan.HoldingTime)
+// establish has a call establish until its end.
+func (b *backend) establish(conn net.Conn, id string) {
+	holding := b.pool.world.randomExponential(b.pool.world.plan.HoldingTime)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.calls[id] = &poolCall{conn: conn, end: time.AfterFunc(holding, func() { b.hangUp(id) })}
@@ -349,7 +349,7 @@
 		CSeqMethod: "BYE",
 		Headers:    []sip.Header{{Name: "Reason", Value: "Q.850;cause=16"}},
 	}
-	b.pool.world.callers.over(id, b.uid)
+	b.pool.world.callers.endedAtPool(id, b.uid)
 	release, from := bye.Append(nil), peer(call.conn)
 	b.late[from] = append(b.late[from], release)
 	var open net.Conn
@@ -408,7 +408,7 @@
 	}
 	for id, call := range b.calls {
 		call.end.Stop()
-		b.pool.world.callers.over(id, b.uid)
+		b.pool.world.callers.endedAtPool(id, b.uid)
 	}
 	b.calls = map[string]*poolCall{}
 }
--- a/internal/trial/poolfaults.go
+++ b/internal/trial/poolfaults.go
@@ -43,7 +43,7 @@
 	b.ended = true
 	for id, call := range b.calls {
 		call.end.Stop()
-		p.world.callers.over(id, b.uid)
+		p.world.callers.endedAtPool(id, b.uid)
 	}
 	b.calls = map[string]*poolCall{}
 	b.mu.Unlock()
@@ -126,7 +126,7 @@
 		"", // never arrives
 	}
 	broken := len(texts) // half of a head, then the end of the connection
-	switch drawn := b.pool.world.draw(len(texts) + 1); drawn {
+	switch drawn := b.pool.world.randomInt(len(texts) + 1); drawn {
 	case broken:
 		write(conn, []byte(head[:len(head)/2]))
 		conn.Close()
--- a/internal/trial/process.go
+++ b/internal/trial/process.go
@@ -42,40 +42,40 @@
 // Remedy says what to do.
 func (e *StartError) Remedy() string { return "read its log: " + e.Log }
 
-// process is one session controller, over all its lives.
+// process is one session controller, over all its incarnations.
 type process struct {
 	world *world
 	index int
 	name  string
 	list  *list
 
-	starting sync.Mutex // held by whoever starts a life
+	starting sync.Mutex // held by whoever starts an incarnation
 
-	mu       sync.Mutex
-	counts   *counts // of the current life
-	cmd      *exec.Cmd
-	lives    int
-	running  bool
-	expected bool      // its end was asked for
-	stopped  time.Time // SIGTERM, zero: none
-	killed   bool      // by SIGKILL
-	exited   chan struct{}
-	startAt  time.Time
-	restart  bool
-	wasReady bool
-	lastYes  time.Time // when the front was last told that it is ready
-	lastNo   time.Time // since when it is told that it is not; zero: it is ready
+	mu           sync.Mutex
+	counts       *counts // of the current incarnation
+	cmd          *exec.Cmd
+	incarnations int
+	running      bool
+	expected     bool      // its end was asked for
+	stopped      time.Time // SIGTERM, zero: none
+	killed       bool      // by SIGKILL
+	exited       chan struct{}
+	startAt      time.Time
+	restart      bool
+	wasReady     bool
+	lastYes      time.Time // when the front was last answered that it is ready
+	lastNo       time.Time // since when the answer is that it is not; zero: it is ready
 }
 
 func newProcess(w *world, index int) *process {
 	return &process{world: w, index: index, name: "n" + strconv.Itoa(index), counts: newCounts()}
 }
 
-// life names the process's current life.
-func (p *process) life() string {
+// incarnation names the process's current incarnation.
+func (p *process) incarnation() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.name + "." + strconv.Itoa(p.lives)
+	return p.name + "." + strconv.Itoa(p.incarnations)
 }
 
 func (p *process) currentCounts() *counts {
@@ -133,7 +133,7 @@
 	return os.Rename(p.configPath()+".new", p.configPath())
 }
 
-// start starts a life of the process.
+// start starts an incarnation of the process.
 func (p *process) start(ctx context.Context, restart bool) error {
 	if err := p.writeConfig(); err != nil {
 		return err
@@ -156,34 +156,34 @@
 		return fmt.Errorf("trial: %w", err)
 	}
 	p.cmd, p.running, p.expected, p.killed = cmd, true, false, false
-	p.lives++
+	p.incarnations++
 	p.startAt, p.restart, p.wasReady, p.stopped = time.Now(), restart, false, time.Time{}
 	p.lastYes, p.lastNo = time.Time{}, time.Now()
 	p.counts = newCounts()
 	exited := make(chan struct{})
 	p.exited = exited
-	p.world.timeline.add(p.name, fmt.Sprintf("started as %s.%d", p.name, p.lives))
+	p.world.timeline.add(p.name, fmt.Sprintf("started as %s.%d", p.name, p.incarnations))
 	p.world.tasks.Go(func() { p.await(cmd, exited) })
 	return nil
 }
 
-// await waits for the end of a life.
+// await waits for the end of an incarnation.
 func (p *process) await(cmd *exec.Cmd, exited chan struct{}) {
 	err := cmd.Wait()
-	life := p.life()
+	incarnation := p.incarnation()
 	p.mu.Lock()
 	p.running = false
 	expected := p.expected
 	p.mu.Unlock()
 	p.world.timeline.add(p.name, fmt.Sprintf("ended: %v", err))
 	if !expected {
-		p.world.checker.ProcessCrashed(p.world.now(), life, fmt.Sprint(err))
+		p.world.checker.ProcessCrashed(p.world.now(), incarnation, fmt.Sprint(err))
 	}
-	p.world.checker.ProcessEnded(life)
+	p.world.checker.ProcessEnded(incarnation)
 	close(exited)
 }
 
-// signal sends a signal to the current life, and returns the channel that its end closes; nil where none runs.
+// signal sends a signal to the current incarnation, and returns the channel that its end closes; nil where none runs.
 func (p *process) signal(signal syscall.Signal) <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -216,13 +216,13 @@
 	case <-ctx.Done():
 		return
 	}
-	p.startAgain(ctx)
+	p.startNext(ctx)
 }
 
 // killAndStart kills the process outright, and starts it.
 func (p *process) killAndStart(ctx context.Context) {
 	p.kill()
-	p.startAgain(ctx)
+	p.startNext(ctx)
 }
 
 func (p *process) kill() {
@@ -231,8 +231,8 @@
 	}
 }
 
-// startAgain starts another life, unless one runs already.
-func (p *process) startAgain(ctx context.Context) {
+// startNext starts another incarnation, unless one runs already.
+func (p *process) startNext(ctx context.Context) {
 	p.starting.Lock()
 	defer p.starting.Unlock()
 	if ctx.Err() != nil {
@@ -267,15 +267,15 @@
 	if !running {
 		return
 	}
-	life, now := p.life(), p.world.now()
+	incarnation, now := p.incarnation(), p.world.now()
 	if !wasReady {
-		p.world.checker.ProcessReady(now, life, time.Since(startAt).Microseconds(), restart)
+		p.world.checker.ProcessReady(now, incarnation, time.Since(startAt).Microseconds(), restart)
 	}
 	memory, descriptors, err := readResources(pid)
 	if err != nil {
 		return // it has ended just now
 	}
-	p.world.checker.ProcessSampled(now, life, invariant.Resources{
+	p.world.checker.ProcessSampled(now, incarnation, invariant.Resources{
 		MemoryMB:       memory,
 		MaxMemoryMB:    p.world.plan.MemoryMB,
 		Descriptors:    descriptors,
@@ -316,17 +316,17 @@
 		}
 	}()
 	for sleep(ctx, frontInterval) {
-		life, askedAt := p.life(), p.world.now()
+		incarnation, requestedAt := p.incarnation(), p.world.now()
 		ready, err := ping(ctx, &conn, p.world.network.process(p.index))
-		if p.life() != life {
+		if p.incarnation() != incarnation {
 			continue
 		}
-		p.told(life, askedAt, ready, err)
+		p.readinessReported(incarnation, requestedAt, ready, err)
 	}
 }
 
-// told notes what the front was told.
-func (p *process) told(life string, askedAt int64, ready bool, err error) {
+// readinessReported notes what the front was answered.
+func (p *process) readinessReported(incarnation string, requestedAt int64, ready bool, err error) {
 	p.mu.Lock()
 	running := p.running && p.stopped.IsZero()
 	first := ready && !p.wasReady
@@ -342,7 +342,7 @@
 		p.world.timeline.add(p.name, "ready")
 	}
 	if running || ready {
-		p.world.checker.ReadinessTold(p.world.now(), askedAt, life, ready)
+		p.world.checker.ReadinessReported(p.world.now(), requestedAt, incarnation, ready)
 	}
 	if !ready {
 		p.world.timeline.add("front "+p.name, fmt.Sprintf("not ready (%v)", err))
@@ -356,12 +356,12 @@
 	return !p.lastYes.IsZero() && (p.lastNo.IsZero() || time.Since(p.lastNo) < frontGrace)
 }
 
-// ended reports how a life ended: whether it has, by itself after SIGTERM, by SIGKILL, and when SIGTERM came.
-func (p *process) ended(life string) (over, killed bool, stopped time.Time) {
+// ended reports how an incarnation ended: whether it has, by itself after SIGTERM, by SIGKILL, and when SIGTERM came.
+func (p *process) ended(incarnation string) (over, killed bool, stopped time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	current := p.name + "." + strconv.Itoa(p.lives)
-	if life != current {
+	current := p.name + "." + strconv.Itoa(p.incarnations)
+	if incarnation != current {
 		return true, true, time.Time{} // an earlier one: how is not known any more
 	}
 	return !p.running, p.killed, p.stopped
--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -41,7 +41,7 @@
 
 // The verdicts.
 const (
-	Kept   Verdict = "kept"
+	Passed Verdict = "passed"
 	Broken Verdict = "broken"
 	Late   Verdict = "late" // a duty was broken while this program was late itself: it has to be played again
 )
@@ -50,7 +50,7 @@
 func (r *Result) Verdict() Verdict {
 	switch {
 	case len(r.Violations) == 0:
-		return Kept
+		return Passed
 	case r.Stall > maxStall:
 		return Late
 	}
@@ -84,14 +84,14 @@
 		Stall:      w.stall.Worst(),
 		Elapsed:    time.Since(w.started),
 	}
-	everything := draw(w.timeline.about([]string{""}))
+	everything := render(w.timeline.about([]string{""}))
 	if err := os.WriteFile(filepath.Join(w.folder, "timeline.txt"), []byte(everything), 0o600); err != nil {
 		return nil, fmt.Errorf("trial: %w", err)
 	}
 	if len(result.Violations) > 0 {
 		first := result.Violations[0]
 		process, _, _ := strings.Cut(first.CallID, ".")
-		result.Timeline = draw(w.timeline.about([]string{first.CallID, process}, "faults", "list", "operator"))
+		result.Timeline = render(w.timeline.about([]string{first.CallID, process}, "faults", "list", "operator"))
 	}
 	return result, nil
 }
@@ -128,7 +128,7 @@
 			own := options
 			own.Slot = options.Slot + slot
 			for seed := range next {
-				result, err := Play(ctx, plan.Draw(seed, options.Kinds), own)
+				result, err := Play(ctx, plan.Generate(seed, options.Kinds), own)
 				reporting.Lock()
 				if err != nil && failed == nil {
 					failed = fmt.Errorf("seed %d: %w", seed, err)
@@ -151,19 +151,19 @@
 // breaks it. Each reduced plan is played as often as given, since the order of events is the machine's.
 func Shrink(ctx context.Context, broken *Result, plays int, options Options) (*Result, error) {
 	rule := broken.Violations[0].Rule
-	least := broken
-	for index := len(least.Plan.Faults) - 1; index >= 0; index-- {
-		reduced := least.Plan.Without(index)
+	minimum := broken
+	for index := len(minimum.Plan.Faults) - 1; index >= 0; index-- {
+		reduced := minimum.Plan.Without(index)
 		for range plays {
 			result, err := Play(ctx, reduced, options)
 			if err != nil {
-				return least, err
+				return minimum, err
 			}
 			if slices.Contains(result.Rules(), rule) {
-				least = result
+				minimum = result
 				break
 			}
 		}
 	}
-	return least, nil
+	return minimum, nil
 }
--- a/internal/trial/tap.go
+++ b/internal/trial/tap.go
@@ -65,7 +65,7 @@
 		uid, _ := t.pool.identity()
 		t.world.timeline.add(t.process.name, fmt.Sprintf("INVITE %s to %s", id, uid))
 		t.process.currentCounts().sent(now)
-		checker.AttemptSent(now, id, t.process.life(), uid)
+		checker.AttemptSent(now, id, t.process.incarnation(), uid)
 		late := t.process.list.closedFor(now, uid) - drainGraceMicros - timeTolerance.Microseconds()
 		if late > 0 {
 			checker.SentWhileClosed(now, id, uid, late)
@@ -77,7 +77,7 @@
 	}
 }
 
-// drainGraceMicros is how long after it was told a process may send to a pool that drains or is gone.
+// drainGraceMicros is how long after it was notified a process may send to a pool that drains or is removed.
 const drainGraceMicros = 500_000
 
 // Delivered implements faultproxy.Tap.
--- a/internal/trial/timeline.go
+++ b/internal/trial/timeline.go
@@ -61,8 +61,8 @@
 	columnGap   = 2
 )
 
-// draw is a timeline as text, a column a party.
-func draw(entries []entry) string {
+// render is a timeline as text, a column a party.
+func render(entries []entry) string {
 	var parties []string
 	for _, e := range entries {
 		if !slices.Contains(parties, e.party) {
--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -36,7 +36,7 @@
 	options := Options{Program: builtDaemon(t), Folder: t.TempDir(), Parallel: len(soakSeeds)}
 	err := PlayAll(context.Background(), soakSeeds, options, func(result *Result) {
 		t.Logf("seed %d: %s, %d calls, own stall %v", result.Plan.Seed, result.Verdict(), result.Calls, result.Stall)
-		if result.Verdict() != Kept {
+		if result.Verdict() != Passed {
 			for _, violation := range result.Violations {
 				t.Errorf("seed %d: %s: %s", result.Plan.Seed, violation.Rule, violation)
 			}
@@ -65,7 +65,7 @@
 	if err := exec.Command("sh", "-c", "cat > "+deaf+" <<'END'\n"+script+"END\nchmod +x "+deaf).Run(); err != nil {
 		t.Fatal(err)
 	}
-	drawn := plan.Draw(1, []plan.Kind{plan.OperatorDrain})
+	drawn := plan.Generate(1, []plan.Kind{plan.OperatorDrain})
 	drawn.Processes, drawn.Length = 1, 2*time.Second
 	drawn.Faults = []plan.Fault{{Kind: plan.OperatorDrain, Duration: time.Second}}
 	const slotOfItsOwn = 150
@@ -108,8 +108,8 @@
 
 func TestCounts_BetweenAllowsForTheAgeOfFigures(t *testing.T) {
 	times := []int64{1_000_000, 2_000_000, 3_000_000}
-	if least, most := between(times, 2_400_000, 2_500_000); least != 1 || most != 2 {
-		t.Errorf("%d to %d", least, most)
+	if minimum, maximum := between(times, 2_400_000, 2_500_000); minimum != 1 || maximum != 2 {
+		t.Errorf("%d to %d", minimum, maximum)
 	}
 }
 
@@ -118,7 +118,7 @@
 	line.add("n0", "ready")
 	line.add("list", "s-1 up")
 	line.add("n1", "setup 01 to s-1")
-	text := draw(line.about([]string{"s-1"}))
+	text := render(line.about([]string{"s-1"}))
 	lines := strings.Count(text, "\n")
 	if lines != 3 || !strings.Contains(text, "s-1 up") || strings.Contains(text, "ready") {
 		t.Errorf("%s", text)
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -21,7 +21,7 @@
 	// abandonTolerance is how long after its caller left an attempt may still begin.
 	abandonTolerance = 100 * time.Millisecond
 	maxAttempts      = 6
-	// settleTime is how long after the last arrival the trial goes on: an end without a release is told within 8 s.
+	// settleTime is how long after the last arrival the trial goes on: an end without a release is passed on within 8 s.
 	settleTime = 9 * time.Second
 	// watchInterval is how often the duties that go by time are checked.
 	watchInterval = 50 * time.Millisecond
@@ -59,7 +59,7 @@
 		checker: invariant.New(invariant.Config{
 			ReleaseWait:      drawn.ReleaseWait.Microseconds() - timeTolerance.Microseconds(),
 			MaxAttempts:      maxAttempts,
-			DrainGrace:       never, // the trial knows itself when a drain counts as told
+			DrainGrace:       never, // the trial knows itself when a drain counts as notified
 			AnswerTolerance:  (lateAnswer + timeTolerance).Microseconds(),
 			AbandonTolerance: abandonTolerance.Microseconds(),
 			TimeTolerance:    timeTolerance.Microseconds(),
@@ -77,15 +77,15 @@
 // now is the time for the checker, µs. It is never 0, which means no time there.
 func (w *world) now() int64 { return time.Since(w.started).Microseconds() + 1 }
 
-// draw returns a number below n.
-func (w *world) draw(n int) int {
+// randomInt returns a number below n.
+func (w *world) randomInt(n int) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.random.IntN(n)
 }
 
-// drawExponential returns a duration drawn from the exponential distribution with that mean.
-func (w *world) drawExponential(mean time.Duration) time.Duration {
+// randomExponential returns a duration drawn from the exponential distribution with that mean.
+func (w *world) randomExponential(mean time.Duration) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return time.Duration(w.random.ExpFloat64() * float64(mean))
@@ -123,7 +123,7 @@
 	}
 	w.callers.arrive(ctx, begin)
 	sleep(ctx, settleTime)
-	w.checker.CheckEndsTold(w.now())
+	w.checker.CheckEndsNotified(w.now())
 	w.checker.Finish(w.now())
 	return ctx.Err()
 }
@@ -185,10 +185,10 @@
 func (w *world) watch(ctx context.Context) {
 	for sleep(ctx, watchInterval) {
 		w.callers.excuseEnds()
-		w.checker.CheckEndsTold(w.now())
+		w.checker.CheckEndsNotified(w.now())
 		for _, p := range w.processes {
 			p.sample()
-			w.checker.CheckEmptied(w.now(), p.life())
+			w.checker.CheckEmptied(w.now(), p.incarnation())
 		}
 	}
 }
