--- a/internal/invariant/ends.go
+++ b/internal/invariant/ends.go
@@ -75,7 +75,8 @@
 	if now <= due+c.config.TimeTolerance {
 		return nil
 	}
-	return violated(RuleEndNotified, now, id, "the caller was not told %.2f s after the call's end", seconds(now-ended.endedAt))
+	return violated(RuleEndNotified, now, id,
+		"the caller was not told %.2f s after the call's end", seconds(now-ended.endedAt))
 }
 
 // AnswerLost records an accepted call whose connection ended without its answer.
