--- a/internal/trial/callers.go
+++ b/internal/trial/callers.go
@@ -22,6 +22,8 @@
 	reusePerHundred, patientPerHundred, releasePerHundred = 70, 50, 20
 	// With CallersLeave of a hundred calls so many are given up early, by a release or by the end of the connection.
 	leavePerHundred = 40
+	// With CallersRetry of a hundred set-ups that were not answered so many are placed anew at once.
+	retryPerHundred = 80
 	// piece is the size of the pieces of slow writers, and piecePause the time between them.
 	piece, piecePause = 40, 20 * time.Millisecond
 	// maxClientConns bounds the callers' connections to a process, as a part of its descriptors.
@@ -63,6 +65,8 @@
 	lastConn    uint64
 	leaving     int // CallersLeave under way
 	slow        int // CallersSlow under way
+	retrying    int // CallersRetry under way
+	crowded     int // CallersCrowd under way: each call comes on a new connection
 	closed      bool
 }
 
@@ -90,7 +94,7 @@
 func (c *callers) place(ctx context.Context) {
 	w := c.world
 	class := w.plan.Classes[w.randomInt(len(w.plan.Classes))]
-	conn := c.pick(ctx, w.randomInt(hundred) < reusePerHundred)
+	conn := c.pick(ctx, !c.underWay(&c.crowded) && w.randomInt(hundred) < reusePerHundred)
 	if conn == nil {
 		return
 	}
@@ -156,13 +160,13 @@
 
 // send writes a set-up on a connection, and has its caller wait.
 func (c *callers) send(ctx context.Context, placed *setup, conn *clientConn) {
-	if !conn.begin(placed, c.isSlow()) {
+	if !conn.begin(placed, c.underWay(&c.slow)) {
 		c.resend(ctx, placed, conn.name) // the connection was closed while it was written
 		return
 	}
 	wait := placed.class.Deadline
 	switch {
-	case c.isLeaving() && c.world.randomInt(hundred) < leavePerHundred:
+	case c.underWay(&c.leaving) && c.world.randomInt(hundred) < leavePerHundred:
 		wait = time.Duration(c.world.randomInt(int(min(wait, maxEarlyLeave))))
 	case placed.patient:
 		wait += lateAnswer + 2*timeTolerance // once for the answer, once for this side
@@ -192,16 +196,11 @@
 // maxEarlyLeave bounds how soon a caller leaves that leaves early.
 const maxEarlyLeave = 400 * time.Millisecond
 
-func (c *callers) isSlow() bool {
+// underWay reports whether a manner of callers is under way.
+func (c *callers) underWay(manner *int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.slow > 0
-}
-
-func (c *callers) isLeaving() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.leaving > 0
+	return *manner > 0
 }
 
 // giveUp has a caller stop to wait, if its set-up has no final answer: by a release, or, where callers leave, at times
--- a/internal/trial/clientconn.go
+++ b/internal/trial/clientconn.go
@@ -245,6 +245,9 @@
 	w.checker.SetupSettled(w.now(), c.name, placed.id, false)
 	c.counts.ended(w.now(), placed.class.Name, outcome)
 	c.used(placed.id)
+	if c.callers.underWay(&c.callers.retrying) && w.randomInt(hundred) < retryPerHundred {
+		w.tasks.Go(func() { c.callers.place(w.ctx) })
+	}
 }
 
 // endNotified takes the end of an established call, on whatever connection it comes.
--- a/internal/trial/faults.go
+++ b/internal/trial/faults.go
@@ -154,6 +154,8 @@
 		w.callers.during(ctx, &w.callers.leaving, fault.Duration)
 	case plan.CallersSlow:
 		w.callers.during(ctx, &w.callers.slow, fault.Duration)
+	case plan.CallersRetry:
+		w.callers.during(ctx, &w.callers.retrying, fault.Duration)
 	case plan.CallersBad:
 		for range fault.Count {
 			for n, text := range badTexts() {
@@ -162,6 +164,7 @@
 			sleep(ctx, reloadPause)
 		}
 	default:
+		w.tasks.Go(func() { w.callers.during(ctx, &w.callers.crowded, fault.Duration) })
 		w.processes[fault.Process].crowd(ctx, fault.Count*crowdSize, fault.Duration)
 	}
 }
--- a/internal/trial/plan/fault.go
+++ b/internal/trial/plan/fault.go
@@ -40,6 +40,7 @@
 	ProcessHangup                // SIGHUP in series
 	CallersLeave                 // callers give up early, by a release or by closing
 	CallersSlow                  // callers write their set-ups in pieces
+	CallersRetry                 // callers that were not answered come again at once
 	CallersBad                   // bad clients
 	CallersCrowd                 // connections by the hundred that say nothing
 	kindCount
@@ -55,7 +56,7 @@
 	OperatorDrain: "operator-drain", OperatorDrainAll: "operator-drain-all", OperatorSilent: "operator-silent",
 	ProcessStop: "process-stop", ProcessStopAll: "process-stop-all", ProcessKill: "process-kill",
 	ProcessHangup: "process-hangup",
-	CallersLeave:  "callers-leave", CallersSlow: "callers-slow", CallersBad: "callers-bad", CallersCrowd: "callers-crowd",
+	CallersLeave:  "callers-leave", CallersSlow: "callers-slow", CallersRetry: "callers-retry", CallersBad: "callers-bad", CallersCrowd: "callers-crowd",
 }
 
 // String returns the kind's name, as flags and tables have it.
@@ -110,6 +111,7 @@
 const (
 	minFaultDuration, maxFaultDuration = 300 * time.Millisecond, 4 * time.Second
 	minLameDuck, maxLameDuck           = 200 * time.Millisecond, 6 * time.Second
+	maxOutage                          = 8 * time.Second // of the endpoint list
 	maxFaultCount                      = 4
 	// drainSpread is how close to the return of the endpoint list a drain that goes with its fault is.
 	drainSpread = time.Second
@@ -139,8 +141,11 @@
 		Pool:     random.IntN(p.Pools),
 		Count:    between(random, 1, maxFaultCount),
 	}
-	if kind == OperatorDrain || kind == OperatorDrainAll {
+	switch kind { //nolint:exhaustive // the others last as drawn
+	case OperatorDrain, OperatorDrainAll:
 		fault.Duration = durationBetween(random, minLameDuck, maxLameDuck)
+	case ListSilent, ListRefused:
+		fault.Duration = durationBetween(random, minFaultDuration, maxOutage)
 	}
 	return fault
 }
--- a/internal/trial/plan/plan.go
+++ b/internal/trial/plan/plan.go
@@ -10,9 +10,9 @@
 
 // Bounds of what is drawn.
 const (
-	minProcesses, maxProcesses = 2, 4
+	minProcesses, maxProcesses = 2, 6
 	minPools, maxPools         = 3, 5
-	minFaults, maxFaults       = 6, 11
+	minFaults, maxFaults       = 7, 12
 	maxClasses                 = 3
 	maxReleaseWaitTenths       = 6 // of a second
 	minCallRate, maxCallRate   = 20, 80
@@ -107,9 +107,9 @@
 
 func pick[T any](random *rand.Rand, choices []T) T { return choices[random.IntN(len(choices))] }
 
-func memoryChoices() []int { return []int{64, 96, 192} }
+func memoryChoices() []int { return []int{32, 64, 96, 192} }
 
-func socketChoices() []int { return []int{384, 512, 1024} }
+func socketChoices() []int { return []int{192, 384, 512, 1024} }
 
 func deadlineChoices() []time.Duration {
 	return []time.Duration{
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -38,7 +38,8 @@
 	checker  *invariant.Checker
 	timeline *timeline
 	stall    stallMeter
-	tasks    sync.WaitGroup // ended by the trial's context
+	tasks    sync.WaitGroup  // ended by ctx
+	ctx      context.Context //nolint:containedctx // the trial's own, set before anything is started
 
 	pools     []*pool
 	lists     []*list
@@ -102,6 +103,7 @@
 		w.close()
 		w.tasks.Wait()
 	}()
+	w.ctx = ctx
 	if err := w.build(ctx); err != nil {
 		return err
 	}
