--- a/internal/trial/plan/fault.go
+++ b/internal/trial/plan/fault.go
@@ -56,7 +56,8 @@
 	OperatorDrain: "operator-drain", OperatorDrainAll: "operator-drain-all", OperatorSilent: "operator-silent",
 	ProcessStop: "process-stop", ProcessStopAll: "process-stop-all", ProcessKill: "process-kill",
 	ProcessHangup: "process-hangup",
-	CallersLeave:  "callers-leave", CallersSlow: "callers-slow", CallersRetry: "callers-retry", CallersBad: "callers-bad", CallersCrowd: "callers-crowd",
+	CallersLeave:  "callers-leave", CallersSlow: "callers-slow", CallersRetry: "callers-retry",
+	CallersBad: "callers-bad", CallersCrowd: "callers-crowd",
 }
 
 // String returns the kind's name, as flags and tables have it.
--- a/scripts/conformance_test.go
+++ b/scripts/conformance_test.go
@@ -12,7 +12,7 @@
 // testName is the name of a test, as the register and the source have it.
 var testName = regexp.MustCompile(`\bTest[A-Z]\w*`)
 
-// The register of duties names the test that fails without a duty: a test that was renamed or dropped must not stay there.
+// The register of duties names the test that fails without a duty: one that was renamed or dropped must not stay there.
 func TestConformance_NamesTestsThatExist(t *testing.T) {
 	register, err := os.ReadFile(filepath.Join("..", "docs", "conformance.md"))
 	if err != nil {
