--- a/internal/trial/callers.go
+++ b/internal/trial/callers.go
@@ -246,6 +246,18 @@
 	}
 }
 
+// excuseUnfinished excuses the set-ups whose time is not over at the end of the trial.
+func (c *callers) excuseUnfinished() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, placed := range c.setups {
+		due := placed.sentAt.Add(placed.class.Deadline + lateAnswer + timeTolerance)
+		if placed.state == setupWaiting && time.Now().Before(due) {
+			c.world.checker.CallerGone(c.world.now(), id)
+		}
+	}
+}
+
 // made notes the description that a pool made for a call.
 func (c *callers) made(id, description string) {
 	c.mu.Lock()
--- a/internal/trial/operator.go
+++ b/internal/trial/operator.go
@@ -72,15 +72,27 @@
 	if !ready {
 		return
 	}
-	if !p.check(incarnation, "/_lameduck/on", p.call(ctx, http.MethodPost, "/_lameduck/on")) {
+	if !p.command(ctx, incarnation, "/_lameduck/on", p.world.checker.DrainStarted) {
 		return
 	}
-	p.world.checker.DrainStarted(p.world.now(), incarnation)
 	sleep(ctx, duration)
-	answer := p.call(ctx, http.MethodPost, "/_lameduck/off")
-	if p.incarnation() == incarnation && p.check(incarnation, "/_lameduck/off", answer) {
-		p.world.checker.DrainEnded(p.world.now(), incarnation)
+	p.command(ctx, incarnation, "/_lameduck/off", p.world.checker.DrainEnded)
+}
+
+// command makes a call that changes the process's state, and records it where it is answered with yes. Two operators at
+// once are recorded in the order in which the process heard them.
+func (p *process) command(ctx context.Context, incarnation, path string, record func(now int64, process string)) bool {
+	p.commands.Lock()
+	defer p.commands.Unlock()
+	if p.incarnation() != incarnation {
+		return false
+	}
+	answer := p.call(ctx, http.MethodPost, path)
+	if p.incarnation() != incarnation || !p.check(incarnation, path, answer) {
+		return false
 	}
+	record(p.world.now(), incarnation)
+	return true
 }
 
 // silentOperators are callers of the control address that say nothing, or half a call.
--- a/internal/trial/pool.go
+++ b/internal/trial/pool.go
@@ -80,6 +80,7 @@
 	if err != nil {
 		return fmt.Errorf("trial: %w", err)
 	}
+	defer p.current().end() // where another one was started meanwhile, it goes
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if renamed {
@@ -386,8 +387,12 @@
 	write(conn, response.Append(nil))
 }
 
-// end ends the backend as the end of its process would: its connections are reset, its calls are cut.
+// end ends the backend as the end of its process would: its connections are reset, its calls are cut. A nil backend has
+// ended.
 func (b *backend) end() {
+	if b == nil {
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.ended {
--- a/internal/trial/process.go
+++ b/internal/trial/process.go
@@ -49,6 +49,7 @@
 	name  string
 	list  *list
 
+	commands sync.Mutex // held by an operator until a command and its record are made
 	starting sync.Mutex // held by whoever starts an incarnation
 
 	mu           sync.Mutex
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -126,6 +126,7 @@
 	w.callers.arrive(ctx, begin)
 	sleep(ctx, settleTime)
 	w.checker.CheckEndsNotified(w.now())
+	w.callers.excuseUnfinished()
 	w.checker.Finish(w.now())
 	return ctx.Err()
 }
