Trials: the tap's test waits for what was delivered; the environment is passed on, not read

TestLink_PassesAndTaps compared at once what the tap is told right after the write ('hellohell'); it waits for the same text now.

--- a/internal/trial/faultproxy/link_test.go
+++ b/internal/trial/faultproxy/link_test.go
@@ -112,10 +112,17 @@
 			t.Errorf("%s: %q, %v", mode, got, err)
 		}
 	}
-	tap.mu.Lock()
-	defer tap.mu.Unlock()
-	if tap.sent.String() != "hellohello" || tap.delivered.String() != "hellohello" {
-		t.Errorf("tapped %q and %q", tap.sent.String(), tap.delivered.String())
+	const want = "hellohello"
+	for began := time.Now(); ; time.Sleep(time.Millisecond) { // what was delivered is tapped right after it
+		tap.mu.Lock()
+		sent, delivered := tap.sent.String(), tap.delivered.String()
+		tap.mu.Unlock()
+		if sent == want && delivered == want {
+			break
+		}
+		if time.Since(began) > soon {
+			t.Fatalf("tapped %q and %q", sent, delivered)
+		}
 	}
 }
 
--- a/internal/trial/process.go
+++ b/internal/trial/process.go
@@ -147,7 +147,7 @@
 	limit := fmt.Sprintf("ulimit -n %d && exec %q", p.world.plan.Sockets, p.world.program)
 	cmd := exec.Command("sh", "-c", limit) //nolint:noctx // end ends it, and knows that it did
 	cmd.Stdout, cmd.Stderr = log, log
-	cmd.Env = []string{"RELAY_CONFIG=" + p.configPath(), "PATH=" + os.Getenv("PATH")}
+	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+p.configPath(), "RELAY_LISTEN=", "RELAY_CONTROL=")
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if ctx.Err() != nil {
