--- a/internal/trial/faultproxy/link.go
+++ b/internal/trial/faultproxy/link.go
@@ -152,6 +152,7 @@
 		l.Reset()
 	case NoAccept:
 		l.setBacklog(noAcceptBacklog)
+		l.interruptAccept()
 	case Pass, BlackHole, OneByte:
 		l.setBacklog(usualBacklog)
 	}
@@ -269,6 +270,15 @@
 	}
 }
 
+// interruptAccept has an Accept that waits return: the next connection stays in the queue.
+func (l *Link) interruptAccept() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.listener != nil {
+		_ = l.listener.SetDeadline(time.Now()) // one that is closed accepts nothing
+	}
+}
+
 // resetQueued resets the connections in the accept queue: what was sent on them did not reach the backend.
 func (l *Link) resetQueued() {
 	l.mu.Lock()
