--- a/review/standin/pool.go
+++ b/review/standin/pool.go
@@ -60,10 +60,14 @@
 }
 
 func newPool(rec *record, name string, agents int) (*pool, error) {
+	return newPoolAt(rec, name, agents, "127.0.0.1:0")
+}
+
+func newPoolAt(rec *record, name string, agents int, address string) (*pool, error) {
 	p := &pool{name: name, rec: rec, agents: agents, answerIn: 20 * time.Millisecond, hold: time.Hour,
 		calls: map[string]*poolCall{}, byes: map[string]time.Time{}, ended: map[string]time.Time{}}
 	var err error
-	if p.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+	if p.listener, err = net.Listen("tcp", address); err != nil {
 		return nil, err
 	}
 	p.addr = p.listener.Addr().String()
