--- a/review/standin/case_drain.go
+++ b/review/standin/case_drain.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"time"
 )
 
@@ -14,22 +13,18 @@
 		grace = 500*time.Millisecond + 50*time.Millisecond
 		slow  = 3 * time.Second
 	)
-	p1, err1 := newPool(e.rec, "pool1", 100)
-	p2, err2 := newPool(e.rec, "pool2", 100)
-	if err1 != nil || err2 != nil {
-		return e.fail("%v %v", err1, err2)
+	pools, targets, err := newPools(e, 5, 60, "tbilisi")
+	if err != nil {
+		return e.fail("%v", err)
 	}
-	var targets []target
-	for i, p := range []*pool{p1, p2} {
-		p.hold = 3 * time.Second
-		targets = append(targets, target{UID: fmt.Sprintf("s-%08x", i+1), Endpoint: p.addr, AZ: "tbilisi", Model: "std", Group: i, State: "up"})
+	for _, p := range pools {
+		p.set(func() { p.hold = 9 * time.Second })
 	}
 	b, err := newBulletin(e.rec, targets)
 	if err != nil {
 		return e.fail("%v", err)
 	}
-	s := tbilisi(2)
-	c := newController(e, "n1", s, b)
+	c := newController(e, "n1", tbilisi(5), b)
 	if err := c.start(b); err != nil {
 		return e.fail("%v", err)
 	}
@@ -42,24 +37,29 @@
 	}
 	began := time.Now()
 	var event time.Time
-	for n := 0; time.Since(began) < 16*time.Second; n++ {
+	for n := 0; time.Since(began) < 24*time.Second; n++ {
 		time.Sleep(time.Until(began.Add(time.Duration(n) * 100 * time.Millisecond)))
-		conn.setUp(id(1, n), "avail-read", 5*time.Second, n%2)
-		if e.trouble && n == 10 {
-			e.rec.logf("bulletin: slow from here on: each request waits %v in its line", slow)
-			b.mu.Lock()
-			b.slow = slow
-			b.mu.Unlock()
-		}
-		if n == 40 {
+		conn.setUp(id(1, n), "avail-read", 5*time.Second, n%5)
+		switch n {
+		case 20:
+			if e.trouble {
+				e.rec.logf("bulletin: slow from here on: each request waits %v in its line", slow)
+				b.mu.Lock()
+				b.slow = slow
+				b.mu.Unlock()
+			}
+		case 60:
 			draining := targets[0]
 			draining.State = "draining"
 			event = b.add(draining)
 		}
 	}
-	late := 0
-	p1.set(func() {
-		for _, i := range p1.invites {
+	late, before := 0, 0
+	pools[0].set(func() {
+		for _, i := range pools[0].invites {
+			if i.at.Before(event) {
+				before++
+			}
 			if after := i.at.Sub(event); after > told+grace {
 				late++
 				e.rec.logf("check: set-up %s came to the draining pool %.3f s after the event", i.id, after.Seconds())
@@ -67,7 +67,10 @@
 		}
 	})
 	c.appendLog(10)
-	e.rec.say("%d set-ups came to the draining pool later than 7.55 s after its drain was in the bulletin", late)
+	e.rec.say("%d set-ups came to pool1 before its drain, and %d later than 7.55 s after the bulletin held its drain", before, late)
+	if before == 0 {
+		return e.fail("pool1 was not used")
+	}
 	if late > 0 {
 		return broken
 	}
