--- a/review/standin/controller.go
+++ b/review/standin/controller.go
@@ -80,6 +80,7 @@
 	dir     string
 	listen  string
 	control string
+	health  string // of the call control file
 	args    string
 	config  map[string]any
 
@@ -144,13 +145,11 @@
 
 // start starts the process; known is what the bulletin holds now.
 func (c *controller) start(b *bulletin) error {
-	known, _ := b.page(0)
-	c.config["known"] = known
-	text, _ := json.MarshalIndent(c.config, "", " ")
-	path := filepath.Join(c.dir, "config.json")
-	if err := os.WriteFile(path, text, 0o600); err != nil {
+	c.config["known"], _ = b.page(0)
+	if err := c.writeConfig(); err != nil {
 		return err
 	}
+	path := filepath.Join(c.dir, "config.json")
 	run, err := runCommand(c.root)
 	if err != nil {
 		return err
@@ -187,6 +186,15 @@
 	return nil
 }
 
+// writeConfig replaces the configuration file.
+func (c *controller) writeConfig() error {
+	text, err := json.MarshalIndent(c.config, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(c.dir, "config.json"), text, 0o600)
+}
+
 func (c *controller) signal(s syscall.Signal) {
 	c.rec.logf("%s: %v to process %d", c.name, s, c.cmd.Process.Pid)
 	c.cmd.Process.Signal(s)
