--- a/review/standin/controller.go
+++ b/review/standin/controller.go
@@ -24,7 +24,8 @@
 // site is the part of the settings by which the cases differ.
 type site struct {
 	classes     []class
-	pools       int // groups that every class may use: 0 to pools-1
+	pools       int     // groups that every class may use: 0 to pools-1
+	allowed     [][]int // by class, where that differs
 	release     time.Duration
 	maxAttempts int
 	retryAfter  bool
@@ -57,7 +58,10 @@
 	for i := range s.pools {
 		groups = append(groups, i)
 	}
-	for _, c := range s.classes {
+	for i, c := range s.classes {
+		if s.allowed != nil {
+			groups = s.allowed[i]
+		}
 		classes = append(classes, map[string]any{"name": c.name, "promise": c.promise.Nanoseconds(), "deadline": c.dead.Nanoseconds(),
 			"worth": c.worth, "late_worth": c.lateWorth, "effect": "safe"})
 		allowed, hold, widths = append(allowed, groups), append(hold, int64(9e9)), append(widths, 1)
--- a/review/standin/pool.go
+++ b/review/standin/pool.go
@@ -32,6 +32,7 @@
 	invites  []invite      // every set-up that came
 	byes     map[string]time.Time
 	ended    map[string]time.Time // calls that this pool ended
+	cut      map[string]time.Time // calls that stood and that a release from the session controller cut
 	opened   int
 	dead     bool
 }
@@ -65,7 +66,7 @@
 
 func newPoolAt(rec *record, name string, agents int, address string) (*pool, error) {
 	p := &pool{name: name, rec: rec, agents: agents, answerIn: 20 * time.Millisecond, hold: time.Hour,
-		calls: map[string]*poolCall{}, byes: map[string]time.Time{}, ended: map[string]time.Time{}}
+		calls: map[string]*poolCall{}, byes: map[string]time.Time{}, ended: map[string]time.Time{}, cut: map[string]time.Time{}}
 	var err error
 	if p.listener, err = net.Listen("tcp", address); err != nil {
 		return nil, err
@@ -287,11 +288,19 @@
 		case "BYE":
 			p.mu.Lock()
 			p.byes[id] = at
-			if call := p.calls[id]; call != nil {
+			call := p.calls[id]
+			standing := call != nil && call.standing
+			if standing {
+				p.cut[id] = time.Now()
+			}
+			if call != nil {
 				call.timer.Stop()
 				delete(p.calls, id)
 			}
 			p.mu.Unlock()
+			if standing {
+				p.rec.logf("%s: the release has cut call %s", p.name, id)
+			}
 			c.send("SIP/2.0 200 OK", id, "2 BYE", "")
 		case "OPTIONS":
 			c.send("SIP/2.0 200 OK", id, "1 OPTIONS", "")
@@ -304,6 +313,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.invites = append(p.invites, invite{id, at})
+	if known := p.calls[id]; known != nil && known.standing {
+		return // a call of this id stands: nothing new is set up
+	}
 	call := &poolCall{conn: c}
 	p.calls[id] = call
 	call.timer = time.AfterFunc(p.answerIn, func() { c.answer(id, call) })
