Add a review case: a WebSocket client is told to repeat what may have run

The answers to three set-ups of a class that must not be repeated are lost. Seen: over JSON lines they fail with cause 41; over WebSocket the same ones have cause 102 and a retry time, and all three ran a second time.

--- a/review/standin/controller.go
+++ b/review/standin/controller.go
@@ -26,6 +26,7 @@
 	classes     []class
 	pools       int     // groups that every class may use: 0 to pools-1
 	allowed     [][]int // by class, where that differs
+	unsafe      string  // the class that must not be set up twice; "": none
 	release     time.Duration
 	maxAttempts int
 	retryAfter  bool
@@ -62,8 +63,12 @@
 		if s.allowed != nil {
 			groups = s.allowed[i]
 		}
+		effect := "safe"
+		if c.name == s.unsafe {
+			effect = "unsafe"
+		}
 		classes = append(classes, map[string]any{"name": c.name, "promise": c.promise.Nanoseconds(), "deadline": c.dead.Nanoseconds(),
-			"worth": c.worth, "late_worth": c.lateWorth, "effect": "safe"})
+			"worth": c.worth, "late_worth": c.lateWorth, "effect": effect})
 		allowed, hold, widths = append(allowed, groups), append(hold, int64(9e9)), append(widths, 1)
 	}
 	return map[string]any{
--- a/review/standin/pool.go
+++ b/review/standin/pool.go
@@ -34,6 +34,7 @@
 	ended    map[string]time.Time // calls that this pool ended
 	cut      map[string]time.Time // calls that stood and that a release from the session controller cut
 	opened   int
+	ran      int // set-ups that were carried out: an answer was written
 	dead     bool
 }
 
@@ -338,6 +339,7 @@
 	if full {
 		delete(p.calls, id)
 	} else {
+		p.ran++
 		call.standing, call.since = true, time.Now()
 		call.timer = time.AfterFunc(p.hold, func() { p.endCall(id) })
 	}
--- a/review/standin/websocket.go
+++ b/review/standin/websocket.go
@@ -28,11 +28,15 @@
 
 // siteCall is a call as its site sees it.
 type siteCall struct {
-	id       string
-	socket   *siteSocket
-	sentAt   time.Time
-	left     time.Duration
-	finals   []string
+	id     string
+	socket *siteSocket
+	sentAt time.Time
+	left   time.Duration
+	finals []string
+	cause  int // of the final answer
+
+	retryAfter time.Duration // that the final answer names, 0: none
+
 	rejected string // the code of an error: the set-up was not accepted
 	over     bool
 }
@@ -137,7 +141,11 @@
 }
 
 func (s *siteSocket) take(payload []byte) {
-	var m struct{ Type, ID, Code string }
+	var m struct {
+		Type, ID, Code string
+		Cause          int
+		RetryAfter     int `json:"retry_after_ms"`
+	}
 	if json.Unmarshal(payload, &m) != nil {
 		return
 	}
@@ -150,6 +158,7 @@
 	case "answer", "refused", "failed":
 		if one != nil {
 			one.finals = append(one.finals, m.Type)
+			one.cause, one.retryAfter = m.Cause, time.Duration(m.RetryAfter)*time.Millisecond
 		}
 	case "released":
 		if one != nil {
