--- a/review/standin/case_latebye.go
+++ b/review/standin/case_latebye.go
@@ -6,10 +6,10 @@
 
 func init() { cases["latebye"] = caseLateBye }
 
-// caseLateBye: the open connection to a sync pool falls quiet for 1 s, and goes on then.
+// caseLateBye: the open connection to a sync pool falls quiet for 2 s, and goes on then.
 func caseLateBye(e *env) int {
 	const (
-		quiet = time.Second
+		quiet = 2 * time.Second
 		hold  = 9 * time.Second
 		bound = 8*time.Second + 50*time.Millisecond
 		left  = 5 * time.Second
