--- a/review/standin/case_front.go
+++ b/review/standin/case_front.go
@@ -74,7 +74,7 @@
 		}
 	}
 	c.appendLog(20)
-	e.rec.say("%d ended, %d missing", len(ends), missing)
+	e.rec.say("%d calls ended while the controller was away or idle; of %d of them no caller was told", len(ends), missing)
 	if missing > 0 {
 		return broken
 	}
--- a/review/standin/case_releases.go
+++ b/review/standin/case_releases.go
@@ -78,17 +78,17 @@
 	time.Sleep(left + time.Second)
 	lost := e.lost(crossing)
 	c.appendLog(20)
-	passed := 0
+	passed := map[string]bool{}
 	for _, p := range pools {
 		p.set(func() {
 			for _, callID := range standing {
 				if _, ok := p.byes[callID]; ok {
-					passed++
+					passed[callID] = true
 				}
 			}
 		})
 	}
-	e.rec.say("%d set-ups lost, %d releases", lost, passed)
+	e.rec.say("%d set-ups were lost; the releases of %d of %d calls reached a pool", lost, len(passed), len(standing))
 	if lost > 0 {
 		return broken
 	}
