--- a/review/further/socket.sh
+++ b/review/further/socket.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 root=$(cd "$here/../.." && pwd) || exit 2
 [ -x "$here/../bin/standin" ] && [ -x "$root/bin/eidertrail" ] || { echo "build first: the deploy file's build, then review/build.sh"; exit 2; }
-exec "$here/../bin/standin" socket "$root" "$here"
+exec "$here/../bin/standin" socket "$root" "$here" "${TROUBLE:-1}"
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,8 +32,8 @@
 var cases = map[string]func(e *env) int{}
 
 func main() {
-	if len(os.Args) != 4 {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE ROOT FOLDER")
+	if len(os.Args) != 5 {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE ROOT FOLDER TROUBLE")
 		os.Exit(couldNot)
 	}
 	play := cases[os.Args[1]]
@@ -41,10 +41,10 @@
 		fmt.Fprintln(os.Stderr, "no such case")
 		os.Exit(couldNot)
 	}
-	os.Exit(runCase(play, os.Args[2], os.Args[3]))
+	os.Exit(runCase(play, os.Args[2], os.Args[3], os.Args[4] != "0"))
 }
 
-func runCase(play func(e *env) int, root, folder string) (code int) {
+func runCase(play func(e *env) int, root, folder string, trouble bool) (code int) {
 	rec, err := newRecord(filepath.Join(folder, "record.txt"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -58,11 +58,7 @@
 	end := func() {
 		killAll()
 		rec.close()
-		if os.Getenv("KEEP") == "" {
-			os.RemoveAll(tmp)
-		} else {
-			fmt.Println("kept", tmp)
-		}
+		os.RemoveAll(tmp)
 	}
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
@@ -75,7 +71,7 @@
 		end()
 		os.Exit(couldNot)
 	}()
-	e := &env{root: root, tmp: tmp, trouble: os.Getenv("TROUBLE") != "0", rec: rec, book: newBook()}
+	e := &env{root: root, tmp: tmp, trouble: trouble, rec: rec, book: newBook()}
 	code = play(e)
 	switch code {
 	case held:
