--- a/review/standin-2/caller.go
+++ b/review/standin-2/caller.go
@@ -39,6 +39,9 @@
 	endedAt time.Time // when its release was heard, or sent
 	heard   bool      // the release came from the controller
 	givenUp bool
+	resent  bool // it had crossed the close of another connection
+	class   string
+	pool    int
 }
 
 // caller is a connection of callers.
@@ -56,6 +59,7 @@
 	foreign  []line // releases of calls that this caller did not set up
 	pongs    int
 	shared   map[string]*call // calls of earlier connections
+	slow     bool             // a message takes 2 s to write
 }
 
 var lastCall atomic.Uint64
@@ -87,7 +91,15 @@
 func (c *caller) writeBytes(text []byte) error {
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	_ = c.raw.SetWriteDeadline(time.Now().Add(2 * time.Second))
+	_ = c.raw.SetWriteDeadline(time.Now().Add(4 * time.Second))
+	if c.slow {
+		half := len(text) / 2
+		if _, err := c.raw.Write(text[:half]); err != nil {
+			return err
+		}
+		time.Sleep(1950 * time.Millisecond)
+		text = text[half:]
+	}
 	_, err := c.raw.Write(text)
 	return err
 }
@@ -104,13 +116,21 @@
 
 // setup sends a set-up. One that could not be written whole is none.
 func (c *caller) setup(class string, pool int, left time.Duration) *call {
-	id := newID()
-	set := &call{id: id, left: left}
+	return c.send(&call{id: newID(), class: class, pool: pool, left: left})
+}
+
+// again sends a set-up again that has crossed the close of another connection.
+func (c *caller) again(crossed call) *call {
+	return c.send(&call{id: crossed.id, class: crossed.class, pool: crossed.pool, left: crossed.left, resent: true})
+}
+
+func (c *caller) send(set *call) *call {
+	id := set.id
 	c.mu.Lock()
 	set.first = len(c.order) == 0
 	c.calls[id] = set
 	c.mu.Unlock()
-	err := c.write(setupLine(id, class, id, pool, left))
+	err := c.write(setupLine(id, set.class, id, set.pool, set.left))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
@@ -119,7 +139,7 @@
 	}
 	set.sentAt = time.Now()
 	c.order = append(c.order, set)
-	c.rec.logf("%s: set-up %s, %s, left %d ms", c.name, id, class, left.Milliseconds())
+	c.rec.logf("%s: set-up %s, %s, left %d ms, sent again: %v", c.name, id, set.class, set.left.Milliseconds(), set.resent)
 	return set
 }
 
--- a/review/standin-2/dns.go
+++ b/review/standin-2/dns.go
@@ -24,6 +24,8 @@
 
 	mu      sync.Mutex
 	address net.IP // of the target
+	silent  bool   // no query is answered
+	empty   bool   // the name has no records
 }
 
 func startDNS(rec *record, name, target string, address net.IP, port int, ttl uint32) (*dnsServer, error) {
@@ -49,11 +51,20 @@
 	return s, nil
 }
 
-func (s *dnsServer) move(address net.IP) {
+// silence ends the server's answers.
+func (s *dnsServer) silence() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.address = address
-	s.rec.logf("dns: the address of %s is %s from now on", s.target, address)
+	s.silent = true
+	s.rec.logf("dns: nothing is answered from now on")
+}
+
+// withdraw takes the name's records away.
+func (s *dnsServer) withdraw() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.empty = true
+	s.rec.logf("dns: %s has no records from now on", s.name)
 }
 
 // reply answers a query with one question.
@@ -68,11 +79,15 @@
 	qtype := binary.BigEndian.Uint16(query[end:])
 	question := query[12 : end+4]
 	s.mu.Lock()
-	address := s.address
+	address, silent, empty := s.address, s.silent, s.empty
 	s.mu.Unlock()
+	if silent {
+		return nil
+	}
 	var answers, additional [][]byte
 	addressRecord := resourceRecord(s.target, typeA, s.ttl, address.To4())
 	switch {
+	case empty:
 	case strings.EqualFold(name, s.name) && qtype == typeSRV:
 		data := binary.BigEndian.AppendUint16(make([]byte, 4), uint16(s.port)) // priority 0, weight 0
 		answers = append(answers, resourceRecord(s.name, typeSRV, s.ttl, append(data, encodeName(s.target)...)))
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -1,10 +1,10 @@
-// Command cases plays one case of the review: it starts the project's program by the deploy file, plays callers, pools
+// Command standin-2 plays one case of the review: it starts the project's program by the deploy file, plays callers, pools
 // and the bulletin round it on loopback addresses, and judges what they saw.
 //
-//	cases CASE ROOT RECORD
+//	standin-2 CASE ROOT RECORD TROUBLE
 //
-// It exits with 0 if the rule held, 1 if it was broken, 2 if the case couldn't run. With TROUBLE=0 in the environment the
-// disruption is left out.
+// It exits with 0 if the rule held, 1 if it was broken, 2 if the case couldn't run. With 0 for TROUBLE the disruption is
+// left out.
 package main
 
 import (
@@ -34,25 +34,22 @@
 
 // cases are the cases by name.
 var cases = map[string]func(w *world) error{
-	"newconnection": newConnection,
-	"hangups":       hangUps,
-	"tester":        tester,
-	"strikes":       strikes,
-	"unsafe":        unsafeCause,
-	"slowline":      slowLine,
-	"rollback":      rollBack,
-	"moved":         moved,
+	"ends":          ends,
+	"sitegone":      siteGone,
+	"crowd":         crowd,
+	"stale":         stale,
+	"killedupgrade": killedUpgrade, // no case: see the report
 }
 
 func main() {
-	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: cases CASE ROOT RECORD")
+	if len(os.Args) != 5 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE ROOT RECORD TROUBLE")
 		os.Exit(2)
 	}
-	os.Exit(play(os.Args[1], os.Args[2], os.Args[3]))
+	os.Exit(play(os.Args[1], os.Args[2], os.Args[3], os.Args[4] != "0"))
 }
 
-func play(name, root, recordPath string) int {
+func play(name, root, recordPath string, trouble bool) int {
 	rec, err := newRecord(recordPath)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -68,7 +65,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	w := &world{rec: rec, root: root, folder: folder, trouble: os.Getenv("TROUBLE") != "0"}
+	w := &world{rec: rec, root: root, folder: folder, trouble: trouble}
 	rec.logf("case %s, trouble: %v", name, w.trouble)
 	result := make(chan error, 1)
 	go func() { result <- cases[name](w) }()
--- a/review/standin-2/platform.go
+++ b/review/standin-2/platform.go
@@ -18,16 +18,18 @@
 
 // controller is one session controller, as the platform starts it.
 type controller struct {
-	rec     *record
-	root    string // of the repository
-	folder  string // temporary
-	name    string
-	listen  string
-	control string
-	config  string
-	args    string // of the program, beside the deploy file's
-	health  string
-	site    site
+	rec    *record
+	root   string // of the repository
+	folder string // temporary
+	name   string
+
+	temporary string // TMPDIR
+	listen    string
+	control   string
+	config    string
+	args      string // of the program, beside the deploy file's
+	health    string
+	site      site
 
 	bulletin *bulletin
 
@@ -39,7 +41,7 @@
 type site struct {
 	pools   []*pool
 	classes []class
-	groups  int // of pools, 0: one a pool
+	half    bool // memory and descriptors are cut by half
 }
 
 // class is a class of calls; times in ms.
@@ -62,7 +64,7 @@
 
 func (s site) settings() map[string]any {
 	var classes, allowed, hold []any
-	groups := make([]int, max(len(s.pools), s.groups))
+	groups := make([]int, len(s.pools))
 	for i := range groups {
 		groups[i] = i
 	}
@@ -223,9 +225,13 @@
 
 // writeConfig writes a configuration of the controller, in one step.
 func (c *controller) writeConfig(path, bulletin string, memoryMB int) error {
+	sockets := 1024
+	if c.site.half {
+		memoryMB, sockets = memoryMB/2, sockets/2
+	}
 	text, err := json.MarshalIndent(map[string]any{
 		"name": c.name, "listen": c.listen, "control": c.control, "seed": "8c1f30d27a5be964",
-		"limits":   map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": 1024},
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets},
 		"bulletin": bulletin, "known": c.site.roster(), "settings": c.site.settings(),
 	}, "", " ")
 	if err != nil {
@@ -254,7 +260,8 @@
 
 var runLine = regexp.MustCompile(`(?m)^run = "(.*)"$`)
 
-// start starts the process by the deploy file's run command, in a temporary folder of its own that is empty.
+// start starts the process by the deploy file's run command. Its temporary folder is its own, and empty, unless the
+// controller has a process already: then it is that one's.
 func (c *controller) start() error {
 	deploy, err := os.ReadFile(filepath.Join(c.root, "deploy", "balancer.toml"))
 	if err != nil {
@@ -264,9 +271,10 @@
 	if run == nil {
 		return fmt.Errorf("the deploy file has no run")
 	}
-	temporary, err := os.MkdirTemp(c.folder, "tmp")
-	if err != nil {
-		return err
+	if c.process == nil {
+		if c.temporary, err = os.MkdirTemp(c.folder, "tmp"); err != nil {
+			return err
+		}
 	}
 	log, err := os.OpenFile(filepath.Join(c.folder, "controller.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -276,10 +284,10 @@
 	command := exec.Command("/bin/sh", "-c", string(run[1])+c.args)
 	command.Dir = c.root
 	command.Env = append(os.Environ(), "RELAY_NAME="+c.name, "RELAY_LISTEN="+c.listen, "RELAY_CONFIG="+c.config,
-		"RELAY_CONTROL="+c.control, "TMPDIR="+temporary)
+		"RELAY_CONTROL="+c.control, "TMPDIR="+c.temporary)
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
-	if err := command.Start(); err != nil {
+	if err := startOnOneCore(command); err != nil {
 		return err
 	}
 	ended := make(chan error, 1)
@@ -314,6 +322,7 @@
 	}
 	select {
 	case <-c.ended:
+		c.process = nil
 		c.rec.logf("%s: ended", c.name)
 	case <-time.After(3700 * time.Millisecond):
 		c.kill()
--- a/review/standin-2/pool.go
+++ b/review/standin-2/pool.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -30,17 +31,14 @@
 
 	mu       sync.Mutex
 	agents   int
-	wait     time.Duration      // from a set-up to its answer
-	hold     time.Duration      // after which a call comes to its end by itself, 0: never
-	silent   func(s setup) bool // set-ups that are carried out and whose answer never arrives; nil: none
-	hung     bool               // set-ups are neither answered nor refused
-	conns    []*poolConn        // open, the oldest first
-	open     map[string]*setup  // set-ups without an answer
+	wait     time.Duration     // from a set-up to its answer
+	hold     time.Duration     // after which a call comes to its end by itself, 0: never
+	conns    []*poolConn       // open, the oldest first
+	open     map[string]*setup // set-ups without an answer
 	standing map[string]*poolCall
 	toResend []string // releases that go on the next connection too
 	resends  map[string]int
 	setups   []setup // all that have arrived, in order
-	byes     map[string]int
 }
 
 type poolConn struct {
@@ -63,17 +61,13 @@
 }
 
 func startPool(name string, wait time.Duration, rec *record) (*pool, error) {
-	return startPoolAt(name, "127.0.0.1:0", wait, rec)
-}
-
-func startPoolAt(name, address string, wait time.Duration, rec *record) (*pool, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	p := &pool{
 		name: name, rec: rec, addr: listener.Addr().String(), wait: wait, agents: manyAgents,
-		open: map[string]*setup{}, standing: map[string]*poolCall{}, resends: map[string]int{}, byes: map[string]int{},
+		open: map[string]*setup{}, standing: map[string]*poolCall{}, resends: map[string]int{},
 	}
 	go func() {
 		for {
@@ -118,12 +112,23 @@
 			p.rec.logf("%s: a connection has ended", p.name)
 			return
 		}
-		if !m.isResponse() {
+		if m.isResponse() {
+			p.heard(m)
+		} else {
 			p.request(c, m)
 		}
 	}
 }
 
+// heard notes that the controller has heard of a release.
+func (p *pool) heard(m *message) {
+	if strings.HasSuffix(m.headers["cseq"], " BYE") {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.toResend = slices.DeleteFunc(p.toResend, func(id string) bool { return id == m.callID() })
+	}
+}
+
 // opened notes a connection, and sends on it the releases that no connection before it is known to have carried.
 func (p *pool) opened(c *poolConn) {
 	p.mu.Lock()
@@ -169,7 +174,6 @@
 		p.mu.Lock()
 		_, stood := p.standing[id]
 		delete(p.standing, id)
-		p.byes[id]++
 		p.mu.Unlock()
 		p.rec.logf("%s: release of %s by the controller, it stood: %v", p.name, id, stood)
 		c.write(response(200, "OK", id, "BYE", "", ""))
@@ -189,18 +193,14 @@
 		return
 	}
 	p.open[s.id] = &s
-	wait, hung := p.wait, p.hung
-	lost := p.silent != nil && p.silent(s)
+	wait := p.wait
 	p.mu.Unlock()
 	p.rec.logf("%s: set-up %s, class %s, number %s", p.name, s.id, s.class, s.number)
-	if hung {
-		return
-	}
-	time.AfterFunc(wait, func() { p.answer(c, s, lost) })
+	time.AfterFunc(wait, func() { p.answer(c, s) })
 }
 
 // answer answers a set-up that was not given up meanwhile: the call stands from then on.
-func (p *pool) answer(c *poolConn, s setup, lost bool) {
+func (p *pool) answer(c *poolConn, s setup) {
 	p.mu.Lock()
 	if p.open[s.id] == nil || !slices.Contains(p.conns, c) {
 		delete(p.open, s.id)
@@ -213,10 +213,6 @@
 		time.AfterFunc(p.hold, func() { p.release(s.id, 16) })
 	}
 	p.mu.Unlock()
-	if lost {
-		p.rec.logf("%s: %s runs, its answer is lost on the way", p.name, s.id)
-		return
-	}
 	p.rec.logf("%s: %s is answered", p.name, s.id)
 	c.write(response(200, "OK", s.id, "INVITE", "", description(s)))
 }
--- a/review/standin-2/websocket.go
+++ b/review/standin-2/websocket.go
@@ -32,6 +32,7 @@
 
 	mu     sync.Mutex
 	calls  map[string]*socketCall
+	known  map[string]*socketCall // calls of earlier sockets
 	order  []*socketCall
 	status int       // of the close frame that was received, 0: none
 	closed time.Time // when the connection ended, zero: it is open
@@ -48,6 +49,8 @@
 	givenUp  bool
 	released bool
 	rejected string // the code of an error, "" for none
+	class    string
+	resent   bool // it had crossed the close of another socket
 }
 
 // event is one message of the server.
@@ -117,17 +120,26 @@
 }
 
 func (s *socket) setup(class string, left time.Duration) *socketCall {
-	set := &socketCall{id: newID(), left: left}
+	return s.place(&socketCall{id: newID(), class: class, left: left})
+}
+
+// again sends a set-up again that has crossed the close of another socket.
+func (s *socket) again(crossed socketCall) *socketCall {
+	return s.place(&socketCall{id: crossed.id, class: crossed.class, left: crossed.left, resent: true})
+}
+
+func (s *socket) place(set *socketCall) *socketCall {
 	s.mu.Lock()
 	set.sentAt = time.Now()
 	s.calls[set.id] = set
 	s.order = append(s.order, set)
 	s.mu.Unlock()
 	err := s.send(map[string]any{
-		"type": "setup", "id": set.id, "class": class, "number": set.id, "left_ms": left.Milliseconds(),
+		"type": "setup", "id": set.id, "class": set.class, "number": set.id, "left_ms": set.left.Milliseconds(),
 		"sdp": "v=0\r\no=site " + set.id + "\r\nm=audio 31000 RTP/AVP 0\r\n",
 	})
-	s.rec.logf("site: set-up %s, %s, left_ms %d, written: %v", set.id, class, left.Milliseconds(), err == nil)
+	s.rec.logf("site: set-up %s, %s, left_ms %d, sent again: %v, written: %v",
+		set.id, set.class, set.left.Milliseconds(), set.resent, err == nil)
 	return set
 }
 
@@ -205,6 +217,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	set := s.calls[e.ID]
+	if set == nil {
+		set = s.known[e.ID]
+	}
 	switch {
 	case e.Type == "error":
 		s.errors[e.Code]++
