--- a/review/standin-2/caller.go
+++ b/review/standin-2/caller.go
@@ -36,9 +36,6 @@
 	answers []line // final answers, in order
 	finalAt time.Time
 	stands  bool
-	endedAt time.Time // when its release was heard, or sent
-	heard   bool      // the release came from the controller
-	givenUp bool
 	resent  bool // it had crossed the close of another connection
 	class   string
 	pool    int
@@ -56,8 +53,7 @@
 	order    []*call
 	closedAt time.Time
 	closed   chan struct{}
-	foreign  []line // releases of calls that this caller did not set up
-	pongs    int
+	foreign  []line           // releases of calls that this caller did not set up
 	shared   map[string]*call // calls of earlier connections
 	slow     bool             // a message takes 2 s to write
 }
@@ -143,18 +139,6 @@
 	return set
 }
 
-// release ends a call that stands, of whatever connection.
-func (c *caller) release(id string) error {
-	cause := 16
-	c.rec.logf("%s: release of %s", c.name, id)
-	return c.write(line{Type: "release", ID: id, Fields: map[string]any{}, Cause: &cause})
-}
-
-func (c *caller) ping(id string) error {
-	cause := 0
-	return c.write(line{Type: "ping", ID: id, Fields: map[string]any{}, Cause: &cause})
-}
-
 func (c *caller) read() {
 	defer close(c.closed)
 	reader := bufio.NewReaderSize(c.raw, 64<<10)
@@ -179,12 +163,6 @@
 func (c *caller) take(l line) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if l.Type == "pong" {
-		if c.pongs++; c.pongs <= 3 {
-			c.rec.logf("%s: pong, cause %d", c.name, l.cause())
-		}
-		return
-	}
 	c.rec.logf("%s: got %s of %s, cause %d", c.name, l.Type, l.ID, l.cause())
 	known := c.calls[l.ID]
 	if known == nil {
@@ -195,7 +173,7 @@
 	case known == nil:
 		c.foreign = append(c.foreign, l)
 	case l.Type == "release" && known.stands:
-		known.stands, known.heard, known.endedAt = false, true, time.Now()
+		known.stands = false
 	default:
 		known.answers = append(known.answers, l)
 		known.finalAt = time.Now()
@@ -213,8 +191,6 @@
 	}
 }
 
-func (c *caller) close() { c.raw.Close() }
-
 // all are the connection's set-ups, copied.
 func (c *caller) all() []call {
 	c.mu.Lock()
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -134,7 +134,7 @@
 			case len(set.answers) > 1:
 				rec.logf("LOST %s: %d final answers", set.id, len(set.answers))
 				count++
-			case len(set.answers) == 1 || set.givenUp:
+			case len(set.answers) == 1:
 			case set.first:
 			case !closedAt.IsZero() && closedAt.Before(set.sentAt.Add(set.left)) && closedAt.After(set.sentAt.Add(crossing)):
 				rec.logf("LOST %s: the controller ended the connection %d ms after it, with %d ms left, and gave no answer",
--- a/review/standin-2/platform.go
+++ b/review/standin-2/platform.go
@@ -184,12 +184,6 @@
 	b.rec.logf("%s: event %d, %v is %v", b.name, no, target["uid"], target["state"])
 }
 
-// leave ends the address: it takes no new connection and closes those that are open.
-func (b *bulletin) leave() {
-	b.rec.logf("%s: closed", b.name)
-	_ = b.server.Close()
-}
-
 // freeAddress is a loopback address that nobody listens on.
 func freeAddress() (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/review/standin-2/websocket.go
+++ b/review/standin-2/websocket.go
@@ -36,7 +36,6 @@
 	order  []*socketCall
 	status int       // of the close frame that was received, 0: none
 	closed time.Time // when the connection ended, zero: it is open
-	errors map[string]int
 }
 
 // socketCall is a call as the site sees it.
@@ -46,7 +45,6 @@
 	left     time.Duration
 	finals   []event
 	finalAt  time.Time
-	givenUp  bool
 	released bool
 	rejected string // the code of an error, "" for none
 	class    string
@@ -82,7 +80,7 @@
 	if answer.StatusCode != http.StatusSwitchingProtocols {
 		return nil, fmt.Errorf("the socket was not accepted: %s", answer.Status)
 	}
-	s := &socket{rec: rec, raw: raw, reader: reader, calls: map[string]*socketCall{}, errors: map[string]int{}}
+	s := &socket{rec: rec, raw: raw, reader: reader, calls: map[string]*socketCall{}}
 	rec.logf("site %s: socket open", site)
 	go s.read()
 	return s, nil
@@ -143,18 +141,6 @@
 	return set
 }
 
-// giveUp cancels a set-up that has no final answer, as the site waits no longer.
-func (s *socket) giveUp(set *socketCall) {
-	s.mu.Lock()
-	pending := len(set.finals) == 0 && s.closed.IsZero()
-	set.givenUp = set.givenUp || pending
-	s.mu.Unlock()
-	if pending {
-		s.rec.logf("site: cancel of %s", set.id)
-		_ = s.send(map[string]any{"type": "cancel", "id": set.id})
-	}
-}
-
 func (s *socket) read() {
 	var err error
 	for err == nil {
@@ -222,7 +208,6 @@
 	}
 	switch {
 	case e.Type == "error":
-		s.errors[e.Code]++
 		if set != nil {
 			set.rejected = e.Code
 		}
