An end of a call waits until a caller's connection has it, whatever a crowd's took

Cause: 0.4 s after the end, deliverAnywhere wrote it to any connection that took bytes, the crowd's too, and deliverPending then forgot it. Taken bytes counted as a caller that knows.

Evidence: TestServer_CallEndReachesACallerThatComesAfterACrowd played on the code before: a caller answered 0.7 s after the end got its answer alone, where the crowd's connections had sent nothing, a part of a set-up, a ping, a set-up that was refused, or a release of an unknown call. TestServer_CallEndReachesACallerWhileItWritesItsSetup failed too.

Change: an end is forgotten once a verified connection has it (a call was answered on it, or its front vouches for it). Until then it is pending, and copies go out: at once to a connection with an admitted set-up, so that it comes before the answer, and 0.4 s after the end to the youngest other one and to those that open later, since a caller may write its line for 2 s. A copy on a connection that is verified later is its delivery. Bounds: 8 copies of an end to connections of each kind, 64 copies to a connection. What is pending leaves 64 ends in 20 ms, as more would overflow the writer's queue and close the caller's connection. Of 4,096 the oldest is dropped for a new one. An end passed on to a process that died is passed on to the next one too. The end of a call under an id that is set up anew goes out before that set-up.

Counters and log tell apart: delivered to callers (releases_out), copied to connections that are not verified (releases_unverified, new), waiting (releases_kept, ends_waiting), dropped (also at the stop).

The wire's lines and times are unchanged.

--- a/dispatch/call_table.go
+++ b/dispatch/call_table.go
@@ -93,7 +93,9 @@
 		clock:       cfg.Dispatcher,
 		connections: connections,
 		counters:    cfg.Counters,
+		log:         cfg.Log,
 		relay:       cfg.RelayEnd,
+		pending:     newPendingEnds(),
 	}
 	t.closed, t.close = context.WithCancel(context.Background())
 	if t.callID == nil {
@@ -197,8 +199,11 @@
 func (t *CallTable) start(conn *connection, id string, request Request, setup Setup) {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	call := &tableCall{table: t, conn: conn, id: id, cancel: cancel, released: make(chan int, 1)}
-	conn.hasCalled = true
-	t.ends.deliverOverdue()
+	t.ends.deliverBefore(conn, id)
+	if !conn.hasCalled {
+		conn.hasCalled = true
+		t.ends.deliverPendingTo(conn)
+	}
 	t.connections.open(conn)
 	t.calls.add(call)
 	t.announceID(id)
@@ -289,7 +294,7 @@
 func (t *CallTable) RelayPendingEnds() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.ends.relayPending()
+	t.ends.relayAgain()
 }
 
 // deliverElsewhere delivers the end of a call on whatever connection takes it.
--- a/dispatch/connection_registry.go
+++ b/dispatch/connection_registry.go
@@ -36,11 +36,12 @@
 // count is the number of connections.
 func (r *connectionRegistry) count() int { return len(r.inOrder) }
 
-// add adds a connection, which is not verified.
-func (r *connectionRegistry) add(c CallerConn) {
+// add adds a connection, which is not verified, and returns its state.
+func (r *connectionRegistry) add(c CallerConn) *connection {
 	conn := &connection{CallerConn: c}
 	r.byConn[c] = conn
 	r.inOrder = append(r.inOrder, conn)
+	return conn
 }
 
 // remove removes a connection.
--- a/dispatch/drain.go
+++ b/dispatch/drain.go
@@ -41,7 +41,14 @@
 func (t *CallTable) Idle() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.connections.count() == 0 && t.calls.count() == 0 && len(t.ends.pendingEnds) == 0
+	return t.connections.count() == 0 && t.calls.count() == 0 && t.ends.pending.count() == 0
+}
+
+// PendingEnds is the number of ends of calls that no caller has got yet.
+func (t *CallTable) PendingEnds() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ends.pending.count()
 }
 
 // Drain returns when every set-up has its final answer, or when ctx is done.
--- a/dispatch/table_call.go
+++ b/dispatch/table_call.go
@@ -117,6 +117,7 @@
 	}
 	if final.Errored {
 		c.conn.errors++
+		table.ends.deliverPending() // copies on this connection count for less now
 	}
 	return delivered
 }
--- a/dispatch/table_connections.go
+++ b/dispatch/table_connections.go
@@ -1,12 +1,11 @@
 package dispatch
 
-// Connect adds a connection. Until it is verified the ends of calls are delivered on it only where nobody else could
+// Connect adds a connection. Until it is verified it gets copies of the ends of calls at most, where nobody else could
 // be notified for a while: it may be that of a tester, who knows of no calls, or of a faulty client.
 func (t *CallTable) Connect(c CallerConn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.connections.add(c)
-	t.ends.schedule()
+	t.ends.deliverPendingTo(t.connections.add(c))
 }
 
 // MarkEstablished notes that a connection is one of callers; one on which a call was answered is so by itself. Ends
@@ -25,7 +24,7 @@
 		return
 	}
 	t.connections.verify(conn)
-	t.ends.deliverPending((*connection).isVerified)
+	t.ends.deliverPending()
 }
 
 // ConnState returns how many open set-ups a connection has, how many calls that it set up are established, and whether
@@ -96,5 +95,5 @@
 // remove removes a connection and has delivered elsewhere what it may not have read. The caller holds mu.
 func (t *CallTable) remove(conn *connection) {
 	t.connections.remove(conn)
-	t.ends.redeliver(conn)
+	t.ends.closed(conn)
 }
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -39,6 +39,7 @@
 	connected, up := d.pools.Connected()
 	d.logMembers()
 	d.log.Info().EmbedObject(d.counters).Int("open", pending).Int("standing", established).
+		Int("ends_waiting", d.pendingEnds()).
 		Int("pools_connected", connected).Int("pools_up", up).Msg("counters")
 }
 
@@ -60,6 +61,15 @@
 	return established
 }
 
+// pendingEnds is the number of ends of calls of all fronts that no caller has got yet.
+func (d *Daemon) pendingEnds() int {
+	pending := d.calls.PendingEnds()
+	if d.sockets != nil {
+		pending += d.sockets.PendingEnds()
+	}
+	return pending
+}
+
 func (d *Daemon) logMembers() {
 	current := d.member.current()
 	if current == nil {
--- a/internal/frontend/jsonlines/call_ends_test.go
+++ b/internal/frontend/jsonlines/call_ends_test.go
@@ -1,6 +1,8 @@
 package jsonlines
 
 import (
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,3 +68,64 @@
 		r.want(unserved)
 	})
 }
+
+// strangers are signs of life that anybody may give, by name.
+func strangers() map[string]string {
+	return map[string]string{
+		"nothing":                      "",
+		"a part of a set-up":           setup[:40],
+		"a ping":                       ping + "\n",
+		"a set-up that was refused":    forCall(strings.Replace(setup, "voice", "none", 1), "00f1") + "\n",
+		"a release of an unknown call": `{"type":"release","id":"00000000000000f2","fields":{},"cause":16}` + "\n",
+		"a line that was refused":      `{"type":"release","id":"00000000000000f3","fields":[]}` + "\n",
+	}
+}
+
+// The end of a call was written to a connection of a crowd and forgotten: the callers that came later never got it.
+func TestServer_CallEndReachesACallerThatComesAfterACrowd(t *testing.T) {
+	for name, shown := range strangers() {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(r *rig) {
+				caller := r.dial()
+				caller.say(setup)
+				r.want(caller, answer)
+				caller.Close()
+				synctest.Wait()
+				for range 2 {
+					write(r.dial(), shown)
+					synctest.Wait()
+				}
+				r.inviter.first().end(dispatch.Ended, 16)
+				time.Sleep(700 * time.Millisecond)
+
+				next := r.dial()
+				next.say(forCall(setup, "0000"))
+
+				lines, _ := next.take()
+				if !slices.Contains(lines, release16) {
+					t.Errorf("a caller that is answered 0.7 s after the end got %q", lines)
+				}
+			})
+		})
+	}
+}
+
+// A caller whose set-up takes 2 s to write, beside a crowd, gets the end within 1 s of it where its connection is new.
+func TestServer_CallEndReachesACallerWhileItWritesItsSetup(t *testing.T) {
+	bubble(t, func(r *rig) {
+		caller := r.dial()
+		caller.say(setup)
+		r.want(caller, answer)
+		caller.Close()
+		synctest.Wait()
+		write(r.dial(), setup[:40])
+		r.inviter.first().end(dispatch.Ended, 16)
+		time.Sleep(700 * time.Millisecond)
+
+		slow := r.dial()
+		write(slow, setup[:40])
+		time.Sleep(100 * time.Millisecond)
+
+		r.want(slow, release16)
+	})
+}
--- a/internal/frontend/websocket/server.go
+++ b/internal/frontend/websocket/server.go
@@ -138,6 +138,9 @@
 // EstablishedCalls is the number of established calls.
 func (s *Server) EstablishedCalls() int { return s.sum((*dispatch.CallTable).EstablishedCalls) }
 
+// PendingEnds is the number of ends of calls that no socket of their site has taken yet.
+func (s *Server) PendingEnds() int { return s.sum((*dispatch.CallTable).PendingEnds) }
+
 func (s *Server) sum(count func(*dispatch.CallTable) int) int {
 	total := 0
 	for _, calls := range s.callTables() {
--- a/internal/telemetry/characterization_test.go
+++ b/internal/telemetry/characterization_test.go
@@ -44,7 +44,7 @@
 	telemetry.QuotaChanges, telemetry.StaleStopped,
 	telemetry.LeasesRequested, telemetry.LeasesGranted, telemetry.StateTableBytes,
 	telemetry.StateTableRepairs, telemetry.EndpointListLate,
-	telemetry.InDoubtStopped,
+	telemetry.InDoubtStopped, telemetry.ReleasesUnverified,
 }
 
 // distinctSet is a set in which each counter has a value of its own: its place in allCounters, from 1 on.
--- a/internal/telemetry/counter.go
+++ b/internal/telemetry/counter.go
@@ -79,6 +79,7 @@
 	StateTableRepairs
 	EndpointListLate
 	InDoubtStopped
+	ReleasesUnverified
 	counterCount // how many there are
 )
 
@@ -161,6 +162,7 @@
 	StateTableRepairs:  "word_repairs",
 	EndpointListLate:   "bulletin_late",
 	InDoubtStopped:     "in_doubt_stopped",
+	ReleasesUnverified: "releases_unverified",
 }
 
 // String returns the counter's name in the log and in JSON.
