A trial asks no end of the killed process of an upgrade: it knows who accepted

Cause: the trial's, not the daemon's. The trial excuses the ends of calls whose process has ended. Which process that is it took from the time of the dial: while a second one is starting, from the first. Connections that the second one had accepted when it was killed counted as the first one's, which never had their calls and could tell nobody of them.

Change: where two processes may have accepted a connection, the trial asks the kernel (sock_diag) for the accepting socket and finds the process that has it open, at the first answer on it. Calls of the second process are checked from its promotion on, where they were excused as the first one's: the check is narrowed for a process that was killed, and stricter for one that stayed.

--- a/internal/trial/clientconn.go
+++ b/internal/trial/clientconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -27,6 +28,7 @@
 
 	mu      sync.Mutex
 	setups  map[string]*setup // without a final answer, or established
+	holder  string            // the incarnation that has accepted it, "" until that is known
 	lastUse time.Time
 	closing bool // by this side
 }
@@ -214,6 +216,7 @@
 		w.checker.AnswerForged(w.now(), placed.id)
 	}
 	w.checker.CallAnswered(w.now(), placed.id, "established")
+	c.findHolder()
 	w.checker.SetupSettled(w.now(), c.name, placed.id, true)
 	c.counts.ended(w.now(), placed.class.Name, telemetry.OutcomeAnswered)
 	if w.randomInt(hundred) < releasePerHundred {
@@ -221,6 +224,32 @@
 	}
 }
 
+// findHolder finds which incarnation has accepted the connection, and so holds its calls, where two may have. One that
+// has ended just now is not found: the calls stay with the incarnation that served when the connection was opened.
+func (c *clientConn) findHolder() {
+	c.mu.Lock()
+	known := c.holder != "" || len(c.servers) == 1
+	c.mu.Unlock()
+	if known {
+		return
+	}
+	holder := c.process.holderOf(c.raw, c.servers)
+	if holder == "" {
+		return
+	}
+	c.callers.world.timeline.add("callers", fmt.Sprintf("%s is at %s", c.name, holder))
+	c.mu.Lock()
+	c.holder = holder
+	c.mu.Unlock()
+}
+
+// heldBy is the incarnation that holds the connection's calls.
+func (c *clientConn) heldBy() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return cmp.Or(c.holder, c.incarnation)
+}
+
 // hangUp has a caller release its call.
 func (c *clientConn) hangUp(placed *setup) {
 	c.callers.mu.Lock()
--- a/internal/trial/process.go
+++ b/internal/trial/process.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -372,6 +374,31 @@
 	return names
 }
 
+// holderOf returns which of the incarnations has accepted a connection, "" where that is not to be found. None of them
+// gets a signal meanwhile.
+func (p *process) holderOf(conn net.Conn, names []string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	byPID := map[int]string{}
+	for _, name := range names {
+		if one := p.all[name]; one != nil && one.running {
+			byPID[one.pid] = name
+		}
+	}
+	return byPID[socketOwner(conn, slices.Collect(maps.Keys(byPID)))]
+}
+
+// served is the incarnation under which the process serves what that one holds: one that is about to replace the
+// current one counts as that one.
+func (p *process) served(name string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.next != nil && p.next.running && p.next.name == name {
+		return p.current.name
+	}
+	return name
+}
+
 // endedAny is ended for the first of several incarnations that was killed, or has ended at all.
 func (p *process) endedAny(names []string) (exited, killed bool, stopped time.Time) {
 	for _, name := range names {
