A caller's new connection is not evicted for one of a crowd that was refused

Cause: eviction takes connections without a message first. Beside a crowd whose members have each sent a line, the only one without a message is the one that has just been accepted, whose set-up is in the socket.

TestEviction_SparesANewConnectionBesideACrowdThatWasRefused failed before.

Change: a connection that was opened less than 0.1 s ago goes after those on which no call was answered; one that says nothing for longer goes first, as before.

--- a/internal/frontend/jsonlines/eviction.go
+++ b/internal/frontend/jsonlines/eviction.go
@@ -9,6 +9,9 @@
 const (
 	// minIdleMicros is how long an established connection must have been idle before it may be evicted.
 	minIdleMicros = 1_000_000
+	// firstLineGraceMicros is how long a connection that was just opened is kept before those on which no call was
+	// answered: its first line may be in the socket, unread.
+	firstLineGraceMicros = 100_000
 	// evictionFlushTimeout is how long writing what is queued for an evicted connection may take.
 	evictionFlushTimeout = 50 * time.Millisecond
 )
@@ -20,6 +23,7 @@
 	notEvictable        evictionRank = iota // a set-up is open, or it is in use
 	evictableWithCalls                      // idle, but the ends of its calls would have to be sent on another connection
 	evictableIdle                           // idle, without calls
+	evictableFresh                          // opened just now, no message was received on it yet
 	evictableUnproven                       // no call was answered on it
 	evictableBeforeLine                     // no message was received on it
 )
@@ -31,6 +35,8 @@
 		return "idle with calls"
 	case evictableIdle:
 		return "idle"
+	case evictableFresh:
+		return "fresh"
 	case evictableUnproven:
 		return "not established"
 	case evictableBeforeLine:
@@ -87,6 +93,8 @@
 	switch {
 	case open > 0:
 		return notEvictable, idleMicros
+	case c.lifecycle.state() == connNew && idleMicros < firstLineGraceMicros:
+		return evictableFresh, idleMicros
 	case c.lifecycle.state() == connNew:
 		return evictableBeforeLine, idleMicros
 	case !established:
--- a/internal/frontend/jsonlines/eviction_test.go
+++ b/internal/frontend/jsonlines/eviction_test.go
@@ -146,3 +146,28 @@
 		}
 	}
 }
+
+// A crowd that had sent refused set-ups stayed, and a caller's new connection was closed with its set-up unread in it.
+func TestEviction_SparesANewConnectionBesideACrowdThatWasRefused(t *testing.T) {
+	bubble(t, func(r *rig) {
+		refused := strings.Replace(setup, "voice", "none", 1)
+		crowd := make([]*client, r.cfg.MaxConnections)
+		for i := range crowd {
+			crowd[i] = r.dial()
+			crowd[i].say(forCall(refused, fmt.Sprintf("%04d", i)))
+		}
+		time.Sleep(time.Second)
+		caller := r.dial()
+		time.Sleep(10 * time.Millisecond)
+		r.dial().say(forCall(refused, "00f1"))
+		if caller.hasEnded() {
+			t.Error("the caller's connection was closed for one of a crowd 10 ms after it was opened")
+		}
+
+		time.Sleep(time.Second) // it says nothing: it is one of them
+		r.dial()
+		if !caller.hasEnded() {
+			t.Error("a connection on which nothing came for a second is still there")
+		}
+	})
+}
