A drain that goes on after a killed successor keeps its times

What operators saw: a process in an operator's drain is replaced, the second process is killed, and the first takes back.

Cause: Status.enter kept the times of a drain only where the state before was lame duck. After take back the state before is replaced.

TestLifecycle_TakeBackDoesNotBeginTheDrainAnew failed before: set-ups were rejected from 3.0 s on, where 1.7 s are due.

Change: a process that was drained before it was replaced keeps the drain's times when it takes back.

--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -139,3 +139,28 @@
 		}
 	}
 }
+
+// A drained process that took back from a killed successor took set-ups for as long again as at the drain's beginning.
+func TestLifecycle_TakeBackDoesNotBeginTheDrainAnew(t *testing.T) {
+	const drainedAt, replacedAt, takenBackAt = 0, 1_200_000, 1_300_000
+	l := New(drainedAt, nil)
+	l.Serve(drainedAt)
+	if err := l.Drain(drainedAt); err != nil {
+		t.Fatal(err)
+	}
+	l.Replace(replacedAt)
+
+	l.TakeBack(takenBackAt)
+
+	status := l.Status()
+	if status.State != LameDuck || !status.ClosesConnections(takenBackAt) {
+		t.Errorf("%+v, want connections to be closed as before", status)
+	}
+	const rejects, evicts = drainedAt + drainRejectMicros, drainedAt + drainEvictMicros
+	if status.RejectsSetups(rejects-1) || !status.RejectsSetups(rejects) || !status.ClosesIncomplete(evicts) {
+		t.Errorf("%+v, want set-ups rejected from %d µs on", status, rejects)
+	}
+	if err := l.Resume(evicts); err != nil || l.Status().Draining() {
+		t.Errorf("resumed: %v, %+v", err, l.Status())
+	}
+}
--- a/internal/lifecycle/status.go
+++ b/internal/lifecycle/status.go
@@ -25,13 +25,13 @@
 	evictFrom  int64 // connections on which a line is incomplete are closed as well
 }
 
-// enter is the status after a change of the state. A stop or a replacement during a drain does not set its times back:
-// callers were sent away already.
+// enter is the status after a change of the state. A stop or a replacement during a drain does not set its times back,
+// and neither does the end of that replacement: callers were sent away already.
 func (s Status) enter(to State, now, acceptFor int64) Status {
 	next := Status{State: to, Since: now, closeFrom: never, rejectFrom: never, evictFrom: never}
 	switch to {
 	case LameDuck, Replaced:
-		if s.State == LameDuck {
+		if s.State == LameDuck || s.drainedBefore && to == LameDuck {
 			next.closeFrom, next.rejectFrom, next.evictFrom = s.closeFrom, s.rejectFrom, s.evictFrom
 			next.drainedBefore = true
 			break
