--- a/dispatch/end_delivery.go
+++ b/dispatch/end_delivery.go
@@ -209,7 +209,11 @@
 // copyToYoungest copies each pending end to the youngest connection that has set up calls, or, once it is overdue, to
 // the youngest other one, unless one that has shown as much has a copy already. It returns how many were copied.
 func (d *endDelivery) copyToYoungest(now int64) (copied int) {
-	candidates := d.copyCandidates()
+	lowest := standingCaller
+	if slices.ContainsFunc(d.pending.queue, func(end *pendingEnd) bool { return isOverdue(end, now) }) {
+		lowest = standingFaulty
+	}
+	candidates := d.copyCandidates(lowest)
 	for _, end := range d.pending.queue {
 		best := end.bestStanding()
 		for level := standingCaller; level > best; level-- {
@@ -226,10 +230,11 @@
 	return copied
 }
 
-// copyCandidates are the connections that may get copies, the youngest first, by standing.
-func (d *endDelivery) copyCandidates() (candidates [standingVerified][]*connection) {
+// copyCandidates are the connections from that standing on that may get copies, the youngest first, by standing.
+func (d *endDelivery) copyCandidates(lowest standing) (candidates [standingVerified][]*connection) {
 	for _, conn := range slices.Backward(d.connections.inOrder) {
-		if level := conn.standing(); level < standingVerified && conn.copies < maxCopiesOnConnection {
+		level := conn.standing()
+		if lowest <= level && level < standingVerified && conn.copies < maxCopiesOnConnection {
 			candidates[level] = append(candidates[level], conn)
 		}
 	}
