Trials: a crowd sends what strangers send, and callers leave and come back

Now each crowd draws what its connections send (nothing, a part of a set-up, a ping, a refused set-up, each of these), they come again 1 s after their close, and in half of the crowds all callers of the process are away for 0.2 to 2.5 s.

The checker is stricter: an end whose callers are all away is postponed until 1 s after one is connected, where it was excused for good.

TestReplace_EndReachesACallerBesideCrowdsAtBothProcesses failed on the code before; the test beside it, with the callers at the old process, passed there.

--- a/cmd/eidertrail/replace_calls_test.go
+++ b/cmd/eidertrail/replace_calls_test.go
@@ -57,6 +57,60 @@
 	second.stop()
 }
 
+// An end that came to the old process was written to connections of crowds at both, and its caller never got it.
+func TestReplace_EndReachesACallerBesideCrowdsAtBothProcesses(t *testing.T) {
+	t.Parallel()
+	const id, partOfSetup = "00000000000000b1", `{"type":"setup","id":"`
+	controller := newReplaceableController(t)
+	oldsPool, oldsAddress := callingPool(t)
+	first := controller.startAt(reserveAddress(t), oldsAddress)
+	first.awaitReady()
+	before := daemontest.Dial(t, controller.listen)
+	place(t, before, id)
+	second := controller.start()
+	first.awaitMessage(messageReplaced)
+	<-before.Ended() // the old process empties
+	stranger := daemontest.Dial(t, controller.listen)
+	stranger.SendText(partOfSetup)
+	oldsPool.Bye(id, 16)
+	wantEnd(t, stranger, id)
+
+	caller := daemontest.Dial(t, controller.listen)
+	wantEnd(t, caller, id)
+	place(t, caller, "00000000000000b2")
+	first.stop()
+	second.stop()
+}
+
+// An end that came to the new process, which held a crowd, reaches its caller at the old one.
+func TestReplace_EndReachesACallerOfTheOldProcessBesideACrowdAtTheNewOne(t *testing.T) {
+	t.Parallel()
+	const id, pending, partOfSetup = "00000000000000a1", "00000000000000a2", `{"type":"setup","id":"`
+	controller := newReplaceableController(t)
+	newPool, newAddress := callingPool(t)
+	oldPool := &fakeplatform.Pool{OnRequest: func(request fakeplatform.Request) {
+		if request.Method == "INVITE" && request.CallID == id {
+			request.Answer(200, "", "hello\r\n")
+		}
+	}}
+	first := controller.startAt(reserveAddress(t), oldPool.Listen(t))
+	first.awaitReady()
+	caller := daemontest.Dial(t, controller.listen)
+	place(t, caller, id)
+	caller.Setup(pending)
+	second := controller.startAt(reserveAddress(t), newAddress)
+	first.awaitMessage(messageReplaced)
+	for range 3 {
+		stranger := daemontest.Dial(t, controller.listen)
+		stranger.Ping("p") // the new process has accepted it
+		stranger.SendText(partOfSetup)
+	}
+	newPool.Bye(id, 16)
+	wantEnd(t, caller, id)
+	first.stop()
+	second.stop()
+}
+
 // The end of a call comes to the new process, which has no connection of callers yet: it reaches its caller on the one
 // that is left at the old process, where a set-up is open.
 func TestReplace_EndThatComesToTheNewProcess(t *testing.T) {
--- a/internal/invariant/duties_test.go
+++ b/internal/invariant/duties_test.go
@@ -38,6 +38,11 @@
 			func(c *Checker) { c.CallEnded(0, "a"); c.EndExcused("a"); c.CheckEndsNotified(9_000_000) },
 			func(c *Checker) { c.CallEnded(0, "a"); c.EndExcused("b"); c.CheckEndsNotified(9_000_000) },
 		},
+		"an end whose callers were away is owed to the next that comes": {
+			RuleEndNotified,
+			func(c *Checker) { c.CallEnded(0, "a"); c.EndPostponed(9_000_000, "a"); c.CheckEndsNotified(10_050_000) },
+			func(c *Checker) { c.CallEnded(0, "a"); c.EndPostponed(9_000_000, "a"); c.CheckEndsNotified(10_050_001) },
+		},
 		"a drained process says ready": {
 			RuleDrainedNotReady,
 			func(c *Checker) { c.DrainStarted(1, "n"); c.ReadinessReported(9, 60_000, "n", false) },
--- a/internal/invariant/ends.go
+++ b/internal/invariant/ends.go
@@ -13,6 +13,7 @@
 type endedCall struct {
 	endedAt    int64
 	releasedAt int64 // the pool's release has reached the controller, 0: it has not
+	awayUntil  int64 // no caller was connected then, 0: one was at any time
 }
 
 // CallEnded records the end of an established call at its pool. Without a caller to be told it is not recorded.
@@ -43,7 +44,17 @@
 	delete(c.endedCalls, id)
 }
 
-// EndExcused records that nobody is owed the end of a call: its process has ended, or its caller is not reachable.
+// EndPostponed records that the end of a call cannot be told now, as no caller is connected: it is owed to the next one
+// that is.
+func (c *Checker) EndPostponed(now int64, id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ended := c.endedCalls[id]; ended != nil {
+		ended.awayUntil = now
+	}
+}
+
+// EndExcused records that nobody is owed the end of a call: its process has ended, or its caller has left.
 func (c *Checker) EndExcused(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -72,6 +83,9 @@
 	if ended.releasedAt != 0 {
 		due = min(due, ended.releasedAt+notifyAfterRelease)
 	}
+	if ended.awayUntil != 0 {
+		due = max(due, ended.awayUntil+notifyAfterRelease)
+	}
 	if now <= due+c.config.TimeTolerance {
 		return nil
 	}
--- a/internal/trial/callers.go
+++ b/internal/trial/callers.go
@@ -63,10 +63,11 @@
 	description map[string]map[string]bool // that pools made, by call
 	lastID      uint64
 	lastConn    uint64
-	leaving     int // CallersLeave under way
-	slow        int // CallersSlow under way
-	retrying    int // CallersRetry under way
-	crowded     int // CallersCrowd under way: each call comes on a new connection
+	leaving     int              // CallersLeave under way
+	slow        int              // CallersSlow under way
+	retrying    int              // CallersRetry under way
+	crowded     int              // CallersCrowd under way: each call comes on a new connection
+	away        map[*process]int // CallersCrowd under way whose callers are away
 	closed      bool
 }
 
@@ -76,6 +77,7 @@
 		conns:       map[*clientConn]struct{}{},
 		setups:      map[string]*setup{},
 		description: map[string]map[string]bool{},
+		away:        map[*process]int{},
 	}
 }
 
@@ -122,7 +124,7 @@
 	}
 	var candidates []*process
 	for _, p := range c.world.processes {
-		if p.inRotation() && c.openTo(p.incarnation()) < c.world.plan.Sockets/clientConnsDivisor/2 {
+		if p.inRotation() && !c.isAway(p) && c.openTo(p.incarnation()) < c.world.plan.Sockets/clientConnsDivisor/2 {
 			candidates = append(candidates, p)
 		}
 	}
@@ -281,7 +283,8 @@
 	c.world.checker.CallEnded(c.world.now(), id)
 }
 
-// excuseEnds excuses the ends of calls whose process has ended or to which no caller is connected.
+// excuseEnds excuses the ends of calls whose process has ended, and postpones those of calls to whose process no caller
+// is connected.
 func (c *callers) excuseEnds() {
 	established := map[string]*clientConn{}
 	c.mu.Lock()
@@ -291,15 +294,20 @@
 		}
 	}
 	c.mu.Unlock()
-	connected := map[string]bool{}
+	serves, connected := map[string]bool{}, map[string]bool{}
 	for _, p := range c.world.processes {
 		incarnation := p.incarnation()
 		exited, _, stopped := p.ended(incarnation)
-		connected[incarnation] = !exited && stopped.IsZero() && c.openTo(incarnation) > 0
+		serves[incarnation] = !exited && stopped.IsZero()
+		connected[incarnation] = c.openTo(incarnation) > 0
 	}
 	for id, conn := range established {
-		if !connected[conn.process.served(conn.heldBy())] {
+		incarnation := conn.process.served(conn.heldBy())
+		switch {
+		case !serves[incarnation]:
 			c.world.checker.EndExcused(id)
+		case !connected[incarnation]:
+			c.world.checker.EndPostponed(c.world.now(), id)
 		}
 	}
 }
--- a/internal/trial/faults.go
+++ b/internal/trial/faults.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// crowdSize is how many connections a crowd has for each of a fault's count.
-	crowdSize = 80
 	// badClientWait bounds how long a bad client waits.
 	badClientWait = 6 * time.Second
 	// overlongBytes is more than a message may have.
@@ -181,7 +179,8 @@
 		}
 	default:
 		w.tasks.Go(func() { w.callers.during(ctx, &w.callers.crowded, fault.Duration) })
-		w.processes[fault.Process].crowd(ctx, fault.Count*crowdSize, fault.Duration)
+		w.tasks.Go(func() { w.callers.stayAway(ctx, w.processes[fault.Process], fault.Away) })
+		w.processes[fault.Process].crowd(ctx, fault)
 	}
 }
 
@@ -196,22 +195,6 @@
 	c.mu.Unlock()
 }
 
-// crowd opens connections that say nothing.
-func (p *process) crowd(ctx context.Context, size int, duration time.Duration) {
-	var conns []net.Conn
-	for range size {
-		conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", p.world.network.process(p.index))
-		if err != nil {
-			break
-		}
-		conns = append(conns, conn)
-	}
-	sleep(ctx, duration)
-	for _, conn := range conns {
-		conn.Close()
-	}
-}
-
 // badTexts are what bad clients send.
 func badTexts() []string {
 	return []string{
--- a/internal/trial/plan/fault.go
+++ b/internal/trial/plan/fault.go
@@ -105,13 +105,20 @@
 	Duration time.Duration
 	Process  int
 	Pool     int
-	Count    int // of answers, signals or connections
+	Count    int           // of answers, signals or connections
+	Sign     CrowdSign     // of a crowd's connections
+	Away     time.Duration // of all callers, as a crowd comes
+	Pause    time.Duration // until a connection of a crowd that was closed is opened again
 }
 
 // String is the fault as timelines and tables show it.
 func (f Fault) String() string {
-	return fmt.Sprintf("%.2fs %s process %d pool %d for %.2fs count %d",
+	text := fmt.Sprintf("%.2fs %s process %d pool %d for %.2fs count %d",
 		f.At.Seconds(), f.Kind, f.Process, f.Pool, f.Duration.Seconds(), f.Count)
+	if f.Kind == CallersCrowd {
+		text += fmt.Sprintf(" sends %s, callers away for %.2fs", f.Sign, f.Away.Seconds())
+	}
+	return text
 }
 
 // Durations of faults: short enough that the trial sees what follows.
--- a/internal/trial/plan/plan.go
+++ b/internal/trial/plan/plan.go
@@ -91,6 +91,7 @@
 	}
 	drawn.generateClasses(random)
 	drawn.generateFaults(random, kinds)
+	drawn.generateCrowds()
 	return drawn
 }
 
@@ -104,6 +105,7 @@
 		}
 	}
 	p.sortFaults()
+	p.generateCrowds()
 }
 
 func (p *Plan) generateClasses(random *rand.Rand) {
--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -41,6 +41,51 @@
 	wantEveryRuleKept(t, soakSeeds, plan.ProcessUpgrade)
 }
 
+// Ends of calls went to a crowd's connections and were forgotten while the callers were away.
+func TestSoak_EndsReachCallersThatComeBackBesideACrowd(t *testing.T) {
+	if testing.Short() {
+		t.Skip("builds the daemon and plays for half a minute")
+	}
+	t.Parallel()
+	for offset := range 3 {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			const firstSeed, firstSlot = 1501, 160
+			drawn := plan.Generate(firstSeed+uint64(offset), []plan.Kind{plan.CallersCrowd})
+			wantRulesKept(t, drawn, firstSlot+offset)
+		})
+	}
+}
+
+// A set-up that crossed the eviction of its connection by a crowd that comes anew at once crosses the next one too.
+func TestSoak_SetUpIsAnsweredBesideACrowdThatConnectsAnewAtOnce(t *testing.T) {
+	if testing.Short() {
+		t.Skip("builds the daemon and plays for half a minute")
+	}
+	t.Parallel()
+	const seed, slotOfItsOwn = 1502, 152
+	drawn := plan.Generate(seed, []plan.Kind{plan.CallersCrowd})
+	for n := range drawn.Faults {
+		drawn.Faults[n].Pause = 50 * time.Millisecond
+	}
+	wantRulesKept(t, drawn, slotOfItsOwn)
+}
+
+// wantRulesKept plays one trial at a slot that no other test has, and fails the test for each rule that it breaks.
+func wantRulesKept(t *testing.T, drawn *plan.Plan, slot int) {
+	t.Helper()
+	result, err := Play(context.Background(), drawn, Options{Program: builtDaemon(t), Folder: t.TempDir(), Slot: slot})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, violation := range result.Violations {
+		t.Errorf("seed %d: %s: %s", drawn.Seed, violation.Rule, violation)
+	}
+	if result.Verdict() != Passed {
+		t.Errorf("seed %d: %s, own stall %v\n%s", drawn.Seed, result.Verdict(), result.Stall, result.Timeline)
+	}
+}
+
 // The end of a call at a vanished pool does not reach its caller, whose process's upgrade was killed, beside a crowd.
 func TestSoak_EndOfACallIsToldBesideAKilledUpgradeAndACrowd(t *testing.T) {
 	if testing.Short() {
