--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -143,16 +143,16 @@
 // A drained process that took back from a killed successor took set-ups for as long again as at the drain's beginning.
 func TestLifecycle_TakeBackDoesNotBeginTheDrainAnew(t *testing.T) {
 	const drainedAt, replacedAt, takenBackAt = 0, 1_200_000, 1_300_000
-	l := New(drainedAt, nil)
-	l.Serve(drainedAt)
-	if err := l.Drain(drainedAt); err != nil {
+	controller := New(drainedAt, nil)
+	controller.Serve(drainedAt)
+	if err := controller.Drain(drainedAt); err != nil {
 		t.Fatal(err)
 	}
-	l.Replace(replacedAt)
+	controller.Replace(replacedAt)
 
-	l.TakeBack(takenBackAt)
+	controller.TakeBack(takenBackAt)
 
-	status := l.Status()
+	status := controller.Status()
 	if status.State != LameDuck || !status.ClosesConnections(takenBackAt) {
 		t.Errorf("%+v, want connections to be closed as before", status)
 	}
@@ -160,7 +160,7 @@
 	if status.RejectsSetups(rejects-1) || !status.RejectsSetups(rejects) || !status.ClosesIncomplete(evicts) {
 		t.Errorf("%+v, want set-ups rejected from %d µs on", status, rejects)
 	}
-	if err := l.Resume(evicts); err != nil || l.Status().Draining() {
-		t.Errorf("resumed: %v, %+v", err, l.Status())
+	if err := controller.Resume(evicts); err != nil || controller.Status().Draining() {
+		t.Errorf("resumed: %v, %+v", err, controller.Status())
 	}
 }
