--- a/cmd/eidertrail/crowd_test.go
+++ b/cmd/eidertrail/crowd_test.go
@@ -129,6 +129,8 @@
 					others.sent, len(others.failures), others.failures, others.longest)
 			}
 			process.stop()
+			state := process.cmd.ProcessState
+			t.Logf("processor: %v", state.UserTime()+state.SystemTime())
 		})
 	}
 }
--- a/dispatch/call_table.go
+++ b/dispatch/call_table.go
@@ -55,6 +55,8 @@
 	Draining func() bool
 	// Log takes a line for each set-up that was not answered; the zero value takes none.
 	Log zerolog.Logger
+	// EndLog takes lines for ends of calls that wait, and for what becomes of them; the zero value takes none.
+	EndLog zerolog.Logger
 	// RelayEnd passes the end of a call that no connection has taken on to another process of the controller, and reports
 	// whether there is one; nil: there never is. It is called with the table's lock held, and waits for nothing.
 	RelayEnd func(id string, cause int) bool
@@ -93,7 +95,7 @@
 		clock:       cfg.Dispatcher,
 		connections: connections,
 		counters:    cfg.Counters,
-		log:         cfg.Log,
+		log:         cfg.EndLog,
 		relay:       cfg.RelayEnd,
 		pending:     newPendingEnds(),
 	}
--- a/dispatch/end_delivery.go
+++ b/dispatch/end_delivery.go
@@ -67,7 +67,9 @@
 	if left := d.pending.find(end.id); left != nil {
 		left.waited = true
 		d.counters.Add(telemetry.ReleasesPending)
-		d.log.Info().Str("call", end.id).Msg("call end waits for a caller's connection")
+		if d.pending.count() == 1 { // releases_kept counts the others
+			d.log.Info().Str("call", end.id).Msg("call ends wait for a caller's connection")
+		}
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -30,6 +30,9 @@
 	maxWarningsPerSecond = 10
 	// maxInfosPerSecond bounds the lines about connections that were closed and set-ups that were not answered.
 	maxInfosPerSecond = 100
+	// maxEndLinesPerSecond bounds the lines about ends of calls that wait: beside a crowd, whose connections use up those
+	// of maxInfosPerSecond, they tell whether callers get them.
+	maxEndLinesPerSecond = 20
 	// callControlDivisor is the part of limits.sockets, one in so many, that call control's connections may have:
 	// callers and pools need theirs.
 	callControlDivisor = 4
@@ -135,11 +138,8 @@
 
 func newDaemon(options Options, log zerolog.Logger) *Daemon {
 	daemon := &Daemon{
-		log: log,
-		peerLog: log.Sample(&zerolog.LevelSampler{
-			InfoSampler: &zerolog.BurstSampler{Burst: maxInfosPerSecond, Period: time.Second},
-			WarnSampler: &zerolog.BurstSampler{Burst: maxWarningsPerSecond, Period: time.Second},
-		}),
+		log:            log,
+		peerLog:        sampled(log, maxInfosPerSecond, maxWarningsPerSecond),
 		counters:       &telemetry.Counters{},
 		clock:          clock.New(),
 		incarnation:    time.Now().UnixMicro(),
@@ -152,6 +152,14 @@
 	return daemon
 }
 
+// sampled returns a log that takes so many infos, and so many warnings, a second.
+func sampled(log zerolog.Logger, infos, warnings uint32) zerolog.Logger {
+	return log.Sample(&zerolog.LevelSampler{
+		InfoSampler: &zerolog.BurstSampler{Burst: infos, Period: time.Second},
+		WarnSampler: &zerolog.BurstSampler{Burst: warnings, Period: time.Second},
+	})
+}
+
 // build makes the parts that every daemon has; the pools end with their context. It starts nothing.
 func (d *Daemon) build(pools context.Context) error {
 	files := d.files
@@ -191,6 +199,7 @@
 		AnnounceID: d.handover.AnnounceCallID,
 		Draining:   d.rejectsSetups,
 		Log:        d.peerLog,
+		EndLog:     sampled(d.log, maxEndLinesPerSecond, maxEndLinesPerSecond),
 		Counters:   d.counters,
 	})
 	d.listener = d.handover.Acceptor(callersField)
--- a/internal/frontend/websocket/sites.go
+++ b/internal/frontend/websocket/sites.go
@@ -62,6 +62,7 @@
 		NotifyAllEnds: true,
 		Draining:      s.rejectsSetups,
 		Log:           s.cfg.Log,
+		EndLog:        s.cfg.Log,
 		Counters:      s.cfg.Counters,
 	})
 	s.sites[site] = calls
