--- a/cmd/eidertrail/replace_calls_test.go
+++ b/cmd/eidertrail/replace_calls_test.go
@@ -57,6 +57,36 @@
 	second.stop()
 }
 
+// replacement is a process that a second one has replaced, and a caller whose connection is left at the first: a set-up
+// is open on it beside an established call.
+type replacement struct {
+	controller    *replaceableController
+	first, second *controllerProcess
+	newPool       *fakeplatform.Pool // of the second process alone
+	caller        *daemontest.Caller
+}
+
+// replaceBesideACaller replaces a process at which a call of that id is established.
+func replaceBesideACaller(t *testing.T, id string) replacement {
+	t.Helper()
+	const pending = "00000000000000a2"
+	controller := newReplaceableController(t)
+	newPool, newAddress := callingPool(t)
+	oldPool := &fakeplatform.Pool{OnRequest: func(request fakeplatform.Request) {
+		if request.Method == "INVITE" && request.CallID == id {
+			request.Answer(200, "", "hello\r\n")
+		}
+	}}
+	first := controller.startAt(reserveAddress(t), oldPool.Listen(t))
+	first.awaitReady()
+	caller := daemontest.Dial(t, controller.listen)
+	place(t, caller, id)
+	caller.Setup(pending)
+	second := controller.startAt(reserveAddress(t), newAddress)
+	first.awaitMessage(messageReplaced)
+	return replacement{controller: controller, first: first, second: second, newPool: newPool, caller: caller}
+}
+
 // An end that came to the old process was written to connections of crowds at both, and its caller never got it.
 func TestReplace_EndReachesACallerBesideCrowdsAtBothProcesses(t *testing.T) {
 	t.Parallel()
@@ -67,6 +97,9 @@
 	first.awaitReady()
 	before := daemontest.Dial(t, controller.listen)
 	place(t, before, id)
+	strangerAtFirst := daemontest.Dial(t, controller.listen)
+	strangerAtFirst.Ping("p") // the first process has accepted it
+	strangerAtFirst.SendText(partOfSetup)
 	second := controller.start()
 	first.awaitMessage(messageReplaced)
 	<-before.Ended() // the old process empties
@@ -85,55 +118,29 @@
 // An end that came to the new process, which held a crowd, reaches its caller at the old one.
 func TestReplace_EndReachesACallerOfTheOldProcessBesideACrowdAtTheNewOne(t *testing.T) {
 	t.Parallel()
-	const id, pending, partOfSetup = "00000000000000a1", "00000000000000a2", `{"type":"setup","id":"`
-	controller := newReplaceableController(t)
-	newPool, newAddress := callingPool(t)
-	oldPool := &fakeplatform.Pool{OnRequest: func(request fakeplatform.Request) {
-		if request.Method == "INVITE" && request.CallID == id {
-			request.Answer(200, "", "hello\r\n")
-		}
-	}}
-	first := controller.startAt(reserveAddress(t), oldPool.Listen(t))
-	first.awaitReady()
-	caller := daemontest.Dial(t, controller.listen)
-	place(t, caller, id)
-	caller.Setup(pending)
-	second := controller.startAt(reserveAddress(t), newAddress)
-	first.awaitMessage(messageReplaced)
+	const id, partOfSetup = "00000000000000a1", `{"type":"setup","id":"`
+	replaced := replaceBesideACaller(t, id)
 	for range 3 {
-		stranger := daemontest.Dial(t, controller.listen)
+		stranger := daemontest.Dial(t, replaced.controller.listen)
 		stranger.Ping("p") // the new process has accepted it
 		stranger.SendText(partOfSetup)
 	}
-	newPool.Bye(id, 16)
-	wantEnd(t, caller, id)
-	first.stop()
-	second.stop()
+	replaced.newPool.Bye(id, 16)
+	wantEnd(t, replaced.caller, id)
+	replaced.first.stop()
+	replaced.second.stop()
 }
 
 // The end of a call comes to the new process, which has no connection of callers yet: it reaches its caller on the one
 // that is left at the old process, where a set-up is open.
 func TestReplace_EndThatComesToTheNewProcess(t *testing.T) {
 	t.Parallel()
-	const id, pending = "00000000000000a1", "00000000000000a2"
-	controller := newReplaceableController(t)
-	newPool, newAddress := callingPool(t)
-	oldPool := &fakeplatform.Pool{OnRequest: func(request fakeplatform.Request) {
-		if request.Method == "INVITE" && request.CallID == id {
-			request.Answer(200, "", "hello\r\n")
-		}
-	}}
-	first := controller.startAt(reserveAddress(t), oldPool.Listen(t))
-	first.awaitReady()
-	caller := daemontest.Dial(t, controller.listen)
-	place(t, caller, id)
-	caller.Setup(pending)
-	second := controller.startAt(reserveAddress(t), newAddress)
-	first.awaitMessage(messageReplaced)
-	newPool.Bye(id, 16)
-	wantEnd(t, caller, id)
-	first.stop()
-	second.stop()
+	const id = "00000000000000c1"
+	replaced := replaceBesideACaller(t, id)
+	replaced.newPool.Bye(id, 16)
+	wantEnd(t, replaced.caller, id)
+	replaced.first.stop()
+	replaced.second.stop()
 }
 
 // What stands at the old process when it ends goes on, and its end comes to the new one.
--- a/internal/frontend/jsonlines/call_ends_test.go
+++ b/internal/frontend/jsonlines/call_ends_test.go
@@ -10,15 +10,21 @@
 	"eidertrail/dispatch"
 )
 
+// placeAndLeave has a caller whose call is established close its connection.
+func (r *rig) placeAndLeave() {
+	r.t.Helper()
+	caller := r.dial()
+	caller.say(setup)
+	r.want(caller, answer)
+	caller.Close()
+	synctest.Wait()
+}
+
 // A connection on which nothing but a test came gets the end of a call when no caller has come for a while; a caller's
 // connection gets it at once.
 func TestServer_CallEndIsSentOnTheNextConnection(t *testing.T) {
 	bubble(t, func(r *rig) {
-		caller := r.dial()
-		caller.say(setup)
-		r.want(caller, answer)
-		caller.Close()
-		synctest.Wait()
+		r.placeAndLeave()
 		r.inviter.first().end(dispatch.Ended, 16)
 		synctest.Wait()
 		tester := r.dial()
@@ -86,11 +92,7 @@
 	for name, shown := range strangers() {
 		t.Run(name, func(t *testing.T) {
 			bubble(t, func(r *rig) {
-				caller := r.dial()
-				caller.say(setup)
-				r.want(caller, answer)
-				caller.Close()
-				synctest.Wait()
+				r.placeAndLeave()
 				for range 2 {
 					write(r.dial(), shown)
 					synctest.Wait()
@@ -113,11 +115,7 @@
 // A caller whose set-up takes 2 s to write, beside a crowd, gets the end within 1 s of it where its connection is new.
 func TestServer_CallEndReachesACallerWhileItWritesItsSetup(t *testing.T) {
 	bubble(t, func(r *rig) {
-		caller := r.dial()
-		caller.say(setup)
-		r.want(caller, answer)
-		caller.Close()
-		synctest.Wait()
+		r.placeAndLeave()
 		write(r.dial(), setup[:40])
 		r.inviter.first().end(dispatch.Ended, 16)
 		time.Sleep(700 * time.Millisecond)
