An end's id in a stranger's set-up does not take the end from its caller

TestEndDelivery_StrangerThatUsesTheIDOfAnEndDoesNotTakeIt failed before: the stranger, who had the id from a copy, set up a call under it, got the end again, and it was forgotten. Only a verified connection takes it so now.

--- a/dispatch/end_delivery.go
+++ b/dispatch/end_delivery.go
@@ -185,11 +185,11 @@
 	return copied
 }
 
-// deliverBefore delivers the pending end of an earlier call on the connection that sets up another one under its id:
-// later it would be taken for the end of that one.
+// deliverBefore delivers the pending end of an earlier call on the verified connection that sets up another one under
+// its id: later it would be taken for the end of that one. Another connection may have the id from a copy.
 func (d *endDelivery) deliverBefore(conn *connection, id string) {
-	if end := d.pending.find(id); end != nil {
-		d.deliverOn(conn, end.callEnd)
+	end := d.pending.find(id)
+	if end != nil && conn.standing() == standingVerified && d.deliverOn(conn, end.callEnd) {
 		d.pending.remove(end)
 	}
 }
--- a/dispatch/end_delivery_test.go
+++ b/dispatch/end_delivery_test.go
@@ -238,3 +238,20 @@
 		}
 	})
 }
+
+// A stranger that set up a call under the id of a copied end took the end from the caller whose call it was.
+func TestEndDelivery_StrangerThatUsesTheIDOfAnEndDoesNotTakeIt(t *testing.T) {
+	onRig(t, func(r *rig) {
+		stranger := r.connectStranger()
+		r.table.CallEnded("c1", CauseNormal)
+		time.Sleep(verifiedWait + 10*time.Millisecond)
+		if ends := stranger.takeEnds(); !slices.Equal(ends, []string{"c1"}) {
+			t.Fatalf("copied %v", ends)
+		}
+		r.setup(stranger, "c1")
+
+		if ends := r.connect().takeEnds(); !slices.Equal(ends, []string{"c1"}) {
+			t.Errorf("the caller got %v", ends)
+		}
+	})
+}
