A trial's reload keeps the address of the process that is starting

The fault is the trial's: operators give a second process a file with its own address.

A reload writes the latest process's address now, which the others do not read again.

--- a/internal/trial/incarnation.go
+++ b/internal/trial/incarnation.go
@@ -46,6 +46,9 @@
 		counts:  newCounts(),
 		exited:  make(chan struct{}),
 	}
+	p.mu.Lock()
+	p.control = one.control
+	p.mu.Unlock()
 	if err := p.writeConfig(known, one.control); err != nil {
 		return nil, err
 	}
--- a/internal/trial/process.go
+++ b/internal/trial/process.go
@@ -58,6 +58,7 @@
 	current *incarnation // of the front; nil before the first start
 	next    *incarnation // it is about to replace the current one; nil: none
 	all     map[string]*incarnation
+	control string    // the address for operators of the incarnation that was launched last
 	lastYes time.Time // when the front was last answered that the controller is ready
 	lastNo  time.Time // since when the answer is that it is not; zero: it is ready
 	upgrade *upgrade  // under way; nil: none
@@ -143,10 +144,11 @@
 	return os.Rename(p.configPath()+".new", p.configPath())
 }
 
-// rewriteConfig writes the configuration of the incarnations that run, for a reload.
+// rewriteConfig writes the configuration of the incarnations that run, for a reload. The address for operators is that
+// of the latest one: it may not have read the file yet, and the others do not read the address again.
 func (p *process) rewriteConfig() error {
 	p.mu.Lock()
-	control := p.current.control
+	control := p.control
 	p.mu.Unlock()
 	return p.writeConfig(p.list.known(), control)
 }
