WebSocket: a set-up that may have run is not offered a retry any more

What callers saw: over WebSocket a set-up of a class that must not be repeated, whose answer was lost, ended with code timed_out, cause 102 and retry_after_ms 100.

Cause: dispatch.Final had a kind and four flags whose meaning depended on the kind. Each frontend translated them with a switch of its own, and the WebSocket one had no case for MayHaveRun. Nothing failed when a frontend forgot a flag.

Change: Final has one kind for each meaning. The kind decides the Q.850 cause, which stands once, in dispatch/cause.go, and whether a retry is harmless; RetryAfter() gives a time only where one is. A frontend translates the kind into its own words and cannot name a time for FinalMayHaveRun. The zero value and a kind that a frontend does not know read as 'may have run'. Over WebSocket that is type failed, code may_have_run, cause 41, without retry_after_ms.

Tests that read the flags read the kind now, and are as strict.

--- a/dispatch/call_table_test.go
+++ b/dispatch/call_table_test.go
@@ -230,8 +230,11 @@
 		synctest.Wait()
 
 		finals := conn.receivedSoFar().finals
-		if len(finals) != 1 || finals[0].Kind == FinalEstablished || finals[0].RetryAfter < minRetryAfterMicros {
-			t.Errorf("finals %+v", finals)
+		if len(finals) != 1 || finals[0].Kind == FinalEstablished {
+			t.Fatalf("finals %+v", finals)
+		}
+		if retryAfter, harmless := finals[0].RetryAfter(); !harmless || retryAfter < minRetryAfterMicros {
+			t.Errorf("a retry is harmless: %t, after %d µs", harmless, retryAfter)
 		}
 	})
 }
--- a/dispatch/characterization_table_test.go
+++ b/dispatch/characterization_table_test.go
@@ -47,22 +47,22 @@
 	switch f.Kind {
 	case dispatch.FinalEstablished:
 		b.WriteString("stands, sdp " + f.Call.SDP())
-	case dispatch.FinalRejected:
+	case dispatch.FinalNoAgent, dispatch.FinalCongestion:
 		b.WriteString("turned away")
-	case dispatch.FinalFailed:
+	case dispatch.FinalTimedOut, dispatch.FinalMayHaveRun:
 		b.WriteString("given up")
 	case dispatch.FinalCallerGone:
 		b.WriteString("gone")
 	}
-	if f.RetryAfter > 0 {
-		fmt.Fprintf(&b, ", come back after %d us", f.RetryAfter)
+	if retryAfter, harmless := f.RetryAfter(); harmless && retryAfter > 0 {
+		fmt.Fprintf(&b, ", come back after %d us", retryAfter)
 	}
 	for _, mark := range []struct {
 		is   bool
 		text string
 	}{
-		{f.NoAgentFree, ", no room"},
-		{f.MayHaveRun, ", may have run"},
+		{f.Kind == dispatch.FinalNoAgent, ", no room"},
+		{f.Kind == dispatch.FinalMayHaveRun, ", may have run"},
 		{f.Errored, ", errored"},
 		{c.refuses, " (not taken)"},
 	} {
--- a/dispatch/drain_test.go
+++ b/dispatch/drain_test.go
@@ -42,13 +42,13 @@
 		loopEnds    bool    // before that outcome is reported; else the table aborts the call
 		want        FinalKind
 	}{
-		{"idempotent, attempt in flight", eidertrail.Idempotent, inFlight, false, FinalRejected},
-		{"not idempotent, attempt in flight", eidertrail.NotIdempotent, inFlight, false, FinalFailed},
-		{"idempotent by key, attempt in flight", eidertrail.IdempotentByKey, inFlight, false, FinalFailed},
-		{"not idempotent, proven not to have run, waiting", eidertrail.NotIdempotent, NoAgent, false, FinalRejected},
-		{"not idempotent, timed out as the loop ends", eidertrail.NotIdempotent, TimedOut, true, FinalFailed},
-		{"not idempotent, proven not to have run, the loop ends", eidertrail.NotIdempotent, NoAgent, true, FinalRejected},
-		{"idempotent, timed out as the loop ends", eidertrail.Idempotent, TimedOut, true, FinalRejected},
+		{"idempotent, attempt in flight", eidertrail.Idempotent, inFlight, false, FinalCongestion},
+		{"not idempotent, attempt in flight", eidertrail.NotIdempotent, inFlight, false, FinalMayHaveRun},
+		{"idempotent by key, attempt in flight", eidertrail.IdempotentByKey, inFlight, false, FinalMayHaveRun},
+		{"not idempotent, proven not to have run, waiting", eidertrail.NotIdempotent, NoAgent, false, FinalCongestion},
+		{"not idempotent, timed out as the loop ends", eidertrail.NotIdempotent, TimedOut, true, FinalMayHaveRun},
+		{"not idempotent, proven not to have run, the loop ends", eidertrail.NotIdempotent, NoAgent, true, FinalCongestion},
+		{"idempotent, timed out as the loop ends", eidertrail.Idempotent, TimedOut, true, FinalCongestion},
 	} {
 		onRig(t, func(r *rig) {
 			stop := r.replaceDispatcher(withIdempotency(test.idempotency))
@@ -73,8 +73,8 @@
 			}
 
 			finals := conn.receivedSoFar().finals
-			if len(finals) != 1 || finals[0].Kind != test.want || finals[0].MayHaveRun != (test.want == FinalFailed) {
-				t.Errorf("%s: finals %+v, want one of kind %d", test.name, finals, test.want)
+			if len(finals) != 1 || finals[0].Kind != test.want {
+				t.Errorf("%s: finals %+v, want one of kind %v", test.name, finals, test.want)
 			}
 		})
 	}
@@ -177,7 +177,7 @@
 		}
 
 		finals := conn.receivedSoFar().finals
-		if len(finals) != 1 || finals[0].Kind != FinalRejected || r.table.PendingSetups() != 0 {
+		if len(finals) != 1 || finals[0].Kind != FinalCongestion || r.table.PendingSetups() != 0 {
 			t.Errorf("finals %+v, %d open", finals, r.table.PendingSetups())
 		}
 		if sent := r.inviter.attempts(); sent != 0 {
@@ -219,15 +219,14 @@
 		// A table aborts once: each case has a rig of its own.
 		onRigWith(t, set, func(r *rig) {
 			final := r.finalOf(r.connect(), "in-flight", r.table.AbortPending)
-			if mustNotRepeat && (final.Kind != FinalFailed || !final.MayHaveRun) ||
-				!mustNotRepeat && (final.Kind != FinalRejected || final.MayHaveRun) {
+			if mustNotRepeat && final.Kind != FinalMayHaveRun || !mustNotRepeat && final.Kind != FinalCongestion {
 				t.Errorf("idempotency %d, in flight at the stop: %+v", idempotency, final)
 			}
 		})
 		onRigWith(t, set, func(r *rig) {
 			r.list(eidertrail.Removed, eidertrail.Removed)
 			final := r.finalOf(r.connect(), "waiting", r.table.AbortPending)
-			if final.Kind != FinalRejected || final.MayHaveRun {
+			if final.Kind != FinalCongestion {
 				t.Errorf("idempotency %d, not sent at the stop: %+v", idempotency, final)
 			}
 		})
@@ -237,7 +236,7 @@
 				before := r.inviter.attempts()
 				final := r.finalOf(conn, "reset", func() { r.endLast(Reset) })
 				sent := r.inviter.attempts() - before
-				if final.Kind != FinalFailed || !final.MayHaveRun || sent != 1 {
+				if final.Kind != FinalMayHaveRun || sent != 1 {
 					t.Errorf("idempotency %d, reset: %+v after %d set-ups", idempotency, final, sent)
 				}
 			}
@@ -247,7 +246,7 @@
 					synctest.Wait()
 				}
 			})
-			if final.Kind != FinalRejected || final.MayHaveRun || !final.NoAgentFree {
+			if final.Kind != FinalNoAgent {
 				t.Errorf("idempotency %d, no agent: %+v", idempotency, final)
 			}
 		})
@@ -269,9 +268,9 @@
 // The same for an attempt that ends when nothing decides any more.
 func TestServe_SetupThatMustNotBeRepeatedIsNotRejectedAtTheEnd(t *testing.T) {
 	for idempotency, want := range map[eidertrail.Idempotency]FinalKind{
-		eidertrail.Idempotent:      FinalRejected,
-		eidertrail.IdempotentByKey: FinalFailed,
-		eidertrail.NotIdempotent:   FinalFailed,
+		eidertrail.Idempotent:      FinalCongestion,
+		eidertrail.IdempotentByKey: FinalMayHaveRun,
+		eidertrail.NotIdempotent:   FinalMayHaveRun,
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			d, err := New(withIdempotency(idempotency), 1, testMaxRetryAfter, clock.New(), zerolog.Nop(), nil)
@@ -286,7 +285,7 @@
 
 			final := Serve(context.Background(), d, inviter, request, Setup{ID: "c1"})
 
-			if final.Kind != want || final.MayHaveRun != (want == FinalFailed) {
+			if final.Kind != want {
 				t.Errorf("idempotency %d: %+v", idempotency, final)
 			}
 		})
--- a/dispatch/established_call.go
+++ b/dispatch/established_call.go
@@ -2,12 +2,6 @@
 
 import "context"
 
-// CauseNormal and CauseCut are the Q.850 causes of calls that were cleared normally and that were cut.
-const (
-	CauseNormal = 16
-	CauseCut    = 41
-)
-
 // EstablishedCall is a call that is established. End or WaitEnd must be called once.
 type EstablishedCall struct {
 	Leg
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -93,19 +93,18 @@
 	case err != nil && ctx.Err() != nil:
 		c.finishCancelled(ctx)
 	case errors.Is(err, ErrClosed):
-		c.finishUnanswered(Final{Kind: FinalRejected, RetryAfter: minRetryAfterMicros})
+		c.finishUnanswered(Final{Kind: FinalCongestion, retryAfter: minRetryAfterMicros})
 	case err != nil || decision.Kind == DecisionFail:
 		c.finishUnanswered(Final{
-			Kind:       FinalFailed,
-			RetryAfter: max(decision.RetryAfter, minRetryAfterMicros),
+			Kind:       FinalTimedOut,
 			Errored:    c.errored,
+			retryAfter: max(decision.RetryAfter, minRetryAfterMicros),
 		})
 	case decision.Kind == DecisionReject:
 		c.finishUnanswered(Final{
-			Kind:        FinalRejected,
-			RetryAfter:  decision.RetryAfter,
-			NoAgentFree: decision.NoAgentFree,
-			Errored:     c.errored,
+			Kind:       rejectionKind(decision),
+			Errored:    c.errored,
+			retryAfter: decision.RetryAfter,
 		})
 	default:
 		c.attempt = c.newAttempt(decision)
@@ -113,6 +112,14 @@
 	}
 }
 
+// rejectionKind is the kind of the final answer that the module's rejection asks for.
+func rejectionKind(decision Decision) FinalKind {
+	if decision.NoAgentFree {
+		return FinalNoAgent
+	}
+	return FinalCongestion
+}
+
 // newAttempt is the attempt that was decided on.
 func (c *servedCall) newAttempt(decision Decision) Attempt {
 	attempt := Attempt{
@@ -192,23 +199,23 @@
 		c.finishCancelled(ctx)
 		return
 	}
-	c.finishUnanswered(Final{Kind: FinalFailed, RetryAfter: minRetryAfterMicros})
+	c.finishUnanswered(Final{Kind: FinalTimedOut, retryAfter: minRetryAfterMicros})
 }
 
 // finishCancelled ends a call whose ctx is done.
 func (c *servedCall) finishCancelled(ctx context.Context) {
 	if errors.Is(context.Cause(ctx), errAborted) {
-		c.finishUnanswered(Final{Kind: FinalRejected, RetryAfter: c.dispatcher.engine.maxRetryAfter})
+		c.finishUnanswered(Final{Kind: FinalCongestion, retryAfter: c.dispatcher.engine.maxRetryAfter})
 		return
 	}
 	c.finish(Final{Kind: FinalCallerGone})
 }
 
-// finishUnanswered ends a call as its class allows. A rejection says that a retry is harmless, which is wrong for a
-// call that may be established at an endpoint and whose class is not idempotent: that one has failed.
+// finishUnanswered ends a call as its class allows: no other kind than FinalMayHaveRun is right for one that may be
+// established at an endpoint and whose class is not idempotent.
 func (c *servedCall) finishUnanswered(final Final) {
 	if c.mayHaveRun && c.dispatcher.engine.mustNotRepeat(c.request.Class) {
-		final.Kind, final.NoAgentFree, final.MayHaveRun = FinalFailed, false, true
+		final = Final{Kind: FinalMayHaveRun, Errored: final.Errored}
 	}
 	c.finish(final)
 }
--- a/dispatch/table_call.go
+++ b/dispatch/table_call.go
@@ -67,7 +67,7 @@
 
 	delivered := c.deliverFinal(final)
 	if delivered {
-		counters.AddOutcome(r.Class, final.outcome())
+		counters.AddOutcome(r.Class, final.Kind.outcome())
 	}
 	c.logFinal(final, delivered)
 	switch {
@@ -76,13 +76,13 @@
 		if final.Kind == FinalEstablished { // an answer that nobody waits for holds an agent for nobody
 			final.Call.End(CauseNormal)
 		}
-	case final.Kind == FinalRejected:
+	case final.Kind.rejects():
 		counters.Add(telemetry.RejectedCalls)
-	case final.Kind == FinalFailed:
-		counters.Add(telemetry.FailedCalls)
-	default:
+	case final.Kind == FinalEstablished:
 		counters.RecordEstablished(setupTime, setupTime <= table.latencyObjective(r.Class).Microseconds())
 		c.awaitEnd(final.Call)
+	default:
+		counters.Add(telemetry.FailedCalls)
 	}
 }
 
@@ -92,7 +92,7 @@
 		return
 	}
 	c.table.log.Info().Str("call", c.id).Stringer("final", final.Kind).Bool("delivered", delivered).
-		Bool("no_agent", final.NoAgentFree).Bool("may_have_run", final.MayHaveRun).Msg("set-up not answered")
+		Bool("may_have_run", final.Kind == FinalMayHaveRun).Msg("set-up not answered")
 }
 
 // deliverFinal passes the final answer on, unless the caller has left, and reports whether it did. From here on a
--- a/dispatch/zone_model_test.go
+++ b/dispatch/zone_model_test.go
@@ -428,7 +428,7 @@
 		}
 	case FinalCallerGone:
 		result.left++
-	case FinalRejected, FinalFailed:
+	case FinalNoAgent, FinalCongestion, FinalTimedOut, FinalMayHaveRun:
 		if duringOutage {
 			result.rejected++
 		}
--- a/internal/frontend/jsonlines/conn.go
+++ b/internal/frontend/jsonlines/conn.go
@@ -21,15 +21,6 @@
 // lateLineMicros is how long a connection that an emptied controller accepts may be without a complete line.
 const lateLineMicros = 500_000
 
-// The Q.850 causes with which a set-up is rejected or has failed. On this wire 34, 42 and 102 say that a retry is
-// harmless.
-const (
-	causeNoCircuit       = 34
-	causeFailed          = 41
-	causeCongestion      = 42
-	causeRecoveryOnTimer = 102
-)
-
 // connState is the state of a connection that is open. Its end is the channel conn.closed, as both goroutines wait for
 // that, and as eviction treats a connection that is being closed by whether a message was received on it.
 type connState int32
@@ -158,32 +149,25 @@
 	c.close(closeInvalidInput)
 }
 
-// Final implements dispatch.CallerConn. A call that may have run and must not be repeated gets a cause that does not
-// say that a retry is harmless.
+// Final implements dispatch.CallerConn. On this wire the cause says whether a retry is harmless.
 func (c *conn) Final(id string, final dispatch.Final) bool {
-	switch {
-	case final.Kind == dispatch.FinalEstablished:
+	if final.Kind == dispatch.FinalEstablished {
 		return c.send(queuedLine{
 			kind:   lineAnswer,
 			bytes:  linecodec.AppendAnswer(nil, id, final.Call.SDP()),
 			callID: id,
 		})
-	case final.Kind == dispatch.FinalFailed && final.MayHaveRun:
-		return c.sendRelease(id, causeFailed)
-	case final.Kind == dispatch.FinalFailed:
-		return c.sendRejection(id, causeRecoveryOnTimer, final.RetryAfter)
-	case final.NoAgentFree:
-		return c.sendRejection(id, causeNoCircuit, final.RetryAfter)
 	}
-	return c.sendRejection(id, causeCongestion, final.RetryAfter)
+	retryAfter, harmless := final.RetryAfter()
+	if !harmless || !c.server.cfg.RetryAfter || retryAfter <= 0 {
+		return c.sendRelease(id, final.Kind.Cause())
+	}
+	return c.sendRejection(id, final.Kind.Cause(), retryAfter)
 }
 
-// sendRejection queues the final answer of a set-up that may be sent again. Where the site's callers respect a wait, it
-// says how long they are to stay away, in µs.
+// sendRejection queues the final answer of a set-up that may be sent again, with the time for which its caller is to
+// stay away, in µs.
 func (c *conn) sendRejection(id string, cause int, retryAfter int64) bool {
-	if !c.server.cfg.RetryAfter || retryAfter <= 0 {
-		return c.sendRelease(id, cause)
-	}
 	waitMillis := (retryAfter + microsPerMilli - 1) / microsPerMilli
 	return c.send(queuedLine{bytes: linecodec.AppendRejection(nil, id, cause, waitMillis)})
 }
--- a/internal/frontend/jsonlines/messages.go
+++ b/internal/frontend/jsonlines/messages.go
@@ -50,12 +50,12 @@
 		return
 	}
 	if errors.Is(err, dispatch.ErrDraining) { // no fault of the caller's
-		c.sendRelease(message.ID, causeCongestion)
+		c.sendRelease(message.ID, dispatch.CauseCongestion)
 		return
 	}
 	c.recordBadLine(fmt.Errorf("front: set-up %.40q: %w", message.ID, err))
 	calls := c.server.cfg.Calls
-	cause := causeFailed
+	cause := dispatch.CauseTemporaryFailure
 	switch {
 	case !dispatch.IsToken(message.ID): // there is no id that an answer could name
 		c.closeFaulty()
@@ -66,7 +66,7 @@
 		c.closeFaulty()
 		return
 	case errors.Is(err, dispatch.ErrTooManyCalls):
-		cause = causeCongestion
+		cause = dispatch.CauseCongestion
 		if !errors.Is(err, dispatch.ErrNotEstablished) {
 			c.faults-- // too many calls at a time are not the fault of a caller that is served
 		}
--- a/internal/frontend/jsonlines/reader.go
+++ b/internal/frontend/jsonlines/reader.go
@@ -104,7 +104,7 @@
 		return false
 	}
 	if !c.server.cfg.Calls.Owns(c, message.ID) {
-		c.sendRelease(message.ID, causeFailed)
+		c.sendRelease(message.ID, dispatch.CauseTemporaryFailure)
 	}
 	return true
 }
--- a/internal/frontend/websocket/characterization_harness_test.go
+++ b/internal/frontend/websocket/characterization_harness_test.go
@@ -20,6 +20,7 @@
 	"eidertrail/dispatch"
 	"eidertrail/internal/clock"
 	"eidertrail/internal/frontend/websocket"
+	"eidertrail/internal/lifecycle"
 	"eidertrail/internal/telemetry"
 	"eidertrail/internal/testing/fakeplatform"
 	"eidertrail/internal/testing/frontendtest"
@@ -30,14 +31,18 @@
 	*frontendtest.Journal
 	t          *testing.T
 	server     *websocket.Server
+	lifecycle  *lifecycle.Lifecycle
 	dispatcher *dispatch.Dispatcher
-	listener   *fakeplatform.Listener
-	pools      *frontendtest.Pools
-	count      *telemetry.Counters
-	ready      bool
-	log        *frontendtest.LockedBuffer
-	began      time.Time
-	clients    []*client
+	// stopDispatcher ends the dispatcher's loop.
+	stopDispatcher context.CancelFunc
+
+	listener *fakeplatform.Listener
+	pools    *frontendtest.Pools
+	count    *telemetry.Counters
+	ready    bool
+	log      *frontendtest.LockedBuffer
+	began    time.Time
+	clients  []*client
 }
 
 // maxSockets is how many sockets the servers of these tests take.
@@ -71,6 +76,13 @@
 			PriorityWeight:   1,
 			Idempotency:      eidertrail.NotIdempotent,
 		},
+		{
+			Name:             "keyed",
+			LatencyObjective: 2 * time.Second,
+			Deadline:         6 * time.Second,
+			PriorityWeight:   1,
+			Idempotency:      eidertrail.IdempotentByKey,
+		},
 	}
 	settings := eidertrail.Settings{Nodes: 1, OwnExchange: -1, ReleaseWait: 300 * time.Millisecond, Classes: classes}
 	s.dispatcher, err = dispatch.New(settings, 1, 2_000_000, clock.New(), zerolog.Nop(), s.count)
@@ -78,11 +90,15 @@
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	s.stopDispatcher = cancel
 	go s.dispatcher.Run(ctx)
+	s.lifecycle = lifecycle.New(s.dispatcher.Now(), nil)
+	s.lifecycle.Serve(s.dispatcher.Now())
 	s.roster(eidertrail.Ready)
 	s.server = websocket.New(websocket.Config{
-		Dispatcher: s.dispatcher, Inviter: s.pools, Ready: func() bool { return s.ready },
-		MaxConnections: maxSockets, Log: zerolog.New(s.log).Level(zerolog.WarnLevel), Counters: s.count,
+		Dispatcher: s.dispatcher, Inviter: s.pools, Lifecycle: s.lifecycle,
+		Ready: func() bool { return s.ready }, MaxConnections: maxSockets,
+		Log: zerolog.New(s.log).Level(zerolog.WarnLevel), Counters: s.count,
 	})
 	web := &http.Server{Handler: s.server, ErrorLog: log.New(io.Discard, "", 0)}
 	served := make(chan struct{})
--- a/internal/frontend/websocket/code.go
+++ b/internal/frontend/websocket/code.go
@@ -14,6 +14,7 @@
 	NoAgent      Code = "no_agent"      // refused: no agent was free
 	Congestion   Code = "congestion"    // refused: the pools are too busy
 	TimedOut     Code = "timed_out"     // failed: no place was found in the time that the caller gave
+	MayHaveRun   Code = "may_have_run"  // failed: the call may have been carried out and must not be sent again
 	ShuttingDown Code = "shutting_down" // refused: this controller is about to end
 )
 
--- a/internal/frontend/websocket/reader.go
+++ b/internal/frontend/websocket/reader.go
@@ -94,7 +94,7 @@
 
 // rejectDraining rejects a set-up as the controller sends its clients away.
 func (c *socket) rejectDraining(id string) {
-	rejection := rejectedMessage(typeRejected, id, ShuttingDown, causeCongestion, retryAfterMicros)
+	rejection := rejectedMessage(typeRejected, id, ShuttingDown, dispatch.CauseCongestion, retryAfterMicros)
 	c.send(queuedMessage{bytes: rejection})
 }
 
--- a/internal/frontend/websocket/server_message.go
+++ b/internal/frontend/websocket/server_message.go
@@ -17,26 +17,32 @@
 	typeError    = "error"
 )
 
-// The Q.850 causes with which a set-up is rejected or has failed.
-const (
-	causeNoCircuit       = 34
-	causeCongestion      = 42
-	causeRecoveryOnTimer = 102
-)
-
 const microsPerMilli = 1000
 
 // finalMessage is the final answer to a set-up.
 func finalMessage(id string, final dispatch.Final) []byte {
-	switch {
-	case final.Kind == dispatch.FinalEstablished:
+	if final.Kind == dispatch.FinalEstablished {
 		return answerMessage(id, final.Call.SDP())
-	case final.Kind == dispatch.FinalFailed:
-		return rejectedMessage(typeFailed, id, TimedOut, causeRecoveryOnTimer, final.RetryAfter)
-	case final.NoAgentFree:
-		return rejectedMessage(typeRejected, id, NoAgent, causeNoCircuit, final.RetryAfter)
 	}
-	return rejectedMessage(typeRejected, id, Congestion, causeCongestion, final.RetryAfter)
+	messageType, code := finalWords(final.Kind)
+	retryAfter, harmless := final.RetryAfter()
+	if !harmless {
+		return failedMessage(id, code, final.Kind.Cause())
+	}
+	return rejectedMessage(messageType, id, code, final.Kind.Cause(), retryAfter)
+}
+
+// finalWords are the type and the code of the final answer to a set-up that was not established.
+func finalWords(kind dispatch.FinalKind) (messageType string, code Code) {
+	switch kind {
+	case dispatch.FinalNoAgent:
+		return typeRejected, NoAgent
+	case dispatch.FinalCongestion:
+		return typeRejected, Congestion
+	case dispatch.FinalTimedOut:
+		return typeFailed, TimedOut
+	}
+	return typeFailed, MayHaveRun
 }
 
 func answerMessage(id, sdp string) []byte {
@@ -45,15 +51,24 @@
 	return append(b, '}')
 }
 
-// rejectedMessage is the final answer to a set-up that was rejected or has failed.
+// rejectedMessage is the final answer to a set-up that may be sent again.
 func rejectedMessage(messageType, id string, code Code, cause int, retryAfter int64) []byte {
-	b := newMessage(messageType, id)
-	b = appendText(b, "code", string(code))
-	b = appendNumber(b, "cause", int64(cause))
+	b := appendReason(newMessage(messageType, id), code, cause)
 	b = appendNumber(b, "retry_after_ms", retryAfterMillis(retryAfter))
 	return append(b, '}')
 }
 
+// failedMessage is the final answer to a set-up that must not be sent again.
+func failedMessage(id string, code Code, cause int) []byte {
+	b := appendReason(newMessage(typeFailed, id), code, cause)
+	return append(b, '}')
+}
+
+func appendReason(b []byte, code Code, cause int) []byte {
+	b = appendText(b, "code", string(code))
+	return appendNumber(b, "cause", int64(cause))
+}
+
 // releasedMessage is the end of an established call.
 func releasedMessage(id string, cause int) []byte {
 	b := newMessage(typeReleased, id)
