WebSocket: a stop does not reject the id of a call that is in flight

What callers saw: while the daemon stopped, a site that sent a set-up again under the id of its open call (on that socket or another) got refused, shutting_down, cause 42 and retry_after_ms 1000 for that id, and later the call's own final answer. Read as the final answer it says that a retry is harmless of a call that may run.

Cause: the WebSocket reader looked at the lifecycle by itself, before the call table could see that the id is taken. The table had the same order in small: the check for a drain came outside the lock, between two looks at the id.

Change: the call table alone decides, under one lock: first whether the id is taken, then whether the controller is being emptied. The server's Draining says yes while it stops.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -4,7 +4,8 @@
 
 // admission decides which set-ups a call table takes. The table's mutex guards it.
 type admission struct {
-	maxCalls    int // open or established at a time
+	maxCalls    int         // open or established at a time
+	draining    func() bool // the controller is being emptied; nil: it never is
 	calls       *callRegistry
 	connections *connectionRegistry
 	counters    *telemetry.Counters
@@ -14,10 +15,12 @@
 // is not admitted is owed nothing.
 func (a *admission) admit(conn *connection, id string) (admitted bool, err error) {
 	switch {
-	case a.calls.find(id) != nil:
-		// The final answer to the call that has this id is still to come: another would be a second one.
+	case a.calls.isTaken(id):
+		// This comes first: a rejection would be read as the final answer to the call that has this id.
 		a.counters.Add(telemetry.Duplicates)
 		return false, ErrDuplicateID
+	case a.draining != nil && a.draining():
+		return false, ErrDraining
 	case a.calls.count() >= a.maxCalls:
 		return false, ErrTooManyCalls
 	case conn == nil:
--- a/dispatch/call_table.go
+++ b/dispatch/call_table.go
@@ -24,7 +24,6 @@
 	classes       map[string]int // index by name
 	callID        func(id string) string
 	announceID    func(id string)
-	draining      func() bool
 	log           zerolog.Logger
 	notifyAllEnds bool
 	running       sync.WaitGroup // the calls' goroutines
@@ -51,7 +50,8 @@
 	// NotifyAllEnds has CallerConn.CallEnded called for each call that was established, also for those that the caller
 	// released.
 	NotifyAllEnds bool
-	// Draining reports whether set-ups are rejected, as the controller is being emptied; nil: never.
+	// Draining reports whether set-ups are rejected, as the controller is being emptied; nil: never. It is called with
+	// the table's lock held, and waits for nothing.
 	Draining func() bool
 	// Log takes a line for each set-up that was not answered; the zero value takes none.
 	Log zerolog.Logger
@@ -78,11 +78,11 @@
 		classes:       map[string]int{},
 		callID:        cfg.CallID,
 		announceID:    cfg.AnnounceID,
-		draining:      cfg.Draining,
 		log:           cfg.Log,
 		notifyAllEnds: cfg.NotifyAllEnds,
 		admission: admission{
 			maxCalls:    cfg.MaxCalls,
+			draining:    cfg.Draining,
 			calls:       calls,
 			connections: connections,
 			counters:    cfg.Counters,
@@ -106,9 +106,6 @@
 	if t.announceID == nil {
 		t.announceID = func(string) {}
 	}
-	if t.draining == nil {
-		t.draining = func() bool { return false }
-	}
 	for i, class := range t.dispatcher.engine.settings.Classes {
 		t.classes[class.Name] = i
 	}
@@ -165,9 +162,6 @@
 // admit starts a valid set-up, or returns why it was not accepted. Without an error, one that is not started is owed
 // nothing.
 func (t *CallTable) admit(callerConn CallerConn, class int, setup SetupRequest) error {
-	if t.draining() {
-		return ErrDraining
-	}
 	number := cmp.Or(setup.Number, noNumber)
 	request := Request{
 		Call:     t.dispatcher.NewCall(),
--- a/internal/frontend/websocket/reader.go
+++ b/internal/frontend/websocket/reader.go
@@ -8,7 +8,6 @@
 	"github.com/coder/websocket"
 
 	"eidertrail/dispatch"
-	"eidertrail/internal/lifecycle"
 	"eidertrail/internal/telemetry"
 )
 
@@ -76,13 +75,6 @@
 }
 
 func (c *socket) setup(request clientMessage, receivedAt int64) error {
-	if c.server.cfg.Lifecycle.State() == lifecycle.Stopping {
-		if !dispatch.IsToken(request.id) {
-			return dispatch.ErrInvalidID
-		}
-		c.rejectDraining(request.id)
-		return nil
-	}
 	request.setup.ReceivedAt = receivedAt
 	err := c.calls.Setup(c, request.setup)
 	if errors.Is(err, dispatch.ErrDraining) {
--- a/internal/frontend/websocket/server_test.go
+++ b/internal/frontend/websocket/server_test.go
@@ -60,6 +60,29 @@
 	r.await("CANCEL")
 }
 
+// While the server stops, a set-up under the id of a call that is in flight is not rejected as one that may be sent
+// again: that would be read as the final answer to the call, which may run.
+func TestShutdown_DuplicateIDIsNoRejection(t *testing.T) {
+	invites := make(chan fakeplatform.Request, 1)
+	r := newRig(t, func(q fakeplatform.Request) { invites <- q })
+	first, second := r.dial("a"), r.dial("a")
+	first.say(setup("c1", 60000))
+	invite := <-invites
+	second.say(ping)
+	second.next()
+	r.server.cfg.Lifecycle.Stop(r.dispatcher.Now(), 0)
+	for _, c := range []*client{first, second} {
+		c.say(setup("c1", 60000))
+		if m := c.next(); m.Type != "error" || m.Code != "duplicate_id" || m.RetryAfterMS != 0 {
+			t.Errorf("a second set-up under the id of an open call: %+v", m)
+		}
+	}
+	invite.Answer(200, "", "x\r\n")
+	if m := first.next(); m.Type != "answer" || m.ID != "c1" {
+		t.Errorf("the open call: %+v", m)
+	}
+}
+
 func TestServer_RejectsInvalidSiteAndTooManySockets(t *testing.T) {
 	r := newRig(t, answerAll)
 	if status, _ := r.dialStatus("?site=a%20b"); status != 400 {
--- a/internal/frontend/websocket/sites.go
+++ b/internal/frontend/websocket/sites.go
@@ -7,6 +7,7 @@
 	"github.com/coder/websocket"
 
 	"eidertrail/dispatch"
+	"eidertrail/internal/lifecycle"
 	"eidertrail/internal/telemetry"
 )
 
@@ -69,9 +70,11 @@
 	return calls, true
 }
 
-// rejectsSetups reports whether the drain that an operator called for is so old that set-ups are rejected.
+// rejectsSetups reports whether set-ups are rejected: the server stops, or the drain that an operator called for is so
+// old.
 func (s *Server) rejectsSetups() bool {
-	return s.cfg.Lifecycle.Status().RejectsSetups(s.cfg.Dispatcher.Now())
+	status := s.cfg.Lifecycle.Status()
+	return status.State == lifecycle.Stopping || status.RejectsSetups(s.cfg.Dispatcher.Now())
 }
 
 // evictOne closes the oldest socket on which no message was accepted, if there is one, and no other. Without it,
