The end of a call is not told with a cause that reads as a rejection

What callers saw: over JSON lines a pool's cause of a BYE passed on as it was. An end with cause 34, 42 or 102 that comes on another connection before, or in place of, the call's answer (its own connection closed with the answer unread, or the process that set it up was replaced or killed) reads as 'refused: trying again is harmless' of a call that has run.

Cause: on this wire the end of a call and a rejection are the same message and differ by the cause alone; the frontend left that to the pool. Over WebSocket the types differ (released, refused), and causes stay as they are.

Change: the JSON lines frontend tells such an end with cause 41, a call that was cut.

Evidence: TestCallEnd_CauseNeverReadsAsARejection failed before with 34, 42 and 102, for calls of this process and of an earlier one, and passes.

--- a/internal/frontend/jsonlines/call_ends_test.go
+++ b/internal/frontend/jsonlines/call_ends_test.go
@@ -1,6 +1,7 @@
 package jsonlines
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -127,3 +128,25 @@
 		r.want(slow, release16)
 	})
 }
+
+// The end of an established call is never delivered with a cause that says, before or in place of the call's answer,
+// that the set-up may be sent again: the call has run.
+func TestCallEnd_CauseNeverReadsAsARejection(t *testing.T) {
+	for cause, want := range map[int]int{16: 16, 31: 31, 34: 41, 41: 41, 42: 41, 102: 41} {
+		wantEnd := fmt.Sprintf(`{"type":"release","id":%q,"fields":{},"cause":%d}`, callID, want)
+		bubble(t, func(r *rig) {
+			caller := r.dial()
+			caller.say(setup)
+			r.want(caller, answer)
+			r.inviter.first().end(dispatch.Ended, cause)
+			r.want(caller, wantEnd)
+		})
+		bubble(t, func(r *rig) { // of a call that an earlier process set up
+			caller := r.dial()
+			caller.say(forCall(setup, "0000"))
+			caller.take()
+			r.cfg.Calls.CallEnded(callID, cause)
+			r.want(caller, wantEnd)
+		})
+	}
+}
--- a/internal/frontend/jsonlines/conn.go
+++ b/internal/frontend/jsonlines/conn.go
@@ -172,8 +172,12 @@
 	return c.send(queuedLine{bytes: linecodec.AppendRejection(nil, id, cause, waitMillis)})
 }
 
-// CallEnded implements dispatch.CallerConn.
+// CallEnded implements dispatch.CallerConn. On this wire the end of a call may overtake its answer, on another
+// connection, and differs from a rejection by its cause alone.
 func (c *conn) CallEnded(id string, cause int) bool {
+	if dispatch.CauseAllowsRetry(cause) {
+		cause = dispatch.CauseCut
+	}
 	return c.send(queuedLine{
 		kind:   lineCallEnd,
 		bytes:  linecodec.AppendCause(nil, linecodec.TypeRelease, id, cause),
