One list says which outcomes prove that an attempt never ran

Three places keep whether a set-up may have run: the module (ledger.go), the engine (call.go) and Serve. They took it from two lists of outcomes, one of those that do prove it and one of those that do not. The lists disagreed on an attempt that has ended without concluding its call, and on a status that is not known: the module would have sent such a call again, or rejected it.

Change: eidertrail.Status.NeverRan is the one list; dispatch.Outcome maps to a Status, and what is no outcome to Error, which proves nothing.

--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -162,9 +162,14 @@
 		e.events = append(e.events, eidertrail.CallerGone{Call: id})
 	}
 	event := eidertrail.Outcome{
-		Call: id, Attempt: r.Attempt, Took: duration(r.Took), Closed: closed, InDoubt: r.InDoubt,
+		Call:    id,
+		Attempt: r.Attempt,
+		Status:  r.Outcome.status(),
+		Cause:   r.Outcome.cause(),
+		Took:    duration(r.Took),
+		Closed:  closed,
+		InDoubt: r.InDoubt,
 	}
-	r.Outcome.describe(&event)
 	if r.Load != UnknownLoad {
 		event.Report = &eidertrail.Report{
 			Server: eidertrail.ServerID(r.Endpoint),
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -51,9 +51,7 @@
 }
 
 // neverRan reports whether the outcome proves that the attempt was not carried out.
-func (o Outcome) neverRan() bool {
-	return o == NoAgent || o == ProcessorFull || o == ConnectFailed || o == NotSent
-}
+func (o Outcome) neverRan() bool { return o.status().NeverRan() }
 
 // awaitsRelease reports whether the endpoint's release must be awaited before the next attempt.
 func (o Outcome) awaitsRelease() bool {
@@ -65,28 +63,36 @@
 	return o == TimedOut || o == Reset || o == ConnectFailed || o == Errored
 }
 
-// describe enters the outcome of an attempt that was not answered into the module's event.
-func (o Outcome) describe(event *eidertrail.Outcome) {
+// status is the outcome as the module knows it. What is not an outcome proves nothing of its attempt.
+func (o Outcome) status() eidertrail.Status {
 	switch o {
-	case Ended:
-		event.Status = eidertrail.Ended
-	case Errored:
-		event.Status = eidertrail.Error
-	case LinesBusy:
-		event.Status, event.Cause = eidertrail.Error, eidertrail.LinesBusy
-	case NoAgent:
-		event.Status, event.Cause = eidertrail.Full, eidertrail.NoAgent
-	case ProcessorFull:
-		event.Status, event.Cause = eidertrail.Full, eidertrail.ProcessorFull
+	case Answered, Ended:
+		return eidertrail.Ended
+	case NoAgent, ProcessorFull:
+		return eidertrail.Full
 	case TimedOut:
-		event.Status = eidertrail.TimedOut
+		return eidertrail.TimedOut
 	case ConnectFailed:
-		event.Status = eidertrail.ConnectFailed
+		return eidertrail.ConnectFailed
 	case Reset:
-		event.Status = eidertrail.Reset
+		return eidertrail.Reset
 	case Cancelled:
-		event.Status = eidertrail.Cancelled
-	default:
-		event.Status = eidertrail.NotSent
+		return eidertrail.Cancelled
+	case NotSent:
+		return eidertrail.NotSent
+	}
+	return eidertrail.Error
+}
+
+// cause refines the outcome's status.
+func (o Outcome) cause() eidertrail.Cause {
+	switch o {
+	case LinesBusy:
+		return eidertrail.LinesBusy
+	case NoAgent:
+		return eidertrail.NoAgent
+	case ProcessorFull:
+		return eidertrail.ProcessorFull
 	}
+	return eidertrail.NoCause
 }
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -152,7 +152,7 @@
 		CallerGone: ctx.Err() != nil,
 		InDoubt:    ending.InDoubt,
 	}
-	c.mayHaveRun = c.mayHaveRun || !ending.Outcome.neverRan()
+	c.attemptEnded(ending.Outcome)
 	if leg == nil {
 		c.state = stateEnded
 	} else {
@@ -160,6 +160,11 @@
 	}
 }
 
+// attemptEnded notes whether the attempt may have been carried out.
+func (c *servedCall) attemptEnded(outcome Outcome) {
+	c.mayHaveRun = c.mayHaveRun || !outcome.neverRan()
+}
+
 // reportEnd reports an attempt that ended without an answer; the call then waits for a further decision.
 func (c *servedCall) reportEnd(ctx context.Context) {
 	c.dispatcher.attemptLog.Info().Str("call", c.setup.ID).Str("pool", c.attempt.Endpoint).
--- a/events.go
+++ b/events.go
@@ -44,6 +44,10 @@
 	NotSent                     // not sent at all
 )
 
+// NeverRan reports whether the status proves that the attempt was not carried out. A call whose attempts all ended so
+// may be sent again, whatever its class.
+func (s Status) NeverRan() bool { return s == Full || s == ConnectFailed || s == NotSent }
+
 // Cause refines a Status.
 type Cause int
 
--- a/ledger.go
+++ b/ledger.go
@@ -258,12 +258,11 @@
 		delete(c.calls, call.ID)
 		return
 	}
+	call.mayHaveRun = call.mayHaveRun || !event.Status.NeverRan()
 	switch event.Status {
 	case TimedOut, Reset, Cancelled: // a tick more keeps the release wait to the nanosecond
-		call.mayHaveRun = true
 		call.notBefore = c.now + c.settings.ReleaseWait + c.settings.Tick
 	case Error:
-		call.mayHaveRun = true
 		if event.Cause == LinesBusy { // at every server
 			call.attempts = maxAttempts
 			c.recordBusy(call)
