Trials: sites on WebSockets that go by what they are told, and no effect twice

Need: no trial showed that a set-up which had run was offered a retry: trials drew classes that must not be repeated, and callers of JSON lines only, who were never told the wrong thing.

It sends a set-up again where its final answer names a time for that, and never otherwise. A description names the effect that its caller wants done once; the pools report what they carry out, also where the answer is lost on its way, and the rule 'no effect twice' breaks at the second time. Callers of JSON lines who come again after a rejection ask for the same effect.

--- a/cmd/eidertrail-lab/trial.go
+++ b/cmd/eidertrail-lab/trial.go
@@ -28,6 +28,7 @@
 	faults   string
 	with     string
 	parallel int
+	sites    bool
 	shrink   bool
 	plays    int
 	asJSON   bool
@@ -55,6 +56,7 @@
 	cmd.Flags().StringVar(&flags.faults, "faults", "", "kinds of faults, with commas between; none: all")
 	cmd.Flags().StringVar(&flags.with, "with", "", "kinds of which each trial has a fault, with commas between")
 	cmd.Flags().IntVar(&flags.parallel, "parallel", flags.parallel, "trials at a time")
+	cmd.Flags().BoolVar(&flags.sites, "sites", false, "each process also has a site on a WebSocket")
 	cmd.Flags().BoolVar(&flags.shrink, "shrink", false, "take faults out of broken trials while the rule still breaks")
 	cmd.Flags().IntVar(&flags.plays, "plays", flags.plays, "how often a shrunk trial is played before it counts as passed")
 	cmd.Flags().BoolVar(&flags.asJSON, "json", false, "write a JSON line for each trial")
@@ -83,6 +85,7 @@
 		Folder:   f.folder,
 		Kinds:    kinds,
 		Required: required,
+		Sites:    f.sites,
 		Parallel: f.parallel,
 	}
 	var broken []*trial.Result
@@ -179,6 +182,9 @@
 	if f.with != "" {
 		replay += " --with " + f.with
 	}
+	if f.sites {
+		replay += " --sites"
+	}
 	fmt.Fprintf(&text, "  replay: %s\n  logs: %s\n\n%s", replay,
 		filepath.Join(options.Folder, fmt.Sprintf("seed-%d", result.Plan.Seed)), result.Timeline)
 	write(out, text.String())
--- a/internal/invariant/checker.go
+++ b/internal/invariant/checker.go
@@ -52,6 +52,7 @@
 	accepted       int
 	abandoned      AbandonedRequests
 	endedCalls     map[string]*endedCall
+	effects        map[string]string // where each was carried out first
 	processes      map[string]*processView
 	connections    map[string]*connectionView
 }
@@ -90,6 +91,7 @@
 		closedSince: map[endpointView]int64{},
 		slowStart:   newSlowStartTracker(config.SlowStart),
 		endedCalls:  map[string]*endedCall{},
+		effects:     map[string]string{},
 		processes:   map[string]*processView{},
 		connections: map[string]*connectionView{},
 	}
--- a/internal/invariant/duties_test.go
+++ b/internal/invariant/duties_test.go
@@ -247,3 +247,16 @@
 		})
 	}
 }
+
+func TestChecker_EffectRunsOnce(t *testing.T) {
+	c := New(Config{})
+	c.EffectRan(1, "n0-1", "s-0")
+	c.EffectRan(2, "n0-2", "s-0")
+	if count, _ := c.Violations(); count != 0 {
+		t.Errorf("%d violations by two effects", count)
+	}
+	c.EffectRan(3, "n0-1", "s-1")
+	if violations := c.FirstViolations(); len(violations) != 1 || violations[0].Rule != RuleNoEffectTwice {
+		t.Errorf("%v", violations)
+	}
+}
--- a/internal/invariant/violation.go
+++ b/internal/invariant/violation.go
@@ -36,6 +36,7 @@
 	RuleDescriptors                   // no process holds more descriptors than its limit
 	RuleReplacedInTime                // a process that replaces another one says yes in time
 	RuleReplacedUnnoticed             // callers hardly notice that
+	RuleNoEffectTwice                 // what must not be repeated is carried out once
 )
 
 // String names the rule.
@@ -72,6 +73,7 @@
 
 		RuleReplacedInTime:    "replaced in time",
 		RuleReplacedUnnoticed: "replaced unnoticed",
+		RuleNoEffectTwice:     "no effect twice",
 	}
 	if name, ok := names[r]; ok {
 		return name
--- a/internal/trial/callers.go
+++ b/internal/trial/callers.go
@@ -1,8 +1,10 @@
 package trial
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"strconv"
 	"sync"
 	"time"
 
@@ -43,6 +45,7 @@
 type setup struct {
 	id       string
 	class    plan.Class
+	effect   string // what the caller wants done once, however often it asks
 	line     []byte
 	conn     *clientConn
 	sentAt   time.Time // the last byte
@@ -94,8 +97,22 @@
 
 // place has one caller place a call, if there is a process to place it at.
 func (c *callers) place(ctx context.Context) {
+	c.placeFor(ctx, c.world.plan.Classes[c.world.randomInt(len(c.world.plan.Classes))], "")
+}
+
+// placeAgain has a caller whose set-up was not answered come again: for what it wanted where it was told that a retry
+// is harmless, otherwise for something else.
+func (c *callers) placeAgain(ctx context.Context, failed *setup, outcome telemetry.Outcome) {
+	if outcome == telemetry.OutcomeDeferred {
+		c.placeFor(ctx, failed.class, failed.effect)
+		return
+	}
+	c.place(ctx)
+}
+
+// placeFor has a caller place a call of a class for an effect, "" for one of its own.
+func (c *callers) placeFor(ctx context.Context, class plan.Class, effect string) {
 	w := c.world
-	class := w.plan.Classes[w.randomInt(len(w.plan.Classes))]
 	conn := c.pick(ctx, !c.underWay(&c.crowded) && w.randomInt(hundred) < reusePerHundred)
 	if conn == nil {
 		return
@@ -107,9 +124,14 @@
 		class:   class,
 		patient: w.randomInt(hundred) < patientPerHundred,
 	}
+	placed.effect = cmp.Or(effect, placed.id)
+	description := "v=0\r\n"
+	if class.Unsafe {
+		description = describeEffect(placed.effect)
+	}
 	placed.line = fmt.Appendf(nil,
-		`{"type":"setup","id":%q,"fields":{"class":%q,"left":"%d","key":"%x"},"sdp":"v=0\r\n"}`+"\n",
-		placed.id, class.Name, class.Deadline.Milliseconds(), c.lastID|1)
+		`{"type":"setup","id":%q,"fields":{"class":%q,"left":"%d","key":"%x"},"sdp":%s}`+"\n",
+		placed.id, class.Name, class.Deadline.Milliseconds(), c.lastID|1, strconv.Quote(description))
 	c.setups[placed.id] = placed
 	c.mu.Unlock()
 	c.send(ctx, placed, conn)
--- a/internal/trial/incarnation.go
+++ b/internal/trial/incarnation.go
@@ -55,11 +55,18 @@
 	if err := os.MkdirAll(p.temporary(), temporaryMode); err != nil {
 		return nil, fmt.Errorf("trial: %w", err)
 	}
+	arguments := ""
+	if p.world.plan.Sites {
+		if err := p.writeCallControl(); err != nil {
+			return nil, err
+		}
+		arguments = fmt.Sprintf(" --callcontrol %q", p.callControlPath())
+	}
 	var err error
 	if one.log, err = openLogPipe(p.logPath()); err != nil {
 		return nil, err
 	}
-	limit := fmt.Sprintf("ulimit -n %d && exec %q", p.world.plan.Sockets, p.world.program)
+	limit := fmt.Sprintf("ulimit -n %d && exec %q", p.world.plan.Sockets, p.world.program) + arguments
 	one.cmd = exec.Command("sh", "-c", limit) //nolint:noctx // end ends it, and knows that it did
 	one.cmd.Stdout, one.cmd.Stderr = one.log.writer, one.log.writer
 	one.cmd.Env = append(os.Environ(),
--- a/internal/trial/network.go
+++ b/internal/trial/network.go
@@ -17,6 +17,7 @@
 	linkHost         = 80
 	poolsPerProcess  = 16
 	sipPort          = 5060
+	sitePort         = 5059
 	controlPort      = 5061
 	firstListPort    = 4222
 	stallInterval    = 10 * time.Millisecond
@@ -34,6 +35,11 @@
 	return fmt.Sprintf("%s%d:%d", n.prefix, processHost+index, sipPort)
 }
 
+// site is the address of a process for WebSocket sites.
+func (n network) site(index int) string {
+	return fmt.Sprintf("%s%d:%d", n.prefix, processHost+index, sitePort)
+}
+
 // control is the address for operators of an incarnation.
 func (n network) control(index, incarnation int) string {
 	return fmt.Sprintf("%s%d:%d", n.prefix, processHost+index, controlPort+incarnation)
--- a/internal/trial/plan/plan.go
+++ b/internal/trial/plan/plan.go
@@ -51,6 +51,7 @@
 	ReleaseWait time.Duration
 	CallRate    float64       // calls a second at all processes together
 	HoldingTime time.Duration // mean, of a call
+	Sites       bool          // each process has a site on a WebSocket, beside its callers
 	Faults      []Fault       // by their beginnings
 }
 
--- a/internal/trial/pool.go
+++ b/internal/trial/pool.go
@@ -304,6 +304,9 @@
 		b.extras--
 	}
 	b.mu.Unlock()
+	if effect := effectOf(string(invite.Body)); effect != "" {
+		w.checker.EffectRan(w.now(), effect, b.uid)
+	}
 	if spoil {
 		b.spoil(conn, invite)
 		return
--- a/internal/trial/process.go
+++ b/internal/trial/process.go
@@ -31,6 +31,8 @@
 	frontInterval, frontGrace = 100 * time.Millisecond, 200 * time.Millisecond
 	tickNanoseconds           = 5_000_000
 	kilobytesPerMB            = 1024
+	// effectUnsafe is the effect of a class that must not be repeated once it may have run.
+	effectUnsafe = "unsafe"
 )
 
 // StartError is a process that did not serve.
@@ -122,7 +124,7 @@
 	for _, class := range w.plan.Classes {
 		effect := ""
 		if class.Unsafe {
-			effect = "unsafe"
+			effect = effectUnsafe
 		}
 		document.Settings.Classes = append(document.Settings.Classes, platformfile.Class{
 			Name:             class.Name,
@@ -134,6 +136,17 @@
 		document.Settings.Extra.MeanHoldingTimes = append(document.Settings.Extra.MeanHoldingTimes,
 			w.plan.HoldingTime.Nanoseconds())
 	}
+	if w.plan.Sites {
+		document.Settings.Classes = append(document.Settings.Classes, platformfile.Class{
+			Name:             siteClass,
+			LatencyObjective: siteDeadline.Nanoseconds() / 2,
+			Deadline:         siteDeadline.Nanoseconds(),
+			PriorityWeight:   1,
+			Effect:           effectUnsafe,
+		})
+		document.Settings.Extra.MeanHoldingTimes = append(document.Settings.Extra.MeanHoldingTimes,
+			w.plan.HoldingTime.Nanoseconds())
+	}
 	text, err := json.Marshal(document)
 	if err != nil {
 		return fmt.Errorf("trial: %w", err)
--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -23,6 +23,7 @@
 	Folder   string      // for configurations and logs
 	Kinds    []plan.Kind // of faults; nil: all
 	Required []plan.Kind // each trial has a fault of each of these
+	Sites    bool        // each process of a trial has a site on a WebSocket
 	Parallel int         // trials at a time
 	Slot     int         // of one trial's addresses
 }
@@ -131,6 +132,7 @@
 			for seed := range next {
 				drawn := plan.Generate(seed, options.Kinds)
 				drawn.Require(options.Required)
+				drawn.Sites = options.Sites
 				result, err := Play(ctx, drawn, own)
 				reporting.Lock()
 				if err != nil && failed == nil {
--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -78,6 +78,28 @@
 	wantRulesKept(t, drawn, slotOfItsOwn)
 }
 
+// A site was told over WebSocket that a set-up that had run may be sent again, and it ran twice.
+func TestSoak_SitesThatGoByWhatTheyAreToldHaveNoEffectTwice(t *testing.T) {
+	if testing.Short() {
+		t.Skip("builds the daemon and plays for half a minute")
+	}
+	t.Parallel()
+	for offset := range 3 {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			const firstSeed, firstSlot = 2001, 170
+			drawn := plan.Generate(firstSeed+uint64(offset), lostAnswers())
+			drawn.Sites = true
+			wantRulesKept(t, drawn, firstSlot+offset)
+		})
+	}
+}
+
+// lostAnswers are faults after which a set-up may have run, and no answer says so.
+func lostAnswers() []plan.Kind {
+	return []plan.Kind{plan.PoolSpoil, plan.LinkHalf, plan.LinkReset, plan.LinkBlackHole, plan.CallersRetry}
+}
+
 // wantRulesKept plays one trial at a slot that no other test has, once more where it was late, and fails the test for
 // each rule that it breaks.
 func wantRulesKept(t *testing.T, drawn *plan.Plan, slot int) {
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -120,6 +120,7 @@
 		return err
 	}
 	begin := time.Now()
+	w.startSites(ctx, begin)
 	for _, fault := range w.plan.Faults {
 		w.tasks.Go(func() { w.cause(ctx, begin, fault) })
 	}
@@ -131,6 +132,18 @@
 	return ctx.Err()
 }
 
+// startSites starts a site at each process, where the plan has sites.
+func (w *world) startSites(ctx context.Context, begin time.Time) {
+	if !w.plan.Sites {
+		return
+	}
+	for _, p := range w.processes {
+		s := newSite(w, p)
+		w.tasks.Go(func() { s.run(ctx) })
+		w.tasks.Go(func() { s.place(ctx, begin) })
+	}
+}
+
 // build makes the parts, from the pools outwards.
 func (w *world) build(ctx context.Context) error {
 	for n := range w.plan.Pools {
