Tests hold what may be said of a call that may have run, module, figures and HTTP

TestHandle_KeepsItsPromisesUnderAnyEvents plays each idempotency: nothing that may have run and must not be repeated is sent again or rejected. The table over both fronts also holds how each call is counted: deferred where a retry is harmless, errored where not, once.

--- a/internal/frontend/websocket/both_fronts_finals_test.go
+++ b/internal/frontend/websocket/both_fronts_finals_test.go
@@ -16,6 +16,7 @@
 	"eidertrail/dispatch"
 	"eidertrail/internal/clock"
 	"eidertrail/internal/frontend/jsonlines"
+	"eidertrail/internal/telemetry"
 	"eidertrail/internal/testing/fakeplatform"
 	"eidertrail/internal/testing/frontendtest"
 )
@@ -58,14 +59,15 @@
 	}},
 }
 
-// toldFinal is a final answer as its caller reads it; retryAfter is 0 where it names none.
+// toldFinal is a final answer as its caller reads it, and how it is counted; retryAfter is 0 where it names none.
 type toldFinal struct {
 	cause      int
 	retryAfter int64
+	outcome    telemetry.Outcome // in the operators' figures
 }
 
 func (f toldFinal) String() string {
-	return fmt.Sprintf("cause %d, retry after %d ms", f.cause, f.retryAfter)
+	return fmt.Sprintf("cause %d, retry after %d ms, counted as %v", f.cause, f.retryAfter, f.outcome)
 }
 
 // A set-up that may have run and must not be repeated is never answered as one that may be sent again, over either
@@ -87,7 +89,8 @@
 					harmless := attempts.neverRan || class.repeatable
 					for front, told := range map[string]toldFinal{"WebSocket": socket, "JSON lines": line} {
 						saysHarmless := told.cause == 34 || told.cause == 42 || told.cause == 102
-						if saysHarmless != harmless || (told.retryAfter > 0) != harmless || told.cause == 0 {
+						counted := told.outcome == telemetry.OutcomeDeferred
+						if saysHarmless != harmless || (told.retryAfter > 0) != harmless || counted != harmless || told.cause == 0 {
 							t.Errorf("over %s: %v; a retry is harmless: %t", front, told, harmless)
 						}
 					}
@@ -114,6 +117,7 @@
 			b.roster(eidertrail.Removed)
 		}
 		told = call(b, class, ending)
+		told.outcome = b.countedOutcome()
 	})
 	return told
 }
@@ -128,6 +132,7 @@
 func newBothFronts(t *testing.T) (b *bothFronts, stop func()) {
 	t.Helper()
 	sockets, stopService := newService(t, &frontendtest.Journal{})
+	sockets.count.SetClasses([]string{"read", "once", "keyed"})
 	b = &bothFronts{service: sockets, callers: fakeplatform.NewListener()}
 	b.calls = dispatch.NewCallTable(dispatch.CallTableConfig{
 		Dispatcher: b.dispatcher,
@@ -160,6 +165,22 @@
 	}
 }
 
+// countedOutcome is the outcome of the one call that was counted.
+func (b *bothFronts) countedOutcome() (counted telemetry.Outcome) {
+	b.t.Helper()
+	total := int64(0)
+	for _, one := range b.count.ClassOutcomes() {
+		total += one.Count
+		if one.Count > 0 {
+			counted = one.Outcome
+		}
+	}
+	if total != 1 {
+		b.t.Errorf("%d outcomes are counted of one call", total)
+	}
+	return counted
+}
+
 // abort ends what is pending as the daemon's stop does.
 func (b *bothFronts) abort() {
 	overdue, cancel := context.WithCancel(context.Background())
@@ -191,7 +212,7 @@
 	if message.Type != "refused" && message.Type != "failed" {
 		b.t.Errorf("over WebSocket a message of type %q", message.Type)
 	}
-	return toldFinal{message.Cause, message.RetryAfter}
+	return toldFinal{cause: message.Cause, retryAfter: message.RetryAfter}
 }
 
 func overJSONLines(b *bothFronts, class string, ending callEnd) toldFinal {
--- a/invariants_test.go
+++ b/invariants_test.go
@@ -18,9 +18,15 @@
 	ready    map[ServerID]bool
 	open     []CallID // calls with an attempt in flight, oldest first
 	attempts int
+	// mustNotRepeat are the classes of which nothing that may have run is sent again or rejected.
+	mustNotRepeat map[int]bool
 }
 
-type hostCall struct{ attempts, inFlight, finals int }
+type hostCall struct {
+	class                      int
+	attempts, inFlight, finals int
+	mayHaveRun                 bool
+}
 
 // serverName returns one of a few names.
 func (h *randomHost) serverName() ServerID { return ServerID(fmt.Sprint("s", h.random.IntN(14))) }
@@ -59,9 +65,10 @@
 
 // call returns a new call.
 func (h *randomHost) call(id CallID) Call {
-	h.calls[id] = &hostCall{}
+	class := h.random.IntN(2)
+	h.calls[id] = &hostCall{class: class}
 	return Call{
-		ID: id, Class: h.random.IntN(2), Pool: h.random.IntN(14), Key: uint64(h.random.IntN(99)),
+		ID: id, Class: class, Pool: h.random.IntN(14), Key: uint64(h.random.IntN(99)),
 		Timeout: time.Duration(h.random.IntN(3000)) * millisecond,
 	}
 }
@@ -90,8 +97,12 @@
 	if closed {
 		call.finals = 1
 	}
+	status := Status(h.random.IntN(8))
+	if status != Full && status != ConnectFailed && status != NotSent {
+		call.mayHaveRun = true
+	}
 	return append(events, Outcome{
-		Call: id, Attempt: attempt, Status: Status(h.random.IntN(8)),
+		Call: id, Attempt: attempt, Status: status,
 		Closed: closed, Cause: Cause(h.random.IntN(5)), Took: time.Duration(h.random.IntN(5000)) * millisecond,
 	})
 }
@@ -102,6 +113,7 @@
 	switch action := action.(type) {
 	case Send:
 		call := h.calls[action.Call]
+		h.checkRepeatable(action.Call, "sent again")
 		call.attempts++
 		call.inFlight++
 		h.attempts++
@@ -110,16 +122,34 @@
 			h.t.Fatalf("call %d to %q: %+v, ready %v", action.Call, action.Server, *call, h.ready[action.Server])
 		}
 	case Reject:
+		h.checkRepeatable(action.Call, "rejected")
 		h.calls[action.Call].finals++
 	case Fail:
 		h.calls[action.Call].finals++
 	}
 }
 
+// checkRepeatable fails the test if what is done with a call says that a call which may have run may be repeated.
+func (h *randomHost) checkRepeatable(id CallID, done string) {
+	h.t.Helper()
+	if call := h.calls[id]; call.mayHaveRun && h.mustNotRepeat[call.class] {
+		h.t.Fatalf("call %d is %s, which may have run: %+v", id, done, *call)
+	}
+}
+
 // Whatever the host reports in whatever order, at full size: no panic, one attempt in flight at a time, one final
-// answer, nothing sent after it, nothing new to a server that is not ready.
+// answer, nothing sent after it, nothing new to a server that is not ready, and nothing sent again or rejected that may
+// have run and must not be repeated.
 func TestHandle_KeepsItsPromisesUnderAnyEvents(t *testing.T) {
+	for _, idempotency := range []Idempotency{Idempotent, IdempotentByKey, NotIdempotent} {
+		t.Run(fmt.Sprint("idempotency ", idempotency), func(t *testing.T) { keepsItsPromises(t, idempotency) })
+	}
+}
+
+func keepsItsPromises(t *testing.T, idempotency Idempotency) {
+	t.Helper()
 	set := settings()
+	set.Classes[1].Idempotency = idempotency
 	set.Nodes, set.Index = 265, 264
 	set.Classes[0].MeanHoldingTime = 10 * time.Second
 	controller, err := New(set, 3)
@@ -129,6 +159,7 @@
 	host := &randomHost{
 		t: t, random: rand.New(rand.NewPCG(1, 2)), now: time.Hour,
 		calls: map[CallID]*hostCall{}, ready: map[ServerID]bool{},
+		mustNotRepeat: map[int]bool{1: idempotency != Idempotent},
 	}
 
 	for next := CallID(1); next < 20000; next++ {
--- a/middleware/middleware_test.go
+++ b/middleware/middleware_test.go
@@ -168,3 +168,33 @@
 		}
 	})
 }
+
+// A request that reached its handler may have run: whatever the handler makes of it, the middleware does not tell its
+// client when to come again.
+func TestAdmission_NoRetryAfterOnceTheHandlerRuns(t *testing.T) {
+	withStatus := func(status int) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }
+	}
+	for name, handler := range map[string]http.HandlerFunc{
+		"writes nothing in its time": func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+		"gateway timeout":            withStatus(http.StatusGatewayTimeout),
+		"unavailable":                withStatus(http.StatusServiceUnavailable),
+		"too many requests":          withStatus(http.StatusTooManyRequests),
+		"panics":                     func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+	} {
+		served := false
+		serve(t, func(w http.ResponseWriter, r *http.Request) {
+			served = true
+			handler(w, r)
+		}, func(s *site) {
+			w := httptest.NewRecorder()
+			func() {
+				defer func() { _ = recover() }() // net/http ends the connection then
+				s.router.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/hotel", http.NoBody))
+			}()
+			if w.Header().Get("Retry-After") != "" || !served {
+				t.Errorf("%s: Retry-After %q, served %t", name, w.Header().Get("Retry-After"), served)
+			}
+		})
+	}
+}
