--- a/cmd/eidertrail-lab/trial.go
+++ b/cmd/eidertrail-lab/trial.go
@@ -29,6 +29,7 @@
 	with     string
 	parallel int
 	sites    bool
+	verbose  bool
 	shrink   bool
 	plays    int
 	asJSON   bool
@@ -57,6 +58,7 @@
 	cmd.Flags().StringVar(&flags.with, "with", "", "kinds of which each trial has a fault, with commas between")
 	cmd.Flags().IntVar(&flags.parallel, "parallel", flags.parallel, "trials at a time")
 	cmd.Flags().BoolVar(&flags.sites, "sites", false, "each process also has a site on a WebSocket")
+	cmd.Flags().BoolVar(&flags.verbose, "verbose", false, "the logs have the daemon's trace, in milliseconds")
 	cmd.Flags().BoolVar(&flags.shrink, "shrink", false, "take faults out of broken trials while the rule still breaks")
 	cmd.Flags().IntVar(&flags.plays, "plays", flags.plays, "how often a shrunk trial is played before it counts as passed")
 	cmd.Flags().BoolVar(&flags.asJSON, "json", false, "write a JSON line for each trial")
@@ -86,6 +88,7 @@
 		Kinds:    kinds,
 		Required: required,
 		Sites:    f.sites,
+		Verbose:  f.verbose,
 		Parallel: f.parallel,
 	}
 	var broken []*trial.Result
--- a/cmd/eidertrail/run.go
+++ b/cmd/eidertrail/run.go
@@ -15,12 +15,16 @@
 	"eidertrail/internal/handover/runner"
 )
 
+// logTimeFormat is RFC 3339 with milliseconds: lines are compared with those of callers and pools.
+const logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // run starts the daemon and serves until a signal ends it.
 func run(opts options, logTo io.Writer) error {
 	level := zerolog.InfoLevel
 	if opts.verbose {
 		level = zerolog.DebugLevel
 	}
+	zerolog.TimeFieldFormat = logTimeFormat
 	lines := asynclog.New(logTo)
 	defer lines.Close()
 	log := zerolog.New(lines).Level(level).With().Timestamp().Logger()
--- a/internal/trial/incarnation.go
+++ b/internal/trial/incarnation.go
@@ -55,14 +55,10 @@
 	if err := os.MkdirAll(p.temporary(), temporaryMode); err != nil {
 		return nil, fmt.Errorf("trial: %w", err)
 	}
-	arguments := ""
-	if p.world.plan.Sites {
-		if err := p.writeCallControl(); err != nil {
-			return nil, err
-		}
-		arguments = fmt.Sprintf(" --callcontrol %q", p.callControlPath())
+	arguments, err := p.arguments()
+	if err != nil {
+		return nil, err
 	}
-	var err error
 	if one.log, err = openLogPipe(p.logPath()); err != nil {
 		return nil, err
 	}
@@ -90,6 +86,21 @@
 	return one, nil
 }
 
+// arguments writes the files that the program's flags name, and returns the flags as a shell reads them.
+func (p *process) arguments() (string, error) {
+	arguments := ""
+	if p.world.verbose {
+		arguments += " --verbose"
+	}
+	if !p.world.plan.Sites {
+		return arguments, nil
+	}
+	if err := p.writeCallControl(); err != nil {
+		return "", err
+	}
+	return arguments + fmt.Sprintf(" --callcontrol %q", p.callControlPath()), nil
+}
+
 // temporaryMode is for this user alone.
 const temporaryMode = 0o700
 
--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -23,6 +23,7 @@
 	Folder   string      // for configurations and logs
 	Kinds    []plan.Kind // of faults; nil: all
 	Required []plan.Kind // each trial has a fault of each of these
+	Verbose  bool        // the daemon's logs have its trace
 	Sites    bool        // each process of a trial has a site on a WebSocket
 	Parallel int         // trials at a time
 	Slot     int         // of one trial's addresses
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -32,6 +32,7 @@
 type world struct {
 	plan     *plan.Plan
 	program  string
+	verbose  bool   // the daemon's logs have its trace
 	folder   string // of configurations and logs
 	network  network
 	started  time.Time
@@ -54,6 +55,7 @@
 	w := &world{
 		plan:    drawn,
 		program: options.Program,
+		verbose: options.Verbose,
 		folder:  filepath.Join(options.Folder, fmt.Sprintf("seed-%d", drawn.Seed)),
 		network: newNetwork(options.Slot),
 		started: time.Now(),
@@ -68,6 +70,7 @@
 		random: rand.New(rand.NewPCG(drawn.Seed, randomStream)),
 	}
 	w.timeline = newTimeline(w.started)
+	w.timeline.add("faults", "the trial begins at "+w.started.UTC().Format(time.RFC3339Nano))
 	w.callers = newCallers(w)
 	return w
 }
