Trials date messages by the kernel: an INVITE that is read late is not sent late

Traced: with the daemons' logs in milliseconds, TestSoak_SetUpIsAnsweredBesideACrowdThatConnectsAnewAtOnce was played 12 times beside 4 busy loops, six with the race detector at once. 12 attempts came after their answers in the trial's timeline, in 8 plays. In each the daemon had written the INVITE 33 to 107 ms before the answer, and the trial read it 69 to 232 ms late, INVITE and CANCEL in one read, as the entries say. The trial compared its own reading times of two connections.

Change: internal/trial/arrival reads TCP with SO_TIMESTAMPNS, the time at which the kernel received the last byte. The tap and the callers date by that; of several messages in one read the earlier ones have bounds, and the checker reports where no time within them keeps the rule. It now also finds an attempt that was sent after the answer and seen before it, which it could not before.

--- a/internal/invariant/checker.go
+++ b/internal/invariant/checker.go
@@ -76,6 +76,8 @@
 	attempts   int
 	releasedAt int64 // the next attempt may begin from then on
 	finals     int   // final answers
+	answeredAt int64 // the first of them had arrived by then
+	sentAt     int64 // the latest attempt was sent no earlier
 
 	callerGone   bool
 	callerGoneAt int64
@@ -129,10 +131,16 @@
 
 // AttemptSent records an attempt that a controller sends to a pool.
 func (c *Checker) AttemptSent(now int64, id, controller, pool string) {
+	c.AttemptSentBetween(now, now, id, controller, pool)
+}
+
+// AttemptSentBetween records an attempt that was sent no earlier than a time, and before now.
+func (c *Checker) AttemptSentBetween(earliest, now int64, id, controller, pool string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.call(id)
-	violation := c.checkAttempt(k, attempt{at: now, id: id, controller: controller, pool: pool})
+	violation := c.checkAttempt(k, attempt{at: now, earliest: earliest, id: id, controller: controller, pool: pool})
+	k.sentAt = earliest
 	c.report(violation)
 	if violation == nil && k.callerGone {
 		c.abandoned.Tolerated++
@@ -171,6 +179,9 @@
 	defer c.mu.Unlock()
 	k := c.call(id)
 	k.finals++
+	if k.finals == 1 {
+		k.answeredAt = now
+	}
 	c.report(c.checkFinal(k, final{at: now, id: id, answer: answer}))
 }
 
--- a/internal/invariant/checker_test.go
+++ b/internal/invariant/checker_test.go
@@ -188,3 +188,34 @@
 		}
 	}
 }
+
+// Order between connections goes by when messages were sent, not by when an observer that is late comes to them.
+func TestChecker_AttemptAndAnswerAreOrderedByTheirTimes(t *testing.T) {
+	for _, test := range []struct {
+		name             string
+		earliest, latest int64 // of the attempt
+		answered         int64
+		answerSeenFirst  bool
+		want             int
+	}{
+		{"sent before the answer, seen after it", 90, 90, 100, true, 0},
+		{"may have been sent before the answer", 90, 110, 100, true, 0},
+		{"sent after the answer", 110, 110, 100, true, 1},
+		{"sent after the answer, seen before it", 110, 110, 100, false, 1},
+		{"sent as the answer came", 100, 100, 100, true, 1},
+	} {
+		c := New(Config{MaxAttempts: 2})
+		c.CallAccepted(1, "c1", 1000)
+		attempt := func() { c.AttemptSentBetween(test.earliest, test.latest, "c1", "n0", "s-0") }
+		if !test.answerSeenFirst {
+			attempt()
+		}
+		c.CallAnswered(test.answered, "c1", "deferred")
+		if test.answerSeenFirst {
+			attempt()
+		}
+		if count, first := c.Violations(); count != test.want {
+			t.Errorf("%s: %v, want %d violations", test.name, first, test.want)
+		}
+	}
+}
--- a/internal/invariant/rules.go
+++ b/internal/invariant/rules.go
@@ -2,7 +2,8 @@
 
 // attempt is an attempt of a call as it is sent.
 type attempt struct {
-	at                   int64
+	at                   int64 // it was sent by then
+	earliest             int64 // and no earlier
 	id, controller, pool string
 }
 
@@ -62,7 +63,7 @@
 }
 
 func (c *Checker) checkNotAfterAnswer(k *call, a attempt) *Violation {
-	if k.finals == 0 {
+	if k.finals == 0 || a.earliest < k.answeredAt {
 		return nil
 	}
 	return violated(RuleNotAfterAnswer, a.at, a.id, "sent after its end")
@@ -81,6 +82,7 @@
 	for _, check := range []func(*call, final) *Violation{
 		c.checkAnswerExpected,
 		c.checkSingleAnswer,
+		c.checkNothingSentAfter,
 		c.checkCallerPresent,
 		c.checkAnswerInTime,
 	} {
@@ -105,6 +107,14 @@
 	return violated(RuleSingleAnswer, f.at, f.id, "a second final answer (%s)", f.answer)
 }
 
+// checkNothingSentAfter finds an attempt that was sent after the answer, and was seen before it.
+func (c *Checker) checkNothingSentAfter(k *call, f final) *Violation {
+	if k.sentAt <= f.at {
+		return nil
+	}
+	return violated(RuleNotAfterAnswer, k.sentAt, f.id, "sent after its end (%s)", f.answer)
+}
+
 func (c *Checker) checkCallerPresent(k *call, f final) *Violation {
 	if !k.callerGone {
 		return nil
--- a/internal/trial/clientconn.go
+++ b/internal/trial/clientconn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"strconv"
@@ -12,6 +13,7 @@
 
 	"eidertrail/internal/frontend/linecodec"
 	"eidertrail/internal/telemetry"
+	"eidertrail/internal/trial/arrival"
 )
 
 // clientConn is a caller's connection to one incarnation of a process.
@@ -163,7 +165,13 @@
 
 // read handles what the process sends, until the connection ends.
 func (c *clientConn) read() {
-	reader := bufio.NewReader(c.raw)
+	timed, is := c.raw.(*net.TCPConn)
+	if !is {
+		c.ended(errNotTCP)
+		return
+	}
+	arrivals := arrival.New(timed)
+	reader := bufio.NewReader(arrivals)
 	for {
 		line, err := linecodec.ReadLine(reader, nil)
 		if err != nil {
@@ -176,12 +184,15 @@
 			c.ended(err)
 			return
 		}
-		c.handle(&message)
+		c.handle(&message, c.callers.world.timeOf(arrivals.LastArrival()))
 	}
 }
 
-// handle takes a message of the process.
-func (c *clientConn) handle(message *linecodec.Message) {
+// errNotTCP is a connection that cannot be read.
+var errNotTCP = errors.New("trial: not a TCP connection")
+
+// handle takes a message of the process, which had arrived by then.
+func (c *clientConn) handle(message *linecodec.Message, arrivedAt int64) {
 	w := c.callers.world
 	w.timeline.add("callers", fmt.Sprintf("%s %s cause %d on %s", message.Type, message.ID, message.Cause, c.name))
 	c.callers.mu.Lock()
@@ -194,16 +205,16 @@
 	switch {
 	case placed == nil:
 	case message.Type == linecodec.TypeAnswer:
-		c.answered(placed, state, message.SDP)
+		c.answered(placed, state, message.SDP, arrivedAt)
 	case message.Type == linecodec.TypeRelease && state == setupWaiting && placed.conn == c:
-		c.settled(placed, outcomeOf(message.Cause))
+		c.settled(placed, outcomeOf(message.Cause), arrivedAt)
 	case message.Type == linecodec.TypeRelease && state == setupEstablished:
 		c.endNotified(placed)
 	}
 }
 
 // answered takes the answer of a call.
-func (c *clientConn) answered(placed *setup, state setupState, description string) {
+func (c *clientConn) answered(placed *setup, state setupState, description string, arrivedAt int64) {
 	w := c.callers.world
 	if state == setupEnded { // it crossed the caller's leaving
 		return
@@ -215,7 +226,7 @@
 	if forged {
 		w.checker.AnswerForged(w.now(), placed.id)
 	}
-	w.checker.CallAnswered(w.now(), placed.id, "established")
+	w.checker.CallAnswered(arrivedAt, placed.id, "established")
 	c.findHolder()
 	w.checker.SetupSettled(w.now(), c.name, placed.id, true)
 	c.counts.ended(w.now(), placed.class.Name, telemetry.OutcomeAnswered)
@@ -268,12 +279,12 @@
 }
 
 // settled takes the final answer of a set-up that was refused or has failed.
-func (c *clientConn) settled(placed *setup, outcome telemetry.Outcome) {
+func (c *clientConn) settled(placed *setup, outcome telemetry.Outcome, arrivedAt int64) {
 	w := c.callers.world
 	c.callers.mu.Lock()
 	placed.state = setupEnded
 	c.callers.mu.Unlock()
-	w.checker.CallAnswered(w.now(), placed.id, outcome.String())
+	w.checker.CallAnswered(arrivedAt, placed.id, outcome.String())
 	w.checker.SetupSettled(w.now(), c.name, placed.id, false)
 	c.counts.ended(w.now(), placed.class.Name, outcome)
 	c.used(placed.id)
--- a/internal/trial/faultproxy/link.go
+++ b/internal/trial/faultproxy/link.go
@@ -55,8 +55,8 @@
 
 // Tap observes a link. Its methods are called in the order of each connection's bytes.
 type Tap interface {
-	// Sent takes bytes that the dialling party sent on a connection.
-	Sent(connection uint64, bytes []byte)
+	// Sent takes bytes that the dialling party sent on a connection, the last of them at that time.
+	Sent(connection uint64, bytes []byte, at time.Time)
 	// Delivering takes bytes that are about to be written to the dialling party: it may act on them before the writer runs
 	// again.
 	Delivering(connection uint64, bytes []byte)
--- a/internal/trial/faultproxy/link_test.go
+++ b/internal/trial/faultproxy/link_test.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"eidertrail/internal/trial/arrival"
 )
 
 // soon bounds what has to happen; the machine may be busy.
@@ -21,7 +23,7 @@
 	ended           int
 }
 
-func (r *recordingTap) Sent(_ uint64, bytes []byte) {
+func (r *recordingTap) Sent(_ uint64, bytes []byte, _ time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sent.Write(bytes)
@@ -272,7 +274,10 @@
 // orderTap records the order of what it is called with.
 type orderTap struct{ calls []string }
 
-func (o *orderTap) Sent(_ uint64, bytes []byte) { o.calls = append(o.calls, "sent "+string(bytes)) }
+func (o *orderTap) Sent(_ uint64, bytes []byte, _ time.Time) {
+	o.calls = append(o.calls, "sent "+string(bytes))
+}
+
 func (o *orderTap) Delivering(_ uint64, bytes []byte) {
 	o.calls = append(o.calls, "delivering "+string(bytes))
 }
@@ -288,7 +293,7 @@
 	tap := &orderTap{}
 	ending := &relay{link: &Link{tap: tap}, number: 1}
 	ending.tapEnded()
-	ending.tapSent([]byte("INVITE"))
+	ending.tapSent([]byte("INVITE"), time.Now())
 	ending.tapEnded()
 	if got := strings.Join(tap.calls, ", "); got != "ended, sent INVITE, ended" {
 		t.Errorf("the tap was called with: %s", got)
@@ -312,7 +317,7 @@
 		t.Fatal(err)
 	}
 	tap := &orderTap{}
-	answering := &relay{link: &Link{tap: tap}, client: accepted.(*net.TCPConn)}
+	answering := &relay{link: &Link{tap: tap}, client: arrival.New(accepted.(*net.TCPConn))}
 	if err := answering.write([]byte("486")); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/trial/faultproxy/relay.go
+++ b/internal/trial/faultproxy/relay.go
@@ -6,13 +6,15 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"eidertrail/internal/trial/arrival"
 )
 
 // relay is one connection that a link relays.
 type relay struct {
 	link         *Link
 	number       uint64
-	client       *net.TCPConn // the dialling party
+	client       *arrival.Conn // the dialling party
 	backend      *net.TCPConn
 	pending      chan []byte // from the client, read and not written yet; closed by readClient
 	clientClosed atomic.Bool // it has ended the connection: nothing reaches it any more
@@ -29,7 +31,7 @@
 
 // serve relays a connection until one side ends it. It is read from the beginning, whenever the backend can be reached.
 func (l *Link) serve(client *net.TCPConn) {
-	r := &relay{link: l, client: client, pending: make(chan []byte, pendingReads)}
+	r := &relay{link: l, client: arrival.New(client), pending: make(chan []byte, pendingReads)}
 	l.mu.Lock()
 	l.last++
 	r.number = l.last
@@ -82,7 +84,7 @@
 	for {
 		n, err := r.client.Read(buffer)
 		if n > 0 {
-			r.tapSent(buffer[:n])
+			r.tapSent(buffer[:n], r.client.LastArrival())
 			r.pending <- bytes.Clone(buffer[:n])
 		}
 		if err != nil {
@@ -95,10 +97,10 @@
 
 // tapSent has the tap take what the client has sent. What was read while the connection was ended from the other side
 // ends with it: nobody else would tell the tap.
-func (r *relay) tapSent(sent []byte) {
+func (r *relay) tapSent(sent []byte, at time.Time) {
 	r.tapMu.Lock()
 	defer r.tapMu.Unlock()
-	r.link.tap.Sent(r.number, sent)
+	r.link.tap.Sent(r.number, sent, at)
 	if r.ended {
 		r.link.tap.Ended(r.number)
 	}
@@ -212,7 +214,7 @@
 	}
 	r.finished = true
 	r.tapEnded()
-	endConn(r.client)
+	endConn(r.client.TCPConn)
 	if r.backend != nil {
 		endConn(r.backend)
 	}
--- a/internal/trial/list.go
+++ b/internal/trial/list.go
@@ -84,10 +84,10 @@
 // noTap observes nothing.
 type noTap struct{}
 
-func (noTap) Sent(uint64, []byte)       {}
-func (noTap) Delivering(uint64, []byte) {}
-func (noTap) Delivered(uint64, []byte)  {}
-func (noTap) Ended(uint64)              {}
+func (noTap) Sent(uint64, []byte, time.Time) {}
+func (noTap) Delivering(uint64, []byte)      {}
+func (noTap) Delivered(uint64, []byte)       {}
+func (noTap) Ended(uint64)                   {}
 
 // add adds an event.
 func (l *list) add(pool int, uid string, startedAt time.Time, state poolState) {
--- a/internal/trial/tap.go
+++ b/internal/trial/tap.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"time"
 
 	"eidertrail/internal/backend/sip"
 )
@@ -32,6 +33,7 @@
 type tappedConn struct {
 	sent, delivering, delivered messageSplitter
 
+	lastSent int64           // when the latest bytes of the process arrived, µs
 	inFlight map[string]bool // attempts that have no end yet
 }
 
@@ -49,24 +51,35 @@
 }
 
 // Sent implements faultproxy.Tap.
-func (t *tap) Sent(number uint64, bytes []byte) {
+func (t *tap) Sent(number uint64, bytes []byte, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := t.conn(number)
-	for _, message := range c.sent.take(bytes) {
-		t.sentMessage(c, message)
+	messages := c.sent.take(bytes)
+	arrived := t.world.timeOf(at)
+	for n, message := range messages {
+		sent := sendTime{earliest: c.lastSent, latest: arrived}
+		if n == len(messages)-1 && len(c.sent.bytes) == 0 {
+			sent.earliest = arrived
+		}
+		t.sentMessage(c, message, sent)
 	}
+	c.lastSent = arrived
 }
 
+// sendTime bounds when a message was sent, µs. The last one of a read is dated; one before it was sent after the read
+// before, and no later than the last.
+type sendTime struct{ earliest, latest int64 }
+
 // sentMessage takes a message of the process. The caller holds mu.
-func (t *tap) sentMessage(conn *tappedConn, message *sip.Message) {
-	checker, now, id := t.world.checker, t.world.now(), message.CallID
+func (t *tap) sentMessage(conn *tappedConn, message *sip.Message, sent sendTime) {
+	checker, now, id := t.world.checker, sent.latest, message.CallID
 	switch message.Method {
 	case "INVITE":
 		uid, _ := t.pool.identity()
 		t.world.timeline.add(t.process.name, fmt.Sprintf("INVITE %s to %s", id, uid))
-		t.process.currentCounts().sent(now)
-		checker.AttemptSent(now, id, t.process.incarnation(), uid)
+		t.process.currentCounts().sent(t.world.now())
+		checker.AttemptSentBetween(sent.earliest, sent.latest, id, t.process.incarnation(), uid)
 		late := t.process.list.closedFor(now, uid) - drainGraceMicros - timeTolerance.Microseconds()
 		if late > 0 {
 			checker.SentWhileClosed(now, id, uid, late)
@@ -74,7 +87,7 @@
 		conn.inFlight[id] = true
 	case "CANCEL", "BYE":
 		t.world.timeline.add(t.process.name, message.Method+" "+id)
-		t.endAttempt(conn, id, true)
+		t.endAttempt(conn, id, sent.earliest, true)
 	}
 }
 
@@ -90,7 +103,7 @@
 	for _, message := range c.delivering.take(bytes) {
 		if message.CSeqMethod == "INVITE" && message.Status >= statusOK {
 			t.world.timeline.add(fmt.Sprintf("pool %d", t.pool.number), fmt.Sprintf("%d %s", message.Status, message.CallID))
-			t.endAttempt(c, message.CallID, message.Status == statusTimeout)
+			t.endAttempt(c, message.CallID, t.world.now(), message.Status == statusTimeout)
 		}
 	}
 }
@@ -113,16 +126,16 @@
 	defer t.mu.Unlock()
 	c := t.conn(number)
 	for id := range c.inFlight {
-		t.endAttempt(c, id, true)
+		t.endAttempt(c, id, t.world.now(), true)
 	}
 	delete(t.conns, number)
 }
 
 // endAttempt ends an attempt that is in flight. The caller holds mu.
-func (t *tap) endAttempt(c *tappedConn, id string, awaitRelease bool) {
+func (t *tap) endAttempt(c *tappedConn, id string, at int64, awaitRelease bool) {
 	if c.inFlight[id] {
 		delete(c.inFlight, id)
-		t.world.checker.AttemptEnded(t.world.now(), id, awaitRelease)
+		t.world.checker.AttemptEnded(at, id, awaitRelease)
 	}
 }
 
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -81,6 +81,9 @@
 // now is the time for the checker, µs. It is never 0, which means no time there.
 func (w *world) now() int64 { return time.Since(w.started).Microseconds() + 1 }
 
+// timeOf is a time for the checker.
+func (w *world) timeOf(at time.Time) int64 { return at.Sub(w.started.Round(0)).Microseconds() + 1 }
+
 // randomInt returns a number below n.
 func (w *world) randomInt(n int) int {
 	w.mu.Lock()
