--- a/internal/frontend/websocket/both_fronts_finals_test.go
+++ b/internal/frontend/websocket/both_fronts_finals_test.go
@@ -59,20 +59,28 @@
 	}},
 }
 
-// toldFinal is a final answer as its caller reads it, and how it is counted; retryAfter is 0 where it names none.
-type toldFinal struct {
+// observedFinal is a final answer as its caller reads it, and how it is counted; retryAfter is 0 where it names none.
+type observedFinal struct {
 	cause      int
 	retryAfter int64
 	outcome    telemetry.Outcome // in the operators' figures
 }
 
-func (f toldFinal) String() string {
+func (f observedFinal) String() string {
 	return fmt.Sprintf("cause %d, retry after %d ms, counted as %v", f.cause, f.retryAfter, f.outcome)
 }
 
+// says reports whether the cause, the time and the figure all say that a retry is harmless, or all that it is not.
+func (f observedFinal) says(harmless bool) bool {
+	byCause := f.cause == 34 || f.cause == 42 || f.cause == 102
+	byTime := f.retryAfter > 0
+	byFigure := f.outcome == telemetry.OutcomeDeferred
+	return byCause == harmless && byTime == harmless && byFigure == harmless
+}
+
 // A set-up that may have run and must not be repeated is never answered as one that may be sent again, over either
 // front: what both say of every final answer is compared.
-func TestFinal_RetryIsOfferedOnlyWhereNothingHasRun(t *testing.T) {
+func TestFinal_RetryIsAllowedOnlyWhereNothingHasRun(t *testing.T) {
 	for _, class := range []struct {
 		name       string
 		repeatable bool
@@ -81,17 +89,15 @@
 			for _, ending := range callEnds {
 				name := fmt.Sprintf("class %s, %s, ended by %s", class.name, attempts.name, ending.name)
 				t.Run(name, func(t *testing.T) {
-					socket := finalOver(t, overWebSocket, class.name, attempts, ending)
-					line := finalOver(t, overJSONLines, class.name, attempts, ending)
+					socket := finalVia(t, viaWebSocket, class.name, attempts, ending)
+					line := finalVia(t, viaJSONLines, class.name, attempts, ending)
 					if socket != line {
 						t.Errorf("over WebSocket %v, over JSON lines %v", socket, line)
 					}
 					harmless := attempts.neverRan || class.repeatable
-					for front, told := range map[string]toldFinal{"WebSocket": socket, "JSON lines": line} {
-						saysHarmless := told.cause == 34 || told.cause == 42 || told.cause == 102
-						counted := told.outcome == telemetry.OutcomeDeferred
-						if saysHarmless != harmless || (told.retryAfter > 0) != harmless || counted != harmless || told.cause == 0 {
-							t.Errorf("over %s: %v; a retry is harmless: %t", front, told, harmless)
+					for front, observed := range map[string]observedFinal{"WebSocket": socket, "JSON lines": line} {
+						if observed.cause == 0 || !observed.says(harmless) {
+							t.Errorf("over %s: %v; a retry is harmless: %t", front, observed, harmless)
 						}
 					}
 				})
@@ -100,14 +106,14 @@
 	}
 }
 
-// finalOver plays one call over a front and returns its final answer.
-func finalOver(
+// finalVia plays one call over a front and returns its final answer.
+func finalVia(
 	t *testing.T,
-	call func(b *bothFronts, class string, ending callEnd) toldFinal,
+	call func(b *bothFronts, class string, ending callEnd) observedFinal,
 	class string,
 	attempts attemptEnd,
 	ending callEnd,
-) (told toldFinal) {
+) (observed observedFinal) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		b, stop := newBothFronts(t)
@@ -116,10 +122,10 @@
 		if attempts.noPool {
 			b.roster(eidertrail.Removed)
 		}
-		told = call(b, class, ending)
-		told.outcome = b.countedOutcome()
+		observed = call(b, class, ending)
+		observed.outcome = b.countedOutcome()
 	})
-	return told
+	return observed
 }
 
 // bothFronts is a WebSocket server and a JSON lines server on one dispatcher and one lifecycle.
@@ -197,7 +203,7 @@
 	synctest.Wait()
 }
 
-func overWebSocket(b *bothFronts, class string, ending callEnd) toldFinal {
+func viaWebSocket(b *bothFronts, class string, ending callEnd) observedFinal {
 	b.t.Helper()
 	c := b.open("a")
 	c.writeFrame(lastFrame|text, strings.Replace(setup, "read", class, 1))
@@ -212,10 +218,10 @@
 	if message.Type != "refused" && message.Type != "failed" {
 		b.t.Errorf("over WebSocket a message of type %q", message.Type)
 	}
-	return toldFinal{cause: message.Cause, retryAfter: message.RetryAfter}
+	return observedFinal{cause: message.Cause, retryAfter: message.RetryAfter}
 }
 
-func overJSONLines(b *bothFronts, class string, ending callEnd) toldFinal {
+func viaJSONLines(b *bothFronts, class string, ending callEnd) observedFinal {
 	b.t.Helper()
 	c := &client{Conn: b.callers.Dial()}
 	defer c.Close()
@@ -232,14 +238,14 @@
 		Fields struct{ Wait string }
 	}
 	b.readOne(strings.Split(received, "\n"), "", &message)
-	told := toldFinal{cause: message.Cause}
+	observed := observedFinal{cause: message.Cause}
 	if message.Fields.Wait != "" {
 		var err error
-		if told.retryAfter, err = strconv.ParseInt(message.Fields.Wait, 10, 64); err != nil {
+		if observed.retryAfter, err = strconv.ParseInt(message.Fields.Wait, 10, 64); err != nil {
 			b.t.Error(err)
 		}
 	}
-	return told
+	return observed
 }
 
 // readOne reads the one message with a prefix: a second one would be a second final answer.
--- a/internal/frontend/websocket/server_message.go
+++ b/internal/frontend/websocket/server_message.go
@@ -24,7 +24,7 @@
 	if final.Kind == dispatch.FinalEstablished {
 		return answerMessage(id, final.Call.SDP())
 	}
-	messageType, code := finalWords(final.Kind)
+	messageType, code := finalTypeAndCode(final.Kind)
 	retryAfter, harmless := final.RetryAfter()
 	if !harmless {
 		return failedMessage(id, code, final.Kind.Cause())
@@ -32,8 +32,8 @@
 	return rejectedMessage(messageType, id, code, final.Kind.Cause(), retryAfter)
 }
 
-// finalWords are the type and the code of the final answer to a set-up that was not established.
-func finalWords(kind dispatch.FinalKind) (messageType string, code Code) {
+// finalTypeAndCode are the type and the code of the final answer to a set-up that was not established.
+func finalTypeAndCode(kind dispatch.FinalKind) (messageType string, code Code) {
 	switch kind {
 	case dispatch.FinalNoAgent:
 		return typeRejected, NoAgent
--- a/internal/frontend/websocket/server_message_test.go
+++ b/internal/frontend/websocket/server_message_test.go
@@ -19,7 +19,7 @@
 		if kind == dispatch.FinalEstablished {
 			continue
 		}
-		_, code := finalWords(kind)
+		_, code := finalTypeAndCode(kind)
 		if other, taken := kinds[code]; taken {
 			t.Errorf("%v and %v have the code %s", kind, other, code)
 		}
--- a/internal/trial/callers.go
+++ b/internal/trial/callers.go
@@ -100,9 +100,9 @@
 	c.placeFor(ctx, c.world.plan.Classes[c.world.randomInt(len(c.world.plan.Classes))], "")
 }
 
-// placeAgain has a caller whose set-up was not answered come again: for what it wanted where it was told that a retry
+// retry has a caller whose set-up was not answered come again: for what it wanted where it was told that a retry
 // is harmless, otherwise for something else.
-func (c *callers) placeAgain(ctx context.Context, failed *setup, outcome telemetry.Outcome) {
+func (c *callers) retry(ctx context.Context, failed *setup, outcome telemetry.Outcome) {
 	if outcome == telemetry.OutcomeDeferred {
 		c.placeFor(ctx, failed.class, failed.effect)
 		return
--- a/internal/trial/clientconn.go
+++ b/internal/trial/clientconn.go
@@ -289,7 +289,7 @@
 	c.counts.ended(w.now(), placed.class.Name, outcome)
 	c.used(placed.id)
 	if c.callers.underWay(&c.callers.retrying) && w.randomInt(hundred) < retryPerHundred {
-		w.tasks.Go(func() { c.callers.placeAgain(w.ctx, placed, outcome) })
+		w.tasks.Go(func() { c.callers.retry(w.ctx, placed, outcome) })
 	}
 }
 
--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -54,14 +54,10 @@
 		t.Skip("builds the daemon and plays for half a minute")
 	}
 	t.Parallel()
-	for offset := range 3 {
-		t.Run("", func(t *testing.T) {
-			t.Parallel()
-			const firstSeed, firstSlot = 1501, 160
-			drawn := plan.Generate(firstSeed+uint64(offset), []plan.Kind{plan.CallersCrowd})
-			wantRulesKept(t, drawn, firstSlot+offset)
-		})
-	}
+	const firstSeed, firstSlot = 1501, 160
+	wantRulesKeptSideBySide(t, firstSeed, firstSlot, func(seed uint64) *plan.Plan {
+		return plan.Generate(seed, []plan.Kind{plan.CallersCrowd})
+	})
 }
 
 // A set-up that crossed the eviction of its connection by a crowd that comes anew at once crosses the next one too.
@@ -79,20 +75,17 @@
 }
 
 // A site was told over WebSocket that a set-up that had run may be sent again, and it ran twice.
-func TestSoak_SitesThatGoByWhatTheyAreToldHaveNoEffectTwice(t *testing.T) {
+func TestSoak_SitesThatFollowFinalAnswersHaveNoEffectTwice(t *testing.T) {
 	if testing.Short() {
 		t.Skip("builds the daemon and plays for half a minute")
 	}
 	t.Parallel()
-	for offset := range 3 {
-		t.Run("", func(t *testing.T) {
-			t.Parallel()
-			const firstSeed, firstSlot = 2001, 170
-			drawn := plan.Generate(firstSeed+uint64(offset), lostAnswers())
-			drawn.Sites = true
-			wantRulesKept(t, drawn, firstSlot+offset)
-		})
-	}
+	const firstSeed, firstSlot = 2001, 170
+	wantRulesKeptSideBySide(t, firstSeed, firstSlot, func(seed uint64) *plan.Plan {
+		drawn := plan.Generate(seed, lostAnswers())
+		drawn.Sites = true
+		return drawn
+	})
 }
 
 // lostAnswers are faults after which a set-up may have run, and no answer says so.
@@ -100,6 +93,17 @@
 	return []plan.Kind{plan.PoolSpoil, plan.LinkHalf, plan.LinkReset, plan.LinkBlackHole, plan.CallersRetry}
 }
 
+// wantRulesKeptSideBySide plays the trials of three seeds at a time, each at a slot of its own.
+func wantRulesKeptSideBySide(t *testing.T, firstSeed uint64, firstSlot int, draw func(seed uint64) *plan.Plan) {
+	t.Helper()
+	for offset := range 3 {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			wantRulesKept(t, draw(firstSeed+uint64(offset)), firstSlot+offset)
+		})
+	}
+}
+
 // wantRulesKept plays one trial at a slot that no other test has, once more where it was late, and fails the test for
 // each rule that it breaks.
 func wantRulesKept(t *testing.T, drawn *plan.Plan, slot int) {
