--- a/internal/trial/incarnation.go
+++ b/internal/trial/incarnation.go
@@ -28,9 +28,12 @@
 	running  bool
 	expected bool // its end was asked for
 	wasReady bool
-	killed   bool      // by SIGKILL
-	stopped  time.Time // SIGTERM, zero: none
-	shared   bool      // another one has run beside it: what is counted may be either's
+	killed   bool // by SIGKILL
+	// killedEarly: SIGKILL came sooner after SIGTERM than the page allows, for another fault of the schedule. What it has
+	// not answered by then is not owed, as by a process that was killed outright.
+	killedEarly bool
+	stopped     time.Time // SIGTERM, zero: none
+	shared      bool      // another one has run beside it: what is counted may be either's
 }
 
 // launch starts an incarnation.
@@ -132,6 +135,7 @@
 		i.expected, i.stopped = true, time.Now()
 	case syscall.SIGKILL:
 		i.expected, i.killed = true, true
+		i.killedEarly = time.Since(i.stopped) < i.process.world.earliestKill()
 	}
 	i.process.world.timeline.add(i.process.name, signal.String()+" to "+i.name)
 	_ = i.cmd.Process.Signal(signal) // one that has ended just now needs none
--- a/internal/trial/process.go
+++ b/internal/trial/process.go
@@ -195,7 +195,7 @@
 	if exited == nil {
 		return
 	}
-	earliest := time.NewTimer(min(p.world.plan.LongestDeadline(), maxKillDeadline) + killDelay)
+	earliest := time.NewTimer(p.world.earliestKill())
 	defer earliest.Stop()
 	select {
 	case <-exited:
@@ -426,6 +426,7 @@
 }
 
 // ended reports how an incarnation ended: whether it has, by itself after SIGTERM, by SIGKILL, and when SIGTERM came.
+// One that was killed too early counts as killed outright.
 func (p *process) ended(name string) (exited, killed bool, stopped time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -433,5 +434,8 @@
 	if one == nil {
 		return true, true, time.Time{}
 	}
+	if one.killedEarly {
+		return !one.running, true, time.Time{}
+	}
 	return !one.running, one.killed, one.stopped
 }
--- a/internal/trial/process_test.go
+++ b/internal/trial/process_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"eidertrail/internal/trial/plan"
 )
@@ -45,3 +47,43 @@
 		t.Errorf("%s has not the address %s", text, second.control)
 	}
 }
+
+// A process that another fault killed 2.3 s after SIGTERM, where the page allows 3.7 s, owed the answers to what came
+// in between.
+func TestProcess_KillBeforeItsTimeCountsAsOutright(t *testing.T) {
+	const slotOfItsOwn = 154
+	drawn := plan.Generate(1, nil)
+	program := writeScript(t, "exec sleep 60\n")
+	w := newWorld(drawn, Options{Program: program, Folder: t.TempDir(), Slot: slotOfItsOwn})
+	if err := os.MkdirAll(w.folder, temporaryMode); err != nil {
+		t.Fatal(err)
+	}
+	controller := newProcess(w, 0)
+	listed, err := newList(w, controller)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listed.close()
+	defer w.tasks.Wait()
+	for name, test := range map[string]struct {
+		stoppedFor time.Duration
+		early      bool
+	}{
+		"before its time": {w.earliestKill() / 2, true},
+		"in its time":     {w.earliestKill(), false},
+	} {
+		started, err := controller.launch(context.Background(), listed.known(), false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		controller.mu.Lock()
+		started.stopped = time.Now().Add(-test.stoppedFor)
+		ended := started.signal(syscall.SIGKILL)
+		controller.mu.Unlock()
+		<-ended
+		exited, killed, stopped := controller.ended(started.name)
+		if !exited || !killed || stopped.IsZero() != test.early {
+			t.Errorf("%s: exited %t, killed %t, stopped %v", name, exited, killed, stopped)
+		}
+	}
+}
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -138,6 +138,15 @@
 	return ctx.Err()
 }
 
+// earliestKill is how long after SIGTERM SIGKILL may come.
+func (w *world) earliestKill() time.Duration {
+	longest := w.plan.LongestDeadline()
+	if w.plan.Sites {
+		longest = max(longest, siteDeadline)
+	}
+	return min(longest, maxKillDeadline) + killDelay
+}
+
 // startSites starts a site at each process, where the plan has sites.
 func (w *world) startSites(ctx context.Context, begin time.Time) {
 	if !w.plan.Sites {
