A second process that does not accept yet relays ends of calls to the first

The pool had sent it on its connection to the second process, which had started 0.4 s before and accepted 1.7 s later.

Cause: Runner.Relay passed ends on only from a process that accepts. Before that its call table has no callers, and the end waited for its own yes; the callers were at the first process.

Change: a process that takes another one's place relays from its welcome on.

Evidence: TestReplace_EndThatComesToAProcessThatIsNotPrepared, real processes, failed before (the end came with the second process's yes) and passes; the other tests of ends over an upgrade pass twice in a row.

--- a/cmd/eidertrail/replace_calls_test.go
+++ b/cmd/eidertrail/replace_calls_test.go
@@ -143,6 +143,34 @@
 	replaced.second.stop()
 }
 
+// An end that came to a second process that did not accept yet stayed there until it did: the old one, which has the
+// callers, did not hear of it.
+func TestReplace_EndThatComesToAProcessThatIsNotPrepared(t *testing.T) {
+	t.Parallel()
+	const id = "00000000000000d1"
+	controller := newReplaceableController(t)
+	_, oldAddress := callingPool(t)
+	first := controller.startAt(reserveAddress(t), oldAddress)
+	first.awaitReady()
+	caller := daemontest.Dial(t, controller.listen)
+	place(t, caller, id)
+
+	newPool, newAddress := callingPool(t)
+	controller.change = func(configuration string) string { // a pool more, whose connection does not come up
+		silent := fmt.Sprintf(`"targets":[{"uid":"s-2","endpoint":%q,"pod_group":0,"state":"up"},`, silentAddress(t))
+		return strings.Replace(configuration, `"targets":[`, silent, 1)
+	}
+	second := controller.startAt(reserveAddress(t), newAddress)
+	waitFor(t, "the second process's connection to its pool", func() bool { return newPool.AcceptedConnections() == 1 })
+	newPool.Bye(id, 16)
+	wantEnd(t, caller, id)
+	if first.logged(messageReplaced) > 0 {
+		t.Error("the end came only once the second process served")
+	}
+	second.kill()
+	first.stop()
+}
+
 // What stands at the old process when it ends goes on, and its end comes to the new one.
 func TestReplace_CallOutlivesItsProcess(t *testing.T) {
 	t.Parallel()
--- a/internal/handover/runner/runner.go
+++ b/internal/handover/runner/runner.go
@@ -274,11 +274,10 @@
 	}
 }
 
-// Relay passes the end of a call on to the other process, and reports whether there is one. It waits for nothing.
+// Relay passes the end of a call on to the other process, and reports whether there is one. It waits for nothing. A
+// process that does not accept yet passes it on, too: the callers are at the one before it.
 func (r *Runner) Relay(id string, cause int) bool {
-	view := r.View()
-	replacesAnother := view.Successor && view.Accepting
-	if !view.SuccessorServes && !replacesAnother {
+	if view := r.View(); !view.SuccessorServes && !view.Successor {
 		return false
 	}
 	select {
