--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -26,6 +26,7 @@
 	fixedSeedsSlot           = 0
 	killedUpgradeSlot        = 10
 	killedUpgradeAndStopSlot = 20
+	blackHoleSlot            = 30
 )
 
 // builtDaemon is the daemon's program, built for the test.
@@ -142,6 +143,15 @@
 	wantEveryRuleKept(t, killedUpgradeAndStopSlot, []uint64{1442}, plan.ProcessUpgrade)
 }
 
+// The ends of two calls were not told whose pool released them while nothing from it arrived for 0.7 s.
+func TestSoak_EndOfACallIsToldAfterABlackHole(t *testing.T) {
+	if testing.Short() {
+		t.Skip("builds the daemon and plays for half a minute")
+	}
+	t.Parallel()
+	wantEveryRuleKept(t, blackHoleSlot, []uint64{3010}, plan.ProcessUpgrade)
+}
+
 // wantEveryRuleKept plays trials, and fails the test for each that breaks a rule.
 func wantEveryRuleKept(t *testing.T, slot int, seeds []uint64, required ...plan.Kind) {
 	t.Helper()
